--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demo; not part of the shipped package."""
--- /dev/null
+++ b/src/robinspindle/client.py
@@ -0,0 +1,76 @@
+"""The operators' side of the operators' API."""
+
+from typing import Any
+
+import msgspec
+import urllib3
+
+from robinspindle.exceptions import ApiError
+
+TIMEOUT_S = 15.0
+
+
+class OperatorClient:
+    """Calls the operators' API of any entry that answers.
+
+    A query or a confirmation may go to any entry: what is agreed is in the log.
+    """
+
+    def __init__(self, entries: list[str], bearer: str, ca_file: str = ""):
+        self._entries = [entry.rstrip("/") for entry in entries]
+        self._headers = {"Authorization": f"Bearer {bearer}"}
+        options = {"ca_certs": ca_file} if ca_file else {}
+        self._http = urllib3.PoolManager(retries=False, **options)
+
+    def get(self, path: str) -> Any:
+        """Query the first entry that answers."""
+        return self._call_any("GET", path, None)
+
+    def get_from_all(self, path: str) -> list[Any]:
+        """Query every entry; those that can't be reached are left out."""
+        answers = []
+        for entry in self._entries:
+            try:
+                answers.append(self._call(entry, "GET", path, None))
+            except urllib3.exceptions.HTTPError:
+                continue
+        if not answers:
+            raise ApiError(0, f"no entry answers: {' '.join(self._entries)}")
+        return answers
+
+    def post(self, path: str, body: bytes = b"") -> Any:
+        """Send a command to the first entry that can be connected to."""
+        return self._call_any("POST", path, body)
+
+    def _call_any(self, method: str, path: str, body: bytes | None) -> Any:
+        failure = "no entry is named"
+        for entry in self._entries:
+            try:
+                return self._call(entry, method, path, body)
+            except (
+                urllib3.exceptions.NewConnectionError,
+                urllib3.exceptions.ConnectTimeoutError,
+            ) as error:
+                failure = str(error)
+            except urllib3.exceptions.HTTPError as error:
+                text = f"{entry} broke off ({error}); look before you try again"
+                raise ApiError(0, text) from None
+        raise ApiError(0, f"no entry answers: {failure}")
+
+    def _call(self, entry: str, method: str, path: str, body: bytes | None) -> Any:
+        response = self._http.request(
+            method,
+            f"{entry}/admin/{path}",
+            body=body,
+            headers=self._headers,
+            timeout=TIMEOUT_S,
+        )
+        try:
+            value = msgspec.json.decode(response.data)
+        except msgspec.MsgspecError:
+            raise ApiError(response.status, "the answer is not JSON") from None
+        if response.status >= 400:
+            error = value.get("error", {}) if isinstance(value, dict) else {}
+            message = error.get("message") or value.get("reason") or "refused"
+            raise ApiError(response.status, message, value)
+        return value
--- /dev/null
+++ b/src/robinspindle/core/admission.py
@@ -0,0 +1,190 @@
+"""Admission at a target: what to take in, what to run next, when to come back."""
+
+import hashlib
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from robinspindle.messages import Work
+
+FIRST_PREFILL_S = 0.0004
+FIRST_STEP_S = 0.02
+FIRST_CALL_S = 0.05
+SMOOTHING = 0.2
+DEMAND_WINDOW_S = 10.0
+SPREAD = 0.5
+LEAST_RETRY_S = 0.2
+URGENT_PRIORITY = 0
+URGENT_RESERVED = 1
+
+
+@dataclass
+class Pace:
+    """Measured speed of a target, as moving averages.
+
+    Attributes:
+        prefill_s: Seconds to read one token of a prompt.
+        step_s: Seconds between two tokens of one answer.
+        call_s: Seconds that a call of a plain service takes.
+    """
+
+    prefill_s: float = FIRST_PREFILL_S
+    step_s: float = FIRST_STEP_S
+    call_s: float = FIRST_CALL_S
+
+
+@dataclass
+class Demand:
+    """Work offered lately, as sums that decay.
+
+    Attributes:
+        prompt_tokens: Prompt tokens.
+        answer_tokens: Tokens of answers.
+        at: When the sums were last brought up to date.
+    """
+
+    prompt_tokens: float = 0.0
+    answer_tokens: float = 0.0
+    at: float = 0.0
+
+
+@dataclass
+class Waiting:
+    """A request that waits at the agent.
+
+    Attributes:
+        work: The request.
+        due: When its caller's time is over.
+        queued_at: When it came.
+        service_s: Estimated seconds of one slot that it takes.
+    """
+
+    work: Work
+    due: float
+    queued_at: float
+    service_s: float
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Whether a request is taken in.
+
+    Attributes:
+        reason: Why not; empty when it is taken in.
+        retry_s: When a new try is worth while, seconds.
+    """
+
+    reason: str = ""
+    retry_s: float = 0.0
+
+
+def note_offer(demand: Demand, now: float, work: Work) -> None:
+    """Add an offered request to the demand, whether it is taken in or not."""
+    kept = math.exp((demand.at - now) / DEMAND_WINDOW_S)
+    prompt = 0 if work.stage == "decode" else work.prompt_tokens
+    answer = 0 if work.stage == "prefill" else work.max_tokens
+    demand.prompt_tokens = demand.prompt_tokens * kept + prompt
+    demand.answer_tokens = demand.answer_tokens * kept + answer
+    demand.at = now
+
+
+def read_rate(total: float, demand: Demand, now: float) -> float:
+    """Turn one decaying sum into tokens a second."""
+    return total * math.exp((demand.at - now) / DEMAND_WINDOW_S) / DEMAND_WINDOW_S
+
+
+def learn_first_token(pace: Pace, seconds: float, tokens: int) -> None:
+    """Take note of the time from the start of a run to its first token."""
+    if tokens > 0 and seconds > 0:
+        pace.prefill_s += SMOOTHING * (seconds / tokens - pace.prefill_s)
+
+
+def learn_steps(pace: Pace, seconds: float, steps: int) -> None:
+    """Take note of the time that the later tokens of a run took."""
+    if steps > 0 and seconds > 0:
+        pace.step_s += SMOOTHING * (seconds / steps - pace.step_s)
+
+
+def learn_call(pace: Pace, seconds: float) -> None:
+    """Take note of the time that a call took."""
+    pace.call_s += SMOOTHING * (seconds - pace.call_s)
+
+
+def estimate_service(pace: Pace, work: Work) -> float:
+    """Estimate the seconds of one slot that a request takes."""
+    if work.kind == "call":
+        return pace.call_s
+    prefill = work.prompt_tokens * pace.prefill_s
+    steps = max(1, work.max_tokens - len(work.resumed)) * pace.step_s
+    if work.stage == "prefill":
+        return prefill
+    return steps if work.stage == "decode" else prefill + steps
+
+
+def estimate_wait(
+    ahead: Iterable[Waiting], remaining: list[float], slots: int
+) -> float:
+    """Estimate how long a request waits behind others.
+
+    Args:
+        ahead: Requests that go before it.
+        remaining: Estimated seconds left of each run under way.
+        slots: Runs that the target works on at a time.
+    """
+    queued = sum(waiting.service_s for waiting in ahead)
+    if len(remaining) < slots and queued == 0:
+        return 0.0
+    soonest = min(remaining) if len(remaining) >= slots else 0.0
+    return soonest + queued / slots
+
+
+def order_key(waiting: Waiting, shares: dict[str, int]) -> tuple:
+    """Order of the queue: priority, then fairness, then slack to the deadline.
+
+    Args:
+        waiting: The request.
+        shares: Runs under way by workspace.
+    """
+    work = waiting.work
+    return (
+        work.priority,
+        shares.get(work.workspace, 0),
+        waiting.due - waiting.service_s,
+    )
+
+
+def count_slots(slots: int, priority: int) -> int:
+    """Slots that a priority may use: urgent work always finds one kept free."""
+    if priority <= URGENT_PRIORITY or slots <= URGENT_RESERVED:
+        return slots
+    return slots - URGENT_RESERVED
+
+
+def judge(
+    work: Work,
+    left_s: float,
+    service_s: float,
+    wait_s: float,
+    queue_s: float,
+) -> Verdict:
+    """Decide whether a request is taken in, with the estimates of this moment.
+
+    Args:
+        work: The request.
+        left_s: Seconds until the caller's deadline.
+        service_s: Estimated seconds of its run.
+        wait_s: Estimated wait before its run.
+        queue_s: Longest wait that is allowed.
+    """
+    if wait_s > queue_s:
+        return Verdict("full", spread_retry(work.request, wait_s - queue_s))
+    if wait_s + service_s > left_s:
+        return Verdict("late", spread_retry(work.request, wait_s + service_s - left_s))
+    return Verdict()
+
+
+def spread_retry(request: str, seconds: float) -> float:
+    """Spread callers that were refused together, so that they don't come together."""
+    digest = hashlib.blake2b(request.encode(), digest_size=2).digest()
+    fraction = int.from_bytes(digest, "big") / 65536
+    return max(LEAST_RETRY_S, seconds) * (1.0 + SPREAD * fraction)
--- /dev/null
+++ b/src/robinspindle/core/dispatch.py
@@ -0,0 +1,391 @@
+"""The entry's decisions: place each request, follow it, and end it truthfully.
+
+A `Dispatcher` stands in each entry. It is fed requests, messages, folded states and
+claims, and answers with effects. Entries share nothing but the log.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from robinspindle.core import membership, retries, routing, streams
+from robinspindle.core.claiming import (
+    claim_key,
+    consider_key,
+    explain_unknown,
+    judge_claim,
+    release_abandoned,
+    release_and_retry,
+    send_attach,
+)
+from robinspindle.core.effects import (
+    Chunk,
+    Deliver,
+    Effect,
+    Ended,
+    Refusal,
+    Send,
+    Started,
+)
+from robinspindle.core.flights import (
+    ATTACHING,
+    CLAIMING,
+    COME_BACK_S,
+    PLACING,
+    RELEASING,
+    RUNNING,
+    Comeback,
+    Dispatcher,
+    Flight,
+    cancel_run,
+    drop,
+    finish,
+    give_up,
+    leave_target,
+    tell_ran,
+)
+from robinspindle.core.placing import list_peers, place
+from robinspindle.core.state import State
+from robinspindle.messages import (
+    Accepted,
+    AnyMessage,
+    Attach,
+    Attached,
+    Failed,
+    Finished,
+    Hello,
+    Refused,
+    Report,
+    Tokens,
+    Work,
+)
+
+HELLO_S = 0.25
+OFFER_S = 1.0
+CLAIM_S = 3.0
+ATTACH_S = 2.0
+STALL_S = 1.0
+GAP_S = 0.05
+LOST_S = 3.0
+LEAST_TRY_S = 0.05
+HANG_UP_GRACE_S = 5.0
+HARD_LIMIT_S = 120.0
+
+
+def submit(
+    entry: Dispatcher,
+    now: float,
+    work: Work,
+    promised_s: float,
+    comeback: Comeback | None = None,
+) -> list[Effect]:
+    """Take in a request that passed its workspace's limits.
+
+    Args:
+        entry: The entry's state.
+        now: The present time, monotonic seconds.
+        work: The request.
+        promised_s: Seconds within which its whole answer is promised.
+        comeback: The earlier stream that the caller comes back to, if it does.
+    """
+    flight = Flight(work, due=now + promised_s, begun=now, since=now)
+    entry.flights[work.request] = flight
+    if entry.configuration is None:
+        text = "no configuration is in force yet"
+        refusal = Refusal(503, "starting", text, "no", COME_BACK_S)
+        return give_up(entry, flight, refusal)
+    retries.earn(entry.budget)
+    if comeback is not None:
+        flight.skip = comeback.after
+        attach = Attach(request=work.request, run=comeback.run)
+        return send_attach(flight, now, comeback.target, attach)
+    if work.key:
+        return consider_key(entry, flight, now)
+    return place(entry, flight, now)
+
+
+def hang_up(entry: Dispatcher, request: str) -> list[Effect]:
+    """Take note that a caller is gone; it may come back to its stream."""
+    flight = entry.flights.get(request)
+    return drop(entry, flight, HANG_UP_GRACE_S) if flight else []
+
+
+def receive(
+    entry: Dispatcher, now: float, peer: str, message: AnyMessage
+) -> list[Effect]:
+    """Decide what to do about a message from a target's agent."""
+    evidence = entry.evidence.setdefault(peer, membership.Evidence())
+    evidence.heard_at = now
+    if isinstance(message, Report):
+        return _note_report(entry, now, peer, message)
+    effects: list[Effect] = []
+    report = getattr(message, "report", None)
+    if report is not None:
+        effects += _note_report(entry, now, peer, report)
+    flight = entry.flights.get(getattr(message, "request", ""))
+    if flight is None or flight.target != peer or not _is_current(flight, message):
+        return effects
+    flight.event_at = now
+    return effects + _HANDLERS[type(message)](entry, flight, now, message)
+
+
+def fold_state(entry: Dispatcher, state: State) -> None:
+    """Take in the newly folded control stream."""
+    entry.state = state
+    configuration = entry.configuration
+    if configuration is None:
+        return
+    entry.budget.share = configuration.policy.retry_share
+    if configuration.policy.routing != entry.policy:
+        entry.policy = configuration.policy.routing
+        entry.choose = routing.make_policy(entry.policy)
+    for name in [name for name in entry.evidence if name not in state.targets]:
+        del entry.evidence[name]
+
+
+def fold_claims(entry: Dispatcher, now: float, keys: set[str]) -> list[Effect]:
+    """Take in that the claims of these keys may have changed."""
+    effects: list[Effect] = []
+    for key in keys:
+        effects += release_abandoned(entry, key)
+    waiting = [
+        flight
+        for flight in entry.flights.values()
+        if flight.work.key in keys and flight.status in (CLAIMING, RELEASING)
+    ]
+    for flight in waiting:
+        effects += judge_claim(entry, flight, now)
+    return effects
+
+
+def note_listed(entry: Dispatcher, leaving: set[str]) -> None:
+    """Take in the platform's list: the VMs that it names as leaving."""
+    configuration = entry.configuration
+    if configuration is None:
+        return
+    for name, section in configuration.targets.items():
+        evidence = entry.evidence.setdefault(name, membership.Evidence())
+        evidence.listed_leaving = (section.vm or name) in leaving
+
+
+def tick(entry: Dispatcher, now: float) -> list[Effect]:
+    """Do what time makes due."""
+    effects: list[Effect] = []
+    if now - entry.greeted_at >= HELLO_S:
+        entry.greeted_at = now
+        hello = Hello(offset=entry.state.offset)
+        effects += [Send(name, hello) for name in list_peers(entry)]
+    for flight in list(entry.flights.values()):
+        effects += _check_flight(entry, flight, now)
+    return effects
+
+
+def _is_current(flight: Flight, message: AnyMessage) -> bool:
+    if type(message) not in _HANDLERS:
+        return False
+    return flight.status == ATTACHING or message.attempt == flight.attempt
+
+
+def _note_report(
+    entry: Dispatcher, now: float, peer: str, report: Report
+) -> list[Effect]:
+    evidence = entry.evidence.setdefault(peer, membership.Evidence())
+    last = evidence.report
+    evidence.report = report
+    evidence.heard_at = now
+    if peer in entry.sent:
+        entry.sent[peer].fresh.clear()
+    if last is None or last.incarnation == report.incarnation:
+        return []
+    effects: list[Effect] = []
+    for flight in list(entry.flights.values()):
+        is_there = flight.target == peer and flight.status in (CLAIMING, RUNNING)
+        if is_there and flight.incarnation != report.incarnation:
+            effects += _lose(entry, flight, now, "the target's agent was restarted")
+    return effects
+
+
+def _take_accepted(
+    entry: Dispatcher, flight: Flight, now: float, message: Accepted
+) -> list[Effect]:
+    if flight.status != PLACING:
+        return []
+    if message.report is not None:
+        flight.incarnation = message.report.incarnation
+    if message.reserved:
+        return claim_key(entry, flight, now)
+    flight.status = RUNNING
+    flight.since = now
+    return [Deliver(flight.work.request, Started(flight.target, flight.run))]
+
+
+def _take_refused(
+    entry: Dispatcher, flight: Flight, now: float, message: Refused
+) -> list[Effect]:
+    if flight.status in (RELEASING, ATTACHING):
+        return []
+    if flight.is_started:
+        return release_and_retry(entry, flight, now)
+    leave_target(entry, flight)
+    flight.refused[flight.target] = message.retry_s
+    flight.decode_target = ""
+    if message.reason != "leaving":
+        flight.offers += 1
+    return place(entry, flight, now)
+
+
+def _take_tokens(
+    entry: Dispatcher, flight: Flight, now: float, message: Tokens
+) -> list[Effect]:
+    if flight.status != RUNNING:
+        return []
+    fresh = streams.add_tokens(flight.buffer, message.first, message.texts)
+    effects = _deliver_tokens(flight, fresh)
+    return effects + _end_if_whole(entry, flight, "stop")
+
+
+def _deliver_tokens(flight: Flight, fresh: list[str]) -> list[Effect]:
+    first = len(flight.buffer.texts) - len(fresh)
+    skipped = max(0, flight.skip - first)
+    texts = tuple(fresh[skipped:])
+    if not texts:
+        return []
+    return [Deliver(flight.work.request, Chunk(first + skipped, texts))]
+
+
+def _take_finished(
+    entry: Dispatcher, flight: Flight, now: float, message: Finished
+) -> list[Effect]:
+    if flight.status != RUNNING:
+        return []
+    membership.note_success(entry.evidence[flight.target])
+    if flight.decode_target:
+        leave_target(entry, flight)
+        return place(entry, flight, now)
+    if flight.work.kind == "call":
+        ended = Ended(status=message.status, headers=message.headers, body=message.body)
+        return finish(entry, flight, ended)
+    flight.buffer.count = message.count
+    return _end_if_whole(entry, flight, message.finish) or [_ask_again(flight)]
+
+
+def _end_if_whole(entry: Dispatcher, flight: Flight, reason: str) -> list[Effect]:
+    if not flight.buffer.is_whole:
+        return []
+    return finish(entry, flight, Ended(count=flight.buffer.count, finish=reason))
+
+
+def _take_failed(
+    entry: Dispatcher, flight: Flight, now: float, message: Failed
+) -> list[Effect]:
+    if flight.status != RUNNING:
+        return []
+    membership.note_failure(entry.evidence[flight.target], now)
+    if flight.is_started and message.ran == "no":
+        flight.refused[flight.target] = COME_BACK_S
+        return release_and_retry(entry, flight, now)
+    return _lose(entry, flight, now, message.reason)
+
+
+def _take_attached(
+    entry: Dispatcher, flight: Flight, now: float, message: Attached
+) -> list[Effect]:
+    if flight.status not in (ATTACHING, RUNNING):
+        return []
+    if message.status == "joined":
+        return _join(flight, now, message)
+    if message.status == "not run":
+        return release_and_retry(entry, flight, now)
+    if flight.status == ATTACHING and not flight.work.key:
+        text = "the stream can't be resumed any more; send the request again"
+        refusal = Refusal(409, "stream_gone", text, "unknown")
+        return give_up(entry, flight, refusal)
+    return _lose(entry, flight, now, "its target has no memory of it")
+
+
+def _join(flight: Flight, now: float, message: Attached) -> list[Effect]:
+    if flight.status == RUNNING:
+        return []
+    flight.status = RUNNING
+    flight.since = now
+    flight.attempt = message.attempt
+    flight.is_started = bool(flight.work.key)
+    return [Deliver(flight.work.request, Started(flight.target, flight.run))]
+
+
+def _lose(entry: Dispatcher, flight: Flight, now: float, reason: str) -> list[Effect]:
+    """Go on after the current run was lost: elsewhere, or say what is known."""
+    if flight.is_started or (flight.work.key and flight.status == ATTACHING):
+        return give_up(entry, flight, explain_unknown(reason))
+    effects = cancel_run(entry, flight, 0.0)
+    if flight.status == CLAIMING:
+        return effects + release_and_retry(entry, flight, now)
+    flight.may_have_run |= flight.work.repeatable
+    flight.decode_target = ""
+    flight.refused[flight.target] = COME_BACK_S
+    if not retries.spend(entry.budget, flight.tries, flight.due - now, LEAST_TRY_S):
+        text = f"the target was lost ({reason}) and no retry is left"
+        refusal = Refusal(502, "target_lost", text, tell_ran(flight), COME_BACK_S)
+        return effects + give_up(entry, flight, refusal)
+    resumed = tuple(flight.buffer.texts)
+    flight.buffer = streams.TokenBuffer(texts=list(resumed))
+    flight.work = msgspec.structs.replace(flight.work, resumed=resumed)
+    return effects + place(entry, flight, now)
+
+
+def _check_flight(entry: Dispatcher, flight: Flight, now: float) -> list[Effect]:
+    waited = now - flight.since
+    if flight.status == PLACING and waited > OFFER_S:
+        return _lose(entry, flight, now, "the offer was not answered")
+    if flight.status in (CLAIMING, RELEASING) and waited > CLAIM_S:
+        text = "the log service can't be reached, so the request was not run"
+        refusal = Refusal(503, "log_unavailable", text, "no", COME_BACK_S)
+        return give_up(entry, flight, refusal)
+    if flight.status == ATTACHING and waited > ATTACH_S:
+        return _lose(entry, flight, now, "its target does not answer")
+    if flight.status == RUNNING:
+        return _check_run(entry, flight, now)
+    return []
+
+
+def _check_run(entry: Dispatcher, flight: Flight, now: float) -> list[Effect]:
+    evidence = entry.evidence.get(flight.target)
+    if evidence is None or evidence.heard_at is None:
+        return _lose(entry, flight, now, "the target is no longer configured")
+    if now - evidence.heard_at > LOST_S:
+        membership.note_failure(evidence, now)
+        return _lose(entry, flight, now, "the target fell silent")
+    if now > max(flight.due, flight.begun + HARD_LIMIT_S):
+        return give_up(entry, flight, _explain_too_long(flight))
+    if now - flight.event_at > (GAP_S if flight.buffer.has_gap else STALL_S):
+        flight.event_at = now
+        return [_ask_again(flight)]
+    return []
+
+
+def _explain_too_long(flight: Flight) -> Refusal:
+    ran = "unknown" if flight.is_started else "partial"
+    text = f"no whole answer within {HARD_LIMIT_S:.0f} seconds"
+    return Refusal(504, "too_long", text, ran, COME_BACK_S)
+
+
+def _ask_again(flight: Flight) -> Effect:
+    """Ask after a run that says nothing: its events or its start may be lost."""
+    attach = Attach(
+        request=flight.work.request,
+        run=flight.run,
+        attempt=flight.attempt,
+        after=len(flight.buffer.texts),
+        incarnation=flight.incarnation if flight.is_started else "",
+    )
+    return Send(flight.target, attach)
+
+
+_HANDLERS: dict[type, Callable] = {
+    Accepted: _take_accepted,
+    Refused: _take_refused,
+    Tokens: _take_tokens,
+    Finished: _take_finished,
+    Failed: _take_failed,
+    Attached: _take_attached,
+}
--- /dev/null
+++ b/src/robinspindle/core/host.py
@@ -0,0 +1,379 @@
+"""The agent's decisions: the last word on what its target receives.
+
+A `Host` stands beside each target. It is fed messages, engine events and folded
+states, and answers with effects. It alone starts runs and gives orders.
+"""
+
+from robinspindle.core import admission, orders
+from robinspindle.core.effects import Abort, AppendClaim, Effect, Launch, Send
+from robinspindle.core.records import Found
+from robinspindle.core.runs import (
+    ENDED,
+    KEEP_ENDED_S,
+    QUEUED,
+    RESERVATION_S,
+    RESERVED,
+    RUNNING,
+    Host,
+    Run,
+    drop_listener,
+    end_run,
+    estimate_wait,
+    make_outcome,
+    make_report,
+    make_waiting,
+    must_run,
+    never_ran,
+    replay,
+)
+from robinspindle.core.state import State
+from robinspindle.messages import (
+    Accepted,
+    AnyMessage,
+    Attach,
+    Attached,
+    Cancel,
+    Failed,
+    Finished,
+    Hello,
+    Offer,
+    Ran,
+    Refused,
+    Start,
+    Tokens,
+)
+
+LEAVING_RETRY_S = 0.1
+ENTRY_LOST_S = 10.0
+STARTED_KEPT = 50_000
+
+
+def receive(host: Host, now: float, peer: str, message: AnyMessage) -> list[Effect]:
+    """Decide what to do about a message from an entry."""
+    host.heard[peer] = now
+    if isinstance(message, Hello):
+        return [Send(peer, make_report(host, now))]
+    if isinstance(message, Offer):
+        return _take_offer(host, now, peer, message)
+    if isinstance(message, Start):
+        return _start(host, now, peer, message)
+    if isinstance(message, Cancel):
+        return _cancel(host, now, peer, message)
+    if isinstance(message, Attach):
+        return _attach(host, now, peer, message)
+    return []
+
+
+def fold_state(host: Host, now: float, state: State) -> list[Effect]:
+    """Take in the newly folded control stream."""
+    host.state = state
+    return tick(host, now)
+
+
+def note_engine(
+    host: Host, now: float, found: Found, busy: bool, boot: str
+) -> list[Effect]:
+    """Take in the engine's answer to the question what it is.
+
+    Args:
+        host: The agent's state.
+        now: The present time, monotonic seconds.
+        found: What the engine is.
+        busy: Whether it is in the middle of a change.
+        boot: Name of this run of the engine; a new one means that it crashed.
+    """
+    host.executor.found = found
+    host.executor.busy = busy
+    host.executor.boot = boot
+    return tick(host, now)
+
+
+def postpone_order(host: Host, now: float) -> None:
+    """Take in that nothing is known of an order; the engine is asked first."""
+    orders.postpone_order(host.executor, now)
+
+
+def end_order(
+    host: Host, now: float, number: int, found: Found | None, reason: str
+) -> list[Effect]:
+    """Take in how an order ended; without a reason it took effect."""
+    if found is not None:
+        host.executor.found = found
+    if host.target is None:
+        return []
+    effects = orders.end_order(host.executor, host.target, number, now, reason)
+    return effects + tick(host, now)
+
+
+def stop(host: Host, now: float) -> list[Effect]:
+    """Begin a planned stop: no new work, the queue goes back, runs go on."""
+    host.is_stopping = True
+    notices = [Send(peer, make_report(host, now)) for peer in host.heard]
+    return notices + tick(host, now)
+
+
+def tick(host: Host, now: float) -> list[Effect]:
+    """Do what time or a change of state makes due."""
+    effects: list[Effect] = []
+    if not host.is_serving:
+        effects += _hand_back(host, now)
+    effects += _drop_stale(host, now)
+    effects += _launch_next(host, now)
+    effects += orders.decide_orders(host.executor, host.target, now, host.is_idle)
+    return effects
+
+
+def add_tokens(
+    host: Host, now: float, key: tuple[str, int], texts: tuple[str, ...]
+) -> list[Effect]:
+    """Take in tokens from the engine and pass them on, numbered."""
+    run = host.runs.get(key)
+    if run is None or run.status != RUNNING:
+        return []
+    fresh = len(run.texts) - len(run.work.resumed)
+    if fresh == 0:
+        run.first_at = now
+        seconds = now - run.started_at - host.pace.step_s
+        admission.learn_first_token(host.pace, seconds, run.work.prompt_tokens)
+    first = len(run.texts)
+    run.texts.extend(texts)
+    return [
+        Send(peer, Tokens(request=request, attempt=key[1], first=first, texts=texts))
+        for peer, request in run.listeners
+    ]
+
+
+def finish_run(
+    host: Host, now: float, key: tuple[str, int], finished: Finished
+) -> list[Effect]:
+    """Take in the end of a run.
+
+    Args:
+        host: The agent's state.
+        now: The present time, monotonic seconds.
+        key: Request id and attempt of the run.
+        finished: The end; its ids, count and report are filled in here.
+    """
+    run = host.runs.get(key)
+    if run is None or run.status != RUNNING:
+        return []
+    if run.work.kind == "call":
+        admission.learn_call(host.pace, now - run.started_at)
+    else:
+        steps = len(run.texts) - len(run.work.resumed) - 1
+        admission.learn_steps(host.pace, now - run.first_at, steps)
+    effects = end_run(host, now, run, finished)
+    if run.work.key:
+        effects.append(AppendClaim(make_outcome(run, finished)))
+    return effects + tick(host, now)
+
+
+def fail_run(
+    host: Host, now: float, key: tuple[str, int], ran: Ran, reason: str
+) -> list[Effect]:
+    """Take in that a run broke off, and what is known of its effect."""
+    run = host.runs.get(key)
+    if run is None or run.status != RUNNING:
+        return []
+    failed = Failed(request="", attempt=0, ran=ran, reason=reason)
+    if ran == "no":
+        host.started.pop(key, None)
+    effects = end_run(host, now, run, failed)
+    return effects + tick(host, now)
+
+
+def _take_offer(host: Host, now: float, peer: str, offer: Offer) -> list[Effect]:
+    work = offer.work
+    admission.note_offer(host.demand, now, work)
+    refusal = _find_refusal(host, now, offer)
+    if refusal.reason:
+        refused = Refused(
+            request=work.request,
+            attempt=offer.attempt,
+            reason=refusal.reason,
+            retry_s=refusal.retry_s,
+            report=make_report(host, now),
+        )
+        return [Send(peer, refused)]
+    run = Run(
+        work=work,
+        attempt=offer.attempt,
+        status=QUEUED if work.repeatable else RESERVED,
+        waiting=make_waiting(host, now, work, offer.left_s),
+        listeners={(peer, work.request): None},
+        texts=list(work.resumed),
+    )
+    host.runs[(work.request, offer.attempt)] = run
+    launched = _launch_next(host, now)
+    accepted = Accepted(
+        request=work.request,
+        attempt=offer.attempt,
+        reserved=not work.repeatable,
+        report=make_report(host, now),
+    )
+    return [Send(peer, accepted), *launched]
+
+
+def _find_refusal(host: Host, now: float, offer: Offer) -> admission.Verdict:
+    work = offer.work
+    if not host.is_serving:
+        return admission.Verdict("leaving", LEAVING_RETRY_S)
+    if host.target.pool != work.pool:
+        return admission.Verdict("pool")
+    if work.adapter and work.adapter not in host.target.adapters:
+        return admission.Verdict("pool")
+    waiting = make_waiting(host, now, work, offer.left_s)
+    wait_s = estimate_wait(host, now, waiting)
+    queue_s = host.configuration.policy.queue_s
+    return admission.judge(work, offer.left_s, waiting.service_s, wait_s, queue_s)
+
+
+def _launch_next(host: Host, now: float) -> list[Effect]:
+    """Give the engine as many waiting requests as it has free slots for."""
+    effects: list[Effect] = []
+    if host.section is None:
+        return effects
+    while True:
+        run = _find_next(host)
+        if run is None:
+            return effects
+        run.status = RUNNING
+        run.started_at = now
+        effects.append(Launch(run.work.request, run.attempt, run.work))
+
+
+def _find_next(host: Host) -> Run | None:
+    running = [run for run in host.runs.values() if run.status == RUNNING]
+    shares: dict[str, int] = {}
+    for run in running:
+        shares[run.work.workspace] = shares.get(run.work.workspace, 0) + 1
+    ready = [
+        run
+        for run in host.runs.values()
+        if run.status == QUEUED
+        and len(running) < admission.count_slots(host.section.slots, run.work.priority)
+    ]
+    if not ready:
+        return None
+    return min(ready, key=lambda run: admission.order_key(run.waiting, shares))
+
+
+def _start(host: Host, now: float, peer: str, start: Start) -> list[Effect]:
+    run = host.runs.get((start.request, start.attempt))
+    if run is None or run.status != RESERVED:
+        refused = Refused(
+            request=start.request, attempt=start.attempt, reason="expired"
+        )
+        return [Send(peer, refused)]
+    run.status = QUEUED
+    _remember_start(host, (start.request, start.attempt))
+    return _launch_next(host, now)
+
+
+def _remember_start(host: Host, key: tuple[str, int]) -> None:
+    host.started[key] = None
+    if len(host.started) > STARTED_KEPT:
+        del host.started[next(iter(host.started))]
+        host.has_forgotten = True
+
+
+def _cancel(host: Host, now: float, peer: str, cancel: Cancel) -> list[Effect]:
+    run = host.runs.get((cancel.run, cancel.attempt))
+    if run is None or run.status == ENDED:
+        return []
+    drop_listener(run, peer, cancel.request)
+    if run.listeners or must_run(run):
+        return []
+    run.drop_at = now + cancel.grace_s
+    return tick(host, now)
+
+
+def _attach(host: Host, now: float, peer: str, attach: Attach) -> list[Effect]:
+    run = _find_run(host, attach)
+    if run is None or run.status == RESERVED or never_ran(run):
+        return _deny(host, now, peer, attach, run)
+    if run.status == ENDED and run.end is None:
+        return [Send(peer, _answer_attach(attach, run.attempt, "unknown"))]
+    run.listeners[(peer, attach.request)] = None
+    run.drop_at = None
+    joined = Send(peer, _answer_attach(attach, run.attempt, "joined"))
+    return [joined, *replay(run, peer, attach.request, attach.after)]
+
+
+def _answer_attach(attach: Attach, attempt: int, status: str) -> Attached:
+    return Attached(request=attach.request, attempt=attempt, status=status)
+
+
+def _deny(
+    host: Host, now: float, peer: str, attach: Attach, run: Run | None
+) -> list[Effect]:
+    """Answer that there is no run, and see to it that there never will be one.
+
+    Only the incarnation that made the reservation can know. Without a reservation
+    it starts nothing, so what it has not started so far never starts.
+    """
+    key = (attach.run, attach.attempt)
+    knows = attach.incarnation == host.incarnation and not host.has_forgotten
+    status = "not run" if knows and key not in host.started else "unknown"
+    if run is not None and run.status == RESERVED:
+        run.status = ENDED
+        run.ended_at = now
+    denied = Send(peer, _answer_attach(attach, attach.attempt, status))
+    return [denied, *tick(host, now)]
+
+
+def _find_run(host: Host, attach: Attach) -> Run | None:
+    if attach.attempt >= 0:
+        return host.runs.get((attach.run, attach.attempt))
+    found = [run for run in host.runs.values() if run.work.request == attach.run]
+    return found[-1] if found else None
+
+
+def _hand_back(host: Host, now: float) -> list[Effect]:
+    """Give queued work back to its entries, which place it elsewhere at once."""
+    effects: list[Effect] = []
+    for run in host.runs.values():
+        if run.status != QUEUED or not run.work.repeatable:
+            continue
+        run.status = ENDED
+        run.ended_at = now - KEEP_ENDED_S
+        for peer, request in run.listeners:
+            refused = Refused(
+                request=request,
+                attempt=run.attempt,
+                reason="leaving",
+                retry_s=LEAVING_RETRY_S,
+                report=make_report(host, now),
+            )
+            effects.append(Send(peer, refused))
+    return effects
+
+
+def _drop_stale(host: Host, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for key, run in list(host.runs.items()):
+        _detach_lost(host, run, now)
+        if run.status == ENDED and now - run.ended_at >= KEEP_ENDED_S:
+            del host.runs[key]
+        elif run.status == RESERVED and now - run.waiting.queued_at > RESERVATION_S:
+            run.status = ENDED
+            run.ended_at = now
+        elif run.drop_at is not None and now >= run.drop_at and run.status != ENDED:
+            if run.status == RUNNING:
+                effects.append(Abort(*key))
+            run.status = ENDED
+            run.ended_at = now
+    return effects
+
+
+def _detach_lost(host: Host, run: Run, now: float) -> None:
+    """Stop working for entries that have not been heard for long."""
+    lost = [
+        (peer, request)
+        for peer, request in run.listeners
+        if now - host.heard.get(peer, now) > ENTRY_LOST_S
+    ]
+    for peer, request in lost:
+        drop_listener(run, peer, request)
+    if lost and not run.listeners and not must_run(run):
+        run.drop_at = now
--- /dev/null
+++ b/src/robinspindle/core/membership.py
@@ -0,0 +1,63 @@
+"""Which targets may get new work, from several kinds of evidence.
+
+The platform's list lags and lies by omission, so it is never the only evidence
+against a target that answers.
+"""
+
+from dataclasses import dataclass
+
+from robinspindle.messages import Report
+
+SUSPECT_FAILURES = 3
+FIRST_REST_S = 0.5
+MOST_REST_S = 10.0
+
+
+@dataclass
+class Evidence:
+    """What one entry knows of one target.
+
+    Attributes:
+        heard_at: When its agent was last heard, None for never.
+        report: The last report.
+        listed_leaving: Whether the platform's list names its VM as leaving.
+        failures: Runs that broke off in a row.
+        rested_until: Until when it is put aside for its failures.
+    """
+
+    heard_at: float | None = None
+    report: Report | None = None
+    listed_leaving: bool = False
+    failures: int = 0
+    rested_until: float = 0.0
+
+
+def note_failure(evidence: Evidence, now: float) -> None:
+    """Take note of a run that broke off at the target."""
+    evidence.failures += 1
+    if evidence.failures >= SUSPECT_FAILURES:
+        doublings = evidence.failures - SUSPECT_FAILURES
+        rest = min(MOST_REST_S, FIRST_REST_S * 2**doublings)
+        evidence.rested_until = now + rest
+
+
+def note_success(evidence: Evidence) -> None:
+    """Take note of a run that came to its end at the target."""
+    evidence.failures = 0
+    evidence.rested_until = 0.0
+
+
+def may_get_work(evidence: Evidence, now: float, leaving_after_s: float) -> bool:
+    """Whether a target may be offered new work.
+
+    Whichever comes first ends it: the agent's own notice, its silence, or the
+    platform's list. After a rest for failures one request at a time may try it.
+    """
+    report = evidence.report
+    if report is None or evidence.heard_at is None:
+        return False
+    if report.stopping or not report.serving or evidence.listed_leaving:
+        return False
+    if now - evidence.heard_at > leaving_after_s:
+        return False
+    return now >= evidence.rested_until
--- /dev/null
+++ b/src/robinspindle/core/routing.py
@@ -0,0 +1,111 @@
+"""Routing: which target to offer a request to.
+
+A target's report is late by up to a heartbeat. What this entry itself sent since
+the report is added to it, and so are the answers that came back; what other entries
+sent is not known, and the agent's last word covers that.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from robinspindle.messages import Report, Work
+
+CHOICES = 2
+
+
+@dataclass
+class View:
+    """One candidate as an entry sees it.
+
+    Attributes:
+        target: The target's name.
+        report: Its last report.
+        sent: Own requests offered since the report and not ended.
+        sent_s: Estimated work in them, seconds of one slot.
+        in_flight: All own requests that are under way there.
+        near: Whether it is in the entry's own availability zone.
+        zone_delay_s: One-way delay to it, seconds.
+    """
+
+    target: str
+    report: Report
+    sent: int = 0
+    sent_s: float = 0.0
+    in_flight: int = 0
+    near: bool = True
+    zone_delay_s: float = 0.0
+
+
+Choose = Callable[[list[View], Work, random.Random], View]
+
+
+def estimate_work(report: Report, work: Work) -> float:
+    """Estimate the seconds for which a request holds one slot of a target."""
+    if work.kind == "call":
+        return report.step_s
+    fresh = work.prompt_tokens
+    if work.prefix and work.prefix in report.prefixes:
+        fresh -= work.prefix_tokens
+    prefill = 0.0 if work.stage == "decode" else fresh * report.prefill_s
+    if work.stage == "prefill":
+        return prefill
+    steps = max(1, work.max_tokens - len(work.resumed))
+    return prefill + steps * report.step_s
+
+
+def estimate_answer(view: View, work: Work) -> float:
+    """Estimate the seconds until the whole answer, from a late report."""
+    report = view.report
+    waiting = max(0, report.running + report.queued + view.sent - report.slots + 1)
+    added = view.sent_s / report.slots if waiting else 0.0
+    crowding = (report.running + view.sent) / report.slots
+    own = estimate_work(report, work)
+    return report.wait_s + added + own * (1.0 + 0.1 * crowding) + 2 * view.zone_delay_s
+
+
+def choose_by_estimate(views: list[View], work: Work, rng: random.Random) -> View:
+    """Take two at random and prefer the one that answers sooner.
+
+    Two choices keep entries that don't talk to each other from running after the
+    same target that looked idle in a late report.
+    """
+    sample = rng.sample(views, min(CHOICES, len(views)))
+    reusing = [view for view in views if work.prefix in view.report.prefixes]
+    if work.prefix and reusing:
+        sample.append(rng.choice(reusing))
+    return min(sample, key=lambda view: estimate_answer(view, work))
+
+
+def choose_at_random(views: list[View], work: Work, rng: random.Random) -> View:
+    """Take any target; a baseline."""
+    return rng.choice(views)
+
+
+def choose_least_in_flight(views: list[View], work: Work, rng: random.Random) -> View:
+    """Take the target with the fewest own requests; a baseline."""
+    least = min(view.in_flight for view in views)
+    return rng.choice([view for view in views if view.in_flight == least])
+
+
+def make_round_robin() -> Choose:
+    """Make a policy that takes one target after another; a baseline."""
+    turn = 0
+
+    def choose_in_turn(views: list[View], work: Work, rng: random.Random) -> View:
+        nonlocal turn
+        turn += 1
+        return sorted(views, key=lambda view: view.target)[turn % len(views)]
+
+    return choose_in_turn
+
+
+def make_policy(name: str) -> Choose:
+    """Make the routing policy that the configuration names."""
+    if name == "round-robin":
+        return make_round_robin()
+    return {
+        "estimate": choose_by_estimate,
+        "random": choose_at_random,
+        "least-in-flight": choose_least_in_flight,
+    }[name]
--- /dev/null
+++ b/src/robinspindle/core/runs.py
@@ -0,0 +1,244 @@
+"""Runs at a target and all that its agent knows."""
+
+from dataclasses import dataclass, field
+
+from robinspindle.core import admission, orders
+from robinspindle.core.claims import BODY_KEPT, Outcome
+from robinspindle.core.documents import Configuration, TargetSection
+from robinspindle.core.effects import Effect, Send
+from robinspindle.core.state import State, Target, read_configuration
+from robinspindle.messages import Failed, Finished, Report, Tokens, Work
+
+RESERVED = "reserved"
+QUEUED = "queued"
+RUNNING = "running"
+ENDED = "ended"
+RESERVATION_S = 5.0
+KEEP_ENDED_S = 30.0
+PREFIXES_REPORTED = 64
+
+
+@dataclass
+class Run:
+    """One attempt at a request, at this target.
+
+    Attributes:
+        work: The request.
+        attempt: Number of the try.
+        status: ``reserved``, ``queued``, ``running`` or ``ended``.
+        waiting: Its place in the queue.
+        listeners: Who gets its events: a peer, and the request id it uses.
+        texts: Tokens so far, those delivered before this run first.
+        started_at: When the engine got it.
+        first_at: When its first token came.
+        ended_at: When it ended.
+        drop_at: When it is dropped because nobody listens, None while one does.
+        end: Its last message.
+    """
+
+    work: Work
+    attempt: int
+    status: str
+    waiting: admission.Waiting
+    listeners: dict[tuple[str, str], None]
+    texts: list[str] = field(default_factory=list)
+    started_at: float = 0.0
+    first_at: float = 0.0
+    ended_at: float = 0.0
+    drop_at: float | None = None
+    end: Finished | Failed | None = None
+
+
+@dataclass
+class Host:
+    """All that an agent knows.
+
+    Attributes:
+        name: The target's name.
+        incarnation: Name of this run of the agent.
+        state: The folded control stream.
+        executor: What is being done about orders.
+        pace: Measured speed of the target.
+        demand: Work offered lately.
+        runs: Runs by request id and attempt.
+        prefixes: Digests of cached prefixes, from the engine's late events.
+        is_stopping: Whether the agent's process was asked to stop.
+        heard: When each peer was last heard.
+        started: Attempts of not repeatable requests that were started here.
+        has_forgotten: Whether an entry of ``started`` was ever dropped.
+    """
+
+    name: str
+    incarnation: str
+    state: State = field(default_factory=State)
+    executor: orders.Executor = None
+    pace: admission.Pace = field(default_factory=admission.Pace)
+    demand: admission.Demand = field(default_factory=admission.Demand)
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
+    prefixes: tuple[str, ...] = ()
+    is_stopping: bool = False
+    heard: dict[str, float] = field(default_factory=dict)
+    started: dict[tuple[str, int], None] = field(default_factory=dict)
+    has_forgotten: bool = False
+
+    def __post_init__(self):
+        if self.executor is None:
+            self.executor = orders.Executor(self.name, self.incarnation)
+
+    @property
+    def target(self) -> Target | None:
+        """The folded state of the target."""
+        return self.state.targets.get(self.name)
+
+    @property
+    def section(self) -> TargetSection | None:
+        """The target's configuration."""
+        configuration = self.configuration
+        return configuration.targets.get(self.name) if configuration else None
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force."""
+        return read_configuration(self.state)
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether new work is taken."""
+        target = self.target
+        return (
+            not self.is_stopping
+            and target is not None
+            and self.section is not None
+            and target.serving
+            and self.executor.found is not None
+            and not self.executor.busy
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs, waits or is reserved here."""
+        return all(run.status == ENDED for run in self.runs.values())
+
+
+def make_report(host: Host, now: float) -> Report:
+    """Tell the target's load."""
+    active = [run for run in host.runs.values() if run.status != ENDED]
+    running = [run for run in active if run.status == RUNNING]
+    return Report(
+        target=host.name,
+        incarnation=host.incarnation,
+        serving=host.is_serving,
+        stopping=host.is_stopping,
+        running=len(running),
+        queued=len(active) - len(running),
+        wait_s=estimate_wait(host, now, None),
+        prefill_s=host.pace.prefill_s,
+        step_s=host.pace.step_s,
+        slots=host.section.slots if host.section else 1,
+        prefixes=host.prefixes[-PREFIXES_REPORTED:],
+        prompt_rate=admission.read_rate(host.demand.prompt_tokens, host.demand, now),
+        token_rate=admission.read_rate(host.demand.answer_tokens, host.demand, now),
+        offset=host.state.offset,
+    )
+
+
+def make_waiting(
+    host: Host, now: float, work: Work, left_s: float
+) -> admission.Waiting:
+    """Estimate what a request takes here."""
+    service_s = admission.estimate_service(host.pace, work)
+    return admission.Waiting(work, now + left_s, now, service_s)
+
+
+def estimate_wait(host: Host, now: float, newcomer: admission.Waiting | None) -> float:
+    """Estimate the wait of a newcomer, or of ordinary work where there is none."""
+    active = [run for run in host.runs.values() if run.status != ENDED]
+    remaining = [
+        max(0.0, run.started_at + run.waiting.service_s - now)
+        for run in active
+        if run.status == RUNNING
+    ]
+    queued = [run.waiting for run in active if run.status != RUNNING]
+    priority = newcomer.work.priority if newcomer else 9
+    ahead = [waiting for waiting in queued if waiting.work.priority <= priority]
+    slots = host.section.slots if host.section else 1
+    return admission.estimate_wait(
+        ahead, remaining, admission.count_slots(slots, priority)
+    )
+
+
+def replay(run: Run, peer: str, request: str, after: int) -> list[Effect]:
+    """Send a run's events again from a token on."""
+    effects: list[Effect] = []
+    texts = tuple(run.texts[after:])
+    if texts:
+        tokens = Tokens(request=request, attempt=run.attempt, first=after, texts=texts)
+        effects.append(Send(peer, tokens))
+    if run.end is not None:
+        effects.append(Send(peer, _address(run.end, request, run.attempt)))
+    return effects
+
+
+def end_run(host: Host, now: float, run: Run, end: Finished | Failed) -> list[Effect]:
+    """End a run and tell its listeners."""
+    run.status = ENDED
+    run.ended_at = now
+    run.end = end
+    if isinstance(end, Finished):
+        run.end = Finished(
+            request="",
+            attempt=0,
+            count=len(run.texts),
+            finish=end.finish,
+            status=end.status,
+            headers=end.headers,
+            body=end.body,
+            report=make_report(host, now),
+        )
+    return [
+        Send(peer, _address(run.end, request, run.attempt))
+        for peer, request in run.listeners
+    ]
+
+
+def _address(end: Finished | Failed, request: str, attempt: int) -> Finished | Failed:
+    fields = {name: getattr(end, name) for name in end.__struct_fields__}
+    return type(end)(**(fields | {"request": request, "attempt": attempt}))
+
+
+def make_outcome(run: Run, finished: Finished) -> Outcome:
+    """Make the record that answers a caller's later retry."""
+    body = finished.body
+    if run.work.kind == "generate":
+        body = "".join(run.texts).encode()
+    whole = len(body) <= BODY_KEPT
+    return Outcome(
+        key=run.work.key,
+        request=run.work.request,
+        attempt=run.attempt,
+        status=finished.status,
+        headers=finished.headers,
+        body=body if whole else b"",
+        finish=finished.finish,
+        count=len(run.texts),
+        whole=whole,
+    )
+
+
+def drop_listener(run: Run, peer: str, request: str) -> None:
+    """Send a run's events to a listener no more."""
+    run.listeners.pop((peer, request), None)
+
+
+def must_run(run: Run) -> bool:
+    """Whether a run goes on though nobody listens: it may not be repeated."""
+    return not run.work.repeatable and run.status != RESERVED
+
+
+def never_ran(run: Run) -> bool:
+    """Whether an ended run had no effect: refused, expired or never reached."""
+    if run.status != ENDED or run.work.repeatable:
+        return False
+    if run.end is None:
+        return run.started_at == 0.0
+    return isinstance(run.end, Failed) and run.end.ran == "no"
--- /dev/null
+++ b/src/robinspindle/core/streams.py
@@ -0,0 +1,42 @@
+"""Puts the numbered tokens of an answer in order."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass
+class TokenBuffer:
+    """An answer as far as it has arrived.
+
+    Attributes:
+        texts: Tokens delivered, in order without a gap.
+        early: Tokens that arrived before one with a lower number.
+        count: Tokens of the whole answer, once declared.
+    """
+
+    texts: list[str] = field(default_factory=list)
+    early: dict[int, str] = field(default_factory=dict)
+    count: int | None = None
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every token of the declared count has been delivered."""
+        return self.count is not None and len(self.texts) >= self.count
+
+    @property
+    def has_gap(self) -> bool:
+        """Whether a token is known to be missing."""
+        return bool(self.early) or (self.count is not None and not self.is_whole)
+
+
+def add_tokens(buffer: TokenBuffer, first: int, texts: tuple[str, ...]) -> list[str]:
+    """Take tokens in and return those that can now be delivered, in order."""
+    delivered = len(buffer.texts)
+    if first == delivered and not buffer.early:
+        buffer.texts.extend(texts)
+        return list(texts)
+    for number, text in enumerate(texts, first):
+        if number >= delivered:
+            buffer.early[number] = text
+    while len(buffer.texts) in buffer.early:
+        buffer.texts.append(buffer.early.pop(len(buffer.texts)))
+    return buffer.texts[delivered:]
--- /dev/null
+++ b/src/robinspindle/entry.py
@@ -0,0 +1,393 @@
+"""The entry's process: sockets, threads and the clock around its decisions."""
+
+import queue
+import random
+import signal
+import threading
+import time
+import uuid
+from dataclasses import dataclass
+
+import urllib3
+import zmq
+
+from robinspindle.controlstream import ControlStream
+from robinspindle.core import burn, catchup, dispatch, leases, limits
+from robinspindle.core.claims import apply_claims, encode_claims
+from robinspindle.core.coordination import Duties, decide_duties
+from robinspindle.core.documents import Configuration, WorkspaceSection
+from robinspindle.core.effects import (
+    AppendClaim,
+    Deliver,
+    Effect,
+    Ended,
+    Event,
+    Refusal,
+    Send,
+)
+from robinspindle.core.flights import Comeback, Dispatcher
+from robinspindle.core.placing import list_peers
+from robinspindle.core.records import AnyRecord, encode_record
+from robinspindle.core.state import State, read_configuration
+from robinspindle.keys import FleetKey
+from robinspindle.logs import make_log
+from robinspindle.logservice import (
+    CLAIMS,
+    CONTROL,
+    LogFollower,
+    LogService,
+    LogWriter,
+    RecordsRead,
+)
+from robinspindle.mailbox import Mailbox
+from robinspindle.messages import AnyMessage, Fetch, Records, Report, Work
+from robinspindle.metrics import EntryMetrics
+from robinspindle.settings import EntrySettings
+from robinspindle.transport import Connections, wait_for_any
+from robinspindle.vmlist import ListFollower, VmsListed
+
+TICK_S = 0.02
+CLAIMS_IN_AN_APPEND = 256
+CLAIMS_KEPT_S = 3.0
+RECORDS_KEPT_S = 1.5
+STOP_GRACE_S = 1.0
+STOP_LIMIT_S = 600.0
+GONE = "gone"
+
+log = make_log("entry")
+
+
+@dataclass(frozen=True)
+class Submitted:
+    """A caller's request."""
+
+    work: Work
+    promised_s: float
+    comeback: Comeback | None
+
+
+@dataclass(frozen=True)
+class HungUp:
+    """A caller is gone."""
+
+    request: str
+
+
+@dataclass(frozen=True)
+class StopAsked:
+    """The process was asked to stop."""
+
+
+class Entry:
+    """One entry process: the loop around a `Dispatcher`.
+
+    Callers' threads hand requests over with `submit` and read the events of their
+    own request from a queue. Only the loop's thread touches the decisions' state.
+    """
+
+    def __init__(self, settings: EntrySettings, key: FleetKey | None):
+        self.settings = settings
+        self.incarnation = uuid.uuid4().hex[:8]
+        self.stream = ControlStream()
+        self.metrics = EntryMetrics()
+        self.ledger = burn.Ledger()
+        self.is_stopping = False
+        self._rng = random.Random()
+        self.dispatcher = Dispatcher(settings.name, settings.zone, self._rng)
+        self._limits = limits.WorkspaceLimits({})
+        self._lock = threading.Lock()
+        self._moved = threading.Condition()
+        self._mailbox = Mailbox()
+        self._events: dict[str, queue.SimpleQueue] = {}
+        self._service = LogService(settings.log)
+        self._context = zmq.Context()
+        self._poller = zmq.Poller()
+        identity = f"{settings.name}-{self.incarnation}"
+        self._connections = Connections(self._context, identity, key)
+        post = self._mailbox.post
+        self._followers = [
+            LogFollower(self._service, stream, post, self._rng)
+            for stream in (CONTROL, CLAIMS)
+        ]
+        self._records = LogWriter(
+            self._service, CONTROL, lambda items: items[0], 1, RECORDS_KEPT_S
+        )
+        self._claims = LogWriter(
+            self._service, CLAIMS, encode_claims, CLAIMS_IN_AN_APPEND, CLAIMS_KEPT_S
+        )
+        self._claims_are_read = False
+        self._watch = leases.LeaseWatch(identity)
+        self._duties = Duties(identity)
+        self._serial = 0
+        self._stop_asked_at = 0.0
+        self._threads = [*self._followers, self._records, self._claims]
+        if settings.vms:
+            self._threads.append(ListFollower(settings.vms, post))
+
+    @property
+    def state(self) -> State:
+        """The folded control stream; safe to read from any thread."""
+        return self.stream.state
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force."""
+        return read_configuration(self.stream.state)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            not self.is_stopping
+            and self.stream.is_ready
+            and self._claims_are_read
+            and self.configuration is not None
+        )
+
+    @property
+    def reports(self) -> dict[str, Report]:
+        """The last reports by target."""
+        known = dict(self.dispatcher.evidence)
+        return {name: e.report for name, e in known.items() if e.report is not None}
+
+    @property
+    def is_log_reached(self) -> bool:
+        """Whether the log service answered the last read."""
+        return self._followers[0].is_reaching
+
+    def make_id(self) -> str:
+        """Make an id that is unique in the deployment."""
+        with self._lock:
+            self._serial += 1
+            return f"{self.settings.name}-{self.incarnation}-{self._serial}"
+
+    def admit(self, workspace: WorkspaceSection) -> float:
+        """Take a request in by its workspace's limits; see `limits.admit`."""
+        with self._lock:
+            now = time.monotonic()
+            return limits.admit(self._limits, self.configuration, workspace, now)
+
+    def submit(
+        self, work: Work, promised_s: float, comeback: Comeback | None = None
+    ) -> queue.SimpleQueue:
+        """Hand a request over and return the queue of its events."""
+        events: queue.SimpleQueue = queue.SimpleQueue()
+        with self._lock:
+            self._events[work.request] = events
+            self.metrics.in_flight.set(len(self._events))
+        self._mailbox.post(Submitted(work, promised_s, comeback))
+        return events
+
+    def end(
+        self, request: str, workspace: WorkspaceSection, end: str, spender: str | None
+    ) -> None:
+        """Note that a caller has been served, or is gone.
+
+        Args:
+            request: The request's id.
+            workspace: Whose it is.
+            end: How it ended, for the metrics.
+            spender: Target or decision that broke the promise, empty for none, or
+                None when it counts neither way.
+        """
+        subject = burn.Subject(workspace.name, workspace.work or "default")
+        with self._lock:
+            self._events.pop(request, None)
+            self.metrics.in_flight.set(len(self._events))
+            limits.release(self._limits, workspace.name)
+            if spender is not None:
+                burn.note_end(self.ledger, subject, time.monotonic(), spender)
+        self.metrics.requests.labels(subject.work, end).inc()
+        if end == GONE:
+            self._mailbox.post(HungUp(request))
+
+    def list_burn(self) -> list[burn.BurnRow]:
+        """List the burn of every subject over every window."""
+        configuration = self.configuration
+        classes = configuration.classes if configuration else {}
+        objectives = {name: work.objective for name, work in classes.items()}
+        with self._lock:
+            return burn.list_burn(self.ledger, time.monotonic(), objectives)
+
+    def append_and_fold(self, record: AnyRecord, wait_s: float) -> bool:
+        """Append a record and wait until it is folded here.
+
+        Returns:
+            Whether it was folded in time; its verdict is then in `state`.
+
+        Raises:
+            LogUnavailableError: If the log gave no answer.
+        """
+        offset = self._service.append(CONTROL, encode_record(record))
+        with self._moved:
+            return self._moved.wait_for(lambda: self.state.offset >= offset, wait_s)
+
+    def run(self) -> None:
+        """Serve until a stop was asked for and nothing is under way."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._mailbox.post(StopAsked()))
+        self._poller.register(self._mailbox, zmq.POLLIN)
+        for thread in self._threads:
+            thread.start()
+        log("The entry is starting.", entry=self.settings.name)
+        while not self._may_stop(time.monotonic()):
+            self._turn(wait_for_any(self._poller, self._mailbox, TICK_S))
+        self._close()
+
+    def _may_stop(self, now: float) -> bool:
+        """Whether the process may end.
+
+        The balancer needs a moment to see that the entry is not ready any more;
+        requests that come meanwhile are served like all others.
+        """
+        if not self.is_stopping:
+            return False
+        asked = now - self._stop_asked_at
+        return asked > STOP_LIMIT_S or (asked > STOP_GRACE_S and not self._events)
+
+    def _turn(self, items: list) -> None:
+        for peer, message in self._connections.receive_all():
+            self._take_message(peer, message)
+        for item in items:
+            self._take_item(item)
+        now = time.monotonic()
+        self._carry_out(dispatch.tick(self.dispatcher, now))
+        self._coordinate(now)
+
+    def _take_message(self, peer: str, message: AnyMessage) -> None:
+        now = time.monotonic()
+        if isinstance(message, Fetch):
+            records = self.stream.answer_fetch(message)
+            if records is not None:
+                self._connections.send(peer, records)
+        elif isinstance(message, Records):
+            self.stream.take_records(message)
+            self._note_state()
+        else:
+            self._carry_out(dispatch.receive(self.dispatcher, now, peer, message))
+        if isinstance(message, Report):
+            own = self.state.offset
+            fetch = catchup.decide_fetch(self.stream.window, now, own, message.offset)
+            if fetch is not None:
+                self._connections.send(peer, fetch)
+
+    def _take_item(self, item: object) -> None:
+        now = time.monotonic()
+        if isinstance(item, Submitted):
+            log("A request came.", request=item.work.request, pool=item.work.pool)
+            effects = dispatch.submit(
+                self.dispatcher, now, item.work, item.promised_s, item.comeback
+            )
+            self._carry_out(effects)
+        elif isinstance(item, HungUp):
+            self._carry_out(dispatch.hang_up(self.dispatcher, item.request))
+        elif isinstance(item, RecordsRead):
+            self._take_records(now, item)
+        elif isinstance(item, VmsListed):
+            dispatch.note_listed(self.dispatcher, set(item.leaving))
+        elif isinstance(item, StopAsked) and not self.is_stopping:
+            log("The entry was asked to stop.", entry=self.settings.name)
+            self.is_stopping = True
+            self._stop_asked_at = now
+
+    def _take_records(self, now: float, read: RecordsRead) -> None:
+        if read.stream == CONTROL:
+            self.stream.take_read(read)
+            self._note_state()
+            return
+        keys: set[str] = set()
+        for offset, data in enumerate(read.records, read.first):
+            batch = apply_claims(self.dispatcher.claims, offset, data)
+            keys.update(record.key for record in batch)
+        self._claims_are_read |= read.first + len(read.records) >= read.next
+        self._carry_out(dispatch.fold_claims(self.dispatcher, now, keys))
+
+    def _note_state(self) -> None:
+        before = self.dispatcher.state
+        dispatch.fold_state(self.dispatcher, self.state)
+        self.metrics.offset.set(self.state.offset)
+        if before.targets is not self.state.targets:
+            self._connect()
+        if before.version != self.state.version:
+            log("A configuration is in force.", version=self.state.version)
+        with self._moved:
+            self._moved.notify_all()
+
+    def _connect(self) -> None:
+        configuration = self.configuration
+        if configuration is None:
+            return
+        addresses = {
+            name: configuration.targets[name].agent
+            for name in list_peers(self.dispatcher)
+        }
+        self._connections.update(addresses, self._poller)
+
+    def _coordinate(self, now: float) -> None:
+        if not self.stream.is_ready or self.is_stopping:
+            return
+        self._watch.observe(now, self.state.lease)
+        records: list[AnyRecord] = []
+        record = leases.decide_lease(self._watch, now, self.make_id(), self._rng)
+        if record is not None:
+            records.append(record)
+        records += decide_duties(
+            self._duties, self.state, self.reports, now, time.time(), self.make_id()
+        )
+        for record in records:
+            self._records.put(encode_record(record))
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._connections.send(effect.peer, effect.message)
+            elif isinstance(effect, Deliver):
+                self._deliver(effect.request, effect.event)
+            elif isinstance(effect, AppendClaim):
+                self._claims.put(effect.record)
+
+    def _deliver(self, request: str, event: Event) -> None:
+        is_last = isinstance(event, Ended | Refusal)
+        with self._lock:
+            events = self._events.get(request)
+        if events is not None:
+            events.put(event)
+        if is_last and events is not None:
+            code = event.code if isinstance(event, Refusal) else "whole"
+            log("A request ended.", request=request, end=code)
+
+    def _close(self) -> None:
+        for follower in self._followers:
+            follower.stop()
+        for writer in (self._records, self._claims):
+            writer.stop()
+            writer.join(timeout=2.0)
+        self._connections.close()
+        self._context.destroy(linger=1000)
+        log("The entry has stopped.", entry=self.settings.name)
+
+
+def run_entry(settings: EntrySettings, key: FleetKey | None) -> None:
+    """Run an entry until it is asked to stop."""
+    from robinspindle.callers import make_callers_handler
+    from robinspindle.operators import make_operators_handler
+    from robinspindle.web import make_server
+
+    urllib3.disable_warnings()
+    entry = Entry(settings, key)
+    tls = (settings.tls_certificate, settings.tls_key)
+    callers = make_server(
+        settings.listen,
+        make_callers_handler(entry),
+        settings.threads,
+        settings.body_limit,
+        *tls,
+    )
+    operators = make_server(
+        settings.operators, make_operators_handler(entry), 8, settings.body_limit, *tls
+    )
+    for server in (callers, operators):
+        threading.Thread(target=server.serve, daemon=True).start()
+    entry.run()
+    for server in (callers, operators):
+        server.stop()
--- /dev/null
+++ b/src/robinspindle/logs.py
@@ -0,0 +1,38 @@
+"""Structured logs: eliot messages with a fixed prefix for each part.
+
+A line is one JSON object. ``text`` is a short sentence, ``request`` follows a
+request through entry and agent.
+"""
+
+import sys
+from collections.abc import Callable
+
+import eliot
+
+SECRET_WORDS = ("key", "secret", "token", "authorization", "password")
+Log = Callable[..., None]
+
+
+def start_logs(stream=None) -> None:
+    """Send all logs to a text stream, by default standard error."""
+    eliot.to_file(stream or sys.stderr)
+
+
+def make_log(part: str) -> Log:
+    """Make the function with which one part of the program logs.
+
+    Args:
+        part: The fixed prefix, for example ``entry``.
+
+    Returns:
+        A function of a sentence and fields. Fields whose names speak of secrets
+        are refused, so that a key can't reach a log by mistake.
+    """
+
+    def write(text: str, **fields: object) -> None:
+        for name in fields:
+            if any(word in name.lower().split("_") for word in SECRET_WORDS):
+                raise ValueError(f"a field named {name} must not be logged")
+        eliot.log_message(message_type=f"robinspindle:{part}", text=text, **fields)
+
+    return write
--- /dev/null
+++ b/src/robinspindle/transport.py
@@ -0,0 +1,160 @@
+"""ZeroMQ sockets between entries and agents, with CURVE where a key is given."""
+
+import zmq
+from zmq.auth.thread import ThreadAuthenticator
+
+from robinspindle.keys import FleetKey
+from robinspindle.mailbox import Mailbox
+from robinspindle.messages import AnyMessage, decode_message, encode_message
+
+HIGH_WATER = 20_000
+RECONNECT_MS = 50
+MOST_RECONNECT_MS = 1000
+HEARTBEAT_MS = 1000
+MOST_IN_A_TURN = 500
+
+
+class _Credentials:
+    """Accepts the one key that a deployment's processes share."""
+
+    def __init__(self, key: FleetKey):
+        self._public = key.public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell the authenticator whether a client's public key (Z85) is known."""
+        return key == self._public
+
+
+class Listener:
+    """An agent's socket: many entries speak to it.
+
+    Binding its one port is what makes an agent the only one beside its target.
+    """
+
+    def __init__(self, context: zmq.Context, address: str, key: FleetKey | None):
+        self._authenticator = None
+        self.socket = context.socket(zmq.ROUTER)
+        _set_options(self.socket)
+        self.socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        if key is not None:
+            self._authenticator = ThreadAuthenticator(context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback(
+                credentials_provider=_Credentials(key)
+            )
+            self.socket.curve_server = True
+            self.socket.curve_secretkey = key.secret
+            self.socket.curve_publickey = key.public
+        self.socket.bind(f"tcp://{address}")
+
+    def send(self, peer: str, message: AnyMessage) -> None:
+        """Send to one entry; a message to one that is gone is dropped."""
+        parts = [peer.encode(), encode_message(message)]
+        try:
+            self.socket.send_multipart(parts, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return
+
+    def receive_all(self) -> list[tuple[str, AnyMessage]]:
+        """Return the messages that are waiting, with their senders."""
+        received = []
+        while len(received) < MOST_IN_A_TURN:
+            try:
+                parts = self.socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                break
+            message = decode_message(parts[-1])
+            if message is not None:
+                received.append((parts[0].decode(errors="replace"), message))
+        return received
+
+    def close(self) -> None:
+        """Close the socket after what was sent has left."""
+        self.socket.close(linger=1000)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+
+
+class Connections:
+    """An entry's sockets, one to each agent."""
+
+    def __init__(self, context: zmq.Context, identity: str, key: FleetKey | None):
+        self._context = context
+        self._identity = identity.encode()
+        self._key = key
+        self._sockets: dict[str, zmq.Socket] = {}
+        self._addresses: dict[str, str] = {}
+
+    def update(self, addresses: dict[str, str], poller: zmq.Poller) -> None:
+        """Connect to the agents at these addresses and to no others."""
+        for name in [
+            n for n in self._sockets if addresses.get(n) != self._addresses[n]
+        ]:
+            socket = self._sockets.pop(name)
+            poller.unregister(socket)
+            socket.close(linger=0)
+        for name, address in addresses.items():
+            if name not in self._sockets:
+                self._sockets[name] = self._connect(address)
+                self._addresses[name] = address
+                poller.register(self._sockets[name], zmq.POLLIN)
+
+    def send(self, peer: str, message: AnyMessage) -> None:
+        """Send to one agent; a message that can't be queued is dropped."""
+        socket = self._sockets.get(peer)
+        if socket is None:
+            return
+        try:
+            socket.send(encode_message(message), zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return
+
+    def receive_all(self) -> list[tuple[str, AnyMessage]]:
+        """Return the messages that are waiting, with their senders."""
+        received = []
+        for name, socket in self._sockets.items():
+            for _ in range(MOST_IN_A_TURN):
+                try:
+                    data = socket.recv(zmq.NOBLOCK)
+                except zmq.ZMQError:
+                    break
+                message = decode_message(data)
+                if message is not None:
+                    received.append((name, message))
+        return received
+
+    def close(self) -> None:
+        """Close all sockets after what was sent has left."""
+        for socket in self._sockets.values():
+            socket.close(linger=1000)
+
+    def _connect(self, address: str) -> zmq.Socket:
+        socket = self._context.socket(zmq.DEALER)
+        _set_options(socket)
+        socket.setsockopt(zmq.IDENTITY, self._identity)
+        # What would wait for an agent that is away is worthless when it returns.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        if self._key is not None:
+            socket.curve_secretkey = self._key.secret
+            socket.curve_publickey = self._key.public
+            socket.curve_serverkey = self._key.public
+        socket.connect(f"tcp://{address}")
+        return socket
+
+
+def _set_options(socket: zmq.Socket) -> None:
+    socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+    socket.setsockopt(zmq.RCVHWM, HIGH_WATER)
+    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, MOST_RECONNECT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3 * HEARTBEAT_MS)
+    socket.setsockopt(zmq.LINGER, 0)
+
+
+def wait_for_any(
+    poller: zmq.Poller, mailbox: Mailbox, timeout_s: float
+) -> list[object]:
+    """Wait until a socket or the mailbox has something; return the mailbox's items."""
+    poller.poll(timeout_s * 1000)
+    return mailbox.take_all()
--- /dev/null
+++ b/src/robinspindle/vmlist.py
@@ -0,0 +1,53 @@
+"""The platform's list of live and leaving VMs, which lags behind reality."""
+
+import contextlib
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+
+POLL_S = 1.0
+TIMEOUT_S = 2.0
+LEAVING = "leaving"
+
+
+class ListedVm(msgspec.Struct):
+    """One line of the platform's list."""
+
+    name: str
+    state: str
+
+
+@dataclass(frozen=True)
+class VmsListed:
+    """The list as it was last read: names of the VMs that are leaving."""
+
+    leaving: tuple[str, ...]
+
+
+class ListFollower(threading.Thread):
+    """Reads the list again and again and posts who is leaving."""
+
+    def __init__(self, url: str, post: Callable[[VmsListed], None]):
+        super().__init__(name="vm-list", daemon=True)
+        self._url = url
+        self._post = post
+        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+
+    def run(self) -> None:
+        """Follow the list for as long as the process lives."""
+        while True:
+            # A list that can't be read says nothing against anybody.
+            with contextlib.suppress(
+                urllib3.exceptions.HTTPError, msgspec.MsgspecError
+            ):
+                self._post(self._read())
+            time.sleep(POLL_S)
+
+    def _read(self) -> VmsListed:
+        response = self._http.request("GET", self._url, timeout=TIMEOUT_S)
+        vms = msgspec.json.decode(response.data, type=list[ListedVm])
+        return VmsListed(tuple(vm.name for vm in vms if vm.state == LEAVING))
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: for tests, the demo and the bench only."""
--- /dev/null
+++ b/tests/core/test_fold.py
@@ -0,0 +1,26 @@
+"""The fold: the only judge of validity."""
+
+from pathlib import Path
+
+from robinspindle.core.fold import apply
+from robinspindle.core.records import Published
+from robinspindle.core.state import State
+
+SAMPLES = Path(__file__).parents[2] / "examples"
+
+
+def test_an_invalid_document_is_ignored_with_findings():
+    text = (SAMPLES / "haddad.ini").read_text()
+    state = apply(State(), 0, Published(id="a", text=text))
+    state = apply(state, 1, Published(id="b", text="[fleet]\nnmae = x\n"))
+    assert state.version == 0
+    assert state.text == text
+    assert any("did you mean `name`" in finding for finding in state.rejected)
+
+
+def test_a_repeat_of_a_record_changes_nothing():
+    text = (SAMPLES / "franchise.ini").read_text()
+    state = apply(State(), 0, Published(id="a", text=text))
+    again = apply(state, 1, Published(id="a", text="[fleet]\nname = other\n"))
+    assert again.version == 0
+    assert len(again.targets) == 9
