--- a/benches/demo.py
+++ b/benches/demo.py
@@ -102,7 +102,6 @@
 def _notify(fleet: Fleet, workspace: str, service: str, key: str) -> bool:
     """Send the same notification through both entries: it must run once."""
     headers = {"Authorization": f"Bearer demo-{workspace}", "Idempotency-Key": key}
-    path = f"services/{service}/send"
     answers = [
         fleet.http.request(
             "POST",
--- /dev/null
+++ b/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the decisions against a simple oracle."""
--- /dev/null
+++ b/fuzz/__main__.py
@@ -0,0 +1,93 @@
+"""Longer fuzz runs by hand: ``scripts/fuzz --seed N --steps M`` or ``--mutants``."""
+
+import argparse
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+from fuzz.driver import draw_moves, play, shrink
+from fuzz.mutants import MUTANTS, apply_mutant
+from robinspindle.tables import format_table
+
+STEPS_IN_A_RUN = 150
+MOST_RUNS = 200
+WORKERS = 6
+
+
+def main() -> int:
+    """Run the fuzzer; 1 when the oracle found a fault, or missed a mutant."""
+    parser = argparse.ArgumentParser(prog="scripts/fuzz", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--steps", type=int, default=15_000, help="steps in all")
+    parser.add_argument("--mutants", action="store_true", help="prove the oracle")
+    args = parser.parse_args()
+    with ProcessPoolExecutor(WORKERS) as pool:
+        if args.mutants:
+            return _prove_oracle(pool)
+        return _fuzz(pool, args.seed, max(1, args.steps // STEPS_IN_A_RUN))
+
+
+def _play_seed(seed: int):
+    return play(seed, draw_moves(seed, STEPS_IN_A_RUN))
+
+
+def _fuzz(pool: ProcessPoolExecutor, first: int, runs: int) -> int:
+    begun = time.monotonic()
+    steps, requests, counts = 0, 0, {}
+    results = pool.map(_play_seed, range(first, first + runs))
+    for number, result in enumerate(results):
+        steps += result.steps
+        requests += result.requests
+        for rule, count in result.counts.items():
+            counts[rule] = counts.get(rule, 0) + count
+        if result.faults:
+            return _show_failure(first + number, result.faults)
+        if (number + 1) % 20 == 0 or number + 1 == runs:
+            seconds = time.monotonic() - begun
+            print(f"{number + 1}/{runs} runs, {steps} steps, {seconds:.0f} s, clean")
+    print(format_table(("rule", "steps"), sorted(counts.items())))
+    print(f"clean: seeds {first} to {first + runs - 1}, {steps} steps, ", end="")
+    print(f"{requests} callers' requests")
+    return 0
+
+
+def _show_failure(seed: int, faults: tuple[str, ...]) -> int:
+    print(f"seed {seed} fails:", *faults, sep="\n  ")
+    print("shrinking ...")
+    moves = shrink(seed, draw_moves(seed, STEPS_IN_A_RUN))
+    print(f"play({seed}, [", *(f"    {move}," for move in moves), "])", sep="\n")
+    return 1
+
+
+def _catch(number: int) -> tuple[int, int, str]:
+    """Run seeds under one mutant until the oracle notices it."""
+    steps = 0
+    with apply_mutant(MUTANTS[number]):
+        for seed in range(1, MOST_RUNS + 1):
+            try:
+                result = play(seed, draw_moves(seed, STEPS_IN_A_RUN))
+            except Exception as error:
+                return seed, steps, f"crash: {error!r}"
+            steps += result.steps
+            if result.faults:
+                return seed, steps, result.faults[0]
+    return 0, steps, "NOT CAUGHT"
+
+
+def _prove_oracle(pool: ProcessPoolExecutor) -> int:
+    rows = []
+    missed = 0
+    for mutant, caught in zip(
+        MUTANTS, pool.map(_catch, range(len(MUTANTS))), strict=True
+    ):
+        seed, steps, fault = caught
+        missed += seed == 0
+        rows.append((mutant.name, seed or "-", steps, fault[:60]))
+        print(f"{mutant.name}: {fault[:60]}", file=sys.stderr)
+    print(format_table(("deliberate fault", "seed", "steps", "noticed as"), rows))
+    print(f"{len(MUTANTS) - missed} of {len(MUTANTS)} caught")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/robinspindle/core/plans.py
+++ b/src/robinspindle/core/plans.py
@@ -52,9 +52,9 @@
 
 def find_refusal(state: State, plan: Plan) -> str:
     """Say why a plan may not be confirmed now, or return an empty string."""
-    if isinstance(plan.intent, Standing):
-        faults = list(_find_faults(state, plan.intent))
-        return faults[0] if faults else ""
+    faults = list(_find_faults(state, plan.intent))
+    if faults:
+        return faults[0]
     for step in plan.steps:
         target = state.targets.get(step.target)
         if target is None:
@@ -69,20 +69,42 @@
 
 
 def find_shortage(state: State, plan: Plan) -> str:
-    """Say which pool would fall below its least number of targets."""
-    targets = dict(state.targets)
+    """Say which pool would fall below its least number of targets.
+
+    What running plans have yet to take away counts as taken away: else the last of
+    several plans would be confirmed and then wait for ever.
+    """
+    targets = _leave_out_planned(state)
     for step in plan.steps:
-        target = targets[step.target]
+        target = targets.get(step.target)
+        if target is None:
+            return f"target {step.target} is to leave already"
         shortage = _find_pool_shortage(state, targets, step.target)
         if shortage and step.action != "undrain":
             return shortage
-        if step.action == "drain" or (
-            step.action == "load" and step.model != target.pool
-        ):
+        if _takes_away(step, target):
             del targets[step.target]
     return ""
 
 
+def _leave_out_planned(state: State) -> dict[str, Target]:
+    targets = dict(state.targets)
+    for plan in state.plans.values():
+        if plan.status == PLAN_RUNNING:
+            for step in plan.steps[plan.step :]:
+                target = targets.get(step.target)
+                if target is not None and _takes_away(step, target):
+                    del targets[step.target]
+    return targets
+
+
+def _takes_away(step: Step, target: Target) -> bool:
+    """Whether a step leaves its target's pool with one target less for good."""
+    if step.action == "drain":
+        return True
+    return step.action == "load" and step.model != target.pool
+
+
 def find_step_obstacle(state: State, step: Step) -> str:
     """Say why a step may not begin now, or return an empty string."""
     if step.action == "undrain":
@@ -159,7 +181,10 @@
     model = getattr(intent, "model", None)
     if model is not None and model not in configuration.models:
         yield f"no model {model} is configured"
-    for name in getattr(intent, "targets", ()):
+    names = getattr(intent, "targets", ())
+    if len(set(names)) < len(names):
+        yield "a target is named twice"
+    for name in names:
         if name not in state.targets:
             yield f"no target {name} is configured"
         elif isinstance(intent, ServeModel) and configuration.targets[name].service:
@@ -223,5 +248,5 @@
         else:
             movable.append(target)
     missing = [role for role in ROLES for _ in range(wanted[role])]
-    for target, role in zip(movable, missing, strict=True):
+    for target, role in zip(movable, missing, strict=False):
         yield Step(target=target.name, action="role", role=role, lost_s=ROLE_LOST_S)
--- /dev/null
+++ b/tests/core/test_plans.py
@@ -0,0 +1,129 @@
+"""Plans: made from intents, judged without ever raising inside the fold."""
+
+from pathlib import Path
+
+import pytest
+
+from robinspindle.core.fold import apply
+from robinspindle.core.plans import make_plan
+from robinspindle.core.records import (
+    Confirmed,
+    Drain,
+    Planned,
+    Published,
+    SetRoles,
+    Standing,
+    Step,
+)
+from robinspindle.core.state import State
+from robinspindle.exceptions import IntentError
+
+SAMPLES = Path(__file__).parents[2] / "examples"
+MODEL = "investor-70b"
+
+
+@pytest.fixture
+def state():
+    text = (SAMPLES / "haddad.ini").read_text()
+    return apply(State(), 0, Published(id="publish", text=text))
+
+
+def fold(state, *records):
+    for record in records:
+        state = apply(state, state.offset + 1, record)
+    return state
+
+
+def confirm(plan, number=1):
+    return Confirmed(id=f"confirm-{plan}-{number}", plan=plan)
+
+
+def test_a_plan_changes_the_fewest_roles(state):
+    planned = make_plan(state, SetRoles(model=MODEL, prefill=1, mixed=5), "p", "op")
+    assert [(s.target, s.role) for s in planned.steps] == [("engine-6", "prefill")]
+
+
+def test_nothing_happens_before_the_confirmation(state):
+    planned = make_plan(state, Drain(targets=("engine-1",)), "p", "op")
+    after = fold(state, planned)
+    assert all(target.order is None for target in after.targets.values())
+    confirmed = fold(after, confirm("p"))
+    assert confirmed.targets["engine-1"].order.step.action == "drain"
+
+
+def test_of_two_racing_plans_one_wins_and_the_other_is_told_why(state):
+    first = make_plan(state, Drain(targets=("engine-1",)), "p1", "op")
+    second = make_plan(state, Drain(targets=("engine-1",)), "p2", "other")
+    after = fold(state, first, second, confirm("p2"), confirm("p1"))
+    assert after.plans["p2"].status == "running"
+    assert after.plans["p1"].status == "refused"
+    assert "changed by another plan" in after.plans["p1"].reason
+
+
+def test_confirming_twice_is_confirming_once(state):
+    planned = make_plan(state, Drain(targets=("engine-1",)), "p", "op")
+    once = fold(state, planned, confirm("p"))
+    twice = fold(once, confirm("p", 2))
+    assert twice.targets == once.targets
+
+
+def test_a_plan_that_leaves_too_few_targets_is_refused(state):
+    names = tuple(f"engine-{n}" for n in (1, 2, 3))
+    planned = make_plan(state, Drain(targets=names), "p", "op")
+    after = fold(state, planned, confirm("p"))
+    assert after.plans["p"].status == "refused"
+    assert "needs 4" in after.plans["p"].reason
+
+
+def test_one_target_of_a_model_is_taken_out_at_a_time(state):
+    plans = [
+        make_plan(state, Drain(targets=(f"engine-{n}",)), f"p{n}", "op") for n in (1, 2)
+    ]
+    after = fold(state, *plans, confirm("p1"), confirm("p2"))
+    orders = [t.name for t in after.targets.values() if t.order is not None]
+    assert orders == ["engine-1"]
+
+
+def test_what_running_plans_will_take_away_counts(state):
+    plans = [
+        make_plan(state, Drain(targets=(f"engine-{n}",)), f"p{n}", "op")
+        for n in (1, 2, 3)
+    ]
+    after = fold(state, *plans, confirm("p1"), confirm("p2"), confirm("p3"))
+    assert [after.plans[f"p{n}"].status for n in (1, 2, 3)] == [
+        "running",
+        "running",
+        "refused",
+    ]
+
+
+def test_all_that_speaks_against_an_intent_is_said_together(state):
+    with pytest.raises(IntentError) as caught:
+        make_plan(state, SetRoles(model=MODEL, prefill=9), "p", "op")
+    assert len(caught.value.findings) == 2
+
+
+def test_a_target_named_twice_is_refused_and_never_breaks_the_fold(state):
+    names = ("engine-1", "engine-1")
+    with pytest.raises(IntentError):
+        make_plan(state, Drain(targets=names), "p", "op")
+    steps = tuple(Step(target=name, action="drain") for name in names)
+    forged = Planned(id="p", intent=Drain(targets=names), base=0, steps=steps)
+    after = fold(state, forged, confirm("p"))
+    assert after.plans["p"].status == "refused"
+
+
+def test_roles_that_no_longer_add_up_are_refused_and_never_break_the_fold(state):
+    intent = SetRoles(model=MODEL, mixed=6)
+    planned = make_plan(state, intent, "p", "op")
+    text = state.text.replace("[target engine-6]", "[target engine-7]")
+    smaller = text.split("[target engine-7]")[0]
+    after = fold(state, planned, Published(id="smaller", text=smaller), confirm("p"))
+    assert after.plans["p"].status == "refused"
+
+
+def test_a_standing_intent_needs_sound_bounds(state):
+    with pytest.raises(IntentError):
+        make_plan(
+            state, Standing(model=MODEL, least_prefill=3, most_prefill=1), "p", "op"
+        )
