Judge a plan together with all that is still to be done

A plan was judged against the targets that serve now; what running plans, or an order of a plan called off, were still to take away was not counted, so a later step waited for ever on the least number of serving targets.

Change: find_shortage counts the open steps of running plans and orders in force.

The two cases are tests in tests/core/test_plans.py.

--- a/src/robinspindle/core/plans.py
+++ b/src/robinspindle/core/plans.py
@@ -71,31 +71,34 @@
 def find_shortage(state: State, plan: Plan) -> str:
     """Say which pool would fall below its least number of targets.
 
-    What running plans have yet to take away counts as taken away: else the last of
-    several plans would be confirmed and then wait for ever.
+    The plan is judged together with all that running plans have yet to do: else a
+    plan could be confirmed whose steps then wait for ever.
     """
-    targets = _leave_out_planned(state)
-    for step in plan.steps:
-        target = targets.get(step.target)
-        if target is None:
-            return f"target {step.target} is to leave already"
-        shortage = _find_pool_shortage(state, targets, step.target)
-        if shortage and step.action != "undrain":
+    steps = [step for other in _list_running(state) for step in _list_open(other)]
+    # An order in force goes on though its plan was called off.
+    steps += [t.order.step for t in state.targets.values() if t.order is not None]
+    steps += plan.steps
+    left = {name: t for name, t in state.targets.items() if not t.drained}
+    for step in steps:
+        target = state.targets.get(step.target)
+        if target is not None and _takes_away(step, target):
+            left.pop(step.target, None)
+    for step in steps:
+        target = state.targets.get(step.target)
+        if target is None or target.drained or step.action == "undrain":
+            continue
+        shortage = _find_pool_shortage(state, left, target)
+        if shortage:
             return shortage
-        if _takes_away(step, target):
-            del targets[step.target]
     return ""
 
 
-def _leave_out_planned(state: State) -> dict[str, Target]:
-    targets = dict(state.targets)
-    for plan in state.plans.values():
-        if plan.status == PLAN_RUNNING:
-            for step in plan.steps[plan.step :]:
-                target = targets.get(step.target)
-                if target is not None and _takes_away(step, target):
-                    del targets[step.target]
-    return targets
+def _list_running(state: State) -> list[Plan]:
+    return [plan for plan in state.plans.values() if plan.status == PLAN_RUNNING]
+
+
+def _list_open(plan: Plan) -> tuple[Step, ...]:
+    return plan.steps[plan.step :]
 
 
 def _takes_away(step: Step, target: Target) -> bool:
@@ -113,7 +116,11 @@
     for other in state.targets.values():
         if other.pool == pool and other.name != step.target and other.is_leaving:
             return f"{other.name} is already out of service"
-    return _find_pool_shortage(state, state.targets, step.target)
+    target = state.targets[step.target]
+    if not target.serving:
+        return ""
+    left = {name: t for name, t in state.targets.items() if t.serving}
+    return _find_pool_shortage(state, left, target)
 
 
 def allows_act(
@@ -150,26 +157,21 @@
 
 def _is_planned(state: State, target: str, but: str) -> bool:
     return any(
-        plan.status == PLAN_RUNNING
-        and plan.id != but
-        and any(step.target == target for step in plan.steps[plan.step :])
-        for plan in state.plans.values()
+        step.target == target
+        for plan in _list_running(state)
+        if plan.id != but
+        for step in _list_open(plan)
     )
 
 
-def _find_pool_shortage(state: State, targets: dict[str, Target], leaving: str) -> str:
+def _find_pool_shortage(state: State, left: dict[str, Target], leaving: Target) -> str:
+    """Say whether a pool has too few targets while one of them is away."""
     configuration = read_configuration(state)
-    if not targets[leaving].serving:
-        return ""
-    pool = targets[leaving].pool
-    left = sum(
-        1
-        for target in targets.values()
-        if target.pool == pool and target.serving and target.name != leaving
-    )
+    pool = leaving.pool
+    others = sum(1 for t in left.values() if t.pool == pool and t.name != leaving.name)
     least = configuration.find_least_serving(pool) if configuration else 0
-    if left < least:
-        return f"{pool} would be left with {left} targets; it needs {least}"
+    if others < least:
+        return f"{pool} would be left with {others} targets; it needs {least}"
     return ""
 
 
--- a/tests/core/test_plans.py
+++ b/tests/core/test_plans.py
@@ -7,10 +7,12 @@
 from robinspindle.core.fold import apply
 from robinspindle.core.plans import make_plan
 from robinspindle.core.records import (
+    CalledOff,
     Confirmed,
     Drain,
     Planned,
     Published,
+    ServeModel,
     SetRoles,
     Standing,
     Step,
@@ -97,6 +99,29 @@
     ]
 
 
+def test_a_plan_may_not_make_a_running_one_wait_for_ever(state):
+    """Found by fuzzing: a load that waits its turn, then a drain of the rest."""
+    intent = ServeModel(model=MODEL, targets=("engine-1", "engine-2"), version="2")
+    load = make_plan(state, intent, "load", "op")
+    names = ("engine-5", "engine-6")
+    drain = make_plan(state, Drain(targets=names), "drain", "op")
+    after = fold(state, load, drain, confirm("load"), confirm("drain"))
+    assert after.plans["load"].status == "running"
+    assert after.plans["drain"].status == "refused"
+
+
+def test_an_order_of_a_plan_called_off_still_counts(state):
+    """Found by fuzzing: a drain in force, called off too late to stop it."""
+    drains = [
+        make_plan(state, Drain(targets=(f"engine-{n}",)), f"d{n}", "op") for n in (5, 6)
+    ]
+    after = fold(state, drains[0], confirm("d5"), CalledOff(id="off", plan="d5"))
+    after = fold(after, drains[1], confirm("d6"))
+    intent = ServeModel(model=MODEL, targets=("engine-1",), version="2")
+    after = fold(after, make_plan(after, intent, "load", "op"), confirm("load"))
+    assert after.plans["load"].status == "refused"
+
+
 def test_all_that_speaks_against_an_intent_is_said_together(state):
     with pytest.raises(IntentError) as caught:
         make_plan(state, SetRoles(model=MODEL, prefill=9), "p", "op")
