--- a/src/robinspindle/core/admission.py
+++ b/src/robinspindle/core/admission.py
@@ -3,13 +3,16 @@
 import hashlib
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from robinspindle.messages import Work
 
 FIRST_PREFILL_S = 0.0004
 FIRST_STEP_S = 0.02
 FIRST_CALL_S = 0.05
+FIRST_ANSWER_TOKENS = 128
+LONGER_THAN_USUAL = 1.5
+MOST_SHARE_OF_TIME = 0.9
 SMOOTHING = 0.2
 DEMAND_WINDOW_S = 10.0
 SPREAD = 0.5
@@ -26,11 +29,13 @@
         prefill_s: Seconds to read one token of a prompt.
         step_s: Seconds between two tokens of one answer.
         call_s: Seconds that a call of a plain service takes.
+        answers: Tokens of an answer, by workspace.
     """
 
     prefill_s: float = FIRST_PREFILL_S
     step_s: float = FIRST_STEP_S
     call_s: float = FIRST_CALL_S
+    answers: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass
@@ -105,6 +110,12 @@
         pace.step_s += SMOOTHING * (seconds / steps - pace.step_s)
 
 
+def learn_answer(pace: Pace, workspace: str, tokens: int) -> None:
+    """Take note of the length of a whole answer."""
+    known = pace.answers.get(workspace, float(tokens))
+    pace.answers[workspace] = known + SMOOTHING * (tokens - known)
+
+
 def learn_call(pace: Pace, seconds: float) -> None:
     """Take note of the time that a call took."""
     pace.call_s += SMOOTHING * (seconds - pace.call_s)
@@ -115,7 +126,10 @@
     if work.kind == "call":
         return pace.call_s
     prefill = work.prompt_tokens * pace.prefill_s
-    steps = max(1, work.max_tokens - len(work.resumed)) * pace.step_s
+    # Callers write the most they would take, not what they expect.
+    usual = pace.answers.get(work.workspace, FIRST_ANSWER_TOKENS)
+    tokens = min(work.max_tokens, round(usual * LONGER_THAN_USUAL))
+    steps = max(1, tokens - len(work.resumed)) * pace.step_s
     if work.stage == "prefill":
         return prefill
     return steps if work.stage == "decode" else prefill + steps
@@ -178,8 +192,12 @@
     """
     if wait_s > queue_s:
         return Verdict("full", spread_retry(work.request, wait_s - queue_s))
-    if wait_s + service_s > left_s:
-        return Verdict("late", spread_retry(work.request, wait_s + service_s - left_s))
+    if wait_s <= 0.0:
+        # Whoever is not served now would not be served sooner by coming back.
+        return Verdict()
+    over_s = wait_s + min(service_s, left_s * MOST_SHARE_OF_TIME) - left_s
+    if over_s > 0:
+        return Verdict("late", spread_retry(work.request, over_s))
     return Verdict()
 
 
--- a/src/robinspindle/core/host.py
+++ b/src/robinspindle/core/host.py
@@ -160,6 +160,7 @@
     if run.work.kind == "call":
         admission.learn_call(host.pace, now - run.started_at)
     else:
+        admission.learn_answer(host.pace, run.work.workspace, len(run.texts))
         steps = len(run.texts) - len(run.work.resumed) - 1
         admission.learn_steps(host.pace, now - run.first_at, steps)
     effects = end_run(host, now, run, finished)
--- a/src/robinspindle/settings.py
+++ b/src/robinspindle/settings.py
@@ -26,7 +26,7 @@
 
 
 Address = Annotated[HostPort, AfterValidator(_check_host)]
-Url = Annotated[str, Field(pattern=r"^https?://[0-9.]+:[0-9]{1,5}/?$")]
+Url = Annotated[str, Field(pattern=r"^https?://[0-9.]+:[0-9]{1,5}(/.*)?$")]
 
 
 @dataclass(frozen=True, config=FORBID)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -168,7 +168,7 @@
         command = ["service"] if target.service else kind
         fleet.start(f"{name}.target", ["standins", *command, "--port", port])
         settings = f"[agent]\ntarget = {name}\nlisten = {target.agent}\n"
-        settings += f"log = http://{fleet.platform}\n{security}\n"
+        settings += f"log = http://{fleet.platform}/for/{name}\n{security}\n"
         _start_robinspindle(fleet, name, "agent", settings)
     zones = [target.zone for target in fleet.configuration.targets.values()]
     for number in range(entries):
@@ -177,7 +177,8 @@
         fleet.operators.append(f"http://{operators}")
         settings = f"[entry]\nname = entry-{number + 1}\nzone = {zones[number % 3]}\n"
         settings += f"listen = {callers}\noperators = {operators}\n"
-        settings += f"log = http://{fleet.platform}\n{security}\n"
+        settings += f"log = http://{fleet.platform}/for/entry-{number + 1}\n"
+        settings += f"{security}\n"
         settings += f"vms = http://{fleet.platform}/vms\n"
         settings += f"bootstrap_digest = {digest_bearer_key(BOOTSTRAP_KEY)}\n"
         _start_robinspindle(fleet, f"entry-{number + 1}", "entry", settings)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 ``POST /faults`` with a JSON object sets what goes wrong: ``outage`` (bool),
 ``slow_s``, ``lose_answers`` (share of appends that take effect unanswered),
-``trim`` (keep only so many records of each stream).
+``trim`` (keep only so many records of each stream), ``cut`` (names of processes
+that can't reach it).
 """
 
 import base64
@@ -47,7 +48,15 @@
         self._weights = threading.Lock()
 
     def route(self, method: str, path: str, query: dict, body: bytes) -> Reply:
-        """Answer one call."""
+        """Answer one call.
+
+        A process that reaches the platform as ``/for/NAME/...`` can be cut off alone.
+        """
+        if path.startswith("/for/"):
+            name, _, path = path.removeprefix("/for/").partition("/")
+            path = f"/{path}"
+            if name in self._faults.get("cut", ()):
+                return 503, b"{}"
         if path == "/faults":
             self._faults = json.loads(body)
             self._trim_all()
