Split what has grown, and let a stream be joined by its own workspace only

Cause: reading as a newcomer: host, dispatch, callers had several jobs, entry and agent built their link to the log twice. While reading Last-Event-ID: whoever guessed the name of another workspace's run could join its stream.

Change: scheduling (which run begins), watching (what was lost), exchanges (a caller's thread), loglink (followers and writers). The slopes count the greetings at the rate at which they are sent.

--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -32,6 +32,7 @@
     apply_claims,
     encode_claims,
 )
+from robinspindle.core.dispatch import HELLO_S, MOST_HELLO_S, PEERS_AT_FULL_RATE
 from robinspindle.core.fold import apply
 from robinspindle.core.records import Published, encode_record
 from robinspindle.core.routing import View, choose_by_estimate, estimate_answer
@@ -45,7 +46,6 @@
 ENTRIES = (2, 20, 60, 120, 240)
 SETTLE_S = 4.0
 WINDOW_S = 6.0
-HELLO_S = 0.25
 SAMPLES = 200
 
 
@@ -111,7 +111,7 @@
             path.write_text(settings)
             entry = _start_python("robinspindle", "entry", str(path))
             started.append(entry)
-            return _measure_process(entry, targets)
+            return _measure_process(entry, targets, targets)
         finally:
             _end_all(started)
 
@@ -135,25 +135,33 @@
             started.append(
                 _start_python("benches.fakes", "entries", str(ports[0]), str(entries))
             )
-            return _measure_process(agent, entries)
+            return _measure_process(agent, entries, 1)
         finally:
             _end_all(started)
 
 
-def _measure_process(process: subprocess.Popen, count: int) -> dict:
+def _measure_process(process: subprocess.Popen, count: int, peers: int) -> dict:
+    """Measure an idle process with so many on the other side.
+
+    Args:
+        process: The process.
+        count: How many peers it has.
+        peers: How many targets each entry greets, which sets how often it does.
+    """
     time.sleep(SETTLE_S + count / 100)
     before, begun = read_cpu(process.pid), time.monotonic()
     time.sleep(WINDOW_S)
     used = read_cpu(process.pid) - before
     share = used / (time.monotonic() - begun)
+    period = min(MOST_HELLO_S, HELLO_S * max(1.0, peers / PEERS_AT_FULL_RATE))
     hello = len(encode_message(Hello(offset=10**6, prefix_version=9)))
     report = len(encode_message(_make_report(0)))
     return {
         "count": count,
         "core_percent": round(100 * share, 2),
         "memory_mb": round(read_memory(process.pid), 1),
-        "messages_per_s": round(count * 2 / HELLO_S, 1),
-        "bytes_per_s": round(count * (hello + report) / HELLO_S),
+        "messages_per_s": round(count * 2 / period, 1),
+        "bytes_per_s": round(count * (hello + report) / period),
     }
 
 
--- a/fuzz/mutants.py
+++ b/fuzz/mutants.py
@@ -16,7 +16,9 @@
     orders,
     plans,
     runs,
+    scheduling,
     streams,
+    watching,
 )
 from robinspindle.core.claiming import start_run
 from robinspindle.core.claims import Claim, Held
@@ -212,12 +214,12 @@
         _refold_published,
     ),
     Mutant("fold a repeated record again", controlstream, "apply", _forget_repeats),
-    Mutant("say not run in doubt", dispatch, "explain_unknown", _say_not_run),
+    Mutant("say not run in doubt", watching, "explain_unknown", _say_not_run),
     Mutant("deny a run that is not known", host, "_deny", _deny_all),
     Mutant("deliver a token twice", streams, "add_tokens", _keep_repeats),
     Mutant("end before the answer is whole", dispatch, "_end_if_whole", _end_early),
     Mutant("let the last claim win", claims, "_apply_one", _let_last_win),
-    Mutant("retry what may not be repeated", dispatch, "_lose", _retry_all),
+    Mutant("retry what may not be repeated", watching, "lose", _retry_all),
     Mutant(
         "confirm against an old base", plans, "find_refusal", lambda r: lambda s, p: ""
     ),
@@ -225,7 +227,7 @@
     Mutant("use an old fencing number", orders, "decide_orders", _use_old_number),
     Mutant("take new work while leaving", runs.Host, "is_serving", _ignore_drain),
     Mutant("release claims of others", dispatch, "release_abandoned", _release_all),
-    Mutant("hand back what runs", host, "_hand_back", _hand_back_running),
+    Mutant("hand back what runs", scheduling, "hand_back", _hand_back_running),
     Mutant(
         "leave a model without targets",
         plans,
@@ -235,8 +237,8 @@
     Mutant("start without the checkpoint", fold, "_find_start", _skip_checkpoint),
     Mutant(
         "hold back a final answer",
-        dispatch,
-        "_check_flight",
+        watching,
+        "check_flight",
         lambda right: lambda entry, flight, now: [],
     ),
 )
--- a/src/robinspindle/agent.py
+++ b/src/robinspindle/agent.py
@@ -13,7 +13,6 @@
 
 from robinspindle.controlstream import ControlStream
 from robinspindle.core import catchup, host
-from robinspindle.core.claims import encode_claims
 from robinspindle.core.effects import (
     Abort,
     AppendClaim,
@@ -23,20 +22,14 @@
     Launch,
     Send,
 )
-from robinspindle.core.records import encode_record
 from robinspindle.core.runs import ENDED, RUNNING, Host
 from robinspindle.engines import CacheEvents, Engine, EngineState
 from robinspindle.exceptions import EngineError, EngineUnreachableError, FencedError
+from robinspindle.health import make_health_server
 from robinspindle.keys import FleetKey
+from robinspindle.loglink import LogLink
 from robinspindle.logs import make_log
-from robinspindle.logservice import (
-    CLAIMS,
-    CONTROL,
-    LogFollower,
-    LogService,
-    LogWriter,
-    RecordsRead,
-)
+from robinspindle.logservice import CONTROL, RecordsRead
 from robinspindle.mailbox import Mailbox
 from robinspindle.messages import (
     AnyMessage,
@@ -52,9 +45,7 @@
 
 TICK_S = 0.1
 ASK_EVERY_S = 0.5
-CLAIMS_IN_AN_APPEND = 256
 OUTCOMES_KEPT_S = 3600.0
-RECORDS_KEPT_S = 1.5
 PREFIXES_KEPT = 1024
 
 log = make_log("agent")
@@ -117,18 +108,10 @@
         self.metrics = AgentMetrics()
         self._rng = random.Random()
         self._mailbox = Mailbox()
-        self._service = LogService(settings.log)
         self._context = zmq.Context()
         self._listener = Listener(self._context, settings.listen, key)
-        self._follower = LogFollower(
-            self._service, CONTROL, self._mailbox.post, self._rng
-        )
-        self._records = LogWriter(
-            self._service, CONTROL, lambda items: items[0], 1, RECORDS_KEPT_S
-        )
-        self._claims = LogWriter(
-            self._service, CLAIMS, encode_claims, CLAIMS_IN_AN_APPEND, OUTCOMES_KEPT_S
-        )
+        post = self._mailbox.post
+        self._link = LogLink(settings.log, (CONTROL,), post, self._rng, OUTCOMES_KEPT_S)
         self._engine: Engine | None = None
         self._pool: ThreadPoolExecutor | None = None
         self._asked_at = 0.0
@@ -143,8 +126,7 @@
         poller = zmq.Poller()
         poller.register(self._listener.socket, zmq.POLLIN)
         poller.register(self._mailbox, zmq.POLLIN)
-        for thread in (self._follower, self._records, self._claims):
-            thread.start()
+        self._link.start()
         log("The agent is listening.", target=self.host.name, at=self.settings.listen)
         while not (self.host.is_stopping and self.host.is_idle):
             self._turn(wait_for_any(poller, self._mailbox, TICK_S))
@@ -250,9 +232,9 @@
                 log("An order is given.", order=effect.order, action=effect.step.action)
                 self._pool.submit(self._give_order, effect)
             elif isinstance(effect, AppendRecord):
-                self._records.put(encode_record(effect.record))
+                self._link.append_record(effect.record)
             elif isinstance(effect, AppendClaim):
-                self._claims.put(effect.record)
+                self._link.append_claim(effect.record)
 
     def _connect_engine(self) -> None:
         if self._engine is None and self.host.section is not None:
@@ -341,10 +323,7 @@
         self.metrics.queued.set(len(statuses) - running - statuses.count(ENDED))
 
     def _close(self) -> None:
-        self._follower.stop()
-        for writer in (self._records, self._claims):
-            writer.stop()
-            writer.join(timeout=2.0)
+        self._link.close()
         self._listener.close()
         if self._pool is not None:
             self._pool.shutdown(wait=False, cancel_futures=True)
@@ -356,8 +335,6 @@
     """Run an agent until it is asked to stop."""
     agent = Agent(settings, key)
     if settings.metrics:
-        from robinspindle.health import make_health_server
-
         server = make_health_server(
             settings.metrics, agent.metrics.registry, lambda: agent.is_ready
         )
--- a/src/robinspindle/callers.py
+++ b/src/robinspindle/callers.py
@@ -1,10 +1,8 @@
 """The callers' API: completions in OpenAI's form, models, and plain services."""
 
 import hashlib
-import queue
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 from robinspindle import completions
 from robinspindle.core.documents import (
@@ -13,10 +11,18 @@
     ServiceSection,
     WorkspaceSection,
 )
-from robinspindle.core.effects import Chunk, Ended, Event, Refusal, Started
-from robinspindle.core.flights import Comeback, Promise
+from robinspindle.core.effects import Chunk, Ended, Event, Refusal
+from robinspindle.core.flights import Comeback
 from robinspindle.engines import HOP_HEADERS
 from robinspindle.entry import GONE, Entry
+from robinspindle.exchanges import (
+    Exchange,
+    end_exchange,
+    next_event,
+    open_exchange,
+    wait_ended,
+    wait_first,
+)
 from robinspindle.health import answer_health
 from robinspindle.keys import digest_bearer_key
 from robinspindle.messages import Work
@@ -30,7 +36,6 @@
     make_error,
 )
 
-EVENT_WAIT_S = 300.0
 SERVICES = "/services/"
 PRIVATE_HEADERS = HOP_HEADERS | {"authorization", "host", "idempotency-key"}
 SSE_HEADERS = (("Content-Type", "text/event-stream"), ("Cache-Control", "no-store"))
@@ -38,35 +43,6 @@
 LONGEST_KEY = 255
 
 
-@dataclass
-class Exchange:
-    """One caller's request while its thread serves it.
-
-    Attributes:
-        entry: The entry.
-        work: The request.
-        workspace: Whose it is.
-        work_class: What was promised.
-        begun: When it came, monotonic seconds.
-        events: Events from the entry's loop.
-        target: The target that runs it.
-        run: Name of the run.
-        first_at: When the first token came.
-        last_at: When the last token came.
-    """
-
-    entry: Entry
-    work: Work
-    workspace: WorkspaceSection
-    work_class: ClassSection
-    begun: float
-    events: queue.SimpleQueue = field(default_factory=queue.SimpleQueue)
-    target: str = ""
-    run: str = ""
-    first_at: float = 0.0
-    last_at: float = 0.0
-
-
 def make_callers_handler(entry: Entry) -> Handler:
     """Make the handler of the callers' listener."""
 
@@ -148,10 +124,10 @@
         trace=request.headers.get("traceparent", ""),
     )
     comeback = _read_comeback(request)
-    exchange = _open(entry, work, workspace, work_class, comeback)
+    exchange = open_exchange(entry, work, workspace, work_class, comeback)
     head = completions.AnswerHead(shape, work.request, body.model, int(time.time()))
     if body.stream:
-        first = _wait_first(exchange)
+        first = wait_first(exchange)
         stream = _stream(exchange, head, first, body.wants_usage)
         return Answer(200, stream, SSE_HEADERS)
     return _collect(exchange, head)
@@ -183,9 +159,9 @@
         ),
         body=request.body,
     )
-    exchange = _open(entry, work, workspace, work_class, None)
-    ended = _wait_ended(exchange, [])
-    _end(exchange, "whole")
+    exchange = open_exchange(entry, work, workspace, work_class, None)
+    ended = wait_ended(exchange, [])
+    end_exchange(exchange, "whole")
     headers = tuple((name, value) for name, value in ended.headers)
     return Answer(ended.status, [ended.body], headers)
 
@@ -221,88 +197,11 @@
     return Comeback(run, target, int(number) + 1)
 
 
-def _open(
-    entry: Entry,
-    work: Work,
-    workspace: WorkspaceSection,
-    work_class: ClassSection,
-    comeback: Comeback | None,
-) -> Exchange:
-    retry_s = entry.admit(workspace)
-    if retry_s > 0:
-        text = f"workspace {workspace.name} is over its limits"
-        raise HttpError(Refusal(429, "workspace_limit", text, "no", retry_s))
-    exchange = Exchange(entry, work, workspace, work_class, time.monotonic())
-    promise = Promise(work_class.first_token_s, work_class.promised_s)
-    exchange.events = entry.submit(work, promise, comeback)
-    return exchange
-
-
-def _next_event(exchange: Exchange) -> Event:
-    try:
-        event = exchange.events.get(timeout=EVENT_WAIT_S)
-    except queue.Empty:
-        text = "the entry gave no answer"
-        event = Refusal(504, "too_long", text, "unknown", 1.0)
-    if isinstance(event, Started):
-        exchange.target = event.target
-        exchange.run = event.run
-    if isinstance(event, Chunk):
-        _note_tokens(exchange, len(event.texts))
-    return event
-
-
-def _note_tokens(exchange: Exchange, count: int) -> None:
-    now = time.monotonic()
-    latencies = exchange.entry.metrics.latencies
-    if not exchange.first_at:
-        exchange.first_at = now
-        seconds = now - exchange.begun
-        latencies.record("first_token", exchange.work_class.name, seconds)
-    else:
-        seconds = (now - exchange.last_at) / count
-        latencies.record("between_tokens", exchange.work_class.name, seconds)
-    exchange.last_at = now
-    exchange.entry.metrics.tokens.inc(count)
-
-
-def _wait_first(exchange: Exchange) -> Event:
-    """Wait for the first event that is worth an answer's head.
-
-    Raises:
-        HttpError: If the request is refused.
-    """
-    event = _next_event(exchange)
-    while isinstance(event, Started):
-        event = _next_event(exchange)
-    if isinstance(event, Refusal):
-        _end(exchange, event.code)
-        raise HttpError(event)
-    return event
-
-
-def _wait_ended(exchange: Exchange, texts: list[str]) -> Ended:
-    """Gather tokens until the answer is whole.
-
-    Raises:
-        HttpError: If the request is given up.
-    """
-    event = _wait_first(exchange)
-    while not isinstance(event, Ended):
-        if isinstance(event, Chunk):
-            texts.extend(event.texts)
-        event = _next_event(exchange)
-        if isinstance(event, Refusal):
-            _end(exchange, event.code)
-            raise HttpError(event)
-    return event
-
-
 def _collect(exchange: Exchange, head: completions.AnswerHead) -> Answer:
     texts: list[str] = []
-    ended = _wait_ended(exchange, texts)
+    ended = wait_ended(exchange, texts)
     usage = completions.make_usage(exchange.work.prompt_tokens, ended.count)
-    _end(exchange, "whole")
+    end_exchange(exchange, "whole")
     whole = completions.write_whole(head, "".join(texts), ended.finish, usage)
     return answer_json(whole)
 
@@ -328,9 +227,9 @@
                 end = event.code
                 yield completions.write_event({"error": describe_error(event)})
                 return
-            event = _next_event(exchange)
+            event = next_event(exchange)
     finally:
-        _end(exchange, end)
+        end_exchange(exchange, end)
 
 
 def _write_end(
@@ -341,20 +240,3 @@
         used = completions.make_usage(exchange.work.prompt_tokens, ended.count)
         yield completions.write_event(completions.write_usage(head, used))
     yield completions.DONE
-
-
-def _end(exchange: Exchange, end: str) -> None:
-    """Count how the promise was kept, and by whom it was spent if not."""
-    seconds = time.monotonic() - exchange.begun
-    promised = exchange.work_class
-    first_s = exchange.first_at - exchange.begun if exchange.first_at else 0.0
-    late = seconds > promised.promised_s or first_s > promised.first_token_s
-    spender: str | None = ""
-    if end == GONE:
-        spender = None
-    elif end != "whole":
-        spender = f"refusal {end}"
-    elif late:
-        spender = f"target {exchange.target}"
-    exchange.entry.metrics.latencies.record("answer", promised.name, seconds)
-    exchange.entry.end(exchange.work.request, exchange.workspace, end, spender)
--- a/src/robinspindle/core/dispatch.py
+++ b/src/robinspindle/core/dispatch.py
@@ -6,13 +6,10 @@
 
 from collections.abc import Callable
 
-import msgspec
-
-from robinspindle.core import membership, retries, routing, streams
+from robinspindle.core import membership, retries, routing, streams, watching
 from robinspindle.core.claiming import (
     claim_key,
     consider_key,
-    explain_unknown,
     judge_claim,
     release_abandoned,
     release_and_retry,
@@ -38,12 +35,10 @@
     Dispatcher,
     Flight,
     Promise,
-    cancel_run,
     drop,
     finish,
     give_up,
     leave_target,
-    tell_ran,
 )
 from robinspindle.core.placing import list_peers, place
 from robinspindle.core.state import State
@@ -64,15 +59,7 @@
 HELLO_S = 0.25
 MOST_HELLO_S = 0.75
 PEERS_AT_FULL_RATE = 12
-OFFER_S = 1.0
-CLAIM_S = 3.0
-ATTACH_S = 2.0
-STALL_S = 1.0
-GAP_S = 0.05
-LOST_S = 1.5
-LEAST_TRY_S = 0.05
 HANG_UP_GRACE_S = 5.0
-HARD_LIMIT_S = 120.0
 
 
 def submit(
@@ -101,7 +88,9 @@
     retries.earn(entry.budget)
     if comeback is not None:
         flight.skip = comeback.after
-        attach = Attach(request=work.request, run=comeback.run)
+        attach = Attach(
+            request=work.request, run=comeback.run, workspace=work.workspace
+        )
         return send_attach(flight, now, comeback.target, attach)
     if work.key:
         return consider_key(entry, flight, now)
@@ -177,7 +166,7 @@
     effects: list[Effect] = []
     effects += _greet(entry, now)
     for flight in list(entry.flights.values()):
-        effects += _check_flight(entry, flight, now)
+        effects += watching.check_flight(entry, flight, now)
     return effects
 
 
@@ -218,7 +207,9 @@
     for flight in list(entry.flights.values()):
         is_there = flight.target == peer and flight.status in (CLAIMING, RUNNING)
         if is_there and flight.incarnation != report.incarnation:
-            effects += _lose(entry, flight, now, "the target's agent was restarted")
+            effects += watching.lose(
+                entry, flight, now, "the target's agent was restarted"
+            )
     return effects
 
 
@@ -283,7 +274,7 @@
         ended = Ended(status=message.status, headers=message.headers, body=message.body)
         return finish(entry, flight, ended)
     flight.buffer.count = message.count
-    return _end_if_whole(entry, flight, message.finish) or [_ask_again(flight)]
+    return _end_if_whole(entry, flight, message.finish) or [watching.ask_again(flight)]
 
 
 def _end_if_whole(entry: Dispatcher, flight: Flight, reason: str) -> list[Effect]:
@@ -301,7 +292,7 @@
     if flight.is_started and message.ran == "no":
         flight.refused[flight.target] = COME_BACK_S
         return release_and_retry(entry, flight, now)
-    return _lose(entry, flight, now, message.reason)
+    return watching.lose(entry, flight, now, message.reason)
 
 
 def _take_attached(
@@ -317,7 +308,7 @@
         text = "the stream can't be resumed any more; send the request again"
         refusal = Refusal(409, "stream_gone", text, "unknown")
         return give_up(entry, flight, refusal)
-    return _lose(entry, flight, now, "its target has no memory of it")
+    return watching.lose(entry, flight, now, "its target has no memory of it")
 
 
 def _join(flight: Flight, now: float, message: Attached) -> list[Effect]:
@@ -330,74 +321,6 @@
     return [Deliver(flight.work.request, Started(flight.target, flight.run))]
 
 
-def _lose(entry: Dispatcher, flight: Flight, now: float, reason: str) -> list[Effect]:
-    """Go on after the current run was lost: elsewhere, or say what is known."""
-    if flight.is_started or (flight.work.key and flight.status == ATTACHING):
-        return give_up(entry, flight, explain_unknown(reason))
-    effects = cancel_run(entry, flight, 0.0)
-    if flight.status == CLAIMING:
-        return effects + release_and_retry(entry, flight, now)
-    flight.may_have_run |= flight.work.repeatable
-    flight.decode_target = ""
-    flight.refused[flight.target] = COME_BACK_S
-    if not retries.spend(entry.budget, flight.tries, flight.due - now, LEAST_TRY_S):
-        text = f"the target was lost ({reason}) and no retry is left"
-        refusal = Refusal(502, "target_lost", text, tell_ran(flight), COME_BACK_S)
-        return effects + give_up(entry, flight, refusal)
-    resumed = tuple(flight.buffer.texts)
-    flight.buffer = streams.TokenBuffer(texts=list(resumed))
-    flight.work = msgspec.structs.replace(flight.work, resumed=resumed)
-    return effects + place(entry, flight, now)
-
-
-def _check_flight(entry: Dispatcher, flight: Flight, now: float) -> list[Effect]:
-    waited = now - flight.since
-    if flight.status == PLACING and waited > OFFER_S:
-        return _lose(entry, flight, now, "the offer was not answered")
-    if flight.status in (CLAIMING, RELEASING) and waited > CLAIM_S:
-        text = "the log service can't be reached, so the request was not run"
-        refusal = Refusal(503, "log_unavailable", text, "no", COME_BACK_S)
-        return give_up(entry, flight, refusal)
-    if flight.status == ATTACHING and waited > ATTACH_S:
-        return _lose(entry, flight, now, "its target does not answer")
-    if flight.status == RUNNING:
-        return _check_run(entry, flight, now)
-    return []
-
-
-def _check_run(entry: Dispatcher, flight: Flight, now: float) -> list[Effect]:
-    evidence = entry.evidence.get(flight.target)
-    if evidence is None or evidence.heard_at is None:
-        return _lose(entry, flight, now, "the target is no longer configured")
-    if now - evidence.heard_at > LOST_S:
-        membership.note_failure(evidence, now)
-        return _lose(entry, flight, now, "the target fell silent")
-    if now > max(flight.due, flight.begun + HARD_LIMIT_S):
-        return give_up(entry, flight, _explain_too_long(flight))
-    if now - flight.event_at > (GAP_S if flight.buffer.has_gap else STALL_S):
-        flight.event_at = now
-        return [_ask_again(flight)]
-    return []
-
-
-def _explain_too_long(flight: Flight) -> Refusal:
-    ran = "unknown" if flight.is_started else "partial"
-    text = f"no whole answer within {HARD_LIMIT_S:.0f} seconds"
-    return Refusal(504, "too_long", text, ran, COME_BACK_S)
-
-
-def _ask_again(flight: Flight) -> Effect:
-    """Ask after a run that says nothing: its events or its start may be lost."""
-    attach = Attach(
-        request=flight.work.request,
-        run=flight.run,
-        attempt=flight.attempt,
-        after=len(flight.buffer.texts),
-        incarnation=flight.incarnation if flight.is_started else "",
-    )
-    return Send(flight.target, attach)
-
-
 _HANDLERS: dict[type, Callable] = {
     Accepted: _take_accepted,
     Refused: _take_refused,
--- a/src/robinspindle/core/host.py
+++ b/src/robinspindle/core/host.py
@@ -6,15 +6,13 @@
 
 import msgspec
 
-from robinspindle.core import admission, orders
-from robinspindle.core.effects import Abort, AppendClaim, Effect, Launch, Send
+from robinspindle.core import admission, orders, scheduling
+from robinspindle.core.effects import AppendClaim, Effect, Send
 from robinspindle.core.records import Found
 from robinspindle.core.routing import is_long
 from robinspindle.core.runs import (
     ENDED,
-    KEEP_ENDED_S,
     QUEUED,
-    RESERVATION_S,
     RESERVED,
     RUNNING,
     Host,
@@ -23,7 +21,6 @@
     end_run,
     estimate_prefill_wait,
     estimate_wait,
-    is_reading_long,
     make_outcome,
     make_report,
     make_waiting,
@@ -49,9 +46,7 @@
     Tokens,
 )
 
-LEAVING_RETRY_S = 0.1
 PREFIXES_REPORTED = 64
-ENTRY_LOST_S = 10.0
 STARTED_KEPT = 50_000
 
 
@@ -122,9 +117,9 @@
 def tick(host: Host, now: float) -> list[Effect]:
     """Do what time or a change of state makes due."""
     effects: list[Effect] = []
-    effects += _hand_back(host, now)
-    effects += _drop_stale(host, now)
-    effects += _launch_next(host, now)
+    effects += scheduling.hand_back(host, now)
+    effects += scheduling.drop_stale(host, now)
+    effects += scheduling.launch_next(host, now)
     effects += orders.decide_orders(host.executor, host.target, now, host.is_idle)
     return effects
 
@@ -227,7 +222,7 @@
         texts=list(work.resumed),
     )
     host.runs[(work.request, offer.attempt)] = run
-    launched = _launch_next(host, now)
+    launched = scheduling.launch_next(host, now)
     accepted = Accepted(
         request=work.request,
         attempt=offer.attempt,
@@ -240,7 +235,7 @@
 def _find_refusal(host: Host, now: float, offer: Offer) -> admission.Verdict:
     work = offer.work
     if not host.is_serving:
-        return admission.Verdict("leaving", LEAVING_RETRY_S)
+        return admission.Verdict("leaving", scheduling.LEAVING_RETRY_S)
     if host.target.pool != work.pool:
         return admission.Verdict("pool")
     if work.adapter and work.adapter not in host.target.adapters:
@@ -253,38 +248,6 @@
     return admission.judge(waiting, now, wait_s, queue_s)
 
 
-def _launch_next(host: Host, now: float) -> list[Effect]:
-    """Give the engine as many waiting requests as it has free slots for."""
-    effects: list[Effect] = []
-    if host.section is None:
-        return effects
-    while True:
-        run = _find_next(host)
-        if run is None:
-            return effects
-        run.status = RUNNING
-        run.started_at = now
-        effects.append(Launch(run.work.request, run.attempt, run.work))
-
-
-def _find_next(host: Host) -> Run | None:
-    running = [run for run in host.runs.values() if run.status == RUNNING]
-    shares: dict[str, int] = {}
-    for run in running:
-        shares[run.work.workspace] = shares.get(run.work.workspace, 0) + 1
-    is_reading = any(is_reading_long(run) for run in running)
-    ready = [
-        run
-        for run in host.runs.values()
-        if run.status == QUEUED
-        and len(running) < admission.count_slots(host.section.slots, run.work.priority)
-        and not (is_reading and is_long(run.waiting.prefill_s))
-    ]
-    if not ready:
-        return None
-    return min(ready, key=lambda run: admission.order_key(run.waiting, shares))
-
-
 def _start(host: Host, now: float, peer: str, start: Start) -> list[Effect]:
     run = host.runs.get((start.request, start.attempt))
     if run is None or run.status != RESERVED:
@@ -294,7 +257,7 @@
         return [Send(peer, refused)]
     run.status = QUEUED
     _remember_start(host, (start.request, start.attempt))
-    return _launch_next(host, now)
+    return scheduling.launch_next(host, now)
 
 
 def _remember_start(host: Host, key: tuple[str, int]) -> None:
@@ -352,73 +315,9 @@
 def _find_run(host: Host, attach: Attach) -> Run | None:
     if attach.attempt >= 0:
         return host.runs.get((attach.run, attach.attempt))
-    found = [run for run in host.runs.values() if run.work.request == attach.run]
-    return found[-1] if found else None
-
-
-def _hand_back(host: Host, now: float) -> list[Effect]:
-    """Give queued work back: where the target leaves, or a promise can't be kept.
-
-    Its entries place it elsewhere or refuse it at once, and it was truly not run.
-    """
-    effects: list[Effect] = []
-    for run in list(host.runs.values()):
-        if run.status != QUEUED:
-            continue
-        if not host.is_serving and run.work.repeatable:
-            effects += _refuse_queued(host, now, run, "leaving", LEAVING_RETRY_S)
-        elif admission.is_hopeless(run.waiting, now):
-            retry_s = admission.spread_retry(run.work.request, 0.0)
-            effects += _refuse_queued(host, now, run, "late", retry_s)
-    return effects
-
-
-def _refuse_queued(
-    host: Host, now: float, run: Run, reason: str, retry_s: float
-) -> list[Effect]:
-    run.status = ENDED
-    run.ended_at = now
-    host.started.pop((run.work.request, run.attempt), None)
-    return [
-        Send(
-            peer,
-            Refused(
-                request=request,
-                attempt=run.attempt,
-                reason=reason,
-                retry_s=retry_s,
-                report=make_report(host, now, peer),
-            ),
-        )
-        for peer, request in run.listeners
-    ]
-
-
-def _drop_stale(host: Host, now: float) -> list[Effect]:
-    effects: list[Effect] = []
-    for key, run in list(host.runs.items()):
-        _detach_lost(host, run, now)
-        if run.status == ENDED and now - run.ended_at >= KEEP_ENDED_S:
-            del host.runs[key]
-        elif run.status == RESERVED and now - run.waiting.queued_at > RESERVATION_S:
-            run.status = ENDED
-            run.ended_at = now
-        elif run.drop_at is not None and now >= run.drop_at and run.status != ENDED:
-            if run.status == RUNNING:
-                effects.append(Abort(*key))
-            run.status = ENDED
-            run.ended_at = now
-    return effects
-
-
-def _detach_lost(host: Host, run: Run, now: float) -> None:
-    """Stop working for entries that have not been heard for long."""
-    lost = [
-        (peer, request)
-        for peer, request in run.listeners
-        if now - host.heard.get(peer, now) > ENTRY_LOST_S
+    found = [
+        run
+        for run in host.runs.values()
+        if run.work.request == attach.run and run.work.workspace == attach.workspace
     ]
-    for peer, request in lost:
-        drop_listener(run, peer, request)
-    if lost and not run.listeners and not must_run(run):
-        run.drop_at = now
+    return found[-1] if found else None
--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -13,7 +13,7 @@
 
 from robinspindle.controlstream import ControlStream
 from robinspindle.core import burn, catchup, dispatch, leases, limits
-from robinspindle.core.claims import apply_claims, encode_claims
+from robinspindle.core.claims import apply_claims
 from robinspindle.core.coordination import Duties, decide_duties
 from robinspindle.core.documents import Configuration, WorkspaceSection
 from robinspindle.core.effects import (
@@ -30,15 +30,9 @@
 from robinspindle.core.records import AnyRecord, encode_record
 from robinspindle.core.state import State, read_configuration
 from robinspindle.keys import FleetKey
+from robinspindle.loglink import LogLink
 from robinspindle.logs import make_log
-from robinspindle.logservice import (
-    CLAIMS,
-    CONTROL,
-    LogFollower,
-    LogService,
-    LogWriter,
-    RecordsRead,
-)
+from robinspindle.logservice import CLAIMS, CONTROL, RecordsRead
 from robinspindle.mailbox import Mailbox
 from robinspindle.messages import AnyMessage, Fetch, Records, Report, Work
 from robinspindle.metrics import EntryMetrics
@@ -47,9 +41,7 @@
 from robinspindle.vmlist import ListFollower, VmsListed
 
 TICK_S = 0.05
-CLAIMS_IN_AN_APPEND = 256
 CLAIMS_KEPT_S = 3.0
-RECORDS_KEPT_S = 1.5
 STOP_GRACE_S = 1.0
 STOP_LIMIT_S = 600.0
 GONE = "gone"
@@ -99,31 +91,20 @@
         self._moved = threading.Condition()
         self._mailbox = Mailbox()
         self._events: dict[str, queue.SimpleQueue] = {}
-        self._service = LogService(settings.log)
         self._context = zmq.Context()
         self._poller = zmq.Poller()
         identity = f"{settings.name}-{self.incarnation}"
         self._connections = Connections(self._context, identity, key)
         post = self._mailbox.post
-        self._followers = [
-            LogFollower(self._service, stream, post, self._rng)
-            for stream in (CONTROL, CLAIMS)
-        ]
-        self._records = LogWriter(
-            self._service, CONTROL, lambda items: items[0], 1, RECORDS_KEPT_S
-        )
-        self._claims = LogWriter(
-            self._service, CLAIMS, encode_claims, CLAIMS_IN_AN_APPEND, CLAIMS_KEPT_S
-        )
+        streams = (CONTROL, CLAIMS)
+        self._link = LogLink(settings.log, streams, post, self._rng, CLAIMS_KEPT_S)
         self._claims_are_read = False
         self._watch = leases.LeaseWatch(identity)
         self._duties = Duties(identity)
         self._serial = 0
         self._stop_asked_at = 0.0
         self._ticked_at = 0.0
-        self._threads = [*self._followers, self._records, self._claims]
-        if settings.vms:
-            self._threads.append(ListFollower(settings.vms, post))
+        self._vms = ListFollower(settings.vms, post) if settings.vms else None
 
     @property
     def state(self) -> State:
@@ -154,7 +135,7 @@
     @property
     def is_log_reached(self) -> bool:
         """Whether the log service answered the last read."""
-        return self._followers[0].is_reaching
+        return self._link.is_reached
 
     def make_id(self) -> str:
         """Make an id that is unique in the deployment."""
@@ -219,7 +200,7 @@
         Raises:
             LogUnavailableError: If the log gave no answer.
         """
-        offset = self._service.append(CONTROL, encode_record(record))
+        offset = self._link.service.append(CONTROL, encode_record(record))
         with self._moved:
             return self._moved.wait_for(lambda: self.state.offset >= offset, wait_s)
 
@@ -228,8 +209,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._mailbox.post(StopAsked()))
         self._poller.register(self._mailbox, zmq.POLLIN)
-        for thread in self._threads:
-            thread.start()
+        self._link.start()
+        if self._vms is not None:
+            self._vms.start()
         log("The entry is starting.", entry=self.settings.name)
         while not self._may_stop(time.monotonic()):
             self._turn(wait_for_any(self._poller, self._mailbox, TICK_S))
@@ -338,7 +320,7 @@
             self._duties, self.state, self.reports, now, time.time(), self.make_id()
         )
         for record in records:
-            self._records.put(encode_record(record))
+            self._link.append_record(record)
 
     def _carry_out(self, effects: list[Effect]) -> None:
         for effect in effects:
@@ -347,7 +329,7 @@
             elif isinstance(effect, Deliver):
                 self._deliver(effect.request, effect.event)
             elif isinstance(effect, AppendClaim):
-                self._claims.put(effect.record)
+                self._link.append_claim(effect.record)
 
     def _deliver(self, request: str, event: Event) -> None:
         is_last = isinstance(event, Ended | Refusal)
@@ -360,11 +342,7 @@
             log("A request ended.", request=request, end=code)
 
     def _close(self) -> None:
-        for follower in self._followers:
-            follower.stop()
-        for writer in (self._records, self._claims):
-            writer.stop()
-            writer.join(timeout=2.0)
+        self._link.close()
         self._connections.close()
         self._context.destroy(linger=1000)
         log("The entry has stopped.", entry=self.settings.name)
--- a/src/robinspindle/messages.py
+++ b/src/robinspindle/messages.py
@@ -169,6 +169,8 @@
         run: The run's request id.
         attempt: The run's attempt, -1 for the last one.
         after: Tokens that the entry already has.
+        workspace: Whose request it is; a run is found by its name alone only for
+            its own workspace.
         incarnation: The agent's incarnation that reserved it, empty for a run
             that may be repeated.
     """
@@ -177,6 +179,7 @@
     run: str
     attempt: int = -1
     after: int = 0
+    workspace: str = ""
     incarnation: str = ""
 
 
