Greet where work is under way often, idle targets rarely

Cause: at the target size an entry would greet its idle targets at the same rate as those that work for it; and every process would read a checkpoint of 154 KB each 30 s, 5 KB/s of a budget of 8 KB/s.

Change: targets with own requests are greeted each 0.25 s, idle ones the less often the more there are, down to one in 1.2 s (a target counts as silent after 2 s); a checkpoint is made after 256 records or 120 s. scripts/bench capacity works the target size out from the kept slopes. An unused method and an unused field are gone.

--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -19,6 +19,8 @@
     roles.add_argument("--seed", type=int, action="append")
     kinds.add_parser("path", help="latency and throughput of the path")
     kinds.add_parser("queueing", help="routing decisions alone, with late reports")
+    kinds.add_parser("plots", help="draw the runs that are kept as data")
+    kinds.add_parser("capacity", help="the target size from the kept slopes")
     kinds.add_parser("slopes", help="cost by targets, entries, changes and claims")
     args = parser.parse_args()
     if args.kind == "mix":
@@ -29,6 +31,14 @@
         from benches.queueing import run_queueing
 
         run_queueing()
+    elif args.kind == "plots":
+        from benches.plots import draw_plots
+
+        draw_plots()
+    elif args.kind == "capacity":
+        from benches.capacity import run_capacity
+
+        run_capacity()
     elif args.kind == "path":
         from benches.path import run_path
 
--- a/benches/mix.py
+++ b/benches/mix.py
@@ -45,7 +45,6 @@
         promised_s: When its callers need the whole answer.
         cost_s: Engine seconds that one takes in a full batch.
         is_keyed: Whether it may not be repeated.
-        prefix_share: Share of a prompt that requests have in common.
     """
 
     name: str
@@ -56,7 +55,6 @@
     promised_s: float
     cost_s: float
     is_keyed: bool = False
-    prefix_share: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/core/coordination.py
+++ b/src/robinspindle/core/coordination.py
@@ -9,7 +9,7 @@
 from robinspindle.messages import Report
 
 CHECKPOINT_RECORDS = 256
-CHECKPOINT_S = 30.0
+CHECKPOINT_S = 120.0
 ACT_PAUSE_S = 2.0
 
 
--- a/src/robinspindle/core/dispatch.py
+++ b/src/robinspindle/core/dispatch.py
@@ -57,7 +57,7 @@
 )
 
 HELLO_S = 0.25
-MOST_HELLO_S = 0.75
+MOST_HELLO_S = 1.2
 PEERS_AT_FULL_RATE = 12
 HANG_UP_GRACE_S = 5.0
 
@@ -171,19 +171,21 @@
 
 
 def _greet(entry: Dispatcher, now: float) -> list[Effect]:
-    """Greet all targets; the more there are, the less often.
+    """Greet the targets that are due: often where own requests are under way.
 
-    Answers bring reports too, so a busy target is heard more often than greeted.
+    Who is idle is greeted the less often the more targets there are, but never so
+    rarely that it would seem silent.
     """
     peers = list_peers(entry)
-    period_s = HELLO_S * max(1.0, len(peers) / PEERS_AT_FULL_RATE)
-    if now - entry.greeted_at < min(period_s, MOST_HELLO_S):
-        return []
-    entry.greeted_at = now
+    idle_s = HELLO_S * max(1.0, len(peers) / PEERS_AT_FULL_RATE)
     effects: list[Effect] = []
     for name in peers:
-        evidence = entry.evidence.get(name)
-        version = evidence.prefix_version if evidence else 0
+        evidence = entry.evidence.setdefault(name, membership.Evidence())
+        period_s = HELLO_S if entry.sent.get(name) else min(idle_s, MOST_HELLO_S)
+        if now - evidence.greeted_at < period_s:
+            continue
+        evidence.greeted_at = now
+        version = evidence.prefix_version
         hello = Hello(offset=entry.state.offset, prefix_version=version)
         effects.append(Send(name, hello))
     return effects
--- a/src/robinspindle/core/flights.py
+++ b/src/robinspindle/core/flights.py
@@ -87,7 +87,6 @@
         budget: Retries that may still be made.
         choose: The routing policy in force.
         policy: Its name.
-        greeted_at: When the targets were last greeted.
     """
 
     name: str
@@ -102,7 +101,6 @@
     budget: retries.RetryBudget = field(default_factory=lambda: retries.RetryBudget(0))
     choose: Callable = routing.choose_by_estimate
     policy: str = "estimate"
-    greeted_at: float = -1.0
 
     @property
     def configuration(self) -> Configuration | None:
--- a/src/robinspindle/core/membership.py
+++ b/src/robinspindle/core/membership.py
@@ -19,6 +19,7 @@
 
     Attributes:
         heard_at: When its agent was last heard, None for never.
+        greeted_at: When it was last greeted.
         report: The last report.
         prefixes: Digests of prefixes in its cache, as last told.
         prefix_version: Number of that list.
@@ -28,6 +29,7 @@
     """
 
     heard_at: float | None = None
+    greeted_at: float = 0.0
     report: Report | None = None
     prefixes: tuple[str, ...] = ()
     prefix_version: int = 0
--- a/src/robinspindle/logservice.py
+++ b/src/robinspindle/logservice.py
@@ -152,10 +152,6 @@
             self._pass_on(answer, restarts)
             restarts = False
 
-    def skip_to(self, offset: int) -> None:
-        """Go on after records that came from a peer."""
-        self._next = max(self._next, offset)
-
     def stop(self) -> None:
         """Stop after the read that is under way."""
         self._stopped.set()
