Fuzz planned stops, and let an order under way end before the agent does

Cause: the planned stop of a process was proved on real processes only, with no deliberate fault. As a rule of the fuzzer it showed no promise broken; reading for it showed that an agent could end while its engine carried out an order.

Change: rule "stop", mutant "stop with requests in flight", Host.may_end.

--- a/fuzz/driver.py
+++ b/fuzz/driver.py
@@ -140,14 +140,15 @@
     world.log.is_out = False
     world.log.loses_answers = False
     world.cut_links.clear()
-    for name in list(world.processes):
-        world.processes[name].is_cut = False
-        world.resume(name)
-        world.restart(name)
-    world.advance(SETTLE_S)
     end = world.now + HEAL_S
-    while world.now < end and not _is_settled(world):
+    while True:
+        for name in list(world.processes):
+            world.processes[name].is_cut = False
+            world.resume(name)
+            world.restart(name)
         world.advance(SETTLE_S)
+        if world.now >= end or _is_settled(world):
+            return
 
 
 def _is_settled(world: World) -> bool:
@@ -158,7 +159,8 @@
         for process in world.processes.values()
         for plan in process.stream.state.plans.values()
     )
-    return not flights and not plans
+    stopping = any(process.is_stopping for process in world.processes.values())
+    return not flights and not plans and not stopping
 
 
 def shrink(seed: int, moves: list[Move]) -> list[Move]:
@@ -393,6 +395,7 @@
     "pause": Rule(lambda w, a, b: w.pause(_pick(w, a).name), 3),
     "resume": Rule(lambda w, a, b: w.resume(_pick(w, a).name), 6),
     "kill": Rule(lambda w, a, b: w.kill(_pick(w, a).name), 2),
+    "stop": Rule(lambda w, a, b: w.stop(_pick(w, a).name), 3),
     "restart": Rule(lambda w, a, b: w.restart(_pick(w, a).name), 6),
     "cut_log": Rule(lambda w, a, b: setattr(_pick(w, a), "is_cut", True), 2),
     "mend_log": Rule(lambda w, a, b: setattr(_pick(w, a), "is_cut", False), 5),
--- a/fuzz/mutants.py
+++ b/fuzz/mutants.py
@@ -227,6 +227,12 @@
     Mutant("use an old fencing number", orders, "decide_orders", _use_old_number),
     Mutant("take new work while leaving", runs.Host, "is_serving", _ignore_drain),
     Mutant("release claims of others", dispatch, "release_abandoned", _release_all),
+    Mutant(
+        "stop with requests in flight",
+        runs.Host,
+        "is_idle",
+        lambda right: property(lambda self: self.is_stopping or right.fget(self)),
+    ),
     Mutant("hand back what runs", scheduling, "hand_back", _hand_back_running),
     Mutant(
         "leave a model without targets",
--- a/fuzz/oracle.py
+++ b/fuzz/oracle.py
@@ -47,6 +47,8 @@
     _check_leaving(oracle, world)
     _check_versions(oracle, world)
     _check_capacity(oracle, world)
+    for run in world.cut_by_stop:
+        oracle.faults.append(f"{run}: cut by a planned stop")
 
 
 def check_end(oracle: Oracle, world: World) -> None:
--- a/fuzz/world.py
+++ b/fuzz/world.py
@@ -53,6 +53,7 @@
         is_alive: Whether it runs.
         is_paused: Whether it is frozen.
         is_cut: Whether it can't reach the log.
+        is_stopping: Whether it was asked to stop.
         inbox: What happened to it while it was frozen.
         stream: The folded control stream.
         claims_next: Where it goes on reading claims.
@@ -64,6 +65,7 @@
     is_alive: bool = True
     is_paused: bool = False
     is_cut: bool = False
+    is_stopping: bool = False
     inbox: list[Callable] = field(default_factory=list)
     stream: ControlStream = field(default_factory=ControlStream)
     next_read: int = 0
@@ -111,6 +113,7 @@
         self._order = 0
         self._arrivals: dict[tuple[str, str], float] = {}
         self.published = [text]
+        self.cut_by_stop: list[str] = []
 
     def make_id(self, word: str) -> str:
         """Make a unique id."""
@@ -155,6 +158,18 @@
                 row.ended = "abandoned"
             target.running.clear()
 
+    def stop(self, name: str) -> None:
+        """Ask a process to stop; it ends when nothing is under way any more."""
+        process = self.processes[name]
+        if process.is_stopping or not process.is_alive:
+            return
+        process.is_stopping = True
+        if process.host is not None:
+            self._reach(
+                process,
+                lambda: self._carry_out(process, host.stop(process.host, self.now)),
+            )
+
     def pause(self, name: str) -> None:
         """Freeze a process."""
         self.processes[name].is_paused = True
@@ -254,6 +269,22 @@
             self._carry_out(process, host.tick(process.host, self.now))
             target = self.targets[process.name]
             target.step(self.now, self.rng)
+        self._end_stopped(process)
+
+    def _end_stopped(self, process: Process) -> None:
+        """End a process that was asked to stop, once it is idle."""
+        if not process.is_stopping:
+            return
+        if process.entry is not None:
+            is_idle = not process.entry.flights
+        else:
+            is_idle = process.host.may_end
+        if not is_idle:
+            return
+        target = self.targets.get(process.name)
+        if target is not None:
+            self.cut_by_stop += target.running
+        self.kill(process.name)
 
     def _read_log(self, process: Process) -> None:
         if process.is_cut or self.log.is_out or self.rng.random() < 0.3:
--- a/src/robinspindle/agent.py
+++ b/src/robinspindle/agent.py
@@ -128,7 +128,7 @@
         poller.register(self._mailbox, zmq.POLLIN)
         self._link.start()
         log("The agent is listening.", target=self.host.name, at=self.settings.listen)
-        while not (self.host.is_stopping and self.host.is_idle):
+        while not self.host.may_end:
             self._turn(wait_for_any(poller, self._mailbox, TICK_S))
         self._close()
 
--- a/src/robinspindle/core/runs.py
+++ b/src/robinspindle/core/runs.py
@@ -123,6 +123,11 @@
         """Whether nothing runs, waits or is reserved here."""
         return all(run.status == ENDED for run in self.runs.values())
 
+    @property
+    def may_end(self) -> bool:
+        """Whether the process, asked to stop, has nothing under way any more."""
+        return self.is_stopping and self.is_idle and self.executor.given < 0
+
 
 def make_report(host: Host, now: float, peer: str) -> Report:
     """Tell a peer the target's load."""
