Compare all targets when entries are few; count own long prompts exactly

Two choices of six leave load uneven that a turn spreads evenly.

Ruled out: refusals (the agents refuse by the same rule under all policies).

Change: the number of targets compared is two for each equal share of the entries: all six with two entries, two with eight. Of the wait for long prompts the report tells the entry its own part, and the entry counts its own now.

--- a/benches/queueing.py
+++ b/benches/queueing.py
@@ -15,15 +15,16 @@
 from robinspindle.core.routing import (
     View,
     choose_at_random,
-    choose_by_estimate,
     choose_least_in_flight,
     estimate_answer,
+    make_choose_by_estimate,
     make_round_robin,
 )
 from robinspindle.messages import Report, Work
 from robinspindle.tables import format_table
 
 TARGETS = 6
+MANY = 1000
 SLOTS = 8
 REPORT_S = 0.25
 LAG_S = 0.25
@@ -96,13 +97,14 @@
     blind = [
         View(view.target, view.report, in_flight=view.report.own) for view in views
     ]
-    return choose_by_estimate(blind, work, rng)
+    return make_choose_by_estimate(MANY)(blind, work, rng)
 
 
-def make_policies() -> dict[str, Callable]:
+def make_policies(entries: int = 1) -> dict[str, Callable]:
     """Make the policies that compete, anew for each run."""
     return {
-        "estimate, two choices": choose_by_estimate,
+        "estimate": make_choose_by_estimate(entries),
+        "estimate, two choices": make_choose_by_estimate(MANY),
         "estimate, all targets": choose_best_of_all,
         "two choices, report alone": choose_uncorrected,
         "least in flight": choose_least_in_flight,
@@ -114,7 +116,7 @@
 
 def run_model(name: str, load: float, entries: int, seed: int) -> dict:
     """Run one policy and return its answers."""
-    choose = make_policies()[name]
+    choose = make_policies(entries)[name]
     env = simpy.Environment()
     rng = random.Random(seed)
     speeds = [1.0] * (TARGETS - 1) + [SLOW_FACTOR]
--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -35,7 +35,7 @@
 from robinspindle.core.dispatch import HELLO_S, MOST_HELLO_S, PEERS_AT_FULL_RATE
 from robinspindle.core.fold import apply
 from robinspindle.core.records import Published, encode_record
-from robinspindle.core.routing import View, choose_by_estimate, estimate_answer
+from robinspindle.core.routing import View, estimate_answer, make_choose_by_estimate
 from robinspindle.core.state import State, encode_state
 from robinspindle.logservice import CONTROL, LogService
 from robinspindle.messages import Hello, Report, Work, decode_message, encode_message
@@ -188,10 +188,11 @@
     """Measure one choice among so many candidates."""
     views = [View(f"t{n}", _make_report(n)) for n in range(candidates)]
     rng = random.Random(1)
+    choose = make_choose_by_estimate(420)
     work = Work(request="r", kind="generate", pool="m", prompt_tokens=100, max_tokens=9)
     begun = time.process_time()
     for _ in range(SAMPLES):
-        choose_by_estimate(views, work, rng)
+        choose(views, work, rng)
     two = time.process_time() - begun
     begun = time.process_time()
     for _ in range(SAMPLES):
--- a/src/robinspindle/core/dispatch.py
+++ b/src/robinspindle/core/dispatch.py
@@ -129,9 +129,10 @@
     if configuration is None:
         return
     entry.budget.share = configuration.policy.retry_share
-    if configuration.policy.routing != entry.policy:
-        entry.policy = configuration.policy.routing
-        entry.choose = routing.make_policy(entry.policy)
+    policy = (configuration.policy.routing, configuration.fleet.entries)
+    if policy != entry.policy:
+        entry.policy = policy
+        entry.choose = routing.make_policy(*policy)
     for name in [name for name in entry.evidence if name not in state.targets]:
         del entry.evidence[name]
 
--- a/src/robinspindle/core/flights.py
+++ b/src/robinspindle/core/flights.py
@@ -86,7 +86,7 @@
         abandoned: Claims given up before a start, by request and attempt.
         budget: Retries that may still be made.
         choose: The routing policy in force.
-        policy: Its name.
+        policy: Its name, and the number of entries it was made for.
     """
 
     name: str
@@ -99,8 +99,8 @@
     flights: dict[str, Flight] = field(default_factory=dict)
     abandoned: dict[tuple[str, int], None] = field(default_factory=dict)
     budget: retries.RetryBudget = field(default_factory=lambda: retries.RetryBudget(0))
-    choose: Callable = routing.choose_by_estimate
-    policy: str = "estimate"
+    choose: Callable = routing.choose_least_in_flight
+    policy: tuple[str, int] = ("", 0)
 
     @property
     def configuration(self) -> Configuration | None:
--- a/src/robinspindle/core/placing.py
+++ b/src/robinspindle/core/placing.py
@@ -137,12 +137,26 @@
         target=name,
         report=evidence.report,
         prefixes=evidence.prefixes,
+        unread_s=_sum_unread(entry, name, evidence.report.prefill_s),
         in_flight=len(entry.sent[name]),
         near=near,
         zone_delay_s=0.0 if near else configuration.policy.zone_delay_s,
     )
 
 
+def _sum_unread(entry: Dispatcher, target: str, prefill_s: float) -> float:
+    """Add up own long prompts at a target whose first token has not come."""
+    unread = 0.0
+    for request in entry.sent[target]:
+        flight = entry.flights.get(request)
+        if flight is None or flight.buffer.texts:
+            continue
+        seconds = flight.work.prompt_tokens * prefill_s
+        if routing.is_long(seconds):
+            unread += seconds
+    return unread
+
+
 def _explain_no_place(entry: Dispatcher, flight: Flight) -> Refusal:
     ran = tell_ran(flight)
     if flight.refused:
--- a/src/robinspindle/core/routing.py
+++ b/src/robinspindle/core/routing.py
@@ -11,7 +11,7 @@
 
 from robinspindle.messages import Report, Work
 
-CHOICES = 2
+LEAST_CHOICES = 2
 LONG_PREFILL_S = 0.1
 CROWDING = 0.2
 
@@ -24,6 +24,7 @@
         target: The target's name.
         report: Its last report.
         prefixes: Digests of prefixes that it has in its cache.
+        unread_s: Seconds of own long prompts there that are not read yet.
         in_flight: All own requests that are under way there.
         near: Whether it is in the entry's own availability zone.
         zone_delay_s: One-way delay to it, seconds.
@@ -32,6 +33,7 @@
     target: str
     report: Report
     prefixes: tuple[str, ...] = ()
+    unread_s: float = 0.0
     in_flight: int = 0
     near: bool = True
     zone_delay_s: float = 0.0
@@ -74,22 +76,38 @@
     usual = report.wait_s * report.slots / reported if report.wait_s else own
     wait = max(0, occupancy + 1 - report.slots) * usual / report.slots
     if is_long(work.prompt_tokens * report.prefill_s):
-        wait = max(wait, report.prefill_wait_s)
+        others_s = max(0.0, report.prefill_wait_s - report.own_prefill_s)
+        wait = max(wait, others_s + view.unread_s)
     crowding = CROWDING * min(1.0, occupancy / report.slots)
     return wait + own * (1.0 + crowding) + 2 * view.zone_delay_s
 
 
-def choose_by_estimate(views: list[View], work: Work, rng: random.Random) -> View:
-    """Take two at random and prefer the one that answers sooner.
+def count_choices(targets: int, entries: int) -> int:
+    """Decide how many targets to compare.
 
-    Two choices keep entries that don't talk to each other from running after the
-    same target that looked idle in a late report.
+    What other entries sent since the report is unknown, and if all compared all
+    targets, all would run after the one that looked idle. The fewer others there
+    are, the more of the load an entry knows exactly.
     """
-    sample = rng.sample(views, min(CHOICES, len(views)))
-    reusing = [view for view in views if work.prefix in view.prefixes]
-    if work.prefix and reusing:
-        sample.append(rng.choice(reusing))
-    return min(sample, key=lambda view: estimate_answer(view, work))
+    return max(LEAST_CHOICES, round(LEAST_CHOICES * targets / entries))
+
+
+def make_choose_by_estimate(entries: int) -> Choose:
+    """Make the policy that prefers the sooner answer among a few targets.
+
+    Args:
+        entries: How many entries route to the same targets.
+    """
+
+    def choose_by_estimate(views: list[View], work: Work, rng: random.Random) -> View:
+        count = count_choices(len(views), entries)
+        sample = rng.sample(views, min(count, len(views)))
+        reusing = [view for view in views if work.prefix in view.prefixes]
+        if work.prefix and reusing:
+            sample.append(rng.choice(reusing))
+        return min(sample, key=lambda view: estimate_answer(view, work))
+
+    return choose_by_estimate
 
 
 def choose_at_random(views: list[View], work: Work, rng: random.Random) -> View:
@@ -115,12 +133,10 @@
     return choose_in_turn
 
 
-def make_policy(name: str) -> Choose:
+def make_policy(name: str, entries: int) -> Choose:
     """Make the routing policy that the configuration names."""
     if name == "round-robin":
         return make_round_robin()
-    return {
-        "estimate": choose_by_estimate,
-        "random": choose_at_random,
-        "least-in-flight": choose_least_in_flight,
-    }[name]
+    if name == "estimate":
+        return make_choose_by_estimate(entries)
+    return {"random": choose_at_random, "least-in-flight": choose_least_in_flight}[name]
--- a/src/robinspindle/core/runs.py
+++ b/src/robinspindle/core/runs.py
@@ -143,6 +143,7 @@
         own=sum(1 for run in active if any(name == peer for name, _ in run.listeners)),
         wait_s=estimate_wait(host, now, None),
         prefill_wait_s=estimate_prefill_wait(host, now, None),
+        own_prefill_s=_sum_own_unread(active, now, peer),
         prefill_s=host.pace.prefill_s,
         step_s=host.pace.step_s,
         slots=host.section.slots if host.section else 1,
@@ -196,6 +197,21 @@
     return admission.estimate_prefill_wait(_list_ahead(active, priority), unread)
 
 
+def _sum_own_unread(active: list[Run], now: float, peer: str) -> float:
+    """Add up a peer's own part of the wait for long prompts."""
+    unread = 0.0
+    for run in active:
+        if not routing.is_long(run.waiting.prefill_s):
+            continue
+        if not any(name == peer for name, _ in run.listeners):
+            continue
+        if run.status != RUNNING:
+            unread += run.waiting.prefill_s
+        elif is_reading_long(run):
+            unread += max(0.0, run.started_at + run.waiting.prefill_s - now)
+    return unread
+
+
 def is_reading_long(run: Run) -> bool:
     """Whether the engine is reading a long prompt for a run."""
     is_unread = run.status == RUNNING and run.first_at == 0.0
--- a/src/robinspindle/messages.py
+++ b/src/robinspindle/messages.py
@@ -79,6 +79,7 @@
         own: How many of both are the receiving entry's.
         wait_s: Estimated wait of a new request of ordinary priority, seconds.
         prefill_wait_s: Estimated wait of a long prompt before it is read, seconds.
+        own_prefill_s: How much of it the receiving entry's own prompts make.
         prefill_s: Measured seconds to read a prompt's token.
         step_s: Measured seconds between two tokens of one answer.
         slots: Requests that the engine works on at a time.
@@ -99,6 +100,7 @@
     own: int = 0
     wait_s: float = 0.0
     prefill_wait_s: float = 0.0
+    own_prefill_s: float = 0.0
     prefill_s: float = 0.0
     step_s: float = 0.0
     slots: int = 1
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -3,7 +3,12 @@
 import random
 
 from benches.queueing import run_model
-from robinspindle.core.routing import View, choose_by_estimate, estimate_answer
+from robinspindle.core.routing import (
+    View,
+    count_choices,
+    estimate_answer,
+    make_choose_by_estimate,
+)
 from robinspindle.messages import Report, Work
 
 
@@ -41,7 +46,8 @@
     views = [make_view(name) for name in "abcdef"]
     views[3] = View("d", make_view("d", running=1).report, prefixes=("p",))
     chosen = {
-        choose_by_estimate(views, work, random.Random(n)).target for n in range(9)
+        make_choose_by_estimate(2)(views, work, random.Random(n)).target
+        for n in range(9)
     }
     assert chosen == {"d"}
 
@@ -53,6 +59,21 @@
     assert estimate_answer(reading, WORK) == estimate_answer(make_view("b"), WORK)
 
 
+def test_own_long_prompts_count_once_shown_or_not():
+    long = Work(request="r", kind="generate", pool="m", prompt_tokens=9000)
+    shown = make_view("a", prefill_wait_s=2.0, own_prefill_s=2.0)
+    shown.unread_s = 2.0
+    fresh = make_view("b")
+    fresh.unread_s = 2.0
+    assert estimate_answer(shown, long) == estimate_answer(fresh, long)
+
+
+def test_few_entries_compare_all_targets_and_many_compare_two():
+    assert count_choices(6, 2) == 6
+    assert count_choices(6, 8) == 2
+    assert count_choices(680, 420) == 3
+
+
 def test_two_choices_beat_chance_and_the_best_of_all_under_late_reports():
     answers = {
         name: run_model(name, 0.95, 8, 1)["mean_s"]
