Weigh the batch more than measured speed, and answers against prompts

A target's own measure of its speed is noisy by a fifth, and at a weight of 0.2 for a full batch the policy filled the target that looked faster first; and it did not see that answers get fewer steps while a long prompt is read.

Change: a full batch doubles the estimate; a short request counts half of the reading that it would share its target with.

--- a/src/robinspindle/core/routing.py
+++ b/src/robinspindle/core/routing.py
@@ -13,7 +13,8 @@
 
 LEAST_CHOICES = 2
 LONG_PREFILL_S = 0.1
-CROWDING = 0.2
+CROWDING = 1.0
+INTERFERENCE = 0.5
 
 
 @dataclass
@@ -75,9 +76,14 @@
     occupancy = max(0, reported - report.own) + view.in_flight
     usual = report.wait_s * report.slots / reported if report.wait_s else own
     wait = max(0, occupancy + 1 - report.slots) * usual / report.slots
+    others_s = max(0.0, report.prefill_wait_s - report.own_prefill_s)
+    unread_s = others_s + view.unread_s
     if is_long(work.prompt_tokens * report.prefill_s):
-        others_s = max(0.0, report.prefill_wait_s - report.own_prefill_s)
-        wait = max(wait, others_s + view.unread_s)
+        wait = max(wait, unread_s)
+    else:
+        # While an engine reads a long prompt, its answers get fewer steps.
+        wait += INTERFERENCE * min(unread_s, own)
+    # Weighs more than the noise in what targets measure of their own speed.
     crowding = CROWDING * min(1.0, occupancy / report.slots)
     return wait + own * (1.0 + crowding) + 2 * view.zone_delay_s
 
