Mix bench: another policy first with each seed, no shared prefixes

The same seed sends the same prompts under each policy, so whoever came later found prefixes in the engines' caches.

Change: prompts carry the policy's name, and the order rotates with the seed.

--- a/benches/mix.py
+++ b/benches/mix.py
@@ -7,7 +7,7 @@
 import json
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from benches.load import Ask, Callers, Timing
 from benches.measure import find_percentile, save_data
@@ -135,6 +135,17 @@
     return callers.timings
 
 
+def _rotate(policies: tuple[str, ...], seed: int) -> tuple[str, ...]:
+    """Let another policy go first with each seed, so that none always does."""
+    first = seed % len(policies)
+    return policies[first:] + policies[:first]
+
+
+def _mark_prompts(asks: list[tuple[float, Ask]], mark: str) -> list[tuple[float, Ask]]:
+    """Make prompts differ between policies: none may find another's in a cache."""
+    return [(at, replace(ask, prompt=f"{mark} {ask.prompt}")) for at, ask in asks]
+
+
 def switch_policy(fleet: Fleet, policy: str) -> None:
     """Publish a configuration that names another routing policy."""
     text = fleet.text.replace("routing = estimate", f"routing = {policy}")
@@ -191,10 +202,11 @@
     try:
         for load in loads:
             for seed in seeds:
-                for policy in POLICIES:
+                for policy in _rotate(POLICIES, seed):
                     switch_policy(fleet, policy)
                     time.sleep(PAUSE_S)
-                    timings = run_once(fleet, user, draw_asks(user, load, seed))
+                    asks = _mark_prompts(draw_asks(user, load, seed), policy)
+                    timings = run_once(fleet, user, asks)
                     row = {"policy": policy, "load": load, "seed": seed}
                     rows.append(row | summarise(user, timings))
                     print(json.dumps({k: rows[-1][k] for k in list(rows[-1])[:6]}))
