Route by a target's own speed, not by the load it had when measured

A target's mean step time is high after a busy stretch; compared with others it looks slow, gets nothing, and so keeps looking slow: joining by past delays, which the routing paper shows to fail.

Change: reports hold the best pace of late, which rises slowly; admission goes on with the mean.

--- a/src/robinspindle/core/admission.py
+++ b/src/robinspindle/core/admission.py
@@ -18,6 +18,7 @@
 CAUTION = 0.8
 LEAST_PATIENCE_S = 0.5
 SMOOTHING = 0.2
+RISE = 0.02
 DEMAND_WINDOW_S = 10.0
 SPREAD = 0.5
 LEAST_RETRY_S = 0.2
@@ -34,12 +35,16 @@
         step_s: Seconds between two tokens of one answer.
         call_s: Seconds that a call of a plain service takes.
         answers: Tokens of an answer, by workspace.
+        best_prefill_s: The least seconds for one token of a prompt, lately.
+        best_step_s: The least seconds between two tokens, lately.
     """
 
     prefill_s: float = FIRST_PREFILL_S
     step_s: float = FIRST_STEP_S
     call_s: float = FIRST_CALL_S
     answers: dict[str, float] = field(default_factory=dict)
+    best_prefill_s: float = FIRST_PREFILL_S
+    best_step_s: float = FIRST_STEP_S
 
 
 @dataclass
@@ -113,12 +118,23 @@
     """
     if tokens >= LEAST_LEARNT_TOKENS and seconds > 0:
         pace.prefill_s += SMOOTHING * (seconds / tokens - pace.prefill_s)
+        pace.best_prefill_s = _follow_best(pace.best_prefill_s, seconds / tokens)
 
 
 def learn_steps(pace: Pace, seconds: float, steps: int) -> None:
     """Take note of the time that the later tokens of a run took."""
     if steps > 0 and seconds > 0:
         pace.step_s += SMOOTHING * (seconds / steps - pace.step_s)
+        pace.best_step_s = _follow_best(pace.best_step_s, seconds / steps)
+
+
+def _follow_best(best: float, seconds: float) -> float:
+    """Follow a target's own speed, apart from how loaded it was when measured.
+
+    Routing by the recent mean would shun a target for the load that it had, for as
+    long as it is shunned.
+    """
+    return min(seconds, best + RISE * (seconds - best))
 
 
 def learn_answer(pace: Pace, workspace: str, tokens: int) -> None:
--- a/src/robinspindle/messages.py
+++ b/src/robinspindle/messages.py
@@ -80,8 +80,8 @@
         wait_s: Estimated wait of a new request of ordinary priority, seconds.
         prefill_wait_s: Estimated wait of a long prompt before it is read, seconds.
         own_prefill_s: How much of it the receiving entry's own prompts make.
-        prefill_s: Measured seconds to read a prompt's token.
-        step_s: Measured seconds between two tokens of one answer.
+        prefill_s: Seconds to read a prompt's token, at the best measured lately.
+        step_s: Seconds between two tokens of one answer, at the best measured lately.
         slots: Requests that the engine works on at a time.
         prefixes: Digests of prefixes that the engine has in its cache, or None when
             they are those of ``prefix_version`` that the entry has.
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -55,6 +55,16 @@
     assert admission.is_hopeless(waiting, 1.9)
 
 
+def test_a_loaded_moment_does_not_mark_a_target_as_slow():
+    """Found on real processes: a target was shunned for the load it once had."""
+    pace = admission.Pace()
+    admission.learn_steps(pace, 0.9, 100)
+    for _ in range(5):
+        admission.learn_steps(pace, 6.0, 100)
+    assert pace.step_s > 0.03
+    assert pace.best_step_s < 0.015
+
+
 def test_the_usual_length_of_answers_is_learnt():
     pace = admission.Pace()
     for _ in range(30):
