--- a/benches/mix.py
+++ b/benches/mix.py
@@ -6,6 +6,7 @@
 
 import json
 import random
+import re
 import time
 from dataclasses import dataclass, replace
 
@@ -15,6 +16,7 @@
 from robinspindle.tables import format_table
 from standins.fleet import Fleet, start_fleet, wait_until
 
+ROUTING = re.compile(r"^routing = .*$", re.MULTILINE)
 PHASE_S = 5.0
 PHASES = 4
 PAUSE_S = 2.0
@@ -148,7 +150,7 @@
 
 def switch_policy(fleet: Fleet, policy: str) -> None:
     """Publish a configuration that names another routing policy."""
-    text = fleet.text.replace("routing = estimate", f"routing = {policy}")
+    text = ROUTING.sub(f"routing = {policy}", fleet.text)
     version = fleet.client.post("configuration", text.encode())["version"]
 
     def is_in_force() -> bool:
--- a/src/robinspindle/core/documents.py
+++ b/src/robinspindle/core/documents.py
@@ -160,7 +160,7 @@
     """
 
     routing: Literal["estimate", "random", "round-robin", "least-in-flight"] = (
-        "estimate"
+        "least-in-flight"
     )
     leaving_after_s: Positive = 2.0
     retry_share: Share = 0.2
