Fuzz an entry that offers work to a target it does not know to be leaving

Ruled out: weakening the test's bound.

Change: a rule in which an entry is cut from the log while another one changes a target. The bound stays.

--- a/fuzz/driver.py
+++ b/fuzz/driver.py
@@ -335,6 +335,22 @@
     _state_and_confirm(world, entry, intent)
 
 
+def _offer_stale(world: World, first: int, second: int) -> None:
+    """An entry that is cut from the log offers work to a target that leaves."""
+    entries = world.list_entries()
+    if len(entries) < 2:
+        return
+    stale, other = entries[first % 2], entries[(first + 1) % 2]
+    stale.is_cut = True
+    version = f"v{world.serial}"
+    targets = (TARGETS[second % 3],)
+    intent = ServeModel(model="model", targets=targets, version=version)
+    _state_and_confirm(world, other, intent)
+    for number in range(8):
+        world.advance(0.15)
+        _submit(world, first % 2, 4 * number)
+
+
 def _call_off(world: World, first: int, second: int) -> None:
     entry = _pick_entry(world, first)
     if entry is None:
@@ -413,6 +429,7 @@
     "call_off": Rule(_call_off, 1),
     "drain_all": Rule(_drain_all, 1),
     "change": Rule(_change, 5),
+    "offer_stale": Rule(_offer_stale, 2),
     "stand": Rule(_stand, 1),
     "act": Rule(_act, 2),
     "act_late": Rule(_act_late, 1),
