--- a/fuzz/driver.py
+++ b/fuzz/driver.py
@@ -291,13 +291,20 @@
 
 
 def _confirm(world: World, first: int, second: int) -> None:
+    _answer_plan(world, first, second, Confirmed, "confirm")
+
+
+def _answer_plan(
+    world: World, first: int, second: int, record: type, word: str
+) -> None:
+    """Append a record about one of the last plans that an entry knows."""
     entry = _pick_entry(world, first)
     if entry is None:
         return
     plans = list(entry.stream.state.plans)[-4:]
     if plans:
         plan = plans[second % len(plans)]
-        world.append(entry, Confirmed(id=world.make_id("confirm"), plan=plan))
+        world.append(entry, record(id=world.make_id(word), plan=plan))
 
 
 def _state_and_confirm(world: World, entry: Process, intent) -> None:
@@ -352,13 +359,7 @@
 
 
 def _call_off(world: World, first: int, second: int) -> None:
-    entry = _pick_entry(world, first)
-    if entry is None:
-        return
-    plans = list(entry.stream.state.plans)[-4:]
-    if plans:
-        plan = plans[second % len(plans)]
-        world.append(entry, CalledOff(id=world.make_id("call-off"), plan=plan))
+    _answer_plan(world, first, second, CalledOff, "call-off")
 
 
 def _stand(world: World, first: int, second: int) -> None:
