--- /dev/null
+++ b/src/robinspindle/core/events.py
@@ -0,0 +1,45 @@
+"""Splits a stream of server-sent events, so that only whole ones are passed on."""
+
+from dataclasses import dataclass, field
+
+END = b"\n\n"
+
+
+@dataclass
+class EventSplitter:
+    """A stream of events that comes in pieces.
+
+    Attributes:
+        rest: The beginning of an event that is not whole yet.
+        last_id: Id of the last whole event, None before the first with one.
+        events: Whole events so far.
+    """
+
+    rest: bytes = b""
+    last_id: str | None = None
+    events: int = 0
+    _scanned: int = field(default=0, repr=False)
+
+
+def take_events(splitter: EventSplitter, chunk: bytes) -> bytes:
+    """Take a piece of the stream and return the whole events that it completes."""
+    data = splitter.rest + chunk
+    end = data.rfind(END)
+    if end < 0:
+        splitter.rest = data
+        return b""
+    whole, splitter.rest = data[: end + len(END)], data[end + len(END) :]
+    for event in whole.split(END):
+        if event:
+            splitter.events += 1
+            id = _find_id(event)
+            splitter.last_id = splitter.last_id if id is None else id
+    return whole
+
+
+def _find_id(event: bytes) -> str | None:
+    for line in event.split(b"\n"):
+        name, _, value = line.partition(b":")
+        if name == b"id":
+            return value.strip().decode("latin-1")
+    return None
--- /dev/null
+++ b/src/robinspindle/core/forwarding.py
@@ -0,0 +1,191 @@
+"""Forwarding: what one request is, what a target said, and what to do about it.
+
+A request goes to one target at a time. Whether it may go to another depends on what
+is certain about the first: "did not run" is only believed when the target said so or
+when nothing was sent.
+"""
+
+import math
+from dataclasses import dataclass
+
+from robinspindle.core.routes import Route
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+LEAST_TRY_S = 0.01
+"""The shortest time worth giving a target, seconds: a few network round trips."""
+
+ANSWER_GRACE_S = 0.1
+"""How long a target's own timeout answer is waited for, seconds: well under the
+quarter of a second after which holding a request is counted against us."""
+
+
+@dataclass(frozen=True)
+class Part:
+    """One part of a prompt: its id and its length in tokens."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """A prompt as the caller describes it.
+
+    Attributes:
+        model: The model.
+        parts: Its parts in order; the last is the request's own.
+        tokens: Tokens of the whole prompt.
+        out_tokens: The most tokens of the answer.
+    """
+
+    model: str
+    parts: tuple[Part, ...]
+    tokens: int
+    out_tokens: int
+
+
+@dataclass(frozen=True)
+class Request:
+    """One attempt of a caller, decoded.
+
+    Attributes:
+        id: The caller's id of this attempt.
+        method: HTTP method.
+        target: Path and query as sent.
+        host: Host name.
+        headers: Headers that go on to a target unchanged.
+        body: The whole body.
+        wait_s: How long the caller will wait, seconds; None where it does not say.
+        received_at: When its head came, steady seconds.
+        prompt: What it says of its prompt; None for a plain request.
+    """
+
+    id: str
+    method: str
+    target: bytes
+    host: str
+    headers: Headers
+    body: bytes
+    wait_s: float | None
+    received_at: float
+    prompt: Prompt | None = None
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@dataclass(frozen=True)
+class Source:
+    """Where a prompt that was read already can be fetched from."""
+
+    address: str
+    handle: str
+
+
+@dataclass(frozen=True)
+class Send:
+    """One sending of a request to one target.
+
+    Attributes:
+        lifetime: The lifetime of the target that is meant; another one refuses.
+        left_s: How long the target may work on it, seconds.
+        urgency: 0 is the most urgent, 9 the least.
+        read_only: Whether the prompt is only to be read and held.
+        source: Where the read prompt is to be fetched from, None to read it there.
+        resume_after: Id of the last event the caller has; None from the beginning.
+    """
+
+    lifetime: str
+    left_s: float
+    urgency: int
+    read_only: bool = False
+    source: Source | None = None
+    resume_after: str | None = None
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """The head of a target's answer.
+
+    Attributes:
+        status: HTTP status.
+        reason: Its phrase.
+        headers: Headers for the caller.
+        request_id: Id of the request it answers, empty where it names none.
+        not_run: Whether the target says that it did not run the request.
+        wrong_lifetime: Whether another lifetime than the one meant answered.
+        sealed: Whether it is a whole answer in the target's name.
+        idle_s: How long the target keeps an idle connection; None if not told.
+    """
+
+    status: int
+    reason: bytes
+    headers: Headers
+    request_id: str
+    not_run: bool
+    wrong_lifetime: bool
+    sealed: bool
+    idle_s: float | None
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """An answer of our own.
+
+    Attributes:
+        status: HTTP status.
+        reason: Why, one word for logs and metrics.
+        retry_s: When a new attempt is worth while, seconds; 0 for not said.
+    """
+
+    status: int
+    reason: str
+    retry_s: float = 0.0
+
+
+NO_CONFIGURATION = Refusal(503, "no-configuration", 0.5)
+NO_ROUTE = Refusal(404, "no-route")
+NO_TARGET = Refusal(503, "no-target", 0.25)
+FULL = Refusal(503, "full", 0.25)
+TOO_LATE = Refusal(503, "too-late")
+BROKEN = Refusal(502, "broken")
+TIMED_OUT = Refusal(504, "timed-out")
+
+
+def find_due(request: Request, route: Route) -> float:
+    """Find when the final answer of an attempt is due, steady seconds."""
+    wait_s = route.timeout_s
+    if request.wait_s is not None:
+        wait_s = min(wait_s, request.wait_s)
+    return request.received_at + wait_s
+
+
+def may_run_again(route: Route, tried: int, left_s: float) -> bool:
+    """Whether one more target may be tried after one that may have run it."""
+    return route.may_rerun and tried < route.attempts and left_s > LEAST_TRY_S
+
+
+def may_offer_again(route: Route, tried: int, left_s: float) -> bool:
+    """Whether one more target may be tried after one that did not run it."""
+    return tried < max(route.attempts, 1) and left_s > LEAST_TRY_S
+
+
+def refuse_unrun(reason: str, retry_s: float, left_s: float) -> Refusal:
+    """Refuse a request that has not run and never will.
+
+    Callers honour the hint up to a third of the time that they have left.
+    """
+    return Refusal(503, reason, min(retry_s, max(0.0, left_s / 3)))
+
+
+def refuse_unsure(left_s: float) -> Refusal:
+    """Answer for a request that may have run."""
+    return TIMED_OUT if left_s <= LEAST_TRY_S else BROKEN
+
+
+def write_retry_after(seconds: float) -> bytes:
+    """Write a hint of seconds with its fraction, rounded up to a hundredth."""
+    return f"{math.ceil(seconds * 100) / 100:g}".encode()
--- /dev/null
+++ b/src/robinspindle/core/routes.py
@@ -0,0 +1,160 @@
+"""Routes of the operator's configuration: which service a request belongs to."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+IDEMPOTENT = "idempotent"
+AT_MOST_ONCE = "at-most-once"
+STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class Backend:
+    """One service of a route and its share of the route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True)
+class Route:
+    """One route.
+
+    Attributes:
+        name: Its name, for logs.
+        host: The host that it belongs to, lower case, no port.
+        prefix: The beginning of the paths that it takes.
+        kind: ``idempotent``, ``at-most-once`` or ``stream``.
+        timeout_s: The longest that one attempt may be held, seconds.
+        aim_s: The time within which an answer is worth most, seconds.
+        attempts: The most targets that one attempt may go to.
+        priority: 0 is the most urgent.
+        backends: Its services by weight.
+        resumable: Whether a broken stream may go on at another target.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_s: float
+    aim_s: float
+    attempts: int = 1
+    priority: int = 5
+    backends: tuple[Backend, ...] = ()
+    resumable: bool = False
+
+    @property
+    def may_rerun(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == IDEMPOTENT or self.resumable
+
+
+@dataclass(frozen=True)
+class EngineShape:
+    """What the configuration says of a service's engines.
+
+    Attributes:
+        slots: Requests that one engine works on at once.
+        cache_tokens: Tokens that one engine's memory holds.
+        handle_s: How long a prompt that was read is held for fetching, seconds.
+        switch_s: How long a change of role takes an engine away, seconds.
+    """
+
+    slots: int
+    cache_tokens: int
+    handle_s: float
+    switch_s: float
+
+
+@dataclass(frozen=True)
+class Service:
+    """One service.
+
+    Attributes:
+        name: Its name.
+        health_path: Path of its health check.
+        connections: Connections that one target takes from all callers together.
+        engine: The shape of its engines; None for a plain service.
+    """
+
+    name: str
+    health_path: str
+    connections: int
+    engine: EngineShape | None = None
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send.
+
+    Attributes:
+        header_bytes: Longest head of a request.
+        body_bytes: Longest body of a request.
+        header_s: Longest time that a head may take, seconds.
+        idle_s: Longest rest of a connection between two requests, seconds.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """A whole configuration.
+
+    Attributes:
+        version: Its number; a higher one replaces a lower one.
+        routes: Its routes by host, the longest prefix first.
+        services: Its services by name.
+        limits: What callers may send.
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    limits: CallerLimits = CallerLimits()
+
+
+def make_table(
+    version: int,
+    routes: Iterable[Route],
+    services: Iterable[Service],
+    limits: CallerLimits,
+) -> RouteTable:
+    """Build a table whose routes can be looked up."""
+    hosts: dict[str, list[Route]] = {}
+    for route in routes:
+        hosts.setdefault(route.host, []).append(route)
+    ordered = {
+        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+        for host, found in hosts.items()
+    }
+    return RouteTable(version, ordered, {s.name: s for s in services}, limits)
+
+
+def find_route(table: RouteTable, host: str, path: str) -> Route | None:
+    """Find the route of a host with the longest prefix that begins the path."""
+    for route in table.routes.get(host.lower().partition(":")[0], ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Choose one of a route's services by weight; empty when it has none."""
+    backends = [backend for backend in route.backends if backend.weight > 0]
+    if not backends:
+        return ""
+    if len(backends) == 1:
+        return backends[0].service
+    weights = [backend.weight for backend in backends]
+    return rng.choices(backends, weights)[0].service
+
+
+def is_newer(table: RouteTable, current: RouteTable | None) -> bool:
+    """Whether a table may replace the one in force; versions never go back."""
+    return current is None or table.version > current.version
--- /dev/null
+++ b/src/robinspindle/core/targets.py
@@ -0,0 +1,220 @@
+"""Targets as one entry knows them: announced, leaving, failing, at work.
+
+The platform's list says who exists; what this entry has seen itself decides whom it
+uses. A target's entry may lapse while the platform's store is away although the target
+serves on, so absence is only believed once the store has been back for a while.
+"""
+
+from dataclasses import dataclass, field
+
+RETURN_S = 2.0
+"""How long after the store's return entries that lapsed may still come back, seconds:
+the platform's own promise."""
+
+FAILURES_TO_REST = 2
+"""Broken connections in a row after which a target rests: one may be chance."""
+
+FIRST_REST_S = 0.4
+"""First rest, seconds: about a third of the interval of the targets' heartbeats."""
+
+MOST_REST_S = 3.0
+"""Longest rest, seconds: a crashed target that restarts is found again within it."""
+
+FAULT_SMOOTHING = 0.1
+"""Weight of the newest answer in the share of faulty ones: about the last ten count."""
+
+
+@dataclass(frozen=True)
+class Announcement:
+    """What the platform's list says of a target.
+
+    Attributes:
+        lifetime: Id of this start of the target.
+        service: Its service.
+        address: IP:PORT.
+        zone: Its availability zone.
+        slots: Requests that it works on at once.
+        leaving: Whether it is about to leave.
+        role: ``prefill``, ``decode`` or empty for a plain service.
+        cold_s: How much longer it stays slow from its start, seconds.
+    """
+
+    lifetime: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    role: str = ""
+    cold_s: float = 0.0
+
+
+@dataclass
+class Target:
+    """One lifetime of a target.
+
+    Attributes:
+        announced: What the list says.
+        in_flight: Requests of this entry that are under way there.
+        failures: Broken connections in a row.
+        rested_until: Until when it is put aside, steady seconds.
+        faults: Share of its latest answers that were faults, 0 to 1.
+        full_until: Until when it is taken as full, steady seconds.
+        gone_at: From when it is taken as gone, steady seconds; None while listed.
+        replaced: Whether its address answers for another lifetime.
+    """
+
+    announced: Announcement
+    in_flight: int = 0
+    failures: int = 0
+    rested_until: float = 0.0
+    faults: float = 0.0
+    full_until: float = 0.0
+    gone_at: float | None = None
+    replaced: bool = False
+
+
+@dataclass
+class Directory:
+    """All targets that one entry knows.
+
+    Attributes:
+        targets: By lifetime.
+        away_since: Since when the store has been away; None while it answers.
+        back_at: When the store last came back, steady seconds.
+        known: Whether the list has been read at all.
+        hold_s: How long a target whose entry went is still used where there is no
+            other, seconds; less than it may take to stop using a leaving one.
+    """
+
+    targets: dict[str, Target] = field(default_factory=dict)
+    away_since: float | None = None
+    back_at: float = -RETURN_S
+    known: bool = False
+    hold_s: float = 1.0
+
+
+def note_announced(directory: Directory, announced: Announcement) -> bool:
+    """Take note of a target's entry.
+
+    Returns:
+        Whether it changes what is believed.
+    """
+    target = directory.targets.get(announced.lifetime)
+    if target is None:
+        directory.targets[announced.lifetime] = Target(announced)
+        return True
+    if target.announced.leaving and not announced.leaving:
+        # A notice to leave is never taken back; an older entry may come late.
+        return False
+    changed = target.announced != announced or target.gone_at is not None
+    target.announced = announced
+    target.gone_at = None
+    return changed
+
+
+def note_missing(directory: Directory, now: float, lifetime: str) -> bool:
+    """Take note that a target's entry is gone.
+
+    Returns:
+        Whether it changes what is believed.
+    """
+    target = directory.targets.get(lifetime)
+    if target is None or target.gone_at is not None:
+        return False
+    target.gone_at = max(now + directory.hold_s, directory.back_at + RETURN_S)
+    return True
+
+
+def note_store_away(directory: Directory, now: float) -> bool:
+    """Take note that the store does not answer; whether that is news."""
+    if directory.away_since is not None:
+        return False
+    directory.away_since = now
+    return True
+
+
+def note_store_back(directory: Directory, now: float) -> bool:
+    """Take note that the store answers again; whether that is news."""
+    if directory.away_since is None:
+        return False
+    directory.away_since = None
+    directory.back_at = now
+    return True
+
+
+def is_gone(target: Target, now: float) -> bool:
+    """Whether a target whose entry is missing is to be taken as gone."""
+    return target.gone_at is not None and now >= target.gone_at
+
+
+def drop_gone(directory: Directory, now: float) -> list[Target]:
+    """Forget targets that are gone and have nothing under way, and return them."""
+    gone = [
+        target
+        for target in directory.targets.values()
+        if target.in_flight == 0 and is_gone(target, now)
+    ]
+    for target in gone:
+        del directory.targets[target.announced.lifetime]
+    return gone
+
+
+def may_get_work(target: Target, now: float) -> bool:
+    """Whether a target may get new requests at all."""
+    return not (target.announced.leaving or target.replaced or is_gone(target, now))
+
+
+def is_healthy(target: Target, now: float) -> bool:
+    """Whether nothing that was seen speaks against a target at the moment."""
+    return now >= target.rested_until and now >= target.full_until
+
+
+def list_usable(
+    directory: Directory, service: str, now: float, tried: set[str]
+) -> list[Target]:
+    """List the targets of a service that may get a request.
+
+    Args:
+        directory: All targets.
+        service: The service.
+        now: The present time, steady seconds.
+        tried: Lifetimes that this request went to already.
+
+    Returns:
+        The healthy ones; where there is none, all that may get work.
+    """
+    allowed = [
+        target
+        for target in directory.targets.values()
+        if target.announced.service == service
+        and target.announced.lifetime not in tried
+        and may_get_work(target, now)
+    ]
+    listed = [target for target in allowed if target.gone_at is None] or allowed
+    return [target for target in listed if is_healthy(target, now)] or listed
+
+
+def note_broken(target: Target, now: float) -> None:
+    """Take note of a connection that could not be made or broke."""
+    target.failures += 1
+    note_fault(target, True)
+    if target.failures >= FAILURES_TO_REST:
+        doublings = min(8, target.failures - FAILURES_TO_REST)
+        target.rested_until = now + min(MOST_REST_S, FIRST_REST_S * 2**doublings)
+
+
+def note_answered(target: Target) -> None:
+    """Take note of a whole answer."""
+    target.failures = 0
+    target.rested_until = 0.0
+
+
+def note_fault(target: Target, faulty: bool) -> None:
+    """Take note of whether an answer was a fault of the target's own."""
+    target.faults += FAULT_SMOOTHING * ((1.0 if faulty else 0.0) - target.faults)
+
+
+def note_full(target: Target, now: float, rest_s: float) -> None:
+    """Take note that a target turned a request away."""
+    target.full_until = max(target.full_until, now + rest_s)
--- a/src/robinspindle/exceptions.py
+++ b/src/robinspindle/exceptions.py
@@ -43,6 +43,10 @@
         self.findings = findings
 
 
+class BadDocumentError(RobinspindleError):
+    """A document from the platform's store can't be read."""
+
+
 class LogServiceError(RobinspindleError):
     """Root of errors about the platform's log service."""
 
@@ -63,6 +67,18 @@
         self.first = first
 
 
+class LogConflictError(LogServiceError):
+    """An append was refused because the log ends elsewhere than expected.
+
+    Attributes:
+        end: Where it ends.
+    """
+
+    def __init__(self, end: int):
+        super().__init__(f"the log ends at {end}")
+        self.end = end
+
+
 class LogIncompleteError(LogServiceError):
     """The retained records do not begin at 0 and hold no usable checkpoint."""
 
--- /dev/null
+++ b/src/robinspindle/following.py
@@ -0,0 +1,126 @@
+"""Follows a keyed topic of the platform's store and applies what it says.
+
+The newest record of each key comes first, then a long poll for what changes. When the
+records asked for are gone, the newest are read again and what has vanished meanwhile
+is told as dropped.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from robinspindle.exceptions import (
+    LogServiceError,
+    LogUnavailableError,
+    RecordsTrimmedError,
+)
+from robinspindle.logs import Log
+
+WAIT_S = 2.0
+"""How long the store holds a poll, seconds: a cut is noticed at most this much later,
+so that a healed link is read well within the three seconds that it has."""
+
+FIRST_PAUSE_S = 0.1
+"""First pause after a failed call, seconds."""
+
+MOST_PAUSE_S = 0.8
+"""Longest pause after failed calls, seconds: a store that is back is read within a
+second of it, and a refused call is paid for too."""
+
+
+class KeyedRecord(Protocol):
+    """A record of one key; a value of None drops the key."""
+
+    key: str
+    value: bytes | None
+
+
+class Records(Protocol):
+    """Records and the offset after them."""
+
+    items: tuple[KeyedRecord, ...]
+    end: int
+
+
+class KeyedStore(Protocol):
+    """What is needed of a store."""
+
+    async def read_newest(self, topic: str) -> Records:
+        """Read the newest record of each key."""
+
+    async def read_on(self, topic: str, offset: int, wait_s: float) -> Records:
+        """Read what comes from an offset on."""
+
+
+@dataclass
+class Follower:
+    """One topic that is followed.
+
+    Attributes:
+        topic: Its name.
+        apply: Takes a key and its value; None drops it.
+        note_away: Called when the store stops answering.
+        note_back: Called when it answers.
+        rest_s: Least time between two reads, seconds: records that come one by one
+            are then read together, as each call has its price.
+    """
+
+    topic: str
+    apply: Callable[[str, bytes | None], None]
+    note_away: Callable[[], None]
+    note_back: Callable[[], None]
+    rest_s: float = 0.0
+
+
+async def follow(store: KeyedStore, follower: Follower, log: Log) -> None:
+    """Follow one topic for as long as the process runs."""
+    keys: set[str] = set()
+    offset: int | None = None
+    pause_s = FIRST_PAUSE_S
+    while True:
+        try:
+            if offset is None:
+                records = await store.read_newest(follower.topic)
+            else:
+                records = await store.read_on(follower.topic, offset, WAIT_S)
+        except RecordsTrimmedError as error:
+            log("records are gone", topic=follower.topic, offset=offset, at=error.first)
+            offset = None
+            continue
+        except LogServiceError as error:
+            _note_failure(follower, log, error)
+            await asyncio.sleep(pause_s * random.uniform(0.7, 1.0))
+            pause_s = min(MOST_PAUSE_S, pause_s * 2)
+            continue
+        pause_s = FIRST_PAUSE_S
+        follower.note_back()
+        if offset is None:
+            _drop_vanished(follower, keys, records)
+        offset = records.end
+        _apply(follower, keys, records)
+        await asyncio.sleep(follower.rest_s)
+
+
+def _note_failure(follower: Follower, log: Log, error: LogServiceError) -> None:
+    if not isinstance(error, LogUnavailableError):
+        log("unexpected error of the store", topic=follower.topic, error=str(error))
+    else:
+        log("store call failed", topic=follower.topic, error=str(error))
+    follower.note_away()
+
+
+def _drop_vanished(follower: Follower, keys: set[str], records: Records) -> None:
+    for key in keys - {item.key for item in records.items}:
+        follower.apply(key, None)
+    keys.clear()
+
+
+def _apply(follower: Follower, keys: set[str], records: Records) -> None:
+    for item in records.items:
+        follower.apply(item.key, item.value)
+        if item.value is None:
+            keys.discard(item.key)
+        else:
+            keys.add(item.key)
--- /dev/null
+++ b/src/robinspindle/gateway.py
@@ -0,0 +1,244 @@
+"""The gateway: the process on each entry VM of the users' platform.
+
+It takes callers' requests, follows the configuration and the targets' entries in the
+platform's store, and tells the balancer whether it may be sent callers.
+"""
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from robinspindle.boundedoutput import BoundedOutput
+from robinspindle.core import budgets, targets
+from robinspindle.core.routes import RouteTable, is_newer
+from robinspindle.core.targets import Announcement, Directory
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.following import Follower, KeyedStore, follow
+from robinspindle.gatewaysettings import GatewaySettings
+from robinspindle.httpserver import CallerServer, Incoming, Limits, Reply
+from robinspindle.logs import make_log, start_bounded_logs
+from robinspindle.relay import Dialect, Relay
+
+TICK_S = 0.25
+"""Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
+
+TARGETS_REST_S = 0.4
+"""Least time between two reads of the targets' entries, seconds: a fifth of the time
+after which a leaving target may get no work."""
+
+BUDGET_SHARES = 32
+"""Gateways among which the fixed part of the repeat budget is divided."""
+
+UNREADY_S = 3.5
+"""How long a stopping gateway goes on as if nothing had happened, seconds: the balancer
+asks once a second and needs two misses; callers' connections in flight come after."""
+
+STOP_MARGIN_S = 0.4
+"""How long before the kill a stopping gateway ends by itself, seconds."""
+
+log = make_log("gateway")
+
+
+class Adapter(Protocol):
+    """What the platform's adapter gives a gateway."""
+
+    configuration_topic: str
+    configuration_key: str
+    targets_topic: str
+    dialect: Dialect
+
+    def make_store(
+        self, settings: GatewaySettings, clock: Callable[[], float]
+    ) -> KeyedStore:
+        """Make the client of the store."""
+
+    def decode_configuration(self, data: bytes) -> RouteTable:
+        """Decode the operator's configuration."""
+
+    def decode_announcement(self, lifetime: str, data: bytes) -> Announcement:
+        """Decode a target's entry."""
+
+
+class Gateway:
+    """State of the process."""
+
+    def __init__(
+        self, settings: GatewaySettings, adapter: Adapter, output: BoundedOutput
+    ):
+        self._output = output
+        pledges = settings.pledges
+        self._settings = settings
+        self._adapter = adapter
+        self._clock = time.monotonic
+        self._store = adapter.make_store(settings, self._clock)
+        self._directory = Directory(hold_s=pledges.leave_s / 2)
+        budget = budgets.RepeatBudget(
+            pledges.repeat_ratio,
+            pledges.repeat_slack / BUDGET_SHARES,
+            pledges.repeat_window_s,
+        )
+        self._relay = Relay(
+            adapter.dialect,
+            self._directory,
+            budget,
+            settings.zone,
+            make_log("relay"),
+            self._clock,
+        )
+        self._limits = Limits()
+        self._callers = CallerServer(self._relay.handle, self._limits, self._clock)
+        self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
+        self._stopping_at: float | None = None
+        self._stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a signal to stop and the end of what is under way."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(signal.SIGINT, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        settings = self._settings
+        await self._readiness.start(settings.readiness.host, settings.readiness.port)
+        await self._callers.start(settings.callers.host, settings.callers.port)
+        log("started", name=settings.name, zone=settings.zone)
+        tasks = [
+            loop.create_task(follow(self._store, self._follow_configuration(), log)),
+            loop.create_task(follow(self._store, self._follow_targets(), log)),
+            loop.create_task(self._keep_house()),
+        ]
+        for task in tasks:
+            task.add_done_callback(_end_on_failure)
+        await self._stopped.wait()
+        log("stopped", name=settings.name)
+        self._output.flush()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self._stopping_at is None
+            and self._relay.table is not None
+            and self._directory.known
+        )
+
+    def _follow_configuration(self) -> Follower:
+        return Follower(
+            topic=self._adapter.configuration_topic,
+            apply=self._apply_configuration,
+            note_away=lambda: None,
+            note_back=lambda: None,
+        )
+
+    def _follow_targets(self) -> Follower:
+        return Follower(
+            topic=self._adapter.targets_topic,
+            apply=self._apply_target,
+            note_away=self._note_away,
+            note_back=self._note_back,
+            rest_s=TARGETS_REST_S,
+        )
+
+    def _apply_configuration(self, key: str, value: bytes | None) -> None:
+        if key != self._adapter.configuration_key or value is None:
+            return
+        try:
+            table = self._adapter.decode_configuration(value)
+        except BadDocumentError as error:
+            log("configuration can't be read, the last one stays", error=str(error))
+            return
+        if not is_newer(table, self._relay.table):
+            log("older configuration passed over", version=table.version)
+            return
+        self._relay.table = table
+        limits = table.limits
+        self._limits.header_bytes = limits.header_bytes
+        self._limits.body_bytes = limits.body_bytes
+        self._limits.header_s = limits.header_s
+        self._limits.idle_s = limits.idle_s
+        log("configuration in force", version=table.version)
+
+    def _apply_target(self, key: str, value: bytes | None) -> None:
+        if value is None:
+            if targets.note_missing(self._directory, self._clock(), key):
+                log("target's entry is gone", target=key)
+            return
+        try:
+            announced = self._adapter.decode_announcement(key, value)
+        except BadDocumentError as error:
+            log("target's entry can't be read", target=key, error=str(error))
+            return
+        if targets.note_announced(self._directory, announced):
+            log(
+                "target announced",
+                target=key,
+                service=announced.service,
+                role=announced.role,
+                leaving=announced.leaving,
+            )
+
+    def _note_away(self) -> None:
+        if targets.note_store_away(self._directory, self._clock()):
+            log("store lost")
+
+    def _note_back(self) -> None:
+        self._directory.known = True
+        if targets.note_store_back(self._directory, self._clock()):
+            log("store regained")
+
+    async def _answer_ready(self, incoming: Incoming, reply: Reply) -> None:
+        ready = self.is_ready
+        status, reason = (200, b"OK") if ready else (503, b"Service Unavailable")
+        reply.begin(status, reason, (), 0)
+        reply.end()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._output.flush()
+            now = self._clock()
+            for target in targets.drop_gone(self._directory, now):
+                self._relay.forget(target)
+                log("target is gone", target=target.announced.lifetime)
+            self._callers.close_idle(now)
+            self._readiness.close_idle(now)
+            if self._stopping_at is not None:
+                self._go_on_stopping(now)
+
+    def _begin_stop(self) -> None:
+        if self._stopping_at is None:
+            self._stopping_at = self._clock()
+            self._callers.is_stopping = True
+            log("stopping", busy=self._callers.count_busy())
+
+    def _go_on_stopping(self, now: float) -> None:
+        passed_s = now - self._stopping_at
+        if passed_s >= UNREADY_S:
+            self._callers.close_listener()
+            self._callers.close_all()
+            if self._callers.count_busy() == 0:
+                self._stopped.set()
+        if passed_s >= self._settings.pledges.stop_s - STOP_MARGIN_S:
+            log("stopping with requests under way", busy=self._callers.count_busy())
+            self._stopped.set()
+
+    def _note_reload(self) -> None:
+        log("reload asked for; settings are read at the start only")
+
+
+def run_gateway(settings: GatewaySettings, adapter: Adapter) -> None:
+    """Run a gateway until it is told to stop."""
+    asyncio.run(_run(settings, adapter))
+
+
+async def _run(settings: GatewaySettings, adapter: Adapter) -> None:
+    output = start_bounded_logs()
+    await Gateway(settings, adapter, output).run()
+
+
+def _end_on_failure(task: asyncio.Task) -> None:
+    """End the process when a task that must go on has failed; it is restarted."""
+    if not task.cancelled() and task.exception() is not None:
+        log("internal error", error=repr(task.exception()))
+        raise SystemExit(1)
--- /dev/null
+++ b/src/robinspindle/gatewaysettings.py
@@ -0,0 +1,63 @@
+"""What a gateway is told at its start."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class HostPort:
+    """A TCP or UDP address: an IP number and a port."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True)
+class Pledges:
+    """What the deployment's operator was promised, as far as a gateway needs it.
+
+    Attributes:
+        leave_s: A leaving target gets no new work later than this, seconds.
+        stop_s: Time between a request to stop and the kill, seconds.
+        configuration_s: A configuration is in force within this, seconds.
+        repeat_ratio: Repeats allowed for each request, over all gateways.
+        repeat_slack: Repeats allowed besides in each window, over all gateways.
+        repeat_window_s: Length of that window, seconds.
+        lease_s: How long the right to give orders to engines lasts, seconds.
+        engines_check_fences: Whether engines refuse an old fencing number.
+    """
+
+    leave_s: float = 2.0
+    stop_s: float = 8.0
+    configuration_s: float = 2.0
+    repeat_ratio: float = 0.2
+    repeat_slack: float = 0.0
+    repeat_window_s: float = 10.0
+    lease_s: float = 3.0
+    engines_check_fences: bool = False
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """Settings of a gateway.
+
+    Attributes:
+        name: The gateway's name, unique in the deployment.
+        zone: Its availability zone.
+        ip: Its IP number.
+        callers: Address for callers.
+        readiness: Address at which the balancer asks whether it may send callers.
+        store: Address of the platform's store.
+        inner_ports: First and last port for what gateways say to each other.
+        memory_mb: Memory at which the process is killed, MB.
+        pledges: What was promised.
+    """
+
+    name: str
+    zone: str
+    ip: str
+    callers: HostPort
+    readiness: HostPort
+    store: HostPort
+    inner_ports: tuple[int, int]
+    memory_mb: float
+    pledges: Pledges = Pledges()
--- /dev/null
+++ b/src/robinspindle/httpclient.py
@@ -0,0 +1,342 @@
+"""HTTP client on an event loop: one connection, one answer at a time.
+
+The answer is handed on as it comes. Bytes that belong to no request, answers to
+earlier requests and answers that break off are told apart here, so that nothing of
+them reaches a caller.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httptools
+
+from robinspindle.core.forwarding import AnswerHead, Headers
+from robinspindle.gatewaysettings import HostPort
+
+UNACKED_MS = 1000
+"""Sent bytes that nobody acknowledges end a connection after this, milliseconds: a
+cut machine says nothing, and a lost packet is sent again within a few hundred ms."""
+
+DEFAULT_IDLE_S = 2.0
+"""How long an idle connection is used where the target does not say, seconds."""
+
+IDLE_MARGIN_S = 0.5
+"""A connection is not used for the last part of the time that a target keeps it,
+seconds: the target's close may be on its way."""
+
+DecodeHead = Callable[[int, bytes, Headers], AnswerHead]
+
+
+class ConnectionBrokenError(Exception):
+    """No answer, or not a whole one.
+
+    Attributes:
+        was_sent: Whether anything may have reached the target.
+    """
+
+    def __init__(self, text: str, was_sent: bool = True):
+        super().__init__(text)
+        self.was_sent = was_sent
+
+
+@dataclass
+class Exchange:
+    """One request and its answer on one connection.
+
+    Attributes:
+        request_id: Id that the answer has to carry; empty accepts any.
+        head: The answer's head, when it has come.
+        is_whole: Whether the whole answer has come.
+        error: Why it will not come.
+        interims: Interim answers that were passed over.
+    """
+
+    request_id: str
+    head: AnswerHead | None = None
+    is_whole: bool = False
+    error: ConnectionBrokenError | None = None
+
+    def __post_init__(self):
+        self._chunks: deque[bytes] = deque()
+        self._waiter: asyncio.Future | None = None
+
+    def put(self, chunk: bytes) -> None:
+        """Add a piece of the body."""
+        self._chunks.append(chunk)
+
+    def wake(self) -> None:
+        """Wake whoever waits for news."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def fail(self, error: ConnectionBrokenError) -> None:
+        """Note that the answer will not come whole."""
+        if not self.is_whole and self.error is None:
+            self.error = error
+            self.wake()
+
+    async def read_head(self) -> AnswerHead:
+        """Wait for the head.
+
+        Raises:
+            ConnectionBrokenError: When it does not come.
+        """
+        while self.head is None:
+            if self.error is not None:
+                raise self.error
+            await self._wait()
+        return self.head
+
+    async def read_chunk(self) -> bytes:
+        """Wait for the next piece of the body; empty at its end.
+
+        Raises:
+            ConnectionBrokenError: When the answer breaks off.
+        """
+        while not self._chunks:
+            if self.is_whole:
+                return b""
+            if self.error is not None:
+                raise self.error
+            await self._wait()
+        chunk = b"".join(self._chunks)
+        self._chunks.clear()
+        return chunk
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a target or to the store."""
+
+    def __init__(self, decode_head: DecodeHead):
+        self._decode_head = decode_head
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._exchange: Exchange | None = None
+        self._reason = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._is_ours = False
+        self._keep = True
+        self._framed = True
+        self._saw_eof = False
+        self.idle_s = DEFAULT_IDLE_S
+        self.idle_since = 0.0
+        self.is_open = False
+
+    @property
+    def can_be_reused(self) -> bool:
+        """Whether another request may be sent."""
+        if not self.is_open or not self._keep or self._exchange is not None:
+            return False
+        return self._transport.get_write_buffer_size() == 0
+
+    def send(self, exchange: Exchange, data: bytes) -> None:
+        """Send a request whose answer goes to an exchange."""
+        self._exchange = exchange
+        self._transport.write(data)
+
+    def abort(self) -> None:
+        """End the connection at once, with whatever is under way."""
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause(self) -> None:
+        """Stop reading, because the caller does not take what comes."""
+        if self.is_open:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.is_open:
+            self._transport.resume_reading()
+
+    # Callbacks of the event loop.
+
+    def connection_made(self, transport) -> None:
+        """Note the transport."""
+        self._transport = transport
+        self.is_open = True
+        _limit_silence(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if self._exchange is None:
+            self._break("bytes that belong to no request")
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._break(f"not an answer: {error}")
+            return
+        if self._exchange is not None:
+            self._exchange.wake()
+
+    def eof_received(self) -> bool:
+        """Note a clean end, which completes an answer without a length."""
+        self._saw_eof = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End what is under way."""
+        self.is_open = False
+        exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            return
+        clean = exc is None and self._saw_eof
+        if clean and self._is_ours and exchange.head and not self._framed:
+            exchange.is_whole = True
+            exchange.wake()
+            return
+        exchange.fail(ConnectionBrokenError(str(exc or "closed by the target")))
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._headers = []
+        self._reason = b""
+        self._is_ours = False
+        if self._exchange is None or self._exchange.is_whole:
+            self._keep = False
+
+    def on_status(self, reason: bytes) -> None:
+        """Collect the reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Hand on the head, unless it belongs to no request or to another."""
+        status = self._parser.get_status_code()
+        exchange = self._exchange
+        if status < 200 or exchange is None or exchange.head is not None:
+            return
+        head = self._decode_head(status, self._reason, tuple(self._headers))
+        if exchange.request_id and head.request_id not in ("", exchange.request_id):
+            # A surplus answer to an earlier request: ours may still follow it.
+            self._keep = False
+            return
+        names = {name.lower() for name, _ in self._headers}
+        self._framed = b"content-length" in names or b"transfer-encoding" in names
+        self._is_ours = True
+        exchange.head = head
+        if head.idle_s is not None:
+            self.idle_s = head.idle_s
+
+    def on_body(self, body: bytes) -> None:
+        """Hand on a piece of the body."""
+        if self._is_ours and self._exchange is not None:
+            self._exchange.put(body)
+
+    def on_message_complete(self) -> None:
+        """End the answer."""
+        exchange = self._exchange
+        if not self._is_ours or exchange is None:
+            return
+        self._is_ours = False
+        exchange.is_whole = True
+        exchange.wake()
+        self._exchange = None
+        if not self._parser.should_keep_alive():
+            self._keep = False
+
+    def _break(self, text: str) -> None:
+        exchange, self._exchange = self._exchange, None
+        self.abort()
+        if exchange is not None:
+            exchange.fail(ConnectionBrokenError(text))
+
+
+class ConnectionPool:
+    """Idle connections to one address.
+
+    Attributes:
+        most: The most connections at a time.
+        opened: Connections opened so far, for metrics.
+    """
+
+    def __init__(self, address: HostPort, decode_head: DecodeHead, most: int):
+        self.address = address
+        self.most = most
+        self.opened = 0
+        self._decode_head = decode_head
+        self._idle: list[ClientConnection] = []
+        self._busy = 0
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether no connection can be had."""
+        return self._busy >= self.most
+
+    async def take(self, now: float, timeout_s: float) -> ClientConnection:
+        """Take an idle connection or open one.
+
+        Raises:
+            ConnectionBrokenError: When none can be opened in time.
+        """
+        self._close_stale(now)
+        self._busy += 1
+        if self._idle:
+            return self._idle.pop()
+        try:
+            return await self._open(timeout_s)
+        except BaseException:
+            self._busy -= 1
+            raise
+
+    def give_back(self, connection: ClientConnection, now: float) -> None:
+        """Give a connection back; it is closed unless it can be used again."""
+        self._busy -= 1
+        if connection.can_be_reused:
+            connection.idle_since = now
+            self._idle.append(connection)
+        else:
+            connection.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def _open(self, timeout_s: float) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self._decode_head),
+                    self.address.host,
+                    self.address.port,
+                )
+        except (OSError, TimeoutError) as error:
+            text = f"no connection: {error or 'timed out'}"
+            raise ConnectionBrokenError(text, was_sent=False) from None
+        self.opened += 1
+        return connection
+
+    def _close_stale(self, now: float) -> None:
+        kept = []
+        for connection in self._idle:
+            rest_s = max(0.0, connection.idle_s - IDLE_MARGIN_S)
+            if connection.is_open and now - connection.idle_since < rest_s:
+                kept.append(connection)
+            else:
+                connection.abort()
+        self._idle = kept
+
+
+def _limit_silence(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
--- /dev/null
+++ b/src/robinspindle/httpserver.py
@@ -0,0 +1,394 @@
+"""HTTP server on an event loop: callers' connections, one request at a time.
+
+Unlike a thread a request, it notices at once when a caller hangs up, and it passes the
+pieces of an answer on as they come.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+from robinspindle.core.forwarding import Headers, Refusal, write_retry_after
+
+MOST_WAITING_BYTES = 65536
+"""Bytes that a caller may send ahead of its answers before reading pauses."""
+
+UNACKED_MS = 5000
+"""Sent bytes that a caller does not acknowledge end its connection after this,
+milliseconds; callers may sit behind slow links."""
+
+
+@dataclass
+class Limits:
+    """What callers may send; changed in place when a configuration does.
+
+    Attributes:
+        header_bytes: Longest head.
+        body_bytes: Longest body.
+        header_s: Longest time for a head, seconds.
+        idle_s: Longest rest between requests, seconds.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass
+class Incoming:
+    """A request that has come whole.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: All headers as sent.
+        body: The whole body.
+        at: When its head had come, steady seconds.
+        keep: Whether the caller keeps its connection.
+    """
+
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    at: float
+    keep: bool
+
+
+class Reply:
+    """The answer to one request, written in pieces.
+
+    Attributes:
+        has_begun: Whether a head was written.
+        is_ended: Whether the answer is whole, or was broken off.
+    """
+
+    def __init__(self, connection: "CallerConnection", keep: bool):
+        self._connection = connection
+        self._keep = keep
+        self._chunked = False
+        self.has_begun = False
+        self.is_ended = False
+
+    @property
+    def is_left(self) -> bool:
+        """Whether the caller has left."""
+        return self._connection.is_lost
+
+    def begin(
+        self, status: int, reason: bytes, headers: Headers, length: int | None
+    ) -> None:
+        """Write the head.
+
+        Args:
+            status: HTTP status.
+            reason: Its phrase.
+            headers: Headers, without any about length or connection.
+            length: Length of the body, None to send it in chunks.
+        """
+        lines = [b"HTTP/1.1 %d %s" % (status, reason)]
+        lines += [name + b": " + value for name, value in headers]
+        if length is None:
+            self._chunked = True
+            lines.append(b"Transfer-Encoding: chunked")
+        else:
+            lines.append(b"Content-Length: %d" % length)
+        if not self._keep or self._connection.server.is_stopping:
+            self._keep = False
+            lines.append(b"Connection: close")
+        self.has_begun = True
+        self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    def write(self, chunk: bytes) -> None:
+        """Write a piece of the body."""
+        if not chunk:
+            return
+        if self._chunked:
+            chunk = b"%x\r\n%s\r\n" % (len(chunk), chunk)
+        self._connection.write(chunk)
+
+    def end(self) -> None:
+        """End the body."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self.is_ended = True
+        self._connection.finish_reply(self._keep)
+
+    def break_off(self) -> None:
+        """Break the answer off so that it can't be taken for a whole one."""
+        self.is_ended = True
+        self._connection.abort()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Write a whole answer of our own."""
+        headers = []
+        if refusal.retry_s > 0:
+            headers.append((b"Retry-After", write_retry_after(refusal.retry_s)))
+        reason = HTTPStatus(refusal.status).phrase.encode()
+        body = refusal.reason.encode() + b"\n"
+        headers.append((b"Content-Type", b"text/plain"))
+        self.begin(refusal.status, reason, tuple(headers), len(body))
+        self.write(body)
+        self.end()
+
+
+Handle = Callable[[Incoming, Reply], Awaitable[None]]
+
+
+class CallerServer:
+    """Accepts callers' connections.
+
+    Attributes:
+        limits: What callers may send.
+        is_stopping: Whether connections are to be closed after their answers.
+        connections: All open connections.
+    """
+
+    def __init__(self, handle: Handle, limits: Limits, clock: Callable[[], float]):
+        self.handle = handle
+        self.limits = limits
+        self.clock = clock
+        self.is_stopping = False
+        self.connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self), host, port, backlog=1024
+        )
+
+    def count_busy(self) -> int:
+        """Count connections on which a request is under way."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    def close_idle(self, now: float) -> None:
+        """Close connections that rested longer than they may."""
+        for connection in list(self.connections):
+            connection.close_if_idle(now)
+
+    def close_listener(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_all(self) -> None:
+        """Close all connections that have nothing under way."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: CallerServer):
+        self.server = server
+        self.is_lost = False
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._ready: deque[Incoming] = deque()
+        self._task: asyncio.Task | None = None
+        self._rested_since = server.clock()
+        self._unparsed = b""
+        self._is_closing = False
+        self._on_pause: Callable[[], None] | None = None
+        self._on_resume: Callable[[], None] | None = None
+        self._begin_message()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is coming in or under way."""
+        return self._task is not None or bool(self._ready) or self._in_message
+
+    def set_flow(
+        self, on_pause: Callable[[], None] | None, on_resume: Callable[[], None] | None
+    ) -> None:
+        """Set what to call when the caller takes bytes too slowly, and again."""
+        self._on_pause, self._on_resume = on_pause, on_resume
+
+    def write(self, data: bytes) -> None:
+        """Write, unless the caller has left."""
+        if not self.is_lost and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def close(self) -> None:
+        """Close after what is written has gone out."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self, now: float) -> None:
+        """Close when nothing came for longer than the limits allow."""
+        limits = self.server.limits
+        if self._task is not None or self._ready:
+            return
+        allowed_s = limits.header_s if self._in_message else limits.idle_s
+        if now - self._rested_since > allowed_s:
+            self.close()
+
+    def finish_reply(self, keep: bool) -> None:
+        """Note that an answer has been written whole."""
+        self._rested_since = self.server.clock()
+        if not keep:
+            self._is_closing = True
+            self.close()
+
+    # Callbacks of the event loop.
+
+    def connection_made(self, transport) -> None:
+        """Note the transport."""
+        self._transport = transport
+        self.server.connections.add(self)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up what is under way for the caller."""
+        self.is_lost = True
+        self.server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold the source back."""
+        if self._on_pause is not None:
+            self._on_pause()
+
+    def resume_writing(self) -> None:
+        """Let the source go on."""
+        if self._on_resume is not None:
+            self._on_resume()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came, or keep it while a request is under way."""
+        if self._is_closing:
+            return
+        if self._task is not None or self._ready:
+            self._unparsed += data
+            if len(self._unparsed) > MOST_WAITING_BYTES:
+                self._transport.pause_reading()
+            return
+        self._feed(data)
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._begin_message()
+        self._in_message = True
+        self._rested_since = self.server.clock()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Note the head's time and ask for the body if the caller waits for that."""
+        self._head_at = self.server.clock()
+        for name, value in self._headers:
+            if name.lower() == b"expect" and value.lower() == b"100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self.server.limits.body_bytes:
+            raise _TooLongError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Take the request in."""
+        self._in_message = False
+        self._ready.append(
+            Incoming(
+                method=self._parser.get_method().decode(),
+                target=self._target,
+                headers=tuple(self._headers),
+                body=b"".join(self._body),
+                at=self._head_at,
+                keep=self._parser.should_keep_alive(),
+            )
+        )
+
+    def _begin_message(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._head_at = 0.0
+        self._in_message = False
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self.server.limits.header_bytes:
+            raise _TooLongError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            is_long = isinstance(cause, _TooLongError)
+            self._reject(cause.status if is_long else HTTPStatus.BAD_REQUEST)
+        self._start_next()
+
+    def _reject(self, status: HTTPStatus) -> None:
+        """Refuse what is no request; nothing after it can be trusted."""
+        self._is_closing = True
+        if self._task is None and not self._ready:
+            Reply(self, keep=False).refuse(Refusal(status, "bad-request"))
+        self._in_message = False
+
+    def _start_next(self) -> None:
+        if self._task is not None or self.is_lost:
+            return
+        if self._ready:
+            incoming = self._ready.popleft()
+            reply = Reply(self, incoming.keep)
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._serve(incoming, reply))
+            return
+        if self._unparsed and not self._is_closing:
+            data, self._unparsed = self._unparsed, b""
+            self._transport.resume_reading()
+            self._feed(data)
+
+    async def _serve(self, incoming: Incoming, reply: Reply) -> None:
+        try:
+            await self.server.handle(incoming, reply)
+        finally:
+            self._task = None
+            if not reply.is_ended:
+                reply.break_off()
+            else:
+                self._start_next()
+
+
+class _TooLongError(Exception):
+    """A request is longer than it may be."""
+
+    def __init__(self, status: HTTPStatus):
+        super().__init__(status)
+        self.status = status
--- a/src/robinspindle/logs.py
+++ b/src/robinspindle/logs.py
@@ -9,10 +9,23 @@
 
 import eliot
 
+from robinspindle.boundedoutput import BoundedOutput
+
 SECRET_WORDS = ("key", "secret", "token", "authorization", "password")
 Log = Callable[..., None]
 
 
+def start_bounded_logs(descriptor: int = 1) -> BoundedOutput:
+    """Send all logs to a descriptor that is never waited for.
+
+    Returns:
+        The output, whose owner calls `flush` regularly.
+    """
+    output = BoundedOutput(descriptor)
+    eliot.add_destinations(output.write)
+    return output
+
+
 def start_logs(stream=None) -> None:
     """Send all logs to a text stream, by default standard error."""
     eliot.to_file(stream or sys.stderr)
--- /dev/null
+++ b/src/robinspindle/platform/documents.py
@@ -0,0 +1,163 @@
+"""Decodes what operators and targets write to the platform's store."""
+
+from typing import Any
+
+import msgspec
+
+from robinspindle.core.routes import (
+    AT_MOST_ONCE,
+    IDEMPOTENT,
+    STREAM,
+    Backend,
+    CallerLimits,
+    EngineShape,
+    Route,
+    RouteTable,
+    Service,
+    make_table,
+)
+from robinspindle.core.targets import Announcement
+from robinspindle.exceptions import BadDocumentError
+
+KINDS = {
+    "idempotent": IDEMPOTENT,
+    "non_idempotent": AT_MOST_ONCE,
+    "stream": STREAM,
+}
+
+
+class _Backend(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    # The aim for the whole answer or the first event, not a limit.
+    target_latency_ms: float = 1000.0
+    max_attempts: int = 1
+    priority: int = 5
+    # A route has either one service or several by weight.
+    service: str | None = None
+    backends: list[_Backend] = []
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct, rename="pascal"):
+    slots: int
+    kv_capacity_tokens: int
+    kv_hold_s: float = msgspec.field(default=5.0, name="KvHoldS")
+    role_switch_s: float = msgspec.field(default=3.0, name="RoleSwitchS")
+
+
+class _Service(msgspec.Struct, rename="pascal"):
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Configuration(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Entry(msgspec.Struct, rename="pascal"):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    # "draining" is a target that leaves soon; it still serves what it has.
+    state: str = "ready"
+    cold_remaining_ms: float = 0.0
+    stage: str = ""
+
+
+def decode_configuration(data: bytes) -> RouteTable:
+    """Decode the operator's configuration.
+
+    Raises:
+        BadDocumentError: When it can't be read.
+    """
+    document = _decode(data, _Configuration)
+    return make_table(
+        document.version,
+        [_make_route(route) for route in document.routes],
+        [_make_service(service) for service in document.services],
+        CallerLimits(
+            header_bytes=document.limits.max_header_bytes,
+            body_bytes=document.limits.max_body_bytes,
+            header_s=document.limits.header_timeout_ms / 1000,
+            idle_s=document.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def decode_announcement(lifetime: str, data: bytes) -> Announcement:
+    """Decode a target's entry.
+
+    Raises:
+        BadDocumentError: When it can't be read.
+    """
+    entry = _decode(data, _Entry)
+    return Announcement(
+        lifetime=lifetime,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        leaving=entry.state != "ready",
+        role=entry.stage,
+        cold_s=entry.cold_remaining_ms / 1000,
+    )
+
+
+def _decode(data: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise BadDocumentError(str(error)) from None
+
+
+def _make_route(route: _Route) -> Route:
+    backends = tuple(Backend(b.service, b.weight) for b in route.backends)
+    if route.service is not None:
+        backends = (Backend(route.service),)
+    return Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        prefix=route.path_prefix,
+        # What is not known to be repeatable runs at most once.
+        kind=KINDS.get(route.kind, AT_MOST_ONCE),
+        timeout_s=route.timeout_ms / 1000,
+        aim_s=route.target_latency_ms / 1000,
+        attempts=route.max_attempts,
+        priority=route.priority,
+        backends=backends,
+        resumable=route.resumable,
+    )
+
+
+def _make_service(service: _Service) -> Service:
+    engine = None
+    if service.engine is not None:
+        engine = EngineShape(
+            slots=service.engine.slots,
+            cache_tokens=service.engine.kv_capacity_tokens,
+            handle_s=service.engine.kv_hold_s,
+            switch_s=service.engine.role_switch_s,
+        )
+    return Service(service.name, service.health_path, service.max_connections, engine)
--- /dev/null
+++ b/src/robinspindle/platform/store.py
@@ -0,0 +1,233 @@
+"""Calls to the platform's store: a log service with topics, spoken over HTTP."""
+
+import asyncio
+import base64
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from robinspindle.core.forwarding import AnswerHead
+from robinspindle.exceptions import (
+    LogConflictError,
+    LogUnavailableError,
+    RecordsTrimmedError,
+)
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool, Exchange
+from robinspindle.platform.dialect import decode_answer
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+TARGETS_TOPIC = "keyed.servers"
+
+CALL_TIMEOUT_S = 1.0
+"""Longest wait for an answer beyond the wait that was asked for, seconds: the store
+answers in a few ms, in some hundred when it is slow."""
+
+CONNECT_TIMEOUT_S = 0.5
+MOST_CONNECTIONS = 8
+READ_KB = 1024
+
+
+@dataclass(frozen=True)
+class KeyedRecord:
+    """The newest record of a key; a value of None drops the key."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True)
+class Records:
+    """Records of one keyed topic and the offset after them."""
+
+    items: tuple[KeyedRecord, ...]
+    end: int
+
+
+class _Item(msgspec.Struct, rename="pascal"):
+    key: str
+    value: str
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool = msgspec.field(name="HasMore")
+    end: int = msgspec.field(name="End")
+
+
+class Store:
+    """One client of the store.
+
+    Attributes:
+        calls: Calls made so far, for metrics.
+    """
+
+    def __init__(self, address: HostPort, clock: Callable[[], float]):
+        self._address = address
+        self._clock = clock
+        self._pool = ConnectionPool(address, decode_answer, MOST_CONNECTIONS)
+        self.calls = 0
+
+    async def read_newest(self, topic: str) -> Records:
+        """Read the newest record of each key.
+
+        Raises:
+            LogUnavailableError: When the store gives no good answer.
+        """
+        items: list[KeyedRecord] = []
+        end: int | None = None
+        after = ""
+        while True:
+            query = {"Topic": topic, "part": 0}
+            if after:
+                query["after"] = after
+            page = self._decode(await self._call("GET", "/log-newest", query), _Newest)
+            items += [KeyedRecord(i.key, _decode_base64(i.value)) for i in page.items]
+            # Pages are no snapshot: what changed since the first is read again.
+            end = page.end if end is None else min(end, page.end)
+            if not page.has_more or not page.items:
+                return Records(tuple(items), end)
+            after = page.items[-1].key
+
+    async def read_on(self, topic: str, offset: int, wait_s: float) -> Records:
+        """Read the records of a keyed topic from an offset, waiting for the first.
+
+        Raises:
+            LogUnavailableError: When the store gives no good answer.
+            RecordsTrimmedError: When the records are no longer kept.
+        """
+        query = {
+            "Topic": topic,
+            "part": 0,
+            "From": offset,
+            "MaxKb": READ_KB,
+            "WaitMs": int(wait_s * 1000),
+        }
+        data = await self._call("GET", "/log-read", query, wait_s=wait_s)
+        try:
+            # The first 8 bytes are the end of the partition, not of this answer.
+            struct.unpack_from(">QQ", data)
+            values = _split_records(data[16:])
+            items = tuple(_decode_keyed(value) for value in values)
+        except (struct.error, ValueError) as error:
+            raise LogUnavailableError(f"bad records: {error}") from None
+        return Records(items, offset + len(items))
+
+    async def append_keyed(
+        self, topic: str, key: str, value: bytes, expected_end: int | None = None
+    ) -> int:
+        """Append one keyed record.
+
+        Args:
+            topic: A topic whose name begins with ``keyed.``.
+            key: Its key.
+            value: Its value; empty drops the key.
+            expected_end: Append only if the topic ends there.
+
+        Returns:
+            The record's offset.
+
+        Raises:
+            LogConflictError: When the topic ends elsewhere.
+            LogUnavailableError: When the store gives no good answer.
+        """
+        query: dict[str, Any] = {"Topic": topic, "part": 0}
+        if expected_end is not None:
+            query["CurrentRev"] = expected_end
+        name = key.encode()
+        record = bytes([len(name)]) + name + value
+        body = struct.pack(">I", len(record)) + record
+        answer = await self._call("POST", "/log-append", query, body)
+        return self._decode(answer, _Appended).offset
+
+    def _decode(self, data: bytes, kind: Any) -> Any:
+        try:
+            return msgspec.json.decode(data, type=kind)
+        except msgspec.MsgspecError as error:
+            raise LogUnavailableError(f"bad answer: {error}") from None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes = b"",
+        wait_s: float = 0.0,
+    ) -> bytes:
+        self.calls += 1
+        head = (
+            f"{method} {path}?{urlencode(query)} HTTP/1.1\r\n"
+            f"Host: {self._address.host}:{self._address.port}\r\n"
+        )
+        if method == "POST":
+            head += f"Content-Length: {len(body)}\r\n"
+        data = head.encode() + b"\r\n" + body
+        try:
+            status, answer = await self._exchange(data, wait_s + CALL_TIMEOUT_S)
+        except (ConnectionBrokenError, TimeoutError) as error:
+            raise LogUnavailableError(str(error) or "no answer in time") from None
+        if status == 410:
+            raise RecordsTrimmedError(self._decode(answer, _Trimmed).first)
+        if status == 412:
+            raise LogConflictError(self._decode(answer, _Conflict).end)
+        if status != 200:
+            raise LogUnavailableError(f"answered {status}")
+        return answer
+
+    async def _exchange(self, data: bytes, timeout_s: float) -> tuple[int, bytes]:
+        connection = await self._pool.take(self._clock(), CONNECT_TIMEOUT_S)
+        exchange = Exchange("")
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection.send(exchange, data)
+                head: AnswerHead = await exchange.read_head()
+                body = b""
+                while chunk := await exchange.read_chunk():
+                    body += chunk
+                return head.status, body
+        finally:
+            self._pool.give_back(connection, self._clock())
+
+
+class _Appended(msgspec.Struct, rename="pascal"):
+    offset: int
+
+
+class _Trimmed(msgspec.Struct, rename="pascal"):
+    first: int
+
+
+class _Conflict(msgspec.Struct, rename="pascal"):
+    end: int
+
+
+def _split_records(data: bytes) -> list[bytes]:
+    records = []
+    at = 0
+    while at < len(data):
+        (length,) = struct.unpack_from(">I", data, at)
+        at += 4
+        if at + length > len(data):
+            raise ValueError("a record is cut short")
+        records.append(data[at : at + length])
+        at += length
+    return records
+
+
+def _decode_keyed(record: bytes) -> KeyedRecord:
+    if not record or len(record) < 1 + record[0]:
+        raise ValueError("a record has no key")
+    end = 1 + record[0]
+    return KeyedRecord(record[1:end].decode(), record[end:] or None)
+
+
+def _decode_base64(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise LogUnavailableError(f"not base64: {error}") from None
