Read prompts apart and place them by what caches are believed to hold

Change: a belief about each engine (cache replay, unread tokens, pace), shared between gateways by one datagram every 20 ms; plans compare reading apart with reading at the generating engine; a prompt that can't be in time is refused at once with when to come back.

--- /dev/null
+++ b/src/robinspindle/core/engines.py
@@ -0,0 +1,127 @@
+"""What one entry believes of a model engine: its cache, its work, its pace.
+
+An engine's own report is late by some hundred milliseconds, longer than it takes to
+read a prompt. What entries send is known at once and told to the other entries, so the
+belief is built from that: a replay of the engine's cache, least recently used first
+out, and the sum of what is still to be read.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from robinspindle.core.forwarding import Part, Prompt
+
+FIRST_PACE = 250_000.0
+"""Tokens a second that a reading engine is believed to read before it was measured;
+today's engines read about 300,000."""
+
+GENERATING_SHARE = 0.4
+"""Pace of an engine that reads between the tokens of others, against one that only
+reads: half the pace, and a step of its own for each small piece."""
+
+PACE_SMOOTHING = 0.05
+"""Weight of the newest measurement of a pace: about the last twenty count."""
+
+LEAST_MEASURED_TOKENS = 2000
+"""Shorter reads say more about the way to the engine than about its pace."""
+
+PACE_BOUNDS = (0.3, 2.0)
+"""A measured pace is believed between these shares of the first one, so that a wrong
+belief about the work ahead can't make an engine look useless or endless."""
+
+CACHE_SHARE = 0.85
+"""Share of an engine's memory that is believed to hold cached parts; the rest is what
+runs."""
+
+
+@dataclass
+class Engine:
+    """One engine as one entry believes it to be.
+
+    Attributes:
+        reads_only: Whether it only reads prompts and generates nothing.
+        cache_tokens: Tokens that its memory holds.
+        pace: Tokens that it reads in a second.
+        cached: Parts in its cache, by id, with their tokens; oldest first.
+        cached_tokens: Their sum.
+        own_unread: Tokens that this entry sent and that are not read yet.
+        peers_unread: The same of the other entries, by name.
+        peers_in_flight: Requests of the other entries there, by name.
+    """
+
+    reads_only: bool
+    cache_tokens: int
+    pace: float
+    cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    cached_tokens: int = 0
+    own_unread: float = 0.0
+    peers_unread: dict[str, float] = field(default_factory=dict)
+    peers_in_flight: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def unread(self) -> float:
+        """Tokens that are still to be read for all entries."""
+        return self.own_unread + sum(self.peers_unread.values())
+
+    @property
+    def others_in_flight(self) -> int:
+        """Requests of the other entries."""
+        return sum(self.peers_in_flight.values())
+
+
+def make_engine(reads_only: bool, cache_tokens: int) -> Engine:
+    """Make the belief about an engine of which nothing is known."""
+    return Engine(reads_only, cache_tokens, find_first_pace(reads_only))
+
+
+def find_first_pace(reads_only: bool) -> float:
+    """Find the pace that is believed before any measurement, tokens a second."""
+    return FIRST_PACE if reads_only else FIRST_PACE * GENERATING_SHARE
+
+
+def count_cached(engine: Engine, prompt: Prompt) -> int:
+    """Count the tokens of a prompt that an engine need not read again.
+
+    A part is of use only if all before it are kept too.
+    """
+    count = 0
+    for part in prompt.parts:
+        if engine.cached.get(part.id, 0) < part.tokens:
+            break
+        count += part.tokens
+    return count
+
+
+def count_shared(prompt: Prompt) -> int:
+    """Count the tokens of a prompt that other requests may share.
+
+    The last part is the request's own.
+    """
+    return sum(part.tokens for part in prompt.parts[:-1])
+
+
+def note_placed(engine: Engine, parts: Iterable[Part]) -> None:
+    """Take note that an engine reads parts, which its cache then holds."""
+    for part in parts:
+        known = engine.cached.pop(part.id, 0)
+        engine.cached[part.id] = max(known, part.tokens)
+        engine.cached_tokens += max(known, part.tokens) - known
+    limit = engine.cache_tokens * CACHE_SHARE
+    while engine.cached_tokens > limit and engine.cached:
+        _, tokens = engine.cached.popitem(last=False)
+        engine.cached_tokens -= tokens
+
+
+def note_pace(engine: Engine, tokens: float, seconds: float) -> None:
+    """Take note of how long an engine took for its backlog and one more prompt."""
+    if tokens < LEAST_MEASURED_TOKENS or seconds <= 0:
+        return
+    low, high = (share * find_first_pace(engine.reads_only) for share in PACE_BOUNDS)
+    measured = min(high, max(low, tokens / seconds))
+    engine.pace += PACE_SMOOTHING * (measured - engine.pace)
+
+
+def estimate_read(engine: Engine, tokens: float) -> float:
+    """Estimate the seconds until an engine has read its backlog and some tokens."""
+    return (engine.unread + tokens) / engine.pace
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -15,6 +15,9 @@
 LEAST_TRY_S = 0.01
 """The shortest time worth giving a target, seconds: a few network round trips."""
 
+MOST_OFFERS = 3
+"""The most times that one attempt is sent: full targets are seldom alone."""
+
 ANSWER_GRACE_S = 0.1
 """How long a target's own timeout answer is waited for, seconds: well under the
 quarter of a second after which holding a request is counted against us."""
@@ -148,9 +151,6 @@
 
 NO_CONFIGURATION = Refusal(503, "no-configuration", 0.5)
 NO_ROUTE = Refusal(404, "no-route")
-NO_TARGET = Refusal(503, "no-target", 0.25)
-FULL = Refusal(503, "full", 0.25)
-TOO_LATE = Refusal(503, "too-late")
 BROKEN = Refusal(502, "broken")
 TIMED_OUT = Refusal(504, "timed-out")
 
@@ -163,14 +163,19 @@
     return request.received_at + wait_s
 
 
-def may_run_again(route: Route, tried: int, left_s: float) -> bool:
-    """Whether one more target may be tried after one that may have run it."""
-    return route.may_rerun and tried < route.attempts and left_s > LEAST_TRY_S
-
+def may_offer_again(route: Route, offers: int, runs: int) -> bool:
+    """Whether a request may be sent to one more target to be run.
 
-def may_offer_again(route: Route, tried: int, left_s: float) -> bool:
-    """Whether one more target may be tried after one that did not run it."""
-    return tried < max(route.attempts, 1) and left_s > LEAST_TRY_S
+    Args:
+        route: Its route.
+        offers: Times that it was sent.
+        runs: Targets that may have run it; those that turned it away don't count.
+    """
+    if offers >= MOST_OFFERS:
+        return False
+    if runs == 0:
+        return True
+    return route.may_rerun and runs < route.attempts
 
 
 def refuse_unrun(reason: str, retry_s: float, left_s: float) -> Refusal:
--- /dev/null
+++ b/src/robinspindle/core/sharing.py
@@ -0,0 +1,132 @@
+"""What entries tell each other: the work that each has under way, and what it placed.
+
+One datagram tells all of it, so a lost one is made good by the next; only placements
+are told once, and a belief about a cache is allowed to be a little wrong.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.forwarding import Part
+
+SILENCE_S = 1.5
+"""A peer that was not heard for this long has nothing under way as far as is known,
+seconds: three of the longest intervals between its datagrams."""
+
+MOST_PLACEMENTS = 24
+"""Placements in one datagram, so that it stays far below 64 KB and mostly whole."""
+
+
+class Load(msgspec.Struct, array_like=True):
+    """What one entry has under way at one target.
+
+    Attributes:
+        lifetime: The target's lifetime.
+        in_flight: Requests.
+        unread: Tokens of prompts that are not read yet.
+    """
+
+    lifetime: str
+    in_flight: int
+    unread: int
+
+
+class Placement(msgspec.Struct, array_like=True):
+    """A prompt that one entry sent to an engine.
+
+    Attributes:
+        lifetime: The engine's lifetime.
+        parts: Ids and tokens of the prompt's parts in order.
+    """
+
+    lifetime: str
+    parts: list[tuple[str, int]]
+
+
+class Digest(msgspec.Struct, array_like=True):
+    """One datagram.
+
+    Attributes:
+        sender: The sending entry's name.
+        started: When it started; tells a restarted entry from its late datagrams.
+        number: Counts up.
+        loads: All that it has under way.
+        placements: What it placed since its last datagram.
+    """
+
+    sender: str
+    started: float
+    number: int
+    loads: list[Load]
+    placements: list[Placement]
+
+
+@dataclass
+class PeerView:
+    """What is known of one peer.
+
+    Attributes:
+        started: Its start, as it tells.
+        number: Number of its newest datagram.
+        heard_at: When that came, steady seconds.
+        lifetimes: Targets at which it had work.
+    """
+
+    started: float = 0.0
+    number: int = -1
+    heard_at: float = 0.0
+    lifetimes: set[str] = field(default_factory=set)
+
+
+FindEngine = Callable[[str], Engine | None]
+
+
+def take_digest(
+    peers: dict[str, PeerView], digest: Digest, now: float, find: FindEngine
+) -> bool:
+    """Take a peer's datagram in.
+
+    Returns:
+        Whether it was newer than what was known.
+    """
+    peer = peers.setdefault(digest.sender, PeerView())
+    if (digest.started, digest.number) <= (peer.started, peer.number):
+        return False
+    peer.started, peer.number = digest.started, digest.number
+    peer.heard_at = now
+    _replace_loads(peer, digest.sender, digest.loads, find)
+    for placement in digest.placements:
+        engine = find(placement.lifetime)
+        if engine is not None:
+            note_placed(engine, [Part(*part) for part in placement.parts])
+    return True
+
+
+def forget_silent(
+    peers: dict[str, PeerView], now: float, find: FindEngine
+) -> list[str]:
+    """Forget the load of peers that fell silent, and return their names."""
+    silent = [n for n, peer in peers.items() if now - peer.heard_at > SILENCE_S]
+    for name in silent:
+        _replace_loads(peers[name], name, [], find)
+        del peers[name]
+    return silent
+
+
+def _replace_loads(
+    peer: PeerView, name: str, loads: list[Load], find: FindEngine
+) -> None:
+    for lifetime in peer.lifetimes - {load.lifetime for load in loads}:
+        engine = find(lifetime)
+        if engine is not None:
+            engine.peers_unread.pop(name, None)
+            engine.peers_in_flight.pop(name, None)
+    for load in loads:
+        engine = find(load.lifetime)
+        if engine is not None:
+            engine.peers_unread[name] = load.unread
+            engine.peers_in_flight[name] = load.in_flight
+    peer.lifetimes = {load.lifetime for load in loads}
--- /dev/null
+++ b/src/robinspindle/fleet.py
@@ -0,0 +1,110 @@
+"""The targets of one gateway: what is known of them, and the connections to them."""
+
+from robinspindle.core import targets
+from robinspindle.core.engines import (
+    Engine,
+    find_first_pace,
+    make_engine,
+)
+from robinspindle.core.routes import RouteTable
+from robinspindle.core.sharing import Load
+from robinspindle.core.targets import Directory, Target
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.httpclient import ConnectionPool, DecodeHead
+
+READING = "prefill"
+
+GATEWAYS = 8
+"""Gateways among which a target's connections are divided."""
+
+DEFAULT_CONNECTIONS = 100
+"""Connections of a target whose service is not in the configuration yet."""
+
+DEFAULT_CACHE_TOKENS = 100_000
+"""Memory of an engine whose service is not in the configuration yet, tokens."""
+
+
+class Fleet:
+    """All targets of a gateway.
+
+    Attributes:
+        directory: The targets.
+        table: The configuration in force, None before the first.
+    """
+
+    def __init__(self, directory: Directory, decode_head: DecodeHead):
+        self.directory = directory
+        self.table: RouteTable | None = None
+        self._decode_head = decode_head
+        self._pools: dict[str, ConnectionPool] = {}
+        self._engines: dict[str, Engine] = {}
+
+    def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
+        """List the targets of a service that may get a request."""
+        return targets.list_usable(self.directory, service, now, tried)
+
+    def find_engine(self, target: Target) -> Engine | None:
+        """Find what is believed of a target's engine; None for a plain service."""
+        announced = target.announced
+        if not announced.role:
+            return None
+        reads_only = announced.role == READING
+        engine = self._engines.get(announced.lifetime)
+        if engine is None:
+            engine = make_engine(
+                reads_only, self._count_cache_tokens(announced.service)
+            )
+            self._engines[announced.lifetime] = engine
+        if engine.reads_only != reads_only:
+            engine.reads_only = reads_only
+            engine.pace = find_first_pace(reads_only)
+        return engine
+
+    def find_engine_of(self, lifetime: str) -> Engine | None:
+        """Find the engine of a lifetime, if it is known."""
+        target = self.directory.targets.get(lifetime)
+        return None if target is None else self.find_engine(target)
+
+    def list_loads(self) -> list[Load]:
+        """List what this gateway has under way at engines."""
+        return [
+            Load(
+                lifetime,
+                self.directory.targets[lifetime].in_flight,
+                round(engine.own_unread),
+            )
+            for lifetime, engine in self._engines.items()
+            if lifetime in self.directory.targets
+            and (self.directory.targets[lifetime].in_flight or engine.own_unread >= 1)
+        ]
+
+    def find_pool(self, target: Target) -> ConnectionPool:
+        """Find the connections to a target."""
+        announced = target.announced
+        pool = self._pools.get(announced.lifetime)
+        if pool is None:
+            host, _, port = announced.address.rpartition(":")
+            pool = ConnectionPool(
+                HostPort(host, int(port)),
+                self._decode_head,
+                max(2, self._count_connections(announced.service) // GATEWAYS),
+            )
+            self._pools[announced.lifetime] = pool
+        return pool
+
+    def forget(self, target: Target) -> None:
+        """Drop what is kept for a target that is gone."""
+        pool = self._pools.pop(target.announced.lifetime, None)
+        self._engines.pop(target.announced.lifetime, None)
+        if pool is not None:
+            pool.close()
+
+    def _count_connections(self, service: str) -> int:
+        known = self.table.services.get(service) if self.table else None
+        return known.connections if known else DEFAULT_CONNECTIONS
+
+    def _count_cache_tokens(self, service: str) -> int:
+        known = self.table.services.get(service) if self.table else None
+        if known is None or known.engine is None:
+            return DEFAULT_CACHE_TOKENS
+        return known.engine.cache_tokens
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -53,6 +53,11 @@
     async def read_on(self, topic: str, offset: int, wait_s: float) -> Records:
         """Read what comes from an offset on."""
 
+    async def append_keyed(
+        self, topic: str, key: str, value: bytes, expected_end: int | None = None
+    ) -> int:
+        """Append one keyed record and return its offset."""
+
 
 @dataclass
 class Follower:
@@ -65,6 +70,7 @@
         note_back: Called when it answers.
         rest_s: Least time between two reads, seconds: records that come one by one
             are then read together, as each call has its price.
+        wait_s: How long the store holds a poll, seconds.
     """
 
     topic: str
@@ -72,6 +78,7 @@
     note_away: Callable[[], None]
     note_back: Callable[[], None]
     rest_s: float = 0.0
+    wait_s: float = WAIT_S
 
 
 async def follow(store: KeyedStore, follower: Follower, log: Log) -> None:
@@ -84,7 +91,7 @@
             if offset is None:
                 records = await store.read_newest(follower.topic)
             else:
-                records = await store.read_on(follower.topic, offset, WAIT_S)
+                records = await store.read_on(follower.topic, offset, follower.wait_s)
         except RecordsTrimmedError as error:
             log("records are gone", topic=follower.topic, offset=offset, at=error.first)
             offset = None
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -14,11 +14,13 @@
 from robinspindle.core import budgets, targets
 from robinspindle.core.routes import RouteTable, is_newer
 from robinspindle.core.targets import Announcement, Directory
-from robinspindle.exceptions import BadDocumentError
+from robinspindle.exceptions import BadDocumentError, LogServiceError
+from robinspindle.fleet import Fleet
 from robinspindle.following import Follower, KeyedStore, follow
-from robinspindle.gatewaysettings import GatewaySettings
+from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.httpserver import CallerServer, Incoming, Limits, Reply
 from robinspindle.logs import make_log, start_bounded_logs
+from robinspindle.peers import LEAST_INTERVAL_S, PeerLink, Peers
 from robinspindle.relay import Dialect, Relay
 
 TICK_S = 0.25
@@ -28,6 +30,13 @@
 """Least time between two reads of the targets' entries, seconds: a fifth of the time
 after which a leaving target may get no work."""
 
+PEERS_WAIT_S = 15.0
+"""How long the store holds a poll about gateways, seconds: a new one may stay unknown
+for a while without harm."""
+
+INTRODUCE_PAUSE_S = 1.0
+"""Pause before another try to be introduced to the peers, seconds."""
+
 BUDGET_SHARES = 32
 """Gateways among which the fixed part of the repeat budget is divided."""
 
@@ -47,6 +56,7 @@
     configuration_topic: str
     configuration_key: str
     targets_topic: str
+    gateways_topic: str
     dialect: Dialect
 
     def make_store(
@@ -62,7 +72,11 @@
 
 
 class Gateway:
-    """State of the process."""
+    """State of the process.
+
+    Attributes:
+        is_ready: Whether callers may be sent here.
+    """
 
     def __init__(
         self, settings: GatewaySettings, adapter: Adapter, output: BoundedOutput
@@ -74,6 +88,7 @@
         self._clock = time.monotonic
         self._store = adapter.make_store(settings, self._clock)
         self._directory = Directory(hold_s=pledges.leave_s / 2)
+        self._fleet = Fleet(self._directory, adapter.dialect.decode_answer)
         budget = budgets.RepeatBudget(
             pledges.repeat_ratio,
             pledges.repeat_slack / BUDGET_SHARES,
@@ -81,12 +96,16 @@
         )
         self._relay = Relay(
             adapter.dialect,
-            self._directory,
+            self._fleet,
             budget,
             settings.zone,
             make_log("relay"),
             self._clock,
         )
+        self._peers = Peers(settings.name, time.time())
+        self._link = PeerLink(
+            self._peers, self._fleet.find_engine_of, self._clock, make_log("peers")
+        )
         self._limits = Limits()
         self._callers = CallerServer(self._relay.handle, self._limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
@@ -102,8 +121,13 @@
         settings = self._settings
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._callers.start(settings.callers.host, settings.callers.port)
+        peer_address = HostPort(settings.ip, settings.inner_ports[0])
+        await self._link.start(peer_address)
         log("started", name=settings.name, zone=settings.zone)
         tasks = [
+            loop.create_task(self._introduce(peer_address)),
+            loop.create_task(self._tell_peers()),
+            loop.create_task(follow(self._store, self._follow_peers(), log)),
             loop.create_task(follow(self._store, self._follow_configuration(), log)),
             loop.create_task(follow(self._store, self._follow_targets(), log)),
             loop.create_task(self._keep_house()),
@@ -119,7 +143,7 @@
         """Whether callers may be sent here."""
         return (
             self._stopping_at is None
-            and self._relay.table is not None
+            and self._fleet.table is not None
             and self._directory.known
         )
 
@@ -140,6 +164,46 @@
             rest_s=TARGETS_REST_S,
         )
 
+    def _follow_peers(self) -> Follower:
+        return Follower(
+            topic=self._adapter.gateways_topic,
+            apply=self._apply_peer,
+            note_away=lambda: None,
+            note_back=lambda: None,
+            wait_s=PEERS_WAIT_S,
+        )
+
+    def _apply_peer(self, key: str, value: bytes | None) -> None:
+        if key == self._settings.name:
+            return
+        host, _, port = (value or b"").decode("latin-1").rpartition(":")
+        if not host or not port.isdecimal():
+            self._peers.addresses.pop(key, None)
+            return
+        self._peers.addresses[key] = HostPort(host, int(port))
+        log("peer introduced", peer=key, address=f"{host}:{port}")
+
+    async def _introduce(self, address: HostPort) -> None:
+        """Tell the store where this gateway's datagrams are taken."""
+        value = f"{address.host}:{address.port}".encode()
+        while True:
+            try:
+                await self._store.append_keyed(
+                    self._adapter.gateways_topic, self._settings.name, value
+                )
+            except LogServiceError as error:
+                log("not introduced to peers yet", error=str(error))
+                await asyncio.sleep(INTRODUCE_PAUSE_S)
+            else:
+                return
+
+    async def _tell_peers(self) -> None:
+        while True:
+            await asyncio.sleep(LEAST_INTERVAL_S)
+            placements = self._relay.placements
+            if self._link.tell(self._clock(), self._fleet.list_loads(), placements):
+                placements.clear()
+
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
         if key != self._adapter.configuration_key or value is None:
             return
@@ -148,10 +212,10 @@
         except BadDocumentError as error:
             log("configuration can't be read, the last one stays", error=str(error))
             return
-        if not is_newer(table, self._relay.table):
+        if not is_newer(table, self._fleet.table):
             log("older configuration passed over", version=table.version)
             return
-        self._relay.table = table
+        self._fleet.table = table
         limits = table.limits
         self._limits.header_bytes = limits.header_bytes
         self._limits.body_bytes = limits.body_bytes
@@ -199,8 +263,9 @@
             self._output.flush()
             now = self._clock()
             for target in targets.drop_gone(self._directory, now):
-                self._relay.forget(target)
+                self._fleet.forget(target)
                 log("target is gone", target=target.announced.lifetime)
+            self._link.forget_silent(now)
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
             if self._stopping_at is not None:
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -51,7 +51,6 @@
         head: The answer's head, when it has come.
         is_whole: Whether the whole answer has come.
         error: Why it will not come.
-        interims: Interim answers that were passed over.
     """
 
     request_id: str
@@ -106,6 +105,17 @@
         self._chunks.clear()
         return chunk
 
+    async def read_body(self) -> bytes:
+        """Wait for the whole body.
+
+        Raises:
+            ConnectionBrokenError: When the answer breaks off.
+        """
+        body = b""
+        while chunk := await self.read_chunk():
+            body += chunk
+        return body
+
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         try:
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -81,6 +81,12 @@
         """Whether the caller has left."""
         return self._connection.is_lost
 
+    def set_flow(
+        self, on_pause: Callable[[], None], on_resume: Callable[[], None]
+    ) -> None:
+        """Set what to call when the caller takes bytes too slowly, and again."""
+        self._connection.set_flow(on_pause, on_resume)
+
     def begin(
         self, status: int, reason: bytes, headers: Headers, length: int | None
     ) -> None:
@@ -241,6 +247,7 @@
     def finish_reply(self, keep: bool) -> None:
         """Note that an answer has been written whole."""
         self._rested_since = self.server.clock()
+        self.set_flow(None, None)
         if not keep:
             self._is_closing = True
             self.close()
--- /dev/null
+++ b/src/robinspindle/peers.py
@@ -0,0 +1,124 @@
+"""Datagrams between gateways: each tells all others what it has under way."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from robinspindle.core.sharing import (
+    MOST_PLACEMENTS,
+    Digest,
+    FindEngine,
+    Load,
+    PeerView,
+    Placement,
+    forget_silent,
+    take_digest,
+)
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.logs import Log
+
+LEAST_INTERVAL_S = 0.02
+"""Least time between two datagrams to one peer, seconds: about the time in which a
+prompt is read, so that a belief is at most one prompt behind."""
+
+INTERVAL_PER_PEER_S = 0.005
+"""The interval grows by this with each peer, seconds: at most 200 datagrams a second
+are sent, about a hundredth of a core."""
+
+MOST_INTERVAL_S = 0.5
+"""Interval without news, seconds."""
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Digest).decode
+
+
+@dataclass
+class Peers:
+    """The other gateways.
+
+    Attributes:
+        name: This gateway's name.
+        started: When it started, by the time of day; only compared with itself.
+        addresses: Of all gateways that the store names, by name.
+        views: What is known of each that was heard lately.
+        number: Number of the next datagram.
+        sent_at: When the last was sent, steady seconds.
+    """
+
+    name: str
+    started: float
+    addresses: dict[str, HostPort] = field(default_factory=dict)
+    views: dict[str, PeerView] = field(default_factory=dict)
+    number: int = 0
+    sent_at: float = 0.0
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """The socket for datagrams."""
+
+    def __init__(
+        self, peers: Peers, find: FindEngine, clock: Callable[[], float], log: Log
+    ):
+        self._peers = peers
+        self._find = find
+        self._clock = clock
+        self._log = log
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: HostPort) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(address.host, address.port),
+            family=socket.AF_INET,
+        )
+
+    def connection_made(self, transport) -> None:
+        """Note the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Take a peer's datagram in."""
+        try:
+            digest = decode(data)
+        except msgspec.MsgspecError as error:
+            self._log("datagram can't be read", sender=str(addr), error=str(error))
+            return
+        is_new = digest.sender not in self._peers.views
+        take_digest(self._peers.views, digest, self._clock(), self._find)
+        if is_new:
+            self._log("peer heard", peer=digest.sender)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over errors: a peer that is gone is noticed by its silence."""
+
+    def tell(self, now: float, loads: list[Load], placements: list[Placement]) -> bool:
+        """Tell all peers, if it is time to.
+
+        Returns:
+            Whether the placements have been told.
+        """
+        peers = self._peers
+        count = len(peers.addresses)
+        interval_s = max(LEAST_INTERVAL_S, INTERVAL_PER_PEER_S * count)
+        if not loads and not placements:
+            interval_s = MOST_INTERVAL_S
+        if not count or now - peers.sent_at < interval_s:
+            return False
+        peers.sent_at = now
+        peers.number += 1
+        newest = placements[-MOST_PLACEMENTS:]
+        digest = Digest(peers.name, peers.started, peers.number, loads, newest)
+        data = encode(digest)
+        for address in peers.addresses.values():
+            self._transport.sendto(data, (address.host, address.port))
+        return True
+
+    def forget_silent(self, now: float) -> None:
+        """Forget the load of peers that fell silent."""
+        for name in forget_silent(self._peers.views, now, self._find):
+            self._log("peer silent", peer=name)
--- a/src/robinspindle/platform/adapter.py
+++ b/src/robinspindle/platform/adapter.py
@@ -18,6 +18,7 @@
     configuration_topic: str = store.CONFIGURATION_TOPIC
     configuration_key: str = store.CONFIGURATION_KEY
     targets_topic: str = store.TARGETS_TOPIC
+    gateways_topic: str = store.GATEWAYS_TOPIC
     dialect: ModuleType = dialect
 
     def make_store(
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import msgspec
+
 from robinspindle.core.forwarding import (
     AnswerHead,
     Headers,
@@ -9,7 +11,9 @@
     Prompt,
     Request,
     Send,
+    Source,
 )
+from robinspindle.exceptions import BadDocumentError
 
 ONE_CONNECTION = frozenset(
     (
@@ -116,6 +120,29 @@
     )
 
 
+class _Read(msgspec.Struct):
+    handle: str = msgspec.field(name="KvHandle")
+
+
+def decode_read(address: str, body: bytes) -> Source:
+    """Decode the answer to a prompt that was only read.
+
+    Raises:
+        BadDocumentError: When it names no handle.
+    """
+    try:
+        return Source(address, msgspec.json.decode(body, type=_Read).handle)
+    except msgspec.MsgspecError as error:
+        raise BadDocumentError(str(error)) from None
+
+
+def encode_release(source: Source) -> bytes:
+    """Write a request that frees a prompt which was read and is not needed."""
+    return (
+        f"DELETE /kv-handle/{source.handle} HTTP/1.1\r\nHost: {source.address}\r\n\r\n"
+    ).encode()
+
+
 def add_body(request: Request, body: bytes) -> Request:
     """Add the whole body to a decoded request."""
     return replace(request, body=body)
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -23,6 +23,7 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
+GATEWAYS_TOPIC = "keyed.gateways"
 
 CALL_TIMEOUT_S = 1.0
 """Longest wait for an answer beyond the wait that was asked for, seconds: the store
@@ -186,10 +187,7 @@
             async with asyncio.timeout(timeout_s):
                 connection.send(exchange, data)
                 head: AnswerHead = await exchange.read_head()
-                body = b""
-                while chunk := await exchange.read_chunk():
-                    body += chunk
-                return head.status, body
+                return head.status, await exchange.read_body()
         finally:
             self._pool.give_back(connection, self._clock())
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -7,17 +7,20 @@
 from enum import Enum
 from typing import Protocol
 
-from robinspindle.core import budgets, forwarding, targets
+from robinspindle.core import budgets, forwarding, reading, targets
+from robinspindle.core.engines import Engine, note_pace, note_placed
 from robinspindle.core.events import EventSplitter, take_events
-from robinspindle.core.forwarding import AnswerHead, Refusal, Request, Send
-from robinspindle.core.routes import STREAM, Route, RouteTable, find_route
-from robinspindle.core.routes import choose_service as choose_service_of
-from robinspindle.core.targets import Directory, Target
-from robinspindle.gatewaysettings import HostPort
+from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
+from robinspindle.core.reading import Plan
+from robinspindle.core.routes import STREAM, Route, choose_service, find_route
+from robinspindle.core.selection import choose_target
+from robinspindle.core.sharing import Placement
+from robinspindle.core.targets import Target
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.fleet import Fleet
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
-    ConnectionPool,
     Exchange,
 )
 from robinspindle.httpserver import Incoming, Reply
@@ -31,8 +34,19 @@
 """How long a target that turned a request away is passed over, seconds: about the
 time in which a few of its requests end."""
 
-CONNECTIONS_SHARE = 8
-"""Entries among which a target's connections are divided."""
+CALLER_WAY_S = 0.008
+"""Part of an aim that the way to the caller and back takes, seconds."""
+
+RETRY_BASE_S = 0.2
+RETRY_SPREAD_S = 0.4
+"""A refused caller is told to come back between these, seconds: queues of prompts last
+some tenths of a second, and callers that come back together would meet again."""
+
+SMALL_PROMPT_TOKENS = 1000
+SMALL_URGENCY = 1
+LARGE_URGENCY = 4
+"""Short prompts are read before long ones: they hold nobody up, and would wait for
+many times their own length otherwise."""
 
 UPSTREAM_FAULTS = frozenset((500, 502, 503, 504))
 
@@ -51,11 +65,17 @@
     def encode_request(self, request: Request, send: Send) -> bytes:
         """Write a request for a target."""
 
+    def encode_release(self, source: Source) -> bytes:
+        """Write a request that frees a prompt which was read and is not needed."""
+
     def decode_answer(
         self, status: int, reason: bytes, headers: forwarding.Headers
     ) -> AnswerHead:
         """Decode the head of a target's answer."""
 
+    def decode_read(self, address: str, body: bytes) -> Source:
+        """Decode the answer to a prompt that was only read."""
+
 
 class End(Enum):
     """How one sending ended."""
@@ -75,52 +95,57 @@
         route: Its route.
         service: The service chosen for it.
         due: When its final answer is due, steady seconds.
+        aim_at: When its first event, or its answer, should be on its way.
         tried: Lifetimes that it was sent to.
-        offers: Times that it was sent.
-        may_have_run: Whether any target may have run it.
+        offers: Times that it was sent to be run.
+        runs: Targets that may have run it.
+        reads: Times that its prompt was sent to be read apart.
         splitter: The events passed on so far.
         fault: A target's own failure that is passed on if nothing better comes.
         last_reason: Why the latest sending did not deliver.
+        plan: The latest plan, for logs.
     """
 
     request: Request
     route: Route
     service: str
     due: float
+    aim_at: float
     tried: set[str] = field(default_factory=set)
     offers: int = 0
-    may_have_run: bool = False
+    runs: int = 0
+    reads: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
     fault: tuple[AnswerHead, bytes] | None = None
     last_reason: str = ""
+    plan: Plan | None = None
 
 
 class Relay:
     """Forwards requests to targets.
 
     Attributes:
-        table: The configuration in force, None before the first.
-        directory: The targets.
+        placements: Prompts placed since they were last told to the peers.
     """
 
     def __init__(
         self,
         dialect: Dialect,
-        directory: Directory,
+        fleet: Fleet,
         budget: budgets.RepeatBudget,
         zone: str,
         log: Log,
         clock: Callable[[], float],
     ):
-        self.table: RouteTable | None = None
-        self.directory = directory
+        self.placements: list[Placement] = []
         self._dialect = dialect
+        self._fleet = fleet
         self._budget = budget
         self._zone = zone
         self._log = log
         self._clock = clock
         self._rng = random.Random()
-        self._pools: dict[str, ConnectionPool] = {}
+        self._releases: set[asyncio.Task] = set()
 
     async def handle(self, incoming: Incoming, reply: Reply) -> None:
         """Serve one request of a caller."""
@@ -128,7 +153,7 @@
             incoming.method, incoming.target, incoming.headers, incoming.at
         )
         request = self._dialect.add_body(request, incoming.body)
-        table = self.table
+        table = self._fleet.table
         if table is None:
             self._refuse(request, reply, forwarding.NO_CONFIGURATION)
             return
@@ -136,213 +161,279 @@
         if route is None:
             self._refuse(request, reply, forwarding.NO_ROUTE)
             return
-        service = choose_service_of(route, self._rng)
-        due = forwarding.find_due(request, route)
-        passage = Passage(request, route, service, due)
-        budgets.count_request(self._budget, self._clock(), service)
+        passage = Passage(
+            request,
+            route,
+            choose_service(route, self._rng),
+            forwarding.find_due(request, route),
+            request.received_at + route.aim_s - CALLER_WAY_S,
+        )
+        budgets.count_request(self._budget, self._clock(), passage.service)
         try:
             await self._serve(passage, reply)
         except asyncio.CancelledError:
-            self._log("caller left", request=request.id, route=route.name)
+            self._log_end(passage, None, "caller left")
             raise
 
-    def forget(self, target: Target) -> None:
-        """Close the connections to a target that is gone."""
-        pool = self._pools.pop(target.announced.lifetime, None)
-        if pool is not None:
-            pool.close()
-
     async def _serve(self, passage: Passage, reply: Reply) -> None:
         while True:
             now = self._clock()
-            left_s = passage.due - now
-            target = self._choose(passage, now)
-            if target is None or left_s <= forwarding.LEAST_TRY_S:
-                reason = "no-target" if target is None else "too-late"
-                self._give_up(passage, reply, passage.last_reason or reason)
+            if passage.due - now <= forwarding.LEAST_TRY_S:
+                self._give_up(passage, reply, passage.last_reason or "too-late")
                 return
-            end = await self._try(passage, reply, target)
+            plan = self._choose(passage, now)
+            if plan is None:
+                self._give_up(passage, reply, passage.last_reason or "no-target")
+                return
+            passage.plan = plan
+            if self._is_hopeless(passage, plan, now):
+                self._give_up(passage, reply, "busy")
+                return
+            end = await self._carry_out(passage, reply, plan)
             if end is End.DELIVERED:
                 return
             if not self._may_go_on(passage, end):
                 self._give_up(passage, reply, passage.last_reason)
                 return
 
-    def _choose(self, passage: Passage, now: float) -> Target | None:
-        usable = targets.list_usable(
-            self.directory, passage.service, now, passage.tried
-        )
-        usable = [t for t in usable if t.announced.role != "prefill"]
-        if not usable:
-            return None
-        from robinspindle.core.selection import choose_target
-
-        return choose_target(usable, self._zone, self._rng)
+    def _choose(self, passage: Passage, now: float) -> Plan | None:
+        usable = self._fleet.list_usable(passage.service, now, passage.tried)
+        pairs = [(target, self._fleet.find_engine(target)) for target in usable]
+        prompt = passage.request.prompt
+        if prompt is None or any(engine is None for _, engine in pairs):
+            plain = [
+                t for t, engine in pairs if engine is None or not engine.reads_only
+            ]
+            if not plain:
+                return None
+            target = choose_target(plain, self._zone, self._rng)
+            return Plan(target, None, 0, 0.0, 0.0, 0.0)
+        if passage.reads:
+            pairs = [pair for pair in pairs if not pair[1].reads_only]
+        left_s = passage.aim_at - now
+        return reading.choose_plan(pairs, prompt, left_s, self._zone, self._rng)
+
+    def _is_hopeless(self, passage: Passage, plan: Plan, now: float) -> bool:
+        if passage.offers or passage.reads:
+            return False
+        left_s = passage.aim_at - now
+        return reading.is_hopeless(plan, left_s, passage.route.aim_s)
 
     def _may_go_on(self, passage: Passage, end: End) -> bool:
         left_s = passage.due - self._clock()
         route = passage.route
-        if end is End.NOT_RUN and not passage.may_have_run:
-            if passage.offers == 0:
-                return len(passage.tried) < 4 and left_s > forwarding.LEAST_TRY_S
-            allowed = forwarding.may_offer_again(route, passage.offers, left_s)
-        elif passage.splitter.events and not route.resumable:
+        if left_s <= forwarding.LEAST_TRY_S:
             return False
-        else:
-            allowed = forwarding.may_run_again(route, passage.offers, left_s)
-        if not allowed:
+        if end is End.NOT_RUN and passage.offers == 0:
+            return len(passage.tried) < forwarding.MOST_OFFERS
+        if not forwarding.may_offer_again(route, passage.offers, passage.runs):
             return False
         now = self._clock()
         return budgets.take_repeat(self._budget, now, passage.service)
 
-    async def _try(self, passage: Passage, reply: Reply, target: Target) -> End:
+    async def _carry_out(self, passage: Passage, reply: Reply, plan: Plan) -> End:
+        engine = self._fleet.find_engine(plan.target)
+        if plan.reader is None:
+            if engine is not None and passage.request.prompt is not None:
+                return await self._send_unread(passage, reply, plan, engine)
+            return await self._send(passage, reply, plan.target, None, _ignore)
+        source = await self._read_apart(passage, plan)
+        if source is None:
+            return End.NOT_RUN
+        taken = False
+        try:
+            if engine is not None:
+                note_placed(engine, passage.request.prompt.parts)
+            end = await self._send(passage, reply, plan.target, source, _ignore)
+            taken = end is End.DELIVERED
+            return end
+        finally:
+            if not taken:
+                self._release(plan.reader, source)
+
+    async def _send_unread(
+        self, passage: Passage, reply: Reply, plan: Plan, engine: Engine
+    ) -> End:
+        work = _Reading(engine, plan.unread, self._clock())
+        self._place(plan.target, engine, passage)
+        try:
+            return await self._send(
+                passage, reply, plan.target, None, lambda: work.end(self._clock())
+            )
+        finally:
+            work.cancel()
+
+    async def _read_apart(self, passage: Passage, plan: Plan) -> Source | None:
+        """Have a prompt read; None when that failed."""
+        reader = plan.reader
+        engine = self._fleet.find_engine(reader)
+        passage.reads += 1
+        work = _Reading(engine, plan.unread, self._clock())
+        self._place(reader, engine, passage)
+        reader.in_flight += 1
+        pool = self._fleet.find_pool(reader)
+        connection = None
+        send = self._make_send(passage, reader, None, read_only=True)
+        try:
+            connection = await pool.take(self._clock(), CONNECT_TIMEOUT_S)
+            exchange = Exchange(passage.request.id)
+            async with asyncio.timeout_at(passage.due):
+                data = self._dialect.encode_request(passage.request, send)
+                connection.send(exchange, data)
+                head = await exchange.read_head()
+                body = await exchange.read_body()
+            if head.status != 200:
+                self._note_unread(passage, reader, head)
+                return None
+            work.end(self._clock())
+            targets.note_answered(reader)
+            return self._dialect.decode_read(reader.announced.address, body)
+        except (ConnectionBrokenError, BadDocumentError) as error:
+            targets.note_broken(reader, self._clock())
+            self._log_broken(passage, reader, str(error))
+            return None
+        except TimeoutError:
+            self._log_broken(passage, reader, "prompt not read in time")
+            return None
+        finally:
+            work.cancel()
+            reader.in_flight -= 1
+            if connection is not None:
+                pool.give_back(connection, self._clock())
+
+    def _note_unread(self, passage: Passage, reader: Target, head: AnswerHead) -> None:
+        if head.wrong_lifetime:
+            reader.replaced = True
+        elif head.not_run:
+            targets.note_full(reader, self._clock(), FULL_REST_S)
+        else:
+            targets.note_fault(reader, True)
+        self._log_broken(passage, reader, f"prompt not read: status {head.status}")
+
+    def _place(self, target: Target, engine: Engine, passage: Passage) -> None:
+        parts = passage.request.prompt.parts
+        note_placed(engine, parts)
+        self.placements.append(
+            Placement(target.announced.lifetime, [(p.id, p.tokens) for p in parts])
+        )
+
+    async def _send(
+        self,
+        passage: Passage,
+        reply: Reply,
+        target: Target,
+        source: Source | None,
+        on_first: Callable[[], None],
+    ) -> End:
+        """Send a request to be run, and pass its answer on.
+
+        Args:
+            passage: The request.
+            reply: The answer to the caller.
+            target: Where to.
+            source: Where its read prompt is; None to read it there.
+            on_first: Called when the answer begins.
+        """
         passage.tried.add(target.announced.lifetime)
         target.in_flight += 1
-        pool = self._find_pool(target)
+        pool = self._fleet.find_pool(target)
         connection = None
         try:
             connection = await pool.take(self._clock(), CONNECT_TIMEOUT_S)
             async with asyncio.timeout_at(passage.due + forwarding.ANSWER_GRACE_S):
-                return await self._exchange(passage, reply, target, connection)
+                exchange = Exchange(passage.request.id)
+                send = self._make_send(passage, target, source)
+                data = self._dialect.encode_request(passage.request, send)
+                passage.offers += 1
+                connection.send(exchange, data)
+                head = await exchange.read_head()
+                on_first()
+                return await self._take_answer(
+                    passage, reply, target, head, exchange, connection
+                )
         except ConnectionBrokenError as error:
             return self._note_broken(passage, target, error)
         except TimeoutError:
-            passage.may_have_run = True
+            passage.runs += 1
             passage.last_reason = "timed-out"
             return End.UNSURE
         finally:
             target.in_flight -= 1
             if connection is not None:
-                if connection.can_be_reused:
-                    pool.give_back(connection, self._clock())
-                else:
-                    connection.abort()
-                    pool.give_back(connection, self._clock())
+                pool.give_back(connection, self._clock())
 
-    async def _exchange(
+    async def _take_answer(
         self,
         passage: Passage,
         reply: Reply,
         target: Target,
+        head: AnswerHead,
+        exchange: Exchange,
         connection: ClientConnection,
     ) -> End:
-        request = passage.request
-        send = self._make_send(passage, target)
-        exchange = Exchange(request.id)
-        passage.offers += 1
-        connection.send(exchange, self._dialect.encode_request(request, send))
-        head = await exchange.read_head()
         if head.not_run:
-            return await self._note_not_run(passage, target, head, exchange)
-        passage.may_have_run = True
+            await exchange.read_body()
+            self._note_not_run(passage, target, head)
+            return End.NOT_RUN
         if head.status >= 300:
-            return await self._take_failure(passage, reply, target, head, exchange)
-        if not head.sealed or (request.id and head.request_id != request.id):
+            passage.fault = (head, await exchange.read_body())
+            passage.runs += 1
+            targets.note_answered(target)
+            targets.note_fault(target, head.status in UPSTREAM_FAULTS)
+            passage.last_reason = f"status-{head.status}"
+            return End.FAULT
+        if not head.sealed or head.request_id != passage.request.id:
             raise ConnectionBrokenError("a success that is not the target's own")
         if passage.route.kind == STREAM:
-            await self._pass_stream(passage, reply, head, exchange, connection)
+            reply.set_flow(connection.pause, connection.resume)
+            await _pass_stream(passage.splitter, reply, head, exchange)
         else:
-            await self._pass_whole(reply, head, exchange)
+            _pass_whole(reply, head, await exchange.read_body())
         targets.note_answered(target)
         targets.note_fault(target, False)
         self._log_end(passage, target, "delivered")
         return End.DELIVERED
 
-    def _make_send(self, passage: Passage, target: Target) -> Send:
-        resume_after = None
-        if passage.splitter.events:
-            resume_after = passage.splitter.last_id
+    def _make_send(
+        self,
+        passage: Passage,
+        target: Target,
+        source: Source | None,
+        read_only: bool = False,
+    ) -> Send:
+        prompt = passage.request.prompt
+        urgency = min(9, passage.route.priority)
+        if prompt is not None:
+            is_small = prompt.tokens <= SMALL_PROMPT_TOKENS
+            urgency = SMALL_URGENCY if is_small else LARGE_URGENCY
+        events = passage.splitter.events
         return Send(
             lifetime=target.announced.lifetime,
             left_s=passage.due - self._clock(),
-            urgency=min(9, passage.route.priority),
-            resume_after=resume_after,
+            urgency=urgency,
+            read_only=read_only,
+            source=source,
+            resume_after=passage.splitter.last_id if events else None,
         )
 
-    async def _note_not_run(
-        self, passage: Passage, target: Target, head: AnswerHead, exchange: Exchange
-    ) -> End:
-        while await exchange.read_chunk():
-            pass
-        now = self._clock()
+    def _note_not_run(self, passage: Passage, target: Target, head: AnswerHead) -> None:
         if head.wrong_lifetime:
             target.replaced = True
         else:
-            targets.note_full(target, now, FULL_REST_S)
+            targets.note_full(target, self._clock(), FULL_REST_S)
         passage.last_reason = "replaced" if head.wrong_lifetime else "full"
-        self._log(
-            "target did not run it",
-            request=passage.request.id,
-            target=target.announced.lifetime,
-            status=head.status,
-        )
-        return End.NOT_RUN
-
-    async def _take_failure(
-        self,
-        passage: Passage,
-        reply: Reply,
-        target: Target,
-        head: AnswerHead,
-        exchange: Exchange,
-    ) -> End:
-        body = b""
-        while chunk := await exchange.read_chunk():
-            body += chunk
-        targets.note_answered(target)
-        targets.note_fault(target, head.status in UPSTREAM_FAULTS)
-        passage.last_reason = f"status-{head.status}"
-        passage.fault = (head, body)
-        return End.FAULT
-
-    async def _pass_whole(
-        self, reply: Reply, head: AnswerHead, exchange: Exchange
-    ) -> None:
-        body = b""
-        while chunk := await exchange.read_chunk():
-            body += chunk
-        reply.begin(head.status, head.reason, head.headers, len(body))
-        reply.write(body)
-        reply.end()
-
-    async def _pass_stream(
-        self,
-        passage: Passage,
-        reply: Reply,
-        head: AnswerHead,
-        exchange: Exchange,
-        connection: ClientConnection,
-    ) -> None:
-        splitter = passage.splitter
-        splitter.rest = b""
-        while chunk := await exchange.read_chunk():
-            events = take_events(splitter, chunk)
-            if not events:
-                continue
-            if not reply.has_begun:
-                reply.begin(head.status, head.reason, head.headers, None)
-            reply.write(events)
-        if splitter.rest:
-            raise ConnectionBrokenError("the stream ended within an event")
-        if not reply.has_begun:
-            reply.begin(head.status, head.reason, head.headers, None)
-        reply.end()
+        self._log_broken(passage, target, f"not run: status {head.status}")
 
     def _note_broken(
         self, passage: Passage, target: Target, error: ConnectionBrokenError
     ) -> End:
         targets.note_broken(target, self._clock())
         passage.last_reason = "broken"
-        if error.was_sent:
-            passage.may_have_run = True
-        self._log(
-            "connection to target broke",
-            request=passage.request.id,
-            target=target.announced.lifetime,
-            error=str(error),
-            was_sent=error.was_sent,
-        )
-        return End.UNSURE if error.was_sent else End.NOT_RUN
+        self._log_broken(passage, target, str(error))
+        if not error.was_sent:
+            return End.NOT_RUN
+        passage.runs += 1
+        return End.UNSURE
 
     def _give_up(self, passage: Passage, reply: Reply, reason: str) -> None:
         left_s = passage.due - self._clock()
@@ -352,15 +443,14 @@
             return
         if passage.fault is not None and self._may_pass_fault(passage):
             head, body = passage.fault
-            reply.begin(head.status, head.reason, head.headers, len(body))
-            reply.write(body)
-            reply.end()
+            _pass_whole(reply, head, body)
             self._log_end(passage, None, f"passed on: {reason}")
             return
-        if passage.may_have_run:
+        if passage.runs:
             refusal = forwarding.refuse_unsure(left_s)
         else:
-            refusal = forwarding.refuse_unrun(reason, 0.25, left_s)
+            retry_s = RETRY_BASE_S + RETRY_SPREAD_S * self._rng.random()
+            refusal = forwarding.refuse_unrun(reason, retry_s, left_s)
         reply.refuse(refusal)
         self._log_end(passage, None, f"refused {refusal.status}: {reason}")
 
@@ -369,33 +459,109 @@
         head, _ = passage.fault
         return head.status not in (408, 421, 429, 503) or passage.route.may_rerun
 
-    def _refuse(self, request: Request, reply: Reply, refusal: Refusal) -> None:
+    def _refuse(
+        self, request: Request, reply: Reply, refusal: forwarding.Refusal
+    ) -> None:
         reply.refuse(refusal)
         self._log("refused", request=request.id, reason=refusal.reason)
 
+    def _release(self, reader: Target, source: Source) -> None:
+        """Free a prompt that was read and will not be fetched."""
+        task = asyncio.get_running_loop().create_task(self._free(reader, source))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def _free(self, reader: Target, source: Source) -> None:
+        pool = self._fleet.find_pool(reader)
+        connection = None
+        try:
+            connection = await pool.take(self._clock(), CONNECT_TIMEOUT_S)
+            exchange = Exchange("")
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                connection.send(exchange, self._dialect.encode_release(source))
+                await exchange.read_head()
+                await exchange.read_body()
+        except (ConnectionBrokenError, TimeoutError) as error:
+            # It lapses by itself a few seconds later.
+            self._log("handle not freed", error=str(error))
+        finally:
+            if connection is not None:
+                pool.give_back(connection, self._clock())
+
+    def _log_broken(self, passage: Passage, target: Target, error: str) -> None:
+        self._log(
+            "target did not deliver",
+            request=passage.request.id,
+            target=target.announced.lifetime,
+            error=error,
+        )
+
     def _log_end(self, passage: Passage, target: Target | None, outcome: str) -> None:
+        plan = passage.plan
         self._log(
             "request ended",
+            routine=outcome == "delivered",
             request=passage.request.id,
             route=passage.route.name,
             target=target.announced.lifetime if target else "",
+            reader=plan.reader.announced.lifetime if plan and plan.reader else "",
+            planned_ms=round(plan.first_s * 1000, 1) if plan else None,
+            wait_ms=round(plan.wait_s * 1000, 1) if plan else None,
+            unread=plan.unread if plan else None,
             offers=passage.offers,
             events=passage.splitter.events,
             held_ms=round((self._clock() - passage.request.received_at) * 1000, 1),
             outcome=outcome,
         )
 
-    def _find_pool(self, target: Target) -> ConnectionPool:
-        announced = target.announced
-        pool = self._pools.get(announced.lifetime)
-        if pool is None:
-            host, _, port = announced.address.rpartition(":")
-            service = self.table.services.get(announced.service)
-            most = service.connections if service else CONNECTIONS_SHARE
-            pool = ConnectionPool(
-                HostPort(host, int(port)),
-                self._dialect.decode_answer,
-                max(2, most // CONNECTIONS_SHARE),
-            )
-            self._pools[announced.lifetime] = pool
-        return pool
+
+class _Reading:
+    """Tokens that an engine is believed to have before it, until they are read."""
+
+    def __init__(self, engine: Engine, tokens: int, now: float):
+        self._engine = engine
+        self._tokens = tokens
+        self._ahead = engine.unread
+        self._began_at = now
+        self._is_open = True
+        engine.own_unread += tokens
+
+    def end(self, now: float) -> None:
+        """Note that the prompt has been read."""
+        if self._is_open:
+            self.cancel()
+            note_pace(self._engine, self._ahead + self._tokens, now - self._began_at)
+
+    def cancel(self) -> None:
+        """Note that the prompt need not be read any more."""
+        if self._is_open:
+            self._is_open = False
+            self._engine.own_unread -= self._tokens
+
+
+async def _pass_stream(
+    splitter: EventSplitter, reply: Reply, head: AnswerHead, exchange: Exchange
+) -> None:
+    splitter.rest = b""
+    while chunk := await exchange.read_chunk():
+        events = take_events(splitter, chunk)
+        if not events:
+            continue
+        if not reply.has_begun:
+            reply.begin(head.status, head.reason, head.headers, None)
+        reply.write(events)
+    if splitter.rest:
+        raise ConnectionBrokenError("the stream ended within an event")
+    if not reply.has_begun:
+        reply.begin(head.status, head.reason, head.headers, None)
+    reply.end()
+
+
+def _pass_whole(reply: Reply, head: AnswerHead, body: bytes) -> None:
+    reply.begin(head.status, head.reason, head.headers, len(body))
+    reply.write(body)
+    reply.end()
+
+
+def _ignore() -> None:
+    pass
