Bring long answers together and read beside them only as far as pauses allow

Cause: half of the chat answers paused over 150 ms: prompts were read in pieces between their tokens. An answer of 89 events has 59 tokens an event, so it runs for 3 s and more.

Ruled out: too few slots (48 each, 60 answers at a time over four engines).

Change: long answers are hosted together up to 0.6 of the slots; an engine that hosts some reads at most a share of its pace, which follows the pauses that are seen.

--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -6,7 +6,7 @@
 out, and the sum of what is still to be read.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -35,6 +35,20 @@
 runs."""
 
 
+LONG_ANSWER_TOKENS = 500
+"""Answers that may be longer than this count as long: they last for seconds, and each
+pause in them counts."""
+
+PAUSE_SHARE = 0.8
+"""A pause longer than this share of what is allowed makes an engine read less."""
+
+READ_SHARES = (0.15, 0.9)
+READ_SHARE_RISE = 0.01
+READ_SHARE_FALL = 0.8
+"""Bounds and steps of the share of its pace that an engine may read with while it
+generates: up a little with each good event, down at once with a late one."""
+
+
 @dataclass
 class Engine:
     """One engine as one entry believes it to be.
@@ -48,6 +62,11 @@
         own_unread: Tokens that this entry sent and that are not read yet.
         peers_unread: The same of the other entries, by name.
         peers_in_flight: Requests of the other entries there, by name.
+        own_long: Long answers of this entry that it generates.
+        peers_long: The same of the other entries, by name.
+        recent: When prompts were placed there and how many tokens had to be read.
+        read_share: Share of its pace that it may spend on prompts while it
+            generates long answers; follows the pauses that are seen.
     """
 
     reads_only: bool
@@ -58,6 +77,10 @@
     own_unread: float = 0.0
     peers_unread: dict[str, float] = field(default_factory=dict)
     peers_in_flight: dict[str, int] = field(default_factory=dict)
+    own_long: int = 0
+    peers_long: dict[str, int] = field(default_factory=dict)
+    recent: deque[tuple[float, int]] = field(default_factory=deque)
+    read_share: float = 0.5
 
     @property
     def unread(self) -> float:
@@ -69,6 +92,11 @@
         """Requests of the other entries."""
         return sum(self.peers_in_flight.values())
 
+    @property
+    def long_answers(self) -> int:
+        """Long answers that it generates for all entries."""
+        return self.own_long + sum(self.peers_long.values())
+
 
 def make_engine(reads_only: bool, cache_tokens: int) -> Engine:
     """Make the belief about an engine of which nothing is known."""
@@ -125,3 +153,44 @@
 def estimate_read(engine: Engine, tokens: float) -> float:
     """Estimate the seconds until an engine has read its backlog and some tokens."""
     return (engine.unread + tokens) / engine.pace
+
+
+def note_read_begun(engine: Engine, now: float, tokens: int) -> None:
+    """Take note of tokens that an engine begins to read."""
+    engine.recent.append((now, tokens))
+
+
+def count_recent(engine: Engine, now: float, window_s: float) -> int:
+    """Count the tokens that an engine began to read within a window."""
+    while engine.recent and engine.recent[0][0] < now - window_s:
+        engine.recent.popleft()
+    return sum(tokens for _, tokens in engine.recent)
+
+
+def note_pause(engine: Engine, pause_s: float, allowed_s: float) -> None:
+    """Take note of a pause between two events of a long answer."""
+    low, high = READ_SHARES
+    if pause_s > allowed_s * PAUSE_SHARE:
+        engine.read_share = max(low, engine.read_share * READ_SHARE_FALL)
+    else:
+        engine.read_share = min(high, engine.read_share + READ_SHARE_RISE)
+
+
+def is_long(prompt: Prompt) -> bool:
+    """Whether a prompt asks for an answer that may be long."""
+    return prompt.out_tokens > LONG_ANSWER_TOKENS
+
+
+def may_read_beside(engine: Engine, now: float, tokens: int, gap_s: float) -> bool:
+    """Whether an engine may read a prompt beside the long answers it generates.
+
+    Args:
+        engine: The engine.
+        now: The present time, steady seconds.
+        tokens: Tokens that it would have to read.
+        gap_s: The longest pause that the answers may have, seconds.
+    """
+    if engine.long_answers == 0:
+        return True
+    allowed = engine.read_share * engine.pace * gap_s
+    return count_recent(engine, now, gap_s) + tokens <= allowed
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -6,7 +6,6 @@
 read those before: all caches together hold far more than one does.
 """
 
-import random
 from dataclasses import dataclass
 
 from robinspindle.core.engines import (
@@ -14,6 +13,8 @@
     count_cached,
     count_shared,
     estimate_read,
+    is_long,
+    may_read_beside,
 )
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.targets import Target
@@ -33,6 +34,17 @@
 """Seconds that each request in flight counts for at a generating engine: its share of
 the steps that it slows down."""
 
+HOST_SHARE = 0.6
+"""Share of its slots that long answers may fill before the next engine hosts them."""
+
+HOST_S = 0.02
+"""Seconds that an engine without long answers, or with too many, counts for as a host
+of one more: more than the way to another zone, less than a prompt's reading."""
+
+MOST_END_S = 0.05
+"""The most that the generating engine's own work counts for when a prompt is read
+apart, seconds."""
+
 FAULT_S = 0.3
 """Seconds that a target which only fails counts for; longer than a usual aim."""
 
@@ -66,21 +78,33 @@
     cost_s: float
 
 
-def choose_plan(
-    candidates: list[tuple[Target, Engine]],
-    prompt: Prompt,
-    left_s: float,
-    zone: str,
-    rng: random.Random,
-) -> Plan | None:
+@dataclass(frozen=True)
+class Situation:
+    """What a choice depends on besides the engines.
+
+    Attributes:
+        now: The present time, steady seconds.
+        left_s: Seconds until the first event should have come.
+        gap_s: The longest pause that long answers beside it may have, seconds.
+        zone: The entry's availability zone.
+    """
+
+    now: float
+    left_s: float
+    gap_s: float
+    zone: str
+
+
+Pair = tuple[Target, Engine]
+
+
+def choose_plan(candidates: list[Pair], prompt: Prompt, at: Situation) -> Plan | None:
     """Choose where a prompt is read and its answer generated.
 
     Args:
         candidates: The engines that may get work.
         prompt: The prompt.
-        left_s: Seconds until the first event should have come.
-        zone: The entry's availability zone.
-        rng: Breaks ties.
+        at: What else it depends on.
 
     Returns:
         The cheapest plan that is in time; else the soonest; None without an engine
@@ -89,17 +113,22 @@
     generating = [pair for pair in candidates if not pair[1].reads_only]
     if not generating:
         return None
-    plans = [_plan_local(pair, prompt, zone, rng) for pair in generating]
+    if is_long(prompt):
+        target, engine = min(generating, key=lambda pair: _weigh_host(pair, at))
+        return _plan_local((target, engine), prompt, at)
+    plans = [_plan_local(pair, prompt, at) for pair in generating]
+    plans = [
+        plan
+        for plan, (_, engine) in zip(plans, generating, strict=True)
+        if may_read_beside(engine, at.now, plan.unread, at.gap_s)
+    ]
     readers = [pair for pair in candidates if pair[1].reads_only]
     if readers:
-        target, engine = min(
-            generating, key=lambda pair: _weigh_target(pair, zone) + rng.random() * 1e-4
-        )
-        end_s = _weigh_target((target, engine), zone)
-        plans += [
-            _plan_apart(pair, target, end_s, prompt, zone, rng) for pair in readers
-        ]
-    in_time = [plan for plan in plans if plan.first_s <= left_s * IN_TIME_SHARE]
+        host = min(generating, key=lambda pair: _weigh_target(pair, at.zone))
+        plans += [_plan_apart(pair, host, prompt, at) for pair in readers]
+    if not plans:
+        plans = [_plan_local(pair, prompt, at) for pair in generating]
+    in_time = [plan for plan in plans if plan.first_s <= at.left_s * IN_TIME_SHARE]
     if in_time:
         return min(in_time, key=lambda plan: plan.cost_s)
     return min(plans, key=lambda plan: plan.first_s)
@@ -115,10 +144,24 @@
     return plan.wait_s > aim_s * MOST_WAIT_SHARE
 
 
-def _weigh_target(pair: tuple[Target, Engine], zone: str) -> float:
+def _weigh_host(pair: Pair, at: Situation) -> float:
+    """Weigh an engine as the host of a long answer.
+
+    Long answers are brought together on few engines, up to a share of their slots, so
+    that the others are free to read: reading makes the answers beside it pause.
+    """
+    target, engine = pair
+    room = max(1.0, HOST_SHARE * target.announced.slots)
+    used = engine.long_answers / room
+    crowded_s = HOST_S * (used if used >= 1.0 else 1.0 - used)
+    return engine.unread / engine.pace + crowded_s + _weigh_place(target, at.zone)
+
+
+def _weigh_target(pair: Pair, zone: str) -> float:
     target, engine = pair
     requests = target.in_flight + engine.others_in_flight
-    return requests * SLOT_S + engine.unread / engine.pace + _weigh_place(target, zone)
+    place_s = _weigh_place(target, zone)
+    return requests * SLOT_S + engine.unread / engine.pace + place_s
 
 
 def _weigh_place(target: Target, zone: str) -> float:
@@ -126,49 +169,29 @@
     return far_s + FAULT_S * target.faults
 
 
-def _plan_local(
-    pair: tuple[Target, Engine], prompt: Prompt, zone: str, rng: random.Random
-) -> Plan:
+def _plan_local(pair: Pair, prompt: Prompt, at: Situation) -> Plan:
     target, engine = pair
     cached = count_cached(engine, prompt)
     unread = prompt.tokens - cached
-    wait_s = engine.unread / engine.pace
     requests = target.in_flight + engine.others_in_flight
-    first_s = (
-        estimate_read(engine, unread) + requests * SLOT_S + _weigh_place(target, zone)
-    )
-    return Plan(
-        target,
-        None,
-        unread,
-        wait_s,
-        first_s,
-        first_s + _weigh_reread(engine, prompt, cached) + rng.random() * 1e-4,
-    )
-
-
-def _plan_apart(
-    pair: tuple[Target, Engine],
-    target: Target,
-    end_s: float,
-    prompt: Prompt,
-    zone: str,
-    rng: random.Random,
-) -> Plan:
+    place_s = _weigh_place(target, at.zone)
+    first_s = estimate_read(engine, unread) + requests * SLOT_S + place_s
+    wait_s = engine.unread / engine.pace
+    cost_s = first_s + _weigh_reread(engine, prompt, cached)
+    return Plan(target, None, unread, wait_s, first_s, cost_s)
+
+
+def _plan_apart(pair: Pair, host: Pair, prompt: Prompt, at: Situation) -> Plan:
     reader, engine = pair
     cached = count_cached(engine, prompt)
     unread = prompt.tokens - cached
-    place_s = _weigh_place(reader, zone)
-    # The target reads other prompts meanwhile, but lets a fetched one in between.
-    first_s = estimate_read(engine, unread) + place_s + FETCH_S + min(end_s, 0.05)
-    return Plan(
-        target,
-        reader,
-        unread,
-        engine.unread / engine.pace,
-        first_s,
-        first_s + _weigh_reread(engine, prompt, cached) + rng.random() * 1e-4,
-    )
+    # The host reads other prompts meanwhile, but lets a fetched one in between.
+    end_s = min(_weigh_target(host, at.zone), MOST_END_S)
+    place_s = _weigh_place(reader, at.zone)
+    first_s = estimate_read(engine, unread) + place_s + FETCH_S + end_s
+    wait_s = engine.unread / engine.pace
+    cost_s = first_s + _weigh_reread(engine, prompt, cached)
+    return Plan(host[0], reader, unread, wait_s, first_s, cost_s)
 
 
 def _weigh_reread(engine: Engine, prompt: Prompt, cached: int) -> float:
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -32,6 +32,8 @@
         priority: 0 is the most urgent.
         backends: Its services by weight.
         resumable: Whether a broken stream may go on at another target.
+        gap_s: The longest pause between two events of a stream that is in time,
+            seconds.
     """
 
     name: str
@@ -44,6 +46,7 @@
     priority: int = 5
     backends: tuple[Backend, ...] = ()
     resumable: bool = False
+    gap_s: float = 1.0
 
     @property
     def may_rerun(self) -> bool:
--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.engines import Engine, note_placed, note_read_begun
 from robinspindle.core.forwarding import Part
 
 SILENCE_S = 1.5
@@ -27,11 +27,13 @@
         lifetime: The target's lifetime.
         in_flight: Requests.
         unread: Tokens of prompts that are not read yet.
+        long_answers: Long answers that are generated.
     """
 
     lifetime: str
     in_flight: int
     unread: int
+    long_answers: int = 0
 
 
 class Placement(msgspec.Struct, array_like=True):
@@ -40,10 +42,12 @@
     Attributes:
         lifetime: The engine's lifetime.
         parts: Ids and tokens of the prompt's parts in order.
+        unread: Tokens that the engine has to read; 0 where it fetches them.
     """
 
     lifetime: str
     parts: list[tuple[str, int]]
+    unread: int = 0
 
 
 class Digest(msgspec.Struct, array_like=True):
@@ -102,6 +106,8 @@
         engine = find(placement.lifetime)
         if engine is not None:
             note_placed(engine, [Part(*part) for part in placement.parts])
+            if placement.unread:
+                note_read_begun(engine, now, placement.unread)
     return True
 
 
@@ -124,9 +130,11 @@
         if engine is not None:
             engine.peers_unread.pop(name, None)
             engine.peers_in_flight.pop(name, None)
+            engine.peers_long.pop(name, None)
     for load in loads:
         engine = find(load.lifetime)
         if engine is not None:
             engine.peers_unread[name] = load.unread
             engine.peers_in_flight[name] = load.in_flight
+            engine.peers_long[name] = load.long_answers
     peer.lifetimes = {load.lifetime for load in loads}
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -72,6 +72,7 @@
                 lifetime,
                 self.directory.targets[lifetime].in_flight,
                 round(engine.own_unread),
+                engine.own_long,
             )
             for lifetime, engine in self._engines.items()
             if lifetime in self.directory.targets
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -45,6 +45,8 @@
     service: str | None = None
     backends: list[_Backend] = []
     resumable: bool = False
+    # The longest pause between two events that keeps an answer in time.
+    target_gap_ms: float = 1000.0
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
@@ -148,6 +150,7 @@
         priority=route.priority,
         backends=backends,
         resumable=route.resumable,
+        gap_s=route.target_gap_ms / 1000,
     )
 
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -8,7 +8,14 @@
 from typing import Protocol
 
 from robinspindle.core import budgets, forwarding, reading, targets
-from robinspindle.core.engines import Engine, note_pace, note_placed
+from robinspindle.core.engines import (
+    Engine,
+    is_long,
+    note_pace,
+    note_pause,
+    note_placed,
+    note_read_begun,
+)
 from robinspindle.core.events import EventSplitter, take_events
 from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
 from robinspindle.core.reading import Plan
@@ -104,6 +111,8 @@
         fault: A target's own failure that is passed on if nothing better comes.
         last_reason: Why the latest sending did not deliver.
         plan: The latest plan, for logs.
+        read_at: When its prompt had been read apart, steady seconds.
+        first_at: When its answer began, steady seconds.
     """
 
     request: Request
@@ -119,6 +128,8 @@
     fault: tuple[AnswerHead, bytes] | None = None
     last_reason: str = ""
     plan: Plan | None = None
+    read_at: float | None = None
+    first_at: float | None = None
 
 
 class Relay:
@@ -210,8 +221,10 @@
             return Plan(target, None, 0, 0.0, 0.0, 0.0)
         if passage.reads:
             pairs = [pair for pair in pairs if not pair[1].reads_only]
-        left_s = passage.aim_at - now
-        return reading.choose_plan(pairs, prompt, left_s, self._zone, self._rng)
+        at = reading.Situation(
+            now, passage.aim_at - now, passage.route.gap_s, self._zone
+        )
+        return reading.choose_plan(pairs, prompt, at)
 
     def _is_hopeless(self, passage: Passage, plan: Plan, now: float) -> bool:
         if passage.offers or passage.reads:
@@ -255,7 +268,7 @@
         self, passage: Passage, reply: Reply, plan: Plan, engine: Engine
     ) -> End:
         work = _Reading(engine, plan.unread, self._clock())
-        self._place(plan.target, engine, passage)
+        self._place(plan.target, engine, passage, plan.unread)
         try:
             return await self._send(
                 passage, reply, plan.target, None, lambda: work.end(self._clock())
@@ -269,7 +282,7 @@
         engine = self._fleet.find_engine(reader)
         passage.reads += 1
         work = _Reading(engine, plan.unread, self._clock())
-        self._place(reader, engine, passage)
+        self._place(reader, engine, passage, plan.unread)
         reader.in_flight += 1
         pool = self._fleet.find_pool(reader)
         connection = None
@@ -285,7 +298,8 @@
             if head.status != 200:
                 self._note_unread(passage, reader, head)
                 return None
-            work.end(self._clock())
+            passage.read_at = self._clock()
+            work.end(passage.read_at)
             targets.note_answered(reader)
             return self._dialect.decode_read(reader.announced.address, body)
         except (ConnectionBrokenError, BadDocumentError) as error:
@@ -310,12 +324,14 @@
             targets.note_fault(reader, True)
         self._log_broken(passage, reader, f"prompt not read: status {head.status}")
 
-    def _place(self, target: Target, engine: Engine, passage: Passage) -> None:
+    def _place(
+        self, target: Target, engine: Engine, passage: Passage, unread: int
+    ) -> None:
         parts = passage.request.prompt.parts
         note_placed(engine, parts)
-        self.placements.append(
-            Placement(target.announced.lifetime, [(p.id, p.tokens) for p in parts])
-        )
+        note_read_begun(engine, self._clock(), unread)
+        told = [(part.id, part.tokens) for part in parts]
+        self.placements.append(Placement(target.announced.lifetime, told, unread))
 
     async def _send(
         self,
@@ -347,6 +363,7 @@
                 passage.offers += 1
                 connection.send(exchange, data)
                 head = await exchange.read_head()
+                passage.first_at = self._clock()
                 on_first()
                 return await self._take_answer(
                     passage, reply, target, head, exchange, connection
@@ -386,7 +403,7 @@
             raise ConnectionBrokenError("a success that is not the target's own")
         if passage.route.kind == STREAM:
             reply.set_flow(connection.pause, connection.resume)
-            await _pass_stream(passage.splitter, reply, head, exchange)
+            await self._pass_stream(passage, reply, target, head, exchange)
         else:
             _pass_whole(reply, head, await exchange.read_body())
         targets.note_answered(target)
@@ -394,6 +411,33 @@
         self._log_end(passage, target, "delivered")
         return End.DELIVERED
 
+    async def _pass_stream(
+        self,
+        passage: Passage,
+        reply: Reply,
+        target: Target,
+        head: AnswerHead,
+        exchange: Exchange,
+    ) -> None:
+        prompt = passage.request.prompt
+        engine = self._fleet.find_engine(target)
+        if prompt is None or engine is None or not is_long(prompt):
+            await _pass_events(passage.splitter, reply, head, exchange, _ignore)
+            return
+        last_at = self._clock()
+
+        def note_event() -> None:
+            nonlocal last_at
+            now = self._clock()
+            note_pause(engine, now - last_at, passage.route.gap_s)
+            last_at = now
+
+        engine.own_long += 1
+        try:
+            await _pass_events(passage.splitter, reply, head, exchange, note_event)
+        finally:
+            engine.own_long -= 1
+
     def _make_send(
         self,
         passage: Passage,
@@ -510,10 +554,17 @@
             unread=plan.unread if plan else None,
             offers=passage.offers,
             events=passage.splitter.events,
-            held_ms=round((self._clock() - passage.request.received_at) * 1000, 1),
+            read_ms=self._since(passage, passage.read_at),
+            first_ms=self._since(passage, passage.first_at),
+            held_ms=self._since(passage, self._clock()),
             outcome=outcome,
         )
 
+    def _since(self, passage: Passage, at: float | None) -> float | None:
+        if at is None:
+            return None
+        return round((at - passage.request.received_at) * 1000, 1)
+
 
 class _Reading:
     """Tokens that an engine is believed to have before it, until they are read."""
@@ -539,14 +590,19 @@
             self._engine.own_unread -= self._tokens
 
 
-async def _pass_stream(
-    splitter: EventSplitter, reply: Reply, head: AnswerHead, exchange: Exchange
+async def _pass_events(
+    splitter: EventSplitter,
+    reply: Reply,
+    head: AnswerHead,
+    exchange: Exchange,
+    on_events: Callable[[], None],
 ) -> None:
     splitter.rest = b""
     while chunk := await exchange.read_chunk():
         events = take_events(splitter, chunk)
         if not events:
             continue
+        on_events()
         if not reply.has_begun:
             reply.begin(head.status, head.reason, head.headers, None)
         reply.write(events)
