Take no request late in a stop; let short prompts wait for none

Chats were refused behind prompts that go after them. The largest notes were served at under half the rate of all: answers crowded on one engine run slower.

Change: after 2.8 s a stopping gateway closes idle connections and refuses what comes; prompts up to 1,000 tokens wait for none; hosts up to 0.3 of the slots.

--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -35,6 +35,10 @@
 runs."""
 
 
+SMALL_PROMPT_TOKENS = 1000
+"""Prompts up to this length are read before longer ones, so they wait for none: they
+hold nobody up, and would wait for many times their own length otherwise."""
+
 LONG_ANSWER_TOKENS = 500
 """Answers that may be longer than this count as long: they last for seconds, and each
 pause in them counts."""
@@ -150,9 +154,9 @@
     engine.pace += PACE_SMOOTHING * (measured - engine.pace)
 
 
-def estimate_read(engine: Engine, tokens: float) -> float:
-    """Estimate the seconds until an engine has read its backlog and some tokens."""
-    return (engine.unread + tokens) / engine.pace
+def estimate_wait(engine: Engine, prompt: Prompt) -> float:
+    """Estimate the seconds until an engine begins to read a prompt."""
+    return 0.0 if is_small(prompt) else engine.unread / engine.pace
 
 
 def note_read_begun(engine: Engine, now: float, tokens: int) -> None:
@@ -176,6 +180,11 @@
         engine.read_share = min(high, engine.read_share + READ_SHARE_RISE)
 
 
+def is_small(prompt: Prompt) -> bool:
+    """Whether a prompt is short enough to go before long ones."""
+    return prompt.tokens <= SMALL_PROMPT_TOKENS
+
+
 def is_long(prompt: Prompt) -> bool:
     """Whether a prompt asks for an answer that may be long."""
     return prompt.out_tokens > LONG_ANSWER_TOKENS
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -12,7 +12,7 @@
     Engine,
     count_cached,
     count_shared,
-    estimate_read,
+    estimate_wait,
     is_long,
     may_read_beside,
 )
@@ -34,7 +34,7 @@
 """Seconds that each request in flight counts for at a generating engine: its share of
 the steps that it slows down."""
 
-HOST_SHARE = 0.6
+HOST_SHARE = 0.3
 """Share of its slots that long answers may fill before the next engine hosts them."""
 
 HOST_S = 0.02
@@ -175,8 +175,8 @@
     unread = prompt.tokens - cached
     requests = target.in_flight + engine.others_in_flight
     place_s = _weigh_place(target, at.zone)
-    first_s = estimate_read(engine, unread) + requests * SLOT_S + place_s
-    wait_s = engine.unread / engine.pace
+    wait_s = estimate_wait(engine, prompt)
+    first_s = wait_s + unread / engine.pace + requests * SLOT_S + place_s
     cost_s = first_s + _weigh_reread(engine, prompt, cached)
     return Plan(target, None, unread, wait_s, first_s, cost_s)
 
@@ -188,8 +188,8 @@
     # The host reads other prompts meanwhile, but lets a fetched one in between.
     end_s = min(_weigh_target(host, at.zone), MOST_END_S)
     place_s = _weigh_place(reader, at.zone)
-    first_s = estimate_read(engine, unread) + place_s + FETCH_S + end_s
-    wait_s = engine.unread / engine.pace
+    wait_s = estimate_wait(engine, prompt)
+    first_s = wait_s + unread / engine.pace + place_s + FETCH_S + end_s
     cost_s = first_s + _weigh_reread(engine, prompt, cached)
     return Plan(host[0], reader, unread, wait_s, first_s, cost_s)
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -12,6 +12,7 @@
 
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.core import budgets, targets
+from robinspindle.core.forwarding import Refusal
 from robinspindle.core.routes import RouteTable, is_newer
 from robinspindle.core.targets import Announcement, Directory
 from robinspindle.exceptions import BadDocumentError, LogServiceError
@@ -23,7 +24,7 @@
 from robinspindle.peers import LEAST_INTERVAL_S, PeerLink, Peers
 from robinspindle.relay import Dialect, Relay
 
-TICK_S = 0.25
+TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
 
 TARGETS_REST_S = 0.4
@@ -40,13 +41,15 @@
 BUDGET_SHARES = 32
 """Gateways among which the fixed part of the repeat budget is divided."""
 
-UNREADY_S = 3.5
-"""How long a stopping gateway goes on as if nothing had happened, seconds: the balancer
-asks once a second and needs two misses; callers' connections in flight come after."""
+UNREADY_S = 2.8
+"""How long a stopping gateway takes requests, seconds: the balancer asks once a second
+and needs two misses; what is taken after three seconds would have to end in time."""
 
 STOP_MARGIN_S = 0.4
 """How long before the kill a stopping gateway ends by itself, seconds."""
 
+STOPPING = Refusal(503, "stopping", 0.05)
+
 log = make_log("gateway")
 
 
@@ -107,7 +110,7 @@
             self._peers, self._fleet.find_engine_of, self._clock, make_log("peers")
         )
         self._limits = Limits()
-        self._callers = CallerServer(self._relay.handle, self._limits, self._clock)
+        self._callers = CallerServer(self._handle, self._limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
@@ -251,6 +254,13 @@
         if targets.note_store_back(self._directory, self._clock()):
             log("store regained")
 
+    async def _handle(self, incoming: Incoming, reply: Reply) -> None:
+        stopping_at = self._stopping_at
+        if stopping_at is not None and incoming.at - stopping_at > UNREADY_S:
+            reply.refuse(STOPPING)
+            return
+        await self._relay.handle(incoming, reply)
+
     async def _answer_ready(self, incoming: Incoming, reply: Reply) -> None:
         ready = self.is_ready
         status, reason = (200, b"OK") if ready else (503, b"Service Unavailable")
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -11,6 +11,7 @@
 from robinspindle.core.engines import (
     Engine,
     is_long,
+    is_small,
     note_pace,
     note_pause,
     note_placed,
@@ -49,11 +50,9 @@
 """A refused caller is told to come back between these, seconds: queues of prompts last
 some tenths of a second, and callers that come back together would meet again."""
 
-SMALL_PROMPT_TOKENS = 1000
 SMALL_URGENCY = 1
 LARGE_URGENCY = 4
-"""Short prompts are read before long ones: they hold nobody up, and would wait for
-many times their own length otherwise."""
+"""Short prompts are read before long ones."""
 
 UPSTREAM_FAULTS = frozenset((500, 502, 503, 504))
 
@@ -448,8 +447,7 @@
         prompt = passage.request.prompt
         urgency = min(9, passage.route.priority)
         if prompt is not None:
-            is_small = prompt.tokens <= SMALL_PROMPT_TOKENS
-            urgency = SMALL_URGENCY if is_small else LARGE_URGENCY
+            urgency = SMALL_URGENCY if is_small(prompt) else LARGE_URGENCY
         events = passage.splitter.events
         return Send(
             lifetime=target.announced.lifetime,
