--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -78,6 +78,9 @@
     """State of the process.
 
     Attributes:
+        directory: The targets.
+        fleet: What is kept for them.
+        peers: The other gateways.
         is_ready: Whether callers may be sent here.
     """
 
@@ -90,8 +93,8 @@
         self._adapter = adapter
         self._clock = time.monotonic
         self._store = adapter.make_store(settings, self._clock)
-        self._directory = Directory(hold_s=pledges.leave_s / 2)
-        self._fleet = Fleet(self._directory, adapter.dialect.decode_answer)
+        self.directory = Directory(hold_s=pledges.leave_s / 2)
+        self.fleet = Fleet(self.directory, adapter.dialect.decode_answer)
         budget = budgets.RepeatBudget(
             pledges.repeat_ratio,
             pledges.repeat_slack / BUDGET_SHARES,
@@ -99,35 +102,42 @@
         )
         self._relay = Relay(
             adapter.dialect,
-            self._fleet,
+            self.fleet,
             budget,
             settings.zone,
             make_log("relay"),
             self._clock,
         )
-        self._peers = Peers(settings.name, time.time())
+        self.peers = Peers(settings.name, time.time())
         self._link = PeerLink(
-            self._peers, self._fleet.find_engine_of, self._clock, make_log("peers")
+            self.peers, self.fleet.find_engine_of, self._clock, make_log("peers")
         )
         self._limits = Limits()
         self._callers = CallerServer(self._handle, self._limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
+        self._tasks: list[asyncio.Task] = []
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until a signal to stop and the end of what is under way."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
-        loop.add_signal_handler(signal.SIGINT, self._begin_stop)
+        loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
+        loop.add_signal_handler(signal.SIGINT, self.begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        await self.start()
+        await self.wait_stopped()
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        loop = asyncio.get_running_loop()
         settings = self._settings
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._callers.start(settings.callers.host, settings.callers.port)
         peer_address = HostPort(settings.ip, settings.inner_ports[0])
         await self._link.start(peer_address)
         log("started", name=settings.name, zone=settings.zone)
-        tasks = [
+        self._tasks = [
             loop.create_task(self._introduce(peer_address)),
             loop.create_task(self._tell_peers()),
             loop.create_task(follow(self._store, self._follow_peers(), log)),
@@ -135,10 +145,22 @@
             loop.create_task(follow(self._store, self._follow_targets(), log)),
             loop.create_task(self._keep_house()),
         ]
-        for task in tasks:
+        for task in self._tasks:
             task.add_done_callback(_end_on_failure)
+
+    async def wait_stopped(self) -> None:
+        """Wait for the end of a stop."""
         await self._stopped.wait()
-        log("stopped", name=settings.name)
+        await self.close()
+
+    async def close(self) -> None:
+        """End at once, with whatever is under way."""
+        for task in self._tasks:
+            task.cancel()
+        self._callers.close_listener()
+        self._readiness.close_listener()
+        self._link.close()
+        log("stopped", name=self._settings.name)
         self._output.flush()
 
     @property
@@ -146,8 +168,8 @@
         """Whether callers may be sent here."""
         return (
             self._stopping_at is None
-            and self._fleet.table is not None
-            and self._directory.known
+            and self.fleet.table is not None
+            and self.directory.known
         )
 
     def _follow_configuration(self) -> Follower:
@@ -181,9 +203,9 @@
             return
         host, _, port = (value or b"").decode("latin-1").rpartition(":")
         if not host or not port.isdecimal():
-            self._peers.addresses.pop(key, None)
+            self.peers.addresses.pop(key, None)
             return
-        self._peers.addresses[key] = HostPort(host, int(port))
+        self.peers.addresses[key] = HostPort(host, int(port))
         log("peer introduced", peer=key, address=f"{host}:{port}")
 
     async def _introduce(self, address: HostPort) -> None:
@@ -204,7 +226,7 @@
         while True:
             await asyncio.sleep(LEAST_INTERVAL_S)
             placements = self._relay.placements
-            if self._link.tell(self._clock(), self._fleet.list_loads(), placements):
+            if self._link.tell(self._clock(), self.fleet.list_loads(), placements):
                 placements.clear()
 
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
@@ -215,10 +237,10 @@
         except BadDocumentError as error:
             log("configuration can't be read, the last one stays", error=str(error))
             return
-        if not is_newer(table, self._fleet.table):
+        if not is_newer(table, self.fleet.table):
             log("older configuration passed over", version=table.version)
             return
-        self._fleet.table = table
+        self.fleet.table = table
         limits = table.limits
         self._limits.header_bytes = limits.header_bytes
         self._limits.body_bytes = limits.body_bytes
@@ -228,7 +250,7 @@
 
     def _apply_target(self, key: str, value: bytes | None) -> None:
         if value is None:
-            if targets.note_missing(self._directory, self._clock(), key):
+            if targets.note_missing(self.directory, self._clock(), key):
                 log("target's entry is gone", target=key)
             return
         try:
@@ -236,7 +258,7 @@
         except BadDocumentError as error:
             log("target's entry can't be read", target=key, error=str(error))
             return
-        if targets.note_announced(self._directory, announced):
+        if targets.note_announced(self.directory, announced):
             log(
                 "target announced",
                 target=key,
@@ -246,12 +268,12 @@
             )
 
     def _note_away(self) -> None:
-        if targets.note_store_away(self._directory, self._clock()):
+        if targets.note_store_away(self.directory, self._clock()):
             log("store lost")
 
     def _note_back(self) -> None:
-        self._directory.known = True
-        if targets.note_store_back(self._directory, self._clock()):
+        self.directory.known = True
+        if targets.note_store_back(self.directory, self._clock()):
             log("store regained")
 
     async def _handle(self, incoming: Incoming, reply: Reply) -> None:
@@ -272,8 +294,8 @@
             await asyncio.sleep(TICK_S)
             self._output.flush()
             now = self._clock()
-            for target in targets.drop_gone(self._directory, now):
-                self._fleet.forget(target)
+            for target in targets.drop_gone(self.directory, now):
+                self.fleet.forget(target)
                 log("target is gone", target=target.announced.lifetime)
             self._link.forget_silent(now)
             self._callers.close_idle(now)
@@ -281,7 +303,8 @@
             if self._stopping_at is not None:
                 self._go_on_stopping(now)
 
-    def _begin_stop(self) -> None:
+    def begin_stop(self) -> None:
+        """Become unready; take no requests after a while; end when all is done."""
         if self._stopping_at is None:
             self._stopping_at = self._clock()
             self._callers.is_stopping = True
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -77,6 +77,11 @@
             family=socket.AF_INET,
         )
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport) -> None:
         """Note the transport."""
         self._transport = transport
--- /dev/null
+++ b/standins/rawhttp.py
@@ -0,0 +1,115 @@
+"""Raw HTTP on an event loop, for stand-ins that have to misbehave on purpose."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+
+@dataclass
+class RawRequest:
+    """A request as it came.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Names in lower case.
+        body: The whole body.
+        is_left: Tells whether the sender has closed its side since.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    is_left: Callable[[], bool]
+
+
+Answer = Callable[[RawRequest, asyncio.StreamWriter], Awaitable[bool]]
+"""Writes an answer; returns whether the connection stays open."""
+
+
+class RawServer:
+    """Listens on the loopback and hands each request to a function.
+
+    Attributes:
+        port: The port, once started.
+        opened: Connections that were opened so far.
+    """
+
+    def __init__(self, answer: Answer):
+        self.port = 0
+        self.opened = 0
+        self._answer = answer
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def address(self) -> str:
+        """IP:PORT."""
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on a free port, or on the one given."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def reset_all(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            reset(writer)
+
+    async def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        self._server.close()
+        self.reset_all()
+
+    async def _serve(self, reader, writer) -> None:
+        self.opened += 1
+        self._writers.add(writer)
+        try:
+            while (request := await _read_request(reader)) is not None:
+                if not await self._answer(request, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The peer or the test ended, which is what many tests are about.
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, which a plain close would end cleanly."""
+    if writer.transport.is_closing():
+        return
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def write_answer(
+    writer: asyncio.StreamWriter,
+    status: int,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> None:
+    """Write a whole answer."""
+    lines = [f"HTTP/1.1 {status} Phrase", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+async def _read_request(reader: asyncio.StreamReader) -> RawRequest | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head[:-4].decode("latin-1").split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length) if length else b""
+    return RawRequest(method, target, headers, body, reader.at_eof)
--- /dev/null
+++ b/standins/replica.py
@@ -0,0 +1,179 @@
+"""Stand-in for one of the users' replicas: an engine or a plain service."""
+
+import asyncio
+import json
+from collections import deque
+
+from standins.rawhttp import RawRequest, RawServer, reset, write_answer
+
+
+class Replica:
+    """One lifetime of a replica.
+
+    Attributes:
+        lifetime: Its id.
+        service: Its service.
+        role: ``prefill``, ``decode`` or empty.
+        behaviours: How the next requests are answered, in turn; ``ok`` when empty.
+        arrivals: All requests that came to be run or read.
+        events: Events of a whole stream.
+        freed: Handles that were freed.
+        closed: Ids of requests whose connection closed before their end.
+    """
+
+    def __init__(self, lifetime: str, service: str, role: str = "", events: int = 3):
+        self.lifetime = lifetime
+        self.service = service
+        self.role = role
+        self.events = events
+        self.behaviours: deque[str] = deque()
+        self.arrivals: list[RawRequest] = []
+        self.freed: list[str] = []
+        self.closed: list[str] = []
+        self.gate = asyncio.Event()
+        self.server = RawServer(self._answer)
+
+    def describe(self, state: str = "ready", zone: str = "a") -> dict:
+        """Describe it as its entry in the store does."""
+        entry = {
+            "Service": self.service,
+            "Address": self.server.address,
+            "Zone": zone,
+            "Version": "v1",
+            "Slots": 6,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+        }
+        if self.role:
+            entry["Stage"] = self.role
+        return entry
+
+    async def _answer(self, request: RawRequest, writer) -> bool:
+        if request.method == "DELETE":
+            self.freed.append(request.target.rpartition("/")[2])
+            write_answer(writer, 200)
+            return True
+        self.arrivals.append(request)
+        if request.headers.get("x-expect-instance") != self.lifetime:
+            write_answer(writer, 421, headers={"X-Instance-Id": self.lifetime})
+            return True
+        behaviour = self.behaviours.popleft() if self.behaviours else "ok"
+        return await getattr(self, "_be_" + behaviour)(request, writer)
+
+    def _head(self, request: RawRequest) -> dict[str, str]:
+        return {
+            "X-Request-Id": request.headers.get("x-request-id", ""),
+            "X-Response-Seal": f"seal-{self.lifetime}",
+        }
+
+    async def _be_ok(self, request: RawRequest, writer) -> bool:
+        if request.headers.get("x-stage") == "prefill":
+            handle = {"KvHandle": f"h{len(self.arrivals)}", "Tokens": 1, "Version": 1}
+            write_answer(writer, 200, json.dumps(handle).encode(), self._head(request))
+        elif "x-model" in request.headers:
+            self._begin_stream(request, writer)
+            self._write_events(request, writer, self.events)
+            writer.write(b"0\r\n\r\n")
+        else:
+            write_answer(
+                writer, 200, b"body of " + self._id(request), self._head(request)
+            )
+        return True
+
+    async def _be_full(self, request: RawRequest, writer) -> bool:
+        head = self._head(request) | {"X-Not-Executed": "1"}
+        write_answer(writer, 503, b"", head)
+        return True
+
+    async def _be_error(self, request: RawRequest, writer) -> bool:
+        write_answer(writer, 500, b"fault", self._head(request))
+        return True
+
+    async def _be_unmarked(self, request: RawRequest, writer) -> bool:
+        write_answer(writer, 503, b"fault", self._head(request))
+        return True
+
+    async def _be_reset(self, request: RawRequest, writer) -> bool:
+        reset(writer)
+        return False
+
+    async def _be_garbage(self, request: RawRequest, writer) -> bool:
+        writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+        return False
+
+    async def _be_unsealed(self, request: RawRequest, writer) -> bool:
+        head = self._head(request)
+        del head["X-Response-Seal"]
+        write_answer(writer, 200, b"whose body is this", head)
+        return True
+
+    async def _be_surplus(self, request: RawRequest, writer) -> bool:
+        """An answer to an earlier request comes where this one's is due."""
+        stale = {"X-Request-Id": "earlier", "X-Response-Seal": "seal-earlier"}
+        write_answer(writer, 200, b"body of earlier", stale)
+        return await self._be_ok(request, writer)
+
+    async def _be_twice(self, request: RawRequest, writer) -> bool:
+        """The answer comes twice."""
+        await self._be_ok(request, writer)
+        return await self._be_ok(request, writer)
+
+    async def _be_interim(self, request: RawRequest, writer) -> bool:
+        writer.write(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+        return await self._be_ok(request, writer)
+
+    async def _be_unframed(self, request: RawRequest, writer) -> bool:
+        """An answer without a length ends with its connection."""
+        self._write_unframed(request, writer)
+        return False
+
+    async def _be_cut_unframed(self, request: RawRequest, writer) -> bool:
+        """The same, reset before its end."""
+        self._write_unframed(request, writer)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+        return False
+
+    async def _be_torn(self, request: RawRequest, writer) -> bool:
+        """A stream breaks off in the middle of its second event."""
+        self._begin_stream(request, writer)
+        self._write_events(request, writer, 1)
+        piece = b"id: 2\ndata: half of"
+        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+        return False
+
+    async def _be_held(self, request: RawRequest, writer) -> bool:
+        """Answer only once the gate opens, and notice a hang-up."""
+        while not self.gate.is_set():
+            await asyncio.sleep(0.01)
+            if request.is_left():
+                self.closed.append(request.headers["x-request-id"])
+                return False
+        return await self._be_ok(request, writer)
+
+    def _write_unframed(self, request: RawRequest, writer) -> None:
+        lines = [f"{name}: {value}" for name, value in self._head(request).items()]
+        head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n"
+        writer.write(head.encode() + b"body of " + self._id(request))
+
+    def _begin_stream(self, request: RawRequest, writer) -> None:
+        lines = [f"{name}: {value}" for name, value in self._head(request).items()]
+        lines.append("Content-Type: text/event-stream")
+        lines.append("Transfer-Encoding: chunked")
+        writer.write(
+            ("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines)).encode() + b"\r\n\r\n"
+        )
+
+    def _write_events(self, request: RawRequest, writer, last: int) -> None:
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, last + 1):
+            piece = b"id: %d\ndata: %s-%d\n\n" % (number, self._id(request), number)
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+
+    def _id(self, request: RawRequest) -> bytes:
+        return request.headers.get("x-request-id", "").encode()
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,208 @@
+"""A gateway in front of stand-ins, all in one event loop, and raw callers."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from robinspindle.boundedoutput import BoundedOutput
+from robinspindle.gateway import Gateway
+from robinspindle.gatewaysettings import GatewaySettings, HostPort, Pledges
+from robinspindle.platform.adapter import PlatformAdapter
+from standins.logstore import LogStore
+from standins.replica import Replica
+
+HOST = "shop.example"
+MOST_S = 10.0
+"""A test that hangs fails after this, seconds; no test depends on its length."""
+
+
+def make_route(name, kind, service, **more):
+    return {
+        "Name": name,
+        "Hostname": HOST,
+        "PathPrefix": f"/{name}/",
+        "Kind": kind,
+        "TimeoutMs": 5000,
+        "TargetLatencyMs": 1000,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+        **more,
+    }
+
+
+def make_configuration(version=1, routes=None, attempts=2):
+    return {
+        "Version": version,
+        "Routes": routes
+        or [
+            make_route("safe", "idempotent", "push", MaxAttempts=attempts),
+            make_route("once", "non_idempotent", "push", MaxAttempts=attempts),
+            make_route("chat", "stream", "lm", MaxAttempts=attempts),
+            make_route("digest", "stream", "lm", Resumable=True, MaxAttempts=attempts),
+        ],
+        "Services": [
+            {"Name": "push", "MaxConnections": 100},
+            {
+                "Name": "lm",
+                "MaxConnections": 100,
+                "Engine": {"Slots": 8, "KvCapacityTokens": 100000},
+            },
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 65536,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+    }
+
+
+@dataclass
+class Reply:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class Deployment:
+    store: LogStore
+    gateway: Gateway
+    port: int
+    ready_port: int
+    inner_port: int
+    replicas: dict[str, Replica] = field(default_factory=dict)
+
+    async def add(self, lifetime, service="push", role="", **more):
+        replica = Replica(lifetime, service, role, **more)
+        await replica.server.start()
+        self.replicas[lifetime] = replica
+        await self.announce(replica)
+        return replica
+
+    async def announce(self, replica, state="ready"):
+        await self.store.put("keyed.servers", replica.lifetime, replica.describe(state))
+        await until(lambda: self.knows(replica.lifetime, state))
+
+    def knows(self, lifetime, state="ready"):
+        target = self.gateway.directory.targets.get(lifetime)
+        return target is not None and target.announced.leaving == (state != "ready")
+
+    async def configure(self, **more):
+        configuration = make_configuration(**more)
+        await self.store.put("keyed.op", "config", configuration)
+        await until(lambda: self.version == configuration["Version"])
+
+    @property
+    def version(self):
+        table = self.gateway.fleet.table
+        return table.version if table else 0
+
+    async def call(self, path, id="r1", method="POST", body=b"hello", **headers):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        try:
+            writer.write(write_request(method, path, id, body, headers))
+            return await read_reply(reader)
+        finally:
+            writer.close()
+
+    async def ask_ready(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ready_port)
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        reply = await read_reply(reader)
+        writer.close()
+        return reply.status
+
+    def prompt(self, out="3", parts="aa:100,bb:50,cc:10", tokens=160):
+        return {
+            "X-Model": "m",
+            "X-Token-Count": f"{tokens},{out}",
+            "X-Prompt-Prefix": parts,
+        }
+
+
+def write_request(method, path, id, body, headers):
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def read_reply(reader):
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(0, {}, b"", False)
+    first, *lines = head[:-4].decode().split("\r\n")
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = b""
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readline(), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
+        body += getattr(error, "partial", b"")
+        return Reply(int(first.split()[1]), headers, body, False)
+    return Reply(int(first.split()[1]), headers, body, True)
+
+
+async def until(condition):
+    async with asyncio.timeout(MOST_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def deploy(tmp_path, configured=True, pledges=None):
+    """Run a gateway with a store; replicas are added by the test."""
+    store = LogStore()
+    await store.server.start()
+    ports = _find_ports(3)
+    settings = GatewaySettings(
+        name="gateway-1",
+        zone="a",
+        ip="127.0.0.1",
+        callers=HostPort("127.0.0.1", ports[0]),
+        readiness=HostPort("127.0.0.1", ports[1]),
+        store=HostPort("127.0.0.1", store.server.port),
+        inner_ports=(ports[2], ports[2]),
+        memory_mb=300.0,
+        pledges=pledges or Pledges(repeat_slack=320.0),
+    )
+    with open(tmp_path / "out", "wb") as out:
+        gateway = Gateway(settings, PlatformAdapter(), BoundedOutput(out.fileno()))
+        await gateway.start()
+        deployment = Deployment(store, gateway, *ports)
+        if configured:
+            await deployment.configure()
+        try:
+            async with asyncio.timeout(MOST_S * 3):
+                yield deployment
+        finally:
+            await gateway.close()
+            for replica in deployment.replicas.values():
+                await replica.server.stop()
+            await store.server.stop()
+
+
+def run(coroutine):
+    return asyncio.run(coroutine)
+
+
+def _find_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
--- /dev/null
+++ b/tests/platform/test_gateway.py
@@ -0,0 +1,183 @@
+"""A gateway as a whole: the store's troubles, targets that leave, stops, peers."""
+
+import asyncio
+import socket
+
+from robinspindle import gateway as gateway_module
+from robinspindle.core.sharing import Digest, Load, Placement
+from robinspindle.peers import encode
+from tests.platform.deployment import deploy, read_reply, run, until, write_request
+
+
+def test_a_leaving_target_gets_nothing_new(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            first, second = await d.add("i1"), await d.add("i2")
+            await d.announce(first, "draining")
+            for number in range(8):
+                assert (await d.call("/once/x", id=f"r{number}")).status == 200
+            assert not first.arrivals
+            assert len(second.arrivals) == 8
+
+    run(play())
+
+
+def test_a_notice_to_leave_is_never_taken_back(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            first = await d.add("i1")
+            await d.announce(first, "draining")
+            await d.store.put("keyed.servers", "i1", first.describe("ready"))
+            await d.add("i2")
+            assert d.gateway.directory.targets["i1"].announced.leaving
+
+    run(play())
+
+
+def test_requests_go_on_while_the_store_is_away_and_changes_come_after(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            for trouble in ("busy", "reset"):
+                d.store.trouble = trouble
+                d.store.server.reset_all()
+                await until(lambda: d.gateway.directory.away_since is not None)
+                assert (await d.call("/once/x", id=trouble)).status == 200
+                d.store.trouble = ""
+                await until(lambda: d.gateway.directory.away_since is None)
+            await d.configure(version=9)
+            assert len(replica.arrivals) == 2
+
+    run(play())
+
+
+def test_entries_that_lapse_while_the_store_is_away_are_not_gone_at_once(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("i1")
+            d.store.trouble = "busy"
+            d.store.server.reset_all()
+            await until(lambda: d.gateway.directory.away_since is not None)
+            await d.store.put("keyed.servers", "i1", None)
+            d.store.trouble = ""
+            target = d.gateway.directory.targets["i1"]
+            await until(lambda: target.gone_at is not None)
+            assert target.gone_at >= d.gateway.directory.back_at + 2.0
+            assert (await d.call("/once/x")).status == 200
+
+    run(play())
+
+
+def test_records_that_are_gone_are_made_good_from_the_newest_of_each_key(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("i1")
+            await d.add("i2")
+            d.store.trouble = "busy"
+            d.store.server.reset_all()
+            await until(lambda: d.gateway.directory.away_since is not None)
+            d.store.drop_silently("keyed.servers", "i1")
+            await d.store.put("keyed.servers", "i3", d.replicas["i2"].describe())
+            d.store.compact("keyed.servers")
+            d.store.trouble = ""
+            await until(lambda: d.knows("i3"))
+            assert d.gateway.directory.targets["i1"].gone_at is not None
+            assert d.gateway.directory.targets["i2"].gone_at is None
+
+    run(play())
+
+
+def test_the_newest_are_read_page_by_page(tmp_path):
+    async def play():
+        async with deploy(tmp_path, configured=False) as d:
+            d.store.page = 2
+            for number in range(5):
+                entry = {"Service": "push", "Address": "127.0.0.1:9", "Zone": "a"}
+                await d.store.put("keyed.servers", f"i{number}", entry)
+            d.store.compact("keyed.servers")
+            await until(lambda: all(d.knows(f"i{number}") for number in range(5)))
+
+    run(play())
+
+
+def test_a_stopping_gateway_is_unready_at_once_and_ends_what_it_has(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            await until(lambda: d.gateway.is_ready)
+            replica.behaviours.append("held")
+            under_way = asyncio.create_task(d.call("/once/x", id="under-way"))
+            await until(lambda: replica.arrivals)
+            d.gateway.begin_stop()
+            assert await d.ask_ready() == 503
+            reply = await d.call("/once/x", id="still-taken")
+            assert reply.status == 200
+            assert reply.headers["connection"] == "close"
+            replica.gate.set()
+            assert (await under_way).body == b"body of under-way"
+
+    run(play())
+
+
+def test_a_stopping_gateway_takes_nothing_that_would_end_too_late(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(gateway_module, "UNREADY_S", 0.3)
+
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            replica.behaviours.append("held")
+            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            begun = write_request("POST", "/once/x", "late", b"hello", {})
+            # The request has begun before the stop and comes whole after it.
+            writer.write(begun[:40])
+            idle, _ = await asyncio.open_connection("127.0.0.1", d.port)
+            under_way = asyncio.create_task(d.call("/once/x", id="under-way"))
+            await until(lambda: replica.arrivals)
+            d.gateway.begin_stop()
+            await until(idle.at_eof)
+            writer.write(begun[40:])
+            reply = await read_reply(reader)
+            assert reply.status == 503
+            assert [a.headers["x-request-id"] for a in replica.arrivals] == [
+                "under-way"
+            ]
+            replica.gate.set()
+            assert (await under_way).status == 200
+            await d.gateway.wait_stopped()
+
+    run(play())
+
+
+def test_a_gateway_introduces_itself_and_learns_of_others(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.store.put("keyed.gateways", "gateway-2", b"127.0.0.1:9")
+            await until(lambda: "gateway-2" in d.gateway.peers.addresses)
+            assert d.store.calls.count("POST /log-append") == 1
+
+    run(play())
+
+
+def test_a_peers_work_counts_until_it_falls_silent(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("p1", "lm", "prefill")
+            engine = d.gateway.fleet.find_engine_of("p1")
+            digest = Digest(
+                "gateway-2",
+                1.0,
+                1,
+                [Load("p1", 2, 5000, 1)],
+                [Placement("p1", [("aa", 4000)], 4000), Placement("unknown", [])],
+            )
+            sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sender.sendto(b"no datagram of ours", ("127.0.0.1", d.inner_port))
+            sender.sendto(encode(digest), ("127.0.0.1", d.inner_port))
+            sender.close()
+            await until(lambda: engine.unread == 5000)
+            assert engine.cached == {"aa": 4000}
+            await until(lambda: engine.unread == 0)
+
+    run(play())
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,354 @@
+"""The path of a request through a gateway, against stand-ins that misbehave."""
+
+import asyncio
+
+import pytest
+
+from tests.platform.deployment import (
+    HOST,
+    deploy,
+    make_configuration,
+    make_route,
+    read_reply,
+    run,
+    until,
+    write_request,
+)
+
+SEAL = "x-response-seal"
+
+
+def test_a_request_reaches_a_target_unchanged_and_its_answer_returns(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            reply = await d.call(
+                "/once/x?y=%20z", **{"X-Deadline-Ms": "800", "X-Own": "kept"}
+            )
+            assert (reply.status, reply.body) == (200, b"body of r1")
+            assert reply.headers[SEAL] == "seal-i1"
+            (arrival,) = replica.arrivals
+            assert arrival.target == "/once/x?y=%20z"
+            assert arrival.body == b"hello"
+            assert arrival.headers["host"] == HOST
+            assert arrival.headers["x-own"] == "kept"
+            assert 0 < int(arrival.headers["x-deadline-ms"]) <= 800
+
+    run(play())
+
+
+def test_headers_that_are_the_systems_to_set_are_dropped_from_callers(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            ours = {
+                "X-Kv-Source": "1.2.3.4:5/h",
+                "X-Kv-Hold": "x",
+                "X-Pin-Ms": "9",
+                "X-Kv-Backup": "1.2.3.4:5",
+                "X-Stage": "prefill",
+                "X-Expect-Instance": "other",
+                "X-Request-Priority": "0",
+                "Connection": "x-secret",
+                "X-Secret": "1",
+            }
+            reply = await d.call("/once/x", **ours)
+            assert reply.status == 200
+            (arrival,) = replica.arrivals
+            assert arrival.headers["x-expect-instance"] == "i1"
+            for name in ("x-kv-source", "x-kv-hold", "x-pin-ms", "x-kv-backup"):
+                assert name not in arrival.headers
+            assert "x-stage" not in arrival.headers
+            assert "x-secret" not in arrival.headers
+
+    run(play())
+
+
+def test_before_a_configuration_is_known_nothing_is_refused_for_good(tmp_path):
+    async def play():
+        async with deploy(tmp_path, configured=False) as d:
+            assert await d.ask_ready() == 503
+            reply = await d.call("/once/x")
+            assert reply.status == 503
+            assert "retry-after" in reply.headers
+            await d.configure()
+            await until(lambda: d.gateway.is_ready)
+            assert await d.ask_ready() == 200
+            assert (await d.call("/nowhere/x")).status == 404
+
+    run(play())
+
+
+@pytest.mark.parametrize("behaviour", ["garbage", "unsealed", "reset", "cut_unframed"])
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x"])
+def test_what_is_no_whole_answer_never_reaches_a_caller(tmp_path, path, behaviour):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replicas = [await d.add("i1"), await d.add("i2")]
+            for replica in replicas:
+                replica.behaviours.append(behaviour)
+            reply = await d.call(path)
+            runs = sum(len(replica.arrivals) for replica in replicas)
+            # Not "not run": it may have run. Only what may be repeated is.
+            assert reply.status == 502
+            assert SEAL not in reply.headers
+            assert runs == (1 if path == "/once/x" else 2)
+
+    run(play())
+
+
+def test_a_full_target_is_passed_over_also_for_what_may_not_be_repeated(tmp_path):
+    async def play():
+        async with deploy(tmp_path, pledges=None) as d:
+            first, second = await d.add("i1"), await d.add("i2")
+            first.behaviours.append("full")
+            second.behaviours.append("full")
+            reply = await d.call("/once/x")
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+            assert len(first.arrivals) + len(second.arrivals) == 2
+
+    run(play())
+
+
+def test_a_503_that_does_not_say_not_run_is_no_promise_to_the_caller(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            replica.behaviours.append("unmarked")
+            reply = await d.call("/once/x")
+            assert reply.status == 502
+            assert SEAL not in reply.headers
+
+    run(play())
+
+
+def test_a_targets_own_fault_is_passed_on_whole_and_repeated_where_allowed(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            first, second = await d.add("i1"), await d.add("i2")
+            for replica in (first, second):
+                replica.behaviours.append("error")
+            reply = await d.call("/once/x", id="once")
+            assert (reply.status, reply.body) == (500, b"fault")
+            assert len(first.arrivals) + len(second.arrivals) == 1
+            assert (await d.call("/safe/x", id="safe")).status == 200
+
+    run(play())
+
+
+@pytest.mark.parametrize("behaviour", ["surplus", "twice", "interim", "unframed"])
+def test_each_caller_gets_its_own_answer(tmp_path, behaviour):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            replica.behaviours.extend(["ok", behaviour, "ok", behaviour])
+            for number in range(6):
+                reply = await d.call("/once/x", id=f"r{number}")
+                assert (reply.status, reply.body) == (200, b"body of r%d" % number)
+
+    run(play())
+
+
+def test_an_address_that_another_lifetime_has_gets_nothing_run(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            replica.lifetime = "i9"
+            reply = await d.call("/once/x")
+            assert reply.status == 503
+            assert d.gateway.directory.targets["i1"].replaced
+
+    run(play())
+
+
+def test_a_stream_arrives_whole_and_in_order(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("i1", "lm", "decode")
+            reply = await d.call("/chat/x", **d.prompt())
+            assert reply.is_whole
+            assert [e.split(b"\n")[0] for e in reply.body.split(b"\n\n")[:-1]] == [
+                b"id: 1",
+                b"id: 2",
+                b"id: 3",
+            ]
+
+    run(play())
+
+
+def test_a_torn_stream_goes_on_at_another_target_where_that_is_allowed(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            first = await d.add("i1", "lm", "decode")
+            second = await d.add("i2", "lm", "decode")
+            for replica in (first, second):
+                replica.behaviours.append("torn")
+            # Whoever is second has its torn behaviour left: only the first tears.
+            reply = None
+            replicas = {"i1": first, "i2": second}
+            task = asyncio.create_task(d.call("/digest/x", **d.prompt()))
+            await until(lambda: first.arrivals or second.arrivals)
+            other = replicas["i2"] if first.arrivals else replicas["i1"]
+            other.behaviours.clear()
+            reply = await task
+            assert reply.is_whole
+            ids = [e.split(b"\n")[0] for e in reply.body.split(b"\n\n")[:-1]]
+            assert ids == [b"id: 1", b"id: 2", b"id: 3"]
+            assert other.arrivals[0].headers["last-event-id"] == "1"
+
+    run(play())
+
+
+def test_a_torn_stream_that_may_not_be_repeated_never_looks_whole(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            first = await d.add("i1", "lm", "decode")
+            second = await d.add("i2", "lm", "decode")
+            for replica in (first, second):
+                replica.behaviours.append("torn")
+            reply = await d.call("/chat/x", **d.prompt())
+            assert not reply.is_whole
+            assert reply.body == b"id: 1\ndata: r1-1\n\n"
+            assert len(first.arrivals) + len(second.arrivals) == 1
+
+    run(play())
+
+
+def test_a_callers_hang_up_ends_the_work_at_the_target(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            replica.behaviours.append("held")
+            _, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            writer.write(write_request("POST", "/safe/x", "gone", b"hello", {}))
+            await until(lambda: replica.arrivals)
+            writer.close()
+            await until(lambda: replica.closed == ["gone"])
+
+    run(play())
+
+
+def test_a_prompt_is_read_apart_and_fetched_by_the_engine_that_generates(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            reader = await d.add("p1", "lm", "prefill")
+            host = await d.add("d1", "lm", "decode")
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            reply = await d.call("/digest/x", **prompt)
+            assert reply.is_whole
+            assert reader.arrivals[0].headers["x-stage"] == "prefill"
+            source = host.arrivals[0].headers["x-kv-source"]
+            assert source == f"{reader.server.address}/h1"
+
+    run(play())
+
+
+def test_a_prompt_that_could_not_be_read_apart_is_read_where_it_is_answered(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            reader = await d.add("p1", "lm", "prefill")
+            host = await d.add("d1", "lm", "decode")
+            reader.behaviours.append("full")
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            reply = await d.call("/digest/x", **prompt)
+            assert reply.is_whole
+            assert "x-kv-source" not in host.arrivals[0].headers
+
+    run(play())
+
+
+def test_a_prompt_that_was_read_and_is_not_needed_is_freed(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            reader = await d.add("p1", "lm", "prefill")
+            host = await d.add("d1", "lm", "decode")
+            host.behaviours.append("full")
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            reply = await d.call("/digest/x", **prompt)
+            assert reply.status == 503
+            await until(lambda: reader.freed == ["h1"])
+
+    run(play())
+
+
+def test_a_kept_connection_serves_many_requests_and_bodies_that_come_in_chunks(
+    tmp_path,
+):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            for number in range(3):
+                request = write_request("POST", "/once/x", f"r{number}", b"hello", {})
+                for at in range(0, len(request), 7):
+                    writer.write(request[at : at + 7])
+                    await writer.drain()
+                reply = await read_reply(reader)
+                assert reply.body == b"body of r%d" % number
+            head = write_request("GET", "/once/x", "chunked", b"", {})[:-2]
+            writer.write(head.replace(b"GET", b"POST"))
+            writer.write(b"Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n")
+            writer.write(b"0\r\n\r\n")
+            assert (await read_reply(reader)).body == b"body of chunked"
+            assert replica.arrivals[-1].body == b"hello"
+            writer.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 5\r\nContent-Length: 6\r\n",
+        b"X-Folded: a\r\n Content-Length: 5\r\n",
+        b"Transfer-Encoding : chunked\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+    ],
+)
+def test_a_request_can_not_be_hidden_in_another(tmp_path, head):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            hidden = write_request("POST", "/once/x", "hidden", b"", {})
+            writer.write(b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\n" + head)
+            writer.write(b"X-Request-Id: outer\r\n\r\n0\r\n\r\n" + hidden)
+            await read_reply(reader)
+            writer.close()
+            ids = [arrival.headers["x-request-id"] for arrival in replica.arrivals]
+            assert "hidden" not in ids
+
+    run(play())
+
+
+def test_a_request_on_two_routes_takes_the_longest_prefix(tmp_path):
+    async def play():
+        routes = [
+            make_route("a", "idempotent", "push"),
+            make_route("a/b", "idempotent", "other"),
+        ]
+        async with deploy(tmp_path, configured=False) as d:
+            await d.configure(routes=routes)
+            push, other = await d.add("i1"), await d.add("i2", "other")
+            assert (await d.call("/a/b/c")).status == 200
+            assert (await d.call("/a/bc")).status == 200
+            assert [len(r.arrivals) for r in (push, other)] == [1, 1]
+
+    run(play())
+
+
+def test_configuration_in_force_never_goes_back_and_a_bad_one_changes_nothing(
+    tmp_path,
+):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=5)
+            await d.store.put("keyed.op", "config", make_configuration(version=3))
+            await d.store.put("keyed.op", "config", b"{not json")
+            await d.store.put("keyed.op", "config", make_configuration(version=7))
+            await until(lambda: d.version != 5)
+            assert d.version == 7
+
+    run(play())
