Rest a target at once when nobody listens; read targets' entries less often

Ruled out: fewer polls of the configuration (it has to be in force in two seconds).

Change: a refused connection rests a target from the first on; entries are read every 0.35 of the time that a leaving target is allowed; tests of all new decisions.

--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -195,6 +195,12 @@
     return [target for target in listed if is_healthy(target, now)] or listed
 
 
+def note_refused(target: Target, now: float) -> None:
+    """Take note that nobody listens at a target's address: its process is gone."""
+    target.failures = max(target.failures, FAILURES_TO_REST)
+    note_broken(target, now)
+
+
 def note_broken(target: Target, now: float) -> None:
     """Take note of a connection that could not be made or broke."""
     target.failures += 1
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -27,9 +27,10 @@
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
 
-TARGETS_REST_S = 0.4
-"""Least time between two reads of the targets' entries, seconds: a fifth of the time
-after which a leaving target may get no work."""
+LEAVE_SHARE = 0.35
+"""Shares of the time after which a leaving target may get no work: so long is the least
+time between two reads of the targets' entries, and so long is a target whose entry went
+still used where there is no other. Together they leave room for the call itself."""
 
 PEERS_WAIT_S = 15.0
 """How long the store holds a poll about gateways, seconds: a new one may stay unknown
@@ -93,7 +94,7 @@
         self._adapter = adapter
         self._clock = time.monotonic
         self._store = adapter.make_store(settings, self._clock)
-        self.directory = Directory(hold_s=pledges.leave_s / 2)
+        self.directory = Directory(hold_s=pledges.leave_s * LEAVE_SHARE)
         self.fleet = Fleet(self.directory, adapter.dialect.decode_answer)
         budget = budgets.RepeatBudget(
             pledges.repeat_ratio,
@@ -186,7 +187,7 @@
             apply=self._apply_target,
             note_away=self._note_away,
             note_back=self._note_back,
-            rest_s=TARGETS_REST_S,
+            rest_s=self._settings.pledges.leave_s * LEAVE_SHARE,
         )
 
     def _follow_peers(self) -> Follower:
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -35,11 +35,13 @@
 
     Attributes:
         was_sent: Whether anything may have reached the target.
+        was_refused: Whether nobody listens at the target's address.
     """
 
-    def __init__(self, text: str, was_sent: bool = True):
+    def __init__(self, text: str, was_sent: bool = True, was_refused: bool = False):
         super().__init__(text)
         self.was_sent = was_sent
+        self.was_refused = was_refused
 
 
 @dataclass
@@ -332,7 +334,8 @@
                 )
         except (OSError, TimeoutError) as error:
             text = f"no connection: {error or 'timed out'}"
-            raise ConnectionBrokenError(text, was_sent=False) from None
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ConnectionBrokenError(text, False, refused) from None
         self.opened += 1
         return connection
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -301,8 +301,11 @@
             work.end(passage.read_at)
             targets.note_answered(reader)
             return self._dialect.decode_read(reader.announced.address, body)
-        except (ConnectionBrokenError, BadDocumentError) as error:
-            targets.note_broken(reader, self._clock())
+        except ConnectionBrokenError as error:
+            self._note_failure(passage, reader, error)
+            return None
+        except BadDocumentError as error:
+            targets.note_fault(reader, True)
             self._log_broken(passage, reader, str(error))
             return None
         except TimeoutError:
@@ -469,14 +472,20 @@
     def _note_broken(
         self, passage: Passage, target: Target, error: ConnectionBrokenError
     ) -> End:
-        targets.note_broken(target, self._clock())
+        self._note_failure(passage, target, error)
         passage.last_reason = "broken"
-        self._log_broken(passage, target, str(error))
         if not error.was_sent:
             return End.NOT_RUN
         passage.runs += 1
         return End.UNSURE
 
+    def _note_failure(
+        self, passage: Passage, target: Target, error: ConnectionBrokenError
+    ) -> None:
+        note = targets.note_refused if error.was_refused else targets.note_broken
+        note(target, self._clock())
+        self._log_broken(passage, target, str(error))
+
     def _give_up(self, passage: Passage, reply: Reply, reason: str) -> None:
         left_s = passage.due - self._clock()
         if reply.has_begun:
--- /dev/null
+++ b/tests/core/test_budgets.py
@@ -0,0 +1,43 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from robinspindle.core.budgets import RepeatBudget, count_request, take_repeat
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 60.0), st.sampled_from(["request", "repeat"])),
+        max_size=200,
+    ),
+    st.integers(1, 6),
+)
+def test_all_gateways_together_stay_inside_the_budget(events, gateways):
+    """Each window of the promise, whatever the order and the gateway."""
+    ratio, slack, window = 0.2, 6.0, 10.0
+    budgets = [RepeatBudget(ratio, slack / gateways, window) for _ in range(gateways)]
+    requests, repeats = [], []
+    for number, (now, kind) in enumerate(sorted(events)):
+        budget = budgets[number % gateways]
+        if kind == "request":
+            count_request(budget, now, "s")
+            requests.append(now)
+        elif take_repeat(budget, now, "s"):
+            repeats.append(now)
+    for end in repeats:
+        taken = sum(end - window < at <= end for at in repeats)
+        offered = sum(end - window <= at <= end for at in requests)
+        assert taken <= ratio * offered + slack
+
+
+def test_services_have_budgets_of_their_own():
+    budget = RepeatBudget(0.2, 1.0, 10.0)
+    assert take_repeat(budget, 0.0, "a")
+    assert not take_repeat(budget, 0.0, "a")
+    assert take_repeat(budget, 0.0, "b")
+
+
+def test_the_window_slides():
+    budget = RepeatBudget(0.2, 1.0, 10.0)
+    assert take_repeat(budget, 0.0, "a")
+    assert not take_repeat(budget, 9.9, "a")
+    assert take_repeat(budget, 10.0, "a")
--- /dev/null
+++ b/tests/core/test_engines.py
@@ -0,0 +1,83 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from robinspindle.core import engines
+from robinspindle.core.engines import make_engine
+from robinspindle.core.forwarding import Part, Prompt
+
+
+def make_prompt(*parts, out=2):
+    return Prompt("m", parts, sum(part.tokens for part in parts), out)
+
+
+HEAD, FIRST, SECOND = Part("h", 2500), Part("a", 3800), Part("b", 3800)
+
+
+def test_a_part_counts_as_cached_only_behind_all_before_it():
+    engine = make_engine(True, 100_000)
+    engines.note_placed(engine, [HEAD, FIRST])
+    assert engines.count_cached(engine, make_prompt(HEAD, FIRST, Part("o", 9))) == 6300
+    assert engines.count_cached(engine, make_prompt(HEAD, SECOND, FIRST)) == 2500
+    assert engines.count_cached(engine, make_prompt(Part("x", 1), FIRST)) == 0
+
+
+def test_a_part_that_was_kept_shorter_is_not_the_whole_part():
+    engine = make_engine(True, 100_000)
+    engines.note_placed(engine, [Part("h", 1000)])
+    assert engines.count_cached(engine, make_prompt(HEAD)) == 0
+
+
+@given(st.lists(st.tuples(st.sampled_from("abcdefgh"), st.integers(1, 4000))))
+def test_the_belief_never_holds_more_than_the_engine(placed):
+    engine = make_engine(True, 10_000)
+    for id, tokens in placed:
+        engines.note_placed(engine, [Part(id, tokens)])
+        assert engine.cached_tokens == sum(engine.cached.values())
+        assert engine.cached_tokens <= 10_000
+
+
+def test_what_was_used_last_stays():
+    engine = make_engine(True, 10_000)
+    for part in (Part("a", 4000), Part("b", 4000), Part("a", 4000), Part("c", 4000)):
+        engines.note_placed(engine, [part])
+    assert list(engine.cached) == ["a", "c"]
+
+
+def test_short_prompts_wait_for_none():
+    engine = make_engine(True, 10_000)
+    engine.own_unread = 50_000
+    assert engines.estimate_wait(engine, make_prompt(Part("s", 200))) == 0.0
+    assert engines.estimate_wait(engine, make_prompt(HEAD)) > 0.1
+
+
+@given(st.lists(st.tuples(st.floats(0, 1e6), st.floats(-1, 10))))
+def test_a_pace_stays_within_its_bounds(measured):
+    engine = make_engine(False, 10_000)
+    first = engine.pace
+    for tokens, seconds in measured:
+        engines.note_pace(engine, tokens, seconds)
+        assert 0.29 * first <= engine.pace <= 2.01 * first
+
+
+def test_beside_long_answers_an_engine_reads_only_a_share():
+    engine = make_engine(False, 100_000)
+    assert engines.may_read_beside(engine, 0.0, 1_000_000, 0.15)
+    engine.peers_long["g2"] = 1
+    allowed = int(engine.read_share * engine.pace * 0.15)
+    assert engines.may_read_beside(engine, 0.0, allowed, 0.15)
+    engines.note_read_begun(engine, 0.0, allowed)
+    assert not engines.may_read_beside(engine, 0.1, 1000, 0.15)
+    assert engines.may_read_beside(engine, 0.2, 1000, 0.15)
+
+
+def test_late_events_make_an_engine_read_less_and_good_ones_more():
+    engine = make_engine(False, 100_000)
+    before = engine.read_share
+    engines.note_pause(engine, 0.14, 0.15)
+    assert engine.read_share < before
+    for _ in range(200):
+        engines.note_pause(engine, 0.02, 0.15)
+    assert engine.read_share == engines.READ_SHARES[1]
+    for _ in range(200):
+        engines.note_pause(engine, 0.5, 0.15)
+    assert engine.read_share == engines.READ_SHARES[0]
--- /dev/null
+++ b/tests/core/test_reading.py
@@ -0,0 +1,102 @@
+from robinspindle.core import engines, reading
+from robinspindle.core.engines import make_engine
+from robinspindle.core.forwarding import Part, Prompt
+from robinspindle.core.reading import Situation, choose_plan
+from robinspindle.core.targets import Announcement, Target
+
+HEAD, DOCUMENT, OWN = Part("h", 2500), Part("d", 3800), Part("o", 2900)
+DIGEST = Prompt("m", (HEAD, DOCUMENT, OWN), 9200, 118)
+CHAT = Prompt("m", (Part("c", 80), Part("q", 140)), 220, 5000)
+CALM = Situation(0.0, 0.2, 0.15, "a")
+
+
+def make_pair(lifetime, role, zone="a"):
+    announced = Announcement(lifetime, "s", f"{lifetime}:1", zone, 48, role=role)
+    return Target(announced), make_engine(role == "prefill", 300_000)
+
+
+def make_fleet():
+    return [make_pair(f"p{n}", "prefill") for n in (1, 2)] + [
+        make_pair(f"d{n}", "decode") for n in (1, 2, 3)
+    ]
+
+
+def name(target):
+    return target.announced.lifetime if target else ""
+
+
+def test_an_uncached_prompt_is_read_where_reading_is_fast():
+    plan = choose_plan(make_fleet(), DIGEST, CALM)
+    assert name(plan.reader).startswith("p")
+    assert name(plan.target).startswith("d")
+
+
+def test_a_prompt_goes_to_the_engine_that_has_read_its_document():
+    fleet = make_fleet()
+    engines.note_placed(fleet[1][1], DIGEST.parts[:2])
+    plan = choose_plan(fleet, DIGEST, CALM)
+    assert (name(plan.reader), plan.unread) == ("p2", 2900)
+
+
+def test_it_goes_elsewhere_when_it_would_be_late_there():
+    fleet = make_fleet()
+    engines.note_placed(fleet[1][1], DIGEST.parts[:2])
+    fleet[1][1].peers_unread["g2"] = 60_000
+    assert name(choose_plan(fleet, DIGEST, CALM).reader) != "p2"
+
+
+def test_a_generating_engine_reads_what_it_has_read_before():
+    fleet = make_fleet()
+    engines.note_placed(fleet[3][1], DIGEST.parts[:2])
+    plan = choose_plan(fleet, DIGEST, CALM)
+    assert (name(plan.reader), name(plan.target)) == ("", "d2")
+
+
+def test_it_does_not_while_long_answers_would_pause():
+    fleet = make_fleet()
+    engine = fleet[3][1]
+    engines.note_placed(engine, DIGEST.parts[:2])
+    engine.own_long = 4
+    engine.read_share = 0.15
+    assert choose_plan(fleet, DIGEST, CALM).reader is not None
+
+
+def test_long_answers_come_together_until_an_engine_has_its_share():
+    fleet = make_fleet()
+    fleet[3][1].own_long = 3
+    assert name(choose_plan(fleet, CHAT, CALM).target) == "d2"
+    fleet[3][1].own_long = 20
+    assert name(choose_plan(fleet, CHAT, CALM).target) != "d2"
+
+
+def test_without_an_engine_that_reads_only_prompts_are_read_where_answered():
+    fleet = make_fleet()[2:]
+    assert choose_plan(fleet, DIGEST, CALM).reader is None
+
+
+def test_without_an_engine_that_generates_there_is_no_plan():
+    assert choose_plan(make_fleet()[:2], DIGEST, CALM) is None
+
+
+def test_a_zone_of_ones_own_is_preferred_among_equals():
+    fleet = [make_pair("p1", "prefill", "b"), make_pair("p2", "prefill")]
+    fleet += [make_pair("d1", "decode", "b"), make_pair("d2", "decode")]
+    plan = choose_plan(fleet, DIGEST, CALM)
+    assert (name(plan.reader), name(plan.target)) == ("p2", "d2")
+
+
+def test_a_failing_engine_is_avoided():
+    fleet = make_fleet()
+    fleet[0][0].faults = 0.9
+    assert name(choose_plan(fleet, DIGEST, CALM).reader) == "p2"
+
+
+def test_what_would_wait_too_long_is_hopeless_and_length_alone_is_not():
+    fleet = [make_pair("p1", "prefill"), make_pair("d1", "decode")]
+    fleet[0][1].own_unread = fleet[1][1].own_unread = 200_000
+    plan = choose_plan(fleet, DIGEST, CALM)
+    assert reading.is_hopeless(plan, 0.2, 0.2)
+    long_prompt = Prompt("m", (Part("l", 90_000),), 90_000, 118)
+    plan = choose_plan(make_fleet(), long_prompt, CALM)
+    assert plan.first_s > 0.2
+    assert not reading.is_hopeless(plan, 0.2, 0.2)
--- /dev/null
+++ b/tests/core/test_sharing.py
@@ -0,0 +1,49 @@
+from robinspindle.core.engines import make_engine
+from robinspindle.core.sharing import (
+    SILENCE_S,
+    Digest,
+    Load,
+    Placement,
+    forget_silent,
+    take_digest,
+)
+
+
+def make(number=1, started=1.0, loads=(), placements=()):
+    return Digest("g2", started, number, list(loads), list(placements))
+
+
+def test_the_newest_word_of_a_peer_counts():
+    engines = {"e1": make_engine(True, 1000)}
+    peers = {}
+    assert take_digest(peers, make(2, loads=[Load("e1", 1, 70, 1)]), 0.0, engines.get)
+    assert not take_digest(peers, make(1, loads=[Load("e1", 9, 900)]), 0.0, engines.get)
+    engine = engines["e1"]
+    assert (engine.unread, engine.others_in_flight, engine.long_answers) == (70, 1, 1)
+    assert take_digest(peers, make(3), 0.0, engines.get)
+    assert (engine.unread, engine.others_in_flight, engine.long_answers) == (0, 0, 0)
+
+
+def test_a_restarted_peer_begins_anew():
+    engines = {"e1": make_engine(True, 1000)}
+    peers = {}
+    take_digest(peers, make(900, loads=[Load("e1", 1, 70)]), 0.0, engines.get)
+    assert take_digest(peers, make(1, started=2.0), 0.1, engines.get)
+    assert engines["e1"].unread == 0
+
+
+def test_placements_are_believed_and_unknown_targets_passed_over():
+    engines = {"e1": make_engine(False, 1000)}
+    placements = [Placement("e1", [("a", 100)], 60), Placement("e9", [("a", 100)])]
+    take_digest({}, make(placements=placements), 0.0, engines.get)
+    assert engines["e1"].cached == {"a": 100}
+    assert list(engines["e1"].recent) == [(0.0, 60)]
+
+
+def test_a_silent_peer_has_nothing_under_way():
+    engines = {"e1": make_engine(True, 1000)}
+    peers = {}
+    take_digest(peers, make(loads=[Load("e1", 1, 70)]), 0.0, engines.get)
+    assert forget_silent(peers, SILENCE_S, engines.get) == []
+    assert forget_silent(peers, SILENCE_S + 0.1, engines.get) == ["g2"]
+    assert engines["e1"].unread == 0
--- /dev/null
+++ b/tests/core/test_targets.py
@@ -0,0 +1,110 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from robinspindle.core import targets
+from robinspindle.core.targets import Announcement, Directory
+
+
+def announce(directory, lifetime="i1", **more):
+    announced = Announcement(lifetime, "s", "1.2.3.4:5", "a", 4, **more)
+    return targets.note_announced(directory, announced)
+
+
+def usable(directory, now, tried=()):
+    found = targets.list_usable(directory, "s", now, set(tried))
+    return sorted(target.announced.lifetime for target in found)
+
+
+def test_an_entry_is_news_once():
+    directory = Directory()
+    assert announce(directory)
+    assert not announce(directory)
+    assert announce(directory, cold_s=1.0)
+
+
+def test_a_leaving_target_is_never_usable_again():
+    directory = Directory()
+    announce(directory)
+    announce(directory, leaving=True)
+    assert not announce(directory)
+    assert usable(directory, 0.0) == []
+
+
+def test_a_missing_target_is_used_only_where_there_is_no_other_and_then_dropped():
+    directory = Directory(hold_s=0.7)
+    announce(directory, "i1")
+    announce(directory, "i2")
+    targets.note_missing(directory, 10.0, "i1")
+    assert usable(directory, 10.1) == ["i2"]
+    assert usable(directory, 10.1, ["i2"]) == ["i1"]
+    assert usable(directory, 10.8, ["i2"]) == []
+    assert [t.announced.lifetime for t in targets.drop_gone(directory, 10.8)] == ["i1"]
+
+
+def test_a_lapsed_entry_counts_until_two_seconds_after_the_stores_return():
+    directory = Directory(hold_s=0.7)
+    announce(directory)
+    assert targets.note_store_away(directory, 5.0)
+    assert not targets.note_store_away(directory, 6.0)
+    assert targets.note_store_back(directory, 20.0)
+    targets.note_missing(directory, 20.0, "i1")
+    assert usable(directory, 21.9) == ["i1"]
+    assert usable(directory, 22.0) == []
+    announce(directory)
+    assert usable(directory, 30.0) == ["i1"]
+
+
+def test_a_broken_target_rests_and_the_rest_ends():
+    directory = Directory()
+    announce(directory, "i1")
+    announce(directory, "i2")
+    bad = directory.targets["i1"]
+    targets.note_broken(bad, 0.0)
+    assert usable(directory, 0.1) == ["i1", "i2"]
+    targets.note_broken(bad, 0.1)
+    assert usable(directory, 0.2) == ["i2"]
+    assert usable(directory, 0.2 + targets.MOST_REST_S) == ["i1", "i2"]
+
+
+def test_a_target_at_whose_address_nobody_listens_rests_at_once():
+    directory = Directory()
+    announce(directory, "i1")
+    announce(directory, "i2")
+    targets.note_refused(directory.targets["i1"], 0.0)
+    assert usable(directory, 0.1) == ["i2"]
+
+
+def test_where_all_rest_all_are_tried():
+    directory = Directory()
+    announce(directory)
+    targets.note_refused(directory.targets["i1"], 0.0)
+    assert usable(directory, 0.1) == ["i1"]
+
+
+def test_a_full_target_is_passed_over_for_a_moment():
+    directory = Directory()
+    announce(directory, "i1")
+    announce(directory, "i2")
+    targets.note_full(directory.targets["i1"], 0.0, 0.05)
+    assert usable(directory, 0.01) == ["i2"]
+    assert usable(directory, 0.06) == ["i1", "i2"]
+
+
+@given(st.lists(st.booleans(), max_size=60))
+def test_the_share_of_faults_stays_a_share(outcomes):
+    directory = Directory()
+    announce(directory)
+    target = directory.targets["i1"]
+    for faulty in outcomes:
+        targets.note_fault(target, faulty)
+        assert 0.0 <= target.faults <= 1.0
+
+
+@given(st.lists(st.floats(0.0, 100.0), max_size=30))
+def test_a_rest_is_never_longer_than_the_longest(times):
+    directory = Directory()
+    announce(directory)
+    target = directory.targets["i1"]
+    for now in sorted(times):
+        targets.note_broken(target, now)
+        assert target.rested_until <= now + targets.MOST_REST_S
