Log each routing with its inputs and their age, serve metrics

Cause: a complaint could be traced to its end only, not to what decided it.

Change: a line at each routing (plan, wait, age of the list), the process's name on each line, routine lines bounded between two flushes; counters and HDR latencies at the port that the deploy file names.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -1,5 +1,6 @@
 """Starts a gateway from a checkout, without installing the package."""
 
+import argparse
 import os
 import sys
 from pathlib import Path
@@ -10,9 +11,18 @@
 from robinspindle.platform.settings import SETTINGS_VARIABLE  # noqa: E402
 from robinspindle.platform.start import start_gateway  # noqa: E402
 
-if __name__ == "__main__":
+
+def main() -> int:
+    """Run the gateway; 1 for settings with findings, as the command line does."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--metrics-port", type=int, default=0)
+    args = parser.parse_args()
     try:
-        sys.exit(start_gateway(os.environ.get(SETTINGS_VARIABLE, "")))
+        return start_gateway(os.environ.get(SETTINGS_VARIABLE, ""), args.metrics_port)
     except InvalidDocumentError as error:
         print(error, file=sys.stderr)
-        sys.exit(1)
+        return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/robinspindle/boundedoutput.py
+++ b/src/robinspindle/boundedoutput.py
@@ -10,58 +10,80 @@
 import msgspec
 
 MOST_WAITING_BYTES = 1 << 20
-"""Bytes that wait for a slow reader, at most: about 4,000 lines."""
+"""Bytes that wait for a slow reader, at most: about 3,000 lines."""
 
 ROUTINE_SHARE = 0.5
 """Share of it that lines about success may fill; the rest is kept for failures."""
 
+ROUTINE_LINES = 200
+"""Routine lines between two flushes, at most: several times the usual number at the
+highest load that one process is built for, and about 0.5 MB/s."""
+
 
 class BoundedOutput:
     """A queue of lines before a file descriptor.
 
     Attributes:
         left_out: Lines left out since the last report, by kind.
+        total_left_out: Lines left out so far, for metrics.
     """
 
-    def __init__(self, descriptor: int):
+    def __init__(self, descriptor: int, fields: dict[str, str] | None = None):
+        """Make the queue.
+
+        Args:
+            descriptor: Where the lines go.
+            fields: Added to every line, for example the process's name.
+        """
         os.set_blocking(descriptor, False)
         self.left_out: Counter[str] = Counter()
+        self.total_left_out = 0
         self._descriptor = descriptor
+        self._fields = fields or {}
         self._waiting: deque[bytes] = deque()
         self._bytes = 0
+        self._routine = 0
 
     def write(self, message: dict) -> None:
         """Queue one message as a JSON line, or count it as left out."""
-        line = msgspec.json.encode(message, enc_hook=str) + b"\n"
-        share = ROUTINE_SHARE if message.get("routine") else 1.0
-        if self._bytes + len(line) > MOST_WAITING_BYTES * share:
+        is_routine = bool(message.get("routine"))
+        line = msgspec.json.encode(self._fields | message, enc_hook=str) + b"\n"
+        share = ROUTINE_SHARE if is_routine else 1.0
+        is_full = self._bytes + len(line) > MOST_WAITING_BYTES * share
+        if is_full or (is_routine and self._routine >= ROUTINE_LINES):
             self.left_out[str(message.get("text", ""))] += 1
+            self.total_left_out += 1
             return
+        self._routine += is_routine
         self._waiting.append(line)
         self._bytes += len(line)
 
     def flush(self) -> None:
         """Write as much as the descriptor takes at once."""
+        self._routine = 0
         while self._waiting:
             data = b"".join(self._waiting)
-            try:
-                written = os.write(self._descriptor, data)
-            except BlockingIOError:
-                return
-            except OSError:
-                # Nobody can be told: the reader of the logs is what is gone.
-                self.left_out["output failed"] += len(self._waiting)
-                written = len(data)
             self._waiting.clear()
+            written = self._write(data)
             self._bytes = len(data) - written
             if self._bytes:
                 self._waiting.append(data[written:])
                 return
         self._report()
 
+    def _write(self, data: bytes) -> int:
+        try:
+            return os.write(self._descriptor, data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # Nobody can be told: the reader of the logs is what is gone.
+            self.left_out["output failed"] += 1
+            return len(data)
+
     def _report(self) -> None:
         if not self.left_out:
             return
         counts = dict(self.left_out)
         self.left_out.clear()
-        self.write({"message_type": "robinspindle:logs", "left_out": counts})
+        self.write({"text": "lines left out", "left_out": counts})
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -83,6 +83,7 @@
         away_since: Since when the store has been away; None while it answers.
         back_at: When the store last came back, steady seconds.
         known: Whether the list has been read at all.
+        read_at: When it was last read, steady seconds.
         hold_s: How long a target whose entry went is still used where there is no
             other, seconds; less than it may take to stop using a leaving one.
     """
@@ -91,6 +92,7 @@
     away_since: float | None = None
     back_at: float = -RETURN_S
     known: bool = False
+    read_at: float = 0.0
     hold_s: float = 1.0
 
 
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -45,7 +45,13 @@
 
 
 class KeyedStore(Protocol):
-    """What is needed of a store."""
+    """What is needed of a store.
+
+    Attributes:
+        calls: Calls made so far.
+    """
+
+    calls: int
 
     async def read_newest(self, topic: str) -> Records:
         """Read the newest record of each key."""
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from prometheus_client import CONTENT_TYPE_LATEST
+
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.core import budgets, targets
 from robinspindle.core.forwarding import Refusal
@@ -18,9 +20,11 @@
 from robinspindle.exceptions import BadDocumentError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import Follower, KeyedStore, follow
+from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.httpserver import CallerServer, Incoming, Limits, Reply
 from robinspindle.logs import make_log, start_bounded_logs
+from robinspindle.metrics import format_metrics
 from robinspindle.peers import LEAST_INTERVAL_S, PeerLink, Peers
 from robinspindle.relay import Dialect, Relay
 
@@ -93,6 +97,7 @@
         self._settings = settings
         self._adapter = adapter
         self._clock = time.monotonic
+        self.metrics = GatewayMetrics()
         self._store = adapter.make_store(settings, self._clock)
         self.directory = Directory(hold_s=pledges.leave_s * LEAVE_SHARE)
         self.fleet = Fleet(self.directory, adapter.dialect.decode_answer)
@@ -108,6 +113,7 @@
             settings.zone,
             make_log("relay"),
             self._clock,
+            self.metrics,
         )
         self.peers = Peers(settings.name, time.time())
         self._link = PeerLink(
@@ -116,6 +122,7 @@
         self._limits = Limits()
         self._callers = CallerServer(self._handle, self._limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
+        self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
         self._tasks: list[asyncio.Task] = []
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
@@ -135,6 +142,8 @@
         settings = self._settings
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._callers.start(settings.callers.host, settings.callers.port)
+        if settings.metrics_port:
+            await self._figures.start(settings.ip, settings.metrics_port)
         peer_address = HostPort(settings.ip, settings.inner_ports[0])
         await self._link.start(peer_address)
         log("started", name=settings.name, zone=settings.zone)
@@ -160,6 +169,7 @@
             task.cancel()
         self._callers.close_listener()
         self._readiness.close_listener()
+        self._figures.close_listener()
         self._link.close()
         log("stopped", name=self._settings.name)
         self._output.flush()
@@ -274,6 +284,7 @@
 
     def _note_back(self) -> None:
         self.directory.known = True
+        self.directory.read_at = self._clock()
         if targets.note_store_back(self.directory, self._clock()):
             log("store regained")
 
@@ -290,6 +301,26 @@
         reply.begin(status, reason, (), 0)
         reply.end()
 
+    async def _answer_metrics(self, incoming: Incoming, reply: Reply) -> None:
+        self._update_gauges(self._clock())
+        body = format_metrics(self.metrics.registry)
+        headers = ((b"Content-Type", CONTENT_TYPE_LATEST.encode()),)
+        reply.begin(200, b"OK", headers, len(body))
+        reply.write(body)
+        reply.end()
+
+    def _update_gauges(self, now: float) -> None:
+        metrics, directory = self.metrics, self.directory
+        usable = [t for t in directory.targets.values() if targets.may_get_work(t, now)]
+        metrics.version.set(self.fleet.table.version if self.fleet.table else 0)
+        metrics.targets.set(len(usable))
+        metrics.peers.set(len(self.peers.views))
+        metrics.store_calls.set(self._store.calls)
+        metrics.store_away.set(directory.away_since is not None)
+        metrics.list_age.set(now - directory.read_at)
+        metrics.left_out.set(self._output.total_left_out)
+        metrics.busy.set(self._callers.count_busy())
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -332,7 +363,7 @@
 
 
 async def _run(settings: GatewaySettings, adapter: Adapter) -> None:
-    output = start_bounded_logs()
+    output = start_bounded_logs(settings.name)
     await Gateway(settings, adapter, output).run()
 
 
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -50,6 +50,7 @@
         inner_ports: First and last port for what gateways say to each other.
         memory_mb: Memory at which the process is killed, MB.
         pledges: What was promised.
+        metrics_port: Port for metrics, 0 for none.
     """
 
     name: str
@@ -61,3 +62,4 @@
     inner_ports: tuple[int, int]
     memory_mb: float
     pledges: Pledges = Pledges()
+    metrics_port: int = 0
--- a/src/robinspindle/logs.py
+++ b/src/robinspindle/logs.py
@@ -15,13 +15,17 @@
 Log = Callable[..., None]
 
 
-def start_bounded_logs(descriptor: int = 1) -> BoundedOutput:
+def start_bounded_logs(node: str, descriptor: int = 1) -> BoundedOutput:
     """Send all logs to a descriptor that is never waited for.
 
+    Args:
+        node: Name of the process, added to every line.
+        descriptor: Where to, by default standard output.
+
     Returns:
         The output, whose owner calls `flush` regularly.
     """
-    output = BoundedOutput(descriptor)
+    output = BoundedOutput(descriptor, {"node": node})
     eliot.add_destinations(output.write)
     return output
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -26,6 +26,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
+from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -146,6 +147,7 @@
         zone: str,
         log: Log,
         clock: Callable[[], float],
+        metrics: GatewayMetrics,
     ):
         self.placements: list[Placement] = []
         self._dialect = dialect
@@ -154,6 +156,7 @@
         self._zone = zone
         self._log = log
         self._clock = clock
+        self._metrics = metrics
         self._rng = random.Random()
         self._releases: set[asyncio.Task] = set()
 
@@ -196,10 +199,12 @@
                 self._give_up(passage, reply, passage.last_reason or "no-target")
                 return
             passage.plan = plan
+            self._log_plan(passage, plan)
             if self._is_hopeless(passage, plan, now):
                 self._give_up(passage, reply, "busy")
                 return
             end = await self._carry_out(passage, reply, plan)
+            self._metrics.tries.labels(passage.service, end.value).inc()
             if end is End.DELIVERED:
                 return
             if not self._may_go_on(passage, end):
@@ -240,8 +245,12 @@
             return len(passage.tried) < forwarding.MOST_OFFERS
         if not forwarding.may_offer_again(route, passage.offers, passage.runs):
             return False
-        now = self._clock()
-        return budgets.take_repeat(self._budget, now, passage.service)
+        if budgets.take_repeat(self._budget, self._clock(), passage.service):
+            self._metrics.repeats.inc()
+            return True
+        self._metrics.denied_repeats.inc()
+        passage.last_reason += ", no repeat left"
+        return False
 
     async def _carry_out(self, passage: Passage, reply: Reply, plan: Plan) -> End:
         engine = self._fleet.find_engine(plan.target)
@@ -326,11 +335,17 @@
             targets.note_fault(reader, True)
         self._log_broken(passage, reader, f"prompt not read: status {head.status}")
 
+    def _count_prompt(self, passage: Passage, unread: int) -> None:
+        tokens = passage.request.prompt.tokens
+        self._metrics.prompt_tokens.labels("read").inc(unread)
+        self._metrics.prompt_tokens.labels("cached").inc(tokens - unread)
+
     def _place(
         self, target: Target, engine: Engine, passage: Passage, unread: int
     ) -> None:
         parts = passage.request.prompt.parts
         note_placed(engine, parts)
+        self._count_prompt(passage, unread)
         note_read_begun(engine, self._clock(), unread)
         told = [(part.id, part.tokens) for part in parts]
         self.placements.append(Placement(target.announced.lifetime, told, unread))
@@ -542,16 +557,48 @@
     def _log_broken(self, passage: Passage, target: Target, error: str) -> None:
         self._log(
             "target did not deliver",
+            at=round(self._clock(), 4),
             request=passage.request.id,
             target=target.announced.lifetime,
             error=error,
         )
 
+    def _log_plan(self, passage: Passage, plan: Plan) -> None:
+        directory = self._fleet.directory
+        now = self._clock()
+        self._log(
+            "request routed",
+            routine=True,
+            at=round(now, 4),
+            request=passage.request.id,
+            route=passage.route.name,
+            configuration=self._fleet.table.version,
+            target=plan.target.announced.lifetime,
+            reader=plan.reader.announced.lifetime if plan.reader else "",
+            in_flight=plan.target.in_flight,
+            faults=round(plan.target.faults, 2),
+            wait_ms=round(plan.wait_s * 1000, 1),
+            first_ms=round(plan.first_s * 1000, 1),
+            unread=plan.unread,
+            left_ms=round((passage.aim_at - now) * 1000, 1),
+            list_age_ms=round((now - directory.read_at) * 1000),
+            store_away=directory.away_since is not None,
+        )
+
     def _log_end(self, passage: Passage, target: Target | None, outcome: str) -> None:
         plan = passage.plan
+        now = self._clock()
+        end = outcome.partition(":")[0]
+        held_s = now - passage.request.received_at
+        self._metrics.requests.labels(passage.route.name, end).inc()
+        self._metrics.latencies.record("held", passage.route.name, held_s)
+        if passage.first_at is not None:
+            first_s = passage.first_at - passage.request.received_at
+            self._metrics.latencies.record("first", passage.route.name, first_s)
         self._log(
             "request ended",
             routine=outcome == "delivered",
+            at=round(now, 4),
             request=passage.request.id,
             route=passage.route.name,
             target=target.announced.lifetime if target else "",
@@ -563,7 +610,7 @@
             events=passage.splitter.events,
             read_ms=self._since(passage, passage.read_at),
             first_ms=self._since(passage, passage.first_at),
-            held_ms=self._since(passage, self._clock()),
+            held_ms=self._since(passage, now),
             outcome=outcome,
         )
 
