Judge pauses of a long answer by when the whole of it is due

Change: the allowed pause is the smaller of the route's and what is left, divided by the events that are expected; an engine may fall to 0.05 of its pace.

--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -43,10 +43,13 @@
 """Answers that may be longer than this count as long: they last for seconds, and each
 pause in them counts."""
 
-PAUSE_SHARE = 0.8
+PAUSE_SHARE = 0.7
 """A pause longer than this share of what is allowed makes an engine read less."""
 
-READ_SHARES = (0.15, 0.9)
+BEYOND_GUESS = 0.25
+"""Share of its length so far that an answer beyond its guess is believed to last."""
+
+READ_SHARES = (0.05, 0.9)
 READ_SHARE_RISE = 0.01
 READ_SHARE_FALL = 0.8
 """Bounds and steps of the share of its pace that an engine may read with while it
@@ -84,7 +87,7 @@
     own_long: int = 0
     peers_long: dict[str, int] = field(default_factory=dict)
     recent: deque[tuple[float, int]] = field(default_factory=deque)
-    read_share: float = 0.5
+    read_share: float = 0.4
 
     @property
     def unread(self) -> float:
@@ -180,6 +183,24 @@
         engine.read_share = min(high, engine.read_share + READ_SHARE_RISE)
 
 
+def find_allowed_pause(
+    prompt: Prompt, events: int, event_tokens: int, left_s: float, gap_s: float
+) -> float:
+    """Find how long the next event of a long answer may take.
+
+    Args:
+        prompt: Its prompt.
+        events: Events so far.
+        event_tokens: Tokens that an event holds.
+        left_s: Seconds until the whole answer is due.
+        gap_s: The longest pause that is in time, seconds.
+    """
+    expected = (prompt.expected_tokens or prompt.out_tokens) / event_tokens
+    # Guesses are often far off: what lasted beyond its guess lasts a while longer.
+    events_left = max(expected - events, events * BEYOND_GUESS, 1.0)
+    return min(gap_s, max(0.0, left_s) / events_left)
+
+
 def is_small(prompt: Prompt) -> bool:
     """Whether a prompt is short enough to go before long ones."""
     return prompt.tokens <= SMALL_PROMPT_TOKENS
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -40,12 +40,14 @@
         parts: Its parts in order; the last is the request's own.
         tokens: Tokens of the whole prompt.
         out_tokens: The most tokens of the answer.
+        expected_tokens: The caller's guess of its tokens; 0 where it gives none.
     """
 
     model: str
     parts: tuple[Part, ...]
     tokens: int
     out_tokens: int
+    expected_tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -63,12 +63,14 @@
         cache_tokens: Tokens that one engine's memory holds.
         handle_s: How long a prompt that was read is held for fetching, seconds.
         switch_s: How long a change of role takes an engine away, seconds.
+        event_tokens: Tokens that one event of a stream holds at the most.
     """
 
     slots: int
     cache_tokens: int
     handle_s: float
     switch_s: float
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -6,7 +6,7 @@
     find_first_pace,
     make_engine,
 )
-from robinspindle.core.routes import RouteTable
+from robinspindle.core.routes import EngineShape, RouteTable
 from robinspindle.core.sharing import Load
 from robinspindle.core.targets import Directory, Target
 from robinspindle.gatewaysettings import HostPort
@@ -100,12 +100,19 @@
         if pool is not None:
             pool.close()
 
+    def count_event_tokens(self, service: str) -> int:
+        """Count the tokens that one event of a service's streams holds."""
+        shape = self._find_shape(service)
+        return shape.event_tokens if shape else 1
+
     def _count_connections(self, service: str) -> int:
         known = self.table.services.get(service) if self.table else None
         return known.connections if known else DEFAULT_CONNECTIONS
 
     def _count_cache_tokens(self, service: str) -> int:
+        shape = self._find_shape(service)
+        return shape.cache_tokens if shape else DEFAULT_CACHE_TOKENS
+
+    def _find_shape(self, service: str) -> EngineShape | None:
         known = self.table.services.get(service) if self.table else None
-        if known is None or known.engine is None:
-            return DEFAULT_CACHE_TOKENS
-        return known.engine.cache_tokens
+        return known.engine if known else None
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -174,10 +174,11 @@
         return None
     try:
         tokens, out_tokens = (int(count) for count in counts)
+        expected = int(float(values.get(b"x-length-hint", b"0")))
         parts = tuple(_read_parts(values.get(b"x-prompt-prefix", b"")))
     except ValueError:
         return None
-    return Prompt(model.decode("latin-1"), parts, tokens, out_tokens)
+    return Prompt(model.decode("latin-1"), parts, tokens, out_tokens, expected)
 
 
 def _read_parts(value: bytes):
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -54,6 +54,8 @@
     kv_capacity_tokens: int
     kv_hold_s: float = msgspec.field(default=5.0, name="KvHoldS")
     role_switch_s: float = msgspec.field(default=3.0, name="RoleSwitchS")
+    # Tokens in one event of a stream, not a distance in memory.
+    stride: int = 1
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -162,5 +164,6 @@
             cache_tokens=service.engine.kv_capacity_tokens,
             handle_s=service.engine.kv_hold_s,
             switch_s=service.engine.role_switch_s,
+            event_tokens=max(1, service.engine.stride),
         )
     return Service(service.name, service.health_path, service.max_connections, engine)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -10,6 +10,7 @@
 from robinspindle.core import budgets, forwarding, reading, targets
 from robinspindle.core.engines import (
     Engine,
+    find_allowed_pause,
     is_long,
     is_small,
     note_pace,
@@ -446,7 +447,14 @@
         def note_event() -> None:
             nonlocal last_at
             now = self._clock()
-            note_pause(engine, now - last_at, passage.route.gap_s)
+            allowed_s = find_allowed_pause(
+                prompt,
+                passage.splitter.events,
+                self._fleet.count_event_tokens(passage.service),
+                passage.due - now,
+                passage.route.gap_s,
+            )
+            note_pause(engine, now - last_at, allowed_s)
             last_at = now
 
         engine.own_long += 1
--- a/tests/core/test_engines.py
+++ b/tests/core/test_engines.py
@@ -70,6 +70,17 @@
     assert engines.may_read_beside(engine, 0.2, 1000, 0.15)
 
 
+def test_an_answer_that_would_not_end_in_time_makes_pauses_count_sooner():
+    prompt = Prompt("m", (Part("q", 200),), 200, 12_000, 5_900)
+    allowed = engines.find_allowed_pause
+    assert allowed(prompt, 0, 59, 15.0, 0.15) == 0.15
+    assert allowed(prompt, 0, 59, 5.0, 0.15) == 0.05
+    assert allowed(prompt, 50, 59, 2.5, 0.15) == 0.05
+    # Beyond its guess it is believed to last a quarter of what it has.
+    assert allowed(prompt, 200, 59, 2.5, 0.15) == 0.05
+    assert allowed(prompt, 200, 59, -1.0, 0.15) == 0.0
+
+
 def test_late_events_make_an_engine_read_less_and_good_ones_more():
     engine = make_engine(False, 100_000)
     before = engine.read_share
