Tell a request's story from logs; check the platform's settings from the command line

Cause: on-call engineers had lines but no way from an id to a cause; the platform's settings could be checked by starting only.

--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -41,6 +41,7 @@
     _add_queries(verbs)
     _add_config(verbs)
     _add_keys(verbs)
+    _add_explain(verbs)
     version = verbs.add_parser("version", help="print the version")
     version.set_defaults(run=_print_version)
     return parser
@@ -76,6 +77,13 @@
         verb = verbs.add_parser(name, help=text, description=text)
         verb.add_argument("settings", help=f"INI file with a section [{name}]")
         verb.set_defaults(run=_run_entry if name == "entry" else _run_agent)
+    text = "serve callers on the users' platform (on an entry VM)"
+    gateway = verbs.add_parser("gateway", help=text, description=text)
+    gateway.add_argument("settings", help="the platform's settings file, TOML")
+    gateway.add_argument(
+        "--metrics-port", type=int, default=0, help="port for metrics; 0 for none"
+    )
+    gateway.set_defaults(run=_run_gateway)
 
 
 def _add_plans(verbs) -> None:
@@ -141,7 +149,9 @@
     config = verbs.add_parser("config", help="check, publish or show configuration")
     kinds = config.add_subparsers(dest="action", required=True, metavar="ACTION")
     check = kinds.add_parser("check", help="check files, start nothing")
-    check.add_argument("file", nargs="+")
+    check.add_argument(
+        "file", nargs="+", help="INI files, or TOML settings of the users' platform"
+    )
     check.add_argument("--json", action="store_true")
     check.set_defaults(run=commands.check_config)
     publish = kinds.add_parser("publish", help="publish a document")
@@ -165,6 +175,14 @@
         verb.set_defaults(run=commands.make_keys)
 
 
+def _add_explain(verbs) -> None:
+    text = "tell a request's story from the logs of several processes"
+    explain = verbs.add_parser("explain", help=text, description=text)
+    explain.add_argument("request", help="the request's id")
+    explain.add_argument("file", nargs="*", help="log files; standard input for none")
+    explain.set_defaults(run=commands.explain)
+
+
 def _add_client_options(verb: argparse.ArgumentParser) -> None:
     group = verb.add_argument_group("which entries, and as whom")
     group.add_argument("--settings", default="", help="INI file with [operator]")
@@ -188,6 +206,12 @@
     return _run_process(args, "agent", run_agent)
 
 
+def _run_gateway(args: argparse.Namespace) -> int:
+    from robinspindle.platform.start import start_gateway
+
+    return start_gateway(args.settings, args.metrics_port)
+
+
 def _run_process(args: argparse.Namespace, kind: str, run) -> int:
     from robinspindle.keys import read_fleet_key
     from robinspindle.logs import start_logs
--- a/src/robinspindle/commands.py
+++ b/src/robinspindle/commands.py
@@ -21,15 +21,18 @@
 )
 from robinspindle.core.state import ENDED, PLAN_DONE
 from robinspindle.exceptions import ApiError, Finding, InvalidDocumentError
+from robinspindle.explaining import format_story, read_lines, tell_story
 from robinspindle.keys import (
     digest_bearer_key,
     format_fleet_key,
     make_bearer_key,
     make_fleet_key,
 )
+from robinspindle.platform.settings import read_gateway_settings
 from robinspindle.settings import KINDS, OperatorSettings, read_settings
 from robinspindle.tables import format_burn, format_table
 
+PLATFORM_SUFFIX = ".toml"
 FOLLOW_PAUSE_S = 0.3
 PRIVATE_MODE = 0o600
 
@@ -58,6 +61,9 @@
     findings: list[Finding] = []
     for path in args.file:
         try:
+            if path.endswith(PLATFORM_SUFFIX):
+                read_gateway_settings(path)
+                continue
             text = Path(path).read_text()
             kinds = [kind for kind in KINDS if f"[{kind}]" in text]
             for kind in kinds:
@@ -73,6 +79,18 @@
     return 1 if findings else 0
 
 
+def explain(args: argparse.Namespace) -> int:
+    """Tell a request's story; 4 when the logs don't name it."""
+    texts: list[str] = []
+    for path in args.file:
+        texts += Path(path).read_text(errors="replace").splitlines()
+    if not args.file:
+        texts = sys.stdin.read().splitlines()
+    story = tell_story(args.request, read_lines(texts))
+    print(format_story(story))
+    return 0 if story.lines else 4
+
+
 def publish_config(args: argparse.Namespace) -> int:
     """Publish a configuration document."""
     text = Path(args.file).read_text()
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,103 @@
+import pytest
+
+from robinspindle.core.forwarding import Send, Source
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.platform import dialect
+
+HEADERS = (
+    (b"Host", b"a.example"),
+    (b"X-Request-Id", b"r1"),
+    (b"X-Model", b"m"),
+    (b"X-Token-Count", b"1460,80"),
+    (b"X-Prompt-Prefix", b"5c:800,91:410,e4:250"),
+    (b"X-Length-Hint", b"60"),
+    (b"Last-Event-Id", b"12"),
+    (b"X-Kv-Source", b"stolen"),
+)
+
+
+def decode(headers=HEADERS):
+    return dialect.decode_request("POST", b"/a/b?c", headers, 5.0)
+
+
+def encode(**more):
+    sending = Send("i1", 1.5, 4, **more)
+    request = dialect.add_body(decode(), b"body")
+    return dialect.encode_request(request, sending).decode()
+
+
+def test_a_prompt_is_decoded():
+    prompt = decode().prompt
+    assert [(p.id, p.tokens) for p in prompt.parts] == [
+        ("5c", 800),
+        ("91", 410),
+        ("e4", 250),
+    ]
+    assert (prompt.tokens, prompt.out_tokens, prompt.expected_tokens) == (1460, 80, 60)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"X-Token-Count", b"x"),
+        (b"X-Token-Count", b"1,2,3"),
+        (b"X-Prompt-Prefix", b"a:b"),
+        (b"X-Length-Hint", b"soon"),
+    ],
+)
+def test_a_prompt_that_can_not_be_read_is_none_and_travels_on(name, value):
+    headers = (*(pair for pair in HEADERS if pair[0] != name), (name, value))
+    request = decode(headers)
+    assert request.prompt is None
+    assert (name, value) in request.headers
+
+
+def test_what_a_caller_says_for_the_system_is_dropped():
+    text = encode()
+    assert "stolen" not in text
+    assert "Last-Event-Id: 12\r\n" in text
+    assert "X-Expect-Instance: i1\r\n" in text
+    assert text.endswith("Content-Length: 4\r\n\r\nbody")
+
+
+def test_a_stream_goes_on_after_the_last_event_of_ours():
+    text = encode(resume_after="30")
+    assert text.count("Last-Event-Id") == 1
+    assert "Last-Event-Id: 30\r\n" in text
+
+
+def test_reading_apart_and_fetching():
+    assert "X-Stage: prefill\r\n" in encode(read_only=True)
+    assert "X-Kv-Source: 1.2.3.4:5/h1\r\n" in encode(source=Source("1.2.3.4:5", "h1"))
+    assert dialect.decode_read("1.2.3.4:5", b'{"KvHandle":"h1"}') == Source(
+        "1.2.3.4:5", "h1"
+    )
+    with pytest.raises(BadDocumentError):
+        dialect.decode_read("1.2.3.4:5", b"{}")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, ((b"X-Not-Executed", b"1"),), True),
+        (503, (), False),
+        (429, (), False),
+        (421, (), True),
+        (200, (), False),
+    ],
+)
+def test_only_the_targets_own_word_says_that_it_did_not_run(status, headers, not_run):
+    assert dialect.decode_answer(status, b"", headers).not_run is not_run
+
+
+def test_an_encoded_body_is_not_the_targets_own():
+    sealed = ((b"X-Response-Seal", b"s"),)
+    assert dialect.decode_answer(200, b"", sealed).sealed
+    encoded = (*sealed, (b"Content-Encoding", b"gzip"))
+    assert not dialect.decode_answer(200, b"", encoded).sealed
+
+
+def test_how_long_a_connection_is_kept():
+    headers = ((b"Keep-Alive", b"max=5, timeout=7"),)
+    assert dialect.decode_answer(200, b"", headers).idle_s == 7.0
+    assert dialect.decode_answer(200, b"", ()).idle_s is None
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,55 @@
+import json
+
+import pytest
+
+from robinspindle.core.routes import AT_MOST_ONCE, find_route
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.platform.documents import decode_announcement, decode_configuration
+from tests.platform.deployment import HOST, make_configuration, make_route
+
+
+def decode(value):
+    return decode_configuration(json.dumps(value).encode())
+
+
+def test_a_configuration_is_decoded_with_its_units():
+    table = decode(make_configuration(version=7))
+    route = find_route(table, HOST, "/digest/x")
+    assert (table.version, route.timeout_s, route.aim_s) == (7, 5.0, 1.0)
+    assert route.may_rerun
+    assert table.services["lm"].engine.cache_tokens == 100000
+    assert table.limits.idle_s == 15.0
+
+
+def test_fields_that_are_not_known_are_passed_over():
+    value = make_configuration() | {"Later": {"x": 1}}
+    value["Routes"][0]["Later"] = [1]
+    assert decode(value).version == 1
+
+
+def test_a_kind_that_is_not_known_runs_at_most_once():
+    value = make_configuration(routes=[make_route("a", "later", "push")])
+    assert find_route(decode(value), HOST, "/a/").kind == AT_MOST_ONCE
+
+
+def test_a_split_and_its_weights():
+    split = [{"Service": "a", "Weight": 90}, {"Service": "b", "Weight": 10}]
+    route = make_route("a", "idempotent", None, Backends=split)
+    backends = find_route(decode(make_configuration(routes=[route])), HOST, "/a/")
+    assert [(b.service, b.weight) for b in backends.backends] == [
+        ("a", 90.0),
+        ("b", 10.0),
+    ]
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"Version": "x"}', b"\xff"])
+def test_what_can_not_be_read_is_an_error_of_its_own(data):
+    with pytest.raises(BadDocumentError):
+        decode_configuration(data)
+    with pytest.raises(BadDocumentError):
+        decode_announcement("i1", data)
+
+
+def test_a_target_that_is_not_ready_leaves():
+    entry = {"Service": "s", "Address": "1.2.3.4:5", "State": "draining"}
+    assert decode_announcement("i1", json.dumps(entry).encode()).leaving
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,83 @@
+import json
+
+import pytest
+
+from robinspindle.cli import main
+from robinspindle.explaining import read_lines, tell_story
+
+
+def make_log(text, at, node="front-1", **fields):
+    return json.dumps({"node": node, "at": at, "text": text, **fields})
+
+
+ROUTED = make_log(
+    "request routed", 5.0, request="r1", target="i1", wait_ms=3.0, list_age_ms=200
+)
+
+
+def tell(*texts, id="r1"):
+    return tell_story(id, read_lines(texts))
+
+
+def test_a_story_is_told_in_order_from_several_files_with_other_text_between():
+    story = tell(
+        make_log("request ended", 5.2, request="r1", outcome="delivered"),
+        "no json at all",
+        "{broken",
+        make_log("request ended", 5.1, request="other", outcome="delivered"),
+        " 3.25 front-1 " + ROUTED,
+    )
+    assert [line.text for line in story.lines] == ["request routed", "request ended"]
+    assert not story.missing
+
+
+def test_a_refusal_names_what_was_believed():
+    end = make_log(
+        "request ended",
+        5.1,
+        request="r1",
+        outcome="refused 503: busy",
+        wait_ms=140.0,
+        planned_ms=190.0,
+    )
+    story = tell(ROUTED, end)
+    assert "140.0 ms of other prompts" in story.causes[0]
+
+
+def test_each_target_that_did_not_deliver_is_a_cause():
+    story = tell(
+        ROUTED,
+        make_log(
+            "target did not deliver", 5.1, request="r1", target="i1", error="reset"
+        ),
+        make_log("request ended", 5.2, request="r1", outcome="refused 502: broken"),
+    )
+    assert story.causes == [
+        "unknown outcome: a target may have run it and it may not run again",
+        "target i1 did not deliver: reset",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("texts", "missing"),
+    [
+        ((), "no line names this request"),
+        ((ROUTED,), "no line tells its end"),
+        (
+            (make_log("request ended", 1.0, request="r1", outcome="delivered"),),
+            "no line tells its routing",
+        ),
+        ((make_log("lines left out", 1.0, left_out={"x": 3}),), "some lines were left"),
+    ],
+)
+def test_what_the_logs_lack_is_said(texts, missing):
+    assert any(text.startswith(missing) for text in tell(*texts).missing)
+
+
+def test_the_command_reads_files_and_tells_whether_it_found_anything(tmp_path, capsys):
+    file = tmp_path / "log"
+    end = make_log("request ended", 5.2, request="r1", outcome="delivered")
+    file.write_text(f"{ROUTED}\n{end}\n")
+    assert main(["explain", "r1", str(file)]) == 0
+    assert "cause: delivered" in capsys.readouterr().out
+    assert main(["explain", "r9", str(file)]) == 4
