Change engines' roles by the demand for reading, under a claim in the log

Change: gateways tell each other what they are asked to read; the first of them decides, claims by an append that names the log's end, and orders within 0.4 of a lease; nobody else claims until 1.6 leases after it saw a claim. Engines that change get no work.

--- /dev/null
+++ b/src/robinspindle/core/authority.py
@@ -0,0 +1,72 @@
+"""Who may give orders to engines: a claim in the platform's log, for a short time.
+
+A claim is one record, appended only where the log still ends as its author knows it;
+its offset is the fencing number. It is used for less than a lease from before it was
+sent, and nobody else claims until well over a lease after seeing it: so no two
+gateways order within a lease of each other, whatever their clocks say.
+"""
+
+from dataclasses import dataclass
+
+USE_SHARE = 0.4
+"""Share of a lease for which a claim is used."""
+
+WAIT_SHARE = 1.6
+"""Leases that must pass after another's claim was seen."""
+
+
+@dataclass
+class Authority:
+    """What one gateway has seen of the claims.
+
+    Attributes:
+        name: This gateway.
+        lease_s: Length of a lease, seconds.
+        holder: The last claim's author, empty for none.
+        seen_at: When that claim was seen, steady seconds.
+        end: Where the log of claims ends, as far as it was read; None before.
+    """
+
+    name: str
+    lease_s: float
+    holder: str = ""
+    seen_at: float = 0.0
+    end: int | None = None
+
+
+@dataclass(frozen=True)
+class Claim:
+    """A claim of this gateway that was accepted.
+
+    Attributes:
+        fence: Its fencing number.
+        sent_at: When it was sent, steady seconds.
+    """
+
+    fence: int
+    sent_at: float
+
+
+def note_claim(authority: Authority, now: float, holder: str) -> None:
+    """Take note of a claim that was read from the log."""
+    authority.holder = holder
+    authority.seen_at = now
+
+
+def may_claim(authority: Authority, now: float) -> bool:
+    """Whether this gateway may try to claim."""
+    if authority.end is None:
+        return False
+    if authority.holder in ("", authority.name):
+        return True
+    return now - authority.seen_at >= WAIT_SHARE * authority.lease_s
+
+
+def may_use(authority: Authority, claim: Claim, now: float) -> bool:
+    """Whether an order may still be sent under a claim."""
+    return now - claim.sent_at < USE_SHARE * authority.lease_s
+
+
+def is_first(name: str, peers: list[str]) -> bool:
+    """Whether a gateway is the one that decides, among those it hears."""
+    return all(name < peer for peer in peers)
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -121,7 +121,7 @@
         headers: Headers for the caller.
         request_id: Id of the request it answers, empty where it names none.
         not_run: Whether the target says that it did not run the request.
-        wrong_lifetime: Whether another lifetime than the one meant answered.
+        answered_by: The lifetime that answered, where it says so.
         sealed: Whether it is a whole answer in the target's name.
         idle_s: How long the target keeps an idle connection; None if not told.
     """
@@ -131,7 +131,7 @@
     headers: Headers
     request_id: str
     not_run: bool
-    wrong_lifetime: bool
+    answered_by: str
     sealed: bool
     idle_s: float | None
 
--- /dev/null
+++ b/src/robinspindle/core/rebalance.py
@@ -0,0 +1,158 @@
+"""When an engine should change its role, and which.
+
+A change takes an engine away for seconds and has a price, so it follows what lasts:
+reading that the readers can't keep up with while the generating engines have room, or
+the reverse. Shifts of a few seconds are met by where prompts are read instead.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from robinspindle.core.engines import Engine, find_first_pace
+from robinspindle.core.targets import Target
+
+READING = "prefill"
+GENERATING = "decode"
+
+DEMAND_S = 3.0
+"""Time over which the demand for reading is averaged, seconds: about one swing of the
+mix, so that a single swing does not look like a trend."""
+
+READ_FULL = 0.4
+"""Readers count as too few when the demand is above this share of their pace: the mean
+hides swings to twice and more. Of 0.35, 0.4, 0.5 and 0.8 the lowest two gain most."""
+
+READ_IDLE = 0.25
+"""Readers count as too many when one fewer would be used below this share."""
+
+HOST_FULL = 0.5
+"""Share of their slots that long answers may fill on the generating engines that are
+left: bursts of answers go up to about twice the mean."""
+
+HOST_SHORT = 0.75
+"""Generating engines count as too few above this share."""
+
+LEAST_GENERATING_SHARE = 0.5
+"""Share of the engines that goes on generating. With 0.3 the loss of one machine made
+a day worse than without any change (frd-zonas trouble-2, 0.354 against 0.455)."""
+
+REST_S = 3.0
+"""Least time between two changes besides the change itself, seconds."""
+
+TURN_BACK_S = 20.0
+"""Least time before a change in the other direction, seconds: several times what both
+changes cost."""
+
+BATCH_SHARE = 1 / 8
+"""Share of the engines that may change at a time."""
+
+
+@dataclass
+class Demand:
+    """Tokens of prompts asked of one gateway, as a decaying sum.
+
+    Attributes:
+        tokens: The sum.
+        at: When it was last brought up to date, steady seconds.
+    """
+
+    tokens: float = 0.0
+    at: float = 0.0
+
+
+@dataclass
+class History:
+    """Changes that were made.
+
+    Attributes:
+        changed_at: When the last was begun, steady seconds.
+        last_role: The role that it led to, empty before the first.
+    """
+
+    changed_at: float = -math.inf
+    last_role: str = ""
+
+
+@dataclass(frozen=True)
+class Change:
+    """Engines that should take a role."""
+
+    role: str
+    targets: tuple[Target, ...] = field(default_factory=tuple)
+
+
+Pair = tuple[Target, Engine]
+
+
+def note_demand(demand: Demand, now: float, tokens: int) -> None:
+    """Take note of tokens that a new prompt needs read, served or not."""
+    demand.tokens = read_demand(demand, now) * DEMAND_S + tokens
+    demand.at = now
+
+
+def read_demand(demand: Demand, now: float) -> float:
+    """Read the demand, tokens a second."""
+    return demand.tokens * math.exp((demand.at - now) / DEMAND_S) / DEMAND_S
+
+
+def decide_change(
+    engines: list[Pair], read_rate: float, history: History, now: float, switch_s: float
+) -> Change | None:
+    """Decide whether engines of one service should change their role.
+
+    Args:
+        engines: All usable engines of the service.
+        read_rate: Tokens a second that all gateways are asked to have read.
+        history: The changes so far.
+        now: The present time, steady seconds.
+        switch_s: How long a change takes an engine away, seconds.
+    """
+    if now - history.changed_at < switch_s + REST_S:
+        return None
+    readers = [pair for pair in engines if pair[1].reads_only]
+    hosts = [pair for pair in engines if not pair[1].reads_only]
+    if not readers or not hosts:
+        return None
+    batch = max(1, int(len(engines) * BATCH_SHARE))
+    wanted = _count_more_readers(readers, hosts, read_rate)
+    if wanted > 0 and _may_turn(history, READING, now):
+        ranked = sorted(hosts, key=lambda pair: pair[1].long_answers)
+        return Change(READING, _take(ranked, min(batch, wanted)))
+    if _needs_host(readers, hosts, read_rate) and _may_turn(history, GENERATING, now):
+        ranked = sorted(readers, key=lambda pair: pair[1].unread)
+        return Change(GENERATING, _take(ranked, 1))
+    return None
+
+
+def _may_turn(history: History, role: str, now: float) -> bool:
+    is_same = history.last_role in ("", role)
+    return is_same or now - history.changed_at >= TURN_BACK_S
+
+
+def _take(ranked: list[Pair], count: int) -> tuple[Target, ...]:
+    return tuple(target for target, _ in ranked[:count])
+
+
+def _count_more_readers(
+    readers: list[Pair], hosts: list[Pair], read_rate: float
+) -> int:
+    pace = find_first_pace(True)
+    if read_rate <= READ_FULL * pace * len(readers):
+        return 0
+    wanted = math.ceil(read_rate / (READ_FULL * pace)) - len(readers)
+    total = len(readers) + len(hosts)
+    least_hosts = max(2, math.ceil(total * LEAST_GENERATING_SHARE))
+    spare = len(hosts) - least_hosts
+    answers = sum(engine.long_answers for _, engine in hosts)
+    slots = min(target.announced.slots for target, _ in hosts)
+    needed = math.ceil(answers / (HOST_FULL * slots))
+    return max(0, min(wanted, spare, len(hosts) - needed))
+
+
+def _needs_host(readers: list[Pair], hosts: list[Pair], read_rate: float) -> bool:
+    if len(readers) < 2:
+        return False
+    answers = sum(engine.long_answers for _, engine in hosts)
+    slots = sum(target.announced.slots for target, _ in hosts)
+    left = (len(readers) - 1) * find_first_pace(True)
+    return answers > HOST_SHORT * slots and read_rate < READ_IDLE * left
--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -59,6 +59,8 @@
         number: Counts up.
         loads: All that it has under way.
         placements: What it placed since its last datagram.
+        read_rates: Tokens a second that it is asked to have read, by service.
+        switching: Engines that it ordered lately, with the role that they take.
     """
 
     sender: str
@@ -66,6 +68,8 @@
     number: int
     loads: list[Load]
     placements: list[Placement]
+    read_rates: dict[str, float] = {}
+    switching: list[tuple[str, str]] = []
 
 
 @dataclass
@@ -77,12 +81,14 @@
         number: Number of its newest datagram.
         heard_at: When that came, steady seconds.
         lifetimes: Targets at which it had work.
+        read_rates: Tokens a second that it is asked to have read, by service.
     """
 
     started: float = 0.0
     number: int = -1
     heard_at: float = 0.0
     lifetimes: set[str] = field(default_factory=set)
+    read_rates: dict[str, float] = field(default_factory=dict)
 
 
 FindEngine = Callable[[str], Engine | None]
@@ -101,6 +107,7 @@
         return False
     peer.started, peer.number = digest.started, digest.number
     peer.heard_at = now
+    peer.read_rates = digest.read_rates
     _replace_loads(peer, digest.sender, digest.loads, find)
     for placement in digest.placements:
         engine = find(placement.lifetime)
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -20,6 +20,10 @@
 MOST_REST_S = 3.0
 """Longest rest, seconds: a crashed target that restarts is found again within it."""
 
+SWITCH_SLACK_S = 12.0
+"""How long an engine may take beyond a change of role itself, seconds: the longest
+answers that it has to end first."""
+
 FAULT_SMOOTHING = 0.1
 """Weight of the newest answer in the share of faulty ones: about the last ten count."""
 
@@ -62,6 +66,8 @@
         full_until: Until when it is taken as full, steady seconds.
         gone_at: From when it is taken as gone, steady seconds; None while listed.
         replaced: Whether its address answers for another lifetime.
+        switching_to: The role that it was ordered to take, empty for none.
+        switching_until: Until when it may be away for that, steady seconds.
     """
 
     announced: Announcement
@@ -72,6 +78,8 @@
     full_until: float = 0.0
     gone_at: float | None = None
     replaced: bool = False
+    switching_to: str = ""
+    switching_until: float = 0.0
 
 
 @dataclass
@@ -169,9 +177,23 @@
 
 def is_healthy(target: Target, now: float) -> bool:
     """Whether nothing that was seen speaks against a target at the moment."""
+    if is_switching(target, now):
+        return False
     return now >= target.rested_until and now >= target.full_until
 
 
+def note_switching(target: Target, role: str, until: float) -> None:
+    """Take note that a target was ordered to take another role."""
+    if target.announced.role != role:
+        target.switching_to, target.switching_until = role, until
+
+
+def is_switching(target: Target, now: float) -> bool:
+    """Whether a target is away, or about to be, for a change of its role."""
+    is_done = target.announced.role == target.switching_to
+    return bool(target.switching_to) and not is_done and now < target.switching_until
+
+
 def list_usable(
     directory: Directory, service: str, now: float, tried: set[str]
 ) -> list[Target]:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -79,6 +79,35 @@
             and (self.directory.targets[lifetime].in_flight or engine.own_unread >= 1)
         ]
 
+    def list_engine_services(self) -> list[str]:
+        """List the services that have engines."""
+        services = self.table.services.values() if self.table else ()
+        return [service.name for service in services if service.engine]
+
+    def list_engines(self, service: str, now: float) -> list[tuple[Target, Engine]]:
+        """List the engines of a service that may get work and are in a role."""
+        found = (t for t in self.directory.targets.values() if t.announced.role)
+        return [
+            (target, self.find_engine(target))
+            for target in found
+            if target.announced.service == service
+            and targets.may_get_work(target, now)
+            and targets.is_healthy(target, now)
+        ]
+
+    def find_switch_s(self, service: str) -> float:
+        """Find how long a change of role takes an engine away, seconds."""
+        shape = self._find_shape(service)
+        return shape.switch_s if shape else 0.0
+
+    def note_switching(self, lifetime: str, role: str, now: float) -> None:
+        """Take note that a peer ordered an engine to take a role."""
+        target = self.directory.targets.get(lifetime)
+        if target is not None and not target.switching_to:
+            switch_s = self.find_switch_s(target.announced.service)
+            until = now + switch_s + targets.SWITCH_SLACK_S
+            targets.note_switching(target, role, until)
+
     def find_pool(self, target: Target) -> ConnectionPool:
         """Find the connections to a target."""
         announced = target.announced
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -77,6 +77,7 @@
         rest_s: Least time between two reads, seconds: records that come one by one
             are then read together, as each call has its price.
         wait_s: How long the store holds a poll, seconds.
+        note_end: Told where the topic ends, after each read was applied.
     """
 
     topic: str
@@ -85,6 +86,7 @@
     note_back: Callable[[], None]
     rest_s: float = 0.0
     wait_s: float = WAIT_S
+    note_end: Callable[[int], None] = lambda end: None
 
 
 async def follow(store: KeyedStore, follower: Follower, log: Log) -> None:
@@ -113,6 +115,7 @@
             _drop_vanished(follower, keys, records)
         offset = records.end
         _apply(follower, keys, records)
+        follower.note_end(offset)
         await asyncio.sleep(follower.rest_s)
 
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -14,6 +14,7 @@
 
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.core import budgets, targets
+from robinspindle.core.authority import Authority
 from robinspindle.core.forwarding import Refusal
 from robinspindle.core.routes import RouteTable, is_newer
 from robinspindle.core.targets import Announcement, Directory
@@ -25,7 +26,8 @@
 from robinspindle.httpserver import CallerServer, Incoming, Limits, Reply
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
-from robinspindle.peers import LEAST_INTERVAL_S, PeerLink, Peers
+from robinspindle.ordering import CLAIM_KEY, OrderDialect, Orderer
+from robinspindle.peers import LEAST_INTERVAL_S, News, PeerLink, Peers
 from robinspindle.relay import Dialect, Relay
 
 TICK_S = 0.1
@@ -65,7 +67,9 @@
     configuration_key: str
     targets_topic: str
     gateways_topic: str
+    orders_topic: str
     dialect: Dialect
+    orders: OrderDialect
 
     def make_store(
         self, settings: GatewaySettings, clock: Callable[[], float]
@@ -86,6 +90,7 @@
         directory: The targets.
         fleet: What is kept for them.
         peers: The other gateways.
+        orderer: Gives orders to engines.
         is_ready: Whether callers may be sent here.
     """
 
@@ -117,7 +122,23 @@
         )
         self.peers = Peers(settings.name, time.time())
         self._link = PeerLink(
-            self.peers, self.fleet.find_engine_of, self._clock, make_log("peers")
+            self.peers,
+            self.fleet.find_engine_of,
+            lambda lifetime, role: self.fleet.note_switching(
+                lifetime, role, self._clock()
+            ),
+            self._clock,
+            make_log("peers"),
+        )
+        self.orderer = Orderer(
+            Authority(settings.name, pledges.lease_s),
+            adapter.orders_topic,
+            self._store,
+            self.fleet,
+            self.peers,
+            adapter.orders,
+            self._clock,
+            make_log("orders"),
         )
         self._limits = Limits()
         self._callers = CallerServer(self._handle, self._limits, self._clock)
@@ -151,6 +172,8 @@
             loop.create_task(self._introduce(peer_address)),
             loop.create_task(self._tell_peers()),
             loop.create_task(follow(self._store, self._follow_peers(), log)),
+            loop.create_task(follow(self._store, self._follow_orders(), log)),
+            loop.create_task(self.orderer.run(self._relay.read_rate)),
             loop.create_task(follow(self._store, self._follow_configuration(), log)),
             loop.create_task(follow(self._store, self._follow_targets(), log)),
             loop.create_task(self._keep_house()),
@@ -209,6 +232,23 @@
             wait_s=PEERS_WAIT_S,
         )
 
+    def _follow_orders(self) -> Follower:
+        return Follower(
+            topic=self._adapter.orders_topic,
+            apply=self._apply_claim,
+            note_away=lambda: None,
+            note_back=lambda: None,
+            wait_s=PEERS_WAIT_S,
+            note_end=self._note_claims_end,
+        )
+
+    def _apply_claim(self, key: str, value: bytes | None) -> None:
+        if key == CLAIM_KEY and value is not None:
+            self.orderer.note_record(value.decode("utf-8", "replace"))
+
+    def _note_claims_end(self, end: int) -> None:
+        self.orderer.authority.end = end
+
     def _apply_peer(self, key: str, value: bytes | None) -> None:
         if key == self._settings.name:
             return
@@ -236,9 +276,15 @@
     async def _tell_peers(self) -> None:
         while True:
             await asyncio.sleep(LEAST_INTERVAL_S)
-            placements = self._relay.placements
-            if self._link.tell(self._clock(), self.fleet.list_loads(), placements):
-                placements.clear()
+            news = News(
+                self.fleet.list_loads(),
+                self._relay.placements,
+                {name: self._relay.read_rate(name) for name in self._relay.demands},
+                self.orderer.peek_untold(),
+            )
+            if self._link.tell(self._clock(), news):
+                self._relay.placements.clear()
+                self.orderer.note_told()
 
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
         if key != self._adapter.configuration_key or value is None:
--- /dev/null
+++ b/src/robinspindle/ordering.py
@@ -0,0 +1,223 @@
+"""Gives orders to engines, under a claim in the platform's log."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from robinspindle.core import rebalance
+from robinspindle.core.authority import (
+    Authority,
+    Claim,
+    is_first,
+    may_claim,
+    may_use,
+    note_claim,
+)
+from robinspindle.core.rebalance import Change, History
+from robinspindle.core.targets import Target
+from robinspindle.exceptions import LogConflictError, LogServiceError
+from robinspindle.fleet import Fleet
+from robinspindle.following import KeyedStore
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
+from robinspindle.logs import Log
+from robinspindle.peers import Peers
+
+CLAIM_KEY = "roles"
+
+DECIDE_S = 0.25
+"""Interval at which roles are looked at, seconds."""
+
+ORDER_TIMEOUT_S = 0.5
+"""Longest wait for an engine's answer to an order, seconds."""
+
+SETTLE_S = 3.0
+"""How long a gateway hears its peers before it decides for all, seconds."""
+
+TELLINGS = 3
+"""Times that an order is told to the peers, as datagrams may be lost."""
+
+
+class OrderOutcome(Enum):
+    """How an engine took an order."""
+
+    TAKEN = "taken"
+    HOLDS = "holds already"
+    CONFLICT = "another order is under way"
+    FENCED = "a newer claim has been used"
+    REPLACED = "another lifetime answers"
+    REFUSED = "refused"
+    UNSURE = "no answer"
+
+
+@dataclass(frozen=True)
+class Order:
+    """An order to one engine to change its role.
+
+    Attributes:
+        lifetime: The engine's lifetime.
+        address: Its address.
+        role: The role to take.
+        holder: The gateway that gives it.
+        fence: Its fencing number.
+    """
+
+    lifetime: str
+    address: str
+    role: str
+    holder: str
+    fence: int
+
+
+class OrderDialect(Protocol):
+    """How orders are written on the wire."""
+
+    def encode_order(self, order: Order) -> bytes:
+        """Write an order."""
+
+    def decode_outcome(self, status: int) -> OrderOutcome:
+        """Read how it was taken."""
+
+
+class Orderer:
+    """Decides on roles for all gateways, while it is the first of them.
+
+    Attributes:
+        authority: What is known of the claims.
+    """
+
+    def __init__(
+        self,
+        authority: Authority,
+        topic: str,
+        store: KeyedStore,
+        fleet: Fleet,
+        peers: Peers,
+        dialect: OrderDialect,
+        clock: Callable[[], float],
+        log: Log,
+    ):
+        self.authority = authority
+        self._untold: list[tuple[str, str]] = []
+        self._topic = topic
+        self._store = store
+        self._fleet = fleet
+        self._peers = peers
+        self._dialect = dialect
+        self._clock = clock
+        self._log = log
+        self._histories: dict[str, History] = {}
+        self._began_at = clock()
+
+    def note_record(self, holder: str) -> None:
+        """Take note of a claim that was read from the log."""
+        note_claim(self.authority, self._clock(), holder)
+
+    def peek_untold(self) -> list[tuple[str, str]]:
+        """List an engine that was ordered and its role, to be told to the peers."""
+        return self._untold[:1]
+
+    def note_told(self) -> None:
+        """Take note that it was told."""
+        del self._untold[:1]
+
+    async def run(self, own_demand: Callable[[str], float]) -> None:
+        """Look at the roles for as long as the process runs."""
+        while True:
+            await asyncio.sleep(DECIDE_S)
+            now = self._clock()
+            if now - self._began_at < SETTLE_S:
+                continue
+            if not is_first(self.authority.name, list(self._peers.views)):
+                continue
+            for service in self._fleet.list_engine_services():
+                await self._look_at(service, own_demand(service), now)
+
+    async def _look_at(self, service: str, own_rate: float, now: float) -> None:
+        rate = own_rate + sum(
+            view.read_rates.get(service, 0.0) for view in self._peers.views.values()
+        )
+        history = self._histories.setdefault(service, History())
+        switch_s = self._fleet.find_switch_s(service)
+        engines = self._fleet.list_engines(service, now)
+        change = rebalance.decide_change(engines, rate, history, now, switch_s)
+        if change is None or not may_claim(self.authority, now):
+            return
+        claim = await self._claim()
+        if claim is None:
+            # Whoever was faster decides; what it did shows in the entries.
+            history.changed_at = self._clock()
+            return
+        history.changed_at = claim.sent_at
+        history.last_role = change.role
+        self._log(
+            "roles change",
+            service=service,
+            role=change.role,
+            read_rate=round(rate),
+            targets=[target.announced.lifetime for target in change.targets],
+            fence=claim.fence,
+        )
+        await self._give_all(change, claim)
+
+    async def _claim(self) -> Claim | None:
+        sent_at = self._clock()
+        try:
+            offset = await self._store.append_keyed(
+                self._topic,
+                CLAIM_KEY,
+                self.authority.name.encode(),
+                expected_end=self.authority.end,
+            )
+        except LogConflictError as error:
+            self._log("claim lost to another", end=error.end)
+            return None
+        except LogServiceError as error:
+            self._log("claim not made", error=str(error))
+            return None
+        # Offsets begin at 0, and a fencing number should not.
+        return Claim(offset + 1, sent_at)
+
+    async def _give_all(self, change: Change, claim: Claim) -> None:
+        for target in change.targets:
+            if not may_use(self.authority, claim, self._clock()):
+                self._log("claim is too old to be used", fence=claim.fence)
+                return
+            outcome = await self._give(target, change.role, claim)
+            self._log(
+                "order given",
+                target=target.announced.lifetime,
+                role=change.role,
+                fence=claim.fence,
+                outcome=outcome.value,
+            )
+            if outcome in (OrderOutcome.TAKEN, OrderOutcome.UNSURE):
+                lifetime = target.announced.lifetime
+                self._fleet.note_switching(lifetime, change.role, self._clock())
+                self._untold += [(lifetime, change.role)] * TELLINGS
+
+    async def _give(self, target: Target, role: str, claim: Claim) -> OrderOutcome:
+        announced = target.announced
+        order = Order(
+            announced.lifetime,
+            announced.address,
+            role,
+            self.authority.name,
+            claim.fence,
+        )
+        pool = self._fleet.find_pool(target)
+        connection = None
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                connection = await pool.take(self._clock(), ORDER_TIMEOUT_S)
+                exchange = Exchange("")
+                connection.send(exchange, self._dialect.encode_order(order))
+                head = await exchange.read_head()
+                await exchange.read_body()
+                return self._dialect.decode_outcome(head.status)
+        except (ConnectionBrokenError, TimeoutError):
+            return OrderOutcome.UNSURE
+        finally:
+            if connection is not None:
+                pool.give_back(connection, self._clock())
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -56,12 +56,28 @@
     sent_at: float = 0.0
 
 
+@dataclass(frozen=True)
+class News:
+    """What a gateway has to tell; see `Digest` for the parts."""
+
+    loads: list[Load]
+    placements: list[Placement]
+    read_rates: dict[str, float] = field(default_factory=dict)
+    switching: list[tuple[str, str]] = field(default_factory=list)
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """The socket for datagrams."""
 
     def __init__(
-        self, peers: Peers, find: FindEngine, clock: Callable[[], float], log: Log
+        self,
+        peers: Peers,
+        find: FindEngine,
+        note_switching: Callable[[str, str], None],
+        clock: Callable[[], float],
+        log: Log,
     ):
+        self._note_switching = note_switching
         self._peers = peers
         self._find = find
         self._clock = clock
@@ -95,13 +111,15 @@
             return
         is_new = digest.sender not in self._peers.views
         take_digest(self._peers.views, digest, self._clock(), self._find)
+        for lifetime, role in digest.switching:
+            self._note_switching(lifetime, role)
         if is_new:
             self._log("peer heard", peer=digest.sender)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over errors: a peer that is gone is noticed by its silence."""
 
-    def tell(self, now: float, loads: list[Load], placements: list[Placement]) -> bool:
+    def tell(self, now: float, news: News) -> bool:
         """Tell all peers, if it is time to.
 
         Returns:
@@ -110,14 +128,21 @@
         peers = self._peers
         count = len(peers.addresses)
         interval_s = max(LEAST_INTERVAL_S, INTERVAL_PER_PEER_S * count)
-        if not loads and not placements:
+        if not news.loads and not news.placements and not news.switching:
             interval_s = MOST_INTERVAL_S
         if not count or now - peers.sent_at < interval_s:
             return False
         peers.sent_at = now
         peers.number += 1
-        newest = placements[-MOST_PLACEMENTS:]
-        digest = Digest(peers.name, peers.started, peers.number, loads, newest)
+        digest = Digest(
+            peers.name,
+            peers.started,
+            peers.number,
+            news.loads,
+            news.placements[-MOST_PLACEMENTS:],
+            news.read_rates,
+            news.switching,
+        )
         data = encode(digest)
         for address in peers.addresses.values():
             self._transport.sendto(data, (address.host, address.port))
--- a/src/robinspindle/platform/adapter.py
+++ b/src/robinspindle/platform/adapter.py
@@ -7,7 +7,7 @@
 from robinspindle.core.routes import RouteTable
 from robinspindle.core.targets import Announcement
 from robinspindle.gatewaysettings import GatewaySettings
-from robinspindle.platform import dialect, documents, store
+from robinspindle.platform import dialect, documents, orders, store
 from robinspindle.platform.store import Store
 
 
@@ -19,7 +19,9 @@
     configuration_key: str = store.CONFIGURATION_KEY
     targets_topic: str = store.TARGETS_TOPIC
     gateways_topic: str = store.GATEWAYS_TOPIC
+    orders_topic: str = store.ORDERS_TOPIC
     dialect: ModuleType = dialect
+    orders: ModuleType = orders
 
     def make_store(
         self, settings: GatewaySettings, clock: Callable[[], float]
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -48,7 +48,7 @@
 """Headers that only the system sets; a caller's own values are dropped."""
 
 RESUME = b"last-event-id"
-WRONG_LIFETIME = 421
+MISDIRECTED = 421
 
 
 def decode_request(method: str, target: bytes, headers: Headers, now: float) -> Request:
@@ -112,8 +112,8 @@
         headers=kept,
         request_id=values.get(b"x-request-id", b"").decode("latin-1"),
         # Not the status: a 503 without this header may come from a request that ran.
-        not_run=b"x-not-executed" in values or status == WRONG_LIFETIME,
-        wrong_lifetime=status == WRONG_LIFETIME,
+        not_run=b"x-not-executed" in values or status == MISDIRECTED,
+        answered_by=values.get(b"x-instance-id", b"").decode("latin-1"),
         # A target signs its answers; the signature travels on untouched.
         sealed=b"x-response-seal" in values and b"content-encoding" not in values,
         idle_s=_read_idle(values.get(b"keep-alive")),
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -24,6 +24,7 @@
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
 GATEWAYS_TOPIC = "keyed.gateways"
+ORDERS_TOPIC = "keyed.orders"
 
 CALL_TIMEOUT_S = 1.0
 """Longest wait for an answer beyond the wait that was asked for, seconds: the store
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -21,6 +21,7 @@
 from robinspindle.core.events import EventSplitter, take_events
 from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
 from robinspindle.core.reading import Plan
+from robinspindle.core.rebalance import Demand, note_demand, read_demand
 from robinspindle.core.routes import STREAM, Route, choose_service, find_route
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sharing import Placement
@@ -138,6 +139,7 @@
 
     Attributes:
         placements: Prompts placed since they were last told to the peers.
+        demands: Tokens that are asked to be read, by service.
     """
 
     def __init__(
@@ -151,6 +153,7 @@
         metrics: GatewayMetrics,
     ):
         self.placements: list[Placement] = []
+        self.demands: dict[str, Demand] = {}
         self._dialect = dialect
         self._fleet = fleet
         self._budget = budget
@@ -189,6 +192,11 @@
             self._log_end(passage, None, "caller left")
             raise
 
+    def read_rate(self, service: str) -> float:
+        """Tokens a second of prompts that this gateway is asked to have read."""
+        demand = self.demands.get(service)
+        return read_demand(demand, self._clock()) if demand else 0.0
+
     async def _serve(self, passage: Passage, reply: Reply) -> None:
         while True:
             now = self._clock()
@@ -199,6 +207,9 @@
             if plan is None:
                 self._give_up(passage, reply, passage.last_reason or "no-target")
                 return
+            if passage.plan is None and plan.unread:
+                demand = self.demands.setdefault(passage.service, Demand())
+                note_demand(demand, now, plan.unread)
             passage.plan = plan
             self._log_plan(passage, plan)
             if self._is_hopeless(passage, plan, now):
@@ -328,10 +339,8 @@
                 pool.give_back(connection, self._clock())
 
     def _note_unread(self, passage: Passage, reader: Target, head: AnswerHead) -> None:
-        if head.wrong_lifetime:
-            reader.replaced = True
-        elif head.not_run:
-            targets.note_full(reader, self._clock(), FULL_REST_S)
+        if head.not_run:
+            self._note_turned_away(reader, head)
         else:
             targets.note_fault(reader, True)
         self._log_broken(passage, reader, f"prompt not read: status {head.status}")
@@ -341,6 +350,13 @@
         self._metrics.prompt_tokens.labels("read").inc(unread)
         self._metrics.prompt_tokens.labels("cached").inc(tokens - unread)
 
+    def _note_turned_away(self, target: Target, head: AnswerHead) -> None:
+        # An engine in another role answers like another lifetime, in its own name.
+        if head.answered_by not in ("", target.announced.lifetime):
+            target.replaced = True
+        else:
+            targets.note_full(target, self._clock(), FULL_REST_S)
+
     def _place(
         self, target: Target, engine: Engine, passage: Passage, unread: int
     ) -> None:
@@ -485,11 +501,8 @@
         )
 
     def _note_not_run(self, passage: Passage, target: Target, head: AnswerHead) -> None:
-        if head.wrong_lifetime:
-            target.replaced = True
-        else:
-            targets.note_full(target, self._clock(), FULL_REST_S)
-        passage.last_reason = "replaced" if head.wrong_lifetime else "full"
+        self._note_turned_away(target, head)
+        passage.last_reason = "replaced" if target.replaced else "full"
         self._log_broken(passage, target, f"not run: status {head.status}")
 
     def _note_broken(
