Test claims and orders: no two gateways order within a lease, whatever lags

Cause: the rule that one gives orders was kept by reasoning only.

Change: a property test with lagging readers, late appends and clocks apart; tests of the role policy; orders through a gateway and stand-ins, with the store away and a claim of another.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -90,6 +90,7 @@
         directory: The targets.
         fleet: What is kept for them.
         peers: The other gateways.
+        relay: Forwards requests.
         orderer: Gives orders to engines.
         is_ready: Whether callers may be sent here.
     """
@@ -111,7 +112,7 @@
             pledges.repeat_slack / BUDGET_SHARES,
             pledges.repeat_window_s,
         )
-        self._relay = Relay(
+        self.relay = Relay(
             adapter.dialect,
             self.fleet,
             budget,
@@ -173,7 +174,7 @@
             loop.create_task(self._tell_peers()),
             loop.create_task(follow(self._store, self._follow_peers(), log)),
             loop.create_task(follow(self._store, self._follow_orders(), log)),
-            loop.create_task(self.orderer.run(self._relay.read_rate)),
+            loop.create_task(self.orderer.run(self.relay.read_rate)),
             loop.create_task(follow(self._store, self._follow_configuration(), log)),
             loop.create_task(follow(self._store, self._follow_targets(), log)),
             loop.create_task(self._keep_house()),
@@ -278,12 +279,12 @@
             await asyncio.sleep(LEAST_INTERVAL_S)
             news = News(
                 self.fleet.list_loads(),
-                self._relay.placements,
-                {name: self._relay.read_rate(name) for name in self._relay.demands},
+                self.relay.placements,
+                {name: self.relay.read_rate(name) for name in self.relay.demands},
                 self.orderer.peek_untold(),
             )
             if self._link.tell(self._clock(), news):
-                self._relay.placements.clear()
+                self.relay.placements.clear()
                 self.orderer.note_told()
 
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
@@ -339,7 +340,7 @@
         if stopping_at is not None and incoming.at - stopping_at > UNREADY_S:
             reply.refuse(STOPPING)
             return
-        await self._relay.handle(incoming, reply)
+        await self.relay.handle(incoming, reply)
 
     async def _answer_ready(self, incoming: Incoming, reply: Reply) -> None:
         ready = self.is_ready
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -110,6 +110,11 @@
         self._histories: dict[str, History] = {}
         self._began_at = clock()
 
+    @property
+    def now(self) -> float:
+        """The present time of this gateway's steady clock, seconds."""
+        return self._clock()
+
     def note_record(self, holder: str) -> None:
         """Take note of a claim that was read from the log."""
         note_claim(self.authority, self._clock(), holder)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -17,6 +17,7 @@
         behaviours: How the next requests are answered, in turn; ``ok`` when empty.
         arrivals: All requests that came to be run or read.
         events: Events of a whole stream.
+        orders: Orders that were given.
         freed: Handles that were freed.
         closed: Ids of requests whose connection closed before their end.
     """
@@ -28,6 +29,7 @@
         self.events = events
         self.behaviours: deque[str] = deque()
         self.arrivals: list[RawRequest] = []
+        self.orders: list[RawRequest] = []
         self.freed: list[str] = []
         self.closed: list[str] = []
         self.gate = asyncio.Event()
@@ -54,6 +56,10 @@
             self.freed.append(request.target.rpartition("/")[2])
             write_answer(writer, 200)
             return True
+        if request.target == "/order":
+            self.orders.append(request)
+            write_answer(writer, 202)
+            return True
         self.arrivals.append(request)
         if request.headers.get("x-expect-instance") != self.lifetime:
             write_answer(writer, 421, headers={"X-Instance-Id": self.lifetime})
--- /dev/null
+++ b/tests/core/test_authority.py
@@ -0,0 +1,94 @@
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from robinspindle.core.authority import (
+    Authority,
+    Claim,
+    is_first,
+    may_claim,
+    may_use,
+    note_claim,
+)
+
+LEASE_S = 3.0
+
+
+def test_nothing_is_claimed_before_the_log_was_read():
+    authority = Authority("a", LEASE_S)
+    assert not may_claim(authority, 100.0)
+    authority.end = 0
+    assert may_claim(authority, 100.0)
+
+
+def test_a_claim_is_used_for_a_part_of_a_lease_only():
+    authority = Authority("a", LEASE_S)
+    claim = Claim(1, 10.0)
+    assert may_use(authority, claim, 11.0)
+    assert not may_use(authority, claim, 11.3)
+
+
+def test_the_first_of_those_that_are_heard_decides():
+    assert is_first("a", ["b", "c"])
+    assert not is_first("b", ["a", "c"])
+    assert is_first("b", [])
+
+
+class Log:
+    """A log of claims whose readers lag, and whose clocks have offsets of their own."""
+
+    def __init__(self, names, rng):
+        self.claims = []
+        self.rng = rng
+        self.readers = {name: Authority(name, LEASE_S) for name in names}
+        self.offsets = {name: rng.uniform(0, 1000) for name in names}
+        self.read = dict.fromkeys(names, 0)
+        self.claims_of = {}
+
+    def clock(self, name, now):
+        return now + self.offsets[name]
+
+    def follow(self, name, now):
+        reader = self.readers[name]
+        for holder in self.claims[self.read[name] :]:
+            note_claim(reader, self.clock(name, now), holder)
+        self.read[name] = reader.end = len(self.claims)
+
+    def claim(self, name, sent_at, expected_end):
+        """An append arrives; it may have been sent well before."""
+        if expected_end != len(self.claims):
+            return
+        self.claims.append(name)
+        self.claims_of[name] = Claim(len(self.claims), self.clock(name, sent_at))
+
+
+@given(st.integers(0, 10_000))
+def test_no_two_gateways_order_within_a_lease_and_fences_rise(seed):
+    """Against any lag of reading, any delay of an append, any frozen process."""
+    rng = random.Random(seed)
+    names = ["a", "b", "c"]
+    log = Log(names, rng)
+    orders, pending, now = [], [], 0.0
+    for _ in range(400):
+        now += rng.choice([0.01, 0.1, 0.4, 1.0])
+        name = rng.choice(names)
+        action = rng.choice(["follow", "claim", "order", "order", "arrive"])
+        if action == "follow":
+            log.follow(name, now)
+        elif action == "claim":
+            if may_claim(log.readers[name], log.clock(name, now)):
+                pending.append((name, now, log.readers[name].end))
+        elif action == "arrive" and pending:
+            log.claim(*pending.pop(rng.randrange(len(pending))))
+        elif action == "order" and name in log.claims_of:
+            claim = log.claims_of[name]
+            if may_use(log.readers[name], claim, log.clock(name, now)):
+                orders.append((now, name, claim.fence))
+    for (at, name, fence), (later, other, higher) in zip(
+        orders, orders[1:], strict=False
+    ):
+        assert higher >= fence
+        if other != name:
+            assert higher > fence
+            assert later - at > LEASE_S
--- /dev/null
+++ b/tests/core/test_rebalance.py
@@ -0,0 +1,92 @@
+import pytest
+
+from robinspindle.core import rebalance
+from robinspindle.core.engines import find_first_pace, make_engine
+from robinspindle.core.rebalance import (
+    GENERATING,
+    READING,
+    Demand,
+    History,
+    decide_change,
+    note_demand,
+    read_demand,
+)
+from robinspindle.core.targets import Announcement, Target
+
+PACE = find_first_pace(True)
+SWITCH_S = 3.0
+
+
+def make_fleet(readers=2, hosts=4, long_answers=0):
+    fleet = []
+    for number in range(readers + hosts):
+        role = READING if number < readers else GENERATING
+        announced = Announcement(f"i{number}", "s", "x:1", "a", 48, role=role)
+        engine = make_engine(role == READING, 1000)
+        engine.own_long = 0 if role == READING else long_answers
+        fleet.append((Target(announced), engine))
+    return fleet
+
+
+def decide(fleet, rate, history=None, now=100.0):
+    return decide_change(fleet, rate, history or History(), now, SWITCH_S)
+
+
+def name(change):
+    return [target.announced.lifetime for target in change.targets]
+
+
+def test_nothing_changes_while_the_readers_keep_up():
+    assert decide(make_fleet(), 0.3 * 2 * PACE) is None
+
+
+def test_a_generating_engine_without_answers_begins_to_read():
+    fleet = make_fleet(long_answers=5)
+    fleet[4][1].own_long = 0
+    change = decide(fleet, 1.5 * PACE)
+    assert (change.role, name(change)) == (READING, ["i4"])
+
+
+def test_half_of_the_engines_go_on_generating():
+    assert decide(make_fleet(3, 3), 9 * PACE) is None
+
+
+def test_engines_that_are_needed_for_answers_stay():
+    assert decide(make_fleet(long_answers=24), 9 * PACE) is None
+
+
+def test_readers_turn_to_answers_that_crowd():
+    change = decide(make_fleet(3, 3, long_answers=40), 0.1 * PACE)
+    assert (change.role, len(change.targets)) == (GENERATING, 1)
+
+
+def test_the_last_reader_stays():
+    assert decide(make_fleet(1, 5, long_answers=48), 0.0) is None
+
+
+def test_a_large_fleet_changes_an_eighth_at_a_time():
+    change = decide(make_fleet(7, 15), 22 * PACE)
+    assert len(change.targets) == 2
+
+
+@pytest.mark.parametrize(
+    ("role", "since", "changes"),
+    [
+        (READING, 5.9, False),
+        (READING, 6.1, True),
+        (GENERATING, 6.1, False),
+        (GENERATING, 20.1, True),
+    ],
+)
+def test_changes_are_apart_and_turning_back_takes_longer(role, since, changes):
+    history = History(changed_at=100.0 - since, last_role=role)
+    assert (decide(make_fleet(), 9 * PACE, history) is not None) is changes
+
+
+def test_demand_is_a_mean_that_decays():
+    demand = Demand()
+    for step in range(1000):
+        note_demand(demand, step * 0.01, 1000)
+    assert read_demand(demand, 10.0) == pytest.approx(100_000, rel=0.05)
+    later = read_demand(demand, 10.0 + 10 * rebalance.DEMAND_S)
+    assert later < 10
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -47,7 +47,11 @@
             {
                 "Name": "lm",
                 "MaxConnections": 100,
-                "Engine": {"Slots": 8, "KvCapacityTokens": 100000},
+                "Engine": {
+                    "Slots": 8,
+                    "KvCapacityTokens": 100000,
+                    "RoleSwitchS": 0,
+                },
             },
         ],
         "Limits": {
--- /dev/null
+++ b/tests/platform/test_ordering.py
@@ -0,0 +1,71 @@
+"""Orders to engines, through a gateway and stand-ins."""
+
+import json
+
+from robinspindle.core.rebalance import Demand
+from tests.platform.deployment import deploy, run, until
+
+
+async def press(d):
+    """Have the gateway asked for far more reading than its readers can do."""
+    demand = Demand(tokens=1e9, at=d.gateway.orderer.now)
+    d.gateway.relay.demands["lm"] = demand
+
+
+def test_an_engine_is_ordered_under_a_claim_and_gets_no_work_meanwhile(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("p1", "lm", "prefill")
+            hosts = [await d.add(f"d{n}", "lm", "decode") for n in (1, 2, 3)]
+            await press(d)
+            await until(lambda: any(host.orders for host in hosts))
+            (ordered,) = [host for host in hosts if host.orders]
+            order = json.loads(ordered.orders[0].body)
+            assert order["Op"] == "Stage"
+            assert order["Stage"] == "prefill"
+            assert order["Holder"] == "gateway-1"
+            assert order["Fence"] == 1
+            expected = ordered.orders[0].headers["x-expect-instance"]
+            assert expected == ordered.lifetime
+            for number in range(6):
+                reply = await d.call("/chat/x", id=f"c{number}", **d.prompt("5000"))
+                assert reply.status == 200
+            assert not ordered.arrivals
+
+    run(play())
+
+
+def test_without_the_store_no_order_is_given(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("p1", "lm", "prefill")
+            hosts = [await d.add(f"d{n}", "lm", "decode") for n in (1, 2, 3)]
+            await until(lambda: d.gateway.orderer.authority.end is not None)
+            d.store.trouble = "busy"
+            calls = d.store.calls.count("POST /log-append")
+            await press(d)
+            await until(lambda: d.store.calls.count("POST /log-append") > calls)
+            d.store.trouble = "lost"
+            await until(lambda: d.store.calls.count("POST /log-append") > calls + 1)
+            # Claims whose answers are lost may have been made; none is used.
+            assert not any(host.orders for host in hosts)
+
+    run(play())
+
+
+def test_another_gateways_claim_is_waited_out(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("p1", "lm", "prefill")
+            hosts = [await d.add(f"d{n}", "lm", "decode") for n in (1, 2, 3)]
+            await d.store.put("keyed.orders", "roles", b"gateway-0")
+            authority = d.gateway.orderer.authority
+            await until(lambda: authority.holder == "gateway-0")
+            await press(d)
+            await until(lambda: any(host.orders for host in hosts))
+            waited_s = d.gateway.orderer.now - authority.seen_at
+            assert waited_s >= 1.6 * authority.lease_s or authority.holder != (
+                "gateway-0"
+            )
+
+    run(play())
