--- a/standins/replica.py
+++ b/standins/replica.py
@@ -92,6 +92,12 @@
         write_answer(writer, 503, b"", head)
         return True
 
+    async def _be_wrong_role(self, request: RawRequest, writer) -> bool:
+        """It answers in its own name that the request is for another role."""
+        head = self._head(request) | {"X-Instance-Id": self.lifetime}
+        write_answer(writer, 421, b"", head)
+        return True
+
     async def _be_error(self, request: RawRequest, writer) -> bool:
         write_answer(writer, 500, b"fault", self._head(request))
         return True
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -352,3 +352,15 @@
             assert d.version == 7
 
     run(play())
+
+
+def test_an_engine_in_another_role_is_not_taken_as_replaced(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            host = await d.add("i1", "lm", "decode")
+            host.behaviours.append("wrong_role")
+            assert (await d.call("/chat/x", **d.prompt())).status == 503
+            assert not d.gateway.directory.targets["i1"].replaced
+            assert (await d.call("/chat/x", **d.prompt())).status == 200
+
+    run(play())
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -1,4 +1,5 @@
 import json
+from pathlib import Path
 
 import pytest
 
@@ -81,3 +82,46 @@
     assert main(["explain", "r1", str(file)]) == 0
     assert "cause: delivered" in capsys.readouterr().out
     assert main(["explain", "r9", str(file)]) == 4
+
+
+RECORDED = Path(__file__).parent / "data" / "recorded.log"
+
+
+@pytest.mark.parametrize(
+    ("id", "causes"),
+    [
+        (
+            "5f8b520a0d56bd9c",
+            [
+                "refused unsent: 130.7 ms of other prompts were believed to be ahead "
+                "and the first event was expected after 208.9 ms"
+            ],
+        ),
+        (
+            "8e451b604d21f381",
+            [
+                "delivered: first byte after 381.1 ms, whole after 547.5 ms",
+                "target i-67eb601296 did not deliver: not run: status 503",
+            ],
+        ),
+        (
+            "c107a01e801822f3",
+            [
+                "broken off: broken",
+                "target i-a477cf15eb did not deliver: "
+                "[Errno 104] Connection reset by peer",
+            ],
+        ),
+    ],
+)
+def test_recorded_requests_are_traced_to_their_cause(id, causes):
+    story = tell_story(id, read_lines(RECORDED.read_text().splitlines()))
+    assert story.causes == causes
+    assert not story.missing
+
+
+def test_a_recorded_request_with_an_unknown_outcome_names_the_target():
+    lines = read_lines(RECORDED.read_text().splitlines())
+    story = tell_story("2d705d4380118a2b", lines)
+    assert story.causes[0].startswith("unknown outcome")
+    assert "did not deliver" in story.causes[1]
