Soak real gateways under faults from outside; rest an engine at each order

Cause: no test had several faults at once on real processes. Its logs showed an engine that did not follow an order being ordered again, and getting work meanwhile: a second order was not noted once the first had run out.

Change: soak/ (proxy, oracle, faults, callers); a second order is noted; tests that failed first.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateways as processes, faults from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,96 @@
+"""Runs the soak: ``python -m soak --seed N --count M``."""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+from soak.callers import call_on
+from soak.faults import FAULTS
+from soak.oracle import Oracle
+from soak.world import World
+
+GATEWAYS = 3
+CALLERS = 4
+START_S = 20.0
+"""Longest wait until all gateways serve, at the start and after the faults, seconds."""
+
+
+async def play(seed: int, steps: int, folder: Path) -> Oracle:
+    """Play one seed.
+
+    Args:
+        seed: Chooses the faults and what callers ask.
+        steps: Number of faults; they come in series and overlap.
+        folder: Where settings and logs go.
+
+    Returns:
+        What was seen, with findings.
+    """
+    rng = random.Random(seed)
+    world = World(folder, rng, Oracle())
+    await world.start(GATEWAYS)
+    callers: list[asyncio.Task] = []
+    try:
+        await _wait_until_all_serve(world, "start")
+        for number in range(CALLERS * GATEWAYS):
+            gateway = world.gateways[number % GATEWAYS]
+            caller = call_on(gateway, world.oracle, rng, f"c{number}")
+            callers.append(asyncio.create_task(caller))
+        faults = []
+        for _ in range(steps):
+            fault, seconds = rng.choice(FAULTS), rng.uniform(0.1, 2.5)
+            faults.append(asyncio.create_task(fault(world, seconds)))
+            await asyncio.sleep(rng.uniform(0.0, 0.6))
+        await asyncio.gather(*faults)
+        await _wait_until_all_serve(world, "end")
+    finally:
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        await world.stop()
+    world.oracle.check_promises()
+    return world.oracle
+
+
+async def _wait_until_all_serve(world: World, when: str) -> None:
+    for gateway in world.gateways:
+        name = f"{when}-{gateway.name}"
+        probe = call_on(gateway, world.oracle, random.Random(0), name)
+        task = asyncio.create_task(probe)
+        try:
+            async with asyncio.timeout(START_S):
+                while not world.oracle.was_served(name):
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            world.oracle.findings.append(f"{gateway.name} does not serve at the {when}")
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+def main() -> int:
+    """Play seeds and print what they found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--count", type=int, default=1, help="number of seeds")
+    parser.add_argument("--steps", type=int, default=12, help="faults of each seed")
+    parser.add_argument("--keep", default="", help="folder for settings and logs")
+    args = parser.parse_args()
+    failed = 0
+    for seed in range(args.seed, args.seed + args.count):
+        folder = Path(args.keep or tempfile.mkdtemp(prefix="soak-")) / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        oracle = asyncio.run(play(seed, args.steps, folder))
+        outcomes = {kind: dict(found) for kind, found in oracle.outcomes.items()}
+        print(f"seed {seed}: {len(oracle.findings)} findings, {outcomes}", flush=True)
+        for finding in oracle.findings:
+            print(f"  {finding}")
+        failed += bool(oracle.findings)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,73 @@
+"""Callers that keep their connections until a gateway closes them."""
+
+import asyncio
+import random
+
+from soak.oracle import Oracle, expect_body
+from soak.world import HOST, GatewayProcess
+
+WAIT_S = 4.0
+"""Longest wait for an answer, seconds: twice the routes' time-out."""
+
+KINDS = ("safe", "once", "chat", "digest")
+
+
+async def call_on(
+    gateway: GatewayProcess, oracle: Oracle, rng: random.Random, name: str
+) -> None:
+    """Send one request after another to a gateway, for ever."""
+    number = 0
+    reader = writer = None
+    while True:
+        number += 1
+        id, kind = f"{name}-{number}", rng.choice(KINDS)
+        await asyncio.sleep(rng.uniform(0.0, 0.05))
+        try:
+            if writer is None or writer.transport.is_closing() or reader.at_eof():
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", gateway.callers
+                )
+            oracle.note_sent(id, kind)
+            async with asyncio.timeout(WAIT_S):
+                writer.write(write_request(id, kind, rng))
+                keep = await take_answer(reader, oracle, id)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            if id in oracle.sent:
+                oracle.note_answer(id, 0, b"", False)
+            keep = False
+        if not keep and writer is not None:
+            writer.close()
+            writer = None
+
+
+def write_request(id: str, kind: str, rng: random.Random) -> bytes:
+    """Write a request of a kind."""
+    body = expect_body(id)
+    lines = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
+    lines.append(f"X-Deadline-Ms: {rng.choice([500, 2000])}")
+    if kind in ("chat", "digest"):
+        document = rng.randint(1, 20)
+        out = 5000 if kind == "chat" else 100
+        lines.append("X-Model: m")
+        lines.append(f"X-Token-Count: 6000,{out}")
+        lines.append(f"X-Prompt-Prefix: head:2000,d{document}:3000,{id}:1000")
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def take_answer(reader, oracle: Oracle, id: str) -> bool:
+    """Read an answer and tell the oracle; returns whether the connection stays."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    status = int(head.split()[1])
+    lower = head.lower()
+    body = b""
+    if "transfer-encoding: chunked" in lower:
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    else:
+        length = int(lower.partition("content-length:")[2].split()[0])
+        body = await reader.readexactly(length)
+    oracle.note_answer(id, status, body, True)
+    return "connection: close" not in lower
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,121 @@
+"""Faults from outside the processes, chosen by a seed; each ends after a while."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from soak.world import World
+
+STARTING_S = 2.0
+"""A process that was started less than this ago may not take signals yet, seconds."""
+
+Fault = Callable[[World, float], Awaitable[None]]
+
+
+async def kill_gateway(world: World, seconds: float) -> None:
+    """Kill a gateway and start it again."""
+    gateway = world.rng.choice(world.gateways)
+    async with gateway.lock:
+        await world.end_gateway(gateway, signal.SIGKILL)
+        await asyncio.sleep(seconds)
+        await world.start_gateway(gateway)
+
+
+async def roll_gateway(world: World, seconds: float) -> None:
+    """Ask a gateway to stop and start it again."""
+    gateway = world.rng.choice(world.gateways)
+    async with gateway.lock:
+        now = asyncio.get_running_loop().time()
+        is_starting = now - gateway.started_at < STARTING_S
+        code = await world.end_gateway(gateway, signal.SIGTERM)
+        if code != 0 and not (is_starting and code == -signal.SIGTERM):
+            world.oracle.findings.append(f"{gateway.name} ended with {code}")
+        await world.start_gateway(gateway)
+
+
+async def pause_gateway(world: World, seconds: float) -> None:
+    """Freeze a gateway and let it go on."""
+    gateway = world.rng.choice(world.gateways)
+    async with gateway.lock:
+        gateway.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        gateway.process.send_signal(signal.SIGCONT)
+
+
+async def cut_store(world: World, seconds: float) -> None:
+    """Cut a gateway's way to the store, one way or both."""
+    proxy = world.rng.choice(list(world.store_proxies.values()))
+    proxy.cut = world.rng.choice(["in", "out", "both"])
+    await asyncio.sleep(seconds)
+    proxy.cut = ""
+
+
+async def trouble_store(world: World, seconds: float) -> None:
+    """Have the store refuse, reset, fall silent or lose its answers."""
+    world.store.trouble = world.rng.choice(["busy", "reset", "silent", "lost"])
+    world.store.server.reset_all()
+    await asyncio.sleep(seconds)
+    world.store.trouble = ""
+    world.store.server.reset_all()
+
+
+async def forget_history(world: World, seconds: float) -> None:
+    """Drop the store's history; the newest of each key stay."""
+    for topic in ("keyed.op", "keyed.servers", "keyed.gateways"):
+        world.store.compact(topic)
+
+
+async def harm_replica(world: World, seconds: float) -> None:
+    """Delay, cut or reset the way to a replica."""
+    proxy = world.rng.choice(list(world.replica_proxies.values()))
+    proxy.delay_s = world.rng.choice([0.0, 0.1])
+    proxy.cut = world.rng.choice(["", "in", "out", "both"])
+    if world.rng.random() < 0.5:
+        proxy.reset_all()
+    await asyncio.sleep(seconds)
+    proxy.delay_s, proxy.cut = 0.0, ""
+
+
+async def spoil_replicas(world: World, seconds: float) -> None:
+    """Have replicas misbehave in a part of their answers."""
+    replicas = world.rng.sample(list(world.replicas.values()), 3)
+    for replica in replicas:
+        replica.bad_share = world.rng.choice([0.1, 0.5])
+    await asyncio.sleep(seconds)
+    for replica in replicas:
+        replica.bad_share = 0.0
+
+
+async def replace_replica(world: World, seconds: float) -> None:
+    """Have a replica say that it leaves, add another, and end it later."""
+    staying = [r for r in world.replicas.values() if not r.is_leaving]
+    replica = world.rng.choice(staying)
+    replica.is_leaving = True
+    await world.announce(replica, "draining")
+    await world.add_replica(replica.service, replica.role)
+    await asyncio.sleep(max(2.0, seconds))
+    await world.store.put("keyed.servers", replica.lifetime, None)
+    del world.replicas[replica.lifetime]
+    await world.replica_proxies.pop(replica.lifetime).stop()
+    await replica.server.stop()
+
+
+async def change_configuration(world: World, seconds: float) -> None:
+    """Put configurations in force in quick succession."""
+    for _ in range(world.rng.randint(1, 4)):
+        await world.configure()
+        await asyncio.sleep(0.05)
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_gateway,
+    roll_gateway,
+    pause_gateway,
+    cut_store,
+    trouble_store,
+    forget_history,
+    harm_replica,
+    spoil_replicas,
+    replace_replica,
+    change_configuration,
+)
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,71 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+import asyncio
+
+from standins.rawhttp import reset
+
+CHUNK = 65536
+
+
+class Proxy:
+    """Passes connections on to one address, as well as it is told to.
+
+    Attributes:
+        port: Where it listens.
+        delay_s: Delay of each piece, seconds.
+        cut: Which way nothing gets through: empty, ``in``, ``out`` or ``both``.
+    """
+
+    def __init__(self, target_port: int):
+        self.port = 0
+        self.delay_s = 0.0
+        self.cut = ""
+        self._target_port = target_port
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def reset_all(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            reset(writer)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+        self.reset_all()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            there_reader, there = await asyncio.open_connection(
+                "127.0.0.1", self._target_port
+            )
+        except OSError:
+            reset(writer)
+            return
+        self._writers |= {writer, there}
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, there, "in"))
+                group.create_task(self._pump(there_reader, writer, "out"))
+        except* (OSError, asyncio.CancelledError):
+            reset(writer)
+            reset(there)
+        finally:
+            self._writers -= {writer, there}
+            writer.close()
+            there.close()
+
+    async def _pump(self, reader, writer, way: str) -> None:
+        while data := await reader.read(CHUNK):
+            await asyncio.sleep(self.delay_s)
+            while self.cut in (way, "both"):
+                await asyncio.sleep(0.02)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -103,7 +103,7 @@
     def note_switching(self, lifetime: str, role: str, now: float) -> None:
         """Take note that a peer ordered an engine to take a role."""
         target = self.directory.targets.get(lifetime)
-        if target is not None and not target.switching_to:
+        if target is not None and not targets.is_switching(target, now):
             switch_s = self.find_switch_s(target.announced.service)
             until = now + switch_s + targets.SWITCH_SLACK_S
             targets.note_switching(target, role, until)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,68 @@
+from robinspindle.core import targets
+from robinspindle.core.routes import CallerLimits, EngineShape, Service, make_table
+from robinspindle.core.targets import Announcement, Directory
+from robinspindle.fleet import Fleet
+from robinspindle.platform.dialect import decode_answer
+
+
+def make_fleet():
+    fleet = Fleet(Directory(), decode_answer)
+    engine = EngineShape(8, 5000, 5.0, 3.0)
+    services = [Service("lm", "/h", 80, engine), Service("push", "/h", 80)]
+    fleet.table = make_table(1, [], services, CallerLimits())
+    announce(fleet, "d1", "decode")
+    announce(fleet, "p1", "prefill")
+    return fleet
+
+
+def announce(fleet, lifetime, role):
+    announced = Announcement(lifetime, "lm", "1.2.3.4:5", "a", 8, role=role)
+    targets.note_announced(fleet.directory, announced)
+
+
+def names(fleet, now):
+    found = fleet.list_engines("lm", now)
+    return sorted(target.announced.lifetime for target, _ in found)
+
+
+def test_an_engine_that_changes_its_role_is_in_none_until_its_entry_says_so():
+    fleet = make_fleet()
+    fleet.note_switching("d1", "prefill", 0.0)
+    assert names(fleet, 0.1) == ["p1"]
+    announce(fleet, "d1", "prefill")
+    assert names(fleet, 0.2) == ["d1", "p1"]
+    assert fleet.find_engine_of("d1").reads_only
+
+
+def test_an_order_that_has_no_effect_is_given_up_and_may_be_given_again():
+    fleet = make_fleet()
+    fleet.note_switching("d1", "prefill", 0.0)
+    late = 3.0 + targets.SWITCH_SLACK_S + 0.1
+    assert names(fleet, late) == ["d1", "p1"]
+    fleet.note_switching("d1", "prefill", late)
+    assert names(fleet, late + 0.1) == ["p1"]
+
+
+def test_being_told_again_does_not_make_a_change_last_longer():
+    fleet = make_fleet()
+    fleet.note_switching("d1", "prefill", 0.0)
+    fleet.note_switching("d1", "prefill", 10.0)
+    assert names(fleet, 3.0 + targets.SWITCH_SLACK_S + 0.1) == ["d1", "p1"]
+
+
+def test_the_shape_comes_from_the_configuration():
+    fleet = make_fleet()
+    assert fleet.list_engine_services() == ["lm"]
+    assert fleet.find_switch_s("lm") == 3.0
+    assert fleet.find_engine_of("d1").cache_tokens == 5000
+    assert fleet.find_engine_of("unknown") is None
+
+
+def test_loads_tell_only_what_is_under_way():
+    fleet = make_fleet()
+    engine = fleet.find_engine_of("p1")
+    fleet.find_engine_of("d1")
+    engine.own_unread = 700.0
+    assert [(load.lifetime, load.unread) for load in fleet.list_loads()] == [
+        ("p1", 700)
+    ]
