--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -195,7 +195,7 @@
 
 
 def _run_entry(args: argparse.Namespace) -> int:
-    from robinspindle.entry import run_entry
+    from robinspindle.entryprocess import run_entry
 
     return _run_process(args, "entry", run_entry)
 
--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -8,7 +8,6 @@
 import uuid
 from dataclasses import dataclass
 
-import urllib3
 import zmq
 
 from robinspindle.controlstream import ControlStream
@@ -346,29 +345,3 @@
         self._connections.close()
         self._context.destroy(linger=1000)
         log("The entry has stopped.", entry=self.settings.name)
-
-
-def run_entry(settings: EntrySettings, key: FleetKey | None) -> None:
-    """Run an entry until it is asked to stop."""
-    from robinspindle.callers import make_callers_handler
-    from robinspindle.operators import make_operators_handler
-    from robinspindle.web import make_server
-
-    urllib3.disable_warnings()
-    entry = Entry(settings, key)
-    tls = (settings.tls_certificate, settings.tls_key)
-    callers = make_server(
-        settings.listen,
-        make_callers_handler(entry),
-        settings.threads,
-        settings.body_limit,
-        *tls,
-    )
-    operators = make_server(
-        settings.operators, make_operators_handler(entry), 8, settings.body_limit, *tls
-    )
-    for server in (callers, operators):
-        threading.Thread(target=server.serve, daemon=True).start()
-    entry.run()
-    for server in (callers, operators):
-        server.stop()
--- /dev/null
+++ b/src/robinspindle/entryprocess.py
@@ -0,0 +1,34 @@
+"""Assembles the process of an entry: its state and its two listeners."""
+
+import threading
+
+import urllib3
+
+from robinspindle.callers import make_callers_handler
+from robinspindle.entry import Entry
+from robinspindle.keys import FleetKey
+from robinspindle.operators import make_operators_handler
+from robinspindle.settings import EntrySettings
+from robinspindle.web import make_server
+
+
+def run_entry(settings: EntrySettings, key: FleetKey | None) -> None:
+    """Run an entry until it is asked to stop."""
+    urllib3.disable_warnings()
+    entry = Entry(settings, key)
+    tls = (settings.tls_certificate, settings.tls_key)
+    callers = make_server(
+        settings.listen,
+        make_callers_handler(entry),
+        settings.threads,
+        settings.body_limit,
+        *tls,
+    )
+    operators = make_server(
+        settings.operators, make_operators_handler(entry), 8, settings.body_limit, *tls
+    )
+    for server in (callers, operators):
+        threading.Thread(target=server.serve, daemon=True).start()
+    entry.run()
+    for server in (callers, operators):
+        server.stop()
