Pass on what a target says of the request itself, and don't repeat it

Cause: a 404 of a target was repeated at another, and a 400 was taken for a full target.

Change: only faults (500 and up) and refusals of the target are tried elsewhere; a test that failed first.

--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -57,6 +57,10 @@
 LARGE_URGENCY = 4
 """Short prompts are read before long ones."""
 
+BAD_REQUEST = 400
+LEAST_FAULT = 500
+"""Lower statuses speak of the request, and no other target would say otherwise."""
+
 UPSTREAM_FAULTS = frozenset((500, 502, 503, 504))
 
 
@@ -253,6 +257,8 @@
         route = passage.route
         if left_s <= forwarding.LEAST_TRY_S:
             return False
+        if end is End.FAULT and passage.fault[0].status < LEAST_FAULT:
+            return False
         if end is End.NOT_RUN and passage.offers == 0:
             return len(passage.tried) < forwarding.MOST_OFFERS
         if not forwarding.may_offer_again(route, passage.offers, passage.runs):
@@ -422,7 +428,7 @@
         exchange: Exchange,
         connection: ClientConnection,
     ) -> End:
-        if head.not_run:
+        if head.not_run and head.status != BAD_REQUEST:
             await exchange.read_body()
             self._note_not_run(passage, target, head)
             return End.NOT_RUN
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -102,6 +102,14 @@
         write_answer(writer, 500, b"fault", self._head(request))
         return True
 
+    async def _be_bad_request(self, request: RawRequest, writer) -> bool:
+        write_answer(writer, 400, b"", self._head(request) | {"X-Not-Executed": "1"})
+        return True
+
+    async def _be_missing(self, request: RawRequest, writer) -> bool:
+        write_answer(writer, 404, b"", self._head(request))
+        return True
+
     async def _be_unmarked(self, request: RawRequest, writer) -> bool:
         write_answer(writer, 503, b"fault", self._head(request))
         return True
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -364,3 +364,19 @@
             assert (await d.call("/chat/x", **d.prompt())).status == 200
 
     run(play())
+
+
+@pytest.mark.parametrize("behaviour", ["bad_request", "missing"])
+def test_what_a_target_says_of_the_request_itself_is_passed_on_and_not_repeated(
+    tmp_path, behaviour
+):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replicas = [await d.add("i1"), await d.add("i2")]
+            for replica in replicas:
+                replica.behaviours.append(behaviour)
+            reply = await d.call("/safe/x")
+            assert reply.status == {"bad_request": 400, "missing": 404}[behaviour]
+            assert sum(len(replica.arrivals) for replica in replicas) == 1
+
+    run(play())
