Read the settings again on a signal and each second

Cause: settings may change with or without a signal, and were read at the start only.

Change: promises come into force at once, bad settings change nothing and say so; tests that failed first.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -18,7 +18,11 @@
 from robinspindle.core.forwarding import Refusal
 from robinspindle.core.routes import RouteTable, is_newer
 from robinspindle.core.targets import Announcement, Directory
-from robinspindle.exceptions import BadDocumentError, LogServiceError
+from robinspindle.exceptions import (
+    BadDocumentError,
+    InvalidDocumentError,
+    LogServiceError,
+)
 from robinspindle.fleet import Fleet
 from robinspindle.following import Follower, KeyedStore, follow
 from robinspindle.gatewaymetrics import GatewayMetrics
@@ -57,6 +61,12 @@
 
 STOPPING = Refusal(503, "stopping", 0.05)
 
+REREAD_S = 1.0
+"""Interval at which the settings are read again, seconds: they may change without a
+signal, and reading them takes less than a millisecond."""
+
+Reread = Callable[[], GatewaySettings]
+
 log = make_log("gateway")
 
 
@@ -87,7 +97,9 @@
     """State of the process.
 
     Attributes:
+        settings: The settings in force.
         directory: The targets.
+        budget: Repeats that it may make.
         fleet: What is kept for them.
         peers: The other gateways.
         relay: Forwards requests.
@@ -96,18 +108,24 @@
     """
 
     def __init__(
-        self, settings: GatewaySettings, adapter: Adapter, output: BoundedOutput
+        self,
+        settings: GatewaySettings,
+        adapter: Adapter,
+        output: BoundedOutput,
+        reread: Reread,
     ):
+        self._reread = reread
+        self._reread_at = time.monotonic()
         self._output = output
         pledges = settings.pledges
-        self._settings = settings
+        self.settings = settings
         self._adapter = adapter
         self._clock = time.monotonic
         self.metrics = GatewayMetrics()
         self._store = adapter.make_store(settings, self._clock)
         self.directory = Directory(hold_s=pledges.leave_s * LEAVE_SHARE)
         self.fleet = Fleet(self.directory, adapter.dialect.decode_answer)
-        budget = budgets.RepeatBudget(
+        self.budget = budgets.RepeatBudget(
             pledges.repeat_ratio,
             pledges.repeat_slack / BUDGET_SHARES,
             pledges.repeat_window_s,
@@ -115,7 +133,7 @@
         self.relay = Relay(
             adapter.dialect,
             self.fleet,
-            budget,
+            self.budget,
             settings.zone,
             make_log("relay"),
             self._clock,
@@ -154,14 +172,14 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
         loop.add_signal_handler(signal.SIGINT, self.begin_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self.wait_stopped()
 
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
         loop = asyncio.get_running_loop()
-        settings = self._settings
+        settings = self.settings
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._callers.start(settings.callers.host, settings.callers.port)
         if settings.metrics_port:
@@ -195,7 +213,7 @@
         self._readiness.close_listener()
         self._figures.close_listener()
         self._link.close()
-        log("stopped", name=self._settings.name)
+        log("stopped", name=self.settings.name)
         self._output.flush()
 
     @property
@@ -221,7 +239,7 @@
             apply=self._apply_target,
             note_away=self._note_away,
             note_back=self._note_back,
-            rest_s=self._settings.pledges.leave_s * LEAVE_SHARE,
+            rest_s=self.settings.pledges.leave_s * LEAVE_SHARE,
         )
 
     def _follow_peers(self) -> Follower:
@@ -251,7 +269,7 @@
         self.orderer.authority.end = end
 
     def _apply_peer(self, key: str, value: bytes | None) -> None:
-        if key == self._settings.name:
+        if key == self.settings.name:
             return
         host, _, port = (value or b"").decode("latin-1").rpartition(":")
         if not host or not port.isdecimal():
@@ -266,7 +284,7 @@
         while True:
             try:
                 await self._store.append_keyed(
-                    self._adapter.gateways_topic, self._settings.name, value
+                    self._adapter.gateways_topic, self.settings.name, value
                 )
             except LogServiceError as error:
                 log("not introduced to peers yet", error=str(error))
@@ -379,6 +397,8 @@
             self._link.forget_silent(now)
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
+            if now - self._reread_at >= REREAD_S:
+                self.reload()
             if self._stopping_at is not None:
                 self._go_on_stopping(now)
 
@@ -396,22 +416,50 @@
             self._callers.close_all()
             if self._callers.count_busy() == 0:
                 self._stopped.set()
-        if passed_s >= self._settings.pledges.stop_s - STOP_MARGIN_S:
+        if passed_s >= self.settings.pledges.stop_s - STOP_MARGIN_S:
             log("stopping with requests under way", busy=self._callers.count_busy())
             self._stopped.set()
 
-    def _note_reload(self) -> None:
-        log("reload asked for; settings are read at the start only")
+    def reload(self) -> None:
+        """Read the settings again; bad ones change nothing.
+
+        What was promised comes into force at once; addresses do at the next start.
+        """
+        self._reread_at = self._clock()
+        try:
+            settings = self._reread()
+        except InvalidDocumentError as error:
+            log("settings can't be read, the last ones stay", findings=str(error))
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        pledges = settings.pledges
+        self.directory.hold_s = pledges.leave_s * LEAVE_SHARE
+        self.budget.ratio = pledges.repeat_ratio
+        self.budget.fixed = pledges.repeat_slack / BUDGET_SHARES
+        self.budget.window_s = pledges.repeat_window_s
+        self.orderer.authority.lease_s = pledges.lease_s
+        log("settings in force", name=settings.name)
+
 
+def run_gateway(reread: Reread, adapter: Adapter) -> None:
+    """Run a gateway until it is told to stop.
 
-def run_gateway(settings: GatewaySettings, adapter: Adapter) -> None:
-    """Run a gateway until it is told to stop."""
-    asyncio.run(_run(settings, adapter))
+    Args:
+        reread: Reads the settings, at the start and again.
+        adapter: The platform's adapter.
+
+    Raises:
+        InvalidDocumentError: When the settings at the start have findings.
+    """
+    asyncio.run(_run(reread, adapter))
 
 
-async def _run(settings: GatewaySettings, adapter: Adapter) -> None:
+async def _run(reread: Reread, adapter: Adapter) -> None:
+    settings = reread()
     output = start_bounded_logs(settings.name)
-    await Gateway(settings, adapter, output).run()
+    await Gateway(settings, adapter, output, reread).run()
 
 
 def _end_on_failure(task: asyncio.Task) -> None:
--- a/src/robinspindle/platform/start.py
+++ b/src/robinspindle/platform/start.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from robinspindle.gateway import run_gateway
+from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.platform.adapter import PlatformAdapter
 from robinspindle.platform.settings import read_gateway_settings
 
@@ -17,6 +18,9 @@
     Raises:
         InvalidDocumentError: When the settings have findings.
     """
-    settings = replace(read_gateway_settings(path), metrics_port=metrics_port)
-    run_gateway(settings, PlatformAdapter())
+
+    def reread() -> GatewaySettings:
+        return replace(read_gateway_settings(path), metrics_port=metrics_port)
+
+    run_gateway(reread, PlatformAdapter())
     return 0
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -79,6 +80,7 @@
     ready_port: int
     inner_port: int
     replicas: dict[str, Replica] = field(default_factory=dict)
+    reread: Callable[[], GatewaySettings] | None = None
 
     async def add(self, lifetime, service="push", role="", **more):
         replica = Replica(lifetime, service, role, **more)
@@ -183,9 +185,14 @@
         pledges=pledges or Pledges(repeat_slack=320.0),
     )
     with open(tmp_path / "out", "wb") as out:
-        gateway = Gateway(settings, PlatformAdapter(), BoundedOutput(out.fileno()))
-        await gateway.start()
+        gateway = Gateway(
+            settings,
+            PlatformAdapter(),
+            BoundedOutput(out.fileno()),
+            lambda: deployment.reread() if deployment.reread else settings,
+        )
         deployment = Deployment(store, gateway, *ports)
+        await gateway.start()
         if configured:
             await deployment.configure()
         try:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 from robinspindle import gateway as gateway_module
 from robinspindle.core.sharing import Digest, Load, Placement
+from robinspindle.exceptions import Finding, InvalidDocumentError
 from robinspindle.peers import encode
 from tests.platform.deployment import deploy, read_reply, run, until, write_request
 
@@ -181,3 +183,37 @@
             await until(lambda: engine.unread == 0)
 
     run(play())
+
+
+def test_settings_that_change_are_in_force_and_bad_ones_are_not(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            gateway = d.gateway
+            first = gateway.settings
+            pledges = replace(first.pledges, leave_s=1.0, repeat_ratio=0.1)
+            d.reread = lambda: replace(first, pledges=pledges)
+            gateway.reload()
+            assert gateway.settings.pledges.leave_s == 1.0
+            assert gateway.budget.ratio == 0.1
+            assert gateway.directory.hold_s < 0.5
+
+            def fail():
+                raise InvalidDocumentError([Finding("f", "", "Node", 0, "is required")])
+
+            d.reread = fail
+            gateway.reload()
+            assert gateway.settings.pledges.leave_s == 1.0
+
+    run(play())
+
+
+def test_a_silent_change_of_the_settings_is_noticed(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            first = d.gateway.settings
+            changed = replace(first, pledges=replace(first.pledges, lease_s=9.0))
+            d.reread = lambda: changed
+            await until(lambda: d.gateway.settings.pledges.lease_s == 9.0)
+            assert d.gateway.orderer.authority.lease_s == 9.0
+
+    run(play())
