Split the relay by what its parts do

relay.py keeps the path of a request. passages.py holds what is known of one request, now with the answer to its caller, and Means, what the parts share; readings.py the prompts that engines are sent to read; readingapart.py the reading for another engine and its release; sending.py what all sendings have in common; passing.py the way of an answer to the caller; relaylogs.py the lines and counts. Taking a connection and giving it back was written out three times and is one context manager now. Statuses and the least urgency have names. Values, log lines, metrics and the wire are as before.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -31,8 +31,9 @@
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
 from robinspindle.ordering import CLAIM_KEY, OrderDialect, Orderer
+from robinspindle.passages import Dialect, Means
 from robinspindle.peers import LEAST_INTERVAL_S, News, PeerLink, Peers
-from robinspindle.relay import Dialect, Relay
+from robinspindle.relay import Relay
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -131,13 +132,15 @@
             pledges.repeat_window_s,
         )
         self.relay = Relay(
-            adapter.dialect,
-            self.fleet,
-            self.budget,
-            settings.zone,
-            make_log("relay"),
-            self._clock,
-            self.metrics,
+            Means(
+                dialect=adapter.dialect,
+                fleet=self.fleet,
+                budget=self.budget,
+                zone=settings.zone,
+                clock=self._clock,
+                log=make_log("relay"),
+                metrics=self.metrics,
+            )
         )
         self.peers = Peers(settings.name, time.time())
         self._link = PeerLink(
--- /dev/null
+++ b/src/robinspindle/passages.py
@@ -0,0 +1,116 @@
+"""What the relay knows of one request on its way, and what its parts share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from robinspindle.core import forwarding
+from robinspindle.core.budgets import RepeatBudget
+from robinspindle.core.events import EventSplitter
+from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
+from robinspindle.core.reading import Plan
+from robinspindle.core.routes import Route
+from robinspindle.fleet import Fleet
+from robinspindle.gatewaymetrics import GatewayMetrics
+from robinspindle.httpserver import Reply
+from robinspindle.logs import Log
+
+
+class Dialect(Protocol):
+    """How requests and answers are written on the wire."""
+
+    def decode_request(
+        self, method: str, target: bytes, headers: forwarding.Headers, now: float
+    ) -> Request:
+        """Decode the head of a caller's request."""
+
+    def add_body(self, request: Request, body: bytes) -> Request:
+        """Add the body."""
+
+    def encode_request(self, request: Request, send: Send) -> bytes:
+        """Write a request for a target."""
+
+    def encode_release(self, source: Source) -> bytes:
+        """Write a request that frees a prompt which was read and is not needed."""
+
+    def decode_answer(
+        self, status: int, reason: bytes, headers: forwarding.Headers
+    ) -> AnswerHead:
+        """Decode the head of a target's answer."""
+
+    def decode_read(self, address: str, body: bytes) -> Source:
+        """Decode the answer to a prompt that was only read."""
+
+
+class End(Enum):
+    """How one sending ended."""
+
+    DELIVERED = "delivered"
+    NOT_RUN = "not-run"
+    UNSURE = "unsure"
+    FAULT = "fault"
+
+
+@dataclass
+class Passage:
+    """What has been done for one request so far.
+
+    Attributes:
+        request: The request.
+        reply: The answer to the caller.
+        route: Its route.
+        service: The service chosen for it.
+        due: When its final answer is due, steady seconds.
+        aim_at: When its first event, or its answer, should be on its way.
+        tried: Lifetimes that it was sent to.
+        offers: Times that it was sent to be run.
+        runs: Targets that may have run it.
+        reads: Times that its prompt was sent to be read apart.
+        splitter: The events passed on so far.
+        fault: A target's own failure that is passed on if nothing better comes.
+        last_reason: Why the latest sending did not deliver.
+        plan: The latest plan, for logs.
+        read_at: When its prompt had been read apart, steady seconds.
+        first_at: When its answer began, steady seconds.
+    """
+
+    request: Request
+    reply: Reply
+    route: Route
+    service: str
+    due: float
+    aim_at: float
+    tried: set[str] = field(default_factory=set)
+    offers: int = 0
+    runs: int = 0
+    reads: int = 0
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    fault: tuple[AnswerHead, bytes] | None = None
+    last_reason: str = ""
+    plan: Plan | None = None
+    read_at: float | None = None
+    first_at: float | None = None
+
+
+@dataclass(frozen=True)
+class Means:
+    """What the parts of the relay share.
+
+    Attributes:
+        dialect: How requests and answers are written.
+        fleet: The targets.
+        budget: Repeats that may be made.
+        zone: The gateway's availability zone.
+        clock: Tells the present time, steady seconds.
+        log: Takes log lines.
+        metrics: The gateway's metrics.
+    """
+
+    dialect: Dialect
+    fleet: Fleet
+    budget: RepeatBudget
+    zone: str
+    clock: Callable[[], float]
+    log: Log
+    metrics: GatewayMetrics
--- /dev/null
+++ b/src/robinspindle/passing.py
@@ -0,0 +1,92 @@
+"""Passes a target's answer on to the caller."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from robinspindle.core.engines import find_allowed_pause, is_long, note_pause
+from robinspindle.core.events import take_events
+from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.targets import Target
+from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, Exchange
+from robinspindle.httpserver import Reply
+from robinspindle.passages import Means, Passage
+from robinspindle.sending import do_nothing
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An answer whose head has come.
+
+    Attributes:
+        target: Where it comes from.
+        head: Its head.
+        exchange: Gives its body.
+        connection: The connection on which it comes.
+    """
+
+    target: Target
+    head: AnswerHead
+    exchange: Exchange
+    connection: ClientConnection
+
+
+def pass_whole(reply: Reply, head: AnswerHead, body: bytes) -> None:
+    """Pass an answer on that has come whole."""
+    reply.begin(head.status, head.reason, head.headers, len(body))
+    reply.write(body)
+    reply.end()
+
+
+async def pass_stream(means: Means, passage: Passage, answer: Answer) -> None:
+    """Pass a stream on as fast as the caller takes it, and note a long one's pauses.
+
+    Raises:
+        ConnectionBrokenError: When the stream breaks off.
+    """
+    connection = answer.connection
+    passage.reply.set_flow(connection.pause, connection.resume)
+    prompt = passage.request.prompt
+    engine = means.fleet.find_engine(answer.target)
+    if prompt is None or engine is None or not is_long(prompt):
+        await _pass_events(passage, answer, do_nothing)
+        return
+    last_at = means.clock()
+
+    def note_event() -> None:
+        nonlocal last_at
+        now = means.clock()
+        allowed_s = find_allowed_pause(
+            prompt,
+            passage.splitter.events,
+            means.fleet.count_event_tokens(passage.service),
+            passage.due - now,
+            passage.route.gap_s,
+        )
+        note_pause(engine, now - last_at, allowed_s)
+        last_at = now
+
+    engine.own_long += 1
+    try:
+        await _pass_events(passage, answer, note_event)
+    finally:
+        engine.own_long -= 1
+
+
+async def _pass_events(
+    passage: Passage, answer: Answer, on_events: Callable[[], None]
+) -> None:
+    splitter, reply, head = passage.splitter, passage.reply, answer.head
+    splitter.rest = b""
+    while chunk := await answer.exchange.read_chunk():
+        events = take_events(splitter, chunk)
+        if not events:
+            continue
+        on_events()
+        if not reply.has_begun:
+            reply.begin(head.status, head.reason, head.headers, None)
+        reply.write(events)
+    if splitter.rest:
+        raise ConnectionBrokenError("the stream ended within an event")
+    if not reply.has_begun:
+        reply.begin(head.status, head.reason, head.headers, None)
+    reply.end()
--- /dev/null
+++ b/src/robinspindle/readingapart.py
@@ -0,0 +1,103 @@
+"""Prompts that one engine reads for another: the reading and its release."""
+
+import asyncio
+
+from robinspindle.core import targets
+from robinspindle.core.forwarding import AnswerHead, Source
+from robinspindle.core.reading import Plan
+from robinspindle.core.targets import Target
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
+from robinspindle.passages import Means, Passage
+from robinspindle.readings import Readings
+from robinspindle.relaylogs import RelayLog
+from robinspindle.sending import (
+    CONNECT_TIMEOUT_S,
+    borrow_connection,
+    make_send,
+    note_broken,
+    note_turned_away,
+)
+
+READ = 200
+"""The one status that says that a prompt was read."""
+
+RELEASE_TIMEOUT_S = CONNECT_TIMEOUT_S
+"""Longest wait for the answer to a release, seconds: as short as for a connection, as
+what is not freed lapses by itself."""
+
+
+class ReadingApart:
+    """Has prompts read apart, and frees those that are not fetched."""
+
+    def __init__(self, means: Means, readings: Readings, log: RelayLog):
+        self._means = means
+        self._readings = readings
+        self._log = log
+        self._releases: set[asyncio.Task] = set()
+
+    async def read(self, passage: Passage, plan: Plan) -> Source | None:
+        """Have a prompt read at the plan's reader; None when that failed."""
+        reader = plan.reader
+        engine = self._means.fleet.find_engine(reader)
+        passage.reads += 1
+        work = self._readings.begin(passage, reader, engine, plan.unread)
+        reader.in_flight += 1
+        try:
+            head, body = await self._ask(passage, reader)
+            if head.status != READ:
+                self._note_unread(passage, reader, head)
+                return None
+            passage.read_at = self._means.clock()
+            work.end(passage.read_at)
+            targets.note_answered(reader)
+            return self._means.dialect.decode_read(reader.announced.address, body)
+        except ConnectionBrokenError as error:
+            note_broken(reader, error, self._means.clock())
+            self._log.log_broken(passage, reader, str(error))
+        except BadDocumentError as error:
+            targets.note_fault(reader, True)
+            self._log.log_broken(passage, reader, str(error))
+        except TimeoutError:
+            self._log.log_broken(passage, reader, "prompt not read in time")
+        finally:
+            work.cancel()
+            reader.in_flight -= 1
+        return None
+
+    def release(self, reader: Target, source: Source) -> None:
+        """Free a prompt that was read and will not be fetched."""
+        task = asyncio.get_running_loop().create_task(self._free(reader, source))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def _ask(self, passage: Passage, reader: Target) -> tuple[AnswerHead, bytes]:
+        means = self._means
+        send = make_send(passage, reader, means.clock(), read_only=True)
+        async with borrow_connection(means, reader) as connection:
+            exchange = Exchange(passage.request.id)
+            async with asyncio.timeout_at(passage.due):
+                data = means.dialect.encode_request(passage.request, send)
+                connection.send(exchange, data)
+                return await exchange.read_head(), await exchange.read_body()
+
+    def _note_unread(self, passage: Passage, reader: Target, head: AnswerHead) -> None:
+        if head.not_run:
+            note_turned_away(reader, head, self._means.clock())
+        else:
+            targets.note_fault(reader, True)
+        text = f"prompt not read: status {head.status}"
+        self._log.log_broken(passage, reader, text)
+
+    async def _free(self, reader: Target, source: Source) -> None:
+        try:
+            async with borrow_connection(self._means, reader) as connection:
+                exchange = Exchange("")
+                async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                    data = self._means.dialect.encode_release(source)
+                    connection.send(exchange, data)
+                    await exchange.read_head()
+                    await exchange.read_body()
+        except (ConnectionBrokenError, TimeoutError) as error:
+            # It lapses by itself a few seconds later.
+            self._means.log("handle not freed", error=str(error))
--- /dev/null
+++ b/src/robinspindle/relaylogs.py
@@ -0,0 +1,95 @@
+"""The log lines and the counts that tell how requests went."""
+
+from robinspindle.core.forwarding import Request
+from robinspindle.core.reading import Plan
+from robinspindle.core.targets import Target
+from robinspindle.passages import Means, Passage
+
+
+class RelayLog:
+    """Writes the lines of requests, and counts their ends."""
+
+    def __init__(self, means: Means):
+        self._means = means
+
+    def log_broken(self, passage: Passage, target: Target, error: str) -> None:
+        """Log that a target did not deliver."""
+        self._means.log(
+            "target did not deliver",
+            at=round(self._means.clock(), 4),
+            request=passage.request.id,
+            target=target.announced.lifetime,
+            error=error,
+        )
+
+    def log_plan(self, passage: Passage, plan: Plan) -> None:
+        """Log where a request is sent."""
+        directory = self._means.fleet.directory
+        now = self._means.clock()
+        self._means.log(
+            "request routed",
+            routine=True,
+            at=round(now, 4),
+            request=passage.request.id,
+            route=passage.route.name,
+            configuration=self._means.fleet.table.version,
+            target=plan.target.announced.lifetime,
+            reader=plan.reader.announced.lifetime if plan.reader else "",
+            in_flight=plan.target.in_flight,
+            faults=round(plan.target.faults, 2),
+            wait_ms=round(plan.wait_s * 1000, 1),
+            first_ms=round(plan.first_s * 1000, 1),
+            unread=plan.unread,
+            left_ms=round((passage.aim_at - now) * 1000, 1),
+            list_age_ms=round((now - directory.read_at) * 1000),
+            store_away=directory.away_since is not None,
+        )
+
+    def log_end(self, passage: Passage, target: Target | None, outcome: str) -> None:
+        """Log and count how a request ended.
+
+        Args:
+            passage: The request.
+            target: The target that delivered its answer, if one did.
+            outcome: How it ended: a few words, and the reason after a colon.
+        """
+        now = self._means.clock()
+        self._count_end(passage, outcome, now)
+        plan = passage.plan
+        self._means.log(
+            "request ended",
+            routine=outcome == "delivered",
+            at=round(now, 4),
+            request=passage.request.id,
+            route=passage.route.name,
+            target=target.announced.lifetime if target else "",
+            reader=plan.reader.announced.lifetime if plan and plan.reader else "",
+            planned_ms=round(plan.first_s * 1000, 1) if plan else None,
+            wait_ms=round(plan.wait_s * 1000, 1) if plan else None,
+            unread=plan.unread if plan else None,
+            offers=passage.offers,
+            events=passage.splitter.events,
+            read_ms=_find_ms_since(passage, passage.read_at),
+            first_ms=_find_ms_since(passage, passage.first_at),
+            held_ms=_find_ms_since(passage, now),
+            outcome=outcome,
+        )
+
+    def log_refused(self, request: Request, reason: str) -> None:
+        """Log that a request was refused before a route was found for it."""
+        self._means.log("refused", request=request.id, reason=reason)
+
+    def _count_end(self, passage: Passage, outcome: str, now: float) -> None:
+        metrics = self._means.metrics
+        route, received_at = passage.route.name, passage.request.received_at
+        metrics.requests.labels(route, outcome.partition(":")[0]).inc()
+        metrics.latencies.record("held", route, now - received_at)
+        if passage.first_at is not None:
+            metrics.latencies.record("first", route, passage.first_at - received_at)
+
+
+def _find_ms_since(passage: Passage, at: float | None) -> float | None:
+    """Find the milliseconds from a request's head to a time, None without one."""
+    if at is None:
+        return None
+    return round((at - passage.request.received_at) * 1000, 1)
--- /dev/null
+++ b/src/robinspindle/sending.py
@@ -0,0 +1,109 @@
+"""What all sendings to a target have in common, whatever is sent."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from robinspindle.core import targets
+from robinspindle.core.engines import is_small
+from robinspindle.core.forwarding import AnswerHead, Send, Source
+from robinspindle.core.targets import Target
+from robinspindle.httpclient import ClientConnection, ConnectionBrokenError
+from robinspindle.passages import Means, Passage
+
+CONNECT_TIMEOUT_S = 0.25
+"""Longest wait for a new connection to a target, seconds: many round trips, and a
+part of the shortest aim that leaves time for another target."""
+
+FULL_REST_S = 0.05
+"""How long a target that turned a request away is passed over, seconds: about the
+time in which a few of its requests end."""
+
+SMALL_URGENCY = 1
+LARGE_URGENCY = 4
+"""Short prompts are read before long ones."""
+
+LEAST_URGENCY = 9
+"""The least urgent that a target is told of; a route's priority may lie beyond it."""
+
+
+def do_nothing() -> None:
+    """Stand for a call that nobody waits for."""
+
+
+@dataclass(frozen=True)
+class Sending:
+    """One sending of a request to be run.
+
+    Attributes:
+        target: Where to.
+        source: Where its read prompt is; None to read it there.
+        on_first: Called when the answer begins.
+    """
+
+    target: Target
+    source: Source | None = None
+    on_first: Callable[[], None] = do_nothing
+
+
+@asynccontextmanager
+async def borrow_connection(
+    means: Means, target: Target
+) -> AsyncIterator[ClientConnection]:
+    """Take a connection to a target and give it back in the end.
+
+    Raises:
+        ConnectionBrokenError: When none can be had in time.
+    """
+    pool = means.fleet.find_pool(target)
+    connection = await pool.take(means.clock(), CONNECT_TIMEOUT_S)
+    try:
+        yield connection
+    finally:
+        pool.give_back(connection, means.clock())
+
+
+def make_send(
+    passage: Passage,
+    target: Target,
+    now: float,
+    source: Source | None = None,
+    read_only: bool = False,
+) -> Send:
+    """Make what a target is told besides the request itself.
+
+    Args:
+        passage: The request.
+        target: Where it is sent.
+        now: The present time, steady seconds.
+        source: Where its read prompt is; None to read it at the target.
+        read_only: Whether only its prompt is to be read.
+    """
+    prompt = passage.request.prompt
+    urgency = min(LEAST_URGENCY, passage.route.priority)
+    if prompt is not None:
+        urgency = SMALL_URGENCY if is_small(prompt) else LARGE_URGENCY
+    events = passage.splitter.events
+    return Send(
+        lifetime=target.announced.lifetime,
+        left_s=passage.due - now,
+        urgency=urgency,
+        read_only=read_only,
+        source=source,
+        resume_after=passage.splitter.last_id if events else None,
+    )
+
+
+def note_turned_away(target: Target, head: AnswerHead, now: float) -> None:
+    """Take note that a target did not run a request."""
+    # An engine in another role answers like another lifetime, in its own name.
+    if head.answered_by not in ("", target.announced.lifetime):
+        target.replaced = True
+    else:
+        targets.note_full(target, now, FULL_REST_S)
+
+
+def note_broken(target: Target, error: ConnectionBrokenError, now: float) -> None:
+    """Take note that a target could not be reached or did not answer."""
+    note = targets.note_refused if error.was_refused else targets.note_broken
+    note(target, now)
