Give the answer to a caller a module of its own

Reply is in replies.py now and names what it needs of a connection as a protocol, so that it knows neither the server nor the parser. Nothing else changes.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -27,13 +27,14 @@
 from robinspindle.following import Follower, KeyedStore, follow
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
-from robinspindle.httpserver import CallerServer, Incoming, Limits, Reply
+from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
 from robinspindle.ordering import CLAIM_KEY, OrderDialect, Orderer
 from robinspindle.passages import Dialect, Means
 from robinspindle.peers import LEAST_INTERVAL_S, News, PeerLink, Peers
 from robinspindle.relay import Relay
+from robinspindle.replies import Reply
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -13,8 +13,8 @@
 from robinspindle.core.routes import Route
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
-from robinspindle.httpserver import Reply
 from robinspindle.logs import Log
+from robinspindle.replies import Reply
 
 
 class Dialect(Protocol):
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -8,8 +8,8 @@
 from robinspindle.core.forwarding import AnswerHead
 from robinspindle.core.targets import Target
 from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, Exchange
-from robinspindle.httpserver import Reply
 from robinspindle.passages import Means, Passage
+from robinspindle.replies import Reply
 from robinspindle.sending import do_nothing
 
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -17,12 +17,13 @@
     ConnectionBrokenError,
     Exchange,
 )
-from robinspindle.httpserver import Incoming, Reply
+from robinspindle.httpserver import Incoming
 from robinspindle.passages import End, Means, Passage
 from robinspindle.passing import Answer, pass_stream, pass_whole
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
+from robinspindle.replies import Reply
 from robinspindle.sending import (
     Sending,
     borrow_connection,
