Take what follows the store out of the gateway

beliefs.py follows the store's topics and takes in what they say; adapters.py names what the platform's adapter gives. The constructor makes its parts in functions of their own. Tests reach the gateway by the same names.

--- /dev/null
+++ b/src/robinspindle/adapters.py
@@ -0,0 +1,34 @@
+"""What the adapter of the users' platform gives a gateway."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from robinspindle.core.routes import RouteTable
+from robinspindle.core.targets import Announcement
+from robinspindle.following import KeyedStore
+from robinspindle.gatewaysettings import GatewaySettings
+from robinspindle.ordering import OrderDialect
+from robinspindle.passages import Dialect
+
+
+class Adapter(Protocol):
+    """What the platform's adapter gives a gateway."""
+
+    configuration_topic: str
+    configuration_key: str
+    targets_topic: str
+    gateways_topic: str
+    orders_topic: str
+    dialect: Dialect
+    orders: OrderDialect
+
+    def make_store(
+        self, settings: GatewaySettings, clock: Callable[[], float]
+    ) -> KeyedStore:
+        """Make the client of the store."""
+
+    def decode_configuration(self, data: bytes) -> RouteTable:
+        """Decode the operator's configuration."""
+
+    def decode_announcement(self, lifetime: str, data: bytes) -> Announcement:
+        """Decode a target's entry."""
--- /dev/null
+++ b/src/robinspindle/beliefs.py
@@ -0,0 +1,161 @@
+"""What a gateway believes of the world by the platform's store.
+
+Each topic of the store is followed, and what it says is taken into the configuration,
+the targets, the peers and the claims to give orders.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from robinspindle.adapters import Adapter
+from robinspindle.core import targets
+from robinspindle.core.routes import is_newer
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.fleet import Fleet
+from robinspindle.following import Follower
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.httpserver import Limits
+from robinspindle.logs import Log
+from robinspindle.ordering import CLAIM_KEY, Orderer
+from robinspindle.peers import Peers
+
+PEERS_WAIT_S = 15.0
+"""How long the store holds a poll about gateways, seconds: a new one may stay unknown
+for a while without harm."""
+
+
+@dataclass(frozen=True)
+class Beliefs:
+    """Takes in what the store says.
+
+    Attributes:
+        adapter: Names the topics and decodes what they hold.
+        fleet: The targets and the configuration in force.
+        peers: The other gateways.
+        orderer: Told of the claims to give orders.
+        limits: What callers may send; changed in place.
+        is_own: Tells whether a gateway's name is this one's.
+        clock: Tells the present time, steady seconds.
+        log: Takes log lines.
+    """
+
+    adapter: Adapter
+    fleet: Fleet
+    peers: Peers
+    orderer: Orderer
+    limits: Limits
+    is_own: Callable[[str], bool]
+    clock: Callable[[], float]
+    log: Log
+
+    def list_followers(self) -> list[Follower]:
+        """List the topics to follow and what takes them in."""
+        return [
+            self._follow_peers(),
+            self._follow_orders(),
+            self._follow_configuration(),
+            self._follow_targets(),
+        ]
+
+    def _follow_configuration(self) -> Follower:
+        return Follower(
+            topic=self.adapter.configuration_topic,
+            apply=self._apply_configuration,
+            note_away=lambda: None,
+            note_back=lambda: None,
+        )
+
+    def _follow_targets(self) -> Follower:
+        return Follower(
+            topic=self.adapter.targets_topic,
+            apply=self._apply_target,
+            note_away=self._note_away,
+            note_back=self._note_back,
+            rest_s=self.fleet.directory.hold_s,
+        )
+
+    def _follow_peers(self) -> Follower:
+        return Follower(
+            topic=self.adapter.gateways_topic,
+            apply=self._apply_peer,
+            note_away=lambda: None,
+            note_back=lambda: None,
+            wait_s=PEERS_WAIT_S,
+        )
+
+    def _follow_orders(self) -> Follower:
+        return Follower(
+            topic=self.adapter.orders_topic,
+            apply=self._apply_claim,
+            note_away=lambda: None,
+            note_back=lambda: None,
+            wait_s=PEERS_WAIT_S,
+            note_end=self._note_claims_end,
+        )
+
+    def _apply_claim(self, key: str, value: bytes | None) -> None:
+        if key == CLAIM_KEY and value is not None:
+            self.orderer.note_record(value.decode("utf-8", "replace"))
+
+    def _note_claims_end(self, end: int) -> None:
+        self.orderer.authority.end = end
+
+    def _apply_peer(self, key: str, value: bytes | None) -> None:
+        if self.is_own(key):
+            return
+        host, _, port = (value or b"").decode("latin-1").rpartition(":")
+        if not host or not port.isdecimal():
+            self.peers.addresses.pop(key, None)
+            return
+        self.peers.addresses[key] = HostPort(host, int(port))
+        self.log("peer introduced", peer=key, address=f"{host}:{port}")
+
+    def _apply_configuration(self, key: str, value: bytes | None) -> None:
+        if key != self.adapter.configuration_key or value is None:
+            return
+        try:
+            table = self.adapter.decode_configuration(value)
+        except BadDocumentError as error:
+            self.log(
+                "configuration can't be read, the last one stays", error=str(error)
+            )
+            return
+        if not is_newer(table, self.fleet.table):
+            self.log("older configuration passed over", version=table.version)
+            return
+        self.fleet.table = table
+        limits = table.limits
+        self.limits.header_bytes = limits.header_bytes
+        self.limits.body_bytes = limits.body_bytes
+        self.limits.header_s = limits.header_s
+        self.limits.idle_s = limits.idle_s
+        self.log("configuration in force", version=table.version)
+
+    def _apply_target(self, key: str, value: bytes | None) -> None:
+        if value is None:
+            if targets.note_missing(self.fleet.directory, self.clock(), key):
+                self.log("target's entry is gone", target=key)
+            return
+        try:
+            announced = self.adapter.decode_announcement(key, value)
+        except BadDocumentError as error:
+            self.log("target's entry can't be read", target=key, error=str(error))
+            return
+        if targets.note_announced(self.fleet.directory, announced):
+            self.log(
+                "target announced",
+                target=key,
+                service=announced.service,
+                role=announced.role,
+                leaving=announced.leaving,
+            )
+
+    def _note_away(self) -> None:
+        if targets.note_store_away(self.fleet.directory, self.clock()):
+            self.log("store lost")
+
+    def _note_back(self) -> None:
+        self.fleet.directory.known = True
+        self.fleet.directory.read_at = self.clock()
+        if targets.note_store_back(self.fleet.directory, self.clock()):
+            self.log("store regained")
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -8,30 +8,29 @@
 import signal
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 from prometheus_client import CONTENT_TYPE_LATEST
 
+from robinspindle.adapters import Adapter
+from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.core import budgets, targets
 from robinspindle.core.authority import Authority
 from robinspindle.core.forwarding import Refusal
-from robinspindle.core.routes import RouteTable, is_newer
-from robinspindle.core.targets import Announcement, Directory
+from robinspindle.core.targets import Directory
 from robinspindle.exceptions import (
-    BadDocumentError,
     InvalidDocumentError,
     LogServiceError,
 )
 from robinspindle.fleet import Fleet
-from robinspindle.following import Follower, KeyedStore, follow
+from robinspindle.following import follow
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
-from robinspindle.ordering import CLAIM_KEY, OrderDialect, Orderer
-from robinspindle.passages import Dialect, Means
+from robinspindle.ordering import Orderer
+from robinspindle.passages import Means
 from robinspindle.peers import LEAST_INTERVAL_S, News, PeerLink, Peers
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
@@ -44,10 +43,6 @@
 time between two reads of the targets' entries, and so long is a target whose entry went
 still used where there is no other. Together they leave room for the call itself."""
 
-PEERS_WAIT_S = 15.0
-"""How long the store holds a poll about gateways, seconds: a new one may stay unknown
-for a while without harm."""
-
 INTRODUCE_PAUSE_S = 1.0
 """Pause before another try to be introduced to the peers, seconds."""
 
@@ -72,29 +67,6 @@
 log = make_log("gateway")
 
 
-class Adapter(Protocol):
-    """What the platform's adapter gives a gateway."""
-
-    configuration_topic: str
-    configuration_key: str
-    targets_topic: str
-    gateways_topic: str
-    orders_topic: str
-    dialect: Dialect
-    orders: OrderDialect
-
-    def make_store(
-        self, settings: GatewaySettings, clock: Callable[[], float]
-    ) -> KeyedStore:
-        """Make the client of the store."""
-
-    def decode_configuration(self, data: bytes) -> RouteTable:
-        """Decode the operator's configuration."""
-
-    def decode_announcement(self, lifetime: str, data: bytes) -> Announcement:
-        """Decode a target's entry."""
-
-
 class Gateway:
     """State of the process.
 
@@ -132,19 +104,34 @@
             pledges.repeat_slack / BUDGET_SHARES,
             pledges.repeat_window_s,
         )
-        self.relay = Relay(
+        self.peers = Peers(settings.name, time.time())
+        self.relay = self._make_relay(adapter)
+        self._link = self._make_peer_link()
+        self.orderer = self._make_orderer(adapter)
+        limits = Limits()
+        self._beliefs = self._make_beliefs(adapter, limits)
+        self._callers = CallerServer(self._handle, limits, self._clock)
+        self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
+        self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
+        self._tasks: list[asyncio.Task] = []
+        self._stopping_at: float | None = None
+        self._stopped = asyncio.Event()
+
+    def _make_relay(self, adapter: Adapter) -> Relay:
+        return Relay(
             Means(
                 dialect=adapter.dialect,
                 fleet=self.fleet,
                 budget=self.budget,
-                zone=settings.zone,
+                zone=self.settings.zone,
                 clock=self._clock,
                 log=make_log("relay"),
                 metrics=self.metrics,
             )
         )
-        self.peers = Peers(settings.name, time.time())
-        self._link = PeerLink(
+
+    def _make_peer_link(self) -> PeerLink:
+        return PeerLink(
             self.peers,
             self.fleet.find_engine_of,
             lambda lifetime, role: self.fleet.note_switching(
@@ -153,8 +140,10 @@
             self._clock,
             make_log("peers"),
         )
-        self.orderer = Orderer(
-            Authority(settings.name, pledges.lease_s),
+
+    def _make_orderer(self, adapter: Adapter) -> Orderer:
+        return Orderer(
+            Authority(self.settings.name, self.settings.pledges.lease_s),
             adapter.orders_topic,
             self._store,
             self.fleet,
@@ -163,13 +152,18 @@
             self._clock,
             make_log("orders"),
         )
-        self._limits = Limits()
-        self._callers = CallerServer(self._handle, self._limits, self._clock)
-        self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
-        self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
-        self._tasks: list[asyncio.Task] = []
-        self._stopping_at: float | None = None
-        self._stopped = asyncio.Event()
+
+    def _make_beliefs(self, adapter: Adapter, limits: Limits) -> Beliefs:
+        return Beliefs(
+            adapter=adapter,
+            fleet=self.fleet,
+            peers=self.peers,
+            orderer=self.orderer,
+            limits=limits,
+            is_own=lambda name: name == self.settings.name,
+            clock=self._clock,
+            log=log,
+        )
 
     async def run(self) -> None:
         """Serve until a signal to stop and the end of what is under way."""
@@ -194,11 +188,11 @@
         self._tasks = [
             loop.create_task(self._introduce(peer_address)),
             loop.create_task(self._tell_peers()),
-            loop.create_task(follow(self._store, self._follow_peers(), log)),
-            loop.create_task(follow(self._store, self._follow_orders(), log)),
+            *(
+                loop.create_task(follow(self._store, follower, log))
+                for follower in self._beliefs.list_followers()
+            ),
             loop.create_task(self.orderer.run(self.relay.read_rate)),
-            loop.create_task(follow(self._store, self._follow_configuration(), log)),
-            loop.create_task(follow(self._store, self._follow_targets(), log)),
             loop.create_task(self._keep_house()),
         ]
         for task in self._tasks:
@@ -229,59 +223,6 @@
             and self.directory.known
         )
 
-    def _follow_configuration(self) -> Follower:
-        return Follower(
-            topic=self._adapter.configuration_topic,
-            apply=self._apply_configuration,
-            note_away=lambda: None,
-            note_back=lambda: None,
-        )
-
-    def _follow_targets(self) -> Follower:
-        return Follower(
-            topic=self._adapter.targets_topic,
-            apply=self._apply_target,
-            note_away=self._note_away,
-            note_back=self._note_back,
-            rest_s=self.settings.pledges.leave_s * LEAVE_SHARE,
-        )
-
-    def _follow_peers(self) -> Follower:
-        return Follower(
-            topic=self._adapter.gateways_topic,
-            apply=self._apply_peer,
-            note_away=lambda: None,
-            note_back=lambda: None,
-            wait_s=PEERS_WAIT_S,
-        )
-
-    def _follow_orders(self) -> Follower:
-        return Follower(
-            topic=self._adapter.orders_topic,
-            apply=self._apply_claim,
-            note_away=lambda: None,
-            note_back=lambda: None,
-            wait_s=PEERS_WAIT_S,
-            note_end=self._note_claims_end,
-        )
-
-    def _apply_claim(self, key: str, value: bytes | None) -> None:
-        if key == CLAIM_KEY and value is not None:
-            self.orderer.note_record(value.decode("utf-8", "replace"))
-
-    def _note_claims_end(self, end: int) -> None:
-        self.orderer.authority.end = end
-
-    def _apply_peer(self, key: str, value: bytes | None) -> None:
-        if key == self.settings.name:
-            return
-        host, _, port = (value or b"").decode("latin-1").rpartition(":")
-        if not host or not port.isdecimal():
-            self.peers.addresses.pop(key, None)
-            return
-        self.peers.addresses[key] = HostPort(host, int(port))
-        log("peer introduced", peer=key, address=f"{host}:{port}")
-
     async def _introduce(self, address: HostPort) -> None:
         """Tell the store where this gateway's datagrams are taken."""
         value = f"{address.host}:{address.port}".encode()
@@ -309,54 +250,6 @@
                 self.relay.placements.clear()
                 self.orderer.note_told()
 
-    def _apply_configuration(self, key: str, value: bytes | None) -> None:
-        if key != self._adapter.configuration_key or value is None:
-            return
-        try:
-            table = self._adapter.decode_configuration(value)
-        except BadDocumentError as error:
-            log("configuration can't be read, the last one stays", error=str(error))
-            return
-        if not is_newer(table, self.fleet.table):
-            log("older configuration passed over", version=table.version)
-            return
-        self.fleet.table = table
-        limits = table.limits
-        self._limits.header_bytes = limits.header_bytes
-        self._limits.body_bytes = limits.body_bytes
-        self._limits.header_s = limits.header_s
-        self._limits.idle_s = limits.idle_s
-        log("configuration in force", version=table.version)
-
-    def _apply_target(self, key: str, value: bytes | None) -> None:
-        if value is None:
-            if targets.note_missing(self.directory, self._clock(), key):
-                log("target's entry is gone", target=key)
-            return
-        try:
-            announced = self._adapter.decode_announcement(key, value)
-        except BadDocumentError as error:
-            log("target's entry can't be read", target=key, error=str(error))
-            return
-        if targets.note_announced(self.directory, announced):
-            log(
-                "target announced",
-                target=key,
-                service=announced.service,
-                role=announced.role,
-                leaving=announced.leaving,
-            )
-
-    def _note_away(self) -> None:
-        if targets.note_store_away(self.directory, self._clock()):
-            log("store lost")
-
-    def _note_back(self) -> None:
-        self.directory.known = True
-        self.directory.read_at = self._clock()
-        if targets.note_store_back(self.directory, self._clock()):
-            log("store regained")
-
     async def _handle(self, incoming: Incoming, reply: Reply) -> None:
         stopping_at = self._stopping_at
         if stopping_at is not None and incoming.at - stopping_at > UNREADY_S:
