--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 
+from soak.gateways import GatewayProcess
 from soak.oracle import Oracle, expect_body
-from soak.world import HOST, GatewayProcess
+from soak.world import HOST
 
 WAIT_S = 4.0
 """Longest wait for an answer, seconds: twice the routes' time-out."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,9 +16,9 @@
     """Kill a gateway and start it again."""
     gateway = world.rng.choice(world.gateways)
     async with gateway.lock:
-        await world.end_gateway(gateway, signal.SIGKILL)
+        await gateway.end(signal.SIGKILL)
         await asyncio.sleep(seconds)
-        await world.start_gateway(gateway)
+        await gateway.start()
 
 
 async def roll_gateway(world: World, seconds: float) -> None:
@@ -27,10 +27,10 @@
     async with gateway.lock:
         now = asyncio.get_running_loop().time()
         is_starting = now - gateway.started_at < STARTING_S
-        code = await world.end_gateway(gateway, signal.SIGTERM)
+        code = await gateway.end(signal.SIGTERM)
         if code != 0 and not (is_starting and code == -signal.SIGTERM):
             world.oracle.findings.append(f"{gateway.name} ended with {code}")
-        await world.start_gateway(gateway)
+        await gateway.start()
 
 
 async def pause_gateway(world: World, seconds: float) -> None:
--- /dev/null
+++ b/soak/gateways.py
@@ -0,0 +1,122 @@
+"""The gateways of a soak: a process each, with settings and ports of its own."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+
+FIRST_PORT = 10_000
+SOAKS = 200
+PORTS_EACH = 100
+"""Soaks that run side by side use ports of their own, by their process ids."""
+
+_taken: set[int] = set()
+"""Ports given to gateways of this soak."""
+
+SETTINGS = """
+Node = "{name}"
+Zone = "a"
+Ip = "127.0.0.1"
+InternalPorts = [{inner},{inner}]
+[Listen]
+Front = "127.0.0.1:{callers}"
+Ready = "127.0.0.1:{ready}"
+[Limits]
+MemoryMb = 300
+[Bounds]
+DrainMs = 1000
+GraceS = 4
+LeaseMs = 1000
+RetryBudgetSlack = 64
+[Platform]
+Address = "127.0.0.1:{store}"
+"""
+
+
+@dataclass
+class GatewayProcess:
+    """One gateway process.
+
+    Attributes:
+        name: Its name.
+        settings: The file of its settings; its log lies beside it.
+        callers: Its port for callers.
+        process: The process that was started last.
+        started_at: When that was, by the event loop's clock, seconds.
+        lock: Held by the fault that is done to it.
+    """
+
+    name: str
+    settings: Path
+    callers: int
+    process: asyncio.subprocess.Process | None = None
+    started_at: float = 0.0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.started_at = asyncio.get_running_loop().time()
+        with self.settings.with_suffix(".log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "robinspindle",
+                "gateway",
+                str(self.settings),
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def end(self, how: int) -> int:
+        """End the process and wait for it.
+
+        Args:
+            how: The signal.
+
+        Returns:
+            Its exit code.
+        """
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+        if self.process.returncode is None:
+            self.process.send_signal(how)
+        return await self.process.wait()
+
+
+def prepare_gateway(folder: Path, name: str, store: int) -> GatewayProcess:
+    """Write the settings of a gateway that is not started yet.
+
+    Args:
+        folder: Where its settings and its log lie.
+        name: Its name.
+        store: The port at which it reaches the store.
+    """
+    callers, ready, inner = _find_ports(3)
+    path = folder / f"{name}.toml"
+    path.write_text(
+        SETTINGS.format(
+            name=name, callers=callers, ready=ready, inner=inner, store=store
+        )
+    )
+    return GatewayProcess(name, path, callers)
+
+
+def _find_ports(count: int) -> list[int]:
+    """Find free ports below those that the system hands out to others."""
+    ports: list[int] = []
+    port = FIRST_PORT + os.getpid() % SOAKS * PORTS_EACH
+    while len(ports) < count:
+        port += 1
+        if port in _taken:
+            continue
+        with socket.socket() as sock:
+            if sock.connect_ex(("127.0.0.1", port)) != 0:
+                ports.append(port)
+                _taken.add(port)
+    return ports
