Give connections back in one place and name plain numbers

Three modules each took a connection from a pool and gave it back in a finally of their own, and several statuses, sizes and shares stood unnamed in the code.

httpclient.borrow takes a connection and gives it back; the relay, the orders and the store's client use it. Numbers in fleet, following, httpclient, httpserver and the store's client have names, with their values unchanged. The comment on the pause of refused callers called the spread an upper bound, which it isn't.

--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -13,10 +13,14 @@
 from robinspindle.httpclient import ConnectionPool, DecodeHead
 
 READING = "prefill"
+"""The role of engines that only read prompts."""
 
 GATEWAYS = 8
 """Gateways among which a target's connections are divided."""
 
+LEAST_CONNECTIONS = 2
+"""Connections of a target that a gateway may always have."""
+
 DEFAULT_CONNECTIONS = 100
 """Connections of a target whose service is not in the configuration yet."""
 
@@ -117,7 +121,10 @@
             pool = ConnectionPool(
                 HostPort(host, int(port)),
                 self._decode_head,
-                max(2, self._count_connections(announced.service) // GATEWAYS),
+                max(
+                    LEAST_CONNECTIONS,
+                    self._count_connections(announced.service) // GATEWAYS,
+                ),
             )
             self._pools[announced.lifetime] = pool
         return pool
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -29,6 +29,9 @@
 """Longest pause after failed calls, seconds: a store that is back is read within a
 second of it, and a refused call is paid for too."""
 
+LEAST_PAUSE_SHARE = 0.7
+"""Least part of a pause that is kept: gateways that fail together call apart."""
+
 
 class KeyedRecord(Protocol):
     """A record of one key; a value of None drops the key."""
@@ -106,7 +109,7 @@
             continue
         except LogServiceError as error:
             _note_failure(follower, log, error)
-            await asyncio.sleep(pause_s * random.uniform(0.7, 1.0))
+            await asyncio.sleep(pause_s * random.uniform(LEAST_PAUSE_SHARE, 1.0))
             pause_s = min(MOST_PAUSE_S, pause_s * 2)
             continue
         pause_s = FIRST_PAUSE_S
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -8,7 +8,8 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import httptools
@@ -27,6 +28,9 @@
 """A connection is not used for the last part of the time that a target keeps it,
 seconds: the target's close may be on its way."""
 
+LEAST_FINAL = 200
+"""Answers with a lower status are followed by another to the same request."""
+
 DecodeHead = Callable[[int, bytes, Headers], AnswerHead]
 
 
@@ -233,7 +237,7 @@
         """Hand on the head, unless it belongs to no request or to another."""
         status = self._parser.get_status_code()
         exchange = self._exchange
-        if status < 200 or exchange is None or exchange.head is not None:
+        if status < LEAST_FINAL or exchange is None or exchange.head is not None:
             return
         head = self._decode_head(status, self._reason, tuple(self._headers))
         if exchange.request_id and head.request_id not in ("", exchange.request_id):
@@ -350,6 +354,27 @@
         self._idle = kept
 
 
+@asynccontextmanager
+async def borrow(
+    pool: ConnectionPool, clock: Callable[[], float], timeout_s: float
+) -> AsyncIterator[ClientConnection]:
+    """Take a connection and give it back in the end, whatever happens.
+
+    Args:
+        pool: Where it is taken from.
+        clock: Tells the present time, steady seconds.
+        timeout_s: Longest wait for a new connection, seconds.
+
+    Raises:
+        ConnectionBrokenError: When none can be opened in time.
+    """
+    connection = await pool.take(clock(), timeout_s)
+    try:
+        yield connection
+    finally:
+        pool.give_back(connection, clock())
+
+
 def _limit_silence(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -23,6 +23,12 @@
 """Sent bytes that a caller does not acknowledge end its connection after this,
 milliseconds; callers may sit behind slow links."""
 
+BACKLOG = 1024
+"""Connections that the system holds until they are accepted."""
+
+HEADER_MARK_BYTES = 4
+"""Bytes of a header besides its name and value: colon, blank and the line's end."""
+
 
 @dataclass
 class Limits:
@@ -86,7 +92,7 @@
         """Listen."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=1024
+            lambda: CallerConnection(self), host, port, backlog=BACKLOG
         )
 
     def count_busy(self) -> int:
@@ -229,7 +235,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self._headers.append((name, value))
-        self._count_head(len(name) + len(value) + 4)
+        self._count_head(len(name) + len(value) + HEADER_MARK_BYTES)
 
     def on_headers_complete(self) -> None:
         """Note the head's time and ask for the body if the caller waits for that."""
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -20,7 +20,7 @@
 from robinspindle.exceptions import LogConflictError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
-from robinspindle.httpclient import ConnectionBrokenError, Exchange
+from robinspindle.httpclient import ConnectionBrokenError, Exchange, borrow
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 
@@ -212,10 +212,11 @@
             claim.fence,
         )
         pool = self._fleet.find_pool(target)
-        connection = None
         try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                connection = await pool.take(self._clock(), ORDER_TIMEOUT_S)
+            async with (
+                asyncio.timeout(ORDER_TIMEOUT_S),
+                borrow(pool, self._clock, ORDER_TIMEOUT_S) as connection,
+            ):
                 exchange = Exchange("")
                 connection.send(exchange, self._dialect.encode_order(order))
                 head = await exchange.read_head()
@@ -223,6 +224,3 @@
                 return self._dialect.decode_outcome(head.status)
         except (ConnectionBrokenError, TimeoutError):
             return OrderOutcome.UNSURE
-        finally:
-            if connection is not None:
-                pool.give_back(connection, self._clock())
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -17,7 +17,12 @@
     RecordsTrimmedError,
 )
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool, Exchange
+from robinspindle.httpclient import (
+    ConnectionBrokenError,
+    ConnectionPool,
+    Exchange,
+    borrow,
+)
 from robinspindle.platform.dialect import decode_answer
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -31,8 +36,21 @@
 answers in a few ms, in some hundred when it is slow."""
 
 CONNECT_TIMEOUT_S = 0.5
+"""Longest wait for a new connection to the store, seconds."""
+
 MOST_CONNECTIONS = 8
+"""Connections that the pool is told to hold; each followed topic keeps one busy."""
+
 READ_KB = 1024
+"""The most that one read may bring, kilobytes."""
+
+READ_HEAD_BYTES = 16
+"""Bytes before the first record of an answer: two numbers of 8 bytes."""
+
+DONE = 200
+TRIMMED = 410
+CONFLICT = 412
+"""Statuses of the store: done; the records are gone; the topic ends elsewhere."""
 
 
 @dataclass(frozen=True)
@@ -114,7 +132,7 @@
         try:
             # The first 8 bytes are the end of the partition, not of this answer.
             struct.unpack_from(">QQ", data)
-            values = _split_records(data[16:])
+            values = _split_records(data[READ_HEAD_BYTES:])
             items = tuple(_decode_keyed(value) for value in values)
         except (struct.error, ValueError) as error:
             raise LogUnavailableError(f"bad records: {error}") from None
@@ -173,24 +191,21 @@
             status, answer = await self._exchange(data, wait_s + CALL_TIMEOUT_S)
         except (ConnectionBrokenError, TimeoutError) as error:
             raise LogUnavailableError(str(error) or "no answer in time") from None
-        if status == 410:
+        if status == TRIMMED:
             raise RecordsTrimmedError(self._decode(answer, _Trimmed).first)
-        if status == 412:
+        if status == CONFLICT:
             raise LogConflictError(self._decode(answer, _Conflict).end)
-        if status != 200:
+        if status != DONE:
             raise LogUnavailableError(f"answered {status}")
         return answer
 
     async def _exchange(self, data: bytes, timeout_s: float) -> tuple[int, bytes]:
-        connection = await self._pool.take(self._clock(), CONNECT_TIMEOUT_S)
-        exchange = Exchange("")
-        try:
+        async with borrow(self._pool, self._clock, CONNECT_TIMEOUT_S) as connection:
+            exchange = Exchange("")
             async with asyncio.timeout(timeout_s):
                 connection.send(exchange, data)
                 head: AnswerHead = await exchange.read_head()
                 return head.status, await exchange.read_body()
-        finally:
-            self._pool.give_back(connection, self._clock())
 
 
 class _Appended(msgspec.Struct, rename="pascal"):
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -37,8 +37,9 @@
 
 RETRY_BASE_S = 0.2
 RETRY_SPREAD_S = 0.4
-"""A refused caller is told to come back between these, seconds: queues of prompts last
-some tenths of a second, and callers that come back together would meet again."""
+"""A refused caller is told to come back after the first and up to the second more,
+seconds: queues of prompts last some tenths of a second, and callers that come back
+together would meet again."""
 
 BAD_REQUEST = 400
 """No other target would run a request that one calls bad."""
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -1,14 +1,14 @@
 """What all sendings to a target have in common, whatever is sent."""
 
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
 from robinspindle.core import targets
 from robinspindle.core.engines import is_small
 from robinspindle.core.forwarding import AnswerHead, Send, Source
 from robinspindle.core.targets import Target
-from robinspindle.httpclient import ClientConnection, ConnectionBrokenError
+from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, borrow
 from robinspindle.passages import Means, Passage
 
 CONNECT_TIMEOUT_S = 0.25
@@ -46,21 +46,12 @@
     on_first: Callable[[], None] = do_nothing
 
 
-@asynccontextmanager
-async def borrow_connection(
+def borrow_connection(
     means: Means, target: Target
-) -> AsyncIterator[ClientConnection]:
-    """Take a connection to a target and give it back in the end.
-
-    Raises:
-        ConnectionBrokenError: When none can be had in time.
-    """
+) -> AbstractAsyncContextManager[ClientConnection]:
+    """Take a connection to a target and give it back in the end."""
     pool = means.fleet.find_pool(target)
-    connection = await pool.take(means.clock(), CONNECT_TIMEOUT_S)
-    try:
-        yield connection
-    finally:
-        pool.give_back(connection, means.clock())
+    return borrow(pool, means.clock, CONNECT_TIMEOUT_S)
 
 
 def make_send(
