Remove attributes that nothing reads

Reply.is_left, ConnectionPool.opened and RawServer.opened had no reader in the product, the stand-ins, the soak or the tests.

They are gone, and with them what a reply asked of its connection for the first.

Tests: ruff check, no finding; tests/platform, tests/test_layout.py, tests/test_fleet.py and tests/soak, all passed.

--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -280,13 +280,11 @@
 
     Attributes:
         most: The most connections at a time.
-        opened: Connections opened so far, for metrics.
     """
 
     def __init__(self, address: HostPort, decode_head: DecodeHead, most: int):
         self.address = address
         self.most = most
-        self.opened = 0
         self._decode_head = decode_head
         self._idle: list[ClientConnection] = []
         self._busy = 0
@@ -340,7 +338,6 @@
             text = f"no connection: {error or 'timed out'}"
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectionBrokenError(text, False, refused) from None
-        self.opened += 1
         return connection
 
     def _close_stale(self, now: float) -> None:
--- a/src/robinspindle/replies.py
+++ b/src/robinspindle/replies.py
@@ -8,13 +8,7 @@
 
 
 class Outlet(Protocol):
-    """What an answer needs of the connection that it is written to.
-
-    Attributes:
-        is_lost: Whether the caller has left.
-    """
-
-    is_lost: bool
+    """What an answer needs of the connection that it is written to."""
 
     @property
     def is_stopping(self) -> bool:
@@ -50,11 +44,6 @@
         self.has_begun = False
         self.is_ended = False
 
-    @property
-    def is_left(self) -> bool:
-        """Whether the caller has left."""
-        return self._connection.is_lost
-
     def set_flow(
         self, on_pause: Callable[[], None], on_resume: Callable[[], None]
     ) -> None:
--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -35,12 +35,10 @@
 
     Attributes:
         port: The port, once started.
-        opened: Connections that were opened so far.
     """
 
     def __init__(self, answer: Answer):
         self.port = 0
-        self.opened = 0
         self._answer = answer
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -66,7 +64,6 @@
         self.reset_all()
 
     async def _serve(self, reader, writer) -> None:
-        self.opened += 1
         self._writers.add(writer)
         try:
             while (request := await _read_request(reader)) is not None:
