Keep to a share of a target's connections; ask for the rest between reads anew

Cause: reading the split code showed that the limit of connections was worked out and never looked at, and that a reload left the interval between reads as it was.

Change: a target counts as usable only while our share of its connections is not busy, divided by the gateways that the store names; the interval is asked for each time.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -71,7 +71,7 @@
             apply=self._apply_target,
             note_away=self._note_away,
             note_back=self._note_back,
-            rest_s=self.fleet.directory.hold_s,
+            rest_s=lambda: self.fleet.directory.hold_s,
         )
 
     def _follow_peers(self) -> Follower:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -16,7 +16,7 @@
 """The role of engines that only read prompts."""
 
 GATEWAYS = 8
-"""Gateways among which a target's connections are divided."""
+"""Gateways among which a target's connections are divided until they are known."""
 
 LEAST_CONNECTIONS = 2
 """Connections of a target that a gateway may always have."""
@@ -34,18 +34,24 @@
     Attributes:
         directory: The targets.
         table: The configuration in force, None before the first.
+        gateways: How many gateways share the targets' connections.
     """
 
     def __init__(self, directory: Directory, decode_head: DecodeHead):
         self.directory = directory
         self.table: RouteTable | None = None
+        self.gateways = GATEWAYS
         self._decode_head = decode_head
         self._pools: dict[str, ConnectionPool] = {}
         self._engines: dict[str, Engine] = {}
 
     def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
         """List the targets of a service that may get a request."""
-        return targets.list_usable(self.directory, service, now, tried)
+        found = targets.list_usable(self.directory, service, now, tried)
+        share = self._count_connections(service) // self.gateways
+        most = max(LEAST_CONNECTIONS, share)
+        # Each request under way holds a connection, and a target resets any more.
+        return [target for target in found if target.in_flight < most]
 
     def find_engine(self, target: Target) -> Engine | None:
         """Find what is believed of a target's engine; None for a plain service."""
@@ -121,10 +127,6 @@
             pool = ConnectionPool(
                 HostPort(host, int(port)),
                 self._decode_head,
-                max(
-                    LEAST_CONNECTIONS,
-                    self._count_connections(announced.service) // GATEWAYS,
-                ),
             )
             self._pools[announced.lifetime] = pool
         return pool
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -77,7 +77,7 @@
         apply: Takes a key and its value; None drops it.
         note_away: Called when the store stops answering.
         note_back: Called when it answers.
-        rest_s: Least time between two reads, seconds: records that come one by one
+        rest_s: Tells the least time between two reads, seconds: records that come alone
             are then read together, as each call has its price.
         wait_s: How long the store holds a poll, seconds.
         note_end: Told where the topic ends, after each read was applied.
@@ -87,7 +87,7 @@
     apply: Callable[[str, bytes | None], None]
     note_away: Callable[[], None]
     note_back: Callable[[], None]
-    rest_s: float = 0.0
+    rest_s: Callable[[], float] = lambda: 0.0
     wait_s: float = WAIT_S
     note_end: Callable[[int], None] = lambda end: None
 
@@ -119,7 +119,7 @@
         offset = records.end
         _apply(follower, keys, records)
         follower.note_end(offset)
-        await asyncio.sleep(follower.rest_s)
+        await asyncio.sleep(follower.rest_s())
 
 
 def _note_failure(follower: Follower, log: Log, error: LogServiceError) -> None:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -288,6 +288,7 @@
             await asyncio.sleep(TICK_S)
             self._output.flush()
             now = self._clock()
+            self.fleet.gateways = len(self.peers.addresses) + 1
             for target in targets.drop_gone(self.directory, now):
                 self.fleet.forget(target)
                 log("target is gone", target=target.announced.lifetime)
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -276,23 +276,12 @@
 
 
 class ConnectionPool:
-    """Idle connections to one address.
+    """Idle connections to one address."""
 
-    Attributes:
-        most: The most connections at a time.
-    """
-
-    def __init__(self, address: HostPort, decode_head: DecodeHead, most: int):
+    def __init__(self, address: HostPort, decode_head: DecodeHead):
         self.address = address
-        self.most = most
         self._decode_head = decode_head
         self._idle: list[ClientConnection] = []
-        self._busy = 0
-
-    @property
-    def is_exhausted(self) -> bool:
-        """Whether no connection can be had."""
-        return self._busy >= self.most
 
     async def take(self, now: float, timeout_s: float) -> ClientConnection:
         """Take an idle connection or open one.
@@ -301,18 +290,12 @@
             ConnectionBrokenError: When none can be opened in time.
         """
         self._close_stale(now)
-        self._busy += 1
         if self._idle:
             return self._idle.pop()
-        try:
-            return await self._open(timeout_s)
-        except BaseException:
-            self._busy -= 1
-            raise
+        return await self._open(timeout_s)
 
     def give_back(self, connection: ClientConnection, now: float) -> None:
         """Give a connection back; it is closed unless it can be used again."""
-        self._busy -= 1
         if connection.can_be_reused:
             connection.idle_since = now
             self._idle.append(connection)
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -38,9 +38,6 @@
 CONNECT_TIMEOUT_S = 0.5
 """Longest wait for a new connection to the store, seconds."""
 
-MOST_CONNECTIONS = 8
-"""Connections that the pool is told to hold; each followed topic keeps one busy."""
-
 READ_KB = 1024
 """The most that one read may bring, kilobytes."""
 
@@ -90,7 +87,7 @@
     def __init__(self, address: HostPort, clock: Callable[[], float]):
         self._address = address
         self._clock = clock
-        self._pool = ConnectionPool(address, decode_answer, MOST_CONNECTIONS)
+        self._pool = ConnectionPool(address, decode_answer)
         self.calls = 0
 
     async def read_newest(self, topic: str) -> Records:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -66,3 +66,20 @@
     assert [(load.lifetime, load.unread) for load in fleet.list_loads()] == [
         ("p1", 700)
     ]
+
+
+def test_a_target_is_passed_over_once_our_share_of_its_connections_is_busy():
+    fleet = make_fleet()
+    fleet.gateways = 20
+    target = fleet.directory.targets["d1"]
+
+    def names_of_usable():
+        found = fleet.list_usable("lm", 0.0, set())
+        return sorted(target.announced.lifetime for target in found)
+
+    target.in_flight = 3
+    assert names_of_usable() == ["d1", "p1"]
+    target.in_flight = 4
+    assert names_of_usable() == ["p1"]
+    fleet.gateways = 2
+    assert names_of_usable() == ["d1", "p1"]
