Read what an agent sent before its end, however late the entry comes to it

An entry's sockets had `zmq.IMMEDIATE`, so that nothing waits for an agent that is away. With it, the end of a connection also drops what had come over it and had not been read yet: an agent that stopped right after the last token and the end of a run lost both where the entry was busy. The entry then went on without a retry left.

Change: a monitor of each socket tells whether a connection stands, and messages to an agent that is away are dropped by that.

--- a/src/robinspindle/transport.py
+++ b/src/robinspindle/transport.py
@@ -1,7 +1,10 @@
 """ZeroMQ sockets between entries and agents, with CURVE where a key is given."""
 
+from dataclasses import dataclass
+
 import zmq
 from zmq.auth.thread import ThreadAuthenticator
+from zmq.utils.monitor import recv_monitor_message
 
 from robinspindle.keys import FleetKey
 from robinspindle.mailbox import Mailbox
@@ -75,6 +78,34 @@
             self._authenticator.stop()
 
 
+@dataclass
+class _Link:
+    """An entry's socket to one agent.
+
+    Attributes:
+        address: Where the agent listens.
+        socket: The socket.
+        monitor: Tells when a connection stands and when it is lost.
+        is_up: Whether a connection stands.
+    """
+
+    address: str
+    socket: zmq.Socket
+    monitor: zmq.Socket
+    is_up: bool = False
+
+    def refresh(self) -> None:
+        """Take in what happened to the connection."""
+        while self.monitor.poll(0):
+            event = recv_monitor_message(self.monitor)["event"]
+            self.is_up = event == zmq.EVENT_HANDSHAKE_SUCCEEDED
+
+    def close(self, linger_ms: int) -> None:
+        """Close the socket, and its monitor before it."""
+        self.socket.disable_monitor()
+        self.socket.close(linger=linger_ms)
+
+
 class Connections:
     """An entry's sockets, one to each agent."""
 
@@ -82,40 +113,43 @@
         self._context = context
         self._identity = identity.encode()
         self._key = key
-        self._sockets: dict[str, zmq.Socket] = {}
-        self._addresses: dict[str, str] = {}
+        self._links: dict[str, _Link] = {}
 
     def update(self, addresses: dict[str, str], poller: zmq.Poller) -> None:
         """Connect to the agents at these addresses and to no others."""
-        for name in [
-            n for n in self._sockets if addresses.get(n) != self._addresses[n]
-        ]:
-            socket = self._sockets.pop(name)
-            poller.unregister(socket)
-            socket.close(linger=0)
+        stale = [n for n, k in self._links.items() if addresses.get(n) != k.address]
+        for name in stale:
+            link = self._links.pop(name)
+            poller.unregister(link.socket)
+            link.close(0)
         for name, address in addresses.items():
-            if name not in self._sockets:
-                self._sockets[name] = self._connect(address)
-                self._addresses[name] = address
-                poller.register(self._sockets[name], zmq.POLLIN)
+            if name not in self._links:
+                self._links[name] = self._connect(address)
+                poller.register(self._links[name].socket, zmq.POLLIN)
 
     def send(self, peer: str, message: AnyMessage) -> None:
-        """Send to one agent; a message that can't be queued is dropped."""
-        socket = self._sockets.get(peer)
-        if socket is None:
+        """Send to one agent; a message to one that is away is dropped.
+
+        What would wait for an agent that is away is worthless when it returns.
+        """
+        link = self._links.get(peer)
+        if link is None:
+            return
+        link.refresh()
+        if not link.is_up:
             return
         try:
-            socket.send(encode_message(message), zmq.NOBLOCK)
+            link.socket.send(encode_message(message), zmq.NOBLOCK)
         except zmq.ZMQError:
             return
 
     def receive_all(self) -> list[tuple[str, AnyMessage]]:
         """Return the messages that are waiting, with their senders."""
         received = []
-        for name, socket in self._sockets.items():
+        for name, link in self._links.items():
             for _ in range(MOST_IN_A_TURN):
                 try:
-                    data = socket.recv(zmq.NOBLOCK)
+                    data = link.socket.recv(zmq.NOBLOCK)
                 except zmq.ZMQError:
                     break
                 message = decode_message(data)
@@ -125,21 +159,24 @@
 
     def close(self) -> None:
         """Close all sockets after what was sent has left."""
-        for socket in self._sockets.values():
-            socket.close(linger=1000)
+        for link in self._links.values():
+            link.close(1000)
 
-    def _connect(self, address: str) -> zmq.Socket:
+    def _connect(self, address: str) -> _Link:
+        # Not zmq.IMMEDIATE, which also keeps messages from agents that are away: when
+        # a connection ends, it drops what came over it and was not read yet.
         socket = self._context.socket(zmq.DEALER)
         _set_options(socket)
         socket.setsockopt(zmq.IDENTITY, self._identity)
-        # What would wait for an agent that is away is worthless when it returns.
-        socket.setsockopt(zmq.IMMEDIATE, 1)
         if self._key is not None:
             socket.curve_secretkey = self._key.secret
             socket.curve_publickey = self._key.public
             socket.curve_serverkey = self._key.public
+        monitor = socket.get_monitor_socket(
+            zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
+        )
         socket.connect(f"tcp://{address}")
-        return socket
+        return _Link(address, socket, monitor)
 
 
 def _set_options(socket: zmq.Socket) -> None:
