Refuse by the wait alone, sooner what no cache holds, later who was refused before

A prompt was refused only when it would be late and waited over 0.55 of the aim, whatever it cost the others.

Change: the wait alone decides: 0.55 of the aim where all shared parts are held, 0.3 where none is, a quarter more for a caller that comes back. Who comes back is told by having less time left than the route's callers begin with. The end of a request is logged with the longest pause between its events, the routing with the time that is left.

--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -68,6 +68,14 @@
 """Share of the aim that a prompt may wait for others, whatever its own length: so that
 long prompts are not refused for being long."""
 
+MISSING_WAIT_SHARE = 0.3
+"""The same for a prompt of whose shared parts no cache holds any: when engines are
+crowded, the same time serves two prompts whose parts are held."""
+
+RETURN_PATIENCE = 1.25
+"""How much longer a request that was refused before may wait: refused again it costs
+its caller more than the first time, and its time is nearly up."""
+
 
 @dataclass(frozen=True)
 class Plan:
@@ -82,6 +90,7 @@
         wait_s: Estimated wait for other prompts, seconds.
         first_s: Estimated seconds until the first event.
         cost_s: What it counts for against other plans, seconds.
+        missing_share: Share of the prompt's shared parts that has to be read again.
     """
 
     target: Target
@@ -90,6 +99,7 @@
     wait_s: float
     first_s: float
     cost_s: float
+    missing_share: float = 0.0
     holder: Target | None = None
 
 
@@ -124,12 +134,14 @@
         unread: Tokens that it has to read.
         seconds: How long it takes, without the wait.
         weight_s: What it counts for besides, seconds.
+        missing_share: Share of the shared parts that it has to read again.
         holder: From whose cache it fetches first; None for none.
     """
 
     unread: int
     seconds: float
     weight_s: float
+    missing_share: float
     holder: Target | None = None
 
 
@@ -170,14 +182,21 @@
     return min(plans, key=lambda plan: plan.first_s)
 
 
-def is_hopeless(plan: Plan, left_s: float, aim_s: float) -> bool:
+def is_hopeless(plan: Plan, aim_s: float, is_return: bool) -> bool:
     """Whether a request had better be refused than sent on.
 
-    Answers after the aim are worth little, and each makes the next ones late too.
+    Answers after the aim are worth little, and each makes the next ones late too. When
+    engines are crowded, what has to read its shared parts again gives way first.
+
+    Args:
+        plan: The best plan for it.
+        aim_s: The time in which its first event should come, seconds.
+        is_return: Whether its caller was refused before.
     """
-    if plan.first_s <= left_s * IN_TIME_SHARE:
-        return False
-    return plan.wait_s > aim_s * MOST_WAIT_SHARE
+    missing = plan.missing_share
+    share = MOST_WAIT_SHARE * (1.0 - missing) + MISSING_WAIT_SHARE * missing
+    patience = RETURN_PATIENCE if is_return else 1.0
+    return plan.wait_s > aim_s * share * patience
 
 
 def _weigh_host(pair: Pair, at: Situation) -> float:
@@ -212,8 +231,16 @@
     place_s = _weigh_place(target, at.zone)
     wait_s = estimate_wait(engine, prompt)
     first_s = wait_s + reading.seconds + requests * SLOT_S + place_s
-    cost_s = first_s + reading.weight_s
-    return Plan(target, None, reading.unread, wait_s, first_s, cost_s, reading.holder)
+    return Plan(
+        target=target,
+        reader=None,
+        unread=reading.unread,
+        wait_s=wait_s,
+        first_s=first_s,
+        cost_s=first_s + reading.weight_s,
+        missing_share=reading.missing_share,
+        holder=reading.holder,
+    )
 
 
 def _plan_apart(
@@ -226,9 +253,15 @@
     place_s = _weigh_place(reader, at.zone)
     wait_s = estimate_wait(engine, prompt)
     first_s = wait_s + reading.seconds + place_s + FETCH_S + end_s
-    cost_s = first_s + reading.weight_s
     return Plan(
-        host[0], reader, reading.unread, wait_s, first_s, cost_s, reading.holder
+        target=host[0],
+        reader=reader,
+        unread=reading.unread,
+        wait_s=wait_s,
+        first_s=first_s,
+        cost_s=first_s + reading.weight_s,
+        missing_share=reading.missing_share,
+        holder=reading.holder,
     )
 
 
@@ -254,6 +287,7 @@
         unread=prompt.tokens - cached,
         seconds=(prompt.tokens - cached) / engine.pace,
         weight_s=REREAD_WEIGHT * max(0, shared - cached) / engine.pace,
+        missing_share=max(0, shared - cached) / max(1, shared),
     )
     if holder is None or holder[0] is target:
         return alone
@@ -270,6 +304,7 @@
             REREAD_WEIGHT * max(0, shared - held) + FETCH_WEIGHT * min(fetched, shared)
         )
         / engine.pace,
+        missing_share=max(0, shared - held) / max(1, shared),
         holder=holder[0],
     )
     return helped if helped.seconds < alone.seconds else alone
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -70,9 +70,12 @@
         splitter: The events passed on so far.
         fault: A target's own failure that is passed on if nothing better comes.
         last_reason: Why the latest sending did not deliver.
+        is_return: Whether its caller comes back after a refusal, by the time it has
+            left.
         plan: The latest plan, for logs.
         read_at: When its prompt had been read apart, steady seconds.
         first_at: When its answer began, steady seconds.
+        longest_pause_s: The longest pause between two events of it, seconds.
     """
 
     request: Request
@@ -88,9 +91,11 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     fault: tuple[AnswerHead, bytes] | None = None
     last_reason: str = ""
+    is_return: bool = False
     plan: Plan | None = None
     read_at: float | None = None
     first_at: float | None = None
+    longest_pause_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -10,7 +10,6 @@
 from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, Exchange
 from robinspindle.passages import Means, Passage
 from robinspindle.replies import Reply
-from robinspindle.sending import do_nothing
 
 
 @dataclass(frozen=True)
@@ -38,7 +37,7 @@
 
 
 async def pass_stream(means: Means, passage: Passage, answer: Answer) -> None:
-    """Pass a stream on as fast as the caller takes it, and note a long one's pauses.
+    """Pass a stream on as fast as the caller takes it, and note its pauses.
 
     Raises:
         ConnectionBrokenError: When the stream breaks off.
@@ -48,13 +47,10 @@
     prompt = passage.request.prompt
     engine = means.fleet.find_engine(answer.target)
     if prompt is None or engine is None or not is_long(prompt):
-        await _pass_events(passage, answer, do_nothing)
+        await _pass_events(means, passage, answer, _pass_over)
         return
-    last_at = means.clock()
 
-    def note_event() -> None:
-        nonlocal last_at
-        now = means.clock()
+    def note_long(pause_s: float, now: float) -> None:
         allowed_s = find_allowed_pause(
             prompt,
             passage.splitter.events,
@@ -62,28 +58,39 @@
             passage.due - now,
             passage.route.gap_s,
         )
-        note_pause(engine, now - last_at, allowed_s)
-        last_at = now
+        note_pause(engine, pause_s, allowed_s)
 
     engine.own_long += 1
     try:
-        await _pass_events(passage, answer, note_event)
+        await _pass_events(means, passage, answer, note_long)
     finally:
         engine.own_long -= 1
 
 
+def _pass_over(pause_s: float, now: float) -> None:
+    """Stand for taking note of a pause that changes nothing."""
+
+
 async def _pass_events(
-    passage: Passage, answer: Answer, on_events: Callable[[], None]
+    means: Means,
+    passage: Passage,
+    answer: Answer,
+    note: Callable[[float, float], None],
 ) -> None:
     splitter, reply, head = passage.splitter, passage.reply, answer.head
     splitter.rest = b""
+    last_at = means.clock()
     while chunk := await answer.exchange.read_chunk():
         events = take_events(splitter, chunk)
         if not events:
             continue
-        on_events()
+        now = means.clock()
+        note(now - last_at, now)
         if not reply.has_begun:
             reply.begin(head.status, head.reason, head.headers, None)
+        else:
+            passage.longest_pause_s = max(passage.longest_pause_s, now - last_at)
+        last_at = now
         reply.write(events)
     if splitter.rest:
         raise ConnectionBrokenError("the stream ended within an event")
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -6,6 +6,7 @@
 from robinspindle.core import budgets, forwarding, reading, targets
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.forwarding import AnswerHead, Request
+from robinspindle.core.patience import Patience
 from robinspindle.core.reading import Plan
 from robinspindle.core.rebalance import Demand, note_demand, read_demand
 from robinspindle.core.routes import STREAM, choose_service, find_route
@@ -71,6 +72,7 @@
         self._readings = Readings(means)
         self._apart = ReadingApart(means, self._readings, self._log)
         self._rng = random.Random()
+        self._patience = Patience()
 
     @property
     def placements(self) -> list[Placement]:
@@ -99,6 +101,7 @@
             forwarding.find_due(request, route),
             request.received_at + route.aim_s - CALLER_WAY_S,
         )
+        passage.is_return = self._patience.note(route.name, request.wait_s)
         budgets.count_request(self._means.budget, self._means.clock(), passage.service)
         try:
             await self._serve(passage)
@@ -126,7 +129,7 @@
                 note_demand(demand, now, plan.unread)
             passage.plan = plan
             self._log.log_plan(passage, plan)
-            if self._is_hopeless(passage, plan, now):
+            if self._is_hopeless(passage, plan):
                 self._give_up(passage, "busy")
                 return
             end = await self._carry_out(passage, plan)
@@ -160,11 +163,10 @@
         )
         return reading.choose_plan(pairs, prompt, at)
 
-    def _is_hopeless(self, passage: Passage, plan: Plan, now: float) -> bool:
+    def _is_hopeless(self, passage: Passage, plan: Plan) -> bool:
         if passage.offers or passage.reads:
             return False
-        left_s = passage.aim_at - now
-        return reading.is_hopeless(plan, left_s, passage.route.aim_s)
+        return reading.is_hopeless(plan, passage.route.aim_s, passage.is_return)
 
     def _may_go_on(self, passage: Passage, end: End) -> bool:
         left_s = passage.due - self._means.clock()
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -42,6 +42,7 @@
             first_ms=round(plan.first_s * 1000, 1),
             unread=plan.unread,
             left_ms=round((passage.aim_at - now) * 1000, 1),
+            due_ms=round((passage.due - now) * 1000, 1),
             list_age_ms=round((now - directory.read_at) * 1000),
             store_away=directory.away_since is not None,
         )
@@ -72,6 +73,7 @@
             events=passage.splitter.events,
             read_ms=_find_ms_since(passage, passage.read_at),
             first_ms=_find_ms_since(passage, passage.first_at),
+            pause_ms=round(passage.longest_pause_s * 1000, 1),
             held_ms=_find_ms_since(passage, now),
             outcome=outcome,
         )
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -94,15 +94,38 @@
     assert name(choose_plan(fleet, DIGEST, CALM).reader) == "p2"
 
 
-def test_what_would_wait_too_long_is_hopeless_and_length_alone_is_not():
+def plan_behind(tokens, held=()):
     fleet = [make_pair("p1", "prefill"), make_pair("d1", "decode")]
-    fleet[0][1].own_unread = fleet[1][1].own_unread = 200_000
-    plan = choose_plan(fleet, DIGEST, CALM)
-    assert reading.is_hopeless(plan, 0.2, 0.2)
+    for _, engine in fleet:
+        engine.own_unread = tokens
+        engines.note_placed(engine, held)
+    return choose_plan(fleet, DIGEST, CALM)
+
+
+def test_what_would_wait_too_long_is_hopeless_and_length_alone_is_not():
+    assert reading.is_hopeless(plan_behind(200_000), 0.2, False)
     long_prompt = Prompt("m", (Part("l", 90_000),), 90_000, 118)
     plan = choose_plan(make_fleet(), long_prompt, CALM)
     assert plan.first_s > 0.2
-    assert not reading.is_hopeless(plan, 0.2, 0.2)
+    assert not reading.is_hopeless(plan, 0.2, False)
+
+
+def test_a_prompt_whose_parts_no_cache_holds_gives_way_first():
+    held = DIGEST.parts[:2]
+    assert plan_behind(20_000).missing_share == 1.0
+    assert plan_behind(20_000, held).missing_share == 0.0
+    assert reading.is_hopeless(plan_behind(20_000), 0.2, False)
+    assert not reading.is_hopeless(plan_behind(20_000, held), 0.2, False)
+
+
+def test_who_was_refused_before_may_wait_longer():
+    held = DIGEST.parts[:2]
+    waiting = list(range(0, 60_000, 1000))
+    first, again = (
+        sum(not reading.is_hopeless(plan_behind(n, held), 0.2, back) for n in waiting)
+        for back in (False, True)
+    )
+    assert first < again < len(waiting)
 
 
 def test_what_another_engine_has_read_is_fetched_from_it():
