Fuzz the decisions of gateways against an oracle, with deliberate faults

Cause: claims, budgets, membership and configurations of gateways had property tests each, and no test that let all of them meet the same lags, cuts and lost answers.

Ruled out: the fuzzer's existing deployment of entries and agents, whose messages and log gateways don't have.

Change: three gateways in memory, ten kinds of moves, an oracle that knows what happened and no mechanism, eight deliberate faults.

--- a/fuzz/__main__.py
+++ b/fuzz/__main__.py
@@ -3,10 +3,13 @@
 import argparse
 import sys
 import time
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 
 from fuzz.driver import draw_moves, play, shrink
-from fuzz.mutants import MUTANTS, apply_mutant
+from fuzz.gatewaymutants import GATEWAY_MUTANTS
+from fuzz.gatewayoracle import STEPS, play_gateways
+from fuzz.mutants import MUTANTS, Mutant, apply_mutant
 from robinspindle.tables import format_table
 
 STEPS_IN_A_RUN = 150
@@ -46,6 +49,22 @@
             seconds = time.monotonic() - begun
             print(f"{number + 1}/{runs} runs, {steps} steps, {seconds:.0f} s, clean")
     print(format_table(("rule", "steps"), sorted(counts.items())))
+    return _fuzz_gateways(pool, first, runs) or _show_clean(
+        first, runs, steps, requests
+    )
+
+
+def _fuzz_gateways(pool: ProcessPoolExecutor, first: int, runs: int) -> int:
+    found = pool.map(play_gateways, range(first, first + runs))
+    for number, faults in enumerate(found):
+        if faults:
+            print(f"gateways, seed {first + number} fails:", *faults, sep="\n  ")
+            return 1
+    print(f"gateways clean: seeds {first} to {first + runs - 1}, {runs * STEPS} steps")
+    return 0
+
+
+def _show_clean(first: int, runs: int, steps: int, requests: int) -> int:
     print(f"clean: seeds {first} to {first + runs - 1}, {steps} steps, ", end="")
     print(f"{requests} callers' requests")
     return 0
@@ -74,19 +93,36 @@
     return 0, steps, "NOT CAUGHT"
 
 
+def _catch_in_gateways(number: int) -> tuple[int, int, str]:
+    """Run seeds of gateways under one mutant until the oracle notices it."""
+    with apply_mutant(GATEWAY_MUTANTS[number]):
+        for seed in range(1, MOST_RUNS + 1):
+            faults = play_gateways(seed)
+            if faults:
+                return seed, seed * STEPS, faults[0]
+    return 0, MOST_RUNS * STEPS, "NOT CAUGHT"
+
+
 def _prove_oracle(pool: ProcessPoolExecutor) -> int:
+    missed = _prove(pool, MUTANTS, _catch)
+    missed += _prove(pool, GATEWAY_MUTANTS, _catch_in_gateways)
+    return 1 if missed else 0
+
+
+def _prove(
+    pool: ProcessPoolExecutor, mutants: tuple[Mutant, ...], catch: Callable
+) -> int:
+    """Play each mutant, print what noticed it, and return how many went unnoticed."""
     rows = []
     missed = 0
-    for mutant, caught in zip(
-        MUTANTS, pool.map(_catch, range(len(MUTANTS))), strict=True
-    ):
-        seed, steps, fault = caught
+    results = pool.map(catch, range(len(mutants)))
+    for mutant, (seed, steps, fault) in zip(mutants, results, strict=True):
         missed += seed == 0
         rows.append((mutant.name, seed or "-", steps, fault[:60]))
         print(f"{mutant.name}: {fault[:60]}", file=sys.stderr)
     print(format_table(("deliberate fault", "seed", "steps", "noticed as"), rows))
-    print(f"{len(MUTANTS) - missed} of {len(MUTANTS)} caught")
-    return 1 if missed else 0
+    print(f"{len(mutants) - missed} of {len(mutants)} caught")
+    return missed
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/fuzz/gatewaymutants.py
@@ -0,0 +1,31 @@
+"""Deliberate faults in the decisions of gateways, each to be noticed."""
+
+from fuzz.mutants import Mutant
+from robinspindle.core import authority, budgets, forwarding, routes, targets
+
+
+def _announce_as_told(right):
+    def note(directory, announced, now):
+        directory.targets.pop(announced.lifetime, None)
+        return right(directory, announced, now)
+
+    return note
+
+
+GATEWAY_MUTANTS = (
+    Mutant("use a claim for ever", authority, "may_use", lambda r: lambda *_: True),
+    Mutant("claim without waiting", authority, "may_claim", lambda r: lambda *_: True),
+    Mutant("wait for less than a lease", authority, "WAIT_SHARE", lambda r: 0.5),
+    Mutant("go back to any version", routes, "is_newer", lambda r: lambda *_: True),
+    Mutant("take a notice back", targets, "note_announced", _announce_as_told),
+    Mutant("never take as gone", targets, "is_gone", lambda r: lambda *_: False),
+    Mutant(
+        "repeat without a budget", budgets, "take_repeat", lambda r: lambda *_: True
+    ),
+    Mutant(
+        "send again whatever ran",
+        forwarding,
+        "may_offer_again",
+        lambda r: lambda route, offers, runs: offers < forwarding.MOST_OFFERS,
+    ),
+)
--- /dev/null
+++ b/fuzz/gatewayworld.py
@@ -0,0 +1,296 @@
+"""Gateways in memory: their decisions, a store that lags, and targets that leave.
+
+Each gateway has a steady clock of its own, reads the store when it is let, and may be
+cut from it. Nothing here decides: it feeds the product's decisions and keeps what they
+led to for the oracle.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from robinspindle.core import authority, budgets, forwarding, routes, targets
+from robinspindle.core.authority import Authority, Claim
+from robinspindle.core.budgets import RepeatBudget
+from robinspindle.core.routes import Route, RouteTable
+from robinspindle.core.targets import Announcement, Directory
+
+GATEWAYS = 3
+TARGETS = 4
+LEASE_S = 3.0
+HOLD_S = 0.7
+RATIO = 0.2
+SLACK = 6.0
+WINDOW_S = 10.0
+SHARES = 6
+"""Gateways among which the fixed part of the repeats is divided: more than exist."""
+
+SERVICE = "push"
+MOST_STEP_S = 0.5
+ONCE = Route("once", "h", "/", routes.AT_MOST_ONCE, 5.0, 1.0, attempts=2)
+AGAIN = Route("again", "h", "/", routes.IDEMPOTENT, 5.0, 1.0, attempts=2)
+
+
+@dataclass(frozen=True)
+class OrderGiven:
+    """An order that reached an engine."""
+
+    at: float
+    gateway: str
+    fence: int
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A request that was sent to a target.
+
+    Attributes:
+        at: When, seconds of the world.
+        gateway: By which gateway.
+        target: To which target's lifetime.
+        is_leaving: Whether the gateway had read that the target leaves.
+        missing_since: When the gateway had read that its entry is gone; None if not.
+    """
+
+    at: float
+    gateway: str
+    target: str
+    is_leaving: bool
+    missing_since: float | None
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One attempt of a caller, ended."""
+
+    route: Route
+    runs: int
+    says_not_run: bool
+
+
+@dataclass
+class GatewayView:
+    """One gateway.
+
+    Attributes:
+        name: Its name.
+        offset_s: Its steady clock less the world's time, seconds.
+        authority: What it has seen of claims.
+        directory: The targets that it knows.
+        budget: Its share of the repeats.
+        table: The configuration in force.
+        claim: The claim that it may give orders under.
+        read: Records that it has read of each topic.
+        is_cut: Whether it is cut from the store.
+        missing_at: When it read that an entry is gone, by lifetime.
+    """
+
+    name: str
+    offset_s: float
+    authority: Authority
+    directory: Directory
+    budget: RepeatBudget
+    table: RouteTable | None = None
+    claim: Claim | None = None
+    read: dict[str, int] = field(default_factory=dict)
+    is_cut: bool = False
+    missing_at: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass
+class GatewayWorld:
+    """Everything.
+
+    Attributes:
+        now: Time, seconds.
+        gateways: The gateways.
+        claims: Authors of claims, in the order of the log.
+        versions: Configurations in the order of the log; older ones may come again.
+        entries: Targets' entries in the order of the log; None for one that is gone.
+        orders: Orders that reached engines.
+        sendings: Requests that reached targets.
+        attempts: Attempts that ended.
+        requests: When requests came.
+        repeats: When requests were sent again.
+        in_force: Versions in force at each gateway, in order.
+    """
+
+    now: float = 100.0
+    gateways: list[GatewayView] = field(default_factory=list)
+    claims: list[str] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    entries: list[tuple[str, Announcement | None]] = field(default_factory=list)
+    orders: list[OrderGiven] = field(default_factory=list)
+    sendings: list[Sent] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    requests: list[float] = field(default_factory=list)
+    repeats: list[float] = field(default_factory=list)
+    in_force: dict[str, list[int]] = field(default_factory=dict)
+
+
+def make_gateway_world() -> GatewayWorld:
+    """Make a world in which all gateways know all targets."""
+    world = GatewayWorld()
+    for number in range(GATEWAYS):
+        name = f"g{number}"
+        view = GatewayView(
+            name=name,
+            offset_s=1000.0 * number,
+            authority=Authority(name, LEASE_S),
+            directory=Directory(hold_s=HOLD_S),
+            budget=RepeatBudget(RATIO, SLACK / SHARES, WINDOW_S),
+        )
+        world.gateways.append(view)
+    for number in range(TARGETS):
+        _announce(world, f"t{number}", leaving=False)
+    for view in world.gateways:
+        read_store(world, view)
+    return world
+
+
+def read_store(world: GatewayWorld, view: GatewayView) -> None:
+    """Let a gateway read all that it lacks, unless it is cut."""
+    now = world.now + view.offset_s
+    if view.is_cut:
+        targets.note_store_away(view.directory, now)
+        return
+    targets.note_store_back(view.directory, now)
+    for holder in _take_unread(view, "claims", world.claims):
+        authority.note_claim(view.authority, now, holder)
+    view.authority.end = len(world.claims)
+    for version in _take_unread(view, "versions", world.versions):
+        table = RouteTable(version)
+        if routes.is_newer(table, view.table):
+            view.table = table
+            world.in_force.setdefault(view.name, []).append(version)
+    for lifetime, entry in _take_unread(view, "entries", world.entries):
+        if entry is not None:
+            targets.note_announced(view.directory, entry, now)
+            view.missing_at.pop(lifetime, None)
+        elif targets.note_missing(view.directory, now, lifetime):
+            view.missing_at[lifetime] = world.now
+
+
+def _take_unread(view: GatewayView, topic: str, records: list) -> list:
+    unread = records[view.read.get(topic, 0) :]
+    view.read[topic] = len(records)
+    return unread
+
+
+def _announce(world: GatewayWorld, lifetime: str, leaving: bool) -> None:
+    announced = Announcement(lifetime, SERVICE, "x:1", "a", 6, leaving=leaving)
+    world.entries.append((lifetime, announced))
+
+
+def _pass_time(world: GatewayWorld, first: int, second: int) -> None:
+    world.now += MOST_STEP_S * (first + 1) / 64
+
+
+def _read(world: GatewayWorld, first: int, second: int) -> None:
+    read_store(world, _pick(world, first))
+
+
+def _cut_or_heal(world: GatewayWorld, first: int, second: int) -> None:
+    view = _pick(world, first)
+    view.is_cut = not view.is_cut
+    read_store(world, view)
+
+
+def _claim(world: GatewayWorld, first: int, second: int) -> None:
+    view = _pick(world, first)
+    now = world.now + view.offset_s
+    if view.is_cut or not authority.may_claim(view.authority, now):
+        return
+    if view.authority.end != len(world.claims):
+        return
+    world.claims.append(view.name)
+    # Every fourth answer is lost, and then nobody may act under the claim.
+    if second % 4:
+        view.claim = Claim(len(world.claims), now)
+
+
+def _order(world: GatewayWorld, first: int, second: int) -> None:
+    view = _pick(world, first)
+    now = world.now + view.offset_s
+    if view.claim is not None and authority.may_use(view.authority, view.claim, now):
+        world.orders.append(OrderGiven(world.now, view.name, view.claim.fence))
+
+
+def _publish(world: GatewayWorld, first: int, second: int) -> None:
+    newest = max(world.versions, default=0)
+    # A store that forgot its history may show an old record again.
+    world.versions.append(newest + 1 if second % 3 else max(1, newest - 1))
+
+
+def _leave(world: GatewayWorld, first: int, second: int) -> None:
+    _announce(world, f"t{first % TARGETS}", leaving=True)
+
+
+def _lapse(world: GatewayWorld, first: int, second: int) -> None:
+    world.entries.append((f"t{first % TARGETS}", None))
+
+
+def _return(world: GatewayWorld, first: int, second: int) -> None:
+    _announce(world, f"t{first % TARGETS}", leaving=False)
+
+
+def _serve(world: GatewayWorld, first: int, second: int) -> None:
+    """Serve one attempt: targets run it, turn it away, fail or say nothing."""
+    view = _pick(world, first)
+    now = world.now + view.offset_s
+    route = ONCE if second % 2 else AGAIN
+    world.requests.append(world.now)
+    budgets.count_request(view.budget, now, SERVICE)
+    tried: set[str] = set()
+    offers = runs = really = 0
+    while True:
+        usable = targets.list_usable(view.directory, SERVICE, now, tried)
+        if not usable:
+            break
+        target = usable[(first + offers) % len(usable)]
+        tried.add(target.announced.lifetime)
+        _note_sent(world, view, target)
+        offers += 1
+        outcome = (second // 2 + 7 * offers) % 4
+        if outcome == 0:
+            really += 1
+            runs += 1
+            break
+        if outcome == 1:
+            # It ran and its answer is lost, or it failed.
+            really += 1
+            runs += 1
+        elif outcome == 2:
+            runs += 1
+        if not forwarding.may_offer_again(route, offers, runs):
+            break
+        if not budgets.take_repeat(view.budget, now, SERVICE):
+            break
+        world.repeats.append(world.now)
+    world.attempts.append(Attempt(route, really, says_not_run=runs == 0))
+
+
+def _note_sent(world: GatewayWorld, view: GatewayView, target: targets.Target) -> None:
+    lifetime = target.announced.lifetime
+    entries = world.entries[: view.read.get("entries", 0)]
+    known = [entry for name, entry in entries if name == lifetime]
+    is_leaving = any(entry is not None and entry.leaving for entry in known)
+    since = view.missing_at.get(lifetime)
+    world.sendings.append(Sent(world.now, view.name, lifetime, is_leaving, since))
+
+
+def _pick(world: GatewayWorld, number: int) -> GatewayView:
+    return world.gateways[number % len(world.gateways)]
+
+
+GATEWAY_MOVES: dict[str, Callable[[GatewayWorld, int, int], None]] = {
+    "pass time": _pass_time,
+    "read": _read,
+    "cut or heal": _cut_or_heal,
+    "claim": _claim,
+    "order": _order,
+    "publish": _publish,
+    "leave": _leave,
+    "lapse": _lapse,
+    "return": _return,
+    "serve": _serve,
+}
