Measure an event loop against a thread a request as an HTTP door

Cause: the choice of the event loop for the platform's door stood on reasons; cheroot and urllib3, which the house style names, had not been run beside it.

Change: `scripts/bench doors` plays both, with the product's own server and client.

--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -18,6 +18,7 @@
     roles.add_argument("--load", type=float, default=1.3)
     roles.add_argument("--seed", type=int, action="append")
     kinds.add_parser("path", help="latency and throughput of the path")
+    kinds.add_parser("doors", help="event loop against threads, as an HTTP door")
     kinds.add_parser("queueing", help="routing decisions alone, with late reports")
     kinds.add_parser("plots", help="draw the runs that are kept as data")
     kinds.add_parser("capacity", help="the target size from the kept slopes")
@@ -31,6 +32,10 @@
         from benches.queueing import run_queueing
 
         run_queueing()
+    elif args.kind == "doors":
+        from benches.doors import run_doors
+
+        run_doors()
     elif args.kind == "plots":
         from benches.plots import draw_plots
 
