Weigh targets that are slow from their start; tell ages of beliefs and sendings by target

Cause: entries say how much longer a target is slow from its start, and nothing read it. Routing lines named the age of the list of targets but not of what peers told; sendings were counted by service only.

Ruled out: leaving such targets out: they serve, only more slowly.

Change: a target counts as 1.6 times as slow until the time that its entry names; a line at each routing has the number of peers heard and the age of the oldest news; metrics have sendings by target, dropped with the target, and the age of the oldest news. Choices vary at random by the age of what peers tell: entries that know the same, late, all chose the same engine.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -141,7 +141,7 @@
         except BadDocumentError as error:
             self.log("target's entry can't be read", target=key, error=str(error))
             return
-        if targets.note_announced(self.fleet.directory, announced):
+        if targets.note_announced(self.fleet.directory, announced, self.clock()):
             self.log(
                 "target announced",
                 target=key,
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -6,6 +6,7 @@
 read those before: all caches together hold far more than one does.
 """
 
+import random
 from dataclasses import dataclass
 
 from robinspindle.core.engines import (
@@ -17,7 +18,10 @@
     may_read_beside,
 )
 from robinspindle.core.forwarding import Prompt
-from robinspindle.core.targets import Target
+from robinspindle.core.targets import Target, find_slowness
+
+SPREAD_SHARE = 1.0
+"""By how much costs are varied at random, as a share of the age of what is known."""
 
 FETCH_S = 0.008
 """Seconds that reading apart adds: one more call and the fetch of about a gigabyte."""
@@ -114,6 +118,8 @@
         zone: The entry's availability zone.
         move_s: Seconds that a token takes from engine to engine within an availability
             zone; None where that is not known.
+        age_s: How old what the other entries told may be, seconds.
+        rng: Source of random choices; None to choose by cost alone.
     """
 
     now: float
@@ -121,6 +127,8 @@
     gap_s: float
     zone: str
     move_s: float | None = None
+    age_s: float = 0.0
+    rng: random.Random | None = None
 
 
 Pair = tuple[Target, Engine]
@@ -178,8 +186,19 @@
         plans = [_plan_local(pair, prompt, at, holder) for pair in generating]
     in_time = [plan for plan in plans if plan.first_s <= at.left_s * IN_TIME_SHARE]
     if in_time:
-        return min(in_time, key=lambda plan: plan.cost_s)
-    return min(plans, key=lambda plan: plan.first_s)
+        return min(in_time, key=lambda plan: plan.cost_s + _draw_spread(at))
+    return min(plans, key=lambda plan: plan.first_s + _draw_spread(at))
+
+
+def _draw_spread(at: Situation) -> float:
+    """Draw what a plan counts for besides its cost, seconds.
+
+    Entries that know the same, and all of it late, would all choose the same engine
+    until they hear of one another.
+    """
+    if at.rng is None:
+        return 0.0
+    return at.rng.random() * at.age_s * SPREAD_SHARE
 
 
 def is_hopeless(plan: Plan, aim_s: float, is_return: bool) -> bool:
@@ -281,12 +300,13 @@
     them: both push other parts out of a cache.
     """
     target, engine = pair
+    pace = engine.pace / find_slowness(target, at.now)
     cached = count_cached(engine, prompt)
     shared = count_shared(prompt)
     alone = _Reading(
         unread=prompt.tokens - cached,
-        seconds=(prompt.tokens - cached) / engine.pace,
-        weight_s=REREAD_WEIGHT * max(0, shared - cached) / engine.pace,
+        seconds=(prompt.tokens - cached) / pace,
+        weight_s=REREAD_WEIGHT * max(0, shared - cached) / pace,
         missing_share=max(0, shared - cached) / max(1, shared),
     )
     if holder is None or holder[0] is target:
@@ -299,11 +319,11 @@
     move_s = fetched * at.move_s * (FAR_MOVE if is_far else 1.0)
     helped = _Reading(
         unread=prompt.tokens - held,
-        seconds=(prompt.tokens - held) / engine.pace + move_s,
+        seconds=(prompt.tokens - held) / pace + move_s,
         weight_s=(
             REREAD_WEIGHT * max(0, shared - held) + FETCH_WEIGHT * min(fetched, shared)
         )
-        / engine.pace,
+        / pace,
         missing_share=max(0, shared - held) / max(1, shared),
         holder=holder[0],
     )
--- a/src/robinspindle/core/selection.py
+++ b/src/robinspindle/core/selection.py
@@ -2,7 +2,7 @@
 
 import random
 
-from robinspindle.core.targets import Target
+from robinspindle.core.targets import Target, find_slowness
 
 FAULT_WEIGHT = 4.0
 """Requests in flight that a target which only fails seems to have more, times its
@@ -13,13 +13,23 @@
 3 ms is about a seventh of a usual call, and its bytes have a price."""
 
 
-def choose_target(targets: list[Target], zone: str, rng: random.Random) -> Target:
-    """Choose the target that seems the least busy, seen from one zone."""
+def choose_target(
+    targets: list[Target], zone: str, now: float, rng: random.Random
+) -> Target:
+    """Choose the target that seems the least busy, seen from one zone.
+
+    Args:
+        targets: Those that may get the request; at least one.
+        zone: The entry's availability zone.
+        now: The present time, steady seconds.
+        rng: Chooses among equals.
+    """
 
     def weigh(target: Target) -> float:
         announced = target.announced
         far = FAR_WEIGHT if announced.zone != zone else 0.0
-        return target.in_flight + far + FAULT_WEIGHT * target.faults * announced.slots
+        busy = (target.in_flight + 1) * find_slowness(target, now)
+        return busy + far + FAULT_WEIGHT * target.faults * announced.slots
 
     least = min(weigh(target) for target in targets)
     return rng.choice([target for target in targets if weigh(target) <= least])
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -24,6 +24,10 @@
 """How long an engine may take beyond a change of role itself, seconds: the longest
 answers that it has to end first."""
 
+COLD_FACTOR = 1.6
+"""How much slower a target is taken to be soon after its start: what the platform's
+site files say of the plain services that have such a time."""
+
 FAULT_SMOOTHING = 0.1
 """Weight of the newest answer in the share of faulty ones: about the last ten count."""
 
@@ -40,7 +44,8 @@
         slots: Requests that it works on at once.
         leaving: Whether it is about to leave.
         role: ``prefill``, ``decode`` or empty for a plain service.
-        cold_s: How much longer it stays slow from its start, seconds.
+        cold_s: How much longer it stays slow from its start, seconds, when it wrote
+            the entry.
     """
 
     lifetime: str
@@ -68,6 +73,7 @@
         replaced: Whether its address answers for another lifetime.
         switching_to: The role that it was ordered to take, empty for none.
         switching_until: Until when it may be away for that, steady seconds.
+        cold_until: Until when it is slow from its start, steady seconds.
     """
 
     announced: Announcement
@@ -80,6 +86,7 @@
     replaced: bool = False
     switching_to: str = ""
     switching_until: float = 0.0
+    cold_until: float = 0.0
 
 
 @dataclass
@@ -104,21 +111,24 @@
     hold_s: float = 1.0
 
 
-def note_announced(directory: Directory, announced: Announcement) -> bool:
+def note_announced(directory: Directory, announced: Announcement, now: float) -> bool:
     """Take note of a target's entry.
 
     Returns:
         Whether it changes what is believed.
     """
     target = directory.targets.get(announced.lifetime)
+    cold_until = now + announced.cold_s
     if target is None:
-        directory.targets[announced.lifetime] = Target(announced)
+        target = Target(announced, cold_until=cold_until)
+        directory.targets[announced.lifetime] = target
         return True
     if target.announced.leaving and not announced.leaving:
         # A notice to leave is never taken back; an older entry may come late.
         return False
     changed = target.announced != announced or target.gone_at is not None
     target.announced = announced
+    target.cold_until = cold_until
     target.gone_at = None
     return changed
 
@@ -182,6 +192,11 @@
     return now >= target.rested_until and now >= target.full_until
 
 
+def find_slowness(target: Target, now: float) -> float:
+    """Find how many times longer a target takes than one that started long ago."""
+    return COLD_FACTOR if now < target.cold_until else 1.0
+
+
 def note_switching(target: Target, role: str, until: float) -> None:
     """Take note that a target was ordered to take another role."""
     if target.announced.role != role:
--- /dev/null
+++ b/src/robinspindle/ends.py
@@ -0,0 +1,12 @@
+"""How one sending to a target may end."""
+
+from enum import Enum
+
+
+class End(Enum):
+    """How one sending ended."""
+
+    DELIVERED = "delivered"
+    NOT_RUN = "not-run"
+    UNSURE = "unsure"
+    FAULT = "fault"
--- a/src/robinspindle/explaining.py
+++ b/src/robinspindle/explaining.py
@@ -22,6 +22,7 @@
     "left_ms",
     "unread",
     "list_age_ms",
+    "peers_age_ms",
     "store_away",
     "events",
     "error",
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -31,7 +31,13 @@
 from robinspindle.metrics import format_metrics
 from robinspindle.ordering import Orderer
 from robinspindle.passages import Means
-from robinspindle.peers import LEAST_INTERVAL_S, News, PeerLink, Peers
+from robinspindle.peers import (
+    LEAST_INTERVAL_S,
+    News,
+    PeerLink,
+    Peers,
+    find_oldest_s,
+)
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
 
@@ -122,6 +128,7 @@
             Means(
                 dialect=adapter.dialect,
                 fleet=self.fleet,
+                peers=self.peers,
                 budget=self.budget,
                 zone=self.settings.zone,
                 clock=self._clock,
@@ -277,6 +284,7 @@
         metrics.version.set(self.fleet.table.version if self.fleet.table else 0)
         metrics.targets.set(len(usable))
         metrics.peers.set(len(self.peers.views))
+        metrics.peers_age.set(find_oldest_s(self.peers, now))
         metrics.store_calls.set(self._store.calls)
         metrics.store_away.set(directory.away_since is not None)
         metrics.list_age.set(now - directory.read_at)
@@ -291,6 +299,7 @@
             self.fleet.gateways = len(self.peers.addresses) + 1
             for target in targets.drop_gone(self.directory, now):
                 self.fleet.forget(target)
+                self.metrics.forget_target(target.announced.lifetime)
                 log("target is gone", target=target.announced.lifetime)
             self._link.forget_silent(now)
             self._callers.close_idle(now)
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -1,7 +1,10 @@
 """Metrics of a gateway: counters and HDR histograms in Prometheus text."""
 
+import contextlib
+
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from robinspindle.ends import End
 from robinspindle.metrics import Latencies
 
 
@@ -13,6 +16,7 @@
         latencies: Times to the first byte and to the end, by route.
         requests: Requests by route and how they ended.
         tries: Sendings to targets by service and how they ended.
+        target_tries: The same by target.
         prompt_tokens: Tokens of prompts by whether they were believed to be cached.
     """
 
@@ -26,6 +30,9 @@
         self.tries = self._count(
             "tries", "Sendings by service and how they ended", "service", "end"
         )
+        self.target_tries = self._count(
+            "target_tries", "Sendings by target and how they ended", "target", "end"
+        )
         self.prompt_tokens = self._count(
             "prompt_tokens", "Tokens of prompts, read or believed to be cached", "how"
         )
@@ -41,9 +48,23 @@
         self.list_age = self._gauge(
             "targets_list_age_seconds", "Age of what is known of the targets' entries"
         )
+        self.peers_age = self._gauge(
+            "peers_age_seconds", "Age of the oldest news of a peer that is heard"
+        )
         self.left_out = self._gauge("log_lines_left_out", "Log lines left out so far")
         self.busy = self._gauge("in_flight", "Callers' requests under way")
 
+    def count_try(self, service: str, target: str, end: str) -> None:
+        """Count how one sending to a target ended."""
+        self.tries.labels(service, end).inc()
+        self.target_tries.labels(target, end).inc()
+
+    def forget_target(self, target: str) -> None:
+        """Drop the counts of a target that is gone, so that they don't add up."""
+        for end in End:
+            with contextlib.suppress(KeyError):
+                self.target_tries.remove(target, end.value)
+
     def _count(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"robinspindle_{name}", text, labels, registry=self.registry)
 
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Protocol
 
 from robinspindle.core import forwarding
@@ -14,6 +13,7 @@
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.logs import Log
+from robinspindle.peers import Peers
 from robinspindle.replies import Reply
 
 
@@ -43,15 +43,6 @@
         """Decode the answer to a prompt that was only read."""
 
 
-class End(Enum):
-    """How one sending ended."""
-
-    DELIVERED = "delivered"
-    NOT_RUN = "not-run"
-    UNSURE = "unsure"
-    FAULT = "fault"
-
-
 @dataclass
 class Passage:
     """What has been done for one request so far.
@@ -105,6 +96,7 @@
     Attributes:
         dialect: How requests and answers are written.
         fleet: The targets.
+        peers: The other gateways.
         budget: Repeats that may be made.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
@@ -114,6 +106,7 @@
 
     dialect: Dialect
     fleet: Fleet
+    peers: Peers
     budget: RepeatBudget
     zone: str
     clock: Callable[[], float]
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -35,6 +35,11 @@
 decode = msgspec.msgpack.Decoder(Digest).decode
 
 
+def find_interval(peers: int) -> float:
+    """Find the interval between two datagrams to one peer, seconds."""
+    return max(LEAST_INTERVAL_S, INTERVAL_PER_PEER_S * peers)
+
+
 @dataclass
 class Peers:
     """The other gateways.
@@ -56,6 +61,11 @@
     sent_at: float = 0.0
 
 
+def find_oldest_s(peers: Peers, now: float) -> float:
+    """Find how long ago the peer that was heard the longest ago was, seconds."""
+    return max((now - view.heard_at for view in peers.views.values()), default=0.0)
+
+
 @dataclass(frozen=True)
 class News:
     """What a gateway has to tell; see `Digest` for the parts."""
@@ -127,7 +137,7 @@
         """
         peers = self._peers
         count = len(peers.addresses)
-        interval_s = max(LEAST_INTERVAL_S, INTERVAL_PER_PEER_S * count)
+        interval_s = find_interval(count)
         if not news.loads and not news.placements and not news.switching:
             interval_s = MOST_INTERVAL_S
         if not count or now - peers.sent_at < interval_s:
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -13,14 +13,16 @@
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sharing import Placement
 from robinspindle.core.targets import Target
+from robinspindle.ends import End
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
     Exchange,
 )
 from robinspindle.httpserver import Incoming
-from robinspindle.passages import End, Means, Passage
+from robinspindle.passages import Means, Passage
 from robinspindle.passing import Answer, pass_stream, pass_whole
+from robinspindle.peers import find_interval
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
@@ -133,7 +135,8 @@
                 self._give_up(passage, "busy")
                 return
             end = await self._carry_out(passage, plan)
-            self._means.metrics.tries.labels(passage.service, end.value).inc()
+            lifetime = plan.target.announced.lifetime
+            self._means.metrics.count_try(passage.service, lifetime, end.value)
             if end is End.DELIVERED:
                 return
             if not self._may_go_on(passage, end):
@@ -150,7 +153,7 @@
             ]
             if not plain:
                 return None
-            target = choose_target(plain, self._means.zone, self._rng)
+            target = choose_target(plain, self._means.zone, now, self._rng)
             return Plan(target, None, 0, 0.0, 0.0, 0.0)
         if passage.reads:
             pairs = [pair for pair in pairs if not pair[1].reads_only]
@@ -160,6 +163,8 @@
             passage.route.gap_s,
             self._means.zone,
             self._means.fleet.find_move_s(passage.service),
+            find_interval(len(self._means.peers.addresses)),
+            self._rng,
         )
         return reading.choose_plan(pairs, prompt, at)
 
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -4,6 +4,7 @@
 from robinspindle.core.reading import Plan
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
+from robinspindle.peers import find_oldest_s
 
 
 class RelayLog:
@@ -44,6 +45,8 @@
             left_ms=round((passage.aim_at - now) * 1000, 1),
             due_ms=round((passage.due - now) * 1000, 1),
             list_age_ms=round((now - directory.read_at) * 1000),
+            peers=len(self._means.peers.views),
+            peers_age_ms=round(find_oldest_s(self._means.peers, now) * 1000),
             store_away=directory.away_since is not None,
         )
 
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -1,4 +1,5 @@
 import dataclasses
+import random
 
 from robinspindle.core import engines, reading
 from robinspindle.core.engines import make_engine
@@ -159,3 +160,23 @@
     engines.note_placed(fleet[1][1], DIGEST.parts[:2])
     plan = choose_plan(fleet, DIGEST, LINKED)
     assert (name(plan.reader), plan.holder) == ("p2", None)
+
+
+def test_entries_that_know_the_same_do_not_all_choose_the_same_engine():
+    fleet = make_fleet()
+    fleet[0][1].own_unread = 1000
+    stale = dataclasses.replace(CALM, age_s=0.1, rng=random.Random(1))
+    found = [name(choose_plan(fleet, DIGEST, stale).reader) for _ in range(40)]
+    assert 10 < found.count("p2") < 40
+    fresh = dataclasses.replace(CALM, age_s=0.001, rng=random.Random(1))
+    found = [name(choose_plan(fleet, DIGEST, fresh).reader) for _ in range(40)]
+    assert found.count("p2") == 40
+
+
+def test_an_engine_that_is_slow_from_its_start_reads_later():
+    fleet = [make_pair("p1", "prefill"), make_pair("p2", "prefill")]
+    fleet.append(make_pair("d1", "decode"))
+    fleet[0][0].cold_until = 1.0
+    assert name(choose_plan(fleet, DIGEST, CALM).reader) == "p2"
+    later = dataclasses.replace(CALM, now=1.0)
+    assert name(choose_plan(fleet, DIGEST, later).reader) == "p1"
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -5,9 +5,9 @@
 from robinspindle.core.targets import Announcement, Directory
 
 
-def announce(directory, lifetime="i1", **more):
+def announce(directory, lifetime="i1", now=0.0, **more):
     announced = Announcement(lifetime, "s", "1.2.3.4:5", "a", 4, **more)
-    return targets.note_announced(directory, announced)
+    return targets.note_announced(directory, announced, now)
 
 
 def usable(directory, now, tried=()):
@@ -108,3 +108,13 @@
     for now in sorted(times):
         targets.note_broken(target, now)
         assert target.rested_until <= now + targets.MOST_REST_S
+
+
+def test_a_target_is_slow_for_as_long_as_its_entry_says():
+    directory = Directory()
+    announce(directory, now=10.0, cold_s=2.0)
+    target = directory.targets["i1"]
+    assert targets.find_slowness(target, 11.9) > 1.0
+    assert targets.find_slowness(target, 12.0) == 1.0
+    announce(directory, now=11.0, cold_s=0.2)
+    assert targets.find_slowness(target, 11.3) == 1.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,7 +17,7 @@
 
 def announce(fleet, lifetime, role):
     announced = Announcement(lifetime, "lm", "1.2.3.4:5", "a", 8, role=role)
-    targets.note_announced(fleet.directory, announced)
+    targets.note_announced(fleet.directory, announced, 0.0)
 
 
 def names(fleet, now):
