Hold no poll while the store is lost, so that its return is noticed in time

Cause: three seconds after the end of a trouble in the store a gateway is held to what the store says; the two spans of that rule do not add up. A poll was held for 2 s and waited for 1 s more also while the store was lost, with a pause of up to 0.8 s after it: one sent just before the return and lost meant the next answer up to 3.9 s after it. Where the store turns some machines away and serves the operator, configurations and leaving targets are written meanwhile.

Change: after a failed call none is held until one answers: 1 s for a lost call, 0.8 s of pause, and one that answers. A test of the polls failed before and passes.

--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -97,22 +97,28 @@
     keys: set[str] = set()
     offset: int | None = None
     pause_s = FIRST_PAUSE_S
+    # A call that is lost is waited for in full. While the store is lost none is held,
+    # so that it is read soon after its return: three seconds later nobody excuses us.
+    is_lost = False
     while True:
         try:
             if offset is None:
                 records = await store.read_newest(follower.topic)
             else:
-                records = await store.read_on(follower.topic, offset, follower.wait_s)
+                wait_s = 0.0 if is_lost else follower.wait_s
+                records = await store.read_on(follower.topic, offset, wait_s)
         except RecordsTrimmedError as error:
             log("records are gone", topic=follower.topic, offset=offset, at=error.first)
             offset = None
             continue
         except LogServiceError as error:
+            is_lost = True
             _note_failure(follower, log, error)
             await asyncio.sleep(pause_s * random.uniform(LEAST_PAUSE_SHARE, 1.0))
             pause_s = min(MOST_PAUSE_S, pause_s * 2)
             continue
         pause_s = FIRST_PAUSE_S
+        is_lost = False
         follower.note_back()
         if offset is None:
             _drop_vanished(follower, keys, records)
