Part the estimate of a reading from the choice of a plan

Cause: core/reading.py estimated how an engine reads a prompt, listed plans, and chose among them, and choose_plan and _estimate_reading each did several of these at once. Change: core/estimates.py holds the estimate, of a reading alone and of one helped by another engine's cache. choose_plan is parted into listing and choosing; one function makes plans for both ways.

--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -9,16 +9,16 @@
 import random
 from dataclasses import dataclass
 
-from robinspindle.core.engines import (
-    Engine,
-    count_cached,
-    count_shared,
-    estimate_wait,
-    is_long,
-    may_read_beside,
+from robinspindle.core.engines import estimate_wait, is_long, may_read_beside
+from robinspindle.core.estimates import (
+    Move,
+    Pair,
+    Reading,
+    estimate_reading,
+    find_holder,
 )
 from robinspindle.core.forwarding import Prompt
-from robinspindle.core.targets import Target, find_slowness
+from robinspindle.core.targets import Target
 
 SPREAD_SHARE = 1.0
 """By how much costs are varied at random, as a share of the age of what is known. Of 0,
@@ -32,25 +32,10 @@
 bytes whose price is about that of reading 2,000 shared tokens again. Of 4, 10 and 20 ms
 the second was best on two of three days, by less than the noise of one run."""
 
-REREAD_WEIGHT = 2.0
-"""How much more reading a shared part again weighs than the time that it takes: it
-also pushes other parts out of the cache."""
-
 SLOT_S = 0.002
 """Seconds that each request in flight counts for at a generating engine: its share of
 the steps that it slows down."""
 
-FETCH_WEIGHT = 0.5
-"""How much fetching parts from another engine's cache weighs, against the time that
-reading them would take: a second copy pushes other parts out of a cache."""
-
-LEAST_FETCH_TOKENS = 500
-"""Fewer tokens are not fetched from another engine, tokens: they are read in under
-2 ms, about what setting up a fetch and its way between zones take."""
-
-FAR_MOVE = 2.0
-"""How many times longer a fetch between availability zones takes."""
-
 HOST_SHARE = 0.3
 """Share of its slots that long answers may fill before the next engine hosts them."""
 
@@ -132,28 +117,6 @@
     rng: random.Random | None = None
 
 
-Pair = tuple[Target, Engine]
-
-
-@dataclass(frozen=True)
-class _Reading:
-    """How one engine would read a prompt.
-
-    Attributes:
-        unread: Tokens that it has to read.
-        seconds: How long it takes, without the wait.
-        weight_s: What it counts for besides, seconds.
-        missing_share: Share of the shared parts that it has to read again.
-        holder: From whose cache it fetches first; None for none.
-    """
-
-    unread: int
-    seconds: float
-    weight_s: float
-    missing_share: float
-    holder: Target | None = None
-
-
 def choose_plan(candidates: list[Pair], prompt: Prompt, at: Situation) -> Plan | None:
     """Choose where a prompt is read and its answer generated.
 
@@ -169,22 +132,43 @@
     generating = [pair for pair in candidates if not pair[1].reads_only]
     if not generating:
         return None
-    holder = _find_holder(candidates, prompt, at)
+    move = _find_move(candidates, prompt, at)
     if is_long(prompt):
         pair = min(generating, key=lambda pair: _weigh_host(pair, at))
-        return _plan_local(pair, prompt, at, holder)
-    plans = [_plan_local(pair, prompt, at, holder) for pair in generating]
+        return _plan_local(pair, prompt, at, move)
+    return _choose_cheapest(_list_plans(candidates, prompt, at, move), at)
+
+
+def _find_move(candidates: list[Pair], prompt: Prompt, at: Situation) -> Move | None:
+    if at.move_s is None:
+        return None
+    return Move(find_holder(candidates, prompt), at.move_s)
+
+
+def _list_plans(
+    candidates: list[Pair], prompt: Prompt, at: Situation, move: Move | None
+) -> list[Plan]:
+    """List the plans for a prompt whose answer is short, at least one.
+
+    An engine that generates reads it only where answers beside it may pause that long,
+    unless no plan is left then.
+    """
+    generating = [pair for pair in candidates if not pair[1].reads_only]
+    readers = [pair for pair in candidates if pair[1].reads_only]
+    local = [_plan_local(pair, prompt, at, move) for pair in generating]
     plans = [
         plan
-        for plan, (_, engine) in zip(plans, generating, strict=True)
+        for plan, (_, engine) in zip(local, generating, strict=True)
         if may_read_beside(engine, at.now, plan.unread, at.gap_s)
     ]
-    readers = [pair for pair in candidates if pair[1].reads_only]
     if readers:
         host = min(generating, key=lambda pair: _weigh_target(pair, at.zone))
-        plans += [_plan_apart(pair, host, prompt, at, holder) for pair in readers]
-    if not plans:
-        plans = [_plan_local(pair, prompt, at, holder) for pair in generating]
+        plans += [_plan_apart(pair, host, prompt, at, move) for pair in readers]
+    return plans or local
+
+
+def _choose_cheapest(plans: list[Plan], at: Situation) -> Plan:
+    """Choose the cheapest plan that is in time, else the soonest."""
     in_time = [plan for plan in plans if plan.first_s <= at.left_s * IN_TIME_SHARE]
     if in_time:
         return min(in_time, key=lambda plan: plan.cost_s + _draw_spread(at))
@@ -233,6 +217,7 @@
 
 
 def _weigh_target(pair: Pair, zone: str) -> float:
+    """Weigh an engine as the host of a short answer, seconds."""
     target, engine = pair
     requests = target.in_flight + engine.others_in_flight
     place_s = _weigh_place(target, zone)
@@ -240,41 +225,45 @@
 
 
 def _weigh_place(target: Target, zone: str) -> float:
+    """Weigh a target's way and its faults, seconds."""
     far_s = FAR_S if target.announced.zone != zone else 0.0
     return far_s + FAULT_S * target.faults
 
 
-def _plan_local(pair: Pair, prompt: Prompt, at: Situation, holder: Pair | None) -> Plan:
+def _plan_local(pair: Pair, prompt: Prompt, at: Situation, move: Move | None) -> Plan:
+    """Plan to read a prompt where its answer is generated."""
     target, engine = pair
-    reading = _estimate_reading(pair, prompt, at, holder)
+    reading = estimate_reading(pair, prompt, at.now, move)
     requests = target.in_flight + engine.others_in_flight
     place_s = _weigh_place(target, at.zone)
     wait_s = estimate_wait(engine, prompt)
     first_s = wait_s + reading.seconds + requests * SLOT_S + place_s
-    return Plan(
-        target=target,
-        reader=None,
-        unread=reading.unread,
-        wait_s=wait_s,
-        first_s=first_s,
-        cost_s=first_s + reading.weight_s,
-        missing_share=reading.missing_share,
-        holder=reading.holder,
-    )
+    return _make_plan(target, None, reading, wait_s, first_s)
 
 
 def _plan_apart(
-    pair: Pair, host: Pair, prompt: Prompt, at: Situation, holder: Pair | None
+    pair: Pair, host: Pair, prompt: Prompt, at: Situation, move: Move | None
 ) -> Plan:
+    """Plan to read a prompt at one engine and to generate its answer at the host."""
     reader, engine = pair
-    reading = _estimate_reading(pair, prompt, at, holder)
+    reading = estimate_reading(pair, prompt, at.now, move)
     # The host reads other prompts meanwhile, but lets a fetched one in between.
     end_s = min(_weigh_target(host, at.zone), MOST_END_S)
     place_s = _weigh_place(reader, at.zone)
     wait_s = estimate_wait(engine, prompt)
     first_s = wait_s + reading.seconds + place_s + FETCH_S + end_s
+    return _make_plan(host[0], reader, reading, wait_s, first_s)
+
+
+def _make_plan(
+    target: Target,
+    reader: Target | None,
+    reading: Reading,
+    wait_s: float,
+    first_s: float,
+) -> Plan:
     return Plan(
-        target=host[0],
+        target=target,
         reader=reader,
         unread=reading.unread,
         wait_s=wait_s,
@@ -283,49 +272,3 @@
         missing_share=reading.missing_share,
         holder=reading.holder,
     )
-
-
-def _find_holder(candidates: list[Pair], prompt: Prompt, at: Situation) -> Pair | None:
-    """Find the engine whose cache holds most of a prompt, if others may fetch it."""
-    if at.move_s is None:
-        return None
-    return max(candidates, key=lambda pair: count_cached(pair[1], prompt))
-
-
-def _estimate_reading(
-    pair: Pair, prompt: Prompt, at: Situation, holder: Pair | None
-) -> _Reading:
-    """Estimate how an engine reads a prompt, with what another one holds if that helps.
-
-    Reading shared parts again weighs more than its time, and so does a second copy of
-    them: both push other parts out of a cache.
-    """
-    target, engine = pair
-    pace = engine.pace / find_slowness(target, at.now)
-    cached = count_cached(engine, prompt)
-    shared = count_shared(prompt)
-    alone = _Reading(
-        unread=prompt.tokens - cached,
-        seconds=(prompt.tokens - cached) / pace,
-        weight_s=REREAD_WEIGHT * max(0, shared - cached) / pace,
-        missing_share=max(0, shared - cached) / max(1, shared),
-    )
-    if holder is None or holder[0] is target:
-        return alone
-    held = count_cached(holder[1], prompt)
-    fetched = held - cached
-    if fetched < LEAST_FETCH_TOKENS:
-        return alone
-    is_far = holder[0].announced.zone != target.announced.zone
-    move_s = fetched * at.move_s * (FAR_MOVE if is_far else 1.0)
-    helped = _Reading(
-        unread=prompt.tokens - held,
-        seconds=(prompt.tokens - held) / pace + move_s,
-        weight_s=(
-            REREAD_WEIGHT * max(0, shared - held) + FETCH_WEIGHT * min(fetched, shared)
-        )
-        / pace,
-        missing_share=max(0, shared - held) / max(1, shared),
-        holder=holder[0],
-    )
-    return helped if helped.seconds < alone.seconds else alone
