Part the relay's choices; name the numbers of sockets and metrics

Cause: Relay._choose chose with and without a prompt, handle built the passage, and transport.py had numbers without name or unit; half of the metrics had no doc. Change: one function for each; LINGER_MS and LOST_HEARTBEATS in place of bare numbers; docs of all metrics; the findings that were logged are named so. Conclusion: no behaviour changed.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -97,7 +97,7 @@
         self._reread = reread
         self._reread_at = time.monotonic()
         self._output = output
-        self._findings = ""
+        self._told_findings = ""
         self.settings = settings
         self._adapter = adapter
         self._clock = time.monotonic
@@ -337,7 +337,7 @@
         except InvalidDocumentError as error:
             self._note_bad_settings(str(error))
             return
-        self._findings = ""
+        self._told_findings = ""
         if settings == self.settings:
             return
         self.settings = settings
@@ -346,8 +346,8 @@
 
     def _note_bad_settings(self, findings: str) -> None:
         """Log findings once, as the file is read each second."""
-        if findings != self._findings:
-            self._findings = findings
+        if findings != self._told_findings:
+            self._told_findings = findings
             log("settings can't be read, the last ones stay", findings=findings)
 
     def _apply_pledges(self, pledges: Pledges) -> None:
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -18,6 +18,17 @@
         tries: Sendings to targets by service and how they ended.
         target_tries: The same by target.
         prompt_tokens: Tokens of prompts by whether they were believed to be cached.
+        repeats: Repeats taken from the budget.
+        denied_repeats: Repeats that the budget did not allow.
+        version: Version of the configuration in force; 0 for none.
+        targets: Targets that may get work.
+        peers: Gateways heard lately.
+        store_calls: Calls to the store so far.
+        store_away: Whether the store is away.
+        list_age: Age of what is known of the targets' entries, seconds.
+        peers_age: Age of the oldest news of a peer that is heard, seconds.
+        left_out: Log lines left out so far.
+        busy: Callers' requests under way.
     """
 
     def __init__(self):
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -9,7 +9,7 @@
 from robinspindle.core.patience import Patience
 from robinspindle.core.reading import Plan
 from robinspindle.core.rebalance import Demand, note_demand, read_demand
-from robinspindle.core.routes import STREAM, choose_service, find_route
+from robinspindle.core.routes import STREAM, Route, choose_service, find_route
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sharing import Placement
 from robinspindle.core.targets import Target
@@ -95,15 +95,7 @@
         if route is None:
             self._refuse(request, reply, forwarding.NO_ROUTE)
             return
-        passage = Passage(
-            request,
-            reply,
-            route,
-            choose_service(route, self._rng),
-            forwarding.find_due(request, route),
-            request.received_at + route.aim_s - CALLER_WAY_S,
-        )
-        passage.is_return = self._patience.note(route.name, request.wait_s)
+        passage = self._begin_passage(request, reply, route)
         budgets.count_request(self._means.budget, self._means.clock(), passage.service)
         try:
             await self._serve(passage)
@@ -116,6 +108,17 @@
         demand = self.demands.get(service)
         return read_demand(demand, self._means.clock()) if demand else 0.0
 
+    def _begin_passage(self, request: Request, reply: Reply, route: Route) -> Passage:
+        return Passage(
+            request,
+            reply,
+            route,
+            choose_service(route, self._rng),
+            forwarding.find_due(request, route),
+            request.received_at + route.aim_s - CALLER_WAY_S,
+            is_return=self._patience.note(route.name, request.wait_s),
+        )
+
     async def _serve(self, passage: Passage) -> None:
         while True:
             now = self._means.clock()
@@ -148,26 +151,44 @@
         pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
         prompt = passage.request.prompt
         if prompt is None or any(engine is None for _, engine in pairs):
-            plain = [
-                t for t, engine in pairs if engine is None or not engine.reads_only
-            ]
-            if not plain:
-                return None
-            target = choose_target(plain, self._means.zone, now, self._rng)
-            return Plan(target, None, 0, 0.0, 0.0, 0.0)
+            return self._choose_plainly(pairs, now)
         if passage.reads:
+            # A prompt is read apart at most once.
             pairs = [pair for pair in pairs if not pair[1].reads_only]
-        at = reading.Situation(
-            now,
-            passage.aim_at - now,
-            passage.route.gap_s,
-            self._means.zone,
-            self._means.fleet.find_move_s(passage.service),
-            find_interval(len(self._means.peers.addresses)),
-            self._rng,
-        )
+        at = self._describe_situation(passage, now)
         return reading.choose_plan(pairs, prompt, at)
 
+    def _choose_plainly(
+        self, pairs: list[tuple[Target, Engine | None]], now: float
+    ) -> Plan | None:
+        """Choose a target without regard to any prompt."""
+        plain = [
+            target
+            for target, engine in pairs
+            if engine is None or not engine.reads_only
+        ]
+        if not plain:
+            return None
+        return Plan(
+            target=choose_target(plain, self._means.zone, now, self._rng),
+            reader=None,
+            unread=0,
+            wait_s=0.0,
+            first_s=0.0,
+            cost_s=0.0,
+        )
+
+    def _describe_situation(self, passage: Passage, now: float) -> reading.Situation:
+        return reading.Situation(
+            now=now,
+            left_s=passage.aim_at - now,
+            gap_s=passage.route.gap_s,
+            zone=self._means.zone,
+            move_s=self._means.fleet.find_move_s(passage.service),
+            age_s=find_interval(len(self._means.peers.addresses)),
+            rng=self._rng,
+        )
+
     def _is_hopeless(self, passage: Passage, plan: Plan) -> bool:
         if passage.offers or passage.reads:
             return False
--- a/src/robinspindle/transport.py
+++ b/src/robinspindle/transport.py
@@ -11,10 +11,23 @@
 from robinspindle.messages import AnyMessage, decode_message, encode_message
 
 HIGH_WATER = 20_000
+"""Messages that may wait in a socket, each way; what is sent beyond is dropped."""
+
 RECONNECT_MS = 50
 MOST_RECONNECT_MS = 1000
+"""First and longest pause before a lost connection is tried again, milliseconds."""
+
 HEARTBEAT_MS = 1000
+"""Interval of heartbeats, milliseconds."""
+
+LOST_HEARTBEATS = 3
+"""Intervals without an answer after which a connection counts as lost."""
+
+LINGER_MS = 1000
+"""How long a closed socket may still send what it was given, milliseconds."""
+
 MOST_IN_A_TURN = 500
+"""Messages taken from one socket at a time."""
 
 
 class _Credentials:
@@ -73,7 +86,7 @@
 
     def close(self) -> None:
         """Close the socket after what was sent has left."""
-        self.socket.close(linger=1000)
+        self.socket.close(linger=LINGER_MS)
         if self._authenticator is not None:
             self._authenticator.stop()
 
@@ -101,7 +114,11 @@
             self.is_up = event == zmq.EVENT_HANDSHAKE_SUCCEEDED
 
     def close(self, linger_ms: int) -> None:
-        """Close the socket, and its monitor before it."""
+        """Close the socket, and its monitor before it.
+
+        Args:
+            linger_ms: How long it may still send what it was given, milliseconds.
+        """
         self.socket.disable_monitor()
         self.socket.close(linger=linger_ms)
 
@@ -117,11 +134,15 @@
 
     def update(self, addresses: dict[str, str], poller: zmq.Poller) -> None:
         """Connect to the agents at these addresses and to no others."""
-        stale = [n for n, k in self._links.items() if addresses.get(n) != k.address]
+        stale = [
+            name
+            for name, link in self._links.items()
+            if addresses.get(name) != link.address
+        ]
         for name in stale:
             link = self._links.pop(name)
             poller.unregister(link.socket)
-            link.close(0)
+            link.close(linger_ms=0)
         for name, address in addresses.items():
             if name not in self._links:
                 self._links[name] = self._connect(address)
@@ -160,7 +181,7 @@
     def close(self) -> None:
         """Close all sockets after what was sent has left."""
         for link in self._links.values():
-            link.close(1000)
+            link.close(LINGER_MS)
 
     def _connect(self, address: str) -> _Link:
         # Not zmq.IMMEDIATE, which also keeps messages from agents that are away: when
@@ -185,7 +206,7 @@
     socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, MOST_RECONNECT_MS)
     socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3 * HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, LOST_HEARTBEATS * HEARTBEAT_MS)
     socket.setsockopt(zmq.LINGER, 0)
 
 
