Name the outcomes and numbers of the gateways' fuzz world

Cause: outcomes were bare numbers, "really" and "runs" had to be told apart by reading, and 64 stood in two files for one thing. A stand-in's count also kept its books. Change: Outcome names what becomes of a sending; DRAWS, RUNS_A_LINE and MOST_SHOWN name the numbers; the stand-in's parsing and books are apart from its count. Conclusion: no behaviour changed; the order of random draws is the same.

--- a/fuzz/__main__.py
+++ b/fuzz/__main__.py
@@ -14,6 +14,14 @@
 
 STEPS_IN_A_RUN = 150
 MOST_RUNS = 200
+"""Seeds that are played under one mutant before it counts as not caught."""
+
+RUNS_A_LINE = 20
+"""Runs between two lines that tell how far it is."""
+
+MOST_SHOWN = 60
+"""Characters of a fault that are shown."""
+
 WORKERS = 6
 
 
@@ -45,7 +53,7 @@
             counts[rule] = counts.get(rule, 0) + count
         if result.faults:
             return _show_failure(first + number, result.faults)
-        if (number + 1) % 20 == 0 or number + 1 == runs:
+        if (number + 1) % RUNS_A_LINE == 0 or number + 1 == runs:
             seconds = time.monotonic() - begun
             print(f"{number + 1}/{runs} runs, {steps} steps, {seconds:.0f} s, clean")
     print(format_table(("rule", "steps"), sorted(counts.items())))
@@ -118,8 +126,8 @@
     results = pool.map(catch, range(len(mutants)))
     for mutant, (seed, steps, fault) in zip(mutants, results, strict=True):
         missed += seed == 0
-        rows.append((mutant.name, seed or "-", steps, fault[:60]))
-        print(f"{mutant.name}: {fault[:60]}", file=sys.stderr)
+        rows.append((mutant.name, seed or "-", steps, fault[:MOST_SHOWN]))
+        print(f"{mutant.name}: {fault[:MOST_SHOWN]}", file=sys.stderr)
     print(format_table(("deliberate fault", "seed", "steps", "noticed as"), rows))
     print(f"{len(mutants) - missed} of {len(mutants)} caught")
     return missed
--- a/fuzz/gatewaymutants.py
+++ b/fuzz/gatewaymutants.py
@@ -5,6 +5,8 @@
 
 
 def _announce_as_told(right):
+    """Forget what was noted of a target at each of its entries."""
+
     def note(directory, announced, now):
         directory.targets.pop(announced.lifetime, None)
         return right(directory, announced, now)
--- a/fuzz/gatewayoracle.py
+++ b/fuzz/gatewayoracle.py
@@ -3,6 +3,7 @@
 import random
 
 from fuzz.gatewayworld import (
+    DRAWS,
     GATEWAY_MOVES,
     HOLD_S,
     LEASE_S,
@@ -18,7 +19,10 @@
 """After this a missing entry is believed, seconds, also soon after an outage."""
 
 WEIGHTS = {"pass time": 6, "read": 6, "serve": 6, "claim": 4, "order": 4}
+"""How often a move is drawn against the others, of which each counts 1."""
+
 STEPS = 200
+"""Moves of one seed."""
 
 
 def play_gateways(seed: int) -> tuple[str, ...]:
@@ -28,7 +32,7 @@
     names = [name for name in GATEWAY_MOVES for _ in range(WEIGHTS.get(name, 1))]
     for _ in range(STEPS):
         move = GATEWAY_MOVES[rng.choice(names)]
-        move(world, rng.randrange(64), rng.randrange(64))
+        move(world, rng.randrange(DRAWS), rng.randrange(DRAWS))
     return find_faults(world)
 
 
--- a/fuzz/gatewayworld.py
+++ b/fuzz/gatewayworld.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from robinspindle.core import authority, budgets, forwarding, routes, targets
 from robinspindle.core.authority import Authority, Claim
@@ -16,23 +17,59 @@
 
 GATEWAYS = 3
 TARGETS = 4
+
 LEASE_S = 3.0
+"""What a claim lasts, seconds."""
+
 HOLD_S = 0.7
+"""How long a target whose entry went is still used, seconds."""
+
 RATIO = 0.2
 SLACK = 6.0
 WINDOW_S = 10.0
+"""Repeats that may be made within a window of this many seconds: a share of the
+requests in it, and a fixed number."""
+
 SHARES = 6
 """Gateways among which the fixed part of the repeats is divided: more than exist."""
 
 SERVICE = "push"
+
 MOST_STEP_S = 0.5
+"""The longest step of time, seconds."""
+
+DRAWS = 64
+"""Each of a move's two numbers is drawn from this many, from 0."""
+
 ONCE = Route("once", "h", "/", routes.AT_MOST_ONCE, 5.0, 1.0, attempts=2)
 AGAIN = Route("again", "h", "/", routes.IDEMPOTENT, 5.0, 1.0, attempts=2)
 
 
+class Outcome(Enum):
+    """What becomes of one sending.
+
+    Attributes:
+        DELIVERED: It ran and its answer came.
+        RAN_UNHEARD: It ran; its answer was lost or is a failure.
+        SILENT: It did not run, but its gateway can't know that.
+        TURNED_AWAY: It did not run, and its gateway was told so.
+    """
+
+    DELIVERED = 0
+    RAN_UNHEARD = 1
+    SILENT = 2
+    TURNED_AWAY = 3
+
+
 @dataclass(frozen=True)
 class OrderGiven:
-    """An order that reached an engine."""
+    """An order that reached an engine.
+
+    Attributes:
+        at: When, seconds of the world.
+        gateway: By which gateway.
+        fence: The fencing number of the claim that it was given under.
+    """
 
     at: float
     gateway: str
@@ -60,7 +97,13 @@
 
 @dataclass(frozen=True)
 class Attempt:
-    """One attempt of a caller, ended."""
+    """One attempt of a caller, ended.
+
+    Attributes:
+        route: Its route.
+        runs: How often targets really ran it.
+        says_not_run: Whether its caller may be told that it did not run.
+    """
 
     route: Route
     runs: int
@@ -182,7 +225,7 @@
 
 
 def _pass_time(world: GatewayWorld, first: int, second: int) -> None:
-    world.now += MOST_STEP_S * (first + 1) / 64
+    world.now += MOST_STEP_S * (first + 1) / DRAWS
 
 
 def _read(world: GatewayWorld, first: int, second: int) -> None:
@@ -234,14 +277,14 @@
 
 
 def _serve(world: GatewayWorld, first: int, second: int) -> None:
-    """Serve one attempt: targets run it, turn it away, fail or say nothing."""
+    """Serve one attempt, with second tries as far as the gateway allows them."""
     view = _pick(world, first)
     now = world.now + view.offset_s
     route = ONCE if second % 2 else AGAIN
     world.requests.append(world.now)
     budgets.count_request(view.budget, now, SERVICE)
     tried: set[str] = set()
-    offers = runs = really = 0
+    offers = believed_runs = runs = 0
     while True:
         usable = targets.list_usable(view.directory, SERVICE, now, tried)
         if not usable:
@@ -250,23 +293,22 @@
         tried.add(target.announced.lifetime)
         _note_sent(world, view, target)
         offers += 1
-        outcome = (second // 2 + 7 * offers) % 4
-        if outcome == 0:
-            really += 1
-            runs += 1
+        outcome = _find_outcome(second, offers)
+        runs += outcome in (Outcome.DELIVERED, Outcome.RAN_UNHEARD)
+        believed_runs += outcome is not Outcome.TURNED_AWAY
+        if outcome is Outcome.DELIVERED:
             break
-        if outcome == 1:
-            # It ran and its answer is lost, or it failed.
-            really += 1
-            runs += 1
-        elif outcome == 2:
-            runs += 1
-        if not forwarding.may_offer_again(route, offers, runs):
+        if not forwarding.may_offer_again(route, offers, believed_runs):
             break
         if not budgets.take_repeat(view.budget, now, SERVICE):
             break
         world.repeats.append(world.now)
-    world.attempts.append(Attempt(route, really, says_not_run=runs == 0))
+    world.attempts.append(Attempt(route, runs, says_not_run=believed_runs == 0))
+
+
+def _find_outcome(number: int, offers: int) -> Outcome:
+    # 7 has no divisor in common with the count: each offer meets another outcome.
+    return Outcome((number // 2 + 7 * offers) % len(Outcome))
 
 
 def _note_sent(world: GatewayWorld, view: GatewayView, target: targets.Target) -> None:
--- a/standins/timedreplica.py
+++ b/standins/timedreplica.py
@@ -48,29 +48,21 @@
             return await super()._be_ok(request, writer)
 
     async def _read(self, request: RawRequest) -> None:
-        parts = [
-            (id, int(tokens))
-            for id, _, tokens in (
-                word.partition(":")
-                for word in request.headers.get("x-prompt-prefix", "").split(",")
-                if word
-            )
-        ]
+        parts = _parse_parts(request)
         pace = READ_TOKENS_PER_S * (1.0 if self.role == "prefill" else GENERATING_SHARE)
         async with self._reading:
             unread = self._count_unread(parts)
+            self.read_tokens += unread
+            self.kept_tokens += sum(tokens for _, tokens in parts) - unread
             await asyncio.sleep(unread / pace)
             self._keep(parts)
 
     def _count_unread(self, parts: list[tuple[str, int]]) -> int:
         unread = sum(tokens for _, tokens in parts)
-        total = unread
         for id, tokens in parts:
             if id not in self._cache:
                 break
             unread -= tokens
-        self.read_tokens += unread
-        self.kept_tokens += total - unread
         return unread
 
     def _keep(self, parts: list[tuple[str, int]]) -> None:
@@ -79,3 +71,10 @@
             self._cache.move_to_end(id)
         while sum(self._cache.values()) > CACHE_TOKENS:
             self._cache.popitem(last=False)
+
+
+def _parse_parts(request: RawRequest) -> list[tuple[str, int]]:
+    """Parse the ids and the tokens of a prompt's parts."""
+    words = request.headers.get("x-prompt-prefix", "").split(",")
+    split = [word.partition(":") for word in words if word]
+    return [(id, int(tokens)) for id, _, tokens in split]
