Name the numbers of the benches; part what their functions do twice over

Cause: the benches of doors and of the platform had numbers without name or unit, made the same pool twice, and their longest functions did two things each. Change: named constants and docs; _write_again, _read_headers, _start_door, _call and _make_pool; the doc of DOCUMENTS now tells what a cache holds of them. Conclusion: no behaviour changed.

--- a/benches/doors.py
+++ b/benches/doors.py
@@ -29,7 +29,14 @@
 DOORS = (LOOP, THREADS)
 
 CALLERS = 16
+"""Connections that call at the same time."""
+
 REQUESTS = 4000
+"""Requests that are measured, of all callers together."""
+
+WARM_UP_SHARE = 10
+"""As many requests as one in this many are made before, unmeasured."""
+
 BODY = b"x" * 18_000
 """The body of a usual digest on the users' platform, bytes."""
 
@@ -37,6 +44,11 @@
 """Threads, so that each caller of this measurement has several."""
 
 START_S = 10.0
+"""Longest wait for a door to listen, seconds."""
+
+CONNECT_S = 1.0
+"""Longest wait for a connection to the target, seconds."""
+
 HANG_UP_WAIT_S = 3.0
 """How long a hang-up is waited for at the target, seconds."""
 
@@ -55,12 +67,9 @@
     pool = ConnectionPool(HostPort("127.0.0.1", target), decode_answer)
 
     async def handle(incoming: Incoming, reply: Reply) -> None:
-        values = dict(incoming.headers)
-        exchange = Exchange(values[b"X-Request-Id"].decode())
-        lines = [incoming.method.encode() + b" " + incoming.target + b" HTTP/1.1"]
-        lines += [name + b": " + value for name, value in incoming.headers]
-        data = b"\r\n".join(lines) + b"\r\n\r\n" + incoming.body
-        async with borrow(pool, time.monotonic, 1.0) as connection:
+        exchange = Exchange(dict(incoming.headers)[b"X-Request-Id"].decode())
+        data = _write_again(incoming)
+        async with borrow(pool, time.monotonic, CONNECT_S) as connection:
             connection.send(exchange, data)
             head = await exchange.read_head()
             body = await exchange.read_body()
@@ -73,21 +82,22 @@
     await asyncio.Event().wait()
 
 
+def _write_again(incoming: Incoming) -> bytes:
+    lines = [incoming.method.encode() + b" " + incoming.target + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in incoming.headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + incoming.body
+
+
 def _serve_with_threads(port: int, target: int) -> None:
     http = urllib3.PoolManager(maxsize=THREADS_OF_CHEROOT, retries=False)
 
     def answer(environ: dict, start_response) -> list[bytes]:
         length = int(environ.get("CONTENT_LENGTH") or 0)
-        headers = {
-            name[5:].replace("_", "-"): value
-            for name, value in environ.items()
-            if name.startswith("HTTP_") and name != "HTTP_CONNECTION"
-        }
         response = http.request(
             environ["REQUEST_METHOD"],
             f"http://127.0.0.1:{target}{environ['PATH_INFO']}",
             body=environ["wsgi.input"].read(length),
-            headers=headers,
+            headers=_read_headers(environ),
         )
         start_response(f"{response.status} OK", list(response.headers.items()))
         return [response.data]
@@ -98,6 +108,15 @@
     server.start()
 
 
+def _read_headers(environ: dict) -> dict[str, str]:
+    """Read a caller's headers but the one that concerns its connection alone."""
+    return {
+        name.removeprefix("HTTP_").replace("_", "-"): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_") and name != "HTTP_CONNECTION"
+    }
+
+
 def run_doors() -> None:
     """Measure both doors, print the table and keep the run as data."""
     rows = [asyncio.run(_measure(door)) for door in DOORS]
@@ -110,12 +129,10 @@
     target = Replica(LIFETIME, "push")
     await target.server.start()
     port = find_free_ports(1)[0]
-    command = [sys.executable, "-m", "benches.doors", door, str(port)]
-    command.append(str(target.server.port))
-    process = subprocess.Popen(command, cwd=ROOT, env={"PYTHONPATH": f"{ROOT}/src"})
+    process = _start_door(door, port, target.server.port)
     try:
         await _wait_until_up(port)
-        await _call_many(port, REQUESTS // 10)
+        await _call_many(port, REQUESTS // WARM_UP_SHARE)
         cpu, begun = read_cpu(process.pid), time.monotonic()
         await _call_many(port, REQUESTS)
         seconds = time.monotonic() - begun
@@ -135,6 +152,11 @@
         await target.server.stop()
 
 
+def _start_door(door: str, port: int, target: int) -> subprocess.Popen:
+    command = [sys.executable, "-m", "benches.doors", door, str(port), str(target)]
+    return subprocess.Popen(command, cwd=ROOT, env={"PYTHONPATH": f"{ROOT}/src"})
+
+
 async def _wait_until_up(port: int) -> None:
     async with asyncio.timeout(START_S):
         while True:
@@ -148,16 +170,18 @@
 
 
 async def _call_many(port: int, count: int) -> None:
-    async def call() -> None:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        for number in range(count // CALLERS):
-            writer.write(_write_request(f"r{number}"))
-            head = await reader.readuntil(b"\r\n\r\n")
-            length = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
-            await reader.readexactly(int(length))
-        writer.close()
-
-    await asyncio.gather(*(call() for _ in range(CALLERS)))
+    await asyncio.gather(*(_call(port, count // CALLERS) for _ in range(CALLERS)))
+
+
+async def _call(port: int, count: int) -> None:
+    """Make requests one after the other on one connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for number in range(count):
+        writer.write(_write_request(f"r{number}"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
+        await reader.readexactly(int(length))
+    writer.close()
 
 
 async def _hang_up(port: int, target: Replica) -> str:
--- a/benches/platform.py
+++ b/benches/platform.py
@@ -33,6 +33,7 @@
 from standins.timedreplica import TimedReplica
 
 HOST = "bench.example"
+
 ROUNDS = 3
 """Times that each variant is played, in turn."""
 
@@ -47,10 +48,21 @@
 """Longest wait for all gateways to be ready, seconds."""
 
 CONNECT_S = 1.0
+"""Longest wait for a connection to a gateway, seconds."""
+
 DOCUMENTS = 60
-"""Documents that digests share: more than one engine's cache holds."""
+"""Documents that digests share: with 3,780 tokens each they fill three quarters of one
+stand-in's cache, and the digests' own parts push them out."""
 
 SEED = 1
+"""Seed of the first round; each round has the next one for all variants."""
+
+ENDS = ("whole", "refused", "other")
+"""How a call may end, in the order of the table."""
+
+
+SHAPES = (("push", ""),) * 3 + (("lm", "prefill"),) * 2 + (("lm", "decode"),) * 3
+"""Services and roles of the stand-ins."""
 
 
 @dataclass(frozen=True)
@@ -103,7 +115,18 @@
 
 @dataclass
 class Play:
-    """What came of one play of a variant."""
+    """What came of one play of a variant.
+
+    Attributes:
+        variant: The variant.
+        answered_ms: Times to the end of whole answers by kind, milliseconds.
+        ends: Calls by kind and by how they ended.
+        cpu_s: Processor time of all gateways, seconds.
+        memory_mb: Resident memory of the largest gateway at the end, MB.
+        requests: Calls that were made.
+        read_tokens: Tokens of prompts that stand-ins read.
+        kept_tokens: Tokens of prompts that stand-ins found in their caches.
+    """
 
     variant: Variant
     answered_ms: dict[str, list[float]] = field(default_factory=dict)
@@ -176,9 +199,8 @@
 
 async def _start_replicas(store: LogStore) -> list[TimedReplica]:
     await store.put("keyed.op", "config", _make_configuration())
-    shapes = [("push", "")] * 3 + [("lm", "prefill")] * 2 + [("lm", "decode")] * 3
     replicas = []
-    for number, (service, role) in enumerate(shapes):
+    for number, (service, role) in enumerate(SHAPES):
         replica = TimedReplica(f"i{number}", service, role)
         await replica.server.start()
         await store.put("keyed.servers", replica.lifetime, replica.describe())
@@ -189,11 +211,15 @@
 async def _wait_until_ready(gateways: list[GatewayProcess]) -> None:
     async with asyncio.timeout(START_S):
         for gateway in gateways:
-            pool = ConnectionPool(HostPort("127.0.0.1", gateway.callers), decode_answer)
+            pool = _make_pool(gateway)
             while not await _is_serving(pool):
                 await asyncio.sleep(0.1)
 
 
+def _make_pool(gateway: GatewayProcess) -> ConnectionPool:
+    return ConnectionPool(HostPort("127.0.0.1", gateway.callers), decode_answer)
+
+
 async def _is_serving(pool: ConnectionPool) -> bool:
     play = Play(Variant(""))
     await _call(play, pool, KINDS[-1], "ready", random.Random(0))
@@ -202,10 +228,7 @@
 
 async def _load(play: Play, gateways: list[GatewayProcess], rng: random.Random) -> None:
     pids = [gateway.process.pid for gateway in gateways]
-    pools = [
-        ConnectionPool(HostPort("127.0.0.1", gateway.callers), decode_answer)
-        for gateway in gateways
-    ]
+    pools = [_make_pool(gateway) for gateway in gateways]
     cpu_before = sum(map(read_cpu, pids))
     begun = time.monotonic()
     tasks = []
@@ -331,7 +354,7 @@
 def _summarise_kind(variant: Variant, kind: Kind, plays: list[Play]) -> tuple:
     counts = [
         sum(p.ends.get((kind.name, end), 0) for p in plays if p.variant is variant)
-        for end in ("whole", "refused", "other")
+        for end in ENDS
     ]
     taken = _gather(variant, kind, plays)
     middle, last = (round(find_percentile(taken, share), 1) for share in (0.5, 0.99))
