Part the platform bench's requests from its plays

Cause: benches/platform.py wrote requests and a configuration, and played and summarised; sizes of prompts and a stand-in's cache were bare numbers, the latter twice. Conclusion: no behaviour changed.

--- a/benches/platform.py
+++ b/benches/platform.py
@@ -9,7 +9,6 @@
 import signal
 import tempfile
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -19,6 +18,7 @@
     read_memory,
     save_data,
 )
+from benches.platformcalls import KINDS, Kind, make_configuration, write_request
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import (
     ConnectionBrokenError,
@@ -32,8 +32,6 @@
 from standins.logstore import LogStore
 from standins.timedreplica import TimedReplica
 
-HOST = "bench.example"
-
 ROUNDS = 3
 """Times that each variant is played, in turn."""
 
@@ -50,10 +48,6 @@
 CONNECT_S = 1.0
 """Longest wait for a connection to a gateway, seconds."""
 
-DOCUMENTS = 60
-"""Documents that digests share: with 3,780 tokens each they fill three quarters of one
-stand-in's cache, and the digests' own parts push them out."""
-
 SEED = 1
 """Seed of the first round; each round has the next one for all variants."""
 
@@ -86,33 +80,6 @@
 }
 
 
-@dataclass(frozen=True)
-class Kind:
-    """A kind of request.
-
-    Attributes:
-        name: Its name and its route.
-        share: Its share of all requests.
-        body: Bytes of its body.
-        wait_ms: How long its callers wait, milliseconds.
-        aim_ms: The time that its route aims at, milliseconds.
-    """
-
-    name: str
-    share: float
-    body: int
-    wait_ms: int
-    aim_ms: int
-
-
-KINDS = (
-    Kind("digest", 0.6, 18_000, 2000, 200),
-    Kind("chat", 0.1, 440, 15_000, 250),
-    Kind("once", 0.2, 600, 600, 100),
-    Kind("safe", 0.1, 600, 600, 100),
-)
-
-
 @dataclass
 class Play:
     """What came of one play of a variant.
@@ -198,7 +165,7 @@
 
 
 async def _start_replicas(store: LogStore) -> list[TimedReplica]:
-    await store.put("keyed.op", "config", _make_configuration())
+    await store.put("keyed.op", "config", make_configuration())
     replicas = []
     for number, (service, role) in enumerate(SHAPES):
         replica = TimedReplica(f"i{number}", service, role)
@@ -246,7 +213,7 @@
 async def _call(
     play: Play, pool: ConnectionPool, kind: Kind, id: str, rng: random.Random
 ) -> None:
-    data = _write_request(kind, id, rng)
+    data = write_request(kind, id, rng)
     exchange = Exchange("")
     begun = time.monotonic()
     end = "other"
@@ -267,74 +234,6 @@
         play.answered_ms.setdefault(kind.name, []).append(taken_ms)
 
 
-def _write_request(kind: Kind, id: str, rng: random.Random) -> bytes:
-    lines = [
-        f"POST /{kind.name}/x HTTP/1.1",
-        f"Host: {HOST}",
-        f"X-Request-Id: {id}",
-        f"X-Deadline-Ms: {kind.wait_ms}",
-        f"Content-Length: {kind.body}",
-    ]
-    if kind.name in _PROMPTS:
-        parts, out_tokens = _PROMPTS[kind.name](rng, id)
-        tokens = sum(count for _, count in parts)
-        lines += [
-            "X-Model: m",
-            f"X-Token-Count: {tokens},{out_tokens}",
-            "X-Prompt-Prefix: " + ",".join(f"{p}:{count}" for p, count in parts),
-        ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + b"x" * kind.body
-
-
-def _draw_digest(rng: random.Random, id: str) -> tuple[list[tuple[str, int]], int]:
-    document = rng.randrange(DOCUMENTS)
-    own = int(2890 * rng.uniform(0.3, 1.7))
-    return [(f"a{document % 4}", 2520), (f"d{document}", 3780), (f"e{id}", own)], 118
-
-
-def _draw_chat(rng: random.Random, id: str) -> tuple[list[tuple[str, int]], int]:
-    return [(f"c{rng.randrange(8)}", 80), (f"f{id}", 141)], 5000
-
-
-_PROMPTS: dict[str, Callable] = {"digest": _draw_digest, "chat": _draw_chat}
-
-
-def _make_configuration() -> dict:
-    def route(kind: Kind, how: str, service: str) -> dict:
-        return {
-            "Name": kind.name,
-            "Hostname": HOST,
-            "PathPrefix": f"/{kind.name}/",
-            "Kind": how,
-            "TimeoutMs": kind.wait_ms,
-            "TargetLatencyMs": kind.aim_ms,
-            "Service": service,
-            "MaxAttempts": 2,
-            "Resumable": kind.name == "digest",
-        }
-
-    digest, chat, once, safe = KINDS
-    engine = {
-        "Slots": 48,
-        "KvCapacityTokens": 300_000,
-        "KvTokenBytes": 131072,
-        "LinkMbps": 8_800_000.0,
-    }
-    return {
-        "Version": 1,
-        "Routes": [
-            route(digest, "stream", "lm"),
-            route(chat, "stream", "lm"),
-            route(once, "non_idempotent", "push"),
-            route(safe, "idempotent", "push"),
-        ],
-        "Services": [
-            {"Name": "push", "MaxConnections": 200},
-            {"Name": "lm", "MaxConnections": 400, "Engine": engine},
-        ],
-    }
-
-
 def _summarise(variant: Variant, plays: list[Play]) -> tuple:
     own = [play for play in plays if play.variant is variant]
     costs = [play.cpu_s * 1000 / play.requests for play in own]
