Draw all kept runs by one function; tell units of a link and order reading.py

Change: _draw_each; BITS_A_BYTE and BITS_A_MEGABIT; is_hopeless follows choose_plan; the platform bench starts its gateways in a function of its own; Args of note_announced. Conclusion: no behaviour changed.

--- a/benches/platform.py
+++ b/benches/platform.py
@@ -143,13 +143,7 @@
         store = LogStore()
         await store.server.start()
         replicas = await _start_replicas(store)
-        gateways = [
-            prepare_gateway(Path(folder), f"gateway-{number}", store.server.port)
-            for number in range(variant.gateways)
-        ]
-        for gateway in gateways:
-            gateway.options = variant.options
-            await gateway.start()
+        gateways = await _start_gateways(variant, Path(folder), store)
         try:
             await _wait_until_ready(gateways)
             await _load(play, gateways, random.Random(seed))
@@ -175,6 +169,19 @@
     return replicas
 
 
+async def _start_gateways(
+    variant: Variant, folder: Path, store: LogStore
+) -> list[GatewayProcess]:
+    gateways = [
+        prepare_gateway(folder, f"gateway-{number}", store.server.port)
+        for number in range(variant.gateways)
+    ]
+    for gateway in gateways:
+        gateway.options = variant.options
+        await gateway.start()
+    return gateways
+
+
 async def _wait_until_ready(gateways: list[GatewayProcess]) -> None:
     async with asyncio.timeout(START_S):
         for gateway in gateways:
--- a/benches/plots.py
+++ b/benches/plots.py
@@ -1,35 +1,48 @@
 """Plots of the runs that are kept as data: ``scripts/bench plots``."""
 
 import json
+from collections.abc import Callable
 
 from benches.measure import DATA, FIGURES, find_percentile
 
+FIGURE_INCHES = (6, 3.5)
+"""Width and height of a figure, inches."""
+
 
 def draw_plots() -> None:
-    """Draw goodput by load and policy for each user, and role changes."""
+    """Draw goodput by load and policy, role changes, and gateways' answers."""
     import matplotlib
 
     matplotlib.use("Agg")
+    FIGURES.mkdir(parents=True, exist_ok=True)
+    _draw_each(
+        "mix-*.json",
+        lambda axis, value: _draw_mix(axis, value["rows"]),
+        lambda value: f"{value['user']}: goodput by load",
+    )
+    _draw_each(
+        "roles-*.json",
+        lambda axis, value: _draw_roles(axis, value["rows"]),
+        lambda value: f"{value['user']}: goodput and role changes",
+    )
+    _draw_each(
+        "platform-*.json",
+        lambda axis, value: _draw_answers(axis, value["answered_ms"]),
+        lambda value: "gateways before stand-ins",
+    )
+
+
+def _draw_each(
+    pattern: str, draw: Callable[..., None], name: Callable[[dict], str]
+) -> None:
+    """Draw a figure of each kept run whose file matches a pattern."""
     from matplotlib import pyplot
 
-    FIGURES.mkdir(parents=True, exist_ok=True)
-    for path in sorted(DATA.glob("mix-*.json")):
-        value = json.loads(path.read_text())
-        figure, axis = pyplot.subplots(figsize=(6, 3.5))
-        _draw_mix(axis, value["rows"])
-        axis.set_title(f"{value['user']}: goodput by load")
-        _save(figure, path.stem)
-    for path in sorted(DATA.glob("roles-*.json")):
-        value = json.loads(path.read_text())
-        figure, axis = pyplot.subplots(figsize=(6, 3.5))
-        _draw_roles(axis, value["rows"])
-        axis.set_title(f"{value['user']}: goodput and role changes")
-        _save(figure, path.stem)
-    for path in sorted(DATA.glob("platform-*.json")):
+    for path in sorted(DATA.glob(pattern)):
         value = json.loads(path.read_text())
-        figure, axis = pyplot.subplots(figsize=(6, 3.5))
-        _draw_answers(axis, value["answered_ms"])
-        axis.set_title("gateways before stand-ins")
+        figure, axis = pyplot.subplots(figsize=FIGURE_INCHES)
+        draw(axis, value)
+        axis.set_title(name(value))
         _save(figure, path.stem)
 
 
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -139,6 +139,23 @@
     return _choose_cheapest(_list_plans(candidates, prompt, at, move), at)
 
 
+def is_hopeless(plan: Plan, aim_s: float, is_return: bool) -> bool:
+    """Whether a request had better be refused than sent on.
+
+    Answers after the aim are worth little, and each makes the next ones late too. When
+    engines are crowded, what has to read its shared parts again gives way first.
+
+    Args:
+        plan: The best plan for it.
+        aim_s: The time in which its first event should come, seconds.
+        is_return: Whether its caller was refused before.
+    """
+    missing = plan.missing_share
+    share = MOST_WAIT_SHARE * (1.0 - missing) + MISSING_WAIT_SHARE * missing
+    patience = RETURN_PATIENCE if is_return else 1.0
+    return plan.wait_s > aim_s * share * patience
+
+
 def _find_move(candidates: list[Pair], prompt: Prompt, at: Situation) -> Move | None:
     if at.move_s is None:
         return None
@@ -186,23 +203,6 @@
     return at.rng.random() * at.age_s * SPREAD_SHARE
 
 
-def is_hopeless(plan: Plan, aim_s: float, is_return: bool) -> bool:
-    """Whether a request had better be refused than sent on.
-
-    Answers after the aim are worth little, and each makes the next ones late too. When
-    engines are crowded, what has to read its shared parts again gives way first.
-
-    Args:
-        plan: The best plan for it.
-        aim_s: The time in which its first event should come, seconds.
-        is_return: Whether its caller was refused before.
-    """
-    missing = plan.missing_share
-    share = MOST_WAIT_SHARE * (1.0 - missing) + MISSING_WAIT_SHARE * missing
-    patience = RETURN_PATIENCE if is_return else 1.0
-    return plan.wait_s > aim_s * share * patience
-
-
 def _weigh_host(pair: Pair, at: Situation) -> float:
     """Weigh an engine as the host of a long answer.
 
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -114,6 +114,11 @@
 def note_announced(directory: Directory, announced: Announcement, now: float) -> bool:
     """Take note of a target's entry.
 
+    Args:
+        directory: What is known of targets.
+        announced: What the entry says.
+        now: The present time, steady seconds.
+
     Returns:
         Whether it changes what is believed.
     """
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -19,6 +19,9 @@
 from robinspindle.core.targets import Announcement
 from robinspindle.exceptions import BadDocumentError
 
+BITS_A_BYTE = 8
+BITS_A_MEGABIT = 1e6
+
 KINDS = {
     "idempotent": IDEMPOTENT,
     "non_idempotent": AT_MOST_ONCE,
@@ -160,9 +163,10 @@
 
 
 def _find_move_s(engine: _Engine) -> float | None:
+    """Find how long a token takes from engine to engine, seconds; None: unknown."""
     if engine.kv_token_bytes <= 0 or engine.link_mbps <= 0:
         return None
-    return engine.kv_token_bytes * 8 / (engine.link_mbps * 1e6)
+    return engine.kv_token_bytes * BITS_A_BYTE / (engine.link_mbps * BITS_A_MEGABIT)
 
 
 def _make_service(service: _Service) -> Service:
