Undo listening to the end of a stop; judge a soak's stops by what processes said

The soak reads in the gateway's log whether it has started: from then on a stop must end with 0, however soon after the start, which is stricter than before.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,6 @@
 
 from soak.world import World
 
-STARTING_S = 2.0
-"""A process that was started less than this ago may not take signals yet, seconds."""
-
 Fault = Callable[[World, float], Awaitable[None]]
 
 
@@ -25,10 +22,10 @@
     """Ask a gateway to stop and start it again."""
     gateway = world.rng.choice(world.gateways)
     async with gateway.lock:
-        now = asyncio.get_running_loop().time()
-        is_starting = now - gateway.started_at < STARTING_S
+        # Before it says so it may not take signals yet, however long ago it began.
+        has_started = gateway.has_started()
         code = await gateway.end(signal.SIGTERM)
-        if code != 0 and not (is_starting and code == -signal.SIGTERM):
+        if code != 0 and (has_started or code != -signal.SIGTERM):
             world.oracle.findings.append(f"{gateway.name} ended with {code}")
         await gateway.start()
 
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -15,6 +15,9 @@
 PORTS_EACH = 100
 """Soaks that run side by side use ports of their own, by their process ids."""
 
+STARTED = b'"text":"started"'
+"""What a gateway's log says once it serves."""
+
 _taken: set[int] = set()
 """Ports given to gateways of this soak."""
 
@@ -47,7 +50,7 @@
         settings: The file of its settings; its log lies beside it.
         callers: Its port for callers.
         process: The process that was started last.
-        started_at: When that was, by the event loop's clock, seconds.
+        log_start: Where its log began when that was, bytes.
         lock: Held by the fault that is done to it.
         options: Options of its command line.
     """
@@ -56,14 +59,14 @@
     settings: Path
     callers: int
     process: asyncio.subprocess.Process | None = None
-    started_at: float = 0.0
+    log_start: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     options: tuple[str, ...] = ()
 
     async def start(self) -> None:
         """Start the process."""
-        self.started_at = asyncio.get_running_loop().time()
-        with self.settings.with_suffix(".log").open("ab") as log:
+        with self.log.open("ab") as log:
+            self.log_start = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -76,6 +79,17 @@
                 stderr=log,
             )
 
+    @property
+    def log(self) -> Path:
+        """Where its log lies."""
+        return self.settings.with_suffix(".log")
+
+    def has_started(self) -> bool:
+        """Whether the process has said that it takes requests, and so signals too."""
+        with self.log.open("rb") as log:
+            log.seek(self.log_start)
+            return STARTED in log.read()
+
     async def end(self, how: int) -> int:
         """End the process and wait for it.
 
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -156,7 +156,6 @@
 
 NO_CONFIGURATION = Refusal(503, "no-configuration", 0.5)
 NO_ROUTE = Refusal(404, "no-route")
-STOPPING = Refusal(503, "stopping", 0.05)
 BROKEN = Refusal(502, "broken")
 TIMED_OUT = Refusal(504, "timed-out")
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 import signal
 import time
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.core import budgets, targets
 from robinspindle.core.authority import Authority
+from robinspindle.core.forwarding import Refusal
 from robinspindle.core.targets import Directory
 from robinspindle.exceptions import (
     InvalidDocumentError,
@@ -56,16 +56,14 @@
 """Gateways among which the fixed part of the repeat budget is divided."""
 
 UNREADY_S = 2.8
-"""How long a stopping gateway takes all requests, seconds: the balancer asks once a
-second and needs two misses; what is taken after three seconds has to end in time."""
-
-RESTED_S = 0.3
-"""How long a connection rests before a stopping gateway closes it, seconds: the request
-of a new one comes within a few round trips."""
+"""How long a stopping gateway takes requests, seconds: the balancer asks once a second
+and needs two misses; what is taken after three seconds would have to end in time."""
 
 STOP_MARGIN_S = 0.4
 """How long before the kill a stopping gateway ends by itself, seconds."""
 
+STOPPING = Refusal(503, "stopping", 0.05)
+
 REREAD_S = 1.0
 """Interval at which the settings are read again, seconds: they may change without a
 signal, and reading them takes less than a millisecond."""
@@ -260,10 +258,10 @@
 
     async def _handle(self, incoming: Incoming, reply: Reply) -> None:
         stopping_at = self._stopping_at
-        ends_at = math.inf
         if stopping_at is not None and incoming.at - stopping_at > UNREADY_S:
-            ends_at = stopping_at + self.settings.pledges.stop_s - STOP_MARGIN_S
-        await self.relay.handle(incoming, reply, ends_at)
+            reply.refuse(STOPPING)
+            return
+        await self.relay.handle(incoming, reply)
 
     async def _answer_ready(self, incoming: Incoming, reply: Reply) -> None:
         ready = self.is_ready
@@ -320,9 +318,8 @@
     def _go_on_stopping(self, now: float) -> None:
         passed_s = now - self._stopping_at
         if passed_s >= UNREADY_S:
-            # Where few of a zone's gateways are ready the balancer uses all of them, so
-            # this one listens to its end and serves what is short enough.
-            self._callers.close_rested(now, RESTED_S)
+            self._callers.close_listener()
+            self._callers.close_all()
             if self._callers.count_busy() == 0:
                 self._stopped.set()
         if passed_s >= self.settings.pledges.stop_s - STOP_MARGIN_S:
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -109,10 +109,10 @@
         if self._server is not None:
             self._server.close()
 
-    def close_rested(self, now: float, least_s: float) -> None:
-        """Close connections with nothing under way that rested for a while."""
+    def close_all(self) -> None:
+        """Close all connections that have nothing under way."""
         for connection in list(self.connections):
-            if not connection.is_busy and connection.has_rested(now, least_s):
+            if not connection.is_busy:
                 connection.close()
 
 
@@ -164,10 +164,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def has_rested(self, now: float, least_s: float) -> bool:
-        """Whether nothing came for a time, seconds."""
-        return now - self._rested_since >= least_s
-
     def close_if_idle(self, now: float) -> None:
         """Close when nothing came for longer than the limits allow."""
         limits = self.server.limits
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -1,7 +1,6 @@
 """The path of one request: from a caller to a target and back, with second tries."""
 
 import asyncio
-import math
 import random
 
 from robinspindle.core import budgets, forwarding, reading, targets
@@ -82,17 +81,8 @@
         """Prompts placed since they were last told to the peers."""
         return self._readings.placements
 
-    async def handle(
-        self, incoming: Incoming, reply: Reply, ends_at: float = math.inf
-    ) -> None:
-        """Serve one request of a caller.
-
-        Args:
-            incoming: The request.
-            reply: Takes the answer.
-            ends_at: When this process ends, steady seconds; what may take longer is
-                refused.
-        """
+    async def handle(self, incoming: Incoming, reply: Reply) -> None:
+        """Serve one request of a caller."""
         request = self._means.dialect.decode_request(
             incoming.method, incoming.target, incoming.headers, incoming.at
         )
@@ -106,9 +96,6 @@
             self._refuse(request, reply, forwarding.NO_ROUTE)
             return
         passage = self._begin_passage(request, reply, route)
-        if passage.due + forwarding.ANSWER_GRACE_S > ends_at:
-            self._refuse(request, reply, forwarding.STOPPING)
-            return
         budgets.count_request(self._means.budget, self._means.clock(), passage.service)
         try:
             await self._serve(passage)
