--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -13,6 +13,7 @@
 from robinspindle.core import paces
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.paces import Measured, Pace
+from robinspindle.core.urgency import LATE, make_levels
 
 SLOWNESS_SMOOTHING = 0.2
 """Weight of the newest reading in what one engine takes against all of its service:
@@ -26,20 +27,16 @@
 runs."""
 
 
-SMALL_PROMPT_TOKENS = 1000
-"""Prompts up to this length are read before longer ones, so they wait for none: they
-hold nobody up, and would wait for many times their own length otherwise."""
-
-LONG_ANSWER_TOKENS = 500
-"""Answers that may be longer than this count as long: they last for seconds, and each
-pause in them counts."""
-
 PAUSE_SHARE = 0.7
 """A pause longer than this share of what is allowed makes an engine read less."""
 
 BEYOND_GUESS = 0.25
 """Share of its length so far that an answer beyond its guess is believed to last."""
 
+SHORT_READ_SHARE = 0.6
+"""Share of a gap in which an engine may read beside answers that are short: the rest is
+for the steps that make the next event, about a fifth of a gap on today's engines."""
+
 READ_SHARES = (0.05, 0.9)
 READ_SHARE_RISE = 0.01
 READ_SHARE_FALL = 0.8
@@ -47,6 +44,29 @@
 generates: up a little with each good event, down at once with a late one."""
 
 
+RECENT_S = 1.0
+"""How long a reading that was placed is remembered, seconds: several gaps and as many
+readings, so that the share of time that work in time takes can be told."""
+
+LEAST_IDLE_SHARE = 0.1
+"""Least share of its time that an engine is believed to have for late work."""
+
+
+@dataclass(frozen=True)
+class Begun:
+    """A reading that was placed at an engine.
+
+    Attributes:
+        at: When, steady seconds.
+        seconds: How long it should take.
+        level: How urgent it is.
+    """
+
+    at: float
+    seconds: float
+    level: int
+
+
 @dataclass
 class Engine:
     """One engine as one entry believes it to be.
@@ -58,12 +78,13 @@
         slowness: How many times longer than that this one takes.
         cached: Parts in its cache, by id, with their tokens; oldest first.
         cached_tokens: Their sum.
-        own_work_s: Seconds of reading that this entry sent and that is not done.
+        own_work_s: Seconds of reading that this entry sent and that is not done, by
+            level.
         peers_work_s: The same of the other entries, by name.
         peers_in_flight: Requests of the other entries there, by name.
         own_long: Long answers of this entry that it generates.
         peers_long: The same of the other entries, by name.
-        recent: When prompts were placed there and how many seconds they take to read.
+        recent: Readings that were lately placed there.
         placed: How many prompts were placed there by all entries.
         read_share: Share of its pace that it may spend on prompts while it
             generates long answers; follows the pauses that are seen.
@@ -75,19 +96,19 @@
     slowness: float = 1.0
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
-    own_work_s: float = 0.0
-    peers_work_s: dict[str, float] = field(default_factory=dict)
+    own_work_s: list[float] = field(default_factory=make_levels)
+    peers_work_s: dict[str, list[float]] = field(default_factory=dict)
     peers_in_flight: dict[str, int] = field(default_factory=dict)
     own_long: int = 0
     peers_long: dict[str, int] = field(default_factory=dict)
-    recent: deque[tuple[float, float]] = field(default_factory=deque)
+    recent: deque[Begun] = field(default_factory=deque)
     placed: int = 0
     read_share: float = 0.4
 
     @property
     def work_s(self) -> float:
         """Seconds of reading that is still to be done for all entries."""
-        return self.own_work_s + sum(self.peers_work_s.values())
+        return sum_work(self, LATE)
 
     @property
     def others_in_flight(self) -> int:
@@ -166,22 +187,55 @@
     engine.slowness += SLOWNESS_SMOOTHING * (ratio - engine.slowness)
 
 
-def estimate_wait(engine: Engine, prompt: Prompt) -> float:
-    """Estimate the seconds until an engine begins to read a prompt."""
-    return 0.0 if is_small(prompt) else engine.work_s
+def sum_work(engine: Engine, level: int) -> float:
+    """Sum the seconds of reading to be done that are as urgent as a level, or more."""
+    lists = (engine.own_work_s, *engine.peers_work_s.values())
+    return sum(sum(levels[: level + 1]) for levels in lists)
+
+
+def estimate_wait(engine: Engine, level: int, now: float) -> float:
+    """Estimate the seconds until an engine begins to read a prompt.
+
+    What an engine reads already is not put back for what is more urgent. What is late
+    also waits for what will come meanwhile and still be in time.
 
+    Args:
+        engine: The engine.
+        level: How urgent the prompt is.
+        now: The present time, steady seconds.
+    """
+    work_s = sum_work(engine, level)
+    if level < LATE:
+        others_s = max(0.0, sum_work(engine, LATE) - work_s)
+        return work_s + min(others_s, _find_residual(engine))
+    urgent = (begun for begun in engine.recent if begun.level < LATE)
+    placed_s = sum(begun.seconds for begun in urgent if begun.at > now - RECENT_S)
+    return work_s / max(LEAST_IDLE_SHARE, 1.0 - placed_s / RECENT_S)
+
+
+def _find_residual(engine: Engine) -> float:
+    """Find what is left on average of a reading under way, seconds.
+
+    It is half of the lengths of readings, each weighed by its length: the longer one
+    is, the likelier it is the one under way.
+    """
+    total_s = sum(begun.seconds for begun in engine.recent)
+    if total_s <= 0:
+        return 0.0
+    return sum(begun.seconds**2 for begun in engine.recent) / total_s / 2
 
-def note_read_begun(engine: Engine, now: float, seconds: float) -> None:
+
+def note_read_begun(engine: Engine, now: float, seconds: float, level: int) -> None:
     """Take note of a reading that an engine begins, and how long it should take."""
-    engine.recent.append((now, seconds))
+    while engine.recent and engine.recent[0].at < now - RECENT_S:
+        engine.recent.popleft()
+    engine.recent.append(Begun(now, seconds, level))
     engine.placed += 1
 
 
 def sum_recent(engine: Engine, now: float, window_s: float) -> float:
     """Sum the seconds of reading that an engine began within a window."""
-    while engine.recent and engine.recent[0][0] < now - window_s:
-        engine.recent.popleft()
-    return sum(seconds for _, seconds in engine.recent)
+    return sum(begun.seconds for begun in engine.recent if begun.at >= now - window_s)
 
 
 def note_pause(engine: Engine, pause_s: float, allowed_s: float) -> None:
@@ -211,18 +265,8 @@
     return min(gap_s, max(0.0, left_s) / events_left)
 
 
-def is_small(prompt: Prompt) -> bool:
-    """Whether a prompt is short enough to go before long ones."""
-    return prompt.tokens <= SMALL_PROMPT_TOKENS
-
-
-def is_long(prompt: Prompt) -> bool:
-    """Whether a prompt asks for an answer that may be long."""
-    return prompt.out_tokens > LONG_ANSWER_TOKENS
-
-
 def may_read_beside(engine: Engine, now: float, reading_s: float, gap_s: float) -> bool:
-    """Whether an engine may read a prompt beside the long answers it generates.
+    """Whether an engine may read a prompt beside the answers it generates.
 
     Args:
         engine: The engine.
@@ -230,7 +274,5 @@
         reading_s: How long it would read, seconds.
         gap_s: The longest pause that the answers may have, seconds.
     """
-    if engine.long_answers == 0:
-        return True
-    allowed_s = engine.read_share * gap_s
-    return sum_recent(engine, now, gap_s) + reading_s <= allowed_s
+    share = engine.read_share if engine.long_answers else SHORT_READ_SHARE
+    return sum_recent(engine, now, gap_s) + reading_s <= share * gap_s
--- a/src/robinspindle/core/estimates.py
+++ b/src/robinspindle/core/estimates.py
@@ -20,8 +20,9 @@
 also pushes other parts out of the cache."""
 
 FETCH_WEIGHT = 0.5
-"""How much fetching parts from another engine's cache weighs, against the time that
-reading them would take: a second copy pushes other parts out of a cache."""
+"""How much fetching parts from another engine's cache weighs at an engine that only
+reads, against the time that reading them would take: a second copy pushes other parts
+out of a cache. One that generates gets a copy however its prompts are read."""
 
 LEAST_GAIN_S = 0.002
 """What a fetch has to save, seconds: about what setting it up and its way between zones
@@ -137,11 +138,12 @@
     reading_s = estimate_reading_s(engine, unread, held) * slowness
     copied_s = estimate_reading_s(engine, min(fetched, shared), cached) * slowness
     missing_s = reading_s * missing / max(1, unread)
+    fetch_weight = FETCH_WEIGHT if engine.reads_only else 0.0
     return Reading(
         unread=unread,
         seconds=reading_s + move_s,
         reading_s=reading_s,
-        weight_s=REREAD_WEIGHT * missing_s + FETCH_WEIGHT * copied_s,
+        weight_s=REREAD_WEIGHT * missing_s + fetch_weight * copied_s,
         missing_share=missing / max(1, shared),
         holder=holder,
     )
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass
 
-from robinspindle.core.routes import Route
+from robinspindle.core.routes import STREAM, Route
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -18,6 +18,12 @@
 MOST_OFFERS = 3
 """The most times that one attempt is sent: full targets are seldom alone."""
 
+LEAST_PATIENCE_S = 2.0
+PATIENCE_AIMS = 4.0
+PATIENCE_GAPS = 8.0
+"""Callers give a stream up after a silence of the longest of these: seconds, times its
+aim, times the pause that is in time; by the platform's page on requests."""
+
 ANSWER_GRACE_S = 0.1
 """How long a target's own timeout answer is waited for, seconds: well under the
 quarter of a second after which holding a request is counted against us."""
@@ -168,6 +174,17 @@
     return request.received_at + wait_s
 
 
+def find_first_due(request: Request, route: Route) -> float:
+    """Find when a caller gives up if nothing of its answer has come, steady seconds."""
+    due = find_due(request, route)
+    if route.kind != STREAM:
+        return due
+    patience_s = max(
+        LEAST_PATIENCE_S, PATIENCE_AIMS * route.aim_s, PATIENCE_GAPS * route.gap_s
+    )
+    return min(due, request.received_at + patience_s)
+
+
 def may_offer_again(route: Route, offers: int, runs: int) -> bool:
     """Whether a request may be sent to one more target to be run.
 
--- /dev/null
+++ b/src/robinspindle/core/lengths.py
@@ -0,0 +1,50 @@
+"""How long answers last: learnt by route, to tell those that are hosted together.
+
+Callers tell the most that an answer may hold, far more than most answers do, and a
+guess that is right in the middle. How long an event takes is seen.
+"""
+
+from dataclasses import dataclass, field
+
+LONG_ANSWER_S = 3.0
+"""Answers of a route that are expected to last longer than this count as long, seconds.
+Those of today's deployments last 5 s, 1.3 s and less; by the most that they may hold
+the second counted as long too, and were brought together where all of them paused."""
+
+FIRST_EVENT_S = 0.05
+"""What an event is believed to take before any was seen, seconds."""
+
+EVENT_SMOOTHING = 0.05
+LENGTH_SMOOTHING = 0.05
+"""Weight of the newest answer, and of the newest guess: about the last twenty count."""
+
+
+@dataclass
+class Lengths:
+    """What is known of answers.
+
+    Attributes:
+        event_s: Seconds from one event to the next, by service.
+        events: Events that an answer is expected to hold, by route.
+    """
+
+    event_s: dict[str, float] = field(default_factory=dict)
+    events: dict[str, float] = field(default_factory=dict)
+
+    def note_expected(self, route: str, events: float) -> None:
+        """Take note of how many events a caller expects."""
+        known = self.events.setdefault(route, events)
+        self.events[route] = known + LENGTH_SMOOTHING * (events - known)
+
+    def note_answer(self, service: str, events: int, seconds: float) -> None:
+        """Take note of an answer: its events, and from its first to its last."""
+        if events < 2:
+            return
+        known = self.event_s.get(service, FIRST_EVENT_S)
+        taken = seconds / (events - 1)
+        self.event_s[service] = known + EVENT_SMOOTHING * (taken - known)
+
+    def is_long(self, route: str, service: str) -> bool:
+        """Whether answers of a route are expected to be long."""
+        event_s = self.event_s.get(service, FIRST_EVENT_S)
+        return self.events.get(route, 0.0) * event_s >= LONG_ANSWER_S
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -9,7 +9,12 @@
 import random
 from dataclasses import dataclass
 
-from robinspindle.core.engines import estimate_wait, is_long, may_read_beside
+from robinspindle.core.engines import (
+    Engine,
+    estimate_wait,
+    may_read_beside,
+    sum_work,
+)
 from robinspindle.core.estimates import (
     Move,
     Pair,
@@ -19,6 +24,7 @@
 )
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.targets import Target
+from robinspindle.core.urgency import FIRST_RANK, LATE, find_level
 
 SPREAD_SHARE = 1.0
 """By how much costs are varied at random, as a share of the age of what is known. Of 0,
@@ -54,17 +60,9 @@
 """Share of the time to the aim that a plan may fill by its estimate and still count as
 in time; the rest is for the way to the caller and for what was misjudged."""
 
-MOST_WAIT_SHARE = 0.55
-"""Share of the aim that a prompt may wait for others, whatever its own length: so that
-long prompts are not refused for being long."""
-
-MISSING_WAIT_SHARE = 0.3
-"""The same for a prompt of whose shared parts no cache holds any: when engines are
-crowded, the same time serves two prompts whose parts are held."""
-
-RETURN_PATIENCE = 1.25
-"""How much longer a request that was refused before may wait: refused again it costs
-its caller more than the first time, and its time is nearly up."""
+HOPE_SHARE = 0.8
+"""Share of the time until its caller gives up that the first event of a late answer may
+take by its estimate; the rest is for what was misjudged."""
 
 
 @dataclass(frozen=True)
@@ -83,6 +81,7 @@
         cost_s: What it counts for against other plans, seconds.
         missing_share: Share of the prompt's shared parts that has to be read again.
         fetch_s: Seconds of fetching from the holder.
+        level: How urgent the reading is.
     """
 
     target: Target
@@ -95,6 +94,7 @@
     missing_share: float = 0.0
     holder: Target | None = None
     fetch_s: float = 0.0
+    level: int = FIRST_RANK
 
 
 @dataclass(frozen=True)
@@ -104,6 +104,10 @@
     Attributes:
         now: The present time, steady seconds.
         left_s: Seconds until the first event should have come.
+        last_s: Seconds until the caller gives up if no event has come.
+        aim_s: The time in which the first event should come, seconds.
+        rank: The operator's rank of the route; 0 is the highest.
+        is_long: Whether the answer is expected to be long.
         gap_s: The longest pause that long answers beside it may have, seconds.
         zone: The entry's availability zone.
         move_s: Seconds that a token takes from engine to engine within an availability
@@ -114,8 +118,12 @@
 
     now: float
     left_s: float
+    last_s: float
+    aim_s: float
     gap_s: float
     zone: str
+    rank: int = 0
+    is_long: bool = False
     move_s: float | None = None
     age_s: float = 0.0
     rng: random.Random | None = None
@@ -137,27 +145,28 @@
     if not generating:
         return None
     move = _find_move(candidates, prompt, at)
-    if is_long(prompt):
+    if at.is_long:
         pair = min(generating, key=lambda pair: _weigh_host(pair, at))
         return _plan_local(pair, prompt, at, move)
-    return _choose_cheapest(_list_plans(candidates, prompt, at, move), at)
+    plans = _list_plans(candidates, prompt, at, move)
+    in_time = [plan for plan in plans if plan.first_s <= at.left_s * IN_TIME_SHARE]
+    if in_time:
+        return min(in_time, key=lambda plan: plan.cost_s + _draw_spread(at))
+    late = _list_plans(candidates, prompt, at, move, is_late=True)
+    return min(late, key=lambda plan: plan.first_s + _draw_spread(at))
 
 
-def is_hopeless(plan: Plan, aim_s: float, is_return: bool) -> bool:
+def is_hopeless(plan: Plan, at: Situation) -> bool:
     """Whether a request had better be refused than sent on.
 
-    Answers after the aim are worth little, and each makes the next ones late too. When
-    engines are crowded, what has to read its shared parts again gives way first.
+    A late answer is worth a part of one in time and a refusal nothing, so whatever is
+    believed to begin before its caller gives up is sent, after all that can be in time.
 
     Args:
         plan: The best plan for it.
-        aim_s: The time in which its first event should come, seconds.
-        is_return: Whether its caller was refused before.
+        at: What it depends on.
     """
-    missing = plan.missing_share
-    share = MOST_WAIT_SHARE * (1.0 - missing) + MISSING_WAIT_SHARE * missing
-    patience = RETURN_PATIENCE if is_return else 1.0
-    return plan.wait_s > aim_s * share * patience
+    return plan.level == LATE and plan.first_s > at.last_s * HOPE_SHARE
 
 
 def _find_move(candidates: list[Pair], prompt: Prompt, at: Situation) -> Move | None:
@@ -167,7 +176,11 @@
 
 
 def _list_plans(
-    candidates: list[Pair], prompt: Prompt, at: Situation, move: Move | None
+    candidates: list[Pair],
+    prompt: Prompt,
+    at: Situation,
+    move: Move | None,
+    is_late: bool = False,
 ) -> list[Plan]:
     """List the plans for a prompt whose answer is short, at least one.
 
@@ -176,7 +189,7 @@
     """
     generating = [pair for pair in candidates if not pair[1].reads_only]
     readers = [pair for pair in candidates if pair[1].reads_only]
-    local = [_plan_local(pair, prompt, at, move) for pair in generating]
+    local = [_plan_local(pair, prompt, at, move, is_late) for pair in generating]
     plans = [
         plan
         for plan, (_, engine) in zip(local, generating, strict=True)
@@ -184,18 +197,12 @@
     ]
     if readers:
         host = min(generating, key=lambda pair: _weigh_target(pair, at.zone))
-        plans += [_plan_apart(pair, host, prompt, at, move) for pair in readers]
+        plans += [
+            _plan_apart(pair, host, prompt, at, move, is_late) for pair in readers
+        ]
     return plans or local
 
 
-def _choose_cheapest(plans: list[Plan], at: Situation) -> Plan:
-    """Choose the cheapest plan that is in time, else the soonest."""
-    in_time = [plan for plan in plans if plan.first_s <= at.left_s * IN_TIME_SHARE]
-    if in_time:
-        return min(in_time, key=lambda plan: plan.cost_s + _draw_spread(at))
-    return min(plans, key=lambda plan: plan.first_s + _draw_spread(at))
-
-
 def _draw_spread(at: Situation) -> float:
     """Draw what a plan counts for besides its cost, seconds.
 
@@ -234,38 +241,63 @@
     return far_s + FAULT_S * target.faults
 
 
-def _plan_local(pair: Pair, prompt: Prompt, at: Situation, move: Move | None) -> Plan:
+def _plan_local(
+    pair: Pair,
+    prompt: Prompt,
+    at: Situation,
+    move: Move | None,
+    is_late: bool = False,
+) -> Plan:
     """Plan to read a prompt where its answer is generated."""
     target, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
     requests = target.in_flight + engine.others_in_flight
-    place_s = _weigh_place(target, at.zone)
-    wait_s = estimate_wait(engine, prompt)
-    first_s = wait_s + reading.seconds + requests * SLOT_S + place_s
-    return _make_plan(target, None, reading, wait_s, first_s)
+    after_s = requests * SLOT_S + _weigh_place(target, at.zone)
+    return _make_plan(target, None, engine, reading, after_s, at, is_late)
 
 
 def _plan_apart(
-    pair: Pair, host: Pair, prompt: Prompt, at: Situation, move: Move | None
+    pair: Pair,
+    host: Pair,
+    prompt: Prompt,
+    at: Situation,
+    move: Move | None,
+    is_late: bool = False,
 ) -> Plan:
     """Plan to read a prompt at one engine and to generate its answer at the host."""
     reader, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
     # The host reads other prompts meanwhile, but lets a fetched one in between.
     end_s = min(_weigh_target(host, at.zone), MOST_END_S)
-    place_s = _weigh_place(reader, at.zone)
-    wait_s = estimate_wait(engine, prompt)
-    first_s = wait_s + reading.seconds + place_s + FETCH_S + end_s
-    return _make_plan(host[0], reader, reading, wait_s, first_s)
+    after_s = _weigh_place(reader, at.zone) + FETCH_S + end_s
+    return _make_plan(host[0], reader, engine, reading, after_s, at, is_late)
 
 
 def _make_plan(
     target: Target,
     reader: Target | None,
+    engine: Engine,
     reading: Reading,
-    wait_s: float,
-    first_s: float,
+    after_s: float,
+    at: Situation,
+    is_late: bool,
 ) -> Plan:
+    """Make a plan of which all but the level and the wait is known.
+
+    Args:
+        target: Where the answer is generated.
+        reader: Where the prompt is read apart; None for at the target.
+        engine: The engine that reads.
+        reading: How it reads.
+        after_s: What comes after the reading, seconds.
+        at: What else the plan depends on.
+        is_late: Whether it can't be in time.
+    """
+    level = LATE if is_late else find_level(reading.reading_s, at.aim_s, at.rank)
+    wait_s = estimate_wait(engine, level, at.now)
+    first_s = wait_s + reading.seconds + after_s
+    # What waits behind it counts like what it waits for itself.
+    held_up_s = max(wait_s, sum_work(engine, LATE - 1))
     return Plan(
         target=target,
         reader=reader,
@@ -273,8 +305,9 @@
         reading_s=reading.reading_s,
         wait_s=wait_s,
         first_s=first_s,
-        cost_s=first_s + reading.weight_s,
+        cost_s=first_s - wait_s + held_up_s + reading.weight_s,
         missing_share=reading.missing_share,
         holder=reading.holder,
         fetch_s=reading.seconds - reading.reading_s,
+        level=level,
     )
--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -12,6 +12,7 @@
 from robinspindle.core.engines import Engine, note_placed, note_read_begun
 from robinspindle.core.forwarding import Part
 from robinspindle.core.paces import Sums
+from robinspindle.core.urgency import FIRST_RANK
 
 SILENCE_S = 1.5
 """A peer that was not heard for this long has nothing under way as far as is known,
@@ -21,20 +22,26 @@
 """Placements in one datagram, so that it stays far below 64 KB and mostly whole."""
 
 
+NEVER_HEARD_MS = 1 << 30
+"""Stands for a target that was not heard yet, milliseconds."""
+
+
 class Load(msgspec.Struct, array_like=True):
     """What one entry has under way at one target.
 
     Attributes:
         lifetime: The target's lifetime.
         in_flight: Requests.
-        work_ms: Reading that is not done yet, milliseconds.
+        work_ms: Reading that is not done yet, milliseconds, by level.
         long_answers: Long answers that are generated.
+        heard_ms_ago: How long ago anything was heard of it, milliseconds.
     """
 
     lifetime: str
     in_flight: int
-    work_ms: int
+    work_ms: list[int]
     long_answers: int = 0
+    heard_ms_ago: int = NEVER_HEARD_MS
 
 
 class Placement(msgspec.Struct, array_like=True):
@@ -44,11 +51,13 @@
         lifetime: The engine's lifetime.
         parts: Ids and tokens of the prompt's parts in order.
         work_ms: How long the engine should read, milliseconds; 0 where it fetches.
+        level: How urgent that is.
     """
 
     lifetime: str
     parts: list[tuple[str, int]]
     work_ms: int = 0
+    level: int = FIRST_RANK
 
 
 class Learnt(msgspec.Struct, array_like=True):
@@ -78,6 +87,7 @@
             service.
         switching: Engines that it ordered lately, with the role that they take.
         learnt: What it has learnt of paces; empty for nothing new.
+        silent: Targets that it lately found silent.
     """
 
     sender: str
@@ -88,6 +98,7 @@
     read_rates: dict[str, float] = {}
     switching: list[tuple[str, str]] = []
     learnt: list[Learnt] = []
+    silent: list[str] = []
 
 
 @dataclass
@@ -133,7 +144,8 @@
         if engine is not None:
             note_placed(engine, [Part(*part) for part in placement.parts])
             if placement.work_ms:
-                note_read_begun(engine, now, placement.work_ms / 1000)
+                seconds = placement.work_ms / 1000
+                note_read_begun(engine, now, seconds, placement.level)
     return True
 
 
@@ -160,7 +172,7 @@
     for load in loads:
         engine = find(load.lifetime)
         if engine is not None:
-            engine.peers_work_s[name] = load.work_ms / 1000
+            engine.peers_work_s[name] = [ms / 1000 for ms in load.work_ms]
             engine.peers_in_flight[name] = load.in_flight
             engine.peers_long[name] = load.long_answers
     peer.lifetimes = {load.lifetime for load in loads}
--- /dev/null
+++ b/src/robinspindle/core/silence.py
@@ -0,0 +1,101 @@
+"""Targets that fall silent: noticed by what was to be heard of them by when.
+
+A target that loses its power or its link says nothing, and connections to it stay
+open. Whoever waits for something of a target says how long it may take; a target is
+silent once nothing at all was heard of it for as long as somebody expected to hear. One
+that is busy with another request is heard by that, so a long wait alone is no silence.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+LEAST_SILENCE_S = 0.6
+"""The shortest silence that is noticed, seconds: several times the longest step of an
+engine that reads a piece of a prompt (0.1 s), and a third of what callers wait."""
+
+PLANNED_FACTOR = 2.0
+"""An answer may begin after this many times what was planned, and an engine that reads
+may be quiet for so many times the work before it: nine in ten readings take less than
+twice what is planned. Without the work 247 readers were wrongly taken as silent on one
+day, and the prompts begun there read for nothing."""
+
+GAP_FACTOR = 2.5
+"""The next event may take this many times the pause that is in time."""
+
+
+@dataclass(eq=False)
+class Expectation:
+    """Something that is to be heard of a target.
+
+    Attributes:
+        since: When the wait began, or the last part of the answer came, steady seconds.
+        within_s: How long it may take, seconds.
+        leave: Called when the target is silent, if the request may go elsewhere; None
+            if it has to wait.
+    """
+
+    since: float
+    within_s: float
+    leave: Callable[[], None] | None = None
+
+
+@dataclass
+class Hearing:
+    """What is heard of one target, and what is expected.
+
+    Attributes:
+        heard_at: When anything was last heard of it, steady seconds.
+        expected: What is expected.
+        silent_since: From when it has been silent; None if it is not.
+    """
+
+    heard_at: float = -math.inf
+    expected: set[Expectation] = field(default_factory=set)
+    silent_since: float | None = None
+
+
+def find_answer_patience(planned_s: float) -> float:
+    """Find how long an answer that was planned to take so long may take to begin."""
+    return max(LEAST_SILENCE_S, PLANNED_FACTOR * planned_s)
+
+
+def find_event_patience(gap_s: float) -> float:
+    """Find how long the next event may take where such a pause is in time, seconds."""
+    return max(LEAST_SILENCE_S, GAP_FACTOR * gap_s)
+
+
+def note_heard(hearing: Hearing, now: float) -> None:
+    """Take note that something came; a target that was silent before is so no more."""
+    hearing.heard_at = now
+    if hearing.silent_since is not None and now > hearing.silent_since:
+        hearing.silent_since = None
+
+
+def is_overdue(hearing: Hearing, now: float, work_s: float = 0.0) -> bool:
+    """Whether nothing was heard for as long as somebody expected to hear.
+
+    Of a target that is silent already only what was sent to it since says anything new.
+
+    Args:
+        hearing: What is heard of the target.
+        now: The present time, steady seconds.
+        work_s: Seconds of reading that are before an engine, for all entries.
+    """
+    since = hearing.silent_since
+    busy_s = PLANNED_FACTOR * work_s
+    return any(
+        now - max(hearing.heard_at, expected.since) > expected.within_s + busy_s
+        for expected in hearing.expected
+        if since is None or expected.since > since
+    )
+
+
+def note_silent(hearing: Hearing, now: float) -> None:
+    """Take note that a target is silent."""
+    hearing.silent_since = now
+
+
+def list_leaving(hearing: Hearing) -> list[Callable[[], None]]:
+    """List how the requests that may go elsewhere leave a silent target."""
+    return [e.leave for e in hearing.expected if e.leave is not None]
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -7,6 +7,9 @@
 
 from dataclasses import dataclass, field
 
+from robinspindle.core import silence
+from robinspindle.core.silence import Hearing
+
 RETURN_S = 2.0
 """How long after the store's return entries that lapsed may still come back, seconds:
 the platform's own promise."""
@@ -74,6 +77,7 @@
         switching_to: The role that it was ordered to take, empty for none.
         switching_until: Until when it may be away for that, steady seconds.
         cold_until: Until when it is slow from its start, steady seconds.
+        hearing: What is heard of it.
     """
 
     announced: Announcement
@@ -87,6 +91,7 @@
     switching_to: str = ""
     switching_until: float = 0.0
     cold_until: float = 0.0
+    hearing: Hearing = field(default_factory=Hearing)
 
 
 @dataclass
@@ -254,6 +259,32 @@
         target.rested_until = now + min(MOST_REST_S, FIRST_REST_S * 2**doublings)
 
 
+def note_heard(target: Target, now: float) -> None:
+    """Take note that something came of a target; a silent one is used again."""
+    was_silent = target.hearing.silent_since
+    silence.note_heard(target.hearing, now)
+    if was_silent is not None and now > was_silent:
+        note_answered(target)
+
+
+def note_silent(target: Target, now: float) -> None:
+    """Take note that a target has fallen silent; it rests."""
+    silence.note_silent(target.hearing, now)
+    note_refused(target, now)
+
+
+def note_told_silent(target: Target, now: float) -> bool:
+    """Take note that another entry found a target silent; whether that is believed.
+
+    It is not where this entry has heard of the target since.
+    """
+    is_heard = now - target.hearing.heard_at < silence.LEAST_SILENCE_S
+    if is_heard or now < target.rested_until:
+        return False
+    note_refused(target, now)
+    return True
+
+
 def note_answered(target: Target) -> None:
     """Take note of a whole answer."""
     target.failures = 0
--- /dev/null
+++ b/src/robinspindle/core/urgency.py
@@ -0,0 +1,38 @@
+"""How urgent the reading of a prompt is, against that of others.
+
+Engines take what is more urgent first. What can still be in time goes before what
+can't, so late work uses the time that is left over and makes nothing else late. Among
+what can be in time the operator's ranks decide, but for readings so short that they
+hold nobody up.
+"""
+
+SHORT = 0
+FIRST_RANK = 1
+LAST_RANK = 4
+LATE = 5
+LEVELS = 6
+"""Levels, the most urgent first: short readings, four ranks, and late ones."""
+
+SHORT_SHARE = 0.03
+"""A reading that takes less than this share of its aim goes before all others."""
+
+REQUEST_URGENCIES = (1, 2, 3, 4, 5, 8)
+"""What an engine is told for each level, 0 to 9; 5 is what it takes by itself."""
+
+
+def find_level(reading_s: float, aim_s: float, rank: int) -> int:
+    """Find the level of a reading that can be in time.
+
+    Args:
+        reading_s: How long it takes, seconds.
+        aim_s: The time in which the first event should come, seconds.
+        rank: The operator's rank of its route; 0 is the highest.
+    """
+    if reading_s <= SHORT_SHARE * aim_s:
+        return SHORT
+    return min(LAST_RANK, FIRST_RANK + max(0, rank))
+
+
+def make_levels() -> list[float]:
+    """Make sums of work by level, all of them 0."""
+    return [0.0] * LEVELS
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,10 +1,10 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
-from robinspindle.core import paces, targets
+from robinspindle.core import paces, silence, targets
 from robinspindle.core.engines import Engine, make_engine
 from robinspindle.core.paces import Pace
 from robinspindle.core.routes import EngineShape, RouteTable
-from robinspindle.core.sharing import Learnt, Load
+from robinspindle.core.sharing import NEVER_HEARD_MS, Learnt, Load
 from robinspindle.core.targets import Directory, Target
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionPool, DecodeHead
@@ -25,6 +25,15 @@
 """Memory of an engine whose service is not in the configuration yet, tokens."""
 
 
+SILENCE_NEWS_S = 0.5
+"""How long a silence is told to the peers, seconds: several datagrams."""
+
+
+HEARD_NEWS_S = 2.0
+"""How long it is told when an engine was heard, seconds: as long as a silence that
+anyone may be about to notice."""
+
+
 class Fleet:
     """All targets of a gateway.
 
@@ -101,20 +110,31 @@
         target = self.directory.targets.get(lifetime)
         return None if target is None else self.find_engine(target)
 
-    def list_loads(self) -> list[Load]:
+    def list_loads(self, now: float) -> list[Load]:
         """List what this gateway has under way at engines."""
+        known = self.directory.targets
         return [
-            Load(
-                lifetime,
-                self.directory.targets[lifetime].in_flight,
-                round(engine.own_work_s * 1000),
-                engine.own_long,
-            )
+            _make_load(known[lifetime], engine, now)
             for lifetime, engine in self._engines.items()
-            if lifetime in self.directory.targets
-            and (self.directory.targets[lifetime].in_flight or engine.own_work_s > 0)
+            if lifetime in known and _is_news(known[lifetime], engine, now)
         ]
 
+    def note_heard_by_peer(self, loads: list[Load], now: float) -> None:
+        """Take note of what a peer heard of engines that only read.
+
+        They answer only when a whole prompt is read, so the next answer may be a
+        peer's. One that generates is heard by each of its streams, and a link may be
+        cut for us alone.
+        """
+        for load in loads:
+            target = self.directory.targets.get(load.lifetime)
+            engine = self.find_engine_of(load.lifetime)
+            if target is None or engine is None or not engine.reads_only:
+                continue
+            heard_at = now - load.heard_ms_ago / 1000
+            if heard_at > target.hearing.heard_at:
+                targets.note_heard(target, heard_at)
+
     def list_engine_services(self) -> list[str]:
         """List the services that have engines."""
         services = self.table.services.values() if self.table else ()
@@ -136,6 +156,36 @@
         shape = self._find_shape(service)
         return shape.switch_s if shape else 0.0
 
+    def leave_silent(self, now: float) -> list[Target]:
+        """Let what may go elsewhere leave targets that fell silent; return those."""
+        silent = [
+            t for t in self.directory.targets.values() if self._is_overdue(t, now)
+        ]
+        for target in silent:
+            targets.note_silent(target, now)
+            for leave in silence.list_leaving(target.hearing):
+                leave()
+        return silent
+
+    def _is_overdue(self, target: Target, now: float) -> bool:
+        engine = self.find_engine(target)
+        work_s = engine.work_s if engine is not None else 0.0
+        return silence.is_overdue(target.hearing, now, work_s)
+
+    def list_silent(self, now: float) -> list[str]:
+        """List the lifetimes that were found silent so lately that it is news."""
+        return [
+            lifetime
+            for lifetime, target in self.directory.targets.items()
+            if target.hearing.silent_since is not None
+            and now - target.hearing.silent_since < SILENCE_NEWS_S
+        ]
+
+    def note_told_silent(self, lifetimes: list[str], now: float) -> list[Target]:
+        """Take note of targets that a peer found silent; return those believed."""
+        found = (self.directory.targets.get(lifetime) for lifetime in lifetimes)
+        return [t for t in found if t is not None and targets.note_told_silent(t, now)]
+
     def note_switching(self, lifetime: str, role: str, now: float) -> None:
         """Take note that a peer ordered an engine to take a role."""
         target = self.directory.targets.get(lifetime)
@@ -185,3 +235,19 @@
     def _find_shape(self, service: str) -> EngineShape | None:
         known = self.table.services.get(service) if self.table else None
         return known.engine if known else None
+
+
+def _is_news(target: Target, engine: Engine, now: float) -> bool:
+    """Whether peers can use what this gateway knows of an engine."""
+    is_heard = now - target.hearing.heard_at < HEARD_NEWS_S
+    return bool(target.in_flight) or any(engine.own_work_s) or is_heard
+
+
+def _make_load(target: Target, engine: Engine, now: float) -> Load:
+    return Load(
+        target.announced.lifetime,
+        target.in_flight,
+        [round(seconds * 1000) for seconds in engine.own_work_s],
+        engine.own_long,
+        round(min(NEVER_HEARD_MS, (now - target.hearing.heard_at) * 1000)),
+    )
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -17,7 +17,8 @@
 from robinspindle.core import budgets, targets
 from robinspindle.core.authority import Authority
 from robinspindle.core.forwarding import Refusal
-from robinspindle.core.targets import Directory
+from robinspindle.core.lengths import Lengths
+from robinspindle.core.targets import Directory, Target
 from robinspindle.exceptions import (
     InvalidDocumentError,
     LogServiceError,
@@ -127,6 +128,7 @@
                 fleet=self.fleet,
                 peers=self.peers,
                 budget=self.budget,
+                lengths=Lengths(),
                 zone=self.settings.zone,
                 clock=self._clock,
                 log=make_log("relay"),
@@ -201,7 +203,14 @@
             loop.create_task(self._keep_house()),
         ]
         for task in self._tasks:
-            task.add_done_callback(_end_on_failure)
+            task.add_done_callback(self._end_on_failure)
+
+    def _end_on_failure(self, task: asyncio.Task) -> None:
+        """End the process when a task that must go on has failed; it is restarted."""
+        if not task.cancelled() and task.exception() is not None:
+            log("internal error", error=repr(task.exception()))
+            self._output.flush()
+            raise SystemExit(1)
 
     async def wait_stopped(self) -> None:
         """Wait for the end of a stop."""
@@ -248,11 +257,12 @@
             if not self._link.may_tell(self._clock()):
                 continue
             news = News(
-                self.fleet.list_loads(),
+                self.fleet.list_loads(self._clock()),
                 self.relay.placements,
                 {name: self.relay.read_rate(name) for name in self.relay.demands},
                 self.orderer.peek_untold(),
                 self.fleet.list_learnt(),
+                self.fleet.list_silent(self._clock()),
             )
             if self._link.tell(self._clock(), news):
                 self.relay.placements.clear()
@@ -302,6 +312,8 @@
                 self.fleet.forget(target)
                 self.metrics.forget_target(target.announced.lifetime)
                 log("target is gone", target=target.announced.lifetime)
+            for target in self.fleet.leave_silent(now):
+                self._note_silent(target, now)
             self._link.forget_silent(now)
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
@@ -310,6 +322,16 @@
             if self._stopping_at is not None:
                 self._go_on_stopping(now)
 
+    def _note_silent(self, target: Target, now: float) -> None:
+        heard_at = target.hearing.heard_at
+        log(
+            "target is silent",
+            target=target.announced.lifetime,
+            heard_ms_ago=round((now - heard_at) * 1000) if heard_at > 0 else None,
+            expected=len(target.hearing.expected),
+            rests_ms=round((target.rested_until - now) * 1000),
+        )
+
     def begin_stop(self) -> None:
         """Become unready; take no requests after a while; end when all is done."""
         if self._stopping_at is None:
@@ -378,10 +400,3 @@
     settings = reread()
     output = start_bounded_logs(settings.name, tells_routine=not settings.is_quiet)
     await Gateway(settings, adapter, output, reread).run()
-
-
-def _end_on_failure(task: asyncio.Task) -> None:
-    """End the process when a task that must go on has failed; it is restarted."""
-    if not task.cancelled() and task.exception() is not None:
-        log("internal error", error=repr(task.exception()))
-        raise SystemExit(1)
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -8,6 +8,7 @@
 from robinspindle.core.budgets import RepeatBudget
 from robinspindle.core.events import EventSplitter
 from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
+from robinspindle.core.lengths import Lengths
 from robinspindle.core.reading import Plan
 from robinspindle.core.routes import Route
 from robinspindle.fleet import Fleet
@@ -54,6 +55,7 @@
         service: The service chosen for it.
         due: When its final answer is due, steady seconds.
         aim_at: When its first event, or its answer, should be on its way.
+        first_due: When its caller gives up if nothing of its answer has come.
         tried: Lifetimes that it was sent to.
         offers: Times that it was sent to be run.
         runs: Targets that may have run it.
@@ -61,6 +63,7 @@
         splitter: The events passed on so far.
         fault: A target's own failure that is passed on if nothing better comes.
         last_reason: Why the latest sending did not deliver.
+        is_long: Whether its answer is expected to be long.
         is_return: Whether its caller comes back after a refusal, by the time it has
             left.
         plan: The latest plan, for logs.
@@ -75,6 +78,7 @@
     service: str
     due: float
     aim_at: float
+    first_due: float
     tried: set[str] = field(default_factory=set)
     offers: int = 0
     runs: int = 0
@@ -82,6 +86,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     fault: tuple[AnswerHead, bytes] | None = None
     last_reason: str = ""
+    is_long: bool = False
     is_return: bool = False
     plan: Plan | None = None
     read_at: float | None = None
@@ -98,6 +103,7 @@
         fleet: The targets.
         peers: The other gateways.
         budget: Repeats that may be made.
+        lengths: What is known of how long answers last.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
@@ -108,6 +114,7 @@
     fleet: Fleet
     peers: Peers
     budget: RepeatBudget
+    lengths: Lengths
     zone: str
     clock: Callable[[], float]
     log: Log
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from robinspindle.core.engines import find_allowed_pause, is_long, note_pause
+from robinspindle.core import silence, targets
+from robinspindle.core.engines import find_allowed_pause, note_pause
 from robinspindle.core.events import take_events
 from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.silence import Expectation
 from robinspindle.core.targets import Target
 from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, Exchange
 from robinspindle.passages import Means, Passage
@@ -21,12 +23,14 @@
         head: Its head.
         exchange: Gives its body.
         connection: The connection on which it comes.
+        expected: What is expected to be heard of the target, and by when.
     """
 
     target: Target
     head: AnswerHead
     exchange: Exchange
     connection: ClientConnection
+    expected: Expectation
 
 
 def pass_whole(reply: Reply, head: AnswerHead, body: bytes) -> None:
@@ -46,7 +50,7 @@
     passage.reply.set_flow(connection.pause, connection.resume)
     prompt = passage.request.prompt
     engine = means.fleet.find_engine(answer.target)
-    if prompt is None or engine is None or not is_long(prompt):
+    if prompt is None or engine is None or not passage.is_long:
         await _pass_events(means, passage, answer, _pass_over)
         return
 
@@ -79,12 +83,16 @@
 ) -> None:
     splitter, reply, head = passage.splitter, passage.reply, answer.head
     splitter.rest = b""
-    last_at = means.clock()
+    expected = answer.expected
+    first_at = means.clock()
+    expected.within_s = silence.find_event_patience(passage.route.gap_s)
+    last_at = expected.since = first_at
     while chunk := await answer.exchange.read_chunk():
         events = take_events(splitter, chunk)
         if not events:
             continue
-        now = means.clock()
+        now = expected.since = means.clock()
+        targets.note_heard(answer.target, now)
         note(now - last_at, now)
         if not reply.has_begun:
             reply.begin(head.status, head.reason, head.headers, None)
@@ -92,6 +100,8 @@
             passage.longest_pause_s = max(passage.longest_pause_s, now - last_at)
         last_at = now
         reply.write(events)
+    seconds, events = last_at - first_at, splitter.events
+    means.lengths.note_answer(passage.service, events, seconds)
     if splitter.rest:
         raise ConnectionBrokenError("the stream ended within an event")
     if not reply.has_begun:
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -19,6 +19,7 @@
     forget_silent,
     take_digest,
 )
+from robinspindle.core.targets import Target
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.logs import Log
 
@@ -84,10 +85,11 @@
     read_rates: dict[str, float] = field(default_factory=dict)
     switching: list[tuple[str, str]] = field(default_factory=list)
     learnt: list[Learnt] = field(default_factory=list)
+    silent: list[str] = field(default_factory=list)
 
 
-class PeersPaces(Protocol):
-    """Takes in what peers have learnt of the engines' paces."""
+class PeersFleet(Protocol):
+    """Takes in what peers tell of targets."""
 
     def note_learnt(self, peer: str, learnt: list[Learnt]) -> None:
         """Take note of what a peer has learnt."""
@@ -95,6 +97,12 @@
     def forget_learnt(self, peer: str) -> None:
         """Forget what a peer that fell silent has told."""
 
+    def note_heard_by_peer(self, loads: list[Load], now: float) -> None:
+        """Take note of what a peer heard of engines."""
+
+    def note_told_silent(self, lifetimes: list[str], now: float) -> list[Target]:
+        """Take note of targets that a peer found silent; return those believed."""
+
 
 class PeerLink(asyncio.DatagramProtocol):
     """The socket for datagrams."""
@@ -104,12 +112,12 @@
         peers: Peers,
         find: FindEngine,
         note_switching: Callable[[str, str], None],
-        paces: PeersPaces,
+        fleet: PeersFleet,
         clock: Callable[[], float],
         log: Log,
     ):
         self._note_switching = note_switching
-        self._paces = paces
+        self._fleet = fleet
         self._peers = peers
         self._find = find
         self._clock = clock
@@ -142,8 +150,13 @@
             self._log("datagram can't be read", sender=str(addr), error=str(error))
             return
         is_new = digest.sender not in self._peers.views
-        take_digest(self._peers.views, digest, self._clock(), self._find)
-        self._paces.note_learnt(digest.sender, digest.learnt)
+        now = self._clock()
+        take_digest(self._peers.views, digest, now, self._find)
+        self._fleet.note_learnt(digest.sender, digest.learnt)
+        self._fleet.note_heard_by_peer(digest.loads, now)
+        for target in self._fleet.note_told_silent(digest.silent, now):
+            name = target.announced.lifetime
+            self._log("target is silent for a peer", target=name, peer=digest.sender)
         for lifetime, role in digest.switching:
             self._note_switching(lifetime, role)
         if is_new:
@@ -165,7 +178,7 @@
             Whether the placements have been told.
         """
         peers = self._peers
-        is_empty = not (news.loads or news.placements or news.switching)
+        is_empty = not (news.loads or news.placements or news.switching or news.silent)
         least_s = MOST_INTERVAL_S if is_empty else 0.0
         if not self.may_tell(now) or now - peers.sent_at < least_s:
             return False
@@ -180,6 +193,7 @@
             news.read_rates,
             news.switching,
             news.learnt if now - peers.learnt_told_at >= LEARNT_INTERVAL_S else [],
+            news.silent,
         )
         if digest.learnt:
             peers.learnt_told_at = now
@@ -191,5 +205,5 @@
     def forget_silent(self, now: float) -> None:
         """Forget the load of peers that fell silent."""
         for name in forget_silent(self._peers.views, now, self._find):
-            self._paces.forget_learnt(name)
+            self._fleet.forget_learnt(name)
             self._log("peer silent", peer=name)
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -5,6 +5,7 @@
 from robinspindle.core import targets
 from robinspindle.core.forwarding import AnswerHead, Source
 from robinspindle.core.reading import Plan
+from robinspindle.core.silence import Expectation, find_answer_patience
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.httpclient import ConnectionBrokenError, Exchange
@@ -15,6 +16,7 @@
     CONNECT_TIMEOUT_S,
     Sending,
     borrow_connection,
+    expect,
     make_send,
     note_broken,
     note_turned_away,
@@ -77,12 +79,23 @@
     ) -> tuple[AnswerHead, bytes]:
         means = self._means
         send = make_send(passage, sending, means.clock(), read_only=True)
+        exchange = Exchange(passage.request.id)
         async with borrow_connection(means, sending.target) as connection:
-            exchange = Exchange(passage.request.id)
-            async with asyncio.timeout_at(passage.due):
-                data = means.dialect.encode_request(passage.request, send)
-                connection.send(exchange, data)
-                return await exchange.read_head(), await exchange.read_body()
+            with expect(sending.target, self._expect_reading(passage, exchange)):
+                async with asyncio.timeout_at(passage.due):
+                    data = means.dialect.encode_request(passage.request, send)
+                    connection.send(exchange, data)
+                    head = await exchange.read_head()
+                    targets.note_heard(sending.target, means.clock())
+                    return head, await exchange.read_body()
+
+    def _expect_reading(self, passage: Passage, exchange: Exchange) -> Expectation:
+        """Expect a prompt to be read; it may always be read elsewhere instead."""
+        return Expectation(
+            since=self._means.clock(),
+            within_s=find_answer_patience(passage.plan.first_s),
+            leave=lambda: exchange.fail(ConnectionBrokenError("the reader is silent")),
+        )
 
     def _note_unread(self, passage: Passage, reader: Target, head: AnswerHead) -> None:
         if head.not_run:
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -30,8 +30,9 @@
         self._is_open = True
         # Waits are told apart from work by measuring only what met nobody else.
         self._was_alone = engine.work_s <= ALONE_S
-        engine.own_work_s += self._seconds
-        note_read_begun(engine, now, self._seconds)
+        self._level = plan.level
+        engine.own_work_s[self._level] += self._seconds
+        note_read_begun(engine, now, self._seconds, self._level)
         self._placed = engine.placed
 
     def end(self, now: float) -> None:
@@ -47,7 +48,8 @@
         """Note that the prompt need not be read any more."""
         if self._is_open:
             self._is_open = False
-            self._engine.own_work_s = max(0.0, self._engine.own_work_s - self._seconds)
+            levels = self._engine.own_work_s
+            levels[self._level] = max(0.0, levels[self._level] - self._seconds)
 
 
 class Readings:
@@ -80,5 +82,6 @@
         counts.labels("cached").inc(prompt.tokens - plan.unread)
         told = [(part.id, part.tokens) for part in prompt.parts]
         work_ms = round(plan.reading_s * 1000)
-        self.placements.append(Placement(target.announced.lifetime, told, work_ms))
+        placement = Placement(target.announced.lifetime, told, work_ms, plan.level)
+        self.placements.append(placement)
         return begun
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from robinspindle.core import budgets, forwarding, reading, targets
+from robinspindle.core import budgets, forwarding, reading, silence, targets
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.forwarding import AnswerHead, Request
 from robinspindle.core.paces import estimate_seconds
@@ -13,6 +13,7 @@
 from robinspindle.core.routes import STREAM, Route, choose_service, find_route
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sharing import Placement
+from robinspindle.core.silence import Expectation
 from robinspindle.core.targets import Target
 from robinspindle.ends import End
 from robinspindle.httpclient import (
@@ -31,6 +32,7 @@
 from robinspindle.sending import (
     Sending,
     borrow_connection,
+    expect,
     make_send,
     note_broken,
     note_turned_away,
@@ -61,6 +63,11 @@
 """Statuses by which a caller may take it that its request did not run."""
 
 
+MOST_READS = 2
+"""Times that a prompt may be read apart: once more than it should need, for a reader
+that fell silent."""
+
+
 class Relay:
     """Forwards requests to targets.
 
@@ -110,16 +117,28 @@
         return read_demand(demand, self._means.clock()) if demand else 0.0
 
     def _begin_passage(self, request: Request, reply: Reply, route: Route) -> Passage:
+        service = choose_service(route, self._rng)
         return Passage(
             request,
             reply,
             route,
-            choose_service(route, self._rng),
+            service,
             forwarding.find_due(request, route),
             request.received_at + route.aim_s - CALLER_WAY_S,
+            forwarding.find_first_due(request, route),
+            is_long=self._expects_long(request, route, service),
             is_return=self._patience.note(route.name, request.wait_s),
         )
 
+    def _expects_long(self, request: Request, route: Route, service: str) -> bool:
+        prompt = request.prompt
+        if prompt is None:
+            return False
+        expected = prompt.expected_tokens or prompt.out_tokens
+        event_tokens = self._means.fleet.count_event_tokens(service)
+        self._means.lengths.note_expected(route.name, expected / event_tokens)
+        return self._means.lengths.is_long(route.name, service)
+
     async def _serve(self, passage: Passage) -> None:
         while True:
             now = self._means.clock()
@@ -134,7 +153,7 @@
                 self._note_demand(passage, plan, now)
             passage.plan = plan
             self._log.log_plan(passage, plan)
-            if self._is_hopeless(passage, plan):
+            if self._is_hopeless(passage, plan, now):
                 self._give_up(passage, "busy")
                 return
             end = await self._carry_out(passage, plan)
@@ -159,8 +178,7 @@
         prompt = passage.request.prompt
         if prompt is None or any(engine is None for _, engine in pairs):
             return self._choose_plainly(pairs, now)
-        if passage.reads:
-            # A prompt is read apart at most once.
+        if passage.reads >= MOST_READS:
             pairs = [pair for pair in pairs if not pair[1].reads_only]
         at = self._describe_situation(passage, now)
         return reading.choose_plan(pairs, prompt, at)
@@ -190,17 +208,21 @@
         return reading.Situation(
             now=now,
             left_s=passage.aim_at - now,
+            last_s=passage.first_due - now,
+            aim_s=passage.route.aim_s,
             gap_s=passage.route.gap_s,
             zone=self._means.zone,
+            rank=passage.route.priority,
+            is_long=passage.is_long,
             move_s=self._means.fleet.find_move_s(passage.service),
             age_s=find_interval(len(self._means.peers.addresses)),
             rng=self._rng,
         )
 
-    def _is_hopeless(self, passage: Passage, plan: Plan) -> bool:
-        if passage.offers or passage.reads:
+    def _is_hopeless(self, passage: Passage, plan: Plan, now: float) -> bool:
+        if passage.offers or passage.reads or passage.request.prompt is None:
             return False
-        return reading.is_hopeless(plan, passage.route.aim_s, passage.is_return)
+        return reading.is_hopeless(plan, self._describe_situation(passage, now))
 
     def _may_go_on(self, passage: Passage, end: End) -> bool:
         left_s = passage.due - self._means.clock()
@@ -275,18 +297,34 @@
     async def _exchange(
         self, passage: Passage, sending: Sending, connection: ClientConnection
     ) -> End:
-        means = self._means
-        async with asyncio.timeout_at(passage.due + forwarding.ANSWER_GRACE_S):
-            exchange = Exchange(passage.request.id)
-            send = make_send(passage, sending, means.clock())
-            data = means.dialect.encode_request(passage.request, send)
-            passage.offers += 1
-            connection.send(exchange, data)
-            head = await exchange.read_head()
-            passage.first_at = means.clock()
-            sending.on_first()
-            answer = Answer(sending.target, head, exchange, connection)
-            return await self._take_answer(passage, answer)
+        means, target = self._means, sending.target
+        exchange = Exchange(passage.request.id)
+        send = make_send(passage, sending, means.clock())
+        data = means.dialect.encode_request(passage.request, send)
+        passage.offers += 1
+        with expect(target, self._expect_answer(passage, exchange)) as expected:
+            async with asyncio.timeout_at(passage.due + forwarding.ANSWER_GRACE_S):
+                connection.send(exchange, data)
+                head = await exchange.read_head()
+                passage.first_at = means.clock()
+                targets.note_heard(target, passage.first_at)
+                sending.on_first()
+                answer = Answer(target, head, exchange, connection, expected)
+                return await self._take_answer(passage, answer)
+
+    def _expect_answer(self, passage: Passage, exchange: Exchange) -> Expectation:
+        """Expect the first of an answer; leave a silent target if that is allowed."""
+
+        def leave() -> None:
+            exchange.fail(ConnectionBrokenError("the target is silent"))
+
+        route = passage.route
+        may_leave = route.may_rerun and passage.runs + 1 < route.attempts
+        return Expectation(
+            since=self._means.clock(),
+            within_s=silence.find_answer_patience(passage.plan.first_s),
+            leave=leave if may_leave else None,
+        )
 
     async def _take_answer(self, passage: Passage, answer: Answer) -> End:
         target, head, exchange = answer.target, answer.head, answer.exchange
@@ -343,11 +381,19 @@
         if passage.runs:
             refusal = forwarding.refuse_unsure(left_s)
         else:
-            retry_s = RETRY_BASE_S + RETRY_SPREAD_S * self._rng.random()
+            retry_s = self._find_retry_s(passage)
             refusal = forwarding.refuse_unrun(reason, retry_s, left_s)
         reply.refuse(refusal)
         self._log.log_end(passage, None, f"refused {refusal.status}: {reason}")
 
+    def _find_retry_s(self, passage: Passage) -> float:
+        """Find when there should be room for a caller that is refused, seconds."""
+        spread_s = RETRY_BASE_S + RETRY_SPREAD_S * self._rng.random()
+        if passage.plan is None:
+            return spread_s
+        left_s = passage.first_due - self._means.clock()
+        return spread_s + max(0.0, passage.plan.first_s - left_s)
+
     def _may_pass_fault(self, passage: Passage) -> bool:
         # A 503 whose target does not say that it did not run would be a promise.
         head, _ = passage.fault
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -26,6 +26,7 @@
     def log_plan(self, passage: Passage, plan: Plan) -> None:
         """Log where a request is sent."""
         directory = self._means.fleet.directory
+        prompt = passage.request.prompt
         now = self._means.clock()
         self._means.log(
             "request routed",
@@ -42,6 +43,10 @@
             wait_ms=round(plan.wait_s * 1000, 1),
             first_ms=round(plan.first_s * 1000, 1),
             unread=plan.unread,
+            reading_ms=round(plan.reading_s * 1000, 1),
+            level=plan.level,
+            prompt_length=prompt.tokens if prompt else None,
+            answer_most=prompt.out_tokens if prompt else None,
             left_ms=round((passage.aim_at - now) * 1000, 1),
             due_ms=round((passage.due - now) * 1000, 1),
             list_age_ms=round((now - directory.read_at) * 1000),
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -1,13 +1,14 @@
 """What all sendings to a target have in common, whatever is sent."""
 
-from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager
+from collections.abc import Callable, Iterator
+from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 
 from robinspindle.core import targets
-from robinspindle.core.engines import is_small
 from robinspindle.core.forwarding import AnswerHead, Send, Source
+from robinspindle.core.silence import Expectation
 from robinspindle.core.targets import Target
+from robinspindle.core.urgency import REQUEST_URGENCIES
 from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, borrow
 from robinspindle.passages import Means, Passage
 
@@ -19,10 +20,6 @@
 """How long a target that turned a request away is passed over, seconds: about the
 time in which a few of its requests end."""
 
-SMALL_URGENCY = 1
-LARGE_URGENCY = 4
-"""Short prompts are read before long ones."""
-
 LEAST_URGENCY = 9
 """The least urgent that a target is told of; a route's priority may lie beyond it."""
 
@@ -56,6 +53,16 @@
     return borrow(pool, means.clock, CONNECT_TIMEOUT_S)
 
 
+@contextmanager
+def expect(target: Target, expected: Expectation) -> Iterator[Expectation]:
+    """Expect to hear of a target, for as long as a request is under way there."""
+    target.hearing.expected.add(expected)
+    try:
+        yield expected
+    finally:
+        target.hearing.expected.discard(expected)
+
+
 def make_send(
     passage: Passage, sending: Sending, now: float, read_only: bool = False
 ) -> Send:
@@ -70,7 +77,7 @@
     prompt = passage.request.prompt
     urgency = min(LEAST_URGENCY, passage.route.priority)
     if prompt is not None:
-        urgency = SMALL_URGENCY if is_small(prompt) else LARGE_URGENCY
+        urgency = REQUEST_URGENCIES[passage.plan.level]
     events = passage.splitter.events
     return Send(
         lifetime=sending.target.announced.lifetime,
--- a/tests/core/test_engines.py
+++ b/tests/core/test_engines.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -5,6 +6,7 @@
 from robinspindle.core.engines import make_engine
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.paces import Measured
+from robinspindle.core.urgency import LATE
 
 
 def make_prompt(*parts, out=2):
@@ -44,11 +46,23 @@
     assert list(engine.cached) == ["a", "c"]
 
 
-def test_short_prompts_wait_for_none():
+def test_a_prompt_waits_for_what_is_as_urgent_or_more():
     engine = make_engine(True, 10_000)
-    engine.own_work_s = 0.5
-    assert engines.estimate_wait(engine, make_prompt(Part("s", 200))) == 0.0
-    assert engines.estimate_wait(engine, make_prompt(HEAD)) > 0.1
+    engine.own_work_s[2] = 0.5
+    engine.peers_work_s["g2"] = [0.0, 0.0, 0.1, 0.0, 0.0, 0.4]
+    waits = [engines.estimate_wait(engine, level, 0.0) for level in range(LATE)]
+    assert waits == [0.0, 0.0, 0.6, 0.6, 0.6]
+    assert engines.estimate_wait(engine, LATE, 0.0) == 1.0
+
+
+def test_what_is_late_also_waits_for_what_will_come_meanwhile():
+    engine = make_engine(True, 10_000)
+    engine.own_work_s[LATE] = 0.2
+    for step in range(5):
+        engines.note_read_begun(engine, step * 0.1, 0.1, 1)
+        engines.note_read_begun(engine, step * 0.1, 0.1, LATE)
+    assert engines.estimate_wait(engine, LATE, 0.5) == pytest.approx(0.4)
+    assert engines.estimate_wait(engine, LATE, 5.0) == pytest.approx(0.2)
 
 
 def test_an_engine_that_takes_longer_than_its_service_is_known_after_a_few_readings():
@@ -63,15 +77,18 @@
     assert 0.05 < engines.estimate_reading_s(usual, 3000, 0) < 0.075
 
 
-def test_beside_long_answers_an_engine_reads_only_a_share():
+def test_beside_answers_an_engine_reads_only_a_share_of_their_pauses():
     engine = make_engine(False, 100_000)
-    assert engines.may_read_beside(engine, 0.0, 10.0, 0.15)
+    allowed_s = engines.SHORT_READ_SHARE * 0.2
+    assert engines.may_read_beside(engine, 0.0, allowed_s, 0.2)
+    assert not engines.may_read_beside(engine, 0.0, allowed_s * 1.01, 0.2)
     engine.peers_long["g2"] = 1
-    allowed_s = engine.read_share * 0.15
-    assert engines.may_read_beside(engine, 0.0, allowed_s, 0.15)
-    engines.note_read_begun(engine, 0.0, allowed_s)
-    assert not engines.may_read_beside(engine, 0.1, 0.01, 0.15)
-    assert engines.may_read_beside(engine, 0.2, 0.01, 0.15)
+    assert not engines.may_read_beside(engine, 0.0, allowed_s, 0.2)
+    allowed_s = engine.read_share * 0.2
+    assert engines.may_read_beside(engine, 0.0, allowed_s, 0.2)
+    engines.note_read_begun(engine, 0.0, allowed_s, 1)
+    assert not engines.may_read_beside(engine, 0.1, 0.01, 0.2)
+    assert engines.may_read_beside(engine, 0.3, 0.01, 0.2)
 
 
 def test_an_answer_that_would_not_end_in_time_makes_pauses_count_sooner():
--- /dev/null
+++ b/tests/core/test_lengths.py
@@ -0,0 +1,41 @@
+import pytest
+
+from robinspindle.core.lengths import Lengths
+
+
+def test_answers_are_long_by_what_is_expected_and_not_by_the_most_they_may_hold():
+    lengths = Lengths()
+    for _ in range(50):
+        lengths.note_expected("chat", 89.0)
+        lengths.note_expected("hint", 19.0)
+        lengths.note_answer("lm", 20, 19 * 0.06)
+    assert lengths.is_long("chat", "lm")
+    assert not lengths.is_long("hint", "lm")
+
+
+def test_before_any_answer_a_usual_event_is_believed():
+    lengths = Lengths()
+    assert not lengths.is_long("chat", "lm")
+    lengths.note_expected("chat", 89.0)
+    assert lengths.is_long("chat", "lm")
+
+
+def test_an_engine_that_generates_fast_makes_no_answer_long():
+    lengths = Lengths()
+    lengths.note_expected("chat", 89.0)
+    for _ in range(100):
+        lengths.note_answer("lm", 90, 89 * 0.006)
+    assert not lengths.is_long("chat", "lm")
+
+
+def test_answers_of_one_event_say_nothing_of_the_time_between_two():
+    lengths = Lengths()
+    lengths.note_answer("lm", 1, 0.0)
+    assert lengths.event_s == {}
+
+
+def test_single_guesses_that_are_far_off_hardly_count():
+    lengths = Lengths()
+    lengths.note_expected("hint", 19.0)
+    lengths.note_expected("hint", 190.0)
+    assert lengths.events["hint"] == pytest.approx(27.55)
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -7,11 +7,13 @@
 from robinspindle.core.paces import Pace
 from robinspindle.core.reading import Situation, choose_plan
 from robinspindle.core.targets import Announcement, Target
+from robinspindle.core.urgency import LATE
 
 HEAD, DOCUMENT, OWN = Part("h", 2500), Part("d", 3800), Part("o", 2900)
 DIGEST = Prompt("m", (HEAD, DOCUMENT, OWN), 9200, 118)
 CHAT = Prompt("m", (Part("c", 80), Part("q", 140)), 220, 5000)
-CALM = Situation(0.0, 0.2, 0.15, "a")
+CALM = Situation(0.0, 0.2, 2.0, 0.2, 0.15, "a")
+LONG = dataclasses.replace(CALM, is_long=True)
 LINKED = dataclasses.replace(CALM, move_s=1.2e-7)
 
 
@@ -54,7 +56,7 @@
 def test_it_goes_elsewhere_when_it_would_be_late_there():
     fleet = make_fleet()
     engines.note_placed(fleet[1][1], DIGEST.parts[:2])
-    fleet[1][1].peers_work_s["g2"] = 0.3
+    fleet[1][1].own_work_s[1] = 0.3
     assert name(choose_plan(fleet, DIGEST, CALM).reader) != "p2"
 
 
@@ -77,9 +79,9 @@
 def test_long_answers_come_together_until_an_engine_has_its_share():
     fleet = make_fleet()
     fleet[3][1].own_long = 3
-    assert name(choose_plan(fleet, CHAT, CALM).target) == "d2"
+    assert name(choose_plan(fleet, CHAT, LONG).target) == "d2"
     fleet[3][1].own_long = 20
-    assert name(choose_plan(fleet, CHAT, CALM).target) != "d2"
+    assert name(choose_plan(fleet, CHAT, LONG).target) != "d2"
 
 
 def test_without_an_engine_that_reads_only_prompts_are_read_where_answered():
@@ -107,35 +109,50 @@
 def plan_behind(wait_s, held=()):
     fleet = [make_pair("p1", "prefill"), make_pair("d1", "decode")]
     for _, engine in fleet:
-        engine.own_work_s = wait_s
+        engine.own_work_s[1] = wait_s
         engines.note_placed(engine, held)
     return choose_plan(fleet, DIGEST, CALM)
 
 
-def test_what_would_wait_too_long_is_hopeless_and_length_alone_is_not():
-    assert reading.is_hopeless(plan_behind(0.8), 0.2, False)
+def test_what_can_be_in_time_waits_for_nothing_that_is_late():
+    fleet = [make_pair("p1", "prefill"), make_pair("d1", "decode")]
+    for _, engine in fleet:
+        engine.own_work_s[LATE] = 5.0
+    plan = choose_plan(fleet, DIGEST, CALM)
+    assert plan.level < LATE
+    assert plan.first_s < 0.1
+
+
+def test_what_can_not_be_in_time_goes_after_all_that_can():
+    plan = plan_behind(0.5)
+    assert plan.level == LATE
+    assert plan.wait_s >= 0.5
+    assert not reading.is_hopeless(plan, CALM)
+
+
+def test_what_would_begin_after_its_caller_gave_up_is_hopeless():
+    assert reading.is_hopeless(plan_behind(1.7), CALM)
+    assert not reading.is_hopeless(plan_behind(1.4), CALM)
+    soon = dataclasses.replace(CALM, last_s=0.5)
+    assert reading.is_hopeless(plan_behind(0.5), soon)
+
+
+def test_length_alone_makes_nothing_hopeless():
     long_prompt = Prompt("m", (Part("l", 90_000),), 90_000, 118)
     plan = choose_plan(make_fleet(), long_prompt, CALM)
     assert plan.first_s > 0.2
-    assert not reading.is_hopeless(plan, 0.2, False)
-
+    assert not reading.is_hopeless(plan, CALM)
 
-def test_a_prompt_whose_parts_no_cache_holds_gives_way_first():
-    held = DIGEST.parts[:2]
-    assert plan_behind(0.08).missing_share == 1.0
-    assert plan_behind(0.08, held).missing_share == 0.0
-    assert reading.is_hopeless(plan_behind(0.08), 0.2, False)
-    assert not reading.is_hopeless(plan_behind(0.08, held), 0.2, False)
 
-
-def test_who_was_refused_before_may_wait_longer():
-    held = DIGEST.parts[:2]
-    waiting = [step * 0.004 for step in range(60)]
-    first, again = (
-        sum(not reading.is_hopeless(plan_behind(s, held), 0.2, back) for s in waiting)
-        for back in (False, True)
-    )
-    assert first < again < len(waiting)
+def test_the_operators_ranks_go_before_each_other():
+    first, second = (dataclasses.replace(CALM, rank=rank) for rank in (0, 2))
+    fleet = [make_pair("p1", "prefill"), make_pair("d1", "decode")]
+    for _, engine in fleet:
+        engine.own_work_s[3] = 0.05
+    plan, other = (choose_plan(fleet, DIGEST, at) for at in (first, second))
+    assert plan.level < other.level
+    assert plan.wait_s == 0.0
+    assert other.wait_s == 0.05
 
 
 def test_what_another_engine_has_read_is_fetched_from_it():
@@ -173,7 +190,7 @@
 
 def test_entries_that_know_the_same_do_not_all_choose_the_same_engine():
     fleet = make_fleet()
-    fleet[0][1].own_work_s = 0.004
+    fleet[0][1].own_work_s[1] = 0.004
     stale = dataclasses.replace(CALM, age_s=0.1, rng=random.Random(1))
     found = [name(choose_plan(fleet, DIGEST, stale).reader) for _ in range(40)]
     assert 10 < found.count("p2") < 40
--- a/tests/core/test_sharing.py
+++ b/tests/core/test_sharing.py
@@ -1,4 +1,4 @@
-from robinspindle.core.engines import make_engine
+from robinspindle.core.engines import Begun, make_engine
 from robinspindle.core.sharing import (
     SILENCE_S,
     Digest,
@@ -8,6 +8,8 @@
     take_digest,
 )
 
+WORK = [0, 40, 30, 0, 0, 0]
+
 
 def make(number=1, started=1.0, loads=(), placements=()):
     return Digest("g2", started, number, list(loads), list(placements))
@@ -16,8 +18,10 @@
 def test_the_newest_word_of_a_peer_counts():
     engines = {"e1": make_engine(True, 1000)}
     peers = {}
-    assert take_digest(peers, make(2, loads=[Load("e1", 1, 70, 1)]), 0.0, engines.get)
-    assert not take_digest(peers, make(1, loads=[Load("e1", 9, 900)]), 0.0, engines.get)
+    assert take_digest(peers, make(2, loads=[Load("e1", 1, WORK, 1)]), 0.0, engines.get)
+    assert not take_digest(
+        peers, make(1, loads=[Load("e1", 9, [0, 900, 0, 0, 0, 0])]), 0.0, engines.get
+    )
     engine = engines["e1"]
     assert (engine.work_s, engine.others_in_flight, engine.long_answers) == (0.07, 1, 1)
     assert take_digest(peers, make(3), 0.0, engines.get)
@@ -27,23 +31,23 @@
 def test_a_restarted_peer_begins_anew():
     engines = {"e1": make_engine(True, 1000)}
     peers = {}
-    take_digest(peers, make(900, loads=[Load("e1", 1, 70)]), 0.0, engines.get)
+    take_digest(peers, make(900, loads=[Load("e1", 1, WORK)]), 0.0, engines.get)
     assert take_digest(peers, make(1, started=2.0), 0.1, engines.get)
     assert engines["e1"].work_s == 0
 
 
 def test_placements_are_believed_and_unknown_targets_passed_over():
     engines = {"e1": make_engine(False, 1000)}
-    placements = [Placement("e1", [("a", 100)], 60), Placement("e9", [("a", 100)])]
+    placements = [Placement("e1", [("a", 100)], 60, 2), Placement("e9", [("a", 100)])]
     take_digest({}, make(placements=placements), 0.0, engines.get)
     assert engines["e1"].cached == {"a": 100}
-    assert list(engines["e1"].recent) == [(0.0, 0.06)]
+    assert list(engines["e1"].recent) == [Begun(0.0, 0.06, 2)]
 
 
 def test_a_silent_peer_has_nothing_under_way():
     engines = {"e1": make_engine(True, 1000)}
     peers = {}
-    take_digest(peers, make(loads=[Load("e1", 1, 70)]), 0.0, engines.get)
+    take_digest(peers, make(loads=[Load("e1", 1, WORK)]), 0.0, engines.get)
     assert forget_silent(peers, SILENCE_S, engines.get) == []
     assert forget_silent(peers, SILENCE_S + 0.1, engines.get) == ["g2"]
     assert engines["e1"].work_s == 0
--- /dev/null
+++ b/tests/core/test_silence.py
@@ -0,0 +1,78 @@
+from robinspindle.core import silence, targets
+from robinspindle.core.silence import Expectation, Hearing
+from robinspindle.core.targets import Announcement, Target
+
+
+def make_target():
+    return Target(Announcement("t1", "s", "x:1", "a", 8))
+
+
+def test_a_target_of_which_nothing_is_expected_is_not_silent():
+    assert not silence.is_overdue(Hearing(heard_at=0.0), 100.0)
+
+
+def test_what_is_heard_of_one_request_excuses_the_others():
+    hearing = Hearing(expected={Expectation(0.0, 0.6)})
+    silence.note_heard(hearing, 0.5)
+    assert not silence.is_overdue(hearing, 1.0)
+    assert silence.is_overdue(hearing, 1.2)
+
+
+def test_an_engine_may_be_quiet_for_as_long_as_it_has_to_read():
+    hearing = Hearing(expected={Expectation(0.0, 0.6)})
+    assert silence.is_overdue(hearing, 1.0)
+    assert not silence.is_overdue(hearing, 1.0, work_s=0.3)
+    assert silence.is_overdue(hearing, 1.3, work_s=0.3)
+
+
+def test_a_silent_target_rests_and_is_used_again_when_it_is_heard():
+    target = make_target()
+    targets.note_silent(target, 1.0)
+    assert not targets.is_healthy(target, 1.1)
+    targets.note_heard(target, 1.2)
+    assert targets.is_healthy(target, 1.2)
+    assert target.hearing.silent_since is None
+
+
+def test_old_news_does_not_wake_a_silent_target():
+    target = make_target()
+    targets.note_silent(target, 1.0)
+    targets.note_heard(target, 0.4)
+    assert target.hearing.silent_since == 1.0
+    assert not targets.is_healthy(target, 1.1)
+
+
+def test_of_a_silent_target_only_what_was_sent_since_says_anything_new():
+    hearing = Hearing(expected={Expectation(0.0, 0.6)})
+    silence.note_silent(hearing, 1.0)
+    assert not silence.is_overdue(hearing, 5.0)
+    hearing.expected.add(Expectation(2.0, 0.6))
+    assert silence.is_overdue(hearing, 5.0)
+
+
+def test_a_peers_word_counts_unless_the_target_was_heard_since():
+    target = make_target()
+    target.hearing.heard_at = 1.0
+    assert not targets.note_told_silent(target, 1.5)
+    assert targets.is_healthy(target, 1.5)
+    assert targets.note_told_silent(target, 1.7)
+    assert not targets.is_healthy(target, 1.7)
+
+
+def test_requests_that_may_go_elsewhere_are_listed():
+    left = []
+    hearing = Hearing()
+    hearing.expected = {
+        Expectation(0.0, 0.6),
+        Expectation(0.0, 0.6, lambda: left.append("resumable")),
+    }
+    for leave in silence.list_leaving(hearing):
+        leave()
+    assert left == ["resumable"]
+
+
+def test_what_is_expected_grows_with_what_was_planned():
+    assert silence.find_answer_patience(0.01) == silence.LEAST_SILENCE_S
+    assert silence.find_answer_patience(1.0) == 2.0
+    assert silence.find_event_patience(0.1) == silence.LEAST_SILENCE_S
+    assert silence.find_event_patience(1.0) == 2.5
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -171,8 +171,8 @@
                 "gateway-2",
                 1.0,
                 1,
-                [Load("p1", 2, 5000, 1)],
-                [Placement("p1", [("aa", 4000)], 4000), Placement("unknown", [])],
+                [Load("p1", 2, [0, 50, 0, 0, 0, 0], 1)],
+                [Placement("p1", [("aa", 4000)], 40), Placement("unknown", [])],
             )
             sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             sender.sendto(b"no datagram of ours", ("127.0.0.1", d.inner_port))
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -208,6 +208,28 @@
     run(play())
 
 
+@pytest.mark.parametrize("path", ["/digest/x", "/safe/x"])
+def test_what_may_run_again_leaves_a_target_that_falls_silent(tmp_path, path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            service, role = ("lm", "decode") if "digest" in path else ("push", "")
+            silent = await d.add("t1", service, role)
+            silent.behaviours.append("held")
+            prompt = d.prompt("200") if role else {}
+            reply = asyncio.create_task(d.call(path, **prompt))
+            await until(lambda: silent.arrivals)
+            await d.add("t2", service, role)
+            assert (await reply).is_whole
+            assert len(silent.arrivals) == 1
+            target = d.gateway.directory.targets["t1"]
+            assert target.hearing.silent_since is not None
+            # It rests, so the next request goes straight to the other.
+            assert (await d.call(path, id="r2", **prompt)).is_whole
+            assert len(silent.arrivals) == 1
+
+    run(play())
+
+
 def test_a_torn_stream_that_may_not_be_repeated_never_looks_whole(tmp_path):
     async def play():
         async with deploy(tmp_path) as d:
@@ -266,7 +288,7 @@
             assert (await d.call("/digest/x", **prompt)).is_whole
             first, second = sorted(readers, key=lambda r: len(r.arrivals), reverse=True)
             for busy in (first, host):
-                d.gateway.fleet.find_engine_of(busy.lifetime).own_work_s += 0.6
+                d.gateway.fleet.find_engine_of(busy.lifetime).own_work_s[0] += 0.6
             prompt = d.prompt(parts="aa:4000,bb:4000,dd:2000", tokens=10000)
             assert (await d.call("/digest/x", id="r2", **prompt)).is_whole
             (arrival,) = second.arrivals
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,9 +62,9 @@
     fleet = make_fleet()
     engine = fleet.find_engine_of("p1")
     fleet.find_engine_of("d1")
-    engine.own_work_s = 0.7
-    assert [(load.lifetime, load.work_ms) for load in fleet.list_loads()] == [
-        ("p1", 700)
+    engine.own_work_s[1] = 0.7
+    assert [(load.lifetime, load.work_ms) for load in fleet.list_loads(0.0)] == [
+        ("p1", [0, 700, 0, 0, 0, 0])
     ]
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,20 +15,22 @@
 
 
 def test_a_datagram_comes_back_as_it_was_and_stays_small():
-    loads = [Load(f"i-{number:010x}", 12, 14_000, 3) for number in range(6)]
+    loads = [
+        Load(f"i-{number:010x}", 12, [0, 14, 120, 0, 0, 30], 3) for number in range(6)
+    ]
     parts = [("5c1e07a2", 2520), ("91bd3f06", 3780), ("e4402b7d", 2890)]
     digest = Digest(
         "front-amman-a-1",
         1796223803.41,
         123_456,
         loads,
-        [Placement("i-0000000001", parts, 2890)],
+        [Placement("i-0000000001", parts, 2890, 2)],
         {"huvo11a": 463_102.0},
         [("i-0000000002", "prefill")],
     )
     data = encode(digest)
     assert decode(data) == digest
-    assert len(data) < 300
+    assert len(data) < 400
 
 
 class Sink:
@@ -55,7 +57,7 @@
     link = make_link(peers)
     assert not link.may_tell(10.0)
     peers.addresses = {f"g{n}": HostPort("127.0.0.1", n) for n in range(1, 41)}
-    news = News([Load("i1", 1, 10)], [])
+    news = News([Load("i1", 1, [0, 10, 0, 0, 0, 0])], [])
     assert link.tell(10.0, news)
     assert not link.may_tell(10.0 + find_interval(40) * 0.9)
     assert link.tell(10.0 + find_interval(40) * 1.01, news)
@@ -84,7 +86,7 @@
     peers = Peers("g1", 0.0, {"g2": HostPort("127.0.0.1", 1)})
     link, sink = make_link(peers), Sink()
     link.connection_made(sink)
-    news = News([Load("i1", 1, 10)], [], learnt=teacher.list_learnt())
+    news = News([Load("i1", 1, [0, 10, 0, 0, 0, 0])], [], learnt=teacher.list_learnt())
     for step in range(5):
         link.tell(10.0 + step * 0.1, news)
     assert [len(digest.learnt) for digest in sink.told] == [1, 0, 0, 1, 0]
