Plan by what engines really take to begin an answer

Cause: plans added 2 ms a request in flight to the first event, a figure of other fleets; quick answers began after 0.57 of what was planned.

Change: the time from the end of a reading apart to the first event is learnt by service; requests in flight only weigh in the choice.

--- a/src/robinspindle/core/lengths.py
+++ b/src/robinspindle/core/lengths.py
@@ -14,6 +14,10 @@
 FIRST_EVENT_S = 0.05
 """What an event is believed to take before any was seen, seconds."""
 
+FIRST_BEGIN_S = 0.01
+"""What an answer is believed to take to begin after its prompt was read apart, before any
+did, seconds: one more call and the fetch of about a gigabyte."""
+
 EVENT_SMOOTHING = 0.05
 LENGTH_SMOOTHING = 0.05
 """Weight of the newest answer, and of the newest guess: about the last twenty count."""
@@ -25,10 +29,12 @@
 
     Attributes:
         event_s: Seconds from one event to the next, by service.
+        begin_s: Seconds from the end of a reading apart to the first event, by service.
         events: Events that an answer is expected to hold, by route.
     """
 
     event_s: dict[str, float] = field(default_factory=dict)
+    begin_s: dict[str, float] = field(default_factory=dict)
     events: dict[str, float] = field(default_factory=dict)
 
     def note_expected(self, route: str, events: float) -> None:
@@ -44,6 +50,15 @@
         taken = seconds / (events - 1)
         self.event_s[service] = known + EVENT_SMOOTHING * (taken - known)
 
+    def note_begun(self, service: str, seconds: float) -> None:
+        """Take note of how long an answer took to begin after its prompt was read."""
+        known = self.find_begin_s(service)
+        self.begin_s[service] = known + EVENT_SMOOTHING * (seconds - known)
+
+    def find_begin_s(self, service: str) -> float:
+        """Find how long an answer takes to begin after a reading apart, seconds."""
+        return self.begin_s.get(service, FIRST_BEGIN_S)
+
     def is_long(self, route: str, service: str) -> bool:
         """Whether answers of a route are expected to be long."""
         event_s = self.event_s.get(service, FIRST_EVENT_S)
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -30,17 +30,14 @@
 """By how much costs are varied at random, as a share of the age of what is known. Of 0,
 0.4, 1 and 2 the last two serve most where 22 gateways tell each other every 0.1 s."""
 
-FETCH_S = 0.008
-"""Seconds that reading apart adds: one more call and the fetch of about a gigabyte."""
-
 FAR_S = 0.010
 """Seconds that another availability zone counts for: a round trip of about 3 ms, and
 bytes whose price is about that of reading 2,000 shared tokens again. Of 4, 10 and 20 ms
 the second was best on two of three days, by less than the noise of one run."""
 
 SLOT_S = 0.002
-"""Seconds that each request in flight counts for at a generating engine: its share of
-the steps that it slows down."""
+"""Seconds that each request in flight counts for at a generating engine, so that answers
+are spread: its share of the steps that it slows down."""
 
 HOST_SHARE = 0.3
 """Share of its slots that long answers may fill before the next engine hosts them."""
@@ -110,6 +107,7 @@
         is_long: Whether the answer is expected to be long.
         gap_s: The longest pause that long answers beside it may have, seconds.
         zone: The entry's availability zone.
+        begin_s: Seconds from the end of a reading apart to the first event.
         move_s: Seconds that a token takes from engine to engine within an availability
             zone; None where that is not known.
         age_s: How old what the other entries told may be, seconds.
@@ -124,6 +122,7 @@
     zone: str
     rank: int = 0
     is_long: bool = False
+    begin_s: float = 0.0
     move_s: float | None = None
     age_s: float = 0.0
     rng: random.Random | None = None
@@ -252,8 +251,9 @@
     target, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
     requests = target.in_flight + engine.others_in_flight
-    after_s = requests * SLOT_S + _weigh_place(target, at.zone)
-    return _make_plan(target, None, engine, reading, after_s, at, is_late)
+    after_s = _weigh_place(target, at.zone)
+    spread_s = requests * SLOT_S
+    return _make_plan(target, None, engine, reading, after_s, spread_s, at, is_late)
 
 
 def _plan_apart(
@@ -267,10 +267,10 @@
     """Plan to read a prompt at one engine and to generate its answer at the host."""
     reader, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
+    after_s = _weigh_place(reader, at.zone) + at.begin_s
     # The host reads other prompts meanwhile, but lets a fetched one in between.
-    end_s = min(_weigh_target(host, at.zone), MOST_END_S)
-    after_s = _weigh_place(reader, at.zone) + FETCH_S + end_s
-    return _make_plan(host[0], reader, engine, reading, after_s, at, is_late)
+    spread_s = min(_weigh_target(host, at.zone), MOST_END_S)
+    return _make_plan(host[0], reader, engine, reading, after_s, spread_s, at, is_late)
 
 
 def _make_plan(
@@ -279,6 +279,7 @@
     engine: Engine,
     reading: Reading,
     after_s: float,
+    spread_s: float,
     at: Situation,
     is_late: bool,
 ) -> Plan:
@@ -290,6 +291,7 @@
         engine: The engine that reads.
         reading: How it reads.
         after_s: What comes after the reading, seconds.
+        spread_s: What the host's requests count for, seconds.
         at: What else the plan depends on.
         is_late: Whether it can't be in time.
     """
@@ -305,7 +307,7 @@
         reading_s=reading.reading_s,
         wait_s=wait_s,
         first_s=first_s,
-        cost_s=first_s - wait_s + held_up_s + reading.weight_s,
+        cost_s=first_s - wait_s + held_up_s + spread_s + reading.weight_s,
         missing_share=reading.missing_share,
         holder=reading.holder,
         fetch_s=reading.seconds - reading.reading_s,
--- a/src/robinspindle/core/rebalance.py
+++ b/src/robinspindle/core/rebalance.py
@@ -44,7 +44,9 @@
 changes cost."""
 
 BATCH_SHARE = 1 / 8
-"""Share of the engines that may change at a time."""
+OVERLOAD_BATCH_SHARE = 1 / 4
+"""Shares of the engines that may change at a time: usually, and where readers are asked
+for more than they can do."""
 
 
 @dataclass
@@ -111,9 +113,13 @@
         return None
     readers = [pair for pair in engines if pair[1].reads_only]
     hosts = [pair for pair in engines if not pair[1].reads_only]
-    if not readers or not hosts:
+    if not hosts and len(readers) > 1:
+        return Change(GENERATING, _take(readers, 1))
+    if not hosts:
         return None
-    batch = max(1, int(len(engines) * BATCH_SHARE))
+    is_overload = read_rate > len(readers)
+    share = OVERLOAD_BATCH_SHARE if is_overload else BATCH_SHARE
+    batch = max(1, int(len(engines) * share))
     wanted = _count_more_readers(readers, hosts, read_rate)
     if wanted > 0 and _may_turn(history, READING, now):
         ranked = sorted(hosts, key=lambda pair: pair[1].long_answers)
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -160,7 +160,7 @@
             "roles change",
             service=service,
             role=change.role,
-            read_rate=round(rate),
+            read_rate=round(rate, 2),
             targets=[target.announced.lifetime for target in change.targets],
             fence=claim.fence,
         )
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -214,6 +214,7 @@
             zone=self._means.zone,
             rank=passage.route.priority,
             is_long=passage.is_long,
+            begin_s=self._means.lengths.find_begin_s(passage.service),
             move_s=self._means.fleet.find_move_s(passage.service),
             age_s=find_interval(len(self._means.peers.addresses)),
             rng=self._rng,
@@ -308,10 +309,16 @@
                 head = await exchange.read_head()
                 passage.first_at = means.clock()
                 targets.note_heard(target, passage.first_at)
+                self._note_begun(passage, sending)
                 sending.on_first()
                 answer = Answer(target, head, exchange, connection, expected)
                 return await self._take_answer(passage, answer)
 
+    def _note_begun(self, passage: Passage, sending: Sending) -> None:
+        if sending.source is not None and passage.read_at is not None:
+            seconds = passage.first_at - passage.read_at
+            self._means.lengths.note_begun(passage.service, seconds)
+
     def _expect_answer(self, passage: Passage, exchange: Exchange) -> Expectation:
         """Expect the first of an answer; leave a silent target if that is allowed."""
 
