Tell who starts what caches hold; rest longer from who turns requests away

Cause: a gateway that starts believed all caches to be empty and had shared parts read again; after a stop of all gateways nobody knew them. An engine that changed its role turned 104 sendings away within 2 s, and callers were refused for want of a repeat.

Change: core/sharing.py and peers.py: two peers tell a newcomer one cache a datagram; cachelists.py: the first gateway asks engines where nobody knows; a target's rest doubles with each request that it turns away. `robinspindle losses` puts each attempt that was not served in time down to a reason, by route and by two seconds.

--- a/benches/compare.py
+++ b/benches/compare.py
@@ -24,6 +24,7 @@
 from benches.pairs import Difference, Play, compare_plays, judge
 
 SEEDS = Path(__file__).with_name("seeds.ini")
+PACKAGES = ROOT / "target" / "deps"
 WORKING_TREE = "."
 PLAY_TIMEOUT_S = 600
 """Longest time for one play, seconds: most take 10 to 60."""
@@ -156,9 +157,18 @@
         folder.parent.mkdir(parents=True, exist_ok=True)
         _git("clone", "--quiet", "--shared", "--no-checkout", str(ROOT), str(folder))
         _git("-C", str(folder), "checkout", "--quiet", "--detach", commit)
+        _copy_packages(folder)
     return Tree(name, commit, folder)
 
 
+def _copy_packages(folder: Path) -> None:
+    """Copy installed packages, which a build would otherwise install again."""
+    if PACKAGES.exists():
+        shutil.copytree(PACKAGES, folder / "target" / "deps")
+        # Packages older than the list of them are installed anew.
+        (folder / "target" / "deps").touch()
+
+
 def _commit_working_tree() -> str:
     """Make a commit of the working tree that no branch names."""
     with tempfile.TemporaryDirectory() as folder:
--- /dev/null
+++ b/src/robinspindle/cachelists.py
@@ -0,0 +1,101 @@
+"""Regains what engines' caches hold after a start, from peers or else from engines.
+
+A gateway that starts believes all caches to be empty and would have every shared part
+read again. Peers that know better tell it, one engine a datagram. Where none does, as
+all gateways were gone at once, the first of them asks each engine for its list and
+tells the others.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.forwarding import Part
+from robinspindle.core.targets import Target
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.fleet import Fleet
+from robinspindle.httpclient import ConnectionBrokenError, Exchange, borrow
+from robinspindle.logs import Log
+from robinspindle.peers import Peers
+
+PEERS_FIRST_S = 0.4
+"""How long peers are waited for before engines are asked, seconds: with 23 gateways and
+21 engines the lists come within 1.2 s, the first of them after 0.06 s."""
+
+ASK_TIMEOUT_S = 0.5
+"""Longest wait for an engine's list, seconds."""
+
+LIST_READ = 200
+"""The one status that says that a list follows."""
+
+
+class ListDialect(Protocol):
+    """How lists of what a cache holds are asked for."""
+
+    def encode_list_call(self, address: str) -> bytes:
+        """Write a call for the list."""
+
+    def decode_list(self, body: bytes) -> list[Part]:
+        """Read the list."""
+
+
+class CacheLists:
+    """Asks engines for what they hold, once after a start."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        peers: Peers,
+        dialect: ListDialect,
+        clock: Callable[[], float],
+        log: Log,
+    ):
+        self._fleet = fleet
+        self._peers = peers
+        self._dialect = dialect
+        self._clock = clock
+        self._log = log
+
+    async def regain(self) -> None:
+        """Wait for peers to tell, then ask for what nobody told, and tell it on."""
+        while not self._fleet.directory.known:
+            await asyncio.sleep(PEERS_FIRST_S)
+        await asyncio.sleep(PEERS_FIRST_S)
+        if self._peers.name != min((self._peers.name, *self._peers.views)):
+            return
+        unknown = [
+            (target, engine)
+            for target, engine in self._fleet.list_all_engines()
+            if not engine.cached
+        ]
+        await asyncio.gather(*(self._ask(*pair) for pair in unknown))
+        known = [t.announced.lifetime for t, engine in unknown if engine.cached]
+        for peer in self._peers.views:
+            self._peers.untold_caches[peer] = list(known)
+
+    async def _ask(self, target: Target, engine: Engine) -> None:
+        lifetime = target.announced.lifetime
+        try:
+            parts = await self._fetch(target)
+        except (ConnectionBrokenError, TimeoutError, BadDocumentError) as error:
+            # The belief stays empty; placements fill it.
+            self._log("cache not listed", target=lifetime, error=str(error))
+            return
+        note_placed(engine, parts)
+        self._log("cache listed", target=lifetime, parts=len(parts))
+
+    async def _fetch(self, target: Target) -> list[Part]:
+        pool = self._fleet.find_pool(target)
+        async with (
+            asyncio.timeout(ASK_TIMEOUT_S),
+            borrow(pool, self._clock, ASK_TIMEOUT_S) as connection,
+        ):
+            exchange = Exchange("")
+            address = target.announced.address
+            connection.send(exchange, self._dialect.encode_list_call(address))
+            head = await exchange.read_head()
+            body = await exchange.read_body()
+        if head.status != LIST_READ:
+            raise BadDocumentError(f"status {head.status}")
+        return self._dialect.decode_list(body)
--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -184,6 +184,11 @@
     explain.add_argument("request", help="the request's id")
     explain.add_argument("file", nargs="*", help="log files; standard input for none")
     explain.set_defaults(run=commands.explain)
+    text = "tell from gateways' logs what was lost to which reason"
+    losses = verbs.add_parser("losses", help=text, description=text)
+    losses.add_argument("file", nargs="*", help="log files; standard input for none")
+    losses.add_argument("--json", action="store_true", help="print JSON for programs")
+    losses.set_defaults(run=commands.count_lost)
 
 
 def _add_client_options(verb: argparse.ArgumentParser) -> None:
--- a/src/robinspindle/commands.py
+++ b/src/robinspindle/commands.py
@@ -28,6 +28,8 @@
     make_bearer_key,
     make_fleet_key,
 )
+from robinspindle.losses import count_losses
+from robinspindle.losstables import describe_losses, format_losses
 from robinspindle.platform.settings import read_gateway_settings
 from robinspindle.settings import KINDS, OperatorSettings, read_settings
 from robinspindle.tables import format_burn, format_table
@@ -81,16 +83,28 @@
 
 def explain(args: argparse.Namespace) -> int:
     """Tell a request's story; 4 when the logs don't name it."""
-    texts: list[str] = []
-    for path in args.file:
-        texts += Path(path).read_text(errors="replace").splitlines()
-    if not args.file:
-        texts = sys.stdin.read().splitlines()
-    story = tell_story(args.request, read_lines(texts))
+    story = tell_story(args.request, read_lines(_read_texts(args.file)))
     print(format_story(story))
     return 0 if story.lines else 4
 
 
+def count_lost(args: argparse.Namespace) -> int:
+    """Tell what was lost to which reason; 4 when the logs tell of no attempt."""
+    losses = count_losses(read_lines(_read_texts(args.file)))
+    print_value(args, describe_losses(losses), format_losses(losses))
+    return 0 if losses.attempts else 4
+
+
+def _read_texts(paths: list[str]) -> list[str]:
+    """Read the lines of log files, of standard input where none is named."""
+    if not paths:
+        return sys.stdin.read().splitlines()
+    texts: list[str] = []
+    for path in paths:
+        texts += Path(path).read_text(errors="replace").splitlines()
+    return texts
+
+
 def publish_config(args: argparse.Namespace) -> int:
     """Publish a configuration document."""
     text = Path(args.file).read_text()
--- a/src/robinspindle/core/lengths.py
+++ b/src/robinspindle/core/lengths.py
@@ -15,8 +15,8 @@
 """What an event is believed to take before any was seen, seconds."""
 
 FIRST_BEGIN_S = 0.01
-"""What an answer is believed to take to begin after its prompt was read apart, before any
-did, seconds: one more call and the fetch of about a gigabyte."""
+"""What an answer is believed to take to begin after its prompt was read apart, before
+any did, seconds: one more call and the fetch of about a gigabyte."""
 
 EVENT_SMOOTHING = 0.05
 LENGTH_SMOOTHING = 0.05
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -36,8 +36,8 @@
 the second was best on two of three days, by less than the noise of one run."""
 
 SLOT_S = 0.002
-"""Seconds that each request in flight counts for at a generating engine, so that answers
-are spread: its share of the steps that it slows down."""
+"""Seconds that each request in flight counts for at a generating engine, so that
+answers are spread: its share of the steps that it slows down."""
 
 HOST_SHARE = 0.3
 """Share of its slots that long answers may fill before the next engine hosts them."""
--- a/src/robinspindle/core/rebalance.py
+++ b/src/robinspindle/core/rebalance.py
@@ -44,9 +44,7 @@
 changes cost."""
 
 BATCH_SHARE = 1 / 8
-OVERLOAD_BATCH_SHARE = 1 / 4
-"""Shares of the engines that may change at a time: usually, and where readers are asked
-for more than they can do."""
+"""Share of the engines that may change at a time."""
 
 
 @dataclass
@@ -114,12 +112,11 @@
     readers = [pair for pair in engines if pair[1].reads_only]
     hosts = [pair for pair in engines if not pair[1].reads_only]
     if not hosts and len(readers) > 1:
+        # Without an engine that generates nothing is answered at all.
         return Change(GENERATING, _take(readers, 1))
-    if not hosts:
+    if not readers or not hosts:
         return None
-    is_overload = read_rate > len(readers)
-    share = OVERLOAD_BATCH_SHARE if is_overload else BATCH_SHARE
-    batch = max(1, int(len(engines) * share))
+    batch = max(1, int(len(engines) * BATCH_SHARE))
     wanted = _count_more_readers(readers, hosts, read_rate)
     if wanted > 0 and _may_turn(history, READING, now):
         ranked = sorted(hosts, key=lambda pair: pair[1].long_answers)
--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -4,7 +4,7 @@
 are told once, and a belief about a cache is allowed to be a little wrong.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -26,6 +26,11 @@
 """Stands for a target that was not heard yet, milliseconds."""
 
 
+TEACHERS = 2
+"""Entries that tell a newcomer what caches hold: one more than is needed, as datagrams
+are lost and the first may have just started itself."""
+
+
 class Load(msgspec.Struct, array_like=True):
     """What one entry has under way at one target.
 
@@ -74,6 +79,18 @@
     sums: Sums
 
 
+class Cache(msgspec.Struct, array_like=True):
+    """What one engine's cache is believed to hold.
+
+    Attributes:
+        lifetime: The engine's lifetime.
+        parts: Ids and tokens, the least recently used first.
+    """
+
+    lifetime: str
+    parts: list[tuple[str, int]]
+
+
 class Digest(msgspec.Struct, array_like=True):
     """One datagram.
 
@@ -88,6 +105,7 @@
         switching: Engines that it ordered lately, with the role that they take.
         learnt: What it has learnt of paces; empty for nothing new.
         silent: Targets that it lately found silent.
+        caches: What caches hold, for a peer that has just started.
     """
 
     sender: str
@@ -99,6 +117,7 @@
     switching: list[tuple[str, str]] = []
     learnt: list[Learnt] = []
     silent: list[str] = []
+    caches: list[Cache] = []
 
 
 @dataclass
@@ -149,6 +168,12 @@
     return True
 
 
+def is_teacher(name: str, others: Iterable[str], newcomer: str) -> bool:
+    """Whether an entry is one of those that tell a newcomer what caches hold."""
+    heard = sorted({name, *others} - {newcomer})
+    return name in heard[:TEACHERS]
+
+
 def forget_silent(
     peers: dict[str, PeerView], now: float, find: FindEngine
 ) -> list[str]:
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -27,6 +27,13 @@
 """How long an engine may take beyond a change of role itself, seconds: the longest
 answers that it has to end first."""
 
+FULL_REST_S = 0.05
+MOST_FULL_REST_S = 1.0
+"""First and longest rest of a target that turned a request away, seconds: about the
+time in which a few of its requests end, doubled for each one that it turns away in a
+row. An engine that changes its role turns all away for seconds; with rests of 0.05 s
+alone 104 sendings met one, and callers were refused for want of a repeat."""
+
 COLD_FACTOR = 1.6
 """How much slower a target is taken to be soon after its start: what the platform's
 site files say of the plain services that have such a time."""
@@ -78,6 +85,7 @@
         switching_until: Until when it may be away for that, steady seconds.
         cold_until: Until when it is slow from its start, steady seconds.
         hearing: What is heard of it.
+        refusals: Requests that it turned away since its last answer.
     """
 
     announced: Announcement
@@ -92,6 +100,7 @@
     switching_until: float = 0.0
     cold_until: float = 0.0
     hearing: Hearing = field(default_factory=Hearing)
+    refusals: int = 0
 
 
 @dataclass
@@ -288,6 +297,7 @@
 def note_answered(target: Target) -> None:
     """Take note of a whole answer."""
     target.failures = 0
+    target.refusals = 0
     target.rested_until = 0.0
 
 
@@ -296,6 +306,8 @@
     target.faults += FAULT_SMOOTHING * ((1.0 if faulty else 0.0) - target.faults)
 
 
-def note_full(target: Target, now: float, rest_s: float) -> None:
-    """Take note that a target turned a request away."""
+def note_full(target: Target, now: float) -> None:
+    """Take note that a target turned a request away; it rests, longer each time."""
+    rest_s = min(MOST_FULL_REST_S, FULL_REST_S * 2**target.refusals)
+    target.refusals += 1
     target.full_until = max(target.full_until, now + rest_s)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,10 +1,11 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
 from robinspindle.core import paces, silence, targets
-from robinspindle.core.engines import Engine, make_engine
+from robinspindle.core.engines import Engine, make_engine, note_placed
+from robinspindle.core.forwarding import Part
 from robinspindle.core.paces import Pace
 from robinspindle.core.routes import EngineShape, RouteTable
-from robinspindle.core.sharing import NEVER_HEARD_MS, Learnt, Load
+from robinspindle.core.sharing import NEVER_HEARD_MS, Cache, Learnt, Load
 from robinspindle.core.targets import Directory, Target
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionPool, DecodeHead
@@ -34,6 +35,11 @@
 anyone may be about to notice."""
 
 
+MOST_TOLD_PARTS = 1000
+"""Parts of one cache that are told, the most recently used: 20 KB, so that a datagram
+stays far below 64 KB."""
+
+
 class Fleet:
     """All targets of a gateway.
 
@@ -51,6 +57,7 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._engines: dict[str, Engine] = {}
         self._paces: dict[tuple[str, bool], Pace] = {}
+        self._told_caches: dict[str, list[Part]] = {}
 
     def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
         """List the targets of a service that may get a request."""
@@ -74,6 +81,7 @@
                 self.find_pace(announced.service, reads_only),
             )
             self._engines[announced.lifetime] = engine
+            note_placed(engine, self._told_caches.pop(announced.lifetime, ()))
         if engine.reads_only != reads_only:
             engine.reads_only = reads_only
             engine.pace = self.find_pace(announced.service, reads_only)
@@ -119,6 +127,35 @@
             if lifetime in known and _is_news(known[lifetime], engine, now)
         ]
 
+    def list_all_engines(self) -> list[tuple[Target, Engine]]:
+        """List all engines that may get work, whatever their health."""
+        found = [t for t in self.directory.targets.values() if t.announced.role]
+        return [(target, self.find_engine(target)) for target in found]
+
+    def list_known_caches(self) -> list[str]:
+        """List the engines of whose caches something is known."""
+        return [lifetime for lifetime, e in self._engines.items() if e.cached]
+
+    def describe_cache(self, lifetime: str) -> Cache | None:
+        """Describe what an engine's cache is believed to hold."""
+        engine = self._engines.get(lifetime)
+        if engine is None:
+            return None
+        parts = list(engine.cached.items())[-MOST_TOLD_PARTS:]
+        return Cache(lifetime, parts)
+
+    def note_told_cache(self, cache: Cache) -> None:
+        """Take note of what a peer believes a cache to hold, if nothing is known of it.
+
+        The engine's entry may not have been read yet.
+        """
+        parts = [Part(*part) for part in cache.parts]
+        engine = self.find_engine_of(cache.lifetime)
+        if engine is None:
+            self._told_caches[cache.lifetime] = parts
+        elif not engine.cached:
+            note_placed(engine, parts)
+
     def note_heard_by_peer(self, loads: list[Load], now: float) -> None:
         """Take note of what a peer heard of engines that only read.
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -14,6 +14,7 @@
 from robinspindle.adapters import Adapter
 from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
+from robinspindle.cachelists import CacheLists
 from robinspindle.core import budgets, targets
 from robinspindle.core.authority import Authority
 from robinspindle.core.forwarding import Refusal
@@ -111,6 +112,9 @@
         self.relay = self._make_relay(adapter)
         self._link = self._make_peer_link()
         self.orderer = self._make_orderer(adapter)
+        self._cache_lists = CacheLists(
+            self.fleet, self.peers, adapter.dialect, self._clock, make_log("caches")
+        )
         limits = Limits()
         self._beliefs = self._make_beliefs(adapter, limits)
         self._callers = CallerServer(self._handle, limits, self._clock)
@@ -204,6 +208,9 @@
         ]
         for task in self._tasks:
             task.add_done_callback(self._end_on_failure)
+        regain = loop.create_task(self._cache_lists.regain())
+        regain.add_done_callback(self._end_on_failure)
+        self._tasks.append(regain)
 
     def _end_on_failure(self, task: asyncio.Task) -> None:
         """End the process when a task that must go on has failed; it is restarted."""
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -10,7 +10,7 @@
 from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
 from robinspindle.core.lengths import Lengths
 from robinspindle.core.reading import Plan
-from robinspindle.core.routes import Route
+from robinspindle.core.routes import STREAM, Route
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.logs import Log
@@ -93,6 +93,11 @@
     first_at: float | None = None
     longest_pause_s: float = 0.0
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether its answer is a stream."""
+        return self.route.kind == STREAM
+
 
 @dataclass(frozen=True)
 class Means:
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -10,6 +10,7 @@
 
 from robinspindle.core.sharing import (
     MOST_PLACEMENTS,
+    Cache,
     Digest,
     FindEngine,
     Learnt,
@@ -17,6 +18,7 @@
     PeerView,
     Placement,
     forget_silent,
+    is_teacher,
     take_digest,
 )
 from robinspindle.core.targets import Target
@@ -60,6 +62,7 @@
         number: Number of the next datagram.
         sent_at: When the last was sent, steady seconds.
         learnt_told_at: When paces were last told, steady seconds.
+        untold_caches: Engines whose caches are still to be told to a peer, by its name.
     """
 
     name: str
@@ -69,6 +72,7 @@
     number: int = 0
     sent_at: float = 0.0
     learnt_told_at: float = -LEARNT_INTERVAL_S
+    untold_caches: dict[str, list[str]] = field(default_factory=dict)
 
 
 def find_oldest_s(peers: Peers, now: float) -> float:
@@ -100,6 +104,15 @@
     def note_heard_by_peer(self, loads: list[Load], now: float) -> None:
         """Take note of what a peer heard of engines."""
 
+    def list_known_caches(self) -> list[str]:
+        """List the engines of whose caches something is known."""
+
+    def describe_cache(self, lifetime: str) -> Cache | None:
+        """Describe what an engine's cache is believed to hold."""
+
+    def note_told_cache(self, cache: Cache) -> None:
+        """Take note of what a peer believes a cache to hold."""
+
     def note_told_silent(self, lifetimes: list[str], now: float) -> list[Target]:
         """Take note of targets that a peer found silent; return those believed."""
 
@@ -149,11 +162,14 @@
         except msgspec.MsgspecError as error:
             self._log("datagram can't be read", sender=str(addr), error=str(error))
             return
-        is_new = digest.sender not in self._peers.views
+        view = self._peers.views.get(digest.sender)
+        is_new = view is None or view.started != digest.started
         now = self._clock()
         take_digest(self._peers.views, digest, now, self._find)
         self._fleet.note_learnt(digest.sender, digest.learnt)
         self._fleet.note_heard_by_peer(digest.loads, now)
+        for cache in digest.caches:
+            self._fleet.note_told_cache(cache)
         for target in self._fleet.note_told_silent(digest.silent, now):
             name = target.announced.lifetime
             self._log("target is silent for a peer", target=name, peer=digest.sender)
@@ -161,6 +177,12 @@
             self._note_switching(lifetime, role)
         if is_new:
             self._log("peer heard", peer=digest.sender)
+            self._plan_teaching(digest.sender)
+
+    def _plan_teaching(self, newcomer: str) -> None:
+        peers = self._peers
+        if is_teacher(peers.name, peers.views, newcomer):
+            peers.untold_caches[newcomer] = self._fleet.list_known_caches()
 
     def error_received(self, exc: Exception) -> None:
         """Pass over errors: a peer that is gone is noticed by its silence."""
@@ -178,8 +200,9 @@
             Whether the placements have been told.
         """
         peers = self._peers
+        is_teaching = any(peers.untold_caches.values())
         is_empty = not (news.loads or news.placements or news.switching or news.silent)
-        least_s = MOST_INTERVAL_S if is_empty else 0.0
+        least_s = MOST_INTERVAL_S if is_empty and not is_teaching else 0.0
         if not self.may_tell(now) or now - peers.sent_at < least_s:
             return False
         peers.sent_at = now
@@ -198,12 +221,22 @@
         if digest.learnt:
             peers.learnt_told_at = now
         data = encode(digest)
-        for address in peers.addresses.values():
-            self._transport.sendto(data, (address.host, address.port))
+        for name, address in peers.addresses.items():
+            own = (
+                self._add_cache(name, digest) if peers.untold_caches.get(name) else data
+            )
+            self._transport.sendto(own, (address.host, address.port))
         return True
 
+    def _add_cache(self, peer: str, digest: Digest) -> bytes:
+        """Add what one cache holds to a datagram for a peer that has just started."""
+        lifetime = self._peers.untold_caches[peer].pop()
+        cache = self._fleet.describe_cache(lifetime)
+        return encode(msgspec.structs.replace(digest, caches=[cache] if cache else []))
+
     def forget_silent(self, now: float) -> None:
         """Forget the load of peers that fell silent."""
         for name in forget_silent(self._peers.views, now, self._find):
             self._fleet.forget_learnt(name)
+            self._peers.untold_caches.pop(name, None)
             self._log("peer silent", peer=name)
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -146,6 +146,29 @@
     ).encode()
 
 
+def encode_list_call(address: str) -> bytes:
+    """Write a call for what an engine's cache holds."""
+    return f"GET /kv-list HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+
+
+class _List(msgspec.Struct):
+    # Rows of a text that is empty, a part's id, its tokens, and the model.
+    held: list[tuple[str, str, int, str]]
+
+
+def decode_list(body: bytes) -> list[Part]:
+    """Decode what an engine's cache holds.
+
+    Raises:
+        BadDocumentError: When it can't be read.
+    """
+    try:
+        rows = msgspec.json.decode(body, type=_List).held
+    except msgspec.MsgspecError as error:
+        raise BadDocumentError(str(error)) from None
+    return [Part(id, tokens) for _, id, tokens, _ in rows]
+
+
 def add_body(request: Request, body: bytes) -> Request:
     """Add the whole body to a decoded request."""
     return replace(request, body=body)
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -16,10 +16,6 @@
 """Longest wait for a new connection to a target, seconds: many round trips, and a
 part of the shortest aim that leaves time for another target."""
 
-FULL_REST_S = 0.05
-"""How long a target that turned a request away is passed over, seconds: about the
-time in which a few of its requests end."""
-
 LEAST_URGENCY = 9
 """The least urgent that a target is told of; a route's priority may lie beyond it."""
 
@@ -96,7 +92,7 @@
     if head.answered_by not in ("", target.announced.lifetime):
         target.replaced = True
     else:
-        targets.note_full(target, now, FULL_REST_S)
+        targets.note_full(target, now)
 
 
 def note_broken(target: Target, error: ConnectionBrokenError, now: float) -> None:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -20,6 +20,8 @@
         orders: Orders that were given.
         freed: Handles that were freed.
         closed: Ids of requests whose connection closed before their end.
+        held: Parts that its cache holds, by id, with their tokens.
+        lists: How often it was asked for them.
     """
 
     def __init__(self, lifetime: str, service: str, role: str = "", events: int = 3):
@@ -32,6 +34,8 @@
         self.orders: list[RawRequest] = []
         self.freed: list[str] = []
         self.closed: list[str] = []
+        self.held: dict[str, int] = {}
+        self.lists = 0
         self.gate = asyncio.Event()
         self.server = RawServer(self._answer)
 
@@ -56,6 +60,12 @@
             self.freed.append(request.target.rpartition("/")[2])
             write_answer(writer, 200)
             return True
+        if request.target == "/kv-list":
+            self.lists += 1
+            rows = [["", id, tokens, "m"] for id, tokens in self.held.items()]
+            body = {"epoch": "1", "NextPageToken": 7, "held": rows}
+            write_answer(writer, 200, json.dumps(body).encode())
+            return True
         if request.target == "/order":
             self.orders.append(request)
             write_answer(writer, 202)
--- a/tests/core/test_rebalance.py
+++ b/tests/core/test_rebalance.py
@@ -89,3 +89,9 @@
     assert read_demand(demand, 10.0) == pytest.approx(0.5, rel=0.05)
     later = read_demand(demand, 10.0 + 10 * rebalance.DEMAND_S)
     assert later < 1e-4
+
+
+def test_where_no_engine_generates_a_reader_begins_to():
+    change = decide(make_fleet(3, 0), 2.0)
+    assert (change.role, len(change.targets)) == (GENERATING, 1)
+    assert decide(make_fleet(1, 0), 2.0) is None
--- a/tests/core/test_sharing.py
+++ b/tests/core/test_sharing.py
@@ -5,6 +5,7 @@
     Load,
     Placement,
     forget_silent,
+    is_teacher,
     take_digest,
 )
 
@@ -51,3 +52,13 @@
     assert forget_silent(peers, SILENCE_S, engines.get) == []
     assert forget_silent(peers, SILENCE_S + 0.1, engines.get) == ["g2"]
     assert engines["e1"].work_s == 0
+
+
+def test_the_first_two_tell_a_newcomer_what_caches_hold():
+    names = ["g1", "g2", "g3", "g4"]
+    teachers = [
+        name
+        for name in names
+        if is_teacher(name, [other for other in names if other != name], "g1")
+    ]
+    assert teachers == ["g2", "g3"]
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -85,7 +85,7 @@
     directory = Directory()
     announce(directory, "i1")
     announce(directory, "i2")
-    targets.note_full(directory.targets["i1"], 0.0, 0.05)
+    targets.note_full(directory.targets["i1"], 0.0)
     assert usable(directory, 0.01) == ["i2"]
     assert usable(directory, 0.06) == ["i1", "i2"]
 
@@ -118,3 +118,19 @@
     assert targets.find_slowness(target, 12.0) == 1.0
     announce(directory, now=11.0, cold_s=0.2)
     assert targets.find_slowness(target, 11.3) == 1.0
+
+
+def test_a_target_that_turns_requests_away_rests_longer_each_time():
+    directory = Directory()
+    announce(directory)
+    target = directory.targets["i1"]
+    rests = []
+    for _ in range(8):
+        targets.note_full(target, 0.0)
+        rests.append(target.full_until)
+    assert rests[0] == targets.FULL_REST_S
+    assert rests == sorted(rests)
+    assert rests[-1] == targets.MOST_FULL_REST_S
+    targets.note_answered(target)
+    targets.note_full(target, 10.0)
+    assert target.full_until == 10.0 + targets.FULL_REST_S
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,8 @@
+from robinspindle.core.engines import note_placed
+from robinspindle.core.forwarding import Part
 from robinspindle.core.paces import Measured, estimate_seconds, note_measured
 from robinspindle.core.sharing import Digest, Load, PeerView, Placement
-from robinspindle.core.targets import Directory
+from robinspindle.core.targets import Announcement, Directory, note_announced
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.peers import (
@@ -45,6 +47,10 @@
         self.told.append(decode(data))
 
 
+def pass_over(*words, **fields):
+    """Stand for a log."""
+
+
 def make_link(peers):
     fleet = Fleet(Directory(), None)
     link = PeerLink(peers, lambda _: None, lambda *_: None, fleet, lambda: 0.0, print)
@@ -95,3 +101,34 @@
     assert estimate_seconds(learner.find_pace("lm", True), 3000, 0) > 2 * usual_s
     learner.forget_learnt("g1")
     assert estimate_seconds(learner.find_pace("lm", True), 3000, 0) < 1.01 * usual_s
+
+
+def test_a_newcomer_is_told_what_caches_hold_one_engine_at_a_time():
+    fleet = Fleet(Directory(), None)
+    for lifetime in ("i1", "i2"):
+        announced = Announcement(lifetime, "lm", "x:1", "a", 8, role="prefill")
+        note_announced(fleet.directory, announced, 0.0)
+        note_placed(fleet.find_engine_of(lifetime), [Part("aa", 400)])
+    addresses = {name: HostPort("127.0.0.1", 1) for name in ("g2", "g3")}
+    peers = Peers("g1", 0.0, addresses)
+    link = PeerLink(peers, fleet.find_engine_of, print, fleet, lambda: 0.0, pass_over)
+    sink = Sink()
+    link.connection_made(sink)
+    link.datagram_received(encode(Digest("g2", 1.0, 1, [], [])), None)
+    for step in range(4):
+        link.tell(10.0 + step * 0.1, News([Load("i1", 1, [0, 1, 0, 0, 0, 0])], []))
+    told = [[cache.lifetime for cache in digest.caches] for digest in sink.told]
+    # Datagrams go to g2 and g3 in turn; only the newcomer is taught.
+    assert told == [["i2"], [], ["i1"], [], [], [], [], []]
+
+
+def test_a_peer_that_was_restarted_is_a_newcomer_again():
+    fleet = Fleet(Directory(), None)
+    peers = Peers("g1", 0.0)
+    link = PeerLink(peers, fleet.find_engine_of, print, fleet, lambda: 0.0, pass_over)
+    link.datagram_received(encode(Digest("g2", 1.0, 1, [], [])), None)
+    del peers.untold_caches["g2"]
+    link.datagram_received(encode(Digest("g2", 1.0, 2, [], [])), None)
+    assert "g2" not in peers.untold_caches
+    link.datagram_received(encode(Digest("g2", 2.0, 1, [], [])), None)
+    assert "g2" in peers.untold_caches
