Let each decision about engines be switched off by the settings

Cause: what a mechanism is worth can only be told by playing without it, and an operator in trouble needs to get rid of one without a new version.

Ruled out: one switch for all; flags on the command line (a reload could not change them).

--- a/benches/compare.py
+++ b/benches/compare.py
@@ -2,7 +2,7 @@
 
 Each day is played with both, one right after the other, so that a busy machine hits
 both alike. A revision is anything that git names; ``.`` stands for the working tree as
-it is now.
+it is now. ``REF:name`` switches a decision of the policy off.
 """
 
 import argparse
@@ -25,6 +25,7 @@
 
 SEEDS = Path(__file__).with_name("seeds.ini")
 PACKAGES = ROOT / "target" / "deps"
+POLICY = "deploy/policy.ini"
 WORKING_TREE = "."
 PLAY_TIMEOUT_S = 600
 """Longest time for one play, seconds: most take 10 to 60."""
@@ -151,13 +152,16 @@
 
 
 def _check_out(name: str, trees: Path) -> Tree:
-    commit = _commit_working_tree() if name == WORKING_TREE else _git("rev-parse", name)
-    folder = trees / commit[:12]
+    reference, _, off = name.partition(":")
+    is_working = reference == WORKING_TREE
+    commit = _commit_working_tree() if is_working else _git("rev-parse", reference)
+    folder = trees / f"{commit[:12]}{'-' + off if off else ''}"
     if not folder.exists():
         folder.parent.mkdir(parents=True, exist_ok=True)
         _git("clone", "--quiet", "--shared", "--no-checkout", str(ROOT), str(folder))
         _git("-C", str(folder), "checkout", "--quiet", "--detach", commit)
         _copy_packages(folder)
+        _switch_off(folder / POLICY, off)
     return Tree(name, commit, folder)
 
 
@@ -169,6 +173,16 @@
         (folder / "target" / "deps").touch()
 
 
+def _switch_off(policy: Path, name: str) -> None:
+    """Switch a decision of a checked out policy off; an empty name changes nothing."""
+    if not name:
+        return
+    text = policy.read_text()
+    if f"{name} = on" not in text:
+        raise SystemExit(f"{policy} has no switch {name} that is on")
+    policy.write_text(text.replace(f"{name} = on", f"{name} = off"))
+
+
 def _commit_working_tree() -> str:
     """Make a commit of the working tree that no branch names."""
     with tempfile.TemporaryDirectory() as folder:
--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -5,7 +5,8 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "src"))
 
 from robinspindle.exceptions import InvalidDocumentError  # noqa: E402
 from robinspindle.platform.settings import SETTINGS_VARIABLE  # noqa: E402
@@ -16,9 +17,13 @@
     """Run the gateway; 1 for settings with findings, as the command line does."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--metrics-port", type=int, default=0)
+    parser.add_argument("--policy", default="")
     args = parser.parse_args()
+    settings = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        return start_gateway(os.environ.get(SETTINGS_VARIABLE, ""), args.metrics_port)
+        return start_gateway(
+            settings, args.metrics_port, policy_path=str(ROOT / args.policy)
+        )
     except InvalidDocumentError as error:
         print(error, file=sys.stderr)
         return 1
--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -86,6 +86,9 @@
     gateway.add_argument(
         "--quiet", action="store_true", help="log no lines about success"
     )
+    gateway.add_argument(
+        "--policy", default="", help="INI file that switches decisions on and off"
+    )
     gateway.set_defaults(run=_run_gateway)
 
 
@@ -217,7 +220,7 @@
 def _run_gateway(args: argparse.Namespace) -> int:
     from robinspindle.platform.start import start_gateway
 
-    return start_gateway(args.settings, args.metrics_port, args.quiet)
+    return start_gateway(args.settings, args.metrics_port, args.quiet, args.policy)
 
 
 def _run_process(args: argparse.Namespace, kind: str, run) -> int:
--- a/src/robinspindle/commands.py
+++ b/src/robinspindle/commands.py
@@ -31,6 +31,8 @@
 from robinspindle.losses import count_losses
 from robinspindle.losstables import describe_losses, format_losses
 from robinspindle.platform.settings import read_gateway_settings
+from robinspindle.policyfile import SECTION as POLICY_SECTION
+from robinspindle.policyfile import read_policy
 from robinspindle.settings import KINDS, OperatorSettings, read_settings
 from robinspindle.tables import format_burn, format_table
 
@@ -67,6 +69,9 @@
                 read_gateway_settings(path)
                 continue
             text = Path(path).read_text()
+            if f"[{POLICY_SECTION}]" in text:
+                read_policy(path)
+                continue
             kinds = [kind for kind in KINDS if f"[{kind}]" in text]
             for kind in kinds:
                 read_settings(path, kind)
--- a/src/robinspindle/core/ini.py
+++ b/src/robinspindle/core/ini.py
@@ -6,8 +6,6 @@
 from dataclasses import fields, is_dataclass
 from typing import Any
 
-import pydantic
-
 from robinspindle.exceptions import Finding
 
 HEADER = re.compile(r"^\s*\[([^\]]+)\]")
@@ -47,6 +45,9 @@
         Returns:
             The object, or None when the section has findings.
         """
+        # Processes that only read switches keep the 10 MB that it takes.
+        import pydantic
+
         values: dict[str, Any] = dict(self.sections.get(section, {}))
         known = [f.name for f in fields(cls)] if is_dataclass(cls) else []
         if "name" in values and name is not None:
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -23,6 +23,7 @@
     find_holder,
 )
 from robinspindle.core.forwarding import Prompt
+from robinspindle.core.policy import Policy
 from robinspindle.core.targets import Target
 from robinspindle.core.urgency import FIRST_RANK, LATE, find_level
 
@@ -112,6 +113,7 @@
             zone; None where that is not known.
         age_s: How old what the other entries told may be, seconds.
         rng: Source of random choices; None to choose by cost alone.
+        policy: The decisions in force.
     """
 
     now: float
@@ -126,6 +128,7 @@
     move_s: float | None = None
     age_s: float = 0.0
     rng: random.Random | None = None
+    policy: Policy = Policy()
 
 
 def choose_plan(candidates: list[Pair], prompt: Prompt, at: Situation) -> Plan | None:
@@ -165,11 +168,13 @@
         plan: The best plan for it.
         at: What it depends on.
     """
-    return plan.level == LATE and plan.first_s > at.last_s * HOPE_SHARE
+    if plan.level < LATE:
+        return False
+    return not at.policy.serves_late or plan.first_s > at.last_s * HOPE_SHARE
 
 
 def _find_move(candidates: list[Pair], prompt: Prompt, at: Situation) -> Move | None:
-    if at.move_s is None:
+    if at.move_s is None or not at.policy.fetches_parts:
         return None
     return Move(find_holder(candidates, prompt), at.move_s)
 
@@ -192,7 +197,8 @@
     plans = [
         plan
         for plan, (_, engine) in zip(local, generating, strict=True)
-        if may_read_beside(engine, at.now, plan.reading_s, at.gap_s)
+        if not at.policy.limits_reading
+        or may_read_beside(engine, at.now, plan.reading_s, at.gap_s)
     ]
     if readers:
         host = min(generating, key=lambda pair: _weigh_target(pair, at.zone))
@@ -208,7 +214,7 @@
     Entries that know the same, and all of it late, would all choose the same engine
     until they hear of one another.
     """
-    if at.rng is None:
+    if at.rng is None or not at.policy.varies_choices:
         return 0.0
     return at.rng.random() * at.age_s * SPREAD_SHARE
 
@@ -295,11 +301,14 @@
         at: What else the plan depends on.
         is_late: Whether it can't be in time.
     """
-    level = LATE if is_late else find_level(reading.reading_s, at.aim_s, at.rank)
+    follows_ranks = at.policy.follows_ranks
+    level = find_level(reading.reading_s, at.aim_s, at.rank, follows_ranks)
+    level = LATE if is_late else level
     wait_s = estimate_wait(engine, level, at.now)
     first_s = wait_s + reading.seconds + after_s
     # What waits behind it counts like what it waits for itself.
-    held_up_s = max(wait_s, sum_work(engine, LATE - 1))
+    behind_s = sum_work(engine, LATE - 1) if at.policy.counts_held_up else 0.0
+    held_up_s = max(wait_s, behind_s)
     return Plan(
         target=target,
         reader=reader,
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -306,8 +306,9 @@
     target.faults += FAULT_SMOOTHING * ((1.0 if faulty else 0.0) - target.faults)
 
 
-def note_full(target: Target, now: float) -> None:
+def note_full(target: Target, now: float, rests_longer: bool = True) -> None:
     """Take note that a target turned a request away; it rests, longer each time."""
-    rest_s = min(MOST_FULL_REST_S, FULL_REST_S * 2**target.refusals)
+    doublings = target.refusals if rests_longer else 0
+    rest_s = min(MOST_FULL_REST_S, FULL_REST_S * 2**doublings)
     target.refusals += 1
     target.full_until = max(target.full_until, now + rest_s)
--- a/src/robinspindle/core/urgency.py
+++ b/src/robinspindle/core/urgency.py
@@ -20,16 +20,21 @@
 """What an engine is told for each level, 0 to 9; 5 is what it takes by itself."""
 
 
-def find_level(reading_s: float, aim_s: float, rank: int) -> int:
+def find_level(
+    reading_s: float, aim_s: float, rank: int, follows_ranks: bool = True
+) -> int:
     """Find the level of a reading that can be in time.
 
     Args:
         reading_s: How long it takes, seconds.
         aim_s: The time in which the first event should come, seconds.
         rank: The operator's rank of its route; 0 is the highest.
+        follows_ranks: Whether ranks count.
     """
     if reading_s <= SHORT_SHARE * aim_s:
         return SHORT
+    if not follows_ranks:
+        return FIRST_RANK
     return min(LAST_RANK, FIRST_RANK + max(0, rank))
 
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -27,7 +27,7 @@
 from robinspindle.fleet import Fleet
 from robinspindle.following import follow
 from robinspindle.gatewaymetrics import GatewayMetrics
-from robinspindle.gatewaysettings import GatewaySettings, HostPort, Pledges
+from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
@@ -120,7 +120,7 @@
         self._callers = CallerServer(self._handle, limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
         self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
-        self._apply_pledges(settings.pledges)
+        self._apply_settings(settings)
         self._tasks: list[asyncio.Task] = []
         self._stopping_at: float | None = None
         self._stopped = asyncio.Event()
@@ -133,6 +133,7 @@
                 peers=self.peers,
                 budget=self.budget,
                 lengths=Lengths(),
+                policy=lambda: self.settings.policy,
                 zone=self.settings.zone,
                 clock=self._clock,
                 log=make_log("relay"),
@@ -208,9 +209,10 @@
         ]
         for task in self._tasks:
             task.add_done_callback(self._end_on_failure)
-        regain = loop.create_task(self._cache_lists.regain())
-        regain.add_done_callback(self._end_on_failure)
-        self._tasks.append(regain)
+        if settings.policy.tells_caches:
+            regain = loop.create_task(self._cache_lists.regain())
+            regain.add_done_callback(self._end_on_failure)
+            self._tasks.append(regain)
 
     def _end_on_failure(self, task: asyncio.Task) -> None:
         """End the process when a task that must go on has failed; it is restarted."""
@@ -319,8 +321,9 @@
                 self.fleet.forget(target)
                 self.metrics.forget_target(target.announced.lifetime)
                 log("target is gone", target=target.announced.lifetime)
-            for target in self.fleet.leave_silent(now):
-                self._note_silent(target, now)
+            if self.settings.policy.notices_silence:
+                for target in self.fleet.leave_silent(now):
+                    self._note_silent(target, now)
             self._link.forget_silent(now)
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
@@ -372,7 +375,7 @@
         if settings == self.settings:
             return
         self.settings = settings
-        self._apply_pledges(settings.pledges)
+        self._apply_settings(settings)
         log("settings in force", name=settings.name)
 
     def _note_bad_settings(self, findings: str) -> None:
@@ -381,8 +384,11 @@
             self._told_findings = findings
             log("settings can't be read, the last ones stay", findings=findings)
 
-    def _apply_pledges(self, pledges: Pledges) -> None:
-        """Put in force what follows from what was promised."""
+    def _apply_settings(self, settings: GatewaySettings) -> None:
+        """Put in force what follows from what was promised, and the policy."""
+        pledges = settings.pledges
+        self.peers.teaches = settings.policy.tells_caches
+        self.orderer.may_change = settings.policy.changes_roles
         self.directory.hold_s = pledges.leave_s * LEAVE_SHARE
         self.budget.ratio = pledges.repeat_ratio
         self.budget.fixed = pledges.repeat_slack / BUDGET_SHARES
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from robinspindle.core.policy import Policy
+
 
 @dataclass(frozen=True)
 class HostPort:
@@ -52,6 +54,7 @@
         pledges: What was promised.
         metrics_port: Port for metrics, 0 for none.
         is_quiet: Whether lines about success are left out of the logs.
+        policy: Which decisions about engines are in force.
     """
 
     name: str
@@ -65,3 +68,4 @@
     pledges: Pledges = Pledges()
     metrics_port: int = 0
     is_quiet: bool = False
+    policy: Policy = Policy()
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -85,6 +85,7 @@
 
     Attributes:
         authority: What is known of the claims.
+        may_change: Whether roles may be changed at all.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         log: Log,
     ):
         self.authority = authority
+        self.may_change = True
         self._untold: list[tuple[str, str]] = []
         self._topic = topic
         self._store = store
@@ -132,7 +134,7 @@
         while True:
             await asyncio.sleep(DECIDE_S)
             now = self._clock()
-            if now - self._began_at < SETTLE_S:
+            if not self.may_change or now - self._began_at < SETTLE_S:
                 continue
             if not is_first(self.authority.name, list(self._peers.views)):
                 continue
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -9,6 +9,7 @@
 from robinspindle.core.events import EventSplitter
 from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
 from robinspindle.core.lengths import Lengths
+from robinspindle.core.policy import Policy
 from robinspindle.core.reading import Plan
 from robinspindle.core.routes import STREAM, Route
 from robinspindle.fleet import Fleet
@@ -109,6 +110,7 @@
         peers: The other gateways.
         budget: Repeats that may be made.
         lengths: What is known of how long answers last.
+        policy: Tells which decisions are in force.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
@@ -120,6 +122,7 @@
     peers: Peers
     budget: RepeatBudget
     lengths: Lengths
+    policy: Callable[[], Policy]
     zone: str
     clock: Callable[[], float]
     log: Log
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -62,6 +62,7 @@
         number: Number of the next datagram.
         sent_at: When the last was sent, steady seconds.
         learnt_told_at: When paces were last told, steady seconds.
+        teaches: Whether those that start are told what caches hold.
         untold_caches: Engines whose caches are still to be told to a peer, by its name.
     """
 
@@ -72,6 +73,7 @@
     number: int = 0
     sent_at: float = 0.0
     learnt_told_at: float = -LEARNT_INTERVAL_S
+    teaches: bool = True
     untold_caches: dict[str, list[str]] = field(default_factory=dict)
 
 
@@ -181,7 +183,7 @@
 
     def _plan_teaching(self, newcomer: str) -> None:
         peers = self._peers
-        if is_teacher(peers.name, peers.views, newcomer):
+        if peers.teaches and is_teacher(peers.name, peers.views, newcomer):
             peers.untold_caches[newcomer] = self._fleet.list_known_caches()
 
     def error_received(self, exc: Exception) -> None:
--- a/src/robinspindle/platform/start.py
+++ b/src/robinspindle/platform/start.py
@@ -2,27 +2,35 @@
 
 from dataclasses import replace
 
+from robinspindle.core.policy import Policy
 from robinspindle.gateway import run_gateway
 from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.platform.adapter import PlatformAdapter
 from robinspindle.platform.settings import read_gateway_settings
+from robinspindle.policyfile import read_policy
 
 
-def start_gateway(path: str, metrics_port: int = 0, is_quiet: bool = False) -> int:
+def start_gateway(
+    path: str, metrics_port: int = 0, is_quiet: bool = False, policy_path: str = ""
+) -> int:
     """Run a gateway until it is told to stop.
 
     Args:
         path: The settings file.
         metrics_port: Port for metrics, 0 for none.
         is_quiet: Whether lines about success are left out of the logs.
+        policy_path: The policy file; empty for all decisions in force.
 
     Raises:
-        InvalidDocumentError: When the settings have findings.
+        InvalidDocumentError: When the settings or the policy have findings.
     """
 
     def reread() -> GatewaySettings:
         settings = read_gateway_settings(path)
-        return replace(settings, metrics_port=metrics_port, is_quiet=is_quiet)
+        policy = read_policy(policy_path) if policy_path else Policy()
+        return replace(
+            settings, metrics_port=metrics_port, is_quiet=is_quiet, policy=policy
+        )
 
     run_gateway(reread, PlatformAdapter())
     return 0
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -99,7 +99,7 @@
 
     def _note_unread(self, passage: Passage, reader: Target, head: AnswerHead) -> None:
         if head.not_run:
-            note_turned_away(reader, head, self._means.clock())
+            note_turned_away(self._means, reader, head)
         else:
             targets.note_fault(reader, True)
         text = f"prompt not read: status {head.status}"
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -20,7 +20,9 @@
 class Reading:
     """Work that an engine is believed to have before it, until it is done."""
 
-    def __init__(self, engine: Engine, plan: Plan, tokens: int, now: float):
+    def __init__(
+        self, engine: Engine, plan: Plan, tokens: int, now: float, learns: bool
+    ):
         self._engine = engine
         self._seconds = plan.reading_s
         self._new = plan.unread
@@ -29,7 +31,7 @@
         self._began_at = now
         self._is_open = True
         # Waits are told apart from work by measuring only what met nobody else.
-        self._was_alone = engine.work_s <= ALONE_S
+        self._was_alone = learns and engine.work_s <= ALONE_S
         self._level = plan.level
         engine.own_work_s[self._level] += self._seconds
         note_read_begun(engine, now, self._seconds, self._level)
@@ -76,7 +78,8 @@
         """
         counts = self._means.metrics.prompt_tokens
         prompt = passage.request.prompt
-        begun = Reading(engine, plan, prompt.tokens, self._means.clock())
+        learns = self._means.policy().learns_paces
+        begun = Reading(engine, plan, prompt.tokens, self._means.clock(), learns)
         note_placed(engine, prompt.parts)
         counts.labels("read").inc(plan.unread)
         counts.labels("cached").inc(prompt.tokens - plan.unread)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -137,6 +137,8 @@
         expected = prompt.expected_tokens or prompt.out_tokens
         event_tokens = self._means.fleet.count_event_tokens(service)
         self._means.lengths.note_expected(route.name, expected / event_tokens)
+        if not self._means.policy().gathers_long:
+            return False
         return self._means.lengths.is_long(route.name, service)
 
     async def _serve(self, passage: Passage) -> None:
@@ -218,6 +220,7 @@
             move_s=self._means.fleet.find_move_s(passage.service),
             age_s=find_interval(len(self._means.peers.addresses)),
             rng=self._rng,
+            policy=self._means.policy(),
         )
 
     def _is_hopeless(self, passage: Passage, plan: Plan, now: float) -> bool:
@@ -358,7 +361,7 @@
         return End.DELIVERED
 
     def _note_not_run(self, passage: Passage, target: Target, head: AnswerHead) -> None:
-        note_turned_away(target, head, self._means.clock())
+        note_turned_away(self._means, target, head)
         passage.last_reason = "replaced" if target.replaced else "full"
         self._log.log_broken(passage, target, f"not run: status {head.status}")
 
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -86,13 +86,13 @@
     )
 
 
-def note_turned_away(target: Target, head: AnswerHead, now: float) -> None:
+def note_turned_away(means: Means, target: Target, head: AnswerHead) -> None:
     """Take note that a target did not run a request."""
     # An engine in another role answers like another lifetime, in its own name.
     if head.answered_by not in ("", target.announced.lifetime):
         target.replaced = True
     else:
-        targets.note_full(target, now)
+        targets.note_full(target, means.clock(), means.policy().rests_longer)
 
 
 def note_broken(target: Target, error: ConnectionBrokenError, now: float) -> None:
