Choose anew where an answer is generated once its prompt has been read

Ruled out: late news of the entry (the gateway had it); a connection that waited.

Change: after the reading the host has to be usable still, else the least busy other is taken.

Figures: tests/platform/test_path.py fails before and passes after.

--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -158,6 +158,19 @@
     return min(late, key=lambda plan: plan.first_s + _draw_spread(at))
 
 
+def choose_host(candidates: list[Pair], zone: str) -> Target | None:
+    """Choose where the answer to a prompt that was read apart is generated.
+
+    Args:
+        candidates: The engines that may get work.
+        zone: The entry's availability zone.
+    """
+    generating = [pair for pair in candidates if not pair[1].reads_only]
+    if not generating:
+        return None
+    return min(generating, key=lambda pair: _weigh_target(pair, zone))[0]
+
+
 def is_hopeless(plan: Plan, at: Situation) -> bool:
     """Whether a request had better be refused than sent on.
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -259,15 +259,33 @@
             return End.NOT_RUN
         taken = False
         try:
+            host = self._find_host(passage, plan)
+            if host is None:
+                return End.NOT_RUN
+            engine = self._means.fleet.find_engine(host)
             if engine is not None:
                 note_placed(engine, passage.request.prompt.parts)
-            end = await self._send(passage, Sending(plan.target, source))
+            end = await self._send(passage, Sending(host, source))
             taken = end is End.DELIVERED
             return end
         finally:
             if not taken:
                 self._apart.release(plan.reader, source)
 
+    def _find_host(self, passage: Passage, plan: Plan) -> Target | None:
+        """Find where to generate the answer to a prompt that was read apart.
+
+        Reading takes up to seconds, and the engine that was planned may have begun to
+        leave or have crashed meanwhile.
+        """
+        now = self._means.clock()
+        usable = self._means.fleet.list_usable(passage.service, now, passage.tried)
+        if plan.target in usable:
+            return plan.target
+        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        engines = [pair for pair in pairs if pair[1] is not None]
+        return reading.choose_host(engines, self._means.zone)
+
     async def _send_unread(self, passage: Passage, plan: Plan, engine: Engine) -> End:
         work = self._readings.begin(passage, plan.target, engine, plan)
         clock = self._means.clock
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from robinspindle.core import paces
+from robinspindle.core.paces import Measured
 from tests.platform.deployment import (
     HOST,
     deploy,
@@ -312,6 +314,38 @@
     run(play())
 
 
+def test_a_host_that_leaves_while_a_prompt_is_read_gets_no_answer_to_generate(
+    tmp_path,
+):
+    async def play():
+        async with deploy(tmp_path) as d:
+            slow = make_route(
+                "digest", "stream", "lm", TargetLatencyMs=20_000, TimeoutMs=30_000
+            )
+            await d.configure(version=2, routes=[slow])
+            # Readings take 2 s, so the reader's silence is none yet.
+            pace = d.gateway.fleet.find_pace("lm", True)
+            for _ in range(50):
+                paces.note_measured(pace, Measured(2000, 0, 0.4))
+            reader = await d.add("p1", "lm", "prefill")
+            leaving = await d.add("d1", "lm", "decode")
+            for _ in range(50):
+                host_pace = d.gateway.fleet.find_pace("lm", False)
+                paces.note_measured(host_pace, Measured(2000, 0, 0.8))
+            reader.behaviours.append("held")
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            reply = asyncio.create_task(d.call("/digest/x", **prompt))
+            await until(lambda: reader.arrivals)
+            host = await d.add("d2", "lm", "decode")
+            await d.announce(leaving, "draining")
+            reader.gate.set()
+            assert (await reply).is_whole
+            assert not leaving.arrivals
+            assert host.arrivals[0].headers["x-kv-source"].endswith("/h1")
+
+    run(play())
+
+
 def test_a_prompt_that_was_read_and_is_not_needed_is_freed(tmp_path):
     async def play():
         async with deploy(tmp_path) as d:
