Part the choice of a plan from the relay; write down what was found

Ruled out: nothing else changed in what is chosen.

Change: choosing.py holds what becomes of a request: situation, plan, host, demand. A second reading takes a repeat, else the prompt is read where it is answered.

--- a/benches/compare.py
+++ b/benches/compare.py
@@ -62,9 +62,9 @@
 def main() -> int:
     """Play, print the table, and keep it with its plot."""
     args = _read_arguments()
-    trees = [_check_out(name, args.trees) for name in (args.first, args.second)]
-    tasks = list(_list_tasks(trees, args))
-    plays = _play_all(tasks, args)
+    trees = [check_out(name, args.trees) for name in (args.first, args.second)]
+    tasks = list(list_tasks(trees, args))
+    plays = play_all(tasks, args)
     first, second = (
         [play for play in plays if play.revision == tree.name] for tree in trees
     )
@@ -123,6 +123,13 @@
     parser = argparse.ArgumentParser(prog="scripts/compare", description=__doc__)
     parser.add_argument("first", help="a revision, or . for the working tree")
     parser.add_argument("second", help="the revision to compare with it")
+    add_play_options(parser)
+    parser.add_argument("--name", default="last", help="name of the kept files")
+    return read_play_options(parser)
+
+
+def add_play_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options that say what is played and how."""
     parser.add_argument("site", nargs="+", type=Path, help="site files")
     parser.add_argument(
         "--bench",
@@ -138,20 +145,23 @@
     parser.add_argument(
         "--no-cpu", action="store_true", help="charge no processor time: less noise"
     )
-    parser.add_argument("--name", default="last", help="name of the kept files")
     parser.add_argument(
         "--trees",
         type=Path,
         default=ROOT.parent / "compared",
         help="where revisions are checked out",
     )
+
+
+def read_play_options(parser: argparse.ArgumentParser) -> argparse.Namespace:
+    """Read the command line; it must name the bench."""
     args = parser.parse_args()
     if not args.bench:
         parser.error("--bench or ROBINSPINDLE_BENCH must name the bench")
     return args
 
 
-def _check_out(name: str, trees: Path) -> Tree:
+def check_out(name: str, trees: Path) -> Tree:
     reference, _, off = name.partition(":")
     is_working = reference == WORKING_TREE
     commit = _commit_working_tree() if is_working else _git("rev-parse", reference)
@@ -205,8 +215,8 @@
     return done.stdout.strip()
 
 
-def _list_tasks(trees: list[Tree], args: argparse.Namespace) -> Iterator[Task]:
-    seeds = _read_seeds(args.seeds)[: args.count]
+def list_tasks(trees: list[Tree], args: argparse.Namespace) -> Iterator[Task]:
+    seeds = read_seeds(args.seeds)[: args.count]
     for site in args.site:
         days = tomllib.loads(site.read_text())["day"]
         names = args.day or [day["name"] for day in days]
@@ -216,13 +226,13 @@
                     yield Task(tree, site.resolve(), day, seed)
 
 
-def _read_seeds(section: str) -> list[int]:
+def read_seeds(section: str) -> list[int]:
     parser = configparser.ConfigParser()
     parser.read(SEEDS)
     return [int(word) for word in parser[section]["seeds"].split(",")]
 
 
-def _play_all(tasks: list[Task], args: argparse.Namespace) -> list[Play]:
+def play_all(tasks: list[Task], args: argparse.Namespace) -> list[Play]:
     plays = []
     for tree in {task.tree for task in tasks}:
         # Plays that start together would all build, each waiting for the others.
@@ -289,6 +299,11 @@
     path = DATA / f"compare-{args.name}.json"
     path.write_text(json.dumps(value, indent=1) + "\n")
     _draw(differences, FIGURES / f"compare-{args.name}.png", args.why)
+    keep_journal(trees)
+
+
+def keep_journal(trees: list[Tree]) -> None:
+    """Keep what the bench wrote into the journals of checked out revisions."""
     for tree in trees:
         for entry in (tree.folder / "journal").rglob("*"):
             kept = ROOT / "journal" / entry.relative_to(tree.folder / "journal")
--- /dev/null
+++ b/src/robinspindle/choosing.py
@@ -0,0 +1,139 @@
+"""What becomes of a request: the choice of a plan from all that a gateway believes."""
+
+import random
+
+from robinspindle.core import budgets, reading
+from robinspindle.core.engines import Engine
+from robinspindle.core.forwarding import Request
+from robinspindle.core.paces import estimate_seconds
+from robinspindle.core.reading import Plan
+from robinspindle.core.rebalance import Demand, note_demand, read_demand
+from robinspindle.core.routes import Route
+from robinspindle.core.selection import choose_target
+from robinspindle.core.targets import Target
+from robinspindle.passages import Means, Passage
+from robinspindle.peers import find_interval
+
+MOST_READS = 2
+"""Times that a prompt may be read apart: once more than it should need, for a reader
+that fell silent or whose answer was lost."""
+
+
+class Chooser:
+    """Chooses where requests go, and keeps the demand that follows from it.
+
+    Attributes:
+        demands: Seconds of readers' work that is asked for, by service.
+    """
+
+    def __init__(self, means: Means, rng: random.Random):
+        self.demands: dict[str, Demand] = {}
+        self._means = means
+        self._rng = rng
+
+    def expects_long(self, request: Request, route: Route, service: str) -> bool:
+        """Tell whether a request's answer is expected to be long."""
+        prompt = request.prompt
+        if prompt is None:
+            return False
+        expected = prompt.expected_tokens or prompt.out_tokens
+        event_tokens = self._means.fleet.count_event_tokens(service)
+        self._means.lengths.note_expected(route.name, expected / event_tokens)
+        if not self._means.policy().gathers_long:
+            return False
+        return self._means.lengths.is_long(route.name, service)
+
+    def choose(self, passage: Passage, now: float) -> Plan | None:
+        """Choose a plan; None where no target may get the request."""
+        usable = self._means.fleet.list_usable(passage.service, now, passage.tried)
+        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        prompt = passage.request.prompt
+        if prompt is None or any(engine is None for _, engine in pairs):
+            return self._choose_plainly(pairs, now)
+        if passage.reads and not self._may_read_again(passage, now):
+            pairs = [pair for pair in pairs if not pair[1].reads_only]
+        at = self._describe_situation(passage, now)
+        plan = reading.choose_plan(pairs, prompt, at)
+        if plan is not None and passage.plan is None and plan.unread:
+            self._note_demand(passage, plan, now)
+        return plan
+
+    def is_hopeless(self, passage: Passage, plan: Plan, now: float) -> bool:
+        """Tell whether a request had better be refused than sent."""
+        if passage.offers or passage.reads or passage.request.prompt is None:
+            return False
+        return reading.is_hopeless(plan, self._describe_situation(passage, now))
+
+    def find_host(self, passage: Passage, plan: Plan) -> Target | None:
+        """Find where to generate the answer to a prompt that was read apart.
+
+        Reading takes up to seconds, and the engine that was planned may have begun to
+        leave or have crashed meanwhile.
+        """
+        now = self._means.clock()
+        usable = self._means.fleet.list_usable(passage.service, now, passage.tried)
+        if plan.target in usable:
+            return plan.target
+        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        engines = [pair for pair in pairs if pair[1] is not None]
+        return reading.choose_host(engines, self._means.zone)
+
+    def read_rate(self, service: str) -> float:
+        """Seconds of a reader's work that this gateway is asked for in a second."""
+        demand = self.demands.get(service)
+        return read_demand(demand, self._means.clock()) if demand else 0.0
+
+    def list_read_rates(self) -> dict[str, float]:
+        """List the same for all services that were asked for."""
+        return {service: self.read_rate(service) for service in self.demands}
+
+    def _may_read_again(self, passage: Passage, now: float) -> bool:
+        """Whether a prompt may be read apart once more; that is a repeat."""
+        if passage.reads >= MOST_READS:
+            return False
+        return budgets.take_repeat(self._means.budget, now, passage.service)
+
+    def _note_demand(self, passage: Passage, plan: Plan, now: float) -> None:
+        context = passage.request.prompt.tokens - plan.unread
+        pace = self._means.fleet.find_pace(passage.service, reads_only=True)
+        seconds = estimate_seconds(pace, plan.unread, context)
+        demand = self.demands.setdefault(passage.service, Demand())
+        note_demand(demand, now, seconds)
+
+    def _choose_plainly(
+        self, pairs: list[tuple[Target, Engine | None]], now: float
+    ) -> Plan | None:
+        """Choose a target without regard to any prompt."""
+        plain = [
+            target
+            for target, engine in pairs
+            if engine is None or not engine.reads_only
+        ]
+        if not plain:
+            return None
+        return Plan(
+            target=choose_target(plain, self._means.zone, now, self._rng),
+            reader=None,
+            unread=0,
+            reading_s=0.0,
+            wait_s=0.0,
+            first_s=0.0,
+            cost_s=0.0,
+        )
+
+    def _describe_situation(self, passage: Passage, now: float) -> reading.Situation:
+        return reading.Situation(
+            now=now,
+            left_s=passage.aim_at - now,
+            last_s=passage.first_due - now,
+            aim_s=passage.route.aim_s,
+            gap_s=passage.route.gap_s,
+            zone=self._means.zone,
+            rank=passage.route.priority,
+            is_long=passage.is_long,
+            begin_s=self._means.lengths.find_begin_s(passage.service),
+            move_s=self._means.fleet.find_move_s(passage.service),
+            age_s=find_interval(len(self._means.peers.addresses)),
+            rng=self._rng,
+            policy=self._means.policy(),
+        )
--- a/src/robinspindle/core/silence.py
+++ b/src/robinspindle/core/silence.py
@@ -21,11 +21,12 @@
 day, and the prompts begun there read for nothing."""
 
 LOST_FACTOR = 3.0
-LOST_S = 0.5
+LOST_S = 0.8
 """An answer that took so many times what was planned, and the second more, is lost: a
 target may run a request, or read a prompt, and its answer never come. On a day on which
 three in ten answers of half of the engines were lost for 6 s, 55 prompts that had been
-read were waited for until their callers left."""
+read were waited for until their callers left. The second is longer than the shortest
+silence, so that a target which says nothing at all is first taken as silent."""
 
 GAP_FACTOR = 2.5
 """The next event may take this many times the pause that is in time."""
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -204,7 +204,7 @@
                 loop.create_task(follow(self._store, follower, log))
                 for follower in self._beliefs.list_followers()
             ),
-            loop.create_task(self.orderer.run(self.relay.read_rate)),
+            loop.create_task(self.orderer.run(self.relay.chooser.read_rate)),
             loop.create_task(self._keep_house()),
         ]
         for task in self._tasks:
@@ -268,7 +268,7 @@
             news = News(
                 self.fleet.list_loads(self._clock()),
                 self.relay.placements,
-                {name: self.relay.read_rate(name) for name in self.relay.demands},
+                self.relay.chooser.list_read_rates(),
                 self.orderer.peek_untold(),
                 self.fleet.list_learnt(),
                 self.fleet.list_silent(self._clock()),
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -3,15 +3,13 @@
 import asyncio
 import random
 
-from robinspindle.core import budgets, forwarding, reading, silence, targets
+from robinspindle.choosing import Chooser
+from robinspindle.core import budgets, forwarding, silence, targets
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.forwarding import AnswerHead, Request
-from robinspindle.core.paces import estimate_seconds
 from robinspindle.core.patience import Patience
 from robinspindle.core.reading import Plan
-from robinspindle.core.rebalance import Demand, note_demand, read_demand
 from robinspindle.core.routes import STREAM, Route, choose_service, find_route
-from robinspindle.core.selection import choose_target
 from robinspindle.core.sharing import Placement
 from robinspindle.core.silence import Expectation
 from robinspindle.core.targets import Target
@@ -24,7 +22,6 @@
 from robinspindle.httpserver import Incoming
 from robinspindle.passages import Means, Passage
 from robinspindle.passing import Answer, pass_stream, pass_whole
-from robinspindle.peers import find_interval
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
@@ -63,25 +60,20 @@
 """Statuses by which a caller may take it that its request did not run."""
 
 
-MOST_READS = 2
-"""Times that a prompt may be read apart: once more than it should need, for a reader
-that fell silent."""
-
-
 class Relay:
     """Forwards requests to targets.
 
     Attributes:
-        demands: Seconds of readers' work that is asked for, by service.
+        chooser: Chooses where they go.
     """
 
     def __init__(self, means: Means):
-        self.demands: dict[str, Demand] = {}
         self._means = means
         self._log = RelayLog(means)
         self._readings = Readings(means)
         self._apart = ReadingApart(means, self._readings, self._log)
         self._rng = random.Random()
+        self.chooser = Chooser(means, self._rng)
         self._patience = Patience()
 
     @property
@@ -111,11 +103,6 @@
             self._log.log_end(passage, None, "caller left")
             raise
 
-    def read_rate(self, service: str) -> float:
-        """Seconds of a reader's work that this gateway is asked for in a second."""
-        demand = self.demands.get(service)
-        return read_demand(demand, self._means.clock()) if demand else 0.0
-
     def _begin_passage(self, request: Request, reply: Reply, route: Route) -> Passage:
         service = choose_service(route, self._rng)
         return Passage(
@@ -126,36 +113,23 @@
             forwarding.find_due(request, route),
             request.received_at + route.aim_s - CALLER_WAY_S,
             forwarding.find_first_due(request, route),
-            is_long=self._expects_long(request, route, service),
+            is_long=self.chooser.expects_long(request, route, service),
             is_return=self._patience.note(route.name, request.wait_s),
         )
 
-    def _expects_long(self, request: Request, route: Route, service: str) -> bool:
-        prompt = request.prompt
-        if prompt is None:
-            return False
-        expected = prompt.expected_tokens or prompt.out_tokens
-        event_tokens = self._means.fleet.count_event_tokens(service)
-        self._means.lengths.note_expected(route.name, expected / event_tokens)
-        if not self._means.policy().gathers_long:
-            return False
-        return self._means.lengths.is_long(route.name, service)
-
     async def _serve(self, passage: Passage) -> None:
         while True:
             now = self._means.clock()
             if passage.due - now <= forwarding.LEAST_TRY_S:
                 self._give_up(passage, passage.last_reason or "too-late")
                 return
-            plan = self._choose(passage, now)
+            plan = self.chooser.choose(passage, now)
             if plan is None:
                 self._give_up(passage, passage.last_reason or "no-target")
                 return
-            if passage.plan is None and plan.unread:
-                self._note_demand(passage, plan, now)
             passage.plan = plan
             self._log.log_plan(passage, plan)
-            if self._is_hopeless(passage, plan, now):
+            if self.chooser.is_hopeless(passage, plan, now):
                 self._give_up(passage, "busy")
                 return
             end = await self._carry_out(passage, plan)
@@ -167,67 +141,6 @@
                 self._give_up(passage, passage.last_reason)
                 return
 
-    def _note_demand(self, passage: Passage, plan: Plan, now: float) -> None:
-        context = passage.request.prompt.tokens - plan.unread
-        pace = self._means.fleet.find_pace(passage.service, reads_only=True)
-        seconds = estimate_seconds(pace, plan.unread, context)
-        demand = self.demands.setdefault(passage.service, Demand())
-        note_demand(demand, now, seconds)
-
-    def _choose(self, passage: Passage, now: float) -> Plan | None:
-        usable = self._means.fleet.list_usable(passage.service, now, passage.tried)
-        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
-        prompt = passage.request.prompt
-        if prompt is None or any(engine is None for _, engine in pairs):
-            return self._choose_plainly(pairs, now)
-        if passage.reads >= MOST_READS:
-            pairs = [pair for pair in pairs if not pair[1].reads_only]
-        at = self._describe_situation(passage, now)
-        return reading.choose_plan(pairs, prompt, at)
-
-    def _choose_plainly(
-        self, pairs: list[tuple[Target, Engine | None]], now: float
-    ) -> Plan | None:
-        """Choose a target without regard to any prompt."""
-        plain = [
-            target
-            for target, engine in pairs
-            if engine is None or not engine.reads_only
-        ]
-        if not plain:
-            return None
-        return Plan(
-            target=choose_target(plain, self._means.zone, now, self._rng),
-            reader=None,
-            unread=0,
-            reading_s=0.0,
-            wait_s=0.0,
-            first_s=0.0,
-            cost_s=0.0,
-        )
-
-    def _describe_situation(self, passage: Passage, now: float) -> reading.Situation:
-        return reading.Situation(
-            now=now,
-            left_s=passage.aim_at - now,
-            last_s=passage.first_due - now,
-            aim_s=passage.route.aim_s,
-            gap_s=passage.route.gap_s,
-            zone=self._means.zone,
-            rank=passage.route.priority,
-            is_long=passage.is_long,
-            begin_s=self._means.lengths.find_begin_s(passage.service),
-            move_s=self._means.fleet.find_move_s(passage.service),
-            age_s=find_interval(len(self._means.peers.addresses)),
-            rng=self._rng,
-            policy=self._means.policy(),
-        )
-
-    def _is_hopeless(self, passage: Passage, plan: Plan, now: float) -> bool:
-        if passage.offers or passage.reads or passage.request.prompt is None:
-            return False
-        return reading.is_hopeless(plan, self._describe_situation(passage, now))
-
     def _may_go_on(self, passage: Passage, end: End) -> bool:
         left_s = passage.due - self._means.clock()
         route = passage.route
@@ -259,7 +172,7 @@
             return End.NOT_RUN
         taken = False
         try:
-            host = self._find_host(passage, plan)
+            host = self.chooser.find_host(passage, plan)
             if host is None:
                 return End.NOT_RUN
             engine = self._means.fleet.find_engine(host)
@@ -272,20 +185,6 @@
             if not taken:
                 self._apart.release(plan.reader, source)
 
-    def _find_host(self, passage: Passage, plan: Plan) -> Target | None:
-        """Find where to generate the answer to a prompt that was read apart.
-
-        Reading takes up to seconds, and the engine that was planned may have begun to
-        leave or have crashed meanwhile.
-        """
-        now = self._means.clock()
-        usable = self._means.fleet.list_usable(passage.service, now, passage.tried)
-        if plan.target in usable:
-            return plan.target
-        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
-        engines = [pair for pair in pairs if pair[1] is not None]
-        return reading.choose_host(engines, self._means.zone)
-
     async def _send_unread(self, passage: Passage, plan: Plan, engine: Engine) -> End:
         work = self._readings.begin(passage, plan.target, engine, plan)
         clock = self._means.clock
--- a/tests/platform/test_ordering.py
+++ b/tests/platform/test_ordering.py
@@ -9,7 +9,7 @@
 async def press(d):
     """Have the gateway asked for far more reading than its readers can do."""
     demand = Demand(seconds=1e4, at=d.gateway.orderer.now)
-    d.gateway.relay.demands["lm"] = demand
+    d.gateway.relay.chooser.demands["lm"] = demand
 
 
 def test_an_engine_is_ordered_under_a_claim_and_gets_no_work_meanwhile(tmp_path):
