Take what caches held before a start also where prompts were placed meanwhile

Cause: no list of a cache was ever taken after a restart of all gateways (0 "cache listed" lines in 8 logs): callers come at once, and an engine on which anything had been placed counted as known; so did it for what peers told.

Ruled out: waiting with readiness until lists are in: callers would find nobody.

Change: an engine's cache is known once a list or a peer's word was taken, or if the engine appeared after the gateway; what was held before goes behind what was placed since.

--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.engines import Engine, note_held
 from robinspindle.core.forwarding import Part
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError
@@ -62,15 +62,16 @@
         while not self._fleet.directory.known:
             await asyncio.sleep(PEERS_FIRST_S)
         await asyncio.sleep(PEERS_FIRST_S)
+        self._fleet.knows_new_caches = True
         if self._peers.name != min((self._peers.name, *self._peers.views)):
             return
         unknown = [
             (target, engine)
             for target, engine in self._fleet.list_all_engines()
-            if not engine.cached
+            if not engine.is_cache_known
         ]
         await asyncio.gather(*(self._ask(*pair) for pair in unknown))
-        known = [t.announced.lifetime for t, engine in unknown if engine.cached]
+        known = [t.announced.lifetime for t, e in unknown if e.is_cache_known]
         for peer in self._peers.views:
             self._peers.untold_caches[peer] = list(known)
 
@@ -82,7 +83,7 @@
             # The belief stays empty; placements fill it.
             self._log("cache not listed", target=lifetime, error=str(error))
             return
-        note_placed(engine, parts)
+        note_held(engine, parts)
         self._log("cache listed", target=lifetime, parts=len(parts))
 
     async def _fetch(self, target: Target) -> list[Part]:
--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -79,6 +79,7 @@
         cached: Parts in its cache, by id, with their tokens; oldest first.
         cached_tokens: Their sum.
         ready_at: From when parts that are being read may be fetched, steady seconds.
+        is_cache_known: Whether it was told what the cache held before this entry began.
         own_work_s: Seconds of reading that this entry sent and that is not done, by
             level.
         peers_work_s: The same of the other entries, by name.
@@ -98,6 +99,7 @@
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
     ready_at: dict[str, float] = field(default_factory=dict)
+    is_cache_known: bool = False
     own_work_s: list[float] = field(default_factory=make_levels)
     peers_work_s: dict[str, list[float]] = field(default_factory=dict)
     peers_in_flight: dict[str, int] = field(default_factory=dict)
@@ -195,6 +197,19 @@
         engine.ready_at.pop(id, None)
 
 
+def note_held(engine: Engine, parts: Iterable[Part]) -> None:
+    """Take note of what a cache held before this entry began to place prompts.
+
+    What was placed since was used later, so it stays the longest.
+    """
+    placed = [Part(id, tokens) for id, tokens in engine.cached.items()]
+    engine.cached.clear()
+    engine.cached_tokens = 0
+    note_placed(engine, parts)
+    note_placed(engine, placed)
+    engine.is_cache_known = True
+
+
 def estimate_reading_s(engine: Engine, new: float, context: float) -> float:
     """Estimate how long an engine reads new tokens behind cached ones, seconds."""
     return paces.estimate_seconds(engine.pace, new, context) * engine.slowness
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,7 +1,7 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
 from robinspindle.core import paces, silence, targets
-from robinspindle.core.engines import Engine, make_engine, note_placed
+from robinspindle.core.engines import Engine, make_engine, note_held
 from robinspindle.core.forwarding import Part
 from robinspindle.core.paces import Pace
 from robinspindle.core.routes import EngineShape, RouteTable
@@ -47,12 +47,15 @@
         directory: The targets.
         table: The configuration in force, None before the first.
         gateways: How many gateways share the targets' connections.
+        knows_new_caches: Whether an engine that appears has placed nothing unseen: it
+            has started after this gateway.
     """
 
     def __init__(self, directory: Directory, decode_head: DecodeHead):
         self.directory = directory
         self.table: RouteTable | None = None
         self.gateways = GATEWAYS
+        self.knows_new_caches = False
         self._decode_head = decode_head
         self._pools: dict[str, ConnectionPool] = {}
         self._engines: dict[str, Engine] = {}
@@ -81,7 +84,9 @@
                 self.find_pace(announced.service, reads_only),
             )
             self._engines[announced.lifetime] = engine
-            note_placed(engine, self._told_caches.pop(announced.lifetime, ()))
+            engine.is_cache_known = self.knows_new_caches
+            if announced.lifetime in self._told_caches:
+                note_held(engine, self._told_caches.pop(announced.lifetime))
         if engine.reads_only != reads_only:
             engine.reads_only = reads_only
             engine.pace = self.find_pace(announced.service, reads_only)
@@ -134,7 +139,8 @@
 
     def list_known_caches(self) -> list[str]:
         """List the engines of whose caches something is known."""
-        return [lifetime for lifetime, e in self._engines.items() if e.cached]
+        known = self._engines.items()
+        return [lifetime for lifetime, e in known if e.cached and e.is_cache_known]
 
     def describe_cache(self, lifetime: str) -> Cache | None:
         """Describe what an engine's cache is believed to hold."""
@@ -153,8 +159,8 @@
         engine = self.find_engine_of(cache.lifetime)
         if engine is None:
             self._told_caches[cache.lifetime] = parts
-        elif not engine.cached:
-            note_placed(engine, parts)
+        elif not engine.is_cache_known:
+            note_held(engine, parts)
 
     def note_heard_by_peer(self, loads: list[Load], now: float) -> None:
         """Take note of what a peer heard of engines that only read.
--- a/tests/core/test_engines.py
+++ b/tests/core/test_engines.py
@@ -139,3 +139,12 @@
         engines.note_read_begun(engine, step * 0.1, 0.1, 1)
     assert engines.estimate_wait(engine, 3, 0.5) == pytest.approx(0.2)
     assert engines.estimate_wait(engine, 1, 0.5) < 0.1
+
+
+def test_what_a_cache_held_before_gives_way_before_what_was_placed_since():
+    engine = make_engine(True, 10_000)
+    engines.note_placed(engine, [Part("new", 4000)])
+    engines.note_held(engine, [Part("old", 4000), Part("older", 900)])
+    assert engine.is_cache_known
+    assert list(engine.cached) == ["older", "new"]
+    assert engine.cached_tokens == 4900
--- a/tests/platform/test_cachelists.py
+++ b/tests/platform/test_cachelists.py
@@ -4,6 +4,8 @@
 import socket
 
 from robinspindle.cachelists import CacheLists
+from robinspindle.core.engines import note_placed
+from robinspindle.core.forwarding import Part
 from robinspindle.core.sharing import Cache, Digest, PeerView
 from robinspindle.core.targets import Announcement, Directory, note_announced
 from robinspindle.fleet import Fleet
@@ -17,13 +19,14 @@
     """Stand for a log."""
 
 
-async def regain(replica, others=(), name="g1"):
+async def regain(replica, others=(), name="g1", placed=()):
     """Let a gateway that knows one engine and some peers regain what caches hold."""
     fleet = Fleet(Directory(known=True), dialect.decode_answer)
     announced = Announcement(
         replica.lifetime, "lm", replica.server.address, "a", 8, role="prefill"
     )
     note_announced(fleet.directory, announced, 0.0)
+    note_placed(fleet.find_engine_of(replica.lifetime), placed)
     peers = Peers(name, 0.0, views={other: PeerView() for other in others})
     clock = asyncio.get_running_loop().time
     await CacheLists(fleet, peers, dialect, clock, note_nothing).regain()
@@ -68,6 +71,18 @@
     run(play())
 
 
+def test_a_list_counts_also_where_prompts_were_placed_meanwhile():
+    async def play():
+        replica = Replica("p1", "lm", "prefill")
+        replica.held = {"aa": 400}
+        await replica.server.start()
+        engine, _ = await regain(replica, placed=[Part("bb", 100)])
+        assert list(engine.cached) == ["aa", "bb"]
+        await replica.server.stop()
+
+    run(play())
+
+
 def test_a_peers_word_of_a_cache_counts_also_before_the_engine_is_known(tmp_path):
     async def play():
         async with deploy(tmp_path) as d:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-from robinspindle.core.engines import note_placed
+from robinspindle.core.engines import note_held
 from robinspindle.core.forwarding import Part
 from robinspindle.core.paces import Measured, estimate_seconds, note_measured
 from robinspindle.core.sharing import Digest, Load, PeerView, Placement
@@ -108,7 +108,7 @@
     for lifetime in ("i1", "i2"):
         announced = Announcement(lifetime, "lm", "x:1", "a", 8, role="prefill")
         note_announced(fleet.directory, announced, 0.0)
-        note_placed(fleet.find_engine_of(lifetime), [Part("aa", 400)])
+        note_held(fleet.find_engine_of(lifetime), [Part("aa", 400)])
     addresses = {name: HostPort("127.0.0.1", 1) for name in ("g2", "g3")}
     peers = Peers("g1", 0.0, addresses)
     link = PeerLink(peers, fleet.find_engine_of, print, fleet, lambda: 0.0, pass_over)
