--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -1,4 +1,5 @@
 import json
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -8,6 +9,24 @@
 from robinspindle.explaining import read_lines
 from robinspindle.losses import count_losses
 
+RECORDED_REASONS = dict.fromkeys(
+    (
+        losses.IN_TIME,
+        losses.WAITED,
+        losses.MISJUDGED,
+        losses.PAUSED,
+        losses.REREAD,
+        losses.SLOW,
+        losses.REFUSED,
+        losses.REFUSED_AGAIN,
+        losses.TARGET_LOST,
+        losses.GATEWAY_LOST,
+        losses.OWN_FAULT,
+    ),
+    2,
+)
+"""Two attempts of each are kept in the recorded log."""
+
 RECORDED = Path(__file__).parent / "data" / "losses.log"
 
 END = {
@@ -124,3 +143,10 @@
     log = tmp_path / "empty.log"
     log.write_text("nothing\n")
     assert main(["losses", str(log)]) == 4
+
+
+def test_recorded_attempts_of_a_day_with_trouble_are_all_judged():
+    found = count_losses(read_lines(RECORDED.read_text().splitlines()))
+    reasons = sum(found.by_route.values(), Counter())
+    assert not found.left_out
+    assert reasons == RECORDED_REASONS
