Learn the time of an event from answers of eight events and more

Short streams, nine in ten there, end with an event that is cut short; the time of an event was learnt from the fast ones, so long answers could come to look short and were no longer shielded.

Change: only answers of eight events and more tell how long one takes.

--- a/src/robinspindle/core/lengths.py
+++ b/src/robinspindle/core/lengths.py
@@ -15,6 +15,10 @@
 FIRST_EVENT_S = 0.05
 """What an event is believed to take before any was seen, seconds."""
 
+LEAST_EVENTS = 8
+"""Shorter answers don't tell how long an event takes: their last one is cut short, and
+where nine in ten streams are that short, all events would look so."""
+
 FIRST_BEGIN_S = 0.01
 """What an answer is believed to take to begin after its prompt was read apart, before
 any did, seconds: one more call and the fetch of about a gigabyte."""
@@ -50,7 +54,7 @@
 
     def note_answer(self, service: str, events: int, seconds: float) -> None:
         """Take note of an answer: its events, and from its first to its last."""
-        if events < 2:
+        if events < LEAST_EVENTS:
             return
         known = self.event_s.get(service, FIRST_EVENT_S)
         taken = seconds / (events - 1)
--- a/tests/core/test_lengths.py
+++ b/tests/core/test_lengths.py
@@ -28,10 +28,13 @@
     assert not lengths.is_long("chat", "lm")
 
 
-def test_answers_of_one_event_say_nothing_of_the_time_between_two():
+def test_short_answers_say_nothing_of_the_time_between_two_events():
     lengths = Lengths()
-    lengths.note_answer("lm", 1, 0.0)
-    assert lengths.event_s == {}
+    lengths.note_expected("chat", 89.0)
+    for _ in range(500):
+        lengths.note_answer("lm", 1, 0.0)
+        lengths.note_answer("lm", 2, 0.015)
+    assert lengths.is_long("chat", "lm")
 
 
 def test_single_guesses_that_are_far_off_hardly_count():
