Limit reading only beside answers that have pauses

Change: an engine without long answers is limited only if the service has short answers that are expected to hold four events or more.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -38,7 +38,8 @@
             return False
         expected = prompt.expected_tokens or prompt.out_tokens
         event_tokens = self._means.fleet.count_event_tokens(service)
-        self._means.lengths.note_expected(route.name, expected / event_tokens)
+        events = expected / event_tokens
+        self._means.lengths.note_expected(route.name, service, events)
         if not self._means.policy().gathers_long:
             return False
         return self._means.lengths.is_long(route.name, service)
@@ -131,6 +132,7 @@
             zone=self._means.zone,
             rank=passage.route.priority,
             is_long=passage.is_long,
+            has_exposed=self._means.lengths.has_exposed(passage.service),
             begin_s=self._means.lengths.find_begin_s(passage.service),
             move_s=self._means.fleet.find_move_s(passage.service),
             age_s=find_interval(len(self._means.peers.addresses)),
--- a/src/robinspindle/core/lengths.py
+++ b/src/robinspindle/core/lengths.py
@@ -23,6 +23,12 @@
 """What an answer is believed to take to begin after its prompt was read apart, before
 any did, seconds: one more call and the fetch of about a gigabyte."""
 
+EXPOSED_EVENTS = 4.0
+"""Answers of a route that are expected to hold fewer events hardly have a pause: what
+is read beside them is not limited for their sake. Where it was, engines that host only
+answers of one or two events read less than they could (five days of haddad-ops, no
+processor time charged: worth 0.576 against 0.596)."""
+
 EVENT_SMOOTHING = 0.05
 LENGTH_SMOOTHING = 0.05
 """Weight of the newest answer, and of the newest guess: about the last twenty count."""
@@ -41,14 +47,17 @@
         event_s: Seconds from one event to the next, undisturbed, by service.
         begin_s: Seconds from the end of a reading apart to the first event, by service.
         events: Events that an answer is expected to hold, by route.
+        services: The service that last served a route.
     """
 
     event_s: dict[str, float] = field(default_factory=dict)
     begin_s: dict[str, float] = field(default_factory=dict)
     events: dict[str, float] = field(default_factory=dict)
+    services: dict[str, str] = field(default_factory=dict)
 
-    def note_expected(self, route: str, events: float) -> None:
+    def note_expected(self, route: str, service: str, events: float) -> None:
         """Take note of how many events a caller expects."""
+        self.services[route] = service
         known = self.events.setdefault(route, events)
         self.events[route] = known + LENGTH_SMOOTHING * (events - known)
 
@@ -70,6 +79,14 @@
         """Find how long an answer takes to begin after a reading apart, seconds."""
         return self.begin_s.get(service, FIRST_BEGIN_S)
 
+    def has_exposed(self, service: str) -> bool:
+        """Whether a service has answers that are short and yet have pauses."""
+        return any(
+            self.events[route] >= EXPOSED_EVENTS and not self.is_long(route, service)
+            for route, served_by in self.services.items()
+            if served_by == service
+        )
+
     def is_long(self, route: str, service: str) -> bool:
         """Whether answers of a route are expected to be long."""
         event_s = self.event_s.get(service, FIRST_EVENT_S)
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -108,6 +108,7 @@
         is_long: Whether the answer is expected to be long.
         gap_s: The longest pause that long answers beside it may have, seconds.
         zone: The entry's availability zone.
+        has_exposed: Whether short answers beside it have pauses at all.
         begin_s: Seconds from the end of a reading apart to the first event.
         move_s: Seconds that a token takes from engine to engine within an availability
             zone; None where that is not known.
@@ -124,6 +125,7 @@
     zone: str
     rank: int = 0
     is_long: bool = False
+    has_exposed: bool = True
     begin_s: float = 0.0
     move_s: float | None = None
     age_s: float = 0.0
@@ -211,6 +213,7 @@
         plan
         for plan, (_, engine) in zip(local, generating, strict=True)
         if not at.policy.limits_reading
+        or not (engine.long_answers or at.has_exposed)
         or may_read_beside(engine, at.now, plan.reading_s, at.gap_s)
     ]
     if readers:
--- a/tests/core/test_lengths.py
+++ b/tests/core/test_lengths.py
@@ -6,8 +6,8 @@
 def test_answers_are_long_by_what_is_expected_and_not_by_the_most_they_may_hold():
     lengths = Lengths()
     for _ in range(50):
-        lengths.note_expected("chat", 89.0)
-        lengths.note_expected("hint", 19.0)
+        lengths.note_expected("chat", "lm", 89.0)
+        lengths.note_expected("hint", "lm", 19.0)
         lengths.note_answer("lm", 20, 19 * 0.06)
     assert lengths.is_long("chat", "lm")
     assert not lengths.is_long("hint", "lm")
@@ -16,13 +16,13 @@
 def test_before_any_answer_a_usual_event_is_believed():
     lengths = Lengths()
     assert not lengths.is_long("chat", "lm")
-    lengths.note_expected("chat", 89.0)
+    lengths.note_expected("chat", "lm", 89.0)
     assert lengths.is_long("chat", "lm")
 
 
 def test_an_engine_that_generates_fast_makes_no_answer_long():
     lengths = Lengths()
-    lengths.note_expected("chat", 89.0)
+    lengths.note_expected("chat", "lm", 89.0)
     for _ in range(100):
         lengths.note_answer("lm", 90, 89 * 0.006)
     assert not lengths.is_long("chat", "lm")
@@ -30,7 +30,7 @@
 
 def test_short_answers_say_nothing_of_the_time_between_two_events():
     lengths = Lengths()
-    lengths.note_expected("chat", 89.0)
+    lengths.note_expected("chat", "lm", 89.0)
     for _ in range(500):
         lengths.note_answer("lm", 1, 0.0)
         lengths.note_answer("lm", 2, 0.015)
@@ -39,14 +39,25 @@
 
 def test_single_guesses_that_are_far_off_hardly_count():
     lengths = Lengths()
-    lengths.note_expected("hint", 19.0)
-    lengths.note_expected("hint", 190.0)
+    lengths.note_expected("hint", "lm", 19.0)
+    lengths.note_expected("hint", "lm", 190.0)
     assert lengths.events["hint"] == pytest.approx(27.55)
 
 
 def test_answers_that_pause_do_not_become_long_for_that():
     lengths = Lengths()
-    lengths.note_expected("hint", 19.0)
+    lengths.note_expected("hint", "lm", 19.0)
     for number in range(200):
         lengths.note_answer("lm", 20, 19 * (0.3 if number % 2 else 0.045))
     assert not lengths.is_long("hint", "lm")
+
+
+def test_only_answers_with_pauses_are_exposed_to_reading_beside_them():
+    lengths = Lengths()
+    lengths.note_expected("digest", "lm", 1.5)
+    lengths.note_expected("chat", "lm", 89.0)
+    assert not lengths.has_exposed("lm")
+    lengths.note_expected("hint", "other", 19.0)
+    assert not lengths.has_exposed("lm")
+    lengths.note_expected("hint", "lm", 19.0)
+    assert lengths.has_exposed("lm")
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -207,3 +207,12 @@
     assert name(choose_plan(fleet, DIGEST, CALM).reader) == "p2"
     later = dataclasses.replace(CALM, now=1.0)
     assert name(choose_plan(fleet, DIGEST, later).reader) == "p1"
+
+
+def test_beside_answers_without_pauses_an_engine_reads_what_is_cheapest():
+    fleet = make_fleet()[2:4]
+    for _, engine in fleet:
+        engines.note_read_begun(engine, 0.0, 0.08, 1)
+    engines.note_placed(fleet[0][1], DIGEST.parts[:2])
+    held = dataclasses.replace(CALM, has_exposed=False)
+    assert name(choose_plan(fleet, DIGEST, held).target) == "d1"
