Let twins share one piece; fit and describe only what is asked for

Cause: reading the whole change once more found the same logic twice and work done for nothing: two counts of cached parts, two estimates of a reading, two calls with one answer (orders, lists of caches), a silence judged in two places; a fit of the paces at each peer's word although it is asked for far less often, a situation described twice a request to read one number of it; a function named like a question that took note of something.

Ruled out: one call for releases too: it waits for its connection apart from its answer. Deriving late plans from those in time, which would save a second estimate for each engine: ties could fall otherwise.

Tests call the new signatures; what they expect is as before.

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -22,7 +22,9 @@
     settings = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         return start_gateway(
-            settings, args.metrics_port, policy_path=str(ROOT / args.policy)
+            settings,
+            args.metrics_port,
+            policy_path=str(ROOT / args.policy) if args.policy else "",
         )
     except InvalidDocumentError as error:
         print(error, file=sys.stderr)
--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -15,7 +15,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
-from robinspindle.httpclient import ConnectionBrokenError, Exchange, borrow
+from robinspindle.httpclient import ConnectionBrokenError, call_once
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 
@@ -88,15 +88,8 @@
 
     async def _fetch(self, target: Target) -> list[Part]:
         pool = self._fleet.find_pool(target)
-        async with (
-            asyncio.timeout(ASK_TIMEOUT_S),
-            borrow(pool, self._clock, ASK_TIMEOUT_S) as connection,
-        ):
-            exchange = Exchange("")
-            address = target.announced.address
-            connection.send(exchange, self._dialect.encode_list_call(address))
-            head = await exchange.read_head()
-            body = await exchange.read_body()
+        data = self._dialect.encode_list_call(target.announced.address)
+        head, body = await call_once(pool, self._clock, data, ASK_TIMEOUT_S)
         if head.status != LIST_READ:
             raise BadDocumentError(f"status {head.status}")
         return self._dialect.decode_list(body)
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -31,18 +31,20 @@
         self._means = means
         self._rng = rng
 
-    def expects_long(self, request: Request, route: Route, service: str) -> bool:
-        """Tell whether a request's answer is expected to be long."""
+    def note_expected(self, request: Request, route: Route, service: str) -> None:
+        """Take note of how long an answer a caller expects."""
         prompt = request.prompt
         if prompt is None:
-            return False
+            return
         expected = prompt.expected_tokens or prompt.out_tokens
         event_tokens = self._means.fleet.count_event_tokens(service)
         events = expected / event_tokens
         self._means.lengths.note_expected(route.name, service, events)
-        if not self._means.policy().gathers_long:
-            return False
-        return self._means.lengths.is_long(route.name, service)
+
+    def expects_long(self, route: Route, service: str) -> bool:
+        """Tell whether answers of a route are to be taken as long."""
+        gathers_long = self._means.policy().gathers_long
+        return gathers_long and self._means.lengths.is_long(route.name, service)
 
     def choose(self, passage: Passage, now: float) -> Plan | None:
         """Choose a plan; None where no target may get the request."""
@@ -63,7 +65,8 @@
         """Tell whether a request had better be refused than sent."""
         if passage.offers or passage.reads or passage.request.prompt is None:
             return False
-        return reading.is_hopeless(plan, self._describe_situation(passage, now))
+        serves_late = self._means.policy().serves_late
+        return reading.is_hopeless(plan, passage.first_due - now, serves_late)
 
     def find_host(self, passage: Passage, plan: Plan) -> Target | None:
         """Find where to generate the answer to a prompt that was read apart.
@@ -126,7 +129,6 @@
         return reading.Situation(
             now=now,
             left_s=passage.aim_at - now,
-            last_s=passage.first_due - now,
             aim_s=passage.route.aim_s,
             gap_s=passage.route.gap_s,
             zone=self._means.zone,
--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -6,6 +6,7 @@
 out, and the sum of what is still to be read.
 """
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -140,29 +141,22 @@
     return Engine(reads_only, cache_tokens, pace or paces.make_pace(reads_only))
 
 
-def count_cached(engine: Engine, prompt: Prompt) -> int:
+def count_cached(engine: Engine, prompt: Prompt, ready_by: float = math.inf) -> int:
     """Count the tokens of a prompt that an engine need not read again.
 
     A part is of use only if all before it are kept too.
-    """
-    count = 0
-    for part in prompt.parts:
-        if engine.cached.get(part.id, 0) < part.tokens:
-            break
-        count += part.tokens
-    return count
-
-
-def count_fetchable(engine: Engine, prompt: Prompt, now: float) -> int:
-    """Count the tokens of a prompt that another engine may fetch from an engine.
 
-    What is still being read there can't be fetched yet.
+    Args:
+        engine: The engine.
+        prompt: The prompt.
+        ready_by: When the parts have to have been read, steady seconds: what is still
+            being read can't be fetched by another engine yet.
     """
     count = 0
     for part in prompt.parts:
         if engine.cached.get(part.id, 0) < part.tokens:
             break
-        if engine.ready_at.get(part.id, 0.0) > now:
+        if engine.ready_at.get(part.id, 0.0) > ready_by:
             break
         count += part.tokens
     return count
--- a/src/robinspindle/core/estimates.py
+++ b/src/robinspindle/core/estimates.py
@@ -9,7 +9,6 @@
 from robinspindle.core.engines import (
     Engine,
     count_cached,
-    count_fetchable,
     count_shared,
     estimate_reading_s,
 )
@@ -82,7 +81,7 @@
         token_s: Seconds that a token takes within an availability zone.
         now: The present time, steady seconds.
     """
-    held = [count_fetchable(engine, prompt, now) for _, engine in candidates]
+    held = [count_cached(engine, prompt, now) for _, engine in candidates]
     most = max(held)
     return Move(candidates[held.index(most)], most, token_s)
 
@@ -101,62 +100,54 @@
     target, engine = pair
     slowness = find_slowness(target, now)
     cached = count_cached(engine, prompt)
-    alone = _estimate_alone(engine, prompt, cached, slowness)
-    if move is None or move.holder[0] is target:
+    alone = _estimate(engine, prompt, cached, slowness)
+    if move is None or move.holder[0] is target or move.held <= cached:
         return alone
-    helped = _estimate_helped(pair, prompt, cached, slowness, move)
-    if helped is None or helped.seconds + LEAST_GAIN_S >= alone.seconds:
-        return alone
-    return helped
+    helped = _estimate(engine, prompt, cached, slowness, move, target)
+    return helped if helped.seconds + LEAST_GAIN_S < alone.seconds else alone
 
 
-def _estimate_alone(
-    engine: Engine, prompt: Prompt, cached: int, slowness: float
+def _estimate(
+    engine: Engine,
+    prompt: Prompt,
+    cached: int,
+    slowness: float,
+    move: Move | None = None,
+    target: Target | None = None,
 ) -> Reading:
-    """Estimate a reading with what the engine holds.
+    """Estimate a reading with what the engine holds, or with what it can fetch.
 
     Reading shared parts again weighs more than its time: it pushes other parts out of
-    the cache.
-    """
-    shared = count_shared(prompt)
-    missing = max(0, shared - cached)
-    unread = prompt.tokens - cached
-    seconds = estimate_reading_s(engine, unread, cached) * slowness
-    return Reading(
-        unread=unread,
-        seconds=seconds,
-        reading_s=seconds,
-        weight_s=REREAD_WEIGHT * seconds * missing / max(1, unread),
-        missing_share=missing / max(1, shared),
-    )
+    the cache. A second copy of them weighs too, for the same reason.
 
-
-def _estimate_helped(
-    pair: Pair, prompt: Prompt, cached: int, slowness: float, move: Move
-) -> Reading | None:
-    """Estimate the same with what the holder has; None when it has no more.
-
-    A second copy of shared parts weighs too: it also pushes others out of a cache.
+    Args:
+        engine: The engine.
+        prompt: The prompt.
+        cached: Tokens of it that the engine's own cache holds.
+        slowness: How many times longer its target takes at present.
+        move: From where it fetches more than that; None for nothing.
+        target: The engine's target, where something is fetched.
     """
-    target, engine = pair
-    holder, held = move.holder[0], move.held
+    held = cached if move is None else move.held
     fetched = held - cached
-    if fetched <= 0:
-        return None
     shared = count_shared(prompt)
     missing = max(0, shared - held)
     unread = prompt.tokens - held
-    is_far = holder.announced.zone != target.announced.zone
-    move_s = fetched * move.token_s * (FAR_MOVE if is_far else 1.0)
     reading_s = estimate_reading_s(engine, unread, held) * slowness
     copied_s = estimate_reading_s(engine, min(fetched, shared), cached) * slowness
     missing_s = reading_s * missing / max(1, unread)
     fetch_weight = FETCH_WEIGHT if engine.reads_only else 0.0
     return Reading(
         unread=unread,
-        seconds=reading_s + move_s,
+        seconds=reading_s + (_find_move_s(move, fetched, target) if move else 0.0),
         reading_s=reading_s,
         weight_s=REREAD_WEIGHT * missing_s + fetch_weight * copied_s,
         missing_share=missing / max(1, shared),
-        holder=holder,
+        holder=move.holder[0] if move else None,
     )
+
+
+def _find_move_s(move: Move, fetched: int, target: Target) -> float:
+    """Find how long a target fetches tokens from the holder, seconds."""
+    is_far = move.holder[0].announced.zone != target.announced.zone
+    return fetched * move.token_s * (FAR_MOVE if is_far else 1.0)
--- a/src/robinspindle/core/paces.py
+++ b/src/robinspindle/core/paces.py
@@ -82,16 +82,26 @@
         start: What is believed before any reading.
         own: Sums over this entry's own readings.
         told: The same of other entries, by name.
-        fitted: The coefficients that follow from all of it.
+        known: The coefficients that were fitted last; None since anything was noted.
     """
 
     start: Coefficients
     own: Sums = field(default_factory=lambda: _make_sums())
     told: dict[str, Sums] = field(default_factory=dict)
-    fitted: Coefficients = (0.0, 0.0, 0.0)
+    known: Coefficients | None = None
 
     def __post_init__(self):
-        self.fitted = self.start
+        self.known = self.start
+
+    @property
+    def fitted(self) -> Coefficients:
+        """The coefficients that follow from all that was noted.
+
+        They are fitted when they are asked for: peers tell many times as often.
+        """
+        if self.known is None:
+            self.known = _fit(self)
+        return self.known
 
 
 def make_pace(reads_only: bool) -> Pace:
@@ -122,7 +132,7 @@
         seconds = min(expected * MOST_RATIO, max(expected / MOST_RATIO, seconds))
     features = _find_features(measured.new, measured.context)
     pace.own = _add(pace.own, features, seconds, expected)
-    pace.fitted = _fit(pace)
+    pace.known = None
 
 
 def note_told(pace: Pace, entry: str, sums: Sums) -> None:
@@ -130,13 +140,13 @@
     if len(sums.products) != len(_make_sums().products):
         return
     pace.told[entry] = sums
-    pace.fitted = _fit(pace)
+    pace.known = None
 
 
 def forget_told(pace: Pace, entry: str) -> None:
     """Forget what an entry that fell silent has told."""
     if pace.told.pop(entry, None) is not None:
-        pace.fitted = _fit(pace)
+        pace.known = None
 
 
 def _find_features(new: float, context: float) -> Coefficients:
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -102,7 +102,6 @@
     Attributes:
         now: The present time, steady seconds.
         left_s: Seconds until the first event should have come.
-        last_s: Seconds until the caller gives up if no event has come.
         aim_s: The time in which the first event should come, seconds.
         rank: The operator's rank of the route; 0 is the highest.
         is_long: Whether the answer is expected to be long.
@@ -119,7 +118,6 @@
 
     now: float
     left_s: float
-    last_s: float
     aim_s: float
     gap_s: float
     zone: str
@@ -173,7 +171,7 @@
     return min(generating, key=lambda pair: _weigh_target(pair, zone))[0]
 
 
-def is_hopeless(plan: Plan, at: Situation) -> bool:
+def is_hopeless(plan: Plan, last_s: float, serves_late: bool = True) -> bool:
     """Whether a request had better be refused than sent on.
 
     A late answer is worth a part of one in time and a refusal nothing, so whatever is
@@ -181,11 +179,12 @@
 
     Args:
         plan: The best plan for it.
-        at: What it depends on.
+        last_s: Seconds until the caller gives up if no event has come.
+        serves_late: Whether what can't be in time is sent at all.
     """
     if plan.level < LATE:
         return False
-    return not at.policy.serves_late or plan.first_s > at.last_s * HOPE_SHARE
+    return not serves_late or plan.first_s > last_s * HOPE_SHARE
 
 
 def _find_move(candidates: list[Pair], prompt: Prompt, at: Situation) -> Move | None:
@@ -212,9 +211,7 @@
     plans = [
         plan
         for plan, (_, engine) in zip(local, generating, strict=True)
-        if not at.policy.limits_reading
-        or not (engine.long_answers or at.has_exposed)
-        or may_read_beside(engine, at.now, plan.reading_s, at.gap_s)
+        if _may_read_there(engine, plan, at)
     ]
     if readers:
         host = min(generating, key=lambda pair: _weigh_target(pair, at.zone))
@@ -224,6 +221,14 @@
     return plans or local
 
 
+def _may_read_there(engine: Engine, plan: Plan, at: Situation) -> bool:
+    """Whether the answers that an engine generates bear a reading beside them."""
+    has_pauses = engine.long_answers > 0 or at.has_exposed
+    if not has_pauses or not at.policy.limits_reading:
+        return True
+    return may_read_beside(engine, at.now, plan.reading_s, at.gap_s)
+
+
 def _draw_spread(at: Situation) -> float:
     """Draw what a plan counts for besides its cost, seconds.
 
--- a/src/robinspindle/core/silence.py
+++ b/src/robinspindle/core/silence.py
@@ -81,11 +81,13 @@
     return max(LEAST_SILENCE_S, GAP_FACTOR * gap_s)
 
 
-def note_heard(hearing: Hearing, now: float) -> None:
-    """Take note that something came; a target that was silent before is so no more."""
+def note_heard(hearing: Hearing, now: float) -> bool:
+    """Take note that something came; whether a target that was silent is so no more."""
     hearing.heard_at = now
-    if hearing.silent_since is not None and now > hearing.silent_since:
+    ends_silence = hearing.silent_since is not None and now > hearing.silent_since
+    if ends_silence:
         hearing.silent_since = None
+    return ends_silence
 
 
 def is_overdue(hearing: Hearing, now: float, work_s: float = 0.0) -> bool:
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -270,9 +270,7 @@
 
 def note_heard(target: Target, now: float) -> None:
     """Take note that something came of a target; a silent one is used again."""
-    was_silent = target.hearing.silent_since
-    silence.note_heard(target.hearing, now)
-    if was_silent is not None and now > was_silent:
+    if silence.note_heard(target.hearing, now):
         note_answered(target)
 
 
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -29,12 +29,10 @@
 SILENCE_NEWS_S = 0.5
 """How long a silence is told to the peers, seconds: several datagrams."""
 
-
 HEARD_NEWS_S = 2.0
 """How long it is told when an engine was heard, seconds: as long as a silence that
 anyone may be about to notice."""
 
-
 MOST_TOLD_PARTS = 1000
 """Parts of one cache that are told, the most recently used: 20 KB, so that a datagram
 stays far below 64 KB."""
@@ -133,7 +131,7 @@
         ]
 
     def list_all_engines(self) -> list[tuple[Target, Engine]]:
-        """List all engines that may get work, whatever their health."""
+        """List all engines that are known, whether or not they may get work."""
         found = [t for t in self.directory.targets.values() if t.announced.role]
         return [(target, self.find_engine(target)) for target in found]
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -207,12 +207,10 @@
             loop.create_task(self.orderer.run(self.relay.chooser.read_rate)),
             loop.create_task(self._keep_house()),
         ]
+        if settings.policy.tells_caches:
+            self._tasks.append(loop.create_task(self._cache_lists.regain()))
         for task in self._tasks:
             task.add_done_callback(self._end_on_failure)
-        if settings.policy.tells_caches:
-            regain = loop.create_task(self._cache_lists.regain())
-            regain.add_done_callback(self._end_on_failure)
-            self._tasks.append(regain)
 
     def _end_on_failure(self, task: asyncio.Task) -> None:
         """End the process when a task that must go on has failed; it is restarted."""
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -355,6 +355,30 @@
         pool.give_back(connection, clock())
 
 
+async def call_once(
+    pool: ConnectionPool, clock: Callable[[], float], data: bytes, timeout_s: float
+) -> tuple[AnswerHead, bytes]:
+    """Make one call of our own and read its whole answer.
+
+    Args:
+        pool: Connections to whom it is made.
+        clock: Tells the present time, steady seconds.
+        data: The call.
+        timeout_s: Longest wait for connection and answer together, seconds.
+
+    Raises:
+        ConnectionBrokenError: When no whole answer comes.
+        TimeoutError: When it does not come in time.
+    """
+    async with (
+        asyncio.timeout(timeout_s),
+        borrow(pool, clock, timeout_s) as connection,
+    ):
+        exchange = Exchange("")
+        connection.send(exchange, data)
+        return await exchange.read_head(), await exchange.read_body()
+
+
 def _limit_silence(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -20,7 +20,7 @@
 from robinspindle.exceptions import LogConflictError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
-from robinspindle.httpclient import ConnectionBrokenError, Exchange, borrow
+from robinspindle.httpclient import ConnectionBrokenError, call_once
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 
@@ -215,14 +215,8 @@
         )
         pool = self._fleet.find_pool(target)
         try:
-            async with (
-                asyncio.timeout(ORDER_TIMEOUT_S),
-                borrow(pool, self._clock, ORDER_TIMEOUT_S) as connection,
-            ):
-                exchange = Exchange("")
-                connection.send(exchange, self._dialect.encode_order(order))
-                head = await exchange.read_head()
-                await exchange.read_body()
-                return self._dialect.decode_outcome(head.status)
+            data = self._dialect.encode_order(order)
+            head, _ = await call_once(pool, self._clock, data, ORDER_TIMEOUT_S)
         except (ConnectionBrokenError, TimeoutError):
             return OrderOutcome.UNSURE
+        return self._dialect.decode_outcome(head.status)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -105,6 +105,7 @@
 
     def _begin_passage(self, request: Request, reply: Reply, route: Route) -> Passage:
         service = choose_service(route, self._rng)
+        self.chooser.note_expected(request, route, service)
         return Passage(
             request,
             reply,
@@ -113,7 +114,7 @@
             forwarding.find_due(request, route),
             request.received_at + route.aim_s - CALLER_WAY_S,
             forwarding.find_first_due(request, route),
-            is_long=self.chooser.expects_long(request, route, service),
+            is_long=self.chooser.expects_long(route, service),
             is_return=self._patience.note(route.name, request.wait_s),
         )
 
--- a/tests/core/test_engines.py
+++ b/tests/core/test_engines.py
@@ -121,8 +121,8 @@
     engines.note_placed(engine, [HEAD])
     engines.note_placed(engine, [HEAD, FIRST], ready_at=2.0)
     assert engines.count_cached(engine, prompt) == 6300
-    assert engines.count_fetchable(engine, prompt, 1.9) == 2500
-    assert engines.count_fetchable(engine, prompt, 2.0) == 6300
+    assert engines.count_cached(engine, prompt, 1.9) == 2500
+    assert engines.count_cached(engine, prompt, 2.0) == 6300
 
 
 def test_the_time_at_which_a_part_is_ready_goes_with_it():
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -12,7 +12,8 @@
 HEAD, DOCUMENT, OWN = Part("h", 2500), Part("d", 3800), Part("o", 2900)
 DIGEST = Prompt("m", (HEAD, DOCUMENT, OWN), 9200, 118)
 CHAT = Prompt("m", (Part("c", 80), Part("q", 140)), 220, 5000)
-CALM = Situation(0.0, 0.2, 2.0, 0.2, 0.15, "a")
+CALM = Situation(0.0, 0.2, 0.2, 0.15, "a")
+PATIENCE_S = 2.0
 LONG = dataclasses.replace(CALM, is_long=True)
 LINKED = dataclasses.replace(CALM, move_s=1.2e-7)
 
@@ -127,21 +128,20 @@
     plan = plan_behind(0.5)
     assert plan.level == LATE
     assert plan.wait_s >= 0.5
-    assert not reading.is_hopeless(plan, CALM)
+    assert not reading.is_hopeless(plan, PATIENCE_S)
 
 
 def test_what_would_begin_after_its_caller_gave_up_is_hopeless():
-    assert reading.is_hopeless(plan_behind(1.7), CALM)
-    assert not reading.is_hopeless(plan_behind(1.4), CALM)
-    soon = dataclasses.replace(CALM, last_s=0.5)
-    assert reading.is_hopeless(plan_behind(0.5), soon)
+    assert reading.is_hopeless(plan_behind(1.7), PATIENCE_S)
+    assert not reading.is_hopeless(plan_behind(1.4), PATIENCE_S)
+    assert reading.is_hopeless(plan_behind(0.5), 0.5)
 
 
 def test_length_alone_makes_nothing_hopeless():
     long_prompt = Prompt("m", (Part("l", 90_000),), 90_000, 118)
     plan = choose_plan(make_fleet(), long_prompt, CALM)
     assert plan.first_s > 0.2
-    assert not reading.is_hopeless(plan, CALM)
+    assert not reading.is_hopeless(plan, PATIENCE_S)
 
 
 def test_the_operators_ranks_go_before_each_other():
