Tell how far an answer of the store had come, and how old the configuration is

Cause: the logs could not tell a read that was given up while it was coming from a store that answered nothing, nor a slow decoding from either; a gateway that was stuck on an old configuration told no figure of it, and a collector cut the page off before the version.

Ruled out: a line for each read: calls are several a second, and only failures and new configurations have to be told.

Change, no decision altered: `store call failed` tells the bytes that had come and how long nothing more did; `configuration in force` tells its bytes and the time to decode it; gauges for the configuration's age and for the store's bytes, used and thrown away; the figures of the process come before the counts by target. A body is joined once in place of being copied at each piece.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -62,7 +62,7 @@
             topic=self.adapter.configuration_topic,
             apply=self._apply_configuration,
             note_away=lambda: None,
-            note_back=lambda: None,
+            note_back=self._note_configuration_read,
         )
 
     def _follow_targets(self) -> Follower:
@@ -110,9 +110,13 @@
         self.peers.addresses[key] = HostPort(host, int(port))
         self.log("peer introduced", peer=key, address=f"{host}:{port}")
 
+    def _note_configuration_read(self) -> None:
+        self.fleet.table_read_at = self.clock()
+
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
         if key != self.adapter.configuration_key or value is None:
             return
+        came_at = self.clock()
         try:
             table = self.adapter.decode_configuration(value)
         except BadDocumentError as error:
@@ -129,7 +133,12 @@
         self.limits.body_bytes = limits.body_bytes
         self.limits.header_s = limits.header_s
         self.limits.idle_s = limits.idle_s
-        self.log("configuration in force", version=table.version)
+        self.log(
+            "configuration in force",
+            version=table.version,
+            bytes=len(value),
+            decode_ms=round((self.clock() - came_at) * 1000),
+        )
 
     def _apply_target(self, key: str, value: bytes | None) -> None:
         if value is None:
--- a/src/robinspindle/exceptions.py
+++ b/src/robinspindle/exceptions.py
@@ -52,7 +52,17 @@
 
 
 class LogUnavailableError(LogServiceError):
-    """The log service did not answer; an append may have taken effect."""
+    """The log service did not answer; an append may have taken effect.
+
+    Attributes:
+        received: Bytes of the answer that had come.
+        silent_s: How long nothing of it had come, seconds.
+    """
+
+    def __init__(self, message: str, received: int = 0, silent_s: float = 0.0):
+        super().__init__(message)
+        self.received = received
+        self.silent_s = silent_s
 
 
 class RecordsTrimmedError(LogServiceError):
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -44,6 +44,8 @@
     Attributes:
         directory: The targets.
         table: The configuration in force, None before the first.
+        table_read_at: When the configuration was last known to be the newest, steady
+            seconds.
         gateways: How many gateways share the targets' connections.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
             has started after this gateway.
@@ -52,6 +54,7 @@
     def __init__(self, directory: Directory, decode_head: DecodeHead):
         self.directory = directory
         self.table: RouteTable | None = None
+        self.table_read_at = 0.0
         self.gateways = GATEWAYS
         self.knows_new_caches = False
         self._decode_head = decode_head
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -52,9 +52,13 @@
 
     Attributes:
         calls: Calls made so far.
+        received_bytes: Bytes of the answers that came whole.
+        wasted_bytes: Bytes of answers that were given up or broke off.
     """
 
     calls: int
+    received_bytes: int
+    wasted_bytes: int
 
     async def read_newest(self, topic: str) -> Records:
         """Read the newest record of each key."""
@@ -132,7 +136,13 @@
     if not isinstance(error, LogUnavailableError):
         log("unexpected error of the store", topic=follower.topic, error=str(error))
     else:
-        log("store call failed", topic=follower.topic, error=str(error))
+        log(
+            "store call failed",
+            topic=follower.topic,
+            error=str(error),
+            received_bytes=error.received,
+            silent_ms=round(error.silent_s * 1000),
+        )
     follower.note_away()
 
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -300,10 +300,13 @@
         metrics, directory = self.metrics, self.directory
         usable = [t for t in directory.targets.values() if targets.may_get_work(t, now)]
         metrics.version.set(self.fleet.table.version if self.fleet.table else 0)
+        metrics.version_age.set(now - self.fleet.table_read_at)
         metrics.targets.set(len(usable))
         metrics.peers.set(len(self.peers.views))
         metrics.peers_age.set(find_oldest_s(self.peers, now))
         metrics.store_calls.set(self._store.calls)
+        metrics.store_received.set(self._store.received_bytes)
+        metrics.store_wasted.set(self._store.wasted_bytes)
         metrics.store_away.set(directory.away_since is not None)
         metrics.list_age.set(now - directory.read_at)
         metrics.left_out.set(self._output.total_left_out)
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -21,9 +21,12 @@
         repeats: Repeats taken from the budget.
         denied_repeats: Repeats that the budget did not allow.
         version: Version of the configuration in force; 0 for none.
+        version_age: Time since it was known to be the newest, seconds.
         targets: Targets that may get work.
         peers: Gateways heard lately.
         store_calls: Calls to the store so far.
+        store_received: Bytes of the store's answers that came whole.
+        store_wasted: Bytes of the store's answers that were given up or broke off.
         store_away: Whether the store is away.
         list_age: Age of what is known of the targets' entries, seconds.
         peers_age: Age of the oldest news of a peer that is heard, seconds.
@@ -33,6 +36,31 @@
 
     def __init__(self):
         self.registry = CollectorRegistry()
+        # The figures of the process come first: collectors may cut a page off, and
+        # the counts by target take hundreds of lines.
+        self.version = self._gauge("configuration_version", "Configuration in force")
+        self.version_age = self._gauge(
+            "configuration_age_seconds",
+            "Time since the configuration was known to be the newest",
+        )
+        self.targets = self._gauge("targets", "Targets that may get work")
+        self.peers = self._gauge("peers", "Gateways heard lately")
+        self.store_calls = self._gauge("store_calls", "Calls to the store so far")
+        self.store_received = self._gauge(
+            "store_received_bytes", "Bytes of the store's answers that came whole"
+        )
+        self.store_wasted = self._gauge(
+            "store_wasted_bytes", "Bytes of the store's answers that were given up"
+        )
+        self.store_away = self._gauge("store_away", "Whether the store is away")
+        self.list_age = self._gauge(
+            "targets_list_age_seconds", "Age of what is known of the targets' entries"
+        )
+        self.peers_age = self._gauge(
+            "peers_age_seconds", "Age of the oldest news of a peer that is heard"
+        )
+        self.left_out = self._gauge("log_lines_left_out", "Log lines left out so far")
+        self.busy = self._gauge("in_flight", "Callers' requests under way")
         self.latencies = Latencies()
         self.registry.register(self.latencies)
         self.requests = self._count(
@@ -51,19 +79,6 @@
         self.denied_repeats = self._count(
             "denied_repeats", "Repeats that the budget did not allow"
         )
-        self.version = self._gauge("configuration_version", "Configuration in force")
-        self.targets = self._gauge("targets", "Targets that may get work")
-        self.peers = self._gauge("peers", "Gateways heard lately")
-        self.store_calls = self._gauge("store_calls", "Calls to the store so far")
-        self.store_away = self._gauge("store_away", "Whether the store is away")
-        self.list_age = self._gauge(
-            "targets_list_age_seconds", "Age of what is known of the targets' entries"
-        )
-        self.peers_age = self._gauge(
-            "peers_age_seconds", "Age of the oldest news of a peer that is heard"
-        )
-        self.left_out = self._gauge("log_lines_left_out", "Log lines left out so far")
-        self.busy = self._gauge("in_flight", "Callers' requests under way")
 
     def count_try(self, service: str, target: str, end: str) -> None:
         """Count how one sending to a target ended."""
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -117,10 +117,10 @@
         Raises:
             ConnectionBrokenError: When the answer breaks off.
         """
-        body = b""
+        chunks = []
         while chunk := await self.read_chunk():
-            body += chunk
-        return body
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
@@ -130,6 +130,39 @@
             self._waiter = None
 
 
+@dataclass
+class Transfer:
+    """How far one answer has come.
+
+    Attributes:
+        began_at: When it was asked for, steady seconds.
+        moved_at: When something of it came last, steady seconds.
+        received: Bytes of its body that have come.
+    """
+
+    began_at: float
+    moved_at: float
+    received: int = 0
+
+
+async def read_answer(
+    exchange: Exchange, transfer: Transfer, clock: Callable[[], float]
+) -> tuple[AnswerHead, bytes]:
+    """Wait for a whole answer and note how far it has come.
+
+    Raises:
+        ConnectionBrokenError: When it breaks off.
+    """
+    head = await exchange.read_head()
+    transfer.moved_at = clock()
+    chunks = []
+    while chunk := await exchange.read_chunk():
+        transfer.moved_at = clock()
+        transfer.received += len(chunk)
+        chunks.append(chunk)
+    return head, b"".join(chunks)
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection to a target or to the store."""
 
@@ -376,7 +409,8 @@
     ):
         exchange = Exchange("")
         connection.send(exchange, data)
-        return await exchange.read_head(), await exchange.read_body()
+        transfer = Transfer(clock(), clock())
+        return await read_answer(exchange, transfer, clock)
 
 
 def _limit_silence(sock: socket.socket) -> None:
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from robinspindle.core.forwarding import AnswerHead
 from robinspindle.exceptions import (
     LogConflictError,
     LogUnavailableError,
@@ -21,7 +20,9 @@
     ConnectionBrokenError,
     ConnectionPool,
     Exchange,
+    Transfer,
     borrow,
+    read_answer,
 )
 from robinspindle.platform.dialect import decode_answer
 
@@ -82,6 +83,8 @@
 
     Attributes:
         calls: Calls made so far, for metrics.
+        received_bytes: Bytes of the answers that came whole.
+        wasted_bytes: Bytes of answers that were given up or broke off.
     """
 
     def __init__(self, address: HostPort, clock: Callable[[], float]):
@@ -89,6 +92,8 @@
         self._clock = clock
         self._pool = ConnectionPool(address, decode_answer)
         self.calls = 0
+        self.received_bytes = 0
+        self.wasted_bytes = 0
 
     async def read_newest(self, topic: str) -> Records:
         """Read the newest record of each key.
@@ -184,10 +189,19 @@
         if method == "POST":
             head += f"Content-Length: {len(body)}\r\n"
         data = head.encode() + b"\r\n" + body
+        now = self._clock()
+        transfer = Transfer(now, now)
         try:
-            status, answer = await self._exchange(data, wait_s + CALL_TIMEOUT_S)
+            status, answer = await self._exchange(
+                data, transfer, wait_s + CALL_TIMEOUT_S
+            )
         except (ConnectionBrokenError, TimeoutError) as error:
-            raise LogUnavailableError(str(error) or "no answer in time") from None
+            self.wasted_bytes += transfer.received
+            text = str(error) or "no answer in time"
+            raise LogUnavailableError(
+                text, transfer.received, self._clock() - transfer.moved_at
+            ) from None
+        self.received_bytes += transfer.received
         if status == TRIMMED:
             raise RecordsTrimmedError(self._decode(answer, _Trimmed).first)
         if status == CONFLICT:
@@ -196,13 +210,15 @@
             raise LogUnavailableError(f"answered {status}")
         return answer
 
-    async def _exchange(self, data: bytes, timeout_s: float) -> tuple[int, bytes]:
+    async def _exchange(
+        self, data: bytes, transfer: Transfer, timeout_s: float
+    ) -> tuple[int, bytes]:
         async with borrow(self._pool, self._clock, CONNECT_TIMEOUT_S) as connection:
             exchange = Exchange("")
             async with asyncio.timeout(timeout_s):
                 connection.send(exchange, data)
-                head: AnswerHead = await exchange.read_head()
-                return head.status, await exchange.read_body()
+                head, body = await read_answer(exchange, transfer, self._clock)
+                return head.status, body
 
 
 class _Appended(msgspec.Struct, rename="pascal"):
--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -7,7 +7,13 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
-from standins.rawhttp import RawRequest, RawServer, reset, write_answer
+from standins.rawhttp import (
+    RawRequest,
+    RawServer,
+    reset,
+    write_answer,
+    write_half,
+)
 
 PAGE = 500
 
@@ -37,7 +43,8 @@
 
     Attributes:
         trouble: How it answers: empty for well, ``busy`` for 503, ``reset``,
-            ``silent``, or ``lost`` to do what is asked and not answer.
+            ``silent``, ``lost`` to do what is asked and not answer, or ``stalls`` to
+            send half of the answer and then nothing.
         page: Items on one page of the newest records.
         calls: Method and path of each call.
     """
@@ -97,6 +104,9 @@
         if self.trouble == "lost":
             reset(writer)
             return False
+        if self.trouble == "stalls":
+            write_half(writer, status, body)
+            await asyncio.sleep(3600)
         write_answer(writer, status, body)
         return True
 
--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -98,6 +98,12 @@
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
+def write_half(writer: asyncio.StreamWriter, status: int, body: bytes) -> None:
+    """Write the head of an answer and the first half of its body."""
+    head = f"HTTP/1.1 {status} Phrase\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body[: len(body) // 2])
+
+
 async def _read_request(reader: asyncio.StreamReader) -> RawRequest | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -65,6 +65,22 @@
     play(scenario)
 
 
+def test_a_call_that_fails_tells_how_far_its_answer_had_come():
+    async def scenario(store, standin):
+        await standin.put(TOPIC, "a", bytes(1000))
+        standin.trouble = "stalls"
+        with pytest.raises(LogUnavailableError) as caught:
+            await store.read_on(TOPIC, 0, 0.0)
+        assert 0 < caught.value.received < 1000
+        assert store.wasted_bytes == caught.value.received
+        assert store.received_bytes == 0
+        standin.trouble = ""
+        await store.read_on(TOPIC, 0, 0.0)
+        assert store.received_bytes > 1000
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("trouble", ["busy", "reset", "silent", "lost"])
 def test_no_good_answer_is_one_error_whatever_the_cause(trouble):
     async def scenario(store, standin):
