Show that what is large never arrives over a slow link

A record of 1,040 KB needs 1.7 s and more over 6 Mbit/s; a call that was held before, or that is not held as the store seems lost, has 1.0 to 1.9 s left.

Ruled out: slow decoding (0.08 to 0.19 s where the record had come) and a silent store (calls that were given up had received up to 1,032,108 of 1,039,872 bytes, the last 0 to 77 ms before).

Stand-ins send long answers in pieces.

--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -13,10 +13,14 @@
     reset,
     write_answer,
     write_half,
+    write_slowly,
 )
 
 PAGE = 500
 
+LONG_BYTES = 4096
+"""Answers of this length and more come in pieces where the store is told so."""
+
 
 @dataclass
 class Topic:
@@ -46,12 +50,14 @@
             ``silent``, ``lost`` to do what is asked and not answer, or ``stalls`` to
             send half of the answer and then nothing.
         page: Items on one page of the newest records.
+        pieces: Pieces in which long answers come, one after a pause; 0 for at once.
         calls: Method and path of each call.
     """
 
     def __init__(self):
         self.trouble = ""
         self.page = PAGE
+        self.pieces = 0
         self.calls: list[str] = []
         self.server = RawServer(self._answer)
         self._topics: dict[str, Topic] = {}
@@ -107,6 +113,9 @@
         if self.trouble == "stalls":
             write_half(writer, status, body)
             await asyncio.sleep(3600)
+        if self.pieces and len(body) >= LONG_BYTES:
+            await write_slowly(writer, status, body, self.pieces)
+            return True
         write_answer(writer, status, body)
         return True
 
--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -6,6 +6,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+PIECE_PAUSE_S = 0.05
+"""Pause between two pieces of a slow answer, seconds; silence is judged far later."""
+
 
 @dataclass
 class RawRequest:
@@ -104,6 +107,19 @@
     writer.write(head.encode() + body[: len(body) // 2])
 
 
+async def write_slowly(
+    writer: asyncio.StreamWriter, status: int, body: bytes, pieces: int
+) -> None:
+    """Write a whole answer as a slow link brings it: piece by piece."""
+    head = f"HTTP/1.1 {status} Phrase\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode())
+    length = -(-len(body) // pieces)
+    for start in range(0, len(body), length):
+        writer.write(body[start : start + length])
+        await writer.drain()
+        await asyncio.sleep(PIECE_PAUSE_S)
+
+
 async def _read_request(reader: asyncio.StreamReader) -> RawRequest | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,7 +4,7 @@
 import json
 from collections import deque
 
-from standins.rawhttp import RawRequest, RawServer, reset, write_answer
+from standins.rawhttp import RawRequest, RawServer, reset, write_answer, write_slowly
 
 
 class Replica:
@@ -22,6 +22,7 @@
         closed: Ids of requests whose connection closed before their end.
         held: Parts that its cache holds, by id, with their tokens.
         lists: How often it was asked for them.
+        list_pieces: Pieces in which that list comes, one after a pause.
     """
 
     def __init__(self, lifetime: str, service: str, role: str = "", events: int = 3):
@@ -36,6 +37,7 @@
         self.closed: list[str] = []
         self.held: dict[str, int] = {}
         self.lists = 0
+        self.list_pieces = 1
         self.gate = asyncio.Event()
         self.server = RawServer(self._answer)
 
@@ -64,7 +66,8 @@
             self.lists += 1
             rows = [["", id, tokens, "m"] for id, tokens in self.held.items()]
             body = {"epoch": "1", "NextPageToken": 7, "held": rows}
-            write_answer(writer, 200, json.dumps(body).encode())
+            data = json.dumps(body).encode()
+            await write_slowly(writer, 200, data, self.list_pieces)
             return True
         if request.target == "/order":
             self.orders.append(request)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -168,10 +168,19 @@
 
 
 @asynccontextmanager
-async def deploy(tmp_path, configured=True, pledges=None):
-    """Run a gateway with a store; replicas are added by the test."""
+async def deploy(tmp_path, configured=True, pledges=None, prepare=None):
+    """Run a gateway with a store; replicas are added by the test.
+
+    Args:
+        tmp_path: Where the gateway's log is written.
+        configured: Whether a configuration is put in force first.
+        pledges: What was promised; generous if None.
+        prepare: Awaited with the store before the gateway starts.
+    """
     store = LogStore()
     await store.server.start()
+    if prepare is not None:
+        await prepare(store)
     ports = _find_ports(3)
     settings = GatewaySettings(
         name="gateway-1",
--- /dev/null
+++ b/tests/platform/test_slow_links.py
@@ -0,0 +1,76 @@
+"""What is large arrives over a slow link, however long it takes.
+
+The story: a configuration had grown to 4,200 routes, about a megabyte, and a new
+version was confirmed. VMs with links of 100 Mbit/s had it in 0.3 s. Eight of the
+seventeen VMs with links of 6 Mbit/s refused requests for its routes with 404 from the
+moment it had to be in force, and went on so to the end of the day.
+
+The order of events: the store holds a poll for up to 2 s, and the whole call was given
+3 s from its start. The version came late in a poll that had been held for 1.9 s; 1.1 s
+were left for an answer that a free link brings in 1.6 s. The call was given up, and
+what had come of it was thrown away. The next call was not held, as the store seemed
+lost, and so had 1 s for everything; it could never end, nor could any call after it.
+
+The cause: one time limit for silence and for the length of a transfer, and a try that
+begins at its first byte.
+
+The evidence: calls for that one topic were given up every 1.1 to 1.7 s, on those VMs
+alone, with up to 1,032,108 of 1,039,872 bytes received and the last of them 0 to 77 ms
+ago; decoding took 0.08 to 0.19 s where the whole of it had come. Their links were full,
+633 to 658 KB/s, with a configuration that never came into force.
+"""
+
+from standins.replica import Replica
+from tests.platform.deployment import deploy, make_configuration, make_route, run, until
+from tests.platform.test_cachelists import regain
+
+MANY = 200
+"""Routes of a configuration, or parts of a cache, that are long for the stand-ins."""
+
+LONGER_THAN_A_POLL = 70
+"""Pieces that take 3.5 s: longer than a poll with all its time ahead."""
+
+LONGER_THAN_A_CALL = 30
+"""Pieces that take 1.5 s: longer than a call that is not held."""
+
+
+def make_many_routes():
+    return [make_route(f"r{n}", "idempotent", "push") for n in range(MANY)]
+
+
+def test_a_configuration_that_takes_long_to_arrive_comes_into_force(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("i1")
+            d.store.pieces = LONGER_THAN_A_POLL
+            await d.configure(version=2, routes=make_many_routes())
+            assert (await d.call("/r199/x")).status == 200
+
+    run(play())
+
+
+def test_a_gateway_that_starts_behind_a_slow_link_gets_its_configuration(tmp_path):
+    async def configure(store):
+        configuration = make_configuration(version=2, routes=make_many_routes())
+        await store.put("keyed.op", "config", configuration)
+        store.pieces = LONGER_THAN_A_CALL
+
+    async def play():
+        async with deploy(tmp_path, configured=False, prepare=configure) as d:
+            await until(lambda: d.gateway.is_ready)
+            assert d.version == 2
+
+    run(play())
+
+
+def test_the_list_of_a_cache_that_takes_long_to_arrive_is_taken():
+    async def play():
+        replica = Replica("p1", "lm", "prefill")
+        replica.held = {f"part{n}": 40 for n in range(MANY)}
+        replica.list_pieces = LONGER_THAN_A_CALL
+        await replica.server.start()
+        engine, _ = await regain(replica)
+        assert engine.cached == replica.held
+        await replica.server.stop()
+
+    run(play())
