Give calls limits on silence, not on the length of their answers

Cause: one limit stood for two things, how long nothing may happen and how long a whole transfer may take. Where it was reached while an answer came, the answer was thrown away and asked for again from its first byte, over a link that was full with it.

Ruled out: a longer limit (it only moves the size at which it happens, and a dead store is noticed later by as much); asking for parts (the store has no such call); passing the configuration on between gateways (the same links carry it).

Change, and the same class elsewhere: - core of it: `calls.py`: a call has limits for its connection, for the head of its answer and for each further piece, none for the whole. The store's client, lists of caches, orders and releases use it; a release no longer makes its call itself. - relay: a whole answer that took over 0.8 s to arrive was taken as lost while it came and asked for again at another target; each piece now tells that its target lives. - callers: a body had to come whole within the limit for a head; it is judged by its pauses. - following: who is behind by more than one record reads the newest, not each version that was replaced meanwhile. Looked through and left: the product's own log, VM list, engines and command line use urllib3 and cheroot, whose limits are for each read from the socket; appends are at most 256 claims (50 KB); datagrams between gateways are below 64 KB.

--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -10,12 +10,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from robinspindle.calls import CallLimits, call_once
 from robinspindle.core.engines import Engine, note_held
 from robinspindle.core.forwarding import Part
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
-from robinspindle.httpclient import ConnectionBrokenError, call_once
+from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 
@@ -23,8 +24,9 @@
 """How long peers are waited for before engines are asked, seconds: with 23 gateways and
 21 engines the lists come within 1.2 s, the first of them after 0.06 s."""
 
-ASK_TIMEOUT_S = 0.5
-"""Longest wait for an engine's list, seconds."""
+ASK_LIMITS = CallLimits(connect_s=0.5, first_s=0.5, silence_s=0.5)
+"""How long an engine's list is waited for: all engines are asked at once, so on a slow
+link the lists come in turns."""
 
 LIST_READ = 200
 """The one status that says that a list follows."""
@@ -89,7 +91,7 @@
     async def _fetch(self, target: Target) -> list[Part]:
         pool = self._fleet.find_pool(target)
         data = self._dialect.encode_list_call(target.announced.address)
-        head, body = await call_once(pool, self._clock, data, ASK_TIMEOUT_S)
+        head, body = await call_once(pool, self._clock, data, ASK_LIMITS)
         if head.status != LIST_READ:
             raise BadDocumentError(f"status {head.status}")
         return self._dialect.decode_list(body)
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -29,6 +29,11 @@
 """Longest pause after failed calls, seconds: a store that is back is read within a
 second of it, and a refused call is paid for too."""
 
+MOST_LEFT = 1
+"""Records that may be left after a read before the newest of each key are read instead
+of all that came meanwhile. Versions of a configuration of a megabyte take 2 s each over
+6 Mbit/s; the newest records are longer by a third, as their bytes come as text."""
+
 LEAST_PAUSE_SHARE = 0.7
 """Least part of a pause that is kept: gateways that fail together call apart."""
 
@@ -41,10 +46,11 @@
 
 
 class Records(Protocol):
-    """Records and the offset after them."""
+    """Records, the offset after them, and where their topic ended meanwhile."""
 
     items: tuple[KeyedRecord, ...]
     end: int
+    topic_end: int
 
 
 class KeyedStore(Protocol):
@@ -129,6 +135,11 @@
         offset = records.end
         _apply(follower, keys, records)
         follower.note_end(offset)
+        left = records.topic_end - offset
+        if left > MOST_LEFT:
+            log("records are passed over", topic=follower.topic, count=left)
+            offset = None
+            continue
         await asyncio.sleep(follower.rest_s())
 
 
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -130,39 +130,6 @@
             self._waiter = None
 
 
-@dataclass
-class Transfer:
-    """How far one answer has come.
-
-    Attributes:
-        began_at: When it was asked for, steady seconds.
-        moved_at: When something of it came last, steady seconds.
-        received: Bytes of its body that have come.
-    """
-
-    began_at: float
-    moved_at: float
-    received: int = 0
-
-
-async def read_answer(
-    exchange: Exchange, transfer: Transfer, clock: Callable[[], float]
-) -> tuple[AnswerHead, bytes]:
-    """Wait for a whole answer and note how far it has come.
-
-    Raises:
-        ConnectionBrokenError: When it breaks off.
-    """
-    head = await exchange.read_head()
-    transfer.moved_at = clock()
-    chunks = []
-    while chunk := await exchange.read_chunk():
-        transfer.moved_at = clock()
-        transfer.received += len(chunk)
-        chunks.append(chunk)
-    return head, b"".join(chunks)
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection to a target or to the store."""
 
@@ -388,31 +355,6 @@
         pool.give_back(connection, clock())
 
 
-async def call_once(
-    pool: ConnectionPool, clock: Callable[[], float], data: bytes, timeout_s: float
-) -> tuple[AnswerHead, bytes]:
-    """Make one call of our own and read its whole answer.
-
-    Args:
-        pool: Connections to whom it is made.
-        clock: Tells the present time, steady seconds.
-        data: The call.
-        timeout_s: Longest wait for connection and answer together, seconds.
-
-    Raises:
-        ConnectionBrokenError: When no whole answer comes.
-        TimeoutError: When it does not come in time.
-    """
-    async with (
-        asyncio.timeout(timeout_s),
-        borrow(pool, clock, timeout_s) as connection,
-    ):
-        exchange = Exchange("")
-        connection.send(exchange, data)
-        transfer = Transfer(clock(), clock())
-        return await read_answer(exchange, transfer, clock)
-
-
 def _limit_silence(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -37,7 +37,8 @@
     Attributes:
         header_bytes: Longest head.
         body_bytes: Longest body.
-        header_s: Longest time for a head, seconds.
+        header_s: Longest time for a head, and for each further piece of a body,
+            seconds.
         idle_s: Longest rest between requests, seconds.
     """
 
@@ -239,13 +240,16 @@
 
     def on_headers_complete(self) -> None:
         """Note the head's time and ask for the body if the caller waits for that."""
-        self._head_at = self.server.clock()
+        self._head_at = self._rested_since = self.server.clock()
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of the body."""
+        # A limit on head and body together closed connections whose bodies were still
+        # coming over a crowded link; a body is judged by its pauses.
+        self._rested_since = self.server.clock()
         self._body.append(body)
         self._body_bytes += len(body)
         if self._body_bytes > self.server.limits.body_bytes:
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
+from robinspindle.calls import CallLimits, call_once
 from robinspindle.core import rebalance
 from robinspindle.core.authority import (
     Authority,
@@ -20,7 +21,7 @@
 from robinspindle.exceptions import LogConflictError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
-from robinspindle.httpclient import ConnectionBrokenError, call_once
+from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 
@@ -29,8 +30,8 @@
 DECIDE_S = 0.25
 """Interval at which roles are looked at, seconds."""
 
-ORDER_TIMEOUT_S = 0.5
-"""Longest wait for an engine's answer to an order, seconds."""
+ORDER_LIMITS = CallLimits(connect_s=0.25, first_s=0.5, silence_s=0.5)
+"""How long an engine's answer to an order is waited for; it has no body to speak of."""
 
 SETTLE_S = 3.0
 """How long a gateway hears its peers before it decides for all, seconds."""
@@ -216,7 +217,7 @@
         pool = self._fleet.find_pool(target)
         try:
             data = self._dialect.encode_order(order)
-            head, _ = await call_once(pool, self._clock, data, ORDER_TIMEOUT_S)
+            head, _ = await call_once(pool, self._clock, data, ORDER_LIMITS)
         except (ConnectionBrokenError, TimeoutError):
             return OrderOutcome.UNSURE
         return self._dialect.decode_outcome(head.status)
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -33,6 +33,24 @@
     expected: Expectation
 
 
+async def read_whole(means: Means, answer: Answer) -> bytes:
+    """Read a whole body; each piece of it tells that its target is not silent.
+
+    Without that, an answer that took over 0.8 s to come over a slow link was taken as
+    lost while it came, and was asked for again at another target.
+
+    Raises:
+        ConnectionBrokenError: When it breaks off.
+    """
+    answer.expected.since = means.clock()
+    chunks = []
+    while chunk := await answer.exchange.read_chunk():
+        now = answer.expected.since = means.clock()
+        targets.note_heard(answer.target, now)
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def pass_whole(reply: Reply, head: AnswerHead, body: bytes) -> None:
     """Pass an answer on that has come whole."""
     reply.begin(head.status, head.reason, head.headers, len(body))
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -1,6 +1,5 @@
 """Calls to the platform's store: a log service with topics, spoken over HTTP."""
 
-import asyncio
 import base64
 import struct
 from collections.abc import Callable
@@ -10,20 +9,14 @@
 
 import msgspec
 
+from robinspindle.calls import CallLimits, Transfer, call_once
 from robinspindle.exceptions import (
     LogConflictError,
     LogUnavailableError,
     RecordsTrimmedError,
 )
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import (
-    ConnectionBrokenError,
-    ConnectionPool,
-    Exchange,
-    Transfer,
-    borrow,
-    read_answer,
-)
+from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool
 from robinspindle.platform.dialect import decode_answer
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -33,8 +26,9 @@
 ORDERS_TOPIC = "keyed.orders"
 
 CALL_TIMEOUT_S = 1.0
-"""Longest wait for an answer beyond the wait that was asked for, seconds: the store
-answers in a few ms, in some hundred when it is slow."""
+"""Longest wait for an answer to begin, beyond the wait that was asked for, and for each
+further piece of it, seconds: the store answers in a few ms, in some hundred when it is
+slow, and on a link of 6 Mbit/s that is full pieces came within 80 ms of each other."""
 
 CONNECT_TIMEOUT_S = 0.5
 """Longest wait for a new connection to the store, seconds."""
@@ -61,10 +55,11 @@
 
 @dataclass(frozen=True)
 class Records:
-    """Records of one keyed topic and the offset after them."""
+    """Records of one keyed topic, the offset after them, and the topic's own end."""
 
     items: tuple[KeyedRecord, ...]
     end: int
+    topic_end: int
 
 
 class _Item(msgspec.Struct, rename="pascal"):
@@ -113,7 +108,7 @@
             # Pages are no snapshot: what changed since the first is read again.
             end = page.end if end is None else min(end, page.end)
             if not page.has_more or not page.items:
-                return Records(tuple(items), end)
+                return Records(tuple(items), end, end)
             after = page.items[-1].key
 
     async def read_on(self, topic: str, offset: int, wait_s: float) -> Records:
@@ -132,13 +127,13 @@
         }
         data = await self._call("GET", "/log-read", query, wait_s=wait_s)
         try:
-            # The first 8 bytes are the end of the partition, not of this answer.
-            struct.unpack_from(">QQ", data)
+            # The end of the partition, not of this answer, and the first offset kept.
+            topic_end, _ = struct.unpack_from(">QQ", data)
             values = _split_records(data[READ_HEAD_BYTES:])
             items = tuple(_decode_keyed(value) for value in values)
         except (struct.error, ValueError) as error:
             raise LogUnavailableError(f"bad records: {error}") from None
-        return Records(items, offset + len(items))
+        return Records(items, offset + len(items), topic_end)
 
     async def append_keyed(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
@@ -190,10 +185,12 @@
             head += f"Content-Length: {len(body)}\r\n"
         data = head.encode() + b"\r\n" + body
         now = self._clock()
-        transfer = Transfer(now, now)
+        transfer = Transfer(now)
+        first_s = wait_s + CALL_TIMEOUT_S
+        limits = CallLimits(CONNECT_TIMEOUT_S, first_s, CALL_TIMEOUT_S)
         try:
-            status, answer = await self._exchange(
-                data, transfer, wait_s + CALL_TIMEOUT_S
+            head, answer = await call_once(
+                self._pool, self._clock, data, limits, transfer
             )
         except (ConnectionBrokenError, TimeoutError) as error:
             self.wasted_bytes += transfer.received
@@ -202,24 +199,14 @@
                 text, transfer.received, self._clock() - transfer.moved_at
             ) from None
         self.received_bytes += transfer.received
-        if status == TRIMMED:
+        if head.status == TRIMMED:
             raise RecordsTrimmedError(self._decode(answer, _Trimmed).first)
-        if status == CONFLICT:
+        if head.status == CONFLICT:
             raise LogConflictError(self._decode(answer, _Conflict).end)
-        if status != DONE:
-            raise LogUnavailableError(f"answered {status}")
+        if head.status != DONE:
+            raise LogUnavailableError(f"answered {head.status}")
         return answer
 
-    async def _exchange(
-        self, data: bytes, transfer: Transfer, timeout_s: float
-    ) -> tuple[int, bytes]:
-        async with borrow(self._pool, self._clock, CONNECT_TIMEOUT_S) as connection:
-            exchange = Exchange("")
-            async with asyncio.timeout(timeout_s):
-                connection.send(exchange, data)
-                head, body = await read_answer(exchange, transfer, self._clock)
-                return head.status, body
-
 
 class _Appended(msgspec.Struct, rename="pascal"):
     offset: int
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from robinspindle.calls import CallLimits, call_once
 from robinspindle.core import targets
 from robinspindle.core.forwarding import AnswerHead, Source
 from robinspindle.core.reading import Plan
@@ -29,9 +30,9 @@
 READ = 200
 """The one status that says that a prompt was read."""
 
-RELEASE_TIMEOUT_S = CONNECT_TIMEOUT_S
-"""Longest wait for the answer to a release, seconds: as short as for a connection, as
-what is not freed lapses by itself."""
+RELEASE_LIMITS = CallLimits(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S)
+"""How long the answer to a release is waited for: as short as for a connection, as what
+is not freed lapses by itself."""
 
 
 class ReadingApart:
@@ -112,13 +113,9 @@
 
     async def _free(self, reader: Target, source: Source) -> None:
         try:
-            async with borrow_connection(self._means, reader) as connection:
-                exchange = Exchange("")
-                async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                    data = self._means.dialect.encode_release(source)
-                    connection.send(exchange, data)
-                    await exchange.read_head()
-                    await exchange.read_body()
+            pool = self._means.fleet.find_pool(reader)
+            data = self._means.dialect.encode_release(source)
+            await call_once(pool, self._means.clock, data, RELEASE_LIMITS)
         except (ConnectionBrokenError, TimeoutError) as error:
             # It lapses by itself a few seconds later.
             self._means.log("handle not freed", error=str(error))
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -21,7 +21,7 @@
 )
 from robinspindle.httpserver import Incoming
 from robinspindle.passages import Means, Passage
-from robinspindle.passing import Answer, pass_stream, pass_whole
+from robinspindle.passing import Answer, pass_stream, pass_whole, read_whole
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
@@ -256,13 +256,13 @@
         )
 
     async def _take_answer(self, passage: Passage, answer: Answer) -> End:
-        target, head, exchange = answer.target, answer.head, answer.exchange
+        target, head = answer.target, answer.head
         if head.not_run and head.status != BAD_REQUEST:
-            await exchange.read_body()
+            await read_whole(self._means, answer)
             self._note_not_run(passage, target, head)
             return End.NOT_RUN
         if head.status >= LEAST_OTHER:
-            passage.fault = (head, await exchange.read_body())
+            passage.fault = (head, await read_whole(self._means, answer))
             passage.runs += 1
             targets.note_answered(target)
             targets.note_fault(target, head.status in UPSTREAM_FAULTS)
@@ -273,7 +273,7 @@
         if passage.route.kind == STREAM:
             await pass_stream(self._means, passage, answer)
         else:
-            pass_whole(passage.reply, head, await exchange.read_body())
+            pass_whole(passage.reply, head, await read_whole(self._means, answer))
         targets.note_answered(target)
         targets.note_fault(target, False)
         self._log.log_end(passage, target, "delivered")
--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -96,23 +96,23 @@
     headers: dict[str, str] | None = None,
 ) -> None:
     """Write a whole answer."""
-    lines = [f"HTTP/1.1 {status} Phrase", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    writer.write(_write_head(status, len(body), headers) + body)
 
 
 def write_half(writer: asyncio.StreamWriter, status: int, body: bytes) -> None:
     """Write the head of an answer and the first half of its body."""
-    head = f"HTTP/1.1 {status} Phrase\r\nContent-Length: {len(body)}\r\n\r\n"
-    writer.write(head.encode() + body[: len(body) // 2])
+    writer.write(_write_head(status, len(body)) + body[: len(body) // 2])
 
 
 async def write_slowly(
-    writer: asyncio.StreamWriter, status: int, body: bytes, pieces: int
+    writer: asyncio.StreamWriter,
+    status: int,
+    body: bytes,
+    pieces: int,
+    headers: dict[str, str] | None = None,
 ) -> None:
     """Write a whole answer as a slow link brings it: piece by piece."""
-    head = f"HTTP/1.1 {status} Phrase\r\nContent-Length: {len(body)}\r\n\r\n"
-    writer.write(head.encode())
+    writer.write(_write_head(status, len(body), headers))
     length = -(-len(body) // pieces)
     for start in range(0, len(body), length):
         writer.write(body[start : start + length])
@@ -120,6 +120,14 @@
         await asyncio.sleep(PIECE_PAUSE_S)
 
 
+def _write_head(
+    status: int, length: int, headers: dict[str, str] | None = None
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} Phrase", f"Content-Length: {length}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
 async def _read_request(reader: asyncio.StreamReader) -> RawRequest | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -20,8 +20,20 @@
 633 to 658 KB/s, with a configuration that never came into force.
 """
 
-from standins.replica import Replica
-from tests.platform.deployment import deploy, make_configuration, make_route, run, until
+import asyncio
+
+from standins.rawhttp import PIECE_PAUSE_S
+from standins.replica import SLOW_BYTES, Replica
+from tests.platform.deployment import (
+    MOST_S,
+    deploy,
+    make_configuration,
+    make_route,
+    read_reply,
+    run,
+    until,
+    write_request,
+)
 from tests.platform.test_cachelists import regain
 
 MANY = 200
@@ -74,3 +86,49 @@
         await replica.server.stop()
 
     run(play())
+
+
+def test_an_answer_that_takes_long_to_arrive_is_not_asked_for_again(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replicas = [await d.add("i1"), await d.add("i2")]
+            for replica in replicas:
+                replica.behaviours.append("slow_to_come")
+            reply = await d.call("/safe/x")
+            assert reply.status == 200
+            assert len(reply.body) == SLOW_BYTES
+            assert sum(len(replica.arrivals) for replica in replicas) == 1
+
+    run(play())
+
+
+def test_a_body_that_takes_long_to_arrive_is_read_to_its_end(tmp_path):
+    """The limit is for the head, and for pauses after it."""
+
+    async def play():
+        async with deploy(tmp_path) as d:
+            await d.add("i1")
+            d.gateway._callers.limits.header_s = 1.0
+            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            data = write_request("POST", "/safe/x", "r1", b"x" * 2000, {})
+            for start in range(0, len(data), 100):
+                writer.write(data[start : start + 100])
+                await asyncio.sleep(PIECE_PAUSE_S * 2)
+            assert (await read_reply(reader)).status == 200
+            writer.close()
+
+    run(play())
+
+
+def test_a_body_that_stops_coming_ends_its_connection(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            d.gateway._callers.limits.header_s = 0.2
+            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            data = write_request("POST", "/safe/x", "r1", b"x" * 1000, {})
+            writer.write(data[:-1])
+            async with asyncio.timeout(MOST_S):
+                assert await reader.read() == b""
+            writer.close()
+
+    run(play())
