Have the soak bring a long configuration over slow links

Cause: no test and no seed of the soak had an answer of the store that took longer than a call's limit; links of the soak were as fast as the machine.

Ruled out: a further fault in the list that seeds choose from: recorded seeds would play other faults.

Change: `--slow-links`: a configuration of 0.3 MB comes over links of 150 KB/s; at the end of each seed every gateway has to know the route that only the last version has.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,10 +7,11 @@
 import tempfile
 from pathlib import Path
 
-from soak.callers import call_on
+from soak.callers import ask_route, call_on
 from soak.faults import FAULTS
+from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
-from soak.world import World
+from soak.world import World, name_newest
 
 GATEWAYS = 3
 CALLERS = 4
@@ -18,19 +19,33 @@
 """Longest wait until all gateways serve, at the start and after the faults, seconds."""
 
 
-async def play(seed: int, steps: int, folder: Path) -> Oracle:
+SLOW_LINK_BYTES_PER_S = 150_000
+MANY_ROUTES = 1500
+"""A link to the store and a configuration of 0.3 MB that needs 2 s over it, more than
+a call may be silent."""
+
+NOT_FOUND = 404
+
+
+async def play(
+    seed: int, steps: int, folder: Path, has_slow_links: bool = False
+) -> Oracle:
     """Play one seed.
 
     Args:
         seed: Chooses the faults and what callers ask.
         steps: Number of faults; they come in series and overlap.
         folder: Where settings and logs go.
+        has_slow_links: Whether a long configuration comes over slow links.
 
     Returns:
         What was seen, with findings.
     """
     rng = random.Random(seed)
     world = World(folder, rng, Oracle())
+    if has_slow_links:
+        world.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+        world.more_routes = MANY_ROUTES
     await world.start(GATEWAYS)
     callers: list[asyncio.Task] = []
     try:
@@ -46,6 +61,7 @@
             await asyncio.sleep(rng.uniform(0.0, 0.6))
         await asyncio.gather(*faults)
         await _wait_until_all_serve(world, "end")
+        await _wait_until_all_know_the_newest(world)
     finally:
         for caller in callers:
             caller.cancel()
@@ -71,19 +87,45 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
+async def _wait_until_all_know_the_newest(world: World) -> None:
+    route = name_newest(world.version)
+    for gateway in world.gateways:
+        try:
+            async with asyncio.timeout(START_S):
+                tries = 0
+                while await _is_unknown(world, gateway, route, tries):
+                    tries += 1
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            text = f"{gateway.name} does not know version {world.version} at the end"
+            world.oracle.findings.append(text)
+
+
+async def _is_unknown(
+    world: World, gateway: GatewayProcess, route: str, tries: int
+) -> bool:
+    id = f"newest-{gateway.name}-{tries}"
+    return await ask_route(gateway, world.oracle, id, route) in (0, NOT_FOUND)
+
+
 def main() -> int:
     """Play seeds and print what they found."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--count", type=int, default=1, help="number of seeds")
     parser.add_argument("--steps", type=int, default=12, help="faults of each seed")
+    parser.add_argument(
+        "--slow-links",
+        action="store_true",
+        help="a long configuration over slow links to the store",
+    )
     parser.add_argument("--keep", default="", help="folder for settings and logs")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.count):
         folder = Path(args.keep or tempfile.mkdtemp(prefix="soak-")) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        oracle = asyncio.run(play(seed, args.steps, folder))
+        oracle = asyncio.run(play(seed, args.steps, folder, args.slow_links))
         outcomes = {kind: dict(found) for kind, found in oracle.outcomes.items()}
         print(f"seed {seed}: {len(oracle.findings)} findings, {outcomes}", flush=True)
         for finding in oracle.findings:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -41,10 +41,27 @@
             writer = None
 
 
-def write_request(id: str, kind: str, rng: random.Random) -> bytes:
-    """Write a request of a kind."""
+async def ask_route(
+    gateway: GatewayProcess, oracle: Oracle, id: str, route: str
+) -> int:
+    """Send one request of a plain service and return its status; 0 for no answer."""
+    oracle.note_sent(id, "safe")
+    try:
+        async with asyncio.timeout(WAIT_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", gateway.callers)
+            writer.write(write_request(id, "safe", random.Random(0), route))
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0
+    return int(head.split()[1])
+
+
+def write_request(id: str, kind: str, rng: random.Random, route: str = "") -> bytes:
+    """Write a request of a kind, on the route of its name or on another."""
     body = expect_body(id)
-    lines = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
+    path = f"/{route or kind}/x"
+    lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
     lines.append(f"X-Deadline-Ms: {rng.choice([500, 2000])}")
     if kind in ("chat", "digest"):
         document = rng.randint(1, 20)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,10 +1,12 @@
-"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+"""A loopback proxy that delays, slows, resets, cuts or silences connections."""
 
 import asyncio
 
 from standins.rawhttp import reset
 
 CHUNK = 65536
+SLOW_CHUNK = 8192
+"""Bytes that are passed on at a time; few on a slow link, which connections share."""
 
 
 class Proxy:
@@ -13,16 +15,20 @@
     Attributes:
         port: Where it listens.
         delay_s: Delay of each piece, seconds.
+        bytes_per_s: How fast answers come through, all connections together; 0 for
+            as fast as they can.
         cut: Which way nothing gets through: empty, ``in``, ``out`` or ``both``.
     """
 
     def __init__(self, target_port: int):
         self.port = 0
         self.delay_s = 0.0
+        self.bytes_per_s = 0
         self.cut = ""
         self._target_port = target_port
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._link = asyncio.Lock()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -61,8 +67,12 @@
             there.close()
 
     async def _pump(self, reader, writer, way: str) -> None:
-        while data := await reader.read(CHUNK):
+        chunk = SLOW_CHUNK if self.bytes_per_s else CHUNK
+        while data := await reader.read(chunk):
             await asyncio.sleep(self.delay_s)
+            if self.bytes_per_s and way == "out":
+                async with self._link:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
             while self.cut in (way, "both"):
                 await asyncio.sleep(0.02)
             writer.write(data)
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,6 +21,8 @@
     Attributes:
         store_proxies: Between each gateway and the store, by gateway.
         replica_proxies: Before each replica, by lifetime.
+        link_bytes_per_s: How fast the store's answers reach a gateway; 0 for at once.
+        more_routes: Routes of the configuration that nobody uses.
     """
 
     folder: Path
@@ -32,6 +34,8 @@
     store_proxies: dict[str, Proxy] = field(default_factory=dict)
     replica_proxies: dict[str, Proxy] = field(default_factory=dict)
     version: int = 0
+    link_bytes_per_s: int = 0
+    more_routes: int = 0
     _lifetimes: int = 0
 
     async def start(self, gateways: int) -> None:
@@ -49,7 +53,8 @@
     async def configure(self) -> None:
         """Put the next configuration in force."""
         self.version += self.rng.randint(1, 3)
-        await self.store.put("keyed.op", "config", _make_configuration(self.version))
+        configuration = _make_configuration(self.version, self.more_routes)
+        await self.store.put("keyed.op", "config", configuration)
 
     async def add_replica(self, service: str, role: str) -> None:
         """Add a replica behind a proxy of its own."""
@@ -82,6 +87,7 @@
 
     async def _add_gateway(self, name: str) -> None:
         proxy = Proxy(self.store.server.port)
+        proxy.bytes_per_s = self.link_bytes_per_s
         await proxy.start()
         self.store_proxies[name] = proxy
         gateway = prepare_gateway(self.folder, name, proxy.port)
@@ -89,7 +95,12 @@
         await gateway.start()
 
 
-def _make_configuration(version: int) -> dict:
+def name_newest(version: int) -> str:
+    """Name the route that only one version of the configuration has."""
+    return f"version-{version}"
+
+
+def _make_configuration(version: int, more_routes: int) -> dict:
     def route(name: str, kind: str, service: str, **more) -> dict:
         return {
             "Name": name,
@@ -112,6 +123,8 @@
             route("once", "non_idempotent", "push"),
             route("chat", "stream", "lm"),
             route("digest", "stream", "lm", Resumable=True),
+            route(name_newest(version), "idempotent", "push"),
+            *(route(f"r{n}", "idempotent", "push") for n in range(more_routes)),
         ],
         "Services": [
             {"Name": "push", "MaxConnections": 100},
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -24,3 +24,8 @@
     oracle = asyncio.run(play(seed, steps, tmp_path))
     assert oracle.findings == []
     assert all(oracle.outcomes[kind][200] for kind in ("safe", "once", "chat"))
+
+
+def test_a_long_configuration_comes_into_force_over_slow_links(tmp_path):
+    oracle = asyncio.run(play(1, 6, tmp_path, has_slow_links=True))
+    assert oracle.findings == []
