Decode only the routes of a configuration that changed

Cause: each version of a configuration was decoded whole while nothing was served: small VMs stood still for 0.08 to 0.3 s at 4,200 routes, each time a route changed.

Ruled out: a thread (the codec holds the interpreter, and both would share 0.39 of a core); slices between requests (a table would be half new for a while).

Change: routes are decoded one by one, and the 8,192 read last are kept decoded.

Figures: 4,200 routes, one changed: 30.5 -> 4.3 ms (middle of 21, alone on one core); all new: as before. Traced peak with two versions of 8,192 routes: 13.5 -> 9.3 MB; kept documents 3.4 MB. The test of it fails on the code before.

Conclusion: kept; the first version after a start takes as long as it did.

--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes what operators and targets write to the platform's store."""
 
+from functools import lru_cache
 from typing import Any
 
 import msgspec
@@ -22,6 +23,14 @@
 BITS_A_BYTE = 8
 BITS_A_MEGABIT = 1e6
 
+ROUTES_KEPT = 8192
+"""Routes that are kept decoded, the ones read last: twice as many as the largest
+configuration seen. Nothing is served while a configuration is decoded: a version of
+4,200 routes with one changed takes 4 ms in place of 30 (middle of 21, alone on one
+core); small VMs stood still for 0.08 to 0.3 s. The documents of 8,192 routes take
+3.4 MB; the peak while one version replaces another falls from 13.5 to 9.3 MB, as they
+share routes (traced allocations)."""
+
 KINDS = {
     "idempotent": IDEMPOTENT,
     "non_idempotent": AT_MOST_ONCE,
@@ -80,7 +89,8 @@
 
 class _Configuration(msgspec.Struct, rename="pascal"):
     version: int
-    routes: list[_Route]
+    # Each is decoded by itself, as most are the same from version to version.
+    routes: list[msgspec.Raw]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -105,7 +115,7 @@
     document = _decode(data, _Configuration)
     return make_table(
         document.version,
-        [_make_route(route) for route in document.routes],
+        [_read_route(bytes(route)) for route in document.routes],
         [_make_service(service) for service in document.services],
         CallerLimits(
             header_bytes=document.limits.max_header_bytes,
@@ -142,7 +152,9 @@
         raise BadDocumentError(str(error)) from None
 
 
-def _make_route(route: _Route) -> Route:
+@lru_cache(maxsize=ROUTES_KEPT)
+def _read_route(data: bytes) -> Route:
+    route = _decode(data, _Route)
     backends = tuple(Backend(b.service, b.weight) for b in route.backends)
     if route.service is not None:
         backends = (Backend(route.service),)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -41,6 +41,17 @@
     assert find_route(decode(value), HOST, "/a/").kind == AT_MOST_ONCE
 
 
+def test_a_route_that_has_not_changed_is_not_decoded_again():
+    """Of 4,200 routes, one changed: 30.5 ms before, 4.3 ms after, middle of 21."""
+    first = make_route("a", "idempotent", "push")
+    second = make_route("b", "idempotent", "push")
+    before = decode(make_configuration(version=1, routes=[first, second]))
+    changed = second | {"TimeoutMs": 7000}
+    after = decode(make_configuration(version=2, routes=[first, changed]))
+    assert find_route(after, HOST, "/a/") is find_route(before, HOST, "/a/")
+    assert find_route(after, HOST, "/b/").timeout_s == 7.0
+
+
 def test_a_split_and_its_weights():
     split = [{"Service": "a", "Weight": 90}, {"Service": "b", "Weight": 10}]
     route = make_route("a", "idempotent", None, Backends=split)
@@ -51,7 +62,10 @@
     ]
 
 
-@pytest.mark.parametrize("data", [b"", b"[]", b'{"Version": "x"}', b"\xff"])
+BAD_ROUTE = b'{"Version": 1, "Services": [], "Routes": [{"Name": 1}]}'
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"Version": "x"}', b"\xff", BAD_ROUTE])
 def test_what_can_not_be_read_is_an_error_of_its_own(data):
     with pytest.raises(BadDocumentError):
         decode_configuration(data)
