Tell the configuration's age from when all that the topic held was applied

Cause: the age was counted from each answer of the store, also from one that left newer records behind, so that a gateway that was behind could look up to date.

Ruled out: comparing offsets in the metrics: the follower knows best.

Change: the follower tells when nothing is left; the age is infinite before the first configuration. No decision altered.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -62,7 +62,8 @@
             topic=self.adapter.configuration_topic,
             apply=self._apply_configuration,
             note_away=lambda: None,
-            note_back=self._note_configuration_read,
+            note_back=lambda: None,
+            note_newest=self._note_configuration_newest,
         )
 
     def _follow_targets(self) -> Follower:
@@ -110,8 +111,8 @@
         self.peers.addresses[key] = HostPort(host, int(port))
         self.log("peer introduced", peer=key, address=f"{host}:{port}")
 
-    def _note_configuration_read(self) -> None:
-        self.fleet.table_read_at = self.clock()
+    def _note_configuration_newest(self) -> None:
+        self.fleet.table_newest_at = self.clock()
 
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
         if key != self.adapter.configuration_key or value is None:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,5 +1,7 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
+import math
+
 from robinspindle.core import paces, silence, targets
 from robinspindle.core.engines import Engine, make_engine, note_held
 from robinspindle.core.forwarding import Part
@@ -44,7 +46,7 @@
     Attributes:
         directory: The targets.
         table: The configuration in force, None before the first.
-        table_read_at: When the configuration was last known to be the newest, steady
+        table_newest_at: When the configuration was last known to be the newest, steady
             seconds.
         gateways: How many gateways share the targets' connections.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
@@ -54,7 +56,7 @@
     def __init__(self, directory: Directory, decode_head: DecodeHead):
         self.directory = directory
         self.table: RouteTable | None = None
-        self.table_read_at = 0.0
+        self.table_newest_at = -math.inf
         self.gateways = GATEWAYS
         self.knows_new_caches = False
         self._decode_head = decode_head
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -91,6 +91,7 @@
             are then read together, as each call has its price.
         wait_s: How long the store holds a poll, seconds.
         note_end: Told where the topic ends, after each read was applied.
+        note_newest: Called when all that the topic held has been applied.
     """
 
     topic: str
@@ -100,6 +101,7 @@
     rest_s: Callable[[], float] = lambda: 0.0
     wait_s: float = WAIT_S
     note_end: Callable[[int], None] = lambda end: None
+    note_newest: Callable[[], None] = lambda: None
 
 
 async def follow(store: KeyedStore, follower: Follower, log: Log) -> None:
@@ -136,6 +138,8 @@
         _apply(follower, keys, records)
         follower.note_end(offset)
         left = records.topic_end - offset
+        if left <= 0:
+            follower.note_newest()
         if left > MOST_LEFT:
             log("records are passed over", topic=follower.topic, count=left)
             offset = None
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -300,7 +300,7 @@
         metrics, directory = self.metrics, self.directory
         usable = [t for t in directory.targets.values() if targets.may_get_work(t, now)]
         metrics.version.set(self.fleet.table.version if self.fleet.table else 0)
-        metrics.version_age.set(now - self.fleet.table_read_at)
+        metrics.version_age.set(now - self.fleet.table_newest_at)
         metrics.targets.set(len(usable))
         metrics.peers.set(len(self.peers.views))
         metrics.peers_age.set(find_oldest_s(self.peers, now))
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True)
 class Record:
-    value: bytes
+    value: object
     key: str = "config"
 
 
@@ -95,37 +95,35 @@
 
 
 class GrownStore(Store):
-    """Keeps a record of one key that is written often; a read brings one record.
+    """Grew from nothing to some records at once; a read brings one of them.
 
     Attributes:
-        reads: What was read, in turn.
+        reads: Offsets that were read on from, and the newest, in turn.
     """
 
-    def __init__(self, records):
+    def __init__(self, end):
         self.reads = []
-        self._end = records
+        self._end = end
+        self._newest = iter([Found((), 0), Found((Record(end),), end, end)])
 
     async def read_newest(self, topic):
         self.reads.append("newest")
-        return Found((Record(str(self._end).encode()),), self._end)
+        return next(self._newest)
 
     async def read_on(self, topic, offset, wait_s):
         if offset == self._end:
             await asyncio.Event().wait()
         self.reads.append(offset)
-        return Found((Record(str(offset + 1).encode()),), offset + 1, self._end)
+        return Found((Record(offset + 1),), offset + 1, self._end)
 
 
-def follow_from_the_start(store, applied):
-    """Follow a store of which only the first record is known."""
+def follow_to_the_end(store):
+    """Follow a store; return the records applied, and ``newest`` where it knew so."""
+    told = []
 
     async def play():
-        async def read_first(topic):
-            store.read_newest = read_newest
-            return Found((), 0)
-
-        read_newest, store.read_newest = store.read_newest, read_first
-        follower = Follower("t", lambda _, value: applied.append(value), *[do] * 2)
+        follower = Follower("t", lambda _, value: told.append(value), do, do)
+        follower.note_newest = lambda: told.append("newest")
         task = asyncio.create_task(follow(store, follower, lambda *a, **k: None))
         for _ in range(100):
             await asyncio.sleep(0)
@@ -135,19 +133,18 @@
         pass
 
     asyncio.run(play())
+    return told
 
 
 def test_who_is_behind_reads_the_newest_and_not_what_it_replaced():
     """Over a slow link each version takes seconds, and only the last one counts."""
-    store, applied = GrownStore(12), []
-    follow_from_the_start(store, applied)
-    assert store.reads == [0, "newest"]
-    assert applied == [b"1", b"12"]
+    store = GrownStore(12)
+    assert follow_to_the_end(store) == ["newest", 1, 12, "newest"]
+    assert store.reads == ["newest", 0, "newest"]
 
 
 def test_who_is_one_record_behind_reads_on():
     """The newest records of all keys would be more than the one that is missing."""
-    store, applied = GrownStore(2), []
-    follow_from_the_start(store, applied)
-    assert store.reads == [0, 1]
-    assert applied == [b"1", b"2"]
+    store = GrownStore(2)
+    assert follow_to_the_end(store) == ["newest", 1, 2, "newest"]
+    assert store.reads == ["newest", 0, 1]
