Learn from quick readings; ask a lost store for one topic; use 0.9 of the aim

Cause: a reading counted for what is known of engines' speed only where nothing else was there. Where work comes from the first second on, none ever is, and engines are believed slow for good. Prompts gave way to all others as soon as they filled 0.7 of their aim.

Change: a reading that took less than was expected counts in any case. A plan is in time up to 0.9 of the aim. While the store is lost, one topic finds out whether it is back, every 2 s where the own relay says that it is away.

Figures, load played in virtual time, in time: one gateway, 550 a second, 0.671 -> 0.851; twelve, 450 a second 0.81 -> 0.88, 550 0.65 -> 0.71.

--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -231,6 +231,20 @@
     engine.slowness += SLOWNESS_SMOOTHING * (ratio - engine.slowness)
 
 
+def note_answered(engine: Engine, measured: Measured, was_alone: bool) -> None:
+    """Take note of how long a reading took that may have waited for others.
+
+    One that waited tells nothing where it took longer than was expected, but all the
+    more where it took less: then engines are faster than is believed. Where there is
+    work from the first second on, no reading is ever alone: of 550 prompts a second to
+    one gateway 0.67 began in time where only those were learnt from, in place of 0.85
+    (`tests/core/test_loadplay.py`).
+    """
+    expected_s = estimate_reading_s(engine, measured.new, measured.context)
+    if was_alone or measured.seconds < expected_s:
+        note_reading(engine, measured)
+
+
 def sum_work(engine: Engine, level: int) -> float:
     """Sum the seconds of reading to be done that are as urgent as a level, or more."""
     if level == LATE:
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -41,8 +41,8 @@
 none of the first is in time. The choice of two rather than one is what matters where
 beliefs are old (Mitzenmacher, "How useful is old information?", 2000). In a play of 12
 gateways that tell each other every 0.1 s, before 17 engines that can just read 550
-prompts a second, in time began, with all compared and with two: of 350 a second 0.83
-and 0.95, of 450 a second 0.63 and 0.78, of 550 a second 0.48 and 0.63
+prompts a second, in time began, with all compared and with two: of 350 a second 0.87
+and 0.95, of 450 a second 0.63 and 0.88, of 550 a second 0.44 and 0.71
 (`tests/core/test_loadplay.py`). To draw among those that look in time gains half of
 that: all run after those."""
 
@@ -74,9 +74,11 @@
 FAULT_S = 0.3
 """Seconds that a target which only fails counts for; longer than a usual aim."""
 
-IN_TIME_SHARE = 0.7
+IN_TIME_SHARE = 0.9
 """Share of the time to the aim that a plan may fill by its estimate and still count as
-in time; the rest is for the way to the caller and for what was misjudged."""
+in time; the rest is for what was misjudged. With 0.7 of it prompts that could have been
+in time gave way to all others: of 450 a second 0.81 began in time in place of 0.88, of
+550 a second 0.65 in place of 0.71 (`tests/core/loadplay.py`, three seeds)."""
 
 HOPE_SHARE = 0.8
 """Share of the time until its caller gives up that the first event of a late answer may
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -33,6 +34,15 @@
 """Longest pause after failed calls, seconds: a store that is back is read within a
 second of it, and a refused call is paid for too."""
 
+AWAY_PAUSE_S = 2.0
+"""The same where a peer that is heard says that the store is away, and will say when it
+is back: seconds, so that a peer that dies meanwhile costs one more of them."""
+
+PROBED_S = 2.0
+"""How long a topic's reads rest while those of another one find out whether the store
+is back, seconds: with four topics 950 of 1,806 calls were made in vain in 8 s without
+the store (18 gateways)."""
+
 MOST_LEFT = 1
 """Records that may be left after a read before the newest of each key are read instead
 of all that came meanwhile. Versions of a configuration of a megabyte take 2 s each over
@@ -82,6 +92,27 @@
         """Append one keyed record and return its offset."""
 
 
+@dataclass
+class Outage:
+    """What the followers of one store know of its being lost; shared by them.
+
+    Attributes:
+        prober: The topic whose reads find out whether it is back; empty for none.
+        back: Set when it may be back.
+        find_most_pause_s: Tells the longest pause between reads meanwhile, seconds.
+    """
+
+    prober: str = ""
+    back: asyncio.Event = field(default_factory=asyncio.Event)
+    find_most_pause_s: Callable[[], float] = lambda: MOST_PAUSE_S
+
+
+def note_may_be_back(outage: Outage) -> None:
+    """Take note that the store is back for a peer: all reads are tried at once."""
+    outage.back.set()
+    outage.back = asyncio.Event()
+
+
 @dataclass
 class Follower:
     """One topic that is followed.
@@ -134,8 +165,18 @@
         follower.nudge.set()
 
 
-async def follow(store: KeyedStore, follower: Follower, log: Log) -> None:
-    """Follow one topic for as long as the process runs."""
+async def follow(
+    store: KeyedStore, follower: Follower, log: Log, outage: Outage | None = None
+) -> None:
+    """Follow one topic for as long as the process runs.
+
+    Args:
+        store: The store.
+        follower: The topic, and who is told of it.
+        log: Takes log lines.
+        outage: Shared by all who follow the same store; None for one that is alone.
+    """
+    outage = outage or Outage()
     keys: set[str] = set()
     pause_s = FIRST_PAUSE_S
     is_nudged = False
@@ -158,8 +199,8 @@
         except LogServiceError as error:
             follower.is_lost = True
             _note_failure(follower, log, error)
-            await asyncio.sleep(pause_s * random.uniform(LEAST_PAUSE_SHARE, 1.0))
-            pause_s = min(MOST_PAUSE_S, pause_s * 2)
+            await _rest_while_lost(outage, follower, pause_s)
+            pause_s = min(outage.find_most_pause_s(), pause_s * 2)
             continue
         is_nudged = records is None
         if records is None:
@@ -167,6 +208,9 @@
             continue
         pause_s = FIRST_PAUSE_S
         follower.is_lost = False
+        if outage.prober == follower.topic:
+            outage.prober = ""
+            note_may_be_back(outage)
         follower.note_back()
         if offset is None:
             _drop_vanished(follower, keys, records)
@@ -183,6 +227,16 @@
         await asyncio.sleep(follower.rest_s())
 
 
+async def _rest_while_lost(outage: Outage, follower: Follower, pause_s: float) -> None:
+    """Rest after a failed read: one topic is read on, the others wait for it."""
+    outage.prober = outage.prober or follower.topic
+    is_prober = outage.prober == follower.topic
+    rest_s = pause_s * random.uniform(LEAST_PAUSE_SHARE, 1.0) if is_prober else PROBED_S
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(rest_s):
+            await outage.back.wait()
+
+
 async def _read_on(
     store: KeyedStore, follower: Follower, offset: int, wait_s: float
 ) -> Records | None:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -26,7 +26,16 @@
     LogServiceError,
 )
 from robinspindle.fleet import Fleet
-from robinspindle.following import follow, note_told_away, note_told_end
+from robinspindle.following import (
+    AWAY_PAUSE_S,
+    MOST_PAUSE_S,
+    Follower,
+    Outage,
+    follow,
+    note_may_be_back,
+    note_told_away,
+    note_told_end,
+)
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.httpserver import CallerServer, Incoming, Limits
@@ -119,7 +128,9 @@
         limits = Limits()
         self._followers = self._make_beliefs(adapter, limits).list_followers()
         self._was_relay = True
-        self._is_told_away = False
+        # Peers for whom the store is away.
+        self._away_for: set[str] = set()
+        self._outage = Outage(find_most_pause_s=self._find_most_pause_s)
         self._callers = CallerServer(self._handle, limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
         self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
@@ -201,7 +212,7 @@
             loop.create_task(self._introduce()),
             loop.create_task(self._tell_peers()),
             *(
-                loop.create_task(follow(self._store, follower, log))
+                loop.create_task(follow(self._store, follower, log, self._outage))
                 for follower in self._followers
             ),
             loop.create_task(self.orderer.run(self.relay.chooser.read_rate)),
@@ -244,13 +255,29 @@
             and self.directory.known
         )
 
-    def _note_store_news(self, ends: dict[str, int], is_away: bool) -> None:
+    def _note_store_news(self, peer: str, ends: dict[str, int], is_away: bool) -> None:
         """Take note of how far a peer has read the store, and whether it is away."""
         for follower in self._followers:
             note_told_end(follower, ends.get(follower.topic, -1))
-        if is_away and not self._is_told_away:
-            self._nudge()
-        self._is_told_away = is_away
+        was_away = peer in self._away_for
+        if is_away and not was_away:
+            self._away_for.add(peer)
+            # One call tells whether it is away for us too.
+            note_told_away(self._find_follower(self._adapter.configuration_topic))
+        elif was_away and not is_away:
+            self._away_for.discard(peer)
+            note_may_be_back(self._outage)
+
+    def _find_follower(self, topic: str) -> Follower:
+        return next(f for f in self._followers if f.topic == topic)
+
+    def _find_most_pause_s(self) -> float:
+        """Find the longest pause between reads of a lost store, seconds.
+
+        Who is told by its relay when the store is back asks less often itself.
+        """
+        waits_for_relay = self.peers.choice.relay in self._away_for
+        return AWAY_PAUSE_S if waits_for_relay else MOST_PAUSE_S
 
     def _nudge(self) -> None:
         """Have held polls looked after: the store may be away."""
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -186,7 +186,7 @@
         """Take note of targets that a peer found silent; return those believed."""
 
 
-def pass_over_store_news(ends: dict[str, int], is_away: bool) -> None:
+def pass_over_store_news(peer: str, ends: dict[str, int], is_away: bool) -> None:
     """Stand for who follows the store."""
 
 
@@ -199,7 +199,7 @@
         fleet: PeersFleet,
         clock: Callable[[], float],
         log: Log,
-        note_store: Callable[[dict[str, int], bool], None] = pass_over_store_news,
+        note_store: Callable[[str, dict[str, int], bool], None] = pass_over_store_news,
     ):
         self._peers = peers
         self._fleet = fleet
@@ -311,7 +311,7 @@
             self._log("target is silent for a peer", target=name, peer=author)
         for lifetime, role in digest.switching:
             fleet.note_switching(lifetime, role, now)
-        self._note_store(digest.ends, digest.is_away)
+        self._note_store(author, digest.ends, digest.is_away)
 
     def _leave_to(self, digest: Digest) -> None:
         """Speak no more for those that tell another relay now; they would count twice.
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -2,9 +2,9 @@
 
 from robinspindle.core.engines import (
     Engine,
+    note_answered,
     note_placed,
     note_read_begun,
-    note_reading,
 )
 from robinspindle.core.paces import Measured
 from robinspindle.core.reading import Plan
@@ -39,7 +39,8 @@
         self._began_at = now
         self._is_open = True
         # Waits are told apart from work by measuring only what met nobody else.
-        self._was_alone = learns and engine.work_s <= ALONE_S
+        self._learns = learns
+        self._was_alone = engine.work_s <= ALONE_S
         self._level = plan.level
         engine.own_work_s[self._level] += self._seconds
         note_read_begun(engine, now, self._seconds, self._level)
@@ -50,9 +51,11 @@
         if not self._is_open:
             return
         self.cancel()
-        if self._was_alone and self._engine.placed == self._placed:
+        if self._learns:
+            was_alone = self._was_alone and self._engine.placed == self._placed
             seconds = now - self._began_at - self._fetch_s
-            note_reading(self._engine, Measured(self._new, self._context, seconds))
+            measured = Measured(self._new, self._context, seconds)
+            note_answered(self._engine, measured, was_alone)
 
     def cancel(self) -> None:
         """Note that the prompt need not be read any more."""
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -13,10 +13,10 @@
 from robinspindle.core.engines import (
     count_cached,
     make_engine,
+    note_answered,
     note_peer_work,
     note_placed,
     note_read_begun,
-    note_reading,
 )
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.paces import Measured, make_pace
@@ -195,10 +195,10 @@
         left = engine.own_work_s[plan.level] - plan.reading_s
         engine.own_work_s[plan.level] = max(0.0, left)
         outcome.believed_s += plan.reading_s
-        if alone and engine.placed == placed and plan.holder is None:
-            seconds = env.now - came_at
-            context = prompt.tokens - plan.unread
-            note_reading(engine, Measured(plan.unread, context, seconds))
+        seconds = env.now - came_at - plan.fetch_s
+        context = prompt.tokens - plan.unread
+        measured = Measured(plan.unread, context, seconds)
+        note_answered(engine, measured, alone and engine.placed == placed)
         if plan.reader is not None:
             host = choose_host(gateway.pairs, "a", load.news_s, self.rng)
             host.in_flight += 1
--- a/tests/core/test_loadplay.py
+++ b/tests/core/test_loadplay.py
@@ -3,6 +3,8 @@
 import pytest
 
 from robinspindle.core import estimates, reading
+from robinspindle.core.engines import note_reading
+from tests.core import loadplay
 from tests.core.loadplay import Load, play
 
 SEEDS = (1, 2)
@@ -20,10 +22,10 @@
 
 
 @pytest.mark.parametrize(
-    ("per_s", "before", "least"), [(350, 0.833, 0.93), (450, 0.627, 0.76)]
+    ("per_s", "before", "least"), [(350, 0.869, 0.94), (450, 0.626, 0.86)]
 )
 def test_with_old_beliefs_two_engines_are_compared(monkeypatch, per_s, before, least):
-    """In time with all compared and with two: 0.833 and 0.951, 0.627 and 0.784."""
+    """In time with all compared and with two: 0.869 and 0.954, 0.626 and 0.884."""
     assert share_in_time(per_s) > least
     monkeypatch.setattr(reading, "MOST_UNSEEN", 1e9)
     assert share_in_time(per_s) == pytest.approx(before, abs=0.005)
@@ -34,12 +36,24 @@
     assert share_in_time(350, gateways=68) > 0.92
 
 
+def test_engines_that_are_never_idle_are_learnt_too(monkeypatch):
+    """In time: 0.851, and 0.671 where only readings that met no other one count."""
+    assert share_in_time(550, gateways=1) > 0.82
+
+    def note_alone(engine, measured, was_alone):
+        if was_alone:
+            note_reading(engine, measured)
+
+    monkeypatch.setattr(loadplay, "note_answered", note_alone)
+    assert share_in_time(550, gateways=1) < 0.7
+
+
 def test_the_way_to_an_engine_does_not_count_as_its_work(monkeypatch):
-    """Engines are believed to be busy 1.3 times as long as they are, or 1.9 times."""
+    """Engines are believed to be busy 1.2 times as long as they are, or 2 times."""
     load = Load(per_s=200, for_s=4.0)
     outcome = play(load)
     believed = outcome.believed_s / outcome.busy_s
-    assert believed < 1.6
+    assert believed < 1.3
     monkeypatch.setattr(estimates, "estimate_busy_s", estimates.estimate_reading_s)
     outcome = play(load)
     assert outcome.believed_s / outcome.busy_s > believed + 0.5
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -6,6 +6,7 @@
     MOST_PAUSE_S,
     WAIT_S,
     Follower,
+    Outage,
     follow,
     note_told_away,
     note_told_end,
@@ -213,3 +214,53 @@
     told = iter([True, False])
     play_held(store, lambda f: note_told_away(f) if next(told) else None)
     assert store.waits == [25.0, 0.0, 25.0]
+
+
+class LostStore(Store):
+    """Fails all reads until it is back.
+
+    Attributes:
+        reads: Topics that were read, in turn.
+    """
+
+    def __init__(self):
+        self.reads = []
+        self.is_back = False
+
+    async def read_newest(self, topic):
+        self.reads.append(topic)
+        if not self.is_back:
+            raise LogUnavailableError("refused")
+        return Found((), 0)
+
+    async def read_on(self, topic, offset, wait_s):
+        await asyncio.Event().wait()
+
+
+def test_a_lost_store_is_asked_for_one_topic_and_for_all_when_it_is_back():
+    store = LostStore()
+
+    async def play():
+        outage = Outage(find_most_pause_s=lambda: 0.01)
+        topics = ("a", "b", "c")
+        followers = [
+            Follower(t, lambda *_: None, lambda: None, lambda: None) for t in topics
+        ]
+        tasks = [
+            asyncio.create_task(follow(store, f, lambda *a, **k: None, outage))
+            for f in followers
+        ]
+        while len(store.reads) < 12:
+            await asyncio.sleep(0.01)
+        lost = list(store.reads)
+        store.is_back = True
+        while any(f.is_lost or f.offset is None for f in followers):
+            await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        return lost, outage
+
+    lost, outage = asyncio.run(play())
+    assert lost[:3] == ["a", "b", "c"]
+    assert set(lost[3:]) == {"a"}
+    assert outage.prober == ""
