--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -26,16 +26,7 @@
     LogServiceError,
 )
 from robinspindle.fleet import Fleet
-from robinspindle.following import (
-    AWAY_PAUSE_S,
-    MOST_PAUSE_S,
-    Follower,
-    Outage,
-    follow,
-    note_may_be_back,
-    note_told_away,
-    note_told_end,
-)
+from robinspindle.following import follow
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.httpserver import CallerServer, Incoming, Limits
@@ -52,6 +43,7 @@
 )
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
+from robinspindle.storenews import StoreNews
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -127,10 +119,9 @@
         )
         limits = Limits()
         self._followers = self._make_beliefs(adapter, limits).list_followers()
-        self._was_relay = True
-        # Peers for whom the store is away.
-        self._away_for: set[str] = set()
-        self._outage = Outage(find_most_pause_s=self._find_most_pause_s)
+        self._store_news = StoreNews(
+            self.peers, self._followers, adapter.configuration_topic
+        )
         self._callers = CallerServer(self._handle, limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
         self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
@@ -161,7 +152,8 @@
             self.fleet,
             self._clock,
             make_log("peers"),
-            self._note_store_news,
+            # Made after the link, as the followers need what it fills.
+            lambda *told: self._store_news.note_told(*told),
         )
 
     def _make_orderer(self, adapter: Adapter) -> Orderer:
@@ -212,7 +204,9 @@
             loop.create_task(self._introduce()),
             loop.create_task(self._tell_peers()),
             *(
-                loop.create_task(follow(self._store, follower, log, self._outage))
+                loop.create_task(
+                    follow(self._store, follower, log, self._store_news.outage)
+                )
                 for follower in self._followers
             ),
             loop.create_task(self.orderer.run(self.relay.chooser.read_rate)),
@@ -255,35 +249,6 @@
             and self.directory.known
         )
 
-    def _note_store_news(self, peer: str, ends: dict[str, int], is_away: bool) -> None:
-        """Take note of how far a peer has read the store, and whether it is away."""
-        for follower in self._followers:
-            note_told_end(follower, ends.get(follower.topic, -1))
-        was_away = peer in self._away_for
-        if is_away and not was_away:
-            self._away_for.add(peer)
-            # One call tells whether it is away for us too.
-            note_told_away(self._find_follower(self._adapter.configuration_topic))
-        elif was_away and not is_away:
-            self._away_for.discard(peer)
-            note_may_be_back(self._outage)
-
-    def _find_follower(self, topic: str) -> Follower:
-        return next(f for f in self._followers if f.topic == topic)
-
-    def _find_most_pause_s(self) -> float:
-        """Find the longest pause between reads of a lost store, seconds.
-
-        Who is told by its relay when the store is back asks less often itself.
-        """
-        waits_for_relay = self.peers.choice.relay in self._away_for
-        return AWAY_PAUSE_S if waits_for_relay else MOST_PAUSE_S
-
-    def _nudge(self) -> None:
-        """Have held polls looked after: the store may be away."""
-        for follower in self._followers:
-            note_told_away(follower)
-
     async def _introduce(self) -> None:
         """Tell the store where this gateway's datagrams are taken."""
         value = encode_introduction(self.peers.own)
@@ -309,7 +274,7 @@
                 self.orderer.peek_untold(),
                 self.fleet.list_learnt(),
                 self.fleet.list_silent(now),
-                {f.topic: f.offset for f in self._followers if f.offset is not None},
+                self._store_news.list_ends(),
                 self.directory.away_since is not None,
             )
             self._link.tell(now, news)
@@ -361,9 +326,7 @@
             self._output.flush()
             now = self._clock()
             self.fleet.gateways = len(self.peers.members) + 1
-            if self.peers.is_relay and not self._was_relay:
-                self._nudge()
-            self._was_relay = self.peers.is_relay
+            self._store_news.look_after_relaying()
             for target in targets.drop_gone(self.directory, now):
                 self.fleet.forget(target)
                 self.metrics.forget_target(target.announced.lifetime)
