--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -5,8 +5,9 @@
 own functions, and hear what the others have under way with a delay.
 """
 
+import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import simpy
 
@@ -36,6 +37,77 @@
 HALF = 2.0
 """Engines that generate take so many times as long to read."""
 
+SLOW = 3.0
+"""So do slow ones."""
+
+
+SKEW = 1.5
+"""Shared parts are chosen by a power of a random number: some are asked for more."""
+
+
+@dataclass(frozen=True)
+class Length:
+    """How long a part of a prompt is: lognormal, cut off.
+
+    Attributes:
+        mean: Tokens.
+        spread: Deviation of the logarithm.
+        most: The most tokens.
+    """
+
+    mean: float
+    spread: float
+    most: float
+
+    def draw(self, rng: random.Random) -> int:
+        """Draw a length of at least one token."""
+        mu = math.log(self.mean) - self.spread**2 / 2
+        return max(1, round(min(self.most, rng.lognormvariate(mu, self.spread))))
+
+
+@dataclass(frozen=True)
+class Kind:
+    """One kind of request among several.
+
+    Attributes:
+        name: Its name.
+        per_s: Requests a second.
+        rank: The operator's rank; 0 is the highest.
+        aim_s: The time in which the first event should come.
+        patience_s: When callers give up.
+        shared: Its shared parts in order: how long, and among how many.
+        own: How long the part is that no other request has.
+    """
+
+    name: str
+    per_s: float
+    rank: int
+    aim_s: float
+    patience_s: float
+    shared: tuple[tuple[Length, int], ...]
+    own: Length
+
+
+@dataclass(frozen=True)
+class Ask:
+    """How one request of a kind ended.
+
+    Attributes:
+        kind: Its kind.
+        tokens: Tokens of its prompt.
+        at: When it came, seconds.
+        served: Whether its first event came before its caller gave up.
+        in_time: Whether it came in time.
+        refused: Whether it was refused at once.
+    """
+
+    kind: str
+    tokens: int
+    at: float
+    served: bool
+    in_time: bool
+    refused: bool = False
+
 
 @dataclass(frozen=True)
 class Load:
@@ -52,6 +124,11 @@
         patience_s: When callers give up.
         news_s: Interval at which gateways hear of one another.
         documents: Shared documents among which prompts choose.
+        kinds: Kinds of requests to play in place of the one kind that the fields
+            above describe.
+        tokens_per_s: How fast an engine that only reads is.
+        cache_tokens: Tokens that an engine's memory holds.
+        slow: Engines that take three times as long.
     """
 
     per_s: float
@@ -64,6 +141,10 @@
     patience_s: float = 2.0
     news_s: float = 0.1
     documents: int = 2000
+    kinds: tuple[Kind, ...] = ()
+    tokens_per_s: float = TOKENS_PER_S
+    cache_tokens: int = 300_000
+    slow: frozenset[str] = frozenset()
 
 
 @dataclass
@@ -77,6 +158,7 @@
         refused: Those that were refused, or left.
         busy_s: Seconds that all engines were busy.
         believed_s: Seconds that they were believed to be.
+        asks: How each request ended, where several kinds are played.
     """
 
     asked: int = 0
@@ -85,6 +167,7 @@
     refused: int = 0
     busy_s: float = 0.0
     believed_s: float = 0.0
+    asks: list[Ask] = field(default_factory=list)
 
 
 @dataclass
@@ -109,32 +192,38 @@
         self.servers = {
             name: simpy.PriorityResource(self.env, 1) for name in self.names
         }
-        self.held = {name: make_engine(name[0] == "p", 300_000) for name in self.names}
+        self.held = {
+            name: make_engine(name[0] == "p", load.cache_tokens) for name in self.names
+        }
         # Gateways tell each other what they learn of paces: one belief for all.
         self.paces = {True: make_pace(True), False: make_pace(False)}
         self.placed = []
         self.gateways = [self._make_gateway() for _ in range(load.gateways)]
+        self.kinds = load.kinds or (_make_only_kind(load),)
 
     def _make_gateway(self):
         pairs = []
         for number, name in enumerate(self.names):
-            role = "prefill" if name[0] == "p" else "decode"
+            reads = name[0] == "p"
+            role = "prefill" if reads else "decode"
             zone = "abcde"[number % 5]
             announced = Announcement(name, "s", f"{name}:1", zone, 24, role=role)
-            engine = make_engine(name[0] == "p", 300_000, self.paces[name[0] == "p"])
+            engine = make_engine(reads, self.load.cache_tokens, self.paces[reads])
             pairs.append((Target(announced), engine))
         return Gateway(pairs)
 
     def run(self):
-        self.env.process(self._come())
+        for kind in self.kinds:
+            self.env.process(self._come(kind))
         self.env.process(self._tell())
-        self.env.run(until=self.load.for_s + self.load.patience_s + 1.0)
+        patience_s = max(kind.patience_s for kind in self.kinds)
+        self.env.run(until=self.load.for_s + patience_s + 1.0)
         return self.outcome
 
-    def _come(self):
+    def _come(self, kind):
         while self.env.now < self.load.for_s:
-            yield self.env.timeout(self.rng.expovariate(self.load.per_s))
-            self.env.process(self._serve(self.rng.choice(self.gateways)))
+            yield self.env.timeout(self.rng.expovariate(kind.per_s))
+            self.env.process(self._serve(self.rng.choice(self.gateways), kind))
 
     def _tell(self):
         """Tell each gateway what all others placed, and have under way, added up."""
@@ -158,29 +247,41 @@
                     others = [t - m for t, m in zip(total, mine, strict=True)]
                     note_peer_work(engine, "others", others)
 
-    def _make_prompt(self):
+    def _make_prompt(self, kind):
         rng = self.rng
-        document = int(self.load.documents * rng.random() ** 1.5)
-        parts = (
-            Part(f"h{rng.randrange(4)}", 2520),
-            Part(f"x{document}", 3780),
-            Part(f"o{rng.random()}", round(rng.lognormvariate(7.6, 0.8))),
-        )
+        if not self.load.kinds:
+            document = int(self.load.documents * rng.random() ** SKEW)
+            parts = (
+                Part(f"h{rng.randrange(4)}", 2520),
+                Part(f"x{document}", 3780),
+                Part(f"o{rng.random()}", round(rng.lognormvariate(7.6, 0.8))),
+            )
+        else:
+            parts = self._draw_parts(kind)
         return Prompt("m", parts, sum(part.tokens for part in parts), 92)
 
-    def _serve(self, gateway):
+    def _draw_parts(self, kind):
+        rng, parts = self.rng, []
+        for place, (length, among) in enumerate(kind.shared):
+            id = f"{kind.name}/{place}/{int(among * rng.random() ** SKEW)}"
+            # A shared part is as long each time.
+            parts.append(Part(id, length.draw(random.Random(id))))
+        parts.append(Part(f"o{rng.random()}", kind.own.draw(rng)))
+        return tuple(parts)
+
+    def _serve(self, gateway, kind):
         env, load, outcome = self.env, self.load, self.outcome
         outcome.asked += 1
         came_at = env.now
-        prompt = self._make_prompt()
+        prompt = self._make_prompt(kind)
         at = Situation(
-            env.now, load.aim_s, load.aim_s, 0.15, "a",
+            env.now, kind.aim_s, kind.aim_s, 0.15, "a", rank=kind.rank,
             has_exposed=False, begin_s=0.01, move_s=1.2e-7, age_s=load.news_s,
             rng=self.rng,
         )  # fmt: skip
         plan = choose_plan(gateway.pairs, prompt, at)
-        if is_hopeless(plan, load.patience_s):
-            outcome.refused += 1
+        if is_hopeless(plan, kind.patience_s):
+            self._note_end(kind, prompt, came_at, None)
             return
         engines = {t.announced.lifetime: e for t, e in gateway.pairs}
         where = (plan.reader or plan.target).announced.lifetime
@@ -191,7 +292,7 @@
         self.placed.append((gateway, where, prompt, plan))
         placed = engine.placed
         note_placed(engine, prompt.parts, env.now + plan.wait_s + plan.reading_s)
-        yield from self._read(where, prompt, plan)
+        yield from self._read(where, prompt, plan, came_at + kind.patience_s)
         left = engine.own_work_s[plan.level] - plan.reading_s
         engine.own_work_s[plan.level] = max(0.0, left)
         outcome.believed_s += plan.reading_s
@@ -204,33 +305,54 @@
             host.in_flight += 1
             yield env.timeout(load.way_s / 2 + 0.002)
             host.in_flight -= 1
-        self._note_end(env.now - came_at)
+        self._note_end(kind, prompt, came_at, env.now - came_at)
 
-    def _read(self, where, prompt, plan):
+    def _read(self, where, prompt, plan, gives_up_at):
         """Have an engine read what neither its real cache nor the holder's has."""
         urgency = REQUEST_URGENCIES[plan.level]
         env, held = self.env, self.held[where]
         yield env.timeout(self.load.way_s / 2)
         with self.servers[where].request(priority=urgency) as turn:
             yield turn
-            cached = count_cached(held, prompt)
-            if plan.holder is not None:
-                there = self.held[plan.holder.announced.lifetime]
-                cached = max(cached, count_cached(there, prompt))
-            new = prompt.tokens - cached
-            pairs_m = new * (cached + new / 2) / 1e6
-            busy_s = new / TOKENS_PER_S + pairs_m * PAIRS_S_PER_M
-            busy_s *= 1.0 if held.reads_only else HALF
-            self.outcome.busy_s += busy_s
-            yield env.timeout(busy_s)
-            note_placed(held, prompt.parts)
+            # Several kinds: a caller that left is not read for, as on real engines.
+            if not self.load.kinds or env.now < gives_up_at:
+                yield env.timeout(self._find_busy_s(where, prompt, plan))
+                note_placed(held, prompt.parts)
         yield env.timeout(self.load.way_s / 2)
 
-    def _note_end(self, taken_s):
-        load, outcome = self.load, self.outcome
-        if taken_s <= load.aim_s:
+    def _find_busy_s(self, where, prompt, plan):
+        held = self.held[where]
+        cached = count_cached(held, prompt)
+        if plan.holder is not None:
+            there = self.held[plan.holder.announced.lifetime]
+            cached = max(cached, count_cached(there, prompt))
+        new = prompt.tokens - cached
+        pairs_m = new * (cached + new / 2) / 1e6
+        busy_s = new / self.load.tokens_per_s + pairs_m * PAIRS_S_PER_M
+        busy_s *= 1.0 if held.reads_only else HALF
+        busy_s *= SLOW if where in self.load.slow else 1.0
+        self.outcome.busy_s += busy_s
+        return busy_s
+
+    def _note_end(self, kind, prompt, came_at, taken_s):
+        """Note how a request ended; it was refused if it took no time at all."""
+        outcome = self.outcome
+        in_time = taken_s is not None and taken_s <= kind.aim_s
+        served = taken_s is not None and taken_s <= kind.patience_s
+        if in_time:
             outcome.in_time += 1
-        elif taken_s <= load.patience_s:
+        elif served:
             outcome.late += 1
         else:
             outcome.refused += 1
+        if self.load.kinds:
+            refused = taken_s is None
+            ask = Ask(kind.name, prompt.tokens, came_at, served, in_time, refused)
+            outcome.asks.append(ask)
+
+
+def _make_only_kind(load):
+    """Describe the one kind of a load that names none."""
+    return Kind(
+        "", load.per_s, 0, load.aim_s, load.patience_s, (), Length(1.0, 0.0, 1.0)
+    )
