Tell who is served by the length of prompts: in logs, losses and metrics

Cause: logs of the end of a request named neither the length of its prompt nor its level, no metric told who is served by size, and a table by route hides a size that nobody serves.

Change: the end's line holds both, `losses` prints a table by route and class of length (powers of two), and a metric counts the same. Decisions are as they were.

--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -15,6 +15,7 @@
         registry: All of them.
         latencies: Times to the first byte and to the end, by route.
         requests: Requests by route and how they ended.
+        prompts: The same of requests with a prompt, by the class of its length too.
         tries: Sendings to targets by service and how they ended.
         target_tries: The same by target.
         prompt_tokens: Tokens of prompts by whether they were believed to be cached.
@@ -74,6 +75,13 @@
         self.requests = self._count(
             "requests", "Requests by route and how they ended", "route", "end"
         )
+        self.prompts = self._count(
+            "prompts",
+            "Requests with a prompt by route, most tokens of its class, and end",
+            "route",
+            "size",
+            "end",
+        )
         self.tries = self._count(
             "tries", "Sendings by service and how they ended", "service", "end"
         )
--- a/src/robinspindle/losses.py
+++ b/src/robinspindle/losses.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from robinspindle.core.sizes import find_size_class
 from robinspindle.explaining import ENDED, ROUTED, UNDELIVERED, Line
 
 SPAN_S = 2.0
@@ -37,6 +38,21 @@
 """Fields without which an end can't be judged: lines of an older version lack some."""
 
 
+@dataclass
+class Served:
+    """How many attempts of one size of prompts got their whole answer.
+
+    Attributes:
+        asked: Attempts.
+        answered: Those that got it, late or in time.
+        refused: Those that were refused.
+    """
+
+    asked: int = 0
+    answered: int = 0
+    refused: int = 0
+
+
 @dataclass
 class Losses:
     """What the logs say.
@@ -44,6 +60,8 @@
     Attributes:
         attempts: Attempts that were judged.
         by_route: Attempts by route and reason.
+        by_size: What came of attempts with a prompt, by route and the most tokens of
+            the class of its length.
         by_span: Attempts by the beginning of a span, seconds, and reason.
         planned_ratios: Real against planned times to the first event, in order.
         left_out: What could not be judged, by why.
@@ -51,6 +69,7 @@
 
     attempts: int = 0
     by_route: dict[str, Counter[str]] = field(default_factory=dict)
+    by_size: dict[tuple[str, int], Served] = field(default_factory=dict)
     by_span: dict[float, Counter[str]] = field(default_factory=dict)
     planned_ratios: list[float] = field(default_factory=list)
     left_out: Counter[str] = field(default_factory=Counter)
@@ -131,6 +150,20 @@
     span = (_find_time(attempt) - begun_at) // SPAN_S * SPAN_S
     losses.by_route.setdefault(route, Counter())[reason] += 1
     losses.by_span.setdefault(span, Counter())[reason] += 1
+    _count_size(losses, attempt, route)
+
+
+def _count_size(losses: Losses, attempt: Attempt, route: str) -> None:
+    lines = [*attempt.routed, *([attempt.ended] if attempt.ended else [])]
+    tokens = next((line.fields.get("prompt_length") for line in lines), None)
+    if not isinstance(tokens, int):
+        return
+    key = route, find_size_class(tokens)
+    served = losses.by_size.setdefault(key, Served())
+    outcome = str(attempt.ended.fields["outcome"]) if attempt.ended else ""
+    served.asked += 1
+    served.answered += outcome == "delivered"
+    served.refused += outcome.startswith("refused")
 
 
 def _judge(losses: Losses, attempt: Attempt) -> str | None:
--- a/src/robinspindle/losstables.py
+++ b/src/robinspindle/losstables.py
@@ -1,6 +1,7 @@
 """Lays out what was lost, for people and for programs."""
 
 from collections import Counter
+from dataclasses import asdict
 
 from robinspindle.losses import (
     GATEWAY_LOST,
@@ -54,6 +55,7 @@
     parts = [
         format_table(["route", "attempts", *shown], routes),
         "",
+        *_describe_sizes(losses),
         format_table(["from second", "attempts", *shown], spans),
     ]
     parts += _describe_ratios(losses.planned_ratios)
@@ -66,6 +68,10 @@
     return {
         "attempts": losses.attempts,
         "by_route": {name: dict(counts) for name, counts in losses.by_route.items()},
+        "by_size": [
+            {"route": route, "most_tokens": size, **asdict(served)}
+            for (route, size), served in sorted(losses.by_size.items())
+        ],
         "by_span": {
             f"{span:g}": dict(counts) for span, counts in sorted(losses.by_span.items())
         },
@@ -74,6 +80,17 @@
     }
 
 
+def _describe_sizes(losses: Losses) -> list[str]:
+    if not losses.by_size:
+        return []
+    rows = [
+        [route, size, s.asked, s.answered, f"{s.answered / s.asked:.2f}", s.refused]
+        for (route, size), s in sorted(losses.by_size.items())
+    ]
+    head = ["route", "tokens up to", "attempts", "answered", "share", "refused"]
+    return [format_table(head, rows), ""]
+
+
 def _make_row(name: str, counts: Counter[str], shown: list[str]) -> list[object]:
     return [name, counts.total(), *(counts.get(reason, 0) for reason in shown)]
 
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -2,6 +2,7 @@
 
 from robinspindle.core.forwarding import Request
 from robinspindle.core.reading import Plan
+from robinspindle.core.sizes import find_size_class
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import find_oldest_s
@@ -65,7 +66,7 @@
         """
         now = self._means.clock()
         self._count_end(passage, outcome, now)
-        plan = passage.plan
+        plan, prompt = passage.plan, passage.request.prompt
         self._means.log(
             "request ended",
             routine=outcome == "delivered",
@@ -77,6 +78,8 @@
             planned_ms=round(plan.first_s * 1000, 1) if plan else None,
             wait_ms=round(plan.wait_s * 1000, 1) if plan else None,
             unread=plan.unread if plan else None,
+            level=plan.level if plan else None,
+            prompt_length=prompt.tokens if prompt else None,
             reading_ms=round(plan.reading_s * 1000, 1) if plan else None,
             missing_share=round(plan.missing_share, 2) if plan else None,
             aim_ms=round(passage.route.aim_s * 1000),
@@ -98,7 +101,11 @@
     def _count_end(self, passage: Passage, outcome: str, now: float) -> None:
         metrics = self._means.metrics
         route, received_at = passage.route.name, passage.request.received_at
-        metrics.requests.labels(route, outcome.partition(":")[0]).inc()
+        end = outcome.partition(":")[0]
+        metrics.requests.labels(route, end).inc()
+        if passage.request.prompt is not None:
+            size = find_size_class(passage.request.prompt.tokens)
+            metrics.prompts.labels(route, str(size), end).inc()
         metrics.latencies.record("held", route, now - received_at)
         if passage.first_at is not None:
             metrics.latencies.record("first", route, passage.first_at - received_at)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -8,6 +8,7 @@
 from robinspindle.cli import main
 from robinspindle.explaining import read_lines
 from robinspindle.losses import count_losses
+from robinspindle.losstables import format_losses
 
 RECORDED_REASONS = dict.fromkeys(
     (
@@ -150,3 +151,17 @@
     reasons = sum(found.by_route.values(), Counter())
     assert not found.left_out
     assert reasons == RECORDED_REASONS
+
+
+def test_attempts_are_counted_by_the_length_of_their_prompts():
+    """Rates by route alone don't show that one size of prompts is not served."""
+    texts = []
+    for number, (tokens, outcome) in enumerate(
+        [(900, "delivered"), (1000, "delivered"), (40_000, "refused 503: busy")]
+    ):
+        ended = END | {"outcome": outcome, "prompt_length": tokens}
+        texts.append(make_line("request ended", request=f"r{number}", **ended))
+    found = count(*texts)
+    assert found.by_size[("r-chat", 1024)] == losses.Served(2, 2, 0)
+    assert found.by_size[("r-chat", 65536)] == losses.Served(1, 0, 1)
+    assert "65536" in format_losses(found)
