--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,6 +17,7 @@
         delay_s: Delay of each piece, seconds.
         bytes_per_s: How fast answers come through, all connections together; 0 for
             as fast as they can.
+        bytes_per_s_in: The same for requests.
         cut: Which way nothing gets through: empty, ``in``, ``out`` or ``both``.
     """
 
@@ -24,11 +25,12 @@
         self.port = 0
         self.delay_s = 0.0
         self.bytes_per_s = 0
+        self.bytes_per_s_in = 0
         self.cut = ""
         self._target_port = target_port
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self._link = asyncio.Lock()
+        self._links = {"in": asyncio.Lock(), "out": asyncio.Lock()}
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -67,15 +69,20 @@
             there.close()
 
     async def _pump(self, reader, writer, way: str) -> None:
-        chunk = SLOW_CHUNK if self.bytes_per_s else CHUNK
-        while data := await reader.read(chunk):
+        while data := await reader.read(self._find_chunk(way)):
             await asyncio.sleep(self.delay_s)
-            if self.bytes_per_s and way == "out":
-                async with self._link:
-                    await asyncio.sleep(len(data) / self.bytes_per_s)
+            if bytes_per_s := self._find_speed(way):
+                async with self._links[way]:
+                    await asyncio.sleep(len(data) / bytes_per_s)
             while self.cut in (way, "both"):
                 await asyncio.sleep(0.02)
             writer.write(data)
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+    def _find_speed(self, way: str) -> int:
+        return self.bytes_per_s if way == "out" else self.bytes_per_s_in
+
+    def _find_chunk(self, way: str) -> int:
+        return SLOW_CHUNK if self._find_speed(way) else CHUNK
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -205,8 +205,11 @@
     def _write_events(self, request: RawRequest, writer, last: int) -> None:
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, last + 1):
-            piece = b"id: %d\ndata: %s-%d\n\n" % (number, self._id(request), number)
-            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            self._write_event(request, writer, number)
+
+    def _write_event(self, request: RawRequest, writer, number: int) -> None:
+        piece = b"id: %d\ndata: %s-%d\n\n" % (number, self._id(request), number)
+        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
 
     def _id(self, request: RawRequest) -> bytes:
         return request.headers.get("x-request-id", "").encode()
--- a/standins/timedreplica.py
+++ b/standins/timedreplica.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import OrderedDict
 
+from standins.prompts import parse_parts
 from standins.rawhttp import RawRequest
 from standins.replica import Replica
 
@@ -48,7 +49,7 @@
             return await super()._be_ok(request, writer)
 
     async def _read(self, request: RawRequest) -> None:
-        parts = _parse_parts(request)
+        parts = parse_parts(request)
         pace = READ_TOKENS_PER_S * (1.0 if self.role == "prefill" else GENERATING_SHARE)
         async with self._reading:
             unread = self._count_unread(parts)
@@ -71,10 +72,3 @@
             self._cache.move_to_end(id)
         while sum(self._cache.values()) > CACHE_TOKENS:
             self._cache.popitem(last=False)
-
-
-def _parse_parts(request: RawRequest) -> list[tuple[str, int]]:
-    """Parse the ids and the tokens of a prompt's parts."""
-    words = request.headers.get("x-prompt-prefix", "").split(",")
-    split = [word.partition(":") for word in words if word]
-    return [(id, int(tokens)) for id, _, tokens in split]
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -5,7 +5,6 @@
 own functions, and hear what the others have under way with a delay.
 """
 
-import math
 import random
 from dataclasses import dataclass, field
 
@@ -29,6 +28,7 @@
 )
 from robinspindle.core.targets import Announcement, Target
 from robinspindle.core.urgency import REQUEST_URGENCIES
+from standins.prompts import SKEW, Kind, Length, draw_parts
 
 TOKENS_PER_S = 307_000
 PAIRS_S_PER_M = 0.147e-3
@@ -41,53 +41,6 @@
 """So do slow ones."""
 
 
-SKEW = 1.5
-"""Shared parts are chosen by a power of a random number: some are asked for more."""
-
-
-@dataclass(frozen=True)
-class Length:
-    """How long a part of a prompt is: lognormal, cut off.
-
-    Attributes:
-        mean: Tokens.
-        spread: Deviation of the logarithm.
-        most: The most tokens.
-    """
-
-    mean: float
-    spread: float
-    most: float
-
-    def draw(self, rng: random.Random) -> int:
-        """Draw a length of at least one token."""
-        mu = math.log(self.mean) - self.spread**2 / 2
-        return max(1, round(min(self.most, rng.lognormvariate(mu, self.spread))))
-
-
-@dataclass(frozen=True)
-class Kind:
-    """One kind of request among several.
-
-    Attributes:
-        name: Its name.
-        per_s: Requests a second.
-        rank: The operator's rank; 0 is the highest.
-        aim_s: The time in which the first event should come.
-        patience_s: When callers give up.
-        shared: Its shared parts in order: how long, and among how many.
-        own: How long the part is that no other request has.
-    """
-
-    name: str
-    per_s: float
-    rank: int
-    aim_s: float
-    patience_s: float
-    shared: tuple[tuple[Length, int], ...]
-    own: Length
-
-
 @dataclass(frozen=True)
 class Ask:
     """How one request of a kind ended.
@@ -257,18 +210,10 @@
                 Part(f"o{rng.random()}", round(rng.lognormvariate(7.6, 0.8))),
             )
         else:
-            parts = self._draw_parts(kind)
+            drawn = draw_parts(kind, rng)
+            parts = tuple(Part(part.id, part.tokens) for part in drawn)
         return Prompt("m", parts, sum(part.tokens for part in parts), 92)
 
-    def _draw_parts(self, kind):
-        rng, parts = self.rng, []
-        for place, (length, among) in enumerate(kind.shared):
-            id = f"{kind.name}/{place}/{int(among * rng.random() ** SKEW)}"
-            # A shared part is as long each time.
-            parts.append(Part(id, length.draw(random.Random(id))))
-        parts.append(Part(f"o{rng.random()}", kind.own.draw(rng)))
-        return tuple(parts)
-
     def _serve(self, gateway, kind):
         env, load, outcome = self.env, self.load, self.outcome
         outcome.asked += 1
