Key all beliefs on a target by its id and start; use no entry that names none

Cause: an entry's id stood for a life. A target that started again under it would have been believed to hold, read and owe what it did before. An entry of another writer was taken as one that leaves, or with any stage; a key that is no text ended the reading of the whole topic for good; one engine's entry without a stage had all prompts of its service placed without regard to caches.

Change: core/lives.py makes the one value (id and start) that everything was keyed by already: beliefs on caches, work, roles, rests, silence, orders, what peers tell. A later start ends the earlier life at once: nothing new goes there, and what waits there goes on elsewhere or ends with 502. News of a life that is over is passed over. Entries are taken only as the platform says; others are told once, counted, and stop new work for their id.

The test of a leaving target's entry wrote one that lacks fields, which names no target now; it writes a whole one. So does the one on pages of entries.

Hypothesis: no bytes do anything but name a target or none.

--- a/fuzz/gatewaymutants.py
+++ b/fuzz/gatewaymutants.py
@@ -14,12 +14,26 @@
     return note
 
 
+def _end_no_life(right):
+    """Take lives that are over as they were."""
+    return lambda directory, lifetime, now: []
+
+
 GATEWAY_MUTANTS = (
     Mutant("use a claim for ever", authority, "may_use", lambda r: lambda *_: True),
     Mutant("claim without waiting", authority, "may_claim", lambda r: lambda *_: True),
     Mutant("wait for less than a lease", authority, "WAIT_SHARE", lambda r: 0.5),
     Mutant("go back to any version", routes, "is_newer", lambda r: lambda *_: True),
     Mutant("take a notice back", targets, "note_announced", _announce_as_told),
+    Mutant("ignore starts", targets, "is_later", lambda r: lambda *_: False),
+    Mutant("keep lives that are over", targets, "end_earlier_lives", _end_no_life),
+    Mutant("believe what is over", targets, "is_outlived", lambda r: lambda *_: False),
+    Mutant(
+        "use garbage for a target",
+        targets,
+        "note_unreadable",
+        lambda r: lambda *_: False,
+    ),
     Mutant("never take as gone", targets, "is_gone", lambda r: lambda *_: False),
     Mutant(
         "repeat without a budget", budgets, "take_repeat", lambda r: lambda *_: True
--- a/fuzz/gatewayoracle.py
+++ b/fuzz/gatewayoracle.py
@@ -74,6 +74,10 @@
     for sent in world.sendings:
         if sent.is_leaving:
             faults.append(f"{sent.gateway} sent to {sent.target}, which leaves")
+        if sent.is_over:
+            faults.append(f"{sent.gateway} sent to {sent.target}, which is over")
+        if sent.is_unreadable:
+            faults.append(f"{sent.gateway} sent to {sent.target} in spite of garbage")
         since = sent.missing_since
         if since is not None and sent.at - since >= SETTLED_S:
             faults.append(f"{sent.gateway} sent to {sent.target}, which is gone")
--- a/fuzz/gatewayworld.py
+++ b/fuzz/gatewayworld.py
@@ -12,6 +12,7 @@
 from robinspindle.core import authority, budgets, forwarding, routes, targets
 from robinspindle.core.authority import Authority, Claim
 from robinspindle.core.budgets import RepeatBudget
+from robinspindle.core.lives import find_id, make_lifetime
 from robinspindle.core.routes import Route, RouteTable
 from robinspindle.core.targets import Announcement, Directory
 
@@ -35,6 +36,9 @@
 
 SERVICE = "push"
 
+GARBAGE = "garbage"
+"""Stands for an entry that names no target."""
+
 MOST_STEP_S = 0.5
 """The longest step of time, seconds."""
 
@@ -86,6 +90,8 @@
         target: To which target's lifetime.
         is_leaving: Whether the gateway had read that the target leaves.
         missing_since: When the gateway had read that its entry is gone; None if not.
+        is_over: Whether the gateway had read that the target started again since.
+        is_unreadable: Whether the gateway had read last that its entry is garbage.
     """
 
     at: float
@@ -93,6 +99,8 @@
     target: str
     is_leaving: bool
     missing_since: float | None
+    is_over: bool = False
+    is_unreadable: bool = False
 
 
 @dataclass(frozen=True)
@@ -124,7 +132,7 @@
         claim: The claim that it may give orders under.
         read: Records that it has read of each topic.
         is_cut: Whether it is cut from the store.
-        missing_at: When it read that an entry is gone, by lifetime.
+        missing_at: When it read that an entry is gone, by id.
     """
 
     name: str
@@ -148,7 +156,9 @@
         gateways: The gateways.
         claims: Authors of claims, in the order of the log.
         versions: Configurations in the order of the log; older ones may come again.
-        entries: Targets' entries in the order of the log; None for one that is gone.
+        entries: Targets' entries in the order of the log, by id; None for one that is
+            gone, `GARBAGE` for one that another wrote.
+        born_ms: When the present life of each id began.
         orders: Orders that reached engines.
         sendings: Requests that reached targets.
         attempts: Attempts that ended.
@@ -161,7 +171,8 @@
     gateways: list[GatewayView] = field(default_factory=list)
     claims: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
-    entries: list[tuple[str, Announcement | None]] = field(default_factory=list)
+    entries: list[tuple[str, Announcement | str | None]] = field(default_factory=list)
+    born_ms: dict[str, int] = field(default_factory=dict)
     orders: list[OrderGiven] = field(default_factory=list)
     sendings: list[Sent] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
@@ -205,12 +216,14 @@
         if routes.is_newer(table, view.table):
             view.table = table
             world.in_force.setdefault(view.name, []).append(version)
-    for lifetime, entry in _take_unread(view, "entries", world.entries):
-        if entry is not None:
-            targets.note_announced(view.directory, entry, now)
-            view.missing_at.pop(lifetime, None)
-        elif targets.note_missing(view.directory, now, lifetime):
-            view.missing_at[lifetime] = world.now
+    for id, entry in _take_unread(view, "entries", world.entries):
+        if entry == GARBAGE:
+            targets.note_unreadable(view.directory, id)
+        elif entry is None:
+            if targets.note_missing(view.directory, now, id):
+                view.missing_at[id] = world.now
+        elif not targets.take_announced(view.directory, entry, now).is_outlived:
+            view.missing_at.pop(id, None)
 
 
 def _take_unread(view: GatewayView, topic: str, records: list) -> list:
@@ -219,9 +232,11 @@
     return unread
 
 
-def _announce(world: GatewayWorld, lifetime: str, leaving: bool) -> None:
+def _announce(world: GatewayWorld, id: str, leaving: bool, earlier: int = 0) -> None:
+    born_ms = max(0, world.born_ms.setdefault(id, 0) - earlier)
+    lifetime = make_lifetime(id, born_ms)
     announced = Announcement(lifetime, SERVICE, "x:1", "a", 6, leaving=leaving)
-    world.entries.append((lifetime, announced))
+    world.entries.append((id, announced))
 
 
 def _pass_time(world: GatewayWorld, first: int, second: int) -> None:
@@ -276,6 +291,21 @@
     _announce(world, f"t{first % TARGETS}", leaving=False)
 
 
+def _start_again(world: GatewayWorld, first: int, second: int) -> None:
+    id = f"t{first % TARGETS}"
+    world.born_ms[id] += 1 + second % 3
+    _announce(world, id, leaving=False)
+
+
+def _tell_earlier_life(world: GatewayWorld, first: int, second: int) -> None:
+    """An entry of a life that is over comes again."""
+    _announce(world, f"t{first % TARGETS}", leaving=False, earlier=1 + second % 2)
+
+
+def _write_garbage(world: GatewayWorld, first: int, second: int) -> None:
+    world.entries.append((f"t{first % TARGETS}", GARBAGE))
+
+
 def _serve(world: GatewayWorld, first: int, second: int) -> None:
     """Serve one attempt, with second tries as far as the gateway allows them."""
     view = _pick(world, first)
@@ -313,11 +343,21 @@
 
 def _note_sent(world: GatewayWorld, view: GatewayView, target: targets.Target) -> None:
     lifetime = target.announced.lifetime
+    id = find_id(lifetime)
     entries = world.entries[: view.read.get("entries", 0)]
-    known = [entry for name, entry in entries if name == lifetime]
-    is_leaving = any(entry is not None and entry.leaving for entry in known)
-    since = view.missing_at.get(lifetime)
-    world.sendings.append(Sent(world.now, view.name, lifetime, is_leaving, since))
+    known = [entry for name, entry in entries if name == id]
+    told = [entry for entry in known if isinstance(entry, Announcement)]
+    born = [int(entry.lifetime.partition("@")[2]) for entry in told]
+    sent = Sent(
+        at=world.now,
+        gateway=view.name,
+        target=lifetime,
+        is_leaving=any(e.leaving for e in told if e.lifetime == lifetime),
+        missing_since=view.missing_at.get(id),
+        is_over=int(lifetime.partition("@")[2]) < max(born),
+        is_unreadable=known[-1] == GARBAGE,
+    )
+    world.sendings.append(sent)
 
 
 def _pick(world: GatewayWorld, number: int) -> GatewayView:
@@ -334,5 +374,8 @@
     "leave": _leave,
     "lapse": _lapse,
     "return": _return,
+    "start again": _start_again,
+    "tell an earlier life": _tell_earlier_life,
+    "write garbage": _write_garbage,
     "serve": _serve,
 }
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from soak.callers import ask_route, call_on
-from soak.faults import FAULTS
+from soak.faults import FAULTS, RESTART_FAULTS, Fault
 from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
 from soak.world import World, name_newest
@@ -28,7 +28,11 @@
 
 
 async def play(
-    seed: int, steps: int, folder: Path, has_slow_links: bool = False
+    seed: int,
+    steps: int,
+    folder: Path,
+    has_slow_links: bool = False,
+    drawn: tuple[Fault, ...] = FAULTS,
 ) -> Oracle:
     """Play one seed.
 
@@ -37,6 +41,7 @@
         steps: Number of faults; they come in series and overlap.
         folder: Where settings and logs go.
         has_slow_links: Whether a long configuration comes over slow links.
+        drawn: The faults among which is drawn.
 
     Returns:
         What was seen, with findings.
@@ -56,7 +61,7 @@
             callers.append(asyncio.create_task(caller))
         faults = []
         for _ in range(steps):
-            fault, seconds = rng.choice(FAULTS), rng.uniform(0.1, 2.5)
+            fault, seconds = rng.choice(drawn), rng.uniform(0.1, 2.5)
             faults.append(asyncio.create_task(fault(world, seconds)))
             await asyncio.sleep(rng.uniform(0.0, 0.6))
         await asyncio.gather(*faults)
@@ -119,13 +124,20 @@
         action="store_true",
         help="a long configuration over slow links to the store",
     )
+    parser.add_argument(
+        "--restarts",
+        action="store_true",
+        help="replicas start again under their ids, others write entries",
+    )
     parser.add_argument("--keep", default="", help="folder for settings and logs")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.count):
         folder = Path(args.keep or tempfile.mkdtemp(prefix="soak-")) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        oracle = asyncio.run(play(seed, args.steps, folder, args.slow_links))
+        drawn = RESTART_FAULTS if args.restarts else FAULTS
+        run = play(seed, args.steps, folder, args.slow_links, drawn)
+        oracle = asyncio.run(run)
         outcomes = {kind: dict(found) for kind, found in oracle.outcomes.items()}
         print(f"seed {seed}: {len(oracle.findings)} findings, {outcomes}", flush=True)
         for finding in oracle.findings:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,16 @@
 Fault = Callable[[World, float], Awaitable[None]]
 
 
+GARBAGE = (
+    b"\xff\x00 no entry",
+    b"{}",
+    b'{"Service": "lm", "Address": 7, "State": "ready"}',
+    b"[" * 5000,
+    b"x" * 100_000,
+)
+"""Entries that name no replica."""
+
+
 async def kill_gateway(world: World, seconds: float) -> None:
     """Kill a gateway and start it again."""
     gateway = world.rng.choice(world.gateways)
@@ -75,7 +85,9 @@
 
 async def spoil_replicas(world: World, seconds: float) -> None:
     """Have replicas misbehave in a part of their answers."""
-    replicas = world.rng.sample(list(world.replicas.values()), 3)
+    replicas = world.rng.sample(
+        list(world.replicas.values()), min(3, len(world.replicas))
+    )
     for replica in replicas:
         replica.bad_share = world.rng.choice([0.1, 0.5])
     await asyncio.sleep(seconds)
@@ -97,6 +109,27 @@
     await replica.server.stop()
 
 
+async def restart_replicas(world: World, seconds: float) -> None:
+    """Have replicas start again under their ids, some of them twice in a heartbeat."""
+    ids = [id for id, replica in world.replicas.items() if not replica.is_leaving]
+    for id in world.rng.sample(ids, min(len(ids), world.rng.choice([1, 1, 2, 3]))):
+        for _ in range(world.rng.choice([1, 1, 2])):
+            await world.restart_replica(id, world.rng.choice([0.0, 0.05, seconds / 4]))
+
+
+async def write_garbage(world: World, seconds: float) -> None:
+    """Have another writer spoil entries, also those of replicas in use."""
+    ids = world.rng.sample(list(world.replicas), 1)
+    for key in ("other", b"\xff\xfe", *ids):
+        await world.store.put("keyed.servers", key, world.rng.choice(GARBAGE))
+    await asyncio.sleep(seconds)
+    for id in ids:
+        replica = world.replicas.get(id)
+        if replica is not None:
+            state = "draining" if replica.is_leaving else "ready"
+            await world.announce(replica, state)
+
+
 async def change_configuration(world: World, seconds: float) -> None:
     """Put configurations in force in quick succession."""
     for _ in range(world.rng.randint(1, 4)):
@@ -116,3 +149,6 @@
     replace_replica,
     change_configuration,
 )
+
+RESTART_FAULTS: tuple[Fault, ...] = (*FAULTS, *(restart_replicas, write_garbage) * 3)
+"""The same, with replicas that start again and garbage among them more often."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,5 +1,6 @@
 """A deployment on the loopback: stand-ins here, gateways as processes."""
 
+import asyncio
 import random
 import signal
 from dataclasses import dataclass, field
@@ -36,7 +37,8 @@
     version: int = 0
     link_bytes_per_s: int = 0
     more_routes: int = 0
-    _lifetimes: int = 0
+    _ids: int = 0
+    _born_ms: int = 0
 
     async def start(self, gateways: int) -> None:
         """Start everything."""
@@ -58,14 +60,33 @@
 
     async def add_replica(self, service: str, role: str) -> None:
         """Add a replica behind a proxy of its own."""
-        self._lifetimes += 1
-        lifetime = f"i{self._lifetimes}"
-        replica = SoakReplica(lifetime, service, role, self.oracle, self.rng)
+        self._ids += 1
+        await self._begin_life(f"i{self._ids}", service, role)
+
+    async def restart_replica(self, id: str, seconds: float) -> None:
+        """End a replica without a word and start it again under its id.
+
+        Args:
+            id: Its id.
+            seconds: How long it is away.
+        """
+        before = self.replicas.pop(id, None)
+        if before is None:
+            return
+        await self.replica_proxies.pop(id).stop()
+        await before.server.stop()
+        await asyncio.sleep(seconds)
+        await self._begin_life(id, before.service, before.role)
+
+    async def _begin_life(self, id: str, service: str, role: str) -> None:
+        self._born_ms += 1
+        replica = SoakReplica(id, service, role, self.oracle, self.rng)
+        replica.born_ms = self._born_ms
         await replica.server.start()
         proxy = Proxy(replica.server.port)
         await proxy.start()
-        self.replicas[lifetime] = replica
-        self.replica_proxies[lifetime] = proxy
+        self.replicas[id] = replica
+        self.replica_proxies[id] = proxy
         await self.announce(replica)
 
     async def announce(self, replica: SoakReplica, state: str = "ready") -> None:
--- a/src/robinspindle/adapters.py
+++ b/src/robinspindle/adapters.py
@@ -30,5 +30,5 @@
     def decode_configuration(self, data: bytes) -> RouteTable:
         """Decode the operator's configuration."""
 
-    def decode_announcement(self, lifetime: str, data: bytes) -> Announcement:
+    def decode_announcement(self, id: str, data: bytes) -> Announcement:
         """Decode a target's entry."""
--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -5,12 +5,14 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from robinspindle.adapters import Adapter
-from robinspindle.core import targets
+from robinspindle.core import silence, targets
+from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.relays import decode_introduction
 from robinspindle.core.routes import is_newer
+from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
 from robinspindle.following import WAIT_S, Follower
@@ -42,6 +44,7 @@
         is_own: Tells whether a gateway's name is this one's.
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
+        entries: The targets' entries that can't be used.
     """
 
     adapter: Adapter
@@ -52,6 +55,7 @@
     is_own: Callable[[str], bool]
     clock: Callable[[], float]
     log: Log
+    entries: UnusableEntries = field(default_factory=UnusableEntries)
 
     def list_followers(self) -> list[Follower]:
         """List the topics to follow and what takes them in."""
@@ -160,24 +164,62 @@
         )
 
     def _apply_target(self, key: str, value: bytes | None) -> None:
+        directory, now = self.fleet.directory, self.clock()
         if value is None:
-            if targets.note_missing(self.fleet.directory, self.clock(), key):
+            self.entries.forget(key)
+            if targets.note_missing(directory, now, key):
                 self.log("target's entry is gone", target=key)
             return
         try:
             announced = self.adapter.decode_announcement(key, value)
         except BadDocumentError as error:
-            self.log("target's entry can't be read", target=key, error=str(error))
+            self._note_unusable(key, str(error))
             return
-        if targets.note_announced(self.fleet.directory, announced, self.clock()):
+        taken = targets.take_announced(directory, announced, now)
+        if taken.is_outlived:
+            self._note_unusable(key, "its start went back", is_current=False)
+            return
+        self.entries.forget(key)
+        for target in taken.ended:
+            self._end_life(target, announced.lifetime)
+        if taken.is_news:
             self.log(
                 "target announced",
-                target=key,
+                target=announced.lifetime,
                 service=announced.service,
                 role=announced.role,
                 leaving=announced.leaving,
             )
 
+    def _note_unusable(self, key: str, reason: str, is_current: bool = True) -> None:
+        """Take note of an entry that names no target to use.
+
+        Args:
+            key: Its key.
+            reason: Why.
+            is_current: Whether it speaks of the present; else it is passed over.
+        """
+        if self.entries.note(key, reason):
+            self.log("target's entry can't be used", target=key, reason=reason)
+        if is_current:
+            targets.note_unreadable(self.fleet.directory, key)
+
+    def _end_life(self, target: Target, later: str) -> None:
+        """End what waits for a target that has started again since.
+
+        Its answers can't come any more. Waiting until silence was noticed would take
+        0.6 s and more of the callers' time, and all of it for what may not run again.
+        """
+        ends = silence.list_ends(target.hearing)
+        self.log(
+            "target started again",
+            target=later,
+            earlier=target.announced.lifetime,
+            waiting=len(ends),
+        )
+        for end in ends:
+            end()
+
     def _note_away(self) -> None:
         if targets.note_store_away(self.fleet.directory, self.clock()):
             self.log("store lost")
--- a/src/robinspindle/core/silence.py
+++ b/src/robinspindle/core/silence.py
@@ -43,12 +43,15 @@
             if it has to wait.
         most_s: How long it may take at the most, seconds, also where the target is
             heard of otherwise: then this one answer is lost.
+        end: Called when the target's life is known to be over, whether or not the
+            request may go elsewhere: nothing more will come.
     """
 
     since: float
     within_s: float
     leave: Callable[[], None] | None = None
     most_s: float = math.inf
+    end: Callable[[], None] | None = None
 
 
 @dataclass
@@ -119,6 +122,11 @@
     return [e.leave for e in hearing.expected if e.leave is not None]
 
 
+def list_ends(hearing: Hearing) -> list[Callable[[], None]]:
+    """List how the requests end that wait for a target whose life is over."""
+    return [e.end for e in hearing.expected if e.end is not None]
+
+
 def list_lost(hearing: Hearing, now: float) -> list[Callable[[], None]]:
     """List how those leave whose answers must be lost, though the target is heard."""
     return [
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -5,9 +5,11 @@
 serves on, so absence is only believed once the store has been back for a while.
 """
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from robinspindle.core import silence
+from robinspindle.core.lives import find_id, is_later
 from robinspindle.core.silence import Hearing
 
 RETURN_S = 2.0
@@ -38,6 +40,9 @@
 """How much slower a target is taken to be soon after its start: what the platform's
 site files say of the plain services that have such a time."""
 
+MOST_IDS = 4096
+"""Ids whose newest lifetime is remembered; more than have entries at a time."""
+
 FAULT_SMOOTHING = 0.1
 """Weight of the newest answer in the share of faulty ones: about the last ten count."""
 
@@ -47,7 +52,7 @@
     """What the platform's list says of a target.
 
     Attributes:
-        lifetime: Id of this start of the target.
+        lifetime: This start of the target (`core.lives`).
         service: Its service.
         address: IP:PORT.
         zone: Its availability zone.
@@ -81,6 +86,7 @@
         full_until: Until when it is taken as full, steady seconds.
         gone_at: From when it is taken as gone, steady seconds; None while listed.
         replaced: Whether its address answers for another lifetime.
+        is_unreadable: Whether its entry can't be used at present.
         switching_to: The role that it was ordered to take, empty for none.
         switching_until: Until when it may be away for that, steady seconds.
         cold_until: Until when it is slow from its start, steady seconds.
@@ -96,6 +102,7 @@
     full_until: float = 0.0
     gone_at: float | None = None
     replaced: bool = False
+    is_unreadable: bool = False
     switching_to: str = ""
     switching_until: float = 0.0
     cold_until: float = 0.0
@@ -109,6 +116,7 @@
 
     Attributes:
         targets: By lifetime.
+        newest: The newest lifetime of each id that had an entry, latest last.
         away_since: Since when the store has been away; None while it answers.
         back_at: When the store last came back, steady seconds.
         known: Whether the list has been read at all.
@@ -118,6 +126,7 @@
     """
 
     targets: dict[str, Target] = field(default_factory=dict)
+    newest: OrderedDict[str, str] = field(default_factory=OrderedDict)
     away_since: float | None = None
     back_at: float = -RETURN_S
     known: bool = False
@@ -125,44 +134,131 @@
     hold_s: float = 1.0
 
 
+@dataclass(frozen=True)
+class Taken:
+    """What became of a target's entry.
+
+    Attributes:
+        is_outlived: Whether it speaks of a life that is over, and was passed over.
+        is_news: Whether it changes what is believed.
+        ended: Earlier lifetimes of its id that are over by what it says.
+    """
+
+    is_outlived: bool = False
+    is_news: bool = False
+    ended: tuple[Target, ...] = ()
+
+
+def take_announced(directory: Directory, announced: Announcement, now: float) -> Taken:
+    """Take a target's entry in.
+
+    Args:
+        directory: What is known of targets.
+        announced: What the entry says.
+        now: The present time, steady seconds.
+    """
+    if is_outlived(directory, announced.lifetime):
+        return Taken(is_outlived=True)
+    ended = end_earlier_lives(directory, announced.lifetime, now)
+    is_news = note_announced(directory, announced, now)
+    return Taken(is_news=is_news, ended=tuple(ended))
+
+
+def is_outlived(directory: Directory, lifetime: str) -> bool:
+    """Whether a target was known to have started again since a lifetime began."""
+    newest = directory.newest.get(find_id(lifetime))
+    return newest not in (None, lifetime) and not is_later(lifetime, newest)
+
+
 def note_announced(directory: Directory, announced: Announcement, now: float) -> bool:
     """Take note of a target's entry.
 
     Args:
         directory: What is known of targets.
-        announced: What the entry says.
+        announced: What the entry says; its lifetime is not outlived.
         now: The present time, steady seconds.
 
     Returns:
         Whether it changes what is believed.
     """
-    target = directory.targets.get(announced.lifetime)
+    lifetime = announced.lifetime
+    _note_newest(directory, lifetime)
+    target = directory.targets.get(lifetime)
     cold_until = now + announced.cold_s
     if target is None:
         target = Target(announced, cold_until=cold_until)
-        directory.targets[announced.lifetime] = target
+        directory.targets[lifetime] = target
         return True
+    changed = target.announced != announced or target.gone_at is not None
+    changed = changed or target.is_unreadable
+    target.is_unreadable = False
     if target.announced.leaving and not announced.leaving:
         # A notice to leave is never taken back; an older entry may come late.
         return False
-    changed = target.announced != announced or target.gone_at is not None
     target.announced = announced
     target.cold_until = cold_until
     target.gone_at = None
     return changed
 
 
-def note_missing(directory: Directory, now: float, lifetime: str) -> bool:
-    """Take note that a target's entry is gone.
+def end_earlier_lives(directory: Directory, lifetime: str, now: float) -> list[Target]:
+    """Take the earlier lifetimes of an id as gone, and return those that were not.
+
+    Args:
+        directory: What is known of targets.
+        lifetime: The lifetime that has begun.
+        now: The present time, steady seconds.
+    """
+    earlier = [
+        target
+        for target in list_lives(directory, find_id(lifetime))
+        if is_later(lifetime, target.announced.lifetime) and not is_gone(target, now)
+    ]
+    for target in earlier:
+        target.gone_at = now
+    return earlier
+
+
+def list_lives(directory: Directory, id: str) -> list[Target]:
+    """List the lifetimes of an id that are known."""
+    return [
+        target
+        for lifetime, target in directory.targets.items()
+        if find_id(lifetime) == id
+    ]
+
+
+def note_unreadable(directory: Directory, id: str) -> bool:
+    """Take note that an id's entry names no target to use.
+
+    What is under way there goes on; nothing new is sent until the entry is good again.
 
     Returns:
         Whether it changes what is believed.
     """
-    target = directory.targets.get(lifetime)
-    if target is None or target.gone_at is not None:
-        return False
-    target.gone_at = max(now + directory.hold_s, directory.back_at + RETURN_S)
-    return True
+    lives = [t for t in list_lives(directory, id) if not t.is_unreadable]
+    for target in lives:
+        target.is_unreadable = True
+    return bool(lives)
+
+
+def note_missing(directory: Directory, now: float, id: str) -> bool:
+    """Take note that an id's entry is gone.
+
+    Returns:
+        Whether it changes what is believed.
+    """
+    missing = [t for t in list_lives(directory, id) if t.gone_at is None]
+    for target in missing:
+        target.gone_at = max(now + directory.hold_s, directory.back_at + RETURN_S)
+    return bool(missing)
+
+
+def _note_newest(directory: Directory, lifetime: str) -> None:
+    directory.newest[find_id(lifetime)] = lifetime
+    directory.newest.move_to_end(find_id(lifetime))
+    while len(directory.newest) > MOST_IDS:
+        directory.newest.popitem(last=False)
 
 
 def note_store_away(directory: Directory, now: float) -> bool:
@@ -201,7 +297,8 @@
 
 def may_get_work(target: Target, now: float) -> bool:
     """Whether a target may get new requests at all."""
-    return not (target.announced.leaving or target.replaced or is_gone(target, now))
+    is_away = target.replaced or target.is_unreadable or is_gone(target, now)
+    return not (target.announced.leaving or is_away)
 
 
 def is_healthy(target: Target, now: float) -> bool:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -68,6 +68,9 @@
     def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
         """List the targets of a service that may get a request."""
         found = targets.list_usable(self.directory, service, now, tried)
+        # A single entry without a role must not have prompts placed without regard to
+        # what engines hold and do.
+        found = [t for t in found if t.announced.role] or found
         share = self._count_connections(service) // self.gateways
         most = max(LEAST_CONNECTIONS, share)
         # Each request under way holds a connection, and a target resets any more.
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -120,7 +120,9 @@
             self.fleet, self.peers, adapter.dialect, self._clock, make_log("caches")
         )
         limits = Limits()
-        self._followers = self._make_beliefs(adapter, limits).list_followers()
+        beliefs = self._make_beliefs(adapter, limits)
+        self._entries = beliefs.entries
+        self._followers = beliefs.list_followers()
         self._store_news = StoreNews(
             self.peers, self._followers, adapter.configuration_topic
         )
@@ -323,6 +325,7 @@
         metrics.store_wasted.set(self._store.wasted_bytes)
         metrics.store_away.set(directory.away_since is not None)
         metrics.list_age.set(now - directory.read_at)
+        metrics.entries_unusable.set(self._entries.total)
         metrics.left_out.set(self._output.total_left_out)
         metrics.busy.set(self._callers.count_busy())
 
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -30,6 +30,7 @@
         store_wasted: Bytes of the store's answers that were given up or broke off.
         store_away: Whether the store is away.
         list_age: Age of what is known of the targets' entries, seconds.
+        entries_unusable: Entries of targets that could not be used so far.
         peers_refused: Datagrams of peers that were not believed so far.
         is_relay: Whether this gateway passes on what its group tells.
         peers_age: Age of the oldest news of a peer that is heard, seconds.
@@ -59,6 +60,9 @@
         self.list_age = self._gauge(
             "targets_list_age_seconds", "Age of what is known of the targets' entries"
         )
+        self.entries_unusable = self._gauge(
+            "targets_entries_unusable", "Targets' entries that could not be used so far"
+        )
         self.peers_age = self._gauge(
             "peers_age_seconds", "Age of the oldest news of a peer that is heard"
         )
--- a/src/robinspindle/platform/adapter.py
+++ b/src/robinspindle/platform/adapter.py
@@ -33,6 +33,6 @@
         """Decode the operator's configuration."""
         return documents.decode_configuration(data)
 
-    def decode_announcement(self, lifetime: str, data: bytes) -> Announcement:
+    def decode_announcement(self, id: str, data: bytes) -> Announcement:
         """Decode a target's entry."""
-        return documents.decode_announcement(lifetime, data)
+        return documents.decode_announcement(id, data)
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -13,6 +13,7 @@
     Send,
     Source,
 )
+from robinspindle.core.lives import find_id
 from robinspindle.exceptions import BadDocumentError
 
 ONE_CONNECTION = frozenset(
@@ -84,7 +85,7 @@
     lines = [request.method.encode() + b" " + request.target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in headers]
     lines.append(b"X-Deadline-Ms: %d" % max(1, int(send.left_s * 1000)))
-    lines.append(b"X-Expect-Instance: " + send.lifetime.encode())
+    lines.append(b"X-Expect-Instance: " + find_id(send.lifetime).encode())
     lines.append(b"X-Request-Priority: %d" % send.urgency)
     if send.read_only:
         lines.append(b"X-Stage: prefill")
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -1,10 +1,12 @@
 """Decodes what operators and targets write to the platform's store."""
 
+import ipaddress
 from functools import lru_cache
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
+from robinspindle.core.lives import is_id, make_lifetime
 from robinspindle.core.routes import (
     AT_MOST_ONCE,
     IDEMPOTENT,
@@ -20,6 +22,7 @@
 from robinspindle.core.targets import Announcement
 from robinspindle.exceptions import BadDocumentError
 
+MOST_PORT = 65535
 BITS_A_BYTE = 8
 BITS_A_MEGABIT = 1e6
 
@@ -95,15 +98,33 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+DRAINING = "draining"
+"""State of a target that leaves soon; it still serves what it has."""
+
+MOST_ENTRY_BYTES = 16384
+"""Longest entry of a target, bytes; those of today hold about 300."""
+
+MOST_COLD_MS = 3.6e6
+"""Longest time for which a target may be slow from its start, milliseconds: an hour."""
+
+
 class _Entry(msgspec.Struct, rename="pascal"):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 1
-    # "draining" is a target that leaves soon; it still serves what it has.
-    state: str = "ready"
-    cold_remaining_ms: float = 0.0
-    stage: str = ""
+    zone: str
+    # Of its software; not used.
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0.0, le=MOST_COLD_MS)]
+    # Of the entry; not used.
+    sequence: int
+    # Only engines have one.
+    stage: Literal["", "prefill", "decode"] = ""
+    # Entries of platforms whose targets never start again under an id have none.
+    born_ms: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.field(
+        default=msgspec.UNSET, name="born"
+    )
 
 
 def decode_configuration(data: bytes) -> RouteTable:
@@ -126,29 +147,58 @@
     )
 
 
-def decode_announcement(lifetime: str, data: bytes) -> Announcement:
+def decode_announcement(id: str, data: bytes) -> Announcement:
     """Decode a target's entry.
 
+    Others may write entries too: what lacks a field, or holds one of another type, a
+    state or a stage that is not named, or no address, names no target to use.
+
+    Args:
+        id: The target's id, the entry's key.
+        data: The entry.
+
     Raises:
-        BadDocumentError: When it can't be read.
+        BadDocumentError: When it names no target to use.
     """
+    if not is_id(id):
+        raise BadDocumentError("its key can't be an id")
+    if len(data) > MOST_ENTRY_BYTES:
+        raise BadDocumentError(f"{len(data)} bytes are too long for an entry")
     entry = _decode(data, _Entry)
+    _check_address(entry.address)
+    born_ms = None if entry.born_ms is msgspec.UNSET else entry.born_ms
     return Announcement(
-        lifetime=lifetime,
+        lifetime=make_lifetime(id, born_ms),
         service=entry.service,
         address=entry.address,
         zone=entry.zone,
         slots=entry.slots,
-        leaving=entry.state != "ready",
+        leaving=entry.state == DRAINING,
         role=entry.stage,
         cold_s=entry.cold_remaining_ms / 1000,
     )
 
 
+def _check_address(address: str) -> None:
+    """Check that an address is IP:PORT.
+
+    Raises:
+        BadDocumentError: When it is not.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise BadDocumentError(f"{address[:80]!r} is no address") from None
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MOST_PORT):
+        raise BadDocumentError(f"{address[:80]!r} is no address")
+
+
 def _decode(data: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        # Values that lie in one another too deeply are no error of the codec's own.
         raise BadDocumentError(str(error)) from None
 
 
--- a/src/robinspindle/platform/orders.py
+++ b/src/robinspindle/platform/orders.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from robinspindle.core.lives import find_id
 from robinspindle.ordering import Order, OrderOutcome
 
 OUTCOMES = {
@@ -26,7 +27,7 @@
     head = (
         "POST /order HTTP/1.1\r\n"
         f"Host: {order.address}\r\n"
-        f"X-Expect-Instance: {order.lifetime}\r\n"
+        f"X-Expect-Instance: {find_id(order.lifetime)}\r\n"
         "Content-Type: application/json\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
     )
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -73,6 +73,10 @@
     end: int = msgspec.field(name="End")
 
 
+UNREADABLE = KeyedRecord("", None)
+"""What a record without a readable key is taken as."""
+
+
 class Store:
     """One client of the store.
 
@@ -234,10 +238,18 @@
 
 
 def _decode_keyed(record: bytes) -> KeyedRecord:
-    if not record or len(record) < 1 + record[0]:
-        raise ValueError("a record has no key")
-    end = 1 + record[0]
-    return KeyedRecord(record[1:end].decode(), record[end:] or None)
+    """Decode a record; one without a readable key counts as the removal of no key.
+
+    Others write to some topics too. It has to keep its place among the offsets, and
+    must not end the reading of those behind it.
+    """
+    end = 1 + (record[0] if record else 0)
+    try:
+        if len(record) < end:
+            return UNREADABLE
+        return KeyedRecord(record[1:end].decode(), record[end:] or None)
+    except UnicodeDecodeError:
+        return UNREADABLE
 
 
 def _decode_base64(text: str) -> bytes:
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -96,11 +96,16 @@
 
     def _expect_reading(self, passage: Passage, exchange: Exchange) -> Expectation:
         """Expect a prompt to be read; it may always be read elsewhere instead."""
+
+        def end() -> None:
+            exchange.fail(ConnectionBrokenError("the reader started again"))
+
         return Expectation(
             since=self._means.clock(),
             within_s=find_answer_patience(passage.plan.first_s),
             leave=lambda: exchange.fail(ConnectionBrokenError("not read in time")),
             most_s=find_most_patience(passage.plan.first_s),
+            end=end,
         )
 
     def _note_unread(self, passage: Passage, reader: Target, head: AnswerHead) -> None:
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -251,6 +251,9 @@
         def leave() -> None:
             exchange.fail(ConnectionBrokenError("nothing was heard in time"))
 
+        def end() -> None:
+            exchange.fail(ConnectionBrokenError("the target started again"))
+
         route = passage.route
         may_leave = route.may_rerun and passage.runs + 1 < route.attempts
         return Expectation(
@@ -258,6 +261,7 @@
             within_s=silence.find_answer_patience(passage.plan.first_s),
             leave=leave if may_leave else None,
             most_s=silence.find_most_patience(passage.plan.first_s),
+            end=end,
         )
 
     async def _take_answer(self, passage: Passage, answer: Answer) -> End:
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -6,6 +6,7 @@
 
 from robinspindle.core import targets
 from robinspindle.core.forwarding import AnswerHead, Send, Source
+from robinspindle.core.lives import find_id
 from robinspindle.core.silence import Expectation
 from robinspindle.core.targets import Target
 from robinspindle.core.urgency import REQUEST_URGENCIES
@@ -89,7 +90,7 @@
 def note_turned_away(means: Means, target: Target, head: AnswerHead) -> None:
     """Take note that a target did not run a request."""
     # An engine in another role answers like another lifetime, in its own name.
-    if head.answered_by not in ("", target.announced.lifetime):
+    if head.answered_by not in ("", find_id(target.announced.lifetime)):
         target.replaced = True
     else:
         targets.note_full(target, means.clock(), means.policy().rests_longer)
--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -66,10 +66,13 @@
         self._topics: dict[str, Topic] = {}
         self._news = asyncio.Condition()
 
-    async def put(self, topic: str, key: str, value: dict | bytes | None) -> None:
+    async def put(
+        self, topic: str, key: str | bytes, value: dict | bytes | None
+    ) -> None:
         """Write one keyed record; None drops the key."""
         data = json.dumps(value).encode() if isinstance(value, dict) else value or b""
-        self._append(topic, bytes([len(key)]) + key.encode() + data)
+        name = key.encode() if isinstance(key, str) else key
+        self._append(topic, bytes([len(name)]) + name + data)
         async with self._news:
             self._news.notify_all()
 
@@ -91,7 +94,10 @@
         offset = topic.end
         topic.records.append(record)
         length = record[0]
-        key, value = record[1 : 1 + length].decode(), record[1 + length :]
+        key, value = (
+            record[1 : 1 + length].decode(errors="replace"),
+            record[1 + length :],
+        )
         topic.newest.pop(key, None)
         if value:
             topic.newest[key] = (value, offset)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -22,6 +22,7 @@
         closed: Ids of requests whose connection closed before their end.
         held: Parts that its cache holds, by id, with their tokens.
         lists: How often it was asked for them.
+        born_ms: When this life began, Unix milliseconds; None where it does not tell.
         list_pieces: Pieces in which that list comes, one after a pause.
     """
 
@@ -38,6 +39,7 @@
         self.held: dict[str, int] = {}
         self.lists = 0
         self.list_pieces = 1
+        self.born_ms: int | None = None
         self.gate = asyncio.Event()
         self.server = RawServer(self._answer)
 
@@ -55,6 +57,8 @@
         }
         if self.role:
             entry["Stage"] = self.role
+        if self.born_ms is not None:
+            entry["born"] = self.born_ms
         return entry
 
     async def _answer(self, request: RawRequest, writer) -> bool:
--- /dev/null
+++ b/tests/core/test_entries.py
@@ -0,0 +1,19 @@
+from robinspindle.core import entries
+from robinspindle.core.entries import UnusableEntries
+
+
+def test_an_entry_is_told_once_for_each_reason_and_again_after_it_was_good():
+    unusable = UnusableEntries()
+    assert unusable.note("k", "no address")
+    assert not unusable.note("k", "no address")
+    assert unusable.note("k", "no state")
+    unusable.forget("k")
+    assert unusable.note("k", "no state")
+    assert unusable.total == 4
+
+
+def test_what_is_remembered_is_bounded():
+    unusable = UnusableEntries()
+    for number in range(entries.MOST_KEPT + 10):
+        unusable.note(f"k{number}", "no address")
+    assert len(unusable.reasons) == entries.MOST_KEPT
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,6 +1,8 @@
 import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from robinspindle.core.routes import AT_MOST_ONCE, find_route
 from robinspindle.exceptions import BadDocumentError
@@ -73,6 +75,97 @@
         decode_announcement("i1", data)
 
 
+ENTRY = {
+    "Service": "s",
+    "Address": "1.2.3.4:5",
+    "Zone": "a",
+    "Version": "v1",
+    "Slots": 4,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Sequence": 1,
+}
+
+
+def read_entry(**changes):
+    return decode_announcement("i1", json.dumps(ENTRY | changes).encode())
+
+
 def test_a_target_that_is_not_ready_leaves():
-    entry = {"Service": "s", "Address": "1.2.3.4:5", "State": "draining"}
-    assert decode_announcement("i1", json.dumps(entry).encode()).leaving
+    assert read_entry(State="draining").leaving
+    assert not read_entry().leaving
+
+
+def test_a_life_is_the_id_and_the_start_together():
+    assert read_entry(born=1777867435133).lifetime == "i1@1777867435133"
+    assert read_entry().lifetime == "i1"
+
+
+def test_fields_that_are_not_known_do_not_harm_an_entry():
+    assert read_entry(Models=[{"Name": "m"}], Later={"x": 1}).service == "s"
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *((name, None) for name in ENTRY),
+        *((name, [1]) for name in ENTRY),
+        ("State", "starting"),
+        ("Stage", "both"),
+        ("Service", ""),
+        ("Slots", 0),
+        ("Slots", -3),
+        ("ColdRemainingMs", -1),
+        ("ColdRemainingMs", 1e300),
+        *(("Address", address) for address in ("", "1.2.3.4", "host:80", ":80")),
+        *(("Address", address) for address in ("1.2.3.4:0", "1.2.3.4:70000", "::1:8")),
+        ("Address", "1.2.3.4:8\r\nX-Model: m"),
+        *(("born", born) for born in (None, "5", 1.5, -1, True, [])),
+    ],
+)
+def test_an_entry_that_is_not_as_the_platform_says_names_no_target(field, value):
+    with pytest.raises(BadDocumentError):
+        read_entry(**{field: value})
+
+
+@pytest.mark.parametrize("name", list(ENTRY))
+def test_an_entry_that_lacks_a_field_names_no_target(name):
+    entry = {key: value for key, value in ENTRY.items() if key != name}
+    with pytest.raises(BadDocumentError):
+        decode_announcement("i1", json.dumps(entry).encode())
+
+
+@pytest.mark.parametrize("id", ["", "a b", "a\r\nHost: x", "i1@5"])
+def test_a_key_that_can_not_be_an_id_names_no_target(id):
+    with pytest.raises(BadDocumentError):
+        decode_announcement(id, json.dumps(ENTRY).encode())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"[" * 200_000, b'{"a":' * 3000, json.dumps(ENTRY).encode() + b" " * 99999],
+    ids=["deep list", "deep object", "long"],
+)
+def test_what_is_far_too_long_or_deep_names_no_target(data):
+    with pytest.raises(BadDocumentError):
+        decode_announcement("i1", data)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=6,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary() | st.dictionaries(st.sampled_from(list(ENTRY)), JSON), st.text())
+def test_no_bytes_do_anything_but_name_a_target_or_none(data, id):
+    if isinstance(data, dict):
+        data = json.dumps(ENTRY | data).encode()
+    try:
+        announced = decode_announcement(id, data)
+    except BadDocumentError:
+        return
+    assert announced.slots > 0
+    assert announced.lifetime.isprintable()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -8,6 +8,7 @@
 from robinspindle.core.sharing import Bundle, Digest, Load, Placement
 from robinspindle.exceptions import Finding, InvalidDocumentError
 from robinspindle.peers import encode
+from standins.replica import Replica
 from tests.platform.deployment import (
     deploy,
     introduce,
@@ -101,7 +102,8 @@
         async with deploy(tmp_path, configured=False) as d:
             d.store.page = 2
             for number in range(5):
-                entry = {"Service": "push", "Address": "127.0.0.1:9", "Zone": "a"}
+                entry = Replica(f"i{number}", "push").describe()
+                entry["Address"] = "127.0.0.1:9"
                 await d.store.put("keyed.servers", f"i{number}", entry)
             d.store.compact("keyed.servers")
             await until(lambda: all(d.knows(f"i{number}") for number in range(5)))
--- /dev/null
+++ b/tests/platform/test_restarts.py
@@ -0,0 +1,178 @@
+"""Targets that start again under their id, and entries that others wrote."""
+
+import asyncio
+import json
+
+import pytest
+
+from robinspindle.core.forwarding import Part
+from standins.replica import Replica
+from tests.platform.deployment import deploy, run, until
+
+GARBAGE = [
+    b"\xff\xfe\x00",
+    b"[" * 5000,
+    b"{}",
+    b"x" * 50_000,
+    json.dumps({"Service": "lm", "Address": 5, "State": "ready"}).encode(),
+]
+
+
+async def begin_life(d, id, born_ms, service="lm", role="decode"):
+    """Have a target begin a life, at an address of its own."""
+    replica = Replica(id, service, role)
+    replica.born_ms = born_ms
+    await replica.server.start()
+    d.replicas[f"{id}@{born_ms}"] = replica
+    await d.store.put("keyed.servers", id, replica.describe())
+    await until(lambda: f"{id}@{born_ms}" in d.gateway.directory.targets)
+    return replica
+
+
+def list_usable(d, service="lm"):
+    now = d.gateway._clock()
+    found = d.gateway.fleet.list_usable(service, now, set())
+    return sorted(target.announced.lifetime for target in found)
+
+
+def test_a_new_life_is_used_and_the_one_before_is_not(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            before = await begin_life(d, "i1", 5)
+            assert (await d.call("/chat/x", **d.prompt())).is_whole
+            now = await begin_life(d, "i1", 6)
+            assert (await d.call("/chat/x", id="r2", **d.prompt())).is_whole
+            assert [len(before.arrivals), len(now.arrivals)] == [1, 1]
+            # The wire names the id alone.
+            assert now.arrivals[0].headers["x-expect-instance"] == "i1"
+
+    run(play())
+
+
+def test_a_new_life_is_believed_to_hold_nothing(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await begin_life(d, "i1", 5)
+            await d.call("/chat/x", **d.prompt())
+            fleet = d.gateway.fleet
+            assert "aa" in fleet.find_engine_of("i1@5").cached
+            await begin_life(d, "i1", 6)
+            engine = fleet.find_engine_of("i1@6")
+            assert not engine.cached
+            assert engine.work_s == 0.0
+
+    run(play())
+
+
+def test_a_stream_goes_on_elsewhere_once_its_target_has_started_again(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            before = await begin_life(d, "i1", 5)
+            before.behaviours.append("held")
+            task = asyncio.create_task(d.call("/digest/x", **d.prompt()))
+            await until(lambda: before.arrivals)
+            now = await begin_life(d, "i1", 6)
+            assert (await task).is_whole
+            assert len(now.arrivals) == 1
+
+    run(play())
+
+
+def test_what_may_run_once_ends_truly_once_its_target_has_started_again(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            before = await begin_life(d, "i1", 5, "push", "")
+            before.behaviours.append("held")
+            task = asyncio.create_task(d.call("/once/x"))
+            await until(lambda: before.arrivals)
+            now = await begin_life(d, "i1", 6, "push", "")
+            reply = await task
+            assert reply.status == 502
+            assert not now.arrivals
+
+    run(play())
+
+
+def test_an_entry_of_the_life_before_comes_late_and_changes_nothing(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            before = await begin_life(d, "i1", 5)
+            await begin_life(d, "i1", 6)
+            await d.store.put("keyed.servers", "i1", before.describe())
+            await begin_life(d, "i2", 1)
+            assert list_usable(d) == ["i1@6", "i2@1"]
+            assert d.gateway._entries.reasons == {"i1": "its start went back"}
+
+    run(play())
+
+
+def test_news_of_peers_on_a_life_that_is_not_known_yet_reaches_only_that_life(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await begin_life(d, "i1", 5)
+            fleet = d.gateway.fleet
+            assert fleet.find_engine_of("i1@6") is None
+            assert fleet.note_told_silent(["i1@6"], d.gateway._clock()) == []
+            fleet.note_switching("i1@6", "prefill", d.gateway._clock())
+            assert list_usable(d) == ["i1@5"]
+            fleet.find_engine_of("i1@5").cached["aa"] = Part("aa", 5).tokens
+            await begin_life(d, "i1", 6)
+            assert not fleet.find_engine_of("i1@6").cached
+
+    run(play())
+
+
+@pytest.mark.parametrize("garbage", GARBAGE, ids=range(len(GARBAGE)))
+def test_garbage_names_no_target_and_the_others_hold(tmp_path, garbage):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await begin_life(d, "i1", 5)
+            for _ in range(2):
+                await d.store.put("keyed.servers", "other", garbage)
+            await d.store.put("keyed.servers", b"\xff\xff", b"x")
+            await begin_life(d, "i2", 5)
+            assert list_usable(d) == ["i1@5", "i2@5"]
+            assert list(d.gateway._entries.reasons) == ["other"]
+            assert (await d.call("/chat/x", **d.prompt())).is_whole
+
+    run(play())
+
+
+def test_garbage_that_is_there_at_the_start_ends_nothing(tmp_path):
+    async def prepare(store):
+        await store.put("keyed.servers", "other", GARBAGE[0])
+
+    async def play():
+        async with deploy(tmp_path, prepare=prepare) as d:
+            await begin_life(d, "i1", 5)
+            assert (await d.call("/chat/x", **d.prompt())).is_whole
+
+    run(play())
+
+
+def test_an_entry_that_turns_bad_lets_what_is_under_way_end(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            replica = await begin_life(d, "i1", 5)
+            replica.behaviours.append("held")
+            task = asyncio.create_task(d.call("/chat/x", **d.prompt()))
+            await until(lambda: replica.arrivals)
+            await d.store.put("keyed.servers", "i1", b"?")
+            await until(lambda: list_usable(d) == [])
+            assert (await d.call("/chat/x", id="r2", **d.prompt())).status == 503
+            replica.gate.set()
+            assert (await task).is_whole
+            await d.store.put("keyed.servers", "i1", replica.describe())
+            await until(lambda: list_usable(d) == ["i1@5"])
+
+    run(play())
+
+
+def test_an_engine_without_a_role_is_not_used_beside_others(tmp_path):
+    async def play():
+        async with deploy(tmp_path) as d:
+            await begin_life(d, "i1", 5)
+            await begin_life(d, "i2", 5, role="")
+            assert list_usable(d) == ["i1@5"]
+
+    run(play())
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -5,6 +5,7 @@
 import pytest
 
 from soak.__main__ import play
+from soak.faults import RESTART_FAULTS
 
 SHORT = ((1, 6), (2, 6))
 
@@ -38,3 +39,13 @@
 def test_a_long_configuration_comes_into_force_over_slow_links(seed, steps, tmp_path):
     oracle = asyncio.run(play(seed, steps, tmp_path, has_slow_links=True))
     assert oracle.findings == []
+
+
+RESTARTS = ((1, 8), (2, 8))
+"""Seeds and steps in which replicas start again and others write entries."""
+
+
+@pytest.mark.parametrize(("seed", "steps"), RESTARTS)
+def test_replicas_that_start_again_and_garbage_harm_nothing(seed, steps, tmp_path):
+    oracle = asyncio.run(play(seed, steps, tmp_path, drawn=RESTART_FAULTS))
+    assert oracle.findings == []
