--- a/standins/pacedreplica.py
+++ b/standins/pacedreplica.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import heapq
+from collections import OrderedDict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from itertools import count
 
+from standins.promptcache import count_unread, keep
 from standins.prompts import parse_parts
 from standins.rawhttp import RawRequest
 from standins.replica import Replica
@@ -76,6 +78,7 @@
         self.left_unread = 0
         self._tokens_per_s = tokens_per_s
         self._cache_tokens = cache_tokens
+        self.held: OrderedDict[str, int] = OrderedDict()
         self._slots = slots
         self._busy = 0
         self._turns = Turns()
@@ -115,28 +118,12 @@
                 self.left_unread += 1
                 return False
             parts = parse_parts(request)
-            unread = self.count_unread(parts)
+            unread = count_unread(self.held, parts)
             holder = self._holders.get(request.headers.get("kv-fetch", ""))
             if holder is not None:
-                unread = min(unread, holder.count_unread(parts))
+                unread = min(unread, count_unread(holder.held, parts))
             pace = self._tokens_per_s
             pace *= 1.0 if self.role == "prefill" else GENERATING_SHARE
             await asyncio.sleep(unread / pace * self.slowness)
-            self._keep(parts)
+            keep(self.held, parts, self._cache_tokens)
             return True
-
-    def count_unread(self, parts: list[tuple[str, int]]) -> int:
-        """Count the tokens of a prompt that its cache does not hold."""
-        unread = sum(tokens for _, tokens in parts)
-        for id, tokens in parts:
-            if id not in self.held:
-                break
-            unread -= tokens
-        return unread
-
-    def _keep(self, parts: list[tuple[str, int]]) -> None:
-        for id, tokens in parts:
-            self.held.pop(id, None)
-            self.held[id] = tokens
-        while sum(self.held.values()) > self._cache_tokens:
-            del self.held[next(iter(self.held))]
--- a/standins/timedreplica.py
+++ b/standins/timedreplica.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import OrderedDict
 
+from standins.promptcache import count_unread, keep
 from standins.prompts import parse_parts
 from standins.rawhttp import RawRequest
 from standins.replica import Replica
@@ -52,23 +53,8 @@
         parts = parse_parts(request)
         pace = READ_TOKENS_PER_S * (1.0 if self.role == "prefill" else GENERATING_SHARE)
         async with self._reading:
-            unread = self._count_unread(parts)
+            unread = count_unread(self._cache, parts)
             self.read_tokens += unread
             self.kept_tokens += sum(tokens for _, tokens in parts) - unread
             await asyncio.sleep(unread / pace)
-            self._keep(parts)
-
-    def _count_unread(self, parts: list[tuple[str, int]]) -> int:
-        unread = sum(tokens for _, tokens in parts)
-        for id, tokens in parts:
-            if id not in self._cache:
-                break
-            unread -= tokens
-        return unread
-
-    def _keep(self, parts: list[tuple[str, int]]) -> None:
-        for id, tokens in parts:
-            self._cache[id] = tokens
-            self._cache.move_to_end(id)
-        while sum(self._cache.values()) > CACHE_TOKENS:
-            self._cache.popitem(last=False)
+            keep(self._cache, parts, CACHE_TOKENS)
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -29,6 +29,7 @@
 from robinspindle.core.targets import Announcement, Target
 from robinspindle.core.turns import Turns, is_due, note_asked, note_lost, note_served
 from robinspindle.core.urgency import REQUEST_URGENCIES
+from soak.sizeaccount import Ended
 from standins.prompts import SKEW, Kind, Length, draw_parts
 
 TOKENS_PER_S = 307_000
@@ -42,27 +43,6 @@
 """So do slow ones."""
 
 
-@dataclass(frozen=True)
-class Ask:
-    """How one request of a kind ended.
-
-    Attributes:
-        kind: Its kind.
-        tokens: Tokens of its prompt.
-        at: When it came, seconds.
-        served: Whether its first event came before its caller gave up.
-        in_time: Whether it came in time.
-        refused: Whether it was refused at once.
-    """
-
-    kind: str
-    tokens: int
-    at: float
-    served: bool
-    in_time: bool
-    refused: bool = False
-
-
 @dataclass(frozen=True)
 class Load:
     """What callers ask for and who is there.
@@ -114,7 +94,7 @@
         refused: Those that were refused, or left.
         busy_s: Seconds that all engines were busy.
         believed_s: Seconds that they were believed to be.
-        asks: How each request ended, where several kinds are played.
+        ended: How each request ended, where several kinds are played.
     """
 
     asked: int = 0
@@ -123,7 +103,7 @@
     refused: int = 0
     busy_s: float = 0.0
     believed_s: float = 0.0
-    asks: list[Ask] = field(default_factory=list)
+    ended: list[Ended] = field(default_factory=list)
 
 
 @dataclass
@@ -233,7 +213,7 @@
         at = replace(at, has_turn=load.gives_turns and is_due(turns, env.now, *asked))
         plan = choose_plan(gateway.pairs, prompt, at)
         if is_hopeless(plan, kind.patience_s):
-            self._note_end(kind, prompt, came_at, None)
+            self._note_end(kind, prompt, None)
             return
         note_served(turns, env.now, *asked)
         engines = {t.announced.lifetime: e for t, e in gateway.pairs}
@@ -260,7 +240,7 @@
             host.in_flight -= 1
         if env.now - came_at > kind.patience_s:
             note_lost(turns, env.now, *asked)
-        self._note_end(kind, prompt, came_at, env.now - came_at)
+        self._note_end(kind, prompt, env.now - came_at)
 
     def _read(self, where, prompt, plan, gives_up_at):
         """Have an engine read what neither its real cache nor the holder's has."""
@@ -289,7 +269,7 @@
         self.outcome.busy_s += busy_s
         return busy_s
 
-    def _note_end(self, kind, prompt, came_at, taken_s):
+    def _note_end(self, kind, prompt, taken_s):
         """Note how a request ended; it was refused if it took no time at all."""
         outcome = self.outcome
         in_time = taken_s is not None and taken_s <= kind.aim_s
@@ -301,9 +281,8 @@
         else:
             outcome.refused += 1
         if self.load.kinds:
-            refused = taken_s is None
-            ask = Ask(kind.name, prompt.tokens, came_at, served, in_time, refused)
-            outcome.asks.append(ask)
+            last = "in time" if in_time else "late" if served else "refused"
+            outcome.ended.append(Ended(kind.name, prompt.tokens, served, last))
 
 
 def _make_only_kind(load):
--- a/tests/core/test_overload.py
+++ b/tests/core/test_overload.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from soak.sizeaccount import Ended, SizeAccount
+from soak.sizeaccount import SizeAccount
 from standins.prompts import make_matchmaking_kinds
 from tests.core.loadplay import Load, play
 
@@ -35,8 +35,7 @@
         **more,
     )
     outcome = play(load, seed)
-    ended = [Ended(ask.kind, ask.tokens, ask.served, "") for ask in outcome.asks]
-    return SizeAccount(ended).find_rates()
+    return SizeAccount(outcome.ended).find_rates()
 
 
 SLOW = frozenset(["p0", "p1", "p2", "p3", "d0", "d1", "d2"])
