--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -2,7 +2,7 @@
 
 import random
 
-from robinspindle.core import budgets, reading, turns
+from robinspindle.core import budgets, hosting, reading, turns
 from robinspindle.core.engines import Engine
 from robinspindle.core.forwarding import Request
 from robinspindle.core.paces import estimate_busy_s
@@ -102,7 +102,7 @@
         engines = [pair for pair in pairs if pair[1] is not None]
         means = self._means
         age_s = means.peers.interval_s
-        return reading.choose_host(engines, means.zone, age_s, self._rng)
+        return hosting.choose_host(engines, means.zone, age_s, self._rng)
 
     def read_rate(self, service: str) -> float:
         """Seconds of a reader's work that this gateway is asked for in a second."""
--- /dev/null
+++ b/src/robinspindle/core/hosting.py
@@ -0,0 +1,105 @@
+"""Where answers are generated: the choice among engines that host them."""
+
+import random
+
+from robinspindle.core.engines import find_event_s
+from robinspindle.core.estimates import Pair
+from robinspindle.core.targets import Target
+
+HOST_SPREAD_SHARE = 0.2
+"""By how much the weights of hosts are varied at random, as a share of the age of what
+is known: of what one host of seventeen is sent in 0.1 s, two or three requests are not
+known yet, and each slows it down by some milliseconds."""
+
+FAR_S = 0.010
+"""Seconds that another availability zone counts for: a round trip of about 3 ms, and
+bytes whose price is about that of reading 2,000 shared tokens again. Of 4, 10 and 20 ms
+the second was best on two of three days, by less than the noise of one run."""
+
+SLOT_S = 0.002
+"""Seconds that each request in flight counts for at a generating engine, so that
+answers are spread: its share of the steps that it slows down."""
+
+HOST_SHARE = 0.3
+"""Share of its slots that long answers may fill before the next engine hosts them."""
+
+HOST_S = 0.02
+"""Seconds that an engine without long answers, or with too many, counts for as a host
+of one more: more than the way to another zone, less than a prompt's reading."""
+
+SLOW_EVENTS = 2.5
+"""From so many times the pace of the fastest host on, an engine's long answers are slow
+for another reason than that they are many, and that counts against it as their host.
+With a third of the engines three times as slow for 22 s, of 1,836 notes 65 were lost
+and 176 late in place of 73 and 250 (three pairs of plays of a dispatch fleet)."""
+
+FAULT_S = 0.3
+"""Seconds that a target which only fails counts for; longer than a usual aim."""
+
+
+def choose_long_host(hosts: list[Pair], zone: str, now: float) -> Pair:
+    """Choose the engine that hosts a long answer.
+
+    Args:
+        hosts: The engines that generate, at least one.
+        zone: The entry's availability zone.
+        now: The present time, steady seconds.
+    """
+    fastest_s = _find_fastest_s(hosts, now)
+    return min(hosts, key=lambda pair: _weigh_host(pair, zone, now, fastest_s))
+
+
+def choose_host(
+    candidates: list[Pair], zone: str, age_s: float, rng: random.Random
+) -> Target | None:
+    """Choose where the answer to a prompt that was read apart is generated.
+
+    Args:
+        candidates: The engines that may get work.
+        zone: The entry's availability zone.
+        age_s: How old what the other entries told may be, seconds.
+        rng: Source of random choices.
+    """
+    generating = [pair for pair in candidates if not pair[1].reads_only]
+    if not generating:
+        return None
+
+    def weigh(pair: Pair) -> float:
+        return weigh_target(pair, zone) + rng.random() * age_s * HOST_SPREAD_SHARE
+
+    return min(generating, key=weigh)[0]
+
+
+def _find_fastest_s(hosts: list[Pair], now: float) -> float:
+    """Find the pace of the fastest host that is known, seconds an event; 0 for none."""
+    known = (find_event_s(engine, now) for _, engine in hosts)
+    return min((event_s for event_s in known if event_s is not None), default=0.0)
+
+
+def _weigh_host(pair: Pair, zone: str, now: float, fastest_s: float) -> float:
+    """Weigh an engine as the host of a long answer.
+
+    Long answers are brought together on few engines, up to a share of their slots, so
+    that the others are free to read: reading makes the answers beside it pause.
+    """
+    target, engine = pair
+    room = max(1.0, HOST_SHARE * target.announced.slots)
+    used = engine.long_answers / room
+    crowded_s = HOST_S * (used if used >= 1.0 else 1.0 - used)
+    event_s = find_event_s(engine, now) or 0.0
+    slow_s = max(0.0, event_s - SLOW_EVENTS * fastest_s)
+    return engine.work_s + crowded_s + slow_s + weigh_place(target, zone)
+
+
+def weigh_target(pair: Pair, zone: str) -> float:
+    """Weigh an engine as the host of a short answer, seconds."""
+    target, engine = pair
+    requests = target.in_flight + engine.others_in_flight
+    place_s = weigh_place(target, zone)
+    return requests * SLOT_S + engine.work_s + place_s
+
+
+def weigh_place(target: Target, zone: str) -> float:
+    """Weigh a target's way and its faults, seconds."""
+    far_s = FAR_S if target.announced.zone != zone else 0.0
+    return far_s + FAULT_S * target.faults
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -14,7 +14,6 @@
     Engine,
     count_recent,
     estimate_wait,
-    find_event_s,
     may_read_beside,
     sum_work,
 )
@@ -26,6 +25,12 @@
     find_move,
 )
 from robinspindle.core.forwarding import Prompt
+from robinspindle.core.hosting import (
+    SLOT_S,
+    choose_long_host,
+    weigh_place,
+    weigh_target,
+)
 from robinspindle.core.policy import Policy
 from robinspindle.core.targets import Target
 from robinspindle.core.urgency import FIRST_RANK, LATE, find_level
@@ -47,40 +52,10 @@
 (`tests/core/test_loadplay.py`). To draw among those that look in time gains half of
 that: all run after those."""
 
-HOST_SPREAD_SHARE = 0.2
-"""The same for the weights of hosts, which tell less than those of readings apart: of
-what one host of seventeen is sent in 0.1 s, two or three requests are not known yet,
-and each slows it down by some milliseconds."""
-
-FAR_S = 0.010
-"""Seconds that another availability zone counts for: a round trip of about 3 ms, and
-bytes whose price is about that of reading 2,000 shared tokens again. Of 4, 10 and 20 ms
-the second was best on two of three days, by less than the noise of one run."""
-
-SLOT_S = 0.002
-"""Seconds that each request in flight counts for at a generating engine, so that
-answers are spread: its share of the steps that it slows down."""
-
-HOST_SHARE = 0.3
-"""Share of its slots that long answers may fill before the next engine hosts them."""
-
-HOST_S = 0.02
-"""Seconds that an engine without long answers, or with too many, counts for as a host
-of one more: more than the way to another zone, less than a prompt's reading."""
-
-SLOW_EVENTS = 2.5
-"""From so many times the pace of the fastest host on, an engine's long answers are slow
-for another reason than that they are many, and that counts against it as their host.
-With a third of the engines three times as slow for 22 s, of 1,836 notes 65 were lost
-and 176 late in place of 73 and 250 (three pairs of plays of a dispatch fleet)."""
-
 MOST_END_S = 0.05
 """The most that the generating engine's own work counts for when a prompt is read
 apart, seconds."""
 
-FAULT_S = 0.3
-"""Seconds that a target which only fails counts for; longer than a usual aim."""
-
 IN_TIME_SHARE = 0.9
 """Share of the time to the aim that a plan may fill by its estimate and still count as
 in time; the rest is for what was misjudged. With 0.7 of it prompts that could have been
@@ -180,8 +155,7 @@
         return None
     move = _find_move(candidates, prompt, at)
     if at.is_long:
-        fastest_s = _find_fastest_s(generating, at.now)
-        pair = min(generating, key=lambda pair: _weigh_host(pair, at, fastest_s))
+        pair = choose_long_host(generating, at.zone, at.now)
         return _plan_local(pair, prompt, at, move)
     draws = _draw(candidates, at)
     for drawn in draws:
@@ -197,27 +171,6 @@
     return min(late, key=lambda plan: plan.first_s + _draw_spread(at))
 
 
-def choose_host(
-    candidates: list[Pair], zone: str, age_s: float, rng: random.Random
-) -> Target | None:
-    """Choose where the answer to a prompt that was read apart is generated.
-
-    Args:
-        candidates: The engines that may get work.
-        zone: The entry's availability zone.
-        age_s: How old what the other entries told may be, seconds.
-        rng: Source of random choices.
-    """
-    generating = [pair for pair in candidates if not pair[1].reads_only]
-    if not generating:
-        return None
-
-    def weigh(pair: Pair) -> float:
-        return _weigh_target(pair, zone) + rng.random() * age_s * HOST_SPREAD_SHARE
-
-    return min(generating, key=weigh)[0]
-
-
 def is_hopeless(plan: Plan, last_s: float, serves_late: bool = True) -> bool:
     """Whether a request had better be refused than sent on.
 
@@ -296,7 +249,7 @@
         if _may_read_there(engine, plan, at)
     ]
     if readers:
-        host = min(generating, key=lambda pair: _weigh_target(pair, at.zone))
+        host = min(generating, key=lambda pair: weigh_target(pair, at.zone))
         plans += [
             _plan_apart(pair, host, prompt, at, move, is_late) for pair in readers
         ]
@@ -323,41 +276,6 @@
     return at.rng.random() * at.age_s * SPREAD_SHARE
 
 
-def _find_fastest_s(hosts: list[Pair], now: float) -> float:
-    """Find the pace of the fastest host that is known, seconds an event; 0 for none."""
-    known = (find_event_s(engine, now) for _, engine in hosts)
-    return min((event_s for event_s in known if event_s is not None), default=0.0)
-
-
-def _weigh_host(pair: Pair, at: Situation, fastest_s: float) -> float:
-    """Weigh an engine as the host of a long answer.
-
-    Long answers are brought together on few engines, up to a share of their slots, so
-    that the others are free to read: reading makes the answers beside it pause.
-    """
-    target, engine = pair
-    room = max(1.0, HOST_SHARE * target.announced.slots)
-    used = engine.long_answers / room
-    crowded_s = HOST_S * (used if used >= 1.0 else 1.0 - used)
-    event_s = find_event_s(engine, at.now) or 0.0
-    slow_s = max(0.0, event_s - SLOW_EVENTS * fastest_s)
-    return engine.work_s + crowded_s + slow_s + _weigh_place(target, at.zone)
-
-
-def _weigh_target(pair: Pair, zone: str) -> float:
-    """Weigh an engine as the host of a short answer, seconds."""
-    target, engine = pair
-    requests = target.in_flight + engine.others_in_flight
-    place_s = _weigh_place(target, zone)
-    return requests * SLOT_S + engine.work_s + place_s
-
-
-def _weigh_place(target: Target, zone: str) -> float:
-    """Weigh a target's way and its faults, seconds."""
-    far_s = FAR_S if target.announced.zone != zone else 0.0
-    return far_s + FAULT_S * target.faults
-
-
 def _plan_local(
     pair: Pair,
     prompt: Prompt,
@@ -369,7 +287,7 @@
     target, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
     requests = target.in_flight + engine.others_in_flight
-    after_s = _weigh_place(target, at.zone)
+    after_s = weigh_place(target, at.zone)
     spread_s = requests * SLOT_S
     return _make_plan(target, None, engine, reading, after_s, spread_s, at, is_late)
 
@@ -385,9 +303,9 @@
     """Plan to read a prompt at one engine and to generate its answer at the host."""
     reader, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
-    after_s = _weigh_place(reader, at.zone) + at.begin_s
+    after_s = weigh_place(reader, at.zone) + at.begin_s
     # The host reads other prompts meanwhile, but lets a fetched one in between.
-    spread_s = min(_weigh_target(host, at.zone), MOST_END_S)
+    spread_s = min(weigh_target(host, at.zone), MOST_END_S)
     return _make_plan(host[0], reader, engine, reading, after_s, spread_s, at, is_late)
 
 
