--- a/fuzz/gatewayworld.py
+++ b/fuzz/gatewayworld.py
@@ -12,7 +12,7 @@
 from robinspindle.core import authority, budgets, forwarding, routes, targets
 from robinspindle.core.authority import Authority, Claim
 from robinspindle.core.budgets import RepeatBudget
-from robinspindle.core.lives import find_id, make_lifetime
+from robinspindle.core.lives import find_born_ms, find_id, make_lifetime
 from robinspindle.core.routes import Route, RouteTable
 from robinspindle.core.targets import Announcement, Directory
 
@@ -347,14 +347,14 @@
     entries = world.entries[: view.read.get("entries", 0)]
     known = [entry for name, entry in entries if name == id]
     told = [entry for entry in known if isinstance(entry, Announcement)]
-    born = [int(entry.lifetime.partition("@")[2]) for entry in told]
+    newest_ms = max(find_born_ms(entry.lifetime) for entry in told)
     sent = Sent(
         at=world.now,
         gateway=view.name,
         target=lifetime,
         is_leaving=any(e.leaving for e in told if e.lifetime == lifetime),
         missing_since=view.missing_at.get(id),
-        is_over=int(lifetime.partition("@")[2]) < max(born),
+        is_over=find_born_ms(lifetime) < newest_ms,
         is_unreadable=known[-1] == GARBAGE,
     )
     world.sendings.append(sent)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,13 +4,13 @@
 import asyncio
 import random
 import sys
-import tempfile
 from pathlib import Path
 
 from soak.callers import ask_route, call_on
 from soak.faults import FAULTS, RESTART_FAULTS, Fault
 from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
+from soak.seeds import add_seed_options, list_seeds
 from soak.world import World, name_newest
 
 GATEWAYS = 3
@@ -116,8 +116,7 @@
 def main() -> int:
     """Play seeds and print what they found."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1, help="the first seed")
-    parser.add_argument("--count", type=int, default=1, help="number of seeds")
+    add_seed_options(parser)
     parser.add_argument("--steps", type=int, default=12, help="faults of each seed")
     parser.add_argument(
         "--slow-links",
@@ -129,12 +128,9 @@
         action="store_true",
         help="replicas start again under their ids, others write entries",
     )
-    parser.add_argument("--keep", default="", help="folder for settings and logs")
     args = parser.parse_args()
     failed = 0
-    for seed in range(args.seed, args.seed + args.count):
-        folder = Path(args.keep or tempfile.mkdtemp(prefix="soak-")) / str(seed)
-        folder.mkdir(parents=True, exist_ok=True)
+    for seed, folder in list_seeds(args):
         drawn = RESTART_FAULTS if args.restarts else FAULTS
         run = play(seed, args.steps, folder, args.slow_links, drawn)
         oracle = asyncio.run(run)
--- a/soak/sizes.py
+++ b/soak/sizes.py
@@ -10,11 +10,11 @@
 import asyncio
 import random
 import sys
-import tempfile
 import time
 from collections import Counter
 from pathlib import Path
 
+from soak.seeds import add_seed_options, list_seeds
 from soak.sizeaccount import SizeAccount
 from soak.sizescallers import come
 from soak.sizesfaults import FAULTS
@@ -72,18 +72,14 @@
 def main() -> int:
     """Play seeds and print who was served; ends with 1 if a size was left unserved."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1, help="the first seed")
-    parser.add_argument("--count", type=int, default=1, help="number of seeds")
+    add_seed_options(parser)
     parser.add_argument("--load", type=float, default=3.0, help="times the usual load")
     parser.add_argument("--seconds", type=float, default=20.0, help="length of a run")
     parser.add_argument("--faults", nargs="*", default=[], choices=list(FAULTS))
     parser.add_argument("--size", default="3,3,2", help="gateways,readers,hosts")
-    parser.add_argument("--keep", default="", help="folder for settings and logs")
     args = parser.parse_args()
     short = 0
-    for seed in range(args.seed, args.seed + args.count):
-        folder = Path(args.keep or tempfile.mkdtemp(prefix="sizes-")) / str(seed)
-        folder.mkdir(parents=True, exist_ok=True)
+    for seed, folder in list_seeds(args):
         began_at = time.monotonic()
         run = play(seed, args.load, args.seconds, folder, args.faults, args.size)
         world = asyncio.run(run)
--- a/src/robinspindle/core/rebalance.py
+++ b/src/robinspindle/core/rebalance.py
@@ -144,23 +144,20 @@
     readers = [pair for pair in engines if pair[1].reads_only]
     hosts = [pair for pair in engines if not pair[1].reads_only]
     if len(hosts) < LEAST_HOSTS and len(readers) > len(hosts) + 1:
-        ranked = sorted(readers, key=lambda pair: pair[1].work_s)
-        return Change(GENERATING, _take(ranked, 1), makes_good=True)
+        return _turn_reader(readers, makes_good=True)
     if not readers or not hosts:
         return None
     is_crowded = pressure > MOST_PRESSURE and _fill_hosts(hosts) > HOST_CROWDED
     if is_crowded and len(hosts) < _count_least_hosts(readers, hosts):
         # Engines that generate were lost, and what is left is too slow.
-        ranked = sorted(readers, key=lambda pair: pair[1].work_s)
-        return Change(GENERATING, _take(ranked, 1), makes_good=True)
+        return _turn_reader(readers, makes_good=True)
     batch = max(1, int(len(engines) * BATCH_SHARE))
     wanted = 0 if is_crowded else _count_more_readers(readers, hosts, read_rate)
     if wanted > 0 and _may_turn(history, READING, now):
         ranked = sorted(hosts, key=lambda pair: pair[1].long_answers)
         return Change(READING, _take(ranked, min(batch, wanted)))
     if _needs_host(readers, hosts, read_rate) and _may_turn(history, GENERATING, now):
-        ranked = sorted(readers, key=lambda pair: pair[1].work_s)
-        return Change(GENERATING, _take(ranked, 1))
+        return _turn_reader(readers)
     return None
 
 
@@ -169,6 +166,12 @@
     return is_same or now - history.changed_at >= TURN_BACK_S
 
 
+def _turn_reader(readers: list[Pair], makes_good: bool = False) -> Change:
+    """Have the reader with the least work generate."""
+    ranked = sorted(readers, key=lambda pair: pair[1].work_s)
+    return Change(GENERATING, _take(ranked, 1), makes_good)
+
+
 def _take(ranked: list[Pair], count: int) -> tuple[Target, ...]:
     return tuple(target for target, _ in ranked[:count])
 
--- a/standins/prompts.py
+++ b/standins/prompts.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass
 
+from robinspindle.core.forwarding import Part
 from standins.rawhttp import RawRequest
 
 SKEW = 1.5
@@ -53,22 +54,14 @@
     own: Length
 
 
-@dataclass(frozen=True)
-class PromptPart:
-    """One part of a drawn prompt: its id and its length in tokens."""
-
-    id: str
-    tokens: int
-
-
-def draw_parts(kind: Kind, rng: random.Random) -> tuple[PromptPart, ...]:
+def draw_parts(kind: Kind, rng: random.Random) -> tuple[Part, ...]:
     """Draw the parts of one prompt; the last is its own."""
     parts = []
     for place, (length, among) in enumerate(kind.shared):
         id = f"{kind.name}/{place}/{int(among * rng.random() ** SKEW)}"
         # A shared part is as long each time.
-        parts.append(PromptPart(id, length.draw(random.Random(id))))
-    parts.append(PromptPart(f"o{rng.getrandbits(64):x}", kind.own.draw(rng)))
+        parts.append(Part(id, length.draw(random.Random(id))))
+    parts.append(Part(f"o{rng.getrandbits(64):x}", kind.own.draw(rng)))
     return tuple(parts)
 
 
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -194,8 +194,7 @@
                 Part(f"o{rng.random()}", round(rng.lognormvariate(7.6, 0.8))),
             )
         else:
-            drawn = draw_parts(kind, rng)
-            parts = tuple(Part(part.id, part.tokens) for part in drawn)
+            parts = draw_parts(kind, rng)
         return Prompt("m", parts, sum(part.tokens for part in parts), 92)
 
     def _serve(self, gateway, kind):
