Tell in logs which attempts are the same thing, and under which a target crashed

Cause: logs could not tell attempts for the same thing apart, nor a target's end from a reset, nor what ran there. Nothing is decided by it yet. Tests: those of core and platform pass.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -16,6 +16,7 @@
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
 from robinspindle.following import WAIT_S, Follower
+from robinspindle.guard import Guard
 from robinspindle.httpserver import Limits
 from robinspindle.logs import Log
 from robinspindle.ordering import CLAIM_KEY, Orderer
@@ -40,6 +41,7 @@
         fleet: The targets and the configuration in force.
         peers: The other gateways.
         orderer: Told of the claims to give orders.
+        guard: Told of lives that are over.
         limits: What callers may send; changed in place.
         is_own: Tells whether a gateway's name is this one's.
         clock: Tells the present time, steady seconds.
@@ -51,6 +53,7 @@
     fleet: Fleet
     peers: Peers
     orderer: Orderer
+    guard: Guard
     limits: Limits
     is_own: Callable[[str], bool]
     clock: Callable[[], float]
@@ -219,6 +222,7 @@
         )
         for end in ends:
             end()
+        self.guard.note_life_over(target)
 
     def _note_away(self) -> None:
         if targets.note_store_away(self.fleet.directory, self.clock()):
--- /dev/null
+++ b/src/robinspindle/core/crashes.py
@@ -0,0 +1,285 @@
+"""Crashes of targets and what ran there: evidence against requests that cause them.
+
+A request may crash each target that runs it. Each crash is also met by all others that
+run there, up to a hundred, so one says little. This module keeps who met which crash,
+and finds who is guilty: a request that met at least three, ended well nowhere, and
+would hardly have met so many by chance.
+"""
+
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from robinspindle.core.fingerprints import Fingerprint, get_mark
+
+LEAST_CRASHES = 3
+"""Crashes that a request meets before it is taken as their cause: the platform's own
+figure, and the fewest by which one is told from the others that ran there."""
+
+TIED_CRASHES = 4
+"""The same where another request met all of these crashes too, as it followed the first
+from target to target: one more tells which of the two it was."""
+
+MOST_CHANCE = 1e-3
+"""A request is taken as the cause if an innocent one would have met its crashes less
+often than this. Of innocent callers that repeat in storms of crashes 1 in 20,000 is
+turned away (`tests/core/test_crashes.py`)."""
+
+EXPLAINED_CHANCE = 0.3
+"""How likely an innocent request meets a crash that another one is known to cause; not
+1, as two that crash targets may meet there."""
+
+LEAST_RATE = 1e-3
+"""Crashes of one target in a second that are reckoned with where none is seen: one in a
+quarter of an hour, far more than targets crash in a quiet hour."""
+
+RATE_SPAN_S = 30.0
+"""Crashes so long before and after one tell how often targets crash then, seconds:
+several times as long as a storm of crashes needs to show itself."""
+
+KEPT_S = 3600.0
+MOST_CRASHES = 256
+"""How long a crash is kept, seconds, and how many are. A request that comes once in 20
+minutes is still found out."""
+
+MOST_RUNS = 128
+MOST_REQUESTS = 1024
+"""Requests that are kept of one crash, and of all together: 0.7 MB with what is kept of
+good ends. Under a flood those that met one crash fall out first, the oldest of them."""
+
+GOOD_KEPT_S = 60.0
+MOST_GOOD = 1024
+"""How long a run to a good end speaks for a request, seconds, and how many requests are
+remembered for one. What many callers ask for runs somewhere whenever a target crashes,
+and ends well somewhere else within seconds."""
+
+
+@dataclass
+class Crash:
+    """One crash.
+
+    Attributes:
+        lifetime: The life of the target that it ended.
+        service: The target's service.
+        at: When it was noticed first, steady seconds.
+        runs: How long each request had been under way there, seconds.
+    """
+
+    lifetime: str
+    service: str
+    at: float
+    runs: dict[Fingerprint, float] = field(default_factory=dict)
+
+
+@dataclass
+class Evidence:
+    """All crashes that are known, and who is cleared.
+
+    Attributes:
+        crashes: By lifetime, the oldest first.
+        met: Lifetimes whose crash a request met, by its fingerprint.
+        marks: How many fingerprints with each mark have met a crash.
+        good: When a request last ran to a good end, steady seconds; the latest last.
+    """
+
+    crashes: OrderedDict[str, Crash] = field(default_factory=OrderedDict)
+    met: dict[Fingerprint, set[str]] = field(default_factory=dict)
+    marks: Counter[bytes] = field(default_factory=Counter)
+    good: OrderedDict[Fingerprint, float] = field(default_factory=OrderedDict)
+
+
+def note_crash(evidence: Evidence, crash: Crash, now: float) -> bool:
+    """Take note of a crash, or of more that is known of one.
+
+    Args:
+        evidence: What is known.
+        crash: The crash, with those that met it.
+        now: The present time, steady seconds.
+
+    Returns:
+        Whether it was news.
+    """
+    known = evidence.crashes.get(crash.lifetime)
+    is_news = known is None
+    if known is None:
+        known = Crash(crash.lifetime, crash.service, crash.at)
+        evidence.crashes[crash.lifetime] = known
+    for fingerprint, seconds in crash.runs.items():
+        if fingerprint in known.runs or len(known.runs) >= MOST_RUNS:
+            continue
+        if not is_cleared(evidence, fingerprint, now):
+            _add_run(evidence, known, fingerprint, seconds)
+            is_news = True
+    _forget_old(evidence, now)
+    return is_news
+
+
+def note_good_end(evidence: Evidence, fingerprint: Fingerprint, now: float) -> bool:
+    """Take note that a request ran to a good end: it crashes no target.
+
+    Returns:
+        Whether it was suspected until now.
+    """
+    evidence.good[fingerprint] = now
+    evidence.good.move_to_end(fingerprint)
+    while len(evidence.good) > MOST_GOOD:
+        evidence.good.popitem(last=False)
+    return acquit(evidence, fingerprint)
+
+
+def acquit(evidence: Evidence, fingerprint: Fingerprint) -> bool:
+    """Drop all that speaks against a request; whether there was anything."""
+    lifetimes = evidence.met.pop(fingerprint, None)
+    if lifetimes is None:
+        return False
+    _drop_mark(evidence, fingerprint)
+    for lifetime in lifetimes:
+        evidence.crashes[lifetime].runs.pop(fingerprint, None)
+    return True
+
+
+def is_cleared(evidence: Evidence, fingerprint: Fingerprint, now: float) -> bool:
+    """Whether a request lately ran to a good end."""
+    good_at = evidence.good.get(fingerprint)
+    return good_at is not None and now - good_at <= GOOD_KEPT_S
+
+
+def count_met(evidence: Evidence, fingerprint: Fingerprint) -> int:
+    """Count the crashes that a request met."""
+    return len(evidence.met.get(fingerprint, ()))
+
+
+def is_suspected(evidence: Evidence, fingerprint: Fingerprint) -> bool:
+    """Whether a request met as many crashes that one more would tell whether it is it.
+
+    It had better run where it has least to take with it.
+    """
+    return count_met(evidence, fingerprint) >= LEAST_CRASHES - 1
+
+
+def is_guilty(
+    evidence: Evidence,
+    fingerprint: Fingerprint,
+    known_guilty: Iterable[Fingerprint],
+    targets: int,
+) -> bool:
+    """Whether a request is to be taken as the cause of the crashes that it met.
+
+    Args:
+        evidence: What is known.
+        fingerprint: The request.
+        known_guilty: Requests that are known to crash targets.
+        targets: Targets of its service.
+    """
+    lifetimes = evidence.met.get(fingerprint, set())
+    if len(lifetimes) < LEAST_CRASHES:
+        return False
+    is_tied = _has_companion(evidence, fingerprint, lifetimes)
+    if is_tied and len(lifetimes) < TIED_CRASHES:
+        return False
+    others = set(known_guilty) - {fingerprint}
+    return find_chance(evidence, fingerprint, others, targets) <= MOST_CHANCE
+
+
+def find_chance(
+    evidence: Evidence,
+    fingerprint: Fingerprint,
+    others: set[Fingerprint],
+    targets: int,
+) -> float:
+    """Find how likely an innocent request would have met its crashes, 0 to 1.
+
+    A long run meets a crash more often than a short one, and more where targets crash
+    anyway.
+
+    Args:
+        evidence: What is known.
+        fingerprint: The request.
+        others: Other requests that are known to crash targets.
+        targets: Targets of its service.
+    """
+    chance = 1.0
+    for lifetime in evidence.met.get(fingerprint, ()):
+        crash = evidence.crashes[lifetime]
+        if others.isdisjoint(crash.runs):
+            rate = _find_other_rate(evidence, fingerprint, crash, targets)
+            chance *= 1.0 - math.exp(-rate * crash.runs[fingerprint])
+        else:
+            chance *= EXPLAINED_CHANCE
+    return chance
+
+
+def _find_other_rate(
+    evidence: Evidence, fingerprint: Fingerprint, crash: Crash, targets: int
+) -> float:
+    """Find how often a target crashes at that time without this request, per second."""
+    count = sum(
+        other.service == crash.service
+        and abs(other.at - crash.at) <= RATE_SPAN_S
+        and fingerprint not in other.runs
+        for other in evidence.crashes.values()
+    )
+    return max(LEAST_RATE, count / (RATE_SPAN_S * max(1, targets)))
+
+
+def _has_companion(
+    evidence: Evidence, fingerprint: Fingerprint, lifetimes: set[str]
+) -> bool:
+    """Whether another request met all of these crashes too."""
+    runs = [set(evidence.crashes[lifetime].runs) for lifetime in lifetimes]
+    return len(set.intersection(*runs)) > 1
+
+
+def _add_run(
+    evidence: Evidence, crash: Crash, fingerprint: Fingerprint, seconds: float
+) -> None:
+    crash.runs[fingerprint] = seconds
+    if fingerprint not in evidence.met:
+        evidence.met[fingerprint] = set()
+        evidence.marks[get_mark(fingerprint)] += 1
+    evidence.met[fingerprint].add(crash.lifetime)
+
+
+def _forget_old(evidence: Evidence, now: float) -> None:
+    for crash in list(evidence.crashes.values()):
+        is_old = now - crash.at > KEPT_S or len(evidence.crashes) > MOST_CRASHES
+        if not is_old:
+            break
+        _forget_crash(evidence, crash)
+    for crash in list(evidence.crashes.values()):
+        if len(evidence.met) <= MOST_REQUESTS:
+            return
+        _forget_single(evidence, crash)
+    while len(evidence.met) > MOST_REQUESTS:
+        _forget_crash(evidence, next(iter(evidence.crashes.values())))
+
+
+def _forget_single(evidence: Evidence, crash: Crash) -> None:
+    """Forget those that met this crash alone, until few enough are left."""
+    for fingerprint in list(crash.runs):
+        if len(evidence.met) <= MOST_REQUESTS:
+            return
+        if len(evidence.met[fingerprint]) == 1:
+            acquit(evidence, fingerprint)
+
+
+def _forget_crash(evidence: Evidence, crash: Crash) -> None:
+    del evidence.crashes[crash.lifetime]
+    for fingerprint in crash.runs:
+        _forget_run(evidence, fingerprint, crash.lifetime)
+
+
+def _forget_run(evidence: Evidence, fingerprint: Fingerprint, lifetime: str) -> None:
+    lifetimes = evidence.met[fingerprint]
+    lifetimes.discard(lifetime)
+    if not lifetimes:
+        del evidence.met[fingerprint]
+        _drop_mark(evidence, fingerprint)
+
+
+def _drop_mark(evidence: Evidence, fingerprint: Fingerprint) -> None:
+    mark = get_mark(fingerprint)
+    evidence.marks[mark] -= 1
+    if not evidence.marks[mark]:
+        del evidence.marks[mark]
--- /dev/null
+++ b/src/robinspindle/core/fingerprints.py
@@ -0,0 +1,70 @@
+"""Names a request by what it asks for, so that it is known when it comes again.
+
+Each attempt of a caller has an id of its own. What stays the same is the host, the path
+with its query, the caller's key and the body; the description of a prompt is left out,
+as it says nothing that the body does not. A fingerprint begins with a mark of all but
+the body: marks are cheap, and a body of 100 kB, 0.1 ms on a full core, is read only
+where a mark is known already.
+"""
+
+import hashlib
+from functools import cached_property
+from typing import NewType
+
+from robinspindle.core.forwarding import Request
+
+Fingerprint = NewType("Fingerprint", bytes)
+"""A mark, and a digest of the body."""
+
+MARK_BYTES = 8
+BODY_BYTES = 16
+"""Lengths of the two parts, bytes. Two of 10,000 marks agree by chance once in
+4 * 10^11 times, which costs one look at a body; nobody finds a second body to a
+digest."""
+
+FINGERPRINT_BYTES = MARK_BYTES + BODY_BYTES
+
+
+def make_mark(request: Request) -> bytes:
+    """Digest all that names a request but its body."""
+    host = request.host.lower().encode("latin-1", "replace")
+    named = (request.method.encode(), host, request.target, request.caller)
+    return hashlib.blake2b(b"\n".join(named), digest_size=MARK_BYTES).digest()
+
+
+def make_fingerprint(request: Request, mark: bytes) -> Fingerprint:
+    """Name a request.
+
+    Args:
+        request: The request, with its whole body.
+        mark: Its mark (`make_mark`).
+    """
+    body = hashlib.blake2b(request.body, digest_size=BODY_BYTES).digest()
+    return Fingerprint(mark + body)
+
+
+def get_mark(fingerprint: Fingerprint) -> bytes:
+    """Get the mark that a fingerprint begins with."""
+    return fingerprint[:MARK_BYTES]
+
+
+def is_fingerprint(value: bytes) -> bool:
+    """Whether bytes from elsewhere have the form of a fingerprint."""
+    return len(value) == FINGERPRINT_BYTES
+
+
+class NamedRequest:
+    """A request whose mark and fingerprint are made once, when they are asked for."""
+
+    def __init__(self, request: Request):
+        self.request = request
+
+    @cached_property
+    def mark(self) -> bytes:
+        """Its mark."""
+        return make_mark(self.request)
+
+    @cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Its fingerprint."""
+        return make_fingerprint(self.request, self.mark)
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -70,6 +70,7 @@
         wait_s: How long the caller will wait, seconds; None where it does not say.
         received_at: When its head came, steady seconds.
         prompt: What it says of its prompt; None for a plain request.
+        caller: The key by which the caller shows who it is; empty for none.
     """
 
     id: str
@@ -81,6 +82,7 @@
     wait_s: float | None
     received_at: float
     prompt: Prompt | None = None
+    caller: bytes = b""
 
     @property
     def path(self) -> str:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -29,6 +29,7 @@
 from robinspindle.following import follow
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
+from robinspindle.guard import Guard
 from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
@@ -87,6 +88,7 @@
         fleet: What is kept for them.
         peers: The other gateways.
         lengths: What is known of how long answers last.
+        guard: Knows which requests crash targets.
         relay: Forwards requests.
         orderer: Gives orders to engines.
         is_ready: Whether callers may be sent here.
@@ -113,6 +115,7 @@
         self.budget = budgets.RepeatBudget()
         self.peers = Peers(_describe_own(settings), time.time())
         self.lengths = Lengths()
+        self.guard = Guard(self.directory, self._clock, make_log("guard"))
         self.relay = self._make_relay(adapter)
         self._link = self._make_peer_link()
         self.orderer = self._make_orderer(adapter)
@@ -140,6 +143,7 @@
                 dialect=adapter.dialect,
                 fleet=self.fleet,
                 peers=self.peers,
+                guard=self.guard,
                 budget=self.budget,
                 lengths=self.lengths,
                 policy=lambda: self.settings.policy,
@@ -178,6 +182,7 @@
             fleet=self.fleet,
             peers=self.peers,
             orderer=self.orderer,
+            guard=self.guard,
             limits=limits,
             is_own=lambda name: name == self.settings.name,
             clock=self._clock,
@@ -344,6 +349,7 @@
                 for target in self.fleet.leave_silent(now):
                     self._note_silent(target, now)
             self._link.forget_silent(now)
+            self.guard.forget_pending(now)
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
             if now - self._reread_at >= REREAD_S:
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -7,6 +7,7 @@
 from robinspindle.core import forwarding
 from robinspindle.core.budgets import RepeatBudget
 from robinspindle.core.events import EventSplitter
+from robinspindle.core.fingerprints import NamedRequest
 from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
 from robinspindle.core.lengths import Lengths
 from robinspindle.core.policy import Policy
@@ -14,6 +15,7 @@
 from robinspindle.core.routes import STREAM, Route
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
+from robinspindle.guard import Guard
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 from robinspindle.replies import Reply
@@ -54,6 +56,7 @@
         reply: The answer to the caller.
         route: Its route.
         service: The service chosen for it.
+        named: The request by what it asks for.
         due: When its final answer is due, steady seconds.
         aim_at: When its first event, or its answer, should be on its way.
         first_due: When its caller gives up if nothing of its answer has come.
@@ -79,6 +82,7 @@
     reply: Reply
     route: Route
     service: str
+    named: NamedRequest
     due: float
     aim_at: float
     first_due: float
@@ -112,6 +116,7 @@
         dialect: How requests and answers are written.
         fleet: The targets.
         peers: The other gateways.
+        guard: Knows which requests crash targets.
         budget: Repeats that may be made.
         lengths: What is known of how long answers last.
         policy: Tells which decisions are in force.
@@ -124,6 +129,7 @@
     dialect: Dialect
     fleet: Fleet
     peers: Peers
+    guard: Guard
     budget: RepeatBudget
     lengths: Lengths
     policy: Callable[[], Policy]
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -74,6 +74,7 @@
         wait_s=_read_ms(values.get(b"x-deadline-ms")),
         received_at=now,
         prompt=_read_prompt(values),
+        caller=values.get(b"authorization", b""),
     )
 
 
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -85,7 +85,10 @@
         means = self._means
         send = make_send(passage, sending, means.clock(), read_only=True)
         exchange = Exchange(passage.request.id)
-        async with borrow_connection(means, sending.target) as connection:
+        async with (
+            borrow_connection(means, sending.target) as connection,
+            means.guard.watch(passage.named, sending.target),
+        ):
             with expect(sending.target, self._expect_reading(passage, exchange)):
                 async with asyncio.timeout_at(passage.due):
                     data = means.dialect.encode_request(passage.request, send)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -6,6 +6,7 @@
 from robinspindle.choosing import Chooser
 from robinspindle.core import budgets, forwarding, silence, targets
 from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.fingerprints import NamedRequest
 from robinspindle.core.forwarding import AnswerHead, Request
 from robinspindle.core.patience import Patience
 from robinspindle.core.reading import Plan
@@ -115,6 +116,7 @@
             reply,
             route,
             service,
+            NamedRequest(request),
             forwarding.find_due(request, route),
             request.received_at + route.aim_s - CALLER_WAY_S,
             forwarding.find_first_due(request, route),
@@ -210,7 +212,10 @@
         passage.tried.add(target.announced.lifetime)
         target.in_flight += 1
         try:
-            async with borrow_connection(self._means, target) as connection:
+            async with (
+                borrow_connection(self._means, target) as connection,
+                self._means.guard.watch(passage.named, target),
+            ):
                 return await self._exchange(passage, sending, connection)
         except ConnectionBrokenError as error:
             return self._note_broken(passage, target, error)
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -22,6 +22,7 @@
             request=passage.request.id,
             target=target.announced.lifetime,
             error=error,
+            fingerprint=passage.named.mark.hex(),
         )
 
     def log_plan(self, passage: Passage, plan: Plan) -> None:
