--- /dev/null
+++ b/soak/crashes.py
@@ -0,0 +1,302 @@
+"""Plays requests that crash whoever runs them: ``python -m soak.crashes --seed N``.
+
+Callers repeat the same request, with a new id each time, at any gateway. A replica that
+begins to run one resets its connections and is away for a second; then it is back under
+its id. Other callers ask for all kinds meanwhile.
+"""
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from soak.callers import KINDS, WAIT_S, call_on
+from soak.crashaccount import CrashAccount, Share, count_served, subtract
+from soak.oracle import Oracle
+from soak.replicas import CRASHING, SoakReplica
+from soak.seeds import add_seed_options, list_seeds
+from soak.world import HOST, World
+
+REPEAT_S = 0.25
+"""Pause of a caller between two tries of a crashing request, seconds."""
+
+AWAY_S = 1.0
+"""How long a replica that crashed is away, seconds."""
+
+OTHERS = 10
+"""Other callers."""
+
+RUN_S = 0.2
+OWN_CRASH_S = 0.7
+"""How long a run takes, and how often some replica crashes for a reason of its own,
+where callers ask for the same things over and over, seconds."""
+
+READY_S = 20.0
+"""Longest wait until all gateways serve, seconds."""
+
+FAULTS = ("kill-in-turn", "restart-all", "kill-relay", "cut-store")
+"""What may be done to gateways meanwhile."""
+
+
+@dataclass
+class Plan:
+    """What is played.
+
+    Attributes:
+        seconds: How long.
+        gateways: Gateways.
+        kinds: Kinds of the crashing requests, one caller each.
+        body_bytes: Length of their bodies.
+        copies: Whether each is sent to all gateways at the same moment.
+        faults: What is done to gateways meanwhile.
+        innocent: Whether callers ask for the same things while replicas crash for
+            reasons of their own, and nothing else crashes them.
+    """
+
+    seconds: float = 20.0
+    gateways: int = 3
+    kinds: tuple[str, ...] = ("safe", "digest")
+    body_bytes: int = 40
+    copies: bool = False
+    faults: tuple[str, ...] = ()
+    innocent: bool = False
+
+
+@dataclass
+class Played:
+    """What a run found.
+
+    Attributes:
+        account: What became of the crashing requests.
+        others: How many of the others were served.
+        last: The same in the last third of the run.
+        oracle: What was seen of the others.
+    """
+
+    account: CrashAccount
+    others: Share
+    last: Share
+    oracle: Oracle
+
+
+async def play(seed: int, plan: Plan, folder: Path) -> Played:
+    """Play one seed."""
+    rng, account = random.Random(seed), CrashAccount()
+    world = World(folder, rng, Oracle())
+    world.prepare = lambda replica: _prepare(world, replica, account, plan)
+    await world.start(plan.gateways)
+    tasks: list[asyncio.Task] = []
+    try:
+        await _wait_until_served(world)
+        before = count_served(world.oracle.outcomes)
+        tasks = [asyncio.create_task(c) for c in _list_parts(world, plan, account)]
+        await asyncio.sleep(plan.seconds * 2 / 3)
+        two_thirds = count_served(world.oracle.outcomes)
+        await asyncio.sleep(plan.seconds / 3)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await world.stop()
+    total = count_served(world.oracle.outcomes)
+    world.oracle.check_promises()
+    last = subtract(total, two_thirds)
+    return Played(account, subtract(total, before), last, world.oracle)
+
+
+def _prepare(
+    world: World, replica: SoakReplica, account: CrashAccount, plan: Plan
+) -> None:
+    """Have a replica crash under the requests that are made for it."""
+    loop = asyncio.get_running_loop()
+
+    def crash(body: bytes) -> None:
+        if world.replicas.get(replica.lifetime) is replica:
+            account.crashes[body].append(loop.time())
+            restart = world.restart_replica(replica.lifetime, AWAY_S)
+            restarts.add(loop.create_task(restart))
+
+    restarts: set[asyncio.Task] = set()
+    replica.crash = crash
+    replica.on_sent = lambda body: account.sent[body].append(loop.time())
+    replica.run_s = RUN_S if plan.innocent else 0.0
+    replica.tells_oracle = not plan.innocent
+
+
+def _list_parts(world: World, plan: Plan, account: CrashAccount) -> list:
+    """List the coroutines of a run."""
+    parts = []
+    for number in range(OTHERS):
+        gateway = world.gateways[number % len(world.gateways)]
+        caller = f"c{number}"
+        parts.append(
+            _ask_the_same(world, caller)
+            if plan.innocent
+            else call_on(gateway, world.oracle, world.rng, caller)
+        )
+    if plan.innocent:
+        parts.append(_crash_some(world))
+    else:
+        for number, kind in enumerate(plan.kinds):
+            body = CRASHING + b" %d " % number
+            body = body.ljust(plan.body_bytes, b"x")
+            parts.append(_repeat(world, plan, account, kind, body))
+    parts += [_do_harm(world, fault) for fault in plan.faults]
+    return parts
+
+
+async def _wait_until_served(world: World) -> None:
+    """Wait until every gateway has served a whole answer of each service."""
+    for number, gateway in enumerate(world.gateways):
+        name = f"start{number}"
+        probe = call_on(gateway, world.oracle, random.Random(0), name)
+        task = asyncio.create_task(probe)
+        async with asyncio.timeout(READY_S):
+            while not world.oracle.was_served(name):
+                await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def _repeat(
+    world: World, plan: Plan, account: CrashAccount, kind: str, body: bytes
+) -> None:
+    """Repeat a crashing request for ever, with a new id each time."""
+    number = 0
+    while True:
+        chosen = world.gateways if plan.copies else [world.rng.choice(world.gateways)]
+        calls = []
+        for gateway in chosen:
+            number += 1
+            id = f"{body[:8].decode().strip().replace(' ', '-')}-{number}"
+            data = _write_request(id, kind, body)
+            calls.append(_call(gateway.callers, data))
+        for status in await asyncio.gather(*calls):
+            account.statuses[body][status] += 1
+        await asyncio.sleep(REPEAT_S)
+
+
+async def _call(port: int, data: bytes) -> int:
+    """Send a request on a connection of its own; returns its status, 0 for none."""
+    writer = None
+    try:
+        async with asyncio.timeout(WAIT_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            head = await reader.readuntil(b"\r\n\r\n")
+            # A stream that breaks off after its head counts as no answer.
+            rest = await reader.read()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0
+    finally:
+        if writer is not None:
+            writer.close()
+    is_stream = b"transfer-encoding: chunked" in head.lower()
+    if is_stream and not rest.endswith(b"0\r\n\r\n"):
+        return 0
+    return int(head.split()[1])
+
+
+async def _ask_the_same(world: World, caller: str) -> None:
+    """Ask for the same four things over and over, as all other callers do."""
+    number = 0
+    while True:
+        number += 1
+        kind = world.rng.choice(KINDS)
+        gateway = world.rng.choice(world.gateways)
+        data = _write_request(f"{caller}-{number}", kind, b"what many ask for")
+        status = await _call(gateway.callers, data)
+        world.oracle.outcomes[kind][status] += 1
+        await asyncio.sleep(world.rng.uniform(0.0, 0.05))
+
+
+async def _crash_some(world: World) -> None:
+    """Have replicas crash one after the other, whatever they run."""
+    restarts = []
+    while True:
+        await asyncio.sleep(OWN_CRASH_S)
+        id = world.rng.choice(list(world.replicas))
+        restart = world.restart_replica(id, AWAY_S / 2)
+        restarts.append(asyncio.create_task(restart))
+
+
+async def _do_harm(world: World, fault: str) -> None:
+    """Do one kind of harm to gateways for as long as the run lasts."""
+    number = 0
+    while True:
+        await asyncio.sleep(2.0)
+        number += 1
+        gateway = world.gateways[number % len(world.gateways)]
+        if fault == "kill-relay":
+            gateway = world.gateways[0]
+        if fault == "cut-store":
+            proxy = world.store_proxies[gateway.name]
+            proxy.cut = "both"
+            await asyncio.sleep(1.5)
+            proxy.cut = ""
+            continue
+        struck = world.gateways if fault == "restart-all" else [gateway]
+        for one in struck:
+            await one.end(signal.SIGKILL)
+        for one in struck:
+            await one.start()
+
+
+def _write_request(id: str, kind: str, body: bytes) -> bytes:
+    lines = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
+    lines += ["X-Deadline-Ms: 2000", "Connection: close"]
+    if kind in ("chat", "digest"):
+        lines += ["X-Model: m", "X-Token-Count: 6000,100"]
+        lines.append("X-Prompt-Prefix: head:2000,document:3000,own:1000")
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def describe(seed: int, played: Played) -> list[str]:
+    """Describe what a run found, a line each."""
+    account = played.account
+    lines = [f"seed {seed}: others served {played.others}, last third {played.last}"]
+    for body in sorted(account.statuses):
+        crashes = len(account.crashes[body])
+        late = [account.count_late(body, seconds) for seconds in (0.0, 1.0, 4.0)]
+        lines.append(
+            f"  {body[:8].decode()}: replicas crashed {crashes}, sent 0, 1 and 4 s "
+            f"after the third {late}, answers {dict(account.statuses[body])}"
+        )
+    return lines + [f"  {finding}" for finding in played.oracle.findings]
+
+
+def main() -> int:
+    """Play seeds and print what they found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    add_seed_options(parser)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--kinds", nargs="*", default=["safe", "digest"])
+    parser.add_argument("--body-bytes", type=int, default=40)
+    parser.add_argument("--copies", action="store_true")
+    parser.add_argument("--innocent", action="store_true")
+    parser.add_argument("--faults", nargs="*", default=[], choices=FAULTS)
+    args = parser.parse_args()
+    plan = Plan(
+        args.seconds,
+        args.gateways,
+        tuple(args.kinds),
+        args.body_bytes,
+        args.copies,
+        tuple(args.faults),
+        args.innocent,
+    )
+    failed = 0
+    for seed, folder in list_seeds(args):
+        played = asyncio.run(play(seed, plan, folder))
+        print("\n".join(describe(seed, played)), flush=True)
+        failed += bool(played.oracle.findings)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -1,6 +1,8 @@
 """Replicas that misbehave now and then."""
 
+import asyncio
 import random
+from collections.abc import Callable
 
 from soak.oracle import Oracle
 from standins.replica import Replica
@@ -14,26 +16,52 @@
 """What a replica may do to a request, by its role."""
 
 
+CRASHING = b"crash"
+"""What the bodies of requests begin with that crash whoever runs them."""
+
+
 class SoakReplica(Replica):
-    """A replica that misbehaves now and then and tells the oracle what it runs."""
+    """A replica that misbehaves now and then and tells the oracle what it runs.
+
+    Attributes:
+        bad_share: Share of the requests to which it misbehaves.
+        crash: Ends its life under a request, told the body; None where none crashes it.
+        on_sent: Told the body of a request that crashes it, as it comes.
+        run_s: How long it works on a request before it answers, seconds.
+        tells_oracle: Whether what it runs is told, each request having its own body.
+    """
 
     def __init__(self, lifetime, service, role, oracle: Oracle, rng: random.Random):
         super().__init__(lifetime, service, role)
         self._oracle = oracle
         self._rng = rng
         self.bad_share = 0.0
+        self.crash: Callable[[bytes], None] | None = None
+        self.on_sent: Callable[[bytes], None] = lambda body: None
+        self.run_s = 0.0
+        self.tells_oracle = True
         self.is_leaving = False
 
     async def _answer(self, request, writer) -> bool:
-        if request.method == "POST" and request.target != "/order":
+        if self.crash is not None and request.body.startswith(CRASHING):
+            self.on_sent(request.body)
+            if self._is_run(request):
+                self.crash(request.body)
+                await asyncio.sleep(3600)
+        elif request.method == "POST" and request.target != "/order":
+            await asyncio.sleep(self.run_s)
             if self._rng.random() < self.bad_share:
                 self.behaviours.append(self._rng.choice(MISBEHAVIOURS[self.role]))
-            self._note(request)
+            if self.tells_oracle:
+                self._note(request)
         return await super()._answer(request, writer)
 
     def _note(self, request) -> None:
-        is_read = request.headers.get("x-stage") == "prefill"
         turned_away = self.behaviours and self.behaviours[0] in ("full", "wrong_role")
-        is_other = request.headers.get("x-expect-instance") != self.lifetime
-        if not is_read and not turned_away and not is_other:
+        if self._is_run(request) and not turned_away:
             self._oracle.note_run(request.headers["x-request-id"], request.body)
+
+    def _is_run(self, request) -> bool:
+        is_read = request.headers.get("x-stage") == "prefill"
+        is_other = request.headers.get("x-expect-instance") != self.lifetime
+        return not is_read and not is_other
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -24,6 +25,7 @@
         replica_proxies: Before each replica, by lifetime.
         link_bytes_per_s: How fast the store's answers reach a gateway; 0 for at once.
         more_routes: Routes of the configuration that nobody uses.
+        prepare: Called with each replica before it listens.
     """
 
     folder: Path
@@ -37,6 +39,7 @@
     version: int = 0
     link_bytes_per_s: int = 0
     more_routes: int = 0
+    prepare: Callable[[SoakReplica], None] = lambda replica: None
     _ids: int = 0
     _born_ms: int = 0
 
@@ -82,6 +85,7 @@
         self._born_ms += 1
         replica = SoakReplica(id, service, role, self.oracle, self.rng)
         replica.born_ms = self._born_ms
+        self.prepare(replica)
         await replica.server.start()
         proxy = Proxy(replica.server.port)
         await proxy.start()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -23,10 +23,20 @@
         held: Parts that its cache holds, by id, with their tokens.
         lists: How often it was asked for them.
         born_ms: When this life began, Unix milliseconds; None where it does not tell.
+        crashes_on: The body of requests that end it as it begins to run them; None for
+            none.
+        has_crashed: Whether one did.
         list_pieces: Pieces in which that list comes, one after a pause.
     """
 
-    def __init__(self, lifetime: str, service: str, role: str = "", events: int = 3):
+    def __init__(
+        self,
+        lifetime: str,
+        service: str,
+        role: str = "",
+        events: int = 3,
+        crashes_on: bytes | None = None,
+    ):
         self.lifetime = lifetime
         self.service = service
         self.role = role
@@ -40,6 +50,8 @@
         self.lists = 0
         self.list_pieces = 1
         self.born_ms: int | None = None
+        self.crashes_on = crashes_on
+        self.has_crashed = False
         self.gate = asyncio.Event()
         self.server = RawServer(self._answer)
 
@@ -81,6 +93,11 @@
         if request.headers.get("x-expect-instance") != self.lifetime:
             write_answer(writer, 421, headers={"X-Instance-Id": self.lifetime})
             return True
+        is_read = request.headers.get("x-stage") == "prefill"
+        if request.body == self.crashes_on and not (is_read or self.behaviours):
+            self.has_crashed = True
+            await self.server.stop()
+            return False
         behaviour = self.behaviours.popleft() if self.behaviours else "ok"
         return await getattr(self, "_be_" + behaviour)(request, writer)
 
