--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -84,13 +84,13 @@
             for target in targets:
                 target.behaviours.append("held")
             # One copy waits at a target that has not begun to run it yet.
-            waiting = asyncio.create_task(call(d, 0))
+            waiting = asyncio.create_task(call(d, 0, "/once/x"))
             await until(lambda: count_arrivals(targets))
             for target in targets:
                 await d.announce(target, "draining")
             others = [await d.add(f"push{n}", crashes_on=CRASHING) for n in (2, 3, 4)]
             for number in range(1, 6):
-                await call(d, number)
+                await call(d, number, "/once/x")
             await until(lambda: waiting.done())
             assert waiting.result().status == 502
             await until(lambda: "r0" in targets[0].closed + targets[1].closed)
