--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import time
 
 import pytest
 
@@ -19,7 +20,8 @@
 def make_entry(body=BODY):
     request = Request("r", "POST", b"/safe/x", HOST, (), body, None, 0.0)
     fingerprint = NamedRequest(request).fingerprint
-    return quarantine.make_entry(fingerprint, {"i1", "i2", "i3"}, f"{HOST}/safe/x", 5)
+    lives, now_ms = {"i1", "i2", "i3"}, time.time_ns() // 1_000_000
+    return quarantine.make_entry(fingerprint, lives, f"{HOST}/safe/x", now_ms)
 
 
 async def put(store, entry):
