Follow a store that returns from a copy: its era decides what is still known

Cause: offsets go back and are given out again; the code read on from an offset that meant something else, and a claim that the copy lacks protected nothing. No line read the era.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -19,9 +19,10 @@
 from robinspindle.following import WAIT_S, Follower
 from robinspindle.guard import Guard
 from robinspindle.httpserver import Limits
+from robinspindle.introduction import Introduction
 from robinspindle.logs import Log
 from robinspindle.ordering import CLAIM_KEY, Orderer
-from robinspindle.peers import Peers, forget_member, note_member
+from robinspindle.peers import Peers, forget_member, list_heard, note_member
 from robinspindle.quarantinekeeping import QuarantineKeeper
 
 LONG_WAIT_S = 25.0
@@ -43,6 +44,7 @@
         fleet: The targets and the configuration in force.
         peers: The other gateways.
         orderer: Told of the claims to give orders.
+        introduction: Told whether the store holds this gateway's.
         guard: Told of lives that are over.
         keeper: Takes in the quarantine, which lies beside the gateways.
         limits: What callers may send; changed in place.
@@ -56,6 +58,7 @@
     fleet: Fleet
     peers: Peers
     orderer: Orderer
+    introduction: Introduction
     guard: Guard
     keeper: QuarantineKeeper
     limits: Limits
@@ -91,6 +94,7 @@
             note_back=self._note_back,
             rest_s=lambda: self.fleet.directory.hold_s,
             wait_s=self._find_wait_s,
+            note_newest=lambda: targets.note_copy_read(self.fleet.directory),
         )
 
     def _follow_peers(self) -> Follower:
@@ -101,7 +105,7 @@
             note_back=lambda: None,
             rest_s=lambda: PEERS_REST_S,
             wait_s=lambda: LONG_WAIT_S,
-            note_newest=self.keeper.note_newest,
+            note_newest=self._note_peers_newest,
         )
 
     def _follow_orders(self) -> Follower:
@@ -129,6 +133,10 @@
     def _note_claims_end(self, end: int) -> None:
         self.orderer.authority.end = end
 
+    def _note_peers_newest(self) -> None:
+        self.keeper.note_newest()
+        self.introduction.is_read = True
+
     def _apply_peer_or_quarantine(self, key: str, value: bytes | None) -> None:
         """Take in a record of the topic that both share: each topic costs calls."""
         apply = self.keeper.apply if is_key(key) else self._apply_peer
@@ -136,8 +144,12 @@
 
     def _apply_peer(self, key: str, value: bytes | None) -> None:
         if self.is_own(key):
+            self.introduction.is_stored = value is not None
             return
         member = None if value is None else decode_introduction(key, value)
+        if value is None and key in list_heard(self.peers):
+            # The store returned from an older copy; the peer introduces itself again.
+            return
         if member is None:
             if value is not None:
                 self.log("peer's introduction can't be read", peer=key)
--- a/src/robinspindle/core/authority.py
+++ b/src/robinspindle/core/authority.py
@@ -25,6 +25,7 @@
         holder: The last claim's author, empty for none.
         seen_at: When that claim was seen, steady seconds.
         end: Where the log of claims ends, as far as it was read; None before.
+        era: The era of the store in which that was read.
     """
 
     name: str
@@ -32,6 +33,7 @@
     holder: str = ""
     seen_at: float = 0.0
     end: int | None = None
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -41,15 +43,34 @@
     Attributes:
         fence: Its fencing number.
         sent_at: When it was sent, steady seconds.
+        era: The era of the store that accepted it.
     """
 
     fence: int
     sent_at: float
+    era: int = 0
+
+
+LOST = "?"
+"""Stands for a holder whose claim the store may have lost."""
+
+
+def note_era(authority: Authority, now: float, era: int) -> None:
+    """Take note that the store has returned from a copy.
+
+    Another gateway may hold a claim that is gone: nobody claims before its lease and
+    more has passed, and no claim of this gateway is used any more.
+    """
+    authority.era = era
+    authority.end = None
+    note_claim(authority, now, LOST)
 
 
 def note_claim(authority: Authority, now: float, holder: str) -> None:
     """Take note of a claim that was read from the log."""
-    authority.holder = holder
+    is_lost = authority.holder == LOST and _protects(authority, now)
+    # The last claim that the copy holds may be older than the one that it lost.
+    authority.holder = LOST if is_lost else holder
     authority.seen_at = now
 
 
@@ -59,11 +80,18 @@
         return False
     if authority.holder in ("", authority.name):
         return True
-    return now - authority.seen_at >= WAIT_SHARE * authority.lease_s
+    return not _protects(authority, now)
+
+
+def _protects(authority: Authority, now: float) -> bool:
+    """Whether the last claim may still be in use."""
+    return now - authority.seen_at < WAIT_SHARE * authority.lease_s
 
 
 def may_use(authority: Authority, claim: Claim, now: float) -> bool:
     """Whether an order may still be sent under a claim."""
+    if claim.era != authority.era:
+        return False
     return now - claim.sent_at < USE_SHARE * authority.lease_s
 
 
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -121,6 +121,9 @@
         back_at: When the store last came back, steady seconds.
         known: Whether the list has been read at all.
         read_at: When it was last read, steady seconds.
+        over: Lifetimes that are over as far as is known, latest last.
+        reads_copy: Whether entries are read from a copy that the store returned from,
+            and may be older than what is known.
         hold_s: How long a target whose entry went is still used where there is no
             other, seconds; less than it may take to stop using a leaving one.
     """
@@ -131,6 +134,8 @@
     back_at: float = -RETURN_S
     known: bool = False
     read_at: float = 0.0
+    over: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    reads_copy: bool = False
     hold_s: float = 1.0
 
 
@@ -159,6 +164,10 @@
     """
     if is_outlived(directory, announced.lifetime):
         return Taken(is_outlived=True)
+    if directory.reads_copy and _is_over(directory, announced.lifetime, now):
+        # One that lives after all writes its entry again within a heartbeat.
+        return Taken(is_outlived=True)
+    directory.over.pop(announced.lifetime, None)
     ended = end_earlier_lives(directory, announced.lifetime, now)
     is_news = note_announced(directory, announced, now)
     return Taken(is_news=is_news, ended=tuple(ended))
@@ -278,6 +287,26 @@
     return True
 
 
+def note_store_copy(directory: Directory, now: float) -> None:
+    """Take note that the store has returned from a copy.
+
+    Entries that it lost are written again within `RETURN_S`; those of targets that have
+    ended since are back in it for a while.
+    """
+    directory.back_at = now
+    directory.reads_copy = True
+
+
+def note_copy_read(directory: Directory) -> None:
+    """Take note that all entries of the copy have been read."""
+    directory.reads_copy = False
+
+
+def _is_over(directory: Directory, lifetime: str, now: float) -> bool:
+    target = directory.targets.get(lifetime)
+    return lifetime in directory.over or (target is not None and is_gone(target, now))
+
+
 def is_gone(target: Target, now: float) -> bool:
     """Whether a target whose entry is missing is to be taken as gone."""
     return target.gone_at is not None and now >= target.gone_at
@@ -291,7 +320,11 @@
         if target.in_flight == 0 and is_gone(target, now)
     ]
     for target in gone:
-        del directory.targets[target.announced.lifetime]
+        lifetime = target.announced.lifetime
+        del directory.targets[lifetime]
+        directory.over[lifetime] = None
+    while len(directory.over) > MOST_IDS:
+        directory.over.popitem(last=False)
     return gone
 
 
--- a/src/robinspindle/exceptions.py
+++ b/src/robinspindle/exceptions.py
@@ -55,6 +55,10 @@
     """Root of errors about the platform's log service."""
 
 
+class EraChangedError(LogServiceError):
+    """The store has returned from a copy; what was known of its offsets is void."""
+
+
 class LogUnavailableError(LogServiceError):
     """The log service did not answer; an append may have taken effect.
 
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from robinspindle.exceptions import (
+    EraChangedError,
     LogServiceError,
     LogUnavailableError,
     RecordsTrimmedError,
@@ -75,8 +76,14 @@
         calls: Calls made so far.
         received_bytes: Bytes of the answers that came whole.
         wasted_bytes: Bytes of answers that were given up or broke off.
+        era: The newest era that an answer told; None before the first.
+        unreadable_eras: Answers whose era could not be read.
+        note_era: Told each new era after the first.
     """
 
+    era: int | None
+    unreadable_eras: int
+    note_era: Callable[[int], None]
     calls: int
     received_bytes: int
     wasted_bytes: int
@@ -132,6 +139,7 @@
         is_lost: Whether the last call failed.
         nudge: Set when a held poll may be waiting in vain.
         nudged_end: The last end told by a peer for which it was set.
+        is_void: Whether its offset is of an era that is gone.
     """
 
     topic: str
@@ -146,6 +154,14 @@
     is_lost: bool = False
     nudge: asyncio.Event = field(default_factory=asyncio.Event)
     nudged_end: int = -1
+    is_void: bool = False
+
+
+def note_new_era(follower: Follower) -> None:
+    """Take note that offsets were given out anew: all is read from what there is."""
+    follower.is_void = True
+    follower.nudged_end = -1
+    follower.nudge.set()
 
 
 def note_told_end(follower: Follower, end: int) -> None:
@@ -182,6 +198,8 @@
     pause_s = FIRST_PAUSE_S
     is_nudged = False
     while True:
+        if follower.is_void:
+            follower.offset, follower.is_void = None, False
         offset = follower.offset
         try:
             if offset is None:
@@ -197,12 +215,17 @@
             log("records are gone", topic=follower.topic, offset=offset, at=error.first)
             follower.offset = None
             continue
+        except EraChangedError as error:
+            log("store returned from a copy", topic=follower.topic, error=str(error))
+            continue
         except LogServiceError as error:
             follower.is_lost = True
             _note_failure(follower, log, error)
             await _rest_while_lost(outage, follower, pause_s)
             pause_s = min(outage.find_most_pause_s(), pause_s * 2)
             continue
+        if follower.is_void:
+            continue
         is_nudged = records is None
         if records is None:
             log("held poll given up", topic=follower.topic, offset=offset)
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -23,17 +23,15 @@
 from robinspindle.core.quarantine import list_turned_away
 from robinspindle.core.relays import Member, encode_introduction
 from robinspindle.core.targets import Directory, Target
-from robinspindle.exceptions import (
-    InvalidDocumentError,
-    LogServiceError,
-)
+from robinspindle.exceptions import InvalidDocumentError
 from robinspindle.fleet import Fleet
-from robinspindle.following import follow
+from robinspindle.following import follow, note_new_era
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
 from robinspindle.httpserver import CallerServer, Incoming, Limits
+from robinspindle.introduction import Introduction
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
 from robinspindle.ordering import Orderer
@@ -58,9 +56,6 @@
 time between two reads of the targets' entries, and so long is a target whose entry went
 still used where there is no other. Together they leave room for the call itself."""
 
-INTRODUCE_PAUSE_S = 1.0
-"""Pause before another try to be introduced to the peers, seconds."""
-
 BUDGET_SHARES = 32
 """Gateways among which the fixed part of the repeat budget is divided."""
 
@@ -140,6 +135,13 @@
         self._cache_lists = CacheLists(
             self.fleet, self.peers, adapter.dialect, self._clock, make_log("caches")
         )
+        self._introduction = Introduction(
+            self._store,
+            adapter.gateways_topic,
+            settings.name,
+            lambda: encode_introduction(self.peers.own),
+            log,
+        )
         limits = Limits()
         beliefs = self._make_beliefs(adapter, limits)
         self._entries = beliefs.entries
@@ -147,6 +149,7 @@
         self._store_news = StoreNews(
             self.peers, self._followers, adapter.configuration_topic
         )
+        self._store.note_era = self._note_era
         self._callers = CallerServer(self._handle, limits, self._clock)
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
         self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
@@ -201,6 +204,7 @@
             fleet=self.fleet,
             peers=self.peers,
             orderer=self.orderer,
+            introduction=self._introduction,
             guard=self.guard,
             keeper=self._keeper,
             limits=limits,
@@ -213,6 +217,19 @@
         """Find this gateway's place among those that are heard, for a request."""
         return find_place(fingerprint, self.settings.name, list_heard(self.peers))
 
+    def peers_topic_known(self) -> bool:
+        """Whether what the store now holds about gateways has been read."""
+        return self._introduction.is_read
+
+    def _note_era(self, era: int) -> None:
+        """Begin anew with a store that returned from a copy."""
+        log("store returned from a copy", era=era)
+        self.orderer.note_era(era)
+        targets.note_store_copy(self.directory, self._clock())
+        self._introduction.note_era()
+        for follower in self._followers:
+            note_new_era(follower)
+
     async def run(self) -> None:
         """Serve until a signal to stop and the end of what is under way."""
         loop = asyncio.get_running_loop()
@@ -234,7 +251,7 @@
         await self._link.start(peer_address)
         log("started", name=settings.name, zone=settings.zone)
         self._tasks = [
-            loop.create_task(self._introduce()),
+            loop.create_task(self._introduction.keep()),
             loop.create_task(self._tell_peers()),
             *(
                 loop.create_task(
@@ -292,20 +309,6 @@
             and self._keeper.is_known
         )
 
-    async def _introduce(self) -> None:
-        """Tell the store where this gateway's datagrams are taken."""
-        value = encode_introduction(self.peers.own)
-        while True:
-            try:
-                await self._store.append_keyed(
-                    self._adapter.gateways_topic, self.settings.name, value
-                )
-            except LogServiceError as error:
-                log("not introduced to peers yet", error=str(error))
-                await asyncio.sleep(INTRODUCE_PAUSE_S)
-            else:
-                return
-
     async def _tell_peers(self) -> None:
         while True:
             await self._link.wait_due()
@@ -360,6 +363,8 @@
         metrics.store_received.set(self._store.received_bytes)
         metrics.store_wasted.set(self._store.wasted_bytes)
         metrics.store_away.set(directory.away_since is not None)
+        metrics.store_era.set(self._store.era or 0)
+        metrics.eras_unreadable.set(self._store.unreadable_eras)
         metrics.list_age.set(now - directory.read_at)
         metrics.entries_unusable.set(self._entries.total)
         metrics.quarantined.set(len(list_turned_away(self.guard.quarantine)))
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -29,6 +29,8 @@
         store_calls: Calls to the store so far.
         store_received: Bytes of the store's answers that came whole.
         store_wasted: Bytes of the store's answers that were given up or broke off.
+        store_era: How often the store has returned from a copy, as it tells.
+        eras_unreadable: Answers of the store whose era could not be read so far.
         store_away: Whether the store is away.
         list_age: Age of what is known of the targets' entries, seconds.
         entries_unusable: Entries of targets that could not be used so far.
@@ -60,6 +62,12 @@
         self.store_wasted = self._gauge(
             "store_wasted_bytes", "Bytes of the store's answers that were given up"
         )
+        self.store_era = self._gauge(
+            "store_era", "How often the store has returned from a copy"
+        )
+        self.eras_unreadable = self._gauge(
+            "store_eras_unreadable", "Answers whose era could not be read so far"
+        )
         self.store_away = self._gauge("store_away", "Whether the store is away")
         self.list_age = self._gauge(
             "targets_list_age_seconds", "Age of what is known of the targets' entries"
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -15,7 +15,9 @@
     may_claim,
     may_use,
     note_claim,
+    note_era,
 )
+from robinspindle.core.eras import make_fence
 from robinspindle.core.rebalance import Change, History
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import LogConflictError, LogServiceError
@@ -122,6 +124,10 @@
         """Take note of a claim that was read from the log."""
         note_claim(self.authority, self._clock(), holder)
 
+    def note_era(self, era: int) -> None:
+        """Take note that the store has returned from a copy."""
+        note_era(self.authority, self._clock(), era)
+
     def peek_untold(self) -> list[tuple[str, str]]:
         """List an engine that was ordered and its role, to be told to the peers."""
         return self._untold[:1]
@@ -185,7 +191,7 @@
         await self._give_all(change, claim)
 
     async def _claim(self) -> Claim | None:
-        sent_at = self._clock()
+        sent_at, era = self._clock(), self.authority.era
         try:
             offset = await self._store.append_keyed(
                 self._topic,
@@ -199,8 +205,8 @@
         except LogServiceError as error:
             self._log("claim not made", error=str(error))
             return None
-        # Offsets begin at 0, and a fencing number should not.
-        return Claim(offset + 1, sent_at)
+        fence = make_fence(self._store.era or 0, offset)
+        return Claim(fence, sent_at, era)
 
     async def _give_all(self, change: Change, claim: Claim) -> None:
         for target in change.targets:
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -10,7 +10,10 @@
 import msgspec
 
 from robinspindle.calls import CallLimits, Transfer, call_once
+from robinspindle.core.eras import EraChange, compare_eras, read_era
+from robinspindle.core.forwarding import AnswerHead
 from robinspindle.exceptions import (
+    EraChangedError,
     LogConflictError,
     LogUnavailableError,
     RecordsTrimmedError,
@@ -25,6 +28,9 @@
 GATEWAYS_TOPIC = "keyed.gateways"
 ORDERS_TOPIC = "keyed.orders"
 
+ERA_HEADER = b"store-era"
+"""What names the era in the head of each answer."""
+
 CALL_TIMEOUT_S = 1.0
 """Longest wait for an answer to begin, beyond the wait that was asked for, and for each
 further piece of it, seconds: the store answers in a few ms, in some hundred when it is
@@ -84,6 +90,9 @@
         calls: Calls made so far, for metrics.
         received_bytes: Bytes of the answers that came whole.
         wasted_bytes: Bytes of answers that were given up or broke off.
+        era: The newest era that an answer told; None before the first.
+        unreadable_eras: Answers whose era could not be read.
+        note_era: Told each new era after the first.
     """
 
     def __init__(self, address: HostPort, clock: Callable[[], float]):
@@ -93,6 +102,9 @@
         self.calls = 0
         self.received_bytes = 0
         self.wasted_bytes = 0
+        self.era: int | None = None
+        self.unreadable_eras = 0
+        self.note_era: Callable[[int], None] = lambda era: None
 
     async def read_newest(self, topic: str) -> Records:
         """Read the newest record of each key.
@@ -203,6 +215,7 @@
                 text, transfer.received, self._clock() - transfer.moved_at
             ) from None
         self.received_bytes += transfer.received
+        self._note_era(head)
         if head.status == TRIMMED:
             raise RecordsTrimmedError(self._decode(answer, _Trimmed).first)
         if head.status == CONFLICT:
@@ -211,6 +224,28 @@
             raise LogUnavailableError(f"answered {head.status}")
         return answer
 
+    def _note_era(self, head: AnswerHead) -> None:
+        """Take note of the era in which an answer was given.
+
+        Raises:
+            EraChangedError: When a new one has begun: the call was made in the last.
+            LogUnavailableError: When it is gone: the answer came late.
+        """
+        value = next((v for n, v in head.headers if n.lower() == ERA_HEADER), None)
+        if value is None:
+            return
+        era = read_era(value)
+        if era is None:
+            self.unreadable_eras += 1
+            return
+        change = compare_eras(self.era, era)
+        if change is EraChange.OLDER:
+            raise LogUnavailableError(f"an answer of era {era}, which is gone")
+        self.era = era
+        if change is EraChange.NEWER:
+            self.note_era(era)
+            raise EraChangedError(f"the store returned from a copy: era {era}")
+
 
 class _Appended(msgspec.Struct, rename="pascal"):
     offset: int
--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import struct
 from dataclasses import dataclass, field
@@ -54,6 +55,8 @@
             send half of the answer and then nothing.
         page: Items on one page of the newest records.
         pieces: Pieces in which long answers come, one after a pause; 0 for at once.
+        era: How often it has returned from a copy, told in all answers; None for a
+            store that does not tell.
         calls: Method and path of each call.
     """
 
@@ -62,6 +65,7 @@
         self.page = PAGE
         self.pieces = 0
         self.calls: list[str] = []
+        self.era: int | str | None = None
         self.server = RawServer(self._answer)
         self._topics: dict[str, Topic] = {}
         self._news = asyncio.Condition()
@@ -82,6 +86,16 @@
         kept.first = kept.end
         kept.records.clear()
 
+    def take_copy(self) -> dict[str, Topic]:
+        """Take a copy of all that it holds."""
+        return copy.deepcopy(self._topics)
+
+    def return_from(self, topics: dict[str, Topic]) -> None:
+        """Return from a copy: what came since is lost, and a new era begins."""
+        self._topics = copy.deepcopy(topics)
+        self.era = (self.era or 0) + 1
+        self.server.reset_all()
+
     def drop_silently(self, topic: str, key: str) -> None:
         """Drop a key in a way that only the newest records show."""
         self._find(topic).newest.pop(key)
@@ -106,8 +120,9 @@
     async def _answer(self, request: RawRequest, writer) -> bool:
         parts = urlsplit(request.target)
         self.calls.append(f"{request.method} {parts.path}")
+        headers = {} if self.era is None else {"Store-Era": str(self.era)}
         if self.trouble == "busy":
-            write_answer(writer, 503)
+            write_answer(writer, 503, headers=headers)
             return True
         if self.trouble == "reset":
             reset(writer)
@@ -125,7 +140,7 @@
         if self.pieces and len(body) >= LONG_BYTES:
             await write_slowly(writer, status, body, self.pieces)
             return True
-        write_answer(writer, status, body)
+        write_answer(writer, status, body, headers)
         return True
 
     async def _carry_out(self, path: str, query: dict, body: bytes):
@@ -166,7 +181,7 @@
     async def _read(self, query: dict):
         topic = self._find(query["Topic"])
         start = int(query["From"])
-        if start < topic.first:
+        if start < topic.first or start > topic.end:
             return 410, json.dumps({"First": topic.first}).encode()
         if start >= topic.end:
             await self._wait_for_news(int(query.get("WaitMs", 0)) / 1000)
--- a/tests/core/test_authority.py
+++ b/tests/core/test_authority.py
@@ -4,17 +4,36 @@
 from hypothesis import strategies as st
 
 from robinspindle.core.authority import (
+    WAIT_SHARE,
     Authority,
     Claim,
     is_first,
     may_claim,
     may_use,
     note_claim,
+    note_era,
 )
+from robinspindle.core.eras import make_fence
 
 LEASE_S = 3.0
 
 
+def test_a_claim_that_a_copy_of_the_store_lacks_is_waited_for():
+    authority = Authority("a", LEASE_S, end=5)
+    note_claim(authority, 10.0, "a")
+    note_era(authority, 20.0, 2)
+    assert not may_claim(authority, 100.0)
+    authority.end = 3
+    # The copy's last claim is an older one, even our own.
+    note_claim(authority, 20.5, "a")
+    assert not may_claim(authority, 24.0)
+    assert may_claim(authority, 20.5 + WAIT_SHARE * LEASE_S)
+
+
+def test_fences_rise_over_eras_though_offsets_go_back():
+    assert make_fence(1, 7) < make_fence(1, 8) < make_fence(2, 0)
+
+
 def test_nothing_is_claimed_before_the_log_was_read():
     authority = Authority("a", LEASE_S)
     assert not may_claim(authority, 100.0)
