Tell peers the era to which the ends of topics belong

Cause: ends of an era that is gone are higher, and each would cost one call a topic. Change: ends are compared within one era only; a newer era costs one call. Test: test_ends_of_another_era_say_nothing_and_a_newer_one_costs_one_call.

--- a/src/robinspindle/core/digests.py
+++ b/src/robinspindle/core/digests.py
@@ -64,6 +64,7 @@
         caches=[cache for digest in digests for cache in digest.caches],
         members=[digest.sender for digest in digests] if tells_all else None,
         ends=_find_ends(digests),
+        era=max(digest.era for digest in digests),
         is_relay=True,
         requests=_join_requests(digests),
     )
@@ -152,8 +153,12 @@
 
 
 def _find_ends(digests: list[Digest]) -> dict[str, int]:
+    """Find how far each topic was read by those that know the newest era."""
     ends: dict[str, int] = {}
+    newest = max(digest.era for digest in digests)
     for digest in digests:
+        if digest.era < newest:
+            continue
         for topic, end in digest.ends.items():
             ends[topic] = max(end, ends.get(topic, end))
     return ends
--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -125,6 +125,7 @@
         is_new: Whether the sender has just started, and is to be told of caches.
         is_relay: Whether this is told for several.
         requests: News of requests that crash targets; None for none.
+        era: The era of the store to which the ends belong.
     """
 
     sender: str
@@ -143,6 +144,7 @@
     is_new: bool = False
     is_relay: bool = False
     requests: RequestNews | None = None
+    era: int = 0
 
 
 class Bundle(msgspec.Struct, array_like=True):
--- a/src/robinspindle/core/soundness.py
+++ b/src/robinspindle/core/soundness.py
@@ -7,6 +7,7 @@
 import math
 
 from robinspindle.core.crashnews import is_believable
+from robinspindle.core.eras import MOST_ERA
 from robinspindle.core.paces import Sums
 from robinspindle.core.sharing import Cache, Digest, Load, Placement
 from robinspindle.core.urgency import LEVELS
@@ -39,6 +40,8 @@
         return "paces"
     if not all(_is_cache(cache) for cache in digest.caches):
         return "caches"
+    if not 0 <= digest.era <= MOST_ERA:
+        return "era"
     if digest.requests is not None and not is_believable(digest.requests):
         return "requests"
     return None
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -147,7 +147,10 @@
         self._entries = beliefs.entries
         self._followers = beliefs.list_followers()
         self._store_news = StoreNews(
-            self.peers, self._followers, adapter.configuration_topic
+            self.peers,
+            self._followers,
+            adapter.configuration_topic,
+            lambda: self._store.era or 0,
         )
         self._store.note_era = self._note_era
         self._callers = CallerServer(self._handle, limits, self._clock)
@@ -182,7 +185,7 @@
             self._clock,
             make_log("peers"),
             # Made after the link, as the followers need what it fills.
-            lambda *told: self._store_news.note_told(*told),
+            lambda digest: self._store_news.note_told(digest),
             lambda news: take_news(self.guard, news, self._clock()),
         )
 
@@ -323,6 +326,7 @@
                 self._store_news.list_ends(),
                 self.directory.away_since is not None,
                 list_news(self.guard, now),
+                self._store.era or 0,
             )
             self._link.tell(now, news)
             self.relay.placements.clear()
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -155,6 +155,7 @@
     ends: dict[str, int] = field(default_factory=dict)
     is_away: bool = False
     requests: RequestNews | None = None
+    era: int = 0
 
 
 class PeersFleet(Protocol):
@@ -188,7 +189,7 @@
         """Take note of targets that a peer found silent; return those believed."""
 
 
-def pass_over_store_news(peer: str, ends: dict[str, int], is_away: bool) -> None:
+def pass_over_store_news(digest: Digest) -> None:
     """Stand for who follows the store."""
 
 
@@ -205,7 +206,7 @@
         fleet: PeersFleet,
         clock: Callable[[], float],
         log: Log,
-        note_store: Callable[[str, dict[str, int], bool], None] = pass_over_store_news,
+        note_store: Callable[[Digest], None] = pass_over_store_news,
         note_requests: Callable[[RequestNews], None] = pass_over_requests,
     ):
         self._peers = peers
@@ -319,7 +320,7 @@
             self._log("target is silent for a peer", target=name, peer=author)
         for lifetime, role in digest.switching:
             fleet.note_switching(lifetime, role, now)
-        self._note_store(author, digest.ends, digest.is_away)
+        self._note_store(digest)
         if digest.requests is not None:
             self._note_requests(digest.requests)
 
@@ -415,6 +416,7 @@
             news.is_away,
             now - self._began_at < NEWCOMER_S,
             requests=news.requests,
+            era=news.era,
         )
 
     def _take_caches(self, lifetimes: list[str]) -> list[Cache]:
--- a/src/robinspindle/storenews.py
+++ b/src/robinspindle/storenews.py
@@ -1,5 +1,8 @@
 """What peers say of the store: how far they have read it, and whether it is away."""
 
+from collections.abc import Callable
+
+from robinspindle.core.sharing import Digest
 from robinspindle.following import (
     AWAY_PAUSE_S,
     MOST_PAUSE_S,
@@ -19,14 +22,24 @@
         outage: What all who follow the store know of its being lost.
     """
 
-    def __init__(self, peers: Peers, followers: list[Follower], checked_topic: str):
+    def __init__(
+        self,
+        peers: Peers,
+        followers: list[Follower],
+        checked_topic: str,
+        find_era: Callable[[], int],
+    ):
         """Take over the followers of one store.
 
         Args:
             peers: The other gateways.
             followers: Who follows the store.
             checked_topic: The topic that is read to see whether the store is away.
+            find_era: Tells the newest era of the store that is known.
         """
+        self._find_era = find_era
+        # The newest era that a peer told; a peer that lies about it costs one call.
+        self._told_era = 0
         self.outage = Outage(find_most_pause_s=self._find_most_pause_s)
         self._peers = peers
         self._followers = followers
@@ -39,10 +52,19 @@
         followers = self._followers
         return {f.topic: f.offset for f in followers if f.offset is not None}
 
-    def note_told(self, peer: str, ends: dict[str, int], is_away: bool) -> None:
-        """Take note of how far a peer has read, and whether the store is away."""
-        for follower in self._followers:
-            note_told_end(follower, ends.get(follower.topic, -1))
+    def note_told(self, digest: Digest) -> None:
+        """Take note of how far a peer has read, and whether the store is away.
+
+        Ends of another era say nothing of ours; one call tells whether a new one began.
+        """
+        peer, is_away = digest.sender, digest.is_away
+        era = self._find_era()
+        if digest.era > max(era, self._told_era):
+            self._told_era = digest.era
+            note_told_away(self._checked)
+        elif digest.era == era:
+            for follower in self._followers:
+                note_told_end(follower, digest.ends.get(follower.topic, -1))
         was_away = peer in self._away_for
         if is_away and not was_away:
             self._away_for.add(peer)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -68,7 +68,7 @@
             self.fleet,
             lambda: network.now,
             pass_over,
-            lambda _, ends, is_away: self.store_news.append((ends, is_away)),
+            lambda told: self.store_news.append((told.ends, told.is_away)),
         )
         self._network = network
         self._host = member.host
--- a/tests/test_storenews.py
+++ b/tests/test_storenews.py
@@ -1,8 +1,11 @@
 from robinspindle.core.relays import Member
+from robinspindle.core.sharing import Digest
 from robinspindle.following import AWAY_PAUSE_S, MOST_PAUSE_S, Follower
 from robinspindle.peers import Peers
 from robinspindle.storenews import StoreNews
 
+ERA = 3
+
 
 def make_news(relay=""):
     peers = Peers(Member("g1", "10.0.0.1", 7000), 0.0)
@@ -13,12 +16,19 @@
     ]
     for follower in followers:
         follower.offset = 5
-    return StoreNews(peers, followers, "configuration"), followers, peers
+    news = StoreNews(peers, followers, "configuration", lambda: ERA)
+    return news, followers, peers
+
+
+def tell(news, peer, ends, is_away=False, era=ERA):
+    """Have a peer tell of the store."""
+    told = Digest(peer, 1.0, 1, [], [], ends=ends, is_away=is_away, era=era)
+    news.note_told(told)
 
 
 def test_who_is_behind_reads_at_once_and_nobody_else():
     news, (configuration, targets), _ = make_news()
-    news.note_told("g2", {"configuration": 5, "targets": 6}, is_away=False)
+    tell(news, "g2", {"configuration": 5, "targets": 6}, is_away=False)
     assert not configuration.nudge.is_set()
     assert targets.nudge.is_set()
     assert news.list_ends() == {"configuration": 5, "targets": 5}
@@ -26,19 +36,19 @@
 
 def test_a_store_that_is_away_for_a_peer_is_checked_by_one_call_each_time():
     news, (configuration, targets), _ = make_news()
-    news.note_told("g2", {}, is_away=True)
+    tell(news, "g2", {}, is_away=True)
     assert configuration.nudge.is_set()
     assert not targets.nudge.is_set()
     configuration.nudge.clear()
-    news.note_told("g2", {}, is_away=True)
+    tell(news, "g2", {}, is_away=True)
     assert not configuration.nudge.is_set()
 
 
 def test_all_are_tried_when_it_is_back_for_a_peer():
     news, _, _ = make_news()
-    news.note_told("g2", {}, is_away=True)
+    tell(news, "g2", {}, is_away=True)
     back = news.outage.back
-    news.note_told("g2", {}, is_away=False)
+    tell(news, "g2", {}, is_away=False)
     assert back.is_set()
     assert not news.outage.back.is_set()
 
@@ -46,9 +56,9 @@
 def test_who_hears_of_the_store_from_its_relay_asks_less_often():
     news, _, _ = make_news(relay="g2")
     assert news.outage.find_most_pause_s() == MOST_PAUSE_S
-    news.note_told("g3", {}, is_away=True)
+    tell(news, "g3", {}, is_away=True)
     assert news.outage.find_most_pause_s() == MOST_PAUSE_S
-    news.note_told("g2", {}, is_away=True)
+    tell(news, "g2", {}, is_away=True)
     assert news.outage.find_most_pause_s() == AWAY_PAUSE_S
 
 
@@ -59,3 +69,15 @@
     peers.choice.relay = "g1"
     news.look_after_relaying()
     assert all(follower.nudge.is_set() for follower in followers)
+
+
+def test_ends_of_another_era_say_nothing_and_a_newer_one_costs_one_call():
+    news, (configuration, targets), _ = make_news()
+    tell(news, "g2", {"configuration": 99, "targets": 99}, era=ERA - 1)
+    assert not (configuration.nudge.is_set() or targets.nudge.is_set())
+    tell(news, "g2", {"targets": 99}, era=ERA + 1)
+    assert configuration.nudge.is_set()
+    assert not targets.nudge.is_set()
+    configuration.nudge.clear()
+    tell(news, "g3", {}, era=ERA + 1)
+    assert not configuration.nudge.is_set()
