Keep time with the clock that counts suspension; see a pause before anything is sent

Cause: every clock was one that stands still while a VM is suspended: leases, deadlines and the age of beliefs were taken as if the time had not passed. Change: one clock (clocks.py), also of the event loop's timers; the waits of the loop are watched, and a suspension, or a wake over 0.5 s late, is told before what came is handled (core/pauses.py): kept connections are dropped, silent peers forgotten, held polls looked after, targets that could not be heard have their time anew. Claims, budgets and deadlines use that clock already.

--- a/src/robinspindle/core/silence.py
+++ b/src/robinspindle/core/silence.py
@@ -84,6 +84,12 @@
     return max(LEAST_SILENCE_S, GAP_FACTOR * gap_s)
 
 
+def note_pause(hearing: Hearing, now: float) -> None:
+    """Take note that nothing could be heard until now: all waits begin anew."""
+    for expected in hearing.expected:
+        expected.since = max(expected.since, now)
+
+
 def note_heard(hearing: Hearing, now: float) -> bool:
     """Take note that something came; whether a target that was silent is so no more."""
     hearing.heard_at = now
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -224,6 +224,17 @@
         work_s = engine.work_s if engine is not None else 0.0
         return silence.is_overdue(target.hearing, now, work_s)
 
+    def note_pause(self, now: float) -> None:
+        """Take note that nothing could be heard or done until now.
+
+        Kept connections may be gone at their other ends; who may run once must not go
+        out on one. Targets that were to be heard meanwhile have their time anew.
+        """
+        for pool in self._pools.values():
+            pool.close()
+        for target in self.directory.targets.values():
+            silence.note_pause(target.hearing, now)
+
     def list_silent(self, now: float) -> list[str]:
         """List the lifetimes that were found silent so lately that it is news."""
         return [
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -94,6 +94,9 @@
     async def read_on(self, topic: str, offset: int, wait_s: float) -> Records:
         """Read what comes from an offset on."""
 
+    def drop_connections(self) -> None:
+        """Drop kept connections: a call goes out on a new one."""
+
     async def append_keyed(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
     ) -> int:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -15,11 +15,13 @@
 from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.cachelists import CacheLists
+from robinspindle.clocks import PauseWatch, make_loop, read_steady
 from robinspindle.core import budgets, targets
 from robinspindle.core.authority import Authority
 from robinspindle.core.fingerprints import Fingerprint
 from robinspindle.core.forwarding import Refusal
 from robinspindle.core.lengths import Lengths
+from robinspindle.core.pauses import Pause
 from robinspindle.core.quarantine import list_turned_away
 from robinspindle.core.relays import Member, encode_introduction
 from robinspindle.core.targets import Directory, Target
@@ -101,12 +103,12 @@
         reread: Reread,
     ):
         self._reread = reread
-        self._reread_at = time.monotonic()
+        self._reread_at = read_steady()
         self._output = output
         self._told_findings = ""
         self.settings = settings
         self._adapter = adapter
-        self._clock = time.monotonic
+        self._clock = read_steady
         self.metrics = GatewayMetrics()
         self._store = adapter.make_store(settings, self._clock)
         self.directory = Directory()
@@ -233,6 +235,24 @@
         for follower in self._followers:
             note_new_era(follower)
 
+    def note_pause(self, pause: Pause) -> None:
+        """Take note that nothing was heard or done for a while, before going on.
+
+        What is as old as the pause is not used: connections may be gone at their other
+        ends, and polls may wait in vain. Who was not heard meanwhile is not silent.
+        """
+        now = self._clock()
+        log(
+            "process was paused",
+            seconds=round(pause.seconds, 3),
+            is_suspension=pause.is_suspension,
+        )
+        self.metrics.pauses.inc()
+        self.fleet.note_pause(now)
+        self._link.forget_silent(now)
+        self._store.drop_connections()
+        self._store_news.note_pause()
+
     async def run(self) -> None:
         """Serve until a signal to stop and the end of what is under way."""
         loop = asyncio.get_running_loop()
@@ -480,10 +500,14 @@
     Raises:
         InvalidDocumentError: When the settings at the start have findings.
     """
-    asyncio.run(_run(reread, adapter))
+    watch = PauseWatch()
+    with asyncio.Runner(loop_factory=lambda: make_loop(watch)) as runner:
+        runner.run(_run(reread, adapter, watch))
 
 
-async def _run(reread: Reread, adapter: Adapter) -> None:
+async def _run(reread: Reread, adapter: Adapter, watch: PauseWatch) -> None:
     settings = reread()
     output = start_bounded_logs(settings.name, tells_routine=not settings.is_quiet)
-    await Gateway(settings, adapter, output, reread).run()
+    gateway = Gateway(settings, adapter, output, reread)
+    watch.note = gateway.note_pause
+    await gateway.run()
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -20,6 +20,7 @@
         target_tries: The same by target.
         prompt_tokens: Tokens of prompts by whether they were believed to be cached.
         repeats: Repeats taken from the budget.
+        pauses: Times that the process was paused: suspended, or not run.
         turned_away: Attempts that were turned away for that.
         denied_repeats: Repeats that the budget did not allow.
         version: Version of the configuration in force; 0 for none.
@@ -117,6 +118,7 @@
             "prompt_tokens", "Tokens of prompts, read or believed to be cached", "how"
         )
         self.repeats = self._count("repeats", "Repeats taken from the budget")
+        self.pauses = self._count("pauses", "Times that the process was paused")
         self.turned_away = self._count(
             "turned_away", "Attempts turned away as their request crashes targets"
         )
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -106,6 +106,10 @@
         self.unreadable_eras = 0
         self.note_era: Callable[[int], None] = lambda era: None
 
+    def drop_connections(self) -> None:
+        """Drop kept connections: a call goes out on a new one."""
+        self._pool.close()
+
     async def read_newest(self, topic: str) -> Records:
         """Read the newest record of each key.
 
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -97,7 +97,7 @@
         ):
             run.stop = make_stop(exchange)
             with expect(sending.target, self._expect_reading(passage, exchange)):
-                async with asyncio.timeout_at(passage.due):
+                async with asyncio.timeout(passage.due - means.clock()):
                     data = means.dialect.encode_request(passage.request, send)
                     connection.send(exchange, data)
                     head = await exchange.read_head()
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -257,7 +257,8 @@
         data = means.dialect.encode_request(passage.request, send)
         passage.offers += 1
         with expect(target, self._expect_answer(passage, exchange)) as expected:
-            async with asyncio.timeout_at(passage.due + forwarding.ANSWER_GRACE_S):
+            left_s = passage.due + forwarding.ANSWER_GRACE_S - means.clock()
+            async with asyncio.timeout(left_s):
                 connection.send(exchange, data)
                 head = await exchange.read_head()
                 passage.first_at = means.clock()
--- a/src/robinspindle/storenews.py
+++ b/src/robinspindle/storenews.py
@@ -74,6 +74,12 @@
             self._away_for.discard(peer)
             note_may_be_back(self.outage)
 
+    def note_pause(self) -> None:
+        """Have all held polls looked after: they may have waited in vain meanwhile."""
+        for follower in self._followers:
+            note_told_away(follower)
+        note_may_be_back(self.outage)
+
     def look_after_relaying(self) -> None:
         """Have all held polls looked after by a gateway that has become a relay.
 
