--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,16 @@
 from pathlib import Path
 
 from soak.callers import ask_route, call_on
-from soak.faults import FAULTS, RESTART_FAULTS, Fault
+from soak.crashing import let_crash
+from soak.faults import (
+    CRASH_FAULTS,
+    ERA_FAULTS,
+    FAULTS,
+    RESTART_FAULTS,
+    Fault,
+    repeat_crashing,
+    return_store_from_copy,
+)
 from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
 from soak.seeds import add_seed_options, list_seeds
@@ -48,6 +57,10 @@
     """
     rng = random.Random(seed)
     world = World(folder, rng, Oracle())
+    if repeat_crashing in drawn:
+        world.prepare = lambda replica: let_crash(world, replica, world.account)
+    if return_store_from_copy in drawn:
+        world.store.era = 1
     if has_slow_links:
         world.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
         world.more_routes = MANY_ROUTES
@@ -113,6 +126,14 @@
     return await ask_route(gateway, world.oracle, id, route) in (0, NOT_FOUND)
 
 
+def _choose_faults(args: argparse.Namespace) -> tuple[Fault, ...]:
+    if args.eras:
+        return ERA_FAULTS
+    if args.crashes:
+        return CRASH_FAULTS
+    return RESTART_FAULTS if args.restarts else FAULTS
+
+
 def main() -> int:
     """Play seeds and print what they found."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -128,10 +149,20 @@
         action="store_true",
         help="replicas start again under their ids, others write entries",
     )
+    parser.add_argument(
+        "--crashes",
+        action="store_true",
+        help="the same, and requests that crash whoever runs them",
+    )
+    parser.add_argument(
+        "--eras",
+        action="store_true",
+        help="the same, and a store that returns from a copy",
+    )
     args = parser.parse_args()
     failed = 0
     for seed, folder in list_seeds(args):
-        drawn = RESTART_FAULTS if args.restarts else FAULTS
+        drawn = _choose_faults(args)
         run = play(seed, args.steps, folder, args.slow_links, drawn)
         oracle = asyncio.run(run)
         outcomes = {kind: dict(found) for kind, found in oracle.outcomes.items()}
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,10 @@
 WAIT_S = 4.0
 """Longest wait for an answer, seconds: twice the routes' time-out."""
 
+REFUSED = 503
+TURNED_AWAY = b"crashes-targets"
+"""How a gateway answers a request that crashes its targets."""
+
 KINDS = ("safe", "once", "chat", "digest")
 
 
@@ -88,4 +92,6 @@
         length = int(lower.partition("content-length:")[2].split()[0])
         body = await reader.readexactly(length)
     oracle.note_answer(id, status, body, True)
+    if status == REFUSED and body.startswith(TURNED_AWAY):
+        oracle.findings.append(f"{id}: turned away though it crashes nothing")
     return "connection: close" not in lower
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -13,18 +13,20 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from soak.callers import KINDS, WAIT_S, call_on
+from soak.callers import KINDS, call_on
 from soak.crashaccount import CrashAccount, Share, count_served, subtract
+from soak.crashing import (
+    AWAY_S,
+    call,
+    let_crash,
+    make_body,
+    repeat,
+    write_request,
+)
 from soak.oracle import Oracle
-from soak.replicas import CRASHING, SoakReplica
+from soak.replicas import SoakReplica
 from soak.seeds import add_seed_options, list_seeds
-from soak.world import HOST, World
-
-REPEAT_S = 0.25
-"""Pause of a caller between two tries of a crashing request, seconds."""
-
-AWAY_S = 1.0
-"""How long a replica that crashed is away, seconds."""
+from soak.world import World
 
 OTHERS = 10
 """Other callers."""
@@ -117,18 +119,7 @@
 def _prepare(
     world: World, replica: SoakReplica, account: CrashAccount, plan: Plan
 ) -> None:
-    """Have a replica crash under the requests that are made for it."""
-    loop = asyncio.get_running_loop()
-
-    def crash(body: bytes) -> None:
-        if world.replicas.get(replica.lifetime) is replica:
-            account.crashes[body].append(loop.time())
-            restart = world.restart_replica(replica.lifetime, AWAY_S)
-            restarts.add(loop.create_task(restart))
-
-    restarts: set[asyncio.Task] = set()
-    replica.crash = crash
-    replica.on_sent = lambda body: account.sent[body].append(loop.time())
+    let_crash(world, replica, account)
     replica.run_s = RUN_S if plan.innocent else 0.0
     replica.tells_oracle = not plan.innocent
 
@@ -148,9 +139,8 @@
         parts.append(_crash_some(world))
     else:
         for number, kind in enumerate(plan.kinds):
-            body = CRASHING + b" %d " % number
-            body = body.ljust(plan.body_bytes, b"x")
-            parts.append(_repeat(world, plan, account, kind, body))
+            body = make_body(number, plan.body_bytes)
+            parts.append(repeat(world, account, kind, body, plan.copies))
     parts += [_do_harm(world, fault) for fault in plan.faults]
     return parts
 
@@ -168,45 +158,6 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-async def _repeat(
-    world: World, plan: Plan, account: CrashAccount, kind: str, body: bytes
-) -> None:
-    """Repeat a crashing request for ever, with a new id each time."""
-    number = 0
-    while True:
-        chosen = world.gateways if plan.copies else [world.rng.choice(world.gateways)]
-        calls = []
-        for gateway in chosen:
-            number += 1
-            id = f"{body[:8].decode().strip().replace(' ', '-')}-{number}"
-            data = _write_request(id, kind, body)
-            calls.append(_call(gateway.callers, data))
-        for status in await asyncio.gather(*calls):
-            account.statuses[body][status] += 1
-        await asyncio.sleep(REPEAT_S)
-
-
-async def _call(port: int, data: bytes) -> int:
-    """Send a request on a connection of its own; returns its status, 0 for none."""
-    writer = None
-    try:
-        async with asyncio.timeout(WAIT_S):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(data)
-            head = await reader.readuntil(b"\r\n\r\n")
-            # A stream that breaks off after its head counts as no answer.
-            rest = await reader.read()
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
-        return 0
-    finally:
-        if writer is not None:
-            writer.close()
-    is_stream = b"transfer-encoding: chunked" in head.lower()
-    if is_stream and not rest.endswith(b"0\r\n\r\n"):
-        return 0
-    return int(head.split()[1])
-
-
 async def _ask_the_same(world: World, caller: str) -> None:
     """Ask for the same four things over and over, as all other callers do."""
     number = 0
@@ -214,8 +165,8 @@
         number += 1
         kind = world.rng.choice(KINDS)
         gateway = world.rng.choice(world.gateways)
-        data = _write_request(f"{caller}-{number}", kind, b"what many ask for")
-        status = await _call(gateway.callers, data)
+        data = write_request(f"{caller}-{number}", kind, b"what many ask for")
+        status = await call(gateway.callers, data)
         world.oracle.outcomes[kind][status] += 1
         await asyncio.sleep(world.rng.uniform(0.0, 0.05))
 
@@ -252,16 +203,6 @@
             await one.start()
 
 
-def _write_request(id: str, kind: str, body: bytes) -> bytes:
-    lines = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
-    lines += ["X-Deadline-Ms: 2000", "Connection: close"]
-    if kind in ("chat", "digest"):
-        lines += ["X-Model: m", "X-Token-Count: 6000,100"]
-        lines.append("X-Prompt-Prefix: head:2000,document:3000,own:1000")
-    lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
-
-
 def describe(seed: int, played: Played) -> list[str]:
     """Describe what a run found, a line each."""
     account = played.account
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,11 +4,24 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from soak.callers import KINDS
+from soak.crashing import make_body, repeat
 from soak.world import World
 
 Fault = Callable[[World, float], Awaitable[None]]
 
 
+COPY_AGE_S = 2.0
+WRITTEN_AGAIN_S = 1.5
+"""How old a copy of the store is at the most, and how long it takes until operators and
+replicas have written again what it lacks, seconds."""
+
+CRASHING_S = 5.0
+CONTACT_S = 3.0
+MOST_LATE = 3
+"""How long a crashing request is repeated, seconds, how long after its third crash all
+gateways in touch have to know it, and how many sendings may cross that."""
+
 GARBAGE = (
     b"\xff\x00 no entry",
     b"{}",
@@ -137,6 +150,36 @@
         await asyncio.sleep(0.05)
 
 
+async def return_store_from_copy(world: World, seconds: float) -> None:
+    """Have the store come back from a copy some seconds old; others write again."""
+    copied = world.store.take_copy()
+    await asyncio.sleep(min(seconds, COPY_AGE_S))
+    world.store.trouble = "silent"
+    world.store.server.reset_all()
+    await asyncio.sleep(seconds / 4)
+    world.store.trouble = ""
+    world.store.return_from(copied)
+    await asyncio.sleep(world.rng.uniform(0.0, WRITTEN_AGAIN_S))
+    await world.put_configuration()
+    for replica in list(world.replicas.values()):
+        await world.announce(replica, "draining" if replica.is_leaving else "ready")
+
+
+async def repeat_crashing(world: World, seconds: float) -> None:
+    """Have a caller repeat a request that crashes whoever runs it."""
+    account, body = world.account, make_body(len(world.account.sent))
+    account.sent[body] = []
+    kind = world.rng.choice(KINDS)
+    caller = asyncio.create_task(repeat(world, account, kind, body))
+    await asyncio.sleep(CRASHING_S + seconds)
+    caller.cancel()
+    await asyncio.gather(caller, return_exceptions=True)
+    late = account.count_late(body, CONTACT_S)
+    if late > MOST_LATE:
+        text = f"{body[:8].decode()}: sent {late} times after the third crash"
+        world.oracle.findings.append(text)
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_gateway,
     roll_gateway,
@@ -152,3 +195,9 @@
 
 RESTART_FAULTS: tuple[Fault, ...] = (*FAULTS, *(restart_replicas, write_garbage) * 3)
 """The same, with replicas that start again and garbage among them more often."""
+
+CRASH_FAULTS: tuple[Fault, ...] = (*RESTART_FAULTS, *(repeat_crashing,) * 4)
+"""The same, with requests that crash replicas."""
+
+ERA_FAULTS: tuple[Fault, ...] = (*CRASH_FAULTS, *(return_store_from_copy,) * 5)
+"""The same, with a store that returns from a copy."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from soak.crashaccount import CrashAccount
 from soak.gateways import GatewayProcess, prepare_gateway
 from soak.oracle import Oracle
 from soak.proxy import Proxy
@@ -26,6 +27,7 @@
         link_bytes_per_s: How fast the store's answers reach a gateway; 0 for at once.
         more_routes: Routes of the configuration that nobody uses.
         prepare: Called with each replica before it listens.
+        account: What became of requests that crash replicas.
     """
 
     folder: Path
@@ -39,6 +41,7 @@
     version: int = 0
     link_bytes_per_s: int = 0
     more_routes: int = 0
+    account: CrashAccount = field(default_factory=CrashAccount)
     prepare: Callable[[SoakReplica], None] = lambda replica: None
     _ids: int = 0
     _born_ms: int = 0
@@ -58,6 +61,10 @@
     async def configure(self) -> None:
         """Put the next configuration in force."""
         self.version += self.rng.randint(1, 3)
+        await self.put_configuration()
+
+    async def put_configuration(self) -> None:
+        """Write the configuration in force, also where the store has lost it."""
         configuration = _make_configuration(self.version, self.more_routes)
         await self.store.put("keyed.op", "config", configuration)
 
--- a/src/robinspindle/quarantinekeeping.py
+++ b/src/robinspindle/quarantinekeeping.py
@@ -86,7 +86,7 @@
             entry = quarantine.decode_entry(fingerprint, value)
         except BadDocumentError as error:
             self.unreadable += 1
-            self._log("quarantine's record not believed", key=key, fault=str(error))
+            self._log("quarantine's record not believed", record=key, fault=str(error))
             return
         quarantine.note_stored(self._known, entry)
         self._take(entry)
@@ -127,7 +127,7 @@
         try:
             await self._store.append_keyed(self._topic, key, value)
         except LogServiceError as error:
-            self._log("quarantine not stored yet", key=key, error=str(error))
+            self._log("quarantine not stored yet", record=key, error=str(error))
             await asyncio.sleep(FAILED_PAUSE_S)
         else:
             quarantine.note_stored(self._known, entry)
