Have few of many gateways judge, tell and write that a request crashes targets

Cause: found by a play of 300 gateways in virtual time: 62 judged the same request alike, each told the others and would have written to the store at the same moment. Change: who saw none of the crashes waits for one that did (2 s, then one after the other); relays tell the same thing once. A run costs less without a generator.

--- a/src/robinspindle/core/crashnews.py
+++ b/src/robinspindle/core/crashnews.py
@@ -116,20 +116,39 @@
 
 
 def join_news(first: RequestNews, second: RequestNews) -> RequestNews:
-    """Put what two senders tell together, as much as a datagram may tell."""
-    told: list[CrashNews] = []
-    runs = 0
-    for crash in first.crashes + second.crashes:
-        runs += len(crash.runs)
-        if runs <= MOST_TOLD_RUNS:
-            told.append(crash)
+    """Put what two senders tell together, as much as a datagram may tell.
+
+    The same thing told by many is told once: of 300 gateways 62 told of one request.
+    """
     return RequestNews(
-        told,
-        first.cleared + second.cleared,
-        first.quarantine + second.quarantine,
+        _join_crashes(first.crashes + second.crashes),
+        list(dict.fromkeys(first.cleared + second.cleared)),
+        _join_entries(first.quarantine + second.quarantine),
     )
 
 
+def _join_crashes(told: list[CrashNews]) -> list[CrashNews]:
+    found: dict[str, CrashNews] = {}
+    count = 0
+    for crash in told:
+        count += len(crash.runs)
+        if count > MOST_TOLD_RUNS:
+            break
+        known = found.get(crash.lifetime)
+        runs = crash.runs if known is None else known.runs + crash.runs
+        found[crash.lifetime] = msgspec.structs.replace(crash, runs=runs)
+    return list(found.values())
+
+
+def _join_entries(told: list[QuarantineNews]) -> list[QuarantineNews]:
+    found: dict[bytes, QuarantineNews] = {}
+    for entry in told:
+        known = found.get(entry.fingerprint)
+        if known is None or known.at_ms < entry.at_ms:
+            found[entry.fingerprint] = entry
+    return list(found.values())
+
+
 def is_believable(news: RequestNews) -> bool:
     """Whether what a peer tells has the right shapes and ranges."""
     return (
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -120,7 +120,7 @@
             self.directory,
             self._clock,
             make_log("guard"),
-            lambda fingerprint: self._find_place(fingerprint) == 0,
+            self._find_place,
         )
         self._keeper = QuarantineKeeper(
             self._store,
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -7,8 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable, Iterable
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from robinspindle.core import crashes, quarantine, targets
@@ -34,6 +33,11 @@
 """How long a crash's companions are waited for before a judgement is told to all and
 stored, seconds: peers tell theirs within it. Until then the request is held back."""
 
+UNTOLD_S = 2.0
+"""How long a gateway that saw none of the crashes waits for the judgement of one that
+did, seconds; then it judges itself, one gateway after the other. Of 300 gateways 62
+judged and would have written to the store at the same moment."""
+
 HELD_BACK_S = 0.5
 """When a request that is held back may come again, seconds: it is judged by then."""
 
@@ -107,7 +111,8 @@
         directory: The targets.
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
-        is_keeper: Tells whether this gateway is the one that gives a request a trial.
+        find_place: Finds this gateway's place in the order that hangs on a request: the
+            first gives it a trial.
         wall_ms: Tells the time of day, Unix milliseconds.
         evidence: What speaks against requests.
         quarantine: Who is turned away.
@@ -117,7 +122,7 @@
     directory: Directory
     clock: Callable[[], float]
     log: Log
-    is_keeper: Callable[[Fingerprint], bool] = lambda fingerprint: True
+    find_place: Callable[[Fingerprint], int] = lambda fingerprint: 0
     wall_ms: Callable[[], int] = read_wall_ms
     evidence: Evidence = field(default_factory=Evidence)
     quarantine: Quarantine = field(default_factory=Quarantine)
@@ -127,7 +132,9 @@
         self._checks = LifeChecks()
         self._runs: set[Run] = set()
         self._pending: list[Broken] = []
+        # When each request that met three crashes is judged, steady seconds.
         self._unjudged: dict[Fingerprint, float] = {}
+        # Host and path of those that met a crash at this gateway.
         self._names: dict[Fingerprint, str] = {}
         self._usual_s: dict[str, float] = {}
 
@@ -164,21 +171,21 @@
 
     # Told while a request is under way.
 
-    @asynccontextmanager
-    async def watch(
-        self, named: NamedRequest, target: Target, kind: str
-    ) -> AsyncIterator[Run]:
-        """Keep a sending among the runs, and see why it breaks if it does."""
-        run = Run(named, target, kind, self.clock())
+    def watch(self, named: NamedRequest, target: Target, kind: str) -> "Watched":
+        """Keep a sending among the runs, and see why it breaks if it does.
+
+        Returns:
+            A context that gives the run.
+        """
+        return Watched(self, Run(named, target, kind, self.clock()))
+
+    def begin(self, run: Run) -> None:
+        """Take note that a run is under way."""
         self._runs.add(run)
-        try:
-            yield run
-        except ConnectionBrokenError as error:
-            if error.was_sent:
-                await self._find_cause(run)
-            raise
-        finally:
-            self._runs.discard(run)
+
+    def end(self, run: Run) -> None:
+        """Take note that it is not any more."""
+        self._runs.discard(run)
 
     def note_length(self, run: Run) -> None:
         """Take note of how long a run took that came to its end."""
@@ -237,7 +244,7 @@
     def settle(self, now: float) -> None:
         """Judge what has had time to settle, and forget what is too old."""
         self._pending = [b for b in self._pending if now - b.at <= PENDING_S]
-        settled = [f for f, at in self._unjudged.items() if now - at >= SETTLE_S]
+        settled = [f for f, at in self._unjudged.items() if now >= at]
         for fingerprint in settled:
             del self._unjudged[fingerprint]
             if self._is_guilty(fingerprint):
@@ -248,7 +255,8 @@
     def _judge_quarantined(self, named: NamedRequest, entry: Entry) -> Refusal | None:
         """Refuse what is in quarantine, unless a trial is due and ours to give."""
         now_ms = self.wall_ms()
-        if quarantine.may_try(entry, now_ms) and self.is_keeper(entry.fingerprint):
+        is_due = quarantine.may_try(entry, now_ms)
+        if is_due and self.find_place(entry.fingerprint) == 0:
             named.is_trial = True
             self._say(quarantine.begin_trial(entry, now_ms), "trial")
             return None
@@ -279,7 +287,7 @@
             for run in self._runs
         )
 
-    async def _find_cause(self, run: Run) -> None:
+    async def find_cause(self, run: Run) -> None:
         """Find out whether a run's connection broke because its target crashed."""
         run.named.is_trial = False
         if self._is_planned(run.target):
@@ -334,10 +342,16 @@
         """Hold back who is guilty by what is known, and judge them finally later."""
         for fingerprint in fingerprints:
             if crashes.count_met(self.evidence, fingerprint) >= crashes.LEAST_CRASHES:
-                self._unjudged[fingerprint] = self.clock()
+                self._unjudged[fingerprint] = self._find_judging_at(fingerprint)
                 if self._is_guilty(fingerprint):
                     self._stop_copies(fingerprint)
 
+    def _find_judging_at(self, fingerprint: Fingerprint) -> float:
+        """Find when this gateway judges a request, steady seconds."""
+        if fingerprint in self._names:
+            return self.clock() + SETTLE_S
+        return self.clock() + UNTOLD_S * (1 + self.find_place(fingerprint))
+
     def _quarantine(self, fingerprint: Fingerprint) -> None:
         """Turn a request away from now on, unless all of its crashes are told."""
         lifetimes = self.evidence.met[fingerprint]
@@ -385,6 +399,27 @@
         )
 
 
+class Watched:
+    """The context of a run: 3 microseconds less than one made of a generator."""
+
+    def __init__(self, guard: Guard, run: Run):
+        self._guard = guard
+        self._run = run
+
+    async def __aenter__(self) -> Run:
+        """Begin the run."""
+        self._guard.begin(self._run)
+        return self._run
+
+    async def __aexit__(self, kind, error, traceback) -> None:
+        """End the run, and find out why it broke."""
+        try:
+            if isinstance(error, ConnectionBrokenError) and error.was_sent:
+                await self._guard.find_cause(self._run)
+        finally:
+            self._guard.end(self._run)
+
+
 def _is_same(named: NamedRequest, fingerprint: Fingerprint) -> bool:
     """Whether a request has a fingerprint; its body is read only if its mark agrees."""
     return named.mark == get_mark(fingerprint) and named.fingerprint == fingerprint
