--- a/src/robinspindle/explaining.py
+++ b/src/robinspindle/explaining.py
@@ -7,6 +7,8 @@
 
 ROUTED = "request routed"
 UNDELIVERED = "target did not deliver"
+CRASHED = "target crashed under a request"
+TURNED_AWAY = "request turned away"
 ENDED = "request ended"
 
 PLAIN_FIELDS = (
@@ -26,6 +28,8 @@
     "store_away",
     "events",
     "error",
+    "fingerprint",
+    "crashes_met",
     "outcome",
 )
 
@@ -143,6 +147,14 @@
         elif line.text == UNDELIVERED:
             target, error = line.fields.get("target"), line.fields.get("error")
             story.causes.append(f"target {target} did not deliver: {error}")
+        elif line.text == CRASHED:
+            target, met = line.fields.get("target"), line.fields.get("crashes_met")
+            story.causes.append(f"target {target} crashed under it, the {met}. so far")
+        elif line.text == TURNED_AWAY:
+            story.causes.append(
+                "what it asks for crashed its targets before: see 'robinspindle "
+                f"quarantine list', {line.fields.get('fingerprint')}"
+            )
         elif line.text == "refused":
             story.causes.append(f"refused before routing: {line.fields.get('reason')}")
 
@@ -171,7 +183,7 @@
         story.missing.append(
             "no line tells its end: the process was killed, or its log is cut"
         )
-    elif ENDED in texts and ROUTED not in texts:
+    elif ENDED in texts and not texts & {ROUTED, TURNED_AWAY}:
         story.missing.append("no line tells its routing")
     if left_out:
         story.missing.append("some lines were left out for their number")
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -330,6 +330,7 @@
             del self._names[next(iter(self._names))]
         self.log(
             "target crashed under a request",
+            at=round(at, 4),
             target=announced.lifetime,
             request=named.request.id,
             fingerprint=named.fingerprint.hex(),
--- a/src/robinspindle/losses.py
+++ b/src/robinspindle/losses.py
@@ -27,6 +27,7 @@
 PAUSED = "paused"
 REFUSED = "refused"
 REFUSED_AGAIN = "refused again"
+TURNED_AWAY = "crashes targets"
 TARGET_LOST = "target lost"
 GATEWAY_LOST = "gateway lost"
 REREAD = "shared parts read again"
@@ -113,6 +114,8 @@
     if outcome == "delivered":
         return _judge_delivered(attempt)
     if outcome.startswith("refused 503"):
+        if outcome.endswith("crashes-targets"):
+            return TURNED_AWAY
         return REFUSED_AGAIN if fields.get("is_return") else REFUSED
     if outcome.startswith("passed on"):
         return OWN_FAULT
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -102,9 +102,8 @@
         passage = self._begin_passage(request, reply, route)
         refusal = self._means.guard.find_refusal(passage.named)
         if refusal is not None:
-            self._means.metrics.turned_away.inc()
             reply.refuse(refusal)
-            self._log.log_end(passage, None, f"refused 503: {refusal.reason}")
+            self._log.log_turned_away(passage, refusal)
             return
         budgets.count_request(self._means.budget, self._means.clock(), passage.service)
         self.chooser.note_asked(passage, self._means.clock())
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -1,6 +1,6 @@
 """The log lines and the counts that tell how requests went."""
 
-from robinspindle.core.forwarding import Request
+from robinspindle.core.forwarding import Refusal, Request
 from robinspindle.core.reading import Plan
 from robinspindle.core.sizes import find_size_class
 from robinspindle.core.targets import Target
@@ -96,6 +96,19 @@
             outcome=outcome,
         )
 
+    def log_turned_away(self, passage: Passage, refusal: Refusal) -> None:
+        """Log and count that a request was turned away, as it crashes targets."""
+        self._means.metrics.turned_away.inc()
+        self._means.log(
+            "request turned away",
+            at=round(self._means.clock(), 4),
+            request=passage.request.id,
+            route=passage.route.name,
+            fingerprint=passage.named.fingerprint.hex(),
+            retry_s=round(refusal.retry_s, 1),
+        )
+        self.log_end(passage, None, f"refused {refusal.status}: {refusal.reason}")
+
     def log_refused(self, request: Request, reason: str) -> None:
         """Log that a request was refused before a route was found for it."""
         self._means.log("refused", request=request.id, reason=reason)
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -5,7 +5,7 @@
 import pytest
 
 from soak.__main__ import play
-from soak.faults import RESTART_FAULTS
+from soak.faults import CRASH_FAULTS, ERA_FAULTS, RESTART_FAULTS
 
 SHORT = ((1, 6), (2, 6))
 
@@ -49,3 +49,30 @@
 def test_replicas_that_start_again_and_garbage_harm_nothing(seed, steps, tmp_path):
     oracle = asyncio.run(play(seed, steps, tmp_path, drawn=RESTART_FAULTS))
     assert oracle.findings == []
+
+
+CRASHES = (
+    (1, 8),
+    # A gateway ended by itself as the store did not take a record of the quarantine.
+    (7001, 12),
+)
+ERAS = (
+    (1, 8),
+    # The same.
+    (7100, 12),
+    (7102, 12),
+)
+"""Seeds and steps in which requests crash replicas, and in which the store returns from
+copies besides."""
+
+
+@pytest.mark.parametrize(("seed", "steps"), CRASHES)
+def test_requests_that_crash_replicas_harm_nobody_else_for_long(seed, steps, tmp_path):
+    oracle = asyncio.run(play(seed, steps, tmp_path, drawn=CRASH_FAULTS))
+    assert oracle.findings == []
+
+
+@pytest.mark.parametrize(("seed", "steps"), ERAS)
+def test_a_store_that_returns_from_a_copy_harms_nothing(seed, steps, tmp_path):
+    oracle = asyncio.run(play(seed, steps, tmp_path, drawn=ERA_FAULTS))
+    assert oracle.findings == []
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -125,3 +125,17 @@
     story = tell_story("2d705d4380118a2b", lines)
     assert story.causes[0].startswith("unknown outcome")
     assert "did not deliver" in story.causes[1]
+
+
+def test_a_request_that_is_turned_away_and_what_it_crashed_are_told():
+    fields = {"request": "r1", "node": "g1", "fingerprint": "0a0b", "timestamp": 1.0}
+    texts = [
+        {"text": "target crashed under a request", "target": "i1", "crashes_met": 3},
+        {"text": "request turned away"},
+        {"text": "request ended", "outcome": "refused 503: crashes-targets"},
+    ]
+    lines = [json.dumps({**fields, **told, "at": n}) for n, told in enumerate(texts)]
+    story = tell_story("r1", read_lines(lines))
+    assert story.missing == []
+    assert "0a0b" in story.causes[1]
+    assert story.causes[2] == "target i1 crashed under it, the 3. so far"
