--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -36,6 +36,9 @@
 """How long a run takes, and how often some replica crashes for a reason of its own,
 where callers ask for the same things over and over, seconds."""
 
+LINK_BYTES_PER_S = 600_000
+"""A slow link between callers and a gateway: 5 Mbit/s, the least of any deployment."""
+
 READY_S = 20.0
 """Longest wait until all gateways serve, seconds."""
 
@@ -50,20 +53,24 @@
     Attributes:
         seconds: How long.
         gateways: Gateways.
+        more: Plain replicas, and engines that generate, beyond three of each.
         kinds: Kinds of the crashing requests, one caller each.
         body_bytes: Length of their bodies.
         copies: Whether each is sent to all gateways at the same moment.
         faults: What is done to gateways meanwhile.
+        slow_links: Whether what callers send comes over 600 KB/s each.
         innocent: Whether callers ask for the same things while replicas crash for
             reasons of their own, and nothing else crashes them.
     """
 
     seconds: float = 20.0
     gateways: int = 3
+    more: int = 0
     kinds: tuple[str, ...] = ("safe", "digest")
     body_bytes: int = 40
     copies: bool = False
     faults: tuple[str, ...] = ()
+    slow_links: bool = False
     innocent: bool = False
 
 
@@ -96,6 +103,11 @@
     world = World(folder, rng, Oracle())
     world.prepare = lambda replica: _prepare(world, replica, account, plan)
     await world.start(plan.gateways)
+    if plan.slow_links:
+        await world.slow_links(LINK_BYTES_PER_S)
+    for _ in range(plan.more):
+        await world.add_replica("push", "")
+        await world.add_replica("lm", "decode")
     tasks: list[asyncio.Task] = []
     try:
         await _wait_until_served(world)
@@ -226,6 +238,8 @@
     add_seed_options(parser)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--more", type=int, default=0, help="replicas of each kind")
+    parser.add_argument("--slow-links", action="store_true")
     parser.add_argument("--kinds", nargs="*", default=["safe", "digest"])
     parser.add_argument("--body-bytes", type=int, default=40)
     parser.add_argument("--copies", action="store_true")
@@ -235,10 +249,12 @@
     plan = Plan(
         args.seconds,
         args.gateways,
+        args.more,
         tuple(args.kinds),
         args.body_bytes,
         args.copies,
         tuple(args.faults),
+        args.slow_links,
         args.innocent,
     )
     failed = 0
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -4,7 +4,6 @@
 
 from soak.callers import WAIT_S
 from soak.crashaccount import CrashAccount
-from soak.gateways import GatewayProcess
 from soak.replicas import CRASHING, SoakReplica
 from soak.world import HOST, World
 
@@ -57,7 +56,7 @@
         ids = range(number, number + len(chosen))
         number += len(chosen)
         calls = [
-            _repeat_once(gateway, kind, body, id)
+            _repeat_once(world.find_port(gateway), kind, body, id)
             for gateway, id in zip(chosen, ids, strict=True)
         ]
         for status in await asyncio.gather(*calls):
@@ -65,12 +64,10 @@
         await asyncio.sleep(REPEAT_S)
 
 
-async def _repeat_once(
-    gateway: GatewayProcess, kind: str, body: bytes, number: int
-) -> int:
+async def _repeat_once(port: int, kind: str, body: bytes, number: int) -> int:
     name = body[:10].decode().strip("x").strip().replace(" ", "-")
     data = write_request(f"{name}-{number}", kind, body)
-    return await call(gateway.callers, data)
+    return await call(port, data)
 
 
 async def call(port: int, data: bytes) -> int:
--- a/soak/world.py
+++ b/soak/world.py
@@ -22,6 +22,7 @@
     """The deployment.
 
     Attributes:
+        links: Between callers and each gateway, by gateway; none for no slow link.
         store_proxies: Between each gateway and the store, by gateway.
         replica_proxies: Before each replica, by lifetime.
         link_bytes_per_s: How fast the store's answers reach a gateway; 0 for at once.
@@ -37,6 +38,7 @@
     gateways: list[GatewayProcess] = field(default_factory=list)
     replicas: dict[str, SoakReplica] = field(default_factory=dict)
     store_proxies: dict[str, Proxy] = field(default_factory=dict)
+    links: dict[str, Proxy] = field(default_factory=dict)
     replica_proxies: dict[str, Proxy] = field(default_factory=dict)
     version: int = 0
     link_bytes_per_s: int = 0
@@ -107,11 +109,25 @@
         entry["Address"] = f"127.0.0.1:{port}"
         await self.store.put("keyed.servers", replica.lifetime, entry)
 
+    async def slow_links(self, bytes_per_s: int) -> None:
+        """Have what callers send to gateways come over slow links."""
+        for gateway in self.gateways:
+            link = Proxy(gateway.callers)
+            link.bytes_per_s_in = bytes_per_s
+            await link.start()
+            self.links[gateway.name] = link
+
+    def find_port(self, gateway: GatewayProcess) -> int:
+        """Find the port at which callers reach a gateway."""
+        link = self.links.get(gateway.name)
+        return gateway.callers if link is None else link.port
+
     async def stop(self) -> None:
         """End all processes of ours and all stand-ins."""
         for gateway in self.gateways:
             await gateway.end(signal.SIGKILL)
-        for proxy in (*self.store_proxies.values(), *self.replica_proxies.values()):
+        proxies = (self.links, self.store_proxies, self.replica_proxies)
+        for proxy in (one for found in proxies for one in found.values()):
             await proxy.stop()
         for replica in self.replicas.values():
             await replica.server.stop()
