Say that a failure clears nothing, and what naming a request takes

Cause: weighed whether a target's own failure clears a request: a target that fails a part of its requests may answer so without running it, and a request that crashes targets would be cleared by it. Kept as it was, with a test; figures of comments as measured.

--- a/src/robinspindle/core/fingerprints.py
+++ b/src/robinspindle/core/fingerprints.py
@@ -3,8 +3,8 @@
 Each attempt of a caller has an id of its own. What stays the same is the host, the path
 with its query, the caller's key and the body; the description of a prompt is left out,
 as it says nothing that the body does not. A fingerprint begins with a mark of all but
-the body: marks are cheap, and a body of 100 kB, 0.1 ms on a full core, is read only
-where a mark is known already.
+the body: a body of 100 kB, 0.3 ms beside other work, is read only where its mark is
+known already.
 """
 
 import hashlib
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -25,7 +25,8 @@
 
 MOST_REMEMBERED_BODY = 4096
 """Longer bodies are not read to remember a good end, bytes, unless a request of the
-same mark is suspected. Up to here naming one takes 5 microseconds of a full core."""
+same mark is suspected. Up to here naming one takes at most 19 microseconds, in a
+loop of 20,000 beside other work; one of 18 KB takes 63."""
 
 SETTLE_S = 0.3
 """How long a crash's companions are waited for before a judgement is told to all and
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -74,6 +74,23 @@
     run(play())
 
 
+def test_a_failure_clears_nothing(tmp_path):
+    """A target may fail a request that it has not begun to run."""
+
+    async def play():
+        async with deploy(tmp_path) as d:
+            targets = await add_crashing(d, 2)
+            await call(d, 0, "/once/x")
+            await call(d, 1, "/once/x")
+            assert count_crashed(targets) == 2
+            failing = await d.add("push2")
+            failing.behaviours.append("error")
+            assert (await call(d, 2, "/once/x")).status == 500
+            assert d.gateway.guard.evidence.met
+
+    run(play())
+
+
 def test_others_are_served_as_before(tmp_path):
     async def play():
         async with deploy(tmp_path) as d:
