--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -269,7 +269,7 @@
                 answer = Answer(target, head, exchange, connection, expected)
                 end = await self._take_answer(passage, answer)
         if end is End.DELIVERED:
-            # Not after a failure: a target may answer so without having begun to run it.
+            # Not after a failure: a target may answer so without having run it.
             means.guard.note_good_end(run)
         return end
 
