--- a/tests/system/test_security.py
+++ b/tests/system/test_security.py
@@ -85,6 +85,17 @@
             process.wait()
 
 
+def test_the_program_holds_all_that_its_commands_need(program, tmp_path):
+    """It lacked a library of the gateway's, and none of its commands began."""
+    environment = os.environ | {"PEX_ROOT": str(tmp_path / "pex")}
+    for command in (["version"], ["gateway", "/nowhere.toml"]):
+        done = subprocess.run(
+            [program, *command], env=environment, capture_output=True, text=True
+        )
+        assert "ModuleNotFoundError" not in done.stderr
+        assert done.returncode == (0 if command == ["version"] else 1)
+
+
 def test_a_missing_key_is_one_clear_error(tmp_path):
     settings = write_settings(tmp_path, find_free_ports(3)).read_text()
     path = tmp_path / "secure.ini"
