--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -48,6 +48,8 @@
             reading_ms=round(plan.reading_s * 1000, 1),
             level=plan.level,
             has_turn=passage.has_turn,
+            is_long=passage.is_long,
+            read_share=self._find_read_share(plan),
             prompt_length=prompt.tokens if prompt else None,
             answer_most=prompt.out_tokens if prompt else None,
             left_ms=round((passage.aim_at - now) * 1000, 1),
@@ -58,6 +60,11 @@
             store_away=directory.away_since is not None,
         )
 
+    def _find_read_share(self, plan: Plan) -> float | None:
+        """Find with what share of its pace a plan's host may read; None if plain."""
+        engine = self._means.fleet.find_engine(plan.target)
+        return None if engine is None else round(engine.read_share, 2)
+
     def log_end(self, passage: Passage, target: Target | None, outcome: str) -> None:
         """Log and count how a request ended.
 
