Play answers in virtual time, and show what slow ones do to each other

Cause: plays in virtual time ended with the reading of a prompt, so nothing showed what becomes of answers where work is more than engines bear. Change: `tests/core/generationplay.py` has engines with slots, whose events take longer the more answers there are and hardly come while a prompt is read beside them; callers with limits of time and pauses.

--- /dev/null
+++ b/tests/core/generationplay.py
@@ -0,0 +1,337 @@
+"""Plays a load in virtual time against the decisions, with answers being generated.
+
+On top of `loadplay`: an engine that generates has slots, makes the events of all its
+answers together, slower the more there are, and makes hardly any while it reads a
+prompt beside them. A caller leaves at its limit of time, and a pause over what its kind
+allows counts against its answer.
+"""
+
+import random
+from dataclasses import dataclass, field, replace
+
+import simpy
+
+from robinspindle.core.engines import (
+    find_allowed_pause,
+    note_event,
+    note_pause,
+)
+from robinspindle.core.hosting import choose_host
+from robinspindle.core.lengths import Lengths
+from robinspindle.core.turns import note_lost
+from robinspindle.core.urgency import REQUEST_URGENCIES
+from soak.sizeaccount import Ended, SizeAccount
+from standins.prompts import Kind, Length
+from tests.core.loadplay import Load, Outcome, _Play
+
+SERVICE = "s"
+
+OUT_WEIGHT = 10
+"""How many tokens of a prompt a token of an answer counts for in a request's size."""
+
+HELD_UP = 0.9
+"""Share of the time of a reading beside answers in which these make no event."""
+
+GUESS_SPREAD = 0.5
+"""Deviation of the logarithm of callers' guesses of the length of their answers."""
+
+OWN_WORK_S = 0.001
+"""The least that is left of an event which was held up and is made now, seconds."""
+
+
+@dataclass(frozen=True)
+class Answers:
+    """What the answers of one kind of request are like.
+
+    Attributes:
+        events: How many events they hold.
+        gap_s: The longest pause between two of them that is in time, seconds.
+        limit_s: When callers leave, whatever has come, seconds.
+    """
+
+    events: Length
+    gap_s: float
+    limit_s: float
+
+
+@dataclass(frozen=True)
+class Making:
+    """How engines make events.
+
+    Attributes:
+        slots: Answers that an engine works on at once.
+        event_s: Seconds of an event of a single answer.
+        answer_s: Seconds by which each further answer makes an event longer.
+        event_tokens: Tokens of an event.
+    """
+
+    slots: int
+    event_s: float
+    answer_s: float
+    event_tokens: int
+
+
+@dataclass
+class Answered(Outcome):
+    """What callers got, with their answers.
+
+    Attributes:
+        paused: Answers that came whole, with a pause over what is allowed.
+        cut: Those that their callers left in their midst.
+        unbegun: Prompts that were read, and whose callers left before the answer.
+    """
+
+    paused: int = 0
+    cut: int = 0
+    unbegun: int = 0
+
+
+@dataclass
+class Host:
+    """What an engine that generates really does.
+
+    Attributes:
+        slots: Taken by answers.
+        answers: Answers that it works on.
+        read_s: Seconds for which it has read prompts that are done.
+        reading_since: When it began the one that it reads now; None for none.
+    """
+
+    slots: simpy.PriorityResource
+    answers: int = 0
+    read_s: float = 0.0
+    reading_since: float | None = None
+
+    def find_read_s(self, now: float) -> float:
+        """Find for how long it has read prompts, seconds."""
+        since = now if self.reading_since is None else self.reading_since
+        return self.read_s + now - since
+
+
+@dataclass(frozen=True)
+class AnswerLoad(Load):
+    """A load whose answers are generated.
+
+    Attributes:
+        answers: What answers are like, by kind.
+        making: How engines make them.
+    """
+
+    answers: dict[str, Answers] = field(default_factory=dict)
+    making: Making = Making(64, 0.04, 0.0004, 9)
+
+
+def play_answers(load: AnswerLoad, seed: int = 1) -> Answered:
+    """Play a load and return what callers got."""
+    return _AnswerPlay(load, random.Random(seed)).run()
+
+
+def find_rates(outcome: Answered):
+    """Find the shares of callers that got whole answers, by kind and size."""
+    return SizeAccount(outcome.ended).find_rates()
+
+
+class _AnswerPlay(_Play):
+    def __init__(self, load, rng):
+        super().__init__(load, rng)
+        self.outcome = Answered()
+        self.hosts = {
+            name: Host(simpy.PriorityResource(self.env, load.making.slots))
+            for name in self.names
+        }
+        for gateway in self.gateways:
+            gateway.lengths = Lengths()
+
+    def run(self):
+        for kind in self.kinds:
+            self.env.process(self._come(kind))
+        self.env.process(self._tell())
+        self.env.process(self._tell_answers())
+        most_s = max(answers.limit_s for answers in self.load.answers.values())
+        self.env.run(until=self.load.for_s + most_s + 1.0)
+        return self.outcome
+
+    def _make_prompt(self, kind):
+        prompt = super()._make_prompt(kind)
+        making, answers = self.load.making, self.load.answers[kind.name]
+        events = answers.events.draw(self.rng)
+        guess = events * self.rng.lognormvariate(0.0, GUESS_SPREAD)
+        tokens = making.event_tokens
+        # The true length goes along in `model`, which nothing else looks at.
+        return replace(
+            prompt,
+            model=str(events),
+            out_tokens=round(answers.events.most * tokens),
+            expected_tokens=max(1, round(guess * tokens)),
+        )
+
+    def _describe(self, gateway, kind):
+        lengths, route = gateway.lengths, kind.name
+        at = super()._describe(gateway, kind)
+        return replace(
+            at,
+            gap_s=self.load.answers[route].gap_s,
+            is_long=lengths.is_long(route, SERVICE),
+            has_exposed=lengths.has_exposed(SERVICE),
+            begin_s=lengths.find_begin_s(SERVICE),
+        )
+
+    def _note_expected(self, gateway, kind, prompt):
+        events = prompt.expected_tokens / self.load.making.event_tokens
+        gateway.lengths.note_expected(kind.name, SERVICE, events)
+
+    def _tell_answers(self):
+        """Tell each gateway how many answers all others have under way."""
+        while True:
+            yield self.env.timeout(self.load.news_s)
+            for index in range(len(self.names)):
+                flights = [g.pairs[index][0].in_flight for g in self.gateways]
+                long = [g.pairs[index][1].own_long for g in self.gateways]
+                for number, gateway in enumerate(self.gateways):
+                    engine = gateway.pairs[index][1]
+                    engine.peers_in_flight["others"] = sum(flights) - flights[number]
+                    engine.peers_long["others"] = sum(long) - long[number]
+
+    def _read_busily(self, where, busy_s):
+        host = self.hosts[where]
+        host.reading_since = self.env.now
+        yield self.env.timeout(busy_s)
+        host.read_s += self.env.now - host.reading_since
+        host.reading_since = None
+
+    def _answer(self, gateway, kind, prompt, plan, came_at):
+        env, answers = self.env, self.load.answers[kind.name]
+        self._note_expected(gateway, kind, prompt)
+        read_at = env.now
+        is_long = gateway.lengths.is_long(kind.name, SERVICE)
+        target = plan.target
+        if plan.reader is not None:
+            target = choose_host(gateway.pairs, "a", self.load.news_s, self.rng)
+            yield env.timeout(self.load.way_s / 2 + 0.002)
+        name = target.announced.lifetime
+        engine = next(e for t, e in gateway.pairs if t is target)
+        target.in_flight += 1
+        engine.own_long += is_long
+        events = yield from self._generate(
+            name, kind, prompt, REQUEST_URGENCIES[plan.level], came_at,
+            self._make_note(engine, kind, prompt, is_long, came_at),
+        )  # fmt: skip
+        engine.own_long -= is_long
+        target.in_flight -= 1
+        if plan.reader is not None and events.first_at is not None:
+            gateway.lengths.note_begun(SERVICE, events.first_at - read_at)
+        if events.first_at is not None and events.made > 1:
+            seconds = env.now - events.first_at
+            gateway.lengths.note_answer(SERVICE, events.made, seconds)
+        if not events.is_whole:
+            note_lost(gateway.turns, env.now, kind.name, prompt.tokens)
+        self._note_answer(kind, prompt, events, came_at, answers)
+
+    def _make_note(self, engine, kind, prompt, is_long, came_at):
+        """Make what takes note of a pause, as a gateway does that passes it on."""
+        answers, tokens = self.load.answers[kind.name], self.load.making.event_tokens
+
+        def note(pause_s, made):
+            if not is_long:
+                return
+            left_s = came_at + answers.limit_s - self.env.now
+            allowed = find_allowed_pause(prompt, made, tokens, left_s, answers.gap_s)
+            note_pause(engine, pause_s, allowed)
+            note_event(engine, self.env.now, pause_s)
+
+        return note
+
+    def _generate(self, name, kind, prompt, urgency, came_at, note):
+        """Generate an answer until it is whole or its caller leaves."""
+        env, host = self.env, self.hosts[name]
+        answers = self.load.answers[kind.name]
+        made = Events()
+        with host.slots.request(priority=urgency) as slot:
+            patience_s = came_at + kind.patience_s - env.now
+            yield slot | env.timeout(max(0.0, patience_s))
+            if not slot.triggered:
+                return made
+            host.answers += 1
+            last_at, total = env.now, int(prompt.model)
+            while made.made < total:
+                yield from self._make_event(name, host)
+                if env.now > came_at + answers.limit_s:
+                    break
+                made.made += 1
+                if made.first_at is None:
+                    made.first_at = env.now
+                    if env.now > came_at + kind.patience_s:
+                        break
+                else:
+                    made.longest_s = max(made.longest_s, env.now - last_at)
+                    note(env.now - last_at, made.made)
+                last_at = env.now
+            host.answers -= 1
+        made.is_whole = made.made >= total
+        return made
+
+    def _make_event(self, name, host):
+        """Make the next event; what is read beside it holds it up."""
+        making, env = self.load.making, self.env
+        left_s = making.event_s + making.answer_s * host.answers
+        left_s *= 3.0 if name in self.load.slow else 1.0
+        while left_s > OWN_WORK_S:
+            before_s = host.find_read_s(env.now)
+            yield env.timeout(left_s)
+            left_s = HELD_UP * (host.find_read_s(env.now) - before_s)
+
+    def _note_answer(self, kind, prompt, events, came_at, answers):
+        outcome = self.outcome
+        size = prompt.tokens + OUT_WEIGHT * int(prompt.model) * (
+            self.load.making.event_tokens
+        )
+        in_time = events.is_whole and events.first_at - came_at <= kind.aim_s
+        if events.is_whole and events.longest_s > answers.gap_s:
+            outcome.paused += 1
+            in_time = False
+        if not events.is_whole:
+            outcome.cut += events.made > 0
+            outcome.unbegun += events.made == 0
+        outcome.in_time += in_time
+        outcome.late += events.is_whole and not in_time
+        outcome.refused += not events.is_whole
+        last = "in time" if in_time else "late" if events.is_whole else "left"
+        outcome.ended.append(Ended(kind.name, size, events.is_whole, last))
+
+    def _note_end(self, kind, prompt, taken_s):
+        """Note a refusal: all other ends are noted with their answers."""
+        size = prompt.tokens + OUT_WEIGHT * int(prompt.model) * (
+            self.load.making.event_tokens
+        )
+        self.outcome.refused += 1
+        self.outcome.ended.append(Ended(kind.name, size, False, "refused"))
+
+
+@dataclass
+class Events:
+    """What came of one answer.
+
+    Attributes:
+        made: Events that were made.
+        first_at: When the first was, seconds; None for none.
+        longest_s: The longest pause between two, seconds.
+        is_whole: Whether all were made in time for the caller.
+    """
+
+    made: int = 0
+    first_at: float | None = None
+    longest_s: float = 0.0
+    is_whole: bool = False
+
+
+def make_matchmaking_load(kinds: tuple[Kind, ...], **more) -> AnswerLoad:
+    """Make the load of a matchmaking deployment with answers of its three kinds."""
+    answers = {
+        "season-grid": Answers(Length(13.3, 1.4, 53.2), 0.2, 6.0),
+        "club-night-grid": Answers(Length(6.0, 1.0, 23.0), 0.2, 4.0),
+        "quick-pair": Answers(Length(19.1, 0.89, 66.8), 0.2, 6.0),
+    }
+    return AnswerLoad(
+        per_s=0.0, kinds=kinds, tokens_per_s=64_200, cache_tokens=441_644,
+        gives_turns=True, answers=answers, **more,
+    )  # fmt: skip
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -197,16 +197,20 @@
             parts = draw_parts(kind, rng)
         return Prompt("m", parts, sum(part.tokens for part in parts), 92)
 
+    def _describe(self, gateway, kind):
+        """Describe what a choice depends on besides the engines."""
+        return Situation(
+            self.env.now, kind.aim_s, kind.aim_s, 0.15, "a", rank=kind.rank,
+            has_exposed=False, begin_s=0.01, move_s=1.2e-7, age_s=self.load.news_s,
+            rng=self.rng,
+        )  # fmt: skip
+
     def _serve(self, gateway, kind):
         env, load, outcome = self.env, self.load, self.outcome
         outcome.asked += 1
         came_at = env.now
         prompt = self._make_prompt(kind)
-        at = Situation(
-            env.now, kind.aim_s, kind.aim_s, 0.15, "a", rank=kind.rank,
-            has_exposed=False, begin_s=0.01, move_s=1.2e-7, age_s=load.news_s,
-            rng=self.rng,
-        )  # fmt: skip
+        at = self._describe(gateway, kind)
         turns, asked = gateway.turns, (kind.name, prompt.tokens)
         note_asked(turns, env.now, *asked)
         at = replace(at, has_turn=load.gives_turns and is_due(turns, env.now, *asked))
@@ -232,13 +236,18 @@
         context = prompt.tokens - plan.unread
         measured = Measured(plan.unread, context, seconds)
         note_answered(engine, measured, alone and engine.placed == placed)
+        yield from self._answer(gateway, kind, prompt, plan, came_at)
+
+    def _answer(self, gateway, kind, prompt, plan, came_at):
+        """Begin the answer to a prompt that was read; the rest of it counts nothing."""
+        env = self.env
         if plan.reader is not None:
-            host = choose_host(gateway.pairs, "a", load.news_s, self.rng)
+            host = choose_host(gateway.pairs, "a", self.load.news_s, self.rng)
             host.in_flight += 1
-            yield env.timeout(load.way_s / 2 + 0.002)
+            yield env.timeout(self.load.way_s / 2 + 0.002)
             host.in_flight -= 1
         if env.now - came_at > kind.patience_s:
-            note_lost(turns, env.now, *asked)
+            note_lost(gateway.turns, env.now, kind.name, prompt.tokens)
         self._note_end(kind, prompt, env.now - came_at)
 
     def _read(self, where, prompt, plan, gives_up_at):
@@ -250,10 +259,16 @@
             yield turn
             # Several kinds: a caller that left is not read for, as on real engines.
             if not self.load.kinds or env.now < gives_up_at:
-                yield env.timeout(self._find_busy_s(where, prompt, plan))
+                yield from self._read_busily(
+                    where, self._find_busy_s(where, prompt, plan)
+                )
                 note_placed(held, prompt.parts)
         yield env.timeout(self.load.way_s / 2)
 
+    def _read_busily(self, where, busy_s):
+        """Have an engine be busy with a prompt, and with nothing else."""
+        yield self.env.timeout(busy_s)
+
     def _find_busy_s(self, where, prompt, plan):
         held = self.held[where]
         cached = count_cached(held, prompt)
