Let an engine read the prompt of a long answer only where it can bear that

Cause: an answer counts as long by how long its events take, and events that are slow for seconds make answers of a dozen events count as long. The prompt of a long answer was read at its host in any case, past the limit that holds for all others, which slows the events further. Ruled out: the number of answers alone (48 took 133 ms where less was read). Change: the host reads it where its answers bear that, or where it is a moment's work; else an engine that only reads does. That ends the circle: what counts as long is not read at the host for that alone.

--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -33,7 +33,7 @@
 )
 from robinspindle.core.policy import Policy
 from robinspindle.core.targets import Target
-from robinspindle.core.urgency import FIRST_RANK, LATE, find_level
+from robinspindle.core.urgency import FIRST_RANK, LATE, SHORT, find_level
 
 SPREAD_SHARE = 1.0
 """By how much costs are varied at random, as a share of the age of what is known. Of 0,
@@ -155,8 +155,8 @@
         return None
     move = _find_move(candidates, prompt, at)
     if at.is_long:
-        pair = choose_long_host(generating, at.zone, at.now)
-        return _plan_local(pair, prompt, at, move)
+        host = choose_long_host(generating, at.zone, at.now)
+        return _plan_long(host, candidates, prompt, at, move)
     draws = _draw(candidates, at)
     for drawn in draws:
         plans = _list_plans(drawn, generating, prompt, at, move)
@@ -171,6 +171,23 @@
     return min(late, key=lambda plan: plan.first_s + _draw_spread(at))
 
 
+def _plan_long(
+    host: Pair, candidates: list[Pair], prompt: Prompt, at: Situation, move: Move | None
+) -> Plan:
+    """Plan where the prompt of a long answer is read; its host is chosen already.
+
+    The host reads it only where what it generates bears that. Read there in any case,
+    long prompts slow the answers beside them, which then last long and are read there
+    too.
+    """
+    local = _plan_local(host, prompt, at, move)
+    if local.level == SHORT or _may_read_there(host[1], local, at):
+        return local
+    readers = [pair for pair in candidates if pair[1].reads_only]
+    plans = [_plan_apart(pair, host, prompt, at, move) for pair in readers]
+    return min(plans, key=lambda plan: plan.cost_s, default=local)
+
+
 def is_hopeless(plan: Plan, last_s: float, serves_late: bool = True) -> bool:
     """Whether a request had better be refused than sent on.
 
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -226,3 +226,15 @@
     assert plan.level < LATE
     assert reading.is_hopeless(plan, PATIENCE_S)
     assert not reading.is_hopeless(plan, 60.0)
+
+
+def test_the_prompt_of_a_long_answer_is_read_apart_where_its_host_can_not_bear_it():
+    """Read at the host in any case: 0.15 in time at four times the load, else 0.24."""
+    fleet = make_fleet()
+    for _, engine in fleet[2:]:
+        engine.own_long = 4
+        engine.read_share = 0.05
+    plan = choose_plan(fleet, DIGEST, LONG)
+    assert name(plan.reader).startswith("p")
+    assert choose_plan(fleet, CHAT, LONG).reader is None
+    assert choose_plan(fleet[2:], DIGEST, LONG).reader is None
