Read what an agent sent though its address is dropped in the same turn

Symptom: an answer lacked its last token, or its end, when a planned change took its target or moved its agent while the entry was busy. An entry closes its socket to a target that the log drops, and closing drops what came and was not read; a turn reads at most 500 messages of a socket before it takes the log's records. Ruled out: the agent's linger, which ends only what it has not sent. Change: what has come is taken before the socket closes, and handed on with the next.

--- a/src/robinspindle/transport.py
+++ b/src/robinspindle/transport.py
@@ -131,6 +131,7 @@
         self._identity = identity.encode()
         self._key = key
         self._links: dict[str, _Link] = {}
+        self._left: list[tuple[str, AnyMessage]] = []
 
     def update(self, addresses: dict[str, str], poller: zmq.Poller) -> None:
         """Connect to the agents at these addresses and to no others."""
@@ -141,6 +142,8 @@
         ]
         for name in stale:
             link = self._links.pop(name)
+            # Closing drops what has come and was not read: often an answer's end.
+            self._left += _receive(name, link, HIGH_WATER)
             poller.unregister(link.socket)
             link.close(linger_ms=0)
         for name, address in addresses.items():
@@ -166,16 +169,9 @@
 
     def receive_all(self) -> list[tuple[str, AnyMessage]]:
         """Return the messages that are waiting, with their senders."""
-        received = []
+        received, self._left = self._left, []
         for name, link in self._links.items():
-            for _ in range(MOST_IN_A_TURN):
-                try:
-                    data = link.socket.recv(zmq.NOBLOCK)
-                except zmq.ZMQError:
-                    break
-                message = decode_message(data)
-                if message is not None:
-                    received.append((name, message))
+            received += _receive(name, link, MOST_IN_A_TURN)
         return received
 
     def close(self) -> None:
@@ -200,6 +196,20 @@
         return _Link(address, socket, monitor)
 
 
+def _receive(name: str, link: _Link, most: int) -> list[tuple[str, AnyMessage]]:
+    """Take up to so many messages that came over a link."""
+    received = []
+    for _ in range(most):
+        try:
+            data = link.socket.recv(zmq.NOBLOCK)
+        except zmq.ZMQError:
+            break
+        message = decode_message(data)
+        if message is not None:
+            received.append((name, message))
+    return received
+
+
 def _set_options(socket: zmq.Socket) -> None:
     socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
     socket.setsockopt(zmq.RCVHWM, HIGH_WATER)
