Keep the connection to a target as long as a request is under way there

Where entries speak to a subset of targets, a target that is added takes the place of another among an entry's peers; the entry closed its connection to that one in the same turn, and what was still to come of answers there was lost. Cause: connections followed the peers alone, and not the requests. Change: targets at which requests are under way keep theirs; the next change closes it. Conclusion: deployments that speak to all targets, which is the default, never met it.

--- a/src/robinspindle/core/placing.py
+++ b/src/robinspindle/core/placing.py
@@ -34,6 +34,22 @@
     ]
 
 
+def find_addresses(entry: Dispatcher) -> dict[str, str]:
+    """Find the addresses of all agents that an entry needs a connection to.
+
+    Those are its peers, and the targets at which requests of it are under way: a target
+    that is added may take the place of one of them among its peers, and the answer
+    still has to come.
+    """
+    busy = {flight.target for flight in entry.flights.values()}
+    targets = entry.configuration.targets
+    return {
+        name: targets[name].agent
+        for name in sorted({*list_peers(entry), *busy})
+        if name in targets
+    }
+
+
 def place(entry: Dispatcher, flight: Flight, now: float) -> list[Effect]:
     """Offer a request to the best target that has not refused it yet.
 
--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -25,7 +25,7 @@
     Send,
 )
 from robinspindle.core.flights import Comeback, Dispatcher, Promise
-from robinspindle.core.placing import list_peers
+from robinspindle.core.placing import find_addresses
 from robinspindle.core.records import AnyRecord, encode_record
 from robinspindle.core.state import State, read_configuration
 from robinspindle.keys import FleetKey
@@ -298,13 +298,9 @@
             self._moved.notify_all()
 
     def _connect(self) -> None:
-        configuration = self.configuration
-        if configuration is None:
+        if self.configuration is None:
             return
-        addresses = {
-            name: configuration.targets[name].agent
-            for name in list_peers(self.dispatcher)
-        }
+        addresses = find_addresses(self.dispatcher)
         self._connections.update(addresses, self._poller)
 
     def _coordinate(self, now: float) -> None:
--- /dev/null
+++ b/tests/core/test_placing.py
@@ -0,0 +1,35 @@
+import random
+from pathlib import Path
+
+from robinspindle.core.flights import Dispatcher, Flight
+from robinspindle.core.fold import apply
+from robinspindle.core.placing import find_addresses, list_peers
+from robinspindle.core.records import Published
+from robinspindle.core.state import State
+from robinspindle.messages import Work
+
+SAMPLE = Path(__file__).parents[2] / "examples" / "haddad.ini"
+
+
+def make_entry(subset):
+    text = SAMPLE.read_text().replace("[fleet]", f"[fleet]\nsubset = {subset}")
+    state = apply(State(), 0, Published(id="publish", text=text))
+    return Dispatcher("entry-1", "a", random.Random(1), state=state)
+
+
+def make_flight(target):
+    work = Work(request="r", kind="generate", pool="p")
+    return Flight(work, due=1.0, first_due=1.0, begun=0.0, target=target)
+
+
+def test_a_target_where_a_request_is_under_way_keeps_its_connection():
+    """A target that was added took the place of one among the entry's peers, whose
+    connection was closed in the midst of its answers."""
+    entry = make_entry(2)
+    assert set(find_addresses(entry)) == set(list_peers(entry))
+    left_out = sorted(set(entry.state.targets) - set(list_peers(entry)))
+    assert left_out
+    entry.flights["r"] = make_flight(left_out[0])
+    assert set(find_addresses(entry)) == {*list_peers(entry), left_out[0]}
+    entry.flights["r"] = make_flight("")
+    assert set(find_addresses(entry)) == set(list_peers(entry))
