Generate what was read in the order of its rank, also where it is late

Cause: the least urgent level of a late plan went with both sendings, so that what readers had spent their time on waited behind all that came meanwhile once more. Change: the second sending goes by the rank of its route.

--- a/src/robinspindle/core/urgency.py
+++ b/src/robinspindle/core/urgency.py
@@ -35,6 +35,11 @@
         return SHORT
     if not follows_ranks:
         return FIRST_RANK
+    return find_rank_level(rank)
+
+
+def find_rank_level(rank: int) -> int:
+    """Find the level of the operator's rank of a route; 0 is the highest."""
     return min(LAST_RANK, FIRST_RANK + max(0, rank))
 
 
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -9,7 +9,7 @@
 from robinspindle.core.lives import find_id
 from robinspindle.core.silence import Expectation
 from robinspindle.core.targets import Target
-from robinspindle.core.urgency import REQUEST_URGENCIES
+from robinspindle.core.urgency import LATE, REQUEST_URGENCIES, find_rank_level
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -79,7 +79,7 @@
     prompt = passage.request.prompt
     urgency = min(LEAST_URGENCY, passage.route.priority)
     if prompt is not None:
-        urgency = REQUEST_URGENCIES[passage.plan.level]
+        urgency = REQUEST_URGENCIES[_find_level(passage, sending)]
     events = passage.splitter.events
     return Send(
         lifetime=sending.target.announced.lifetime,
@@ -92,6 +92,13 @@
     )
 
 
+def _find_level(passage: Passage, sending: Sending) -> int:
+    """Find how urgent a sending is: what was read already waits behind nothing late."""
+    if sending.source is not None and passage.plan.level == LATE:
+        return find_rank_level(passage.route.priority)
+    return passage.plan.level
+
+
 def make_stop(exchange: Exchange) -> Callable[[], None]:
     """Make what breaks a sending off that is not to be run any more."""
     return lambda: exchange.fail(ConnectionBrokenError("its request crashes targets"))
--- a/tests/core/generationplay.py
+++ b/tests/core/generationplay.py
@@ -20,7 +20,7 @@
 from robinspindle.core.hosting import choose_host
 from robinspindle.core.lengths import EXPOSED_EVENTS, Lengths
 from robinspindle.core.turns import note_lost
-from robinspindle.core.urgency import LATE, REQUEST_URGENCIES
+from robinspindle.core.urgency import LATE, REQUEST_URGENCIES, find_rank_level
 from soak.sizeaccount import Ended, SizeAccount
 from standins.prompts import Kind, Length
 from tests.core.loadplay import Load, Outcome, _Play
@@ -216,8 +216,11 @@
         engine = next(e for t, e in gateway.pairs if t is target)
         target.in_flight += 1
         engine.own_long += is_long
+        level = plan.level
+        if plan.reader is not None and level == LATE:
+            level = find_rank_level(kind.rank)
         events = yield from self._generate(
-            name, engine, kind, prompt, REQUEST_URGENCIES[plan.level], came_at,
+            name, engine, kind, prompt, REQUEST_URGENCIES[level], came_at,
             self._make_note(engine, kind, prompt, is_long, came_at),
         )  # fmt: skip
         engine.own_long -= is_long
