Learn that an engine has become slow from readings that waited, too

Cause: only readings that met no other one, or took less than expected, were learnt from. Where an engine has work all the time there are none, and slowness is never seen. Change: a reading in time that waited counts a little, against wait and reading together.

--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -23,6 +23,10 @@
 SLOWNESS_BOUNDS = (0.25, 16.0)
 """One reading counts for no less and no more than these ratios: beyond, it waited."""
 
+WAITED_SMOOTHING = 0.05
+WAITED_BOUNDS = (0.5, 2.0)
+"""Weight and bounds of a reading that waited for others."""
+
 CACHE_SHARE = 0.85
 """Share of an engine's memory that is believed to hold cached parts; the rest is what
 runs."""
@@ -259,6 +263,27 @@
         note_reading(engine, measured)
 
 
+def note_waited(engine: Engine, seconds: float, planned_s: float) -> None:
+    """Take note of how long a reading took with its wait, against what was planned.
+
+    Where an engine always has work no reading is alone, and one that became slow would
+    look like all others. What others placed meanwhile is in it too, so that each
+    reading counts little.
+
+    Args:
+        engine: The engine.
+        seconds: How long it took, without what was fetched.
+        planned_s: How long it was planned to take.
+    """
+    if planned_s <= 0:
+        return
+    low, high = WAITED_BOUNDS
+    ratio = min(high, max(low, seconds / planned_s))
+    slowness = engine.slowness * (1.0 + WAITED_SMOOTHING * (ratio - 1.0))
+    least, most = SLOWNESS_BOUNDS
+    engine.slowness = min(most, max(least, slowness))
+
+
 def sum_work(engine: Engine, level: int) -> float:
     """Sum the seconds of reading to be done that are as urgent as a level, or more."""
     if level == LATE:
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -2,14 +2,17 @@
 
 from robinspindle.core.engines import (
     Engine,
+    estimate_reading_s,
     note_answered,
     note_placed,
     note_read_begun,
+    note_waited,
 )
 from robinspindle.core.paces import Measured
 from robinspindle.core.reading import Plan
 from robinspindle.core.sharing import Placement
 from robinspindle.core.targets import Target
+from robinspindle.core.urgency import LATE
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import Peers
 
@@ -36,6 +39,7 @@
         self._new = plan.unread
         self._context = tokens - plan.unread
         self._fetch_s = plan.fetch_s
+        self._wait_s = plan.wait_s
         self._began_at = now
         self._is_open = True
         # Waits are told apart from work by measuring only what met nobody else.
@@ -56,6 +60,9 @@
             seconds = now - self._began_at - self._fetch_s
             measured = Measured(self._new, self._context, seconds)
             note_answered(self._engine, measured, was_alone)
+            if not was_alone and self._level < LATE:
+                reading_s = estimate_reading_s(self._engine, self._new, self._context)
+                note_waited(self._engine, seconds, self._wait_s + reading_s)
 
     def cancel(self) -> None:
         """Note that the prompt need not be read any more."""
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -12,11 +12,13 @@
 
 from robinspindle.core.engines import (
     count_cached,
+    estimate_reading_s,
     make_engine,
     note_answered,
     note_peer_work,
     note_placed,
     note_read_begun,
+    note_waited,
 )
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.hosting import choose_host
@@ -28,7 +30,7 @@
 )
 from robinspindle.core.targets import Announcement, Target
 from robinspindle.core.turns import Turns, is_due, note_asked, note_lost, note_served
-from robinspindle.core.urgency import REQUEST_URGENCIES
+from robinspindle.core.urgency import LATE, REQUEST_URGENCIES
 from soak.sizeaccount import Ended
 from standins.prompts import SKEW, Kind, Length, draw_parts
 
@@ -235,7 +237,11 @@
         seconds = env.now - came_at - plan.fetch_s
         context = prompt.tokens - plan.unread
         measured = Measured(plan.unread, context, seconds)
-        note_answered(engine, measured, alone and engine.placed == placed)
+        was_alone = alone and engine.placed == placed
+        note_answered(engine, measured, was_alone)
+        if not was_alone and plan.level < LATE:
+            reading_s = estimate_reading_s(engine, plan.unread, context)
+            note_waited(engine, seconds, plan.wait_s + reading_s)
         yield from self._answer(gateway, kind, prompt, plan, came_at)
 
     def _answer(self, gateway, kind, prompt, plan, came_at):
--- a/tests/core/test_engines.py
+++ b/tests/core/test_engines.py
@@ -180,3 +180,20 @@
     for _ in range(100):
         engines.note_short_pause(engine, 0.05, 0.15)
     assert engine.short_read_share == engines.SHORT_READ_SHARE
+
+
+def test_an_engine_that_always_has_work_is_seen_to_become_slow_and_fast_again():
+    """Believed of one three times as slow, with work all the time: 1.0, now 2.3."""
+    engine = make_engine(True, 100_000)
+    for _ in range(60):
+        engines.note_waited(engine, 3.0 * 0.2, 0.2 * engine.slowness)
+    assert engine.slowness == pytest.approx(3.0, rel=0.2)
+    for _ in range(60):
+        engines.note_waited(engine, 0.2, 0.2 * engine.slowness)
+    assert engine.slowness == pytest.approx(1.0, rel=0.2)
+
+
+def test_one_reading_that_waited_for_long_hardly_counts():
+    engine = make_engine(True, 100_000)
+    engines.note_waited(engine, 30.0, 0.1)
+    assert engine.slowness <= 1.06
