Give hosts whose events are slow fewer short answers

Cause: short answers were spread by their number, so that a slow host has as many as others. Change: a request counts for as many times more at a host as its events take longer than the fastest host's; where short answers have pauses only, as the pace of others says nothing of an answer of two events.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -102,7 +102,10 @@
         engines = [pair for pair in pairs if pair[1] is not None]
         means = self._means
         age_s = means.peers.interval_s
-        return hosting.choose_host(engines, means.zone, age_s, self._rng)
+        has_exposed = means.lengths.has_exposed(passage.service)
+        return hosting.choose_host(
+            engines, means.zone, now, age_s, self._rng, has_exposed
+        )
 
     def _list_usable(self, passage: Passage, now: float) -> list[Target]:
         """List the targets that may get a request; those best avoided if no other."""
--- a/src/robinspindle/core/hosting.py
+++ b/src/robinspindle/core/hosting.py
@@ -2,7 +2,7 @@
 
 import random
 
-from robinspindle.core.engines import find_event_s
+from robinspindle.core.engines import Engine, find_event_s
 from robinspindle.core.estimates import Pair
 from robinspindle.core.targets import Target
 
@@ -33,6 +33,9 @@
 With a third of the engines three times as slow for 22 s, of 1,836 notes 65 were lost
 and 176 late in place of 73 and 250 (three pairs of plays of a dispatch fleet)."""
 
+MOST_SLOWNESS = 4.0
+"""The most that this counts for: an engine that gets nothing is not seen to recover."""
+
 FAULT_S = 0.3
 """Seconds that a target which only fails counts for; longer than a usual aim."""
 
@@ -45,32 +48,43 @@
         zone: The entry's availability zone.
         now: The present time, steady seconds.
     """
-    fastest_s = _find_fastest_s(hosts, now)
+    fastest_s = find_fastest_s(hosts, now)
     return min(hosts, key=lambda pair: _weigh_host(pair, zone, now, fastest_s))
 
 
 def choose_host(
-    candidates: list[Pair], zone: str, age_s: float, rng: random.Random
+    candidates: list[Pair],
+    zone: str,
+    now: float,
+    age_s: float,
+    rng: random.Random,
+    has_exposed: bool = True,
 ) -> Target | None:
     """Choose where the answer to a prompt that was read apart is generated.
 
     Args:
         candidates: The engines that may get work.
         zone: The entry's availability zone.
+        now: The present time, steady seconds.
         age_s: How old what the other entries told may be, seconds.
         rng: Source of random choices.
+        has_exposed: Whether short answers have pauses, so that a host's pace counts.
     """
     generating = [pair for pair in candidates if not pair[1].reads_only]
     if not generating:
         return None
 
+    fastest_s = find_fastest_s(generating, now)
+
     def weigh(pair: Pair) -> float:
-        return weigh_target(pair, zone) + rng.random() * age_s * HOST_SPREAD_SHARE
+        slowness = find_slowness(pair[1], now, fastest_s) if has_exposed else 1.0
+        spread_s = rng.random() * age_s * HOST_SPREAD_SHARE
+        return weigh_target(pair, zone, slowness) + spread_s
 
     return min(generating, key=weigh)[0]
 
 
-def _find_fastest_s(hosts: list[Pair], now: float) -> float:
+def find_fastest_s(hosts: list[Pair], now: float) -> float:
     """Find the pace of the fastest host that is known, seconds an event; 0 for none."""
     known = (find_event_s(engine, now) for _, engine in hosts)
     return min((event_s for event_s in known if event_s is not None), default=0.0)
@@ -91,12 +105,36 @@
     return engine.work_s + crowded_s + slow_s + weigh_place(target, zone)
 
 
-def weigh_target(pair: Pair, zone: str) -> float:
-    """Weigh an engine as the host of a short answer, seconds."""
+def find_slowness(engine: Engine, now: float, fastest_s: float) -> float:
+    """Find how many times longer an engine's events take than the fastest host's.
+
+    Args:
+        engine: The engine.
+        now: The present time, steady seconds.
+        fastest_s: Pace of the fastest host, seconds an event; 0 where none is known.
+    """
+    event_s = find_event_s(engine, now)
+    if not event_s or not fastest_s:
+        return 1.0
+    return min(MOST_SLOWNESS, max(1.0, event_s / fastest_s))
+
+
+def weigh_target(pair: Pair, zone: str, slowness: float = 1.0) -> float:
+    """Weigh an engine as the host of a short answer, seconds.
+
+    Where events take longer each answer stays longer and slows more of the others:
+    slow hosts get fewer. With as many as others they fill up with answers that pause
+    and are cut at their callers' limits.
+
+    Args:
+        pair: The engine.
+        zone: The entry's availability zone.
+        slowness: How many times longer its events take than the fastest host's.
+    """
     target, engine = pair
     requests = target.in_flight + engine.others_in_flight
     place_s = weigh_place(target, zone)
-    return requests * SLOT_S + engine.work_s + place_s
+    return requests * SLOT_S * slowness + engine.work_s + place_s
 
 
 def weigh_place(target: Target, zone: str) -> float:
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from robinspindle.core.engines import (
     RECENT_S,
@@ -28,6 +28,8 @@
 from robinspindle.core.hosting import (
     SLOT_S,
     choose_long_host,
+    find_fastest_s,
+    find_slowness,
     weigh_place,
     weigh_target,
 )
@@ -121,6 +123,7 @@
         policy: The decisions in force.
         has_turn: Whether it is read in the order of its rank also where it can't be in
             time, as prompts of its length are due a turn.
+        fastest_s: Pace of the fastest host, seconds an event; 0 where none is known.
     """
 
     now: float
@@ -138,6 +141,7 @@
     rng: random.Random | None = None
     policy: Policy = Policy()
     has_turn: bool = False
+    fastest_s: float = 0.0
 
 
 def choose_plan(candidates: list[Pair], prompt: Prompt, at: Situation) -> Plan | None:
@@ -155,6 +159,7 @@
     generating = [pair for pair in candidates if not pair[1].reads_only]
     if not generating:
         return None
+    at = replace(at, fastest_s=find_fastest_s(generating, at.now))
     move = _find_move(candidates, prompt, at)
     if at.is_long:
         host = choose_long_host(generating, at.zone, at.now)
@@ -268,7 +273,7 @@
         if _may_read_there(engine, plan, at)
     ]
     if readers:
-        host = min(generating, key=lambda pair: weigh_target(pair, at.zone))
+        host = min(generating, key=lambda pair: _weigh_host(pair, at))
         plans += [
             _plan_apart(pair, host, prompt, at, move, is_late) for pair in readers
         ]
@@ -307,7 +312,7 @@
     reading = estimate_reading(pair, prompt, at.now, move)
     requests = target.in_flight + engine.others_in_flight
     after_s = weigh_place(target, at.zone)
-    spread_s = requests * SLOT_S
+    spread_s = requests * SLOT_S * _find_slowness(engine, at)
     return _make_plan(target, None, engine, reading, after_s, spread_s, at, is_late)
 
 
@@ -325,10 +330,21 @@
     begin_s = at.late_begin_s if is_late else at.begin_s
     after_s = weigh_place(reader, at.zone) + begin_s
     # The host reads other prompts meanwhile, but lets a fetched one in between.
-    spread_s = min(weigh_target(host, at.zone), MOST_END_S)
+    spread_s = min(_weigh_host(host, at), MOST_END_S)
     return _make_plan(host[0], reader, engine, reading, after_s, spread_s, at, is_late)
 
 
+def _weigh_host(pair: Pair, at: Situation) -> float:
+    return weigh_target(pair, at.zone, _find_slowness(pair[1], at))
+
+
+def _find_slowness(engine: Engine, at: Situation) -> float:
+    """Find what an engine's pace counts for; nothing to answers without pauses."""
+    if not at.has_exposed:
+        return 1.0
+    return find_slowness(engine, at.now, at.fastest_s)
+
+
 def _make_plan(
     target: Target,
     reader: Target | None,
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -95,6 +95,7 @@
 
         def note_short(pause_s: float, now: float) -> None:
             note_short_pause(engine, pause_s, passage.route.gap_s)
+            note_event(engine, now, pause_s)
 
         await _pass_events(means, passage, answer, note_short)
         return
--- a/tests/core/generationplay.py
+++ b/tests/core/generationplay.py
@@ -210,7 +210,10 @@
         is_long = gateway.lengths.is_long(kind.name, SERVICE)
         target = plan.target
         if plan.reader is not None:
-            target = choose_host(gateway.pairs, "a", self.load.news_s, self.rng)
+            target = choose_host(
+                gateway.pairs, "a", env.now, self.load.news_s, self.rng,
+                gateway.lengths.has_exposed(SERVICE),
+            )  # fmt: skip
             yield env.timeout(self.load.way_s / 2 + 0.002)
         name = target.announced.lifetime
         engine = next(e for t, e in gateway.pairs if t is target)
@@ -245,6 +248,7 @@
                 if answers.events.mean < EXPOSED_EVENTS:
                     return
                 note_short_pause(engine, pause_s, answers.gap_s)
+                note_event(engine, self.env.now, pause_s)
                 return
             left_s = came_at + answers.limit_s - self.env.now
             allowed = find_allowed_pause(prompt, made, tokens, left_s, answers.gap_s)
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -248,7 +248,7 @@
         """Begin the answer to a prompt that was read; the rest of it counts nothing."""
         env = self.env
         if plan.reader is not None:
-            host = choose_host(gateway.pairs, "a", self.load.news_s, self.rng)
+            host = choose_host(gateway.pairs, "a", env.now, self.load.news_s, self.rng)
             host.in_flight += 1
             yield env.timeout(self.load.way_s / 2 + 0.002)
             host.in_flight -= 1
--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -1,5 +1,8 @@
+import random
+
 from robinspindle.core import engines
 from robinspindle.core.hosting import (
+    choose_host,
     choose_long_host,
 )
 from tests.core.test_reading import make_pair, name
@@ -23,3 +26,17 @@
 
 def test_an_engine_that_was_slow_is_tried_again():
     assert host_long_answers(0.14, now=10.0 + engines.EVENT_NEWS_S + 0.1) == "d1"
+
+
+def test_a_host_whose_events_are_slow_gets_fewer_short_answers():
+    """In time at four times the load, a third of the engines slow: 0.21, then 0.29."""
+    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    for (_, engine), seconds in zip(fleet, (0.18, 0.06), strict=True):
+        engine.peers_in_flight["others"] = 10
+        for _ in range(20):
+            engines.note_event(engine, 10.0, seconds)
+    fleet[1][1].peers_in_flight["others"] = 20
+    rng = random.Random(1)
+    assert name(choose_host(fleet, "a", 10.0, 0.0, rng)) == "d2"
+    assert name(choose_host(fleet, "a", 10.0, 0.0, rng, has_exposed=False)) == "d1"
+    assert name(choose_host(fleet, "a", 20.0, 0.0, rng)) == "d1"
