See pauses while they last

Symptom: in the play of six engines one that was three times as slow read without end and its 96 answers got no event until their callers left. Cause: what an engine may read beside its answers follows their pauses, and a pause was noted when it ended. Where it does not end, nothing is noted. Change: while none of an engine's answers gets an event for longer than a pause may be, nothing is read beside them, and the engine counts as that slow.

--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -104,6 +104,8 @@
         placed: How many prompts were placed there by all entries.
         event_s: Seconds from event to event of its long answers, as this entry saw.
         event_at: When that was last seen, steady seconds.
+        own_answers: Answers of this entry that it generates.
+        answer_at: When one of them last got an event, or began, steady seconds.
         read_share: Share of its pace that it may spend on prompts while it
             generates long answers; follows the pauses that are seen.
         short_read_share: The same while it generates short answers alone.
@@ -127,6 +129,8 @@
     placed: int = 0
     event_s: float = 0.0
     event_at: float = -math.inf
+    own_answers: int = 0
+    answer_at: float = -math.inf
     read_share: float = 0.4
     short_read_share: float = SHORT_READ_SHARE
 
@@ -360,6 +364,32 @@
     return sum(begun.seconds for begun in engine.recent if begun.at >= now - window_s)
 
 
+def note_answer_begun(engine: Engine, now: float) -> None:
+    """Take note of an answer that an engine begins to generate."""
+    if engine.own_answers == 0:
+        engine.answer_at = now
+    engine.own_answers += 1
+
+
+def note_answer_event(engine: Engine, now: float) -> None:
+    """Take note that an answer got its next event."""
+    engine.answer_at = now
+
+
+def note_answer_ended(engine: Engine) -> None:
+    """Take note that an answer ended, or is not passed on any more."""
+    engine.own_answers -= 1
+
+
+def find_open_pause(engine: Engine, now: float) -> float:
+    """Find for how long none of an engine's answers has got an event, seconds.
+
+    A pause is seen when it ends; an engine that reads without end ends none, and would
+    look as if its answers bore that.
+    """
+    return now - engine.answer_at if engine.own_answers > 0 else 0.0
+
+
 def note_event(engine: Engine, now: float, pause_s: float) -> None:
     """Take note of how long the next event of a long answer took."""
     if now - engine.event_at > EVENT_NEWS_S:
@@ -427,5 +457,7 @@
         reading_s: How long it would read, seconds.
         gap_s: The longest pause that the answers may have, seconds.
     """
+    if find_open_pause(engine, now) > PAUSE_SHARE * gap_s:
+        return False
     most_s = find_read_share(engine) * gap_s
     return sum_recent(engine, now, gap_s) + reading_s <= most_s
--- a/src/robinspindle/core/hosting.py
+++ b/src/robinspindle/core/hosting.py
@@ -2,7 +2,7 @@
 
 import random
 
-from robinspindle.core.engines import Engine, find_event_s
+from robinspindle.core.engines import Engine, find_event_s, find_open_pause
 from robinspindle.core.estimates import Pair
 from robinspindle.core.targets import Target
 
@@ -113,7 +113,7 @@
         now: The present time, steady seconds.
         fastest_s: Pace of the fastest host, seconds an event; 0 where none is known.
     """
-    event_s = find_event_s(engine, now)
+    event_s = max(find_event_s(engine, now) or 0.0, find_open_pause(engine, now))
     if not event_s or not fastest_s:
         return 1.0
     return min(MOST_SLOWNESS, max(1.0, event_s / fastest_s))
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -7,6 +7,9 @@
 from robinspindle.core.engines import (
     Engine,
     find_allowed_pause,
+    note_answer_begun,
+    note_answer_ended,
+    note_answer_event,
     note_event,
     note_pause,
     note_short_pause,
@@ -78,7 +81,11 @@
     if prompt is None or engine is None or not _has_pauses(means, passage):
         await _pass_events(means, passage, answer, _pass_over)
         return
-    await _pass_prompted(means, passage, answer, engine)
+    note_answer_begun(engine, means.clock())
+    try:
+        await _pass_prompted(means, passage, answer, engine)
+    finally:
+        note_answer_ended(engine)
 
 
 def _has_pauses(means: Means, passage: Passage) -> bool:
@@ -94,6 +101,7 @@
     if not passage.is_long:
 
         def note_short(pause_s: float, now: float) -> None:
+            note_answer_event(engine, now)
             note_short_pause(engine, pause_s, passage.route.gap_s)
             note_event(engine, now, pause_s)
 
@@ -108,6 +116,7 @@
             passage.due - now,
             passage.route.gap_s,
         )
+        note_answer_event(engine, now)
         note_pause(engine, pause_s, allowed_s)
         note_event(engine, now, pause_s)
 
--- a/tests/core/generationplay.py
+++ b/tests/core/generationplay.py
@@ -13,6 +13,9 @@
 
 from robinspindle.core.engines import (
     find_allowed_pause,
+    note_answer_begun,
+    note_answer_ended,
+    note_answer_event,
     note_event,
     note_pause,
     note_short_pause,
@@ -268,6 +271,7 @@
             if not slot.triggered:
                 return made
             host.answers += 1
+            has_pauses = answers.events.mean >= EXPOSED_EVENTS
             host.read_s += self.load.making.begin_s
             last_at, total = env.now, int(prompt.model)
             while made.made < total:
@@ -277,13 +281,19 @@
                 made.made += 1
                 if made.first_at is None:
                     made.first_at = env.now
+                    if has_pauses:
+                        note_answer_begun(engine, env.now)
                     if env.now > came_at + kind.patience_s:
                         break
                 else:
                     made.longest_s = max(made.longest_s, env.now - last_at)
+                    if has_pauses:
+                        note_answer_event(engine, env.now)
                     note(env.now - last_at, made.made)
                 last_at = env.now
             host.answers -= 1
+            if made.first_at is not None and has_pauses:
+                note_answer_ended(engine)
         made.is_whole = made.made >= total
         return made
 
--- a/tests/core/test_engines.py
+++ b/tests/core/test_engines.py
@@ -182,6 +182,23 @@
     assert engine.short_read_share == engines.SHORT_READ_SHARE
 
 
+def test_an_engine_whose_answers_get_no_event_reads_nothing_beside_them():
+    """A pause is seen when it ends: an engine three times as slow as believed read
+    without end, and its answers never got another event."""
+    engine = make_engine(False, 100_000)
+    engines.note_answer_begun(engine, 1.0)
+    assert engines.may_read_beside(engine, 1.05, 0.01, 0.15)
+    assert not engines.may_read_beside(engine, 1.2, 0.01, 0.15)
+    # One more that begins does not hide that the first gets nothing.
+    engines.note_answer_begun(engine, 1.19)
+    assert not engines.may_read_beside(engine, 1.2, 0.01, 0.15)
+    engines.note_answer_event(engine, 1.2)
+    assert engines.may_read_beside(engine, 1.21, 0.01, 0.15)
+    engines.note_answer_ended(engine)
+    engines.note_answer_ended(engine)
+    assert engines.find_open_pause(engine, 9.0) == 0.0
+
+
 def test_an_engine_that_always_has_work_is_seen_to_become_slow_and_fast_again():
     """Believed of one three times as slow, with work all the time: 1.0, now 2.3."""
     engine = make_engine(True, 100_000)
--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -40,3 +40,15 @@
     assert name(choose_host(fleet, "a", 10.0, 0.0, rng)) == "d2"
     assert name(choose_host(fleet, "a", 10.0, 0.0, rng, has_exposed=False)) == "d1"
     assert name(choose_host(fleet, "a", 20.0, 0.0, rng)) == "d1"
+
+
+def test_a_host_that_makes_no_event_at_all_counts_as_slow():
+    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    for _, engine in fleet:
+        engines.note_answer_begun(engine, 10.0)
+        for _ in range(20):
+            engines.note_event(engine, 10.0, 0.06)
+    engines.note_answer_event(fleet[1][1], 10.4)
+    fleet[1][1].peers_in_flight["others"] = 4
+    fleet[0][1].peers_in_flight["others"] = 3
+    assert name(choose_host(fleet, "a", 10.4, 0.0, random.Random(1))) == "d2"
