Host the longest answers where events come fast enough for them

An event takes 66 to 88 ms at some hosts and 95 to 109 at others among as many answers; 214 events in 15 s need 70. Cause: hosts of long answers were chosen by how many they have, whatever the answer needs. Change: an answer goes where an event takes no longer than twice its guessed length leaves; to the fastest host where none is that fast.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -190,4 +190,9 @@
             rng=self._rng,
             policy=self._means.policy(),
             has_turn=passage.has_turn,
+            most_event_s=hosting.find_most_event_s(
+                passage.request.prompt,
+                self._means.fleet.count_event_tokens(passage.service),
+                passage.due - now,
+            ),
         )
--- a/src/robinspindle/core/hosting.py
+++ b/src/robinspindle/core/hosting.py
@@ -1,9 +1,11 @@
 """Where answers are generated: the choice among engines that host them."""
 
+import math
 import random
 
 from robinspindle.core.engines import Engine, find_event_s, find_open_pause
 from robinspindle.core.estimates import Pair
+from robinspindle.core.forwarding import Prompt
 from robinspindle.core.targets import Target
 
 HOST_SPREAD_SHARE = 0.2
@@ -27,6 +29,10 @@
 """Seconds that an engine without long answers, or with too many, counts for as a host
 of one more: more than the way to another zone, less than a prompt's reading."""
 
+LENGTH_RESERVE = 2.0
+"""How many times longer than its caller guessed an answer may become and still end in
+time: guesses are right in the middle and often far off."""
+
 SLOW_EVENTS = 2.5
 """From so many times the pace of the fastest host on, an engine's long answers are slow
 for another reason than that they are many, and that counts against it as their host.
@@ -40,16 +46,43 @@
 """Seconds that a target which only fails counts for; longer than a usual aim."""
 
 
-def choose_long_host(hosts: list[Pair], zone: str, now: float) -> Pair:
+def choose_long_host(
+    hosts: list[Pair], zone: str, now: float, most_event_s: float = math.inf
+) -> Pair:
     """Choose the engine that hosts a long answer.
 
+    The longest answers need events that come fast, or their callers' limits cut them;
+    others bear a slower host. Among all hosts alike the longest alone are lost.
+
     Args:
         hosts: The engines that generate, at least one.
         zone: The entry's availability zone.
         now: The present time, steady seconds.
+        most_event_s: The longest that an event may take for the answer to end in time,
+            seconds.
     """
+
+    def find_pace(pair: Pair) -> float:
+        return find_event_s(pair[1], now) or 0.0
+
+    fast = [pair for pair in hosts if find_pace(pair) <= most_event_s]
+    if not fast:
+        return min(hosts, key=find_pace)
     fastest_s = find_fastest_s(hosts, now)
-    return min(hosts, key=lambda pair: _weigh_host(pair, zone, now, fastest_s))
+    return min(fast, key=lambda pair: _weigh_host(pair, zone, now, fastest_s))
+
+
+def find_most_event_s(prompt: Prompt, event_tokens: int, whole_s: float) -> float:
+    """Find how long an event may take for an answer to end in time, seconds.
+
+    Args:
+        prompt: Its prompt.
+        event_tokens: Tokens that an event holds.
+        whole_s: Seconds until its caller's limit.
+    """
+    tokens = min(prompt.out_tokens, prompt.expected_tokens or prompt.out_tokens)
+    events = max(1.0, tokens / event_tokens)
+    return whole_s / (events * LENGTH_RESERVE)
 
 
 def choose_host(
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -6,6 +6,7 @@
 read those before: all caches together hold far more than one does.
 """
 
+import math
 import random
 from dataclasses import dataclass, replace
 
@@ -124,6 +125,8 @@
         has_turn: Whether it is read in the order of its rank also where it can't be in
             time, as prompts of its length are due a turn.
         fastest_s: Pace of the fastest host, seconds an event; 0 where none is known.
+        most_event_s: The longest that an event may take for the answer to end in time,
+            seconds.
     """
 
     now: float
@@ -142,6 +145,7 @@
     policy: Policy = Policy()
     has_turn: bool = False
     fastest_s: float = 0.0
+    most_event_s: float = math.inf
 
 
 def choose_plan(candidates: list[Pair], prompt: Prompt, at: Situation) -> Plan | None:
@@ -162,7 +166,7 @@
     at = replace(at, fastest_s=find_fastest_s(generating, at.now))
     move = _find_move(candidates, prompt, at)
     if at.is_long:
-        host = choose_long_host(generating, at.zone, at.now)
+        host = choose_long_host(generating, at.zone, at.now, at.most_event_s)
         return _plan_long(host, candidates, prompt, at, move)
     draws = _draw(candidates, at)
     for drawn in draws:
--- a/tests/core/generationplay.py
+++ b/tests/core/generationplay.py
@@ -20,7 +20,7 @@
     note_pause,
     note_short_pause,
 )
-from robinspindle.core.hosting import choose_host
+from robinspindle.core.hosting import choose_host, find_most_event_s
 from robinspindle.core.lengths import EXPOSED_EVENTS, Lengths
 from robinspindle.core.turns import note_lost, note_served
 from robinspindle.core.urgency import LATE, REQUEST_URGENCIES, find_rank_level
@@ -180,6 +180,11 @@
             is_long=lengths.is_long(route, SERVICE),
             has_exposed=lengths.has_exposed(SERVICE),
             begin_s=lengths.find_begin_s(SERVICE, self.env.now),
+            most_event_s=find_most_event_s(
+                prompt,
+                self.load.making.event_tokens,
+                self.load.answers[route].limit_s,
+            ),
             late_begin_s=lengths.find_begin_s(SERVICE, self.env.now, True),
         )
 
--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -1,9 +1,11 @@
 import random
 
 from robinspindle.core import engines
+from robinspindle.core.forwarding import Prompt
 from robinspindle.core.hosting import (
     choose_host,
     choose_long_host,
+    find_most_event_s,
 )
 from tests.core.test_reading import make_pair, name
 
@@ -52,3 +54,19 @@
     fleet[1][1].peers_in_flight["others"] = 4
     fleet[0][1].peers_in_flight["others"] = 3
     assert name(choose_host(fleet, "a", 10.4, 0.0, random.Random(1))) == "d2"
+
+
+def test_the_longest_answers_go_where_events_come_fast_enough_for_them():
+    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    fleet[0][1].own_long = 3
+    for (_, engine), seconds in zip(fleet, (0.08, 0.06), strict=True):
+        for _ in range(20):
+            engines.note_event(engine, 10.0, seconds)
+    short, long, longest = (
+        find_most_event_s(Prompt("m", (), 220, 12_198, 57 * events), 57, 15.0)
+        for events in (40, 150, 400)
+    )
+    assert name(choose_long_host(fleet, "a", 10.0, short)[0]) == "d1"
+    assert name(choose_long_host(fleet, "a", 10.0, long)[0]) == "d2"
+    # Where none is fast enough the fastest is the best there is.
+    assert name(choose_long_host(fleet, "a", 10.0, longest)[0]) == "d2"
