--- a/src/robinspindle/core/lengths.py
+++ b/src/robinspindle/core/lengths.py
@@ -9,9 +9,8 @@
 
 LONG_ANSWER_S = 2.0
 """Answers of a route that would last longer than this, undisturbed, count as long,
-seconds. Those of today's deployments last 3.1 s, 0.9 s and less; by the most that they
-may hold the second counted as long too, and were brought together where all of them
-paused."""
+seconds. Counted by the most that they may hold, answers of a second would be brought
+together where all of them pause."""
 
 FIRST_EVENT_S = 0.05
 """What an event is believed to take before any was seen, seconds."""
@@ -37,9 +36,8 @@
 
 EXPOSED_EVENTS = 4.0
 """Answers of a route that are expected to hold fewer events hardly have a pause: what
-is read beside them is not limited for their sake. Where it was, engines that host only
-answers of one or two events read less than they could (five days of haddad-ops, no
-processor time charged: worth 0.576 against 0.596)."""
+is read beside them is not limited for their sake, or engines that host only answers of
+one or two events would read less than they can."""
 
 EVENT_SMOOTHING = 0.05
 LENGTH_SMOOTHING = 0.05
@@ -48,7 +46,7 @@
 RISE_SHARE = 0.1
 """Share of that weight with which an event that took longer counts: what is learnt is
 an event beside which little is read, since answers that pause are not long for that.
-With the mean they became so, and paused the more (4 days: 0.024 of worth)."""
+With the mean they become so, and pause the more."""
 
 
 PRESSURE_S = 5.0
@@ -76,7 +74,7 @@
     """How long answers took to begin after their prompts were read.
 
     Attributes:
-        seconds: In the mean.
+        seconds: What the middle one took, about.
         at: When one was last seen, steady seconds.
     """
 
--- a/src/robinspindle/core/turns.py
+++ b/src/robinspindle/core/turns.py
@@ -14,11 +14,8 @@
 
 LEAST_SHARE = 0.6
 """Share of its route's rate at which a class of lengths is to be served at the least.
-Where three kinds of prompts come at five times the usual load, of the largest tenth of
-the last rank 0.31 are served, of all 0.44; without turns 0.24 and 0.51. What that
-costs: 0.63 of all requests begin in time in place of 0.67, at twice the usual load
-0.849 in place of 0.858, at 1.5 times nothing (`tests/core/loadplay.py`, 13 engines that
-read and 8 that generate, 23 gateways)."""
+Turns cost others some of their time, so that it is little more than the half that is
+owed to each."""
 
 WINDOW_S = 20.0
 """How long a request counts, seconds: as long as an overload lasts, so that what was
@@ -26,8 +23,7 @@
 
 TRUSTED = 2.0
 """Requests of a class that are taken as served like its route before any was seen. Each
-entry sees few large ones: without this the first one at each entry had a turn, and at
-five times the load 0.58 of all requests began in time (trial in the play above)."""
+entry sees few large ones: without this the first one at each entry has a turn."""
 
 
 @dataclass
