Tell by losses which prompts were read in vain, and which answers were cut

Cause: prompts that had been read and never begun counted as waits for a reader, answers that their callers' limits cut as lost targets, and requests that crash targets had no column: the largest losses of an overload were told as something else. Change: two reasons of their own, and a column for each reason.

--- a/src/robinspindle/losses.py
+++ b/src/robinspindle/losses.py
@@ -25,6 +25,8 @@
 WAITED = "waited"
 MISJUDGED = "reading misjudged"
 PAUSED = "paused"
+UNBEGUN = "read, never begun"
+CUT = "cut"
 REFUSED = "refused"
 REFUSED_AGAIN = "refused again"
 TURNED_AWAY = "crashes targets"
@@ -121,9 +123,9 @@
         return OWN_FAULT
     if attempt.undelivered:
         return TARGET_LOST
-    if outcome == "caller left" and not fields.get("events"):
-        return _judge_first(attempt)
-    # Its caller left, or its time ran out, in the middle of the answer.
+    if outcome == "caller left":
+        return _judge_left(attempt)
+    # Its time ran out in the middle of the answer.
     return PAUSED if _has_paused(fields) else TARGET_LOST
 
 
@@ -194,6 +196,15 @@
     return PAUSED if _has_paused(fields) else IN_TIME
 
 
+def _judge_left(attempt: Attempt) -> str:
+    """Judge what an attempt waited for when its caller left."""
+    fields = attempt.ended.fields
+    if fields.get("events"):
+        return PAUSED if _has_paused(fields) else CUT
+    was_read = fields.get("read_ms") is not None
+    return UNBEGUN if was_read else _judge_first(attempt)
+
+
 def _judge_first(attempt: Attempt) -> str:
     """Judge why the first of an answer came late, or not at all."""
     fields = attempt.ended.fields
--- a/src/robinspindle/losstables.py
+++ b/src/robinspindle/losstables.py
@@ -4,6 +4,7 @@
 from dataclasses import asdict
 
 from robinspindle.losses import (
+    CUT,
     GATEWAY_LOST,
     IN_TIME,
     MISJUDGED,
@@ -15,6 +16,8 @@
     REREAD,
     SLOW,
     TARGET_LOST,
+    TURNED_AWAY,
+    UNBEGUN,
     WAITED,
     Losses,
 )
@@ -24,12 +27,15 @@
     IN_TIME,
     WAITED,
     MISJUDGED,
+    UNBEGUN,
     PAUSED,
+    CUT,
     REREAD,
     MOVED,
     SLOW,
     REFUSED,
     REFUSED_AGAIN,
+    TURNED_AWAY,
     TARGET_LOST,
     GATEWAY_LOST,
     OWN_FAULT,
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -165,3 +165,28 @@
     assert found.by_size[("r-chat", 1024)] == losses.Served(2, 2, 0)
     assert found.by_size[("r-chat", 65536)] == losses.Served(1, 0, 1)
     assert "65536" in format_losses(found)
+
+
+LEFT = {"outcome": "caller left", "held_ms": 2000.0, "first_ms": None, "events": 0}
+
+
+def test_the_leg_is_told_in_which_a_caller_left():
+    """335 prompts that were read and never begun looked like waits for a reader, and
+    answers that were cut at their caller's limit like lost targets."""
+    assert judge(**LEFT, read_ms=None, planned_ms=1800.0) == losses.WAITED
+    assert judge(**LEFT, read_ms=400.0) == losses.UNBEGUN
+    cut = LEFT | {"first_ms": 90.0, "events": 20, "held_ms": 6000.0}
+    assert judge(**cut, read_ms=50.0) == losses.CUT
+    assert judge(**cut | {"pause_ms": 230.0}) == losses.PAUSED
+
+
+def test_each_reason_has_a_column():
+    ends = [
+        make_line("request ended", f"r{n}", **END | end)
+        for n, end in enumerate(
+            [LEFT | {"read_ms": 9.0}, {"outcome": "refused 503: crashes-targets"}]
+        )
+    ]
+    shown = format_losses(count(*ends))
+    assert losses.UNBEGUN in shown
+    assert losses.TURNED_AWAY in shown
