--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -38,12 +38,8 @@
 from robinspindle.metrics import format_metrics
 from robinspindle.ordering import Orderer
 from robinspindle.passages import Means
-from robinspindle.peers import (
-    News,
-    PeerLink,
-    Peers,
-    list_heard,
-)
+from robinspindle.peerlink import News, PeerLink
+from robinspindle.peers import Peers, list_heard
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
--- /dev/null
+++ b/src/robinspindle/peerlink.py
@@ -0,0 +1,414 @@
+"""Datagrams between gateways: each tells its relay what it has under way.
+
+Relays tell one another, and each its group: see `robinspindle.core.relays`.
+"""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+
+from robinspindle.core import digests, relays, sharing
+from robinspindle.core.crashnews import RequestNews
+from robinspindle.core.engines import Engine
+from robinspindle.core.sharing import (
+    MOST_PLACEMENTS,
+    Bundle,
+    Cache,
+    Digest,
+    Learnt,
+    Load,
+    Placement,
+    is_teacher,
+)
+from robinspindle.core.soundness import find_fault
+from robinspindle.core.targets import Target
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.logs import Log
+from robinspindle.peers import LEARNT_INTERVAL_S, MOST_INTERVAL_S, Peers
+
+NEWCOMER_S = 3.0
+"""How long after its start a gateway is told what caches hold, seconds: within it, it
+has heard its relay in every start that was seen."""
+
+TOLD_PARTS = 1000
+"""Parts of caches in one digest: about 20 KB, so that a datagram stays below 64 KB."""
+
+MOST_DATAGRAM_BYTES = 48_000
+"""Larger bundles are told in two datagrams: UDP takes 65,507 bytes at the most."""
+
+MOST_STRANGERS = 100
+"""Senders that are not known whose names are kept, to log each of them once."""
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Bundle).decode
+
+
+@dataclass(frozen=True)
+class News:
+    """What a gateway has to tell; see `Digest` for the parts."""
+
+    loads: list[Load]
+    placements: list[Placement]
+    read_rates: dict[str, float] = field(default_factory=dict)
+    switching: list[tuple[str, str]] = field(default_factory=list)
+    learnt: list[Learnt] = field(default_factory=list)
+    silent: list[str] = field(default_factory=list)
+    ends: dict[str, int] = field(default_factory=dict)
+    is_away: bool = False
+    requests: RequestNews | None = None
+    era: int = 0
+
+
+class PeersFleet(Protocol):
+    """Takes in what peers tell of targets."""
+
+    def find_engine_of(self, lifetime: str) -> Engine | None:
+        """Find the engine of a lifetime, if it is known."""
+
+    def note_switching(self, lifetime: str, role: str, now: float) -> None:
+        """Take note that a peer ordered an engine to take a role."""
+
+    def note_learnt(self, peer: str, learnt: list[Learnt]) -> None:
+        """Take note of what a peer has learnt."""
+
+    def forget_learnt(self, peer: str) -> None:
+        """Forget what a peer that fell silent has told."""
+
+    def note_heard_by_peer(self, loads: list[Load], now: float) -> None:
+        """Take note of what a peer heard of engines."""
+
+    def list_known_caches(self) -> list[str]:
+        """List the engines of whose caches something is known."""
+
+    def describe_cache(self, lifetime: str) -> Cache | None:
+        """Describe what an engine's cache is believed to hold."""
+
+    def note_told_cache(self, cache: Cache) -> None:
+        """Take note of what a peer believes a cache to hold."""
+
+    def note_told_silent(self, lifetimes: list[str], now: float) -> list[Target]:
+        """Take note of targets that a peer found silent; return those believed."""
+
+
+def pass_over_store_news(digest: Digest) -> None:
+    """Stand for who follows the store."""
+
+
+def pass_over_requests(news: RequestNews) -> None:
+    """Stand for the guard."""
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """The socket for datagrams."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        fleet: PeersFleet,
+        clock: Callable[[], float],
+        log: Log,
+        note_store: Callable[[Digest], None] = pass_over_store_news,
+        note_requests: Callable[[RequestNews], None] = pass_over_requests,
+    ):
+        self._peers = peers
+        self._fleet = fleet
+        self._clock = clock
+        self._log = log
+        self._note_store = note_store
+        self._note_requests = note_requests
+        self._transport: asyncio.DatagramTransport | None = None
+        self._began_at: float | None = None
+        # What the group has told that was not passed on to others yet, by name.
+        self._told: dict[str, Digest] = {}
+        # What other relays have told that was not passed on to the group yet.
+        self._passing: list[Digest] = []
+        # The last echo of each relay, to tell whether it hears us.
+        self._echoes: dict[str, int] = {}
+        self._strangers: set[str] = set()
+
+    async def start(self, address: HostPort) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(address.host, address.port),
+            family=socket.AF_INET,
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport) -> None:
+        """Note the transport."""
+        self._transport = transport
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over errors: a peer that is gone is noticed by its silence."""
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Take a peer's datagram in."""
+        try:
+            bundle = decode(data)
+        except msgspec.MsgspecError as error:
+            self._peers.refused += 1
+            self._log("datagram can't be read", sender=str(addr), error=str(error))
+            return
+        if not self._is_known(bundle.sender, addr):
+            return
+        for digest in bundle.digests:
+            fault = find_fault(digest)
+            if fault is not None:
+                self._peers.refused += 1
+                self._log("digest not believed", sender=bundle.sender, fault=fault)
+                return
+        self._note_contact(bundle)
+        for digest in bundle.digests:
+            self._take(digest, bundle.sender)
+
+    def _is_known(self, sender: str, addr) -> bool:
+        """Whether the sender is a gateway that the store names, at its own address."""
+        member = self._peers.members.get(sender)
+        if member is not None and addr is not None and member.host == addr[0]:
+            return True
+        self._peers.refused += 1
+        if sender not in self._strangers and len(self._strangers) < MOST_STRANGERS:
+            self._strangers.add(sender)
+            self._log("datagram of a stranger", sender=sender, address=str(addr))
+        return False
+
+    def _note_contact(self, bundle: Bundle) -> None:
+        """Take note that a gateway of the own group was heard as its relay."""
+        peers, sender = self._peers, bundle.sender
+        is_relay = any(d.is_relay and d.sender == sender for d in bundle.digests)
+        of = peers.groups.of
+        if not is_relay or of.get(sender) != of.get(peers.name):
+            return
+        echo = bundle.echo
+        has_heard_us = echo is not None and echo != self._echoes.get(sender)
+        if has_heard_us:
+            self._echoes[sender] = echo
+        relays.note_heard(peers.choice, sender, self._clock(), has_heard_us)
+
+    def _take(self, digest: Digest, sender: str) -> None:
+        """Take a digest in, told by its author or passed on by a relay."""
+        peers, now = self._peers, self._clock()
+        if digest.sender == peers.name:
+            return
+        view = peers.views.get(digest.sender)
+        is_new = view is None or view.started != digest.started
+        find = self._fleet.find_engine_of
+        if not sharing.take_digest(peers.views, digest, now, find):
+            return
+        self._take_beliefs(digest, now)
+        self._leave_to(digest)
+        if is_new:
+            self._log("peer heard", peer=digest.sender, relay=digest.is_relay)
+        if digest.sender == sender:
+            self._keep_to_pass_on(digest)
+            self._plan_teaching(digest)
+
+    def _take_beliefs(self, digest: Digest, now: float) -> None:
+        fleet, author = self._fleet, digest.sender
+        if digest.learnt:
+            fleet.note_learnt(author, digest.learnt)
+        fleet.note_heard_by_peer(digest.loads, now)
+        for cache in digest.caches:
+            fleet.note_told_cache(cache)
+        for target in fleet.note_told_silent(digest.silent, now):
+            name = target.announced.lifetime
+            self._log("target is silent for a peer", target=name, peer=author)
+        for lifetime, role in digest.switching:
+            fleet.note_switching(lifetime, role, now)
+        self._note_store(digest)
+        if digest.requests is not None:
+            self._note_requests(digest.requests)
+
+    def _leave_to(self, digest: Digest) -> None:
+        """Speak no more for those that tell another relay now; they would count twice.
+
+        One that was just taken over is told of again after its next digest.
+        """
+        for name in self._told.keys() & set(digest.members or ()):
+            del self._told[name]
+            self._forget(name)
+
+    def _keep_to_pass_on(self, digest: Digest) -> None:
+        if not self._peers.is_relay:
+            return
+        if digest.is_relay:
+            self._passing.append(digest)
+        else:
+            last = self._told.get(digest.sender)
+            self._told[digest.sender] = digests.join(last, digest)
+        self._peers.changed.set()
+
+    def _plan_teaching(self, digest: Digest) -> None:
+        """Plan to tell a newcomer what caches hold, once after each of its starts."""
+        peers, newcomer = self._peers, digest.sender
+        is_told = peers.taught.get(newcomer) == digest.started
+        if not peers.teaches or not digest.is_new or is_told:
+            return
+        others = [name for name, view in peers.views.items() if view.is_relay]
+        if digest.is_relay and not is_teacher(peers.name, others, newcomer):
+            return
+        peers.taught[newcomer] = digest.started
+        peers.untold_caches[newcomer] = self._fleet.list_known_caches()
+
+    async def wait_due(self) -> None:
+        """Wait until there is something to tell and it is time to."""
+        peers = self._peers
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(MOST_INTERVAL_S, peers.interval_s)):
+                await peers.changed.wait()
+        left_s = peers.sent_at + peers.interval_s - self._clock()
+        if left_s > 0:
+            await asyncio.sleep(left_s)
+
+    def tell(self, now: float, news: News) -> None:
+        """Tell the relay the news, or as a relay the group and the other relays."""
+        peers = self._peers
+        self._began_at = now if self._began_at is None else self._began_at
+        # After a freeze nothing that was known before it is passed on.
+        self.forget_silent(now)
+        peers.changed.clear()
+        peers.sent_at = now
+        peers.number += 1
+        self._choose_relay(now)
+        tells_all = now - peers.learnt_told_at >= LEARNT_INTERVAL_S
+        if tells_all:
+            peers.learnt_told_at = now
+        own = self._make_digest(now, news, tells_all)
+        if peers.is_relay:
+            self._tell_group(own, now, tells_all)
+        else:
+            self._send(peers.choice.relay, [own])
+
+    def _choose_relay(self, now: float) -> None:
+        peers = self._peers
+        ranked = peers.groups.ranked[peers.groups.of[peers.name]]
+        was_relay = peers.is_relay
+        if not relays.choose_relay(peers.choice, ranked, peers.name, now):
+            return
+        self._log("relay chosen", relay=peers.choice.relay)
+        if was_relay and not peers.is_relay:
+            # From now on the new relay tells of them.
+            for name in list(self._told):
+                self._forget(name)
+            self._told.clear()
+            self._passing.clear()
+
+    def _make_digest(self, now: float, news: News, tells_all: bool) -> Digest:
+        peers = self._peers
+        return Digest(
+            peers.name,
+            peers.started,
+            peers.number,
+            news.loads,
+            news.placements[-MOST_PLACEMENTS:],
+            news.read_rates,
+            news.switching,
+            news.learnt if tells_all else [],
+            news.silent,
+            self._take_caches(peers.spread_caches),
+            None,
+            news.ends,
+            news.is_away,
+            now - self._began_at < NEWCOMER_S,
+            requests=news.requests,
+            era=news.era,
+        )
+
+    def _take_caches(self, lifetimes: list[str]) -> list[Cache]:
+        """Take what the next caches hold, as much as a datagram may tell."""
+        found: list[Cache] = []
+        parts = 0
+        while lifetimes and parts < TOLD_PARTS:
+            cache = self._fleet.describe_cache(lifetimes.pop())
+            if cache is not None:
+                found.append(cache)
+                parts += len(cache.parts)
+        return found
+
+    def _tell_group(self, own: Digest, now: float, tells_all: bool) -> None:
+        """Tell the other relays of the group, and the group of all."""
+        peers, passing = self._peers, self._passing
+        self._passing = []
+        self._drop_silent_members()
+        total = digests.add_up(own, self._told.values(), tells_all)
+        for name in self._list_relays(now):
+            caches = self._take_caches(peers.untold_caches.get(name, []))
+            self._send(name, [_add_caches(total, caches)])
+        for name in peers.groups.ranked[peers.groups.of[peers.name]]:
+            if name != peers.name:
+                self._tell_member(name, total, passing)
+        self._told = {n: digests.drop_told(d) for n, d in self._told.items()}
+
+    def _tell_member(self, name: str, total: Digest, passing: list[Digest]) -> None:
+        told = self._told.get(name)
+        own_part = total if told is None else digests.leave_out(total, told)
+        caches = self._take_caches(self._peers.untold_caches.get(name, []))
+        echo = None if told is None else told.number
+        self._send(name, [_add_caches(own_part, caches), *passing], echo)
+
+    def _drop_silent_members(self) -> None:
+        """Speak no more for those that fell silent or tell another relay."""
+        views = self._peers.views
+        self._told = {
+            name: digest
+            for name, digest in self._told.items()
+            if name in views and not views[name].is_relay
+        }
+
+    def _list_relays(self, now: float) -> list[str]:
+        """List who is told of the group in the other groups.
+
+        Where no relay of a group is heard, two of its members are tried, the first
+        choice and another one each time.
+        """
+        peers = self._peers
+        found = []
+        for number, ranked in enumerate(peers.groups.ranked):
+            if number == peers.groups.of[peers.name]:
+                continue
+            heard = [n for n in ranked if n in peers.views and peers.views[n].is_relay]
+            attempt = int(now / relays.PATIENCE_S) % len(ranked)
+            found += heard or dict.fromkeys((ranked[0], ranked[attempt]))
+        return found
+
+    def _send(self, name: str, told: list[Digest], echo: int | None = None) -> None:
+        member = self._peers.members.get(name)
+        if member is None:
+            return
+        data = encode(Bundle(self._peers.name, told, echo))
+        if len(data) > MOST_DATAGRAM_BYTES and len(told) > 1:
+            half = len(told) // 2
+            self._send(name, told[:half], echo)
+            self._send(name, told[half:], echo)
+            return
+        self._transport.sendto(data, (member.host, member.port))
+
+    def forget_silent(self, now: float) -> None:
+        """Forget the load of peers that fell silent."""
+        find = self._fleet.find_engine_of
+        for name in sharing.forget_silent(self._peers.views, now, find):
+            self._fleet.forget_learnt(name)
+            self._peers.untold_caches.pop(name, None)
+            self._log("peer silent", peer=name)
+
+    def _forget(self, name: str) -> None:
+        if name in self._peers.views:
+            sharing.forget_peer(self._peers.views, name, self._fleet.find_engine_of)
+            self._fleet.forget_learnt(name)
+
+
+def _add_caches(digest: Digest, caches: list[Cache]) -> Digest:
+    if not caches:
+        return digest
+    return msgspec.structs.replace(digest, caches=digest.caches + caches)
--- a/tests/platform/test_cachelists.py
+++ b/tests/platform/test_cachelists.py
@@ -10,7 +10,8 @@
 from robinspindle.core.sharing import Bundle, Cache, Digest, PeerView
 from robinspindle.core.targets import Announcement, Directory, note_announced
 from robinspindle.fleet import Fleet
-from robinspindle.peers import Peers, encode
+from robinspindle.peerlink import encode
+from robinspindle.peers import Peers
 from robinspindle.platform import dialect
 from standins.replica import Replica
 from tests.platform.deployment import deploy, introduce, run, until
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -7,7 +7,7 @@
 from robinspindle import gateway as gateway_module
 from robinspindle.core.sharing import Bundle, Digest, Load, Placement
 from robinspindle.exceptions import Finding, InvalidDocumentError
-from robinspindle.peers import encode
+from robinspindle.peerlink import encode
 from standins.replica import Replica
 from tests.platform.deployment import (
     deploy,
--- a/tests/test_guardscale.py
+++ b/tests/test_guardscale.py
@@ -13,8 +13,8 @@
 from robinspindle.guard import Guard, Run
 from robinspindle.guardnews import list_news, take_news
 from robinspindle.quarantinekeeping import STEP_S, QuarantineKeeper, find_place
-from tests.test_peers import STEP_S as TELL_S
-from tests.test_peers import Network, pass_over
+from tests.test_peerlink import STEP_S as TELL_S
+from tests.test_peerlink import Network, pass_over
 
 GATEWAYS = 300
 ZONES = 5
--- a/tests/test_peers.py
+++ b/tests/test_peerlink.py
@@ -16,16 +16,18 @@
 )
 from robinspindle.core.targets import Announcement, Directory, note_announced
 from robinspindle.fleet import Fleet
-from robinspindle.peers import (
-    LEARNT_INTERVAL_S,
+from robinspindle.peerlink import (
     MOST_DATAGRAM_BYTES,
-    MOST_INTERVAL_S,
     NEWCOMER_S,
     News,
     PeerLink,
-    Peers,
     decode,
     encode,
+)
+from robinspindle.peers import (
+    LEARNT_INTERVAL_S,
+    MOST_INTERVAL_S,
+    Peers,
     find_oldest_s,
     list_heard,
     note_member,
