Choose hosts of long answers without a guess, or among failing ones, as before

Cause: found while the change was read again. An answer whose caller does not guess its length looked as long as it may become, and all such would run after the fastest host; and where no host is fast enough, one that fails and has no pace looked like the fastest. Change: without a guess any host will do; faults and the way count in either choice. Figures: both tests fail before.

--- a/src/robinspindle/core/hosting.py
+++ b/src/robinspindle/core/hosting.py
@@ -3,13 +3,8 @@
 import math
 import random
 
-from robinspindle.core.answering import (
-    find_event_s,
-    find_open_pause,
-)
-from robinspindle.core.engines import (
-    Engine,
-)
+from robinspindle.core.answering import find_event_s, find_open_pause
+from robinspindle.core.engines import Engine
 from robinspindle.core.estimates import Pair
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.targets import Target
@@ -70,7 +65,7 @@
 
     fast = [pair for pair in hosts if find_pace(pair) <= most_event_s]
     if not fast:
-        return min(hosts, key=find_pace)
+        return min(hosts, key=lambda pair: find_pace(pair) + weigh_place(pair[0], zone))
     fastest_s = find_fastest_s(hosts, now)
     return min(fast, key=lambda pair: _weigh_host(pair, zone, now, fastest_s))
 
@@ -78,12 +73,17 @@
 def find_most_event_s(prompt: Prompt, event_tokens: int, whole_s: float) -> float:
     """Find how long an event may take for an answer to end in time, seconds.
 
+    Where the caller does not guess any host will do: by the most that it may hold each
+    answer would look like the longest, and all would run after the fastest host.
+
     Args:
         prompt: Its prompt.
         event_tokens: Tokens that an event holds.
         whole_s: Seconds until its caller's limit.
     """
-    tokens = min(prompt.out_tokens, prompt.expected_tokens or prompt.out_tokens)
+    if not prompt.expected_tokens:
+        return math.inf
+    tokens = min(prompt.out_tokens, prompt.expected_tokens)
     events = max(1.0, tokens / event_tokens)
     return whole_s / (events * LENGTH_RESERVE)
 
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -10,9 +10,7 @@
 import random
 from dataclasses import dataclass, replace
 
-from robinspindle.core.answering import (
-    may_read_beside,
-)
+from robinspindle.core.answering import may_read_beside
 from robinspindle.core.engines import (
     RECENT_S,
     Engine,
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -13,9 +13,7 @@
     note_pause,
     note_short_pause,
 )
-from robinspindle.core.engines import (
-    Engine,
-)
+from robinspindle.core.engines import Engine
 from robinspindle.core.events import take_events
 from robinspindle.core.forwarding import AnswerHead
 from robinspindle.core.lengths import LEAST_EVENTS
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -1,8 +1,6 @@
 """The log lines and the counts that tell how requests went."""
 
-from robinspindle.core.answering import (
-    find_read_share,
-)
+from robinspindle.core.answering import find_read_share
 from robinspindle.core.forwarding import Refusal, Request
 from robinspindle.core.reading import Plan
 from robinspindle.core.sizes import find_size_class
--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -68,5 +68,18 @@
     )
     assert name(choose_long_host(fleet, "a", 10.0, short)[0]) == "d1"
     assert name(choose_long_host(fleet, "a", 10.0, long)[0]) == "d2"
-    # Where none is fast enough the fastest is the best there is.
+    # Where none is fast enough the fastest is the best there is, unless it fails.
     assert name(choose_long_host(fleet, "a", 10.0, longest)[0]) == "d2"
+    fleet[1][0].faults = 0.9
+    assert name(choose_long_host(fleet, "a", 10.0, longest)[0]) == "d1"
+
+
+def test_an_answer_whose_length_nobody_guesses_goes_to_any_host():
+    """By the most that it may hold it would always go to the fastest."""
+    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    fleet[0][1].own_long = 3
+    for (_, engine), seconds in zip(fleet, (0.08, 0.06), strict=True):
+        for _ in range(20):
+            answering.note_event(engine, 10.0, seconds)
+    unknown = find_most_event_s(Prompt("m", (), 220, 12_198), 57, 15.0)
+    assert name(choose_long_host(fleet, "a", 10.0, unknown)[0]) == "d1"
