--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -57,13 +57,17 @@
             return
         self.cancel()
         if self._learns:
-            was_alone = self._was_alone and self._engine.placed == self._placed
-            seconds = now - self._began_at - self._fetch_s
-            measured = Measured(self._new, self._context, seconds)
-            note_answered(self._engine, measured, was_alone)
-            if not was_alone and self._level < LATE:
-                reading_s = estimate_reading_s(self._engine, self._new, self._context)
-                note_waited(self._engine, seconds, self._wait_s + reading_s)
+            self._learn(now - self._began_at - self._fetch_s)
+
+    def _learn(self, seconds: float) -> None:
+        """Learn from how long the reading took, without what was fetched."""
+        engine = self._engine
+        was_alone = self._was_alone and engine.placed == self._placed
+        measured = Measured(self._new, self._context, seconds)
+        note_answered(engine, measured, was_alone)
+        if not was_alone and self._level < LATE:
+            reading_s = estimate_reading_s(engine, self._new, self._context)
+            note_waited(engine, seconds, self._wait_s + reading_s)
 
     def cancel(self) -> None:
         """Note that the prompt need not be read any more."""
