Leave hosts' paces out in one place where short answers have none to lose

Cause: that paces count only where short answers have pauses was asked in two modules, and the fastest host was looked for in any case; the play worked a request's size out twice. Change: without pauses no fastest pace is known, which `find_slowness` takes as 1 already. No decision changes.

--- a/src/robinspindle/core/hosting.py
+++ b/src/robinspindle/core/hosting.py
@@ -110,10 +110,10 @@
     if not generating:
         return None
 
-    fastest_s = find_fastest_s(generating, now)
+    fastest_s = find_fastest_s(generating, now) if has_exposed else 0.0
 
     def weigh(pair: Pair) -> float:
-        slowness = find_slowness(pair[1], now, fastest_s) if has_exposed else 1.0
+        slowness = find_slowness(pair[1], now, fastest_s)
         spread_s = rng.random() * age_s * HOST_SPREAD_SHARE
         return weigh_target(pair, zone, slowness) + spread_s
 
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -118,7 +118,8 @@
         policy: The decisions in force.
         has_turn: Whether it is read in the order of its rank also where it can't be in
             time, as prompts of its length are due a turn.
-        fastest_s: Pace of the fastest host, seconds an event; 0 where none is known.
+        fastest_s: Pace of the fastest host, seconds an event; 0 where none is known
+            or short answers have no pauses.
         most_event_s: The longest that an event may take for the answer to end in time,
             seconds.
     """
@@ -157,7 +158,8 @@
     generating = [pair for pair in candidates if not pair[1].reads_only]
     if not generating:
         return None
-    at = replace(at, fastest_s=find_fastest_s(generating, at.now))
+    if at.has_exposed:
+        at = replace(at, fastest_s=find_fastest_s(generating, at.now))
     move = _find_move(candidates, prompt, at)
     if at.is_long:
         host = choose_long_host(generating, at.zone, at.now, at.most_event_s)
@@ -308,7 +310,7 @@
     reading = estimate_reading(pair, prompt, at.now, move)
     requests = target.in_flight + engine.others_in_flight
     after_s = weigh_place(target, at.zone)
-    spread_s = requests * SLOT_S * _find_slowness(engine, at)
+    spread_s = requests * SLOT_S * find_slowness(engine, at.now, at.fastest_s)
     return _make_plan(target, None, engine, reading, after_s, spread_s, at, is_late)
 
 
@@ -331,14 +333,8 @@
 
 
 def _weigh_host(pair: Pair, at: Situation) -> float:
-    return weigh_target(pair, at.zone, _find_slowness(pair[1], at))
-
-
-def _find_slowness(engine: Engine, at: Situation) -> float:
-    """Find what an engine's pace counts for; nothing to answers without pauses."""
-    if not at.has_exposed:
-        return 1.0
-    return find_slowness(engine, at.now, at.fastest_s)
+    slowness = find_slowness(pair[1], at.now, at.fastest_s)
+    return weigh_target(pair, at.zone, slowness)
 
 
 def _make_plan(
--- a/tests/core/generationplay.py
+++ b/tests/core/generationplay.py
@@ -314,11 +314,13 @@
             yield env.timeout(left_s)
             left_s = making.held_up * (host.find_read_s(env.now) - before_s)
 
+    def _find_size(self, prompt):
+        answer_tokens = int(prompt.model) * self.load.making.event_tokens
+        return prompt.tokens + OUT_WEIGHT * answer_tokens
+
     def _note_answer(self, kind, prompt, events, came_at, answers):
         outcome = self.outcome
-        size = prompt.tokens + OUT_WEIGHT * int(prompt.model) * (
-            self.load.making.event_tokens
-        )
+        size = self._find_size(prompt)
         in_time = events.is_whole and events.first_at - came_at <= kind.aim_s
         if events.is_whole and events.longest_s > answers.gap_s:
             outcome.paused += 1
@@ -334,9 +336,7 @@
 
     def _note_end(self, kind, prompt, taken_s):
         """Note a refusal: all other ends are noted with their answers."""
-        size = prompt.tokens + OUT_WEIGHT * int(prompt.model) * (
-            self.load.making.event_tokens
-        )
+        size = self._find_size(prompt)
         self.outcome.refused += 1
         self.outcome.ended.append(Ended(kind.name, size, False, "refused"))
 
