Show that an entry that was held up takes its targets for silent

Evidence: beside eight busy processes it fails here, and a hold-up of the entry together with its agent fails every time, with the first token's target lost at the first tick after the hold-up and no other target left to go on at. In the core: a tick 2.5 s after the one before ends the stream with a refusal, before anything that came is read; a request that came meanwhile is refused as unavailable, and an offer under way is lost.

--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -113,6 +113,23 @@
     assert calm.processes[codes[0]].wait(10) == 0
 
 
+def test_an_entry_held_up_together_with_its_agent_loses_no_run(calm):
+    """The test above failed once in five full runs: 5 of 60 tokens. The entry, run
+    again, looked at the clock before its socket's thread had passed on what had come,
+    and took the target for silent. Here nothing comes for 0.3 s more, as where a whole
+    machine was held up, so the race is always lost."""
+
+    def hold_up(name):
+        for held in ("entry-1", name):
+            calm.signal(held, signal.SIGSTOP)
+        threading.Timer(2.0, calm.signal, ("entry-1", signal.SIGCONT)).start()
+        threading.Timer(2.3, calm.signal, (name, signal.SIGCONT)).start()
+
+    reply = stream_while(calm, hold_up, "held up together")
+    assert reply.text == expect_answer("held up together", TOKENS)
+    assert len({id.split("/")[1] for id in reply.ids}) == 1
+
+
 def test_a_planned_stop_of_an_entry_cuts_nothing(calm):
     reply = stream_while(
         calm, lambda _: calm.signal("entry-1", signal.SIGTERM), "stopped entry"
