Hold nothing against targets while the entry itself was not run

Cause: an entry judges silence, unanswered offers and unheard claims by its own clock. Run again after a hold-up, its first turn comes before its sockets' thread has passed on what came meanwhile; all targets seem silent at once (1.5 s for a run, 2 s for new work), the run is given up and no other target may have it. New requests are refused the same way.

Change: the dispatcher notes when it last decided; a gap of half a second over its tick is a hold-up, and its length does not count as silence nor as waiting for an answer. Deadlines stay as they are. The time is bounded: a target that died meanwhile is found after the rest of its 1.5 s.

Why it holds: every decision goes through the note, so no order of messages, requests and ticks after a hold-up can judge by a time in which nothing could be heard.

Elsewhere: gateways have the same rule for waits (core/pauses.py); an agent drops a lost entry's runs after 10 s, by when the entry has long gone elsewhere.

--- a/src/robinspindle/core/dispatch.py
+++ b/src/robinspindle/core/dispatch.py
@@ -1,7 +1,8 @@
 """The entry's decisions: place each request, follow it, and end it truthfully.
 
 A `Dispatcher` stands in each entry. It is fed requests, messages, folded states and
-claims, and answers with effects. Entries share nothing but the log.
+claims, and answers with effects. Entries share nothing but the log. Time is told at
+least each `TICK_S`; where it was not, the entry was held up and has heard nothing.
 """
 
 from collections.abc import Callable
@@ -40,6 +41,7 @@
     give_up,
     leave_target,
 )
+from robinspindle.core.pauses import LEAST_LATE_S
 from robinspindle.core.placing import list_peers, place
 from robinspindle.core.state import State
 from robinspindle.messages import (
@@ -56,6 +58,9 @@
     Work,
 )
 
+TICK_S = 0.05
+"""Interval at which `tick` is to be called, seconds."""
+
 HELLO_S = 0.25
 MOST_HELLO_S = 1.2
 PEERS_AT_FULL_RATE = 12
@@ -78,6 +83,7 @@
         promise: What its caller was promised.
         comeback: The earlier stream that the caller comes back to, if it does.
     """
+    _note_time(entry, now)
     due, first_due = now + promise.whole_s, now + promise.first_s
     flight = Flight(work, due, first_due, begun=now, since=now)
     entry.flights[work.request] = flight
@@ -107,6 +113,7 @@
     entry: Dispatcher, now: float, peer: str, message: AnyMessage
 ) -> list[Effect]:
     """Decide what to do about a message from a target's agent."""
+    _note_time(entry, now)
     evidence = entry.evidence.setdefault(peer, membership.Evidence())
     evidence.heard_at = now
     if isinstance(message, Report):
@@ -139,6 +146,7 @@
 
 def fold_claims(entry: Dispatcher, now: float, keys: set[str]) -> list[Effect]:
     """Take in that the claims of these keys may have changed."""
+    _note_time(entry, now)
     effects: list[Effect] = []
     for key in keys:
         effects += release_abandoned(entry, key)
@@ -164,6 +172,7 @@
 
 def tick(entry: Dispatcher, now: float) -> list[Effect]:
     """Do what time makes due."""
+    _note_time(entry, now)
     effects: list[Effect] = []
     effects += _greet(entry, now)
     for flight in list(entry.flights.values()):
@@ -171,6 +180,23 @@
     return effects
 
 
+def _note_time(entry: Dispatcher, now: float) -> None:
+    """Find out whether the entry was held up since it last decided anything.
+
+    What came meanwhile may not have been read yet: a target that was not heard is not
+    silent by that, nor an offer unanswered. Deadlines stay, they are the callers'.
+    """
+    before, entry.decided_at = entry.decided_at, now
+    if before is None or now - before < TICK_S + LEAST_LATE_S:
+        return
+    held_s = now - before
+    for evidence in entry.evidence.values():
+        membership.note_hold_up(evidence, now, held_s)
+    for flight in entry.flights.values():
+        flight.since = min(now, flight.since + held_s)
+        flight.event_at = min(now, flight.event_at + held_s)
+
+
 def _greet(entry: Dispatcher, now: float) -> list[Effect]:
     """Greet the targets that are due: often where own requests are under way.
 
--- a/src/robinspindle/core/flights.py
+++ b/src/robinspindle/core/flights.py
@@ -87,6 +87,7 @@
         budget: Retries that may still be made.
         choose: The routing policy in force.
         policy: Its name, and the number of entries it was made for.
+        decided_at: When it last decided anything, None before.
     """
 
     name: str
@@ -101,6 +102,7 @@
     budget: retries.RetryBudget = field(default_factory=lambda: retries.RetryBudget(0))
     choose: Callable = routing.choose_least_in_flight
     policy: tuple[str, int] = ("", 0)
+    decided_at: float | None = None
 
     @property
     def configuration(self) -> Configuration | None:
--- a/src/robinspindle/core/membership.py
+++ b/src/robinspindle/core/membership.py
@@ -65,6 +65,12 @@
     evidence.rested_until = 0.0
 
 
+def note_hold_up(evidence: Evidence, now: float, held_s: float) -> None:
+    """Take note that nothing could be heard for so many seconds until now."""
+    if evidence.heard_at is not None:
+        evidence.heard_at = min(now, evidence.heard_at + held_s)
+
+
 def may_get_work(evidence: Evidence, now: float, leaving_after_s: float) -> bool:
     """Whether a target may be offered new work.
 
--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -39,7 +39,6 @@
 from robinspindle.transport import Connections, wait_for_any
 from robinspindle.vmlist import ListFollower, VmsListed
 
-TICK_S = 0.05
 CLAIMS_KEPT_S = 3.0
 STOP_GRACE_S = 1.0
 STOP_LIMIT_S = 600.0
@@ -213,7 +212,7 @@
             self._vms.start()
         log("The entry is starting.", entry=self.settings.name)
         while not self._may_stop(time.monotonic()):
-            self._turn(wait_for_any(self._poller, self._mailbox, TICK_S))
+            self._turn(wait_for_any(self._poller, self._mailbox, dispatch.TICK_S))
         self._close()
 
     def _may_stop(self, now: float) -> bool:
@@ -233,7 +232,7 @@
         for item in items:
             self._take_item(item)
         now = time.monotonic()
-        if now - self._ticked_at >= TICK_S:
+        if now - self._ticked_at >= dispatch.TICK_S:
             self._ticked_at = now
             self._carry_out(dispatch.tick(self.dispatcher, now))
             self._coordinate(now)
