--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -7,7 +7,7 @@
 from robinspindle.core.paces import Pace
 from robinspindle.core.reading import Situation, choose_plan
 from robinspindle.core.targets import Announcement, Target
-from robinspindle.core.urgency import LATE
+from robinspindle.core.urgency import LATE, SHORT, find_rank_level
 
 HEAD, DOCUMENT, OWN = Part("h", 2500), Part("d", 3800), Part("o", 2900)
 DIGEST = Prompt("m", (HEAD, DOCUMENT, OWN), 9200, 118)
@@ -238,3 +238,15 @@
     assert name(plan.reader).startswith("p")
     assert choose_plan(fleet, CHAT, LONG).reader is None
     assert choose_plan(fleet[2:], DIGEST, LONG).reader is None
+
+
+def test_a_long_answer_with_a_short_prompt_goes_by_its_rank():
+    """Short readings hold nobody up, long answers do: they hold their places for
+    seconds. Sent before all others, notes with prompts of 200 tokens took the places of
+    prompts that had been read, of which a tenth began 0.25 s later or never."""
+    short = choose_plan(make_fleet(), CHAT, dataclasses.replace(CALM, rank=1))
+    long = choose_plan(make_fleet(), CHAT, dataclasses.replace(LONG, rank=1))
+    assert short.level == SHORT
+    assert long.level == find_rank_level(1)
+    # It is still read where it is answered.
+    assert long.reader is None
