Send long answers to their hosts by their route's rank

Cause: one figure tells an engine both what to read first and who gets the next place among its answers. A note of 200 tokens counted as a short reading, before all ranks, and took the place of prompts that had been read; it holds it for 6 s, an assignment for 0.2 s.

Ruled out: reading beside answers (hardly any at that engine from second 13 to 28, and an event took 75 ms all the same), context growth and preemption: the logs drop four ends in ten, and counted by the gateways' own figures 100 to 174 answers were at each engine, which makes 96 at once. That explains the pace, too.

Change: a long answer goes by its route's rank also where its prompt is short. Where it is read does not change.

--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -36,7 +36,14 @@
 )
 from robinspindle.core.policy import Policy
 from robinspindle.core.targets import Target
-from robinspindle.core.urgency import FIRST_RANK, LATE, SHORT, find_level
+from robinspindle.core.urgency import (
+    FIRST_RANK,
+    LATE,
+    SHORT,
+    find_level,
+    find_rank_level,
+    is_short,
+)
 
 SPREAD_SHARE = 1.0
 """By how much costs are varied at random, as a share of the age of what is known."""
@@ -188,7 +195,7 @@
     too.
     """
     local = _plan_local(host, prompt, at, move)
-    if local.level == SHORT or _may_read_there(host[1], local, at):
+    if is_short(local.reading_s, at.aim_s) or _may_read_there(host[1], local, at):
         return local
     readers = [pair for pair in candidates if pair[1].reads_only]
     plans = [_plan_apart(pair, host, prompt, at, move) for pair in readers]
@@ -361,6 +368,10 @@
     """
     follows_ranks = at.policy.follows_ranks
     level = find_level(reading.reading_s, at.aim_s, at.rank, follows_ranks)
+    if level == SHORT and at.is_long:
+        # Its reading holds nobody up, its answer does: it would take the places of
+        # prompts that were read and whose answers are short.
+        level = find_rank_level(at.rank)
     level = LATE if is_late else level
     wait_s = estimate_wait(engine, level, at.now)
     first_s = wait_s + reading.seconds + after_s
--- a/src/robinspindle/core/urgency.py
+++ b/src/robinspindle/core/urgency.py
@@ -31,13 +31,18 @@
         rank: The operator's rank of its route; 0 is the highest.
         follows_ranks: Whether ranks count.
     """
-    if reading_s <= SHORT_SHARE * aim_s:
+    if is_short(reading_s, aim_s):
         return SHORT
     if not follows_ranks:
         return FIRST_RANK
     return find_rank_level(rank)
 
 
+def is_short(reading_s: float, aim_s: float) -> bool:
+    """Whether a reading is so short that it holds nobody up."""
+    return reading_s <= SHORT_SHARE * aim_s
+
+
 def find_rank_level(rank: int) -> int:
     """Find the level of the operator's rank of a route; 0 is the highest."""
     return min(LAST_RANK, FIRST_RANK + max(0, rank))
