Show that answers wait for places nobody counts, and that too many are let in

Evidence: by the gateways' own counts 100 to 174 answers are at engines that make 96 at once, from second 8 to 28; plans hold the wait for readings alone. The play now announces the places that its engines have, and plays admission.

--- a/tests/core/generationplay.py
+++ b/tests/core/generationplay.py
@@ -17,12 +17,23 @@
     note_answer_ended,
     note_answer_event,
     note_event,
+    note_hold,
     note_pause,
     note_short_pause,
 )
-from robinspindle.core.hosting import choose_host, find_most_event_s
+from robinspindle.core.hosting import (
+    choose_host,
+    find_longest_event_s,
+    find_most_event_s,
+)
 from robinspindle.core.lengths import EXPOSED_EVENTS, Lengths
-from robinspindle.core.turns import note_lost, note_served
+from robinspindle.core.turns import (
+    Turns,
+    is_due,
+    note_asked,
+    note_lost,
+    note_served,
+)
 from robinspindle.core.urgency import LATE, REQUEST_URGENCIES, find_rank_level
 from soak.sizeaccount import Ended, SizeAccount
 from standins.prompts import Kind, Length
@@ -147,6 +158,17 @@
         }
         for gateway in self.gateways:
             gateway.lengths = Lengths()
+            gateway.answer_turns = Turns()
+
+    def _make_gateway(self):
+        gateway = super()._make_gateway()
+        for target, _ in gateway.pairs:
+            slots = self.load.making.slots
+            target.announced = replace(target.announced, slots=slots)
+        return gateway
+
+    def _find_place_most_s(self, kind):
+        return kind.aim_s
 
     def run(self):
         for kind in self.kinds:
@@ -173,6 +195,9 @@
 
     def _describe(self, gateway, kind, prompt):
         lengths, route = gateway.lengths, kind.name
+        limit_s = self.load.answers[route].limit_s
+        asked = route, prompt.expected_tokens
+        note_asked(gateway.answer_turns, self.env.now, *asked)
         at = super()._describe(gateway, kind, prompt)
         return replace(
             at,
@@ -183,8 +208,16 @@
             most_event_s=find_most_event_s(
                 prompt,
                 self.load.making.event_tokens,
-                self.load.answers[route].limit_s,
+                limit_s,
+            ),
+            longest_event_s=find_longest_event_s(
+                prompt,
+                self.load.making.event_tokens,
+                lengths.events.get(route, 0.0),
+                limit_s,
+                self.load.answers[route].gap_s,
             ),
+            has_answer_turn=is_due(gateway.answer_turns, self.env.now, *asked),
             late_begin_s=lengths.find_begin_s(SERVICE, self.env.now, True),
         )
 
@@ -240,6 +273,8 @@
             seconds = events.first_at - read_at
             is_late = plan.level == LATE
             gateway.lengths.note_begun(SERVICE, env.now, seconds, is_late)
+        if events.first_at is not None:
+            note_hold(engine, env.now - events.first_at)
         if events.first_at is not None and events.made > 1:
             seconds = env.now - events.first_at
             gateway.lengths.note_answer(SERVICE, events.made, seconds)
@@ -247,6 +282,9 @@
         if counts != events.is_whole:
             note = note_served if events.is_whole else note_lost
             note(gateway.turns, env.now, kind.name, prompt.tokens)
+        if events.is_whole:
+            asked = kind.name, prompt.expected_tokens
+            note_served(gateway.answer_turns, env.now, *asked)
         self._note_answer(kind, prompt, events, came_at, answers)
 
     def _make_note(self, engine, kind, prompt, is_long, came_at):
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -5,6 +5,7 @@
 own functions, and hear what the others have under way with a delay.
 """
 
+import math
 import random
 from dataclasses import dataclass, field, replace
 
@@ -207,6 +208,10 @@
             age_s=self.load.news_s, rng=self.rng,
         )  # fmt: skip
 
+    def _find_place_most_s(self, kind):
+        """Find how long an answer may wait for a place at the most, seconds."""
+        return math.inf
+
     def _serve(self, gateway, kind):
         env, load, outcome = self.env, self.load, self.outcome
         outcome.asked += 1
@@ -217,7 +222,8 @@
         note_asked(turns, env.now, *asked)
         at = replace(at, has_turn=load.gives_turns and is_due(turns, env.now, *asked))
         plan = choose_plan(gateway.pairs, prompt, at)
-        if is_hopeless(plan, kind.patience_s):
+        place_most_s = self._find_place_most_s(kind)
+        if is_hopeless(plan, kind.patience_s, place_most_s=place_most_s):
             self._note_end(kind, prompt, None)
             return
         if plan.level < LATE:
--- a/tests/core/test_generation.py
+++ b/tests/core/test_generation.py
@@ -11,7 +11,12 @@
 """
 
 from standins.prompts import make_matchmaking_kinds
-from tests.core.generationplay import find_rates, make_matchmaking_load, play_answers
+from tests.core.generationplay import (
+    find_rates,
+    make_dispatch_load,
+    make_matchmaking_load,
+    play_answers,
+)
 
 SLOW = frozenset(["p0", "d0", "d1"])
 """A third of the engines."""
@@ -56,3 +61,17 @@
     served at 0.06 and 0.27 in place of 0.17 and 0.57, in two of three plays."""
     found = [find_rates(outcome) for outcome in play_day(4)]
     assert not [kind for rates in found for kind in rates.items() if kind[1].is_short]
+
+
+def test_long_answers_are_refused_before_they_make_others_late():
+    """With more notes than places all waited for one, and callers of short answers
+    too: in time 0.27 of all. Where notes are refused beyond what engines bear, 0.34,
+    and the largest of them are served at half the rate of all or more (in callers'
+    hands, who come back, more of them are served; here none does)."""
+    load = make_dispatch_load(
+        2.5, for_s=20.0, readers=2, hosts=4, gateways=4, slow=frozenset(["d0", "d1"])
+    )
+    outcomes = [play_answers(load, seed) for seed in (0, 1)]
+    assert sum_share(outcomes, "in_time") > 0.3
+    found = [find_rates(outcome) for outcome in outcomes]
+    assert not [kind for rates in found for kind in rates.items() if kind[1].is_short]
--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -1,11 +1,15 @@
+import math
 import random
 
 from robinspindle.core import answering
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.hosting import (
+    bears_long,
     choose_host,
     choose_long_host,
+    find_longest_event_s,
     find_most_event_s,
+    find_place_wait,
 )
 from tests.core.test_reading import make_pair, name
 
@@ -83,3 +87,69 @@
             answering.note_event(engine, 10.0, seconds)
     unknown = find_most_event_s(Prompt("m", (), 220, 12_198), 57, 15.0)
     assert name(choose_long_host(fleet, "a", 10.0, unknown)[0]) == "d1"
+
+
+def make_hosts(*events_s):
+    """Make engines that make an event in so many seconds each."""
+    fleet = [make_pair(f"d{n}", "decode") for n, _ in enumerate(events_s, 1)]
+    for (_, engine), seconds in zip(fleet, events_s, strict=True):
+        for _ in range(60):
+            answering.note_event(engine, 10.0, seconds)
+    return fleet
+
+
+def test_an_answer_waits_for_a_place_where_all_are_taken():
+    """On a day of overload 100 to 174 answers were sent to engines that make 96 at
+    once. Plans knew nothing of places: notes of 200 tokens, planned to begin in 0.04 to
+    0.12 s, began after 0.4 to 3.6 s."""
+    target, engine = pair = make_pair("d1", "decode")
+    answering.note_hold(engine, 4.8)
+    target.in_flight, engine.peers_in_flight["g2"] = 20, 27
+    assert find_place_wait(pair) == 0.0
+    target.in_flight = 30
+    # Of 48 answers of 4.8 s each one ends every 0.1 s; ten are before it.
+    assert abs(find_place_wait(pair) - 1.0) < 1e-6
+
+
+def test_a_long_answer_goes_where_a_place_is_free():
+    fleet = make_hosts(0.04, 0.04)
+    fleet[0][1].own_long = 3
+    assert name(choose_long_host(fleet, "a", 10.0)[0]) == "d1"
+    fleet[0][0].in_flight = 60
+    answering.note_hold(fleet[0][1], 4.8)
+    assert name(choose_long_host(fleet, "a", 10.0)[0]) == "d2"
+
+
+def test_an_engine_takes_no_more_long_answers_than_the_longest_bear():
+    """Those that were cut at their limit had 190 to 210 of their 214 events, at 70 to
+    78 ms each; 70 would have done."""
+    prompt = Prompt("m", (), 220, 12_198, 57 * 90)
+    longest_s = find_longest_event_s(prompt, 57, 90.0, 15.0, 0.2)
+    assert abs(longest_s - 15.0 / 214) < 1e-9
+    few, many, slow = make_hosts(0.055, 0.075, 0.11)
+    assert bears_long(few, 10.0, 0.05, longest_s)
+    assert not bears_long(many, 10.0, 0.15, longest_s)
+    # One that is slow by itself takes those that are short enough for it.
+    assert bears_long(slow, 10.0, 0.15, longest_s)
+    assert not bears_long(slow, 10.0, 0.1, longest_s)
+
+
+def test_answers_that_bear_a_slow_engine_leave_the_fast_ones_to_the_longest():
+    longest_s = 15.0 / 214
+    fleet = make_hosts(0.055, 0.11)
+    fleet[0][1].own_long = 3
+    hosts = [
+        name(choose_long_host(fleet, "a", 10.0, most_s, longest_s)[0])
+        for most_s in (0.15, 0.08)
+    ]
+    assert hosts == ["d2", "d1"]
+
+
+def test_what_the_longest_answers_bear_is_not_taken_from_what_none_holds():
+    """Callers allow far more tokens than most answers hold; by these no engine would
+    bear any answer."""
+    guessed = Prompt("m", (), 220, 500_000, 57 * 90)
+    longest_s = find_longest_event_s(guessed, 57, 90.0, 15.0, 0.2)
+    assert abs(longest_s - 15.0 / 225) < 1e-9
+    unknown = Prompt("m", (), 220, 12_198)
+    assert find_longest_event_s(unknown, 57, 214.0, 15.0, 0.2) == math.inf
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -1,7 +1,7 @@
 import dataclasses
 import random
 
-from robinspindle.core import engines, reading
+from robinspindle.core import answering, engines, reading
 from robinspindle.core.engines import make_engine
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.paces import Pace
@@ -250,3 +250,32 @@
     assert long.level == find_rank_level(1)
     # It is still read where it is answered.
     assert long.reader is None
+
+
+def test_a_long_answer_is_refused_where_it_would_be_one_too_many():
+    """Let in beside as many as an engine bears, it makes the longest there miss their
+    limits. Not where answers of its length are due a turn."""
+    fleet = make_fleet()
+    for _, engine in fleet[2:]:
+        for _ in range(60):
+            answering.note_event(engine, 10.0, 0.075)
+    at = dataclasses.replace(
+        LONG, now=10.0, most_event_s=0.1, longest_event_s=15.0 / 214
+    )
+    assert reading.is_hopeless(choose_plan(fleet, CHAT, at), 15.0)
+    due = dataclasses.replace(at, has_answer_turn=True)
+    assert not reading.is_hopeless(choose_plan(fleet, CHAT, due), 15.0)
+    later = dataclasses.replace(at, now=10.0 + answering.EVENT_NEWS_S + 0.1)
+    assert not reading.is_hopeless(choose_plan(fleet, CHAT, later), 15.0)
+
+
+def test_a_long_answer_that_would_wait_too_long_for_a_place_is_refused():
+    fleet = make_fleet()
+    for target, engine in fleet[2:]:
+        target.in_flight = 58
+        answering.note_hold(engine, 4.8)
+    plan = choose_plan(fleet, CHAT, LONG)
+    assert plan.place_s > 1.0
+    assert reading.is_hopeless(plan, 15.0, place_most_s=0.2)
+    # Who has come back already is let in, late.
+    assert not reading.is_hopeless(plan, 15.0)
