Admit long answers to generation before their prompts are read

Cause: nothing admits answers to generation. Places among an engine's answers (96) were taken by 100 to 174; no plan held that wait, so that notes planned to begin in 0.1 s began after up to 3.6 s, and full engines made events too slowly for the longest.

An engine takes no more long answers where its events take over 0.85 of what the longest of the kind bear; one that is slow by itself (1.25 times that) takes those that bear it.

Why it holds: what is let in has a place and a pace for the longest of its kind, by what is seen, told and learnt; nothing depends on a fleet's figures. Where callers don't guess, or nothing is known of an engine, it is taken to bear what comes.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -1,5 +1,6 @@
 """What becomes of a request: the choice of a plan from all that a gateway believes."""
 
+import math
 import random
 
 from robinspindle.core import budgets, hosting, reading, turns
@@ -32,6 +33,7 @@
         self._means = means
         self._rng = rng
         self._turns = Turns()
+        self._answer_turns = Turns()
 
     def note_expected(self, request: Request, route: Route, service: str) -> None:
         """Take note of how long an answer a caller expects."""
@@ -44,7 +46,7 @@
         self._means.lengths.note_expected(route.name, service, events)
 
     def note_asked(self, passage: Passage, now: float) -> None:
-        """Take note of a request; prompts of its length may be due a turn."""
+        """Take note of a request; its length or its answer's may be due a turn."""
         prompt = passage.request.prompt
         if prompt is None:
             return
@@ -52,6 +54,10 @@
         turns.note_asked(self._turns, now, *asked)
         gives_turns = self._means.policy().gives_turns
         passage.has_turn = gives_turns and turns.is_due(self._turns, now, *asked)
+        answer = passage.route.name, prompt.expected_tokens
+        turns.note_asked(self._answer_turns, now, *answer)
+        is_due = gives_turns and turns.is_due(self._answer_turns, now, *answer)
+        passage.has_answer_turn = is_due
 
     def note_end(self, passage: Passage, now: float, is_served: bool) -> None:
         """Take note of whether a request got its whole answer."""
@@ -60,6 +66,7 @@
             return
         note = turns.note_served if is_served else turns.note_lost
         note(self._turns, now, passage.route.name, prompt.tokens)
+        note(self._answer_turns, now, passage.route.name, prompt.expected_tokens)
 
     def expects_long(self, route: Route, service: str) -> bool:
         """Tell whether answers of a route are to be taken as long."""
@@ -79,7 +86,7 @@
         plan = reading.choose_plan(pairs, prompt, at)
         if plan is not None and passage.plan is None and plan.unread:
             self._note_demand(passage, plan, now)
-        if plan is not None and plan.level < LATE:
+        if plan is not None and plan.level < LATE and plan.is_borne:
             self._count_as_served(passage, now)
         return plan
 
@@ -88,7 +95,11 @@
         if passage.offers or passage.reads or passage.request.prompt is None:
             return False
         serves_late = self._means.policy().serves_late
-        return reading.is_hopeless(plan, passage.first_due - now, serves_late)
+        # Who is refused at once can come back in time; who came back may not again.
+        place_most_s = math.inf if passage.is_return else passage.aim_at - now
+        return reading.is_hopeless(
+            plan, passage.first_due - now, serves_late, place_most_s
+        )
 
     def find_host(self, passage: Passage, plan: Plan) -> Target | None:
         """Find where to generate the answer to a prompt that was read apart.
@@ -142,8 +153,9 @@
         """
         if not passage.counts_as_served:
             passage.counts_as_served = True
-            tokens = passage.request.prompt.tokens
-            turns.note_served(self._turns, now, passage.route.name, tokens)
+            prompt, route = passage.request.prompt, passage.route.name
+            turns.note_served(self._turns, now, route, prompt.tokens)
+            turns.note_served(self._answer_turns, now, route, prompt.expected_tokens)
 
     def _note_demand(self, passage: Passage, plan: Plan, now: float) -> None:
         context = passage.request.prompt.tokens - plan.unread
@@ -190,6 +202,14 @@
             rng=self._rng,
             policy=self._means.policy(),
             has_turn=passage.has_turn,
+            has_answer_turn=passage.has_answer_turn,
+            longest_event_s=hosting.find_longest_event_s(
+                passage.request.prompt,
+                self._means.fleet.count_event_tokens(passage.service),
+                self._means.lengths.events.get(passage.route.name, 0.0),
+                passage.due - now,
+                passage.route.gap_s,
+            ),
             most_event_s=hosting.find_most_event_s(
                 passage.request.prompt,
                 self._means.fleet.count_event_tokens(passage.service),
--- a/src/robinspindle/core/answering.py
+++ b/src/robinspindle/core/answering.py
@@ -23,6 +23,10 @@
 """Weight of the newest event in the pace of an engine's answers: about the last
 ten count, half a second of one answer."""
 
+HOLD_SMOOTHING = 0.02
+"""Weight of the newest answer in how long answers hold their places: short and long
+ones mixed, of which the last fifty count."""
+
 EVENT_NEWS_S = 3.0
 """How long that pace is believed, seconds: an engine that gets no answers for it
 has to be tried again once what slowed it is over."""
@@ -45,6 +49,13 @@
     engine.own_answers -= 1
 
 
+def note_hold(engine: Engine, seconds: float) -> None:
+    """Take note of how long an answer held its place at an engine, seconds."""
+    if engine.hold_s == 0.0:
+        engine.hold_s = seconds
+    engine.hold_s += HOLD_SMOOTHING * (seconds - engine.hold_s)
+
+
 def find_open_pause(engine: Engine, now: float) -> float:
     """Find for how long none of an engine's answers has got an event, seconds.
 
--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -81,6 +81,7 @@
         peers_work_s: The same of the other entries, by name; see `note_peer_work`.
         peers_sum_s: Its sum over them, by level.
         peers_in_flight: Requests of the other entries there, by name.
+        hold_s: How long an answer holds its place there, seconds; 0 for not known.
         own_long: Long answers of this entry that it generates.
         peers_long: The same of the other entries, by name.
         recent: Readings that were lately placed there.
@@ -106,6 +107,7 @@
     peers_work_s: dict[str, list[float]] = field(default_factory=dict)
     peers_sum_s: list[float] = field(default_factory=make_levels)
     peers_in_flight: dict[str, int] = field(default_factory=dict)
+    hold_s: float = 0.0
     own_long: int = 0
     peers_long: dict[str, int] = field(default_factory=dict)
     recent: deque[Begun] = field(default_factory=deque)
--- a/src/robinspindle/core/hosting.py
+++ b/src/robinspindle/core/hosting.py
@@ -3,7 +3,7 @@
 import math
 import random
 
-from robinspindle.core.answering import find_event_s, find_open_pause
+from robinspindle.core.answering import PAUSE_SHARE, find_event_s, find_open_pause
 from robinspindle.core.engines import Engine
 from robinspindle.core.estimates import Pair
 from robinspindle.core.forwarding import Prompt
@@ -29,6 +29,17 @@
 """Seconds that an engine without long answers, or with too many, counts for as a host
 of one more: more than the way to another zone, less than a prompt's reading."""
 
+LONGEST_TIMES = 2.5
+"""How many times longer than the mean of its kind a longest answer is."""
+
+BORNE_SHARE = 0.85
+"""Share of what the longest answers bear at which an engine takes no more of them:
+events take longer as answers grow."""
+
+SLOW_SHARE = 1.25
+"""An engine whose events take more than so many times what the longest answers bear is
+slow by itself and hosts only shorter ones; below that it has too many."""
+
 LENGTH_RESERVE = 2.0
 """How many times longer than its caller guessed an answer may become and still end in
 time: guesses are right in the middle and often far off."""
@@ -45,7 +56,11 @@
 
 
 def choose_long_host(
-    hosts: list[Pair], zone: str, now: float, most_event_s: float = math.inf
+    hosts: list[Pair],
+    zone: str,
+    now: float,
+    most_event_s: float = math.inf,
+    longest_event_s: float = math.inf,
 ) -> Pair:
     """Choose the engine that hosts a long answer.
 
@@ -58,16 +73,28 @@
         now: The present time, steady seconds.
         most_event_s: The longest that an event may take for the answer to end in time,
             seconds.
+        longest_event_s: The same for the longest answers of its kind, seconds. Answers
+            that bear an engine which is too slow for those leave the fast ones to them.
     """
 
     def find_pace(pair: Pair) -> float:
         return find_event_s(pair[1], now) or 0.0
 
-    fast = [pair for pair in hosts if find_pace(pair) <= most_event_s]
+    def weigh_late(pair: Pair) -> float:
+        return find_pace(pair) + weigh_place(pair[0], zone) + find_place_wait(pair)
+
+    borne = [p for p in hosts if bears_long(p, now, most_event_s, longest_event_s)]
+    fast = [pair for pair in borne if find_pace(pair) <= most_event_s]
     if not fast:
-        return min(hosts, key=lambda pair: find_pace(pair) + weigh_place(pair[0], zone))
+        return min(borne or hosts, key=weigh_late)
+    too_slow_s = longest_event_s * SLOW_SHARE
+    spared = [
+        pair
+        for pair in fast
+        if find_pace(pair) > too_slow_s and not find_place_wait(pair)
+    ]
     fastest_s = find_fastest_s(hosts, now)
-    return min(fast, key=lambda pair: _weigh_host(pair, zone, now, fastest_s))
+    return min(spared or fast, key=lambda p: _weigh_host(p, zone, now, fastest_s))
 
 
 def find_most_event_s(prompt: Prompt, event_tokens: int, whole_s: float) -> float:
@@ -88,6 +115,47 @@
     return whole_s / (events * LENGTH_RESERVE)
 
 
+def find_longest_event_s(
+    prompt: Prompt, event_tokens: int, mean_events: float, whole_s: float, gap_s: float
+) -> float:
+    """Find how long an event may take for the longest answers of a kind, seconds.
+
+    Where callers don't guess nothing is known of those: the most that an answer may
+    hold is often far more than any does.
+
+    Args:
+        prompt: A prompt of that kind.
+        event_tokens: Tokens that an event holds.
+        mean_events: Events that answers of the kind are expected to hold on average.
+        whole_s: Seconds until its caller's limit.
+        gap_s: The longest pause that is in time, seconds.
+    """
+    if not prompt.expected_tokens:
+        return math.inf
+    most_events = prompt.out_tokens / event_tokens
+    events = max(1.0, min(most_events, mean_events * LONGEST_TIMES))
+    return min(gap_s * PAUSE_SHARE, whole_s / events)
+
+
+def bears_long(
+    pair: Pair, now: float, most_event_s: float, longest_event_s: float
+) -> bool:
+    """Whether an engine bears one more long answer beside those that it generates.
+
+    Args:
+        pair: The engine.
+        now: The present time, steady seconds.
+        most_event_s: The longest that an event may take for this answer, seconds.
+        longest_event_s: The same for the longest of its kind, seconds.
+    """
+    event_s = find_event_s(pair[1], now) or 0.0
+    if event_s <= longest_event_s * BORNE_SHARE:
+        return True
+    if event_s <= longest_event_s * SLOW_SHARE:
+        return False
+    return event_s <= most_event_s
+
+
 def choose_host(
     candidates: list[Pair],
     zone: str,
@@ -138,7 +206,19 @@
     crowded_s = HOST_S * (used if used >= 1.0 else 1.0 - used)
     event_s = find_event_s(engine, now) or 0.0
     slow_s = max(0.0, event_s - SLOW_EVENTS * fastest_s)
-    return engine.work_s + crowded_s + slow_s + weigh_place(target, zone)
+    wait_s = engine.work_s + find_place_wait(pair)
+    return wait_s + crowded_s + slow_s + weigh_place(target, zone)
+
+
+def find_place_wait(pair: Pair) -> float:
+    """Find how long an answer waits for a place among those of an engine, seconds.
+
+    An engine makes so many answers at once; one more begins when one of them ends.
+    """
+    target, engine = pair
+    slots = max(1, target.announced.slots)
+    beyond = target.in_flight + engine.others_in_flight + 1 - slots
+    return max(0, beyond) * engine.hold_s / slots
 
 
 def find_slowness(engine: Engine, now: float, fastest_s: float) -> float:
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -28,8 +28,10 @@
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.hosting import (
     SLOT_S,
+    bears_long,
     choose_long_host,
     find_fastest_s,
+    find_place_wait,
     find_slowness,
     weigh_place,
     weigh_target,
@@ -88,6 +90,8 @@
         missing_share: Share of the prompt's shared parts that has to be read again.
         fetch_s: Seconds of fetching from the holder.
         level: How urgent the reading is.
+        is_borne: Whether the target bears a long answer beside those that it has.
+        place_s: Estimated wait for a place among the answers of the target, seconds.
     """
 
     target: Target
@@ -101,6 +105,8 @@
     holder: Target | None = None
     fetch_s: float = 0.0
     level: int = FIRST_RANK
+    is_borne: bool = True
+    place_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -129,6 +135,9 @@
             or short answers have no pauses.
         most_event_s: The longest that an event may take for the answer to end in time,
             seconds.
+        longest_event_s: The same for the longest answers of its kind, seconds.
+        has_answer_turn: Whether it is sent also where its host has too many long
+            answers, as those of its length are due a turn.
     """
 
     now: float
@@ -148,6 +157,8 @@
     has_turn: bool = False
     fastest_s: float = 0.0
     most_event_s: float = math.inf
+    longest_event_s: float = math.inf
+    has_answer_turn: bool = False
 
 
 def choose_plan(candidates: list[Pair], prompt: Prompt, at: Situation) -> Plan | None:
@@ -169,8 +180,12 @@
         at = replace(at, fastest_s=find_fastest_s(generating, at.now))
     move = _find_move(candidates, prompt, at)
     if at.is_long:
-        host = choose_long_host(generating, at.zone, at.now, at.most_event_s)
-        return _plan_long(host, candidates, prompt, at, move)
+        host = choose_long_host(
+            generating, at.zone, at.now, at.most_event_s, at.longest_event_s
+        )
+        is_borne = bears_long(host, at.now, at.most_event_s, at.longest_event_s)
+        plan = _plan_long(host, candidates, prompt, at, move)
+        return replace(plan, is_borne=is_borne or at.has_answer_turn)
     draws = _draw(candidates, at)
     for drawn in draws:
         plans = _list_plans(drawn, generating, prompt, at, move)
@@ -202,20 +217,28 @@
     return min(plans, key=lambda plan: plan.cost_s, default=local)
 
 
-def is_hopeless(plan: Plan, last_s: float, serves_late: bool = True) -> bool:
+def is_hopeless(
+    plan: Plan, last_s: float, serves_late: bool = True, place_most_s: float = math.inf
+) -> bool:
     """Whether a request had better be refused than sent on.
 
     A late answer is worth a part of one in time and a refusal nothing, so whatever is
     believed to begin before its caller gives up is sent, after all that can be in time.
 
     That holds for an answer that is expected to be long too: where those were never
-    refused, most of the longest prompts waited in vain.
+    refused, most of the longest prompts waited in vain. A long one is also refused
+    where it would make others of its kind miss their limits, or waits for a place: who
+    is refused at once can come back in time, who waits can't be in time any more.
 
     Args:
         plan: The best plan for it.
         last_s: Seconds until the caller gives up if no event has come.
         serves_late: Whether what can't be in time is sent at all.
+        place_most_s: The longest wait for a place among its host's answers that is
+            worth while, seconds.
     """
+    if not plan.is_borne or plan.place_s > place_most_s:
+        return True
     if plan.level == LATE and not serves_late:
         return True
     return plan.first_s > last_s * HOPE_SHARE
@@ -316,9 +339,12 @@
     target, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
     requests = target.in_flight + engine.others_in_flight
-    after_s = weigh_place(target, at.zone)
+    place_s = find_place_wait(pair) if at.is_long else 0.0
+    after_s = weigh_place(target, at.zone) + place_s
     spread_s = requests * SLOT_S * find_slowness(engine, at.now, at.fastest_s)
-    return _make_plan(target, None, engine, reading, after_s, spread_s, at, is_late)
+    return _make_plan(
+        target, None, engine, reading, after_s, spread_s, at, is_late, place_s
+    )
 
 
 def _plan_apart(
@@ -333,10 +359,13 @@
     reader, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
     begin_s = at.late_begin_s if is_late else at.begin_s
-    after_s = weigh_place(reader, at.zone) + begin_s
+    place_s = find_place_wait(host) if at.is_long else 0.0
+    after_s = weigh_place(reader, at.zone) + max(begin_s, place_s)
     # The host reads other prompts meanwhile, but lets a fetched one in between.
     spread_s = min(_weigh_host(host, at), MOST_END_S)
-    return _make_plan(host[0], reader, engine, reading, after_s, spread_s, at, is_late)
+    return _make_plan(
+        host[0], reader, engine, reading, after_s, spread_s, at, is_late, place_s
+    )
 
 
 def _weigh_host(pair: Pair, at: Situation) -> float:
@@ -353,6 +382,7 @@
     spread_s: float,
     at: Situation,
     is_late: bool,
+    place_s: float,
 ) -> Plan:
     """Make a plan of which all but the level and the wait is known.
 
@@ -365,6 +395,7 @@
         spread_s: What the host's requests count for, seconds.
         at: What else the plan depends on.
         is_late: Whether it can't be in time.
+        place_s: How long a long answer waits for a place at the target, seconds.
     """
     follows_ranks = at.policy.follows_ranks
     level = find_level(reading.reading_s, at.aim_s, at.rank, follows_ranks)
@@ -390,4 +421,5 @@
         holder=reading.holder,
         fetch_s=reading.fetch_s,
         level=level,
+        place_s=place_s,
     )
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -69,6 +69,7 @@
         last_reason: Why the latest sending did not deliver.
         is_long: Whether its answer is expected to be long.
         has_turn: Whether prompts of its length are due a turn.
+        has_answer_turn: Whether answers of the length that its caller expects are.
         counts_as_served: Whether it was counted as served when it was planned.
         is_return: Whether its caller comes back after a refusal, by the time it has
             left.
@@ -95,6 +96,7 @@
     last_reason: str = ""
     is_long: bool = False
     has_turn: bool = False
+    has_answer_turn: bool = False
     counts_as_served: bool = False
     is_return: bool = False
     plan: Plan | None = None
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -6,6 +6,7 @@
 from robinspindle import guard
 from robinspindle.choosing import Chooser
 from robinspindle.core import budgets, forwarding, silence, targets
+from robinspindle.core.answering import note_hold
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.fingerprints import NamedRequest
 from robinspindle.core.forwarding import AnswerHead, Request
@@ -242,6 +243,12 @@
             return End.UNSURE
         finally:
             target.in_flight -= 1
+            self._note_hold(passage, target)
+
+    def _note_hold(self, passage: Passage, target: Target) -> None:
+        engine = self._means.fleet.find_engine(target)
+        if engine is not None and passage.first_at is not None:
+            note_hold(engine, self._means.clock() - passage.first_at)
 
     async def _exchange(
         self,
@@ -365,7 +372,8 @@
         if passage.plan is None:
             return spread_s
         left_s = passage.first_due - self._means.clock()
-        return spread_s + max(0.0, passage.plan.first_s - left_s)
+        late_s = max(0.0, passage.plan.first_s - left_s)
+        return spread_s + max(late_s, passage.plan.place_s)
 
     def _may_pass_fault(self, passage: Passage) -> bool:
         # A 503 whose target does not say that it did not run would be a promise.
