--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -1,9 +1,15 @@
+import dataclasses
 import math
 import random
 
+from hypothesis import assume, given
+from hypothesis import strategies as st
+
 from robinspindle.core import answering
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.hosting import (
+    BORNE_SHARE,
+    SLOW_SHARE,
     bears_long,
     choose_host,
     choose_long_host,
@@ -153,3 +159,36 @@
     assert abs(longest_s - 15.0 / 225) < 1e-9
     unknown = Prompt("m", (), 220, 12_198)
     assert find_longest_event_s(unknown, 57, 214.0, 15.0, 0.2) == math.inf
+
+
+EVENTS_S = st.floats(0.005, 0.5)
+ANSWERS = st.integers(5, 500)
+
+
+@given(ANSWERS, ANSWERS, ANSWERS, st.floats(0.01, 60.0))
+def test_the_wait_for_a_place_grows_with_those_who_want_one(slots, own, others, hold_s):
+    target, engine = pair = make_pair("d1", "decode")
+    target.announced = dataclasses.replace(target.announced, slots=slots)
+    answering.note_hold(engine, hold_s)
+    target.in_flight, engine.peers_in_flight["g2"] = own, others
+    wait_s = find_place_wait(pair)
+    assert (wait_s > 0.0) == (own + others >= slots)
+    # Nobody waits longer than all who are there would take one after the other.
+    assert wait_s <= (own + others + 1) * hold_s / slots
+    target.in_flight += 1
+    assert find_place_wait(pair) >= wait_s
+
+
+@given(EVENTS_S, EVENTS_S, EVENTS_S, st.floats(0.1, 10.0))
+def test_what_an_engine_bears_depends_on_no_fleets_figures(
+    event_s, most_s, longest_s, times
+):
+    """In proportion the verdict is the same for fleets that are faster or slower."""
+    engine = make_hosts(event_s)[0]
+    other = make_hosts(event_s * times)[0]
+    verdict = bears_long(engine, 10.0, most_s, longest_s)
+    near = [longest_s * BORNE_SHARE, longest_s * SLOW_SHARE, most_s]
+    assume(all(abs(event_s / bound - 1.0) > 1e-6 for bound in near))
+    assert bears_long(other, 10.0, most_s * times, longest_s * times) == verdict
+    # An answer that bears more is let in wherever one that bears less is.
+    assert not verdict or bears_long(engine, 10.0, most_s * 2.0, longest_s)
