Plan the wait for a slot once, and name it for what it is

Found while the change was read again: the requests of an engine were added up in three places and the pace that is not known yet was defaulted in five; the wait for a slot was worked out anew for each reader of a long answer's plans and passed along as an argument under a condition, though its host is chosen before; it was called a place, as the way to a target is.

Change: count_requests and one function for the pace; the situation of a long answer holds the wait for its host's slot, as it holds the pace of the fastest host. The log's field is slot_wait_ms. Decisions are the same.

Figures: the tests of hosts, readings, sendings and plays pass with names alone changed.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -96,9 +96,9 @@
             return False
         serves_late = self._means.policy().serves_late
         # Who is refused at once can come back in time; who came back may not again.
-        place_most_s = math.inf if passage.is_return else passage.aim_at - now
+        most_slot_wait_s = math.inf if passage.is_return else passage.aim_at - now
         return reading.is_hopeless(
-            plan, passage.first_due - now, serves_late, place_most_s
+            plan, passage.first_due - now, serves_late, most_slot_wait_s
         )
 
     def find_host(self, passage: Passage, plan: Plan) -> Target | None:
--- a/src/robinspindle/core/answering.py
+++ b/src/robinspindle/core/answering.py
@@ -24,7 +24,7 @@
 ten count, half a second of one answer."""
 
 HOLD_SMOOTHING = 0.02
-"""Weight of the newest answer in how long answers hold their places: short and long
+"""Weight of the newest answer in how long answers hold their slots: short and long
 ones mixed, of which the last fifty count."""
 
 EVENT_NEWS_S = 3.0
@@ -50,7 +50,7 @@
 
 
 def note_hold(engine: Engine, seconds: float) -> None:
-    """Take note of how long an answer held its place at an engine, seconds."""
+    """Take note of how long an answer held its slot at an engine, seconds."""
     if engine.hold_s == 0.0:
         engine.hold_s = seconds
     engine.hold_s += HOLD_SMOOTHING * (seconds - engine.hold_s)
--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -81,7 +81,7 @@
         peers_work_s: The same of the other entries, by name; see `note_peer_work`.
         peers_sum_s: Its sum over them, by level.
         peers_in_flight: Requests of the other entries there, by name.
-        hold_s: How long an answer holds its place there, seconds; 0 for not known.
+        hold_s: How long an answer holds its slot there, seconds; 0 for not known.
         own_long: Long answers of this entry that it generates.
         peers_long: The same of the other entries, by name.
         recent: Readings that were lately placed there.
--- a/src/robinspindle/core/hosting.py
+++ b/src/robinspindle/core/hosting.py
@@ -77,21 +77,19 @@
             that bear an engine which is too slow for those leave the fast ones to them.
     """
 
-    def find_pace(pair: Pair) -> float:
-        return find_event_s(pair[1], now) or 0.0
-
     def weigh_late(pair: Pair) -> float:
-        return find_pace(pair) + weigh_place(pair[0], zone) + find_place_wait(pair)
+        way_s = weigh_place(pair[0], zone)
+        return _find_pace(pair[1], now) + way_s + find_slot_wait(pair)
 
     borne = [p for p in hosts if bears_long(p, now, most_event_s, longest_event_s)]
-    fast = [pair for pair in borne if find_pace(pair) <= most_event_s]
+    fast = [pair for pair in borne if _find_pace(pair[1], now) <= most_event_s]
     if not fast:
         return min(borne or hosts, key=weigh_late)
     too_slow_s = longest_event_s * SLOW_SHARE
     spared = [
         pair
         for pair in fast
-        if find_pace(pair) > too_slow_s and not find_place_wait(pair)
+        if _find_pace(pair[1], now) > too_slow_s and not find_slot_wait(pair)
     ]
     fastest_s = find_fastest_s(hosts, now)
     return min(spared or fast, key=lambda p: _weigh_host(p, zone, now, fastest_s))
@@ -148,7 +146,7 @@
         most_event_s: The longest that an event may take for this answer, seconds.
         longest_event_s: The same for the longest of its kind, seconds.
     """
-    event_s = find_event_s(pair[1], now) or 0.0
+    event_s = _find_pace(pair[1], now)
     if event_s <= longest_event_s * BORNE_SHARE:
         return True
     if event_s <= longest_event_s * SLOW_SHARE:
@@ -204,20 +202,31 @@
     room = max(1.0, HOST_SHARE * target.announced.slots)
     used = engine.long_answers / room
     crowded_s = HOST_S * (used if used >= 1.0 else 1.0 - used)
-    event_s = find_event_s(engine, now) or 0.0
+    event_s = _find_pace(engine, now)
     slow_s = max(0.0, event_s - SLOW_EVENTS * fastest_s)
-    wait_s = engine.work_s + find_place_wait(pair)
+    wait_s = engine.work_s + find_slot_wait(pair)
     return wait_s + crowded_s + slow_s + weigh_place(target, zone)
 
 
-def find_place_wait(pair: Pair) -> float:
-    """Find how long an answer waits for a place among those of an engine, seconds.
+def _find_pace(engine: Engine, now: float) -> float:
+    """Find the pace of an engine's answers, seconds an event; 0 where not known."""
+    return find_event_s(engine, now) or 0.0
+
+
+def count_requests(pair: Pair) -> int:
+    """Count the requests of all entries that are under way at an engine."""
+    target, engine = pair
+    return target.in_flight + engine.others_in_flight
+
+
+def find_slot_wait(pair: Pair) -> float:
+    """Find how long an answer waits for a slot of an engine, seconds.
 
     An engine makes so many answers at once; one more begins when one of them ends.
     """
     target, engine = pair
     slots = max(1, target.announced.slots)
-    beyond = target.in_flight + engine.others_in_flight + 1 - slots
+    beyond = count_requests(pair) + 1 - slots
     return max(0, beyond) * engine.hold_s / slots
 
 
@@ -229,7 +238,7 @@
         now: The present time, steady seconds.
         fastest_s: Pace of the fastest host, seconds an event; 0 where none is known.
     """
-    event_s = max(find_event_s(engine, now) or 0.0, find_open_pause(engine, now))
+    event_s = max(_find_pace(engine, now), find_open_pause(engine, now))
     if not event_s or not fastest_s:
         return 1.0
     return min(MOST_SLOWNESS, max(1.0, event_s / fastest_s))
@@ -248,9 +257,8 @@
         slowness: How many times longer its events take than the fastest host's.
     """
     target, engine = pair
-    requests = target.in_flight + engine.others_in_flight
-    place_s = weigh_place(target, zone)
-    return requests * SLOT_S * slowness + engine.work_s + place_s
+    way_s = weigh_place(target, zone)
+    return count_requests(pair) * SLOT_S * slowness + engine.work_s + way_s
 
 
 def weigh_place(target: Target, zone: str) -> float:
--- a/src/robinspindle/core/reading.py
+++ b/src/robinspindle/core/reading.py
@@ -30,8 +30,9 @@
     SLOT_S,
     bears_long,
     choose_long_host,
+    count_requests,
     find_fastest_s,
-    find_place_wait,
+    find_slot_wait,
     find_slowness,
     weigh_place,
     weigh_target,
@@ -91,7 +92,7 @@
         fetch_s: Seconds of fetching from the holder.
         level: How urgent the reading is.
         is_borne: Whether the target bears a long answer beside those that it has.
-        place_s: Estimated wait for a place among the answers of the target, seconds.
+        slot_wait_s: Estimated wait of a long answer for a slot of the target, seconds.
     """
 
     target: Target
@@ -106,7 +107,7 @@
     fetch_s: float = 0.0
     level: int = FIRST_RANK
     is_borne: bool = True
-    place_s: float = 0.0
+    slot_wait_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -136,6 +137,7 @@
         most_event_s: The longest that an event may take for the answer to end in time,
             seconds.
         longest_event_s: The same for the longest answers of its kind, seconds.
+        slot_wait_s: How long a long answer waits for a slot of its host, seconds.
         has_answer_turn: Whether it is sent also where its host has too many long
             answers, as those of its length are due a turn.
     """
@@ -158,6 +160,7 @@
     fastest_s: float = 0.0
     most_event_s: float = math.inf
     longest_event_s: float = math.inf
+    slot_wait_s: float = 0.0
     has_answer_turn: bool = False
 
 
@@ -184,6 +187,7 @@
             generating, at.zone, at.now, at.most_event_s, at.longest_event_s
         )
         is_borne = bears_long(host, at.now, at.most_event_s, at.longest_event_s)
+        at = replace(at, slot_wait_s=find_slot_wait(host))
         plan = _plan_long(host, candidates, prompt, at, move)
         return replace(plan, is_borne=is_borne or at.has_answer_turn)
     draws = _draw(candidates, at)
@@ -218,7 +222,10 @@
 
 
 def is_hopeless(
-    plan: Plan, last_s: float, serves_late: bool = True, place_most_s: float = math.inf
+    plan: Plan,
+    last_s: float,
+    serves_late: bool = True,
+    most_slot_wait_s: float = math.inf,
 ) -> bool:
     """Whether a request had better be refused than sent on.
 
@@ -227,17 +234,17 @@
 
     That holds for an answer that is expected to be long too: where those were never
     refused, most of the longest prompts waited in vain. A long one is also refused
-    where it would make others of its kind miss their limits, or waits for a place: who
+    where it would make others of its kind miss their limits, or waits for a slot: who
     is refused at once can come back in time, who waits can't be in time any more.
 
     Args:
         plan: The best plan for it.
         last_s: Seconds until the caller gives up if no event has come.
         serves_late: Whether what can't be in time is sent at all.
-        place_most_s: The longest wait for a place among its host's answers that is
-            worth while, seconds.
+        most_slot_wait_s: The longest wait for a slot of its host that is worth while,
+            seconds.
     """
-    if not plan.is_borne or plan.place_s > place_most_s:
+    if not plan.is_borne or plan.slot_wait_s > most_slot_wait_s:
         return True
     if plan.level == LATE and not serves_late:
         return True
@@ -338,13 +345,10 @@
     """Plan to read a prompt where its answer is generated."""
     target, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
-    requests = target.in_flight + engine.others_in_flight
-    place_s = find_place_wait(pair) if at.is_long else 0.0
-    after_s = weigh_place(target, at.zone) + place_s
-    spread_s = requests * SLOT_S * find_slowness(engine, at.now, at.fastest_s)
-    return _make_plan(
-        target, None, engine, reading, after_s, spread_s, at, is_late, place_s
-    )
+    after_s = weigh_place(target, at.zone) + at.slot_wait_s
+    slowness = find_slowness(engine, at.now, at.fastest_s)
+    spread_s = count_requests(pair) * SLOT_S * slowness
+    return _make_plan(target, None, engine, reading, after_s, spread_s, at, is_late)
 
 
 def _plan_apart(
@@ -359,13 +363,10 @@
     reader, engine = pair
     reading = estimate_reading(pair, prompt, at.now, move)
     begin_s = at.late_begin_s if is_late else at.begin_s
-    place_s = find_place_wait(host) if at.is_long else 0.0
-    after_s = weigh_place(reader, at.zone) + max(begin_s, place_s)
+    after_s = weigh_place(reader, at.zone) + max(begin_s, at.slot_wait_s)
     # The host reads other prompts meanwhile, but lets a fetched one in between.
     spread_s = min(_weigh_host(host, at), MOST_END_S)
-    return _make_plan(
-        host[0], reader, engine, reading, after_s, spread_s, at, is_late, place_s
-    )
+    return _make_plan(host[0], reader, engine, reading, after_s, spread_s, at, is_late)
 
 
 def _weigh_host(pair: Pair, at: Situation) -> float:
@@ -382,7 +383,6 @@
     spread_s: float,
     at: Situation,
     is_late: bool,
-    place_s: float,
 ) -> Plan:
     """Make a plan of which all but the level and the wait is known.
 
@@ -395,12 +395,11 @@
         spread_s: What the host's requests count for, seconds.
         at: What else the plan depends on.
         is_late: Whether it can't be in time.
-        place_s: How long a long answer waits for a place at the target, seconds.
     """
     follows_ranks = at.policy.follows_ranks
     level = find_level(reading.reading_s, at.aim_s, at.rank, follows_ranks)
     if level == SHORT and at.is_long:
-        # Its reading holds nobody up, its answer does: it would take the places of
+        # Its reading holds nobody up, its answer does: it would take the slots of
         # prompts that were read and whose answers are short.
         level = find_rank_level(at.rank)
     level = LATE if is_late else level
@@ -421,5 +420,5 @@
         holder=reading.holder,
         fetch_s=reading.fetch_s,
         level=level,
-        place_s=place_s,
+        slot_wait_s=at.slot_wait_s,
     )
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -373,7 +373,7 @@
             return spread_s
         left_s = passage.first_due - self._means.clock()
         late_s = max(0.0, passage.plan.first_s - left_s)
-        return spread_s + max(late_s, passage.plan.place_s)
+        return spread_s + max(late_s, passage.plan.slot_wait_s)
 
     def _may_pass_fault(self, passage: Passage) -> bool:
         # A 503 whose target does not say that it did not run would be a promise.
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -48,7 +48,7 @@
             unread=plan.unread,
             reading_ms=round(plan.reading_s * 1000, 1),
             level=plan.level,
-            place_ms=round(plan.place_s * 1000, 1),
+            slot_wait_ms=round(plan.slot_wait_s * 1000, 1),
             has_turn=passage.has_turn,
             has_answer_turn=passage.has_answer_turn,
             is_long=passage.is_long,
--- a/tests/core/generationplay.py
+++ b/tests/core/generationplay.py
@@ -167,7 +167,7 @@
             target.announced = replace(target.announced, slots=slots)
         return gateway
 
-    def _find_place_most_s(self, kind):
+    def _find_most_slot_wait_s(self, kind):
         return kind.aim_s
 
     def run(self):
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -208,8 +208,8 @@
             age_s=self.load.news_s, rng=self.rng,
         )  # fmt: skip
 
-    def _find_place_most_s(self, kind):
-        """Find how long an answer may wait for a place at the most, seconds."""
+    def _find_most_slot_wait_s(self, kind):
+        """Find how long an answer may wait for a slot at the most, seconds."""
         return math.inf
 
     def _serve(self, gateway, kind):
@@ -222,8 +222,8 @@
         note_asked(turns, env.now, *asked)
         at = replace(at, has_turn=load.gives_turns and is_due(turns, env.now, *asked))
         plan = choose_plan(gateway.pairs, prompt, at)
-        place_most_s = self._find_place_most_s(kind)
-        if is_hopeless(plan, kind.patience_s, place_most_s=place_most_s):
+        most_slot_wait_s = self._find_most_slot_wait_s(kind)
+        if is_hopeless(plan, kind.patience_s, most_slot_wait_s=most_slot_wait_s):
             self._note_end(kind, prompt, None)
             return
         if plan.level < LATE:
--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -15,7 +15,7 @@
     choose_long_host,
     find_longest_event_s,
     find_most_event_s,
-    find_place_wait,
+    find_slot_wait,
 )
 from tests.core.test_reading import make_pair, name
 
@@ -111,10 +111,10 @@
     target, engine = pair = make_pair("d1", "decode")
     answering.note_hold(engine, 4.8)
     target.in_flight, engine.peers_in_flight["g2"] = 20, 27
-    assert find_place_wait(pair) == 0.0
+    assert find_slot_wait(pair) == 0.0
     target.in_flight = 30
     # Of 48 answers of 4.8 s each one ends every 0.1 s; ten are before it.
-    assert abs(find_place_wait(pair) - 1.0) < 1e-6
+    assert abs(find_slot_wait(pair) - 1.0) < 1e-6
 
 
 def test_a_long_answer_goes_where_a_place_is_free():
@@ -171,12 +171,12 @@
     target.announced = dataclasses.replace(target.announced, slots=slots)
     answering.note_hold(engine, hold_s)
     target.in_flight, engine.peers_in_flight["g2"] = own, others
-    wait_s = find_place_wait(pair)
+    wait_s = find_slot_wait(pair)
     assert (wait_s > 0.0) == (own + others >= slots)
     # Nobody waits longer than all who are there would take one after the other.
     assert wait_s <= (own + others + 1) * hold_s / slots
     target.in_flight += 1
-    assert find_place_wait(pair) >= wait_s
+    assert find_slot_wait(pair) >= wait_s
 
 
 @given(EVENTS_S, EVENTS_S, EVENTS_S, st.floats(0.1, 10.0))
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -275,7 +275,7 @@
         target.in_flight = 58
         answering.note_hold(engine, 4.8)
     plan = choose_plan(fleet, CHAT, LONG)
-    assert plan.place_s > 1.0
-    assert reading.is_hopeless(plan, 15.0, place_most_s=0.2)
+    assert plan.slot_wait_s > 1.0
+    assert reading.is_hopeless(plan, 15.0, most_slot_wait_s=0.2)
     # Who has come back already is let in, late.
     assert not reading.is_hopeless(plan, 15.0)
