Keep a request's two kinds of turns in one place; bound events of long answers alone

Found while the change was read again: each note on turns was written twice, once for the length of the prompt and once for that of the answer; how long events may take was worked out for every request, though only plans of long answers look at it.

Change: one list of the turns a request counts for; the bounds are added to the situation of a long answer. Decisions are the same; the request's path does less.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -2,10 +2,11 @@
 
 import math
 import random
+from dataclasses import replace
 
 from robinspindle.core import budgets, hosting, reading, turns
 from robinspindle.core.engines import Engine
-from robinspindle.core.forwarding import Request
+from robinspindle.core.forwarding import Prompt, Request
 from robinspindle.core.paces import estimate_busy_s
 from robinspindle.core.reading import Plan
 from robinspindle.core.rebalance import Demand, note_demand, read_demand
@@ -50,14 +51,14 @@
         prompt = passage.request.prompt
         if prompt is None:
             return
-        asked = passage.route.name, prompt.tokens
-        turns.note_asked(self._turns, now, *asked)
-        gives_turns = self._means.policy().gives_turns
-        passage.has_turn = gives_turns and turns.is_due(self._turns, now, *asked)
-        answer = passage.route.name, prompt.expected_tokens
-        turns.note_asked(self._answer_turns, now, *answer)
-        is_due = gives_turns and turns.is_due(self._answer_turns, now, *answer)
-        passage.has_answer_turn = is_due
+        route = passage.route.name
+        for kept, tokens in self._list_turns(prompt):
+            turns.note_asked(kept, now, route, tokens)
+        if self._means.policy().gives_turns:
+            passage.has_turn, passage.has_answer_turn = (
+                turns.is_due(kept, now, route, tokens)
+                for kept, tokens in self._list_turns(prompt)
+            )
 
     def note_end(self, passage: Passage, now: float, is_served: bool) -> None:
         """Take note of whether a request got its whole answer."""
@@ -65,8 +66,15 @@
         if prompt is None or is_served == passage.counts_as_served:
             return
         note = turns.note_served if is_served else turns.note_lost
-        note(self._turns, now, passage.route.name, prompt.tokens)
-        note(self._answer_turns, now, passage.route.name, prompt.expected_tokens)
+        for kept, tokens in self._list_turns(prompt):
+            note(kept, now, passage.route.name, tokens)
+
+    def _list_turns(self, prompt: Prompt) -> tuple[tuple[Turns, int], ...]:
+        """List whose turns a request counts for: its prompt's length, its answer's."""
+        return (
+            (self._turns, prompt.tokens),
+            (self._answer_turns, prompt.expected_tokens),
+        )
 
     def expects_long(self, route: Route, service: str) -> bool:
         """Tell whether answers of a route are to be taken as long."""
@@ -153,9 +161,8 @@
         """
         if not passage.counts_as_served:
             passage.counts_as_served = True
-            prompt, route = passage.request.prompt, passage.route.name
-            turns.note_served(self._turns, now, route, prompt.tokens)
-            turns.note_served(self._answer_turns, now, route, prompt.expected_tokens)
+            for kept, tokens in self._list_turns(passage.request.prompt):
+                turns.note_served(kept, now, passage.route.name, tokens)
 
     def _note_demand(self, passage: Passage, plan: Plan, now: float) -> None:
         context = passage.request.prompt.tokens - plan.unread
@@ -186,6 +193,24 @@
         )
 
     def _describe_situation(self, passage: Passage, now: float) -> reading.Situation:
+        at = self._describe_any(passage, now)
+        return self._add_bounds(at, passage) if passage.is_long else at
+
+    def _add_bounds(self, at: reading.Situation, passage: Passage) -> reading.Situation:
+        """Add how long events of a long answer may take at its host."""
+        prompt, route = passage.request.prompt, passage.route
+        event_tokens = self._means.fleet.count_event_tokens(passage.service)
+        whole_s = passage.due - at.now
+        mean_events = self._means.lengths.events.get(route.name, 0.0)
+        return replace(
+            at,
+            most_event_s=hosting.find_most_event_s(prompt, event_tokens, whole_s),
+            longest_event_s=hosting.find_longest_event_s(
+                prompt, event_tokens, mean_events, whole_s, route.gap_s
+            ),
+        )
+
+    def _describe_any(self, passage: Passage, now: float) -> reading.Situation:
         return reading.Situation(
             now=now,
             left_s=passage.aim_at - now,
@@ -203,16 +228,4 @@
             policy=self._means.policy(),
             has_turn=passage.has_turn,
             has_answer_turn=passage.has_answer_turn,
-            longest_event_s=hosting.find_longest_event_s(
-                passage.request.prompt,
-                self._means.fleet.count_event_tokens(passage.service),
-                self._means.lengths.events.get(passage.route.name, 0.0),
-                passage.due - now,
-                passage.route.gap_s,
-            ),
-            most_event_s=hosting.find_most_event_s(
-                passage.request.prompt,
-                self._means.fleet.count_event_tokens(passage.service),
-                passage.due - now,
-            ),
         )
