Make hosts with a known pace in one place of their tests

Five tests wrote the loop that make_hosts holds. An engine's first event sets its pace (20 or 60 alike ones change nothing), so one is enough. Assertions are as they were.

--- a/tests/core/test_hosting.py
+++ b/tests/core/test_hosting.py
@@ -20,13 +20,18 @@
 from tests.core.test_reading import make_pair, name
 
 
+def make_hosts(*events_s):
+    """Make engines, d1 and on, that made an event in so many seconds each lately."""
+    fleet = [make_pair(f"d{n}", "decode") for n, _ in enumerate(events_s, 1)]
+    for (_, engine), seconds in zip(fleet, events_s, strict=True):
+        answering.note_event(engine, 10.0, seconds)
+    return fleet
+
+
 def host_long_answers(event_s, now):
     """Choose a host: d1, the fuller one, makes an event in so long, d2 in 40 ms."""
-    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    fleet = make_hosts(event_s, 0.04)
     fleet[0][1].own_long = 3
-    for (_, engine), seconds in zip(fleet, (event_s, 0.04), strict=True):
-        for _ in range(20):
-            answering.note_event(engine, 10.0, seconds)
     return name(choose_long_host(fleet, "a", now)[0])
 
 
@@ -42,11 +47,8 @@
 
 def test_a_host_whose_events_are_slow_gets_fewer_short_answers():
     """In time at four times the load, a third of the engines slow: 0.21, then 0.29."""
-    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
-    for (_, engine), seconds in zip(fleet, (0.18, 0.06), strict=True):
-        engine.peers_in_flight["others"] = 10
-        for _ in range(20):
-            answering.note_event(engine, 10.0, seconds)
+    fleet = make_hosts(0.18, 0.06)
+    fleet[0][1].peers_in_flight["others"] = 10
     fleet[1][1].peers_in_flight["others"] = 20
     rng = random.Random(1)
     assert name(choose_host(fleet, "a", 10.0, 0.0, rng)) == "d2"
@@ -55,11 +57,9 @@
 
 
 def test_a_host_that_makes_no_event_at_all_counts_as_slow():
-    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    fleet = make_hosts(0.06, 0.06)
     for _, engine in fleet:
         answering.note_answer_begun(engine, 10.0)
-        for _ in range(20):
-            answering.note_event(engine, 10.0, 0.06)
     answering.note_answer_event(fleet[1][1], 10.4)
     fleet[1][1].peers_in_flight["others"] = 4
     fleet[0][1].peers_in_flight["others"] = 3
@@ -67,11 +67,8 @@
 
 
 def test_the_longest_answers_go_where_events_come_fast_enough_for_them():
-    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    fleet = make_hosts(0.08, 0.06)
     fleet[0][1].own_long = 3
-    for (_, engine), seconds in zip(fleet, (0.08, 0.06), strict=True):
-        for _ in range(20):
-            answering.note_event(engine, 10.0, seconds)
     short, long, longest = (
         find_most_event_s(Prompt("m", (), 220, 12_198, 57 * events), 57, 15.0)
         for events in (40, 150, 400)
@@ -86,24 +83,12 @@
 
 def test_an_answer_whose_length_nobody_guesses_goes_to_any_host():
     """By the most that it may hold it would always go to the fastest."""
-    fleet = [make_pair("d1", "decode"), make_pair("d2", "decode")]
+    fleet = make_hosts(0.08, 0.06)
     fleet[0][1].own_long = 3
-    for (_, engine), seconds in zip(fleet, (0.08, 0.06), strict=True):
-        for _ in range(20):
-            answering.note_event(engine, 10.0, seconds)
     unknown = find_most_event_s(Prompt("m", (), 220, 12_198), 57, 15.0)
     assert name(choose_long_host(fleet, "a", 10.0, unknown)[0]) == "d1"
 
 
-def make_hosts(*events_s):
-    """Make engines that make an event in so many seconds each."""
-    fleet = [make_pair(f"d{n}", "decode") for n, _ in enumerate(events_s, 1)]
-    for (_, engine), seconds in zip(fleet, events_s, strict=True):
-        for _ in range(60):
-            answering.note_event(engine, 10.0, seconds)
-    return fleet
-
-
 def test_an_answer_waits_for_a_place_where_all_are_taken():
     """On a day of overload 100 to 174 answers were sent to engines that make 96 at
     once. Plans knew nothing of places: notes of 200 tokens, planned to begin in 0.04 to
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -257,8 +257,7 @@
     limits. Not where answers of its length are due a turn."""
     fleet = make_fleet()
     for _, engine in fleet[2:]:
-        for _ in range(60):
-            answering.note_event(engine, 10.0, 0.075)
+        answering.note_event(engine, 10.0, 0.075)
     at = dataclasses.replace(
         LONG, now=10.0, most_event_s=0.1, longest_event_s=15.0 / 214
     )
