Serve workspaces' keys on the gateways' path, and stop them in time

Where a promise says by when a key that was taken away stops working everywhere, a gateway serves keys under a lease of freshness (core/freshness): from when a read of the store was sent, or from a peer's age beside the number of our datagram that the peer had, so that neither a freeze nor a buffer renews it.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -10,6 +10,7 @@
 from robinspindle.adapters import Adapter
 from robinspindle.core import silence, targets
 from robinspindle.core.entries import UnusableEntries
+from robinspindle.core.freshness import Freshness, counts_on_peers, note_read
 from robinspindle.core.quarantine import is_key
 from robinspindle.core.relays import decode_introduction
 from robinspindle.core.routes import is_newer
@@ -49,6 +50,7 @@
         keeper: Takes in the quarantine, which lies beside the gateways.
         limits: What callers may send; changed in place.
         is_own: Tells whether a gateway's name is this one's.
+        freshness: Told of the age of the configuration.
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
         entries: The targets' entries that can't be used.
@@ -63,6 +65,7 @@
     keeper: QuarantineKeeper
     limits: Limits
     is_own: Callable[[str], bool]
+    freshness: Freshness
     clock: Callable[[], float]
     log: Log
     entries: UnusableEntries = field(default_factory=UnusableEntries)
@@ -82,7 +85,7 @@
             apply=self._apply_configuration,
             note_away=lambda: None,
             note_back=lambda: None,
-            wait_s=self._find_wait_s,
+            wait_s=self._find_configuration_wait_s,
             note_newest=self._note_configuration_newest,
         )
 
@@ -94,7 +97,7 @@
             note_back=self._note_back,
             rest_s=lambda: self.fleet.directory.hold_s,
             wait_s=self._find_wait_s,
-            note_newest=lambda: targets.note_copy_read(self.fleet.directory),
+            note_newest=lambda sent_at: targets.note_copy_read(self.fleet.directory),
         )
 
     def _follow_peers(self) -> Follower:
@@ -118,6 +121,14 @@
             note_end=self._note_claims_end,
         )
 
+    def _find_configuration_wait_s(self) -> float:
+        """Find how long polls for configurations are held.
+
+        The lease of freshness counts from when a poll was sent.
+        """
+        is_told = counts_on_peers(self.freshness, self.clock())
+        return self._find_wait_s() if is_told else WAIT_S
+
     def _find_wait_s(self) -> float:
         """Find how long polls are held: relays notice first that the store is away.
 
@@ -133,7 +144,7 @@
     def _note_claims_end(self, end: int) -> None:
         self.orderer.authority.end = end
 
-    def _note_peers_newest(self) -> None:
+    def _note_peers_newest(self, sent_at: float) -> None:
         self.keeper.note_newest()
         self.introduction.is_read = True
 
@@ -158,8 +169,12 @@
             address = f"{member.host}:{member.port}"
             self.log("peer introduced", peer=key, address=address, zone=member.zone)
 
-    def _note_configuration_newest(self) -> None:
-        self.fleet.table_newest_at = self.clock()
+    def _note_configuration_newest(self, sent_at: float) -> None:
+        """Take note that nothing newer is in force.
+
+        What can't be read came into force nowhere, and takes no key away.
+        """
+        note_read(self.freshness, sent_at)
 
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
         if key != self.adapter.configuration_key or value is None:
@@ -176,6 +191,8 @@
             self.log("older configuration passed over", version=table.version)
             return
         self.fleet.table = table
+        self.freshness.version = table.version
+        self.freshness.has_keys = table.keys is not None
         limits = table.limits
         self.limits.header_bytes = limits.header_bytes
         self.limits.body_bytes = limits.body_bytes
--- a/src/robinspindle/callers.py
+++ b/src/robinspindle/callers.py
@@ -13,6 +13,7 @@
 )
 from robinspindle.core.effects import Chunk, Ended, Event, Refusal
 from robinspindle.core.flights import Comeback
+from robinspindle.core.workspaces import digest_bearer_key
 from robinspindle.engines import HOP_HEADERS
 from robinspindle.entry import GONE, Entry
 from robinspindle.exchanges import (
@@ -24,7 +25,6 @@
     wait_first,
 )
 from robinspindle.health import answer_health
-from robinspindle.keys import digest_bearer_key
 from robinspindle.messages import Work
 from robinspindle.web import (
     Answer,
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -217,7 +217,7 @@
             aim_s=passage.route.aim_s,
             gap_s=passage.route.gap_s,
             zone=self._means.zone,
-            rank=passage.route.priority,
+            rank=passage.rank,
             is_long=passage.is_long,
             has_exposed=self._means.lengths.has_exposed(passage.service),
             begin_s=self._means.lengths.find_begin_s(passage.service, now),
--- a/src/robinspindle/commands.py
+++ b/src/robinspindle/commands.py
@@ -21,11 +21,11 @@
     Undrain,
 )
 from robinspindle.core.state import ENDED, PLAN_DONE
+from robinspindle.core.workspaces import digest_bearer_key
 from robinspindle.exceptions import ApiError, Finding, InvalidDocumentError
 from robinspindle.explaining import format_story, read_lines, tell_story
 from robinspindle.following import KeyedStore
 from robinspindle.keys import (
-    digest_bearer_key,
     format_fleet_key,
     make_bearer_key,
     make_fleet_key,
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from robinspindle.core.routes import STREAM, Route
 
@@ -70,19 +70,22 @@
         wait_s: How long the caller will wait, seconds; None where it does not say.
         received_at: When its head came, steady seconds.
         prompt: What it says of its prompt; None for a plain request.
-        caller: The key by which the caller shows who it is; empty for none.
+        caller: Who sends it, as far as it says: its credentials, or the workspace that
+            they belong to; empty for none.
+        key: The key that it carries; None for none, or where it is malformed.
     """
 
     id: str
     method: str
     target: bytes
     host: str
-    headers: Headers
+    headers: Headers = field(repr=False)
     body: bytes
     wait_s: float | None
     received_at: float
     prompt: Prompt | None = None
-    caller: bytes = b""
+    caller: bytes = field(default=b"", repr=False)
+    key: bytes | None = field(default=None, repr=False)
 
     @property
     def path(self) -> str:
@@ -164,6 +167,8 @@
 
 NO_CONFIGURATION = Refusal(503, "no-configuration", 0.5)
 NO_ROUTE = Refusal(404, "no-route")
+UNKNOWN_KEY = Refusal(401, "unknown-key")
+NOT_FRESH = Refusal(503, "configuration-not-fresh", 0.3)
 BROKEN = Refusal(502, "broken")
 TIMED_OUT = Refusal(504, "timed-out")
 
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from robinspindle.core.workspaces import KeyRing, Workspace
+
 IDEMPOTENT = "idempotent"
 AT_MOST_ONCE = "at-most-once"
 STREAM = "stream"
@@ -34,6 +36,7 @@
         resumable: Whether a broken stream may go on at another target.
         gap_s: The longest pause between two events of a stream that is in time,
             seconds.
+        is_public: Whether its requests need no key.
     """
 
     name: str
@@ -47,6 +50,7 @@
     backends: tuple[Backend, ...] = ()
     resumable: bool = False
     gap_s: float = 1.0
+    is_public: bool = False
 
     @property
     def may_rerun(self) -> bool:
@@ -119,12 +123,17 @@
         routes: Its routes by host, the longest prefix first.
         services: Its services by name.
         limits: What callers may send.
+        keys: The keys of workspaces; None where requests need none.
+        ranks: The rank of a request among those to its service, by the priorities of
+            its workspace (None without one) and of its route; 0 is the highest.
     """
 
     version: int
     routes: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    keys: KeyRing | None = None
+    ranks: dict[str, dict[tuple[int, int], int]] = field(default_factory=dict)
 
 
 def make_table(
@@ -132,16 +141,57 @@
     routes: Iterable[Route],
     services: Iterable[Service],
     limits: CallerLimits,
+    keys: KeyRing | None = None,
 ) -> RouteTable:
     """Build a table whose routes can be looked up."""
     hosts: dict[str, list[Route]] = {}
+    routes = list(routes)
     for route in routes:
         hosts.setdefault(route.host, []).append(route)
     ordered = {
         host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
         for host, found in hosts.items()
     }
-    return RouteTable(version, ordered, {s.name: s for s in services}, limits)
+    by_name = {service.name: service for service in services}
+    ranks = _rank_routes(routes, keys) if keys is not None else {}
+    return RouteTable(version, ordered, by_name, limits, keys, ranks)
+
+
+def find_rank(
+    table: RouteTable, route: Route, service: str, workspace: Workspace | None
+) -> int:
+    """Find the rank of a request: its workspace's priority counts before its route's.
+
+    Without a workspace it is the route's priority alone.
+    """
+    if workspace is None:
+        return route.priority
+    pair = (workspace.priority, route.priority)
+    return table.ranks.get(service, {}).get(pair, route.priority)
+
+
+def _rank_routes(
+    routes: list[Route], keys: KeyRing
+) -> dict[str, dict[tuple[int, int], int]]:
+    """Rank all pairs of priorities that occur at each service.
+
+    Engines know few ranks. Counted over what occurs, none is wasted.
+    """
+    priorities: dict[str, set[int]] = {}
+    for route in routes:
+        if not route.is_public:
+            for backend in route.backends:
+                priorities.setdefault(backend.service, set()).add(route.priority)
+    firsts = sorted({workspace.priority for workspace in keys.owners.values()})
+    return {
+        service: {
+            pair: rank
+            for rank, pair in enumerate(
+                (first, second) for first in firsts for second in sorted(found)
+            )
+        }
+        for service, found in priorities.items()
+    }
 
 
 def find_route(table: RouteTable, host: str, path: str) -> Route | None:
--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -147,6 +147,18 @@
     era: int = 0
 
 
+class Checked(msgspec.Struct, array_like=True):
+    """How sure an entry is that its configuration is the newest.
+
+    Attributes:
+        version: The version that it holds.
+        age_ms: How long ago, at the most, that was the newest, milliseconds.
+    """
+
+    version: int
+    age_ms: int
+
+
 class Bundle(msgspec.Struct, array_like=True):
     """One datagram.
 
@@ -155,11 +167,16 @@
         digests: What it tells.
         echo: Number of the newest digest that it has of the receiver; None to one whom
             it does not speak for.
+        seen: Number of the newest digest that it has of the receiver, whoever speaks
+            for whom; None for none. What it tells besides was true after that came.
+        checked: The age of its configuration; None where no key hangs on that.
     """
 
     sender: str
     digests: list[Digest]
     echo: int | None = None
+    seen: int | None = None
+    checked: Checked | None = None
 
 
 @dataclass
--- a/src/robinspindle/core/soundness.py
+++ b/src/robinspindle/core/soundness.py
@@ -9,7 +9,7 @@
 from robinspindle.core.crashnews import is_believable
 from robinspindle.core.eras import MOST_ERA
 from robinspindle.core.paces import Sums
-from robinspindle.core.sharing import Cache, Digest, Load, Placement
+from robinspindle.core.sharing import Cache, Checked, Digest, Load, Placement
 from robinspindle.core.urgency import LEVELS
 
 MOST_REQUESTS = 100_000
@@ -22,6 +22,9 @@
 MOST_TOKENS = 100_000_000
 """No part of a prompt has more tokens: hundreds of times an engine's memory."""
 
+MOST_AGE_MS = 1 << 40
+"""No configuration has been checked longer ago, milliseconds: 30 years."""
+
 MOST_SUM = 1e12
 """No sum over readings that fade is larger: 100 readings of weight 1 each, scaled."""
 
@@ -47,6 +50,11 @@
     return None
 
 
+def is_checked(checked: Checked) -> bool:
+    """Whether what a peer tells of its configuration's age can be believed."""
+    return checked.version >= 0 and 0 <= checked.age_ms <= MOST_AGE_MS
+
+
 def _is_load(load: Load) -> bool:
     return (
         len(load.work_ms) == LEVELS
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,7 +1,5 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
-import math
-
 from robinspindle.core import paces, silence, targets
 from robinspindle.core.engines import Engine, make_engine, note_held
 from robinspindle.core.forwarding import Part
@@ -46,8 +44,6 @@
     Attributes:
         directory: The targets.
         table: The configuration in force, None before the first.
-        table_newest_at: When the configuration was last known to be the newest, steady
-            seconds.
         gateways: How many gateways share the targets' connections.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
             has started after this gateway.
@@ -56,7 +52,6 @@
     def __init__(self, directory: Directory, decode_head: DecodeHead):
         self.directory = directory
         self.table: RouteTable | None = None
-        self.table_newest_at = -math.inf
         self.gateways = GATEWAYS
         self.knows_new_caches = False
         self._decode_head = decode_head
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from robinspindle.clocks import read_steady
 from robinspindle.exceptions import (
     EraChangedError,
     LogServiceError,
@@ -137,7 +138,8 @@
             are then read together, as each call has its price.
         wait_s: Tells how long the store holds a poll, seconds.
         note_end: Told where the topic ends, after each read was applied.
-        note_newest: Called when all that the topic held has been applied.
+        note_newest: Told when the call was sent whose answer held all that the topic
+            has, steady seconds, once that has been applied.
         offset: How far it has been read; None before the first read.
         is_lost: Whether the last call failed.
         nudge: Set when a held poll may be waiting in vain.
@@ -152,7 +154,7 @@
     rest_s: Callable[[], float] = lambda: 0.0
     wait_s: Callable[[], float] = lambda: WAIT_S
     note_end: Callable[[int], None] = lambda end: None
-    note_newest: Callable[[], None] = lambda: None
+    note_newest: Callable[[float], None] = lambda sent_at: None
     offset: int | None = None
     is_lost: bool = False
     nudge: asyncio.Event = field(default_factory=asyncio.Event)
@@ -186,7 +188,11 @@
 
 
 async def follow(
-    store: KeyedStore, follower: Follower, log: Log, outage: Outage | None = None
+    store: KeyedStore,
+    follower: Follower,
+    log: Log,
+    outage: Outage | None = None,
+    clock: Callable[[], float] = read_steady,
 ) -> None:
     """Follow one topic for as long as the process runs.
 
@@ -195,6 +201,7 @@
         follower: The topic, and who is told of it.
         log: Takes log lines.
         outage: Shared by all who follow the same store; None for one that is alone.
+        clock: Tells the present time, steady seconds.
     """
     outage = outage or Outage()
     keys: set[str] = set()
@@ -204,6 +211,7 @@
         if follower.is_void:
             follower.offset, follower.is_void = None, False
         offset = follower.offset
+        sent_at = clock()
         try:
             if offset is None:
                 records = await store.read_newest(follower.topic)
@@ -246,7 +254,7 @@
         follower.note_end(records.end)
         left = records.topic_end - records.end
         if left <= 0:
-            follower.note_newest()
+            follower.note_newest(sent_at)
         if left > MOST_LEFT:
             log("records are passed over", topic=follower.topic, count=left)
             follower.offset = None
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -20,6 +20,7 @@
 from robinspindle.core.authority import Authority
 from robinspindle.core.fingerprints import Fingerprint
 from robinspindle.core.forwarding import Refusal
+from robinspindle.core.freshness import Freshness, may_serve, must_renew
 from robinspindle.core.lengths import Lengths
 from robinspindle.core.pauses import Pause
 from robinspindle.core.relays import Member, encode_introduction
@@ -111,6 +112,7 @@
         self.budget = budgets.RepeatBudget()
         self.peers = Peers(_describe_own(settings), time.time())
         self.lengths = Lengths()
+        self.freshness = Freshness()
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -168,6 +170,7 @@
                 guard=self.guard,
                 budget=self.budget,
                 lengths=self.lengths,
+                freshness=self.freshness,
                 policy=lambda: self.settings.policy,
                 zone=self.settings.zone,
                 clock=self._clock,
@@ -185,6 +188,7 @@
             # Made after the link, as the followers need what it fills.
             lambda digest: self._store_news.note_told(digest),
             lambda news: take_news(self.guard, news, self._clock()),
+            self.freshness,
         )
 
     def _make_orderer(self, adapter: Adapter) -> Orderer:
@@ -210,6 +214,7 @@
             keeper=self._keeper,
             limits=limits,
             is_own=lambda name: name == self.settings.name,
+            freshness=self.freshness,
             clock=self._clock,
             log=log,
         )
@@ -274,7 +279,13 @@
             loop.create_task(self._tell_peers()),
             *(
                 loop.create_task(
-                    follow(self._store, follower, log, self._store_news.outage)
+                    follow(
+                        self._store,
+                        follower,
+                        log,
+                        self._store_news.outage,
+                        self._clock,
+                    )
                 )
                 for follower in self._followers
             ),
@@ -319,13 +330,15 @@
     def is_ready(self) -> bool:
         """Whether callers may be sent here.
 
-        One that does not know yet who is turned away would send it to a target.
+        One that does not know yet who is turned away would send it to a target. One
+        that is not sure of its keys would refuse nearly all.
         """
         return (
             self._stopping_at is None
             and self.fleet.table is not None
             and self.directory.known
             and self._keeper.is_known
+            and may_serve(self.freshness, self._clock())
         )
 
     async def _tell_peers(self) -> None:
@@ -375,6 +388,7 @@
             peers=self.peers,
             store=self._store,
             guard=self.guard,
+            freshness=self.freshness,
             entries=self._entries,
             count_busy=self._callers.count_busy,
             count_left_out=lambda: self._output.total_left_out,
@@ -388,6 +402,8 @@
             now = self._clock()
             self.fleet.gateways = len(self.peers.members) + 1
             self._store_news.look_after_relaying()
+            if must_renew(self.freshness, now):
+                self._store_news.look_after_configuration()
             for target in targets.drop_gone(self.directory, now):
                 self.fleet.forget(target)
                 self.metrics.forget_target(target.announced.lifetime)
@@ -462,6 +478,8 @@
         self.peers.teaches = settings.policy.tells_caches
         self.orderer.may_change = settings.policy.changes_roles
         self.directory.hold_s = pledges.leave_s * LEAVE_SHARE
+        self.freshness.limit_s = pledges.revoke_s
+        self.freshness.apply_s = pledges.configuration_s
         self.budget.ratio = pledges.repeat_ratio
         self.budget.fixed = pledges.repeat_slack / BUDGET_SHARES
         self.budget.window_s = pledges.repeat_window_s
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -26,6 +26,8 @@
         repeat_window_s: Length of that window, seconds.
         lease_s: How long the right to give orders to engines lasts, seconds.
         engines_check_fences: Whether engines refuse an old fencing number.
+        revoke_s: A key that was taken away stops working everywhere within this,
+            seconds, also at gateways that are cut off; None where that is not promised.
     """
 
     leave_s: float = 2.0
@@ -36,6 +38,7 @@
     repeat_window_s: float = 10.0
     lease_s: float = 3.0
     engines_check_fences: bool = False
+    revoke_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -5,6 +5,7 @@
 
 from robinspindle.core import targets
 from robinspindle.core.entries import UnusableEntries
+from robinspindle.core.freshness import Freshness
 from robinspindle.core.quarantine import list_turned_away
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
@@ -22,6 +23,7 @@
         peers: The other gateways.
         store: The client of the store.
         guard: Knows which requests crash targets.
+        freshness: What is known of the age of the configuration.
         entries: The targets' entries that can't be used.
         count_busy: Counts callers' requests under way.
         count_left_out: Counts log lines that were left out.
@@ -32,6 +34,7 @@
     peers: Peers
     store: KeyedStore
     guard: Guard
+    freshness: Freshness
     entries: UnusableEntries
     count_busy: Callable[[], int]
     count_left_out: Callable[[], int]
@@ -60,7 +63,7 @@
     fleet, directory = parts.fleet, parts.fleet.directory
     usable = [t for t in directory.targets.values() if targets.may_get_work(t, now)]
     metrics.version.set(fleet.table.version if fleet.table else 0)
-    metrics.version_age.set(now - fleet.table_newest_at)
+    metrics.version_age.set(now - parts.freshness.newest_at)
     metrics.targets.set(len(usable))
     metrics.store_away.set(directory.away_since is not None)
     metrics.list_age.set(now - directory.read_at)
--- a/src/robinspindle/keys.py
+++ b/src/robinspindle/keys.py
@@ -1,7 +1,5 @@
 """Keys: CURVE between the processes, bearer keys of workspaces."""
 
-import hashlib
-import hmac
 import os
 import secrets
 from dataclasses import dataclass
@@ -70,13 +68,3 @@
 def make_bearer_key() -> str:
     """Make a new bearer key for a workspace."""
     return BEARER_PREFIX + secrets.token_urlsafe(24)
-
-
-def digest_bearer_key(key: str) -> str:
-    """Return the digest that the configuration holds in place of a key."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
-def matches_digest(key: str, digest: str) -> bool:
-    """Compare a key with a digest, in time that does not depend on them."""
-    return hmac.compare_digest(digest_bearer_key(key), digest)
--- a/src/robinspindle/operators.py
+++ b/src/robinspindle/operators.py
@@ -18,6 +18,7 @@
     Published,
 )
 from robinspindle.core.state import PLAN_REFUSED, Plan
+from robinspindle.core.workspaces import matches_digest
 from robinspindle.entry import Entry
 from robinspindle.exceptions import (
     IntentError,
@@ -25,7 +26,6 @@
     LogUnavailableError,
 )
 from robinspindle.health import answer_health
-from robinspindle.keys import matches_digest
 from robinspindle.logs import make_log
 from robinspindle.web import (
     Answer,
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -9,7 +9,9 @@
 from robinspindle.core.events import EventSplitter
 from robinspindle.core.fingerprints import NamedRequest
 from robinspindle.core.forwarding import AnswerHead, Request, Send, Source
+from robinspindle.core.freshness import Freshness
 from robinspindle.core.lengths import Lengths
+from robinspindle.core.permits import OPEN, Permit
 from robinspindle.core.policy import Policy
 from robinspindle.core.reading import Plan
 from robinspindle.core.routes import STREAM, Route
@@ -29,6 +31,9 @@
     ) -> Request:
         """Decode the head of a caller's request."""
 
+    def name_workspace(self, request: Request, name: str | None) -> Request:
+        """Put the workspace of a request in the place of its key."""
+
     def add_body(self, request: Request, body: bytes) -> Request:
         """Add the body."""
 
@@ -60,6 +65,8 @@
         due: When its final answer is due, steady seconds.
         aim_at: When its first event, or its answer, should be on its way.
         first_due: When its caller gives up if nothing of its answer has come.
+        permit: By whose key it may run.
+        rank: Its rank among the requests to its service; 0 is the highest.
         tried: Lifetimes that it was sent to.
         offers: Times that it was sent to be run.
         runs: Targets that may have run it.
@@ -87,6 +94,8 @@
     due: float
     aim_at: float
     first_due: float
+    permit: Permit = OPEN
+    rank: int = 0
     tried: set[str] = field(default_factory=set)
     offers: int = 0
     runs: int = 0
@@ -121,6 +130,7 @@
         guard: Knows which requests crash targets.
         budget: Repeats that may be made.
         lengths: What is known of how long answers last.
+        freshness: What is known of the age of the configuration.
         policy: Tells which decisions are in force.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
@@ -134,6 +144,7 @@
     guard: Guard
     budget: RepeatBudget
     lengths: Lengths
+    freshness: Freshness
     policy: Callable[[], Policy]
     zone: str
     clock: Callable[[], float]
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,21 +16,23 @@
 from robinspindle.core import digests, relays, sharing
 from robinspindle.core.crashnews import RequestNews
 from robinspindle.core.engines import Engine
+from robinspindle.core.freshness import Freshness, note_told
 from robinspindle.core.sharing import (
     MOST_PLACEMENTS,
     Bundle,
     Cache,
+    Checked,
     Digest,
     Learnt,
     Load,
     Placement,
     is_teacher,
 )
-from robinspindle.core.soundness import find_fault
+from robinspindle.core.soundness import MOST_AGE_MS, find_fault, is_checked
 from robinspindle.core.targets import Target
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.logs import Log
-from robinspindle.peers import LEARNT_INTERVAL_S, MOST_INTERVAL_S, Peers
+from robinspindle.peers import LEARNT_INTERVAL_S, MOST_INTERVAL_S, Peers, note_sent
 
 NEWCOMER_S = 3.0
 """How long after its start a gateway is told what caches hold, seconds: within it, it
@@ -95,6 +98,11 @@
         """Take note of targets that a peer found silent; return those believed."""
 
 
+def round_up_ms(seconds: float) -> int:
+    """Write an age in whole milliseconds, never less than it is."""
+    return MOST_AGE_MS if seconds > MOST_AGE_MS / 1000 else math.ceil(seconds * 1000)
+
+
 def pass_over_store_news(digest: Digest) -> None:
     """Stand for who follows the store."""
 
@@ -114,7 +122,9 @@
         log: Log,
         note_store: Callable[[Digest], None] = pass_over_store_news,
         note_requests: Callable[[RequestNews], None] = pass_over_requests,
+        freshness: Freshness | None = None,
     ):
+        self._freshness = freshness or Freshness()
         self._peers = peers
         self._fleet = fleet
         self._clock = clock
@@ -168,6 +178,11 @@
                 self._peers.refused += 1
                 self._log("digest not believed", sender=bundle.sender, fault=fault)
                 return
+        if bundle.checked is not None and not is_checked(bundle.checked):
+            self._peers.refused += 1
+            self._log("age not believed", sender=bundle.sender)
+            return
+        self._take_checked(bundle)
         self._note_contact(bundle)
         for digest in bundle.digests:
             self._take(digest, bundle.sender)
@@ -278,8 +293,7 @@
         # After a freeze nothing that was known before it is passed on.
         self.forget_silent(now)
         peers.changed.clear()
-        peers.sent_at = now
-        peers.number += 1
+        note_sent(peers, now)
         self._choose_relay(now)
         tells_all = now - peers.learnt_told_at >= LEARNT_INTERVAL_S
         if tells_all:
@@ -386,7 +400,10 @@
         member = self._peers.members.get(name)
         if member is None:
             return
-        data = encode(Bundle(self._peers.name, told, echo))
+        view = self._peers.views.get(name)
+        seen = None if view is None else view.number
+        checked = self._describe_checked()
+        data = encode(Bundle(self._peers.name, told, echo, seen, checked))
         if len(data) > MOST_DATAGRAM_BYTES and len(told) > 1:
             half = len(told) // 2
             self._send(name, told[:half], echo)
@@ -394,6 +411,22 @@
             return
         self._transport.sendto(data, (member.host, member.port))
 
+    def _describe_checked(self) -> Checked | None:
+        """Describe the age of the configuration at the time of the last telling."""
+        freshness = self._freshness
+        if not freshness.has_keys:
+            return None
+        age_s = self._peers.sent_at - freshness.newest_at
+        return Checked(freshness.version, round_up_ms(age_s))
+
+    def _take_checked(self, bundle: Bundle) -> None:
+        """Take in how sure a peer is of its configuration, as of our own digest."""
+        as_of = self._peers.sent_times.get(bundle.seen)
+        checked = bundle.checked
+        if as_of is not None and checked is not None:
+            newest_at = as_of - checked.age_ms / 1000
+            note_told(self._freshness, checked.version, newest_at, self._clock())
+
     def forget_silent(self, now: float) -> None:
         """Forget the load of peers that fell silent."""
         find = self._fleet.find_engine_of
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -1,6 +1,7 @@
 """What a gateway knows of the other gateways."""
 
 import asyncio
+import secrets
 from dataclasses import dataclass, field
 
 from robinspindle.core import relays
@@ -15,6 +16,13 @@
 and a gateway that starts knows the engines' paces after half a second at the latest."""
 
 
+NUMBER_BITS = 40
+"""Range in which the numbers of a life begin: two lives don't meet in it by chance."""
+
+NUMBERS_KEPT = 256
+"""Digests whose time of sending is kept: five seconds of the most frequent."""
+
+
 @dataclass
 class Peers:
     """The other gateways.
@@ -26,7 +34,9 @@
         groups: The groups that all form.
         choice: Whom this gateway tells its news to.
         views: What is known of each that was heard lately, directly or by a relay.
-        number: Number of the next digest.
+        number: Number of the last digest. It begins anywhere, so that what peers say of
+            one that an earlier life sent is not taken for one of this life.
+        sent_times: When the last digests were sent, by number, steady seconds.
         sent_at: When the last was sent, steady seconds.
         learnt_told_at: When paces were last told, steady seconds.
         teaches: Whether those that start are told what caches hold.
@@ -44,7 +54,8 @@
     groups: Groups = Groups()
     choice: Choice = field(default_factory=Choice)
     views: dict[str, PeerView] = field(default_factory=dict)
-    number: int = 0
+    number: int = field(default_factory=lambda: secrets.randbits(NUMBER_BITS))
+    sent_times: dict[int, float] = field(default_factory=dict)
     sent_at: float = 0.0
     learnt_told_at: float = -LEARNT_INTERVAL_S
     teaches: bool = True
@@ -88,6 +99,15 @@
         peers.groups = relays.make_groups([peers.own, *peers.members.values()])
 
 
+def note_sent(peers: Peers, now: float) -> None:
+    """Take note that the next digest is sent."""
+    peers.sent_at = now
+    peers.number += 1
+    peers.sent_times[peers.number] = now
+    while len(peers.sent_times) > NUMBERS_KEPT:
+        del peers.sent_times[next(iter(peers.sent_times))]
+
+
 def list_heard(peers: Peers) -> list[str]:
     """List the names of all other gateways that are heard, also through relays."""
     names = set(peers.views)
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -49,6 +49,9 @@
 )
 """Headers that only the system sets; a caller's own values are dropped."""
 
+KEY = b"authorization"
+WORKSPACE = b"x-tenant"
+
 RESUME = b"last-event-id"
 MISDIRECTED = 421
 
@@ -74,8 +77,24 @@
         wait_s=_read_ms(values.get(b"x-deadline-ms")),
         received_at=now,
         prompt=_read_prompt(values),
-        caller=values.get(b"authorization", b""),
+        caller=values.get(KEY, b""),
+        key=_read_key(headers),
+    )
+
+
+def name_workspace(request: Request, name: str | None) -> Request:
+    """Put the workspace of a request in the place of its key, for all that follows.
+
+    Args:
+        request: The request as its caller sent it.
+        name: Its workspace; None for none. What the caller says of it is dropped.
+    """
+    headers = tuple(
+        pair for pair in request.headers if pair[0].lower() not in (KEY, WORKSPACE)
     )
+    if name is not None:
+        headers += ((b"X-Tenant", name.encode()),)
+    return replace(request, headers=headers, caller=(name or "").encode(), key=None)
 
 
 def encode_request(request: Request, send: Send) -> bytes:
@@ -180,6 +199,14 @@
     return frozenset(word.strip().lower() for word in connection.split(b","))
 
 
+def _read_key(headers: Headers) -> bytes | None:
+    """Read the one bearer key of a request; None for none, several or another kind."""
+    found = [value for name, value in headers if name.lower() == KEY]
+    scheme, _, key = found[0].strip().partition(b" ") if len(found) == 1 else (b"",) * 3
+    key = key.strip()
+    return key if scheme.lower() == b"bearer" and key else None
+
+
 def _read_ms(value: bytes | None) -> float | None:
     try:
         return None if value is None else max(0.0, float(value) / 1000)
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -20,6 +20,13 @@
     make_table,
 )
 from robinspindle.core.targets import Announcement
+from robinspindle.core.workspaces import (
+    KeyRing,
+    Workspace,
+    digest_key,
+    find_key_fault,
+    make_key_ring,
+)
 from robinspindle.exceptions import BadDocumentError
 
 MOST_PORT = 65535
@@ -34,6 +41,12 @@
 take 3.4 MB; the peak while one version replaces another falls from 13.5 to 9.3 MB, as
 they share routes (traced allocations)."""
 
+MOST_FINDINGS = 10
+"""Findings of one document that are told together."""
+
+MOST_NAME = 256
+"""Longest name of a workspace, characters: targets are told it in a header."""
+
 KINDS = {
     "idempotent": IDEMPOTENT,
     "non_idempotent": AT_MOST_ONCE,
@@ -62,6 +75,7 @@
     resumable: bool = False
     # The longest pause between two events that keeps an answer in time.
     target_gap_ms: float = 1000.0
+    public: bool = False
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
@@ -90,12 +104,20 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _Tenant(msgspec.Struct, rename="pascal"):
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_NAME)]
+    api_keys: list[str] = []
+    priority: int = 0
+
+
 class _Configuration(msgspec.Struct, rename="pascal"):
     version: int
     # Each is decoded by itself, as most are the same from version to version.
     routes: list[msgspec.Raw]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Requests need keys where there are any workspaces, or may be some later.
+    tenants: list[_Tenant] | None = None
 
 
 DRAINING = "draining"
@@ -144,6 +166,7 @@
             header_s=document.limits.header_timeout_ms / 1000,
             idle_s=document.limits.idle_timeout_ms / 1000,
         ),
+        None if document.tenants is None else _read_keys(document.tenants),
     )
 
 
@@ -221,9 +244,33 @@
         backends=backends,
         resumable=route.resumable,
         gap_s=route.target_gap_ms / 1000,
+        is_public=route.public,
     )
 
 
+def _read_keys(tenants: list[_Tenant]) -> KeyRing:
+    """Read the keys of all workspaces; only their digests are kept.
+
+    Raises:
+        BadDocumentError: When any is no key, or belongs to two. No key is quoted.
+    """
+    findings, pairs = [], []
+    for tenant in tenants:
+        if not tenant.name.isascii() or not tenant.name.isprintable():
+            findings.append(f"{ascii(tenant.name)} can't be told in a header")
+        workspace = Workspace(tenant.name, tenant.priority)
+        for key in tenant.api_keys:
+            fault = find_key_fault(key)
+            if fault is not None:
+                findings.append(f"workspace {tenant.name} has {fault}")
+            pairs.append((digest_key(key.encode()), workspace))
+    ring, shared = make_key_ring(pairs)
+    findings += shared
+    if findings:
+        raise BadDocumentError("; ".join(findings[:MOST_FINDINGS]))
+    return ring
+
+
 def _find_move_s(engine: _Engine) -> float | None:
     """Find how long a token takes from engine to engine, seconds; None: unknown."""
     if engine.kv_token_bytes <= 0 or engine.link_mbps <= 0:
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -97,6 +97,7 @@
         value = reader.take("Bounds", key, float, default)
         return default if value is None else value
 
+    is_strict = reader.take("Bounds", "RevokeStrict", bool, False)
     return Pledges(
         # How long a target serves on after it said that it leaves.
         leave_s=seconds("DrainMs", 2000.0),
@@ -107,6 +108,7 @@
         repeat_slack=number("RetryBudgetSlack", 0.0),
         repeat_window_s=number("BudgetWindowS", 10.0),
         lease_s=seconds("LeaseMs", 3000.0),
+        revoke_s=seconds("RevokeMs", 0.0) if is_strict else None,
         engines_check_fences=bool(
             reader.take("Bounds", "RequireFence", bool, False) or False
         ),
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -5,14 +5,21 @@
 
 from robinspindle import guard
 from robinspindle.choosing import Chooser
-from robinspindle.core import budgets, forwarding, silence, targets
+from robinspindle.core import budgets, forwarding, permits, silence, targets
 from robinspindle.core.answering import note_hold
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.fingerprints import NamedRequest
 from robinspindle.core.forwarding import AnswerHead, Request
 from robinspindle.core.patience import Patience
+from robinspindle.core.permits import Permit
 from robinspindle.core.reading import Plan
-from robinspindle.core.routes import STREAM, Route, choose_service, find_route
+from robinspindle.core.routes import (
+    STREAM,
+    Route,
+    choose_service,
+    find_rank,
+    find_route,
+)
 from robinspindle.core.sharing import Placement
 from robinspindle.core.silence import Expectation
 from robinspindle.core.targets import Target
@@ -35,6 +42,7 @@
     Sending,
     borrow_connection,
     expect,
+    is_barred,
     make_send,
     make_stop,
     note_broken,
@@ -101,7 +109,16 @@
         if route is None:
             self._refuse(request, reply, forwarding.NO_ROUTE)
             return
-        passage = self._begin_passage(request, reply, route)
+        permit = permits.find_permit(
+            table, route, request, self._means.freshness, self._means.clock()
+        )
+        if isinstance(permit, forwarding.Refusal):
+            self._refuse(request, reply, permit)
+            return
+        if table.keys is not None:
+            name = permit.workspace.name if permit.workspace else None
+            request = self._means.dialect.name_workspace(request, name)
+        passage = self._begin_passage(request, reply, route, permit)
         refusal = self._means.guard.find_refusal(passage.named)
         if refusal is not None:
             reply.refuse(refusal)
@@ -118,8 +135,11 @@
         finally:
             self.chooser.note_end(passage, self._means.clock(), is_served)
 
-    def _begin_passage(self, request: Request, reply: Reply, route: Route) -> Passage:
+    def _begin_passage(
+        self, request: Request, reply: Reply, route: Route, permit: Permit
+    ) -> Passage:
         service = choose_service(route, self._rng)
+        table = self._means.fleet.table
         self.chooser.note_expected(request, route, service)
         return Passage(
             request,
@@ -130,6 +150,8 @@
             forwarding.find_due(request, route),
             request.received_at + route.aim_s - CALLER_WAY_S,
             forwarding.find_first_due(request, route),
+            permit,
+            find_rank(table, route, service, permit.workspace),
             is_long=self.chooser.expects_long(route, service),
             is_return=self._patience.note(route.name, request.wait_s),
         )
@@ -165,6 +187,8 @@
         if self._means.guard.find_refusal(passage.named) is not None:
             passage.last_reason = guard.REASON
             return False
+        if is_barred(self._means, passage):
+            return False
         if left_s <= forwarding.LEAST_TRY_S:
             return False
         if end is End.FAULT and passage.fault[0].status < LEAST_FAULT:
@@ -258,6 +282,8 @@
         run: Run,
     ) -> End:
         means, target = self._means, sending.target
+        if is_barred(means, passage):
+            return End.NOT_RUN
         exchange = Exchange(passage.request.id)
         run.stop = make_stop(exchange)
         send = make_send(passage, sending, means.clock())
@@ -360,6 +386,8 @@
             return
         if passage.runs:
             refusal = forwarding.refuse_unsure(left_s)
+        elif is_barred(self._means, passage):
+            refusal, reason = forwarding.UNKNOWN_KEY, forwarding.UNKNOWN_KEY.reason
         else:
             retry_s = self._find_retry_s(passage)
             refusal = forwarding.refuse_unrun(reason, retry_s, left_s)
--- a/src/robinspindle/replies.py
+++ b/src/robinspindle/replies.py
@@ -99,6 +99,8 @@
         headers = []
         if refusal.retry_s > 0:
             headers.append((b"Retry-After", write_retry_after(refusal.retry_s)))
+        if refusal.status == HTTPStatus.UNAUTHORIZED:
+            headers.append((b"WWW-Authenticate", b"Bearer"))
         reason = HTTPStatus(refusal.status).phrase.encode()
         body = refusal.reason.encode() + b"\n"
         headers.append((b"Content-Type", b"text/plain"))
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -4,7 +4,7 @@
 from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 
-from robinspindle.core import targets
+from robinspindle.core import permits, targets
 from robinspindle.core.forwarding import AnswerHead, Send, Source
 from robinspindle.core.lives import find_id
 from robinspindle.core.silence import Expectation
@@ -77,7 +77,7 @@
         read_only: Whether only its prompt is to be read.
     """
     prompt = passage.request.prompt
-    urgency = min(LEAST_URGENCY, passage.route.priority)
+    urgency = min(LEAST_URGENCY, passage.rank)
     if prompt is not None:
         urgency = REQUEST_URGENCIES[_find_level(passage, sending)]
     events = passage.splitter.events
@@ -95,10 +95,15 @@
 def _find_level(passage: Passage, sending: Sending) -> int:
     """Find how urgent a sending is: what was read already waits behind nothing late."""
     if sending.source is not None and passage.plan.level == LATE:
-        return find_rank_level(passage.route.priority)
+        return find_rank_level(passage.rank)
     return passage.plan.level
 
 
+def is_barred(means: Means, passage: Passage) -> bool:
+    """Whether the key of a request was taken away while it waited; it is not sent."""
+    return permits.is_taken_away(means.fleet.table, passage.permit)
+
+
 def make_stop(exchange: Exchange) -> Callable[[], None]:
     """Make what breaks a sending off that is not to be run any more."""
     return lambda: exchange.fail(ConnectionBrokenError("its request crashes targets"))
--- a/src/robinspindle/storenews.py
+++ b/src/robinspindle/storenews.py
@@ -80,6 +80,10 @@
             note_told_away(follower)
         note_may_be_back(self.outage)
 
+    def look_after_configuration(self) -> None:
+        """Have the held poll for configurations looked after."""
+        note_told_away(self._checked)
+
     def look_after_relaying(self) -> None:
         """Have all held polls looked after by a gateway that has become a relay.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,8 +15,9 @@
 
 from robinspindle.client import OperatorClient
 from robinspindle.core.documents import Configuration, parse_configuration
+from robinspindle.core.workspaces import digest_bearer_key
 from robinspindle.exceptions import ApiError
-from robinspindle.keys import digest_bearer_key, format_fleet_key, make_fleet_key
+from robinspindle.keys import format_fleet_key, make_fleet_key
 from standins.http import to_json
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -210,6 +210,11 @@
                 return False
         return await self._be_ok(request, writer)
 
+    async def _be_held_full(self, request: RawRequest, writer) -> bool:
+        """Refuse as full, but only once the gate opens."""
+        await self.gate.wait()
+        return await self._be_full(request, writer)
+
     def _write_unframed(self, request: RawRequest, writer) -> None:
         lines = [f"{name}: {value}" for name, value in self._head(request).items()]
         head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n"
--- /dev/null
+++ b/tests/core/test_freshness.py
@@ -0,0 +1,147 @@
+"""Revocation: no request with a key runs later than promised after its taking away."""
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from robinspindle.core.freshness import (
+    Freshness,
+    counts_on_peers,
+    may_deny,
+    may_serve,
+    must_renew,
+    note_read,
+    note_told,
+)
+
+LIMIT_S = 5.0
+
+
+def make(version=1, newest_at=-math.inf):
+    return Freshness(LIMIT_S, 3.0, True, version, newest_at)
+
+
+def test_nothing_with_a_key_is_served_before_the_first_read():
+    assert not may_serve(make(), 0.0)
+
+
+def test_a_read_counts_from_when_it_was_sent():
+    freshness = make()
+    note_read(freshness, 10.0)
+    assert may_serve(freshness, 14.0)
+    assert not may_serve(freshness, 15.0)
+
+
+def test_an_answer_that_lay_through_a_freeze_renews_nothing():
+    freshness = make(newest_at=10.0)
+    note_read(freshness, 10.1)
+    assert not may_serve(freshness, 20.0)
+
+
+def test_a_late_answer_does_not_make_it_older():
+    freshness = make(newest_at=10.0)
+    note_read(freshness, 8.0)
+    assert freshness.newest_at == 10.0
+
+
+def test_a_peer_renews_only_what_both_hold():
+    freshness = make(version=4, newest_at=1.0)
+    note_told(freshness, 3, as_of=9.0, now=9.0)
+    assert freshness.newest_at == 1.0
+    note_told(freshness, 4, as_of=9.0, now=9.1)
+    assert freshness.newest_at == 9.0
+    assert counts_on_peers(freshness, 9.5)
+    assert not counts_on_peers(freshness, 12.0)
+
+
+def test_a_peer_that_is_ahead_stops_renewal_and_denial():
+    """A store that returned from a copy still holds the version before."""
+    freshness = make(version=4, newest_at=10.0)
+    note_told(freshness, 5, as_of=10.5, now=10.5)
+    note_read(freshness, 11.0)
+    assert freshness.newest_at == 10.0
+    assert not may_deny(freshness, 11.0)
+    freshness.version = 5
+    note_read(freshness, 11.5)
+    assert may_deny(freshness, 11.6)
+
+
+def test_who_lags_does_not_call_a_key_unknown():
+    freshness = make(newest_at=10.0)
+    assert may_deny(freshness, 12.0)
+    assert not may_deny(freshness, 12.9)
+
+
+def test_the_store_is_asked_out_of_turn_in_time_for_a_second_call():
+    freshness = make(newest_at=10.0)
+    assert not must_renew(freshness, 12.0)
+    assert must_renew(freshness, 12.6)
+
+
+def test_where_nothing_is_promised_nothing_hangs_on_age():
+    for freshness in (Freshness(None, 3.0, True, 1), Freshness(LIMIT_S, 3.0, False)):
+        assert may_serve(freshness, 1e9)
+        assert not must_renew(freshness, 1e9)
+        assert counts_on_peers(freshness, 1e9)
+
+
+moves = st.lists(
+    st.tuples(
+        st.sampled_from(["read", "tell", "revoke", "serve"]),
+        st.integers(0, 2),
+        st.floats(0.0, 3.0),
+        st.floats(0.0, 4.0),
+    ),
+    max_size=60,
+)
+
+
+@given(moves)
+def test_no_gateway_serves_a_key_too_late(steps):
+    """Three gateways; reads and tellings take any time, and so do waits and freezes.
+
+    Each of their clocks is true here; an answer or a datagram that is under way holds
+    what was true when it left.
+    """
+    now, revoked_at, newest = 0.0, None, 1
+    gateways = [make() for _ in range(3)]
+    arriving = []
+    for kind, who, pause_s, delay_s in steps:
+        now += pause_s
+        for item in [item for item in arriving if item[0] <= now]:
+            arriving.remove(item)
+            item[1](item[0])
+        if kind == "revoke" and revoked_at is None:
+            revoked_at, newest = now, 2
+        elif kind == "read":
+            arriving.append(_read(gateways[who], now, delay_s, newest))
+        elif kind == "tell":
+            other = gateways[(who + 1) % 3]
+            arriving.append(_tell(gateways[who], other, now, delay_s))
+        elif kind == "serve":
+            freshness = gateways[who]
+            holds_key = freshness.version == 1
+            if holds_key and may_serve(freshness, now) and revoked_at is not None:
+                assert now <= revoked_at + LIMIT_S
+
+
+def _read(freshness, sent_at, delay_s, version):
+    """Read; the store looks at any moment while the call is under way."""
+
+    def arrive(at):
+        freshness.version = max(freshness.version, version)
+        note_read(freshness, sent_at)
+
+    return sent_at + delay_s, arrive
+
+
+def _tell(sender, receiver, echoed_at, delay_s):
+    """Tell of the age; the receiver's digest had come when it spoke."""
+    spoke_at = echoed_at
+    age_s, version = spoke_at - sender.newest_at, sender.version
+
+    def arrive(at):
+        note_told(receiver, version, echoed_at - age_s, at)
+
+    return spoke_at + delay_s, arrive
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -139,7 +139,7 @@
 
     async def play():
         follower = Follower("t", lambda _, value: told.append(value), do, do)
-        follower.note_newest = lambda: told.append("newest")
+        follower.note_newest = lambda sent_at: told.append("newest")
         task = asyncio.create_task(follow(store, follower, lambda *a, **k: None))
         for _ in range(100):
             await asyncio.sleep(0)
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -12,7 +12,7 @@
     announced = SimpleNamespace(lifetime="d1", address="10.0.0.2:80")
     passage = SimpleNamespace(
         request=SimpleNamespace(prompt=Prompt("m", (), 100, 100)),
-        route=SimpleNamespace(priority=1),
+        rank=1,
         plan=SimpleNamespace(level=level),
         splitter=EventSplitter(),
         due=2.0,
