--- a/src/robinspindle/adapters.py
+++ b/src/robinspindle/adapters.py
@@ -9,6 +9,7 @@
 from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.ordering import OrderDialect
 from robinspindle.passages import Dialect
+from robinspindle.reporting import DutyDialect
 
 
 class Adapter(Protocol):
@@ -19,8 +20,10 @@
     targets_topic: str
     gateways_topic: str
     orders_topic: str
+    reports_topic: str
     dialect: Dialect
     orders: OrderDialect
+    duties: DutyDialect
 
     def make_store(
         self, settings: GatewaySettings, clock: Callable[[], float]
--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -21,6 +21,7 @@
 from robinspindle.core.forwarding import Part
 from robinspindle.core.paces import Sums
 from robinspindle.core.urgency import FIRST_RANK
+from robinspindle.core.usage import Account
 
 SILENCE_S = 1.5
 """A peer that was not heard for this long has nothing under way as far as is known,
@@ -159,6 +160,28 @@
     age_ms: int
 
 
+class Facts(msgspec.Struct, array_like=True):
+    """What an entry knows besides its work, told to one receiver.
+
+    Attributes:
+        seen: Number of the newest digest that the sender has of the receiver, whoever
+            speaks for whom; None for none. All of this was true after that came.
+        checked: The age of its configuration; None where no key hangs on that.
+        wall_ms: Its time of day, Unix milliseconds.
+        agreed_ms: What it believes the time of day to be.
+        counts: Requests that began to run, as far as the receiver has not confirmed
+            that it knows of them.
+        reported: Windows whose usage the platform has taken lately.
+    """
+
+    seen: int | None = None
+    checked: Checked | None = None
+    wall_ms: int = 0
+    agreed_ms: int = 0
+    counts: list[Account] = []
+    reported: list[int] = []
+
+
 class Bundle(msgspec.Struct, array_like=True):
     """One datagram.
 
@@ -167,16 +190,13 @@
         digests: What it tells.
         echo: Number of the newest digest that it has of the receiver; None to one whom
             it does not speak for.
-        seen: Number of the newest digest that it has of the receiver, whoever speaks
-            for whom; None for none. What it tells besides was true after that came.
-        checked: The age of its configuration; None where no key hangs on that.
+        facts: What it knows besides; None where nothing hangs on it.
     """
 
     sender: str
     digests: list[Digest]
     echo: int | None = None
-    seen: int | None = None
-    checked: Checked | None = None
+    facts: Facts | None = None
 
 
 @dataclass
--- a/src/robinspindle/core/soundness.py
+++ b/src/robinspindle/core/soundness.py
@@ -9,8 +9,9 @@
 from robinspindle.core.crashnews import is_believable
 from robinspindle.core.eras import MOST_ERA
 from robinspindle.core.paces import Sums
-from robinspindle.core.sharing import Cache, Checked, Digest, Load, Placement
+from robinspindle.core.sharing import Cache, Checked, Digest, Facts, Load, Placement
 from robinspindle.core.urgency import LEVELS
+from robinspindle.core.usage import is_account
 
 MOST_REQUESTS = 100_000
 """More requests at one engine than this are no count of requests: some hundred times
@@ -25,6 +26,9 @@
 MOST_AGE_MS = 1 << 40
 """No configuration has been checked longer ago, milliseconds: 30 years."""
 
+MOST_WALL_MS = 1 << 43
+"""No time of day is later, Unix milliseconds: the year 2248."""
+
 MOST_SUM = 1e12
 """No sum over readings that fade is larger: 100 readings of weight 1 each, scaled."""
 
@@ -50,8 +54,17 @@
     return None
 
 
-def is_checked(checked: Checked) -> bool:
-    """Whether what a peer tells of its configuration's age can be believed."""
+def are_facts(facts: Facts) -> bool:
+    """Whether what a peer tells besides its work can be believed."""
+    clocks = (facts.wall_ms, facts.agreed_ms)
+    return (
+        (facts.checked is None or _is_checked(facts.checked))
+        and all(0 <= ms <= MOST_WALL_MS for ms in clocks)
+        and all(is_account(account) for account in facts.counts)
+    )
+
+
+def _is_checked(checked: Checked) -> bool:
     return checked.version >= 0 and 0 <= checked.age_ms <= MOST_AGE_MS
 
 
--- /dev/null
+++ b/src/robinspindle/core/usage.py
@@ -0,0 +1,226 @@
+"""Counts of what each workspace had run, by window, as all gateways come to know them.
+
+Each gateway counts for itself and only upwards. Its counts are told as totals, so that
+telling them twice, late or over two ways adds nothing: the larger one holds. What a
+neighbour has not confirmed is told again. A neighbour confirms with the number of the
+newest datagram that it had from us.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+MOST_TOLD = 256
+"""Counts that are told in one datagram: about 4 KB."""
+
+MOST_COUNT = 10**9
+"""No workspace has more requests run in one window."""
+
+
+class Account(msgspec.Struct, array_like=True):
+    """What one gateway counted in one window, or what changed of it.
+
+    Attributes:
+        gateway: Its name.
+        life: When it started, Unix milliseconds; its counts begin anew with each.
+        window: The window's number.
+        counts: Requests that began to run, by workspace.
+    """
+
+    gateway: str
+    life: int
+    window: int
+    counts: dict[str, int]
+
+
+@dataclass(frozen=True)
+class Place:
+    """Whose count of what one is.
+
+    Attributes:
+        gateway: The gateway that counted.
+        life: Its start, Unix milliseconds.
+        window: The window's number.
+        workspace: The workspace.
+    """
+
+    gateway: str
+    life: int
+    window: int
+    workspace: str
+
+
+@dataclass
+class Confirmed:
+    """How far one neighbour knows the counts.
+
+    Attributes:
+        started: Its start; who starts again knows nothing.
+        change: All changes up to this one.
+        told: The last change that was told, by the number of the datagram.
+    """
+
+    started: float
+    change: int = 0
+    told: dict[int, int] = field(default_factory=dict)
+
+
+@dataclass
+class Ledger:
+    """All counts that one gateway knows.
+
+    Attributes:
+        counts: The counts of each window, by their place.
+        changes: The number of each count's last change, the oldest change first.
+        change: Number of the last change.
+        neighbours: How far each neighbour knows them, by name.
+    """
+
+    counts: dict[int, dict[Place, int]] = field(default_factory=dict)
+    changes: dict[Place, int] = field(default_factory=dict)
+    change: int = 0
+    neighbours: dict[str, Confirmed] = field(default_factory=dict)
+
+
+def find_window(wall_s: float, window_s: float) -> int:
+    """Find the window of a time of day, Unix seconds."""
+    return int(wall_s // window_s)
+
+
+def count_begun(
+    ledger: Ledger, gateway: str, life: int, window: int, workspace: str
+) -> None:
+    """Count one request of our own that began to run."""
+    place = Place(gateway, life, window, workspace)
+    _set(ledger, place, _read(ledger, place) + 1)
+
+
+def take_accounts(ledger: Ledger, accounts: Iterable[Account]) -> None:
+    """Take in what a neighbour tells, or the store holds."""
+    for account in accounts:
+        for workspace, count in account.counts.items():
+            place = Place(account.gateway, account.life, account.window, workspace)
+            if count > _read(ledger, place):
+                _set(ledger, place, count)
+
+
+def tell_again(ledger: Ledger, gateways: Iterable[str]) -> None:
+    """Tell all neighbours again what some gateways counted, as they may be gone.
+
+    Their own relay may have gone with them, and told only some.
+    """
+    names = set(gateways)
+    for place in [place for place in ledger.changes if place.gateway in names]:
+        _set(ledger, place, _read(ledger, place))
+
+
+def list_untold(
+    ledger: Ledger, neighbour: str, started: float, number: int, left_out: set[str]
+) -> list[Account]:
+    """List what a neighbour has not confirmed, the oldest change first.
+
+    Args:
+        ledger: The counts; changed in place.
+        neighbour: Its name.
+        started: Its start, as it tells.
+        number: Number of the datagram in which it is told.
+        left_out: The gateways of whose counts it is not told.
+    """
+    known = _find_confirmed(ledger, neighbour, started)
+    found: list[tuple[Place, int]] = []
+    for place in reversed(ledger.changes):
+        change = ledger.changes[place]
+        if change <= known.change:
+            break
+        if place.gateway not in left_out:
+            found.append((place, change))
+    told = found[::-1][:MOST_TOLD]
+    is_all = len(told) == len(found)
+    known.told[number] = ledger.change if is_all else told[-1][1]
+    return _gather(ledger, [place for place, _ in told])
+
+
+def note_confirmed(ledger: Ledger, neighbour: str, started: float, number: int) -> None:
+    """Take note that a neighbour has a datagram, and so all that was told before."""
+    known = _find_confirmed(ledger, neighbour, started)
+    if number not in known.told:
+        return
+    known.change = max(known.change, known.told[number])
+    known.told = {n: c for n, c in known.told.items() if n > number}
+
+
+def is_confirmed(ledger: Ledger, gateway: str, window: int) -> bool:
+    """Whether some neighbour knows all that a gateway counted in a window."""
+    places = _list_places(ledger, gateway, window)
+    last = max((ledger.changes[place] for place in places), default=0)
+    return any(known.change >= last for known in ledger.neighbours.values())
+
+
+def describe_account(ledger: Ledger, gateway: str, window: int) -> list[Account]:
+    """Describe all that a gateway counted in a window, for each of its lives."""
+    return _gather(ledger, _list_places(ledger, gateway, window))
+
+
+def add_up(ledger: Ledger, window: int) -> dict[str, int]:
+    """Add a window's counts up by workspace."""
+    totals: dict[str, int] = {}
+    for place, count in ledger.counts.get(window, {}).items():
+        totals[place.workspace] = totals.get(place.workspace, 0) + count
+    return totals
+
+
+def list_windows(ledger: Ledger) -> set[int]:
+    """List the windows in which anything was counted."""
+    return set(ledger.counts)
+
+
+def list_gateways(ledger: Ledger, window: int) -> list[str]:
+    """List the gateways that counted anything in a window."""
+    return sorted({place.gateway for place in ledger.counts.get(window, {})})
+
+
+def forget_before(ledger: Ledger, window: int) -> None:
+    """Forget the counts of all windows before one."""
+    for old in [old for old in ledger.counts if old < window]:
+        for place in ledger.counts.pop(old):
+            del ledger.changes[place]
+
+
+def is_account(account: Account) -> bool:
+    """Whether what a neighbour tells can be counts at all."""
+    return account.window >= 0 and all(
+        0 < count <= MOST_COUNT for count in account.counts.values()
+    )
+
+
+def _set(ledger: Ledger, place: Place, count: int) -> None:
+    ledger.change += 1
+    ledger.counts.setdefault(place.window, {})[place] = count
+    # A change moves to the end, so that the latest are found from there.
+    ledger.changes.pop(place, None)
+    ledger.changes[place] = ledger.change
+
+
+def _read(ledger: Ledger, place: Place) -> int:
+    return ledger.counts.get(place.window, {}).get(place, 0)
+
+
+def _list_places(ledger: Ledger, gateway: str, window: int) -> list[Place]:
+    return [p for p in ledger.counts.get(window, {}) if p.gateway == gateway]
+
+
+def _find_confirmed(ledger: Ledger, neighbour: str, started: float) -> Confirmed:
+    known = ledger.neighbours.get(neighbour)
+    if known is None or known.started != started:
+        known = ledger.neighbours[neighbour] = Confirmed(started)
+    return known
+
+
+def _gather(ledger: Ledger, places: Iterable[Place]) -> list[Account]:
+    accounts: dict[tuple[str, int, int], Account] = {}
+    for place in places:
+        key = (place.gateway, place.life, place.window)
+        account = accounts.setdefault(key, Account(*key, {}))
+        account.counts[place.workspace] = _read(ledger, place)
+    return list(accounts.values())
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -24,6 +24,7 @@
 from robinspindle.core.lengths import Lengths
 from robinspindle.core.pauses import Pause
 from robinspindle.core.relays import Member, encode_introduction
+from robinspindle.core.reports import Schedule
 from robinspindle.core.targets import Directory, Target
 from robinspindle.exceptions import InvalidDocumentError
 from robinspindle.fleet import Fleet
@@ -33,18 +34,22 @@
 from robinspindle.gauges import Measured, update_gauges
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
+from robinspindle.httpclient import ConnectionPool
 from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.introduction import Introduction
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
 from robinspindle.ordering import Orderer
 from robinspindle.passages import Means
+from robinspindle.peerfacts import PeerFacts
 from robinspindle.peerlink import News, PeerLink
 from robinspindle.peers import Peers, list_heard
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
+from robinspindle.reporting import Reporter
 from robinspindle.storenews import StoreNews
+from robinspindle.usagebook import UsageBook
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -113,6 +118,9 @@
         self.peers = Peers(_describe_own(settings), time.time())
         self.lengths = Lengths()
         self.freshness = Freshness()
+        self.book = UsageBook(
+            settings.name, time.time_ns() // 1_000_000, self._clock, make_log("usage")
+        )
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -130,6 +138,7 @@
             make_log("guard"),
         )
         self.relay = self._make_relay(adapter)
+        self.reporter = self._make_reporter(adapter)
         self._link = self._make_peer_link()
         self.orderer = self._make_orderer(adapter)
         self._cache_lists = CacheLists(
@@ -171,6 +180,7 @@
                 budget=self.budget,
                 lengths=self.lengths,
                 freshness=self.freshness,
+                book=self.book,
                 policy=lambda: self.settings.policy,
                 zone=self.settings.zone,
                 clock=self._clock,
@@ -188,7 +198,28 @@
             # Made after the link, as the followers need what it fills.
             lambda digest: self._store_news.note_told(digest),
             lambda news: take_news(self.guard, news, self._clock()),
-            self.freshness,
+            PeerFacts(
+                self.peers,
+                self.freshness,
+                self.book,
+                self.reporter.reports,
+                self._clock,
+            ),
+        )
+
+    def _make_reporter(self, adapter: Adapter) -> Reporter:
+        duties = self.settings.duties
+        decode = adapter.dialect.decode_answer
+        return Reporter(
+            Authority(self.settings.name, self.settings.pledges.lease_s),
+            adapter.reports_topic,
+            self._store,
+            None if duties is None else ConnectionPool(duties.address, decode),
+            self.book,
+            self.peers,
+            adapter.duties,
+            self._clock,
+            make_log("usage"),
         )
 
     def _make_orderer(self, adapter: Adapter) -> Orderer:
@@ -231,6 +262,7 @@
         """Begin anew with a store that returned from a copy."""
         log("store returned from a copy", era=era)
         self.orderer.note_era(era)
+        self.reporter.note_era(era)
         targets.note_store_copy(self.directory, self._clock())
         self._introduction.note_era()
         for follower in self._followers:
@@ -297,6 +329,7 @@
             loop.create_task(self._keep_house()),
             loop.create_task(self._keeper.run()),
             loop.create_task(self.guard.runs.recheck()),
+            loop.create_task(self.reporter.run()),
         ]
         if settings.policy.tells_caches:
             self._tasks.append(loop.create_task(self._cache_lists.regain()))
@@ -484,6 +517,11 @@
         self.budget.fixed = pledges.repeat_slack / BUDGET_SHARES
         self.budget.window_s = pledges.repeat_window_s
         self.orderer.authority.lease_s = pledges.lease_s
+        self.reporter.authority.lease_s = pledges.lease_s
+        duties = settings.duties
+        self.book.schedule = (
+            None if duties is None else Schedule(duties.window_s, duties.late_s)
+        )
 
 
 def _describe_own(settings: GatewaySettings) -> Member:
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -41,6 +41,21 @@
     revoke_s: float | None = None
 
 
+@dataclass(frozen=True)
+class DutySettings:
+    """What the deployment's one holder of duties does for it, by calls to the platform.
+
+    Attributes:
+        address: Where the platform takes these calls.
+        window_s: Length of the windows for which usage is reported, seconds.
+        late_s: How long after its end the report of a window is due, seconds.
+    """
+
+    address: HostPort
+    window_s: float
+    late_s: float
+
+
 @dataclass(frozen=True)
 class GatewaySettings:
     """Settings of a gateway.
@@ -59,6 +74,7 @@
         capacity: The processor's speed against one full core.
         is_quiet: Whether lines about success are left out of the logs.
         policy: Which decisions about engines are in force.
+        duties: The reports of usage; None where none are asked for.
     """
 
     name: str
@@ -74,3 +90,4 @@
     capacity: float = 1.0
     is_quiet: bool = False
     policy: Policy = Policy()
+    duties: DutySettings | None = None
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -21,6 +21,7 @@
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 from robinspindle.replies import Reply
+from robinspindle.usagebook import UsageBook
 
 
 class Dialect(Protocol):
@@ -82,6 +83,7 @@
             left.
         plan: The latest plan, for logs.
         read_at: When its prompt had been read apart, steady seconds.
+        is_counted: Whether it was counted as begun.
         first_at: When its answer began, steady seconds.
         longest_pause_s: The longest pause between two events of it, seconds.
     """
@@ -110,6 +112,7 @@
     is_return: bool = False
     plan: Plan | None = None
     read_at: float | None = None
+    is_counted: bool = False
     first_at: float | None = None
     longest_pause_s: float = 0.0
 
@@ -131,6 +134,7 @@
         budget: Repeats that may be made.
         lengths: What is known of how long answers last.
         freshness: What is known of the age of the configuration.
+        book: Counts what began to run.
         policy: Tells which decisions are in force.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
@@ -145,6 +149,7 @@
     budget: RepeatBudget
     lengths: Lengths
     freshness: Freshness
+    book: UsageBook
     policy: Callable[[], Policy]
     zone: str
     clock: Callable[[], float]
--- /dev/null
+++ b/src/robinspindle/peerfacts.py
@@ -0,0 +1,113 @@
+"""What gateways tell each other besides their work: ages, clocks, counts.
+
+It goes with each datagram, and is told to each receiver for itself: what it was true
+after, and what the receiver has confirmed, differ from one to the next.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from robinspindle.core import usage
+from robinspindle.core.freshness import Freshness, note_told
+from robinspindle.core.reports import Reports, note_acknowledged
+from robinspindle.core.sharing import Checked, Facts
+from robinspindle.core.soundness import MOST_AGE_MS
+from robinspindle.peers import Peers, list_heard
+from robinspindle.usagebook import UsageBook
+
+MOST_REPORTED = 4
+"""Windows of which it is told that they were reported, the newest."""
+
+
+@dataclass
+class PeerFacts:
+    """Tells facts to peers and takes theirs in.
+
+    Attributes:
+        peers: The other gateways.
+        freshness: The age of the configuration.
+        book: The counts of requests that began to run.
+        reports: The reports of windows.
+        clock: Tells the present time, steady seconds.
+    """
+
+    peers: Peers
+    freshness: Freshness
+    book: UsageBook
+    reports: Reports
+    clock: Callable[[], float]
+
+    def describe(self, name: str) -> Facts | None:
+        """Describe what one peer is told; None where nothing hangs on it."""
+        if not self.freshness.has_keys and self.book.schedule is None:
+            return None
+        view = self.peers.views.get(name)
+        wall_s = self.book.wall()
+        facts = Facts(
+            seen=None if view is None else view.number,
+            checked=self._describe_checked(),
+            wall_ms=round(wall_s * 1000),
+            agreed_ms=round((wall_s + self.book.correction) * 1000),
+            reported=sorted(self.reports.acknowledged)[-MOST_REPORTED:],
+        )
+        if self._tells_counts(name):
+            started = view.started if view is not None else -math.inf
+            facts.counts = self.book.list_untold(
+                name, started, self.peers.number, self._list_left_out(name)
+            )
+        return facts
+
+    def take(self, sender: str, facts: Facts) -> None:
+        """Take in what a peer tells."""
+        view = self.peers.views.get(sender)
+        if facts.seen is not None and view is not None:
+            usage.note_confirmed(self.book.ledger, sender, view.started, facts.seen)
+        self._take_checked(facts)
+        wall_ms = self.book.wall() * 1000
+        offset_s = (facts.wall_ms - wall_ms) / 1000
+        agreed_s = (facts.agreed_ms - wall_ms) / 1000
+        self.book.note_clock(sender, offset_s, agreed_s)
+        self.book.take(facts.counts)
+        note_acknowledged(self.reports, set(facts.reported))
+
+    def note_silent(self, name: str) -> None:
+        """Take note that a peer fell silent: what it counted is told to all again."""
+        usage.tell_again(self.book.ledger, [name])
+
+    def _describe_checked(self) -> Checked | None:
+        """Describe the age of the configuration at the time of the last telling."""
+        if not self.freshness.has_keys:
+            return None
+        age_s = self.peers.sent_at - self.freshness.newest_at
+        return Checked(self.freshness.version, _round_up_ms(age_s))
+
+    def _take_checked(self, facts: Facts) -> None:
+        """Take in how sure a peer is of its configuration, as of our own digest."""
+        as_of, checked = self.peers.sent_times.get(facts.seen), facts.checked
+        if as_of is not None and checked is not None:
+            newest_at = as_of - checked.age_ms / 1000
+            note_told(self.freshness, checked.version, newest_at, self.clock())
+
+    def _tells_counts(self, name: str) -> bool:
+        """Whether a peer is told counts: relays are, by their groups and each other."""
+        if not self.peers.is_relay:
+            return name == self.peers.choice.relay
+        of = self.peers.groups.of
+        return of.get(name) != of.get(self.peers.name)
+
+    def _list_left_out(self, name: str) -> set[str]:
+        """List the gateways whose counts others tell a peer.
+
+        Relays tell what their groups count, and what those counted that are gone.
+        """
+        if not self.peers.is_relay:
+            return set()
+        of = self.peers.groups.of
+        own = of.get(self.peers.name)
+        return {other for other in list_heard(self.peers) if of.get(other) != own}
+
+
+def _round_up_ms(seconds: float) -> int:
+    """Write an age in whole milliseconds, never less than it is."""
+    return MOST_AGE_MS if seconds > MOST_AGE_MS / 1000 else math.ceil(seconds * 1000)
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import contextlib
-import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -16,22 +15,21 @@
 from robinspindle.core import digests, relays, sharing
 from robinspindle.core.crashnews import RequestNews
 from robinspindle.core.engines import Engine
-from robinspindle.core.freshness import Freshness, note_told
 from robinspindle.core.sharing import (
     MOST_PLACEMENTS,
     Bundle,
     Cache,
-    Checked,
     Digest,
     Learnt,
     Load,
     Placement,
     is_teacher,
 )
-from robinspindle.core.soundness import MOST_AGE_MS, find_fault, is_checked
+from robinspindle.core.soundness import are_facts, find_fault
 from robinspindle.core.targets import Target
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.logs import Log
+from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import LEARNT_INTERVAL_S, MOST_INTERVAL_S, Peers, note_sent
 
 NEWCOMER_S = 3.0
@@ -98,11 +96,6 @@
         """Take note of targets that a peer found silent; return those believed."""
 
 
-def round_up_ms(seconds: float) -> int:
-    """Write an age in whole milliseconds, never less than it is."""
-    return MOST_AGE_MS if seconds > MOST_AGE_MS / 1000 else math.ceil(seconds * 1000)
-
-
 def pass_over_store_news(digest: Digest) -> None:
     """Stand for who follows the store."""
 
@@ -122,9 +115,9 @@
         log: Log,
         note_store: Callable[[Digest], None] = pass_over_store_news,
         note_requests: Callable[[RequestNews], None] = pass_over_requests,
-        freshness: Freshness | None = None,
+        facts: PeerFacts | None = None,
     ):
-        self._freshness = freshness or Freshness()
+        self._facts = facts
         self._peers = peers
         self._fleet = fleet
         self._clock = clock
@@ -178,14 +171,15 @@
                 self._peers.refused += 1
                 self._log("digest not believed", sender=bundle.sender, fault=fault)
                 return
-        if bundle.checked is not None and not is_checked(bundle.checked):
+        if bundle.facts is not None and not are_facts(bundle.facts):
             self._peers.refused += 1
-            self._log("age not believed", sender=bundle.sender)
+            self._log("facts not believed", sender=bundle.sender)
             return
-        self._take_checked(bundle)
         self._note_contact(bundle)
         for digest in bundle.digests:
             self._take(digest, bundle.sender)
+        if self._facts is not None and bundle.facts is not None:
+            self._facts.take(bundle.sender, bundle.facts)
 
     def _is_known(self, sender: str, addr) -> bool:
         """Whether the sender is a gateway that the store names, at its own address."""
@@ -400,10 +394,8 @@
         member = self._peers.members.get(name)
         if member is None:
             return
-        view = self._peers.views.get(name)
-        seen = None if view is None else view.number
-        checked = self._describe_checked()
-        data = encode(Bundle(self._peers.name, told, echo, seen, checked))
+        facts = self._facts.describe(name) if self._facts else None
+        data = encode(Bundle(self._peers.name, told, echo, facts))
         if len(data) > MOST_DATAGRAM_BYTES and len(told) > 1:
             half = len(told) // 2
             self._send(name, told[:half], echo)
@@ -411,22 +403,6 @@
             return
         self._transport.sendto(data, (member.host, member.port))
 
-    def _describe_checked(self) -> Checked | None:
-        """Describe the age of the configuration at the time of the last telling."""
-        freshness = self._freshness
-        if not freshness.has_keys:
-            return None
-        age_s = self._peers.sent_at - freshness.newest_at
-        return Checked(freshness.version, round_up_ms(age_s))
-
-    def _take_checked(self, bundle: Bundle) -> None:
-        """Take in how sure a peer is of its configuration, as of our own digest."""
-        as_of = self._peers.sent_times.get(bundle.seen)
-        checked = bundle.checked
-        if as_of is not None and checked is not None:
-            newest_at = as_of - checked.age_ms / 1000
-            note_told(self._freshness, checked.version, newest_at, self._clock())
-
     def forget_silent(self, now: float) -> None:
         """Forget the load of peers that fell silent."""
         find = self._fleet.find_engine_of
@@ -434,6 +410,8 @@
             self._fleet.forget_learnt(name)
             self._peers.untold_caches.pop(name, None)
             self._log("peer silent", peer=name)
+            if self._facts is not None:
+                self._facts.note_silent(name)
 
     def _forget(self, name: str) -> None:
         if name in self._peers.views:
--- a/src/robinspindle/platform/adapter.py
+++ b/src/robinspindle/platform/adapter.py
@@ -7,7 +7,7 @@
 from robinspindle.core.routes import RouteTable
 from robinspindle.core.targets import Announcement
 from robinspindle.gatewaysettings import GatewaySettings
-from robinspindle.platform import dialect, documents, orders, store
+from robinspindle.platform import dialect, documents, duties, orders, store
 from robinspindle.platform.store import Store
 
 
@@ -20,8 +20,10 @@
     targets_topic: str = store.TARGETS_TOPIC
     gateways_topic: str = store.GATEWAYS_TOPIC
     orders_topic: str = store.ORDERS_TOPIC
+    reports_topic: str = store.REPORTS_TOPIC
     dialect: ModuleType = dialect
     orders: ModuleType = orders
+    duties: ModuleType = duties
 
     def make_store(
         self, settings: GatewaySettings, clock: Callable[[], float]
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from robinspindle.exceptions import Finding, InvalidDocumentError
-from robinspindle.gatewaysettings import GatewaySettings, HostPort, Pledges
+from robinspindle.gatewaysettings import (
+    DutySettings,
+    GatewaySettings,
+    HostPort,
+    Pledges,
+)
 
 SETTINGS_VARIABLE = "ROBINSPINDLE_CONFIG"
 
@@ -75,6 +80,7 @@
         memory_mb=reader.take("Limits", "MemoryMb", float),
         pledges=_read_pledges(reader),
         capacity=_read_capacity(reader),
+        duties=_read_duties(reader),
     )
     if reader.findings:
         raise InvalidDocumentError(reader.findings)
@@ -88,6 +94,18 @@
     return (share or 1.0) * (speed or 1.0)
 
 
+def _read_duties(reader: _Reader) -> DutySettings | None:
+    names = reader.take("Cloud", "Duties", list[str], [])
+    if "usage" not in (names or []):
+        return None
+    address = reader.take_address("Cloud", "Address")
+    window_s = reader.take("Bounds", "ReportWindowS", float)
+    late_s = reader.take("Bounds", "UsageLateS", float)
+    if address is None or window_s is None or late_s is None:
+        return None
+    return DutySettings(address, window_s, late_s)
+
+
 def _read_pledges(reader: _Reader) -> Pledges:
     def seconds(key: str, default_ms: float) -> float:
         value = reader.take("Bounds", key, float, default_ms)
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -27,6 +27,7 @@
 TARGETS_TOPIC = "keyed.servers"
 GATEWAYS_TOPIC = "keyed.gateways"
 ORDERS_TOPIC = "keyed.orders"
+REPORTS_TOPIC = "keyed.usage"
 
 ERA_HEADER = b"store-era"
 """What names the era in the head of each answer."""
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -292,9 +292,12 @@
         with expect(target, self._expect_answer(passage, exchange)) as expected:
             left_s = passage.due + forwarding.ANSWER_GRACE_S - means.clock()
             async with asyncio.timeout(left_s):
+                sent_at = means.clock()
                 connection.send(exchange, data)
                 head = await exchange.read_head()
                 passage.first_at = means.clock()
+                if not head.not_run:
+                    self._count_begun(passage, sent_at)
                 # What has begun to run does so for all its copies.
                 run.stop = None
                 targets.note_heard(target, passage.first_at)
@@ -313,6 +316,19 @@
             is_late = passage.plan.level == LATE
             self._means.lengths.note_begun(passage.service, now, seconds, is_late)
 
+    def _count_begun(self, passage: Passage, sent_at: float) -> None:
+        """Count a request that began to run, for the workspace whose key it carries.
+
+        A stream begins with its first token, which comes with its head; anything else
+        begins as it arrives, and its head comes with its end.
+        """
+        workspace = passage.permit.workspace
+        if passage.is_counted or workspace is None:
+            return
+        passage.is_counted = True
+        at = passage.first_at if passage.is_stream else sent_at
+        self._means.book.count(workspace.name, at)
+
     def _expect_answer(self, passage: Passage, exchange: Exchange) -> Expectation:
         """Expect the first of an answer; leave a silent target if that is allowed."""
 
