--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -10,7 +10,12 @@
 from robinspindle.adapters import Adapter
 from robinspindle.core import silence, targets
 from robinspindle.core.entries import UnusableEntries
-from robinspindle.core.freshness import Freshness, counts_on_peers, note_read
+from robinspindle.core.freshness import (
+    Freshness,
+    find_own_wait_s,
+    find_wait_s,
+    note_read,
+)
 from robinspindle.core.quarantine import is_key
 from robinspindle.core.relays import decode_introduction
 from robinspindle.core.routes import is_newer
@@ -124,10 +129,13 @@
     def _find_configuration_wait_s(self) -> float:
         """Find how long polls for configurations are held.
 
-        The lease of freshness counts from when a poll was sent.
+        The lease of freshness counts from when a poll was sent. Relays renew it for
+        their groups.
         """
-        is_told = counts_on_peers(self.freshness, self.clock())
-        return self._find_wait_s() if is_told else WAIT_S
+        most_s = self._find_wait_s()
+        if self.peers.is_relay:
+            return find_own_wait_s(self.freshness, most_s)
+        return find_wait_s(self.freshness, self.clock(), most_s)
 
     def _find_wait_s(self) -> float:
         """Find how long polls are held: relays notice first that the store is away.
--- a/src/robinspindle/core/freshness.py
+++ b/src/robinspindle/core/freshness.py
@@ -16,9 +16,13 @@
 MARGIN_SHARE = 0.02
 """Part of the promised time that is not used: clocks of two VMs run apart."""
 
-RENEW_SHARE = 0.5
-"""Part of the promised time after which the store is asked out of turn: one call that
-gets no answer may still be made up for by the next."""
+WAIT_SHARE = 0.2
+"""Part of the promised time for which the store holds a poll. What its answer says was
+true when it was sent: between two answers the age grows to twice as much."""
+
+RENEW_SHARE = 0.6
+"""Part of the promised time after which the store is asked out of turn: beyond what
+polls and peers leave, and one call that gets no answer may still be made up for."""
 
 PEERS_RENEW_S = 1.0
 """Who was told within this counts on its peers for more, seconds: five datagrams."""
@@ -118,6 +122,26 @@
     return now - freshness.newest_at > RENEW_SHARE * freshness.limit_s
 
 
+def find_wait_s(freshness: Freshness, now: float, most_s: float) -> float:
+    """Find how long the store may hold a poll for configurations, seconds.
+
+    Args:
+        freshness: What is known.
+        now: The present time, steady seconds.
+        most_s: How long it may where nothing hangs on the age, or peers renew it.
+    """
+    if counts_on_peers(freshness, now):
+        return most_s
+    return find_own_wait_s(freshness, most_s)
+
+
+def find_own_wait_s(freshness: Freshness, most_s: float) -> float:
+    """Find the same for a gateway on which others count, seconds."""
+    if not _is_promised(freshness):
+        return most_s
+    return min(most_s, WAIT_SHARE * freshness.limit_s)
+
+
 def counts_on_peers(freshness: Freshness, now: float) -> bool:
     """Whether peers renew it, so that the store need not be asked often."""
     return not _is_promised(freshness) or now - freshness.told_at <= PEERS_RENEW_S
--- a/src/robinspindle/reporting.py
+++ b/src/robinspindle/reporting.py
@@ -1,4 +1,4 @@
-"""Reports each window's usage to the platform: one gateway at a time, one value ever."""
+"""Reports each window's usage to the platform: one gateway at a time, one value."""
 
 import asyncio
 from collections.abc import Callable
