--- /dev/null
+++ b/fuzz/dutyworld.py
@@ -0,0 +1,450 @@
+"""Gateways that report usage, in virtual time: a store, a platform, peers, and faults.
+
+The gateways run the product's own reporter. The store loses answers and does late what
+it was asked, the platform refuses and carries out late, datagrams are lost, gateways
+are frozen, killed, cut from the store, from the platform and from each other, and
+clocks are stepped. The oracle sees only what the platform sees.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from fuzz.virtualtime import VirtualSelector, run_virtually
+from robinspindle.core.authority import Authority
+from robinspindle.core.freshness import Freshness
+from robinspindle.core.relays import Member
+from robinspindle.core.reports import Schedule
+from robinspindle.core.sharing import Digest, take_digest
+from robinspindle.exceptions import LogConflictError, LogUnavailableError
+from robinspindle.peerfacts import PeerFacts
+from robinspindle.peers import Peers, note_member, note_sent
+from robinspindle.reporting import Reporter, ReportOutcome
+from robinspindle.usagebook import UsageBook
+
+WINDOW_S = 5.0
+LATE_S = 10.0
+LEASE_S = 3.0
+LENGTH_S = 60.0
+"""Length of one run, seconds of virtual time."""
+
+GATEWAYS = 4
+TELL_S = 0.2
+WORKSPACES = ("red", "blue", "green")
+SLACK_S = 0.3
+"""Calls that come so soon after their sender was frozen or cut are not judged."""
+
+WALL_S = 1_000_000.0
+"""The time of day at the start, Unix seconds."""
+
+
+@dataclass
+class Call:
+    """A report as the platform received it."""
+
+    at: float
+    holder: str
+    fence: int
+    window: int
+    counts: dict[str, int]
+    is_judged: bool
+    is_accepted: bool
+
+
+@dataclass
+class Item:
+    """A record of the stand-in store."""
+
+    key: str
+    value: bytes
+
+
+@dataclass
+class Read:
+    """Records as a store answers them."""
+
+    items: tuple[Item, ...]
+    end: int
+    topic_end: int
+
+
+@dataclass
+class World:
+    """All that is shared.
+
+    Attributes:
+        rng: Draws everything.
+        selector: Holds the time.
+        records: The store's one topic.
+        calls: What the platform received.
+        begun: Requests that began to run, by window and workspace.
+        trouble: Names of what is wrong now.
+        excused_until: Until when calls of a gateway are not judged, by name.
+    """
+
+    rng: random.Random
+    selector: VirtualSelector
+    checks_fences: bool
+    records: list[Item] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
+    begun: dict[tuple[int, str], int] = field(default_factory=dict)
+    unsure: dict[tuple[int, str], int] = field(default_factory=dict)
+    trouble: set[str] = field(default_factory=set)
+    excused_until: dict[str, float] = field(default_factory=dict)
+    gateways: list["Gateway"] = field(default_factory=list)
+
+    @property
+    def now(self) -> float:
+        """The present time, seconds."""
+        return self.selector.now
+
+    def take_report(self, report, sender: "Gateway") -> ReportOutcome:
+        """Take a report at the platform."""
+        seen = max((call.fence for call in self.calls), default=0)
+        is_fenced = self.checks_fences and report.fence < seen
+        excused = self.excused_until.get(sender.name, -1.0)
+        self.calls.append(
+            Call(
+                self.now,
+                sender.name,
+                report.fence,
+                report.window,
+                dict(report.counts),
+                self.now > excused + SLACK_S,
+                not is_fenced,
+            )
+        )
+        return ReportOutcome.FENCED if is_fenced else ReportOutcome.TAKEN
+
+
+class FakeStore:
+    """One gateway's way to the store."""
+
+    def __init__(self, world: World, gateway: "Gateway"):
+        self.era = None
+        self._world = world
+        self._gateway = gateway
+
+    async def _travel(self) -> None:
+        world = self._world
+        await asyncio.sleep(world.rng.uniform(0.002, 0.05))
+        cut = {"store down", f"store cut {self._gateway.name}"} & world.trouble
+        if cut:
+            raise LogUnavailableError("no way", 0, 0.0)
+
+    async def read_newest(self, topic: str) -> Read:
+        """Read the newest record of each key."""
+        await self._travel()
+        newest = {item.key: item for item in self._world.records}
+        end = len(self._world.records)
+        await self._gateway.wait_while_frozen()
+        return Read(tuple(newest.values()), end, end)
+
+    async def read_on(self, topic: str, offset: int, wait_s: float) -> Read:
+        """Read from an offset on."""
+        await self._travel()
+        records = self._world.records
+        read = Read(tuple(records[offset:]), len(records), len(records))
+        await self._gateway.wait_while_frozen()
+        return read
+
+    async def append_keyed(self, topic, key, value, expected_end=None) -> int:
+        """Append; at times without an answer, done at once, late or not at all."""
+        world = self._world
+        await self._travel()
+        if "store loses" in world.trouble and world.rng.random() < 0.5:
+            delay_s = world.rng.choice((0.0, 2.0, 5.0))
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._append, key, value, expected_end)
+            await asyncio.sleep(1.0)
+            raise LogUnavailableError("no answer", 0, 1.0)
+        offset = self._append(key, value, expected_end)
+        await self._gateway.wait_while_frozen()
+        if offset is None:
+            raise LogConflictError(len(world.records))
+        return offset
+
+    def _append(self, key, value, expected_end) -> int | None:
+        records = self._world.records
+        if expected_end is not None and expected_end != len(records):
+            return None
+        records.append(Item(key, value))
+        return len(records) - 1
+
+
+class Gateway:
+    """One life of a gateway: the product's reporter, book and facts."""
+
+    def __init__(self, world: World, number: int, schedule: Schedule):
+        self.world = world
+        self.name = f"g{number}"
+        self.started = world.now
+        self.step_s = 0.0
+        self.frozen_until = 0.0
+        zones = [f"z{index}" for index in (0, 1, 2, 0)]
+        members = [Member(f"g{n}", "h", 1, zones[n]) for n in range(GATEWAYS)]
+        own = members[number]
+        self.peers = Peers(own, world.now)
+        for member in members:
+            note_member(self.peers, member)
+        # The last one is in the first one's group, and tells it alone.
+        self.peers.choice.relay = "g0" if number == GATEWAYS - 1 else self.name
+        self.peers.number = world.rng.randrange(1 << 30)
+        self.book = UsageBook(
+            self.name,
+            round(world.now * 1000),
+            lambda: world.now,
+            self._log,
+            lambda: WALL_S + world.now + self.step_s,
+            schedule,
+        )
+        self.lines: list[tuple[float, str]] = []
+        self.reporter = Reporter(
+            Authority(self.name, LEASE_S),
+            "keyed.usage",
+            FakeStore(world, self),
+            self._send,
+            self.book,
+            self.peers,
+            lambda: world.now,
+            self._log,
+        )
+        self.facts = PeerFacts(
+            self.peers,
+            Freshness(),
+            self.book,
+            self.reporter.reports,
+            lambda: world.now,
+        )
+
+    def _log(self, text: str, **fields) -> None:
+        self.lines.append((self.world.now, f"{text} {fields}"))
+
+    async def wait_while_frozen(self) -> None:
+        """Go on only after a freeze."""
+        while self.world.now < self.frozen_until:
+            await asyncio.sleep(self.frozen_until - self.world.now + 0.001)
+
+    async def _send(self, report) -> ReportOutcome:
+        world = self.world
+        await self.wait_while_frozen()
+        await asyncio.sleep(world.rng.uniform(0.001, 0.02))
+        if {"api down", f"api cut {self.name}"} & world.trouble:
+            await asyncio.sleep(1.0)
+            return ReportOutcome.UNSURE
+        if "api busy" in world.trouble:
+            return ReportOutcome.BUSY
+        if "api late" in world.trouble and world.checks_fences:
+            delay_s = world.rng.uniform(1.0, 8.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, world.take_report, report, self)
+            await asyncio.sleep(1.0)
+            return ReportOutcome.UNSURE
+        outcome = world.take_report(report, self)
+        if "api loses" in world.trouble and world.rng.random() < 0.5:
+            await asyncio.sleep(1.0)
+            return ReportOutcome.UNSURE
+        return outcome
+
+    async def live(self) -> None:
+        """Report, count and tell until the life ends."""
+        await asyncio.gather(self.reporter.run(), self._count(), self._tell())
+
+    async def _count(self) -> None:
+        world = self.world
+        while True:
+            await asyncio.sleep(world.rng.uniform(0.02, 0.3))
+            await self.wait_while_frozen()
+            workspace = world.rng.choice(WORKSPACES)
+            window = int((WALL_S + world.now) // WINDOW_S)
+            key = (window, workspace)
+            world.begun[key] = world.begun.get(key, 0) + 1
+            self.book.count(workspace, world.now)
+
+    async def _tell(self) -> None:
+        world = self.world
+        while True:
+            await asyncio.sleep(TELL_S)
+            await self.wait_while_frozen()
+            note_sent(self.peers, world.now)
+            for other in world.gateways:
+                if other.name != self.name:
+                    self._tell_one(other)
+
+    def _tell_one(self, other: "Gateway") -> None:
+        world = self.world
+        facts = self.facts.describe(other.name)
+        cut = {f"peers cut {self.name}", f"peers cut {other.name}"} & world.trouble
+        if cut or world.rng.random() < 0.03:
+            return
+        digest = Digest(self.name, self.peers.started, self.peers.number, [], [])
+        digest.is_relay = self.peers.is_relay
+        loop = asyncio.get_running_loop()
+        delay_s = world.rng.uniform(0.001, 0.1)
+        loop.call_later(delay_s, other.hear, self.name, digest, facts)
+
+    def hear(self, sender: str, digest, facts) -> None:
+        """Take a datagram in, unless frozen: then it waits in a buffer."""
+        world = self.world
+        if self not in world.gateways:
+            return
+        if world.now < self.frozen_until:
+            loop = asyncio.get_running_loop()
+            wait_s = self.frozen_until - world.now + 0.001
+            loop.call_later(wait_s, self.hear, sender, digest, facts)
+            return
+        take_digest(self.peers.views, digest, world.now, lambda lifetime: None)
+        self.facts.take(sender, facts)
+
+    def forget_silent(self) -> None:
+        """Forget peers that were not heard lately."""
+        views = self.peers.views
+        for name in [n for n, v in views.items() if self.world.now - v.heard_at > 1.5]:
+            del views[name]
+            self.facts.note_silent(name)
+
+
+def play_duties(
+    seed: int, checks_fences: bool = True, faults: bool = True
+) -> tuple[str, ...]:
+    """Play one run; returns what the oracle found."""
+    selector = VirtualSelector()
+    world = World(random.Random(seed), selector, checks_fences)
+    run_virtually(_play(world, faults), selector)
+    return judge(world, faults)
+
+
+async def _play(world: World, faults: bool) -> None:
+    schedule = Schedule(WINDOW_S, LATE_S)
+    tasks = {}
+
+    def start(number: int) -> None:
+        gateway = Gateway(world, number, schedule)
+        world.gateways.append(gateway)
+        tasks[gateway.name] = asyncio.ensure_future(gateway.live())
+
+    for number in range(GATEWAYS):
+        start(number)
+    while world.now < LENGTH_S:
+        await asyncio.sleep(0.5)
+        for gateway in world.gateways:
+            gateway.forget_silent()
+        for task in tasks.values():
+            if task.done():
+                task.result()
+        if faults and world.rng.random() < 0.2:
+            _trouble(world, tasks, start)
+    for task in tasks.values():
+        task.cancel()
+    await asyncio.gather(*tasks.values(), return_exceptions=True)
+
+
+def _trouble(world: World, tasks, start) -> None:
+    """Begin one more trouble."""
+    rng = world.rng
+    gateway = rng.choice(world.gateways)
+    leader = next(
+        (g for g in world.gateways if world.calls and world.calls[-1].holder == g.name),
+        gateway,
+    )
+    if rng.random() < 0.5:
+        gateway = leader
+    kind = rng.choice(
+        (
+            "store down",
+            f"store cut {gateway.name}",
+            "store loses",
+            "api down",
+            f"api cut {gateway.name}",
+            "api busy",
+            "api late",
+            "api loses",
+            f"peers cut {gateway.name}",
+            "freeze",
+            "kill",
+            "step",
+        )
+    )
+    seconds = rng.uniform(0.5, 6.0)
+    loop = asyncio.get_running_loop()
+    if kind == "freeze":
+        gateway.frozen_until = world.now + seconds
+        world.excused_until[gateway.name] = world.now + seconds
+    elif kind == "kill":
+        _kill(world, gateway, tasks, start)
+    elif kind == "step":
+        gateway.step_s = rng.choice((-2.0, 2.0))
+        loop.call_later(seconds, setattr, gateway, "step_s", 0.0)
+    else:
+        world.trouble.add(kind)
+        loop.call_later(seconds, world.trouble.discard, kind)
+
+
+def _kill(world: World, gateway: Gateway, tasks, start) -> None:
+    tasks.pop(gateway.name).cancel()
+    world.gateways.remove(gateway)
+    number = int(gateway.name[1:])
+    loop = asyncio.get_running_loop()
+    loop.call_later(world.rng.uniform(0.3, 3.0), start, number)
+
+
+def judge(world: World, faults: bool) -> tuple[str, ...]:
+    """Judge what the platform received."""
+    found = [*_judge_values(world), *_judge_fences(world), *_judge_turns(world)]
+    if not faults:
+        found += _judge_calm(world)
+    return tuple(found)
+
+
+def _judge_values(world: World):
+    values: dict[int, dict[str, int]] = {}
+    for call in world.calls:
+        if not call.is_accepted:
+            continue
+        known = values.setdefault(call.window, call.counts)
+        if known != call.counts:
+            yield f"two values for window {call.window} at {call.at:.3f}"
+    for window, counts in values.items():
+        for workspace, count in counts.items():
+            if count > world.begun.get((window, workspace), 0) + 3:
+                yield f"window {window}: {count} of {workspace} are too many"
+
+
+def _judge_fences(world: World):
+    holders: dict[int, str] = {}
+    highest = 0
+    for call in world.calls:
+        if holders.setdefault(call.fence, call.holder) != call.holder:
+            yield f"two holders have fence {call.fence} at {call.at:.3f}"
+        if call.fence < highest and call.is_judged and not world.checks_fences:
+            yield f"fence {call.fence} after {highest} at {call.at:.3f}"
+        highest = max(highest, call.fence)
+
+
+def _judge_turns(world: World):
+    turns: list[Call] = []
+    for call in world.calls:
+        if not call.is_judged or not call.is_accepted:
+            continue
+        if turns and turns[-1].holder == call.holder:
+            turns[-1] = call
+            continue
+        turns.append(call)
+    for first, _, third in zip(turns, turns[1:], turns[2:], strict=False):
+        if first.holder == third.holder and third.at - first.at <= LEASE_S:
+            yield f"{first.holder} takes turns at {third.at:.3f}"
+
+
+def _judge_calm(world: World):
+    """Without trouble every window is reported in time, and exactly."""
+    newest = int((WALL_S + LENGTH_S - LATE_S) // WINDOW_S) - 1
+    first = int(WALL_S // WINDOW_S) + 1
+    for window in range(first, newest + 1):
+        calls = [call for call in world.calls if call.window == window]
+        due = (window + 1) * WINDOW_S - WALL_S + LATE_S
+        if not calls or calls[0].at > due:
+            yield f"window {window} is missing"
+            continue
+        told = {name: world.begun.get((window, name), 0) for name in WORKSPACES}
+        if calls[0].counts != {name: count for name, count in told.items() if count}:
+            yield f"window {window} says {calls[0].counts}, true is {told}"
--- a/src/robinspindle/core/timeofday.py
+++ b/src/robinspindle/core/timeofday.py
@@ -2,7 +2,9 @@
 
 A relay hears the clocks of its group and of the other relays, and believes the one in
 the middle; its group believes the relay. Clocks that differ by no more than a datagram
-takes are as good as each other, and the own one is used.
+takes are as good as each other, and the own one is used. A clock is told by what it
+shows beyond the steady clock, which nobody sets: a step of the own clock changes
+nothing before it was compared with the others.
 """
 
 import statistics
@@ -16,18 +18,28 @@
 """With fewer clocks nobody can tell which of them is wrong."""
 
 
-def find_correction(offsets: Iterable[float]) -> float:
-    """Find what is to be added to the own time of day, seconds.
+MOST_WAY_S = 0.5
+"""A clock is not compared if what it showed may be older than this, seconds: it lay in
+a buffer while nobody read it."""
+
+TRUST_S = 60.0
+"""How long a time of day that was agreed on is kept by a gateway that hears nobody,
+seconds, where its own clock jumps away from it."""
+
+
+def find_middle(own: float, others: Iterable[float]) -> float:
+    """Find the clock that is believed, as seconds beyond the own steady clock.
 
     Args:
-        offsets: The clocks of others against our own, seconds.
+        own: The own clock.
+        others: The clocks of peers.
     """
-    known = [0.0, *offsets]
+    known = [own, *others]
     if len(known) < LEAST_CLOCKS:
-        return 0.0
-    return follow_relay(statistics.median_low(known))
+        return own
+    return choose_clock(own, statistics.median_low(known))
 
 
-def follow_relay(offset: float) -> float:
-    """Find what to add for one clock that is believed, seconds."""
-    return 0.0 if abs(offset) <= NOISE_S else offset
+def choose_clock(own: float, believed: float) -> float:
+    """Choose between the own clock and one that is believed: the own, if both agree."""
+    return own if abs(believed - own) <= NOISE_S else believed
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -47,7 +47,7 @@
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
-from robinspindle.reporting import Reporter
+from robinspindle.reporting import Reporter, make_sender
 from robinspindle.storenews import StoreNews
 from robinspindle.usagebook import UsageBook
 
@@ -208,18 +208,20 @@
         )
 
     def _make_reporter(self, adapter: Adapter) -> Reporter:
-        duties = self.settings.duties
-        decode = adapter.dialect.decode_answer
+        duties, log = self.settings.duties, make_log("usage")
+        send = None
+        if duties is not None:
+            pool = ConnectionPool(duties.address, adapter.dialect.decode_answer)
+            send = make_sender(pool, adapter.duties, self._clock, log)
         return Reporter(
             Authority(self.settings.name, self.settings.pledges.lease_s),
             adapter.reports_topic,
             self._store,
-            None if duties is None else ConnectionPool(duties.address, decode),
+            send,
             self.book,
             self.peers,
-            adapter.duties,
             self._clock,
-            make_log("usage"),
+            log,
         )
 
     def _make_orderer(self, adapter: Adapter) -> Orderer:
--- a/src/robinspindle/peerfacts.py
+++ b/src/robinspindle/peerfacts.py
@@ -13,6 +13,7 @@
 from robinspindle.core.reports import Reports, note_acknowledged
 from robinspindle.core.sharing import Checked, Facts
 from robinspindle.core.soundness import MOST_AGE_MS
+from robinspindle.core.timeofday import MOST_WAY_S
 from robinspindle.peers import Peers, list_heard
 from robinspindle.usagebook import UsageBook
 
@@ -43,12 +44,11 @@
         if not self.freshness.has_keys and self.book.schedule is None:
             return None
         view = self.peers.views.get(name)
-        wall_s = self.book.wall()
         facts = Facts(
             seen=None if view is None else view.number,
             checked=self._describe_checked(),
-            wall_ms=round(wall_s * 1000),
-            agreed_ms=round((wall_s + self.book.correction) * 1000),
+            wall_ms=round(self.book.wall() * 1000),
+            agreed_ms=round(self.book.read_wall() * 1000),
             reported=sorted(self.reports.acknowledged)[-MOST_REPORTED:],
         )
         if self._tells_counts(name):
@@ -63,11 +63,12 @@
         view = self.peers.views.get(sender)
         if facts.seen is not None and view is not None:
             usage.note_confirmed(self.book.ledger, sender, view.started, facts.seen)
-        self._take_checked(facts)
-        wall_ms = self.book.wall() * 1000
-        offset_s = (facts.wall_ms - wall_ms) / 1000
-        agreed_s = (facts.agreed_ms - wall_ms) / 1000
-        self.book.note_clock(sender, offset_s, agreed_s)
+        as_of = self.peers.sent_times.get(facts.seen)
+        if as_of is not None:
+            self._take_checked(facts, as_of)
+            if self.clock() - as_of <= MOST_WAY_S:
+                own_s, agreed_s = facts.wall_ms / 1000, facts.agreed_ms / 1000
+                self.book.note_clock(sender, own_s, agreed_s)
         self.book.take(facts.counts)
         note_acknowledged(self.reports, set(facts.reported))
 
@@ -82,10 +83,10 @@
         age_s = self.peers.sent_at - self.freshness.newest_at
         return Checked(self.freshness.version, _round_up_ms(age_s))
 
-    def _take_checked(self, facts: Facts) -> None:
+    def _take_checked(self, facts: Facts, as_of: float) -> None:
         """Take in how sure a peer is of its configuration, as of our own digest."""
-        as_of, checked = self.peers.sent_times.get(facts.seen), facts.checked
-        if as_of is not None and checked is not None:
+        checked = facts.checked
+        if checked is not None:
             newest_at = as_of - checked.age_ms / 1000
             note_told(self.freshness, checked.version, newest_at, self.clock())
 
--- a/src/robinspindle/reporting.py
+++ b/src/robinspindle/reporting.py
@@ -1,7 +1,7 @@
 """Reports each window's usage to the platform: one gateway at a time, one value."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -83,6 +83,34 @@
         """Read how it was taken."""
 
 
+SendReport = Callable[[Report], Awaitable[ReportOutcome]]
+
+
+def make_sender(
+    pool: ConnectionPool, dialect: DutyDialect, clock: Callable[[], float], log: Log
+) -> SendReport:
+    """Make what sends reports to the platform.
+
+    Args:
+        pool: Connections to where it takes them.
+        dialect: How they are written.
+        clock: Tells the present time, steady seconds.
+        log: Takes log lines.
+    """
+
+    async def send(report: Report) -> ReportOutcome:
+        data = dialect.encode_report(report)
+        try:
+            head, _ = await call_once(pool, clock, data, REPORT_LIMITS)
+        except (ConnectionBrokenError, TimeoutError) as error:
+            window = report.window
+            log("report without an answer", window=window, error=str(error))
+            return ReportOutcome.UNSURE
+        return dialect.decode_report_outcome(head.status)
+
+    return send
+
+
 class Reporter:
     """Decides, stores and sends reports while it is this gateway's turn.
 
@@ -96,10 +124,9 @@
         authority: Authority,
         topic: str,
         store: KeyedStore,
-        pool: ConnectionPool | None,
+        send: SendReport | None,
         book: UsageBook,
         peers: Peers,
-        dialect: DutyDialect,
         clock: Callable[[], float],
         log: Log,
     ):
@@ -107,10 +134,9 @@
         self.reports = Reports()
         self._topic = topic
         self._store = store
-        self._pool = pool
+        self._send_report = send
         self._book = book
         self._peers = peers
-        self._dialect = dialect
         self._clock = clock
         self._log = log
         self._claim: Claim | None = None
@@ -120,6 +146,7 @@
         self._heard_at: dict[str, float] = {}
         self._spilled: set[int] = set()
         self._missed: set[int] = set()
+        self._tries: dict[int, int] = {}
         # Windows before this one may have been decided in what the store has lost.
         self._lost_before = -1
 
@@ -143,30 +170,32 @@
         """Look for what is due for as long as the process runs."""
         while True:
             await asyncio.sleep(LOOK_S)
-            schedule = self._book.schedule
-            if schedule is None or self._pool is None:
-                continue
-            now = self._clock()
-            self._book.agree(self._peers.choice.relay, now)
-            wall_s = self._book.read_wall()
-            if not self.reports.first_window:
-                window = usage.find_window(wall_s, schedule.window_s)
-                self.reports.first_window = window
-            self._note_heard(now)
-            self._forget_old(wall_s)
-            try:
-                await self._spill(wall_s)
-                if self._peers.is_relay and now >= self._rests_until:
-                    await self._report_due(wall_s)
-            except EraChangedError:
-                continue
-            except LogConflictError as error:
-                self._must_read = True
-                self._log("another writes reports too", end=error.end)
-            except LogServiceError as error:
-                self._log("report not stored yet", error=str(error))
-                self._must_read = True
-                self._rest()
+            if self._book.schedule is not None and self._send_report is not None:
+                await self._look()
+
+    async def _look(self) -> None:
+        schedule, now = self._book.schedule, self._clock()
+        self._book.agree(self._peers.choice.relay, now)
+        wall_s = self._book.read_wall()
+        if not self.reports.first_window:
+            window = usage.find_window(wall_s, schedule.window_s)
+            self.reports.first_window = window
+        self._note_heard(now)
+        self._forget_old(wall_s)
+        try:
+            await self._spill(wall_s)
+            if self._peers.is_relay and now >= self._rests_until:
+                await self._report_due(wall_s)
+        except EraChangedError:
+            # The next look reads all anew.
+            self._must_read = True
+        except LogConflictError as error:
+            self._must_read = True
+            self._log("another writes reports too", end=error.end)
+        except LogServiceError as error:
+            self._must_read = True
+            self._log("report not stored yet", error=str(error))
+            self._rest()
 
     # Whose turn it is.
 
@@ -193,7 +222,8 @@
         counted = usage.list_windows(self._book.ledger)
         due = reports.list_due(self.reports, schedule, counted, wall_s)
         turn_s = reports.find_turn_s(schedule, self._find_place(), self._hears_most())
-        for window in due:
+        # A window whose answers are lost must not hold up those after it.
+        for window in sorted(due, key=lambda w: (self._tries.get(w, 0), w)):
             ended_at = (window + 1) * schedule.window_s
             if wall_s - ended_at < turn_s:
                 continue
@@ -216,6 +246,8 @@
                 )
                 return True
             await self._decide(window)
+        if window not in self.reports.records:
+            return False
         return await self._send(window)
 
     async def _decide(self, window: int) -> None:
@@ -302,7 +334,8 @@
         record = self.reports.records[window]
         name = self.authority.name
         report = Report(window, record.counts, name, self._claim.fence)
-        outcome = await self._call(report)
+        self._tries[window] = self._tries.get(window, 0) + 1
+        outcome = await self._send_report(report)
         self._log_sent(report, outcome)
         if outcome is ReportOutcome.TAKEN:
             reports.note_acknowledged(self.reports, {window})
@@ -331,17 +364,6 @@
             claim = self._claim
         return claims.may_use(self.authority, claim, self._clock())
 
-    async def _call(self, report: Report) -> ReportOutcome:
-        data = self._dialect.encode_report(report)
-        try:
-            head, _ = await call_once(self._pool, self._clock, data, REPORT_LIMITS)
-        except (ConnectionBrokenError, TimeoutError) as error:
-            self._log(
-                "report without an answer", window=report.window, error=str(error)
-            )
-            return ReportOutcome.UNSURE
-        return self._dialect.decode_report_outcome(head.status)
-
     def _log_sent(self, report: Report, outcome: ReportOutcome) -> None:
         schedule = self._book.schedule
         late_s = self._book.read_wall() - (report.window + 1) * schedule.window_s
@@ -393,6 +415,7 @@
         known.acknowledged = {w for w in known.acknowledged if w >= kept}
         self._spilled = {w for w in self._spilled if w >= kept}
         self._missed = {w for w in self._missed if w >= kept}
+        self._tries = {w: n for w, n in self._tries.items() if w >= kept}
 
     def _note_missed(self, window: int, why: str) -> None:
         if window in self._missed:
--- a/src/robinspindle/usagebook.py
+++ b/src/robinspindle/usagebook.py
@@ -1,5 +1,6 @@
 """Counts the requests that began to run, by workspace and window, and tells peers."""
 
+import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -13,17 +14,17 @@
 """How long a peer's clock is believed after it was heard, seconds."""
 
 
-@dataclass
+@dataclass(frozen=True)
 class PeerClock:
-    """What a peer's clock showed against ours.
+    """What a peer's clock showed, beyond our steady clock.
 
     Attributes:
-        offset: Its time of day less ours, seconds.
-        agreed: What it believes the time of day to be, less ours, seconds.
+        own: Its time of day, seconds.
+        agreed: What it believes the time of day to be, seconds.
         heard_at: When it was heard, steady seconds.
     """
 
-    offset: float
+    own: float
     agreed: float
     heard_at: float
 
@@ -41,7 +42,7 @@
         schedule: What is promised of reports; None where there are none.
         ledger: All counts that are known.
         clocks: The clocks of peers that were heard, by name.
-        correction: What is added to the own time of day, seconds.
+        beyond: The time of day that is believed, beyond the steady clock, seconds.
     """
 
     name: str
@@ -52,7 +53,10 @@
     schedule: Schedule | None = None
     ledger: Ledger = field(default_factory=Ledger)
     clocks: dict[str, PeerClock] = field(default_factory=dict)
-    correction: float = 0.0
+
+    def __post_init__(self):
+        self.beyond = self._read_own()
+        self._agreed_at = -math.inf
 
     def count(self, workspace: str, at: float) -> None:
         """Count a request that began to run.
@@ -63,17 +67,17 @@
         """
         if self.schedule is None:
             return
-        wall_s = self.read_wall() - (self.clock() - at)
-        window = usage.find_window(wall_s, self.schedule.window_s)
+        window = usage.find_window(at + self.beyond, self.schedule.window_s)
         usage.count_begun(self.ledger, self.name, self.life, window, workspace)
 
     def read_wall(self) -> float:
         """Read the time of day that gateways agree on, Unix seconds."""
-        return self.wall() + self.correction
+        return self.clock() + self.beyond
 
-    def note_clock(self, peer: str, offset: float, agreed: float) -> None:
-        """Take note of a peer's clock, and of what it believes, against ours."""
-        self.clocks[peer] = PeerClock(offset, agreed, self.clock())
+    def note_clock(self, peer: str, own_s: float, agreed_s: float) -> None:
+        """Take note of a peer's clock, and of what it believes, Unix seconds."""
+        now = self.clock()
+        self.clocks[peer] = PeerClock(own_s - now, agreed_s - now, now)
 
     def agree(self, relay: str, now: float) -> None:
         """Agree with the other gateways on the time of day.
@@ -87,14 +91,23 @@
             for name, peer in self.clocks.items()
             if now - peer.heard_at <= MOST_CLOCK_AGE_S
         }
-        before = self.correction
+        own, before = self._read_own(), self.beyond
         if relay in self.clocks:
-            self.correction = timeofday.follow_relay(self.clocks[relay].agreed)
+            self.beyond = timeofday.choose_clock(own, self.clocks[relay].agreed)
+            self._agreed_at = now
+        elif len(self.clocks) + 1 >= timeofday.LEAST_CLOCKS:
+            others = [peer.own for peer in self.clocks.values()]
+            self.beyond = timeofday.find_middle(own, others)
+            self._agreed_at = now
+        elif now - self._agreed_at <= timeofday.TRUST_S:
+            self.beyond = timeofday.choose_clock(own, before)
         else:
-            offsets = [peer.offset for peer in self.clocks.values()]
-            self.correction = timeofday.find_correction(offsets)
-        if abs(self.correction - before) > timeofday.NOISE_S:
-            self.log("time of day corrected", seconds=round(self.correction, 3))
+            self.beyond = own
+        if abs(self.beyond - before) > timeofday.NOISE_S:
+            self.log("time of day set", seconds=round(self.beyond - before, 3))
+
+    def _read_own(self) -> float:
+        return self.wall() - self.clock()
 
     def list_untold(
         self, peer: str, started: float, number: int, left_out: set[str]
--- /dev/null
+++ b/tests/fuzz/test_duties.py
@@ -0,0 +1,25 @@
+import pytest
+
+from fuzz.dutymutants import DUTY_MUTANTS
+from fuzz.dutyworld import play_duties
+from fuzz.mutants import apply_mutant
+
+
+def play_any(seed):
+    """Play a seed calmly and under faults, with fences checked and not."""
+    return (
+        play_duties(seed, faults=False)
+        + play_duties(seed, checks_fences=True)
+        + play_duties(seed, checks_fences=False)
+    )
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_seeded_runs_are_clean(seed):
+    assert play_any(seed) == ()
+
+
+@pytest.mark.parametrize("mutant", DUTY_MUTANTS, ids=lambda mutant: mutant.name)
+def test_the_oracle_notices(mutant):
+    with apply_mutant(mutant):
+        assert any(play_any(seed) for seed in range(1, 25))
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -174,7 +174,7 @@
 
 
 @asynccontextmanager
-async def deploy(tmp_path, configured=True, pledges=None, prepare=None):
+async def deploy(tmp_path, configured=True, pledges=None, prepare=None, duties=None):
     """Run a gateway with a store; replicas are added by the test.
 
     Args:
@@ -182,6 +182,7 @@
         configured: Whether a configuration is put in force first.
         pledges: What was promised; generous if None.
         prepare: Awaited with the store before the gateway starts.
+        duties: The reports of usage that it owes; None for none.
     """
     store = LogStore()
     await store.server.start()
@@ -198,6 +199,7 @@
         inner_ports=(ports[2], ports[2]),
         memory_mb=300.0,
         pledges=pledges or Pledges(repeat_slack=320.0),
+        duties=duties,
     )
     with open(tmp_path / "out", "wb") as out:
         gateway = Gateway(
