Order how many targets a service has where its operator gave bounds; part the duties by what they do

One topic, one claim and one fence for both duties (dutylog), one order of who acts (dutyturns), one way of calling (dutycalls); reports and orders beside each other (reporting, scaler). Nothing is ordered of a service without bounds. The worlds of the fuzzer and their mutants pass as before.

--- a/fuzz/dutymutants.py
+++ b/fuzz/dutymutants.py
@@ -1,7 +1,7 @@
 """Deliberate faults in how usage is counted and reported, each to be noticed."""
 
 from fuzz.mutants import Mutant
-from robinspindle import reporting
+from robinspindle import dutylog
 from robinspindle.core import authority, reports, timeofday, usage
 from robinspindle.core.authority import Claim
 from robinspindle.core.reports import Record, Stage
@@ -28,7 +28,7 @@
         name, end = self.authority.name, self.authority.end
         record = Record(name, end + 1, end, window, counts)
         reports.take_record(self.reports, record)
-        self._claim = Claim(end + 1, self._clock(), self.authority.era)
+        self.claim = Claim(end + 1, self._clock(), self.authority.era)
 
     return append
 
@@ -76,9 +76,9 @@
 
 DUTY_MUTANTS = (
     Mutant("add counts up twice", usage, "take_accounts", _add_counts),
-    Mutant("send before storing", reporting.Reporter, "_append", _keep_in_memory),
-    Mutant("store over another", reporting.Reporter, "_append", _append_anyhow),
-    Mutant("use old fences", reporting, "make_fence", lambda r: lambda era, at: 1),
+    Mutant("send before storing", dutylog.DutyLog, "append", _keep_in_memory),
+    Mutant("store over another", dutylog.DutyLog, "append", _append_anyhow),
+    Mutant("use old fences", dutylog, "make_fence", lambda r: lambda era, at: 1),
     Mutant("claim without waiting", authority, "may_claim", lambda r: lambda *_: True),
     Mutant("use a claim for ever", authority, "may_use", lambda r: lambda *_: True),
     Mutant("take all for confirmed", usage, "note_confirmed", _confirm_all),
--- a/fuzz/dutyworld.py
+++ b/fuzz/dutyworld.py
@@ -14,12 +14,15 @@
 from robinspindle.core.authority import Authority
 from robinspindle.core.freshness import Freshness
 from robinspindle.core.relays import Member
-from robinspindle.core.reports import Schedule
+from robinspindle.core.reports import Reports, Schedule
 from robinspindle.core.sharing import Digest, take_digest
+from robinspindle.dutycalls import DutyOutcome
+from robinspindle.dutylog import DutyLog
+from robinspindle.dutyturns import DutyTurns
 from robinspindle.exceptions import LogConflictError, LogUnavailableError
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import Peers, note_member, note_sent
-from robinspindle.reporting import Reporter, ReportOutcome
+from robinspindle.reporting import Reporter
 from robinspindle.usagebook import UsageBook
 
 WINDOW_S = 5.0
@@ -30,6 +33,7 @@
 
 GATEWAYS = 4
 TELL_S = 0.2
+LOOK_S = 0.25
 WORKSPACES = ("red", "blue", "green")
 SLACK_S = 0.3
 """Calls that come so soon after their sender was frozen or cut are not judged."""
@@ -98,7 +102,7 @@
         """The present time, seconds."""
         return self.selector.now
 
-    def take_report(self, report, sender: "Gateway") -> ReportOutcome:
+    def take_report(self, report, sender: "Gateway") -> DutyOutcome:
         """Take a report at the platform."""
         seen = max((call.fence for call in self.calls), default=0)
         is_fenced = self.checks_fences and report.fence < seen
@@ -114,7 +118,7 @@
                 not is_fenced,
             )
         )
-        return ReportOutcome.FENCED if is_fenced else ReportOutcome.TAKEN
+        return DutyOutcome.FENCED if is_fenced else DutyOutcome.TAKEN
 
 
 class FakeStore:
@@ -199,21 +203,31 @@
             schedule,
         )
         self.lines: list[tuple[float, str]] = []
-        self.reporter = Reporter(
+        read_clock = lambda: world.now  # noqa: E731
+        self.duties = DutyLog(
             Authority(self.name, LEASE_S),
+            Reports(),
             "keyed.usage",
             FakeStore(world, self),
+            self.book,
+            read_clock,
+            self._log,
+        )
+        self.turns = DutyTurns(self.peers)
+        self.reporter = Reporter(
+            self.duties,
+            self.turns,
             self._send,
             self.book,
             self.peers,
-            lambda: world.now,
+            read_clock,
             self._log,
         )
         self.facts = PeerFacts(
             self.peers,
             Freshness(),
             self.book,
-            self.reporter.reports,
+            self.duties.reports,
             lambda: world.now,
         )
 
@@ -225,30 +239,36 @@
         while self.world.now < self.frozen_until:
             await asyncio.sleep(self.frozen_until - self.world.now + 0.001)
 
-    async def _send(self, report) -> ReportOutcome:
+    async def _send(self, report) -> DutyOutcome:
         world = self.world
         await self.wait_while_frozen()
         await asyncio.sleep(world.rng.uniform(0.001, 0.02))
         if {"api down", f"api cut {self.name}"} & world.trouble:
             await asyncio.sleep(1.0)
-            return ReportOutcome.UNSURE
+            return DutyOutcome.UNSURE
         if "api busy" in world.trouble:
-            return ReportOutcome.BUSY
+            return DutyOutcome.BUSY
         if "api late" in world.trouble and world.checks_fences:
             delay_s = world.rng.uniform(1.0, 8.0)
             loop = asyncio.get_running_loop()
             loop.call_later(delay_s, world.take_report, report, self)
             await asyncio.sleep(1.0)
-            return ReportOutcome.UNSURE
+            return DutyOutcome.UNSURE
         outcome = world.take_report(report, self)
         if "api loses" in world.trouble and world.rng.random() < 0.5:
             await asyncio.sleep(1.0)
-            return ReportOutcome.UNSURE
+            return DutyOutcome.UNSURE
         return outcome
 
     async def live(self) -> None:
         """Report, count and tell until the life ends."""
-        await asyncio.gather(self.reporter.run(), self._count(), self._tell())
+        await asyncio.gather(self._report(), self._count(), self._tell())
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self.turns.note_heard(self.world.now)
+            await self.reporter.look()
 
     async def _count(self) -> None:
         world = self.world
--- a/src/robinspindle/adapters.py
+++ b/src/robinspindle/adapters.py
@@ -5,11 +5,11 @@
 
 from robinspindle.core.routes import RouteTable
 from robinspindle.core.targets import Announcement
+from robinspindle.dutycalls import DutyDialect
 from robinspindle.following import KeyedStore
 from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.ordering import OrderDialect
 from robinspindle.passages import Dialect
-from robinspindle.reporting import DutyDialect
 
 
 class Adapter(Protocol):
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from robinspindle.core.scaling import Bounds
 from robinspindle.core.workspaces import KeyRing, Workspace
 
 IDEMPOTENT = "idempotent"
@@ -89,12 +90,15 @@
         health_path: Path of its health check.
         connections: Connections that one target takes from all callers together.
         engine: The shape of its engines; None for a plain service.
+        scaling: How many targets it may have in each zone; None where nobody orders
+            that.
     """
 
     name: str
     health_path: str
     connections: int
     engine: EngineShape | None = None
+    scaling: Bounds | None = None
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -19,6 +19,7 @@
     Service,
     make_table,
 )
+from robinspindle.core.scaling import Bounds
 from robinspindle.core.targets import Announcement
 from robinspindle.core.workspaces import (
     KeyRing,
@@ -90,11 +91,18 @@
     link_mbps: float = 0.0
 
 
+class _Scaling(msgspec.Struct, rename="pascal"):
+    min: Annotated[int, msgspec.Meta(ge=0)]
+    max: Annotated[int, msgspec.Meta(ge=0)]
+    boot_s: float = msgspec.field(default=5.0, name="BootS")
+
+
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
     health_path: str = "/health"
     max_connections: int = 100
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -289,4 +297,11 @@
             event_tokens=max(1, service.engine.stride),
             move_s=_find_move_s(service.engine),
         )
-    return Service(service.name, service.health_path, service.max_connections, engine)
+    scaling = None
+    if service.scaling is not None:
+        scaling = Bounds(
+            service.scaling.min, service.scaling.max, service.scaling.boot_s
+        )
+    return Service(
+        service.name, service.health_path, service.max_connections, engine, scaling
+    )
