Count targets that rest among those a service has; orders before a stand-in of the platform's API

An order without an answer was never given again while all targets were busy: they rested, so none seemed to be there (test_an_order_without_an_answer_is_given_again failed first).

--- a/src/robinspindle/scaler.py
+++ b/src/robinspindle/scaler.py
@@ -5,7 +5,7 @@
 
 from robinspindle.core import scaling
 from robinspindle.core.scaling import Bounds, Demand
-from robinspindle.core.targets import Target, may_get_work
+from robinspindle.core.targets import Target
 from robinspindle.dutycalls import DutyOutcome
 from robinspindle.dutylog import DutyLog
 from robinspindle.dutyturns import DutyTurns
@@ -78,7 +78,8 @@
         now = self._clock()
         found: dict[str, list[Target]] = {}
         for target in self._fleet.directory.targets.values():
-            if target.announced.service == service and may_get_work(target, now):
+            # One that rests for a while is there all the same.
+            if target.announced.service == service and not target.announced.leaving:
                 found.setdefault(target.announced.zone, []).append(target)
         for zone, targets in found.items():
             demand = self._demands.setdefault((service, zone), Demand())
--- a/standins/dutyapi.py
+++ b/standins/dutyapi.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's API for duties: it takes reports of usage."""
+"""Stand-in for the platform's API for duties: reports of usage, orders of targets."""
 
 import asyncio
 import json
@@ -21,6 +21,17 @@
     counts: dict[str, int]
 
 
+@dataclass(frozen=True)
+class TakenOrder:
+    """An order of targets that was taken."""
+
+    holder: str
+    fence: int
+    service: str
+    zone: str
+    desired: int
+
+
 class DutyApi:
     """The platform's API.
 
@@ -29,6 +40,7 @@
             to say nothing, or ``lost`` to take the report and not answer.
         checks_fences: Whether a fence that is lower than one seen is refused.
         reports: The reports that it took.
+        orders: The orders that it took.
         calls: How many calls it got.
     """
 
@@ -36,6 +48,7 @@
         self.trouble = ""
         self.checks_fences = checks_fences
         self.reports: list[TakenReport] = []
+        self.orders: list[TakenOrder] = []
         self.calls = 0
         self.server = RawServer(self._answer)
 
@@ -57,11 +70,15 @@
 
     def _take(self, request: RawRequest) -> int:
         fence = int(request.headers["x-fence-token"])
-        seen = max((report.fence for report in self.reports), default=0)
+        holder, body = request.headers["x-duty-holder"], json.loads(request.body)
+        taken = self.orders if request.target == "/scale" else self.reports
+        seen = max((call.fence for call in taken), default=0)
         if self.checks_fences and fence < seen:
             return FENCED
-        body = json.loads(request.body)
-        holder = request.headers["x-duty-holder"]
+        if request.target == "/scale":
+            wanted = (body["Service"], body["Zone"], body["Desired"])
+            self.orders.append(TakenOrder(holder, fence, *wanted))
+            return TAKEN
         report = TakenReport(holder, fence, body["Window"], body["Counts"])
         self.reports.append(report)
         return TAKEN
