--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -193,6 +193,11 @@
     losses.add_argument("file", nargs="*", help="log files; standard input for none")
     losses.add_argument("--json", action="store_true", help="print JSON for programs")
     losses.set_defaults(run=commands.count_lost)
+    text = "tell from gateways' logs how the usage of each window was reported"
+    usage = verbs.add_parser("usage", help=text, description=text)
+    usage.add_argument("file", nargs="*", help="log files; standard input for none")
+    usage.add_argument("--json", action="store_true", help="print JSON for programs")
+    usage.set_defaults(run=commands.tell_usage)
 
 
 def _add_quarantine(verbs) -> None:
--- a/src/robinspindle/commands.py
+++ b/src/robinspindle/commands.py
@@ -4,6 +4,7 @@
 import asyncio
 import sys
 import time
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -44,6 +45,7 @@
 )
 from robinspindle.settings import KINDS, OperatorSettings, read_settings
 from robinspindle.tables import format_burn, format_table
+from robinspindle.usagewindows import format_windows, tell_windows
 
 PLATFORM_SUFFIX = ".toml"
 FOLLOW_PAUSE_S = 0.3
@@ -109,6 +111,14 @@
     return 0 if losses.attempts else 4
 
 
+def tell_usage(args: argparse.Namespace) -> int:
+    """Tell how windows' usage was reported; 4 when the logs name none."""
+    stories = tell_windows(read_lines(_read_texts(args.file)))
+    values = [asdict(story) | {"state": story.state} for story in stories]
+    print_value(args, values, format_windows(stories))
+    return 0 if stories else 4
+
+
 def _read_texts(paths: list[str]) -> list[str]:
     """Read the lines of log files, of standard input where none is named."""
     if not paths:
