--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,4 +1,5 @@
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -169,3 +170,15 @@
         return
     assert announced.slots > 0
     assert announced.lifetime.isprintable()
+
+
+def test_the_example_of_two_workspaces_is_read():
+    path = Path(__file__).parent.parent.parent / "examples" / "workspaces.json"
+    table = decode_configuration(path.read_bytes())
+    owners = {workspace.name for workspace in table.keys.owners.values()}
+    assert owners == {"desk", "batch"}
+    routes = table.routes["notes.example"]
+    assert {route.name: route.is_public for route in routes} == {
+        "notes": False,
+        "status": True,
+    }
