--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -24,11 +24,8 @@
 from robinspindle.core.lengths import Lengths
 from robinspindle.core.pauses import Pause
 from robinspindle.core.relays import Member, encode_introduction
-from robinspindle.core.reports import Reports, Schedule
 from robinspindle.core.targets import Directory, Target
-from robinspindle.dutycalls import make_sender
-from robinspindle.dutylog import DutyLog
-from robinspindle.dutyturns import DutyTurns
+from robinspindle.duties import Duties
 from robinspindle.exceptions import InvalidDocumentError
 from robinspindle.fleet import Fleet
 from robinspindle.following import follow, note_new_era
@@ -37,7 +34,6 @@
 from robinspindle.gauges import Measured, update_gauges
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
-from robinspindle.httpclient import ConnectionPool
 from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.introduction import Introduction
 from robinspindle.logs import make_log, start_bounded_logs
@@ -50,8 +46,6 @@
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
-from robinspindle.reporting import Reporter
-from robinspindle.scaler import Scaler
 from robinspindle.storenews import StoreNews
 from robinspindle.usagebook import UsageBook
 
@@ -66,9 +60,6 @@
 BUDGET_SHARES = 32
 """Gateways among which the fixed part of the repeat budget is divided."""
 
-DUTIES_S = 0.25
-"""Interval at which it is looked for duties that are due, seconds."""
-
 UNREADY_S = 2.8
 """How long a stopping gateway takes requests, seconds: the balancer asks once a second
 and needs two misses; what is taken after three seconds would have to end in time."""
@@ -145,13 +136,15 @@
             make_log("guard"),
         )
         self.relay = self._make_relay(adapter)
-        self._duties = self._make_duty_log(adapter)
-        self._turns = DutyTurns(self.peers)
-        address = settings.duties.address if settings.duties else None
-        decode = adapter.dialect.decode_answer
-        self._duty_pool = ConnectionPool(address, decode) if address else None
-        self.reporter = self._make_reporter(adapter)
-        self._scaler = self._make_scaler(adapter)
+        self.duties = Duties(
+            settings,
+            adapter,
+            self._store,
+            self.book,
+            self.fleet,
+            self.peers,
+            self._clock,
+        )
         self._link = self._make_peer_link()
         self.orderer = self._make_orderer(adapter)
         self._cache_lists = CacheLists(
@@ -215,52 +208,11 @@
                 self.peers,
                 self.freshness,
                 self.book,
-                self._duties.reports,
+                self.duties.reports,
                 self._clock,
             ),
         )
 
-    def _make_reporter(self, adapter: Adapter) -> Reporter:
-        return Reporter(
-            self._duties,
-            self._turns,
-            self._make_sender(adapter.duties.encode_report, adapter),
-            self.book,
-            self.peers,
-            self._clock,
-            make_log("usage"),
-        )
-
-    def _make_scaler(self, adapter: Adapter) -> Scaler:
-        return Scaler(
-            self._duties,
-            self._turns,
-            self._make_sender(adapter.duties.encode_scale_order, adapter),
-            self.fleet,
-            self.peers,
-            self._clock,
-            make_log("scaling"),
-        )
-
-    def _make_sender(self, encode, adapter: Adapter):
-        """Make what sends calls of one kind for duties; None where there are none."""
-        if self._duty_pool is None:
-            return None
-        decode = adapter.duties.decode_duty_outcome
-        log = make_log("duties")
-        return make_sender(self._duty_pool, encode, decode, self._clock, log)
-
-    def _make_duty_log(self, adapter: Adapter) -> DutyLog:
-        return DutyLog(
-            Authority(self.settings.name, self.settings.pledges.lease_s),
-            Reports(),
-            adapter.reports_topic,
-            self._store,
-            self.book,
-            self._clock,
-            make_log("duties"),
-        )
-
     def _make_orderer(self, adapter: Adapter) -> Orderer:
         return Orderer(
             Authority(self.settings.name, self.settings.pledges.lease_s),
@@ -301,8 +253,7 @@
         """Begin anew with a store that returned from a copy."""
         log("store returned from a copy", era=era)
         self.orderer.note_era(era)
-        self._duties.note_era(era)
-        self.reporter.note_era()
+        self.duties.note_era(era)
         targets.note_store_copy(self.directory, self._clock())
         self._introduction.note_era()
         for follower in self._followers:
@@ -369,7 +320,7 @@
             loop.create_task(self._keep_house()),
             loop.create_task(self._keeper.run()),
             loop.create_task(self.guard.runs.recheck()),
-            loop.create_task(self._do_duties()),
+            loop.create_task(self.duties.run()),
         ]
         if settings.policy.tells_caches:
             self._tasks.append(loop.create_task(self._cache_lists.regain()))
@@ -414,14 +365,6 @@
             and may_serve(self.freshness, self._clock())
         )
 
-    async def _do_duties(self) -> None:
-        """Do what one gateway does for all, while it is this one's turn."""
-        while True:
-            await asyncio.sleep(DUTIES_S)
-            self._turns.note_heard(self._clock())
-            await self.reporter.look()
-            await self._scaler.look()
-
     async def _tell_peers(self) -> None:
         while True:
             await self._link.wait_due()
@@ -470,7 +413,7 @@
             store=self._store,
             guard=self.guard,
             freshness=self.freshness,
-            reporter=self.reporter,
+            reporter=self.duties.reporter,
             entries=self._entries,
             count_busy=self._callers.count_busy,
             count_left_out=lambda: self._output.total_left_out,
@@ -566,11 +509,7 @@
         self.budget.fixed = pledges.repeat_slack / BUDGET_SHARES
         self.budget.window_s = pledges.repeat_window_s
         self.orderer.authority.lease_s = pledges.lease_s
-        self._duties.authority.lease_s = pledges.lease_s
-        duties = settings.duties
-        self.book.schedule = (
-            None if duties is None else Schedule(duties.window_s, duties.late_s)
-        )
+        self.duties.apply_settings(settings)
 
 
 def _describe_own(settings: GatewaySettings) -> Member:
