--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import math
 import random
 import sys
 from pathlib import Path
@@ -12,12 +13,15 @@
     CRASH_FAULTS,
     ERA_FAULTS,
     FAULTS,
+    KEY_FAULTS,
     RESTART_FAULTS,
     Fault,
+    exchange_keys,
     repeat_crashing,
     return_store_from_copy,
 )
 from soak.gateways import GatewayProcess
+from soak.keyed import KeyAccount
 from soak.oracle import Oracle
 from soak.seeds import add_seed_options, list_seeds
 from soak.world import World, name_newest
@@ -61,6 +65,9 @@
         world.prepare = lambda replica: let_crash(world, replica, world.account)
     if return_store_from_copy in drawn:
         world.store.era = 1
+    if exchange_keys in drawn:
+        world.keys = KeyAccount(world.oracle, rng)
+        world.keys.given_at = dict.fromkeys(world.keys.held, -math.inf)
     if has_slow_links:
         world.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
         world.more_routes = MANY_ROUTES
@@ -70,7 +77,7 @@
         await _wait_until_all_serve(world, "start")
         for number in range(CALLERS * GATEWAYS):
             gateway = world.gateways[number % GATEWAYS]
-            caller = call_on(gateway, world.oracle, rng, f"c{number}")
+            caller = call_on(gateway, world.oracle, rng, f"c{number}", world.keys)
             callers.append(asyncio.create_task(caller))
         faults = []
         for _ in range(steps):
@@ -86,13 +93,15 @@
         await asyncio.gather(*callers, return_exceptions=True)
         await world.stop()
     world.oracle.check_promises()
+    if world.keys is not None:
+        world.keys.check_reports()
     return world.oracle
 
 
 async def _wait_until_all_serve(world: World, when: str) -> None:
     for gateway in world.gateways:
         name = f"{when}-{gateway.name}"
-        probe = call_on(gateway, world.oracle, random.Random(0), name)
+        probe = call_on(gateway, world.oracle, random.Random(0), name, world.keys)
         task = asyncio.create_task(probe)
         try:
             async with asyncio.timeout(START_S):
@@ -127,6 +136,8 @@
 
 
 def _choose_faults(args: argparse.Namespace) -> tuple[Fault, ...]:
+    if args.keys:
+        return KEY_FAULTS
     if args.eras:
         return ERA_FAULTS
     if args.crashes:
@@ -159,6 +170,11 @@
         action="store_true",
         help="the same, and a store that returns from a copy",
     )
+    parser.add_argument(
+        "--keys",
+        action="store_true",
+        help="callers need keys, which are taken away, and usage is reported",
+    )
     args = parser.parse_args()
     failed = 0
     for seed, folder in list_seeds(args):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 import random
 
 from soak.gateways import GatewayProcess
+from soak.keyed import KeyAccount
 from soak.oracle import Oracle, expect_body
 from soak.world import HOST
 
@@ -18,9 +19,21 @@
 
 
 async def call_on(
-    gateway: GatewayProcess, oracle: Oracle, rng: random.Random, name: str
+    gateway: GatewayProcess,
+    oracle: Oracle,
+    rng: random.Random,
+    name: str,
+    keys: KeyAccount | None = None,
 ) -> None:
-    """Send one request after another to a gateway, for ever."""
+    """Send one request after another to a gateway, for ever.
+
+    Args:
+        gateway: The gateway.
+        oracle: Told what is sent and answered.
+        rng: Chooses what is sent.
+        name: What the requests' ids begin with.
+        keys: Whose keys are sent; None for none.
+    """
     number = 0
     reader = writer = None
     while True:
@@ -34,8 +47,9 @@
                 )
             oracle.note_sent(id, kind)
             async with asyncio.timeout(WAIT_S):
-                writer.write(write_request(id, kind, rng))
-                keep = await take_answer(reader, oracle, id)
+                key = "" if keys is None else keys.choose_key(id)
+                writer.write(write_request(id, kind, rng, key=key))
+                keep = await take_answer(reader, oracle, id, keys)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             if id in oracle.sent:
                 oracle.note_answer(id, 0, b"", False)
@@ -61,12 +75,16 @@
     return int(head.split()[1])
 
 
-def write_request(id: str, kind: str, rng: random.Random, route: str = "") -> bytes:
+def write_request(
+    id: str, kind: str, rng: random.Random, route: str = "", key: str = ""
+) -> bytes:
     """Write a request of a kind, on the route of its name or on another."""
     body = expect_body(id)
     path = f"/{route or kind}/x"
     lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
     lines.append(f"X-Deadline-Ms: {rng.choice([500, 2000])}")
+    if key:
+        lines.append(f"Authorization: Bearer {key}")
     if kind in ("chat", "digest"):
         document = rng.randint(1, 20)
         out = 5000 if kind == "chat" else 100
@@ -77,7 +95,9 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-async def take_answer(reader, oracle: Oracle, id: str) -> bool:
+async def take_answer(
+    reader, oracle: Oracle, id: str, keys: KeyAccount | None = None
+) -> bool:
     """Read an answer and tell the oracle; returns whether the connection stays."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     status = int(head.split()[1])
@@ -92,6 +112,8 @@
         length = int(lower.partition("content-length:")[2].split()[0])
         body = await reader.readexactly(length)
     oracle.note_answer(id, status, body, True)
+    if keys is not None:
+        keys.note_status(id, status)
     if status == REFUSED and body.startswith(TURNED_AWAY):
         oracle.findings.append(f"{id}: turned away though it crashes nothing")
     return "connection: close" not in lower
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -180,6 +180,23 @@
         world.oracle.findings.append(text)
 
 
+async def exchange_keys(world: World, seconds: float) -> None:
+    """Take keys away and give others, one after the other."""
+    for _ in range(world.rng.choice([1, 1, 3])):
+        gone = world.keys.exchange()
+        await world.configure()
+        world.keys.note_acknowledged(gone)
+        await asyncio.sleep(seconds / 4)
+
+
+async def trouble_duties(world: World, seconds: float) -> None:
+    """Have the platform refuse reports, reset, fall silent or lose its answers."""
+    world.keys.api.trouble = world.rng.choice(["busy", "reset", "silent", "lost"])
+    await asyncio.sleep(2 * seconds)
+    world.keys.api.trouble = ""
+    world.keys.api.server.reset_all()
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_gateway,
     roll_gateway,
@@ -196,6 +213,9 @@
 RESTART_FAULTS: tuple[Fault, ...] = (*FAULTS, *(restart_replicas, write_garbage) * 3)
 """The same, with replicas that start again and garbage among them more often."""
 
+KEY_FAULTS: tuple[Fault, ...] = (*FAULTS, *(exchange_keys, trouble_duties) * 3)
+"""The same, with keys that are taken away and trouble with reports more often."""
+
 CRASH_FAULTS: tuple[Fault, ...] = (*RESTART_FAULTS, *(repeat_crashing,) * 4)
 """The same, with requests that crash replicas."""
 
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -36,8 +36,13 @@
 GraceS = 4
 LeaseMs = 1000
 RetryBudgetSlack = 64
-[Platform]
+{bounds}[Platform]
 Address = "127.0.0.1:{store}"
+{duties}"""
+
+DUTIES = """[Cloud]
+Address = "127.0.0.1:{port}"
+Duties = ["usage"]
 """
 
 
@@ -106,19 +111,29 @@
         return await self.process.wait()
 
 
-def prepare_gateway(folder: Path, name: str, store: int) -> GatewayProcess:
+def prepare_gateway(
+    folder: Path, name: str, store: int, bounds: str = "", duties: int = 0
+) -> GatewayProcess:
     """Write the settings of a gateway that is not started yet.
 
     Args:
         folder: Where its settings and its log lie.
         name: Its name.
         store: The port at which it reaches the store.
+        bounds: More of what was promised, as lines of its settings.
+        duties: The port at which the platform takes reports; 0 where it asks for none.
     """
     callers, ready, inner = _find_ports(3)
     path = folder / f"{name}.toml"
     path.write_text(
         SETTINGS.format(
-            name=name, callers=callers, ready=ready, inner=inner, store=store
+            name=name,
+            callers=callers,
+            ready=ready,
+            inner=inner,
+            store=store,
+            bounds=bounds,
+            duties=DUTIES.format(port=duties) if duties else "",
         )
     )
     return GatewayProcess(name, path, callers)
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -28,6 +28,7 @@
         crash: Ends its life under a request, told the body; None where none crashes it.
         on_sent: Told the body of a request that crashes it, as it comes.
         run_s: How long it works on a request before it answers, seconds.
+        note_run: Told the id and headers of each request that it runs.
         tells_oracle: Whether what it runs is told, each request having its own body.
     """
 
@@ -40,6 +41,7 @@
         self.on_sent: Callable[[bytes], None] = lambda body: None
         self.run_s = 0.0
         self.tells_oracle = True
+        self.note_run: Callable[[str, dict[str, str]], None] = lambda id, headers: None
         self.is_leaving = False
 
     async def _answer(self, request, writer) -> bool:
@@ -59,7 +61,9 @@
     def _note(self, request) -> None:
         turned_away = self.behaviours and self.behaviours[0] in ("full", "wrong_role")
         if self._is_run(request) and not turned_away:
-            self._oracle.note_run(request.headers["x-request-id"], request.body)
+            id = request.headers["x-request-id"]
+            self._oracle.note_run(id, request.body)
+            self.note_run(id, request.headers)
 
     def _is_run(self, request) -> bool:
         is_read = request.headers.get("x-stage") == "prefill"
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,6 +9,7 @@
 
 from soak.crashaccount import CrashAccount
 from soak.gateways import GatewayProcess, prepare_gateway
+from soak.keyed import BOUNDS, KeyAccount
 from soak.oracle import Oracle
 from soak.proxy import Proxy
 from soak.replicas import SoakReplica
@@ -29,6 +30,7 @@
         more_routes: Routes of the configuration that nobody uses.
         prepare: Called with each replica before it listens.
         account: What became of requests that crash replicas.
+        keys: The keys that callers need; None where they need none.
     """
 
     folder: Path
@@ -44,6 +46,7 @@
     link_bytes_per_s: int = 0
     more_routes: int = 0
     account: CrashAccount = field(default_factory=CrashAccount)
+    keys: KeyAccount | None = None
     prepare: Callable[[SoakReplica], None] = lambda replica: None
     _ids: int = 0
     _born_ms: int = 0
@@ -51,6 +54,8 @@
     async def start(self, gateways: int) -> None:
         """Start everything."""
         await self.store.server.start()
+        if self.keys is not None:
+            await self.keys.api.server.start()
         await self.configure()
         for service, role, count in (("push", "", 3), ("lm", "prefill", 1)):
             for _ in range(count):
@@ -68,6 +73,8 @@
     async def put_configuration(self) -> None:
         """Write the configuration in force, also where the store has lost it."""
         configuration = _make_configuration(self.version, self.more_routes)
+        if self.keys is not None:
+            configuration["Tenants"] = self.keys.describe()
         await self.store.put("keyed.op", "config", configuration)
 
     async def add_replica(self, service: str, role: str) -> None:
@@ -94,6 +101,8 @@
         self._born_ms += 1
         replica = SoakReplica(id, service, role, self.oracle, self.rng)
         replica.born_ms = self._born_ms
+        if self.keys is not None:
+            replica.note_run = self.keys.note_run
         self.prepare(replica)
         await replica.server.start()
         proxy = Proxy(replica.server.port)
@@ -132,13 +141,18 @@
         for replica in self.replicas.values():
             await replica.server.stop()
         await self.store.server.stop()
+        if self.keys is not None:
+            await self.keys.api.server.stop()
 
     async def _add_gateway(self, name: str) -> None:
         proxy = Proxy(self.store.server.port)
         proxy.bytes_per_s = self.link_bytes_per_s
         await proxy.start()
         self.store_proxies[name] = proxy
-        gateway = prepare_gateway(self.folder, name, proxy.port)
+        bounds, duties = "", 0
+        if self.keys is not None:
+            bounds, duties = BOUNDS, self.keys.api.server.port
+        gateway = prepare_gateway(self.folder, name, proxy.port, bounds, duties)
         self.gateways.append(gateway)
         await gateway.start()
 
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -5,7 +5,7 @@
 import pytest
 
 from soak.__main__ import play
-from soak.faults import CRASH_FAULTS, ERA_FAULTS, RESTART_FAULTS
+from soak.faults import CRASH_FAULTS, ERA_FAULTS, KEY_FAULTS, RESTART_FAULTS
 
 SHORT = ((1, 6), (2, 6))
 
@@ -51,6 +51,16 @@
     assert oracle.findings == []
 
 
+KEYS = ((1, 8),)
+"""Seeds and steps in which callers need keys that are taken away."""
+
+
+@pytest.mark.parametrize(("seed", "steps"), KEYS)
+def test_keys_and_reports_are_what_they_must_be(seed, steps, tmp_path):
+    oracle = asyncio.run(play(seed, steps, tmp_path, drawn=KEY_FAULTS))
+    assert oracle.findings == []
+
+
 CRASHES = (
     (1, 8),
     # A gateway ended by itself as the store did not take a record of the quarantine.
