Have two relays of one group tell each other what they count

A gateway may choose another relay of its group for a while. The holder, if it was the first, then never heard what those counted that told the second: each took the counts as confirmed, and relays of other groups leave out what they hear that others tell. Found by reading; test_relays_are_told_counts failed first.

--- a/src/robinspindle/peerfacts.py
+++ b/src/robinspindle/peerfacts.py
@@ -91,11 +91,17 @@
             note_told(self.freshness, checked.version, newest_at, self.clock())
 
     def _tells_counts(self, name: str) -> bool:
-        """Whether a peer is told counts: relays are, by their groups and each other."""
+        """Whether a peer is told counts: relays are, by their groups and each other.
+
+        Two relays of one group tell each other too: each knows what those count that
+        chose it.
+        """
         if not self.peers.is_relay:
             return name == self.peers.choice.relay
+        view = self.peers.views.get(name)
         of = self.peers.groups.of
-        return of.get(name) != of.get(self.peers.name)
+        is_relay = view is not None and view.is_relay
+        return is_relay or of.get(name) != of.get(self.peers.name)
 
     def _list_left_out(self, name: str) -> set[str]:
         """List the gateways whose counts others tell a peer.
