--- a/src/robinspindle/core/usage.py
+++ b/src/robinspindle/core/usage.py
@@ -6,14 +6,19 @@
 newest datagram that it had from us.
 """
 
-from collections.abc import Iterable
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 import msgspec
 
 MOST_TOLD = 256
 """Counts that are told in one datagram: about 4 KB."""
 
+MOST_REPLACED = 4096
+"""Changes beyond twice the counts that are kept although later ones replaced them."""
+
 MOST_COUNT = 10**9
 """No workspace has more requests run in one window."""
 
@@ -72,13 +77,15 @@
 
     Attributes:
         counts: The counts of each window, by their place.
-        changes: The number of each count's last change, the oldest change first.
+        changes: The number of each count's last change.
+        order: All changes by their numbers, also those that a later one replaced.
         change: Number of the last change.
         neighbours: How far each neighbour knows them, by name.
     """
 
     counts: dict[int, dict[Place, int]] = field(default_factory=dict)
     changes: dict[Place, int] = field(default_factory=dict)
+    order: list[tuple[int, Place]] = field(default_factory=list)
     change: int = 0
     neighbours: dict[str, Confirmed] = field(default_factory=dict)
 
@@ -128,17 +135,18 @@
         left_out: The gateways of whose counts it is not told.
     """
     known = _find_confirmed(ledger, neighbour, started)
-    found: list[tuple[Place, int]] = []
-    for place in reversed(ledger.changes):
-        change = ledger.changes[place]
-        if change <= known.change:
+    told: list[Place] = []
+    last = known.change
+    # From the oldest that is not confirmed: what is looked at hangs on what is told.
+    for change, place in _list_changes(ledger, known.change):
+        if len(told) == MOST_TOLD:
             break
-        if place.gateway not in left_out:
-            found.append((place, change))
-    told = found[::-1][:MOST_TOLD]
-    is_all = len(told) == len(found)
-    known.told[number] = ledger.change if is_all else told[-1][1]
-    return _gather(ledger, [place for place, _ in told])
+        last = change
+        is_last = ledger.changes.get(place) == change
+        if is_last and place.gateway not in left_out:
+            told.append(place)
+    known.told[number] = last
+    return _gather(ledger, told)
 
 
 def note_confirmed(ledger: Ledger, neighbour: str, started: float, number: int) -> None:
@@ -185,6 +193,7 @@
     for old in [old for old in ledger.counts if old < window]:
         for place in ledger.counts.pop(old):
             del ledger.changes[place]
+        _drop_replaced(ledger)
 
 
 def is_account(account: Account) -> bool:
@@ -197,9 +206,22 @@
 def _set(ledger: Ledger, place: Place, count: int) -> None:
     ledger.change += 1
     ledger.counts.setdefault(place.window, {})[place] = count
-    # A change moves to the end, so that the latest are found from there.
-    ledger.changes.pop(place, None)
     ledger.changes[place] = ledger.change
+    ledger.order.append((ledger.change, place))
+    if len(ledger.order) > MOST_REPLACED + 2 * len(ledger.changes):
+        _drop_replaced(ledger)
+
+
+def _drop_replaced(ledger: Ledger) -> None:
+    """Drop the changes that later ones have replaced."""
+    changes = ledger.changes
+    ledger.order = [pair for pair in ledger.order if changes.get(pair[1]) == pair[0]]
+
+
+def _list_changes(ledger: Ledger, after: int) -> Iterator[tuple[int, Place]]:
+    """List the changes after one, the oldest first."""
+    start = bisect_right(ledger.order, after, key=lambda pair: pair[0])
+    return islice(ledger.order, start, None)
 
 
 def _read(ledger: Ledger, place: Place) -> int:
