Keep a window that one gateway gave up from counting as reported at others

It was told as acknowledged: a gateway that did not know of a decision the store had lost would have kept the one that did from sending it. Found by reading.

--- a/src/robinspindle/reporting.py
+++ b/src/robinspindle/reporting.py
@@ -77,7 +77,7 @@
         self._pause_s = PAUSE_S
         self._spilled: set[int] = set()
         self.missed = 0
-        self._missed: set[int] = set()
+        self._given_up: set[int] = set()
         self._tries: dict[int, int] = {}
         # Windows before this one may have been decided in what the store has lost.
         self._lost_before = -1
@@ -96,7 +96,7 @@
 
     def count_reported(self) -> int:
         """Count the windows that are kept as reported."""
-        return len(self._reports.acknowledged - self._missed)
+        return len(self._reports.acknowledged)
 
     async def look(self) -> None:
         """Do what is due now."""
@@ -136,6 +136,7 @@
             return
         turn_s = reports.find_turn_s(schedule, place, self._turns.hears_most())
         # A window whose answers are lost must not hold up those after it.
+        due = [window for window in due if window not in self._given_up]
         for window in sorted(due, key=lambda w: (self._tries.get(w, 0), w)):
             ended_at = (window + 1) * schedule.window_s
             if wall_s - ended_at < turn_s:
@@ -259,13 +260,12 @@
         known.records = {w: r for w, r in known.records.items() if w >= kept}
         known.acknowledged = {w for w in known.acknowledged if w >= kept}
         self._spilled = {w for w in self._spilled if w >= kept}
-        self._missed = {w for w in self._missed if w >= kept}
+        self._given_up = {w for w in self._given_up if w >= kept}
         self._tries = {w: n for w, n in self._tries.items() if w >= kept}
 
     def _note_missed(self, window: int, why: str) -> None:
-        if window in self._missed:
+        if window in self._given_up:
             return
-        self._missed.add(window)
+        self._given_up.add(window)
         self.missed += 1
         self._log("usage missed", window=window, reason=why)
-        reports.note_acknowledged(self._reports, {window})
