--- a/fuzz/dutyworld.py
+++ b/fuzz/dutyworld.py
@@ -10,12 +10,12 @@
 import random
 from dataclasses import dataclass, field
 
+from fuzz.sides import Side
 from fuzz.virtualtime import VirtualSelector, run_virtually
 from robinspindle.core.authority import Authority
 from robinspindle.core.freshness import Freshness
 from robinspindle.core.relays import Member
 from robinspindle.core.reports import Reports, Schedule
-from robinspindle.core.sharing import Digest, take_digest
 from robinspindle.dutycalls import DutyOutcome
 from robinspindle.dutylog import DutyLog
 from robinspindle.dutyturns import DutyTurns
@@ -176,15 +176,13 @@
         return len(records) - 1
 
 
-class Gateway:
+class Gateway(Side):
     """One life of a gateway: the product's reporter, book and facts."""
 
     def __init__(self, world: World, number: int, schedule: Schedule):
-        self.world = world
-        self.name = f"g{number}"
+        super().__init__(world, f"g{number}", (0.001, 0.02, 0.1))
         self.started = world.now
         self.step_s = 0.0
-        self.frozen_until = 0.0
         zones = [f"z{index}" for index in (0, 1, 2, 0)]
         members = [Member(f"g{n}", "h", 1, zones[n]) for n in range(GATEWAYS)]
         own = members[number]
@@ -234,11 +232,6 @@
     def _log(self, text: str, **fields) -> None:
         self.lines.append((self.world.now, f"{text} {fields}"))
 
-    async def wait_while_frozen(self) -> None:
-        """Go on only after a freeze."""
-        while self.world.now < self.frozen_until:
-            await asyncio.sleep(self.frozen_until - self.world.now + 0.001)
-
     async def _send(self, report) -> DutyOutcome:
         world = self.world
         await self.wait_while_frozen()
@@ -289,32 +282,11 @@
             note_sent(self.peers, world.now)
             for other in world.gateways:
                 if other.name != self.name:
-                    self._tell_one(other)
+                    self.tell(other)
 
-    def _tell_one(self, other: "Gateway") -> None:
-        world = self.world
-        facts = self.facts.describe(other.name)
-        cut = {f"peers cut {self.name}", f"peers cut {other.name}"} & world.trouble
-        if cut or world.rng.random() < 0.03:
-            return
-        digest = Digest(self.name, self.peers.started, self.peers.number, [], [])
-        digest.is_relay = self.peers.is_relay
-        loop = asyncio.get_running_loop()
-        delay_s = world.rng.uniform(0.001, 0.1)
-        loop.call_later(delay_s, other.hear, self.name, digest, facts)
-
-    def hear(self, sender: str, digest, facts) -> None:
-        """Take a datagram in, unless frozen: then it waits in a buffer."""
-        world = self.world
-        if self not in world.gateways:
-            return
-        if world.now < self.frozen_until:
-            loop = asyncio.get_running_loop()
-            wait_s = self.frozen_until - world.now + 0.001
-            loop.call_later(wait_s, self.hear, sender, digest, facts)
-            return
-        take_digest(self.peers.views, digest, world.now, lambda lifetime: None)
-        self.facts.take(sender, facts)
+    def is_alive(self) -> bool:
+        """Whether this life goes on: none of it hears after a kill."""
+        return self in self.world.gateways
 
     def forget_silent(self) -> None:
         """Forget peers that were not heard lately."""
--- a/fuzz/keyworld.py
+++ b/fuzz/keyworld.py
@@ -9,6 +9,7 @@
 import random
 from dataclasses import dataclass, field
 
+from fuzz.sides import Side
 from fuzz.virtualtime import VirtualSelector, run_virtually
 from robinspindle import following
 from robinspindle.core import freshness as ages
@@ -18,7 +19,6 @@
 from robinspindle.core.relays import Member
 from robinspindle.core.reports import Reports
 from robinspindle.core.routes import IDEMPOTENT, Backend, CallerLimits, Route
-from robinspindle.core.sharing import Digest, take_digest
 from robinspindle.core.workspaces import Workspace, digest_key, make_key_ring
 from robinspindle.exceptions import LogUnavailableError
 from robinspindle.following import Follower, Outage
@@ -78,13 +78,11 @@
         return self.selector.now
 
 
-class Gateway:
+class Gateway(Side):
     """One gateway: the product's follower, facts and permits."""
 
     def __init__(self, world: World, number: int):
-        self.world = world
-        self.name = f"g{number}"
-        self.frozen_until = 0.0
+        super().__init__(world, f"g{number}", (0.002, 0.05, 0.4))
         self.step_s = 0.0
         self.era = None
         self.table = None
@@ -131,11 +129,6 @@
         self.freshness.version = version
         self.freshness.has_keys = True
 
-    async def wait_while_frozen(self) -> None:
-        """Go on only after a freeze."""
-        while self.world.now < self.frozen_until:
-            await asyncio.sleep(self.frozen_until - self.world.now + 0.001)
-
     # As a store.
 
     async def read_newest(self, topic: str) -> Records:
@@ -189,29 +182,7 @@
             note_sent(self.peers, world.now)
             for other in world.gateways:
                 if other is not self:
-                    self._tell_one(other)
-
-    def _tell_one(self, other: "Gateway") -> None:
-        world = self.world
-        facts = self.facts.describe(other.name)
-        cut = {f"peers cut {self.name}", f"peers cut {other.name}"} & world.trouble
-        if facts is None or cut or world.rng.random() < 0.03:
-            return
-        digest = Digest(self.name, self.peers.started, self.peers.number, [], [])
-        delay_s = world.rng.choice((0.002, 0.05, 0.4))
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, other.hear, self.name, digest, facts)
-
-    def hear(self, sender: str, digest, facts) -> None:
-        """Take a datagram in; through a freeze it waits in a buffer."""
-        world = self.world
-        if world.now < self.frozen_until:
-            loop = asyncio.get_running_loop()
-            wait_s = self.frozen_until - world.now + 0.001
-            loop.call_later(wait_s, self.hear, sender, digest, facts)
-            return
-        take_digest(self.peers.views, digest, world.now, lambda lifetime: None)
-        self.facts.take(sender, facts)
+                    self.tell(other)
 
     async def _serve(self) -> None:
         rng = self.world.rng
