Write calls with JSON bodies in one place; part the oracle of duties from its world

Read over: orders to engines and calls for duties wrote the same head and body (platform/jsoncalls serves both, bytes compared equal for one of each); three commands named log files alike; both worlds began freezes, steps and troubles alike (fuzz/sides); fuzz/dutyworld.py held play, world and oracle, and a field that nobody read. Changes that later ones replaced were dropped once for each forgotten window, now once.

--- a/fuzz/dutyworld.py
+++ b/fuzz/dutyworld.py
@@ -3,15 +3,15 @@
 The gateways run the product's own reporter. The store loses answers and does late what
 it was asked, the platform refuses and carries out late, datagrams are lost, gateways
 are frozen, killed, cut from the store, from the platform and from each other, and
-clocks are stepped. The oracle sees only what the platform sees.
+clocks are stepped. `fuzz.dutyoracle` judges what the platform saw.
 """
 
 import asyncio
 import random
 from dataclasses import dataclass, field
 
-from fuzz.sides import Side
-from fuzz.virtualtime import VirtualSelector, run_virtually
+from fuzz.sides import Side, begin_trouble
+from fuzz.virtualtime import VirtualSelector
 from robinspindle.core.authority import Authority
 from robinspindle.core.freshness import Freshness
 from robinspindle.core.relays import Member
@@ -29,6 +29,9 @@
 WINDOW_S = 5.0
 LATE_S = 10.0
 LEASE_S = 3.0
+STEP_S = 2.0
+"""How far a clock is set wrong, seconds."""
+
 LENGTH_S = 60.0
 """Length of one run, seconds of virtual time."""
 
@@ -93,7 +96,6 @@
     records: list[Item] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     begun: dict[tuple[int, str], int] = field(default_factory=dict)
-    unsure: dict[tuple[int, str], int] = field(default_factory=dict)
     trouble: set[str] = field(default_factory=set)
     excused_until: dict[str, float] = field(default_factory=dict)
     gateways: list["Gateway"] = field(default_factory=list)
@@ -184,7 +186,6 @@
         super().__init__(world, f"g{number}", (0.001, 0.02, 0.1))
         self.number = number
         self.started = world.now
-        self.step_s = 0.0
         zones = [f"z{index}" for index in (0, 1, 2, 0)]
         members = [Member(f"g{n}", "h", 1, zones[n]) for n in range(GATEWAYS)]
         own = members[number]
@@ -303,53 +304,18 @@
             self.peers.choice.relay = "g0" if "g0" in views else self.name
 
 
-KINDS = (
-    "store down",
-    "store cut",
-    "store loses",
-    "api down",
-    "api cut",
-    "api busy",
-    "api late",
-    "api loses",
-    "peers cut",
-    "freeze",
-    "kill",
-    "step",
-)
-"""What may go wrong; a cut or an end strikes one gateway."""
-
 CALM_S = 3.0
 """How long all is well between two troubles that don't overlap, seconds."""
 
-MOST_LOST = 8
-"""Requests that a window's value may lack where gateways are only killed or frozen:
-what those counted that died, in the last part of a second."""
 
-
-def play_duties(
-    seed: int,
-    checks_fences: bool = True,
-    kinds: tuple[str, ...] = KINDS,
-    overlap: bool = True,
-) -> tuple[str, ...]:
-    """Play one run; returns what the oracle found.
+async def run_world(world: World, kinds: tuple[str, ...], overlap: bool) -> None:
+    """Let the gateways live for the length of a run, while things go wrong.
 
     Args:
-        seed: Draws everything.
-        checks_fences: Whether the platform refuses a fence lower than one seen.
+        world: The world; changed in place.
         kinds: What may go wrong.
-        overlap: Whether something goes wrong while something else is. Without, the
-            values of windows are judged too: what is known of two gateways alone that
-            are both away is in no value.
+        overlap: Whether something goes wrong while something else is.
     """
-    selector = VirtualSelector()
-    world = World(random.Random(seed), selector, checks_fences)
-    run_virtually(_play(world, kinds, overlap), selector)
-    return judge(world, kinds, overlap)
-
-
-async def _play(world: World, kinds: tuple[str, ...], overlap: bool) -> None:
     schedule = Schedule(WINDOW_S, LATE_S)
     tasks = {}
 
@@ -402,18 +368,12 @@
     if kind.endswith("cut"):
         kind = f"{kind} {gateway.name}"
     seconds = rng.uniform(0.5, 6.0)
-    loop = asyncio.get_running_loop()
-    if kind == "freeze":
-        gateway.frozen_until = world.now + seconds
-        world.excused_until[gateway.name] = world.now + seconds
-    elif kind == "kill":
+    if kind == "kill":
         _kill(world, gateway, tasks, start)
-    elif kind == "step":
-        gateway.step_s = rng.choice((-2.0, 2.0))
-        loop.call_later(seconds, setattr, gateway, "step_s", 0.0)
-    else:
-        world.trouble.add(kind)
-        loop.call_later(seconds, world.trouble.discard, kind)
+        return
+    begin_trouble(world, gateway, kind, seconds, STEP_S)
+    if kind == "freeze":
+        world.excused_until[gateway.name] = gateway.frozen_until
 
 
 def _kill(world: World, gateway: Gateway, tasks, start) -> None:
@@ -422,78 +382,3 @@
     number = int(gateway.name[1:])
     loop = asyncio.get_running_loop()
     loop.call_later(world.rng.uniform(0.3, 3.0), start, number)
-
-
-def judge(
-    world: World, kinds: tuple[str, ...], overlap: bool = True
-) -> tuple[str, ...]:
-    """Judge what the platform received."""
-    found = [*_judge_values(world), *_judge_fences(world), *_judge_turns(world)]
-    if not kinds:
-        found += _judge_calm(world)
-    if not overlap:
-        found += _judge_lost(world)
-    return tuple(found)
-
-
-def _judge_values(world: World):
-    values: dict[int, dict[str, int]] = {}
-    for call in world.calls:
-        if not call.is_accepted:
-            continue
-        known = values.setdefault(call.window, call.counts)
-        if known != call.counts:
-            yield f"two values for window {call.window} at {call.at:.3f}"
-    for window, counts in values.items():
-        for workspace, count in counts.items():
-            if count > world.begun.get((window, workspace), 0) + 3:
-                yield f"window {window}: {count} of {workspace} are too many"
-
-
-def _judge_fences(world: World):
-    holders: dict[int, str] = {}
-    highest = 0
-    for call in world.calls:
-        if holders.setdefault(call.fence, call.holder) != call.holder:
-            yield f"two holders have fence {call.fence} at {call.at:.3f}"
-        if call.fence < highest and call.is_judged and not world.checks_fences:
-            yield f"fence {call.fence} after {highest} at {call.at:.3f}"
-        highest = max(highest, call.fence)
-
-
-def _judge_turns(world: World):
-    turns: list[Call] = []
-    for call in world.calls:
-        if not call.is_judged or not call.is_accepted:
-            continue
-        if turns and turns[-1].holder == call.holder:
-            turns[-1] = call
-            continue
-        turns.append(call)
-    for first, _, third in zip(turns, turns[1:], turns[2:], strict=False):
-        if first.holder == third.holder and third.at - first.at <= LEASE_S:
-            yield f"{first.holder} takes turns at {third.at:.3f}"
-
-
-def _judge_lost(world: World):
-    """Where gateways are only killed or frozen, hardly a request is lost."""
-    for call in world.calls:
-        begun = sum(n for (w, _), n in world.begun.items() if w == call.window)
-        lost = begun - sum(call.counts.values())
-        if lost > MOST_LOST:
-            yield f"window {call.window} lacks {lost} of {begun}, by {call.holder}"
-
-
-def _judge_calm(world: World):
-    """Without trouble every window is reported in time, and exactly."""
-    newest = int((WALL_S + LENGTH_S - LATE_S) // WINDOW_S) - 1
-    first = int(WALL_S // WINDOW_S) + 1
-    for window in range(first, newest + 1):
-        calls = [call for call in world.calls if call.window == window]
-        due = (window + 1) * WINDOW_S - WALL_S + LATE_S
-        if not calls or calls[0].at > due:
-            yield f"window {window} is missing"
-            continue
-        told = {name: world.begun.get((window, name), 0) for name in WORKSPACES}
-        if calls[0].counts != {name: count for name, count in told.items() if count}:
-            yield f"window {window} says {calls[0].counts}, true is {told}"
--- a/fuzz/keyworld.py
+++ b/fuzz/keyworld.py
@@ -9,7 +9,7 @@
 import random
 from dataclasses import dataclass, field
 
-from fuzz.sides import Side
+from fuzz.sides import Side, begin_trouble
 from fuzz.virtualtime import VirtualSelector, run_virtually
 from robinspindle import following
 from robinspindle.core import freshness as ages
@@ -32,6 +32,8 @@
 GATEWAYS = 4
 KEYS = 6
 WALL_S = 1_000_000.0
+STEP_S = 3.0
+"""How far a clock is set wrong, seconds."""
 
 
 @dataclass(frozen=True)
@@ -83,7 +85,6 @@
 
     def __init__(self, world: World, number: int):
         super().__init__(world, f"g{number}", (0.002, 0.05, 0.4))
-        self.step_s = 0.0
         self.era = None
         self.table = None
         self.freshness = Freshness(REVOKE_S, APPLY_S)
@@ -281,15 +282,7 @@
     rng = world.rng
     gateway = rng.choice(world.gateways)
     seconds = rng.uniform(0.5, 9.0)
-    loop = asyncio.get_running_loop()
     name = gateway.name
     kinds = ("store down", f"store cut {name}", "store slow", f"peers cut {name}")
     kind = rng.choice((*kinds, "freeze", "step"))
-    if kind == "freeze":
-        gateway.frozen_until = world.now + seconds
-    elif kind == "step":
-        gateway.step_s = rng.choice((-3.0, 3.0))
-        loop.call_later(seconds, setattr, gateway, "step_s", 0.0)
-    else:
-        world.trouble.add(kind)
-        loop.call_later(seconds, world.trouble.discard, kind)
+    begin_trouble(world, gateway, kind, seconds, STEP_S)
--- a/fuzz/sides.py
+++ b/fuzz/sides.py
@@ -33,6 +33,7 @@
 
     Attributes:
         frozen_until: Until when nothing is done, seconds.
+        step_s: How far its time of day is set wrong, seconds.
         delays: How long datagrams are under way, seconds, the choices.
     """
 
@@ -44,6 +45,7 @@
         self.name = name
         self.delays = delays
         self.frozen_until = 0.0
+        self.step_s = 0.0
 
     async def wait_while_frozen(self) -> None:
         """Go on only after a freeze."""
@@ -78,3 +80,26 @@
     def is_alive(self) -> bool:
         """Whether this life goes on."""
         return True
+
+
+def begin_trouble(
+    world: SharedWorld, side: Side, kind: str, seconds: float, most_step_s: float
+) -> None:
+    """Begin a freeze, a step of a clock, or a trouble of the world, for a while.
+
+    Args:
+        world: The world.
+        side: Whom a freeze or a step strikes.
+        kind: ``freeze``, ``step``, or the name of a trouble.
+        seconds: How long it lasts.
+        most_step_s: How far a clock is set, back or ahead, seconds.
+    """
+    loop = asyncio.get_running_loop()
+    if kind == "freeze":
+        side.frozen_until = world.now + seconds
+    elif kind == "step":
+        side.step_s = world.rng.choice((-most_step_s, most_step_s))
+        loop.call_later(seconds, setattr, side, "step_s", 0.0)
+    else:
+        world.trouble.add(kind)
+        loop.call_later(seconds, world.trouble.discard, kind)
--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -186,20 +186,24 @@
     text = "tell a request's story from the logs of several processes"
     explain = verbs.add_parser("explain", help=text, description=text)
     explain.add_argument("request", help="the request's id")
-    explain.add_argument("file", nargs="*", help="log files; standard input for none")
+    _add_log_files(explain)
     explain.set_defaults(run=commands.explain)
     text = "tell from gateways' logs what was lost to which reason"
     losses = verbs.add_parser("losses", help=text, description=text)
-    losses.add_argument("file", nargs="*", help="log files; standard input for none")
+    _add_log_files(losses)
     losses.add_argument("--json", action="store_true", help="print JSON for programs")
     losses.set_defaults(run=commands.count_lost)
     text = "tell from gateways' logs how the usage of each window was reported"
     usage = verbs.add_parser("usage", help=text, description=text)
-    usage.add_argument("file", nargs="*", help="log files; standard input for none")
+    _add_log_files(usage)
     usage.add_argument("--json", action="store_true", help="print JSON for programs")
     usage.set_defaults(run=commands.tell_usage)
 
 
+def _add_log_files(verb) -> None:
+    verb.add_argument("file", nargs="*", help="log files; standard input for none")
+
+
 def _add_quarantine(verbs) -> None:
     text = "requests that gateways turn away because they crash targets"
     group = verbs.add_parser("quarantine", help=text, description=text)
--- a/src/robinspindle/core/usage.py
+++ b/src/robinspindle/core/usage.py
@@ -206,9 +206,11 @@
 
 def forget_windows(ledger: Ledger, windows: Iterable[int]) -> None:
     """Forget the counts of windows that were reported: nobody asks for them again."""
-    for window in set(windows) & ledger.counts.keys():
+    known = set(windows) & ledger.counts.keys()
+    for window in known:
         for place in ledger.counts.pop(window):
             del ledger.changes[place]
+    if known:
         _drop_replaced(ledger)
 
 
--- a/src/robinspindle/platform/duties.py
+++ b/src/robinspindle/platform/duties.py
@@ -2,12 +2,14 @@
 
 from typing import Any
 
-import msgspec
-
 from robinspindle.dutycalls import DutyOutcome
+from robinspindle.platform.jsoncalls import write_json_call
 from robinspindle.reporting import Report
 from robinspindle.scaler import ScaleOrder
 
+HOST = "platform"
+"""What the API is called in the calls to it; it has an address and no name."""
+
 OUTCOMES = {
     200: DutyOutcome.TAKEN,
     409: DutyOutcome.FENCED,
@@ -32,18 +34,10 @@
 
 
 def _encode(path: str, holder: str, fence: int, values: dict[str, Any]) -> bytes:
-    body = msgspec.json.encode(values)
-    head = (
-        f"POST {path} HTTP/1.1\r\n"
-        "Host: platform\r\n"
-        f"X-Duty-Holder: {holder}\r\n"
-        f"X-Fence-Token: {fence}\r\n"
-        "Content-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode() + body
+    headers = (("X-Duty-Holder", holder), ("X-Fence-Token", fence))
+    return write_json_call(path, HOST, headers, values)
 
 
 def decode_duty_outcome(status: int) -> DutyOutcome:
-    """Read how a report was taken."""
+    """Read how a call was taken."""
     return OUTCOMES.get(status, DutyOutcome.REFUSED)
--- a/src/robinspindle/platform/orders.py
+++ b/src/robinspindle/platform/orders.py
@@ -1,9 +1,8 @@
 """Writes orders to engines and reads what they say to them."""
 
-import msgspec
-
 from robinspindle.core.lives import find_id
 from robinspindle.ordering import Order, OrderOutcome
+from robinspindle.platform.jsoncalls import write_json_call
 
 OUTCOMES = {
     200: OrderOutcome.HOLDS,
@@ -16,22 +15,14 @@
 
 def encode_order(order: Order) -> bytes:
     """Write an order to change an engine's role."""
-    body = msgspec.json.encode(
-        {
-            "Op": "Stage",
-            "Stage": order.role,
-            "Holder": order.holder,
-            "Fence": order.fence,
-        }
-    )
-    head = (
-        "POST /order HTTP/1.1\r\n"
-        f"Host: {order.address}\r\n"
-        f"X-Expect-Instance: {find_id(order.lifetime)}\r\n"
-        "Content-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode() + body
+    values = {
+        "Op": "Stage",
+        "Stage": order.role,
+        "Holder": order.holder,
+        "Fence": order.fence,
+    }
+    headers = (("X-Expect-Instance", find_id(order.lifetime)),)
+    return write_json_call("/order", order.address, headers, values)
 
 
 def decode_outcome(status: int) -> OrderOutcome:
--- a/tests/fuzz/test_duties.py
+++ b/tests/fuzz/test_duties.py
@@ -1,7 +1,7 @@
 import pytest
 
 from fuzz.dutymutants import DUTY_MUTANTS
-from fuzz.dutyworld import play_duties
+from fuzz.dutyoracle import play_duties
 from fuzz.mutants import apply_mutant
 
 
