Let the soak take a replica away that is between two lives

Cause, by its trace: two faults of the rig on one replica overlapped, which happens by timing: it was being replaced, crashed under a request, and was away for a second when it was to be removed. Not the product, whose gateways this rig judges; ruled out by the trace, which ends in soak/faults.py.

Change: a replica is removed whatever life it is in, and a crash brings none back that was removed. No check is changed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -117,9 +117,7 @@
     await world.add_replica(replica.service, replica.role)
     await asyncio.sleep(max(2.0, seconds))
     await world.store.put("keyed.servers", replica.lifetime, None)
-    del world.replicas[replica.lifetime]
-    await world.replica_proxies.pop(replica.lifetime).stop()
-    await replica.server.stop()
+    await world.remove_replica(replica.lifetime)
 
 
 async def restart_replicas(world: World, seconds: float) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -50,6 +50,7 @@
     prepare: Callable[[SoakReplica], None] = lambda replica: None
     _ids: int = 0
     _born_ms: int = 0
+    _removed: set[str] = field(default_factory=set)
 
     async def start(self, gateways: int) -> None:
         """Start everything."""
@@ -95,7 +96,19 @@
         await self.replica_proxies.pop(id).stop()
         await before.server.stop()
         await asyncio.sleep(seconds)
-        await self._begin_life(id, before.service, before.role)
+        # It may have been taken away while it was between two lives.
+        if id not in self._removed:
+            await self._begin_life(id, before.service, before.role)
+
+    async def remove_replica(self, id: str) -> None:
+        """Take a replica away for good, also where it is between two lives."""
+        self._removed.add(id)
+        replica = self.replicas.pop(id, None)
+        proxy = self.replica_proxies.pop(id, None)
+        if proxy is not None:
+            await proxy.stop()
+        if replica is not None:
+            await replica.server.stop()
 
     async def _begin_life(self, id: str, service: str, role: str) -> None:
         self._born_ms += 1
