--- a/src/robinspindle/core/reports.py
+++ b/src/robinspindle/core/reports.py
@@ -33,7 +33,7 @@
 
 INCOMPLETE_SHARE = 0.6
 """Part of it for which a window waits for gateways that were heard lately and are not
-now: they may go on running requests, and what they count is known when they are back."""
+now: they may go on running requests, and tell what they counted when they are back."""
 
 ALONE_SHARE = 0.85
 """Part of it after which a gateway that hears few others decides all the same: those
--- a/src/robinspindle/dutyturns.py
+++ b/src/robinspindle/dutyturns.py
@@ -85,7 +85,7 @@
         return since is not None and self._now - since >= SETTLE_S
 
     def hears_all(self) -> bool:
-        """Whether all that were heard lately are heard, and have told what they counted.
+        """Whether all that were heard lately are, and have told what they counted.
 
         A new life remembers nobody: it waits for all that the store names.
         """
