Let the next gateway change roles while the first can not reach the store

Cause: the first gateway by name, which decides for all, was cut from the store from 20.2 to 26.6 and still counted as the first. Ruled out: a claim that was waited out (the next order was its own).

Change: who tells that the store is away for it is not counted among those that decide. Claims in the store keep two from ordering at a time, as before.

--- a/src/robinspindle/core/sharing.py
+++ b/src/robinspindle/core/sharing.py
@@ -212,6 +212,7 @@
             service.
         is_relay: Whether it speaks for others too.
         members: Names of those.
+        is_away: Whether the store is away for it.
     """
 
     started: float = 0.0
@@ -221,6 +222,7 @@
     read_rates: dict[str, float] = field(default_factory=dict)
     is_relay: bool = False
     members: list[str] = field(default_factory=list)
+    is_away: bool = False
 
 
 FindEngine = Callable[[str], Engine | None]
@@ -241,6 +243,7 @@
     peer.heard_at = now
     peer.read_rates = digest.read_rates
     peer.is_relay = digest.is_relay
+    peer.is_away = digest.is_away
     if digest.members is not None:
         peer.members = digest.members
     _replace_loads(peer, digest.sender, digest.loads, find)
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -25,7 +25,7 @@
 from robinspindle.following import KeyedStore
 from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.logs import Log
-from robinspindle.peers import Peers, list_heard
+from robinspindle.peers import Peers, list_deciders
 
 CLAIM_KEY = "roles"
 
@@ -152,7 +152,7 @@
             now = self._clock()
             if not self.may_change or now - self._began_at < SETTLE_S:
                 continue
-            if not is_first(self.authority.name, list_heard(self._peers)):
+            if not is_first(self.authority.name, list_deciders(self._peers)):
                 continue
             for service in self._fleet.list_engine_services():
                 pressure = find_pressure(service, now)
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -116,6 +116,16 @@
     return sorted(names - {peers.name})
 
 
+def list_deciders(peers: Peers) -> list[str]:
+    """List the other gateways that may decide for all.
+
+    Who can't reach the store can't claim: while it counted as the first of all, nobody
+    gave orders until it was back.
+    """
+    views = peers.views
+    return [n for n in list_heard(peers) if n not in views or not views[n].is_away]
+
+
 def find_oldest_s(peers: Peers, now: float) -> float:
     """Find how long ago the peer that was heard the longest ago was, seconds."""
     return max((now - view.heard_at for view in peers.views.values()), default=0.0)
