Part the stop of a gateway, and the reading of its settings, from the gateway

Each has one place with its own state; nothing is decided otherwise. One test names the module in which its constant lies now, its assertions stay.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -7,7 +7,6 @@
 import asyncio
 import signal
 import time
-from collections.abc import Callable
 
 from prometheus_client import CONTENT_TYPE_LATEST
 
@@ -19,7 +18,6 @@
 from robinspindle.core import budgets, targets
 from robinspindle.core.authority import Authority
 from robinspindle.core.fingerprints import Fingerprint
-from robinspindle.core.forwarding import Refusal
 from robinspindle.core.freshness import Freshness, may_serve, must_renew
 from robinspindle.core.lengths import Lengths
 from robinspindle.core.pauses import Pause
@@ -27,7 +25,6 @@
 from robinspindle.core.targets import Directory, Target
 from robinspindle.core.usage import make_life
 from robinspindle.duties import Duties
-from robinspindle.exceptions import InvalidDocumentError
 from robinspindle.fleet import Fleet
 from robinspindle.following import follow, note_new_era
 from robinspindle.gatewaymetrics import GatewayMetrics
@@ -47,6 +44,8 @@
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
+from robinspindle.rereading import Reread, SettingsReader
+from robinspindle.stopping import STOPPING, Stop
 from robinspindle.storenews import StoreNews
 from robinspindle.usagebook import UsageBook
 
@@ -61,21 +60,6 @@
 BUDGET_SHARES = 32
 """Gateways among which the fixed part of the repeat budget is divided."""
 
-UNREADY_S = 2.8
-"""How long a stopping gateway takes requests, seconds: the balancer asks once a second
-and needs two misses; what is taken after three seconds would have to end in time."""
-
-STOP_MARGIN_S = 0.4
-"""How long before the kill a stopping gateway ends by itself, seconds."""
-
-STOPPING = Refusal(503, "stopping", 0.05)
-
-REREAD_S = 1.0
-"""Interval at which the settings are read again, seconds: they may change without a
-signal, and reading them takes less than a millisecond."""
-
-Reread = Callable[[], GatewaySettings]
-
 log = make_log("gateway")
 
 
@@ -83,7 +67,6 @@
     """State of the process.
 
     Attributes:
-        settings: The settings in force.
         directory: The targets.
         budget: Repeats that it may make.
         fleet: What is kept for them.
@@ -92,7 +75,6 @@
         guard: Knows which requests crash targets.
         relay: Forwards requests.
         orderer: Gives orders to engines.
-        is_ready: Whether callers may be sent here.
     """
 
     def __init__(
@@ -102,13 +84,12 @@
         output: BoundedOutput,
         reread: Reread,
     ):
-        self._reread = reread
-        self._reread_at = read_steady()
         self._output = output
-        self._told_findings = ""
-        self.settings = settings
         self._adapter = adapter
         self._clock = read_steady
+        self._reader = SettingsReader(
+            settings, reread, self._apply_settings, self._clock(), log
+        )
         self.metrics = GatewayMetrics()
         self._store = adapter.make_store(settings, self._clock)
         self.directory = Directory()
@@ -177,8 +158,12 @@
         self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
         self._apply_settings(settings)
         self._tasks: list[asyncio.Task] = []
-        self._stopping_at: float | None = None
-        self._stopped = asyncio.Event()
+        self._stop = Stop(self._callers, lambda: self.settings.pledges.stop_s, log)
+
+    @property
+    def settings(self) -> GatewaySettings:
+        """The settings in force."""
+        return self._reader.settings
 
     def _make_relay(self, adapter: Adapter) -> Relay:
         return Relay(
@@ -341,7 +326,7 @@
 
     async def wait_stopped(self) -> None:
         """Wait for the end of a stop."""
-        await self._stopped.wait()
+        await self._stop.ended.wait()
         await self.close()
 
     async def close(self) -> None:
@@ -363,7 +348,7 @@
         that is not sure of its keys would refuse nearly all.
         """
         return (
-            self._stopping_at is None
+            not self._stop.has_begun
             and self.fleet.table is not None
             and self.directory.known
             and self._keeper.is_known
@@ -391,8 +376,7 @@
             self.orderer.note_told()
 
     async def _handle(self, incoming: Incoming, reply: Reply) -> None:
-        stopping_at = self._stopping_at
-        if stopping_at is not None and incoming.at - stopping_at > UNREADY_S:
+        if self._stop.is_too_late(incoming.at):
             reply.refuse(STOPPING)
             return
         await self.relay.handle(incoming, reply)
@@ -445,10 +429,8 @@
             self.guard.settle(now)
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
-            if now - self._reread_at >= REREAD_S:
-                self.reload()
-            if self._stopping_at is not None:
-                self._go_on_stopping(now)
+            self._reader.read_if_due(now)
+            self._stop.go_on(now)
 
     def _note_silent(self, target: Target, now: float) -> None:
         heard_at = target.hearing.heard_at
@@ -462,45 +444,11 @@
 
     def begin_stop(self) -> None:
         """Become unready; take no requests after a while; end when all is done."""
-        if self._stopping_at is None:
-            self._stopping_at = self._clock()
-            self._callers.is_stopping = True
-            log("stopping", busy=self._callers.count_busy())
-
-    def _go_on_stopping(self, now: float) -> None:
-        passed_s = now - self._stopping_at
-        if passed_s >= UNREADY_S:
-            self._callers.close_listener()
-            self._callers.close_all()
-            if self._callers.count_busy() == 0:
-                self._stopped.set()
-        if passed_s >= self.settings.pledges.stop_s - STOP_MARGIN_S:
-            log("stopping with requests under way", busy=self._callers.count_busy())
-            self._stopped.set()
+        self._stop.begin(self._clock())
 
     def reload(self) -> None:
-        """Read the settings again; bad ones change nothing.
-
-        What was promised comes into force at once; addresses do at the next start.
-        """
-        self._reread_at = self._clock()
-        try:
-            settings = self._reread()
-        except InvalidDocumentError as error:
-            self._note_bad_settings(str(error))
-            return
-        self._told_findings = ""
-        if settings == self.settings:
-            return
-        self.settings = settings
-        self._apply_settings(settings)
-        log("settings in force", name=settings.name)
-
-    def _note_bad_settings(self, findings: str) -> None:
-        """Log findings once, as the file is read each second."""
-        if findings != self._told_findings:
-            self._told_findings = findings
-            log("settings can't be read, the last ones stay", findings=findings)
+        """Read the settings again; bad ones change nothing."""
+        self._reader.read(self._clock())
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Put in force what follows from what was promised, and the policy."""
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -4,7 +4,7 @@
 import socket
 from dataclasses import replace
 
-from robinspindle import gateway as gateway_module
+from robinspindle import stopping
 from robinspindle.core.sharing import Bundle, Digest, Load, Placement
 from robinspindle.exceptions import Finding, InvalidDocumentError
 from robinspindle.peerlink import encode
@@ -133,7 +133,7 @@
 def test_a_stopping_gateway_takes_nothing_that_would_end_too_late(
     tmp_path, monkeypatch
 ):
-    monkeypatch.setattr(gateway_module, "UNREADY_S", 0.3)
+    monkeypatch.setattr(stopping, "UNREADY_S", 0.3)
 
     async def play():
         async with deploy(tmp_path) as d:
