--- a/fuzz/gatewayworld.py
+++ b/fuzz/gatewayworld.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from robinspindle.core import authority, budgets, forwarding, routes, targets
+from robinspindle.core import authority, budgets, forwarding, health, routes, targets
 from robinspindle.core.authority import Authority, Claim
 from robinspindle.core.budgets import RepeatBudget
 from robinspindle.core.lives import find_born_ms, find_id, make_lifetime
@@ -316,7 +316,7 @@
     tried: set[str] = set()
     offers = believed_runs = runs = 0
     while True:
-        usable = targets.list_usable(view.directory, SERVICE, now, tried)
+        usable = health.list_usable(view.directory, SERVICE, now, tried)
         if not usable:
             break
         target = usable[(first + offers) % len(usable)]
--- a/src/robinspindle/core/estimates.py
+++ b/src/robinspindle/core/estimates.py
@@ -14,7 +14,8 @@
     estimate_reading_s,
 )
 from robinspindle.core.forwarding import Prompt
-from robinspindle.core.targets import Target, find_slowness
+from robinspindle.core.health import find_slowness
+from robinspindle.core.targets import Target
 
 REREAD_WEIGHT = 2.0
 """How much more reading a shared part again weighs than the time that it takes: it
--- a/src/robinspindle/core/selection.py
+++ b/src/robinspindle/core/selection.py
@@ -2,7 +2,8 @@
 
 import random
 
-from robinspindle.core.targets import Target, find_slowness
+from robinspindle.core.health import find_slowness
+from robinspindle.core.targets import Target
 
 FAULT_WEIGHT = 4.0
 """Requests in flight that a target which only fails seems to have more, times its
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,6 +1,6 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
-from robinspindle.core import paces, silence, targets
+from robinspindle.core import health, paces, silence
 from robinspindle.core.engines import Engine, make_engine, note_held
 from robinspindle.core.forwarding import Part
 from robinspindle.core.paces import Pace
@@ -62,7 +62,7 @@
 
     def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
         """List the targets of a service that may get a request."""
-        found = targets.list_usable(self.directory, service, now, tried)
+        found = health.list_usable(self.directory, service, now, tried)
         # A single entry without a role must not have prompts placed without regard to
         # what engines hold and do.
         found = [t for t in found if t.announced.role] or found
@@ -177,7 +177,7 @@
             target = self.directory.targets.get(load.lifetime)
             heard_at = now - load.heard_ms_ago / 1000
             if target is not None and heard_at > target.hearing.heard_at:
-                targets.note_heard(target, heard_at)
+                health.note_heard(target, heard_at)
 
     def list_engine_services(self) -> list[str]:
         """List the services that have engines."""
@@ -191,8 +191,8 @@
             (target, self.find_engine(target))
             for target in found
             if target.announced.service == service
-            and targets.may_get_work(target, now)
-            and targets.is_healthy(target, now)
+            and health.may_get_work(target, now)
+            and health.is_healthy(target, now)
         ]
 
     def find_switch_s(self, service: str) -> float:
@@ -206,7 +206,7 @@
             t for t in self.directory.targets.values() if self._is_overdue(t, now)
         ]
         for target in silent:
-            targets.note_silent(target, now)
+            health.note_silent(target, now)
             for leave in silence.list_leaving(target.hearing):
                 leave()
         for target in self.directory.targets.values():
@@ -242,15 +242,15 @@
     def note_told_silent(self, lifetimes: list[str], now: float) -> list[Target]:
         """Take note of targets that a peer found silent; return those believed."""
         found = (self.directory.targets.get(lifetime) for lifetime in lifetimes)
-        return [t for t in found if t is not None and targets.note_told_silent(t, now)]
+        return [t for t in found if t is not None and health.note_told_silent(t, now)]
 
     def note_switching(self, lifetime: str, role: str, now: float) -> None:
         """Take note that a peer ordered an engine to take a role."""
         target = self.directory.targets.get(lifetime)
-        if target is not None and not targets.is_switching(target, now):
+        if target is not None and not health.is_switching(target, now):
             switch_s = self.find_switch_s(target.announced.service)
-            until = now + switch_s + targets.SWITCH_SLACK_S
-            targets.note_switching(target, role, until)
+            until = now + switch_s + health.SWITCH_SLACK_S
+            health.note_switching(target, role, until)
 
     def find_pool(self, target: Target) -> ConnectionPool:
         """Find the connections to a target."""
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from robinspindle.core import targets
+from robinspindle.core import health
 from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.freshness import Freshness
 from robinspindle.core.quarantine import list_turned_away
@@ -66,7 +66,7 @@
 
 def _update_targets(metrics: GatewayMetrics, parts: Measured, now: float) -> None:
     fleet, directory = parts.fleet, parts.fleet.directory
-    usable = [t for t in directory.targets.values() if targets.may_get_work(t, now)]
+    usable = [t for t in directory.targets.values() if health.may_get_work(t, now)]
     metrics.version.set(fleet.table.version if fleet.table else 0)
     metrics.version_age.set(now - parts.freshness.newest_at)
     metrics.targets.set(len(usable))
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from robinspindle.core import silence, targets
+from robinspindle.core import health, silence
 from robinspindle.core.answering import (
     find_allowed_pause,
     note_answer_begun,
@@ -56,7 +56,7 @@
     chunks = []
     while chunk := await answer.exchange.read_chunk():
         now = answer.expected.since = means.clock()
-        targets.note_heard(answer.target, now)
+        health.note_heard(answer.target, now)
         chunks.append(chunk)
     return b"".join(chunks)
 
@@ -173,7 +173,7 @@
         if not events:
             continue
         now = expected.since = means.clock()
-        targets.note_heard(answer.target, now)
+        health.note_heard(answer.target, now)
         note(now - last_at, now)
         if not reply.has_begun:
             reply.begin(head.status, head.reason, head.headers, None)
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from robinspindle.calls import CallLimits, call_once
-from robinspindle.core import targets
+from robinspindle.core import health
 from robinspindle.core.forwarding import AnswerHead, Source
 from robinspindle.core.reading import Plan
 from robinspindle.core.silence import (
@@ -62,13 +62,13 @@
                 return None
             passage.read_at = self._means.clock()
             work.end(passage.read_at)
-            targets.note_answered(reader)
+            health.note_answered(reader)
             return self._means.dialect.decode_read(reader.announced.address, body)
         except ConnectionBrokenError as error:
             note_broken(reader, error, self._means.clock())
             self._log.log_broken(passage, reader, str(error))
         except BadDocumentError as error:
-            targets.note_fault(reader, True)
+            health.note_fault(reader, True)
             self._log.log_broken(passage, reader, str(error))
         except TimeoutError:
             self._log.log_broken(passage, reader, "prompt not read in time")
@@ -101,7 +101,7 @@
                     data = means.dialect.encode_request(passage.request, send)
                     connection.send(exchange, data)
                     head = await exchange.read_head()
-                    targets.note_heard(sending.target, means.clock())
+                    health.note_heard(sending.target, means.clock())
                     body = await exchange.read_body()
                     means.guard.note_length(run)
                     return head, body
@@ -124,7 +124,7 @@
         if head.not_run:
             note_turned_away(self._means, reader, head)
         else:
-            targets.note_fault(reader, True)
+            health.note_fault(reader, True)
         text = f"prompt not read: status {head.status}"
         self._log.log_broken(passage, reader, text)
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -5,7 +5,7 @@
 
 from robinspindle import guard
 from robinspindle.choosing import Chooser
-from robinspindle.core import budgets, forwarding, permits, silence, targets
+from robinspindle.core import budgets, forwarding, health, permits, silence
 from robinspindle.core.answering import note_hold
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.fingerprints import NamedRequest
@@ -311,7 +311,7 @@
                     self._count_begun(passage, sent_at)
                 # What has begun to run does so for all its copies.
                 run.stop = None
-                targets.note_heard(target, passage.first_at)
+                health.note_heard(target, passage.first_at)
                 self._note_begun(passage, sending)
                 sending.on_first()
                 answer = Answer(target, head, exchange, connection, expected)
@@ -368,8 +368,8 @@
         if head.status >= LEAST_OTHER:
             passage.fault = (head, await read_whole(self._means, answer))
             passage.runs += 1
-            targets.note_answered(target)
-            targets.note_fault(target, head.status in UPSTREAM_FAULTS)
+            health.note_answered(target)
+            health.note_fault(target, head.status in UPSTREAM_FAULTS)
             passage.last_reason = f"status-{head.status}"
             return End.FAULT
         if not head.sealed or head.request_id != passage.request.id:
@@ -378,8 +378,8 @@
             await pass_stream(self._means, passage, answer)
         else:
             pass_whole(passage.reply, head, await read_whole(self._means, answer))
-        targets.note_answered(target)
-        targets.note_fault(target, False)
+        health.note_answered(target)
+        health.note_fault(target, False)
         self._log.log_end(passage, target, "delivered")
         return End.DELIVERED
 
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -4,7 +4,7 @@
 from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 
-from robinspindle.core import permits, targets
+from robinspindle.core import health, permits
 from robinspindle.core.forwarding import AnswerHead, Send, Source
 from robinspindle.core.lives import find_id
 from robinspindle.core.silence import Expectation
@@ -115,10 +115,10 @@
     if head.answered_by not in ("", find_id(target.announced.lifetime)):
         target.replaced = True
     else:
-        targets.note_full(target, means.clock(), means.policy().rests_longer)
+        health.note_full(target, means.clock(), means.policy().rests_longer)
 
 
 def note_broken(target: Target, error: ConnectionBrokenError, now: float) -> None:
     """Take note that a target could not be reached or did not answer."""
-    note = targets.note_refused if error.was_refused else targets.note_broken
+    note = health.note_refused if error.was_refused else health.note_broken
     note(target, now)
--- a/tests/core/test_lives.py
+++ b/tests/core/test_lives.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from robinspindle.core import lives, targets
+from robinspindle.core import health, lives, targets
 from robinspindle.core.lives import find_born_ms, find_id, is_later, make_lifetime
 from robinspindle.core.targets import Announcement, Directory
 
@@ -36,7 +36,7 @@
 
 
 def list_usable(directory, now):
-    found = targets.list_usable(directory, "s", now, set())
+    found = health.list_usable(directory, "s", now, set())
     return [target.announced.lifetime for target in found]
 
 
@@ -44,11 +44,11 @@
     directory = Directory()
     before = announce(directory, 5, leaving=True, cold_s=9.0)
     for _ in range(4):
-        targets.note_refused(before, 0.0)
+        health.note_refused(before, 0.0)
     now = announce(directory, 6, now=1.0)
     assert list_usable(directory, 1.0) == ["i1@6"]
     assert (now.failures, now.faults, now.in_flight) == (0, 0.0, 0)
-    assert targets.find_slowness(now, 1.0) == 1.0
+    assert health.find_slowness(now, 1.0) == 1.0
     assert targets.drop_gone(directory, 1.0) == [before]
 
 
--- a/tests/core/test_silence.py
+++ b/tests/core/test_silence.py
@@ -1,4 +1,4 @@
-from robinspindle.core import silence, targets
+from robinspindle.core import health, silence
 from robinspindle.core.silence import Expectation, Hearing
 from robinspindle.core.targets import Announcement, Target
 
@@ -27,19 +27,19 @@
 
 def test_a_silent_target_rests_and_is_used_again_when_it_is_heard():
     target = make_target()
-    targets.note_silent(target, 1.0)
-    assert not targets.is_healthy(target, 1.1)
-    targets.note_heard(target, 1.2)
-    assert targets.is_healthy(target, 1.2)
+    health.note_silent(target, 1.0)
+    assert not health.is_healthy(target, 1.1)
+    health.note_heard(target, 1.2)
+    assert health.is_healthy(target, 1.2)
     assert target.hearing.silent_since is None
 
 
 def test_old_news_does_not_wake_a_silent_target():
     target = make_target()
-    targets.note_silent(target, 1.0)
-    targets.note_heard(target, 0.4)
+    health.note_silent(target, 1.0)
+    health.note_heard(target, 0.4)
     assert target.hearing.silent_since == 1.0
-    assert not targets.is_healthy(target, 1.1)
+    assert not health.is_healthy(target, 1.1)
 
 
 def test_of_a_silent_target_only_what_was_sent_since_says_anything_new():
@@ -53,10 +53,10 @@
 def test_a_peers_word_counts_unless_the_target_was_heard_since():
     target = make_target()
     target.hearing.heard_at = 1.0
-    assert not targets.note_told_silent(target, 1.5)
-    assert targets.is_healthy(target, 1.5)
-    assert targets.note_told_silent(target, 1.7)
-    assert not targets.is_healthy(target, 1.7)
+    assert not health.note_told_silent(target, 1.5)
+    assert health.is_healthy(target, 1.5)
+    assert health.note_told_silent(target, 1.7)
+    assert not health.is_healthy(target, 1.7)
 
 
 def test_requests_that_may_go_elsewhere_are_listed():
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from robinspindle.core import targets
+from robinspindle.core import health, targets
 from robinspindle.core.targets import Announcement, Directory
 
 
@@ -11,7 +11,7 @@
 
 
 def usable(directory, now, tried=()):
-    found = targets.list_usable(directory, "s", now, set(tried))
+    found = health.list_usable(directory, "s", now, set(tried))
     return sorted(target.announced.lifetime for target in found)
 
 
@@ -59,25 +59,25 @@
     announce(directory, "i1")
     announce(directory, "i2")
     bad = directory.targets["i1"]
-    targets.note_broken(bad, 0.0)
+    health.note_broken(bad, 0.0)
     assert usable(directory, 0.1) == ["i1", "i2"]
-    targets.note_broken(bad, 0.1)
+    health.note_broken(bad, 0.1)
     assert usable(directory, 0.2) == ["i2"]
-    assert usable(directory, 0.2 + targets.MOST_REST_S) == ["i1", "i2"]
+    assert usable(directory, 0.2 + health.MOST_REST_S) == ["i1", "i2"]
 
 
 def test_a_target_at_whose_address_nobody_listens_rests_at_once():
     directory = Directory()
     announce(directory, "i1")
     announce(directory, "i2")
-    targets.note_refused(directory.targets["i1"], 0.0)
+    health.note_refused(directory.targets["i1"], 0.0)
     assert usable(directory, 0.1) == ["i2"]
 
 
 def test_where_all_rest_all_are_tried():
     directory = Directory()
     announce(directory)
-    targets.note_refused(directory.targets["i1"], 0.0)
+    health.note_refused(directory.targets["i1"], 0.0)
     assert usable(directory, 0.1) == ["i1"]
 
 
@@ -85,7 +85,7 @@
     directory = Directory()
     announce(directory, "i1")
     announce(directory, "i2")
-    targets.note_full(directory.targets["i1"], 0.0)
+    health.note_full(directory.targets["i1"], 0.0)
     assert usable(directory, 0.01) == ["i2"]
     assert usable(directory, 0.06) == ["i1", "i2"]
 
@@ -96,7 +96,7 @@
     announce(directory)
     target = directory.targets["i1"]
     for faulty in outcomes:
-        targets.note_fault(target, faulty)
+        health.note_fault(target, faulty)
         assert 0.0 <= target.faults <= 1.0
 
 
@@ -106,18 +106,18 @@
     announce(directory)
     target = directory.targets["i1"]
     for now in sorted(times):
-        targets.note_broken(target, now)
-        assert target.rested_until <= now + targets.MOST_REST_S
+        health.note_broken(target, now)
+        assert target.rested_until <= now + health.MOST_REST_S
 
 
 def test_a_target_is_slow_for_as_long_as_its_entry_says():
     directory = Directory()
     announce(directory, now=10.0, cold_s=2.0)
     target = directory.targets["i1"]
-    assert targets.find_slowness(target, 11.9) > 1.0
-    assert targets.find_slowness(target, 12.0) == 1.0
+    assert health.find_slowness(target, 11.9) > 1.0
+    assert health.find_slowness(target, 12.0) == 1.0
     announce(directory, now=11.0, cold_s=0.2)
-    assert targets.find_slowness(target, 11.3) == 1.0
+    assert health.find_slowness(target, 11.3) == 1.0
 
 
 def test_a_target_that_turns_requests_away_rests_longer_each_time():
@@ -126,11 +126,11 @@
     target = directory.targets["i1"]
     rests = []
     for _ in range(8):
-        targets.note_full(target, 0.0)
+        health.note_full(target, 0.0)
         rests.append(target.full_until)
-    assert rests[0] == targets.FULL_REST_S
+    assert rests[0] == health.FULL_REST_S
     assert rests == sorted(rests)
-    assert rests[-1] == targets.MOST_FULL_REST_S
-    targets.note_answered(target)
-    targets.note_full(target, 10.0)
-    assert target.full_until == 10.0 + targets.FULL_REST_S
+    assert rests[-1] == health.MOST_FULL_REST_S
+    health.note_answered(target)
+    health.note_full(target, 10.0)
+    assert target.full_until == 10.0 + health.FULL_REST_S
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-from robinspindle.core import targets
+from robinspindle.core import health, targets
 from robinspindle.core.routes import CallerLimits, EngineShape, Service, make_table
 from robinspindle.core.targets import Announcement, Directory
 from robinspindle.fleet import Fleet
@@ -37,7 +37,7 @@
 def test_an_order_that_has_no_effect_is_given_up_and_may_be_given_again():
     fleet = make_fleet()
     fleet.note_switching("d1", "prefill", 0.0)
-    late = 3.0 + targets.SWITCH_SLACK_S + 0.1
+    late = 3.0 + health.SWITCH_SLACK_S + 0.1
     assert names(fleet, late) == ["d1", "p1"]
     fleet.note_switching("d1", "prefill", late)
     assert names(fleet, late + 0.1) == ["p1"]
@@ -47,7 +47,7 @@
     fleet = make_fleet()
     fleet.note_switching("d1", "prefill", 0.0)
     fleet.note_switching("d1", "prefill", 10.0)
-    assert names(fleet, 3.0 + targets.SWITCH_SLACK_S + 0.1) == ["d1", "p1"]
+    assert names(fleet, 3.0 + health.SWITCH_SLACK_S + 0.1) == ["d1", "p1"]
 
 
 def test_the_shape_comes_from_the_configuration():
