Look a caller's key up in place of going through all workspaces

The entry compared a key's digest with that of each workspace; 350 are the target. The digests are put in order at the first look-up of a configuration. Answers are the same (tests of paths and documents).

--- a/src/robinspindle/callers.py
+++ b/src/robinspindle/callers.py
@@ -74,12 +74,12 @@
     Raises:
         HttpError: If it carries none, or one that is not known.
     """
-    digest = digest_bearer_key(request.bearer)
-    # Digests are compared, so the time of a comparison tells nothing of a key.
-    for workspace in configuration.workspaces.values():
-        if workspace.key_digest == digest:
-            return workspace
-    raise make_error(401, "invalid_api_key", "the bearer key is missing or not known")
+    # Digests are looked up, so the time of a look-up tells nothing of a key.
+    workspace = configuration.owners.get(digest_bearer_key(request.bearer))
+    if workspace is None:
+        text = "the bearer key is missing or not known"
+        raise make_error(401, "invalid_api_key", text)
+    return workspace
 
 
 def _list_models(configuration: Configuration) -> dict:
--- a/src/robinspindle/core/documents.py
+++ b/src/robinspindle/core/documents.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import field
+from functools import cached_property
 from typing import Annotated, Literal
 
 from pydantic import BeforeValidator, ConfigDict, Field
@@ -191,6 +192,11 @@
     classes: dict[str, ClassSection] = field(default_factory=dict)
     workspaces: dict[str, WorkspaceSection] = field(default_factory=dict)
 
+    @cached_property
+    def owners(self) -> dict[str, WorkspaceSection]:
+        """The workspaces by the digests of their keys, made at the first look-up."""
+        return {found.key_digest: found for found in self.workspaces.values()}
+
     def find_least_serving(self, pool: str) -> int:
         """Return how many targets must go on serving a model or a service."""
         section = self.models.get(pool) or self.services.get(pool)
