Prepare many engines for a crowd of prompts while it is calm

A change of role takes an engine away for seconds, so those that are asked for in a crowd come after it.

Fewer than ten engines change as before.

The line that tells of a change names engines, readers and answers too.

--- a/src/robinspindle/core/rebalance.py
+++ b/src/robinspindle/core/rebalance.py
@@ -24,7 +24,9 @@
 crowds of their own."""
 
 READ_IDLE = 0.25
-"""Readers count as too many when one fewer would be used below this share."""
+READ_IDLE_OF_MANY = 0.15
+"""Readers count as too many when one fewer would be used below this share; below that
+where many were prepared for a crowd."""
 
 HOST_FULL = 0.5
 """Share of their slots that long answers may fill on the generating engines that are
@@ -33,10 +35,25 @@
 HOST_SHORT = 0.75
 """Generating engines count as too few above this share."""
 
+HOST_BUSY = 0.65
+"""Share of their slots that long answers fill on generating engines once readers have
+turned back to them."""
+
 LEAST_GENERATING_SHARE = 0.5
 """Share of the engines that goes on generating: with less the loss of one machine, or a
 crowd of long answers, finds too few of them."""
 
+MANY_ENGINES = 10
+CALM_READ_RATE = 0.6
+CALM_READ_FULL = 0.25
+CALM_GENERATING_SHARE = 0.4
+CALM_BATCH_SHARE = 1 / 4
+"""Where at least so many engines are asked for less reading than this share of their
+readers' time, they are prepared for a crowd: readers count as too few above this share,
+this share goes on generating, and this share may change at a time. A change takes an
+engine away for seconds, which a crowd that has come does not bear. Among fewer engines
+each one is too large a part of them."""
+
 LEAST_HOSTS = 2
 """Fewer engines that generate are joined by a reader, whatever the demand: without one
 nothing is answered."""
@@ -147,8 +164,13 @@
     if is_crowded and len(hosts) < _count_least_hosts(readers, hosts):
         # Engines that generate were lost, and what is left is too slow.
         return _turn_reader(readers, makes_good=True)
-    batch = max(1, int(len(engines) * BATCH_SHARE))
-    wanted = 0 if is_crowded else _count_more_readers(readers, hosts, read_rate)
+    aims = _find_aims(readers, hosts, read_rate)
+    batch = max(1, int(len(engines) * aims.batch_share))
+    lacking = _count_more_hosts(readers, hosts, read_rate)
+    if lacking > 0:
+        # Answers hold their slots for long: they can't wait until readers may turn.
+        return _turn_readers(readers, min(batch, lacking), makes_good=True)
+    wanted = 0 if is_crowded else _count_more_readers(readers, hosts, read_rate, aims)
     if wanted > 0 and _may_turn(history, READING, now):
         ranked = sorted(hosts, key=lambda pair: pair[1].long_answers)
         return Change(READING, _take(ranked, min(batch, wanted)))
@@ -157,6 +179,28 @@
     return None
 
 
+@dataclass(frozen=True)
+class _Aims:
+    """What is aimed at: see the constants of the same names."""
+
+    read_full: float = READ_FULL
+    generating_share: float = LEAST_GENERATING_SHARE
+    batch_share: float = BATCH_SHARE
+
+
+CALM_AIMS = _Aims(CALM_READ_FULL, CALM_GENERATING_SHARE, CALM_BATCH_SHARE)
+
+
+def _find_aims(readers: list[Pair], hosts: list[Pair], read_rate: float) -> _Aims:
+    """Find what to aim at: many engines are prepared for a crowd while it is calm."""
+    is_calm = read_rate <= CALM_READ_RATE * len(readers)
+    return CALM_AIMS if is_calm and _are_many(readers, hosts) else _Aims()
+
+
+def _are_many(readers: list[Pair], hosts: list[Pair]) -> bool:
+    return len(readers) + len(hosts) >= MANY_ENGINES
+
+
 def _may_turn(history: History, role: str, now: float) -> bool:
     is_same = history.last_role in ("", role)
     return is_same or now - history.changed_at >= TURN_BACK_S
@@ -164,8 +208,13 @@
 
 def _turn_reader(readers: list[Pair], makes_good: bool = False) -> Change:
     """Have the reader with the least work generate."""
+    return _turn_readers(readers, 1, makes_good)
+
+
+def _turn_readers(readers: list[Pair], count: int, makes_good: bool) -> Change:
+    """Have the readers with the least work generate."""
     ranked = sorted(readers, key=lambda pair: pair[1].work_s)
-    return Change(GENERATING, _take(ranked, 1), makes_good)
+    return Change(GENERATING, _take(ranked, count), makes_good)
 
 
 def _take(ranked: list[Pair], count: int) -> tuple[Target, ...]:
@@ -173,16 +222,36 @@
 
 
 def _count_more_readers(
-    readers: list[Pair], hosts: list[Pair], read_rate: float
+    readers: list[Pair], hosts: list[Pair], read_rate: float, aims: _Aims
 ) -> int:
-    if read_rate <= READ_FULL * len(readers):
+    if read_rate <= aims.read_full * len(readers):
+        return 0
+    wanted = math.ceil(read_rate / aims.read_full) - len(readers)
+    spare = len(hosts) - _count_least_hosts(readers, hosts, aims.generating_share)
+    needed = math.ceil(_count_engines_for(hosts, HOST_FULL))
+    return max(0, min(wanted, spare, len(hosts) - needed))
+
+
+def _count_more_hosts(readers: list[Pair], hosts: list[Pair], read_rate: float) -> int:
+    """Count the readers that answers lack more than prompts would miss them.
+
+    Where both lack engines these are shared out by how many each kind of work keeps
+    busy.
+    """
+    if not _are_many(readers, hosts) or _fill_hosts(hosts) <= HOST_SHORT:
         return 0
-    wanted = math.ceil(read_rate / READ_FULL) - len(readers)
-    spare = len(hosts) - _count_least_hosts(readers, hosts)
+    generating = _count_engines_for(hosts, HOST_BUSY)
+    total = len(readers) + len(hosts)
+    share = total * generating / (read_rate + generating)
+    wanted = math.ceil(min(share, generating))
+    return max(0, min(wanted - len(hosts), len(readers) - 1))
+
+
+def _count_engines_for(hosts: list[Pair], fill: float) -> float:
+    """Count the engines that all long answers need if each is filled so far."""
     answers = sum(engine.long_answers for _, engine in hosts)
     slots = min(target.announced.slots for target, _ in hosts)
-    needed = math.ceil(answers / (HOST_FULL * slots))
-    return max(0, min(wanted, spare, len(hosts) - needed))
+    return answers / (fill * slots)
 
 
 def _fill_hosts(hosts: list[Pair]) -> float:
@@ -191,13 +260,16 @@
     return answers / sum(target.announced.slots for target, _ in hosts)
 
 
-def _count_least_hosts(readers: list[Pair], hosts: list[Pair]) -> int:
+def _count_least_hosts(
+    readers: list[Pair], hosts: list[Pair], share: float = LEAST_GENERATING_SHARE
+) -> int:
     total = len(readers) + len(hosts)
-    return max(LEAST_HOSTS, math.ceil(total * LEAST_GENERATING_SHARE))
+    return max(LEAST_HOSTS, math.ceil(total * share))
 
 
 def _needs_host(readers: list[Pair], hosts: list[Pair], read_rate: float) -> bool:
     if len(readers) < 2:
         return False
-    is_idle = read_rate < READ_IDLE * (len(readers) - 1)
+    idle = READ_IDLE_OF_MANY if _are_many(readers, hosts) else READ_IDLE
+    is_idle = read_rate < idle * (len(readers) - 1)
     return is_idle and _fill_hosts(hosts) > HOST_SHORT
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -185,6 +185,9 @@
             role=change.role,
             read_rate=round(rate, 2),
             pressure=round(pressure, 2),
+            engines=len(engines),
+            readers=sum(engine.reads_only for _, engine in engines),
+            long_answers=sum(engine.long_answers for _, engine in engines),
             targets=[target.announced.lifetime for target in change.targets],
             fence=claim.fence,
         )
--- a/tests/core/test_rebalance.py
+++ b/tests/core/test_rebalance.py
@@ -68,6 +68,35 @@
     assert len(change.targets) == 2
 
 
+def test_many_engines_are_prepared_for_a_crowd_while_it_is_calm():
+    assert decide(make_fleet(9, 18), 0.24 * 9) is None
+    change = decide(make_fleet(9, 18), 0.5 * 9)
+    assert (change.role, len(change.targets)) == (READING, 6)
+
+
+def test_a_crowd_that_has_come_takes_few_engines_away():
+    change = decide(make_fleet(9, 18), 0.7 * 9)
+    assert (change.role, len(change.targets)) == (READING, 3)
+
+
+def test_answers_that_crowd_take_readers_back_at_once():
+    """However soon after a change in the other direction."""
+    history = History(changed_at=93.0, last_role=READING)
+    fleet = make_fleet(17, 6, long_answers=40)
+    change = decide_change(fleet, 3.0, history, 100.0, SWITCH_S)
+    assert (change.role, len(change.targets)) == (GENERATING, 2)
+    assert change.makes_good
+
+
+@pytest.mark.parametrize(
+    ("rate", "turned"), [(3.0, 2), (17.0, 2), (20.0, 1), (40.0, 0)]
+)
+def test_prompts_and_answers_that_both_crowd_share_the_engines(rate, turned):
+    fleet = make_fleet(17, 6, long_answers=40)
+    change = decide_change(fleet, rate, History(90.0, READING), 100.0, SWITCH_S)
+    assert (len(change.targets) if change else 0) == turned
+
+
 @pytest.mark.parametrize(
     ("role", "since", "changes"),
     [
