--- a/tests/fuzz/test_machine.py
+++ b/tests/fuzz/test_machine.py
@@ -8,9 +8,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
-from fuzz.driver import RULES, Move, draw_moves, heal, make_move, make_world, play
+from fuzz.driver import Move, draw_moves, heal, make_move, make_world, play
 from fuzz.mutants import MUTANTS, apply_mutant
 from fuzz.oracle import Oracle, check_end, check_now
+from fuzz.rules import RULES
 
 NUMBERS = st.integers(0, 63)
 WEIGHTED = [name for name, rule_ in RULES.items() for _ in range(rule_.weight)]
