--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -23,7 +23,6 @@
     Learnt,
     Load,
     Placement,
-    is_teacher,
 )
 from robinspindle.core.soundness import are_facts, find_fault
 from robinspindle.core.targets import Target
@@ -31,14 +30,12 @@
 from robinspindle.logs import Log
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import LEARNT_INTERVAL_S, MOST_INTERVAL_S, Peers, note_sent
+from robinspindle.teaching import KnownCaches, add_caches, plan_teaching, take_caches
 
 NEWCOMER_S = 3.0
 """How long after its start a gateway is told what caches hold, seconds: within it, it
 has heard its relay in every start that was seen."""
 
-TOLD_PARTS = 1000
-"""Parts of caches in one digest: about 20 KB, so that a datagram stays below 64 KB."""
-
 MOST_DATAGRAM_BYTES = 48_000
 """Larger bundles are told in two datagrams: UDP takes 65,507 bytes at the most."""
 
@@ -65,7 +62,7 @@
     era: int = 0
 
 
-class PeersFleet(Protocol):
+class PeersFleet(KnownCaches, Protocol):
     """Takes in what peers tell of targets."""
 
     def find_engine_of(self, lifetime: str) -> Engine | None:
@@ -83,12 +80,6 @@
     def note_heard_by_peer(self, loads: list[Load], now: float) -> None:
         """Take note of what a peer heard of engines."""
 
-    def list_known_caches(self) -> list[str]:
-        """List the engines of whose caches something is known."""
-
-    def describe_cache(self, lifetime: str) -> Cache | None:
-        """Describe what an engine's cache is believed to hold."""
-
     def note_told_cache(self, cache: Cache) -> None:
         """Take note of what a peer believes a cache to hold."""
 
@@ -221,7 +212,7 @@
             self._log("peer heard", peer=digest.sender, relay=digest.is_relay)
         if digest.sender == sender:
             self._keep_to_pass_on(digest)
-            self._plan_teaching(digest)
+            plan_teaching(self._peers, self._fleet, digest)
 
     def _take_beliefs(self, digest: Digest, now: float) -> None:
         fleet, author = self._fleet, digest.sender
@@ -258,18 +249,6 @@
             self._told[digest.sender] = digests.join(last, digest)
         self._peers.changed.set()
 
-    def _plan_teaching(self, digest: Digest) -> None:
-        """Plan to tell a newcomer what caches hold, once after each of its starts."""
-        peers, newcomer = self._peers, digest.sender
-        is_told = peers.taught.get(newcomer) == digest.started
-        if not peers.teaches or not digest.is_new or is_told:
-            return
-        others = [name for name, view in peers.views.items() if view.is_relay]
-        if digest.is_relay and not is_teacher(peers.name, others, newcomer):
-            return
-        peers.taught[newcomer] = digest.started
-        peers.untold_caches[newcomer] = self._fleet.list_known_caches()
-
     async def wait_due(self) -> None:
         """Wait until there is something to tell and it is time to."""
         peers = self._peers
@@ -324,7 +303,7 @@
             news.switching,
             news.learnt if tells_all else [],
             news.silent,
-            self._take_caches(peers.spread_caches),
+            take_caches(self._fleet, peers.spread_caches),
             None,
             news.ends,
             news.is_away,
@@ -333,17 +312,6 @@
             era=news.era,
         )
 
-    def _take_caches(self, lifetimes: list[str]) -> list[Cache]:
-        """Take what the next caches hold, as much as a datagram may tell."""
-        found: list[Cache] = []
-        parts = 0
-        while lifetimes and parts < TOLD_PARTS:
-            cache = self._fleet.describe_cache(lifetimes.pop())
-            if cache is not None:
-                found.append(cache)
-                parts += len(cache.parts)
-        return found
-
     def _tell_group(self, own: Digest, now: float, tells_all: bool) -> None:
         """Tell the other relays of the group, and the group of all."""
         peers, passing = self._peers, self._passing
@@ -351,8 +319,8 @@
         self._drop_silent_members()
         total = digests.add_up(own, self._told.values(), tells_all)
         for name in self._list_relays(now):
-            caches = self._take_caches(peers.untold_caches.get(name, []))
-            self._send(name, [_add_caches(total, caches)])
+            caches = take_caches(self._fleet, peers.untold_caches.get(name, []))
+            self._send(name, [add_caches(total, caches)])
         for name in peers.groups.ranked[peers.groups.of[peers.name]]:
             if name != peers.name:
                 self._tell_member(name, total, passing)
@@ -361,9 +329,9 @@
     def _tell_member(self, name: str, total: Digest, passing: list[Digest]) -> None:
         told = self._told.get(name)
         own_part = total if told is None else digests.leave_out(total, told)
-        caches = self._take_caches(self._peers.untold_caches.get(name, []))
+        caches = take_caches(self._fleet, self._peers.untold_caches.get(name, []))
         echo = None if told is None else told.number
-        self._send(name, [_add_caches(own_part, caches), *passing], echo)
+        self._send(name, [add_caches(own_part, caches), *passing], echo)
 
     def _drop_silent_members(self) -> None:
         """Speak no more for those that fell silent or tell another relay."""
@@ -417,9 +385,3 @@
         if name in self._peers.views:
             sharing.forget_peer(self._peers.views, name, self._fleet.find_engine_of)
             self._fleet.forget_learnt(name)
-
-
-def _add_caches(digest: Digest, caches: list[Cache]) -> Digest:
-    if not caches:
-        return digest
-    return msgspec.structs.replace(digest, caches=digest.caches + caches)
