Keep since when each gateway is heard in a place of its own

dutyturns.py held it beside the order of gateways; core/presence.py is pure, with the time as an argument. The oracle is shown to notice a window that waits for nobody.

--- a/src/robinspindle/dutyturns.py
+++ b/src/robinspindle/dutyturns.py
@@ -1,49 +1,29 @@
 """Whose turn it is to do what only one gateway does at a time."""
 
-from dataclasses import dataclass
-
+from robinspindle.core import presence
+from robinspindle.core.presence import Presences
 from robinspindle.peers import Peers, list_heard
 
 HEARD_S = 10.0
 """Peers that were heard within this are those that a gateway should hear, seconds."""
 
-
 SETTLE_S = 2.0
 """How long a gateway has to be a relay without a pause before it acts, seconds: until
 then it may not have heard what others counted. Who comes back from a freeze, or as a
 new life, and decides at once decides from what it knew before."""
 
-REMEMBERED_S = 15.0
-"""How long a gateway that fell silent is waited for, seconds: longer than a cut or a
-freeze may last that it comes back from with counts that nobody else has."""
-
 STALE_S = 0.7
 """A relay that was not heard for this long may have counted what is not known here,
 seconds: three of the longest intervals between its datagrams. It is heard again or
 taken for silent soon."""
 
 
-@dataclass
-class Presence:
-    """When one other gateway was heard.
-
-    Attributes:
-        since: Since when it has been heard without a gap, steady seconds.
-        heard_at: When it was last heard, steady seconds.
-    """
-
-    since: float
-    heard_at: float
-
-
 class DutyTurns:
     """The order of the gateways that may act: relays, as they hear of all others."""
 
     def __init__(self, peers: Peers):
         self._peers = peers
-        self._presences: dict[str, Presence] = {}
-        self._looked_at: float | None = None
-        self._started_at: float | None = None
+        self._presences = Presences()
         # Since when this gateway has been a relay without a pause; None if it is none.
         self._relay_since: float | None = None
         # Since when it has heard most others without a gap; None if it does not.
@@ -61,7 +41,7 @@
             self._relay_since = None
         elif self._relay_since is None:
             self._relay_since = now
-        self._note_presences(now)
+        presence.note_heard(self._presences, list_heard(self._peers), now)
         if not self._hears_now():
             self._hears_since = None
         elif self._hears_since is None:
@@ -89,45 +69,16 @@
 
         A new life remembers nobody: it waits for all that the store names.
         """
-        named = set(self._presences)
-        if self._started_at is None or self._now - self._started_at < REMEMBERED_S:
-            named |= set(self._peers.members)
-        return all(self._has_told(name) for name in named)
-
-    def _has_told(self, name: str) -> bool:
-        known = self._presences.get(name)
-        if known is None or known.heard_at != self._now:
-            return False
-        return self._now - known.since >= SETTLE_S
-
-    def _note_presences(self, now: float) -> None:
-        """Take note of who is heard at this look, and forget who was not for long."""
-        if self._started_at is None:
-            self._started_at = now
-        for name in list_heard(self._peers):
-            known = self._presences.get(name)
-            if known is None or known.heard_at != self._looked_at:
-                self._presences[name] = Presence(now, now)
-            else:
-                known.heard_at = now
-        self._looked_at = now
-        self._presences = {
-            name: known
-            for name, known in self._presences.items()
-            if now - known.heard_at <= REMEMBERED_S
-        }
-
-    def _count_lately(self) -> int:
-        """Count the gateways that were heard within ``HEARD_S``."""
-        known = self._presences.values()
-        return sum(self._now - one.heard_at <= HEARD_S for one in known)
+        named = self._peers.members
+        return presence.hears_all(self._presences, named, self._now, SETTLE_S)
 
     def _hears_now(self) -> bool:
         """Whether most that were heard lately still are, and all relays just now."""
         views = self._peers.views.values()
         if any(v.is_relay and self._now - v.heard_at > STALE_S for v in views):
             return False
-        return len(list_heard(self._peers)) * 2 >= self._count_lately()
+        lately = presence.count_lately(self._presences, self._now, HEARD_S)
+        return len(list_heard(self._peers)) * 2 >= lately
 
     def is_first(self) -> bool:
         """Whether this gateway is the first in order, and hears most others."""
--- a/tests/fuzz/test_duties.py
+++ b/tests/fuzz/test_duties.py
@@ -3,6 +3,7 @@
 from fuzz.dutymutants import DUTY_MUTANTS
 from fuzz.dutyoracle import play_duties
 from fuzz.mutants import apply_mutant
+from robinspindle.core import reports
 
 
 def play_any(seed):
@@ -33,6 +34,12 @@
     assert play_duties(seed, kinds=("peers cut",), overlap=False) == ()
 
 
+def test_the_oracle_notices_a_window_that_waits_for_nobody(monkeypatch):
+    monkeypatch.setattr(reports, "INCOMPLETE_SHARE", 0.0)
+    kinds = ("peers cut",)
+    assert any(play_duties(seed, kinds=kinds, overlap=False) for seed in (9, 13, 16))
+
+
 @pytest.mark.parametrize("mutant", DUTY_MUTANTS, ids=lambda mutant: mutant.name)
 def test_the_oracle_notices(mutant):
     with apply_mutant(mutant):
--- a/tests/test_dutyturns.py
+++ b/tests/test_dutyturns.py
@@ -3,10 +3,11 @@
 import pytest
 
 from robinspindle.core import reports
+from robinspindle.core.presence import REMEMBERED_S
 from robinspindle.core.relays import Member
 from robinspindle.core.reports import Schedule
 from robinspindle.core.sharing import PeerView
-from robinspindle.dutyturns import REMEMBERED_S, SETTLE_S, DutyTurns
+from robinspindle.dutyturns import SETTLE_S, DutyTurns
 from robinspindle.peers import Peers, note_member
 
 SCHEDULE = Schedule(window_s=5.0, late_s=10.0)
