List who is heard once a look, and look for no duties where there are none

Read over: each look at whose turn it is listed and sorted all gateways twice, the count of busy slots once for each target of a plain service; a relay listed whose counts others tell for each receiver also where no usage is reported, with an argument that nobody read. A gateway whose settings name nobody to call looked four times a second for what can never be due. Behaviour stays: what was listed twice is the same list within a look, and without an address reports and orders returned at once before.

--- a/src/robinspindle/duties.py
+++ b/src/robinspindle/duties.py
@@ -106,7 +106,12 @@
         self._turns.note_pause()
 
     async def run(self) -> None:
-        """Do what is due, while it is this gateway's turn, until the process ends."""
+        """Do what is due, while it is this gateway's turn, until the process ends.
+
+        Where the settings at the start name nobody to call, nothing ever is.
+        """
+        if self._pool is None:
+            return
         while True:
             await asyncio.sleep(LOOK_S)
             self._turns.note_heard(self._clock())
--- a/src/robinspindle/dutyturns.py
+++ b/src/robinspindle/dutyturns.py
@@ -45,8 +45,9 @@
             self._relay_since = None
         elif self._relay_since is None:
             self._relay_since = now
-        presence.note_heard(self._presences, list_heard(self._peers), now)
-        if not self._hears_now():
+        heard = list_heard(self._peers)
+        presence.note_heard(self._presences, heard, now)
+        if not self._hears_now(len(heard)):
             self._hears_since = None
         elif self._hears_since is None:
             self._hears_since = now
@@ -76,13 +77,13 @@
         named = self._peers.members
         return presence.hears_all(self._presences, named, self._now, BACK_S)
 
-    def _hears_now(self) -> bool:
+    def _hears_now(self, heard: int) -> bool:
         """Whether most that were heard lately still are, and all relays just now."""
         views = self._peers.views.values()
         if any(v.is_relay and self._now - v.heard_at > STALE_S for v in views):
             return False
         lately = presence.count_lately(self._presences, self._now, HEARD_S)
-        return len(list_heard(self._peers)) * 2 >= lately
+        return heard * 2 >= lately
 
     def is_first(self) -> bool:
         """Whether this gateway is the first in order, and hears most others."""
--- a/src/robinspindle/peerfacts.py
+++ b/src/robinspindle/peerfacts.py
@@ -51,10 +51,10 @@
             agreed_ms=round(self.book.read_wall() * 1000),
             reported=sorted(self.reports.acknowledged)[-MOST_REPORTED:],
         )
-        if self._tells_counts(name):
+        if self.book.schedule is not None and self._tells_counts(name):
             started = view.started if view is not None else -math.inf
             facts.counts = self.book.list_untold(
-                name, started, self.peers.number, self._list_left_out(name)
+                name, started, self.peers.number, self._list_left_out()
             )
         return facts
 
@@ -103,8 +103,8 @@
         is_relay = view is not None and view.is_relay
         return is_relay or of.get(name) != of.get(self.peers.name)
 
-    def _list_left_out(self, name: str) -> set[str]:
-        """List the gateways whose counts others tell a peer.
+    def _list_left_out(self) -> set[str]:
+        """List the gateways whose counts others tell the peers that this one tells.
 
         Relays tell what their groups count, and what those counted that are gone.
         """
--- a/src/robinspindle/scaler.py
+++ b/src/robinspindle/scaler.py
@@ -97,10 +97,11 @@
         as much as this one.
         """
         busy = 0.0
+        gateways = 1 + len(list_heard(self._peers))
         for target in targets:
             engine = self._fleet.find_engine(target)
             if engine is None:
-                busy += target.in_flight * (1 + len(list_heard(self._peers)))
+                busy += target.in_flight * gateways
             else:
                 busy += target.in_flight + sum(engine.peers_in_flight.values())
         return busy
