Log long turns of the event loop, and sends whose caller had left

Which hypothesis about GONE holds can't be told from the logs: nothing says how long a turn of the event loop takes, when a request was last sent, when its caller's patience ends, or that its caller had closed the connection before a send.

Nothing is decided otherwise.

--- a/src/robinspindle/clocks.py
+++ b/src/robinspindle/clocks.py
@@ -9,7 +9,12 @@
 import time
 from collections.abc import Callable
 
-from robinspindle.core.pauses import ClockReadings, Pause, detect_pause
+from robinspindle.core.pauses import (
+    ClockReadings,
+    Pause,
+    detect_long_turn,
+    detect_pause,
+)
 
 
 def read_steady() -> float:
@@ -23,14 +28,16 @@
 
 
 class PauseWatch:
-    """Tells of pauses before anything else is done after them.
+    """Tells of pauses before anything else is done after them, and of long turns.
 
     Attributes:
         note: Told each pause, on the event loop.
+        note_long_turn: Told the seconds of each turn of the loop that was long.
     """
 
     def __init__(self, read: Callable[[], ClockReadings] = read_clocks):
         self.note: Callable[[Pause], None] = lambda pause: None
+        self.note_long_turn: Callable[[float], None] = lambda seconds: None
         self._read = read
         self._before: ClockReadings | None = None
 
@@ -40,6 +47,7 @@
         if self._before is not None:
             # What was suspended while the loop was at work counts too.
             self._tell(detect_pause(self._before, now, None))
+            self._tell_turn(detect_long_turn(self._before, now))
         self._before = now
 
     def end_wait(self, asked_s: float | None) -> None:
@@ -57,6 +65,10 @@
         if pause is not None:
             self.note(pause)
 
+    def _tell_turn(self, seconds: float | None) -> None:
+        if seconds is not None:
+            self.note_long_turn(seconds)
+
 
 class WatchedSelector(selectors.DefaultSelector):
     """A selector whose waits are watched."""
--- a/src/robinspindle/core/pauses.py
+++ b/src/robinspindle/core/pauses.py
@@ -18,6 +18,10 @@
 """Least delay of a wakeup that counts as a pause, seconds. Timers of busy small VMs
 fire up to 0.1 s late; targets count as silent after 0.6 s."""
 
+MIN_LONG_TURN_S = 0.1
+"""Least duration of a turn of the event loop that counts as long, seconds: the shortest
+latency objectives are little longer."""
+
 
 @dataclass
 class ClockReadings:
@@ -67,3 +71,17 @@
         return None
     late_s = running_s - max(0.0, timeout_s)
     return Pause(late_s, False) if late_s >= MIN_LATE_S else None
+
+
+def detect_long_turn(before: ClockReadings, after: ClockReadings) -> float | None:
+    """Detect a turn of the event loop during which others had to wait for long.
+
+    Args:
+        before: The clocks at its beginning.
+        after: The clocks at its end.
+
+    Returns:
+        Its duration without suspension, seconds; None if it was short.
+    """
+    turn_s = after.running - before.running
+    return turn_s if turn_s >= MIN_LONG_TURN_S else None
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -267,6 +267,16 @@
         self._store.drop_connections()
         self._store_news.note_pause()
 
+    def note_long_turn(self, seconds: float) -> None:
+        """Take note that what came during a turn of the event loop had to wait."""
+        self.metrics.latencies.record("long_turn", "event_loop", seconds)
+        log(
+            "event loop was busy",
+            at=round(self._clock(), 4),
+            seconds=round(seconds, 3),
+            in_flight=self._callers.count_busy(),
+        )
+
     async def run(self) -> None:
         """Serve until a signal to stop and the end of what is under way."""
         loop = asyncio.get_running_loop()
@@ -491,4 +501,5 @@
     output = start_bounded_logs(settings.name, tells_routine=not settings.is_quiet)
     gateway = Gateway(settings, adapter, output, reread)
     watch.note = gateway.note_pause
+    watch.note_long_turn = gateway.note_long_turn
     await gateway.run()
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -14,6 +14,7 @@
 import httptools
 
 from robinspindle.core.forwarding import Headers, Refusal
+from robinspindle.hangups import is_closed_by_peer
 from robinspindle.replies import Reply
 
 MOST_WAITING_BYTES = 65536
@@ -144,6 +145,13 @@
         """Whether it is to be closed after the answer under way."""
         return self.server.is_stopping
 
+    @property
+    def is_closed_by_caller(self) -> bool:
+        """Whether the caller has closed it, also if that was not handled yet."""
+        if self.is_lost or self._transport.is_closing():
+            return True
+        return is_closed_by_peer(self._transport.get_extra_info("socket").fileno())
+
     def set_flow(
         self, on_pause: Callable[[], None] | None, on_resume: Callable[[], None] | None
     ) -> None:
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -85,6 +85,7 @@
         plan: The latest plan, for logs.
         read_at: When its prompt had been read apart, steady seconds.
         is_counted: Whether it was counted as begun.
+        sent_at: When it was last sent to a target, steady seconds.
         first_at: When its answer began, steady seconds.
         longest_pause_s: The longest pause between two events of it, seconds.
     """
@@ -114,6 +115,7 @@
     plan: RequestPlan | None = None
     read_at: float | None = None
     is_counted: bool = False
+    sent_at: float | None = None
     first_at: float | None = None
     longest_pause_s: float = 0.0
 
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -103,6 +103,9 @@
             with expect(sending.target, self._expect_reading(passage, exchange)):
                 async with asyncio.timeout(passage.due - means.clock()):
                     data = means.dialect.encode_request(passage.request, send)
+                    passage.sent_at = means.clock()
+                    if passage.reply.has_caller_left:
+                        self._log.log_sent_in_vain(passage, sending.target)
                     connection.send(exchange, data)
                     head = await exchange.read_head()
                     health.note_heard(sending.target, means.clock())
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -307,7 +307,9 @@
         with expect(target, self._expect_answer(passage, exchange)) as expected:
             left_s = passage.due + forwarding.TIMEOUT_ANSWER_GRACE_S - means.clock()
             async with asyncio.timeout(left_s):
-                sent_at = means.clock()
+                sent_at = passage.sent_at = means.clock()
+                if passage.reply.has_caller_left:
+                    self._log.log_sent_in_vain(passage, target)
                 connection.send(exchange, data)
                 head = await exchange.read_head()
                 passage.first_at = means.clock()
--- a/src/robinspindle/replies.py
+++ b/src/robinspindle/replies.py
@@ -14,6 +14,10 @@
     def is_stopping(self) -> bool:
         """Whether it is to be closed after this answer."""
 
+    @property
+    def is_closed_by_caller(self) -> bool:
+        """Whether the caller has closed it, also if that was not handled yet."""
+
     def set_flow(
         self, on_pause: Callable[[], None] | None, on_resume: Callable[[], None] | None
     ) -> None:
@@ -44,6 +48,11 @@
         self.has_begun = False
         self.is_ended = False
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether nobody waits for the answer any more."""
+        return self._connection.is_closed_by_caller
+
     def set_flow(
         self, on_pause: Callable[[], None], on_resume: Callable[[], None]
     ) -> None:
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -51,6 +51,16 @@
     assert told[0].seconds == pytest.approx(7.0)
 
 
+@pytest.mark.parametrize(("at_end", "told"), [(1.09, []), (1.6, [0.6])])
+def test_a_long_turn_of_the_loop_is_told_before_its_next_wait(at_end, told):
+    looks = [ClockReadings(1.0, 1.0), ClockReadings(at_end, at_end)]
+    watch, seconds = PauseWatch(lambda: looks.pop(0)), []
+    watch.note_long_turn = seconds.append
+    watch.end_wait(0.1)
+    watch.begin_wait()
+    assert seconds == pytest.approx(told)
+
+
 def test_the_loop_keeps_to_the_steady_clock_and_tells_before_it_handles_events():
     """A jump of the clock between two waits stands for a suspension."""
     skipped, order = [0.0], []
