--- /dev/null
+++ b/tests/platform/test_disconnects.py
@@ -0,0 +1,81 @@
+"""Callers that leave while a gateway is behind with its work."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from tests.platform.deployment import deploy, run, until, write_request
+
+BUSY_S = 0.6
+"""How long the event loop is kept from looking at its sockets, seconds: longer than the
+half second that is allowed between a caller's close and the last send for it."""
+
+
+def connect(d):
+    """Connect a caller whose close takes effect at once."""
+    return socket.create_connection(("127.0.0.1", d.port))
+
+
+def be_busy():
+    """Keep the event loop from looking at its sockets."""
+    time.sleep(BUSY_S)
+
+
+def list_ids(replica):
+    return [arrival.headers["x-request-id"] for arrival in replica.arrivals]
+
+
+def test_a_prefilled_prompt_is_not_sent_on_if_its_caller_left_meanwhile(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            prefill_engine = await d.add("p1", "lm", "prefill")
+            decode_engine = await d.add("d1", "lm", "decode")
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            assert (await d.call("/digest/x", id="first", **prompt)).is_whole
+            caller = connect(d)
+
+            async def answer_as_the_caller_leaves(request, writer):
+                await prefill_engine._be_ok(request, writer)
+                caller.close()
+                be_busy()
+                return True
+
+            prefill_engine._be_left = answer_as_the_caller_leaves
+            prefill_engine.behaviours.append("left")
+            prompt["X-Prompt-Prefix"] = "dd:4000,ee:4000,ff:2000"
+            caller.sendall(write_request("POST", "/digest/x", "left", b"", prompt))
+            await until(lambda: prefill_engine.freed)
+            assert list_ids(prefill_engine) == ["first", "left"]
+            assert list_ids(decode_engine) == ["first"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("path", "service", "role"),
+    [
+        ("/safe/x", "push", ""),
+        ("/once/x", "push", ""),
+        ("/chat/x", "lm", "decode"),
+        ("/digest/x", "lm", "decode"),
+    ],
+)
+def test_a_request_is_not_sent_if_its_caller_left_before_it_was_read(
+    tmp_path, path, service, role
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            target = await d.add("t1", service, role)
+            headers = d.prompt() if role else {}
+            await until(lambda: target.lists or not role)
+            assert (await d.call(path, id="first", **headers)).is_whole
+            with connect(d) as caller:
+                caller.sendall(write_request("POST", path, "left", b"", headers))
+            be_busy()
+            assert (await d.call(path, id="last", **headers)).is_whole
+            await asyncio.sleep(0.1)
+            assert list_ids(target) == ["first", "last"]
+
+    run(scenario())
