Send nothing for a caller whose connection is closed, also when the loop is behind

What callers saw: nothing; engines worked for callers that had left.

Cause: a close is handled in the event loop's next turn but one, a send follows at once from what was read. A gateway that is behind (its processor's share spent, frozen and woken) reads an answer or a request together with its caller's close, and sends first. Nothing on the way to a send asked whether anybody waits.

Not asked: whether the wait of the caller is over though its connection stands.

--- a/src/robinspindle/exceptions.py
+++ b/src/robinspindle/exceptions.py
@@ -101,6 +101,10 @@
     """The retained records do not begin at 0 and hold no usable checkpoint."""
 
 
+class CallerLeftError(RobinspindleError):
+    """The caller of a request has closed its connection; nothing is sent for it."""
+
+
 class EngineError(RobinspindleError):
     """Root of errors about a model engine or a plain service."""
 
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -26,6 +26,7 @@
     make_stop,
     note_broken,
     note_turned_away,
+    send_if_awaited,
 )
 
 READING = " read"
@@ -103,10 +104,8 @@
             with expect(sending.target, self._expect_reading(passage, exchange)):
                 async with asyncio.timeout(passage.due - means.clock()):
                     data = means.dialect.encode_request(passage.request, send)
-                    passage.sent_at = means.clock()
-                    if passage.reply.has_caller_left:
-                        self._log.log_sent_in_vain(passage, sending.target)
-                    connection.send(exchange, data)
+                    now = means.clock()
+                    send_if_awaited(passage, connection, exchange, data, now)
                     head = await exchange.read_head()
                     health.note_heard(sending.target, means.clock())
                     body = await exchange.read_body()
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -27,6 +27,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.crashwatch import Run
 from robinspindle.ends import End
+from robinspindle.exceptions import CallerLeftError
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -48,6 +49,7 @@
     make_stop,
     note_broken,
     note_turned_away,
+    send_if_awaited,
 )
 
 CALLER_WAY_S = 0.008
@@ -121,6 +123,9 @@
         except asyncio.CancelledError:
             self._log.log_end(passage, None, "caller left")
             raise
+        except CallerLeftError:
+            self._log.log_end(passage, None, "caller left: found before a send")
+            reply.break_off()
         finally:
             self.chooser.note_end(passage, self._means.clock(), is_served)
 
@@ -307,10 +312,8 @@
         with expect(target, self._expect_answer(passage, exchange)) as expected:
             left_s = passage.due + forwarding.TIMEOUT_ANSWER_GRACE_S - means.clock()
             async with asyncio.timeout(left_s):
-                sent_at = passage.sent_at = means.clock()
-                if passage.reply.has_caller_left:
-                    self._log.log_sent_in_vain(passage, target)
-                connection.send(exchange, data)
+                sent_at = means.clock()
+                send_if_awaited(passage, connection, exchange, data, sent_at)
                 head = await exchange.read_head()
                 passage.first_at = means.clock()
                 if not head.not_run:
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -112,18 +112,6 @@
             outcome=outcome,
         )
 
-    def log_sent_in_vain(self, passage: Passage, target: Target) -> None:
-        """Log that a request is sent though nobody waits for its answer."""
-        now = self._means.clock()
-        self._means.log(
-            "sent after its caller left",
-            at=round(now, 4),
-            request=passage.request.id,
-            target=target.announced.lifetime,
-            held_ms=_find_ms_since(passage, now),
-            patience_ms=_find_ms_since(passage, passage.first_due),
-        )
-
     def log_turned_away(self, passage: Passage, refusal: Refusal) -> None:
         """Log and count that a request was turned away, as it crashes targets."""
         self._means.metrics.turned_away.inc()
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -10,6 +10,7 @@
 from robinspindle.core.priorities import LATE_LEVEL, REQUEST_PRIORITIES, find_rank_level
 from robinspindle.core.silence import ExpectedResponse
 from robinspindle.core.targets import Target
+from robinspindle.exceptions import CallerLeftError
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -102,6 +103,32 @@
     return passage.plan.level
 
 
+def send_if_awaited(
+    passage: Passage,
+    connection: ClientConnection,
+    exchange: Exchange,
+    data: bytes,
+    now: float,
+) -> None:
+    """Send a request to a target, unless nobody waits for its answer any more.
+
+    Args:
+        passage: The request.
+        connection: A connection to the target.
+        exchange: Takes the answer.
+        data: The request as written for the target.
+        now: The present time, steady seconds.
+
+    Raises:
+        CallerLeftError: If the caller has closed its connection, also where the event
+            loop was too busy to handle that yet; nothing is sent then.
+    """
+    if passage.reply.has_caller_left:
+        raise CallerLeftError("closed by the caller")
+    passage.sent_at = now
+    connection.send(exchange, data)
+
+
 def is_barred(means: Means, passage: Passage) -> bool:
     """Whether the key of a request was taken away while it waited; it is not sent."""
     return permits.is_revoked(means.fleet.table, passage.permit)
