Pace a relay's news by what its own link bears

What callers saw: answers late or lost at one gateway after another of a group, and engines that worked for callers which had left, up to a second after (GONE).

Cause: a relay's datagrams are bounded in number, 200 a second, whatever their size and its link. Where the two VMs of a zone with fast links are away, or not heard, one with 10 Mbit/s becomes the relay and tells 0.7 to 0.86 MB a second, of 1.25 its link bears. Requests wait behind that for up to a second; they reach engines after their callers have left.

Class: a rate of control messages that is limited in number and not in bytes, and not by what their sender's link bears.

Change: the settings' link rate is read; the interval between two tellings is stretched, up to that of gateways without news (0.2 s, on which the limits of silence rest), so that news take 0.15 of the link. What other relays tell meanwhile is merged into one digest each, in place of all of them one after the other; names of a group's members are not lost by that. Where the rate is not known nothing changes.

The test of datagrams that are too large keeps its assertions; it sets what is passed on by sender now.

--- a/src/robinspindle/core/aggregation.py
+++ b/src/robinspindle/core/aggregation.py
@@ -29,11 +29,12 @@
         return digest
     return msgspec.structs.replace(
         digest,
-        placements=last.placements + digest.placements,
+        placements=(last.placements + digest.placements)[-MAX_GROUP_PLACEMENTS:],
         role_changes=last.role_changes + digest.role_changes,
         prefill_statistics=digest.prefill_statistics or last.prefill_statistics,
         timed_out_targets=sorted({*last.timed_out_targets, *digest.timed_out_targets}),
         caches=last.caches + digest.caches,
+        members=last.members if digest.members is None else digest.members,
         requests=_merge_requests([last, digest]),
     )
 
--- a/src/robinspindle/core/relays.py
+++ b/src/robinspindle/core/relays.py
@@ -35,6 +35,9 @@
 again: a relay that sends but doesn't receive would otherwise be retried every
 second."""
 
+MAX_INTERVAL_S = 0.2
+"""Maximum interval between two digests, seconds; also the interval without news."""
+
 MIN_INTERVAL_S = 0.02
 """Minimum interval between two digests, seconds: about the time to prefill a prompt, so
 that the estimates of other gateways are at most one prompt behind."""
@@ -44,6 +47,10 @@
 of what each gateway sent when all sent to all. The resulting interval for 68 gateways
 in five zones is 0.1 s."""
 
+NEWS_LINK_SHARE = 0.15
+"""Share of a gateway's own link that digests may use: requests, responses and the store
+need the rest."""
+
 
 @dataclass(frozen=True)
 class Member:
@@ -164,6 +171,20 @@
     return max(MIN_INTERVAL_S, (largest - 1 + others) / RELAY_RATE)
 
 
+def stretch_interval(
+    interval_s: float, sent_bytes: int, link_bytes_per_s: float
+) -> float:
+    """Stretch the interval between two digests for a slow link, seconds.
+
+    Args:
+        interval_s: The interval on a fast link, seconds.
+        sent_bytes: Size of all datagrams that were sent at the last interval's end.
+        link_bytes_per_s: Rate of the gateway's own link.
+    """
+    paced_s = sent_bytes / (NEWS_LINK_SHARE * link_bytes_per_s)
+    return max(interval_s, min(paced_s, MAX_INTERVAL_S))
+
+
 def note_heard(choice: RelayChoice, name: str, now: float, has_heard_us: bool) -> None:
     """Note that a datagram came from a gateway that acts as a relay.
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -463,6 +463,7 @@
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Put in force what follows from what was promised, and the policy."""
         pledges = settings.pledges
+        self.peers.link_bytes_per_s = settings.link_bytes_per_s
         self.peers.teaches = settings.policy.tells_caches
         self.orderer.may_change = settings.policy.changes_roles
         self.directory.missing_grace_s = pledges.leave_s * LEAVE_SHARE
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -1,9 +1,12 @@
 """What a gateway is told at its start."""
 
+import math
 from dataclasses import dataclass
 
 from robinspindle.core.policy import Policy
 
+BITS_PER_BYTE = 8
+
 
 @dataclass(frozen=True)
 class HostPort:
@@ -72,6 +75,7 @@
         pledges: What was promised.
         metrics_port: Port for metrics, 0 for none.
         capacity: The processor's speed against one full core.
+        link_mbps: Rate of the VM's own network link, Mbit/s; 0 where it is not known.
         is_quiet: Whether lines about success are left out of the logs.
         policy: Which decisions about engines are in force.
         duties: The reports of usage; None where none are asked for.
@@ -88,6 +92,12 @@
     pledges: Pledges = Pledges()
     metrics_port: int = 0
     capacity: float = 1.0
+    link_mbps: float = 0.0
     is_quiet: bool = False
     policy: Policy = Policy()
     duties: DutySettings | None = None
+
+    @property
+    def link_bytes_per_s(self) -> float:
+        """Rate of the VM's own link, bytes per second; infinite where not known."""
+        return self.link_mbps * 1e6 / BITS_PER_BYTE if self.link_mbps else math.inf
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -29,7 +29,7 @@
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.logs import Log
 from robinspindle.peerfacts import PeerFacts
-from robinspindle.peers import LEARNT_INTERVAL_S, MOST_INTERVAL_S, Peers, note_sent
+from robinspindle.peers import LEARNT_INTERVAL_S, Peers, note_sent
 from robinspindle.teaching import KnownCaches, add_caches, plan_teaching, take_caches
 
 NEWCOMER_S = 3.0
@@ -120,7 +120,7 @@
         # What the group has told that was not passed on to others yet, by name.
         self._told: dict[str, Digest] = {}
         # What other relays have told that was not passed on to the group yet.
-        self._passing: list[Digest] = []
+        self._passing: dict[str, Digest] = {}
         # The last echo of each relay, to tell whether it hears us.
         self._echoes: dict[str, int] = {}
         self._strangers: set[str] = set()
@@ -243,7 +243,8 @@
         if not self._peers.is_relay:
             return
         if digest.is_relay:
-            self._passing.append(digest)
+            last = self._passing.get(digest.sender)
+            self._passing[digest.sender] = aggregation.merge_unsent(last, digest)
         else:
             last = self._told.get(digest.sender)
             self._told[digest.sender] = aggregation.merge_unsent(last, digest)
@@ -253,7 +254,7 @@
         """Wait until there is something to tell and it is time to."""
         peers = self._peers
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(MOST_INTERVAL_S, peers.interval_s)):
+            async with asyncio.timeout(max(relays.MAX_INTERVAL_S, peers.interval_s)):
                 await peers.changed.wait()
         left_s = peers.sent_at + peers.interval_s - self._clock()
         if left_s > 0:
@@ -314,8 +315,8 @@
 
     def _tell_group(self, own: Digest, now: float, tells_all: bool) -> None:
         """Tell the other relays of the group, and the group of all."""
-        peers, passing = self._peers, self._passing
-        self._passing = []
+        peers, passing = self._peers, list(self._passing.values())
+        self._passing = {}
         self._drop_silent_members()
         total = aggregation.aggregate(own, self._told.values(), tells_all)
         for name in self._list_relays(now):
@@ -369,6 +370,7 @@
             self._send(name, told[:half], echo)
             self._send(name, told[half:], echo)
             return
+        self._peers.sent_bytes += len(data)
         self._transport.sendto(data, (member.host, member.port))
 
     def remove_timed_out_peers(self, now: float) -> None:
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -1,6 +1,7 @@
 """What a gateway knows of the other gateways."""
 
 import asyncio
+import math
 import secrets
 from dataclasses import dataclass, field
 
@@ -8,9 +9,6 @@
 from robinspindle.core.peerdigests import PeerView
 from robinspindle.core.relays import Groups, Member, RelayChoice
 
-MOST_INTERVAL_S = 0.2
-"""Interval without news, seconds."""
-
 LEARNT_INTERVAL_S = 0.25
 """Least time between two tellings of what was learnt of paces, seconds: 200 bytes each,
 and a gateway that starts knows the engines' paces after half a second at the latest."""
@@ -38,6 +36,8 @@
             one that an earlier life sent is not taken for one of this life.
         sent_times: When the last digests were sent, by number, steady seconds.
         sent_at: When the last was sent, steady seconds.
+        sent_bytes: Size of all datagrams that were sent then.
+        link_bytes_per_s: Rate of this gateway's own link; infinite where not known.
         learnt_told_at: When paces were last told, steady seconds.
         teaches: Whether those that start are told what caches hold.
         untold_caches: Engines whose caches are still to be told to a newcomer, by its
@@ -57,6 +57,8 @@
     number: int = field(default_factory=lambda: secrets.randbits(NUMBER_BITS))
     sent_times: dict[int, float] = field(default_factory=dict)
     sent_at: float = 0.0
+    sent_bytes: int = 0
+    link_bytes_per_s: float = math.inf
     learnt_told_at: float = -LEARNT_INTERVAL_S
     teaches: bool = True
     untold_caches: dict[str, list[str]] = field(default_factory=dict)
@@ -81,7 +83,8 @@
     @property
     def interval_s(self) -> float:
         """The least time between two tellings, seconds."""
-        return relays.find_interval(self.groups)
+        least_s = relays.find_interval(self.groups)
+        return relays.stretch_interval(least_s, self.sent_bytes, self.link_bytes_per_s)
 
 
 def note_member(peers: Peers, member: Member) -> bool:
@@ -102,6 +105,7 @@
 def note_sent(peers: Peers, now: float) -> None:
     """Take note that the next digest is sent."""
     peers.sent_at = now
+    peers.sent_bytes = 0
     peers.number += 1
     peers.sent_times[peers.number] = now
     while len(peers.sent_times) > NUMBERS_KEPT:
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -90,6 +90,7 @@
         memory_mb=reader.read("Limits", "MemoryMb", float),
         pledges=_read_pledges(reader),
         capacity=_read_capacity(reader),
+        link_mbps=reader.read("Limits", "LinkMbps", float, 0.0),
         duties=_read_duties(reader),
     )
     if reader.findings:
--- a/tests/core/test_aggregation.py
+++ b/tests/core/test_aggregation.py
@@ -93,6 +93,11 @@
     assert merge_unsent(merged, restarted) is restarted
 
 
+def test_members_of_a_group_are_kept_until_they_are_forwarded():
+    first, second = make("r", members=["r", "a"]), make("r")
+    assert merge_unsent(first, second).members == ["r", "a"]
+
+
 def test_highest_end_of_each_topic_is_sent():
     total = aggregate(
         make("r", topic_ends={"x": 5}), [make("a", topic_ends={"x": 7, "y": 1})], False
--- a/tests/core/test_relays.py
+++ b/tests/core/test_relays.py
@@ -1,10 +1,12 @@
 import math
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from robinspindle.core.relays import (
     GROUP_MEMBERS,
+    MAX_INTERVAL_S,
     RELAY_ECHO_TIMEOUT_S,
     RELAY_RETRY_DELAY_S,
     RELAY_SILENCE_TIMEOUT_S,
@@ -16,6 +18,7 @@
     find_interval,
     make_groups,
     note_heard,
+    stretch_interval,
 )
 
 RANKED = ("g1", "g2", "g3")
@@ -68,6 +71,12 @@
     assert found[300] < 0.18
 
 
+def test_interval_is_stretched_for_a_slow_link_up_to_that_without_news():
+    assert stretch_interval(0.05, 10_000, math.inf) == 0.05
+    assert stretch_interval(0.05, 10_000, 1_000_000.0) == pytest.approx(1 / 15)
+    assert stretch_interval(0.05, 10_000, 10_000.0) == MAX_INTERVAL_S
+
+
 def test_member_is_decoded_as_encoded():
     member = Member("g1", "10.1.0.3", 7660, "zone-a", 2.15)
     assert decode_member("g1", encode_member(member)) == member
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from robinspindle.cli import main
@@ -16,6 +18,7 @@
 Ready = "10.1.0.35:8140"
 [Limits]
 MemoryMb = 300
+LinkMbps = 10.0
 [Bounds]
 DrainMs = 3000
 GraceS = 8
@@ -37,6 +40,9 @@
     assert (settings.pledges.leave_s, settings.pledges.stop_s) == (3.0, 8.0)
     assert settings.pledges.lease_s == 3.0
     assert settings.pledges.engines_check_fences
+    assert settings.link_bytes_per_s == 1_250_000.0
+    without = read_gateway_settings(write(tmp_path, GOOD.replace("LinkMbps", "Other")))
+    assert without.link_bytes_per_s == math.inf
 
 
 def test_every_finding_names_its_key(tmp_path):
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -13,7 +13,7 @@
     TargetLoad,
 )
 from robinspindle.core.prefillmodel import PrefillSample, estimate_seconds, note_sample
-from robinspindle.core.relays import RELAY_SILENCE_TIMEOUT_S, Member
+from robinspindle.core.relays import MAX_INTERVAL_S, RELAY_SILENCE_TIMEOUT_S, Member
 from robinspindle.core.targets import Announcement, Directory, note_announced
 from robinspindle.fleet import Fleet
 from robinspindle.peerlink import (
@@ -26,7 +26,6 @@
 )
 from robinspindle.peers import (
     LEARNT_INTERVAL_S,
-    MOST_INTERVAL_S,
     Peers,
     find_oldest_s,
     list_heard,
@@ -261,7 +260,7 @@
     told = [
         Digest(f"g{n}", 1.0, 99, [], placements, is_relay=True) for n in range(5, 12)
     ]
-    relay.link._passing = told
+    relay.link._passing = {digest.sender: digest for digest in told}
     relay.tell()
     to_member = [data for data in sent if len(data) > 1000]
     assert len(to_member) > 1
@@ -356,4 +355,4 @@
         await gateway.link.wait_due()
         return loop.time() - began
 
-    assert asyncio.run(play()) >= MOST_INTERVAL_S * 0.9
+    assert asyncio.run(play()) >= MAX_INTERVAL_S * 0.9
