Let requests wait in the gateway and not on its link

What callers saw: nothing; engines got requests up to a second after their callers had left (GONE), and prompts for which nobody waited filled the link further.

Cause: whatever a gateway handed to the operating system leaves the VM in order, however long that takes, and can't be taken back. A gateway did not know what its own link has to send.

Change: a gateway counts the bytes of requests, answers and datagrams against the rate of its link. With more than 0.1 s of them under way a request waits in the gateway, in order of arrival; it drops out when its caller leaves. The wait comes before anything is measured of a target. What the link can't send before the caller gives up is refused at once, as `link-full`, with a hint when to come again. A link of unknown rate holds nothing up.

--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -92,6 +92,12 @@
     caller: bytes = field(default=b"", repr=False)
     key: bytes | None = field(default=None, repr=False)
 
+    @property
+    def size(self) -> int:
+        """Size on the wire, bytes, without the headers that the gateway adds."""
+        heads = (len(name) + len(value) for name, value in self.headers)
+        return len(self.target) + sum(heads) + len(self.body)
+
     @property
     def path(self) -> str:
         """The path without the query."""
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -34,6 +34,7 @@
 from robinspindle.guardnews import list_news, take_news
 from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.introduction import Introduction
+from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.metrics import format_metrics
 from robinspindle.ordering import Orderer
@@ -73,6 +74,7 @@
         peers: The other gateways.
         lengths: What is known of how long answers last.
         guard: Knows which requests crash targets.
+        link: The VM's own link.
         relay: Forwards requests.
         orderer: Gives orders to engines.
     """
@@ -104,6 +106,7 @@
         )
         self.lengths = AnswerStats()
         self.freshness = Freshness()
+        self.link = LinkQueue(self._clock)
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -153,7 +156,9 @@
             lambda: self._store.era or 0,
         )
         self._store.note_era = self._note_era
-        self._callers = CallerServer(self._handle, limits, self._clock)
+        self._callers = CallerServer(
+            self._handle, limits, self._clock, self.link.note_sent
+        )
         self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
         self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
         self._apply_settings(settings)
@@ -176,6 +181,7 @@
                 lengths=self.lengths,
                 freshness=self.freshness,
                 book=self.book,
+                link=self.link,
                 policy=lambda: self.settings.policy,
                 zone=self.settings.zone,
                 clock=self._clock,
@@ -200,6 +206,7 @@
                 self.duties.reports,
                 self._clock,
             ),
+            self.link.note_sent,
         )
 
     def _make_orderer(self, adapter: Adapter) -> Orderer:
@@ -463,6 +470,7 @@
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Put in force what follows from what was promised, and the policy."""
         pledges = settings.pledges
+        self.link.uplink.bytes_per_s = settings.link_bytes_per_s
         self.peers.link_bytes_per_s = settings.link_bytes_per_s
         self.peers.teaches = settings.policy.tells_caches
         self.orderer.may_change = settings.policy.changes_roles
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -15,6 +15,7 @@
 
 from robinspindle.core.forwarding import Headers, Refusal
 from robinspindle.hangups import is_closed_by_peer
+from robinspindle.linkqueue import ignore_sent
 from robinspindle.replies import Reply
 
 MOST_WAITING_BYTES = 65536
@@ -82,8 +83,15 @@
         connections: All open connections.
     """
 
-    def __init__(self, handle: Handle, limits: Limits, clock: Callable[[], float]):
+    def __init__(
+        self,
+        handle: Handle,
+        limits: Limits,
+        clock: Callable[[], float],
+        note_sent: Callable[[int], None] = ignore_sent,
+    ):
         self.handle = handle
+        self.note_sent = note_sent
         self.limits = limits
         self.clock = clock
         self.is_stopping = False
@@ -162,6 +170,7 @@
         """Write, unless the caller has left."""
         if not self.is_lost and not self._transport.is_closing():
             self._transport.write(data)
+            self.server.note_sent(len(data))
 
     def close(self) -> None:
         """Close after what is written has gone out."""
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -18,6 +18,7 @@
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
+from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 from robinspindle.replies import Reply
@@ -138,6 +139,7 @@
         lengths: What is known of how long answers last.
         freshness: What is known of the age of the configuration.
         book: Counts what began to run.
+        link: The VM's own link.
         policy: Tells which decisions are in force.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
@@ -153,6 +155,7 @@
     lengths: AnswerStats
     freshness: Freshness
     book: UsageBook
+    link: LinkQueue
     policy: Callable[[], Policy]
     zone: str
     clock: Callable[[], float]
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -27,6 +27,7 @@
 from robinspindle.core.peervalidation import are_facts_valid, find_fault
 from robinspindle.core.targets import Target
 from robinspindle.gatewaysettings import HostPort
+from robinspindle.linkqueue import ignore_sent
 from robinspindle.logs import Log
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import LEARNT_INTERVAL_S, Peers, note_sent
@@ -107,7 +108,9 @@
         note_store: Callable[[Digest], None] = pass_over_store_news,
         note_requests: Callable[[RequestUpdates], None] = pass_over_requests,
         facts: PeerFacts | None = None,
+        note_sent: Callable[[int], None] = ignore_sent,
     ):
+        self._note_sent = note_sent
         self._facts = facts
         self._peers = peers
         self._fleet = fleet
@@ -371,6 +374,7 @@
             self._send(name, told[half:], echo)
             return
         self._peers.sent_bytes += len(data)
+        self._note_sent(len(data))
         self._transport.sendto(data, (member.host, member.port))
 
     def remove_timed_out_peers(self, now: float) -> None:
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -190,6 +190,10 @@
             if self.chooser.should_refuse(passage, plan, now):
                 self._give_up(passage, "busy")
                 return False
+            left_s = passage.first_due - now
+            if self._means.link.estimate_arrival(passage.request.size) > left_s:
+                self._give_up(passage, "link-full")
+                return False
             end = await self._carry_out(passage, plan)
             lifetime = plan.target.announced.lifetime
             self._means.metrics.count_try(passage.service, lifetime, end.value)
@@ -225,6 +229,9 @@
         return False
 
     async def _carry_out(self, passage: Passage, plan: RequestPlan) -> End:
+        link, size = self._means.link, passage.request.size
+        # Not later: what is measured of targets begins with the send.
+        await link.reserve(size)
         engine = self._means.fleet.find_engine(plan.target)
         if plan.prefill_target is None:
             if engine is not None and passage.request.prompt is not None:
@@ -235,6 +242,7 @@
             return End.NOT_RUN
         taken = False
         try:
+            await link.reserve(size)
             host = self.chooser.find_host(passage, plan)
             if host is None:
                 return End.NOT_RUN
--- a/tests/platform/test_disconnects.py
+++ b/tests/platform/test_disconnects.py
@@ -80,3 +80,42 @@
             assert sorted(list_ids(target)) == ["last", "r1", "r2"]
 
     run(scenario())
+
+
+def test_a_request_that_waits_for_the_link_is_dropped_when_its_caller_leaves(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            target = await d.add("t1")
+            set_link(d, bytes_per_s=50_000.0)
+            body = b"x" * 20_000
+            callers = [connect(d) for _ in range(4)]
+            for number, caller in enumerate(callers):
+                caller.sendall(write_request("POST", "/safe/x", f"r{number}", body, {}))
+            await until(lambda: len(target.arrivals) == 1)
+            # The second and the third have left before the first is on its way.
+            callers[1].close()
+            callers[2].close()
+            await until(lambda: len(target.arrivals) == 2)
+            assert list_ids(target) == ["r0", "r3"]
+
+    run(scenario())
+
+
+def test_a_request_that_the_link_can_not_send_in_time_is_refused_at_once(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            target = await d.add("t1")
+            set_link(d, bytes_per_s=5_000.0)
+            reply = await d.call(
+                "/once/x", body=b"x" * 20_000, **{"X-Deadline-Ms": "900"}
+            )
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+            assert not target.arrivals
+
+    run(scenario())
+
+
+def set_link(d, bytes_per_s):
+    """Tell the gateway that its link is slow."""
+    d.gateway.link.uplink.bytes_per_s = bytes_per_s
