--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -152,6 +152,8 @@
         sealed: Whether it is a complete response in the target's name.
         idle_s: How long the target keeps an idle connection, seconds; None if not
             given.
+        limit_per_s: Requests per second that the target takes from all gateways
+            together; None if it names no limit.
     """
 
     status: int
@@ -162,6 +164,7 @@
     answered_by: str
     sealed: bool
     idle_s: float | None
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from robinspindle.core.lifetimes import find_id, is_later
+from robinspindle.core.ratelimits import RateLimit
 from robinspindle.core.silence import Liveness
 
 REAPPEARANCE_S = 2.0
@@ -66,6 +67,7 @@
         cold_until: End of its warm-up, monotonic seconds.
         liveness: What was received from it, and the responses expected from it.
         refusals: Consecutive requests that it rejected as full.
+        limit: The limit on its request rate that it named; None if it named none.
     """
 
     announced: Announcement
@@ -82,6 +84,7 @@
     cold_until: float = 0.0
     liveness: Liveness = field(default_factory=Liveness)
     refusals: int = 0
+    limit: RateLimit | None = None
 
 
 @dataclass
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -1,5 +1,6 @@
 """Translates between HTTP heads on the wire and robinspindle's own types."""
 
+import math
 from dataclasses import replace
 
 import msgspec
@@ -165,6 +166,7 @@
         # with a content encoding is not as the target signed it.
         sealed=b"x-response-seal" in values and b"content-encoding" not in values,
         idle_s=_parse_idle_s(values.get(b"keep-alive")),
+        limit_per_s=_parse_rate(values.get(b"server-limit")),
     )
 
 
@@ -249,6 +251,15 @@
         return None
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return a rate, requests per second; None if it is missing or invalid."""
+    try:
+        rate = math.nan if value is None else float(value)
+    except ValueError:
+        return None
+    return rate if rate >= 0.0 and math.isfinite(rate) else None
+
+
 def _parse_idle_s(value: bytes | None) -> float | None:
     """Return the ``timeout`` of a ``Keep-Alive`` header, seconds; None without one."""
     for parameter in (value or b"").split(b","):
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -25,6 +25,7 @@
     make_send,
     make_stop,
     note_broken,
+    note_named_limit,
     note_turned_away,
     send_if_awaited,
 )
@@ -108,6 +109,7 @@
                     send_if_awaited(passage, connection, exchange, data, now)
                     head = await exchange.read_head()
                     health.note_heard(sending.target, means.clock())
+                    note_named_limit(means, sending.target, head, now)
                     body = await exchange.read_body()
                     means.guard.note_length(run)
                     return head, body
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -110,3 +110,12 @@
     headers = ((b"Keep-Alive", b"max=5, timeout=7"),)
     assert dialect.decode_answer(200, b"", headers).idle_s == 7.0
     assert dialect.decode_answer(200, b"", ()).idle_s is None
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [(b"11.6", 11.6), (b"0", 0.0), (b"-1", None), (b"nan", None), (b"x", None)],
+)
+def test_rate_limit_of_a_target_is_decoded(value, rate):
+    headers = ((b"Server-Limit", value), (b"X-Response-Seal", b"s"))
+    assert dialect.decode_answer(200, b"OK", headers).limit_per_s == rate
