Reproduce that a limit which a target names is not kept

A target that takes one request an hour gets all that come, plain and stream, whatever its answers name.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -27,6 +27,7 @@
             none.
         has_crashed: Whether one did.
         list_pieces: Pieces in which that list comes, one after a pause.
+        limit_per_s: The limit on its request rate that its answers name; None for none.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.held: dict[str, int] = {}
         self.lists = 0
         self.list_pieces = 1
+        self.limit_per_s: float | None = None
         self.born_ms: int | None = None
         self.crashes_on = crashes_on
         self.has_crashed = False
@@ -102,10 +104,13 @@
         return await getattr(self, "_be_" + behaviour)(request, writer)
 
     def _head(self, request: RawRequest) -> dict[str, str]:
-        return {
+        head = {
             "X-Request-Id": request.headers.get("x-request-id", ""),
             "X-Response-Seal": f"seal-{self.lifetime}",
         }
+        if self.limit_per_s is not None:
+            head["Server-Limit"] = str(self.limit_per_s)
+        return head
 
     async def _be_ok(self, request: RawRequest, writer) -> bool:
         if request.headers.get("x-stage") == "prefill":
