Work for a stream's caller no longer than it waits for the first event

What callers saw: nothing; engines read prompts and began answers for callers that had left, where the gateway did not hear of it: behind a cut, or with a close that came late.

Cause: callers of streams give up after a time without an event that the gateway knows and uses to refuse, but sends, waits and the time that engines are told went by the end of the whole attempt, up to a minute later.

Change: until an event has been passed on, sending, waiting and reading a prompt elsewhere end when the caller gives up; an engine that only reads is told that time. An answer that has begun has the whole time, as before.

Evidence: two tests in tests/platform/test_disconnects.py.

--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -120,6 +120,11 @@
     first_at: float | None = None
     longest_pause_s: float = 0.0
 
+    @property
+    def given_up_at(self) -> float:
+        """When its caller gives up, steady seconds; earlier until an event has come."""
+        return self.due if self.reply.has_begun else self.first_due
+
     @property
     def is_stream(self) -> bool:
         """Whether its answer is a stream."""
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -105,7 +105,7 @@
         ):
             run.stop = make_stop(exchange)
             with expect(sending.target, self._expect_reading(passage, exchange)):
-                async with asyncio.timeout(passage.due - means.clock()):
+                async with asyncio.timeout(passage.given_up_at - means.clock()):
                     data = means.dialect.encode_request(passage.request, send)
                     now = means.clock()
                     send_if_awaited(passage, connection, exchange, data, now)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -179,7 +179,7 @@
         """Serve a request; returns whether its caller got the whole answer."""
         while True:
             now = self._means.clock()
-            if passage.due - now <= forwarding.MIN_ATTEMPT_S:
+            if passage.given_up_at - now <= forwarding.MIN_ATTEMPT_S:
                 self._give_up(passage, passage.last_reason or "too-late")
                 return False
             plan = self.chooser.choose(passage, now)
@@ -205,7 +205,7 @@
                 return False
 
     def _may_go_on(self, passage: Passage, end: End) -> bool:
-        left_s = passage.due - self._means.clock()
+        left_s = passage.given_up_at - self._means.clock()
         route = passage.route
         if self._means.guard.find_refusal(passage.named) is not None:
             passage.last_reason = guard.REASON
@@ -322,11 +322,12 @@
         data = means.dialect.encode_request(passage.request, send)
         passage.offers += 1
         with expect(target, self._expect_answer(passage, exchange)) as expected:
-            left_s = passage.due + forwarding.TIMEOUT_ANSWER_GRACE_S - means.clock()
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(self._find_wait_s(passage)) as limit:
                 sent_at = means.clock()
                 send_if_awaited(passage, connection, exchange, data, sent_at)
                 head = await exchange.read_head()
+                left_s = self._find_wait_s(passage, has_begun=True)
+                limit.reschedule(asyncio.get_running_loop().time() + left_s)
                 passage.first_at = means.clock()
                 if not head.not_run:
                     self._count_begun(passage, sent_at)
@@ -343,6 +344,11 @@
             means.guard.note_success(run)
         return end
 
+    def _find_wait_s(self, passage: Passage, has_begun: bool = False) -> float:
+        """Find how long a target's answer is waited for, or the rest of it, seconds."""
+        due = passage.due if has_begun else passage.given_up_at
+        return due + forwarding.TIMEOUT_ANSWER_GRACE_S - self._means.clock()
+
     def _note_begun(self, passage: Passage, sending: Sending) -> None:
         if sending.source is not None and passage.read_at is not None:
             now, seconds = passage.first_at, passage.first_at - passage.read_at
@@ -423,7 +429,7 @@
 
     def _give_up(self, passage: Passage, reason: str) -> None:
         reply = passage.reply
-        left_s = passage.due - self._means.clock()
+        left_s = passage.given_up_at - self._means.clock()
         if reply.has_begun:
             reply.break_off()
             self._log.log_end(passage, None, f"broken off: {reason}")
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -84,9 +84,10 @@
     if prompt is not None:
         urgency = REQUEST_PRIORITIES[_find_level(passage, sending)]
     events = passage.splitter.events
+    due = passage.given_up_at if prefill_only else passage.due
     return Send(
         lifetime=sending.target.announced.lifetime,
-        left_s=passage.due - now,
+        left_s=due - now,
         priority=urgency,
         prefill_only=prefill_only,
         source=sending.source,
--- a/tests/platform/test_disconnects.py
+++ b/tests/platform/test_disconnects.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.platform.deployment import deploy, run, until, write_request
+from tests.platform.deployment import deploy, make_route, run, until, write_request
 
 BUSY_S = 0.6
 """How long the event loop is kept from looking at its sockets, seconds: longer than the
@@ -18,6 +18,13 @@
     return socket.create_connection(("127.0.0.1", d.port))
 
 
+def make_brief_route(name):
+    """Make a route whose callers give up after 2 s without an event."""
+    return make_route(
+        name, "stream", "lm", TargetLatencyMs=100, TargetGapMs=100, TimeoutMs=60_000
+    )
+
+
 def be_busy():
     """Keep the event loop from looking at its sockets."""
     time.sleep(BUSY_S)
@@ -82,6 +89,36 @@
     run(scenario())
 
 
+def test_an_engine_works_no_longer_than_a_caller_waits_for_its_first_event(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=[make_brief_route("chat")])
+            engine = await d.add("d1", "lm", "decode")
+            engine.behaviours.append("held")
+            reply = await d.call("/chat/x", id="r1", **d.prompt())
+            assert reply.status == 504
+            await until(lambda: engine.closed == ["r1"])
+
+    run(scenario())
+
+
+def test_a_prompt_is_prefilled_no_longer_than_its_caller_waits(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=[make_brief_route("digest")])
+            prefill_engine = await d.add("p1", "lm", "prefill")
+            decode_engine = await d.add("d1", "lm", "decode")
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            assert (await d.call("/digest/x", **prompt)).is_whole
+            deadlines_ms = [
+                int(engine.arrivals[0].headers["x-deadline-ms"])
+                for engine in (prefill_engine, decode_engine)
+            ]
+            assert deadlines_ms[0] <= 2_000 < deadlines_ms[1]
+
+    run(scenario())
+
+
 def test_a_request_that_waits_for_the_link_is_dropped_when_its_caller_leaves(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
