Move the answers to requests that are given up into a module of their own

relay.py had grown to 472 lines with two jobs: where a request goes, and what its caller is told when no target gets it. The second is finalanswers.py now; nothing else changes.

--- /dev/null
+++ b/src/robinspindle/finalanswers.py
@@ -0,0 +1,80 @@
+"""The answers to requests that no target has answered."""
+
+import random
+
+from robinspindle.core import forwarding
+from robinspindle.core.forwarding import Request
+from robinspindle.passages import Means, Passage
+from robinspindle.passing import pass_whole
+from robinspindle.relaylogs import RelayLog
+from robinspindle.replies import Reply
+from robinspindle.sending import is_barred
+
+RETRY_BASE_S = 0.2
+RETRY_SPREAD_S = 0.4
+"""A refused caller is told to come back after the first and up to the second more,
+seconds: queues of prompts last some tenths of a second, and callers that come back
+together would meet again."""
+
+CLAIMS = frozenset((408, 421, 429, 503))
+"""Statuses by which a caller may take it that its request did not run."""
+
+
+class FinalAnswers:
+    """Ends requests that are given up, and says when to come again."""
+
+    def __init__(self, means: Means, log: RelayLog, rng: random.Random):
+        self._means = means
+        self._log = log
+        self._rng = rng
+
+    def give_up(self, passage: Passage, reason: str) -> None:
+        """End a request that no further target gets.
+
+        Args:
+            passage: The request.
+            reason: Why, in one word, for logs and metrics.
+        """
+        reply = passage.reply
+        left_s = passage.given_up_at - self._means.clock()
+        if reply.has_begun:
+            reply.break_off()
+            self._log.log_end(passage, None, f"broken off: {reason}")
+            return
+        if passage.fault is not None and self._may_pass_fault(passage):
+            head, body = passage.fault
+            pass_whole(reply, head, body)
+            self._log.log_end(passage, None, f"passed on: {reason}")
+            return
+        if passage.runs:
+            refusal = forwarding.refuse_unknown_outcome(left_s)
+        elif is_barred(self._means, passage):
+            refusal, reason = forwarding.UNKNOWN_KEY, forwarding.UNKNOWN_KEY.reason
+        else:
+            retry_s = self._find_retry_s(passage)
+            refusal = forwarding.refuse_not_run(reason, retry_s, left_s)
+        reply.refuse(refusal)
+        self._log.log_end(passage, None, f"refused {refusal.status}: {reason}")
+
+    def _find_retry_s(self, passage: Passage) -> float:
+        """Find when there should be room for a caller that is refused, seconds."""
+        spread_s = RETRY_BASE_S + RETRY_SPREAD_S * self._rng.random()
+        if passage.plan is None:
+            now = self._means.clock()
+            turn_s = self._means.fleet.find_next_turn_s(passage.service, now)
+            return spread_s + turn_s
+        left_s = passage.first_due - self._means.clock()
+        late_s = max(0.0, passage.plan.first_event_s - left_s)
+        return spread_s + max(late_s, passage.plan.slot_wait_s)
+
+    def _may_pass_fault(self, passage: Passage) -> bool:
+        # A 503 whose target does not say that it did not run would be a promise.
+        head, _ = passage.fault
+        return head.status not in CLAIMS or passage.route.may_rerun
+
+    def refuse(
+        self, request: Request, reply: Reply, refusal: forwarding.Refusal
+    ) -> None:
+        """Refuse a request for which no route or permit was found."""
+        reply.refuse(refusal)
+        self._log.log_refused(request, refusal.reason)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -28,6 +28,7 @@
 from robinspindle.crashwatch import Run
 from robinspindle.ends import End
 from robinspindle.exceptions import CallerLeftError
+from robinspindle.finalanswers import FinalAnswers
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -56,12 +57,6 @@
 CALLER_WAY_S = 0.008
 """Part of an aim that the way to the caller and back takes, seconds."""
 
-RETRY_BASE_S = 0.2
-RETRY_SPREAD_S = 0.4
-"""A refused caller is told to come back after the first and up to the second more,
-seconds: queues of prompts last some tenths of a second, and callers that come back
-together would meet again."""
-
 BAD_REQUEST = 400
 """No other target would run a request that one calls bad."""
 
@@ -74,9 +69,6 @@
 UPSTREAM_FAULTS = frozenset((500, 502, 503, 504))
 """Statuses that count as a fault of the target."""
 
-CLAIMS = frozenset((408, 421, 429, 503))
-"""Statuses by which a caller may take it that its request did not run."""
-
 
 class Relay:
     """Forwards requests to targets.
@@ -87,10 +79,11 @@
 
     def __init__(self, means: Means):
         self._means = means
+        self._rng = random.Random()
         self._log = RelayLog(means)
         self._readings = Readings(means)
         self._apart = ReadingApart(means, self._readings, self._log)
-        self._rng = random.Random()
+        self._final = FinalAnswers(means, self._log, self._rng)
         self.chooser = Chooser(means, self._rng)
         self._patience = RetryDetector()
 
@@ -107,7 +100,7 @@
         request = self._means.dialect.add_body(request, incoming.body)
         passage = self._admit(request, reply)
         if isinstance(passage, forwarding.Refusal):
-            self._refuse(request, reply, passage)
+            self._final.refuse(request, reply, passage)
             return
         refusal = self._means.guard.find_refusal(passage.named)
         if refusal is not None:
@@ -180,20 +173,20 @@
         while True:
             now = self._means.clock()
             if passage.given_up_at - now <= forwarding.MIN_ATTEMPT_S:
-                self._give_up(passage, passage.last_reason or "too-late")
+                self._final.give_up(passage, passage.last_reason or "too-late")
                 return False
             plan = self.chooser.choose(passage, now)
             if plan is None:
-                self._give_up(passage, passage.last_reason or "no-target")
+                self._final.give_up(passage, passage.last_reason or "no-target")
                 return False
             passage.plan = plan
             self._log.log_plan(passage, plan)
             if self.chooser.should_refuse(passage, plan, now):
-                self._give_up(passage, "busy")
+                self._final.give_up(passage, "busy")
                 return False
             left_s = passage.first_due - now
             if self._means.link.estimate_arrival(passage.request.size) > left_s:
-                self._give_up(passage, "link-full")
+                self._final.give_up(passage, "link-full")
                 return False
             end = await self._carry_out(passage, plan)
             lifetime = plan.target.announced.lifetime
@@ -201,7 +194,7 @@
             if end is End.DELIVERED:
                 return True
             if not self._may_go_on(passage, end):
-                self._give_up(passage, passage.last_reason)
+                self._final.give_up(passage, passage.last_reason)
                 return False
 
     def _may_go_on(self, passage: Passage, end: End) -> bool:
@@ -426,47 +419,3 @@
             return End.NOT_RUN
         passage.runs += 1
         return End.UNSURE
-
-    def _give_up(self, passage: Passage, reason: str) -> None:
-        reply = passage.reply
-        left_s = passage.given_up_at - self._means.clock()
-        if reply.has_begun:
-            reply.break_off()
-            self._log.log_end(passage, None, f"broken off: {reason}")
-            return
-        if passage.fault is not None and self._may_pass_fault(passage):
-            head, body = passage.fault
-            pass_whole(reply, head, body)
-            self._log.log_end(passage, None, f"passed on: {reason}")
-            return
-        if passage.runs:
-            refusal = forwarding.refuse_unknown_outcome(left_s)
-        elif is_barred(self._means, passage):
-            refusal, reason = forwarding.UNKNOWN_KEY, forwarding.UNKNOWN_KEY.reason
-        else:
-            retry_s = self._find_retry_s(passage)
-            refusal = forwarding.refuse_not_run(reason, retry_s, left_s)
-        reply.refuse(refusal)
-        self._log.log_end(passage, None, f"refused {refusal.status}: {reason}")
-
-    def _find_retry_s(self, passage: Passage) -> float:
-        """Find when there should be room for a caller that is refused, seconds."""
-        spread_s = RETRY_BASE_S + RETRY_SPREAD_S * self._rng.random()
-        if passage.plan is None:
-            now = self._means.clock()
-            turn_s = self._means.fleet.find_next_turn_s(passage.service, now)
-            return spread_s + turn_s
-        left_s = passage.first_due - self._means.clock()
-        late_s = max(0.0, passage.plan.first_event_s - left_s)
-        return spread_s + max(late_s, passage.plan.slot_wait_s)
-
-    def _may_pass_fault(self, passage: Passage) -> bool:
-        # A 503 whose target does not say that it did not run would be a promise.
-        head, _ = passage.fault
-        return head.status not in CLAIMS or passage.route.may_rerun
-
-    def _refuse(
-        self, request: Request, reply: Reply, refusal: forwarding.Refusal
-    ) -> None:
-        reply.refuse(refusal)
-        self._log.log_refused(request, refusal.reason)
