Resume a stream also after the wait for its first event is over

The check of the link compared with the time until a caller gives up on its first event, which is over for a stream that has begun; a resumable stream that broke later was broken off as `link-full` in place of being resumed, also on links of unknown rate.

A reader without a turn of its limit no longer counts as a reading either: it was none.

--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -54,9 +54,9 @@
         """Have a prompt read at the plan's reader; None when that failed."""
         reader = plan.prefill_target
         engine = self._means.fleet.find_engine(reader)
-        passage.reads += 1
         if not self._means.fleet.take_turn(reader, self._means.clock()):
             return None
+        passage.reads += 1
         work = self._readings.begin(passage, reader, engine, plan)
         reader.in_flight += 1
         try:
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -184,7 +184,7 @@
             if self.chooser.should_refuse(passage, plan, now):
                 self._final.give_up(passage, "busy")
                 return False
-            left_s = passage.first_due - now
+            left_s = passage.given_up_at - now
             if self._means.link.estimate_arrival(passage.request.size) > left_s:
                 self._final.give_up(passage, "link-full")
                 return False
--- a/tests/platform/test_disconnects.py
+++ b/tests/platform/test_disconnects.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from standins.rawhttp import reset
 from tests.platform.deployment import deploy, make_route, run, until, write_request
 
 BUSY_S = 0.6
@@ -102,6 +103,36 @@
     run(scenario())
 
 
+def test_a_stream_is_resumed_after_the_wait_for_its_first_event_is_over(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            route = make_brief_route("digest") | {"Resumable": True}
+            await d.configure(version=2, routes=[route])
+            engines = [await d.add(name, "lm", "decode") for name in ("d1", "d2")]
+
+            async def tear_late(request, writer):
+                engine = next(e for e in engines if request in e.arrivals)
+                engine._begin_stream(request, writer)
+                for number in range(1, 23):
+                    engine._write_event(request, writer, number)
+                    await asyncio.sleep(0.1)
+                reset(writer)
+                return False
+
+            for engine in engines:
+                engine.events = 30
+                engine._be_torn_late = tear_late
+                engine.behaviours.append("torn_late")
+            call = asyncio.create_task(d.call("/digest/x", **d.prompt("30")))
+            await until(lambda: any(engine.arrivals for engine in engines))
+            (other,) = (engine for engine in engines if not engine.arrivals)
+            other.behaviours.clear()
+            assert (await call).is_whole
+            assert other.arrivals[0].headers["last-event-id"] == "22"
+
+    run(scenario())
+
+
 def test_a_prompt_is_prefilled_no_longer_than_its_caller_waits(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
