See at entries and agents that a caller has left, and begin no work for it

What callers saw: nothing; targets worked for callers of entries that had left.

Cause: a thread of an entry waits for its events alone; it saw a closed connection only when it wrote, which calls, completions in one piece and streams before their first token do at their end. When it did see it, the run went on for 5 s, so that a stream could be resumed, also where the caller had got nothing that it could resume. At agents a run that may not be repeated began though nobody listened any more.

Change: a waiting thread looks at the connection each 0.2 s (poll, POLLRDHUP), but for requests with a key, whose callers may ask again. Only a stream of which something came goes on for 5 s. A run that waits begins without listeners only if it has a key.

--- a/src/robinspindle/callers.py
+++ b/src/robinspindle/callers.py
@@ -16,6 +16,7 @@
 from robinspindle.core.workspaces import digest_bearer_key
 from robinspindle.engines import HOP_HEADERS
 from robinspindle.entry import GONE, Entry
+from robinspindle.exceptions import CallerLeftError
 from robinspindle.exchanges import (
     Exchange,
     end_exchange,
@@ -124,7 +125,9 @@
         trace=request.headers.get("traceparent", ""),
     )
     resumption = _read_resumption(request)
-    exchange = open_exchange(entry, work, workspace, work_class, resumption)
+    exchange = open_exchange(
+        entry, work, workspace, work_class, resumption, request.has_caller_left
+    )
     head = completions.AnswerHead(shape, work.request, body.model, int(time.time()))
     if body.stream:
         first = wait_first(exchange)
@@ -159,7 +162,9 @@
         ),
         body=request.body,
     )
-    exchange = open_exchange(entry, work, workspace, work_class, None)
+    exchange = open_exchange(
+        entry, work, workspace, work_class, None, request.has_caller_left
+    )
     ended = wait_ended(exchange, [])
     end_exchange(exchange, "whole")
     headers = tuple((name, value) for name, value in ended.headers)
@@ -228,6 +233,9 @@
                 yield completions.write_event({"error": describe_error(event)})
                 return
             event = next_event(exchange)
+    except CallerLeftError:
+        # It ends below as any other stream that is not taken.
+        return
     finally:
         end_exchange(exchange, end)
 
--- a/src/robinspindle/core/dispatch.py
+++ b/src/robinspindle/core/dispatch.py
@@ -119,9 +119,16 @@
 
 
 def handle_disconnect(entry: Dispatcher, request: str) -> list[Effect]:
-    """Handle the disconnect of a caller, which has `DISCONNECT_GRACE_S` to resume."""
+    """Handle the disconnect of a caller.
+
+    It has `DISCONNECT_GRACE_S` to resume a stream of which it got something; work that
+    it can't resume ends at once.
+    """
     active = entry.active_requests.get(request)
-    return drop_request(entry, active, DISCONNECT_GRACE_S) if active else []
+    if active is None:
+        return []
+    grace_s = DISCONNECT_GRACE_S if active.buffer.texts else 0.0
+    return drop_request(entry, active, grace_s)
 
 
 def receive(
--- a/src/robinspindle/core/runs.py
+++ b/src/robinspindle/core/runs.py
@@ -330,8 +330,13 @@
 
 
 def must_complete(run: Run) -> bool:
-    """Whether a run continues without listeners, because it may not be repeated."""
-    return not run.work.repeatable and run.status != RESERVED
+    """Whether a run continues without listeners, because it may not be repeated.
+
+    One that waits for its turn continues only if its caller may ask for it by its key.
+    """
+    if run.work.repeatable or run.status == RESERVED:
+        return False
+    return run.status == RUNNING or bool(run.work.key)
 
 
 def had_no_effect(run: Run) -> bool:
--- a/src/robinspindle/exchanges.py
+++ b/src/robinspindle/exchanges.py
@@ -1,18 +1,25 @@
 """Exchanges: a caller's thread waits for the events of its own request."""
 
+import contextlib
 import queue
 import time
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from robinspindle.core.activerequests import LatencyObjective, StreamResumption
 from robinspindle.core.documents import ClassSection, WorkspaceSection
 from robinspindle.core.effects import Chunk, Ended, Event, Refusal, Started
 from robinspindle.entry import GONE, Entry
+from robinspindle.exceptions import CallerLeftError
 from robinspindle.messages import Work
 from robinspindle.web import HttpError
 
 EVENT_WAIT_S = 300.0
 
+CALLER_CHECK_S = 0.2
+"""Interval at which a waiting thread looks whether its caller has left, seconds: work
+for it has to end within half a second."""
+
 
 @dataclass
 class Exchange:
@@ -24,6 +31,7 @@
         workspace: Whose it is.
         work_class: What was promised.
         begun: When it came, monotonic seconds.
+        has_caller_left: Tells whether the caller has closed its connection.
         events: Events from the entry's loop.
         target: The target that runs it.
         run: Name of the run.
@@ -36,6 +44,7 @@
     workspace: WorkspaceSection
     work_class: ClassSection
     begun: float
+    has_caller_left: Callable[[], bool] = lambda: False
     events: queue.SimpleQueue = field(default_factory=queue.SimpleQueue)
     target: str = ""
     run: str = ""
@@ -49,6 +58,7 @@
     workspace: WorkspaceSection,
     work_class: ClassSection,
     resumption: StreamResumption | None,
+    has_caller_left: Callable[[], bool],
 ) -> Exchange:
     """Take a request in and hand it to the entry's loop.
 
@@ -59,19 +69,20 @@
     if retry_s > 0:
         text = f"workspace {workspace.name} is over its limits"
         raise HttpError(Refusal(429, "workspace_limit", text, "no", retry_s))
-    exchange = Exchange(entry, work, workspace, work_class, time.monotonic())
+    now = time.monotonic()
+    exchange = Exchange(entry, work, workspace, work_class, now, has_caller_left)
     promise = LatencyObjective(work_class.first_token_s, work_class.promised_s)
     exchange.events = entry.submit(work, promise, resumption)
     return exchange
 
 
 def next_event(exchange: Exchange) -> Event:
-    """Wait for the next event of a request."""
-    try:
-        event = exchange.events.get(timeout=EVENT_WAIT_S)
-    except queue.Empty:
-        text = "the entry gave no answer"
-        event = Refusal(504, "too_long", text, "unknown", 1.0)
+    """Wait for the next event of a request.
+
+    Raises:
+        CallerLeftError: If the caller has closed its connection meanwhile.
+    """
+    event = _wait_event(exchange)
     if isinstance(event, Started):
         exchange.target = event.target
         exchange.run = event.run
@@ -80,6 +91,17 @@
     return event
 
 
+def _wait_event(exchange: Exchange) -> Event:
+    waiting_until = time.monotonic() + EVENT_WAIT_S
+    while time.monotonic() < waiting_until:
+        with contextlib.suppress(queue.Empty):
+            return exchange.events.get(timeout=CALLER_CHECK_S)
+        # Who sent a key may ask for the answer again.
+        if not exchange.work.key and exchange.has_caller_left():
+            raise CallerLeftError("closed by the caller")
+    return Refusal(504, "too_long", "the entry gave no answer", "unknown", 1.0)
+
+
 def _note_tokens(exchange: Exchange, count: int) -> None:
     now = time.monotonic()
     latencies = exchange.entry.metrics.latencies
@@ -99,10 +121,12 @@
 
     Raises:
         HttpError: If the request is refused.
+        CallerLeftError: If the caller has left; the request has ended.
     """
-    event = next_event(exchange)
-    while isinstance(event, Started):
+    with _ended_if_caller_leaves(exchange):
         event = next_event(exchange)
+        while isinstance(event, Started):
+            event = next_event(exchange)
     if isinstance(event, Refusal):
         end_exchange(exchange, event.code)
         raise HttpError(event)
@@ -114,18 +138,29 @@
 
     Raises:
         HttpError: If the request is given up.
+        CallerLeftError: If the caller has left; the request has ended.
     """
     event = wait_first(exchange)
     while not isinstance(event, Ended):
         if isinstance(event, Chunk):
             texts.extend(event.texts)
-        event = next_event(exchange)
+        with _ended_if_caller_leaves(exchange):
+            event = next_event(exchange)
         if isinstance(event, Refusal):
             end_exchange(exchange, event.code)
             raise HttpError(event)
     return event
 
 
+@contextlib.contextmanager
+def _ended_if_caller_leaves(exchange: Exchange) -> Iterator[None]:
+    try:
+        yield
+    except CallerLeftError:
+        end_exchange(exchange, GONE)
+        raise
+
+
 def end_exchange(exchange: Exchange, end: str) -> None:
     """Count how the promise was kept, and by whom it was spent if not."""
     seconds = time.monotonic() - exchange.begun
--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -7,15 +7,17 @@
 
 import msgspec
 from cheroot.ssl.builtin import BuiltinSSLAdapter
-from cheroot.wsgi import Server
+from cheroot.wsgi import Gateway_10, Server
 
 from robinspindle.core.effects import Refusal
-from robinspindle.exceptions import RobinspindleError
+from robinspindle.exceptions import CallerLeftError, RobinspindleError
+from robinspindle.hangups import is_closed_by_peer
 
 JSON = "application/json"
 RECEIVE_TIMEOUT_S = 10
 SHUTDOWN_TIMEOUT_S = 1
 QUEUE_SIZE = 512
+CALLER_LEFT = "robinspindle.has_caller_left"
 
 
 @dataclass(frozen=True)
@@ -28,6 +30,7 @@
         query: Its query, as sent.
         headers: Its headers, names in lower case.
         body: Its whole body.
+        has_caller_left: Tells whether the caller has closed its connection since.
     """
 
     method: str
@@ -35,6 +38,7 @@
     query: str
     headers: dict[str, str]
     body: bytes
+    has_caller_left: Callable[[], bool] = lambda: False
 
     @property
     def bearer(self) -> str:
@@ -108,6 +112,16 @@
     }
 
 
+class _CallerGateway(Gateway_10):
+    """Gives the application the means to see that the caller has left."""
+
+    def get_environ(self) -> dict:
+        """Make the environment of a request."""
+        descriptor = self.req.conn.socket.fileno()
+        left = {CALLER_LEFT: lambda: is_closed_by_peer(descriptor)}
+        return super().get_environ() | left
+
+
 def make_wsgi(handle: Handler, body_limit: int) -> Callable:
     """Make a WSGI application of a handler.
 
@@ -121,6 +135,9 @@
             answer = handle(_read_request(environ, body_limit))
         except HttpError as error:
             answer = answer_error(error.refusal, error.param)
+        except CallerLeftError:
+            # Nobody reads it.
+            answer = Answer(HTTPStatus.SERVICE_UNAVAILABLE, [])
         start_response(_write_status(answer.status), list(answer.headers))
         return answer.body
 
@@ -146,6 +163,7 @@
         timeout=RECEIVE_TIMEOUT_S,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
+    server.gateway = _CallerGateway
     server.max_request_header_size = 64 * 1024
     if certificate:
         adapter = BuiltinSSLAdapter(certificate, key)
@@ -169,6 +187,7 @@
         query=environ.get("QUERY_STRING", ""),
         headers=headers,
         body=_read_body(environ, body_limit),
+        has_caller_left=environ[CALLER_LEFT],
     )
 
 
--- a/tests/core/test_agentcontrol.py
+++ b/tests/core/test_agentcontrol.py
@@ -14,6 +14,8 @@
     Accepted,
     Attach,
     Attached,
+    Cancel,
+    Finished,
     Hello,
     Offer,
     Refused,
@@ -111,6 +113,29 @@
     assert launched == [["long1"], [], ["short"]]
 
 
+@pytest.mark.parametrize(("key", "is_launched"), [("", False), ("w/k", True)])
+def test_a_waiting_run_whose_caller_left_begins_only_if_it_has_a_key(
+    agent, key, is_launched
+):
+    slots = agent.section.slots
+    for number in range(slots):
+        agentcontrol.receive(agent, 1.0, "e", offer(f"r{number}"))
+    work = Work(request="left", kind="generate", pool=MODEL, key=key, repeatable=False)
+    agentcontrol.receive(
+        agent, 1.0, "e", Offer(work=work, attempt=1, left_s=9.0, first_left_s=9.0)
+    )
+    agentcontrol.receive(agent, 1.1, "e", Start(request="left", attempt=1, claim=7))
+    agentcontrol.receive(agent, 1.2, "e", Cancel(request="left", run="left", attempt=1))
+    whole = Finished(request="", attempt=0)
+    effects = [
+        effect
+        for number in range(slots)
+        for effect in agentcontrol.finish_run(agent, 1.3, (f"r{number}", 1), whole)
+    ]
+    launched = [e.request for e in effects if isinstance(e, Launch)]
+    assert ("left" in launched) == is_launched
+
+
 def test_a_planned_stop_returns_the_queued_runs_as_not_run(agent):
     for number in range(9):
         agentcontrol.receive(agent, 1.0, "e", offer(f"r{number}"))
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -127,3 +127,18 @@
     advance(entry, 0.0, 0.5)
     effects = dispatch.tick(entry, 0.5 + failover.MAX_REQUEST_S)
     assert any(isinstance(e, Deliver) and isinstance(e.event, Refusal) for e in effects)
+
+
+@pytest.mark.parametrize(("texts", "grace_s"), [((), 0.0), (("a",), 5.0)])
+def test_only_a_stream_that_can_be_resumed_goes_on_without_its_caller(
+    entry, texts, grace_s
+):
+    target = submit(entry, 0.0)[0].peer
+    report = Report(target=target, incarnation="i")
+    accepted = Accepted(request="r", attempt=1, report=report)
+    dispatch.receive(entry, 0.1, target, accepted)
+    if texts:
+        tokens = Tokens(request="r", attempt=1, first=0, texts=texts)
+        dispatch.receive(entry, 0.2, target, tokens)
+    (effect,) = dispatch.handle_disconnect(entry, "r")
+    assert effect.message.grace_s == grace_s
--- a/tests/test_hangups.py
+++ b/tests/test_hangups.py
@@ -17,8 +17,12 @@
         assert is_closed_by_peer(ours.fileno())
 
 
+def connect_to(address):
+    return socket.create_connection(address)
+
+
 def _connect():
     with socket.create_server(("127.0.0.1", 0)) as server:
-        ours = socket.create_connection(server.getsockname())
+        ours = connect_to(server.getsockname())
         theirs, _ = server.accept()
     return ours, theirs
