Split the limits of targets and the gateway's own pages from grown modules

fleet.py kept the limits that targets name beside connections, engines and paces: they are targetlimits.py now. gateway.py answered its readiness and metrics itself: gatewaypages.py. What gauges are read from had the name of a sample of the prefill model: GaugeSources.

--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,8 +1,6 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
-import math
-
-from robinspindle.core import health, prefillmodel, ratelimits, silence
+from robinspindle.core import health, prefillmodel, silence
 from robinspindle.core.engines import Engine, make_engine, note_earlier_cache
 from robinspindle.core.forwarding import Part
 from robinspindle.core.peerdigests import (
@@ -12,11 +10,11 @@
     TargetLoad,
 )
 from robinspindle.core.prefillmodel import PrefillModel
-from robinspindle.core.ratelimits import Sharing
 from robinspindle.core.routes import EngineSpec, RouteTable
 from robinspindle.core.targets import Directory, Target
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionPool, DecodeHead
+from robinspindle.targetlimits import TargetLimits
 
 READING = "prefill"
 """The role of engines that only read prompts."""
@@ -41,9 +39,6 @@
 """How long it is told when an engine was heard, seconds: as long as a silence that
 anyone may be about to notice."""
 
-MOST_SHARES = 4096
-"""Shares of limits that are remembered, as finding one takes a hash a gateway."""
-
 MOST_TOLD_PARTS = 1000
 """Parts of one cache that are told, the most recently used: 20 KB, so that a datagram
 stays far below 64 KB."""
@@ -56,7 +51,7 @@
         directory: The targets.
         table: The configuration in force, None before the first.
         gateways: How many gateways share the targets' connections.
-        sharing: Which gateways share the limits that targets name.
+        limits: Keeps sends within the limits that targets name.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
             has started after this gateway.
     """
@@ -65,8 +60,7 @@
         self.directory = directory
         self.table: RouteTable | None = None
         self.gateways = GATEWAYS
-        self.sharing = Sharing()
-        self._shares: dict[tuple[str, float, Sharing], float] = {}
+        self.limits = TargetLimits(directory)
         self.knows_new_caches = False
         self._decode_head = decode_head
         self._pools: dict[str, ConnectionPool] = {}
@@ -86,54 +80,13 @@
         return [
             target
             for target in found
-            if target.in_flight < most and self._find_turn_s(target, now) <= 0
+            if target.in_flight < most and self.limits.find_wait(target, now) <= 0
         ]
 
-    def take_turn(self, target: Target, now: float) -> bool:
-        """Take one request out of what a target's limit allows, if any is left."""
-        if self._find_turn_s(target, now) > 0:
-            return False
-        if target.limit is not None:
-            ratelimits.take(target.limit, self._find_share(target), now)
-        return True
-
     def find_next_turn_s(self, service: str, now: float) -> float:
         """Find when a target of a service may get a request by its limit, seconds."""
         found = health.list_usable(self.directory, service, now, set())
-        waits = [self._find_turn_s(target, now) for target in found]
-        return min((wait_s for wait_s in waits if math.isfinite(wait_s)), default=0.0)
-
-    def _find_turn_s(self, target: Target, now: float) -> float:
-        """Find how long a target may get nothing because of its limit, seconds."""
-        if target.limit is None:
-            return 0.0
-        return ratelimits.find_wait(target.limit, self._find_share(target), now)
-
-    def _find_share(self, target: Target) -> float:
-        """Find the requests per second that this gateway may send by a limit."""
-        lifetime, per_s = target.announced.lifetime, target.limit.per_s
-        key = (lifetime, per_s, self.sharing)
-        if key not in self._shares:
-            if len(self._shares) >= MOST_SHARES:
-                self._shares.clear()
-            self._shares[key] = ratelimits.find_share(per_s, lifetime, self.sharing)
-        return self._shares[key]
-
-    def list_limits(self, now: float) -> dict[str, float]:
-        """List the limits that targets have named lately in their answers here."""
-        limits = ((name, t.limit) for name, t in self.directory.targets.items())
-        return {
-            lifetime: limit.per_s
-            for lifetime, limit in limits
-            if limit is not None and ratelimits.is_news(limit, now)
-        }
-
-    def note_told_limits(self, limits: dict[str, float], now: float) -> None:
-        """Take note of limits that targets have named in answers to peers."""
-        for lifetime, per_s in limits.items():
-            target = self.directory.targets.get(lifetime)
-            if target is not None:
-                target.limit = ratelimits.note_told(target.limit, per_s, now)
+        return self.limits.find_shortest_wait(found, now)
 
     def find_engine(self, target: Target) -> Engine | None:
         """Find what is believed of a target's engine; None for a plain service."""
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -8,8 +8,6 @@
 import signal
 import time
 
-from prometheus_client import CONTENT_TYPE_LATEST
-
 from robinspindle.adapters import Adapter
 from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
@@ -29,15 +27,15 @@
 from robinspindle.fleet import Fleet
 from robinspindle.following import follow, note_new_era
 from robinspindle.gatewaymetrics import GatewayMetrics
+from robinspindle.gatewaypages import make_metrics_page, make_readiness_page
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
-from robinspindle.gauges import PrefillSample, update_gauges
+from robinspindle.gauges import GaugeSources
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
 from robinspindle.httpserver import CallerServer, Incoming, Limits
 from robinspindle.introduction import Introduction
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import make_log, start_bounded_logs
-from robinspindle.metrics import format_metrics
 from robinspindle.ordering import Orderer
 from robinspindle.passages import Means
 from robinspindle.peerfacts import PeerFacts
@@ -160,8 +158,14 @@
         self._callers = CallerServer(
             self._handle, limits, self._clock, self.link.note_sent
         )
-        self._readiness = CallerServer(self._answer_ready, Limits(), self._clock)
-        self._figures = CallerServer(self._answer_metrics, Limits(), self._clock)
+        self._readiness = CallerServer(
+            make_readiness_page(lambda: self.is_ready), Limits(), self._clock
+        )
+        self._figures = CallerServer(
+            make_metrics_page(self.metrics, self._list_measured, self._clock),
+            Limits(),
+            self._clock,
+        )
         self._apply_settings(settings)
         self._tasks: list[asyncio.Task] = []
         self._stop = Stop(self._callers, lambda: self.settings.pledges.stop_s, log)
@@ -388,7 +392,7 @@
                 self.directory.unavailable_since is not None,
                 list_news(self.guard, now),
                 self._store.era or 0,
-                self.fleet.list_limits(now),
+                self.fleet.limits.list_named(now),
             )
             self._link.tell(now, news)
             self.relay.placements.clear()
@@ -400,22 +404,8 @@
             return
         await self.relay.handle(incoming, reply)
 
-    async def _answer_ready(self, incoming: Incoming, reply: Reply) -> None:
-        ready = self.is_ready
-        status, reason = (200, b"OK") if ready else (503, b"Service Unavailable")
-        reply.begin(status, reason, (), 0)
-        reply.end()
-
-    async def _answer_metrics(self, incoming: Incoming, reply: Reply) -> None:
-        update_gauges(self.metrics, self._list_measured(), self._clock())
-        body = format_metrics(self.metrics.registry)
-        headers = ((b"Content-Type", CONTENT_TYPE_LATEST.encode()),)
-        reply.begin(200, b"OK", headers, len(body))
-        reply.write(body)
-        reply.end()
-
-    def _list_measured(self) -> PrefillSample:
-        return PrefillSample(
+    def _list_measured(self) -> GaugeSources:
+        return GaugeSources(
             fleet=self.fleet,
             peers=self.peers,
             store=self._store,
@@ -434,7 +424,7 @@
             self._output.flush()
             now = self._clock()
             self.fleet.gateways = len(self.peers.members) + 1
-            self.fleet.sharing = self._choose_sharing()
+            self.fleet.limits.sharing = self._choose_sharing()
             self._store_news.look_after_relaying()
             if must_renew(self.freshness, now):
                 self._store_news.look_after_configuration()
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -26,7 +26,7 @@
         version: Version of the configuration in force; 0 for none.
         version_age: Time since it was known to be the newest, seconds.
         targets: Targets that may get work.
-        limited: Targets that name a limit on their request rate.
+        limited: Targets that have lately named a limit on their request rate.
         peers: Gateways heard lately.
         store_calls: Calls to the store so far.
         store_received: Bytes of the store's answers that came whole.
@@ -59,7 +59,7 @@
         )
         self.targets = self._gauge("targets", "Targets that may get work")
         self.limited = self._gauge(
-            "targets_limited", "Targets that name a limit on their request rate"
+            "targets_limited", "Targets that have lately named a limit"
         )
         self.peers = self._gauge("peers", "Gateways heard lately")
         self.store_calls = self._gauge("store_calls", "Calls to the store so far")
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True)
-class PrefillSample:
+class GaugeSources:
     """The parts of a gateway that are read.
 
     Attributes:
@@ -44,7 +44,7 @@
     count_unreadable: Callable[[], int]
 
 
-def update_gauges(metrics: GatewayMetrics, parts: PrefillSample, now: float) -> None:
+def update_gauges(metrics: GatewayMetrics, parts: GaugeSources, now: float) -> None:
     """Set all gauges to what the parts of a gateway show.
 
     Args:
@@ -64,13 +64,13 @@
     metrics.busy.set(parts.count_busy())
 
 
-def _update_targets(metrics: GatewayMetrics, parts: PrefillSample, now: float) -> None:
+def _update_targets(metrics: GatewayMetrics, parts: GaugeSources, now: float) -> None:
     fleet, directory = parts.fleet, parts.fleet.directory
     usable = [t for t in directory.targets.values() if health.may_get_work(t, now)]
     metrics.version.set(fleet.table.version if fleet.table else 0)
     metrics.version_age.set(now - parts.freshness.newest_at)
     metrics.targets.set(len(usable))
-    metrics.limited.set(len(fleet.list_limits(now)))
+    metrics.limited.set(len(fleet.limits.list_named(now)))
     metrics.store_away.set(directory.unavailable_since is not None)
     metrics.list_age.set(now - directory.read_at)
     metrics.entries_unusable.set(parts.entries.total)
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -31,6 +31,7 @@
 from robinspindle.logs import Log
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import LEARNT_INTERVAL_S, Peers, note_sent
+from robinspindle.targetlimits import TargetLimits
 from robinspindle.teaching import KnownCaches, add_caches, plan_teaching, take_caches
 
 NEWCOMER_S = 3.0
@@ -67,6 +68,8 @@
 class PeersFleet(KnownCaches, Protocol):
     """Takes in what peers tell of targets."""
 
+    limits: TargetLimits
+
     def find_engine_of(self, lifetime: str) -> Engine | None:
         """Find the engine of a lifetime, if it is known."""
 
@@ -85,9 +88,6 @@
     def note_told_cache(self, cache: Cache) -> None:
         """Take note of what a peer believes a cache to hold."""
 
-    def note_told_limits(self, limits: dict[str, float], now: float) -> None:
-        """Take note of limits that targets have named in answers to peers."""
-
     def note_reported_silent(self, lifetimes: list[str], now: float) -> list[Target]:
         """Take note of targets that a peer found silent; return those believed."""
 
@@ -226,7 +226,7 @@
         if digest.prefill_statistics:
             fleet.note_learnt(author, digest.prefill_statistics)
         fleet.note_heard_by_peer(digest.loads, now)
-        fleet.note_told_limits(digest.rate_limits, now)
+        fleet.limits.note_told(digest.rate_limits, now)
         for cache in digest.caches:
             fleet.note_told_cache(cache)
         for target in fleet.note_reported_silent(digest.timed_out_targets, now):
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -54,7 +54,7 @@
         """Have a prompt read at the plan's reader; None when that failed."""
         reader = plan.prefill_target
         engine = self._means.fleet.find_engine(reader)
-        if not self._means.fleet.take_turn(reader, self._means.clock()):
+        if not self._means.fleet.limits.take_turn(reader, self._means.clock()):
             return None
         passage.reads += 1
         work = self._readings.begin(passage, reader, engine, plan)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -272,7 +272,7 @@
             # It became known while its prompt was read.
             return End.NOT_RUN
         passage.tried.add(target.announced.lifetime)
-        if not self._means.fleet.take_turn(target, self._means.clock()):
+        if not self._means.fleet.limits.take_turn(target, self._means.clock()):
             passage.last_reason = "limited"
             return End.NOT_RUN
         target.in_flight += 1
--- /dev/null
+++ b/src/robinspindle/targetlimits.py
@@ -0,0 +1,69 @@
+"""The limits that targets name, and the turns that this gateway has by them."""
+
+import math
+from collections.abc import Iterable
+
+from robinspindle.core import ratelimits
+from robinspindle.core.ratelimits import Sharing
+from robinspindle.core.targets import Directory, Target
+
+MOST_SHARES = 4096
+"""Shares of limits that are remembered, as finding one takes a hash a gateway."""
+
+
+class TargetLimits:
+    """Keeps this gateway's sends to targets within their limits.
+
+    Attributes:
+        sharing: Which gateways share the limits.
+    """
+
+    def __init__(self, directory: Directory):
+        self.sharing = Sharing()
+        self._directory = directory
+        self._shares: dict[tuple[str, float, Sharing], float] = {}
+
+    def find_wait(self, target: Target, now: float) -> float:
+        """Find how long a target may get nothing because of its limit, seconds."""
+        if target.limit is None:
+            return 0.0
+        return ratelimits.find_wait(target.limit, self._find_share(target), now)
+
+    def find_shortest_wait(self, found: Iterable[Target], now: float) -> float:
+        """Find when the first of some targets has a turn, seconds; 0 if none has."""
+        waits = [self.find_wait(target, now) for target in found]
+        return min((wait_s for wait_s in waits if math.isfinite(wait_s)), default=0.0)
+
+    def take_turn(self, target: Target, now: float) -> bool:
+        """Take one request out of what a target's limit allows, if any is left."""
+        if self.find_wait(target, now) > 0:
+            return False
+        if target.limit is not None:
+            ratelimits.take(target.limit, self._find_share(target), now)
+        return True
+
+    def list_named(self, now: float) -> dict[str, float]:
+        """List the limits that targets have named lately in their answers here."""
+        limits = ((name, t.limit) for name, t in self._directory.targets.items())
+        return {
+            lifetime: limit.per_s
+            for lifetime, limit in limits
+            if limit is not None and ratelimits.is_news(limit, now)
+        }
+
+    def note_told(self, limits: dict[str, float], now: float) -> None:
+        """Take note of limits that targets have named in answers to peers."""
+        for lifetime, per_s in limits.items():
+            target = self._directory.targets.get(lifetime)
+            if target is not None:
+                target.limit = ratelimits.note_told(target.limit, per_s, now)
+
+    def _find_share(self, target: Target) -> float:
+        """Find the requests per second that this gateway may send by a limit."""
+        lifetime, per_s = target.announced.lifetime, target.limit.per_s
+        key = (lifetime, per_s, self.sharing)
+        if key not in self._shares:
+            if len(self._shares) >= MOST_SHARES:
+                self._shares.clear()
+            self._shares[key] = ratelimits.find_share(per_s, lifetime, self.sharing)
+        return self._shares[key]
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -361,12 +361,12 @@
 def test_a_limit_that_a_target_names_to_one_gateway_is_known_to_all():
     network = Network(8)
     network.step(times=4)
-    network[7].fleet.note_told_limits({"e1": 9.5}, network.now)
+    network[7].fleet.limits.note_told({"e1": 9.5}, network.now)
     network[7].fleet.directory.targets["e1"].limit.answered_at = network.now
     for _ in range(3):
         for number in range(8):
             fleet = network[number].fleet
-            network[number].tell(rate_limits=fleet.list_limits(network.now))
+            network[number].tell(rate_limits=fleet.limits.list_named(network.now))
         network.now += STEP_S
     limits = [network[n].fleet.directory.targets["e1"].limit for n in range(8)]
     assert [limit.per_s for limit in limits] == [9.5] * 8
