--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -17,6 +17,14 @@
 TIMEOUT_S = 10.0
 """Time after which a test that hangs fails, seconds; no test depends on its value."""
 
+KINDS = [
+    ("/safe/x", "push", ""),
+    ("/once/x", "push", ""),
+    ("/chat/x", "lm", "decode"),
+    ("/digest/x", "lm", "decode"),
+]
+"""A path of each kind of route, its service, and the role of that service's targets."""
+
 
 def make_route(name, kind, service, **more):
     return {
--- a/tests/platform/test_disconnects.py
+++ b/tests/platform/test_disconnects.py
@@ -7,7 +7,14 @@
 import pytest
 
 from standins.rawhttp import reset
-from tests.platform.deployment import deploy, make_route, run, until, write_request
+from tests.platform.deployment import (
+    KINDS,
+    deploy,
+    make_route,
+    run,
+    until,
+    write_request,
+)
 
 BUSY_S = 0.6
 """How long the event loop is kept from looking at its sockets, seconds: longer than the
@@ -61,15 +68,7 @@
     run(scenario())
 
 
-@pytest.mark.parametrize(
-    ("path", "service", "role"),
-    [
-        ("/safe/x", "push", ""),
-        ("/once/x", "push", ""),
-        ("/chat/x", "lm", "decode"),
-        ("/digest/x", "lm", "decode"),
-    ],
-)
+@pytest.mark.parametrize(("path", "service", "role"), KINDS)
 def test_a_request_is_not_sent_if_its_caller_left_before_it_was_read(
     tmp_path, path, service, role
 ):
--- a/tests/platform/test_ratelimits.py
+++ b/tests/platform/test_ratelimits.py
@@ -2,20 +2,12 @@
 
 import pytest
 
-from tests.platform.deployment import deploy, run
+from tests.platform.deployment import KINDS, deploy, run
 
 HOUR_S = 3600.0
 
 
-@pytest.mark.parametrize(
-    ("path", "service", "role"),
-    [
-        ("/safe/x", "push", ""),
-        ("/once/x", "push", ""),
-        ("/chat/x", "lm", "decode"),
-        ("/digest/x", "lm", "decode"),
-    ],
-)
+@pytest.mark.parametrize(("path", "service", "role"), KINDS)
 def test_a_target_that_names_a_limit_gets_no_more_than_that(
     tmp_path, path, service, role
 ):
