--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -200,6 +200,7 @@
             self.log("older configuration passed over", version=table.version)
             return
         self.fleet.table = table
+        self.fleet.table_at = self.clock()
         self.freshness.version = table.version
         self.freshness.has_keys = table.keys is not None
         limits = table.limits
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -50,6 +50,7 @@
     Attributes:
         directory: The targets.
         table: The configuration in force, None before the first.
+        table_at: When it came into force here, steady seconds.
         gateways: How many gateways share the targets' connections.
         limits: Keeps sends within the limits that targets name.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
@@ -59,6 +60,7 @@
     def __init__(self, directory: Directory, decode_head: DecodeHead):
         self.directory = directory
         self.table: RouteTable | None = None
+        self.table_at = 0.0
         self.gateways = GATEWAYS
         self.limits = TargetLimits(directory)
         self.knows_new_caches = False
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -120,6 +120,9 @@
         except CallerLeftError:
             self._log.log_end(passage, None, "caller left: found before a send")
             reply.break_off()
+        except Exception as error:
+            self._log.log_failed(request, error)
+            raise
         finally:
             self.chooser.note_end(passage, self._means.clock(), is_served)
 
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -17,15 +17,35 @@
 
     def log_broken(self, passage: Passage, target: Target, error: str) -> None:
         """Log that a target did not deliver."""
+        now = self._means.clock()
         self._means.log(
             "target did not deliver",
-            at=round(self._means.clock(), 4),
+            at=round(now, 4),
             request=passage.request.id,
             target=target.announced.lifetime,
             error=error,
+            events=passage.splitter.events,
+            heard_ms_ago=_find_heard_ms_ago(target, now),
+            configuration_ms=self._find_configuration_ms(now),
             fingerprint=passage.named.head_hash.hex(),
         )
 
+    def log_failed(self, request: Request, error: Exception) -> None:
+        """Log that the gateway itself failed to handle a request."""
+        now = self._means.clock()
+        self._means.log(
+            "request handling failed",
+            at=round(now, 4),
+            request=request.id,
+            error=repr(error),
+            configuration_ms=self._find_configuration_ms(now),
+        )
+
+    def _find_configuration_ms(self, now: float) -> int | None:
+        """Find for how long the configuration has been in force, milliseconds."""
+        fleet = self._means.fleet
+        return None if fleet.table is None else round((now - fleet.table_at) * 1000)
+
     def log_plan(self, passage: Passage, plan: RequestPlan) -> None:
         """Log where a request is sent."""
         directory = self._means.fleet.directory
@@ -109,6 +129,7 @@
             first_ms=_find_ms_since(passage, passage.first_at),
             pause_ms=round(passage.longest_pause_s * 1000, 1),
             held_ms=_find_ms_since(passage, now),
+            configuration_ms=self._find_configuration_ms(now),
             outcome=outcome,
         )
 
@@ -142,6 +163,12 @@
             metrics.latencies.record("first", route, passage.first_at - received_at)
 
 
+def _find_heard_ms_ago(target: Target, now: float) -> int | None:
+    """Find how long ago a target was heard, milliseconds; None if it never was."""
+    heard_at = target.liveness.heard_at
+    return round((now - heard_at) * 1000) if heard_at > 0 else None
+
+
 def _find_ms_since(passage: Passage, at: float | None) -> float | None:
     """Find the milliseconds from a request's head to a time, None without one."""
     if at is None:
