Split the relay: requests taken in, attempts one after another, one attempt

The module had 421 lines and three jobs: relay.py finds a request's route and permit, attempts.py goes from target to target, delivery.py sends to one and passes its answer on. The code is moved, nothing else; tests/platform/test_path.py, test_disconnects.py, test_prompts.py and test_crashes.py pass.

--- /dev/null
+++ b/src/robinspindle/delivery.py
@@ -0,0 +1,263 @@
+"""One attempt at one target: the request goes out and its answer is passed on."""
+
+import asyncio
+
+from robinspindle.choosing import Chooser
+from robinspindle.core import forwarding, health, silence
+from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.interference import note_slot_hold
+from robinspindle.core.peerdigests import Placement
+from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.priorities import LATE_LEVEL
+from robinspindle.core.routes import STREAM
+from robinspindle.core.silence import ExpectedResponse
+from robinspindle.core.targets import Target
+from robinspindle.crashwatch import Run
+from robinspindle.ends import End
+from robinspindle.httpclient import (
+    ClientConnection,
+    ConnectionBrokenError,
+    Exchange,
+)
+from robinspindle.passages import Means, Passage
+from robinspindle.passing import Answer, pass_stream, pass_whole, read_whole
+from robinspindle.readingapart import ReadingApart
+from robinspindle.readings import Readings
+from robinspindle.relaylogs import RelayLog
+from robinspindle.sending import (
+    Sending,
+    borrow_connection,
+    expect,
+    is_barred,
+    make_send,
+    make_stop,
+    note_broken,
+    note_named_limit,
+    note_turned_away,
+    send_if_awaited,
+)
+
+BAD_REQUEST = 400
+"""No other target would run a request that one calls bad."""
+
+LEAST_OTHER = 300
+"""From here on a status is no success."""
+
+UPSTREAM_FAULTS = frozenset((500, 502, 503, 504))
+"""Statuses that count as a fault of the target."""
+
+
+class Delivery:
+    """Sends requests to the targets of their plans, and passes the answers on."""
+
+    def __init__(self, means: Means, chooser: Chooser, log: RelayLog):
+        self._means = means
+        self._chooser = chooser
+        self._log = log
+        self._readings = Readings(means)
+        self._apart = ReadingApart(means, self._readings, log)
+
+    @property
+    def placements(self) -> list[Placement]:
+        """Prompts placed since they were last told to the peers."""
+        return self._readings.placements
+
+    async def carry_out(self, passage: Passage, plan: RequestPlan) -> End:
+        """Send a request where its plan says, and pass its answer on."""
+        link, size = self._means.link, passage.request.size
+        # Not later: what is measured of targets begins with the send.
+        await link.reserve(size)
+        engine = self._means.fleet.find_engine(plan.target)
+        if plan.prefill_target is None:
+            if engine is not None and passage.request.prompt is not None:
+                return await self._send_unread(passage, plan, engine)
+            return await self._send(passage, Sending(plan.target))
+        source = await self._apart.read(passage, plan)
+        if source is None:
+            return End.NOT_RUN
+        taken = False
+        try:
+            await link.reserve(size)
+            host = self._chooser.find_host(passage, plan)
+            if host is None:
+                return End.NOT_RUN
+            engine = self._means.fleet.find_engine(host)
+            if engine is not None:
+                note_placed(engine, passage.request.prompt.parts)
+            end = await self._send(passage, Sending(host, source))
+            taken = end is End.DELIVERED
+            return end
+        finally:
+            if not taken:
+                self._apart.release(plan.prefill_target, source)
+
+    async def _send_unread(
+        self, passage: Passage, plan: RequestPlan, engine: Engine
+    ) -> End:
+        work = self._readings.begin(passage, plan.target, engine, plan)
+        clock = self._means.clock
+        try:
+            sending = Sending(
+                plan.target,
+                cache_source=plan.cache_source,
+                on_first=lambda: work.end(clock()),
+            )
+            return await self._send(passage, sending)
+        finally:
+            work.cancel()
+
+    async def _send(self, passage: Passage, sending: Sending) -> End:
+        """Send a request to be run, and pass its answer on."""
+        target = sending.target
+        if self._means.guard.find_refusal(passage.named) is not None:
+            # It became known while its prompt was read.
+            return End.NOT_RUN
+        passage.tried.add(target.announced.lifetime)
+        if not self._means.fleet.limits.take_turn(target, self._means.clock()):
+            passage.last_reason = "limited"
+            return End.NOT_RUN
+        target.in_flight += 1
+        try:
+            async with (
+                borrow_connection(self._means, target) as connection,
+                self._means.guard.runs.watch(
+                    passage.named, target, passage.route.name
+                ) as run,
+            ):
+                return await self._exchange(passage, sending, connection, run)
+        except ConnectionBrokenError as error:
+            return self._note_broken(passage, target, error)
+        except TimeoutError:
+            passage.runs += 1
+            passage.last_reason = "timed-out"
+            return End.UNSURE
+        finally:
+            target.in_flight -= 1
+            self._note_hold(passage, target)
+
+    def _note_hold(self, passage: Passage, target: Target) -> None:
+        engine = self._means.fleet.find_engine(target)
+        if engine is not None and passage.first_at is not None:
+            note_slot_hold(engine, self._means.clock() - passage.first_at)
+
+    async def _exchange(
+        self,
+        passage: Passage,
+        sending: Sending,
+        connection: ClientConnection,
+        run: Run,
+    ) -> End:
+        means, target = self._means, sending.target
+        if is_barred(means, passage):
+            return End.NOT_RUN
+        exchange = Exchange(passage.request.id)
+        run.stop = make_stop(exchange)
+        send = make_send(passage, sending, means.clock())
+        data = means.dialect.encode_request(passage.request, send)
+        passage.offers += 1
+        with expect(target, self._expect_answer(passage, exchange)) as expected:
+            async with asyncio.timeout(self._find_wait_s(passage)) as limit:
+                sent_at = means.clock()
+                send_if_awaited(passage, connection, exchange, data, sent_at)
+                head = await exchange.read_head()
+                left_s = self._find_wait_s(passage, has_begun=True)
+                limit.reschedule(asyncio.get_running_loop().time() + left_s)
+                passage.first_at = means.clock()
+                if not head.not_run:
+                    self._count_begun(passage, sent_at)
+                # What has begun to run does so for all its copies.
+                run.stop = None
+                health.note_heard(target, passage.first_at)
+                note_named_limit(means, target, head, sent_at)
+                self._note_begun(passage, sending)
+                sending.on_first()
+                answer = Answer(target, head, exchange, connection, expected)
+                end = await self._take_answer(passage, answer)
+        if end is End.DELIVERED:
+            # Not after a failure: a target may answer so without having run it.
+            means.guard.note_success(run)
+        return end
+
+    def _find_wait_s(self, passage: Passage, has_begun: bool = False) -> float:
+        """Find how long a target's answer is waited for, or the rest of it, seconds."""
+        due = passage.due if has_begun else passage.given_up_at
+        return due + forwarding.TIMEOUT_ANSWER_GRACE_S - self._means.clock()
+
+    def _note_begun(self, passage: Passage, sending: Sending) -> None:
+        if sending.source is not None and passage.read_at is not None:
+            now, seconds = passage.first_at, passage.first_at - passage.read_at
+            is_late = passage.plan.level == LATE_LEVEL
+            self._means.lengths.note_handoff(passage.service, now, seconds, is_late)
+
+    def _count_begun(self, passage: Passage, sent_at: float) -> None:
+        """Count a request that began to run, for the workspace whose key it carries.
+
+        A stream begins with its first token, which comes with its head; anything else
+        begins as it arrives, and its head comes with its end.
+        """
+        workspace = passage.permit.workspace
+        if passage.is_counted or workspace is None:
+            return
+        passage.is_counted = True
+        at = passage.first_at if passage.is_stream else sent_at
+        self._means.book.count(workspace.name, at)
+
+    def _expect_answer(self, passage: Passage, exchange: Exchange) -> ExpectedResponse:
+        """Expect the first of an answer; leave a silent target if that is allowed."""
+
+        def leave() -> None:
+            exchange.fail(ConnectionBrokenError("nothing was heard in time"))
+
+        def end() -> None:
+            exchange.fail(ConnectionBrokenError("the target started again"))
+
+        route = passage.route
+        may_leave = route.may_rerun and passage.runs + 1 < route.attempts
+        return ExpectedResponse(
+            since=self._means.clock(),
+            silent_after_s=silence.find_first_event_timeout(passage.plan.first_event_s),
+            abandon=leave if may_leave else None,
+            lost_after_s=silence.find_lost_timeout(passage.plan.first_event_s),
+            end=end,
+        )
+
+    async def _take_answer(self, passage: Passage, answer: Answer) -> End:
+        target, head = answer.target, answer.head
+        if head.not_run and head.status != BAD_REQUEST:
+            await read_whole(self._means, answer)
+            self._note_not_run(passage, target, head)
+            return End.NOT_RUN
+        if head.status >= LEAST_OTHER:
+            passage.fault = (head, await read_whole(self._means, answer))
+            passage.runs += 1
+            health.note_answered(target)
+            health.note_fault(target, head.status in UPSTREAM_FAULTS)
+            passage.last_reason = f"status-{head.status}"
+            return End.FAULT
+        if not head.sealed or head.request_id != passage.request.id:
+            raise ConnectionBrokenError("a success that is not the target's own")
+        if passage.route.kind == STREAM:
+            await pass_stream(self._means, passage, answer)
+        else:
+            pass_whole(passage.reply, head, await read_whole(self._means, answer))
+        health.note_answered(target)
+        health.note_fault(target, False)
+        self._log.log_end(passage, target, "delivered")
+        return End.DELIVERED
+
+    def _note_not_run(self, passage: Passage, target: Target, head: AnswerHead) -> None:
+        note_turned_away(self._means, target, head)
+        passage.last_reason = "replaced" if target.replaced else "full"
+        self._log.log_broken(passage, target, f"not run: status {head.status}")
+
+    def _note_broken(
+        self, passage: Passage, target: Target, error: ConnectionBrokenError
+    ) -> End:
+        note_broken(target, error, self._means.clock())
+        self._log.log_broken(passage, target, str(error))
+        passage.last_reason = "broken"
+        if not error.was_sent:
+            return End.NOT_RUN
+        passage.runs += 1
+        return End.UNSURE
