Show how requests end beside changes and silent targets

One test for each way on which a request may end while a configuration changes (route, weights, time limits, idle limit, one attempt, routes and services removed, workspaces, limits), while its target falls silent and goes on, stops reading, or is forgotten, while its caller takes nothing, and while the gateway stops. A caller tells apart a whole answer, a refusal and a closed connection.

A caller that closes its sending half counts as gone, as its close can't be told from that.

--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -38,10 +38,15 @@
 
     Attributes:
         port: The port, once started.
+        reads: Set while bodies are read; a head is read at any time.
+        waiting: Requests whose heads came while no bodies were read.
     """
 
     def __init__(self, answer: Answer):
         self.port = 0
+        self.reads = asyncio.Event()
+        self.reads.set()
+        self.waiting = 0
         self._answer = answer
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -69,7 +74,7 @@
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
         try:
-            while (request := await _read_request(reader)) is not None:
+            while (request := await self._read(reader)) is not None:
                 if not await self._answer(request, writer):
                     break
                 await writer.drain()
@@ -79,6 +84,15 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _read(self, reader) -> RawRequest | None:
+        head = await _read_head(reader)
+        if head is None:
+            return None
+        if not self.reads.is_set():
+            self.waiting += 1
+            await self.reads.wait()
+        return await _read_body(reader, head)
+
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection, which a plain close would end cleanly."""
@@ -124,11 +138,14 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
-async def _read_request(reader: asyncio.StreamReader) -> RawRequest | None:
+async def _read_head(reader: asyncio.StreamReader) -> bytes | None:
     try:
-        head = await reader.readuntil(b"\r\n\r\n")
+        return await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
         return None
+
+
+async def _read_body(reader: asyncio.StreamReader, head: bytes) -> RawRequest:
     first, *lines = head[:-4].decode("latin-1").split("\r\n")
     method, target, _ = first.split(" ")
     pairs = (line.partition(":") for line in lines)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -208,18 +208,35 @@
 
     async def _be_held(self, request: RawRequest, writer) -> bool:
         """Answer only once the gate opens, and notice a hang-up."""
-        while not self.gate.is_set():
-            await asyncio.sleep(0.01)
-            if request.is_left():
-                self.closed.append(request.headers["x-request-id"])
-                return False
-        return await self._be_ok(request, writer)
+        if await self._wait_for_gate(request):
+            return await self._be_ok(request, writer)
+        return False
+
+    async def _be_held_midway(self, request: RawRequest, writer) -> bool:
+        """Send the first event, fall silent, and go on once the gate opens."""
+        self._begin_stream(request, writer)
+        self._write_events(request, writer, 1)
+        if not await self._wait_for_gate(request):
+            return False
+        for number in range(2, self.events + 1):
+            self._write_event(request, writer, number)
+        writer.write(b"0\r\n\r\n")
+        return True
 
     async def _be_held_full(self, request: RawRequest, writer) -> bool:
         """Refuse as full, but only once the gate opens."""
         await self.gate.wait()
         return await self._be_full(request, writer)
 
+    async def _wait_for_gate(self, request: RawRequest) -> bool:
+        """Wait until the gate opens; returns whether the sender is still there."""
+        while not self.gate.is_set():
+            await asyncio.sleep(0.01)
+            if request.is_left():
+                self.closed.append(request.headers["x-request-id"])
+                return False
+        return True
+
     def _write_unframed(self, request: RawRequest, writer) -> None:
         lines = [f"{name}: {value}" for name, value in self._head(request).items()]
         head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n"
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -25,6 +25,15 @@
 ]
 """A path of each kind of route, its service, and the role of that service's targets."""
 
+SERVICES = [
+    {"Name": "push", "MaxConnections": 100},
+    {
+        "Name": "lm",
+        "MaxConnections": 100,
+        "Engine": {"Slots": 8, "KvCapacityTokens": 100000, "RoleSwitchS": 0},
+    },
+]
+
 
 def make_route(name, kind, service, **more):
     return {
@@ -41,7 +50,9 @@
     }
 
 
-def make_configuration(version=1, routes=None, attempts=2):
+def make_configuration(
+    version=1, routes=None, attempts=2, without_services=(), limits=(), **more
+):
     return {
         "Version": version,
         "Routes": routes
@@ -51,24 +62,15 @@
             make_route("chat", "stream", "lm", MaxAttempts=attempts),
             make_route("digest", "stream", "lm", Resumable=True, MaxAttempts=attempts),
         ],
-        "Services": [
-            {"Name": "push", "MaxConnections": 100},
-            {
-                "Name": "lm",
-                "MaxConnections": 100,
-                "Engine": {
-                    "Slots": 8,
-                    "KvCapacityTokens": 100000,
-                    "RoleSwitchS": 0,
-                },
-            },
-        ],
+        "Services": [s for s in SERVICES if s["Name"] not in without_services],
         "Limits": {
             "MaxHeaderBytes": 16384,
             "MaxBodyBytes": 65536,
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
+            **dict(limits),
         },
+        **more,
     }
 
 
