Keep a silent target's answer until another target's answer has begun

What callers saw (LOST): a stream that was half passed on ended with a closed connection, neither whole nor refused, where its target was silent for a second and went on.

The class: a suspicion was acted on as if it were a fact, and what was there was given up before anything better was secured.

Change: the suspicion begins a second attempt beside the first one (a hedged request). The answer that begins first is passed on and the other attempt is broken off; an attempt whose rival has begun can pass nothing on any more, so two answers are never joined, and no two targets go on generating one stream. What the second attempt used up (sends, runs, repeats) counts for the request. The log tells when a second attempt begins; robinspindle_hedges counts them.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -1,12 +1,23 @@
-"""The attempts of one request at targets: one after another until one delivers."""
+"""The attempts of one request at targets, until one delivers or none is left to try."""
+
+import asyncio
 
 from robinspindle import guard
 from robinspindle.choosing import Chooser
 from robinspindle.core import forwarding, retrywindows
+from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.delivery import Delivery
 from robinspindle.ends import End
+from robinspindle.exceptions import CallerLeftError
 from robinspindle.finalanswers import FinalAnswers
-from robinspindle.passages import Means, Passage
+from robinspindle.hedging import (
+    begin_hedge,
+    drop_hedge,
+    fork_passage,
+    join_hedge,
+)
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
+from robinspindle.passages import GivenUp, Hedge, Means, Passage
 from robinspindle.relaylogs import RelayLog
 from robinspindle.sending import is_barred
 
@@ -15,50 +26,105 @@
 
 
 class Attempts:
-    """Sends requests to targets until one delivers or none is left to try."""
+    """Sends requests to targets until one delivers or none is left to try.
+
+    Attributes:
+        delivery: Sends to one target.
+    """
 
     def __init__(
-        self,
-        means: Means,
-        chooser: Chooser,
-        delivery: Delivery,
-        final: FinalAnswers,
-        log: RelayLog,
+        self, means: Means, chooser: Chooser, final: FinalAnswers, log: RelayLog
     ):
+        self.delivery = Delivery(means, chooser, log, self.hedge)
         self._means = means
         self._chooser = chooser
-        self._delivery = delivery
         self._final = final
         self._log = log
 
     async def serve(self, passage: Passage) -> bool:
         """Serve a request; returns whether its caller got the whole answer."""
+        try:
+            given_up = await self._try_targets(passage)
+        finally:
+            drop_hedge(passage)
+        if given_up is not None:
+            self._final.give_up(passage, given_up.reason)
+        return given_up is None
+
+    async def _try_targets(self, passage: Passage) -> GivenUp | None:
+        """Try targets; returns None once one has delivered."""
         while True:
-            now = self._means.clock()
-            if passage.given_up_at - now <= forwarding.MIN_ATTEMPT_S:
-                self._final.give_up(passage, passage.last_reason or "too-late")
-                return False
-            plan = self._chooser.choose(passage, now)
-            if plan is None:
-                self._final.give_up(passage, passage.last_reason or "no-target")
-                return False
-            passage.plan = plan
-            self._log.log_plan(passage, plan)
-            if self._chooser.should_refuse(passage, plan, now):
-                self._final.give_up(passage, "busy")
-                return False
-            left_s = passage.given_up_at - now
-            if self._means.link.estimate_arrival(passage.request.size) > left_s:
-                self._final.give_up(passage, "link-full")
-                return False
-            end = await self._delivery.carry_out(passage, plan)
+            plan = self._make_plan(passage, self._means.clock())
+            if isinstance(plan, GivenUp):
+                return plan
+            end = await self.delivery.carry_out(passage, plan)
             lifetime = plan.target.announced.lifetime
             self._means.metrics.count_try(passage.service, lifetime, end.value)
-            if end is End.DELIVERED:
-                return True
+            if end is End.DELIVERED or await self._has_hedge_delivered(passage):
+                return None
             if not self._may_go_on(passage, end):
-                self._final.give_up(passage, passage.last_reason)
-                return False
+                return GivenUp(passage.last_reason)
+
+    def _make_plan(self, passage: Passage, now: float) -> RequestPlan | GivenUp:
+        """Plan the next attempt, unless the request had better be given up."""
+        left_s = passage.given_up_at - now
+        if left_s <= forwarding.MIN_ATTEMPT_S:
+            return GivenUp(passage.last_reason or "too-late")
+        plan = self._chooser.choose(passage, now)
+        if plan is None:
+            return GivenUp(passage.last_reason or "no-target")
+        passage.plan = plan
+        self._log.log_plan(passage, plan)
+        if self._chooser.should_refuse(passage, plan, now):
+            return GivenUp("busy")
+        if self._means.link.estimate_arrival(passage.request.size) > left_s:
+            return GivenUp("link-full")
+        return plan
+
+    def hedge(self, passage: Passage, exchange: Exchange) -> None:
+        """Try another target beside one that fell silent.
+
+        Args:
+            passage: The request.
+            exchange: Waits for its answer at the silent target.
+        """
+        if passage.hedge is not None:
+            return
+        if passage.break_rival is not None:
+            self._leave_silent(passage, exchange)
+            return
+        second = fork_passage(passage, exchange)
+        self._means.metrics.hedges.inc()
+        self._log.log_hedge(passage)
+        task = asyncio.get_running_loop().create_task(self._try_beside(second))
+        begin_hedge(passage, Hedge(second, task))
+
+    def _leave_silent(self, passage: Passage, exchange: Exchange) -> None:
+        """Leave a second attempt's target if a third one may get the request."""
+        route = passage.route
+        if forwarding.may_send_again(route, passage.offers, passage.runs + 1):
+            exchange.fail(ConnectionBrokenError("nothing was heard in time"))
+
+    async def _try_beside(self, passage: Passage) -> GivenUp | None:
+        """Try targets beside an attempt that is still under way."""
+        if not self._chooser.has_target(passage, self._means.clock()):
+            return GivenUp("no-target")
+        if not self._may_go_on(passage, End.UNSURE):
+            return GivenUp(passage.last_reason)
+        try:
+            return await self._try_targets(passage)
+        except CallerLeftError:
+            return GivenUp("caller-left")
+        finally:
+            drop_hedge(passage)
+
+    async def _has_hedge_delivered(self, passage: Passage) -> bool:
+        """Wait for the end of a second attempt, if there is one."""
+        if passage.hedge is None:
+            return False
+        given_up = await passage.hedge.task
+        join_hedge(passage)
+        return given_up is None
 
     def _may_go_on(self, passage: Passage, end: End) -> bool:
         left_s = passage.given_up_at - self._means.clock()
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -107,6 +107,10 @@
             self._count_as_served(passage, now)
         return plan
 
+    def has_target(self, passage: Passage, now: float) -> bool:
+        """Tell whether any target may get a request."""
+        return bool(self._list_usable(passage, now))
+
     def should_refuse(self, passage: Passage, plan: RequestPlan, now: float) -> bool:
         """Tell whether a request had better be refused than sent."""
         if passage.offers or passage.reads or passage.request.prompt is None:
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -1,6 +1,7 @@
 """One attempt at one target: the request goes out and its answer is passed on."""
 
 import asyncio
+from collections.abc import Callable
 
 from robinspindle.choosing import Chooser
 from robinspindle.core import forwarding, health, silence
@@ -15,6 +16,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.crashwatch import Run
 from robinspindle.ends import End
+from robinspindle.hedging import claim_answer
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -47,12 +49,26 @@
 UPSTREAM_FAULTS = frozenset((500, 502, 503, 504))
 """Statuses that count as a fault of the target."""
 
+NoteSilent = Callable[[Passage, Exchange], None]
+
 
 class Delivery:
     """Sends requests to the targets of their plans, and passes the answers on."""
 
-    def __init__(self, means: Means, chooser: Chooser, log: RelayLog):
+    def __init__(
+        self, means: Means, chooser: Chooser, log: RelayLog, note_silent: NoteSilent
+    ):
+        """Prepare deliveries.
+
+        Args:
+            means: What the relay has.
+            chooser: Chooses the hosts of prompts that were read apart.
+            log: Takes the lines of requests.
+            note_silent: Told the requests that may run elsewhere while nothing is heard
+                of their answers.
+        """
         self._means = means
+        self._note_silent = note_silent
         self._chooser = chooser
         self._log = log
         self._readings = Readings(means)
@@ -204,20 +220,18 @@
         self._means.book.count(workspace.name, at)
 
     def _expect_answer(self, passage: Passage, exchange: Exchange) -> ExpectedResponse:
-        """Expect the first of an answer; leave a silent target if that is allowed."""
-
-        def leave() -> None:
-            exchange.fail(ConnectionBrokenError("nothing was heard in time"))
+        """Expect the first of an answer."""
 
         def end() -> None:
             exchange.fail(ConnectionBrokenError("the target started again"))
 
-        route = passage.route
-        may_leave = route.may_rerun and passage.runs + 1 < route.attempts
+        def note_silent() -> None:
+            self._note_silent(passage, exchange)
+
         return ExpectedResponse(
             since=self._means.clock(),
             silent_after_s=silence.find_first_event_timeout(passage.plan.first_event_s),
-            abandon=leave if may_leave else None,
+            abandon=note_silent if passage.route.may_rerun else None,
             lost_after_s=silence.find_lost_timeout(passage.plan.first_event_s),
             end=end,
         )
@@ -237,10 +251,13 @@
             return End.FAULT
         if not head.sealed or head.request_id != passage.request.id:
             raise ConnectionBrokenError("a success that is not the target's own")
+        claim_answer(passage)
         if passage.route.kind == STREAM:
             await pass_stream(self._means, passage, answer)
         else:
-            pass_whole(passage.reply, head, await read_whole(self._means, answer))
+            body = await read_whole(self._means, answer)
+            claim_answer(passage)
+            pass_whole(passage.reply, head, body)
         health.note_answered(target)
         health.note_fault(target, False)
         self._log.log_end(passage, target, "delivered")
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -20,6 +20,7 @@
         target_tries: The same by target.
         prompt_tokens: Tokens of prompts by whether they were believed to be cached.
         repeats: Repeats taken from the budget.
+        hedges: Second attempts beside targets that fell silent.
         pauses: Times that the process was paused: suspended, or not run.
         turned_away: Attempts that were turned away for that.
         denied_repeats: Repeats that the budget did not allow.
@@ -130,6 +131,9 @@
             "prompt_tokens", "Tokens of prompts, read or believed to be cached", "how"
         )
         self.repeats = self._count("repeats", "Repeats taken from the budget")
+        self.hedges = self._count(
+            "hedges", "Second attempts beside targets that fell silent"
+        )
         self.pauses = self._count("pauses", "Times that the process was paused")
         self.turned_away = self._count(
             "turned_away", "Attempts turned away as their request crashes targets"
--- /dev/null
+++ b/src/robinspindle/hedging.py
@@ -0,0 +1,88 @@
+"""Hedged requests: a second attempt beside one whose target fell silent.
+
+Silence does not prove that a target has ended. The first attempt goes on until the
+answer of the second one has begun; what answers first is passed on, and the other
+attempt is broken off.
+"""
+
+from dataclasses import replace
+
+from robinspindle.core.events import EventSplitter
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
+from robinspindle.passages import Hedge, Passage
+
+
+def fork_passage(passage: Passage, exchange: Exchange) -> Passage:
+    """Make the passage of a second attempt.
+
+    Args:
+        passage: The first attempt.
+        exchange: Waits for the first attempt's answer; fails once the second one's has
+            begun.
+    """
+
+    def supersede() -> None:
+        passage.is_superseded = True
+        exchange.fail(ConnectionBrokenError("another target answered first"))
+
+    return replace(
+        passage,
+        splitter=continue_events(passage.splitter),
+        # The silent target may have run the request.
+        runs=passage.runs + 1,
+        break_rival=supersede,
+    )
+
+
+def continue_events(splitter: EventSplitter) -> EventSplitter:
+    """Make a splitter for an answer that continues after the last complete event."""
+    return EventSplitter(last_id=splitter.last_id, events=splitter.events)
+
+
+def begin_hedge(passage: Passage, hedge: Hedge) -> None:
+    """Record the second attempt of a request that is under way."""
+    passage.hedge = hedge
+    passage.break_rival = lambda: drop_hedge(passage)
+
+
+def claim_answer(passage: Passage) -> None:
+    """Make an attempt the one whose answer is passed on, and break off the other one.
+
+    Raises:
+        ConnectionBrokenError: If the other attempt's answer began first.
+    """
+    if passage.is_superseded:
+        raise ConnectionBrokenError("another target answered first")
+    break_rival, passage.break_rival = passage.break_rival, None
+    if break_rival is not None:
+        break_rival()
+
+
+def drop_hedge(passage: Passage) -> None:
+    """Break off the second attempt of a request, if there is one."""
+    hedge = passage.hedge
+    if hedge is None:
+        return
+    was_under_way = not hedge.task.done()
+    hedge.task.cancel()
+    join_hedge(passage)
+    passage.runs += int(was_under_way)
+
+
+def join_hedge(passage: Passage) -> None:
+    """Add what the second attempt has done to the first one, and forget the second."""
+    second = passage.hedge.passage
+    passage.hedge = None
+    passage.break_rival = None
+    passage.offers = second.offers
+    passage.reads = second.reads
+    # The first attempt counts its own run as it ends.
+    passage.runs = second.runs - 1
+    passage.counts_as_served |= second.counts_as_served
+    passage.is_counted |= second.is_counted
+    if passage.is_superseded:
+        passage.is_superseded = False
+        passage.splitter = second.splitter
+        passage.longest_pause_s = second.longest_pause_s
+    if second.fault is not None:
+        passage.fault = second.fault
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -1,5 +1,6 @@
 """What the relay knows of one request on its way, and what its parts share."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -54,6 +55,30 @@
         """Decode the answer to a prompt that was only read."""
 
 
+@dataclass(frozen=True)
+class GivenUp:
+    """A request that no further target gets.
+
+    Attributes:
+        reason: Why, in one word, for logs and metrics.
+    """
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Hedge:
+    """A second attempt at a request, beside the first one.
+
+    Attributes:
+        passage: What the second attempt has done for the request.
+        task: Runs it; its result is None if it delivered.
+    """
+
+    passage: "Passage"
+    task: asyncio.Task[GivenUp | None]
+
+
 @dataclass
 class Passage:
     """What has been done for one request so far.
@@ -89,6 +114,9 @@
         sent_at: When it was last sent to a target, steady seconds.
         first_at: When its answer began, steady seconds.
         longest_pause_s: The longest pause between two events of it, seconds.
+        hedge: The second attempt beside this one; None for none.
+        break_rival: Breaks off the other attempt beside this one; None for none.
+        is_superseded: Whether another attempt's answer has begun instead of this one's.
     """
 
     request: Request
@@ -119,6 +147,9 @@
     sent_at: float | None = None
     first_at: float | None = None
     longest_pause_s: float = 0.0
+    hedge: Hedge | None = None
+    break_rival: Callable[[], None] | None = None
+    is_superseded: bool = False
 
     @property
     def given_up_at(self) -> float:
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -19,6 +19,7 @@
 )
 from robinspindle.core.silence import ExpectedResponse
 from robinspindle.core.targets import Target
+from robinspindle.hedging import claim_answer
 from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, Exchange
 from robinspindle.passages import Means, Passage
 from robinspindle.replies import Reply
@@ -169,6 +170,7 @@
     expected.lost_after_s = silence.find_lost_timeout(passage.route.gap_s)
     last_at = expected.since = first_at
     while chunk := await answer.exchange.read_chunk():
+        claim_answer(passage)
         events = take_events(splitter, chunk)
         if not events:
             continue
@@ -185,6 +187,7 @@
     means.lengths.note_answer(passage.service, events, seconds)
     if splitter.rest:
         raise ConnectionBrokenError("the stream ended within an event")
+    claim_answer(passage)
     if not reply.has_begun:
         reply.begin(head.status, head.reason, head.headers, None)
     reply.end()
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -18,7 +18,6 @@
     find_rank,
     find_route,
 )
-from robinspindle.delivery import Delivery
 from robinspindle.exceptions import CallerLeftError
 from robinspindle.finalanswers import FinalAnswers
 from robinspindle.httpserver import Incoming
@@ -43,16 +42,13 @@
         self._log = RelayLog(means)
         self._final = FinalAnswers(means, self._log, self._rng)
         self.chooser = Chooser(means, self._rng)
-        self._delivery = Delivery(means, self.chooser, self._log)
-        self._attempts = Attempts(
-            means, self.chooser, self._delivery, self._final, self._log
-        )
+        self._attempts = Attempts(means, self.chooser, self._final, self._log)
         self._patience = RetryDetector()
 
     @property
     def placements(self) -> list[Placement]:
         """Prompts placed since they were last told to the peers."""
-        return self._delivery.placements
+        return self._attempts.delivery.placements
 
     async def handle(self, incoming: Incoming, reply: Reply) -> None:
         """Serve one request of a caller."""
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -30,6 +30,18 @@
             fingerprint=passage.named.head_hash.hex(),
         )
 
+    def log_hedge(self, passage: Passage) -> None:
+        """Log that another target is tried beside one that fell silent."""
+        now, target = self._means.clock(), passage.plan.target
+        self._means.log(
+            "second attempt beside a silent target",
+            at=round(now, 4),
+            request=passage.request.id,
+            target=target.announced.lifetime,
+            events=passage.splitter.events,
+            heard_ms_ago=_find_heard_ms_ago(target, now),
+        )
+
     def log_failed(self, request: Request, error: Exception) -> None:
         """Log that the gateway itself failed to handle a request."""
         now = self._means.clock()
