Read connections to targets on after their callers took answers too slowly

What callers saw: a request that was sent on a kept connection to a target got no answer until its time was over (504).

Cause: while a caller takes nothing, the connection to its target is not read. Where the answer had come whole by then, the connection went back among the idle ones as it was, and the answer to the next request on it was never read.

--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -77,6 +77,14 @@
     """
     connection = answer.connection
     passage.reply.set_flow(connection.pause, connection.resume)
+    try:
+        await _pass_noting_pauses(means, passage, answer)
+    finally:
+        # Its next answer would never be read otherwise.
+        connection.resume()
+
+
+async def _pass_noting_pauses(means: Means, passage: Passage, answer: Answer) -> None:
     prompt = passage.request.prompt
     engine = means.fleet.find_engine(answer.target)
     if prompt is None or engine is None or not _has_pauses(means, passage):
