Take no target for silent while its answer waits for a slow caller

What callers saw: a stream whose caller took nothing for a second was left or sent anew, and broken off where that failed.

Cause: the gateway stops reading a target whose answer its caller does not take, and then took the missing events for the target's silence. The same class as silence taken for an end, with a silence of the gateway's own making.

--- a/src/robinspindle/core/silence.py
+++ b/src/robinspindle/core/silence.py
@@ -52,6 +52,8 @@
             from the target, seconds.
         end: Called when the target's lifetime is known to have ended, whether or not
             the request may be sent to another target: nothing more will come.
+        is_held: Whether this process reads nothing of the answer for now, because its
+            caller takes nothing.
     """
 
     since: float
@@ -59,6 +61,7 @@
     abandon: Callable[[], None] | None = None
     lost_after_s: float = math.inf
     end: Callable[[], None] | None = None
+    is_held: bool = False
 
 
 @dataclass
@@ -142,7 +145,7 @@
     return any(
         now - max(liveness.heard_at, expected.since) > expected.silent_after_s + busy_s
         for expected in liveness.expected
-        if since is None or expected.since > since
+        if not expected.is_held and (since is None or expected.since > since)
     )
 
 
@@ -166,5 +169,7 @@
     return [
         expected.abandon
         for expected in liveness.expected
-        if expected.abandon is not None and now - expected.since > expected.lost_after_s
+        if expected.abandon is not None
+        and not expected.is_held
+        and now - expected.since > expected.lost_after_s
     ]
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -75,14 +75,29 @@
     Raises:
         ConnectionBrokenError: When the stream breaks off.
     """
-    connection = answer.connection
-    passage.reply.set_flow(connection.pause, connection.resume)
+    _set_flow(means, passage, answer)
     try:
         await _pass_noting_pauses(means, passage, answer)
     finally:
         # Its next answer would never be read otherwise.
+        answer.connection.resume()
+
+
+def _set_flow(means: Means, passage: Passage, answer: Answer) -> None:
+    """Read of a target what its caller takes; nothing is expected meanwhile."""
+    connection, expected = answer.connection, answer.expected
+
+    def hold() -> None:
+        expected.is_held = True
+        connection.pause()
+
+    def go_on() -> None:
+        expected.is_held = False
+        expected.since = means.clock()
         connection.resume()
 
+    passage.reply.set_flow(hold, go_on)
+
 
 async def _pass_noting_pauses(means: Means, passage: Passage, answer: Answer) -> None:
     prompt = passage.request.prompt
--- a/tests/core/test_silence.py
+++ b/tests/core/test_silence.py
@@ -93,3 +93,13 @@
         abandon()
     assert abandoned == ["lost"]
     assert silence.find_lost_timeout(0.2) > silence.find_first_event_timeout(0.2)
+
+
+def test_an_answer_that_a_slow_caller_holds_back_is_not_taken_for_silence():
+    liveness = Liveness(heard_at=0.0)
+    answer = ExpectedResponse(0.0, 0.6, abandon=lambda: None, lost_after_s=1.0)
+    liveness.expected.add(answer)
+    assert silence.is_overdue(liveness, 2.0)
+    answer.is_held = True
+    assert not silence.is_overdue(liveness, 2.0)
+    assert not silence.list_lost_callbacks(liveness, 2.0)
