Keep connections to targets that read nothing for a while

What callers saw: a request that may run once got 502 where its target had no room for the rest of it, or acknowledged nothing, for over a second, and then went on.

Cause: connections to targets ended after 1 s with bytes that were not acknowledged or that the target had no room for (TCP_USER_TIMEOUT, which counts both). A target that is suspended for a second or two was cut while it was sound. The same class: a short silence taken for an end.

What may run again does not wait for that, as a silent target is noticed after 0.6 s; idle connections of a target that falls silent are closed, as they may be dead. What it costs: a request that may run once and is sent to a machine that lost its power is answered at its time limit (0.6 to 4 s on the deployments) in place of after 1 s.

--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -226,6 +226,7 @@
         ]
         for target in silent:
             health.note_silent(target, now)
+            self._close_idle(target)
             for leave in silence.list_abandon_callbacks(target.liveness):
                 leave()
         for target in self.directory.targets.values():
@@ -233,6 +234,12 @@
                 leave()
         return silent
 
+    def _close_idle(self, target: Target) -> None:
+        """Close idle connections to a target: they may be dead at their other ends."""
+        pool = self._pools.get(target.announced.lifetime)
+        if pool is not None:
+            pool.close()
+
     def _is_overdue(self, target: Target, now: float) -> bool:
         engine = self.find_engine(target)
         backlog_s = engine.backlog_s if engine is not None else 0.0
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -17,9 +17,9 @@
 from robinspindle.core.forwarding import AnswerHead, Headers
 from robinspindle.gatewaysettings import HostPort
 
-UNACKED_MS = 1000
-"""Sent bytes that nobody acknowledges end a connection after this, milliseconds: a
-cut machine says nothing, and a lost packet is sent again within a few hundred ms."""
+UNACKED_MS = 4000
+"""Sent bytes that nobody acknowledges, or has room for, end a connection after this,
+milliseconds: a peer that is suspended for a second or two goes on afterwards."""
 
 DEFAULT_IDLE_S = 2.0
 """How long an idle connection is used where the target does not say, seconds."""
