Answer requests that a stopping gateway has read already

What callers saw: of two requests on one connection, the second ended with a closed connection and no answer when the gateway was stopped.

Cause: a stopping gateway announces the close of a connection with the next answer and then closes it, also where it has read the next request already.

--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -146,12 +146,17 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is coming in or under way."""
-        return self._task is not None or bool(self._ready) or self._in_message
+        return self._task is not None or self._has_next or self._in_message
 
     @property
     def is_stopping(self) -> bool:
         """Whether it is to be closed after the answer under way."""
-        return self.server.is_stopping
+        return self.server.is_stopping and not self._has_next
+
+    @property
+    def _has_next(self) -> bool:
+        """Whether anything has come after the request under way."""
+        return bool(self._ready or self._unparsed)
 
     @property
     def is_closed_by_caller(self) -> bool:
