End a stopping gateway only after its answers have gone out

What callers saw: an answer was cut when the gateway stopped, though it had come whole.

Cause: a connection counted as free as soon as its answer was written, while most of a long one still waited for its caller.

--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -145,8 +145,12 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is coming in or under way."""
-        return self._task is not None or self._has_next or self._in_message
+        """Whether a request is coming in or under way, or its answer going out."""
+        if self._task is not None or self._has_next or self._in_message:
+            return True
+        return (
+            self._transport is not None and self._transport.get_write_buffer_size() > 0
+        )
 
     @property
     def is_stopping(self) -> bool:
