Answer what is no request also after a good one, and close

What callers saw: bytes that are no request, sent behind a good one, got no answer, and the connection stayed open and mute until its time limit.

Cause: the refusal was left out while another request was under way, and nothing came back to it. Change: it is kept until its turn. tests/test_httpserver.py failed before.

--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -139,6 +139,7 @@
         self._rested_since = server.clock()
         self._unparsed = b""
         self._is_closing = False
+        self._rejected: HTTPStatus | None = None
         self._on_pause: Callable[[], None] | None = None
         self._on_resume: Callable[[], None] | None = None
         self._begin_message()
@@ -323,9 +324,8 @@
     def _reject(self, status: HTTPStatus) -> None:
         """Refuse what is no request; nothing after it can be trusted."""
         self._is_closing = True
-        if self._task is None and not self._ready:
-            Reply(self, keep=False).refuse(Refusal(status, "bad-request"))
         self._in_message = False
+        self._rejected = status
 
     def _start_next(self) -> None:
         if self._task is not None or self.is_lost:
@@ -336,6 +336,10 @@
             loop = asyncio.get_running_loop()
             self._task = loop.create_task(self._serve(incoming, reply))
             return
+        if self._rejected is not None:
+            status, self._rejected = self._rejected, None
+            Reply(self, keep=False).refuse(Refusal(status, "bad-request"))
+            return
         if self._unparsed and not self._is_closing:
             data, self._unparsed = self._unparsed, b""
             self._transport.resume_reading()
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,38 @@
+import asyncio
+from contextlib import asynccontextmanager
+
+from robinspindle.core.forwarding import Refusal
+from robinspindle.httpserver import CallerServer, Limits
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+TIMEOUT_S = 10.0
+"""Time after which a test that hangs fails, seconds."""
+
+
+@asynccontextmanager
+async def serve(handle):
+    server = CallerServer(handle, Limits(), lambda: 0.0)
+    await server.start("127.0.0.1", 0)
+    host, port = server._server.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            yield reader, writer
+    finally:
+        writer.close()
+        server.close_listener()
+
+
+async def answer(incoming, reply):
+    reply.refuse(Refusal(404, "no-route"))
+
+
+def test_a_bad_request_after_a_good_one_is_answered_and_closes():
+    async def scenario():
+        async with serve(answer) as (reader, writer):
+            writer.write(REQUEST + b"this is no request\r\n\r\n")
+            answers = await reader.read()
+            assert answers.count(b"HTTP/1.1 404 ") == 1
+            assert answers.count(b"HTTP/1.1 400 ") == 1
+
+    asyncio.run(scenario())
