Tell no measurements in the comments on crashing requests

Comments gave figures of single runs (one in 8,000 callers, 62 of 300 gateways, 19 microseconds), which say nothing of the code and grow stale. They are a few words of reason now.

--- a/src/robinspindle/core/crashes.py
+++ b/src/robinspindle/core/crashes.py
@@ -25,8 +25,7 @@
 
 MAX_COINCIDENCE_PROBABILITY = 1e-3
 """A request is taken as the cause if the probability that an innocent one would have
-been running at the same crashes is at most this. If each target crashes every 4 s, 1 in
-8,000 innocent callers is rejected (`tests/core/test_crashes.py`)."""
+been running at the same crashes is at most this."""
 
 EXPLAINED_CRASH_PROBABILITY = 0.3
 """Assumed probability that an innocent request is running at a crash that has another
@@ -53,9 +52,9 @@
 
 MAX_RUNS = 128
 MAX_REQUESTS = 1024
-"""Maximum number of requests that are kept for one crash, and for all crashes: 0.7 MB
-together with the successes. If there are more, the requests with a single crash are
-removed first, from the oldest crash on."""
+"""Maximum number of requests that are kept for one crash, and for all crashes. If there
+are more, the requests with a single crash are removed first, from the oldest crash
+on."""
 
 SUCCESS_RETENTION_S = 60.0
 MAX_SUCCESSES = 1024
@@ -215,10 +214,8 @@
     """Find the probability that an innocent request runs at the same crashes, 0 to 1.
 
     A long run coincides with a crash more often than a short one, and more often where
-    targets crash frequently. The calculation uses the usual run time rather than the
-    run time until the crash. If each target crashes every 4 s, 119 of 461 innocent
-    requests with three crashes became probable causes with the run time until the
-    crash, and 5 with the usual run time (`tests/core/test_crashes.py`).
+    targets crash frequently. The calculation uses the usual run time: the run time
+    until the crash is shorter, and with it innocent requests would look guilty.
 
     Args:
         evidence: The known crashes.
--- a/src/robinspindle/core/crashupdates.py
+++ b/src/robinspindle/core/crashupdates.py
@@ -121,7 +121,7 @@
     """Merge the updates of two senders, up to what a datagram may contain.
 
     Updates of several senders on the same crash or request become one, as many
-    gateways may send the same: of 300 gateways, 62 sent an update on one request.
+    gateways may send the same.
     """
     return RequestUpdates(
         _merge_crashes(first.crashes + second.crashes),
--- a/src/robinspindle/core/fingerprints.py
+++ b/src/robinspindle/core/fingerprints.py
@@ -5,8 +5,7 @@
 description of a prompt is left out, as it contains nothing that the body doesn't.
 
 A fingerprint starts with the head hash: a hash of all of these except the body. Hashing
-a body of 100 kB takes 0.3 ms while other requests are processed, so it is done only if
-the head hash is known already.
+a long body delays other requests, so it is done only if the head hash is known already.
 """
 
 import hashlib
--- a/src/robinspindle/core/quarantine.py
+++ b/src/robinspindle/core/quarantine.py
@@ -30,9 +30,8 @@
 for longer than this."""
 
 MAX_ENTRIES = 256
-"""Maximum number of entries that are kept, 0.2 MB: 75 times the most that were ever in
-quarantine at once. The oldest one is removed first, and its request is quarantined
-again only after it crashes targets again."""
+"""Maximum number of entries that are kept. The oldest one is removed first, and its
+request is quarantined again only after it crashes targets again."""
 
 MAX_NAMED_CRASHES = 8
 """Maximum number of crashes that an entry names as its reason."""
--- a/src/robinspindle/crashwatch.py
+++ b/src/robinspindle/crashwatch.py
@@ -164,7 +164,7 @@
 
 
 class Watched:
-    """The context of a run: 3 microseconds less than one made of a generator."""
+    """The context of a run; cheaper than one made of a generator."""
 
     def __init__(self, watch: CrashWatch, run: Run):
         self._watch = watch
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -28,9 +28,8 @@
 """Why a request is turned away, in answers, logs and metrics."""
 
 MOST_REMEMBERED_BODY = 4096
-"""Longer bodies are not read to remember a good end, bytes, unless a request of the
-same mark is suspected. Up to here naming one takes at most 19 microseconds, in a
-loop of 20,000 beside other work; one of 18 KB takes 63."""
+"""Longer bodies are not hashed to remember a success, bytes, unless a request with the
+same head hash is suspected: hashing them delays other requests."""
 
 SETTLE_S = 0.3
 """How long a crash's companions are waited for before a judgement is told to all and
@@ -38,8 +37,8 @@
 
 UNTOLD_S = 2.0
 """How long a gateway that saw none of the crashes waits for the judgement of one that
-did, seconds; then it judges itself, one gateway after the other. Of 300 gateways 62
-judged and would have written to the store at the same moment."""
+did, seconds; then it judges itself, one gateway after the other, so that they don't all
+write to the store at once."""
 
 HELD_BACK_S = 0.5
 """When a request that is held back may come again, seconds: it is judged by then."""
@@ -49,8 +48,7 @@
 count."""
 
 MOST_KINDS = 8192
-"""Kinds of runs whose length is remembered: more than a configuration has routes, which
-is 0.8 MB if all are in use and 2 KB with the ten that a day has."""
+"""Kinds of runs whose length is remembered: more than a configuration has routes."""
 
 
 def read_wall_ms() -> int:
@@ -74,8 +72,7 @@
         find_place: Finds this gateway's place in the order that hangs on a request: the
             first gives it a trial.
         wake: Called when there is news for the peers, so that they are told after the
-            least interval of datagrams, 0.02 s where gateways are few, in place of up
-            to 0.2 s.
+            least interval of datagrams rather than the longest.
         wall_ms: Tells the time of day, Unix milliseconds.
         evidence: What speaks against requests.
         quarantine: Who is turned away.
--- a/src/robinspindle/quarantinekeeping.py
+++ b/src/robinspindle/quarantinekeeping.py
@@ -21,7 +21,7 @@
 
 STEP_S = 2.0
 """How long each gateway waits for those before it in the order, seconds: an entry comes
-back from the store within a second. Of 300 gateways one writes, not all."""
+back from the store within a second, so that usually only the first one writes."""
 
 MOST_STEPS = 8
 """Gateways that wait one after the other; the others write after the last of them."""
