Tell no measurements in the comments on prefills

Doc comments told how the base time once counted as backlog, what the longest prompts did before they were refused, and figures of one fleet.

--- a/src/robinspindle/core/decodeplacement.py
+++ b/src/robinspindle/core/decodeplacement.py
@@ -19,9 +19,8 @@
 them slows it down by a few milliseconds."""
 
 CROSS_ZONE_COST_S = 0.010
-"""Cost of a target in another availability zone, seconds: a round trip takes about 3
-ms, and the transferred bytes cost about as much as prefilling 2,000 shared tokens
-again."""
+"""Cost of a target in another availability zone, seconds: its round trip, and the
+charge for the transferred bytes."""
 
 REQUEST_COST_S = 0.002
 """Cost of each request in flight at a decode engine, seconds, so that answers are
--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -41,8 +41,7 @@
 
 SHORT_PREFILL_SHARE = 0.6
 """Share of the gap between two events that an engine may spend on prefills while it
-generates short answers only. The rest is for the decode steps of the next event, about
-a fifth of a gap on current engines."""
+generates short answers only. The rest is for the decode steps of the next event."""
 
 RECENT_WINDOW_S = 1.0
 """Time for which the start of a prefill is remembered, seconds: several gaps between
@@ -329,8 +328,8 @@
 def note_peer_backlog(engine: Engine, peer: str, levels: list[float]) -> None:
     """Record the prefill backlog of another gateway at an engine.
 
-    The sum over the peers is updated at once: with 22 peers it is read far more often
-    than it changes.
+    The sum over the peers is updated at once, as it is read far more often than it
+    changes.
 
     Args:
         engine: The engine.
--- a/src/robinspindle/core/prefillmodel.py
+++ b/src/robinspindle/core/prefillmodel.py
@@ -18,9 +18,7 @@
 INITIAL_DECODE: Coefficients = (0.005, 0.04, 0.0)
 """Coefficients before the first sample: 50,000 tokens per second, and half of that for
 engines that prefill between the decode steps of answers. They weigh as much as
-`INITIAL_WEIGHT` samples, so they are neither a lower nor an upper bound: even at half
-or double these values, the median ratio of actual to estimated time lies between 0.8
-and 1.25 after 12 samples (`tests/core/test_prefillmodel.py`)."""
+`INITIAL_WEIGHT` samples, so they are neither a lower nor an upper bound."""
 
 INITIAL_WEIGHT = 0.5
 """Number of samples that the initial coefficients count for."""
@@ -125,12 +123,9 @@
 def estimate_busy_s(model: PrefillModel, new: float, context: float) -> float:
     """Estimate the time for which a prefill occupies an engine, seconds.
 
-    The base time is the network delay of the prompt to its engine and of the answer
-    back, through links and gateways: the engine prefills others meanwhile. Counted as
-    backlog, it was half of the whole backlog of prompts of 4,500 tokens, which are
-    prefilled in 21 ms and answered after 47 ms. Engines then looked 1.9 times as busy
-    as they were, rather than 1.3 times (`tests/core/test_loadplay.py`), and a demand
-    for 4 prefill engines looked like one for 8.
+    The base time is left out. It is the network delay of the prompt to its engine and
+    of the answer back, through links and gateways: the engine prefills others
+    meanwhile.
 
     Args:
         model: The prefill model of the engine.
--- a/src/robinspindle/core/prefillplacement.py
+++ b/src/robinspindle/core/prefillplacement.py
@@ -269,11 +269,11 @@
     nothing. Therefore a request is sent, after all that can meet their deadlines, if
     its answer is estimated to begin before its caller times out.
 
-    This also applies to answers that are expected to be long: when these were never
-    refused, most of the longest prompts waited until their callers timed out. A long
-    answer is also refused if it would make others of its kind miss their time limits,
-    or if it would wait for a slot: a caller that is refused at once can retry in time,
-    but one that waits misses its deadline.
+    This also applies to answers that are expected to be long: if these were never
+    refused, the longest prompts would wait until their callers time out. A long answer
+    is also refused if it would make others of its kind miss their time limits, or if it
+    would wait for a slot: a caller that is refused at once can retry in time, but one
+    that waits misses its deadline.
 
     Args:
         plan: The best plan for the request.
--- a/src/robinspindle/core/retrydetection.py
+++ b/src/robinspindle/core/retrydetection.py
@@ -8,8 +8,8 @@
 
 RETRY_TIMEOUT_SHARE = 0.97
 """An attempt whose caller waits for less than this share of the longest timeout of its
-route is a retry: the network delay to the gateway is a few milliseconds, but a refusal
-and the delay before the retry take more than a twentieth of any observed timeout."""
+route is a retry: a refusal and the delay before the retry take more of the timeout than
+the network delay to the gateway does."""
 
 
 @dataclass
--- a/src/robinspindle/core/selection.py
+++ b/src/robinspindle/core/selection.py
@@ -10,8 +10,8 @@
 target that fails a quarter of its requests counts as full."""
 
 CROSS_ZONE_WEIGHT = 0.5
-"""Cost of another availability zone, in requests in flight: its round trip of 3 ms is
-about a seventh of a usual call, and traffic between zones is charged for."""
+"""Cost of another availability zone, in requests in flight: its round trip, and the
+charge for traffic between zones."""
 
 
 def choose_target(
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -19,7 +19,7 @@
 
 ALONE_S = 0.001
 """With less work than this before it an engine begins a reading at once, seconds: less
-than any reading that was measured."""
+than any reading takes."""
 
 
 class Reading:
