Tell no measurements in the comments on relays and peers

Constants were explained by figures of 68 and 300 gateways, by what gateways sent before there were relays, and by other constants' values.

--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -22,8 +22,8 @@
 from robinspindle.peers import Peers, list_heard
 
 PEERS_FIRST_S = 0.4
-"""How long peers are waited for before engines are asked, seconds: with 23 gateways and
-21 engines the lists come within 1.2 s, the first of them after 0.06 s."""
+"""How long peers are waited for before engines are asked, seconds: the first lists come
+much sooner."""
 
 ASK_LIMITS = CallLimits(connect_s=0.5, first_s=0.5, silence_s=0.5)
 """How long an engine's list is waited for: all engines are asked at once, so on a slow
--- a/src/robinspindle/core/pauses.py
+++ b/src/robinspindle/core/pauses.py
@@ -15,8 +15,8 @@
 two reads."""
 
 MIN_LATE_S = 0.5
-"""Least delay of a wakeup that counts as a pause, seconds. Timers of busy small VMs
-fire up to 0.1 s late; targets count as silent after 0.6 s."""
+"""Least delay of a wakeup that counts as a pause, seconds: more than timers of busy
+small VMs are late, and less than the time after which targets count as silent."""
 
 MIN_LONG_TURN_S = 0.1
 """Least duration of a turn of the event loop that counts as long, seconds: the shortest
--- a/src/robinspindle/core/peerdigests.py
+++ b/src/robinspindle/core/peerdigests.py
@@ -29,8 +29,8 @@
 
 RELAY_TIMEOUT_S = 1.0
 """The same for a relay, seconds: five of its longest intervals. It is shorter than for
-other peers because the group's next relay takes over after 0.6 s, and the requests of
-the group count twice until the failed relay has timed out."""
+other peers because the group's next relay takes over sooner, and the requests of the
+group count twice until the failed relay has timed out."""
 
 MAX_PLACEMENTS = 24
 """Maximum number of placements in one datagram, so that it stays far below 64 KB and
--- a/src/robinspindle/core/relays.py
+++ b/src/robinspindle/core/relays.py
@@ -19,8 +19,8 @@
 
 GROUP_MEMBERS = 16
 """Maximum number of gateways in a group. A relay receives from its group and from the
-other relays: with 300 gateways in five zones from 34 senders, where one relay for each
-zone would receive from 64."""
+other relays: with one relay for each zone, it would receive from all of a large
+zone."""
 
 RELAY_SILENCE_TIMEOUT_S = 0.6
 """How long a relay may send nothing before the next one is chosen, seconds: three of
@@ -43,9 +43,7 @@
 that the estimates of other gateways are at most one prompt behind."""
 
 RELAY_RATE = 200.0
-"""Maximum number of datagrams per second that a relay sends, and that it receives: half
-of what each gateway sent when all sent to all. The resulting interval for 68 gateways
-in five zones is 0.1 s."""
+"""Maximum number of datagrams per second that a relay sends, and that it receives."""
 
 NEWS_LINK_SHARE = 0.15
 """Share of a gateway's own link that digests may use: requests, responses and the store
--- a/src/robinspindle/core/retransmission.py
+++ b/src/robinspindle/core/retransmission.py
@@ -9,8 +9,8 @@
 TRANSMISSIONS = 4
 RETRANSMIT_INTERVAL_S = 0.15
 """How many times an update is sent, and the minimum time between two transmissions,
-seconds. With 3 % of the datagrams lost and three hops, one of 7,000 updates doesn't
-reach some gateway, and all transmissions are done well within a second."""
+seconds. Hardly any update misses a gateway, even over three hops that lose datagrams,
+and all transmissions are done well within a second."""
 
 
 @dataclass
--- a/src/robinspindle/core/timeofday.py
+++ b/src/robinspindle/core/timeofday.py
@@ -11,8 +11,8 @@
 from collections.abc import Iterable
 
 NOISE_S = 0.25
-"""Differences up to this are attributed to network and scheduling delay, seconds: a
-datagram waits behind up to 0.1 s of other work at a busy sender on a small machine."""
+"""Differences up to this are attributed to network and scheduling delay, seconds: at a
+busy sender on a small machine a datagram waits behind other work."""
 
 MIN_CLOCKS = 3
 """With fewer clocks there is no majority that shows which of them is wrong."""
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -10,8 +10,8 @@
 from robinspindle.core.relays import Groups, Member, RelayChoice
 
 LEARNT_INTERVAL_S = 0.25
-"""Least time between two tellings of what was learnt of paces, seconds: 200 bytes each,
-and a gateway that starts knows the engines' paces after half a second at the latest."""
+"""Least time between two tellings of what was learnt of paces, seconds: a gateway that
+starts soon knows the engines' paces."""
 
 
 NUMBER_BITS = 40
