--- a/src/robinspindle/__init__.py
+++ b/src/robinspindle/__init__.py
@@ -26,7 +26,7 @@
     "read_settings": "robinspindle.settings",
 }
 """Where the public names live. They are loaded when they are asked for: a gateway needs
-none of them, and the models behind them were almost half of what it takes to start."""
+none of them, and the models behind them would make its start slow."""
 
 
 def __getattr__(name: str) -> object:
--- a/src/robinspindle/boundedoutput.py
+++ b/src/robinspindle/boundedoutput.py
@@ -17,7 +17,7 @@
 
 ROUTINE_LINES = 200
 """Routine lines between two flushes, at most: several times the usual number at the
-highest load that one process is built for, and about 0.5 MB/s."""
+highest load that one process is built for."""
 
 
 class BoundedOutput:
--- a/src/robinspindle/calls.py
+++ b/src/robinspindle/calls.py
@@ -26,9 +26,8 @@
     """How long one call of our own waits for the next thing to happen, seconds.
 
     There is none for the whole: what is large takes long over a slow link, and a call
-    that is given up while its answer comes begins again at the first byte. With one
-    limit for both, a record of 1,040 KB never came over 6 Mbit/s: calls were given up
-    with up to 1,032 KB received, the last of it under 80 ms before.
+    that is given up while its answer comes begins again at the first byte, so that it
+    might never come.
 
     Attributes:
         connect_s: Longest wait for a new connection.
--- a/src/robinspindle/core/ini.py
+++ b/src/robinspindle/core/ini.py
@@ -45,8 +45,8 @@
         Returns:
             The object, or None if the section has findings.
         """
-        # pydantic takes 10 MB of memory. It is imported here, so that processes that
-        # only read the policy file, and build no data class, don't load it.
+        # Imported here, so that processes that only read the policy file, and build no
+        # data class, don't load it into their memory.
         import pydantic
 
         values: dict[str, Any] = dict(self.sections.get(section, {}))
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -26,8 +26,8 @@
 so that a healed link is read well within the three seconds that it has."""
 
 NUDGED_S = 0.3
-"""How long a held poll may take to bring what a peer has read already, seconds: the
-store answers in a few ms, and 1 MB takes under that over 30 Mbit/s."""
+"""How long a held poll may take to bring what a peer has read already, seconds: longer
+than a large record takes over a fast link."""
 
 FIRST_PAUSE_S = 0.1
 """First pause after a failed call, seconds."""
@@ -38,8 +38,7 @@
 
 AWAY_PAUSE_S = 1.5
 """The same where the own relay says that the store is away, and will say when it is
-back, seconds. A relay that dies just then costs one such pause: with a call that is
-lost before it, the store is read within 2.5 s all the same."""
+back, seconds. A relay that dies just then costs one such pause."""
 
 PROBED_S = 1.5
 """How long a topic's reads rest while those of another one find out whether the store
@@ -47,8 +46,8 @@
 
 MOST_LEFT = 1
 """Records that may be left after a read before the newest of each key are read instead
-of all that came meanwhile. Versions of a configuration of a megabyte take 2 s each over
-6 Mbit/s; the newest records are longer by a third, as their bytes come as text."""
+of all that came meanwhile: large versions of a configuration take long over a slow
+link. The newest records are longer by a third, as their bytes come as text."""
 
 LEAST_PAUSE_SHARE = 0.7
 """Least part of a pause that is kept: gateways that fail together call apart."""
--- a/src/robinspindle/introduction.py
+++ b/src/robinspindle/introduction.py
@@ -16,7 +16,7 @@
 
 SPREAD_S = 2.0
 """Within how long the introductions that a copy of the store lacks are written again,
-seconds: 300 gateways then make 150 calls a second, a tenth of what the store takes."""
+seconds: the calls of many gateways then stay far below what the store takes."""
 
 
 class Introduction:
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -34,9 +34,8 @@
 
 CALL_TIMEOUT_S = 1.0
 """Longest wait for the start of a response, beyond the time for which a read may be
-held, and for each further piece, seconds. The store responds within a few milliseconds,
-or a few hundred when it is slow. On a saturated link of 6 Mbit/s, pieces arrived at
-most 80 ms apart."""
+held, and for each further piece, seconds: longer than a slow store takes to respond,
+and than the time between two pieces on a saturated slow link."""
 
 CONNECT_TIMEOUT_S = 0.5
 """Longest wait for a new connection to the store, seconds."""
