--- a/src/robinspindle/core/estimates.py
+++ b/src/robinspindle/core/estimates.py
@@ -6,15 +6,10 @@
 
 from dataclasses import dataclass
 
-from robinspindle.core.engines import (
-    Engine,
-    count_cached,
-    count_shared,
-    estimate_busy_s,
-    estimate_prefill_s,
-)
+from robinspindle.core.engines import Engine, count_cached, count_shared
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.health import find_slowness
+from robinspindle.core.prefillspeed import estimate_busy_s, estimate_prefill_s
 from robinspindle.core.targets import Target
 
 RECOMPUTE_WEIGHT = 2.0
--- a/src/robinspindle/core/interference.py
+++ b/src/robinspindle/core/interference.py
@@ -5,8 +5,9 @@
 the events of its answers.
 """
 
-from robinspindle.core.engines import SHORT_PREFILL_SHARE, Engine, sum_recent_prefill_s
+from robinspindle.core.engines import SHORT_PREFILL_SHARE, Engine
 from robinspindle.core.forwarding import Prompt
+from robinspindle.core.prefillbacklog import sum_recent_prefill_s
 
 PAUSE_LIMIT_SHARE = 0.7
 """A pause longer than this share of the allowed pause makes an engine prefill less."""
--- a/src/robinspindle/core/peerdigests.py
+++ b/src/robinspindle/core/peerdigests.py
@@ -11,14 +11,13 @@
 import msgspec
 
 from robinspindle.core.crashupdates import RequestUpdates
-from robinspindle.core.engines import (
-    Engine,
+from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.forwarding import Part
+from robinspindle.core.prefillbacklog import (
     forget_peer_backlog,
     note_peer_backlog,
-    note_placed,
     note_prefill_start,
 )
-from robinspindle.core.forwarding import Part
 from robinspindle.core.prefillmodel import FitSums
 from robinspindle.core.priorities import FIRST_RANK_LEVEL
 from robinspindle.core.usage import Account
--- a/src/robinspindle/core/prefillplacement.py
+++ b/src/robinspindle/core/prefillplacement.py
@@ -22,13 +22,7 @@
     find_fastest_event_s,
     has_long_capacity,
 )
-from robinspindle.core.engines import (
-    RECENT_WINDOW_S,
-    Engine,
-    count_recent_prefills,
-    estimate_wait,
-    sum_backlog_s,
-)
+from robinspindle.core.engines import Engine
 from robinspindle.core.estimates import (
     CacheTransfer,
     Pair,
@@ -39,6 +33,12 @@
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.interference import may_prefill_beside
 from robinspindle.core.policy import Policy
+from robinspindle.core.prefillbacklog import (
+    RECENT_WINDOW_S,
+    count_recent_prefills,
+    estimate_wait,
+    sum_backlog_s,
+)
 from robinspindle.core.priorities import (
     FIRST_RANK_LEVEL,
     LATE_LEVEL,
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -1,17 +1,16 @@
 """The prompts that this gateway has engines read, and what it believes of them."""
 
-from robinspindle.core.engines import (
-    Engine,
+from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.peerdigests import Placement
+from robinspindle.core.prefillbacklog import note_prefill_start
+from robinspindle.core.prefillmodel import PrefillSample
+from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.prefillspeed import (
     estimate_prefill_s,
     is_useful_sample,
-    note_placed,
     note_prefill_done,
-    note_prefill_start,
     note_queued_prefill,
 )
-from robinspindle.core.peerdigests import Placement
-from robinspindle.core.prefillmodel import PrefillSample
-from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.core.priorities import LATE_LEVEL
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
--- a/tests/core/test_interference.py
+++ b/tests/core/test_interference.py
@@ -1,4 +1,4 @@
-from robinspindle.core import engines, interference
+from robinspindle.core import engines, interference, prefillbacklog
 from robinspindle.core.engines import make_engine
 from robinspindle.core.forwarding import Part, Prompt
 
@@ -12,7 +12,7 @@
     assert not interference.may_prefill_beside(engine, 0.0, allowed_s, 0.2)
     allowed_s = engine.prefill_share * 0.2
     assert interference.may_prefill_beside(engine, 0.0, allowed_s, 0.2)
-    engines.note_prefill_start(engine, 0.0, allowed_s, 1)
+    prefillbacklog.note_prefill_start(engine, 0.0, allowed_s, 1)
     assert not interference.may_prefill_beside(engine, 0.1, 0.01, 0.2)
     assert interference.may_prefill_beside(engine, 0.3, 0.01, 0.2)
 
--- a/tests/core/test_loadplay.py
+++ b/tests/core/test_loadplay.py
@@ -3,7 +3,7 @@
 import pytest
 
 from robinspindle.core import estimates, prefillplacement
-from robinspindle.core.engines import note_unqueued_prefill
+from robinspindle.core.prefillspeed import note_unqueued_prefill
 from tests.core import loadplay
 from tests.core.loadplay import Load, simulate
 
--- a/tests/core/test_prefillplacement.py
+++ b/tests/core/test_prefillplacement.py
@@ -1,7 +1,7 @@
 import dataclasses
 import random
 
-from robinspindle.core import engines, interference, prefillplacement
+from robinspindle.core import engines, interference, prefillbacklog, prefillplacement
 from robinspindle.core.engines import make_engine
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.prefillmodel import PrefillModel
@@ -218,7 +218,7 @@
 def test_cheapest_engine_prefills_if_no_answers_are_sensitive_to_pauses():
     pairs = make_pairs()[2:4]
     for _, engine in pairs:
-        engines.note_prefill_start(engine, 0.0, 0.08, 1)
+        prefillbacklog.note_prefill_start(engine, 0.0, 0.08, 1)
     engines.note_placed(pairs[0][1], DIGEST_PROMPT.parts[:2])
     insensitive = dataclasses.replace(CONTEXT, has_pause_sensitive=False)
     assert name(choose_plan(pairs, DIGEST_PROMPT, insensitive).target) == "d1"
