Split the making of a request's plan from the choice among plans

core/prefillplacement.py (504 lines) held what a plan is, how one is made and costed, and which is chosen. The first two are core/requestplans.py now; the choice is in a function for long answers and one for short ones. The tests all go through the choice and stay.

--- a/src/robinspindle/core/prefillplacement.py
+++ b/src/robinspindle/core/prefillplacement.py
@@ -8,17 +8,11 @@
 """
 
 import math
-import random
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from robinspindle.core.decodeplacement import (
-    REQUEST_COST_S,
     choose_long_decode_pair,
-    count_requests,
-    estimate_decode_cost_s,
     estimate_slot_wait_s,
-    estimate_target_cost_s,
-    find_event_slowdown,
     find_fastest_event_s,
     has_long_capacity,
 )
@@ -26,28 +20,25 @@
 from robinspindle.core.estimates import (
     CacheTransfer,
     Pair,
-    PrefillEstimate,
-    estimate_prefill,
     find_cache_transfer,
 )
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.interference import may_prefill_beside
-from robinspindle.core.policy import Policy
 from robinspindle.core.prefillbacklog import (
     RECENT_WINDOW_S,
     count_recent_prefills,
-    estimate_wait,
-    sum_backlog_s,
 )
 from robinspindle.core.priorities import (
-    FIRST_RANK_LEVEL,
     LATE_LEVEL,
-    SHORT_LEVEL,
-    find_priority_level,
-    find_rank_level,
     is_short,
 )
-from robinspindle.core.targets import Target
+from robinspindle.core.requestplans import (
+    PlanningContext,
+    RequestPlan,
+    estimate_load_cost_s,
+    plan_local_prefill,
+    plan_remote_prefill,
+)
 
 COST_JITTER_SHARE = 1.0
 """Largest random addition to the cost of a plan, as a share of the maximum age of what
@@ -65,10 +56,6 @@
 (Mitzenmacher, "How useful is old information?", 2000). Sampling only among the engines
 that appear to meet the deadline gains less, as all gateways then choose those."""
 
-MAX_DECODE_COST_S = 0.05
-"""Upper limit on the cost of the decode engine's own load when the prompt is prefilled
-on another engine, seconds."""
-
 DEADLINE_SHARE = 0.9
 """Share of the time to the deadline that the estimate of a plan may use; the rest
 covers estimation errors. With a smaller share, prompts that could have met their
@@ -79,100 +66,6 @@
 event of a late answer may use; the rest covers estimation errors."""
 
 
-@dataclass(frozen=True)
-class RequestPlan:
-    """Where a request is prefilled and decoded.
-
-    Attributes:
-        target: The target that generates the answer.
-        prefill_target: The target that prefills the prompt; None if `target` does it.
-        cache_source: The target from whose cache the prefilling engine first fetches
-            the parts that it lacks; None if nothing is fetched.
-        uncached_tokens: Tokens that have to be prefilled.
-        prefill_s: Estimated time for which the prefill occupies an engine, seconds.
-        wait_s: Estimated wait for the prefill of other prompts, seconds.
-        first_event_s: Estimated time until the first event, seconds.
-        cost_s: Cost by which plans are compared, seconds.
-        missing_share: Share of the prompt's shared parts that has to be prefilled
-            again.
-        fetch_s: Estimated duration of the fetch from `cache_source`, seconds.
-        level: Priority level of the prefill.
-        has_capacity: Whether the target has capacity for one more long answer.
-        slot_wait_s: Estimated wait of a long answer for a slot of the target, seconds.
-    """
-
-    target: Target
-    prefill_target: Target | None
-    uncached_tokens: int
-    prefill_s: float
-    wait_s: float
-    first_event_s: float
-    cost_s: float
-    missing_share: float = 0.0
-    cache_source: Target | None = None
-    fetch_s: float = 0.0
-    level: int = FIRST_RANK_LEVEL
-    has_capacity: bool = True
-    slot_wait_s: float = 0.0
-
-
-@dataclass(frozen=True)
-class PlanningContext:
-    """What a plan depends on besides the engines.
-
-    Attributes:
-        now: The current time, monotonic seconds.
-        left_s: Time until the deadline of the first event, seconds.
-        latency_objective_s: Latency objective of the first event, seconds.
-        rank: The operator's rank of the route; 0 is the highest.
-        is_long: Whether the answer is expected to be long.
-        gap_s: The longest allowed pause between two events of an answer, seconds.
-        zone: The gateway's availability zone.
-        has_pause_sensitive: Whether the service has short answers that are sensitive
-            to pauses.
-        handoff_s: Delay from the end of a prefill on another engine to the first
-            event, seconds.
-        late_handoff_s: The same delay for requests that miss their deadline.
-        token_transfer_s: Time to transfer the KV cache of a token between engines of
-            one availability zone, seconds; None if not known.
-        age_s: Maximum age of what other gateways have reported, seconds.
-        rng: Source of random choices; None to choose by cost alone.
-        policy: The switches of the decisions.
-        is_prompt_underserved: Whether prompts of its length are underserved, so that
-            it keeps the priority of its rank even if it misses its deadline.
-        fastest_s: Time per event of the fastest decode engine, seconds; 0 if not known
-            or if no short answers are sensitive to pauses.
-        max_event_s: The longest time per event with which the answer ends before its
-            deadline, seconds.
-        longest_answer_event_s: The same for the longest answers of its kind, seconds.
-        slot_wait_s: Estimated wait of a long answer for a slot of its decode engine,
-            seconds.
-        is_answer_underserved: Whether answers of its length are underserved, so that
-            it is sent even if its decode engine has too many long answers.
-    """
-
-    now: float
-    left_s: float
-    latency_objective_s: float
-    gap_s: float
-    zone: str
-    rank: int = 0
-    is_long: bool = False
-    has_pause_sensitive: bool = True
-    handoff_s: float = 0.0
-    late_handoff_s: float = 0.0
-    token_transfer_s: float | None = None
-    age_s: float = 0.0
-    rng: random.Random | None = None
-    policy: Policy = Policy()
-    is_prompt_underserved: bool = False
-    fastest_s: float = 0.0
-    max_event_s: float = math.inf
-    longest_answer_event_s: float = math.inf
-    slot_wait_s: float = 0.0
-    is_answer_underserved: bool = False
-
-
 def choose_plan(
     candidates: list[Pair], prompt: Prompt, context: PlanningContext
 ) -> RequestPlan | None:
@@ -196,22 +89,41 @@
         )
     transfer = _find_transfer(candidates, prompt, context)
     if context.is_long:
-        decode_pair = choose_long_decode_pair(
-            decode_pairs,
-            context.zone,
-            context.now,
-            context.max_event_s,
-            context.longest_answer_event_s,
-        )
-        has_capacity = has_long_capacity(
-            decode_pair,
-            context.now,
-            context.max_event_s,
-            context.longest_answer_event_s,
-        )
-        context = replace(context, slot_wait_s=estimate_slot_wait_s(decode_pair))
-        plan = _plan_long(decode_pair, candidates, prompt, context, transfer)
-        return replace(plan, has_capacity=has_capacity or context.is_answer_underserved)
+        return _choose_long_plan(candidates, decode_pairs, prompt, context, transfer)
+    return _choose_short_plan(candidates, decode_pairs, prompt, context, transfer)
+
+
+def _choose_long_plan(
+    candidates: list[Pair],
+    decode_pairs: list[Pair],
+    prompt: Prompt,
+    context: PlanningContext,
+    transfer: CacheTransfer | None,
+) -> RequestPlan:
+    """Choose the plan of a long answer: first its decode engine, then the prefill."""
+    decode_pair = choose_long_decode_pair(
+        decode_pairs,
+        context.zone,
+        context.now,
+        context.max_event_s,
+        context.longest_answer_event_s,
+    )
+    has_capacity = has_long_capacity(
+        decode_pair, context.now, context.max_event_s, context.longest_answer_event_s
+    )
+    context = replace(context, slot_wait_s=estimate_slot_wait_s(decode_pair))
+    plan = _plan_long(decode_pair, candidates, prompt, context, transfer)
+    return replace(plan, has_capacity=has_capacity or context.is_answer_underserved)
+
+
+def _choose_short_plan(
+    candidates: list[Pair],
+    decode_pairs: list[Pair],
+    prompt: Prompt,
+    context: PlanningContext,
+    transfer: CacheTransfer | None,
+) -> RequestPlan:
+    """Choose the plan of a short answer: the cheapest in time, else the earliest."""
     subsets = _draw_subsets(candidates, context)
     for subset in subsets:
         plans = _list_plans(subset, decode_pairs, prompt, context, transfer)
@@ -244,14 +156,14 @@
     these would then last long enough to count as long, and their prompts would be
     prefilled there too.
     """
-    local_plan = _plan_local_prefill(decode_pair, prompt, context, transfer)
+    local_plan = plan_local_prefill(decode_pair, prompt, context, transfer)
     if is_short(
         local_plan.prefill_s, context.latency_objective_s
     ) or _may_prefill_there(decode_pair[1], local_plan, context):
         return local_plan
     prefill_pairs = [pair for pair in candidates if pair[1].prefill_only]
     plans = [
-        _plan_remote_prefill(pair, decode_pair, prompt, context, transfer)
+        plan_remote_prefill(pair, decode_pair, prompt, context, transfer)
         for pair in prefill_pairs
     ]
     return min(plans, key=lambda plan: plan.cost_s, default=local_plan)
@@ -350,7 +262,7 @@
     local_pairs = [pair for pair in prefill_candidates if not pair[1].prefill_only]
     prefill_pairs = [pair for pair in prefill_candidates if pair[1].prefill_only]
     local_plans = [
-        _plan_local_prefill(pair, prompt, context, transfer, is_late)
+        plan_local_prefill(pair, prompt, context, transfer, is_late)
         for pair in local_pairs
     ]
     plans = [
@@ -360,10 +272,10 @@
     ]
     if prefill_pairs:
         decode_pair = min(
-            decode_pairs, key=lambda pair: _estimate_decode_cost_s(pair, context)
+            decode_pairs, key=lambda pair: estimate_load_cost_s(pair, context)
         )
         plans += [
-            _plan_remote_prefill(pair, decode_pair, prompt, context, transfer, is_late)
+            plan_remote_prefill(pair, decode_pair, prompt, context, transfer, is_late)
             for pair in prefill_pairs
         ]
     # Without a prefill engine, a decode engine has to prefill the prompt, unless other
@@ -390,116 +302,3 @@
     if context.rng is None or not context.policy.varies_choices:
         return 0.0
     return context.rng.random() * context.age_s * COST_JITTER_SHARE
-
-
-def _plan_local_prefill(
-    pair: Pair,
-    prompt: Prompt,
-    context: PlanningContext,
-    transfer: CacheTransfer | None,
-    is_late: bool = False,
-) -> RequestPlan:
-    """Plan to prefill a prompt on its decode engine."""
-    target, engine = pair
-    estimate = estimate_prefill(pair, prompt, context.now, transfer)
-    delay_s = estimate_target_cost_s(target, context.zone) + context.slot_wait_s
-    slowdown = find_event_slowdown(engine, context.now, context.fastest_s)
-    decode_cost_s = count_requests(pair) * REQUEST_COST_S * slowdown
-    return _make_plan(
-        target, None, engine, estimate, delay_s, decode_cost_s, context, is_late
-    )
-
-
-def _plan_remote_prefill(
-    pair: Pair,
-    decode_pair: Pair,
-    prompt: Prompt,
-    context: PlanningContext,
-    transfer: CacheTransfer | None,
-    is_late: bool = False,
-) -> RequestPlan:
-    """Plan to prefill a prompt on one engine and to decode its answer on another."""
-    prefill_target, engine = pair
-    estimate = estimate_prefill(pair, prompt, context.now, transfer)
-    handoff_s = context.late_handoff_s if is_late else context.handoff_s
-    delay_s = estimate_target_cost_s(prefill_target, context.zone) + max(
-        handoff_s, context.slot_wait_s
-    )
-    # The decode engine may have other prompts to prefill, but it begins the answer to
-    # a fetched prompt between two of these prefills.
-    decode_cost_s = min(
-        _estimate_decode_cost_s(decode_pair, context), MAX_DECODE_COST_S
-    )
-    return _make_plan(
-        decode_pair[0],
-        prefill_target,
-        engine,
-        estimate,
-        delay_s,
-        decode_cost_s,
-        context,
-        is_late,
-    )
-
-
-def _estimate_decode_cost_s(pair: Pair, context: PlanningContext) -> float:
-    slowdown = find_event_slowdown(pair[1], context.now, context.fastest_s)
-    return estimate_decode_cost_s(pair, context.zone, slowdown)
-
-
-def _make_plan(
-    target: Target,
-    prefill_target: Target | None,
-    engine: Engine,
-    estimate: PrefillEstimate,
-    delay_s: float,
-    decode_cost_s: float,
-    context: PlanningContext,
-    is_late: bool,
-) -> RequestPlan:
-    """Make a plan, given everything except the priority level and the wait.
-
-    Args:
-        target: The target that generates the answer.
-        prefill_target: The target that prefills the prompt; None if `target` does it.
-        engine: The engine that prefills it.
-        estimate: The estimate of the prefill.
-        delay_s: Time from the end of the prefill to the first event, seconds.
-        decode_cost_s: Cost of the requests at the decode engine, seconds.
-        context: What else the plan depends on.
-        is_late: Whether the prefill gets the level of late requests.
-    """
-    follows_ranks = context.policy.follows_ranks
-    level = find_priority_level(
-        estimate.prefill_s, context.latency_objective_s, context.rank, follows_ranks
-    )
-    if level == SHORT_LEVEL and context.is_long:
-        # Its prefill delays no other request, but its answer does: it would occupy
-        # slots that prefilled prompts with short answers are waiting for.
-        level = find_rank_level(context.rank)
-    level = LATE_LEVEL if is_late else level
-    wait_s = estimate_wait(engine, level, context.now)
-    first_event_s = wait_s + estimate.seconds + delay_s
-    # Prompts queued behind it add to the cost like those that it waits for.
-    queued_behind_s = (
-        sum_backlog_s(engine, LATE_LEVEL - 1) if context.policy.counts_held_up else 0.0
-    )
-    queue_cost_s = max(wait_s, queued_behind_s)
-    return RequestPlan(
-        target=target,
-        prefill_target=prefill_target,
-        uncached_tokens=estimate.uncached_tokens,
-        prefill_s=estimate.prefill_s,
-        wait_s=wait_s,
-        first_event_s=first_event_s,
-        cost_s=first_event_s
-        - wait_s
-        + queue_cost_s
-        + decode_cost_s
-        + estimate.penalty_s,
-        missing_share=estimate.missing_share,
-        cache_source=estimate.cache_source,
-        fetch_s=estimate.fetch_s,
-        level=level,
-        slot_wait_s=context.slot_wait_s,
-    )
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -5,7 +5,7 @@
 from robinspindle.calls import CallLimits, call_once
 from robinspindle.core import health
 from robinspindle.core.forwarding import AnswerHead, CacheSource
-from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.requestplans import RequestPlan
 from robinspindle.core.silence import (
     ExpectedResponse,
     find_first_event_timeout,
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -4,7 +4,6 @@
 from robinspindle.core.peerdigests import Placement
 from robinspindle.core.prefillbacklog import note_prefill_start
 from robinspindle.core.prefillmodel import PrefillSample
-from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.core.prefillspeed import (
     estimate_prefill_s,
     is_useful_sample,
@@ -12,6 +11,7 @@
     note_queued_prefill,
 )
 from robinspindle.core.priorities import LATE_LEVEL
+from robinspindle.core.requestplans import RequestPlan
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import Peers
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -2,7 +2,7 @@
 
 from robinspindle.core.forwarding import Refusal, Request
 from robinspindle.core.interference import find_prefill_share
-from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.requestplans import RequestPlan
 from robinspindle.core.sizeclasses import find_size_class
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -16,17 +16,14 @@
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.prefillbacklog import note_peer_backlog, note_prefill_start
 from robinspindle.core.prefillmodel import PrefillSample, make_prefill_model
-from robinspindle.core.prefillplacement import (
-    PlanningContext,
-    choose_plan,
-    should_refuse,
-)
+from robinspindle.core.prefillplacement import choose_plan, should_refuse
 from robinspindle.core.prefillspeed import (
     estimate_prefill_s,
     note_prefill_done,
     note_queued_prefill,
 )
 from robinspindle.core.priorities import LATE_LEVEL, REQUEST_PRIORITIES
+from robinspindle.core.requestplans import PlanningContext
 from robinspindle.core.sizefairness import (
     SizeFairness,
     is_underserved,
--- a/tests/core/test_prefillplacement.py
+++ b/tests/core/test_prefillplacement.py
@@ -5,8 +5,9 @@
 from robinspindle.core.engines import make_engine
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.prefillmodel import PrefillModel
-from robinspindle.core.prefillplacement import PlanningContext, choose_plan
+from robinspindle.core.prefillplacement import choose_plan
 from robinspindle.core.priorities import LATE_LEVEL, SHORT_LEVEL, find_rank_level
+from robinspindle.core.requestplans import PlanningContext
 from robinspindle.core.targets import Announcement, Target
 
 SYSTEM_PART, DOCUMENT_PART, OWN_PART = Part("h", 2500), Part("d", 3800), Part("o", 2900)
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -17,7 +17,7 @@
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.policy import Policy
 from robinspindle.core.prefillmodel import estimate_seconds
-from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.requestplans import RequestPlan
 from robinspindle.readings import Readings
 
 PROMPT = Prompt("m", (Part("s", 200), Part("o", 1712)), 1912, 100)
