Read documents, and find running runs, in one place each

Three readers turned a file that can't be read into the same finding, and three handlers of an agent looked up a running run by the same four lines; both are one function now.

--- a/src/robinspindle/core/agentcontrol.py
+++ b/src/robinspindle/core/agentcontrol.py
@@ -151,8 +151,8 @@
     agent: AgentState, now: float, key: tuple[str, int], texts: tuple[str, ...]
 ) -> list[Effect]:
     """Handle tokens from the engine and send them, numbered, to the run's listeners."""
-    run = agent.runs.get(key)
-    if run is None or run.status != RUNNING:
+    run = _find_running(agent, key)
+    if run is None:
         return []
     new_tokens = len(run.texts) - len(run.work.resumed)
     if new_tokens == 0:
@@ -178,8 +178,8 @@
         key: Request id and attempt of the run.
         finished: The last message. Its ids, count and report are filled in here.
     """
-    run = agent.runs.get(key)
-    if run is None or run.status != RUNNING:
+    run = _find_running(agent, key)
+    if run is None:
         return []
     if run.work.kind == "call":
         admission.note_call(agent.speed, now - run.started_at)
@@ -205,8 +205,8 @@
         ran: Whether the run had an effect.
         reason: Why the run failed.
     """
-    run = agent.runs.get(key)
-    if run is None or run.status != RUNNING:
+    run = _find_running(agent, key)
+    if run is None:
         return []
     failed = Failed(request="", attempt=0, ran=ran, reason=reason)
     if ran == "no":
@@ -222,6 +222,12 @@
         agent.prefix_version += 1
 
 
+def _find_running(agent: AgentState, key: tuple[str, int]) -> Run | None:
+    """Find a run that was sent to the engine or service and has not ended."""
+    run = agent.runs.get(key)
+    return run if run is not None and run.status == RUNNING else None
+
+
 def _answer_hello(agent: AgentState, now: float, peer: str, hello: Hello) -> Report:
     report = make_report(agent, now, peer)
     if hello.prefix_version == agent.prefix_version:
--- a/src/robinspindle/core/runs.py
+++ b/src/robinspindle/core/runs.py
@@ -195,7 +195,7 @@
         for run in active
         if run.status == RUNNING
     ]
-    priority = new_request.work.priority if new_request else ORDINARY_PRIORITY
+    priority = _find_priority(new_request)
     slots = agent.section.slots if agent.section else 1
     return admission.estimate_wait(
         _list_ahead(active, priority),
@@ -217,10 +217,15 @@
         for run in active
         if is_prefilling_long_prompt(run)
     )
-    priority = new_request.work.priority if new_request else ORDINARY_PRIORITY
+    priority = _find_priority(new_request)
     return admission.estimate_prefill_wait(_list_ahead(active, priority), pending_s)
 
 
+def _find_priority(request: admission.QueuedRequest | None) -> int:
+    """Find the priority of a request; without one, the ordinary priority."""
+    return request.work.priority if request else ORDINARY_PRIORITY
+
+
 def _sum_own_pending_prefill(active: list[Run], now: float, peer: str) -> float:
     """Sum the remaining prefill time of an entry's own long prompts, seconds."""
     pending_s = 0.0
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -1,11 +1,11 @@
 """Reads the platform's settings file (TOML) into `GatewaySettings`."""
 
 import tomllib
-from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from robinspindle.documentfiles import read_document
 from robinspindle.exceptions import Finding, InvalidDocumentError
 from robinspindle.gatewaysettings import (
     DutySettings,
@@ -74,8 +74,8 @@
         InvalidDocumentError: If the settings are invalid; it holds all findings.
     """
     try:
-        tables = tomllib.loads(Path(path).read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        tables = tomllib.loads(read_document(path))
+    except tomllib.TOMLDecodeError as error:
         raise InvalidDocumentError([Finding(path, "", "", 0, str(error))]) from None
     reader = _Reader(path, tables)
     settings = GatewaySettings(
--- a/src/robinspindle/policyfile.py
+++ b/src/robinspindle/policyfile.py
@@ -2,11 +2,11 @@
 
 import configparser
 from dataclasses import fields
-from pathlib import Path
 
 from robinspindle.core.ini import IniDocument, describe_unknown
 from robinspindle.core.policy import Policy
-from robinspindle.exceptions import Finding, InvalidDocumentError
+from robinspindle.documentfiles import read_document
+from robinspindle.exceptions import InvalidDocumentError
 
 SECTION = "decisions"
 WORDS = configparser.ConfigParser.BOOLEAN_STATES
@@ -18,11 +18,7 @@
     Raises:
         InvalidDocumentError: With every finding and its place, when there is any.
     """
-    try:
-        text = Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise InvalidDocumentError([Finding(path, "", "", 0, str(error))]) from None
-    document = IniDocument(path, text)
+    document = IniDocument(path, read_document(path))
     for section in document.sections:
         if section != SECTION:
             document.add_finding(section, "", describe_unknown(section, [SECTION]))
--- a/src/robinspindle/settings.py
+++ b/src/robinspindle/settings.py
@@ -1,7 +1,6 @@
 """Settings of one process: an INI file, checked as a whole."""
 
 import ipaddress
-from pathlib import Path
 from typing import Annotated
 
 from pydantic import AfterValidator, ConfigDict, Field
@@ -9,7 +8,8 @@
 
 from robinspindle.core.documents import HostPort, Name
 from robinspindle.core.ini import IniDocument, describe_unknown
-from robinspindle.exceptions import Finding, InvalidDocumentError
+from robinspindle.documentfiles import read_document
+from robinspindle.exceptions import InvalidDocumentError
 
 FORBID = ConfigDict(extra="forbid")
 
@@ -114,11 +114,7 @@
     Raises:
         InvalidDocumentError: With every finding, when there is any.
     """
-    try:
-        text = Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise InvalidDocumentError([Finding(path, "", "", 0, str(error))]) from None
-    document = IniDocument(path, text)
+    document = IniDocument(path, read_document(path))
     settings = None
     for section in document.sections:
         if section not in KINDS:
