Send chats and start measured processes in one place in the benches

The demo and the timed callers wrote the same chat and the same expected answer; the slopes started an entry and an agent by the same lines. The callers of the system tests keep their own, as they judge independently. The measurements themselves were not run again.

--- a/benches/demo.py
+++ b/benches/demo.py
@@ -4,8 +4,8 @@
 import sys
 import time
 
+from benches.chats import make_answer, send_chat
 from robinspindle import cli
-from standins.batching import digest_prompt, make_token
 from standins.fleet import Fleet, start_fleet
 
 RULEBOOK = "Every order is read against the rulebook of its availability zone. " * 40
@@ -61,26 +61,14 @@
     tokens: int,
     key: str = "",
 ) -> bool:
-    body = {
-        "model": model,
-        "messages": [{"role": "user", "content": text}],
-        "max_tokens": tokens,
-        "stream": True,
-    }
     headers = {"Authorization": f"Bearer demo-{workspace}"}
     if key:
         headers["Idempotency-Key"] = key
     begun = time.monotonic()
-    response = fleet.http.request(
-        "POST",
-        f"{fleet.callers[entry]}/v1/chat/completions",
-        body=json.dumps(body),
-        headers=headers,
-    )
+    url = fleet.callers[entry]
+    response = send_chat(fleet.http, url, model, text, tokens, headers)
     answer = _read_events(response.data.decode())
-    digest = digest_prompt(f"<|user|>{text}<|assistant|>")
-    expected = "".join(make_token(digest, number) for number in range(tokens))
-    is_whole = answer == expected
+    is_whole = answer == make_answer(text, tokens)
     seconds = time.monotonic() - begun
     note = f" (key {key})" if key else ""
     print(f"{workspace}{note} through entry {entry + 1}: {seconds:.2f} s")
--- a/benches/load.py
+++ b/benches/load.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from standins.batching import digest_prompt, make_token
+from benches.chats import make_answer, send_chat
 
 
 @dataclass
@@ -120,19 +120,8 @@
         return 0.0
 
     def _generate(self, url, headers, ask: Ask, timing: Timing, sent: float) -> float:
-        body = {
-            "model": self._model,
-            "messages": [{"role": "user", "content": ask.prompt}],
-            "max_tokens": ask.tokens,
-            "stream": True,
-        }
-        response = self._http.request(
-            "POST",
-            f"{url}/v1/chat/completions",
-            body=json.dumps(body),
-            headers=headers,
-            preload_content=False,
-            timeout=60,
+        response = send_chat(
+            self._http, url, self._model, ask.prompt, ask.tokens, headers
         )
         if response.status != 200:
             error = json.loads(response.read())["error"]
@@ -140,8 +129,7 @@
             return _note_refusal(timing, error)
         text = self._read(response, timing, sent)
         response.release_conn()
-        digest = digest_prompt(f"<|user|>{ask.prompt}<|assistant|>")
-        expected = "".join(make_token(digest, number) for number in range(ask.tokens))
+        expected = make_answer(ask.prompt, ask.tokens)
         if not timing.end:
             timing.end = "whole" if text == expected else "wrong"
         return 0.0
--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -111,9 +111,7 @@
                 f"listen = 127.0.0.1:{ports[-2]}\noperators = 127.0.0.1:{ports[-3]}\n"
                 f"log = http://127.0.0.1:{ports[-1]}\n"
             )
-            path = Path(folder) / "entry.ini"
-            path.write_text(settings)
-            entry = _start_python("robinspindle", "entry", str(path))
+            entry = _start_process("entry", settings, folder)
             started.append(entry)
             return _measure_process(entry, targets, targets)
         finally:
@@ -132,9 +130,7 @@
                 f"[agent]\ntarget = t0\nsecure = no\nlisten = 127.0.0.1:{ports[0]}\n"
                 f"log = http://127.0.0.1:{ports[1]}\n"
             )
-            path = Path(folder) / "agent.ini"
-            path.write_text(settings)
-            agent = _start_python("robinspindle", "agent", str(path))
+            agent = _start_process("agent", settings, folder)
             started.append(agent)
             started.append(
                 _start_python("benches.fakes", "entries", str(ports[0]), str(entries))
@@ -320,6 +316,13 @@
     )
 
 
+def _start_process(kind: str, settings: str, folder: str) -> subprocess.Popen:
+    """Start an entry or an agent with its settings in a folder."""
+    path = Path(folder) / f"{kind}.ini"
+    path.write_text(settings)
+    return _start_python("robinspindle", kind, str(path))
+
+
 def _start_platform(port: int) -> subprocess.Popen:
     return _start_python("standins", "platform", "--port", str(port))
 
