--- a/fuzz/dutyworld.py
+++ b/fuzz/dutyworld.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from fuzz.sides import Side, begin_trouble
+from fuzz.storerecords import Record, Records
 from fuzz.virtualtime import VirtualSelector
 from robinspindle.core.authority import Authority
 from robinspindle.core.freshness import Freshness
@@ -59,23 +60,6 @@
     is_accepted: bool
 
 
-@dataclass
-class Item:
-    """A record of the stand-in store."""
-
-    key: str
-    value: bytes
-
-
-@dataclass
-class Read:
-    """Records as a store answers them."""
-
-    items: tuple[Item, ...]
-    end: int
-    topic_end: int
-
-
 @dataclass
 class World:
     """All that is shared.
@@ -93,7 +77,7 @@
     rng: random.Random
     selector: VirtualSelector
     checks_fences: bool
-    records: list[Item] = field(default_factory=list)
+    records: list[Record[bytes]] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     begun: dict[tuple[int, str], int] = field(default_factory=dict)
     trouble: set[str] = field(default_factory=set)
@@ -139,19 +123,19 @@
         if {"store down", f"store cut {name}", f"whole cut {name}"} & world.trouble:
             raise LogUnavailableError("no way", 0, 0.0)
 
-    async def read_newest(self, topic: str) -> Read:
+    async def read_newest(self, topic: str) -> Records[bytes]:
         """Read the newest record of each key."""
         await self._travel()
         newest = {item.key: item for item in self._world.records}
         end = len(self._world.records)
         await self._gateway.wait_while_frozen()
-        return Read(tuple(newest.values()), end, end)
+        return Records(tuple(newest.values()), end, end)
 
-    async def read_from(self, topic: str, offset: int, wait_s: float) -> Read:
+    async def read_from(self, topic: str, offset: int, wait_s: float) -> Records[bytes]:
         """Read from an offset on."""
         await self._travel()
         records = self._world.records
-        read = Read(tuple(records[offset:]), len(records), len(records))
+        read = Records(tuple(records[offset:]), len(records), len(records))
         await self._gateway.wait_while_frozen()
         return read
 
@@ -175,7 +159,7 @@
         records = self._world.records
         if expected_end is not None and expected_end != len(records):
             return None
-        records.append(Item(key, value))
+        records.append(Record(key, value))
         return len(records) - 1
 
 
--- a/fuzz/fakes.py
+++ b/fuzz/fakes.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
+
 from robinspindle.core.records import ObservedEngine, Step
 from robinspindle.messages import Work
 
@@ -160,17 +162,11 @@
 
     def finish_order(self, step: Step) -> None:
         """Take the order's effect on."""
-        found = self.found
         if step.action == "role":
-            self.found = ObservedEngine(
-                role=step.role,
-                model=found.model,
-                adapters=found.adapters,
-                version=found.version,
-            )
+            self.found = replace(self.found, role=step.role)
         elif step.action == "load":
-            self.found = ObservedEngine(
-                role=found.role,
+            self.found = replace(
+                self.found,
                 model=step.model,
                 adapters=step.adapters,
                 version=step.version,
--- a/fuzz/keyworld.py
+++ b/fuzz/keyworld.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from fuzz.sides import Side, begin_trouble
+from fuzz.storerecords import Record, Records
 from fuzz.virtualtime import VirtualSelector, run_virtually
 from robinspindle import following
 from robinspindle.core import freshness as ages
@@ -36,21 +37,8 @@
 """How far a clock is set wrong, seconds."""
 
 
-@dataclass(frozen=True)
-class Record:
-    """A configuration as a record: its version, and the keys that it holds."""
-
-    key: str
-    value: tuple[int, frozenset[int]]
-
-
-@dataclass(frozen=True)
-class Records:
-    """Records as a store answers them."""
-
-    items: tuple[Record, ...]
-    end: int
-    topic_end: int
+KeyConfiguration = tuple[int, frozenset[int]]
+"""A configuration: its version, and the keys that it holds."""
 
 
 @dataclass
@@ -66,7 +54,7 @@
 
     rng: random.Random
     selector: VirtualSelector
-    versions: list[Record] = field(default_factory=list)
+    versions: list[Record[KeyConfiguration]] = field(default_factory=list)
     given: dict[int, float] = field(default_factory=dict)
     taken_away: dict[int, float] = field(default_factory=dict)
     found: list[str] = field(default_factory=list)
@@ -132,7 +120,7 @@
 
     # As a store.
 
-    async def read_newest(self, topic: str) -> Records:
+    async def read_newest(self, topic: str) -> Records[KeyConfiguration]:
         """Read the newest configuration."""
         await self._travel()
         newest = tuple(self.world.versions[-1:])
@@ -140,7 +128,9 @@
         await self._come_back()
         return Records(newest, end, end)
 
-    async def read_from(self, topic: str, offset: int, wait_s: float) -> Records:
+    async def read_from(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Records[KeyConfiguration]:
         """Read on, waiting for the first record."""
         await self._travel()
         until = self.world.now + wait_s
--- a/fuzz/rules.py
+++ b/fuzz/rules.py
@@ -10,6 +10,7 @@
     CalledOff,
     Confirmed,
     Drain,
+    Planned,
     Published,
     RoleActed,
     ServeModel,
@@ -151,11 +152,7 @@
         ServeModel(model="model", targets=(target,), version=str(second)),
     )
     intent = intents[second % 7 % len(intents)]
-    try:
-        planned = make_plan(entry.stream.state, intent, world.make_id("plan"), "op")
-    except IntentError:
-        return
-    world.append(entry, planned)
+    _submit_intent(world, entry, intent)
 
 
 def _confirm(world: World, first: int, second: int) -> None:
@@ -175,13 +172,20 @@
         world.append(entry, record(id=world.make_id(word), plan=plan))
 
 
-def _state_and_confirm(world: World, entry: Process, intent) -> None:
+def _submit_intent(world: World, entry: Process, intent) -> Planned | None:
+    """Append the plan of an intent, if there is one."""
     try:
         planned = make_plan(entry.stream.state, intent, world.make_id("plan"), "op")
     except IntentError:
-        return
+        return None
     world.append(entry, planned)
-    world.append(entry, Confirmed(id=world.make_id("confirm"), plan=planned.id))
+    return planned
+
+
+def _state_and_confirm(world: World, entry: Process, intent) -> None:
+    planned = _submit_intent(world, entry, intent)
+    if planned is not None:
+        world.append(entry, Confirmed(id=world.make_id("confirm"), plan=planned.id))
 
 
 def _drain_all(world: World, first: int, second: int) -> None:
