Name the guard's parts in the glossary's words

Lives that are over, good ends, marks and companions needed explaining: the code of crashes outside core/ said older words for lifetime, success, head hash and rejected. Log lines, metrics and values are the same.

--- a/src/robinspindle/crashwatch.py
+++ b/src/robinspindle/crashwatch.py
@@ -1,7 +1,7 @@
-"""Sendings that are under way at targets, and why they break.
+"""Runs at targets that are in progress, and why their connections break.
 
-A broken connection may be a reset, a planned end or a crash. Who sent what a target
-crashed under is told, for the guard to judge.
+A broken connection may be a reset, a planned end or a crash. The guard is told of each
+run that was in progress when its target crashed.
 """
 
 import asyncio
@@ -12,22 +12,22 @@
 from robinspindle.core.fingerprints import FingerprintedRequest
 from robinspindle.core.targets import Directory, Target
 from robinspindle.httpclient import ConnectionBrokenError
-from robinspindle.lifechecks import Life, LifeChecks
+from robinspindle.lifetimechecks import LifetimeChecks, LifetimeState
 
-PENDING_S = 5.0
+MAX_PENDING_S = 5.0
 """How long a broken connection may turn out to have been a crash, seconds: a target
 that started again under its id says so with its next entry, within 3.6 s."""
 
 
 @dataclass(eq=False)
 class Run:
-    """One sending that is under way at a target.
+    """One run of a request at a target.
 
     Attributes:
-        named: The request.
+        named: The request, with its fingerprint.
         target: The target.
-        kind: What is asked of it: runs of one kind take about as long.
-        since: Since when, steady seconds.
+        kind: The kind of run; runs of one kind take about as long.
+        since: When it began, monotonic seconds.
         stop: Breaks it off; None before it is sent.
     """
 
@@ -38,23 +38,24 @@
     stop: Callable[[], None] | None = None
 
 
-QUICK_S = 0.03
-"""How long a request waits for the check before it may go elsewhere, seconds: ten times
-the way between zones. Behind a cut the check goes on without it."""
+CHECK_WAIT_S = 0.03
+"""How long a request waits for the check before it may be retried elsewhere, seconds:
+ten times the network delay between zones. Behind a cut the check goes on without
+it."""
 
 RECHECK_S = 0.5
-"""How often a target is asked again whose life could not be told, seconds: behind a
-link that is cut or loses packets a crash looks like silence."""
+"""How often a target is checked again of which it isn't known whether it runs, seconds:
+behind a link that is cut or loses packets a crash looks like silence."""
 
 
 @dataclass
-class Broken:
+class BrokenRun:
     """A run whose connection broke, for a reason that is not known yet.
 
     Attributes:
         run: The run.
-        at: When that was, steady seconds.
-        is_unknown: Whether its target could not be asked either.
+        at: When it broke, monotonic seconds.
+        is_unknown: Whether the check of its target had no result either.
     """
 
     run: Run
@@ -66,7 +67,7 @@
     """The runs of one gateway.
 
     Attributes:
-        under_way: All of them.
+        under_way: All that are in progress.
     """
 
     def __init__(
@@ -75,55 +76,56 @@
         clock: Callable[[], float],
         note_crash: Callable[[Run, float], None],
     ):
-        """Begin with nothing under way.
+        """Begin without any run.
 
         Args:
             directory: The targets.
-            clock: Tells the present time, steady seconds.
-            note_crash: Told a run under which its target crashed, and when.
+            clock: Tells the present time, monotonic seconds.
+            note_crash: Told a run that was in progress when its target crashed, and
+                when that was.
         """
         self.under_way: set[Run] = set()
         self._directory = directory
         self._clock = clock
         self._note_crash = note_crash
-        self._checks = LifeChecks()
-        self._pending: list[Broken] = []
+        self._checks = LifetimeChecks()
+        self._pending: list[BrokenRun] = []
 
     def watch(
         self, named: FingerprintedRequest, target: Target, kind: str
-    ) -> "Watched":
-        """Keep a sending among the runs, and see why it breaks if it does.
+    ) -> "WatchedRun":
+        """Keep a run while it is in progress, and find out why it breaks if it does.
 
         Returns:
             A context that gives the run.
         """
-        return Watched(self, Run(named, target, kind, self._clock()))
+        return WatchedRun(self, Run(named, target, kind, self._clock()))
 
     def begin(self, run: Run) -> None:
-        """Take note that a run is under way."""
+        """Record that a run begins."""
         self.under_way.add(run)
 
     def end(self, run: Run) -> None:
-        """Take note that it is not any more."""
+        """Record that a run ended."""
         self.under_way.discard(run)
 
     def note_life_over(self, target: Target) -> None:
-        """Take note that a life is over: what broke there lately met its end."""
+        """Record that a lifetime ended: it crashed under the runs that broke lately."""
         for broken in self._pending:
             if broken.run.target is target:
                 self._note_crash(broken.run, broken.at)
         self._pending = [b for b in self._pending if b.run.target is not target]
 
     async def recheck(self) -> None:
-        """Ask targets again whose lives could not be told, for as long as it runs."""
+        """Check targets again whose state is unknown, for as long as it runs."""
         while True:
             await asyncio.sleep(RECHECK_S)
             unknown = [broken for broken in self._pending if broken.is_unknown]
             await asyncio.gather(*(self._recheck(broken) for broken in unknown))
 
     def forget_pending(self, now: float) -> None:
-        """Forget broken runs of which it was never known why they broke."""
-        self._pending = [b for b in self._pending if now - b.at <= PENDING_S]
+        """Forget broken runs whose cause was not found in time."""
+        self._pending = [b for b in self._pending if now - b.at <= MAX_PENDING_S]
 
     async def find_cause(self, run: Run) -> None:
         """Find out whether a run's connection broke because its target crashed."""
@@ -131,40 +133,40 @@
         if self._is_planned(run.target):
             return
         at = self._clock()
-        if self._is_outlived(run.target):
+        if self._is_superseded(run.target):
             self._note_crash(run, at)
             return
         life = await self._check_quickly(run.target)
-        if life is Life.OVER:
+        if life is LifetimeState.ENDED:
             self._note_crash(run, at)
         else:
-            self._pending.append(Broken(run, at, life is Life.UNKNOWN))
+            self._pending.append(BrokenRun(run, at, life is LifetimeState.UNKNOWN))
 
-    async def _check_quickly(self, target: Target) -> Life:
-        """Check a life, but don't hold a request up where no answer comes."""
+    async def _check_quickly(self, target: Target) -> LifetimeState:
+        """Check a lifetime, but don't delay a request where no answer comes."""
         try:
-            async with asyncio.timeout(QUICK_S):
+            async with asyncio.timeout(CHECK_WAIT_S):
                 return await self._checks.check(target)
         except TimeoutError:
-            return Life.UNKNOWN
+            return LifetimeState.UNKNOWN
 
-    async def _recheck(self, broken: Broken) -> None:
+    async def _recheck(self, broken: BrokenRun) -> None:
         life = await self._checks.check(broken.run.target)
-        broken.is_unknown = life is Life.UNKNOWN
-        if life is Life.OVER:
+        broken.is_unknown = life is LifetimeState.UNKNOWN
+        if life is LifetimeState.ENDED:
             self.note_life_over(broken.run.target)
 
     def _is_planned(self, target: Target) -> bool:
         """Whether a target was about to end anyway."""
-        is_missing = target.gone_at is not None and not self._is_outlived(target)
+        is_missing = target.gone_at is not None and not self._is_superseded(target)
         return target.announced.leaving or is_missing
 
-    def _is_outlived(self, target: Target) -> bool:
+    def _is_superseded(self, target: Target) -> bool:
         return targets.is_superseded(self._directory, target.announced.lifetime)
 
 
-class Watched:
-    """The context of a run; cheaper than one made of a generator."""
+class WatchedRun:
+    """The context of a run; cheaper than a context made of a generator."""
 
     def __init__(self, watch: CrashWatch, run: Run):
         self._watch = watch
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -1,8 +1,8 @@
 """Guards targets against requests that crash them: what one gateway sees and decides.
 
-The evidence and the judgement are `core.crashes`; the list of those that are turned
-away is `core.quarantine`. Here are the runs under way, and what is asked before a
-sending.
+The evidence and the judgement are `core.crashes`; the list of rejected requests is
+`core.quarantine`. Here are the runs in progress, and the check before a request is
+sent.
 """
 
 import time
@@ -25,30 +25,31 @@
 from robinspindle.logs import Log
 
 REASON = "crashes-targets"
-"""Why a request is turned away, in answers, logs and metrics."""
+"""Why a request is rejected, in answers, logs and metrics."""
 
-MOST_REMEMBERED_BODY = 4096
+MAX_REMEMBERED_BODY_BYTES = 4096
 """Longer bodies are not hashed to remember a success, bytes, unless a request with the
 same head hash is suspected: hashing them delays other requests."""
 
-SETTLE_S = 0.3
-"""How long a crash's companions are waited for before a judgement is told to all and
-stored, seconds: peers tell theirs within it. Until then the request is held back."""
+COMPANIONS_WAIT_S = 0.3
+"""How long the other requests that were running at a crash are waited for before a
+judgement is sent to all and stored, seconds: peers report theirs within this time.
+Until then the request is held back."""
 
-UNTOLD_S = 2.0
-"""How long a gateway that saw none of the crashes waits for the judgement of one that
-did, seconds; then it judges itself, one gateway after the other, so that they don't all
-write to the store at once."""
+PEER_JUDGEMENT_WAIT_S = 2.0
+"""How long a gateway that observed none of the crashes waits for the judgement of one
+that did, seconds; then it judges itself, one gateway after the other, so that they
+don't all write to the store at once."""
 
-HELD_BACK_S = 0.5
-"""When a request that is held back may come again, seconds: it is judged by then."""
+HELD_BACK_RETRY_S = 0.5
+"""When a request that is held back may be retried, seconds: it is judged by then."""
 
-LENGTH_WEIGHT = 0.05
-"""Weight of the newest run in how long runs of its kind usually take: about the last 20
+RUN_TIME_SMOOTHING = 0.05
+"""Weight of the newest run in the usual run time of its kind: about the last 20
 count."""
 
-MOST_KINDS = 8192
-"""Kinds of runs whose length is remembered: more than a configuration has routes."""
+MAX_RUN_KINDS = 8192
+"""Kinds of runs whose usual run time is kept: more than a configuration has routes."""
 
 
 def read_wall_ms() -> int:
@@ -57,7 +58,7 @@
 
 
 def make_refusal(retry_s: float) -> Refusal:
-    """Refuse a request that did not run, and say when it may come again."""
+    """Refuse a request that did not run, and say when it may be retried."""
     return Refusal(503, REASON, retry_s)
 
 
@@ -67,16 +68,16 @@
 
     Attributes:
         directory: The targets.
-        clock: Tells the present time, steady seconds.
+        clock: Tells the present time, monotonic seconds.
         log: Takes log lines.
-        find_place: Finds this gateway's place in the order that hangs on a request: the
-            first gives it a trial.
-        wake: Called when there is news for the peers, so that they are told after the
-            least interval of datagrams rather than the longest.
+        find_place: Finds this gateway's place in the order of gateways for a request:
+            the first gives it a trial.
+        wake: Called when there are updates for the peers, so that they are sent after
+            the least interval of datagrams rather than the longest.
         wall_ms: Tells the time of day, Unix milliseconds.
-        evidence: What speaks against requests.
-        quarantine: Who is turned away.
-        pending_updates: What is told to the peers.
+        evidence: The crashes, and the requests that were running at them.
+        quarantine: The requests that are rejected.
+        pending_updates: What is sent to the peers.
     """
 
     directory: Directory
@@ -91,9 +92,10 @@
 
     def __post_init__(self):
         self.runs = CrashWatch(self.directory, self.clock, self.note_own_crash)
-        # When each request that met three crashes is judged, steady seconds.
+        # When each request that was running at three crashes is judged, monotonic
+        # seconds.
         self._unjudged: dict[Fingerprint, float] = {}
-        # Host and path of those that met a crash at this gateway.
+        # Host and path of those that were running at a crash at this gateway.
         self._names: dict[Fingerprint, str] = {}
         self._usual_s: dict[str, float] = {}
 
@@ -112,9 +114,9 @@
                 return self._judge_quarantined(named, entry)
         if self.evidence.head_hashes and named.head_hash in self.evidence.head_hashes:
             if self._is_guilty(named.fingerprint):
-                return make_refusal(HELD_BACK_S)
+                return make_refusal(HELD_BACK_RETRY_S)
             if self._runs_elsewhere(named):
-                return make_refusal(HELD_BACK_S)
+                return make_refusal(HELD_BACK_RETRY_S)
         return None
 
     def list_avoided(self, named: FingerprintedRequest) -> set[str]:
@@ -133,19 +135,19 @@
 
     # Told while a request is under way.
 
-    def note_length(self, run: Run) -> None:
-        """Take note of how long a run took that came to its end."""
+    def note_run_time(self, run: Run) -> None:
+        """Record how long a run took that came to its end."""
         seconds = self.clock() - run.since
         usual_s = self._usual_s.setdefault(run.kind, seconds)
-        self._usual_s[run.kind] = usual_s + LENGTH_WEIGHT * (seconds - usual_s)
-        while len(self._usual_s) > MOST_KINDS:
+        self._usual_s[run.kind] = usual_s + RUN_TIME_SMOOTHING * (seconds - usual_s)
+        while len(self._usual_s) > MAX_RUN_KINDS:
             del self._usual_s[next(iter(self._usual_s))]
 
     def note_success(self, run: Run) -> None:
-        """Take note that a request ran to a good end."""
-        self.note_length(run)
+        """Record the success of a request."""
+        self.note_run_time(run)
         named = run.named
-        is_long = len(named.request.body) > MOST_REMEMBERED_BODY
+        is_long = len(named.request.body) > MAX_REMEMBERED_BODY_BYTES
         if is_long and named.head_hash not in self.evidence.head_hashes:
             return
         self._clear(named.fingerprint)
@@ -153,16 +155,16 @@
     # Told by peers and by the store.
 
     def take_crash(self, crash: Crash) -> None:
-        """Take in a crash that a peer tells of."""
+        """Apply a crash that a peer reports."""
         if crashes.note_crash(self.evidence, crash, self.clock()):
             self._judge_all(crash.runs)
 
     def take_cleared(self, fingerprint: Fingerprint) -> None:
-        """Take in that a suspected request ran to a good end at a peer."""
+        """Apply the success of a suspected request at a peer."""
         crashes.note_success(self.evidence, fingerprint, self.clock())
 
     def merge_entry(self, entry: Entry) -> None:
-        """Take in what a peer or the store says of a request."""
+        """Apply what a peer or the store says of a request."""
         if not quarantine.merge_entry(self.quarantine, entry):
             return
         self._log_entry(entry, "told")
@@ -194,7 +196,9 @@
             named.is_trial = True
             self._say(quarantine.begin_trial(entry, now_ms), "trial")
             return None
-        return make_refusal(max(HELD_BACK_S, quarantine.find_retry_s(entry, now_ms)))
+        return make_refusal(
+            max(HELD_BACK_RETRY_S, quarantine.find_retry_s(entry, now_ms))
+        )
 
     def _is_suspected(self, named: FingerprintedRequest) -> bool:
         if named.head_hash not in self.evidence.head_hashes:
@@ -255,13 +259,13 @@
                     self._stop_copies(fingerprint)
 
     def _find_judging_at(self, fingerprint: Fingerprint) -> float:
-        """Find when this gateway judges a request, steady seconds."""
+        """Find when this gateway judges a request, monotonic seconds."""
         if fingerprint in self._names:
-            return self.clock() + SETTLE_S
-        return self.clock() + UNTOLD_S * (1 + self.find_place(fingerprint))
+            return self.clock() + COMPANIONS_WAIT_S
+        return self.clock() + PEER_JUDGEMENT_WAIT_S * (1 + self.find_place(fingerprint))
 
     def _quarantine(self, fingerprint: Fingerprint) -> None:
-        """Turn a request away from now on, unless all of its crashes are told."""
+        """Reject a request from now on, unless its entry has all of its crashes."""
         lifetimes = self.evidence.crashes_by_request[fingerprint]
         known = self.quarantine.entries.get(fingerprint)
         is_known = known is not None and known.standing is Standing.QUARANTINED
@@ -283,7 +287,7 @@
             self._say(quarantine.release(entry, self.wall_ms()), "ran well")
 
     def _say(self, entry: Entry, why: str) -> None:
-        """Take in an entry of our own, and tell the peers."""
+        """Apply an entry of this gateway, and send it to the peers."""
         if not quarantine.merge_own_entry(self.quarantine, entry):
             return
         self._log_entry(entry, why)
@@ -310,7 +314,7 @@
 
 
 def _is_same(named: FingerprintedRequest, fingerprint: Fingerprint) -> bool:
-    """Whether a request has a fingerprint; its body is read only if its mark agrees."""
+    """Whether a request has a fingerprint; hashes its body only if the head agrees."""
     return (
         named.head_hash == get_head_hash(fingerprint)
         and named.fingerprint == fingerprint
--- a/src/robinspindle/lifechecks.py
+++ b/src/robinspindle/lifetimechecks.py
@@ -1,7 +1,7 @@
-"""Tells whether a target's life is over, or only a connection to it broke.
+"""Checks whether a target's lifetime has ended, or only a connection to it broke.
 
 Both look alike to whoever waits for an answer. A process that has ended leaves an
-address at which nobody listens; one that lives takes a connection.
+address at which nobody listens; one that runs accepts a connection.
 """
 
 import asyncio
@@ -10,30 +10,30 @@
 from robinspindle.core.targets import Target
 
 CHECK_TIMEOUT_S = 0.25
-"""Longest wait for the connection, seconds: many round trips. A cut says nothing, and
-is told apart from an end by that."""
+"""Longest wait for the connection, seconds: many round trips. Behind a cut nothing is
+received, which distinguishes it from an end."""
 
 
-class Life(Enum):
+class LifetimeState(Enum):
     """What a check found."""
 
-    GOES_ON = "goes on"
-    OVER = "over"
+    RUNNING = "running"
+    ENDED = "ended"
     UNKNOWN = "unknown"
 
 
-class LifeChecks:
-    """Checks the lives of targets, each once at a time.
+class LifetimeChecks:
+    """Checks the lifetimes of targets, each once at a time.
 
     An engine that ends breaks dozens of connections at the same moment; one check
     answers for all of them.
     """
 
     def __init__(self):
-        self._under_way: dict[str, asyncio.Task[Life]] = {}
+        self._under_way: dict[str, asyncio.Task[LifetimeState]] = {}
 
-    async def check(self, target: Target) -> Life:
-        """Find out whether a target's life is over."""
+    async def check(self, target: Target) -> LifetimeState:
+        """Find out whether a target's lifetime has ended."""
         lifetime = target.announced.lifetime
         task = self._under_way.get(lifetime)
         if task is None:
@@ -45,14 +45,14 @@
         return await asyncio.shield(task)
 
 
-async def _connect(address: str) -> Life:
+async def _connect(address: str) -> LifetimeState:
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(CHECK_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
-        return Life.OVER
+        return LifetimeState.ENDED
     except (OSError, TimeoutError):
-        return Life.UNKNOWN
+        return LifetimeState.UNKNOWN
     writer.close()
-    return Life.GOES_ON
+    return LifetimeState.RUNNING
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -113,7 +113,7 @@
                     health.note_heard(sending.target, means.clock())
                     note_named_limit(means, sending.target, head, now)
                     body = await exchange.read_body()
-                    means.guard.note_length(run)
+                    means.guard.note_run_time(run)
                     return head, body
 
     def _expect_reading(self, passage: Passage, exchange: Exchange) -> ExpectedResponse:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -10,10 +10,16 @@
 from robinspindle.core.forwarding import Request
 from robinspindle.core.quarantine import Standing
 from robinspindle.core.targets import Announcement, Directory, Target, note_announced
-from robinspindle.guard import HELD_BACK_S, REASON, SETTLE_S, UNTOLD_S, Guard
+from robinspindle.guard import (
+    COMPANIONS_WAIT_S,
+    HELD_BACK_RETRY_S,
+    PEER_JUDGEMENT_WAIT_S,
+    REASON,
+    Guard,
+)
 from robinspindle.guardnews import list_news, take_news
 from robinspindle.httpclient import ConnectionBrokenError
-from robinspindle.lifechecks import Life
+from robinspindle.lifetimechecks import LifetimeState
 
 MINUTE_MS = 60_000
 
@@ -22,7 +28,7 @@
     """Stands for connections that are tried."""
 
     def __init__(self):
-        self.answer = Life.OVER
+        self.answer = LifetimeState.ENDED
 
     async def check(self, target):
         return self.answer
@@ -62,7 +68,7 @@
         for number in numbers:
             await self.break_off(named, self.directory.targets[f"i{number}"])
 
-    def settle(self, seconds=SETTLE_S):
+    def settle(self, seconds=COMPANIONS_WAIT_S):
         self.now += seconds + 0.01
         self.guard.settle(self.now)
 
@@ -92,7 +98,7 @@
         await world.crash_under(name(), 2)
         held = world.guard.find_refusal(name())
         assert (held.status, held.reason) == (503, REASON)
-        assert held.retry_s == HELD_BACK_S
+        assert held.retry_s == HELD_BACK_RETRY_S
         world.settle()
         assert world.guard.find_refusal(name()).retry_s > 60
         assert world.guard.find_refusal(name(b"another")) is None
@@ -100,7 +106,7 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize("life", [Life.GOES_ON, Life.UNKNOWN])
+@pytest.mark.parametrize("life", [LifetimeState.RUNNING, LifetimeState.UNKNOWN])
 def test_a_reset_of_a_target_that_lives_is_no_crash(life):
     async def play():
         world = World()
@@ -127,7 +133,7 @@
 
     async def play():
         world = World()
-        world.checks.answer = Life.GOES_ON
+        world.checks.answer = LifetimeState.RUNNING
         target = world.announce("j1@5")
         await world.break_off(name(), target)
         assert not world.guard.evidence.crashes_by_request
@@ -140,9 +146,9 @@
 def test_a_target_behind_a_cut_that_turns_out_to_be_gone_has_crashed():
     async def play():
         world = World()
-        world.checks.answer = Life.UNKNOWN
+        world.checks.answer = LifetimeState.UNKNOWN
         await world.crash_under(name(), 0)
-        world.checks.answer = Life.OVER
+        world.checks.answer = LifetimeState.ENDED
         await world.guard.runs._recheck(world.guard.runs._pending[0])
         assert crashes.count_crashes(world.guard.evidence, name().fingerprint) == 1
 
@@ -184,7 +190,7 @@
         await world.crash_under(name(b"other"), 0, 1)
         target = world.directory.targets["i4"]
         async with world.guard.runs.watch(name(), target, "route"):
-            assert world.guard.find_refusal(name()).retry_s == HELD_BACK_S
+            assert world.guard.find_refusal(name()).retry_s == HELD_BACK_RETRY_S
             assert world.guard.find_refusal(name(b"other")) is None
             assert world.guard.list_avoided(name(b"other")) == {"i4"}
             assert world.guard.list_avoided(name(b"innocent")) == set()
@@ -219,7 +225,7 @@
     for number in range(3):
         crash = Crash(f"p{number}", "push", world.now, {name().fingerprint: 0.1})
         world.guard.take_crash(crash)
-    world.settle(4 * UNTOLD_S)
+    world.settle(4 * PEER_JUDGEMENT_WAIT_S)
 
 
 def test_who_saw_no_crash_waits_for_the_judgement_of_one_that_did():
@@ -228,10 +234,10 @@
         crash = Crash(f"p{number}", "push", world.now, {name().fingerprint: 0.1})
         world.guard.take_crash(crash)
     world.settle()
-    assert world.guard.find_refusal(name()).retry_s == HELD_BACK_S
+    assert world.guard.find_refusal(name()).retry_s == HELD_BACK_RETRY_S
     assert not world.guard.quarantine.entries
     # The one that did has died.
-    world.settle(UNTOLD_S)
+    world.settle(PEER_JUDGEMENT_WAIT_S)
     assert world.guard.quarantine.entries
 
 
