Name the limits of following the store by what they limit

NUDGED_S, PROBED_S, MOST_LEFT and AWAY_PAUSE_S told neither what ends nor what is counted; limits are MAX_ and MIN_ as in core/. Values and assertions are the same.

--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -25,31 +25,31 @@
 """How long the store holds a poll, seconds: a cut is noticed at most this much later,
 so that a healed link is read well within the three seconds that it has."""
 
-NUDGED_S = 0.3
+NUDGED_POLL_WAIT_S = 0.3
 """How long a held poll may take to bring what a peer has read already, seconds: longer
 than a large record takes over a fast link."""
 
 FIRST_PAUSE_S = 0.1
 """First pause after a failed call, seconds."""
 
-MOST_PAUSE_S = 0.8
+MAX_PAUSE_S = 0.8
 """Longest pause after failed calls, seconds: a store that is back is read within a
 second of it, and a refused call is paid for too."""
 
-AWAY_PAUSE_S = 1.5
+UNAVAILABLE_PAUSE_S = 1.5
 """The same where the own relay says that the store is away, and will say when it is
 back, seconds. A relay that dies just then costs one such pause."""
 
-PROBED_S = 1.5
+PROBE_REST_S = 1.5
 """How long a topic's reads rest while those of another one find out whether the store
 is back, seconds: all are read as soon as it is, and each call in vain is paid for."""
 
-MOST_LEFT = 1
+MAX_RECORDS_LEFT = 1
 """Records that may be left after a read before the newest of each key are read instead
 of all that came meanwhile: large versions of a configuration take long over a slow
 link. The newest records are longer by a third, as their bytes come as text."""
 
-LEAST_PAUSE_SHARE = 0.7
+MIN_PAUSE_SHARE = 0.7
 """Least part of a pause that is kept: gateways that fail together call apart."""
 
 
@@ -109,12 +109,12 @@
     Attributes:
         prober: The topic whose reads find out whether it is back; empty for none.
         back: Set when it may be back.
-        find_most_pause_s: Tells the longest pause between reads meanwhile, seconds.
+        find_max_pause_s: Tells the longest pause between reads meanwhile, seconds.
     """
 
     prober: str = ""
     back: asyncio.Event = field(default_factory=asyncio.Event)
-    find_most_pause_s: Callable[[], float] = lambda: MOST_PAUSE_S
+    find_max_pause_s: Callable[[], float] = lambda: MAX_PAUSE_S
 
 
 def note_may_be_back(outage: Outage) -> None:
@@ -231,7 +231,7 @@
             follower.is_lost = True
             _note_failure(follower, log, error)
             await _rest_while_lost(outage, follower, pause_s)
-            pause_s = min(outage.find_most_pause_s(), pause_s * 2)
+            pause_s = min(outage.find_max_pause_s(), pause_s * 2)
             continue
         if follower.is_void:
             continue
@@ -253,7 +253,7 @@
         left = records.topic_end - records.end
         if left <= 0:
             follower.note_newest(sent_at)
-        if left > MOST_LEFT:
+        if left > MAX_RECORDS_LEFT:
             log("records are passed over", topic=follower.topic, count=left)
             follower.offset = None
             continue
@@ -264,7 +264,9 @@
     """Rest after a failed read: one topic is read on, the others wait for it."""
     outage.prober = outage.prober or follower.topic
     is_prober = outage.prober == follower.topic
-    rest_s = pause_s * random.uniform(LEAST_PAUSE_SHARE, 1.0) if is_prober else PROBED_S
+    rest_s = (
+        pause_s * random.uniform(MIN_PAUSE_SHARE, 1.0) if is_prober else PROBE_REST_S
+    )
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(rest_s):
             await outage.back.wait()
@@ -282,7 +284,7 @@
     try:
         await asyncio.wait({call, nudge}, return_when=asyncio.FIRST_COMPLETED)
         if not call.done():
-            await asyncio.wait({call}, timeout=NUDGED_S)
+            await asyncio.wait({call}, timeout=NUDGED_POLL_WAIT_S)
         return call.result() if call.done() else None
     finally:
         call.cancel()
--- a/src/robinspindle/logservice.py
+++ b/src/robinspindle/logservice.py
@@ -19,7 +19,7 @@
 READ_WAIT_S = 5.0
 APPEND_TIMEOUT_S = 1.5
 FIRST_PAUSE_S = 0.1
-MOST_PAUSE_S = 2.0
+MAX_PAUSE_S = 2.0
 CONTROL = "control"
 CLAIMS = "claims"
 GONE = 410
@@ -145,7 +145,7 @@
                 self.is_reaching = False
                 # Spread out, so that all don't come back in the same moment.
                 self._stopped.wait(pause_s * self._rng.uniform(0.5, 1.5))
-                pause_s = min(MOST_PAUSE_S, pause_s * 2)
+                pause_s = min(MAX_PAUSE_S, pause_s * 2)
                 continue
             pause_s = FIRST_PAUSE_S
             self.is_reaching = True
@@ -218,7 +218,7 @@
                 self.failures += 1
                 self._put_back(batch)
                 time.sleep(pause_s)
-                pause_s = min(MOST_PAUSE_S, pause_s * 2)
+                pause_s = min(MAX_PAUSE_S, pause_s * 2)
                 if self._stopped:
                     return
             else:
--- a/src/robinspindle/reporting.py
+++ b/src/robinspindle/reporting.py
@@ -18,7 +18,7 @@
 from robinspindle.usagebook import UsageBook
 
 PAUSE_S = 0.5
-MOST_PAUSE_S = 2.0
+MAX_PAUSE_S = 2.0
 """First and longest pause after a call that failed, seconds."""
 
 MOST_TRIES = 5
@@ -231,7 +231,7 @@
 
     def _rest(self) -> None:
         self._rests_until = self._clock() + self._pause_s
-        self._pause_s = min(MOST_PAUSE_S, self._pause_s * 2)
+        self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
 
     # Counts that no peer knows.
 
--- a/src/robinspindle/storenews.py
+++ b/src/robinspindle/storenews.py
@@ -4,8 +4,8 @@
 
 from robinspindle.core.peerdigests import Digest
 from robinspindle.following import (
-    AWAY_PAUSE_S,
-    MOST_PAUSE_S,
+    MAX_PAUSE_S,
+    UNAVAILABLE_PAUSE_S,
     Follower,
     Outage,
     note_may_be_back,
@@ -40,7 +40,7 @@
         self._find_era = find_era
         # The newest era that a peer told; a peer that lies about it costs one call.
         self._told_era = 0
-        self.outage = Outage(find_most_pause_s=self._find_most_pause_s)
+        self.outage = Outage(find_max_pause_s=self._find_max_pause_s)
         self._peers = peers
         self._followers = followers
         self._checked = next(f for f in followers if f.topic == checked_topic)
@@ -95,10 +95,10 @@
                 note_told_away(follower)
         self._was_relay = self._peers.is_relay
 
-    def _find_most_pause_s(self) -> float:
+    def _find_max_pause_s(self) -> float:
         """Find the longest pause between reads of a lost store, seconds.
 
         Who is told by its relay when the store is back asks less often itself.
         """
         waits_for_relay = self._peers.choice.relay in self._away_for
-        return AWAY_PAUSE_S if waits_for_relay else MOST_PAUSE_S
+        return UNAVAILABLE_PAUSE_S if waits_for_relay else MAX_PAUSE_S
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -3,9 +3,9 @@
 
 from robinspindle.exceptions import LogUnavailableError
 from robinspindle.following import (
-    AWAY_PAUSE_S,
-    MOST_PAUSE_S,
-    PROBED_S,
+    MAX_PAUSE_S,
+    PROBE_REST_S,
+    UNAVAILABLE_PAUSE_S,
     WAIT_S,
     Follower,
     Outage,
@@ -101,12 +101,12 @@
 
 def test_a_store_that_is_back_is_read_before_a_gateway_is_held_to_it():
     """A call sent just before the return may be lost, and is waited for in full."""
-    assert CALL_TIMEOUT_S + MOST_PAUSE_S + CALL_TIMEOUT_S < CONTACT_S
+    assert CALL_TIMEOUT_S + MAX_PAUSE_S + CALL_TIMEOUT_S < CONTACT_S
 
 
 def test_that_holds_also_where_a_relay_dies_or_another_topic_fails():
     """The answers to a store that is back come within a tenth of a call's limit."""
-    longest_s = max(AWAY_PAUSE_S, PROBED_S)
+    longest_s = max(UNAVAILABLE_PAUSE_S, PROBE_REST_S)
     assert CALL_TIMEOUT_S + longest_s + CALL_TIMEOUT_S / 10 < CONTACT_S
 
 
@@ -249,7 +249,7 @@
     store = LostStore()
 
     async def play():
-        outage = Outage(find_most_pause_s=lambda: 0.01)
+        outage = Outage(find_max_pause_s=lambda: 0.01)
         topics = ("a", "b", "c")
         followers = [
             Follower(t, lambda *_: None, lambda: None, lambda: None) for t in topics
--- a/tests/test_storenews.py
+++ b/tests/test_storenews.py
@@ -1,6 +1,6 @@
 from robinspindle.core.peerdigests import Digest
 from robinspindle.core.relays import Member
-from robinspindle.following import AWAY_PAUSE_S, MOST_PAUSE_S, Follower
+from robinspindle.following import MAX_PAUSE_S, UNAVAILABLE_PAUSE_S, Follower
 from robinspindle.peers import Peers
 from robinspindle.storenews import StoreNews
 
@@ -64,11 +64,11 @@
 
 def test_who_hears_of_the_store_from_its_relay_asks_less_often():
     news, _, _ = make_news(relay="g2")
-    assert news.outage.find_most_pause_s() == MOST_PAUSE_S
+    assert news.outage.find_max_pause_s() == MAX_PAUSE_S
     tell(news, "g3", {}, is_store_unavailable=True)
-    assert news.outage.find_most_pause_s() == MOST_PAUSE_S
+    assert news.outage.find_max_pause_s() == MAX_PAUSE_S
     tell(news, "g2", {}, is_store_unavailable=True)
-    assert news.outage.find_most_pause_s() == AWAY_PAUSE_S
+    assert news.outage.find_max_pause_s() == UNAVAILABLE_PAUSE_S
 
 
 def test_who_becomes_a_relay_looks_after_its_held_polls():
