Name the ranking of gateways for singleton duties

A turn is a target's, by its limit, in the glossary; whose turn a duty is was another thing by the same word. The module ranks gateways and says so now, in the glossary's words for hearing and silence. Log lines, values and assertions are the same but for names. 79 tests of duties, usage, scaling, peers and layout pass, the duties' fuzz and mutants among them.

--- a/fuzz/dutyworld.py
+++ b/fuzz/dutyworld.py
@@ -20,7 +20,7 @@
 from robinspindle.core.usagereports import Reports, Schedule
 from robinspindle.dutycalls import DutyOutcome
 from robinspindle.dutylog import DutyLog
-from robinspindle.dutyturns import DutyTurns
+from robinspindle.dutyranking import DutyRanking
 from robinspindle.exceptions import LogConflictError, LogUnavailableError
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import Peers, note_member, note_sent
@@ -198,10 +198,10 @@
             read_clock,
             self._log,
         )
-        self.turns = DutyTurns(self.peers)
+        self.ranking = DutyRanking(self.peers)
         self.reporter = Reporter(
             self.duties,
-            self.turns,
+            self.ranking,
             self._send,
             self.book,
             self.peers,
@@ -250,8 +250,8 @@
             await asyncio.sleep(LOOK_S)
             if self.world.now < self.frozen_until:
                 await self.wait_while_frozen()
-                self.turns.note_pause()
-            self.turns.note_heard(self.world.now)
+                self.ranking.note_pause()
+            self.ranking.note_heard(self.world.now)
             await self.reporter.look()
 
     async def _count(self) -> None:
--- a/src/robinspindle/duties.py
+++ b/src/robinspindle/duties.py
@@ -8,7 +8,7 @@
 from robinspindle.core.usagereports import Reports, Schedule
 from robinspindle.dutycalls import Call, DutyOutcome, make_sender
 from robinspindle.dutylog import DutyLog
-from robinspindle.dutyturns import DutyTurns
+from robinspindle.dutyranking import DutyRanking
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
 from robinspindle.gatewaysettings import GatewaySettings
@@ -59,10 +59,10 @@
             clock,
             make_log("duties"),
         )
-        self._turns = DutyTurns(peers)
+        self._ranking = DutyRanking(peers)
         self.reporter = Reporter(
             self._log,
-            self._turns,
+            self._ranking,
             self._make_sender(adapter.duties.encode_report),
             book,
             peers,
@@ -71,7 +71,7 @@
         )
         self._scaler = Scaler(
             self._log,
-            self._turns,
+            self._ranking,
             self._make_sender(adapter.duties.encode_scale_order),
             fleet,
             peers,
@@ -103,7 +103,7 @@
 
     def note_pause(self) -> None:
         """Take note that this process was not run for a while."""
-        self._turns.note_pause()
+        self._ranking.note_pause()
 
     async def run(self) -> None:
         """Do what is due, while it is this gateway's turn, until the process ends.
@@ -114,6 +114,6 @@
             return
         while True:
             await asyncio.sleep(LOOK_S)
-            self._turns.note_heard(self._clock())
+            self._ranking.note_heard(self._clock())
             await self.reporter.look()
             await self._scaler.look()
--- a/src/robinspindle/reporting.py
+++ b/src/robinspindle/reporting.py
@@ -7,7 +7,7 @@
 from robinspindle.core.usagereports import Spilled, Stage
 from robinspindle.dutycalls import DutyOutcome
 from robinspindle.dutylog import DutyLog
-from robinspindle.dutyturns import DutyTurns
+from robinspindle.dutyranking import DutyRanking
 from robinspindle.exceptions import (
     EraChangedError,
     LogConflictError,
@@ -58,7 +58,7 @@
     def __init__(
         self,
         duties: DutyLog,
-        turns: DutyTurns,
+        ranking: DutyRanking,
         send: SendReport | None,
         book: UsageBook,
         peers: Peers,
@@ -66,7 +66,7 @@
         log: Log,
     ):
         self._duties = duties
-        self._turns = turns
+        self._ranking = ranking
         self._reports = duties.reports
         self._send_report = send
         self._book = book
@@ -131,10 +131,10 @@
         schedule = self._book.schedule
         counted = usage.list_windows(self._book.ledger)
         due = usagereports.list_due(self._reports, schedule, counted, wall_s)
-        place = self._turns.find_place()
+        place = self._ranking.find_place()
         if place is None:
             return
-        hears_most, hears_all = self._turns.hears_most(), self._turns.hears_all()
+        hears_most, hears_all = self._ranking.hears_most(), self._ranking.hears_all()
         # A window whose answers are lost must not hold up those after it.
         due = [window for window in due if window not in self._given_up]
         for window in sorted(due, key=lambda w: (self._tries.get(w, 0), w)):
@@ -238,7 +238,7 @@
     async def _spill(self, wall_s: float) -> None:
         """Write counts into the store that no peer has confirmed."""
         book, schedule = self._book, self._book.schedule
-        if self._turns.is_first():
+        if self._ranking.is_first():
             # Who decides knows them.
             return
         for window in list(usage.list_windows(book.ledger)):
--- a/src/robinspindle/scaler.py
+++ b/src/robinspindle/scaler.py
@@ -8,7 +8,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.dutycalls import DutyOutcome
 from robinspindle.dutylog import DutyLog
-from robinspindle.dutyturns import DutyTurns
+from robinspindle.dutyranking import DutyRanking
 from robinspindle.exceptions import LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.logs import Log
@@ -46,7 +46,7 @@
     def __init__(
         self,
         duties: DutyLog,
-        turns: DutyTurns,
+        ranking: DutyRanking,
         send: SendOrder | None,
         fleet: Fleet,
         peers: Peers,
@@ -54,7 +54,7 @@
         log: Log,
     ):
         self._duties = duties
-        self._turns = turns
+        self._ranking = ranking
         self._send = send
         self._fleet = fleet
         self._peers = peers
@@ -66,7 +66,7 @@
     async def look(self) -> None:
         """Order what is wanted and not in force yet."""
         table = self._fleet.table
-        if table is None or self._send is None or not self._turns.is_first():
+        if table is None or self._send is None or not self._ranking.is_first():
             # Who comes to act later begins with what there is.
             self._demands.clear()
             return
