--- a/src/robinspindle/core/peerdigests.py
+++ b/src/robinspindle/core/peerdigests.py
@@ -11,14 +11,13 @@
 import msgspec
 
 from robinspindle.core.crashupdates import RequestUpdates
-from robinspindle.core.engines import (
-    Engine,
+from robinspindle.core.engines import Engine, note_placed
+from robinspindle.core.forwarding import Part
+from robinspindle.core.prefillbacklog import (
     forget_peer_backlog,
     note_peer_backlog,
-    note_placed,
     note_prefill_start,
 )
-from robinspindle.core.forwarding import Part
 from robinspindle.core.prefillmodel import FitSums
 from robinspindle.core.priorities import FIRST_RANK_LEVEL
 from robinspindle.core.usage import Account
@@ -29,8 +28,8 @@
 
 RELAY_TIMEOUT_S = 1.0
 """The same for a relay, seconds: five of its longest intervals. It is shorter than for
-other peers because the group's next relay takes over after 0.6 s, and the requests of
-the group count twice until the failed relay has timed out."""
+other peers because the group's next relay takes over sooner, and the requests of the
+group count twice until the failed relay has timed out."""
 
 MAX_PLACEMENTS = 24
 """Maximum number of placements in one datagram, so that it stays far below 64 KB and
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -5,7 +5,7 @@
 from robinspindle.calls import CallLimits, call_once
 from robinspindle.core import health
 from robinspindle.core.forwarding import AnswerHead, CacheSource
-from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.requestplans import RequestPlan
 from robinspindle.core.silence import (
     ExpectedResponse,
     find_first_event_timeout,
@@ -113,7 +113,7 @@
                     health.note_heard(sending.target, means.clock())
                     note_named_limit(means, sending.target, head, now)
                     body = await exchange.read_body()
-                    means.guard.note_length(run)
+                    means.guard.note_run_time(run)
                     return head, body
 
     def _expect_reading(self, passage: Passage, exchange: Exchange) -> ExpectedResponse:
