Show that a stopping entry leaves requests without an answer

Seen: after SIGTERM the loop of an entry ends as soon as no request is under way, while the listener goes on reading; what is handed over then is never answered, and the process waits for it.

--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+import urllib3
 
 from robinspindle.exceptions import ApiError
 from standins.fleet import wait_until
@@ -138,6 +139,35 @@
     assert calm.processes["entry-1"].wait(10) == 0
 
 
+def test_a_request_that_comes_as_a_stopping_entry_ends_is_answered(calm):
+    """Handed over after the loop's last turn, it waited until the process was killed."""
+    ended = []
+
+    def notify_until_the_end():
+        while calm.processes["entry-1"].poll() is None:
+            try:
+                ended.append(notify(calm, f"last {len(ended)}", 0).status)
+            except urllib3.exceptions.ReadTimeoutError:
+                ended.append("no answer")
+            except urllib3.exceptions.HTTPError:
+                return
+
+    callers = [threading.Thread(target=notify_until_the_end) for _ in range(3)]
+    for caller in callers:
+        caller.start()
+    calm.signal("entry-1", signal.SIGTERM)
+    is_ended = calm.processes["entry-1"].poll
+    try:
+        wait_until(lambda: is_ended() is not None, "the entry's end", 15.0)
+    finally:
+        if is_ended() is None:
+            calm.kill("entry-1")
+        for caller in callers:
+            caller.join()
+    assert 200 in ended
+    assert set(ended) <= {200, 503}
+
+
 def test_a_drain_cuts_nothing_and_sends_no_new_work(calm):
     drained = []
 
