Answer what comes as a stopping entry ends

Cause: the loop of an entry ended when it saw no request under way, and the listener went on handing requests to it: they were read whole, waited for events that nobody could send, and held the process until it was killed. Ruled out: the answers being written at the end, for which the server's threads are joined. Change: the loop closes the hand-over under the lock in which it sees that nothing is under way; a later request gets 503 'stopping', which did not run. What is under way when the longest stop is over gets a refusal too.

--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -32,6 +32,7 @@
 from robinspindle.core.placement import find_addresses
 from robinspindle.core.records import AnyRecord, encode_record
 from robinspindle.core.state import State, read_configuration
+from robinspindle.exceptions import EntryStoppedError
 from robinspindle.keys import FleetKey
 from robinspindle.loglink import LogLink
 from robinspindle.logs import make_log
@@ -104,6 +105,7 @@
         self._watch = leases.LeaseWatch(identity)
         self._duties = CoordinatorState(identity)
         self._serial = 0
+        self._is_closed = False
         self._stop_asked_at = 0.0
         self._ticked_at = 0.0
         self._vms = ListFollower(settings.vms, post) if settings.vms else None
@@ -157,9 +159,15 @@
         promise: LatencyObjective,
         resumption: StreamResumption | None = None,
     ) -> queue.SimpleQueue:
-        """Hand a request over and return the queue of its events."""
+        """Hand a request over and return the queue of its events.
+
+        Raises:
+            EntryStoppedError: If the loop takes no more requests.
+        """
         events: queue.SimpleQueue = queue.SimpleQueue()
         with self._lock:
+            if self._is_closed:
+                raise EntryStoppedError("the entry has stopped")
             self._events[work.request] = events
             self.metrics.in_flight.set(len(self._events))
         self._mailbox.post(Submitted(work, promise, resumption))
@@ -218,20 +226,23 @@
         if self._vms is not None:
             self._vms.start()
         log("The entry is starting.", entry=self.settings.name)
-        while not self._may_stop(time.monotonic()):
+        while not self._is_closed:
             self._turn(wait_for_any(self._poller, self._mailbox, dispatch.TICK_S))
+            self._close_if_idle(time.monotonic())
         self._close()
 
-    def _may_stop(self, now: float) -> bool:
-        """Whether the process may end.
+    def _close_if_idle(self, now: float) -> None:
+        """Take no more requests if a stop was asked for and nothing is under way.
 
         The balancer needs a moment to see that the entry is not ready any more;
         requests that come meanwhile are served like all others.
         """
         if not self.is_stopping:
-            return False
+            return
         asked = now - self._stop_asked_at
-        return asked > STOP_LIMIT_S or (asked > STOP_GRACE_S and not self._events)
+        with self._lock:
+            is_idle = asked > STOP_GRACE_S and not self._events
+            self._is_closed = is_idle or asked > STOP_LIMIT_S
 
     def _turn(self, items: list) -> None:
         for peer, message in self._connections.receive_all():
@@ -342,7 +353,16 @@
             code = event.code if isinstance(event, Refusal) else "whole"
             log("A request ended.", request=request, end=code)
 
+    def _refuse_rest(self) -> None:
+        """Refuse what is still under way when the stop has taken too long."""
+        text = "the entry has stopped before the whole answer came"
+        with self._lock:
+            rest = list(self._events.values())
+        for events in rest:
+            events.put(Refusal(504, "stopping", text, "unknown"))
+
     def _close(self) -> None:
+        self._refuse_rest()
         self._link.close()
         self._connections.close()
         self._context.destroy(linger=1000)
--- a/src/robinspindle/exceptions.py
+++ b/src/robinspindle/exceptions.py
@@ -101,6 +101,10 @@
     """The retained records do not begin at 0 and hold no usable checkpoint."""
 
 
+class EntryStoppedError(RobinspindleError):
+    """The entry takes no more requests; this one was not run."""
+
+
 class CallerLeftError(RobinspindleError):
     """The caller of a request has closed its connection; nothing is sent for it."""
 
--- a/src/robinspindle/exchanges.py
+++ b/src/robinspindle/exchanges.py
@@ -10,12 +10,15 @@
 from robinspindle.core.documents import ClassSection, WorkspaceSection
 from robinspindle.core.effects import Chunk, Ended, Event, Refusal, Started
 from robinspindle.entry import GONE, Entry
-from robinspindle.exceptions import CallerLeftError
+from robinspindle.exceptions import CallerLeftError, EntryStoppedError
 from robinspindle.messages import Work
 from robinspindle.web import HttpError
 
 EVENT_WAIT_S = 300.0
 
+STOPPED_RETRY_S = 0.1
+"""Retry delay of a request that an ended entry refuses, seconds."""
+
 CALLER_CHECK_S = 0.2
 """Interval at which a waiting thread looks whether its caller has left, seconds: work
 for it has to end within half a second."""
@@ -63,7 +66,7 @@
     """Take a request in and hand it to the entry's loop.
 
     Raises:
-        HttpError: If its workspace is over its limits.
+        HttpError: If its workspace is over its limits, or the entry has stopped.
     """
     retry_s = entry.admit(workspace)
     if retry_s > 0:
@@ -72,7 +75,11 @@
     now = time.monotonic()
     exchange = Exchange(entry, work, workspace, work_class, now, has_caller_left)
     promise = LatencyObjective(work_class.first_token_s, work_class.promised_s)
-    exchange.events = entry.submit(work, promise, resumption)
+    try:
+        exchange.events = entry.submit(work, promise, resumption)
+    except EntryStoppedError as error:
+        refusal = Refusal(503, "stopping", str(error), "no", STOPPED_RETRY_S)
+        raise HttpError(refusal) from None
     return exchange
 
 
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -140,7 +140,7 @@
 
 
 def test_a_request_that_comes_as_a_stopping_entry_ends_is_answered(calm):
-    """Handed over after the loop's last turn, it waited until the process was killed."""
+    """Handed over after the loop's last turn, it waited for nothing."""
     ended = []
 
     def notify_until_the_end():
