Show that a configuration that drops a target ends its runs

Seen: an entry closes its connection to a target that a new configuration no longer names and forgets when it was heard; the next tick ends a started run as outcome_unknown, and runs a repeatable one again.

--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -9,13 +9,15 @@
 """
 
 import random
+import re
 from pathlib import Path
 
 import pytest
 
 from robinspindle.core import dispatch, failover
 from robinspindle.core.activerequests import Dispatcher, LatencyObjective
-from robinspindle.core.effects import Chunk, Deliver, Ended, Refusal, Send
+from robinspindle.core.effects import Chunk, Deliver, Ended, Refusal, Send, Started
+from robinspindle.core.placement import find_addresses
 from robinspindle.core.records import AgentStarted, ObservedEngine, Published
 from robinspindle.core.state import State
 from robinspindle.core.statemachine import apply
@@ -142,3 +144,63 @@
         dispatch.receive(entry, 0.2, target, tokens)
     (effect,) = dispatch.handle_disconnect(entry, "r")
     assert effect.message.grace_s == grace_s
+
+
+def start_once(entry):
+    """Start a request that may run at most once, without a key; return its target."""
+    work = Work(
+        request="r",
+        kind="generate",
+        pool="investor-70b",
+        max_tokens=9,
+        repeatable=False,
+    )
+    target = dispatch.submit(entry, 0.0, work, LatencyObjective(5.0, 20.0))[0].peer
+    report = Report(target=target, incarnation="i")
+    accepted = Accepted(request="r", attempt=1, reserved=True, report=report)
+    effects = dispatch.receive(entry, 0.01, target, accepted)
+    assert any(e.event == Started(target, "r") for e in list_delivered(effects))
+    return target
+
+
+def list_delivered(effects):
+    return [effect for effect in effects if isinstance(effect, Deliver)]
+
+
+def finish(entry, now, target, count=0):
+    """Let the run end at its target and return the last event's type."""
+    finished = Finished(request="r", attempt=1, count=count)
+    return type(
+        list_delivered(dispatch.receive(entry, now, target, finished))[-1].event
+    )
+
+
+def drop_target(text, target):
+    return re.sub(rf"\[target {target}\][^\[]*", "", text)
+
+
+def shrink_subset(text, target):
+    return text.replace("entries = 2", "entries = 2\nsubset = 1")
+
+
+@pytest.mark.parametrize("change", [drop_target, shrink_subset])
+def test_an_answer_comes_though_a_configuration_drops_its_target(entry, change):
+    """Its connection was closed and the run given up in the same turn."""
+    entry.name = "entry-3"
+    target = start_once(entry)
+    text = change(entry.state.text, target)
+    state = apply(entry.state, 9, Published(id="change", text=text))
+    agent = find_addresses(entry)[target]
+    dispatch.apply_state(entry, state)
+    assert find_addresses(entry)[target] == agent
+    for step in range(1, 80):
+        now = 0.01 + step * STEP_S
+        effects = dispatch.tick(entry, now)
+        assert not list_delivered(effects)
+        if target in [e.peer for e in effects if isinstance(e, Send)]:
+            report = Report(target=target, incarnation="i")
+            dispatch.receive(entry, now, target, report)
+    assert finish(entry, 5.0, target) is Ended
+    dispatch.apply_state(entry, apply(state, 10, None))
+    assert target not in find_addresses(entry)
+    assert (target in entry.evidence) == (target in entry.state.targets)
