Let answers of a target that a configuration drops come to their end

Cause: an entry kept connections and evidence only of targets that the configuration names. One that a new configuration dropped lost its connection in the same turn; a started run ended as outcome_unknown at the next tick, a repeatable one ran again. Ruled out: the agent, whose runs go on without a section; a target that only leaves the entry's subset, which keeps its connection and answers the query of a run without events. Change: the address and the evidence of a dropped target are kept while a request of the entry is at it; connections are compared with each new state, so that they close after. Seen beside it, not mended: a target that is dropped and added again by its old agent gets no orders any more, as the record of the agent's start is taken for a repetition.

--- a/src/robinspindle/core/activerequests.py
+++ b/src/robinspindle/core/activerequests.py
@@ -87,6 +87,8 @@
         state: Replicated state, from the control stream.
         claims: Idempotency claims, from the claims stream.
         evidence: Health of each target, as observed by this entry.
+        former_addresses: Addresses of the agents of targets with active requests that
+            the configuration has dropped.
         active_by_target: Ids of the entry's own active requests, by target.
         active_requests: Active requests by id.
         abandoned_claims: Claims that were abandoned before a start was sent, by
@@ -105,6 +107,7 @@
     state: State = field(default_factory=State)
     claims: ClaimTable = field(default_factory=ClaimTable)
     evidence: dict[str, membership.Evidence] = field(default_factory=dict)
+    former_addresses: dict[str, str] = field(default_factory=dict)
     active_by_target: dict[str, set[str]] = field(default_factory=dict)
     active_requests: dict[str, ActiveRequest] = field(default_factory=dict)
     abandoned_claims: dict[tuple[str, int], None] = field(default_factory=dict)
@@ -120,6 +123,11 @@
         """The configuration in force."""
         return read_configuration(self.state)
 
+    @property
+    def busy_targets(self) -> set[str]:
+        """The targets of the active requests."""
+        return {active.target for active in self.active_requests.values()}
+
 
 @dataclass(frozen=True)
 class LatencyObjective:
--- a/src/robinspindle/core/dispatch.py
+++ b/src/robinspindle/core/dispatch.py
@@ -44,7 +44,7 @@
     send_attach,
 )
 from robinspindle.core.pauses import MIN_LATE_S
-from robinspindle.core.placement import list_peers, place
+from robinspindle.core.placement import find_addresses, list_peers, place
 from robinspindle.core.state import State
 from robinspindle.messages import (
     Accepted,
@@ -153,6 +153,7 @@
 
 def apply_state(entry: Dispatcher, state: State) -> None:
     """Apply a new replicated state from the control stream."""
+    addresses = find_addresses(entry)
     entry.state = state
     configuration = entry.configuration
     if configuration is None:
@@ -162,8 +163,13 @@
     if policy != entry.policy_key:
         entry.policy_key = policy
         entry.choose_target = routing.make_policy(*policy)
-    for name in [name for name in entry.evidence if name not in state.targets]:
+    busy = entry.busy_targets
+    kept = busy | state.targets.keys()
+    for name in [name for name in entry.evidence if name not in kept]:
         del entry.evidence[name]
+    entry.former_addresses = {
+        name: address for name, address in addresses.items() if name in busy
+    }
 
 
 def apply_claim_changes(entry: Dispatcher, now: float, keys: set[str]) -> list[Effect]:
--- a/src/robinspindle/core/placement.py
+++ b/src/robinspindle/core/placement.py
@@ -38,17 +38,16 @@
 def find_addresses(entry: Dispatcher) -> dict[str, str]:
     """Find the addresses of all agents that an entry needs a connection to.
 
-    These are the agents of its peers and of all targets with its active requests. When
-    a target is added, it may replace one of these in the entry's subset of peers, but
-    the answers in progress still have to arrive.
+    These are the agents of its peers and of all targets with its active requests. A
+    configuration may drop one of these, or a target that it adds may replace one in the
+    entry's subset of peers, but the answers in progress still have to arrive.
     """
-    busy = {active.target for active in entry.active_requests.values()}
+    if entry.configuration is None:
+        return {}
     targets = entry.configuration.targets
-    return {
-        name: targets[name].agent
-        for name in sorted({*list_peers(entry), *busy})
-        if name in targets
-    }
+    known = entry.former_addresses | {name: t.agent for name, t in targets.items()}
+    needed = sorted({*list_peers(entry), *entry.busy_targets})
+    return {name: known[name] for name in needed if name in known}
 
 
 def place(entry: Dispatcher, active: ActiveRequest, now: float) -> list[Effect]:
--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -307,16 +307,13 @@
         before = self.dispatcher.state
         dispatch.apply_state(self.dispatcher, self.state)
         self.metrics.offset.set(self.state.offset)
-        if before.targets is not self.state.targets:
-            self._connect()
+        self._connect()
         if before.version != self.state.version:
             log("A configuration is in force.", version=self.state.version)
         with self._moved:
             self._moved.notify_all()
 
     def _connect(self) -> None:
-        if self.configuration is None:
-            return
         addresses = find_addresses(self.dispatcher)
         self._connections.update(addresses, self._poller)
 
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -1,6 +1,7 @@
 """The promises on real processes: killed, frozen, cut off, stopped."""
 
 import json
+import re
 import signal
 import threading
 import time
@@ -194,6 +195,21 @@
     assert follow(calm, back["id"])["status"] == "done"
 
 
+def test_a_configuration_that_drops_a_target_cuts_nothing(calm):
+    dropped = []
+
+    def drop(name):
+        dropped.append(name)
+        text = re.sub(rf"\[target {name}\][^\[]*", "", calm.text)
+        _publish_at(calm, 1, text)
+
+    reply = stream_while(calm, drop, "dropped target")
+    calm.stop(dropped[0])
+    _publish_at(calm, 1, calm.text)
+    assert reply.text == expect_answer("dropped target", TOKENS)
+    assert {id.split("/")[1] for id in reply.ids} == set(dropped)
+
+
 def test_role_changes_under_load_hurt_nothing(calm):
     intent = {"type": "SetRoles", "model": "investor-70b"}
     made = plan(calm, intent | {"prefill": 1, "decode": 2, "mixed": 3})
