Show that silence ends runs that would have gone on

Seen: a target whose agent is silent for more than 1.5 s and goes on has lost the started runs that may not be repeated: the caller gets outcome_unknown long before the deadline, and the answer that comes is dropped. Known red until it is mended.

--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -204,3 +204,16 @@
     dispatch.apply_state(entry, apply(state, 10, None))
     assert target not in find_addresses(entry)
     assert (target in entry.evidence) == (target in entry.state.targets)
+
+
+def test_a_run_that_may_not_be_repeated_outlasts_the_silence_of_its_target(entry):
+    """After 1.5 s its outcome was called unknown, and the answer came to nobody."""
+    target = start_once(entry)
+    assert not list_delivered(advance(entry, 0.0, 4.0))
+    assert finish(entry, 4.1, target) is Ended
+
+
+def test_a_run_whose_target_is_silent_at_its_deadline_ends_as_unknown(entry):
+    start_once(entry)
+    (last,) = list_delivered(advance(entry, 0.0, 20.1))
+    assert (last.event.code, last.event.ran) == ("outcome_unknown", "unknown")
