Wait for a silent target with what may run only once

Cause: a target without messages for 1.5 s counted as lost, and with it the started runs that may not be repeated. Nothing is gained by that: they can't run elsewhere, the caller is told that the outcome is unknown, and the answer that comes is dropped. Ruled out: runs that may be repeated, which go on elsewhere with their tokens kept; a restarted agent, whose new incarnation still ends such a run at once. Change: such a run waits for its target until the deadline of the request; the queries each second go on, and an answer that comes is delivered. Cost: where a VM is gone, the caller hears of the unknown outcome at its deadline.

--- a/src/robinspindle/core/failover.py
+++ b/src/robinspindle/core/failover.py
@@ -41,7 +41,8 @@
 """A run with missing tokens and no events for this long is queried, seconds."""
 
 TARGET_TIMEOUT_S = 1.5
-"""The runs of a target without messages for this long count as lost, seconds."""
+"""The runs of a target without messages for this long count as lost, seconds. Started
+runs that may not be repeated count as lost at their deadline, not before."""
 
 MIN_ATTEMPT_S = 0.05
 """No retry is made with less time left before the deadline, seconds."""
@@ -108,7 +109,7 @@
     evidence = entry.evidence.get(active.target)
     if evidence is None or evidence.heard_at is None:
         return handle_lost_run(entry, active, now, "the target is no longer configured")
-    if now - evidence.heard_at > TARGET_TIMEOUT_S:
+    if now - evidence.heard_at > TARGET_TIMEOUT_S and not _must_wait(active, now):
         membership.note_failure(evidence, now)
         return handle_lost_run(entry, active, now, "the target fell silent")
     if now > max(active.deadline, active.arrived_at + MAX_REQUEST_S):
@@ -121,6 +122,11 @@
     return []
 
 
+def _must_wait(active: ActiveRequest, now: float) -> bool:
+    """Whether a request waits for a silent target, as it can't run at another one."""
+    return active.is_started and now <= active.deadline
+
+
 def _make_timeout_refusal(active: ActiveRequest) -> Refusal:
     ran = "unknown" if active.is_started else "partial"
     text = f"no whole answer within {MAX_REQUEST_S:.0f} seconds"
