Show that silence ends streams that have nowhere else to go

Seen: a target that is silent for more than 1.5 s and goes on loses a stream also where no other target takes it (429 overloaded) or no retry is left (502 target_lost), with the answer half delivered. Known red until it is mended.

--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -217,3 +217,24 @@
     start_once(entry)
     (last,) = list_delivered(advance(entry, 0.0, 20.1))
     assert (last.event.code, last.event.ran) == ("outcome_unknown", "unknown")
+
+
+def test_a_stream_outlasts_the_silence_of_its_target_if_no_other_takes_it(entry):
+    """It was refused as overloaded, with its answer half delivered."""
+    target = start_stream(entry)
+    assert not list_delivered(advance(entry, 0.02, 4.0))
+    rest = Tokens(request="r", attempt=1, first=1, texts=("b ",))
+    assert list_delivered(dispatch.receive(entry, 4.1, target, rest))
+    assert finish(entry, 4.2, target, count=2) is Ended
+
+
+@pytest.mark.parametrize("budget", [0.0, 3.0])
+def test_a_stream_leaves_a_silent_target_only_with_a_retry_for_it(entry, budget):
+    target = start_stream(entry)
+    entry.retry_budget.left = budget
+    (other,) = {"engine-1", "engine-2"} - {target}
+    for step in range(1, 40):
+        now = 0.02 + step * STEP_S
+        dispatch.receive(entry, now, other, Report(target=other, incarnation="i"))
+        assert not list_delivered(dispatch.tick(entry, now))
+    assert (entry.active_requests["r"].target == other) == (budget > 0)
