Wait for a silent target where no other can take the request

Cause: after 1.5 s without messages from its target a request left it, also where no other target takes it or no retry is left; it was cancelled and refused, though the target went on. Change: a request leaves a silent target only if a retry is allowed and a target is there that has not refused it; else it waits until its deadline and looks again each tick. Open: where the other target refuses the offer in that moment, the run was cancelled.

--- a/src/robinspindle/core/failover.py
+++ b/src/robinspindle/core/failover.py
@@ -22,7 +22,7 @@
 )
 from robinspindle.core.effects import Effect, Refusal, Send
 from robinspindle.core.idempotency import make_unknown_refusal, release_and_retry
-from robinspindle.core.placement import place
+from robinspindle.core.placement import can_move, place
 from robinspindle.messages import Attach
 
 OFFER_TIMEOUT_S = 1.0
@@ -41,8 +41,8 @@
 """A run with missing tokens and no events for this long is queried, seconds."""
 
 TARGET_TIMEOUT_S = 1.5
-"""The runs of a target without messages for this long count as lost, seconds. Started
-runs that may not be repeated count as lost at their deadline, not before."""
+"""The runs of a target without messages for this long count as lost, seconds. Those
+that can't run at another target count as lost at their deadline, not before."""
 
 MIN_ATTEMPT_S = 0.05
 """No retry is made with less time left before the deadline, seconds."""
@@ -109,7 +109,9 @@
     evidence = entry.evidence.get(active.target)
     if evidence is None or evidence.heard_at is None:
         return handle_lost_run(entry, active, now, "the target is no longer configured")
-    if now - evidence.heard_at > TARGET_TIMEOUT_S and not _must_wait(active, now):
+    if now - evidence.heard_at > TARGET_TIMEOUT_S and not _must_wait(
+        entry, active, now
+    ):
         membership.note_failure(evidence, now)
         return handle_lost_run(entry, active, now, "the target fell silent")
     if now > max(active.deadline, active.arrived_at + MAX_REQUEST_S):
@@ -122,9 +124,15 @@
     return []
 
 
-def _must_wait(active: ActiveRequest, now: float) -> bool:
+def _must_wait(entry: Dispatcher, active: ActiveRequest, now: float) -> bool:
     """Whether a request waits for a silent target, as it can't run at another one."""
-    return active.is_started and now <= active.deadline
+    left_s = active.deadline - now
+    if left_s < 0:
+        return False
+    may_retry = retries.may_retry(
+        entry.retry_budget, active.attempts, left_s, MIN_ATTEMPT_S
+    )
+    return active.is_started or not may_retry or not can_move(entry, active, now)
 
 
 def _make_timeout_refusal(active: ActiveRequest) -> Refusal:
--- a/src/robinspindle/core/placement.py
+++ b/src/robinspindle/core/placement.py
@@ -57,13 +57,8 @@
     the retry budget. The number of refused offers is limited instead. Refusals of
     stopping targets are not counted among these, so the attempts are limited too.
     """
-    candidates = [
-        candidate
-        for candidate in _list_candidates(entry, active.work, now)
-        if candidate.target not in active.refusals
-    ]
-    used_offers = max(active.refused_offers, active.attempts - retries.MAX_ATTEMPTS)
-    if not candidates or used_offers >= MAX_OFFERS:
+    candidates = _list_untried(entry, active, now)
+    if not candidates:
         return refuse(entry, active, _make_placement_refusal(entry, active))
     candidate, work = _choose_stage(entry, active, candidates)
     active.attempts += 1
@@ -79,6 +74,26 @@
     return [Send(candidate.target, _make_offer(active, work, now))]
 
 
+def can_move(entry: Dispatcher, active: ActiveRequest, now: float) -> bool:
+    """Whether a request could be offered to another target than its present one."""
+    untried = _list_untried(entry, active, now)
+    return any(candidate.target != active.target for candidate in untried)
+
+
+def _list_untried(
+    entry: Dispatcher, active: ActiveRequest, now: float
+) -> list[routing.Candidate]:
+    """List the targets that a request may still be offered to."""
+    used_offers = max(active.refused_offers, active.attempts - retries.MAX_ATTEMPTS)
+    if used_offers >= MAX_OFFERS:
+        return []
+    return [
+        candidate
+        for candidate in _list_candidates(entry, active.work, now)
+        if candidate.target not in active.refusals
+    ]
+
+
 def _make_offer(active: ActiveRequest, work: Work, now: float) -> Offer:
     left_s = max(0.0, active.deadline - now)
     first_left_s = max(0.0, active.first_token_deadline - now)
--- a/src/robinspindle/core/retries.py
+++ b/src/robinspindle/core/retries.py
@@ -34,6 +34,14 @@
     budget.left = min(MAX_RETRIES, budget.left + budget.share)
 
 
+def may_retry(
+    budget: RetryBudget, attempts: int, left_s: float, min_attempt_s: float
+) -> bool:
+    """Whether a retry is allowed; for the arguments see `take_retry`."""
+    is_worth_it = attempts < MAX_ATTEMPTS and left_s > min_attempt_s
+    return is_worth_it and budget.left >= 1.0
+
+
 def take_retry(
     budget: RetryBudget, attempts: int, left_s: float, min_attempt_s: float
 ) -> bool:
@@ -48,7 +56,7 @@
     Returns:
         Whether the retry is allowed.
     """
-    if attempts >= MAX_ATTEMPTS or left_s <= min_attempt_s or budget.left < 1.0:
+    if not may_retry(budget, attempts, left_s, min_attempt_s):
         return False
     budget.left -= 1.0
     return True
