Show what callers get that close only their sending half

Seen at an entry: a caller that has closed its sending half and waits counts as gone once no event comes for 0.2 s. A stream ends as a whole body without [DONE], a call that runs gets an empty 503, and so does a completion, without a word whether it ran.

--- a/tests/system/test_callers.py
+++ b/tests/system/test_callers.py
@@ -1,6 +1,8 @@
 """The callers' API through real processes."""
 
+import http.client
 import json
+import signal
 import socket
 import time
 
@@ -194,3 +196,63 @@
         text = path.read_text()
         assert "demo-ticker-chat" not in text
         assert secret not in text
+
+
+def half_close(fleet, path, body, workspace, on_head=lambda: None):
+    """Send a request, close the sending half, and return the status and the body."""
+    host, port = fleet.callers[0].removeprefix("http://").split(":")
+    lines = [f"POST {path} HTTP/1.1", "Host: x", f"Content-Length: {len(body)}"]
+    lines += [f"Authorization: Bearer demo-{workspace}", "", ""]
+    with socket.create_connection((host, int(port)), timeout=30) as caller:
+        caller.sendall("\r\n".join(lines).encode() + body)
+        caller.shutdown(socket.SHUT_WR)
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+        on_head()
+        return answer.status, answer.read().decode()
+
+
+def make_text_body(prompt, **fields):
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": 60} | fields
+    return json.dumps(body).encode()
+
+
+def test_a_stream_is_whole_for_a_caller_that_has_closed_its_sending_half(fleet):
+    """An event that took longer than 0.2 s ended it, as if it were complete."""
+    engines = [f"{n}.target" for n, t in fleet.configuration.targets.items() if t.model]
+
+    def hold_up_engines():
+        for name in engines:
+            fleet.signal(name, signal.SIGSTOP)
+        time.sleep(1.0)
+        for name in engines:
+            fleet.signal(name, signal.SIGCONT)
+
+    body = make_text_body("half", stream=True)
+    status, text = half_close(
+        fleet, "/v1/completions", body, "ticker-chat", hold_up_engines
+    )
+    assert status == 200
+    assert "data: [DONE]" in text
+
+
+def test_a_call_is_answered_for_a_caller_that_has_closed_its_sending_half(fleet):
+    """It ran, and its caller got 503."""
+    names = [n for n, t in fleet.configuration.targets.items() if t.service]
+    addresses = [fleet.configuration.targets[name].address for name in names]
+    for address in addresses:
+        fleet.set_faults(address, delay_s=1.0)
+    path = "/services/notification/send"
+    status, _ = half_close(fleet, path, b"half closed", "alert-push")
+    for address in addresses:
+        fleet.set_faults(address)
+    assert count_calls(fleet, b"half closed") == 1
+    assert status == 200
+
+
+def test_a_refusal_is_whole_for_a_caller_that_has_closed_its_sending_half(fleet):
+    """It got 503 with nothing in it, whether its request had run or not."""
+    body = make_text_body("half whole" + " long" * 8000)
+    _, text = half_close(fleet, "/v1/completions", body, "ticker-chat")
+    error = json.loads(text)["error"]
+    assert (error["code"], error["ran"]) == ("caller_left", "unknown")
