Send a stream to its end though its caller has closed its sending half

Cause: a caller whose half of the connection is closed counts as gone at an entry; a stream then ended silently between two events, as a whole body without [DONE]. Ruled out: telling a half close from a whole one without writing; both are one FIN. Change: a stream that has begun goes on and gets a comment each 0.1 s in which no event comes; a caller that has left resets the connection on the first, and the next fails and ends its work. The interval was 0.2 s, and a caller that has left was seen at the first look.

--- a/src/robinspindle/callers.py
+++ b/src/robinspindle/callers.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import time
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from robinspindle import completions
 from robinspindle.core.activerequests import StreamResumption
@@ -232,14 +232,24 @@
                 end = event.code
                 yield completions.write_event({"error": describe_error(event)})
                 return
-            event = next_event(exchange)
-    except CallerLeftError:
-        # It ends below as any other stream that is not taken.
-        return
+            event = yield from _await_event(exchange)
     finally:
         end_exchange(exchange, end)
 
 
+def _await_event(exchange: Exchange) -> Generator[bytes, None, Event]:
+    """Wait for the next event.
+
+    A caller that has closed its sending half may still read. It gets comments, which
+    can't be written to one that has left.
+    """
+    while True:
+        try:
+            return next_event(exchange)
+        except CallerLeftError:
+            yield completions.COMMENT
+
+
 def _write_end(
     exchange: Exchange, head: completions.AnswerHead, ended: Ended, usage: bool
 ) -> Iterator[bytes]:
--- a/src/robinspindle/completions.py
+++ b/src/robinspindle/completions.py
@@ -16,6 +16,8 @@
 MOST_TOKENS = 32_768
 DEFAULT_TOKENS = 128
 DONE = b"data: [DONE]\n\n"
+COMMENT = b":\n\n"
+"""A part of a stream that its readers pass over."""
 
 
 class TextPart(BaseModel):
--- a/src/robinspindle/exchanges.py
+++ b/src/robinspindle/exchanges.py
@@ -19,9 +19,9 @@
 STOPPED_RETRY_S = 0.1
 """Retry delay of a request that an ended entry refuses, seconds."""
 
-CALLER_CHECK_S = 0.2
+CALLER_CHECK_S = 0.1
 """Interval at which a waiting thread looks whether its caller has left, seconds: work
-for it has to end within half a second."""
+for it has to end within half a second, and two comments in a stream may be needed."""
 
 
 @dataclass
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -1,10 +1,12 @@
 """Callers of an entry that leave while a thread waits for their answer."""
 
 import queue
+import socket
 import threading
 
 import pytest
 
+from robinspindle import completions
 from robinspindle.core.documents import ClassSection, WorkspaceSection
 from robinspindle.core.effects import Chunk, Started
 from robinspindle.entry import GONE
@@ -12,7 +14,7 @@
 from robinspindle.exchanges import open_exchange, wait_ended
 from robinspindle.messages import Work
 from robinspindle.metrics import EntryMetrics
-from robinspindle.web import answer_json, make_server
+from robinspindle.web import Answer, answer_json, make_server
 from tests.test_hangups import connect_to
 
 
@@ -74,3 +76,30 @@
         assert left.wait(10)
     finally:
         server.stop()
+
+
+def test_comments_end_a_stream_whose_caller_has_left():
+    ended = threading.Event()
+
+    def write_comments():
+        try:
+            while not ended.wait(0.01):
+                yield completions.COMMENT
+        finally:
+            ended.set()
+
+    def handle(request):
+        return Answer(200, write_comments())
+
+    server = make_server("127.0.0.1:0", handle, 1, 100)
+    threading.Thread(target=server.serve, daemon=True).start()
+    try:
+        with connect_to(server.bind_addr) as caller:
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            caller.shutdown(socket.SHUT_WR)
+            assert caller.recv(1)
+            assert not ended.is_set()
+        assert ended.wait(10)
+    finally:
+        ended.set()
+        server.stop()
