Answer a call that has begun though its caller has closed its sending half

Cause: a caller that has closed its sending half and waits counted as gone after 0.2 s; a call that may not be repeated ran to its end, and its caller got 503, which at these users says that it never ran. Nothing was saved by it, as such a run goes on anyway. Change: once the start of a run that may not be repeated was sent, its answer is waited for.

--- a/src/robinspindle/exchanges.py
+++ b/src/robinspindle/exchanges.py
@@ -54,6 +54,16 @@
     first_at: float = 0.0
     last_at: float = 0.0
 
+    @property
+    def must_go_on(self) -> bool:
+        """Whether the answer is waited for, whether or not the caller seems to leave.
+
+        Who sent a key may ask for the answer again, and a started run that may not be
+        repeated goes on anyway.
+        """
+        is_started = bool(self.target) and not self.work.repeatable
+        return is_started or bool(self.work.key)
+
 
 def open_exchange(
     entry: Entry,
@@ -103,8 +113,7 @@
     while time.monotonic() < waiting_until:
         with contextlib.suppress(queue.Empty):
             return exchange.events.get(timeout=CALLER_CHECK_S)
-        # Who sent a key may ask for the answer again.
-        if not exchange.work.key and exchange.has_caller_left():
+        if not exchange.must_go_on and exchange.has_caller_left():
             raise CallerLeftError("closed by the caller")
     return Refusal(504, "too_long", "the entry gave no answer", "unknown", 1.0)
 
