Say whether a request ran also to a caller that seems to have left

Cause: a request whose caller had closed its sending half before the answer began got 503 with an empty body, also where it had run in part. Change: it gets a whole refusal, 504 'caller_left', which says that it may have run. Open: a repeatable request of such a caller is still given up; before the answer's head nothing can be written that would tell a caller that has left from one that waits.

--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -18,6 +18,9 @@
 SHUTDOWN_TIMEOUT_S = 1
 QUEUE_SIZE = 512
 CALLER_LEFT = "robinspindle.has_caller_left"
+CALLER_LEFT_REFUSAL = Refusal(
+    504, "caller_left", "the caller has closed its connection", "unknown"
+)
 
 
 @dataclass(frozen=True)
@@ -136,8 +139,8 @@
         except HttpError as error:
             answer = answer_error(error.refusal, error.param)
         except CallerLeftError:
-            # Nobody reads it.
-            answer = Answer(HTTPStatus.SERVICE_UNAVAILABLE, [])
+            # It may have closed its sending half only, and still read.
+            answer = answer_error(CALLER_LEFT_REFUSAL)
         start_response(_write_status(answer.status), list(answer.headers))
         return answer.body
 
