Show that SIGHUP ends entries and agents

Seen: neither takes SIGHUP, so it ends the process at once: callers' connections close with a part of an answer or nothing. Sound, by tests added here: engines that are silent for 2 s, and agents silent for 1 and 2 s while a call without a key runs.

--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -169,6 +169,53 @@
     assert set(ended) <= {200, 503}
 
 
+def test_a_hangup_signal_ends_no_process_and_cuts_nothing(calm):
+    def send_hangups(name):
+        for process in (name, "entry-1"):
+            calm.signal(process, signal.SIGHUP)
+
+    reply = stream_while(calm, send_hangups, "hangup signals")
+    assert reply.text == expect_answer("hangup signals", TOKENS)
+    assert len({id.split("/")[1] for id in reply.ids}) == 1
+
+
+def test_engines_that_are_silent_for_two_seconds_cut_nothing(calm):
+    """The agents beside them go on reporting."""
+    engines = [f"{n}.target" for n, t in calm.configuration.targets.items() if t.model]
+
+    def hold_up(_):
+        for name in engines:
+            calm.signal(name, signal.SIGSTOP)
+            threading.Timer(2.0, calm.signal, (name, signal.SIGCONT)).start()
+
+    reply = stream_while(calm, hold_up, "silent engines")
+    assert reply.text == expect_answer("silent engines", TOKENS)
+    assert len({id.split("/")[1] for id in reply.ids}) == 1
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 2.0])
+def test_agents_that_are_silent_for_a_while_lose_no_call(calm, silent_s):
+    """After 1.5 s the call's outcome was called unknown, and its answer was dropped."""
+    names = [n for n, t in calm.configuration.targets.items() if t.service]
+    for name in names:
+        calm.set_faults(calm.configuration.targets[name].address, delay_s=1.0)
+    body = f"silent for {silent_s}".encode()
+
+    def hold_up():
+        wait_until(lambda: count_calls(calm, body), "the call")
+        for name in names:
+            calm.signal(name, signal.SIGSTOP)
+        time.sleep(silent_s)
+        for name in names:
+            calm.signal(name, signal.SIGCONT)
+
+    reply, _ = run_together(lambda: notify(calm, "", 0, body, "ticker-chat"), hold_up)
+    for name in names:
+        calm.set_faults(calm.configuration.targets[name].address)
+    assert reply.status == 200
+    assert count_calls(calm, body) == 1
+
+
 def test_a_drain_cuts_nothing_and_sends_no_new_work(calm):
     drained = []
 
