Let SIGHUP end neither entries nor agents

Cause: neither process took SIGHUP, whose default action ends a process at once. Change: it is ignored; there is nothing to read anew, as the configuration comes through the log and settings hold for the life of a process.

--- a/src/robinspindle/agent.py
+++ b/src/robinspindle/agent.py
@@ -123,6 +123,8 @@
         """Serve until a stop was asked for and nothing is under way."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._mailbox.post(StopAsked()))
+        # Nothing is to be read anew: the configuration comes through the log.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         poller = zmq.Poller()
         poller.register(self._listener.socket, zmq.POLLIN)
         poller.register(self._mailbox, zmq.POLLIN)
--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -221,6 +221,8 @@
         """Serve until a stop was asked for and nothing is under way."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._mailbox.post(StopAsked()))
+        # Nothing is to be read anew: the configuration comes through the log.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self._poller.register(self._mailbox, zmq.POLLIN)
         self._link.start()
         if self._vms is not None:
