Tell the status of one state

Cause: targets, sections and reports were read from the entry for each target anew, and a configuration that came between took one of them away. Change: the targets are described from the state that was read at first.

--- a/src/robinspindle/operators.py
+++ b/src/robinspindle/operators.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from robinspindle.callers import find_workspace
-from robinspindle.core.documents import parse_configuration
+from robinspindle.core.documents import TargetSection, parse_configuration
 from robinspindle.core.effects import Refusal
 from robinspindle.core.plans import make_plan
 from robinspindle.core.records import (
@@ -17,7 +17,13 @@
     Planned,
     Published,
 )
-from robinspindle.core.state import PLAN_REFUSED, Plan
+from robinspindle.core.state import (
+    PLAN_REFUSED,
+    Plan,
+    State,
+    Target,
+    read_configuration,
+)
 from robinspindle.core.workspaces import matches_digest
 from robinspindle.entry import Entry
 from robinspindle.exceptions import (
@@ -27,6 +33,7 @@
 )
 from robinspindle.health import answer_health
 from robinspindle.logs import make_log
+from robinspindle.messages import Report
 from robinspindle.web import (
     Answer,
     Handler,
@@ -254,7 +261,7 @@
         rejected=state.rejected,
         coordinator=state.lease.holder,
         in_flight=len(entry.dispatcher.active_requests),
-        targets=[_view_target(entry, name) for name in sorted(state.targets)],
+        targets=_view_targets(state, entry.reports),
         plans=[_view_plan(plan) for plan in running],
     )
     return answer_json(status)
@@ -283,16 +290,25 @@
     )
 
 
-def _view_target(entry: Entry, name: str) -> TargetView:
-    target = entry.state.targets[name]
-    report = entry.reports.get(name)
-    section = entry.configuration.targets[name]
+def _view_targets(state: State, reports: dict[str, Report]) -> list[TargetView]:
+    """Describe the targets of one state; the entry's own may change meanwhile."""
+    configuration = read_configuration(state)
+    sections = configuration.targets if configuration else {}
+    return [
+        _view_target(target, sections[name], reports.get(name))
+        for name, target in sorted(state.targets.items())
+    ]
+
+
+def _view_target(
+    target: Target, section: TargetSection, report: Report | None
+) -> TargetView:
     return TargetView(
-        name=name,
+        name=target.name,
         zone=section.zone,
         pool=target.pool,
         role="-" if section.service else target.role,
-        state=_describe_target(entry, name),
+        state=_describe_target(target, report),
         running=report.running if report else 0,
         queued=report.queued if report else 0,
         wait_s=round(report.wait_s, 3) if report else 0.0,
@@ -300,9 +316,7 @@
     )
 
 
-def _describe_target(entry: Entry, name: str) -> str:
-    target = entry.state.targets[name]
-    report = entry.reports.get(name)
+def _describe_target(target: Target, report: Report | None) -> str:
     if target.order is not None:
         return f"order {target.order.step.action}"
     if target.drained:
