Keep what a thread found of the configuration

Cause: a look into the cache and a second one for the value, with other threads between them. Change: one look, and the parsed configuration is returned as it was found. Measured: the test failed in each run before and passes, as do those of the state machine.

--- a/src/robinspindle/core/state.py
+++ b/src/robinspindle/core/state.py
@@ -182,12 +182,13 @@
     """Return the configuration in effect, or None before the first one.
 
     The parsed configuration of the last document is cached, because callers need it
-    often.
+    often. Another thread may replace it at any moment.
     """
     if state.version < 0:
         return None
-    if state.text not in _CACHE:
+    parsed = _CACHE.get(state.text)
+    if parsed is None:
         parsed = parse_configuration(state.text)
         _CACHE.clear()
         _CACHE[state.text] = parsed
-    return _CACHE[state.text]
+    return parsed
