Show that an agent's address can end every entry

Seen: a configuration takes an address such as .1:80 for an agent, and ZeroMQ raises for it; in the loop of an entry that is its end, at all entries at once and after each start, with every caller's connection closed. Fails in each run. Known red until it is mended.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -62,3 +62,19 @@
     context.destroy(linger=0)
     assert came == [("agent", Tokens), ("agent", Finished)]
     assert again == []
+
+
+def test_an_address_that_cannot_be_connected_to_leaves_the_others():
+    """It ended the entry, as its configuration names it, and again after each start."""
+    context = zmq.Context()
+    address = f"127.0.0.1:{find_free_ports(1)[0]}"
+    listener = Listener(context, address, None)
+    connections = Connections(context, "entry", None)
+    poller = zmq.Poller()
+    for _ in range(2):
+        connections.update({"a-wrong": ".1:80", "agent": address}, poller)
+    connections.send("a-wrong", Hello())
+    assert meet(listener, connections)
+    connections.close()
+    listener.close()
+    context.destroy(linger=0)
