Leave out an agent whose address can't be connected to

Cause: an address that the configuration takes and ZeroMQ does not raised in the loop of each entry and ended it, again after each start, as the log keeps the configuration. Ruled out: refusing such a document; addresses in a log that exists would change its verdict. Change: such a target gets no connection, and the others serve.

--- a/src/robinspindle/transport.py
+++ b/src/robinspindle/transport.py
@@ -147,9 +147,12 @@
             poller.unregister(link.socket)
             link.close(linger_ms=0)
         for name, address in addresses.items():
-            if name not in self._links:
-                self._links[name] = self._connect(address)
-                poller.register(self._links[name].socket, zmq.POLLIN)
+            if name in self._links:
+                continue
+            link = self._connect(address)
+            if link is not None:
+                self._links[name] = link
+                poller.register(link.socket, zmq.POLLIN)
 
     def send(self, peer: str, message: AnyMessage) -> None:
         """Send to one agent; a message to one that is away is dropped.
@@ -179,7 +182,8 @@
         for link in self._links.values():
             link.close(LINGER_MS)
 
-    def _connect(self, address: str) -> _Link:
+    def _connect(self, address: str) -> _Link | None:
+        """Connect to an agent, or return None for an address that can't be used."""
         # Not zmq.IMMEDIATE, which also keeps messages from agents that are away: when
         # a connection ends, it drops what came over it and was not read yet.
         socket = self._context.socket(zmq.DEALER)
@@ -192,8 +196,13 @@
         monitor = socket.get_monitor_socket(
             zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
         )
-        socket.connect(f"tcp://{address}")
-        return _Link(address, socket, monitor)
+        link = _Link(address, socket, monitor)
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            link.close(linger_ms=0)
+            return None
+        return link
 
 
 def _receive(name: str, link: _Link, most: int) -> list[tuple[str, AnyMessage]]:
