--- a/src/robinspindle/core/placement.py
+++ b/src/robinspindle/core/placement.py
@@ -38,17 +38,16 @@
 def find_addresses(entry: Dispatcher) -> dict[str, str]:
     """Find the addresses of all agents that an entry needs a connection to.
 
-    These are the agents of its peers and of all targets with its active requests. When
-    a target is added, it may replace one of these in the entry's subset of peers, but
-    the answers in progress still have to arrive.
+    These are the agents of its peers and of all targets with its active requests. A
+    configuration may drop one of these, or a target that it adds may replace one in the
+    entry's subset of peers, but the answers in progress still have to arrive.
     """
-    busy = {active.target for active in entry.active_requests.values()}
+    if entry.configuration is None:
+        return {}
     targets = entry.configuration.targets
-    return {
-        name: targets[name].agent
-        for name in sorted({*list_peers(entry), *busy})
-        if name in targets
-    }
+    known = entry.former_addresses | {name: t.agent for name, t in targets.items()}
+    needed = sorted({*list_peers(entry), *entry.busy_targets})
+    return {name: known[name] for name in needed if name in known}
 
 
 def place(entry: Dispatcher, active: ActiveRequest, now: float) -> list[Effect]:
@@ -58,13 +57,8 @@
     the retry budget. The number of refused offers is limited instead. Refusals of
     stopping targets are not counted among these, so the attempts are limited too.
     """
-    candidates = [
-        candidate
-        for candidate in _list_candidates(entry, active.work, now)
-        if candidate.target not in active.refusals
-    ]
-    used_offers = max(active.refused_offers, active.attempts - retries.MAX_ATTEMPTS)
-    if not candidates or used_offers >= MAX_OFFERS:
+    candidates = _list_untried(entry, active, now)
+    if not candidates:
         return refuse(entry, active, _make_placement_refusal(entry, active))
     candidate, work = _choose_stage(entry, active, candidates)
     active.attempts += 1
@@ -80,6 +74,26 @@
     return [Send(candidate.target, _make_offer(active, work, now))]
 
 
+def can_move(entry: Dispatcher, active: ActiveRequest, now: float) -> bool:
+    """Whether a request could be offered to another target than its present one."""
+    untried = _list_untried(entry, active, now)
+    return any(candidate.target != active.target for candidate in untried)
+
+
+def _list_untried(
+    entry: Dispatcher, active: ActiveRequest, now: float
+) -> list[routing.Candidate]:
+    """List the targets that a request may still be offered to."""
+    used_offers = max(active.refused_offers, active.attempts - retries.MAX_ATTEMPTS)
+    if used_offers >= MAX_OFFERS:
+        return []
+    return [
+        candidate
+        for candidate in _list_candidates(entry, active.work, now)
+        if candidate.target not in active.refusals
+    ]
+
+
 def _make_offer(active: ActiveRequest, work: Work, now: float) -> Offer:
     left_s = max(0.0, active.deadline - now)
     first_left_s = max(0.0, active.first_token_deadline - now)
--- a/src/robinspindle/exchanges.py
+++ b/src/robinspindle/exchanges.py
@@ -10,15 +10,18 @@
 from robinspindle.core.documents import ClassSection, WorkspaceSection
 from robinspindle.core.effects import Chunk, Ended, Event, Refusal, Started
 from robinspindle.entry import GONE, Entry
-from robinspindle.exceptions import CallerLeftError
+from robinspindle.exceptions import CallerLeftError, EntryStoppedError
 from robinspindle.messages import Work
 from robinspindle.web import HttpError
 
 EVENT_WAIT_S = 300.0
 
-CALLER_CHECK_S = 0.2
+STOPPED_RETRY_S = 0.1
+"""Retry delay of a request that an ended entry refuses, seconds."""
+
+CALLER_CHECK_S = 0.1
 """Interval at which a waiting thread looks whether its caller has left, seconds: work
-for it has to end within half a second."""
+for it has to end within half a second, and two comments in a stream may be needed."""
 
 
 @dataclass
@@ -51,6 +54,16 @@
     first_at: float = 0.0
     last_at: float = 0.0
 
+    @property
+    def must_go_on(self) -> bool:
+        """Whether the answer is waited for, whether or not the caller seems to leave.
+
+        Who sent a key may ask for the answer again, and a started run that may not be
+        repeated goes on anyway.
+        """
+        is_started = bool(self.target) and not self.work.repeatable
+        return is_started or bool(self.work.key)
+
 
 def open_exchange(
     entry: Entry,
@@ -63,7 +76,7 @@
     """Take a request in and hand it to the entry's loop.
 
     Raises:
-        HttpError: If its workspace is over its limits.
+        HttpError: If its workspace is over its limits, or the entry has stopped.
     """
     retry_s = entry.admit(workspace)
     if retry_s > 0:
@@ -72,7 +85,11 @@
     now = time.monotonic()
     exchange = Exchange(entry, work, workspace, work_class, now, has_caller_left)
     promise = LatencyObjective(work_class.first_token_s, work_class.promised_s)
-    exchange.events = entry.submit(work, promise, resumption)
+    try:
+        exchange.events = entry.submit(work, promise, resumption)
+    except EntryStoppedError as error:
+        refusal = Refusal(503, "stopping", str(error), "no", STOPPED_RETRY_S)
+        raise HttpError(refusal) from None
     return exchange
 
 
@@ -96,8 +113,7 @@
     while time.monotonic() < waiting_until:
         with contextlib.suppress(queue.Empty):
             return exchange.events.get(timeout=CALLER_CHECK_S)
-        # Who sent a key may ask for the answer again.
-        if not exchange.work.key and exchange.has_caller_left():
+        if not exchange.must_go_on and exchange.has_caller_left():
             raise CallerLeftError("closed by the caller")
     return Refusal(504, "too_long", "the entry gave no answer", "unknown", 1.0)
 
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -9,13 +9,15 @@
 """
 
 import random
+import re
 from pathlib import Path
 
 import pytest
 
 from robinspindle.core import dispatch, failover
 from robinspindle.core.activerequests import Dispatcher, LatencyObjective
-from robinspindle.core.effects import Chunk, Deliver, Ended, Refusal, Send
+from robinspindle.core.effects import Chunk, Deliver, Ended, Refusal, Send, Started
+from robinspindle.core.placement import find_addresses
 from robinspindle.core.records import AgentStarted, ObservedEngine, Published
 from robinspindle.core.state import State
 from robinspindle.core.statemachine import apply
@@ -142,3 +144,97 @@
         dispatch.receive(entry, 0.2, target, tokens)
     (effect,) = dispatch.handle_disconnect(entry, "r")
     assert effect.message.grace_s == grace_s
+
+
+def start_once(entry):
+    """Start a request that may run at most once, without a key; return its target."""
+    work = Work(
+        request="r",
+        kind="generate",
+        pool="investor-70b",
+        max_tokens=9,
+        repeatable=False,
+    )
+    target = dispatch.submit(entry, 0.0, work, LatencyObjective(5.0, 20.0))[0].peer
+    report = Report(target=target, incarnation="i")
+    accepted = Accepted(request="r", attempt=1, reserved=True, report=report)
+    effects = dispatch.receive(entry, 0.01, target, accepted)
+    assert any(e.event == Started(target, "r") for e in list_delivered(effects))
+    return target
+
+
+def list_delivered(effects):
+    return [effect for effect in effects if isinstance(effect, Deliver)]
+
+
+def finish(entry, now, target, count=0):
+    """Let the run end at its target and return the last event's type."""
+    finished = Finished(request="r", attempt=1, count=count)
+    return type(
+        list_delivered(dispatch.receive(entry, now, target, finished))[-1].event
+    )
+
+
+def drop_target(text, target):
+    return re.sub(rf"\[target {target}\][^\[]*", "", text)
+
+
+def shrink_subset(text, target):
+    return text.replace("entries = 2", "entries = 2\nsubset = 1")
+
+
+@pytest.mark.parametrize("change", [drop_target, shrink_subset])
+def test_an_answer_comes_though_a_configuration_drops_its_target(entry, change):
+    """Its connection was closed and the run given up in the same turn."""
+    entry.name = "entry-3"
+    target = start_once(entry)
+    text = change(entry.state.text, target)
+    state = apply(entry.state, 9, Published(id="change", text=text))
+    agent = find_addresses(entry)[target]
+    dispatch.apply_state(entry, state)
+    assert find_addresses(entry)[target] == agent
+    for step in range(1, 80):
+        now = 0.01 + step * STEP_S
+        effects = dispatch.tick(entry, now)
+        assert not list_delivered(effects)
+        if target in [e.peer for e in effects if isinstance(e, Send)]:
+            report = Report(target=target, incarnation="i")
+            dispatch.receive(entry, now, target, report)
+    assert finish(entry, 5.0, target) is Ended
+    dispatch.apply_state(entry, apply(state, 10, None))
+    assert target not in find_addresses(entry)
+    assert (target in entry.evidence) == (target in entry.state.targets)
+
+
+def test_a_run_that_may_not_be_repeated_outlasts_the_silence_of_its_target(entry):
+    """After 1.5 s its outcome was called unknown, and the answer came to nobody."""
+    target = start_once(entry)
+    assert not list_delivered(advance(entry, 0.0, 4.0))
+    assert finish(entry, 4.1, target) is Ended
+
+
+def test_a_run_whose_target_is_silent_at_its_deadline_ends_as_unknown(entry):
+    start_once(entry)
+    (last,) = list_delivered(advance(entry, 0.0, 20.1))
+    assert (last.event.code, last.event.ran) == ("outcome_unknown", "unknown")
+
+
+def test_a_stream_outlasts_the_silence_of_its_target_if_no_other_takes_it(entry):
+    """It was refused as overloaded, with its answer half delivered."""
+    target = start_stream(entry)
+    assert not list_delivered(advance(entry, 0.02, 4.0))
+    rest = Tokens(request="r", attempt=1, first=1, texts=("b ",))
+    assert list_delivered(dispatch.receive(entry, 4.1, target, rest))
+    assert finish(entry, 4.2, target, count=2) is Ended
+
+
+@pytest.mark.parametrize("budget", [0.0, 3.0])
+def test_a_stream_leaves_a_silent_target_only_with_a_retry_for_it(entry, budget):
+    target = start_stream(entry)
+    entry.retry_budget.left = budget
+    (other,) = {"engine-1", "engine-2"} - {target}
+    for step in range(1, 40):
+        now = 0.02 + step * STEP_S
+        dispatch.receive(entry, now, other, Report(target=other, incarnation="i"))
+        assert not list_delivered(dispatch.tick(entry, now))
+    assert (entry.active_requests["r"].target == other) == (budget > 0)
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -1,11 +1,13 @@
 """The promises on real processes: killed, frozen, cut off, stopped."""
 
 import json
+import re
 import signal
 import threading
 import time
 
 import pytest
+import urllib3
 
 from robinspindle.exceptions import ApiError
 from standins.fleet import wait_until
@@ -138,6 +140,82 @@
     assert calm.processes["entry-1"].wait(10) == 0
 
 
+def test_a_request_that_comes_as_a_stopping_entry_ends_is_answered(calm):
+    """Handed over after the loop's last turn, it waited for nothing."""
+    ended = []
+
+    def notify_until_the_end():
+        while calm.processes["entry-1"].poll() is None:
+            try:
+                ended.append(notify(calm, f"last {len(ended)}", 0).status)
+            except urllib3.exceptions.ReadTimeoutError:
+                ended.append("no answer")
+            except urllib3.exceptions.HTTPError:
+                return
+
+    callers = [threading.Thread(target=notify_until_the_end) for _ in range(3)]
+    for caller in callers:
+        caller.start()
+    calm.signal("entry-1", signal.SIGTERM)
+    is_ended = calm.processes["entry-1"].poll
+    try:
+        wait_until(lambda: is_ended() is not None, "the entry's end", 15.0)
+    finally:
+        if is_ended() is None:
+            calm.kill("entry-1")
+        for caller in callers:
+            caller.join()
+    assert 200 in ended
+    assert set(ended) <= {200, 503}
+
+
+def test_a_hangup_signal_ends_no_process_and_cuts_nothing(calm):
+    def send_hangups(name):
+        for process in (name, "entry-1"):
+            calm.signal(process, signal.SIGHUP)
+
+    reply = stream_while(calm, send_hangups, "hangup signals")
+    assert reply.text == expect_answer("hangup signals", TOKENS)
+    assert len({id.split("/")[1] for id in reply.ids}) == 1
+
+
+def test_engines_that_are_silent_for_two_seconds_cut_nothing(calm):
+    """The agents beside them go on reporting."""
+    engines = [f"{n}.target" for n, t in calm.configuration.targets.items() if t.model]
+
+    def hold_up(_):
+        for name in engines:
+            calm.signal(name, signal.SIGSTOP)
+            threading.Timer(2.0, calm.signal, (name, signal.SIGCONT)).start()
+
+    reply = stream_while(calm, hold_up, "silent engines")
+    assert reply.text == expect_answer("silent engines", TOKENS)
+    assert len({id.split("/")[1] for id in reply.ids}) == 1
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 2.0])
+def test_agents_that_are_silent_for_a_while_lose_no_call(calm, silent_s):
+    """After 1.5 s the call's outcome was called unknown, and its answer was dropped."""
+    names = [n for n, t in calm.configuration.targets.items() if t.service]
+    for name in names:
+        calm.set_faults(calm.configuration.targets[name].address, delay_s=1.0)
+    body = f"silent for {silent_s}".encode()
+
+    def hold_up():
+        wait_until(lambda: count_calls(calm, body), "the call")
+        for name in names:
+            calm.signal(name, signal.SIGSTOP)
+        time.sleep(silent_s)
+        for name in names:
+            calm.signal(name, signal.SIGCONT)
+
+    reply, _ = run_together(lambda: notify(calm, "", 0, body, "ticker-chat"), hold_up)
+    for name in names:
+        calm.set_faults(calm.configuration.targets[name].address)
+    assert reply.status == 200
+    assert count_calls(calm, body) == 1
+
+
 def test_a_drain_cuts_nothing_and_sends_no_new_work(calm):
     drained = []
 
@@ -164,6 +242,21 @@
     assert follow(calm, back["id"])["status"] == "done"
 
 
+def test_a_configuration_that_drops_a_target_cuts_nothing(calm):
+    dropped = []
+
+    def drop(name):
+        dropped.append(name)
+        text = re.sub(rf"\[target {name}\][^\[]*", "", calm.text)
+        _publish_at(calm, 1, text)
+
+    reply = stream_while(calm, drop, "dropped target")
+    calm.stop(dropped[0])
+    _publish_at(calm, 1, calm.text)
+    assert reply.text == expect_answer("dropped target", TOKENS)
+    assert {id.split("/")[1] for id in reply.ids} == set(dropped)
+
+
 def test_role_changes_under_load_hurt_nothing(calm):
     intent = {"type": "SetRoles", "model": "investor-70b"}
     made = plan(calm, intent | {"prefill": 1, "decode": 2, "mixed": 3})
