--- a/standins/replica.py
+++ b/standins/replica.py
@@ -6,6 +6,9 @@
 
 from standins.rawhttp import RawRequest, RawServer, reset, write_answer, write_slowly
 
+USUAL_VERSION = "v1"
+"""The software version whose events don't tell it."""
+
 
 class Replica:
     """One lifetime of a replica.
@@ -23,6 +26,7 @@
         held: Parts that its cache holds, by id, with their tokens.
         lists: How often it was asked for them.
         born_ms: When this life began, Unix milliseconds; None where it does not tell.
+        software_version: The version of its software.
         crashes_on: The body of requests that end it as it begins to run them; None for
             none.
         has_crashed: Whether one did.
@@ -52,6 +56,7 @@
         self.list_pieces = 1
         self.limit_per_s: float | None = None
         self.born_ms: int | None = None
+        self.software_version = USUAL_VERSION
         self.crashes_on = crashes_on
         self.has_crashed = False
         self.gate = asyncio.Event()
@@ -63,7 +68,7 @@
             "Service": self.service,
             "Address": self.server.address,
             "Zone": zone,
-            "Version": "v1",
+            "Version": self.software_version,
             "Slots": 6,
             "State": state,
             "ColdRemainingMs": 0,
@@ -196,10 +201,27 @@
         return False
 
     async def _be_torn(self, request: RawRequest, writer) -> bool:
-        """A stream breaks off in the middle of its second event."""
+        """A stream breaks off after one more event, in the middle of the next."""
+        number = self._find_first(request)
+        self._begin_stream(request, writer)
+        self._write_events(request, writer, min(number, self.events))
+        return await self._tear(writer, number + 1)
+
+    async def _be_torn_at_gate(self, request: RawRequest, writer) -> bool:
+        """The same, but it breaks off only once the gate opens."""
         self._begin_stream(request, writer)
         self._write_events(request, writer, 1)
-        piece = b"id: 2\ndata: half of"
+        await self.gate.wait()
+        return await self._tear(writer, 2)
+
+    async def _be_torn_at_once(self, request: RawRequest, writer) -> bool:
+        """A stream breaks off in the middle of its first event."""
+        self._begin_stream(request, writer)
+        return await self._tear(writer, self._find_first(request))
+
+    async def _tear(self, writer, number: int) -> bool:
+        """Break a stream off in the middle of an event."""
+        piece = b"id: %d\ndata: half of" % number
         writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
         await writer.drain()
         await asyncio.sleep(0.05)
@@ -234,12 +256,18 @@
         )
 
     def _write_events(self, request: RawRequest, writer, last: int) -> None:
-        first = int(request.headers.get("last-event-id", 0)) + 1
-        for number in range(first, last + 1):
+        for number in range(self._find_first(request), last + 1):
             self._write_event(request, writer, number)
 
+    def _find_first(self, request: RawRequest) -> int:
+        """Find the number of the first event that its caller does not have."""
+        return int(request.headers.get("last-event-id", 0)) + 1
+
     def _write_event(self, request: RawRequest, writer, number: int) -> None:
-        piece = b"id: %d\ndata: %s-%d\n\n" % (number, self._id(request), number)
+        text = b"%s-%d" % (self._id(request), number)
+        if self.software_version != USUAL_VERSION:
+            text += b" " + self.software_version.encode()
+        piece = b"id: %d\ndata: %s\n\n" % (number, text)
         writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
 
     def _id(self, request: RawRequest) -> bytes:
