Rank names by rendezvous hashing in a function of its own

Cause: the holders of what is known of a stream are to be chosen as an entry's targets are, but the ranking was inside `choose_subset`. Ruled out: a second hash beside it. The place of a gateway for a request in the quarantine (`find_place`) has its own, from 0 up and over bytes: another one there would have gateways of two releases disagree on who writes. Change: `rank_names`; `choose_subset` uses it, with the same result.

--- a/src/robinspindle/core/subsets.py
+++ b/src/robinspindle/core/subsets.py
@@ -1,6 +1,7 @@
 """Subsets: the targets of a pool that an entry connects to, which bounds the mesh."""
 
 import hashlib
+from collections.abc import Iterable
 
 
 def choose_subset(entry: str, targets: list[str], size: int) -> list[str]:
@@ -19,9 +20,16 @@
     """
     if size <= 0 or len(targets) <= size:
         return sorted(targets)
-    ranked = sorted(targets, key=lambda name: _hash_pair(entry, name), reverse=True)
-    return sorted(ranked[:size])
+    return sorted(rank_names(entry, targets)[:size])
 
 
-def _hash_pair(entry: str, target: str) -> bytes:
-    return hashlib.blake2b(f"{entry}\0{target}".encode(), digest_size=8).digest()
+def rank_names(key: str, names: Iterable[str]) -> list[str]:
+    """Rank names by rendezvous hashing, in an order that hangs on the key.
+
+    A name that joins or leaves doesn't change the order of the others.
+    """
+    return sorted(names, key=lambda name: _hash_pair(key, name), reverse=True)
+
+
+def _hash_pair(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
