Check the senders of datagrams in one place

Cause: a second socket for datagrams between gateways needs the check that they come from a gateway that the store names, at its own address; it was a part of PeerLink. Where two names have one address, the one introduced last counts. Result: tests/test_peerlink.py passes unchanged.

--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -31,6 +31,7 @@
 from robinspindle.logs import Log
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import LEARNT_INTERVAL_S, Peers, note_sent
+from robinspindle.senders import Senders
 from robinspindle.targetlimits import TargetLimits
 from robinspindle.teaching import KnownCaches, add_caches, plan_teaching, take_caches
 
@@ -41,9 +42,6 @@
 MOST_DATAGRAM_BYTES = 48_000
 """Larger bundles are told in two datagrams: UDP takes 65,507 bytes at the most."""
 
-MOST_STRANGERS = 100
-"""Senders that are not known whose names are kept, to log each of them once."""
-
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Datagram).decode
 
@@ -130,7 +128,7 @@
         self._passing: dict[str, Digest] = {}
         # The last echo of each relay, to tell whether it hears us.
         self._echoes: dict[str, int] = {}
-        self._strangers: set[str] = set()
+        self._senders = Senders(peers, log)
 
     async def start(self, address: HostPort) -> None:
         """Open the socket."""
@@ -161,7 +159,7 @@
             self._peers.refused += 1
             self._log("datagram can't be read", sender=str(addr), error=str(error))
             return
-        if not self._is_known(bundle.sender, addr):
+        if not self._senders.is_at_own_address(bundle.sender, addr):
             return
         for digest in bundle.digests:
             fault = find_fault(digest)
@@ -179,17 +177,6 @@
         if self._facts is not None and bundle.facts is not None:
             self._facts.take(bundle.sender, bundle.facts)
 
-    def _is_known(self, sender: str, addr) -> bool:
-        """Whether the sender is a gateway that the store names, at its own address."""
-        member = self._peers.members.get(sender)
-        if member is not None and addr is not None and member.host == addr[0]:
-            return True
-        self._peers.refused += 1
-        if sender not in self._strangers and len(self._strangers) < MOST_STRANGERS:
-            self._strangers.add(sender)
-            self._log("datagram of a stranger", sender=sender, address=str(addr))
-        return False
-
     def _note_contact(self, bundle: Datagram) -> None:
         """Take note that a gateway of the own group was heard as its relay."""
         peers, sender = self._peers, bundle.sender
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -29,6 +29,7 @@
         own: This gateway, as it introduces itself.
         started: When it started, by the time of day; only compared with itself.
         members: All other gateways that the store names, by name.
+        names: Their names, by IP address and UDP port.
         groups: The groups that all form.
         choice: Whom this gateway tells its news to.
         views: What is known of each that was heard lately, directly or by a relay.
@@ -51,6 +52,7 @@
     own: Member
     started: float
     members: dict[str, Member] = field(default_factory=dict)
+    names: dict[tuple[str, int], str] = field(default_factory=dict)
     groups: Groups = Groups()
     choice: RelayChoice = field(default_factory=RelayChoice)
     views: dict[str, PeerView] = field(default_factory=dict)
@@ -91,15 +93,23 @@
     """Take note of a gateway that the store names; whether that is news."""
     if member.name == peers.name or peers.members.get(member.name) == member:
         return False
+    # The newest comes last, as it has an address that an earlier one may have had.
+    peers.members.pop(member.name, None)
     peers.members[member.name] = member
-    peers.groups = relays.make_groups([peers.own, *peers.members.values()])
+    _arrange_members(peers)
     return True
 
 
 def forget_member(peers: Peers, name: str) -> None:
     """Forget a gateway that the store does not name any more."""
     if peers.members.pop(name, None) is not None:
-        peers.groups = relays.make_groups([peers.own, *peers.members.values()])
+        _arrange_members(peers)
+
+
+def _arrange_members(peers: Peers) -> None:
+    members = peers.members.values()
+    peers.groups = relays.make_groups([peers.own, *members])
+    peers.names = {(member.host, member.port): member.name for member in members}
 
 
 def note_sent(peers: Peers, now: float) -> None:
