Remember who began a stream, tell three gateways, and ask them

Cause: a stream may go on only at targets of the software version that began it, and a gateway to which it is taken up doesn't know that version (ORDER). Ruled out: telling all (420 times 2,300 a second); the store; a guess where nobody knows; one batch for many streams at the target size, as each gateway begins 5 streams a second and tells 16 gateways of them; choosing among all names in the store, as it also names gateways that are long gone. Change: a bounded table of origins whose entries expire; a stream's key picks three heard gateways that are told of it, on a socket of their own; one that is asked for an unknown stream asks six heard ones, twice, for 0.3 s at the most, and is content with one answer. Not wired into the gateway yet.

--- /dev/null
+++ b/src/robinspindle/originlink.py
@@ -0,0 +1,171 @@
+"""Datagrams between gateways about who began which stream, on a socket of their own."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Annotated
+
+import msgspec
+
+from robinspindle.core.peervalidation import MAX_WALL_MS
+from robinspindle.core.streamorigins import KEY_BYTES, StreamKey, StreamOrigin
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.linkqueue import ignore_sent
+from robinspindle.logs import Log
+from robinspindle.peers import Peers
+from robinspindle.senders import Senders
+
+PORT_OFFSET = 1
+"""By how much the port of this socket is above the one that gateways announce."""
+
+MOST_TELLS = 24
+"""Origins in one datagram: it mostly stays within one packet of 1,500 bytes."""
+
+MAX_NAME_LENGTH = 256
+"""Longest name of a service, a software version or a lifetime, characters."""
+
+MAX_NUMBER = (1 << 32) - 1
+"""Largest number of an ask."""
+
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+Key = Annotated[bytes, msgspec.Meta(min_length=KEY_BYTES, max_length=KEY_BYTES)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
+class Tell(msgspec.Struct, array_like=True, frozen=True):
+    """Who began a stream; see `StreamOrigin`."""
+
+    key: Key
+    service: Name
+    software_version: Name
+    lifetime: Name
+    begun_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_MS)]
+
+
+class Tells(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """Streams that have begun.
+
+    Attributes:
+        tells: Who began each.
+    """
+
+    tells: Annotated[list[Tell], msgspec.Meta(max_length=MOST_TELLS)]
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """Asks who began a stream.
+
+    Attributes:
+        number: Returned in the answer.
+        key: The stream's key.
+    """
+
+    number: Number
+    key: Key
+
+
+class Answer(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """Answers an ask.
+
+    Attributes:
+        number: The ask's number.
+        told: Who began the stream; None if the sender doesn't know.
+    """
+
+    number: Number
+    told: Tell | None = None
+
+
+Message = Tells | Ask | Answer
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Message).decode
+
+
+def make_tell(key: StreamKey, origin: StreamOrigin) -> Tell:
+    """Make the message part that tells an origin."""
+    return Tell(
+        key,
+        origin.service,
+        origin.software_version,
+        origin.lifetime,
+        origin.begun_ms,
+    )
+
+
+def read_tell(tell: Tell) -> StreamOrigin:
+    """Read the origin that a message part tells."""
+    return StreamOrigin(
+        tell.service, tell.software_version, tell.lifetime, tell.begun_ms
+    )
+
+
+def pass_over_message(sender: str, message: Message) -> None:
+    """Stand for who takes messages in."""
+
+
+class OriginLink(asyncio.DatagramProtocol):
+    """The socket.
+
+    Attributes:
+        take: Told the sender's name and each message that is valid.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        log: Log,
+        note_sent: Callable[[int], None] = ignore_sent,
+    ):
+        self.take: Callable[[str, Message], None] = pass_over_message
+        self._peers = peers
+        self._senders = Senders(peers, log)
+        self._note_sent = note_sent
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: HostPort) -> None:
+        """Open the socket.
+
+        Args:
+            address: The address that the gateway announces; the port is above it.
+        """
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(address.host, address.port + PORT_OFFSET),
+            family=socket.AF_INET,
+        )
+
+    def close(self) -> None:
+        """Close the socket; nothing is sent any more."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def connection_made(self, transport) -> None:
+        """Note the transport."""
+        self._transport = transport
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over errors: a gateway that is gone doesn't answer."""
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Take another gateway's datagram in."""
+        sender = self._senders.find_name(addr, PORT_OFFSET)
+        if sender is None:
+            return
+        try:
+            message = decode(data)
+        except msgspec.MsgspecError as error:
+            self._senders.refuse(sender, "datagram can't be read", error=str(error))
+            return
+        self.take(sender, message)
+
+    def send(self, name: str, message: Message) -> None:
+        """Send another gateway a message; one that is not known gets none."""
+        member = self._peers.members.get(name)
+        if member is None or self._transport is None:
+            return
+        data = encode(message)
+        self._note_sent(len(data))
+        self._transport.sendto(data, (member.host, member.port + PORT_OFFSET))
--- /dev/null
+++ b/tests/originfleet.py
@@ -0,0 +1,87 @@
+"""Gateways that tell each other who began which stream, in virtual time."""
+
+import asyncio
+import random
+
+from fuzz.virtualtime import VirtualSelector, run_virtually
+from robinspindle.core.peerdigests import PeerView
+from robinspindle.core.relays import Member
+from robinspindle.core.streamorigins import StreamOrigin, make_stream_key
+from robinspindle.originlink import PORT_OFFSET, OriginLink
+from robinspindle.peers import Peers, note_member
+from robinspindle.streammemory import StreamMemory
+
+TRANSIT_S = 0.002
+
+
+def make_origin(number, version="v1"):
+    """Make an origin with names as long as those of the platform."""
+    return StreamOrigin("huvo11a", version, f"i-7f3a{number:04x}", 1796223803410)
+
+
+def name_stream(number):
+    return make_stream_key("", f"{number:016x}")
+
+
+class Node:
+    """One gateway; a cut one neither sends nor receives."""
+
+    def __init__(self, fleet, number):
+        name = f"front-amman-a-{number}"
+        self.member = Member(name, f"10.0.{number // 256}.{number % 256}", 7660)
+        self.address = (self.member.host, self.member.port + PORT_OFFSET)
+        self.logged = []
+        self.sizes = []
+        self.is_cut = False
+        self._fleet = fleet
+        self.peers = Peers(self.member, 1.0)
+        self.link = OriginLink(self.peers, self._log)
+        self.link.connection_made(self)
+        self.memory = StreamMemory(
+            self.peers, self.link, lambda: fleet.selector.now, self._log
+        )
+
+    def _log(self, text, **fields):
+        self.logged.append(text)
+
+    def introduce(self, nodes):
+        """Have it know and hear others."""
+        *others, last = (node.member for node in nodes if node is not self)
+        self.peers.members = {member.name: member for member in others}
+        note_member(self.peers, last)
+        self.hear(nodes)
+
+    def hear(self, nodes):
+        names = [node.member.name for node in nodes]
+        self.peers.views = {names[0]: PeerView(members=names)}
+
+    def sendto(self, data, address):
+        if not self.is_cut:
+            self.sizes.append(len(data))
+            self._fleet.carry(self, data, address)
+
+    def receive(self, data, sender):
+        if not self.is_cut:
+            self.link.datagram_received(data, sender)
+
+
+class OriginFleet:
+    """Gateways that all know and hear one another; some datagrams are lost."""
+
+    def __init__(self, count, lost_share=0.0):
+        self.selector = VirtualSelector()
+        self.lost_share = lost_share
+        self.rng = random.Random(1)
+        self.nodes = [Node(self, number) for number in range(count)]
+        self._by_address = {node.address: node for node in self.nodes}
+        for node in self.nodes if count > 1 else []:
+            node.introduce(self.nodes)
+
+    def carry(self, sender, data, address):
+        if self.rng.random() >= self.lost_share:
+            receive = self._by_address[address].receive
+            loop = asyncio.get_running_loop()
+            loop.call_later(TRANSIT_S, receive, data, sender.address)
+
+    def play(self, coroutine):
+        return run_virtually(coroutine, self.selector)
