--- a/src/robinspindle/core/streamorigins.py
+++ b/src/robinspindle/core/streamorigins.py
@@ -32,7 +32,7 @@
 """How long an origin is kept after it was last noted, seconds."""
 
 MOST_ORIGINS = 32_768
-"""Maximum number of origins that a gateway keeps, about 10 MB; the oldest give way."""
+"""Maximum number of origins that a gateway keeps, about 8 MB; the oldest give way."""
 
 StreamKey = NewType("StreamKey", bytes)
 """What identifies a stream: a digest of its workspace and its first attempt's id."""
