Open the socket for streams' origins in the gateway, and show its counts

Ruled out: the socket of digests, whose datagrams are read by earlier releases too; a finding for settings with one inner port, which worked so far. Change: the second inner port carries origins; with one inner port a gateway says so once and remembers alone. Deployments of the tests and the soak have two inner ports. No request uses the memory yet.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -25,7 +25,7 @@
 Node = "{name}"
 Zone = "a"
 Ip = "127.0.0.1"
-InternalPorts = [{inner},{inner}]
+InternalPorts = [{inner},{last}]
 [Listen]
 Front = "127.0.0.1:{callers}"
 Ready = "127.0.0.1:{ready}"
@@ -123,7 +123,7 @@
         bounds: More of what was promised, as lines of its settings.
         duties: The port at which the platform takes reports; 0 where it asks for none.
     """
-    callers, ready, inner = _find_ports(3)
+    callers, ready, inner, last = _find_ports(4)
     path = folder / f"{name}.toml"
     path.write_text(
         SETTINGS.format(
@@ -131,6 +131,7 @@
             callers=callers,
             ready=ready,
             inner=inner,
+            last=last,
             store=store,
             bounds=bounds,
             duties=DUTIES.format(port=duties) if duties else "",
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -37,6 +37,7 @@
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.ordering import Orderer
+from robinspindle.originlink import OriginLink
 from robinspindle.passages import Means
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peerlink import News, PeerLink
@@ -47,6 +48,7 @@
 from robinspindle.rereading import Reread, SettingsReader
 from robinspindle.stopping import STOPPING, Stop
 from robinspindle.storenews import StoreNews
+from robinspindle.streammemory import StreamMemory
 from robinspindle.usagebook import UsageBook
 
 TICK_S = 0.1
@@ -74,6 +76,7 @@
         lengths: What is known of how long answers last.
         guard: Knows which requests crash targets.
         link: The VM's own link.
+        streams: Remembers who began which stream.
         relay: Forwards requests.
         orderer: Gives orders to engines.
     """
@@ -106,6 +109,11 @@
         self.lengths = AnswerStats()
         self.freshness = Freshness()
         self.link = LinkQueue(self._clock)
+        streams_log = make_log("streams")
+        self._origin_link = OriginLink(self.peers, streams_log, self.link.note_sent)
+        self.streams = StreamMemory(
+            self.peers, self._origin_link, self._clock, streams_log
+        )
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -306,8 +314,7 @@
         await self._callers.start(settings.callers.host, settings.callers.port)
         if settings.metrics_port:
             await self._figures.start(settings.ip, settings.metrics_port)
-        peer_address = HostPort(settings.ip, settings.inner_ports[0])
-        await self._link.start(peer_address)
+        await self._start_inner_sockets(settings)
         log("started", name=settings.name, zone=settings.zone)
         self._tasks = [
             loop.create_task(self._introduction.keep()),
@@ -339,6 +346,16 @@
         for task in self._tasks:
             task.add_done_callback(self._end_on_failure)
 
+    async def _start_inner_sockets(self, settings: GatewaySettings) -> None:
+        """Open the sockets for what gateways say to each other."""
+        first, last = settings.inner_ports
+        address = HostPort(settings.ip, first)
+        await self._link.start(address)
+        if last > first:
+            await self._origin_link.start(address)
+        else:
+            log("one inner port is too few: streams are remembered here only")
+
     def _end_on_failure(self, task: asyncio.Task) -> None:
         """End the process when a task that must go on has failed; it is restarted."""
         if not task.cancelled() and task.exception() is not None:
@@ -359,6 +376,7 @@
         self._readiness.close_listener()
         self._figures.close_listener()
         self._link.close()
+        self._origin_link.close()
         log("stopped", name=self.settings.name)
         self._output.flush()
 
@@ -412,6 +430,7 @@
             guard=self.guard,
             freshness=self.freshness,
             reporter=self.duties.reporter,
+            streams=self.streams,
             entries=self._entries,
             count_busy=self._callers.count_busy,
             count_left_out=lambda: self._output.total_left_out,
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -44,6 +44,11 @@
         quarantine_unreadable: Records of the quarantine that could not be read so far.
         usage_missed: Windows whose usage this gateway gave up so far.
         usage_reported: Windows whose usage is known to have been reported lately.
+        streams_known: Streams whose origin is known.
+        streams_begun: Streams that began or went on here so far.
+        streams_asked: Streams for which other gateways were asked so far.
+        streams_unknown: Streams taken up whose origin was not found so far.
+        streams_conflicting: Origins of another software version, not believed so far.
         left_out: Log lines left out so far.
         busy: Callers' requests under way.
     """
@@ -106,6 +111,21 @@
         self.usage_reported = self._gauge(
             "usage_windows_reported", "Windows lately known to have been reported"
         )
+        self.streams_known = self._gauge(
+            "streams_known", "Streams whose origin is known"
+        )
+        self.streams_begun = self._gauge(
+            "streams_begun", "Streams that began or went on here so far"
+        )
+        self.streams_asked = self._gauge(
+            "streams_asked", "Streams for which other gateways were asked so far"
+        )
+        self.streams_unknown = self._gauge(
+            "streams_unknown", "Streams taken up whose origin was not found so far"
+        )
+        self.streams_conflicting = self._gauge(
+            "streams_conflicting", "Origins of another version, not believed so far"
+        )
         self.left_out = self._gauge("log_lines_left_out", "Log lines left out so far")
         self.busy = self._gauge("in_flight", "Callers' requests under way")
         self.latencies = Latencies()
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -13,6 +13,7 @@
 from robinspindle.guard import Guard
 from robinspindle.peers import Peers, find_oldest_s, list_heard
 from robinspindle.reporting import Reporter
+from robinspindle.streammemory import StreamMemory
 
 
 @dataclass(frozen=True)
@@ -26,6 +27,7 @@
         guard: Knows which requests crash targets.
         freshness: What is known of the age of the configuration.
         reporter: Reports usage.
+        streams: Remembers who began which stream.
         entries: The targets' entries that can't be used.
         count_busy: Counts callers' requests under way.
         count_left_out: Counts log lines that were left out.
@@ -38,6 +40,7 @@
     guard: Guard
     freshness: Freshness
     reporter: Reporter
+    streams: StreamMemory
     entries: UnusableEntries
     count_busy: Callable[[], int]
     count_left_out: Callable[[], int]
@@ -55,6 +58,7 @@
     _update_targets(metrics, parts, now)
     _update_peers(metrics, parts.peers, now)
     _update_store(metrics, parts.store)
+    _update_streams(metrics, parts.streams)
     metrics.quarantined.set(len(list_quarantined(parts.guard.quarantine)))
     metrics.suspected.set(len(parts.guard.evidence.crashes_by_request))
     metrics.quarantine_unreadable.set(parts.count_unreadable())
@@ -83,6 +87,15 @@
     metrics.peers_age.set(find_oldest_s(peers, now))
 
 
+def _update_streams(metrics: GatewayMetrics, streams: StreamMemory) -> None:
+    counts = streams.counts
+    metrics.streams_known.set(len(streams.table.entries))
+    metrics.streams_begun.set(counts.begun)
+    metrics.streams_asked.set(counts.asked)
+    metrics.streams_unknown.set(counts.unknown)
+    metrics.streams_conflicting.set(counts.conflicts)
+
+
 def _update_store(metrics: GatewayMetrics, store: KeyedStore) -> None:
     metrics.store_calls.set(store.calls)
     metrics.store_received.set(store.received_bytes)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -1,6 +1,7 @@
 """Runs a gateway with stand-ins in one event loop, and sends it raw requests."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from contextlib import asynccontextmanager
@@ -9,6 +10,7 @@
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.gateway import Gateway
 from robinspindle.gatewaysettings import GatewaySettings, HostPort, Pledges
+from robinspindle.originlink import PORT_OFFSET
 from robinspindle.platform.adapter import PlatformAdapter
 from standins.logstore import LogStore
 from standins.replica import Replica
@@ -197,7 +199,7 @@
     await store.server.start()
     if prepare is not None:
         await prepare(store)
-    ports = _find_ports(3)
+    ports = [*_find_ports(2), _find_inner_ports()]
     settings = GatewaySettings(
         name="gateway-1",
         zone="a",
@@ -205,7 +207,7 @@
         callers=HostPort("127.0.0.1", ports[0]),
         readiness=HostPort("127.0.0.1", ports[1]),
         store=HostPort("127.0.0.1", store.server.port),
-        inner_ports=(ports[2], ports[2]),
+        inner_ports=(ports[2], ports[2] + PORT_OFFSET),
         memory_mb=300.0,
         pledges=pledges or Pledges(repeat_slack=320.0),
         duties=duties,
@@ -243,3 +245,17 @@
     for sock in sockets:
         sock.close()
     return ports
+
+
+def _find_inner_ports():
+    """Find the first of two ports that follow each other, for datagrams."""
+    while True:
+        with (
+            socket.socket(type=socket.SOCK_DGRAM) as first,
+            socket.socket(type=socket.SOCK_DGRAM) as second,
+            contextlib.suppress(OSError, OverflowError),
+        ):
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            second.bind(("127.0.0.1", port + PORT_OFFSET))
+            return port
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -5,9 +5,19 @@
 from dataclasses import replace
 
 from robinspindle import stopping
+from robinspindle.clocks import read_steady
 from robinspindle.core.peerdigests import Datagram, Digest, Placement, TargetLoad
+from robinspindle.core.relays import Member, encode_member
+from robinspindle.core.streamorigins import StreamOrigin, make_stream_key, note_origin
 from robinspindle.exceptions import Finding, InvalidDocumentError
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.gauges import update_gauges
+from robinspindle.logs import make_log
+from robinspindle.metrics import format_metrics
+from robinspindle.originlink import OriginLink
 from robinspindle.peerlink import encode
+from robinspindle.peers import Peers, note_member
+from robinspindle.streammemory import StreamMemory
 from standins.replica import Replica
 from tests.platform.deployment import (
     deploy,
@@ -173,6 +183,33 @@
     run(scenario())
 
 
+def test_gateways_tell_and_ask_each_other_who_began_a_stream(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            told, asked = make_stream_key("", "a"), make_stream_key("", "b")
+            origin = StreamOrigin("lm", "v1", "i1", 1)
+            member = Member("gateway-2", "127.0.0.2", d.inner_port)
+            await introduce(d, member.name, encode_member(member))
+            peers = Peers(member, 1.0)
+            note_member(peers, d.gateway.peers.own)
+            link = OriginLink(peers, make_log("streams"))
+            await link.start(HostPort(member.host, member.port))
+            other = StreamMemory(peers, link, read_steady, make_log("streams"))
+            d.gateway.streams.note_begun(told, origin)
+            await until(lambda: told in other.table.entries)
+            note_origin(other.table, asked, origin, read_steady())
+            assert await d.gateway.streams.find(asked) == origin
+            link.close()
+            assert await d.gateway.streams.find(make_stream_key("", "c")) is None
+            measured = d.gateway._list_measured()
+            update_gauges(d.gateway.metrics, measured, read_steady())
+            page = format_metrics(d.gateway.metrics.registry).decode()
+            for line in ("known 2.0", "begun 1.0", "asked 2.0", "unknown 1.0"):
+                assert f"robinspindle_streams_{line}" in page
+
+    run(scenario())
+
+
 def test_a_peers_load_counts_until_the_peer_times_out(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
