--- a/tests/core/test_streamorigins.py
+++ b/tests/core/test_streamorigins.py
@@ -39,7 +39,9 @@
     now = ORIGIN_LIFE_S + 5.0
     assert find_origin(table, KEYS[0], now) == FIRST
     assert find_origin(table, KEYS[1], now) is None
-    for number in (2, 3, 4):
+    note_origin(table, KEYS[2], FIRST, now)
+    assert list(table.entries) == [KEYS[0], KEYS[2]]
+    for number in (3, 4):
         note_origin(table, KEYS[number], FIRST, now)
     assert list(table.entries) == KEYS[2:5]
 
--- a/tests/test_streammemory.py
+++ b/tests/test_streammemory.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from robinspindle.core.relays import Member
 from robinspindle.core.streamorigins import ORIGIN_LIFE_S, choose_asked
 from robinspindle.originlink import MOST_TELLS, Answer, Ask, Tells, encode, make_tell
+from robinspindle.peers import Peers, note_member
 from robinspindle.streammemory import ASK_AGAIN_S, ASK_LIMIT_S, MOST_ASKS
 from tests.originfleet import TRANSIT_S, OriginFleet, make_origin, name_stream
 
@@ -216,6 +218,13 @@
     assert taker.memory.counts.conflicts == 3
 
 
+def test_a_gateway_at_an_address_that_another_had_is_heard_under_its_own_name():
+    peers = Peers(Member("g0", "10.0.0.1", 7000), 1.0)
+    for name, host in (("g1", "10.0.0.2"), ("g2", "10.0.0.3"), ("g1", "10.0.0.3")):
+        note_member(peers, Member(name, host, 7000))
+    assert peers.names == {("10.0.0.3", 7000): "g1"}
+
+
 def test_datagrams_of_strangers_and_garbage_are_refused_and_logged_once():
     fleet = OriginFleet(2)
     taker, teller = fleet.nodes
