Go on with a stream only at the software version that began it

Cause: a stream was given to any target of its service, inside an answer and when its caller took it up, so events of two software versions came together (ORDER).

Ruled out: fixing the version with the send, as a target that refuses or fails before its first event has begun nothing; a guess where the origin is not known; filtering what the health rules have chosen, as an unhealthy target of the version would give way to healthy ones of another and the stream be refused for want of both; barring prompts prefilled by another version, as caches hold no events.

Change: the version of a target's entry, `Last-Event-Id` and `Resumes` are decoded. A request that takes a stream up asks the stream memory before it is planned; without an origin that is certain it is refused with a 503, and so is one whose version no target is listed with. The first event that is passed on binds the answer, and is told to the memory. Decode engines are chosen among those of the bound version and service, prefill engines among all. An origin is doubted while a later lifetime of the same id with another version may have begun the stream.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -9,6 +9,7 @@
     prefillplacement,
     retrywindows,
     sizefairness,
+    streamversions,
 )
 from robinspindle.core.engines import Engine
 from robinspindle.core.forwarding import Prompt, Request
@@ -138,13 +139,27 @@
 
     def _list_usable(self, passage: Passage, now: float) -> list[Target]:
         """List the targets that may get a request; those best avoided if no other."""
-        list_usable = self._means.fleet.list_usable
         avoided = self._means.guard.list_avoided(passage.named)
         if avoided:
-            apart = list_usable(passage.service, now, passage.tried | avoided)
+            apart = self._list_fitting(passage, now, passage.tried | avoided)
             if apart:
                 return apart
-        return list_usable(passage.service, now, passage.tried)
+        return self._list_fitting(passage, now, passage.tried)
+
+    def _list_fitting(
+        self, passage: Passage, now: float, tried: set[str]
+    ) -> list[Target]:
+        """List usable targets; for a bound stream with the prefill engines of all."""
+        list_usable = self._means.fleet.list_usable
+        if streamversions.is_unbound(passage.stream):
+            return list_usable(passage.service, now, tried)
+        directory = self._means.fleet.directory
+        barred = streamversions.list_barred(directory, passage.stream)
+        fitting = list_usable(passage.service, now, tried | barred)
+        if not fitting:
+            return []
+        generating = streamversions.list_generating(directory)
+        return fitting + list_usable(passage.service, now, tried | generating)
 
     def read_rate(self, service: str) -> float:
         """Seconds of a reader's work that this gateway is asked for in a second."""
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -60,6 +60,18 @@
     expected_answer_tokens: int = 0
 
 
+@dataclass(frozen=True)
+class Resumption:
+    """A caller's return to a stream of which it has events.
+
+    Attributes:
+        attempt_id: Id of its attempt that brought the first event; empty if that is
+            missing, malformed or ambiguous.
+    """
+
+    attempt_id: str = ""
+
+
 @dataclass(frozen=True)
 class Request:
     """One decoded attempt of a caller.
@@ -78,6 +90,7 @@
             workspace that they belong to; empty if there are none.
         key: The bearer key that it carries, by which its workspace is found; None if
             missing or malformed.
+        resumption: Which stream it goes on with; None if it asks for a whole answer.
     """
 
     id: str
@@ -91,6 +104,7 @@
     prompt: Prompt | None = None
     caller: bytes = field(default=b"", repr=False)
     key: bytes | None = field(default=None, repr=False)
+    resumption: Resumption | None = None
 
     @property
     def size(self) -> int:
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -34,6 +34,7 @@
         leaving: Whether it is about to leave.
         role: ``prefill``, ``decode`` or empty for a plain service.
         cold_s: Remaining warm-up time after its start when it wrote the entry, seconds.
+        software_version: The version of its software.
     """
 
     lifetime: str
@@ -44,6 +45,7 @@
     leaving: bool = False
     role: str = ""
     cold_s: float = 0.0
+    software_version: str = ""
 
 
 @dataclass
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -195,6 +195,7 @@
                 freshness=self.freshness,
                 book=self.book,
                 link=self.link,
+                streams=self.streams,
                 policy=lambda: self.settings.policy,
                 zone=self.settings.zone,
                 clock=self._clock,
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -15,6 +15,8 @@
 from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.core.retrywindows import WindowedRetryBudget
 from robinspindle.core.routes import STREAM, Route
+from robinspindle.core.streamorigins import StreamKey, StreamOrigin
+from robinspindle.core.streamversions import StreamBinding
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
@@ -54,6 +56,16 @@
         """Decode the answer to a prompt that was only read."""
 
 
+class Streams(Protocol):
+    """What the gateways remember of who began which stream."""
+
+    def note_begun(self, key: StreamKey, origin: StreamOrigin) -> None:
+        """Remember who began a stream, and again when it goes on."""
+
+    async def find(self, key: StreamKey) -> StreamOrigin | None:
+        """Find who began a stream; None if no gateway that answers in time knows."""
+
+
 @dataclass
 class Passage:
     """What has been done for one request so far.
@@ -89,6 +101,7 @@
         sent_at: When it was last sent to a target, steady seconds.
         first_at: When its answer began, steady seconds.
         longest_pause_s: The longest pause between two events of it, seconds.
+        stream: The stream that it begins or goes on with.
     """
 
     request: Request
@@ -119,6 +132,7 @@
     sent_at: float | None = None
     first_at: float | None = None
     longest_pause_s: float = 0.0
+    stream: StreamBinding = field(default_factory=StreamBinding)
 
     @property
     def given_up_at(self) -> float:
@@ -145,6 +159,7 @@
         freshness: What is known of the age of the configuration.
         book: Counts what began to run.
         link: The VM's own link.
+        streams: Remembers who began which stream.
         policy: Tells which decisions are in force.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
@@ -161,6 +176,7 @@
     freshness: Freshness
     book: UsageBook
     link: LinkQueue
+    streams: Streams
     policy: Callable[[], Policy]
     zone: str
     clock: Callable[[], float]
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -22,6 +22,7 @@
 from robinspindle.httpclient import ClientConnection, ConnectionBrokenError, Exchange
 from robinspindle.passages import Means, Passage
 from robinspindle.replies import Reply
+from robinspindle.streambinding import note_first_event
 
 
 @dataclass(frozen=True)
@@ -176,6 +177,7 @@
         health.note_heard(answer.target, now)
         note(now - last_at, now)
         if not reply.has_begun:
+            note_first_event(means, passage, answer.target.announced)
             reply.begin(head.status, head.reason, head.headers, None)
         else:
             passage.longest_pause_s = max(passage.longest_pause_s, now - last_at)
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -12,9 +12,11 @@
     Part,
     Prompt,
     Request,
+    Resumption,
     Send,
 )
 from robinspindle.core.lifetimes import find_id
+from robinspindle.core.streamversions import is_attempt_id
 from robinspindle.exceptions import BadDocumentError
 
 HOP_HEADERS = frozenset(
@@ -60,6 +62,9 @@
 RESUME_HEADER = b"last-event-id"
 """Header with the id of the last event that the caller of a stream has received."""
 
+FIRST_ATTEMPT_HEADER = b"resumes"
+"""Header with the id of the attempt that brought the first event of such a stream."""
+
 MISDIRECTED = 421
 """Status of a target that is not the expected one, so it did not run the request."""
 
@@ -94,6 +99,7 @@
         prompt=_parse_prompt(values),
         caller=values.get(KEY_HEADER, b""),
         key=_parse_bearer_key(headers),
+        resumption=_parse_resumption(headers, values),
     )
 
 
@@ -243,6 +249,33 @@
     return key if scheme.lower() == b"bearer" and key else None
 
 
+def _parse_resumption(
+    headers: Headers, values: dict[bytes, bytes]
+) -> Resumption | None:
+    """Return which stream a request goes on with; None if it names none.
+
+    Two different values of a header are ambiguous, as targets may use either.
+    """
+    if RESUME_HEADER not in values and FIRST_ATTEMPT_HEADER not in values:
+        return None
+    last_ids = _list_values(headers, RESUME_HEADER)
+    attempt_ids = _list_values(headers, FIRST_ATTEMPT_HEADER)
+    if not any(last_ids | attempt_ids):
+        return None
+    is_clear = len(last_ids) <= 1 and len(attempt_ids) == 1
+    if is_clear and all(is_attempt_id(value) for value in last_ids | attempt_ids):
+        return Resumption(attempt_ids.pop())
+    return Resumption()
+
+
+def _list_values(headers: Headers, name: bytes) -> set[str]:
+    return {
+        value.strip().decode("latin-1")
+        for header, value in headers
+        if header.lower() == name
+    }
+
+
 def _parse_wait_s(value: bytes | None) -> float | None:
     """Convert a number of milliseconds to seconds; return None if it is invalid."""
     try:
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -140,7 +140,7 @@
     service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     zone: str
-    # Version of the target's software; not used.
+    # Version of the target's software, not of its weights.
     version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     state: Literal["ready", "draining"]
@@ -206,6 +206,7 @@
         leaving=entry.state == DRAINING,
         role=entry.stage,
         cold_s=entry.cold_remaining_ms / 1000,
+        software_version=entry.version,
     )
 
 
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -18,6 +18,7 @@
     find_rank,
     find_route,
 )
+from robinspindle.core.streamversions import StreamBinding, find_obstacle
 from robinspindle.delivery import Delivery
 from robinspindle.exceptions import CallerLeftError
 from robinspindle.finalanswers import FinalAnswers
@@ -25,6 +26,7 @@
 from robinspindle.passages import Means, Passage
 from robinspindle.relaylogs import RelayLog
 from robinspindle.replies import Reply
+from robinspindle.streambinding import bind_stream
 
 CALLER_WAY_S = 0.008
 """Part of an aim that the way to the caller and back takes, seconds."""
@@ -60,7 +62,7 @@
             incoming.method, incoming.target, incoming.headers, incoming.at
         )
         request = self._means.dialect.add_body(request, incoming.body)
-        passage = self._admit(request, reply)
+        passage = await self._admit(request, reply)
         if isinstance(passage, forwarding.Refusal):
             self._final.refuse(request, reply, passage)
             return
@@ -88,7 +90,9 @@
         finally:
             self.chooser.note_end(passage, self._means.clock(), is_served)
 
-    def _admit(self, request: Request, reply: Reply) -> Passage | forwarding.Refusal:
+    async def _admit(
+        self, request: Request, reply: Reply
+    ) -> Passage | forwarding.Refusal:
         """Find a request's route and by whose key it may run, or why it may not."""
         means = self._means
         table = means.fleet.table
@@ -106,7 +110,8 @@
             # From here on nothing holds the key: neither a sending nor news of it.
             name = permit.workspace.name if permit.workspace else None
             request = means.dialect.set_workspace(request, name)
-        return self._begin_passage(request, reply, table, route, permit)
+        stream = await bind_stream(means, route, request, permit)
+        return self._begin_passage(request, reply, table, route, permit, stream)
 
     def _begin_passage(
         self,
@@ -115,8 +120,10 @@
         table: RouteTable,
         route: Route,
         permit: Permit,
+        stream: StreamBinding,
     ) -> Passage:
-        service = choose_service(route, self._rng)
+        origin = stream.origin
+        service = origin.service if origin else choose_service(route, self._rng)
         self.chooser.note_expected(request, route, service)
         return Passage(
             request,
@@ -131,4 +138,6 @@
             find_rank(table, route, service, permit.workspace),
             is_long=self.chooser.expects_long(route, service),
             is_caller_retry=self._patience.note(route.name, request.wait_s),
+            last_reason=find_obstacle(self._means.fleet.directory, stream),
+            stream=stream,
         )
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -11,6 +11,7 @@
 from robinspindle.gateway import Gateway
 from robinspindle.gatewaysettings import GatewaySettings, HostPort, Pledges
 from robinspindle.originlink import PORT_OFFSET
+from robinspindle.peers import list_heard
 from robinspindle.platform.adapter import PlatformAdapter
 from standins.logstore import LogStore
 from standins.replica import Replica
@@ -200,18 +201,7 @@
     if prepare is not None:
         await prepare(store)
     ports = [*_find_ports(2), _find_inner_ports()]
-    settings = GatewaySettings(
-        name="gateway-1",
-        zone="a",
-        ip="127.0.0.1",
-        callers=HostPort("127.0.0.1", ports[0]),
-        readiness=HostPort("127.0.0.1", ports[1]),
-        store=HostPort("127.0.0.1", store.server.port),
-        inner_ports=(ports[2], ports[2] + PORT_OFFSET),
-        memory_mb=300.0,
-        pledges=pledges or Pledges(repeat_slack=320.0),
-        duties=duties,
-    )
+    settings = _make_settings("gateway-1", store, ports, pledges, duties)
     with open(tmp_path / "out", "wb") as out:
         gateway = Gateway(
             settings,
@@ -233,6 +223,39 @@
             await store.server.stop()
 
 
+@asynccontextmanager
+async def join(tmp_path, d, name="gateway-2"):
+    """Run one more gateway with the store and the replicas of a deployment."""
+    ports = [*_find_ports(2), _find_inner_ports()]
+    settings = _make_settings(name, d.store, ports)
+    with open(tmp_path / name, "wb") as out:
+        output = BoundedOutput(out.fileno())
+        gateway = Gateway(settings, PlatformAdapter(), output, lambda: settings)
+        await gateway.start()
+        try:
+            known = [d.gateway.peers, gateway.peers]
+            await until(lambda: all(list_heard(peers) for peers in known))
+            await until(lambda: gateway.is_ready)
+            yield Deployment(d.store, gateway, *ports, d.replicas)
+        finally:
+            await gateway.close()
+
+
+def _make_settings(name, store, ports, pledges=None, duties=None):
+    return GatewaySettings(
+        name=name,
+        zone="a",
+        ip="127.0.0.1",
+        callers=HostPort("127.0.0.1", ports[0]),
+        readiness=HostPort("127.0.0.1", ports[1]),
+        store=HostPort("127.0.0.1", store.server.port),
+        inner_ports=(ports[2], ports[2] + PORT_OFFSET),
+        memory_mb=300.0,
+        pledges=pledges or Pledges(repeat_slack=320.0),
+        duties=duties,
+    )
+
+
 def run(coroutine):
     return asyncio.run(coroutine)
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -1,6 +1,6 @@
 import pytest
 
-from robinspindle.core.forwarding import CacheSource, Send
+from robinspindle.core.forwarding import CacheSource, Resumption, Send
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.platform import dialect
 
@@ -71,6 +71,35 @@
     assert "Last-Event-Id: 30\r\n" in text
 
 
+@pytest.mark.parametrize(
+    ("pairs", "expected"),
+    [
+        ([], None),
+        ([(b"last-event-id", b"")], None),
+        ([(b"Last-Event-Id", b"3")], Resumption()),
+        ([(b"Last-Event-Id", b"3"), (b"Resumes", b" r1 ")], Resumption("r1")),
+        ([(b"Resumes", b"r1")], Resumption("r1")),
+        ([(b"Last-Event-Id", b"3"), *[(b"Resumes", b"r1")] * 2], Resumption("r1")),
+        ([(b"Resumes", b"r1"), (b"resumes", b"r2")], Resumption()),
+        ([(b"Resumes", b"r1"), (b"Resumes", b"")], Resumption()),
+        (
+            [(b"Resumes", b"r1"), *[(b"Last-Event-Id", b) for b in (b"3", b"4")]],
+            Resumption(),
+        ),
+        (
+            [(b"Resumes", b"r1"), *[(b"Last-Event-Id", b) for b in (b"", b"4")]],
+            Resumption(),
+        ),
+        ([(b"Resumes", b"r1"), (b"Last-Event-Id", b"\xff")], Resumption()),
+        ([(b"Resumes", b"r" * 5000)], Resumption()),
+        ([(b"Resumes", b"a\tb")], Resumption()),
+    ],
+)
+def test_which_stream_a_caller_takes_up_is_decoded_if_it_is_clear(pairs, expected):
+    headers = (*(pair for pair in HEADERS if pair[0] != b"Last-Event-Id"), *pairs)
+    assert decode(headers).resumption == expected
+
+
 def test_prefill_only_and_cache_transfer_headers():
     assert "X-Stage: prefill\r\n" in encode(prefill_only=True)
     assert "X-Kv-Source: 1.2.3.4:5/h1\r\n" in encode(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -105,6 +105,10 @@
     assert read_entry().lifetime == "i1"
 
 
+def test_an_entry_tells_the_version_of_its_software():
+    assert read_entry(Version="v2").software_version == "v2"
+
+
 def test_unknown_fields_of_an_entry_are_ignored():
     assert read_entry(Models=[{"Name": "m"}], Later={"x": 1}).service == "s"
 
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -4,16 +4,19 @@
 import re
 import time
 from collections import deque
+from contextlib import AsyncExitStack
 
 import pytest
 
 from standins.replica import USUAL_VERSION, Replica
 from tests.platform.deployment import (
     deploy,
+    join,
     make_configuration,
     make_route,
     run,
     until,
+    write_request,
 )
 
 OTHER_VERSION = "v2"
@@ -23,12 +26,11 @@
 KEYS = {"red": "open-sesame-1", "blue": "open-sesame-2"}
 
 
-async def add(d, version=USUAL_VERSION, count=1, service="lm"):
+async def add(d, version=USUAL_VERSION, count=1, service="lm", role="decode"):
     """Add replicas of a software version."""
     first = len(d.replicas) + 1
     replicas = [
-        Replica(f"i{number}", service, "decode")
-        for number in range(first, first + count)
+        Replica(f"i{number}", service, role) for number in range(first, first + count)
     ]
     for replica in replicas:
         replica.software_version = version
@@ -346,3 +348,78 @@
                 assert asked == [own.lifetime]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("is_told", [True, False])
+def test_a_stream_is_taken_up_at_another_gateway(tmp_path, is_told):
+    """One that was told of it serves alone; one that came later asks."""
+
+    async def scenario():
+        async with deploy(tmp_path) as d, AsyncExitStack() as stack:
+            await make_single(d)
+            if is_told:
+                other = await stack.enter_async_context(join(tmp_path, d))
+            await begin_broken(d)
+            await add(d, OTHER_VERSION, OTHERS)
+            if is_told:
+                await until(lambda: other.gateway.streams.table.entries)
+                await d.gateway.close()
+            else:
+                other = await stack.enter_async_context(join(tmp_path, d))
+            await until(lambda: len(other.gateway.directory.targets) == OTHERS + 1)
+            reply, asked = await take_up(other)
+            assert reply.is_whole
+            assert asked == ["i1"]
+            reply, asked = await take_up(other, attempt="r9")
+            assert is_true_refusal(reply)
+            assert not asked
+
+    run(scenario())
+
+
+def test_an_engine_of_another_version_may_prefill_for_a_stream(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            (prefill_engine,) = await add(d, OTHER_VERSION, role="prefill")
+            (begun,) = await add(d)
+            begun.behaviours.append("torn_at_gate")
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            call = asyncio.create_task(d.call("/digest/x", **prompt))
+            await until(lambda: begun.arrivals)
+            await add(d, OTHER_VERSION, OTHERS)
+            await add(d)
+            begun.gate.set()
+            reply = await call
+            assert reply.is_whole
+            assert list_versions(reply) == {USUAL_VERSION}
+            assert len(prefill_engine.arrivals) == 2
+
+    run(scenario())
+
+
+def test_a_caller_may_leave_while_its_stream_is_looked_for(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await make_single(d)
+            (replica,) = await add(d)
+            looked_for, left = asyncio.Event(), asyncio.Event()
+
+            async def find(key):
+                looked_for.set()
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    left.set()
+
+            d.gateway.streams.find = find
+            _, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            headers = {"Last-Event-Id": "1", "Resumes": "r1", **d.prompt()}
+            writer.write(write_request("POST", "/digest/x", "r2", b"hello", headers))
+            await looked_for.wait()
+            writer.close()
+            await left.wait()
+            reply = await d.call("/digest/x", id="r3", **d.prompt())
+            assert reply.is_whole
+            assert len(replica.arrivals) == 1
+
+    run(scenario())
