--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -16,6 +16,8 @@
 from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.core.retrywindows import WindowedRetryBudget
 from robinspindle.core.routes import STREAM, Route
+from robinspindle.core.streamorigins import StreamKey, StreamOrigin
+from robinspindle.core.streamversions import StreamBinding
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
@@ -79,6 +81,16 @@
     task: asyncio.Task[GivenUp | None]
 
 
+class Streams(Protocol):
+    """What the gateways remember of who began which stream."""
+
+    def note_begun(self, key: StreamKey, origin: StreamOrigin) -> None:
+        """Remember who began a stream, and again when it goes on."""
+
+    async def find(self, key: StreamKey) -> StreamOrigin | None:
+        """Find who began a stream; None if no gateway that answers in time knows."""
+
+
 @dataclass
 class Passage:
     """What has been done for one request so far.
@@ -117,6 +129,7 @@
         hedge: The second attempt beside this one; None for none.
         break_rival: Breaks off the other attempt beside this one; None for none.
         is_superseded: Whether another attempt's answer has begun instead of this one's.
+        stream: The stream that it begins or goes on with.
     """
 
     request: Request
@@ -150,6 +163,7 @@
     hedge: Hedge | None = None
     break_rival: Callable[[], None] | None = None
     is_superseded: bool = False
+    stream: StreamBinding = field(default_factory=StreamBinding)
 
     @property
     def given_up_at(self) -> float:
@@ -176,6 +190,7 @@
         freshness: What is known of the age of the configuration.
         book: Counts what began to run.
         link: The VM's own link.
+        streams: Remembers who began which stream.
         policy: Tells which decisions are in force.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
@@ -192,6 +207,7 @@
     freshness: Freshness
     book: UsageBook
     link: LinkQueue
+    streams: Streams
     policy: Callable[[], Policy]
     zone: str
     clock: Callable[[], float]
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -1,6 +1,7 @@
 """Runs a gateway with stand-ins in one event loop, and sends it raw requests."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from contextlib import asynccontextmanager
@@ -9,6 +10,8 @@
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.gateway import Gateway
 from robinspindle.gatewaysettings import GatewaySettings, HostPort, Pledges
+from robinspindle.originlink import PORT_OFFSET
+from robinspindle.peers import list_heard
 from robinspindle.platform.adapter import PlatformAdapter
 from standins.logstore import LogStore
 from standins.replica import Replica
@@ -199,19 +202,8 @@
     await store.server.start()
     if prepare is not None:
         await prepare(store)
-    ports = _find_ports(3)
-    settings = GatewaySettings(
-        name="gateway-1",
-        zone="a",
-        ip="127.0.0.1",
-        callers=HostPort("127.0.0.1", ports[0]),
-        readiness=HostPort("127.0.0.1", ports[1]),
-        store=HostPort("127.0.0.1", store.server.port),
-        inner_ports=(ports[2], ports[2]),
-        memory_mb=300.0,
-        pledges=pledges or Pledges(repeat_slack=320.0),
-        duties=duties,
-    )
+    ports = [*_find_ports(2), _find_inner_ports()]
+    settings = _make_settings("gateway-1", store, ports, pledges, duties)
     with open(tmp_path / "out", "wb") as out:
         gateway = Gateway(
             settings,
@@ -233,6 +225,39 @@
             await store.server.stop()
 
 
+@asynccontextmanager
+async def join(tmp_path, d, name="gateway-2"):
+    """Run one more gateway with the store and the replicas of a deployment."""
+    ports = [*_find_ports(2), _find_inner_ports()]
+    settings = _make_settings(name, d.store, ports)
+    with open(tmp_path / name, "wb") as out:
+        output = BoundedOutput(out.fileno())
+        gateway = Gateway(settings, PlatformAdapter(), output, lambda: settings)
+        await gateway.start()
+        try:
+            known = [d.gateway.peers, gateway.peers]
+            await until(lambda: all(list_heard(peers) for peers in known))
+            await until(lambda: gateway.is_ready)
+            yield Deployment(d.store, gateway, *ports, d.replicas)
+        finally:
+            await gateway.close()
+
+
+def _make_settings(name, store, ports, pledges=None, duties=None):
+    return GatewaySettings(
+        name=name,
+        zone="a",
+        ip="127.0.0.1",
+        callers=HostPort("127.0.0.1", ports[0]),
+        readiness=HostPort("127.0.0.1", ports[1]),
+        store=HostPort("127.0.0.1", store.server.port),
+        inner_ports=(ports[2], ports[2] + PORT_OFFSET),
+        memory_mb=300.0,
+        pledges=pledges or Pledges(repeat_slack=320.0),
+        duties=duties,
+    )
+
+
 def run(coroutine):
     return asyncio.run(coroutine)
 
@@ -245,3 +270,17 @@
     for sock in sockets:
         sock.close()
     return ports
+
+
+def _find_inner_ports():
+    """Find the first of two ports that follow each other, for datagrams."""
+    while True:
+        with (
+            socket.socket(type=socket.SOCK_DGRAM) as first,
+            socket.socket(type=socket.SOCK_DGRAM) as second,
+            contextlib.suppress(OSError, OverflowError),
+        ):
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            second.bind(("127.0.0.1", port + PORT_OFFSET))
+            return port
