Refuse what is under way when the loop of an entry fails

Cause: an error in the loop went past the closing of the entry and of its listeners; callers' threads waited, and their connections closed without a word. Ruled out: going on after the error; a decision may have been carried out in part. Change: the loop's end, whatever its reason, takes no more requests, refuses those under way as 'ran unknown' and stops the listeners, which write these answers. The error still ends the process. Real processes were not tried.

--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -228,10 +228,13 @@
         if self._vms is not None:
             self._vms.start()
         log("The entry is starting.", entry=self.settings.name)
-        while not self._is_closed:
-            self._turn(wait_for_any(self._poller, self._mailbox, dispatch.TICK_S))
-            self._close_if_idle(time.monotonic())
-        self._close()
+        try:
+            while not self._is_closed:
+                self._turn(wait_for_any(self._poller, self._mailbox, dispatch.TICK_S))
+                self._close_if_idle(time.monotonic())
+        finally:
+            self._refuse_rest()
+            self._close()
 
     def _close_if_idle(self, now: float) -> None:
         """Take no more requests if a stop was asked for and nothing is under way.
@@ -353,15 +356,15 @@
             log("A request ended.", request=request, end=code)
 
     def _refuse_rest(self) -> None:
-        """Refuse what is still under way when the stop has taken too long."""
+        """Refuse what is under way after a failure, or a stop that took too long."""
         text = "the entry has stopped before the whole answer came"
         with self._lock:
+            self._is_closed = True
             rest = list(self._events.values())
         for events in rest:
             events.put(Refusal(504, "stopping", text, "unknown"))
 
     def _close(self) -> None:
-        self._refuse_rest()
         self._link.close()
         self._connections.close()
         self._context.destroy(linger=1000)
--- a/src/robinspindle/entryprocess.py
+++ b/src/robinspindle/entryprocess.py
@@ -29,6 +29,8 @@
     )
     for server in (callers, operators):
         threading.Thread(target=server.serve, daemon=True).start()
-    entry.run()
-    for server in (callers, operators):
-        server.stop()
+    try:
+        entry.run()
+    finally:
+        for server in (callers, operators):
+            server.stop()
