--- a/soak/callers.py
+++ b/soak/callers.py
@@ -76,13 +76,27 @@
 
 
 def write_request(
-    id: str, kind: str, rng: random.Random, route: str = "", key: str = ""
+    id: str,
+    kind: str,
+    rng: random.Random,
+    route: str = "",
+    key: str = "",
+    deadline_ms: int = 0,
 ) -> bytes:
-    """Write a request of a kind, on the route of its name or on another."""
+    """Write a request of a kind, on the route of its name or on another.
+
+    Args:
+        id: Its id.
+        kind: Its kind.
+        rng: Chooses its prompt, and its deadline where none is given.
+        route: Another route than that of its kind; empty for none.
+        key: The key that it carries; empty for none.
+        deadline_ms: How long its caller waits, milliseconds; 0 to choose it.
+    """
     body = expect_body(id)
     path = f"/{route or kind}/x"
     lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
-    lines.append(f"X-Deadline-Ms: {rng.choice([500, 2000])}")
+    lines.append(f"X-Deadline-Ms: {deadline_ms or rng.choice([500, 2000])}")
     if key:
         lines.append(f"Authorization: Bearer {key}")
     if kind in ("chat", "digest"):
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -28,6 +28,8 @@
         crash: Ends its life under a request, told the body; None where none crashes it.
         on_sent: Told the body of a request that crashes it, as it comes.
         run_s: How long it works on a request before it answers, seconds.
+        event_s: Time between two events of its streams, seconds; 0 for none.
+        speaks: Set while it writes anything at all.
         note_run: Told the id and headers of each request that it runs.
         tells_oracle: Whether what it runs is told, each request having its own body.
     """
@@ -40,6 +42,9 @@
         self.crash: Callable[[bytes], None] | None = None
         self.on_sent: Callable[[bytes], None] = lambda body: None
         self.run_s = 0.0
+        self.event_s = 0.0
+        self.speaks = asyncio.Event()
+        self.speaks.set()
         self.tells_oracle = True
         self.note_run: Callable[[str, dict[str, str]], None] = lambda id, headers: None
         self.is_leaving = False
@@ -52,12 +57,27 @@
                 await asyncio.sleep(3600)
         elif request.method == "POST" and request.target != "/order":
             await asyncio.sleep(self.run_s)
+            await self.speaks.wait()
             if self._rng.random() < self.bad_share:
                 self.behaviours.append(self._rng.choice(MISBEHAVIOURS[self.role]))
             if self.tells_oracle:
                 self._note(request)
         return await super()._answer(request, writer)
 
+    async def _be_ok(self, request, writer) -> bool:
+        is_read = request.headers.get("x-stage") == "prefill"
+        if not self.event_s or is_read or "x-model" not in request.headers:
+            return await super()._be_ok(request, writer)
+        self._begin_stream(request, writer)
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            await self.speaks.wait()
+            self._write_event(request, writer, number)
+            await writer.drain()
+            await asyncio.sleep(self.event_s)
+        writer.write(b"0\r\n\r\n")
+        return True
+
     def _note(self, request) -> None:
         turned_away = self.behaviours and self.behaviours[0] in ("full", "wrong_role")
         if self._is_run(request) and not turned_away:
--- a/soak/world.py
+++ b/soak/world.py
@@ -29,6 +29,7 @@
         link_bytes_per_s: How fast the store's answers reach a gateway; 0 for at once.
         more_routes: Routes of the configuration that nobody uses.
         prepare: Called with each replica before it listens.
+        vary: Called with each configuration before it is written.
         account: What became of requests that crash replicas.
         keys: The keys that callers need; None where they need none.
     """
@@ -48,6 +49,7 @@
     account: CrashAccount = field(default_factory=CrashAccount)
     keys: KeyAccount | None = None
     prepare: Callable[[SoakReplica], None] = lambda replica: None
+    vary: Callable[[dict], None] = lambda configuration: None
     _ids: int = 0
     _born_ms: int = 0
     _removed: set[str] = field(default_factory=set)
@@ -76,6 +78,7 @@
         configuration = _make_configuration(self.version, self.more_routes)
         if self.keys is not None:
             configuration["Tenants"] = self.keys.describe()
+        self.vary(configuration)
         await self.store.put("keyed.op", "config", configuration)
 
     async def add_replica(self, service: str, role: str) -> None:
