Test silence in the middle of plain answers, and run kinds side by side

Change: these are added; the passing tests of each kind run their deployments side by side.

A target that reads no body for 3 s loses its connection with ETIMEDOUT, seen in the gateway's log: the limit on unacknowledged bytes also ends a connection whose other end acknowledges but takes nothing.

--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -113,9 +113,14 @@
     writer.write(_write_head(status, len(body), headers) + body)
 
 
-def write_half(writer: asyncio.StreamWriter, status: int, body: bytes) -> None:
+def write_half(
+    writer: asyncio.StreamWriter,
+    status: int,
+    body: bytes,
+    headers: dict[str, str] | None = None,
+) -> None:
     """Write the head of an answer and the first half of its body."""
-    writer.write(_write_head(status, len(body)) + body[: len(body) // 2])
+    writer.write(_write_head(status, len(body), headers) + body[: len(body) // 2])
 
 
 async def write_slowly(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,7 +4,14 @@
 import json
 from collections import deque
 
-from standins.rawhttp import RawRequest, RawServer, reset, write_answer, write_slowly
+from standins.rawhttp import (
+    RawRequest,
+    RawServer,
+    reset,
+    write_answer,
+    write_half,
+    write_slowly,
+)
 
 USUAL_VERSION = "v1"
 """The software version whose events don't tell it."""
@@ -235,7 +242,14 @@
         return False
 
     async def _be_held_midway(self, request: RawRequest, writer) -> bool:
-        """Send the first event, fall silent, and go on once the gate opens."""
+        """Send the first part of an answer, and the rest once the gate opens."""
+        if "x-model" not in request.headers:
+            body = b"body of " + self._id(request)
+            write_half(writer, 200, body, self._head(request))
+            if not await self._wait_for_gate(request):
+                return False
+            writer.write(body[len(body) // 2 :])
+            return True
         self._begin_stream(request, writer)
         self._write_events(request, writer, 1)
         if not await self._wait_for_gate(request):
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -93,9 +93,6 @@
 """What a new configuration changes, by name; its version is added."""
 
 change = pytest.mark.parametrize("change", CHANGES.values(), ids=CHANGES)
-kind = pytest.mark.parametrize(
-    ("path", "service", "role"), KINDS, ids=[kind[0] for kind in KINDS]
-)
 stream = pytest.mark.parametrize(
     ("path", "service", "role"), STREAMS, ids=[kind[0] for kind in STREAMS]
 )
@@ -177,6 +174,31 @@
     return sum(len(target.arrivals) for target in targets)
 
 
+def run_each(tmp_path, scenario, kinds=KINDS, pledges=None):
+    """Run a scenario for each kind, with deployments of their own side by side.
+
+    Returns:
+        How the request of each ended, by its path.
+    """
+
+    async def run_one(number, kind):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        async with deploy(folder, pledges=pledges) as d:
+            return kind[0], await scenario(d, *kind)
+
+    async def run_all():
+        ones = (run_one(number, kind) for number, kind in enumerate(kinds))
+        return dict(await asyncio.gather(*ones))
+
+    return run(run_all())
+
+
+def may_end(path, end):
+    """Whether a request to a silent target may end so: refused only if repeatable."""
+    return end is End.WHOLE or (end is End.REFUSED and path in MAY_REPEAT)
+
+
 # Changes of the configuration.
 
 
@@ -233,13 +255,13 @@
 
 
 @change
-def test_a_change_in_the_middle_of_streams_leaves_them_whole(tmp_path, change):
+def test_a_change_in_the_middle_of_answers_leaves_them_whole(tmp_path, change):
     async def scenario():
         async with deploy(tmp_path) as d:
             targets = await add_targets(d, "held_midway", "held_midway")
-            callers = make_callers(d, STREAMS)
+            callers = make_callers(d)
             await send_all(callers)
-            await until(lambda: count_arrivals(targets) == len(STREAMS))
+            await until(lambda: count_arrivals(targets) == len(KINDS))
             await d.configure(version=2, **change)
             await asyncio.sleep(0.2)
             open_gates(targets)
@@ -287,43 +309,23 @@
 # Targets' entries, and settings.
 
 
-@stream
-def test_a_stream_goes_on_after_its_target_is_gone(tmp_path, path, service, role):
-    async def scenario():
-        async with deploy(tmp_path) as d:
-            await d.configure(version=2, routes=make_routes(**LASTING))
-            target = await d.add("t1", service, role)
-            target.behaviours.append("held_midway")
-            caller = Caller(d, path)
-            await caller.send("r1")
-            await until(lambda: target.arrivals)
-            known = d.gateway.directory.targets["t1"]
-            await d.store.put("keyed.servers", "t1", None)
-            await until(lambda: is_gone(known, d.gateway._clock()))
-            target.gate.set()
-            assert await caller.wait() is End.WHOLE
-
-    run(scenario())
-
-
-@kind
-def test_a_request_ends_well_after_its_target_is_gone(tmp_path, path, service, role):
-    async def scenario():
-        async with deploy(tmp_path) as d:
-            await d.configure(version=2, routes=make_routes(**LASTING))
-            target = await d.add("t1", service, role)
-            target.behaviours.append("held")
-            caller = Caller(d, path)
-            await caller.send("r1")
-            await until(lambda: target.arrivals)
-            known = d.gateway.directory.targets["t1"]
-            await d.store.put("keyed.servers", "t1", None)
-            await until(lambda: is_gone(known, d.gateway._clock()))
-            target.gate.set()
-            end = await caller.wait()
-            assert end is End.WHOLE or (end is End.REFUSED and path in MAY_REPEAT)
+@pytest.mark.parametrize("moment", ["held", "held_midway"])
+def test_answers_come_whole_after_their_targets_entry_is_gone(tmp_path, moment):
+    async def scenario(d, path, service, role):
+        await d.configure(version=2, routes=make_routes(**LASTING))
+        target = await d.add("t1", service, role)
+        target.behaviours.append(moment)
+        caller = Caller(d, path)
+        await caller.send("r1")
+        await until(lambda: target.arrivals)
+        known = d.gateway.directory.targets["t1"]
+        await d.store.put("keyed.servers", "t1", None)
+        await until(lambda: is_gone(known, d.gateway._clock()))
+        target.gate.set()
+        return await caller.wait()
 
-    run(scenario())
+    ends = run_each(tmp_path, scenario)
+    assert all(may_end(path, end) for path, end in ends.items()), ends
 
 
 ENTRIES = {
@@ -335,11 +337,14 @@
 """What changes in the entry of a target that works."""
 
 
+@pytest.mark.parametrize("moment", ["held", "held_midway"])
 @pytest.mark.parametrize("entry", ENTRIES.values(), ids=ENTRIES)
-def test_a_change_of_targets_entries_leaves_their_answers_whole(tmp_path, entry):
+def test_a_change_of_targets_entries_leaves_their_answers_whole(
+    tmp_path, entry, moment
+):
     async def scenario():
         async with deploy(tmp_path) as d:
-            targets = await add_targets(d, "held", "held")
+            targets = await add_targets(d, moment, moment)
             callers = make_callers(d)
             await send_all(callers)
             await until(lambda: count_arrivals(targets) == len(KINDS))
@@ -415,29 +420,24 @@
     return await caller.wait()
 
 
-@kind
 @other
-def test_silence_before_an_answer_closes_no_connection(
-    tmp_path, path, service, role, other
-):
-    async def scenario():
-        async with deploy(tmp_path) as d:
-            end = await ask_silent(d, path, service, role, "held", other)
-            assert end is End.WHOLE or (end is End.REFUSED and path in MAY_REPEAT)
+@pytest.mark.parametrize("pledges", [None, Pledges()], ids=["", "no retries left"])
+def test_silence_before_an_answer_closes_no_connection(tmp_path, pledges, other):
+    async def scenario(d, *kind):
+        return await ask_silent(d, *kind, "held", other)
 
-    run(scenario())
+    ends = run_each(tmp_path, scenario, pledges=pledges)
+    assert all(may_end(path, end) for path, end in ends.items()), ends
 
 
-@kind
-def test_silence_without_retries_left_closes_no_connection(
-    tmp_path, path, service, role
-):
-    async def scenario():
-        async with deploy(tmp_path, pledges=Pledges()) as d:
-            end = await ask_silent(d, path, service, role, "held", "ok")
-            assert end in ANSWERED
+@other
+def test_silence_in_the_middle_of_a_body_closes_no_connection(tmp_path, other):
+    async def scenario(d, *kind):
+        return await ask_silent(d, *kind, "held_midway", other)
 
-    run(scenario())
+    plain = [kind for kind in KINDS if kind not in STREAMS]
+    ends = run_each(tmp_path, scenario, plain)
+    assert all(may_end(path, end) for path, end in ends.items()), ends
 
 
 @stream
@@ -507,16 +507,9 @@
     run(scenario())
 
 
-@kind
-def test_a_target_that_stops_reading_for_a_while_closes_no_callers_connection(
-    tmp_path, path, service, role
-):
-    async def scenario():
-        async with deploy(tmp_path) as d:
-            end = await ask_stalled(d, path, service, role)
-            assert end in ANSWERED
-
-    run(scenario())
+def test_a_target_that_stops_reading_for_a_while_closes_no_callers_connection(tmp_path):
+    ends = run_each(tmp_path, ask_stalled)
+    assert all(end in ANSWERED for end in ends.values()), ends
 
 
 @once
@@ -580,23 +573,19 @@
     return answer
 
 
-@kind
-def test_a_caller_that_ends_its_sending_half_counts_as_gone(
-    tmp_path, path, service, role
-):
+def test_a_caller_that_ends_its_sending_half_counts_as_gone(tmp_path):
     # A close looks the same, and work has to end soon after it.
-    async def scenario():
-        async with deploy(tmp_path) as d:
-            target = await d.add("t1", service, role)
-            target.behaviours.append("held")
-            caller = Caller(d, path)
-            await caller.send("r1")
-            await until(lambda: target.arrivals)
-            caller.writer.write_eof()
-            await until(lambda: target.closed == ["r1"])
-            assert await caller.wait() is End.CLOSED
-
-    run(scenario())
+    async def scenario(d, path, service, role):
+        target = await d.add("t1", service, role)
+        target.behaviours.append("held")
+        caller = Caller(d, path)
+        await caller.send("r1")
+        await until(lambda: target.arrivals)
+        caller.writer.write_eof()
+        await until(lambda: target.closed == ["r1"])
+        return await caller.wait()
+
+    assert set(run_each(tmp_path, scenario).values()) == {End.CLOSED}
 
 
 def test_a_connection_is_read_again_after_a_caller_took_its_stream_too_slowly(
