--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -6,12 +6,15 @@
 
 import asyncio
 import socket
+import threading
+import time
 from enum import Enum
 
 import pytest
 
 from robinspindle.core.targets import is_gone
 from robinspindle.gatewaysettings import GatewaySettings, Pledges
+from standins.replica import Replica
 from tests.platform.deployment import (
     KINDS,
     Reply,
@@ -536,6 +539,61 @@
     return await caller.wait()
 
 
+def test_a_gateway_that_was_busy_takes_no_target_for_silent(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=make_routes())
+            target = Replica("t1", "lm", "decode", events=20)
+            target._be_paced = make_paced_stream(target)
+            target.behaviours.append("paced")
+            started = threading.Event()
+            # In a thread, as the gateway's busy event loop must not hold it up.
+            serve = threading.Thread(target=serve_apart, args=(target, started))
+            serve.start()
+            try:
+                started.wait()
+                await d.announce(target)
+                caller = Caller(d, "/digest/x")
+                await caller.send("r1")
+                await until(lambda: target.arrivals)
+                time.sleep(SILENCE_S)
+                assert await caller.wait() is End.WHOLE
+                assert d.gateway.directory.targets["t1"].liveness.silent_since is None
+            finally:
+                target.gate.set()
+                serve.join()
+
+    run(scenario())
+
+
+def make_paced_stream(target):
+    """Make a behaviour: a stream with an event every 0.1 s."""
+
+    async def answer(request, writer):
+        target._begin_stream(request, writer)
+        for number in range(1, target.events + 1):
+            target._write_event(request, writer, number)
+            await writer.drain()
+            await asyncio.sleep(GAP_MS / 1000)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    return answer
+
+
+def serve_apart(target, started):
+    """Serve in an event loop of its own until the target's gate opens."""
+
+    async def serve():
+        await target.server.start()
+        started.set()
+        while not target.gate.is_set():
+            await asyncio.sleep(0.01)
+        await target.server.stop()
+
+    run(serve())
+
+
 # Callers.
 
 
