Show what second attempts beside silent targets still break

Cases in which a second attempt does harm, or silence is still taken for an end: an ended first attempt is not counted as a run (MaxAttempts is exceeded), a second target is left with no third one at hand, a head without an event ends the other answer, an event in pieces counts as silence, a trial of a quarantined request runs twice, a request is counted twice for its workspace, and an answer that a slow caller holds back leaves its target.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -223,6 +223,30 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def _be_head_only(self, request: RawRequest, writer) -> bool:
+        """Begin a stream, and break it off before its first event."""
+        self._begin_stream(request, writer)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+        return False
+
+    async def _be_slow_event(self, request: RawRequest, writer) -> bool:
+        """Send a stream of one event, in pieces that each come soon enough."""
+        self._begin_stream(request, writer)
+        pieces = [b"id: 1\n", *[b"data: x\n"] * 10, b"\n"]
+        for piece in pieces:
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            await asyncio.sleep(0.2)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def _be_held_reset(self, request: RawRequest, writer) -> bool:
+        """Break the connection once the gate opens."""
+        await self.gate.wait()
+        reset(writer)
+        return False
+
     async def _be_held_full(self, request: RawRequest, writer) -> bool:
         """Refuse as full, but only once the gate opens."""
         await self.gate.wait()
--- a/tests/core/test_silence.py
+++ b/tests/core/test_silence.py
@@ -103,3 +103,10 @@
     answer.is_held = True
     assert not silence.is_overdue(liveness, 2.0)
     assert not silence.list_lost_callbacks(liveness, 2.0)
+
+
+def test_an_answer_that_a_slow_caller_holds_back_does_not_leave_a_silent_target():
+    liveness = Liveness(heard_at=0.0)
+    answer = ExpectedResponse(0.0, 0.6, abandon=lambda: None, is_held=True)
+    liveness.expected.add(answer)
+    assert silence.list_abandon_callbacks(liveness) == []
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -543,6 +543,97 @@
     return await caller.wait()
 
 
+# Two attempts beside each other.
+
+
+repeated = pytest.mark.parametrize(
+    ("path", "service", "role"),
+    [kind for kind in KINDS if kind[0] in MAY_REPEAT],
+    ids=MAY_REPEAT,
+)
+
+
+async def add_pair(d, path, service, role, first, second):
+    """Ask one of two targets, each with its behaviour; returns them and the caller."""
+    targets = [await d.add(name, service, role) for name in ("t1", "t2")]
+    for target in targets:
+        target.behaviours.append(first)
+    caller = Caller(d, path)
+    await caller.send("r1")
+    await until(lambda: count_arrivals(targets))
+    targets.sort(key=lambda target: not target.arrivals)
+    targets[1].behaviours[0] = second
+    return targets, caller
+
+
+@repeated
+def test_a_second_target_is_not_left_while_there_is_no_third(
+    tmp_path, path, service, role
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=make_routes())
+            (_, second), caller = await add_pair(d, path, service, role, "held", "held")
+            await until(lambda: second.arrivals)
+            await asyncio.sleep(SILENCE_S)
+            second.gate.set()
+            assert await caller.wait() is End.WHOLE
+
+    run(scenario())
+
+
+@stream
+def test_a_second_answer_without_an_event_does_not_end_the_first(
+    tmp_path, path, service, role
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=make_routes())
+            (first, second), caller = await add_pair(
+                d, path, service, role, "held_midway", "head_only"
+            )
+            await asyncio.sleep(SILENCE_S)
+            first.gate.set()
+            assert await caller.wait() is End.WHOLE
+
+    run(scenario())
+
+
+@repeated
+def test_attempts_beside_each_other_keep_to_the_most_attempts(
+    tmp_path, path, service, role
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=make_routes(attempts=2))
+            (first, second), caller = await add_pair(
+                d, path, service, role, "held_reset", "error"
+            )
+            await until(lambda: second.arrivals)
+            third = await d.add("t3", service, role)
+            first.gate.set()
+            assert await caller.wait() is End.REFUSED
+            assert third.arrivals == []
+
+    run(scenario())
+
+
+@stream
+def test_an_event_that_comes_in_pieces_is_not_taken_for_silence(
+    tmp_path, path, service, role
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=make_routes())
+            (_, second), caller = await add_pair(
+                d, path, service, role, "slow_event", "ok"
+            )
+            assert await caller.wait() is End.WHOLE
+            assert second.arrivals == []
+
+    run(scenario())
+
+
 # Callers.
 
 
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -16,12 +16,16 @@
 
 BODY = b"a body that crashes"
 
+SILENCE_S = 1.5
+"""How long a target is silent, seconds: longer than any silence that is noticed."""
 
-def make_entry(body=BODY):
+
+def make_entry(body=BODY, age_s=0.0):
     request = Request("r", "POST", b"/safe/x", HOST, (), body, None, 0.0)
     fingerprint = FingerprintedRequest(request).fingerprint
-    crashed, now_ms = {"i1", "i2", "i3"}, time.time_ns() // 1_000_000
-    return quarantine.make_entry(fingerprint, crashed, f"{HOST}/safe/x", now_ms)
+    crashed, at_ms = {"i1", "i2", "i3"}, time.time_ns() // 1_000_000
+    at_ms -= int(age_s * 1000)
+    return quarantine.make_entry(fingerprint, crashed, f"{HOST}/safe/x", at_ms)
 
 
 async def put(store, entry):
@@ -81,6 +85,24 @@
     run(scenario())
 
 
+def test_a_trial_runs_at_one_target_only_though_that_is_silent(tmp_path):
+    async def scenario():
+        entry = make_entry(age_s=2 * quarantine.FIRST_TRIAL_DELAY_S)
+        async with deploy(tmp_path, prepare=lambda s: put(s, entry)) as d:
+            targets = [await d.add(name) for name in ("push0", "push1")]
+            for target in targets:
+                target.behaviours.append("held")
+            await until(lambda: d.gateway.is_ready)
+            call = asyncio.ensure_future(d.call("/safe/x", body=BODY))
+            await asyncio.sleep(SILENCE_S)
+            assert sum(len(target.arrivals) for target in targets) == 1
+            for target in targets:
+                target.gate.set()
+            await call
+
+    run(scenario())
+
+
 def test_the_command_line_has_both_actions():
     from robinspindle.cli import make_parser
 
--- a/tests/platform/test_usage.py
+++ b/tests/platform/test_usage.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from robinspindle.core import usage
 from robinspindle.gatewaysettings import DutySettings, HostPort, Pledges
 from standins.dutyapi import DutyApi
 from tests.platform.deployment import deploy, run, until
@@ -73,6 +74,28 @@
     run(scenario())
 
 
+def test_a_request_that_began_at_two_targets_beside_each_other_counts_once(tmp_path):
+    async def scenario():
+        async with deploy_reporting(tmp_path) as (d, api):
+            targets = [d.replicas["i1"], await d.add("i2")]
+            for target in targets:
+                target.behaviours.append("held")
+            call = asyncio.ensure_future(d.call("/safe/x", **bearer(KEY)))
+            await until(lambda: any(target.arrivals for target in targets))
+            targets.sort(key=lambda target: not target.arrivals)
+            targets[1].behaviours[0] = "error"
+            await until(lambda: targets[1].arrivals)
+            await until(lambda: d.gateway.book.ledger.counts)
+            targets[0].gate.set()
+            assert (await call).status == 200
+            ledger = d.gateway.book.ledger
+            windows = usage.list_windows(ledger)
+            counts = [usage.sum_by_workspace(ledger, window) for window in windows]
+            assert counts == [{"red": 1}]
+
+    run(scenario())
+
+
 def test_an_unavailable_api_gets_the_same_report_later(tmp_path):
     async def scenario():
         async with deploy_reporting(tmp_path, trouble="lost") as (d, api):
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -96,6 +96,20 @@
     asyncio.run(scenario())
 
 
+def test_a_first_attempt_that_ended_beside_the_second_still_counts():
+    async def scenario():
+        passage = make_passage()
+        second, _ = begin(passage, fail)
+        second.offers += 1
+        second.runs += 1
+        await passage.hedge.task
+        passage.runs += 1
+        join_hedge(passage)
+        assert passage.runs == 2
+
+    asyncio.run(scenario())
+
+
 def test_events_of_a_second_answer_that_broke_are_not_asked_for_again():
     async def scenario():
         passage = make_passage()
