Count the run of a first attempt that ended beside its second

What targets saw: with MaxAttempts 2, a request went to three targets.

Cause: when a second attempt ended, its count of runs took the place of the first attempt's, less the one by which the first was counted in advance; a first attempt that had ended by then had counted itself already, and that run was forgotten. Change: what the second attempt added is added. tests/test_hedging.py::test_a_first_attempt_that_ended... and tests/platform/test_ends.py::test_attempts_beside_each_other_keep_to_the_most_attempts (both kinds) failed before and pass.

--- a/src/robinspindle/hedging.py
+++ b/src/robinspindle/hedging.py
@@ -25,11 +25,13 @@
         passage.is_superseded = True
         exchange.fail(ConnectionBrokenError("another target answered first"))
 
+    # The silent target may have run the request.
+    runs = passage.runs + 1
     return replace(
         passage,
         splitter=continue_events(passage.splitter),
-        # The silent target may have run the request.
-        runs=passage.runs + 1,
+        runs=runs,
+        earlier_runs=runs,
         break_rival=supersede,
     )
 
@@ -77,7 +79,7 @@
     passage.offers = second.offers
     passage.reads = second.reads
     # The first attempt counts its own run as it ends.
-    passage.runs = second.runs - 1
+    passage.runs += second.runs - second.earlier_runs
     passage.counts_as_served |= second.counts_as_served
     passage.is_counted |= second.is_counted
     if passage.is_superseded:
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -97,6 +97,7 @@
         tried: Lifetimes that it was sent to.
         offers: Times that it was sent to be run.
         runs: Targets that may have run it.
+        earlier_runs: Those of them before a second attempt began.
         reads: Times that its prompt was sent to be read apart.
         splitter: The events passed on so far.
         fault: A target's own failure that is passed on if nothing better comes.
@@ -132,6 +133,7 @@
     tried: set[str] = field(default_factory=set)
     offers: int = 0
     runs: int = 0
+    earlier_runs: int = 0
     reads: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
     fault: tuple[AnswerHead, bytes] | None = None
