Try quarantined requests at one target at a time

What targets saw: a quarantined request that was due a trial went to a second target when the first one fell silent, as it does where it hangs before it crashes.

Cause: a trial ended with the connection to its silent target; since the silent target keeps its request, the trial was still on when the second attempt began. Change: no second attempt beside a trial. tests/platform/test_quarantine.py::test_a_trial_runs_at_one_target_only... failed before and passes.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -88,7 +88,8 @@
             passage: The request.
             exchange: Waits for its answer at the silent target.
         """
-        if passage.hedge is not None:
+        if passage.hedge is not None or passage.named.is_trial:
+            # A trial may end its target.
             return
         if passage.break_rival is not None:
             self._leave_silent(passage, exchange)
