Hear a target also by the pieces of an event

What targets saw: a stream whose event came in pieces, as over a slow link, was asked for at a second target while the first one was sending. The cause is that of silence taken for an end: only whole events counted as heard.

--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -194,11 +194,11 @@
     last_at = expected.since = first_at
     while chunk := await answer.exchange.read_chunk():
         claim_answer(passage)
+        now = expected.since = means.clock()
+        health.note_heard(answer.target, now)
         events = take_events(splitter, chunk)
         if not events:
             continue
-        now = expected.since = means.clock()
-        health.note_heard(answer.target, now)
         note(now - last_at, now)
         if not reply.has_begun:
             reply.begin(head.status, head.reason, head.headers, None)
