Begin no second attempt of answers that slow callers hold back

Cause: an answer that is held back is not expected meanwhile, but another request that found its target silent began a second attempt of it. The second answer would then have been written without regard to the caller, who had stopped the first.

--- a/src/robinspindle/core/silence.py
+++ b/src/robinspindle/core/silence.py
@@ -156,7 +156,11 @@
 
 def list_abandon_callbacks(liveness: Liveness) -> list[Callable[[], None]]:
     """List the callbacks by which requests abandon a silent target."""
-    return [e.abandon for e in liveness.expected if e.abandon is not None]
+    return [
+        expected.abandon
+        for expected in liveness.expected
+        if expected.abandon is not None and not expected.is_held
+    ]
 
 
 def list_end_callbacks(liveness: Liveness) -> list[Callable[[], None]]:
