Count a request with two attempts once for its workspace

What operators would see: a request whose second attempt began and failed, and whose first attempt answered then, counted twice in its workspace's usage. Cause: each attempt knew only of its own count until they were joined, which is after the first answer's head.

--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -213,9 +213,9 @@
         begins as it arrives, and its head comes with its end.
         """
         workspace = passage.permit.workspace
-        if passage.is_counted or workspace is None:
+        if passage.count.is_done or workspace is None:
             return
-        passage.is_counted = True
+        passage.count.is_done = True
         at = passage.first_at if passage.is_stream else sent_at
         self._means.book.count(workspace.name, at)
 
--- a/src/robinspindle/hedging.py
+++ b/src/robinspindle/hedging.py
@@ -81,7 +81,6 @@
     # The first attempt counts its own run as it ends.
     passage.runs += second.runs - second.earlier_runs
     passage.counts_as_served |= second.counts_as_served
-    passage.is_counted |= second.is_counted
     if passage.is_superseded:
         passage.is_superseded = False
         passage.splitter = second.splitter
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -79,6 +79,17 @@
     task: asyncio.Task[GivenUp | None]
 
 
+@dataclass
+class BeginCount:
+    """Whether a request was counted as begun, shared by attempts beside each other.
+
+    Attributes:
+        is_done: Whether it was.
+    """
+
+    is_done: bool = False
+
+
 @dataclass
 class Passage:
     """What has been done for one request so far.
@@ -111,7 +122,7 @@
             that it has left.
         plan: The latest plan, for logs.
         read_at: When its prompt had been read apart, steady seconds.
-        is_counted: Whether it was counted as begun.
+        count: Whether it was counted as begun, for all of its attempts.
         sent_at: When it was last sent to a target, steady seconds.
         first_at: When its answer began, steady seconds.
         longest_pause_s: The longest pause between two events of it, seconds.
@@ -145,7 +156,7 @@
     is_caller_retry: bool = False
     plan: RequestPlan | None = None
     read_at: float | None = None
-    is_counted: bool = False
+    count: BeginCount = field(default_factory=BeginCount)
     sent_at: float | None = None
     first_at: float | None = None
     longest_pause_s: float = 0.0
