Keep a second silent target until a third one's answer has begun

What callers saw: where the first target stayed silent and the second one was silent for over 0.6 s before it would have answered, the request was refused although no third target was there.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -16,7 +16,7 @@
     fork_passage,
     join_hedge,
 )
-from robinspindle.httpclient import ConnectionBrokenError, Exchange
+from robinspindle.httpclient import Exchange
 from robinspindle.passages import GivenUp, Hedge, Means, Passage
 from robinspindle.relaylogs import RelayLog
 from robinspindle.sending import is_barred
@@ -91,21 +91,12 @@
         if passage.hedge is not None or passage.named.is_trial:
             # A trial may end its target.
             return
-        if passage.break_rival is not None:
-            self._leave_silent(passage, exchange)
-            return
         second = fork_passage(passage, exchange)
         self._means.metrics.hedges.inc()
         self._log.log_hedge(passage)
         task = asyncio.get_running_loop().create_task(self._try_beside(second))
         begin_hedge(passage, Hedge(second, task))
 
-    def _leave_silent(self, passage: Passage, exchange: Exchange) -> None:
-        """Leave a second attempt's target if a third one may get the request."""
-        route = passage.route
-        if forwarding.may_send_again(route, passage.offers, passage.runs + 1):
-            exchange.fail(ConnectionBrokenError("nothing was heard in time"))
-
     async def _try_beside(self, passage: Passage) -> GivenUp | None:
         """Try targets beside an attempt that is still under way."""
         if not self._chooser.has_target(passage, self._means.clock()):
--- a/src/robinspindle/hedging.py
+++ b/src/robinspindle/hedging.py
@@ -2,7 +2,7 @@
 
 Silence does not prove that a target has ended. The first attempt goes on until the
 answer of the second one has begun; what answers first is passed on, and the other
-attempt is broken off.
+attempt is broken off. A third one may begin beside a second one in the same way.
 """
 
 from dataclasses import replace
@@ -24,6 +24,7 @@
     def supersede() -> None:
         passage.is_superseded = True
         exchange.fail(ConnectionBrokenError("another target answered first"))
+        _break_rival(passage)
 
     # The silent target may have run the request.
     runs = passage.runs + 1
@@ -44,27 +45,34 @@
 def begin_hedge(passage: Passage, hedge: Hedge) -> None:
     """Record the second attempt of a request that is under way."""
     passage.hedge = hedge
-    passage.break_rival = lambda: drop_hedge(passage)
 
 
 def claim_answer(passage: Passage) -> None:
-    """Make an attempt the one whose answer is passed on, and break off the other one.
+    """Make an attempt the one whose answer is passed on, and break off the others.
 
     Raises:
-        ConnectionBrokenError: If the other attempt's answer began first.
+        ConnectionBrokenError: If another attempt's answer began first.
     """
     if passage.is_superseded:
         raise ConnectionBrokenError("another target answered first")
+    drop_hedge(passage)
+    _break_rival(passage)
+
+
+def _break_rival(passage: Passage) -> None:
+    """Break off the attempt beside which an attempt began, if there is one."""
     break_rival, passage.break_rival = passage.break_rival, None
     if break_rival is not None:
         break_rival()
 
 
 def drop_hedge(passage: Passage) -> None:
-    """Break off the second attempt of a request, if there is one."""
+    """Break off the second attempt of a request, and those beside that one, if any."""
     hedge = passage.hedge
     if hedge is None:
         return
+    # At once: before its own task ends, a third attempt's answer could begin.
+    drop_hedge(hedge.passage)
     was_under_way = not hedge.task.done()
     hedge.task.cancel()
     join_hedge(passage)
@@ -75,7 +83,6 @@
     """Add what the second attempt has done to the first one, and forget the second."""
     second = passage.hedge.passage
     passage.hedge = None
-    passage.break_rival = None
     passage.offers = second.offers
     passage.reads = second.reads
     # The first attempt counts its own run as it ends.
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -127,7 +127,7 @@
         first_at: When its answer began, steady seconds.
         longest_pause_s: The longest pause between two events of it, seconds.
         hedge: The second attempt beside this one; None for none.
-        break_rival: Breaks off the other attempt beside this one; None for none.
+        break_rival: Breaks off the attempt beside which this one began; None for none.
         is_superseded: Whether another attempt's answer has begun instead of this one's.
     """
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -82,6 +82,34 @@
     asyncio.run(scenario())
 
 
+def test_a_third_answer_ends_both_attempts_before_it():
+    async def scenario():
+        passage = make_passage()
+        second, exchange = begin(passage, never_end)
+        third, second_exchange = begin(second, never_end)
+        claim_answer(third)
+        assert exchange.error is not None
+        assert second_exchange.error is not None
+        for earlier in (passage, second):
+            with pytest.raises(ConnectionBrokenError):
+                claim_answer(earlier)
+
+    asyncio.run(scenario())
+
+
+def test_a_third_attempt_ends_at_once_when_the_first_answer_goes_on():
+    async def scenario():
+        passage = make_passage()
+        second, _ = begin(passage, never_end)
+        begin(second, never_end)
+        tasks = passage.hedge.task, second.hedge.task
+        claim_answer(passage)
+        assert all(task.cancelling() for task in tasks)
+        assert passage.runs == 2
+
+    asyncio.run(scenario())
+
+
 def test_a_second_attempt_that_failed_counts_for_the_first():
     async def scenario():
         passage = make_passage()
