--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -91,6 +91,17 @@
         """Find who began a stream; None if no gateway that answers in time knows."""
 
 
+@dataclass
+class BeginCount:
+    """Whether a request was counted as begun, shared by attempts beside each other.
+
+    Attributes:
+        is_done: Whether it was.
+    """
+
+    is_done: bool = False
+
+
 @dataclass
 class Passage:
     """What has been done for one request so far.
@@ -109,6 +120,7 @@
         tried: Lifetimes that it was sent to.
         offers: Times that it was sent to be run.
         runs: Targets that may have run it.
+        earlier_runs: Those of them before a second attempt began.
         reads: Times that its prompt was sent to be read apart.
         splitter: The events passed on so far.
         fault: A target's own failure that is passed on if nothing better comes.
@@ -122,12 +134,12 @@
             that it has left.
         plan: The latest plan, for logs.
         read_at: When its prompt had been read apart, steady seconds.
-        is_counted: Whether it was counted as begun.
+        count: Whether it was counted as begun, for all of its attempts.
         sent_at: When it was last sent to a target, steady seconds.
         first_at: When its answer began, steady seconds.
         longest_pause_s: The longest pause between two events of it, seconds.
         hedge: The second attempt beside this one; None for none.
-        break_rival: Breaks off the other attempt beside this one; None for none.
+        break_rival: Breaks off the attempt beside which this one began; None for none.
         is_superseded: Whether another attempt's answer has begun instead of this one's.
         stream: The stream that it begins or goes on with.
     """
@@ -145,6 +157,7 @@
     tried: set[str] = field(default_factory=set)
     offers: int = 0
     runs: int = 0
+    earlier_runs: int = 0
     reads: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
     fault: tuple[AnswerHead, bytes] | None = None
@@ -156,7 +169,7 @@
     is_caller_retry: bool = False
     plan: RequestPlan | None = None
     read_at: float | None = None
-    is_counted: bool = False
+    count: BeginCount = field(default_factory=BeginCount)
     sent_at: float | None = None
     first_at: float | None = None
     longest_pause_s: float = 0.0
