Let a second answer end the first one with its first event

What callers saw: an answer whose second attempt sent a head and then broke was closed, though the first target went on. Cause: the head of the second answer ended the first attempt.

--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -16,7 +16,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.crashwatch import Run
 from robinspindle.ends import End
-from robinspindle.hedging import claim_answer
+from robinspindle.hedging import claim_answer, claim_later
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -251,9 +251,9 @@
             return End.FAULT
         if not head.sealed or head.request_id != passage.request.id:
             raise ConnectionBrokenError("a success that is not the target's own")
-        claim_answer(passage)
         if passage.route.kind == STREAM:
-            await pass_stream(self._means, passage, answer)
+            with claim_later(passage):
+                await pass_stream(self._means, passage, answer)
         else:
             body = await read_whole(self._means, answer)
             claim_answer(passage)
--- a/src/robinspindle/hedging.py
+++ b/src/robinspindle/hedging.py
@@ -5,12 +5,19 @@
 attempt is broken off. A third one may begin beside a second one in the same way.
 """
 
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 from robinspindle.core.events import EventSplitter
 from robinspindle.httpclient import ConnectionBrokenError, Exchange
 from robinspindle.passages import Hedge, Passage
 
+MAX_RIVALRY_S = 0.2
+"""How long two targets may both generate one answer, seconds: half the time after which
+that is a fault."""
+
 
 def fork_passage(passage: Passage, exchange: Exchange) -> Passage:
     """Make the passage of a second attempt.
@@ -59,6 +66,27 @@
     _break_rival(passage)
 
 
+@contextmanager
+def claim_later(passage: Passage) -> Iterator[None]:
+    """Make a stream whose head has come the one that is passed on, if it goes on.
+
+    Its first event claims it at once; until then another attempt may go on instead.
+    """
+    if passage.break_rival is None and passage.hedge is None:
+        yield
+        return
+
+    def claim() -> None:
+        if not passage.is_superseded:
+            claim_answer(passage)
+
+    timer = asyncio.get_running_loop().call_later(MAX_RIVALRY_S, claim)
+    try:
+        yield
+    finally:
+        timer.cancel()
+
+
 def _break_rival(passage: Passage) -> None:
     """Break off the attempt beside which an attempt began, if there is one."""
     break_rival, passage.break_rival = passage.break_rival, None
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -76,7 +76,6 @@
     Raises:
         ConnectionBrokenError: When the stream breaks off.
     """
-    _set_flow(means, passage, answer)
     try:
         await _pass_noting_pauses(means, passage, answer)
     finally:
@@ -84,8 +83,8 @@
         answer.connection.resume()
 
 
-def _set_flow(means: Means, passage: Passage, answer: Answer) -> None:
-    """Read of a target what its caller takes; nothing is expected meanwhile."""
+def _make_flow(means: Means, answer: Answer) -> tuple[Callable[[], None], ...]:
+    """Make what holds an answer back, and lets it go on; held, it is not expected."""
     connection, expected = answer.connection, answer.expected
 
     def hold() -> None:
@@ -97,7 +96,7 @@
         expected.since = means.clock()
         connection.resume()
 
-    passage.reply.set_flow(hold, go_on)
+    return hold, go_on
 
 
 async def _pass_noting_pauses(means: Means, passage: Passage, answer: Answer) -> None:
@@ -193,8 +192,10 @@
     expected.silent_after_s = silence.find_next_event_timeout(passage.route.gap_s)
     expected.lost_after_s = silence.find_lost_timeout(passage.route.gap_s)
     last_at = expected.since = first_at
+    hold, go_on = _make_flow(means, answer)
     while chunk := await answer.exchange.read_chunk():
         claim_answer(passage)
+        reply.set_flow(hold, go_on)
         now = expected.since = means.clock()
         health.note_heard(answer.target, now)
         events = take_events(splitter, chunk)
