End no answer for the mere head of another one

What callers saw: a stream was closed whose second target sent a head and then broke off, though its first target went on. Cause: an answer counted as begun with its head, and the other attempt was broken off then; the class of LOST. Change: a stream begins with the first piece of its body, and a whole answer is chosen when it is whole.

--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -23,7 +23,13 @@
     Exchange,
 )
 from robinspindle.passages import Means, Passage
-from robinspindle.passing import Answer, pass_stream, pass_whole, read_whole
+from robinspindle.passing import (
+    Answer,
+    await_first_piece,
+    pass_stream,
+    pass_whole,
+    read_whole,
+)
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
@@ -251,8 +257,9 @@
             return End.FAULT
         if not head.sealed or head.request_id != passage.request.id:
             raise ConnectionBrokenError("a success that is not the target's own")
-        claim_answer(passage)
         if passage.route.kind == STREAM:
+            await await_first_piece(self._means, passage, answer)
+            claim_answer(passage)
             await pass_stream(self._means, passage, answer)
         else:
             body = await read_whole(self._means, answer)
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -95,18 +95,26 @@
             await self._wait()
         return self.head
 
-    async def read_chunk(self) -> bytes:
-        """Wait for the next piece of the body; empty at its end.
+    async def wait_for_body(self) -> None:
+        """Wait for the next piece of the body, or its end.
 
         Raises:
             ConnectionBrokenError: When the answer breaks off.
         """
-        while not self._chunks:
-            if self.is_whole:
-                return b""
+        while not self._chunks and not self.is_whole:
             if self.error is not None:
                 raise self.error
             await self._wait()
+
+    async def read_chunk(self) -> bytes:
+        """Wait for the next piece of the body; empty at its end.
+
+        Raises:
+            ConnectionBrokenError: When the answer breaks off.
+        """
+        await self.wait_for_body()
+        if not self._chunks:
+            return b""
         chunk = b"".join(self._chunks)
         self._chunks.clear()
         return chunk
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -69,6 +69,24 @@
     reply.end()
 
 
+async def await_first_piece(means: Means, passage: Passage, answer: Answer) -> None:
+    """Wait until more than the head of a stream has come.
+
+    Raises:
+        ConnectionBrokenError: When it breaks off before.
+    """
+    _expect_next(means, passage, answer)
+    await answer.exchange.wait_for_body()
+
+
+def _expect_next(means: Means, passage: Passage, answer: Answer) -> None:
+    """Expect the next event of a stream from now on."""
+    expected = answer.expected
+    expected.silent_after_s = silence.find_next_event_timeout(passage.route.gap_s)
+    expected.lost_after_s = silence.find_lost_timeout(passage.route.gap_s)
+    expected.since = means.clock()
+
+
 async def pass_stream(means: Means, passage: Passage, answer: Answer) -> None:
     """Pass a stream on as fast as the caller takes it, and note its pauses.
 
@@ -188,10 +206,8 @@
     splitter, reply, head = passage.splitter, passage.reply, answer.head
     splitter.rest = b""
     expected = answer.expected
-    first_at = means.clock()
-    expected.silent_after_s = silence.find_next_event_timeout(passage.route.gap_s)
-    expected.lost_after_s = silence.find_lost_timeout(passage.route.gap_s)
-    last_at = expected.since = first_at
+    _expect_next(means, passage, answer)
+    last_at = first_at = expected.since
     while chunk := await answer.exchange.read_chunk():
         claim_answer(passage)
         now = expected.since = means.clock()
