Show that a second attempt is given up where no target is there yet

A request whose only target is silent gets one look for another; a target that comes or gets room later gets nothing, and the request is held to its time limit.

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -618,6 +618,24 @@
     run(scenario())
 
 
+@repeated
+def test_a_target_that_comes_while_the_only_one_is_silent_gets_the_request(
+    tmp_path, path, service, role
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=make_routes())
+            target = await d.add("t1", service, role)
+            target.behaviours.append("held")
+            caller = Caller(d, path)
+            await caller.send("r1")
+            await asyncio.sleep(SILENCE_S)
+            await d.add("t2", service, role)
+            assert await caller.wait() is End.WHOLE
+
+    run(scenario())
+
+
 @stream
 def test_an_event_that_comes_in_pieces_is_not_taken_for_silence(
     tmp_path, path, service, role
