Look on for another target while the only one is silent

What callers saw: a request whose only target had stopped was held to its time limit and refused, though another target came a second later. Cause: a second attempt that found no target was given up for good while the first one went on; before there were second attempts, such a request was refused at once and its caller came back. Change: it waits for a target, at most as long as the first attempt waits for its answer, and takes a repeat only then.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -24,6 +24,9 @@
 LEAST_FAULT = 500
 """Lower statuses speak of the request, and no other target would say otherwise."""
 
+LOOK_AGAIN_S = 0.1
+"""How often another target is looked for beside a silent one, seconds."""
+
 
 class Attempts:
     """Sends requests to targets until one delivers or none is left to try.
@@ -94,12 +97,14 @@
         second = fork_passage(passage, exchange)
         self._means.metrics.hedges.inc()
         self._log.log_hedge(passage)
-        task = asyncio.get_running_loop().create_task(self._try_beside(second))
+        task = asyncio.get_running_loop().create_task(
+            self._try_beside(second, exchange)
+        )
         begin_hedge(passage, Hedge(second, task))
 
-    async def _try_beside(self, passage: Passage) -> GivenUp | None:
+    async def _try_beside(self, passage: Passage, exchange: Exchange) -> GivenUp | None:
         """Try targets beside an attempt that is still under way."""
-        if not self._chooser.has_target(passage, self._means.clock()):
+        if not await self._await_target(passage, exchange):
             return GivenUp("no-target")
         if not self._may_go_on(passage, End.UNSURE):
             return GivenUp(passage.last_reason)
@@ -110,6 +115,20 @@
         finally:
             drop_hedge(passage)
 
+    async def _await_target(self, passage: Passage, exchange: Exchange) -> bool:
+        """Wait for another target while an attempt is under way; tell if one is there.
+
+        Args:
+            passage: The second attempt.
+            exchange: Waits for the first attempt's answer.
+        """
+        while not self._chooser.has_target(passage, self._means.clock()):
+            is_late = passage.given_up_at <= self._means.clock()
+            if is_late or exchange.is_whole or exchange.error is not None:
+                return False
+            await asyncio.sleep(LOOK_AGAIN_S)
+        return True
+
     async def _has_hedge_delivered(self, passage: Passage) -> bool:
         """Wait for the end of a second attempt, if there is one."""
         if passage.hedge is None:
--- a/src/robinspindle/hedging.py
+++ b/src/robinspindle/hedging.py
@@ -73,10 +73,11 @@
         return
     # At once: before its own task ends, a third attempt's answer could begin.
     drop_hedge(hedge.passage)
-    was_under_way = not hedge.task.done()
+    was_sent = hedge.passage.offers > passage.offers
+    may_run = was_sent and not hedge.task.done()
     hedge.task.cancel()
     join_hedge(passage)
-    passage.runs += int(was_under_way)
+    passage.runs += int(may_run)
 
 
 def join_hedge(passage: Passage) -> None:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -101,7 +101,9 @@
     async def scenario():
         passage = make_passage()
         second, _ = begin(passage, never_end)
-        begin(second, never_end)
+        second.offers += 1
+        third, _ = begin(second, never_end)
+        third.offers += 1
         tasks = passage.hedge.task, second.hedge.task
         claim_answer(passage)
         assert all(task.cancelling() for task in tasks)
@@ -110,6 +112,16 @@
     asyncio.run(scenario())
 
 
+def test_a_second_attempt_that_was_not_sent_is_no_run():
+    async def scenario():
+        passage = make_passage()
+        begin(passage, never_end)
+        claim_answer(passage)
+        assert (passage.offers, passage.runs) == (1, 0)
+
+    asyncio.run(scenario())
+
+
 def test_a_second_attempt_that_failed_counts_for_the_first():
     async def scenario():
         passage = make_passage()
