Show that a stop closes without an answer what comes behind a long one

A stream that begins while the gateway stops says Connection: close with its head. What its caller sends before it has read that is read and never answered. Red, not mended: not to read on would hide a caller that leaves, and to leave the announcement out changes how connections end.

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -765,6 +765,25 @@
     run(scenario())
 
 
+def test_a_stop_answers_a_request_that_comes_behind_an_announced_close(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            target = await d.add("t1", "lm", "decode")
+            target.behaviours.append("held_midway")
+            caller = Caller(d, "/chat/x")
+            d.gateway.begin_stop()
+            await caller.send("r1")
+            await until(lambda: target.arrivals)
+            await asyncio.sleep(0.2)
+            await caller.send("r2")
+            await asyncio.sleep(0.2)
+            target.gate.set()
+            assert await caller.wait() is End.WHOLE
+            assert await caller.wait() in ANSWERED
+
+    run(scenario())
+
+
 def test_a_stop_waits_until_a_slow_caller_has_taken_its_answer(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
