--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -23,7 +23,12 @@
     Exchange,
 )
 from robinspindle.passages import Means, Passage
-from robinspindle.passing import Answer, pass_stream, pass_whole, read_whole
+from robinspindle.passing import (
+    Answer,
+    pass_stream,
+    pass_whole,
+    read_whole,
+)
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -669,6 +669,24 @@
     run(scenario())
 
 
+@repeated
+def test_a_target_that_comes_while_the_only_one_is_silent_gets_the_request(
+    tmp_path, path, service, role
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.configure(version=2, routes=make_routes())
+            target = await d.add("t1", service, role)
+            target.behaviours.append("held")
+            caller = Caller(d, path)
+            await caller.send("r1")
+            await asyncio.sleep(SILENCE_S)
+            await d.add("t2", service, role)
+            assert await caller.wait() is End.WHOLE
+
+    run(scenario())
+
+
 @stream
 def test_an_event_that_comes_in_pieces_is_not_taken_for_silence(
     tmp_path, path, service, role
@@ -794,6 +812,25 @@
     run(scenario())
 
 
+def test_a_stop_answers_a_request_that_comes_behind_an_announced_close(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            target = await d.add("t1", "lm", "decode")
+            target.behaviours.append("held_midway")
+            caller = Caller(d, "/chat/x")
+            d.gateway.begin_stop()
+            await caller.send("r1")
+            await until(lambda: target.arrivals)
+            await asyncio.sleep(0.2)
+            await caller.send("r2")
+            await asyncio.sleep(0.2)
+            target.gate.set()
+            assert await caller.wait() is End.WHOLE
+            assert await caller.wait() in ANSWERED
+
+    run(scenario())
+
+
 def test_a_stop_waits_until_a_slow_caller_has_taken_its_answer(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
