Test that a silent target keeps its stream where only another version is left

Cause: a stream whose target is silent is tried at another one beside it; since streams are bound to a version there may be none that fits, and no test held both together.

Change: a test only. A stream falls silent after its first event beside six replicas of another version; its own goes on, nothing is sent to the others.

--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -397,6 +397,27 @@
     run(scenario())
 
 
+def test_a_silent_target_keeps_its_stream_beside_another_version(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            (begun,) = await add(d)
+            begun.behaviours.append("held_midway")
+            call = asyncio.create_task(d.call("/digest/x", **d.prompt()))
+            await until(lambda: begun.arrivals)
+            others = await add(d, OTHER_VERSION, OTHERS)
+            hedges = d.gateway.metrics.hedges
+            await until(lambda: hedges._value.get() > 0)
+            # Others would be sent it by now.
+            await asyncio.sleep(0.2)
+            begun.gate.set()
+            reply = await call
+            assert reply.is_whole
+            assert list_versions(reply) == {USUAL_VERSION}
+            assert not any(other.arrivals for other in others)
+
+    run(scenario())
+
+
 def test_a_caller_may_leave_while_its_stream_is_looked_for(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
