--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -259,8 +259,7 @@
     def _end_life(self, target: Target, later: str) -> None:
         """End what waits for a target that has started again since.
 
-        Its answers can't come any more. Waiting until silence was noticed would take
-        0.6 s and more of the callers' time, and all of it for what may not run again.
+        Its answers can't come any more, and what may run once would wait in vain.
         """
         ends = silence.list_end_callbacks(target.liveness)
         self.log(
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -127,8 +127,7 @@
         """Find where to generate the answer to a prompt that was read apart.
 
         Reading takes up to seconds, and the engine that was planned may have begun to
-        leave or have crashed meanwhile, or have become the busiest one: in a burst,
-        answers began 50 to 380 ms at the middle after their prompts had been read.
+        leave or have crashed meanwhile, or have become the busiest one.
         """
         now = self._means.clock()
         usable = self._list_usable(passage, now)
--- a/src/robinspindle/core/silence.py
+++ b/src/robinspindle/core/silence.py
@@ -18,18 +18,14 @@
 
 PLANNED_FACTOR = 2.0
 """Ratio of the timeout for the start of an answer to its planned time. The timeout of a
-prefill engine also grows by this many times its backlog. Nine in ten prefills take less
-than twice their planned time. When the backlog wasn't added, 247 prefill engines were
-wrongly considered silent in one day, and the prefills that had begun there were
-wasted."""
+prefill engine also grows by this many times its backlog, as it answers only when a
+whole prompt is read. Nine in ten prefills take less than twice their planned time."""
 
 LOST_FACTOR = 3.0
 LOST_S = 0.8
 """An answer counts as lost `LOST_FACTOR` times its planned time, plus `LOST_S` seconds,
 after the wait for it began. A target may run a request, or prefill a prompt, and its
-answer may never arrive: on a day on which 30% of the answers of half of the engines
-were lost for 6 s, the gateways waited for 55 prompts that had been prefilled until
-their callers gave up. `LOST_S` is longer than the shortest silence, so that a target
+answer may never arrive. `LOST_S` is longer than the shortest silence, so that a target
 that sends nothing at all is detected as silent first."""
 
 GAP_FACTOR = 2.5
@@ -47,7 +43,7 @@
         silent_after_s: Time after which the target counts as silent if nothing at all
             came from it, seconds.
         abandon: Called when the target is silent or the answer is lost, if the request
-            may be sent to another target; None if it has to wait.
+            may be tried at another target; None if it has to wait.
         lost_after_s: Time after which this answer counts as lost even though data comes
             from the target, seconds.
         end: Called when the target's lifetime is known to have ended, whether or not
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -277,8 +277,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of the body."""
-        # A limit on head and body together closed connections whose bodies were still
-        # coming over a crowded link; a body is judged by its pauses.
+        # A body is judged by its pauses, as it may come over a slow link.
         self._rested_since = self.server.clock()
         self._body.append(body)
         self._body_bytes += len(body)
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -48,8 +48,7 @@
 async def read_whole(means: Means, answer: Answer) -> bytes:
     """Read a whole body; each piece of it tells that its target is not silent.
 
-    Without that, an answer that took over 0.8 s to come over a slow link was taken as
-    lost while it came, and was asked for again at another target.
+    A long answer over a slow link would count as lost otherwise.
 
     Raises:
         ConnectionBrokenError: When it breaks off.
