Go on with a stream that nobody remembers where one version alone can have begun it

Cause: an origin that was not told counted as unknown, also where only one is possible. Change: a service that has listed one version for two time limits of the route has begun all streams that can still be taken up; that holds only while the list is current.

Measured: tests/core/test_versionhistory.py; tests/platform/test_streamversions.py: refused before, goes on now with one version and is refused with two. What can remain: a version whose first replica was listed a moment ago and whose entry has not come here yet, for callers that name no attempt.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -20,6 +20,7 @@
 from robinspindle.core.relays import decode_member
 from robinspindle.core.routes import is_newer
 from robinspindle.core.targets import Target
+from robinspindle.core.versionhistory import note_listed
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
 from robinspindle.following import WAIT_S, Follower
@@ -232,6 +233,7 @@
             self._note_unusable(key, "its start went back", is_current=False)
             return
         self.entries.forget(key)
+        note_listed(self.fleet.versions, announced, now)
         for target in taken.ended:
             self._end_life(target, announced.lifetime)
         if taken.has_changed:
@@ -261,6 +263,7 @@
 
         Its answers can't come any more, and what may run once would wait in vain.
         """
+        note_listed(self.fleet.versions, target.announced, self.clock())
         ends = silence.list_end_callbacks(target.liveness)
         self.log(
             "target started again",
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -12,6 +12,7 @@
 from robinspindle.core.prefillmodel import PrefillModel
 from robinspindle.core.routes import EngineSpec, RouteTable
 from robinspindle.core.targets import Directory, Target
+from robinspindle.core.versionhistory import VersionHistory, note_listed
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionPool, DecodeHead
 from robinspindle.targetlimits import TargetLimits
@@ -51,6 +52,7 @@
         directory: The targets.
         table: The configuration in force, None before the first.
         table_at: When it came into force here, steady seconds.
+        versions: The software versions that were listed.
         gateways: How many gateways share the targets' connections.
         limits: Keeps sends within the limits that targets name.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
@@ -61,6 +63,7 @@
         self.directory = directory
         self.table: RouteTable | None = None
         self.table_at = 0.0
+        self.versions = VersionHistory()
         self.gateways = GATEWAYS
         self.limits = TargetLimits(directory)
         self.knows_new_caches = False
@@ -293,8 +296,9 @@
             self._pools[announced.lifetime] = pool
         return pool
 
-    def forget(self, target: Target) -> None:
+    def forget(self, target: Target, now: float) -> None:
         """Drop what is kept for a target that is gone."""
+        note_listed(self.versions, target.announced, now)
         pool = self._pools.pop(target.announced.lifetime, None)
         self._engines.pop(target.announced.lifetime, None)
         if pool is not None:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -449,7 +449,7 @@
             if must_renew(self.freshness, now):
                 self._store_news.look_after_configuration()
             for target in targets.drop_gone(self.directory, now):
-                self.fleet.forget(target)
+                self.fleet.forget(target, now)
                 self.metrics.forget_target(target.announced.lifetime)
                 log("target is gone", target=target.announced.lifetime)
             if self.settings.policy.notices_silence:
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -444,3 +444,31 @@
             assert len(replica.arrivals) == 1
 
     run(scenario())
+
+
+@pytest.mark.parametrize("attempt", [None, "unknown"])
+@pytest.mark.parametrize("has_other", [False, True])
+def test_an_unknown_stream_goes_on_only_where_one_version_can_have_begun_it(
+    tmp_path, attempt, has_other
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            (engine,) = await add(d)
+            if has_other:
+                await add(d, OTHER_VERSION)
+            reply, asked = await take_up(d, id="young", attempt=attempt)
+            assert is_true_refusal(reply)
+            assert asked == []
+            # As if the list had been known for longer than any stream lasts.
+            d.gateway.fleet.versions.first_at["lm"] -= 1000.0
+            for version in d.gateway.fleet.versions.listed_at["lm"]:
+                d.gateway.fleet.versions.listed_at["lm"][version] -= 1000.0
+            reply, asked = await take_up(d, id="old", attempt=attempt)
+            if has_other:
+                assert is_true_refusal(reply)
+                assert asked == []
+            else:
+                assert list_ids(reply) == [2, 3]
+                assert asked == [engine.lifetime]
+
+    run(scenario())
