Play releases of engines beside dying gateways

No soak had engines of two software versions, so that nothing played what becomes of streams that callers take up again during a release.

Three gateways as processes serve before engines of two versions; those of one are replaced by the other, drained, without a word or crashing, and gateways are killed in series and overlapping. Callers take broken streams up at another gateway. Counted are streams with events of two versions, and the share of take-ups that go on beside that of new streams that begin. A try counts only at a gateway that served all through it, a take-up only while two engines of its version did.

--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -32,6 +32,7 @@
         speaks: Set while it writes anything at all.
         note_run: Told the id and headers of each request that it runs.
         tells_oracle: Whether what it runs is told, each request having its own body.
+        began_at: When it began to listen, steady seconds; where that is told.
     """
 
     def __init__(self, lifetime, service, role, oracle: Oracle, rng: random.Random):
@@ -46,6 +47,7 @@
         self.speaks = asyncio.Event()
         self.speaks.set()
         self.tells_oracle = True
+        self.began_at = 0.0
         self.note_run: Callable[[str, dict[str, str]], None] = lambda id, headers: None
         self.is_leaving = False
 
--- /dev/null
+++ b/soak/resuming.py
@@ -0,0 +1,174 @@
+"""Callers that take broken streams up again at another gateway."""
+
+import asyncio
+import random
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from soak.callers import write_request
+from soak.gateways import GatewayProcess
+from soak.replicas import SoakReplica
+from soak.versionaccount import Try, VersionAccount
+from soak.world import World
+from standins.replica import USUAL_VERSION
+
+DEADLINE_S = 4.0
+"""How long a caller waits for its answer, as it says, seconds."""
+
+MOST_TRIES = 6
+PAUSE_S = (0.05, 0.4)
+"""Most take-ups of a stream; shortest and longest pause before each, seconds."""
+
+KNOWN_S = 1.5
+"""How long ago an engine must have begun to count as one that serves, seconds."""
+
+FEWEST_ENGINES = 2
+"""Engines of its version that serve while a take-up counts."""
+
+EVENT = re.compile(rb"id: (\d+)\ndata: \S+-\d+(?: (\S+))?\n\n")
+
+
+@dataclass
+class Stream:
+    """A stream as its caller has it.
+
+    Attributes:
+        name: What its tries' ids begin with.
+        data: Its request as written, for a try of that name.
+        first: Id of the try that brought its first event; empty before.
+        last: Number of its last event; 0 before the first.
+        versions: Versions of all its events.
+        is_ended: Whether its end came.
+    """
+
+    name: str
+    data: bytes
+    first: str = ""
+    last: int = 0
+    versions: set[str] = field(default_factory=set)
+    is_ended: bool = False
+
+
+async def call_streams(
+    world: World, account: VersionAccount, serving: set[str], name: str
+) -> None:
+    """Begin one stream after another and take each up until it is whole.
+
+    Args:
+        world: The deployment.
+        account: Told what became of them.
+        serving: Names of the gateways that are sound.
+        name: What the streams' names begin with.
+    """
+    number = 0
+    while True:
+        number += 1
+        stream = _make_stream(f"{name}-{number}", world.rng)
+        gateway = world.rng.choice(world.gateways)
+        try:
+            await _try_counted(stream, gateway, world, account, serving, 0)
+            for attempt in range(1, MOST_TRIES + 1):
+                if stream.is_ended or not stream.last:
+                    break
+                await asyncio.sleep(world.rng.uniform(*PAUSE_S))
+                others = [g for g in world.gateways if g is not gateway]
+                gateway = world.rng.choice(others)
+                await _try_counted(stream, gateway, world, account, serving, attempt)
+        finally:
+            account.note_stream(stream.name, stream.versions)
+        await asyncio.sleep(world.rng.uniform(*PAUSE_S))
+
+
+def _make_stream(name: str, rng: random.Random) -> Stream:
+    data = write_request(name, "digest", rng, deadline_ms=round(DEADLINE_S * 1000))
+    return Stream(name, data)
+
+
+async def _try_counted(
+    stream: Stream,
+    gateway: GatewayProcess,
+    world: World,
+    account: VersionAccount,
+    serving: set[str],
+    attempt: int,
+) -> None:
+    kind = Try.TAKE_UP if stream.last else Try.NEW
+    process, before = gateway.process, stream.last
+
+    def counts() -> bool:
+        is_sound = gateway.name in serving and gateway.process is process
+        return is_sound and (kind is Try.NEW or _may_go_on(stream, world))
+
+    is_open = counts()
+
+    def judge() -> None:
+        nonlocal is_open
+        if is_open and counts():
+            account.note_try(kind, stream.last > before)
+        is_open = False
+
+    status = await _try_once(stream, gateway.callers, attempt, judge)
+    account.statuses[kind, status] += 1
+    judge()
+
+
+def _may_go_on(stream: Stream, world: World) -> bool:
+    """Whether enough engines of a stream's version serve."""
+    now = asyncio.get_running_loop().time()
+    engines = [r for r in world.replicas.values() if _serves(r, now)]
+    versions = [r.software_version for r in engines]
+    return all(versions.count(v) >= FEWEST_ENGINES for v in stream.versions)
+
+
+def _serves(replica: SoakReplica, now: float) -> bool:
+    is_engine = replica.role == "decode" and not replica.is_leaving
+    return is_engine and now - replica.began_at >= KNOWN_S
+
+
+async def _try_once(
+    stream: Stream, port: int, attempt: int, on_event: Callable[[], None]
+) -> int:
+    """Send a stream's request and read its events; returns the answer's status."""
+    id = f"{stream.name}-t{attempt}"
+    status = 0
+    writer = None
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        async with asyncio.timeout(DEADLINE_S):
+            writer.write(_write_try(stream, id))
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            status = int(head.split()[1])
+            if "transfer-encoding: chunked" in head.lower():
+                await _read_events(stream, id, reader, on_event)
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        pass  # Broken off, which is what take-ups are for.
+    finally:
+        if writer is not None:
+            writer.close()
+    return status
+
+
+def _write_try(stream: Stream, id: str) -> bytes:
+    lines = f"X-Request-Id: {id}\r\n"
+    if stream.last:
+        lines += f"Last-Event-Id: {stream.last}\r\nResumes: {stream.first}\r\n"
+    own = f"X-Request-Id: {stream.name}\r\n"
+    return stream.data.replace(own.encode(), lines.encode())
+
+
+async def _read_events(
+    stream: Stream, id: str, reader, on_event: Callable[[], None]
+) -> None:
+    text = b""
+    while size := int(await reader.readline(), 16):
+        text += (await reader.readexactly(size + 2))[:size]
+        end = 0
+        for event in EVENT.finditer(text):
+            end = event.end()
+            stream.first = stream.first or id
+            stream.last = int(event[1])
+            stream.versions.add((event[2] or USUAL_VERSION.encode()).decode())
+            on_event()
+        text = text[end:]
+    stream.is_ended = True
--- /dev/null
+++ b/tests/soak/test_versions.py
@@ -0,0 +1,92 @@
+"""Streams beside a release and dying gateways, on gateways as processes."""
+
+import asyncio
+import random
+
+import pytest
+
+from soak.oracle import Oracle
+from soak.resuming import call_streams
+from soak.versionaccount import FEWEST_TAKE_UPS, Try, VersionAccount
+from soak.versions import play
+from soak.world import World
+from standins.rawhttp import RawServer
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_stream_holds_events_of_two_versions_in_a_release(seed, tmp_path):
+    account = asyncio.run(play(seed, 10.0, tmp_path))
+    assert account.streams > 30
+    assert account.mixed == []
+    assert not account.loses_streams()
+
+
+def test_a_stream_with_events_of_two_versions_is_a_finding():
+    account = VersionAccount()
+    for name, versions in [("a", {"v1"}), ("b", {"v2", "v1"}), ("c", set())]:
+        account.note_stream(name, versions)
+    assert account.streams == 2
+    assert account.mixed == ["b: ['v1', 'v2']"]
+
+
+@pytest.mark.parametrize(
+    ("take_ups", "going_on", "loses"),
+    [
+        (FEWEST_TAKE_UPS, 5, True),
+        (FEWEST_TAKE_UPS, 6, False),
+        (FEWEST_TAKE_UPS - 1, 0, False),
+    ],
+)
+def test_take_ups_are_judged_by_half_of_what_new_streams_get(take_ups, going_on, loses):
+    account = VersionAccount()
+    for number in range(10):
+        account.note_try(Try.NEW, number > 0)
+    for number in range(take_ups):
+        account.note_try(Try.TAKE_UP, number < going_on)
+    assert account.compute_share(Try.NEW) == 0.9
+    assert account.loses_streams() is loses
+
+
+class Gateway:
+    """Stands in for a gateway's process."""
+
+    def __init__(self, name, port):
+        self.name, self.callers, self.process = name, port, object()
+
+
+def test_a_caller_takes_a_broken_stream_up_at_another_gateway(tmp_path):
+    async def scenario():
+        requests = []
+
+        async def answer(request, writer):
+            requests.append(request)
+            event = b"id: %d\ndata: x-1 v2\n\n" % len(requests)
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"%x\r\n%s\r\n" % (len(event), event))
+            if len(requests) == 3:
+                writer.write(b"0\r\n\r\n")
+            return False
+
+        servers = [RawServer(answer) for _ in range(2)]
+        for server in servers:
+            await server.start()
+        world, account = World(tmp_path, random.Random(1), Oracle()), VersionAccount()
+        world.gateways = [Gateway(f"g{s.port}", s.port) for s in servers]
+        names = {gateway.name for gateway in world.gateways}
+        task = asyncio.create_task(call_streams(world, account, names, "c"))
+        while not account.streams:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        for server in servers:
+            await server.stop()
+        return requests, account
+
+    requests, account = asyncio.run(asyncio.wait_for(scenario(), 20))
+    first, *others = [request.headers for request in requests[:3]]
+    assert "resumes" not in first
+    assert [h["resumes"] for h in others] == [first["x-request-id"]] * 2
+    assert [h["last-event-id"] for h in others] == ["1", "2"]
+    assert len({h["x-request-id"] for h in (first, *others)}) == 3
+    assert (account.streams, account.mixed) == (1, [])
+    # No engine of its version serves, so that no take-up counts.
+    assert account.tries == {Try.NEW: 1}
