Name the version of engines that begin in a soak's release

A list of one entry held it, which says nothing of what it is. It is a field of a data class of its own now; what is played stays the same.

--- a/soak/versions.py
+++ b/soak/versions.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 from soak.gateways import GatewayProcess
@@ -51,6 +52,17 @@
 """Time between two kills, and between a kill and the next start, seconds."""
 
 
+@dataclass
+class Release:
+    """A release of engines.
+
+    Attributes:
+        version: The version of engines that begin now.
+    """
+
+    version: str
+
+
 async def play(seed: int, seconds: float, folder: Path) -> VersionAccount:
     """Play one seed.
 
@@ -65,12 +77,12 @@
     rng = random.Random(seed)
     world = World(folder, rng, Oracle())
     world.vary = _vary
-    newest = [VERSIONS[0]]
-    world.prepare = lambda replica: _prepare(replica, newest[0])
+    release = Release(VERSIONS[0])
+    world.prepare = lambda replica: _prepare(replica, release.version)
     account, serving, tasks = VersionAccount(), set(), []
     await world.start(GATEWAYS)
     try:
-        newest[0] = VERSIONS[1]
+        release.version = VERSIONS[1]
         for _ in range(ENGINES // 2):
             await world.add_replica("lm", "decode")
         for gateway in world.gateways:
@@ -78,7 +90,7 @@
         for number in range(CALLERS):
             call = call_streams(world, account, serving, f"c{number}")
             tasks.append(asyncio.create_task(call))
-        tasks.append(asyncio.create_task(_release(world, newest)))
+        tasks.append(asyncio.create_task(_replace_engines(world, release)))
         tasks.append(asyncio.create_task(_kill_gateways(world, serving)))
         await asyncio.sleep(seconds)
         for task in tasks:
@@ -114,11 +126,11 @@
     serving.add(gateway.name)
 
 
-async def _release(world: World, newest: list[str]) -> None:
+async def _replace_engines(world: World, release: Release) -> None:
     """Replace all engines of one version by the other, and then the other way round."""
     old, new = world.rng.sample(VERSIONS, 2)
     while True:
-        newest[0] = new
+        release.version = new
         for replica in _list_engines(world, old):
             replace = world.rng.choice([_drain, _leave, _crash])
             await replace(world, replica)
