Serve waiting tests at an address of their own, and time two tests by what they wait for

Two tests failed beside load by how they were built, each traced: test_an_engine_of_another_version_may_prefill_for_a_stream (1 prefill in place of 2): its route's aim of 1 s was over when the engines were announced, and the host read the prompt itself; the route gives 20 s. test_a_connection_is_read_again_after_a_caller_took_its_stream _too_slowly (caller closed): the answer came in pieces, and only sometimes whole before it was held back, else its caller was closed for taking nothing for 5 s; it comes in one piece. Both are as strict: the latter still fails without the change that it guards.

--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -1,11 +1,16 @@
 """Raw HTTP on an event loop, for stand-ins that have to misbehave on purpose."""
 
 import asyncio
+import os
 import socket
 import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+LOOPBACK = os.environ.get("STANDIN_ADDRESS", "127.0.0.1")
+"""Where stand-ins listen. Processes that serve at the same time need addresses of their
+own: a port that one has closed may be opened by another, and still be called."""
+
 PIECE_PAUSE_S = 0.05
 """Pause between two pieces of a slow answer, seconds; silence is judged far later."""
 
@@ -54,11 +59,11 @@
     @property
     def address(self) -> str:
         """IP:PORT."""
-        return f"127.0.0.1:{self.port}"
+        return f"{LOOPBACK}:{self.port}"
 
     async def start(self, port: int = 0) -> None:
         """Listen on a free port, or on the one given."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def reset_all(self) -> None:
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -14,6 +14,7 @@
 from robinspindle.peers import list_heard
 from robinspindle.platform.adapter import PlatformAdapter
 from standins.logstore import LogStore
+from standins.rawhttp import LOOPBACK
 from standins.replica import Replica
 
 HOST = "shop.example"
@@ -121,7 +122,7 @@
         return table.version if table else 0
 
     async def call(self, path, id="r1", method="POST", body=b"hello", **headers):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        reader, writer = await asyncio.open_connection(LOOPBACK, self.port)
         try:
             writer.write(write_request(method, path, id, body, headers))
             return await read_reply(reader)
@@ -129,7 +130,7 @@
             writer.close()
 
     async def ask_ready(self):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.ready_port)
+        reader, writer = await asyncio.open_connection(LOOPBACK, self.ready_port)
         writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
         reply = await read_reply(reader)
         writer.close()
@@ -247,10 +248,10 @@
     return GatewaySettings(
         name=name,
         zone="a",
-        ip="127.0.0.1",
-        callers=HostPort("127.0.0.1", ports[0]),
-        readiness=HostPort("127.0.0.1", ports[1]),
-        store=HostPort("127.0.0.1", store.server.port),
+        ip=LOOPBACK,
+        callers=HostPort(LOOPBACK, ports[0]),
+        readiness=HostPort(LOOPBACK, ports[1]),
+        store=HostPort(LOOPBACK, store.server.port),
         inner_ports=(ports[2], ports[2] + PORT_OFFSET),
         memory_mb=300.0,
         pledges=pledges or Pledges(repeat_slack=320.0),
@@ -265,7 +266,7 @@
 def _find_ports(count):
     sockets = [socket.socket() for _ in range(count)]
     for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((LOOPBACK, 0))
     ports = [sock.getsockname()[1] for sock in sockets]
     for sock in sockets:
         sock.close()
@@ -280,7 +281,7 @@
             socket.socket(type=socket.SOCK_DGRAM) as second,
             contextlib.suppress(OSError, OverflowError),
         ):
-            first.bind(("127.0.0.1", 0))
+            first.bind((LOOPBACK, 0))
             port = first.getsockname()[1]
-            second.bind(("127.0.0.1", port + PORT_OFFSET))
+            second.bind((LOOPBACK, port + PORT_OFFSET))
             return port
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -14,6 +14,7 @@
 
 from robinspindle.core.targets import is_gone
 from robinspindle.gatewaysettings import GatewaySettings, Pledges
+from standins.rawhttp import LOOPBACK
 from standins.replica import Replica
 from tests.platform.deployment import (
     KINDS,
@@ -121,7 +122,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         sock.setblocking(False)
         loop = asyncio.get_running_loop()
-        await loop.sock_connect(sock, ("127.0.0.1", self._d.port))
+        await loop.sock_connect(sock, (LOOPBACK, self._d.port))
         self.reader, self.writer = await asyncio.open_connection(sock=sock)
         if buffer_bytes:
             await until(lambda: self._d.gateway._callers.connections - known)
@@ -755,13 +756,29 @@
     assert set(run_each(tmp_path, scenario).values()) == {End.CLOSED}
 
 
+def make_bulk_stream(target):
+    """Make a behaviour: a stream in one piece, a little more than is held for a caller.
+
+    It has come whole before its caller is found to be slow.
+    """
+
+    async def answer(request, writer):
+        target._begin_stream(request, writer)
+        events = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 5001))
+        writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(events), events))
+        return True
+
+    return answer
+
+
 def test_a_connection_is_read_again_after_a_caller_took_its_stream_too_slowly(
     tmp_path,
 ):
     async def scenario():
         async with deploy(tmp_path) as d:
             target = await d.add("t1", "lm", "decode")
-            target.events = 4000
+            target._be_bulk = make_bulk_stream(target)
+            target.behaviours.append("bulk")
             slow = Caller(d, "/chat/x")
             await slow.connect(buffer_bytes=4096)
             await slow.send("r1")
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -380,6 +380,10 @@
 def test_an_engine_of_another_version_may_prefill_for_a_stream(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
+            # Time enough for the engines to be announced on a busy machine.
+            more = {"TargetLatencyMs": 20_000, "TargetGapMs": 8000, "TimeoutMs": 20_000}
+            route = make_route("digest", "stream", "lm", Resumable=True, **more)
+            await d.configure(version=2, routes=[route])
             (prefill_engine,) = await add(d, OTHER_VERSION, role="prefill")
             (begun,) = await add(d)
             begun.behaviours.append("torn_at_gate")
