Name the shared parts of a prompt where a target crashes under it

Logs named requests by fingerprint alone, so that they could not tell requests that share what crashes engines from engines that end for reasons of their own. The line now names the parts that a prompt may share with others, 16 ids of 40 characters at the most, and how long the answer had been written. No decision changes.

--- a/src/robinspindle/crashwatch.py
+++ b/src/robinspindle/crashwatch.py
@@ -29,6 +29,7 @@
         kind: The kind of run; runs of one kind take about as long.
         since: When it began, monotonic seconds.
         stop: Breaks it off; None before it is sent.
+        began_at: When the target began to answer, monotonic seconds; None before.
     """
 
     named: FingerprintedRequest
@@ -36,6 +37,7 @@
     kind: str
     since: float
     stop: Callable[[], None] | None = None
+    began_at: float | None = None
 
 
 CHECK_WAIT_S = 0.03
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -186,6 +186,7 @@
                 limit.reschedule(asyncio.get_running_loop().time() + left_s)
                 passage.first_at = means.clock()
                 if not head.not_run:
+                    run.began_at = passage.first_at
                     self._count_begun(passage, sent_at)
                 # What has begun to run does so for all its copies.
                 run.stop = None
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -17,7 +17,7 @@
     FingerprintedRequest,
     get_head_hash,
 )
-from robinspindle.core.forwarding import Refusal
+from robinspindle.core.forwarding import Prompt, Refusal
 from robinspindle.core.quarantine import Entry, Quarantine, Standing
 from robinspindle.core.retransmission import start_sending
 from robinspindle.core.targets import Directory
@@ -48,6 +48,10 @@
 """Weight of the newest run in the usual run time of its kind: about the last 20
 count."""
 
+MAX_LOGGED_PARTS = 16
+MAX_LOGGED_ID = 40
+"""Maximum number of prompt parts, and characters of each id, in a log line."""
+
 MAX_RUN_KINDS = 8192
 """Kinds of runs whose usual run time is kept: more than a configuration has routes."""
 
@@ -246,6 +250,8 @@
             request=named.request.id,
             fingerprint=named.fingerprint.hex(),
             ran_ms=round((at - run.since) * 1000),
+            wrote_ms=_find_ms_since(run.began_at, at),
+            parts=_list_shared_ids(named.request.prompt),
             crashes_met=crashes.count_crashes(self.evidence, named.fingerprint),
         )
         self._judge_all(runs)
@@ -313,6 +319,17 @@
         )
 
 
+def _find_ms_since(since: float | None, at: float) -> int | None:
+    return None if since is None else round((at - since) * 1000)
+
+
+def _list_shared_ids(prompt: Prompt | None) -> list[str]:
+    """List the ids of the parts that a prompt may share with others, for logs."""
+    if prompt is None:
+        return []
+    return [part.id[:MAX_LOGGED_ID] for part in prompt.parts[:-1][:MAX_LOGGED_PARTS]]
+
+
 def _is_same(named: FingerprintedRequest, fingerprint: Fingerprint) -> bool:
     """Whether a request has a fingerprint; hashes its body only if the head agrees."""
     return (
