Reproduce crashes by one part of prompts on gateways as processes, failing

Cause: quarantine names requests by all they hold. Three gateways before stand-ins; requests of which no two are alike, ten a second, hold one part on which an engine dies 80 ms after it begins to write.

--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -110,7 +110,7 @@
         await world.add_replica("lm", "decode")
     tasks: list[asyncio.Task] = []
     try:
-        await _wait_until_served(world)
+        await wait_until_served(world)
         before = count_served(world.oracle.outcomes)
         tasks = [asyncio.create_task(c) for c in _list_parts(world, plan, account)]
         await asyncio.sleep(plan.seconds * 2 / 3)
@@ -153,11 +153,11 @@
         for number, kind in enumerate(plan.kinds):
             body = make_body(number, plan.body_bytes)
             parts.append(repeat(world, account, kind, body, plan.copies))
-    parts += [_do_harm(world, fault) for fault in plan.faults]
+    parts += [do_harm(world, fault) for fault in plan.faults]
     return parts
 
 
-async def _wait_until_served(world: World) -> None:
+async def wait_until_served(world: World) -> None:
     """Wait until every gateway has served a whole answer of each service."""
     for number, gateway in enumerate(world.gateways):
         name = f"start{number}"
@@ -193,7 +193,7 @@
         restarts.append(asyncio.create_task(restart))
 
 
-async def _do_harm(world: World, fault: str) -> None:
+async def do_harm(world: World, fault: str) -> None:
     """Do one kind of harm to gateways for as long as the run lasts."""
     number = 0
     while True:
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from soak.oracle import Oracle
+from standins.rawhttp import RawRequest
 from standins.replica import Replica
 
 MISBEHAVIOURS = {
@@ -20,13 +21,21 @@
 """What the bodies of requests begin with that crash whoever runs them."""
 
 
+def find_crashing_body(request: RawRequest) -> bytes | None:
+    """Find what in a request crashes who runs it: the body, or nothing."""
+    return request.body if request.body.startswith(CRASHING) else None
+
+
 class SoakReplica(Replica):
     """A replica that misbehaves now and then and tells the oracle what it runs.
 
     Attributes:
         bad_share: Share of the requests to which it misbehaves.
-        crash: Ends its life under a request, told the body; None where none crashes it.
-        on_sent: Told the body of a request that crashes it, as it comes.
+        find_cause: Finds what in a request crashes it; None where nothing does.
+        crash: Ends its life, told that cause; None where nothing crashes it.
+        on_sent: Told the cause in a request that crashes it, as it comes.
+        writes_s: How long it writes its answer to such a request before it ends,
+            seconds; None where it ends before.
         run_s: How long it works on a request before it answers, seconds.
         event_s: Time between two events of its streams, seconds; 0 for none.
         speaks: Set while it writes anything at all.
@@ -40,7 +49,9 @@
         self._oracle = oracle
         self._rng = rng
         self.bad_share = 0.0
+        self.find_cause: Callable[[RawRequest], bytes | None] = find_crashing_body
         self.crash: Callable[[bytes], None] | None = None
+        self.writes_s: float | None = None
         self.on_sent: Callable[[bytes], None] = lambda body: None
         self.run_s = 0.0
         self.event_s = 0.0
@@ -52,10 +63,12 @@
         self.is_leaving = False
 
     async def _answer(self, request, writer) -> bool:
-        if self.crash is not None and request.body.startswith(CRASHING):
-            self.on_sent(request.body)
+        cause = self.find_cause(request) if self.crash is not None else None
+        if cause is not None:
+            self.on_sent(cause)
             if self._is_run(request):
-                self.crash(request.body)
+                await self._write_before_crash(request, writer)
+                self.crash(cause)
                 await asyncio.sleep(3600)
         elif request.method == "POST" and request.target != "/order":
             await asyncio.sleep(self.run_s)
@@ -80,6 +93,14 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def _write_before_crash(self, request, writer) -> None:
+        if self.writes_s is None:
+            return
+        self._begin_stream(request, writer)
+        self._write_event(request, writer, self._find_first(request))
+        await writer.drain()
+        await asyncio.sleep(self.writes_s)
+
     def _note(self, request) -> None:
         turned_away = self.behaviours and self.behaviours[0] in ("full", "wrong_role")
         if self._is_run(request) and not turned_away:
