--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -91,8 +91,7 @@
             passage: The request.
             exchange: Waits for its answer at the silent target.
         """
-        if passage.hedge is not None or passage.named.is_trial:
-            # A trial may end its target.
+        if passage.hedge is not None or self._may_crash_target(passage):
             return
         second = fork_passage(passage, exchange)
         self._means.metrics.hedges.inc()
@@ -102,6 +101,11 @@
         )
         begin_hedge(passage, Hedge(second, task))
 
+    def _may_crash_target(self, passage: Passage) -> bool:
+        """Whether the silent target may have crashed because of a request."""
+        is_suspected = self._means.guard.is_suspected(passage.named)
+        return passage.named.is_trial or is_suspected
+
     async def _try_beside(self, passage: Passage, exchange: Exchange) -> GivenUp | None:
         """Try targets beside an attempt that is still under way."""
         if not await self._await_target(passage, exchange):
--- /dev/null
+++ b/src/robinspindle/core/crashcauses.py
@@ -0,0 +1,331 @@
+"""Judges suspects: which requests, or parts of prompts, probably cause crashes.
+
+A suspect is a probable cause if it was running at three or more crashes, succeeded
+nowhere since the first of them, and would very improbably have been running at all of
+them by coincidence. Suspects that have always come together can't be told apart: only
+requests that contain all of them are then affected.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from robinspindle.core.crashes import (
+    Crash,
+    Evidence,
+    is_established,
+    list_crashes,
+    list_suspects,
+)
+from robinspindle.core.fingerprints import Fingerprint
+
+MIN_CRASHES = 3
+"""Minimum number of crashes at which a suspect was running before it is taken as their
+cause: the fewest that distinguish the cause from what else was running."""
+
+TIED_CRASHES = 4
+"""The same if something in other requests was running at all of these crashes too,
+because it was retried on the same targets: one more crash shows which is the cause."""
+
+ESTABLISHED_EVENTS = 5
+"""Minimum number of crashes at different times under an established suspect, with no
+success between them. It runs on most targets, so it is there when they crash for
+reasons of their own."""
+
+SIMULTANEOUS_S = 0.5
+"""Crashes within this time of each other are one event, seconds: when a zone loses
+power, everything that runs on many targets is at all of these crashes."""
+
+MAX_COINCIDENCE_PROBABILITY = 1e-3
+"""A suspect is taken as the cause if the probability that an innocent one would have
+been running at the same crashes is at most this."""
+
+MAX_SUSPECTED_PROBABILITY = 1e-2
+"""The same for a suspect that lacks one crash, which then runs once at a time."""
+
+EXPLAINED_CRASH_PROBABILITY = 0.5
+"""Assumed probability that an innocent suspect is running at a crash that has another
+known cause; less than 1, as two causes may run on the same target."""
+
+MIN_RUN_S = 0.05
+"""Minimum run time that is assumed for a run at a crash, seconds: a request that is
+sent to a crashed target before the crash is known is affected however briefly it
+ran."""
+
+MIN_CRASH_RATE = 1e-3
+"""Minimum crash rate of one target that is assumed, crashes per second: one in a
+quarter of an hour, far more than targets crash in normal operation."""
+
+CRASH_RATE_SPAN_S = 30.0
+"""Time before and after a crash in which the crashes are counted to estimate the crash
+rate, seconds: several times as long as a series of crashes takes to be noticed."""
+
+CountTargets = Callable[[str], int]
+"""Counts the targets of a service."""
+
+
+@dataclass(frozen=True)
+class Cause:
+    """What requests have in common that crash targets.
+
+    Attributes:
+        fingerprint: A whole request, or a part of prompts.
+        companions: Other parts that a request must contain too to be affected.
+    """
+
+    fingerprint: Fingerprint
+    companions: frozenset[Fingerprint] = frozenset()
+
+    @property
+    def members(self) -> frozenset[Fingerprint]:
+        """All fingerprints that an affected request contains."""
+        return self.companions | {self.fingerprint}
+
+
+@dataclass(frozen=True)
+class Incident:
+    """One crash as evidence against one cause.
+
+    Attributes:
+        at: When it was, monotonic seconds.
+        probability: Probability that an innocent suspect was running there, 0 to 1.
+        is_unexplained: Whether no other known cause was running there.
+    """
+
+    at: float
+    probability: float
+    is_unexplained: bool
+
+
+@dataclass(frozen=True)
+class Verdicts:
+    """What the evidence says now.
+
+    Attributes:
+        causes: The probable causes.
+        suspected: Suspects that one more crash may show to be a probable cause. They
+            should run one at a time, where a crash affects the fewest other requests.
+    """
+
+    causes: tuple[Cause, ...] = ()
+    suspected: frozenset[Fingerprint] = frozenset()
+
+
+def judge(
+    evidence: Evidence,
+    known_causes: Iterable[Cause],
+    count_targets: CountTargets,
+    now: float,
+) -> Verdicts:
+    """Judge all suspects.
+
+    Those that few runs contain are judged first: what is part of many requests was
+    usually also part of theirs.
+
+    Args:
+        evidence: The known crashes.
+        known_causes: What is known to crash targets.
+        count_targets: Counts the targets of a service.
+        now: The current time, monotonic seconds.
+    """
+    known = list(known_causes)
+    causes: list[Cause] = []
+    suspected: dict[Fingerprint, Cause] = {}
+    for fingerprint in _list_candidates(evidence):
+        cause = find_cause(evidence, fingerprint, now)
+        if cause in causes or any(one.members < cause.members for one in known):
+            continue
+        incidents = list_incidents(evidence, cause, known, count_targets)
+        if _is_probable(evidence, cause, incidents, now):
+            causes.append(cause)
+            known.append(cause)
+            continue
+        inside = [one for one in suspected.values() if _meets(evidence, cause, one)]
+        incidents = list_incidents(evidence, cause, known + inside, count_targets)
+        if _is_suspected(evidence, cause, incidents, now):
+            suspected[fingerprint] = cause
+    return Verdicts(tuple(causes), frozenset(suspected))
+
+
+def find_cause(evidence: Evidence, fingerprint: Fingerprint, now: float) -> Cause:
+    """Find the narrowest cause by which a suspect explains all of its crashes.
+
+    A whole request that was retried contains all its parts. Of parts that always came
+    together, established ones are left out if others are not.
+    """
+    together = _find_together(evidence, fingerprint)
+    whole = [one for one in together if _is_whole(evidence, one)]
+    if whole:
+        return Cause(min(whole))
+    fresh = {one for one in together if not is_established(evidence, one, now)}
+    members = fresh or together
+    first = min(members)
+    return Cause(first, frozenset(members - {first}))
+
+
+def list_incidents(
+    evidence: Evidence,
+    cause: Cause,
+    known_causes: Iterable[Cause],
+    count_targets: CountTargets,
+) -> list[Incident]:
+    """List the crashes that are evidence against a cause, the oldest first.
+
+    A long run coincides with a crash more often than a short one, and more often where
+    targets crash frequently. The calculation uses the usual run time: the run time
+    until the crash is shorter, and with it innocent requests would look guilty.
+    """
+    others = [one for one in known_causes if one.fingerprint != cause.fingerprint]
+    found = []
+    for crash in list_crashes(evidence, cause.fingerprint):
+        holders = crash.holders[cause.fingerprint]
+        explaining = [one for one in others if _find_holders(crash, one)]
+        if any(_contains_all(crash, holders, cause, one) for one in explaining):
+            continue
+        probability = EXPLAINED_CRASH_PROBABILITY
+        if not explaining:
+            rate = _find_other_rate(evidence, crash, [cause, *others], count_targets)
+            seconds = sum(max(MIN_RUN_S, crash.runs[one].seconds) for one in holders)
+            probability = 1.0 - math.exp(-rate * seconds)
+        found.append(Incident(crash.at, probability, not explaining))
+    return found
+
+
+def list_events(incidents: list[Incident]) -> list[float]:
+    """List the probability of each event; crashes at the same time are one event."""
+    events: list[float] = []
+    began_at = -math.inf
+    for incident in incidents:
+        if incident.at - began_at > SIMULTANEOUS_S:
+            began_at = incident.at
+            events.append(incident.probability)
+        else:
+            events[-1] = min(events[-1], incident.probability)
+    return events
+
+
+def _list_candidates(evidence: Evidence) -> list[Fingerprint]:
+    """List the suspects with enough crashes, in the order in which they are judged."""
+    least = MIN_CRASHES - 1
+    by_suspect = evidence.crashes_by_suspect
+    found = [one for one, lifetimes in by_suspect.items() if len(lifetimes) >= least]
+
+    def rank(fingerprint: Fingerprint) -> tuple[float, int, Fingerprint]:
+        crashes = list_crashes(evidence, fingerprint)
+        runs = sum(len(crash.holders[fingerprint]) for crash in crashes)
+        return runs / len(crashes), -len(crashes), fingerprint
+
+    return sorted(found, key=rank)
+
+
+def _is_probable(
+    evidence: Evidence, cause: Cause, incidents: list[Incident], now: float
+) -> bool:
+    events = list_events(incidents)
+    if not any(incident.is_unexplained for incident in incidents):
+        return False
+    if len(incidents) < MIN_CRASHES:
+        return False
+    least_events = _find_least_events(evidence, cause, now)
+    if len(events) < least_events:
+        return False
+    if math.prod(events) > MAX_COINCIDENCE_PROBABILITY:
+        return False
+    return len(incidents) >= TIED_CRASHES or not _is_tied(evidence, cause)
+
+
+def _is_suspected(
+    evidence: Evidence, cause: Cause, incidents: list[Incident], now: float
+) -> bool:
+    events = list_events(incidents)
+    least_events = _find_least_events(evidence, cause, now) - 1
+    if len(incidents) < MIN_CRASHES - 1 or len(events) < least_events:
+        return False
+    is_unexplained = any(incident.is_unexplained for incident in incidents)
+    return is_unexplained and math.prod(events) <= MAX_SUSPECTED_PROBABILITY
+
+
+def _find_least_events(evidence: Evidence, cause: Cause, now: float) -> int:
+    """Find how many crashes at different times a probable cause must have."""
+    is_known_good = is_established(evidence, cause.fingerprint, now)
+    return ESTABLISHED_EVENTS if is_known_good else 1
+
+
+def _find_together(evidence: Evidence, fingerprint: Fingerprint) -> set[Fingerprint]:
+    """Find the suspects in all requests that contained a suspect, itself included."""
+    together: set[Fingerprint] | None = None
+    for crash in list_crashes(evidence, fingerprint):
+        for holder in crash.holders[fingerprint]:
+            held = _list_held(evidence, crash, holder)
+            together = held if together is None else together & held
+    return together or {fingerprint}
+
+
+def _list_held(
+    evidence: Evidence, crash: Crash, holder: Fingerprint
+) -> set[Fingerprint]:
+    """List the suspects that a request at a crash contained."""
+    by_suspect = evidence.crashes_by_suspect
+    contained = {holder, *crash.runs[holder].parts}
+    return {one for one in contained if crash.lifetime in by_suspect.get(one, ())}
+
+
+def _is_whole(evidence: Evidence, fingerprint: Fingerprint) -> bool:
+    """Whether a suspect is a whole request."""
+    lifetimes = evidence.crashes_by_suspect[fingerprint]
+    return any(fingerprint in evidence.crashes[one].runs for one in lifetimes)
+
+
+def _find_holders(crash: Crash, cause: Cause) -> set[Fingerprint]:
+    """Find the requests at a crash that contained all of a cause."""
+    holders = crash.holders.get(cause.fingerprint, set())
+    if not cause.companions:
+        return holders
+    return {one for one in holders if cause.companions <= crash.runs[one].parts}
+
+
+def _meets(evidence: Evidence, cause: Cause, other: Cause) -> bool:
+    """Whether a request that crashed with its target contained both of two causes."""
+    return any(
+        _find_holders(crash, cause) & _find_holders(crash, other)
+        for crash in list_crashes(evidence, cause.fingerprint)
+    )
+
+
+def _contains_all(
+    crash: Crash, holders: set[Fingerprint], cause: Cause, other: Cause
+) -> bool:
+    """Whether a cause was running only in requests that contained another cause.
+
+    Its crash then says nothing, unless the other one is a special case of it.
+    """
+    is_special_case = other.members >= cause.members or other.fingerprint in holders
+    return not is_special_case and holders <= _find_holders(crash, other)
+
+
+def _find_other_rate(
+    evidence: Evidence, crash: Crash, causes: list[Cause], count_targets: CountTargets
+) -> float:
+    """Estimate the crash rate of a target around a crash, per second.
+
+    Crashes at which one of the causes was running are not counted.
+    """
+    count = sum(
+        other.service == crash.service
+        and abs(other.at - crash.at) <= CRASH_RATE_SPAN_S
+        and not any(_find_holders(other, cause) for cause in causes)
+        for other in evidence.crashes.values()
+    )
+    targets = max(1, count_targets(crash.service))
+    return max(MIN_CRASH_RATE, count / (CRASH_RATE_SPAN_S * targets))
+
+
+def _is_tied(evidence: Evidence, cause: Cause) -> bool:
+    """Whether something in other requests was running at all of these crashes too."""
+    crashes = list_crashes(evidence, cause.fingerprint)
+    shared = set.intersection(*(list_suspects(evidence, one) for one in crashes))
+    own = set(cause.members)
+    for crash in crashes:
+        for holder in crash.holders[cause.fingerprint]:
+            own |= {holder, *crash.runs[holder].parts}
+    return not shared <= own
--- a/src/robinspindle/core/crashupdates.py
+++ b/src/robinspindle/core/crashupdates.py
@@ -1,18 +1,18 @@
-"""Updates that gateways exchange on crashes and on requests that cause them."""
+"""Updates that gateways exchange on crashes and on what causes them."""
 
 from dataclasses import dataclass, field
 
 import msgspec
 
-from robinspindle.core.crashes import MAX_RUNS, Crash
+from robinspindle.core.crashes import MAX_PARTS, MAX_RUNS, Crash, CrashedRun
 from robinspindle.core.fingerprints import Fingerprint, is_fingerprint
 from robinspindle.core.quarantine import Entry, Standing, find_fault, is_lifetime
 from robinspindle.core.retransmission import Retransmissions
 
-MAX_RUNS_PER_DATAGRAM = 512
-"""Maximum number of requests that were running at crashes, over all crashes in one
-datagram: 14 KB of its maximum of 64 KB. This is enough for four engines that crash at
-once with 128 answers each."""
+MAX_SUSPECTS_PER_DATAGRAM = 512
+"""Maximum number of requests that were running at crashes, and of suspected parts of
+their prompts, over all crashes in one datagram: 14 KB of its maximum of 64 KB. This is
+enough for four engines that crash at once with 128 answers each."""
 
 MAX_RUN_MS = 3_600_000
 """Maximum run time of a request, milliseconds: one hour."""
@@ -21,6 +21,29 @@
 """Maximum age of a crash in an update, milliseconds: one minute."""
 
 
+class RunUpdate(msgspec.Struct, array_like=True):
+    """A run at a crash; see `robinspindle.core.crashes.CrashedRun`.
+
+    Attributes:
+        fingerprint: The whole request.
+        ms: Its run time, milliseconds.
+        wrote_ms: Time since its answer began, milliseconds.
+        parts: Fingerprints of the parts of its prompt that are suspects.
+    """
+
+    fingerprint: bytes
+    ms: int
+    wrote_ms: int = 0
+    parts: list[bytes] = []
+
+
+class ClearedUpdate(msgspec.Struct, array_like=True):
+    """A fingerprint that succeeded, and how long ago, milliseconds."""
+
+    fingerprint: bytes
+    ago_ms: int
+
+
 class CrashUpdate(msgspec.Struct, array_like=True):
     """A crash, and the sender's requests that were running there.
 
@@ -28,13 +51,13 @@
         lifetime: The lifetime of the target that ended.
         service: The target's service.
         ago_ms: Time since the crash was detected, milliseconds.
-        runs: Fingerprints of the requests, with the run time of each, milliseconds.
+        runs: The requests.
     """
 
     lifetime: str
     service: str
     ago_ms: int
-    runs: list[tuple[bytes, int]]
+    runs: list[RunUpdate]
 
 
 class QuarantineUpdate(msgspec.Struct, array_like=True):
@@ -46,6 +69,7 @@
     lifetimes: list[str]
     name: str
     trials: int
+    companions: list[bytes] = []
 
 
 class RequestUpdates(msgspec.Struct, array_like=True):
@@ -53,12 +77,12 @@
 
     Attributes:
         crashes: Crashes.
-        cleared: Fingerprints of suspected requests that succeeded.
+        cleared: What others suspect and what succeeded.
         quarantine: Entries of requests that were quarantined or released.
     """
 
     crashes: list[CrashUpdate] = []
-    cleared: list[bytes] = []
+    cleared: list[ClearedUpdate] = []
     quarantine: list[QuarantineUpdate] = []
 
 
@@ -68,31 +92,41 @@
 
     Attributes:
         crashes: Lifetimes whose crash is sent.
-        cleared: Requests whose success is sent.
-        entries: Requests whose entry is sent.
-        own_runs: This gateway's requests that were running at each crash, with their
-            run times, seconds, by lifetime.
+        cleared: Fingerprints whose success is sent.
+        entries: Fingerprints whose entry is sent.
+        own_runs: This gateway's requests that were running at each crash, by lifetime.
     """
 
     crashes: Retransmissions[str] = field(default_factory=Retransmissions)
     cleared: Retransmissions[Fingerprint] = field(default_factory=Retransmissions)
     entries: Retransmissions[Fingerprint] = field(default_factory=Retransmissions)
-    own_runs: dict[str, dict[Fingerprint, float]] = field(default_factory=dict)
+    own_runs: dict[str, dict[Fingerprint, CrashedRun]] = field(default_factory=dict)
 
 
 def write_crash(crash: Crash, now: float) -> CrashUpdate:
     """Make the update for a crash."""
-    runs = [(f, round(seconds * 1000)) for f, seconds in crash.runs.items()]
+    runs = [_write_run(whole, run) for whole, run in crash.runs.items()]
     ago_ms = max(0, round((now - crash.at) * 1000))
     return CrashUpdate(crash.lifetime, crash.service, ago_ms, runs[:MAX_RUNS])
 
 
 def read_crash(update: CrashUpdate, now: float) -> Crash:
     """Make the crash from a peer's update."""
-    runs = {Fingerprint(f): ms / 1000 for f, ms in update.runs}
+    runs = {Fingerprint(run.fingerprint): _read_run(run) for run in update.runs}
     return Crash(update.lifetime, update.service, now - update.ago_ms / 1000, runs)
 
 
+def _write_run(whole: Fingerprint, run: CrashedRun) -> RunUpdate:
+    return RunUpdate(
+        whole, round(run.seconds * 1000), round(run.wrote_s * 1000), sorted(run.parts)
+    )
+
+
+def _read_run(update: RunUpdate) -> CrashedRun:
+    parts = frozenset(map(Fingerprint, update.parts))
+    return CrashedRun(update.ms / 1000, update.wrote_ms / 1000, parts)
+
+
 def write_entry(entry: Entry) -> QuarantineUpdate:
     """Make the update for the entry of a request."""
     return QuarantineUpdate(
@@ -102,6 +136,7 @@
         list(entry.lifetimes),
         entry.name,
         entry.trials,
+        sorted(entry.companions),
     )
 
 
@@ -114,6 +149,7 @@
         tuple(update.lifetimes),
         update.name,
         update.trials,
+        frozenset(map(Fingerprint, update.companions)),
     )
 
 
@@ -125,7 +161,7 @@
     """
     return RequestUpdates(
         _merge_crashes(first.crashes + second.crashes),
-        list(dict.fromkeys(first.cleared + second.cleared)),
+        _merge_cleared(first.cleared + second.cleared),
         _merge_entries(first.quarantine + second.quarantine),
     )
 
@@ -134,8 +170,8 @@
     found: dict[str, CrashUpdate] = {}
     count = 0
     for crash in updates:
-        count += len(crash.runs)
-        if count > MAX_RUNS_PER_DATAGRAM:
+        count += sum(1 + len(run.parts) for run in crash.runs)
+        if count > MAX_SUSPECTS_PER_DATAGRAM:
             break
         known = found.get(crash.lifetime)
         runs = crash.runs if known is None else known.runs + crash.runs
@@ -143,6 +179,15 @@
     return list(found.values())
 
 
+def _merge_cleared(updates: list[ClearedUpdate]) -> list[ClearedUpdate]:
+    found: dict[bytes, ClearedUpdate] = {}
+    for cleared in updates:
+        known = found.get(cleared.fingerprint)
+        if known is None or cleared.ago_ms < known.ago_ms:
+            found[cleared.fingerprint] = cleared
+    return list(found.values())
+
+
 def _merge_entries(updates: list[QuarantineUpdate]) -> list[QuarantineUpdate]:
     found: dict[bytes, QuarantineUpdate] = {}
     for entry in updates:
@@ -156,7 +201,7 @@
     """Whether a peer's updates have valid shapes and ranges."""
     return (
         all(_is_crash_valid(crash) for crash in update.crashes)
-        and all(is_fingerprint(fingerprint) for fingerprint in update.cleared)
+        and all(_is_cleared_valid(cleared) for cleared in update.cleared)
         and all(_is_entry_valid(entry) for entry in update.quarantine)
     )
 
@@ -165,10 +210,23 @@
     return (
         is_lifetime(update.lifetime)
         and 0 <= update.ago_ms <= MAX_AGO_MS
-        and all(is_fingerprint(f) and 0 <= ms <= MAX_RUN_MS for f, ms in update.runs)
+        and all(_is_run_valid(run) for run in update.runs)
     )
 
 
+def _is_run_valid(update: RunUpdate) -> bool:
+    return (
+        all(map(is_fingerprint, [update.fingerprint, *update.parts]))
+        and len(update.parts) <= MAX_PARTS
+        and 0 <= update.ms <= MAX_RUN_MS
+        and 0 <= update.wrote_ms <= MAX_RUN_MS
+    )
+
+
+def _is_cleared_valid(update: ClearedUpdate) -> bool:
+    return is_fingerprint(update.fingerprint) and 0 <= update.ago_ms <= MAX_AGO_MS
+
+
 def _is_entry_valid(update: QuarantineUpdate) -> bool:
     standings = {standing.value for standing in Standing}
     return update.standing in standings and find_fault(read_entry(update)) is None
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -189,11 +189,13 @@
         status: HTTP status.
         reason: Reason in one word, for logs and metrics.
         retry_s: When a new attempt is worthwhile, seconds; 0 if not said.
+        detail: Which entry or limit it follows from, for logs; empty if not said.
     """
 
     status: int
     reason: str
     retry_s: float = 0.0
+    detail: str = ""
 
 
 NO_CONFIGURATION = Refusal(503, "no-configuration", 0.5)
--- a/src/robinspindle/core/quarantine.py
+++ b/src/robinspindle/core/quarantine.py
@@ -1,9 +1,10 @@
 """Quarantine: requests that are rejected because they crash targets.
 
-Every gateway keeps the whole list. Gateways exchange entries in their datagrams, and
-the store keeps them when gateways stop. An operator can release a request. A successful
-trial run can also clear it, as rejecting an innocent request permanently is worse than
-one more crash.
+An entry is about one whole request, or about all requests whose prompts contain certain
+parts. Every gateway keeps the whole list. Gateways exchange entries in their datagrams,
+and the store keeps them when gateways stop. An operator can release a request. A
+successful trial run can also clear it, as rejecting an innocent request permanently is
+worse than one more crash.
 """
 
 from collections.abc import Iterable
@@ -12,7 +13,14 @@
 
 import msgspec
 
-from robinspindle.core.fingerprints import Fingerprint, get_head_hash, is_fingerprint
+from robinspindle.core.crashcauses import Cause
+from robinspindle.core.crashes import MAX_PARTS
+from robinspindle.core.fingerprints import (
+    Fingerprint,
+    FingerprintedRequest,
+    get_head_hash,
+    is_fingerprint,
+)
 from robinspindle.core.lifetimes import is_id
 from robinspindle.exceptions import BadDocumentError
 
@@ -53,16 +61,18 @@
 
 @dataclass(frozen=True)
 class Entry:
-    """The newest decision on one request.
+    """The newest decision on one request, or on all that contain certain parts.
 
     Attributes:
-        fingerprint: The request.
+        fingerprint: The request, or the part.
         standing: Whether it is quarantined or released.
         at_ms: When that was decided, Unix milliseconds; a later entry replaces an
             earlier one.
         lifetimes: Lifetimes of targets that it crashed.
-        name: Its host and path, for operators; empty if they are not known.
+        name: Its host and path, or the ids of the parts, for operators; empty if they
+            are not known.
         trials: Number of trial runs since it was first quarantined.
+        companions: Other parts that a prompt must contain too.
     """
 
     fingerprint: Fingerprint
@@ -71,6 +81,12 @@
     lifetimes: tuple[str, ...] = ()
     name: str = ""
     trials: int = 0
+    companions: frozenset[Fingerprint] = frozenset()
+
+    @property
+    def cause(self) -> Cause:
+        """What crashes targets according to it."""
+        return Cause(self.fingerprint, self.companions)
 
 
 @dataclass
@@ -82,12 +98,14 @@
         head_hashes: Head hashes of all quarantined requests.
         stored: The entries that the store holds, by fingerprint.
         own: Times of the entries that this gateway decided itself, by fingerprint.
+        revision: Changes with each entry.
     """
 
     entries: dict[Fingerprint, Entry] = field(default_factory=dict)
     head_hashes: set[bytes] = field(default_factory=set)
     stored: dict[Fingerprint, Entry] = field(default_factory=dict)
     own: dict[Fingerprint, int] = field(default_factory=dict)
+    revision: int = 0
 
 
 def merge_entry(quarantine: Quarantine, entry: Entry) -> bool:
@@ -102,6 +120,7 @@
     quarantine.entries.pop(entry.fingerprint, None)
     quarantine.entries[entry.fingerprint] = entry
     _keep_newest(quarantine.entries)
+    quarantine.revision += 1
     quarantine.head_hashes = {
         get_head_hash(e.fingerprint) for e in list_quarantined(quarantine)
     }
@@ -160,6 +179,16 @@
     return entry
 
 
+def list_matching(quarantine: Quarantine, named: FingerprintedRequest) -> list[Entry]:
+    """List the entries by which a request is quarantined."""
+    found = []
+    for fingerprint in named.list_known(quarantine.head_hashes, quarantine.entries):
+        entry = find_quarantined(quarantine, fingerprint)
+        if entry is not None and all(map(named.has, entry.companions)):
+            found.append(entry)
+    return found
+
+
 def list_unstored(quarantine: Quarantine) -> list[Entry]:
     """List the entries that the store doesn't hold yet, or lost."""
     return [
@@ -204,13 +233,16 @@
     return supersede(entry, begun)
 
 
-def make_entry(
-    fingerprint: Fingerprint, lifetimes: Iterable[str], name: str, now_ms: int
-) -> Entry:
-    """Make the entry of a request that is rejected from now on."""
-    named = tuple(sorted(lifetimes)[:MAX_NAMED_CRASHES])
-    name = name[:MAX_NAME_LENGTH]
-    return Entry(fingerprint, Standing.QUARANTINED, now_ms, named, name)
+def make_entry(cause: Cause, lifetimes: Iterable[str], name: str, now_ms: int) -> Entry:
+    """Make the entry of what is rejected from now on."""
+    return Entry(
+        cause.fingerprint,
+        Standing.QUARANTINED,
+        now_ms,
+        tuple(sorted(lifetimes)[:MAX_NAMED_CRASHES]),
+        name[:MAX_NAME_LENGTH],
+        companions=cause.companions,
+    )
 
 
 def adds_crashes(entry: Entry, lifetimes: set[str]) -> bool:
@@ -246,6 +278,7 @@
     lifetimes: list[str] = []
     name: str = ""
     trials: int = 0
+    companions: list[str] = []
 
 
 def make_key(fingerprint: Fingerprint) -> str:
@@ -281,6 +314,7 @@
         list(entry.lifetimes),
         entry.name,
         entry.trials,
+        sorted(one.hex() for one in entry.companions),
     )
     return msgspec.json.encode(record)
 
@@ -294,6 +328,7 @@
     try:
         record = msgspec.json.decode(value, type=_Record)
         standing = Standing(record.standing)
+        companions = frozenset(map(bytes.fromhex, record.companions))
     except (msgspec.MsgspecError, ValueError) as error:
         raise BadDocumentError(str(error)) from None
     entry = Entry(
@@ -303,6 +338,7 @@
         tuple(record.lifetimes[:MAX_NAMED_CRASHES]),
         record.name[:MAX_NAME_LENGTH],
         record.trials,
+        companions,
     )
     fault = find_fault(entry)
     if fault is not None:
@@ -318,6 +354,10 @@
         return "time"
     if not 0 <= entry.trials <= MAX_TRIALS:
         return "trials"
+    if len(entry.companions) >= MAX_PARTS:
+        return "companions"
+    if not all(is_fingerprint(one) for one in entry.companions):
+        return "companions"
     if not all(is_lifetime(lifetime) for lifetime in entry.lifetimes):
         return "lifetimes"
     return None
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -60,7 +60,7 @@
     _update_store(metrics, parts.store)
     _update_streams(metrics, parts.streams)
     metrics.quarantined.set(len(list_quarantined(parts.guard.quarantine)))
-    metrics.suspected.set(len(parts.guard.evidence.crashes_by_request))
+    metrics.suspected.set(len(parts.guard.evidence.crashes_by_suspect))
     metrics.quarantine_unreadable.set(parts.count_unreadable())
     metrics.usage_missed.set(parts.reporter.missed)
     metrics.usage_reported.set(parts.reporter.count_reported())
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -1,21 +1,23 @@
 """Guards targets against requests that crash them: what one gateway sees and decides.
 
-The evidence and the judgement are `core.crashes`; the list of rejected requests is
-`core.quarantine`. Here are the runs in progress, and the check before a request is
-sent.
+The evidence is `core.crashes`, the judgement `core.crashcauses`, and the list of what
+is rejected `core.quarantine`. Here are the runs in progress, and the check before a
+request is sent. Whole requests and parts of prompts go the same way.
 """
 
+import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from robinspindle.core import crashes, quarantine
-from robinspindle.core.crashes import Crash, Evidence
+from robinspindle.core.crashcauses import MIN_CRASHES, Cause, Verdicts, judge
+from robinspindle.core.crashes import Crash, CrashedRun, Evidence
 from robinspindle.core.crashupdates import PendingUpdates
 from robinspindle.core.fingerprints import (
     Fingerprint,
     FingerprintedRequest,
-    get_head_hash,
+    make_part_fingerprint,
 )
 from robinspindle.core.forwarding import Prompt, Refusal
 from robinspindle.core.quarantine import Entry, Quarantine, Standing
@@ -23,6 +25,7 @@
 from robinspindle.core.targets import Directory
 from robinspindle.crashwatch import CrashWatch, Run
 from robinspindle.logs import Log
+from robinspindle.recentanswers import RecentAnswer, RecentAnswers
 
 REASON = "crashes-targets"
 """Why a request is rejected, in answers, logs and metrics."""
@@ -31,6 +34,13 @@
 """Longer bodies are not hashed to remember a success, bytes, unless a request with the
 same head hash is suspected: hashing them delays other requests."""
 
+MAX_REMEMBERED_PARTS = 64
+"""The same for the parts of longer prompts: each part is hashed."""
+
+MAX_VERDICT_AGE_S = 1.0
+"""Maximum age of verdicts by unchanged evidence, seconds: what succeeded is established
+for a limited time."""
+
 COMPANIONS_WAIT_S = 0.3
 """How long the other requests that were running at a crash are waited for before a
 judgement is sent to all and stored, seconds: peers report theirs within this time.
@@ -61,26 +71,26 @@
     return time.time_ns() // 1_000_000
 
 
-def make_refusal(retry_s: float) -> Refusal:
+def make_refusal(retry_s: float, cause: Cause) -> Refusal:
     """Refuse a request that did not run, and say when it may be retried."""
-    return Refusal(503, REASON, retry_s)
+    return Refusal(503, REASON, retry_s, cause.fingerprint.hex())
 
 
 @dataclass
 class Guard:
-    """What one gateway knows of crashes, and of requests that cause them.
+    """What one gateway knows of crashes, and of what causes them.
 
     Attributes:
         directory: The targets.
         clock: Tells the present time, monotonic seconds.
         log: Takes log lines.
-        find_place: Finds this gateway's place in the order of gateways for a request:
-            the first gives it a trial.
+        find_place: Finds this gateway's place in the order of gateways for a
+            fingerprint: the first gives it a trial.
         wake: Called when there are updates for the peers, so that they are sent after
             the least interval of datagrams rather than the longest.
         wall_ms: Tells the time of day, Unix milliseconds.
-        evidence: The crashes, and the requests that were running at them.
-        quarantine: The requests that are rejected.
+        evidence: The crashes, and what was running there.
+        quarantine: What is rejected.
         pending_updates: What is sent to the peers.
     """
 
@@ -96,10 +106,14 @@
 
     def __post_init__(self):
         self.runs = CrashWatch(self.directory, self.clock, self.note_own_crash)
-        # When each request that was running at three crashes is judged, monotonic
-        # seconds.
-        self._unjudged: dict[Fingerprint, float] = {}
-        # Host and path of those that were running at a crash at this gateway.
+        self._answers = RecentAnswers()
+        self._verdicts = Verdicts()
+        # By which evidence and quarantine those were made, and when.
+        self._judged_by: tuple[int, int] = (0, 0)
+        self._judged_at = -math.inf
+        # When each probable cause is quarantined, monotonic seconds.
+        self._accused: dict[Cause, float] = {}
+        # For operators: what this gateway saw running at crashes.
         self._names: dict[Fingerprint, str] = {}
         self._usual_s: dict[str, float] = {}
 
@@ -109,32 +123,37 @@
         """Find why a request must not be sent; None where it may be."""
         if named.is_trial:
             return None
-        if (
-            self.quarantine.head_hashes
-            and named.head_hash in self.quarantine.head_hashes
-        ):
-            entry = quarantine.find_quarantined(self.quarantine, named.fingerprint)
-            if entry is not None:
-                return self._judge_quarantined(named, entry)
-        if self.evidence.head_hashes and named.head_hash in self.evidence.head_hashes:
-            if self._is_guilty(named.fingerprint):
-                return make_refusal(HELD_BACK_RETRY_S)
-            if self._runs_elsewhere(named):
-                return make_refusal(HELD_BACK_RETRY_S)
+        entries = quarantine.list_matching(self.quarantine, named)
+        if entries:
+            return self._judge_quarantined(named, entries)
+        if not self.evidence.crashes_by_suspect:
+            return None
+        verdicts = self._read_verdicts()
+        for cause in verdicts.causes:
+            if contains(named, cause):
+                return make_refusal(HELD_BACK_RETRY_S, cause)
+        for suspect in self._list_suspected(named):
+            if self._runs_elsewhere(named, suspect):
+                return make_refusal(HELD_BACK_RETRY_S, Cause(suspect))
         return None
 
+    def is_suspected(self, named: FingerprintedRequest) -> bool:
+        """Whether one more crash may show that a request causes them."""
+        return bool(self._list_suspected(named))
+
     def list_avoided(self, named: FingerprintedRequest) -> set[str]:
         """List lifetimes at which a suspected request had better not run.
 
         Others that are suspected run there: were the target to crash, nobody could
         tell which of them it was.
         """
-        if not self._is_suspected(named):
+        if not self._list_suspected(named):
             return set()
         return {
             run.target.announced.lifetime
             for run in self.runs.under_way
-            if run.named.request is not named.request and self._is_suspected(run.named)
+            if run.named.request is not named.request
+            and self._list_suspected(run.named)
         }
 
     # Told while a request is under way.
@@ -148,24 +167,39 @@
             del self._usual_s[next(iter(self._usual_s))]
 
     def note_success(self, run: Run) -> None:
-        """Record the success of a request."""
+        """Record a whole answer; it counts once its target has lived on."""
         self.note_run_time(run)
-        named = run.named
-        is_long = len(named.request.body) > MAX_REMEMBERED_BODY_BYTES
-        if is_long and named.head_hash not in self.evidence.head_hashes:
+        self._answers.add(run, self.clock())
+
+    def note_own_crash(self, run: Run, at: float) -> None:
+        """Take note that a target crashed under a run of this gateway."""
+        announced, named = run.target.announced, run.named
+        crashed = self._describe_run(run, at)
+        runs = {named.fingerprint: crashed}
+        crash = Crash(announced.lifetime, announced.service, at, runs)
+        if not crashes.note_crash(self.evidence, crash, at):
             return
-        self._clear(named.fingerprint)
+        start_sending(self.pending_updates.crashes, announced.lifetime, at)
+        self.wake()
+        self.pending_updates.own_runs.setdefault(announced.lifetime, {}).update(runs)
+        self._keep_names(named)
+        self._log_crash(run, at)
+        self._note_answers_before(announced.lifetime, at)
+        self._judge_soon(crash)
 
     # Told by peers and by the store.
 
     def take_crash(self, crash: Crash) -> None:
         """Apply a crash that a peer reports."""
-        if crashes.note_crash(self.evidence, crash, self.clock()):
-            self._judge_all(crash.runs)
+        if not crashes.note_crash(self.evidence, crash, self.clock()):
+            return
+        self._note_answers_before(crash.lifetime, crash.at)
+        self._tell_established(crash)
+        self._judge_soon(crash)
 
-    def take_cleared(self, fingerprint: Fingerprint) -> None:
-        """Apply the success of a suspected request at a peer."""
-        crashes.note_success(self.evidence, fingerprint, self.clock())
+    def take_cleared(self, fingerprint: Fingerprint, at: float) -> None:
+        """Apply a success at a peer of what is suspected."""
+        crashes.note_success(self.evidence, fingerprint, at)
 
     def merge_entry(self, entry: Entry) -> None:
         """Apply what a peer or the store says of a request."""
@@ -173,124 +207,178 @@
             return
         self._log_entry(entry, "told")
         if entry.standing is Standing.QUARANTINED:
-            self._stop_copies(entry.fingerprint)
+            self._stop_waiting(entry.cause)
         else:
-            crashes.discard_evidence(self.evidence, entry.fingerprint)
+            for fingerprint in entry.cause.members:
+                crashes.discard_evidence(self.evidence, fingerprint)
 
     # Done from time to time.
 
     def settle(self, now: float) -> None:
         """Judge what has had time to settle, and forget what is too old."""
         self.runs.forget_pending(now)
-        settled = [f for f, at in self._unjudged.items() if now >= at]
-        for fingerprint in settled:
-            del self._unjudged[fingerprint]
-            if self._is_guilty(fingerprint):
-                self._quarantine(fingerprint)
+        for answer in self._answers.take_confirmed(now):
+            self._clear(answer)
+        if not self.evidence.crashes_by_suspect:
+            self._accused.clear()
+            return
+        self._clear_survivors()
+        self._read_verdicts()
+        due = [cause for cause, at in self._accused.items() if now >= at]
+        for cause in due:
+            self._quarantine(cause)
 
-    # Inside.
+    # Judgement.
+
+    def _read_verdicts(self) -> Verdicts:
+        """Read the verdicts, made anew where the evidence has changed since."""
+        now = self.clock()
+        made_by = (self.evidence.revision, self.quarantine.revision)
+        is_old = now - self._judged_at >= MAX_VERDICT_AGE_S
+        if is_old or made_by != self._judged_by:
+            known = [e.cause for e in quarantine.list_quarantined(self.quarantine)]
+            self._judged_by, self._judged_at = made_by, now
+            self._verdicts = judge(self.evidence, known, self._count_targets, now)
+            self._note_causes(self._verdicts.causes)
+        return self._verdicts
+
+    def _judge_soon(self, crash: Crash) -> None:
+        """Judge at once where a crash may be the last that a verdict needs."""
+        count = crashes.count_crashes
+        found = _list_contained(crash)
+        if any(count(self.evidence, one) >= MIN_CRASHES for one in found):
+            self._read_verdicts()
+
+    def _note_causes(self, causes: Iterable[Cause]) -> None:
+        """Break off what waits with a new probable cause; quarantine it later."""
+        before = self._accused
+        self._accused = {
+            cause: before.get(cause) or self._find_judging_at(cause) for cause in causes
+        }
+        for cause in self._accused.keys() - before.keys():
+            self._stop_waiting(cause)
+
+    def _find_judging_at(self, cause: Cause) -> float:
+        """Find when this gateway quarantines a probable cause, monotonic seconds."""
+        if cause.fingerprint in self._names:
+            return self.clock() + COMPANIONS_WAIT_S
+        place = self.find_place(cause.fingerprint)
+        return self.clock() + PEER_JUDGEMENT_WAIT_S * (1 + place)
+
+    def _count_targets(self, service: str) -> int:
+        known = self.directory.targets.values()
+        return sum(target.announced.service == service for target in known)
+
+    def _quarantine(self, cause: Cause) -> None:
+        """Reject a cause from now on, unless its entry has all of its crashes."""
+        lifetimes = self.evidence.crashes_by_suspect[cause.fingerprint]
+        known = self.quarantine.entries.get(cause.fingerprint)
+        is_known = known is not None and known.standing is Standing.QUARANTINED
+        is_same = is_known and known.cause == cause
+        if is_same and not quarantine.adds_crashes(known, lifetimes):
+            return
+        name = self._find_name(cause)
+        entry = quarantine.make_entry(cause, lifetimes, name, self.wall_ms())
+        if is_known:
+            entry = replace(entry, trials=known.trials)
+        self._say(quarantine.supersede(known, entry), "judged")
 
     def _judge_quarantined(
-        self, named: FingerprintedRequest, entry: Entry
+        self, named: FingerprintedRequest, entries: list[Entry]
     ) -> Refusal | None:
         """Refuse what is in quarantine, unless a trial is due and ours to give."""
         now_ms = self.wall_ms()
-        is_due = quarantine.may_try(entry, now_ms)
-        if is_due and self.find_place(entry.fingerprint) == 0:
+        if all(self._may_try(entry, now_ms) for entry in entries):
             named.is_trial = True
-            self._say(quarantine.begin_trial(entry, now_ms), "trial")
+            for entry in entries:
+                self._say(quarantine.begin_trial(entry, now_ms), "trial")
             return None
-        return make_refusal(
-            max(HELD_BACK_RETRY_S, quarantine.find_retry_s(entry, now_ms))
-        )
-
-    def _is_suspected(self, named: FingerprintedRequest) -> bool:
-        if named.head_hash not in self.evidence.head_hashes:
-            return False
-        return crashes.is_suspected(self.evidence, named.fingerprint)
-
-    def _is_guilty(self, fingerprint: Fingerprint) -> bool:
-        met = crashes.count_crashes(self.evidence, fingerprint)
-        if met < crashes.MIN_CRASHES:
-            return False
-        guilty = [e.fingerprint for e in quarantine.list_quarantined(self.quarantine)]
-        count = self._count_targets(fingerprint)
-        return crashes.is_probable_cause(self.evidence, fingerprint, guilty, count)
-
-    def _count_targets(self, fingerprint: Fingerprint) -> int:
-        service = crashes.find_service(self.evidence, fingerprint)
-        known = self.directory.targets.values()
-        return sum(target.announced.service == service for target in known)
+        last = max(entries, key=lambda e: quarantine.find_retry_s(e, now_ms))
+        retry_s = quarantine.find_retry_s(last, now_ms)
+        return make_refusal(max(HELD_BACK_RETRY_S, retry_s), last.cause)
 
-    def _runs_elsewhere(self, named: FingerprintedRequest) -> bool:
-        """Whether a copy of a suspected request is under way already."""
-        return self._is_suspected(named) and any(
-            run.named is not named and _is_same(run.named, named.fingerprint)
+    def _may_try(self, entry: Entry, now_ms: int) -> bool:
+        is_due = quarantine.may_try(entry, now_ms)
+        return is_due and self.find_place(entry.fingerprint) == 0
+
+    def _list_suspected(self, named: FingerprintedRequest) -> list[Fingerprint]:
+        """List the fingerprints of a request that one more crash may condemn."""
+        if not self.evidence.crashes_by_suspect:
+            return []
+        suspected = self._read_verdicts().suspected
+        found = named.list_known(self.evidence.head_hashes, suspected)
+        # What has just succeeded is probably cleared in a moment.
+        return [one for one in found if not self._answers.has(one)]
+
+    def _runs_elsewhere(
+        self, named: FingerprintedRequest, suspect: Fingerprint
+    ) -> bool:
+        """Whether another request with a suspected fingerprint is under way already."""
+        return any(
+            run.named is not named and run.named.has(suspect)
             for run in self.runs.under_way
         )
 
-    def note_own_crash(self, run: Run, at: float) -> None:
-        """Take note that a target crashed under a run of this gateway."""
-        announced, named = run.target.announced, run.named
-        usual_s = self._usual_s.get(run.kind, 0.0)
-        runs = {named.fingerprint: max(usual_s, at - run.since)}
-        crash = Crash(announced.lifetime, announced.service, at, runs)
-        if not crashes.note_crash(self.evidence, crash, at):
-            return
-        start_sending(self.pending_updates.crashes, announced.lifetime, at)
-        self.wake()
-        self.pending_updates.own_runs.setdefault(announced.lifetime, {}).update(runs)
-        self._names[named.fingerprint] = f"{named.request.host}{named.request.path}"
-        while len(self._names) > crashes.MAX_REQUESTS:
-            del self._names[next(iter(self._names))]
-        self.log(
-            "target crashed under a request",
-            at=round(at, 4),
-            target=announced.lifetime,
-            request=named.request.id,
-            fingerprint=named.fingerprint.hex(),
-            ran_ms=round((at - run.since) * 1000),
-            wrote_ms=_find_ms_since(run.began_at, at),
-            parts=_list_shared_ids(named.request.prompt),
-            crashes_met=crashes.count_crashes(self.evidence, named.fingerprint),
-        )
-        self._judge_all(runs)
+    # What clears.
+
+    def _clear(self, answer: RecentAnswer) -> None:
+        """Clear all that a request contains whose target has lived on."""
+        named = answer.run.named
+        heads = self.evidence.head_hashes.keys() | self.quarantine.head_hashes
+        cleared = []
+        is_short = len(named.request.body) <= MAX_REMEMBERED_BODY_BYTES
+        if is_short or named.head_hash in heads:
+            cleared.append(named.fingerprint)
+        if named.request.prompt is not None:
+            is_short = len(named.request.prompt.parts) <= MAX_REMEMBERED_PARTS
+            if is_short or named.part_head in heads:
+                cleared += named.parts
+        self._note_cleared(cleared, answer.at)
+        for entry in quarantine.list_matching(self.quarantine, named):
+            self._say(quarantine.release(entry, self.wall_ms()), "ran well")
 
-    def _judge_all(self, fingerprints: Iterable[Fingerprint]) -> None:
-        """Hold back who is guilty by what is known, and judge them finally later."""
+    def _clear_survivors(self) -> None:
+        """Clear what answers contain whose targets have long lived under them."""
+        for run in self.runs.under_way:
+            lived_s = _find_lived_s(run)
+            if lived_s < crashes.MIN_SURVIVAL_S:
+                continue
+            suspects = run.named.list_known(
+                self.evidence.head_hashes, self.evidence.crashes_by_suspect
+            )
+            survived = [
+                suspect
+                for suspect in suspects
+                if lived_s >= crashes.find_survival_s(self.evidence, suspect)
+            ]
+            self._note_cleared(survived, run.target.liveness.heard_at)
+
+    def _note_cleared(self, fingerprints: Iterable[Fingerprint], at: float) -> None:
         for fingerprint in fingerprints:
-            if crashes.count_crashes(self.evidence, fingerprint) >= crashes.MIN_CRASHES:
-                self._unjudged[fingerprint] = self._find_judging_at(fingerprint)
-                if self._is_guilty(fingerprint):
-                    self._stop_copies(fingerprint)
-
-    def _find_judging_at(self, fingerprint: Fingerprint) -> float:
-        """Find when this gateway judges a request, monotonic seconds."""
-        if fingerprint in self._names:
-            return self.clock() + COMPANIONS_WAIT_S
-        return self.clock() + PEER_JUDGEMENT_WAIT_S * (1 + self.find_place(fingerprint))
+            if crashes.note_success(self.evidence, fingerprint, at):
+                start_sending(self.pending_updates.cleared, fingerprint, self.clock())
+                self.wake()
 
-    def _quarantine(self, fingerprint: Fingerprint) -> None:
-        """Reject a request from now on, unless its entry has all of its crashes."""
-        lifetimes = self.evidence.crashes_by_request[fingerprint]
-        known = self.quarantine.entries.get(fingerprint)
-        is_known = known is not None and known.standing is Standing.QUARANTINED
-        if is_known and not quarantine.adds_crashes(known, lifetimes):
-            return
-        name = self._names.get(fingerprint, "")
-        entry = quarantine.make_entry(fingerprint, lifetimes, name, self.wall_ms())
-        if is_known:
-            entry = replace(entry, trials=known.trials)
-        self._say(quarantine.supersede(known, entry), "judged")
-
-    def _clear(self, fingerprint: Fingerprint) -> None:
+    def _tell_established(self, crash: Crash) -> None:
+        """Tell the peers what succeeded here lately of what was running at a crash."""
         now = self.clock()
-        if crashes.note_success(self.evidence, fingerprint, now):
-            start_sending(self.pending_updates.cleared, fingerprint, now)
-            self.wake()
-        entry = quarantine.find_quarantined(self.quarantine, fingerprint)
-        if entry is not None:
-            self._say(quarantine.release(entry, self.wall_ms()), "ran well")
+        for fingerprint in _list_contained(crash):
+            if crashes.is_established(self.evidence, fingerprint, now):
+                start_sending(self.pending_updates.cleared, fingerprint, now)
+                self.wake()
+
+    # Inside.
+
+    def _describe_run(self, run: Run, at: float) -> CrashedRun:
+        usual_s = self._usual_s.get(run.kind, 0.0)
+        wrote_s = 0.0 if run.began_at is None else max(0.0, at - run.began_at)
+        parts = crashes.choose_parts(self.evidence, run.named.parts, at)
+        return CrashedRun(max(usual_s, at - run.since), wrote_s, parts)
+
+    def _note_answers_before(self, lifetime: str, at: float) -> None:
+        """Take note of the answers that a target ended just before it crashed."""
+        for answer in self._answers.take_crashed(lifetime, at):
+            self.note_own_crash(answer.run, at)
 
     def _say(self, entry: Entry, why: str) -> None:
         """Apply an entry of this gateway, and send it to the peers."""
@@ -300,18 +388,47 @@
         start_sending(self.pending_updates.entries, entry.fingerprint, self.clock())
         self.wake()
         if entry.standing is Standing.QUARANTINED and why != "trial":
-            self._stop_copies(entry.fingerprint)
+            self._stop_waiting(entry.cause)
 
-    def _stop_copies(self, fingerprint: Fingerprint) -> None:
+    def _stop_waiting(self, cause: Cause) -> None:
         """Break off what waits at targets and would crash them next."""
         for run in list(self.runs.under_way):
-            if run.stop is not None and _is_same(run.named, fingerprint):
+            if run.stop is not None and contains(run.named, cause):
                 run.stop()
 
+    def _keep_names(self, named: FingerprintedRequest) -> None:
+        self._names[named.fingerprint] = f"{named.request.host}{named.request.path}"
+        for id in _list_shared_ids(named.request.prompt):
+            model = named.request.prompt.model[:MAX_LOGGED_ID]
+            part = make_part_fingerprint(named.part_head, id)
+            self._names[part] = f"part {id[:MAX_LOGGED_ID]} of prompts for {model}"
+        while len(self._names) > crashes.MAX_SUSPECTS:
+            del self._names[next(iter(self._names))]
+
+    def _find_name(self, cause: Cause) -> str:
+        names = (self._names.get(one, "") for one in sorted(cause.members))
+        return " with ".join(name for name in names if name)
+
+    def _log_crash(self, run: Run, at: float) -> None:
+        named = run.named
+        ids = _list_shared_ids(named.request.prompt)[:MAX_LOGGED_PARTS]
+        self.log(
+            "target crashed under a request",
+            at=round(at, 4),
+            target=run.target.announced.lifetime,
+            request=named.request.id,
+            fingerprint=named.fingerprint.hex(),
+            ran_ms=round((at - run.since) * 1000),
+            wrote_ms=_find_ms_since(run.began_at, at),
+            parts=[id[:MAX_LOGGED_ID] for id in ids],
+            crashes_met=crashes.count_crashes(self.evidence, named.fingerprint),
+        )
+
     def _log_entry(self, entry: Entry, why: str) -> None:
         self.log(
             "request " + entry.standing.value,
             fingerprint=entry.fingerprint.hex(),
+            companions=sorted(one.hex() for one in entry.companions),
             why=why,
             name=entry.name,
             crashed=list(entry.lifetimes),
@@ -319,20 +436,28 @@
         )
 
 
+def contains(named: FingerprintedRequest, cause: Cause) -> bool:
+    """Whether a request contains all by which a cause crashes targets."""
+    return all(map(named.has, cause.members))
+
+
+def _find_lived_s(run: Run) -> float:
+    """Find how long a target is known to have lived since its answer began, seconds."""
+    if run.began_at is None:
+        return 0.0
+    return run.target.liveness.heard_at - run.began_at
+
+
 def _find_ms_since(since: float | None, at: float) -> int | None:
     return None if since is None else round((at - since) * 1000)
 
 
+def _list_contained(crash: Crash) -> set[Fingerprint]:
+    """List all fingerprints that were running at a crash."""
+    parts = (run.parts for run in crash.runs.values())
+    return set(crash.runs).union(*parts)
+
+
 def _list_shared_ids(prompt: Prompt | None) -> list[str]:
-    """List the ids of the parts that a prompt may share with others, for logs."""
-    if prompt is None:
-        return []
-    return [part.id[:MAX_LOGGED_ID] for part in prompt.parts[:-1][:MAX_LOGGED_PARTS]]
-
-
-def _is_same(named: FingerprintedRequest, fingerprint: Fingerprint) -> bool:
-    """Whether a request has a fingerprint; hashes its body only if the head agrees."""
-    return (
-        named.head_hash == get_head_hash(fingerprint)
-        and named.fingerprint == fingerprint
-    )
+    """List the ids of the parts that a prompt may share with others."""
+    return [] if prompt is None else [part.id for part in prompt.parts[:-1]]
--- a/src/robinspindle/guardnews.py
+++ b/src/robinspindle/guardnews.py
@@ -2,6 +2,8 @@
 
 from robinspindle.core.crashes import Crash
 from robinspindle.core.crashupdates import (
+    MAX_AGO_MS,
+    ClearedUpdate,
     CrashUpdate,
     PendingUpdates,
     QuarantineUpdate,
@@ -18,8 +20,9 @@
 
 def take_news(guard: Guard, news: RequestUpdates, now: float) -> None:
     """Take in what a peer tells; it must be believable."""
-    for fingerprint in news.cleared:
-        guard.take_cleared(Fingerprint(fingerprint))
+    for cleared in news.cleared:
+        at = now - cleared.ago_ms / 1000
+        guard.take_cleared(Fingerprint(cleared.fingerprint), at)
     for crash in news.crashes:
         guard.take_crash(read_crash(crash, now))
     for entry in news.quarantine:
@@ -31,7 +34,7 @@
     told = guard.pending_updates
     news = RequestUpdates(
         _list_crashes(guard, now),
-        list(take_due(told.cleared, now)),
+        _list_cleared(guard, now),
         _list_entries(guard, now),
     )
     _drop_told_runs(told)
@@ -49,6 +52,16 @@
     return found
 
 
+def _list_cleared(guard: Guard, now: float) -> list[ClearedUpdate]:
+    successes = guard.evidence.successes
+    due = take_due(guard.pending_updates.cleared, now)
+    return [
+        ClearedUpdate(f, min(MAX_AGO_MS, max(0, round((now - successes[f]) * 1000))))
+        for f in due
+        if f in successes
+    ]
+
+
 def _list_entries(guard: Guard, now: float) -> list[QuarantineUpdate]:
     entries = guard.quarantine.entries
     due = take_due(guard.pending_updates.entries, now)
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -153,7 +153,7 @@
             at=round(self._means.clock(), 4),
             request=passage.request.id,
             route=passage.route.name,
-            fingerprint=passage.named.fingerprint.hex(),
+            fingerprint=refusal.detail,
             retry_s=round(refusal.retry_s, 1),
         )
         self.log_end(passage, None, f"refused {refusal.status}: {refusal.reason}")
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -1,5 +1,6 @@
 """Which requests are taken as the cause of crashes."""
 
+import math
 import random
 
 import pytest
@@ -7,7 +8,14 @@
 from hypothesis import strategies as st
 
 from robinspindle.core import crashes
-from robinspindle.core.crashes import Crash, Evidence
+from robinspindle.core.crashcauses import (
+    MAX_COINCIDENCE_PROBABILITY,
+    Cause,
+    judge,
+    list_events,
+    list_incidents,
+)
+from robinspindle.core.crashes import Crash, CrashedRun, Evidence
 from robinspindle.core.fingerprints import FINGERPRINT_BYTES, Fingerprint
 
 TARGETS = 6
@@ -21,12 +29,15 @@
 
 
 def crash(evidence, lifetime, at, *running, ran_s=0.1):
-    runs = dict.fromkeys(running, ran_s)
+    runs = dict.fromkeys(running, CrashedRun(ran_s))
     return crashes.note_crash(evidence, Crash(lifetime, "lm", at, runs), at)
 
 
 def is_probable_cause(evidence, fingerprint, known=()):
-    return crashes.is_probable_cause(evidence, fingerprint, known, TARGETS)
+    now = max((one.at for one in evidence.crashes.values()), default=0.0)
+    known = [Cause(one) for one in known]
+    verdicts = judge(evidence, known, lambda service: TARGETS, now)
+    return any(fingerprint in cause.members for cause in verdicts.causes)
 
 
 def test_three_crashes_are_enough_if_others_are_rare():
@@ -81,7 +92,9 @@
     crashes.note_success(evidence, A, 0.0)
     for number in range(5):
         crash(evidence, f"i{number}", 1.0, A)
-    assert crashes.count_crashes(evidence, A) == 0
+    verdicts = judge(evidence, [], lambda service: TARGETS, 1.0)
+    assert not verdicts.causes
+    assert not verdicts.suspected
 
 
 def test_success_clears_for_a_minute_only():
@@ -108,10 +121,8 @@
     for number in range(5):
         crash(evidence, f"i{number}", number * 1.0, A, *([B] if number < 3 else []))
     assert is_probable_cause(evidence, A)
-    assert (
-        crashes.find_coincidence_probability(evidence, B, {A}, TARGETS)
-        > crashes.MAX_COINCIDENCE_PROBABILITY
-    )
+    incidents = list_incidents(evidence, Cause(B), [Cause(A)], lambda service: TARGETS)
+    assert math.prod(list_events(incidents)) > MAX_COINCIDENCE_PROBABILITY
     assert not is_probable_cause(evidence, B, [A])
 
 
@@ -137,10 +148,10 @@
     evidence = Evidence()
     crash(evidence, "i0", 0.0, A)
     crash(evidence, "i1", 1.0, A)
-    flood = [name(n + 1) for n in range(3000)]
-    for number, start in enumerate(range(0, 3000, 100)):
+    flood = [name(n + 1) for n in range(6000)]
+    for number, start in enumerate(range(0, 6000, 100)):
         crash(evidence, f"f{number}", 2.0 + number, *flood[start : start + 100])
-    assert len(evidence.crashes_by_request) <= crashes.MAX_REQUESTS
+    assert len(evidence.crashes_by_suspect) <= crashes.MAX_SUSPECTS
     assert crashes.count_crashes(evidence, A) == 2
     assert crashes.count_crashes(evidence, flood[0]) == 0
     assert crashes.count_crashes(evidence, flood[-1]) == 1
@@ -169,12 +180,14 @@
             for number in running:
                 crashes.note_success(evidence, name(number), now)
                 assert not is_probable_cause(evidence, name(number))
-        for fingerprint, lifetimes in evidence.crashes_by_request.items():
+        for fingerprint, lifetimes in evidence.crashes_by_suspect.items():
             assert lifetimes
-            assert all(fingerprint in evidence.crashes[one].runs for one in lifetimes)
-            assert not crashes.is_cleared(evidence, fingerprint, now)
+            counted = [evidence.crashes[one] for one in lifetimes]
+            assert all(fingerprint in one.holders for one in counted)
+            succeeded_at = evidence.successes.get(fingerprint, -1.0)
+            assert all(one.at > succeeded_at for one in counted)
         count = sum(evidence.head_hashes.values())
-        assert count == len(evidence.crashes_by_request)
+        assert count == len(evidence.crashes_by_suspect)
         assert len(evidence.crashes) <= crashes.MAX_CRASHES
 
 
@@ -202,11 +215,11 @@
             found.append((end, f"{target}-{end}", name(number + 1), max(1.0, end - at)))
             at = end + 0.2
     for end, lifetime, fingerprint, seconds in sorted(found):
-        runs = {fingerprint: seconds}
+        runs = {fingerprint: CrashedRun(seconds)}
         crashes.note_crash(evidence, Crash(lifetime, "lm", end, runs), end)
     suspects = [
         f
-        for f in evidence.crashes_by_request
+        for f in evidence.crashes_by_suspect
         if crashes.count_crashes(evidence, f) >= 3
     ]
     return len(suspects), sum(is_probable_cause(evidence, f) for f in suspects)
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -4,10 +4,13 @@
 import pytest
 
 from robinspindle.core import quarantine
+from robinspindle.core.crashcauses import Cause
 from robinspindle.core.crashupdates import (
+    ClearedUpdate,
     CrashUpdate,
     QuarantineUpdate,
     RequestUpdates,
+    RunUpdate,
     are_updates_valid,
     merge_updates,
     read_entry,
@@ -18,7 +21,7 @@
 from robinspindle.exceptions import BadDocumentError
 
 NAME = Fingerprint(bytes(range(FINGERPRINT_BYTES)))
-ENTRY = quarantine.make_entry(NAME, {"i1@5", "i2", "i3"}, "shop/safe/x", 1000)
+ENTRY = quarantine.make_entry(Cause(NAME), {"i1@5", "i2", "i3"}, "shop/safe/x", 1000)
 
 
 def test_stored_entry_is_decoded_as_encoded():
@@ -113,14 +116,22 @@
     assert min(entry.at_ms for entry in known.entries.values()) == 10
 
 
+WITH_SHORT_PART = RunUpdate(NAME, 5, 5, [b"short"])
+
 INVALID_UPDATES = [
     RequestUpdates(crashes=[CrashUpdate("i 1", "lm", 5, [])]),
     RequestUpdates(crashes=[CrashUpdate("i1", "lm", -5, [])]),
-    RequestUpdates(crashes=[CrashUpdate("i1", "lm", 5, [(b"short", 5)])]),
-    RequestUpdates(crashes=[CrashUpdate("i1", "lm", 5, [(NAME, -5)])]),
-    RequestUpdates(cleared=[b"short"]),
+    RequestUpdates(crashes=[CrashUpdate("i1", "lm", 5, [RunUpdate(b"short", 5)])]),
+    RequestUpdates(crashes=[CrashUpdate("i1", "lm", 5, [RunUpdate(NAME, -5)])]),
+    RequestUpdates(crashes=[CrashUpdate("i1", "lm", 5, [RunUpdate(NAME, 5, -5)])]),
+    RequestUpdates(crashes=[CrashUpdate("i1", "lm", 5, [WITH_SHORT_PART])]),
+    RequestUpdates(cleared=[ClearedUpdate(b"short", 5)]),
+    RequestUpdates(cleared=[ClearedUpdate(NAME, -5)]),
     RequestUpdates(quarantine=[QuarantineUpdate(NAME, "hanged", 5, [], "", 0)]),
     RequestUpdates(quarantine=[QuarantineUpdate(NAME, "quarantined", 5, [""], "", 0)]),
+    RequestUpdates(
+        quarantine=[QuarantineUpdate(NAME, "quarantined", 5, [], "", 0, [b"short"])]
+    ),
 ]
 
 
@@ -131,7 +142,7 @@
 
 
 def test_updates_on_many_crashes_stay_far_below_a_datagram():
-    runs = [(NAME, 1000)] * 128
+    runs = [RunUpdate(NAME, 1000, 500, [NAME])] * 64
     updates = RequestUpdates()
     for number in range(30):
         updates = merge_updates(
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from robinspindle.core.crashes import Crash
+from robinspindle.core.crashes import Crash, CrashedRun
 from tests.platform.deployment import deploy, run, until
 
 CRASHING = b"a body that crashes"
@@ -34,10 +34,12 @@
     """Have a peer report a crash while the most suspected request was running."""
     guard = d.gateway.guard
     suspect = max(
-        guard.evidence.crashes_by_request,
-        key=lambda f: len(guard.evidence.crashes_by_request[f]),
+        guard.evidence.crashes_by_suspect,
+        key=lambda f: len(guard.evidence.crashes_by_suspect[f]),
+    )
+    guard.take_crash(
+        Crash(lifetime, "push", guard.clock(), {suspect: CrashedRun(0.01)})
     )
-    guard.take_crash(Crash(lifetime, "push", guard.clock(), {suspect: 0.01}))
 
 
 async def call(d, number, path="/safe/x", body=CRASHING, **headers):
@@ -89,7 +91,7 @@
             failing = await d.add("push2")
             failing.behaviours.append("error")
             assert (await call(d, 2, "/once/x")).status == 500
-            assert d.gateway.guard.evidence.crashes_by_request
+            assert d.gateway.guard.evidence.crashes_by_suspect
 
     run(scenario())
 
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -7,6 +7,7 @@
 import pytest
 
 from robinspindle.core import quarantine
+from robinspindle.core.crashcauses import Cause
 from robinspindle.core.fingerprints import FingerprintedRequest
 from robinspindle.core.forwarding import Request
 from robinspindle.exceptions import NotQuarantinedError
@@ -25,7 +26,7 @@
     fingerprint = FingerprintedRequest(request).fingerprint
     crashed, at_ms = {"i1", "i2", "i3"}, time.time_ns() // 1_000_000
     at_ms -= int(age_s * 1000)
-    return quarantine.make_entry(fingerprint, crashed, f"{HOST}/safe/x", at_ms)
+    return quarantine.make_entry(Cause(fingerprint), crashed, f"{HOST}/safe/x", at_ms)
 
 
 async def put(store, entry):
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -5,7 +5,7 @@
 import pytest
 
 from robinspindle.core import crashes, quarantine
-from robinspindle.core.crashes import Crash
+from robinspindle.core.crashes import Crash, CrashedRun
 from robinspindle.core.fingerprints import FingerprintedRequest
 from robinspindle.core.forwarding import Request
 from robinspindle.core.quarantine import Standing
@@ -20,6 +20,7 @@
 from robinspindle.guardnews import list_news, take_news
 from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.lifetimechecks import LifetimeState
+from robinspindle.recentanswers import CONFIRMATION_S
 
 MINUTE_MS = 60_000
 
@@ -112,7 +113,7 @@
         world = World()
         world.checks.answer = life
         await world.crash_under(name(), 0, 1, 2, 3)
-        assert not world.guard.evidence.crashes_by_request
+        assert not world.guard.evidence.crashes_by_suspect
 
     asyncio.run(play())
 
@@ -123,7 +124,7 @@
         for number in range(4):
             target = world.announce(f"leaving{number}", leaving=True)
             await world.break_off(name(), target)
-        assert not world.guard.evidence.crashes_by_request
+        assert not world.guard.evidence.crashes_by_suspect
 
     asyncio.run(play())
 
@@ -136,7 +137,7 @@
         world.checks.answer = LifetimeState.RUNNING
         target = world.announce("j1@5")
         await world.break_off(name(), target)
-        assert not world.guard.evidence.crashes_by_request
+        assert not world.guard.evidence.crashes_by_suspect
         world.guard.runs.note_life_over(target)
         assert crashes.count_crashes(world.guard.evidence, name().fingerprint) == 1
 
@@ -163,8 +164,12 @@
         async with world.guard.runs.watch(name(), target, "route") as run:
             pass
         world.guard.note_success(run)
-        assert not world.guard.evidence.crashes_by_request
-        assert list_news(world.guard, world.now).cleared == [name().fingerprint]
+        assert world.guard.evidence.crashes_by_suspect
+        world.settle(CONFIRMATION_S)
+        assert not world.guard.evidence.crashes_by_suspect
+        (cleared,) = list_news(world.guard, world.now).cleared
+        assert cleared.fingerprint == name().fingerprint
+        assert cleared.ago_ms == pytest.approx(CONFIRMATION_S * 1000, abs=20)
 
     asyncio.run(play())
 
@@ -177,6 +182,7 @@
         async with world.guard.runs.watch(named, target, "route") as run:
             pass
         world.guard.note_success(run)
+        world.settle(CONFIRMATION_S)
         assert world.guard.find_refusal(named) is None
         assert "fingerprint" not in vars(named)
 
@@ -213,7 +219,10 @@
             assert running.stop is None
             for number in range(3):
                 crash = Crash(
-                    f"p{number}", "push", world.now, {name().fingerprint: 0.1}
+                    f"p{number}",
+                    "push",
+                    world.now,
+                    {name().fingerprint: CrashedRun(0.1)},
                 )
                 world.guard.take_crash(crash)
         assert stopped == ["waiting"]
@@ -221,18 +230,21 @@
     asyncio.run(play())
 
 
+def make_crash(number, world):
+    runs = {name().fingerprint: CrashedRun(0.1)}
+    return Crash(f"p{number}", "push", world.now, runs)
+
+
 def quarantine_it(world):
     for number in range(3):
-        crash = Crash(f"p{number}", "push", world.now, {name().fingerprint: 0.1})
-        world.guard.take_crash(crash)
+        world.guard.take_crash(make_crash(number, world))
     world.settle(4 * PEER_JUDGEMENT_WAIT_S)
 
 
 def test_who_saw_no_crash_waits_for_the_judgement_of_one_that_did():
     world = World()
     for number in range(3):
-        crash = Crash(f"p{number}", "push", world.now, {name().fingerprint: 0.1})
-        world.guard.take_crash(crash)
+        world.guard.take_crash(make_crash(number, world))
     world.settle()
     assert world.guard.find_refusal(name()).retry_s == HELD_BACK_RETRY_S
     assert not world.guard.quarantine.entries
@@ -264,6 +276,7 @@
         async with world.guard.runs.watch(named, target, "route") as run:
             pass
         world.guard.note_success(run)
+        world.settle(CONFIRMATION_S)
         assert world.guard.find_refusal(name()) is None
         (told,) = list_news(world.guard, world.now).quarantine
         assert told.standing == Standing.RELEASED.value
--- a/tests/test_quarantinekeeping.py
+++ b/tests/test_quarantinekeeping.py
@@ -3,13 +3,14 @@
 import asyncio
 
 from robinspindle.core import quarantine
+from robinspindle.core.crashcauses import Cause
 from robinspindle.core.fingerprints import FINGERPRINT_BYTES, Fingerprint
 from robinspindle.core.quarantine import Quarantine
 from robinspindle.exceptions import LogUnavailableError
 from robinspindle.quarantinekeeping import STEP_S, QuarantineKeeper, find_place
 
 NAME = Fingerprint(bytes(FINGERPRINT_BYTES))
-ENTRY = quarantine.make_entry(NAME, {"i1", "i2", "i3"}, "shop/x", 1000)
+ENTRY = quarantine.make_entry(Cause(NAME), {"i1", "i2", "i3"}, "shop/x", 1000)
 GATEWAYS = [f"gateway-{number}" for number in range(300)]
 
 
