Take no stream without a length for whole that ends before its first event

An answer, a stream too, may come with neither a length nor chunks and end with its connection. Streams of this kind were passed on, and one that ends inside an event or is reset was already broken off or resumed. One that ended cleanly after its head was passed on as a whole, empty answer, and counted as a success of all that the request holds: an engine that dies as it begins to answer closes its connections so too. It is broken off now. The stand-in writes such streams: whole, ended inside an event, reset between two, ended after the head; the soak draws the first ones too.

--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -11,7 +11,8 @@
 MISBEHAVIOURS = {
     "": ("full", "error", "unmarked", "reset", "garbage", "unsealed", "surplus")
     + ("twice", "interim", "unframed", "cut_unframed"),
-    "decode": ("full", "reset", "torn", "error", "wrong_role", "garbage"),
+    "decode": ("full", "reset", "torn", "error", "wrong_role", "garbage")
+    + ("unframed", "torn_unframed", "reset_unframed"),
     "prefill": ("full", "reset", "error", "garbage"),
 }
 """What a replica may do to a request, by its role."""
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -57,12 +57,15 @@
         head: The answer's head, when it has come.
         is_whole: Whether the whole answer has come.
         error: Why it will not come.
+        ended_with_connection: Whether nothing but the end of its connection says that
+            it is whole.
     """
 
     request_id: str
     head: AnswerHead | None = None
     is_whole: bool = False
     error: ConnectionBrokenError | None = None
+    ended_with_connection: bool = False
 
     def __post_init__(self):
         self._chunks: deque[bytes] = deque()
@@ -210,6 +213,7 @@
             return
         clean = exc is None and self._saw_eof
         if clean and self._is_ours and exchange.head and not self._framed:
+            exchange.ended_with_connection = True
             exchange.is_whole = True
             exchange.wake()
             return
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -212,6 +212,9 @@
     means.lengths.note_answer(passage.service, events, seconds)
     if splitter.rest:
         raise ConnectionBrokenError("the stream ended within an event")
+    if answer.exchange.ended_with_connection and not events:
+        # A target that crashes as it begins to answer ends a stream so too.
+        raise ConnectionBrokenError("the stream ended without an event")
     claim_answer(passage)
     if not reply.has_begun:
         reply.begin(head.status, head.reason, head.headers, None)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -199,6 +199,28 @@
         self._write_unframed(request, writer)
         return False
 
+    async def _be_empty_unframed(self, request: RawRequest, writer) -> bool:
+        """The same, but it ends after its head."""
+        self._write_unframed_head(request, writer)
+        return False
+
+    async def _be_torn_unframed(self, request: RawRequest, writer) -> bool:
+        """A stream without a length ends with its connection, inside an event."""
+        self._write_unframed_head(request, writer)
+        number = self._find_first(request)
+        writer.write(self._make_event(request, number))
+        writer.write(self._make_event(request, number + 1)[:-3])
+        return False
+
+    async def _be_reset_unframed(self, request: RawRequest, writer) -> bool:
+        """A stream without a length is reset between two events."""
+        self._write_unframed_head(request, writer)
+        writer.write(self._make_event(request, self._find_first(request)))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+        return False
+
     async def _be_cut_unframed(self, request: RawRequest, writer) -> bool:
         """The same, reset before its end."""
         self._write_unframed(request, writer)
@@ -298,9 +320,17 @@
         return True
 
     def _write_unframed(self, request: RawRequest, writer) -> None:
+        self._write_unframed_head(request, writer)
+        if "x-model" not in request.headers:
+            writer.write(b"body of " + self._id(request))
+            return
+        for number in range(self._find_first(request), self.events + 1):
+            writer.write(self._make_event(request, number))
+
+    def _write_unframed_head(self, request: RawRequest, writer) -> None:
         lines = [f"{name}: {value}" for name, value in self._head(request).items()]
         head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n"
-        writer.write(head.encode() + b"body of " + self._id(request))
+        writer.write(head.encode())
 
     def _begin_stream(self, request: RawRequest, writer) -> None:
         lines = [f"{name}: {value}" for name, value in self._head(request).items()]
@@ -319,11 +349,14 @@
         return int(request.headers.get("last-event-id", 0)) + 1
 
     def _write_event(self, request: RawRequest, writer, number: int) -> None:
+        piece = self._make_event(request, number)
+        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+
+    def _make_event(self, request: RawRequest, number: int) -> bytes:
         text = b"%s-%d" % (self._id(request), number)
         if self.software_version != USUAL_VERSION:
             text += b" " + self.software_version.encode()
-        piece = b"id: %d\ndata: %s\n\n" % (number, text)
-        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        return b"id: %d\ndata: %s\n\n" % (number, text)
 
     def _id(self, request: RawRequest) -> bytes:
         return request.headers.get("x-request-id", "").encode()
