--- a/src/robinspindle/core/crashcauses.py
+++ b/src/robinspindle/core/crashcauses.py
@@ -175,7 +175,7 @@
     targets crash frequently. The calculation uses the usual run time: the run time
     until the crash is shorter, and with it innocent requests would look guilty.
     """
-    others = [one for one in known_causes if one.fingerprint != cause.fingerprint]
+    others = [one for one in known_causes if _is_rival(evidence, cause, one)]
     found = []
     for crash in list_crashes(evidence, cause.fingerprint):
         holders = crash.holders[cause.fingerprint]
@@ -284,6 +284,19 @@
     return {one for one in holders if cause.companions <= crash.runs[one].parts}
 
 
+def _is_rival(evidence: Evidence, cause: Cause, other: Cause) -> bool:
+    """Whether another known cause may explain the crashes of a cause.
+
+    One with companions of which some were cleared since is a guess that was too narrow.
+    """
+    if other.fingerprint == cause.fingerprint and not other.companions:
+        return False
+    if not other.members >= cause.members:
+        return True
+    is_open = other.members <= evidence.crashes_by_suspect.keys()
+    return other != cause and is_open
+
+
 def _meets(evidence: Evidence, cause: Cause, other: Cause) -> bool:
     """Whether a request that crashed with its target contained both of two causes."""
     return any(
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -1,13 +1,18 @@
 """What one gateway sees of crashes, and decides about requests that cause them."""
 
 import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
 from robinspindle.core import crashes, quarantine
 from robinspindle.core.crashes import Crash, CrashedRun
-from robinspindle.core.fingerprints import FingerprintedRequest
-from robinspindle.core.forwarding import Request
+from robinspindle.core.fingerprints import (
+    FingerprintedRequest,
+    make_part_fingerprint,
+)
+from robinspindle.core.forwarding import Part, Prompt, Request
 from robinspindle.core.quarantine import Standing
 from robinspindle.core.targets import Announcement, Directory, Target, note_announced
 from robinspindle.guard import (
@@ -340,3 +345,186 @@
     assert isinstance(world.directory.targets["i0"], Target)
     news = list_news(world.guard, world.now)
     assert not (news.crashes or news.cleared or news.quarantine)
+
+
+def name_prompt(id, *parts):
+    prompt = Prompt("m", tuple(Part(one, 100) for one in (*parts, id)), 400, 10)
+    request = Request(id, "POST", b"/chat/x", "shop", (), id.encode(), 2.0, 0.0, prompt)
+    return FingerprintedRequest(request)
+
+
+def find_part(id):
+    named = name_prompt("any", id)
+    return make_part_fingerprint(named.part_head, id)
+
+
+async def crash_under_part(world, part, *numbers, beside=()):
+    """Have targets crash under requests of which no two are alike."""
+    for number in numbers:
+        named = name_prompt(f"own{number}-{world.now}", *beside, part)
+        await world.break_off(named, world.directory.targets[f"i{number}"])
+        world.now += 1.0
+
+
+@asynccontextmanager
+async def answer(world, named, lifetime="i4", lived_s=0.0):
+    """Have a target write an answer."""
+    target = world.directory.targets[lifetime]
+    async with world.guard.runs.watch(named, target, "route") as run:
+        run.began_at = world.now
+        world.now += lived_s
+        target.liveness.heard_at = world.now
+        yield run
+
+
+def test_part_that_crashed_three_targets_is_rejected_in_any_request():
+    async def play():
+        world = World()
+        await crash_under_part(world, "bad", 0, 1)
+        assert world.guard.find_refusal(name_prompt("new", "bad")) is None
+        await crash_under_part(world, "bad", 2)
+        new = name_prompt("another", "head", "bad", "more")
+        assert world.guard.find_refusal(new).retry_s == HELD_BACK_RETRY_S
+        world.settle()
+        assert world.guard.find_refusal(new).retry_s > 60
+        assert world.guard.find_refusal(name_prompt("x", "head", "more")) is None
+        (entry,) = world.guard.quarantine.entries.values()
+        assert entry.fingerprint == find_part("bad")
+        assert entry.name == "part bad of prompts for m"
+
+    asyncio.run(play())
+
+
+def test_last_part_and_same_id_of_another_model_are_not_rejected():
+    async def play():
+        world = World()
+        await crash_under_part(world, "bad", 0, 1, 2)
+        world.settle()
+        assert world.guard.find_refusal(name_prompt("bad", "head")) is None
+        other = name_prompt("x", "bad").request
+        other = replace(other, prompt=replace(other.prompt, model="other"))
+        assert world.guard.find_refusal(FingerprintedRequest(other)) is None
+
+    asyncio.run(play())
+
+
+def test_ids_are_compared_as_they_are_spelled():
+    named = name_prompt("x", "0a", "a", "A", "a" * 5000)
+    assert len(named.parts) == 4
+
+
+def test_answer_whose_target_crashes_right_after_its_end_clears_nothing():
+    async def play():
+        world = World()
+        for number in (0, 1, 2):
+            named = name_prompt(f"own{number}", "bad")
+            async with answer(world, named, f"i{number}") as run:
+                pass
+            world.guard.note_success(run)
+            victim = name_prompt(f"victim{number}", f"good{number}")
+            await world.break_off(victim, world.directory.targets[f"i{number}"])
+            world.settle(CONFIRMATION_S)
+        assert world.guard.find_refusal(name_prompt("new", "bad")) is not None
+
+    asyncio.run(play())
+
+
+def test_long_answer_that_goes_on_clears_its_parts_before_its_end():
+    async def play():
+        world = World()
+        await crash_under_part(world, "shared", 0, 1, 2)
+        assert world.guard.find_refusal(name_prompt("new", "shared")) is not None
+        async with answer(world, name_prompt("long", "shared"), lived_s=0.6):
+            world.guard.settle(world.now)
+            assert world.guard.find_refusal(name_prompt("new", "shared")) is None
+
+    asyncio.run(play())
+
+
+def test_answer_of_a_target_that_fell_silent_clears_nothing():
+    async def play():
+        world = World()
+        await crash_under_part(world, "bad", 0, 1, 2)
+        async with answer(world, name_prompt("long", "bad"), lived_s=0.1):
+            world.now += 10.0
+            world.guard.settle(world.now)
+            assert world.guard.find_refusal(name_prompt("new", "bad")) is not None
+
+    asyncio.run(play())
+
+
+def test_success_of_a_companion_leaves_the_other_part_rejected():
+    async def play():
+        world = World()
+        await crash_under_part(world, "bad", 0, 1, 2, beside=("shared",))
+        world.settle()
+        both = name_prompt("new", "shared", "bad")
+        assert world.guard.find_refusal(both).retry_s > 60
+        named = name_prompt("good", "shared")
+        assert world.guard.find_refusal(named) is None
+        async with answer(world, named) as run:
+            pass
+        world.guard.note_success(run)
+        world.settle(CONFIRMATION_S)
+        world.settle()
+        assert world.guard.find_refusal(name_prompt("x", "shared")) is None
+        assert world.guard.find_refusal(name_prompt("x", "bad")) is not None
+
+    asyncio.run(play())
+
+
+def test_gateway_that_knows_better_tells_it_to_the_one_that_blames():
+    async def play():
+        blaming, knowing = World(), World()
+        async with answer(knowing, name_prompt("good", "head")) as run:
+            pass
+        knowing.guard.note_success(run)
+        knowing.settle(CONFIRMATION_S)
+        blaming.now = knowing.now
+        await crash_under_part(blaming, "head", 0, 1)
+        news = list_news(blaming.guard, blaming.now)
+        take_news(knowing.guard, news, blaming.now)
+        told = list_news(knowing.guard, knowing.now).cleared
+        assert find_part("head") in {one.fingerprint for one in told}
+        take_news(blaming.guard, list_news(knowing.guard, knowing.now), blaming.now)
+
+    asyncio.run(play())
+
+
+def test_waiting_requests_with_a_part_are_broken_off_when_it_is_blamed():
+    async def play():
+        world = World()
+        stopped = []
+        async with (
+            world.guard.runs.watch(
+                name_prompt("waits", "bad"), world.directory.targets["i4"], "route"
+            ) as waiting,
+            world.guard.runs.watch(
+                name_prompt("good", "head"), world.directory.targets["i4"], "route"
+            ) as other,
+        ):
+            waiting.stop = lambda: stopped.append("waiting")
+            other.stop = lambda: stopped.append("other")
+            await crash_under_part(world, "bad", 0, 1, 2)
+        assert stopped == ["waiting"]
+
+    asyncio.run(play())
+
+
+def test_prompt_of_thousands_of_parts_that_crash_nothing_is_not_hashed():
+    world = World()
+    named = name_prompt("x", *(f"part{n}" for n in range(5000)))
+    assert world.guard.find_refusal(named) is None
+    assert "parts" not in vars(named)
+
+
+def test_release_of_a_part_lets_it_run_everywhere():
+    async def play():
+        world = World()
+        await crash_under_part(world, "bad", 0, 1, 2)
+        world.settle()
+        (entry,) = world.guard.quarantine.entries.values()
+        world.guard.merge_entry(quarantine.release(entry, int(world.now * 1000)))
+        assert world.guard.find_refusal(name_prompt("new", "bad")) is None
+
+    asyncio.run(play())
