Close new connections unread at a gateway that can't serve all of them

A closed connection costs its caller one try, which meets another gateway. The test fails without the limit.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -13,6 +13,7 @@
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.cachelists import CacheLists
 from robinspindle.clocks import PauseWatch, make_loop, read_steady
+from robinspindle.connectionlimit import ConnectionLimit
 from robinspindle.core import retrywindows, targets
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
@@ -163,8 +164,15 @@
             lambda: self._store.era or 0,
         )
         self._store.note_era = self._note_era
+        self._connections = ConnectionLimit(
+            self._clock, make_log("callers"), self.metrics.connections_turned_away
+        )
         self._callers = CallerServer(
-            self._handle, limits, self._clock, self.link.note_sent
+            self._handle,
+            limits,
+            self._clock,
+            self.link.note_sent,
+            self._connections.take_connection,
         )
         self._readiness = CallerServer(
             make_readiness_page(lambda: self.is_ready), Limits(), self._clock
@@ -440,9 +448,11 @@
 
     async def _keep_house(self) -> None:
         while True:
+            due_at = self._clock() + TICK_S
             await asyncio.sleep(TICK_S)
             self._output.flush()
             now = self._clock()
+            self._connections.note_tick(now, now - due_at)
             self.fleet.gateways = len(self.peers.members) + 1
             self.fleet.limits.sharing = self._choose_sharing()
             self._store_news.look_after_relaying()
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -23,6 +23,8 @@
         hedges: Second attempts beside targets that fell silent.
         pauses: Times that the process was paused: suspended, or not run.
         turned_away: Attempts that were turned away for that.
+        connections_turned_away: Connections that were closed unread, as the gateway had
+            more work than it could do.
         denied_repeats: Repeats that the budget did not allow.
         version: Version of the configuration in force; 0 for none.
         version_age: Time since it was known to be the newest, seconds.
@@ -155,6 +157,9 @@
             "hedges", "Second attempts beside targets that fell silent"
         )
         self.pauses = self._count("pauses", "Times that the process was paused")
+        self.connections_turned_away = self._count(
+            "connections_turned_away", "Connections closed unread by a busy gateway"
+        )
         self.turned_away = self._count(
             "turned_away", "Attempts turned away as their request crashes targets"
         )
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -77,6 +77,11 @@
 Handle = Callable[[Incoming, Reply], Awaitable[None]]
 
 
+def take_all() -> bool:
+    """Stand for a limit on new connections that takes all."""
+    return True
+
+
 class CallerServer:
     """Accepts callers' connections.
 
@@ -92,7 +97,9 @@
         limits: Limits,
         clock: Callable[[], float],
         note_sent: Callable[[int], None] = ignore_sent,
+        take_connection: Callable[[], bool] = take_all,
     ):
+        self.take_connection = take_connection
         self.handle = handle
         self.note_sent = note_sent
         self.limits = limits
@@ -217,6 +224,11 @@
     def connection_made(self, transport) -> None:
         """Note the transport."""
         self._transport = transport
+        if not self.server.take_connection():
+            # Nothing is read, so its caller may safely try another gateway.
+            self._is_closing = True
+            transport.abort()
+            return
         self.server.connections.add(self)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -2,7 +2,7 @@
 from contextlib import asynccontextmanager
 
 from robinspindle.core.forwarding import Refusal
-from robinspindle.httpserver import CallerServer, Limits
+from robinspindle.httpserver import CallerServer, Limits, take_all
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 TIMEOUT_S = 10.0
@@ -10,8 +10,10 @@
 
 
 @asynccontextmanager
-async def serve(handle):
-    server = CallerServer(handle, Limits(), lambda: 0.0)
+async def serve(handle, take_connection=take_all):
+    server = CallerServer(
+        handle, Limits(), lambda: 0.0, take_connection=take_connection
+    )
     await server.start("127.0.0.1", 0)
     host, port = server._server.sockets[0].getsockname()
     reader, writer = await asyncio.open_connection(host, port)
@@ -48,3 +50,18 @@
             assert answers.count(b"HTTP/1.1 400 ") == 1
 
     asyncio.run(scenario())
+
+
+def test_a_connection_that_is_not_taken_is_closed_with_its_request_unread():
+    async def never(incoming, reply):
+        raise AssertionError("it was read")
+
+    async def scenario():
+        async with serve(never, lambda: False) as (reader, writer):
+            writer.write(REQUEST)
+            try:
+                assert await reader.read() == b""
+            except ConnectionResetError:
+                return
+
+    asyncio.run(scenario())
