Ask again whether a request crashes targets before its prompt is read apart

A request that waited for the link or for a connection was sent to be read after its part had been blamed: a sending like any other. Looked for as the same cause on other paths: resumed streams, readings under way and hosts chosen after a reading already asked; second attempts are not begun under suspects. test_prompt_that_waits_for_the_link_is_not_sent_once_its_part_is_blamed failed before.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -19,7 +19,7 @@
 from robinspindle.httpclient import Exchange
 from robinspindle.passages import GivenUp, Hedge, Means, Passage
 from robinspindle.relaylogs import RelayLog
-from robinspindle.sending import is_barred
+from robinspindle.sending import crashes_targets, is_barred
 
 LEAST_FAULT = 500
 """Lower statuses speak of the request, and no other target would say otherwise."""
@@ -144,7 +144,7 @@
     def _may_go_on(self, passage: Passage, end: End) -> bool:
         left_s = passage.given_up_at - self._means.clock()
         route = passage.route
-        if self._means.guard.find_refusal(passage.named) is not None:
+        if crashes_targets(self._means, passage):
             passage.last_reason = guard.REASON
             return False
         if is_barred(self._means, passage):
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -35,6 +35,7 @@
 from robinspindle.sending import (
     Sending,
     borrow_connection,
+    crashes_targets,
     expect,
     is_barred,
     make_send,
@@ -131,7 +132,7 @@
     async def _send(self, passage: Passage, sending: Sending) -> End:
         """Send a request to be run, and pass its answer on."""
         target = sending.target
-        if self._means.guard.find_refusal(passage.named) is not None:
+        if crashes_targets(self._means, passage):
             # It became known while its prompt was read.
             return End.NOT_RUN
         passage.tried.add(target.announced.lifetime)
@@ -170,7 +171,7 @@
         run: Run,
     ) -> End:
         means, target = self._means, sending.target
-        if is_barred(means, passage):
+        if is_barred(means, passage) or crashes_targets(means, passage):
             return End.NOT_RUN
         exchange = Exchange(passage.request.id)
         run.stop = make_stop(exchange)
--- a/src/robinspindle/exceptions.py
+++ b/src/robinspindle/exceptions.py
@@ -105,6 +105,10 @@
     """The entry takes no more requests; this one was not run."""
 
 
+class TurnedAwayError(RobinspindleError):
+    """A request is not sent, as it became known that it crashes targets."""
+
+
 class CallerLeftError(RobinspindleError):
     """The caller of a request has closed its connection; nothing is sent for it."""
 
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -12,7 +12,7 @@
     find_lost_timeout,
 )
 from robinspindle.core.targets import Target
-from robinspindle.exceptions import BadDocumentError
+from robinspindle.exceptions import BadDocumentError, TurnedAwayError
 from robinspindle.httpclient import ConnectionBrokenError, Exchange
 from robinspindle.passages import Means, Passage
 from robinspindle.readings import Readings
@@ -21,6 +21,7 @@
     CONNECT_TIMEOUT_S,
     Sending,
     borrow_connection,
+    crashes_targets,
     expect,
     make_send,
     make_stop,
@@ -72,6 +73,8 @@
             return self._means.dialect.decode_prefill_answer(
                 reader.announced.address, body
             )
+        except TurnedAwayError as error:
+            self._log.log_broken(passage, reader, str(error))
         except ConnectionBrokenError as error:
             note_broken(reader, error, self._means.clock())
             self._log.log_broken(passage, reader, str(error))
@@ -103,6 +106,8 @@
                 passage.named, sending.target, passage.route.name + READING
             ) as run,
         ):
+            if crashes_targets(means, passage):
+                raise TurnedAwayError("it became known before its prompt was sent")
             run.stop = make_stop(exchange)
             with expect(sending.target, self._expect_reading(passage, exchange)):
                 async with asyncio.timeout(passage.given_up_at - means.clock()):
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -136,6 +136,14 @@
     return permits.is_revoked(means.fleet.table, passage.permit)
 
 
+def crashes_targets(means: Means, passage: Passage) -> bool:
+    """Whether it is known or suspected that a request crashes targets.
+
+    It may become known while the request waits for the link or for a connection.
+    """
+    return means.guard.find_refusal(passage.named) is not None
+
+
 def make_stop(exchange: Exchange) -> Callable[[], None]:
     """Make what breaks a sending off that is not to be run any more."""
     return lambda: exchange.fail(ConnectionBrokenError("its request crashes targets"))
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -9,6 +9,12 @@
 import asyncio
 
 from robinspindle.core.crashes import Crash, CrashedRun
+from robinspindle.core.fingerprints import (
+    FINGERPRINT_BYTES,
+    Fingerprint,
+    hash_part_head,
+    make_part_fingerprint,
+)
 from tests.platform.deployment import deploy, run, until
 
 CRASHING = b"a body that crashes"
@@ -134,3 +140,93 @@
             assert count_crashed([*targets, *others]) == 2
 
     run(scenario())
+
+
+def make_prompt(d, number, part="bad"):
+    return d.prompt(parts=f"aa:100,{part}:50,own{number}:10")
+
+
+def blame_part(d, part="bad"):
+    """Have peers report three crashes under different requests that share a part."""
+    guard = d.gateway.guard
+    fingerprint = make_part_fingerprint(hash_part_head("m"), part)
+    for number in range(3):
+        whole = Fingerprint(bytes([number + 1]) * FINGERPRINT_BYTES)
+        run = CrashedRun(0.05, 0.05, frozenset([fingerprint]))
+        guard.take_crash(Crash(f"peer{number}", "lm", guard.clock(), {whole: run}))
+
+
+async def add_engines(d):
+    reader = await d.add("p1", "lm", "prefill")
+    return [
+        reader,
+        await d.add("d1", "lm", "decode"),
+        await d.add("d2", "lm", "decode"),
+    ]
+
+
+def test_prompts_with_a_blamed_part_are_refused_and_others_are_served(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            engines = await add_engines(d)
+            blame_part(d)
+            for number, path in enumerate(("/digest/x", "/chat/x")):
+                reply = await call(d, number, path, b"sound", **make_prompt(d, number))
+                assert reply.status == 503
+                assert float(reply.headers["retry-after"]) > 0
+            assert count_arrivals(engines) == 0
+            sound = make_prompt(d, 3, "good")
+            assert (await call(d, 3, "/digest/x", b"sound", **sound)).status == 200
+
+    run(scenario())
+
+
+def test_stream_that_is_taken_up_is_refused_if_its_prompt_has_a_blamed_part(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            engines = await add_engines(d)
+            blame_part(d)
+            headers = make_prompt(d, 1) | {"Last-Event-Id": "1"}
+            assert (await call(d, 1, "/digest/x", b"", **headers)).status == 503
+            assert count_arrivals(engines) == 0
+
+    run(scenario())
+
+
+def test_prompt_that_waits_for_the_link_is_not_sent_once_its_part_is_blamed(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            engines = await add_engines(d)
+            gate, link = asyncio.Event(), d.gateway.link
+            waiting = []
+
+            async def reserve(size):
+                waiting.append(size)
+                await gate.wait()
+
+            link.reserve = reserve
+            prompt = d.prompt(parts="aa:4000,bad:4000,own:2000", tokens=10000)
+            waits = asyncio.create_task(call(d, 1, "/digest/x", b"", **prompt))
+            await until(lambda: waiting)
+            blame_part(d)
+            gate.set()
+            assert (await waits).status == 503
+            assert count_arrivals(engines) == 0
+
+    run(scenario())
+
+
+def test_prompt_that_is_read_apart_is_broken_off_once_its_part_is_blamed(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            reader, *hosts = await add_engines(d)
+            reader.behaviours.append("held")
+            prompt = d.prompt(parts="aa:4000,bad:4000,own:2000", tokens=10000)
+            waits = asyncio.create_task(call(d, 1, "/digest/x", b"", **prompt))
+            await until(lambda: reader.arrivals)
+            blame_part(d)
+            assert (await waits).status == 503
+            await until(lambda: reader.closed)
+            assert count_arrivals(hosts) == 0
+
+    run(scenario())
