Split the judging of crashes by job, and call what the project had

Causes (core/causes.py), the weighing of crashes (core/crashincidents.py) and the guard's lines (crashlog.py) have modules of their own. One token bucket serves workspaces, limits of targets and new connections (core/tokenbuckets.py); updates of peers are merged in one way; the contents of a request at a crash are listed in one place. Each prompt part is hashed once a request instead of twice at a crash, and no set of heads is made for each success.

Behaviour is unchanged: tests, limits and assertions are as they were; two mutants patch the module to which their function moved. tests/core, tests/fuzz, guard and platform tests of crashes pass.

--- a/fuzz/guardmutants.py
+++ b/fuzz/guardmutants.py
@@ -3,8 +3,8 @@
 from fuzz import guardworld
 from fuzz.mutants import Mutant
 from robinspindle import guard
-from robinspindle.core import crashcauses, crashes
-from robinspindle.core.crashcauses import Cause
+from robinspindle.core import crashcauses, crashes, crashincidents
+from robinspindle.core.causes import Cause
 from robinspindle.core.crashupdates import RequestUpdates
 from robinspindle.core.fingerprints import FingerprintedRequest
 
@@ -32,7 +32,7 @@
     ),
     Mutant(
         "explain no crash",
-        crashcauses,
+        crashincidents,
         "_is_rival",
         lambda r: lambda *_: False,
     ),
@@ -44,7 +44,7 @@
     ),
     Mutant(
         "take an outage for many crashes",
-        crashcauses,
+        crashincidents,
         "SIMULTANEOUS_S",
         lambda r: -1.0,
     ),
--- a/src/robinspindle/core/acceptance.py
+++ b/src/robinspindle/core/acceptance.py
@@ -10,6 +10,8 @@
 import math
 from dataclasses import dataclass
 
+from robinspindle.core.tokenbuckets import count_tokens
+
 MAX_DELAY_S = 0.15
 """Delay of the event loop from which it counts as overloaded, seconds: more than the
 longest time for which a processor quota suspends a process."""
@@ -71,9 +73,9 @@
         Whether it was taken.
     """
     if math.isfinite(acceptance.per_s):
-        refill = (now - acceptance.refilled_at) * acceptance.per_s
-        most = max(1.0, BURST_S * acceptance.per_s)
-        acceptance.tokens = min(most, acceptance.tokens + refill)
+        acceptance.tokens = count_tokens(
+            acceptance.tokens, acceptance.refilled_at, acceptance.per_s, BURST_S, now
+        )
         acceptance.refilled_at = now
         if acceptance.tokens < 1.0:
             acceptance.turned_away += 1
--- a/src/robinspindle/core/crashcauses.py
+++ b/src/robinspindle/core/crashcauses.py
@@ -7,17 +7,26 @@
 """
 
 import math
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
+from robinspindle.core.causes import Cause
 from robinspindle.core.crashes import (
     Crash,
     Evidence,
     count_crashes,
     is_established,
+    list_contents,
     list_crashes,
     list_suspects,
 )
+from robinspindle.core.crashincidents import (
+    CountTargets,
+    Incident,
+    find_holders,
+    list_events,
+    list_incidents,
+)
 from robinspindle.core.fingerprints import Fingerprint
 
 MIN_CRASHES = 3
@@ -33,10 +42,6 @@
 success between them. It runs on most targets, so it is there when they crash for
 reasons of their own."""
 
-SIMULTANEOUS_S = 0.5
-"""Crashes within this time of each other are one event, seconds: when a zone loses
-power, everything that runs on many targets is at all of these crashes."""
-
 MAX_COINCIDENCE_PROBABILITY = 1e-3
 """A suspect is taken as the cause if the probability that an innocent one would have
 been running at the same crashes is at most this."""
@@ -44,59 +49,6 @@
 MAX_SUSPECTED_PROBABILITY = 1e-2
 """The same for a suspect that lacks one crash, which then runs once at a time."""
 
-EXPLAINED_CRASH_PROBABILITY = 0.5
-"""Assumed probability that an innocent suspect is running at a crash that has another
-known cause; less than 1, as two causes may run on the same target."""
-
-MIN_RUN_S = 0.05
-"""Minimum run time that is assumed for a run at a crash, seconds: a request that is
-sent to a crashed target before the crash is known is affected however briefly it
-ran."""
-
-MIN_CRASH_RATE = 1e-3
-"""Minimum crash rate of one target that is assumed, crashes per second: one in a
-quarter of an hour, far more than targets crash in normal operation."""
-
-CRASH_RATE_SPAN_S = 30.0
-"""Time before and after a crash in which the crashes are counted to estimate the crash
-rate, seconds: several times as long as a series of crashes takes to be noticed."""
-
-CountTargets = Callable[[str], int]
-"""Counts the targets of a service."""
-
-
-@dataclass(frozen=True)
-class Cause:
-    """What requests have in common that crash targets.
-
-    Attributes:
-        fingerprint: A whole request, or a part of prompts.
-        companions: Other parts that a request must contain too to be affected.
-    """
-
-    fingerprint: Fingerprint
-    companions: frozenset[Fingerprint] = frozenset()
-
-    @property
-    def members(self) -> frozenset[Fingerprint]:
-        """All fingerprints that an affected request contains."""
-        return self.companions | {self.fingerprint}
-
-
-@dataclass(frozen=True)
-class Incident:
-    """One crash as evidence against one cause.
-
-    Attributes:
-        at: When it was, monotonic seconds.
-        probability: Probability that an innocent suspect was running there, 0 to 1.
-        is_unexplained: Whether no other known cause was running there.
-    """
-
-    at: float
-    probability: float
-    is_unexplained: bool
-
 
 @dataclass(frozen=True)
 class Verdicts:
@@ -227,48 +179,6 @@
     return Cause(first, frozenset(members - {first}))
 
 
-def list_incidents(
-    evidence: Evidence,
-    cause: Cause,
-    known_causes: Iterable[Cause],
-    count_targets: CountTargets,
-) -> list[Incident]:
-    """List the crashes that are evidence against a cause, the oldest first.
-
-    A long run coincides with a crash more often than a short one, and more often where
-    targets crash frequently. The calculation uses the usual run time: the run time
-    until the crash is shorter, and with it innocent requests would look guilty.
-    """
-    others = [one for one in known_causes if _is_rival(evidence, cause, one)]
-    found = []
-    unrelated = _list_unrelated(evidence, [cause, *others])
-    for crash in list_crashes(evidence, cause.fingerprint):
-        holders = crash.holders[cause.fingerprint]
-        explaining = [one for one in others if _find_holders(crash, one)]
-        if any(_contains_all(crash, holders, cause, one) for one in explaining):
-            continue
-        probability = EXPLAINED_CRASH_PROBABILITY
-        if not explaining:
-            rate = _find_rate(unrelated, crash, count_targets)
-            seconds = sum(max(MIN_RUN_S, crash.runs[one].seconds) for one in holders)
-            probability = 1.0 - math.exp(-rate * seconds)
-        found.append(Incident(crash.at, probability, not explaining))
-    return found
-
-
-def list_events(incidents: list[Incident]) -> list[float]:
-    """List the probability of each event; crashes at the same time are one event."""
-    events: list[float] = []
-    began_at = -math.inf
-    for incident in incidents:
-        if incident.at - began_at > SIMULTANEOUS_S:
-            began_at = incident.at
-            events.append(incident.probability)
-        else:
-            events[-1] = min(events[-1], incident.probability)
-    return events
-
-
 def _list_candidates(evidence: Evidence) -> list[Fingerprint]:
     """List the suspects with enough crashes, in the order in which they are judged."""
     least = MIN_CRASHES - 1
@@ -331,7 +241,7 @@
 ) -> set[Fingerprint]:
     """List the suspects that a request at a crash contained."""
     by_suspect = evidence.crashes_by_suspect
-    contained = {holder, *crash.runs[holder].parts}
+    contained = list_contents(crash, holder)
     return {one for one in contained if crash.lifetime in by_suspect.get(one, ())}
 
 
@@ -341,74 +251,17 @@
     return any(fingerprint in evidence.crashes[one].runs for one in lifetimes)
 
 
-def _find_holders(crash: Crash, cause: Cause) -> set[Fingerprint]:
-    """Find the requests at a crash that contained all of a cause."""
-    holders = crash.holders.get(cause.fingerprint, set())
-    if not cause.companions:
-        return holders
-    return {one for one in holders if cause.companions <= crash.runs[one].parts}
-
-
-def _is_rival(evidence: Evidence, cause: Cause, other: Cause) -> bool:
-    """Whether another known cause may explain the crashes of a cause.
-
-    One with companions of which some were cleared since is a guess that was too narrow.
-    """
-    if other.fingerprint == cause.fingerprint and not other.companions:
-        return False
-    if not other.members >= cause.members:
-        return True
-    is_open = other.members <= evidence.crashes_by_suspect.keys()
-    return other != cause and is_open
-
-
 def _list_contained(evidence: Evidence, cause: Cause) -> set[Fingerprint]:
     """List what requests contained that crashed with their targets and with a cause."""
     contained: set[Fingerprint] = set()
     for crash in list_crashes(evidence, cause.fingerprint):
-        for holder in _find_holders(crash, cause):
-            contained |= {holder, *crash.runs[holder].parts}
+        for holder in find_holders(crash, cause):
+            contained |= list_contents(crash, holder)
     return contained
 
 
-def _contains_all(
-    crash: Crash, holders: set[Fingerprint], cause: Cause, other: Cause
-) -> bool:
-    """Whether a cause was running only in requests that contained another cause.
-
-    Its crash then says nothing, unless the other one is a special case of it.
-    """
-    is_special_case = other.members >= cause.members or other.fingerprint in holders
-    return not is_special_case and holders <= _find_holders(crash, other)
-
-
-def _list_unrelated(evidence: Evidence, causes: list[Cause]) -> list[Crash]:
-    """List the crashes at which none of some causes was running."""
-    return [
-        crash
-        for crash in evidence.crashes.values()
-        if not any(_find_holders(crash, cause) for cause in causes)
-    ]
-
-
-def _find_rate(
-    unrelated: list[Crash], crash: Crash, count_targets: CountTargets
-) -> float:
-    """Estimate the crash rate of a target around a crash, per second."""
-    count = sum(
-        other.service == crash.service and abs(other.at - crash.at) <= CRASH_RATE_SPAN_S
-        for other in unrelated
-    )
-    targets = max(1, count_targets(crash.service))
-    return max(MIN_CRASH_RATE, count / (CRASH_RATE_SPAN_S * targets))
-
-
 def _is_tied(evidence: Evidence, cause: Cause) -> bool:
     """Whether something in other requests was running at all of these crashes too."""
     crashes = list_crashes(evidence, cause.fingerprint)
     shared = set.intersection(*(list_suspects(evidence, one) for one in crashes))
-    own = set(cause.members)
-    for crash in crashes:
-        for holder in crash.holders[cause.fingerprint]:
-            own |= {holder, *crash.runs[holder].parts}
-    return not shared <= own
+    return not shared <= _list_contained(evidence, cause)
--- a/src/robinspindle/core/crashes.py
+++ b/src/robinspindle/core/crashes.py
@@ -115,7 +115,7 @@
     for fingerprint, run in crash.runs.items():
         if fingerprint not in known.runs and len(known.runs) < MAX_RUNS:
             known.runs[fingerprint] = run
-            is_new |= _add_run(evidence, known, fingerprint, run)
+            is_new |= _add_run(evidence, known, fingerprint)
     _limit_size(evidence, now)
     evidence.revision += is_new
     return is_new
@@ -195,6 +195,11 @@
     return {one for one in crash.holders if crash.lifetime in by_suspect.get(one, ())}
 
 
+def list_contents(crash: Crash, whole: Fingerprint) -> set[Fingerprint]:
+    """List all fingerprints of a request that was running at a crash, its own too."""
+    return {whole, *crash.runs[whole].parts}
+
+
 def choose_parts(
     evidence: Evidence, parts: Iterable[Fingerprint], now: float
 ) -> frozenset[Fingerprint]:
@@ -208,12 +213,10 @@
     return frozenset(suspects[:MAX_PARTS])
 
 
-def _add_run(
-    evidence: Evidence, crash: Crash, whole: Fingerprint, run: CrashedRun
-) -> bool:
+def _add_run(evidence: Evidence, crash: Crash, whole: Fingerprint) -> bool:
     """Index a run by its suspects; returns whether there are any."""
     added = False
-    for fingerprint in {whole, *run.parts}:
+    for fingerprint in list_contents(crash, whole):
         crash.holders.setdefault(fingerprint, set()).add(whole)
         if evidence.successes.get(fingerprint, -math.inf) >= crash.at:
             continue
--- a/src/robinspindle/core/crashupdates.py
+++ b/src/robinspindle/core/crashupdates.py
@@ -1,6 +1,8 @@
 """Updates that gateways exchange on crashes and on what causes them."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import msgspec
 
@@ -21,6 +23,9 @@
 """Maximum age of a crash in an update, milliseconds: one minute."""
 
 
+Update = TypeVar("Update", "ClearedUpdate", "QuarantineUpdate")
+
+
 class RunUpdate(msgspec.Struct, array_like=True):
     """A run at a crash; see `robinspindle.core.crashes.CrashedRun`.
 
@@ -161,8 +166,8 @@
     """
     return RequestUpdates(
         _merge_crashes(first.crashes + second.crashes),
-        _merge_cleared(first.cleared + second.cleared),
-        _merge_entries(first.quarantine + second.quarantine),
+        _keep_latest(first.cleared + second.cleared, lambda update: update.ago_ms),
+        _keep_latest(first.quarantine + second.quarantine, lambda entry: -entry.at_ms),
     )
 
 
@@ -179,21 +184,15 @@
     return list(found.values())
 
 
-def _merge_cleared(updates: list[ClearedUpdate]) -> list[ClearedUpdate]:
-    found: dict[bytes, ClearedUpdate] = {}
-    for cleared in updates:
-        known = found.get(cleared.fingerprint)
-        if known is None or cleared.ago_ms < known.ago_ms:
-            found[cleared.fingerprint] = cleared
-    return list(found.values())
-
-
-def _merge_entries(updates: list[QuarantineUpdate]) -> list[QuarantineUpdate]:
-    found: dict[bytes, QuarantineUpdate] = {}
-    for entry in updates:
-        known = found.get(entry.fingerprint)
-        if known is None or known.at_ms < entry.at_ms:
-            found[entry.fingerprint] = entry
+def _keep_latest(
+    updates: list[Update], find_age: Callable[[Update], int]
+) -> list[Update]:
+    """Keep the latest update of each fingerprint: the one with the least age."""
+    found: dict[bytes, Update] = {}
+    for update in updates:
+        known = found.get(update.fingerprint)
+        if known is None or find_age(update) < find_age(known):
+            found[update.fingerprint] = update
     return list(found.values())
 
 
--- a/src/robinspindle/core/fingerprints.py
+++ b/src/robinspindle/core/fingerprints.py
@@ -107,12 +107,17 @@
         return None if prompt is None else hash_part_head(prompt.model)
 
     @cached_property
-    def parts(self) -> frozenset[Fingerprint]:
-        """The fingerprints of all parts that its prompt may share with others."""
+    def part_ids(self) -> dict[Fingerprint, str]:
+        """The ids of all parts that its prompt may share, by their fingerprints."""
         if self.part_head is None:
-            return frozenset()
+            return {}
         ids = {part.id for part in self.request.prompt.parts[:-1]}
-        return frozenset(make_part_fingerprint(self.part_head, id) for id in ids)
+        return {make_part_fingerprint(self.part_head, id): id for id in ids}
+
+    @cached_property
+    def parts(self) -> frozenset[Fingerprint]:
+        """The fingerprints of these parts."""
+        return frozenset(self.part_ids)
 
     def has(self, fingerprint: Fingerprint) -> bool:
         """Whether a fingerprint is that of the request or of a part of its prompt."""
--- a/src/robinspindle/core/limits.py
+++ b/src/robinspindle/core/limits.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from robinspindle.core.documents import Configuration, WorkspaceSection
+from robinspindle.core.tokenbuckets import count_tokens, find_capacity
 
 BURST_S = 2.0
 """The bucket holds the requests of this many seconds at the allowed rate."""
@@ -53,9 +54,9 @@
     """
     entries = configuration.fleet.entries
     rate = workspace.requests_per_s / entries
-    burst = max(1.0, rate * BURST_S)
-    usage = limits.usage.setdefault(workspace.name, WorkspaceUsage(burst, now))
-    usage.tokens = min(burst, usage.tokens + (now - usage.updated_at) * rate)
+    full = find_capacity(rate, BURST_S)
+    usage = limits.usage.setdefault(workspace.name, WorkspaceUsage(full, now))
+    usage.tokens = count_tokens(usage.tokens, usage.updated_at, rate, BURST_S, now)
     usage.updated_at = now
     if usage.in_flight >= max(1, workspace.in_flight // entries):
         return 1.0
--- a/src/robinspindle/core/quarantine.py
+++ b/src/robinspindle/core/quarantine.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from robinspindle.core.crashcauses import Cause
+from robinspindle.core.causes import Cause, is_affected
 from robinspindle.core.crashes import MAX_PARTS
 from robinspindle.core.fingerprints import (
     Fingerprint,
@@ -184,7 +184,7 @@
     found = []
     for fingerprint in named.list_known(quarantine.head_hashes, quarantine.entries):
         entry = find_quarantined(quarantine, fingerprint)
-        if entry is not None and all(map(named.has, entry.companions)):
+        if entry is not None and is_affected(named, entry.cause):
             found.append(entry)
     return found
 
--- a/src/robinspindle/core/ratelimits.py
+++ b/src/robinspindle/core/ratelimits.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from robinspindle.core.subsets import choose_subset
+from robinspindle.core.tokenbuckets import count_tokens
 
 BURST_S = 0.5
 """Time for whose requests a share is kept while it isn't used, seconds. Within 4 s a
@@ -155,6 +156,4 @@
 
 
 def _count_tokens(limit: RateLimit, share_per_s: float, now: float) -> float:
-    most = max(1.0, BURST_S * share_per_s)
-    refill = share_per_s * max(0.0, now - limit.refilled_at)
-    return min(most, limit.tokens + refill)
+    return count_tokens(limit.tokens, limit.refilled_at, share_per_s, BURST_S, now)
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -11,24 +11,21 @@
 from dataclasses import dataclass, field, replace
 
 from robinspindle.core import crashes, quarantine
+from robinspindle.core.causes import Cause, is_affected
 from robinspindle.core.crashcauses import (
     MIN_CRASHES,
-    Cause,
     Verdicts,
     is_cleared,
     judge,
 )
 from robinspindle.core.crashes import Crash, CrashedRun, Evidence
 from robinspindle.core.crashupdates import PendingUpdates
-from robinspindle.core.fingerprints import (
-    Fingerprint,
-    FingerprintedRequest,
-    make_part_fingerprint,
-)
-from robinspindle.core.forwarding import Prompt, Refusal
+from robinspindle.core.fingerprints import Fingerprint, FingerprintedRequest
+from robinspindle.core.forwarding import Refusal
 from robinspindle.core.quarantine import Entry, Quarantine, Standing
 from robinspindle.core.retransmission import start_sending
 from robinspindle.core.targets import Directory
+from robinspindle.crashlog import CrashLog
 from robinspindle.crashwatch import CrashWatch, Run
 from robinspindle.logs import Log
 from robinspindle.recentanswers import RecentAnswer, RecentAnswers
@@ -64,10 +61,6 @@
 """Weight of the newest run in the usual run time of its kind: about the last 20
 count."""
 
-MAX_LOGGED_PARTS = 16
-MAX_LOGGED_ID = 40
-"""Maximum number of prompt parts, and characters of each id, in a log line."""
-
 MAX_RUN_KINDS = 8192
 """Kinds of runs whose usual run time is kept: more than a configuration has routes."""
 
@@ -119,8 +112,7 @@
         self._judged_at = -math.inf
         # When each probable cause is quarantined, monotonic seconds.
         self._accused: dict[Cause, float] = {}
-        # For operators: what this gateway saw running at crashes.
-        self._names: dict[Fingerprint, str] = {}
+        self._lines = CrashLog(self.log)
         self._usual_s: dict[str, float] = {}
 
     # Asked before a request is sent.
@@ -136,7 +128,7 @@
             return None
         verdicts = self._read_verdicts()
         for cause in verdicts.causes:
-            if contains(named, cause):
+            if is_affected(named, cause):
                 return make_refusal(HELD_BACK_RETRY_S, cause)
         for suspect in self._list_suspected(named):
             if self._runs_elsewhere(named, suspect):
@@ -188,8 +180,9 @@
         start_sending(self.pending_updates.crashes, announced.lifetime, at)
         self.wake()
         self.pending_updates.own_runs.setdefault(announced.lifetime, {}).update(runs)
-        self._keep_names(named)
-        self._log_crash(run, at)
+        self._lines.keep_names(named)
+        met = crashes.count_crashes(self.evidence, named.fingerprint)
+        self._lines.log_crash(run, at, met)
         self._note_answers_before(announced.lifetime, at)
         self._judge_soon(crash)
 
@@ -211,7 +204,7 @@
         """Apply what a peer or the store says of a request."""
         if not quarantine.merge_entry(self.quarantine, entry):
             return
-        self._log_entry(entry, "told")
+        self._lines.log_entry(entry, "told")
         if entry.standing is Standing.QUARANTINED:
             self._stop_waiting(entry.cause)
         else:
@@ -266,7 +259,7 @@
 
     def _find_judging_at(self, cause: Cause) -> float:
         """Find when this gateway quarantines a probable cause, monotonic seconds."""
-        if cause.fingerprint in self._names:
+        if self._lines.has_seen(cause.fingerprint):
             return self.clock() + COMPANIONS_WAIT_S
         place = self.find_place(cause.fingerprint)
         return self.clock() + PEER_JUDGEMENT_WAIT_S * (1 + place)
@@ -283,7 +276,7 @@
         is_same = is_known and known.cause == cause
         if is_same and not quarantine.adds_crashes(known, lifetimes):
             return
-        name = self._find_name(cause)
+        name = self._lines.find_name(cause)
         entry = quarantine.make_entry(cause, lifetimes, name, self.wall_ms())
         if is_known:
             entry = replace(entry, trials=known.trials)
@@ -346,19 +339,22 @@
     def _clear(self, answer: RecentAnswer) -> None:
         """Clear all that a request contains whose target has lived on."""
         named = answer.run.named
-        heads = self.evidence.head_hashes.keys() | self.quarantine.head_hashes
         cleared = []
         is_short = len(named.request.body) <= MAX_REMEMBERED_BODY_BYTES
-        if is_short or named.head_hash in heads:
+        if is_short or self._is_head_known(named.head_hash):
             cleared.append(named.fingerprint)
         if named.request.prompt is not None:
             is_short = len(named.request.prompt.parts) <= MAX_REMEMBERED_PARTS
-            if is_short or named.part_head in heads:
+            if is_short or self._is_head_known(named.part_head):
                 cleared += named.parts
         self._note_cleared(cleared, answer.at)
         for entry in quarantine.list_matching(self.quarantine, named):
             self._say(quarantine.release(entry, self.wall_ms()), "ran well")
 
+    def _is_head_known(self, head: bytes) -> bool:
+        """Whether anything suspected or quarantined starts with a head hash."""
+        return head in self.evidence.head_hashes or head in self.quarantine.head_hashes
+
     def _clear_survivors(self) -> None:
         """Clear what answers contain whose targets have long lived under them."""
         for run in self.runs.under_way:
@@ -406,7 +402,7 @@
         """Apply an entry of this gateway, and send it to the peers."""
         if not quarantine.merge_own_entry(self.quarantine, entry):
             return
-        self._log_entry(entry, why)
+        self._lines.log_entry(entry, why)
         start_sending(self.pending_updates.entries, entry.fingerprint, self.clock())
         self.wake()
         if entry.standing is Standing.QUARANTINED and why != "trial":
@@ -415,53 +411,9 @@
     def _stop_waiting(self, cause: Cause) -> None:
         """Break off what waits at targets and would crash them next."""
         for run in list(self.runs.under_way):
-            if run.stop is not None and contains(run.named, cause):
+            if run.stop is not None and is_affected(run.named, cause):
                 run.stop()
 
-    def _keep_names(self, named: FingerprintedRequest) -> None:
-        self._names[named.fingerprint] = f"{named.request.host}{named.request.path}"
-        for id in _list_shared_ids(named.request.prompt):
-            model = named.request.prompt.model[:MAX_LOGGED_ID]
-            part = make_part_fingerprint(named.part_head, id)
-            self._names[part] = f"part {id[:MAX_LOGGED_ID]} of prompts for {model}"
-        while len(self._names) > crashes.MAX_SUSPECTS:
-            del self._names[next(iter(self._names))]
-
-    def _find_name(self, cause: Cause) -> str:
-        names = (self._names.get(one, "") for one in sorted(cause.members))
-        return " with ".join(name for name in names if name)
-
-    def _log_crash(self, run: Run, at: float) -> None:
-        named = run.named
-        ids = _list_shared_ids(named.request.prompt)[:MAX_LOGGED_PARTS]
-        self.log(
-            "target crashed under a request",
-            at=round(at, 4),
-            target=run.target.announced.lifetime,
-            request=named.request.id,
-            fingerprint=named.fingerprint.hex(),
-            ran_ms=round((at - run.since) * 1000),
-            wrote_ms=_find_ms_since(run.began_at, at),
-            parts=[id[:MAX_LOGGED_ID] for id in ids],
-            crashes_met=crashes.count_crashes(self.evidence, named.fingerprint),
-        )
-
-    def _log_entry(self, entry: Entry, why: str) -> None:
-        self.log(
-            "request " + entry.standing.value,
-            fingerprint=entry.fingerprint.hex(),
-            companions=sorted(one.hex() for one in entry.companions),
-            why=why,
-            name=entry.name,
-            crashed=list(entry.lifetimes),
-            trials=entry.trials,
-        )
-
-
-def contains(named: FingerprintedRequest, cause: Cause) -> bool:
-    """Whether a request contains all by which a cause crashes targets."""
-    return all(map(named.has, cause.members))
-
 
 def _find_lived_s(run: Run) -> float:
     """Find how long a target is known to have lived since its answer began, seconds."""
@@ -470,16 +422,7 @@
     return run.target.liveness.heard_at - run.began_at
 
 
-def _find_ms_since(since: float | None, at: float) -> int | None:
-    return None if since is None else round((at - since) * 1000)
-
-
 def _list_contained(crash: Crash) -> set[Fingerprint]:
     """List all fingerprints that were running at a crash."""
     parts = (run.parts for run in crash.runs.values())
     return set(crash.runs).union(*parts)
-
-
-def _list_shared_ids(prompt: Prompt | None) -> list[str]:
-    """List the ids of the parts that a prompt may share with others."""
-    return [] if prompt is None else [part.id for part in prompt.parts[:-1]]
--- a/tests/core/test_crashcauses.py
+++ b/tests/core/test_crashcauses.py
@@ -5,7 +5,8 @@
 import pytest
 
 from robinspindle.core import crashes
-from robinspindle.core.crashcauses import ESTABLISHED_EVENTS, Cause, judge
+from robinspindle.core.causes import Cause
+from robinspindle.core.crashcauses import ESTABLISHED_EVENTS, judge
 from robinspindle.core.crashes import Crash, CrashedRun, Evidence
 from robinspindle.core.fingerprints import FINGERPRINT_BYTES, Fingerprint
 
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -8,14 +8,10 @@
 from hypothesis import strategies as st
 
 from robinspindle.core import crashes
-from robinspindle.core.crashcauses import (
-    MAX_COINCIDENCE_PROBABILITY,
-    Cause,
-    judge,
-    list_events,
-    list_incidents,
-)
+from robinspindle.core.causes import Cause
+from robinspindle.core.crashcauses import MAX_COINCIDENCE_PROBABILITY, judge
 from robinspindle.core.crashes import Crash, CrashedRun, Evidence
+from robinspindle.core.crashincidents import list_events, list_incidents
 from robinspindle.core.fingerprints import FINGERPRINT_BYTES, Fingerprint
 
 TARGETS = 6
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -4,7 +4,7 @@
 import pytest
 
 from robinspindle.core import quarantine
-from robinspindle.core.crashcauses import Cause
+from robinspindle.core.causes import Cause
 from robinspindle.core.crashupdates import (
     ClearedUpdate,
     CrashUpdate,
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -7,7 +7,7 @@
 import pytest
 
 from robinspindle.core import quarantine
-from robinspindle.core.crashcauses import Cause
+from robinspindle.core.causes import Cause
 from robinspindle.core.fingerprints import FingerprintedRequest
 from robinspindle.core.forwarding import Request
 from robinspindle.exceptions import NotQuarantinedError
--- a/tests/test_quarantinekeeping.py
+++ b/tests/test_quarantinekeeping.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from robinspindle.core import quarantine
-from robinspindle.core.crashcauses import Cause
+from robinspindle.core.causes import Cause
 from robinspindle.core.fingerprints import FINGERPRINT_BYTES, Fingerprint
 from robinspindle.core.quarantine import Quarantine
 from robinspindle.exceptions import LogUnavailableError
