Share the callers, crashes and seeds of soaks instead of writing them again

soak.parts wrote anew how replicas crash, how callers write requests and how seeds are played; each is one function with soak.crashes now. Its account is the one of crashes with the outcomes it looks at. Six soaks end their tasks by one function. The fuzz of guards names bad parts by their fingerprints instead of by what is not sound.

Behaviour is unchanged; a test of guards that ended without a check of what the blaming gateway has learnt gets one.

--- a/fuzz/guardworld.py
+++ b/fuzz/guardworld.py
@@ -11,7 +11,10 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
-from robinspindle.core.fingerprints import FingerprintedRequest
+from robinspindle.core.fingerprints import (
+    FingerprintedRequest,
+    make_part_fingerprint,
+)
 from robinspindle.core.forwarding import Part, Prompt, Request
 from robinspindle.core.quarantine import Entry, list_quarantined
 from robinspindle.core.targets import Announcement, Directory, note_announced
@@ -212,7 +215,7 @@
     def _send_bad(self) -> None:
         part = f"bad{self._rng.randrange(self.kind.bad_parts)}"
         named = self._make_request(part)
-        self.bad.add(named.fingerprint)
+        self.bad |= {named.fingerprint, make_part_fingerprint(named.part_head, part)}
         self._send(named, part)
 
     def _make_request(self, bad_part: str) -> FingerprintedRequest:
@@ -230,18 +233,7 @@
         request = Request(
             own, "POST", b"/chat/x", "shop", (), own.encode(), 2.0, self.now, prompt
         )
-        named = FingerprintedRequest(request)
-        if bad_part:
-            self.bad |= {one for one in named.parts if one not in self._list_sound()}
-        return named
-
-    def _list_sound(self) -> frozenset[bytes]:
-        """List the fingerprints of all parts that crash nothing."""
-        ids = ["head", *(f"shared{n}" for n in range(SHARED_PARTS)), "last"]
-        parts = tuple(Part(id, 1) for id in ids)
-        prompt = Prompt("m", parts, 1, 1)
-        request = Request("", "GET", b"/", "", (), b"", None, 0.0, prompt)
-        return FingerprintedRequest(request).parts
+        return FingerprintedRequest(request)
 
     def _send(self, named: FingerprintedRequest, bad_part: str) -> bool | None:
         """Send a request; returns whether it was turned away, None for no gateway."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,7 +24,7 @@
 from soak.keyed import KeyAccount
 from soak.oracle import Oracle
 from soak.seeds import add_seed_options, list_seeds
-from soak.world import World, name_newest
+from soak.world import World, cancel_all, name_newest
 
 GATEWAYS = 3
 CALLERS = 4
@@ -90,9 +90,7 @@
         if world.keys is not None:
             await world.keys.await_report()
     finally:
-        for caller in callers:
-            caller.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
+        await cancel_all(callers)
         await world.stop()
     world.oracle.check_promises()
     if world.keys is not None:
--- a/soak/crashaccount.py
+++ b/soak/crashaccount.py
@@ -26,12 +26,14 @@
         default_factory=lambda: defaultdict(Counter)
     )
 
-    def count_late(self, body: bytes, seconds: float) -> int:
-        """Count sendings over so many seconds after the body's third crash."""
+    def count_late(
+        self, body: bytes, seconds: float, known_crashes: int = LEAST_CRASHES
+    ) -> int:
+        """Count sendings over so many seconds after the crash by which all know."""
         times = self.crashes[body]
-        if len(times) < LEAST_CRASHES:
+        if len(times) < known_crashes:
             return 0
-        known_at = times[LEAST_CRASHES - 1] + seconds
+        known_at = times[known_crashes - 1] + seconds
         return sum(at > known_at for at in self.sent[body])
 
 
@@ -47,9 +49,14 @@
     sent: int = 0
     served: int = 0
 
+    @property
+    def value(self) -> float:
+        """The share as a number; 0 if there were none."""
+        return self.served / self.sent if self.sent else 0.0
+
     def __str__(self) -> str:
         """Write the share as a number."""
-        return f"{self.served / self.sent:.2f}" if self.sent else "none"
+        return f"{self.value:.2f}" if self.sent else "none"
 
 
 def count_served(outcomes: dict[str, Counter[int]]) -> Share:
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -25,8 +25,8 @@
 )
 from soak.oracle import Oracle
 from soak.replicas import SoakReplica
-from soak.seeds import add_seed_options, list_seeds
-from soak.world import World
+from soak.seeds import SeedResult, add_seed_options, play_seeds
+from soak.world import World, cancel_all
 
 OTHERS = 10
 """Other callers."""
@@ -117,9 +117,7 @@
         two_thirds = count_served(world.oracle.outcomes)
         await asyncio.sleep(plan.seconds / 3)
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
         await world.stop()
     total = count_served(world.oracle.outcomes)
     world.oracle.check_promises()
@@ -148,7 +146,7 @@
             else call_on(gateway, world.oracle, world.rng, caller)
         )
     if plan.innocent:
-        parts.append(_crash_some(world))
+        parts.append(crash_some(world, AWAY_S / 2))
     else:
         for number, kind in enumerate(plan.kinds):
             body = make_body(number, plan.body_bytes)
@@ -183,13 +181,18 @@
         await asyncio.sleep(world.rng.uniform(0.0, 0.05))
 
 
-async def _crash_some(world: World) -> None:
-    """Have replicas crash one after the other, whatever they run."""
+async def crash_some(world: World, away_s: float) -> None:
+    """Have replicas crash one after the other, whatever they run.
+
+    Args:
+        world: The deployment.
+        away_s: How long each is away, seconds.
+    """
     restarts = []
     while True:
         await asyncio.sleep(OWN_CRASH_S)
         id = world.rng.choice(list(world.replicas))
-        restart = world.restart_replica(id, AWAY_S / 2)
+        restart = world.restart_replica(id, away_s)
         restarts.append(asyncio.create_task(restart))
 
 
@@ -257,12 +260,12 @@
         args.slow_links,
         args.innocent,
     )
-    failed = 0
-    for seed, folder in list_seeds(args):
+
+    def play_one(seed: int, folder: Path) -> SeedResult:
         played = asyncio.run(play(seed, plan, folder))
-        print("\n".join(describe(seed, played)), flush=True)
-        failed += bool(played.oracle.findings)
-    return 1 if failed else 0
+        return SeedResult(describe(seed, played), bool(played.oracle.findings))
+
+    return play_seeds(args, play_one)
 
 
 if __name__ == "__main__":
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -19,15 +19,24 @@
     return (CRASHING + b" %d " % number).ljust(length, b"x")
 
 
-def let_crash(world: World, replica: SoakReplica, account: CrashAccount) -> None:
-    """Have a replica crash under the requests that are made for it."""
+def let_crash(
+    world: World, replica: SoakReplica, account: CrashAccount, away_s: float = AWAY_S
+) -> None:
+    """Have a replica crash under the requests that are made for it.
+
+    Args:
+        world: The deployment.
+        replica: The replica.
+        account: Told what reaches it and what crashes it.
+        away_s: How long it is away then, seconds.
+    """
     loop = asyncio.get_running_loop()
     restarts: set[asyncio.Task] = set()
 
     def crash(body: bytes) -> None:
         if world.replicas.get(replica.lifetime) is replica:
             account.crashes[body].append(loop.time())
-            restart = world.restart_replica(replica.lifetime, AWAY_S)
+            restart = world.restart_replica(replica.lifetime, away_s)
             restarts.add(loop.create_task(restart))
 
     replica.crash = crash
@@ -91,12 +100,26 @@
     return int(head.split()[1])
 
 
-def write_request(id: str, kind: str, body: bytes) -> bytes:
-    """Write a request of a kind with a body of its own."""
+def write_request(
+    id: str,
+    kind: str,
+    body: bytes,
+    parts: str = "head:2000,document:3000,own:1000",
+    most_tokens: int = 100,
+) -> bytes:
+    """Write a request of a kind with a body of its own.
+
+    Args:
+        id: Its id.
+        kind: Its kind.
+        body: Its body.
+        parts: The parts of its prompt, where its kind has one.
+        most_tokens: The most tokens of the answer to that.
+    """
     lines = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
     lines += ["X-Deadline-Ms: 2000", "Connection: close"]
     if kind in ("chat", "digest"):
-        lines += ["X-Model: m", "X-Token-Count: 6000,100"]
-        lines.append("X-Prompt-Prefix: head:2000,document:3000,own:1000")
+        lines += ["X-Model: m", f"X-Token-Count: 6000,{most_tokens}"]
+        lines.append(f"X-Prompt-Prefix: {parts}")
     lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join([*lines, "", ""]).encode() + body
--- a/soak/crowd.py
+++ b/soak/crowd.py
@@ -20,8 +20,8 @@
 from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
 from soak.partsaccount import CONTACT_S
-from soak.seeds import add_seed_options, list_seeds
-from soak.world import World
+from soak.seeds import SeedResult, add_seed_options, play_seeds
+from soak.world import World, cancel_all
 
 CALM_S = 4.0
 """How long connections are spread over all gateways, seconds."""
@@ -147,9 +147,7 @@
         tasks[1].cancel()
         await asyncio.sleep(PATIENCE_S)
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
         await world.stop()
     return Played(account, crowd_at, ended_at)
 
@@ -267,10 +265,12 @@
         args.link,
         args.connections,
     )
-    for seed, folder in list_seeds(args):
+
+    def play_one(seed: int, folder: Path) -> SeedResult:
         played = asyncio.run(play(seed, plan, folder))
-        print(describe(seed, played), flush=True)
-    return 0
+        return SeedResult([describe(seed, played)], has_failed=False)
+
+    return play_seeds(args, play_one)
 
 
 if __name__ == "__main__":
--- a/soak/parts.py
+++ b/soak/parts.py
@@ -10,17 +10,18 @@
 import asyncio
 import random
 import sys
+from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
 from soak.callers import call_on
-from soak.crashes import FAULTS, READY_S, do_harm, wait_until_served
-from soak.crashing import call
+from soak.crashes import FAULTS, READY_S, crash_some, do_harm, wait_until_served
+from soak.crashing import call, let_crash, write_request
 from soak.oracle import Oracle
 from soak.partsaccount import CONTACT_S, PROMPTED, PartsAccount
 from soak.replicas import SoakReplica
-from soak.seeds import add_seed_options, list_seeds
-from soak.world import HOST, World
+from soak.seeds import SeedResult, add_seed_options, play_seeds
+from soak.world import World, cancel_all
 from standins.rawhttp import RawRequest
 
 OTHERS = 10
@@ -33,9 +34,6 @@
 AWAY_S = 2.0
 """How long an engine writes before it ends, and is away then, seconds."""
 
-OWN_CRASH_S = 0.7
-"""How often some replica crashes for a reason of its own, seconds."""
-
 LOOK_S = 0.1
 """How often the outcomes of sound requests are kept, seconds."""
 
@@ -90,11 +88,7 @@
         since = max((at for at in known if at), default=self.began_at) + 2 * CONTACT_S
         before = account.find_share(kinds, self.began_at - CALM_S, self.began_at)
         after = account.find_share(kinds, since, self.ended_at)
-        return _divide(before), _divide(after)
-
-
-def _divide(share) -> float:
-    return share.served / share.sent if share.sent else 0.0
+        return before.value, after.value
 
 
 async def play(seed: int, plan: Plan, folder: Path) -> Played:
@@ -116,9 +110,7 @@
         await asyncio.sleep(plan.seconds)
         account.look(loop.time(), world.oracle.outcomes)
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
         await world.stop()
     world.oracle.check_promises()
     return Played(began_at, loop.time(), account, world.oracle)
@@ -127,20 +119,10 @@
 def _prepare(
     world: World, replica: SoakReplica, account: PartsAccount, plan: Plan
 ) -> None:
-    loop = asyncio.get_running_loop()
-    restarts: set[asyncio.Task] = set()
-
-    def crash(part: bytes) -> None:
-        if world.replicas.get(replica.lifetime) is replica:
-            account.crashes[part].append(loop.time())
-            restart = world.restart_replica(replica.lifetime, AWAY_S)
-            restarts.add(loop.create_task(restart))
-
+    let_crash(world, replica, account, AWAY_S)
     replica.find_cause = lambda request: _find_part(request, plan.parts)
-    replica.crash = crash
     replica.writes_s = WRITES_S
     replica.event_s = plan.event_s
-    replica.on_sent = lambda part: account.sent[part].append(loop.time())
 
 
 def _find_part(request: RawRequest, parts: tuple[str, ...]) -> bytes | None:
@@ -166,7 +148,7 @@
     if plan.parts:
         found.append(_send_crashing(world, account, plan))
     if plan.own_crashes:
-        found.append(_crash_some(world))
+        found.append(crash_some(world, AWAY_S / 2))
     return found
 
 
@@ -176,48 +158,33 @@
         await asyncio.sleep(LOOK_S)
 
 
-async def _crash_some(world: World) -> None:
-    """Have replicas crash one after the other, whatever they run."""
-    restarts = []
-    while True:
-        await asyncio.sleep(OWN_CRASH_S)
-        id = world.rng.choice(sorted(world.replicas))
-        restart = world.restart_replica(id, AWAY_S / 2)
-        restarts.append(asyncio.create_task(restart))
-
-
 async def _send_crashing(world: World, account: PartsAccount, plan: Plan) -> None:
     """Send requests with a crashing part, whether or not earlier ones have ended."""
     calls = set()
     number = 0
     while True:
         number += 1
-        data = _write_crashing(number, plan, world.rng)
+        part = plan.parts[number % len(plan.parts)]
+        data = _write_crashing(number, part, plan, world.rng)
         gateway = world.rng.choice(world.gateways)
-        one = asyncio.create_task(_call_once(world.find_port(gateway), data, account))
+        port = world.find_port(gateway)
+        one = asyncio.create_task(_call_once(port, part, data, account))
         calls.add(one)
         one.add_done_callback(calls.discard)
         await asyncio.sleep(1 / plan.per_s)
 
 
-async def _call_once(port: int, data: bytes, account: PartsAccount) -> None:
-    account.statuses[await call(port, data)] += 1
+async def _call_once(port: int, part: str, data: bytes, account: PartsAccount) -> None:
+    account.statuses[part.encode()][await call(port, data)] += 1
 
 
-def _write_crashing(number: int, plan: Plan, rng: random.Random) -> bytes:
+def _write_crashing(number: int, part: str, plan: Plan, rng: random.Random) -> bytes:
     """Write a request with a crashing part; all else of it is its own or shared."""
     id, kind = f"bad-{number}", ("digest", "chat")[number % 2]
-    part = plan.parts[number % len(plan.parts)]
     first = f"{part}:2000" if plan.is_first else f"head:2000,{part}:1500"
-    document = rng.randint(1, 20)
-    out = 5000 if kind == "chat" else 100
-    body = f"request {id}".encode()
-    lines = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {id}"]
-    lines += ["X-Deadline-Ms: 2000", "Connection: close", "X-Model: m"]
-    lines.append(f"X-Token-Count: 6000,{out}")
-    lines.append(f"X-Prompt-Prefix: {first},d{document}:1500,{id}:1000")
-    lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    parts = f"{first},d{rng.randint(1, 20)}:1500,{id}:1000"
+    most_tokens = 5000 if kind == "chat" else 100
+    return write_request(id, kind, f"request {id}".encode(), parts, most_tokens)
 
 
 def describe(seed: int, played: Played) -> list[str]:
@@ -225,15 +192,16 @@
     account = played.account
     before, after = played.find_shares()
     plain = played.find_shares(("safe", "once"))
+    statuses = sum(account.statuses.values(), Counter())
     lines = [
         f"seed {seed}: sound prompts served {before:.2f} before, {after:.2f} after; "
         f"plain ones {plain[0]:.2f}, {plain[1]:.2f}; answers to those that crash "
-        f"{dict(account.statuses)}"
+        f"{dict(statuses)}"
     ]
     for part, times in sorted(account.crashes.items()):
         lines.append(
             f"  {part.decode()}: engines crashed {len(times)}, "
-            f"sent late {account.count_late(part)}"
+            f"sent late {account.count_too_late(part)}"
         )
     return lines + [f"  {finding}" for finding in played.oracle.findings]
 
@@ -263,12 +231,12 @@
         args.own_crashes,
         tuple(args.faults),
     )
-    failed = 0
-    for seed, folder in list_seeds(args):
+
+    def play_one(seed: int, folder: Path) -> SeedResult:
         played = asyncio.run(play(seed, plan, folder))
-        print("\n".join(describe(seed, played)), flush=True)
-        failed += bool(played.oracle.findings)
-    return 1 if failed else 0
+        return SeedResult(describe(seed, played), bool(played.oracle.findings))
+
+    return play_seeds(args, play_one)
 
 
 if __name__ == "__main__":
--- a/soak/partsaccount.py
+++ b/soak/partsaccount.py
@@ -1,10 +1,10 @@
 """What became of prompts with a part that crashes targets, and of those beside them."""
 
 import copy
-from collections import Counter, defaultdict
+from collections import Counter
 from dataclasses import dataclass, field
 
-from soak.crashaccount import Share
+from soak.crashaccount import CrashAccount, Share, count_served, subtract
 
 KNOWN_CRASHES = 5
 """Crashes after which gateways have to know a part."""
@@ -19,19 +19,13 @@
 
 
 @dataclass
-class PartsAccount:
-    """Counts of one run.
+class PartsAccount(CrashAccount):
+    """Counts of one run, by the part that crashes targets.
 
     Attributes:
-        crashes: When each part ended a target, event loop's seconds.
-        sent: When a request with each part reached a target to be run or read.
-        statuses: What the callers of such requests got; 0 for a broken answer.
         looks: The outcomes of sound requests by the time at which they were looked at.
     """
 
-    crashes: dict[bytes, list[float]] = field(default_factory=lambda: defaultdict(list))
-    sent: dict[bytes, list[float]] = field(default_factory=lambda: defaultdict(list))
-    statuses: Counter[int] = field(default_factory=Counter)
     looks: list[tuple[float, Outcomes]] = field(default_factory=list)
 
     def look(self, now: float, outcomes: Outcomes) -> None:
@@ -43,23 +37,18 @@
         times = self.crashes[part][:KNOWN_CRASHES]
         return times[-1] if times else None
 
-    def count_late(self, part: bytes) -> int:
+    def count_too_late(self, part: bytes) -> int:
         """Count requests with a part that reached targets though all had to know it."""
-        times = self.crashes[part]
-        if len(times) < KNOWN_CRASHES:
-            return 0
-        known_at = times[KNOWN_CRASHES - 1] + CONTACT_S
-        return sum(at > known_at for at in self.sent[part])
+        return self.count_late(part, CONTACT_S, KNOWN_CRASHES)
 
     def find_share(self, kinds: tuple[str, ...], since: float, until: float) -> Share:
         """Find how many sound requests of some kinds were served in a span of time."""
         inside = [outcomes for at, outcomes in self.looks if since <= at <= until]
         if len(inside) < 2:
             return Share()
-        ends = [_count(outcomes, kinds) for outcomes in (inside[0], inside[-1])]
-        return Share(ends[1].sent - ends[0].sent, ends[1].served - ends[0].served)
+        first, last = (_choose(outcomes, kinds) for outcomes in (inside[0], inside[-1]))
+        return subtract(count_served(last), count_served(first))
 
 
-def _count(outcomes: Outcomes, kinds: tuple[str, ...]) -> Share:
-    total = sum((outcomes.get(kind, Counter()) for kind in kinds), Counter())
-    return Share(total.total(), total[200])
+def _choose(outcomes: Outcomes, kinds: tuple[str, ...]) -> Outcomes:
+    return {kind: found for kind, found in outcomes.items() if kind in kinds}
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -14,7 +14,7 @@
 from soak.oracle import Oracle
 from soak.replicas import SoakReplica
 from soak.seeds import add_seed_options, list_seeds
-from soak.world import World
+from soak.world import World, cancel_all
 
 GATEWAYS = 2
 CALLERS = 8
@@ -70,9 +70,7 @@
             if task.done():
                 task.result()
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
         await world.stop()
     return world.oracle, account
 
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -20,7 +20,7 @@
 from soak.resuming import call_streams
 from soak.seeds import add_seed_options, list_seeds
 from soak.versionaccount import Try, VersionAccount
-from soak.world import World
+from soak.world import World, cancel_all
 from standins.replica import USUAL_VERSION
 
 GATEWAYS = 3
@@ -97,9 +97,7 @@
             if task.done():
                 task.result()
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
         await world.stop()
     return account
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -173,6 +173,13 @@
         await gateway.start()
 
 
+async def cancel_all(tasks: list[asyncio.Task]) -> None:
+    """Cancel tasks and wait for their ends, whatever these are."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def name_newest(version: int) -> str:
     """Name the route that only one version of the configuration has."""
     return f"version-{version}"
--- a/tests/soak/test_parts.py
+++ b/tests/soak/test_parts.py
@@ -19,7 +19,7 @@
 ):
     played = asyncio.run(play(seed, Plan(is_first=is_first), tmp_path))
     assert played.oracle.findings == []
-    assert played.account.count_late(b"bad0") <= MOST_LATE
+    assert played.account.count_too_late(b"bad0") <= MOST_LATE
     before, after = played.find_shares()
     assert after >= LEAST_KEPT * before
 
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -484,9 +484,11 @@
         await crash_under_part(blaming, "head", 0, 1)
         news = list_news(blaming.guard, blaming.now)
         take_news(knowing.guard, news, blaming.now)
-        told = list_news(knowing.guard, knowing.now).cleared
-        assert find_part("head") in {one.fingerprint for one in told}
-        take_news(blaming.guard, list_news(knowing.guard, knowing.now), blaming.now)
+        answer_news = list_news(knowing.guard, knowing.now)
+        told = {one.fingerprint for one in answer_news.cleared}
+        assert find_part("head") in told
+        take_news(blaming.guard, answer_news, blaming.now)
+        assert find_part("head") in blaming.guard.evidence.successes
 
     asyncio.run(play())
 
--- a/tests/test_guardscale.py
+++ b/tests/test_guardscale.py
@@ -54,6 +54,12 @@
                 gateway.guard.settle(self.now)
             self.now += TELL_S
 
+    def count_bytes(self, times):
+        """Count the bytes that are sent in some steps."""
+        before = self.bytes
+        self.step(times)
+        return self.bytes - before
+
     def crash(self, number, lifetime):
         """Have a target crash under the request at one gateway."""
         announced = Announcement(lifetime, "lm", "127.0.0.1:9", "z1", 8)
@@ -82,14 +88,10 @@
     """
     network = GuardedNetwork()
     network.step(times=5)
-    network.bytes = 0
-    network.step(times=15)
-    quiet = network.bytes
-    network.bytes = 0
+    quiet = network.count_bytes(times=15)
     for number in (3, 77, 200):
         network.crash(number, f"i{number}")
-    network.step(times=15)
-    assert (network.bytes - quiet) / GATEWAYS < 3_000
+    assert (network.count_bytes(times=15) - quiet) / GATEWAYS < 3_000
 
 
 def test_few_of_300_write_to_the_store_and_one_when_those_have_died():
@@ -155,10 +157,6 @@
 def test_a_part_costs_each_gateway_few_bytes():
     network = GuardedNetwork()
     network.step(times=5)
-    network.bytes = 0
-    network.step(times=15)
-    quiet = network.bytes
-    network.bytes = 0
+    quiet = network.count_bytes(times=15)
     crash_under_different_requests(network)
-    network.step(times=15)
-    assert (network.bytes - quiet) / GATEWAYS < 5_000
+    assert (network.count_bytes(times=15) - quiet) / GATEWAYS < 5_000
