Do no work for crashes and shares where a request needs none of it

Read again in the change: each request's head was hashed though nothing was quarantined; the requests of all other gateways at each target were added up for each choice, though the equal share of its connections sufficed; and the gateways that are heard were listed twice a tick. The hash waits until something is known, the sum until the equal share is used up, the list is made once. What is decided is the same; tests of the fleet, the guard, shares, limits and gateways pass.

--- a/src/robinspindle/core/fingerprints.py
+++ b/src/robinspindle/core/fingerprints.py
@@ -12,7 +12,7 @@
 """
 
 import hashlib
-from collections.abc import Container
+from collections.abc import Collection, Container
 from functools import cached_property
 from typing import NewType
 
@@ -127,16 +127,19 @@
         return head == self.head_hash and fingerprint == self.fingerprint
 
     def list_known(
-        self, heads: Container[bytes], known: Container[Fingerprint]
+        self, heads: Collection[bytes], known: Container[Fingerprint]
     ) -> list[Fingerprint]:
         """List which of its fingerprints are known.
 
-        Nothing is hashed but heads unless a known fingerprint starts with one of them.
+        Nothing is hashed if nothing is known, and nothing but heads unless a known
+        fingerprint starts with one of them.
 
         Args:
             heads: The head hashes of all known fingerprints.
             known: The known fingerprints.
         """
+        if not heads:
+            return []
         found = []
         if self.head_hash in heads and self.fingerprint in known:
             found.append(self.fingerprint)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -80,20 +80,21 @@
         # what engines hold and do.
         found = [t for t in found if t.announced.role] or found
         total = self._count_connections(service)
+        equal = find_share(total, self.gateways, None)
         # Each request under way holds a connection, and a target resets any more.
         return [
             target
             for target in found
-            if target.in_flight < self._find_share(target, total)
+            if (target.in_flight < equal or self._has_unused(target, total))
             and self.limits.find_wait(target, now) <= 0
         ]
 
-    def _find_share(self, target: Target, total: int) -> int:
-        """Find how many of a target's connections this gateway may use."""
-        others = None
-        if self.hears_all_gateways and target.announced.role:
-            others = self.find_engine(target).others_in_flight
-        return find_share(total, self.gateways, others)
+    def _has_unused(self, target: Target, total: int) -> bool:
+        """Whether other gateways leave connections of a target that one may use."""
+        if not self.hears_all_gateways or not target.announced.role:
+            return False
+        others = self.find_engine(target).others_in_flight
+        return target.in_flight < find_share(total, self.gateways, others)
 
     def find_next_turn_s(self, service: str, now: float) -> float:
         """Find when a target of a service may get a request by its limit, seconds."""
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -454,8 +454,9 @@
             now = self._clock()
             self._connections.note_tick(now, now - due_at)
             self.fleet.gateways = len(self.peers.members) + 1
-            self.fleet.hears_all_gateways = self._hears_all_gateways()
-            self.fleet.limits.sharing = self._choose_sharing()
+            heard = list_heard(self.peers)
+            self.fleet.hears_all_gateways = self._hears_all_gateways(heard)
+            self.fleet.limits.sharing = self._choose_sharing(heard)
             self._store_news.look_after_relaying()
             if must_renew(self.freshness, now):
                 self._store_news.look_after_configuration()
@@ -473,17 +474,15 @@
             self._reader.read_if_due(now)
             self._stop.go_on(now)
 
-    def _hears_all_gateways(self) -> bool:
-        is_known = self._introduction.is_read
-        return is_known and self.peers.members.keys() <= set(list_heard(self.peers))
+    def _hears_all_gateways(self, heard: list[str]) -> bool:
+        return self._introduction.is_read and self.peers.members.keys() <= set(heard)
 
-    def _choose_sharing(self) -> Sharing:
+    def _choose_sharing(self, heard: list[str]) -> Sharing:
         """Choose who shares the limits that targets name."""
         if not self._introduction.is_read:
             return Sharing()
-        return choose_sharing(
-            self.settings.name, list_heard(self.peers), list(self.peers.members)
-        )
+        members = list(self.peers.members)
+        return choose_sharing(self.settings.name, heard, members)
 
     def _note_silent(self, target: Target, now: float) -> None:
         heard_at = target.liveness.heard_at
