Reproduce streams that are lost with all gateways, failing

All gateways are killed and a new one starts: a caller that takes its stream up is refused (503, unknown-stream), with two versions of engines and with one.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -229,6 +229,24 @@
 @asynccontextmanager
 async def join(tmp_path, d, name="gateway-2"):
     """Run one more gateway with the store and the replicas of a deployment."""
+    async with _start_gateway(tmp_path, d, name) as joined:
+        known = [d.gateway.peers, joined.gateway.peers]
+        await until(lambda: all(list_heard(peers) for peers in known))
+        await until(lambda: joined.gateway.is_ready)
+        yield joined
+
+
+@asynccontextmanager
+async def restart_all(tmp_path, d, name="gateway-1"):
+    """End the only gateway of a deployment, and run another with no memory of it."""
+    await d.gateway.close()
+    async with _start_gateway(tmp_path, d, name) as restarted:
+        await until(lambda: restarted.gateway.is_ready)
+        yield restarted
+
+
+@asynccontextmanager
+async def _start_gateway(tmp_path, d, name):
     ports = [*_find_ports(2), _find_inner_ports()]
     settings = _make_settings(name, d.store, ports)
     with open(tmp_path / name, "wb") as out:
@@ -236,9 +254,6 @@
         gateway = Gateway(settings, PlatformAdapter(), output, lambda: settings)
         await gateway.start()
         try:
-            known = [d.gateway.peers, gateway.peers]
-            await until(lambda: all(list_heard(peers) for peers in known))
-            await until(lambda: gateway.is_ready)
             yield Deployment(d.store, gateway, *ports, d.replicas)
         finally:
             await gateway.close()
