Keep in the store which versions may have begun streams, and who began them

What callers saw: streams that they took up again were refused (503, unknown-stream) although targets of their version served, and new streams began. Cause: who began a stream was known to gateways alone. Where all that knew were killed, nobody could say; with one version too, as a gateway that has started had not listed it for two time limits yet. The class: a fact that must outlast every process is kept in processes only. Ruled out: lost datagrams and slow answers (all refusals came with every peer heard and answering 'unknown').

- A version begins streams that may be taken up only once the store holds its record (core/versionrecords.py, versionkeeping.py; in the topic that gateways read anyway).
Whoever reads the records after a take-up has come knows every version that may have begun the stream.
Where it is one, the stream goes on there, with one read that confirms it.
A record is retired when its version is not listed any more, and dropped, on the condition that nothing was written meanwhile, when no stream of it can be taken up.
- While several versions may have begun streams, gateways write the origins that they note to a topic of the store in batches (originlog.py), those under way when the second version comes included.
It is read only for streams that no gateway knows.
- Nothing is guessed: without the store's answer a stream of unknown origin is refused, as before.
A take-up that names two last events is refused now also where one version serves: either could be used, and events be missing or come twice.

Tests changed: an unknown stream at a sole version was refused until the gateway was old enough; now it is refused while the store can't confirm, goes on once it does, and is refused beside every other version that is listed, was listed lately, or has a record that a held poll did not bring. Tests of take-ups that name no known stream got a second version, without which they go on. test_versionhistory asks for what is left of that module.

--- a/src/robinspindle/adapters.py
+++ b/src/robinspindle/adapters.py
@@ -20,6 +20,7 @@
     targets_topic: str
     gateways_topic: str
     orders_topic: str
+    origins_topic: str
     reports_topic: str
     dialect: Dialect
     orders: OrderDialect
--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from robinspindle.adapters import Adapter
-from robinspindle.core import silence, targets
+from robinspindle.core import quarantine, silence, targets, versionrecords
 from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.freshness import (
     Freshness,
@@ -16,7 +16,6 @@
     find_wait_s,
     note_store_read,
 )
-from robinspindle.core.quarantine import is_key
 from robinspindle.core.relays import decode_member
 from robinspindle.core.routes import is_newer
 from robinspindle.core.targets import Target
@@ -31,6 +30,7 @@
 from robinspindle.ordering import CLAIM_KEY, Orderer
 from robinspindle.peers import Peers, forget_member, list_heard, note_member
 from robinspindle.quarantinekeeping import QuarantineKeeper
+from robinspindle.versionkeeping import VersionKeeper
 
 LONG_WAIT_S = 25.0
 """How long the store holds a poll that may wait in vain for a while, seconds: peers
@@ -54,6 +54,7 @@
         introduction: Told whether the store holds this gateway's.
         guard: Told of lives that are over.
         keeper: Takes in the quarantine, which lies beside the gateways.
+        versions: Takes in the versions' records, which lie there too.
         limits: What callers may send; changed in place.
         is_own: Tells whether a gateway's name is this one's.
         freshness: Told of the age of the configuration.
@@ -69,6 +70,7 @@
     introduction: Introduction
     guard: Guard
     keeper: QuarantineKeeper
+    versions: VersionKeeper
     limits: Limits
     is_own: Callable[[str], bool]
     freshness: Freshness
@@ -109,15 +111,17 @@
         )
 
     def _follow_peers(self) -> Follower:
-        return Follower(
+        follower = Follower(
             topic=self.adapter.gateways_topic,
-            apply=self._apply_peer_or_quarantine,
+            apply=self._apply_peer_or_record,
             note_away=lambda: None,
             note_back=lambda: None,
             rest_s=lambda: PEERS_REST_S,
             wait_s=lambda: LONG_WAIT_S,
             note_newest=self._note_peers_newest,
         )
+        self.versions.follower = follower
+        return follower
 
     def _follow_orders(self) -> Follower:
         return Follower(
@@ -158,10 +162,14 @@
         self.keeper.note_newest()
         self.introduction.is_read = True
 
-    def _apply_peer_or_quarantine(self, key: str, value: bytes | None) -> None:
-        """Take in a record of the topic that both share: each topic costs calls."""
-        apply = self.keeper.apply if is_key(key) else self._apply_peer
-        apply(key, value)
+    def _apply_peer_or_record(self, key: str, value: bytes | None) -> None:
+        """Take in a record of the topic that all share: each topic costs calls."""
+        if quarantine.is_key(key):
+            self.keeper.apply(key, value)
+        elif versionrecords.is_key(key):
+            self.versions.apply(key, value)
+        else:
+            self._apply_peer(key, value)
 
     def _apply_peer(self, key: str, value: bytes | None) -> None:
         if self.is_own(key):
@@ -202,6 +210,7 @@
             return
         self.fleet.table = table
         self.fleet.table_at = self.clock()
+        self.versions.note_announced()
         self.freshness.version = table.version
         self.freshness.has_keys = table.keys is not None
         limits = table.limits
@@ -234,6 +243,8 @@
             return
         self.entries.forget(key)
         note_listed(self.fleet.versions, announced, now)
+        if not self.versions.may_begin(announced):
+            self.versions.note_announced()
         for target in taken.ended:
             self._end_life(target, announced.lifetime)
         if taken.has_changed:
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -24,7 +24,7 @@
 from robinspindle.core.routes import Route
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sizefairness import SizeFairness
-from robinspindle.core.targets import Target
+from robinspindle.core.targets import Directory, Target
 from robinspindle.passages import Means, Passage
 
 MOST_READS = 2
@@ -154,9 +154,11 @@
     ) -> list[Target]:
         """List usable targets; for a bound stream with the prefill engines of all."""
         list_usable = self._means.fleet.list_usable
+        directory = self._means.fleet.directory
         if streamversions.is_unbound(passage.stream):
+            if passage.route.resumable:
+                tried = tried | self._list_unrecorded(directory)
             return list_usable(passage.service, now, tried)
-        directory = self._means.fleet.directory
         barred = streamversions.list_barred(directory, passage.stream)
         fitting = list_usable(passage.service, now, tried | barred)
         if not fitting:
@@ -164,6 +166,15 @@
         generating = streamversions.list_generating(directory)
         return fitting + list_usable(passage.service, now, tried | generating)
 
+    def _list_unrecorded(self, directory: Directory) -> set[str]:
+        """List the lifetimes at which no stream may begin that may be taken up."""
+        return {
+            lifetime
+            for lifetime, target in directory.targets.items()
+            if target.announced.role != streamversions.PREFILL
+            and not self._means.versions.may_begin(target.announced)
+        }
+
     def read_rate(self, service: str) -> float:
         """Seconds of a reader's work that this gateway is asked for in a second."""
         demand = self.demands.get(service)
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -67,9 +67,11 @@
     Attributes:
         attempt_id: Id of its attempt that brought the first event; empty if that is
             missing, malformed or ambiguous.
+        is_event_clear: Whether it names one last event, or none.
     """
 
     attempt_id: str = ""
+    is_event_clear: bool = True
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -39,6 +39,7 @@
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.ordering import Orderer
 from robinspindle.originlink import OriginLink
+from robinspindle.originlog import OriginLog
 from robinspindle.passages import Means
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peerlink import News, PeerLink
@@ -51,6 +52,7 @@
 from robinspindle.storenews import StoreNews
 from robinspindle.streammemory import StreamMemory
 from robinspindle.usagebook import UsageBook
+from robinspindle.versionkeeping import VersionKeeper
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -78,6 +80,7 @@
         guard: Knows which requests crash targets.
         link: The VM's own link.
         streams: Remembers who began which stream.
+        versions: Knows which software versions may have begun streams.
         relay: Forwards requests.
         orderer: Gives orders to engines.
     """
@@ -112,9 +115,22 @@
         self.link = LinkQueue(self._clock)
         streams_log = make_log("streams")
         self._origin_link = OriginLink(self.peers, streams_log, self.link.note_sent)
+        kept = OriginLog(
+            self._store, adapter.origins_topic, self._count_gateways, streams_log
+        )
+        self._kept_origins = kept
         self.streams = StreamMemory(
-            self.peers, self._origin_link, self._clock, streams_log
+            self.peers, self._origin_link, kept, self._clock, streams_log
         )
+        self.versions = VersionKeeper(
+            self._store,
+            adapter.gateways_topic,
+            self.fleet,
+            self._count_gateways,
+            self._clock,
+            streams_log,
+        )
+        self.versions.note_several = self.streams.keep_running
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -204,6 +220,7 @@
                 book=self.book,
                 link=self.link,
                 streams=self.streams,
+                versions=self.versions,
                 policy=lambda: self.settings.policy,
                 zone=self.settings.zone,
                 clock=self._clock,
@@ -252,6 +269,7 @@
             introduction=self._introduction,
             guard=self.guard,
             keeper=self._keeper,
+            versions=self.versions,
             limits=limits,
             is_own=lambda name: name == self.settings.name,
             freshness=self.freshness,
@@ -263,6 +281,10 @@
         """Find this gateway's place among those that are heard, for a request."""
         return find_place(fingerprint, self.settings.name, list_heard(self.peers))
 
+    def _count_gateways(self) -> int:
+        """Count the gateways that are heard, this one included."""
+        return len(list_heard(self.peers)) + 1
+
     def peers_topic_known(self) -> bool:
         """Whether what the store now holds about gateways has been read."""
         return self._introduction.is_read
@@ -274,6 +296,8 @@
         self.duties.note_era(era)
         targets.note_store_restored(self.directory, self._clock())
         self._introduction.note_era()
+        self._kept_origins.note_era()
+        self.versions.note_announced()
         for follower in self._followers:
             note_new_era(follower)
 
@@ -347,6 +371,8 @@
             ),
             loop.create_task(self._keep_house()),
             loop.create_task(self._keeper.run()),
+            loop.create_task(self.versions.run()),
+            loop.create_task(self._kept_origins.run()),
             loop.create_task(self.guard.runs.recheck()),
             loop.create_task(self.duties.run()),
         ]
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -18,6 +18,8 @@
 from robinspindle.core.routes import STREAM, Route
 from robinspindle.core.streamorigins import StreamKey, StreamOrigin
 from robinspindle.core.streamversions import StreamBinding
+from robinspindle.core.targets import Announcement
+from robinspindle.core.versionrecords import ServiceVersion
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
@@ -84,12 +86,38 @@
 class Streams(Protocol):
     """What the gateways remember of who began which stream."""
 
-    def note_begun(self, key: StreamKey, origin: StreamOrigin) -> None:
+    def note_begun(
+        self, key: StreamKey, origin: StreamOrigin, is_kept: bool = False
+    ) -> None:
         """Remember who began a stream, and again when it goes on."""
 
+    def note_whole(self, key: StreamKey) -> None:
+        """Take note that a stream is whole."""
+
     async def find(self, key: StreamKey) -> StreamOrigin | None:
         """Find who began a stream; None if no gateway that answers in time knows."""
 
+    async def find_kept(self, key: StreamKey) -> StreamOrigin | None:
+        """Find in the store who began a stream."""
+
+
+class Versions(Protocol):
+    """Which software versions may begin streams, and have begun some."""
+
+    def may_begin(self, announced: Announcement) -> bool:
+        """Whether a stream that may be taken up may begin at a target."""
+
+    async def await_first(self, services: list[str]) -> None:
+        """Wait until streams may begin at some listed version, if one soon may."""
+
+    def has_several(self, services: list[str]) -> bool:
+        """Whether streams of some services may have been begun by several versions."""
+
+    async def find_sole(
+        self, services: list[str], time_limit_s: float
+    ) -> ServiceVersion | None:
+        """Find the version that began every stream of some services, if one did."""
+
 
 @dataclass
 class BeginCount:
@@ -204,6 +232,7 @@
         book: Counts what began to run.
         link: The VM's own link.
         streams: Remembers who began which stream.
+        versions: Knows which software versions may have begun streams.
         policy: Tells which decisions are in force.
         zone: The gateway's availability zone.
         clock: Tells the present time, steady seconds.
@@ -221,6 +250,7 @@
     book: UsageBook
     link: LinkQueue
     streams: Streams
+    versions: Versions
     policy: Callable[[], Policy]
     zone: str
     clock: Callable[[], float]
--- a/src/robinspindle/platform/adapter.py
+++ b/src/robinspindle/platform/adapter.py
@@ -21,6 +21,7 @@
         targets_topic: Topic of the entries in which targets announce themselves.
         gateways_topic: Topic of the gateways' introductions and of the quarantine.
         orders_topic: Topic of lease claims for orders to engines.
+        origins_topic: Topic without keys that holds who began which stream.
         reports_topic: Topic of usage reports and of lease claims for singleton duties.
         dialect: Encodes and decodes requests and responses.
         orders: Encodes orders to engines and decodes their responses.
@@ -32,6 +33,7 @@
     targets_topic: str = store.TARGETS_TOPIC
     gateways_topic: str = store.GATEWAYS_TOPIC
     orders_topic: str = store.ORDERS_TOPIC
+    origins_topic: str = store.ORIGINS_TOPIC
     reports_topic: str = store.REPORTS_TOPIC
     dialect: ModuleType = dialect
     orders: ModuleType = orders
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -262,10 +262,11 @@
     attempt_ids = _list_values(headers, FIRST_ATTEMPT_HEADER)
     if not any(last_ids | attempt_ids):
         return None
-    is_clear = len(last_ids) <= 1 and len(attempt_ids) == 1
-    if is_clear and all(is_attempt_id(value) for value in last_ids | attempt_ids):
+    is_event_clear = len(last_ids) <= 1 and all(map(is_attempt_id, last_ids))
+    is_attempt_clear = len(attempt_ids) == 1 and all(map(is_attempt_id, attempt_ids))
+    if is_event_clear and is_attempt_clear:
         return Resumption(attempt_ids.pop())
-    return Resumption()
+    return Resumption(is_event_clear=is_event_clear)
 
 
 def _list_values(headers: Headers, name: bytes) -> set[str]:
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -28,6 +28,7 @@
 GATEWAYS_TOPIC = "keyed.gateways"
 ORDERS_TOPIC = "keyed.orders"
 REPORTS_TOPIC = "keyed.usage"
+ORIGINS_TOPIC = "origins"
 
 ERA_HEADER = b"store-era"
 """Response header that names the store era."""
@@ -76,6 +77,21 @@
     topic_end: int
 
 
+@dataclass(frozen=True)
+class RawRecords:
+    """Records of one topic without keys.
+
+    Attributes:
+        values: The records.
+        end: The offset from which reading continues.
+        topic_end: The offset after the topic's last record.
+    """
+
+    values: tuple[bytes, ...]
+    end: int
+    topic_end: int
+
+
 class _KeyedItem(msgspec.Struct, rename="pascal"):
     key: str
     value: str
@@ -154,6 +170,25 @@
             LogUnavailableError: If the store sends no valid response.
             RecordsTrimmedError: If the records are no longer retained.
         """
+        raw = await self._read(topic, offset, wait_s)
+        items = tuple(_decode_keyed(value) for value in raw.values)
+        return Records(items, raw.end, raw.topic_end)
+
+    async def read_records(self, topic: str, offset: int) -> RawRecords:
+        """Read the records without keys that a topic holds from an offset on.
+
+        Args:
+            topic: A topic whose name doesn't begin with ``keyed.``.
+            offset: Offset of the first record.
+
+        Raises:
+            EraChangedError: If the store has been restored from a backup.
+            LogUnavailableError: If the store sends no valid response.
+            RecordsTrimmedError: If the records are no longer retained.
+        """
+        return await self._read(topic, offset, 0.0)
+
+    async def _read(self, topic: str, offset: int, wait_s: float) -> RawRecords:
         query = {
             "Topic": topic,
             "part": 0,
@@ -166,11 +201,27 @@
             # The end of the partition, not of this response, and the first retained
             # offset.
             topic_end, _ = struct.unpack_from(">QQ", data)
-            values = _split_records(data[READ_PREFIX_BYTES:])
-            items = tuple(_decode_keyed(value) for value in values)
+            values = tuple(_split_records(data[READ_PREFIX_BYTES:]))
         except (struct.error, ValueError) as error:
             raise LogUnavailableError(f"invalid records: {error}") from None
-        return Records(items, offset + len(items), topic_end)
+        return RawRecords(values, offset + len(values), topic_end)
+
+    async def append(self, topic: str, record: bytes) -> int:
+        """Append one record without a key.
+
+        Args:
+            topic: A topic whose name doesn't begin with ``keyed.``.
+            record: The record.
+
+        Returns:
+            The record's offset.
+
+        Raises:
+            EraChangedError: If the store has been restored from a backup.
+            LogUnavailableError: If the store sends no valid response. The record may
+                have been appended.
+        """
+        return await self._append({"Topic": topic, "part": 0}, record)
 
     async def append_keyed(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
@@ -197,7 +248,9 @@
         if expected_end is not None:
             query["CurrentRev"] = expected_end
         name = key.encode()
-        record = bytes([len(name)]) + name + value
+        return await self._append(query, bytes([len(name)]) + name + value)
+
+    async def _append(self, query: dict[str, Any], record: bytes) -> int:
         body = struct.pack(">I", len(record)) + record
         response = await self._call("POST", "/log-append", query, body)
         return self._decode(response, _Appended).offset
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -25,7 +25,7 @@
 from robinspindle.passages import Means, Passage
 from robinspindle.relaylogs import RelayLog
 from robinspindle.replies import Reply
-from robinspindle.streambinding import bind_stream
+from robinspindle.streambinding import bind_stream, note_whole
 
 CALLER_WAY_S = 0.008
 """Part of an aim that the way to the caller and back takes, seconds."""
@@ -88,6 +88,8 @@
                 self._final.give_up(passage, "failed")
         finally:
             self.chooser.note_end(passage, self._means.clock(), is_served)
+            if is_served:
+                note_whole(self._means, passage)
 
     async def _admit(
         self, request: Request, reply: Reply
--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -15,15 +15,9 @@
     may_serve,
 )
 from robinspindle.core.targets import Announcement, Directory, Target
-from robinspindle.core.versionhistory import find_sole_version
-from robinspindle.following import WAIT_S
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import list_heard
 
-LIST_AGE_S = WAIT_S + 1.0
-"""Longest time between two reads of the list where no other gateway is heard,
-seconds: that of a poll and of its call."""
-
 
 @dataclass(frozen=True)
 class FoundOrigin:
@@ -45,49 +39,45 @@
     workspace = permit.workspace.name if permit.workspace else ""
     stream = make_binding(route, request, workspace)
     if not stream.is_taken_up:
+        if route.resumable:
+            await means.versions.await_first(_list_services(route))
         return stream
-    found = FoundOrigin(await _ask_for_origin(means, request, stream), "gateways")
-    if found.origin is None:
-        found = FoundOrigin(_find_sole_origin(means, route), "sole version")
-    if found.origin is not None and may_serve(route, found.origin):
-        stream.origin = found.origin
-    _log_taken_up(means, request, found)
-    return stream
-
-
-async def _ask_for_origin(
-    means: Means, request: Request, stream: StreamBinding
-) -> StreamOrigin | None:
-    if stream.key is None:
-        return None
     try:
-        return await means.streams.find(stream.key)
+        found = await _find_origin(
+            means, route, stream, request.resumption.is_event_clear
+        )
     except asyncio.CancelledError:
         means.log("caller left: its stream was looked for", request=request.id)
         raise
+    if found.origin is not None and may_serve(route, found.origin):
+        stream.origin = found.origin
+    _log_taken_up(means, request, found)
+    return stream
 
 
-def _find_sole_origin(means: Means, route: Route) -> StreamOrigin | None:
-    """Find the origin of any stream of a route, if only one is possible."""
-    now, fleet = means.clock(), means.fleet
-    services = [backend.service for backend in route.backends if backend.weight > 0]
-    if not route.resumable or len(services) != 1 or not _is_list_current(means, now):
-        return None
-    version = find_sole_version(
-        fleet.versions, fleet.directory, services[0], route.timeout_s, now
-    )
-    if version is None:
-        return None
-    return StreamOrigin(services[0], version, "", _read_wall_ms(means))
-
-
-def _is_list_current(means: Means, now: float) -> bool:
-    """Whether a target that was listed a while ago would be known here."""
-    directory = means.fleet.directory
-    if directory.unavailable_since is not None:
-        return False
-    # Others that are heard tell how far the list goes; alone, it is read often.
-    return bool(list_heard(means.peers)) or now - directory.read_at <= LIST_AGE_S
+async def _find_origin(
+    means: Means, route: Route, stream: StreamBinding, is_event_clear: bool
+) -> FoundOrigin:
+    """Find who began a stream: at gateways, by the versions' records, in the store."""
+    if stream.key is not None:
+        origin = await means.streams.find(stream.key)
+        if origin is not None:
+            return FoundOrigin(origin, "gateways")
+    if not (route.resumable and is_event_clear):
+        return FoundOrigin(None, "gateways")
+    services = _list_services(route)
+    sole = await means.versions.find_sole(services, route.timeout_s)
+    if sole is not None:
+        now_ms = _read_wall_ms(means)
+        origin = StreamOrigin(sole.service, sole.software_version, "", now_ms)
+        return FoundOrigin(origin, "sole version")
+    if stream.key is None or not means.versions.has_several(services):
+        return FoundOrigin(None, "versions")
+    return FoundOrigin(await means.streams.find_kept(stream.key), "store")
+
+
+def _list_services(route: Route) -> list[str]:
+    return [backend.service for backend in route.backends]
 
 
 def _log_taken_up(means: Means, request: Request, found: FoundOrigin) -> None:
@@ -142,7 +132,14 @@
             _read_wall_ms(means),
         )
     if stream.key is not None:
-        means.streams.note_begun(stream.key, stream.origin)
+        is_kept = means.versions.has_several(_list_services(passage.route))
+        means.streams.note_begun(stream.key, stream.origin, is_kept)
+
+
+def note_whole(means: Means, passage: Passage) -> None:
+    """Take note that the answer to a request is whole."""
+    if passage.stream.key is not None:
+        means.streams.note_whole(passage.stream.key)
 
 
 def _read_wall_ms(means: Means) -> int:
--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -28,6 +28,7 @@
     make_tell,
     read_tell,
 )
+from robinspindle.originlog import OriginLog
 from robinspindle.peers import Peers, list_heard
 
 TELL_DELAY_S = 0.02
@@ -40,6 +41,13 @@
 ASK_LIMIT_S = 0.3
 """How long an answer is waited for, seconds."""
 
+STORE = "store"
+"""Who has told an origin that was read in the store, for logs."""
+
+MOST_RUNNING = 8192
+"""Maximum number of own streams that are known to be under way; of more, the oldest are
+not written to the store when a second version comes."""
+
 MOST_ASKS = 256
 """Asks under way; beyond them a stream is not known at once."""
 
@@ -51,12 +59,14 @@
     Attributes:
         begun: Streams that this gateway noted, those that go on included.
         asked: Streams that other gateways were asked for.
-        unknown: Streams whose origin was not found.
+        looked_up: Streams that were looked for in the store.
+        unknown: Streams whose origin no gateway told.
         conflicts: Origins that were not noted, as another one is known.
     """
 
     begun: int = 0
     asked: int = 0
+    looked_up: int = 0
     unknown: int = 0
     conflicts: int = 0
 
@@ -84,7 +94,7 @@
 
 
 class StreamMemory:
-    """Remembers origins, tells their holders, and asks them.
+    """Remembers origins, tells their holders, and asks them and the store.
 
     Attributes:
         table: The origins that this gateway knows.
@@ -92,12 +102,18 @@
     """
 
     def __init__(
-        self, peers: Peers, link: OriginLink, clock: Callable[[], float], log: Log
+        self,
+        peers: Peers,
+        link: OriginLink,
+        kept: OriginLog,
+        clock: Callable[[], float],
+        log: Log,
     ):
         self.table = OriginTable()
         self.counts = StreamCounts()
         self._peers = peers
         self._link = link
+        self._kept = kept
         self._clock = clock
         self._log = log
         self._untold: dict[str, list[Tell]] = {}
@@ -105,21 +121,46 @@
         self._asks_by_number: dict[int, PendingAsk] = {}
         self._numbers: Iterator[int] = itertools.count(1)
         self._conflicting: set[str] = set()
+        # Own streams under way, by which version they were begun.
+        self._running: dict[StreamKey, StreamOrigin] = {}
         link.take = self._take
+        kept.take = self._take_kept
 
-    def note_begun(self, key: StreamKey, origin: StreamOrigin) -> None:
+    def note_begun(
+        self, key: StreamKey, origin: StreamOrigin, is_kept: bool = False
+    ) -> None:
         """Remember who began a stream, and queue telling its holders.
 
         It is called again when a stream goes on, so that its holders keep it.
+
+        Args:
+            key: The stream's key.
+            origin: Who began it.
+            is_kept: Whether it is written to the store, as other versions may begin
+                streams too.
         """
         self.counts.begun += 1
         if not self._note(key, origin, self._peers.name):
             return
+        self._note_running(key, origin)
+        if is_kept:
+            self._kept.note(key, origin)
         first = find_origin(self.table, key, self._clock()) or origin
         heard = set(list_heard(self._peers))
         for name in choose_told(key, list(self._peers.members), heard):
             self._queue(name, make_tell(key, first))
 
+    def note_whole(self, key: StreamKey) -> None:
+        """Take note that a stream is whole: nobody takes it up any more."""
+        if self._running.pop(key, None) is not None:
+            self._kept.drop(key)
+
+    def keep_running(self, service: str) -> None:
+        """Write streams under way to the store, as a second version may begin some."""
+        for key, origin in self._running.items():
+            if origin.service == service:
+                self._kept.note(key, origin)
+
     async def find(self, key: StreamKey) -> StreamOrigin | None:
         """Find who began a stream, and ask its holders where it is not known here.
 
@@ -133,6 +174,26 @@
             self.counts.unknown += 1
         return origin
 
+    async def find_kept(self, key: StreamKey) -> StreamOrigin | None:
+        """Find in the store who began a stream that no gateway knows.
+
+        Returns:
+            None if the store does not say.
+        """
+        self.counts.looked_up += 1
+        await self._kept.look()
+        return find_origin(self.table, key, self._clock())
+
+    def _note_running(self, key: StreamKey, origin: StreamOrigin) -> None:
+        self._running[key] = origin
+        while len(self._running) > MOST_RUNNING:
+            del self._running[next(iter(self._running))]
+
+    def _take_kept(self, key: StreamKey, origin: StreamOrigin) -> None:
+        """Take over an origin that the store holds, unless it is known."""
+        if find_origin(self.table, key, self._clock()) is None:
+            self._note(key, _share_names(origin), STORE)
+
     async def _ask_holders(self, key: StreamKey) -> StreamOrigin | None:
         ask = self._asks.get(key) or self._begin_ask(key)
         if ask is None:
--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -80,6 +80,11 @@
         async with self._news:
             self._news.notify_all()
 
+    def put_silently(self, topic: str, key: str, value: bytes) -> None:
+        """Write one keyed record that held polls don't bring."""
+        name = key.encode()
+        self._append(topic, bytes([len(name)]) + name + value)
+
     def compact(self, topic: str) -> None:
         """Drop all records; the newest of each key stay."""
         kept = self._find(topic)
--- a/tests/core/test_versionhistory.py
+++ b/tests/core/test_versionhistory.py
@@ -1,12 +1,10 @@
 from robinspindle.core.targets import Announcement, Directory, apply_announcement
 from robinspindle.core.versionhistory import (
     VersionHistory,
-    find_sole_version,
+    list_recent_versions,
     note_listed,
 )
 
-LIMIT_S = 5.0
-
 
 def announce(history, directory, lifetime, version, now):
     announced = Announcement(
@@ -16,32 +14,18 @@
     note_listed(history, announced, now)
 
 
-def find(history, directory, now):
-    return find_sole_version(history, directory, "lm", LIMIT_S, now)
-
-
-def test_a_version_is_sole_once_no_earlier_stream_can_be_taken_up():
-    history, directory = VersionHistory(), Directory()
-    assert find(history, directory, 0.0) is None
-    announce(history, directory, "i1", "v1", 1.0)
-    assert find(history, directory, 10.9) is None
-    assert find(history, directory, 11.1) == "v1"
-
-
-def test_no_version_is_sole_beside_another_or_soon_after_one_left():
+def test_versions_are_recent_while_listed_and_for_a_while_after():
     history, directory = VersionHistory(), Directory()
     announce(history, directory, "i1", "v1", 0.0)
     announce(history, directory, "i2", "v2", 20.0)
-    assert find(history, directory, 100.0) is None
+    assert list_recent_versions(history, directory, "lm", 50.0) == {"v1", "v2"}
     left = directory.targets.pop("i1")
     note_listed(history, left.announced, 100.0)
-    assert find(history, directory, 109.0) is None
-    assert find(history, directory, 111.0) == "v2"
+    assert list_recent_versions(history, directory, "lm", 99.0) == {"v1", "v2"}
+    assert list_recent_versions(history, directory, "lm", 101.0) == {"v2"}
 
 
-def test_a_new_version_ends_the_certainty_at_once():
+def test_versions_of_another_service_do_not_count():
     history, directory = VersionHistory(), Directory()
     announce(history, directory, "i1", "v1", 0.0)
-    assert find(history, directory, 50.0) == "v1"
-    announce(history, directory, "i1@5", "v2", 50.0)
-    assert find(history, directory, 50.0) is None
+    assert list_recent_versions(history, directory, "push", 0.0) == set()
--- a/tests/originfleet.py
+++ b/tests/originfleet.py
@@ -8,7 +8,9 @@
 from robinspindle.core.relays import Member
 from robinspindle.core.streamorigins import StreamOrigin, make_stream_key
 from robinspindle.originlink import PORT_OFFSET, OriginLink
+from robinspindle.originlog import OriginLog
 from robinspindle.peers import Peers, note_member
+from robinspindle.platform.store import RawRecords
 from robinspindle.streammemory import StreamMemory
 
 TRANSIT_S = 0.002
@@ -37,8 +39,9 @@
         self.peers = Peers(self.member, 1.0)
         self.link = OriginLink(self.peers, self._log)
         self.link.connection_made(self)
+        self.kept = OriginLog(fleet.store, "origins", lambda: 1, self._log)
         self.memory = StreamMemory(
-            self.peers, self.link, lambda: fleet.selector.now, self._log
+            self.peers, self.link, self.kept, lambda: fleet.selector.now, self._log
         )
 
     def _log(self, text, **fields):
@@ -65,6 +68,16 @@
             self.link.datagram_received(data, sender)
 
 
+class EmptyStore:
+    """A store without records."""
+
+    async def append(self, topic, record):
+        return 0
+
+    async def read_records(self, topic, offset):
+        return RawRecords((), 0, 0)
+
+
 class OriginFleet:
     """Gateways that all know and hear one another; some datagrams are lost."""
 
@@ -72,6 +85,7 @@
         self.selector = VirtualSelector()
         self.lost_share = lost_share
         self.rng = random.Random(1)
+        self.store = EmptyStore()
         self.nodes = [Node(self, number) for number in range(count)]
         self._by_address = {node.address: node for node in self.nodes}
         for node in self.nodes if count > 1 else []:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -84,13 +84,16 @@
         ([(b"Resumes", b"r1"), (b"Resumes", b"")], Resumption()),
         (
             [(b"Resumes", b"r1"), *[(b"Last-Event-Id", b) for b in (b"3", b"4")]],
-            Resumption(),
+            Resumption(is_event_clear=False),
         ),
         (
             [(b"Resumes", b"r1"), *[(b"Last-Event-Id", b) for b in (b"", b"4")]],
-            Resumption(),
+            Resumption(is_event_clear=False),
+        ),
+        (
+            [(b"Resumes", b"r1"), (b"Last-Event-Id", b"\xff")],
+            Resumption(is_event_clear=False),
         ),
-        ([(b"Resumes", b"r1"), (b"Last-Event-Id", b"\xff")], Resumption()),
         ([(b"Resumes", b"r" * 5000)], Resumption()),
         ([(b"Resumes", b"a\tb")], Resumption()),
     ],
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -15,10 +15,12 @@
 from robinspindle.logs import make_log
 from robinspindle.metrics import format_metrics
 from robinspindle.originlink import OriginLink
+from robinspindle.originlog import OriginLog
 from robinspindle.peerlink import encode
 from robinspindle.peers import Peers, note_member
 from robinspindle.streammemory import StreamMemory
 from standins.replica import Replica
+from tests.originfleet import EmptyStore
 from tests.platform.deployment import (
     deploy,
     introduce,
@@ -194,7 +196,9 @@
             note_member(peers, d.gateway.peers.own)
             link = OriginLink(peers, make_log("streams"))
             await link.start(HostPort(member.host, member.port))
-            other = StreamMemory(peers, link, read_steady, make_log("streams"))
+            log = make_log("streams")
+            kept = OriginLog(EmptyStore(), "origins", lambda: 1, log)
+            other = StreamMemory(peers, link, kept, read_steady, log)
             d.gateway.streams.note_begun(told, origin)
             await until(lambda: told in other.table.entries)
             note_origin(other.table, asked, origin, read_steady())
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -8,6 +8,14 @@
 
 import pytest
 
+from robinspindle.core.versionrecords import (
+    ServiceVersion,
+    Use,
+    VersionRecord,
+    encode_record,
+    make_key,
+)
+from standins.rawhttp import LOOPBACK
 from standins.replica import USUAL_VERSION, Replica
 from tests.platform.deployment import (
     deploy,
@@ -166,6 +174,7 @@
         async with deploy(tmp_path) as d:
             await make_single(d)
             await begin_broken(d)
+            await add(d, OTHER_VERSION)
             reply, asked = await take_up(d, attempt=None, **resumes)
             assert is_true_refusal(reply)
             assert not asked
@@ -211,6 +220,7 @@
             await until(lambda: d.version == 2)
             red, blue = ({"Authorization": f"Bearer {key}"} for key in KEYS.values())
             await begin_broken(d, **red)
+            await add(d, OTHER_VERSION)
             reply, asked = await take_up(d, **blue)
             assert is_true_refusal(reply)
             assert not asked
@@ -437,7 +447,7 @@
                     left.set()
 
             d.gateway.streams.find = find
-            _, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            _, writer = await asyncio.open_connection(LOOPBACK, d.port)
             headers = {"Last-Event-Id": "1", "Resumes": "r1", **d.prompt()}
             writer.write(write_request("POST", "/digest/x", "r2", b"hello", headers))
             await looked_for.wait()
@@ -451,28 +461,59 @@
 
 
 @pytest.mark.parametrize("attempt", [None, "unknown"])
-@pytest.mark.parametrize("has_other", [False, True])
-def test_an_unknown_stream_goes_on_only_where_one_version_can_have_begun_it(
-    tmp_path, attempt, has_other
+def test_an_unknown_stream_goes_on_where_one_version_can_have_begun_it(
+    tmp_path, attempt
 ):
     async def scenario():
         async with deploy(tmp_path) as d:
             (engine,) = await add(d)
-            if has_other:
-                await add(d, OTHER_VERSION)
-            reply, asked = await take_up(d, id="young", attempt=attempt)
+            await until(lambda: d.gateway.versions.records.noted)
+            d.store.trouble = "busy"
+            reply, asked = await take_up(d, id="unconfirmed", attempt=attempt)
+            assert is_true_refusal(reply)
+            assert asked == []
+            d.store.trouble = ""
+            reply, asked = await take_up(d, id="confirmed", attempt=attempt)
+            assert list_ids(reply) == [2, 3]
+            assert asked == [engine.lifetime]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("attempt", [None, "unknown"])
+@pytest.mark.parametrize("serves", [False, True])
+def test_no_unknown_stream_goes_on_where_another_version_can_have_begun_it(
+    tmp_path, attempt, serves
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await add(d)
+            (other,) = await add(d, OTHER_VERSION)
+            await until(lambda: len(d.gateway.versions.records.noted) == 2)
+            if not serves:
+                await d.store.put("keyed.servers", other.lifetime, None)
+                targets = d.gateway.directory.targets
+                await until(lambda: other.lifetime not in targets)
+            reply, asked = await take_up(d, attempt=attempt)
+            assert is_true_refusal(reply)
+            assert asked == []
+
+    run(scenario())
+
+
+def test_no_unknown_stream_goes_on_at_a_version_beside_one_that_others_have_recorded(
+    tmp_path,
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await add(d)
+            await until(lambda: d.gateway.versions.records.noted)
+            # The poll that would bring it is not answered before the take-up comes.
+            version = ServiceVersion("lm", OTHER_VERSION)
+            value = encode_record(VersionRecord(Use.BEGINS))
+            d.store.put_silently("keyed.gateways", make_key(version), value)
+            reply, asked = await take_up(d, attempt="unknown")
             assert is_true_refusal(reply)
             assert asked == []
-            # As if the list had been known for longer than any stream lasts.
-            d.gateway.fleet.versions.first_at["lm"] -= 1000.0
-            for version in d.gateway.fleet.versions.listed_at["lm"]:
-                d.gateway.fleet.versions.listed_at["lm"][version] -= 1000.0
-            reply, asked = await take_up(d, id="old", attempt=attempt)
-            if has_other:
-                assert is_true_refusal(reply)
-                assert asked == []
-            else:
-                assert list_ids(reply) == [2, 3]
-                assert asked == [engine.lifetime]
 
     run(scenario())
