Write a kept origin at once where the last write is a while ago

What is noted shortly before all gateways are killed is lost to the store. It waited 20 ms for others on its way to the relay, and up to 150 ms there. A relay now writes at once, and then again after 50 ms at the earliest (all relays together at most 100 times a second).

--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -18,7 +18,7 @@
 from robinspindle.originlink import Tell, make_tell, read_tell
 from robinspindle.sharedcalls import SharedCall
 
-MIN_INTERVAL_S = 0.15
+MIN_INTERVAL_S = 0.05
 """Least time between two writes of a relay, seconds; what began since the last one is
 lost where all gateways die."""
 
@@ -124,8 +124,8 @@
         """Write what is noted, for as long as the process runs."""
         while True:
             await self._has_unwritten.wait()
-            await asyncio.sleep(find_interval(self._count_writers()))
             await self.write()
+            await asyncio.sleep(find_interval(self._count_writers()))
 
     async def write(self) -> None:
         """Write what is noted; what can't be written is tried again with the next."""
--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -117,9 +117,7 @@
         self._kept = kept
         self._clock = clock
         self._log = log
-        # Origins on their way to holders, and to the relay that writes them.
         self._untold: dict[str, list[Tell]] = {}
-        self._unkept: dict[str, list[Tell]] = {}
         self._asks: dict[StreamKey, PendingAsk] = {}
         self._asks_by_number: dict[int, PendingAsk] = {}
         self._numbers: Iterator[int] = itertools.count(1)
@@ -147,11 +145,11 @@
             return
         self._note_running(key, origin)
         if is_kept:
-            self._keep(key, origin)
+            self._keep({key: origin})
         first = find_origin(self.table, key, self._clock()) or origin
         heard = set(list_heard(self._peers))
         for name in choose_told(key, list(self._peers.members), heard):
-            self._queue(self._untold, name, make_tell(key, first))
+            self._queue(name, make_tell(key, first))
 
     def note_whole(self, key: StreamKey) -> None:
         """Take note that a stream is whole: nobody takes it up any more."""
@@ -160,9 +158,13 @@
 
     def keep_running(self, service: str) -> None:
         """Write streams under way to the store, as a second version may begin some."""
-        for key, origin in self._running.items():
-            if origin.service == service:
-                self._keep(key, origin)
+        self._keep(
+            {
+                key: origin
+                for key, origin in self._running.items()
+                if origin.service == service
+            }
+        )
 
     async def find(self, key: StreamKey) -> StreamOrigin | None:
         """Find who began a stream, and ask its holders where it is not known here.
@@ -187,12 +189,15 @@
         await self._kept.look()
         return find_origin(self.table, key, self._clock())
 
-    def _keep(self, key: StreamKey, origin: StreamOrigin) -> None:
-        """Have an origin written to the store: by the relay, as each call is paid."""
+    def _keep(self, origins: dict[StreamKey, StreamOrigin]) -> None:
+        """Have origins written to the store: by the relay, as each call is paid."""
         if self._peers.is_relay:
-            self._kept.note(key, origin)
-        else:
-            self._queue(self._unkept, self._peers.choice.relay, make_tell(key, origin))
+            for key, origin in origins.items():
+                self._kept.note(key, origin)
+            return
+        # At once, as a gateway may die at any time.
+        tells = [make_tell(key, origin) for key, origin in origins.items()]
+        self._send_tells(self._peers.choice.relay, tells, Keeps)
 
     def _note_running(self, key: StreamKey, origin: StreamOrigin) -> None:
         self._running[key] = origin
@@ -298,24 +303,22 @@
             self._log("stream has another origin", teller=teller, stream=key.hex())
         return False
 
-    def _queue(self, queues: dict[str, list[Tell]], name: str, tell: Tell) -> None:
-        if not (self._untold or self._unkept):
+    def _queue(self, name: str, tell: Tell) -> None:
+        if not self._untold:
             loop = asyncio.get_running_loop()
             loop.call_later(TELL_DELAY_S, self._tell_all)
-        queues.setdefault(name, []).append(tell)
+        self._untold.setdefault(name, []).append(tell)
 
     def _tell_all(self) -> None:
         untold, self._untold = self._untold, {}
-        unkept, self._unkept = self._unkept, {}
-        self._send_queued(untold, Tells)
-        self._send_queued(unkept, Keeps)
+        for name, tells in untold.items():
+            self._send_tells(name, tells, Tells)
 
-    def _send_queued(
-        self, queues: dict[str, list[Tell]], kind: type[Tells] | type[Keeps]
+    def _send_tells(
+        self, name: str, tells: list[Tell], kind: type[Tells] | type[Keeps]
     ) -> None:
-        for name, tells in queues.items():
-            for first in range(0, len(tells), MOST_TELLS):
-                self._link.send(name, kind(tells[first : first + MOST_TELLS]))
+        for first in range(0, len(tells), MOST_TELLS):
+            self._link.send(name, kind(tells[first : first + MOST_TELLS]))
 
 
 def _share_names(origin: StreamOrigin) -> StreamOrigin:
