Use the stand-ins' address in all tests that call them

Tests of the platform's folder called 127.0.0.1, while stand-ins, gateways and stores listen at standins.rawhttp.LOOPBACK, which STANDIN_ADDRESS sets. With another address, as for runs side by side, they found nobody.

Left: addresses that nobody listens at or that are only data (port 9, port 1), and tests whose own servers listen at 127.0.0.1 (httpserver, transport, hangups, security). Change: the constant in 11 files of tests/platform; no assertion changes.

--- a/tests/platform/test_cachelists.py
+++ b/tests/platform/test_cachelists.py
@@ -13,6 +13,7 @@
 from robinspindle.peerlink import encode
 from robinspindle.peers import Peers
 from robinspindle.platform import dialect
+from standins.rawhttp import LOOPBACK
 from standins.replica import Replica
 from tests.platform.deployment import deploy, introduce, run, until
 
@@ -104,7 +105,7 @@
             digest = Digest("gateway-2", 1.0, 1, [], [], caches=caches)
             sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             sender.sendto(
-                encode(Datagram("gateway-2", [digest])), ("127.0.0.1", d.inner_port)
+                encode(Datagram("gateway-2", [digest])), (LOOPBACK, d.inner_port)
             )
             sender.close()
             await until(lambda: d.gateway.peers.views)
--- a/tests/platform/test_disconnects.py
+++ b/tests/platform/test_disconnects.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from standins.rawhttp import reset
+from standins.rawhttp import LOOPBACK, reset
 from tests.platform.deployment import (
     KINDS,
     deploy,
@@ -23,7 +23,7 @@
 
 def connect(d):
     """Connect a caller whose close takes effect at once."""
-    return socket.create_connection(("127.0.0.1", d.port))
+    return socket.create_connection((LOOPBACK, d.port))
 
 
 def make_brief_route(name):
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -18,6 +18,7 @@
 from robinspindle.peerlink import encode
 from robinspindle.peers import Peers, note_member
 from robinspindle.streammemory import StreamMemory
+from standins.rawhttp import LOOPBACK
 from standins.replica import Replica
 from tests.platform.deployment import (
     deploy,
@@ -151,11 +152,11 @@
         async with deploy(tmp_path) as d:
             replica = await d.add("i1")
             replica.behaviours.append("held")
-            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, d.port)
             begun = write_request("POST", "/once/x", "late", b"hello", {})
             # The request starts before the shutdown and is complete after it.
             writer.write(begun[:40])
-            idle, _ = await asyncio.open_connection("127.0.0.1", d.port)
+            idle, _ = await asyncio.open_connection(LOOPBACK, d.port)
             under_way = asyncio.create_task(d.call("/once/x", id="under-way"))
             await until(lambda: replica.arrivals)
             d.gateway.begin_stop()
@@ -224,9 +225,9 @@
                 [Placement("p1", [("aa", 4000)], 40), Placement("unknown", [])],
             )
             sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            sender.sendto(b"no datagram of ours", ("127.0.0.1", d.inner_port))
+            sender.sendto(b"no datagram of ours", (LOOPBACK, d.inner_port))
             data = encode(Datagram("gateway-2", [digest]))
-            sender.sendto(data, ("127.0.0.1", d.inner_port))
+            sender.sendto(data, (LOOPBACK, d.inner_port))
             sender.close()
             await until(lambda: engine.backlog_s > 0)
             assert engine.cached == {"aa": 4000}
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from standins.rawhttp import LOOPBACK
 from tests.platform.deployment import (
     HOST,
     deploy,
@@ -254,7 +255,7 @@
         async with deploy(tmp_path) as d:
             replica = await d.add("i1")
             replica.behaviours.append("held")
-            _, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            _, writer = await asyncio.open_connection(LOOPBACK, d.port)
             writer.write(write_request("POST", "/safe/x", "gone", b"hello", {}))
             await until(lambda: replica.arrivals)
             writer.close()
@@ -269,7 +270,7 @@
     async def scenario():
         async with deploy(tmp_path) as d:
             replica = await d.add("i1")
-            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, d.port)
             for number in range(3):
                 request = write_request("POST", "/once/x", f"r{number}", b"hello", {})
                 for at in range(0, len(request), 7):
@@ -302,7 +303,7 @@
     async def scenario():
         async with deploy(tmp_path) as d:
             replica = await d.add("i1")
-            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, d.port)
             hidden = write_request("POST", "/once/x", "hidden", b"", {})
             writer.write(b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\n" + head)
             writer.write(b"X-Request-Id: outer\r\n\r\n0\r\n\r\n" + hidden)
--- a/tests/platform/test_scaler.py
+++ b/tests/platform/test_scaler.py
@@ -4,6 +4,7 @@
 
 from robinspindle.gatewaysettings import DutySettings, HostPort, Pledges
 from standins.dutyapi import DutyApi
+from standins.rawhttp import LOOPBACK
 from tests.platform.deployment import deploy, make_configuration, run, until
 
 BOUNDS = {"Min": 1, "Max": 4, "BootS": 0.5}
@@ -21,7 +22,7 @@
     async def main():
         api = DutyApi()
         await api.server.start()
-        duties = DutySettings(HostPort("127.0.0.1", api.server.port), 5.0, 10.0)
+        duties = DutySettings(HostPort(LOOPBACK, api.server.port), 5.0, 10.0)
         pledges = Pledges(repeat_slack=320.0, lease_s=0.6)
         async with deploy(
             tmp_path, configured=False, pledges=pledges, duties=duties
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -19,7 +19,7 @@
 
 import asyncio
 
-from standins.rawhttp import PIECE_PAUSE_S
+from standins.rawhttp import LOOPBACK, PIECE_PAUSE_S
 from standins.replica import Replica
 from tests.platform.deployment import (
     TIMEOUT_S,
@@ -92,7 +92,7 @@
         async with deploy(tmp_path) as d:
             await d.add("i1")
             d.gateway._callers.limits.header_s = 1.0
-            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, d.port)
             data = write_request("POST", "/safe/x", "r1", b"x" * 2000, {})
             for start in range(0, len(data), 100):
                 writer.write(data[start : start + 100])
@@ -107,7 +107,7 @@
     async def scenario():
         async with deploy(tmp_path) as d:
             d.gateway._callers.limits.header_s = 0.2
-            reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, d.port)
             data = write_request("POST", "/safe/x", "r1", b"x" * 1000, {})
             writer.write(data[:-1])
             async with asyncio.timeout(TIMEOUT_S):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,6 +11,7 @@
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.platform.store import Store
 from standins.logstore import LogStore
+from standins.rawhttp import LOOPBACK
 
 TOPIC = "keyed.test"
 
@@ -19,7 +20,7 @@
     async def run():
         standin = LogStore()
         await standin.server.start()
-        store = Store(HostPort("127.0.0.1", standin.server.port), time.monotonic)
+        store = Store(HostPort(LOOPBACK, standin.server.port), time.monotonic)
         try:
             await scenario(store, standin)
         finally:
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -20,6 +20,7 @@
     Store,
 )
 from standins.logstore import LogStore
+from standins.rawhttp import LOOPBACK
 from standins.replica import Replica
 from tests.platform.deployment import deploy, make_configuration, run, until
 from tests.platform.test_quarantine import list_stored, make_entry, put
@@ -171,7 +172,7 @@
     async def main():
         standin = LogStore()
         await standin.server.start()
-        store = Store(HostPort("127.0.0.1", standin.server.port), time.monotonic)
+        store = Store(HostPort(LOOPBACK, standin.server.port), time.monotonic)
         reported_eras = []
         store.note_era = reported_eras.append
         try:
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from standins.rawhttp import LOOPBACK
 from standins.replica import USUAL_VERSION, Replica
 from tests.platform.deployment import (
     deploy,
@@ -437,7 +438,7 @@
                     left.set()
 
             d.gateway.streams.find = find
-            _, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            _, writer = await asyncio.open_connection(LOOPBACK, d.port)
             headers = {"Last-Event-Id": "1", "Resumes": "r1", **d.prompt()}
             writer.write(write_request("POST", "/digest/x", "r2", b"hello", headers))
             await looked_for.wait()
--- a/tests/platform/test_usage.py
+++ b/tests/platform/test_usage.py
@@ -6,6 +6,7 @@
 from robinspindle.core import usage
 from robinspindle.gatewaysettings import DutySettings, HostPort, Pledges
 from standins.dutyapi import DutyApi
+from standins.rawhttp import LOOPBACK
 from tests.platform.deployment import deploy, run, until
 from tests.platform.test_workspaces import KEY, OTHER, bearer, make_document, put
 
@@ -20,7 +21,7 @@
     api = DutyApi()
     api.trouble = trouble
     await api.server.start()
-    duties = DutySettings(HostPort("127.0.0.1", api.server.port), WINDOW_S, LATE_S)
+    duties = DutySettings(HostPort(LOOPBACK, api.server.port), WINDOW_S, LATE_S)
     pledges = Pledges(repeat_slack=320.0, lease_s=LEASE_S)
     async with deploy(tmp_path, configured=False, pledges=pledges, duties=duties) as d:
         await put(d, make_document())
--- a/tests/platform/test_workspaces.py
+++ b/tests/platform/test_workspaces.py
@@ -6,6 +6,7 @@
 import eliot
 
 from robinspindle.gatewaysettings import Pledges
+from standins.rawhttp import LOOPBACK
 from tests.platform.deployment import (
     deploy,
     make_configuration,
@@ -105,7 +106,7 @@
 def test_a_request_with_two_keys_is_rejected(tmp_path):
     async def scenario(d):
         replica = await d.add("i1")
-        reader, writer = await asyncio.open_connection("127.0.0.1", d.port)
+        reader, writer = await asyncio.open_connection(LOOPBACK, d.port)
         data = write_request("POST", "/safe/x", "r1", b"hello", bearer(KEY))
         line = f"Authorization: Bearer {OTHER}\r\n".encode()
         writer.write(data.replace(b"Content-Length", line + b"Content-Length"))
