Refuse what comes behind a close that a stopping gateway announced

What callers saw: a request that came behind a stream whose head said Connection: close was read by the stopping gateway, and its connection closed without an answer.

Cause: the close is announced with the head of the last answer that is owed then. What comes while that answer goes on was kept for later and dropped with the close. Class: what has been read is given up without a word.

Ruled out: serving it, as the caller of an announced close may already try another gateway, so that it could run twice; leaving it unread, as its caller learns nothing then either. Change: it is refused as stopping, not run, one refusal for each request that was read; one that is half read is refused once it is whole, within the time for a head. Behind a close that the caller itself announced nothing is answered, as before. STOPPING stands with the server now.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -33,7 +33,7 @@
 from robinspindle.gauges import GaugeSources
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
-from robinspindle.httpserver import CallerServer, Incoming, Limits
+from robinspindle.httpserver import STOPPING, CallerServer, Incoming, Limits
 from robinspindle.introduction import Introduction
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import make_log, start_bounded_logs
@@ -47,7 +47,7 @@
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
 from robinspindle.rereading import Reread, SettingsReader
-from robinspindle.stopping import STOPPING, Stop
+from robinspindle.stopping import Stop
 from robinspindle.storenews import StoreNews
 from robinspindle.streammemory import StreamMemory
 from robinspindle.usagebook import UsageBook
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -31,6 +31,9 @@
 HEADER_MARK_BYTES = 4
 """Bytes of a header besides its name and value: colon, blank and the line's end."""
 
+STOPPING = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", 0.05)
+"""Answers a request that a stopping server does not take."""
+
 HANDLER_FAILED = Refusal(HTTPStatus.INTERNAL_SERVER_ERROR, "failed")
 """Answers a request whose handler failed; nothing is said of whether it ran."""
 
@@ -77,6 +80,11 @@
 Handle = Callable[[Incoming, Reply], Awaitable[None]]
 
 
+async def refuse_stopping(incoming: Incoming, reply: Reply) -> None:
+    """Refuse a request that came behind the announced close of its connection."""
+    reply.refuse(STOPPING)
+
+
 def take_all() -> bool:
     """Stand for a limit on new connections that takes all."""
     return True
@@ -149,6 +157,8 @@
         self._rested_since = server.clock()
         self._unparsed = b""
         self._is_closing = False
+        self._has_announced_close = False
+        self._caller_keeps = True
         self._rejected: HTTPStatus | None = None
         self._on_pause: Callable[[], None] | None = None
         self._on_resume: Callable[[], None] | None = None
@@ -215,9 +225,14 @@
         """Note that an answer has been written whole."""
         self._rested_since = self.server.clock()
         self.set_flow(None, None)
-        if not keep:
-            self._is_closing = True
-            self.close()
+        if keep:
+            return
+        if self.server.is_stopping and self._caller_keeps and self._has_next:
+            # Nothing of it may run, as its caller may already try another gateway.
+            self._has_announced_close = True
+            return
+        self._is_closing = True
+        self.close()
 
     # Callbacks of the event loop.
 
@@ -346,6 +361,7 @@
             return
         if self._ready:
             incoming = self._ready.popleft()
+            self._caller_keeps = incoming.keep
             reply = Reply(self, incoming.keep)
             loop = asyncio.get_running_loop()
             self._task = loop.create_task(self._serve(incoming, reply))
@@ -358,10 +374,14 @@
             data, self._unparsed = self._unparsed, b""
             self._transport.resume_reading()
             self._feed(data)
+            return
+        if self._has_announced_close and not self._in_message:
+            self.close()
 
     async def _serve(self, incoming: Incoming, reply: Reply) -> None:
+        handle = refuse_stopping if self._has_announced_close else self.server.handle
         try:
-            await self.server.handle(incoming, reply)
+            await handle(incoming, reply)
         except Exception:
             if not reply.has_begun:
                 reply.refuse(HANDLER_FAILED)
--- a/src/robinspindle/stopping.py
+++ b/src/robinspindle/stopping.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections.abc import Callable
 
-from robinspindle.core.forwarding import Refusal
 from robinspindle.httpserver import CallerServer
 from robinspindle.logs import Log
 
@@ -18,8 +17,6 @@
 STOP_MARGIN_S = 0.4
 """How long before the kill a stopping gateway ends by itself, seconds."""
 
-STOPPING = Refusal(503, "stopping", 0.05)
-
 
 class Stop:
     """The stop of one gateway, from its beginning to its end.
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -10,10 +10,11 @@
 
 
 @asynccontextmanager
-async def serve(handle, take_connection=take_all):
+async def serve(handle, take_connection=take_all, is_stopping=False):
     server = CallerServer(
         handle, Limits(), lambda: 0.0, take_connection=take_connection
     )
+    server.is_stopping = is_stopping
     await server.start("127.0.0.1", 0)
     host, port = server._server.sockets[0].getsockname()
     reader, writer = await asyncio.open_connection(host, port)
@@ -65,3 +66,60 @@
                 return
 
     asyncio.run(scenario())
+
+
+class HeldAnswer:
+    """Handles requests: begins an answer, and ends it when its gate opens."""
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+        self.count = 0
+        self.connection = None
+
+    async def handle(self, incoming, reply):
+        self.count += 1
+        self.connection = reply._connection
+        reply.begin(200, b"OK", (), None)
+        await self.gate.wait()
+        reply.end()
+
+
+async def ask_behind_close(*pieces, first=REQUEST):
+    """Send pieces behind a request whose answer announces the close; returns all."""
+    held = HeldAnswer()
+    async with serve(held.handle, is_stopping=True) as (reader, writer):
+        writer.write(first)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"Connection: close" in head
+        for piece in pieces[:-1]:
+            writer.write(piece)
+        while len(held.connection._unparsed) < sum(map(len, pieces[:-1])):
+            await asyncio.sleep(0.01)
+        held.gate.set()
+        rest = await reader.readuntil(b"0\r\n\r\n")
+        writer.write(pieces[-1])
+        rest += await reader.read()
+    return held.count, rest
+
+
+def test_requests_behind_an_announced_close_are_refused_and_not_run():
+    count, rest = asyncio.run(ask_behind_close(2 * REQUEST, b""))
+    assert count == 1
+    assert rest.count(b"HTTP/1.1 503 ") == 2
+    assert rest.endswith(b"stopping\n")
+
+
+def test_a_request_half_read_behind_an_announced_close_is_refused_once_whole():
+    count, rest = asyncio.run(ask_behind_close(REQUEST[:-5], REQUEST[-5:]))
+    assert count == 1
+    assert rest.count(b"HTTP/1.1 503 ") == 1
+
+
+def test_a_blank_line_behind_an_announced_close_does_not_keep_the_connection():
+    assert asyncio.run(ask_behind_close(b"\r\n", b"")) == (1, b"0\r\n\r\n")
+
+
+def test_what_comes_behind_a_close_that_the_caller_announced_gets_no_answer():
+    first = REQUEST.replace(b"Host", b"Connection: close\r\nHost")
+    answered = asyncio.run(ask_behind_close(REQUEST, b"", first=first))
+    assert answered == (1, b"0\r\n\r\n")
