Run soaks at the address of stand-ins

Where STANDIN_ADDRESS names another address than 127.0.0.1, the stand-ins of a soak listened there, while its proxies, gateways and callers used 127.0.0.1: 723 of 723 requests of a play of soak.versions were refused, as no gateway reached the store. All use the one address now, so that soaks that run side by side can have ports of their own; without the variable nothing changes.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 from soak.keyed import KeyAccount
 from soak.oracle import Oracle, expect_body
 from soak.world import HOST
+from standins.rawhttp import LOOPBACK
 
 WAIT_S = 4.0
 """Longest wait for an answer, seconds: twice the routes' time-out."""
@@ -43,7 +44,7 @@
         try:
             if writer is None or writer.transport.is_closing() or reader.at_eof():
                 reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", gateway.callers
+                    LOOPBACK, gateway.callers
                 )
             oracle.note_sent(id, kind)
             async with asyncio.timeout(WAIT_S):
@@ -66,7 +67,7 @@
     oracle.note_sent(id, "safe")
     try:
         async with asyncio.timeout(WAIT_S):
-            reader, writer = await asyncio.open_connection("127.0.0.1", gateway.callers)
+            reader, writer = await asyncio.open_connection(LOOPBACK, gateway.callers)
             writer.write(write_request(id, "safe", random.Random(0), route))
             head = await reader.readuntil(b"\r\n\r\n")
             writer.close()
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -6,6 +6,7 @@
 from soak.crashaccount import CrashAccount
 from soak.replicas import CRASHING, SoakReplica
 from soak.world import HOST, World
+from standins.rawhttp import LOOPBACK
 
 REPEAT_S = 0.25
 """Pause of a caller between two tries of a crashing request, seconds."""
@@ -84,7 +85,7 @@
     writer = None
     try:
         async with asyncio.timeout(WAIT_S):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
             writer.write(data)
             head = await reader.readuntil(b"\r\n\r\n")
             # A stream that breaks off after its head counts as no answer.
--- a/soak/crowd.py
+++ b/soak/crowd.py
@@ -22,6 +22,7 @@
 from soak.partsaccount import CONTACT_S
 from soak.seeds import SeedResult, add_seed_options, play_seeds
 from soak.world import World, cancel_all
+from standins.rawhttp import LOOPBACK
 
 CALM_S = 4.0
 """How long connections are spread over all gateways, seconds."""
@@ -214,7 +215,7 @@
     sent_at, writer, head = asyncio.get_running_loop().time(), None, b""
     try:
         async with asyncio.timeout(PATIENCE_S):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
             writer.write(data)
             head = await reader.readuntil(b"\r\n\r\n")
             if b"chunked" in head:
--- a/soak/ends.py
+++ b/soak/ends.py
@@ -11,6 +11,7 @@
 from soak.callers import KINDS, write_request
 from soak.gateways import GatewayProcess
 from soak.oracle import Oracle, expect_answer
+from standins.rawhttp import LOOPBACK
 
 DEADLINE_S = 4.0
 """How long a caller waits for its answer, as it says, seconds."""
@@ -105,7 +106,7 @@
         id: Its id, which its answer holds.
         kind: Its kind.
     """
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
     try:
         async with asyncio.timeout(DEADLINE_S):
             writer.write(data)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from standins.rawhttp import LOOPBACK
+
 ROOT = Path(__file__).resolve().parent.parent
 
 FIRST_PORT = 10_000
@@ -24,11 +26,11 @@
 SETTINGS = """
 Node = "{name}"
 Zone = "a"
-Ip = "127.0.0.1"
+Ip = "{ip}"
 InternalPorts = [{inner},{last}]
 [Listen]
-Front = "127.0.0.1:{callers}"
-Ready = "127.0.0.1:{ready}"
+Front = "{ip}:{callers}"
+Ready = "{ip}:{ready}"
 [Limits]
 MemoryMb = 300
 [Bounds]
@@ -37,11 +39,11 @@
 LeaseMs = 1000
 RetryBudgetSlack = 64
 {bounds}[Platform]
-Address = "127.0.0.1:{store}"
+Address = "{ip}:{store}"
 {duties}"""
 
 DUTIES = """[Cloud]
-Address = "127.0.0.1:{port}"
+Address = "{ip}:{port}"
 Duties = ["usage"]
 """
 
@@ -127,6 +129,7 @@
     path = folder / f"{name}.toml"
     path.write_text(
         SETTINGS.format(
+            ip=LOOPBACK,
             name=name,
             callers=callers,
             ready=ready,
@@ -134,7 +137,7 @@
             last=last,
             store=store,
             bounds=bounds,
-            duties=DUTIES.format(port=duties) if duties else "",
+            duties=DUTIES.format(ip=LOOPBACK, port=duties) if duties else "",
         )
     )
     return GatewayProcess(name, path, callers)
@@ -149,7 +152,7 @@
         if port in _taken:
             continue
         with socket.socket() as sock:
-            if sock.connect_ex(("127.0.0.1", port)) != 0:
+            if sock.connect_ex((LOOPBACK, port)) != 0:
                 ports.append(port)
                 _taken.add(port)
     return ports
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from standins.rawhttp import reset
+from standins.rawhttp import LOOPBACK, reset
 
 CHUNK = 65536
 SLOW_CHUNK = 8192
@@ -34,7 +34,7 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def reset_all(self) -> None:
@@ -50,7 +50,7 @@
     async def _serve(self, reader, writer) -> None:
         try:
             there_reader, there = await asyncio.open_connection(
-                "127.0.0.1", self._target_port
+                LOOPBACK, self._target_port
             )
         except OSError:
             reset(writer)
--- a/soak/resuming.py
+++ b/soak/resuming.py
@@ -11,6 +11,7 @@
 from soak.replicas import SoakReplica
 from soak.versionaccount import Try, VersionAccount
 from soak.world import World
+from standins.rawhttp import LOOPBACK
 from standins.replica import USUAL_VERSION
 
 DEADLINE_S = 4.0
@@ -134,7 +135,7 @@
     status = 0
     writer = None
     try:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection(LOOPBACK, port)
         async with asyncio.timeout(DEADLINE_S):
             writer.write(_write_try(stream, id))
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
--- a/soak/sizescallers.py
+++ b/soak/sizescallers.py
@@ -5,6 +5,7 @@
 from soak.sizeaccount import Ended
 from soak.sizesworld import DUE_S, HOST, SizesWorld
 from standins.prompts import Kind, draw_parts
+from standins.rawhttp import LOOPBACK
 
 OUT_TOKENS = 473
 EXPECTED_TOKENS = 55
@@ -61,7 +62,7 @@
     writer = None
     try:
         async with asyncio.timeout(DUE_S):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
             writer.write(sent)
             async with asyncio.timeout(patience_s):
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,6 +14,7 @@
 from soak.proxy import Proxy
 from soak.replicas import SoakReplica
 from standins.logstore import LogStore
+from standins.rawhttp import LOOPBACK
 
 HOST = "soak.example"
 
@@ -131,7 +132,7 @@
         """Write a replica's entry, with its proxy's address."""
         entry = replica.describe(state)
         port = self.replica_proxies[replica.lifetime].port
-        entry["Address"] = f"127.0.0.1:{port}"
+        entry["Address"] = f"{LOOPBACK}:{port}"
         await self.store.put("keyed.servers", replica.lifetime, entry)
 
     async def slow_links(self, bytes_per_s: int) -> None:
