Play all gateways killed, restarts with another version and lost roles in soak.versions

Streams that callers take up again were reported to go on far less often than new ones begin; soak.versions kills one gateway after the other, always with one left that remembers, and did not show it. `--play` chooses other harm, `--gateways` more gateways:

An engine counts as one that serves whatever its role, so that more take-ups count than before.

--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -1,6 +1,7 @@
 """Replicas that misbehave now and then."""
 
 import asyncio
+import json
 import random
 from collections.abc import Callable
 
@@ -43,6 +44,7 @@
         note_run: Told the id and headers of each request that it runs.
         tells_oracle: Whether what it runs is told, each request having its own body.
         began_at: When it began to listen, steady seconds; where that is told.
+        take_role: Told the role that an order names; None where orders change nothing.
     """
 
     def __init__(self, lifetime, service, role, oracle: Oracle, rng: random.Random):
@@ -61,9 +63,12 @@
         self.tells_oracle = True
         self.began_at = 0.0
         self.note_run: Callable[[str, dict[str, str]], None] = lambda id, headers: None
+        self.take_role: Callable[[str], None] | None = None
         self.is_leaving = False
 
     async def _answer(self, request, writer) -> bool:
+        if request.target == "/order" and self.take_role is not None:
+            self.take_role(json.loads(request.body)["Stage"])
         cause = self.find_cause(request) if self.crash is not None else None
         if cause is not None:
             self.on_sent(cause)
--- a/soak/resuming.py
+++ b/soak/resuming.py
@@ -17,10 +17,6 @@
 DEADLINE_S = 4.0
 """How long a caller waits for its answer, as it says, seconds."""
 
-MOST_TRIES = 6
-PAUSE_S = (0.05, 0.4)
-"""Most take-ups of a stream; shortest and longest pause before each, seconds."""
-
 KNOWN_S = 1.5
 """How long ago an engine must have begun to count as one that serves, seconds."""
 
@@ -30,6 +26,30 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: \S+-\d+(?: (\S+))?\n\n")
 
 
+@dataclass(frozen=True)
+class Habits:
+    """How callers behave.
+
+    Attributes:
+        pause_s: Shortest and longest pause before each try, seconds.
+        take_ups: Most take-ups of a stream.
+        leave_share: Share of the events after which a caller leaves and comes back.
+        last_left: Last event after which callers leave.
+    """
+
+    pause_s: tuple[float, float] = (0.05, 0.4)
+    take_ups: int = 6
+    leave_share: float = 0.0
+    last_left: int = 0
+
+    def leaves(self, rng: random.Random, event: int) -> bool:
+        """Whether a caller leaves after an event."""
+        return event <= self.last_left and rng.random() < self.leave_share
+
+
+USUAL_HABITS = Habits()
+
+
 @dataclass
 class Stream:
     """A stream as its caller has it.
@@ -52,7 +72,11 @@
 
 
 async def call_streams(
-    world: World, account: VersionAccount, serving: set[str], name: str
+    world: World,
+    account: VersionAccount,
+    serving: set[str],
+    name: str,
+    habits: Habits = USUAL_HABITS,
 ) -> None:
     """Begin one stream after another and take each up until it is whole.
 
@@ -61,6 +85,7 @@
         account: Told what became of them.
         serving: Names of the gateways that are sound.
         name: What the streams' names begin with.
+        habits: How its caller behaves.
     """
     number = 0
     while True:
@@ -68,17 +93,19 @@
         stream = _make_stream(f"{name}-{number}", world.rng)
         gateway = world.rng.choice(world.gateways)
         try:
-            await _try_counted(stream, gateway, world, account, serving, 0)
-            for attempt in range(1, MOST_TRIES + 1):
+            await _try_counted(stream, gateway, world, account, serving, habits, 0)
+            for attempt in range(1, habits.take_ups + 1):
                 if stream.is_ended or not stream.last:
                     break
-                await asyncio.sleep(world.rng.uniform(*PAUSE_S))
+                await asyncio.sleep(world.rng.uniform(*habits.pause_s))
                 others = [g for g in world.gateways if g is not gateway]
                 gateway = world.rng.choice(others)
-                await _try_counted(stream, gateway, world, account, serving, attempt)
+                await _try_counted(
+                    stream, gateway, world, account, serving, habits, attempt
+                )
         finally:
             account.note_stream(stream.name, stream.versions)
-        await asyncio.sleep(world.rng.uniform(*PAUSE_S))
+        await asyncio.sleep(world.rng.uniform(*habits.pause_s))
 
 
 def _make_stream(name: str, rng: random.Random) -> Stream:
@@ -92,6 +119,7 @@
     world: World,
     account: VersionAccount,
     serving: set[str],
+    habits: Habits,
     attempt: int,
 ) -> None:
     kind = Try.TAKE_UP if stream.last else Try.NEW
@@ -109,7 +137,12 @@
             account.note_try(kind, stream.last > before)
         is_open = False
 
-    status = await _try_once(stream, gateway.callers, attempt, judge)
+    def take_event() -> None:
+        judge()
+        if habits.leaves(world.rng, stream.last):
+            raise ConnectionAbortedError
+
+    status = await _try_once(stream, gateway.callers, attempt, take_event)
     account.statuses[kind, status] += 1
     judge()
 
@@ -123,7 +156,7 @@
 
 
 def _serves(replica: SoakReplica, now: float) -> bool:
-    is_engine = replica.role == "decode" and not replica.is_leaving
+    is_engine = replica.role != "" and not replica.is_leaving
     return is_engine and now - replica.began_at >= KNOWN_S
 
 
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -1,75 +1,101 @@
-"""Plays releases of engines while gateways die: ``python -m soak.versions --seed N``.
+"""Plays software versions of engines: ``python -m soak.versions --seed N``.
 
-Engines of two software versions serve side by side; those of one are replaced by the
-other, one after the other, and then the other way round. Gateways are killed in series
-and overlapping. Callers take each broken stream up at another gateway.
+Engines of two software versions serve side by side while engines and gateways come to
+harm, as the play says. Callers take each broken stream up at another gateway.
 """
 
 import argparse
 import asyncio
 import random
-import signal
 import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
-from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
+from soak.releases import (
+    VERSIONS,
+    Harm,
+    Release,
+    await_gateway,
+    kill_all_gateways,
+    kill_gateways,
+    replace_engines,
+    revert_engines,
+    take_generating,
+)
 from soak.replicas import SoakReplica
-from soak.resuming import call_streams
-from soak.seeds import add_seed_options, list_seeds
+from soak.resuming import USUAL_HABITS, Habits, call_streams
+from soak.seeds import SeedResult, add_seed_options, play_seeds
 from soak.versionaccount import Try, VersionAccount
 from soak.world import World, cancel_all
-from standins.replica import USUAL_VERSION
 
 GATEWAYS = 3
 CALLERS = 18
 ENGINES = 6
 
-VERSIONS = (USUAL_VERSION, "v2")
-
-READY_S = 20.0
-SETTLE_S = 1.5
-"""Longest wait until a gateway serves; then how long until it has read the
-configuration and entries, seconds."""
+MOST_GATEWAYS = 24
+"""Gateways that find ports of their own."""
 
 EVENTS = 8
 EVENT_S = 0.15
 """Events of a whole stream, and the time between two, seconds."""
 
-DRAIN_S = 1.0
-SERVES_ON_S = 0.5
-AWAY_S = (0.05, 0.5)
-"""How long an engine serves on after it says that it leaves, or after its entry is
-gone; how long a crashed one is away, seconds."""
+SLOW = Habits(pause_s=(0.3, 1.2))
+"""Callers that pause for so long that some come back once killed gateways serve."""
 
-PAUSE_S = (0.1, 1.0)
-"""Time between the replacements of two engines, seconds."""
+LEAVING = Habits(pause_s=(0.1, 0.4), take_ups=20, leave_share=0.3, last_left=EVENTS - 1)
+"""Callers that break their streams themselves, where nothing else does."""
 
-KILL_S = (0.4, 2.5)
-DOWN_S = (0.0, 1.0)
-"""Time between two kills, and between a kill and the next start, seconds."""
+FEW = 6
+"""Callers that fill under a quarter of the engines' slots."""
 
 
-@dataclass
-class Release:
-    """A release of engines.
+@dataclass(frozen=True)
+class Play:
+    """What is played.
 
     Attributes:
-        version: The version of engines that begin now.
+        harms: What does harm while callers call.
+        habits: How callers behave.
+        callers: Number of callers.
+        versions: The versions of either half of the engines at the start.
     """
 
-    version: str
+    harms: tuple[Harm, ...]
+    habits: Habits = SLOW
+    callers: int = CALLERS
+    versions: tuple[str, str] = VERSIONS
+
+
+RELEASE = "release"
+"""The play that is played where none is named."""
 
+PLAYS = {
+    RELEASE: Play((replace_engines, kill_gateways), USUAL_HABITS),
+    "all-killed": Play((kill_all_gateways,)),
+    "one-version": Play((kill_all_gateways,), versions=VERSIONS[:1] * 2),
+    "reversioned": Play((revert_engines,), LEAVING),
+    "one-role": Play((take_generating,), LEAVING, FEW),
+}
+"""The plays by name."""
 
-async def play(seed: int, seconds: float, folder: Path) -> VersionAccount:
+
+async def play(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    name: str = RELEASE,
+    gateways: int = GATEWAYS,
+) -> VersionAccount:
     """Play one seed.
 
     Args:
-        seed: Chooses what is asked, which engines are replaced how, and who dies.
+        seed: Chooses what is asked, which engines come to harm how, and who dies.
         seconds: How long.
         folder: Where settings and logs go.
+        name: What is played, one of `PLAYS`.
+        gateways: Number of gateways.
 
     Returns:
         What became of the streams.
@@ -77,21 +103,21 @@
     rng = random.Random(seed)
     world = World(folder, rng, Oracle())
     world.vary = _vary
-    release = Release(VERSIONS[0])
+    played, account, tasks = PLAYS[name], VersionAccount(), []
+    release = Release(world, played.versions[0])
     world.prepare = lambda replica: _prepare(replica, release.version)
-    account, serving, tasks = VersionAccount(), set(), []
-    await world.start(GATEWAYS)
+    await world.start(gateways)
     try:
-        release.version = VERSIONS[1]
+        release.version = played.versions[1]
         for _ in range(ENGINES // 2):
             await world.add_replica("lm", "decode")
         for gateway in world.gateways:
-            await _await_gateway(gateway, serving)
-        for number in range(CALLERS):
-            call = call_streams(world, account, serving, f"c{number}")
+            await await_gateway(gateway, release.serving)
+        for number in range(played.callers):
+            caller = f"c{number}"
+            call = call_streams(world, account, release.serving, caller, played.habits)
             tasks.append(asyncio.create_task(call))
-        tasks.append(asyncio.create_task(_replace_engines(world, release)))
-        tasks.append(asyncio.create_task(_kill_gateways(world, serving)))
+        tasks += [asyncio.create_task(harm(release)) for harm in played.harms]
         await asyncio.sleep(seconds)
         for task in tasks:
             if task.done():
@@ -116,76 +142,18 @@
         route["TimeoutMs"] = 5000
 
 
-async def _await_gateway(gateway: GatewayProcess, serving: set[str]) -> None:
-    async with asyncio.timeout(READY_S):
-        while not gateway.has_started():
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(SETTLE_S)
-    serving.add(gateway.name)
-
-
-async def _replace_engines(world: World, release: Release) -> None:
-    """Replace all engines of one version by the other, and then the other way round."""
-    old, new = world.rng.sample(VERSIONS, 2)
-    while True:
-        release.version = new
-        for replica in _list_engines(world, old):
-            replace = world.rng.choice([_drain, _leave, _crash])
-            await replace(world, replica)
-            await asyncio.sleep(world.rng.uniform(*PAUSE_S))
-        old, new = new, old
-
-
-def _list_engines(world: World, version: str) -> list[SoakReplica]:
-    engines = [r for r in world.replicas.values() if r.role == "decode"]
-    return [r for r in engines if r.software_version == version]
-
-
-async def _drain(world: World, replica: SoakReplica) -> None:
-    replica.is_leaving = True
-    await world.announce(replica, "draining")
-    await world.add_replica(replica.service, replica.role)
-    await asyncio.sleep(DRAIN_S)
-    await world.store.put("keyed.servers", replica.lifetime, None)
-    await world.remove_replica(replica.lifetime)
-
-
-async def _leave(world: World, replica: SoakReplica) -> None:
-    """Replace an engine that goes without having said so."""
-    replica.is_leaving = True
-    await world.add_replica(replica.service, replica.role)
-    await world.store.put("keyed.servers", replica.lifetime, None)
-    await asyncio.sleep(SERVES_ON_S)
-    await world.remove_replica(replica.lifetime)
-
-
-async def _crash(world: World, replica: SoakReplica) -> None:
-    """Replace an engine by one under its id, in the midst of its streams."""
-    await world.restart_replica(replica.lifetime, world.rng.uniform(*AWAY_S))
-
-
-async def _kill_gateways(world: World, serving: set[str]) -> None:
-    """Kill one gateway after the other, also while another one starts."""
-    async with asyncio.TaskGroup() as group:
-        while True:
-            await asyncio.sleep(world.rng.uniform(*KILL_S))
-            # One gateway serves on, as callers need one.
-            if len(serving) > 1:
-                gateway = world.rng.choice([g for g in world.gateways if _is_sound(g)])
-                group.create_task(_kill(gateway, world.rng, serving))
-
-
-def _is_sound(gateway: GatewayProcess) -> bool:
-    return not gateway.lock.locked()
-
-
-async def _kill(gateway: GatewayProcess, rng: random.Random, serving: set[str]) -> None:
-    async with gateway.lock:
-        serving.discard(gateway.name)
-        await gateway.end(signal.SIGKILL)
-        await asyncio.sleep(rng.uniform(*DOWN_S))
-        await gateway.start()
-        await _await_gateway(gateway, serving)
+def _play_one(args: argparse.Namespace, seed: int, folder: Path) -> SeedResult:
+    account = asyncio.run(play(seed, args.seconds, folder, args.play, args.gateways))
+    lines = [
+        f"{args.play}, seed {seed}: {account.streams} streams, of two versions:",
+        f"  {len(account.mixed)} {account.mixed}",
+    ]
+    for kind in Try:
+        done, tries = account.successes[kind], account.tries[kind]
+        found = {s: n for (k, s), n in account.statuses.items() if k is kind}
+        lines.append(f"  {kind}: {done} of {tries} get an event; answers: {found}")
+    lines.append(f"  logs: {folder}")
+    return SeedResult(lines, bool(account.mixed or account.loses_streams()))
 
 
 def main() -> int:
@@ -193,19 +161,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     add_seed_options(parser)
     parser.add_argument("--seconds", type=float, default=20.0, help="of each seed")
+    parser.add_argument("--play", choices=PLAYS, default=RELEASE)
+    parser.add_argument(
+        "--gateways",
+        type=int,
+        default=GATEWAYS,
+        help="number of gateways",
+        choices=range(2, MOST_GATEWAYS + 1),
+        metavar=f"2..{MOST_GATEWAYS}",
+    )
     args = parser.parse_args()
-    failed = 0
-    for seed, folder in list_seeds(args):
-        account = asyncio.run(play(seed, args.seconds, folder))
-        print(f"seed {seed}: {account.streams} streams, of two versions:")
-        print(f"  {len(account.mixed)} {account.mixed}")
-        for kind in Try:
-            done, tries = account.successes[kind], account.tries[kind]
-            found = {s: n for (k, s), n in account.statuses.items() if k is kind}
-            print(f"  {kind}: {done} of {tries} get an event; answers: {found}")
-        print(f"  logs: {folder}", flush=True)
-        failed += bool(account.mixed or account.loses_streams())
-    return 1 if failed else 0
+    return play_seeds(args, lambda seed, folder: _play_one(args, seed, folder))
 
 
 if __name__ == "__main__":
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -21,6 +21,16 @@
     assert not account.loses_streams()
 
 
+@pytest.mark.parametrize(
+    "name", ["all-killed", "one-version", "reversioned", "one-role"]
+)
+def test_streams_that_callers_take_up_are_not_lost(name, tmp_path):
+    account = asyncio.run(play(1, 15.0, tmp_path, name))
+    assert account.mixed == []
+    assert account.has_enough_take_ups()
+    assert not account.loses_streams()
+
+
 def test_a_stream_with_events_of_two_versions_is_a_finding():
     account = VersionAccount()
     for name, versions in [("a", {"v1"}), ("b", {"v2", "v1"}), ("c", set())]:
