Keep engines of each software version that generate

Callers that took streams up were refused with no-target while engines of their version served: a role change took the decode engine with the fewest long answers, whatever its version, until all engines of a version only prefilled, and a prefill engine was brought back only with fewer than two decode engines of all versions together, or in overload.

The decision now looks at each version by itself where several are listed. A version with two or more usable engines of which none generates gets the one with the least work back, before all other changes and like the replacement of a lost engine; a version that has a decode engine which is only full, or one that is being changed to decode, counts as covered. A change to prefill leaves each version the share of decode engines that the service keeps. Back and forth is ruled out: what was brought back can't be taken, another version's engine goes in its place (a test plays 100 s at any demand: two changes). With one version nothing is decided otherwise: all tests of role changes are as they were.

--- a/src/robinspindle/core/rebalancing.py
+++ b/src/robinspindle/core/rebalancing.py
@@ -7,13 +7,15 @@
 """
 
 import math
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
+from robinspindle.core import versionroles
 from robinspindle.core.engines import Engine
 from robinspindle.core.targets import Target
+from robinspindle.core.versionroles import DECODE_ROLE
 
 PREFILL_ROLE = "prefill"
-DECODE_ROLE = "decode"
 
 DEMAND_WINDOW_S = 3.0
 """Time constant of the average of the prefill demand, seconds. It is about the length
@@ -156,6 +158,7 @@
     now: float,
     role_change_s: float,
     pressure: float = 0.0,
+    covered: AbstractSet[str] = frozenset(),
 ) -> RoleChange | None:
     """Decide whether engines of one service should change their role.
 
@@ -167,12 +170,17 @@
         role_change_s: How long a role change takes an engine out of service, seconds.
         pressure: Duration of the longest answers, as a share of the time that their
             callers allow.
+        covered: Software versions with an engine that generates though it is not usable
+            at present, or soon will generate.
 
     Returns:
         The change to make now, or None.
     """
     if now - history.changed_at < role_change_s + CHANGE_PAUSE_S:
         return None
+    lacking = versionroles.list_lacking(engines, covered)
+    if lacking:
+        return _change_one_of_each_to_decode(lacking)
     prefill_engines = [pair for pair in engines if pair[1].prefill_only]
     decode_engines = [pair for pair in engines if not pair[1].prefill_only]
     if (
@@ -211,7 +219,9 @@
     )
     if wanted > 0 and _may_change_to(history, PREFILL_ROLE, now):
         ranked = sorted(decode_engines, key=lambda pair: pair[1].long_answers)
-        return RoleChange(PREFILL_ROLE, _take_first(ranked, min(batch, wanted)))
+        spare = versionroles.list_spare(ranked, engines, thresholds.min_decode_share)
+        if spare:
+            return RoleChange(PREFILL_ROLE, _take_first(spare, min(batch, wanted)))
     if _needs_decode_engine(
         prefill_engines, decode_engines, prefill_load
     ) and _may_change_to(history, DECODE_ROLE, now):
@@ -265,6 +275,16 @@
     return _change_to_decode(prefill_engines, 1, replaces_lost)
 
 
+def _change_one_of_each_to_decode(lacking: list[list[EnginePair]]) -> RoleChange:
+    """Make a change of the engine with the least work of each version to decode.
+
+    Like a replacement, it doesn't delay the reverse change, which takes others.
+    """
+    changes = [_change_one_to_decode(pairs) for pairs in lacking]
+    targets = tuple(target for change in changes for target in change.targets)
+    return RoleChange(DECODE_ROLE, targets, replaces_lost=True)
+
+
 def _change_to_decode(
     prefill_engines: list[EnginePair], count: int, replaces_lost: bool
 ) -> RoleChange:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,6 +1,6 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
-from robinspindle.core import health, prefillmodel, silence
+from robinspindle.core import health, prefillmodel, silence, versionroles
 from robinspindle.core.connectionshares import find_share
 from robinspindle.core.engines import Engine, make_engine, note_earlier_cache
 from robinspindle.core.forwarding import Part
@@ -225,6 +225,10 @@
             and health.is_healthy(target, now)
         ]
 
+    def list_covered_versions(self, service: str, now: float) -> set[str]:
+        """List versions that generate, or soon will, at engines not to be used now."""
+        return versionroles.list_covered(self.directory, service, now)
+
     def find_switch_s(self, service: str) -> float:
         """Find how long a change of role takes an engine away, seconds."""
         shape = self._find_shape(service)
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from robinspindle.calls import CallLimits, call_once
-from robinspindle.core import rebalancing
+from robinspindle.core import rebalancing, versionroles
 from robinspindle.core.authority import (
     Authority,
     Claim,
@@ -167,8 +167,15 @@
         history = self._histories.setdefault(service, RoleChangeHistory())
         role_change_s = self._fleet.find_switch_s(service)
         engines = self._fleet.list_engines(service, now)
+        covered = self._fleet.list_covered_versions(service, now)
         change = rebalancing.decide_role_change(
-            engines, rate, history, now, role_change_s, pressure
+            engines,
+            rate,
+            history,
+            now,
+            role_change_s,
+            pressure,
+            covered,
         )
         if change is None or not may_claim(self.authority, now):
             return
@@ -189,6 +196,8 @@
             readers=sum(engine.prefill_only for _, engine in engines),
             long_answers=sum(engine.long_answers for _, engine in engines),
             targets=[target.announced.lifetime for target in change.targets],
+            generating=versionroles.count_decode_engines(engines),
+            covered=sorted(covered),
             fence=claim.fence,
         )
         await self._give_all(change, claim)
--- a/tests/core/test_versionroles.py
+++ b/tests/core/test_versionroles.py
@@ -10,7 +10,8 @@
     RoleChangeHistory,
     decide_role_change,
 )
-from robinspindle.core.targets import Announcement, Target
+from robinspindle.core.targets import Announcement, Directory, Target
+from robinspindle.core.versionroles import list_covered
 
 ROLE_CHANGE_S = 3.0
 OLD, NEW = "v1", "v2"
@@ -129,3 +130,63 @@
         for change in changes
     ]
     assert described[0] == described[1]
+
+
+def make_directory(*targets):
+    return Directory({target.announced.lifetime: target for target in targets})
+
+
+@pytest.mark.parametrize(
+    ("role", "more", "is_covered"),
+    [
+        (DECODE_ROLE, {}, True),
+        (DECODE_ROLE, {"full_until": 101.0}, True),
+        (DECODE_ROLE, {"backoff_until": 101.0}, False),
+        (DECODE_ROLE, {"gone_at": 99.0}, False),
+        (
+            DECODE_ROLE,
+            {"switching_to": PREFILL_ROLE, "switching_until": 101.0},
+            False,
+        ),
+        (PREFILL_ROLE, {"full_until": 101.0}, False),
+        (PREFILL_ROLE, {"switching_to": DECODE_ROLE, "switching_until": 101.0}, True),
+        (PREFILL_ROLE, {"switching_to": DECODE_ROLE, "switching_until": 99.0}, False),
+    ],
+)
+def test_a_version_is_covered_by_engines_that_are_full_or_begin_to_generate(
+    role, more, is_covered
+):
+    announced = Announcement("i1", "s", "x:1", "a", 48, role=role, software_version=OLD)
+    directory = make_directory(Target(announced, **more))
+    covered = {OLD} if is_covered else set()
+    assert list_covered(directory, "s", 100.0) == covered
+    assert list_covered(directory, "other", 100.0) == set()
+
+
+def test_no_engine_changes_for_a_version_that_is_covered():
+    """A decode engine that is full for a moment would be replaced again and again."""
+    engines = make_engines(OLD, 3, 0) + make_engines(NEW, 1, 5)
+    history = RoleChangeHistory()
+    assert (
+        decide_role_change(engines, 0.5, history, 100.0, ROLE_CHANGE_S, 0.0, {OLD})
+        is None
+    )
+
+
+def test_roles_settle_while_several_versions_serve_at_any_demand():
+    """A change back and a change to prefill must not follow each other for ever."""
+    engines = make_engines(OLD, 3, 0) + make_engines(NEW, 1, 5)
+    history, changes = RoleChangeHistory(), []
+    for step in range(400):
+        now = 100.0 + step * 0.25
+        change = decide_role_change(engines, 9.0, history, now, ROLE_CHANGE_S)
+        if change is None:
+            continue
+        changes.append(change)
+        history.changed_at = now
+        history.last_role = "" if change.replaces_lost else change.role
+        named = {target.announced.lifetime for target in change.targets}
+        for target, engine in engines:
+            if target.announced.lifetime in named:
+                engine.prefill_only = change.role == PREFILL_ROLE
+    assert [change.role for change in changes] == [DECODE_ROLE, PREFILL_ROLE]
