Judge work at leaving targets by all that their agents knew, not at checks alone

The fuzzer's oracle said of seed 4911: "b-0-633/1: new work at e3, which leaves".

Cause, from a trace: e3 left from 106.4 s to 107.5 s for a change, served again, began the run at 130.7 s as it may, and left again at 138.6 s. The oracle looked at 106.58 s and at 154.58 s only, every five steps, and took that for one time of leaving. Ruled out: that the agent began it while it left, or that it kept a waiting run that may not be repeated; the run was offered, claimed and started within 0.2 s, with a free slot.

Change: the world notes each time in which an agent knows that its target leaves, as it learns of it; the oracle judges every run by these. That is stricter: work begun in a time of leaving that ended between two checks was not seen, and one that began between them was counted from the later check. The bound of 4 s stays.

Measured: of the two new tests the first fails on the code before and both pass now; tests/fuzz/test_machine.py passes with all its mutants.

--- a/fuzz/oracle.py
+++ b/fuzz/oracle.py
@@ -30,12 +30,10 @@
     Attributes:
         faults: Sentences, one for each broken promise.
         versions: Configuration version last seen in each process.
-        leaving_since: Since when a target's agent knows that it is leaving.
     """
 
     faults: list[str] = field(default_factory=list)
     versions: dict[tuple[str, int], int] = field(default_factory=dict)
-    leaving_since: dict[str, float] = field(default_factory=dict)
 
 
 def check_now(oracle: Oracle, world: World) -> None:
@@ -202,14 +200,9 @@
 
 def _check_leaving(oracle: Oracle, world: World) -> None:
     """A target that its agent knows to be leaving begins no new work."""
-    for name, target in world.targets.items():
-        folded = world.processes[name].host.target
-        if folded is None or folded.serving:
-            oracle.leaving_since.pop(name, None)
-            continue
-        since = oracle.leaving_since.setdefault(name, world.now)
-        for run in target.runs:
-            if run.at > since + LEAVING_S:
+    for name, periods in world.leaving.items():
+        for run in world.targets[name].runs:
+            if any(p.since + LEAVING_S < run.at < p.until for p in periods):
                 oracle.faults.append(f"{run.run}: new work at {name}, which leaves")
 
 
--- a/fuzz/world.py
+++ b/fuzz/world.py
@@ -1,6 +1,7 @@
 """A deployment in memory: the real decisions, fake interfaces, simulated time."""
 
 import heapq
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -102,6 +103,19 @@
     ends: int = 0
 
 
+@dataclass
+class LeavingPeriod:
+    """A time in which a target's agent knew that the target is leaving.
+
+    Attributes:
+        since: When it learnt so, simulated seconds.
+        until: When it learnt otherwise or ended, simulated seconds.
+    """
+
+    since: float
+    until: float = math.inf
+
+
 class World:
     """All processes and fakes under one simulated clock."""
 
@@ -119,6 +133,7 @@
         self._arrivals: dict[tuple[str, str], float] = {}
         self.published = [text]
         self.cut_by_stop: list[str] = []
+        self.leaving: dict[str, list[LeavingPeriod]] = {}
 
     def make_id(self, word: str) -> str:
         """Make a unique id."""
@@ -245,6 +260,7 @@
     def _begin_agent(self, process: Process) -> None:
         incarnation = f"{process.name}/{process.life}"
         process.host = AgentState(process.name, incarnation)
+        self._note_leaving(process)
         self._tick(process)
 
     def _later(self, delay_s: float, call: Callable) -> None:
@@ -321,8 +337,20 @@
             dispatch.apply_state(process.entry, state)
         else:
             effects = agentcontrol.apply_state(process.host, self.now, state)
+            self._note_leaving(process)
             self._carry_out(process, effects)
 
+    def _note_leaving(self, process: Process) -> None:
+        """Note whether an agent knows that its target is leaving."""
+        target = process.host.target
+        is_leaving = target is not None and not target.serving
+        periods = self.leaving.setdefault(process.name, [])
+        was_leaving = bool(periods) and periods[-1].until == math.inf
+        if is_leaving and not was_leaving:
+            periods.append(LeavingPeriod(self.now))
+        elif was_leaving and not is_leaving:
+            periods[-1].until = self.now
+
     def _write_claims(self, process: Process) -> None:
         """Append waiting claims in one batch; unanswered ones are tried again."""
         if not process.waiting or process.is_cut:
--- a/tests/fuzz/test_machine.py
+++ b/tests/fuzz/test_machine.py
@@ -10,8 +10,10 @@
 
 from fuzz.driver import Move, draw_moves, heal, make_move, make_world, play
 from fuzz.mutants import MUTANTS, apply_mutant
-from fuzz.oracle import Oracle, check_end, check_now
+from fuzz.oracle import LEAVING_S, Oracle, check_end, check_now
 from fuzz.rules import RULES
+from fuzz.world import LeavingPeriod
+from robinspindle.messages import Work
 
 NUMBERS = st.integers(0, 63)
 WEIGHTED = [name for name, rule_ in RULES.items() for _ in range(rule_.weight)]
@@ -56,6 +58,21 @@
     assert play(seed, draw_moves(seed, 150)).faults == ()
 
 
+def test_a_target_that_served_between_two_checks_is_not_taken_for_leaving():
+    assert play(4911, draw_moves(4911, 150)).faults == ()
+
+
+def test_work_that_a_leaving_target_began_between_two_checks_is_noticed():
+    world, oracle = make_world(1), Oracle()
+    check_now(oracle, world)
+    since = world.now
+    world.leaving["e1"].append(LeavingPeriod(since, since + 2 * LEAVING_S))
+    work = Work(request="r1", kind="generate", pool="model", workspace="w")
+    world.targets["e1"].begin(since + 1.5 * LEAVING_S, "r1/1", work, None)
+    check_now(oracle, world)
+    assert oracle.faults == ["r1/1: new work at e1, which leaves"]
+
+
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
 def test_the_oracle_notices(mutant):
     with apply_mutant(mutant):
