Send the outcome of an order anew where its engine was announced meanwhile

What operators saw: a plan that runs for ever, and an agent that appends the same record every 2 s; its target stays out of service.

Cause, from a trace: an engine starts again in another state, its agent announces it, and that record comes to the log just behind an order. The agent had decided the order's outcome with its earlier epoch; the log takes no outcome of an earlier epoch, and the agent held on to it as long as the order's number was the same. Class: a retry that repeats what can't succeed any more. Ruled out: the log's outage and lost answers, as all records did come to the log.

Change: an outcome of another epoch than the target's is void like one of another order; the order is decided anew, by what the engine is then. The record's id names the epoch, as the log takes an id only once.

--- a/src/robinspindle/core/orders.py
+++ b/src/robinspindle/core/orders.py
@@ -102,7 +102,7 @@
     """
     executor.active_order = -1
     executor.ended = OrderEnded(
-        id=f"ended/{executor.incarnation}/{number}",
+        id=f"ended/{executor.incarnation}/{target.epoch}/{number}",
         target=executor.target,
         order=number,
         epoch=target.epoch,
@@ -158,11 +158,16 @@
 
 
 def _was_superseded(executor: Executor, target: Target) -> bool:
-    """Whether the target no longer has the order whose outcome was appended."""
+    """Whether the outcome that was appended is void.
+
+    The target no longer has the order, or the log has a later start of the engine.
+    """
     ended = executor.ended
     if ended is None:
         return False
-    return target.order is None or target.order.number != ended.order
+    if target.order is None or target.order.number != ended.order:
+        return True
+    return target.epoch != ended.epoch
 
 
 def _has_effect(step: Step, found: ObservedEngine, target: Target) -> bool:
