Keep what a target says of itself in one place of its lifetime

The limit that its answers name, and what it said of being full, were fields of the target beside its entry and its health. They move to core/statements.py, where what other headers say joins them. Nothing is decided differently.

tests/core/test_targets.py and tests/test_peerlink.py read the fields at their new place; what they require is the same.

--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -45,7 +45,7 @@
     """Return whether a target is neither in backoff, full, nor changing its role."""
     if is_switching(target, now):
         return False
-    return now >= target.backoff_until and now >= target.full_until
+    return now >= target.backoff_until and now >= target.stated.full_until
 
 
 def find_slowness(target: Target, now: float) -> float:
@@ -145,7 +145,7 @@
 def note_answered(target: Target) -> None:
     """Record a complete answer."""
     target.failures = 0
-    target.refusals = 0
+    target.stated.refusals = 0
     target.backoff_until = 0.0
 
 
@@ -162,7 +162,8 @@
         now: The current time, monotonic seconds.
         rests_longer: Whether the backoff doubles with each consecutive rejection.
     """
-    doublings = target.refusals if rests_longer else 0
+    stated = target.stated
+    doublings = stated.refusals if rests_longer else 0
     backoff_s = min(MAX_FULL_BACKOFF_S, INITIAL_FULL_BACKOFF_S * 2**doublings)
-    target.refusals += 1
-    target.full_until = max(target.full_until, now + backoff_s)
+    stated.refusals += 1
+    stated.full_until = max(stated.full_until, now + backoff_s)
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 
 from robinspindle.core.lifetimes import find_id, is_later
-from robinspindle.core.ratelimits import RateLimit
 from robinspindle.core.silence import Liveness
+from robinspindle.core.statements import Statements
 
 REAPPEARANCE_S = 2.0
 """Time after the store recovers within which expired entries may reappear, seconds; the
@@ -58,7 +58,6 @@
         failures: Consecutive connection failures.
         backoff_until: End of its backoff, monotonic seconds.
         faults: Moving average of the share of faulty answers, 0 to 1.
-        full_until: Time until which it counts as full, monotonic seconds.
         gone_at: Time from which it counts as gone, monotonic seconds; None while it is
             listed.
         replaced: Whether another lifetime answers at its address.
@@ -68,8 +67,7 @@
             monotonic seconds.
         cold_until: End of its warm-up, monotonic seconds.
         liveness: What was received from it, and the responses expected from it.
-        refusals: Consecutive requests that it rejected as full.
-        limit: The limit on its request rate that it named; None if it named none.
+        stated: What it has said of itself in its answers.
     """
 
     announced: Announcement
@@ -77,7 +75,6 @@
     failures: int = 0
     backoff_until: float = 0.0
     faults: float = 0.0
-    full_until: float = 0.0
     gone_at: float | None = None
     replaced: bool = False
     is_unreadable: bool = False
@@ -85,8 +82,7 @@
     switching_until: float = 0.0
     cold_until: float = 0.0
     liveness: Liveness = field(default_factory=Liveness)
-    refusals: int = 0
-    limit: RateLimit | None = None
+    stated: Statements = field(default_factory=Statements)
 
 
 @dataclass
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -169,9 +169,11 @@
         head: The head of its answer.
         sent_at: When it was sent the request, steady seconds.
     """
-    before = target.limit.per_s if target.limit else None
-    target.limit = note_answer(target.limit, head.limit_per_s, sent_at, means.clock())
-    after = target.limit.per_s if target.limit else None
+    before = target.stated.limit.per_s if target.stated.limit else None
+    target.stated.limit = note_answer(
+        target.stated.limit, head.limit_per_s, sent_at, means.clock()
+    )
+    after = target.stated.limit.per_s if target.stated.limit else None
     if before != after:
         means.log(
             "target names a limit" if after is not None else "target names no limit",
--- a/src/robinspindle/targetlimits.py
+++ b/src/robinspindle/targetlimits.py
@@ -25,9 +25,9 @@
 
     def find_wait(self, target: Target, now: float) -> float:
         """Find how long a target may get nothing because of its limit, seconds."""
-        if target.limit is None:
+        if target.stated.limit is None:
             return 0.0
-        return ratelimits.find_wait(target.limit, self._find_share(target), now)
+        return ratelimits.find_wait(target.stated.limit, self._find_share(target), now)
 
     def find_shortest_wait(self, found: Iterable[Target], now: float) -> float:
         """Find when the first of some targets has a turn, seconds; 0 if none has."""
@@ -38,13 +38,13 @@
         """Take one request out of what a target's limit allows, if any is left."""
         if self.find_wait(target, now) > 0:
             return False
-        if target.limit is not None:
-            ratelimits.take(target.limit, self._find_share(target), now)
+        if target.stated.limit is not None:
+            ratelimits.take(target.stated.limit, self._find_share(target), now)
         return True
 
     def list_named(self, now: float) -> dict[str, float]:
         """List the limits that targets have named lately in their answers here."""
-        limits = ((name, t.limit) for name, t in self._directory.targets.items())
+        limits = ((name, t.stated.limit) for name, t in self._directory.targets.items())
         return {
             lifetime: limit.per_s
             for lifetime, limit in limits
@@ -56,11 +56,13 @@
         for lifetime, per_s in limits.items():
             target = self._directory.targets.get(lifetime)
             if target is not None:
-                target.limit = ratelimits.note_told(target.limit, per_s, now)
+                target.stated.limit = ratelimits.note_told(
+                    target.stated.limit, per_s, now
+                )
 
     def _find_share(self, target: Target) -> float:
         """Find the requests per second that this gateway may send by a limit."""
-        lifetime, per_s = target.announced.lifetime, target.limit.per_s
+        lifetime, per_s = target.announced.lifetime, target.stated.limit.per_s
         key = (lifetime, per_s, self.sharing)
         if key not in self._shares:
             if len(self._shares) >= MOST_SHARES:
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -127,10 +127,10 @@
     backoffs = []
     for _ in range(8):
         health.note_full(target, 0.0)
-        backoffs.append(target.full_until)
+        backoffs.append(target.stated.full_until)
     assert backoffs[0] == health.INITIAL_FULL_BACKOFF_S
     assert backoffs == sorted(backoffs)
     assert backoffs[-1] == health.MAX_FULL_BACKOFF_S
     health.note_answered(target)
     health.note_full(target, 10.0)
-    assert target.full_until == 10.0 + health.INITIAL_FULL_BACKOFF_S
+    assert target.stated.full_until == 10.0 + health.INITIAL_FULL_BACKOFF_S
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -362,11 +362,11 @@
     network = Network(8)
     network.step(times=4)
     network[7].fleet.limits.note_told({"e1": 9.5}, network.now)
-    network[7].fleet.directory.targets["e1"].limit.answered_at = network.now
+    network[7].fleet.directory.targets["e1"].stated.limit.answered_at = network.now
     for _ in range(3):
         for number in range(8):
             fleet = network[number].fleet
             network[number].tell(rate_limits=fleet.limits.list_named(network.now))
         network.now += STEP_S
-    limits = [network[n].fleet.directory.targets["e1"].limit for n in range(8)]
+    limits = [network[n].fleet.directory.targets["e1"].stated.limit for n in range(8)]
     assert [limit.per_s for limit in limits] == [9.5] * 8
