Log what a target says of itself in its answers

Two headers of targets were decoded nowhere: that it leaves, and for how long it wants nothing from this gateway after it turned a request away.

Answers are heard where their heads are decoded, on any connection to the target: also those to orders, lists and releases, those that lose to a second attempt and those whose caller has left. Limits on request rates are heard there too. An answer in another instance's name, and a 421, say nothing of the target that was asked.

A value that is no finite number of seconds, such as a date, asks for no rest; of several the longest counts. A 429 speaks of a workspace or a rate, not of the target.

--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -168,6 +168,10 @@
             given.
         limit_per_s: Requests per second that the target takes from all gateways
             together; None if it names no limit.
+        leaving: Whether the target says that it is about to leave.
+        rest_s: Time for which the target wants nothing from this gateway, seconds; 0
+            if it asks for no rest.
+        is_misdirected: Whether the target says that it is not the expected one.
     """
 
     status: int
@@ -179,6 +183,9 @@
     sealed: bool
     idle_s: float | None
     limit_per_s: float | None = None
+    leaving: bool = False
+    rest_s: float = 0.0
+    is_misdirected: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -41,7 +41,6 @@
     make_send,
     make_stop,
     note_broken,
-    note_named_limit,
     note_turned_away,
     send_if_awaited,
 )
@@ -192,7 +191,6 @@
                 # What has begun to run does so for all its copies.
                 run.stop = None
                 health.note_heard(target, passage.first_at)
-                note_named_limit(means, target, head, sent_at)
                 self._note_begun(passage, sending)
                 sending.on_first()
                 answer = Answer(target, head, exchange, connection, expected)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,5 +1,7 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
+from collections.abc import Callable
+
 from robinspindle.core import health, prefillmodel, silence
 from robinspindle.core.connectionshares import find_share
 from robinspindle.core.engines import Engine, make_engine, note_earlier_cache
@@ -15,7 +17,7 @@
 from robinspindle.core.targets import Directory, Target
 from robinspindle.core.versionhistory import VersionHistory, note_listed
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionPool, DecodeHead
+from robinspindle.httpclient import ConnectionPool, DecodeHead, Traffic
 from robinspindle.targetlimits import TargetLimits
 
 READING = "prefill"
@@ -58,7 +60,19 @@
             has started after this gateway.
     """
 
-    def __init__(self, directory: Directory, decode_head: DecodeHead):
+    def __init__(
+        self,
+        directory: Directory,
+        decode_head: DecodeHead,
+        make_traffic: Callable[[Target], Traffic | None] = lambda target: None,
+    ):
+        """Begin without connections.
+
+        Args:
+            directory: The targets.
+            decode_head: Decodes the heads of their answers.
+            make_traffic: Makes what is told of all that passes to and from a target.
+        """
         self.directory = directory
         self.table: RouteTable | None = None
         self.table_at = 0.0
@@ -68,6 +82,7 @@
         self.limits = TargetLimits(directory)
         self.knows_new_caches = False
         self._decode_head = decode_head
+        self._make_traffic = make_traffic
         self._pools: dict[str, ConnectionPool] = {}
         self._engines: dict[str, Engine] = {}
         self._paces: dict[tuple[str, bool], PrefillModel] = {}
@@ -300,6 +315,7 @@
             pool = ConnectionPool(
                 HostPort(host, int(port)),
                 self._decode_head,
+                self._make_traffic(target),
             )
             self._pools[announced.lifetime] = pool
         return pool
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -50,6 +50,7 @@
 from robinspindle.stopping import STOPPING, Stop
 from robinspindle.storenews import StoreNews
 from robinspindle.streammemory import StreamMemory
+from robinspindle.targettraffic import make_traffic_maker
 from robinspindle.usagebook import UsageBook
 
 TICK_S = 0.1
@@ -98,7 +99,11 @@
         self.metrics = GatewayMetrics()
         self._store = adapter.make_store(settings, self._clock)
         self.directory = Directory()
-        self.fleet = Fleet(self.directory, adapter.dialect.decode_answer)
+        self.fleet = Fleet(
+            self.directory,
+            adapter.dialect.decode_answer,
+            make_traffic_maker(self._clock, make_log("targets")),
+        )
         self.budget = retrywindows.WindowedRetryBudget()
         self.peers = Peers(_describe_own(settings), time.time())
         self.book = UsageBook(
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import math
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from typing import Protocol
 
 import httptools
 
@@ -34,6 +36,18 @@
 DecodeHead = Callable[[int, bytes, Headers], AnswerHead]
 
 
+class Traffic(Protocol):
+    """What is told of all that passes on the connections to one address."""
+
+    def note_head(self, head: AnswerHead, sent_at: float) -> None:
+        """Take note of the head of an answer.
+
+        Args:
+            head: The head.
+            sent_at: When its request was sent, steady seconds; -inf if not known.
+        """
+
+
 class ConnectionBrokenError(Exception):
     """No answer, or not a whole one.
 
@@ -54,6 +68,7 @@
 
     Attributes:
         request_id: Id that the answer has to carry; empty accepts any.
+        sent_at: When the request was sent, steady seconds; -inf if not known.
         head: The answer's head, when it has come.
         is_whole: Whether the whole answer has come.
         error: Why it will not come.
@@ -62,6 +77,7 @@
     """
 
     request_id: str
+    sent_at: float = -math.inf
     head: AnswerHead | None = None
     is_whole: bool = False
     error: ConnectionBrokenError | None = None
@@ -136,8 +152,9 @@
 class ClientConnection(asyncio.Protocol):
     """One connection to a target or to the store."""
 
-    def __init__(self, decode_head: DecodeHead):
+    def __init__(self, decode_head: DecodeHead, traffic: Traffic | None = None):
         self._decode_head = decode_head
+        self._traffic = traffic
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -247,7 +264,9 @@
         if exchange.request_id and head.request_id not in ("", exchange.request_id):
             # A surplus answer to an earlier request: ours may still follow it.
             self._keep = False
+            self._note_head(head, -math.inf)
             return
+        self._note_head(head, exchange.sent_at)
         names = {name.lower() for name, _ in self._headers}
         self._framed = b"content-length" in names or b"transfer-encoding" in names
         self._is_ours = True
@@ -272,6 +291,10 @@
         if not self._parser.should_keep_alive():
             self._keep = False
 
+    def _note_head(self, head: AnswerHead, sent_at: float) -> None:
+        if self._traffic is not None:
+            self._traffic.note_head(head, sent_at)
+
     def _break(self, text: str) -> None:
         exchange, self._exchange = self._exchange, None
         self.abort()
@@ -282,9 +305,22 @@
 class ConnectionPool:
     """Idle connections to one address."""
 
-    def __init__(self, address: HostPort, decode_head: DecodeHead):
+    def __init__(
+        self,
+        address: HostPort,
+        decode_head: DecodeHead,
+        traffic: Traffic | None = None,
+    ):
+        """Begin without a connection.
+
+        Args:
+            address: Where to.
+            decode_head: Decodes the heads of answers.
+            traffic: Told what passes on all connections; None for nobody.
+        """
         self.address = address
         self._decode_head = decode_head
+        self._traffic = traffic
         self._idle: list[ClientConnection] = []
 
     async def take(self, now: float, timeout_s: float) -> ClientConnection:
@@ -317,7 +353,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._decode_head),
+                    lambda: ClientConnection(self._decode_head, self._traffic),
                     self.address.host,
                     self.address.port,
                 )
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -68,6 +68,15 @@
 MISDIRECTED = 421
 """Status of a target that is not the expected one, so it did not run the request."""
 
+UNAVAILABLE = 503
+"""Status of a target that turns a request away; only then it may ask for rest."""
+
+LEAVING_HEADER = b"server-leaving"
+"""Header that is 1 in all answers of a target that is about to leave."""
+
+REST_HEADER = b"retry-after"
+"""Header with the seconds for which a target wants nothing from this gateway."""
+
 
 def decode_request(method: str, target: bytes, headers: Headers, now: float) -> Request:
     """Decode the head of a caller's request; `add_body` adds the body later.
@@ -173,6 +182,10 @@
         sealed=b"x-response-seal" in values and b"content-encoding" not in values,
         idle_s=_parse_idle_s(values.get(b"keep-alive")),
         limit_per_s=_parse_rate(values.get(b"server-limit")),
+        leaving=LEAVING_HEADER in values
+        and "1" in _list_values(headers, LEAVING_HEADER),
+        rest_s=_parse_rest_s(headers) if status == UNAVAILABLE else 0.0,
+        is_misdirected=status == MISDIRECTED,
     )
 
 
@@ -293,6 +306,16 @@
     return rate if rate >= 0.0 and math.isfinite(rate) else None
 
 
+def _parse_rest_s(headers: Headers) -> float:
+    """Return the longest valid number of seconds in headers that ask for rest.
+
+    Anything else, such as a date, asks for none.
+    """
+    # Repeated headers may have been joined into one.
+    texts = ",".join(_list_values(headers, REST_HEADER)).split(",")
+    return max((_parse_rate(text.encode("latin-1")) or 0.0) for text in texts)
+
+
 def _parse_idle_s(value: bytes | None) -> float | None:
     """Return the ``timeout`` of a ``Keep-Alive`` header, seconds; None without one."""
     for parameter in (value or b"").split(b","):
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -26,7 +26,6 @@
     make_send,
     make_stop,
     note_broken,
-    note_named_limit,
     note_turned_away,
     send_if_awaited,
 )
@@ -116,7 +115,6 @@
                     send_if_awaited(passage, connection, exchange, data, now)
                     head = await exchange.read_head()
                     health.note_heard(sending.target, means.clock())
-                    note_named_limit(means, sending.target, head, now)
                     body = await exchange.read_body()
                     means.guard.note_run_time(run)
                     return head, body
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -8,7 +8,6 @@
 from robinspindle.core.forwarding import AnswerHead, CacheSource, Send
 from robinspindle.core.lifetimes import find_id
 from robinspindle.core.priorities import LATE_LEVEL, REQUEST_PRIORITIES, find_rank_level
-from robinspindle.core.ratelimits import note_answer
 from robinspindle.core.silence import ExpectedResponse
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import CallerLeftError
@@ -127,7 +126,7 @@
     """
     if passage.reply.has_caller_left:
         raise CallerLeftError("closed by the caller")
-    passage.sent_at = now
+    passage.sent_at = exchange.sent_at = now
     connection.send(exchange, data)
 
 
@@ -158,32 +157,6 @@
         health.note_full(target, means.clock(), means.policy().rests_longer)
 
 
-def note_named_limit(
-    means: Means, target: Target, head: AnswerHead, sent_at: float
-) -> None:
-    """Take note of the limit on its request rate that an answer of a target names.
-
-    Args:
-        means: What the relay has.
-        target: The target.
-        head: The head of its answer.
-        sent_at: When it was sent the request, steady seconds.
-    """
-    before = target.stated.limit.per_s if target.stated.limit else None
-    target.stated.limit = note_answer(
-        target.stated.limit, head.limit_per_s, sent_at, means.clock()
-    )
-    after = target.stated.limit.per_s if target.stated.limit else None
-    if before != after:
-        means.log(
-            "target names a limit" if after is not None else "target names no limit",
-            at=round(means.clock(), 4),
-            target=target.announced.lifetime,
-            per_s=after,
-            before_per_s=before,
-        )
-
-
 def note_broken(target: Target, error: ConnectionBrokenError, now: float) -> None:
     """Take note that a target could not be reached or did not answer."""
     note = (
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -148,3 +148,49 @@
 def test_rate_limit_of_a_target_is_decoded(value, rate):
     headers = ((b"Server-Limit", value), (b"X-Response-Seal", b"s"))
     assert dialect.decode_answer(200, b"OK", headers).limit_per_s == rate
+
+
+@pytest.mark.parametrize("status", [200, 404, 421, 429, 500, 503])
+def test_an_answer_of_any_status_says_that_its_target_leaves(status):
+    headers = ((b"Server-Leaving", b"1"),)
+    assert dialect.decode_answer(status, b"", headers).leaving
+    assert not dialect.decode_answer(status, b"", ()).leaving
+    assert not dialect.decode_answer(status, b"", ((b"Server-Leaving", b"0"),)).leaving
+
+
+def test_only_a_target_that_is_not_the_expected_one_is_misdirected():
+    assert dialect.decode_answer(421, b"", ()).is_misdirected
+    assert not dialect.decode_answer(503, b"", ()).is_misdirected
+
+
+@pytest.mark.parametrize(
+    ("values", "rest_s"),
+    [
+        ((b"3",), 3.0),
+        ((b" 0.2 ",), 0.2),
+        ((b"0",), 0.0),
+        ((b"10000",), 10000.0),
+        ((b"-1",), 0.0),
+        ((b"inf",), 0.0),
+        ((b"nan",), 0.0),
+        ((b"soon",), 0.0),
+        ((b"",), 0.0),
+        ((b"Fri, 04 Dec 2026 08:29:05 GMT",), 0.0),
+        ((b"2", b"7"), 7.0),
+        ((b"7", b"2"), 7.0),
+        ((b"7, 2",), 7.0),
+        ((b"soon", b"2"), 2.0),
+        ((), 0.0),
+    ],
+)
+def test_the_rest_that_a_target_asks_for_is_decoded(values, rest_s):
+    headers = tuple((b"Retry-After", value) for value in values)
+    assert dialect.decode_answer(503, b"", headers).rest_s == rest_s
+    declined = (*headers, (b"X-Not-Executed", b"1"))
+    assert dialect.decode_answer(503, b"", declined).rest_s == rest_s
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_target_that_turns_a_request_away_asks_for_rest(status):
+    headers = ((b"Retry-After", b"3"),)
+    assert dialect.decode_answer(status, b"", headers).rest_s == 0.0
