Show that a target which says that it leaves still gets requests

The stand-in of a replica can say in all its answers that it leaves: plain ones, heads of streams, errors, 421, prefill-only ones, cache lists, releases and orders.

--- a/standins/rawhttp.py
+++ b/standins/rawhttp.py
@@ -129,10 +129,14 @@
 
 
 async def write_slowly(
-    writer: asyncio.StreamWriter, status: int, body: bytes, pieces: int
+    writer: asyncio.StreamWriter,
+    status: int,
+    body: bytes,
+    pieces: int,
+    headers: dict[str, str] | None = None,
 ) -> None:
     """Write a whole answer as a slow link brings it: piece by piece."""
-    writer.write(_write_head(status, len(body)))
+    writer.write(_write_head(status, len(body), headers))
     length = -(-len(body) // pieces)
     for start in range(0, len(body), length):
         writer.write(body[start : start + length])
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -39,6 +39,7 @@
         has_crashed: Whether one did.
         list_pieces: Pieces in which that list comes, one after a pause.
         limit_per_s: The limit on its request rate that its answers name; None for none.
+        says_leaving: Whether all its answers say that it leaves.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self.lists = 0
         self.list_pieces = 1
         self.limit_per_s: float | None = None
+        self.says_leaving = False
         self.born_ms: int | None = None
         self.software_version = USUAL_VERSION
         self.crashes_on = crashes_on
@@ -90,22 +92,24 @@
     async def _answer(self, request: RawRequest, writer) -> bool:
         if request.method == "DELETE":
             self.freed.append(request.target.rpartition("/")[2])
-            write_answer(writer, 200)
+            write_answer(writer, 200, headers=self._own_head())
             return True
         if request.target == "/kv-list":
             self.lists += 1
             rows = [["", id, tokens, "m"] for id, tokens in self.held.items()]
             body = {"epoch": "1", "NextPageToken": 7, "held": rows}
             data = json.dumps(body).encode()
-            await write_slowly(writer, 200, data, self.list_pieces)
+            head = self._own_head()
+            await write_slowly(writer, 200, data, self.list_pieces, head)
             return True
         if request.target == "/order":
             self.orders.append(request)
-            write_answer(writer, 202)
+            write_answer(writer, 202, headers=self._own_head())
             return True
         self.arrivals.append(request)
         if request.headers.get("x-expect-instance") != self.lifetime:
-            write_answer(writer, 421, headers={"X-Instance-Id": self.lifetime})
+            head = self._own_head() | {"X-Instance-Id": self.lifetime}
+            write_answer(writer, 421, headers=head)
             return True
         is_read = request.headers.get("x-stage") == "prefill"
         if request.body == self.crashes_on and not (is_read or self.behaviours):
@@ -115,8 +119,12 @@
         behaviour = self.behaviours.popleft() if self.behaviours else "ok"
         return await getattr(self, "_be_" + behaviour)(request, writer)
 
+    def _own_head(self) -> dict[str, str]:
+        """Write what it says of itself in every answer, whatever was asked."""
+        return {"Server-Leaving": "1"} if self.says_leaving else {}
+
     def _head(self, request: RawRequest) -> dict[str, str]:
-        head = {
+        head = self._own_head() | {
             "X-Request-Id": request.headers.get("x-request-id", ""),
             "X-Response-Seal": f"seal-{self.lifetime}",
         }
