Send nothing to a target whose own answer said that it leaves

Callers' requests reached targets for as long as their entries said ready, though their answers said that they leave: an entry is written by another process, and may be late by all of a store's outage. Ruled out: requests that were chosen before are a part of it only, as the users' came more than 2 s after such an answer.

A target leaves by its entry or by its answers, and neither takes back the other; what a lifetime said is kept where its entry is missing for a while, and a start under the same id has said nothing. core/obstacles.py decides whether a target may be sent something now. Choices ask it, and so does the connection directly before it writes, whatever is sent: requests that waited for the link, for a turn or for a connection, prompts that are read apart and their hosts, second attempts, retries, orders, lists, releases. What is held back there counts as not sent: it uses no offer, no read and no retry, and goes to another target at once; a prompt that was read apart goes on to another host. A release is held back too, as the handle lapses by itself. Scaling and the judgement of crashes take the same word.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -153,6 +153,9 @@
             return False
         if end is End.FAULT and passage.fault[0].status < LEAST_FAULT:
             return False
+        if end is End.NOT_SENT:
+            # The target has been left out of choices since, so another is found.
+            return True
         if end is End.NOT_RUN and passage.offers == 0:
             return len(passage.tried) < forwarding.MAX_SENDS
         if not forwarding.may_send_again(route, passage.offers, passage.runs):
--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -38,7 +38,7 @@
 def may_get_work(target: Target, now: float) -> bool:
     """Return whether a target may get new requests at all."""
     is_away = target.replaced or target.is_unreadable or targets.is_gone(target, now)
-    return not (target.announced.leaving or is_away)
+    return not (targets.is_leaving(target) or is_away)
 
 
 def is_healthy(target: Target, now: float) -> bool:
--- /dev/null
+++ b/src/robinspindle/core/obstacles.py
@@ -0,0 +1,53 @@
+"""Whether this gateway may send a target something now, by what is known of its wishes.
+
+Every choice of a target and every send asks here: a target may say what it wants while
+a request that was chosen for it waits.
+"""
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+from robinspindle.core import ratelimits
+from robinspindle.core.targets import Target, is_leaving
+
+
+class ObstacleReason(Enum):
+    """Why a target gets nothing."""
+
+    LEAVING = "leaving"
+    LIMITED = "limited"
+
+
+@dataclass(frozen=True)
+class Obstacle:
+    """What keeps a target from getting anything.
+
+    Attributes:
+        reason: Why it gets nothing.
+        until: Time from which it may get something, monotonic seconds; infinite if
+            never.
+    """
+
+    reason: ObstacleReason
+    until: float = math.inf
+
+
+def find_send_obstacle(
+    target: Target, now: float, share_per_s: float | None = None
+) -> Obstacle | None:
+    """Return what keeps this gateway from sending a target something; None if nothing.
+
+    Args:
+        target: The target.
+        now: The current time, monotonic seconds.
+        share_per_s: The share of the target's limit that this gateway may use, requests
+            per second; None if the request has its turn already.
+    """
+    if is_leaving(target):
+        return Obstacle(ObstacleReason.LEAVING)
+    limit = target.stated.limit
+    if limit is None or share_per_s is None:
+        return None
+    wait_s = ratelimits.find_wait(limit, share_per_s, now)
+    return Obstacle(ObstacleReason.LIMITED, now + wait_s) if wait_s > 0 else None
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -98,7 +98,8 @@
         recovered_at: Time when the store last recovered, monotonic seconds.
         is_list_read: Whether the list has been read at least once.
         read_at: Time of the last read of the list, monotonic seconds.
-        ended_lifetimes: Lifetimes that are known to have ended, most recent last.
+        ended_lifetimes: Lifetimes that are known to have ended, with what they said of
+            themselves, most recent last.
         is_restored: Whether the entries are read from a store that was restored from a
             backup, and may be older than what is known.
         missing_grace_s: Time for which a target whose entry is gone is still used if
@@ -112,7 +113,7 @@
     recovered_at: float = -REAPPEARANCE_S
     is_list_read: bool = False
     read_at: float = 0.0
-    ended_lifetimes: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    ended_lifetimes: OrderedDict[str, Statements] = field(default_factory=OrderedDict)
     is_restored: bool = False
     missing_grace_s: float = 1.0
 
@@ -147,7 +148,6 @@
     if directory.is_restored and _is_over(directory, announced.lifetime, now):
         # A target that is still alive writes its entry again within a heartbeat.
         return AnnouncementResult(is_superseded=True)
-    directory.ended_lifetimes.pop(announced.lifetime, None)
     ended = end_earlier_lifetimes(directory, announced.lifetime, now)
     has_changed = note_announced(directory, announced, now)
     return AnnouncementResult(has_changed=has_changed, ended=tuple(ended))
@@ -175,7 +175,9 @@
     target = directory.targets.get(lifetime)
     cold_until = now + announced.cold_s
     if target is None:
-        target = Target(announced, cold_until=cold_until)
+        # Its entry may only have been missing, and it may have spoken before.
+        stated = directory.ended_lifetimes.pop(lifetime, None) or Statements()
+        target = Target(announced, cold_until=cold_until, stated=stated)
         directory.targets[lifetime] = target
         return True
     changed = target.announced != announced or target.gone_at is not None
@@ -298,6 +300,11 @@
     )
 
 
+def is_leaving(target: Target) -> bool:
+    """Return whether a target is about to leave, by its entry or by its answers."""
+    return target.announced.leaving or target.stated.leaving
+
+
 def is_gone(target: Target, now: float) -> bool:
     """Return whether a target whose entry is missing counts as gone."""
     return target.gone_at is not None and now >= target.gone_at
@@ -313,7 +320,7 @@
     for target in gone:
         lifetime = target.announced.lifetime
         del directory.targets[lifetime]
-        directory.ended_lifetimes[lifetime] = None
+        directory.ended_lifetimes[lifetime] = target.stated
     while len(directory.ended_lifetimes) > MAX_REMEMBERED_IDS:
         directory.ended_lifetimes.popitem(last=False)
     return gone
--- a/src/robinspindle/crashwatch.py
+++ b/src/robinspindle/crashwatch.py
@@ -161,7 +161,7 @@
     def _is_planned(self, target: Target) -> bool:
         """Whether a target was about to end anyway."""
         is_missing = target.gone_at is not None and not self._is_superseded(target)
-        return target.announced.leaving or is_missing
+        return targets.is_leaving(target) or is_missing
 
     def _is_superseded(self, target: Target) -> bool:
         return targets.is_superseded(self._directory, target.announced.lifetime)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -6,7 +6,7 @@
 from robinspindle.choosing import Chooser
 from robinspindle.core import forwarding, health, silence
 from robinspindle.core.engines import Engine, note_placed
-from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.forwarding import AnswerHead, CacheSource
 from robinspindle.core.interference import note_slot_hold
 from robinspindle.core.peerdigests import Placement
 from robinspindle.core.prefillplacement import RequestPlan
@@ -21,6 +21,7 @@
     ClientConnection,
     ConnectionBrokenError,
     Exchange,
+    NotSentError,
 )
 from robinspindle.passages import Means, Passage
 from robinspindle.passing import (
@@ -43,6 +44,7 @@
     note_broken,
     note_turned_away,
     send_if_awaited,
+    take_turn,
 )
 
 BAD_REQUEST = 400
@@ -94,12 +96,30 @@
             if engine is not None and passage.request.prompt is not None:
                 return await self._send_unread(passage, plan, engine)
             return await self._send(passage, Sending(plan.target))
-        source = await self._apart.read(passage, plan)
+        try:
+            source = await self._apart.read(passage, plan)
+        except NotSentError as error:
+            return self._note_not_sent(passage, plan.prefill_target, error)
         if source is None:
             return End.NOT_RUN
-        taken = False
+        end = End.NOT_RUN
         try:
             await link.reserve(size)
+            end = await self._send_read(passage, plan, source)
+            return end
+        finally:
+            if end is not End.DELIVERED:
+                self._apart.release(plan.prefill_target, source)
+
+    async def _send_read(
+        self, passage: Passage, plan: RequestPlan, source: CacheSource
+    ) -> End:
+        """Send a request whose prompt was read apart to the first host that takes it.
+
+        What was read is not lost where a host turns out to want nothing.
+        """
+        end = End.NOT_SENT
+        while end is End.NOT_SENT:
             host = self._chooser.find_host(passage, plan)
             if host is None:
                 return End.NOT_RUN
@@ -107,11 +127,7 @@
             if engine is not None:
                 note_placed(engine, passage.request.prompt.parts)
             end = await self._send(passage, Sending(host, source))
-            taken = end is End.DELIVERED
-            return end
-        finally:
-            if not taken:
-                self._apart.release(plan.prefill_target, source)
+        return end
 
     async def _send_unread(
         self, passage: Passage, plan: RequestPlan, engine: Engine
@@ -135,11 +151,9 @@
             # It became known while its prompt was read.
             return End.NOT_RUN
         passage.tried.add(target.announced.lifetime)
-        if not self._means.fleet.limits.take_turn(target, self._means.clock()):
-            passage.last_reason = "limited"
-            return End.NOT_RUN
         target.in_flight += 1
         try:
+            take_turn(self._means, target)
             async with (
                 borrow_connection(self._means, target) as connection,
                 self._means.guard.runs.watch(
@@ -147,6 +161,8 @@
                 ) as run,
             ):
                 return await self._exchange(passage, sending, connection, run)
+        except NotSentError as error:
+            return self._note_not_sent(passage, target, error)
         except ConnectionBrokenError as error:
             return self._note_broken(passage, target, error)
         except TimeoutError:
@@ -176,11 +192,11 @@
         run.stop = make_stop(exchange)
         send = make_send(passage, sending, means.clock())
         data = means.dialect.encode_request(passage.request, send)
-        passage.offers += 1
         with expect(target, self._expect_answer(passage, exchange)) as expected:
             async with asyncio.timeout(self._find_wait_s(passage)) as limit:
                 sent_at = means.clock()
                 send_if_awaited(passage, connection, exchange, data, sent_at)
+                passage.offers += 1
                 head = await exchange.read_head()
                 left_s = self._find_wait_s(passage, has_begun=True)
                 limit.reschedule(asyncio.get_running_loop().time() + left_s)
@@ -273,6 +289,14 @@
         passage.last_reason = "replaced" if target.replaced else "full"
         self._log.log_broken(passage, target, f"not run: status {head.status}")
 
+    def _note_not_sent(
+        self, passage: Passage, target: Target, error: NotSentError
+    ) -> End:
+        passage.tried.discard(target.announced.lifetime)
+        passage.last_reason = error.obstacle.reason.value
+        self._log.log_broken(passage, target, str(error))
+        return End.NOT_SENT
+
     def _note_broken(
         self, passage: Passage, target: Target, error: ConnectionBrokenError
     ) -> End:
--- a/src/robinspindle/ends.py
+++ b/src/robinspindle/ends.py
@@ -7,6 +7,7 @@
     """How one sending ended."""
 
     DELIVERED = "delivered"
+    NOT_SENT = "not-sent"
     NOT_RUN = "not-run"
     UNSURE = "unsure"
     FAULT = "fault"
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -101,7 +101,7 @@
             target
             for target in found
             if (target.in_flight < equal or self._has_unused(target, total))
-            and self.limits.find_wait(target, now) <= 0
+            and self.limits.find_obstacle(target, now) is None
         ]
 
     def _has_unused(self, target: Target, total: int) -> bool:
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -17,6 +17,7 @@
 import httptools
 
 from robinspindle.core.forwarding import AnswerHead, Headers
+from robinspindle.core.obstacles import Obstacle
 from robinspindle.gatewaysettings import HostPort
 
 UNACKED_MS = 4000
@@ -47,6 +48,9 @@
             sent_at: When its request was sent, steady seconds; -inf if not known.
         """
 
+    def find_obstacle(self) -> Obstacle | None:
+        """Find what keeps anything from being sent now; None if nothing."""
+
 
 class ConnectionBrokenError(Exception):
     """No answer, or not a whole one.
@@ -62,6 +66,18 @@
         self.was_refused = was_refused
 
 
+class NotSentError(ConnectionBrokenError):
+    """Nothing was sent, as the target is to get nothing now.
+
+    Attributes:
+        obstacle: What keeps it from getting anything.
+    """
+
+    def __init__(self, obstacle: Obstacle):
+        super().__init__(f"not sent: {obstacle.reason.value}", was_sent=False)
+        self.obstacle = obstacle
+
+
 @dataclass
 class Exchange:
     """One request and its answer on one connection.
@@ -176,7 +192,14 @@
         return self._transport.get_write_buffer_size() == 0
 
     def send(self, exchange: Exchange, data: bytes) -> None:
-        """Send a request whose answer goes to an exchange."""
+        """Send a request whose answer goes to an exchange.
+
+        Raises:
+            NotSentError: If the target is to get nothing now.
+        """
+        obstacle = self._traffic.find_obstacle() if self._traffic else None
+        if obstacle is not None:
+            raise NotSentError(obstacle)
         self._exchange = exchange
         self._transport.write(data)
 
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -23,7 +23,7 @@
 from robinspindle.exceptions import LogConflictError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
-from robinspindle.httpclient import ConnectionBrokenError
+from robinspindle.httpclient import ConnectionBrokenError, NotSentError
 from robinspindle.logs import Log
 from robinspindle.peers import Peers, list_deciders
 
@@ -52,6 +52,7 @@
     REPLACED = "another lifetime answers"
     REFUSED = "refused"
     UNSURE = "no answer"
+    NOT_SENT = "not sent, as the engine wants nothing now"
 
 
 @dataclass(frozen=True)
@@ -242,6 +243,8 @@
         try:
             data = self._dialect.encode_order(order)
             head, _ = await call_once(pool, self._clock, data, ORDER_LIMITS)
+        except NotSentError:
+            return OrderOutcome.NOT_SENT
         except (ConnectionBrokenError, TimeoutError):
             return OrderOutcome.UNSURE
         return self._dialect.decode_outcome(head.status)
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -13,7 +13,7 @@
 )
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError, TurnedAwayError
-from robinspindle.httpclient import ConnectionBrokenError, Exchange
+from robinspindle.httpclient import ConnectionBrokenError, Exchange, NotSentError
 from robinspindle.passages import Means, Passage
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
@@ -28,6 +28,7 @@
     note_broken,
     note_turned_away,
     send_if_awaited,
+    take_turn,
 )
 
 READING = " read"
@@ -51,11 +52,14 @@
         self._releases: set[asyncio.Task] = set()
 
     async def read(self, passage: Passage, plan: RequestPlan) -> CacheSource | None:
-        """Have a prompt read at the plan's reader; None when that failed."""
+        """Have a prompt read at the plan's reader; None when that failed.
+
+        Raises:
+            NotSentError: If the reader is to get nothing now.
+        """
         reader = plan.prefill_target
         engine = self._means.fleet.find_engine(reader)
-        if not self._means.fleet.limits.take_turn(reader, self._means.clock()):
-            return None
+        take_turn(self._means, reader)
         passage.reads += 1
         work = self._readings.begin(passage, reader, engine, plan)
         reader.in_flight += 1
@@ -74,6 +78,9 @@
             )
         except TurnedAwayError as error:
             self._log.log_broken(passage, reader, str(error))
+        except NotSentError:
+            passage.reads -= 1
+            raise
         except ConnectionBrokenError as error:
             note_broken(reader, error, self._means.clock())
             self._log.log_broken(passage, reader, str(error))
--- a/src/robinspindle/scaler.py
+++ b/src/robinspindle/scaler.py
@@ -5,7 +5,7 @@
 
 from robinspindle.core import scaling
 from robinspindle.core.scaling import Bounds, ZoneDemand
-from robinspindle.core.targets import Target
+from robinspindle.core.targets import Target, is_leaving
 from robinspindle.dutycalls import DutyOutcome
 from robinspindle.dutylog import DutyLog
 from robinspindle.dutyranking import DutyRanking
@@ -79,7 +79,7 @@
         found: dict[str, list[Target]] = {}
         for target in self._fleet.directory.targets.values():
             # One that rests for a while is there all the same.
-            if target.announced.service == service and not target.announced.leaving:
+            if target.announced.service == service and not is_leaving(target):
                 found.setdefault(target.announced.zone, []).append(target)
         for zone, targets in found.items():
             demand = self._demands.setdefault((service, zone), ZoneDemand())
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -15,6 +15,7 @@
     ClientConnection,
     ConnectionBrokenError,
     Exchange,
+    NotSentError,
     borrow,
 )
 from robinspindle.passages import Means, Passage
@@ -123,11 +124,23 @@
     Raises:
         CallerLeftError: If the caller has closed its connection, also where the event
             loop was too busy to handle that yet; nothing is sent then.
+        NotSentError: If the target is to get nothing now.
     """
     if passage.reply.has_caller_left:
         raise CallerLeftError("closed by the caller")
-    passage.sent_at = exchange.sent_at = now
     connection.send(exchange, data)
+    passage.sent_at = exchange.sent_at = now
+
+
+def take_turn(means: Means, target: Target) -> None:
+    """Take one request out of what a target allows this gateway.
+
+    Raises:
+        NotSentError: If it is to get nothing now.
+    """
+    obstacle = means.fleet.limits.take_turn(target, means.clock())
+    if obstacle is not None:
+        raise NotSentError(obstacle)
 
 
 def is_barred(means: Means, passage: Passage) -> bool:
--- a/src/robinspindle/targetlimits.py
+++ b/src/robinspindle/targetlimits.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from robinspindle.core import ratelimits
+from robinspindle.core.obstacles import Obstacle, find_send_obstacle
 from robinspindle.core.ratelimits import Sharing
 from robinspindle.core.targets import Directory, Target
 
@@ -23,24 +24,27 @@
         self._directory = directory
         self._shares: dict[tuple[str, float, Sharing], float] = {}
 
-    def find_wait(self, target: Target, now: float) -> float:
-        """Find how long a target may get nothing because of its limit, seconds."""
-        if target.stated.limit is None:
-            return 0.0
-        return ratelimits.find_wait(target.stated.limit, self._find_share(target), now)
+    def find_obstacle(self, target: Target, now: float) -> Obstacle | None:
+        """Find what keeps this gateway from choosing a target; None if nothing."""
+        share_per_s = self._find_share(target) if target.stated.limit else None
+        return find_send_obstacle(target, now, share_per_s)
 
     def find_shortest_wait(self, found: Iterable[Target], now: float) -> float:
         """Find when the first of some targets has a turn, seconds; 0 if none has."""
-        waits = [self.find_wait(target, now) for target in found]
+        obstacles = [self.find_obstacle(target, now) for target in found]
+        waits = [obstacle.until - now if obstacle else 0.0 for obstacle in obstacles]
         return min((wait_s for wait_s in waits if math.isfinite(wait_s)), default=0.0)
 
-    def take_turn(self, target: Target, now: float) -> bool:
-        """Take one request out of what a target's limit allows, if any is left."""
-        if self.find_wait(target, now) > 0:
-            return False
-        if target.stated.limit is not None:
+    def take_turn(self, target: Target, now: float) -> Obstacle | None:
+        """Take one request out of what a target's limit allows, if any is left.
+
+        Returns:
+            What keeps the target from getting one; None if one was taken.
+        """
+        obstacle = self.find_obstacle(target, now)
+        if obstacle is None and target.stated.limit is not None:
             ratelimits.take(target.stated.limit, self._find_share(target), now)
-        return True
+        return obstacle
 
     def list_named(self, now: float) -> dict[str, float]:
         """List the limits that targets have named lately in their answers here."""
--- a/src/robinspindle/targettraffic.py
+++ b/src/robinspindle/targettraffic.py
@@ -4,13 +4,17 @@
 
 from robinspindle.core import statements
 from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.obstacles import Obstacle, find_send_obstacle
 from robinspindle.core.statements import Change, Subject
 from robinspindle.core.targets import Target
 from robinspindle.logs import Log
 
 
 class TargetTraffic:
-    """Takes note of all answers of one target, whatever was asked."""
+    """Takes note of all answers of one target, and holds back what it does not want.
+
+    It makes no difference what was asked, or what is to be sent.
+    """
 
     def __init__(self, target: Target, clock: Callable[[], float], log: Log):
         """Prepare to take note of a target's answers.
@@ -37,6 +41,10 @@
         for change in statements.note_head(target.stated, head, sent_at, now):
             self._log_change(change, head, now)
 
+    def find_obstacle(self) -> Obstacle | None:
+        """Find what keeps anything from being sent to the target now."""
+        return find_send_obstacle(self._target, self._clock())
+
     def _log_change(self, change: Change, head: AnswerHead, now: float) -> None:
         common = {
             "at": round(now, 4),
--- /dev/null
+++ b/tests/core/test_obstacles.py
@@ -0,0 +1,65 @@
+import math
+
+from robinspindle.core.obstacles import Obstacle, ObstacleReason, find_send_obstacle
+from robinspindle.core.ratelimits import RateLimit
+from robinspindle.core.targets import (
+    Announcement,
+    Directory,
+    apply_announcement,
+    drop_gone,
+    note_missing,
+)
+
+
+def announce(directory, lifetime="i1@5", now=0.0, **more):
+    entry = Announcement(lifetime, "s", "10.0.0.1:80", "z", 4, **more)
+    apply_announcement(directory, entry, now)
+    return directory.targets[lifetime]
+
+
+def find_reason(target, now, share_per_s=None):
+    obstacle = find_send_obstacle(target, now, share_per_s)
+    return obstacle and obstacle.reason
+
+
+def test_a_target_that_said_nothing_may_get_requests():
+    assert find_send_obstacle(announce(Directory()), 0.0, 1.0) is None
+
+
+def test_who_leaves_by_an_entry_or_an_answer_gets_nothing_ever():
+    never = Obstacle(ObstacleReason.LEAVING, math.inf)
+    target = announce(Directory(), leaving=True)
+    assert find_send_obstacle(target, 0.0) == never
+    target = announce(Directory())
+    target.stated.leaving = True
+    assert find_send_obstacle(target, 0.0) == never
+
+
+def test_an_entry_takes_back_nothing_that_an_answer_said():
+    directory = Directory()
+    announce(directory).stated.leaving = True
+    target = announce(directory, now=1.0, leaving=False)
+    assert find_reason(target, 1.0) is ObstacleReason.LEAVING
+
+
+def test_an_entry_that_was_missing_brings_back_what_its_lifetime_said():
+    directory = Directory()
+    announce(directory).stated.leaving = True
+    note_missing(directory, 10.0, "i1")
+    assert drop_gone(directory, 20.0)
+    target = announce(directory, now=21.0)
+    assert find_reason(target, 21.0) is ObstacleReason.LEAVING
+
+
+def test_a_start_under_the_same_id_has_said_nothing():
+    directory = Directory()
+    announce(directory).stated.leaving = True
+    assert find_reason(announce(directory, "i1@6", 1.0), 1.0) is None
+
+
+def test_a_limit_keeps_requests_until_they_have_a_turn():
+    target = announce(Directory())
+    target.stated.limit = RateLimit(1.0, 0.0)
+    obstacle = find_send_obstacle(target, 0.0, 2.0)
+    assert obstacle == Obstacle(ObstacleReason.LIMITED, 0.5)
+    assert find_reason(target, 0.0) is None
