Show that a target which asks for rest gets more requests than it may

The stand-in of a replica can turn requests away with any status, any number of Retry-After lines of any text, and with or without the header that says that nothing ran.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections import deque
+from dataclasses import dataclass
 
 from standins.rawhttp import (
     RawRequest,
@@ -17,6 +18,21 @@
 """The software version whose events don't tell it."""
 
 
+@dataclass(frozen=True)
+class Refusal:
+    """How a replica turns requests away.
+
+    Attributes:
+        rests: Each ``Retry-After`` of its answer, as written; none for no header.
+        status: The status.
+        is_marked: Whether the answer says that the request did not run.
+    """
+
+    rests: tuple[str, ...]
+    status: int = 503
+    is_marked: bool = True
+
+
 class Replica:
     """One lifetime of a replica.
 
@@ -40,6 +56,7 @@
         list_pieces: Pieces in which that list comes, one after a pause.
         limit_per_s: The limit on its request rate that its answers name; None for none.
         says_leaving: Whether all its answers say that it leaves.
+        refusal: How it turns away what no behaviour is left for; None where it doesn't.
     """
 
     def __init__(
@@ -64,6 +81,7 @@
         self.list_pieces = 1
         self.limit_per_s: float | None = None
         self.says_leaving = False
+        self.refusal: Refusal | None = None
         self.born_ms: int | None = None
         self.software_version = USUAL_VERSION
         self.crashes_on = crashes_on
@@ -116,7 +134,8 @@
             self.has_crashed = True
             await self.server.stop()
             return False
-        behaviour = self.behaviours.popleft() if self.behaviours else "ok"
+        usual = "ok" if self.refusal is None else "refuse"
+        behaviour = self.behaviours.popleft() if self.behaviours else usual
         return await getattr(self, "_be_" + behaviour)(request, writer)
 
     def _own_head(self) -> dict[str, str]:
@@ -151,6 +170,16 @@
         write_answer(writer, 503, b"", head)
         return True
 
+    async def _be_refuse(self, request: RawRequest, writer) -> bool:
+        """It turns the request away as its refusal says."""
+        refusal, head = self.refusal, self._head(request)
+        if refusal.rests:
+            head["Retry-After"] = "\r\nRetry-After: ".join(refusal.rests)
+        if refusal.is_marked:
+            head["X-Not-Executed"] = "1"
+        write_answer(writer, refusal.status, b"", head)
+        return True
+
     async def _be_wrong_role(self, request: RawRequest, writer) -> bool:
         """It answers in its own name that the request is for another role."""
         head = self._head(request) | {"X-Instance-Id": self.lifetime}
@@ -318,6 +347,11 @@
         await self.gate.wait()
         return await self._be_full(request, writer)
 
+    async def _be_held_refuse(self, request: RawRequest, writer) -> bool:
+        """Turn the request away as its refusal says by then, once the gate opens."""
+        await self.gate.wait()
+        return await self._be_refuse(request, writer)
+
     async def _wait_for_gate(self, request: RawRequest) -> bool:
         """Wait until the gate opens; returns whether the sender is still there."""
         while not self.gate.is_set():
