--- a/standins/replica.py
+++ b/standins/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections import deque
+from dataclasses import dataclass
 
 from standins.rawhttp import (
     RawRequest,
@@ -17,6 +18,21 @@
 """The software version whose events don't tell it."""
 
 
+@dataclass(frozen=True)
+class Refusal:
+    """How a replica turns requests away.
+
+    Attributes:
+        rests: Each ``Retry-After`` of its answer, as written; none for no header.
+        status: The status.
+        is_marked: Whether the answer says that the request did not run.
+    """
+
+    rests: tuple[str, ...]
+    status: int = 503
+    is_marked: bool = True
+
+
 class Replica:
     """One lifetime of a replica.
 
@@ -39,6 +55,8 @@
         has_crashed: Whether one did.
         list_pieces: Pieces in which that list comes, one after a pause.
         limit_per_s: The limit on its request rate that its answers name; None for none.
+        says_leaving: Whether all its answers say that it leaves.
+        refusal: How it turns away what no behaviour is left for; None where it doesn't.
     """
 
     def __init__(
@@ -62,6 +80,8 @@
         self.lists = 0
         self.list_pieces = 1
         self.limit_per_s: float | None = None
+        self.says_leaving = False
+        self.refusal: Refusal | None = None
         self.born_ms: int | None = None
         self.software_version = USUAL_VERSION
         self.crashes_on = crashes_on
@@ -90,33 +110,40 @@
     async def _answer(self, request: RawRequest, writer) -> bool:
         if request.method == "DELETE":
             self.freed.append(request.target.rpartition("/")[2])
-            write_answer(writer, 200)
+            write_answer(writer, 200, headers=self._own_head())
             return True
         if request.target == "/kv-list":
             self.lists += 1
             rows = [["", id, tokens, "m"] for id, tokens in self.held.items()]
             body = {"epoch": "1", "NextPageToken": 7, "held": rows}
             data = json.dumps(body).encode()
-            await write_slowly(writer, 200, data, self.list_pieces)
+            head = self._own_head()
+            await write_slowly(writer, 200, data, self.list_pieces, head)
             return True
         if request.target == "/order":
             self.orders.append(request)
-            write_answer(writer, 202)
+            write_answer(writer, 202, headers=self._own_head())
             return True
         self.arrivals.append(request)
         if request.headers.get("x-expect-instance") != self.lifetime:
-            write_answer(writer, 421, headers={"X-Instance-Id": self.lifetime})
+            head = self._own_head() | {"X-Instance-Id": self.lifetime}
+            write_answer(writer, 421, headers=head)
             return True
         is_read = request.headers.get("x-stage") == "prefill"
         if request.body == self.crashes_on and not (is_read or self.behaviours):
             self.has_crashed = True
             await self.server.stop()
             return False
-        behaviour = self.behaviours.popleft() if self.behaviours else "ok"
+        usual = "ok" if self.refusal is None else "refuse"
+        behaviour = self.behaviours.popleft() if self.behaviours else usual
         return await getattr(self, "_be_" + behaviour)(request, writer)
 
+    def _own_head(self) -> dict[str, str]:
+        """Write what it says of itself in every answer, whatever was asked."""
+        return {"Server-Leaving": "1"} if self.says_leaving else {}
+
     def _head(self, request: RawRequest) -> dict[str, str]:
-        head = {
+        head = self._own_head() | {
             "X-Request-Id": request.headers.get("x-request-id", ""),
             "X-Response-Seal": f"seal-{self.lifetime}",
         }
@@ -143,6 +170,16 @@
         write_answer(writer, 503, b"", head)
         return True
 
+    async def _be_refuse(self, request: RawRequest, writer) -> bool:
+        """It turns the request away as its refusal says."""
+        refusal, head = self.refusal, self._head(request)
+        if refusal.rests:
+            head["Retry-After"] = "\r\nRetry-After: ".join(refusal.rests)
+        if refusal.is_marked:
+            head["X-Not-Executed"] = "1"
+        write_answer(writer, refusal.status, b"", head)
+        return True
+
     async def _be_wrong_role(self, request: RawRequest, writer) -> bool:
         """It answers in its own name that the request is for another role."""
         head = self._head(request) | {"X-Instance-Id": self.lifetime}
@@ -310,6 +347,11 @@
         await self.gate.wait()
         return await self._be_full(request, writer)
 
+    async def _be_held_refuse(self, request: RawRequest, writer) -> bool:
+        """Turn the request away as its refusal says by then, once the gate opens."""
+        await self.gate.wait()
+        return await self._be_refuse(request, writer)
+
     async def _wait_for_gate(self, request: RawRequest) -> bool:
         """Wait until the gate opens; returns whether the sender is still there."""
         while not self.gate.is_set():
