Doubt a stream's origin by when its connection was opened, not by its first event

What callers saw: beside engines that crash and come back under their id with another version, streams that they took up were refused (unknown-stream) although who began them was known. Cause: a later lifetime of the id that began less than 2 s (the margin of clocks) after the stream's first event might have sent it. Class: evidence that is weaker than what was at hand. A connection ends with the lifetime that accepted it, so only one that began before the connection was opened can have sent events on it; kept connections are mostly old. The margin stays.

--- a/src/robinspindle/core/streamorigins.py
+++ b/src/robinspindle/core/streamorigins.py
@@ -46,14 +46,14 @@
         service: The service of the target that began it.
         software_version: That target's software version.
         lifetime: That target's lifetime.
-        begun_ms: When its first event was passed on, Unix milliseconds by the time of
-            day of the gateway that did.
+        opened_ms: When the connection that brought its first event was opened, Unix
+            milliseconds by the time of day of the gateway that did.
     """
 
     service: str
     software_version: str
     lifetime: str
-    begun_ms: int
+    opened_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/robinspindle/core/streamversions.py
+++ b/src/robinspindle/core/streamversions.py
@@ -137,8 +137,11 @@
 
 
 def _may_have_begun(origin: StreamOrigin, lifetime: str) -> bool:
-    """Return whether another lifetime than its origin's may have begun a stream."""
+    """Return whether another lifetime than its origin's may have begun a stream.
+
+    A connection ends with the lifetime that accepted it.
+    """
     if is_later(origin.lifetime, lifetime):
         return False
     start_ms = find_start_ms(lifetime)
-    return start_ms is None or start_ms - CLOCK_MARGIN_MS <= origin.begun_ms
+    return start_ms is None or start_ms - CLOCK_MARGIN_MS <= origin.opened_ms
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -166,7 +166,14 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """One connection to a target or to the store."""
+    """One connection to a target or to the store.
+
+    Attributes:
+        opened_at: When it was opened, by the event loop's clock.
+        idle_since: Since when nothing is under way on it, steady seconds.
+        idle_s: How long it may be idle, seconds.
+        is_open: Whether it is open.
+    """
 
     def __init__(self, decode_head: DecodeHead, traffic: Traffic | None = None):
         self._decode_head = decode_head
@@ -180,6 +187,7 @@
         self._keep = True
         self._framed = True
         self._saw_eof = False
+        self.opened_at = 0.0
         self.idle_s = DEFAULT_IDLE_S
         self.idle_since = 0.0
         self.is_open = False
@@ -224,6 +232,7 @@
     def connection_made(self, transport) -> None:
         """Note the transport."""
         self._transport = transport
+        self.opened_at = asyncio.get_running_loop().time()
         self.is_open = True
         _limit_silence(transport.get_extra_info("socket"))
 
@@ -326,7 +335,12 @@
 
 
 class ConnectionPool:
-    """Idle connections to one address."""
+    """Connections to one address.
+
+    Attributes:
+        address: The address.
+        idle: The connections on which nothing is under way.
+    """
 
     def __init__(
         self,
@@ -344,7 +358,7 @@
         self.address = address
         self._decode_head = decode_head
         self._traffic = traffic
-        self._idle: list[ClientConnection] = []
+        self.idle: list[ClientConnection] = []
 
     async def take(self, now: float, timeout_s: float) -> ClientConnection:
         """Take an idle connection or open one.
@@ -353,23 +367,23 @@
             ConnectionBrokenError: When none can be opened in time.
         """
         self._close_stale(now)
-        if self._idle:
-            return self._idle.pop()
+        if self.idle:
+            return self.idle.pop()
         return await self._open(timeout_s)
 
     def give_back(self, connection: ClientConnection, now: float) -> None:
         """Give a connection back; it is closed unless it can be used again."""
         if connection.can_be_reused:
             connection.idle_since = now
-            self._idle.append(connection)
+            self.idle.append(connection)
         else:
             connection.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for connection in self._idle:
+        for connection in self.idle:
             connection.abort()
-        self._idle.clear()
+        self.idle.clear()
 
     async def _open(self, timeout_s: float) -> ClientConnection:
         loop = asyncio.get_running_loop()
@@ -388,13 +402,13 @@
 
     def _close_stale(self, now: float) -> None:
         kept = []
-        for connection in self._idle:
+        for connection in self.idle:
             rest_s = max(0.0, connection.idle_s - IDLE_MARGIN_S)
             if connection.is_open and now - connection.idle_since < rest_s:
                 kept.append(connection)
             else:
                 connection.abort()
-        self._idle = kept
+        self.idle = kept
 
 
 @asynccontextmanager
--- a/src/robinspindle/originlink.py
+++ b/src/robinspindle/originlink.py
@@ -39,7 +39,7 @@
     service: Name
     software_version: Name
     lifetime: Name
-    begun_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_MS)]
+    opened_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_MS)]
 
 
 class Tells(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -99,14 +99,14 @@
         origin.service,
         origin.software_version,
         origin.lifetime,
-        origin.begun_ms,
+        origin.opened_ms,
     )
 
 
 def read_tell(tell: Tell) -> StreamOrigin:
     """Read the origin that a message part tells."""
     return StreamOrigin(
-        tell.service, tell.software_version, tell.lifetime, tell.begun_ms
+        tell.service, tell.software_version, tell.lifetime, tell.opened_ms
     )
 
 
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -202,7 +202,9 @@
             continue
         note(now - last_at, now)
         if not reply.has_begun:
-            note_first_event(means, passage, answer.target.announced)
+            note_first_event(
+                means, passage, answer.target.announced, answer.connection.opened_at
+            )
             reply.begin(head.status, head.reason, head.headers, None)
         else:
             passage.longest_pause_s = max(passage.longest_pause_s, now - last_at)
--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -1,6 +1,7 @@
 """Binds streams to the software version that began them."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 from robinspindle.core import health
@@ -115,13 +116,17 @@
     ]
 
 
-def note_first_event(means: Means, passage: Passage, announced: Announcement) -> None:
+def note_first_event(
+    means: Means, passage: Passage, announced: Announcement, opened_at: float
+) -> None:
     """Fix the version of an answer that begins, and tell who began its stream.
 
     Args:
         means: What the relay has.
         passage: The request.
         announced: The target that sent the event.
+        opened_at: When the connection that brought it was opened, by the event loop's
+            clock. A lifetime that began later has no part in it.
     """
     stream = passage.stream
     if stream.origin is None:
@@ -129,7 +134,7 @@
             announced.service,
             announced.software_version,
             announced.lifetime,
-            _read_wall_ms(means),
+            _find_opened_ms(means, opened_at),
         )
     if stream.key is not None:
         is_kept = means.versions.has_several(_list_services(passage.route))
@@ -142,6 +147,12 @@
         means.streams.note_whole(passage.stream.key)
 
 
+def _find_opened_ms(means: Means, opened_at: float) -> int:
+    """Find when a connection was opened by the time of day, Unix milliseconds."""
+    age_s = asyncio.get_running_loop().time() - opened_at
+    return max(0, _read_wall_ms(means) - math.floor(age_s * 1000))
+
+
 def _read_wall_ms(means: Means) -> int:
     """Read the time of day, Unix milliseconds."""
     return round(means.book.read_wall() * 1000)
--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -327,5 +327,5 @@
         sys.intern(origin.service),
         sys.intern(origin.software_version),
         sys.intern(origin.lifetime),
-        origin.begun_ms,
+        origin.opened_ms,
     )
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -361,6 +361,42 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_a_stream_on_a_kept_connection_is_not_doubted_for_a_restart_after_it_opened(
+    tmp_path, is_kept
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await make_single(d)
+            now_ms = time.time_ns() // 1_000_000
+            before = Replica("i1", "lm", "decode")
+            before.born_ms = now_ms - 100_000
+            await start(d, before)
+            assert (await d.call("/digest/x", id="r0", **d.prompt())).is_whole
+            for connection in list_connections(d, f"i1@{before.born_ms}"):
+                # As if it had been opened that long ago.
+                connection.opened_at -= 10.0 if is_kept else 0.0
+            before.behaviours.append("torn")
+            assert list_ids(await d.call("/digest/x", **d.prompt())) == [1]
+            after = Replica("i1", "lm", "decode")
+            after.born_ms = time.time_ns() // 1_000_000
+            after.software_version = OTHER_VERSION
+            await start(d, after)
+            (own,) = await add(d)
+            reply, asked = await take_up(d)
+            assert list_ids(reply) == ([2, 3] if is_kept else [])
+            assert asked == ([own.lifetime] if is_kept else [])
+
+    run(scenario())
+
+
+def list_connections(d, lifetime):
+    """List the kept connections to a target."""
+    pool = d.gateway.fleet.find_pool(d.gateway.directory.targets[lifetime])
+    assert pool.idle
+    return pool.idle
+
+
 @pytest.mark.parametrize("is_told", [True, False])
 def test_a_stream_is_taken_up_at_another_gateway(tmp_path, is_told):
     """One that was told of it serves alone; one that came later asks."""
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -91,10 +91,10 @@
         async with deploy(tmp_path) as d:
             target = await d.add("push0")
             await d.call("/once/x")
-            (pool,) = (p for p in d.gateway.fleet._pools.values() if p._idle)
-            (kept,) = pool._idle
+            (pool,) = (p for p in d.gateway.fleet._pools.values() if p.idle)
+            (kept,) = pool.idle
             d.gateway.note_pause(Pause(5.0, True))
-            assert not pool._idle
+            assert not pool.idle
             assert not kept.is_open
             assert (await d.call("/once/x", id="r2")).status == 200
             assert len(target.arrivals) == 2
