List the headers to forward in one place

Requests and answers listed the headers that are forwarded by the same lines, but for those that robinspindle sets itself. Now one function does it, given what is left out.

Ruled out: joining the two estimates of core/prefillmodel.py, and the makers of work in callers.py, which look alike and say different things. Measured: tests of the dialect, the path and workspaces pass.

--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -53,6 +53,9 @@
 )
 """Headers that robinspindle sets itself; values from a caller are not forwarded."""
 
+LEFT_OUT_OF_REQUESTS = HOP_HEADERS | SYSTEM_HEADERS
+"""Headers that callers' requests are forwarded without, in lower case."""
+
 KEY_HEADER = b"authorization"
 """Header with the bearer key that identifies a caller's workspace."""
 
@@ -79,20 +82,13 @@
         now: When the head was received, monotonic seconds.
     """
     values = {name.lower(): value for name, value in headers}
-    connection_options = _list_connection_options(values.get(b"connection", b""))
-    forwarded = tuple(
-        (name, value)
-        for name, value in headers
-        if (lower := name.lower()) not in HOP_HEADERS
-        and lower not in SYSTEM_HEADERS
-        and lower not in connection_options
-    )
+    connection = values.get(b"connection", b"")
     return Request(
         id=values.get(b"x-request-id", b"").decode("latin-1"),
         method=method,
         target=target,
         host=values.get(b"host", b"").decode("latin-1"),
-        headers=forwarded,
+        headers=_list_forwarded(headers, connection, LEFT_OUT_OF_REQUESTS),
         body=b"",
         wait_s=_parse_wait_s(values.get(b"x-deadline-ms")),
         received_at=now,
@@ -152,17 +148,11 @@
 def decode_answer(status: int, reason: bytes, headers: Headers) -> AnswerHead:
     """Decode the head of a target's response."""
     values = {name.lower(): value for name, value in headers}
-    connection_options = _list_connection_options(values.get(b"connection", b""))
-    forwarded = tuple(
-        (name, value)
-        for name, value in headers
-        if (lower := name.lower()) not in HOP_HEADERS
-        and lower not in connection_options
-    )
+    connection = values.get(b"connection", b"")
     return AnswerHead(
         status=status,
         reason=reason,
-        headers=forwarded,
+        headers=_list_forwarded(headers, connection, HOP_HEADERS),
         request_id=values.get(b"x-request-id", b"").decode("latin-1"),
         # The status is not enough: a 503 without this header may be from a request
         # that ran.
@@ -234,6 +224,18 @@
     return replace(request, body=body)
 
 
+def _list_forwarded(
+    headers: Headers, connection: bytes, left_out: frozenset[bytes]
+) -> Headers:
+    """List the headers to forward: those left out and of the connection are not."""
+    options = _list_connection_options(connection)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in left_out and lower not in options
+    )
+
+
 def _list_connection_options(connection: bytes) -> frozenset[bytes]:
     return frozenset(option.strip().lower() for option in connection.split(b","))
 
