Parse callers' requests in a module of their own

httpserver.py held two jobs: the life of a caller's connection, and the parsing of its bytes into requests that keep to limits. The latter is requestparser.py now, with Limits and Incoming; the connection asks it for whole requests. Behaviour is the same: a connection rests since the later of the last part of a request and the last answer, as before.

--- a/benches/doors.py
+++ b/benches/doors.py
@@ -17,9 +17,10 @@
 from benches.measure import ROOT, read_cpu, read_memory, save_data
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionPool, Exchange, borrow
-from robinspindle.httpserver import CallerServer, Incoming, Limits
+from robinspindle.httpserver import CallerServer
 from robinspindle.platform.dialect import decode_answer
 from robinspindle.replies import Reply
+from robinspindle.requestparser import Incoming, Limits
 from robinspindle.tables import format_table
 from standins.fleet import find_free_ports
 from standins.replica import Replica
--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -25,12 +25,12 @@
 from robinspindle.fleet import Fleet
 from robinspindle.following import WAIT_S, Follower
 from robinspindle.guard import Guard
-from robinspindle.httpserver import Limits
 from robinspindle.introduction import Introduction
 from robinspindle.logs import Log
 from robinspindle.ordering import CLAIM_KEY, Orderer
 from robinspindle.peers import Peers, forget_member, list_heard, note_member
 from robinspindle.quarantinekeeping import QuarantineKeeper
+from robinspindle.requestparser import Limits
 
 LONG_WAIT_S = 25.0
 """How long the store holds a poll that may wait in vain for a while, seconds: peers
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -33,7 +33,7 @@
 from robinspindle.gauges import GaugeSources
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
-from robinspindle.httpserver import STOPPING, CallerServer, Incoming, Limits
+from robinspindle.httpserver import STOPPING, CallerServer
 from robinspindle.introduction import Introduction
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import make_log, start_bounded_logs
@@ -46,6 +46,7 @@
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
+from robinspindle.requestparser import Incoming, Limits
 from robinspindle.rereading import Reread, SettingsReader
 from robinspindle.stopping import Stop
 from robinspindle.storenews import StoreNews
--- a/src/robinspindle/gatewaypages.py
+++ b/src/robinspindle/gatewaypages.py
@@ -7,9 +7,10 @@
 
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gauges import GaugeSources, update_gauges
-from robinspindle.httpserver import Handle, Incoming
+from robinspindle.httpserver import Handle
 from robinspindle.metrics import format_metrics
 from robinspindle.replies import Reply
+from robinspindle.requestparser import Incoming
 
 
 def make_readiness_page(is_ready: Callable[[], bool]) -> Handle:
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -6,17 +6,14 @@
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 
-import httptools
-
-from robinspindle.core.forwarding import Headers, Refusal
+from robinspindle.core.forwarding import Refusal
 from robinspindle.hangups import is_closed_by_peer
 from robinspindle.linkqueue import ignore_sent
 from robinspindle.replies import Reply
+from robinspindle.requestparser import Incoming, Limits, RequestParser
 
 MOST_WAITING_BYTES = 65536
 """Bytes that a caller may send ahead of its answers before reading pauses."""
@@ -28,9 +25,6 @@
 BACKLOG = 1024
 """Connections that the system holds until they are accepted."""
 
-HEADER_MARK_BYTES = 4
-"""Bytes of a header besides its name and value: colon, blank and the line's end."""
-
 STOPPING = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", 0.05)
 """Answers a request that a stopping server does not take."""
 
@@ -38,45 +32,6 @@
 """Answers a request whose handler failed; nothing is said of whether it ran."""
 
 
-@dataclass
-class Limits:
-    """What callers may send; changed in place when a configuration does.
-
-    Attributes:
-        header_bytes: Longest head.
-        body_bytes: Longest body.
-        header_s: Longest time for a head, and for each further piece of a body,
-            seconds.
-        idle_s: Longest rest between requests, seconds.
-    """
-
-    header_bytes: int = 16384
-    body_bytes: int = 4 << 20
-    header_s: float = 3.0
-    idle_s: float = 15.0
-
-
-@dataclass
-class Incoming:
-    """A request that has come whole.
-
-    Attributes:
-        method: HTTP method.
-        target: Path and query as sent.
-        headers: All headers as sent.
-        body: The whole body.
-        at: When its head had come, steady seconds.
-        keep: Whether the caller keeps its connection.
-    """
-
-    method: str
-    target: bytes
-    headers: Headers
-    body: bytes
-    at: float
-    keep: bool
-
-
 Handle = Callable[[Incoming, Reply], Awaitable[None]]
 
 
@@ -151,10 +106,9 @@
         self.server = server
         self.is_lost = False
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._ready: deque[Incoming] = deque()
+        self._parser = RequestParser(server.limits, server.clock, self._ask_for_body)
         self._task: asyncio.Task | None = None
-        self._rested_since = server.clock()
+        self._replied_at = server.clock()
         self._unparsed = b""
         self._is_closing = False
         self._has_announced_close = False
@@ -162,12 +116,11 @@
         self._rejected: HTTPStatus | None = None
         self._on_pause: Callable[[], None] | None = None
         self._on_resume: Callable[[], None] | None = None
-        self._begin_message()
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is coming in or under way, or its answer going out."""
-        if self._task is not None or self._has_next or self._in_message:
+        if self._task is not None or self._has_next or self._parser.is_in_message:
             return True
         return (
             self._transport is not None and self._transport.get_write_buffer_size() > 0
@@ -181,7 +134,7 @@
     @property
     def _has_next(self) -> bool:
         """Whether anything has come after the request under way."""
-        return bool(self._ready or self._unparsed)
+        return bool(self._parser.ready or self._unparsed)
 
     @property
     def is_closed_by_caller(self) -> bool:
@@ -215,15 +168,15 @@
     def close_if_idle(self, now: float) -> None:
         """Close when nothing came for longer than the limits allow."""
         limits = self.server.limits
-        if self._task is not None or self._ready:
+        if self._task is not None or self._parser.ready:
             return
-        allowed_s = limits.header_s if self._in_message else limits.idle_s
-        if now - self._rested_since > allowed_s:
+        allowed_s = limits.header_s if self._parser.is_in_message else limits.idle_s
+        if now - max(self._replied_at, self._parser.heard_at) > allowed_s:
             self.close()
 
     def finish_reply(self, keep: bool) -> None:
         """Note that an answer has been written whole."""
-        self._rested_since = self.server.clock()
+        self._replied_at = self.server.clock()
         self.set_flow(None, None)
         if keep:
             return
@@ -270,97 +223,29 @@
         """Parse what came, or keep it while a request is under way."""
         if self._is_closing:
             return
-        if self._task is not None or self._ready:
+        if self._task is not None or self._parser.ready:
             self._unparsed += data
             if len(self._unparsed) > MOST_WAITING_BYTES:
                 self._transport.pause_reading()
             return
         self._feed(data)
 
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._begin_message()
-        self._in_message = True
-        self._rested_since = self.server.clock()
-
-    def on_url(self, url: bytes) -> None:
-        """Collect the request target."""
-        self._target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name, value))
-        self._count_head(len(name) + len(value) + HEADER_MARK_BYTES)
-
-    def on_headers_complete(self) -> None:
-        """Note the head's time and ask for the body if the caller waits for that."""
-        self._head_at = self._rested_since = self.server.clock()
-        for name, value in self._headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        """Collect a piece of the body."""
-        # A body is judged by its pauses, as it may come over a slow link.
-        self._rested_since = self.server.clock()
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits.body_bytes:
-            raise _TooLongError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        """Take the request in."""
-        self._in_message = False
-        self._ready.append(
-            Incoming(
-                method=self._parser.get_method().decode(),
-                target=self._target,
-                headers=tuple(self._headers),
-                body=b"".join(self._body),
-                at=self._head_at,
-                keep=self._parser.should_keep_alive(),
-            )
-        )
-
-    def _begin_message(self) -> None:
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._head_at = 0.0
-        self._in_message = False
-
-    def _count_head(self, count: int) -> None:
-        self._head_bytes += count
-        if self._head_bytes > self.server.limits.header_bytes:
-            raise _TooLongError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+    def _ask_for_body(self) -> None:
+        self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _feed(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            is_long = isinstance(cause, _TooLongError)
-            self._reject(cause.status if is_long else HTTPStatus.BAD_REQUEST)
+        status = self._parser.feed(data)
+        if status is not None:
+            # Nothing after it can be trusted.
+            self._is_closing = True
+            self._rejected = status
         self._start_next()
 
-    def _reject(self, status: HTTPStatus) -> None:
-        """Refuse what is no request; nothing after it can be trusted."""
-        self._is_closing = True
-        self._in_message = False
-        self._rejected = status
-
     def _start_next(self) -> None:
         if self._task is not None or self.is_lost:
             return
-        if self._ready:
-            incoming = self._ready.popleft()
+        if self._parser.ready:
+            incoming = self._parser.ready.popleft()
             self._caller_keeps = incoming.keep
             reply = Reply(self, incoming.keep)
             loop = asyncio.get_running_loop()
@@ -375,7 +260,7 @@
             self._transport.resume_reading()
             self._feed(data)
             return
-        if self._has_announced_close and not self._in_message:
+        if self._has_announced_close and not self._parser.is_in_message:
             self.close()
 
     async def _serve(self, incoming: Incoming, reply: Reply) -> None:
@@ -392,11 +277,3 @@
                 reply.break_off()
             else:
                 self._start_next()
-
-
-class _TooLongError(Exception):
-    """A request is longer than it may be."""
-
-    def __init__(self, status: HTTPStatus):
-        super().__init__(status)
-        self.status = status
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -21,10 +21,10 @@
 from robinspindle.core.streamversions import StreamBinding, find_obstacle
 from robinspindle.exceptions import CallerLeftError
 from robinspindle.finalanswers import FinalAnswers
-from robinspindle.httpserver import Incoming
 from robinspindle.passages import Means, Passage
 from robinspindle.relaylogs import RelayLog
 from robinspindle.replies import Reply
+from robinspindle.requestparser import Incoming
 from robinspindle.streambinding import bind_stream
 
 CALLER_WAY_S = 0.008
--- /dev/null
+++ b/src/robinspindle/requestparser.py
@@ -0,0 +1,174 @@
+"""Requests of one caller's connection, parsed from its bytes and held to limits."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+from robinspindle.core.forwarding import Headers
+
+HEADER_MARK_BYTES = 4
+"""Bytes of a header besides its name and value: colon, blank and the line's end."""
+
+
+@dataclass
+class Limits:
+    """What callers may send; changed in place when a configuration does.
+
+    Attributes:
+        header_bytes: Longest head.
+        body_bytes: Longest body.
+        header_s: Longest time for a head, and for each further piece of a body,
+            seconds.
+        idle_s: Longest rest between requests, seconds.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass
+class Incoming:
+    """A request that has come whole.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: All headers as sent.
+        body: The whole body.
+        at: When its head had come, steady seconds.
+        keep: Whether the caller keeps its connection.
+    """
+
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    at: float
+    keep: bool
+
+
+class RequestParser:
+    """Parses the bytes of a connection into requests.
+
+    Attributes:
+        ready: Requests that have come whole, oldest first; the user takes them out.
+        is_in_message: Whether a request has come in part.
+        heard_at: When a part of a request came last, steady seconds.
+    """
+
+    def __init__(
+        self,
+        limits: Limits,
+        clock: Callable[[], float],
+        ask_for_body: Callable[[], None],
+    ):
+        """Prepare to parse.
+
+        Args:
+            limits: What callers may send.
+            clock: Tells the present time, steady seconds.
+            ask_for_body: Called where a caller waits for a sign to send its body.
+        """
+        self.ready: deque[Incoming] = deque()
+        self.heard_at = clock()
+        self._limits = limits
+        self._clock = clock
+        self._ask_for_body = ask_for_body
+        self._parser = httptools.HttpRequestParser(self)
+        self._begin_message()
+
+    def feed(self, data: bytes) -> HTTPStatus | None:
+        """Parse what came.
+
+        Returns:
+            With which status to refuse what is no request, or is too long; None if
+            there is no such thing.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return self._reject(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            is_long = isinstance(cause, _TooLongError)
+            return self._reject(cause.status if is_long else HTTPStatus.BAD_REQUEST)
+        return None
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._begin_message()
+        self.is_in_message = True
+        self.heard_at = self._clock()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+        self._count_head(len(name) + len(value) + HEADER_MARK_BYTES)
+
+    def on_headers_complete(self) -> None:
+        """Note the head's time and ask for the body if the caller waits for that."""
+        self._head_at = self.heard_at = self._clock()
+        for name, value in self._headers:
+            if name.lower() == b"expect" and value.lower() == b"100-continue":
+                self._ask_for_body()
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        # A body is judged by its pauses, as it may come over a slow link.
+        self.heard_at = self._clock()
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.body_bytes:
+            raise _TooLongError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Take the request in."""
+        self.is_in_message = False
+        self.ready.append(
+            Incoming(
+                method=self._parser.get_method().decode(),
+                target=self._target,
+                headers=tuple(self._headers),
+                body=b"".join(self._body),
+                at=self._head_at,
+                keep=self._parser.should_keep_alive(),
+            )
+        )
+
+    def _begin_message(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._head_at = 0.0
+        self.is_in_message = False
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._limits.header_bytes:
+            raise _TooLongError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _reject(self, status: HTTPStatus) -> HTTPStatus:
+        self.is_in_message = False
+        return status
+
+
+class _TooLongError(Exception):
+    """A request is longer than it may be."""
+
+    def __init__(self, status: HTTPStatus):
+        super().__init__(status)
+        self.status = status
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -2,7 +2,8 @@
 from contextlib import asynccontextmanager
 
 from robinspindle.core.forwarding import Refusal
-from robinspindle.httpserver import CallerServer, Limits, take_all
+from robinspindle.httpserver import CallerServer, take_all
+from robinspindle.requestparser import Limits
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 TIMEOUT_S = 10.0
