--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from robinspindle.calls import CallLimits, call_once
-from robinspindle.core import rebalancing
+from robinspindle.core import rebalancing, versionroles
 from robinspindle.core.authority import (
     Authority,
     Claim,
@@ -23,7 +23,7 @@
 from robinspindle.exceptions import LogConflictError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
-from robinspindle.httpclient import ConnectionBrokenError
+from robinspindle.httpclient import ConnectionBrokenError, NotSentError
 from robinspindle.logs import Log
 from robinspindle.peers import Peers, list_deciders
 
@@ -52,6 +52,7 @@
     REPLACED = "another lifetime answers"
     REFUSED = "refused"
     UNSURE = "no answer"
+    NOT_SENT = "not sent, as the engine wants nothing now"
 
 
 @dataclass(frozen=True)
@@ -167,8 +168,15 @@
         history = self._histories.setdefault(service, RoleChangeHistory())
         role_change_s = self._fleet.find_switch_s(service)
         engines = self._fleet.list_engines(service, now)
+        covered = self._fleet.list_covered_versions(service, now)
         change = rebalancing.decide_role_change(
-            engines, rate, history, now, role_change_s, pressure
+            engines,
+            rate,
+            history,
+            now,
+            role_change_s,
+            pressure,
+            covered,
         )
         if change is None or not may_claim(self.authority, now):
             return
@@ -189,6 +197,8 @@
             readers=sum(engine.prefill_only for _, engine in engines),
             long_answers=sum(engine.long_answers for _, engine in engines),
             targets=[target.announced.lifetime for target in change.targets],
+            generating=versionroles.count_decode_engines(engines),
+            covered=sorted(covered),
             fence=claim.fence,
         )
         await self._give_all(change, claim)
@@ -242,6 +252,8 @@
         try:
             data = self._dialect.encode_order(order)
             head, _ = await call_once(pool, self._clock, data, ORDER_LIMITS)
+        except NotSentError:
+            return OrderOutcome.NOT_SENT
         except (ConnectionBrokenError, TimeoutError):
             return OrderOutcome.UNSURE
         return self._dialect.decode_outcome(head.status)
--- a/src/robinspindle/targetlimits.py
+++ b/src/robinspindle/targetlimits.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from robinspindle.core import ratelimits
+from robinspindle.core.obstacles import Obstacle, find_send_obstacle
 from robinspindle.core.ratelimits import Sharing
 from robinspindle.core.targets import Directory, Target
 
@@ -23,28 +24,31 @@
         self._directory = directory
         self._shares: dict[tuple[str, float, Sharing], float] = {}
 
-    def find_wait(self, target: Target, now: float) -> float:
-        """Find how long a target may get nothing because of its limit, seconds."""
-        if target.limit is None:
-            return 0.0
-        return ratelimits.find_wait(target.limit, self._find_share(target), now)
+    def find_obstacle(self, target: Target, now: float) -> Obstacle | None:
+        """Find what keeps this gateway from choosing a target; None if nothing."""
+        share_per_s = self._find_share(target) if target.stated.limit else None
+        return find_send_obstacle(target, now, share_per_s)
 
     def find_shortest_wait(self, found: Iterable[Target], now: float) -> float:
         """Find when the first of some targets has a turn, seconds; 0 if none has."""
-        waits = [self.find_wait(target, now) for target in found]
+        obstacles = [self.find_obstacle(target, now) for target in found]
+        waits = [obstacle.until - now if obstacle else 0.0 for obstacle in obstacles]
         return min((wait_s for wait_s in waits if math.isfinite(wait_s)), default=0.0)
 
-    def take_turn(self, target: Target, now: float) -> bool:
-        """Take one request out of what a target's limit allows, if any is left."""
-        if self.find_wait(target, now) > 0:
-            return False
-        if target.limit is not None:
-            ratelimits.take(target.limit, self._find_share(target), now)
-        return True
+    def take_turn(self, target: Target, now: float) -> Obstacle | None:
+        """Take one request out of what a target's limit allows, if any is left.
+
+        Returns:
+            What keeps the target from getting one; None if one was taken.
+        """
+        obstacle = self.find_obstacle(target, now)
+        if obstacle is None and target.stated.limit is not None:
+            ratelimits.take(target.stated.limit, self._find_share(target), now)
+        return obstacle
 
     def list_named(self, now: float) -> dict[str, float]:
         """List the limits that targets have named lately in their answers here."""
-        limits = ((name, t.limit) for name, t in self._directory.targets.items())
+        limits = ((name, t.stated.limit) for name, t in self._directory.targets.items())
         return {
             lifetime: limit.per_s
             for lifetime, limit in limits
@@ -56,11 +60,13 @@
         for lifetime, per_s in limits.items():
             target = self._directory.targets.get(lifetime)
             if target is not None:
-                target.limit = ratelimits.note_told(target.limit, per_s, now)
+                target.stated.limit = ratelimits.note_told(
+                    target.stated.limit, per_s, now
+                )
 
     def _find_share(self, target: Target) -> float:
         """Find the requests per second that this gateway may send by a limit."""
-        lifetime, per_s = target.announced.lifetime, target.limit.per_s
+        lifetime, per_s = target.announced.lifetime, target.stated.limit.per_s
         key = (lifetime, per_s, self.sharing)
         if key not in self._shares:
             if len(self._shares) >= MOST_SHARES:
