Send nothing to a target for as long as it asked this gateway for rest

A target that turned a request away with a Retry-After got requests all the same: the gateway backed off by its own count of 0.05 to 1 s, and fell back to those that are full where no other was healthy.

A rest is an obstacle like leaving: choices, their fallback included, and the writing of anything to the target mind it, until its end or a start under the same id; a later shorter one, an answer that asks for none, and an entry do not end it. The two requests that may come are left to those that are under way when the answer comes; none is sent to try.

Where all that may run a request rest, it is refused at once, with the time until the first of them takes requests again, for a bound stream of those of its version. Returns are spread beyond that by a quarter of it, as more callers have been refused the longer it lasts. A stream's caller is told up to a third of its whole time: coming sooner, as the time until its first event would have it, is of no use to it.

--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -5,6 +5,7 @@
 """
 
 from robinspindle.core import silence, targets
+from robinspindle.core.obstacles import find_send_obstacle
 from robinspindle.core.targets import Directory, Target
 
 FAILURES_BEFORE_BACKOFF = 2
@@ -84,17 +85,46 @@
 
     Returns:
         The healthy targets; if there are none, all that may get requests. Targets whose
-        entry is missing are used only if there are no others.
+        entry is missing are used only if there are no others. Those that want nothing
+        now are never used.
     """
     allowed = [
+        target
+        for target in _list_serving(directory, service, now, tried)
+        if find_send_obstacle(target, now) is None
+    ]
+    listed = [target for target in allowed if target.gone_at is None] or allowed
+    return [target for target in listed if is_healthy(target, now)] or listed
+
+
+def list_resting(
+    directory: Directory, service: str, now: float, tried: set[str]
+) -> list[Target]:
+    """List the targets of a service that want nothing now, but will again.
+
+    Args:
+        directory: The known targets.
+        service: The name of the service.
+        now: The current time, monotonic seconds.
+        tried: Lifetimes to leave out.
+    """
+    return [
+        target
+        for target in _list_serving(directory, service, now, tried)
+        if find_send_obstacle(target, now) is not None
+    ]
+
+
+def _list_serving(
+    directory: Directory, service: str, now: float, tried: set[str]
+) -> list[Target]:
+    return [
         target
         for target in directory.targets.values()
         if target.announced.service == service
         and target.announced.lifetime not in tried
         and may_get_work(target, now)
     ]
-    listed = [target for target in allowed if target.gone_at is None] or allowed
-    return [target for target in listed if is_healthy(target, now)] or listed
 
 
 def note_connection_refused(target: Target, now: float) -> None:
--- a/src/robinspindle/core/obstacles.py
+++ b/src/robinspindle/core/obstacles.py
@@ -16,6 +16,7 @@
     """Why a target gets nothing."""
 
     LEAVING = "leaving"
+    RESTING = "resting"
     LIMITED = "limited"
 
 
@@ -46,6 +47,8 @@
     """
     if is_leaving(target):
         return Obstacle(ObstacleReason.LEAVING)
+    if now < target.stated.rest_until:
+        return Obstacle(ObstacleReason.RESTING, target.stated.rest_until)
     limit = target.stated.limit
     if limit is None or share_per_s is None:
         return None
--- a/src/robinspindle/finalanswers.py
+++ b/src/robinspindle/finalanswers.py
@@ -2,8 +2,8 @@
 
 import random
 
-from robinspindle.core import forwarding
-from robinspindle.core.forwarding import Request
+from robinspindle.core import forwarding, streamversions
+from robinspindle.core.forwarding import Refusal, Request
 from robinspindle.passages import Means, Passage
 from robinspindle.passing import pass_whole
 from robinspindle.relaylogs import RelayLog
@@ -16,6 +16,10 @@
 seconds: queues of prompts last some tenths of a second, and callers that come back
 together would meet again."""
 
+REST_SPREAD = 0.25
+"""Share of the time for which targets want nothing by which returns are spread beyond
+its end: the longer it lasts, the more callers have been refused in it."""
+
 CLAIMS = frozenset((408, 421, 429, 503))
 """Statuses by which a caller may take it that its request did not run."""
 
@@ -51,30 +55,49 @@
         elif is_barred(self._means, passage):
             refusal, reason = forwarding.UNKNOWN_KEY, forwarding.UNKNOWN_KEY.reason
         else:
-            retry_s = self._find_retry_s(passage)
-            refusal = forwarding.refuse_not_run(reason, retry_s, left_s)
+            refusal = self._refuse_not_run(passage, reason)
         reply.refuse(refusal)
         self._log.log_end(passage, None, f"refused {refusal.status}: {reason}")
 
-    def _find_retry_s(self, passage: Passage) -> float:
-        """Find when there should be room for a caller that is refused, seconds."""
-        spread_s = RETRY_BASE_S + RETRY_SPREAD_S * self._rng.random()
+    def _refuse_not_run(self, passage: Passage, reason: str) -> Refusal:
+        """Refuse a request that did not run, and say when to come again."""
+        now = self._means.clock()
+        rest_s = self._means.fleet.find_next_send_s(
+            passage.service, now, self._list_barred(passage)
+        )
+        retry_s = self._find_retry_s(passage, rest_s, now)
+        # While all rest, no caller of a stream is served by coming sooner.
+        end = passage.due if rest_s else passage.given_up_at
+        return forwarding.refuse_not_run(reason, retry_s, end - now)
+
+    def _find_retry_s(self, passage: Passage, rest_s: float, now: float) -> float:
+        """Find when there should be room for a caller that is refused, seconds.
+
+        Args:
+            passage: Its request.
+            rest_s: How long no target that could run it wants any request, seconds.
+            now: The present time, steady seconds.
+        """
+        spread_s = RETRY_SPREAD_S + REST_SPREAD * rest_s
+        retry_s = rest_s + RETRY_BASE_S + spread_s * self._rng.random()
         if passage.plan is None:
-            now = self._means.clock()
-            turn_s = self._means.fleet.find_next_turn_s(passage.service, now)
-            return spread_s + turn_s
-        left_s = passage.first_due - self._means.clock()
-        late_s = max(0.0, passage.plan.first_event_s - left_s)
-        return spread_s + max(late_s, passage.plan.slot_wait_s)
+            return retry_s
+        late_s = max(0.0, passage.plan.first_event_s - (passage.first_due - now))
+        return retry_s + max(0.0, late_s - rest_s, passage.plan.slot_wait_s - rest_s)
+
+    def _list_barred(self, passage: Passage) -> set[str]:
+        """List the lifetimes that may not go on with a bound stream."""
+        if streamversions.is_unbound(passage.stream):
+            return set()
+        directory = self._means.fleet.directory
+        return streamversions.list_barred(directory, passage.stream)
 
     def _may_pass_fault(self, passage: Passage) -> bool:
         # A 503 whose target does not say that it did not run would be a promise.
         head, _ = passage.fault
         return head.status not in CLAIMS or passage.route.may_rerun
 
-    def refuse(
-        self, request: Request, reply: Reply, refusal: forwarding.Refusal
-    ) -> None:
+    def refuse(self, request: Request, reply: Reply, refusal: Refusal) -> None:
         """Refuse a request for which no route or permit was found."""
         reply.refuse(refusal)
         self._log.log_refused(request, refusal.reason)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -111,10 +111,18 @@
         others = self.find_engine(target).others_in_flight
         return target.in_flight < find_share(total, self.gateways, others)
 
-    def find_next_turn_s(self, service: str, now: float) -> float:
-        """Find when a target of a service may get a request by its limit, seconds."""
-        found = health.list_usable(self.directory, service, now, set())
-        return self.limits.find_shortest_wait(found, now)
+    def find_next_send_s(self, service: str, now: float, barred: set[str]) -> float:
+        """Find when a target of a service may get a request by its own word, seconds.
+
+        Args:
+            service: The name of the service.
+            now: The present time, steady seconds.
+            barred: Lifetimes that may not run the request.
+        """
+        found = health.list_usable(self.directory, service, now, barred)
+        found += health.list_resting(self.directory, service, now, barred)
+        running = [t for t in found if t.announced.role != READING]
+        return self.limits.find_shortest_wait(running, now)
 
     def find_engine(self, target: Target) -> Engine | None:
         """Find what is believed of a target's engine; None for a plain service."""
--- a/tests/core/test_obstacles.py
+++ b/tests/core/test_obstacles.py
@@ -57,6 +57,31 @@
     assert find_reason(announce(directory, "i1@6", 1.0), 1.0) is None
 
 
+def test_a_target_rests_for_as_long_as_it_asked():
+    target = announce(Directory())
+    target.stated.rest_until = 4.0
+    assert find_send_obstacle(target, 3.99) == Obstacle(ObstacleReason.RESTING, 4.0)
+    assert find_send_obstacle(target, 4.0) is None
+
+
+def test_an_entry_that_was_missing_does_not_end_a_rest():
+    directory = Directory()
+    announce(directory).stated.rest_until = 90.0
+    note_missing(directory, 10.0, "i1")
+    assert drop_gone(directory, 20.0)
+    target = announce(directory, now=21.0)
+    assert find_reason(target, 21.0) is ObstacleReason.RESTING
+
+
+def test_leaving_counts_before_rest_and_rest_before_a_limit():
+    target = announce(Directory())
+    target.stated.limit = RateLimit(1.0, 0.0)
+    target.stated.rest_until = 4.0
+    assert find_reason(target, 0.0, 2.0) is ObstacleReason.RESTING
+    target.stated.leaving = True
+    assert find_reason(target, 0.0, 2.0) is ObstacleReason.LEAVING
+
+
 def test_a_limit_keeps_requests_until_they_have_a_turn():
     target = announce(Directory())
     target.stated.limit = RateLimit(1.0, 0.0)
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -134,3 +134,16 @@
     health.note_answered(target)
     health.note_full(target, 10.0)
     assert target.stated.full_until == 10.0 + health.INITIAL_FULL_BACKOFF_S
+
+
+def test_a_target_that_rests_is_not_used_even_if_no_other_is_healthy():
+    directory = Directory()
+    announce(directory)
+    announce(directory, "i2")
+    directory.targets["i1"].stated.rest_until = 5.0
+    for _ in range(health.FAILURES_BEFORE_BACKOFF):
+        health.note_connection_failure(directory.targets["i2"], 0.0)
+    assert list_usable_lifetimes(directory, 0.1) == ["i2"]
+    directory.targets["i2"].stated.rest_until = 6.0
+    assert list_usable_lifetimes(directory, 0.1) == []
+    assert list_usable_lifetimes(directory, 5.0) == ["i1"]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -100,3 +100,17 @@
     fleet.find_engine(target).peers_in_flight.clear()
     fleet.hears_all_gateways = False
     assert not is_usable()
+
+
+def test_the_next_send_is_at_the_end_of_the_first_rest_of_those_that_may_run_it():
+    fleet = make_fleet()
+    announce(fleet, "d2", "decode")
+    stated = {id: t.stated for id, t in fleet.directory.targets.items()}
+    assert fleet.find_next_send_s("lm", 1.0, set()) == 0.0
+    stated["d1"].rest_until, stated["d2"].rest_until = 4.0, 9.0
+    assert fleet.find_next_send_s("lm", 1.0, set()) == 3.0
+    assert fleet.find_next_send_s("lm", 1.0, {"d1"}) == 8.0
+    stated["d1"].leaving = True
+    assert fleet.find_next_send_s("lm", 1.0, set()) == 8.0
+    stated["d2"].leaving = True
+    assert fleet.find_next_send_s("lm", 1.0, set()) == 0.0
--- a/tests/test_targettraffic.py
+++ b/tests/test_targettraffic.py
@@ -112,11 +112,32 @@
     assert talk.target.stated.limit.per_s == 2.0
 
 
-def test_nothing_is_written_to_a_target_that_leaves():
+@pytest.mark.parametrize(
+    ("stated", "reason"),
+    [
+        (Statements(leaving=True), "leaving"),
+        (Statements(rest_until=10.1), "resting"),
+    ],
+)
+def test_nothing_is_written_to_a_target_that_wants_nothing(stated, reason):
     talk = Talk()
-    talk.target.stated.leaving = True
-    with pytest.raises(NotSentError, match="leaving") as found:
+    talk.target.stated = stated
+    with pytest.raises(NotSentError, match=reason) as found:
         talk.send()
     assert not found.value.was_sent
     assert talk.transport.written == b""
     assert talk.connection.is_open
+
+
+def test_rest_is_heard_and_ends_by_itself():
+    talk = Talk()
+    talk.send()
+    talk.answer("Retry-After: 0.5", "X-Not-Executed: 1", status=503)
+    text, fields = talk.lines[0]
+    assert text == "target says of itself"
+    assert (fields["subject"], fields["seconds"]) == ("rest", 0.5)
+    with pytest.raises(NotSentError):
+        talk.send("r2")
+    talk.now = 10.5
+    talk.send("r2")
+    assert talk.transport.written == b"request" * 2
