Tell how many targets leave and rest, and by what a request was held back

Gauges targets_leaving and targets_resting; 'request ended' tells for requests that no target answered how many of their service's targets leave or rest; 'explain' shows that and what targets said in answers to the request.

--- a/src/robinspindle/core/obstacles.py
+++ b/src/robinspindle/core/obstacles.py
@@ -5,6 +5,8 @@
 """
 
 import math
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -54,3 +56,16 @@
         return None
     wait_s = ratelimits.find_wait(limit, share_per_s, now)
     return Obstacle(ObstacleReason.LIMITED, now + wait_s) if wait_s > 0 else None
+
+
+def count_send_obstacles(
+    found: Iterable[Target], now: float
+) -> Counter[ObstacleReason]:
+    """Count targets by what keeps this gateway from sending them anything.
+
+    Args:
+        found: The targets.
+        now: The current time, monotonic seconds.
+    """
+    obstacles = (find_send_obstacle(target, now) for target in found)
+    return Counter(obstacle.reason for obstacle in obstacles if obstacle is not None)
--- a/src/robinspindle/explaining.py
+++ b/src/robinspindle/explaining.py
@@ -30,6 +30,9 @@
     "error",
     "fingerprint",
     "crashes_met",
+    "subject",
+    "seconds",
+    "held_back",
     "outcome",
 )
 
@@ -118,7 +121,7 @@
         told = [
             f"{name}={line.fields[name]}"
             for name in PLAIN_FIELDS
-            if line.fields.get(name) not in (None, "")
+            if line.fields.get(name) not in (None, "", {})
         ]
         after_ms = (line.at - begun_at) * 1000
         parts.append(f"  {line.node} +{after_ms:.1f} ms  {line.text}: {' '.join(told)}")
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -30,6 +30,8 @@
         version_age: Time since it was known to be the newest, seconds.
         targets: Targets that may get work.
         limited: Targets that have lately named a limit on their request rate.
+        leaving: Targets that are about to leave, by their entries or answers.
+        resting: Targets that have asked for rest.
         peers: Gateways heard lately.
         store_calls: Calls to the store so far.
         store_received: Bytes of the store's answers that came whole.
@@ -69,6 +71,10 @@
         self.limited = self._gauge(
             "targets_limited", "Targets that have lately named a limit"
         )
+        self.leaving = self._gauge("targets_leaving", "Targets that are about to leave")
+        self.resting = self._gauge(
+            "targets_resting", "Targets that have asked this gateway for rest"
+        )
         self.peers = self._gauge("peers", "Gateways heard lately")
         self.store_calls = self._gauge("store_calls", "Calls to the store so far")
         self.store_received = self._gauge(
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -6,6 +6,7 @@
 from robinspindle.core import health
 from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.freshness import Freshness
+from robinspindle.core.obstacles import ObstacleReason, count_send_obstacles
 from robinspindle.core.quarantine import list_quarantined
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
@@ -74,6 +75,9 @@
     metrics.version.set(fleet.table.version if fleet.table else 0)
     metrics.version_age.set(now - parts.freshness.newest_at)
     metrics.targets.set(len(usable))
+    obstacles = count_send_obstacles(directory.targets.values(), now)
+    metrics.leaving.set(obstacles[ObstacleReason.LEAVING])
+    metrics.resting.set(obstacles[ObstacleReason.RESTING])
     metrics.limited.set(len(fleet.limits.list_named(now)))
     metrics.store_away.set(directory.unavailable_since is not None)
     metrics.list_age.set(now - directory.read_at)
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -2,6 +2,7 @@
 
 from robinspindle.core.forwarding import Refusal, Request
 from robinspindle.core.interference import find_prefill_share
+from robinspindle.core.obstacles import count_send_obstacles
 from robinspindle.core.requestplans import RequestPlan
 from robinspindle.core.sizeclasses import find_size_class
 from robinspindle.core.targets import Target
@@ -142,9 +143,20 @@
             pause_ms=round(passage.longest_pause_s * 1000, 1),
             held_ms=_find_ms_since(passage, now),
             configuration_ms=self._find_configuration_ms(now),
+            held_back=None if target else self._count_held_back(passage, now),
             outcome=outcome,
         )
 
+    def _count_held_back(self, passage: Passage, now: float) -> dict[str, int]:
+        """Count a service's targets that want nothing now, by why they do not."""
+        found = [
+            target
+            for target in self._means.fleet.directory.targets.values()
+            if target.announced.service == passage.service
+        ]
+        counts = count_send_obstacles(found, now)
+        return {reason.value: count for reason, count in counts.items()}
+
     def log_turned_away(self, passage: Passage, refusal: Refusal) -> None:
         """Log and count that a request was turned away, as it crashes targets."""
         self._means.metrics.turned_away.inc()
--- a/tests/core/test_obstacles.py
+++ b/tests/core/test_obstacles.py
@@ -1,6 +1,11 @@
 import math
 
-from robinspindle.core.obstacles import Obstacle, ObstacleReason, find_send_obstacle
+from robinspindle.core.obstacles import (
+    Obstacle,
+    ObstacleReason,
+    count_send_obstacles,
+    find_send_obstacle,
+)
 from robinspindle.core.ratelimits import RateLimit
 from robinspindle.core.targets import (
     Announcement,
@@ -88,3 +93,12 @@
     obstacle = find_send_obstacle(target, 0.0, 2.0)
     assert obstacle == Obstacle(ObstacleReason.LIMITED, 0.5)
     assert find_reason(target, 0.0) is None
+
+
+def test_targets_are_counted_by_what_keeps_requests_from_them():
+    directory = Directory()
+    announce(directory, "i1", leaving=True)
+    announce(directory, "i2").stated.rest_until = 4.0
+    announce(directory, "i3")
+    counts = count_send_obstacles(directory.targets.values(), 1.0)
+    assert counts == {ObstacleReason.LEAVING: 1, ObstacleReason.RESTING: 1}
