--- a/src/robinspindle/core/obstacles.py
+++ b/src/robinspindle/core/obstacles.py
@@ -5,6 +5,8 @@
 """
 
 import math
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,6 +18,7 @@
     """Why a target gets nothing."""
 
     LEAVING = "leaving"
+    RESTING = "resting"
     LIMITED = "limited"
 
 
@@ -46,8 +49,23 @@
     """
     if is_leaving(target):
         return Obstacle(ObstacleReason.LEAVING)
+    if now < target.stated.rest_until:
+        return Obstacle(ObstacleReason.RESTING, target.stated.rest_until)
     limit = target.stated.limit
     if limit is None or share_per_s is None:
         return None
     wait_s = ratelimits.find_wait(limit, share_per_s, now)
     return Obstacle(ObstacleReason.LIMITED, now + wait_s) if wait_s > 0 else None
+
+
+def count_send_obstacles(
+    found: Iterable[Target], now: float
+) -> Counter[ObstacleReason]:
+    """Count targets by what keeps this gateway from sending them anything.
+
+    Args:
+        found: The targets.
+        now: The current time, monotonic seconds.
+    """
+    obstacles = (find_send_obstacle(target, now) for target in found)
+    return Counter(obstacle.reason for obstacle in obstacles if obstacle is not None)
