Confirm and drop versions' records by offsets of the present era only

After a restore from a backup the store gives its offsets out anew. Until the follower has read the topic again, its offset is that of the earlier era: a read from there misses what was written below it, and said that all had been read. A version that another gateway had recorded in the new era, and whose entry had not come here yet, was then not counted, and a stream that it began went on at the other one. In the same time a record could be dropped on the condition that the topic ends at such an offset, although it says again that streams begin.

Ruled out: calls that notice the new era themselves; they fail (EraChangedError).

--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -190,7 +190,7 @@
 
         Another gateway may have written the version's record anew.
         """
-        end = self.follower.offset if self.follower else None
+        end = self._find_offset()
         if end is None:
             return
         if await self._append(versionrecords.make_key(version), b"", end):
@@ -214,7 +214,7 @@
 
     async def _read_on(self) -> bool:
         """Read all records that the store holds now; returns whether that is done."""
-        offset = self.follower.offset if self.follower else None
+        offset, era = self._find_offset(), self._find_era()
         if offset is None:
             return False
         try:
@@ -225,7 +225,15 @@
         for item in records.items:
             if versionrecords.is_key(item.key):
                 self.apply(item.key, item.value)
-        return records.end >= records.topic_end
+        # Offsets of an era that is over mean nothing in the one that has begun.
+        return records.end >= records.topic_end and self._find_era() == era
+
+    def _find_offset(self) -> int | None:
+        """Find how far the records of the present era have been read."""
+        follower = self.follower
+        if follower is None or follower.is_void:
+            return None
+        return follower.offset
 
     def _list_possible(self, services: list[str]) -> set[ServiceVersion]:
         return {
--- /dev/null
+++ b/tests/test_versionkeeping.py
@@ -0,0 +1,188 @@
+"""Which versions may have begun streams, by the records in the store."""
+
+import asyncio
+
+from robinspindle.core.routes import Backend, CallerLimits, Route, make_table
+from robinspindle.core.targets import Announcement, Directory, apply_announcement
+from robinspindle.core.versionhistory import note_listed
+from robinspindle.core.versionrecords import (
+    ServiceVersion,
+    Use,
+    VersionRecord,
+    encode_record,
+    make_key,
+)
+from robinspindle.exceptions import LogConflictError
+from robinspindle.fleet import Fleet
+from robinspindle.following import Follower, note_new_era
+from robinspindle.platform.dialect import decode_answer
+from robinspindle.platform.store import KeyedRecord, Records
+from robinspindle.versionkeeping import VersionKeeper
+
+TOPIC = "keyed.gateways"
+LIMIT_S = 5.0
+V1, V2 = ServiceVersion("lm", "v1"), ServiceVersion("lm", "v2")
+INTRODUCTION = KeyedRecord("gateway-1", b"127.0.0.1:9 zone-b 1")
+
+
+class KeyedStore:
+    """A store with one keyed topic.
+
+    Attributes:
+        records: All records.
+        era: Its era.
+        note_read: Called in the middle of each read.
+    """
+
+    def __init__(self):
+        self.records = []
+        self.era = 1
+        self.note_read = lambda: None
+
+    @property
+    def newest(self):
+        """The newest value of each key."""
+        return {item.key: item.value for item in self.records}
+
+    def restore(self, records):
+        """Return from a copy, in a new era."""
+        self.records, self.era = records, self.era + 1
+
+    def put(self, version, use=Use.BEGINS, era=1):
+        value = encode_record(VersionRecord(use, era))
+        self.records.append(KeyedRecord(make_key(version), value))
+
+    async def read_from(self, topic, offset, wait_s):
+        await asyncio.sleep(0)
+        items, end = tuple(self.records[offset:]), len(self.records)
+        self.note_read()
+        return Records(items, offset + len(items), end)
+
+    async def append_keyed(self, topic, key, value, expected_end=None):
+        await asyncio.sleep(0)
+        if expected_end not in (None, len(self.records)):
+            raise LogConflictError(len(self.records))
+        self.records.append(KeyedRecord(key, value or None))
+        return len(self.records) - 1
+
+
+class Gateway:
+    """What a gateway keeps of versions.
+
+    Attributes:
+        now: The present time, seconds.
+        told: The services with several versions that it was told of.
+    """
+
+    def __init__(self, store, services=("lm",)):
+        self.now = 100.0
+        self.told = []
+        self.fleet = Fleet(Directory(), decode_answer)
+        self.fleet.table = make_stream_table(services)
+        self.keeper = VersionKeeper(
+            store, TOPIC, self.fleet, lambda: 1, lambda: self.now, self._log
+        )
+        self.keeper.note_several = self.told.append
+        self.follower = Follower(TOPIC, self.keeper.apply, lambda: None, lambda: None)
+        self.keeper.follower = self.follower
+        self._store = store
+
+    def _log(self, text, **fields):
+        """Take a log line."""
+
+    def announce(self, lifetime, version="v1", service="lm"):
+        announced = Announcement(
+            lifetime, service, "127.0.0.1:1", "a", 1, software_version=version
+        )
+        apply_announcement(self.fleet.directory, announced, self.now)
+        note_listed(self.fleet.versions, announced, self.now)
+
+    def read(self):
+        """Read all that the store holds."""
+        for item in self._store.records[self.follower.offset or 0 :]:
+            self.keeper.apply(item.key, item.value)
+        self.follower.offset = len(self._store.records)
+
+
+def make_stream_table(services, version=1):
+    backends = tuple(Backend(service) for service in services)
+    route = Route(
+        "digest", "h", "/digest/", "stream", LIMIT_S, 1.0,
+        backends=backends, resumable=True,
+    )  # fmt: skip
+    return make_table(version, [route], [], CallerLimits())
+
+
+async def find_sole(gateway):
+    return await gateway.keeper.find_sole(["lm"], LIMIT_S)
+
+
+def test_a_sole_version_is_found_once_the_store_confirms_it():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1)
+        gateway = Gateway(store)
+        gateway.announce("i1")
+        assert await find_sole(gateway) is None
+        gateway.read()
+        assert await find_sole(gateway) == V1
+        store.put(V2)
+        assert await find_sole(gateway) is None
+
+    asyncio.run(scenario())
+
+
+def test_no_version_is_sole_by_an_offset_that_a_restored_store_gave_out_anew():
+    async def scenario():
+        store = KeyedStore()
+        store.records += [INTRODUCTION] * 2
+        store.put(V1)
+        gateway = Gateway(store)
+        gateway.announce("i1")
+        gateway.read()
+        # Another gateway records a version whose entry has not been read here yet.
+        store.restore([])
+        store.put(V2, era=2)
+        store.put(V1, era=2)
+        store.records.append(INTRODUCTION)
+        note_new_era(gateway.follower)
+        await gateway.keeper.write_due(gateway.now)
+        assert await find_sole(gateway) is None
+
+    asyncio.run(scenario())
+
+
+def test_no_version_is_sole_by_a_read_during_which_the_store_was_restored():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1)
+        gateway = Gateway(store)
+        gateway.announce("i1")
+        gateway.read()
+
+        def restore():
+            store.restore([])
+            note_new_era(gateway.follower)
+            value = encode_record(VersionRecord(Use.BEGINS, 2))
+            gateway.keeper.apply(make_key(V1), value)
+
+        store.note_read = restore
+        assert await find_sole(gateway) is None
+
+    asyncio.run(scenario())
+
+
+def test_no_record_is_dropped_by_an_offset_of_an_earlier_era():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1, Use.RETIRED)
+        gateway = Gateway(store)
+        gateway.read()
+        store.restore([])
+        store.put(V1, era=2)
+        note_new_era(gateway.follower)
+        gateway.now += 1000.0
+        await gateway.keeper.write_due(gateway.now)
+        assert store.newest[make_key(V1)] is not None
+
+    asyncio.run(scenario())
