Write records of versions again that a restore of the store has lost

A store that is restored from an older backup may lack the record of a version that began streams since. Gateways dropped the record as vanished, and wrote it again only where a target of the version was listed still. A gateway that started then knew of one version, and a stream that the other one began went on there. Where the backup held the record, it stayed for good if the version was not listed any more: only records of the present era were retired, so streams of unknown origin were refused, and origins written, from then on.

Change: a record of an earlier era is not forgotten as it vanishes, and gateways that know it write it again as it is, once they have read what the new era holds.

--- a/src/robinspindle/core/versionrecords.py
+++ b/src/robinspindle/core/versionrecords.py
@@ -155,6 +155,17 @@
     return sorted(missing, key=lambda v: (v.service, v.software_version))
 
 
+def is_outdated(records: VersionRecords, version: ServiceVersion, era: int) -> bool:
+    """Return whether a version's record was written in an earlier era of the store."""
+    known = records.noted.get(version)
+    return known is not None and known.record.era < era
+
+
+def list_outdated(records: VersionRecords, era: int) -> list[ServiceVersion]:
+    """List the versions whose records a restore of the store may have lost."""
+    return [v for v in records.noted if is_outdated(records, v, era)]
+
+
 def list_retirable(
     records: VersionRecords,
     directory: Directory,
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -80,8 +80,7 @@
         try:
             version = versionrecords.read_key(key)
             if value is None:
-                versionrecords.forget_record(self.records, version)
-                self._log_record("version has no record", version)
+                self._note_dropped(version)
                 return
             record = versionrecords.decode_record(value)
         except BadDocumentError as error:
@@ -89,6 +88,19 @@
             return
         self._note(version, record)
 
+    def _note_dropped(self, version: ServiceVersion) -> None:
+        """Take note that the store holds no record of a version.
+
+        One that a restore of the store has lost is written again: other gateways may
+        not know it.
+        """
+        if versionrecords.is_outdated(self.records, version, self._find_era()):
+            self._log_record("version's record was lost", version)
+            self._announced.set()
+            return
+        versionrecords.forget_record(self.records, version)
+        self._log_record("version has no record", version)
+
     def note_announced(self) -> None:
         """Take note that a target was announced, whose version may have no record."""
         self._announced.set()
@@ -163,6 +175,7 @@
             self.records, fleet.directory, services, era
         ):
             await self._write(version, VersionRecord(Use.BEGINS, era))
+        await self._renew_outdated(era)
         for version in versionrecords.list_retirable(
             self.records, fleet.directory, fleet.versions, era, now
         ):
@@ -171,6 +184,14 @@
         for version in versionrecords.list_forgettable(self.records, longest_s, now):
             await self._drop(version)
 
+    async def _renew_outdated(self, era: int) -> None:
+        """Write the records of earlier eras again, once those of this one were read."""
+        if self._find_offset() is None:
+            return
+        for version in versionrecords.list_outdated(self.records, era):
+            use = self.records.noted[version].record.use
+            await self._write(version, VersionRecord(use, era))
+
     async def _await_announced(self) -> None:
         try:
             async with asyncio.timeout(LOOK_S):
--- a/tests/core/test_versionrecords.py
+++ b/tests/core/test_versionrecords.py
@@ -14,6 +14,7 @@
     forget_record,
     list_forgettable,
     list_missing,
+    list_outdated,
     list_possible,
     list_retirable,
     may_begin,
@@ -72,6 +73,15 @@
     assert list_possible(world.records, "lm") == {"v1"}
 
 
+def test_records_of_earlier_eras_are_outdated():
+    world = World()
+    world.note(V1, BEGINS)
+    world.note(V2, VersionRecord(Use.RETIRED, 1))
+    assert list_outdated(world.records, 0) == []
+    assert list_outdated(world.records, 1) == [V1]
+    assert list_outdated(world.records, 2) == [V1, V2]
+
+
 def test_a_version_is_retired_only_when_others_serve_and_it_has_not_for_long():
     world = World()
     world.announce("i1", "v1")
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -9,8 +9,10 @@
     ServiceVersion,
     Use,
     VersionRecord,
+    decode_record,
     encode_record,
     make_key,
+    read_key,
 )
 from robinspindle.exceptions import LogConflictError
 from robinspindle.fleet import Fleet
@@ -104,6 +106,15 @@
         self.follower.offset = len(self._store.records)
 
 
+def list_uses(store):
+    """List whether streams begin at the versions that have records."""
+    return {
+        read_key(key): decode_record(value).use
+        for key, value in store.newest.items()
+        if value is not None
+    }
+
+
 def make_stream_table(services, version=1):
     backends = tuple(Backend(service) for service in services)
     route = Route(
@@ -186,3 +197,63 @@
         assert store.newest[make_key(V1)] is not None
 
     asyncio.run(scenario())
+
+
+def test_a_version_whose_record_a_restore_lost_is_recorded_again_and_not_forgotten():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1)
+        store.put(V2, Use.RETIRED)
+        gateway = Gateway(store)
+        gateway.announce("i1")
+        gateway.read()
+        store.restore([])
+        gateway.keeper.apply(make_key(V1), None)
+        gateway.keeper.apply(make_key(V2), None)
+        await gateway.keeper.write_due(gateway.now)
+        later = Gateway(store)
+        later.announce("i1")
+        later.read()
+        assert await find_sole(later) is None
+        assert list_uses(store) == {V1: Use.BEGINS, V2: Use.RETIRED}
+
+    asyncio.run(scenario())
+
+
+def test_a_record_of_an_earlier_era_is_retired_in_time():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1)
+        store.put(V2)
+        gateway = Gateway(store)
+        gateway.announce("i1")
+        gateway.read()
+        store.era += 1
+        await gateway.keeper.write_due(gateway.now)
+        gateway.now += 1000.0
+        await gateway.keeper.write_due(gateway.now)
+        assert list_uses(store) == {V1: Use.BEGINS, V2: Use.RETIRED}
+
+    asyncio.run(scenario())
+
+
+def test_a_record_of_an_earlier_era_is_not_written_before_the_new_ones_were_read():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1, Use.RETIRED)
+        gateway = Gateway(store)
+        gateway.read()
+        store.restore([])
+        store.put(V1, era=2)
+        note_new_era(gateway.follower)
+        await gateway.keeper.write_due(gateway.now)
+        assert list_uses(store) == {V1: Use.BEGINS}
+
+    asyncio.run(scenario())
+
+
+def test_a_record_that_another_gateway_drops_is_forgotten():
+    gateway = Gateway(KeyedStore())
+    gateway.keeper.apply(make_key(V1), encode_record(VersionRecord(Use.RETIRED, 1)))
+    gateway.keeper.apply(make_key(V1), None)
+    assert gateway.keeper.records.noted == {}
