Keep origins of streams under way as their route gets a second service

While several versions may have begun streams of a route, origins are written to the store. That was decided for each new stream by all services of its route, and for streams under way by each service alone: where the second version is that of another service of the route (it gets its first target after the other one, or a configuration splits the route), streams that had begun before were never written, and were refused once no gateway lived that knew them.

Change: with each record and each configuration it is looked for routes whose streams several versions may have begun; streams under way at their services are written then.

tests/test_versionkeeping.py: 2 of the 3 new tests failed before, all pass.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -210,7 +210,7 @@
             return
         self.fleet.table = table
         self.fleet.table_at = self.clock()
-        self.versions.note_announced()
+        self.versions.note_configured()
         self.freshness.version = table.version
         self.freshness.has_keys = table.keys is not None
         limits = table.limits
--- a/src/robinspindle/core/versionrecords.py
+++ b/src/robinspindle/core/versionrecords.py
@@ -135,6 +135,14 @@
     }
 
 
+def list_service_groups(table: RouteTable | None) -> set[frozenset[str]]:
+    """List the services of each route whose streams may be taken up."""
+    return {
+        frozenset(backend.service for backend in route.backends)
+        for route in _list_resumable_routes(table)
+    }
+
+
 def find_longest_limit(table: RouteTable | None) -> float:
     """Find the longest time limit of a route whose streams may be taken up, seconds."""
     limits = (route.timeout_s for route in _list_resumable_routes(table))
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from robinspindle.core import versionrecords
 from robinspindle.core.targets import Announcement
@@ -49,7 +49,8 @@
     Attributes:
         records: The records that are known.
         follower: How far the records have been read; None before that has begun.
-        note_several: Told a service at which a second version may begin streams.
+        note_several: Told a service once streams of a route to it may have been begun
+            by several versions, of one service or of several.
     """
 
     def __init__(
@@ -73,6 +74,8 @@
         self._announced = asyncio.Event()
         # Set and replaced whenever a record is noted.
         self._noted = asyncio.Event()
+        # The services of which that was told.
+        self._several: set[str] = set()
         self._confirmation = SharedCall(self._read_on)
 
     def apply(self, key: str, value: bytes | None) -> None:
@@ -98,13 +101,17 @@
             self._log_record("version's record was lost", version)
             self._announced.set()
             return
-        versionrecords.forget_record(self.records, version)
-        self._log_record("version has no record", version)
+        self._forget(version)
 
     def note_announced(self) -> None:
         """Take note that a target was announced, whose version may have no record."""
         self._announced.set()
 
+    def note_configured(self) -> None:
+        """Take note of a configuration: other services may get streams."""
+        self._announced.set()
+        self._tell_several()
+
     def may_begin(self, announced: Announcement) -> bool:
         """Whether a stream that may be taken up may begin at a target."""
         version = ServiceVersion(announced.service, announced.software_version)
@@ -130,7 +137,7 @@
             versionrecords.may_begin(self.records, version, era) for version in listed
         )
 
-    def has_several(self, services: list[str]) -> bool:
+    def has_several(self, services: Iterable[str]) -> bool:
         """Whether streams of some services may have been begun by several versions."""
         return len(self._list_possible(services)) > 1
 
@@ -215,8 +222,7 @@
         if end is None:
             return
         if await self._append(versionrecords.make_key(version), b"", end):
-            versionrecords.forget_record(self.records, version)
-            self._log_record("version has no record", version)
+            self._forget(version)
 
     async def _append(
         self, key: str, value: bytes, expected_end: int | None = None
@@ -256,7 +262,7 @@
             return None
         return follower.offset
 
-    def _list_possible(self, services: list[str]) -> set[ServiceVersion]:
+    def _list_possible(self, services: Iterable[str]) -> set[ServiceVersion]:
         return {
             ServiceVersion(service, version)
             for service in services
@@ -279,14 +285,27 @@
 
     def _note(self, version: ServiceVersion, record: VersionRecord) -> None:
         known = self.records.noted.get(version)
-        had_several = self.has_several([version.service])
         versionrecords.note_record(self.records, version, record, self._clock())
         if known is None or known.record != record:
             self._log_record("version has a record", version, use=record.use.value)
             self._noted.set()
             self._noted = asyncio.Event()
-        if not had_several and self.has_several([version.service]):
-            self.note_several(version.service)
+            self._tell_several()
+
+    def _forget(self, version: ServiceVersion) -> None:
+        versionrecords.forget_record(self.records, version)
+        self._log_record("version has no record", version)
+        self._tell_several()
+
+    def _tell_several(self) -> None:
+        """Tell the services whose streams now need their origins kept."""
+        several: set[str] = set()
+        for services in versionrecords.list_service_groups(self._fleet.table):
+            if self.has_several(services):
+                several |= services
+        told, self._several = self._several, several
+        for service in several - told:
+            self.note_several(service)
 
     def _log_record(self, text: str, version: ServiceVersion, **fields) -> None:
         self._log(
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -257,3 +257,36 @@
     gateway.keeper.apply(make_key(V1), encode_record(VersionRecord(Use.RETIRED, 1)))
     gateway.keeper.apply(make_key(V1), None)
     assert gateway.keeper.records.noted == {}
+
+
+def test_streams_under_way_are_kept_once_another_service_of_their_route_has_a_version():
+    gateway = Gateway(KeyedStore(), ("lm", "lm2"))
+    value = encode_record(VersionRecord(Use.BEGINS, 1))
+    gateway.keeper.apply(make_key(V1), value)
+    assert gateway.told == []
+    gateway.keeper.apply(make_key(ServiceVersion("lm2", "v1")), value)
+    assert sorted(gateway.told) == ["lm", "lm2"]
+
+
+def test_streams_under_way_are_kept_once_their_route_is_split():
+    gateway = Gateway(KeyedStore())
+    value = encode_record(VersionRecord(Use.BEGINS, 1))
+    gateway.keeper.apply(make_key(V1), value)
+    gateway.keeper.apply(make_key(ServiceVersion("lm2", "v1")), value)
+    assert gateway.told == []
+    gateway.fleet.table = make_stream_table(("lm", "lm2"), 2)
+    gateway.keeper.note_configured()
+    assert sorted(gateway.told) == ["lm", "lm2"]
+    gateway.keeper.note_configured()
+    assert len(gateway.told) == 2
+
+
+def test_streams_under_way_are_kept_once_a_second_version_has_a_record():
+    gateway = Gateway(KeyedStore())
+    value = encode_record(VersionRecord(Use.BEGINS, 1))
+    gateway.keeper.apply(make_key(V1), value)
+    gateway.keeper.apply(make_key(V2), value)
+    assert gateway.told == ["lm"]
+    gateway.keeper.apply(make_key(V1), None)
+    gateway.keeper.apply(make_key(V1), value)
+    assert gateway.told == ["lm", "lm"]
