Read all kept origins again where a restore came in the middle of a read

A read of the kept origins that was under way as another call noticed a new era set the offset back to that of the earlier era. The new log is shorter: what is written below that offset was never read, and streams of unknown origin were refused that the store knew.

Change: a read's end counts only if no era has begun since it was asked for.

tests/test_originlog.py: the new test failed before, all pass.

--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -99,6 +99,7 @@
         self._unwritten: dict[StreamKey, StreamOrigin] = {}
         self._has_unwritten = asyncio.Event()
         self._offset = 0
+        self._eras = 0
         self._look = SharedCall(self._read_on)
 
     def note(self, key: StreamKey, origin: StreamOrigin) -> None:
@@ -115,6 +116,7 @@
     def note_era(self) -> None:
         """Take note that the store gives its offsets out anew."""
         self._offset = 0
+        self._eras += 1
 
     async def look(self) -> bool:
         """Read all that the store holds now; returns whether that is done."""
@@ -154,16 +156,25 @@
 
     async def _read_once(self) -> bool:
         """Read once; returns whether nothing is left."""
+        eras = self._eras
         try:
             records = await self._store.read_records(self._topic, self._offset)
         except RecordsTrimmedError as error:
-            self._offset = error.first
+            self._go_on(error.first, eras)
             return False
         for tell in self._list_tells(records.values):
             self.take(StreamKey(tell.key), read_tell(tell))
-        self._offset = records.end
+        if not self._go_on(records.end, eras):
+            return False
         return records.end >= records.topic_end
 
+    def _go_on(self, offset: int, eras: int) -> bool:
+        """Go on at an offset, unless a new era has begun since it was asked for."""
+        is_valid = eras == self._eras
+        if is_valid:
+            self._offset = offset
+        return is_valid
+
     def _list_tells(self, values: tuple[bytes, ...]) -> Iterator[Tell]:
         for value in values:
             try:
--- a/tests/test_originlog.py
+++ b/tests/test_originlog.py
@@ -124,6 +124,26 @@
     run(scenario())
 
 
+def test_a_restore_in_the_middle_of_a_read_has_all_read_again():
+    async def scenario():
+        store = MemoryStore(per_read=10)
+        writer, reader = Reader(store), Reader(store)
+        store.records += [b"\xc1"] * 5
+        assert await reader.log.look()
+        looks = asyncio.create_task(reader.log.look())
+        while store.reads < 2:
+            await asyncio.sleep(0)
+        reader.log.note_era()
+        store.records.clear()
+        writer.log.note(name_stream(1), make_origin(1))
+        await writer.log.write()
+        await looks
+        assert await reader.log.look()
+        assert reader.taken == {name_stream(1): make_origin(1)}
+
+    run(scenario())
+
+
 def test_a_cancelled_look_leaves_the_others_theirs():
     async def scenario():
         store = MemoryStore(per_read=1)
