Write origins of streams under way again once the store was restored

A store that is restored from an older backup has lost the origins that were written since. The gateways still knew them, and wrote nothing again: once all were killed too, streams that had begun before the restore were refused while several versions may begin streams.

Change: with a new era, streams under way at such services are written again, as when their second version comes.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -300,7 +300,7 @@
         targets.note_store_restored(self.directory, self._clock())
         self._introduction.note_era()
         self._kept_origins.note_era()
-        self.versions.note_announced()
+        self.versions.note_era()
         for follower in self._followers:
             note_new_era(follower)
 
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -112,6 +112,12 @@
         self._announced.set()
         self._tell_several()
 
+    def note_era(self) -> None:
+        """Take note that the store may have lost records, and origins of streams."""
+        self._announced.set()
+        self._several.clear()
+        self._tell_several()
+
     def may_begin(self, announced: Announcement) -> bool:
         """Whether a stream that may be taken up may begin at a target."""
         version = ServiceVersion(announced.service, announced.software_version)
--- a/tests/platform/test_streamrestarts.py
+++ b/tests/platform/test_streamrestarts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins.replica import USUAL_VERSION
-from tests.platform.deployment import deploy, restart_all, run
+from tests.platform.deployment import deploy, restart_all, run, until
 from tests.platform.test_streamversions import (
     OTHER_VERSION,
     OTHERS,
@@ -57,6 +57,34 @@
     run(scenario())
 
 
+def test_no_stream_is_lost_with_the_store_s_last_records_and_then_all_gateways(
+    tmp_path,
+):
+    async def enable_eras(store):
+        store.era = 1
+
+    async def scenario():
+        async with deploy(tmp_path, prepare=enable_eras) as d:
+            await make_single(d)
+            await add(d, USUAL_VERSION)
+            await add(d, OTHER_VERSION)
+            await until(lambda: len(d.gateway.versions.records.noted) == 2)
+            backup = d.store.take_copy()
+            await break_stream(d, USUAL_VERSION)
+            await asyncio.sleep(NOTED_S)
+            d.store.return_from(backup)
+            await until(lambda: d.gateway._store.era == d.store.era)
+            await asyncio.sleep(NOTED_S)
+            async with restart_all(tmp_path, d) as restarted:
+                await add(restarted, USUAL_VERSION, OTHERS)
+                await add(restarted, OTHER_VERSION, OTHERS)
+                reply, _ = await take_up(restarted)
+                assert reply.is_whole
+                assert list_versions(reply) == {USUAL_VERSION}
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("attempt", [None, "r1"])
 def test_no_stream_is_lost_with_all_gateways_while_one_version_serves(
     tmp_path, attempt
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -290,3 +290,16 @@
     gateway.keeper.apply(make_key(V1), None)
     gateway.keeper.apply(make_key(V1), value)
     assert gateway.told == ["lm", "lm"]
+
+
+def test_streams_under_way_are_kept_again_once_the_store_was_restored():
+    store = KeyedStore()
+    gateway = Gateway(store)
+    store.put(V1)
+    gateway.read()
+    gateway.keeper.note_era()
+    assert gateway.told == []
+    store.put(V2)
+    gateway.read()
+    gateway.keeper.note_era()
+    assert gateway.told == ["lm", "lm"]
