Refuse a take-up in time though its stream's origin is still looked for

The look for a stream's origin had no time limit of its own request: asking gateways (0.3 s), the read that confirms a sole version and up to sixteen reads of kept origins come one after the other, each read may take 1 s, and may wait for one under way. With a store that is slow or silent, a take-up was held past its deadline, and told nothing that its caller could use.

Change: half of the time until its caller gives up is for the look; then it is refused, not run.

tests/platform/test_streamversions.py: both new cases failed before (held until the test's limit), all pass.

--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from robinspindle.core import health
-from robinspindle.core.forwarding import Request
+from robinspindle.core.forwarding import Request, find_first_event_deadline
 from robinspindle.core.permits import Permit
 from robinspindle.core.routes import Route
 from robinspindle.core.streamorigins import StreamOrigin
@@ -18,6 +18,10 @@
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import list_heard
 
+LOOK_SHARE = 0.5
+"""Share of the time until a caller gives up in which its stream's origin is looked for;
+the rest is for a target, or for the caller to come again."""
+
 
 @dataclass(frozen=True)
 class FoundOrigin:
@@ -42,10 +46,15 @@
         if route.resumable:
             await means.versions.await_first(_list_services(route))
         return stream
+    due = find_first_event_deadline(request, route)
+    look_s = LOOK_SHARE * (due - means.clock())
     try:
-        found = await _find_origin(
-            means, route, stream, request.resumption.is_event_clear
-        )
+        async with asyncio.timeout(max(0.0, look_s)):
+            found = await _find_origin(
+                means, route, stream, request.resumption.is_event_clear
+            )
+    except TimeoutError:
+        found = FoundOrigin(None, "no time left")
     except asyncio.CancelledError:
         means.log("caller left: its stream was looked for", request=request.id)
         raise
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -18,6 +18,7 @@
 from standins.rawhttp import LOOPBACK
 from standins.replica import USUAL_VERSION, Replica
 from tests.platform.deployment import (
+    TIMEOUT_S,
     deploy,
     join,
     make_configuration,
@@ -460,6 +461,28 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("asked", ["gateways", "store"])
+def test_a_take_up_is_refused_in_time_though_its_origin_is_still_looked_for(
+    tmp_path, asked
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await add(d)
+
+            async def wait(*about):
+                await asyncio.Event().wait()
+
+            if asked == "gateways":
+                d.gateway.streams.find = wait
+            else:
+                d.gateway.versions.find_sole = wait
+            async with asyncio.timeout(TIMEOUT_S):
+                reply, _ = await take_up(d, **{"X-Deadline-Ms": "300"})
+            assert is_true_refusal(reply)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("attempt", [None, "unknown"])
 def test_an_unknown_stream_goes_on_where_one_version_can_have_begun_it(
     tmp_path, attempt
