Ask only for a service's own targets where its streams may begin

Each choice of a target for a stream that may be taken up asked for the record of every target of the deployment, those of other services included, and each of them has a key made anew.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -157,7 +157,7 @@
         directory = self._means.fleet.directory
         if streamversions.is_unbound(passage.stream):
             if passage.route.resumable:
-                tried = tried | self._list_unrecorded(directory)
+                tried = tried | self._list_unrecorded(directory, passage.service)
             return list_usable(passage.service, now, tried)
         barred = streamversions.list_barred(directory, passage.stream)
         fitting = list_usable(passage.service, now, tried | barred)
@@ -166,12 +166,13 @@
         generating = streamversions.list_generating(directory)
         return fitting + list_usable(passage.service, now, tried | generating)
 
-    def _list_unrecorded(self, directory: Directory) -> set[str]:
-        """List the lifetimes at which no stream may begin that may be taken up."""
+    def _list_unrecorded(self, directory: Directory, service: str) -> set[str]:
+        """List a service's lifetimes at which no stream may begin to be taken up."""
         return {
             lifetime
             for lifetime, target in directory.targets.items()
-            if target.announced.role != streamversions.PREFILL
+            if target.announced.service == service
+            and target.announced.role != streamversions.PREFILL
             and not self._means.versions.may_begin(target.announced)
         }
 
