Bound a record of kept origins by bytes too

A record held up to 2,000 origins, however long their names were: 92 KB with the shortest names that are usual, 368 KB with a service of 84 and lifetimes of 38 characters, where the store takes 256 KB. A refused record is tried again as it is, so nothing would be written any more.

tests/test_originlog.py: the new case failed before (1.6 MB with the longest names), all pass.

--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -30,7 +30,10 @@
 """Pause after a write that failed, seconds; a refused call is paid for too."""
 
 MOST_IN_RECORD = 2000
-"""Origins in one record, which then stays far below 256 KB."""
+"""Maximum number of origins in one record."""
+
+MOST_RECORD_BYTES = 200_000
+"""Longest record but for its last origin, bytes; the store takes 256 KB."""
 
 MOST_UNWRITTEN = 8192
 """Maximum number of origins that wait to be written; the oldest give way."""
@@ -131,19 +134,29 @@
 
     async def write(self) -> None:
         """Write what is noted; what can't be written is tried again with the next."""
-        batch = dict(islice(self._unwritten.items(), MOST_IN_RECORD))
-        if not batch:
+        tells = self._list_next()
+        if not tells:
             self._has_unwritten.clear()
             return
-        tells = [make_tell(key, origin) for key, origin in batch.items()]
         try:
             await self._store.append(self._topic, encode(KeptOrigins(tells)))
         except LogServiceError as error:
-            self._log("origins not kept yet", count=len(batch), error=str(error))
+            self._log("origins not kept yet", count=len(tells), error=str(error))
             await asyncio.sleep(FAILED_PAUSE_S)
             return
-        for key in batch:
-            self._unwritten.pop(key, None)
+        for tell in tells:
+            self._unwritten.pop(StreamKey(tell.key), None)
+
+    def _list_next(self) -> list[Tell]:
+        """List what the next record holds."""
+        tells: list[Tell] = []
+        size = 0
+        for key, origin in islice(self._unwritten.items(), MOST_IN_RECORD):
+            if size > MOST_RECORD_BYTES:
+                break
+            tells.append(make_tell(key, origin))
+            size += len(encode(tells[-1]))
+        return tells
 
     async def _read_on(self) -> bool:
         try:
--- a/tests/test_originlog.py
+++ b/tests/test_originlog.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from robinspindle.core.streamorigins import StreamOrigin
 from robinspindle.originlog import (
     MIN_INTERVAL_S,
     MOST_IN_RECORD,
@@ -16,6 +17,9 @@
 )
 from tests.originfleet import MemoryStore, make_origin, name_stream
 
+RECORD_BYTES = 262_144
+"""Longest record that a store takes, bytes."""
+
 
 class Reader:
     def __init__(self, store):
@@ -171,6 +175,21 @@
     run(scenario())
 
 
+def test_a_record_stays_within_what_the_store_takes_however_long_its_names_are():
+    async def scenario():
+        store = MemoryStore(per_read=1)
+        writer = Reader(store)
+        for number in range(MOST_IN_RECORD):
+            names = (f"{number:0256}", "v" * 256, "i" * 256)
+            writer.log.note(name_stream(number), StreamOrigin(*names, 1796223803410))
+        for _ in range(10):
+            await writer.log.write()
+        assert sum(len(decode(record).tells) for record in store.records) == 2000
+        assert max(map(len, store.records)) < RECORD_BYTES
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("writers", [1, 3, 27, 420])
 def test_all_relays_together_write_within_what_the_store_takes(writers):
     interval_s = find_interval(writers)
