Keep no origins of streams that broke off long ago

A stream counts as under way until its answer is whole. One that broke off stayed for as long as 8,192 later ones had not taken its place, hours at a low rate. When a second version came, all were sent to the relay at once, 341 datagrams a gateway at most, and written to the store, most of them of streams that nobody can take up.

Change: only streams whose origin is still remembered (five minutes) are written then.

tests/test_streammemory.py: the new case failed before, all pass.

--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -157,12 +157,17 @@
             self._kept.drop(key)
 
     def keep_running(self, service: str) -> None:
-        """Write streams under way to the store, as a second version may begin some."""
+        """Write streams under way to the store, as a second version may begin some.
+
+        Those that broke off long ago are under way no longer.
+        """
+        now = self._clock()
         self._keep(
             {
                 key: origin
                 for key, origin in self._running.items()
                 if origin.service == service
+                and find_origin(self.table, key, now) is not None
             }
         )
 
--- a/tests/test_streammemory.py
+++ b/tests/test_streammemory.py
@@ -184,6 +184,22 @@
     fleet.play(play())
 
 
+def test_streams_that_broke_too_long_ago_to_be_taken_up_are_not_kept():
+    fleet = OriginFleet(1)
+    memory, kept = fleet.nodes[0].memory, fleet.nodes[0].kept
+
+    async def play():
+        memory.note_begun(name_stream(1), ORIGIN)
+        await asyncio.sleep(ORIGIN_LIFE_S + 1.0)
+        memory.note_begun(name_stream(2), ORIGIN)
+        memory.keep_running(ORIGIN.service)
+        await kept.write()
+        (record,) = fleet.store.records
+        assert [tell.key for tell in decode(record).tells] == [name_stream(2)]
+
+    fleet.play(play())
+
+
 def test_frozen_gateways_are_asked_twice_and_waited_for_until_the_limit():
     fleet = OriginFleet(4)
     asker, *others = fleet.nodes
