Drop no version's record while gateways that are not heard may begin streams by it

A gateway that is cut off from the store and the others goes on beginning streams at the versions it knew, if their targets are cut off with it. For the others these targets' entries go, the version is retired 8 s later, and its record was dropped two time limits and 15 s after that. From then on a stream that the cut-off gateway had begun meanwhile was taken for one of the sole version that is left, and went on there, once its gateway could not be asked (killed, or still cut off).

Change: a record is dropped only after all gateways that the store names have been heard for as long as a retired record stays, or, as some may be gone for good, ten minutes later. A record that stays costs writes of origins, no streams.

--- a/src/robinspindle/core/versionrecords.py
+++ b/src/robinspindle/core/versionrecords.py
@@ -6,6 +6,7 @@
 has been listed for a while, and dropped when no stream of it can be taken up any more.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -36,6 +37,10 @@
 """How long targets may serve on that are no longer listed, seconds; their streams may
 begin meanwhile at gateways that have not read that."""
 
+APART_S = 600.0
+"""How much longer a record stays while some gateways are not heard, seconds: they may
+not have read that it is retired, and gateways that are gone for good aren't heard."""
+
 
 @dataclass(frozen=True)
 class ServiceVersion:
@@ -195,7 +200,10 @@
 
 
 def list_forgettable(
-    records: VersionRecords, longest_s: float, now: float
+    records: VersionRecords,
+    longest_s: float,
+    now: float,
+    apart_at: float = -math.inf,
 ) -> list[ServiceVersion]:
     """List the versions of which no stream can be taken up any more.
 
@@ -204,12 +212,14 @@
         longest_s: The longest time limit of a route whose streams may be taken up,
             seconds.
         now: The current time, monotonic seconds.
+        apart_at: When some gateway was not heard the last time, monotonic seconds.
     """
     kept_s = STREAM_TIME_LIMITS * longest_s + FORGET_MARGIN_S
     return [
         version
         for version, known in records.noted.items()
-        if known.record.use is Use.RETIRED and now - known.noted_at > kept_s
+        if known.record.use is Use.RETIRED
+        and now - max(known.noted_at, min(apart_at, known.noted_at + APART_S)) > kept_s
     ]
 
 
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -74,7 +74,9 @@
         self._announced = asyncio.Event()
         # Set and replaced whenever a record is noted.
         self._noted = asyncio.Event()
-        # The services of which that was told.
+        # When some gateway was not heard the last time, as far as known.
+        self._apart_at = clock()
+        # The services that were told to have several versions.
         self._several: set[str] = set()
         self._confirmation = SharedCall(self._read_on)
 
@@ -193,8 +195,12 @@
             self.records, fleet.directory, fleet.versions, era, now
         ):
             await self._write(version, VersionRecord(Use.RETIRED, era))
+        if not fleet.hears_all_gateways:
+            self._apart_at = now
         longest_s = versionrecords.find_longest_limit(fleet.table)
-        for version in versionrecords.list_forgettable(self.records, longest_s, now):
+        for version in versionrecords.list_forgettable(
+            self.records, longest_s, now, self._apart_at
+        ):
             await self._drop(version)
 
     async def _renew_outdated(self, era: int) -> None:
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -6,6 +6,9 @@
 from robinspindle.core.targets import Announcement, Directory, apply_announcement
 from robinspindle.core.versionhistory import note_listed
 from robinspindle.core.versionrecords import (
+    APART_S,
+    FORGET_MARGIN_S,
+    STREAM_TIME_LIMITS,
     ServiceVersion,
     Use,
     VersionRecord,
@@ -259,6 +262,45 @@
     assert gateway.keeper.records.noted == {}
 
 
+async def look_after(gateway, seconds, hears_all):
+    """Let time pass and have what is due written meanwhile."""
+    gateway.fleet.hears_all_gateways = hears_all
+    for _ in range(round(seconds)):
+        gateway.now += 1.0
+        await gateway.keeper.write_due(gateway.now)
+        gateway.read()
+
+
+def test_no_record_is_dropped_while_gateways_apart_may_begin_streams_by_it():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1, Use.RETIRED)
+        gateway = Gateway(store)
+        gateway.read()
+        kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
+        await look_after(gateway, 3 * kept_s, hears_all=False)
+        assert list_uses(store) == {V1: Use.RETIRED}
+        await look_after(gateway, kept_s - 1.0, hears_all=True)
+        assert list_uses(store) == {V1: Use.RETIRED}
+        await look_after(gateway, 3.0, hears_all=True)
+        assert list_uses(store) == {}
+
+    asyncio.run(scenario())
+
+
+def test_a_record_is_dropped_in_the_end_though_gateways_are_gone_for_good():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1, Use.RETIRED)
+        gateway = Gateway(store)
+        gateway.read()
+        kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
+        await look_after(gateway, kept_s + APART_S + 2.0, hears_all=False)
+        assert list_uses(store) == {}
+
+    asyncio.run(scenario())
+
+
 def test_streams_under_way_are_kept_once_another_service_of_their_route_has_a_version():
     gateway = Gateway(KeyedStore(), ("lm", "lm2"))
     value = encode_record(VersionRecord(Use.BEGINS, 1))
