Space the reads that take-ups of unknown streams cost

Reads that confirm a sole version, and looks into the kept origins, are shared by all that ask meanwhile, and were made one right after the other: a caller that takes up streams nobody knows, or a store that refuses at once, had one gateway call as often as the store answers, a thousand times a second at a millisecond a call, while all share what the store takes.

--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -103,7 +103,9 @@
         self._has_unwritten = asyncio.Event()
         self._offset = 0
         self._eras = 0
-        self._look = SharedCall(self._read_on)
+        self._look = SharedCall(
+            self._read_on, lambda: find_interval(self._count_writers())
+        )
 
     def note(self, key: StreamKey, origin: StreamOrigin) -> None:
         """Have an origin written with the next ones."""
@@ -197,7 +199,7 @@
 
 
 def find_interval(writers: int) -> float:
-    """Find the time between two writes of a relay, seconds.
+    """Find the time between two writes of a relay, or two looks, seconds.
 
     Args:
         writers: Number of relays.
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -38,6 +38,23 @@
 FAILED_PAUSE_S = 0.5
 """Pause after a write that failed, seconds; a refused call is paid for too."""
 
+MIN_READ_INTERVAL_S = 0.05
+"""Least time between two reads that confirm versions, seconds: each has its price, and
+callers may come with any number of streams that nobody knows."""
+
+READS_PER_S = 1000.0
+"""Such reads a second that all gateways may make together: a part of what the store
+takes."""
+
+
+def find_read_interval(gateways: int) -> float:
+    """Find the time between two reads that confirm versions, seconds.
+
+    Args:
+        gateways: Number of gateways.
+    """
+    return max(MIN_READ_INTERVAL_S, gateways / READS_PER_S)
+
 
 def pass_over_service(service: str) -> None:
     """Stand for who is told of services with several versions."""
@@ -78,7 +95,9 @@
         self._apart_at = clock()
         # The services that were told to have several versions.
         self._several: set[str] = set()
-        self._confirmation = SharedCall(self._read_on)
+        self._confirmation = SharedCall(
+            self._read_on, lambda: find_read_interval(count_gateways())
+        )
 
     def apply(self, key: str, value: bytes | None) -> None:
         """Take in a record of the store."""
