Write kept origins oneself where there is no way to the relay

A gateway that is not a relay sends what is to be kept to its relay. Where it has no socket for that (settings with one inner port), or the relay is no longer among the gateways that the store names, the datagrams went nowhere, without a word: its streams were lost to the store.

Change: it then writes itself.

tests/test_streammemory.py: both new cases failed before, all pass.

--- a/src/robinspindle/originlink.py
+++ b/src/robinspindle/originlink.py
@@ -171,11 +171,15 @@
             return
         self.take(sender, message)
 
+    def can_send(self, name: str) -> bool:
+        """Whether another gateway can be sent messages."""
+        return self._transport is not None and name in self._peers.members
+
     def send(self, name: str, message: Message) -> None:
         """Send another gateway a message; one that is not known gets none."""
-        member = self._peers.members.get(name)
-        if member is None or self._transport is None:
+        if not self.can_send(name):
             return
+        member = self._peers.members[name]
         data = encode(message)
         self._note_sent(len(data))
         self._transport.sendto(data, (member.host, member.port + PORT_OFFSET))
--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -196,13 +196,14 @@
 
     def _keep(self, origins: dict[StreamKey, StreamOrigin]) -> None:
         """Have origins written to the store: by the relay, as each call is paid."""
-        if self._peers.is_relay:
+        relay = self._peers.choice.relay
+        if self._peers.is_relay or not self._link.can_send(relay):
             for key, origin in origins.items():
                 self._kept.note(key, origin)
             return
         # At once, as a gateway may die at any time.
         tells = [make_tell(key, origin) for key, origin in origins.items()]
-        self._send_tells(self._peers.choice.relay, tells, Keeps)
+        self._send_tells(relay, tells, Keeps)
 
     def _note_running(self, key: StreamKey, origin: StreamOrigin) -> None:
         self._running[key] = origin
--- a/tests/test_streammemory.py
+++ b/tests/test_streammemory.py
@@ -164,6 +164,25 @@
     assert 0 < len(fleet.store.records) <= WRITES_PER_S * seconds + first_writes
 
 
+@pytest.mark.parametrize("cause", ["no socket", "unknown relay"])
+def test_a_gateway_that_can_t_send_to_its_relay_writes_to_the_store_itself(cause):
+    fleet = OriginFleet(4)
+    choose_relays(fleet)
+    node = fleet.nodes[-1]
+    if cause == "no socket":
+        node.link.connection_made(None)
+    else:
+        node.peers.choice.relay = "gone"
+
+    async def play():
+        node.memory.note_begun(KEY, ORIGIN, True)
+        await node.kept.write()
+        (record,) = fleet.store.records
+        assert [tell.key for tell in decode(record).tells] == [KEY]
+
+    fleet.play(play())
+
+
 def test_streams_under_way_are_kept_once_a_second_version_may_begin_some():
     fleet = OriginFleet(1)
     memory, kept = fleet.nodes[0].memory, fleet.nodes[0].kept
