Space the writes of records that the store refuses by the number of gateways

Each gateway that lacked a version's record tried to write it about every 1.6 s for as long as the store refused: 259 calls a second by 420 gateways in virtual time, each paid for, of the writes that all share.

Change: 420 gateways pause 4.2 s after a failed write, and make fewer than 100 a second together; up to 50 gateways pause as before.

tests/test_versionkeeping.py: the case of 420 gateways failed before, all pass.

--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -36,7 +36,11 @@
 seconds: longer than the store takes to write it."""
 
 FAILED_PAUSE_S = 0.5
-"""Pause after a write that failed, seconds; a refused call is paid for too."""
+"""Least pause after a write that failed, seconds; a refused call is paid for too."""
+
+FAILED_WRITES_PER_S = 100.0
+"""Writes a second that all gateways may make in vain together: a part of what the store
+takes."""
 
 MIN_READ_INTERVAL_S = 0.05
 """Least time between two reads that confirm versions, seconds: each has its price, and
@@ -266,7 +270,8 @@
             return False
         except LogServiceError as error:
             self._log("version's record not stored yet", record=key, error=str(error))
-            await asyncio.sleep(FAILED_PAUSE_S)
+            gateways = self._count_gateways()
+            await asyncio.sleep(max(FAILED_PAUSE_S, gateways / FAILED_WRITES_PER_S))
             return False
         return True
 
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from fuzz.virtualtime import VirtualSelector, run_virtually
 from robinspindle.core.routes import Backend, CallerLimits, Route, make_table
 from robinspindle.core.targets import Announcement, Directory, apply_announcement
 from robinspindle.core.versionhistory import note_listed
@@ -17,7 +20,7 @@
     make_key,
     read_key,
 )
-from robinspindle.exceptions import LogConflictError
+from robinspindle.exceptions import LogConflictError, LogUnavailableError
 from robinspindle.fleet import Fleet
 from robinspindle.following import Follower, note_new_era
 from robinspindle.platform.dialect import decode_answer
@@ -36,6 +39,8 @@
     Attributes:
         records: All records.
         era: Its era.
+        is_away: Whether it refuses writes.
+        writes: Writes so far.
         note_read: Called in the middle of each read.
     """
 
@@ -43,6 +48,8 @@
         self.records = []
         self.era = 1
         self.note_read = lambda: None
+        self.is_away = False
+        self.writes = 0
 
     @property
     def newest(self):
@@ -65,6 +72,9 @@
 
     async def append_keyed(self, topic, key, value, expected_end=None):
         await asyncio.sleep(0)
+        self.writes += 1
+        if self.is_away:
+            raise LogUnavailableError("busy")
         if expected_end not in (None, len(self.records)):
             raise LogConflictError(len(self.records))
         self.records.append(KeyedRecord(key, value or None))
@@ -79,13 +89,13 @@
         told: The services with several versions that it was told of.
     """
 
-    def __init__(self, store, services=("lm",)):
+    def __init__(self, store, services=("lm",), count=1):
         self.now = 100.0
         self.told = []
         self.fleet = Fleet(Directory(), decode_answer)
         self.fleet.table = make_stream_table(services)
         self.keeper = VersionKeeper(
-            store, TOPIC, self.fleet, lambda: 1, lambda: self.now, self._log
+            store, TOPIC, self.fleet, lambda: count, lambda: self.now, self._log
         )
         self.keeper.note_several = self.told.append
         self.follower = Follower(TOPIC, self.keeper.apply, lambda: None, lambda: None)
@@ -301,6 +311,23 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("count", [1, 4, 420])
+def test_gateways_that_write_in_vain_don_t_press_the_store_together(count, seconds=60):
+    selector = VirtualSelector()
+    store = KeyedStore()
+    store.is_away = True
+    gateway = Gateway(store, count=count)
+    gateway.announce("i1")
+
+    async def scenario():
+        task = asyncio.create_task(gateway.keeper.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    run_virtually(scenario(), selector)
+    assert 0 < store.writes * count <= 100 * seconds
+
+
 def test_streams_under_way_are_kept_once_another_service_of_their_route_has_a_version():
     gateway = Gateway(KeyedStore(), ("lm", "lm2"))
     value = encode_record(VersionRecord(Use.BEGINS, 1))
