Count a version whose record can't be read among those that may have begun streams

A record that can't be decoded, such as one of a later release, was passed over, as if its version had begun no stream. One that it had begun then went on at the version that is left.

Change: it counts as a retired record until it is dropped.

tests/test_versionkeeping.py: the new case failed before, all pass.

--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -107,14 +107,21 @@
         """Take in a record of the store."""
         try:
             version = versionrecords.read_key(key)
-            if value is None:
-                self._note_dropped(version)
-                return
-            record = versionrecords.decode_record(value)
         except BadDocumentError as error:
             self._log("version's record not believed", record=key, fault=str(error))
             return
-        self._note(version, record)
+        if value is None:
+            self._note_dropped(version)
+        else:
+            self._note(version, self._decode(key, value))
+
+    def _decode(self, key: str, value: bytes) -> VersionRecord:
+        """Decode a record; by one that can't be read, streams may have begun."""
+        try:
+            return versionrecords.decode_record(value)
+        except BadDocumentError as error:
+            self._log("version's record can't be read", record=key, fault=str(error))
+            return VersionRecord(Use.RETIRED, self._find_era())
 
     def _note_dropped(self, version: ServiceVersion) -> None:
         """Take note that the store holds no record of a version.
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -156,6 +156,21 @@
     asyncio.run(scenario())
 
 
+def test_a_version_whose_record_can_t_be_read_may_have_begun_streams():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1)
+        gateway = Gateway(store)
+        gateway.announce("i1")
+        gateway.read()
+        store.records.append(KeyedRecord(make_key(V2), b'{"use":"paused","era":1}'))
+        assert await find_sole(gateway) is None
+        gateway.read()
+        assert await find_sole(gateway) is None
+
+    asyncio.run(scenario())
+
+
 def test_no_version_is_sole_by_an_offset_that_a_restored_store_gave_out_anew():
     async def scenario():
         store = KeyedStore()
