Keep a retired record for its whole time from when it was last read

A gateway that reads the newest records only, after it was cut off or a restore, can't see that a version was back and was retired again meanwhile: the record says the same as before. The time until it is dropped ran from the first reading, and could end while streams of that later time could be taken up; one of them then went on at the version that is left.

Change: it runs from when the record was last read or written.

--- a/src/robinspindle/core/versionrecords.py
+++ b/src/robinspindle/core/versionrecords.py
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True)
 class NotedRecord:
-    """A record, and when it was first seen as it is.
+    """A record, and when it was last read or written.
 
     Attributes:
         record: The record.
@@ -103,10 +103,11 @@
 def note_record(
     records: VersionRecords, version: ServiceVersion, record: VersionRecord, now: float
 ) -> None:
-    """Note what the store holds about a version."""
-    known = records.noted.get(version)
-    if known is None or known.record != record:
-        records.noted[version] = NotedRecord(record, now)
+    """Note what the store holds about a version.
+
+    Others may have come since the one that is known, also where both say the same.
+    """
+    records.noted[version] = NotedRecord(record, now)
 
 
 def forget_record(records: VersionRecords, version: ServiceVersion) -> None:
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -313,6 +313,27 @@
     asyncio.run(scenario())
 
 
+def test_a_record_that_was_retired_anew_unseen_stays_for_as_long_as_a_new_one():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1, Use.RETIRED)
+        gateway = Gateway(store)
+        gateway.read()
+        kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
+        await look_after(gateway, kept_s - 2.0, hears_all=True)
+        # Only the newest record is read; there were others meanwhile.
+        store.put(V1, Use.BEGINS)
+        store.put(V1, Use.RETIRED)
+        gateway.keeper.apply(make_key(V1), store.newest[make_key(V1)])
+        gateway.follower.offset = len(store.records)
+        await look_after(gateway, kept_s - 2.0, hears_all=True)
+        assert list_uses(store) == {V1: Use.RETIRED}
+        await look_after(gateway, 4.0, hears_all=True)
+        assert list_uses(store) == {}
+
+    asyncio.run(scenario())
+
+
 def test_a_record_is_dropped_in_the_end_though_gateways_are_gone_for_good():
     async def scenario():
         store = KeyedStore()
