Drop no record that was written anew while another one was dropped

Which records are due to be dropped was listed once, and the condition of each drop, that the topic ends where it was read to, was taken when its turn came. If another gateway wrote one of them anew during the drop before it (or its pause after a failure), and that was read meanwhile, the condition held, and a record was dropped by which streams begin.

Change: it is looked again whether a record is due when its turn comes.

tests/test_versionkeeping.py: the new case failed before, all pass.

--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -227,11 +227,16 @@
             await self._write(version, VersionRecord(Use.RETIRED, era))
         if not fleet.hears_all_gateways:
             self._apart_at = now
-        longest_s = versionrecords.find_longest_limit(fleet.table)
-        for version in versionrecords.list_forgettable(
+        for version in self._list_forgettable(now):
+            # Others may have written it anew while one before it was dropped.
+            if version in self._list_forgettable(now):
+                await self._drop(version)
+
+    def _list_forgettable(self, now: float) -> list[ServiceVersion]:
+        longest_s = versionrecords.find_longest_limit(self._fleet.table)
+        return versionrecords.list_forgettable(
             self.records, longest_s, now, self._apart_at
-        ):
-            await self._drop(version)
+        )
 
     async def _renew_outdated(self, era: int) -> None:
         """Write the records of earlier eras again, once those of this one were read."""
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -41,6 +41,7 @@
         era: Its era.
         is_away: Whether it refuses writes.
         writes: Writes so far.
+        note_write: Called after each write.
         note_read: Called in the middle of each read.
     """
 
@@ -50,6 +51,7 @@
         self.note_read = lambda: None
         self.is_away = False
         self.writes = 0
+        self.note_write = lambda: None
 
     @property
     def newest(self):
@@ -78,7 +80,9 @@
         if expected_end not in (None, len(self.records)):
             raise LogConflictError(len(self.records))
         self.records.append(KeyedRecord(key, value or None))
-        return len(self.records) - 1
+        offset = len(self.records) - 1
+        self.note_write()
+        return offset
 
 
 class Gateway:
@@ -334,6 +338,28 @@
     asyncio.run(scenario())
 
 
+def test_no_record_is_dropped_that_says_again_that_streams_begin():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1, Use.RETIRED)
+        store.put(V2, Use.RETIRED)
+        gateway = Gateway(store)
+        gateway.read()
+        gateway.now += 1000.0
+
+        def renew():
+            store.note_write = lambda: None
+            store.put(V2)
+            gateway.read()
+
+        # Another gateway writes while the first record is being dropped.
+        store.note_write = renew
+        await gateway.keeper.write_due(gateway.now)
+        assert list_uses(store)[V2] is Use.BEGINS
+
+    asyncio.run(scenario())
+
+
 def test_a_record_is_dropped_in_the_end_though_gateways_are_gone_for_good():
     async def scenario():
         store = KeyedStore()
