Don't undo by a late answer what was read behind an own record

A gateway notes a record that it has written once the store answers. Its follower may have read that record and a newer one of another gateway by then: the late answer put the older state back, and nothing read the newer one again. A version that another gateway had recorded right after the drop of its record was forgotten so, and counted no more among those that may have begun streams.

Change: the answer names the record's offset; it is noted only if that has not been read yet.

--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -274,9 +274,15 @@
     async def _append(
         self, key: str, value: bytes, expected_end: int | None = None
     ) -> bool:
-        """Append a record; returns whether the store has taken it."""
+        """Append a record; returns whether that is to be noted.
+
+        It isn't where the store has not taken it, or its answer came so late that the
+        record, and maybe newer ones, were read meanwhile.
+        """
         try:
-            await self._store.append_keyed(self._topic, key, value, expected_end)
+            offset = await self._store.append_keyed(
+                self._topic, key, value, expected_end
+            )
         except LogConflictError:
             self._log("version's record was written meanwhile", record=key)
             return False
@@ -285,7 +291,8 @@
             gateways = self._count_gateways()
             await asyncio.sleep(max(FAILED_PAUSE_S, gateways / FAILED_WRITES_PER_S))
             return False
-        return True
+        read_to = self._find_offset()
+        return read_to is None or read_to <= offset
 
     async def _read_on(self) -> bool:
         """Read all records that the store holds now; returns whether that is done."""
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -360,6 +360,33 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("use", [Use.BEGINS, Use.RETIRED])
+def test_what_was_read_behind_an_own_write_is_not_undone_by_its_late_answer(use):
+    async def scenario():
+        store = KeyedStore()
+        gateway = Gateway(store)
+        if use is Use.RETIRED:
+            store.put(V1, use)
+        else:
+            gateway.announce("i1")
+        gateway.read()
+        gateway.now += 1000.0
+
+        def write_and_read():
+            store.note_write = lambda: None
+            other = Use.RETIRED if use is Use.BEGINS else Use.BEGINS
+            store.put(V1, other)
+            gateway.read()
+
+        store.note_write = write_and_read
+        await gateway.keeper.write_due(gateway.now)
+        noted = gateway.keeper.records.noted
+        uses = {version: known.record.use for version, known in noted.items()}
+        assert uses == list_uses(store)
+
+    asyncio.run(scenario())
+
+
 def test_a_record_is_dropped_in_the_end_though_gateways_are_gone_for_good():
     async def scenario():
         store = KeyedStore()
