Judge a sole version by what the confirming read found, whatever comes behind it

The read that confirms a sole version runs beside the follower's own. An answer to the follower that ended earlier could be taken in after it and before the take-up went on: a record that was dropped and is there again was then missing for that moment, and the version that is left was taken for the sole one.

Change: the read returns the versions that have records, and these are judged.

tests/test_versionkeeping.py: the new case failed before, all pass.

--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -191,9 +191,13 @@
         Returns:
             None if there are several, or the store doesn't say that there are none.
         """
-        if self.has_several(services) or not await self._confirmation.make():
+        if self.has_several(services):
             return None
-        possible = self._list_possible(services)
+        confirmed = await self._confirmation.make()
+        if confirmed is None:
+            return None
+        possible = {version for version in confirmed if version.service in services}
+        possible |= self._list_possible(services)
         possible |= self._list_listed(services, time_limit_s)
         if len(possible) != 1:
             return None
@@ -294,21 +298,27 @@
         read_to = self._find_offset()
         return read_to is None or read_to <= offset
 
-    async def _read_on(self) -> bool:
-        """Read all records that the store holds now; returns whether that is done."""
+    async def _read_on(self) -> set[ServiceVersion] | None:
+        """Read all records that the store holds now.
+
+        Returns:
+            The versions that have records; None if not all could be read.
+        """
         offset, era = self._find_offset(), self._find_era()
         if offset is None:
-            return False
+            return None
         try:
             records = await self._store.read_from(self._topic, offset, 0.0)
         except LogServiceError as error:
             self._log("versions not confirmed", error=str(error))
-            return False
+            return None
         for item in records.items:
             if versionrecords.is_key(item.key):
                 self.apply(item.key, item.value)
         # Offsets of an era that is over mean nothing in the one that has begun.
-        return records.end >= records.topic_end and self._find_era() == era
+        is_whole = records.end >= records.topic_end and self._find_era() == era
+        # Kept apart: an older answer to the follower may be taken in after this one.
+        return set(self.records.noted) if is_whole else None
 
     def _find_offset(self) -> int | None:
         """Find how far the records of the present era have been read."""
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -175,6 +175,25 @@
     asyncio.run(scenario())
 
 
+def test_no_version_is_sole_by_an_older_answer_that_is_taken_in_after_the_read():
+    async def scenario():
+        store = KeyedStore()
+        store.put(V1)
+        store.records.append(KeyedRecord(make_key(V2), None))
+        gateway = Gateway(store)
+        gateway.announce("i1")
+        gateway.read()
+        store.put(V2)
+        loop = asyncio.get_running_loop()
+        # The follower's own read ended before the newest record.
+        store.note_read = lambda: loop.call_soon(
+            gateway.keeper.apply, make_key(V2), None
+        )
+        assert await find_sole(gateway) is None
+
+    asyncio.run(scenario())
+
+
 def test_no_version_is_sole_by_an_offset_that_a_restored_store_gave_out_anew():
     async def scenario():
         store = KeyedStore()
