Write versions' records in a module of its own

versionkeeping.py had grown to 400 lines with two jobs: knowing which versions may have begun streams, and writing the records that the store lacks. Nothing is decided differently; the 53 tests of both, of the records, of the layout and of restarts pass.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -53,6 +53,7 @@
 from robinspindle.streammemory import StreamMemory
 from robinspindle.usagebook import UsageBook
 from robinspindle.versionkeeping import VersionKeeper
+from robinspindle.versionwriting import VersionWriter
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -134,6 +135,15 @@
             streams_log,
         )
         self.versions.note_several = self.streams.keep_running
+        self._version_writer = VersionWriter(
+            self.versions,
+            self._store,
+            adapter.gateways_topic,
+            self.fleet,
+            self._count_gateways,
+            self._clock,
+            streams_log,
+        )
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -374,7 +384,7 @@
             ),
             loop.create_task(self._keep_house()),
             loop.create_task(self._keeper.run()),
-            loop.create_task(self.versions.run()),
+            loop.create_task(self._version_writer.run()),
             loop.create_task(self._kept_origins.run()),
             loop.create_task(self.guard.runs.recheck()),
             loop.create_task(self.duties.run()),
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -1,12 +1,10 @@
-"""Keeps the record of which software versions may begin streams in the store.
+"""Knows which software versions may have begun streams, by the store's records.
 
-Each gateway that reads the entry of a target whose version has no record writes one.
 Gateways read the records with the other gateways' introductions.
 """
 
 import asyncio
 import contextlib
-import random
 from collections.abc import Callable, Iterable
 
 from robinspindle.core import versionrecords
@@ -18,30 +16,16 @@
     VersionRecord,
     VersionRecords,
 )
-from robinspindle.exceptions import BadDocumentError, LogConflictError, LogServiceError
+from robinspindle.exceptions import BadDocumentError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import Follower, KeyedStore
 from robinspindle.logs import Log
 from robinspindle.sharedcalls import SharedCall
 
-LOOK_S = 0.5
-"""How often it is looked for records to write, if nothing is announced, seconds."""
-
-SPREAD_S = 0.0025
-"""For each gateway, by how much more the writes of all are spread, seconds: of many,
-most then read the record of the first one in place of writing it too."""
-
 FIRST_WAIT_S = 0.3
 """How long a stream waits for the record of the first version that it may begin at,
 seconds: longer than the store takes to write it."""
 
-FAILED_PAUSE_S = 0.5
-"""Least pause after a write that failed, seconds; a refused call is paid for too."""
-
-FAILED_WRITES_PER_S = 100.0
-"""Writes a second that all gateways may make in vain together: a part of what the store
-takes."""
-
 MIN_READ_INTERVAL_S = 0.05
 """Least time between two reads that confirm versions, seconds: each has its price, and
 callers may come with any number of streams that nobody knows."""
@@ -70,6 +54,7 @@
     Attributes:
         records: The records that are known.
         follower: How far the records have been read; None before that has begun.
+        announced: Set where a version may lack a record of the present era.
         note_several: Told a service once streams of a route to it may have been begun
             by several versions, of one service or of several.
     """
@@ -89,14 +74,11 @@
         self._store = store
         self._topic = topic
         self._fleet = fleet
-        self._count_gateways = count_gateways
         self._clock = clock
         self._log = log
-        self._announced = asyncio.Event()
+        self.announced = asyncio.Event()
         # Set and replaced whenever a record is noted.
         self._noted = asyncio.Event()
-        # When some gateway was not heard the last time, as far as known.
-        self._apart_at = clock()
         # The services that were told to have several versions.
         self._several: set[str] = set()
         self._confirmation = SharedCall(
@@ -113,7 +95,7 @@
         if value is None:
             self._note_dropped(version)
         else:
-            self._note(version, self._decode(key, value))
+            self.note(version, self._decode(key, value))
 
     def _decode(self, key: str, value: bytes) -> VersionRecord:
         """Decode a record; by one that can't be read, streams may have begun."""
@@ -121,7 +103,7 @@
             return versionrecords.decode_record(value)
         except BadDocumentError as error:
             self._log("version's record can't be read", record=key, fault=str(error))
-            return VersionRecord(Use.RETIRED, self._find_era())
+            return VersionRecord(Use.RETIRED, self.find_era())
 
     def _note_dropped(self, version: ServiceVersion) -> None:
         """Take note that the store holds no record of a version.
@@ -129,31 +111,31 @@
         One that a restore of the store has lost is written again: other gateways may
         not know it.
         """
-        if versionrecords.is_outdated(self.records, version, self._find_era()):
+        if versionrecords.is_outdated(self.records, version, self.find_era()):
             self._log_record("version's record was lost", version)
-            self._announced.set()
+            self.announced.set()
             return
-        self._forget(version)
+        self.forget(version)
 
     def note_announced(self) -> None:
         """Take note that a target was announced, whose version may have no record."""
-        self._announced.set()
+        self.announced.set()
 
     def note_configured(self) -> None:
         """Take note of a configuration: other services may get streams."""
-        self._announced.set()
+        self.announced.set()
         self._tell_several()
 
     def note_era(self) -> None:
         """Take note that the store may have lost records, and origins of streams."""
-        self._announced.set()
+        self.announced.set()
         self._several.clear()
         self._tell_several()
 
     def may_begin(self, announced: Announcement) -> bool:
         """Whether a stream that may be taken up may begin at a target."""
         version = ServiceVersion(announced.service, announced.software_version)
-        return versionrecords.may_begin(self.records, version, self._find_era())
+        return versionrecords.may_begin(self.records, version, self.find_era())
 
     async def await_first(self, services: list[str]) -> None:
         """Wait until streams may begin at some listed version, if one is being written.
@@ -170,7 +152,7 @@
     def _is_first_missing(self, services: list[str]) -> bool:
         """Whether versions are listed, and none of them may begin streams yet."""
         listed = self._list_listed(services, 0.0)
-        era = self._find_era()
+        era = self.find_era()
         return bool(listed) and not any(
             versionrecords.may_begin(self.records, version, era) for version in listed
         )
@@ -202,109 +184,16 @@
         if len(possible) != 1:
             return None
         (sole,) = possible
-        is_sure = versionrecords.may_begin(self.records, sole, self._find_era())
+        is_sure = versionrecords.may_begin(self.records, sole, self.find_era())
         return sole if is_sure else None
 
-    async def run(self) -> None:
-        """Write what the store lacks, for as long as the process runs."""
-        while True:
-            await self._await_announced()
-            await asyncio.sleep(random.uniform(0.0, SPREAD_S) * self._count_gateways())
-            await self.write_due(self._clock())
-
-    async def write_due(self, now: float) -> None:
-        """Write the records that are due.
-
-        Args:
-            now: The present time, steady seconds.
-        """
-        fleet, era = self._fleet, self._find_era()
-        services = versionrecords.list_resumable_services(fleet.table)
-        for version in versionrecords.list_missing(
-            self.records, fleet.directory, services, era
-        ):
-            await self._write(version, VersionRecord(Use.BEGINS, era))
-        await self._renew_outdated(era)
-        for version in versionrecords.list_retirable(
-            self.records, fleet.directory, fleet.versions, era, now
-        ):
-            await self._write(version, VersionRecord(Use.RETIRED, era))
-        if not fleet.hears_all_gateways:
-            self._apart_at = now
-        for version in self._list_forgettable(now):
-            # Others may have written it anew while one before it was dropped.
-            if version in self._list_forgettable(now):
-                await self._drop(version)
-
-    def _list_forgettable(self, now: float) -> list[ServiceVersion]:
-        longest_s = versionrecords.find_longest_limit(self._fleet.table)
-        return versionrecords.list_forgettable(
-            self.records, longest_s, now, self._apart_at
-        )
-
-    async def _renew_outdated(self, era: int) -> None:
-        """Write the records of earlier eras again, once those of this one were read."""
-        if self._find_offset() is None:
-            return
-        for version in versionrecords.list_outdated(self.records, era):
-            use = self.records.noted[version].record.use
-            await self._write(version, VersionRecord(use, era))
-
-    async def _await_announced(self) -> None:
-        try:
-            async with asyncio.timeout(LOOK_S):
-                await self._announced.wait()
-        except TimeoutError:
-            return
-        self._announced.clear()
-
-    async def _write(self, version: ServiceVersion, record: VersionRecord) -> None:
-        key = versionrecords.make_key(version)
-        value = versionrecords.encode_record(record)
-        if await self._append(key, value):
-            self._note(version, record)
-
-    async def _drop(self, version: ServiceVersion) -> None:
-        """Drop a record, unless what was read is not all that the store holds.
-
-        Another gateway may have written the version's record anew.
-        """
-        end = self._find_offset()
-        if end is None:
-            return
-        if await self._append(versionrecords.make_key(version), b"", end):
-            self._forget(version)
-
-    async def _append(
-        self, key: str, value: bytes, expected_end: int | None = None
-    ) -> bool:
-        """Append a record; returns whether that is to be noted.
-
-        It isn't where the store has not taken it, or its answer came so late that the
-        record, and maybe newer ones, were read meanwhile.
-        """
-        try:
-            offset = await self._store.append_keyed(
-                self._topic, key, value, expected_end
-            )
-        except LogConflictError:
-            self._log("version's record was written meanwhile", record=key)
-            return False
-        except LogServiceError as error:
-            self._log("version's record not stored yet", record=key, error=str(error))
-            gateways = self._count_gateways()
-            await asyncio.sleep(max(FAILED_PAUSE_S, gateways / FAILED_WRITES_PER_S))
-            return False
-        read_to = self._find_offset()
-        return read_to is None or read_to <= offset
-
     async def _read_on(self) -> set[ServiceVersion] | None:
         """Read all records that the store holds now.
 
         Returns:
             The versions that have records; None if not all could be read.
         """
-        offset, era = self._find_offset(), self._find_era()
+        offset, era = self.find_offset(), self.find_era()
         if offset is None:
             return None
         try:
@@ -316,11 +205,11 @@
             if versionrecords.is_key(item.key):
                 self.apply(item.key, item.value)
         # Offsets of an era that is over mean nothing in the one that has begun.
-        is_whole = records.end >= records.topic_end and self._find_era() == era
+        is_whole = records.end >= records.topic_end and self.find_era() == era
         # Kept apart: an older answer to the follower may be taken in after this one.
         return set(self.records.noted) if is_whole else None
 
-    def _find_offset(self) -> int | None:
+    def find_offset(self) -> int | None:
         """Find how far the records of the present era have been read."""
         follower = self.follower
         if follower is None or follower.is_void:
@@ -348,7 +237,8 @@
             )
         }
 
-    def _note(self, version: ServiceVersion, record: VersionRecord) -> None:
+    def note(self, version: ServiceVersion, record: VersionRecord) -> None:
+        """Take note of what the store holds about a version."""
         known = self.records.noted.get(version)
         versionrecords.note_record(self.records, version, record, self._clock())
         if known is None or known.record != record:
@@ -357,7 +247,8 @@
             self._noted = asyncio.Event()
             self._tell_several()
 
-    def _forget(self, version: ServiceVersion) -> None:
+    def forget(self, version: ServiceVersion) -> None:
+        """Take note that the store holds no record of a version."""
         versionrecords.forget_record(self.records, version)
         self._log_record("version has no record", version)
         self._tell_several()
@@ -380,5 +271,6 @@
             **fields,
         )
 
-    def _find_era(self) -> int:
+    def find_era(self) -> int:
+        """Find the present era of the store."""
         return self._store.era or 0
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -26,6 +26,7 @@
 from robinspindle.platform.dialect import decode_answer
 from robinspindle.platform.store import KeyedRecord, Records
 from robinspindle.versionkeeping import VersionKeeper
+from robinspindle.versionwriting import VersionWriter
 
 TOPIC = "keyed.gateways"
 LIMIT_S = 5.0
@@ -102,6 +103,15 @@
             store, TOPIC, self.fleet, lambda: count, lambda: self.now, self._log
         )
         self.keeper.note_several = self.told.append
+        self.writer = VersionWriter(
+            self.keeper,
+            store,
+            TOPIC,
+            self.fleet,
+            lambda: count,
+            lambda: self.now,
+            self._log,
+        )
         self.follower = Follower(TOPIC, self.keeper.apply, lambda: None, lambda: None)
         self.keeper.follower = self.follower
         self._store = store
@@ -208,7 +218,7 @@
         store.put(V1, era=2)
         store.records.append(INTRODUCTION)
         note_new_era(gateway.follower)
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         assert await find_sole(gateway) is None
 
     asyncio.run(scenario())
@@ -244,7 +254,7 @@
         store.put(V1, era=2)
         note_new_era(gateway.follower)
         gateway.now += 1000.0
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         assert store.newest[make_key(V1)] is not None
 
     asyncio.run(scenario())
@@ -261,7 +271,7 @@
         store.restore([])
         gateway.keeper.apply(make_key(V1), None)
         gateway.keeper.apply(make_key(V2), None)
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         later = Gateway(store)
         later.announce("i1")
         later.read()
@@ -280,9 +290,9 @@
         gateway.announce("i1")
         gateway.read()
         store.era += 1
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         gateway.now += 1000.0
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         assert list_uses(store) == {V1: Use.BEGINS, V2: Use.RETIRED}
 
     asyncio.run(scenario())
@@ -297,7 +307,7 @@
         store.restore([])
         store.put(V1, era=2)
         note_new_era(gateway.follower)
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         assert list_uses(store) == {V1: Use.BEGINS}
 
     asyncio.run(scenario())
@@ -315,7 +325,7 @@
     gateway.fleet.hears_all_gateways = hears_all
     for _ in range(round(seconds)):
         gateway.now += 1.0
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         gateway.read()
 
 
@@ -373,7 +383,7 @@
 
         # Another gateway writes while the first record is being dropped.
         store.note_write = renew
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         assert list_uses(store)[V2] is Use.BEGINS
 
     asyncio.run(scenario())
@@ -398,7 +408,7 @@
             gateway.read()
 
         store.note_write = write_and_read
-        await gateway.keeper.write_due(gateway.now)
+        await gateway.writer.write_due(gateway.now)
         noted = gateway.keeper.records.noted
         uses = {version: known.record.use for version, known in noted.items()}
         assert uses == list_uses(store)
@@ -428,7 +438,7 @@
     gateway.announce("i1")
 
     async def scenario():
-        task = asyncio.create_task(gateway.keeper.run())
+        task = asyncio.create_task(gateway.writer.run())
         await asyncio.sleep(seconds)
         task.cancel()
 
