Log how many origins were given up unwritten

Of more than 8,192 origins that wait to be written the oldest give way, without a word: why a stream is unknown after all gateways were killed could not be told from the logs.

Change: one line with their number before the next write. tests/test_originlog.py: the case of the bound asks for the line too; failed before, passes.

--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -104,6 +104,7 @@
         self._log = log
         self._unwritten: dict[StreamKey, StreamOrigin] = {}
         self._has_unwritten = asyncio.Event()
+        self._given_up = 0
         self._offset = 0
         self._eras = 0
         self._look = SharedCall(
@@ -116,6 +117,7 @@
         self._has_unwritten.set()
         while len(self._unwritten) > MOST_UNWRITTEN:
             del self._unwritten[next(iter(self._unwritten))]
+            self._given_up += 1
 
     def drop(self, key: StreamKey) -> None:
         """Don't write an origin any more: its stream is whole."""
@@ -139,6 +141,9 @@
 
     async def write(self) -> None:
         """Write what is noted; what can't be written is tried again with the next."""
+        if self._given_up:
+            self._log("origins given up", count=self._given_up)
+            self._given_up = 0
         tells = self._list_next()
         if not tells:
             self._has_unwritten.clear()
--- a/tests/test_originlog.py
+++ b/tests/test_originlog.py
@@ -193,6 +193,8 @@
         tells = decode(record).tells
         assert len(tells) == MOST_IN_RECORD
         assert tells[0].key == name_stream(10)
+        await writer.log.write()
+        assert writer.logged == ["origins given up"]
 
     run(scenario())
 
