--- a/src/robinspindle/core/versionrecords.py
+++ b/src/robinspindle/core/versionrecords.py
@@ -6,6 +6,7 @@
 has been listed for a while, and dropped when no stream of it can be taken up any more.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -36,6 +37,10 @@
 """How long targets may serve on that are no longer listed, seconds; their streams may
 begin meanwhile at gateways that have not read that."""
 
+APART_S = 600.0
+"""How much longer a record stays while some gateways are not heard, seconds: they may
+not have read that it is retired, and gateways that are gone for good aren't heard."""
+
 
 @dataclass(frozen=True)
 class ServiceVersion:
@@ -73,7 +78,7 @@
 
 @dataclass(frozen=True)
 class NotedRecord:
-    """A record, and when it was first seen as it is.
+    """A record, and when it was last read or written.
 
     Attributes:
         record: The record.
@@ -98,10 +103,11 @@
 def note_record(
     records: VersionRecords, version: ServiceVersion, record: VersionRecord, now: float
 ) -> None:
-    """Note what the store holds about a version."""
-    known = records.noted.get(version)
-    if known is None or known.record != record:
-        records.noted[version] = NotedRecord(record, now)
+    """Note what the store holds about a version.
+
+    Others may have come since the one that is known, also where both say the same.
+    """
+    records.noted[version] = NotedRecord(record, now)
 
 
 def forget_record(records: VersionRecords, version: ServiceVersion) -> None:
@@ -135,6 +141,14 @@
     }
 
 
+def list_service_groups(table: RouteTable | None) -> set[frozenset[str]]:
+    """List the services of each route whose streams may be taken up."""
+    return {
+        frozenset(backend.service for backend in route.backends)
+        for route in _list_resumable_routes(table)
+    }
+
+
 def find_longest_limit(table: RouteTable | None) -> float:
     """Find the longest time limit of a route whose streams may be taken up, seconds."""
     limits = (route.timeout_s for route in _list_resumable_routes(table))
@@ -155,6 +169,17 @@
     return sorted(missing, key=lambda v: (v.service, v.software_version))
 
 
+def is_outdated(records: VersionRecords, version: ServiceVersion, era: int) -> bool:
+    """Return whether a version's record was written in an earlier era of the store."""
+    known = records.noted.get(version)
+    return known is not None and known.record.era < era
+
+
+def list_outdated(records: VersionRecords, era: int) -> list[ServiceVersion]:
+    """List the versions whose records a restore of the store may have lost."""
+    return [v for v in records.noted if is_outdated(records, v, era)]
+
+
 def list_retirable(
     records: VersionRecords,
     directory: Directory,
@@ -176,7 +201,10 @@
 
 
 def list_forgettable(
-    records: VersionRecords, longest_s: float, now: float
+    records: VersionRecords,
+    longest_s: float,
+    now: float,
+    apart_at: float = -math.inf,
 ) -> list[ServiceVersion]:
     """List the versions of which no stream can be taken up any more.
 
@@ -185,12 +213,14 @@
         longest_s: The longest time limit of a route whose streams may be taken up,
             seconds.
         now: The current time, monotonic seconds.
+        apart_at: When some gateway was not heard the last time, monotonic seconds.
     """
     kept_s = STREAM_TIME_LIMITS * longest_s + FORGET_MARGIN_S
     return [
         version
         for version, known in records.noted.items()
-        if known.record.use is Use.RETIRED and now - known.noted_at > kept_s
+        if known.record.use is Use.RETIRED
+        and now - max(known.noted_at, min(apart_at, known.noted_at + APART_S)) > kept_s
     ]
 
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -55,6 +55,7 @@
 from robinspindle.targettraffic import make_traffic_maker
 from robinspindle.usagebook import UsageBook
 from robinspindle.versionkeeping import VersionKeeper
+from robinspindle.versionwriting import VersionWriter
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -140,6 +141,15 @@
             streams_log,
         )
         self.versions.note_several = self.streams.keep_running
+        self._version_writer = VersionWriter(
+            self.versions,
+            self._store,
+            adapter.gateways_topic,
+            self.fleet,
+            self._count_gateways,
+            self._clock,
+            streams_log,
+        )
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -306,7 +316,7 @@
         targets.note_store_restored(self.directory, self._clock())
         self._introduction.note_era()
         self._kept_origins.note_era()
-        self.versions.note_announced()
+        self.versions.note_era()
         for follower in self._followers:
             note_new_era(follower)
 
@@ -380,7 +390,7 @@
             ),
             loop.create_task(self._keep_house()),
             loop.create_task(self._keeper.run()),
-            loop.create_task(self.versions.run()),
+            loop.create_task(self._version_writer.run()),
             loop.create_task(self._kept_origins.run()),
             loop.create_task(self.guard.runs.recheck()),
             loop.create_task(self.duties.run()),
--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -30,7 +30,10 @@
 """Pause after a write that failed, seconds; a refused call is paid for too."""
 
 MOST_IN_RECORD = 2000
-"""Origins in one record, which then stays far below 256 KB."""
+"""Maximum number of origins in one record."""
+
+MOST_RECORD_BYTES = 200_000
+"""Longest record but for its last origin, bytes; the store takes 256 KB."""
 
 MOST_UNWRITTEN = 8192
 """Maximum number of origins that wait to be written; the oldest give way."""
@@ -38,6 +41,9 @@
 MOST_READS = 16
 """Reads that one look into the log makes; the next look goes on behind them."""
 
+MOST_IN_TURN = 400
+"""Origins that are taken in before others have their turns: a few milliseconds."""
+
 
 class KeptOrigins(msgspec.Struct, array_like=True, frozen=True):
     """One record of the log.
@@ -98,8 +104,12 @@
         self._log = log
         self._unwritten: dict[StreamKey, StreamOrigin] = {}
         self._has_unwritten = asyncio.Event()
+        self._given_up = 0
         self._offset = 0
-        self._look = SharedCall(self._read_on)
+        self._eras = 0
+        self._look = SharedCall(
+            self._read_on, lambda: find_interval(self._count_writers())
+        )
 
     def note(self, key: StreamKey, origin: StreamOrigin) -> None:
         """Have an origin written with the next ones."""
@@ -107,6 +117,7 @@
         self._has_unwritten.set()
         while len(self._unwritten) > MOST_UNWRITTEN:
             del self._unwritten[next(iter(self._unwritten))]
+            self._given_up += 1
 
     def drop(self, key: StreamKey) -> None:
         """Don't write an origin any more: its stream is whole."""
@@ -115,6 +126,7 @@
     def note_era(self) -> None:
         """Take note that the store gives its offsets out anew."""
         self._offset = 0
+        self._eras += 1
 
     async def look(self) -> bool:
         """Read all that the store holds now; returns whether that is done."""
@@ -129,19 +141,32 @@
 
     async def write(self) -> None:
         """Write what is noted; what can't be written is tried again with the next."""
-        batch = dict(islice(self._unwritten.items(), MOST_IN_RECORD))
-        if not batch:
+        if self._given_up:
+            self._log("origins given up", count=self._given_up)
+            self._given_up = 0
+        tells = self._list_next()
+        if not tells:
             self._has_unwritten.clear()
             return
-        tells = [make_tell(key, origin) for key, origin in batch.items()]
         try:
             await self._store.append(self._topic, encode(KeptOrigins(tells)))
         except LogServiceError as error:
-            self._log("origins not kept yet", count=len(batch), error=str(error))
+            self._log("origins not kept yet", count=len(tells), error=str(error))
             await asyncio.sleep(FAILED_PAUSE_S)
             return
-        for key in batch:
-            self._unwritten.pop(key, None)
+        for tell in tells:
+            self._unwritten.pop(StreamKey(tell.key), None)
+
+    def _list_next(self) -> list[Tell]:
+        """List what the next record holds."""
+        tells: list[Tell] = []
+        size = 0
+        for key, origin in islice(self._unwritten.items(), MOST_IN_RECORD):
+            if size > MOST_RECORD_BYTES:
+                break
+            tells.append(make_tell(key, origin))
+            size += len(encode(tells[-1]))
+        return tells
 
     async def _read_on(self) -> bool:
         try:
@@ -154,16 +179,27 @@
 
     async def _read_once(self) -> bool:
         """Read once; returns whether nothing is left."""
+        eras = self._eras
         try:
             records = await self._store.read_records(self._topic, self._offset)
         except RecordsTrimmedError as error:
-            self._offset = error.first
+            self._go_on(error.first, eras)
             return False
-        for tell in self._list_tells(records.values):
+        for number, tell in enumerate(self._list_tells(records.values), 1):
             self.take(StreamKey(tell.key), read_tell(tell))
-        self._offset = records.end
+            if number % MOST_IN_TURN == 0:
+                await asyncio.sleep(0)
+        if not self._go_on(records.end, eras):
+            return False
         return records.end >= records.topic_end
 
+    def _go_on(self, offset: int, eras: int) -> bool:
+        """Go on at an offset, unless a new era has begun since it was asked for."""
+        is_valid = eras == self._eras
+        if is_valid:
+            self._offset = offset
+        return is_valid
+
     def _list_tells(self, values: tuple[bytes, ...]) -> Iterator[Tell]:
         for value in values:
             try:
@@ -173,7 +209,7 @@
 
 
 def find_interval(writers: int) -> float:
-    """Find the time between two writes of a relay, seconds.
+    """Find the time between two writes of a relay, or two looks, seconds.
 
     Args:
         writers: Number of relays.
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -1,13 +1,11 @@
-"""Keeps the record of which software versions may begin streams in the store.
+"""Knows which software versions may have begun streams, by the store's records.
 
-Each gateway that reads the entry of a target whose version has no record writes one.
 Gateways read the records with the other gateways' introductions.
 """
 
 import asyncio
 import contextlib
-import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from robinspindle.core import versionrecords
 from robinspindle.core.targets import Announcement
@@ -18,25 +16,32 @@
     VersionRecord,
     VersionRecords,
 )
-from robinspindle.exceptions import BadDocumentError, LogConflictError, LogServiceError
+from robinspindle.exceptions import BadDocumentError, LogServiceError
 from robinspindle.fleet import Fleet
 from robinspindle.following import Follower, KeyedStore
 from robinspindle.logs import Log
 from robinspindle.sharedcalls import SharedCall
 
-LOOK_S = 0.5
-"""How often it is looked for records to write, if nothing is announced, seconds."""
-
-SPREAD_S = 0.0025
-"""For each gateway, by how much more the writes of all are spread, seconds: of many,
-most then read the record of the first one in place of writing it too."""
-
 FIRST_WAIT_S = 0.3
 """How long a stream waits for the record of the first version that it may begin at,
 seconds: longer than the store takes to write it."""
 
-FAILED_PAUSE_S = 0.5
-"""Pause after a write that failed, seconds; a refused call is paid for too."""
+MIN_READ_INTERVAL_S = 0.05
+"""Least time between two reads that confirm versions, seconds: each has its price, and
+callers may come with any number of streams that nobody knows."""
+
+READS_PER_S = 1000.0
+"""Such reads a second that all gateways may make together: a part of what the store
+takes."""
+
+
+def find_read_interval(gateways: int) -> float:
+    """Find the time between two reads that confirm versions, seconds.
+
+    Args:
+        gateways: Number of gateways.
+    """
+    return max(MIN_READ_INTERVAL_S, gateways / READS_PER_S)
 
 
 def pass_over_service(service: str) -> None:
@@ -49,7 +54,9 @@
     Attributes:
         records: The records that are known.
         follower: How far the records have been read; None before that has begun.
-        note_several: Told a service at which a second version may begin streams.
+        announced: Set where a version may lack a record of the present era.
+        note_several: Told a service once streams of a route to it may have been begun
+            by several versions, of one service or of several.
     """
 
     def __init__(
@@ -67,36 +74,68 @@
         self._store = store
         self._topic = topic
         self._fleet = fleet
-        self._count_gateways = count_gateways
         self._clock = clock
         self._log = log
-        self._announced = asyncio.Event()
+        self.announced = asyncio.Event()
         # Set and replaced whenever a record is noted.
         self._noted = asyncio.Event()
-        self._confirmation = SharedCall(self._read_on)
+        # The services that were told to have several versions.
+        self._several: set[str] = set()
+        self._confirmation = SharedCall(
+            self._read_on, lambda: find_read_interval(count_gateways())
+        )
 
     def apply(self, key: str, value: bytes | None) -> None:
         """Take in a record of the store."""
         try:
             version = versionrecords.read_key(key)
-            if value is None:
-                versionrecords.forget_record(self.records, version)
-                self._log_record("version has no record", version)
-                return
-            record = versionrecords.decode_record(value)
         except BadDocumentError as error:
             self._log("version's record not believed", record=key, fault=str(error))
             return
-        self._note(version, record)
+        if value is None:
+            self._note_dropped(version)
+        else:
+            self.note(version, self._decode(key, value))
+
+    def _decode(self, key: str, value: bytes) -> VersionRecord:
+        """Decode a record; by one that can't be read, streams may have begun."""
+        try:
+            return versionrecords.decode_record(value)
+        except BadDocumentError as error:
+            self._log("version's record can't be read", record=key, fault=str(error))
+            return VersionRecord(Use.RETIRED, self.find_era())
+
+    def _note_dropped(self, version: ServiceVersion) -> None:
+        """Take note that the store holds no record of a version.
+
+        One that a restore of the store has lost is written again: other gateways may
+        not know it.
+        """
+        if versionrecords.is_outdated(self.records, version, self.find_era()):
+            self._log_record("version's record was lost", version)
+            self.announced.set()
+            return
+        self.forget(version)
 
     def note_announced(self) -> None:
         """Take note that a target was announced, whose version may have no record."""
-        self._announced.set()
+        self.announced.set()
+
+    def note_configured(self) -> None:
+        """Take note of a configuration: other services may get streams."""
+        self.announced.set()
+        self._tell_several()
+
+    def note_era(self) -> None:
+        """Take note that the store may have lost records, and origins of streams."""
+        self.announced.set()
+        self._several.clear()
+        self._tell_several()
 
     def may_begin(self, announced: Announcement) -> bool:
         """Whether a stream that may be taken up may begin at a target."""
         version = ServiceVersion(announced.service, announced.software_version)
-        return versionrecords.may_begin(self.records, version, self._find_era())
+        return versionrecords.may_begin(self.records, version, self.find_era())
 
     async def await_first(self, services: list[str]) -> None:
         """Wait until streams may begin at some listed version, if one is being written.
@@ -113,12 +152,12 @@
     def _is_first_missing(self, services: list[str]) -> bool:
         """Whether versions are listed, and none of them may begin streams yet."""
         listed = self._list_listed(services, 0.0)
-        era = self._find_era()
+        era = self.find_era()
         return bool(listed) and not any(
             versionrecords.may_begin(self.records, version, era) for version in listed
         )
 
-    def has_several(self, services: list[str]) -> bool:
+    def has_several(self, services: Iterable[str]) -> bool:
         """Whether streams of some services may have been begun by several versions."""
         return len(self._list_possible(services)) > 1
 
@@ -134,100 +173,50 @@
         Returns:
             None if there are several, or the store doesn't say that there are none.
         """
-        if self.has_several(services) or not await self._confirmation.make():
+        if self.has_several(services):
             return None
-        possible = self._list_possible(services)
+        confirmed = await self._confirmation.make()
+        if confirmed is None:
+            return None
+        possible = {version for version in confirmed if version.service in services}
+        possible |= self._list_possible(services)
         possible |= self._list_listed(services, time_limit_s)
         if len(possible) != 1:
             return None
         (sole,) = possible
-        is_sure = versionrecords.may_begin(self.records, sole, self._find_era())
+        is_sure = versionrecords.may_begin(self.records, sole, self.find_era())
         return sole if is_sure else None
 
-    async def run(self) -> None:
-        """Write what the store lacks, for as long as the process runs."""
-        while True:
-            await self._await_announced()
-            await asyncio.sleep(random.uniform(0.0, SPREAD_S) * self._count_gateways())
-            await self.write_due(self._clock())
-
-    async def write_due(self, now: float) -> None:
-        """Write the records that are due.
-
-        Args:
-            now: The present time, steady seconds.
-        """
-        fleet, era = self._fleet, self._find_era()
-        services = versionrecords.list_resumable_services(fleet.table)
-        for version in versionrecords.list_missing(
-            self.records, fleet.directory, services, era
-        ):
-            await self._write(version, VersionRecord(Use.BEGINS, era))
-        for version in versionrecords.list_retirable(
-            self.records, fleet.directory, fleet.versions, era, now
-        ):
-            await self._write(version, VersionRecord(Use.RETIRED, era))
-        longest_s = versionrecords.find_longest_limit(fleet.table)
-        for version in versionrecords.list_forgettable(self.records, longest_s, now):
-            await self._drop(version)
-
-    async def _await_announced(self) -> None:
-        try:
-            async with asyncio.timeout(LOOK_S):
-                await self._announced.wait()
-        except TimeoutError:
-            return
-        self._announced.clear()
-
-    async def _write(self, version: ServiceVersion, record: VersionRecord) -> None:
-        key = versionrecords.make_key(version)
-        value = versionrecords.encode_record(record)
-        if await self._append(key, value):
-            self._note(version, record)
+    async def _read_on(self) -> set[ServiceVersion] | None:
+        """Read all records that the store holds now.
 
-    async def _drop(self, version: ServiceVersion) -> None:
-        """Drop a record, unless what was read is not all that the store holds.
-
-        Another gateway may have written the version's record anew.
+        Returns:
+            The versions that have records; None if not all could be read.
         """
-        end = self.follower.offset if self.follower else None
-        if end is None:
-            return
-        if await self._append(versionrecords.make_key(version), b"", end):
-            versionrecords.forget_record(self.records, version)
-            self._log_record("version has no record", version)
-
-    async def _append(
-        self, key: str, value: bytes, expected_end: int | None = None
-    ) -> bool:
-        """Append a record; returns whether the store has taken it."""
-        try:
-            await self._store.append_keyed(self._topic, key, value, expected_end)
-        except LogConflictError:
-            self._log("version's record was written meanwhile", record=key)
-            return False
-        except LogServiceError as error:
-            self._log("version's record not stored yet", record=key, error=str(error))
-            await asyncio.sleep(FAILED_PAUSE_S)
-            return False
-        return True
-
-    async def _read_on(self) -> bool:
-        """Read all records that the store holds now; returns whether that is done."""
-        offset = self.follower.offset if self.follower else None
+        offset, era = self.find_offset(), self.find_era()
         if offset is None:
-            return False
+            return None
         try:
             records = await self._store.read_from(self._topic, offset, 0.0)
         except LogServiceError as error:
             self._log("versions not confirmed", error=str(error))
-            return False
+            return None
         for item in records.items:
             if versionrecords.is_key(item.key):
                 self.apply(item.key, item.value)
-        return records.end >= records.topic_end
+        # Offsets of an era that is over mean nothing in the one that has begun.
+        is_whole = records.end >= records.topic_end and self.find_era() == era
+        # Kept apart: an older answer to the follower may be taken in after this one.
+        return set(self.records.noted) if is_whole else None
+
+    def find_offset(self) -> int | None:
+        """Find how far the records of the present era have been read."""
+        follower = self.follower
+        if follower is None or follower.is_void:
+            return None
+        return follower.offset
 
-    def _list_possible(self, services: list[str]) -> set[ServiceVersion]:
+    def _list_possible(self, services: Iterable[str]) -> set[ServiceVersion]:
         return {
             ServiceVersion(service, version)
             for service in services
@@ -248,16 +237,31 @@
             )
         }
 
-    def _note(self, version: ServiceVersion, record: VersionRecord) -> None:
+    def note(self, version: ServiceVersion, record: VersionRecord) -> None:
+        """Take note of what the store holds about a version."""
         known = self.records.noted.get(version)
-        had_several = self.has_several([version.service])
         versionrecords.note_record(self.records, version, record, self._clock())
         if known is None or known.record != record:
             self._log_record("version has a record", version, use=record.use.value)
             self._noted.set()
             self._noted = asyncio.Event()
-        if not had_several and self.has_several([version.service]):
-            self.note_several(version.service)
+            self._tell_several()
+
+    def forget(self, version: ServiceVersion) -> None:
+        """Take note that the store holds no record of a version."""
+        versionrecords.forget_record(self.records, version)
+        self._log_record("version has no record", version)
+        self._tell_several()
+
+    def _tell_several(self) -> None:
+        """Tell the services whose streams now need their origins kept."""
+        several: set[str] = set()
+        for services in versionrecords.list_service_groups(self._fleet.table):
+            if self.has_several(services):
+                several |= services
+        told, self._several = self._several, several
+        for service in several - told:
+            self.note_several(service)
 
     def _log_record(self, text: str, version: ServiceVersion, **fields) -> None:
         self._log(
@@ -267,5 +271,6 @@
             **fields,
         )
 
-    def _find_era(self) -> int:
+    def find_era(self) -> int:
+        """Find the present era of the store."""
         return self._store.era or 0
--- a/tests/test_originlog.py
+++ b/tests/test_originlog.py
@@ -1,13 +1,16 @@
 """Origins outlast the gateways that noted them."""
 
 import asyncio
+from itertools import pairwise
 
 import msgspec
 import pytest
 
+from robinspindle.core.streamorigins import StreamOrigin
 from robinspindle.originlog import (
     MIN_INTERVAL_S,
     MOST_IN_RECORD,
+    MOST_IN_TURN,
     MOST_UNWRITTEN,
     WRITES_PER_S,
     OriginLog,
@@ -16,6 +19,9 @@
 )
 from tests.originfleet import MemoryStore, make_origin, name_stream
 
+RECORD_BYTES = 262_144
+"""Longest record that a store takes, bytes."""
+
 
 class Reader:
     def __init__(self, store):
@@ -124,6 +130,46 @@
     run(scenario())
 
 
+def test_a_restore_in_the_middle_of_a_read_has_all_read_again():
+    async def scenario():
+        store = MemoryStore(per_read=10)
+        writer, reader = Reader(store), Reader(store)
+        store.records += [b"\xc1"] * 5
+        assert await reader.log.look()
+        looks = asyncio.create_task(reader.log.look())
+        while store.reads < 2:
+            await asyncio.sleep(0)
+        reader.log.note_era()
+        store.records.clear()
+        writer.log.note(name_stream(1), make_origin(1))
+        await writer.log.write()
+        await looks
+        assert await reader.log.look()
+        assert reader.taken == {name_stream(1): make_origin(1)}
+
+    run(scenario())
+
+
+def test_others_have_their_turns_while_much_that_was_read_is_taken_in():
+    async def scenario():
+        store = MemoryStore(per_read=100)
+        writer, reader = Reader(store), Reader(store)
+        for number in range(4 * MOST_IN_TURN):
+            writer.log.note(name_stream(number), make_origin(number))
+        while writer.log._unwritten:
+            await writer.log.write()
+        taken = []
+        look = asyncio.create_task(reader.log.look())
+        while not look.done():
+            await asyncio.sleep(0)
+            taken.append(len(reader.taken))
+        steps = [later - earlier for earlier, later in pairwise(taken)]
+        assert len(reader.taken) == 4 * MOST_IN_TURN
+        assert max(steps) <= MOST_IN_TURN
+
+    run(scenario())
+
+
 def test_a_cancelled_look_leaves_the_others_theirs():
     async def scenario():
         store = MemoryStore(per_read=1)
@@ -147,6 +193,23 @@
         tells = decode(record).tells
         assert len(tells) == MOST_IN_RECORD
         assert tells[0].key == name_stream(10)
+        await writer.log.write()
+        assert writer.logged == ["origins given up"]
+
+    run(scenario())
+
+
+def test_a_record_stays_within_what_the_store_takes_however_long_its_names_are():
+    async def scenario():
+        store = MemoryStore(per_read=1)
+        writer = Reader(store)
+        for number in range(MOST_IN_RECORD):
+            names = (f"{number:0256}", "v" * 256, "i" * 256)
+            writer.log.note(name_stream(number), StreamOrigin(*names, 1796223803410))
+        for _ in range(10):
+            await writer.log.write()
+        assert sum(len(decode(record).tells) for record in store.records) == 2000
+        assert max(map(len, store.records)) < RECORD_BYTES
 
     run(scenario())
 
