Give each soak ports that are free by TCP and UDP, and end it with a gateway

Soaks that run side by side looked for ports from a start that follows from the process id modulo 200, and tried TCP only. Two whose ids are equal by that got ports at which the other's gateways listen by UDP; such a gateway ended with "Address already in use", and the soak went on without it.

A soak now listens at the first port of each block of 100 that it uses, so that no other soak takes ports of that block, and takes a port only if it can be bound by TCP and by UDP. A gateway process that has ended without having been told to is an error with the last line of its log: while a soak waits for its gateways, before that gateway is started again, and at the end of the run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -106,6 +106,7 @@
         try:
             async with asyncio.timeout(START_S):
                 while not world.oracle.was_served(name):
+                    gateway.check()
                     await asyncio.sleep(0.05)
         except TimeoutError:
             world.oracle.findings.append(f"{gateway.name} does not serve at the {when}")
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -163,6 +163,7 @@
         task = asyncio.create_task(probe)
         async with asyncio.timeout(READY_S):
             while not world.oracle.was_served(name):
+                gateway.check()
                 await asyncio.sleep(0.05)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -1,25 +1,30 @@
 """The gateways of a soak: a process each, with settings and ports of its own."""
 
 import asyncio
+import contextlib
+import itertools
 import os
 import signal
 import socket
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 
+ADDRESS = "127.0.0.1"
+
 FIRST_PORT = 10_000
 SOAKS = 200
 PORTS_EACH = 100
-"""Soaks that run side by side use ports of their own, by their process ids."""
+"""Soaks that run side by side use blocks of ports of their own."""
 
 STARTED = b'"text":"started"'
 """What a gateway's log says once it serves."""
 
-_taken: set[int] = set()
-"""Ports given to gateways of this soak."""
+_guards: list[socket.socket] = []
+"""They listen at the first port of each block of this soak."""
 
 SETTINGS = """
 Node = "{name}"
@@ -46,6 +51,13 @@
 """
 
 
+class EndedGatewayError(Exception):
+    """A gateway process ended by itself."""
+
+    def __init__(self, name: str, line: str):
+        super().__init__(f"{name} ended by itself, and last said: {line}")
+
+
 @dataclass
 class GatewayProcess:
     """One gateway process.
@@ -58,6 +70,7 @@
         log_start: Where its log began when that was, bytes.
         lock: Held by the fault that is done to it.
         options: Options of its command line.
+        is_asked_to_end: Whether that process was sent a signal to end.
     """
 
     name: str
@@ -67,12 +80,18 @@
     log_start: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     options: tuple[str, ...] = ()
+    is_asked_to_end: bool = False
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process.
+
+        Raises:
+            EndedGatewayError: If the one before has ended by itself.
+        """
+        self.check()
         with self.log.open("ab") as log:
             self.log_start = log.tell()
-            self.process = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "robinspindle",
@@ -83,6 +102,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.process, self.is_asked_to_end = process, False
 
     @property
     def log(self) -> Path:
@@ -95,6 +115,18 @@
             log.seek(self.log_start)
             return STARTED in log.read()
 
+    def check(self) -> None:
+        """Check that the process, once started, runs until it is asked to end.
+
+        Raises:
+            EndedGatewayError: If it has ended by itself.
+        """
+        ended = self.process is not None and self.process.returncode is not None
+        if ended and not self.is_asked_to_end:
+            lines = self.log.read_bytes()[self.log_start :].split(b"\n")
+            last = next((line for line in reversed(lines) if line.strip()), b"")
+            raise EndedGatewayError(self.name, last.decode(errors="replace"))
+
     async def end(self, how: int) -> int:
         """End the process and wait for it.
 
@@ -105,6 +137,7 @@
             Its exit code.
         """
         if self.process.returncode is None:
+            self.is_asked_to_end = True
             self.process.send_signal(signal.SIGCONT)
         if self.process.returncode is None:
             self.process.send_signal(how)
@@ -141,15 +174,28 @@
 
 
 def _find_ports(count: int) -> list[int]:
-    """Find free ports below those that the system hands out to others."""
-    ports: list[int] = []
-    port = FIRST_PORT + os.getpid() % SOAKS * PORTS_EACH
-    while len(ports) < count:
-        port += 1
-        if port in _taken:
-            continue
-        with socket.socket() as sock:
-            if sock.connect_ex(("127.0.0.1", port)) != 0:
-                ports.append(port)
-                _taken.add(port)
-    return ports
+    """Find ports below those that the system hands out to others."""
+    return list(itertools.islice(_ports, count))
+
+
+def _list_ports() -> Iterator[int]:
+    """List the free ports of all blocks that no other soak has."""
+    for number in range(SOAKS):
+        first = FIRST_PORT + (os.getpid() + number) % SOAKS * PORTS_EACH
+        with contextlib.suppress(OSError):
+            _guards.append(socket.create_server((ADDRESS, first)))
+            yield from filter(is_free, range(first + 1, first + PORTS_EACH))
+
+
+def is_free(port: int) -> bool:
+    """Whether nobody listens at a port, by TCP or by UDP."""
+    try:
+        socket.create_server((ADDRESS, port)).close()
+        with socket.socket(type=socket.SOCK_DGRAM) as sock:
+            sock.bind((ADDRESS, port))
+    except OSError:
+        return False
+    return True
+
+
+_ports = _list_ports()
--- a/soak/sizesworld.py
+++ b/soak/sizesworld.py
@@ -76,16 +76,24 @@
             self.links.append(link)
         async with asyncio.timeout(STARTED_S):
             while not all(gateway.has_started() for gateway in self.gateways):
+                for gateway in self.gateways:
+                    gateway.check()
                 await asyncio.sleep(0.1)
         await asyncio.sleep(2.0)
 
     async def stop(self) -> None:
-        """End all processes of ours and all stand-ins."""
+        """End all processes of ours and all stand-ins.
+
+        Raises:
+            EndedGatewayError: If a gateway had ended by itself.
+        """
         for gateway in self.gateways:
             await gateway.end(signal.SIGKILL)
         for server in (*self.links, *(e.server for e in self.engines)):
             await server.stop()
         await self.store.server.stop()
+        for gateway in self.gateways:
+            gateway.check()
 
 
 def _make_configuration(kinds: tuple[Kind, ...]) -> dict:
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -119,6 +119,7 @@
 async def _await_gateway(gateway: GatewayProcess, serving: set[str]) -> None:
     async with asyncio.timeout(READY_S):
         while not gateway.has_started():
+            gateway.check()
             await asyncio.sleep(0.05)
     await asyncio.sleep(SETTLE_S)
     serving.add(gateway.name)
--- a/soak/world.py
+++ b/soak/world.py
@@ -148,7 +148,11 @@
         return gateway.callers if link is None else link.port
 
     async def stop(self) -> None:
-        """End all processes of ours and all stand-ins."""
+        """End all processes of ours and all stand-ins.
+
+        Raises:
+            EndedGatewayError: If a gateway had ended by itself.
+        """
         for gateway in self.gateways:
             await gateway.end(signal.SIGKILL)
         proxies = (self.links, self.store_proxies, self.replica_proxies)
@@ -159,6 +163,8 @@
         await self.store.server.stop()
         if self.keys is not None:
             await self.keys.api.server.stop()
+        for gateway in self.gateways:
+            gateway.check()
 
     async def _add_gateway(self, name: str) -> None:
         proxy = Proxy(self.store.server.port)
