Play replicas that leave or ask for rest, before gateways as processes

Engines and plain replicas say in their answers that they leave, turn requests away and ask for rest, name limits, start again under their ids and are replaced, in series and overlapping, also all of a role at once; their entries come late, say that they are ready, or are those of an earlier life. Gateways are killed and stopped, cut off from the store, and the store is away. Callers keep their connections until the gateway closes them or is gone.

An account counts for each life of a gateway and of a replica what callers sent later than DrainMs after that gateway had passed on that the replica leaves, and what reaches a replica from half a second after a 503 with Retry-After until the end of that time; and what callers got by whether enough replicas, some or none took requests as they sent.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -20,6 +20,9 @@
 PORTS_EACH = 100
 """Soaks that run side by side use blocks of ports of their own."""
 
+DRAIN_S = 1.0
+"""How soon nothing may be sent any more to a replica that leaves, seconds."""
+
 STARTED = b'"text":"started"'
 """What a gateway's log says once it serves."""
 
@@ -37,7 +40,7 @@
 [Limits]
 MemoryMb = 300
 [Bounds]
-DrainMs = 1000
+DrainMs = {drain_ms}
 GraceS = 4
 LeaseMs = 1000
 RetryBudgetSlack = 64
@@ -70,6 +73,7 @@
         log_start: Where its log began when that was, bytes.
         lock: Held by the fault that is done to it.
         options: Options of its command line.
+        began_at: When the process was started last, steady seconds.
         is_asked_to_end: Whether that process was sent a signal to end.
     """
 
@@ -80,6 +84,7 @@
     log_start: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     options: tuple[str, ...] = ()
+    began_at: float = 0.0
     is_asked_to_end: bool = False
 
     async def start(self) -> None:
@@ -91,6 +96,7 @@
         self.check()
         with self.log.open("ab") as log:
             self.log_start = log.tell()
+            began_at = asyncio.get_running_loop().time()
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -102,7 +108,7 @@
                 stdout=log,
                 stderr=log,
             )
-        self.process, self.is_asked_to_end = process, False
+        self.process, self.began_at, self.is_asked_to_end = process, began_at, False
 
     @property
     def log(self) -> Path:
@@ -166,6 +172,7 @@
             inner=inner,
             last=last,
             store=store,
+            drain_ms=round(DRAIN_S * 1000),
             bounds=bounds,
             duties=DUTIES.format(port=duties) if duties else "",
         )
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -43,6 +43,9 @@
         note_run: Told the id and headers of each request that it runs.
         tells_oracle: Whether what it runs is told, each request having its own body.
         began_at: When it began to listen, steady seconds; where that is told.
+        rests_until: Until when it has asked anybody for rest, steady seconds.
+        on_arrival: Told each request for this life as it comes to be run or read.
+        on_answer: Told each of these as it is answered.
     """
 
     def __init__(self, lifetime, service, role, oracle: Oracle, rng: random.Random):
@@ -62,8 +65,13 @@
         self.began_at = 0.0
         self.note_run: Callable[[str, dict[str, str]], None] = lambda id, headers: None
         self.is_leaving = False
+        self.rests_until = 0.0
+        self.on_arrival: Callable[[RawRequest], None] = lambda request: None
+        self.on_answer: Callable[[RawRequest], None] = lambda request: None
 
     async def _answer(self, request, writer) -> bool:
+        if request.headers.get("x-expect-instance") == self.lifetime:
+            self.on_arrival(request)
         cause = self.find_cause(request) if self.crash is not None else None
         if cause is not None:
             self.on_sent(cause)
@@ -78,6 +86,8 @@
                 self.behaviours.append(self._rng.choice(MISBEHAVIOURS[self.role]))
             if self.tells_oracle:
                 self._note(request)
+            if request.headers.get("x-expect-instance") == self.lifetime:
+                self.on_answer(request)
         return await super()._answer(request, writer)
 
     async def _be_ok(self, request, writer) -> bool:
@@ -103,7 +113,9 @@
         await asyncio.sleep(self.writes_s)
 
     def _note(self, request) -> None:
-        turned_away = self.behaviours and self.behaviours[0] in ("full", "wrong_role")
+        usual = "ok" if self.refusal is None else "refuse"
+        behaviour = self.behaviours[0] if self.behaviours else usual
+        turned_away = behaviour in ("full", "wrong_role", "refuse")
         if self._is_run(request) and not turned_away:
             id = request.headers["x-request-id"]
             self._oracle.note_run(id, request.body)
