Judge by time whether requests are held where no replica takes any

A gateway answers at the deadline that its caller names, so that "no answer until the deadline" was never seen. A request counts as held now that is not served and gets its answer after 2 s or more of 4; routes allow 6 s. Replicas also fall silent for a while, so that requests get second attempts.

--- a/soak/selfreportaccount.py
+++ b/soak/selfreportaccount.py
@@ -10,8 +10,10 @@
 """From when after an answer that asks for rest it holds, seconds; how many requests may
 come until it ends."""
 
+HELD_S = 2.0
 MOST_HELD = 2
-"""Requests that may be held until their deadlines where no replica takes any."""
+"""For how long a request counts as held that is not served, seconds; how many may be
+where no replica takes any."""
 
 LEAST_SERVED = 0.9
 FEWEST_COUNTED = 50
@@ -19,6 +21,9 @@
 such requests without which nothing is said of it."""
 
 
+SERVED = 200
+
+
 class Supply(StrEnum):
     """What the replicas that a request needs say of themselves as it is sent."""
 
@@ -74,6 +79,7 @@
         late: Requests that reached a leaving replica, as they are told.
         outcomes: How often each status was answered, 0 for a broken answer and None for
             none until the deadline, by what replicas were there.
+        held: How many were not served and held, by the same.
     """
 
     leave_s: float
@@ -83,6 +89,7 @@
     outcomes: dict[Supply, Counter[int | None]] = field(
         default_factory=lambda: defaultdict(Counter)
     )
+    held: Counter[Supply] = field(default_factory=Counter)
     _sent: dict[str, Sent] = field(default_factory=dict)
     _leaving: dict[tuple[str, str], str] = field(default_factory=dict)
     _arrivals: dict[Pair, list[float]] = field(
@@ -124,14 +131,15 @@
             pair = Pair(sent.gateway, replica)
             self.rests.append(Rest(pair, now, now + rest_s))
 
-    def note_outcome(self, supply: Supply, status: int | None) -> None:
+    def note_outcome(self, supply: Supply, status: int | None, waited_s: float) -> None:
         """Take note of what a caller got; None for nothing until its deadline."""
         self.outcomes[supply][status] += 1
+        self.held[supply] += status != SERVED and waited_s >= HELD_S
 
     def compute_served(self, supply: Supply) -> float:
         """Compute the share that was served; 1 where there were no requests."""
         found = self.outcomes[supply]
-        return found[200] / found.total() if found else 1.0
+        return found[SERVED] / found.total() if found else 1.0
 
     def list_disturbed(self) -> list[str]:
         """List the rests in which more requests came than may."""
@@ -149,9 +157,9 @@
     def list_findings(self) -> list[str]:
         """List all that must not be."""
         findings = self.late + self.list_disturbed()
-        held = self.outcomes[Supply.NONE][None]
+        held = self.held[Supply.NONE]
         if held > MOST_HELD:
-            findings.append(f"{held} held until their deadlines where {Supply.NONE}")
+            findings.append(f"{held} held where {Supply.NONE}")
         served = self.compute_served(Supply.FULL)
         enough = self.outcomes[Supply.FULL].total() >= FEWEST_COUNTED
         if enough and served < LEAST_SERVED:
--- a/soak/selfreportcallers.py
+++ b/soak/selfreportcallers.py
@@ -108,7 +108,8 @@
     if not status:
         world.oracle.note_answer(id, 0, b"", is_whole=False)
     if is_settled and not gateway.lock.locked():
-        account.note_outcome(supply, status)
+        waited_s = asyncio.get_running_loop().time() - now
+        account.note_outcome(supply, status, waited_s)
     return keep
 
 
--- a/soak/selfreporting.py
+++ b/soak/selfreporting.py
@@ -24,6 +24,9 @@
 LIMITED_S = (1.0, 4.0)
 """Limits on its request rate that a replica names, and for how long, seconds."""
 
+SILENT_S = (0.3, 1.2)
+"""How long a replica is silent, seconds; requests get second attempts meanwhile."""
+
 AWAY_S = (0.0, 0.8)
 OLD_S = (0.2, 1.5)
 """How long a replica is away that starts again, and how long an older entry stays,
@@ -89,6 +92,15 @@
         replica.limit_per_s = None
 
 
+async def fall_silent(world: World) -> None:
+    """Have a replica write nothing for a while."""
+    replica = _choose(world)
+    if replica is not None:
+        replica.speaks.clear()
+        await asyncio.sleep(world.rng.uniform(*SILENT_S))
+        replica.speaks.set()
+
+
 async def restart(world: World) -> None:
     """Have a replica start again under its id, also one that leaves."""
     id = world.rng.choice(list(world.replicas))
@@ -116,7 +128,7 @@
 
 REPORTS: tuple[Report, ...] = (
     *(leave, rest, rest, rest, leave_together, rest_together, restart) * 2,
-    *(name_limit, restart_and_recall, announce_ready),
+    *(name_limit, fall_silent, restart_and_recall, announce_ready),
 )
 """What replicas may do; the more frequent ones several times."""
 
--- a/soak/selfreports.py
+++ b/soak/selfreports.py
@@ -33,6 +33,9 @@
 CHECK_S = 0.1
 """Longest wait until a gateway serves; how often the run is looked at, seconds."""
 
+TIMEOUT_MS = 6000
+"""Longer than callers wait, milliseconds."""
+
 EVENT_S = 0.03
 """Time between two events of a stream, seconds."""
 
@@ -73,6 +76,7 @@
         gateways: Number of gateways.
     """
     world = World(folder, random.Random(seed), Oracle())
+    world.vary = _vary
     account = SelfReportAccount(DRAIN_S)
     world.prepare = lambda replica: _prepare(replica, account)
     tasks: list[asyncio.Task] = []
@@ -95,6 +99,11 @@
     return Played(account, world.oracle)
 
 
+def _vary(configuration: dict) -> None:
+    for route in configuration["Routes"]:
+        route["TimeoutMs"] = TIMEOUT_MS
+
+
 def _prepare(replica: SoakReplica, account: SelfReportAccount) -> None:
     loop = asyncio.get_running_loop()
     name = f"{replica.lifetime}@{replica.born_ms}"
@@ -167,7 +176,7 @@
     lines.append(f"  {len(account.passed_on)} told that a replica leaves")
     lines.append(f"  {len(account.rests)} told to rest")
     for supply, found in account.outcomes.items():
-        lines.append(f"  {supply}: {dict(found)}")
+        lines.append(f"  {supply}: {dict(found)}, {account.held[supply]} held")
     lines.append(f"  logs: {folder}")
     return lines
 
--- a/tests/soak/test_selfreports.py
+++ b/tests/soak/test_selfreports.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from soak.selfreportaccount import FEWEST_COUNTED, SelfReportAccount, Supply
+from soak.selfreportaccount import (
+    FEWEST_COUNTED,
+    HELD_S,
+    SelfReportAccount,
+    Supply,
+)
 from soak.selfreporting import find_rest_s
 from soak.selfreports import play
 from standins.replica import Refusal
@@ -74,11 +79,12 @@
 
 def test_requests_that_are_held_where_no_replica_takes_any_are_a_finding():
     account = make_account()
-    for _ in range(3):
-        account.note_outcome(Supply.SOME, None)
+    for waited_s, status in ((4.0, 200), (0.1, 503), (4.0, 200)):
+        account.note_outcome(Supply.NONE, status, waited_s)
+        account.note_outcome(Supply.SOME, None, 4.0)
     assert account.list_findings() == []
-    for _ in range(3):
-        account.note_outcome(Supply.NONE, None)
+    for status in (503, None, 504):
+        account.note_outcome(Supply.NONE, status, HELD_S)
     assert len(account.list_findings()) == 1
 
 
@@ -86,8 +92,8 @@
 def test_too_few_served_where_enough_replicas_are_is_a_finding(refused, is_short):
     account = make_account()
     for number in range(FEWEST_COUNTED):
-        account.note_outcome(Supply.FULL, 503 if number < refused else 200)
-        account.note_outcome(Supply.NONE, 503)
+        account.note_outcome(Supply.FULL, 503 if number < refused else 200, 0.1)
+        account.note_outcome(Supply.NONE, 503, 0.1)
     assert len(account.list_findings()) == is_short
 
 
