--- a/soak/selfreportaccount.py
+++ b/soak/selfreportaccount.py
@@ -13,7 +13,7 @@
 HELD_S = 2.0
 MOST_HELD = 2
 """For how long a request counts as held that is not served, seconds; how many may be
-where no replica takes any."""
+where no replica takes requests of all gateways."""
 
 LEAST_SERVED = 0.9
 FEWEST_COUNTED = 50
@@ -25,11 +25,11 @@
 
 
 class Supply(StrEnum):
-    """What the replicas that a request needs say of themselves as it is sent."""
+    """Whether replicas that a request needs take those of all gateways at its time."""
 
-    FULL = "enough take requests"
-    SOME = "some take requests"
-    NONE = "none takes requests"
+    FULL = "enough take requests of all"
+    SOME = "some take requests of all"
+    NONE = "none takes requests of all"
 
 
 class Pair(NamedTuple):
