--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -5,6 +5,7 @@
 """
 
 from robinspindle.core import silence, targets
+from robinspindle.core.obstacles import find_send_obstacle
 from robinspindle.core.targets import Directory, Target
 
 FAILURES_BEFORE_BACKOFF = 2
@@ -38,14 +39,14 @@
 def may_get_work(target: Target, now: float) -> bool:
     """Return whether a target may get new requests at all."""
     is_away = target.replaced or target.is_unreadable or targets.is_gone(target, now)
-    return not (target.announced.leaving or is_away)
+    return not (targets.is_leaving(target) or is_away)
 
 
 def is_healthy(target: Target, now: float) -> bool:
     """Return whether a target is neither in backoff, full, nor changing its role."""
     if is_switching(target, now):
         return False
-    return now >= target.backoff_until and now >= target.full_until
+    return now >= target.backoff_until and now >= target.stated.full_until
 
 
 def find_slowness(target: Target, now: float) -> float:
@@ -84,17 +85,46 @@
 
     Returns:
         The healthy targets; if there are none, all that may get requests. Targets whose
-        entry is missing are used only if there are no others.
+        entry is missing are used only if there are no others. Those that want nothing
+        now are never used.
     """
     allowed = [
+        target
+        for target in _list_serving(directory, service, now, tried)
+        if find_send_obstacle(target, now) is None
+    ]
+    listed = [target for target in allowed if target.gone_at is None] or allowed
+    return [target for target in listed if is_healthy(target, now)] or listed
+
+
+def list_resting(
+    directory: Directory, service: str, now: float, tried: set[str]
+) -> list[Target]:
+    """List the targets of a service that want nothing now, but will again.
+
+    Args:
+        directory: The known targets.
+        service: The name of the service.
+        now: The current time, monotonic seconds.
+        tried: Lifetimes to leave out.
+    """
+    return [
+        target
+        for target in _list_serving(directory, service, now, tried)
+        if find_send_obstacle(target, now) is not None
+    ]
+
+
+def _list_serving(
+    directory: Directory, service: str, now: float, tried: set[str]
+) -> list[Target]:
+    return [
         target
         for target in directory.targets.values()
         if target.announced.service == service
         and target.announced.lifetime not in tried
         and may_get_work(target, now)
     ]
-    listed = [target for target in allowed if target.gone_at is None] or allowed
-    return [target for target in listed if is_healthy(target, now)] or listed
 
 
 def note_connection_refused(target: Target, now: float) -> None:
@@ -145,7 +175,7 @@
 def note_answered(target: Target) -> None:
     """Record a complete answer."""
     target.failures = 0
-    target.refusals = 0
+    target.stated.refusals = 0
     target.backoff_until = 0.0
 
 
@@ -162,7 +192,8 @@
         now: The current time, monotonic seconds.
         rests_longer: Whether the backoff doubles with each consecutive rejection.
     """
-    doublings = target.refusals if rests_longer else 0
+    stated = target.stated
+    doublings = stated.refusals if rests_longer else 0
     backoff_s = min(MAX_FULL_BACKOFF_S, INITIAL_FULL_BACKOFF_S * 2**doublings)
-    target.refusals += 1
-    target.full_until = max(target.full_until, now + backoff_s)
+    stated.refusals += 1
+    stated.full_until = max(stated.full_until, now + backoff_s)
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -8,7 +8,6 @@
 from robinspindle.core.forwarding import AnswerHead, CacheSource, Send
 from robinspindle.core.lifetimes import find_id
 from robinspindle.core.priorities import LATE_LEVEL, REQUEST_PRIORITIES, find_rank_level
-from robinspindle.core.ratelimits import note_answer
 from robinspindle.core.silence import ExpectedResponse
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import CallerLeftError
@@ -16,6 +15,7 @@
     ClientConnection,
     ConnectionBrokenError,
     Exchange,
+    NotSentError,
     borrow,
 )
 from robinspindle.passages import Means, Passage
@@ -124,11 +124,23 @@
     Raises:
         CallerLeftError: If the caller has closed its connection, also where the event
             loop was too busy to handle that yet; nothing is sent then.
+        NotSentError: If the target is to get nothing now.
     """
     if passage.reply.has_caller_left:
         raise CallerLeftError("closed by the caller")
-    passage.sent_at = now
     connection.send(exchange, data)
+    passage.sent_at = exchange.sent_at = now
+
+
+def take_turn(means: Means, target: Target) -> None:
+    """Take one request out of what a target allows this gateway.
+
+    Raises:
+        NotSentError: If it is to get nothing now.
+    """
+    obstacle = means.fleet.limits.take_turn(target, means.clock())
+    if obstacle is not None:
+        raise NotSentError(obstacle)
 
 
 def is_barred(means: Means, passage: Passage) -> bool:
@@ -158,30 +170,6 @@
         health.note_full(target, means.clock(), means.policy().rests_longer)
 
 
-def note_named_limit(
-    means: Means, target: Target, head: AnswerHead, sent_at: float
-) -> None:
-    """Take note of the limit on its request rate that an answer of a target names.
-
-    Args:
-        means: What the relay has.
-        target: The target.
-        head: The head of its answer.
-        sent_at: When it was sent the request, steady seconds.
-    """
-    before = target.limit.per_s if target.limit else None
-    target.limit = note_answer(target.limit, head.limit_per_s, sent_at, means.clock())
-    after = target.limit.per_s if target.limit else None
-    if before != after:
-        means.log(
-            "target names a limit" if after is not None else "target names no limit",
-            at=round(means.clock(), 4),
-            target=target.announced.lifetime,
-            per_s=after,
-            before_per_s=before,
-        )
-
-
 def note_broken(target: Target, error: ConnectionBrokenError, now: float) -> None:
     """Take note that a target could not be reached or did not answer."""
     note = (
