--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -1,10 +1,13 @@
 """The gateways of a soak: a process each, with settings and ports of its own."""
 
 import asyncio
+import contextlib
+import itertools
 import os
 import signal
 import socket
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -15,13 +18,16 @@
 FIRST_PORT = 10_000
 SOAKS = 200
 PORTS_EACH = 100
-"""Soaks that run side by side use ports of their own, by their process ids."""
+"""Soaks that run side by side use blocks of ports of their own."""
+
+DRAIN_S = 1.0
+"""How soon nothing may be sent any more to a replica that leaves, seconds."""
 
 STARTED = b'"text":"started"'
 """What a gateway's log says once it serves."""
 
-_taken: set[int] = set()
-"""Ports given to gateways of this soak."""
+_guards: list[socket.socket] = []
+"""They listen at the first port of each block of this soak."""
 
 SETTINGS = """
 Node = "{name}"
@@ -34,7 +40,7 @@
 [Limits]
 MemoryMb = 300
 [Bounds]
-DrainMs = 1000
+DrainMs = {drain_ms}
 GraceS = 4
 LeaseMs = 1000
 RetryBudgetSlack = 64
@@ -48,6 +54,13 @@
 """
 
 
+class EndedGatewayError(Exception):
+    """A gateway process ended by itself."""
+
+    def __init__(self, name: str, line: str):
+        super().__init__(f"{name} ended by itself, and last said: {line}")
+
+
 @dataclass
 class GatewayProcess:
     """One gateway process.
@@ -60,6 +73,8 @@
         log_start: Where its log began when that was, bytes.
         lock: Held by the fault that is done to it.
         options: Options of its command line.
+        began_at: When the process was started last, steady seconds.
+        is_asked_to_end: Whether that process was sent a signal to end.
     """
 
     name: str
@@ -69,12 +84,20 @@
     log_start: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     options: tuple[str, ...] = ()
+    began_at: float = 0.0
+    is_asked_to_end: bool = False
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process.
+
+        Raises:
+            EndedGatewayError: If the one before has ended by itself.
+        """
+        self.check()
         with self.log.open("ab") as log:
             self.log_start = log.tell()
-            self.process = await asyncio.create_subprocess_exec(
+            began_at = asyncio.get_running_loop().time()
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "robinspindle",
@@ -85,6 +108,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.process, self.began_at, self.is_asked_to_end = process, began_at, False
 
     @property
     def log(self) -> Path:
@@ -97,6 +121,18 @@
             log.seek(self.log_start)
             return STARTED in log.read()
 
+    def check(self) -> None:
+        """Check that the process, once started, runs until it is asked to end.
+
+        Raises:
+            EndedGatewayError: If it has ended by itself.
+        """
+        ended = self.process is not None and self.process.returncode is not None
+        if ended and not self.is_asked_to_end:
+            lines = self.log.read_bytes()[self.log_start :].split(b"\n")
+            last = next((line for line in reversed(lines) if line.strip()), b"")
+            raise EndedGatewayError(self.name, last.decode(errors="replace"))
+
     async def end(self, how: int) -> int:
         """End the process and wait for it.
 
@@ -107,6 +143,7 @@
             Its exit code.
         """
         if self.process.returncode is None:
+            self.is_asked_to_end = True
             self.process.send_signal(signal.SIGCONT)
         if self.process.returncode is None:
             self.process.send_signal(how)
@@ -136,6 +173,7 @@
             inner=inner,
             last=last,
             store=store,
+            drain_ms=round(DRAIN_S * 1000),
             bounds=bounds,
             duties=DUTIES.format(ip=LOOPBACK, port=duties) if duties else "",
         )
@@ -144,15 +182,28 @@
 
 
 def _find_ports(count: int) -> list[int]:
-    """Find free ports below those that the system hands out to others."""
-    ports: list[int] = []
-    port = FIRST_PORT + os.getpid() % SOAKS * PORTS_EACH
-    while len(ports) < count:
-        port += 1
-        if port in _taken:
-            continue
-        with socket.socket() as sock:
-            if sock.connect_ex((LOOPBACK, port)) != 0:
-                ports.append(port)
-                _taken.add(port)
-    return ports
+    """Find ports below those that the system hands out to others."""
+    return list(itertools.islice(_ports, count))
+
+
+def _list_ports() -> Iterator[int]:
+    """List the free ports of all blocks that no other soak has."""
+    for number in range(SOAKS):
+        first = FIRST_PORT + (os.getpid() + number) % SOAKS * PORTS_EACH
+        with contextlib.suppress(OSError):
+            _guards.append(socket.create_server((LOOPBACK, first)))
+            yield from filter(is_free, range(first + 1, first + PORTS_EACH))
+
+
+def is_free(port: int) -> bool:
+    """Whether nobody listens at a port, by TCP or by UDP."""
+    try:
+        socket.create_server((LOOPBACK, port)).close()
+        with socket.socket(type=socket.SOCK_DGRAM) as sock:
+            sock.bind((LOOPBACK, port))
+    except OSError:
+        return False
+    return True
+
+
+_ports = _list_ports()
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -69,6 +69,7 @@
     """
     async with asyncio.timeout(READY_S):
         while not gateway.has_started():
+            gateway.check()
             await asyncio.sleep(0.05)
     await asyncio.sleep(SETTLE_S)
     serving.add(gateway.name)
