Refuse a stream that is taken up only if it cannot begin in time

A stream goes on only at engines of the version that began it. Where these were few and full, its caller was refused as busy: an answer expected to be long is refused where no engine has capacity or a slot comes later than its objective, as callers that are refused at once may be served in time elsewhere. A caller that takes a stream up can't, while new streams begin at the other versions' engines.

Where targets of several versions are listed, a take-up is now refused only if its slot and its first event together are estimated to come later than its caller waits, less the usual margin. With one version listed nothing changes.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -25,6 +25,10 @@
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sizefairness import SizeFairness
 from robinspindle.core.targets import Target
+from robinspindle.core.versioncapacity import (
+    has_several_versions,
+    should_refuse_take_up,
+)
 from robinspindle.passages import Means, Passage
 
 MOST_READS = 2
@@ -116,6 +120,8 @@
         """Tell whether a request had better be refused than sent."""
         if passage.offers or passage.reads or passage.request.prompt is None:
             return False
+        if passage.stream.is_taken_up and self._has_several_versions(passage, now):
+            return should_refuse_take_up(plan, passage.first_due - now)
         serves_late = self._means.policy().serves_late
         # Who is refused at once can come back in time; who came back may not again.
         max_slot_wait_s = math.inf if passage.is_caller_retry else passage.aim_at - now
@@ -123,6 +129,10 @@
             plan, passage.first_due - now, serves_late, max_slot_wait_s
         )
 
+    def _has_several_versions(self, passage: Passage, now: float) -> bool:
+        directory = self._means.fleet.directory
+        return has_several_versions(directory, passage.service, now)
+
     def find_host(self, passage: Passage, plan: RequestPlan) -> Target | None:
         """Find where to generate the answer to a prompt that was read apart.
 
