Have new streams leave the last slots of a version to streams bound to it

New streams went to whichever engine was cheapest, also to the last free slots of a version that was scarce, and streams of that version that were taken up found it full, with engines of other versions free. Where a version's decode engines have at most a quarter of their slots free and another version's have more, new requests now go to the other; streams that are bound are chosen for as before. Where all versions are scarce, or one is listed, nothing is left out.

A test with a gateway failed before (both requests at the engine with the prompt in its cache and one free slot) and passes.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -27,6 +27,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.core.versioncapacity import (
     has_several_versions,
+    list_open,
     should_refuse_take_up,
 )
 from robinspindle.passages import Means, Passage
@@ -98,7 +99,7 @@
     def choose(self, passage: Passage, now: float) -> RequestPlan | None:
         """Choose a plan; None where no target may get the request."""
         usable = self._list_usable(passage, now)
-        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        pairs = self._pair_open(passage, usable)
         prompt = passage.request.prompt
         if prompt is None or any(engine is None for _, engine in pairs):
             return self._choose_plainly(pairs, now)
@@ -140,8 +141,7 @@
         leave or have crashed meanwhile, or have become the busiest one.
         """
         now = self._means.clock()
-        usable = self._list_usable(passage, now)
-        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        pairs = self._pair_open(passage, self._list_usable(passage, now))
         engines = [pair for pair in pairs if pair[1] is not None]
         means = self._means
         age_s = means.peers.interval_s
@@ -150,6 +150,15 @@
             engines, means.zone, now, age_s, self._rng, has_pause_sensitive
         )
 
+    def _pair_open(
+        self, passage: Passage, usable: list[Target]
+    ) -> list[tuple[Target, Engine | None]]:
+        """Pair targets that may get a request with their engines, if they have any."""
+        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        has_engines = all(engine is not None for _, engine in pairs)
+        is_open = has_engines and streamversions.is_unbound(passage.stream)
+        return list_open(pairs) if is_open else pairs
+
     def _list_usable(self, passage: Passage, now: float) -> list[Target]:
         """List the targets that may get a request; those best avoided if no other."""
         avoided = self._means.guard.list_avoided(passage.named)
--- a/tests/core/test_versioncapacity.py
+++ b/tests/core/test_versioncapacity.py
@@ -2,11 +2,13 @@
 
 import pytest
 
+from robinspindle.core.engines import make_engine
 from robinspindle.core.priorities import LATE_LEVEL
 from robinspindle.core.requestplans import RequestPlan
 from robinspindle.core.targets import Announcement, Directory, Target
 from robinspindle.core.versioncapacity import (
     has_several_versions,
+    list_open,
     should_refuse_take_up,
 )
 
@@ -14,6 +16,62 @@
 OLD, NEW = "v1", "v2"
 
 
+def make_pairs(version, loads, role="decode"):
+    """Make engines of a version, of which each has a number of requests under way."""
+    pairs = []
+    for number, load in enumerate(loads):
+        lifetime = f"{version}-{role}-{number}"
+        announced = Announcement(
+            lifetime, "s", "x:1", "a", SLOTS, role=role, software_version=version
+        )
+        engine = make_engine(role == "prefill", 1000)
+        engine.peers_in_flight["peer"] = load // 2
+        pairs.append((Target(announced, in_flight=load - load // 2), engine))
+    return pairs
+
+
+def list_versions(pairs):
+    return {target.announced.software_version for target, _ in pairs}
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "versions"),
+    [
+        ([8], [0, 0, 0], {NEW}),
+        ([6], [0, 0, 0], {NEW}),
+        ([5], [0, 0, 0], {OLD, NEW}),
+        ([8, 2], [0, 0], {OLD, NEW}),
+        ([8, 4], [0, 0], {NEW}),
+        ([0], [8, 8, 8], {OLD}),
+        ([20], [0], {NEW}),
+        ([8], [8, 8], {OLD, NEW}),
+        ([6], [6], {OLD, NEW}),
+    ],
+)
+def test_new_streams_leave_the_last_slots_of_a_version_to_those_bound_to_it(
+    old, new, versions
+):
+    pairs = make_pairs(OLD, old) + make_pairs(NEW, new)
+    assert list_versions(list_open(pairs)) == versions
+
+
+@pytest.mark.parametrize("load", [0, 6, 8, 30])
+def test_nothing_is_left_out_where_one_version_is_listed(load):
+    pairs = make_pairs(OLD, [load, 0]) + make_pairs(OLD, [load], "prefill")
+    assert list_open(pairs) == pairs
+
+
+def test_prefill_engines_of_all_versions_stay():
+    prefill = make_pairs(OLD, [9], "prefill")
+    pairs = make_pairs(OLD, [8]) + prefill + make_pairs(NEW, [0])
+    assert list_open(pairs) == prefill + make_pairs(NEW, [0])
+
+
+def test_a_version_that_only_prefills_takes_no_slots_from_others():
+    pairs = make_pairs(OLD, [0, 0], "prefill") + make_pairs(NEW, [8])
+    assert list_open(pairs) == pairs
+
+
 @pytest.mark.parametrize(
     ("versions", "is_several"),
     [((OLD,), False), ((OLD, OLD), False), ((OLD, NEW), True)],
--- a/tests/platform/test_versioncapacity.py
+++ b/tests/platform/test_versioncapacity.py
@@ -70,3 +70,18 @@
             assert reply.status == 503
 
     run(scenario())
+
+
+def test_a_new_stream_leaves_the_last_slots_of_a_version_to_its_streams(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            engines = [await add(d, "a1")]
+            assert (await d.call("/digest/x", **prompt)).is_whole
+            engines.append(await add(d, "b1", OTHER_VERSION))
+            # It holds the prompt, which makes it the cheaper one.
+            fill(d, engines[0], SLOTS - 1)
+            assert (await d.call("/digest/x", id="r2", **prompt)).is_whole
+            assert [len(engine.arrivals) for engine in engines] == [1, 1]
+
+    run(scenario())
