--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -1,21 +1,36 @@
 """Binds streams to the software version that began them."""
 
 import asyncio
+import math
+from dataclasses import dataclass
 
+from robinspindle.core import health
 from robinspindle.core.forwarding import Request
 from robinspindle.core.permits import Permit
 from robinspindle.core.routes import Route
 from robinspindle.core.streamorigins import StreamOrigin
-from robinspindle.core.streamversions import StreamBinding, make_binding, may_serve
-from robinspindle.core.targets import Announcement
-from robinspindle.core.versionhistory import find_sole_version
-from robinspindle.following import WAIT_S
+from robinspindle.core.streamversions import (
+    PREFILL,
+    StreamBinding,
+    make_binding,
+    may_serve,
+)
+from robinspindle.core.targets import Announcement, Directory, Target
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import list_heard
 
-LIST_AGE_S = WAIT_S + 1.0
-"""Longest time between two reads of the list where no other gateway is heard,
-seconds: that of a poll and of its call."""
+
+@dataclass(frozen=True)
+class FoundOrigin:
+    """Who began a stream that is taken up.
+
+    Attributes:
+        origin: Who did; None if that is not known.
+        by: How that was found out, or what was tried last, for logs.
+    """
+
+    origin: StreamOrigin | None
+    by: str
 
 
 async def bind_stream(
@@ -25,72 +40,93 @@
     workspace = permit.workspace.name if permit.workspace else ""
     stream = make_binding(route, request, workspace)
     if not stream.is_taken_up:
+        if route.resumable:
+            await means.versions.await_first(_list_services(route))
         return stream
-    origin = await _ask_for_origin(means, request, stream)
-    if origin is None:
-        origin = _find_sole_origin(means, route)
-    if origin is not None and may_serve(route, origin):
-        stream.origin = origin
-    _log_taken_up(means, request, origin)
-    return stream
-
-
-async def _ask_for_origin(
-    means: Means, request: Request, stream: StreamBinding
-) -> StreamOrigin | None:
-    if stream.key is None:
-        return None
     try:
-        return await means.streams.find(stream.key)
+        found = await _find_origin(
+            means, route, stream, request.resumption.is_event_clear
+        )
     except asyncio.CancelledError:
         means.log("caller left: its stream was looked for", request=request.id)
         raise
+    if found.origin is not None and may_serve(route, found.origin):
+        stream.origin = found.origin
+    _log_taken_up(means, request, found)
+    return stream
 
 
-def _find_sole_origin(means: Means, route: Route) -> StreamOrigin | None:
-    """Find the origin of any stream of a route, if only one is possible."""
-    now, fleet = means.clock(), means.fleet
-    services = [backend.service for backend in route.backends if backend.weight > 0]
-    if not route.resumable or len(services) != 1 or not _is_list_current(means, now):
-        return None
-    version = find_sole_version(
-        fleet.versions, fleet.directory, services[0], route.timeout_s, now
-    )
-    if version is None:
-        return None
-    return StreamOrigin(services[0], version, "", _read_wall_ms(means))
-
-
-def _is_list_current(means: Means, now: float) -> bool:
-    """Whether a target that was listed a while ago would be known here."""
-    directory = means.fleet.directory
-    if directory.unavailable_since is not None:
-        return False
-    # Others that are heard tell how far the list goes; alone, it is read often.
-    return bool(list_heard(means.peers)) or now - directory.read_at <= LIST_AGE_S
-
-
-def _log_taken_up(means: Means, request: Request, origin: StreamOrigin | None) -> None:
-    """Log whose stream a request takes up."""
+async def _find_origin(
+    means: Means, route: Route, stream: StreamBinding, is_event_clear: bool
+) -> FoundOrigin:
+    """Find who began a stream: at gateways, by the versions' records, in the store."""
+    if stream.key is not None:
+        origin = await means.streams.find(stream.key)
+        if origin is not None:
+            return FoundOrigin(origin, "gateways")
+    if not (route.resumable and is_event_clear):
+        return FoundOrigin(None, "gateways")
+    services = _list_services(route)
+    sole = await means.versions.find_sole(services, route.timeout_s)
+    if sole is not None:
+        now_ms = _read_wall_ms(means)
+        origin = StreamOrigin(sole.service, sole.software_version, "", now_ms)
+        return FoundOrigin(origin, "sole version")
+    if stream.key is None or not means.versions.has_several(services):
+        return FoundOrigin(None, "versions")
+    return FoundOrigin(await means.streams.find_kept(stream.key), "store")
+
+
+def _list_services(route: Route) -> list[str]:
+    return [backend.service for backend in route.backends]
+
+
+def _log_taken_up(means: Means, request: Request, found: FoundOrigin) -> None:
+    """Log whose stream a request takes up, how that was found out, and who is left."""
+    origin, now = found.origin, means.clock()
+    fitting = _list_fitting(means.fleet.directory, origin) if origin else []
+    generating = [t for t in fitting if t.announced.role != PREFILL]
     means.log(
         "stream taken up",
         routine=origin is not None,
-        at=round(means.clock(), 4),
+        at=round(now, 4),
         request=request.id,
         first_attempt=request.resumption.attempt_id,
+        by=found.by,
+        peers_heard=len(list_heard(means.peers)),
         service=origin.service if origin else "",
         software_version=origin.software_version if origin else "",
         target=origin.lifetime if origin else "",
+        listed=len(fitting),
+        generating=len(generating),
+        healthy=sum(
+            health.may_get_work(t, now) and health.is_healthy(t, now)
+            for t in generating
+        ),
     )
 
 
-def note_first_event(means: Means, passage: Passage, announced: Announcement) -> None:
+def _list_fitting(directory: Directory, origin: StreamOrigin) -> list[Target]:
+    """List the targets of the service and the version that began a stream."""
+    wanted = (origin.service, origin.software_version)
+    return [
+        target
+        for target in directory.targets.values()
+        if (target.announced.service, target.announced.software_version) == wanted
+    ]
+
+
+def note_first_event(
+    means: Means, passage: Passage, announced: Announcement, opened_at: float
+) -> None:
     """Fix the version of an answer that begins, and tell who began its stream.
 
     Args:
         means: What the relay has.
         passage: The request.
         announced: The target that sent the event.
+        opened_at: When the connection that brought it was opened, by the event loop's
+            clock. A lifetime that began later has no part in it.
     """
     stream = passage.stream
     if stream.origin is None:
@@ -98,10 +134,23 @@
             announced.service,
             announced.software_version,
             announced.lifetime,
-            _read_wall_ms(means),
+            _find_opened_ms(means, opened_at),
         )
     if stream.key is not None:
-        means.streams.note_begun(stream.key, stream.origin)
+        is_kept = means.versions.has_several(_list_services(passage.route))
+        means.streams.note_begun(stream.key, stream.origin, is_kept)
+
+
+def note_whole(means: Means, passage: Passage) -> None:
+    """Take note that the answer to a request is whole."""
+    if passage.stream.key is not None:
+        means.streams.note_whole(passage.stream.key)
+
+
+def _find_opened_ms(means: Means, opened_at: float) -> int:
+    """Find when a connection was opened by the time of day, Unix milliseconds."""
+    age_s = asyncio.get_running_loop().time() - opened_at
+    return max(0, _read_wall_ms(means) - math.floor(age_s * 1000))
 
 
 def _read_wall_ms(means: Means) -> int:
--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -21,6 +21,7 @@
     MOST_TELLS,
     Answer,
     Ask,
+    Keeps,
     Message,
     OriginLink,
     Tell,
@@ -28,6 +29,7 @@
     make_tell,
     read_tell,
 )
+from robinspindle.originlog import OriginLog
 from robinspindle.peers import Peers, list_heard
 
 TELL_DELAY_S = 0.02
@@ -40,6 +42,13 @@
 ASK_LIMIT_S = 0.3
 """How long an answer is waited for, seconds."""
 
+STORE = "store"
+"""Who has told an origin that was read in the store, for logs."""
+
+MOST_RUNNING = 8192
+"""Maximum number of own streams that are known to be under way; of more, the oldest are
+not written to the store when a second version comes."""
+
 MOST_ASKS = 256
 """Asks under way; beyond them a stream is not known at once."""
 
@@ -51,12 +60,14 @@
     Attributes:
         begun: Streams that this gateway noted, those that go on included.
         asked: Streams that other gateways were asked for.
-        unknown: Streams whose origin was not found.
+        looked_up: Streams that were looked for in the store.
+        unknown: Streams whose origin no gateway told.
         conflicts: Origins that were not noted, as another one is known.
     """
 
     begun: int = 0
     asked: int = 0
+    looked_up: int = 0
     unknown: int = 0
     conflicts: int = 0
 
@@ -84,7 +95,7 @@
 
 
 class StreamMemory:
-    """Remembers origins, tells their holders, and asks them.
+    """Remembers origins, tells their holders, and asks them and the store.
 
     Attributes:
         table: The origins that this gateway knows.
@@ -92,12 +103,18 @@
     """
 
     def __init__(
-        self, peers: Peers, link: OriginLink, clock: Callable[[], float], log: Log
+        self,
+        peers: Peers,
+        link: OriginLink,
+        kept: OriginLog,
+        clock: Callable[[], float],
+        log: Log,
     ):
         self.table = OriginTable()
         self.counts = StreamCounts()
         self._peers = peers
         self._link = link
+        self._kept = kept
         self._clock = clock
         self._log = log
         self._untold: dict[str, list[Tell]] = {}
@@ -105,21 +122,50 @@
         self._asks_by_number: dict[int, PendingAsk] = {}
         self._numbers: Iterator[int] = itertools.count(1)
         self._conflicting: set[str] = set()
+        # Own streams under way, by which version they were begun.
+        self._running: dict[StreamKey, StreamOrigin] = {}
         link.take = self._take
+        kept.take = self._take_kept
 
-    def note_begun(self, key: StreamKey, origin: StreamOrigin) -> None:
+    def note_begun(
+        self, key: StreamKey, origin: StreamOrigin, is_kept: bool = False
+    ) -> None:
         """Remember who began a stream, and queue telling its holders.
 
         It is called again when a stream goes on, so that its holders keep it.
+
+        Args:
+            key: The stream's key.
+            origin: Who began it.
+            is_kept: Whether it is written to the store, as other versions may begin
+                streams too.
         """
         self.counts.begun += 1
         if not self._note(key, origin, self._peers.name):
             return
+        self._note_running(key, origin)
+        if is_kept:
+            self._keep({key: origin})
         first = find_origin(self.table, key, self._clock()) or origin
         heard = set(list_heard(self._peers))
         for name in choose_told(key, list(self._peers.members), heard):
             self._queue(name, make_tell(key, first))
 
+    def note_whole(self, key: StreamKey) -> None:
+        """Take note that a stream is whole: nobody takes it up any more."""
+        if self._running.pop(key, None) is not None:
+            self._kept.drop(key)
+
+    def keep_running(self, service: str) -> None:
+        """Write streams under way to the store, as a second version may begin some."""
+        self._keep(
+            {
+                key: origin
+                for key, origin in self._running.items()
+                if origin.service == service
+            }
+        )
+
     async def find(self, key: StreamKey) -> StreamOrigin | None:
         """Find who began a stream, and ask its holders where it is not known here.
 
@@ -133,6 +179,36 @@
             self.counts.unknown += 1
         return origin
 
+    async def find_kept(self, key: StreamKey) -> StreamOrigin | None:
+        """Find in the store who began a stream that no gateway knows.
+
+        Returns:
+            None if the store does not say.
+        """
+        self.counts.looked_up += 1
+        await self._kept.look()
+        return find_origin(self.table, key, self._clock())
+
+    def _keep(self, origins: dict[StreamKey, StreamOrigin]) -> None:
+        """Have origins written to the store: by the relay, as each call is paid."""
+        if self._peers.is_relay:
+            for key, origin in origins.items():
+                self._kept.note(key, origin)
+            return
+        # At once, as a gateway may die at any time.
+        tells = [make_tell(key, origin) for key, origin in origins.items()]
+        self._send_tells(self._peers.choice.relay, tells, Keeps)
+
+    def _note_running(self, key: StreamKey, origin: StreamOrigin) -> None:
+        self._running[key] = origin
+        while len(self._running) > MOST_RUNNING:
+            del self._running[next(iter(self._running))]
+
+    def _take_kept(self, key: StreamKey, origin: StreamOrigin) -> None:
+        """Take over an origin that the store holds, unless it is known."""
+        if find_origin(self.table, key, self._clock()) is None:
+            self._note(key, _share_names(origin), STORE)
+
     async def _ask_holders(self, key: StreamKey) -> StreamOrigin | None:
         ask = self._asks.get(key) or self._begin_ask(key)
         if ask is None:
@@ -173,6 +249,8 @@
         match message:
             case Tells():
                 self._take_tells(sender, message)
+            case Keeps():
+                self._take_keeps(message)
             case Ask():
                 self._answer(sender, message)
             case Answer():
@@ -182,6 +260,11 @@
         for tell in message.tells:
             self._learn(sender, tell)
 
+    def _take_keeps(self, message: Keeps) -> None:
+        """Write what a gateway of this one's group has noted."""
+        for tell in message.tells:
+            self._kept.note(StreamKey(tell.key), _share_names(read_tell(tell)))
+
     def _answer(self, sender: str, ask: Ask) -> None:
         key = StreamKey(ask.key)
         origin = find_origin(self.table, key, self._clock())
@@ -229,8 +312,13 @@
     def _tell_all(self) -> None:
         untold, self._untold = self._untold, {}
         for name, tells in untold.items():
-            for first in range(0, len(tells), MOST_TELLS):
-                self._link.send(name, Tells(tells[first : first + MOST_TELLS]))
+            self._send_tells(name, tells, Tells)
+
+    def _send_tells(
+        self, name: str, tells: list[Tell], kind: type[Tells] | type[Keeps]
+    ) -> None:
+        for first in range(0, len(tells), MOST_TELLS):
+            self._link.send(name, kind(tells[first : first + MOST_TELLS]))
 
 
 def _share_names(origin: StreamOrigin) -> StreamOrigin:
@@ -239,5 +327,5 @@
         sys.intern(origin.service),
         sys.intern(origin.software_version),
         sys.intern(origin.lifetime),
-        origin.begun_ms,
+        origin.opened_ms,
     )
--- a/tests/platform/test_streamversions.py
+++ b/tests/platform/test_streamversions.py
@@ -8,6 +8,15 @@
 
 import pytest
 
+from robinspindle import sending
+from robinspindle.core.versionrecords import (
+    ServiceVersion,
+    Use,
+    VersionRecord,
+    encode_record,
+    make_key,
+)
+from standins.rawhttp import LOOPBACK
 from standins.replica import USUAL_VERSION, Replica
 from tests.platform.deployment import (
     deploy,
@@ -166,6 +175,7 @@
         async with deploy(tmp_path) as d:
             await make_single(d)
             await begin_broken(d)
+            await add(d, OTHER_VERSION)
             reply, asked = await take_up(d, attempt=None, **resumes)
             assert is_true_refusal(reply)
             assert not asked
@@ -211,6 +221,7 @@
             await until(lambda: d.version == 2)
             red, blue = ({"Authorization": f"Bearer {key}"} for key in KEYS.values())
             await begin_broken(d, **red)
+            await add(d, OTHER_VERSION)
             reply, asked = await take_up(d, **blue)
             assert is_true_refusal(reply)
             assert not asked
@@ -350,6 +361,42 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_a_stream_on_a_kept_connection_is_not_doubted_for_a_restart_after_it_opened(
+    tmp_path, is_kept
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await make_single(d)
+            now_ms = time.time_ns() // 1_000_000
+            before = Replica("i1", "lm", "decode")
+            before.born_ms = now_ms - 100_000
+            await start(d, before)
+            assert (await d.call("/digest/x", id="r0", **d.prompt())).is_whole
+            for connection in list_connections(d, f"i1@{before.born_ms}"):
+                # As if it had been opened that long ago.
+                connection.opened_at -= 10.0 if is_kept else 0.0
+            before.behaviours.append("torn")
+            assert list_ids(await d.call("/digest/x", **d.prompt())) == [1]
+            after = Replica("i1", "lm", "decode")
+            after.born_ms = time.time_ns() // 1_000_000
+            after.software_version = OTHER_VERSION
+            await start(d, after)
+            (own,) = await add(d)
+            reply, asked = await take_up(d)
+            assert list_ids(reply) == ([2, 3] if is_kept else [])
+            assert asked == ([own.lifetime] if is_kept else [])
+
+    run(scenario())
+
+
+def list_connections(d, lifetime):
+    """List the kept connections to a target."""
+    pool = d.gateway.fleet.find_pool(d.gateway.directory.targets[lifetime])
+    assert pool.idle
+    return pool.idle
+
+
 @pytest.mark.parametrize("is_told", [True, False])
 def test_a_stream_is_taken_up_at_another_gateway(tmp_path, is_told):
     """One that was told of it serves alone; one that came later asks."""
@@ -377,7 +424,10 @@
     run(scenario())
 
 
-def test_an_engine_of_another_version_may_prefill_for_a_stream(tmp_path):
+def test_an_engine_of_another_version_may_prefill_for_a_stream(tmp_path, monkeypatch):
+    # A connection that a busy machine opens too late would count as a prefill.
+    monkeypatch.setattr(sending, "CONNECT_TIMEOUT_S", 8.0)
+
     async def scenario():
         async with deploy(tmp_path) as d:
             # Time enough for the engines to be announced on a busy machine.
@@ -437,7 +487,7 @@
                     left.set()
 
             d.gateway.streams.find = find
-            _, writer = await asyncio.open_connection("127.0.0.1", d.port)
+            _, writer = await asyncio.open_connection(LOOPBACK, d.port)
             headers = {"Last-Event-Id": "1", "Resumes": "r1", **d.prompt()}
             writer.write(write_request("POST", "/digest/x", "r2", b"hello", headers))
             await looked_for.wait()
@@ -451,28 +501,59 @@
 
 
 @pytest.mark.parametrize("attempt", [None, "unknown"])
-@pytest.mark.parametrize("has_other", [False, True])
-def test_an_unknown_stream_goes_on_only_where_one_version_can_have_begun_it(
-    tmp_path, attempt, has_other
+def test_an_unknown_stream_goes_on_where_one_version_can_have_begun_it(
+    tmp_path, attempt
 ):
     async def scenario():
         async with deploy(tmp_path) as d:
             (engine,) = await add(d)
-            if has_other:
-                await add(d, OTHER_VERSION)
-            reply, asked = await take_up(d, id="young", attempt=attempt)
+            await until(lambda: d.gateway.versions.records.noted)
+            d.store.trouble = "busy"
+            reply, asked = await take_up(d, id="unconfirmed", attempt=attempt)
+            assert is_true_refusal(reply)
+            assert asked == []
+            d.store.trouble = ""
+            reply, asked = await take_up(d, id="confirmed", attempt=attempt)
+            assert list_ids(reply) == [2, 3]
+            assert asked == [engine.lifetime]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("attempt", [None, "unknown"])
+@pytest.mark.parametrize("serves", [False, True])
+def test_no_unknown_stream_goes_on_where_another_version_can_have_begun_it(
+    tmp_path, attempt, serves
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await add(d)
+            (other,) = await add(d, OTHER_VERSION)
+            await until(lambda: len(d.gateway.versions.records.noted) == 2)
+            if not serves:
+                await d.store.put("keyed.servers", other.lifetime, None)
+                targets = d.gateway.directory.targets
+                await until(lambda: other.lifetime not in targets)
+            reply, asked = await take_up(d, attempt=attempt)
+            assert is_true_refusal(reply)
+            assert asked == []
+
+    run(scenario())
+
+
+def test_no_unknown_stream_goes_on_at_a_version_beside_one_that_others_have_recorded(
+    tmp_path,
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await add(d)
+            await until(lambda: d.gateway.versions.records.noted)
+            # The poll that would bring it is not answered before the take-up comes.
+            version = ServiceVersion("lm", OTHER_VERSION)
+            value = encode_record(VersionRecord(Use.BEGINS))
+            d.store.put_silently("keyed.gateways", make_key(version), value)
+            reply, asked = await take_up(d, attempt="unknown")
             assert is_true_refusal(reply)
             assert asked == []
-            # As if the list had been known for longer than any stream lasts.
-            d.gateway.fleet.versions.first_at["lm"] -= 1000.0
-            for version in d.gateway.fleet.versions.listed_at["lm"]:
-                d.gateway.fleet.versions.listed_at["lm"][version] -= 1000.0
-            reply, asked = await take_up(d, id="old", attempt=attempt)
-            if has_other:
-                assert is_true_refusal(reply)
-                assert asked == []
-            else:
-                assert list_ids(reply) == [2, 3]
-                assert asked == [engine.lifetime]
 
     run(scenario())
