--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -25,6 +25,11 @@
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sizefairness import SizeFairness
 from robinspindle.core.targets import Directory, Target
+from robinspindle.core.versioncapacity import (
+    has_several_versions,
+    list_open,
+    should_refuse_take_up,
+)
 from robinspindle.passages import Means, Passage
 
 MOST_READS = 2
@@ -94,7 +99,7 @@
     def choose(self, passage: Passage, now: float) -> RequestPlan | None:
         """Choose a plan; None where no target may get the request."""
         usable = self._list_usable(passage, now)
-        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        pairs = self._pair_open(passage, usable)
         prompt = passage.request.prompt
         if prompt is None or any(engine is None for _, engine in pairs):
             return self._choose_plainly(pairs, now)
@@ -116,6 +121,8 @@
         """Tell whether a request had better be refused than sent."""
         if passage.offers or passage.reads or passage.request.prompt is None:
             return False
+        if passage.stream.is_taken_up and self._has_several_versions(passage, now):
+            return should_refuse_take_up(plan, passage.first_due - now)
         serves_late = self._means.policy().serves_late
         # Who is refused at once can come back in time; who came back may not again.
         max_slot_wait_s = math.inf if passage.is_caller_retry else passage.aim_at - now
@@ -123,6 +130,10 @@
             plan, passage.first_due - now, serves_late, max_slot_wait_s
         )
 
+    def _has_several_versions(self, passage: Passage, now: float) -> bool:
+        directory = self._means.fleet.directory
+        return has_several_versions(directory, passage.service, now)
+
     def find_host(self, passage: Passage, plan: RequestPlan) -> Target | None:
         """Find where to generate the answer to a prompt that was read apart.
 
@@ -130,8 +141,7 @@
         leave or have crashed meanwhile, or have become the busiest one.
         """
         now = self._means.clock()
-        usable = self._list_usable(passage, now)
-        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        pairs = self._pair_open(passage, self._list_usable(passage, now))
         engines = [pair for pair in pairs if pair[1] is not None]
         means = self._means
         age_s = means.peers.interval_s
@@ -140,6 +150,15 @@
             engines, means.zone, now, age_s, self._rng, has_pause_sensitive
         )
 
+    def _pair_open(
+        self, passage: Passage, usable: list[Target]
+    ) -> list[tuple[Target, Engine | None]]:
+        """Pair targets that may get a request with their engines, if they have any."""
+        pairs = [(target, self._means.fleet.find_engine(target)) for target in usable]
+        has_engines = all(engine is not None for _, engine in pairs)
+        is_open = has_engines and streamversions.is_unbound(passage.stream)
+        return list_open(pairs) if is_open else pairs
+
     def _list_usable(self, passage: Passage, now: float) -> list[Target]:
         """List the targets that may get a request; those best avoided if no other."""
         avoided = self._means.guard.list_avoided(passage.named)
