Judge what is served only where a gateway can know the replicas

A request counts there now only from 3 s after the store was last out of its gateway's reach; else it counts among those that are not judged by share. The bounds stay.

--- a/soak/selfreportaccount.py
+++ b/soak/selfreportaccount.py
@@ -28,7 +28,7 @@
     """Whether replicas that a request needs take those of all gateways at its time."""
 
     FULL = "enough take requests of all"
-    SOME = "some take requests of all"
+    SOME = "some take requests of all, or the gateway may not know all"
     NONE = "none takes requests of all"
 
 
@@ -79,6 +79,7 @@
         late: Requests that reached a leaving replica, as they are told.
         outcomes: How often each status was answered, 0 for a broken answer and None for
             none until the deadline, by what replicas were there.
+        away_at: When the store was last out of reach of a gateway, by its name.
         held: How many were not served and held, by the same.
     """
 
@@ -89,6 +90,7 @@
     outcomes: dict[Supply, Counter[int | None]] = field(
         default_factory=lambda: defaultdict(Counter)
     )
+    away_at: dict[str, float] = field(default_factory=dict)
     held: Counter[Supply] = field(default_factory=Counter)
     _sent: dict[str, Sent] = field(default_factory=dict)
     _leaving: dict[tuple[str, str], str] = field(default_factory=dict)
--- a/soak/selfreportcallers.py
+++ b/soak/selfreportcallers.py
@@ -1,6 +1,7 @@
 """Callers that tell by which gateway process each request was taken, and when."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 from soak.callers import KINDS, write_request
@@ -18,7 +19,8 @@
 """Time between two requests of a caller, seconds."""
 
 SETTLE_S = 3.0
-"""How long after its start a gateway counts as sound, seconds."""
+"""How long after its start, and after the store is back, a gateway counts as sound,
+seconds."""
 
 KNOWN_S = 1.5
 """How long ago a replica that takes requests must have begun, seconds."""
@@ -92,6 +94,10 @@
     kind = world.rng.choice(KINDS)
     now = asyncio.get_running_loop().time()
     supply = find_supply(world, kind)
+    # Replicas that began meanwhile can't be known.
+    away_at = account.away_at.get(gateway.name, -math.inf)
+    if supply is Supply.FULL and now - away_at < SETTLE_S:
+        supply = Supply.SOME
     is_settled = now - connection.began_at >= SETTLE_S
     deadline_ms = round(DEADLINE_S * 1000)
     data = write_request(id, kind, world.rng, deadline_ms=deadline_ms)
--- a/soak/selfreports.py
+++ b/soak/selfreports.py
@@ -91,7 +91,7 @@
             tasks.append(asyncio.create_task(call))
         tasks.append(asyncio.create_task(_repeat(world, REPORT_S, _choose_report)))
         tasks.append(asyncio.create_task(_repeat(world, FAULT_S, _choose_fault)))
-        await _look_on(world, tasks, seconds)
+        await _look_on(world, account, tasks, seconds)
     finally:
         await cancel_all(tasks)
         await world.stop()
@@ -151,13 +151,21 @@
     return world.rng.choice(FAULTS)(world, world.rng.uniform(*LASTS_S))
 
 
-async def _look_on(world: World, tasks: Iterable[asyncio.Task], seconds: float) -> None:
+async def _look_on(
+    world: World,
+    account: SelfReportAccount,
+    tasks: Iterable[asyncio.Task],
+    seconds: float,
+) -> None:
     """Let the run go on, as long as nothing of it has failed."""
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
     while loop.time() < until:
         await asyncio.sleep(CHECK_S)
         _check_gateways(world)
+        for name, proxy in world.store_proxies.items():
+            if proxy.cut or world.store.trouble:
+                account.away_at[name] = loop.time()
         for task in tasks:
             if task.done():
                 task.result()
