Count take-ups of soak.versions that come when killed gateways have served for a while

Once streams outlast all gateways, callers of the plays all-killed and one-version were served as soon as a gateway listened, before it counts as sound: 1 and 0 take-ups counted in 20 s. They come back after 3 to 5 s now. A take-up of a stream of which only the end is missing counts as going on if that end comes, and no other without an event.

--- a/soak/releases.py
+++ b/soak/releases.py
@@ -30,7 +30,7 @@
 """Time between the replacements of two engines, and between two crashes, seconds."""
 
 KILL_S = (0.4, 2.5)
-ALL_KILLED_S = 4.0
+ALL_KILLED_S = (3.0, 5.0)
 DOWN_S = (0.0, 1.0)
 """Time between two kills; from when all gateways serve until all are killed; between a
 kill and the next start; seconds."""
@@ -130,7 +130,7 @@
 async def kill_all_gateways(release: Release) -> None:
     """Kill all gateways at once, again and again."""
     while True:
-        await asyncio.sleep(ALL_KILLED_S)
+        await asyncio.sleep(release.world.rng.uniform(*ALL_KILLED_S))
         async with asyncio.TaskGroup() as group:
             for gateway in release.world.gateways:
                 kill = _kill(gateway, release.world.rng, release.serving)
--- a/soak/resuming.py
+++ b/soak/resuming.py
@@ -17,6 +17,9 @@
 DEADLINE_S = 4.0
 """How long a caller waits for its answer, as it says, seconds."""
 
+EVENTS = 8
+"""Events of a whole stream."""
+
 KNOWN_S = 1.5
 """How long ago an engine must have begun to count as one that serves, seconds."""
 
@@ -31,13 +34,15 @@
     """How callers behave.
 
     Attributes:
-        pause_s: Shortest and longest pause before each try, seconds.
+        pause_s: Shortest and longest pause before each take-up, seconds.
+        rest_s: Shortest and longest pause after each stream, seconds.
         take_ups: Most take-ups of a stream.
         leave_share: Share of the events after which a caller leaves and comes back.
         last_left: Last event after which callers leave.
     """
 
     pause_s: tuple[float, float] = (0.05, 0.4)
+    rest_s: tuple[float, float] = (0.05, 0.4)
     take_ups: int = 6
     leave_share: float = 0.0
     last_left: int = 0
@@ -105,7 +110,7 @@
                 )
         finally:
             account.note_stream(stream.name, stream.versions)
-        await asyncio.sleep(world.rng.uniform(*habits.pause_s))
+        await asyncio.sleep(world.rng.uniform(*habits.rest_s))
 
 
 def _make_stream(name: str, rng: random.Random) -> Stream:
@@ -134,7 +139,9 @@
     def judge() -> None:
         nonlocal is_open
         if is_open and counts():
-            account.note_try(kind, stream.last > before)
+            # Who has all events is owed the end alone.
+            is_whole = before == EVENTS and stream.is_ended
+            account.note_try(kind, stream.last > before or is_whole)
         is_open = False
 
     def take_event() -> None:
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -25,7 +25,7 @@
     take_generating,
 )
 from soak.replicas import SoakReplica
-from soak.resuming import USUAL_HABITS, Habits, call_streams
+from soak.resuming import EVENTS, USUAL_HABITS, Habits, call_streams
 from soak.seeds import SeedResult, add_seed_options, play_seeds
 from soak.versionaccount import Try, VersionAccount
 from soak.world import World, cancel_all
@@ -37,12 +37,11 @@
 MOST_GATEWAYS = 24
 """Gateways that find ports of their own."""
 
-EVENTS = 8
 EVENT_S = 0.15
-"""Events of a whole stream, and the time between two, seconds."""
+"""Time between two events of a stream, seconds."""
 
-SLOW = Habits(pause_s=(0.3, 1.2))
-"""Callers that pause for so long that some come back once killed gateways serve."""
+SLOW = Habits(pause_s=(3.0, 5.0))
+"""Callers that come back when killed gateways have served for a while."""
 
 LEAVING = Habits(pause_s=(0.1, 0.4), take_ups=20, leave_share=0.3, last_left=EVENTS - 1)
 """Callers that break their streams themselves, where nothing else does."""
