--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from robinspindle.clocks import read_steady
 from robinspindle.core.forwarding import AnswerHead, Headers
 from robinspindle.core.obstacles import Obstacle
 from robinspindle.gatewaysettings import HostPort
@@ -169,7 +170,7 @@
     """One connection to a target or to the store.
 
     Attributes:
-        opened_at: When it was opened, by the event loop's clock.
+        opened_at: When it was opened, steady seconds.
         idle_since: Since when nothing is under way on it, steady seconds.
         idle_s: How long it may be idle, seconds.
         is_open: Whether it is open.
@@ -232,7 +233,7 @@
     def connection_made(self, transport) -> None:
         """Note the transport."""
         self._transport = transport
-        self.opened_at = asyncio.get_running_loop().time()
+        self.opened_at = read_steady()
         self.is_open = True
         _limit_silence(transport.get_extra_info("socket"))
 
--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -134,8 +134,8 @@
         means: What the relay has.
         passage: The request.
         announced: The target that sent the event.
-        opened_at: When the connection that brought it was opened, by the event loop's
-            clock. A lifetime that began later has no part in it.
+        opened_at: When the connection that brought it was opened, steady seconds. A
+            lifetime that began later has no part in it.
     """
     stream = passage.stream
     if stream.origin is None:
@@ -158,7 +158,7 @@
 
 def _find_opened_ms(means: Means, opened_at: float) -> int:
     """Find when a connection was opened by the time of day, Unix milliseconds."""
-    age_s = asyncio.get_running_loop().time() - opened_at
+    age_s = means.clock() - opened_at
     return max(0, _read_wall_ms(means) - math.floor(age_s * 1000))
 
 
