--- a/tests/soak/test_gateways.py
+++ b/tests/soak/test_gateways.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from soak.gateways import ADDRESS, EndedGatewayError, is_free, prepare_gateway
+from soak.gateways import EndedGatewayError, is_free, prepare_gateway
+from standins.rawhttp import LOOPBACK
 
 TIMEOUT_S = 20.0
 """Time after which a test that hangs fails, seconds."""
@@ -15,7 +16,7 @@
 @pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
 def test_a_port_at_which_another_listens_by_tcp_or_udp_is_not_free(kind):
     with socket.socket(type=kind) as other:
-        other.bind((ADDRESS, 0))
+        other.bind((LOOPBACK, 0))
         if kind is socket.SOCK_STREAM:
             other.listen()
         port = other.getsockname()[1]
@@ -29,7 +30,7 @@
         text = gateway.settings.read_text()
         port = int(re.search(r"InternalPorts = \[(\d+),", text)[1])
         with socket.socket(type=socket.SOCK_DGRAM) as other:
-            other.bind((ADDRESS, port))
+            other.bind((LOOPBACK, port))
             await gateway.start()
             with pytest.raises(EndedGatewayError, match="Address already in use"):
                 async with asyncio.timeout(TIMEOUT_S):
