--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -51,7 +51,7 @@
     look_s = LOOK_SHARE * (due - means.clock())
     try:
         async with asyncio.timeout(max(0.0, look_s)):
-            found = await _find_origin(
+            found = await find_origin(
                 means, route, stream, request.resumption.is_event_clear
             )
     except TimeoutError:
@@ -65,7 +65,7 @@
     return stream
 
 
-async def _find_origin(
+async def find_origin(
     means: Means, route: Route, stream: StreamBinding, is_event_clear: bool
 ) -> FoundOrigin:
     """Find who began a stream: at gateways, by the versions' records, in the store."""
