Make the parts that know of streams in a module of their own

The gateway's constructor put five of them together beside everything else. Streams that were looked for in the store are told in the metrics, and the help of the unknown ones says what they count since the store is asked too.

--- a/src/robinspindle/adapters.py
+++ b/src/robinspindle/adapters.py
@@ -9,9 +9,14 @@
 from robinspindle.following import KeyedStore
 from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.ordering import OrderDialect
+from robinspindle.originlog import RecordStore
 from robinspindle.passages import Dialect
 
 
+class GatewayStore(KeyedStore, RecordStore, Protocol):
+    """What a gateway needs of the store."""
+
+
 class Adapter(Protocol):
     """What the platform's adapter gives a gateway."""
 
@@ -28,7 +33,7 @@
 
     def make_store(
         self, settings: GatewaySettings, clock: Callable[[], float]
-    ) -> KeyedStore:
+    ) -> GatewayStore:
         """Make the client of the store."""
 
     def decode_configuration(self, data: bytes) -> RouteTable:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -38,8 +38,6 @@
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.ordering import Orderer
-from robinspindle.originlink import OriginLink
-from robinspindle.originlog import OriginLog
 from robinspindle.passages import Means
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peerlink import News, PeerLink
@@ -51,11 +49,9 @@
 from robinspindle.rereading import Reread, SettingsReader
 from robinspindle.stopping import Stop
 from robinspindle.storenews import StoreNews
-from robinspindle.streammemory import StreamMemory
+from robinspindle.streamparts import make_stream_parts
 from robinspindle.targettraffic import make_traffic_maker
 from robinspindle.usagebook import UsageBook
-from robinspindle.versionkeeping import VersionKeeper
-from robinspindle.versionwriting import VersionWriter
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -120,36 +116,17 @@
         self.lengths = AnswerStats()
         self.freshness = Freshness()
         self.link = LinkQueue(self._clock)
-        streams_log = make_log("streams")
-        self._origin_link = OriginLink(self.peers, streams_log, self.link.note_sent)
-        kept = OriginLog(
-            self._store,
-            adapter.origins_topic,
-            lambda: len(self.peers.groups.ranked),
-            streams_log,
-        )
-        self._kept_origins = kept
-        self.streams = StreamMemory(
-            self.peers, self._origin_link, kept, self._clock, streams_log
-        )
-        self.versions = VersionKeeper(
-            self._store,
-            adapter.gateways_topic,
-            self.fleet,
-            self._count_gateways,
-            self._clock,
-            streams_log,
-        )
-        self.versions.note_several = self.streams.keep_running
-        self._version_writer = VersionWriter(
-            self.versions,
+        self._streams = make_stream_parts(
+            adapter,
             self._store,
-            adapter.gateways_topic,
+            self.peers,
             self.fleet,
-            self._count_gateways,
+            self.link,
             self._clock,
-            streams_log,
+            make_log("streams"),
         )
+        self.streams = self._streams.memory
+        self.versions = self._streams.versions
         self.guard = Guard(
             self.directory,
             self._clock,
@@ -300,10 +277,6 @@
         """Find this gateway's place among those that are heard, for a request."""
         return find_place(fingerprint, self.settings.name, list_heard(self.peers))
 
-    def _count_gateways(self) -> int:
-        """Count the gateways that are heard, this one included."""
-        return len(list_heard(self.peers)) + 1
-
     def peers_topic_known(self) -> bool:
         """Whether what the store now holds about gateways has been read."""
         return self._introduction.is_read
@@ -315,8 +288,7 @@
         self.duties.note_era(era)
         targets.note_store_restored(self.directory, self._clock())
         self._introduction.note_era()
-        self._kept_origins.note_era()
-        self.versions.note_era()
+        self._streams.note_era()
         for follower in self._followers:
             note_new_era(follower)
 
@@ -390,8 +362,8 @@
             ),
             loop.create_task(self._keep_house()),
             loop.create_task(self._keeper.run()),
-            loop.create_task(self._version_writer.run()),
-            loop.create_task(self._kept_origins.run()),
+            loop.create_task(self._streams.writer.run()),
+            loop.create_task(self._streams.kept.run()),
             loop.create_task(self.guard.runs.recheck()),
             loop.create_task(self.duties.run()),
         ]
@@ -406,7 +378,7 @@
         address = HostPort(settings.ip, first)
         await self._link.start(address)
         if last > first:
-            await self._origin_link.start(address)
+            await self._streams.link.start(address)
         else:
             log("one inner port is too few: streams are remembered here only")
 
@@ -430,7 +402,7 @@
         self._readiness.close_listener()
         self._figures.close_listener()
         self._link.close()
-        self._origin_link.close()
+        self._streams.link.close()
         log("stopped", name=self.settings.name)
         self._output.flush()
 
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -52,7 +52,8 @@
         streams_known: Streams whose origin is known.
         streams_begun: Streams that began or went on here so far.
         streams_asked: Streams for which other gateways were asked so far.
-        streams_unknown: Streams taken up whose origin was not found so far.
+        streams_unknown: Streams taken up whose origin no gateway told so far.
+        streams_looked_up: Streams taken up that were looked for in the store so far.
         streams_conflicting: Origins of another software version, not believed so far.
         left_out: Log lines left out so far.
         busy: Callers' requests under way.
@@ -130,7 +131,10 @@
             "streams_asked", "Streams for which other gateways were asked so far"
         )
         self.streams_unknown = self._gauge(
-            "streams_unknown", "Streams taken up whose origin was not found so far"
+            "streams_unknown", "Streams taken up whose origin no gateway told so far"
+        )
+        self.streams_looked_up = self._gauge(
+            "streams_looked_up", "Streams taken up, looked for in the store so far"
         )
         self.streams_conflicting = self._gauge(
             "streams_conflicting", "Origins of another version, not believed so far"
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -97,6 +97,7 @@
     metrics.streams_begun.set(counts.begun)
     metrics.streams_asked.set(counts.asked)
     metrics.streams_unknown.set(counts.unknown)
+    metrics.streams_looked_up.set(counts.looked_up)
     metrics.streams_conflicting.set(counts.conflicts)
 
 
--- /dev/null
+++ b/src/robinspindle/streamparts.py
@@ -0,0 +1,77 @@
+"""The parts of a gateway that know who began which stream, and at which versions."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from robinspindle.adapters import Adapter, GatewayStore
+from robinspindle.fleet import Fleet
+from robinspindle.linkqueue import LinkQueue
+from robinspindle.logs import Log
+from robinspindle.originlink import OriginLink
+from robinspindle.originlog import OriginLog
+from robinspindle.peers import Peers, list_heard
+from robinspindle.streammemory import StreamMemory
+from robinspindle.versionkeeping import VersionKeeper
+from robinspindle.versionwriting import VersionWriter
+
+
+@dataclass(frozen=True)
+class StreamParts:
+    """The parts.
+
+    Attributes:
+        link: Datagrams between gateways about who began which stream.
+        kept: Keeps that in the store while several versions may begin streams.
+        memory: Remembers it, and asks others.
+        versions: Knows at which versions streams may begin.
+        writer: Writes that to the store.
+    """
+
+    link: OriginLink
+    kept: OriginLog
+    memory: StreamMemory
+    versions: VersionKeeper
+    writer: VersionWriter
+
+    def note_era(self) -> None:
+        """Begin anew with a store that returned from a copy."""
+        self.kept.note_era()
+        self.versions.note_era()
+
+
+def make_stream_parts(
+    adapter: Adapter,
+    store: GatewayStore,
+    peers: Peers,
+    fleet: Fleet,
+    uplink: LinkQueue,
+    clock: Callable[[], float],
+    log: Log,
+) -> StreamParts:
+    """Make the parts.
+
+    Args:
+        adapter: Names the topics.
+        store: The store.
+        peers: The other gateways.
+        fleet: The targets.
+        uplink: The VM's own link, told of what is sent.
+        clock: Tells the present time, steady seconds.
+        log: Takes log lines.
+    """
+
+    def count_relays() -> int:
+        return len(peers.groups.ranked)
+
+    def count_gateways() -> int:
+        return len(list_heard(peers)) + 1
+
+    topic = adapter.gateways_topic
+    shared = (store, topic, fleet, count_gateways, clock, log)
+    link = OriginLink(peers, log, uplink.note_sent)
+    kept = OriginLog(store, adapter.origins_topic, count_relays, log)
+    memory = StreamMemory(peers, link, kept, clock, log)
+    versions = VersionKeeper(*shared)
+    versions.note_several = memory.keep_running
+    writer = VersionWriter(versions, *shared)
+    return StreamParts(link, kept, memory, versions, writer)
