--- a/soak/selfreportcallers.py
+++ b/soak/selfreportcallers.py
@@ -9,6 +9,7 @@
 from soak.replicas import SoakReplica
 from soak.selfreportaccount import SelfReportAccount, Supply
 from soak.world import World
+from standins.rawhttp import LOOPBACK
 
 DEADLINE_S = 4.0
 SLACK_S = 0.25
@@ -74,7 +75,7 @@
 async def _connect(gateway: GatewayProcess) -> Connection | None:
     process, began_at = gateway.process, gateway.began_at
     try:
-        streams = await asyncio.open_connection("127.0.0.1", gateway.callers)
+        streams = await asyncio.open_connection(LOOPBACK, gateway.callers)
     except OSError:
         return None
     if gateway.process is not process:
--- a/soak/selfreporting.py
+++ b/soak/selfreporting.py
@@ -5,6 +5,7 @@
 
 from soak.replicas import SoakReplica
 from soak.world import World
+from standins.rawhttp import LOOPBACK
 from standins.replica import Refusal
 
 LATE_S = (0.0, 3.0)
@@ -178,7 +179,7 @@
     """Write the entry that it had when it was ready."""
     entry = replica.describe()
     port = world.replica_proxies[replica.lifetime].port
-    return entry | {"Address": f"127.0.0.1:{port}"}
+    return entry | {"Address": f"{LOOPBACK}:{port}"}
 
 
 async def _announce_again(world: World, id: str) -> None:
