Tell eight ranks of requests apart in place of four

Cause: with keys, a rank is the pair of the workspace's priority and the route's. Change: eight ranks, each with a priority of its own at engines, which know ten. Tests that wrote six levels write as many as there are. Tests of core, peers and fuzz: no failure.

--- a/src/robinspindle/core/priorities.py
+++ b/src/robinspindle/core/priorities.py
@@ -8,17 +8,18 @@
 
 SHORT_LEVEL = 0
 FIRST_RANK_LEVEL = 1
-LAST_RANK_LEVEL = 4
-LATE_LEVEL = 5
-LEVELS = 6
-"""Number of levels, the most urgent first: short, four ranks, late."""
+LAST_RANK_LEVEL = 8
+LATE_LEVEL = 9
+LEVELS = 10
+"""Number of levels, the most urgent first: short, eight ranks, late. Engines know as
+many priorities. Three priorities of workspaces and three of routes make nine pairs, of
+which only the two least urgent share a level."""
 
 SHORT_PREFILL_RATIO = 0.03
 """A prefill that takes at most this share of its latency objective goes first."""
 
-REQUEST_PRIORITIES = (1, 2, 3, 4, 5, 8)
-"""Priority sent to an engine for each level, from 0 (highest) to 9; engines assume 5 if
-none is sent."""
+REQUEST_PRIORITIES = tuple(range(LEVELS))
+"""Priority sent to an engine for each level, from 0 (highest) to 9."""
 
 
 def find_priority_level(
--- a/tests/core/test_aggregation.py
+++ b/tests/core/test_aggregation.py
@@ -9,6 +9,7 @@
     TargetLoad,
 )
 from robinspindle.core.prefillmodel import FitSums
+from robinspindle.core.priorities import LEVELS
 
 counts = st.integers(0, 50)
 loads = st.lists(
@@ -79,7 +80,7 @@
 def test_state_not_forwarded_yet_is_kept_and_sent_once():
     first = make(
         "a",
-        [TargetLoad("e1", 1, [0] * 6)],
+        [TargetLoad("e1", 1, [0] * LEVELS)],
         [Placement("e1", [])],
         timed_out_targets=["e9"],
     )
--- a/tests/core/test_peerdigests.py
+++ b/tests/core/test_peerdigests.py
@@ -8,8 +8,9 @@
     is_cache_sender,
     remove_timed_out_peers,
 )
+from robinspindle.core.priorities import LEVELS
 
-WORK = [0, 40, 30, 0, 0, 0]
+WORK = [0, 40, 30] + [0] * (LEVELS - 3)
 
 
 def make(number=1, started=1.0, loads=(), placements=()):
@@ -24,7 +25,7 @@
     )
     assert not apply_digest(
         peers,
-        make(1, loads=[TargetLoad("e1", 9, [0, 900, 0, 0, 0, 0])]),
+        make(1, loads=[TargetLoad("e1", 9, [0, 900] + [0] * (LEVELS - 2))]),
         0.0,
         engines.get,
     )
--- a/tests/core/test_peervalidation.py
+++ b/tests/core/test_peervalidation.py
@@ -11,12 +11,13 @@
 )
 from robinspindle.core.peervalidation import find_fault
 from robinspindle.core.prefillmodel import FitSums
+from robinspindle.core.priorities import LEVELS
 
 VALID = Digest(
     "g2",
     1.0,
     1,
-    [TargetLoad("e1", 1, [0] * 6)],
+    [TargetLoad("e1", 1, [0] * LEVELS)],
     [Placement("e1", [("aa", 5)], 10)],
     {"lm": 0.5},
     prefill_statistics=[
@@ -44,11 +45,11 @@
     [
         {"number": -1},
         {"started": math.nan},
-        {"loads": [TargetLoad("e1", 1, [0] * 5)]},
-        {"loads": [TargetLoad("e1", -1, [0] * 6)]},
-        {"loads": [TargetLoad("e1", 1, [0, 1 << 40, 0, 0, 0, 0])]},
+        {"loads": [TargetLoad("e1", 1, [0] * (LEVELS - 1))]},
+        {"loads": [TargetLoad("e1", -1, [0] * LEVELS)]},
+        {"loads": [TargetLoad("e1", 1, [0, 1 << 40] + [0] * (LEVELS - 2))]},
         {"placements": [Placement("e1", [("aa", -5)])]},
-        {"placements": [Placement("e1", [], 0, 6)]},
+        {"placements": [Placement("e1", [], 0, LEVELS)]},
         {"prefill_loads": {"lm": math.inf}},
         {"prefill_loads": {"lm": -1.0}},
         {
--- a/tests/core/test_prefillbacklog.py
+++ b/tests/core/test_prefillbacklog.py
@@ -4,17 +4,19 @@
 
 from robinspindle.core import prefillbacklog
 from robinspindle.core.engines import make_engine
-from robinspindle.core.priorities import LATE_LEVEL
+from robinspindle.core.priorities import LATE_LEVEL, LEVELS
 
 
 def test_a_prompt_waits_for_its_own_and_higher_priority_levels():
     engine = make_engine(True, 10_000)
     engine.own_backlog_s[2] = 0.5
-    prefillbacklog.note_peer_backlog(engine, "g2", [0.0, 0.0, 0.1, 0.0, 0.0, 0.4])
+    prefillbacklog.note_peer_backlog(
+        engine, "g2", [0.0, 0.0, 0.1] + [0.0] * (LEVELS - 4) + [0.4]
+    )
     waits = [
         prefillbacklog.estimate_wait(engine, level, 0.0) for level in range(LATE_LEVEL)
     ]
-    assert waits == [0.0, 0.0, 0.6, 0.6, 0.6]
+    assert waits == [0.0, 0.0] + [0.6] * (LATE_LEVEL - 2)
     assert prefillbacklog.estimate_wait(engine, LATE_LEVEL, 0.0) == 1.0
 
 
@@ -41,7 +43,7 @@
     st.lists(
         st.tuples(
             st.sampled_from(["g1", "g2", "g3"]),
-            st.none() | st.lists(st.floats(0, 10), min_size=6, max_size=6),
+            st.none() | st.lists(st.floats(0, 10), min_size=LEVELS, max_size=LEVELS),
         )
     )
 )
--- a/tests/core/test_priorities.py
+++ b/tests/core/test_priorities.py
@@ -24,3 +24,11 @@
     assert len(sent) == priorities.LEVELS == len(priorities.make_level_sums())
     assert list(sent) == sorted(set(sent))
     assert 0 <= sent[0] <= sent[-1] <= 9
+
+
+def test_urgent_requests_of_most_workspaces_are_not_served_in_turn_with_the_others():
+    # Three priorities of workspaces, three of routes: the pairs of the two first ones
+    # of the workspaces, and the most urgent ones of the third, are told apart.
+    levels = [find_priority_level(0.05, 0.2, rank) for rank in range(9)]
+    assert len(set(levels)) >= 8
+    assert levels[6] < levels[7]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 from robinspindle.core import health, targets
+from robinspindle.core.priorities import LEVELS
 from robinspindle.core.routes import CallerLimits, EngineSpec, Service, make_table
 from robinspindle.core.targets import Announcement, Directory
 from robinspindle.fleet import Fleet
@@ -64,7 +65,7 @@
     fleet.find_engine_of("d1")
     engine.own_backlog_s[1] = 0.7
     assert [(load.lifetime, load.backlog_ms) for load in fleet.list_loads(0.0)] == [
-        ("p1", [0, 700, 0, 0, 0, 0])
+        ("p1", [0, 700] + [0] * (LEVELS - 2))
     ]
 
 
--- a/tests/test_guardscale.py
+++ b/tests/test_guardscale.py
@@ -10,6 +10,7 @@
 from robinspindle.core.fingerprints import FingerprintedRequest
 from robinspindle.core.forwarding import Part, Prompt, Request
 from robinspindle.core.peerdigests import TargetLoad
+from robinspindle.core.priorities import LEVELS
 from robinspindle.core.targets import Announcement, Target
 from robinspindle.guard import Guard, Run
 from robinspindle.guardnews import list_news, take_news
@@ -49,7 +50,7 @@
         for _ in range(times):
             for gateway in self.gateways.values():
                 news = list_news(gateway.guard, self.now)
-                load = TargetLoad("e1", 1, [0, 1, 0, 0, 0, 0])
+                load = TargetLoad("e1", 1, [0, 1] + [0] * (LEVELS - 2))
                 gateway.tell(loads=[load], requests=news)
                 gateway.guard.settle(self.now)
             self.now += TELL_S
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -13,6 +13,7 @@
     TargetLoad,
 )
 from robinspindle.core.prefillmodel import PrefillSample, estimate_seconds, note_sample
+from robinspindle.core.priorities import LEVELS
 from robinspindle.core.relays import MAX_INTERVAL_S, RELAY_SILENCE_TIMEOUT_S, Member
 from robinspindle.core.targets import Announcement, Directory, note_announced
 from robinspindle.fleet import Fleet
@@ -49,6 +50,10 @@
     return fleet
 
 
+def make_load(work_ms):
+    return TargetLoad("e1", 1, [0, work_ms] + [0] * (LEVELS - 2))
+
+
 def make_members(count, zones=2):
     return [
         Member(f"g{n}", f"10.0.0.{n}", 7000, f"z{n % zones}", 9.0 - n / 10)
@@ -121,13 +126,15 @@
                 if host not in self.cut:
                     number = int(host.rsplit(".")[-1])
                     work = (loads or {}).get(number, 0)
-                    gateway.tell(loads=[TargetLoad("e1", 1, [0, work, 0, 0, 0, 0])])
+                    gateway.tell(
+                        loads=[TargetLoad("e1", 1, [0, work] + [0] * (LEVELS - 2))]
+                    )
             self.now += STEP_S
 
 
 def test_a_datagram_comes_back_as_it_was_and_stays_small():
     loads = [
-        TargetLoad(f"i-{number:010x}", 12, [0, 14, 120, 0, 0, 30], 3)
+        TargetLoad(f"i-{number:010x}", 12, [0, 14, 120, 0, 0, 0, 0, 0, 0, 30], 3)
         for number in range(6)
     ]
     parts = [("5c1e07a2", 2520), ("91bd3f06", 3780), ("e4402b7d", 2890)]
@@ -214,7 +221,7 @@
 def test_strangers_and_unsound_digests_are_counted_and_change_nothing():
     network = Network(4)
     gateway = network[0]
-    work = [TargetLoad("e1", 1, [0, 50, 0, 0, 0, 0])]
+    work = [make_load(50)]
     good = Digest("g2", 1.0, 1, work, [])
     bad = Digest("g2", 1.0, 2, [TargetLoad("e1", 1, [0])], [])
     receive = gateway.link.datagram_received
@@ -235,7 +242,11 @@
 
     def receive(started, number, work):
         told = Digest(
-            "g2", started, number, [TargetLoad("e1", 1, [0, work, 0, 0, 0, 0])], []
+            "g2",
+            started,
+            number,
+            [TargetLoad("e1", 1, [0, work] + [0] * (LEVELS - 2))],
+            [],
         )
         gateway.link.datagram_received(
             encode(Datagram("g2", [told])), ("10.0.0.2", 7000)
