Keep an account of each engine's room

Slots were known by requests in flight, prefill time by backlogs, and memory by nobody; what a prompt that is read elsewhere will take at its host was not counted at all. core/roomclaims.py keeps what requests take, are promised, keep and move, by request and since when; peers tell their sums with their loads (two small integers an engine). core/room.py brings slots, memory and prefill time together and states how far late news may be off. Plans log it. No decision uses it yet.

--- a/src/robinspindle/core/aggregation.py
+++ b/src/robinspindle/core/aggregation.py
@@ -129,6 +129,8 @@
         [a + b for a, b in zip(first.backlog_ms, second.backlog_ms, strict=True)],
         first.long_answers + second.long_answers,
         min(first.heard_ms_ago, second.heard_ms_ago),
+        first.set_aside + second.set_aside,
+        first.tokens + second.tokens,
     )
 
 
@@ -141,6 +143,8 @@
         [a - b for a, b in zip(total.backlog_ms, one.backlog_ms, strict=True)],
         total.long_answers - one.long_answers,
         total.heard_ms_ago,
+        total.set_aside - one.set_aside,
+        total.tokens - one.tokens,
     )
 
 
--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -15,6 +15,7 @@
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.prefillmodel import PrefillModel
 from robinspindle.core.priorities import make_level_sums
+from robinspindle.core.roomclaims import Room
 
 CACHE_SHARE = 0.85
 """Share of an engine's KV cache assumed to hold cached prompt parts; running requests
@@ -76,6 +77,7 @@
         prefill_share: Share of its time that it may spend on prefills while it
             generates long answers; adapted to the observed gaps between events.
         short_prefill_share: The same while it generates short answers only.
+        room: Who takes its memory, and slots that are not in flight.
     """
 
     prefill_only: bool
@@ -101,6 +103,7 @@
     answer_at: float = -math.inf
     prefill_share: float = 0.4
     short_prefill_share: float = SHORT_PREFILL_SHARE
+    room: Room = field(default_factory=Room)
 
     @property
     def backlog_s(self) -> float:
--- a/src/robinspindle/core/peerdigests.py
+++ b/src/robinspindle/core/peerdigests.py
@@ -20,6 +20,11 @@
 )
 from robinspindle.core.prefillmodel import FitSums
 from robinspindle.core.priorities import FIRST_RANK_LEVEL
+from robinspindle.core.roomclaims import (
+    ClaimSums,
+    forget_peer_claims,
+    note_peer_claims,
+)
 from robinspindle.core.usage import Account
 
 PEER_TIMEOUT_S = 1.5
@@ -56,6 +61,8 @@
         backlog_ms: Prefill backlog by priority level, milliseconds.
         long_answers: Number of long answers that are being decoded.
         heard_ms_ago: Time since the last message from the target, milliseconds.
+        set_aside: Slots set aside there for requests that are not in flight.
+        tokens: Memory that its requests take there, tokens.
     """
 
     lifetime: str
@@ -63,6 +70,8 @@
     backlog_ms: list[int]
     long_answers: int = 0
     heard_ms_ago: int = NEVER_HEARD_MS
+    set_aside: int = 0
+    tokens: int = 0
 
 
 class Placement(msgspec.Struct, array_like=True):
@@ -304,10 +313,13 @@
             forget_peer_backlog(engine, name)
             engine.peers_in_flight.pop(name, None)
             engine.peers_long_answers.pop(name, None)
+            forget_peer_claims(engine.room, name)
     for load in loads:
         engine = find(load.lifetime)
         if engine is not None:
             note_peer_backlog(engine, name, [ms / 1000 for ms in load.backlog_ms])
             engine.peers_in_flight[name] = load.in_flight
             engine.peers_long_answers[name] = load.long_answers
+            claims = ClaimSums(load.set_aside, load.tokens)
+            note_peer_claims(engine.room, name, claims)
     peer.lifetimes = {load.lifetime for load in loads}
--- /dev/null
+++ b/src/robinspindle/core/room.py
@@ -0,0 +1,126 @@
+"""The room of one engine: its slots, KV cache and prefill time, and who takes them.
+
+Running requests and cached parts share an engine's memory. What requests take is kept
+here; cached parts give way to them and are kept in `core/engines.py`, prefill time in
+`core/prefillbacklog.py`. `describe_room` brings the three together.
+
+A gateway records its own claims as they begin and end. The other gateways send sums of
+theirs with their digests, so a peer that times out, or starts again, takes its claims
+with it: nothing has to be given back.
+"""
+
+import math
+from dataclasses import dataclass
+
+from robinspindle.core.engines import count_shared
+from robinspindle.core.estimates import Pair
+from robinspindle.core.forwarding import Prompt
+from robinspindle.core.roomclaims import USES_WITHOUT_ANSWER, Use
+
+UNSEEN_SPREAD = 3.0
+"""Standard deviations that the error of a view allows for: requests begin and end at
+random, and one view in some hundred may be further off."""
+
+
+@dataclass(frozen=True)
+class RoomView:
+    """The room of an engine as one gateway knows it.
+
+    Attributes:
+        free_slots: Slots that nothing takes; negative while requests wait for one.
+        free_tokens: Memory that no request takes, tokens; cached parts give way.
+        running: Requests that are in flight there, at most as many as there are slots.
+        taken_tokens: Memory that requests take, tokens.
+        prefill_s: Prefill backlog, seconds.
+        set_aside: Slots of `Use.PROMISED`, `Use.LEASED` and `Use.MOVING_IN`, which no
+            running request takes yet.
+        turnover_per_s: Requests that begin there in a second, by those that run and how
+            long they last; 0 where that is not known.
+        age_s: Maximum age of what the other gateways told, seconds.
+        slot_error: How far `free_slots` may be off by what peers did meanwhile.
+        token_error: The same for `free_tokens`, tokens.
+    """
+
+    free_slots: int
+    free_tokens: int
+    running: int
+    taken_tokens: int
+    prefill_s: float
+    set_aside: int
+    turnover_per_s: float
+    age_s: float
+    slot_error: float
+    token_error: float
+
+
+def count_tokens(prompt: Prompt, use: Use) -> int:
+    """Count the memory that a request takes until its end, tokens.
+
+    Parts that others may share are left out: an engine holds them once for all, and
+    they are in its cache anyway.
+
+    Args:
+        prompt: Its prompt.
+        use: What takes the memory; not all uses include the answer.
+    """
+    own_tokens = max(0, prompt.tokens - count_shared(prompt))
+    if use in USES_WITHOUT_ANSWER:
+        return own_tokens
+    return own_tokens + (prompt.expected_answer_tokens or prompt.max_answer_tokens)
+
+
+def describe_room(pair: Pair, age_s: float) -> RoomView:
+    """Describe the room of an engine.
+
+    What the other gateways told is late, so requests of theirs have begun and ended
+    since. Both come at the turnover of the engine; the errors are the mean number of
+    those, and `UNSEEN_SPREAD` standard deviations more.
+
+    Args:
+        pair: The engine and its target.
+        age_s: Maximum age of what other gateways have reported, seconds.
+    """
+    target, engine = pair
+    room = engine.room
+    in_flight = target.in_flight + engine.others_in_flight
+    slots = max(1, target.announced.slots)
+    running = min(in_flight, slots)
+    turnover_per_s = _find_turnover(running, engine.slot_hold_s)
+    unseen = turnover_per_s * age_s
+    slot_error = unseen + UNSEEN_SPREAD * math.sqrt(unseen)
+    return RoomView(
+        free_slots=slots - in_flight - room.set_aside,
+        free_tokens=engine.cache_tokens - room.tokens,
+        running=running,
+        taken_tokens=room.tokens,
+        prefill_s=engine.backlog_s,
+        set_aside=room.set_aside,
+        turnover_per_s=turnover_per_s,
+        age_s=age_s,
+        slot_error=slot_error,
+        token_error=slot_error * room.tokens / max(1, in_flight + room.set_aside),
+    )
+
+
+def estimate_room_wait_s(pair: Pair, tokens: int) -> float:
+    """Estimate how long a request waits for a slot and memory of an engine, seconds.
+
+    Both become free as running answers end. Requests that will come once their prompts
+    have been read elsewhere are ahead of it.
+
+    Args:
+        pair: The engine and its target.
+        tokens: Memory that the request takes, tokens.
+    """
+    target, engine = pair
+    slots = max(1, target.announced.slots)
+    in_flight = target.in_flight + engine.others_in_flight
+    queued = in_flight + engine.room.set_aside + 1 - slots
+    missing_tokens = engine.room.tokens + tokens - engine.cache_tokens
+    missing_share = max(queued / slots, missing_tokens / max(1, engine.cache_tokens))
+    return max(0.0, missing_share) * engine.slot_hold_s
+
+
+def _find_turnover(running: int, hold_s: float) -> float:
+    """Find how many requests begin in a second: as many as end (Little's law)."""
+    return running / hold_s if hold_s > 0 else 0.0
--- /dev/null
+++ b/src/robinspindle/core/roomclaims.py
@@ -0,0 +1,151 @@
+"""Claims on the room of an engine: who takes memory and slots there, and since when."""
+
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Use(Enum):
+    """What takes room at an engine."""
+
+    TAKEN = "taken"
+    """A request that was sent there; its slot counts among the requests in flight."""
+
+    PROMISED = "promised"
+    """A request that will be sent there once another engine has read its prompt."""
+
+    LEASED = "leased"
+    """Room that the engine has set aside until a time."""
+
+    READ = "read"
+    """A prompt that is read there for another engine."""
+
+    KEPT = "kept"
+    """A prompt that was read there for another engine and is not fetched yet."""
+
+    MOVING_IN = "moving-in"
+    """A copy of a running request's memory that comes from another engine."""
+
+    MOVING_OUT = "moving-out"
+    """Memory of a request that stopped there, until it is fetched or freed."""
+
+
+USES_WITHOUT_ANSWER = frozenset((Use.READ, Use.KEPT))
+"""Uses that take memory for a prompt only."""
+
+USES_WITH_SLOT = frozenset((Use.PROMISED, Use.LEASED, Use.MOVING_IN))
+"""Uses that take a slot which is not among the requests in flight."""
+
+
+@dataclass(frozen=True)
+class Claim:
+    """Room that one request of this gateway takes.
+
+    Attributes:
+        use: What takes it.
+        tokens: Memory, tokens.
+        since: When it began, monotonic seconds.
+        until: When it lapses by itself, monotonic seconds; infinite if it doesn't.
+    """
+
+    use: Use
+    tokens: int
+    since: float
+    until: float = math.inf
+
+
+@dataclass(frozen=True)
+class ClaimSums:
+    """Sums over the claims of one gateway, or of a group of gateways.
+
+    Attributes:
+        set_aside: Slots of uses in `USES_WITH_SLOT`.
+        tokens: Memory of all uses, tokens.
+    """
+
+    set_aside: int
+    tokens: int
+
+
+NO_CLAIMS = ClaimSums(0, 0)
+
+
+@dataclass
+class Room:
+    """The claims on one engine.
+
+    Attributes:
+        claims: This gateway's claims, by who holds them: a request's id and its use.
+        own: Sum of `claims`.
+        peer_claims: Sums of the other gateways, by name.
+        peers: Sum of `peer_claims`: it is read far more often than it changes.
+    """
+
+    claims: dict[tuple[str, Use], Claim] = field(default_factory=dict)
+    own: ClaimSums = NO_CLAIMS
+    peer_claims: dict[str, ClaimSums] = field(default_factory=dict)
+    peers: ClaimSums = NO_CLAIMS
+
+    @property
+    def set_aside(self) -> int:
+        """Slots that all gateways have set aside for requests not in flight there."""
+        return self.own.set_aside + self.peers.set_aside
+
+    @property
+    def tokens(self) -> int:
+        """Memory that the claims of all gateways take, tokens."""
+        return self.own.tokens + self.peers.tokens
+
+
+def add_claim(room: Room, request_id: str, claim: Claim) -> None:
+    """Record a claim; an earlier one of the same request and use is replaced."""
+    drop_claim(room, request_id, claim.use)
+    room.claims[request_id, claim.use] = claim
+    room.own = _add(room.own, _measure(claim))
+
+
+def drop_claim(room: Room, request_id: str, use: Use) -> None:
+    """Remove a claim if it is there."""
+    claim = room.claims.pop((request_id, use), None)
+    if claim is not None:
+        room.own = _subtract(room.own, _measure(claim))
+
+
+def drop_lapsed(room: Room, now: float) -> list[tuple[str, Use]]:
+    """Remove the claims that have lapsed, and return whose they were."""
+    lapsed = [owner for owner, claim in room.claims.items() if claim.until <= now]
+    for owner in lapsed:
+        drop_claim(room, *owner)
+    return lapsed
+
+
+def note_peer_claims(room: Room, peer: str, claims: ClaimSums) -> None:
+    """Record the sums of another gateway; they replace its earlier ones."""
+    forget_peer_claims(room, peer)
+    if claims != NO_CLAIMS:
+        room.peer_claims[peer] = claims
+        room.peers = _add(room.peers, claims)
+
+
+def forget_peer_claims(room: Room, peer: str) -> None:
+    """Remove the sums of another gateway."""
+    room.peers = _subtract(room.peers, room.peer_claims.pop(peer, NO_CLAIMS))
+
+
+def find_oldest_claim_s(room: Room, now: float) -> float:
+    """Find the age of this gateway's oldest claim, seconds; 0 without any."""
+    return max((now - claim.since for claim in room.claims.values()), default=0.0)
+
+
+def _measure(claim: Claim) -> ClaimSums:
+    return ClaimSums(int(claim.use in USES_WITH_SLOT), claim.tokens)
+
+
+def _add(first: ClaimSums, second: ClaimSums) -> ClaimSums:
+    set_aside = first.set_aside + second.set_aside
+    return ClaimSums(set_aside, first.tokens + second.tokens)
+
+
+def _subtract(first: ClaimSums, second: ClaimSums) -> ClaimSums:
+    set_aside = first.set_aside - second.set_aside
+    return ClaimSums(set_aside, first.tokens - second.tokens)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import ExitStack
 
 from robinspindle.choosing import Chooser
 from robinspindle.core import forwarding, health, silence
@@ -11,6 +12,7 @@
 from robinspindle.core.peerdigests import Placement
 from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.core.priorities import LATE_LEVEL
+from robinspindle.core.roomclaims import Use
 from robinspindle.core.routes import STREAM
 from robinspindle.core.silence import ExpectedResponse
 from robinspindle.core.targets import Target
@@ -33,6 +35,7 @@
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
+from robinspindle.roomkeeping import claim_room
 from robinspindle.sending import (
     Sending,
     borrow_connection,
@@ -97,7 +100,8 @@
                 return await self._send_unread(passage, plan, engine)
             return await self._send(passage, Sending(plan.target))
         try:
-            source = await self._apart.read(passage, plan)
+            with claim_room(self._means, passage, plan.target, Use.PROMISED):
+                source = await self._apart.read(passage, plan)
         except NotSentError as error:
             return self._note_not_sent(passage, plan.prefill_target, error)
         if source is None:
@@ -105,18 +109,31 @@
         end = End.NOT_RUN
         try:
             await link.reserve(size)
-            end = await self._send_read(passage, plan, source)
+            with ExitStack() as kept:
+                reader = plan.prefill_target
+                kept.enter_context(claim_room(self._means, passage, reader, Use.KEPT))
+                end = await self._send_read(passage, plan, source, kept.close)
             return end
         finally:
             if end is not End.DELIVERED:
                 self._apart.release(plan.prefill_target, source)
 
     async def _send_read(
-        self, passage: Passage, plan: RequestPlan, source: CacheSource
+        self,
+        passage: Passage,
+        plan: RequestPlan,
+        source: CacheSource,
+        note_fetched: Callable[[], None],
     ) -> End:
         """Send a request whose prompt was read apart to the first host that takes it.
 
         What was read is not lost where a host turns out to want nothing.
+
+        Args:
+            passage: The request.
+            plan: Where its prompt was read.
+            source: What was read.
+            note_fetched: Called when its answer begins: the reader keeps it no longer.
         """
         end = End.NOT_SENT
         while end is End.NOT_SENT:
@@ -126,7 +143,8 @@
             engine = self._means.fleet.find_engine(host)
             if engine is not None:
                 note_placed(engine, passage.request.prompt.parts)
-            end = await self._send(passage, Sending(host, source))
+            sending = Sending(host, source, on_first=note_fetched)
+            end = await self._send(passage, sending)
         return end
 
     async def _send_unread(
@@ -154,13 +172,8 @@
         target.in_flight += 1
         try:
             take_turn(self._means, target)
-            async with (
-                borrow_connection(self._means, target) as connection,
-                self._means.guard.runs.watch(
-                    passage.named, target, passage.route.name
-                ) as run,
-            ):
-                return await self._exchange(passage, sending, connection, run)
+            with claim_room(self._means, passage, target, Use.TAKEN):
+                return await self._send_claimed(passage, sending)
         except NotSentError as error:
             return self._note_not_sent(passage, target, error)
         except ConnectionBrokenError as error:
@@ -173,6 +186,17 @@
             target.in_flight -= 1
             self._note_hold(passage, target)
 
+    async def _send_claimed(self, passage: Passage, sending: Sending) -> End:
+        """Send a request whose room at its target is accounted for."""
+        target = sending.target
+        async with (
+            borrow_connection(self._means, target) as connection,
+            self._means.guard.runs.watch(
+                passage.named, target, passage.route.name
+            ) as run,
+        ):
+            return await self._exchange(passage, sending, connection, run)
+
     def _note_hold(self, passage: Passage, target: Target) -> None:
         engine = self._means.fleet.find_engine(target)
         if engine is not None and passage.first_at is not None:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -365,7 +365,7 @@
 
 def _is_news(target: Target, engine: Engine, now: float) -> bool:
     """Whether peers can use what this gateway knows of an engine."""
-    if target.in_flight or any(engine.own_backlog_s):
+    if target.in_flight or any(engine.own_backlog_s) or engine.room.claims:
         return True
     return engine.prefill_only and now - target.liveness.heard_at < HEARD_NEWS_S
 
@@ -377,4 +377,6 @@
         [round(seconds * 1000) for seconds in engine.own_backlog_s],
         engine.own_long_answers,
         round(min(NEVER_HEARD_MS, (now - target.liveness.heard_at) * 1000)),
+        engine.room.own.set_aside,
+        engine.room.own.tokens,
     )
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -6,6 +6,7 @@
 from robinspindle.core import health
 from robinspindle.core.forwarding import AnswerHead, CacheSource
 from robinspindle.core.requestplans import RequestPlan
+from robinspindle.core.roomclaims import Use
 from robinspindle.core.silence import (
     ExpectedResponse,
     find_first_event_timeout,
@@ -17,6 +18,7 @@
 from robinspindle.passages import Means, Passage
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
+from robinspindle.roomkeeping import claim_room
 from robinspindle.sending import (
     CONNECT_TIMEOUT_S,
     Sending,
@@ -64,9 +66,10 @@
         work = self._readings.begin(passage, reader, engine, plan)
         reader.in_flight += 1
         try:
-            head, body = await self._ask(
-                passage, Sending(reader, cache_source=plan.cache_source)
-            )
+            with claim_room(self._means, passage, reader, Use.READ):
+                head, body = await self._ask(
+                    passage, Sending(reader, cache_source=plan.cache_source)
+                )
             if head.status != READ:
                 self._note_unread(passage, reader, head)
                 return None
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -1,9 +1,12 @@
 """The log lines and the counts that tell how requests went."""
 
+import math
+
 from robinspindle.core.forwarding import Refusal, Request
 from robinspindle.core.interference import find_prefill_share
 from robinspindle.core.obstacles import count_send_obstacles
 from robinspindle.core.requestplans import RequestPlan
+from robinspindle.core.room import describe_room
 from robinspindle.core.sizeclasses import find_size_class
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
@@ -96,8 +99,22 @@
             peers=len(self._means.peers.views),
             peers_age_ms=round(find_oldest_s(self._means.peers, now) * 1000),
             store_away=directory.unavailable_since is not None,
+            **self._describe_room(plan),
         )
 
+    def _describe_room(self, plan: RequestPlan) -> dict[str, int]:
+        """Describe the room of a plan's target; nothing for a plain service."""
+        engine = self._means.fleet.find_engine(plan.target)
+        if engine is None:
+            return {}
+        view = describe_room((plan.target, engine), self._means.peers.interval_s)
+        return {
+            "free_slots": view.free_slots,
+            "set_aside": view.set_aside,
+            "free_memory": view.free_tokens,
+            "slot_error": math.ceil(view.slot_error),
+        }
+
     def _find_read_share(self, plan: RequestPlan) -> float | None:
         """Find with what share of its pace a plan's host may read; None if plain."""
         engine = self._means.fleet.find_engine(plan.target)
--- /dev/null
+++ b/src/robinspindle/roomkeeping.py
@@ -0,0 +1,32 @@
+"""Records the room that this gateway's requests take at engines."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from robinspindle.core.room import count_tokens
+from robinspindle.core.roomclaims import Claim, Use, add_claim, drop_claim
+from robinspindle.core.targets import Target
+from robinspindle.passages import Means, Passage
+
+
+@contextmanager
+def claim_room(
+    means: Means, passage: Passage, target: Target, use: Use
+) -> Iterator[None]:
+    """Claim room for a request at a target, for as long as the block runs.
+
+    Targets without an engine, and requests without a prompt, have no such account.
+    """
+    engine = means.fleet.find_engine(target)
+    prompt = passage.request.prompt
+    if engine is None or prompt is None:
+        yield
+        return
+    claim = Claim(use, count_tokens(prompt, use), means.clock())
+    add_claim(engine.room, passage.request.id, claim)
+    means.peers.changed.set()
+    try:
+        yield
+    finally:
+        drop_claim(engine.room, passage.request.id, use)
+        means.peers.changed.set()
--- a/tests/core/test_aggregation.py
+++ b/tests/core/test_aggregation.py
@@ -19,6 +19,8 @@
         st.lists(counts, min_size=6, max_size=6),
         counts,
         counts,
+        counts,
+        counts,
     ),
     unique_by=lambda load: load.lifetime,
 )
@@ -31,11 +33,19 @@
 def list_loads(digest):
     """Return the load of each engine in a digest, without its age and without zeros."""
     found = {
-        load.lifetime: (load.in_flight, tuple(load.backlog_ms), load.long_answers)
+        load.lifetime: (
+            load.in_flight,
+            tuple(load.backlog_ms),
+            load.long_answers,
+            load.set_aside,
+            load.tokens,
+        )
         for load in digest.loads
     }
     return {
-        name: found[name] for name in found if any((*found[name][1], *found[name][::2]))
+        name: load
+        for name, load in found.items()
+        if any((*load[1], load[0], *load[2:]))
     }
 
 
