--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -21,6 +21,8 @@
     compute_prefill_load,
     note_prefill_demand,
 )
+from robinspindle.core.room import count_tokens
+from robinspindle.core.roomclaims import Use
 from robinspindle.core.routes import Route
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sizefairness import SizeFairness
@@ -147,9 +149,22 @@
         age_s = means.peers.interval_s
         has_pause_sensitive = means.lengths.has_pause_sensitive(passage.service)
         return decodeplacement.choose_decode_target(
-            engines, means.zone, now, age_s, self._rng, has_pause_sensitive
+            engines,
+            means.zone,
+            now,
+            age_s,
+            self._rng,
+            has_pause_sensitive,
+            self._count_tokens(passage),
         )
 
+    def _count_tokens(self, passage: Passage) -> int | None:
+        """Count the memory that a request takes; None if it doesn't count."""
+        prompt = passage.request.prompt
+        if prompt is None or not self._means.policy().counts_memory:
+            return None
+        return count_tokens(prompt, Use.TAKEN)
+
     def _pair_open(
         self, passage: Passage, usable: list[Target]
     ) -> list[tuple[Target, Engine | None]]:
@@ -296,4 +311,5 @@
             policy=self._means.policy(),
             is_prompt_underserved=passage.is_prompt_underserved,
             is_answer_underserved=passage.is_answer_underserved,
+            tokens=self._count_tokens(passage),
         )
--- a/src/robinspindle/core/decodeplacement.py
+++ b/src/robinspindle/core/decodeplacement.py
@@ -11,6 +11,7 @@
     find_current_pause,
     find_event_s,
 )
+from robinspindle.core.room import estimate_memory_wait_s
 from robinspindle.core.targets import Target
 
 COST_JITTER_SHARE = 0.2
@@ -68,6 +69,7 @@
     now: float,
     max_event_s: float = math.inf,
     longest_answer_event_s: float = math.inf,
+    tokens: int | None = None,
 ) -> Pair:
     """Choose the engine that generates a long answer.
 
@@ -84,6 +86,7 @@
         longest_answer_event_s: The same for the longest answers of its kind, seconds.
             Answers that tolerate an engine which is too slow for those leave the fast
             engines to them.
+        tokens: Memory that the request takes, tokens; None if it doesn't count.
     """
 
     def compute_late_cost_s(pair: Pair) -> float:
@@ -91,7 +94,7 @@
         return (
             _find_event_s_or_zero(pair[1], now)
             + target_cost_s
-            + estimate_slot_wait_s(pair)
+            + estimate_entry_wait_s(pair, tokens)
         )
 
     with_capacity = [
@@ -111,12 +114,12 @@
         pair
         for pair in fast_enough
         if _find_event_s_or_zero(pair[1], now) > slow_event_s
-        and not estimate_slot_wait_s(pair)
+        and not estimate_entry_wait_s(pair, tokens)
     ]
     fastest_s = find_fastest_event_s(pairs, now)
     return min(
         too_slow_for_longest or fast_enough,
-        key=lambda p: _compute_long_cost_s(p, zone, now, fastest_s),
+        key=lambda p: _compute_long_cost_s(p, zone, now, fastest_s, tokens),
     )
 
 
@@ -187,6 +190,7 @@
     age_s: float,
     rng: random.Random,
     has_pause_sensitive: bool = True,
+    tokens: int | None = None,
 ) -> Target | None:
     """Choose the target that decodes after a prefill on another engine.
 
@@ -198,6 +202,7 @@
         rng: Source of random choices.
         has_pause_sensitive: Whether short answers are sensitive to pauses, so that the
             time per event of a decode engine counts.
+        tokens: Memory that the request takes, tokens; None if it doesn't count.
     """
     decode_pairs = [pair for pair in candidates if not pair[1].prefill_only]
     if not decode_pairs:
@@ -208,7 +213,7 @@
     def compute_cost_s(pair: Pair) -> float:
         slowdown = find_event_slowdown(pair[1], now, fastest_s)
         jitter_s = rng.random() * age_s * COST_JITTER_SHARE
-        return estimate_decode_cost_s(pair, zone, slowdown) + jitter_s
+        return estimate_decode_cost_s(pair, zone, slowdown, tokens) + jitter_s
 
     return min(decode_pairs, key=compute_cost_s)[0]
 
@@ -219,7 +224,9 @@
     return min((event_s for event_s in known_s if event_s is not None), default=0.0)
 
 
-def _compute_long_cost_s(pair: Pair, zone: str, now: float, fastest_s: float) -> float:
+def _compute_long_cost_s(
+    pair: Pair, zone: str, now: float, fastest_s: float, tokens: int | None
+) -> float:
     """Compute the cost of an engine for one more long answer, seconds.
 
     Long answers are concentrated on few engines, up to a share of their slots, so that
@@ -231,7 +238,7 @@
     load_cost_s = UNEVEN_LOAD_COST_S * (load if load >= 1.0 else 1.0 - load)
     event_s = _find_event_s_or_zero(engine, now)
     slow_s = max(0.0, event_s - SLOW_EVENT_FACTOR * fastest_s)
-    wait_s = engine.backlog_s + estimate_slot_wait_s(pair)
+    wait_s = engine.backlog_s + estimate_entry_wait_s(pair, tokens)
     return wait_s + load_cost_s + slow_s + estimate_target_cost_s(target, zone)
 
 
@@ -258,6 +265,21 @@
     return max(0, queued) * engine.slot_hold_s / slots
 
 
+def estimate_entry_wait_s(pair: Pair, tokens: int | None) -> float:
+    """Estimate how long an answer waits for a slot and memory of an engine, seconds.
+
+    Both become free as answers end, so the longer of the two waits counts.
+
+    Args:
+        pair: The engine.
+        tokens: Memory that the request takes, tokens; None if it doesn't count.
+    """
+    slot_wait_s = estimate_slot_wait_s(pair)
+    if tokens is None:
+        return slot_wait_s
+    return max(slot_wait_s, estimate_memory_wait_s(pair, tokens))
+
+
 def find_event_slowdown(engine: Engine, now: float, fastest_s: float) -> float:
     """Find the ratio of an engine's time per event to that of the fastest engine.
 
@@ -272,7 +294,9 @@
     return min(MAX_SLOWDOWN, max(1.0, event_s / fastest_s))
 
 
-def estimate_decode_cost_s(pair: Pair, zone: str, slowdown: float = 1.0) -> float:
+def estimate_decode_cost_s(
+    pair: Pair, zone: str, slowdown: float = 1.0, tokens: int | None = None
+) -> float:
     """Estimate the cost of an engine for a short answer, seconds.
 
     Slow engines get fewer answers: where events take longer, each answer stays longer
@@ -283,6 +307,7 @@
         pair: The engine.
         zone: The gateway's availability zone.
         slowdown: Ratio of its time per event to that of the fastest engine.
+        tokens: Memory that the request takes, tokens; None if it doesn't count.
     """
     target, engine = pair
     target_cost_s = estimate_target_cost_s(target, zone)
@@ -290,6 +315,7 @@
         count_requests(pair) * REQUEST_COST_S * slowdown
         + engine.backlog_s
         + target_cost_s
+        + (0.0 if tokens is None else estimate_memory_wait_s(pair, tokens))
     )
 
 
--- a/src/robinspindle/core/policy.py
+++ b/src/robinspindle/core/policy.py
@@ -30,6 +30,7 @@
         gives_turns: Size classes that are served too seldom keep the priority of their
             rank.
         changes_roles: Engines are ordered to change their roles.
+        counts_memory: The cost of a plan includes the wait for memory of its engine.
     """
 
     learns_paces: bool = True
@@ -45,3 +46,4 @@
     rests_longer: bool = True
     gives_turns: bool = True
     changes_roles: bool = True
+    counts_memory: bool = True
--- a/src/robinspindle/core/prefillplacement.py
+++ b/src/robinspindle/core/prefillplacement.py
@@ -12,7 +12,7 @@
 
 from robinspindle.core.decodeplacement import (
     choose_long_decode_pair,
-    estimate_slot_wait_s,
+    estimate_entry_wait_s,
     find_fastest_event_s,
     has_long_capacity,
 )
@@ -107,11 +107,13 @@
         context.now,
         context.max_event_s,
         context.longest_answer_event_s,
+        context.tokens,
     )
     has_capacity = has_long_capacity(
         decode_pair, context.now, context.max_event_s, context.longest_answer_event_s
     )
-    context = replace(context, slot_wait_s=estimate_slot_wait_s(decode_pair))
+    wait_s = estimate_entry_wait_s(decode_pair, context.tokens)
+    context = replace(context, slot_wait_s=wait_s)
     plan = _plan_long(decode_pair, candidates, prompt, context, transfer)
     return replace(plan, has_capacity=has_capacity or context.is_answer_underserved)
 
--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -105,10 +105,12 @@
         max_event_s: The longest time per event with which the answer ends before its
             deadline, seconds.
         longest_answer_event_s: The same for the longest answers of its kind, seconds.
-        slot_wait_s: Estimated wait of a long answer for a slot of its decode engine,
+        slot_wait_s: Estimated wait of a long answer for room at its decode engine,
             seconds.
         is_answer_underserved: Whether answers of its length are underserved, so that
             it is sent even if its decode engine has too many long answers.
+        tokens: Memory that the request takes at its decode engine, tokens; None if it
+            doesn't count.
     """
 
     now: float
@@ -131,6 +133,7 @@
     longest_answer_event_s: float = math.inf
     slot_wait_s: float = 0.0
     is_answer_underserved: bool = False
+    tokens: int | None = None
 
 
 def plan_local_prefill(
@@ -184,7 +187,7 @@
 def estimate_load_cost_s(pair: Pair, context: PlanningContext) -> float:
     """Estimate the cost of generating an answer beside a decode engine's own load."""
     slowdown = find_event_slowdown(pair[1], context.now, context.fastest_s)
-    return estimate_decode_cost_s(pair, context.zone, slowdown)
+    return estimate_decode_cost_s(pair, context.zone, slowdown, context.tokens)
 
 
 def _make_plan(
--- a/src/robinspindle/core/room.py
+++ b/src/robinspindle/core/room.py
@@ -57,7 +57,8 @@
     """Count the memory that a request takes until its end, tokens.
 
     Parts that others may share are left out: an engine holds them once for all, and
-    they are in its cache anyway.
+    they are in its cache anyway. An answer without a guess of its length counts
+    nothing: the maximum is often far above all lengths, and engines would seem full.
 
     Args:
         prompt: Its prompt.
@@ -66,7 +67,7 @@
     own_tokens = max(0, prompt.tokens - count_shared(prompt))
     if use in USES_WITHOUT_ANSWER:
         return own_tokens
-    return own_tokens + (prompt.expected_answer_tokens or prompt.max_answer_tokens)
+    return own_tokens + prompt.expected_answer_tokens
 
 
 def describe_room(pair: Pair, age_s: float) -> RoomView:
@@ -102,23 +103,19 @@
     )
 
 
-def estimate_room_wait_s(pair: Pair, tokens: int) -> float:
-    """Estimate how long a request waits for a slot and memory of an engine, seconds.
+def estimate_memory_wait_s(pair: Pair, tokens: int) -> float:
+    """Estimate how long a request waits for memory of an engine, seconds.
 
-    Both become free as running answers end. Requests that will come once their prompts
+    It becomes free as running answers end. Requests that will come once their prompts
     have been read elsewhere are ahead of it.
 
     Args:
         pair: The engine and its target.
         tokens: Memory that the request takes, tokens.
     """
-    target, engine = pair
-    slots = max(1, target.announced.slots)
-    in_flight = target.in_flight + engine.others_in_flight
-    queued = in_flight + engine.room.set_aside + 1 - slots
-    missing_tokens = engine.room.tokens + tokens - engine.cache_tokens
-    missing_share = max(queued / slots, missing_tokens / max(1, engine.cache_tokens))
-    return max(0.0, missing_share) * engine.slot_hold_s
+    _, engine = pair
+    missing_tokens = max(0, engine.room.tokens + tokens - engine.cache_tokens)
+    return missing_tokens / max(1, engine.cache_tokens) * engine.slot_hold_s
 
 
 def _find_turnover(running: int, hold_s: float) -> float:
