--- a/src/robinspindle/core/room.py
+++ b/src/robinspindle/core/room.py
@@ -113,8 +113,13 @@
         pair: The engine and its target.
         tokens: Memory that the request takes, tokens.
     """
-    _, engine = pair
-    missing_tokens = max(0, engine.room.tokens + tokens - engine.cache_tokens)
+    engine = pair[1]
+    room = engine.room
+    # This runs for each engine and request, so it takes no detour over properties.
+    taken_tokens = room.own.tokens + room.peers.tokens
+    missing_tokens = taken_tokens + tokens - engine.cache_tokens
+    if missing_tokens <= 0:
+        return 0.0
     return missing_tokens / max(1, engine.cache_tokens) * engine.slot_hold_s
 
 
--- a/src/robinspindle/core/roomclaims.py
+++ b/src/robinspindle/core/roomclaims.py
@@ -54,7 +54,7 @@
     until: float = math.inf
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class ClaimSums:
     """Sums over the claims of one gateway, or of a group of gateways.
 
@@ -63,11 +63,8 @@
         tokens: Memory of all uses, tokens.
     """
 
-    set_aside: int
-    tokens: int
-
-
-NO_CLAIMS = ClaimSums(0, 0)
+    set_aside: int = 0
+    tokens: int = 0
 
 
 @dataclass
@@ -82,9 +79,9 @@
     """
 
     claims: dict[tuple[str, Use], Claim] = field(default_factory=dict)
-    own: ClaimSums = NO_CLAIMS
+    own: ClaimSums = field(default_factory=ClaimSums)
     peer_claims: dict[str, ClaimSums] = field(default_factory=dict)
-    peers: ClaimSums = NO_CLAIMS
+    peers: ClaimSums = field(default_factory=ClaimSums)
 
     @property
     def set_aside(self) -> int:
@@ -101,14 +98,14 @@
     """Record a claim; an earlier one of the same request and use is replaced."""
     drop_claim(room, request_id, claim.use)
     room.claims[request_id, claim.use] = claim
-    room.own = _add(room.own, _measure(claim))
+    _change(room.own, claim, 1)
 
 
 def drop_claim(room: Room, request_id: str, use: Use) -> None:
     """Remove a claim if it is there."""
     claim = room.claims.pop((request_id, use), None)
     if claim is not None:
-        room.own = _subtract(room.own, _measure(claim))
+        _change(room.own, claim, -1)
 
 
 def drop_lapsed(room: Room, now: float) -> list[tuple[str, Use]]:
@@ -122,14 +119,18 @@
 def note_peer_claims(room: Room, peer: str, claims: ClaimSums) -> None:
     """Record the sums of another gateway; they replace its earlier ones."""
     forget_peer_claims(room, peer)
-    if claims != NO_CLAIMS:
+    if claims.set_aside or claims.tokens:
         room.peer_claims[peer] = claims
-        room.peers = _add(room.peers, claims)
+        room.peers.set_aside += claims.set_aside
+        room.peers.tokens += claims.tokens
 
 
 def forget_peer_claims(room: Room, peer: str) -> None:
     """Remove the sums of another gateway."""
-    room.peers = _subtract(room.peers, room.peer_claims.pop(peer, NO_CLAIMS))
+    known = room.peer_claims.pop(peer, None)
+    if known is not None:
+        room.peers.set_aside -= known.set_aside
+        room.peers.tokens -= known.tokens
 
 
 def find_oldest_claim_s(room: Room, now: float) -> float:
@@ -137,15 +138,7 @@
     return max((now - claim.since for claim in room.claims.values()), default=0.0)
 
 
-def _measure(claim: Claim) -> ClaimSums:
-    return ClaimSums(int(claim.use in USES_WITH_SLOT), claim.tokens)
-
-
-def _add(first: ClaimSums, second: ClaimSums) -> ClaimSums:
-    set_aside = first.set_aside + second.set_aside
-    return ClaimSums(set_aside, first.tokens + second.tokens)
-
-
-def _subtract(first: ClaimSums, second: ClaimSums) -> ClaimSums:
-    set_aside = first.set_aside - second.set_aside
-    return ClaimSums(set_aside, first.tokens - second.tokens)
+def _change(sums: ClaimSums, claim: Claim, sign: int) -> None:
+    """Add a claim to sums, or take it away if the sign is -1."""
+    sums.set_aside += sign * int(claim.use in USES_WITH_SLOT)
+    sums.tokens += sign * claim.tokens
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -32,6 +32,10 @@
         limited: Targets that have lately named a limit on their request rate.
         leaving: Targets that are about to leave, by their entries or answers.
         resting: Targets that have asked for rest.
+        room_set_aside: Slots of engines set aside for requests not sent there yet.
+        room_tokens: Memory that the requests of all gateways take at engines, tokens.
+        room_short: Engines whose memory the requests of all gateways fill.
+        room_claim_age: Age of this gateway's oldest claim on an engine, seconds.
         peers: Gateways heard lately.
         store_calls: Calls to the store so far.
         store_received: Bytes of the store's answers that came whole.
@@ -76,6 +80,18 @@
         self.resting = self._gauge(
             "targets_resting", "Targets that have asked this gateway for rest"
         )
+        self.room_set_aside = self._gauge(
+            "room_set_aside_slots", "Slots set aside for requests not sent there yet"
+        )
+        self.room_tokens = self._gauge(
+            "room_taken_tokens", "Memory of engines that requests take"
+        )
+        self.room_short = self._gauge(
+            "room_short_engines", "Engines whose memory is filled by requests"
+        )
+        self.room_claim_age = self._gauge(
+            "room_oldest_claim_seconds", "Age of this gateway's oldest claim"
+        )
         self.peers = self._gauge("peers", "Gateways heard lately")
         self.store_calls = self._gauge("store_calls", "Calls to the store so far")
         self.store_received = self._gauge(
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -8,6 +8,7 @@
 from robinspindle.core.freshness import Freshness
 from robinspindle.core.obstacles import ObstacleReason, count_send_obstacles
 from robinspindle.core.quarantine import list_quarantined
+from robinspindle.core.roomclaims import find_oldest_claim_s
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
 from robinspindle.gatewaymetrics import GatewayMetrics
@@ -57,6 +58,7 @@
         now: The present time, steady seconds.
     """
     _update_targets(metrics, parts, now)
+    _update_room(metrics, parts.fleet, now)
     _update_peers(metrics, parts.peers, now)
     _update_store(metrics, parts.store)
     _update_streams(metrics, parts.streams)
@@ -84,6 +86,17 @@
     metrics.entries_unusable.set(parts.entries.total)
 
 
+def _update_room(metrics: GatewayMetrics, fleet: Fleet, now: float) -> None:
+    engines = [engine for _, engine in fleet.list_all_engines()]
+    rooms = [engine.room for engine in engines]
+    metrics.room_set_aside.set(sum(room.set_aside for room in rooms))
+    metrics.room_tokens.set(sum(room.tokens for room in rooms))
+    short = [engine for engine in engines if engine.room.tokens >= engine.cache_tokens]
+    metrics.room_short.set(len(short))
+    oldest_s = max((find_oldest_claim_s(room, now) for room in rooms), default=0.0)
+    metrics.room_claim_age.set(oldest_s)
+
+
 def _update_peers(metrics: GatewayMetrics, peers: Peers, now: float) -> None:
     metrics.peers.set(len(list_heard(peers)))
     metrics.peers_refused.set(peers.refused)
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -2,11 +2,16 @@
 
 import math
 
-from robinspindle.core.forwarding import Refusal, Request
+from robinspindle.core.forwarding import Prompt, Refusal, Request
 from robinspindle.core.interference import find_prefill_share
 from robinspindle.core.obstacles import count_send_obstacles
 from robinspindle.core.requestplans import RequestPlan
-from robinspindle.core.room import describe_room
+from robinspindle.core.room import (
+    count_tokens,
+    describe_room,
+    estimate_memory_wait_s,
+)
+from robinspindle.core.roomclaims import Use
 from robinspindle.core.sizeclasses import find_size_class
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
@@ -99,20 +104,26 @@
             peers=len(self._means.peers.views),
             peers_age_ms=round(find_oldest_s(self._means.peers, now) * 1000),
             store_away=directory.unavailable_since is not None,
-            **self._describe_room(plan),
+            **self._describe_room(prompt, plan),
         )
 
-    def _describe_room(self, plan: RequestPlan) -> dict[str, int]:
+    def _describe_room(
+        self, prompt: Prompt | None, plan: RequestPlan
+    ) -> dict[str, float]:
         """Describe the room of a plan's target; nothing for a plain service."""
         engine = self._means.fleet.find_engine(plan.target)
-        if engine is None:
+        if engine is None or prompt is None:
             return {}
-        view = describe_room((plan.target, engine), self._means.peers.interval_s)
+        pair = plan.target, engine
+        view = describe_room(pair, self._means.peers.interval_s)
+        tokens = count_tokens(prompt, Use.TAKEN)
         return {
+            "memory": tokens,
+            "memory_wait_ms": round(estimate_memory_wait_s(pair, tokens) * 1000, 1),
             "free_slots": view.free_slots,
             "set_aside": view.set_aside,
             "free_memory": view.free_tokens,
-            "slot_error": math.ceil(view.slot_error),
+            "slots_off_by": math.ceil(view.slot_error),
         }
 
     def _find_read_share(self, plan: RequestPlan) -> float | None:
--- a/tests/core/test_roomclaims.py
+++ b/tests/core/test_roomclaims.py
@@ -2,7 +2,6 @@
 from hypothesis import strategies as st
 
 from robinspindle.core.roomclaims import (
-    NO_CLAIMS,
     USES_WITH_SLOT,
     Claim,
     ClaimSums,
@@ -56,6 +55,6 @@
     note_peer_claims(room, "g2", ClaimSums(1, 300))
     assert (room.set_aside, room.tokens) == (2, 400)
     forget_peer_claims(room, "g3")
-    note_peer_claims(room, "g2", NO_CLAIMS)
-    assert room.peers == NO_CLAIMS
+    note_peer_claims(room, "g2", ClaimSums())
+    assert room.peers == ClaimSums()
     assert not room.peer_claims
