Leave reservations out; play the wait for memory in a test

The decision and what only it needed go; a shorter play stays as a test of the wait for memory.

Ran: room, roomclaims, decode placement, peer validation, purity, layout, platform room: pass.

--- a/src/robinspindle/core/room.py
+++ b/src/robinspindle/core/room.py
@@ -32,8 +32,7 @@
         running: Requests that are in flight there, at most as many as there are slots.
         taken_tokens: Memory that requests take, tokens.
         prefill_s: Prefill backlog, seconds.
-        set_aside: Slots of `Use.PROMISED`, `Use.LEASED` and `Use.MOVING_IN`, which no
-            running request takes yet.
+        set_aside: Slots that no running request takes yet, though one will.
         turnover_per_s: Requests that begin there in a second, by those that run and how
             long they last; 0 where that is not known.
         age_s: Maximum age of what the other gateways told, seconds.
--- a/src/robinspindle/core/roomclaims.py
+++ b/src/robinspindle/core/roomclaims.py
@@ -1,6 +1,5 @@
 """Claims on the room of an engine: who takes memory and slots there, and since when."""
 
-import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -14,9 +13,6 @@
     PROMISED = "promised"
     """A request that will be sent there once another engine has read its prompt."""
 
-    LEASED = "leased"
-    """Room that the engine has set aside until a time."""
-
     READ = "read"
     """A prompt that is read there for another engine."""
 
@@ -33,7 +29,7 @@
 USES_WITHOUT_ANSWER = frozenset((Use.READ, Use.KEPT))
 """Uses that take memory for a prompt only."""
 
-USES_WITH_SLOT = frozenset((Use.PROMISED, Use.LEASED, Use.MOVING_IN))
+USES_WITH_SLOT = frozenset((Use.PROMISED, Use.MOVING_IN))
 """Uses that take a slot which is not among the requests in flight."""
 
 
@@ -45,13 +41,11 @@
         use: What takes it.
         tokens: Memory, tokens.
         since: When it began, monotonic seconds.
-        until: When it lapses by itself, monotonic seconds; infinite if it doesn't.
     """
 
     use: Use
     tokens: int
     since: float
-    until: float = math.inf
 
 
 @dataclass(slots=True)
@@ -108,14 +102,6 @@
         _change(room.own, claim, -1)
 
 
-def drop_lapsed(room: Room, now: float) -> list[tuple[str, Use]]:
-    """Remove the claims that have lapsed, and return whose they were."""
-    lapsed = [owner for owner, claim in room.claims.items() if claim.until <= now]
-    for owner in lapsed:
-        drop_claim(room, *owner)
-    return lapsed
-
-
 def note_peer_claims(room: Room, peer: str, claims: ClaimSums) -> None:
     """Record the sums of another gateway; they replace its earlier ones."""
     forget_peer_claims(room, peer)
--- a/tests/core/test_room.py
+++ b/tests/core/test_room.py
@@ -14,6 +14,7 @@
 )
 from robinspindle.core.room import count_tokens, describe_room, estimate_memory_wait_s
 from robinspindle.core.roomclaims import Claim, Use, add_claim
+from tests.core.roomplay import RoomPlay
 from tests.core.test_prefillplacement import make_pair
 
 BACKLOG = [0, 40, 30, 0, 0, 0]
@@ -104,3 +105,16 @@
     engine = make_engine(False, 5000)
     view = describe_room((make_pair("d1", "decode")[0], engine), 0.0)
     assert (view.free_tokens, view.turnover_per_s, view.slot_error) == (5000, 0.0, 0.0)
+
+
+def test_requests_keep_off_engines_whose_memory_is_short():
+    """Guards against engines that put requests back while others have memory."""
+    seeds = (1, 2, 3)
+    shares = {
+        counts_memory: [
+            RoomPlay(13.0, 26.0, seed, counts_memory).run(20.0).find_share_in_time()
+            for seed in seeds
+        ]
+        for counts_memory in (True, False)
+    }
+    assert sum(shares[True]) > sum(shares[False])
