Give engines that are seen before the configuration their memory

An engine's memory was taken from the configuration when the engine was first looked at. Where its entry came first, a usual size (100,000 tokens) was assumed for good: its cache was believed smaller than it is, and with the account of rooms it would look short of memory. A configuration now gives known engines their memory as it comes into force.

Ran: tests of fleet (with the new one), engines, sending, choosing: pass.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -208,8 +208,7 @@
         if not is_newer(table, self.fleet.table):
             self.log("older configuration passed over", version=table.version)
             return
-        self.fleet.table = table
-        self.fleet.table_at = self.clock()
+        self.fleet.apply_table(table, self.clock())
         self.versions.note_configured()
         self.freshness.version = table.version
         self.freshness.has_keys = table.keys is not None
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -88,6 +88,16 @@
         self._paces: dict[tuple[str, bool], PrefillModel] = {}
         self._told_caches: dict[str, list[Part]] = {}
 
+    def apply_table(self, table: RouteTable, now: float) -> None:
+        """Put a configuration in force; engines that are known get its memory."""
+        self.table = table
+        self.table_at = now
+        for lifetime, engine in self._engines.items():
+            target = self.directory.targets.get(lifetime)
+            if target is not None:
+                service = target.announced.service
+                engine.cache_tokens = self._count_cache_tokens(service)
+
     def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
         """List the targets of a service that may get a request."""
         found = health.list_usable(self.directory, service, now, tried)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,7 @@
 from robinspindle.core import health, targets
 from robinspindle.core.routes import CallerLimits, EngineSpec, Service, make_table
 from robinspindle.core.targets import Announcement, Directory
-from robinspindle.fleet import Fleet
+from robinspindle.fleet import DEFAULT_CACHE_TOKENS, Fleet
 from robinspindle.platform.dialect import decode_answer
 
 
@@ -9,9 +9,9 @@
     fleet = Fleet(Directory(), decode_answer)
     engine = EngineSpec(8, 5000, 5.0, 3.0)
     services = [Service("lm", "/h", 80, engine), Service("push", "/h", 80)]
-    fleet.table = make_table(1, [], services, CallerLimits())
     announce(fleet, "d1", "decode")
     announce(fleet, "p1", "prefill")
+    fleet.apply_table(make_table(1, [], services, CallerLimits()), 0.0)
     return fleet
 
 
@@ -114,3 +114,13 @@
     assert fleet.find_next_send_s("lm", 1.0, set()) == 8.0
     stated["d2"].leaving = True
     assert fleet.find_next_send_s("lm", 1.0, set()) == 0.0
+
+
+def test_an_engine_that_is_seen_before_the_configuration_gets_its_memory():
+    """Guards against engines that look short of memory, as a usual size was assumed."""
+    fleet = Fleet(Directory(), decode_answer)
+    announce(fleet, "d1", "decode")
+    assert fleet.find_engine_of("d1").cache_tokens == DEFAULT_CACHE_TOKENS
+    services = [Service("lm", "/h", 80, EngineSpec(8, 620_000, 5.0, 3.0))]
+    fleet.apply_table(make_table(1, [], services, CallerLimits()), 0.0)
+    assert fleet.find_engine_of("d1").cache_tokens == 620_000
