--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -88,6 +88,16 @@
         self._paces: dict[tuple[str, bool], PrefillModel] = {}
         self._told_caches: dict[str, list[Part]] = {}
 
+    def apply_table(self, table: RouteTable, now: float) -> None:
+        """Put a configuration in force; engines that are known get its memory."""
+        self.table = table
+        self.table_at = now
+        for lifetime, engine in self._engines.items():
+            target = self.directory.targets.get(lifetime)
+            if target is not None:
+                service = target.announced.service
+                engine.cache_tokens = self._count_cache_tokens(service)
+
     def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
         """List the targets of a service that may get a request."""
         found = health.list_usable(self.directory, service, now, tried)
@@ -365,7 +375,7 @@
 
 def _is_news(target: Target, engine: Engine, now: float) -> bool:
     """Whether peers can use what this gateway knows of an engine."""
-    if target.in_flight or any(engine.own_backlog_s):
+    if target.in_flight or any(engine.own_backlog_s) or engine.room.claims:
         return True
     return engine.prefill_only and now - target.liveness.heard_at < HEARD_NEWS_S
 
@@ -377,4 +387,6 @@
         [round(seconds * 1000) for seconds in engine.own_backlog_s],
         engine.own_long_answers,
         round(min(NEVER_HEARD_MS, (now - target.liveness.heard_at) * 1000)),
+        engine.room.own.set_aside,
+        engine.room.own.tokens,
     )
