Write ten levels where tests still wrote six

Cause: two tests of datagrams wrote six levels, so their digests were refused since there are ten; found by the tests of the merged account of rooms.

--- a/tests/core/roomplay.py
+++ b/tests/core/roomplay.py
@@ -14,6 +14,7 @@
 
 from robinspindle.core.decodeplacement import choose_decode_target
 from robinspindle.core.peerdigests import Digest, TargetLoad, apply_digest
+from robinspindle.core.priorities import LEVELS
 from robinspindle.core.roomclaims import Claim, Use, add_claim, drop_claim
 from tests.core.test_prefillplacement import make_pair
 
@@ -112,7 +113,10 @@
             for sender, view in enumerate(self._views):
                 loads = [
                     TargetLoad(
-                        name, target.in_flight, [0] * 6, tokens=engine.room.own.tokens
+                        name,
+                        target.in_flight,
+                        [0] * LEVELS,
+                        tokens=engine.room.own.tokens,
                     )
                     for name, (target, engine) in view.items()
                 ]
--- a/tests/core/test_room.py
+++ b/tests/core/test_room.py
@@ -12,12 +12,13 @@
     apply_digest,
     remove_timed_out_peers,
 )
+from robinspindle.core.priorities import LEVELS
 from robinspindle.core.room import count_tokens, describe_room, estimate_memory_wait_s
 from robinspindle.core.roomclaims import Claim, Use, add_claim
 from tests.core.roomplay import RoomPlay
 from tests.core.test_prefillplacement import make_pair
 
-BACKLOG = [0, 40, 30, 0, 0, 0]
+BACKLOG = [0, 40, 30] + [0] * (LEVELS - 3)
 
 
 def make_room_pair(in_flight=0, hold_s=2.0, tokens=10_000):
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -7,6 +7,7 @@
 from robinspindle import stopping
 from robinspindle.clocks import read_steady
 from robinspindle.core.peerdigests import Datagram, Digest, Placement, TargetLoad
+from robinspindle.core.priorities import LEVELS
 from robinspindle.core.relays import Member, encode_member
 from robinspindle.core.streamorigins import StreamOrigin, make_stream_key, note_origin
 from robinspindle.exceptions import Finding, InvalidDocumentError
@@ -225,7 +226,7 @@
                 "gateway-2",
                 1.0,
                 1,
-                [TargetLoad("p1", 2, [0, 50, 0, 0, 0, 0], 1)],
+                [TargetLoad("p1", 2, [0, 50] + [0] * (LEVELS - 2), 1)],
                 [Placement("p1", [("aa", 4000)], 40), Placement("unknown", [])],
             )
             sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/tests/test_relaytraffic.py
+++ b/tests/test_relaytraffic.py
@@ -32,7 +32,9 @@
         """Have gateways that are due tell of full engines and of new prompts."""
         end, placed = self.now + seconds, 0.0
         loads = [
-            TargetLoad(f"i-{n:010x}", 12, [0, 14, 120, 0, 0, 30], 3, 40, 5, 90_000)
+            TargetLoad(
+                f"i-{n:010x}", 12, [0, 14, 120, 0, 0, 0, 0, 0, 0, 30], 3, 40, 5, 90_000
+            )
             for n in range(ENGINES)
         ]
         parts = [("5c1e07a2", 2520), ("91bd3f06", 3780), ("e4402b7d", 2890)]
