Refuse at once a prompt that no engine's memory holds

Engines turn a prompt that is larger than their memory away as if they were full. It was sent to up to three of them, each of which then rested for requests that fit.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -78,6 +78,8 @@
             return GivenUp(passage.last_reason or "no-target")
         passage.plan = plan
         self._log.log_plan(passage, plan)
+        if not self._chooser.can_ever_run(passage, plan):
+            return GivenUp(forwarding.TOO_LARGE.reason)
         if self._chooser.should_refuse(passage, plan, now):
             return GivenUp("busy")
         if self._means.link.estimate_arrival(passage.request.size) > left_s:
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -21,7 +21,7 @@
     compute_prefill_load,
     note_prefill_demand,
 )
-from robinspindle.core.room import count_tokens
+from robinspindle.core.room import can_ever_fit, count_tokens
 from robinspindle.core.roomclaims import Use
 from robinspindle.core.routes import Route
 from robinspindle.core.selection import choose_target
@@ -136,6 +136,16 @@
         directory = self._means.fleet.directory
         return has_several_versions(directory, passage.service, now)
 
+    def can_ever_run(self, passage: Passage, plan: RequestPlan) -> bool:
+        """Tell whether engines like a plan's target can run a request at all.
+
+        An engine turns what is larger than its memory away as if it were full, and
+        would be left alone for a while by requests that fit.
+        """
+        prompt = passage.request.prompt
+        engine = self._means.fleet.find_engine(plan.target)
+        return prompt is None or engine is None or can_ever_fit(engine, prompt)
+
     def find_host(self, passage: Passage, plan: RequestPlan) -> Target | None:
         """Find where to generate the answer to a prompt that was read apart.
 
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -213,6 +213,8 @@
 NOT_FRESH = Refusal(503, "configuration-not-fresh", 0.3)
 BROKEN = Refusal(502, "broken")
 TIMED_OUT = Refusal(504, "timed-out")
+TOO_LARGE = Refusal(503, "too-large")
+"""It names no time to come again, as no later attempt would be served."""
 
 
 def find_deadline(request: Request, route: Route) -> float:
--- a/src/robinspindle/core/room.py
+++ b/src/robinspindle/core/room.py
@@ -12,7 +12,7 @@
 import math
 from dataclasses import dataclass
 
-from robinspindle.core.engines import count_shared
+from robinspindle.core.engines import Engine, count_shared
 from robinspindle.core.estimates import Pair
 from robinspindle.core.forwarding import Prompt
 from robinspindle.core.roomclaims import USES_WITHOUT_ANSWER, Use
@@ -69,6 +69,11 @@
     return own_tokens + prompt.expected_answer_tokens
 
 
+def can_ever_fit(engine: Engine, prompt: Prompt) -> bool:
+    """Check whether an engine has memory for a prompt once it serves nothing else."""
+    return prompt.tokens <= engine.cache_tokens
+
+
 def describe_room(pair: Pair, age_s: float) -> RoomView:
     """Describe the room of an engine.
 
--- a/src/robinspindle/finalanswers.py
+++ b/src/robinspindle/finalanswers.py
@@ -61,6 +61,8 @@
 
     def _refuse_not_run(self, passage: Passage, reason: str) -> Refusal:
         """Refuse a request that did not run, and say when to come again."""
+        if reason == forwarding.TOO_LARGE.reason:
+            return forwarding.TOO_LARGE
         now = self._means.clock()
         rest_s = self._means.fleet.find_next_send_s(
             passage.service, now, self._list_barred(passage)
--- a/tests/core/test_room.py
+++ b/tests/core/test_room.py
@@ -12,7 +12,12 @@
     apply_digest,
     remove_timed_out_peers,
 )
-from robinspindle.core.room import count_tokens, describe_room, estimate_memory_wait_s
+from robinspindle.core.room import (
+    can_ever_fit,
+    count_tokens,
+    describe_room,
+    estimate_memory_wait_s,
+)
 from robinspindle.core.roomclaims import Claim, Use, add_claim
 from tests.core.roomplay import RoomPlay
 from tests.core.test_prefillplacement import make_pair
@@ -63,6 +68,12 @@
     assert count_tokens(Prompt("m", (), 1000, 400), Use.TAKEN) == 1000
 
 
+def test_only_prompts_that_exceed_the_memory_never_fit():
+    engine = make_engine(False, 5000)
+    assert can_ever_fit(engine, Prompt("m", (), 5000, 400))
+    assert not can_ever_fit(engine, Prompt("m", (), 5001, 400))
+
+
 def test_requests_wait_for_memory_only_where_it_is_short():
     pair = make_room_pair()
     assert estimate_memory_wait_s(pair, 10_000) == 0.0
--- a/tests/platform/test_room.py
+++ b/tests/platform/test_room.py
@@ -63,3 +63,18 @@
             call.cancel()
 
     run(scenario())
+
+
+def test_a_prompt_that_no_engine_can_hold_is_refused_at_once(tmp_path):
+    """Guards against engines that are left alone for it, as if they were full."""
+
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            engine = await d.add("d1", "lm", "decode")
+            large = d.prompt(parts="aa:100001", tokens=100_001)
+            reply = await d.call("/digest/x", **large)
+            assert (reply.status, reply.headers.get("retry-after")) == (503, None)
+            assert not engine.arrivals
+            assert (await d.call("/digest/x", id="r2", **d.prompt())).is_whole
+
+    run(scenario())
