Keep decode engines where need has not lasted or engines were lost

Cause: a large fleet ordered five of fifteen engines that generate to read within the first second of its traffic, when its caches were empty, and more directly after it had lost a third of its engines; those that were left read beside their answers all the time, and answers began 0.3 to 1.5 s late beside readers that had time. Change: an engine that generates changes only for a need that has lasted for 3 s and not within 8 s after engines were lost; a quarter may change only below the usual threshold. Small fleets decide as before.

--- a/src/robinspindle/core/rebalancing.py
+++ b/src/robinspindle/core/rebalancing.py
@@ -54,8 +54,9 @@
 is too long once the burst has begun. In a smaller fleet each engine is too large a part
 of the capacity for that."""
 
-LOW_PREFILL_LOAD = 0.6
-"""The prefill load is low up to this share of the prefill engines' capacity."""
+LOW_PREFILL_LOAD = PREFILL_OVERLOAD_SHARE
+"""The prefill load is low up to this share of the prefill engines' capacity. Beyond it
+a burst has begun, and each engine that leaves for a change is missed."""
 
 LOW_LOAD_PREFILL_OVERLOAD_SHARE = 0.25
 LOW_LOAD_MIN_DECODE_SHARE = 0.4
@@ -81,6 +82,16 @@
 """Minimum time before a change in the other direction, seconds: several times the cost
 of both changes."""
 
+MIN_OVERLOAD_S = 3.0
+"""How long the prefill engines of a large fleet must have been too few before decode
+engines change to prefill, seconds. While a service's caches are empty, as in the first
+seconds of its traffic, it asks for several times the prefill that it needs later."""
+
+LOSS_MEMORY_S = 8.0
+"""How long after it lost engines a large fleet keeps its decode engines, seconds: lost
+engines come back in their roles within seconds, and more are often lost together. A
+decode engine that leaves for a change is out of service too."""
+
 BATCH_SHARE = 1 / 8
 """Share of the engines that may change their role at a time."""
 
@@ -100,16 +111,23 @@
 
 @dataclass
 class RoleChangeHistory:
-    """The last role change of a service.
+    """The last role change of a service, and what may prevent the next one.
 
     Attributes:
         changed_at: When the change began, monotonic seconds.
         last_role: The new role, empty before the first change and after a change that
             doesn't delay the reverse change.
+        overloaded_since: Since when its prefill engines are too few, monotonic seconds;
+            None while they are not.
+        engines: Number of its usable engines, the largest lately.
+        engines_at: When it last had as many, monotonic seconds.
     """
 
     changed_at: float = -math.inf
     last_role: str = ""
+    overloaded_since: float | None = None
+    engines: int = 0
+    engines_at: float = -math.inf
 
 
 @dataclass(frozen=True)
@@ -176,6 +194,7 @@
     Returns:
         The change to make now, or None.
     """
+    has_losses = _note_engine_count(history, len(engines), now)
     if now - history.changed_at < role_change_s + CHANGE_PAUSE_S:
         return None
     lacking = versionroles.list_lacking(engines, covered)
@@ -217,7 +236,11 @@
             prefill_engines, decode_engines, prefill_load, thresholds
         )
     )
-    if wanted > 0 and _may_change_to(history, PREFILL_ROLE, now):
+    is_lasting = _note_prefill_overload(history, wanted > 0, now)
+    is_settled = (is_lasting and not has_losses) or not _is_large_fleet(
+        prefill_engines, decode_engines
+    )
+    if wanted > 0 and is_settled and _may_change_to(history, PREFILL_ROLE, now):
         ranked = sorted(decode_engines, key=lambda pair: pair[1].long_answers)
         spare = versionroles.list_spare(ranked, engines, thresholds.min_decode_share)
         if spare:
@@ -263,6 +286,26 @@
     return len(prefill_engines) + len(decode_engines) >= LARGE_FLEET_ENGINES
 
 
+def _note_engine_count(history: RoleChangeHistory, count: int, now: float) -> bool:
+    """Record the number of usable engines; return whether some were lost lately."""
+    if count >= history.engines or now - history.engines_at > LOSS_MEMORY_S:
+        history.engines = count
+        history.engines_at = now
+    return count < history.engines
+
+
+def _note_prefill_overload(
+    history: RoleChangeHistory, is_overloaded: bool, now: float
+) -> bool:
+    """Record whether prefill engines are too few; return whether this has lasted."""
+    if not is_overloaded:
+        history.overloaded_since = None
+        return False
+    if history.overloaded_since is None:
+        history.overloaded_since = now
+    return now - history.overloaded_since >= MIN_OVERLOAD_S
+
+
 def _may_change_to(history: RoleChangeHistory, role: str, now: float) -> bool:
     is_same = history.last_role in ("", role)
     return is_same or now - history.changed_at >= REVERSE_CHANGE_S
