Bound what a caller's own words claim of an engine

Lengths and guesses come from callers. A guess of 1e18 tokens would have gone into this gateway's sums, and peers refuse a digest with such a number whole: one caller would have silenced its gateway. A claim is now at most what its engine has, and peers believe sums up to the most requests of the most tokens.

--- a/src/robinspindle/core/peervalidation.py
+++ b/src/robinspindle/core/peervalidation.py
@@ -86,7 +86,7 @@
         and 0 <= load.long_answers <= MAX_REQUESTS
         and load.heard_ms_ago >= 0
         and 0 <= load.set_aside <= MAX_REQUESTS
-        and 0 <= load.tokens <= MAX_TOKENS
+        and 0 <= load.tokens <= MAX_REQUESTS * MAX_TOKENS
     )
 
 
--- a/src/robinspindle/core/room.py
+++ b/src/robinspindle/core/room.py
@@ -15,7 +15,7 @@
 from robinspindle.core.engines import Engine, count_shared
 from robinspindle.core.estimates import Pair
 from robinspindle.core.forwarding import Prompt
-from robinspindle.core.roomclaims import USES_WITHOUT_ANSWER, Use
+from robinspindle.core.roomclaims import USES_WITHOUT_ANSWER, Claim, Use
 
 UNSEEN_SPREAD = 3.0
 """Standard deviations that the error of a view allows for: requests begin and end at
@@ -66,7 +66,22 @@
     own_tokens = max(0, prompt.tokens - count_shared(prompt))
     if use in USES_WITHOUT_ANSWER:
         return own_tokens
-    return own_tokens + prompt.expected_answer_tokens
+    return own_tokens + max(0, prompt.expected_answer_tokens)
+
+
+def make_claim(engine: Engine, prompt: Prompt, use: Use, now: float) -> Claim:
+    """Make the claim of a request on an engine: no more than the engine has.
+
+    Lengths and guesses are a caller's own words, and peers refuse absurd sums.
+
+    Args:
+        engine: The engine.
+        prompt: The request's prompt.
+        use: What takes the room.
+        now: The current time, monotonic seconds.
+    """
+    tokens = min(count_tokens(prompt, use), engine.cache_tokens)
+    return Claim(use, tokens, now)
 
 
 def can_ever_fit(engine: Engine, prompt: Prompt) -> bool:
@@ -121,7 +136,7 @@
     room = engine.room
     # This runs for each engine and request, so it takes no detour over properties.
     taken_tokens = room.own.tokens + room.peers.tokens
-    missing_tokens = taken_tokens + tokens - engine.cache_tokens
+    missing_tokens = taken_tokens + min(0, tokens - engine.cache_tokens)
     if missing_tokens <= 0:
         return 0.0
     return missing_tokens / max(1, engine.cache_tokens) * engine.slot_hold_s
--- a/src/robinspindle/roomkeeping.py
+++ b/src/robinspindle/roomkeeping.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from robinspindle.core.room import count_tokens
-from robinspindle.core.roomclaims import Claim, Use, add_claim, drop_claim
+from robinspindle.core.room import make_claim
+from robinspindle.core.roomclaims import Use, add_claim, drop_claim
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
 
@@ -22,7 +22,7 @@
     if engine is None or prompt is None:
         yield
         return
-    claim = Claim(use, count_tokens(prompt, use), means.clock())
+    claim = make_claim(engine, prompt, use, means.clock())
     add_claim(engine.room, passage.request.id, claim)
     means.peers.changed.set()
     try:
--- a/tests/core/test_room.py
+++ b/tests/core/test_room.py
@@ -2,6 +2,8 @@
 from collections import deque
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from robinspindle.core.engines import make_engine
 from robinspindle.core.forwarding import Part, Prompt
@@ -17,6 +19,7 @@
     count_tokens,
     describe_room,
     estimate_memory_wait_s,
+    make_claim,
 )
 from robinspindle.core.roomclaims import Claim, Use, add_claim
 from tests.core.roomplay import RoomPlay
@@ -68,6 +71,19 @@
     assert count_tokens(Prompt("m", (), 1000, 400), Use.TAKEN) == 1000
 
 
+@given(st.integers(), st.integers(), st.integers())
+def test_no_claim_exceeds_its_engine_whatever_a_caller_says(tokens, shared, guess):
+    """Guards against peers that refuse all news of a gateway for one absurd length."""
+    engine = make_engine(False, 5000)
+    prompt = Prompt("m", (Part("a", shared), Part("b", 1)), tokens, 400, guess)
+    for use in Use:
+        assert 0 <= make_claim(engine, prompt, use, 0.0).tokens <= 5000
+    engine.slot_hold_s = 2.0
+    add_claim(engine.room, "r1", Claim(Use.TAKEN, 5000, 0.0))
+    wait_s = estimate_memory_wait_s((None, engine), count_tokens(prompt, Use.TAKEN))
+    assert 0.0 <= wait_s <= 2.0
+
+
 def test_only_prompts_that_exceed_the_memory_never_fit():
     engine = make_engine(False, 5000)
     assert can_ever_fit(engine, Prompt("m", (), 5000, 400))
