Take an infinite guess of an answer's length as malformed

X-Length-Hint: inf raised OverflowError while the head was decoded, before the request's own failure handling. It now counts as malformed like any other guess that is no number.

Ran: tests/platform/test_dialect.py: pass.

--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -337,7 +337,7 @@
         tokens, max_answer_tokens = (int(count) for count in counts)
         expected_answer_tokens = int(float(values.get(b"x-length-hint", b"0")))
         parts = tuple(_parse_parts(values.get(b"x-prompt-prefix", b"")))
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
     return Prompt(
         model.decode("latin-1"),
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -197,3 +197,13 @@
 def test_only_a_target_that_turns_a_request_away_asks_for_rest(status):
     headers = ((b"Retry-After", b"3"),)
     assert dialect.decode_answer(status, b"", headers).rest_s == 0.0
+
+
+def test_a_guess_of_infinite_length_is_malformed_like_any_other():
+    """Guards against requests that end in the gateway's own failure."""
+    headers = (
+        (b"X-Model", b"m"),
+        (b"X-Token-Count", b"100,20"),
+        (b"X-Length-Hint", b"inf"),
+    )
+    assert dialect.decode_request("POST", b"/x", headers, 0.0).prompt is None
