Take parts of prompts that peers would not believe as malformed

Peers refuse a digest whole when one of its placements has a part of a negative length or of over 100 million tokens. Placements hold what callers say, so one such request made all peers pass over a gateway's digest with all its requests in flight. The bound now stands with the types of prompts and holds where heads are decoded too.

--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -12,6 +12,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+MAX_TOKENS = 100_000_000
+"""Maximum number of tokens in a prompt part: hundreds of times an engine's memory."""
+
 MIN_ATTEMPT_S = 0.01
 """The shortest time for which it is worth sending a request, seconds: a few network
 round trips."""
--- a/src/robinspindle/core/peervalidation.py
+++ b/src/robinspindle/core/peervalidation.py
@@ -8,6 +8,7 @@
 
 from robinspindle.core.crashupdates import are_updates_valid
 from robinspindle.core.eras import MAX_ERA
+from robinspindle.core.forwarding import MAX_TOKENS
 from robinspindle.core.peerdigests import (
     Cache,
     ConfigurationAge,
@@ -28,9 +29,6 @@
 """Maximum prefill backlog of one engine, and prefill time of one prompt, milliseconds:
 one hour."""
 
-MAX_TOKENS = 100_000_000
-"""Maximum number of tokens in a prompt part: hundreds of times an engine's memory."""
-
 MAX_AGE_MS = 1 << 40
 """Maximum age of a configuration, milliseconds: 30 years."""
 
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from robinspindle.core.forwarding import (
+    MAX_TOKENS,
     AnswerHead,
     CacheSource,
     Headers,
@@ -351,5 +352,8 @@
 def _parse_parts(value: bytes):
     for part in value.decode("latin-1").split(","):
         if part.strip():
-            id, _, tokens = part.strip().partition(":")
-            yield Part(id, int(tokens))
+            id, _, text = part.strip().partition(":")
+            tokens = int(text)
+            if not 0 <= tokens <= MAX_TOKENS:
+                raise ValueError(f"a part of {tokens} tokens")
+            yield Part(id, tokens)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -207,3 +207,14 @@
         (b"X-Length-Hint", b"inf"),
     )
     assert dialect.decode_request("POST", b"/x", headers, 0.0).prompt is None
+
+
+@pytest.mark.parametrize("tokens", [b"-1", b"100000001", b"1" + b"0" * 30])
+def test_parts_that_peers_would_not_believe_are_malformed(tokens):
+    """Guards against callers whose prompts make peers refuse a gateway's digests."""
+    headers = (
+        (b"X-Model", b"m"),
+        (b"X-Token-Count", b"100,20"),
+        (b"X-Prompt-Prefix", b"aa:" + tokens),
+    )
+    assert dialect.decode_request("POST", b"/x", headers, 0.0).prompt is None
