--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from robinspindle.core.forwarding import (
+    MAX_TOKENS,
     AnswerHead,
     CacheSource,
     Headers,
@@ -337,7 +338,7 @@
         tokens, max_answer_tokens = (int(count) for count in counts)
         expected_answer_tokens = int(float(values.get(b"x-length-hint", b"0")))
         parts = tuple(_parse_parts(values.get(b"x-prompt-prefix", b"")))
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
     return Prompt(
         model.decode("latin-1"),
@@ -351,5 +352,8 @@
 def _parse_parts(value: bytes):
     for part in value.decode("latin-1").split(","):
         if part.strip():
-            id, _, tokens = part.strip().partition(":")
-            yield Part(id, int(tokens))
+            id, _, text = part.strip().partition(":")
+            tokens = int(text)
+            if not 0 <= tokens <= MAX_TOKENS:
+                raise ValueError(f"a part of {tokens} tokens")
+            yield Part(id, tokens)
