Learn engines' speed from the samples of all gateways

Each gateway learnt an engine's slowness alone, from one sample in some seconds. Now each keeps a histogram of measured to modelled prefill times by lifetime, forgotten in time, and gateways add them up through the relays. Off unless policy shares_speeds.

--- a/src/robinspindle/core/aggregation.py
+++ b/src/robinspindle/core/aggregation.py
@@ -13,6 +13,12 @@
 from robinspindle.core.crashupdates import RequestUpdates, merge_updates
 from robinspindle.core.peerdigests import Digest, PrefillStatistics, TargetLoad
 from robinspindle.core.prefillmodel import add_fit_sums
+from robinspindle.core.targetspeeds import (
+    SpeedSums,
+    add_sums,
+    subtract_sums,
+    take_turn,
+)
 
 MAX_GROUP_PLACEMENTS = 96
 """Maximum number of placements in the digest of a group: about 9 KB."""
@@ -37,6 +43,7 @@
         caches=last.caches + digest.caches,
         members=last.members if digest.members is None else digest.members,
         requests=_merge_requests([last, digest]),
+        speeds=last.speeds if digest.speeds is None else digest.speeds,
     )
 
 
@@ -52,7 +59,12 @@
     )
 
 
-def aggregate(own: Digest, others: Iterable[Digest], is_full: bool) -> Digest:
+def aggregate(
+    own: Digest,
+    others: Iterable[Digest],
+    is_full: bool,
+    speeds_turn: int | None = None,
+) -> Digest:
     """Aggregate the digests of a relay's group.
 
     Args:
@@ -60,6 +72,7 @@
         others: The digests of the gateways that send to the relay.
         is_full: Whether to include the state that changes slowly: the statistics to fit
             the prefill model, and the names of the members.
+        speeds_turn: Number of the turn if the speeds of targets are included.
     """
     digests = [own, *others]
     return msgspec.structs.replace(
@@ -79,6 +92,7 @@
         is_relay=True,
         rate_limits=reduce(or_, (digest.rate_limits for digest in digests)),
         requests=_merge_requests(digests),
+        speeds=None if speeds_turn is None else _add_speeds(digests, speeds_turn),
     )
 
 
@@ -105,6 +119,7 @@
             )
             for statistics in total.prefill_statistics
         ],
+        speeds=total.speeds and subtract_sums(total.speeds, one.speeds or []),
     )
 
 
@@ -167,6 +182,12 @@
     return list(found.values())
 
 
+def _add_speeds(digests: list[Digest], turn: int) -> list[SpeedSums]:
+    return take_turn(
+        add_sums(one for digest in digests for one in digest.speeds or ()), turn
+    )
+
+
 def _subtract_statistics(
     total: PrefillStatistics, one: PrefillStatistics | None
 ) -> PrefillStatistics:
--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -15,6 +15,7 @@
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.prefillmodel import PrefillModel
 from robinspindle.core.priorities import make_level_sums
+from robinspindle.core.targetspeeds import TargetSpeed
 
 CACHE_SHARE = 0.85
 """Share of an engine's KV cache assumed to hold cached prompt parts; running requests
@@ -50,6 +51,7 @@
         prefill_model: The prefill model of its service and role; engines of the same
             service and role share it.
         slowness: Ratio of its prefill times to those of the model.
+        speed: What all gateways have measured of that ratio.
         cached: Tokens of the prompt parts in its cache, by part id; least recently used
             first.
         cached_tokens: Sum of `cached`, tokens.
@@ -82,6 +84,7 @@
     cache_tokens: int
     prefill_model: PrefillModel
     slowness: float = 1.0
+    speed: TargetSpeed = field(default_factory=TargetSpeed)
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
     ready_at: dict[str, float] = field(default_factory=dict)
--- a/src/robinspindle/core/peerdigests.py
+++ b/src/robinspindle/core/peerdigests.py
@@ -20,6 +20,7 @@
 )
 from robinspindle.core.prefillmodel import FitSums
 from robinspindle.core.priorities import FIRST_RANK_LEVEL
+from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.core.usage import Account
 
 PEER_TIMEOUT_S = 1.5
@@ -135,6 +136,7 @@
         era: The store era to which `topic_ends` belongs.
         rate_limits: Limits that targets have named recently, requests per second of all
             gateways, by lifetime.
+        speeds: How slow targets are, as measured; None if it is not in this digest.
     """
 
     sender: str
@@ -155,6 +157,7 @@
     requests: RequestUpdates | None = None
     era: int = 0
     rate_limits: dict[str, float] = {}
+    speeds: list[SpeedSums] | None = None
 
 
 class ConfigurationAge(msgspec.Struct, array_like=True):
--- a/src/robinspindle/core/peervalidation.py
+++ b/src/robinspindle/core/peervalidation.py
@@ -18,6 +18,7 @@
 )
 from robinspindle.core.prefillmodel import FitSums
 from robinspindle.core.priorities import LEVELS
+from robinspindle.core.targetspeeds import MAX_TOLD_SPEEDS, SpeedSums, are_sums_valid
 from robinspindle.core.usage import is_valid_account
 
 MAX_REQUESTS = 100_000
@@ -61,6 +62,8 @@
         return "era"
     if digest.requests is not None and not are_updates_valid(digest.requests):
         return "requests"
+    if digest.speeds is not None and not _are_speeds_valid(digest.speeds):
+        return "speeds"
     return None
 
 
@@ -100,6 +103,10 @@
     return all(0 <= tokens <= MAX_TOKENS for _, tokens in cache.parts)
 
 
+def _are_speeds_valid(speeds: list[SpeedSums]) -> bool:
+    return len(speeds) <= MAX_TOLD_SPEEDS and all(map(are_sums_valid, speeds))
+
+
 def _are_sums_valid(sums: FitSums) -> bool:
     values = (sums.weight, *sums.products, *sums.results)
     return all(0.0 <= value < MAX_SUM for value in values)
--- a/src/robinspindle/core/prefillmodel.py
+++ b/src/robinspindle/core/prefillmodel.py
@@ -81,12 +81,14 @@
         own: Sums over this gateway's own samples.
         peer_sums: The same from other gateways, by name.
         last_fit: The coefficients fitted last; None if samples were added since.
+        mean_slowness: Geometric mean of the slowness of its engines.
     """
 
     initial: Coefficients
     own: FitSums = field(default_factory=lambda: _make_sums())
     peer_sums: dict[str, FitSums] = field(default_factory=dict)
     last_fit: Coefficients | None = None
+    mean_slowness: float = 1.0
 
     def __post_init__(self):
         self.last_fit = self.initial
--- a/src/robinspindle/core/prefillspeed.py
+++ b/src/robinspindle/core/prefillspeed.py
@@ -1,12 +1,16 @@
 """How fast an engine prefills: the model of its service and role, and its slowness.
 
-The slowness of one engine is learnt from the times of its prefills. The model is shared
-by all engines of the same service and role.
+The slowness of one engine is learnt from the times of its prefills: by each gateway
+alone, or by all together (`core/targetspeeds.py`). The model is shared by all engines
+of the same service and role.
 """
 
-from robinspindle.core import prefillmodel
+import math
+from collections.abc import Iterable
+
+from robinspindle.core import prefillmodel, targetspeeds
 from robinspindle.core.engines import Engine
-from robinspindle.core.prefillmodel import PrefillSample
+from robinspindle.core.prefillmodel import PrefillModel, PrefillSample
 
 SLOWNESS_SMOOTHING = 0.2
 """Weight of the latest sample in an engine's slowness: about the last five count, so
@@ -26,6 +30,9 @@
 """Weight of a sample whose prefill waited for others, and bounds of its ratio of
 measured to planned time."""
 
+QUEUED_WEIGHT = 0.5
+"""Weight of such a sample in the shared estimate: others' prefills are in it too."""
+
 
 def estimate_prefill_s(engine: Engine, new: float, context: float) -> float:
     """Estimate the prefill time of new tokens after cached ones, seconds."""
@@ -112,3 +119,67 @@
     slowness = engine.slowness * (1.0 + QUEUED_SMOOTHING * (ratio - 1.0))
     least, most = SLOWNESS_BOUNDS
     engine.slowness = min(most, max(least, slowness))
+
+
+def note_shared_sample(
+    engine: Engine,
+    measured: PrefillSample,
+    now: float,
+    was_alone: bool,
+    usual_s: float | None,
+) -> None:
+    """Record the time of a prefill for the estimate that all gateways share.
+
+    A prefill that waited is compared with its planned time, the wait for what others
+    placed before it included. It never shows an engine as slower than if it had not
+    waited at all.
+
+    Args:
+        engine: The engine.
+        measured: The sample, without the cache transfer.
+        now: The current time, monotonic seconds.
+        was_alone: Whether no other prefill was at the engine meanwhile.
+        usual_s: Planned time with its wait at an engine whose slowness is 1, seconds;
+            None if the wait wasn't planned.
+    """
+    model = engine.prefill_model
+    model_s = prefillmodel.estimate_seconds(model, measured.new, measured.context)
+    if model_s <= 0 or measured.seconds <= 0:
+        return
+    busy_s = prefillmodel.estimate_busy_s(model, measured.new, measured.context)
+    expected_s = model_s * engine.slowness
+    ratio, weight = measured.seconds / model_s, busy_s / model_s
+    if was_alone or measured.seconds < expected_s:
+        # What all engines have in common belongs to the model.
+        relative = engine.slowness / model.mean_slowness
+        normalized = PrefillSample(
+            measured.new, measured.context, measured.seconds / relative
+        )
+        prefillmodel.note_sample(model, normalized)
+    if not was_alone:
+        if not usual_s:
+            return
+        ratio = min(ratio, measured.seconds / usual_s)
+        weight *= QUEUED_WEIGHT
+    targetspeeds.note_ratio(engine.speed, ratio, now, weight)
+    update_slowness(engine, now)
+
+
+def update_slowness(engine: Engine, now: float) -> None:
+    """Take an engine's slowness from what all gateways have measured."""
+    low, high = SLOWNESS_BOUNDS
+    ratio = targetspeeds.update_estimate(engine.speed, now)
+    engine.slowness = min(high, max(low, ratio))
+
+
+def update_all(engines: Iterable[Engine], now: float) -> None:
+    """Update the slowness of engines, and what those of each model have in common."""
+    logs: dict[int, list[float]] = {}
+    models: dict[int, PrefillModel] = {}
+    for engine in engines:
+        update_slowness(engine, now)
+        key = id(engine.prefill_model)
+        models[key] = engine.prefill_model
+        logs.setdefault(key, []).append(math.log(engine.slowness))
+    for key, model in models.items():
+        model.mean_slowness = math.exp(sum(logs[key]) / len(logs[key]))
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Callable
 
-from robinspindle.core import health, prefillmodel, silence, versionroles
+from robinspindle.core import (
+    health,
+    prefillmodel,
+    prefillspeed,
+    silence,
+    targetspeeds,
+    versionroles,
+)
 from robinspindle.core.connectionshares import find_share
 from robinspindle.core.engines import Engine, make_engine, note_earlier_cache
 from robinspindle.core.forwarding import Part
@@ -15,6 +22,7 @@
 from robinspindle.core.prefillmodel import PrefillModel
 from robinspindle.core.routes import EngineSpec, RouteTable
 from robinspindle.core.targets import Directory, Target
+from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.core.versionhistory import VersionHistory, note_listed
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionPool, DecodeHead, Traffic
@@ -56,6 +64,7 @@
         gateways: How many gateways share the targets' connections.
         hears_all_gateways: Whether it is known what each of them has under way.
         limits: Keeps sends within the limits that targets name.
+        shares_speeds: Whether the gateways learn the engines' speeds together.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
             has started after this gateway.
     """
@@ -80,6 +89,7 @@
         self.gateways = GATEWAYS
         self.hears_all_gateways = False
         self.limits = TargetLimits(directory)
+        self.shares_speeds = False
         self.knows_new_caches = False
         self._decode_head = decode_head
         self._make_traffic = make_traffic
@@ -171,6 +181,25 @@
         """Forget what a peer that fell silent has told of paces."""
         for pace in self._paces.values():
             prefillmodel.forget_peer_sums(pace, peer)
+        for engine in self._engines.values():
+            targetspeeds.forget_peer(engine.speed, peer)
+
+    def list_speeds(self, now: float) -> list[SpeedSums]:
+        """Bring the engines' speeds up to date and list this gateway's samples."""
+        if not self.shares_speeds:
+            return []
+        prefillspeed.update_all(self._engines.values(), now)
+        speeds = {lifetime: e.speed for lifetime, e in self._engines.items()}
+        return targetspeeds.list_told(speeds, now)
+
+    def note_speeds(self, peer: str, speeds: list[SpeedSums], now: float) -> None:
+        """Take note of how fast engines are for a peer."""
+        if not self.shares_speeds:
+            return
+        for told in speeds:
+            engine = self.find_engine_of(told.lifetime)
+            if engine is not None:
+                targetspeeds.note_told(engine.speed, peer, told, now)
 
     def find_engine_of(self, lifetime: str) -> Engine | None:
         """Find the engine of a lifetime, if it is known."""
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -141,6 +141,12 @@
         )
         self.left_out = self._gauge("log_lines_left_out", "Log lines left out so far")
         self.busy = self._gauge("in_flight", "Callers' requests under way")
+        self.target_slowness = Gauge(
+            "robinspindle_target_slowness",
+            "Time of a target's work relative to its service's, as believed",
+            ["target"],
+            registry=self.registry,
+        )
         self.latencies = Latencies()
         self.registry.register(self.latencies)
         self.requests = self._count(
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -82,6 +82,10 @@
     metrics.store_away.set(directory.unavailable_since is not None)
     metrics.list_age.set(now - directory.read_at)
     metrics.entries_unusable.set(parts.entries.total)
+    metrics.target_slowness.clear()
+    for target, engine in fleet.list_all_engines():
+        lifetime = target.announced.lifetime
+        metrics.target_slowness.labels(lifetime).set(engine.slowness)
 
 
 def _update_peers(metrics: GatewayMetrics, peers: Peers, now: float) -> None:
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -26,11 +26,12 @@
 )
 from robinspindle.core.peervalidation import are_facts_valid, find_fault
 from robinspindle.core.targets import Target
+from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.linkqueue import ignore_sent
 from robinspindle.logs import Log
 from robinspindle.peerfacts import PeerFacts
-from robinspindle.peers import LEARNT_INTERVAL_S, Peers, note_sent
+from robinspindle.peers import LEARNT_INTERVAL_S, SPEEDS_INTERVAL_S, Peers, note_sent
 from robinspindle.senders import Senders
 from robinspindle.targetlimits import TargetLimits
 from robinspindle.teaching import KnownCaches, add_caches, plan_teaching, take_caches
@@ -77,6 +78,12 @@
     def note_learnt(self, peer: str, learnt: list[PrefillStatistics]) -> None:
         """Take note of what a peer has learnt."""
 
+    def list_speeds(self, now: float) -> list[SpeedSums]:
+        """List what this gateway has measured of targets' speeds."""
+
+    def note_speeds(self, peer: str, speeds: list[SpeedSums], now: float) -> None:
+        """Take note of how fast targets are for a peer."""
+
     def forget_learnt(self, peer: str) -> None:
         """Forget what a peer that fell silent has told."""
 
@@ -212,6 +219,8 @@
         fleet, author = self._fleet, digest.sender
         if digest.prefill_statistics:
             fleet.note_learnt(author, digest.prefill_statistics)
+        if digest.speeds:
+            fleet.note_speeds(author, digest.speeds, now)
         fleet.note_heard_by_peer(digest.loads, now)
         fleet.limits.note_told(digest.rate_limits, now)
         for cache in digest.caches:
@@ -268,8 +277,13 @@
         if tells_all:
             peers.learnt_told_at = now
         own = self._make_digest(now, news, tells_all)
+        tells_speeds = now - peers.speeds_told_at >= SPEEDS_INTERVAL_S
+        if tells_speeds:
+            peers.speeds_told_at = now
+            peers.speeds_turn += 1
+            own = msgspec.structs.replace(own, speeds=self._fleet.list_speeds(now))
         if peers.is_relay:
-            self._tell_group(own, now, tells_all)
+            self._tell_group(own, now, tells_all, tells_speeds)
         else:
             self._send(peers.choice.relay, [own])
 
@@ -309,12 +323,15 @@
             rate_limits=news.rate_limits,
         )
 
-    def _tell_group(self, own: Digest, now: float, tells_all: bool) -> None:
+    def _tell_group(
+        self, own: Digest, now: float, tells_all: bool, tells_speeds: bool
+    ) -> None:
         """Tell the other relays of the group, and the group of all."""
         peers, passing = self._peers, list(self._passing.values())
         self._passing = {}
         self._drop_silent_members()
-        total = aggregation.aggregate(own, self._told.values(), tells_all)
+        turn = peers.speeds_turn if tells_speeds else None
+        total = aggregation.aggregate(own, self._told.values(), tells_all, turn)
         for name in self._list_relays(now):
             caches = take_caches(self._fleet, peers.untold_caches.get(name, []))
             self._send(name, [add_caches(total, caches)])
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -13,6 +13,10 @@
 """Least time between two tellings of what was learnt of paces, seconds: a gateway that
 starts soon knows the engines' paces."""
 
+SPEEDS_INTERVAL_S = 1.0
+"""Least time between two tellings of the targets' speeds, seconds: a sixth of the time
+in which they are forgotten."""
+
 
 NUMBER_BITS = 40
 """Range in which the numbers of a life begin: two lives don't meet in it by chance."""
@@ -40,6 +44,8 @@
         sent_bytes: Size of all datagrams that were sent then.
         link_bytes_per_s: Rate of this gateway's own link; infinite where not known.
         learnt_told_at: When paces were last told, steady seconds.
+        speeds_told_at: When the targets' speeds were last told, steady seconds.
+        speeds_turn: How often they were told so far.
         teaches: Whether those that start are told what caches hold.
         untold_caches: Engines whose caches are still to be told to a newcomer, by its
             name.
@@ -62,6 +68,8 @@
     sent_bytes: int = 0
     link_bytes_per_s: float = math.inf
     learnt_told_at: float = -LEARNT_INTERVAL_S
+    speeds_told_at: float = -SPEEDS_INTERVAL_S
+    speeds_turn: int = 0
     teaches: bool = True
     untold_caches: dict[str, list[str]] = field(default_factory=dict)
     taught: dict[str, float] = field(default_factory=dict)
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -3,12 +3,13 @@
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.peerdigests import Placement
 from robinspindle.core.prefillbacklog import note_prefill_start
-from robinspindle.core.prefillmodel import PrefillSample
+from robinspindle.core.prefillmodel import PrefillSample, estimate_seconds
 from robinspindle.core.prefillspeed import (
     estimate_prefill_s,
     is_useful_sample,
     note_prefill_done,
     note_queued_prefill,
+    note_shared_sample,
 )
 from robinspindle.core.priorities import LATE_LEVEL
 from robinspindle.core.requestplans import RequestPlan
@@ -31,6 +32,7 @@
         tokens: int,
         now: float,
         learns: bool,
+        shares_speeds: bool,
         peers: Peers,
     ):
         self._engine = engine
@@ -44,6 +46,8 @@
         self._is_open = True
         # Waits are told apart from work by measuring only what met nobody else.
         self._learns = learns
+        self._shares_speeds = shares_speeds
+        self._usual_wait_s = plan.wait_s / engine.slowness
         self._was_alone = engine.backlog_s <= ALONE_S
         self._level = plan.level
         engine.own_backlog_s[self._level] += self._seconds
@@ -56,15 +60,21 @@
             return
         self.cancel()
         if self._learns:
-            self._learn(now - self._began_at - self._fetch_s)
+            self._learn(now, now - self._began_at - self._fetch_s)
 
-    def _learn(self, seconds: float) -> None:
+    def _learn(self, now: float, seconds: float) -> None:
         """Learn from how long the reading took, without what was fetched."""
         engine = self._engine
         was_alone = self._was_alone and engine.placed == self._placed
         measured = PrefillSample(self._new, self._context, seconds)
+        is_planned = self._level < LATE_LEVEL
+        if self._shares_speeds:
+            model_s = estimate_seconds(engine.prefill_model, self._new, self._context)
+            usual_s = self._usual_wait_s + model_s if is_planned else None
+            note_shared_sample(engine, measured, now, was_alone, usual_s)
+            return
         note_prefill_done(engine, measured, was_alone)
-        if not was_alone and self._level < LATE_LEVEL:
+        if not was_alone and is_planned:
             prefill_s = estimate_prefill_s(engine, self._new, self._context)
             note_queued_prefill(engine, seconds, self._wait_s + prefill_s)
 
@@ -103,10 +113,14 @@
         counts = self._means.metrics.prompt_tokens
         prompt = passage.request.prompt
         now = self._means.clock()
-        learns = self._means.policy().learns_paces
-        learns = learns and is_useful_sample(engine, now - self._started_at)
+        policy = self._means.policy()
+        learns = policy.learns_paces and is_useful_sample(
+            engine, now - self._started_at
+        )
         peers = self._means.peers
-        begun = Reading(engine, plan, prompt.tokens, now, learns, peers)
+        begun = Reading(
+            engine, plan, prompt.tokens, now, learns, policy.shares_speeds, peers
+        )
         note_placed(engine, prompt.parts, now + plan.wait_s + plan.prefill_s)
         counts.labels("read").inc(plan.uncached_tokens)
         counts.labels("cached").inc(prompt.tokens - plan.uncached_tokens)
