--- a/src/robinspindle/core/targetspeeds.py
+++ b/src/robinspindle/core/targetspeeds.py
@@ -3,9 +3,10 @@
 A gateway alone sees too few requests of one target to tell a slow one from a moment of
 noise. Each therefore keeps a small histogram of how much longer a target takes than
 its service's model says, forgotten in time, and sends it to the others. The estimate
-is a robust mean of the summed histograms, with a prior toward the model: noise that
-lasts for a fraction of a second hardly moves it, a slowness that lasts moves it as
-soon as most of the recent requests show it.
+is a robust mean of the summed histograms, with a prior toward the model. Noise that
+lasts for a fraction of a second hardly moves it. A slowness that lasts moves it as
+soon as nearly all recent requests show it: a second histogram, with a short memory,
+bounds the estimate.
 """
 
 import math
@@ -39,16 +40,20 @@
 """Distance of a sample from the estimate up to which it counts by its distance, as a
 logarithm: 1.35 times as slow. One that is farther counts as if it were this far."""
 
-SHORT_MEMORY_S = 6.0
-"""Time in which a target with many samples is forgotten, seconds: ten times the noise
-of a fraction of a second. A slowness that lasts is known after about as long, within
-the time that callers wait for a long prompt."""
+MEMORY_S = 20.0
+"""Time in which a target's samples are forgotten, seconds: over thirty times the noise
+of a fraction of a second."""
 
-LONG_MEMORY_S = 30.0
-"""The same for a target with few samples, seconds."""
+RECENT_MEMORY_S = 2.5
+"""Time in which they are no longer recent, seconds: a slowness that lasts is known
+after 1.6 times as long, within the time that callers wait for a long prompt."""
 
-MANY_SAMPLES = 32.0
-"""Weight from which on a target has many samples: enough to tell 1.2 from 1."""
+RECENT_SHARE = 0.2
+"""The estimate is between the samples that this share of the recent ones is below, and
+that this share is above. Noise would have to last for seconds to leave so few."""
+
+MIN_RECENT_WEIGHT = 3.0
+"""Least weight of recent samples that bound the estimate."""
 
 MAX_TOLD_AGE_S = 20.0
 """Time in which what a peer told of a target loses its weight without news, seconds."""
@@ -61,30 +66,34 @@
 
 
 class SpeedSums(msgspec.Struct, array_like=True):
-    """A histogram of one target, as gateways tell it.
+    """The histograms of one target, as gateways tell them.
 
     Attributes:
         lifetime: The target's lifetime.
-        first: Its first bin that is not empty, counted from `LOWEST_BIN`.
+        first: The first bin that is not empty, counted from `LOWEST_BIN`.
         counts: Counts of that bin and the following ones, eighths of a sample.
+        recent: The same of the recent samples; no more bins than `counts`.
     """
 
     lifetime: str
     first: int
     counts: list[int]
+    recent: list[int] = []
 
 
 @dataclass
-class ToldCounts:
-    """What one peer told of a target.
+class Histograms:
+    """Samples of one target by bin, decayed.
 
     Attributes:
-        counts: Samples by bin.
-        told_at: When it was told, monotonic seconds.
+        counts: The samples.
+        recent: The same with a short memory.
+        at: Time to which they are decayed, or were told, monotonic seconds.
     """
 
-    counts: list[float]
-    told_at: float
+    counts: list[float] = field(default_factory=lambda: [0.0] * BINS)
+    recent: list[float] = field(default_factory=lambda: [0.0] * BINS)
+    at: float = 0.0
 
 
 @dataclass
@@ -92,17 +101,13 @@
     """What is known of the speed of one lifetime of a target.
 
     Attributes:
-        own: This gateway's samples by bin, decayed.
-        updated_at: Time to which they are decayed, monotonic seconds.
+        own: This gateway's samples.
         told: What the peers told, by name.
-        weight: Samples of all gateways at the last estimate.
         ratio: The last estimate: its time relative to that of the service's model.
     """
 
-    own: list[float] = field(default_factory=lambda: [0.0] * BINS)
-    updated_at: float = 0.0
-    told: dict[str, ToldCounts] = field(default_factory=dict)
-    weight: float = 0.0
+    own: Histograms = field(default_factory=Histograms)
+    told: dict[str, Histograms] = field(default_factory=dict)
     ratio: float = 1.0
 
 
@@ -121,20 +126,23 @@
     """
     if not 0.0 < ratio < math.inf:
         return
-    _decay(speed, now)
+    _decay(speed.own, now)
     place = math.log(ratio) / BIN_LOG - LOWEST_BIN
     place = min(BINS - 1.0, max(0.0, place))
     low = min(BINS - 2, int(place))
-    speed.own[low] += weight * (low + 1 - place)
-    speed.own[low + 1] += weight * (place - low)
+    for counts in (speed.own.counts, speed.own.recent):
+        counts[low] += weight * (low + 1 - place)
+        counts[low + 1] += weight * (place - low)
 
 
 def note_told(speed: TargetSpeed, peer: str, told: SpeedSums, now: float) -> None:
     """Record what a peer tells of a target in place of what it told before."""
-    counts = [0.0] * BINS
+    found = Histograms(at=now)
     for bin, count in enumerate(told.counts, told.first):
-        counts[bin] = count / COUNT_UNIT
-    speed.told[peer] = ToldCounts(counts, now)
+        found.counts[bin] = count / COUNT_UNIT
+    for bin, count in enumerate(told.recent, told.first):
+        found.recent[bin] = count / COUNT_UNIT
+    speed.told[peer] = found
 
 
 def forget_peer(speed: TargetSpeed, peer: str) -> None:
@@ -145,21 +153,19 @@
 def update_estimate(speed: TargetSpeed, now: float) -> float:
     """Estimate a target's time relative to that of its service's model.
 
+    If the recent samples contradict the earlier ones, those are forgotten.
+
     Args:
         speed: What is known; changed in place.
         now: The current time, monotonic seconds.
     """
-    _decay(speed, now)
-    counts = list(speed.own)
-    for peer, told in list(speed.told.items()):
-        freshness = 1.0 - (now - told.told_at) / MAX_TOLD_AGE_S
-        if freshness <= 0.0:
-            del speed.told[peer]
-            continue
-        for bin, count in enumerate(told.counts):
-            counts[bin] += count * freshness
-    speed.weight = sum(counts)
-    speed.ratio = estimate_ratio(counts)
+    _decay(speed.own, now)
+    total = _sum_up(speed, now)
+    ratio = estimate_ratio(total.counts)
+    low, high = find_recent_bounds(total.recent)
+    speed.ratio = min(high, max(low, ratio))
+    if abs(math.log(speed.ratio / ratio)) > BIN_LOG:
+        speed.own.counts = list(speed.own.recent)
     return speed.ratio
 
 
@@ -186,6 +192,19 @@
     return math.exp((low + high) / 2)
 
 
+def find_recent_bounds(recent: list[float]) -> tuple[float, float]:
+    """Find the bounds that the recent samples set to the estimate.
+
+    Returns:
+        The ratios that `RECENT_SHARE` of the samples are below and above.
+    """
+    if sum(recent) < MIN_RECENT_WEIGHT:
+        return 0.0, math.inf
+    return _find_quantile(recent, RECENT_SHARE), _find_quantile(
+        recent, 1.0 - RECENT_SHARE
+    )
+
+
 def list_told(speeds: dict[str, TargetSpeed], now: float) -> list[SpeedSums]:
     """List this gateway's own histograms, of the targets with the most samples.
 
@@ -195,13 +214,17 @@
     """
     weights: dict[str, float] = {}
     for lifetime, speed in speeds.items():
-        _decay(speed, now)
-        weights[lifetime] = sum(speed.own)
+        _decay(speed.own, now)
+        weights[lifetime] = sum(speed.own.counts)
     ranked = sorted(weights, key=weights.get, reverse=True)[:MAX_TOLD_SPEEDS]
     return [
-        _make_sums(id, [round(count * COUNT_UNIT) for count in speeds[id].own])
-        for id in ranked
-        if weights[id] >= MIN_TOLD_WEIGHT
+        _make_sums(
+            lifetime,
+            _count_units(speeds[lifetime].own.counts),
+            _count_units(speeds[lifetime].own.recent),
+        )
+        for lifetime in ranked
+        if weights[lifetime] >= MIN_TOLD_WEIGHT
     ]
 
 
@@ -221,10 +244,11 @@
 
 def add_sums(all_sums: Iterable[SpeedSums]) -> list[SpeedSums]:
     """Add the histograms of several gateways, by lifetime."""
-    totals: dict[str, list[int]] = {}
+    totals: dict[str, tuple[list[int], list[int]]] = {}
     for one in all_sums:
-        _add_counts(totals.setdefault(one.lifetime, [0] * BINS), one, 1)
-    return [_make_sums(lifetime, counts) for lifetime, counts in totals.items()]
+        total = totals.setdefault(one.lifetime, ([0] * BINS, [0] * BINS))
+        _add_counts(total, one, 1)
+    return [_make_sums(lifetime, *total) for lifetime, total in totals.items()]
 
 
 def subtract_sums(total: list[SpeedSums], own: list[SpeedSums]) -> list[SpeedSums]:
@@ -232,11 +256,11 @@
     own_sums = {one.lifetime: one for one in own}
     found = []
     for one in total:
-        counts = [0] * BINS
-        _add_counts(counts, one, 1)
+        left = ([0] * BINS, [0] * BINS)
+        _add_counts(left, one, 1)
         if one.lifetime in own_sums:
-            _add_counts(counts, own_sums[one.lifetime], -1)
-        found.append(_make_sums(one.lifetime, [max(0, count) for count in counts]))
+            _add_counts(left, own_sums[one.lifetime], -1)
+        found.append(_make_sums(one.lifetime, *left))
     return found
 
 
@@ -244,8 +268,8 @@
     """Whether a histogram that a peer sent is valid."""
     return (
         sums.first >= 0
-        and sums.first + len(sums.counts) <= BINS
-        and all(0 <= count <= MAX_COUNT for count in sums.counts)
+        and len(sums.recent) <= len(sums.counts) <= BINS - sums.first
+        and all(0 <= count <= MAX_COUNT for count in (*sums.counts, *sums.recent))
     )
 
 
@@ -253,22 +277,55 @@
     return min(FULL_STEP_LOG, max(-FULL_STEP_LOG, step))
 
 
-def _decay(speed: TargetSpeed, now: float) -> None:
-    """Forget in time, the faster the more is known by all gateways."""
-    elapsed_s = max(0.0, now - speed.updated_at)
-    speed.updated_at = now
-    known = min(1.0, speed.weight / MANY_SAMPLES) ** 2
-    factor = math.exp(-elapsed_s * (1 / LONG_MEMORY_S + known / SHORT_MEMORY_S))
-    speed.own = [count * factor for count in speed.own]
+def _sum_up(speed: TargetSpeed, now: float) -> Histograms:
+    """Add the samples of all gateways; what was told long ago counts less."""
+    total = Histograms(list(speed.own.counts), list(speed.own.recent), now)
+    for peer, told in list(speed.told.items()):
+        freshness = 1.0 - (now - told.at) / MAX_TOLD_AGE_S
+        if freshness <= 0.0:
+            del speed.told[peer]
+            continue
+        for bin in range(BINS):
+            total.counts[bin] += told.counts[bin] * freshness
+            total.recent[bin] += told.recent[bin] * freshness
+    return total
+
+
+def _find_quantile(counts: list[float], share: float) -> float:
+    """Find the ratio below which a share of the samples is."""
+    wanted, below = share * sum(counts), 0.0
+    for bin, count in enumerate(counts):
+        if count > 0.0 and below + count >= wanted:
+            within = (wanted - below) / count - 0.5
+            return math.exp((bin + LOWEST_BIN + within) * BIN_LOG)
+        below += count
+    return math.inf
 
 
-def _add_counts(counts: list[int], sums: SpeedSums, factor: int) -> None:
-    for bin, count in enumerate(sums.counts, sums.first):
-        counts[bin] += factor * count
+def _decay(own: Histograms, now: float) -> None:
+    elapsed_s = max(0.0, now - own.at)
+    own.at = now
+    factor = math.exp(-elapsed_s / MEMORY_S)
+    own.counts = [count * factor for count in own.counts]
+    factor = math.exp(-elapsed_s / RECENT_MEMORY_S)
+    own.recent = [count * factor for count in own.recent]
+
+
+def _count_units(counts: list[float]) -> list[int]:
+    return [round(count * COUNT_UNIT) for count in counts]
+
+
+def _add_counts(
+    total: tuple[list[int], list[int]], sums: SpeedSums, factor: int
+) -> None:
+    for counts, told in zip(total, (sums.counts, sums.recent), strict=True):
+        for bin, count in enumerate(told, sums.first):
+            counts[bin] = max(0, counts[bin] + factor * count)
 
 
-def _make_sums(lifetime: str, counts: list[int]) -> SpeedSums:
+def _make_sums(lifetime: str, counts: list[int], recent: list[int]) -> SpeedSums:
     used = [bin for bin, count in enumerate(counts) if count]
     if not used:
         return SpeedSums(lifetime, 0, [])
-    return SpeedSums(lifetime, used[0], counts[used[0] : used[-1] + 1])
+    span = slice(used[0], used[-1] + 1)
+    return SpeedSums(lifetime, used[0], counts[span], recent[span])
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -15,12 +15,18 @@
 from robinspindle.core.engines import count_cached, make_engine, note_placed
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.prefillbacklog import note_peer_backlog, note_prefill_start
-from robinspindle.core.prefillmodel import PrefillSample, make_prefill_model
+from robinspindle.core.prefillmodel import (
+    PrefillSample,
+    estimate_seconds,
+    make_prefill_model,
+)
 from robinspindle.core.prefillplacement import choose_plan, should_refuse
 from robinspindle.core.prefillspeed import (
     estimate_prefill_s,
     note_prefill_done,
     note_queued_prefill,
+    note_shared_sample,
+    update_all,
 )
 from robinspindle.core.priorities import LATE_LEVEL, REQUEST_PRIORITIES
 from robinspindle.core.requestplans import PlanningContext
@@ -32,6 +38,7 @@
     note_served,
 )
 from robinspindle.core.targets import Announcement, Target
+from robinspindle.core.targetspeeds import add_sums, list_told, note_told, subtract_sums
 from soak.sizeaccount import Ended
 from standins.prompts import SKEW, Kind, Length, draw_parts
 
@@ -46,6 +53,11 @@
 """Ratio of a slow engine's prefill times to those of others."""
 
 
+NOISE_SLOWDOWN = 2.5
+NOISE_S = 0.6
+"""Ratio of prefill times under noise to those without, and how long it lasts."""
+
+
 @dataclass(frozen=True)
 class Load:
     """The requests of callers, and the simulated deployment.
@@ -68,6 +80,9 @@
         cache_tokens: Capacity of an engine's KV cache, tokens.
         gives_turns: Whether prompts of underserved sizes are preferred.
         slow: Names of the engines whose prefills take three times as long.
+        slowdowns: Ratio of an engine's prefill times to those of others, by name.
+        noise_share: Share of the time in which an engine's prefills are noisy.
+        shares_speeds: Whether the gateways learn the engines' speed together.
     """
 
     per_s: float
@@ -85,6 +100,9 @@
     cache_tokens: int = 300_000
     gives_turns: bool = False
     slow: frozenset[str] = frozenset()
+    slowdowns: dict[str, float] = field(default_factory=dict)
+    noise_share: float = 0.0
+    shares_speeds: bool = False
 
 
 @dataclass
@@ -98,6 +116,7 @@
         refused: Requests that were refused, or whose callers gave up.
         busy_s: Sum of the times for which the engines were busy, seconds.
         estimated_busy_s: The gateways' estimate of `busy_s`, seconds.
+        usual_busy_s: What `busy_s` would be at engines of the usual speed, by engine.
         ended: The result of each request, if several kinds are simulated.
     """
 
@@ -107,6 +126,7 @@
     refused: int = 0
     busy_s: float = 0.0
     estimated_busy_s: float = 0.0
+    usual_busy_s: dict[str, float] = field(default_factory=dict)
     ended: list[Ended] = field(default_factory=list)
 
 
@@ -162,6 +182,8 @@
         for kind in self.kinds:
             self.env.process(self._generate_requests(kind))
         self.env.process(self._send_updates())
+        if self.load.shares_speeds:
+            self.env.process(self._send_speeds())
         patience_s = max(kind.patience_s for kind in self.kinds)
         self.env.run(until=self.load.for_s + patience_s + 1.0)
         return self.outcome
@@ -193,6 +215,22 @@
                     others = [t - m for t, m in zip(total, own_s, strict=True)]
                     note_peer_backlog(engine, "others", others)
 
+    def _send_speeds(self):
+        """Send each gateway the speeds that all others have measured."""
+        while True:
+            yield self.env.timeout(1.0)
+            now = self.env.now
+            told = []
+            for gateway in self.gateways:
+                update_all([engine for _, engine in gateway.pairs], now)
+                engines = zip(self.names, gateway.pairs, strict=True)
+                told.append(list_told({n: e.speed for n, (_, e) in engines}, now))
+            total = add_sums(one for sums in told for one in sums)
+            for gateway, own in zip(self.gateways, told, strict=True):
+                for one in subtract_sums(total, own):
+                    engine = gateway.pairs[self.names.index(one.lifetime)][1]
+                    note_told(engine.speed, "others", one, now)
+
     def _make_prompt(self, kind):
         rng = self.rng
         if not self.load.kinds:
@@ -243,6 +281,7 @@
         engine_name = (plan.prefill_target or plan.target).announced.lifetime
         engine = engines[engine_name]
         alone = engine.backlog_s <= 0.001
+        usual_wait_s = plan.wait_s / engine.slowness
         engine.own_backlog_s[plan.level] += plan.prefill_s
         note_prefill_start(engine, env.now, plan.prefill_s, plan.level)
         self.placed.append((gateway, engine_name, prompt, plan))
@@ -258,6 +297,14 @@
         context = prompt.tokens - plan.uncached_tokens
         measured = PrefillSample(plan.uncached_tokens, context, seconds)
         was_alone = alone and engine.placed == placed
+        if load.shares_speeds:
+            model_s = estimate_seconds(
+                engine.prefill_model, plan.uncached_tokens, context
+            )
+            usual_s = usual_wait_s + model_s if plan.level < LATE_LEVEL else None
+            note_shared_sample(engine, measured, env.now, was_alone, usual_s)
+            yield from self._answer(gateway, kind, prompt, plan, arrived_at)
+            return
         note_prefill_done(engine, measured, was_alone)
         if not was_alone and plan.level < LATE_LEVEL:
             prefill_s = estimate_prefill_s(engine, plan.uncached_tokens, context)
@@ -310,10 +357,20 @@
         pairs_m = new * (cached + new / 2) / 1e6
         busy_s = new / self.load.tokens_per_s + pairs_m * S_PER_MILLION_PAIRS
         busy_s *= 1.0 if real_engine.prefill_only else DECODE_ENGINE_SLOWDOWN
+        usual = self.outcome.usual_busy_s
+        usual[engine_name] = usual.get(engine_name, 0.0) + busy_s
         busy_s *= SLOW_ENGINE_SLOWDOWN if engine_name in self.load.slow else 1.0
+        busy_s *= self.load.slowdowns.get(engine_name, 1.0)
+        busy_s *= self._find_noise(engine_name)
         self.outcome.busy_s += busy_s
         return busy_s
 
+    def _find_noise(self, engine_name):
+        """Return by how much noise slows the prefill that begins now."""
+        slot = (engine_name, int(self.env.now / NOISE_S))
+        is_noisy = random.Random(str(slot)).random() < self.load.noise_share
+        return NOISE_SLOWDOWN if is_noisy else 1.0
+
     def _note_end(self, kind, prompt, taken_s):
         """Record the end of a request; `taken_s` is None if it was refused."""
         outcome = self.outcome
