Bound what gateways tell of engines' speeds, and test it

Near the limit of twelve engines, a third of them 2.4 times as fast, those get 2.16 to 2.64 times the work of the others after 5 s (less than 2 where each gateway learns alone), in virtual time.

--- a/src/robinspindle/core/targetspeeds.py
+++ b/src/robinspindle/core/targetspeeds.py
@@ -61,6 +61,12 @@
 MIN_TOLD_WEIGHT = 0.5
 """Least weight of a histogram that is told, samples."""
 
+INTERVAL_S = 1.0
+"""Least time between two tellings, seconds: less than half of what is recent."""
+
+MAX_FREQUENT_GROUPS = 4
+"""With more groups of gateways they tell less often, as each hears from all."""
+
 MAX_TOLD_SPEEDS = 48
 """Most targets in one datagram: 1.7 KB. If there are more, they take turns."""
 
@@ -228,6 +234,15 @@
     ]
 
 
+def find_interval(groups: int) -> float:
+    """Find the time between two tellings, seconds.
+
+    Args:
+        groups: Number of groups of gateways.
+    """
+    return INTERVAL_S * max(1.0, groups / MAX_FREQUENT_GROUPS)
+
+
 def take_turn(sums: list[SpeedSums], turn: int) -> list[SpeedSums]:
     """Choose what goes into one datagram if there are too many for it.
 
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -26,12 +26,12 @@
 )
 from robinspindle.core.peervalidation import are_facts_valid, find_fault
 from robinspindle.core.targets import Target
-from robinspindle.core.targetspeeds import SpeedSums
+from robinspindle.core.targetspeeds import SpeedSums, find_interval
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.linkqueue import ignore_sent
 from robinspindle.logs import Log
 from robinspindle.peerfacts import PeerFacts
-from robinspindle.peers import LEARNT_INTERVAL_S, SPEEDS_INTERVAL_S, Peers, note_sent
+from robinspindle.peers import LEARNT_INTERVAL_S, Peers, note_sent
 from robinspindle.senders import Senders
 from robinspindle.targetlimits import TargetLimits
 from robinspindle.teaching import KnownCaches, add_caches, plan_teaching, take_caches
@@ -277,7 +277,8 @@
         if tells_all:
             peers.learnt_told_at = now
         own = self._make_digest(now, news, tells_all)
-        tells_speeds = now - peers.speeds_told_at >= SPEEDS_INTERVAL_S
+        speeds_interval_s = find_interval(len(peers.groups.ranked))
+        tells_speeds = now - peers.speeds_told_at >= speeds_interval_s
         if tells_speeds:
             peers.speeds_told_at = now
             peers.speeds_turn += 1
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -13,11 +13,6 @@
 """Least time between two tellings of what was learnt of paces, seconds: a gateway that
 starts soon knows the engines' paces."""
 
-SPEEDS_INTERVAL_S = 1.0
-"""Least time between two tellings of the targets' speeds, seconds: a sixth of the time
-in which they are forgotten."""
-
-
 NUMBER_BITS = 40
 """Range in which the numbers of a life begin: two lives don't meet in it by chance."""
 
@@ -68,7 +63,7 @@
     sent_bytes: int = 0
     link_bytes_per_s: float = math.inf
     learnt_told_at: float = -LEARNT_INTERVAL_S
-    speeds_told_at: float = -SPEEDS_INTERVAL_S
+    speeds_told_at: float = -math.inf
     speeds_turn: int = 0
     teaches: bool = True
     untold_caches: dict[str, list[str]] = field(default_factory=dict)
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -83,6 +83,7 @@
         slowdowns: Ratio of an engine's prefill times to those of others, by name.
         noise_share: Share of the time in which an engine's prefills are noisy.
         shares_speeds: Whether the gateways learn the engines' speed together.
+        warm_up_s: Time at the start that `usual_busy_s` leaves out, seconds.
     """
 
     per_s: float
@@ -103,6 +104,7 @@
     slowdowns: dict[str, float] = field(default_factory=dict)
     noise_share: float = 0.0
     shares_speeds: bool = False
+    warm_up_s: float = 0.0
 
 
 @dataclass
@@ -358,7 +360,8 @@
         busy_s = new / self.load.tokens_per_s + pairs_m * S_PER_MILLION_PAIRS
         busy_s *= 1.0 if real_engine.prefill_only else DECODE_ENGINE_SLOWDOWN
         usual = self.outcome.usual_busy_s
-        usual[engine_name] = usual.get(engine_name, 0.0) + busy_s
+        if self.env.now >= self.load.warm_up_s:
+            usual[engine_name] = usual.get(engine_name, 0.0) + busy_s
         busy_s *= SLOW_ENGINE_SLOWDOWN if engine_name in self.load.slow else 1.0
         busy_s *= self.load.slowdowns.get(engine_name, 1.0)
         busy_s *= self._find_noise(engine_name)
--- a/tests/core/test_aggregation.py
+++ b/tests/core/test_aggregation.py
@@ -9,6 +9,7 @@
     TargetLoad,
 )
 from robinspindle.core.prefillmodel import FitSums
+from robinspindle.core.targetspeeds import SpeedSums
 
 counts = st.integers(0, 50)
 loads = st.lists(
@@ -104,3 +105,22 @@
     )
     assert total.topic_ends == {"x": 7, "y": 1}
     assert total.members is None
+
+
+def test_speeds_are_added_and_what_one_measured_is_subtracted():
+    own = make("r", speeds=[SpeedSums("e1", 8, [8, 0, 4], [0, 0, 4])])
+    one = make("a", speeds=[SpeedSums("e1", 9, [8]), SpeedSums("e2", 3, [8], [8])])
+    total = aggregate(own, [one], is_full=True, speeds_turn=0)
+    assert total.speeds == [
+        SpeedSums("e1", 8, [8, 8, 4], [0, 0, 4]),
+        SpeedSums("e2", 3, [8], [8]),
+    ]
+    assert subtract(total, one).speeds == [own.speeds[0], SpeedSums("e2", 0, [])]
+    assert aggregate(own, [one], is_full=True).speeds is None
+
+
+def test_speeds_that_are_not_in_the_newest_digest_are_kept():
+    first = make("a", speeds=[SpeedSums("e1", 8, [8])])
+    assert merge_unsent(first, make("a")).speeds == first.speeds
+    assert drop_sent(first).speeds == first.speeds
+    assert merge_unsent(first, make("a", speeds=[])).speeds == []
--- a/tests/core/test_peervalidation.py
+++ b/tests/core/test_peervalidation.py
@@ -11,6 +11,7 @@
 )
 from robinspindle.core.peervalidation import find_fault
 from robinspindle.core.prefillmodel import FitSums
+from robinspindle.core.targetspeeds import SpeedSums
 
 VALID = Digest(
     "g2",
@@ -23,6 +24,7 @@
         PrefillStatistics("lm", True, FitSums(1.0, [1.0] * 6, [1.0] * 3))
     ],
     caches=[Cache("e1", [("aa", 5)])],
+    speeds=[SpeedSums("e1", 8, [8, 16], [8])],
 )
 
 
@@ -57,6 +59,12 @@
             ]
         },
         {"caches": [Cache("e1", [("aa", -1)])]},
+        {"speeds": [SpeedSums("e1", -1, [8])]},
+        {"speeds": [SpeedSums("e1", 8, [8] * 17)]},
+        {"speeds": [SpeedSums("e1", 8, [-8])]},
+        {"speeds": [SpeedSums("e1", 8, [1 << 40])]},
+        {"speeds": [SpeedSums("e1", 8, [8], [8, 8])]},
+        {"speeds": [SpeedSums("e1", 8, [8])] * 49},
     ],
 )
 def test_values_that_corrupt_totals_are_rejected(changed):
--- a/tests/core/test_targetspeeds.py
+++ b/tests/core/test_targetspeeds.py
@@ -2,11 +2,13 @@
 
 import math
 import random
+from dataclasses import replace
 
 import pytest
 
 from robinspindle.core import targetspeeds
 from robinspindle.core.targetspeeds import SpeedSums, TargetSpeed
+from tests.core.loadplay import Load, simulate
 
 GATEWAYS = 24
 
@@ -116,3 +118,38 @@
     assert {one.lifetime for turn in turns for one in turn} == {
         one.lifetime for one in sums
     }
+
+
+def test_engines_that_are_faster_get_their_share_near_the_limit():
+    """Guards against gateways that each learn alone and never know the fast engines.
+
+    The load takes 0.8 of all engines. A third of those that only prefill are 2.4 times
+    as fast as the others, and no prompt is in a cache. Work counts from the time on in
+    which an estimate has to be found.
+    """
+    fast = {f"p{number}" for number in range(0, 12, 3)}
+    load = Load(
+        per_s=260,
+        for_s=15.0,
+        warm_up_s=5.0,
+        prefill_engines=12,
+        decode_engines=4,
+        gateways=24,
+        tokens_per_s=125_000,
+        documents=10**9,
+        slowdowns=dict.fromkeys(fast, 1 / 2.4),
+    )
+    shared = simulate(replace(load, shares_speeds=True))
+    alone = simulate(load)
+    assert find_share(shared, fast) == pytest.approx(2.4, rel=0.1)
+    assert find_share(alone, fast) < 2.0
+    assert shared.in_time > 1.03 * alone.in_time
+
+
+def find_share(outcome, fast):
+    """Find how much more an engine in a set prefilled than another."""
+    work = outcome.usual_busy_s
+    others = {name for name in work if name[0] == "p"} - fast
+    return (sum(work[n] for n in fast) / len(fast)) / (
+        sum(work[n] for n in others) / len(others)
+    )
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
 from robinspindle.core.engines import note_earlier_cache
 from robinspindle.core.forwarding import Part
 from robinspindle.core.peerdigests import (
@@ -15,6 +18,7 @@
 from robinspindle.core.prefillmodel import PrefillSample, estimate_seconds, note_sample
 from robinspindle.core.relays import MAX_INTERVAL_S, RELAY_SILENCE_TIMEOUT_S, Member
 from robinspindle.core.targets import Announcement, Directory, note_announced
+from robinspindle.core.targetspeeds import INTERVAL_S, note_ratio
 from robinspindle.fleet import Fleet
 from robinspindle.peerlink import (
     MOST_DATAGRAM_BYTES,
@@ -370,3 +374,37 @@
         network.now += STEP_S
     limits = [network[n].fleet.directory.targets["e1"].stated.limit for n in range(8)]
     assert [limit.per_s for limit in limits] == [9.5] * 8
+
+
+def test_measured_speeds_reach_all_and_end_with_their_author():
+    network = Network(6)
+    for gateway in network.gateways.values():
+        gateway.fleet.shares_speeds = True
+    measured = network[4].fleet.find_engine_of("e1").speed
+    for _ in range(10):
+        note_ratio(measured, 3.0, network.now)
+    network.step(times=round(4 * INTERVAL_S / STEP_S) + 3)
+    engines = [network[n].fleet.find_engine_of("e1") for n in range(6)]
+    assert all(engine.slowness > 2.0 for engine in engines)
+    # Its own samples do not come back to who measured them.
+    assert not any(sum(told.counts) for told in measured.told.values())
+    network.cut = {f"10.0.0.{n}" for n in range(5)}
+    network.now += 2.0
+    network[5].link.remove_timed_out_peers(network.now)
+    network[5].fleet.list_speeds(network.now)
+    assert engines[5].slowness == pytest.approx(1.0, abs=0.01)
+
+
+def test_speeds_are_not_believed_while_they_are_not_shared():
+    network = Network(2)
+    network[0].fleet.shares_speeds = True
+    note_ratio(network[0].fleet.find_engine_of("e1").speed, 3.0, network.now)
+    network.step(times=30)
+    assert network[1].fleet.find_engine_of("e1").speed.told == {}
+
+
+def test_a_digest_of_an_earlier_release_has_no_speeds():
+    digest = Digest("g1", 1.0, 1, [], [])
+    raw = msgspec.msgpack.decode(encode(Datagram("g1", [digest], 12)))
+    raw[1][0].pop()
+    assert decode(msgspec.msgpack.encode(raw)).digests == [digest]
