--- a/src/robinspindle/core/engines.py
+++ b/src/robinspindle/core/engines.py
@@ -52,6 +52,7 @@
             service and role share it.
         slowness: Ratio of its prefill times to those of the model.
         speed: What all gateways have measured of that ratio.
+        scales_base: Whether that ratio counts for the base time of a prefill too.
         cached: Tokens of the prompt parts in its cache, by part id; least recently used
             first.
         cached_tokens: Sum of `cached`, tokens.
@@ -85,6 +86,7 @@
     prefill_model: PrefillModel
     slowness: float = 1.0
     speed: TargetSpeed = field(default_factory=TargetSpeed)
+    scales_base: bool = True
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
     ready_at: dict[str, float] = field(default_factory=dict)
--- a/src/robinspindle/core/prefillspeed.py
+++ b/src/robinspindle/core/prefillspeed.py
@@ -30,16 +30,22 @@
 """Weight of a sample whose prefill waited for others, and bounds of its ratio of
 measured to planned time."""
 
+MIN_WORK_SHARE = 0.2
+"""Least share of the modelled work that a sample shows: the network may have been
+faster than usual."""
+
 QUEUED_WEIGHT = 0.5
 """Weight of such a sample in the shared estimate: others' prefills are in it too."""
 
 
 def estimate_prefill_s(engine: Engine, new: float, context: float) -> float:
     """Estimate the prefill time of new tokens after cached ones, seconds."""
-    return (
-        prefillmodel.estimate_seconds(engine.prefill_model, new, context)
-        * engine.slowness
-    )
+    model = engine.prefill_model
+    model_s = prefillmodel.estimate_seconds(model, new, context)
+    if engine.scales_base:
+        return model_s * engine.slowness
+    busy_s = prefillmodel.estimate_busy_s(model, new, context)
+    return model_s - busy_s + busy_s * engine.slowness
 
 
 def estimate_busy_s(engine: Engine, new: float, context: float) -> float:
@@ -72,6 +78,7 @@
     )
     if model_s <= 0:
         return
+    engine.scales_base = True
     low, high = SLOWNESS_BOUNDS
     ratio = min(high, max(low, measured.seconds / model_s))
     # The slowness of this one engine is removed from the sample for the shared model.
@@ -126,7 +133,7 @@
     measured: PrefillSample,
     now: float,
     was_alone: bool,
-    usual_s: float | None,
+    usual_wait_s: float | None,
 ) -> None:
     """Record the time of a prefill for the estimate that all gateways share.
 
@@ -139,27 +146,29 @@
         measured: The sample, without the cache transfer.
         now: The current time, monotonic seconds.
         was_alone: Whether no other prefill was at the engine meanwhile.
-        usual_s: Planned time with its wait at an engine whose slowness is 1, seconds;
-            None if the wait wasn't planned.
+        usual_wait_s: Planned wait at an engine whose slowness is 1, seconds; None if
+            the wait wasn't planned.
     """
     model = engine.prefill_model
-    model_s = prefillmodel.estimate_seconds(model, measured.new, measured.context)
-    if model_s <= 0 or measured.seconds <= 0:
+    if measured.new <= 0 or measured.seconds <= 0:
         return
+    model_s = prefillmodel.estimate_seconds(model, measured.new, measured.context)
     busy_s = prefillmodel.estimate_busy_s(model, measured.new, measured.context)
-    expected_s = model_s * engine.slowness
-    ratio, weight = measured.seconds / model_s, busy_s / model_s
-    if was_alone or measured.seconds < expected_s:
+    # The time of the network is the same for all engines.
+    base_s = model_s - busy_s
+    work_s = measured.seconds - base_s
+    if was_alone or work_s < busy_s * engine.slowness:
         # What all engines have in common belongs to the model.
-        relative = engine.slowness / model.mean_slowness
+        relative = engine.slowness / model.mean_slowness if work_s > 0.0 else 1.0
         normalized = PrefillSample(
-            measured.new, measured.context, measured.seconds / relative
+            measured.new, measured.context, base_s + work_s / relative
         )
         prefillmodel.note_sample(model, normalized)
+    if busy_s <= 0.0 or (usual_wait_s is None and not was_alone):
+        return
+    ratio, weight = max(MIN_WORK_SHARE, work_s / busy_s), busy_s / model_s
     if not was_alone:
-        if not usual_s:
-            return
-        ratio = min(ratio, measured.seconds / usual_s)
+        ratio = min(ratio, max(MIN_WORK_SHARE, work_s / (busy_s + usual_wait_s)))
         weight *= QUEUED_WEIGHT
     targetspeeds.note_ratio(engine.speed, ratio, now, weight)
     update_slowness(engine, now)
@@ -170,6 +179,7 @@
     low, high = SLOWNESS_BOUNDS
     ratio = targetspeeds.update_estimate(engine.speed, now)
     engine.slowness = min(high, max(low, ratio))
+    engine.scales_base = False
 
 
 def update_all(engines: Iterable[Engine], now: float) -> None:
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -3,7 +3,7 @@
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.peerdigests import Placement
 from robinspindle.core.prefillbacklog import note_prefill_start
-from robinspindle.core.prefillmodel import PrefillSample, estimate_seconds
+from robinspindle.core.prefillmodel import PrefillSample
 from robinspindle.core.prefillspeed import (
     estimate_prefill_s,
     is_useful_sample,
@@ -69,9 +69,8 @@
         measured = PrefillSample(self._new, self._context, seconds)
         is_planned = self._level < LATE_LEVEL
         if self._shares_speeds:
-            model_s = estimate_seconds(engine.prefill_model, self._new, self._context)
-            usual_s = self._usual_wait_s + model_s if is_planned else None
-            note_shared_sample(engine, measured, now, was_alone, usual_s)
+            wait_s = self._usual_wait_s if is_planned else None
+            note_shared_sample(engine, measured, now, was_alone, wait_s)
             return
         note_prefill_done(engine, measured, was_alone)
         if not was_alone and is_planned:
--- a/tests/core/loadplay.py
+++ b/tests/core/loadplay.py
@@ -15,11 +15,7 @@
 from robinspindle.core.engines import count_cached, make_engine, note_placed
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.prefillbacklog import note_peer_backlog, note_prefill_start
-from robinspindle.core.prefillmodel import (
-    PrefillSample,
-    estimate_seconds,
-    make_prefill_model,
-)
+from robinspindle.core.prefillmodel import PrefillSample, make_prefill_model
 from robinspindle.core.prefillplacement import choose_plan, should_refuse
 from robinspindle.core.prefillspeed import (
     estimate_prefill_s,
@@ -300,11 +296,8 @@
         measured = PrefillSample(plan.uncached_tokens, context, seconds)
         was_alone = alone and engine.placed == placed
         if load.shares_speeds:
-            model_s = estimate_seconds(
-                engine.prefill_model, plan.uncached_tokens, context
-            )
-            usual_s = usual_wait_s + model_s if plan.level < LATE_LEVEL else None
-            note_shared_sample(engine, measured, env.now, was_alone, usual_s)
+            wait_s = usual_wait_s if plan.level < LATE_LEVEL else None
+            note_shared_sample(engine, measured, env.now, was_alone, wait_s)
             yield from self._answer(gateway, kind, prompt, plan, arrived_at)
             return
         note_prefill_done(engine, measured, was_alone)
