--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 from robinspindle.core import health, targets
 from robinspindle.core.routes import CallerLimits, EngineSpec, Service, make_table
 from robinspindle.core.targets import Announcement, Directory
+from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.fleet import Fleet
 from robinspindle.platform.dialect import decode_answer
 
@@ -114,3 +115,15 @@
     assert fleet.find_next_send_s("lm", 1.0, set()) == 8.0
     stated["d2"].leaving = True
     assert fleet.find_next_send_s("lm", 1.0, set()) == 0.0
+
+
+def test_a_new_lifetime_under_an_id_begins_at_the_speed_of_its_service():
+    fleet = make_fleet()
+    fleet.shares_speeds = True
+    announce(fleet, "p2@1", "prefill")
+    fleet.note_speeds("g2", [SpeedSums("p2@1", 15, [400])], 0.0)
+    fleet.list_speeds(0.0)
+    assert fleet.find_engine_of("p2@1").slowness > 2.0
+    announce(fleet, "p2@2", "prefill")
+    fleet.list_speeds(0.1)
+    assert fleet.find_engine_of("p2@2").slowness == 1.0
