--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -4,11 +4,14 @@
 import socket
 from dataclasses import replace
 
+import pytest
+
 from robinspindle import stopping
 from robinspindle.clocks import read_steady
 from robinspindle.core.peerdigests import Datagram, Digest, Placement, TargetLoad
 from robinspindle.core.relays import Member, encode_member
 from robinspindle.core.streamorigins import StreamOrigin, make_stream_key, note_origin
+from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.exceptions import Finding, InvalidDocumentError
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.gauges import update_gauges
@@ -272,3 +275,26 @@
             assert d.gateway.orderer.authority.lease_s == 9.0
 
     run(scenario())
+
+
+def test_the_speed_that_a_peer_measured_is_believed_and_shown(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await d.add("p1", "lm", "prefill")
+            gateway = d.gateway
+            gateway.fleet.shares_speeds = True
+            engine = gateway.fleet.find_engine_of("p1")
+            await introduce(d, "gateway-2")
+            speeds = [SpeedSums("p1", 15, [400])]
+            digest = Digest("gateway-2", 1.0, 1, [], [], speeds=speeds)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                data = encode(Datagram("gateway-2", [digest]))
+                sender.sendto(data, (LOOPBACK, d.inner_port))
+            await until(lambda: engine.slowness > 2.0)
+            update_gauges(gateway.metrics, gateway._list_measured(), read_steady())
+            page = format_metrics(gateway.metrics.registry).decode()
+            assert 'robinspindle_target_slowness{target="p1"} 3.' in page
+            # What a silent peer told is dropped with it.
+            await until(lambda: engine.slowness == pytest.approx(1.0, abs=0.01))
+
+    run(scenario())
