--- a/src/robinspindle/core/policy.py
+++ b/src/robinspindle/core/policy.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class Policy:
-    """The switches; all are on unless the policy file says otherwise.
+    """The switches, as they are unless the policy file says otherwise.
 
     Attributes:
         learns_paces: Measured prefills update the engines' prefill models.
@@ -31,6 +31,7 @@
             rank.
         changes_roles: Engines are ordered to change their roles.
         counts_memory: The cost of a plan includes the wait for memory of its engine.
+        shares_speeds: Gateways learn the speed of each engine together.
     """
 
     learns_paces: bool = True
@@ -47,3 +48,4 @@
     gives_turns: bool = True
     changes_roles: bool = True
     counts_memory: bool = True
+    shares_speeds: bool = False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 from robinspindle.core.priorities import LEVELS
 from robinspindle.core.routes import CallerLimits, EngineSpec, Service, make_table
 from robinspindle.core.targets import Announcement, Directory
+from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.fleet import DEFAULT_CACHE_TOKENS, Fleet
 from robinspindle.platform.dialect import decode_answer
 
@@ -125,3 +126,15 @@
     services = [Service("lm", "/h", 80, EngineSpec(8, 620_000, 5.0, 3.0))]
     fleet.apply_table(make_table(1, [], services, CallerLimits()), 0.0)
     assert fleet.find_engine_of("d1").cache_tokens == 620_000
+
+
+def test_a_new_lifetime_under_an_id_begins_at_the_speed_of_its_service():
+    fleet = make_fleet()
+    fleet.shares_speeds = True
+    announce(fleet, "p2@1", "prefill")
+    fleet.note_speeds("g2", [SpeedSums("p2@1", 15, [400])], 0.0)
+    fleet.list_speeds(0.0)
+    assert fleet.find_engine_of("p2@1").slowness > 2.0
+    announce(fleet, "p2@2", "prefill")
+    fleet.list_speeds(0.1)
+    assert fleet.find_engine_of("p2@2").slowness == 1.0
