Count bytes between availability zones by cause

Nobody knew which part of the traffic between zones is requests, answers, news among gateways, origins of streams, or prompts' memory. Each gateway now counts what it sends and gets there, and what it has moved, in a metric by cause and in a log line every 5 s and at its end. Nothing decides otherwise.

Measured: nothing yet.

--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -74,6 +74,7 @@
         event_tokens: Maximum number of tokens in one event of a stream.
         token_transfer_s: Transfer time per token of the KV cache over an engine's link,
             seconds; None for unknown.
+        token_bytes: Size of the KV cache of a token, bytes; 0 for unknown.
     """
 
     slots: int
@@ -82,6 +83,7 @@
     role_change_s: float
     event_tokens: int = 1
     token_transfer_s: float | None = None
+    token_bytes: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -46,6 +46,7 @@
     send_if_awaited,
     take_turn,
 )
+from robinspindle.zonetraffic import TrafficCause
 
 BAD_REQUEST = 400
 """No other target would run a request that one calls bad."""
@@ -208,6 +209,7 @@
                 run.stop = None
                 health.note_heard(target, passage.first_at)
                 self._note_begun(passage, sending)
+                self._count_moved(passage, sending)
                 sending.on_first()
                 answer = Answer(target, head, exchange, connection, expected)
                 end = await self._take_answer(passage, answer)
@@ -227,6 +229,22 @@
             is_late = passage.plan.level == LATE_LEVEL
             self._means.lengths.note_handoff(passage.service, now, seconds, is_late)
 
+    def _count_moved(self, passage: Passage, sending: Sending) -> None:
+        """Count the KV cache that a sending has moved to another availability zone."""
+        plan, means = passage.plan, self._means
+        reader = plan.prefill_target if sending.source is not None else None
+        if reader is None:
+            return
+        size = passage.request.prompt.tokens * means.fleet.find_token_bytes(
+            passage.service
+        )
+        means.traffic.note_between(
+            TrafficCause.MEMORY,
+            reader.announced.zone,
+            sending.target.announced.zone,
+            round(size),
+        )
+
     def _count_begun(self, passage: Passage, sent_at: float) -> None:
         """Count a request that began to run, for the workspace whose key it carries.
 
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -19,6 +19,7 @@
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionPool, DecodeHead, Traffic
 from robinspindle.targetlimits import TargetLimits
+from robinspindle.zonetraffic import Meter
 
 READING = "prefill"
 """The role of engines that only read prompts."""
@@ -65,6 +66,7 @@
         directory: Directory,
         decode_head: DecodeHead,
         make_traffic: Callable[[Target], Traffic | None] = lambda target: None,
+        make_meter: Callable[[Target], Meter | None] = lambda target: None,
     ):
         """Begin without connections.
 
@@ -72,6 +74,7 @@
             directory: The targets.
             decode_head: Decodes the heads of their answers.
             make_traffic: Makes what is told of all that passes to and from a target.
+            make_meter: Makes what counts the bytes to and from a target.
         """
         self.directory = directory
         self.table: RouteTable | None = None
@@ -83,6 +86,7 @@
         self.knows_new_caches = False
         self._decode_head = decode_head
         self._make_traffic = make_traffic
+        self._make_meter = make_meter
         self._pools: dict[str, ConnectionPool] = {}
         self._engines: dict[str, Engine] = {}
         self._paces: dict[tuple[str, bool], PrefillModel] = {}
@@ -328,6 +332,7 @@
                 HostPort(host, int(port)),
                 self._decode_head,
                 self._make_traffic(target),
+                self._make_meter(target),
             )
             self._pools[announced.lifetime] = pool
         return pool
@@ -350,6 +355,11 @@
         shape = self._find_shape(service)
         return shape.token_transfer_s if shape else None
 
+    def find_token_bytes(self, service: str) -> float:
+        """Find the size of a token's KV cache, bytes; 0 where it is not known."""
+        shape = self._find_shape(service)
+        return shape.token_bytes if shape else 0.0
+
     def _count_connections(self, service: str) -> int:
         known = self.table.services.get(service) if self.table else None
         return known.connection_limit if known else DEFAULT_CONNECTIONS
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -52,6 +52,7 @@
 from robinspindle.streamparts import make_stream_parts
 from robinspindle.targettraffic import make_traffic_maker
 from robinspindle.usagebook import UsageBook
+from robinspindle.zonetraffic import ZoneTraffic
 
 TICK_S = 0.1
 """Interval of housekeeping, seconds: closing idle connections, forgetting targets."""
@@ -72,6 +73,7 @@
 
     Attributes:
         directory: The targets.
+        traffic: Bytes between availability zones.
         budget: Repeats that it may make.
         fleet: What is kept for them.
         peers: The other gateways.
@@ -100,10 +102,12 @@
         self.metrics = GatewayMetrics()
         self._store = adapter.make_store(settings, self._clock)
         self.directory = Directory()
+        self.traffic = ZoneTraffic(settings.zone)
         self.fleet = Fleet(
             self.directory,
             adapter.dialect.decode_answer,
             make_traffic_maker(self._clock, make_log("targets")),
+            self.traffic.make_meter,
         )
         self.budget = retrywindows.WindowedRetryBudget()
         self.peers = Peers(_describe_own(settings), time.time())
@@ -122,6 +126,7 @@
             self.peers,
             self.fleet,
             self.link,
+            self.traffic,
             self._clock,
             make_log("streams"),
         )
@@ -222,6 +227,7 @@
                 clock=self._clock,
                 log=make_log("relay"),
                 metrics=self.metrics,
+                traffic=self.traffic,
             )
         )
 
@@ -242,6 +248,7 @@
                 self._clock,
             ),
             self.link.note_sent,
+            self.traffic,
         )
 
     def _make_orderer(self, adapter: Adapter) -> Orderer:
@@ -403,6 +410,7 @@
         self._figures.close_listener()
         self._link.close()
         self._streams.link.close()
+        self.traffic.log(log, self._clock(), self._store.received_bytes)
         log("stopped", name=self.settings.name)
         self._output.flush()
 
@@ -457,6 +465,7 @@
             freshness=self.freshness,
             reporter=self.duties.reporter,
             streams=self.streams,
+            traffic=self.traffic,
             entries=self._entries,
             count_busy=self._callers.count_busy,
             count_left_out=lambda: self._output.total_left_out,
@@ -489,6 +498,7 @@
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
             self._reader.read_if_due(now)
+            self.traffic.log_if_due(log, now, self._store.received_bytes)
             self._stop.go_on(now)
 
     def _hears_all_gateways(self, heard: list[str]) -> bool:
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -39,6 +39,7 @@
         store_era: How often the store has returned from a copy, as it tells.
         eras_unreadable: Answers of the store whose era could not be read so far.
         store_away: Whether the store is away.
+        zone_traffic: Bytes to and from other availability zones so far, by cause.
         list_age: Age of what is known of the targets' entries, seconds.
         entries_unusable: Entries of targets that could not be used so far.
         peers_refused: Datagrams of peers that were not believed so far.
@@ -91,6 +92,11 @@
             "store_eras_unreadable", "Answers whose era could not be read so far"
         )
         self.store_away = self._gauge("store_away", "Whether the store is away")
+        self.zone_traffic = self._gauge(
+            "zone_traffic_bytes",
+            "Bytes to and from other availability zones so far, by cause",
+            "cause",
+        )
         self.list_age = self._gauge(
             "targets_list_age_seconds", "Age of what is known of the targets' entries"
         )
@@ -191,5 +197,5 @@
     def _count(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"robinspindle_{name}", text, labels, registry=self.registry)
 
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"robinspindle_{name}", text, registry=self.registry)
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"robinspindle_{name}", text, labels, registry=self.registry)
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -15,6 +15,7 @@
 from robinspindle.peers import Peers, find_oldest_s, list_heard
 from robinspindle.reporting import Reporter
 from robinspindle.streammemory import StreamMemory
+from robinspindle.zonetraffic import ZoneTraffic
 
 
 @dataclass(frozen=True)
@@ -29,6 +30,7 @@
         freshness: What is known of the age of the configuration.
         reporter: Reports usage.
         streams: Remembers who began which stream.
+        traffic: Bytes between availability zones.
         entries: The targets' entries that can't be used.
         count_busy: Counts callers' requests under way.
         count_left_out: Counts log lines that were left out.
@@ -42,6 +44,7 @@
     freshness: Freshness
     reporter: Reporter
     streams: StreamMemory
+    traffic: ZoneTraffic
     entries: UnusableEntries
     count_busy: Callable[[], int]
     count_left_out: Callable[[], int]
@@ -60,6 +63,8 @@
     _update_peers(metrics, parts.peers, now)
     _update_store(metrics, parts.store)
     _update_streams(metrics, parts.streams)
+    for cause, size in parts.traffic.counts.items():
+        metrics.zone_traffic.labels(cause.value).set(size)
     metrics.quarantined.set(len(list_quarantined(parts.guard.quarantine)))
     metrics.suspected.set(len(parts.guard.evidence.crashes_by_suspect))
     metrics.quarantine_unreadable.set(parts.count_unreadable())
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -20,6 +20,7 @@
 from robinspindle.core.forwarding import AnswerHead, Headers
 from robinspindle.core.obstacles import Obstacle
 from robinspindle.gatewaysettings import HostPort
+from robinspindle.zonetraffic import Meter
 
 UNACKED_MS = 4000
 """Sent bytes that nobody acknowledges, or has room for, end a connection after this,
@@ -176,9 +177,15 @@
         is_open: Whether it is open.
     """
 
-    def __init__(self, decode_head: DecodeHead, traffic: Traffic | None = None):
+    def __init__(
+        self,
+        decode_head: DecodeHead,
+        traffic: Traffic | None = None,
+        meter: Meter | None = None,
+    ):
         self._decode_head = decode_head
         self._traffic = traffic
+        self._meter = meter
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -210,6 +217,8 @@
         if obstacle is not None:
             raise NotSentError(obstacle)
         self._exchange = exchange
+        if self._meter is not None:
+            self._meter.note_sent(len(data))
         self._transport.write(data)
 
     def abort(self) -> None:
@@ -239,6 +248,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
+        if self._meter is not None:
+            self._meter.note_received(len(data))
         if self._exchange is None:
             self._break("bytes that belong to no request")
             return
@@ -348,6 +359,7 @@
         address: HostPort,
         decode_head: DecodeHead,
         traffic: Traffic | None = None,
+        meter: Meter | None = None,
     ):
         """Begin without a connection.
 
@@ -355,10 +367,12 @@
             address: Where to.
             decode_head: Decodes the heads of answers.
             traffic: Told what passes on all connections; None for nobody.
+            meter: Counts the bytes on all connections; None where nobody does.
         """
         self.address = address
         self._decode_head = decode_head
         self._traffic = traffic
+        self._meter = meter
         self.idle: list[ClientConnection] = []
 
     async def take(self, now: float, timeout_s: float) -> ClientConnection:
@@ -391,7 +405,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._decode_head, self._traffic),
+                    lambda: ClientConnection(
+                        self._decode_head, self._traffic, self._meter
+                    ),
                     self.address.host,
                     self.address.port,
                 )
--- a/src/robinspindle/originlink.py
+++ b/src/robinspindle/originlink.py
@@ -14,6 +14,7 @@
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
 from robinspindle.senders import Senders
+from robinspindle.zonetraffic import TrafficCause, ZoneTraffic
 
 PORT_OFFSET = 1
 """By how much the port of this socket is above the one that gateways announce."""
@@ -126,7 +127,9 @@
         peers: Peers,
         log: Log,
         note_sent: Callable[[int], None] = ignore_sent,
+        traffic: ZoneTraffic | None = None,
     ):
+        self._traffic = traffic or ZoneTraffic(peers.own.zone)
         self.take: Callable[[str, Message], None] = pass_over_message
         self._peers = peers
         self._senders = Senders(peers, log)
@@ -182,4 +185,5 @@
         member = self._peers.members[name]
         data = encode(message)
         self._note_sent(len(data))
+        self._traffic.note(TrafficCause.STREAM_ORIGINS, member.zone, len(data))
         self._transport.sendto(data, (member.host, member.port + PORT_OFFSET))
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -28,6 +28,7 @@
 from robinspindle.peers import Peers
 from robinspindle.replies import Reply
 from robinspindle.usagebook import UsageBook
+from robinspindle.zonetraffic import ZoneTraffic
 
 
 class Dialect(Protocol):
@@ -238,6 +239,7 @@
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
         metrics: The gateway's metrics.
+        traffic: Counts the bytes between availability zones.
     """
 
     dialect: Dialect
@@ -256,3 +258,4 @@
     clock: Callable[[], float]
     log: Log
     metrics: GatewayMetrics
+    traffic: ZoneTraffic
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -34,6 +34,7 @@
 from robinspindle.senders import Senders
 from robinspindle.targetlimits import TargetLimits
 from robinspindle.teaching import KnownCaches, add_caches, plan_teaching, take_caches
+from robinspindle.zonetraffic import TrafficCause, ZoneTraffic
 
 NEWCOMER_S = 3.0
 """How long after its start a gateway is told what caches hold, seconds: within it, it
@@ -111,7 +112,9 @@
         note_requests: Callable[[RequestUpdates], None] = pass_over_requests,
         facts: PeerFacts | None = None,
         note_sent: Callable[[int], None] = ignore_sent,
+        traffic: ZoneTraffic | None = None,
     ):
+        self._traffic = traffic or ZoneTraffic(peers.own.zone)
         self._note_sent = note_sent
         self._facts = facts
         self._peers = peers
@@ -368,6 +371,7 @@
             return
         self._peers.sent_bytes += len(data)
         self._note_sent(len(data))
+        self._traffic.note(TrafficCause.NEWS, member.zone, len(data))
         self._transport.sendto(data, (member.host, member.port))
 
     def remove_timed_out_peers(self, now: float) -> None:
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -304,6 +304,7 @@
             role_change_s=service.engine.role_switch_s,
             event_tokens=max(1, service.engine.stride),
             token_transfer_s=_compute_token_transfer_s(service.engine),
+            token_bytes=max(0.0, service.engine.kv_token_bytes),
         )
     scaling = None
     if service.scaling is not None:
--- a/src/robinspindle/streamparts.py
+++ b/src/robinspindle/streamparts.py
@@ -13,6 +13,7 @@
 from robinspindle.streammemory import StreamMemory
 from robinspindle.versionkeeping import VersionKeeper
 from robinspindle.versionwriting import VersionWriter
+from robinspindle.zonetraffic import ZoneTraffic
 
 
 @dataclass(frozen=True)
@@ -45,6 +46,7 @@
     peers: Peers,
     fleet: Fleet,
     uplink: LinkQueue,
+    traffic: ZoneTraffic,
     clock: Callable[[], float],
     log: Log,
 ) -> StreamParts:
@@ -56,6 +58,7 @@
         peers: The other gateways.
         fleet: The targets.
         uplink: The VM's own link, told of what is sent.
+        traffic: Counts the bytes between availability zones.
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
     """
@@ -68,7 +71,7 @@
 
     topic = adapter.gateways_topic
     shared = (store, topic, fleet, count_gateways, clock, log)
-    link = OriginLink(peers, log, uplink.note_sent)
+    link = OriginLink(peers, log, uplink.note_sent, traffic)
     kept = OriginLog(store, adapter.origins_topic, count_relays, log)
     memory = StreamMemory(peers, link, kept, clock, log)
     versions = VersionKeeper(*shared)
