Weigh what it costs and gains to leave the availability zone

Traffic between zones is slower and costs money, yet a zone's own servers are sometimes too few: so far another zone cost a constant of 10 ms, or half a request, whatever the request weighs and however full the zone is.

With the new switch weighs_zones (off, so today's behaviour stays) a gateway plans each request within its zone and among all, and compares them after the time on the way, the bytes at the operator's price, the KV cache that moves and the caches. How much leaves follows the gain, more slowly the older the state; a zone takes guests up to a share of its slots and of the objective. The host of a prompt that was read apart stays in the planned zone. Plain services leave by how full their slots at home are. Terms are set in the policy file, [zones], and checked with their places.

The test that all switches of the deployed file are on is replaced by one that holds each switch and term to its default, and one that names the single switch that is off.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -13,6 +13,7 @@
 )
 from robinspindle.core.engines import Engine
 from robinspindle.core.forwarding import Prompt, Request
+from robinspindle.core.plainplacement import PlainChoice
 from robinspindle.core.prefillmodel import estimate_busy_s
 from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.core.priorities import LATE_LEVEL
@@ -30,7 +31,9 @@
     list_open,
     should_refuse_take_up,
 )
+from robinspindle.core.zoneplacement import list_in_zone_of
 from robinspindle.passages import Means, Passage
+from robinspindle.zonechoices import ZoneChoices
 
 MOST_READS = 2
 """Times that a prompt may be read apart: once more than it should need, for a reader
@@ -50,6 +53,7 @@
         self._rng = rng
         self._turns = SizeFairness()
         self._answer_turns = SizeFairness()
+        self._zones = ZoneChoices(means, rng)
 
     def note_expected(self, request: Request, route: Route, service: str) -> None:
         """Take note of how long an answer a caller expects."""
@@ -102,16 +106,27 @@
         pairs = self._pair_open(passage, usable)
         prompt = passage.request.prompt
         if prompt is None or any(engine is None for _, engine in pairs):
-            return self._choose_plainly(pairs, now)
+            return self._choose_plainly(passage, pairs, now)
         if passage.reads and not self._may_read_again(passage, now):
             pairs = [pair for pair in pairs if not pair[1].prefill_only]
         at = self._describe_situation(passage, now)
-        plan = prefillplacement.choose_plan(pairs, prompt, at)
+        plan = self._choose_plan(passage, pairs, prompt, at)
         if plan is not None and passage.plan is None and plan.uncached_tokens:
             self._note_demand(passage, plan, now)
         if plan is not None and plan.level < LATE_LEVEL and plan.has_capacity:
             self._count_as_served(passage, now)
-        return plan
+        return plan and self._zones.name_leaving(plan)
+
+    def _choose_plan(
+        self,
+        passage: Passage,
+        pairs: list[tuple[Target, Engine]],
+        prompt: Prompt,
+        at: prefillplacement.PlanningContext,
+    ) -> RequestPlan | None:
+        if at.policy.weighs_zones:
+            return self._zones.choose_plan(passage, pairs, prompt, at)
+        return prefillplacement.choose_plan(pairs, prompt, at)
 
     def has_target(self, passage: Passage, now: float) -> bool:
         """Tell whether any target may get a request."""
@@ -138,16 +153,25 @@
         """Find where to generate the answer to a prompt that was read apart.
 
         Reading takes up to seconds, and the engine that was planned may have begun to
-        leave or have crashed meanwhile, or have become the busiest one.
+        leave or have crashed meanwhile, or have become the busiest one. Where zones
+        are weighed, the host stays in the planned zone while that has one: the parts
+        of a request are placed together, and its KV cache was counted so.
         """
         now = self._means.clock()
         pairs = self._pair_open(passage, self._list_usable(passage, now))
         engines = [pair for pair in pairs if pair[1] is not None]
+        if self._means.policy().weighs_zones:
+            engines = list_in_zone_of(plan, engines)
         means = self._means
         age_s = means.peers.interval_s
         has_pause_sensitive = means.lengths.has_pause_sensitive(passage.service)
         return decodeplacement.choose_decode_target(
-            engines, means.zone, now, age_s, self._rng, has_pause_sensitive
+            engines,
+            means.zone,
+            now,
+            age_s,
+            self._rng,
+            has_pause_sensitive,
         )
 
     def _pair_open(
@@ -230,7 +254,10 @@
         note_prefill_demand(demand, now, seconds)
 
     def _choose_plainly(
-        self, pairs: list[tuple[Target, Engine | None]], now: float
+        self,
+        passage: Passage,
+        pairs: list[tuple[Target, Engine | None]],
+        now: float,
     ) -> RequestPlan | None:
         """Choose a target without regard to any prompt."""
         plain = [
@@ -240,8 +267,10 @@
         ]
         if not plain:
             return None
-        return RequestPlan(
-            target=choose_target(plain, self._means.zone, now, self._rng),
+        chosen = self._choose_plain_target(passage, plain, now)
+        plan = RequestPlan(
+            target=chosen.target,
+            leaving=chosen.leaving,
             prefill_target=None,
             uncached_tokens=0,
             prefill_s=0.0,
@@ -249,6 +278,14 @@
             first_event_s=0.0,
             cost_s=0.0,
         )
+        return self._zones.name_leaving(plan)
+
+    def _choose_plain_target(
+        self, passage: Passage, targets: list[Target], now: float
+    ) -> PlainChoice:
+        if self._means.policy().weighs_zones:
+            return self._zones.choose_plain(passage.service, targets, now)
+        return PlainChoice(choose_target(targets, self._means.zone, now, self._rng))
 
     def _describe_situation(
         self, passage: Passage, now: float
@@ -296,4 +333,5 @@
             policy=self._means.policy(),
             is_prompt_underserved=passage.is_prompt_underserved,
             is_answer_underserved=passage.is_answer_underserved,
+            crossing=self._zones.find_crossing(passage),
         )
--- a/src/robinspindle/commands.py
+++ b/src/robinspindle/commands.py
@@ -35,7 +35,7 @@
 from robinspindle.losstables import describe_losses, format_losses
 from robinspindle.platform.adapter import PlatformAdapter
 from robinspindle.platform.settings import read_gateway_settings
-from robinspindle.policyfile import SECTION as POLICY_SECTION
+from robinspindle.policyfile import SECTIONS as POLICY_SECTIONS
 from robinspindle.policyfile import read_policy
 from robinspindle.quarantinelisting import (
     describe_entry,
@@ -80,7 +80,7 @@
                 read_gateway_settings(path)
                 continue
             text = Path(path).read_text()
-            if f"[{POLICY_SECTION}]" in text:
+            if any(f"[{section}]" in text for section in POLICY_SECTIONS):
                 read_policy(path)
                 continue
             kinds = [kind for kind in KINDS if f"[{kind}]" in text]
--- a/src/robinspindle/core/decodeplacement.py
+++ b/src/robinspindle/core/decodeplacement.py
@@ -12,16 +12,13 @@
     find_event_s,
 )
 from robinspindle.core.targets import Target
+from robinspindle.core.zonecosts import CONSTANT_COSTS, CrossingCosts
 
 COST_JITTER_SHARE = 0.2
 """Largest random addition to a decode engine's cost, as a share of the age of the known
 state: some of the requests sent to an engine meanwhile are not yet known, and each of
 them slows it down by a few milliseconds."""
 
-CROSS_ZONE_COST_S = 0.010
-"""Cost of a target in another availability zone, seconds: its round trip, and the
-charge for the transferred bytes."""
-
 REQUEST_COST_S = 0.002
 """Cost of each request in flight at a decode engine, seconds, so that answers are
 spread over the engines: its share of the time of the decode steps that it slows
@@ -68,6 +65,7 @@
     now: float,
     max_event_s: float = math.inf,
     longest_answer_event_s: float = math.inf,
+    crossing: CrossingCosts = CONSTANT_COSTS,
 ) -> Pair:
     """Choose the engine that generates a long answer.
 
@@ -84,10 +82,11 @@
         longest_answer_event_s: The same for the longest answers of its kind, seconds.
             Answers that tolerate an engine which is too slow for those leave the fast
             engines to them.
+        crossing: What another zone costs.
     """
 
     def compute_late_cost_s(pair: Pair) -> float:
-        target_cost_s = estimate_target_cost_s(pair[0], zone)
+        target_cost_s = estimate_target_cost_s(pair[0], zone, crossing)
         return (
             _find_event_s_or_zero(pair[1], now)
             + target_cost_s
@@ -116,7 +115,7 @@
     fastest_s = find_fastest_event_s(pairs, now)
     return min(
         too_slow_for_longest or fast_enough,
-        key=lambda p: _compute_long_cost_s(p, zone, now, fastest_s),
+        key=lambda p: _compute_long_cost_s(p, zone, now, fastest_s, crossing),
     )
 
 
@@ -219,7 +218,9 @@
     return min((event_s for event_s in known_s if event_s is not None), default=0.0)
 
 
-def _compute_long_cost_s(pair: Pair, zone: str, now: float, fastest_s: float) -> float:
+def _compute_long_cost_s(
+    pair: Pair, zone: str, now: float, fastest_s: float, crossing: CrossingCosts
+) -> float:
     """Compute the cost of an engine for one more long answer, seconds.
 
     Long answers are concentrated on few engines, up to a share of their slots, so that
@@ -232,7 +233,8 @@
     event_s = _find_event_s_or_zero(engine, now)
     slow_s = max(0.0, event_s - SLOW_EVENT_FACTOR * fastest_s)
     wait_s = engine.backlog_s + estimate_slot_wait_s(pair)
-    return wait_s + load_cost_s + slow_s + estimate_target_cost_s(target, zone)
+    target_cost_s = estimate_target_cost_s(target, zone, crossing)
+    return wait_s + load_cost_s + slow_s + target_cost_s
 
 
 def _find_event_s_or_zero(engine: Engine, now: float) -> float:
@@ -272,7 +274,12 @@
     return min(MAX_SLOWDOWN, max(1.0, event_s / fastest_s))
 
 
-def estimate_decode_cost_s(pair: Pair, zone: str, slowdown: float = 1.0) -> float:
+def estimate_decode_cost_s(
+    pair: Pair,
+    zone: str,
+    slowdown: float = 1.0,
+    crossing: CrossingCosts = CONSTANT_COSTS,
+) -> float:
     """Estimate the cost of an engine for a short answer, seconds.
 
     Slow engines get fewer answers: where events take longer, each answer stays longer
@@ -283,9 +290,10 @@
         pair: The engine.
         zone: The gateway's availability zone.
         slowdown: Ratio of its time per event to that of the fastest engine.
+        crossing: What another zone costs.
     """
     target, engine = pair
-    target_cost_s = estimate_target_cost_s(target, zone)
+    target_cost_s = estimate_target_cost_s(target, zone, crossing)
     return (
         count_requests(pair) * REQUEST_COST_S * slowdown
         + engine.backlog_s
@@ -293,7 +301,9 @@
     )
 
 
-def estimate_target_cost_s(target: Target, zone: str) -> float:
+def estimate_target_cost_s(
+    target: Target, zone: str, crossing: CrossingCosts = CONSTANT_COSTS
+) -> float:
     """Estimate the cost of a target's network delay and faults, seconds."""
-    zone_cost_s = CROSS_ZONE_COST_S if target.announced.zone != zone else 0.0
+    zone_cost_s = crossing.delay_s if target.announced.zone != zone else 0.0
     return zone_cost_s + FAULT_COST_S * target.faults
--- a/src/robinspindle/core/estimates.py
+++ b/src/robinspindle/core/estimates.py
@@ -40,6 +40,7 @@
         seconds: Duration with the cache transfer, without the wait, seconds.
         prefill_s: Time for which the prefill occupies the engine, seconds.
         fetch_s: Duration of the cache transfer, seconds.
+        fetched_tokens: Tokens that it transfers.
         penalty_s: Additional cost of the effect on caches, seconds.
         missing_share: Share of the shared parts that it has to prefill again.
         cache_source: Where the parts are transferred from; None for no transfer.
@@ -52,6 +53,7 @@
     missing_share: float
     fetch_s: float = 0.0
     cache_source: Target | None = None
+    fetched_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -154,6 +156,7 @@
         missing_share=missing / max(1, shared),
         fetch_s=fetch_s,
         cache_source=transfer.cache_source[0] if transfer else None,
+        fetched_tokens=transferred,
     )
 
 
--- a/src/robinspindle/core/policy.py
+++ b/src/robinspindle/core/policy.py
@@ -1,4 +1,4 @@
-"""Switches for the decisions about engines.
+"""Switches for the decisions about engines and zones.
 
 Each decision can be switched off by itself, to measure its benefit in a deployment or
 to disable it in an emergency without a new version.
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class Policy:
-    """The switches; all are on unless the policy file says otherwise.
+    """The switches, as they are unless the policy file says otherwise.
 
     Attributes:
         learns_paces: Measured prefills update the engines' prefill models.
@@ -30,6 +30,8 @@
         gives_turns: Size classes that are served too seldom keep the priority of their
             rank.
         changes_roles: Engines are ordered to change their roles.
+        weighs_zones: Requests leave the gateway's availability zone by the operator's
+            terms, a smoothed share of them; otherwise another zone costs a constant.
     """
 
     learns_paces: bool = True
@@ -45,3 +47,4 @@
     rests_longer: bool = True
     gives_turns: bool = True
     changes_roles: bool = True
+    weighs_zones: bool = False
--- a/src/robinspindle/core/prefillplacement.py
+++ b/src/robinspindle/core/prefillplacement.py
@@ -35,6 +35,7 @@
 from robinspindle.core.requestplans import (
     PlanningContext,
     RequestPlan,
+    estimate_host_move_cost_s,
     estimate_load_cost_s,
     plan_local_prefill,
     plan_remote_prefill,
@@ -67,7 +68,10 @@
 
 
 def choose_plan(
-    candidates: list[Pair], prompt: Prompt, context: PlanningContext
+    candidates: list[Pair],
+    prompt: Prompt,
+    context: PlanningContext,
+    cache_sources: list[Pair] | None = None,
 ) -> RequestPlan | None:
     """Choose where a prompt is prefilled and where its answer is generated.
 
@@ -75,6 +79,8 @@
         candidates: The engines that may get work.
         prompt: The prompt.
         context: What else the choice depends on.
+        cache_sources: The engines from whose caches parts may be fetched; None for the
+            candidates.
 
     Returns:
         The cheapest plan that meets the deadline; if there is none, the plan with the
@@ -87,7 +93,8 @@
         context = replace(
             context, fastest_s=find_fastest_event_s(decode_pairs, context.now)
         )
-    transfer = _find_transfer(candidates, prompt, context)
+    sources = candidates if cache_sources is None else cache_sources
+    transfer = _find_transfer(sources, prompt, context)
     if context.is_long:
         return _choose_long_plan(candidates, decode_pairs, prompt, context, transfer)
     return _choose_short_plan(candidates, decode_pairs, prompt, context, transfer)
@@ -107,6 +114,7 @@
         context.now,
         context.max_event_s,
         context.longest_answer_event_s,
+        context.crossing,
     )
     has_capacity = has_long_capacity(
         decode_pair, context.now, context.max_event_s, context.longest_answer_event_s
@@ -271,11 +279,16 @@
         if _may_prefill_there(engine, plan, context)
     ]
     if prefill_pairs:
-        decode_pair = min(
-            decode_pairs, key=lambda pair: estimate_load_cost_s(pair, context)
-        )
+        hosts = _list_zone_hosts(decode_pairs, context)
         plans += [
-            plan_remote_prefill(pair, decode_pair, prompt, context, transfer, is_late)
+            plan_remote_prefill(
+                pair,
+                _choose_host(pair, hosts, context),
+                prompt,
+                context,
+                transfer,
+                is_late,
+            )
             for pair in prefill_pairs
         ]
     # Without a prefill engine, a decode engine has to prefill the prompt, unless other
@@ -283,6 +296,39 @@
     return plans or (local_plans if len(local_pairs) == len(decode_pairs) else [])
 
 
+def _list_zone_hosts(
+    decode_pairs: list[Pair], context: PlanningContext
+) -> list[tuple[float, Pair]]:
+    """List the decode engine with the least load of each zone, and the cost of that.
+
+    Where zones aren't weighed, only the one with the least load of all is listed.
+    """
+    if not context.policy.weighs_zones:
+        pair = min(decode_pairs, key=lambda pair: estimate_load_cost_s(pair, context))
+        return [(0.0, pair)]
+    hosts: dict[str, tuple[float, Pair]] = {}
+    for pair in decode_pairs:
+        zone, cost_s = pair[0].announced.zone, estimate_load_cost_s(pair, context)
+        if zone not in hosts or cost_s < hosts[zone][0]:
+            hosts[zone] = cost_s, pair
+    return list(hosts.values())
+
+
+def _choose_host(
+    prefill_pair: Pair, hosts: list[tuple[float, Pair]], context: PlanningContext
+) -> Pair:
+    """Choose the decode engine for a prompt that an engine prefills.
+
+    The prompt's KV cache moves from one to the other, which is dearer between zones.
+    """
+
+    def compute_cost_s(host: tuple[float, Pair]) -> float:
+        cost_s, (target, _) = host
+        return cost_s + estimate_host_move_cost_s(prefill_pair[0], target, context)
+
+    return min(hosts, key=compute_cost_s)[1]
+
+
 def _may_prefill_there(
     engine: Engine, plan: RequestPlan, context: PlanningContext
 ) -> bool:
--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -33,6 +33,7 @@
     find_rank_level,
 )
 from robinspindle.core.targets import Target
+from robinspindle.core.zonecosts import CONSTANT_COSTS, CrossingCosts
 
 MAX_DECODE_COST_S = 0.05
 """Upper limit on the cost of the decode engine's own load when the prompt is prefilled
@@ -59,6 +60,12 @@
         level: Priority level of the prefill.
         has_capacity: Whether the target has capacity for one more long answer.
         slot_wait_s: Estimated wait of a long answer for a slot of the target, seconds.
+        load_cost_s: Part of the cost that other requests cause, which changes with
+            them, seconds.
+        leaving: Why it leaves the gateway's availability zone; empty if it stays, or if
+            zones aren't weighed.
+        home_first_event_s: `first_event_s` of the plan that stays, seconds; None if
+            none was compared.
     """
 
     target: Target
@@ -74,6 +81,9 @@
     level: int = FIRST_RANK_LEVEL
     has_capacity: bool = True
     slot_wait_s: float = 0.0
+    load_cost_s: float = 0.0
+    leaving: str = ""
+    home_first_event_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -109,6 +119,7 @@
             seconds.
         is_answer_underserved: Whether answers of its length are underserved, so that
             it is sent even if its decode engine has too many long answers.
+        crossing: What another availability zone costs.
     """
 
     now: float
@@ -131,6 +142,7 @@
     longest_answer_event_s: float = math.inf
     slot_wait_s: float = 0.0
     is_answer_underserved: bool = False
+    crossing: CrossingCosts = CONSTANT_COSTS
 
 
 def plan_local_prefill(
@@ -143,11 +155,22 @@
     """Plan to prefill a prompt on its decode engine."""
     target, engine = pair
     estimate = estimate_prefill(pair, prompt, context.now, transfer)
-    delay_s = estimate_target_cost_s(target, context.zone) + context.slot_wait_s
+    target_cost_s = estimate_target_cost_s(target, context.zone, context.crossing)
+    delay_s = target_cost_s + context.slot_wait_s
     slowdown = find_event_slowdown(engine, context.now, context.fastest_s)
     decode_cost_s = count_requests(pair) * REQUEST_COST_S * slowdown
+    price_s = estimate_host_move_cost_s(None, target, context)
+    price_s += _estimate_fetch_price_s(target, estimate, prompt, context)
     return _make_plan(
-        target, None, engine, estimate, delay_s, decode_cost_s, context, is_late
+        target,
+        None,
+        engine,
+        estimate,
+        delay_s,
+        decode_cost_s,
+        price_s,
+        context,
+        is_late,
     )
 
 
@@ -163,12 +186,16 @@
     prefill_target, engine = pair
     estimate = estimate_prefill(pair, prompt, context.now, transfer)
     handoff_s = context.late_handoff_s if is_late else context.handoff_s
-    delay_s = estimate_target_cost_s(prefill_target, context.zone) + max(
-        handoff_s, context.slot_wait_s
-    )
+    crossing = context.crossing
+    is_cross_zone = prefill_target.announced.zone != context.zone
+    target_cost_s = estimate_target_cost_s(prefill_target, context.zone, crossing)
+    delay_s = target_cost_s + max(handoff_s, context.slot_wait_s)
+    price_s = crossing.prefill_price_s if is_cross_zone else 0.0
     # The decode engine may have other prompts to prefill, but it begins the answer to
     # a fetched prompt between two of these prefills.
     decode_cost_s = min(estimate_load_cost_s(decode_pair, context), MAX_DECODE_COST_S)
+    price_s += estimate_host_move_cost_s(prefill_target, decode_pair[0], context)
+    price_s += _estimate_fetch_price_s(prefill_target, estimate, prompt, context)
     return _make_plan(
         decode_pair[0],
         prefill_target,
@@ -176,6 +203,7 @@
         estimate,
         delay_s,
         decode_cost_s,
+        price_s,
         context,
         is_late,
     )
@@ -184,7 +212,38 @@
 def estimate_load_cost_s(pair: Pair, context: PlanningContext) -> float:
     """Estimate the cost of generating an answer beside a decode engine's own load."""
     slowdown = find_event_slowdown(pair[1], context.now, context.fastest_s)
-    return estimate_decode_cost_s(pair, context.zone, slowdown)
+    return estimate_decode_cost_s(pair, context.zone, slowdown, context.crossing)
+
+
+def estimate_host_move_cost_s(
+    prefill_target: Target | None, target: Target, context: PlanningContext
+) -> float:
+    """Estimate the cost of generating at a target by the bytes that move, seconds.
+
+    Args:
+        prefill_target: The target that prefills the prompt; None if `target` does it.
+        target: The target that generates the answer.
+        context: What else it depends on.
+    """
+    crossing, zone = context.crossing, target.announced.zone
+    price_s = crossing.decode_price_s if zone != context.zone else 0.0
+    if prefill_target is None or prefill_target.announced.zone == zone:
+        return price_s
+    return price_s + crossing.memory_price_s + crossing.memory_delay_s
+
+
+def _estimate_fetch_price_s(
+    target: Target,
+    estimate: PrefillEstimate,
+    prompt: Prompt,
+    context: PlanningContext,
+) -> float:
+    """Estimate the price of the parts that a target fetches from another zone."""
+    source = estimate.cache_source
+    if source is None or source.announced.zone == target.announced.zone:
+        return 0.0
+    share = estimate.fetched_tokens / max(1, prompt.tokens)
+    return share * context.crossing.memory_price_s
 
 
 def _make_plan(
@@ -194,6 +253,7 @@
     estimate: PrefillEstimate,
     delay_s: float,
     decode_cost_s: float,
+    price_s: float,
     context: PlanningContext,
     is_late: bool,
 ) -> RequestPlan:
@@ -206,6 +266,7 @@
         estimate: The estimate of the prefill.
         delay_s: Time from the end of the prefill to the first event, seconds.
         decode_cost_s: Cost of the requests at the decode engine, seconds.
+        price_s: Price of the bytes between availability zones, seconds.
         context: What else the plan depends on.
         is_late: Whether the prefill gets the level of late requests.
     """
@@ -228,7 +289,9 @@
         - wait_s
         + queue_cost_s
         + decode_cost_s
-        + estimate.penalty_s,
+        + estimate.penalty_s
+        + price_s,
+        load_cost_s=queue_cost_s + decode_cost_s,
         missing_share=estimate.missing_share,
         cache_source=estimate.cache_source,
         fetch_s=estimate.fetch_s,
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -228,6 +228,7 @@
                 log=make_log("relay"),
                 metrics=self.metrics,
                 traffic=self.traffic,
+                zone_terms=lambda: self.settings.zone_terms,
             )
         )
 
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -39,6 +39,7 @@
         store_era: How often the store has returned from a copy, as it tells.
         eras_unreadable: Answers of the store whose era could not be read so far.
         store_away: Whether the store is away.
+        left_zone: Sendings to another availability zone, by service and why.
         zone_traffic: Bytes to and from other availability zones so far, by cause.
         list_age: Age of what is known of the targets' entries, seconds.
         entries_unusable: Entries of targets that could not be used so far.
@@ -159,6 +160,12 @@
             "size",
             "end",
         )
+        self.left_zone = self._count(
+            "left_zone",
+            "Requests planned in another zone, by service and why",
+            "service",
+            "reason",
+        )
         self.tries = self._count(
             "tries", "Sendings by service and how they ended", "service", "end"
         )
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from robinspindle.core.policy import Policy
+from robinspindle.core.zonecosts import ZoneTerms
 
 BITS_PER_BYTE = 8
 
@@ -79,6 +80,7 @@
         is_quiet: Whether lines about success are left out of the logs.
         policy: Which decisions about engines are in force.
         duties: The reports of usage; None where none are asked for.
+        zone_terms: The operator's terms for traffic between availability zones.
     """
 
     name: str
@@ -96,6 +98,7 @@
     is_quiet: bool = False
     policy: Policy = Policy()
     duties: DutySettings | None = None
+    zone_terms: ZoneTerms = ZoneTerms()
 
     @property
     def link_bytes_per_s(self) -> float:
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -20,6 +20,7 @@
 from robinspindle.core.streamversions import StreamBinding
 from robinspindle.core.targets import Announcement
 from robinspindle.core.versionrecords import ServiceVersion
+from robinspindle.core.zonecosts import ZoneTerms
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
@@ -240,6 +241,7 @@
         log: Takes log lines.
         metrics: The gateway's metrics.
         traffic: Counts the bytes between availability zones.
+        zone_terms: Tells the operator's terms for that traffic.
     """
 
     dialect: Dialect
@@ -259,3 +261,4 @@
     log: Log
     metrics: GatewayMetrics
     traffic: ZoneTraffic
+    zone_terms: Callable[[], ZoneTerms] = ZoneTerms
--- a/src/robinspindle/platform/start.py
+++ b/src/robinspindle/platform/start.py
@@ -2,12 +2,11 @@
 
 from dataclasses import replace
 
-from robinspindle.core.policy import Policy
 from robinspindle.gateway import run_gateway
 from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.platform.adapter import PlatformAdapter
 from robinspindle.platform.settings import read_gateway_settings
-from robinspindle.policyfile import read_policy
+from robinspindle.policyfile import PolicyFile, read_policy_file
 
 
 def start_gateway(
@@ -30,9 +29,13 @@
 
     def reread() -> GatewaySettings:
         settings = read_gateway_settings(path)
-        policy = read_policy(policy_path) if policy_path else Policy()
+        found = read_policy_file(policy_path) if policy_path else PolicyFile()
         return replace(
-            settings, metrics_port=metrics_port, is_quiet=is_quiet, policy=policy
+            settings,
+            metrics_port=metrics_port,
+            is_quiet=is_quiet,
+            policy=found.policy,
+            zone_terms=found.zone_terms,
         )
 
     run_gateway(reread, PlatformAdapter())
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -64,6 +64,9 @@
         directory = self._means.fleet.directory
         prompt = passage.request.prompt
         now = self._means.clock()
+        if plan.leaving:
+            labels = passage.service, plan.leaving
+            self._means.metrics.left_zone.labels(*labels).inc()
         self._means.log(
             "request routed",
             routine=True,
@@ -75,6 +78,10 @@
             reader=plan.prefill_target.announced.lifetime
             if plan.prefill_target
             else "",
+            leaving=plan.leaving,
+            home_first_ms=None
+            if plan.home_first_event_s is None
+            else round(plan.home_first_event_s * 1000, 1),
             holder=plan.cache_source.announced.lifetime if plan.cache_source else "",
             in_flight=plan.target.in_flight,
             faults=round(plan.target.faults, 2),
--- a/tests/test_policyfile.py
+++ b/tests/test_policyfile.py
@@ -5,8 +5,9 @@
 
 from robinspindle.cli import main
 from robinspindle.core.policy import Policy
+from robinspindle.core.zonecosts import ZoneTerms
 from robinspindle.exceptions import InvalidDocumentError
-from robinspindle.policyfile import read_policy
+from robinspindle.policyfile import PolicyFile, read_policy, read_policy_file
 
 DEPLOYED = Path(__file__).parent.parent / "deploy" / "policy.ini"
 
@@ -23,10 +24,28 @@
     assert read_policy(write(tmp_path, "")) == Policy()
 
 
-def test_the_deployed_file_names_each_switch_and_all_are_on():
+def test_the_deployed_file_names_each_switch_and_term_with_its_default():
     text = DEPLOYED.read_text()
-    assert all(f"{field.name} = on" in text for field in fields(Policy))
-    assert all(asdict(read_policy(str(DEPLOYED))).values())
+    words = {True: "on", False: "off"}
+    assert all(f"{f.name} = {words[f.default]}" in text for f in fields(Policy))
+    assert all(f"{f.name} = {f.default:g}" in text for f in fields(ZoneTerms))
+    assert read_policy_file(str(DEPLOYED)) == PolicyFile()
+
+
+def test_all_switches_but_the_weighing_of_zones_are_on():
+    switches = asdict(read_policy(str(DEPLOYED)))
+    assert [name for name, is_on in switches.items() if not is_on] == ["weighs_zones"]
+
+
+def test_terms_of_zones_are_checked_with_their_places(tmp_path):
+    text = "[zones]\nmb_cost_ms = dear\nmost_share = 1.1\ndelay = 1\ndelay_ms = nan\n"
+    with pytest.raises(InvalidDocumentError) as caught:
+        read_policy_file(write(tmp_path, text))
+    found = [(f.section, f.key, f.line) for f in caught.value.findings]
+    keys = ["mb_cost_ms", "most_share", "delay", "delay_ms"]
+    assert found == [("zones", key, line) for line, key in enumerate(keys, 2)]
+    terms = read_policy_file(write(tmp_path, "[zones]\nmb_cost_ms = 50\n")).zone_terms
+    assert terms == ZoneTerms(mb_cost_ms=50.0)
 
 
 def test_every_finding_is_told_with_its_place(tmp_path):
