--- a/src/robinspindle/core/zonecosts.py
+++ b/src/robinspindle/core/zonecosts.py
@@ -38,7 +38,7 @@
             zones, milliseconds.
         least_gain_ms: Gain below which a request stays, milliseconds.
         most_share: Largest share of a gateway's requests to a service that leave the
-            zone while targets at home would take them.
+            zone while targets at home may get them.
         guest_load_share: Share of a target's slots, and of the latency objective as a
             wait, up to which it is sent requests from other zones.
     """
@@ -47,7 +47,7 @@
     mb_cost_ms: float = 300.0
     memory_gb_cost_ms: float = 20.0
     least_gain_ms: float = 2.0
-    most_share: float = 0.9
+    most_share: float = 1.0
     guest_load_share: float = 0.5
 
 
