--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -57,6 +57,7 @@
         missing_share: Share of the prompt's shared parts that has to be prefilled
             again.
         fetch_s: Estimated duration of the fetch from `cache_source`, seconds.
+        fetched_tokens: Tokens that it fetches.
         level: Priority level of the prefill.
         has_capacity: Whether the target has capacity for one more long answer.
         slot_wait_s: Estimated wait of a long answer for a slot of the target, seconds.
@@ -78,6 +79,7 @@
     missing_share: float = 0.0
     cache_source: Target | None = None
     fetch_s: float = 0.0
+    fetched_tokens: int = 0
     level: int = FIRST_RANK_LEVEL
     has_capacity: bool = True
     slot_wait_s: float = 0.0
@@ -295,6 +297,7 @@
         missing_share=estimate.missing_share,
         cache_source=estimate.cache_source,
         fetch_s=estimate.fetch_s,
+        fetched_tokens=estimate.fetched_tokens,
         level=level,
         slot_wait_s=context.slot_wait_s,
     )
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -15,6 +15,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import Peers
+from robinspindle.zonetraffic import TrafficCause
 
 ALONE_S = 0.001
 """With less work than this before it an engine begins a reading at once, seconds: less
@@ -114,5 +115,18 @@
         prefill_ms = round(plan.prefill_s * 1000)
         placement = Placement(target.announced.lifetime, told, prefill_ms, plan.level)
         self.placements.append(placement)
+        self._count_fetched(passage.service, target, plan)
         peers.changed.set()
         return begun
+
+    def _count_fetched(self, service: str, target: Target, plan: RequestPlan) -> None:
+        """Count what a target fetches from a cache in another availability zone."""
+        if plan.cache_source is None:
+            return
+        means = self._means
+        means.traffic.note_between(
+            TrafficCause.MEMORY,
+            plan.cache_source.announced.zone,
+            target.announced.zone,
+            round(plan.fetched_tokens * means.fleet.find_token_bytes(service)),
+        )
