--- a/src/robinspindle/core/zonecosts.py
+++ b/src/robinspindle/core/zonecosts.py
@@ -48,7 +48,7 @@
     memory_gb_cost_ms: float = 20.0
     least_gain_ms: float = 2.0
     most_share: float = 1.0
-    guest_load_share: float = 0.8
+    guest_load_share: float = 0.5
 
 
 TERM_LIMITS = {
--- a/src/robinspindle/core/zoneplacement.py
+++ b/src/robinspindle/core/zoneplacement.py
@@ -82,12 +82,11 @@
         The plan; None if there is no decode engine.
     """
     home = [pair for pair in candidates if pair[0].announced.zone == context.zone]
+    if _lacks_role(home, candidates):
+        return _choose_anywhere(candidates, prompt, context)
     home_plan = choose_plan(home, prompt, context, cache_sources=candidates)
-    if home_plan is None:
-        plan = choose_plan(candidates, prompt, context)
-        return plan and replace(plan, leaving=Leaving.NO_TARGET)
     taking = [pair for pair in candidates if _takes(pair, context, view.terms)]
-    if len(taking) == len(home):
+    if home_plan is None or len(taking) == len(home):
         note_wanted(view.share, context.now, 0.0)
         return home_plan
     plan = choose_plan(taking, prompt, context, cache_sources=candidates)
@@ -106,6 +105,25 @@
     return replace(plan, leaving=leaving, home_first_event_s=home_first_event_s)
 
 
+def _lacks_role(home: list[Pair], candidates: list[Pair]) -> bool:
+    """Check whether the zone has no engine in a role that other zones have.
+
+    Roles are chosen for all zones together, so a zone of few engines may lack one.
+    """
+    found = {engine.prefill_only for _, engine in home}
+    return any(engine.prefill_only not in found for _, engine in candidates)
+
+
+def _choose_anywhere(
+    candidates: list[Pair], prompt: Prompt, context: PlanningContext
+) -> RequestPlan | None:
+    """Choose a plan among all zones, as one at home lacks a part."""
+    plan = choose_plan(candidates, prompt, context)
+    if plan is None or not list_zones_left(plan, context.zone):
+        return plan
+    return replace(plan, leaving=Leaving.NO_TARGET)
+
+
 def list_zones_left(plan: RequestPlan, zone: str) -> set[str]:
     """List the other zones in which parts of a plan run."""
     targets: list[Target | None] = [plan.target, plan.prefill_target]
--- a/tests/core/test_zoneplacement.py
+++ b/tests/core/test_zoneplacement.py
@@ -128,6 +128,20 @@
     assert count_leaving(pairs) == 0.0
 
 
+def test_a_zone_that_lost_its_prefill_engines_has_its_prompts_prefilled_elsewhere():
+    lost = ("a-prefill1", "a-prefill2")
+    pairs = [p for p in make_zones("a", "b") if p[0].announced.lifetime not in lost]
+    plan = choose_plan_by_zone(pairs, PROMPT, make_context(), make_view())
+    assert plan.prefill_target.announced.zone == "b"
+    assert plan.leaving == Leaving.NO_TARGET
+
+
+def test_there_is_no_plan_without_a_decode_engine():
+    pairs = [pair for pair in make_zones("a", "b") if pair[1].prefill_only]
+    assert choose_plan_by_zone(pairs, PROMPT, make_context(), make_view()) is None
+    assert choose_plan_by_zone([], PROMPT, make_context(), make_view()) is None
+
+
 def test_a_zone_whose_gateways_are_not_heard_gets_a_small_share():
     pairs = make_zones("a", "b")
     fill(pairs, "a", 0.8)
