--- a/src/robinspindle/core/policy.py
+++ b/src/robinspindle/core/policy.py
@@ -1,4 +1,4 @@
-"""Switches for the decisions about engines.
+"""Switches for the decisions about engines and zones.
 
 Each decision can be switched off by itself, to measure its benefit in a deployment or
 to disable it in an emergency without a new version.
@@ -32,6 +32,8 @@
         changes_roles: Engines are ordered to change their roles.
         counts_memory: The cost of a plan includes the wait for memory of its engine.
         shares_speeds: Gateways learn the speed of each engine together.
+        weighs_zones: Requests leave the gateway's availability zone by the operator's
+            terms, a smoothed share of them; otherwise another zone costs a constant.
     """
 
     learns_paces: bool = True
@@ -49,3 +51,4 @@
     changes_roles: bool = True
     counts_memory: bool = True
     shares_speeds: bool = False
+    weighs_zones: bool = False
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -43,6 +43,8 @@
         store_era: How often the store has returned from a copy, as it tells.
         eras_unreadable: Answers of the store whose era could not be read so far.
         store_away: Whether the store is away.
+        left_zone: Sendings to another availability zone, by service and why.
+        zone_traffic: Bytes to and from other availability zones so far, by cause.
         list_age: Age of what is known of the targets' entries, seconds.
         entries_unusable: Entries of targets that could not be used so far.
         peers_refused: Datagrams of peers that were not believed so far.
@@ -107,6 +109,11 @@
             "store_eras_unreadable", "Answers whose era could not be read so far"
         )
         self.store_away = self._gauge("store_away", "Whether the store is away")
+        self.zone_traffic = self._gauge(
+            "zone_traffic_bytes",
+            "Bytes to and from other availability zones so far, by cause",
+            "cause",
+        )
         self.list_age = self._gauge(
             "targets_list_age_seconds", "Age of what is known of the targets' entries"
         )
@@ -175,6 +182,12 @@
             "size",
             "end",
         )
+        self.left_zone = self._count(
+            "left_zone",
+            "Requests planned in another zone, by service and why",
+            "service",
+            "reason",
+        )
         self.tries = self._count(
             "tries", "Sendings by service and how they ended", "service", "end"
         )
@@ -213,5 +226,5 @@
     def _count(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"robinspindle_{name}", text, labels, registry=self.registry)
 
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"robinspindle_{name}", text, registry=self.registry)
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"robinspindle_{name}", text, labels, registry=self.registry)
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -20,6 +20,7 @@
 from robinspindle.core.streamversions import StreamBinding
 from robinspindle.core.targets import Announcement
 from robinspindle.core.versionrecords import ServiceVersion
+from robinspindle.core.zonecosts import ZoneTerms
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
@@ -28,6 +29,7 @@
 from robinspindle.peers import Peers
 from robinspindle.replies import Reply
 from robinspindle.usagebook import UsageBook
+from robinspindle.zonetraffic import ZoneTraffic
 
 
 class Dialect(Protocol):
@@ -238,6 +240,8 @@
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
         metrics: The gateway's metrics.
+        traffic: Counts the bytes between availability zones.
+        zone_terms: Tells the operator's terms for that traffic.
     """
 
     dialect: Dialect
@@ -256,3 +260,5 @@
     clock: Callable[[], float]
     log: Log
     metrics: GatewayMetrics
+    traffic: ZoneTraffic
+    zone_terms: Callable[[], ZoneTerms] = ZoneTerms
