Bound bytes without end from every peer

Cause: the parser keeps a header, trailer or status line of any length, answers' headers and interim answers had no bound, neither had a stream's incomplete event, a whole body, an answer to a call of our own, or a caller's header line within its three seconds.

Change: what frames a message is bounded against its body (core/framing.py), an unfinished head by time, an incomplete event and a refusal by bytes, events by time too, calls of our own by bytes and a least pace, callers' bodies by a least pace. A body of more than 1 MB is passed on as it comes, so no proper one is cut for its size. The listener for metrics closes idle connections like the others.

Tests: test_passing.py calls the function by its new name, its assertions are the same.

Processor time not measured yet.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -6,6 +6,7 @@
 from robinspindle.choosing import Chooser
 from robinspindle.core import forwarding, retrywindows
 from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.routes import STREAM
 from robinspindle.delivery import Delivery
 from robinspindle.ends import End
 from robinspindle.exceptions import CallerLeftError
@@ -147,7 +148,7 @@
         if crashes_targets(self._means, passage):
             passage.last_reason = guard.REASON
             return False
-        if is_barred(self._means, passage):
+        if is_barred(self._means, passage) or _is_half_passed(passage):
             return False
         if left_s <= forwarding.MIN_ATTEMPT_S:
             return False
@@ -168,3 +169,8 @@
         self._means.metrics.denied_repeats.inc()
         passage.last_reason += ", no repeat left"
         return False
+
+
+def _is_half_passed(passage: Passage) -> bool:
+    """Whether part of an answer that no other can go on with has been passed on."""
+    return passage.reply.has_begun and passage.route.kind != STREAM
--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -25,7 +25,10 @@
 """How long peers are waited for before engines are asked, seconds: the first lists come
 much sooner."""
 
-ASK_LIMITS = CallLimits(connect_s=0.5, first_s=0.5, silence_s=0.5)
+MOST_LIST_BYTES = 8 << 20
+"""Longest list of an engine: one of all blocks of its memory is a quarter as long."""
+
+ASK_LIMITS = CallLimits(0.5, 0.5, 0.5, MOST_LIST_BYTES)
 """How long an engine's list is waited for: all engines are asked at once, so on a slow
 link the lists come in turns."""
 
--- a/src/robinspindle/calls.py
+++ b/src/robinspindle/calls.py
@@ -5,7 +5,21 @@
 from dataclasses import dataclass
 
 from robinspindle.core.forwarding import AnswerHead
-from robinspindle.httpclient import ConnectionPool, Exchange, borrow
+from robinspindle.httpclient import (
+    ConnectionBrokenError,
+    ConnectionPool,
+    Exchange,
+    borrow,
+)
+
+MOST_ANSWER_BYTES = 65536
+"""Longest answer to a call that asks for no list or record."""
+
+FIRST_PACE_S = 10.0
+LEAST_PACE_BYTES_PER_S = 16384
+"""How much of an answer has to have come on average once it has been coming for
+`FIRST_PACE_S` seconds: a small share of the slowest link, so that only an answer that
+may never end is given up."""
 
 
 @dataclass
@@ -23,21 +37,23 @@
 
 @dataclass(frozen=True)
 class CallLimits:
-    """How long one call of our own waits for the next thing to happen, seconds.
+    """How long one call of our own waits for each thing to happen, and for how much.
 
-    There is none for the whole: what is large takes long over a slow link, and a call
-    that is given up while its answer comes begins again at the first byte, so that it
-    might never come.
+    There is no fixed time for the whole: what is large takes long over a slow link, and
+    a call that is given up while its answer comes begins again at the first byte, so
+    that it might never come. A least pace and a longest answer bound it.
 
     Attributes:
-        connect_s: Longest wait for a new connection.
-        first_s: Longest wait for the head of the answer.
-        silence_s: Longest wait for each further piece of it.
+        connect_s: Longest wait for a new connection, seconds.
+        first_s: Longest wait for the head of the answer, seconds.
+        silence_s: Longest wait for each further piece of it, seconds.
+        answer_bytes: Longest body of the answer.
     """
 
     connect_s: float
     first_s: float
     silence_s: float
+    answer_bytes: int = MOST_ANSWER_BYTES
 
 
 async def call_once(
@@ -57,7 +73,7 @@
         transfer: Told how far the answer has come, also where it does not come whole.
 
     Raises:
-        ConnectionBrokenError: When no whole answer comes.
+        ConnectionBrokenError: When no whole answer comes, or it seems to have no end.
         TimeoutError: When nothing of it comes for too long.
     """
     transfer = transfer or Transfer(clock())
@@ -76,15 +92,29 @@
     """Wait for a whole answer for as long as something of it comes."""
     async with asyncio.timeout(limits.first_s):
         head = await exchange.read_head()
-    transfer.moved_at = clock()
+    transfer.moved_at = begun_at = clock()
     chunks = []
     while chunk := await _read_next(exchange, limits.silence_s):
         transfer.moved_at = clock()
         transfer.received += len(chunk)
         chunks.append(chunk)
+        _check_end(transfer, begun_at, limits)
     return head, b"".join(chunks)
 
 
 async def _read_next(exchange: Exchange, silence_s: float) -> bytes:
     async with asyncio.timeout(silence_s):
         return await exchange.read_chunk()
+
+
+def _check_end(transfer: Transfer, begun_at: float, limits: CallLimits) -> None:
+    """Check that an answer may still come to its end.
+
+    Raises:
+        ConnectionBrokenError: When it is longer or slower than any proper one.
+    """
+    if transfer.received > limits.answer_bytes:
+        raise ConnectionBrokenError("an answer without end")
+    late_s = transfer.moved_at - begun_at - FIRST_PACE_S
+    if late_s > transfer.received / LEAST_PACE_BYTES_PER_S:
+        raise ConnectionBrokenError("an answer that takes too long")
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -16,7 +16,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.crashwatch import Run
 from robinspindle.ends import End
-from robinspindle.hedging import claim_answer, claim_later
+from robinspindle.hedging import claim_later
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
@@ -26,9 +26,9 @@
 from robinspindle.passages import Means, Passage
 from robinspindle.passing import (
     Answer,
+    pass_body,
     pass_stream,
-    pass_whole,
-    read_whole,
+    read_refusal,
 )
 from robinspindle.readingapart import ReadingApart
 from robinspindle.readings import Readings
@@ -260,11 +260,11 @@
     async def _take_answer(self, passage: Passage, answer: Answer) -> End:
         target, head = answer.target, answer.head
         if head.not_run and head.status != BAD_REQUEST:
-            await read_whole(self._means, answer)
+            await read_refusal(self._means, answer)
             self._note_not_run(passage, target, head)
             return End.NOT_RUN
         if head.status >= LEAST_OTHER:
-            passage.fault = (head, await read_whole(self._means, answer))
+            passage.fault = (head, await read_refusal(self._means, answer))
             passage.runs += 1
             health.note_answered(target)
             health.note_fault(target, head.status in UPSTREAM_FAULTS)
@@ -276,9 +276,7 @@
             with claim_later(passage):
                 await pass_stream(self._means, passage, answer)
         else:
-            body = await read_whole(self._means, answer)
-            claim_answer(passage)
-            pass_whole(passage.reply, head, body)
+            await pass_body(self._means, passage, answer)
         health.note_answered(target)
         health.note_fault(target, False)
         self._log.log_end(passage, target, "delivered")
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -488,6 +488,7 @@
             self.guard.settle(now)
             self._callers.close_idle(now)
             self._readiness.close_idle(now)
+            self._figures.close_idle(now)
             self._reader.read_if_due(now)
             self._stop.go_on(now)
 
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -17,7 +17,9 @@
 import httptools
 
 from robinspindle.clocks import read_steady
+from robinspindle.core import framing
 from robinspindle.core.forwarding import AnswerHead, Headers
+from robinspindle.core.framing import Framing
 from robinspindle.core.obstacles import Obstacle
 from robinspindle.gatewaysettings import HostPort
 
@@ -32,6 +34,10 @@
 """A connection is not used for the last part of the time that a target keeps it,
 seconds: the target's close may be on its way."""
 
+MOST_FOREIGN_BYTES = 4 << 20
+"""Longest body of answers to earlier requests that is passed over while an answer is
+due; nobody needs them."""
+
 LEAST_FINAL = 200
 """Answers with a lower status are followed by another to the same request."""
 
@@ -104,6 +110,11 @@
         self._chunks: deque[bytes] = deque()
         self._waiter: asyncio.Future | None = None
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether the whole answer has come and been read."""
+        return self.is_whole and not self._chunks
+
     def put(self, chunk: bytes) -> None:
         """Add a piece of the body."""
         self._chunks.append(chunk)
@@ -147,15 +158,21 @@
         self._chunks.clear()
         return chunk
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, most_bytes: int) -> bytes:
         """Wait for the whole body.
 
+        Args:
+            most_bytes: Longest body that a proper answer has.
+
         Raises:
-            ConnectionBrokenError: When the answer breaks off.
+            ConnectionBrokenError: When the answer breaks off, or is longer.
         """
-        chunks = []
+        chunks, received = [], 0
         while chunk := await self.read_chunk():
             chunks.append(chunk)
+            received += len(chunk)
+            if received > most_bytes:
+                raise ConnectionBrokenError("a body without end")
         return b"".join(chunks)
 
     async def _wait(self) -> None:
@@ -188,6 +205,10 @@
         self._keep = True
         self._framed = True
         self._saw_eof = False
+        self._framing = Framing()
+        self._body_bytes = 0
+        self._foreign_bytes = 0
+        self._is_in_head = False
         self.opened_at = 0.0
         self.idle_s = DEFAULT_IDLE_S
         self.idle_since = 0.0
@@ -210,6 +231,8 @@
         if obstacle is not None:
             raise NotSentError(obstacle)
         self._exchange = exchange
+        framing.reset(self._framing)
+        self._foreign_bytes = 0
         self._transport.write(data)
 
     def abort(self) -> None:
@@ -242,12 +265,16 @@
         if self._exchange is None:
             self._break("bytes that belong to no request")
             return
+        self._body_bytes = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._break(f"not an answer: {error}")
             return
-        if self._exchange is not None:
+        excess = self._find_excess(len(data))
+        if excess is not None:
+            self._break(excess)
+        elif self._exchange is not None:
             self._exchange.wake()
 
     def eof_received(self) -> bool:
@@ -276,6 +303,7 @@
         self._headers = []
         self._reason = b""
         self._is_ours = False
+        self._is_in_head = True
         if self._exchange is None or self._exchange.is_whole:
             self._keep = False
 
@@ -291,6 +319,8 @@
         """Hand on the head, unless it belongs to no request or to another."""
         status = self._parser.get_status_code()
         exchange = self._exchange
+        self._is_in_head = False
+        self._framing.head_since = None
         if status < LEAST_FINAL or exchange is None or exchange.head is not None:
             return
         head = self._decode_head(status, self._reason, tuple(self._headers))
@@ -309,8 +339,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Hand on a piece of the body."""
+        self._body_bytes += len(body)
         if self._is_ours and self._exchange is not None:
             self._exchange.put(body)
+        else:
+            self._foreign_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """End the answer."""
@@ -324,6 +357,22 @@
         if not self._parser.should_keep_alive():
             self._keep = False
 
+    def _find_excess(self, count: int) -> str | None:
+        """Find what has come that no proper answer has; None if nothing.
+
+        Args:
+            count: Bytes that have just been parsed.
+        """
+        if framing.note_received(self._framing, count, self._body_bytes):
+            return "an answer's framing without end"
+        if self._foreign_bytes > MOST_FOREIGN_BYTES:
+            return "answers to earlier requests without end"
+        if self._is_in_head and framing.note_unfinished_head(
+            self._framing, read_steady()
+        ):
+            return "a head that takes too long"
+        return None
+
     def _note_head(self, head: AnswerHead, sent_at: float) -> None:
         if self._traffic is not None:
             self._traffic.note_head(head, sent_at)
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -173,6 +173,8 @@
         allowed_s = limits.header_s if self._parser.is_in_message else limits.idle_s
         if now - max(self._replied_at, self._parser.heard_at) > allowed_s:
             self.close()
+        elif self._parser.is_too_slow:
+            self.abort()
 
     def finish_reply(self, keep: bool) -> None:
         """Note that an answer has been written whole."""
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -6,7 +6,7 @@
 from robinspindle.core import health, silence
 from robinspindle.core.answerstats import MIN_TIMED_EVENTS
 from robinspindle.core.engines import Engine
-from robinspindle.core.events import take_events
+from robinspindle.core.events import is_endless, take_events
 from robinspindle.core.forwarding import AnswerHead
 from robinspindle.core.interference import (
     find_allowed_pause,
@@ -25,6 +25,13 @@
 from robinspindle.replies import Reply
 from robinspindle.streambinding import note_first_event
 
+MOST_GATHERED_BYTES = 1 << 20
+"""A longer body is passed on as it comes: as many as a small gateway has under way fit
+into its memory."""
+
+MOST_REFUSAL_BYTES = 1 << 20
+"""Longest body of an answer that is no success: a page that tells why."""
+
 
 @dataclass(frozen=True)
 class Answer:
@@ -45,23 +52,72 @@
     expected: ExpectedResponse
 
 
-async def read_whole(means: Means, answer: Answer) -> bytes:
-    """Read a whole body; each piece of it tells that its target is not silent.
+async def read_refusal(means: Means, answer: Answer) -> bytes:
+    """Read the whole body of an answer that is no success.
+
+    Raises:
+        ConnectionBrokenError: When it breaks off, or is too long for a refusal.
+    """
+    body = await _gather(means, answer, MOST_REFUSAL_BYTES)
+    if not answer.exchange.is_drained:
+        raise ConnectionBrokenError("a refusal without end")
+    return body
+
+
+async def pass_body(means: Means, passage: Passage, answer: Answer) -> None:
+    """Pass an answer on once it has come whole; a very long one as it comes.
 
-    A long answer over a slow link would count as lost otherwise.
+    Until its first byte is passed on, the request may still go elsewhere. Long bodies
+    would fill the memory before they are whole, and one without end never is.
 
     Raises:
         ConnectionBrokenError: When it breaks off.
     """
+    body = await _gather(means, answer, MOST_GATHERED_BYTES)
+    claim_answer(passage)
+    if answer.exchange.is_drained:
+        pass_whole(passage.reply, answer.head, body)
+        return
+    try:
+        await _pass_rest(means, passage, answer, body)
+    finally:
+        # Its next answer would never be read otherwise.
+        answer.connection.resume()
+
+
+async def _gather(means: Means, answer: Answer, most_bytes: int) -> bytes:
+    """Read a body to its end, or until it is longer than a limit.
+
+    Each piece of it tells that its target is not silent. A long answer over a slow link
+    would count as lost otherwise.
+    """
+    chunks, received = [], 0
     answer.expected.since = means.clock()
-    chunks = []
-    while chunk := await answer.exchange.read_chunk():
-        now = answer.expected.since = means.clock()
-        health.note_heard(answer.target, now)
+    while received <= most_bytes and (chunk := await answer.exchange.read_chunk()):
+        _note_piece(means, answer)
         chunks.append(chunk)
+        received += len(chunk)
     return b"".join(chunks)
 
 
+async def _pass_rest(
+    means: Means, passage: Passage, answer: Answer, begun: bytes
+) -> None:
+    reply, head = passage.reply, answer.head
+    reply.set_flow(*_make_flow(means, answer))
+    reply.begin(head.status, head.reason, head.headers, None)
+    reply.write(begun)
+    while chunk := await answer.exchange.read_chunk():
+        _note_piece(means, answer)
+        reply.write(chunk)
+    reply.end()
+
+
+def _note_piece(means: Means, answer: Answer) -> None:
+    now = answer.expected.since = means.clock()
+    health.note_heard(answer.target, now)
+
+
 def pass_whole(reply: Reply, head: AnswerHead, body: bytes) -> None:
     """Pass an answer on that has come whole."""
     reply.begin(head.status, head.reason, head.headers, len(body))
@@ -195,10 +251,14 @@
     while chunk := await answer.exchange.read_chunk():
         claim_answer(passage)
         reply.set_flow(hold, go_on)
-        now = expected.since = means.clock()
+        now = means.clock()
         health.note_heard(answer.target, now)
+        waited_s = now - expected.since if splitter.rest else 0.0
+        expected.since = now
         events = take_events(splitter, chunk)
         if not events:
+            if is_endless(splitter, waited_s):
+                raise ConnectionBrokenError("an event without end")
             continue
         note(now - last_at, now)
         if not reply.has_begun:
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -44,6 +44,10 @@
 MAX_READ_KB = 1024
 """Maximum size of the records that one read returns, kilobytes."""
 
+MAX_RESPONSE_BYTES = 16 << 20
+"""Longest response, bytes: a page of records in base64 takes a tenth of it, and the
+longest record, a configuration, less."""
+
 READ_PREFIX_BYTES = 16
 """Bytes before the first record in the response to a read: two numbers of 8 bytes."""
 
@@ -280,7 +284,9 @@
         now = self._clock()
         transfer = Transfer(now)
         first_s = wait_s + CALL_TIMEOUT_S
-        limits = CallLimits(CONNECT_TIMEOUT_S, first_s, CALL_TIMEOUT_S)
+        limits = CallLimits(
+            CONNECT_TIMEOUT_S, first_s, CALL_TIMEOUT_S, MAX_RESPONSE_BYTES
+        )
         try:
             head, response = await call_once(
                 self._pool, self._clock, data, limits, transfer
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from robinspindle.calls import CallLimits, call_once
+from robinspindle.calls import MOST_ANSWER_BYTES, CallLimits, call_once
 from robinspindle.core import health
 from robinspindle.core.forwarding import AnswerHead, CacheSource
 from robinspindle.core.requestplans import RequestPlan
@@ -122,7 +122,7 @@
                     send_if_awaited(passage, connection, exchange, data, now)
                     head = await exchange.read_head()
                     health.note_heard(sending.target, means.clock())
-                    body = await exchange.read_body()
+                    body = await exchange.read_body(MOST_ANSWER_BYTES)
                     means.guard.note_run_time(run)
                     return head, body
 
--- a/src/robinspindle/requestparser.py
+++ b/src/robinspindle/requestparser.py
@@ -7,11 +7,18 @@
 
 import httptools
 
+from robinspindle.core import framing
 from robinspindle.core.forwarding import Headers
+from robinspindle.core.framing import Framing
 
 HEADER_MARK_BYTES = 4
 """Bytes of a header besides its name and value: colon, blank and the line's end."""
 
+BODY_S = 30.0
+LEAST_BODY_BYTES_PER_S = 1024
+"""How much of a body has to have come on average once it has been coming for `BODY_S`
+seconds: far longer than callers wait for an answer."""
+
 
 @dataclass
 class Limits:
@@ -79,7 +86,9 @@
         self._limits = limits
         self._clock = clock
         self._ask_for_body = ask_for_body
+        self._framing = Framing()
         self._parser = httptools.HttpRequestParser(self)
+        self._messages = 0
         self._begin_message()
 
     def feed(self, data: bytes) -> HTTPStatus | None:
@@ -89,6 +98,8 @@
             With which status to refuse what is no request, or is too long; None if
             there is no such thing.
         """
+        body_bytes = self._body_bytes if self.is_in_message else 0
+        messages = self._messages
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -97,8 +108,23 @@
             cause = error.__context__
             is_long = isinstance(cause, _TooLongError)
             return self._reject(cause.status if is_long else HTTPStatus.BAD_REQUEST)
+        if self._messages != messages:
+            # What it begins is counted with the next bytes.
+            framing.reset(self._framing)
+            return None
+        came = self._body_bytes - body_bytes
+        if framing.note_received(self._framing, len(data), came):
+            return self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         return None
 
+    @property
+    def is_too_slow(self) -> bool:
+        """Whether the request that is coming in takes longer than any proper one."""
+        if not self.is_in_message or not self._body_bytes:
+            return False
+        late_s = self._clock() - self._head_at - BODY_S
+        return late_s > self._body_bytes / LEAST_BODY_BYTES_PER_S
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -135,6 +161,7 @@
 
     def on_message_complete(self) -> None:
         """Take the request in."""
+        self._messages += 1
         self.is_in_message = False
         self.ready.append(
             Incoming(
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,11 +1,30 @@
 import asyncio
+import contextlib
 from contextlib import asynccontextmanager
 
+import pytest
+
 from robinspindle.core.forwarding import Refusal
 from robinspindle.httpserver import CallerServer, take_all
-from robinspindle.requestparser import Limits
+from robinspindle.requestparser import BODY_S, Limits, RequestParser
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+CHUNKED = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "blank lines": (b"", b"\r\n"),
+    "target": (b"GET /", b"x"),
+    "header": (b"GET / HTTP/1.1\r\nX-Long: ", b"x"),
+    "headers": (b"GET / HTTP/1.1\r\n", b"X-More: 1\r\n"),
+    "extension": (CHUNKED + b"5;a=", b"x"),
+    "trailer": (CHUNKED + b"2\r\nab\r\n0\r\nX-Long: ", b"x"),
+    "trailers": (CHUNKED + b"2\r\nab\r\n0\r\n", b"X-More: 1\r\n"),
+    "body": (CHUNKED, b"2\r\nab\r\n"),
+}
+"""How requests without end begin, and what comes again and again."""
+
+MOST_SENT_BYTES = 40 << 20
+"""More than any bound and what two sockets hold."""
+
 TIMEOUT_S = 10.0
 """Time after which a test that hangs fails, seconds."""
 
@@ -124,3 +143,33 @@
     first = REQUEST.replace(b"Host", b"Connection: close\r\nHost")
     answered = asyncio.run(ask_behind_close(REQUEST, b"", first=first))
     assert answered == (1, b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_a_request_without_end_is_refused_and_closed(name):
+    """Only its time was bounded: a fast caller filled the memory meanwhile."""
+
+    async def scenario():
+        async with serve(answer) as (reader, writer):
+            begin, piece = ENDLESS[name]
+            writer.write(begin)
+            sent = 0
+            with contextlib.suppress(ConnectionError):
+                while not writer.transport.is_closing() and not reader.at_eof():
+                    writer.write(piece * 1024)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+                    sent += 1024 * len(piece)
+                    assert sent < MOST_SENT_BYTES
+
+    asyncio.run(scenario())
+
+
+def test_a_body_that_trickles_in_does_not_come_without_end():
+    now = 0.0
+    parser = RequestParser(Limits(), lambda: now, lambda: None)
+    parser.feed(b"POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n")
+    while not parser.is_too_slow:
+        parser.feed(b"x")
+        now += 1.0
+        assert now < 2 * BODY_S
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -5,7 +5,7 @@
 from robinspindle.core.silence import ExpectedResponse
 from robinspindle.core.targets import Announcement, Target
 from robinspindle.httpclient import Exchange
-from robinspindle.passing import Answer, read_whole
+from robinspindle.passing import Answer, read_refusal
 
 PIECE_S = 0.5
 """Between two pieces, seconds: less than the shortest silence that is noticed."""
@@ -36,7 +36,9 @@
     async def play():
         exchange = Exchange("")
         answer = Answer(target, None, exchange, None, expected)
-        reading = asyncio.create_task(read_whole(SimpleNamespace(clock=clock), answer))
+        reading = asyncio.create_task(
+            read_refusal(SimpleNamespace(clock=clock), answer)
+        )
         for _ in range(6):
             exchange.put(b"x")
             exchange.wake()
