Count the wait for memory alike wherever a prompt is prefilled

It stood in the cost of plans whose prompt is prefilled elsewhere only, so with memory short at all engines prompts would have fled to engines that generate, which prefill slowly. The new test fails without the change in the plan of a local prefill (worked out, not run: 0.05 s, the cap, in place of none).

Ran: tests of room and prefill placement: pass.

--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -32,6 +32,7 @@
     find_priority_level,
     find_rank_level,
 )
+from robinspindle.core.room import estimate_memory_wait_s
 from robinspindle.core.targets import Target
 
 MAX_DECODE_COST_S = 0.05
@@ -149,6 +150,10 @@
     delay_s = estimate_target_cost_s(target, context.zone) + context.slot_wait_s
     slowdown = find_event_slowdown(engine, context.now, context.fastest_s)
     decode_cost_s = count_requests(pair) * REQUEST_COST_S * slowdown
+    if context.tokens is not None:
+        # As with an answer to a prompt that is prefilled elsewhere.
+        memory_wait_s = estimate_memory_wait_s(pair, context.tokens)
+        decode_cost_s += min(memory_wait_s, MAX_DECODE_COST_S)
     return _make_plan(
         target, None, engine, estimate, delay_s, decode_cost_s, context, is_late
     )
--- a/tests/core/test_room.py
+++ b/tests/core/test_room.py
@@ -14,6 +14,11 @@
     apply_digest,
     remove_timed_out_peers,
 )
+from robinspindle.core.requestplans import (
+    PlanningContext,
+    plan_local_prefill,
+    plan_remote_prefill,
+)
 from robinspindle.core.room import (
     can_ever_fit,
     count_tokens,
@@ -145,3 +150,17 @@
         for counts_memory in (True, False)
     }
     assert sum(shares[True]) > sum(shares[False])
+
+
+def test_memory_that_is_short_makes_no_engine_prefill_what_another_would():
+    """Guards against prompts that flee the wait for memory into its own engine."""
+    prompt = Prompt("m", (Part("own", 2000),), 2000, 400, 50)
+    plans = {}
+    for tokens in (None, 2050):
+        reader, pair = make_pair("p1", "prefill"), make_room_pair()
+        add_claim(pair[1].room, "r1", Claim(Use.TAKEN, 10_000, 0.0))
+        context = PlanningContext(0.0, 2.0, 1.0, 1.0, "a", tokens=tokens)
+        local = plan_local_prefill(pair, prompt, context, None)
+        remote = plan_remote_prefill(reader, pair, prompt, context, None)
+        plans[tokens] = remote.cost_s - local.cost_s
+    assert plans[2050] == pytest.approx(plans[None], abs=1e-3)
