--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -32,6 +32,7 @@
     find_priority_level,
     find_rank_level,
 )
+from robinspindle.core.room import estimate_memory_wait_s
 from robinspindle.core.targets import Target
 from robinspindle.core.zonecosts import CONSTANT_COSTS, CrossingCosts
 
@@ -166,6 +167,10 @@
     decode_cost_s = count_requests(pair) * REQUEST_COST_S * slowdown
     price_s = estimate_host_move_cost_s(None, target, context)
     price_s += _estimate_fetch_price_s(target, estimate, prompt, context)
+    if context.tokens is not None:
+        # As with an answer to a prompt that is prefilled elsewhere.
+        memory_wait_s = estimate_memory_wait_s(pair, context.tokens)
+        decode_cost_s += min(memory_wait_s, MAX_DECODE_COST_S)
     return _make_plan(
         target,
         None,
