Read targets on for slow callers while memory is free

Cause: a caller that read slowly held its target up from 64 KB on. Targets cut answers that stay unread for some seconds, and answers held up there fill their memory.

Change: what is held for slow callers is counted by answer and workspace (core/heldbytes.py), bound to a quarter of the settings' memory. A target waits only where its answer is large or the bound is near, the largest holders first; two gauges and a log line tell so. While much is held, bodies are gathered up to 64 KB. A next answer on a connection that is still slow is held back too; its flow was never stopped before.

Partial: requests held for targets that read slowly, and bodies while they are gathered, are not counted.

Also: framing is counted only where no byte of a body came, in place of a ratio to the body, for processor time.

Tests: test_calls, test_httpserver, test_endless, test_heldbytes, test_passing pass (62). The whole suite was not run.

--- a/src/robinspindle/core/framing.py
+++ b/src/robinspindle/core/framing.py
@@ -1,19 +1,15 @@
 """Bounds on what frames a message: heads, interim answers, chunk marks, trailers.
 
-A faulty peer may send these without end. No proper message needs more than a fixed
-amount of them beside a share of its body. Bodies have no bound here: whoever reads them
-stops reading while too much is unread.
+A faulty peer may send these without end. No proper message has more than a fixed amount
+of them before, behind or between the pieces of its body. Bodies have no bound here:
+whoever reads them stops reading while too much is unread.
 """
 
 from dataclasses import dataclass
 
 MOST_FRAMING_BYTES = 65536
-"""Longest framing of a message beside a share of its body: four times the longest head
-that callers may usually send."""
-
-FRAMING_PER_BODY_BYTE = 64
-"""Longest framing that comes with each byte of a body: chunks of one byte, each marked
-by an extension."""
+"""Longest framing without a byte of a body: four times the longest head that callers
+may usually send."""
 
 HEAD_S = 2.0
 """Longest time from the first byte of a head to its last, seconds: a head fits into a
@@ -25,34 +21,29 @@
     """What came of one message.
 
     Attributes:
-        framing_bytes: Bytes of it beside its body.
-        body_bytes: Bytes of its body.
+        framing_bytes: Bytes of it since the last byte of its body.
         head_since: When an unfinished head was begun, monotonic seconds; None for none.
     """
 
     framing_bytes: int = 0
-    body_bytes: int = 0
     head_since: float | None = None
 
 
 def reset(framing: Framing) -> None:
     """Begin another message."""
-    framing.framing_bytes = framing.body_bytes = 0
+    framing.framing_bytes = 0
     framing.head_since = None
 
 
-def note_received(framing: Framing, count: int, body_count: int) -> bool:
-    """Take note of received bytes; return whether no proper message has so many.
+def note_received(framing: Framing, count: int) -> bool:
+    """Take note of bytes without any of a body; return whether they are too many.
 
     Args:
         framing: What came of the message before.
         count: Bytes that came.
-        body_count: Bytes of its body among them.
     """
-    framing.framing_bytes += count - body_count
-    framing.body_bytes += body_count
-    allowed = MOST_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * framing.body_bytes
-    return framing.framing_bytes > allowed
+    framing.framing_bytes += count
+    return framing.framing_bytes > MOST_FRAMING_BYTES
 
 
 def note_unfinished_head(framing: Framing, now: float) -> bool:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -14,11 +14,12 @@
 from robinspindle.cachelists import CacheLists
 from robinspindle.clocks import PauseWatch, make_loop, read_steady
 from robinspindle.connectionlimit import ConnectionLimit
-from robinspindle.core import retrywindows, targets
+from robinspindle.core import heldbytes, retrywindows, targets
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
 from robinspindle.core.fingerprints import Fingerprint
 from robinspindle.core.freshness import Freshness, may_serve, must_renew
+from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.pauses import Pause
 from robinspindle.core.ratelimits import Sharing, choose_sharing
 from robinspindle.core.relays import Member, encode_member
@@ -115,6 +116,7 @@
         )
         self.lengths = AnswerStats()
         self.freshness = Freshness()
+        self.held = HeldBytes(heldbytes.find_bound(settings.memory_mb))
         self.link = LinkQueue(self._clock)
         self._streams = make_stream_parts(
             adapter,
@@ -213,6 +215,7 @@
                 budget=self.budget,
                 lengths=self.lengths,
                 freshness=self.freshness,
+                held=self.held,
                 book=self.book,
                 link=self.link,
                 streams=self.streams,
@@ -455,6 +458,7 @@
             store=self._store,
             guard=self.guard,
             freshness=self.freshness,
+            held=self.held,
             reporter=self.duties.reporter,
             streams=self.streams,
             entries=self._entries,
@@ -524,6 +528,7 @@
         """Put in force what follows from what was promised, and the policy."""
         pledges = settings.pledges
         self.link.uplink.bytes_per_s = settings.link_bytes_per_s
+        self.held.max_bytes = heldbytes.find_bound(settings.memory_mb)
         self.peers.link_bytes_per_s = settings.link_bytes_per_s
         self.peers.teaches = settings.policy.tells_caches
         self.orderer.may_change = settings.policy.changes_roles
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -57,6 +57,8 @@
         streams_conflicting: Origins of another software version, not believed so far.
         left_out: Log lines left out so far.
         busy: Callers' requests under way.
+        held_bytes: Bytes of answers held for callers that read slowly.
+        held_waits: Times that a target was held back for such a caller so far.
     """
 
     def __init__(self):
@@ -141,6 +143,12 @@
         )
         self.left_out = self._gauge("log_lines_left_out", "Log lines left out so far")
         self.busy = self._gauge("in_flight", "Callers' requests under way")
+        self.held_bytes = self._gauge(
+            "held_bytes", "Bytes of answers held for callers that read slowly"
+        )
+        self.held_waits = self._gauge(
+            "held_waits", "Times that a target was held back for such a caller"
+        )
         self.latencies = Latencies()
         self.registry.register(self.latencies)
         self.requests = self._count(
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -6,6 +6,7 @@
 from robinspindle.core import health
 from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.freshness import Freshness
+from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.obstacles import ObstacleReason, count_send_obstacles
 from robinspindle.core.quarantine import list_quarantined
 from robinspindle.fleet import Fleet
@@ -27,6 +28,7 @@
         store: The client of the store.
         guard: Knows which requests crash targets.
         freshness: What is known of the age of the configuration.
+        held: What is held for callers that read slowly.
         reporter: Reports usage.
         streams: Remembers who began which stream.
         entries: The targets' entries that can't be used.
@@ -40,6 +42,7 @@
     store: KeyedStore
     guard: Guard
     freshness: Freshness
+    held: HeldBytes
     reporter: Reporter
     streams: StreamMemory
     entries: UnusableEntries
@@ -67,6 +70,8 @@
     metrics.usage_reported.set(parts.reporter.count_reported())
     metrics.left_out.set(parts.count_left_out())
     metrics.busy.set(parts.count_busy())
+    metrics.held_bytes.set(parts.held.total)
+    metrics.held_waits.set(parts.held.waits)
 
 
 def _update_targets(metrics: GatewayMetrics, parts: GaugeSources, now: float) -> None:
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -206,7 +206,7 @@
         self._framed = True
         self._saw_eof = False
         self._framing = Framing()
-        self._body_bytes = 0
+        self._has_body = False
         self._foreign_bytes = 0
         self._is_in_head = False
         self.opened_at = 0.0
@@ -265,13 +265,17 @@
         if self._exchange is None:
             self._break("bytes that belong to no request")
             return
-        self._body_bytes = 0
+        self._has_body = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._break(f"not an answer: {error}")
             return
-        excess = self._find_excess(len(data))
+        excess = None
+        if self._has_body:
+            self._framing.framing_bytes = 0
+        if not self._has_body or self._foreign_bytes:
+            excess = self._find_excess(len(data))
         if excess is not None:
             self._break(excess)
         elif self._exchange is not None:
@@ -339,7 +343,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Hand on a piece of the body."""
-        self._body_bytes += len(body)
+        self._has_body = True
         if self._is_ours and self._exchange is not None:
             self._exchange.put(body)
         else:
@@ -363,7 +367,7 @@
         Args:
             count: Bytes that have just been parsed.
         """
-        if framing.note_received(self._framing, count, self._body_bytes):
+        if not self._has_body and framing.note_received(self._framing, count):
             return "an answer's framing without end"
         if self._foreign_bytes > MOST_FOREIGN_BYTES:
             return "answers to earlier requests without end"
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -114,6 +114,7 @@
         self._has_announced_close = False
         self._caller_keeps = True
         self._rejected: HTTPStatus | None = None
+        self._is_slow = False
         self._on_pause: Callable[[], None] | None = None
         self._on_resume: Callable[[], None] | None = None
 
@@ -136,6 +137,11 @@
         """Whether anything has come after the request under way."""
         return bool(self._parser.ready or self._unparsed)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def is_closed_by_caller(self) -> bool:
         """Whether the caller has closed it, also if that was not handled yet."""
@@ -146,8 +152,16 @@
     def set_flow(
         self, on_pause: Callable[[], None] | None, on_resume: Callable[[], None] | None
     ) -> None:
-        """Set what to call when the caller takes bytes too slowly, and again."""
+        """Set what to call when the caller takes bytes too slowly, and again.
+
+        What was set for an answer before is told that it is over.
+        """
+        if self._on_resume is not None and self._on_resume != on_resume:
+            self._on_resume()
+        is_new = self._on_pause != on_pause
         self._on_pause, self._on_resume = on_pause, on_resume
+        if is_new and self._is_slow and on_pause is not None:
+            on_pause()
 
     def write(self, data: bytes) -> None:
         """Write, unless the caller has left."""
@@ -179,7 +193,8 @@
     def finish_reply(self, keep: bool) -> None:
         """Note that an answer has been written whole."""
         self._replied_at = self.server.clock()
-        self.set_flow(None, None)
+        if not self.unsent_bytes:
+            self.set_flow(None, None)
         if keep:
             return
         if self.server.is_stopping and self._caller_keeps and self._has_next:
@@ -208,16 +223,19 @@
         """Give up what is under way for the caller."""
         self.is_lost = True
         self.server.connections.discard(self)
+        self.set_flow(None, None)
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
         """Hold the source back."""
+        self._is_slow = True
         if self._on_pause is not None:
             self._on_pause()
 
     def resume_writing(self) -> None:
         """Let the source go on."""
+        self._is_slow = False
         if self._on_resume is not None:
             self._on_resume()
 
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -11,6 +11,7 @@
 from robinspindle.core.fingerprints import FingerprintedRequest
 from robinspindle.core.forwarding import AnswerHead, CacheSource, Request, Send
 from robinspindle.core.freshness import Freshness
+from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.permits import OPEN, Permit
 from robinspindle.core.policy import Policy
 from robinspindle.core.prefillplacement import RequestPlan
@@ -229,6 +230,7 @@
         budget: Repeats that may be made.
         lengths: What is known of how long answers last.
         freshness: What is known of the age of the configuration.
+        held: Counts what is held for callers that read slowly.
         book: Counts what began to run.
         link: The VM's own link.
         streams: Remembers who began which stream.
@@ -247,6 +249,7 @@
     budget: WindowedRetryBudget
     lengths: AnswerStats
     freshness: Freshness
+    held: HeldBytes
     book: UsageBook
     link: LinkQueue
     streams: Streams
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from robinspindle.core import health, silence
+from robinspindle.answerflow import AnswerFlow
+from robinspindle.core import health, heldbytes, silence
 from robinspindle.core.answerstats import MIN_TIMED_EVENTS
 from robinspindle.core.engines import Engine
 from robinspindle.core.events import is_endless, take_events
@@ -29,6 +30,9 @@
 """A longer body is passed on as it comes: as many as a small gateway has under way fit
 into its memory."""
 
+SCARCE_BYTES = 65536
+"""The same while much is held for slow callers."""
+
 MOST_REFUSAL_BYTES = 1 << 20
 """Longest body of an answer that is no success: a page that tells why."""
 
@@ -73,16 +77,18 @@
     Raises:
         ConnectionBrokenError: When it breaks off.
     """
-    body = await _gather(means, answer, MOST_GATHERED_BYTES)
+    scarce = heldbytes.is_scarce(means.held)
+    body = await _gather(means, answer, SCARCE_BYTES if scarce else MOST_GATHERED_BYTES)
     claim_answer(passage)
+    flow = _make_flow(means, passage, answer)
+    passage.reply.set_flow(flow.begin, flow.go_on)
     if answer.exchange.is_drained:
         pass_whole(passage.reply, answer.head, body)
         return
     try:
-        await _pass_rest(means, passage, answer, body)
+        await _pass_rest(means, passage, answer, flow, body)
     finally:
-        # Its next answer would never be read otherwise.
-        answer.connection.resume()
+        flow.end_wait()
 
 
 async def _gather(means: Means, answer: Answer, most_bytes: int) -> bytes:
@@ -101,15 +107,15 @@
 
 
 async def _pass_rest(
-    means: Means, passage: Passage, answer: Answer, begun: bytes
+    means: Means, passage: Passage, answer: Answer, flow: AnswerFlow, begun: bytes
 ) -> None:
     reply, head = passage.reply, answer.head
-    reply.set_flow(*_make_flow(means, answer))
     reply.begin(head.status, head.reason, head.headers, None)
     reply.write(begun)
     while chunk := await answer.exchange.read_chunk():
         _note_piece(means, answer)
         reply.write(chunk)
+        flow.note_written()
     reply.end()
 
 
@@ -131,27 +137,12 @@
     Raises:
         ConnectionBrokenError: When the stream breaks off.
     """
-    try:
-        await _pass_noting_pauses(means, passage, answer)
-    finally:
-        # Its next answer would never be read otherwise.
-        answer.connection.resume()
-
-
-def _make_flow(means: Means, answer: Answer) -> tuple[Callable[[], None], ...]:
-    """Make what holds an answer back, and lets it go on; held, it is not expected."""
-    connection, expected = answer.connection, answer.expected
+    await _pass_noting_pauses(means, passage, answer)
 
-    def hold() -> None:
-        expected.is_held = True
-        connection.pause()
 
-    def go_on() -> None:
-        expected.is_held = False
-        expected.since = means.clock()
-        connection.resume()
-
-    return hold, go_on
+def _make_flow(means: Means, passage: Passage, answer: Answer) -> AnswerFlow:
+    lifetime = answer.target.announced.lifetime
+    return AnswerFlow(means, passage, lifetime, answer.connection, answer.expected)
 
 
 async def _pass_noting_pauses(means: Means, passage: Passage, answer: Answer) -> None:
@@ -240,17 +231,30 @@
     answer: Answer,
     note: Callable[[float, float], None],
 ) -> None:
-    splitter, reply, head = passage.splitter, passage.reply, answer.head
-    splitter.rest = b""
     expected = answer.expected
-    first_at = means.clock()
     expected.silent_after_s = silence.find_next_event_timeout(passage.route.gap_s)
     expected.lost_after_s = silence.find_lost_timeout(passage.route.gap_s)
-    last_at = expected.since = first_at
-    hold, go_on = _make_flow(means, answer)
+    flow = _make_flow(means, passage, answer)
+    try:
+        await _pass_all_events(means, passage, answer, flow, note)
+    finally:
+        flow.end_wait()
+
+
+async def _pass_all_events(
+    means: Means,
+    passage: Passage,
+    answer: Answer,
+    flow: AnswerFlow,
+    note: Callable[[float, float], None],
+) -> None:
+    splitter, reply, head = passage.splitter, passage.reply, answer.head
+    splitter.rest = b""
+    expected = answer.expected
+    first_at = last_at = expected.since = means.clock()
     while chunk := await answer.exchange.read_chunk():
         claim_answer(passage)
-        reply.set_flow(hold, go_on)
+        reply.set_flow(flow.begin, flow.go_on)
         now = means.clock()
         health.note_heard(answer.target, now)
         waited_s = now - expected.since if splitter.rest else 0.0
@@ -270,6 +274,7 @@
             passage.longest_pause_s = max(passage.longest_pause_s, now - last_at)
         last_at = now
         reply.write(events)
+        flow.note_written()
     seconds, events = last_at - first_at, splitter.events
     means.lengths.note_answer(passage.service, events, seconds)
     if splitter.rest:
--- a/src/robinspindle/replies.py
+++ b/src/robinspindle/replies.py
@@ -14,6 +14,10 @@
     def is_stopping(self) -> bool:
         """Whether it is to be closed after this answer."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and not taken yet."""
+
     @property
     def is_closed_by_caller(self) -> bool:
         """Whether the caller has closed it, also if that was not handled yet."""
@@ -53,6 +57,11 @@
         """Whether nobody waits for the answer any more."""
         return self._connection.is_closed_by_caller
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and that its caller has not taken yet."""
+        return self._connection.unsent_bytes
+
     def set_flow(
         self, on_pause: Callable[[], None], on_resume: Callable[[], None]
     ) -> None:
--- a/src/robinspindle/requestparser.py
+++ b/src/robinspindle/requestparser.py
@@ -112,8 +112,9 @@
             # What it begins is counted with the next bytes.
             framing.reset(self._framing)
             return None
-        came = self._body_bytes - body_bytes
-        if framing.note_received(self._framing, len(data), came):
+        if self._body_bytes != body_bytes:
+            framing.reset(self._framing)
+        elif framing.note_received(self._framing, len(data)):
             return self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         return None
 
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -135,3 +135,44 @@
             assert reply.body == body
 
     run(scenario())
+
+
+def test_a_target_is_not_held_up_for_a_slow_caller_while_memory_is_free(tmp_path):
+    """It cuts an answer that stays unread for some seconds."""
+    event = b"id: %d\ndata: " + b"x" * 8192 + b"\n\n"
+    count = 1000
+
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            target = await d.add("t1", "lm", "decode")
+            written = asyncio.Event()
+
+            async def answer_long(request, writer):
+                target._begin_stream(request, writer)
+                for number in range(1, count + 1):
+                    data = event % number
+                    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                    await writer.drain()
+                writer.write(b"0\r\n\r\n")
+                written.set()
+                return True
+
+            target._be_long = answer_long
+            target.behaviours.append("long")
+            reader, writer = await asyncio.open_connection(
+                LOOPBACK, d.port, limit=1 << 14
+            )
+            held = d.gateway.held
+            writer.write(write_request("POST", "/chat/x", "r1", b"", d.prompt()))
+            async with asyncio.timeout(4.0):
+                await written.wait()
+            assert held.waits == 0
+            body = b""
+            while not body.endswith(b"\r\n0\r\n\r\n"):
+                body += await reader.read(1 << 16)
+            assert body.count(b"data: ") == count
+            await until(lambda: not held.holdings)
+            assert held.total == 0
+            writer.close()
+
+    run(scenario())
