Refuse requests larger than any engine's memory at once

Cause: engines turn such a request away as if they were full, so it was tried again at others and its caller was told when to come back.

Not built: leaving out an engine whose free memory is too small.

--- a/src/robinspindle/finalanswers.py
+++ b/src/robinspindle/finalanswers.py
@@ -1,6 +1,7 @@
 """The answers to requests that no target has answered."""
 
 import random
+from http import HTTPStatus
 
 from robinspindle.core import forwarding, streamversions
 from robinspindle.core.forwarding import Refusal, Request
@@ -20,6 +21,9 @@
 """Share of the time for which targets want nothing by which returns are spread beyond
 its end: the longer it lasts, the more callers have been refused in it."""
 
+TOO_LARGE = "too-large"
+"""Why a request is refused that no engine has the memory for; it never will have."""
+
 CLAIMS = frozenset((408, 421, 429, 503))
 """Statuses by which a caller may take it that its request did not run."""
 
@@ -62,6 +66,8 @@
     def _refuse_not_run(self, passage: Passage, reason: str) -> Refusal:
         """Refuse a request that did not run, and say when to come again."""
         now = self._means.clock()
+        if reason == TOO_LARGE:
+            return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason)
         rest_s = self._means.fleet.find_next_send_s(
             passage.service, now, self._list_barred(passage)
         )
--- a/tests/platform/test_prompts.py
+++ b/tests/platform/test_prompts.py
@@ -126,3 +126,22 @@
             assert (await d.call("/chat/x", **d.prompt())).status == 200
 
     run(scenario())
+
+
+def test_a_request_too_large_for_any_engine_is_not_lured_back(tmp_path):
+    """Engines turned it away as if they were full, and it came again and again."""
+
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            shape = {"Slots": 8, "KvCapacityTokens": 170, "RoleSwitchS": 0}
+            services = [{"Name": "push"}, {"Name": "lm", "Engine": shape}]
+            await d.configure(version=2, Services=services)
+            engine = await d.add("d1", "lm", "decode")
+            fits, large = d.prompt(out="10"), d.prompt(out="11")
+            assert (await d.call("/chat/x", **fits)).status == 200
+            reply = await d.call("/chat/x", **large)
+            assert (reply.status, reply.body) == (503, b"too-large\n")
+            assert "retry-after" not in reply.headers
+            assert len(engine.arrivals) == 1
+
+    run(scenario())
