--- a/src/robinspindle/core/prefillspeed.py
+++ b/src/robinspindle/core/prefillspeed.py
@@ -30,6 +30,10 @@
 """Weight of a sample whose prefill waited for others, and bounds of its ratio of
 measured to planned time."""
 
+SHARED_BOUNDS = (0.25, 4.0)
+"""Bounds of the shared slowness and of its samples. One that took longer met a silence
+as well, and an engine that gets no prompts could not show that it has recovered."""
+
 MIN_WORK_SHARE = 0.2
 """Least share of the modelled work that a sample shows: the network may have been
 faster than usual."""
@@ -170,13 +174,14 @@
     if not was_alone:
         ratio = min(ratio, max(MIN_WORK_SHARE, work_s / (busy_s + usual_wait_s)))
         weight *= QUEUED_WEIGHT
+    ratio = min(ratio, SHARED_BOUNDS[1])
     targetspeeds.note_ratio(engine.speed, ratio, now, weight)
     update_slowness(engine, now)
 
 
 def update_slowness(engine: Engine, now: float) -> None:
     """Take an engine's slowness from what all gateways have measured."""
-    low, high = SLOWNESS_BOUNDS
+    low, high = SHARED_BOUNDS
     ratio = targetspeeds.update_estimate(engine.speed, now)
     engine.slowness = min(high, max(low, ratio))
     engine.scales_base = False
--- a/tests/core/test_prefillspeed.py
+++ b/tests/core/test_prefillspeed.py
@@ -73,3 +73,18 @@
         sample = PrefillSample(4000, 0, 0.005 + 3 * busy_s)
         prefillspeed.note_shared_sample(engine, sample, number * 0.1, False, 2 * busy_s)
     assert engine.slowness == pytest.approx(1.0, rel=0.1)
+
+
+def test_an_engine_that_was_silent_gets_prompts_again():
+    """Guards against a silence of a second taken for a slowness of sixteen times."""
+    engine = make_engine(True, 10_000)
+    busy_s = prefillspeed.estimate_busy_s(engine, 4000, 0)
+    for _ in range(10):
+        sample = PrefillSample(4000, 0, 50 * busy_s)
+        prefillspeed.note_shared_sample(engine, sample, 1.0, True, None)
+    assert engine.slowness <= 4.0
+    for number in range(10):
+        now = 2.0 + number * 0.5
+        sample = PrefillSample(4000, 0, 0.005 + busy_s)
+        prefillspeed.note_shared_sample(engine, sample, now, True, None)
+    assert engine.slowness < 1.2
