--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -10,7 +10,7 @@
 from robinspindle.delivery import Delivery
 from robinspindle.ends import End
 from robinspindle.exceptions import CallerLeftError
-from robinspindle.finalanswers import TOO_LARGE, FinalAnswers
+from robinspindle.finalanswers import FinalAnswers
 from robinspindle.hedging import (
     begin_hedge,
     drop_hedge,
@@ -74,8 +74,6 @@
         left_s = passage.given_up_at - now
         if left_s <= forwarding.MIN_ATTEMPT_S:
             return GivenUp(passage.last_reason or "too-late")
-        if not passage.offers and self._chooser.is_too_large(passage):
-            return GivenUp(TOO_LARGE)
         plan = self._chooser.choose(passage, now)
         if plan is None:
             return GivenUp(passage.last_reason or "no-target")
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -130,17 +130,6 @@
             return self._zones.choose_plan(passage, pairs, prompt, at)
         return prefillplacement.choose_plan(pairs, prompt, at)
 
-    def is_too_large(self, passage: Passage) -> bool:
-        """Tell whether a request takes more memory than any engine of its service has.
-
-        Engines turn it away as if they were full, so it would be tried again in vain.
-        """
-        prompt, fleet = passage.request.prompt, self._means.fleet
-        shape = fleet.find_shape(passage.service)
-        if prompt is None or shape is None or not shape.cache_tokens:
-            return False
-        return prompt.tokens + prompt.max_answer_tokens > shape.cache_tokens
-
     def has_target(self, passage: Passage, now: float) -> bool:
         """Tell whether any target may get a request."""
         return bool(self._list_usable(passage, now))
--- a/src/robinspindle/finalanswers.py
+++ b/src/robinspindle/finalanswers.py
@@ -1,7 +1,6 @@
 """The answers to requests that no target has answered."""
 
 import random
-from http import HTTPStatus
 
 from robinspindle.core import forwarding, streamversions
 from robinspindle.core.forwarding import Refusal, Request
@@ -21,9 +20,6 @@
 """Share of the time for which targets want nothing by which returns are spread beyond
 its end: the longer it lasts, the more callers have been refused in it."""
 
-TOO_LARGE = "too-large"
-"""Why a request is refused that no engine has the memory for; it never will have."""
-
 CLAIMS = frozenset((408, 421, 429, 503))
 """Statuses by which a caller may take it that its request did not run."""
 
@@ -68,8 +64,6 @@
         if reason == forwarding.TOO_LARGE.reason:
             return forwarding.TOO_LARGE
         now = self._means.clock()
-        if reason == TOO_LARGE:
-            return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason)
         rest_s = self._means.fleet.find_next_send_s(
             passage.service, now, self._list_barred(passage)
         )
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -297,7 +297,7 @@
 
     def find_switch_s(self, service: str) -> float:
         """Find how long a change of role takes an engine away, seconds."""
-        shape = self.find_shape(service)
+        shape = self._find_shape(service)
         return shape.role_change_s if shape else 0.0
 
     def leave_silent(self, now: float) -> list[Target]:
@@ -386,12 +386,12 @@
 
     def count_event_tokens(self, service: str) -> int:
         """Count the tokens that one event of a service's streams holds."""
-        shape = self.find_shape(service)
+        shape = self._find_shape(service)
         return shape.event_tokens if shape else 1
 
     def find_token_transfer_s(self, service: str) -> float | None:
         """Find how long a token takes from engine to engine, seconds; None: unknown."""
-        shape = self.find_shape(service)
+        shape = self._find_shape(service)
         return shape.token_transfer_s if shape else None
 
     def find_token_bytes(self, service: str) -> float:
@@ -404,11 +404,10 @@
         return known.connection_limit if known else DEFAULT_CONNECTIONS
 
     def _count_cache_tokens(self, service: str) -> int:
-        shape = self.find_shape(service)
+        shape = self._find_shape(service)
         return shape.cache_tokens if shape else DEFAULT_CACHE_TOKENS
 
-    def find_shape(self, service: str) -> EngineSpec | None:
-        """Find what a service's engines are like; None for a plain service."""
+    def _find_shape(self, service: str) -> EngineSpec | None:
         known = self.table.services.get(service) if self.table else None
         return known.engine if known else None
 
