Copy answers ahead to another engine and go on there after a loss

An engine that is lost took the answers that it generated along; where a request may not run again nothing could go on. Engines may send an answer's KV cache to another engine as it grows. A gateway now names one for answers that would probably lose more than the copy costs, and goes on there. Off by default; not measured yet.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -1,9 +1,11 @@
 """The attempts of one request at targets, until one delivers or none is left to try."""
 
 import asyncio
+import random
 
 from robinspindle import guard
 from robinspindle.choosing import Chooser
+from robinspindle.copying import Copies
 from robinspindle.core import forwarding, retrywindows
 from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.delivery import Delivery
@@ -36,9 +38,15 @@
     """
 
     def __init__(
-        self, means: Means, chooser: Chooser, final: FinalAnswers, log: RelayLog
+        self,
+        means: Means,
+        chooser: Chooser,
+        final: FinalAnswers,
+        log: RelayLog,
+        rng: random.Random,
     ):
-        self.delivery = Delivery(means, chooser, log, self.hedge)
+        self._copies = Copies(means, rng)
+        self.delivery = Delivery(means, chooser, self._copies, log, self.hedge)
         self._means = means
         self._chooser = chooser
         self._final = final
@@ -73,7 +81,12 @@
         left_s = passage.given_up_at - now
         if left_s <= forwarding.MIN_ATTEMPT_S:
             return GivenUp(passage.last_reason or "too-late")
-        plan = self._chooser.choose(passage, now)
+        host = passage.continued_at
+        if host is not None:
+            passage.continued_at = None
+            plan = self._copies.make_plan(passage, host, now)
+        else:
+            plan = self._chooser.choose(passage, now)
         if plan is None:
             return GivenUp(passage.last_reason or "no-target")
         passage.plan = plan
@@ -154,16 +167,22 @@
         if end is End.FAULT and passage.fault[0].status < LEAST_FAULT:
             return False
         if end is End.NOT_SENT:
-            # The target has been left out of choices since, so another is found.
-            return True
+            # The target has been left out of choices since, so another is found. But
+            # nothing else may go on with what has run and may not run again.
+            return passage.runs == 0 or route.may_rerun
         if end is End.NOT_RUN and passage.offers == 0:
             return len(passage.tried) < forwarding.MAX_SENDS
-        if not forwarding.may_send_again(route, passage.offers, passage.runs):
+        host = None
+        if end is End.UNSURE:
+            host = self._copies.find_host(passage, self._means.clock())
+        runs = 0 if host is not None else passage.runs
+        if not forwarding.may_send_again(route, passage.offers, runs):
             return False
         if retrywindows.take_retry(
             self._means.budget, self._means.clock(), passage.service
         ):
             self._means.metrics.repeats.inc()
+            passage.continued_at = host
             return True
         self._means.metrics.denied_repeats.inc()
         passage.last_reason += ", no repeat left"
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -143,6 +143,8 @@
             the prompt parts that it lacks before its prefill; empty if it fetches none.
         resume_after: Id of the last event the caller has; None to start from the
             beginning.
+        copy_address: Address of an engine to which the target sends the KV cache of the
+            answer as it grows; empty for none.
     """
 
     lifetime: str
@@ -152,6 +154,7 @@
     source: CacheSource | None = None
     cached_parts_address: str = ""
     resume_after: str | None = None
+    copy_address: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/core/policy.py
+++ b/src/robinspindle/core/policy.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class Policy:
-    """The switches; all are on unless the policy file says otherwise.
+    """The switches, as they are unless the policy file says otherwise.
 
     Attributes:
         learns_paces: Measured prefills update the engines' prefill models.
@@ -30,6 +30,8 @@
         gives_turns: Size classes that are served too seldom keep the priority of their
             rank.
         changes_roles: Engines are ordered to change their roles.
+        copies_answers: Answers that are worth it have a copy of their KV cache at
+            another engine, and go on there after a crash.
     """
 
     learns_paces: bool = True
@@ -45,3 +47,4 @@
     rests_longer: bool = True
     gives_turns: bool = True
     changes_roles: bool = True
+    copies_answers: bool = False
--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -59,6 +59,7 @@
         level: Priority level of the prefill.
         has_capacity: Whether the target has capacity for one more long answer.
         slot_wait_s: Estimated wait of a long answer for a slot of the target, seconds.
+        is_continued: Whether the target goes on with an answer from its copy.
     """
 
     target: Target
@@ -74,6 +75,7 @@
     level: int = FIRST_RANK_LEVEL
     has_capacity: bool = True
     slot_wait_s: float = 0.0
+    is_continued: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -74,6 +74,8 @@
         event_tokens: Maximum number of tokens in one event of a stream.
         token_transfer_s: Transfer time per token of the KV cache over an engine's link,
             seconds; None for unknown.
+        keeps_copies: Whether an engine sends the KV cache of an answer to another one
+            as it grows.
     """
 
     slots: int
@@ -82,6 +84,7 @@
     role_change_s: float
     event_tokens: int = 1
     token_transfer_s: float | None = None
+    keeps_copies: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from robinspindle.choosing import Chooser
+from robinspindle.copying import Copies
 from robinspindle.core import forwarding, health, silence
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.forwarding import AnswerHead, CacheSource
@@ -63,13 +64,19 @@
     """Sends requests to the targets of their plans, and passes the answers on."""
 
     def __init__(
-        self, means: Means, chooser: Chooser, log: RelayLog, note_silent: NoteSilent
+        self,
+        means: Means,
+        chooser: Chooser,
+        copies: Copies,
+        log: RelayLog,
+        note_silent: NoteSilent,
     ):
         """Prepare deliveries.
 
         Args:
             means: What the relay has.
             chooser: Chooses the hosts of prompts that were read apart.
+            copies: Has answers copied, and goes on from copies.
             log: Takes the lines of requests.
             note_silent: Told the requests that may run elsewhere while nothing is heard
                 of their answers.
@@ -78,6 +85,7 @@
         self._note_silent = note_silent
         self._chooser = chooser
         self._log = log
+        self._copies = copies
         self._readings = Readings(means)
         self._apart = ReadingApart(means, self._readings, log)
 
@@ -91,6 +99,8 @@
         link, size = self._means.link, passage.request.size
         # Not later: what is measured of targets begins with the send.
         await link.reserve(size)
+        if plan.is_continued:
+            return await self._continue(passage, plan)
         engine = self._means.fleet.find_engine(plan.target)
         if plan.prefill_target is None:
             if engine is not None and passage.request.prompt is not None:
@@ -111,6 +121,12 @@
             if end is not End.DELIVERED:
                 self._apart.release(plan.prefill_target, source)
 
+    async def _continue(self, passage: Passage, plan: RequestPlan) -> End:
+        """Go on with a lost answer at the engine that has its copy."""
+        end = await self._send(passage, self._copies.make_sending(passage, plan))
+        self._means.metrics.continued.labels(end.value).inc()
+        return end
+
     async def _send_read(
         self, passage: Passage, plan: RequestPlan, source: CacheSource
     ) -> End:
@@ -160,7 +176,8 @@
                     passage.named, target, passage.route.name
                 ) as run,
             ):
-                return await self._exchange(passage, sending, connection, run)
+                with self._copies.watch(passage, sending) as copied:
+                    return await self._exchange(passage, copied, connection, run)
         except NotSentError as error:
             return self._note_not_sent(passage, target, error)
         except ConnectionBrokenError as error:
@@ -222,7 +239,8 @@
         return due + forwarding.TIMEOUT_ANSWER_GRACE_S - self._means.clock()
 
     def _note_begun(self, passage: Passage, sending: Sending) -> None:
-        if sending.source is not None and passage.read_at is not None:
+        was_read = sending.source is not None and not sending.is_continued
+        if was_read and passage.read_at is not None:
             now, seconds = passage.first_at, passage.first_at - passage.read_at
             is_late = passage.plan.level == LATE_LEVEL
             self._means.lengths.note_handoff(passage.service, now, seconds, is_late)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -350,6 +350,16 @@
         shape = self._find_shape(service)
         return shape.token_transfer_s if shape else None
 
+    def keeps_copies(self, service: str) -> bool:
+        """Tell whether the engines of a service copy their answers as they grow."""
+        shape = self._find_shape(service)
+        return shape is not None and shape.keeps_copies
+
+    def find_kv_retention_s(self, service: str) -> float:
+        """Find how long an engine keeps a KV cache for others, seconds."""
+        shape = self._find_shape(service)
+        return shape.kv_retention_s if shape else 0.0
+
     def _count_connections(self, service: str) -> int:
         known = self.table.services.get(service) if self.table else None
         return known.connection_limit if known else DEFAULT_CONNECTIONS
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -21,6 +21,8 @@
         prompt_tokens: Tokens of prompts by whether they were believed to be cached.
         repeats: Repeats taken from the budget.
         hedges: Second attempts beside targets that fell silent.
+        copies: Answers by whether they got a copy at another engine, or why not.
+        continued: Answers that went on from a copy, by how that ended.
         pauses: Times that the process was paused: suspended, or not run.
         turned_away: Attempts that were turned away for that.
         connections_turned_away: Connections that were closed unread, as the gateway had
@@ -166,6 +168,12 @@
         self.hedges = self._count(
             "hedges", "Second attempts beside targets that fell silent"
         )
+        self.copies = self._count(
+            "copies", "Answers by whether they got a copy, or why not", "outcome"
+        )
+        self.continued = self._count(
+            "continued", "Answers that went on from a copy, by their end", "end"
+        )
         self.pauses = self._count("pauses", "Times that the process was paused")
         self.connections_turned_away = self._count(
             "connections_turned_away", "Connections closed unread by a busy gateway"
--- a/src/robinspindle/hedging.py
+++ b/src/robinspindle/hedging.py
@@ -114,6 +114,8 @@
     passage.hedge = None
     passage.offers = second.offers
     passage.reads = second.reads
+    # A copy serves once.
+    passage.copy = second.copy
     # The first attempt counts its own run as it ends.
     passage.runs += second.runs - second.earlier_runs
     passage.counts_as_served |= second.counts_as_served
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -7,6 +7,7 @@
 
 from robinspindle.core import forwarding
 from robinspindle.core.answerstats import AnswerStats
+from robinspindle.core.copies import AnswerCopy
 from robinspindle.core.events import EventSplitter
 from robinspindle.core.fingerprints import FingerprintedRequest
 from robinspindle.core.forwarding import AnswerHead, CacheSource, Request, Send
@@ -18,7 +19,7 @@
 from robinspindle.core.routes import STREAM, Route
 from robinspindle.core.streamorigins import StreamKey, StreamOrigin
 from robinspindle.core.streamversions import StreamBinding
-from robinspindle.core.targets import Announcement
+from robinspindle.core.targets import Announcement, Target
 from robinspindle.core.versionrecords import ServiceVersion
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
@@ -170,6 +171,8 @@
         break_rival: Breaks off the attempt beside which this one began; None for none.
         is_superseded: Whether another attempt's answer has begun instead of this one's.
         stream: The stream that it begins or goes on with.
+        copy: Where its latest run is copied to; None for no copy.
+        continued_at: Where its lost run goes on from its copy next; None for nowhere.
     """
 
     request: Request
@@ -205,6 +208,8 @@
     break_rival: Callable[[], None] | None = None
     is_superseded: bool = False
     stream: StreamBinding = field(default_factory=StreamBinding)
+    copy: AnswerCopy | None = None
+    continued_at: Target | None = None
 
     @property
     def given_up_at(self) -> float:
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -147,6 +147,8 @@
     if send.source is not None:
         source = f"{send.source.address}/{send.source.handle}"
         lines.append(b"X-Kv-Source: " + source.encode())
+    if send.copy_address:
+        lines.append(b"X-Kv-Backup: " + send.copy_address.encode())
     if send.resume_after is not None:
         lines.append(b"Last-Event-Id: " + send.resume_after.encode())
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -85,6 +85,7 @@
     # KV cache of one token, bytes, and bandwidth of the link, megabits per second.
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
+    backups: bool = False
 
 
 class _Scaling(msgspec.Struct, rename="pascal"):
@@ -304,6 +305,7 @@
             role_change_s=service.engine.role_switch_s,
             event_tokens=max(1, service.engine.stride),
             token_transfer_s=_compute_token_transfer_s(service.engine),
+            keeps_copies=service.engine.backups,
         )
     scaling = None
     if service.scaling is not None:
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -44,7 +44,9 @@
         self._log = RelayLog(means)
         self._final = FinalAnswers(means, self._log, self._rng)
         self.chooser = Chooser(means, self._rng)
-        self._attempts = Attempts(means, self.chooser, self._final, self._log)
+        self._attempts = Attempts(
+            means, self.chooser, self._final, self._log, self._rng
+        )
         self._patience = RetryDetector()
 
     @property
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -42,12 +42,17 @@
         cache_source: From whose cache the target first fetches what it lacks; None for
             none.
         on_first: Called when the answer begins.
+        copy_target: Where the KV cache of its answer is copied as it grows; None for
+            no copy.
+        is_continued: Whether its source is the copy of an answer that goes on.
     """
 
     target: Target
     source: CacheSource | None = None
     cache_source: Target | None = None
     on_first: Callable[[], None] = do_nothing
+    copy_target: Target | None = None
+    is_continued: bool = False
 
 
 def borrow_connection(
@@ -95,6 +100,9 @@
         if sending.cache_source
         else "",
         resume_after=passage.splitter.last_id if events else None,
+        copy_address=sending.copy_target.announced.address
+        if sending.copy_target
+        else "",
     )
 
 
