Move answers that would outlive an engine that leaves

An engine that leaves ends with the answers that it still generates; those that may not run again were lost. A gateway now copies their KV caches to other engines while they go on, stops them and goes on there; each halfway end is tested on sockets. Off by default.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -8,6 +8,7 @@
 from robinspindle.copying import Copies
 from robinspindle.core import forwarding, retrywindows
 from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.requestplans import plan_continuation
 from robinspindle.delivery import Delivery
 from robinspindle.ends import End
 from robinspindle.exceptions import CallerLeftError
@@ -19,7 +20,15 @@
     join_hedge,
 )
 from robinspindle.httpclient import Exchange
-from robinspindle.passages import GivenUp, Hedge, Means, Passage
+from robinspindle.moving import Moves
+from robinspindle.passages import (
+    Continuation,
+    GivenUp,
+    Hedge,
+    Means,
+    Passage,
+    is_stopped,
+)
 from robinspindle.relaylogs import RelayLog
 from robinspindle.sending import crashes_targets, is_barred
 
@@ -35,6 +44,7 @@
 
     Attributes:
         delivery: Sends to one target.
+        moves: Moves answers away from engines that leave.
     """
 
     def __init__(
@@ -46,7 +56,10 @@
         rng: random.Random,
     ):
         self._copies = Copies(means, rng)
-        self.delivery = Delivery(means, chooser, self._copies, log, self.hedge)
+        self.moves = Moves(means, rng)
+        self.delivery = Delivery(
+            means, chooser, self._copies, self.moves, log, self.hedge
+        )
         self._means = means
         self._chooser = chooser
         self._final = final
@@ -73,6 +86,7 @@
             self._means.metrics.count_try(passage.service, lifetime, end.value)
             if end is End.DELIVERED or await self._has_hedge_delivered(passage):
                 return None
+            await self.moves.settle(passage)
             if not self._may_go_on(passage, end):
                 return GivenUp(passage.last_reason)
 
@@ -81,10 +95,8 @@
         left_s = passage.given_up_at - now
         if left_s <= forwarding.MIN_ATTEMPT_S:
             return GivenUp(passage.last_reason or "too-late")
-        host = passage.continued_at
-        if host is not None:
-            passage.continued_at = None
-            plan = self._copies.make_plan(passage, host, now)
+        if passage.continuation is not None:
+            plan = plan_continuation(passage.plan, passage.continuation.target)
         else:
             plan = self._chooser.choose(passage, now)
         if plan is None:
@@ -104,7 +116,10 @@
             passage: The request.
             exchange: Waits for its answer at the silent target.
         """
-        if passage.hedge is not None or self._may_crash_target(passage):
+        has_rival = passage.hedge is not None
+        if has_rival or is_stopped(passage, passage.plan.target):
+            return
+        if self._may_crash_target(passage):
             return
         second = fork_passage(passage, exchange)
         self._means.metrics.hedges.inc()
@@ -166,24 +181,32 @@
             return False
         if end is End.FAULT and passage.fault[0].status < LEAST_FAULT:
             return False
-        if end is End.NOT_SENT:
+        continuation = self._find_continuation(passage, end)
+        if end is End.NOT_SENT and continuation is None:
             # The target has been left out of choices since, so another is found. But
             # nothing else may go on with what has run and may not run again.
             return passage.runs == 0 or route.may_rerun
         if end is End.NOT_RUN and passage.offers == 0:
             return len(passage.tried) < forwarding.MAX_SENDS
-        host = None
-        if end is End.UNSURE:
-            host = self._copies.find_host(passage, self._means.clock())
-        runs = 0 if host is not None else passage.runs
+        # What goes on from a copy counts as the same run.
+        runs = passage.runs if continuation is None else 0
         if not forwarding.may_send_again(route, passage.offers, runs):
             return False
+        passage.continuation = continuation
+        if continuation is not None and continuation.is_paid:
+            return True
         if retrywindows.take_retry(
             self._means.budget, self._means.clock(), passage.service
         ):
             self._means.metrics.repeats.inc()
-            passage.continued_at = host
             return True
         self._means.metrics.denied_repeats.inc()
         passage.last_reason += ", no repeat left"
         return False
+
+    def _find_continuation(self, passage: Passage, end: End) -> Continuation | None:
+        """Find where a lost or stopped run goes on without a new prefill."""
+        found = self.moves.find_continuation(passage, end)
+        if found is None and end is End.UNSURE:
+            found = self._copies.find_continuation(passage, self._means.clock())
+        return found
--- a/src/robinspindle/copying.py
+++ b/src/robinspindle/copying.py
@@ -9,10 +9,9 @@
 from robinspindle.core import copies, streamversions
 from robinspindle.core.copies import AnswerCopy, AnswerRisk, CopyChoice, LossRate
 from robinspindle.core.forwarding import CacheSource
-from robinspindle.core.requestplans import RequestPlan
 from robinspindle.core.targets import Target
 from robinspindle.httpclient import ConnectionBrokenError
-from robinspindle.passages import Means, Passage
+from robinspindle.passages import Continuation, Means, Passage, is_stopped
 from robinspindle.peers import list_heard
 from robinspindle.sending import Sending
 
@@ -40,7 +39,9 @@
         try:
             yield replace(sending, copy_target=copy.target) if copy else sending
         except ConnectionBrokenError:
-            is_lost = True
+            # A target also breaks off what its time limit cuts.
+            is_in_time = self._means.clock() < passage.due
+            is_lost = is_in_time and not is_stopped(passage, sending.target)
             raise
         finally:
             if copy is not None:
@@ -48,7 +49,7 @@
             if passage.first_at != before:
                 self._note_run(passage, is_lost)
 
-    def find_host(self, passage: Passage, now: float) -> Target | None:
+    def find_continuation(self, passage: Passage, now: float) -> Continuation | None:
         """Find the engine that can go on with a lost answer; None without a copy.
 
         Args:
@@ -61,29 +62,13 @@
         if not self._means.policy().copies_answers:
             return None
         usable = self._list_usable(passage, now)
-        return copy.target if copy.target in usable else None
-
-    def make_plan(self, passage: Passage, host: Target, now: float) -> RequestPlan:
-        """Plan to go on with a lost answer at the engine that has its copy."""
-        self._log_continued(passage, host, now)
-        return replace(
-            passage.plan,
-            target=host,
-            prefill_target=None,
-            uncached_tokens=0,
-            prefill_s=0.0,
-            wait_s=0.0,
-            cache_source=None,
-            fetch_s=0.0,
-            is_continued=True,
-        )
-
-    def make_sending(self, passage: Passage, plan: RequestPlan) -> Sending:
-        """Make the sending of an answer that goes on; its copy serves once."""
+        if copy.target not in usable:
+            return None
+        # A copy serves once.
         passage.copy = None
-        address = plan.target.announced.address
-        source = CacheSource(address, passage.request.id)
-        return Sending(plan.target, source=source, is_continued=True)
+        self._log_continued(passage, copy.target, now)
+        address = copy.target.announced.address
+        return Continuation(copy.target, CacheSource(address, passage.request.id))
 
     def _choose(self, passage: Passage, sending: Sending) -> AnswerCopy | None:
         means, prompt = self._means, passage.request.prompt
--- a/src/robinspindle/core/policy.py
+++ b/src/robinspindle/core/policy.py
@@ -32,6 +32,8 @@
         changes_roles: Engines are ordered to change their roles.
         copies_answers: Answers that are worth it have a copy of their KV cache at
             another engine, and go on there after a crash.
+        moves_answers: Answers that would outlive an engine that leaves are moved to
+            others.
     """
 
     learns_paces: bool = True
@@ -48,3 +50,4 @@
     gives_turns: bool = True
     changes_roles: bool = True
     copies_answers: bool = False
+    moves_answers: bool = False
--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from robinspindle.core.decodeplacement import (
     REQUEST_COST_S,
@@ -183,6 +183,26 @@
     )
 
 
+def plan_continuation(plan: RequestPlan, target: Target) -> RequestPlan:
+    """Plan to go on with an answer at a target that has a copy of its KV cache.
+
+    Args:
+        plan: The plan of the run that was lost or stopped.
+        target: The target.
+    """
+    return replace(
+        plan,
+        target=target,
+        prefill_target=None,
+        uncached_tokens=0,
+        prefill_s=0.0,
+        wait_s=0.0,
+        cache_source=None,
+        fetch_s=0.0,
+        is_continued=True,
+    )
+
+
 def estimate_load_cost_s(pair: Pair, context: PlanningContext) -> float:
     """Estimate the cost of generating an answer beside a decode engine's own load."""
     slowdown = find_event_slowdown(pair[1], context.now, context.fastest_s)
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -76,6 +76,7 @@
             seconds; None for unknown.
         keeps_copies: Whether an engine sends the KV cache of an answer to another one
             as it grows.
+        moves_answers: Whether an engine moves answers under way to another one.
     """
 
     slots: int
@@ -85,6 +86,7 @@
     event_tokens: int = 1
     token_transfer_s: float | None = None
     keeps_copies: bool = False
+    moves_answers: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -24,7 +24,8 @@
     Exchange,
     NotSentError,
 )
-from robinspindle.passages import Means, Passage
+from robinspindle.moving import Moves
+from robinspindle.passages import Means, Passage, is_stopped
 from robinspindle.passing import (
     Answer,
     pass_stream,
@@ -68,6 +69,7 @@
         means: Means,
         chooser: Chooser,
         copies: Copies,
+        moves: Moves,
         log: RelayLog,
         note_silent: NoteSilent,
     ):
@@ -76,7 +78,8 @@
         Args:
             means: What the relay has.
             chooser: Chooses the hosts of prompts that were read apart.
-            copies: Has answers copied, and goes on from copies.
+            copies: Has answers copied.
+            moves: Keeps which answers can be moved.
             log: Takes the lines of requests.
             note_silent: Told the requests that may run elsewhere while nothing is heard
                 of their answers.
@@ -86,6 +89,7 @@
         self._chooser = chooser
         self._log = log
         self._copies = copies
+        self._moves = moves
         self._readings = Readings(means)
         self._apart = ReadingApart(means, self._readings, log)
 
@@ -100,7 +104,7 @@
         # Not later: what is measured of targets begins with the send.
         await link.reserve(size)
         if plan.is_continued:
-            return await self._continue(passage, plan)
+            return await self._continue(passage)
         engine = self._means.fleet.find_engine(plan.target)
         if plan.prefill_target is None:
             if engine is not None and passage.request.prompt is not None:
@@ -121,9 +125,13 @@
             if end is not End.DELIVERED:
                 self._apart.release(plan.prefill_target, source)
 
-    async def _continue(self, passage: Passage, plan: RequestPlan) -> End:
-        """Go on with a lost answer at the engine that has its copy."""
-        end = await self._send(passage, self._copies.make_sending(passage, plan))
+    async def _continue(self, passage: Passage) -> End:
+        """Go on with a lost or stopped answer where its KV cache is."""
+        place, passage.continuation = passage.continuation, None
+        sending = Sending(
+            place.target, source=place.source, is_continued=True, pool=place.pool
+        )
+        end = await self._send(passage, sending)
         self._means.metrics.continued.labels(end.value).inc()
         return end
 
@@ -169,9 +177,10 @@
         passage.tried.add(target.announced.lifetime)
         target.in_flight += 1
         try:
-            take_turn(self._means, target)
+            if sending.pool is None:
+                take_turn(self._means, target)
             async with (
-                borrow_connection(self._means, target) as connection,
+                borrow_connection(self._means, target, sending.pool) as connection,
                 self._means.guard.runs.watch(
                     passage.named, target, passage.route.name
                 ) as run,
@@ -227,7 +236,8 @@
                 self._note_begun(passage, sending)
                 sending.on_first()
                 answer = Answer(target, head, exchange, connection, expected)
-                end = await self._take_answer(passage, answer)
+                with self._moves.watch(passage, answer):
+                    end = await self._take_answer(passage, answer)
         if end is End.DELIVERED:
             # Not after a failure: a target may answer so without having run it.
             means.guard.note_success(run)
@@ -318,7 +328,8 @@
     def _note_broken(
         self, passage: Passage, target: Target, error: ConnectionBrokenError
     ) -> End:
-        note_broken(target, error, self._means.clock())
+        if not is_stopped(passage, target):
+            note_broken(target, error, self._means.clock())
         self._log.log_broken(passage, target, str(error))
         passage.last_reason = "broken"
         if not error.was_sent:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -355,6 +355,11 @@
         shape = self._find_shape(service)
         return shape is not None and shape.keeps_copies
 
+    def moves_answers(self, service: str) -> bool:
+        """Tell whether the engines of a service move answers to one another."""
+        shape = self._find_shape(service)
+        return shape is not None and shape.moves_answers
+
     def find_kv_retention_s(self, service: str) -> float:
         """Find how long an engine keeps a KV cache for others, seconds."""
         shape = self._find_shape(service)
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -484,6 +484,7 @@
             if self.settings.policy.notices_silence:
                 for target in self.fleet.leave_silent(now):
                     self._note_silent(target, now)
+            self.relay.look_after_leaving(now, self.settings.pledges.leave_s)
             self._link.remove_timed_out_peers(now)
             self.guard.settle(now)
             self._callers.close_idle(now)
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -23,6 +23,7 @@
         hedges: Second attempts beside targets that fell silent.
         copies: Answers by whether they got a copy at another engine, or why not.
         continued: Answers that went on from a copy, by how that ended.
+        moves: Steps of moves of answers by their outcome.
         pauses: Times that the process was paused: suspended, or not run.
         turned_away: Attempts that were turned away for that.
         connections_turned_away: Connections that were closed unread, as the gateway had
@@ -174,6 +175,9 @@
         self.continued = self._count(
             "continued", "Answers that went on from a copy, by their end", "end"
         )
+        self.moves = self._count(
+            "moves", "Moves of answers by their outcome", "outcome"
+        )
         self.pauses = self._count("pauses", "Times that the process was paused")
         self.connections_turned_away = self._count(
             "connections_turned_away", "Connections closed unread by a busy gateway"
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -193,6 +193,11 @@
         self.idle_since = 0.0
         self.is_open = False
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the answer under way is told by its own bytes."""
+        return self._framed
+
     @property
     def can_be_reused(self) -> bool:
         """Whether another request may be sent."""
--- /dev/null
+++ b/src/robinspindle/moving.py
@@ -0,0 +1,367 @@
+"""Moves answers away from engines that are about to leave.
+
+A move has three steps: the source copies the KV cache while the answer goes on; it
+stops the run and copies the rest; the request goes on at the destination. Until the
+second step is asked for, nothing has changed for the caller. From then on the answer of
+that step decides where the request goes on; if it is lost, the destination still has
+the copy of the first step.
+"""
+
+import asyncio
+import math
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from robinspindle.calls import CallLimits, call_once
+from robinspindle.core import decodeplacement, moves, retrywindows, streamversions
+from robinspindle.core.decodeplacement import count_requests
+from robinspindle.core.forwarding import CacheSource
+from robinspindle.core.moves import MovableRun
+from robinspindle.core.targets import Target, is_leaving
+from robinspindle.ends import End
+from robinspindle.exceptions import BadDocumentError
+from robinspindle.gatewaysettings import HostPort
+from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool, Exchange
+from robinspindle.passages import Continuation, Means, Passage, Stop
+from robinspindle.passing import Answer
+from robinspindle.sending import CONNECT_TIMEOUT_S
+
+COPY_LIMITS = CallLimits(CONNECT_TIMEOUT_S, 3.0, CONNECT_TIMEOUT_S)
+"""How long a first copy is waited for; its run goes on meanwhile. Engines begin no
+transfer that would wait for more than two seconds."""
+
+STOP_LIMITS = CallLimits(CONNECT_TIMEOUT_S, 0.5, CONNECT_TIMEOUT_S)
+"""How long the rest is waited for, while the caller gets nothing."""
+
+RELEASE_LIMITS = CallLimits(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S)
+
+STOP_GRACE_S = 0.1
+"""How long the stream of a stopped run may stay open, seconds: events that it made
+before are still on their way."""
+
+MOVED = 200
+NO_ROOM = 503
+
+
+@dataclass
+class _Run:
+    """An answer under way that could be moved.
+
+    Attributes:
+        passage: Its request.
+        target: Its engine.
+        exchange: Brings its events.
+        is_tried: Whether a move of it has begun.
+        is_over: Whether it has ended here.
+    """
+
+    passage: Passage
+    target: Target
+    exchange: Exchange
+    is_tried: bool = False
+    is_over: bool = False
+
+
+@dataclass(frozen=True)
+class _MoveAnswer:
+    """What an engine answered to one step.
+
+    Attributes:
+        status: The status; 0 if no answer came.
+        handle: Names the copy; empty for none.
+    """
+
+    status: int = 0
+    handle: str = ""
+
+
+class Moves:
+    """Keeps which answers are under way where, and empties engines that leave."""
+
+    def __init__(self, means: Means, rng: random.Random):
+        self._means = means
+        self._rng = rng
+        self._runs: dict[str, list[_Run]] = {}
+        self._leave_at: dict[str, float] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._releases: set[asyncio.Task] = set()
+        self._destinations: set[str] = set()
+
+    @contextmanager
+    def watch(self, passage: Passage, answer: Answer) -> Iterator[None]:
+        """Keep an answer among those that can be moved, while it is under way."""
+        prompt, id = passage.request.prompt, passage.request.id
+        # A stopped stream without a length would look whole.
+        is_movable = passage.is_stream and answer.connection.is_framed
+        if prompt is None or not is_movable or not streamversions.is_attempt_id(id):
+            yield
+            return
+        lifetime = answer.target.announced.lifetime
+        run = _Run(passage, answer.target, answer.exchange)
+        runs = self._runs.setdefault(lifetime, [])
+        runs.append(run)
+        try:
+            yield
+        finally:
+            run.is_over = True
+            runs.remove(run)
+            if not runs:
+                del self._runs[lifetime]
+
+    def look_after_leaving(self, now: float, leave_s: float) -> None:
+        """Begin to empty the engines that leave.
+
+        Args:
+            now: The current time, monotonic seconds.
+            leave_s: Time that a leaving engine goes on generating, seconds.
+        """
+        leaving = {
+            lifetime: runs[0].target
+            for lifetime, runs in self._runs.items()
+            if is_leaving(runs[0].target)
+        }
+        self._leave_at = {
+            lifetime: self._leave_at.get(lifetime, now + leave_s)
+            for lifetime in leaving
+        }
+        if not self._means.policy().moves_answers:
+            return
+        for lifetime, target in leaving.items():
+            if lifetime not in self._tasks and self._choose_run(target) is not None:
+                task = asyncio.get_running_loop().create_task(self._empty(target))
+                self._tasks[lifetime] = task
+                task.add_done_callback(lambda _, key=lifetime: self._tasks.pop(key))
+
+    async def settle(self, passage: Passage) -> None:
+        """Wait until it is known where a stopped run goes on."""
+        if passage.stop is not None:
+            await passage.stop.settled.wait()
+
+    def find_continuation(self, passage: Passage, end: End) -> Continuation | None:
+        """Find where a stopped run goes on next; None for nowhere.
+
+        The destination comes first. Only if that says that it did not run it, the
+        stopped source may, which still holds its KV cache.
+        """
+        stop = passage.stop
+        if stop is None or passage.splitter.last_id is None or not stop.places:
+            return None
+        # Once it was sent there, only what says that it did not run it leaves a choice.
+        expected = (End.NOT_RUN, End.NOT_SENT) if stop.is_begun else (End.UNSURE,)
+        if end not in expected:
+            return None
+        place = stop.places.pop(0)
+        is_second, stop.is_begun = stop.is_begun, True
+        if place.target is stop.source and self._means.clock() >= stop.leaves_at:
+            return None
+        return place.as_unpaid() if is_second else place
+
+    async def _empty(self, target: Target) -> None:
+        """Move one answer after the other away from an engine that leaves."""
+        while (run := self._choose_run(target)) is not None:
+            run.is_tried = True
+            await self._move(run)
+
+    def _choose_run(self, target: Target) -> _Run | None:
+        """Choose the answer that is moved next."""
+        means, lifetime = self._means, target.announced.lifetime
+        service = target.announced.service
+        transfer_s = means.fleet.find_token_transfer_s(service)
+        leaves_at = self._leave_at.get(lifetime)
+        is_offered = means.fleet.moves_answers(service) and transfer_s is not None
+        # It may have said in an answer that it wants nothing at all any more.
+        if not is_offered or leaves_at is None or target.stated.leaving:
+            return None
+        runs = {
+            run.passage.request.id: run
+            for run in self._runs.get(lifetime, [])
+            if self._may_move(run)
+        }
+        described = [self._describe(run) for run in runs.values()]
+        leaves_in_s = leaves_at - means.clock()
+        chosen = moves.list_moves(described, leaves_in_s, transfer_s)
+        return runs[chosen[0].id] if chosen else None
+
+    def _may_move(self, run: _Run) -> bool:
+        passage = run.passage
+        has_rival = passage.hedge is not None or passage.break_rival is not None
+        return not run.is_tried and not has_rival and passage.splitter.events > 0
+
+    def _describe(self, run: _Run) -> MovableRun:
+        passage, fleet = run.passage, self._means.fleet
+        prompt, events = passage.request.prompt, passage.splitter.events
+        event_tokens = fleet.count_event_tokens(passage.service)
+        event_s = self._means.lengths.find_event_s(passage.service)
+        return MovableRun(
+            id=passage.request.id,
+            tokens=prompt.tokens + events * event_tokens,
+            left_s=min(
+                moves.estimate_left_s(prompt, events, event_tokens, event_s),
+                passage.due - self._means.clock(),
+            ),
+            may_rerun=passage.route.may_rerun,
+        )
+
+    async def _move(self, run: _Run) -> None:
+        now = self._means.clock()
+        destination = self._choose_destination(run, now)
+        if destination is None:
+            self._note(run, None, "no destination", now)
+            return
+        lifetime = destination.announced.lifetime
+        self._destinations.add(lifetime)
+        try:
+            copied = await self._ask(run, destination, COPY_LIMITS, is_last=False)
+            if copied.status != MOVED:
+                self._note(run, destination, f"not copied: {copied.status}", now)
+                return
+            if not self._may_stop(run):
+                self._note(run, destination, "not stopped", now)
+                self._release(run.target, copied.handle)
+                return
+            await self._stop(run, destination, copied, now)
+        finally:
+            self._destinations.discard(lifetime)
+
+    def _may_stop(self, run: _Run) -> bool:
+        """Whether a run that was copied may be stopped; takes a repeat for it."""
+        passage, means = run.passage, self._means
+        if run.is_over or passage.hedge is not None:
+            return False
+        if passage.offers >= moves.MAX_OFFERS:
+            return False
+        return retrywindows.take_retry(means.budget, means.clock(), passage.service)
+
+    async def _stop(
+        self, run: _Run, destination: Target, copied: _MoveAnswer, began_at: float
+    ) -> None:
+        """Stop a run, and tell its request where it goes on."""
+        leaves_at = self._leave_at.get(run.target.announced.lifetime, -math.inf)
+        stop = run.passage.stop = Stop(run.target, leaves_at)
+        answer = _MoveAnswer()
+        try:
+            answer = await self._ask(run, destination, STOP_LIMITS, is_last=True)
+        finally:
+            stop.places = self._list_places(run, destination, copied, answer)
+            stop.settled.set()
+        self._note(run, destination, f"stopped: {answer.status}", began_at)
+        if not stop.places or run.passage.reply.has_caller_left:
+            # It goes on where it was, or has ended there, or nobody waits for it.
+            run.passage.stop = None
+            self._release(run.target, copied.handle)
+            return
+        if answer.handle:
+            await asyncio.sleep(STOP_GRACE_S)
+            run.exchange.fail(ConnectionBrokenError("its run has moved"))
+
+    def _list_places(
+        self, run: _Run, destination: Target, copied: _MoveAnswer, answer: _MoveAnswer
+    ) -> list[Continuation]:
+        """List where a run may go on, the best place first."""
+        handle = answer.handle or copied.handle
+        source = CacheSource(run.target.announced.address, handle)
+        there = Continuation(destination, source, is_paid=True)
+        pool = self._make_pool(run.target)
+        here = Continuation(run.target, source, is_paid=True, pool=pool)
+        if answer.status == NO_ROOM and answer.handle:
+            return [here]
+        if answer.status in (0, MOVED):
+            return [there, here]
+        return []
+
+    def _choose_destination(self, run: _Run, now: float) -> Target | None:
+        """Choose the engine that goes on with a run; each takes one move at a time."""
+        means, passage = self._means, run.passage
+        barred = streamversions.list_barred(means.fleet.directory, passage.stream)
+        left_out = passage.tried | means.guard.list_avoided(passage.named) | barred
+        usable = means.fleet.list_usable(
+            passage.service, now, left_out | self._destinations
+        )
+        pairs = [(target, means.fleet.find_engine(target)) for target in usable]
+        with_slot = [
+            pair
+            for pair in pairs
+            if pair[1] is not None and count_requests(pair) < pair[0].announced.slots
+        ]
+        return decodeplacement.choose_decode_target(
+            with_slot,
+            run.target.announced.zone,
+            now,
+            means.peers.interval_s,
+            self._rng,
+        )
+
+    async def _ask(
+        self, run: _Run, destination: Target, limits: CallLimits, is_last: bool
+    ) -> _MoveAnswer:
+        """Ask for one step of a move."""
+        means, target = self._means, run.target
+        address = destination.announced.address
+        data = means.dialect.encode_move(
+            target.announced, run.passage.request.id, address, is_last
+        )
+        target.in_flight += 1
+        try:
+            pool = self._make_pool(target)
+            head, body = await call_once(pool, means.clock, data, limits)
+            pool.close()
+            return _MoveAnswer(head.status, means.dialect.decode_move_answer(body))
+        except (ConnectionBrokenError, TimeoutError, BadDocumentError) as error:
+            means.log(
+                "move not answered", request=run.passage.request.id, error=str(error)
+            )
+            return _MoveAnswer()
+        finally:
+            target.in_flight -= 1
+
+    def _make_pool(self, target: Target) -> ConnectionPool:
+        """Make connections for calls about runs that a leaving engine still has.
+
+        Its other connections take nothing any more.
+        """
+        host, _, port = target.announced.address.rpartition(":")
+        return ConnectionPool(
+            HostPort(host, int(port)), self._means.dialect.decode_answer
+        )
+
+    def _release(self, target: Target, handle: str) -> None:
+        """Free a copy that is not used."""
+        source = CacheSource(target.announced.address, handle)
+        task = asyncio.get_running_loop().create_task(self._free(target, source))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def _free(self, target: Target, source: CacheSource) -> None:
+        data = self._means.dialect.encode_release(source)
+        pool = self._make_pool(target)
+        try:
+            await call_once(pool, self._means.clock, data, RELEASE_LIMITS)
+        except (ConnectionBrokenError, TimeoutError) as error:
+            # It lapses by itself a few seconds later.
+            self._means.log("handle not freed", error=str(error))
+        finally:
+            pool.close()
+
+    def _note(
+        self, run: _Run, destination: Target | None, outcome: str, began_at: float
+    ) -> None:
+        """Count and log how a move went, and what it followed from."""
+        means, now = self._means, self._means.clock()
+        means.metrics.moves.labels(outcome).inc()
+        described = self._describe(run)
+        leaves_at = self._leave_at.get(run.target.announced.lifetime)
+        means.log(
+            "answer moves",
+            at=round(now, 4),
+            request=described.id,
+            source=run.target.announced.lifetime,
+            destination=destination.announced.lifetime if destination else "",
+            outcome=outcome,
+            took_ms=round((now - began_at) * 1000, 1),
+            tokens=described.tokens,
+            left_ms=round(described.left_s * 1000),
+            leaves_in_ms=round((leaves_at - now) * 1000) if leaves_at else None,
+            list_age_ms=round((now - means.fleet.directory.read_at) * 1000),
+        )
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from robinspindle.core import forwarding
@@ -24,6 +24,7 @@
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
+from robinspindle.httpclient import ConnectionPool
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
@@ -56,10 +57,58 @@
     ) -> AnswerHead:
         """Decode the head of a target's answer."""
 
+    def encode_move(
+        self, source: Announcement, id: str, destination: str, is_last: bool
+    ) -> bytes:
+        """Write a call that copies a run, or stops it and copies the rest."""
+
+    def decode_move_answer(self, body: bytes) -> str:
+        """Decode the answer to such a call; returns the handle of the copy."""
+
     def decode_prefill_answer(self, address: str, body: bytes) -> CacheSource:
         """Decode the answer to a prompt that was only read."""
 
 
+@dataclass(frozen=True)
+class Continuation:
+    """Where a run goes on that its engine lost or stopped.
+
+    Attributes:
+        target: Where.
+        source: Names the KV cache from which it goes on.
+        is_paid: Whether a repeat has been taken for it.
+        pool: Connections to use in place of the target's usual ones; None for those.
+    """
+
+    target: Target
+    source: CacheSource
+    is_paid: bool = False
+    pool: ConnectionPool | None = None
+
+    def as_unpaid(self) -> "Continuation":
+        """Return the same for which a repeat has yet to be taken."""
+        return replace(self, is_paid=False)
+
+
+@dataclass
+class Stop:
+    """A run that its engine was asked to stop, so that it goes on elsewhere.
+
+    Attributes:
+        source: The engine.
+        leaves_at: When the engine leaves, steady seconds.
+        settled: Set when it is known where the run goes on.
+        places: Where it may go on, the best place first; none if it was not stopped.
+        is_begun: Whether it has been sent to one of them.
+    """
+
+    source: Target
+    leaves_at: float
+    settled: asyncio.Event = field(default_factory=asyncio.Event)
+    places: list[Continuation] = field(default_factory=list)
+    is_begun: bool = False
+
+
 @dataclass(frozen=True)
 class GivenUp:
     """A request that no further target gets.
@@ -172,7 +221,9 @@
         is_superseded: Whether another attempt's answer has begun instead of this one's.
         stream: The stream that it begins or goes on with.
         copy: Where its latest run is copied to; None for no copy.
-        continued_at: Where its lost run goes on from its copy next; None for nowhere.
+        continuation: Where its lost or stopped run goes on next; None for nowhere.
+        stop: What became of its run when its engine was asked to stop it; None if it
+            wasn't.
     """
 
     request: Request
@@ -209,7 +260,8 @@
     is_superseded: bool = False
     stream: StreamBinding = field(default_factory=StreamBinding)
     copy: AnswerCopy | None = None
-    continued_at: Target | None = None
+    continuation: Continuation | None = None
+    stop: Stop | None = None
 
     @property
     def given_up_at(self) -> float:
@@ -261,3 +313,8 @@
     clock: Callable[[], float]
     log: Log
     metrics: GatewayMetrics
+
+
+def is_stopped(passage: Passage, target: Target) -> bool:
+    """Tell whether a target was asked to stop the run of a request, to move it."""
+    return passage.stop is not None and passage.stop.source is target
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -17,7 +17,9 @@
 )
 from robinspindle.core.lifetimes import find_id
 from robinspindle.core.streamversions import is_attempt_id
+from robinspindle.core.targets import Announcement
 from robinspindle.exceptions import BadDocumentError
+from robinspindle.platform.jsoncalls import write_json_call
 
 HOP_HEADERS = frozenset(
     (
@@ -211,6 +213,43 @@
     ).encode()
 
 
+def encode_move(
+    source: Announcement, id: str, destination: str, is_last: bool
+) -> bytes:
+    """Encode a request that copies the KV cache of a run to another engine.
+
+    Args:
+        source: The engine that runs it.
+        id: The id of the run's request.
+        destination: Address of the other engine.
+        is_last: Whether the run stops first, so that nothing is left to copy after it.
+    """
+    headers = (("X-Expect-Instance", find_id(source.lifetime)),)
+    values = {"Id": id, "TargetVersion": destination, "Last": is_last}
+    return write_json_call("/kv-move", source.address, headers, values)
+
+
+class _MoveBody(msgspec.Struct):
+    handle: str = msgspec.field(default="", name="KvHandle")
+
+
+def decode_move_answer(body: bytes) -> str:
+    """Decode the body of the response to such a request.
+
+    Returns:
+        The handle of the copy; empty if the response names none.
+
+    Raises:
+        BadDocumentError: If it is invalid.
+    """
+    if not body:
+        return ""
+    try:
+        return msgspec.json.decode(body, type=_MoveBody).handle
+    except msgspec.MsgspecError as error:
+        raise BadDocumentError(str(error)) from None
+
+
 def encode_cache_list_call(address: str) -> bytes:
     """Encode a request for the list of prompt parts in an engine's cache."""
     return f"GET /kv-list HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -86,6 +86,7 @@
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
     backups: bool = False
+    moves: bool = False
 
 
 class _Scaling(msgspec.Struct, rename="pascal"):
@@ -306,6 +307,7 @@
             event_tokens=max(1, service.engine.stride),
             token_transfer_s=_compute_token_transfer_s(service.engine),
             keeps_copies=service.engine.backups,
+            moves_answers=service.engine.moves,
         )
     scaling = None
     if service.scaling is not None:
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -54,6 +54,15 @@
         """Prompts placed since they were last told to the peers."""
         return self._attempts.delivery.placements
 
+    def look_after_leaving(self, now: float, leave_s: float) -> None:
+        """Have answers moved away from engines that leave.
+
+        Args:
+            now: The present time, steady seconds.
+            leave_s: How long a leaving engine goes on generating, seconds.
+        """
+        self._attempts.moves.look_after_leaving(now, leave_s)
+
     async def handle(self, incoming: Incoming, reply: Reply) -> None:
         """Serve one request of a caller."""
         request = self._means.dialect.decode_request(
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -14,6 +14,7 @@
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
+    ConnectionPool,
     Exchange,
     NotSentError,
     borrow,
@@ -45,6 +46,7 @@
         copy_target: Where the KV cache of its answer is copied as it grows; None for
             no copy.
         is_continued: Whether its source is the copy of an answer that goes on.
+        pool: Connections to use in place of the target's usual ones; None for those.
     """
 
     target: Target
@@ -53,13 +55,14 @@
     on_first: Callable[[], None] = do_nothing
     copy_target: Target | None = None
     is_continued: bool = False
+    pool: ConnectionPool | None = None
 
 
 def borrow_connection(
-    means: Means, target: Target
+    means: Means, target: Target, pool: ConnectionPool | None = None
 ) -> AbstractAsyncContextManager[ClientConnection]:
     """Take a connection to a target and give it back in the end."""
-    pool = means.fleet.find_pool(target)
+    pool = pool or means.fleet.find_pool(target)
     return borrow(pool, means.clock, CONNECT_TIMEOUT_S)
 
 
--- a/standins/movingengine.py
+++ b/standins/movingengine.py
@@ -1,10 +1,12 @@
 """An engine of finite memory whose runs are copied to others as they grow."""
 
 import asyncio
+import json
+from collections import deque
 from dataclasses import dataclass
 
 from standins.prompts import parse_parts
-from standins.rawhttp import RawRequest
+from standins.rawhttp import RawRequest, reset, write_answer
 from standins.replica import Replica
 
 EVENT_S = 0.03
@@ -18,36 +20,53 @@
 seconds."""
 
 
+MOVE_S = 0.02
+"""Seconds of a step of a move."""
+
+
 @dataclass
 class Memory:
     """What an engine keeps of a run.
 
     Attributes:
+        id: The id of its request.
         tokens: Tokens of its prompt.
         events: Events that it holds.
+        is_stopped: Whether it is to stop, as it moves.
     """
 
+    id: str
     tokens: int
     events: int = 0
+    is_stopped: bool = False
 
     @property
     def size(self) -> int:
         """Tokens of memory; an event counts as one."""
         return self.tokens + self.events
 
+    def copy(self, events: int) -> "Memory":
+        """Copy the beginning of it."""
+        return Memory(self.id, self.tokens, min(self.events, events))
+
 
 class MovingEngine(Replica):
     """A replica that generates from memory, of which others may hold copies.
 
     Attributes:
         runs: What it generates now, by the id of the request.
-        copies: What others have copied here, by the id of the request.
+        copies: What it keeps for runs that may go on here, by the source that names it.
         read: Tokens that it read for each run, in the order of their begin: those of
             the prompt and of events that no copy held.
         copy_lag: Events by which the copies that it sends are behind.
         is_held: Whether it generates nothing further for now.
         overlaps: Ids of runs that another engine still worked on when it had gone on
             here for too long.
+        move_faults: How the next steps of moves go wrong, in turn; ``ok`` when empty.
+        moves: Steps that it was asked for: ids, and whether the run was to stop.
+        moving_most: The most steps that were under way at once.
+        event_s: Seconds from one event of a stream to the next.
+        hold_s: How long it keeps what nobody takes, seconds.
     """
 
     def __init__(
@@ -66,8 +85,13 @@
         self.copy_lag = 0
         self.is_held = False
         self.overlaps: list[str] = []
+        self.move_faults: deque[str] = deque()
+        self.moves: list[tuple[str, bool]] = []
+        self.moving_most = 0
+        self.event_s = EVENT_S
+        self.hold_s = hold_s
+        self._moving = 0
         self._memory_tokens = memory_tokens
-        self._hold_s = hold_s
         self._others: dict[str, MovingEngine] = {}
 
     @property
@@ -76,6 +100,10 @@
         kept = [*self.runs.values(), *self.copies.values()]
         return self._memory_tokens - sum(memory.size for memory in kept)
 
+    def holds(self, id: str) -> bool:
+        """Tell whether it keeps something of a run that may go on here."""
+        return any(memory.id == id for memory in self.copies.values())
+
     def meet(self, others: "list[MovingEngine]") -> None:
         """Tell it the engines that it may copy to."""
         self._others = {other.server.address: other for other in others}
@@ -87,25 +115,78 @@
         self.copies.clear()
         await self.server.stop()
 
-    def keep_copy(self, id: str, memory: Memory) -> None:
-        """Keep what has arrived of another engine's run, as far as there is room."""
-        kept = self.copies.pop(id, None)
-        if memory.size <= self.free_tokens:
-            self.copies[id] = memory
-        elif kept is not None:
-            self.copies[id] = kept
+    def keep_copy(self, source: str, memory: Memory) -> bool:
+        """Keep what has arrived of a run, if there is room for it."""
+        kept = self.copies.pop(source, None)
+        if self.has_crashed or memory.size > self.free_tokens:
+            if kept is not None:
+                self.copies[source] = kept
+            return False
+        self.copies[source] = memory
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.hold_s, self._drop, source, memory)
+        return True
+
+    def _drop(self, source: str, memory: Memory) -> None:
+        if self.copies.get(source) is memory:
+            del self.copies[source]
+
+    async def _answer(self, request: RawRequest, writer) -> bool:
+        if request.target == "/kv-move":
+            self._moving += 1
+            self.moving_most = max(self.moving_most, self._moving)
+            try:
+                return await self._move(json.loads(request.body), writer)
+            finally:
+                self._moving -= 1
+        if request.method == "DELETE":
+            handle = request.target.rpartition("/")[2]
+            for engine in [self, *self._others.values()]:
+                engine.copies.pop(f"{self.server.address}/{handle}", None)
+        return await super()._answer(request, writer)
+
+    async def _move(self, body: dict, writer) -> bool:
+        """Take one step of a move, or fail at it."""
+        id, is_last = body["Id"], body["Last"]
+        self.moves.append((id, is_last))
+        fault = self.move_faults.popleft() if self.move_faults else "ok"
+        run = self.runs.get(id)
+        destination = self._others.get(body["TargetVersion"])
+        if run is None or fault == "busy":
+            write_answer(writer, 404 if run is None else 409)
+            return True
+        if destination is None or fault == "refuse":
+            write_answer(writer, 503)
+            return True
+        run.is_stopped = is_last and fault != "goes_on"
+        await asyncio.sleep(MOVE_S)
+        if fault == "source_dies":
+            await self.crash()
+            return False
+        source = f"{self.server.address}/h-{id}"
+        is_kept = destination.keep_copy(source, run.copy(run.events))
+        if is_last:
+            self.keep_copy(source, run.copy(run.events))
+        if fault == "destination_dies":
+            await destination.crash()
+        if fault == "source_dies_after":
+            await self.crash()
+        if fault in ("lost", "source_dies_after"):
+            reset(writer)
+            return False
+        is_kept = is_kept and fault != "stopped_without_room"
+        answer = {"KvHandle": f"h-{id}", "Created": run.events}
+        write_answer(writer, 200 if is_kept else 503, json.dumps(answer).encode())
+        return True
 
     async def _be_ok(self, request: RawRequest, writer) -> bool:
         id = request.headers["x-request-id"]
         done = int(request.headers.get("last-event-id", 0))
-        memory = Memory(sum(tokens for _, tokens in parse_parts(request)), done)
+        memory = Memory(id, sum(tokens for _, tokens in parse_parts(request)), done)
         source = request.headers.get("x-kv-source", "")
-        copy = None
-        if source:
-            copy = self._take_copy(source, id)
-            if copy is None:
-                return await self._be_full(request, writer)
-        if memory.size + self.events > self.free_tokens:
+        copy = self._take_copy(source, id)
+        is_missing = source and copy is None
+        if is_missing or memory.size + self.events > self.free_tokens:
             return await self._be_full(request, writer)
         copied = min(copy.size, memory.size) if copy else 0
         self.read.append(memory.size - copied)
@@ -116,43 +197,43 @@
         try:
             return await self._generate(request, writer, memory)
         finally:
-            self.runs.pop(id, None)
+            if self.runs.get(id) is memory:
+                del self.runs[id]
 
     def _take_copy(self, source: str, id: str) -> Memory | None:
         """Take a copy, which serves once; another request's is none."""
-        if source != f"{self.server.address}/{id}":
+        memory = self.copies.get(source)
+        if memory is None or memory.id != id:
             return None
-        return self.copies.pop(id, None)
+        for engine in [self, *self._others.values()]:
+            engine.copies.pop(source, None)
+        return memory
 
     async def _generate(self, request: RawRequest, writer, memory: Memory) -> bool:
-        id = request.headers["x-request-id"]
         keeper = self._others.get(request.headers.get("x-kv-backup", ""))
         self._begin_stream(request, writer)
         for number in range(memory.events + 1, self.events + 1):
-            while self.is_held and not (self.has_crashed or request.is_left()):
+            while self.is_held and not self._must_end(request, memory):
                 await asyncio.sleep(POLL_S)
-            if self.has_crashed or request.is_left():
-                self._end_badly(id, keeper)
+            if self._must_end(request, memory):
+                if request.is_left():
+                    self.closed.append(memory.id)
                 return False
             self._write_event(request, writer, number)
             await writer.drain()
             memory.events = number
-            if keeper is not None and not keeper.has_crashed:
-                arrived = max(0, number - self.copy_lag)
-                keeper.keep_copy(id, Memory(memory.tokens, arrived))
-            await asyncio.sleep(EVENT_S)
+            if keeper is not None:
+                name = f"{keeper.server.address}/{memory.id}"
+                keeper.keep_copy(name, memory.copy(max(0, number - self.copy_lag)))
+            await asyncio.sleep(self.event_s)
         writer.write(b"0\r\n\r\n")
         if keeper is not None:
-            keeper.copies.pop(id, None)
+            keeper.copies.pop(f"{keeper.server.address}/{memory.id}", None)
         return True
 
-    def _end_badly(self, id: str, keeper: "MovingEngine | None") -> None:
-        """Leave a run's copy to lapse."""
-        if not self.has_crashed:
-            self.closed.append(id)
-        if keeper is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(self._hold_s, keeper.copies.pop, id, None)
+    def _must_end(self, request: RawRequest, memory: Memory) -> bool:
+        """Whether a run ends before its end."""
+        return self.has_crashed or request.is_left() or memory.is_stopped
 
     def _note_overlap(self, id: str) -> None:
         if id in self.runs and any(id in other.runs for other in self._others.values()):
--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -58,9 +58,9 @@
         Its call, the engine that runs it, and the one that keeps its copy.
     """
     call = asyncio.create_task(d.call(path, **d.prompt(out=str(EVENTS))))
-    await until(lambda: any("r1" in each.copies for each in engines))
+    await until(lambda: any(each.holds("r1") for each in engines))
     source = next(each for each in engines if "r1" in each.runs)
-    keeper = next(each for each in engines if "r1" in each.copies)
+    keeper = next(each for each in engines if each.holds("r1"))
     await until(lambda: source.runs["r1"].events >= 2)
     source.is_held = True
     return call, source, keeper
--- a/tests/test_policyfile.py
+++ b/tests/test_policyfile.py
@@ -17,7 +17,7 @@
     return str(path)
 
 
-OFF = {"copies_answers"}
+OFF = {"copies_answers", "moves_answers"}
 """Switches of decisions that an operator must ask for."""
 
 
