Move answers as late as possible, and cut a stopped stream at once

Of 32 answers moved as soon as their engine said that it leaves, 10 would have been lost; each move cost its caller a pause of about 0.12 s where 0.15 s are allowed. Now moves begin when what is left of the engine's time is needed, and a stopped stream is not waited for.

--- a/src/robinspindle/core/moves.py
+++ b/src/robinspindle/core/moves.py
@@ -24,6 +24,11 @@
 """Sendings of a request from which on its run is not stopped: it must be sent again."""
 
 
+MARGIN_S = 1.0
+"""Time before an engine leaves by which its answers should have been moved, seconds: an
+entry takes up to half of it to be known, and a busy link as much."""
+
+
 @dataclass(frozen=True)
 class MovableRun:
     """An answer under way at an engine that leaves.
@@ -70,13 +75,17 @@
     quickest go first: that saves the most of them. But those that may run again come
     last, as they can be saved by a new prefill.
 
+    None is moved before it must be: until then some end by themselves, and a move costs
+    its caller a pause.
+
     Args:
         runs: The answers at the engine.
         leaves_in_s: Time until the engine leaves, seconds.
         token_transfer_s: Transfer time per token of the KV cache, seconds.
 
     Returns:
-        Those that would outlive the engine, as far as there is time to move them.
+        Those that would outlive the engine, as far as there is time to move them; none
+        while there is time to wait.
     """
     outliving = [run for run in runs if run.left_s > leaves_in_s]
     outliving.sort(key=lambda run: (run.may_rerun, run.tokens))
@@ -86,4 +95,5 @@
         if move_s <= left_s:
             moves.append(run)
             left_s -= move_s
-    return moves
+    needed_s = leaves_in_s - left_s
+    return moves if leaves_in_s <= MARGIN_S + needed_s else []
--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -37,10 +37,6 @@
 
 RELEASE_LIMITS = CallLimits(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S)
 
-STOP_GRACE_S = 0.1
-"""How long the stream of a stopped run may stay open, seconds: events that it made
-before are still on their way."""
-
 MOVED = 200
 NO_ROOM = 503
 
@@ -253,7 +249,7 @@
             self._release(run.target, copied.handle)
             return
         if answer.handle:
-            await asyncio.sleep(STOP_GRACE_S)
+            # Not once its stream is closed: events still on their way come again.
             run.exchange.fail(ConnectionBrokenError("its run has moved"))
 
     def _list_places(
--- a/standins/movingengine.py
+++ b/standins/movingengine.py
@@ -174,7 +174,8 @@
         if fault in ("lost", "source_dies_after"):
             reset(writer)
             return False
-        is_kept = is_kept and fault != "stopped_without_room"
+        if fault == "stopped_without_room":
+            is_kept = destination.copies.pop(source, None) is None
         answer = {"KvHandle": f"h-{id}", "Created": run.events}
         write_answer(writer, 200 if is_kept else 503, json.dumps(answer).encode())
         return True
