--- a/tests/platform/test_moves.py
+++ b/tests/platform/test_moves.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from robinspindle.core import moves
 from robinspindle.core.policy import Policy
 from tests.platform.deployment import run, until
 from tests.platform.test_copies import (
@@ -20,12 +21,21 @@
 MOST_TOKENS = 200
 """What an answer may hold at most: by it, it would outlive an engine that leaves."""
 
+EARLY_S = 60.0
+"""A margin by which moves begin as soon as an engine says that it leaves, seconds."""
+
 LOOKS_S = 0.3
 """Time in which a gateway finds engines that leave, seconds; no test fails by it."""
 
 MOVES = Policy(moves_answers=True)
 
 
+@pytest.fixture(autouse=True)
+def begin_at_once(monkeypatch):
+    """Have moves begin at once, and not as late as possible."""
+    monkeypatch.setattr(moves, "MARGIN_S", EARLY_S)
+
+
 @asynccontextmanager
 async def deploy_moving(tmp_path, count=3, policy=MOVES, **engine):
     engine = {"Backups": False, "Moves": True} | engine
