--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -1,6 +1,9 @@
+import json
+
 import pytest
 
 from robinspindle.core.forwarding import CacheSource, Resumption, Send
+from robinspindle.core.targets import Announcement
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.platform import dialect
 
@@ -117,6 +120,28 @@
         dialect.decode_prefill_answer("1.2.3.4:5", b"{}")
 
 
+def test_the_engine_that_keeps_a_copy_is_named():
+    assert "X-Kv-Backup: 1.2.3.4:6\r\n" in encode(copy_address="1.2.3.4:6")
+    assert "X-Kv-Backup" not in encode()
+
+
+def test_a_step_of_a_move_is_written_and_its_answer_read():
+    source = Announcement("i1", "lm", "1.2.3.4:5", "a", 8)
+    call = dialect.encode_move(source, "r1", "1.2.3.4:6", is_last=True).decode()
+    head, _, body = call.partition("\r\n\r\n")
+    assert head.startswith("POST /kv-move HTTP/1.1\r\nHost: 1.2.3.4:5\r\n")
+    assert "X-Expect-Instance: i1\r\n" in head
+    assert json.loads(body) == {
+        "Id": "r1",
+        "TargetVersion": "1.2.3.4:6",
+        "Last": True,
+    }
+    assert dialect.decode_move_answer(b'{"KvHandle":"h1","Created":3}') == "h1"
+    assert dialect.decode_move_answer(b"") == ""
+    with pytest.raises(BadDocumentError):
+        dialect.decode_move_answer(b"no document")
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "not_run"),
     [
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -33,6 +33,16 @@
     assert token_transfer_s == pytest.approx(131072 * 8 / 8.8e12)
 
 
+def test_copies_and_moves_are_offered_only_where_the_configuration_says_so():
+    value = make_configuration()
+    spec = decode(value).services["lm"].engine
+    assert (spec.keeps_copies, spec.moves_answers) == (False, False)
+    engine = value["Services"][1]["Engine"] | {"Backups": True, "Moves": True}
+    value["Services"] = [value["Services"][0], value["Services"][1] | {"Engine": engine}]
+    spec = decode(value).services["lm"].engine
+    assert (spec.keeps_copies, spec.moves_answers) == (True, True)
+
+
 def test_unknown_fields_are_ignored():
     value = make_configuration() | {"Later": {"x": 1}}
     value["Routes"][0]["Later"] = [1]
