--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -37,8 +37,9 @@
     value = make_configuration()
     spec = decode(value).services["lm"].engine
     assert (spec.keeps_copies, spec.moves_answers) == (False, False)
-    engine = value["Services"][1]["Engine"] | {"Backups": True, "Moves": True}
-    value["Services"] = [value["Services"][0], value["Services"][1] | {"Engine": engine}]
+    plain, engines = value["Services"]
+    offered = engines["Engine"] | {"Backups": True, "Moves": True}
+    value["Services"] = [plain, engines | {"Engine": offered}]
     spec = decode(value).services["lm"].engine
     assert (spec.keeps_copies, spec.moves_answers) == (True, True)
 
