--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -1,11 +1,14 @@
 """The attempts of one request at targets, until one delivers or none is left to try."""
 
 import asyncio
+import random
 
 from robinspindle import guard
 from robinspindle.choosing import Chooser
+from robinspindle.copying import Copies
 from robinspindle.core import forwarding, retrywindows
 from robinspindle.core.prefillplacement import RequestPlan
+from robinspindle.core.requestplans import plan_continuation
 from robinspindle.core.routes import STREAM
 from robinspindle.delivery import Delivery
 from robinspindle.ends import End
@@ -18,7 +21,15 @@
     join_hedge,
 )
 from robinspindle.httpclient import Exchange
-from robinspindle.passages import GivenUp, Hedge, Means, Passage
+from robinspindle.moving import Moves
+from robinspindle.passages import (
+    Continuation,
+    GivenUp,
+    Hedge,
+    Means,
+    Passage,
+    is_stopped,
+)
 from robinspindle.relaylogs import RelayLog
 from robinspindle.sending import crashes_targets, is_barred
 
@@ -34,12 +45,22 @@
 
     Attributes:
         delivery: Sends to one target.
+        moves: Moves answers away from engines that leave.
     """
 
     def __init__(
-        self, means: Means, chooser: Chooser, final: FinalAnswers, log: RelayLog
+        self,
+        means: Means,
+        chooser: Chooser,
+        final: FinalAnswers,
+        log: RelayLog,
+        rng: random.Random,
     ):
-        self.delivery = Delivery(means, chooser, log, self.hedge)
+        self._copies = Copies(means, rng)
+        self.moves = Moves(means, rng)
+        self.delivery = Delivery(
+            means, chooser, self._copies, self.moves, log, self.hedge
+        )
         self._means = means
         self._chooser = chooser
         self._final = final
@@ -66,6 +87,7 @@
             self._means.metrics.count_try(passage.service, lifetime, end.value)
             if end is End.DELIVERED or await self._has_hedge_delivered(passage):
                 return None
+            await self.moves.settle(passage)
             if not self._may_go_on(passage, end):
                 return GivenUp(passage.last_reason)
 
@@ -74,7 +96,10 @@
         left_s = passage.given_up_at - now
         if left_s <= forwarding.MIN_ATTEMPT_S:
             return GivenUp(passage.last_reason or "too-late")
-        plan = self._chooser.choose(passage, now)
+        if passage.continuation is not None:
+            plan = plan_continuation(passage.plan, passage.continuation.target)
+        else:
+            plan = self._chooser.choose(passage, now)
         if plan is None:
             return GivenUp(passage.last_reason or "no-target")
         passage.plan = plan
@@ -94,7 +119,10 @@
             passage: The request.
             exchange: Waits for its answer at the silent target.
         """
-        if passage.hedge is not None or self._may_crash_target(passage):
+        has_rival = passage.hedge is not None
+        if has_rival or is_stopped(passage, passage.plan.target):
+            return
+        if self._may_crash_target(passage):
             return
         second = fork_passage(passage, exchange)
         self._means.metrics.hedges.inc()
@@ -156,13 +184,20 @@
             return False
         if end is End.FAULT and passage.fault[0].status < LEAST_FAULT:
             return False
-        if end is End.NOT_SENT:
-            # The target has been left out of choices since, so another is found.
-            return True
+        continuation = self._find_continuation(passage, end)
+        if end is End.NOT_SENT and continuation is None:
+            # The target has been left out of choices since, so another is found. But
+            # nothing else may go on with what has run and may not run again.
+            return passage.runs == 0 or route.may_rerun
         if end is End.NOT_RUN and passage.offers == 0:
             return len(passage.tried) < forwarding.MAX_SENDS
-        if not forwarding.may_send_again(route, passage.offers, passage.runs):
+        # What goes on from a copy counts as the same run.
+        runs = passage.runs if continuation is None else 0
+        if not forwarding.may_send_again(route, passage.offers, runs):
             return False
+        passage.continuation = continuation
+        if continuation is not None and continuation.is_paid:
+            return True
         if retrywindows.take_retry(
             self._means.budget, self._means.clock(), passage.service
         ):
@@ -172,6 +207,13 @@
         passage.last_reason += ", no repeat left"
         return False
 
+    def _find_continuation(self, passage: Passage, end: End) -> Continuation | None:
+        """Find where a lost or stopped run goes on without a new prefill."""
+        found = self.moves.find_continuation(passage, end)
+        if found is None and end is End.UNSURE:
+            found = self._copies.find_continuation(passage, self._means.clock())
+        return found
+
 
 def _is_half_passed(passage: Passage) -> bool:
     """Whether part of an answer that no other can go on with has been passed on."""
--- a/src/robinspindle/core/policy.py
+++ b/src/robinspindle/core/policy.py
@@ -34,6 +34,10 @@
         shares_speeds: Gateways learn the speed of each engine together.
         weighs_zones: Requests leave the gateway's availability zone by the operator's
             terms, a smoothed share of them; otherwise another zone costs a constant.
+        copies_answers: Answers that are worth it have a copy of their KV cache at
+            another engine, and go on there after a crash.
+        moves_answers: Answers that would outlive an engine that leaves are moved to
+            others.
     """
 
     learns_paces: bool = True
@@ -52,3 +56,5 @@
     counts_memory: bool = True
     shares_speeds: bool = False
     weighs_zones: bool = False
+    copies_answers: bool = False
+    moves_answers: bool = False
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -75,6 +75,9 @@
         token_transfer_s: Transfer time per token of the KV cache over an engine's link,
             seconds; None for unknown.
         token_bytes: Size of the KV cache of a token, bytes; 0 for unknown.
+        keeps_copies: Whether an engine sends the KV cache of an answer to another one
+            as it grows.
+        moves_answers: Whether an engine moves answers under way to another one.
     """
 
     slots: int
@@ -84,6 +87,8 @@
     event_tokens: int = 1
     token_transfer_s: float | None = None
     token_bytes: float = 0.0
+    keeps_copies: bool = False
+    moves_answers: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -5,6 +5,7 @@
 from contextlib import ExitStack
 
 from robinspindle.choosing import Chooser
+from robinspindle.copying import Copies
 from robinspindle.core import forwarding, health, silence
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.forwarding import AnswerHead, CacheSource
@@ -25,7 +26,8 @@
     Exchange,
     NotSentError,
 )
-from robinspindle.passages import Means, Passage
+from robinspindle.moving import Moves
+from robinspindle.passages import Means, Passage, is_stopped
 from robinspindle.passing import (
     Answer,
     pass_body,
@@ -67,13 +69,21 @@
     """Sends requests to the targets of their plans, and passes the answers on."""
 
     def __init__(
-        self, means: Means, chooser: Chooser, log: RelayLog, note_silent: NoteSilent
+        self,
+        means: Means,
+        chooser: Chooser,
+        copies: Copies,
+        moves: Moves,
+        log: RelayLog,
+        note_silent: NoteSilent,
     ):
         """Prepare deliveries.
 
         Args:
             means: What the relay has.
             chooser: Chooses the hosts of prompts that were read apart.
+            copies: Has answers copied.
+            moves: Keeps which answers can be moved.
             log: Takes the lines of requests.
             note_silent: Told the requests that may run elsewhere while nothing is heard
                 of their answers.
@@ -82,6 +92,8 @@
         self._note_silent = note_silent
         self._chooser = chooser
         self._log = log
+        self._copies = copies
+        self._moves = moves
         self._readings = Readings(means)
         self._apart = ReadingApart(means, self._readings, log)
 
@@ -95,6 +107,8 @@
         link, size = self._means.link, passage.request.size
         # Not later: what is measured of targets begins with the send.
         await link.reserve(size)
+        if plan.is_continued:
+            return await self._continue(passage)
         engine = self._means.fleet.find_engine(plan.target)
         if plan.prefill_target is None:
             if engine is not None and passage.request.prompt is not None:
@@ -119,6 +133,16 @@
             if end is not End.DELIVERED:
                 self._apart.release(plan.prefill_target, source)
 
+    async def _continue(self, passage: Passage) -> End:
+        """Go on with a lost or stopped answer where its KV cache is."""
+        place, passage.continuation = passage.continuation, None
+        sending = Sending(
+            place.target, source=place.source, is_continued=True, pool=place.pool
+        )
+        end = await self._send(passage, sending)
+        self._means.metrics.continued.labels(end.value).inc()
+        return end
+
     async def _send_read(
         self,
         passage: Passage,
@@ -172,7 +196,8 @@
         passage.tried.add(target.announced.lifetime)
         target.in_flight += 1
         try:
-            take_turn(self._means, target)
+            if sending.pool is None:
+                take_turn(self._means, target)
             with claim_room(self._means, passage, target, Use.TAKEN):
                 return await self._send_claimed(passage, sending)
         except NotSentError as error:
@@ -191,12 +216,13 @@
         """Send a request whose room at its target is accounted for."""
         target = sending.target
         async with (
-            borrow_connection(self._means, target) as connection,
+            borrow_connection(self._means, target, sending.pool) as connection,
             self._means.guard.runs.watch(
                 passage.named, target, passage.route.name
             ) as run,
         ):
-            return await self._exchange(passage, sending, connection, run)
+            with self._copies.watch(passage, sending) as copied:
+                return await self._exchange(passage, copied, connection, run)
 
     def _note_hold(self, passage: Passage, target: Target) -> None:
         engine = self._means.fleet.find_engine(target)
@@ -236,7 +262,8 @@
                 self._count_moved(passage, sending)
                 sending.on_first()
                 answer = Answer(target, head, exchange, connection, expected)
-                end = await self._take_answer(passage, answer)
+                with self._moves.watch(passage, answer):
+                    end = await self._take_answer(passage, answer)
         if end is End.DELIVERED:
             # Not after a failure: a target may answer so without having run it.
             means.guard.note_success(run)
@@ -248,7 +275,8 @@
         return due + forwarding.TIMEOUT_ANSWER_GRACE_S - self._means.clock()
 
     def _note_begun(self, passage: Passage, sending: Sending) -> None:
-        if sending.source is not None and passage.read_at is not None:
+        was_read = sending.source is not None and not sending.is_continued
+        if was_read and passage.read_at is not None:
             now, seconds = passage.first_at, passage.first_at - passage.read_at
             is_late = passage.plan.level == LATE_LEVEL
             self._means.lengths.note_handoff(passage.service, now, seconds, is_late)
@@ -340,7 +368,8 @@
     def _note_broken(
         self, passage: Passage, target: Target, error: ConnectionBrokenError
     ) -> End:
-        note_broken(target, error, self._means.clock())
+        if not is_stopped(passage, target):
+            note_broken(target, error, self._means.clock())
         self._log.log_broken(passage, target, str(error))
         passage.last_reason = "broken"
         if not error.was_sent:
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -85,6 +85,8 @@
     # KV cache of one token, bytes, and bandwidth of the link, megabits per second.
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
+    backups: bool = False
+    moves: bool = False
 
 
 class _Scaling(msgspec.Struct, rename="pascal"):
@@ -305,6 +307,8 @@
             event_tokens=max(1, service.engine.stride),
             token_transfer_s=_compute_token_transfer_s(service.engine),
             token_bytes=max(0.0, service.engine.kv_token_bytes),
+            keeps_copies=service.engine.backups,
+            moves_answers=service.engine.moves,
         )
     scaling = None
     if service.scaling is not None:
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -44,7 +44,9 @@
         self._log = RelayLog(means)
         self._final = FinalAnswers(means, self._log, self._rng)
         self.chooser = Chooser(means, self._rng)
-        self._attempts = Attempts(means, self.chooser, self._final, self._log)
+        self._attempts = Attempts(
+            means, self.chooser, self._final, self._log, self._rng
+        )
         self._patience = RetryDetector()
 
     @property
@@ -52,6 +54,15 @@
         """Prompts placed since they were last told to the peers."""
         return self._attempts.delivery.placements
 
+    def look_after_leaving(self, now: float, leave_s: float) -> None:
+        """Have answers moved away from engines that leave.
+
+        Args:
+            now: The present time, steady seconds.
+            leave_s: How long a leaving engine goes on generating, seconds.
+        """
+        self._attempts.moves.look_after_leaving(now, leave_s)
+
     async def handle(self, incoming: Incoming, reply: Reply) -> None:
         """Serve one request of a caller."""
         request = self._means.dialect.decode_request(
--- a/tests/test_policyfile.py
+++ b/tests/test_policyfile.py
@@ -18,7 +18,7 @@
     return str(path)
 
 
-def test_what_is_not_named_is_on(tmp_path):
+def test_what_is_not_named_is_as_usual(tmp_path):
     policy = read_policy(write(tmp_path, "[decisions]\nserves_late = off\n"))
     assert policy == Policy(serves_late=False)
     assert read_policy(write(tmp_path, "")) == Policy()
@@ -38,9 +38,9 @@
     switches = asdict(read_policy(str(DEPLOYED)))
     defaults = asdict(Policy())
     changed = {name for name, is_on in switches.items() if is_on != defaults[name]}
-    assert changed == {"shares_speeds"}
+    assert changed == {"shares_speeds", "weighs_zones", "moves_answers"}
     off = {name for name, is_on in switches.items() if not is_on}
-    assert off == {"weighs_zones"}
+    assert off == {"copies_answers"}
 
 
 def test_terms_of_zones_are_checked_with_their_places(tmp_path):
