Ask for a request's service only where parts are fetched

Three tests of readings failed since fetches are counted (tests/test_readings.py): their requests name no service, and none is needed there. They pass again, unchanged.

--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -115,11 +115,13 @@
         prefill_ms = round(plan.prefill_s * 1000)
         placement = Placement(target.announced.lifetime, told, prefill_ms, plan.level)
         self.placements.append(placement)
-        self._count_fetched(passage.service, target, plan)
+        self._count_fetched(passage, target, plan)
         peers.changed.set()
         return begun
 
-    def _count_fetched(self, service: str, target: Target, plan: RequestPlan) -> None:
+    def _count_fetched(
+        self, passage: Passage, target: Target, plan: RequestPlan
+    ) -> None:
         """Count what a target fetches from a cache in another availability zone."""
         if plan.cache_source is None:
             return
@@ -128,5 +130,5 @@
             TrafficCause.MEMORY,
             plan.cache_source.announced.zone,
             target.announced.zone,
-            round(plan.fetched_tokens * means.fleet.find_token_bytes(service)),
+            round(plan.fetched_tokens * means.fleet.find_token_bytes(passage.service)),
         )
