Let the host of a read prompt leave the zone where its engines are far busier

From second 14 to 26 one engine, the last of its zone that generated, got 378 of the zone's answers and reset connections: the host was kept in the planned zone, and its load counts 50 ms in a plan at the most. The host is chosen among all again, by its load, the way, and the move of the KV cache at the terms.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -31,7 +31,6 @@
     list_open,
     should_refuse_take_up,
 )
-from robinspindle.core.zoneplacement import list_in_zone_of
 from robinspindle.passages import Means, Passage
 from robinspindle.zonechoices import ZoneChoices
 
@@ -154,14 +153,11 @@
 
         Reading takes up to seconds, and the engine that was planned may have begun to
         leave or have crashed meanwhile, or have become the busiest one. Where zones
-        are weighed, the host stays in the planned zone while that has one: the parts
-        of a request are placed together, and its KV cache was counted so.
+        are weighed, it stays where the KV cache is until that costs more than a move.
         """
         now = self._means.clock()
         pairs = self._pair_open(passage, self._list_usable(passage, now))
         engines = [pair for pair in pairs if pair[1] is not None]
-        if self._means.policy().weighs_zones:
-            engines = list_in_zone_of(plan, engines)
         means = self._means
         age_s = means.peers.interval_s
         has_pause_sensitive = means.lengths.has_pause_sensitive(passage.service)
@@ -172,6 +168,8 @@
             age_s,
             self._rng,
             has_pause_sensitive,
+            self._zones.find_crossing(passage),
+            plan.prefill_target.announced.zone if plan.prefill_target else "",
         )
 
     def _pair_open(
--- a/src/robinspindle/core/decodeplacement.py
+++ b/src/robinspindle/core/decodeplacement.py
@@ -186,6 +186,8 @@
     age_s: float,
     rng: random.Random,
     has_pause_sensitive: bool = True,
+    crossing: CrossingCosts = CONSTANT_COSTS,
+    prefill_zone: str = "",
 ) -> Target | None:
     """Choose the target that decodes after a prefill on another engine.
 
@@ -197,6 +199,8 @@
         rng: Source of random choices.
         has_pause_sensitive: Whether short answers are sensitive to pauses, so that the
             time per event of a decode engine counts.
+        crossing: What another zone costs.
+        prefill_zone: The zone where its KV cache is; empty where that costs nothing.
     """
     decode_pairs = [pair for pair in candidates if not pair[1].prefill_only]
     if not decode_pairs:
@@ -207,7 +211,9 @@
     def compute_cost_s(pair: Pair) -> float:
         slowdown = find_event_slowdown(pair[1], now, fastest_s)
         jitter_s = rng.random() * age_s * COST_JITTER_SHARE
-        return estimate_decode_cost_s(pair, zone, slowdown) + jitter_s
+        cost_s = estimate_decode_cost_s(pair, zone, slowdown, crossing) + jitter_s
+        host_zone = pair[0].announced.zone
+        return cost_s + estimate_move_cost_s(zone, prefill_zone, host_zone, crossing)
 
     return min(decode_pairs, key=compute_cost_s)[0]
 
@@ -307,3 +313,20 @@
     """Estimate the cost of a target's network delay and faults, seconds."""
     zone_cost_s = crossing.delay_s if target.announced.zone != zone else 0.0
     return zone_cost_s + FAULT_COST_S * target.faults
+
+
+def estimate_move_cost_s(
+    zone: str, prefill_zone: str, decode_zone: str, crossing: CrossingCosts
+) -> float:
+    """Estimate the cost of a decode engine by the bytes that move, seconds.
+
+    Args:
+        zone: The gateway's availability zone.
+        prefill_zone: The zone where the KV cache is; empty if it doesn't move.
+        decode_zone: The engine's zone.
+        crossing: What another zone costs.
+    """
+    price_s = crossing.decode_price_s if decode_zone != zone else 0.0
+    if prefill_zone in ("", decode_zone):
+        return price_s
+    return price_s + crossing.memory_price_s + crossing.memory_delay_s
--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -12,6 +12,7 @@
     REQUEST_COST_S,
     count_requests,
     estimate_decode_cost_s,
+    estimate_move_cost_s,
     estimate_target_cost_s,
     find_event_slowdown,
 )
@@ -227,11 +228,11 @@
         target: The target that generates the answer.
         context: What else it depends on.
     """
-    crossing, zone = context.crossing, target.announced.zone
-    price_s = crossing.decode_price_s if zone != context.zone else 0.0
-    if prefill_target is None or prefill_target.announced.zone == zone:
-        return price_s
-    return price_s + crossing.memory_price_s + crossing.memory_delay_s
+    prefill_zone = prefill_target.announced.zone if prefill_target else ""
+    decode_zone = target.announced.zone
+    return estimate_move_cost_s(
+        context.zone, prefill_zone, decode_zone, context.crossing
+    )
 
 
 def _estimate_fetch_price_s(
--- a/src/robinspindle/core/zoneplacement.py
+++ b/src/robinspindle/core/zoneplacement.py
@@ -130,14 +130,6 @@
     return {target.announced.zone for target in targets if target} - {zone}
 
 
-def list_in_zone_of(plan: RequestPlan, pairs: list[Pair]) -> list[Pair]:
-    """List the engines in the zone where a plan generates; all if it has no host."""
-    zone = plan.target.announced.zone
-    found = [pair for pair in pairs if pair[0].announced.zone == zone]
-    has_host = any(not engine.prefill_only for _, engine in found)
-    return found if has_host else pairs
-
-
 def _takes(pair: Pair, context: PlanningContext, terms: ZoneTerms) -> bool:
     """Check whether an engine has room for a request, as a guest if it is elsewhere.
 
