--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -147,6 +147,7 @@
         # Once it was sent there, only what says that it did not run it leaves a choice.
         expected = (End.NOT_RUN, End.NOT_SENT) if stop.is_begun else (End.UNSURE,)
         if end not in expected:
+            passage.stop = None
             return None
         place = stop.places.pop(0)
         is_second, stop.is_begun = stop.is_begun, True
