--- a/tests/core/test_zoneplacement.py
+++ b/tests/core/test_zoneplacement.py
@@ -158,7 +158,7 @@
 def choose_host_zone(pairs):
     rng, costs = random.Random(1), make_context().crossing
     return choose_decode_target(
-        pairs, "a", 0.0, 0.0, rng, True, costs, "a"
+        pairs, "a", 0.0, 0.0, rng, crossing=costs, prefill_zone="a"
     ).announced.zone
 
 
