Wait for the first version that generates, not for any that is listed

Cause: a stream that may be taken up waits up to 0.3 s for its first version's record. Where a version that only prefills had one, it did not wait, and found no engine that generates. Change: only listed targets that generate count.

--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -7,7 +7,7 @@
 import contextlib
 from collections.abc import Callable, Iterable
 
-from robinspindle.core import versionrecords
+from robinspindle.core import streamversions, versionrecords
 from robinspindle.core.targets import Announcement
 from robinspindle.core.versionhistory import list_recent_versions
 from robinspindle.core.versionrecords import (
@@ -150,12 +150,14 @@
                         await self._noted.wait()
 
     def _is_first_missing(self, services: list[str]) -> bool:
-        """Whether versions are listed, and none of them may begin streams yet."""
-        listed = self._list_listed(services, 0.0)
-        era = self.find_era()
-        return bool(listed) and not any(
-            versionrecords.may_begin(self.records, version, era) for version in listed
-        )
+        """Whether versions are listed that generate, and none may begin streams yet."""
+        generating = [
+            target.announced
+            for target in self._fleet.directory.targets.values()
+            if target.announced.service in services
+            and target.announced.role != streamversions.PREFILL
+        ]
+        return bool(generating) and not any(map(self.may_begin, generating))
 
     def has_several(self, services: Iterable[str]) -> bool:
         """Whether streams of some services may have been begun by several versions."""
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -119,9 +119,15 @@
     def _log(self, text, **fields):
         """Take a log line."""
 
-    def announce(self, lifetime, version="v1", service="lm"):
+    def announce(self, lifetime, version="v1", service="lm", role=""):
         announced = Announcement(
-            lifetime, service, "127.0.0.1:1", "a", 1, software_version=version
+            lifetime,
+            service,
+            "127.0.0.1:1",
+            "a",
+            1,
+            software_version=version,
+            role=role,
         )
         apply_announcement(self.fleet.directory, announced, self.now)
         note_listed(self.fleet.versions, announced, self.now)
@@ -490,3 +496,21 @@
     gateway.read()
     gateway.keeper.note_era()
     assert gateway.told == ["lm", "lm"]
+
+
+def test_a_stream_waits_for_the_first_version_that_generates():
+    """Guards against streams without a target, where a version only prefills so far."""
+
+    async def play():
+        store = KeyedStore()
+        gateway = Gateway(store)
+        gateway.announce("p1", "v2", role="prefill")
+        gateway.announce("d1", "v1", role="decode")
+        gateway.keeper.note(V2, VersionRecord(Use.BEGINS, 1))
+        waiting = asyncio.create_task(gateway.keeper.await_first(["lm"]))
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        gateway.keeper.note(V1, VersionRecord(Use.BEGINS, 1))
+        await waiting
+
+    asyncio.run(play())
