Never leave a target's connection unread once its answer is whole

A body that had come whole was written to a slow caller while the account of held bytes was past its bound: its target's connection was paused and given back to the pool, where the next request's answer was not read until the other caller took its own. A flow whose answer was over could pause the connection as well, when a later answer on the caller's connection (a fault, a refusal) filled its buffer.

A flow leaves its connection when the answer is over and never pauses it again; what the caller has not taken stays counted. The test fails on the code before.

--- a/src/robinspindle/answerflow.py
+++ b/src/robinspindle/answerflow.py
@@ -29,6 +29,7 @@
         self._holding = Holding(workspace.name if workspace else "", target)
         self._is_slow = False
         self._is_waiting = False
+        self._has_connection = True
 
     def begin(self) -> None:
         """Begin to count, as the caller takes bytes too slowly."""
@@ -41,17 +42,25 @@
             return
         held, unsent = self._means.held, self._passage.reply.unsent_bytes
         heldbytes.note_held(held, self._holding, unsent)
-        if not self._is_waiting and heldbytes.must_wait(held, self._holding):
+        may_wait = self._has_connection and not self._is_waiting
+        if may_wait and heldbytes.must_wait(held, self._holding):
             self._wait()
 
     def go_on(self) -> None:
         """Let the target go on, as the caller has taken what was held or has left."""
         self._is_slow = False
         heldbytes.note_held(self._means.held, self._holding, 0)
-        self.end_wait()
+        self._end_wait()
 
-    def end_wait(self) -> None:
-        """Read the connection on: its next answer would never be read otherwise."""
+    def leave_connection(self) -> None:
+        """Read the connection on, and never hold it back again.
+
+        Its next answer belongs to another request.
+        """
+        self._has_connection = False
+        self._end_wait()
+
+    def _end_wait(self) -> None:
         if self._is_waiting:
             self._is_waiting = False
             self._expected.is_held = False
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -81,14 +81,14 @@
     body = await _gather(means, answer, SCARCE_BYTES if scarce else MOST_GATHERED_BYTES)
     claim_answer(passage)
     flow = _make_flow(means, passage, answer)
-    passage.reply.set_flow(flow.begin, flow.go_on)
-    if answer.exchange.is_drained:
-        pass_whole(passage.reply, answer.head, body)
-        return
     try:
-        await _pass_rest(means, passage, answer, flow, body)
+        passage.reply.set_flow(flow.begin, flow.go_on)
+        if answer.exchange.is_drained:
+            pass_whole(passage.reply, answer.head, body)
+        else:
+            await _pass_rest(means, passage, answer, flow, body)
     finally:
-        flow.end_wait()
+        flow.leave_connection()
 
 
 async def _gather(means: Means, answer: Answer, most_bytes: int) -> bytes:
@@ -238,7 +238,7 @@
     try:
         await _pass_all_events(means, passage, answer, flow, note)
     finally:
-        flow.end_wait()
+        flow.leave_connection()
 
 
 async def _pass_all_events(
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -2,10 +2,13 @@
 from types import SimpleNamespace
 
 from robinspindle.core import silence
+from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.silence import ExpectedResponse
 from robinspindle.core.targets import Announcement, Target
 from robinspindle.httpclient import Exchange
-from robinspindle.passing import Answer, read_refusal
+from robinspindle.passing import Answer, pass_body, read_refusal
+from robinspindle.replies import Reply
 
 PIECE_S = 0.5
 """Between two pieces, seconds: less than the shortest silence that is noticed."""
@@ -51,3 +54,75 @@
     asyncio.run(play())
     assert now > expected.lost_after_s
     assert not left
+
+
+class Outlet:
+    """A caller that takes nothing."""
+
+    is_stopping = False
+    is_closed_by_caller = False
+
+    def __init__(self):
+        self.unsent_bytes = 0
+        self.on_pause = self.on_resume = None
+
+    def set_flow(self, on_pause, on_resume):
+        self.on_pause, self.on_resume = on_pause, on_resume
+
+    def write(self, data):
+        self.unsent_bytes += len(data)
+        if self.on_pause is not None:
+            self.on_pause()
+
+    def finish_reply(self, keep):
+        pass
+
+
+class Connection:
+    """Knows whether it is read."""
+
+    is_paused = False
+
+    def pause(self):
+        self.is_paused = True
+
+    def resume(self):
+        self.is_paused = False
+
+
+def test_a_connection_is_not_given_back_unread_after_a_whole_body():
+    """The next answer on it waited for the slow caller of the answer before."""
+    account = HeldBytes(max_bytes=1.0)
+    means = SimpleNamespace(
+        clock=lambda: 0.0, held=account, log=lambda *args, **values: None
+    )
+    target = Target(Announcement("i1", "push", "127.0.0.1:1", "a", 1))
+    expected = ExpectedResponse(since=0.0, silent_after_s=1.0, lost_after_s=2.0)
+    outlet, connection = Outlet(), Connection()
+    reply = Reply(outlet, keep=True)
+    permit = SimpleNamespace(workspace=None)
+    passage = SimpleNamespace(
+        request=SimpleNamespace(id="r1"),
+        reply=reply,
+        permit=permit,
+        is_superseded=False,
+        hedge=None,
+        break_rival=None,
+    )
+
+    async def play():
+        exchange = Exchange("")
+        exchange.put(b"x" * 100)
+        exchange.is_whole = True
+        head = AnswerHead(200, b"OK", (), "r1", False, "", True, None)
+        answer = Answer(target, head, exchange, connection, expected)
+        await pass_body(means, passage, answer)
+
+    asyncio.run(play())
+    assert account.total >= 100
+    assert not connection.is_paused
+    # Another request may use the connection by now.
+    outlet.on_pause()
+    assert not connection.is_paused
+    outlet.on_resume()
+    assert not account.total
