Send no stopped answer to an engine whose time to leave has come

When an engine leaves was counted from the first look at which answers were under way there, and anew after a look without any: an answer that began late could go back to its source after the time in which the engine may get anything. It is counted now from when the engine said so, whatever is under way.

A stopped answer also went back until the last moment, and arrived later. Nothing is sent back in the last half second.

--- a/src/robinspindle/core/moves.py
+++ b/src/robinspindle/core/moves.py
@@ -28,6 +28,10 @@
 """Time before an engine leaves by which its answers should have been moved, seconds: an
 entry takes up to half of it to be known, and a busy link as much."""
 
+LAST_SEND_S = 0.5
+"""Time before an engine leaves from which on nothing is sent to it any more, seconds: a
+new connection and a busy link take as much."""
+
 
 @dataclass(frozen=True)
 class MovableRun:
@@ -46,6 +50,16 @@
     may_rerun: bool
 
 
+def may_send_back(now: float, leaves_at: float) -> bool:
+    """Return whether a stopped answer may still be sent to the engine that leaves.
+
+    Args:
+        now: The current time, monotonic seconds.
+        leaves_at: When the engine leaves, monotonic seconds.
+    """
+    return now < leaves_at - LAST_SEND_S
+
+
 def estimate_left_s(
     prompt: Prompt, events: int, event_tokens: int, event_s: float
 ) -> float:
--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -113,18 +113,16 @@
             now: The current time, monotonic seconds.
             leave_s: Time that a leaving engine goes on generating, seconds.
         """
-        leaving = {
-            lifetime: runs[0].target
-            for lifetime, runs in self._runs.items()
-            if is_leaving(runs[0].target)
-        }
+        # Also where nothing is under way: an answer that was sent before may begin later.
         self._leave_at = {
             lifetime: self._leave_at.get(lifetime, now + leave_s)
-            for lifetime in leaving
+            for lifetime, target in self._means.fleet.directory.targets.items()
+            if is_leaving(target)
         }
         if not self._means.policy().moves_answers:
             return
-        for lifetime, target in leaving.items():
+        for lifetime in self._leave_at.keys() & self._runs.keys():
+            target = self._runs[lifetime][0].target
             if lifetime not in self._tasks and self._choose_run(target) is not None:
                 task = asyncio.get_running_loop().create_task(self._empty(target))
                 self._tasks[lifetime] = task
@@ -151,7 +149,8 @@
             return None
         place = stop.places.pop(0)
         is_second, stop.is_begun = stop.is_begun, True
-        if place.target is stop.source and self._means.clock() >= stop.leaves_at:
+        is_back = place.target is stop.source
+        if is_back and not moves.may_send_back(self._means.clock(), stop.leaves_at):
             return None
         return place.as_unpaid() if is_second else place
 
