--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -113,7 +113,7 @@
             now: The current time, monotonic seconds.
             leave_s: Time that a leaving engine goes on generating, seconds.
         """
-        # Also where nothing is under way: an answer that was sent before may begin later.
+        # Also where nothing is under way: an answer may have yet to begin.
         self._leave_at = {
             lifetime: self._leave_at.get(lifetime, now + leave_s)
             for lifetime, target in self._means.fleet.directory.targets.items()
