Send plain services elsewhere no more than their room for guests

Whether a request to a plain service leaves its zone was drawn by the load at home alone: a busy zone sent all of it to one small target elsewhere, however many requests the gateway already had there, and past guest_load_share, which the terms promise. Targets elsewhere now get no more of a gateway's requests than that share of their slots. A new test failed before (all of 300 draws left) and passes.

--- a/src/robinspindle/core/plainplacement.py
+++ b/src/robinspindle/core/plainplacement.py
@@ -88,13 +88,23 @@
     beyond = (load_share - ROOM_SHARE) / (OVERLOAD_SHARE - ROOM_SHARE)
     probability = min(view.terms.most_share, max(0.0, beyond))
     note_wanted(view.share, now, probability)
-    away = [target for target in targets if target.announced.zone != view.zone]
+    away = [target for target in targets if _takes_guest(target, view)]
     if not away or not draws_leave(view.share, probability, view.terms, view.rng):
         return PlainChoice(choose_target(home, view.zone, now, view.rng))
     target = choose_target(away, view.zone, now, view.rng)
     return PlainChoice(target, Leaving.SOONER)
 
 
+def _takes_guest(target: Target, view: PlainView) -> bool:
+    """Check whether a target elsewhere has room for one more guest.
+
+    Only the gateway's own requests there are known, so it may be fuller.
+    """
+    if target.announced.zone == view.zone:
+        return False
+    return target.in_flight < view.terms.guest_load_share * target.announced.slots
+
+
 def _estimate_load_share(home: list[Target], now: float, view: PlainView) -> float:
     """Estimate the share of their slots that the targets at home need."""
     in_flight = sum(target.in_flight for target in home)
--- a/tests/core/test_plainplacement.py
+++ b/tests/core/test_plainplacement.py
@@ -67,3 +67,11 @@
         choose_plain_target(targets, step * 0.1, view)
     assert load.in_flight < 3.0 * 2.72 ** (-3.5 / LOAD_LAG_S)
     assert choose_plain_target(targets, 4.1, view).target.announced.zone == "a"
+
+
+def test_no_more_leave_for_a_target_than_its_room_for_guests():
+    """Guards against all of a busy zone's requests going to one small target."""
+    targets = [make("i1", in_flight=40), make("i2", zone="b", in_flight=40)]
+    assert count_leaving(targets, gateways=1, load=40.0) == 0.0
+    targets.append(make("i3", zone="b"))
+    assert count_leaving(targets, gateways=1, load=40.0) == 1.0
