Forget a need for readers that nobody has watched

A look that is later than a change, its pause and the least time of a need now begins anew. A new test failed before and passes; others unchanged.

--- a/src/robinspindle/core/rebalancing.py
+++ b/src/robinspindle/core/rebalancing.py
@@ -119,6 +119,8 @@
             doesn't delay the reverse change.
         overloaded_since: Since when its prefill engines are too few, monotonic seconds;
             None while they are not.
+        overload_seen_at: When that was last looked at, monotonic seconds; infinite
+            before the first time.
         engines: Number of its usable engines, the largest lately.
         engines_at: When it last had as many, monotonic seconds.
     """
@@ -126,6 +128,7 @@
     changed_at: float = -math.inf
     last_role: str = ""
     overloaded_since: float | None = None
+    overload_seen_at: float = math.inf
     engines: int = 0
     engines_at: float = -math.inf
 
@@ -236,7 +239,7 @@
             prefill_engines, decode_engines, prefill_load, thresholds
         )
     )
-    is_lasting = _note_prefill_overload(history, wanted > 0, now)
+    is_lasting = _note_prefill_overload(history, wanted > 0, now, role_change_s)
     is_settled = (is_lasting and not has_losses) or not _is_large_fleet(
         prefill_engines, decode_engines
     )
@@ -295,9 +298,17 @@
 
 
 def _note_prefill_overload(
-    history: RoleChangeHistory, is_overloaded: bool, now: float
+    history: RoleChangeHistory, is_overloaded: bool, now: float, role_change_s: float
 ) -> bool:
-    """Record whether prefill engines are too few; return whether this has lasted."""
+    """Record whether prefill engines are too few; return whether this has lasted.
+
+    Nobody looks during a role change and the pause after it. After a longer time, as
+    when another gateway decided meanwhile, an earlier need has nothing to say.
+    """
+    unseen_s = now - history.overload_seen_at
+    history.overload_seen_at = now
+    if unseen_s > role_change_s + CHANGE_PAUSE_S + MIN_OVERLOAD_S:
+        history.overloaded_since = None
     if not is_overloaded:
         history.overloaded_since = None
         return False
--- a/tests/core/test_rebalancing.py
+++ b/tests/core/test_rebalancing.py
@@ -216,3 +216,12 @@
         assert decide(rest, 9.0, history, 100.0 + seconds) is None
     assert decide(rest, 9.0, history, 109.0).role == PREFILL_ROLE
     assert decide(rest, 9.0, RoleChangeHistory(overloaded_since=0.0)) is not None
+
+
+def test_a_need_of_long_ago_that_nobody_watched_does_not_last():
+    """Guards against changes as soon as a gateway has the claim once more."""
+    history = RoleChangeHistory()
+    fleet = make_fleet(7, 15)
+    assert decide(fleet, 5.0, history, 100.0) is None
+    assert decide(fleet, 5.0, history, 200.0) is None
+    assert decide(fleet, 5.0, history, 201.0) is None
