Keep claims on room apart where callers send one id twice, or none

Claims were kept by the request's id as the caller sent it. Requests without one shared a claim at an engine: three took the room of one, and none once the first had ended, so an engine that was being filled looked empty. Each run is now a holder of its own. A new test failed before (1,500 tokens in place of 4,500) and passes.

--- a/src/robinspindle/core/roomclaims.py
+++ b/src/robinspindle/core/roomclaims.py
@@ -66,7 +66,8 @@
     """The claims on one engine.
 
     Attributes:
-        claims: This gateway's claims, by who holds them: a request's id and its use.
+        claims: This gateway's claims, by holder and use; each run of a request
+            is a holder of its own.
         own: Sum of `claims`.
         peer_claims: Sums of the other gateways, by name.
         peers: Sum of `peer_claims`: it is read far more often than it changes.
@@ -88,16 +89,16 @@
         return self.own.tokens + self.peers.tokens
 
 
-def add_claim(room: Room, request_id: str, claim: Claim) -> None:
-    """Record a claim; an earlier one of the same request and use is replaced."""
-    drop_claim(room, request_id, claim.use)
-    room.claims[request_id, claim.use] = claim
+def add_claim(room: Room, holder: str, claim: Claim) -> None:
+    """Record a claim; an earlier one of the same holder and use is replaced."""
+    drop_claim(room, holder, claim.use)
+    room.claims[holder, claim.use] = claim
     _change(room.own, claim, 1)
 
 
-def drop_claim(room: Room, request_id: str, use: Use) -> None:
+def drop_claim(room: Room, holder: str, use: Use) -> None:
     """Remove a claim if it is there."""
-    claim = room.claims.pop((request_id, use), None)
+    claim = room.claims.pop((holder, use), None)
     if claim is not None:
         _change(room.own, claim, -1)
 
--- a/src/robinspindle/roomkeeping.py
+++ b/src/robinspindle/roomkeeping.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from itertools import count
 
 from robinspindle.core.room import make_claim
 from robinspindle.core.roomclaims import Use, add_claim, drop_claim
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
 
+HOLDERS = count()
+"""Numbers the holders of claims: callers may send one id twice, or none."""
+
 
 @contextmanager
 def claim_room(
@@ -23,10 +27,11 @@
         yield
         return
     claim = make_claim(engine, prompt, use, means.clock())
-    add_claim(engine.room, passage.request.id, claim)
+    holder = f"{passage.request.id}/{next(HOLDERS)}"
+    add_claim(engine.room, holder, claim)
     means.peers.changed.set()
     try:
         yield
     finally:
-        drop_claim(engine.room, passage.request.id, use)
+        drop_claim(engine.room, holder, use)
         means.peers.changed.set()
