Count a request that goes on elsewhere as leaving its zone no second time

The plan of a continuation kept why the lost or moved run had left its zone, so the metric and the log told once more of a request that left, also where it went on at home. A new test failed before and passes.

--- a/src/robinspindle/core/requestplans.py
+++ b/src/robinspindle/core/requestplans.py
@@ -238,6 +238,9 @@
         wait_s=0.0,
         cache_source=None,
         fetch_s=0.0,
+        fetched_tokens=0,
+        leaving="",
+        home_first_event_s=None,
         is_continued=True,
     )
 
--- a/tests/core/test_zoneplacement.py
+++ b/tests/core/test_zoneplacement.py
@@ -9,7 +9,7 @@
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.policy import Policy
 from robinspindle.core.prefillplacement import choose_plan
-from robinspindle.core.requestplans import PlanningContext
+from robinspindle.core.requestplans import PlanningContext, plan_continuation
 from robinspindle.core.zonecosts import ZoneTerms, find_crossing_costs
 from robinspindle.core.zoneplacement import (
     UNHEARD_AGE_S,
@@ -191,3 +191,14 @@
         assert plan == stays
     else:
         assert plan.cost_s < stays.cost_s or plan.leaving != Leaving.SOONER
+
+
+def test_a_continuation_does_not_count_as_leaving_once_more():
+    """Guards against a move back home that is told as a request which leaves."""
+    pairs = make_zones("a", "b")
+    fill(pairs, "a", 0.8)
+    plan = choose_plan_by_zone(pairs, PROMPT, make_context(), make_view())
+    assert plan.leaving
+    home = [target for target, _ in pairs if target.announced.zone == "a"][0]
+    continued = plan_continuation(plan, home)
+    assert (continued.leaving, continued.home_first_event_s) == ("", None)
