Count the memory of answers that move to another zone

The counts of bytes between availability zones left out what moves copy, as they counted by the plan of a prompt that is prefilled elsewhere, which a continuation has not. The first copy is counted once it has arrived. A new test failed before (0 in place of 16,000 bytes or more) and passes; the other tests of moves pass.

--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -27,6 +27,7 @@
 from robinspindle.passages import Continuation, Means, Passage, Stop
 from robinspindle.passing import Answer
 from robinspindle.sending import CONNECT_TIMEOUT_S
+from robinspindle.zonetraffic import TrafficCause
 
 COPY_LIMITS = CallLimits(CONNECT_TIMEOUT_S, 3.0, CONNECT_TIMEOUT_S)
 """How long a first copy is waited for; its run goes on meanwhile. Engines begin no
@@ -214,6 +215,7 @@
             if copied.status != MOVED:
                 self._note(run, destination, f"not copied: {copied.status}", now)
                 return
+            self._count_moved(run, destination)
             if not self._may_stop(run):
                 self._note(run, destination, "not stopped", now)
                 self._release(run.target, copied.handle)
@@ -222,6 +224,16 @@
         finally:
             self._destinations.discard(lifetime)
 
+    def _count_moved(self, run: _Run, destination: Target) -> None:
+        """Count the first copy; what the last step adds to it is little."""
+        token_bytes = self._means.fleet.find_token_bytes(run.passage.service)
+        self._means.traffic.note_between(
+            TrafficCause.MEMORY,
+            run.target.announced.zone,
+            destination.announced.zone,
+            round(self._describe(run).tokens * token_bytes),
+        )
+
     def _may_stop(self, run: _Run) -> bool:
         """Whether a run that was copied may be stopped; takes a repeat for it."""
         passage, means = run.passage, self._means
--- a/tests/platform/test_moves.py
+++ b/tests/platform/test_moves.py
@@ -7,8 +7,11 @@
 
 from robinspindle.core import moves
 from robinspindle.core.policy import Policy
+from robinspindle.zonetraffic import TrafficCause
 from tests.platform.deployment import run, until
 from tests.platform.test_copies import (
+    ENGINE,
+    PROMPT_TOKENS,
     ROUTES,
     count_runs,
     deploy_engines,
@@ -272,3 +275,22 @@
             assert not source.moves
 
     run(main())
+
+
+def test_the_memory_of_an_answer_that_moves_to_another_zone_is_counted(tmp_path):
+    """Guards against a charge for traffic that no count of ours tells of."""
+
+    async def main():
+        async with deploy_moving(tmp_path, count=2) as (d, engines):
+            call, source = await begin(d, engines)
+            (other,) = list_others(engines, source)
+            await d.store.put("keyed.servers", other.lifetime, other.describe(zone="b"))
+            targets = d.gateway.fleet.directory.targets
+            await until(lambda: targets[other.lifetime].announced.zone == "b")
+            counts = d.gateway.traffic.counts
+            assert counts[TrafficCause.MEMORY] == 0
+            await leave(d, source, steps=2)
+            check_whole(await call)
+            assert counts[TrafficCause.MEMORY] >= PROMPT_TOKENS * ENGINE["KvTokenBytes"]
+
+    run(main())
