Tell operators where a request would go now, without sending it

Operators could read from logs what became of a request, but not ask a running gateway what it would do with one. `robinspindle preview` asks at the metrics port (`/preview`; other paths give the metrics as before) and prints the route, service, rank, plan or refusal, and the service's targets with their costs and the ages of the inputs.

The same code decides: what relay.py found out of a request is now Admission (admitting.py), and Admission, Chooser and ZoneChoices can be forked with copies of what their decisions change and of the random generator, so that a preview draws what the next request will draw and leaves no trace. The refusals of a plan move from Attempts to Chooser.find_refusal; Guard.peek_refusal begins no trial; selection.compute_cost and prefillplacement.plan_each give the costs. Decisions are unchanged.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -104,13 +104,8 @@
             return GivenUp(passage.last_reason or "no-target")
         passage.plan = plan
         self._log.log_plan(passage, plan)
-        if not self._chooser.can_ever_run(passage, plan):
-            return GivenUp(forwarding.TOO_LARGE.reason)
-        if self._chooser.should_refuse(passage, plan, now):
-            return GivenUp("busy")
-        if self._means.link.estimate_arrival(passage.request.size) > left_s:
-            return GivenUp("link-full")
-        return plan
+        reason = self._chooser.find_refusal(passage, plan, now)
+        return GivenUp(reason) if reason else plan
 
     def hedge(self, passage: Passage, exchange: Exchange) -> None:
         """Try another target beside one that fell silent.
--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -1,5 +1,6 @@
 """What becomes of a request: the choice of a plan from all that a gateway believes."""
 
+import copy
 import math
 import random
 from dataclasses import replace
@@ -12,7 +13,7 @@
     streamversions,
 )
 from robinspindle.core.engines import Engine
-from robinspindle.core.forwarding import Prompt, Request
+from robinspindle.core.forwarding import TOO_LARGE, Prompt, Request
 from robinspindle.core.plainplacement import PlainChoice
 from robinspindle.core.prefillmodel import estimate_busy_s
 from robinspindle.core.prefillplacement import RequestPlan
@@ -56,6 +57,15 @@
         self._answer_turns = SizeFairness()
         self._zones = ZoneChoices(means, rng)
 
+    def fork(self, means: Means, rng: random.Random) -> "Chooser":
+        """Make a copy that chooses as this one would, and changes nothing here."""
+        forked = Chooser(means, rng)
+        forked.demands = copy.deepcopy(self.demands)
+        forked._turns = copy.deepcopy(self._turns)
+        forked._answer_turns = copy.deepcopy(self._answer_turns)
+        forked._zones = self._zones.fork(means, rng)
+        return forked
+
     def note_expected(self, request: Request, route: Route, service: str) -> None:
         """Take note of how long an answer a caller expects."""
         prompt = request.prompt
@@ -103,14 +113,14 @@
 
     def choose(self, passage: Passage, now: float) -> RequestPlan | None:
         """Choose a plan; None where no target may get the request."""
-        usable = self._list_usable(passage, now)
-        pairs = self._pair_open(passage, usable)
+        usable = self.list_usable(passage, now)
+        pairs = self.pair_open(passage, usable)
         prompt = passage.request.prompt
         if prompt is None or any(engine is None for _, engine in pairs):
             return self._choose_plainly(passage, pairs, now)
         if passage.reads and not self._may_read_again(passage, now):
             pairs = [pair for pair in pairs if not pair[1].prefill_only]
-        at = self._describe_situation(passage, now)
+        at = self.describe_situation(passage, now)
         plan = self._choose_plan(passage, pairs, prompt, at)
         if plan is not None and passage.plan is None and plan.uncached_tokens:
             self._note_demand(passage, plan, now)
@@ -131,7 +141,18 @@
 
     def has_target(self, passage: Passage, now: float) -> bool:
         """Tell whether any target may get a request."""
-        return bool(self._list_usable(passage, now))
+        return bool(self.list_usable(passage, now))
+
+    def find_refusal(self, passage: Passage, plan: RequestPlan, now: float) -> str:
+        """Find why a request had better be refused than sent; empty if it hadn't."""
+        if not self.can_ever_run(passage, plan):
+            return TOO_LARGE.reason
+        if self.should_refuse(passage, plan, now):
+            return "busy"
+        left_s = passage.given_up_at - now
+        if self._means.link.estimate_arrival(passage.request.size) > left_s:
+            return "link-full"
+        return ""
 
     def should_refuse(self, passage: Passage, plan: RequestPlan, now: float) -> bool:
         """Tell whether a request had better be refused than sent."""
@@ -168,7 +189,7 @@
         are weighed, it stays where the KV cache is until that costs more than a move.
         """
         now = self._means.clock()
-        pairs = self._pair_open(passage, self._list_usable(passage, now))
+        pairs = self.pair_open(passage, self.list_usable(passage, now))
         engines = [pair for pair in pairs if pair[1] is not None]
         means = self._means
         age_s = means.peers.interval_s
@@ -192,7 +213,7 @@
             return None
         return count_tokens(prompt, Use.TAKEN)
 
-    def _pair_open(
+    def pair_open(
         self, passage: Passage, usable: list[Target]
     ) -> list[tuple[Target, Engine | None]]:
         """Pair targets that may get a request with their engines, if they have any."""
@@ -201,7 +222,7 @@
         is_open = has_engines and streamversions.is_unbound(passage.stream)
         return list_open(pairs) if is_open else pairs
 
-    def _list_usable(self, passage: Passage, now: float) -> list[Target]:
+    def list_usable(self, passage: Passage, now: float) -> list[Target]:
         """List the targets that may get a request; those best avoided if no other."""
         avoided = self._means.guard.list_avoided(passage.named)
         if avoided:
@@ -305,11 +326,13 @@
             return self._zones.choose_plain(passage.service, targets, now)
         return PlainChoice(choose_target(targets, self._means.zone, now, self._rng))
 
-    def _describe_situation(
+    def describe_situation(
         self, passage: Passage, now: float
     ) -> prefillplacement.PlanningContext:
+        """Describe what a plan depends on besides the engines."""
         at = self._describe_any(passage, now)
-        return self._add_bounds(at, passage) if passage.is_long else at
+        has_bounds = passage.is_long and passage.request.prompt is not None
+        return self._add_bounds(at, passage) if has_bounds else at
 
     def _add_bounds(
         self, at: prefillplacement.PlanningContext, passage: Passage
--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -42,6 +42,7 @@
     _add_config(verbs)
     _add_keys(verbs)
     _add_explain(verbs)
+    _add_preview(verbs)
     _add_quarantine(verbs)
     version = verbs.add_parser("version", help="print the version")
     version.set_defaults(run=_print_version)
@@ -200,6 +201,21 @@
     usage.set_defaults(run=commands.tell_usage)
 
 
+def _add_preview(verbs) -> None:
+    text = "tell where a gateway would send a request now, and why, without sending it"
+    verb = verbs.add_parser("preview", help=text, description=text)
+    verb.add_argument("gateway", help="IP:PORT of the gateway's metrics")
+    verb.add_argument("host", help="the request's host")
+    verb.add_argument("path", help="its path, with any query")
+    verb.add_argument("--method", default="POST", help="its method; POST if not given")
+    verb.add_argument(
+        "--header", action="append", default=[], help="'Name: value'; may be repeated"
+    )
+    verb.add_argument("--key-file", default="", help="file with its bearer key")
+    verb.add_argument("--json", action="store_true", help="print JSON for programs")
+    verb.set_defaults(run=commands.preview)
+
+
 def _add_log_files(verb) -> None:
     verb.add_argument("file", nargs="*", help="log files; standard input for none")
 
--- a/src/robinspindle/commands.py
+++ b/src/robinspindle/commands.py
@@ -37,6 +37,7 @@
 from robinspindle.platform.settings import read_gateway_settings
 from robinspindle.policyfile import SECTIONS as POLICY_SECTIONS
 from robinspindle.policyfile import read_policy
+from robinspindle.previewreports import Question, ask_preview, format_preview
 from robinspindle.quarantinelisting import (
     describe_entry,
     format_entries,
@@ -344,6 +345,23 @@
     return 0
 
 
+def preview(args: argparse.Namespace) -> int:
+    """Show what a running gateway would do with a request, without sending it."""
+    headers = [("Host", args.host)]
+    for header in args.header:
+        name, colon, value = header.partition(":")
+        if not colon or not name.strip():
+            raise ApiError(400, "a header is written `Name: value`")
+        headers.append((name.strip(), value.strip()))
+    if args.key_file:
+        key = Path(args.key_file).read_text().strip()
+        headers.append(("Authorization", f"Bearer {key}"))
+    question = Question(args.method, args.path, headers)
+    value = ask_preview(args.gateway, question)
+    print_value(args, value, format_preview(value))
+    return 0
+
+
 def _open_store(path: str) -> tuple[KeyedStore, str]:
     adapter = PlatformAdapter()
     settings = read_gateway_settings(path)
--- a/src/robinspindle/core/prefillplacement.py
+++ b/src/robinspindle/core/prefillplacement.py
@@ -89,10 +89,7 @@
     decode_pairs = [pair for pair in candidates if not pair[1].prefill_only]
     if not decode_pairs:
         return None
-    if context.has_pause_sensitive:
-        context = replace(
-            context, fastest_s=find_fastest_event_s(decode_pairs, context.now)
-        )
+    context = _add_fastest(decode_pairs, context)
     sources = candidates if cache_sources is None else cache_sources
     transfer = _find_transfer(sources, prompt, context)
     if context.is_long:
@@ -100,6 +97,42 @@
     return _choose_short_plan(candidates, decode_pairs, prompt, context, transfer)
 
 
+def plan_each(
+    candidates: list[Pair],
+    prompt: Prompt,
+    context: PlanningContext,
+    chosen: RequestPlan,
+) -> list[RequestPlan]:
+    """Plan a prompt at each engine, to show what a chosen plan was compared with.
+
+    Args:
+        candidates: The engines that may get work.
+        prompt: The prompt.
+        context: What else the plans depend on.
+        chosen: The chosen plan; its target decodes what others prefill.
+    """
+    decode_pairs = [pair for pair in candidates if not pair[1].prefill_only]
+    context = _add_fastest(decode_pairs, context)
+    context = replace(context, slot_wait_s=chosen.slot_wait_s)
+    transfer = _find_transfer(candidates, prompt, context)
+    host = next(pair for pair in decode_pairs if pair[0] is chosen.target)
+    is_late = chosen.level == LATE_LEVEL
+    return [
+        plan_remote_prefill(pair, host, prompt, context, transfer, is_late)
+        if pair[1].prefill_only
+        else plan_local_prefill(pair, prompt, context, transfer, is_late)
+        for pair in candidates
+    ]
+
+
+def _add_fastest(decode_pairs: list[Pair], context: PlanningContext) -> PlanningContext:
+    """Add the time per event of the fastest decode engine, where it counts."""
+    if not context.has_pause_sensitive:
+        return context
+    fastest_s = find_fastest_event_s(decode_pairs, context.now)
+    return replace(context, fastest_s=fastest_s)
+
+
 def _choose_long_plan(
     candidates: list[Pair],
     decode_pairs: list[Pair],
--- a/src/robinspindle/core/selection.py
+++ b/src/robinspindle/core/selection.py
@@ -25,12 +25,15 @@
         now: The current time, monotonic seconds.
         rng: Chooses among targets of equal cost.
     """
-
-    def compute_cost(target: Target) -> float:
-        announced = target.announced
-        cross_zone = CROSS_ZONE_WEIGHT if announced.zone != zone else 0.0
-        busy = (target.in_flight + 1) * find_slowness(target, now)
-        return busy + cross_zone + FAULT_WEIGHT * target.faults * announced.slots
-
-    least = min(compute_cost(target) for target in targets)
-    return rng.choice([target for target in targets if compute_cost(target) <= least])
+    least = min(compute_cost(target, zone, now) for target in targets)
+    return rng.choice(
+        [target for target in targets if compute_cost(target, zone, now) <= least]
+    )
+
+
+def compute_cost(target: Target, zone: str, now: float) -> float:
+    """Compute the cost of a target as seen from a zone, in requests in flight."""
+    announced = target.announced
+    cross_zone = CROSS_ZONE_WEIGHT if announced.zone != zone else 0.0
+    busy = (target.in_flight + 1) * find_slowness(target, now)
+    return busy + cross_zone + FAULT_WEIGHT * target.faults * announced.slots
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -29,7 +29,11 @@
 from robinspindle.fleet import Fleet
 from robinspindle.following import follow, note_new_era
 from robinspindle.gatewaymetrics import GatewayMetrics
-from robinspindle.gatewaypages import make_metrics_page, make_readiness_page
+from robinspindle.gatewaypages import (
+    make_metrics_page,
+    make_operator_pages,
+    make_readiness_page,
+)
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
 from robinspindle.gauges import GaugeSources
 from robinspindle.guard import Guard
@@ -197,7 +201,10 @@
             make_readiness_page(lambda: self.is_ready), Limits(), self._clock
         )
         self._figures = CallerServer(
-            make_metrics_page(self.metrics, self._list_measured, self._clock),
+            make_operator_pages(
+                make_metrics_page(self.metrics, self._list_measured, self._clock),
+                self.relay.admission,
+            ),
             Limits(),
             self._clock,
         )
--- a/src/robinspindle/gatewaypages.py
+++ b/src/robinspindle/gatewaypages.py
@@ -3,12 +3,18 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST
 
+from robinspindle.admitting import Admission
+from robinspindle.core.forwarding import Refusal
+from robinspindle.exceptions import BadDocumentError
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gauges import GaugeSources, update_gauges
 from robinspindle.httpserver import Handle
 from robinspindle.metrics import format_metrics
+from robinspindle.previewreports import PATH as PREVIEW_PATH
+from robinspindle.previews import decode_question, preview_request
 from robinspindle.replies import Reply
 from robinspindle.requestparser import Incoming
 
@@ -46,3 +52,25 @@
         reply.end()
 
     return answer
+
+
+def make_operator_pages(metrics_page: Handle, admission: Admission) -> Handle:
+    """Make what operators read: previews of requests, and metrics at other paths."""
+
+    async def answer(incoming: Incoming, reply: Reply) -> None:
+        if incoming.target.partition(b"?")[0] != PREVIEW_PATH.encode():
+            await metrics_page(incoming, reply)
+            return
+        try:
+            question = decode_question(incoming.body)
+            preview = preview_request(admission, question, reply)
+        except BadDocumentError as error:
+            reply.refuse(Refusal(HTTPStatus.BAD_REQUEST, str(error)))
+            return
+        body = msgspec.json.encode(preview)
+        headers = ((b"Content-Type", b"application/json"),)
+        reply.begin(HTTPStatus.OK, b"OK", headers, len(body))
+        reply.write(body)
+        reply.end()
+
+    return answer
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -124,6 +124,10 @@
         entries = quarantine.list_matching(self.quarantine, named)
         if entries:
             return self._judge_quarantined(named, entries)
+        return self._find_suspicion(named)
+
+    def _find_suspicion(self, named: FingerprintedRequest) -> Refusal | None:
+        """Find why a request that isn't quarantined must not be sent now."""
         if not self.evidence.crashes_by_suspect:
             return None
         verdicts = self._read_verdicts()
@@ -135,6 +139,18 @@
                 return make_refusal(HELD_BACK_RETRY_S, Cause(suspect))
         return None
 
+    def peek_refusal(self, named: FingerprintedRequest) -> Refusal | None:
+        """Find the same of a request that is not sent: it begins no trial.
+
+        What is known of crashes is judged if that is due, as at each `settle`.
+        """
+        entries = quarantine.list_matching(self.quarantine, named)
+        if not entries:
+            return self._find_suspicion(named)
+        now_ms = self.wall_ms()
+        may_try = all(self._may_try(entry, now_ms) for entry in entries)
+        return None if may_try else _refuse_quarantined(entries, now_ms)
+
     def is_suspected(self, named: FingerprintedRequest) -> bool:
         """Whether one more crash may show that a request causes them."""
         return bool(self._list_suspected(named))
@@ -308,9 +324,7 @@
             for entry in entries:
                 self._say(quarantine.begin_trial(entry, now_ms), "trial")
             return None
-        last = max(entries, key=lambda e: quarantine.find_retry_s(e, now_ms))
-        retry_s = quarantine.find_retry_s(last, now_ms)
-        return make_refusal(max(HELD_BACK_RETRY_S, retry_s), last.cause)
+        return _refuse_quarantined(entries, now_ms)
 
     def _may_try(self, entry: Entry, now_ms: int) -> bool:
         is_due = quarantine.may_try(entry, now_ms)
@@ -426,3 +440,9 @@
     """List all fingerprints that were running at a crash."""
     parts = (run.parts for run in crash.runs.values())
     return set(crash.runs).union(*parts)
+
+
+def _refuse_quarantined(entries: list[Entry], now_ms: int) -> Refusal:
+    last = max(entries, key=lambda e: quarantine.find_retry_s(e, now_ms))
+    retry_s = quarantine.find_retry_s(last, now_ms)
+    return make_refusal(max(HELD_BACK_RETRY_S, retry_s), last.cause)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -3,22 +3,12 @@
 import asyncio
 import random
 
+from robinspindle.admitting import Admission
 from robinspindle.attempts import Attempts
 from robinspindle.choosing import Chooser
-from robinspindle.core import forwarding, permits, retrywindows
-from robinspindle.core.fingerprints import FingerprintedRequest
+from robinspindle.core import forwarding, retrywindows
 from robinspindle.core.forwarding import Request
 from robinspindle.core.peerdigests import Placement
-from robinspindle.core.permits import Permit
-from robinspindle.core.retrydetection import RetryDetector
-from robinspindle.core.routes import (
-    Route,
-    RouteTable,
-    choose_service,
-    find_rank,
-    find_route,
-)
-from robinspindle.core.streamversions import StreamBinding, find_obstacle
 from robinspindle.exceptions import CallerLeftError
 from robinspindle.finalanswers import FinalAnswers
 from robinspindle.passages import Means, Passage
@@ -27,15 +17,13 @@
 from robinspindle.requestparser import Incoming
 from robinspindle.streambinding import bind_stream, note_whole
 
-CALLER_WAY_S = 0.008
-"""Part of an aim that the way to the caller and back takes, seconds."""
-
 
 class Relay:
     """Forwards requests to targets.
 
     Attributes:
         chooser: Chooses where they go.
+        admission: Finds their routes and permits.
     """
 
     def __init__(self, means: Means):
@@ -47,7 +35,7 @@
         self._attempts = Attempts(
             means, self.chooser, self._final, self._log, self._rng
         )
-        self._patience = RetryDetector()
+        self.admission = Admission(means, self.chooser, self._rng)
 
     @property
     def placements(self) -> list[Placement]:
@@ -105,51 +93,11 @@
     async def _admit(
         self, request: Request, reply: Reply
     ) -> Passage | forwarding.Refusal:
-        """Find a request's route and by whose key it may run, or why it may not."""
-        means = self._means
-        table = means.fleet.table
-        if table is None:
-            return forwarding.NO_CONFIGURATION
-        route = find_route(table, request.host, request.path)
-        if route is None:
-            return forwarding.NO_ROUTE
-        permit = permits.authorize(
-            table, route, request, means.freshness, means.clock()
-        )
-        if isinstance(permit, forwarding.Refusal):
-            return permit
-        if table.keys is not None:
-            # From here on nothing holds the key: neither a sending nor news of it.
-            name = permit.workspace.name if permit.workspace else None
-            request = means.dialect.set_workspace(request, name)
-        stream = await bind_stream(means, route, request, permit)
-        return self._begin_passage(request, reply, table, route, permit, stream)
-
-    def _begin_passage(
-        self,
-        request: Request,
-        reply: Reply,
-        table: RouteTable,
-        route: Route,
-        permit: Permit,
-        stream: StreamBinding,
-    ) -> Passage:
-        origin = stream.origin
-        service = origin.service if origin else choose_service(route, self._rng)
-        self.chooser.note_expected(request, route, service)
-        return Passage(
-            request,
-            reply,
-            route,
-            service,
-            FingerprintedRequest(request),
-            forwarding.find_deadline(request, route),
-            request.received_at + route.latency_objective_s - CALLER_WAY_S,
-            forwarding.find_first_event_deadline(request, route),
-            permit,
-            find_rank(table, route, service, permit.workspace),
-            is_long=self.chooser.expects_long(route, service),
-            is_caller_retry=self._patience.note(route.name, request.wait_s),
-            last_reason=find_obstacle(self._means.fleet.directory, stream),
-            stream=stream,
+        """Find a request's route and permit, and who began the stream it takes up."""
+        admitted = self.admission.admit(request)
+        if isinstance(admitted, forwarding.Refusal):
+            return admitted
+        stream = await bind_stream(
+            self._means, admitted.route, admitted.request, admitted.permit
         )
+        return self.admission.begin(admitted, reply, stream)
--- a/src/robinspindle/zonechoices.py
+++ b/src/robinspindle/zonechoices.py
@@ -1,5 +1,6 @@
 """What a gateway keeps to decide when requests leave its availability zone."""
 
+import copy
 import math
 import random
 from collections import defaultdict
@@ -51,6 +52,14 @@
         self._ages_s: dict[str, float] = {}
         self._found_at: float | None = None
 
+    def fork(self, means: Means, rng: random.Random) -> "ZoneChoices":
+        """Make a copy whose choices change nothing here."""
+        forked = ZoneChoices(means, rng)
+        forked._shares = copy.deepcopy(self._shares)
+        forked._loads = copy.deepcopy(self._loads)
+        forked._ages_s, forked._found_at = self._ages_s, self._found_at
+        return forked
+
     def find_crossing(self, passage: Passage) -> CrossingCosts:
         """Find what another zone costs the parts of a request."""
         means, service = self._means, passage.service
