--- a/tests/platform/test_previews.py
+++ b/tests/platform/test_previews.py
@@ -10,7 +10,7 @@
 
 from robinspindle import cli
 from robinspindle.explaining import ROUTED
-from robinspindle.previewreports import Question
+from robinspindle.previewreports import Question, ask_preview, format_preview
 from robinspindle.previews import preview_request
 from robinspindle.replies import Reply
 from standins.rawhttp import LOOPBACK
@@ -118,3 +118,27 @@
             assert await ask(NOBODY, "/chat/x") == 4
 
     run(body())
+
+
+@pytest.mark.parametrize(
+    ("more", "reason"),
+    [
+        ({"X-Token-Count": "200000,3"}, "too-large"),
+        ({"X-Deadline-Ms": "1"}, "too-late"),
+    ],
+)
+def test_a_preview_refuses_as_the_request_itself_is(tmp_path, more, reason):
+    async def body():
+        async with deploy_pages(tmp_path) as (d, port):
+            await d.add("reader~1", "lm", "prefill")
+            await d.add("lm~1", "lm", "decode")
+            headers = {**d.prompt(), **more}
+            question = Question("POST", "/chat/x", [("Host", HOST), *headers.items()])
+            told = await asyncio.to_thread(ask_preview, f"{LOOPBACK}:{port}", question)
+            reply = await d.call("/chat/x", **headers)
+            assert (told.status, told.refusal) == (reply.status, reason)
+            assert reply.body.decode().strip() == reason
+            print(format_preview(told))
+            assert {row.role for row in told.candidates} == {"prefill", "decode"}
+
+    run(body())
