Remember a second loss of engines as long as the first

Cause: eight seconds counted from the first loss, so engines lost seven seconds later counted for one second; found by review, whose test failed at 9.0. Change: each further loss begins the time anew; engines that are all back end it, as before.

--- a/src/robinspindle/core/rebalancing.py
+++ b/src/robinspindle/core/rebalancing.py
@@ -122,7 +122,8 @@
         overload_seen_at: When that was last looked at, monotonic seconds; infinite
             before the first time.
         engines: Number of its usable engines, the largest lately.
-        engines_at: When it last had as many, monotonic seconds.
+        engines_at: When it last had as many, or last lost one, monotonic seconds.
+        last_engines: The same number when it was looked at last.
     """
 
     changed_at: float = -math.inf
@@ -131,6 +132,7 @@
     overload_seen_at: float = math.inf
     engines: int = 0
     engines_at: float = -math.inf
+    last_engines: int = 0
 
 
 @dataclass(frozen=True)
@@ -294,6 +296,9 @@
     if count >= history.engines or now - history.engines_at > LOSS_MEMORY_S:
         history.engines = count
         history.engines_at = now
+    elif count < history.last_engines:
+        history.engines_at = now
+    history.last_engines = count
     return count < history.engines
 
 
