Free the copy of an answer that came whole though its stop was unheard

A step that stops a run and gets no answer may never have reached the engine: the run goes on and its answer ends there. Its copy then kept memory and a slot at the other engine until it lapsed. It is freed as the answer ends, or, if that was before, as the step is given up.

--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -51,6 +51,7 @@
         exchange: Brings its events.
         is_tried: Whether a move of it has begun.
         is_over: Whether it has ended here.
+        is_whole: Whether its caller got all of it from here.
     """
 
     passage: Passage
@@ -58,6 +59,7 @@
     exchange: Exchange
     is_tried: bool = False
     is_over: bool = False
+    is_whole: bool = False
 
 
 @dataclass(frozen=True)
@@ -100,6 +102,8 @@
         runs.append(run)
         try:
             yield
+            run.is_whole = True
+            self._free_unused(run)
         finally:
             run.is_over = True
             runs.remove(run)
@@ -243,7 +247,8 @@
             stop.places = self._list_places(run, destination, copied, answer)
             stop.settled.set()
         self._note(run, destination, f"stopped: {answer.status}", began_at)
-        if not stop.places or run.passage.reply.has_caller_left:
+        is_unused = run.is_whole or run.passage.reply.has_caller_left
+        if not stop.places or is_unused:
             # It goes on where it was, or has ended there, or nobody waits for it.
             run.passage.stop = None
             self._release(run.target, copied.handle)
@@ -322,6 +327,15 @@
             HostPort(host, int(port)), self._means.dialect.decode_answer
         )
 
+    def _free_unused(self, run: _Run) -> None:
+        """Free the copy of an answer that came whole though a stop was asked for."""
+        stop = run.passage.stop
+        if stop is None or stop.source is not run.target:
+            return
+        if stop.settled.is_set() and stop.places:
+            run.passage.stop = None
+            self._release(run.target, stop.places[0].source.handle)
+
     def _release(self, target: Target, handle: str) -> None:
         """Free a copy that is not used."""
         source = CacheSource(target.announced.address, handle)
--- a/standins/movingengine.py
+++ b/standins/movingengine.py
@@ -158,6 +158,9 @@
         if destination is None or fault == "refuse":
             write_answer(writer, 503)
             return True
+        if fault == "unheard":
+            reset(writer)
+            return False
         run.is_stopped = is_last and fault != "goes_on"
         await asyncio.sleep(MOVE_S)
         if fault == "source_dies":
--- a/tests/platform/test_moves.py
+++ b/tests/platform/test_moves.py
@@ -150,7 +150,7 @@
     run(main())
 
 
-@pytest.mark.parametrize("fault", ["refuse", "busy"])
+@pytest.mark.parametrize("fault", ["refuse", "busy", "unheard"])
 def test_an_answer_that_is_not_stopped_goes_on_where_it_is(tmp_path, fault):
     async def main():
         async with deploy_moving(tmp_path) as (d, engines):
