--- a/benches/doors.py
+++ b/benches/doors.py
@@ -15,8 +15,9 @@
 from cheroot.wsgi import Server
 
 from benches.measure import ROOT, read_cpu, read_memory, save_data
+from robinspindle.connectionpool import ConnectionPool, borrow
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionPool, Exchange, borrow
+from robinspindle.httpclient import Exchange
 from robinspindle.httpserver import CallerServer
 from robinspindle.platform.dialect import decode_answer
 from robinspindle.replies import Reply
--- a/benches/platform.py
+++ b/benches/platform.py
@@ -19,13 +19,9 @@
     save_data,
 )
 from benches.platformcalls import KINDS, Kind, make_configuration, write_request
+from robinspindle.connectionpool import ConnectionPool, borrow
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import (
-    ConnectionBrokenError,
-    ConnectionPool,
-    Exchange,
-    borrow,
-)
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
 from robinspindle.platform.dialect import decode_answer
 from robinspindle.tables import format_table
 from soak.gateways import GatewayProcess, prepare_gateway
--- a/src/robinspindle/calls.py
+++ b/src/robinspindle/calls.py
@@ -4,13 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from robinspindle.connectionpool import ConnectionPool, borrow
 from robinspindle.core.forwarding import AnswerHead
-from robinspindle.httpclient import (
-    ConnectionBrokenError,
-    ConnectionPool,
-    Exchange,
-    borrow,
-)
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
 
 MOST_ANSWER_BYTES = 65536
 """Longest answer to a call that asks for no list or record."""
--- a/src/robinspindle/duties.py
+++ b/src/robinspindle/duties.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from robinspindle.adapters import Adapter
+from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core.authority import Authority
 from robinspindle.core.usagereports import Reports, Schedule
 from robinspindle.dutycalls import Call, DutyOutcome, make_sender
@@ -12,7 +13,6 @@
 from robinspindle.fleet import Fleet
 from robinspindle.following import KeyedStore
 from robinspindle.gatewaysettings import GatewaySettings
-from robinspindle.httpclient import ConnectionPool
 from robinspindle.logs import make_log
 from robinspindle.peers import Peers
 from robinspindle.reporting import Reporter
--- a/src/robinspindle/dutycalls.py
+++ b/src/robinspindle/dutycalls.py
@@ -5,7 +5,8 @@
 from typing import Protocol, TypeVar
 
 from robinspindle.calls import CallLimits, call_once
-from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool
+from robinspindle.connectionpool import ConnectionPool
+from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.logs import Log
 
 Call = TypeVar("Call")
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import (
     health,
     prefillmodel,
@@ -25,7 +26,7 @@
 from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.core.versionhistory import VersionHistory, note_listed
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionPool, DecodeHead, Traffic
+from robinspindle.httpclient import DecodeHead, Traffic
 from robinspindle.targetlimits import TargetLimits
 from robinspindle.zonetraffic import Meter
 
--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from robinspindle.calls import CallLimits, call_once
+from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import decodeplacement, moves, retrywindows, streamversions
 from robinspindle.core.decodeplacement import count_requests
 from robinspindle.core.forwarding import CacheSource
@@ -23,7 +24,7 @@
 from robinspindle.ends import End
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool, Exchange
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
 from robinspindle.passages import Continuation, Means, Passage, Stop
 from robinspindle.passing import Answer
 from robinspindle.sending import CONNECT_TIMEOUT_S
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
+from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import forwarding
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.copies import AnswerCopy
@@ -26,7 +27,6 @@
 from robinspindle.fleet import Fleet
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.guard import Guard
-from robinspindle.httpclient import ConnectionPool
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.logs import Log
 from robinspindle.peers import Peers
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from robinspindle.calls import CallLimits, Transfer, call_once
+from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core.eras import EraChange, compare_eras, parse_era
 from robinspindle.core.forwarding import AnswerHead
 from robinspindle.exceptions import (
@@ -19,7 +20,7 @@
     RecordsTrimmedError,
 )
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool
+from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.platform.dialect import decode_answer
 
 CONFIGURATION_TOPIC = "keyed.op"
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 
+from robinspindle.connectionpool import ConnectionPool, borrow
 from robinspindle.core import health, permits
 from robinspindle.core.forwarding import AnswerHead, CacheSource, Send
 from robinspindle.core.lifetimes import find_id
@@ -14,10 +15,8 @@
 from robinspindle.httpclient import (
     ClientConnection,
     ConnectionBrokenError,
-    ConnectionPool,
     Exchange,
     NotSentError,
-    borrow,
 )
 from robinspindle.passages import Means, Passage
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -6,8 +6,9 @@
 import pytest
 
 from robinspindle.calls import CallLimits, call_once
+from robinspindle.connectionpool import ConnectionPool
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool
+from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.platform.dialect import decode_answer
 from robinspindle.platform.store import MAX_RESPONSE_BYTES
 from standins.endless import BODIES, FRAMING, Endless
