--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from robinspindle.calls import CallLimits, call_once
+from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import decodeplacement, moves, retrywindows, streamversions
 from robinspindle.core.decodeplacement import count_requests
 from robinspindle.core.forwarding import CacheSource
@@ -23,7 +24,7 @@
 from robinspindle.ends import End
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.gatewaysettings import HostPort
-from robinspindle.httpclient import ConnectionBrokenError, ConnectionPool, Exchange
+from robinspindle.httpclient import ConnectionBrokenError, Exchange
 from robinspindle.passages import Continuation, Means, Passage, Stop
 from robinspindle.passing import Answer
 from robinspindle.sending import CONNECT_TIMEOUT_S
@@ -52,6 +53,7 @@
         exchange: Brings its events.
         is_tried: Whether a move of it has begun.
         is_over: Whether it has ended here.
+        is_whole: Whether its caller got all of it from here.
     """
 
     passage: Passage
@@ -59,6 +61,7 @@
     exchange: Exchange
     is_tried: bool = False
     is_over: bool = False
+    is_whole: bool = False
 
 
 @dataclass(frozen=True)
@@ -101,6 +104,8 @@
         runs.append(run)
         try:
             yield
+            run.is_whole = True
+            self._free_unused(run)
         finally:
             run.is_over = True
             runs.remove(run)
@@ -255,7 +260,8 @@
             stop.places = self._list_places(run, destination, copied, answer)
             stop.settled.set()
         self._note(run, destination, f"stopped: {answer.status}", began_at)
-        if not stop.places or run.passage.reply.has_caller_left:
+        is_unused = run.is_whole or run.passage.reply.has_caller_left
+        if not stop.places or is_unused:
             # It goes on where it was, or has ended there, or nobody waits for it.
             run.passage.stop = None
             self._release(run.target, copied.handle)
@@ -334,6 +340,15 @@
             HostPort(host, int(port)), self._means.dialect.decode_answer
         )
 
+    def _free_unused(self, run: _Run) -> None:
+        """Free the copy of an answer that came whole though a stop was asked for."""
+        stop = run.passage.stop
+        if stop is None or stop.source is not run.target:
+            return
+        if stop.settled.is_set() and stop.places:
+            run.passage.stop = None
+            self._release(run.target, stop.places[0].source.handle)
+
     def _release(self, target: Target, handle: str) -> None:
         """Free a copy that is not used."""
         source = CacheSource(target.announced.address, handle)
