--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -202,7 +202,7 @@
             self._rng,
             has_pause_sensitive,
             self._count_tokens(passage),
-            self._zones.find_crossing(passage),
+            self._zones.find_crossing(passage, now),
             plan.prefill_target.announced.zone if plan.prefill_target else "",
         )
 
@@ -322,7 +322,7 @@
     def _choose_plain_target(
         self, passage: Passage, targets: list[Target], now: float
     ) -> PlainChoice:
-        if self._means.policy().weighs_zones:
+        if self._zones.find_policy(now).weighs_zones:
             return self._zones.choose_plain(passage.service, targets, now)
         return PlainChoice(choose_target(targets, self._means.zone, now, self._rng))
 
@@ -371,9 +371,9 @@
             token_transfer_s=self._means.fleet.find_token_transfer_s(passage.service),
             age_s=self._means.peers.interval_s,
             rng=self._rng,
-            policy=self._means.policy(),
+            policy=self._zones.find_policy(now),
             is_prompt_underserved=passage.is_prompt_underserved,
             is_answer_underserved=passage.is_answer_underserved,
             tokens=self._count_tokens(passage),
-            crossing=self._zones.find_crossing(passage),
+            crossing=self._zones.find_crossing(passage, now),
         )
--- a/src/robinspindle/core/zonecosts.py
+++ b/src/robinspindle/core/zonecosts.py
@@ -41,6 +41,8 @@
             zone while targets at home may get them.
         guest_load_share: Share of a target's slots, and of the latency objective as a
             wait, up to which it is sent requests from other zones.
+        least_engines: Engines of the gateway's zone from which on zones are weighed. A
+            smaller zone has too few for both roles, and for the caches of its callers.
     """
 
     delay_ms: float = 1.5
@@ -49,6 +51,7 @@
     least_gain_ms: float = 2.0
     most_share: float = 1.0
     guest_load_share: float = 0.5
+    least_engines: float = 0.0
 
 
 TERM_LIMITS = {
@@ -58,6 +61,7 @@
     "least_gain_ms": 1e4,
     "most_share": 1.0,
     "guest_load_share": 1.0,
+    "least_engines": 1e6,
 }
 """The largest valid value of each term; the least is 0."""
 
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -235,6 +235,13 @@
         found = [t for t in self.directory.targets.values() if t.announced.role]
         return [(target, self.find_engine(target)) for target in found]
 
+    def count_zone_engines(self, zone: str) -> int:
+        """Count the engines of an availability zone, whether or not they get work."""
+        return sum(
+            target.announced.zone == zone and bool(target.announced.role)
+            for target in self.directory.targets.values()
+        )
+
     def list_known_caches(self) -> list[str]:
         """List the engines of whose caches something is known."""
         known = self._engines.items()
--- a/src/robinspindle/zonechoices.py
+++ b/src/robinspindle/zonechoices.py
@@ -13,6 +13,7 @@
     PlainView,
     choose_plain_target,
 )
+from robinspindle.core.policy import Policy
 from robinspindle.core.requestplans import PlanningContext, RequestPlan
 from robinspindle.core.targets import Target
 from robinspindle.core.zonecosts import (
@@ -37,6 +38,13 @@
 """Intervals between digests that news of another zone takes at the most: from a gateway
 to its relay, to another relay, and to its group."""
 
+COUNT_INTERVAL_S = 0.1
+"""How long a count of the zone's engines is used, seconds."""
+
+ENGINES_MEMORY_S = 30.0
+"""How long engines that are lost count for the size of their zone, seconds: longer than
+a crash or a restart, so that zones go on being weighed meanwhile."""
+
 UNWEIGHED = "unweighed"
 """Why a request left its zone where zones aren't weighed."""
 
@@ -51,6 +59,9 @@
         self._loads: dict[str, HomeLoad] = defaultdict(HomeLoad)
         self._ages_s: dict[str, float] = {}
         self._found_at: float | None = None
+        self._engines = 0
+        self._engines_at = -math.inf
+        self._counted_at = -math.inf
 
     def fork(self, means: Means, rng: random.Random) -> "ZoneChoices":
         """Make a copy whose choices change nothing here."""
@@ -58,17 +69,37 @@
         forked._shares = copy.deepcopy(self._shares)
         forked._loads = copy.deepcopy(self._loads)
         forked._ages_s, forked._found_at = self._ages_s, self._found_at
+        forked._engines, forked._engines_at = self._engines, self._engines_at
+        forked._counted_at = self._counted_at
         return forked
 
-    def find_crossing(self, passage: Passage) -> CrossingCosts:
+    def find_policy(self, now: float) -> Policy:
+        """Find the policy in force: a zone with too few engines weighs nothing."""
+        policy = self._means.policy()
+        if not policy.weighs_zones:
+            return policy
+        is_large = self._count_engines(now) >= self._means.zone_terms().least_engines
+        return replace(policy, weighs_zones=is_large)
+
+    def _count_engines(self, now: float) -> int:
+        """Count the engines of the own zone, the most of the last seconds."""
+        if now - self._counted_at >= COUNT_INTERVAL_S:
+            self._counted_at = now
+            count = self._means.fleet.count_zone_engines(self._means.zone)
+            if count >= self._engines or now - self._engines_at > ENGINES_MEMORY_S:
+                self._engines, self._engines_at = count, now
+        return self._engines
+
+    def find_crossing(self, passage: Passage, now: float) -> CrossingCosts:
         """Find what another zone costs the parts of a request."""
         means, service = self._means, passage.service
-        if not means.policy().weighs_zones or passage.request.prompt is None:
+        prompt = passage.request.prompt
+        if prompt is None or not self.find_policy(now).weighs_zones:
             return CONSTANT_COSTS
         return find_crossing_costs(
             means.zone_terms(),
             passage.request.size,
-            passage.request.prompt,
+            prompt,
             means.fleet.count_event_tokens(service),
             means.fleet.find_token_transfer_s(service),
             means.fleet.find_token_bytes(service),
