Compare at most 64 engines for a request

Change: beyond 64 engines a request compares those whose caches hold most of its prompt and a sample of the others, both roles, half at home. Fleets of today are compared whole.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -13,6 +13,7 @@
     streamversions,
 )
 from robinspindle.core.engines import Engine
+from robinspindle.core.enginesampling import sample_engines
 from robinspindle.core.forwarding import TOO_LARGE, Prompt, Request
 from robinspindle.core.plainplacement import PlainChoice
 from robinspindle.core.prefillmodel import estimate_busy_s
@@ -121,7 +122,8 @@
         if passage.reads and not self._may_read_again(passage, now):
             pairs = [pair for pair in pairs if not pair[1].prefill_only]
         at = self.describe_situation(passage, now)
-        plan = self._choose_plan(passage, pairs, prompt, at)
+        compared = sample_engines(pairs, prompt, self._means.zone, self._rng)
+        plan = self._choose_plan(passage, compared, prompt, at)
         if plan is not None and passage.plan is None and plan.uncached_tokens:
             self._note_demand(passage, plan, now)
         if plan is not None and plan.level < LATE_LEVEL and plan.has_capacity:
