Order fuzzed events in one queue

Cause: the worlds of targets' statements, of guards and of the control stream each kept a heap of events, a counter and a loop of their own. Change: fuzz/eventqueue.py serves all three.

--- a/fuzz/guardworld.py
+++ b/fuzz/guardworld.py
@@ -9,8 +9,8 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
 
+from fuzz.eventqueue import EventQueue
 from robinspindle.core.fingerprints import (
     FingerprintedRequest,
     make_part_fingerprint,
@@ -150,25 +150,23 @@
 
     def __init__(self, seed: int, kind: Kind):
         self.kind = kind
-        self.now = 0.0
         self.seen = Seen()
         self.bad: set[bytes] = set()
         self._rng = random.Random(seed)
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._counter = 0
+        self._events = EventQueue()
         self._store: dict[bytes, Entry] = {}
         self._targets = [FakeTarget(f"i{n}") for n in range(kind.targets)]
         self._gateways = [FakeGateway(self, f"g{n}") for n in range(kind.gateways)]
 
+    @property
+    def now(self) -> float:
+        """The present time, seconds."""
+        return self._events.now
+
     def play(self) -> Seen:
         """Play to the end."""
         self._schedule_all()
-        while self._queue:
-            at, _, act = heappop(self._queue)
-            if at > self.kind.seconds:
-                break
-            self.now = at
-            act()
+        self._events.run(self.kind.seconds)
         return self.seen
 
     def list_quarantined(self) -> list[Entry]:
@@ -197,8 +195,7 @@
             self._at(2.0, lambda: self._repeat(0.3, self._harm))
 
     def _at(self, delay_s: float, act: Callable[[], None]) -> None:
-        self._counter += 1
-        heappush(self._queue, (self.now + delay_s, self._counter, act))
+        self._events.add(delay_s, act)
 
     def _repeat(self, per_s: float, act: Callable[[], None]) -> None:
         act()
@@ -220,8 +217,7 @@
 
     def _make_request(self, bad_part: str) -> FingerprintedRequest:
         rng = self._rng
-        self._counter += 1
-        own = f"own{self._counter}"
+        own = f"own{self._events.take_number()}"
         shared = rng.randrange(SHARED_PARTS)
         if bad_part and self.kind.has_company:
             shared = 0
--- a/fuzz/statementworld.py
+++ b/fuzz/statementworld.py
@@ -10,8 +10,8 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
 
+from fuzz.eventqueue import EventQueue
 from robinspindle import targettraffic
 from robinspindle.core import health, targets
 from robinspindle.core.forwarding import AnswerHead
@@ -151,16 +151,19 @@
 
     def __init__(self, seed: int, kind: Kind):
         self.kind = kind
-        self.now = 0.0
         self.gateways: list[FakeGateway] = []
         self.needless: list[NeedlessRefusal] = []
         self.served = 0
         self._rng = random.Random(seed)
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._counter = 0
+        self._events = EventQueue()
         self._targets = [FakeTarget(f"i{n}") for n in range(kind.targets)]
         self._up = [self._start_gateway(f"g{n}") for n in range(kind.gateways)]
 
+    @property
+    def now(self) -> float:
+        """The present time, seconds."""
+        return self._events.now
+
     def play(self) -> None:
         """Play to the end."""
         kind = self.kind
@@ -174,13 +177,10 @@
         ):
             if per_s:
                 self._repeat(per_s, act)
-        while self._queue and self._queue[0][0] <= kind.seconds:
-            self.now, _, act = heappop(self._queue)
-            act()
+        self._events.run(kind.seconds)
 
     def _at(self, delay_s: float, act: Callable[[], None]) -> None:
-        self._counter += 1
-        heappush(self._queue, (self.now + delay_s, self._counter, act))
+        self._events.add(delay_s, act)
 
     def _repeat(self, per_s: float, act: Callable[[], None]) -> None:
         def go_on() -> None:
--- a/fuzz/world.py
+++ b/fuzz/world.py
@@ -1,11 +1,11 @@
 """A deployment in memory: the real decisions, fake interfaces, simulated time."""
 
-import heapq
 import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fuzz.eventqueue import EventQueue
 from fuzz.fakes import CHANGE_S, STEP_S, FakeLog, FakeTarget
 from robinspindle.controlstream import ControlStream
 from robinspindle.core import agentcontrol, catchup, dispatch, leases
@@ -121,20 +121,23 @@
 
     def __init__(self, seed: int, text: str):
         self.rng = random.Random(seed)
-        self.now = 100.0
         self.log = FakeLog()
         self.processes: dict[str, Process] = {}
         self.targets: dict[str, FakeTarget] = {}
         self.callers: dict[str, CallerRow] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.serial = 0
-        self._heap: list = []
-        self._order = 0
+        self._events = EventQueue(100.0)
         self._arrivals: dict[tuple[str, str], float] = {}
         self.published = [text]
         self.cut_by_stop: list[str] = []
         self.leaving: dict[str, list[LeavingPeriod]] = {}
 
+    @property
+    def now(self) -> float:
+        """The present time, seconds."""
+        return self._events.now
+
     def make_id(self, word: str) -> str:
         """Make a unique id."""
         self.serial += 1
@@ -207,10 +210,8 @@
     def advance(self, seconds: float) -> None:
         """Let simulated time pass."""
         end = self.now + seconds
-        while self._heap and self._heap[0][0] <= end:
-            self.now, _, call = heapq.heappop(self._heap)
-            call()
-        self.now = end
+        self._events.run(end)
+        self._events.now = end
 
     def submit(self, entry: str, work: Work, promise: LatencyObjective) -> None:
         """Send a caller's request to an entry."""
@@ -264,8 +265,7 @@
         self._tick(process)
 
     def _later(self, delay_s: float, call: Callable) -> None:
-        self._order += 1
-        heapq.heappush(self._heap, (self.now + delay_s, self._order, call))
+        self._events.add(delay_s, call)
 
     def _reach(self, process: Process, call: Callable) -> None:
         """Let something happen to a process, now or when it wakes."""
