Have one type for records of the store

Cause: the platform's client had two dataclasses of records, keyed and raw, of one shape; following and originlog each had protocols for the same; the fuzzer had a copy. Change: storerecords.py holds KeyedRecord and Records[Item], used by all. The stand-in stores in tests and fuzz make the same type; no assertion changes.

--- a/fuzz/dutyworld.py
+++ b/fuzz/dutyworld.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from fuzz.sides import Side, begin_trouble
-from fuzz.storerecords import Record, Records
+from fuzz.storerecords import Record
 from fuzz.virtualtime import VirtualSelector
 from robinspindle.core.authority import Authority
 from robinspindle.core.freshness import Freshness
@@ -25,6 +25,7 @@
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import Peers, note_member, note_sent
 from robinspindle.reporting import Reporter
+from robinspindle.storerecords import Records
 from robinspindle.usagebook import UsageBook
 
 WINDOW_S = 5.0
--- a/fuzz/keyworld.py
+++ b/fuzz/keyworld.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from fuzz.sides import Side, begin_trouble
-from fuzz.storerecords import Record, Records
+from fuzz.storerecords import Record
 from fuzz.virtualtime import VirtualSelector, run_virtually
 from robinspindle import following
 from robinspindle.core import freshness as ages
@@ -25,6 +25,7 @@
 from robinspindle.following import Follower, Outage
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peers import Peers, note_member, note_sent
+from robinspindle.storerecords import Records
 from robinspindle.usagebook import UsageBook
 
 REVOKE_S = 5.0
--- a/fuzz/storerecords.py
+++ b/fuzz/storerecords.py
@@ -12,12 +12,3 @@
 
     key: str
     value: Value
-
-
-@dataclass(frozen=True)
-class Records(Generic[Value]):
-    """Records as the store answers them."""
-
-    items: tuple[Record[Value], ...]
-    end: int
-    topic_end: int
--- a/fuzz/takeupworld.py
+++ b/fuzz/takeupworld.py
@@ -27,7 +27,7 @@
 from robinspindle.originlog import OriginLog
 from robinspindle.peers import Peers, note_member
 from robinspindle.platform.dialect import decode_answer
-from robinspindle.platform.store import KeyedRecord, RawRecords, Records
+from robinspindle.storerecords import KeyedRecord, Records
 from robinspindle.streammemory import StreamMemory
 from robinspindle.versionkeeping import VersionKeeper
 from robinspindle.versionwriting import VersionWriter
@@ -80,7 +80,9 @@
         self._origins: list[bytes] = []
         self._rng = rng
 
-    async def read_from(self, topic: str, offset: int, wait_s: float) -> Records:
+    async def read_from(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Records[KeyedRecord]:
         """Read the keyed records from an offset on."""
         await asyncio.sleep(CALL_S)
         items = tuple(self.keyed[offset:])
@@ -102,11 +104,11 @@
         self._origins.append(record)
         return self._answer(len(self._origins) - 1)
 
-    async def read_records(self, topic: str, offset: int) -> RawRecords:
+    async def read_records(self, topic: str, offset: int) -> Records[bytes]:
         """Read the records without keys from an offset on."""
         await asyncio.sleep(CALL_S)
         values = tuple(self._origins[offset:])
-        return RawRecords(values, offset + len(values), len(self._origins))
+        return Records(values, offset + len(values), len(self._origins))
 
     def _answer(self, offset: int) -> int:
         if self._rng.random() < LOST_SHARE:
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -20,6 +20,7 @@
     RecordsTrimmedError,
 )
 from robinspindle.logs import Log
+from robinspindle.storerecords import KeyedRecord, Records
 
 WAIT_S = 2.0
 """How long the store holds a poll, seconds: a cut is noticed at most this much later,
@@ -53,21 +54,6 @@
 """Least part of a pause that is kept: gateways that fail together call apart."""
 
 
-class KeyedRecord(Protocol):
-    """A record of one key; a value of None drops the key."""
-
-    key: str
-    value: bytes | None
-
-
-class Records(Protocol):
-    """Records, the offset after them, and where their topic ended meanwhile."""
-
-    items: tuple[KeyedRecord, ...]
-    end: int
-    topic_end: int
-
-
 class KeyedStore(Protocol):
     """What is needed of a store.
 
@@ -87,10 +73,12 @@
     received_bytes: int
     wasted_bytes: int
 
-    async def read_newest(self, topic: str) -> Records:
+    async def read_newest(self, topic: str) -> Records[KeyedRecord]:
         """Read the newest record of each key."""
 
-    async def read_from(self, topic: str, offset: int, wait_s: float) -> Records:
+    async def read_from(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Records[KeyedRecord]:
         """Read what comes from an offset on."""
 
     def drop_connections(self) -> None:
@@ -274,7 +262,7 @@
 
 async def _read_on(
     store: KeyedStore, follower: Follower, offset: int, wait_s: float
-) -> Records | None:
+) -> Records[KeyedRecord] | None:
     """Read on from an offset; None for a held poll that seems to wait in vain."""
     follower.nudge.clear()
     if wait_s == 0.0:
--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -17,6 +17,7 @@
 from robinspindle.logs import Log
 from robinspindle.originlink import Tell, make_tell, read_tell
 from robinspindle.sharedcalls import SharedCall
+from robinspindle.storerecords import Records
 
 MIN_INTERVAL_S = 0.05
 """Least time between two writes of a relay, seconds; what began since the last one is
@@ -59,27 +60,13 @@
 decode = msgspec.msgpack.Decoder(KeptOrigins).decode
 
 
-class RawRecords(Protocol):
-    """Records of a topic without keys.
-
-    Attributes:
-        values: The records.
-        end: The offset from which reading continues.
-        topic_end: The offset after the topic's last record.
-    """
-
-    values: tuple[bytes, ...]
-    end: int
-    topic_end: int
-
-
 class RecordStore(Protocol):
     """What is needed of a store."""
 
     async def append(self, topic: str, record: bytes) -> int:
         """Append one record without a key and return its offset."""
 
-    async def read_records(self, topic: str, offset: int) -> RawRecords:
+    async def read_records(self, topic: str, offset: int) -> Records[bytes]:
         """Read the records from an offset on that there are."""
 
 
@@ -185,7 +172,7 @@
         except RecordsTrimmedError as error:
             self._go_on(error.first, eras)
             return False
-        for number, tell in enumerate(self._list_tells(records.values), 1):
+        for number, tell in enumerate(self._list_tells(records.items), 1):
             self.take(StreamKey(tell.key), read_tell(tell))
             if number % MOST_IN_TURN == 0:
                 await asyncio.sleep(0)
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -3,7 +3,6 @@
 import base64
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
@@ -22,6 +21,7 @@
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.platform.dialect import decode_answer
+from robinspindle.storerecords import KeyedRecord, Records
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -59,44 +59,6 @@
 does not end at the expected offset."""
 
 
-@dataclass(frozen=True)
-class KeyedRecord:
-    """A key and its new value; a value of None removes the key."""
-
-    key: str
-    value: bytes | None
-
-
-@dataclass(frozen=True)
-class Records:
-    """Records of one keyed topic.
-
-    Attributes:
-        items: The records.
-        end: The offset from which reading continues.
-        topic_end: The offset after the topic's last record.
-    """
-
-    items: tuple[KeyedRecord, ...]
-    end: int
-    topic_end: int
-
-
-@dataclass(frozen=True)
-class RawRecords:
-    """Records of one topic without keys.
-
-    Attributes:
-        values: The records.
-        end: The offset from which reading continues.
-        topic_end: The offset after the topic's last record.
-    """
-
-    values: tuple[bytes, ...]
-    end: int
-    topic_end: int
-
-
 class _KeyedItem(msgspec.Struct, rename="pascal"):
     key: str
     value: str
@@ -162,7 +124,9 @@
                 return Records(tuple(items), end, end)
             after = page.items[-1].key
 
-    async def read_from(self, topic: str, offset: int, wait_s: float) -> Records:
+    async def read_from(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Records[KeyedRecord]:
         """Read the records of a keyed topic from an offset on.
 
         Args:
@@ -176,10 +140,10 @@
             RecordsTrimmedError: If the records are no longer retained.
         """
         raw = await self._read(topic, offset, wait_s)
-        items = tuple(_decode_keyed(value) for value in raw.values)
+        items = tuple(map(_decode_keyed, raw.items))
         return Records(items, raw.end, raw.topic_end)
 
-    async def read_records(self, topic: str, offset: int) -> RawRecords:
+    async def read_records(self, topic: str, offset: int) -> Records[bytes]:
         """Read the records without keys that a topic holds from an offset on.
 
         Args:
@@ -193,7 +157,7 @@
         """
         return await self._read(topic, offset, 0.0)
 
-    async def _read(self, topic: str, offset: int, wait_s: float) -> RawRecords:
+    async def _read(self, topic: str, offset: int, wait_s: float) -> Records[bytes]:
         query = {
             "Topic": topic,
             "part": 0,
@@ -209,7 +173,7 @@
             values = tuple(_split_records(data[READ_PREFIX_BYTES:]))
         except (struct.error, ValueError) as error:
             raise LogUnavailableError(f"invalid records: {error}") from None
-        return RawRecords(values, offset + len(values), topic_end)
+        return Records(values, offset + len(values), topic_end)
 
     async def append(self, topic: str, record: bytes) -> int:
         """Append one record without a key.
--- a/tests/originfleet.py
+++ b/tests/originfleet.py
@@ -11,7 +11,7 @@
 from robinspindle.originlink import PORT_OFFSET, OriginLink
 from robinspindle.originlog import OriginLog
 from robinspindle.peers import Peers, note_member
-from robinspindle.platform.store import RawRecords
+from robinspindle.storerecords import Records
 from robinspindle.streammemory import StreamMemory
 
 TRANSIT_S = 0.002
@@ -102,7 +102,7 @@
         if offset < self.first:
             raise RecordsTrimmedError(self.first)
         values = tuple(self.records[offset : offset + self.per_read])
-        return RawRecords(values, offset + len(values), len(self.records))
+        return Records(values, offset + len(values), len(self.records))
 
 
 class OriginFleet:
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -24,7 +24,7 @@
 from robinspindle.fleet import Fleet
 from robinspindle.following import Follower, note_new_era
 from robinspindle.platform.dialect import decode_answer
-from robinspindle.platform.store import KeyedRecord, Records
+from robinspindle.storerecords import KeyedRecord, Records
 from robinspindle.versionkeeping import VersionKeeper
 from robinspindle.versionwriting import VersionWriter
 
