Call one piece for what placement, moves and copies did twice

Change: free_handle frees KV caches for readings and moves; list_continuing lists who may go on with an answer for copies and moves; list_barred itself says that an unbound stream bars nobody; note_memory counts moved KV caches in three places; make_bare_pool reads addresses where find_pool does; roles have one name each, in core/targets.py. With zones weighed a request finds the cache to fetch from once, not for each of two plans, and the policy is copied only where a small zone changes it. Gone: an empty wrapper in passing.py, two uses of room that nobody claimed, a copy of a target in previews. note_incomplete is named for what it changes. Tests: test_zoneplacement finds the transfer as the code does, and the stub of test_finalanswers has a directory; assertions are as they were.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -29,7 +29,7 @@
 from robinspindle.core.routes import Route
 from robinspindle.core.selection import choose_target
 from robinspindle.core.sizefairness import SizeFairness
-from robinspindle.core.targets import Directory, Target
+from robinspindle.core.targets import PREFILL_ROLE, Directory, Target
 from robinspindle.core.versioncapacity import (
     has_several_versions,
     list_open,
@@ -256,7 +256,7 @@
             lifetime
             for lifetime, target in directory.targets.items()
             if target.announced.service == service
-            and target.announced.role != streamversions.PREFILL
+            and target.announced.role != PREFILL_ROLE
             and not self._means.versions.may_begin(target.announced)
         }
 
@@ -324,7 +324,7 @@
     def _choose_plain_target(
         self, passage: Passage, targets: list[Target], now: float
     ) -> PlainChoice:
-        if self._zones.find_policy(now).weighs_zones:
+        if self._zones.weighs(now):
             return self._zones.choose_plain(passage.service, targets, now)
         return PlainChoice(choose_target(targets, self._means.zone, now, self._rng))
 
--- a/src/robinspindle/copying.py
+++ b/src/robinspindle/copying.py
@@ -11,7 +11,13 @@
 from robinspindle.core.forwarding import CacheSource
 from robinspindle.core.targets import Target
 from robinspindle.httpclient import ConnectionBrokenError
-from robinspindle.passages import Continuation, Means, Passage, is_stopped
+from robinspindle.passages import (
+    Continuation,
+    Means,
+    Passage,
+    is_stopped,
+    list_continuing,
+)
 from robinspindle.peers import list_heard
 from robinspindle.sending import Sending
 
@@ -61,8 +67,7 @@
             return None
         if not self._means.policy().copies_answers:
             return None
-        usable = self._list_usable(passage, now)
-        if copy.target not in usable:
+        if copy.target not in list_continuing(self._means, passage, now):
             return None
         # A copy serves once.
         passage.copy = None
@@ -111,7 +116,7 @@
         version = source.announced.software_version
         pairs = [
             (target, fleet.find_engine(target))
-            for target in self._list_usable(passage, now)
+            for target in list_continuing(self._means, passage, now)
             if target.announced.software_version == version
         ]
         gateways = 1 + len(list_heard(self._means.peers))
@@ -126,14 +131,6 @@
         events = tokens / self._means.fleet.count_event_tokens(passage.service)
         return events * lengths.find_event_s(passage.service)
 
-    def _list_usable(self, passage: Passage, now: float) -> list[Target]:
-        """List the engines that may go on with a request."""
-        means, directory = self._means, self._means.fleet.directory
-        left_out = passage.tried | means.guard.list_avoided(passage.named)
-        if not streamversions.is_unbound(passage.stream):
-            left_out |= streamversions.list_barred(directory, passage.stream)
-        return means.fleet.list_usable(passage.service, now, left_out)
-
     def _find_rate(self, service: str) -> LossRate:
         return self._rates.setdefault(service, LossRate())
 
--- a/src/robinspindle/core/decodeplacement.py
+++ b/src/robinspindle/core/decodeplacement.py
@@ -341,10 +341,15 @@
     target: Target, zone: str, crossing: CrossingCosts = CONSTANT_COSTS
 ) -> float:
     """Estimate the cost of a target's network delay and faults, seconds."""
-    zone_cost_s = crossing.delay_s if target.announced.zone != zone else 0.0
+    zone_cost_s = estimate_zone_cost_s(target, zone, crossing)
     return zone_cost_s + FAULT_COST_S * target.faults
 
 
+def estimate_zone_cost_s(target: Target, zone: str, crossing: CrossingCosts) -> float:
+    """Estimate the cost of the network delay to a target, seconds."""
+    return crossing.delay_s if target.announced.zone != zone else 0.0
+
+
 def estimate_move_cost_s(
     zone: str, prefill_zone: str, decode_zone: str, crossing: CrossingCosts
 ) -> float:
--- a/src/robinspindle/core/enginesampling.py
+++ b/src/robinspindle/core/enginesampling.py
@@ -13,8 +13,7 @@
 from robinspindle.core.forwarding import Prompt
 
 MAX_COMPARED = 64
-"""Most engines that a request compares: over twice the largest fleet of today, and a
-decision over them takes about a millisecond."""
+"""Most engines that a request compares; a smaller fleet is compared whole."""
 
 HOLDERS = 16
 """Of those, how many are the ones whose caches hold most of the prompt."""
@@ -23,7 +22,7 @@
 def sample_engines(
     pairs: list[Pair], prompt: Prompt, zone: str, rng: random.Random
 ) -> list[Pair]:
-    """Choose the engines that a request compares, all of them in a fleet of today.
+    """Choose the engines that a request compares; all of them in a smaller fleet.
 
     Args:
         pairs: The engines that may get it.
--- a/src/robinspindle/core/events.py
+++ b/src/robinspindle/core/events.py
@@ -46,8 +46,8 @@
     return complete
 
 
-def is_endless(splitter: EventSplitter, waited_s: float) -> bool:
-    """Return whether an incomplete event is longer than any proper one.
+def note_incomplete(splitter: EventSplitter, waited_s: float) -> bool:
+    """Take note of an event that goes on; return whether no proper one is as long.
 
     Args:
         splitter: The state of the stream, with the latest piece.
--- a/src/robinspindle/core/prefillplacement.py
+++ b/src/robinspindle/core/prefillplacement.py
@@ -68,10 +68,7 @@
 
 
 def choose_plan(
-    candidates: list[Pair],
-    prompt: Prompt,
-    context: PlanningContext,
-    cache_sources: list[Pair] | None = None,
+    candidates: list[Pair], prompt: Prompt, context: PlanningContext
 ) -> RequestPlan | None:
     """Choose where a prompt is prefilled and where its answer is generated.
 
@@ -79,24 +76,57 @@
         candidates: The engines that may get work.
         prompt: The prompt.
         context: What else the choice depends on.
-        cache_sources: The engines from whose caches parts may be fetched; None for the
-            candidates.
 
     Returns:
         The cheapest plan that meets the deadline; if there is none, the plan with the
         earliest first event; None if there is no decode engine.
     """
+    transfer = find_transfer(candidates, prompt, context)
+    return choose_plan_with(candidates, prompt, context, transfer)
+
+
+def choose_plan_with(
+    candidates: list[Pair],
+    prompt: Prompt,
+    context: PlanningContext,
+    transfer: CacheTransfer | None,
+) -> RequestPlan | None:
+    """Choose the same where the cache to fetch from, of any engine, is known.
+
+    Args:
+        candidates: The engines that may get work.
+        prompt: The prompt.
+        context: What else the choice depends on.
+        transfer: The cache from which parts may be fetched; see `find_transfer`.
+    """
     decode_pairs = [pair for pair in candidates if not pair[1].prefill_only]
     if not decode_pairs:
         return None
     context = _add_fastest(decode_pairs, context)
-    sources = candidates if cache_sources is None else cache_sources
-    transfer = _find_transfer(sources, prompt, context)
     if context.is_long:
         return _choose_long_plan(candidates, decode_pairs, prompt, context, transfer)
     return _choose_short_plan(candidates, decode_pairs, prompt, context, transfer)
 
 
+def find_transfer(
+    candidates: list[Pair], prompt: Prompt, context: PlanningContext
+) -> CacheTransfer | None:
+    """Find the cache from which parts of a prompt may be fetched; None for none.
+
+    Args:
+        candidates: The engines whose caches are looked at.
+        prompt: The prompt.
+        context: What else it depends on.
+    """
+    if not candidates or not context.policy.fetches_parts:
+        return None
+    if context.token_transfer_s is None:
+        return None
+    return find_cache_transfer(
+        candidates, prompt, context.token_transfer_s, context.now
+    )
+
+
 def plan_each(
     candidates: list[Pair],
     prompt: Prompt,
@@ -114,7 +144,7 @@
     decode_pairs = [pair for pair in candidates if not pair[1].prefill_only]
     context = _add_fastest(decode_pairs, context)
     context = replace(context, slot_wait_s=chosen.slot_wait_s)
-    transfer = _find_transfer(candidates, prompt, context)
+    transfer = find_transfer(candidates, prompt, context)
     host = next(pair for pair in decode_pairs if pair[0] is chosen.target)
     is_late = chosen.level == LATE_LEVEL
     return [
@@ -271,16 +301,6 @@
     )
 
 
-def _find_transfer(
-    candidates: list[Pair], prompt: Prompt, context: PlanningContext
-) -> CacheTransfer | None:
-    if context.token_transfer_s is None or not context.policy.fetches_parts:
-        return None
-    return find_cache_transfer(
-        candidates, prompt, context.token_transfer_s, context.now
-    )
-
-
 def _list_plans(
     prefill_candidates: list[Pair],
     decode_pairs: list[Pair],
--- a/src/robinspindle/core/rebalancing.py
+++ b/src/robinspindle/core/rebalancing.py
@@ -12,10 +12,7 @@
 
 from robinspindle.core import versionroles
 from robinspindle.core.engines import Engine
-from robinspindle.core.targets import Target
-from robinspindle.core.versionroles import DECODE_ROLE
-
-PREFILL_ROLE = "prefill"
+from robinspindle.core.targets import DECODE_ROLE, PREFILL_ROLE, Target
 
 DEMAND_WINDOW_S = 3.0
 """Time constant of the average of the prefill demand, seconds. It is about the length
--- a/src/robinspindle/core/roomclaims.py
+++ b/src/robinspindle/core/roomclaims.py
@@ -19,17 +19,11 @@
     KEPT = "kept"
     """A prompt that was read there for another engine and is not fetched yet."""
 
-    MOVING_IN = "moving-in"
-    """A copy of a running request's memory that comes from another engine."""
-
-    MOVING_OUT = "moving-out"
-    """Memory of a request that stopped there, until it is fetched or freed."""
-
 
 USES_WITHOUT_ANSWER = frozenset((Use.READ, Use.KEPT))
 """Uses that take memory for a prompt only."""
 
-USES_WITH_SLOT = frozenset((Use.PROMISED, Use.MOVING_IN))
+USES_WITH_SLOT = frozenset((Use.PROMISED,))
 """Uses that take a slot which is not among the requests in flight."""
 
 
--- a/src/robinspindle/core/streamversions.py
+++ b/src/robinspindle/core/streamversions.py
@@ -15,10 +15,7 @@
 from robinspindle.core.lifetimes import find_id, find_start_ms, is_later
 from robinspindle.core.routes import STREAM, Route
 from robinspindle.core.streamorigins import StreamKey, StreamOrigin, make_stream_key
-from robinspindle.core.targets import Directory, list_lifetimes
-
-PREFILL = "prefill"
-"""The role of engines that generate no events."""
+from robinspindle.core.targets import PREFILL_ROLE, Directory, list_lifetimes
 
 CLOCK_MARGIN_MS = 2000
 """By how much the clocks of a gateway and of a target may differ, milliseconds: eight
@@ -92,13 +89,15 @@
 
 
 def list_barred(directory: Directory, stream: StreamBinding) -> set[str]:
-    """List the lifetimes whose events may not follow those of a bound stream."""
+    """List the lifetimes whose events may not follow those of a stream."""
+    if is_unbound(stream):
+        return set()
     if find_obstacle(directory, stream):
         return set(directory.targets)
     return {
         lifetime
         for lifetime, target in directory.targets.items()
-        if target.announced.role == PREFILL
+        if target.announced.role == PREFILL_ROLE
         or target.announced.software_version != stream.origin.software_version
     }
 
@@ -108,7 +107,7 @@
     return {
         lifetime
         for lifetime, target in directory.targets.items()
-        if target.announced.role != PREFILL
+        if target.announced.role != PREFILL_ROLE
     }
 
 
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -13,6 +13,11 @@
 from robinspindle.core.silence import Liveness
 from robinspindle.core.statements import Statements
 
+PREFILL_ROLE = "prefill"
+DECODE_ROLE = "decode"
+"""Roles of engines: those that only prefill, and those that generate; targets of plain
+services have none."""
+
 REAPPEARANCE_S = 2.0
 """Time after the store recovers within which expired entries may reappear, seconds; the
 platform guarantees it."""
--- a/src/robinspindle/core/versionroles.py
+++ b/src/robinspindle/core/versionroles.py
@@ -11,9 +11,7 @@
 
 from robinspindle.core import health
 from robinspindle.core.estimates import Pair
-from robinspindle.core.targets import Directory, Target
-
-DECODE_ROLE = "decode"
+from robinspindle.core.targets import DECODE_ROLE, Directory, Target
 
 MIN_ENGINES = 2
 """Minimum number of a version's engines of which one has to generate."""
--- a/src/robinspindle/core/zoneplacement.py
+++ b/src/robinspindle/core/zoneplacement.py
@@ -18,6 +18,8 @@
     DEADLINE_SHARE,
     TIMEOUT_SHARE,
     choose_plan,
+    choose_plan_with,
+    find_transfer,
 )
 from robinspindle.core.priorities import LATE_LEVEL
 from robinspindle.core.requestplans import PlanningContext, RequestPlan
@@ -84,12 +86,13 @@
     home = [pair for pair in candidates if pair[0].announced.zone == context.zone]
     if _lacks_role(home, candidates):
         return _choose_anywhere(candidates, prompt, context)
-    home_plan = choose_plan(home, prompt, context, cache_sources=candidates)
+    transfer = find_transfer(candidates, prompt, context)
+    home_plan = choose_plan_with(home, prompt, context, transfer)
     taking = [pair for pair in candidates if _takes(pair, context, view.terms)]
     if home_plan is None or len(taking) == len(home):
         note_wanted(view.share, context.now, 0.0)
         return home_plan
-    plan = choose_plan(taking, prompt, context, cache_sources=candidates)
+    plan = choose_plan_with(taking, prompt, context, transfer)
     zones = list_zones_left(plan, context.zone)
     if not zones:
         note_wanted(view.share, context.now, 0.0)
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -51,7 +51,6 @@
     send_if_awaited,
     take_turn,
 )
-from robinspindle.zonetraffic import TrafficCause
 
 BAD_REQUEST = 400
 """No other target would run a request that one calls bad."""
@@ -287,15 +286,9 @@
         reader = plan.prefill_target if sending.source is not None else None
         if reader is None:
             return
-        size = passage.request.prompt.tokens * means.fleet.find_token_bytes(
-            passage.service
-        )
-        means.traffic.note_between(
-            TrafficCause.MEMORY,
-            reader.announced.zone,
-            sending.target.announced.zone,
-            round(size),
-        )
+        token_bytes = means.fleet.find_token_bytes(passage.service)
+        tokens = passage.request.prompt.tokens
+        means.traffic.note_memory(reader, sending.target, tokens, token_bytes)
 
     def _count_begun(self, passage: Passage, sent_at: float) -> None:
         """Count a request that began to run, for the workspace whose key it carries.
--- a/src/robinspindle/finalanswers.py
+++ b/src/robinspindle/finalanswers.py
@@ -64,9 +64,9 @@
         if reason == forwarding.TOO_LARGE.reason:
             return forwarding.TOO_LARGE
         now = self._means.clock()
-        rest_s = self._means.fleet.find_next_send_s(
-            passage.service, now, self._list_barred(passage)
-        )
+        fleet = self._means.fleet
+        barred = streamversions.list_barred(fleet.directory, passage.stream)
+        rest_s = fleet.find_next_send_s(passage.service, now, barred)
         retry_s = self._find_retry_s(passage, rest_s, now)
         # While all rest, no caller of a stream is served by coming sooner.
         end = passage.due if rest_s else passage.given_up_at
@@ -87,13 +87,6 @@
         late_s = max(0.0, passage.plan.first_event_s - (passage.first_due - now))
         return retry_s + max(0.0, late_s - rest_s, passage.plan.slot_wait_s - rest_s)
 
-    def _list_barred(self, passage: Passage) -> set[str]:
-        """List the lifetimes that may not go on with a bound stream."""
-        if streamversions.is_unbound(passage.stream):
-            return set()
-        directory = self._means.fleet.directory
-        return streamversions.list_barred(directory, passage.stream)
-
     def _may_pass_fault(self, passage: Passage) -> bool:
         # A 503 whose target does not say that it did not run would be a promise.
         head, _ = passage.fault
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -22,7 +22,7 @@
 )
 from robinspindle.core.prefillmodel import PrefillModel
 from robinspindle.core.routes import EngineSpec, RouteTable
-from robinspindle.core.targets import Directory, Target
+from robinspindle.core.targets import PREFILL_ROLE, Directory, Target
 from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.core.versionhistory import VersionHistory, note_listed
 from robinspindle.gatewaysettings import HostPort
@@ -30,9 +30,6 @@
 from robinspindle.targetlimits import TargetLimits
 from robinspindle.zonetraffic import Meter
 
-READING = "prefill"
-"""The role of engines that only read prompts."""
-
 GATEWAYS = 8
 """Gateways among which a target's connections are divided until they are known."""
 
@@ -146,7 +143,7 @@
         """
         found = health.list_usable(self.directory, service, now, barred)
         found += health.list_resting(self.directory, service, now, barred)
-        running = [t for t in found if t.announced.role != READING]
+        running = [t for t in found if t.announced.role != PREFILL_ROLE]
         return self.limits.find_shortest_wait(running, now)
 
     def find_engine(self, target: Target) -> Engine | None:
@@ -154,7 +151,7 @@
         announced = target.announced
         if not announced.role:
             return None
-        prefill_only = announced.role == READING
+        prefill_only = announced.role == PREFILL_ROLE
         engine = self._engines.get(announced.lifetime)
         if engine is None:
             engine = make_engine(
@@ -374,9 +371,8 @@
         announced = target.announced
         pool = self._pools.get(announced.lifetime)
         if pool is None:
-            host, _, port = announced.address.rpartition(":")
             pool = ConnectionPool(
-                HostPort(host, int(port)),
+                _read_address(target),
                 self._decode_head,
                 self._make_traffic(target),
                 self._make_meter(target),
@@ -384,6 +380,13 @@
             self._pools[announced.lifetime] = pool
         return pool
 
+    def make_bare_pool(self, target: Target) -> ConnectionPool:
+        """Make connections for calls about what a leaving target still has.
+
+        Its other connections take nothing any more.
+        """
+        return ConnectionPool(_read_address(target), self._decode_head)
+
     def forget(self, target: Target, now: float) -> None:
         """Drop what is kept for a target that is gone."""
         note_listed(self.versions, target.announced, now)
@@ -435,6 +438,11 @@
         return known.engine if known else None
 
 
+def _read_address(target: Target) -> HostPort:
+    host, _, port = target.announced.address.rpartition(":")
+    return HostPort(host, int(port))
+
+
 def _is_news(target: Target, engine: Engine, now: float) -> bool:
     """Whether peers can use what this gateway knows of an engine."""
     if target.in_flight or any(engine.own_backlog_s) or engine.room.claims:
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -169,11 +169,10 @@
         )
         self.left_out = self._gauge("log_lines_left_out", "Log lines left out so far")
         self.busy = self._gauge("in_flight", "Callers' requests under way")
-        self.target_slowness = Gauge(
-            "robinspindle_target_slowness",
+        self.target_slowness = self._gauge(
+            "target_slowness",
             "Time of a target's work relative to its service's, as believed",
-            ["target"],
-            registry=self.registry,
+            "target",
         )
         self.held_bytes = self._gauge(
             "held_bytes", "Bytes of answers held for callers that read slowly"
--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -15,7 +15,6 @@
 from dataclasses import dataclass
 
 from robinspindle.calls import CallLimits, call_once
-from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import decodeplacement, moves, retrywindows, streamversions
 from robinspindle.core.decodeplacement import count_requests
 from robinspindle.core.forwarding import CacheSource
@@ -23,12 +22,16 @@
 from robinspindle.core.targets import Target, is_leaving
 from robinspindle.ends import End
 from robinspindle.exceptions import BadDocumentError
-from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import ConnectionBrokenError, Exchange
-from robinspindle.passages import Continuation, Means, Passage, Stop
+from robinspindle.passages import (
+    Continuation,
+    Means,
+    Passage,
+    Stop,
+    list_continuing,
+)
 from robinspindle.passing import Answer
-from robinspindle.sending import CONNECT_TIMEOUT_S
-from robinspindle.zonetraffic import TrafficCause
+from robinspindle.sending import CONNECT_TIMEOUT_S, free_handle
 
 COPY_LIMITS = CallLimits(CONNECT_TIMEOUT_S, 3.0, CONNECT_TIMEOUT_S)
 """How long a first copy is waited for; its run goes on meanwhile. Engines begin no
@@ -37,8 +40,6 @@
 STOP_LIMITS = CallLimits(CONNECT_TIMEOUT_S, 0.5, CONNECT_TIMEOUT_S)
 """How long the rest is waited for, while the caller gets nothing."""
 
-RELEASE_LIMITS = CallLimits(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S)
-
 MOVED = 200
 NO_ROOM = 503
 
@@ -231,12 +232,8 @@
     def _count_moved(self, run: _Run, destination: Target) -> None:
         """Count the first copy; what the last step adds to it is little."""
         token_bytes = self._means.fleet.find_token_bytes(run.passage.service)
-        self._means.traffic.note_between(
-            TrafficCause.MEMORY,
-            run.target.announced.zone,
-            destination.announced.zone,
-            round(self._describe(run).tokens * token_bytes),
-        )
+        tokens = self._describe(run).tokens
+        self._means.traffic.note_memory(run.target, destination, tokens, token_bytes)
 
     def _may_stop(self, run: _Run) -> bool:
         """Whether a run that was copied may be stopped; takes a repeat for it."""
@@ -277,7 +274,7 @@
         handle = answer.handle or copied.handle
         source = CacheSource(run.target.announced.address, handle)
         there = Continuation(destination, source, is_paid=True)
-        pool = self._make_pool(run.target)
+        pool = self._means.fleet.make_bare_pool(run.target)
         here = Continuation(run.target, source, is_paid=True, pool=pool)
         if answer.status == NO_ROOM and answer.handle:
             return [here]
@@ -288,11 +285,7 @@
     def _choose_destination(self, run: _Run, now: float) -> Target | None:
         """Choose the engine that goes on with a run; each takes one move at a time."""
         means, passage = self._means, run.passage
-        barred = streamversions.list_barred(means.fleet.directory, passage.stream)
-        left_out = passage.tried | means.guard.list_avoided(passage.named) | barred
-        usable = means.fleet.list_usable(
-            passage.service, now, left_out | self._destinations
-        )
+        usable = list_continuing(means, passage, now, self._destinations)
         pairs = [(target, means.fleet.find_engine(target)) for target in usable]
         with_slot = [
             pair
@@ -318,7 +311,7 @@
         )
         target.in_flight += 1
         try:
-            pool = self._make_pool(target)
+            pool = means.fleet.make_bare_pool(target)
             head, body = await call_once(pool, means.clock, data, limits)
             pool.close()
             return _MoveAnswer(head.status, means.dialect.decode_move_answer(body))
@@ -330,16 +323,6 @@
         finally:
             target.in_flight -= 1
 
-    def _make_pool(self, target: Target) -> ConnectionPool:
-        """Make connections for calls about runs that a leaving engine still has.
-
-        Its other connections take nothing any more.
-        """
-        host, _, port = target.announced.address.rpartition(":")
-        return ConnectionPool(
-            HostPort(host, int(port)), self._means.dialect.decode_answer
-        )
-
     def _free_unused(self, run: _Run) -> None:
         """Free the copy of an answer that came whole though a stop was asked for."""
         stop = run.passage.stop
@@ -357,13 +340,9 @@
         task.add_done_callback(self._releases.discard)
 
     async def _free(self, target: Target, source: CacheSource) -> None:
-        data = self._means.dialect.encode_release(source)
-        pool = self._make_pool(target)
+        pool = self._means.fleet.make_bare_pool(target)
         try:
-            await call_once(pool, self._means.clock, data, RELEASE_LIMITS)
-        except (ConnectionBrokenError, TimeoutError) as error:
-            # It lapses by itself a few seconds later.
-            self._means.log("handle not freed", error=str(error))
+            await free_handle(self._means, pool, source)
         finally:
             pool.close()
 
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from robinspindle.connectionpool import ConnectionPool
-from robinspindle.core import forwarding
+from robinspindle.core import forwarding, streamversions
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.copies import AnswerCopy
 from robinspindle.core.events import EventSplitter
@@ -324,6 +325,24 @@
     zone_terms: Callable[[], ZoneTerms] = ZoneTerms
 
 
+def list_continuing(
+    means: Means, passage: Passage, now: float, left_out: AbstractSet[str] = frozenset()
+) -> list[Target]:
+    """List the targets that may go on with an answer which another one began.
+
+    Args:
+        means: What the relay has.
+        passage: The request.
+        now: The present time, steady seconds.
+        left_out: Lifetimes to leave out besides.
+    """
+    barred = streamversions.list_barred(means.fleet.directory, passage.stream)
+    avoided = means.guard.list_avoided(passage.named)
+    return means.fleet.list_usable(
+        passage.service, now, passage.tried | avoided | barred | left_out
+    )
+
+
 def is_stopped(passage: Passage, target: Target) -> bool:
     """Tell whether a target was asked to stop the run of a request, to move it."""
     return passage.stop is not None and passage.stop.source is target
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -7,7 +7,7 @@
 from robinspindle.core import health, heldbytes, silence
 from robinspindle.core.answerstats import MIN_TIMED_EVENTS
 from robinspindle.core.engines import Engine
-from robinspindle.core.events import is_endless, take_events
+from robinspindle.core.events import note_incomplete, take_events
 from robinspindle.core.forwarding import AnswerHead
 from robinspindle.core.interference import (
     find_allowed_pause,
@@ -137,15 +137,6 @@
     Raises:
         ConnectionBrokenError: When the stream breaks off.
     """
-    await _pass_noting_pauses(means, passage, answer)
-
-
-def _make_flow(means: Means, passage: Passage, answer: Answer) -> AnswerFlow:
-    lifetime = answer.target.announced.lifetime
-    return AnswerFlow(means, passage, lifetime, answer.connection, answer.expected)
-
-
-async def _pass_noting_pauses(means: Means, passage: Passage, answer: Answer) -> None:
     prompt = passage.request.prompt
     engine = means.fleet.find_engine(answer.target)
     if prompt is None or engine is None or not _has_pauses(means, passage):
@@ -158,6 +149,11 @@
         note_answer_ended(engine)
 
 
+def _make_flow(means: Means, passage: Passage, answer: Answer) -> AnswerFlow:
+    lifetime = answer.target.announced.lifetime
+    return AnswerFlow(means, passage, lifetime, answer.connection, answer.expected)
+
+
 def _has_pauses(means: Means, passage: Passage) -> bool:
     """Whether an answer is expected to hold enough events to pause."""
     return passage.is_long or means.lengths.is_pause_sensitive(passage.route.name)
@@ -261,7 +257,7 @@
         expected.since = now
         events = take_events(splitter, chunk)
         if not events:
-            if is_endless(splitter, waited_s):
+            if note_incomplete(splitter, waited_s):
                 raise ConnectionBrokenError("an event without end")
             continue
         note(now - last_at, now)
--- a/src/robinspindle/previews.py
+++ b/src/robinspindle/previews.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from dataclasses import replace
 
 import msgspec
 
@@ -220,9 +219,8 @@
     row.slot_wait_ms = _to_ms(decodeplacement.estimate_slot_wait_s(pair))
     if context.tokens is not None:
         row.memory_wait_ms = _to_ms(estimate_memory_wait_s(pair, context.tokens))
-    way = replace(target, faults=0.0)
     row.zone_ms = _to_ms(
-        decodeplacement.estimate_target_cost_s(way, context.zone, context.crossing)
+        decodeplacement.estimate_zone_cost_s(target, context.zone, context.crossing)
     )
     row.crossing_ms = _to_ms(estimate_host_move_cost_s(None, target, context))
     if plan is not None:
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from robinspindle.calls import MOST_ANSWER_BYTES, CallLimits, call_once
+from robinspindle.calls import MOST_ANSWER_BYTES
 from robinspindle.core import health
 from robinspindle.core.forwarding import AnswerHead, CacheSource
 from robinspindle.core.requestplans import RequestPlan
@@ -20,11 +20,11 @@
 from robinspindle.relaylogs import RelayLog
 from robinspindle.roomkeeping import claim_room
 from robinspindle.sending import (
-    CONNECT_TIMEOUT_S,
     Sending,
     borrow_connection,
     crashes_targets,
     expect,
+    free_handle,
     make_send,
     make_stop,
     note_broken,
@@ -39,10 +39,6 @@
 READ = 200
 """The one status that says that a prompt was read."""
 
-RELEASE_LIMITS = CallLimits(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S)
-"""How long the answer to a release is waited for: as short as for a connection, as what
-is not freed lapses by itself."""
-
 
 class ReadingApart:
     """Has prompts read apart, and frees those that are not fetched."""
@@ -152,10 +148,4 @@
         self._log.log_broken(passage, reader, text)
 
     async def _free(self, reader: Target, source: CacheSource) -> None:
-        try:
-            pool = self._means.fleet.find_pool(reader)
-            data = self._means.dialect.encode_release(source)
-            await call_once(pool, self._means.clock, data, RELEASE_LIMITS)
-        except (ConnectionBrokenError, TimeoutError) as error:
-            # It lapses by itself a few seconds later.
-            self._means.log("handle not freed", error=str(error))
+        await free_handle(self._means, self._means.fleet.find_pool(reader), source)
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -16,7 +16,6 @@
 from robinspindle.core.targets import Target
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import Peers
-from robinspindle.zonetraffic import TrafficCause
 
 ALONE_S = 0.001
 """With less work than this before it an engine begins a reading at once, seconds: less
@@ -138,10 +137,7 @@
         """Count what a target fetches from a cache in another availability zone."""
         if plan.cache_source is None:
             return
-        means = self._means
-        means.traffic.note_between(
-            TrafficCause.MEMORY,
-            plan.cache_source.announced.zone,
-            target.announced.zone,
-            round(plan.fetched_tokens * means.fleet.find_token_bytes(passage.service)),
+        token_bytes = self._means.fleet.find_token_bytes(passage.service)
+        self._means.traffic.note_memory(
+            plan.cache_source, target, plan.fetched_tokens, token_bytes
         )
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 
+from robinspindle.calls import CallLimits, call_once
 from robinspindle.connectionpool import ConnectionPool, borrow
 from robinspindle.core import health, permits
 from robinspindle.core.forwarding import AnswerHead, CacheSource, Send
@@ -28,6 +29,11 @@
 """The least urgent that a target is told of; a route's priority may lie beyond it."""
 
 
+RELEASE_LIMITS = CallLimits(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S)
+"""How long the answer to a release is waited for: as short as for a connection, as what
+is not freed lapses by itself."""
+
+
 def do_nothing() -> None:
     """Stand for a call that nobody waits for."""
 
@@ -153,6 +159,22 @@
         raise NotSentError(obstacle)
 
 
+async def free_handle(means: Means, pool: ConnectionPool, source: CacheSource) -> None:
+    """Free a KV cache that an engine keeps and nobody will fetch.
+
+    Args:
+        means: What the relay has.
+        pool: Connections to the engine.
+        source: The KV cache.
+    """
+    data = means.dialect.encode_release(source)
+    try:
+        await call_once(pool, means.clock, data, RELEASE_LIMITS)
+    except (ConnectionBrokenError, TimeoutError) as error:
+        # It lapses by itself a few seconds later.
+        means.log("handle not freed", error=str(error))
+
+
 def is_barred(means: Means, passage: Passage) -> bool:
     """Whether the key of a request was taken away while it waited; it is not sent."""
     return permits.is_revoked(means.fleet.table, passage.permit)
--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -10,12 +10,16 @@
 from robinspindle.core.routes import Route
 from robinspindle.core.streamorigins import StreamOrigin
 from robinspindle.core.streamversions import (
-    PREFILL,
     StreamBinding,
     make_binding,
     may_serve,
 )
-from robinspindle.core.targets import Announcement, Directory, Target
+from robinspindle.core.targets import (
+    PREFILL_ROLE,
+    Announcement,
+    Directory,
+    Target,
+)
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import list_heard
 
@@ -94,7 +98,7 @@
     """Log whose stream a request takes up, how that was found out, and who is left."""
     origin, now = found.origin, means.clock()
     fitting = _list_fitting(means.fleet.directory, origin) if origin else []
-    generating = [t for t in fitting if t.announced.role != PREFILL]
+    generating = [t for t in fitting if t.announced.role != PREFILL_ROLE]
     means.log(
         "stream taken up",
         routine=origin is not None,
--- a/src/robinspindle/versionkeeping.py
+++ b/src/robinspindle/versionkeeping.py
@@ -7,8 +7,8 @@
 import contextlib
 from collections.abc import Callable, Iterable
 
-from robinspindle.core import streamversions, versionrecords
-from robinspindle.core.targets import Announcement
+from robinspindle.core import versionrecords
+from robinspindle.core.targets import PREFILL_ROLE, Announcement
 from robinspindle.core.versionhistory import list_recent_versions
 from robinspindle.core.versionrecords import (
     ServiceVersion,
@@ -49,7 +49,7 @@
 
 
 class VersionKeeper:
-    """Reads the records of versions, and writes those that the store lacks.
+    """Reads the records of versions, and knows by them where streams may begin.
 
     Attributes:
         records: The records that are known.
@@ -155,7 +155,7 @@
             target.announced
             for target in self._fleet.directory.targets.values()
             if target.announced.service in services
-            and target.announced.role != streamversions.PREFILL
+            and target.announced.role != PREFILL_ROLE
         ]
         return bool(generating) and not any(map(self.may_begin, generating))
 
--- a/src/robinspindle/zonechoices.py
+++ b/src/robinspindle/zonechoices.py
@@ -73,13 +73,18 @@
         forked._counted_at = self._counted_at
         return forked
 
+    def weighs(self, now: float) -> bool:
+        """Tell whether zones are weighed: one with too few engines weighs nothing."""
+        if not self._means.policy().weighs_zones:
+            return False
+        return self._count_engines(now) >= self._means.zone_terms().least_engines
+
     def find_policy(self, now: float) -> Policy:
-        """Find the policy in force: a zone with too few engines weighs nothing."""
+        """Find the policy in force."""
         policy = self._means.policy()
-        if not policy.weighs_zones:
+        if policy.weighs_zones == self.weighs(now):
             return policy
-        is_large = self._count_engines(now) >= self._means.zone_terms().least_engines
-        return replace(policy, weighs_zones=is_large)
+        return replace(policy, weighs_zones=False)
 
     def _count_engines(self, now: float) -> int:
         """Count the engines of the own zone, the most of the last seconds."""
@@ -94,7 +99,7 @@
         """Find what another zone costs the parts of a request."""
         means, service = self._means, passage.service
         prompt = passage.request.prompt
-        if prompt is None or not self.find_policy(now).weighs_zones:
+        if prompt is None or not self.weighs(now):
             return CONSTANT_COSTS
         return find_crossing_costs(
             means.zone_terms(),
--- a/src/robinspindle/zonetraffic.py
+++ b/src/robinspindle/zonetraffic.py
@@ -63,6 +63,13 @@
         if source != destination:
             self.counts[cause] += size
 
+    def note_memory(
+        self, source: Target, destination: Target, tokens: int, token_bytes: float
+    ) -> None:
+        """Count the KV cache of some tokens that moves from one target to another."""
+        zones = source.announced.zone, destination.announced.zone
+        self.note_between(TrafficCause.MEMORY, *zones, round(tokens * token_bytes))
+
     def make_meter(self, target: Target) -> Meter | None:
         """Make what counts the bytes to and from a target; None in the own zone."""
         zone = target.announced.zone
--- a/tests/core/test_zoneplacement.py
+++ b/tests/core/test_zoneplacement.py
@@ -8,7 +8,7 @@
 from robinspindle.core.engines import note_placed
 from robinspindle.core.forwarding import Part, Prompt
 from robinspindle.core.policy import Policy
-from robinspindle.core.prefillplacement import choose_plan
+from robinspindle.core.prefillplacement import choose_plan_with, find_transfer
 from robinspindle.core.requestplans import PlanningContext, plan_continuation
 from robinspindle.core.zonecosts import ZoneTerms, find_crossing_costs
 from robinspindle.core.zoneplacement import (
@@ -186,7 +186,8 @@
     view = make_view({"b": age_s, "c": age_s}, seed=seed)
     plan = choose_plan_by_zone(pairs, PROMPT, context, view)
     home = [pair for pair in pairs if pair[0].announced.zone == "a"]
-    stays = choose_plan(home, PROMPT, context, cache_sources=pairs)
+    transfer = find_transfer(pairs, PROMPT, context)
+    stays = choose_plan_with(home, PROMPT, context, transfer)
     if not list_zones_left(plan, "a"):
         assert plan == stays
     else:
--- a/tests/test_finalanswers.py
+++ b/tests/test_finalanswers.py
@@ -3,6 +3,7 @@
 
 from robinspindle.core.permits import OPEN
 from robinspindle.core.streamversions import StreamBinding
+from robinspindle.core.targets import Directory
 from robinspindle.finalanswers import RETRY_BASE_S, FinalAnswers
 
 REST_S = 8.0
@@ -12,7 +13,10 @@
 def refuse(rest_s, due, first_due=2.0):
     """Refuse requests; returns when their callers are told to come again."""
     refusals = []
-    fleet = SimpleNamespace(find_next_send_s=lambda service, now, barred: rest_s)
+    fleet = SimpleNamespace(
+        directory=Directory(),
+        find_next_send_s=lambda service, now, barred: rest_s,
+    )
     means = SimpleNamespace(clock=lambda: 0.0, fleet=fleet)
     log = SimpleNamespace(log_end=lambda *told: None)
     final = FinalAnswers(means, log, random.Random(1))
