--- a/soak/selfreporting.py
+++ b/soak/selfreporting.py
@@ -5,7 +5,6 @@
 
 from soak.replicas import SoakReplica
 from soak.world import World
-from standins.rawhttp import LOOPBACK
 from standins.replica import Refusal
 
 LATE_S = (0.0, 3.0)
@@ -111,7 +110,7 @@
 async def restart_and_recall(world: World) -> None:
     """The same, and have the entry of its earlier life come again for a while."""
     id = world.rng.choice(list(world.replicas))
-    older = _describe(world, world.replicas[id])
+    older = world.describe(world.replicas[id])
     await world.restart_replica(id, world.rng.uniform(*AWAY_S))
     await world.store.put("keyed.servers", id, older)
     await asyncio.sleep(world.rng.uniform(*OLD_S))
@@ -121,7 +120,7 @@
 async def announce_ready(world: World) -> None:
     """Have late entries say of replicas that they are ready, also of leaving ones."""
     for id, replica in list(world.replicas.items()):
-        await world.store.put("keyed.servers", id, _describe(world, replica))
+        await world.store.put("keyed.servers", id, world.describe(replica))
     await asyncio.sleep(world.rng.uniform(*OLD_S))
     for id in list(world.replicas):
         await _announce_again(world, id)
@@ -175,13 +174,6 @@
         replica.refusal = None
 
 
-def _describe(world: World, replica: SoakReplica) -> dict:
-    """Write the entry that it had when it was ready."""
-    entry = replica.describe()
-    port = world.replica_proxies[replica.lifetime].port
-    return entry | {"Address": f"{LOOPBACK}:{port}"}
-
-
 async def _announce_again(world: World, id: str) -> None:
     replica = world.replicas.get(id)
     if replica is not None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -130,11 +130,14 @@
 
     async def announce(self, replica: SoakReplica, state: str = "ready") -> None:
         """Write a replica's entry, with its proxy's address."""
-        entry = replica.describe(state)
-        port = self.replica_proxies[replica.lifetime].port
-        entry["Address"] = f"{LOOPBACK}:{port}"
+        entry = self.describe(replica, state)
         await self.store.put("keyed.servers", replica.lifetime, entry)
 
+    def describe(self, replica: SoakReplica, state: str = "ready") -> dict:
+        """Make a replica's entry, with its proxy's address."""
+        port = self.replica_proxies[replica.lifetime].port
+        return replica.describe(state) | {"Address": f"{LOOPBACK}:{port}"}
+
     async def slow_links(self, bytes_per_s: int) -> None:
         """Have what callers send to gateways come over slow links."""
         for gateway in self.gateways:
--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -72,9 +72,9 @@
     return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
 
 
-def check_whole(reply):
+def check_whole(reply, events=EVENTS):
     assert reply.is_whole
-    assert list_events(reply) == list(range(1, EVENTS + 1))
+    assert list_events(reply) == list(range(1, events + 1))
 
 
 def check_broken(reply):
--- a/tests/platform/test_moves.py
+++ b/tests/platform/test_moves.py
@@ -8,14 +8,15 @@
 from robinspindle.core import moves
 from robinspindle.core.policy import Policy
 from robinspindle.zonetraffic import TrafficCause
+from tests.platform import test_copies
 from tests.platform.deployment import run, until
 from tests.platform.test_copies import (
     ENGINE,
     PROMPT_TOKENS,
     ROUTES,
+    check_broken,
     count_runs,
     deploy_engines,
-    list_events,
 )
 
 EVENTS = 40
@@ -67,14 +68,7 @@
 
 
 def check_whole(reply):
-    assert reply.is_whole
-    assert list_events(reply) == list(range(1, EVENTS + 1))
-
-
-def check_broken(reply):
-    events = list_events(reply)
-    assert not reply.is_whole
-    assert events == list(range(1, len(events) + 1))
+    test_copies.check_whole(reply, EVENTS)
 
 
 def list_others(engines, source):
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -139,6 +139,23 @@
         self.follower.offset = len(self._store.records)
 
 
+def start(uses, lists=True):
+    """Make a gateway that has read the records of versions, and its store.
+
+    Args:
+        uses: What the store holds, by version.
+        lists: Whether a target of the first version is listed.
+    """
+    store = KeyedStore()
+    for version, use in uses.items():
+        store.put(version, use)
+    gateway = Gateway(store)
+    if lists:
+        gateway.announce("i1")
+    gateway.read()
+    return store, gateway
+
+
 def list_uses(store):
     """List whether streams begin at the versions that have records."""
     return {
@@ -178,11 +195,7 @@
 
 def test_a_version_whose_record_can_t_be_read_may_have_begun_streams():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1)
-        gateway = Gateway(store)
-        gateway.announce("i1")
-        gateway.read()
+        store, gateway = start({V1: Use.BEGINS})
         store.records.append(KeyedRecord(make_key(V2), b'{"use":"paused","era":1}'))
         assert await find_sole(gateway) is None
         gateway.read()
@@ -232,11 +245,7 @@
 
 def test_no_version_is_sole_by_a_read_during_which_the_store_was_restored():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1)
-        gateway = Gateway(store)
-        gateway.announce("i1")
-        gateway.read()
+        store, gateway = start({V1: Use.BEGINS})
 
         def restore():
             store.restore([])
@@ -252,10 +261,7 @@
 
 def test_no_record_is_dropped_by_an_offset_of_an_earlier_era():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1, Use.RETIRED)
-        gateway = Gateway(store)
-        gateway.read()
+        store, gateway = start({V1: Use.RETIRED}, lists=False)
         store.restore([])
         store.put(V1, era=2)
         note_new_era(gateway.follower)
@@ -268,12 +274,7 @@
 
 def test_a_version_whose_record_a_restore_lost_is_recorded_again_and_not_forgotten():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1)
-        store.put(V2, Use.RETIRED)
-        gateway = Gateway(store)
-        gateway.announce("i1")
-        gateway.read()
+        store, gateway = start({V1: Use.BEGINS, V2: Use.RETIRED})
         store.restore([])
         gateway.keeper.apply(make_key(V1), None)
         gateway.keeper.apply(make_key(V2), None)
@@ -289,12 +290,7 @@
 
 def test_a_record_of_an_earlier_era_is_retired_in_time():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1)
-        store.put(V2)
-        gateway = Gateway(store)
-        gateway.announce("i1")
-        gateway.read()
+        store, gateway = start({V1: Use.BEGINS, V2: Use.BEGINS})
         store.era += 1
         await gateway.writer.write_due(gateway.now)
         gateway.now += 1000.0
@@ -306,10 +302,7 @@
 
 def test_a_record_of_an_earlier_era_is_not_written_before_the_new_ones_were_read():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1, Use.RETIRED)
-        gateway = Gateway(store)
-        gateway.read()
+        store, gateway = start({V1: Use.RETIRED}, lists=False)
         store.restore([])
         store.put(V1, era=2)
         note_new_era(gateway.follower)
@@ -337,10 +330,7 @@
 
 def test_no_record_is_dropped_while_gateways_apart_may_begin_streams_by_it():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1, Use.RETIRED)
-        gateway = Gateway(store)
-        gateway.read()
+        store, gateway = start({V1: Use.RETIRED}, lists=False)
         kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
         await look_after(gateway, 3 * kept_s, hears_all=False)
         assert list_uses(store) == {V1: Use.RETIRED}
@@ -354,10 +344,7 @@
 
 def test_a_record_that_was_retired_anew_unseen_stays_for_as_long_as_a_new_one():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1, Use.RETIRED)
-        gateway = Gateway(store)
-        gateway.read()
+        store, gateway = start({V1: Use.RETIRED}, lists=False)
         kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
         await look_after(gateway, kept_s - 2.0, hears_all=True)
         # Only the newest record is read; there were others meanwhile.
@@ -375,11 +362,7 @@
 
 def test_no_record_is_dropped_that_says_again_that_streams_begin():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1, Use.RETIRED)
-        store.put(V2, Use.RETIRED)
-        gateway = Gateway(store)
-        gateway.read()
+        store, gateway = start({V1: Use.RETIRED, V2: Use.RETIRED}, lists=False)
         gateway.now += 1000.0
 
         def renew():
@@ -424,10 +407,7 @@
 
 def test_a_record_is_dropped_in_the_end_though_gateways_are_gone_for_good():
     async def scenario():
-        store = KeyedStore()
-        store.put(V1, Use.RETIRED)
-        gateway = Gateway(store)
-        gateway.read()
+        store, gateway = start({V1: Use.RETIRED}, lists=False)
         kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
         await look_after(gateway, kept_s + APART_S + 2.0, hears_all=False)
         assert list_uses(store) == {}
