--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""The independent review: cases and what they share."""
--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the review's scripts."""
