--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -87,6 +87,10 @@
         self._file.write(f"{now() - self._began:8.3f} {text}\n")
         self._file.flush()
 
+    def tell(self, moment: float) -> str:
+        """Tell when something was, by the time since the start."""
+        return f"{moment - self._began:.3f}"
+
 
 def find_ports(count: int, ips: list[str]) -> list[int]:
     """Find ports that are free at all of some addresses, by TCP and by UDP."""
