Split what engines learn of prefills from the fleet; read engine specs whole

Change: EnginePaces holds the learnt models; one method, find_engine_spec, gives the spec, or one that stands for an unknown service. Behaviour is the same.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -73,7 +73,7 @@
         if prompt is None:
             return
         expected = prompt.expected_answer_tokens or prompt.max_answer_tokens
-        event_tokens = self._means.fleet.count_event_tokens(service)
+        event_tokens = self._means.fleet.find_engine_spec(service).event_tokens
         events = expected / event_tokens
         self._means.lengths.note_expected(route.name, service, events)
 
@@ -289,7 +289,7 @@
 
     def _note_demand(self, passage: Passage, plan: RequestPlan, now: float) -> None:
         context = passage.request.prompt.tokens - plan.uncached_tokens
-        pace = self._means.fleet.find_pace(passage.service, prefill_only=True)
+        pace = self._means.fleet.paces.find(passage.service, prefill_only=True)
         seconds = estimate_busy_s(pace, plan.uncached_tokens, context)
         demand = self.demands.setdefault(passage.service, PrefillDemand())
         note_prefill_demand(demand, now, seconds)
@@ -341,7 +341,7 @@
     ) -> prefillplacement.PlanningContext:
         """Add how long events of a long answer may take at its host."""
         prompt, route = passage.request.prompt, passage.route
-        event_tokens = self._means.fleet.count_event_tokens(passage.service)
+        event_tokens = self._means.fleet.find_engine_spec(passage.service).event_tokens
         whole_s = passage.due - at.now
         mean_events = self._means.lengths.events.get(route.name, 0.0)
         return replace(
@@ -370,7 +370,9 @@
             late_handoff_s=self._means.lengths.find_handoff_s(
                 passage.service, now, True
             ),
-            token_transfer_s=self._means.fleet.find_token_transfer_s(passage.service),
+            token_transfer_s=self._means.fleet.find_engine_spec(
+                passage.service
+            ).token_transfer_s,
             age_s=self._means.peers.interval_s,
             rng=self._rng,
             policy=self._zones.find_policy(now),
--- a/src/robinspindle/copying.py
+++ b/src/robinspindle/copying.py
@@ -77,9 +77,8 @@
 
     def _choose(self, passage: Passage, sending: Sending) -> AnswerCopy | None:
         means, prompt = self._means, passage.request.prompt
-        is_offered = means.policy().copies_answers and means.fleet.keeps_copies(
-            passage.service
-        )
+        spec = means.fleet.find_engine_spec(passage.service)
+        is_offered = means.policy().copies_answers and spec.keeps_copies
         may_copy = passage.is_stream and prompt is not None and not sending.is_continued
         if not (is_offered and may_copy):
             return None
@@ -99,7 +98,7 @@
 
     def _decide(self, passage: Passage, source: Target, now: float) -> CopyChoice:
         fleet = self._means.fleet
-        transfer_s = fleet.find_token_transfer_s(passage.service)
+        transfer_s = fleet.find_engine_spec(passage.service).token_transfer_s
         if transfer_s is None:
             return CopyChoice(None, "transfer unknown")
         prompt = passage.request.prompt
@@ -128,7 +127,8 @@
         """Estimate how long an answer runs from its first event, seconds."""
         lengths, prompt = self._means.lengths, passage.request.prompt
         tokens = prompt.expected_answer_tokens or prompt.max_answer_tokens
-        events = tokens / self._means.fleet.count_event_tokens(passage.service)
+        spec = self._means.fleet.find_engine_spec(passage.service)
+        events = tokens / spec.event_tokens
         return events * lengths.find_event_s(passage.service)
 
     def _find_rate(self, service: str) -> LossRate:
@@ -153,8 +153,8 @@
         if not is_lost:
             release()
             return
-        loop = asyncio.get_running_loop()
-        loop.call_later(self._means.fleet.find_kv_retention_s(service), release)
+        spec = self._means.fleet.find_engine_spec(service)
+        asyncio.get_running_loop().call_later(spec.kv_retention_s, release)
 
     def _log_choice(self, passage: Passage, choice: CopyChoice, now: float) -> None:
         """Log whether an answer gets a copy, and what that follows from."""
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -286,7 +286,7 @@
         reader = plan.prefill_target if sending.source is not None else None
         if reader is None:
             return
-        token_bytes = means.fleet.find_token_bytes(passage.service)
+        token_bytes = means.fleet.find_engine_spec(passage.service).token_bytes
         tokens = passage.request.prompt.tokens
         means.traffic.note_memory(reader, sending.target, tokens, token_bytes)
 
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -5,7 +5,6 @@
 from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import (
     health,
-    prefillmodel,
     prefillspeed,
     silence,
     targetspeeds,
@@ -17,14 +16,13 @@
 from robinspindle.core.peerdigests import (
     NEVER_HEARD_MS,
     Cache,
-    PrefillStatistics,
     TargetLoad,
 )
-from robinspindle.core.prefillmodel import PrefillModel
 from robinspindle.core.routes import EngineSpec, RouteTable
 from robinspindle.core.targets import PREFILL_ROLE, Directory, Target
 from robinspindle.core.targetspeeds import SpeedSums
 from robinspindle.core.versionhistory import VersionHistory, note_listed
+from robinspindle.enginepaces import EnginePaces
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.httpclient import DecodeHead, Traffic
 from robinspindle.targetlimits import TargetLimits
@@ -36,8 +34,10 @@
 DEFAULT_CONNECTIONS = 100
 """Connections of a target whose service is not in the configuration yet."""
 
-DEFAULT_CACHE_TOKENS = 100_000
-"""Memory of an engine whose service is not in the configuration yet, tokens."""
+UNKNOWN_ENGINE = EngineSpec(
+    slots=0, cache_tokens=100_000, kv_retention_s=0.0, role_change_s=0.0
+)
+"""Stands for the engines of a service that is not in the configuration yet."""
 
 
 SILENCE_NEWS_S = 0.5
@@ -63,6 +63,7 @@
         gateways: How many gateways share the targets' connections.
         hears_all_gateways: Whether it is known what each of them has under way.
         limits: Keeps sends within the limits that targets name.
+        paces: How fast engines prefill.
         shares_speeds: Whether the gateways learn the engines' speeds together.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
             has started after this gateway.
@@ -90,6 +91,7 @@
         self.gateways = GATEWAYS
         self.hears_all_gateways = False
         self.limits = TargetLimits(directory)
+        self.paces = EnginePaces()
         self.shares_speeds = False
         self.knows_new_caches = False
         self._decode_head = decode_head
@@ -97,7 +99,6 @@
         self._make_meter = make_meter
         self._pools: dict[str, ConnectionPool] = {}
         self._engines: dict[str, Engine] = {}
-        self._paces: dict[tuple[str, bool], PrefillModel] = {}
         self._told_caches: dict[str, list[Part]] = {}
 
     def apply_table(self, table: RouteTable, now: float) -> None:
@@ -108,7 +109,7 @@
             target = self.directory.targets.get(lifetime)
             if target is not None:
                 service = target.announced.service
-                engine.cache_tokens = self._count_cache_tokens(service)
+                engine.cache_tokens = self.find_engine_spec(service).cache_tokens
 
     def list_usable(self, service: str, now: float, tried: set[str]) -> list[Target]:
         """List the targets of a service that may get a request."""
@@ -146,6 +147,11 @@
         running = [t for t in found if t.announced.role != PREFILL_ROLE]
         return self.limits.find_shortest_wait(running, now)
 
+    def find_engine_spec(self, service: str) -> EngineSpec:
+        """Find what the configuration says of a service's engines."""
+        known = self.table.services.get(service) if self.table else None
+        return known and known.engine or UNKNOWN_ENGINE
+
     def find_engine(self, target: Target) -> Engine | None:
         """Find what is believed of a target's engine; None for a plain service."""
         announced = target.announced
@@ -156,8 +162,8 @@
         if engine is None:
             engine = make_engine(
                 prefill_only,
-                self._count_cache_tokens(announced.service),
-                self.find_pace(announced.service, prefill_only),
+                self.find_engine_spec(announced.service).cache_tokens,
+                self.paces.find(announced.service, prefill_only),
             )
             self._engines[announced.lifetime] = engine
             engine.is_cache_known = self.knows_new_caches
@@ -165,34 +171,12 @@
                 note_earlier_cache(engine, self._told_caches.pop(announced.lifetime))
         if engine.prefill_only != prefill_only:
             engine.prefill_only = prefill_only
-            engine.prefill_model = self.find_pace(announced.service, prefill_only)
+            engine.prefill_model = self.paces.find(announced.service, prefill_only)
         return engine
 
-    def find_pace(self, service: str, prefill_only: bool) -> PrefillModel:
-        """Find how fast a service's engines read in a role."""
-        key = (service, prefill_only)
-        if key not in self._paces:
-            self._paces[key] = prefillmodel.make_prefill_model(prefill_only)
-        return self._paces[key]
-
-    def list_learnt(self) -> list[PrefillStatistics]:
-        """List what this gateway has learnt of paces by itself."""
-        return [
-            PrefillStatistics(service, prefill_only, pace.own)
-            for (service, prefill_only), pace in self._paces.items()
-            if pace.own.weight > 0
-        ]
-
-    def note_learnt(self, peer: str, learnt: list[PrefillStatistics]) -> None:
-        """Take note of what a peer has learnt of paces."""
-        for told in learnt:
-            pace = self.find_pace(told.service, told.prefill_only)
-            prefillmodel.note_peer_sums(pace, peer, told.sums)
-
     def forget_learnt(self, peer: str) -> None:
         """Forget what a peer that fell silent has told of paces."""
-        for pace in self._paces.values():
-            prefillmodel.forget_peer_sums(pace, peer)
+        self.paces.forget_peer(peer)
         for engine in self._engines.values():
             targetspeeds.forget_peer(engine.speed, peer)
 
@@ -300,11 +284,6 @@
         """List versions that generate, or soon will, at engines not to be used now."""
         return versionroles.list_covered(self.directory, service, now)
 
-    def find_switch_s(self, service: str) -> float:
-        """Find how long a change of role takes an engine away, seconds."""
-        shape = self._find_shape(service)
-        return shape.role_change_s if shape else 0.0
-
     def leave_silent(self, now: float) -> list[Target]:
         """Let what may go elsewhere leave targets that fell silent; return those."""
         silent = [
@@ -362,8 +341,8 @@
         """Take note that a peer ordered an engine to take a role."""
         target = self.directory.targets.get(lifetime)
         if target is not None and not health.is_switching(target, now):
-            role_change_s = self.find_switch_s(target.announced.service)
-            until = now + role_change_s + health.SWITCH_SLACK_S
+            spec = self.find_engine_spec(target.announced.service)
+            until = now + spec.role_change_s + health.SWITCH_SLACK_S
             health.note_switching(target, role, until)
 
     def find_pool(self, target: Target) -> ConnectionPool:
@@ -395,48 +374,10 @@
         if pool is not None:
             pool.close()
 
-    def count_event_tokens(self, service: str) -> int:
-        """Count the tokens that one event of a service's streams holds."""
-        shape = self._find_shape(service)
-        return shape.event_tokens if shape else 1
-
-    def find_token_transfer_s(self, service: str) -> float | None:
-        """Find how long a token takes from engine to engine, seconds; None: unknown."""
-        shape = self._find_shape(service)
-        return shape.token_transfer_s if shape else None
-
-    def find_token_bytes(self, service: str) -> float:
-        """Find the size of a token's KV cache, bytes; 0 where it is not known."""
-        shape = self._find_shape(service)
-        return shape.token_bytes if shape else 0.0
-
-    def keeps_copies(self, service: str) -> bool:
-        """Tell whether the engines of a service copy their answers as they grow."""
-        shape = self._find_shape(service)
-        return shape is not None and shape.keeps_copies
-
-    def moves_answers(self, service: str) -> bool:
-        """Tell whether the engines of a service move answers to one another."""
-        shape = self._find_shape(service)
-        return shape is not None and shape.moves_answers
-
-    def find_kv_retention_s(self, service: str) -> float:
-        """Find how long an engine keeps a KV cache for others, seconds."""
-        shape = self._find_shape(service)
-        return shape.kv_retention_s if shape else 0.0
-
     def _count_connections(self, service: str) -> int:
         known = self.table.services.get(service) if self.table else None
         return known.connection_limit if known else DEFAULT_CONNECTIONS
 
-    def _count_cache_tokens(self, service: str) -> int:
-        shape = self._find_shape(service)
-        return shape.cache_tokens if shape else DEFAULT_CACHE_TOKENS
-
-    def _find_shape(self, service: str) -> EngineSpec | None:
-        known = self.table.services.get(service) if self.table else None
-        return known.engine if known else None
-
 
 def _read_address(target: Target) -> HostPort:
     host, _, port = target.announced.address.rpartition(":")
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -449,7 +449,7 @@
                 self.relay.placements,
                 self.relay.chooser.list_read_rates(),
                 self.orderer.peek_untold(),
-                self.fleet.list_learnt(),
+                self.fleet.paces.list_learnt(),
                 self.fleet.list_silent(now),
                 self._store_news.list_ends(),
                 self.directory.unavailable_since is not None,
--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -171,9 +171,10 @@
         """Choose the answer that is moved next."""
         means, lifetime = self._means, target.announced.lifetime
         service = target.announced.service
-        transfer_s = means.fleet.find_token_transfer_s(service)
+        spec = means.fleet.find_engine_spec(service)
+        transfer_s = spec.token_transfer_s
         leaves_at = self._leave_at.get(lifetime)
-        is_offered = means.fleet.moves_answers(service) and transfer_s is not None
+        is_offered = spec.moves_answers and transfer_s is not None
         # It may have said in an answer that it wants nothing at all any more.
         if not is_offered or leaves_at is None or target.stated.leaving:
             return None
@@ -195,7 +196,7 @@
     def _describe(self, run: _Run) -> MovableRun:
         passage, fleet = run.passage, self._means.fleet
         prompt, events = passage.request.prompt, passage.splitter.events
-        event_tokens = fleet.count_event_tokens(passage.service)
+        event_tokens = fleet.find_engine_spec(passage.service).event_tokens
         event_s = self._means.lengths.find_event_s(passage.service)
         return MovableRun(
             id=passage.request.id,
@@ -231,9 +232,11 @@
 
     def _count_moved(self, run: _Run, destination: Target) -> None:
         """Count the first copy; what the last step adds to it is little."""
-        token_bytes = self._means.fleet.find_token_bytes(run.passage.service)
+        spec = self._means.fleet.find_engine_spec(run.passage.service)
         tokens = self._describe(run).tokens
-        self._means.traffic.note_memory(run.target, destination, tokens, token_bytes)
+        self._means.traffic.note_memory(
+            run.target, destination, tokens, spec.token_bytes
+        )
 
     def _may_stop(self, run: _Run) -> bool:
         """Whether a run that was copied may be stopped; takes a repeat for it."""
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -166,7 +166,7 @@
             view.prefill_loads.get(service, 0.0) for view in self._peers.views.values()
         )
         history = self._histories.setdefault(service, RoleChangeHistory())
-        role_change_s = self._fleet.find_switch_s(service)
+        role_change_s = self._fleet.find_engine_spec(service).role_change_s
         engines = self._fleet.list_engines(service, now)
         covered = self._fleet.list_covered_versions(service, now)
         change = rebalancing.decide_role_change(
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -178,7 +178,7 @@
         allowed_s = find_allowed_pause(
             prompt,
             passage.splitter.events,
-            means.fleet.count_event_tokens(passage.service),
+            means.fleet.find_engine_spec(passage.service).event_tokens,
             passage.due - now,
             passage.route.gap_s,
         )
@@ -210,7 +210,7 @@
     if events < MIN_TIMED_EVENTS:
         return
     now = means.clock()
-    event_tokens = means.fleet.count_event_tokens(passage.service)
+    event_tokens = means.fleet.find_engine_spec(passage.service).event_tokens
     most = passage.request.prompt.max_answer_tokens / event_tokens
     longest_s = (now - first_at) / events * most
     given_s = passage.due - passage.request.received_at
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -27,6 +27,7 @@
 from robinspindle.core.peervalidation import are_facts_valid, find_fault
 from robinspindle.core.targets import Target
 from robinspindle.core.targetspeeds import SpeedSums, find_interval
+from robinspindle.enginepaces import EnginePaces
 from robinspindle.gatewaysettings import HostPort
 from robinspindle.linkqueue import ignore_sent
 from robinspindle.logs import Log
@@ -69,6 +70,7 @@
     """Takes in what peers tell of targets."""
 
     limits: TargetLimits
+    paces: EnginePaces
 
     def find_engine_of(self, lifetime: str) -> Engine | None:
         """Find the engine of a lifetime, if it is known."""
@@ -76,9 +78,6 @@
     def note_switching(self, lifetime: str, role: str, now: float) -> None:
         """Take note that a peer ordered an engine to take a role."""
 
-    def note_learnt(self, peer: str, learnt: list[PrefillStatistics]) -> None:
-        """Take note of what a peer has learnt."""
-
     def list_speeds(self, now: float) -> list[SpeedSums]:
         """List what this gateway has measured of targets' speeds."""
 
@@ -221,7 +220,7 @@
     def _take_beliefs(self, digest: Digest, now: float) -> None:
         fleet, author = self._fleet, digest.sender
         if digest.prefill_statistics:
-            fleet.note_learnt(author, digest.prefill_statistics)
+            fleet.paces.note_learnt(author, digest.prefill_statistics)
         if digest.speeds:
             fleet.note_speeds(author, digest.speeds, now)
         fleet.note_heard_by_peer(digest.loads, now)
--- a/src/robinspindle/readings.py
+++ b/src/robinspindle/readings.py
@@ -137,7 +137,7 @@
         """Count what a target fetches from a cache in another availability zone."""
         if plan.cache_source is None:
             return
-        token_bytes = self._means.fleet.find_token_bytes(passage.service)
+        token_bytes = self._means.fleet.find_engine_spec(passage.service).token_bytes
         self._means.traffic.note_memory(
             plan.cache_source, target, plan.fetched_tokens, token_bytes
         )
--- a/src/robinspindle/zonechoices.py
+++ b/src/robinspindle/zonechoices.py
@@ -101,13 +101,14 @@
         prompt = passage.request.prompt
         if prompt is None or not self.weighs(now):
             return CONSTANT_COSTS
+        spec = means.fleet.find_engine_spec(service)
         return find_crossing_costs(
             means.zone_terms(),
             passage.request.size,
             prompt,
-            means.fleet.count_event_tokens(service),
-            means.fleet.find_token_transfer_s(service),
-            means.fleet.find_token_bytes(service),
+            spec.event_tokens,
+            spec.token_transfer_s,
+            spec.token_bytes,
         )
 
     def choose_plan(
--- a/tests/platform/test_prompts.py
+++ b/tests/platform/test_prompts.py
@@ -80,13 +80,13 @@
             )
             await d.configure(version=2, routes=[slow])
             # The estimate for this prefill is 2 s, so the engine does not time out yet.
-            prefill_model = d.gateway.fleet.find_pace("lm", True)
+            prefill_model = d.gateway.fleet.paces.find("lm", True)
             for _ in range(50):
                 prefillmodel.note_sample(prefill_model, PrefillSample(2000, 0, 0.4))
             prefill_engine = await d.add("p1", "lm", "prefill")
             leaving = await d.add("d1", "lm", "decode")
             for _ in range(50):
-                decode_model = d.gateway.fleet.find_pace("lm", False)
+                decode_model = d.gateway.fleet.paces.find("lm", False)
                 prefillmodel.note_sample(decode_model, PrefillSample(2000, 0, 0.8))
             prefill_engine.behaviours.append("held")
             prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,7 +3,7 @@
 from robinspindle.core.routes import CallerLimits, EngineSpec, Service, make_table
 from robinspindle.core.targets import Announcement, Directory
 from robinspindle.core.targetspeeds import SpeedSums
-from robinspindle.fleet import DEFAULT_CACHE_TOKENS, Fleet
+from robinspindle.fleet import UNKNOWN_ENGINE, Fleet
 from robinspindle.platform.dialect import decode_answer
 
 
@@ -55,7 +55,7 @@
 def test_the_shape_comes_from_the_configuration():
     fleet = make_fleet()
     assert fleet.list_engine_services() == ["lm"]
-    assert fleet.find_switch_s("lm") == 3.0
+    assert fleet.find_engine_spec("lm").role_change_s == 3.0
     assert fleet.find_engine_of("d1").cache_tokens == 5000
     assert fleet.find_engine_of("unknown") is None
 
@@ -122,7 +122,7 @@
     """Guards against engines that look short of memory, as a usual size was assumed."""
     fleet = Fleet(Directory(), decode_answer)
     announce(fleet, "d1", "decode")
-    assert fleet.find_engine_of("d1").cache_tokens == DEFAULT_CACHE_TOKENS
+    assert fleet.find_engine_of("d1").cache_tokens == UNKNOWN_ENGINE.cache_tokens
     services = [Service("lm", "/h", 80, EngineSpec(8, 620_000, 5.0, 3.0))]
     fleet.apply_table(make_table(1, [], services, CallerLimits()), 0.0)
     assert fleet.find_engine_of("d1").cache_tokens == 620_000
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -293,24 +293,24 @@
 def test_what_was_learnt_of_paces_reaches_all_and_is_forgotten_with_its_author():
     network = Network(6)
     teacher, learner = network[4].fleet, network[5].fleet
-    note_sample(teacher.find_pace("lm", True), PrefillSample(3000, 0, 0.3))
-    usual_s = estimate_seconds(learner.find_pace("lm", True), 3000, 0)
+    note_sample(teacher.paces.find("lm", True), PrefillSample(3000, 0, 0.3))
+    usual_s = estimate_seconds(learner.paces.find("lm", True), 3000, 0)
     for _ in range(round(4 * LEARNT_INTERVAL_S / STEP_S) + 3):
-        network[4].tell(prefill_statistics=teacher.list_learnt())
+        network[4].tell(prefill_statistics=teacher.paces.list_learnt())
         for number in (0, 1, 2, 3, 5):
             network[number].tell()
         network.now += STEP_S
-    assert estimate_seconds(learner.find_pace("lm", True), 3000, 0) > 2 * usual_s
+    assert estimate_seconds(learner.paces.find("lm", True), 3000, 0) > 2 * usual_s
     # Its own readings do not come back to who made them.
-    assert teacher.find_pace("lm", True).own.weight == 1.0
+    assert teacher.paces.find("lm", True).own.weight == 1.0
     assert all(
-        s.weight < 1e-9 for s in teacher.find_pace("lm", True).peer_sums.values()
+        s.weight < 1e-9 for s in teacher.paces.find("lm", True).peer_sums.values()
     )
     network.cut = {f"10.0.0.{n}" for n in range(5)}
     network.now += 2.0
     learner_link = network[5].link
     learner_link.remove_timed_out_peers(network.now)
-    assert estimate_seconds(learner.find_pace("lm", True), 3000, 0) < 1.01 * usual_s
+    assert estimate_seconds(learner.paces.find("lm", True), 3000, 0) < 1.01 * usual_s
 
 
 def test_a_newcomer_is_told_what_caches_hold_and_the_others_are_not():
