--- a/tests/platform/test_streamrestarts.py
+++ b/tests/platform/test_streamrestarts.py
@@ -35,6 +35,11 @@
     return replica.software_version == version
 
 
+async def until_recorded(d, versions):
+    """Wait until so many versions have records: before that they begin no streams."""
+    await until(lambda: len(d.gateway.versions.records.noted) == versions)
+
+
 @pytest.mark.parametrize("version", [USUAL_VERSION, OTHER_VERSION])
 def test_no_stream_is_lost_with_all_gateways_while_two_versions_serve(
     tmp_path, version
@@ -44,6 +49,7 @@
             await make_single(d)
             await add(d, USUAL_VERSION)
             await add(d, OTHER_VERSION)
+            await until_recorded(d, 2)
             await break_stream(d, version)
             await asyncio.sleep(NOTED_S)
             async with restart_all(tmp_path, d) as restarted:
@@ -68,7 +74,7 @@
             await make_single(d)
             await add(d, USUAL_VERSION)
             await add(d, OTHER_VERSION)
-            await until(lambda: len(d.gateway.versions.records.noted) == 2)
+            await until_recorded(d, 2)
             backup = d.store.take_copy()
             await break_stream(d, USUAL_VERSION)
             await asyncio.sleep(NOTED_S)
