Play gateways that are out of step while newer versions come

No play had a gateway out of step while versions change, and none cut gateways off from each other.

Then gateways are out of step in turn and overlapping while newer versions come and older ones go, connections to engines are reset, and all gateways, or all in step, are killed. Callers keep their connections until the process is gone. `soak.peerswitch` stands between gateways, as they speak by datagrams.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -69,6 +69,7 @@
         name: Its name.
         settings: The file of its settings; its log lies beside it.
         callers: Its port for callers.
+        inner: Its first port for other gateways.
         process: The process that was started last.
         log_start: Where its log began when that was, bytes.
         lock: Held by the fault that is done to it.
@@ -80,6 +81,7 @@
     name: str
     settings: Path
     callers: int
+    inner: int = 0
     process: asyncio.subprocess.Process | None = None
     log_start: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -133,6 +135,12 @@
             last = next((line for line in reversed(lines) if line.strip()), b"")
             raise EndedGatewayError(self.name, last.decode(errors="replace"))
 
+    def kill(self) -> None:
+        """Kill the process, also one that stands still, and don't wait for its end."""
+        if self.process.returncode is None:
+            self.is_asked_to_end = True
+            self.process.kill()
+
     async def end(self, how: int) -> int:
         """End the process and wait for it.
 
@@ -162,7 +170,7 @@
         bounds: More of what was promised, as lines of its settings.
         duties: The port at which the platform takes reports; 0 where it asks for none.
     """
-    callers, ready, inner, last = _find_ports(4)
+    callers, ready, inner, last = find_ports(4)
     path = folder / f"{name}.toml"
     path.write_text(
         SETTINGS.format(
@@ -178,10 +186,10 @@
             duties=DUTIES.format(ip=LOOPBACK, port=duties) if duties else "",
         )
     )
-    return GatewayProcess(name, path, callers)
+    return GatewayProcess(name, path, callers, inner)
 
 
-def _find_ports(count: int) -> list[int]:
+def find_ports(count: int) -> list[int]:
     """Find ports below those that the system hands out to others."""
     return list(itertools.islice(_ports, count))
 
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -81,8 +81,8 @@
     old, new = world.rng.sample(VERSIONS, 2)
     while True:
         release.version = new
-        for replica in _list_engines(world, old):
-            replace = world.rng.choice([_drain, _leave, _crash])
+        for replica in list_engines(world, old):
+            replace = world.rng.choice([drain, leave, _crash])
             await replace(world, replica)
             await asyncio.sleep(world.rng.uniform(*PAUSE_S))
         old, new = new, old
@@ -93,7 +93,7 @@
     world = release.world
     for old, new in cycle([VERSIONS, VERSIONS[::-1]]):
         release.version = new
-        await _crash(world, world.rng.choice(_list_engines(world, old)))
+        await _crash(world, world.rng.choice(list_engines(world, old)))
         await asyncio.sleep(world.rng.uniform(*CRASH_PAUSE_S))
 
 
@@ -108,7 +108,7 @@
             replica.take_role = _make_role_taker(world, replica, group)
         for version in cycle(VERSIONS):
             await asyncio.sleep(GENERATING_S)
-            engines = _list_engines(world, version)
+            engines = list_engines(world, version)
             for replica in engines:
                 await _give_role(world, replica, "prefill")
             await asyncio.sleep(PREFILLING_S)
@@ -138,12 +138,14 @@
                 group.create_task(kill)
 
 
-def _list_engines(world: World, version: str) -> list[SoakReplica]:
+def list_engines(world: World, version: str | None = None) -> list[SoakReplica]:
+    """List the engines that generate, those of one version or of all."""
     engines = [r for r in world.replicas.values() if r.role == "decode"]
-    return [r for r in engines if r.software_version == version]
+    return [r for r in engines if version in (None, r.software_version)]
 
 
-async def _drain(world: World, replica: SoakReplica) -> None:
+async def drain(world: World, replica: SoakReplica) -> None:
+    """Replace an engine that says that it leaves."""
     replica.is_leaving = True
     await world.announce(replica, "draining")
     await world.add_replica(replica.service, replica.role)
@@ -152,7 +154,7 @@
     await world.remove_replica(replica.lifetime)
 
 
-async def _leave(world: World, replica: SoakReplica) -> None:
+async def leave(world: World, replica: SoakReplica) -> None:
     """Replace an engine that goes without having said so."""
     replica.is_leaving = True
     await world.add_replica(replica.service, replica.role)
--- a/soak/resuming.py
+++ b/soak/resuming.py
@@ -26,6 +26,9 @@
 FEWEST_ENGINES = 2
 """Engines of its version that serve while a take-up counts."""
 
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+LENGTH = re.compile(r"^content-length: *(\d+)", re.MULTILINE)
 EVENT = re.compile(rb"id: (\d+)\ndata: \S+-\d+(?: (\S+))?\n\n")
 
 
@@ -39,6 +42,7 @@
         take_ups: Most take-ups of a stream.
         leave_share: Share of the events after which a caller leaves and comes back.
         last_left: Last event after which callers leave.
+        keeps_connections: Whether callers use connections again until these are gone.
     """
 
     pause_s: tuple[float, float] = (0.05, 0.4)
@@ -46,6 +50,7 @@
     take_ups: int = 6
     leave_share: float = 0.0
     last_left: int = 0
+    keeps_connections: bool = False
 
     def leaves(self, rng: random.Random, event: int) -> bool:
         """Whether a caller leaves after an event."""
@@ -76,6 +81,44 @@
     is_ended: bool = False
 
 
+class Connections:
+    """A caller's connections, one to each gateway at the most.
+
+    Attributes:
+        is_kept: Whether one is used again after a whole answer.
+    """
+
+    def __init__(self, is_kept: bool = False):
+        self.is_kept = is_kept
+        self._idle: dict[int, Connection] = {}
+
+    async def take(self, port: int) -> Connection:
+        """Take a connection to a port: the kept one, unless it is gone.
+
+        Raises:
+            OSError: If none can be opened.
+        """
+        kept = self._idle.pop(port, None)
+        if kept is not None:
+            reader, writer = kept
+            if not reader.at_eof() and not writer.transport.is_closing():
+                return kept
+            writer.close()
+        return await asyncio.open_connection(LOOPBACK, port)
+
+    def give_back(self, port: int, connection: Connection, is_whole: bool) -> None:
+        """Give a connection back after an answer, or what there is of it."""
+        if self.is_kept and is_whole:
+            self._idle[port] = connection
+        else:
+            connection[1].close()
+
+    def close(self) -> None:
+        """Close those that are kept."""
+        for _, writer in self._idle.values():
+            writer.close()
+
+
 async def call_streams(
     world: World,
     account: VersionAccount,
@@ -92,25 +135,45 @@
         name: What the streams' names begin with.
         habits: How its caller behaves.
     """
+    caller = _Caller(world, account, serving, habits)
     number = 0
-    while True:
-        number += 1
-        stream = _make_stream(f"{name}-{number}", world.rng)
-        gateway = world.rng.choice(world.gateways)
-        try:
-            await _try_counted(stream, gateway, world, account, serving, habits, 0)
-            for attempt in range(1, habits.take_ups + 1):
-                if stream.is_ended or not stream.last:
-                    break
-                await asyncio.sleep(world.rng.uniform(*habits.pause_s))
-                others = [g for g in world.gateways if g is not gateway]
-                gateway = world.rng.choice(others)
-                await _try_counted(
-                    stream, gateway, world, account, serving, habits, attempt
-                )
-        finally:
-            account.note_stream(stream.name, stream.versions)
-        await asyncio.sleep(world.rng.uniform(*habits.rest_s))
+    try:
+        while True:
+            number += 1
+            stream = _make_stream(f"{name}-{number}", world.rng)
+            try:
+                await _call_stream(caller, stream)
+            finally:
+                account.note_stream(stream.name, stream.versions)
+            await asyncio.sleep(world.rng.uniform(*habits.rest_s))
+    finally:
+        caller.connections.close()
+
+
+class _Caller:
+    """What one caller has; see `call_streams`."""
+
+    def __init__(
+        self, world: World, account: VersionAccount, serving: set[str], habits: Habits
+    ):
+        self.world = world
+        self.account = account
+        self.serving = serving
+        self.habits = habits
+        self.connections = Connections(habits.keeps_connections)
+
+
+async def _call_stream(caller: _Caller, stream: Stream) -> None:
+    """Begin a stream and take it up, each time at another gateway."""
+    world, habits = caller.world, caller.habits
+    gateway = world.rng.choice(world.gateways)
+    await _try_counted(caller, stream, gateway, 0)
+    for attempt in range(1, habits.take_ups + 1):
+        if stream.is_ended or not stream.last:
+            break
+        await asyncio.sleep(world.rng.uniform(*habits.pause_s))
+        gateway = world.rng.choice([g for g in world.gateways if g is not gateway])
+        await _try_counted(caller, stream, gateway, attempt)
 
 
 def _make_stream(name: str, rng: random.Random) -> Stream:
@@ -119,19 +182,14 @@
 
 
 async def _try_counted(
-    stream: Stream,
-    gateway: GatewayProcess,
-    world: World,
-    account: VersionAccount,
-    serving: set[str],
-    habits: Habits,
-    attempt: int,
+    caller: _Caller, stream: Stream, gateway: GatewayProcess, attempt: int
 ) -> None:
+    world, account, habits = caller.world, caller.account, caller.habits
     kind = Try.TAKE_UP if stream.last else Try.NEW
     process, before = gateway.process, stream.last
 
     def counts() -> bool:
-        is_sound = gateway.name in serving and gateway.process is process
+        is_sound = gateway.name in caller.serving and gateway.process is process
         return is_sound and (kind is Try.NEW or _may_go_on(stream, world))
 
     is_open = counts()
@@ -149,7 +207,9 @@
         if habits.leaves(world.rng, stream.last):
             raise ConnectionAbortedError
 
-    status = await _try_once(stream, gateway.callers, attempt, take_event)
+    status = await _try_once(
+        stream, gateway.callers, attempt, take_event, caller.connections
+    )
     account.statuses[kind, status] += 1
     judge()
 
@@ -168,25 +228,33 @@
 
 
 async def _try_once(
-    stream: Stream, port: int, attempt: int, on_event: Callable[[], None]
+    stream: Stream,
+    port: int,
+    attempt: int,
+    on_event: Callable[[], None],
+    connections: Connections,
 ) -> int:
     """Send a stream's request and read its events; returns the answer's status."""
     id = f"{stream.name}-t{attempt}"
-    status = 0
-    writer = None
+    status, is_whole = 0, False
+    connection = None
     try:
-        reader, writer = await asyncio.open_connection(LOOPBACK, port)
+        connection = await connections.take(port)
+        reader, writer = connection
         async with asyncio.timeout(DEADLINE_S):
             writer.write(_write_try(stream, id))
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
             status = int(head.split()[1])
-            if "transfer-encoding: chunked" in head.lower():
+            if "transfer-encoding: chunked" in head:
                 await _read_events(stream, id, reader, on_event)
+            elif (length := LENGTH.search(head)) is not None:
+                await reader.readexactly(int(length[1]))
+            is_whole = "connection: close" not in head
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         pass  # Broken off, which is what take-ups are for.
     finally:
-        if writer is not None:
-            writer.close()
+        if connection is not None:
+            connections.give_back(port, connection, is_whole)
     return status
 
 
@@ -213,3 +281,4 @@
             on_event()
         text = text[end:]
     stream.is_ended = True
+    await reader.readline()
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from soak.oracle import Oracle
+from soak.outofstep import release_out_of_step, reset_engines
 from soak.releases import (
     VERSIONS,
     Harm,
@@ -46,6 +47,16 @@
 LEAVING = Habits(pause_s=(0.1, 0.4), take_ups=20, leave_share=0.3, last_left=EVENTS - 1)
 """Callers that break their streams themselves, where nothing else does."""
 
+OUT_OF_STEP = Habits(
+    pause_s=(0.05, 1.0),
+    take_ups=12,
+    leave_share=0.2,
+    last_left=EVENTS - 1,
+    keeps_connections=True,
+)
+"""Callers that come back soon, while a gateway is still out of step, and that keep
+their connections to it."""
+
 FEW = 6
 """Callers that fill under a quarter of the engines' slots."""
 
@@ -59,12 +70,14 @@
         habits: How callers behave.
         callers: Number of callers.
         versions: The versions of either half of the engines at the start.
+        parts_gateways: Whether gateways can be cut off from each other.
     """
 
     harms: tuple[Harm, ...]
     habits: Habits = SLOW
     callers: int = CALLERS
     versions: tuple[str, str] = VERSIONS
+    parts_gateways: bool = False
 
 
 RELEASE = "release"
@@ -75,6 +88,12 @@
     "all-killed": Play((kill_all_gateways,)),
     "one-version": Play((kill_all_gateways,), versions=VERSIONS[:1] * 2),
     "reversioned": Play((revert_engines,), LEAVING),
+    "out-of-step": Play(
+        (release_out_of_step, reset_engines),
+        OUT_OF_STEP,
+        versions=VERSIONS[:1] * 2,
+        parts_gateways=True,
+    ),
     "one-role": Play((take_generating,), LEAVING, FEW),
 }
 """The plays by name."""
@@ -102,6 +121,8 @@
     rng = random.Random(seed)
     world = World(folder, rng, Oracle())
     world.vary = _vary
+    if PLAYS[name].parts_gateways:
+        world.part_gateways()
     played, account, tasks = PLAYS[name], VersionAccount(), []
     release = Release(world, played.versions[0])
     world.prepare = lambda replica: _prepare(replica, release.version)
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,7 @@
 from soak.gateways import GatewayProcess, prepare_gateway
 from soak.keyed import BOUNDS, KeyAccount
 from soak.oracle import Oracle
+from soak.peerswitch import PeerSwitch, SwitchedStore
 from soak.proxy import Proxy
 from soak.replicas import SoakReplica
 from standins.logstore import LogStore
@@ -27,6 +28,7 @@
         links: Between callers and each gateway, by gateway; none for no slow link.
         store_proxies: Between each gateway and the store, by gateway.
         replica_proxies: Before each replica, by lifetime.
+        switch: Between the gateways; None where they reach each other themselves.
         link_bytes_per_s: How fast the store's answers reach a gateway; 0 for at once.
         more_routes: Routes of the configuration that nobody uses.
         prepare: Called with each replica before it listens.
@@ -44,6 +46,7 @@
     store_proxies: dict[str, Proxy] = field(default_factory=dict)
     links: dict[str, Proxy] = field(default_factory=dict)
     replica_proxies: dict[str, Proxy] = field(default_factory=dict)
+    switch: PeerSwitch | None = None
     version: int = 0
     link_bytes_per_s: int = 0
     more_routes: int = 0
@@ -55,6 +58,11 @@
     _born_ms: int = 0
     _removed: set[str] = field(default_factory=set)
 
+    def part_gateways(self) -> None:
+        """Have gateways, before any starts, reach each other through a switch."""
+        self.switch = PeerSwitch()
+        self.store = SwitchedStore(self.switch)
+
     async def start(self, gateways: int) -> None:
         """Start everything."""
         await self.store.server.start()
@@ -165,6 +173,8 @@
         for replica in self.replicas.values():
             await replica.server.stop()
         await self.store.server.stop()
+        if self.switch is not None:
+            self.switch.stop()
         if self.keys is not None:
             await self.keys.api.server.stop()
         for gateway in self.gateways:
@@ -179,6 +189,8 @@
         if self.keys is not None:
             bounds, duties = BOUNDS, self.keys.api.server.port
         gateway = prepare_gateway(self.folder, name, proxy.port, bounds, duties)
+        if self.switch is not None:
+            await self.switch.add(gateway)
         self.gateways.append(gateway)
         await gateway.start()
 
