--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -1,6 +1,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from fuzz.virtualtime import VirtualSelector, run_virtually
 from robinspindle.exceptions import LogUnavailableError
 from robinspindle.following import (
     MAX_PAUSE_S,
@@ -34,9 +35,18 @@
 
 
 class Store:
-    """Counts reads and has nothing new."""
+    """Counts reads and has nothing new.
+
+    Attributes:
+        calls: Reads of what is new.
+        drops: How often its idle connections were dropped.
+    """
 
     calls = 0
+    drops = 0
+
+    def drop_connections(self):
+        self.drops += 1
 
     async def read_newest(self, topic):
         return Found((), 0)
@@ -224,6 +234,48 @@
     assert store.waits == [25.0, 0.0, 25.0]
 
 
+class RestedStore(Store):
+    """Holds each poll that may be held for good; has records from the second read on.
+
+    Attributes:
+        waits: How long each poll asked to be held, seconds.
+    """
+
+    def __init__(self):
+        self.waits = []
+
+    async def read_from(self, topic, offset, wait_s):
+        self.waits.append(wait_s)
+        if offset == 0:
+            return Found((Record(1),), 1, 1)
+        if wait_s:
+            await asyncio.Event().wait()
+        return Found((Record(2),), 2, 2)
+
+
+def test_what_a_peer_tells_during_a_rest_is_not_forgotten():
+    """The read after the rest may go out on a connection that has gone silent."""
+    store, rests = RestedStore(), iter([0.0, 3.0, 0.0, 0.0])
+
+    async def play():
+        follower = Follower(
+            "t", lambda *_: None, lambda: None, lambda: None, rests.__next__
+        )
+        follower.wait_s = lambda: 25.0
+        task = asyncio.create_task(follow(store, follower, lambda *a, **k: None))
+        await asyncio.sleep(1.0)
+        assert follower.offset == 1
+        note_told_end(follower, 2)
+        await asyncio.sleep(3.0)
+        task.cancel()
+        return follower
+
+    follower = run_virtually(play(), VirtualSelector())
+    assert follower.offset == 2
+    assert store.waits == [25.0, 0.0, 25.0]
+    assert store.drops == 1
+
+
 class LostStore(Store):
     """Fails all reads until it is back.
 
