Store: notice silent connections within ContactMs, and forget nothing told

Callers saw: up to 44 requests sent to a replica up to 10 s after it said draining, some of them lost, after connections to the store had gone silent.

Causes: a follower that rests cleared what a peer told it as its next read began, and that read was held for 25 s on an idle connection, silent by then. And time-outs added up to more than ContactMs: a rest, a hold of 2 s, 1 s for the answer, a pause, then the peers.

Change: what is told stays until a read that was sent after it is answered; that read is not held and goes out on a new connection. A held poll that is 0.3 s late, with nothing of its answer come, is asked again beside itself on a new connection; where that answers first, the other topics' polls are looked after too. A call in vain drops idle connections. Relays' holds are worked out from ContactMs (Pledges.contact_s, read from the settings) and the rest.

--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -18,11 +18,12 @@
 )
 from robinspindle.core.relays import decode_member
 from robinspindle.core.routes import is_newer
+from robinspindle.core.storepolls import find_hold_s
 from robinspindle.core.targets import Target
 from robinspindle.core.versionhistory import note_listed
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
-from robinspindle.following import WAIT_S, Follower
+from robinspindle.following import Follower
 from robinspindle.guard import Guard
 from robinspindle.introduction import Introduction
 from robinspindle.logs import Log
@@ -60,6 +61,8 @@
         freshness: Told of the age of the configuration.
         clock: Tells the present time, steady seconds.
         log: Takes log lines.
+        contact_s: Tells how soon after a trouble of the store gateways are held to what
+            it says, seconds.
         entries: The targets' entries that can't be used.
     """
 
@@ -76,6 +79,7 @@
     freshness: Freshness
     clock: Callable[[], float]
     log: Log
+    contact_s: Callable[[], float]
     entries: UnusableEntries = field(default_factory=UnusableEntries)
 
     def list_followers(self) -> list[Follower]:
@@ -103,8 +107,8 @@
             apply=self._apply_target,
             note_away=self._note_away,
             note_back=self._note_back,
-            rest_s=lambda: self.fleet.directory.missing_grace_s,
-            wait_s=self._find_wait_s,
+            rest_s=self._find_targets_rest_s,
+            wait_s=lambda: self._find_wait_s(self._find_targets_rest_s()),
             note_newest=lambda sent_at: targets.note_restored_list_read(
                 self.fleet.directory
             ),
@@ -139,17 +143,25 @@
         The lease of freshness counts from when a poll was sent. Relays renew it for
         their groups.
         """
-        most_s = self._find_wait_s()
+        most_s = self._find_wait_s(0.0)
         if self.peers.is_relay:
             return find_relay_wait_s(self.freshness, most_s)
         return find_wait_s(self.freshness, self.clock(), most_s)
 
-    def _find_wait_s(self) -> float:
+    def _find_targets_rest_s(self) -> float:
+        return self.fleet.directory.missing_grace_s
+
+    def _find_wait_s(self, rest_s: float) -> float:
         """Find how long polls are held: relays notice first that the store is away.
 
         Their groups then hold theirs long, as each call has its price.
+
+        Args:
+            rest_s: The rest before each poll, seconds.
         """
-        return WAIT_S if self.peers.is_relay else LONG_WAIT_S
+        if not self.peers.is_relay:
+            return LONG_WAIT_S
+        return find_hold_s(self.contact_s(), rest_s)
 
     def _apply_claim(self, key: str, value: bytes | None) -> None:
         if key == CLAIM_KEY and value is not None:
--- a/src/robinspindle/calls.py
+++ b/src/robinspindle/calls.py
@@ -25,10 +25,12 @@
     Attributes:
         moved_at: When it was asked for, or something of it came last, steady seconds.
         received: Bytes of its body that have come.
+        has_begun: Whether its head has come.
     """
 
     moved_at: float
     received: int = 0
+    has_begun: bool = False
 
 
 @dataclass(frozen=True)
@@ -88,6 +90,7 @@
     """Wait for a whole answer for as long as something of it comes."""
     async with asyncio.timeout(limits.first_s):
         head = await exchange.read_head()
+    transfer.has_begun = True
     transfer.moved_at = begun_at = clock()
     chunks = []
     while chunk := await _read_next(exchange, limits.silence_s):
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from robinspindle.clocks import read_steady
+from robinspindle.core.storepolls import MAX_HOLD_S
 from robinspindle.exceptions import (
     EraChangedError,
     LogServiceError,
@@ -22,9 +23,8 @@
 from robinspindle.logs import Log
 from robinspindle.storerecords import KeyedRecord, Records
 
-WAIT_S = 2.0
-"""How long the store holds a poll, seconds: a cut is noticed at most this much later,
-so that a healed link is read well within the three seconds that it has."""
+WAIT_S = MAX_HOLD_S
+"""How long the store holds a poll where nothing else is told, seconds."""
 
 NUDGED_POLL_WAIT_S = 0.3
 """How long a held poll may take to bring what a peer has read already, seconds: longer
@@ -64,11 +64,13 @@
         era: The newest era that an answer told; None before the first.
         unreadable_eras: Answers whose era could not be read.
         note_era: Told each new era after the first.
+        note_silent: Told the topic of a poll whose connection went silent.
     """
 
     era: int | None
     unreadable_eras: int
     note_era: Callable[[int], None]
+    note_silent: Callable[[str], None]
     calls: int
     received_bytes: int
     wasted_bytes: int
@@ -128,7 +130,8 @@
             has, steady seconds, once that has been applied.
         offset: How far it has been read; None before the first read.
         is_lost: Whether the last call failed.
-        nudge: Set when a held poll may be waiting in vain.
+        nudge: Set when a held poll may be waiting in vain, or when one that comes next
+            may; the read after that is not held.
         nudged_end: The last end told by a peer for which it was set.
         is_void: Whether its offset is of an era that is gone.
     """
@@ -167,6 +170,11 @@
         follower.nudge.set()
 
 
+def note_doubted(follower: Follower) -> None:
+    """Take note that connections to the store went silent: a poll's may be too."""
+    follower.nudge.set()
+
+
 def note_told_away(follower: Follower) -> None:
     """Take note that the store is away for a peer: a held poll may wait in vain."""
     if not follower.is_lost:
@@ -192,11 +200,15 @@
     outage = outage or Outage()
     keys: set[str] = set()
     pause_s = FIRST_PAUSE_S
-    is_nudged = False
+    is_given_up = False
     while True:
         if follower.is_void:
             follower.offset, follower.is_void = None, False
-        offset = follower.offset
+        offset, told_end = follower.offset, follower.nudged_end
+        is_nudged = is_given_up or follower.nudge.is_set()
+        follower.nudge.clear()
+        if is_nudged:
+            store.drop_connections()
         sent_at = clock()
         try:
             if offset is None:
@@ -223,7 +235,7 @@
             continue
         if follower.is_void:
             continue
-        is_nudged = records is None
+        is_given_up = records is None
         if records is None:
             log("held poll given up", topic=follower.topic, offset=offset)
             continue
@@ -238,6 +250,7 @@
         follower.offset = records.end
         _apply(follower, keys, records)
         follower.note_end(records.end)
+        _settle_nudge(follower, told_end if is_nudged else -1)
         left = records.topic_end - records.end
         if left <= 0:
             follower.note_newest(sent_at)
@@ -264,7 +277,6 @@
     store: KeyedStore, follower: Follower, offset: int, wait_s: float
 ) -> Records[KeyedRecord] | None:
     """Read on from an offset; None for a held poll that seems to wait in vain."""
-    follower.nudge.clear()
     if wait_s == 0.0:
         return await store.read_from(follower.topic, offset, wait_s)
     call = asyncio.ensure_future(store.read_from(follower.topic, offset, wait_s))
@@ -279,6 +291,20 @@
         nudge.cancel()
 
 
+def _settle_nudge(follower: Follower, checked_end: int) -> None:
+    """Take note of a read that was answered: what was told before it is settled.
+
+    Args:
+        follower: The topic.
+        checked_end: The end that a peer had told before a read that was made for it;
+            whether the peer lied or not, the topic ended where that read did.
+    """
+    if follower.nudged_end in (checked_end, -1) or (
+        follower.offset >= follower.nudged_end
+    ):
+        follower.nudge.clear()
+
+
 def _note_failure(follower: Follower, log: Log, error: LogServiceError) -> None:
     if not isinstance(error, LogUnavailableError):
         log("unexpected error of the store", topic=follower.topic, error=str(error))
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -187,6 +187,7 @@
             lambda: self._store.era or 0,
         )
         self._store.note_era = self._note_era
+        self._store.note_silent = self._note_store_silent
         self._connections = ConnectionLimit(
             self._clock, make_log("callers"), self.metrics.connections_turned_away
         )
@@ -289,6 +290,7 @@
             freshness=self.freshness,
             clock=self._clock,
             log=log,
+            contact_s=lambda: self.settings.pledges.contact_s,
         )
 
     def _find_place(self, fingerprint: Fingerprint) -> int:
@@ -310,6 +312,10 @@
         for follower in self._followers:
             note_new_era(follower)
 
+    def _note_store_silent(self, topic: str) -> None:
+        log("connection to the store went silent", topic=topic)
+        self._store_news.note_silent(topic)
+
     def note_pause(self, pause: Pause) -> None:
         """Take note that nothing was heard or done for a while, before going on.
 
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -22,6 +22,8 @@
     """What the deployment's operator was promised, as far as a gateway needs it.
 
     Attributes:
+        contact_s: A gateway is held to what the store and peers say from this time
+            after a trouble of its own or of its connections, seconds.
         leave_s: A leaving target gets no new work later than this, seconds.
         stop_s: Time between a request to stop and the kill, seconds.
         configuration_s: A configuration is in force within this, seconds.
@@ -34,6 +36,7 @@
             seconds, also at gateways that are cut off; None where that is not promised.
     """
 
+    contact_s: float = 3.0
     leave_s: float = 2.0
     stop_s: float = 8.0
     configuration_s: float = 2.0
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -130,6 +130,7 @@
 
     is_strict = reader.read("Bounds", "RevokeStrict", bool, False)
     return Pledges(
+        contact_s=read_seconds("ContactMs", 3000.0),
         # How long a target still serves after it announced that it is leaving.
         leave_s=read_seconds("DrainMs", 2000.0),
         # Time between the request to stop and the kill of the process.
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -12,6 +12,7 @@
 from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core.eras import EraChange, compare_eras, parse_era
 from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.storepolls import LATE_S
 from robinspindle.exceptions import (
     EraChangedError,
     LogConflictError,
@@ -19,6 +20,7 @@
     RecordsTrimmedError,
 )
 from robinspindle.gatewaysettings import HostPort
+from robinspindle.heldpolls import poll
 from robinspindle.httpclient import ConnectionBrokenError
 from robinspindle.platform.dialect import decode_answer
 from robinspindle.storerecords import KeyedRecord, Records
@@ -84,6 +86,7 @@
         era: The latest era in a response; None before the first one.
         unreadable_eras: Number of responses with an invalid era.
         note_era: Called with each new era after the first.
+        note_silent: Called with the topic of a poll whose connection went silent.
     """
 
     def __init__(self, address: HostPort, clock: Callable[[], float]):
@@ -96,6 +99,7 @@
         self.era: int | None = None
         self.unreadable_eras = 0
         self.note_era: Callable[[int], None] = lambda era: None
+        self.note_silent: Callable[[str], None] = lambda topic: None
 
     def drop_connections(self) -> None:
         """Close idle connections, so that the next call opens a new one."""
@@ -139,10 +143,28 @@
             LogUnavailableError: If the store sends no valid response.
             RecordsTrimmedError: If the records are no longer retained.
         """
-        raw = await self._read(topic, offset, wait_s)
+        raw = await self._read_held(topic, offset, wait_s)
         items = tuple(map(_decode_keyed, raw.items))
         return Records(items, raw.end, raw.topic_end)
 
+    async def _read_held(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Records[bytes]:
+        """Read from an offset on; a held read that is overdue is made once more."""
+        if wait_s == 0.0:
+            return await self._read(topic, offset, 0.0)
+
+        async def read_again() -> Records[bytes]:
+            self.drop_connections()
+            return await self._read(topic, offset, 0.0)
+
+        transfer = Transfer(self._clock())
+        held = self._read(topic, offset, wait_s, transfer)
+        polled = await poll(held, transfer, wait_s + LATE_S, read_again)
+        if polled.was_silent:
+            self.note_silent(topic)
+        return polled.found
+
     async def read_records(self, topic: str, offset: int) -> Records[bytes]:
         """Read the records without keys that a topic holds from an offset on.
 
@@ -157,7 +179,13 @@
         """
         return await self._read(topic, offset, 0.0)
 
-    async def _read(self, topic: str, offset: int, wait_s: float) -> Records[bytes]:
+    async def _read(
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        transfer: Transfer | None = None,
+    ) -> Records[bytes]:
         query = {
             "Topic": topic,
             "part": 0,
@@ -165,7 +193,9 @@
             "MaxKb": MAX_READ_KB,
             "WaitMs": int(wait_s * 1000),
         }
-        data = await self._call("GET", "/log-read", query, wait_s=wait_s)
+        data = await self._call(
+            "GET", "/log-read", query, wait_s=wait_s, transfer=transfer
+        )
         try:
             # The end of the partition, not of this response, and the first retained
             # offset.
@@ -237,6 +267,7 @@
         query: dict[str, Any],
         body: bytes = b"",
         wait_s: float = 0.0,
+        transfer: Transfer | None = None,
     ) -> bytes:
         self.calls += 1
         head = (
@@ -246,8 +277,7 @@
         if method == "POST":
             head += f"Content-Length: {len(body)}\r\n"
         data = head.encode() + b"\r\n" + body
-        now = self._clock()
-        transfer = Transfer(now)
+        transfer = transfer or Transfer(self._clock())
         first_s = wait_s + CALL_TIMEOUT_S
         limits = CallLimits(
             CONNECT_TIMEOUT_S, first_s, CALL_TIMEOUT_S, MAX_RESPONSE_BYTES
@@ -258,6 +288,9 @@
             )
         except (ConnectionBrokenError, TimeoutError) as error:
             self.wasted_bytes += transfer.received
+            if not transfer.has_begun:
+                # Idle connections may be silent too.
+                self.drop_connections()
             text = str(error) or "no response within the time limit"
             raise LogUnavailableError(
                 text, transfer.received, self._clock() - transfer.moved_at
--- a/src/robinspindle/storenews.py
+++ b/src/robinspindle/storenews.py
@@ -8,6 +8,7 @@
     UNAVAILABLE_PAUSE_S,
     Follower,
     Outage,
+    note_doubted,
     note_may_be_back,
     note_told_away,
     note_told_end,
@@ -80,6 +81,16 @@
             note_told_away(follower)
         note_may_be_back(self.outage)
 
+    def note_silent(self, topic: str) -> None:
+        """Have the held polls of all topics but one looked after.
+
+        Args:
+            topic: The topic whose connection went silent; it was read anew.
+        """
+        for follower in self._followers:
+            if follower.topic != topic:
+                note_doubted(follower)
+
     def look_after_configuration(self) -> None:
         """Have the held poll for configurations looked after."""
         note_told_away(self._checked)
--- a/tests/test_storenews.py
+++ b/tests/test_storenews.py
@@ -90,3 +90,10 @@
     configuration.nudge.clear()
     tell(news, "g3", {}, era=ERA + 1)
     assert not configuration.nudge.is_set()
+
+
+def test_a_silent_connection_has_the_polls_of_all_other_topics_looked_after():
+    news, (configuration, targets), _ = make_news()
+    news.note_silent("targets")
+    assert configuration.nudge.is_set()
+    assert not targets.nudge.is_set()
