Tell callers when a version's crashed engines may be back

What callers saw: a stream whose version was away for a restart was refused as 'broken' until its caller's tries were used up, some tenths of a second apart, though an engine of that version came back in time.

Cause: nothing knew when an engine that refuses connections may serve again. A take-up was told the time for queues of prompts to get shorter, and at most a third of the 2 s in which a first event is due. Besides, all streams that broke at one moment counted as so many failures in a row: a reset of connections gave a sound engine 3 s of backoff.

Change: core/returns.py says of each target why it gets no request now and when it, or what takes its place, is expected; a lost one after the 3 s that backoffs have assumed so far, then after twice that time, and so on. Refusals of new streams and of take-ups ask it. What is known to leave isn't waited for. Failures of attempts that were under way at one failure count as one. 'stream not taken up' logs the conditions of the targets of the version, which 'healthy' could not tell apart.

--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -4,6 +4,8 @@
 answers and a recent start raise its cost compared with other targets.
 """
 
+import math
+
 from robinspindle.core import silence, targets
 from robinspindle.core.obstacles import find_send_obstacle
 from robinspindle.core.targets import Directory, Target
@@ -97,24 +99,6 @@
     return [target for target in listed if is_healthy(target, now)] or listed
 
 
-def list_resting(
-    directory: Directory, service: str, now: float, tried: set[str]
-) -> list[Target]:
-    """List the targets of a service that want nothing now, but will again.
-
-    Args:
-        directory: The known targets.
-        service: The name of the service.
-        now: The current time, monotonic seconds.
-        tried: Lifetimes to leave out.
-    """
-    return [
-        target
-        for target in _list_serving(directory, service, now, tried)
-        if find_send_obstacle(target, now) is not None
-    ]
-
-
 def _list_serving(
     directory: Directory, service: str, now: float, tried: set[str]
 ) -> list[Target]:
@@ -127,16 +111,40 @@
     ]
 
 
-def note_connection_refused(target: Target, now: float) -> None:
-    """Record a refused connection: the target's process is gone."""
+def note_connection_refused(
+    target: Target, now: float, since: float = math.inf
+) -> None:
+    """Record a refused connection: the target's process is gone.
+
+    Args:
+        target: The target.
+        now: The current time, monotonic seconds.
+        since: When the attempt that failed began, monotonic seconds. In a backoff, all
+            that were under way at one failure count as one.
+    """
+    if target.lost_at is None and target.gone_at is None:
+        target.lost_at = now
     target.failures = max(target.failures, FAILURES_BEFORE_BACKOFF)
-    note_connection_failure(target, now)
+    is_known = now < target.backoff_until
+    note_connection_failure(target, now, since if is_known else math.inf)
 
 
-def note_connection_failure(target: Target, now: float) -> None:
-    """Record a connection that broke or could not be made."""
-    target.failures += 1
+def note_connection_failure(
+    target: Target, now: float, since: float = math.inf
+) -> None:
+    """Record a connection that broke or could not be made.
+
+    Args:
+        target: The target.
+        now: The current time, monotonic seconds.
+        since: When the attempt that failed began, monotonic seconds. All that were
+            under way at one failure count as one.
+    """
     note_fault(target, True)
+    if since <= target.failed_at:
+        return
+    target.failures += 1
+    target.failed_at = now
     if target.failures >= FAILURES_BEFORE_BACKOFF:
         doublings = min(8, target.failures - FAILURES_BEFORE_BACKOFF)
         target.backoff_until = now + min(
@@ -146,6 +154,7 @@
 
 def note_heard(target: Target, now: float) -> None:
     """Record that data came from a target; if it was silent, its backoff ends."""
+    target.lost_at = None
     if silence.note_heard(target.liveness, now):
         note_answered(target)
 
@@ -175,6 +184,7 @@
 def note_answered(target: Target) -> None:
     """Record a complete answer."""
     target.failures = 0
+    target.lost_at = None
     target.stated.refusals = 0
     target.backoff_until = 0.0
 
--- a/src/robinspindle/core/streamversions.py
+++ b/src/robinspindle/core/streamversions.py
@@ -88,6 +88,11 @@
     return "" if is_known else UNKNOWN_STREAM
 
 
+def find_version(stream: StreamBinding) -> str | None:
+    """Find the software version at which alone a stream goes on; None for any."""
+    return None if stream.origin is None else stream.origin.software_version
+
+
 def list_barred(directory: Directory, stream: StreamBinding) -> set[str]:
     """List the lifetimes whose events may not follow those of a stream."""
     if is_unbound(stream):
--- a/src/robinspindle/core/targets.py
+++ b/src/robinspindle/core/targets.py
@@ -6,6 +6,7 @@
 store has been available again for a while.
 """
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -26,6 +27,10 @@
 """Target ids whose latest lifetime is remembered; more than have entries at a time."""
 
 
+MAX_LOST_VERSIONS = 256
+"""Software versions whose lost targets are remembered."""
+
+
 @dataclass(frozen=True)
 class Announcement:
     """An entry of the platform's list about a target.
@@ -61,6 +66,9 @@
         announced: The latest entry of the platform's list.
         in_flight: Requests of this gateway that are in progress there.
         failures: Consecutive connection failures.
+        failed_at: Time of the latest of them, monotonic seconds.
+        lost_at: Time since which nothing answers at its address, monotonic seconds;
+            None while something does or that is not known.
         backoff_until: End of its backoff, monotonic seconds.
         faults: Moving average of the share of faulty answers, 0 to 1.
         gone_at: Time from which it counts as gone, monotonic seconds; None while it is
@@ -78,6 +86,8 @@
     announced: Announcement
     in_flight: int = 0
     failures: int = 0
+    failed_at: float = -math.inf
+    lost_at: float | None = None
     backoff_until: float = 0.0
     faults: float = 0.0
     gone_at: float | None = None
@@ -110,6 +120,8 @@
         missing_grace_s: Time for which a target whose entry is gone is still used if
             there is no other, seconds; shorter than the time that the platform allows
             for stopping to use a leaving target.
+        lost: Since when the latest target of a service and software version that was
+            lost without a word is away, monotonic seconds, most recent last.
     """
 
     targets: dict[str, Target] = field(default_factory=dict)
@@ -121,6 +133,7 @@
     ended_lifetimes: OrderedDict[str, Statements] = field(default_factory=OrderedDict)
     is_restored: bool = False
     missing_grace_s: float = 1.0
+    lost: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)
 
 
 @dataclass(frozen=True)
@@ -184,6 +197,7 @@
         stated = directory.ended_lifetimes.pop(lifetime, None) or Statements()
         target = Target(announced, cold_until=cold_until, stated=stated)
         directory.targets[lifetime] = target
+        directory.lost.pop((announced.service, announced.software_version), None)
         return True
     changed = target.announced != announced or target.gone_at is not None
     changed = changed or target.is_unreadable
@@ -259,6 +273,14 @@
     return bool(missing)
 
 
+def _note_lost(directory: Directory, announced: Announcement, lost_at: float) -> None:
+    version = (announced.service, announced.software_version)
+    directory.lost[version] = lost_at
+    directory.lost.move_to_end(version)
+    while len(directory.lost) > MAX_LOST_VERSIONS:
+        directory.lost.popitem(last=False)
+
+
 def _note_newest(directory: Directory, lifetime: str) -> None:
     directory.newest_lifetimes[find_id(lifetime)] = lifetime
     directory.newest_lifetimes.move_to_end(find_id(lifetime))
@@ -326,6 +348,8 @@
         lifetime = target.announced.lifetime
         del directory.targets[lifetime]
         directory.ended_lifetimes[lifetime] = target.stated
+        if target.lost_at is not None and not is_leaving(target):
+            _note_lost(directory, target.announced, target.lost_at)
     while len(directory.ended_lifetimes) > MAX_REMEMBERED_IDS:
         directory.ended_lifetimes.popitem(last=False)
     return gone
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -193,6 +193,7 @@
             # It became known while its prompt was read.
             return End.NOT_RUN
         passage.tried.add(target.announced.lifetime)
+        since = self._means.clock()
         target.in_flight += 1
         try:
             if sending.pool is None:
@@ -202,7 +203,7 @@
         except NotSentError as error:
             return self._note_not_sent(passage, target, error)
         except ConnectionBrokenError as error:
-            return self._note_broken(passage, target, error)
+            return self._note_broken(passage, target, error, since)
         except TimeoutError:
             passage.runs += 1
             passage.last_reason = "timed-out"
@@ -359,10 +360,14 @@
         return End.NOT_SENT
 
     def _note_broken(
-        self, passage: Passage, target: Target, error: ConnectionBrokenError
+        self,
+        passage: Passage,
+        target: Target,
+        error: ConnectionBrokenError,
+        since: float,
     ) -> End:
         if not is_stopped(passage, target):
-            note_broken(target, error, self._means.clock())
+            note_broken(target, error, self._means.clock(), since)
         self._log.log_broken(passage, target, str(error))
         passage.last_reason = "broken"
         if not error.was_sent:
--- a/src/robinspindle/finalanswers.py
+++ b/src/robinspindle/finalanswers.py
@@ -17,8 +17,8 @@
 together would meet again."""
 
 REST_SPREAD = 0.25
-"""Share of the time for which targets want nothing by which returns are spread beyond
-its end: the longer it lasts, the more callers have been refused in it."""
+"""Share of the time for which targets are away by which returns are spread beyond its
+end: the longer it lasts, the more callers have been refused in it."""
 
 CLAIMS = frozenset((408, 421, 429, 503))
 """Statuses by which a caller may take it that its request did not run."""
@@ -65,19 +65,24 @@
             return forwarding.TOO_LARGE
         now = self._means.clock()
         fleet = self._means.fleet
-        barred = streamversions.list_barred(fleet.directory, passage.stream)
-        rest_s = fleet.find_next_send_s(passage.service, now, barred)
+        rest_s = 0.0
+        if not streamversions.find_obstacle(fleet.directory, passage.stream):
+            version = streamversions.find_version(passage.stream)
+            rest_s = fleet.find_return_s(passage.service, now, version)
         retry_s = self._find_retry_s(passage, rest_s, now)
-        # While all rest, no caller of a stream is served by coming sooner.
+        # While all are away, no caller of a stream is served by coming sooner.
         end = passage.due if rest_s else passage.given_up_at
-        return forwarding.refuse_not_run(reason, retry_s, end - now)
+        refusal = forwarding.refuse_not_run(reason, retry_s, end - now)
+        if passage.stream.is_taken_up:
+            self._log.log_not_taken_up(passage, refusal, rest_s)
+        return refusal
 
     def _find_retry_s(self, passage: Passage, rest_s: float, now: float) -> float:
         """Find when there should be room for a caller that is refused, seconds.
 
         Args:
             passage: Its request.
-            rest_s: How long no target that could run it wants any request, seconds.
+            rest_s: How long all targets that could run it are away, seconds.
             now: The present time, steady seconds.
         """
         spread_s = RETRY_SPREAD_S + REST_SPREAD * rest_s
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,5 +1,6 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
+import math
 from collections.abc import Callable
 
 from robinspindle.connectionpool import ConnectionPool
@@ -7,6 +8,7 @@
     health,
     prefillmodel,
     prefillspeed,
+    returns,
     silence,
     targetspeeds,
     versionroles,
@@ -133,18 +135,29 @@
         others = self.find_engine(target).others_in_flight
         return target.in_flight < find_share(total, self.gateways, others)
 
-    def find_next_send_s(self, service: str, now: float, barred: set[str]) -> float:
-        """Find when a target of a service may get a request by its own word, seconds.
+    def find_return_s(self, service: str, now: float, version: str | None) -> float:
+        """Find when a target of a service may get a request again, seconds.
 
         Args:
             service: The name of the service.
             now: The present time, steady seconds.
-            barred: Lifetimes that may not run the request.
+            version: The software version that the request needs; None for any.
+
+        Returns:
+            0 if one may get it now, or none is expected to.
         """
-        found = health.list_usable(self.directory, service, now, barred)
-        found += health.list_resting(self.directory, service, now, barred)
-        running = [t for t in found if t.announced.role != PREFILL_ROLE]
-        return self.limits.find_shortest_wait(running, now)
+        found = returns.list_of_version(self.directory, service, version)
+        waits = [self._find_wait_s(target, now) for target in found]
+        waits.append(
+            returns.find_version_return_s(self.directory, service, version, now)
+        )
+        return min((wait_s for wait_s in waits if math.isfinite(wait_s)), default=0.0)
+
+    def _find_wait_s(self, target: Target, now: float) -> float:
+        """Find when a target may get a request, also by its limit, seconds."""
+        obstacle = self.limits.find_obstacle(target, now)
+        limited_s = obstacle.until - now if obstacle else 0.0
+        return max(limited_s, returns.find_return_s(target, now))
 
     def find_engine(self, target: Target) -> Engine | None:
         """Find what is believed of a target's engine; None for a plain service."""
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -64,6 +64,8 @@
         streams_unknown: Streams taken up whose origin no gateway told so far.
         streams_looked_up: Streams taken up that were looked for in the store so far.
         streams_conflicting: Origins of another software version, not believed so far.
+        take_ups: Streams taken up, by how their origin was found or looked for last.
+        take_ups_refused: Those of them that were refused, not run, by the reason.
         left_out: Log lines left out so far.
         busy: Callers' requests under way.
         held_bytes: Bytes of answers held for callers that read slowly.
@@ -207,6 +209,12 @@
         self.prompt_tokens = self._count(
             "prompt_tokens", "Tokens of prompts, read or believed to be cached", "how"
         )
+        self.take_ups = self._count(
+            "take_ups", "Streams taken up, by how their origin was found", "by"
+        )
+        self.take_ups_refused = self._count(
+            "take_ups_refused", "Streams taken up and refused, by the reason", "reason"
+        )
         self.repeats = self._count("repeats", "Repeats taken from the budget")
         self.hedges = self._count(
             "hedges", "Second attempts beside targets that fell silent"
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -61,6 +61,7 @@
         passage.reads += 1
         work = self._readings.begin(passage, reader, engine, plan)
         reader.in_flight += 1
+        since = self._means.clock()
         try:
             with claim_room(self._means, passage, reader, Use.READ):
                 head, body = await self._ask(
@@ -81,7 +82,7 @@
             passage.reads -= 1
             raise
         except ConnectionBrokenError as error:
-            note_broken(reader, error, self._means.clock())
+            note_broken(reader, error, self._means.clock(), since)
             self._log.log_broken(passage, reader, str(error))
         except BadDocumentError as error:
             health.note_fault(reader, True)
--- a/src/robinspindle/relaylogs.py
+++ b/src/robinspindle/relaylogs.py
@@ -2,6 +2,7 @@
 
 import math
 
+from robinspindle.core import returns
 from robinspindle.core.forwarding import Prompt, Refusal, Request
 from robinspindle.core.interference import find_prefill_share
 from robinspindle.core.obstacles import count_send_obstacles
@@ -192,6 +193,43 @@
         counts = count_send_obstacles(found, now)
         return {reason.value: count for reason, count in counts.items()}
 
+    def log_not_taken_up(
+        self, passage: Passage, refusal: Refusal, return_s: float
+    ) -> None:
+        """Log and count that a stream that is taken up is refused.
+
+        Args:
+            passage: The request.
+            refusal: What its caller is told.
+            return_s: When a target that could go on with it is expected, seconds; 0 if
+                one is there, or none is expected.
+        """
+        now, origin = self._means.clock(), passage.stream.origin
+        self._means.metrics.take_ups_refused.labels(refusal.reason).inc()
+        self._means.log(
+            "stream not taken up",
+            at=round(now, 4),
+            request=passage.request.id,
+            first_attempt=passage.request.resumption.attempt_id,
+            reason=refusal.reason,
+            service=passage.service,
+            software_version=origin.software_version if origin else "",
+            targets=self._count_conditions(passage, now),
+            offers=passage.offers,
+            return_ms=round(return_s * 1000),
+            retry_ms=round(refusal.retry_s * 1000),
+            due_ms=round((passage.due - now) * 1000),
+        )
+
+    def _count_conditions(self, passage: Passage, now: float) -> dict[str, int]:
+        """Count the targets of a stream's version by why they get it not."""
+        if passage.stream.origin is None:
+            return {}
+        version = passage.stream.origin.software_version
+        directory = self._means.fleet.directory
+        found = returns.list_of_version(directory, passage.service, version)
+        return returns.count_conditions(found, now, passage.tried)
+
     def log_turned_away(self, passage: Passage, refusal: Refusal) -> None:
         """Log and count that a request was turned away, as it crashes targets."""
         self._means.metrics.turned_away.inc()
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -202,11 +202,20 @@
         health.note_full(target, means.clock(), means.policy().rests_longer)
 
 
-def note_broken(target: Target, error: ConnectionBrokenError, now: float) -> None:
-    """Take note that a target could not be reached or did not answer."""
+def note_broken(
+    target: Target, error: ConnectionBrokenError, now: float, since: float
+) -> None:
+    """Take note that a target could not be reached or did not answer.
+
+    Args:
+        target: The target.
+        error: What happened.
+        now: The present time, steady seconds.
+        since: When the attempt began, steady seconds.
+    """
     note = (
         health.note_connection_refused
         if error.was_refused
         else health.note_connection_failure
     )
-    note(target, now)
+    note(target, now, since)
--- a/src/robinspindle/streambinding.py
+++ b/src/robinspindle/streambinding.py
@@ -4,7 +4,7 @@
 import math
 from dataclasses import dataclass
 
-from robinspindle.core import health
+from robinspindle.core import returns
 from robinspindle.core.forwarding import Request, find_first_event_deadline
 from robinspindle.core.permits import Permit
 from robinspindle.core.routes import Route
@@ -14,12 +14,7 @@
     make_binding,
     may_serve,
 )
-from robinspindle.core.targets import (
-    PREFILL_ROLE,
-    Announcement,
-    Directory,
-    Target,
-)
+from robinspindle.core.targets import Announcement, Directory, Target
 from robinspindle.passages import Means, Passage
 from robinspindle.peers import list_heard
 
@@ -98,7 +93,7 @@
     """Log whose stream a request takes up, how that was found out, and who is left."""
     origin, now = found.origin, means.clock()
     fitting = _list_fitting(means.fleet.directory, origin) if origin else []
-    generating = [t for t in fitting if t.announced.role != PREFILL_ROLE]
+    means.metrics.take_ups.labels(found.by).inc()
     means.log(
         "stream taken up",
         routine=origin is not None,
@@ -111,22 +106,13 @@
         software_version=origin.software_version if origin else "",
         target=origin.lifetime if origin else "",
         listed=len(fitting),
-        generating=len(generating),
-        healthy=sum(
-            health.may_get_work(t, now) and health.is_healthy(t, now)
-            for t in generating
-        ),
+        targets=returns.count_conditions(fitting, now),
     )
 
 
 def _list_fitting(directory: Directory, origin: StreamOrigin) -> list[Target]:
     """List the targets of the service and the version that began a stream."""
-    wanted = (origin.service, origin.software_version)
-    return [
-        target
-        for target in directory.targets.values()
-        if (target.announced.service, target.announced.software_version) == wanted
-    ]
+    return returns.list_of_version(directory, origin.service, origin.software_version)
 
 
 def note_first_event(
--- a/src/robinspindle/targetlimits.py
+++ b/src/robinspindle/targetlimits.py
@@ -1,8 +1,5 @@
 """The limits that targets name, and the turns that this gateway has by them."""
 
-import math
-from collections.abc import Iterable
-
 from robinspindle.core import ratelimits
 from robinspindle.core.obstacles import Obstacle, find_send_obstacle
 from robinspindle.core.ratelimits import Sharing
@@ -29,12 +26,6 @@
         share_per_s = self._find_share(target) if target.stated.limit else None
         return find_send_obstacle(target, now, share_per_s)
 
-    def find_shortest_wait(self, found: Iterable[Target], now: float) -> float:
-        """Find when the first of some targets has a turn, seconds; 0 if none has."""
-        obstacles = [self.find_obstacle(target, now) for target in found]
-        waits = [obstacle.until - now if obstacle else 0.0 for obstacle in obstacles]
-        return min((wait_s for wait_s in waits if math.isfinite(wait_s)), default=0.0)
-
     def take_turn(self, target: Target, now: float) -> Obstacle | None:
         """Take one request out of what a target's limit allows, if any is left.
 
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -147,3 +147,26 @@
     directory.targets["i2"].stated.rest_until = 6.0
     assert list_usable_lifetimes(directory, 0.1) == []
     assert list_usable_lifetimes(directory, 5.0) == ["i1"]
+
+
+def test_connections_that_break_together_count_as_one_failure():
+    directory = Directory()
+    announce(directory)
+    target = directory.targets["i1"]
+    for since in (1.0, 2.0, 9.9):
+        health.note_connection_failure(target, 10.0, since)
+    assert health.is_healthy(target, 10.1)
+    health.note_connection_failure(target, 10.2, 10.1)
+    assert not health.is_healthy(target, 10.3)
+
+
+def test_a_refused_connection_starts_a_backoff_though_another_broke_after_it_began():
+    directory = Directory()
+    announce(directory)
+    target = directory.targets["i1"]
+    health.note_connection_failure(target, 10.0, 1.0)
+    health.note_connection_refused(target, 10.1, 9.9)
+    assert not health.is_healthy(target, 10.2)
+    until = target.backoff_until
+    health.note_connection_refused(target, 10.1, 9.9)
+    assert target.backoff_until == until
--- a/tests/test_finalanswers.py
+++ b/tests/test_finalanswers.py
@@ -15,7 +15,7 @@
     refusals = []
     fleet = SimpleNamespace(
         directory=Directory(),
-        find_next_send_s=lambda service, now, barred: rest_s,
+        find_return_s=lambda service, now, version: rest_s,
     )
     means = SimpleNamespace(clock=lambda: 0.0, fleet=fleet)
     log = SimpleNamespace(log_end=lambda *told: None)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,8 +17,8 @@
     return fleet
 
 
-def announce(fleet, lifetime, role):
-    announced = Announcement(lifetime, "lm", "1.2.3.4:5", "a", 8, role=role)
+def announce(fleet, lifetime, role, **more):
+    announced = Announcement(lifetime, "lm", "1.2.3.4:5", "a", 8, role=role, **more)
     targets.note_announced(fleet.directory, announced, 0.0)
 
 
@@ -106,16 +106,16 @@
 
 def test_the_next_send_is_at_the_end_of_the_first_rest_of_those_that_may_run_it():
     fleet = make_fleet()
-    announce(fleet, "d2", "decode")
+    announce(fleet, "d2", "decode", software_version="v2")
     stated = {id: t.stated for id, t in fleet.directory.targets.items()}
-    assert fleet.find_next_send_s("lm", 1.0, set()) == 0.0
+    assert fleet.find_return_s("lm", 1.0, None) == 0.0
     stated["d1"].rest_until, stated["d2"].rest_until = 4.0, 9.0
-    assert fleet.find_next_send_s("lm", 1.0, set()) == 3.0
-    assert fleet.find_next_send_s("lm", 1.0, {"d1"}) == 8.0
+    assert fleet.find_return_s("lm", 1.0, None) == 3.0
+    assert fleet.find_return_s("lm", 1.0, "v2") == 8.0
     stated["d1"].leaving = True
-    assert fleet.find_next_send_s("lm", 1.0, set()) == 8.0
+    assert fleet.find_return_s("lm", 1.0, None) == 8.0
     stated["d2"].leaving = True
-    assert fleet.find_next_send_s("lm", 1.0, set()) == 0.0
+    assert fleet.find_return_s("lm", 1.0, None) == 0.0
 
 
 def test_an_engine_that_is_seen_before_the_configuration_gets_its_memory():
