Targets: believe no answer without the id of the request under way

Cause: only an id that was there and differed marked an answer as another's. Calls of the gateway's own (orders, lists of caches, freed handles) shared the connections of requests and accepted any answer.

Change: an answer without an id is passed over like one to an earlier request, counted (surplus_answers) and logged with the request that waits; the connection is not used again. Calls of our own go on connections that carry nothing else. The stand-in carries the id in each answer, as the pages say.

--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from robinspindle.calls import CallLimits, call_once
+from robinspindle.calls import CallLimits, call_apart
 from robinspindle.core.authority import has_lowest_name
 from robinspindle.core.engines import Engine, note_earlier_cache
 from robinspindle.core.forwarding import Part
@@ -92,9 +92,9 @@
         self._log("cache listed", target=lifetime, parts=len(parts))
 
     async def _fetch(self, target: Target) -> list[Part]:
-        pool = self._fleet.find_pool(target)
+        pool = self._fleet.make_call_pool(target)
         data = self._dialect.encode_cache_list_call(target.announced.address)
-        head, body = await call_once(pool, self._clock, data, ASK_LIMITS)
+        head, body = await call_apart(pool, self._clock, data, ASK_LIMITS)
         if head.status != LIST_READ:
             raise BadDocumentError(f"status {head.status}")
         return self._dialect.decode_cache_list(body)
--- a/src/robinspindle/calls.py
+++ b/src/robinspindle/calls.py
@@ -81,6 +81,30 @@
         return await _read_answer(exchange, limits, transfer, clock)
 
 
+async def call_apart(
+    pool: ConnectionPool,
+    clock: Callable[[], float],
+    data: bytes,
+    limits: CallLimits,
+) -> tuple[AnswerHead, bytes]:
+    """Make one call of our own on a connection that carries nothing else.
+
+    Args:
+        pool: Made for this call; closed in the end.
+        clock: Tells the present time, steady seconds.
+        data: The call.
+        limits: How long is waited for each thing to happen.
+
+    Raises:
+        ConnectionBrokenError: When no whole answer comes, or it seems to have no end.
+        TimeoutError: When nothing of it comes for too long.
+    """
+    try:
+        return await call_once(pool, clock, data, limits)
+    finally:
+        pool.close()
+
+
 async def _read_answer(
     exchange: Exchange,
     limits: CallLimits,
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -371,15 +371,24 @@
         announced = target.announced
         pool = self._pools.get(announced.lifetime)
         if pool is None:
-            pool = ConnectionPool(
-                _read_address(target),
-                self._decode_head,
-                self._make_traffic(target),
-                self._make_meter(target),
-            )
+            pool = self.make_call_pool(target)
             self._pools[announced.lifetime] = pool
         return pool
 
+    def make_call_pool(self, target: Target) -> ConnectionPool:
+        """Make connections for calls of the gateway's own to a target.
+
+        Answers to these carry no id of a request. On a connection that has carried
+        something before, a late surplus answer would be taken for theirs, or theirs
+        for that of a request.
+        """
+        return ConnectionPool(
+            _read_address(target),
+            self._decode_head,
+            self._make_traffic(target),
+            self._make_meter(target),
+        )
+
     def make_bare_pool(self, target: Target) -> ConnectionPool:
         """Make connections for calls about what a leaving target still has.
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -111,7 +111,11 @@
         self.fleet = Fleet(
             self.directory,
             adapter.dialect.decode_answer,
-            make_traffic_maker(self._clock, make_log("targets")),
+            make_traffic_maker(
+                self._clock,
+                make_log("targets"),
+                self.metrics.surplus_answers.inc,
+            ),
             self.traffic.make_meter,
         )
         self.budget = retrywindows.WindowedRetryBudget()
@@ -314,6 +318,7 @@
 
     def _note_store_silent(self, topic: str) -> None:
         log("connection to the store went silent", topic=topic)
+        self.metrics.store_silences.inc()
         self._store_news.note_silent(topic)
 
     def note_pause(self, pause: Pause) -> None:
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -25,6 +25,8 @@
         continued: Answers that went on from a copy, by how that ended.
         moves: Steps of moves of answers by their outcome.
         pauses: Times that the process was paused: suspended, or not run.
+        surplus_answers: Targets' answers that belong to no request under way.
+        store_silences: Connections to the store that were found silent.
         turned_away: Attempts that were turned away for that.
         connections_turned_away: Connections that were closed unread, as the gateway had
             more work than it could do.
@@ -224,6 +226,12 @@
         self.connections_turned_away = self._count(
             "connections_turned_away", "Connections closed unread by a busy gateway"
         )
+        self.surplus_answers = self._count(
+            "surplus_answers", "Targets' answers that belong to no request under way"
+        )
+        self.store_silences = self._count(
+            "store_silences", "Connections to the store that were found silent"
+        )
         self.turned_away = self._count(
             "turned_away", "Attempts turned away as their request crashes targets"
         )
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -50,6 +50,15 @@
             sent_at: When its request was sent, steady seconds; -inf if not known.
         """
 
+    def note_surplus(self, head: AnswerHead, due_id: str, sent_at: float) -> None:
+        """Take note of an answer that does not belong to the request under way.
+
+        Args:
+            head: Its head.
+            due_id: The id of the request whose answer is due.
+            sent_at: When that request was sent, steady seconds; -inf if not known.
+        """
+
     def find_obstacle(self) -> Obstacle | None:
         """Find what keeps anything from being sent now; None if nothing."""
 
@@ -338,10 +347,11 @@
         if status < LEAST_FINAL or exchange is None or exchange.head is not None:
             return
         head = self._decode_head(status, self._reason, tuple(self._headers))
-        if exchange.request_id and head.request_id not in ("", exchange.request_id):
-            # A surplus answer to an earlier request: ours may still follow it.
+        if exchange.request_id and head.request_id != exchange.request_id:
+            # An answer to an earlier request, or without an id and so to none: ours
+            # may still follow it.
             self._keep = False
-            self._note_head(head, -math.inf)
+            self._note_surplus(head, exchange)
             return
         self._note_head(head, exchange.sent_at)
         names = {name.lower() for name, _ in self._headers}
@@ -387,6 +397,11 @@
             return "a head that takes too long"
         return None
 
+    def _note_surplus(self, head: AnswerHead, exchange: Exchange) -> None:
+        if self._traffic is not None:
+            self._traffic.note_surplus(head, exchange.request_id, exchange.sent_at)
+            self._traffic.note_head(head, -math.inf)
+
     def _note_head(self, head: AnswerHead, sent_at: float) -> None:
         if self._traffic is not None:
             self._traffic.note_head(head, sent_at)
--- a/src/robinspindle/moving.py
+++ b/src/robinspindle/moving.py
@@ -14,7 +14,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from robinspindle.calls import CallLimits, call_once
+from robinspindle.calls import CallLimits, call_apart
 from robinspindle.core import decodeplacement, moves, retrywindows, streamversions
 from robinspindle.core.decodeplacement import count_requests
 from robinspindle.core.forwarding import CacheSource
@@ -312,8 +312,7 @@
         target.in_flight += 1
         try:
             pool = means.fleet.make_bare_pool(target)
-            head, body = await call_once(pool, means.clock, data, limits)
-            pool.close()
+            head, body = await call_apart(pool, means.clock, data, limits)
             return _MoveAnswer(head.status, means.dialect.decode_move_answer(body))
         except (ConnectionBrokenError, TimeoutError, BadDocumentError) as error:
             means.log(
@@ -341,10 +340,7 @@
 
     async def _free(self, target: Target, source: CacheSource) -> None:
         pool = self._means.fleet.make_bare_pool(target)
-        try:
-            await free_handle(self._means, pool, source)
-        finally:
-            pool.close()
+        await free_handle(self._means, pool, source)
 
     def _note(
         self, run: _Run, destination: Target | None, outcome: str, began_at: float
--- a/src/robinspindle/ordering.py
+++ b/src/robinspindle/ordering.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
-from robinspindle.calls import CallLimits, call_once
+from robinspindle.calls import CallLimits, call_apart
 from robinspindle.core import rebalancing, versionroles
 from robinspindle.core.authority import (
     Authority,
@@ -248,10 +248,10 @@
             self.authority.name,
             claim.fence,
         )
-        pool = self._fleet.find_pool(target)
+        pool = self._fleet.make_call_pool(target)
         try:
             data = self._dialect.encode_order(order)
-            head, _ = await call_once(pool, self._clock, data, ORDER_LIMITS)
+            head, _ = await call_apart(pool, self._clock, data, ORDER_LIMITS)
         except NotSentError:
             return OrderOutcome.NOT_SENT
         except (ConnectionBrokenError, TimeoutError):
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -148,4 +148,5 @@
         self._log.log_broken(passage, reader, text)
 
     async def _free(self, reader: Target, source: CacheSource) -> None:
-        await free_handle(self._means, self._means.fleet.find_pool(reader), source)
+        pool = self._means.fleet.make_call_pool(reader)
+        await free_handle(self._means, pool, source)
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -4,7 +4,7 @@
 from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 
-from robinspindle.calls import CallLimits, call_once
+from robinspindle.calls import CallLimits, call_apart
 from robinspindle.connectionpool import ConnectionPool, borrow
 from robinspindle.core import health, permits
 from robinspindle.core.forwarding import AnswerHead, CacheSource, Send
@@ -164,12 +164,12 @@
 
     Args:
         means: What the relay has.
-        pool: Connections to the engine.
+        pool: Made for this call; closed in the end.
         source: The KV cache.
     """
     data = means.dialect.encode_release(source)
     try:
-        await call_once(pool, means.clock, data, RELEASE_LIMITS)
+        await call_apart(pool, means.clock, data, RELEASE_LIMITS)
     except (ConnectionBrokenError, TimeoutError) as error:
         # It lapses by itself a few seconds later.
         means.log("handle not freed", error=str(error))
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,6 +4,7 @@
 import json
 from collections import deque
 from dataclasses import dataclass
+from weakref import WeakSet
 
 from standins.rawhttp import (
     RawRequest,
@@ -33,6 +34,21 @@
     is_marked: bool = True
 
 
+@dataclass(frozen=True)
+class Surplus:
+    """An answer that belongs to no request, sent where the next one is due.
+
+    Attributes:
+        status: Its status.
+        id: The id that it carries; empty for none.
+        is_marked: Whether it says that the request did not run.
+    """
+
+    status: int
+    id: str
+    is_marked: bool
+
+
 class Replica:
     """One lifetime of a replica.
 
@@ -57,6 +73,8 @@
         limit_per_s: The limit on its request rate that its answers name; None for none.
         says_leaving: Whether all its answers say that it leaves.
         refusal: How it turns away what no behaviour is left for; None where it doesn't.
+        surplus: What it sends before each answer but the first on a connection; None
+            for nothing.
     """
 
     def __init__(
@@ -82,6 +100,8 @@
         self.limit_per_s: float | None = None
         self.says_leaving = False
         self.refusal: Refusal | None = None
+        self.surplus: Surplus | None = None
+        self._used = WeakSet()
         self.born_ms: int | None = None
         self.software_version = USUAL_VERSION
         self.crashes_on = crashes_on
@@ -108,25 +128,28 @@
         return entry
 
     async def _answer(self, request: RawRequest, writer) -> bool:
+        if self.surplus is not None and writer in self._used:
+            self._write_surplus(self.surplus, writer)
+        self._used.add(writer)
         if request.method == "DELETE":
             self.freed.append(request.target.rpartition("/")[2])
-            write_answer(writer, 200, headers=self._own_head())
+            write_answer(writer, 200, headers=self._own_head(request))
             return True
         if request.target == "/kv-list":
             self.lists += 1
             rows = [["", id, tokens, "m"] for id, tokens in self.held.items()]
             body = {"epoch": "1", "NextPageToken": 7, "held": rows}
             data = json.dumps(body).encode()
-            head = self._own_head()
+            head = self._own_head(request)
             await write_slowly(writer, 200, data, self.list_pieces, head)
             return True
         if request.target == "/order":
             self.orders.append(request)
-            write_answer(writer, 202, headers=self._own_head())
+            write_answer(writer, 202, headers=self._own_head(request))
             return True
         self.arrivals.append(request)
         if request.headers.get("x-expect-instance") != self.lifetime:
-            head = self._own_head() | {"X-Instance-Id": self.lifetime}
+            head = self._own_head(request) | {"X-Instance-Id": self.lifetime}
             write_answer(writer, 421, headers=head)
             return True
         is_read = request.headers.get("x-stage") == "prefill"
@@ -138,12 +161,20 @@
         behaviour = self.behaviours.popleft() if self.behaviours else usual
         return await getattr(self, "_be_" + behaviour)(request, writer)
 
-    def _own_head(self) -> dict[str, str]:
-        """Write what it says of itself in every answer, whatever was asked."""
-        return {"Server-Leaving": "1"} if self.says_leaving else {}
+    def _own_head(self, request: RawRequest) -> dict[str, str]:
+        """Write what every answer carries, whatever was asked."""
+        id = request.headers.get("x-request-id")
+        head = {} if id is None else {"X-Request-Id": id}
+        return head | ({"Server-Leaving": "1"} if self.says_leaving else {})
+
+    def _write_surplus(self, surplus: Surplus, writer) -> None:
+        head = {"X-Request-Id": surplus.id} if surplus.id else {}
+        if surplus.is_marked:
+            head["X-Not-Executed"] = "1"
+        write_answer(writer, surplus.status, b"surplus", head)
 
     def _head(self, request: RawRequest) -> dict[str, str]:
-        head = self._own_head() | {
+        head = self._own_head(request) | {
             "X-Request-Id": request.headers.get("x-request-id", ""),
             "X-Response-Seal": f"seal-{self.lifetime}",
         }
