--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -443,23 +443,26 @@
     async def _tell_peers(self) -> None:
         while True:
             await self._link.wait_due()
-            now = self._clock()
-            news = News(
-                self.fleet.list_loads(now),
-                self.relay.placements,
-                self.relay.chooser.list_read_rates(),
-                self.orderer.peek_untold(),
-                self.fleet.list_learnt(),
-                self.fleet.list_silent(now),
-                self._store_news.list_ends(),
-                self.directory.unavailable_since is not None,
-                list_news(self.guard, now),
-                self._store.era or 0,
-                self.fleet.limits.list_named(now),
-            )
-            self._link.tell(now, news)
-            self.relay.placements.clear()
-            self.orderer.note_told()
+            self._tell_news(self._clock())
+
+    def _tell_news(self, now: float) -> None:
+        """Tell the peers what is new."""
+        news = News(
+            self.fleet.list_loads(now),
+            self.relay.placements,
+            self.relay.chooser.list_read_rates(),
+            self.orderer.peek_untold(),
+            self.fleet.list_learnt(),
+            self.fleet.list_silent(now),
+            self._store_news.list_ends(),
+            self.directory.unavailable_since is not None,
+            list_news(self.guard, now),
+            self._store.era or 0,
+            self.fleet.limits.list_named(now),
+        )
+        self._link.tell(now, news)
+        self.relay.placements.clear()
+        self.orderer.note_told()
 
     async def _handle(self, incoming: Incoming, reply: Reply) -> None:
         if self._stop.is_too_late(incoming.at):
