Decoding: decode what the product's own programs read in the same place

Engines' answers, the log service's, operators' intents, log lines and lists of VMs were decoded with msgspec alone: nesting that is too deep raised RecursionError in the thread that follows the list of VMs, or the log service, which then ended.

--- a/src/robinspindle/agent.py
+++ b/src/robinspindle/agent.py
@@ -8,7 +8,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-import msgspec
 import zmq
 
 from robinspindle.controlstream import ControlStream
@@ -24,7 +23,12 @@
 )
 from robinspindle.core.runs import ENDED, RUNNING, AgentState
 from robinspindle.engines import CacheEvents, Engine, EngineState
-from robinspindle.exceptions import EngineError, EngineUnreachableError, FencedError
+from robinspindle.exceptions import (
+    BadDocumentError,
+    EngineError,
+    EngineUnreachableError,
+    FencedError,
+)
 from robinspindle.health import make_health_server
 from robinspindle.keys import FleetKey
 from robinspindle.loglink import LogLink
@@ -267,7 +271,7 @@
         try:
             state = self._engine.ask_state()
             events = self._engine.ask_cache_events(self._cache_next)
-        except (EngineError, msgspec.MsgspecError):
+        except (EngineError, BadDocumentError):
             pass
         self._mailbox.post(EngineAsked(state, events))
 
@@ -320,7 +324,7 @@
             reason = str(error)
         except EngineUnreachableError:
             pass
-        except (EngineError, msgspec.MsgspecError) as error:
+        except (EngineError, BadDocumentError) as error:
             reason = str(error)
         self._mailbox.post(OrderAnswered(order.order, state, reason))
 
--- a/src/robinspindle/client.py
+++ b/src/robinspindle/client.py
@@ -2,15 +2,18 @@
 
 from typing import Any
 
-import msgspec
 import urllib3
 
-from robinspindle.exceptions import ApiError
+from robinspindle.core.decoding import make_json_decoder
+from robinspindle.exceptions import ApiError, BadDocumentError
 
 TIMEOUT_S = 15.0
 STARTING = 503
 
 
+_decode_answer = make_json_decoder(Any)
+
+
 class OperatorClient:
     """Calls the operators' API of any entry that answers.
 
@@ -70,8 +73,8 @@
             timeout=TIMEOUT_S,
         )
         try:
-            value = msgspec.json.decode(response.data)
-        except msgspec.MsgspecError:
+            value = _decode_answer(response.data)
+        except BadDocumentError:
             raise ApiError(response.status, "the answer is not JSON") from None
         if response.status >= 400:
             error = value.get("error", {}) if isinstance(value, dict) else {}
--- a/src/robinspindle/engines.py
+++ b/src/robinspindle/engines.py
@@ -5,8 +5,10 @@
 import msgspec
 import urllib3
 
+from robinspindle.core.decoding import make_json_decoder
 from robinspindle.core.records import ObservedEngine, Step
 from robinspindle.exceptions import (
+    BadDocumentError,
     EngineUnreachableError,
     FencedError,
     OrderFailedError,
@@ -86,6 +88,11 @@
     body: bytes
 
 
+_decode_token = make_json_decoder(EngineToken)
+_decode_state = make_json_decoder(EngineState)
+_decode_cache_events = make_json_decoder(CacheEvents)
+
+
 class Engine:
     """Calls of one target; safe to use from several threads."""
 
@@ -155,12 +162,12 @@
 
     def ask_state(self) -> EngineState:
         """Ask the engine what it is."""
-        return msgspec.json.decode(self._get("/state"), type=EngineState)
+        return _decode_state(self._get("/state"))
 
     def ask_cache_events(self, start: int) -> CacheEvents:
         """Ask for changes of the prefix cache."""
         body = self._get(f"/cache/events?from={start}")
-        return msgspec.json.decode(body, type=CacheEvents)
+        return _decode_cache_events(body)
 
     def give_order(self, step: Step, fence: int) -> EngineState:
         """Give an order and wait until it is carried out.
@@ -183,7 +190,7 @@
             raise FencedError(f"the engine refused the number {fence}")
         if response.status != 200:
             raise OrderFailedError(f"the engine answered {response.status}")
-        return msgspec.json.decode(response.data, type=EngineState)
+        return _decode_state(response.data)
 
     def _open(self, path: str, body: dict, headers: dict) -> urllib3.BaseHTTPResponse:
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ANSWER_TIMEOUT_S)
@@ -243,6 +250,6 @@
             *lines, rest = (rest + chunk).split(b"\n")
             for line in lines:
                 if line:
-                    yield msgspec.json.decode(line, type=EngineToken)
-    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError, OSError) as error:
+                    yield _decode_token(line)
+    except (urllib3.exceptions.HTTPError, BadDocumentError, OSError) as error:
         raise EngineUnreachableError(f"the stream broke off: {error}") from None
--- a/src/robinspindle/explaining.py
+++ b/src/robinspindle/explaining.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
-import msgspec
+from robinspindle.core.decoding import make_json_decoder
+from robinspindle.exceptions import BadDocumentError
 
 ROUTED = "request routed"
 UNDELIVERED = "target did not deliver"
@@ -75,6 +77,9 @@
     missing: list[str] = field(default_factory=list)
 
 
+_decode_line = make_json_decoder(Any)
+
+
 def read_lines(texts: Iterable[str]) -> Iterable[Line]:
     """Read log lines; what stands before the first brace is passed over.
 
@@ -86,8 +91,8 @@
         if start < 0:
             continue
         try:
-            fields = msgspec.json.decode(text[start:])
-        except msgspec.DecodeError:
+            fields = _decode_line(text[start:])
+        except BadDocumentError:
             continue
         if isinstance(fields, dict) and "text" in fields:
             yield _make_line(fields)
--- a/src/robinspindle/logservice.py
+++ b/src/robinspindle/logservice.py
@@ -14,7 +14,12 @@
 import msgspec
 import urllib3
 
-from robinspindle.exceptions import LogUnavailableError, RecordsTrimmedError
+from robinspindle.core.decoding import make_json_decoder
+from robinspindle.exceptions import (
+    BadDocumentError,
+    LogUnavailableError,
+    RecordsTrimmedError,
+)
 
 READ_WAIT_S = 5.0
 APPEND_TIMEOUT_S = 1.5
@@ -47,6 +52,10 @@
     offset: int
 
 
+_decode_read_answer = make_json_decoder(ReadAnswer)
+_decode_append_answer = make_json_decoder(AppendAnswer)
+
+
 class LogService:
     """Calls of the log service; safe to use from several threads."""
 
@@ -62,7 +71,7 @@
         """
         url = f"{self._base}/streams/{stream}"
         body = self._call("POST", url, data, APPEND_TIMEOUT_S)
-        return msgspec.json.decode(body, type=AppendAnswer).offset
+        return _decode_append_answer(body).offset
 
     def read(self, stream: str, start: int, wait_s: float) -> ReadAnswer:
         """Read records from an offset on, waiting for one if there is none.
@@ -73,7 +82,7 @@
         """
         url = f"{self._base}/streams/{stream}?from={start}&wait={wait_s}"
         body = self._call("GET", url, None, wait_s + APPEND_TIMEOUT_S)
-        answer = msgspec.json.decode(body, type=ReadAnswer)
+        answer = _decode_read_answer(body)
         if answer.first > start:
             raise RecordsTrimmedError(answer.first)
         return answer
@@ -141,7 +150,7 @@
                 self._next = error.first
                 restarts = True
                 continue
-            except (LogUnavailableError, msgspec.MsgspecError):
+            except (LogUnavailableError, BadDocumentError):
                 self.is_reaching = False
                 # Spread out, so that all don't come back in the same moment.
                 self._stopped.wait(pause_s * self._rng.uniform(0.5, 1.5))
@@ -214,7 +223,7 @@
                 self._service.append(
                     self._stream, self._encode([item for _, item in batch])
                 )
-            except (LogUnavailableError, msgspec.MsgspecError):
+            except (LogUnavailableError, BadDocumentError):
                 self.failures += 1
                 self._put_back(batch)
                 time.sleep(pause_s)
--- a/src/robinspindle/operators.py
+++ b/src/robinspindle/operators.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from robinspindle.callers import find_workspace
+from robinspindle.core.decoding import make_json_decoder
 from robinspindle.core.documents import TargetSection, parse_configuration
 from robinspindle.core.effects import Refusal
 from robinspindle.core.plans import make_plan
@@ -27,6 +28,7 @@
 from robinspindle.core.workspaces import matches_digest
 from robinspindle.entry import Entry
 from robinspindle.exceptions import (
+    BadDocumentError,
     IntentError,
     InvalidDocumentError,
     LogUnavailableError,
@@ -49,6 +51,9 @@
 log = make_log("operators")
 
 
+_decode_intent = make_json_decoder(AnyIntent)
+
+
 class PlanView(msgspec.Struct, kw_only=True):
     """A plan as operators see it.
 
@@ -172,8 +177,8 @@
 def _plan(entry: Entry, request: Request, rest: str) -> Answer:
     operator = _find_operator(entry, request)
     try:
-        intent = msgspec.json.decode(request.body, type=AnyIntent)
-    except msgspec.MsgspecError as error:
+        intent = _decode_intent(request.body)
+    except BadDocumentError as error:
         raise make_error(400, "invalid_intent", str(error)) from None
     planned = _make_plan(entry, intent, operator)
     _append(entry, planned)
--- a/src/robinspindle/previewreports.py
+++ b/src/robinspindle/previewreports.py
@@ -3,7 +3,8 @@
 import msgspec
 import urllib3
 
-from robinspindle.exceptions import ApiError
+from robinspindle.core.decoding import make_json_decoder
+from robinspindle.exceptions import ApiError, BadDocumentError
 from robinspindle.tables import format_table
 
 PATH = "/preview"
@@ -122,6 +123,9 @@
     candidates: list[CandidateRow] = []
 
 
+_decode_preview = make_json_decoder(Preview)
+
+
 def ask_preview(gateway: str, question: Question) -> Preview:
     """Ask a gateway what it would do with a request.
 
@@ -145,8 +149,8 @@
     if response.status >= 400:
         raise ApiError(response.status, response.data.decode(errors="replace").strip())
     try:
-        return msgspec.json.decode(response.data, type=Preview)
-    except msgspec.MsgspecError:
+        return _decode_preview(response.data)
+    except BadDocumentError:
         text = f"{gateway} does not know previews"
         raise ApiError(response.status, text) from None
 
--- a/src/robinspindle/vmlist.py
+++ b/src/robinspindle/vmlist.py
@@ -9,6 +9,9 @@
 import msgspec
 import urllib3
 
+from robinspindle.core.decoding import make_json_decoder
+from robinspindle.exceptions import BadDocumentError
+
 POLL_S = 1.0
 TIMEOUT_S = 2.0
 LEAVING = "leaving"
@@ -21,6 +24,9 @@
     state: str
 
 
+_decode_vms = make_json_decoder(list[ListedVm])
+
+
 @dataclass(frozen=True)
 class VmsListed:
     """The list as it was last read: names of the VMs that are leaving."""
@@ -41,13 +47,11 @@
         """Follow the list for as long as the process lives."""
         while True:
             # A list that can't be read says nothing against anybody.
-            with contextlib.suppress(
-                urllib3.exceptions.HTTPError, msgspec.MsgspecError
-            ):
+            with contextlib.suppress(urllib3.exceptions.HTTPError, BadDocumentError):
                 self._post(self._read())
             time.sleep(POLL_S)
 
     def _read(self) -> VmsListed:
         response = self._http.request("GET", self._url, timeout=TIMEOUT_S)
-        vms = msgspec.json.decode(response.data, type=list[ListedVm])
+        vms = _decode_vms(response.data)
         return VmsListed(tuple(vm.name for vm in vms if vm.state == LEAVING))
