--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -13,6 +13,8 @@
 from typing import Protocol
 
 from robinspindle.clocks import read_steady
+from robinspindle.core.decoding import shorten
+from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.storepolls import MAX_HOLD_S
 from robinspindle.exceptions import (
     EraChangedError,
@@ -20,7 +22,7 @@
     LogUnavailableError,
     RecordsTrimmedError,
 )
-from robinspindle.logs import Log
+from robinspindle.logs import Log, describe_failure
 from robinspindle.storerecords import KeyedRecord, Records
 
 WAIT_S = MAX_HOLD_S
@@ -134,6 +136,7 @@
             may; the read after that is not held.
         nudged_end: The last end told by a peer for which it was set.
         is_void: Whether its offset is of an era that is gone.
+        failed: The records that could not be applied.
     """
 
     topic: str
@@ -149,6 +152,7 @@
     nudge: asyncio.Event = field(default_factory=asyncio.Event)
     nudged_end: int = -1
     is_void: bool = False
+    failed: UnusableEntries = field(default_factory=UnusableEntries)
 
 
 def note_new_era(follower: Follower) -> None:
@@ -246,9 +250,9 @@
             note_may_be_back(outage)
         follower.note_back()
         if offset is None:
-            _drop_vanished(follower, keys, records)
+            _drop_vanished(follower, keys, records, log)
         follower.offset = records.end
-        _apply(follower, keys, records)
+        _apply(follower, keys, records, log)
         follower.note_end(records.end)
         _settle_nudge(follower, told_end if is_nudged else -1)
         left = records.topic_end - records.end
@@ -319,16 +323,36 @@
     follower.note_away()
 
 
-def _drop_vanished(follower: Follower, keys: set[str], records: Records) -> None:
+def _drop_vanished(
+    follower: Follower, keys: set[str], records: Records, log: Log
+) -> None:
     for key in keys - {item.key for item in records.items}:
-        follower.apply(key, None)
+        _apply_record(follower, key, None, log)
     keys.clear()
 
 
-def _apply(follower: Follower, keys: set[str], records: Records) -> None:
+def _apply(follower: Follower, keys: set[str], records: Records, log: Log) -> None:
     for item in records.items:
-        follower.apply(item.key, item.value)
+        _apply_record(follower, item.key, item.value, log)
         if item.value is None:
             keys.discard(item.key)
         else:
             keys.add(item.key)
+
+
+def _apply_record(follower: Follower, key: str, value: bytes | None, log: Log) -> None:
+    """Apply a record; one that can't be applied must not hide those after it."""
+    try:
+        follower.apply(key, value)
+    except Exception as error:
+        text = describe_failure(error)
+        if follower.failed.note(key, text):
+            log(
+                "record can't be applied and is passed over",
+                topic=follower.topic,
+                record=shorten(key),
+                bytes=None if value is None else len(value),
+                error=text,
+            )
+    else:
+        follower.failed.forget(key)
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -183,6 +183,7 @@
         limits = Limits()
         beliefs = self._make_beliefs(adapter, limits)
         self._entries = beliefs.entries
+        self._introductions = beliefs.introductions
         self._followers = beliefs.list_followers()
         self._store_news = StoreNews(
             self.peers,
@@ -454,23 +455,26 @@
     async def _tell_peers(self) -> None:
         while True:
             await self._link.wait_due()
-            now = self._clock()
-            news = News(
-                self.fleet.list_loads(now),
-                self.relay.placements,
-                self.relay.chooser.list_read_rates(),
-                self.orderer.peek_untold(),
-                self.fleet.paces.list_learnt(),
-                self.fleet.list_silent(now),
-                self._store_news.list_ends(),
-                self.directory.unavailable_since is not None,
-                list_news(self.guard, now),
-                self._store.era or 0,
-                self.fleet.limits.list_named(now),
-            )
-            self._link.tell(now, news)
-            self.relay.placements.clear()
-            self.orderer.note_told()
+            self._tell_news(self._clock())
+
+    def _tell_news(self, now: float) -> None:
+        """Tell the peers what is new."""
+        news = News(
+            self.fleet.list_loads(now),
+            self.relay.placements,
+            self.relay.chooser.list_read_rates(),
+            self.orderer.peek_untold(),
+            self.fleet.paces.list_learnt(),
+            self.fleet.list_silent(now),
+            self._store_news.list_ends(),
+            self.directory.unavailable_since is not None,
+            list_news(self.guard, now),
+            self._store.era or 0,
+            self.fleet.limits.list_named(now),
+        )
+        self._link.tell(now, news)
+        self.relay.placements.clear()
+        self.orderer.note_told()
 
     async def _handle(self, incoming: Incoming, reply: Reply) -> None:
         if self._stop.is_too_late(incoming.at):
@@ -490,6 +494,9 @@
             streams=self.streams,
             traffic=self.traffic,
             entries=self._entries,
+            introductions=self._introductions,
+            versions=self.versions.unreadable,
+            followers=self._followers,
             count_busy=self._callers.count_busy,
             count_left_out=lambda: self._output.total_left_out,
             count_unreadable=lambda: self._keeper.unreadable,
