Hold a gateway's signals from its first instruction to its last

Callers saw a gateway end with -1 (SIGHUP) or -15 (SIGTERM) within the first 0.4 s of its start, and with -1 or -15 at the very end of a stop.

Cause: handlers were set only in Gateway.run, and the loop gave them back their default effect as it closed. A stop that comes before the ports are open ends the process with 0. Before the interpreter runs our first line nothing can be done.

--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -261,8 +261,17 @@
 
 def _run_gateway(args: argparse.Namespace) -> int:
     from robinspindle.platform.start import start_gateway
-
-    return start_gateway(args.settings, args.metrics_port, args.quiet, args.policy)
+    from robinspindle.processsignals import hold_signals
+    from robinspindle.standardstreams import open_missing_streams
+
+    open_missing_streams()
+    return start_gateway(
+        args.settings,
+        args.metrics_port,
+        args.quiet,
+        args.policy,
+        signals=hold_signals(),
+    )
 
 
 def _run_process(args: argparse.Namespace, kind: str, run) -> int:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -47,6 +47,7 @@
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peerlink import News, PeerLink
 from robinspindle.peers import Peers, list_heard
+from robinspindle.processsignals import STOP_SIGNALS, ProcessSignals, ignore_signals
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
@@ -339,14 +340,30 @@
             in_flight=self._callers.count_busy(),
         )
 
-    async def run(self) -> None:
-        """Serve until a signal to stop and the end of what is under way."""
+    async def run(self, signals: ProcessSignals) -> None:
+        """Serve until a signal to stop and the end of what is under way.
+
+        Args:
+            signals: What came since the process began, and what comes.
+        """
+        if signals.ask_to_stop:
+            log("stopped before it served", name=self.settings.name)
+            self._output.flush()
+            return
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
-        loop.add_signal_handler(signal.SIGINT, self.begin_stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signals.wake = lambda: loop.call_soon_threadsafe(self._act_on, signals)
+        self._act_on(signals)
         await self.start()
         await self.wait_stopped()
+        signals.wake = None
+
+    def _act_on(self, signals: ProcessSignals) -> None:
+        """Do what the signals that came ask for."""
+        for number in signals.take():
+            if number in STOP_SIGNALS:
+                self.begin_stop()
+            elif number == signal.SIGHUP:
+                self.reload()
 
     async def start(self) -> None:
         """Listen, and begin to follow the store."""
@@ -568,25 +585,33 @@
     return Member(settings.name, settings.ip, port, settings.zone, settings.capacity)
 
 
-def run_gateway(reread: Reread, adapter: Adapter) -> None:
-    """Run a gateway until it is told to stop.
+def run_gateway(reread: Reread, adapter: Adapter, signals: ProcessSignals) -> int:
+    """Run a gateway until it is told to stop; returns the exit code.
 
     Args:
         reread: Reads the settings, at the start and again.
         adapter: The platform's adapter.
+        signals: Holds the signals of the process, which are ignored afterwards.
 
     Raises:
         InvalidDocumentError: When the settings at the start have findings.
     """
     watch = PauseWatch()
-    with asyncio.Runner(loop_factory=lambda: make_loop(watch)) as runner:
-        runner.run(_run(reread, adapter, watch))
-
-
-async def _run(reread: Reread, adapter: Adapter, watch: PauseWatch) -> None:
+    try:
+        with asyncio.Runner(loop_factory=lambda: make_loop(watch)) as runner:
+            runner.run(_run(reread, adapter, watch, signals))
+    finally:
+        signals.wake = None
+        ignore_signals()
+    return 0
+
+
+async def _run(
+    reread: Reread, adapter: Adapter, watch: PauseWatch, signals: ProcessSignals
+) -> None:
     settings = reread()
     output = start_bounded_logs(settings.name, tells_routine=not settings.is_quiet)
     gateway = Gateway(settings, adapter, output, reread)
     watch.note = gateway.note_pause
     watch.note_long_turn = gateway.note_long_turn
-    await gateway.run()
+    await gateway.run(signals)
--- a/src/robinspindle/platform/start.py
+++ b/src/robinspindle/platform/start.py
@@ -7,10 +7,15 @@
 from robinspindle.platform.adapter import PlatformAdapter
 from robinspindle.platform.settings import read_gateway_settings
 from robinspindle.policyfile import PolicyFile, read_policy_file
+from robinspindle.processsignals import ProcessSignals, hold_signals
 
 
 def start_gateway(
-    path: str, metrics_port: int = 0, is_quiet: bool = False, policy_path: str = ""
+    path: str,
+    metrics_port: int = 0,
+    is_quiet: bool = False,
+    policy_path: str = "",
+    signals: ProcessSignals | None = None,
 ) -> int:
     """Run a gateway until it is asked to stop.
 
@@ -19,9 +24,10 @@
         metrics_port: Port for metrics, 0 for none.
         is_quiet: Whether the logs leave out lines about success.
         policy_path: The policy file; if empty, all decisions are enabled.
+        signals: What holds the process's signals; None where nothing does yet.
 
     Returns:
-        The exit code, 0.
+        The exit code: 0, also where it is asked to stop before it serves.
 
     Raises:
         InvalidDocumentError: If the settings or the policy are invalid.
@@ -38,5 +44,4 @@
             zone_terms=found.zone_terms,
         )
 
-    run_gateway(reread, PlatformAdapter())
-    return 0
+    return run_gateway(reread, PlatformAdapter(), signals or hold_signals())
