Let no content of settings or policy files end, change or block a gateway

Callers saw gateways end with 1 after SIGHUP, or by themselves within a second, as the settings held values nested 5,000 deep or numbers of 5,000 digits. Such a start ended with a traceback.

Cause: plain ValueError and RecursionError of the parser went past what was caught; a policy with a repeated key left lists among its values. Besides: a named pipe or a file of any length held the loop up, and a key of 30,000 parts took tomllib 22 s (measured: 65,539 bytes, 22.6 s).

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -18,6 +18,9 @@
 from robinspindle.platform.start import start_gateway  # noqa: E402
 from robinspindle.standardstreams import open_missing_streams  # noqa: E402
 
+MOST_CHARACTERS = 20_000
+"""Characters of findings that are printed: a pipe that nobody reads takes so many."""
+
 
 def main() -> int:
     """Run the gateway; 1 for settings with findings, as the command line does."""
@@ -35,7 +38,7 @@
             signals=SIGNALS,
         )
     except InvalidDocumentError as error:
-        print(error, file=sys.stderr)
+        print(str(error)[:MOST_CHARACTERS], file=sys.stderr)
         return 1
 
 
--- a/src/robinspindle/cli.py
+++ b/src/robinspindle/cli.py
@@ -25,6 +25,9 @@
   4  not ready, or no entry answers; worth trying again
 """
 
+MOST_CHARACTERS = 20_000
+"""Characters of findings that are printed: a pipe that nobody reads takes so many."""
+
 
 def make_parser() -> argparse.ArgumentParser:
     """Make the parser of the whole command line."""
@@ -55,7 +58,7 @@
     try:
         return args.run(args)
     except InvalidDocumentError as error:
-        print(error, file=sys.stderr)
+        print(str(error)[:MOST_CHARACTERS], file=sys.stderr)
         return 1
     except (KeyFileError, FileExistsError, FileNotFoundError) as error:
         print(f"robinspindle: {error}", file=sys.stderr)
--- a/src/robinspindle/core/ini.py
+++ b/src/robinspindle/core/ini.py
@@ -9,6 +9,9 @@
 from robinspindle.exceptions import Finding
 
 SECTION_HEADER = re.compile(r"^\s*\[([^\]]+)\]")
+MOST_WORD = 50
+"""Longest word for which close ones are looked for, characters."""
+
 MESSAGES_BY_TYPE = {"missing": "is required"}
 
 
@@ -94,8 +97,15 @@
         except configparser.ParsingError as error:
             for line, content in error.errors:
                 self._add_parse_finding(line, "", "", f"not `key = value`: {content}")
+        except configparser.Error as error:
+            self._add_parse_finding(0, "", "", str(error))
         for section in parser.sections():
-            self.sections[section] = dict(parser[section])
+            # After some errors the values before them are still lists of lines.
+            self.sections[section] = {
+                key: value
+                for key, value in parser[section].items()
+                if isinstance(value, str)
+            }
 
     def _add_parse_finding(self, line: int, section: str, key: str, text: str) -> None:
         self.findings.append(Finding(self.file, section, key, line or 0, text))
@@ -103,6 +113,6 @@
 
 def describe_unknown(word: str, known: list[str]) -> str:
     """Make the text of a finding for an unknown word, with the closest known word."""
-    close_words = difflib.get_close_matches(word, known, n=1)
+    close_words = difflib.get_close_matches(word[:MOST_WORD], known, n=1)
     hint = f"; did you mean `{close_words[0]}`?" if close_words else ""
     return f"unknown{hint}"
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file (TOML) into `GatewaySettings`."""
 
+import socket
 import tomllib
 from typing import Any
 
@@ -18,6 +19,29 @@
 
 MISSING = object()
 
+MOST_BYTES = 1 << 17
+"""Longest settings file: twice the longest template, as filling it makes it longer."""
+
+MOST_DOTS = 250
+"""Dots in one line, at most: reading a key takes the square of its parts."""
+
+MOST_KEY_BYTES = 255
+"""Longest name of a gateway, as the store's keys may be no longer."""
+
+MOST_PORT = 65535
+
+MOST_S = 1e6
+"""Longest time that is promised, seconds: eleven days."""
+
+MOST = 1e9
+"""Greatest of all other numbers."""
+
+LEAST_WINDOW_S = 0.001
+"""Shortest window, seconds; amounts are divided by windows."""
+
+MOST_SHOWN = 100
+"""Characters of an invalid value that a finding shows."""
+
 
 class _Reader:
     """Reads values from nested tables and collects the findings about invalid ones."""
@@ -42,13 +66,56 @@
         table = self.tables.get(section, {}) if section else self.tables
         value = table.get(key, default) if isinstance(table, dict) else default
         if value is MISSING:
-            self._add_finding(section, key, "is required")
+            self.add_finding(section, key, "is required")
             return None
         try:
             return msgspec.convert(value, kind, strict=True)
-        except msgspec.ValidationError as error:
-            self._add_finding(section, key, str(error))
+        except (ValueError, OverflowError, RecursionError) as error:
+            self.add_finding(section, key, str(error))
+            return None
+
+    def read_number(
+        self,
+        section: str,
+        key: str,
+        default: Any = MISSING,
+        least: float = 0.0,
+        most: float = MOST,
+    ) -> float | None:
+        """Read a number within bounds; return None if it has a finding."""
+        value = self.read(section, key, float, default)
+        # What is no number compares as false.
+        if value is not None and not least <= value <= most:
+            text = f"`{value:g}` is not between {least:g} and {most:g}"
+            self.add_finding(section, key, text)
             return None
+        return value
+
+    def read_name(self, key: str) -> str | None:
+        """Read a name that may be a key of the store; None if it has a finding."""
+        name = self.read("", key, str)
+        if name is not None and not 0 < len(name.encode()) <= MOST_KEY_BYTES:
+            text = f"has to be 1 to {MOST_KEY_BYTES} bytes long"
+            self.add_finding("", key, text)
+            return None
+        return name
+
+    def read_ip(self, key: str) -> str | None:
+        """Read an IP number; return None if it has a finding."""
+        host = self.read("", key, str)
+        if host is not None and not _is_ip(host):
+            self.add_finding("", key, f"`{host[:MOST_SHOWN]}` is no IP number")
+            return None
+        return host
+
+    def read_ports(self, key: str) -> tuple[int, int] | None:
+        """Read the first and the last of some ports; None if they have a finding."""
+        ports = self.read("", key, tuple[int, int])
+        if ports is not None and not 0 < ports[0] <= ports[1] <= MOST_PORT:
+            text = f"are not two ports from 1 to {MOST_PORT}, the lower one first"
+            self.add_finding("", key, text)
+            return None
+        return ports
 
     def read_address(self, section: str, key: str) -> HostPort | None:
         """Read an address of the form IP:PORT; return None if it has a finding."""
@@ -56,15 +123,48 @@
         if text is None:
             return None
         host, _, port = text.rpartition(":")
-        if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-            self._add_finding(section, key, f"`{text}` is not IP:PORT")
+        if not _is_ip(host) or not _is_port(port):
+            shown = text[:MOST_SHOWN]
+            self.add_finding(section, key, f"`{shown}` is not IP:PORT")
             return None
         return HostPort(host, int(port))
 
-    def _add_finding(self, section: str, key: str, text: str) -> None:
+    def add_finding(self, section: str, key: str, text: str) -> None:
+        """Add what is wrong with a value."""
         self.findings.append(Finding(self.file, section, key, 0, text))
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def _is_port(text: str) -> bool:
+    is_short = 0 < len(text) <= len(str(MOST_PORT))
+    return (
+        is_short and text.isascii() and text.isdecimal() and 0 < int(text) <= MOST_PORT
+    )
+
+
+def _parse(path: str, text: str) -> dict[str, Any]:
+    """Parse the text of a settings file.
+
+    Raises:
+        InvalidDocumentError: If it is not valid TOML.
+    """
+    if any(line.count(".") > MOST_DOTS for line in text.splitlines()):
+        fault = f"a line has more than {MOST_DOTS} dots"
+        raise InvalidDocumentError([Finding(path, "", "", 0, fault)])
+    try:
+        return tomllib.loads(text)
+    except (ValueError, RecursionError) as error:
+        # Numbers with too many digits raise a plain ValueError.
+        raise InvalidDocumentError([Finding(path, "", "", 0, str(error))]) from None
+
+
 def read_gateway_settings(path: str) -> GatewaySettings:
     """Read and check the settings of a gateway.
 
@@ -73,24 +173,33 @@
     Raises:
         InvalidDocumentError: If the settings are invalid; it holds all findings.
     """
-    try:
-        tables = tomllib.loads(read_document(path))
-    except tomllib.TOMLDecodeError as error:
-        raise InvalidDocumentError([Finding(path, "", "", 0, str(error))]) from None
-    reader = _Reader(path, tables)
+    return parse_gateway_settings(path, read_document(path, MOST_BYTES))
+
+
+def parse_gateway_settings(path: str, text: str) -> GatewaySettings:
+    """Check the text of a settings file.
+
+    Args:
+        path: The file's name in findings.
+        text: What it holds.
+
+    Raises:
+        InvalidDocumentError: If the settings are invalid; it holds all findings.
+    """
+    reader = _Reader(path, _parse(path, text))
     settings = GatewaySettings(
-        name=reader.read("", "Node", str),
-        zone=reader.read("", "Zone", str),
-        ip=reader.read("", "Ip", str),
+        name=reader.read_name("Node"),
+        zone=reader.read_name("Zone"),
+        ip=reader.read_ip("Ip"),
         callers=reader.read_address("Listen", "Front"),
         readiness=reader.read_address("Listen", "Ready"),
         store=reader.read_address("Platform", "Address"),
-        inner_ports=reader.read("", "InternalPorts", tuple[int, int]),
+        inner_ports=reader.read_ports("InternalPorts"),
         # The file describes one machine, so its memory limit is that of the process.
-        memory_mb=reader.read("Limits", "MemoryMb", float),
+        memory_mb=reader.read_number("Limits", "MemoryMb", least=1.0),
         pledges=_read_pledges(reader),
         capacity=_read_capacity(reader),
-        link_mbps=reader.read("Limits", "LinkMbps", float, 0.0),
+        link_mbps=reader.read_number("Limits", "LinkMbps", 0.0),
         duties=_read_duties(reader),
     )
     if reader.findings:
@@ -102,8 +211,8 @@
     """Read the processor speed of the gateway as a multiple of one full core."""
     # CpuShare is a share of one core; Cores is the speed of that core as a multiple of
     # a full core.
-    share = reader.read("Limits", "CpuShare", float, 1.0)
-    speed = reader.read("Limits", "Cores", float, 1.0)
+    share = reader.read_number("Limits", "CpuShare", 1.0)
+    speed = reader.read_number("Limits", "Cores", 1.0)
     return (share or 1.0) * (speed or 1.0)
 
 
@@ -112,8 +221,10 @@
     if "usage" not in (names or []):
         return None
     address = reader.read_address("Cloud", "Address")
-    window_s = reader.read("Bounds", "ReportWindowS", float)
-    late_s = reader.read("Bounds", "UsageLateS", float)
+    window_s = reader.read_number(
+        "Bounds", "ReportWindowS", least=LEAST_WINDOW_S, most=MOST_S
+    )
+    late_s = reader.read_number("Bounds", "UsageLateS", most=MOST_S)
     if address is None or window_s is None or late_s is None:
         return None
     return DutySettings(address, window_s, late_s)
@@ -121,11 +232,13 @@
 
 def _read_pledges(reader: _Reader) -> Pledges:
     def read_seconds(key: str, default_ms: float) -> float:
-        value = reader.read("Bounds", key, float, default_ms)
+        value = reader.read_number("Bounds", key, default_ms, most=MOST_S * 1000)
         return (default_ms if value is None else value) / 1000
 
-    def read_number(key: str, default: float) -> float:
-        value = reader.read("Bounds", key, float, default)
+    def read_number(
+        key: str, default: float, least: float = 0.0, most: float = MOST
+    ) -> float:
+        value = reader.read_number("Bounds", key, default, least, most)
         return default if value is None else value
 
     is_strict = reader.read("Bounds", "RevokeStrict", bool, False)
@@ -133,11 +246,11 @@
         # How long a target still serves after it announced that it is leaving.
         leave_s=read_seconds("DrainMs", 2000.0),
         # Time between the request to stop and the kill of the process.
-        stop_s=read_number("GraceS", 8.0),
+        stop_s=read_number("GraceS", 8.0, most=MOST_S),
         configuration_s=read_seconds("ConfigApplyMs", 2000.0),
         repeat_ratio=read_number("RetryBudgetRatio", 0.2),
         repeat_slack=read_number("RetryBudgetSlack", 0.0),
-        repeat_window_s=read_number("BudgetWindowS", 10.0),
+        repeat_window_s=read_number("BudgetWindowS", 10.0, LEAST_WINDOW_S, MOST_S),
         lease_s=read_seconds("LeaseMs", 3000.0),
         revoke_s=read_seconds("RevokeMs", 0.0) if is_strict else None,
         engines_check_fences=bool(
--- a/src/robinspindle/platform/start.py
+++ b/src/robinspindle/platform/start.py
@@ -2,12 +2,16 @@
 
 from dataclasses import replace
 
+from robinspindle.documentfiles import read_document
 from robinspindle.gateway import run_gateway
 from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.platform.adapter import PlatformAdapter
-from robinspindle.platform.settings import read_gateway_settings
-from robinspindle.policyfile import PolicyFile, read_policy_file
+from robinspindle.platform.settings import MOST_BYTES as SETTINGS_BYTES
+from robinspindle.platform.settings import parse_gateway_settings
+from robinspindle.policyfile import MOST_BYTES as POLICY_BYTES
+from robinspindle.policyfile import parse_policy
 from robinspindle.processsignals import ProcessSignals, hold_signals
+from robinspindle.rereading import make_reread
 
 
 def start_gateway(
@@ -33,9 +37,9 @@
         InvalidDocumentError: If the settings or the policy are invalid.
     """
 
-    def reread() -> GatewaySettings:
-        settings = read_gateway_settings(path)
-        found = read_policy_file(policy_path) if policy_path else PolicyFile()
+    def parse(settings_text: str, policy_text: str) -> GatewaySettings:
+        settings = parse_gateway_settings(path, settings_text)
+        found = parse_policy(policy_path, policy_text)
         return replace(
             settings,
             metrics_port=metrics_port,
@@ -44,4 +48,9 @@
             zone_terms=found.zone_terms,
         )
 
+    def read() -> tuple[str, str]:
+        policy_text = read_document(policy_path, POLICY_BYTES) if policy_path else ""
+        return read_document(path, SETTINGS_BYTES), policy_text
+
+    reread = make_reread(read, parse)
     return run_gateway(reread, PlatformAdapter(), signals or hold_signals())
--- a/src/robinspindle/policyfile.py
+++ b/src/robinspindle/policyfile.py
@@ -12,6 +12,9 @@
 SECTION = "decisions"
 ZONES_SECTION = "zones"
 SECTIONS = [SECTION, ZONES_SECTION]
+MOST_BYTES = 1 << 14
+"""Longest policy file: twenty times what all its keys take."""
+
 WORDS = configparser.ConfigParser.BOOLEAN_STATES
 
 
@@ -34,7 +37,20 @@
     Raises:
         InvalidDocumentError: With every finding and its place, when there is any.
     """
-    document = IniDocument(path, read_document(path))
+    return parse_policy(path, read_document(path, MOST_BYTES))
+
+
+def parse_policy(path: str, text: str) -> PolicyFile:
+    """Check the text of a policy file.
+
+    Args:
+        path: The file's name in findings.
+        text: What it holds.
+
+    Raises:
+        InvalidDocumentError: With every finding and its place, when there is any.
+    """
+    document = IniDocument(path, text)
     for section in document.sections:
         if section not in SECTIONS:
             document.add_finding(section, "", describe_unknown(section, SECTIONS))
--- a/src/robinspindle/rereading.py
+++ b/src/robinspindle/rereading.py
@@ -1,6 +1,7 @@
 """Reads a process's settings again, while it runs."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from robinspindle.exceptions import InvalidDocumentError
 from robinspindle.gatewaysettings import GatewaySettings
@@ -10,9 +11,61 @@
 """Interval at which the settings are read again, seconds: they may change without a
 signal, and reading them takes less than a millisecond."""
 
+MOST_FINDINGS_CHARACTERS = 2000
+"""Characters of findings that a log line holds."""
+
 Reread = Callable[[], GatewaySettings]
 
 
+def make_reread(
+    read: Callable[[], tuple[str, ...]], parse: Callable[..., GatewaySettings]
+) -> Reread:
+    """Make what reads the settings, and parses them only where they have changed.
+
+    Args:
+        read: Reads the text of each file.
+        parse: Checks these texts; raises `InvalidDocumentError` for findings.
+    """
+    texts: tuple[str, ...] | None = None
+    outcome: GatewaySettings | InvalidDocumentError | None = None
+
+    def reread() -> GatewaySettings:
+        nonlocal texts, outcome
+        found = read()
+        if found != texts:
+            try:
+                outcome = parse(*found)
+            except InvalidDocumentError as error:
+                outcome = error
+            texts = found
+        if isinstance(outcome, InvalidDocumentError):
+            raise outcome.with_traceback(None)
+        return outcome
+
+    return reread
+
+
+def keep_identity(
+    settings: GatewaySettings, started: GatewaySettings
+) -> GatewaySettings:
+    """Keep what comes into force at the next start only: names and addresses.
+
+    Args:
+        settings: What was read.
+        started: The settings at the start.
+    """
+    return replace(
+        settings,
+        name=started.name,
+        zone=started.zone,
+        ip=started.ip,
+        callers=started.callers,
+        readiness=started.readiness,
+        store=started.store,
+        inner_ports=started.inner_ports,
+    )
+
+
 class SettingsReader:
     """Reads the settings again; bad ones change nothing.
 
@@ -56,19 +109,29 @@
         """
         self._read_at = now
         try:
-            settings = self._reread()
+            settings = keep_identity(self._reread(), self.settings)
+            if settings != self.settings:
+                self._put_in_force(settings)
         except InvalidDocumentError as error:
             self._note_bad(str(error))
-            return
-        self._told_findings = ""
-        if settings == self.settings:
-            return
+        except Exception as error:
+            # Nothing in a file may end or change what runs.
+            self._note_bad(f"unexpected: {error!r}")
+        else:
+            self._told_findings = ""
+
+    def _put_in_force(self, settings: GatewaySettings) -> None:
+        try:
+            self._apply(settings)
+        except Exception:
+            self._apply(self.settings)
+            raise
         self.settings = settings
-        self._apply(settings)
         self._log("settings in force", name=settings.name)
 
     def _note_bad(self, findings: str) -> None:
         """Log findings once, as the file is read each second."""
+        findings = findings[:MOST_FINDINGS_CHARACTERS]
         if findings != self._told_findings:
             self._told_findings = findings
             self._log("settings can't be read, the last ones stay", findings=findings)
