Wait for ports that are held, and run a task that failed again

Callers saw gateways end with 1: as the port of callers, readiness, metrics or gateways was held for 2 s at the start; and with all that was under way for an error of any of fifteen tasks.

Cause: an error of listen() was final, and _end_on_failure ended the process.

Ports: each is tried at the start, and those that are held again after 0.1 to 1 s, logged (port, address, error, time) and told as a metric. The rest goes on meanwhile; /ready says 200 only while callers can connect. Tasks that speak in the gateway's name wait for the port of gateways, so that a second process beside one that has not gone does not act for both.

Tasks: supervision.py runs each and again after 0.1 to 5 s, with a log line (part, error, file and line) and a metric. State outlives the task: the keys that a follower knows are kept with it, and it reads the newest records anew. Where a view of the store can't be read on, it counts as away; after 3 s the gateway is unready, and after 60 s it stops as asked and ends with 1, both only while a peer does better. Housekeeping is a list of jobs of which each is done whatever becomes of the others. Errors in callbacks, lost tasks, library logs and the pause watch go to the logs, not to standard error.

--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -131,6 +131,7 @@
         nudge: Set when a held poll may be waiting in vain.
         nudged_end: The last end told by a peer for which it was set.
         is_void: Whether its offset is of an era that is gone.
+        keys: The keys that are known; those that vanish are told as dropped.
     """
 
     topic: str
@@ -146,6 +147,17 @@
     nudge: asyncio.Event = field(default_factory=asyncio.Event)
     nudged_end: int = -1
     is_void: bool = False
+    keys: set[str] = field(default_factory=set)
+
+
+def note_follower_failed(follower: Follower) -> None:
+    """Take note that an unforeseen error ended the reading of a topic.
+
+    Its records may have been applied in part, so all is read again.
+    """
+    follower.is_void = True
+    follower.is_lost = True
+    follower.note_away()
 
 
 def note_new_era(follower: Follower) -> None:
@@ -190,7 +202,7 @@
         clock: Tells the present time, steady seconds.
     """
     outage = outage or Outage()
-    keys: set[str] = set()
+    keys = follower.keys
     pause_s = FIRST_PAUSE_S
     is_nudged = False
     while True:
@@ -296,7 +308,7 @@
 def _drop_vanished(follower: Follower, keys: set[str], records: Records) -> None:
     for key in keys - {item.key for item in records.items}:
         follower.apply(key, None)
-    keys.clear()
+        keys.discard(key)
 
 
 def _apply(follower: Follower, keys: set[str], records: Records) -> None:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -7,6 +7,7 @@
 import asyncio
 import signal
 import time
+from functools import partial
 
 from robinspindle.adapters import Adapter
 from robinspindle.beliefs import Beliefs
@@ -24,10 +25,11 @@
 from robinspindle.core.ratelimits import Sharing, choose_sharing
 from robinspindle.core.relays import Member, encode_member
 from robinspindle.core.targets import Directory, Target
+from robinspindle.core.taskfailures import HOPELESS_AFTER_S, UNREADY_AFTER_S
 from robinspindle.core.usage import make_incarnation
 from robinspindle.duties import Duties
 from robinspindle.fleet import Fleet
-from robinspindle.following import follow, note_new_era
+from robinspindle.following import note_new_era
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaypages import (
     make_metrics_page,
@@ -35,12 +37,15 @@
     make_readiness_page,
 )
 from robinspindle.gatewaysettings import GatewaySettings, HostPort
+from robinspindle.gatewaytasks import PEERS_PORT, TaskParts, list_tasks
 from robinspindle.gauges import GaugeSources
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
+from robinspindle.housekeeping import Job, do_jobs
 from robinspindle.httpserver import STOPPING, CallerServer
 from robinspindle.introduction import Introduction
 from robinspindle.linkqueue import LinkQueue
+from robinspindle.listeners import Listener, Listeners
 from robinspindle.logs import make_log, start_bounded_logs
 from robinspindle.ordering import Orderer
 from robinspindle.passages import Means
@@ -56,7 +61,9 @@
 from robinspindle.stopping import Stop
 from robinspindle.storenews import StoreNews
 from robinspindle.streamparts import make_stream_parts
+from robinspindle.supervision import FailureLog, Supervisor, Task
 from robinspindle.targettraffic import make_traffic_maker
+from robinspindle.unexpected import report_to
 from robinspindle.usagebook import UsageBook
 from robinspindle.zonetraffic import ZoneTraffic
 
@@ -106,6 +113,9 @@
             settings, reread, self._apply_settings, self._clock(), log
         )
         self.metrics = GatewayMetrics()
+        self.failures = FailureLog(self._clock, log, self.metrics.count_failure)
+        self._supervisor = Supervisor(self._clock, self.failures)
+        self._listeners = Listeners(self._clock, log, self.metrics.ports_waiting.set)
         self._store = adapter.make_store(settings, self._clock)
         self.directory = Directory()
         self.traffic = ZoneTraffic(settings.zone)
@@ -210,7 +220,7 @@
             self._clock,
         )
         self._apply_settings(settings)
-        self._tasks: list[asyncio.Task] = []
+        self._has_failed = False
         self._stop = Stop(self._callers, lambda: self.settings.pledges.stop_s, log)
 
     @property
@@ -340,22 +350,26 @@
             in_flight=self._callers.count_busy(),
         )
 
-    async def run(self, signals: ProcessSignals) -> None:
+    async def run(self, signals: ProcessSignals) -> int:
         """Serve until a signal to stop and the end of what is under way.
 
         Args:
             signals: What came since the process began, and what comes.
+
+        Returns:
+            The exit code: 1 where it stops as it can't go on, 0 otherwise.
         """
         if signals.ask_to_stop:
             log("stopped before it served", name=self.settings.name)
             self._output.flush()
-            return
+            return 0
         loop = asyncio.get_running_loop()
         signals.wake = lambda: loop.call_soon_threadsafe(self._act_on, signals)
         self._act_on(signals)
         await self.start()
         await self.wait_stopped()
         signals.wake = None
+        return 1 if self._has_failed else 0
 
     def _act_on(self, signals: ProcessSignals) -> None:
         """Do what the signals that came ask for."""
@@ -366,63 +380,69 @@
                 self.reload()
 
     async def start(self) -> None:
-        """Listen, and begin to follow the store."""
-        loop = asyncio.get_running_loop()
-        settings = self.settings
-        await self._readiness.start(settings.readiness.host, settings.readiness.port)
-        await self._callers.start(settings.callers.host, settings.callers.port)
-        if settings.metrics_port:
-            await self._figures.start(settings.ip, settings.metrics_port)
-        await self._start_inner_sockets(settings)
-        log("started", name=settings.name, zone=settings.zone)
-        self._tasks = [
-            loop.create_task(self._introduction.keep()),
-            loop.create_task(self._tell_peers()),
-            *(
-                loop.create_task(
-                    follow(
-                        self._store,
-                        follower,
-                        log,
-                        self._store_news.outage,
-                        self._clock,
-                    )
-                )
-                for follower in self._followers
-            ),
-            loop.create_task(
-                self.orderer.run(
-                    self.relay.chooser.read_rate, self.lengths.find_pressure
-                )
-            ),
-            loop.create_task(self._keep_house()),
-            loop.create_task(self._keeper.run()),
-            loop.create_task(self._streams.writer.run()),
-            loop.create_task(self._streams.kept.run()),
-            loop.create_task(self.guard.runs.recheck()),
-            loop.create_task(self.duties.run()),
-        ]
-        if settings.policy.tells_caches:
-            self._tasks.append(loop.create_task(self._cache_lists.regain()))
-        for task in self._tasks:
-            task.add_done_callback(self._end_on_failure)
+        """Listen, and begin to follow the store.
+
+        What can't listen yet, as another process holds its port, does so later.
+        """
+        held = [one for one in self._list_listeners() if not await self._try_open(one)]
+        log(
+            "started",
+            name=self.settings.name,
+            zone=self.settings.zone,
+            waits_for=self._listeners.waiting,
+        )
+        for listener in held:
+            self._open_later(listener)
+        for task in list_tasks(self._list_parts(), self._tell_peers, self._keep_house):
+            self._supervisor.start(task)
+
+    def _list_parts(self) -> TaskParts:
+        tells_caches = self.settings.policy.tells_caches
+        return TaskParts(
+            store=self._store,
+            followers=self._followers,
+            minor_topic=self._adapter.orders_topic,
+            outage=self._store_news.outage,
+            introduction=self._introduction,
+            orderer=self.orderer,
+            relay=self.relay,
+            lengths=self.lengths,
+            keeper=self._keeper,
+            streams=self._streams,
+            guard=self.guard,
+            duties=self.duties,
+            cache_lists=self._cache_lists if tells_caches else None,
+            listeners=self._listeners,
+            clock=self._clock,
+            log=log,
+        )
+
+    async def _try_open(self, listener: Listener) -> bool:
+        return await self._listeners.try_open(listener)
+
+    def _open_later(self, listener: Listener) -> None:
+        run = partial(self._listeners.open_when_free, listener)
+        self._supervisor.start(Task(f"open {listener.name}", run))
 
-    async def _start_inner_sockets(self, settings: GatewaySettings) -> None:
-        """Open the sockets for what gateways say to each other."""
+    def _list_listeners(self) -> list[Listener]:
+        """List what listens, the ports for what gateways say to each other too."""
+        settings = self.settings
         first, last = settings.inner_ports
-        address = HostPort(settings.ip, first)
-        await self._link.start(address)
+        inner = HostPort(settings.ip, first)
+        found = [
+            _make_listener("readiness", settings.readiness, self._readiness),
+            _make_listener("callers", settings.callers, self._callers),
+            Listener(PEERS_PORT, inner, partial(self._link.start, inner)),
+        ]
+        if settings.metrics_port:
+            address = HostPort(settings.ip, settings.metrics_port)
+            found.append(_make_listener("metrics", address, self._figures))
         if last > first:
-            await self._streams.link.start(address)
+            start = partial(self._streams.link.start, inner)
+            found.append(Listener("origins", HostPort(settings.ip, first + 1), start))
         else:
             log("one inner port is too few: streams are remembered here only")
-
-    def _end_on_failure(self, task: asyncio.Task) -> None:
-        """End the process when a task that must go on has failed; it is restarted."""
-        if not task.cancelled() and task.exception() is not None:
-            log("internal error", error=repr(task.exception()))
-            self._output.flush()
-            raise SystemExit(1)
+        return found
 
     async def wait_stopped(self) -> None:
         """Wait for the end of a stop."""
@@ -431,8 +451,8 @@
 
     async def close(self) -> None:
         """End at once, with whatever is under way."""
-        for task in self._tasks:
-            task.cancel()
+        self._listeners.stop()
+        self._supervisor.cancel_all()
         self._callers.close_listener()
         self._readiness.close_listener()
         self._figures.close_listener()
@@ -451,12 +471,45 @@
         """
         return (
             not self._stop.has_begun
+            and self._callers.is_listening
+            and not self._is_behind(self._clock())
             and self.fleet.table is not None
             and self.directory.is_list_read
             and self._keeper.is_known
             and may_serve(self.freshness, self._clock())
         )
 
+    def _is_behind(self, now: float) -> bool:
+        """Whether this gateway fails to read on where others do not."""
+        is_failing = self._supervisor.find_failing_s(now) >= UNREADY_AFTER_S
+        return is_failing and self._do_others_better()
+
+    def _can_not_read_on(self, now: float) -> bool:
+        """Whether the store is away, or what it says can't be taken in."""
+        is_away = self.directory.unavailable_since is not None
+        return is_away or self._supervisor.find_failing_s(now) > 0
+
+    def _do_others_better(self) -> bool:
+        """Whether a peer is heard for which the store is not away."""
+        return any(
+            not self._store_news.is_unavailable_for(peer)
+            for peer in list_heard(self.peers)
+        )
+
+    def _look_after_failing(self, now: float) -> None:
+        """Stop where what is known can't be read on for long, and others can.
+
+        Only what is in memory can be the cause, so a process that begins anew is better
+        than one that is unready; what is under way is ended as in any stop.
+        """
+        failing_s = self._supervisor.find_failing_s(now)
+        if failing_s < HOPELESS_AFTER_S or self._stop.has_begun:
+            return
+        if self._do_others_better():
+            log("stops, as it can't read the store on", failing_s=round(failing_s, 1))
+            self._has_failed = True
+            self.begin_stop()
+
     async def _tell_peers(self) -> None:
         while True:
             await self._link.wait_due()
@@ -469,7 +522,7 @@
                 self.fleet.list_learnt(),
                 self.fleet.list_silent(now),
                 self._store_news.list_ends(),
-                self.directory.unavailable_since is not None,
+                self._can_not_read_on(now),
                 list_news(self.guard, now),
                 self._store.era or 0,
                 self.fleet.limits.list_named(now),
@@ -502,35 +555,61 @@
         )
 
     async def _keep_house(self) -> None:
+        jobs = self._list_jobs()
         while True:
             due_at = self._clock() + TICK_S
             await asyncio.sleep(TICK_S)
-            self._output.flush()
             now = self._clock()
             self._connections.note_tick(now, now - due_at)
-            self.fleet.gateways = len(self.peers.members) + 1
-            heard = list_heard(self.peers)
-            self.fleet.hears_all_gateways = self._hears_all_gateways(heard)
-            self.fleet.limits.sharing = self._choose_sharing(heard)
-            self._store_news.look_after_relaying()
-            if must_renew(self.freshness, now):
-                self._store_news.look_after_configuration()
-            for target in targets.drop_gone(self.directory, now):
-                self.fleet.forget(target, now)
-                self.metrics.forget_target(target.announced.lifetime)
-                log("target is gone", target=target.announced.lifetime)
-            if self.settings.policy.notices_silence:
-                for target in self.fleet.leave_silent(now):
-                    self._note_silent(target, now)
-            self.relay.look_after_leaving(now, self.settings.pledges.leave_s)
-            self._link.remove_timed_out_peers(now)
-            self.guard.settle(now)
-            self._callers.close_idle(now)
-            self._readiness.close_idle(now)
-            self._figures.close_idle(now)
-            self._reader.read_if_due(now)
-            self.traffic.log_if_due(log, now, self._store.received_bytes)
-            self._stop.go_on(now)
+            do_jobs(jobs, now, self.failures)
+
+    def _list_jobs(self) -> list[Job]:
+        """List the jobs of each tick, in their order."""
+        return [
+            Job("flush logs", lambda now: self._output.flush()),
+            Job("look at peers", self._look_at_peers),
+            Job("look after polls", self._look_after_polls),
+            Job("forget targets", self._forget_targets),
+            Job("notice silence", self._notice_silence),
+            Job("leave targets", self._look_after_leaving),
+            Job("forget peers", self._link.remove_timed_out_peers),
+            Job("settle crashes", self.guard.settle),
+            Job("close callers", self._callers.close_idle),
+            Job("close balancer", self._readiness.close_idle),
+            Job("close operators", self._figures.close_idle),
+            Job("read settings", self._reader.read_if_due),
+            Job("log traffic", self._log_traffic),
+            Job("look after failures", self._look_after_failing),
+            Job("stop", self._stop.go_on),
+        ]
+
+    def _look_at_peers(self, now: float) -> None:
+        self.fleet.gateways = len(self.peers.members) + 1
+        heard = list_heard(self.peers)
+        self.fleet.hears_all_gateways = self._hears_all_gateways(heard)
+        self.fleet.limits.sharing = self._choose_sharing(heard)
+
+    def _look_after_polls(self, now: float) -> None:
+        self._store_news.look_after_relaying()
+        if must_renew(self.freshness, now):
+            self._store_news.look_after_configuration()
+
+    def _forget_targets(self, now: float) -> None:
+        for target in targets.drop_gone(self.directory, now):
+            self.fleet.forget(target, now)
+            self.metrics.forget_target(target.announced.lifetime)
+            log("target is gone", target=target.announced.lifetime)
+
+    def _notice_silence(self, now: float) -> None:
+        if self.settings.policy.notices_silence:
+            for target in self.fleet.leave_silent(now):
+                self._note_silent(target, now)
+
+    def _look_after_leaving(self, now: float) -> None:
+        self.relay.look_after_leaving(now, self.settings.pledges.leave_s)
+
+    def _log_traffic(self, now: float) -> None:
+        self.traffic.log_if_due(log, now, self._store.received_bytes)
 
     def _hears_all_gateways(self, heard: list[str]) -> bool:
         return self._introduction.is_read and self.peers.members.keys() <= set(heard)
@@ -554,6 +633,7 @@
 
     def begin_stop(self) -> None:
         """Become unready; take no requests after a while; end when all is done."""
+        self._listeners.stop()
         self._stop.begin(self._clock())
 
     def reload(self) -> None:
@@ -579,6 +659,10 @@
         self.duties.apply_settings(settings)
 
 
+def _make_listener(name: str, address: HostPort, server: CallerServer) -> Listener:
+    return Listener(name, address, partial(server.start, address.host, address.port))
+
+
 def _describe_own(settings: GatewaySettings) -> Member:
     """Describe a gateway as it introduces itself to the others."""
     port = settings.inner_ports[0]
@@ -599,19 +683,21 @@
     watch = PauseWatch()
     try:
         with asyncio.Runner(loop_factory=lambda: make_loop(watch)) as runner:
-            runner.run(_run(reread, adapter, watch, signals))
+            return runner.run(_run(reread, adapter, watch, signals))
     finally:
         signals.wake = None
         ignore_signals()
-    return 0
 
 
 async def _run(
     reread: Reread, adapter: Adapter, watch: PauseWatch, signals: ProcessSignals
-) -> None:
+) -> int:
     settings = reread()
     output = start_bounded_logs(settings.name, tells_routine=not settings.is_quiet)
     gateway = Gateway(settings, adapter, output, reread)
-    watch.note = gateway.note_pause
-    watch.note_long_turn = gateway.note_long_turn
-    await gateway.run(signals)
+    failures = gateway.failures
+    report_to(failures, asyncio.get_running_loop())
+    # They are called inside the loop's wait, where an error would end the process.
+    watch.note = failures.guard("note pauses", gateway.note_pause)
+    watch.note_long_turn = failures.guard("note long turns", gateway.note_long_turn)
+    return await gateway.run(signals)
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -24,6 +24,8 @@
         copies: Answers by whether they got a copy at another engine, or why not.
         continued: Answers that went on from a copy, by how that ended.
         moves: Steps of moves of answers by their outcome.
+        failures: Errors nobody foresaw so far, by the part of the program.
+        ports_waiting: Ports of this process that another one holds.
         pauses: Times that the process was paused: suspended, or not run.
         turned_away: Attempts that were turned away for that.
         connections_turned_away: Connections that were closed unread, as the gateway had
@@ -220,6 +222,12 @@
         self.moves = self._count(
             "moves", "Moves of answers by their outcome", "outcome"
         )
+        self.failures = self._count(
+            "unexpected_errors", "Errors nobody foresaw, by part of the program", "part"
+        )
+        self.ports_waiting = self._gauge(
+            "ports_waiting", "Ports of this process that can't be opened yet"
+        )
         self.pauses = self._count("pauses", "Times that the process was paused")
         self.connections_turned_away = self._count(
             "connections_turned_away", "Connections closed unread by a busy gateway"
@@ -236,6 +244,10 @@
         self.tries.labels(service, end).inc()
         self.target_tries.labels(target, end).inc()
 
+    def count_failure(self, part: str) -> None:
+        """Count an error nobody foresaw in a part of the program."""
+        self.failures.labels(part).inc()
+
     def forget_target(self, target: str) -> None:
         """Drop the counts of a target that is gone, so that they don't add up."""
         for end in End:
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -78,6 +78,11 @@
             lambda: CallerConnection(self), host, port, backlog=BACKLOG
         )
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._server is not None and self._server.is_serving()
+
     def count_busy(self) -> int:
         """Count connections on which a request is under way."""
         return sum(connection.is_busy for connection in self.connections)
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -378,7 +378,7 @@
 
     def _send(self, name: str, told: list[Digest], echo: int | None = None) -> None:
         member = self._peers.members.get(name)
-        if member is None:
+        if member is None or self._transport is None:
             return
         facts = self._facts.describe(name) if self._facts else None
         data = encode(Datagram(self._peers.name, told, echo, facts))
--- a/src/robinspindle/storenews.py
+++ b/src/robinspindle/storenews.py
@@ -74,6 +74,10 @@
             self._away_for.discard(peer)
             note_may_be_back(self.outage)
 
+    def is_unavailable_for(self, peer: str) -> bool:
+        """Whether the store is away for a peer, as it last told."""
+        return peer in self._away_for
+
     def note_pause(self) -> None:
         """Have all held polls looked after: they may have waited in vain meanwhile."""
         for follower in self._followers:
--- a/tests/system/gatewayprocess.py
+++ b/tests/system/gatewayprocess.py
@@ -152,6 +152,12 @@
         await self.wait_until(self.is_ready)
         await self.wait_until(self._is_served)
 
+    async def wait_logged(self, text):
+        async def is_logged():
+            return text in self.log
+
+        await self.wait_until(is_logged)
+
     async def _is_served(self):
         return await self.call() == 200
 
