--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from soak.callers import ask_route, call_on
+from soak.callers import call_on
 from soak.crashing import let_crash
 from soak.faults import (
     CRASH_FAULTS,
@@ -20,25 +20,20 @@
     repeat_crashing,
     return_store_from_copy,
 )
-from soak.gateways import GatewayProcess
 from soak.keyed import KeyAccount
 from soak.oracle import Oracle
 from soak.seeds import add_seed_options, list_seeds
-from soak.world import World, cancel_all, name_newest
+from soak.waiting import wait_until_all_know_the_newest, wait_until_all_serve
+from soak.world import World, cancel_all
 
 GATEWAYS = 3
 CALLERS = 4
-START_S = 20.0
-"""Longest wait until all gateways serve, at the start and after the faults, seconds."""
-
 
 SLOW_LINK_BYTES_PER_S = 150_000
 MANY_ROUTES = 1500
 """A link to the store and a configuration of 0.3 MB that needs 2 s over it, more than
 a call may be silent."""
 
-NOT_FOUND = 404
-
 
 async def play(
     seed: int,
@@ -74,7 +69,7 @@
     await world.start(GATEWAYS)
     callers: list[asyncio.Task] = []
     try:
-        await _wait_until_all_serve(world, "start")
+        await wait_until_all_serve(world, "start")
         for number in range(CALLERS * GATEWAYS):
             gateway = world.gateways[number % GATEWAYS]
             caller = call_on(gateway, world.oracle, rng, f"c{number}", world.keys)
@@ -85,8 +80,8 @@
             faults.append(asyncio.create_task(fault(world, seconds)))
             await asyncio.sleep(rng.uniform(0.0, 0.6))
         await asyncio.gather(*faults)
-        await _wait_until_all_serve(world, "end")
-        await _wait_until_all_know_the_newest(world)
+        await wait_until_all_serve(world, "end")
+        await wait_until_all_know_the_newest(world)
         if world.keys is not None:
             await world.keys.await_report()
     finally:
@@ -98,44 +93,6 @@
     return world.oracle
 
 
-async def _wait_until_all_serve(world: World, when: str) -> None:
-    for gateway in world.gateways:
-        name = f"{when}-{gateway.name}"
-        probe = call_on(gateway, world.oracle, random.Random(0), name, world.keys)
-        task = asyncio.create_task(probe)
-        try:
-            async with asyncio.timeout(START_S):
-                while not world.oracle.was_served(name):
-                    gateway.check()
-                    await asyncio.sleep(0.05)
-        except TimeoutError:
-            world.oracle.findings.append(f"{gateway.name} does not serve at the {when}")
-        finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-
-
-async def _wait_until_all_know_the_newest(world: World) -> None:
-    route = name_newest(world.version)
-    for gateway in world.gateways:
-        try:
-            async with asyncio.timeout(START_S):
-                tries = 0
-                while await _is_unknown(world, gateway, route, tries):
-                    tries += 1
-                    await asyncio.sleep(0.05)
-        except TimeoutError:
-            text = f"{gateway.name} does not know version {world.version} at the end"
-            world.oracle.findings.append(text)
-
-
-async def _is_unknown(
-    world: World, gateway: GatewayProcess, route: str, tries: int
-) -> bool:
-    id = f"newest-{gateway.name}-{tries}"
-    return await ask_route(gateway, world.oracle, id, route) in (0, NOT_FOUND)
-
-
 def _choose_faults(args: argparse.Namespace) -> tuple[Fault, ...]:
     if args.keys:
         return KEY_FAULTS
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -45,10 +45,9 @@
     """Ask a gateway to stop and start it again."""
     gateway = world.rng.choice(world.gateways)
     async with gateway.lock:
-        # Before it says so it may not take signals yet, however long ago it began.
-        has_started = gateway.has_started()
+        holds_signals = gateway.holds_signals()
         code = await gateway.end(signal.SIGTERM)
-        if code != 0 and (has_started or code != -signal.SIGTERM):
+        if code != 0 and (holds_signals or code != -signal.SIGTERM):
             world.oracle.findings.append(f"{gateway.name} ended with {code}")
         await gateway.start()
 
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import os
+import re
 import signal
 import socket
 import sys
@@ -121,6 +122,18 @@
             log.seek(self.log_start)
             return STARTED in log.read()
 
+    def holds_signals(self) -> bool:
+        """Whether the process has handlers: signals have their default effect before.
+
+        That is until the interpreter runs the first instruction of the program.
+        """
+        path = Path(f"/proc/{self.process.pid}/status")
+        try:
+            caught = re.search(r"SigCgt:\t(\w+)", path.read_text())
+        except OSError:
+            return False
+        return caught is not None and bool(int(caught[1], 16) >> signal.SIGTERM - 1 & 1)
+
     def check(self) -> None:
         """Check that the process, once started, runs until it is asked to end.
 
