--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -137,6 +137,7 @@
         nudged_end: The last end told by a peer for which it was set.
         is_void: Whether its offset is of an era that is gone.
         failed: The records that could not be applied.
+        keys: The keys that are known; those that vanish are told as dropped.
     """
 
     topic: str
@@ -153,6 +154,17 @@
     nudged_end: int = -1
     is_void: bool = False
     failed: UnusableEntries = field(default_factory=UnusableEntries)
+    keys: set[str] = field(default_factory=set)
+
+
+def note_follower_failed(follower: Follower) -> None:
+    """Take note that an unforeseen error ended the reading of a topic.
+
+    Its records may have been applied in part, so all is read again.
+    """
+    follower.is_void = True
+    follower.is_lost = True
+    follower.note_away()
 
 
 def note_new_era(follower: Follower) -> None:
@@ -202,7 +214,7 @@
         clock: Tells the present time, steady seconds.
     """
     outage = outage or Outage()
-    keys: set[str] = set()
+    keys = follower.keys
     pause_s = FIRST_PAUSE_S
     is_given_up = False
     while True:
@@ -328,7 +340,7 @@
 ) -> None:
     for key in keys - {item.key for item in records.items}:
         _apply_record(follower, key, None, log)
-    keys.clear()
+        keys.discard(key)
 
 
 def _apply(follower: Follower, keys: set[str], records: Records, log: Log) -> None:
