Read the kept origins as a gateway starts beside several versions

Change: a gateway that learns that several versions may have begun streams reads what the others have kept in the store at once, also as it starts. Take-ups then find their origin without asking anybody.

Evidence: test_a_restarted_gateway_knows_streams_before_they_are_taken_up failed before (nothing was known until a take-up asked) and passes.

--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -122,6 +122,7 @@
         self._asks_by_number: dict[int, PendingAsk] = {}
         self._numbers: Iterator[int] = itertools.count(1)
         self._conflicting: set[str] = set()
+        self._first_look: asyncio.Task[bool] | None = None
         # Own streams under way, by which version they were begun.
         self._running: dict[StreamKey, StreamOrigin] = {}
         link.take = self._take
@@ -151,6 +152,16 @@
         for name in choose_told(key, list(self._peers.members), heard):
             self._queue(name, make_tell(key, first))
 
+    def note_several(self, service: str) -> None:
+        """Take note that a service's streams may have been begun by several versions.
+
+        What others have written to the store is read at once: a gateway that starts
+        with all others is too busy to look for each stream that is taken up.
+        """
+        self.keep_running(service)
+        if self._first_look is None or self._first_look.done():
+            self._first_look = asyncio.create_task(self._kept.look())
+
     def note_whole(self, key: StreamKey) -> None:
         """Take note that a stream is whole: nobody takes it up any more."""
         if self._running.pop(key, None) is not None:
--- a/src/robinspindle/streamparts.py
+++ b/src/robinspindle/streamparts.py
@@ -75,6 +75,6 @@
     kept = OriginLog(store, adapter.origins_topic, count_relays, log)
     memory = StreamMemory(peers, link, kept, clock, log)
     versions = VersionKeeper(*shared)
-    versions.note_several = memory.keep_running
+    versions.note_several = memory.note_several
     writer = VersionWriter(versions, *shared)
     return StreamParts(link, kept, memory, versions, writer)
--- a/tests/platform/test_streamrestarts.py
+++ b/tests/platform/test_streamrestarts.py
@@ -85,6 +85,27 @@
     run(scenario())
 
 
+def test_a_restarted_gateway_knows_streams_before_they_are_taken_up(tmp_path):
+    """Guards against take-ups that time out where a busy gateway asks for origins."""
+
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            await make_single(d)
+            await add(d, USUAL_VERSION)
+            await add(d, OTHER_VERSION)
+            await until(lambda: len(d.gateway.versions.records.noted) == 2)
+            await break_stream(d, USUAL_VERSION)
+            await asyncio.sleep(NOTED_S)
+            async with restart_all(tmp_path, d) as restarted:
+                streams = restarted.gateway.streams
+                await until(lambda: streams.table.entries)
+                reply, _ = await take_up(restarted)
+                assert reply.is_whole
+                assert (streams.counts.asked, streams.counts.looked_up) == (0, 0)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("attempt", [None, "r1"])
 def test_no_stream_is_lost_with_all_gateways_while_one_version_serves(
     tmp_path, attempt
