Have gateways of the take-up world stand still, and the store lose and delay

`fuzz/takeupworld.py` knew gateways that are cut off both ways, and lost answers. Now they also stand still (what came waits, and an answer of the store to a read that began before is taken in after), are cut off one way or both, several at once; the store holds answers to reads up, loses writes or does them later; streams break though their gateway lives. A seed begins with the first newer version coming while one gateway is out of step, whereupon the others die.

--- a/fuzz/takeuporacle.py
+++ b/fuzz/takeuporacle.py
@@ -4,7 +4,7 @@
 import random
 from collections import Counter
 
-from fuzz.takeupworld import TakeUpWorld
+from fuzz.takeupworld import LATE_SHARE, LOST_SHARE, READ_S, FuzzGateway, TakeUpWorld
 
 SECONDS = 60.0
 GATEWAYS = (2, 5)
@@ -13,9 +13,20 @@
 STREAMS_PER_S = 12.0
 RELEASE_S = (2.0, 15.0)
 KILL_S = (2.0, 8.0)
-CUT_S = (1.0, 6.0)
+APART_S = (0.5, 4.0)
 AWAY_S = (0.2, 6.0)
-"""Times between two releases, kills and cuts; how long a cut lasts, seconds."""
+"""Times between two releases, between two kills, and until the next gateway is out of
+step; how long one is; seconds."""
+
+JOIN_S = (0.0, 0.5)
+SERVED_S = (1.0, 4.0)
+FIRST_AWAY_S = (4.0, 8.0)
+"""From when a gateway is out of step until the first newer version comes, how long that
+serves before the other gateways are killed, and how long it all lasts, seconds."""
+
+TROUBLE_S = (3.0, 15.0)
+MANY = 0.8
+"""Time between two troubles of the store; share that it loses, or holds up, then."""
 
 ALL_SHARE = 0.4
 """Share of the kills that take all gateways at once."""
@@ -36,9 +47,11 @@
     _list_version(world, "v1")
     for _ in range(world.rng.randint(*GATEWAYS)):
         world.start_gateway()
-    tasks = [asyncio.create_task(run(world)) for run in (_call, _release, _kill, _cut)]
+    calls = asyncio.create_task(_call(world))
+    await _meet_first_release(world)
+    tasks = [asyncio.create_task(run(world)) for run in _RUNS]
     await asyncio.sleep(SECONDS)
-    for task in tasks:
+    for task in (calls, *tasks):
         if task.done():
             task.result()
         task.cancel()
@@ -68,9 +81,23 @@
             group.create_task(world.run_stream())
 
 
+async def _meet_first_release(world: TakeUpWorld) -> None:
+    """Have a second version come while a gateway is out of step; the others die."""
+    await asyncio.sleep(READ_S[1])
+    gateway = world.rng.choice(world.gateways)
+    await asyncio.sleep(world.rng.uniform(*JOIN_S))
+    async with asyncio.TaskGroup() as group:
+        put_out = world.rng.choice(_WAYS)
+        group.create_task(put_out(world, gateway, world.rng.uniform(*FIRST_AWAY_S)))
+        await asyncio.sleep(world.rng.uniform(*JOIN_S))
+        _list_version(world, "v2")
+        await asyncio.sleep(world.rng.uniform(*SERVED_S))
+        await _kill_gateways(world, [g for g in world.gateways if g is not gateway])
+
+
 async def _release(world: TakeUpWorld) -> None:
     """Have targets of the next version serve beside those before, and then alone."""
-    for number in range(2, 100):
+    for number in range(3, 100):
         await asyncio.sleep(world.rng.uniform(*RELEASE_S))
         # Some releases are taken back.
         older = Counter(world.listed.versions.values()).most_common(1)[0][0]
@@ -96,20 +123,67 @@
         await asyncio.sleep(world.rng.uniform(*KILL_S))
         is_all = world.rng.random() < ALL_SHARE
         killed = list(world.gateways) if is_all else [world.rng.choice(world.gateways)]
-        for gateway in killed:
-            world.end_gateway(gateway)
-        await asyncio.sleep(world.rng.uniform(0.0, 0.5))
-        for _ in killed:
-            world.start_gateway()
+        await _kill_gateways(world, killed)
 
 
-async def _cut(world: TakeUpWorld) -> None:
-    """Cut one gateway off from the store, from the others or from both for a while."""
+async def _kill_gateways(world: TakeUpWorld, killed: list[FuzzGateway]) -> None:
+    for gateway in killed:
+        world.end_gateway(gateway)
+    await asyncio.sleep(world.rng.uniform(0.0, 0.5))
+    for _ in killed:
+        world.start_gateway()
+
+
+async def _trouble_store(world: TakeUpWorld) -> None:
+    """Have the store lose many writes, or hold many answers up."""
+    store = world.store
     while True:
-        await asyncio.sleep(world.rng.uniform(*CUT_S))
-        gateway = world.find_ready()
-        if gateway is not None:
-            gateway.store.is_cut = world.rng.random() < 0.5
-            gateway.is_mute = not gateway.store.is_cut or world.rng.random() < 0.5
-            await asyncio.sleep(world.rng.uniform(*AWAY_S))
-            gateway.store.is_cut = gateway.is_mute = False
+        await asyncio.sleep(world.rng.uniform(*TROUBLE_S))
+        if world.rng.random() < 0.5:
+            store.lost_share = MANY
+        else:
+            store.late_share = MANY
+        await asyncio.sleep(world.rng.uniform(*AWAY_S))
+        store.lost_share, store.late_share = LOST_SHARE, LATE_SHARE
+
+
+async def _put_out_of_step(world: TakeUpWorld) -> None:
+    """Have gateways stand still, or cut them off; also several at once."""
+    async with asyncio.TaskGroup() as group:
+        while True:
+            await asyncio.sleep(world.rng.uniform(*APART_S))
+            gateway = world.find_ready()
+            if gateway is not None:
+                put_out = world.rng.choice(_WAYS)
+                seconds = world.rng.uniform(*AWAY_S)
+                group.create_task(put_out(world, gateway, seconds))
+
+
+async def _freeze(world: TakeUpWorld, gateway: FuzzGateway, seconds: float) -> None:
+    gateway.freeze()
+    await asyncio.sleep(seconds)
+    gateway.thaw()
+
+
+async def _cut_store(world: TakeUpWorld, gateway: FuzzGateway, seconds: float) -> None:
+    gateway.store.cut = world.rng.choice(_CUTS)
+    await asyncio.sleep(seconds)
+    gateway.store.cut = ""
+
+
+async def _cut_peers(world: TakeUpWorld, gateway: FuzzGateway, seconds: float) -> None:
+    gateway.cut = world.rng.choice(_CUTS)
+    await asyncio.sleep(seconds)
+    gateway.cut = ""
+
+
+async def _cut_both(world: TakeUpWorld, gateway: FuzzGateway, seconds: float) -> None:
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_cut_store(world, gateway, seconds))
+        group.create_task(_cut_peers(world, gateway, seconds))
+
+
+_CUTS = ("in", "out", "both")
+_WAYS = (_freeze, _cut_store, _cut_peers, _cut_both)
+
+_RUNS = (_release, _kill, _put_out_of_step, _trouble_store)
--- a/fuzz/takeupworld.py
+++ b/fuzz/takeupworld.py
@@ -1,12 +1,15 @@
 """Gateways and callers that take streams up, in virtual time, while versions change.
 
 The real memory of streams, records of versions and kept origins run before a store in
-memory. Gateways read the list of targets late, are cut off from the store, and die,
-also all at once.
+memory. Gateways read the list of targets late, stand still, are cut off from the store
+and from each other, one way or both, and die, also all at once. The store's answers
+come late or are lost; its writes are lost too, or done later.
 """
 
 import asyncio
+import contextlib
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
@@ -42,7 +45,16 @@
 """How long a call of the store and a datagram take, seconds."""
 
 LOST_SHARE = 0.02
-"""Share of datagrams, and of the store's answers to writes, that are lost."""
+"""Share of datagrams, of writes, and of the store's answers to them, that are lost
+where nothing else is said."""
+
+LATE_SHARE = 0.05
+LATE_S = (0.1, 3.0)
+"""Share of reads whose answers are held up; how late these are, and writes that are
+done later, seconds."""
+
+HEARD_S = 0.25
+"""How often gateways look whom they hear, seconds."""
 
 READ_S = (0.02, 3.0)
 """Shortest and longest time between two reads of the list or the records, seconds."""
@@ -51,6 +63,9 @@
 BACK_S = (0.05, 1.5)
 """How long streams last, and how long callers wait before they take one up, seconds."""
 
+BREAK_SHARE = 0.3
+"""Share of streams that break although their gateway lives."""
+
 
 @dataclass(frozen=True)
 class TakeUp:
@@ -72,10 +87,15 @@
 
     Attributes:
         era: Its era.
+        keyed: The records of the keyed topic.
+        late_share: Share of reads whose answers are held up.
+        lost_share: Share of writes, and of the answers to them, that are lost.
     """
 
     def __init__(self, rng: random.Random):
         self.era = 0
+        self.late_share = LATE_SHARE
+        self.lost_share = LOST_SHARE
         self.keyed: list[KeyedRecord] = []
         self._origins: list[bytes] = []
         self._rng = rng
@@ -86,21 +106,24 @@
         """Read the keyed records from an offset on."""
         await asyncio.sleep(CALL_S)
         items = tuple(self.keyed[offset:])
-        return Records(items, offset + len(items), len(self.keyed))
+        records = Records(items, offset + len(items), len(self.keyed))
+        await self._hold_up()
+        return records
 
     async def append_keyed(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
     ) -> int:
         """Append one keyed record."""
         await asyncio.sleep(CALL_S)
-        if expected_end not in (None, len(self.keyed)):
-            raise LogConflictError(len(self.keyed))
-        self.keyed.append(KeyedRecord(key, value or None))
-        return self._answer(len(self.keyed) - 1)
+        if self._loses():
+            return self._lose(lambda: self._put(key, value, expected_end))
+        return self._answer(self._put(key, value, expected_end))
 
     async def append(self, topic: str, record: bytes) -> int:
         """Append one record without a key."""
         await asyncio.sleep(CALL_S)
+        if self._loses():
+            return self._lose(lambda: self._origins.append(record))
         self._origins.append(record)
         return self._answer(len(self._origins) - 1)
 
@@ -108,10 +131,38 @@
         """Read the records without keys from an offset on."""
         await asyncio.sleep(CALL_S)
         values = tuple(self._origins[offset:])
-        return Records(values, offset + len(values), len(self._origins))
+        records = Records(values, offset + len(values), len(self._origins))
+        await self._hold_up()
+        return records
+
+    def _put(self, key: str, value: bytes, expected_end: int | None) -> int:
+        if expected_end not in (None, len(self.keyed)):
+            raise LogConflictError(len(self.keyed))
+        self.keyed.append(KeyedRecord(key, value or None))
+        return len(self.keyed) - 1
+
+    async def _hold_up(self) -> None:
+        """Hold an answer up: what it says may be old when it comes."""
+        if self._rng.random() < self.late_share:
+            await asyncio.sleep(self._rng.uniform(*LATE_S))
+
+    def _loses(self) -> bool:
+        return self._rng.random() < self.lost_share
+
+    def _lose(self, write: Callable[[], object]) -> int:
+        """Lose a write, or do it later if its condition still holds."""
+
+        def do_later() -> None:
+            with contextlib.suppress(LogConflictError):
+                write()
+
+        if self._rng.random() < 0.5:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._rng.uniform(*LATE_S), do_later)
+        raise LogUnavailableError("no answer")
 
     def _answer(self, offset: int) -> int:
-        if self._rng.random() < LOST_SHARE:
+        if self._loses():
             raise LogUnavailableError("the answer was lost")
         return offset
 
@@ -120,18 +171,37 @@
     """One gateway's way to the store.
 
     Attributes:
-        is_cut: Whether its calls fail.
+        cut: Which way nothing gets through: empty, ``in`` for calls, ``out`` for their
+            answers, or ``both``.
     """
 
-    def __init__(self, store: FuzzStore):
-        self.is_cut = False
+    def __init__(self, store: FuzzStore, await_step: Callable[[], Awaitable[None]]):
+        self.cut = ""
         self._store = store
+        self._await_step = await_step
+
+    @property
+    def era(self) -> int:
+        """The store's era."""
+        return self._store.era
 
     def __getattr__(self, name: str):
-        """Find a call of the store, or its era."""
-        if self.is_cut and name != "era":
-            raise LogUnavailableError("cut off")
-        return getattr(self._store, name)
+        """Find a call of the store."""
+        call = getattr(self._store, name)
+
+        async def make(*arguments):
+            await self._await_step()
+            if self.cut in ("in", "both"):
+                raise LogUnavailableError("cut off")
+            try:
+                return await call(*arguments)
+            finally:
+                # An answer waits in the socket of a process that stands still.
+                await self._await_step()
+                if self.cut:
+                    raise LogUnavailableError("cut off")
+
+        return make
 
 
 @dataclass
@@ -151,7 +221,8 @@
     Attributes:
         member: How it introduces itself.
         is_alive: Whether its process runs.
-        is_mute: Whether no other gateway hears it.
+        cut: Which way no datagram of other gateways gets through: empty, ``in``,
+            ``out`` or ``both``.
     """
 
     def __init__(self, world: "TakeUpWorld", number: int):
@@ -159,8 +230,11 @@
         clock = world.clock
         self.member = Member(f"g{number}", f"10.0.0.{number}", 7000)
         self.is_alive = True
-        self.is_mute = False
-        self.store = StoreLink(world.store)
+        self.cut = ""
+        self._in_step = asyncio.Event()
+        self._in_step.set()
+        self._held: list[tuple[bytes, tuple[str, int]]] = []
+        self.store = StoreLink(world.store, self.await_step)
         self.fleet = Fleet(Directory(), decode_answer)
         self.fleet.directory.missing_grace_s = 0.1
         self.fleet.table = world.table
@@ -178,7 +252,7 @@
         writer = VersionWriter(self.keeper, *shared)
         self._tasks = [
             asyncio.create_task(run())
-            for run in (kept.run, writer.run, self._follow, self._list)
+            for run in (kept.run, writer.run, self._follow, self._list, self._hear)
         ]
         self.means = SimpleNamespace(
             streams=self.memory,
@@ -195,15 +269,45 @@
 
     _is_list_read = False
 
+    @property
+    def is_frozen(self) -> bool:
+        """Whether it stands still."""
+        return not self._in_step.is_set()
+
+    def freeze(self) -> None:
+        """Have it stand still; what comes waits."""
+        self._in_step.clear()
+
+    def thaw(self) -> None:
+        """Have it go on, with what came meanwhile."""
+        self._in_step.set()
+        held, self._held = self._held, []
+        for data, source in held:
+            self.link.datagram_received(data, source)
+
+    async def await_step(self) -> None:
+        """Wait until it does not stand still."""
+        await self._in_step.wait()
+
+    def take(self, data: bytes, source: tuple[str, int]) -> None:
+        """Take a datagram, or have it wait."""
+        if self.is_frozen:
+            self._held.append((data, source))
+        else:
+            self.link.datagram_received(data, source)
+
     def end(self) -> None:
         """End the process."""
         self.is_alive = False
+        # Who waits for it sees that it is dead.
+        self._in_step.set()
         for task in self._tasks:
             task.cancel()
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send a datagram."""
-        self._world.carry(self, data, address)
+        """Send a datagram, unless it stands still."""
+        if not self.is_frozen:
+            self._world.carry(self, data, address)
 
     async def _follow(self) -> None:
         """Read the versions' records."""
@@ -222,10 +326,18 @@
     async def _list(self) -> None:
         """Read the list of targets."""
         while True:
-            if not self.store.is_cut:
+            await self.await_step()
+            if not self.store.cut:
                 self._take_list(self._world.clock())
             await asyncio.sleep(self._world.rng.uniform(*READ_S))
 
+    async def _hear(self) -> None:
+        """Look whom it hears."""
+        while True:
+            await self.await_step()
+            self._world.tell_heard(self)
+            await asyncio.sleep(HEARD_S)
+
     def _take_list(self, now: float) -> None:
         directory = self.fleet.directory
         listed = self._world.listed.versions
@@ -292,15 +404,16 @@
 
     def carry(self, sender: FuzzGateway, data: bytes, address) -> None:
         """Carry a datagram, unless it is lost."""
-        if not sender.is_mute and self.rng.random() >= LOST_SHARE:
+        if sender.cut not in ("out", "both") and self.rng.random() >= LOST_SHARE:
             loop = asyncio.get_running_loop()
             loop.call_later(TRANSIT_S, self._deliver, sender, data, address)
 
     def _deliver(self, sender: FuzzGateway, data: bytes, address) -> None:
         source = (sender.member.host, sender.member.port + PORT_OFFSET)
         for gateway in self.gateways:
-            if (gateway.member.host, gateway.member.port + PORT_OFFSET) == address:
-                gateway.link.datagram_received(data, source)
+            own = (gateway.member.host, gateway.member.port + PORT_OFFSET)
+            if own == address and gateway.cut not in ("in", "both"):
+                gateway.take(data, source)
 
     def _introduce_all(self) -> None:
         for gateway in self.gateways:
@@ -308,9 +421,18 @@
             gateway.peers.members = {}
             for member in others:
                 note_member(gateway.peers, member)
-            names = [member.name for member in others]
-            gateway.peers.views = {names[0]: PeerView(members=names)} if names else {}
-            gateway.fleet.hears_all_gateways = True
+            self.tell_heard(gateway)
+
+    def tell_heard(self, gateway: FuzzGateway) -> None:
+        """Tell a gateway whom it hears now."""
+        others = [g for g in self.gateways if g is not gateway]
+        names = [g.member.name for g in others if self._can_hear(gateway, g)]
+        gateway.peers.views = {names[0]: PeerView(members=names)} if names else {}
+        gateway.fleet.hears_all_gateways = len(names) == len(others)
+
+    def _can_hear(self, gateway: FuzzGateway, other: FuzzGateway) -> bool:
+        is_sent = other.cut not in ("out", "both") and not other.is_frozen
+        return is_sent and gateway.cut not in ("in", "both")
 
     def find_ready(self) -> FuzzGateway | None:
         """Find a gateway that callers are sent to."""
@@ -322,7 +444,8 @@
         gateway = self.find_ready()
         if gateway is None:
             return
-        lifetime = self._choose_target(gateway)
+        await gateway.await_step()
+        lifetime = self._choose_target(gateway) if gateway.is_alive else None
         if lifetime is None:
             return
         self.begun += 1
@@ -334,7 +457,8 @@
         ends_at = self.clock() + self.rng.uniform(*STREAM_S)
         while gateway.is_alive and self.clock() < ends_at:
             await asyncio.sleep(0.05)
-        if gateway.is_alive:
+        if gateway.is_alive and self.rng.random() >= BREAK_SHARE:
+            await gateway.await_step()
             gateway.memory.note_whole(key)
             return
         await asyncio.sleep(self.rng.uniform(*BACK_S))
@@ -354,11 +478,14 @@
         gateway = self.find_ready()
         if gateway is None:
             return
-        was_cut = gateway.store.is_cut
+        await gateway.await_step()
+        if not gateway.is_alive:
+            return
+        was_cut = gateway.store.cut
         route = next(iter(self.table.routes.values()))[0]
         found = await streambinding.find_origin(gateway.means, route, stream, True)
         serves = began in self.listed.versions.values()
-        counts = serves and not (was_cut or gateway.store.is_cut)
+        counts = serves and not (was_cut or gateway.store.cut)
         version = found.origin.software_version if found.origin else ""
         self.take_ups.append(TakeUp(began, version, counts))
 
