Show that versions are joined where a gateway loses the store alone for long

One gateway is cut off from the store alone, with the older version's targets, during a release; the others hear it, and drop that version's record 8 s, two time limits and 15 s after it was listed last. It goes on beginning streams there. Then all gateways are killed: a new one finds the newer version as the only one recorded, and goes on there with status 200.

--- a/fuzz/takeuporacle.py
+++ b/fuzz/takeuporacle.py
@@ -1,10 +1,24 @@
 """Plays gateways and streams that are taken up, and says what must not be."""
 
 import asyncio
+import math
 import random
 from collections import Counter
 
-from fuzz.takeupworld import LATE_SHARE, LOST_SHARE, READ_S, FuzzGateway, TakeUpWorld
+from fuzz.takeupworld import (
+    BACK_S,
+    LATE_SHARE,
+    LIMIT_S,
+    LOST_SHARE,
+    READ_S,
+    FuzzGateway,
+    TakeUpWorld,
+)
+from robinspindle.core.versionrecords import (
+    FORGET_MARGIN_S,
+    RETIRE_AFTER_S,
+    STREAM_TIME_LIMITS,
+)
 
 SECONDS = 60.0
 GATEWAYS = (2, 5)
@@ -61,6 +75,36 @@
     return judge(world)
 
 
+def play_long_cut(seed: int) -> tuple[str, ...]:
+    """Play a gateway that loses the store alone, with the older targets, for long.
+
+    The others hear it; they know the newer version alone once its record is dropped.
+    """
+    random.seed(seed)
+    world = TakeUpWorld(seed)
+    return world.play(_play_long_cut(world))
+
+
+async def _play_long_cut(world: TakeUpWorld) -> tuple[str, ...]:
+    _list_version(world, "v1")
+    for _ in range(GATEWAYS[1]):
+        world.start_gateway()
+    await asyncio.sleep(READ_S[1] + 1.0)
+    cut = asyncio.create_task(_cut_store(world, world.gateways[0], math.inf))
+    _list_version(world, "v2")
+    await asyncio.sleep(READ_S[1] + 1.0)
+    _unlist_version(world, "v1")
+    kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
+    await asyncio.sleep(RETIRE_AFTER_S + kept_s + 2 * READ_S[1])
+    calls = asyncio.create_task(_call(world))
+    await asyncio.sleep(LIMIT_S)
+    await _kill_gateways(world, list(world.gateways))
+    await asyncio.sleep(READ_S[1] + BACK_S[1])
+    calls.cancel()
+    cut.cancel()
+    return judge(world)
+
+
 def judge(world: TakeUpWorld) -> tuple[str, ...]:
     """Say what was seen that must not be."""
     faults = [
