Keep a version's record while any gateway has lost the store

Callers saw streams joined from two versions, answered 200: a gateway that had lost the store alone went on beginning streams at a version that it didn't know to be retired, the others heard it and dropped that version's record, and after all gateways had been killed the newer version was the only one recorded.

Cause: whether a retired record may be dropped was judged by who is heard, and not by who can have read that it is retired. A relay's digest now tells whether any gateway that it covers has lost the store (one more byte of msgpack a digest), and a record stays for as long as one has, up to the bound for gateways that aren't heard. What it costs: while such a gateway is there two versions stay recorded, so streams that nobody knows are looked up in the store or refused. No stream is refused that began.

--- a/fuzz/takeupworld.py
+++ b/fuzz/takeupworld.py
@@ -28,7 +28,7 @@
 from robinspindle.following import Follower
 from robinspindle.originlink import PORT_OFFSET, OriginLink
 from robinspindle.originlog import OriginLog
-from robinspindle.peers import Peers, note_member
+from robinspindle.peers import Peers, has_peer_without_store, note_member
 from robinspindle.platform.dialect import decode_answer
 from robinspindle.storerecords import KeyedRecord, Records
 from robinspindle.streammemory import StreamMemory
@@ -249,7 +249,9 @@
         self.keeper.follower = Follower(
             TOPIC, self.keeper.apply, lambda: None, lambda: None
         )
-        writer = VersionWriter(self.keeper, *shared)
+        writer = VersionWriter(
+            self.keeper, *shared, lambda: has_peer_without_store(self.peers)
+        )
         self._tasks = [
             asyncio.create_task(run())
             for run in (kept.run, writer.run, self._follow, self._list, self._hear)
@@ -427,7 +429,9 @@
         """Tell a gateway whom it hears now."""
         others = [g for g in self.gateways if g is not gateway]
         names = [g.member.name for g in others if self._can_hear(gateway, g)]
-        gateway.peers.views = {names[0]: PeerView(members=names)} if names else {}
+        lacks_store = any(g.store.cut for g in others if g.member.name in names)
+        view = PeerView(members=names, lacks_store=lacks_store)
+        gateway.peers.views = {names[0]: view} if names else {}
         gateway.fleet.hears_all_gateways = len(names) == len(others)
 
     def _can_hear(self, gateway: FuzzGateway, other: FuzzGateway) -> bool:
--- a/src/robinspindle/core/aggregation.py
+++ b/src/robinspindle/core/aggregation.py
@@ -90,6 +90,7 @@
         topic_ends=_find_ends(digests),
         era=max(digest.era for digest in digests),
         is_relay=True,
+        lacks_store=any(d.is_store_unavailable or d.lacks_store for d in digests),
         rate_limits=reduce(or_, (digest.rate_limits for digest in digests)),
         requests=_merge_requests(digests),
         speeds=None if speeds_turn is None else _add_speeds(digests, speeds_turn),
--- a/src/robinspindle/core/peerdigests.py
+++ b/src/robinspindle/core/peerdigests.py
@@ -146,6 +146,8 @@
         rate_limits: Limits that targets have named recently, requests per second of all
             gateways, by lifetime.
         speeds: How slow targets are, as measured; None if it is not in this digest.
+        lacks_store: Whether the store is unavailable for any gateway that a relay's
+            digest covers.
     """
 
     sender: str
@@ -167,6 +169,7 @@
     era: int = 0
     rate_limits: dict[str, float] = {}
     speeds: list[SpeedSums] | None = None
+    lacks_store: bool = False
 
 
 class ConfigurationAge(msgspec.Struct, array_like=True):
@@ -236,6 +239,7 @@
         is_relay: Whether its digests cover other gateways too.
         members: Names of the gateways that its digests cover.
         is_store_unavailable: Whether the store is unavailable for it.
+        lacks_store: Whether it is for any gateway that its digests cover.
     """
 
     started: float = 0.0
@@ -246,6 +250,7 @@
     is_relay: bool = False
     members: list[str] = field(default_factory=list)
     is_store_unavailable: bool = False
+    lacks_store: bool = False
 
 
 FindEngine = Callable[[str], Engine | None]
@@ -267,6 +272,7 @@
     peer.prefill_loads = digest.prefill_loads
     peer.is_relay = digest.is_relay
     peer.is_store_unavailable = digest.is_store_unavailable
+    peer.lacks_store = digest.is_store_unavailable or digest.lacks_store
     if digest.members is not None:
         peer.members = digest.members
     _replace_loads(peer, digest.sender, digest.loads, find)
--- a/src/robinspindle/core/versionrecords.py
+++ b/src/robinspindle/core/versionrecords.py
@@ -38,8 +38,9 @@
 begin meanwhile at gateways that have not read that."""
 
 APART_S = 600.0
-"""How much longer a record stays while some gateways are not heard, seconds: they may
-not have read that it is retired, and gateways that are gone for good aren't heard."""
+"""How much longer a record stays while some gateways are not heard, or have lost the
+store, seconds: they may not have read that it is retired, and those that are gone for
+good are never heard."""
 
 
 @dataclass(frozen=True)
@@ -213,7 +214,8 @@
         longest_s: The longest time limit of a route whose streams may be taken up,
             seconds.
         now: The current time, monotonic seconds.
-        apart_at: When some gateway was not heard the last time, monotonic seconds.
+        apart_at: When some gateway was not heard, or had lost the store, the last time,
+            monotonic seconds.
     """
     kept_s = STREAM_TIME_LIMITS * longest_s + FORGET_MARGIN_S
     return [
--- a/src/robinspindle/peers.py
+++ b/src/robinspindle/peers.py
@@ -133,6 +133,11 @@
     return sorted(names - {peers.name})
 
 
+def has_peer_without_store(peers: Peers) -> bool:
+    """Tell whether the store is unavailable for some gateway that is heard."""
+    return any(view.lacks_store for view in peers.views.values())
+
+
 def list_deciders(peers: Peers) -> list[str]:
     """List the other gateways that may decide for all.
 
--- a/src/robinspindle/streamparts.py
+++ b/src/robinspindle/streamparts.py
@@ -9,7 +9,7 @@
 from robinspindle.logs import Log
 from robinspindle.originlink import OriginLink
 from robinspindle.originlog import OriginLog
-from robinspindle.peers import Peers, list_heard
+from robinspindle.peers import Peers, has_peer_without_store, list_heard
 from robinspindle.streammemory import StreamMemory
 from robinspindle.versionkeeping import VersionKeeper
 from robinspindle.versionwriting import VersionWriter
@@ -76,5 +76,5 @@
     memory = StreamMemory(peers, link, kept, clock, log)
     versions = VersionKeeper(*shared)
     versions.note_several = memory.keep_running
-    writer = VersionWriter(versions, *shared)
+    writer = VersionWriter(versions, *shared, lambda: has_peer_without_store(peers))
     return StreamParts(link, kept, memory, versions, writer)
--- a/src/robinspindle/versionwriting.py
+++ b/src/robinspindle/versionwriting.py
@@ -42,6 +42,7 @@
         count_gateways: Callable[[], int],
         clock: Callable[[], float],
         log: Log,
+        is_store_lost_for_any: Callable[[], bool] = lambda: False,
     ):
         self._keeper = keeper
         self._store = store
@@ -50,7 +51,9 @@
         self._count_gateways = count_gateways
         self._clock = clock
         self._log = log
-        # When some gateway was not heard the last time, as far as known.
+        self._is_store_lost_for_any = is_store_lost_for_any
+        # When some gateway was not heard, or had lost the store, the last time, as far
+        # as known.
         self._apart_at = clock()
 
     async def run(self) -> None:
@@ -77,7 +80,8 @@
             self._keeper.records, fleet.directory, fleet.versions, era, now
         ):
             await self._write(version, VersionRecord(Use.RETIRED, era))
-        if not fleet.hears_all_gateways:
+        # Such a gateway may not have read that a version is retired.
+        if not fleet.hears_all_gateways or self._is_store_lost_for_any():
             self._apart_at = now
         for version in self._list_forgettable(now):
             # Others may have written it anew while one before it was dropped.
--- a/tests/core/test_aggregation.py
+++ b/tests/core/test_aggregation.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -7,6 +8,7 @@
     Placement,
     PrefillStatistics,
     TargetLoad,
+    apply_digest,
 )
 from robinspindle.core.prefillmodel import FitSums
 from robinspindle.core.priorities import LEVELS
@@ -51,6 +53,21 @@
     }
 
 
+@pytest.mark.parametrize(
+    "more", [{"is_store_unavailable": True}, {"lacks_store": True}]
+)
+def test_a_total_tells_that_some_gateway_of_the_group_has_lost_the_store(more):
+    own, one, other = make("r"), make("a"), make("b", **more)
+    assert not aggregate(own, [one], is_full=False).lacks_store
+    total = aggregate(own, [one, other], is_full=False)
+    assert total.lacks_store
+    assert not total.is_store_unavailable
+    views = {}
+    apply_digest(views, total, 1.0, lambda lifetime: None)
+    assert views["r"].lacks_store
+    assert not views["r"].is_store_unavailable
+
+
 @given(loads, loads, loads)
 def test_total_without_one_is_the_total_of_the_others(first, second, third):
     own, one, other = make("r", first), make("a", second), make("b", third)
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -92,11 +92,13 @@
     Attributes:
         now: The present time, seconds.
         told: The services with several versions that it was told of.
+        is_store_lost_for_any: Whether a gateway that is heard has lost the store.
     """
 
     def __init__(self, store, services=("lm",), count=1):
         self.now = 100.0
         self.told = []
+        self.is_store_lost_for_any = False
         self.fleet = Fleet(Directory(), decode_answer)
         self.fleet.table = make_stream_table(services)
         self.keeper = VersionKeeper(
@@ -111,6 +113,7 @@
             lambda: count,
             lambda: self.now,
             self._log,
+            lambda: self.is_store_lost_for_any,
         )
         self.follower = Follower(TOPIC, self.keeper.apply, lambda: None, lambda: None)
         self.keeper.follower = self.follower
@@ -342,6 +345,22 @@
     asyncio.run(scenario())
 
 
+def test_no_record_is_dropped_while_a_gateway_that_is_heard_has_lost_the_store():
+    async def scenario():
+        store, gateway = start({V1: Use.RETIRED}, lists=False)
+        kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
+        gateway.is_store_lost_for_any = True
+        await look_after(gateway, 3 * kept_s, hears_all=True)
+        assert list_uses(store) == {V1: Use.RETIRED}
+        gateway.is_store_lost_for_any = False
+        await look_after(gateway, kept_s - 1.0, hears_all=True)
+        assert list_uses(store) == {V1: Use.RETIRED}
+        await look_after(gateway, 3.0, hears_all=True)
+        assert list_uses(store) == {}
+
+    asyncio.run(scenario())
+
+
 def test_a_record_that_was_retired_anew_unseen_stays_for_as_long_as_a_new_one():
     async def scenario():
         store, gateway = start({V1: Use.RETIRED}, lists=False)
