--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -203,7 +203,7 @@
     await store.server.start()
     if prepare is not None:
         await prepare(store)
-    ports = [*_find_ports(2), _find_inner_ports()]
+    ports = [*_find_ports(2), find_inner_ports()]
     settings = _make_settings("gateway-1", store, ports, pledges, duties)
     with open(tmp_path / "out", "wb") as out:
         gateway = Gateway(
@@ -247,7 +247,7 @@
 
 @asynccontextmanager
 async def _start_gateway(tmp_path, d, name):
-    ports = [*_find_ports(2), _find_inner_ports()]
+    ports = [*_find_ports(2), find_inner_ports()]
     settings = _make_settings(name, d.store, ports)
     with open(tmp_path / name, "wb") as out:
         output = BoundedOutput(out.fileno())
@@ -288,7 +288,7 @@
     return ports
 
 
-def _find_inner_ports():
+def find_inner_ports():
     """Find the first of two ports that follow each other, for datagrams."""
     while True:
         with (
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -22,7 +22,7 @@
 
 
 @pytest.mark.parametrize(
-    "name", ["all-killed", "one-version", "reversioned", "one-role"]
+    "name", ["all-killed", "one-version", "reversioned", "one-role", "out-of-step"]
 )
 def test_streams_that_callers_take_up_are_not_lost(name, tmp_path):
     account = asyncio.run(play(1, 20.0, tmp_path, name))
