Drop no version's record right after a pause

A gateway that stood still judged by what it knew before whether the others are heard: waking, it could drop a record that was retired long ago by its clock, though another one, apart meanwhile, had not read that. Nothing of the kind was seen by callers; the test, without the note of the pause, has the record dropped at once.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -328,6 +328,7 @@
         self.duties.note_pause()
         self._store.drop_connections()
         self._store_news.note_pause()
+        self._streams.note_pause(now)
 
     def note_long_turn(self, seconds: float) -> None:
         """Take note that what came during a turn of the event loop had to wait."""
--- a/src/robinspindle/streamparts.py
+++ b/src/robinspindle/streamparts.py
@@ -39,6 +39,14 @@
         self.kept.note_era()
         self.versions.note_era()
 
+    def note_pause(self, now: float) -> None:
+        """Take note that nothing was heard until now.
+
+        Args:
+            now: The present time, steady seconds.
+        """
+        self.writer.note_pause(now)
+
 
 def make_stream_parts(
     adapter: Adapter,
--- a/src/robinspindle/versionwriting.py
+++ b/src/robinspindle/versionwriting.py
@@ -63,6 +63,14 @@
             await asyncio.sleep(random.uniform(0.0, SPREAD_S) * self._count_gateways())
             await self.write_due(self._clock())
 
+    def note_pause(self, now: float) -> None:
+        """Take note that other gateways may not have been heard until now.
+
+        Args:
+            now: The present time, steady seconds.
+        """
+        self._apart_at = now
+
     async def write_due(self, now: float) -> None:
         """Write the records that are due.
 
--- a/tests/test_versionkeeping.py
+++ b/tests/test_versionkeeping.py
@@ -361,6 +361,20 @@
     asyncio.run(scenario())
 
 
+def test_no_record_is_dropped_after_a_pause_in_which_gateways_may_have_been_apart():
+    async def scenario():
+        store, gateway = start({V1: Use.RETIRED}, lists=False)
+        kept_s = STREAM_TIME_LIMITS * LIMIT_S + FORGET_MARGIN_S
+        gateway.now += 3 * kept_s
+        gateway.writer.note_pause(gateway.now)
+        await look_after(gateway, kept_s - 1.0, hears_all=True)
+        assert list_uses(store) == {V1: Use.RETIRED}
+        await look_after(gateway, 3.0, hears_all=True)
+        assert list_uses(store) == {}
+
+    asyncio.run(scenario())
+
+
 def test_a_record_that_was_retired_anew_unseen_stays_for_as_long_as_a_new_one():
     async def scenario():
         store, gateway = start({V1: Use.RETIRED}, lists=False)
