Show that origins are lost where the relay that writes them is out of step

The gateway that was cut off from the others and the store was the relay: the streams that began at the others until they chose another one (0.9 s) had their origins sent to it, by one datagram that nobody confirms, and are unknown-stream once those gateways are killed, as are the streams that were under way as the second version came.

--- a/tests/test_streammemory.py
+++ b/tests/test_streammemory.py
@@ -183,6 +183,47 @@
     fleet.play(play())
 
 
+@pytest.mark.parametrize("cause", ["relay is cut off", "relay has lost the store"])
+def test_an_origin_that_its_relay_did_not_write_is_written_by_who_noted_it(cause):
+    fleet = OriginFleet(4)
+    choose_relays(fleet)
+    relay, node = fleet.nodes[0], fleet.nodes[-1]
+
+    async def play():
+        tasks = let_write(fleet)
+        if cause == "relay is cut off":
+            relay.is_cut = True
+        else:
+            tasks.pop(0).cancel()
+        node.memory.note_begun(KEY, ORIGIN, True)
+        node.memory.note_begun(name_stream(2), ORIGIN, True)
+        node.memory.note_whole(name_stream(2))
+        await asyncio.sleep(SETTLE_S)
+        for task in tasks:
+            task.cancel()
+        (record,) = fleet.store.records
+        assert [tell.key for tell in decode(record).tells] == [KEY]
+
+    fleet.play(play())
+
+
+def test_an_origin_that_its_relay_has_written_is_written_once():
+    fleet = OriginFleet(4)
+    choose_relays(fleet)
+
+    async def play():
+        tasks = let_write(fleet)
+        for number in range(3 * MOST_TELLS):
+            fleet.nodes[-1].memory.note_begun(name_stream(number), ORIGIN, True)
+        await asyncio.sleep(2 * SETTLE_S)
+        for task in tasks:
+            task.cancel()
+        tells = [tell.key for r in fleet.store.records for tell in decode(r).tells]
+        assert sorted(tells) == sorted(map(name_stream, range(3 * MOST_TELLS)))
+
+    fleet.play(play())
+
+
 def test_streams_under_way_are_kept_once_a_second_version_may_begin_some():
     fleet = OriginFleet(1)
     memory, kept = fleet.nodes[0].memory, fleet.nodes[0].kept
