Have who noted a stream's origin write it where the relay does not

Callers saw streams refused as unknown-stream though replicas of their version served: where several versions are in service, origins go to the relay by one datagram, and only it writes them to the store. A relay that is cut off, stands still or has lost the store wrote none until another one was chosen, 0.9 s and more; once the gateways that noted them were killed nobody knew those streams. A lost datagram did the same.

The relay now says what it has written; what it has not within 0.3 s and two of its intervals, the gateway that noted it writes. Where relays write, what is told back costs 12 bytes a stream; only relays write then, as before (420 gateways, 2,300 streams/s: within the store's rate). Gateways that write themselves share that rate among all.

--- a/src/robinspindle/originlink.py
+++ b/src/robinspindle/originlink.py
@@ -87,7 +87,17 @@
     tells: Annotated[list[Tell], msgspec.Meta(max_length=MOST_TELLS)]
 
 
-Message = Tells | Ask | Answer | Keeps
+class Written(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """Streams whose origins a relay has written for a gateway of its group.
+
+    Attributes:
+        keys: Their keys.
+    """
+
+    keys: Annotated[list[Key], msgspec.Meta(max_length=MOST_TELLS)]
+
+
+Message = Tells | Ask | Answer | Keeps | Written
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/src/robinspindle/originlog.py
+++ b/src/robinspindle/originlog.py
@@ -1,8 +1,8 @@
 """Keeps in the platform's store who began which stream, while several versions may.
 
 Relays write in batches what the gateways of their groups note, so that a stream
-outlasts all of them. It is read only when no gateway knows a stream that its caller
-takes up.
+outlasts all of them; what a relay does not write, who noted it does. It is read only
+when no gateway knows a stream that its caller takes up.
 """
 
 import asyncio
@@ -28,7 +28,7 @@
 and each has its price."""
 
 FAILED_PAUSE_S = 1.0
-"""Pause after a write that failed, seconds; a refused call is paid for too."""
+"""Least pause after a write that failed, seconds; a refused call is paid for too."""
 
 MOST_IN_RECORD = 2000
 """Maximum number of origins in one record."""
@@ -75,19 +75,33 @@
 
     Attributes:
         take: Told each origin that was read.
+        note_written: Told the streams whose origins the store has taken.
     """
 
     def __init__(
         self,
         store: RecordStore,
         topic: str,
-        count_writers: Callable[[], int],
+        count_relays: Callable[[], int],
         log: Log,
+        count_writers: Callable[[], int] | None = None,
     ):
+        """Make it.
+
+        Args:
+            store: The store.
+            topic: The log's topic.
+            count_relays: Counts the relays.
+            log: Takes log lines.
+            count_writers: Counts the gateways that may write when this one does; None
+                where only relays write.
+        """
+        self.note_written: Callable[[list[StreamKey]], None] = _pass_over_keys
         self.take: Callable[[StreamKey, StreamOrigin], None] = _pass_over_origin
         self._store = store
         self._topic = topic
-        self._count_writers = count_writers
+        self._count_relays = count_relays
+        self._count_writers = count_writers or count_relays
         self._log = log
         self._unwritten: dict[StreamKey, StreamOrigin] = {}
         self._has_unwritten = asyncio.Event()
@@ -95,9 +109,13 @@
         self._offset = 0
         self._eras = 0
         self._look = SharedCall(
-            self._read_on, lambda: find_interval(self._count_writers())
+            self._read_on, lambda: find_interval(self._count_relays())
         )
 
+    def find_relay_s(self) -> float:
+        """Find within how long a relay mostly writes what it is handed, seconds."""
+        return 2 * find_interval(self._count_relays())
+
     def note(self, key: StreamKey, origin: StreamOrigin) -> None:
         """Have an origin written with the next ones."""
         self._unwritten[key] = origin
@@ -139,10 +157,13 @@
             await self._store.append(self._topic, encode(KeptOrigins(tells)))
         except LogServiceError as error:
             self._log("origins not kept yet", count=len(tells), error=str(error))
-            await asyncio.sleep(FAILED_PAUSE_S)
+            writers = self._count_writers()
+            await asyncio.sleep(max(FAILED_PAUSE_S, writers / WRITES_PER_S))
             return
-        for tell in tells:
-            self._unwritten.pop(StreamKey(tell.key), None)
+        keys = [StreamKey(tell.key) for tell in tells]
+        for key in keys:
+            self._unwritten.pop(key, None)
+        self.note_written(keys)
 
     def _list_next(self) -> list[Tell]:
         """List what the next record holds."""
@@ -196,13 +217,17 @@
 
 
 def find_interval(writers: int) -> float:
-    """Find the time between two writes of a relay, or two looks, seconds.
+    """Find the time between two writes of a gateway, or two looks, seconds.
 
     Args:
-        writers: Number of relays.
+        writers: Number of gateways that write or look.
     """
     return max(MIN_INTERVAL_S, writers / WRITES_PER_S)
 
 
+def _pass_over_keys(keys: list[StreamKey]) -> None:
+    """Stand for who is told what was written."""
+
+
 def _pass_over_origin(key: StreamKey, origin: StreamOrigin) -> None:
     """Stand for who takes origins in."""
--- a/src/robinspindle/streammemory.py
+++ b/src/robinspindle/streammemory.py
@@ -26,10 +26,11 @@
     OriginLink,
     Tell,
     Tells,
+    Written,
     make_tell,
     read_tell,
 )
-from robinspindle.originlog import OriginLog
+from robinspindle.originlog import MOST_UNWRITTEN, OriginLog
 from robinspindle.peers import Peers, list_heard
 
 TELL_DELAY_S = 0.02
@@ -42,6 +43,10 @@
 ASK_LIMIT_S = 0.3
 """How long an answer is waited for, seconds."""
 
+WRITTEN_LIMIT_S = 0.3
+"""How long an origin may be on its way to the relay and to the store, and the answer on
+its way back, seconds; the relay's interval comes on top."""
+
 STORE = "store"
 """Who has told an origin that was read in the store, for logs."""
 
@@ -72,6 +77,19 @@
     conflicts: int = 0
 
 
+@dataclass(frozen=True)
+class HandedOrigin:
+    """An origin that a relay is to write to the store.
+
+    Attributes:
+        origin: The origin.
+        relay: Name of the relay.
+    """
+
+    origin: StreamOrigin
+    relay: str
+
+
 @dataclass
 class PendingAsk:
     """A stream that other gateways are asked for.
@@ -124,8 +142,13 @@
         self._conflicting: set[str] = set()
         # Own streams under way, by which version they were begun.
         self._running: dict[StreamKey, StreamOrigin] = {}
+        # Origins that relays have not said to have written.
+        self._handed: dict[StreamKey, HandedOrigin] = {}
+        # Who is to be told once an origin is written here, the oldest first.
+        self._handed_by: dict[StreamKey, str] = {}
         link.take = self._take
         kept.take = self._take_kept
+        kept.note_written = self._tell_written
 
     def note_begun(
         self, key: StreamKey, origin: StreamOrigin, is_kept: bool = False
@@ -153,6 +176,7 @@
 
     def note_whole(self, key: StreamKey) -> None:
         """Take note that a stream is whole: nobody takes it up any more."""
+        self._handed.pop(key, None)
         if self._running.pop(key, None) is not None:
             self._kept.drop(key)
 
@@ -196,6 +220,8 @@
 
     def _keep(self, origins: dict[StreamKey, StreamOrigin]) -> None:
         """Have origins written to the store: by the relay, as each call is paid."""
+        if not origins:
+            return
         relay = self._peers.choice.relay
         if self._peers.is_relay or not self._link.can_send(relay):
             for key, origin in origins.items():
@@ -204,6 +230,33 @@
         # At once, as a gateway may die at any time.
         tells = [make_tell(key, origin) for key, origin in origins.items()]
         self._send_tells(relay, tells, Keeps)
+        handed = {key: HandedOrigin(o, relay) for key, o in origins.items()}
+        self._handed.update(handed)
+        limit_s = WRITTEN_LIMIT_S + self._kept.find_relay_s()
+        loop = asyncio.get_running_loop()
+        loop.call_later(limit_s, self._keep_unwritten, handed)
+
+    def _keep_unwritten(self, handed: dict[StreamKey, HandedOrigin]) -> None:
+        """Write what the relay has not written: it may be out of step, or dead."""
+        unwritten = [key for key, one in handed.items() if self._handed.get(key) is one]
+        for key in unwritten:
+            del self._handed[key]
+            self._kept.note(key, handed[key].origin)
+        if unwritten:
+            relay = handed[unwritten[0]].relay
+            count = len(unwritten)
+            self._log("relay has not written origins", relay=relay, count=count)
+
+    def _tell_written(self, keys: list[StreamKey]) -> None:
+        """Tell those that handed origins over that the store has them."""
+        written: dict[str, list[StreamKey]] = {}
+        for key in keys:
+            name = self._handed_by.pop(key, None)
+            if name is not None:
+                written.setdefault(name, []).append(key)
+        for name, told in written.items():
+            for first in range(0, len(told), MOST_TELLS):
+                self._link.send(name, Written(told[first : first + MOST_TELLS]))
 
     def _note_running(self, key: StreamKey, origin: StreamOrigin) -> None:
         self._running[key] = origin
@@ -256,7 +309,9 @@
             case Tells():
                 self._take_tells(sender, message)
             case Keeps():
-                self._take_keeps(message)
+                self._take_keeps(sender, message)
+            case Written():
+                self._note_written(sender, message)
             case Ask():
                 self._answer(sender, message)
             case Answer():
@@ -266,10 +321,21 @@
         for tell in message.tells:
             self._learn(sender, tell)
 
-    def _take_keeps(self, message: Keeps) -> None:
+    def _take_keeps(self, sender: str, message: Keeps) -> None:
         """Write what a gateway of this one's group has noted."""
         for tell in message.tells:
-            self._kept.note(StreamKey(tell.key), _share_names(read_tell(tell)))
+            key = StreamKey(tell.key)
+            self._handed_by[key] = sender
+            self._kept.note(key, _share_names(read_tell(tell)))
+        while len(self._handed_by) > MOST_UNWRITTEN:
+            del self._handed_by[next(iter(self._handed_by))]
+
+    def _note_written(self, sender: str, message: Written) -> None:
+        """Take note that the relay has written what it was handed."""
+        for key in map(StreamKey, message.keys):
+            one = self._handed.get(key)
+            if one is not None and one.relay == sender:
+                del self._handed[key]
 
     def _answer(self, sender: str, ask: Ask) -> None:
         key = StreamKey(ask.key)
--- a/src/robinspindle/streamparts.py
+++ b/src/robinspindle/streamparts.py
@@ -74,13 +74,16 @@
     def count_relays() -> int:
         return len(peers.groups.ranked)
 
+    def count_writers() -> int:
+        return count_relays() if peers.is_relay else len(peers.members) + 1
+
     def count_gateways() -> int:
         return len(list_heard(peers)) + 1
 
     topic = adapter.gateways_topic
     shared = (store, topic, fleet, count_gateways, clock, log)
     link = OriginLink(peers, log, uplink.note_sent, traffic)
-    kept = OriginLog(store, adapter.origins_topic, count_relays, log)
+    kept = OriginLog(store, adapter.origins_topic, count_relays, log, count_writers)
     memory = StreamMemory(peers, link, kept, clock, log)
     versions = VersionKeeper(*shared)
     versions.note_several = memory.keep_running
