--- a/src/robinspindle/streamparts.py
+++ b/src/robinspindle/streamparts.py
@@ -9,7 +9,7 @@
 from robinspindle.logs import Log
 from robinspindle.originlink import OriginLink
 from robinspindle.originlog import OriginLog
-from robinspindle.peers import Peers, list_heard
+from robinspindle.peers import Peers, has_peer_without_store, list_heard
 from robinspindle.streammemory import StreamMemory
 from robinspindle.versionkeeping import VersionKeeper
 from robinspindle.versionwriting import VersionWriter
@@ -39,6 +39,14 @@
         self.kept.note_era()
         self.versions.note_era()
 
+    def note_pause(self, now: float) -> None:
+        """Take note that nothing was heard until now.
+
+        Args:
+            now: The present time, steady seconds.
+        """
+        self.writer.note_pause(now)
+
 
 def make_stream_parts(
     adapter: Adapter,
@@ -66,15 +74,18 @@
     def count_relays() -> int:
         return len(peers.groups.ranked)
 
+    def count_writers() -> int:
+        return count_relays() if peers.is_relay else len(peers.members) + 1
+
     def count_gateways() -> int:
         return len(list_heard(peers)) + 1
 
     topic = adapter.gateways_topic
     shared = (store, topic, fleet, count_gateways, clock, log)
     link = OriginLink(peers, log, uplink.note_sent, traffic)
-    kept = OriginLog(store, adapter.origins_topic, count_relays, log)
+    kept = OriginLog(store, adapter.origins_topic, count_relays, log, count_writers)
     memory = StreamMemory(peers, link, kept, clock, log)
     versions = VersionKeeper(*shared)
     versions.note_several = memory.note_several
-    writer = VersionWriter(versions, *shared)
+    writer = VersionWriter(versions, *shared, lambda: has_peer_without_store(peers))
     return StreamParts(link, kept, memory, versions, writer)
