Decoding: test odd answers of the store and odd datagrams on real processes

Bounds of headers and lengths in the product's own web server and of its `Last-Event-ID` go through the same parser.

--- a/src/robinspindle/callers.py
+++ b/src/robinspindle/callers.py
@@ -6,6 +6,7 @@
 
 from robinspindle import completions
 from robinspindle.core.activerequests import StreamResumption
+from robinspindle.core.decoding import parse_whole
 from robinspindle.core.documents import (
     ClassSection,
     Configuration,
@@ -196,10 +197,11 @@
         return None
     run, _, rest = last.partition("/")
     target, _, number = rest.rpartition("/")
-    if not target or not number.isdecimal():
+    events = parse_whole(number)
+    if not target or events is None:
         text = "Last-Event-ID is not one of this system's"
         raise make_error(400, "bad_event_id", text, "Last-Event-ID")
-    return StreamResumption(run, target, int(number) + 1)
+    return StreamResumption(run, target, events + 1)
 
 
 def _collect(exchange: Exchange, head: completions.AnswerHead) -> Answer:
--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -9,6 +9,7 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 from cheroot.wsgi import Gateway_10, Server
 
+from robinspindle.core.decoding import parse_whole
 from robinspindle.core.effects import Refusal
 from robinspindle.exceptions import CallerLeftError, RobinspindleError
 from robinspindle.hangups import is_closed_by_peer
@@ -195,14 +196,14 @@
 
 
 def _read_body(environ: dict, body_limit: int) -> bytes:
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if not length.isdecimal():
+    length = parse_whole(environ.get("CONTENT_LENGTH") or "0")
+    if length is None:
         raise make_error(400, "bad_length", "Content-Length is not a number")
-    if int(length) > body_limit:
+    if length > body_limit:
         text = f"the body is longer than {body_limit} bytes"
         raise make_error(413, "body_too_long", text)
     chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
-    wanted = body_limit + 1 if chunked else int(length)
+    wanted = body_limit + 1 if chunked else length
     try:
         body = environ["wsgi.input"].read(wanted) if wanted else b""
     except (OSError, ValueError) as error:
--- a/tests/system/test_foreigninputs.py
+++ b/tests/system/test_foreigninputs.py
@@ -4,12 +4,17 @@
 import json
 import os
 import signal
+import socket
 import sys
+import tomllib
 from contextlib import asynccontextmanager
 
+import msgspec
 import pytest
 
 from robinspindle.core.fingerprints import FINGERPRINT_BYTES
+from robinspindle.core.peerdigests import Datagram, Digest
+from robinspindle.peerlink import encode
 from soak.gateways import ROOT, prepare_gateway
 from standins.logstore import LogStore
 from standins.rawhttp import LOOPBACK
@@ -113,6 +118,15 @@
                 self.check_alive()
                 await asyncio.sleep(0.05)
 
+    def send_all(self, data):
+        """Send a datagram to both sockets of each gateway, from a peer's address."""
+        with socket.socket(type=socket.SOCK_DGRAM) as sock:
+            sock.bind((LOOPBACK, 0))
+            for gateway in self._found:
+                ports = tomllib.loads(gateway.settings.read_text())["InternalPorts"]
+                for port in ports:
+                    sock.sendto(data, (LOOPBACK, port))
+
     async def until_all_serve(self):
         async with asyncio.timeout(TIMEOUT_S):
             for gateway in self._found:
@@ -134,9 +148,9 @@
 
 
 @asynccontextmanager
-async def deploy(folder):
+async def deploy(folder, store=None):
     """Run a store and a replica; the gateways are started by the test."""
-    store, replica = LogStore(), Replica("i1", "push", "")
+    store, replica = store or LogStore(), Replica("i1", "push", "")
     await store.server.start()
     await replica.server.start()
     gateways = Gateways(folder, store.server.port)
@@ -192,3 +206,69 @@
             gateways.check_alive()
 
     asyncio.run(scenario())
+
+
+ODD_PAGES = (nest(DEEPEST), NESTED, b'{"items":[],"HasMore":false,"End":1e400}', b"")
+"""Answers in place of pages of the newest records."""
+
+
+class OddStore(LogStore):
+    """A store that first answers with odd pages, and marks a value as odd in others."""
+
+    def __init__(self):
+        super().__init__()
+        self.odd = list(ODD_PAGES)
+
+    def _list_newest(self, query):
+        if self.odd:
+            return 200, self.odd.pop()
+        status, body = super()._list_newest(query)
+        page = json.loads(body)
+        page["items"].append({"Key": "zz", "Value": "no base64!", "Offset": 0})
+        return status, json.dumps(page).encode()
+
+
+def test_a_store_that_answers_oddly_neither_ends_gateways_nor_keeps_them_waiting(
+    tmp_path,
+):
+    async def scenario():
+        async with deploy(tmp_path, OddStore()) as (_, gateways):
+            await gateways.start()
+            await gateways.until_all_serve()
+            gateways.check_alive()
+
+    asyncio.run(scenario())
+
+
+def make_datagram(**changes):
+    digest = Digest("g1", 1e10, 1 << 50, [], [])
+    return encode(Datagram("g1", [msgspec.structs.replace(digest, **changes)]))
+
+
+ODD_DATAGRAMS = (
+    b"\x92\xa2g1" + b"\x91" * 60_000,
+    b"\x81\xa1a" * 20_000,
+    make_datagram(started=1e308),
+    make_datagram(prefill_loads={"lm": float("inf")}),
+    make_datagram(topic_ends={"keyed.op": 2**63}),
+    make_datagram(timed_out_targets=["i1@" + "9" * 5000]),
+    bytes(range(256)),
+    b"",
+)
+
+
+def test_odd_datagrams_end_no_gateway(tmp_path):
+    async def scenario():
+        async with deploy(tmp_path) as (store, gateways):
+            await gateways.start()
+            await gateways.until_all_serve()
+            await gateways.until_all_log(b"peer heard")
+            for data in ODD_DATAGRAMS:
+                gateways.send_all(data)
+            await store.put(SERVERS, *LATER_RECORDS[SERVERS])
+            await check_later(gateways, SERVERS)
+            await asyncio.sleep(1.0)
+            await gateways.until_all_serve()
+            gateways.check_alive()
+
+    asyncio.run(scenario())
