Peers: leave placements out of a digest that fits into no datagram

Callers name the parts of their prompts. With long names, or very many, the placements of one digest take more than the 65,507 bytes of a datagram; it isn't sent (EMSGSIZE, which is passed over), and the gateway seems silent to its peers while such prompts come: its requests are no longer counted. Cause: the number of placements is bounded, their size wasn't. Change: what may be lost, placements and caches, is left out of a digest that is too long, and logged once for each peer.

The store's end of a topic beyond 2^53 is an invalid answer: following one would read the newest records again and again without a pause.

Evidence: test_prompts_with_the_longest_part_ids_silence_no_gateway fails before (24 placements of three ids of 5,000 characters), passes now, in one process; not tried on real processes. tests/test_peerlink.py and tests/core/test_peerdigests.py pass.

--- a/src/robinspindle/core/peerdigests.py
+++ b/src/robinspindle/core/peerdigests.py
@@ -281,6 +281,20 @@
     return True
 
 
+def may_shorten(digest: Digest) -> bool:
+    """Whether a digest holds anything that may be lost."""
+    return bool(digest.placements or digest.caches)
+
+
+def shorten_digest(digest: Digest) -> Digest:
+    """Leave out of a digest what may be lost, as datagrams are.
+
+    Callers name the parts of their prompts, with any number of long names; a digest
+    that doesn't fit into a datagram isn't sent, and its sender seems silent.
+    """
+    return msgspec.structs.replace(digest, placements=[], caches=[])
+
+
 def is_cache_sender(name: str, others: Iterable[str], starting: str) -> bool:
     """Whether a gateway sends cache contents to one that has just started."""
     candidates = sorted({name, *others} - {starting})
--- a/src/robinspindle/peerlink.py
+++ b/src/robinspindle/peerlink.py
@@ -16,6 +16,7 @@
 from robinspindle.core.crashupdates import RequestUpdates
 from robinspindle.core.decoding import make_msgpack_decoder
 from robinspindle.core.engines import Engine
+from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.peerdigests import (
     MAX_PLACEMENTS,
     Cache,
@@ -24,6 +25,8 @@
     Placement,
     PrefillStatistics,
     TargetLoad,
+    may_shorten,
+    shorten_digest,
 )
 from robinspindle.core.peervalidation import are_facts_valid, find_fault
 from robinspindle.core.targets import Target
@@ -44,7 +47,10 @@
 has heard its relay in every start that was seen."""
 
 MOST_DATAGRAM_BYTES = 48_000
-"""Larger bundles are told in two datagrams: UDP takes 65,507 bytes at the most."""
+"""Larger bundles are told in two datagrams."""
+
+MAX_DATAGRAM_BYTES = 65_507
+"""Largest datagram that UDP takes."""
 
 encode = msgspec.msgpack.Encoder().encode
 decode = make_msgpack_decoder(Datagram)
@@ -141,6 +147,8 @@
         # The last echo of each relay, to tell whether it hears us.
         self._echoes: dict[str, int] = {}
         self._senders = Senders(peers, log)
+        # The peers that were sent digests without placements.
+        self._shortened = UnusableEntries()
 
     async def start(self, address: HostPort) -> None:
         """Open the socket."""
@@ -391,11 +399,21 @@
             self._send(name, told[:half], echo)
             self._send(name, told[half:], echo)
             return
+        if len(data) > MAX_DATAGRAM_BYTES and may_shorten(told[0]):
+            self._note_shortened(name, len(data))
+            self._send(name, [shorten_digest(told[0])], echo)
+            return
         self._peers.sent_bytes += len(data)
         self._note_sent(len(data))
         self._traffic.note(TrafficCause.NEWS, member.zone, len(data))
         self._transport.sendto(data, (member.host, member.port))
 
+    def _note_shortened(self, name: str, size: int) -> None:
+        """Log once for each peer that placements did not fit into a datagram."""
+        if self._shortened.note(name, "too long"):
+            text = "placements and caches left out of a datagram"
+            self._log(text, peer=name, bytes=size)
+
     def remove_timed_out_peers(self, now: float) -> None:
         """Forget the load of peers that fell silent."""
         find = self._fleet.find_engine_of
--- a/src/robinspindle/platform/store.py
+++ b/src/robinspindle/platform/store.py
@@ -11,7 +11,7 @@
 
 from robinspindle.calls import CallLimits, Transfer, call_once
 from robinspindle.connectionpool import ConnectionPool
-from robinspindle.core.decoding import Whole, make_json_decoder
+from robinspindle.core.decoding import MAX_WHOLE, Whole, make_json_decoder
 from robinspindle.core.eras import EraChange, compare_eras, parse_era
 from robinspindle.core.forwarding import AnswerHead
 from robinspindle.exceptions import (
@@ -212,6 +212,8 @@
             # offset.
             topic_end, _ = struct.unpack_from(">QQ", data)
             values = tuple(_split_records(data[READ_PREFIX_BYTES:]))
+            if topic_end > MAX_WHOLE:
+                raise ValueError(f"the topic ends at {topic_end}")
         except (struct.error, ValueError) as error:
             raise LogUnavailableError(f"invalid records: {error}") from None
         return Records(values, offset + len(values), topic_end)
--- a/tests/foreigngateway.py
+++ b/tests/foreigngateway.py
@@ -27,6 +27,9 @@
 PEER = ("127.0.0.2", 9)
 """Where the other gateway is, which every one knows."""
 
+MAX_UDP_BYTES = 65_507
+"""Largest datagram, bytes; a larger one is not sent."""
+
 MAX_STORE_KEY_BYTES = 255
 """Longest key of a record, bytes."""
 
@@ -92,6 +95,7 @@
         host, port = address
         assert host.count(".") == 3 and host.replace(".", "").isdigit()
         assert 0 < port <= 65535
+        assert len(data) <= MAX_UDP_BYTES
         self.sent.append(data)
 
     def apply(self, topic, key, value):
--- a/tests/test_foreigninputs.py
+++ b/tests/test_foreigninputs.py
@@ -22,6 +22,7 @@
 from robinspindle.core.fingerprints import FINGERPRINT_BYTES
 from robinspindle.core.forwarding import Send
 from robinspindle.core.peerdigests import (
+    MAX_PLACEMENTS,
     Cache,
     ConfigurationAge,
     Datagram,
@@ -522,3 +523,11 @@
     dialect.encode_request(request, Send("e1", left_s, 1))
     foreign.preview(**{name: text})
     foreign.use()
+
+
+def test_prompts_with_the_longest_part_ids_silence_no_gateway():
+    foreign = ForeignGateway()
+    parts = [(f"{number}" * 5000, 5) for number in range(3)]
+    placement = Placement(LIFETIME, parts, 5)
+    foreign.gateway.relay.placements.extend([placement] * MAX_PLACEMENTS)
+    foreign.use()
