--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -10,6 +10,8 @@
     MAX_PORT,
     MAX_QUOTE_LENGTH,
     Address,
+    Amount,
+    Whole,
     make_json_decoder,
     make_msgpack_decoder,
     parse_address,
@@ -17,8 +19,6 @@
     parse_whole,
     shorten,
 )
-from robinspindle.core.decoding import Amount as AmountType
-from robinspindle.core.decoding import Whole as WholeType
 from robinspindle.exceptions import BadDocumentError
 from tests.foreigninputs import (
     DIGITS,
@@ -35,8 +35,8 @@
 
 
 class Document(msgspec.Struct):
-    count: WholeType = 0
-    share: AmountType = 0.0
+    count: Whole = 0
+    share: Amount = 0.0
     name: str = ""
     inner: list["Document"] = []
 
