--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -157,11 +157,19 @@
         """
         if self.process.returncode is None:
             self.is_asked_to_end = True
-            self.process.send_signal(signal.SIGCONT)
-        if self.process.returncode is None:
-            self.process.send_signal(how)
+            self.send_signal(signal.SIGCONT)
+            self.send_signal(how)
         return await self.process.wait()
 
+    def send_signal(self, number: int) -> None:
+        """Send the process a signal, if it has not ended.
+
+        `Process.send_signal` may take the exit code away from the event loop.
+        """
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
+
 
 def prepare_gateway(
     folder: Path, name: str, store: int, bounds: str = "", duties: int = 0
--- a/soak/starts.py
+++ b/soak/starts.py
@@ -113,12 +113,11 @@
         """Ask a gateway to stop, with more signals meanwhile; it has to end with 0."""
         await self.hold(gateway)
         gateway.is_asked_to_end = True
-        gateway.process.send_signal(signal.SIGTERM)
+        gateway.send_signal(signal.SIGTERM)
         while gateway.process.returncode is None:
             await asyncio.sleep(self.rng.uniform(0.0, 0.5))
-            if gateway.process.returncode is None:
-                numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
-                gateway.process.send_signal(self.rng.choice(numbers))
+            numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+            gateway.send_signal(self.rng.choice(numbers))
         code = await gateway.process.wait()
         if code != 0:
             self.oracle.findings.append(f"{gateway.name} ended with {code}")
@@ -139,7 +138,7 @@
     await gateway.start()
     await starts.hold(gateway)
     for _ in range(starts.rng.randint(1, 5)):
-        gateway.process.send_signal(signal.SIGHUP)
+        gateway.send_signal(signal.SIGHUP)
         await asyncio.sleep(starts.rng.uniform(0.0, START_S / 4))
         gateway.check()
 
@@ -195,11 +194,11 @@
         text = starts.rng.choice(spoilt)
         gateway.settings.write_bytes(text.encode(errors="surrogateescape"))
         if starts.rng.random() < 0.8:
-            gateway.process.send_signal(signal.SIGHUP)
+            gateway.send_signal(signal.SIGHUP)
         await asyncio.sleep(starts.rng.uniform(0.0, 0.4))
         gateway.check()
     gateway.settings.write_text(good)
-    gateway.process.send_signal(signal.SIGHUP)
+    gateway.send_signal(signal.SIGHUP)
 
 
 async def write_odd_records(starts: Starts, gateway: GatewayProcess) -> None:
