Don't have callers wait for engines that only this gateway has lost

An engine that a peer has heard since isn't lost: its callers come again as soon as before. So do those of engines in backoff that aren't known to be lost.

--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -34,6 +34,10 @@
 """Assumed ratio of a target's response time during its warm-up to that after it, as the
 platform's site files state for the plain services that have a warm-up."""
 
+PEER_DELAY_S = 0.1
+"""By how much later it may seem that a peer heard a target, seconds: its update takes
+some milliseconds."""
+
 FAULT_SMOOTHING = 0.1
 """Weight of the latest answer in the share of faulty ones: about the last ten count."""
 
@@ -159,6 +163,12 @@
         note_answered(target)
 
 
+def note_heard_by_peer(target: Target, heard_at: float) -> None:
+    """Record when another gateway heard a target: it may be cut off from this one."""
+    if target.lost_at is not None and heard_at > target.lost_at + PEER_DELAY_S:
+        target.lost_at = None
+
+
 def note_silent(target: Target, now: float) -> None:
     """Record that a target is silent; its backoff begins."""
     silence.note_silent(target.liveness, now)
--- a/src/robinspindle/core/returns.py
+++ b/src/robinspindle/core/returns.py
@@ -104,18 +104,16 @@
         now: The current time, monotonic seconds.
 
     Returns:
-        0 if it may serve now, or as soon as one of its requests ends; infinite if that
-        is not to be expected.
+        0 if it may serve now, as soon as one of its requests ends, or callers of
+        another gateway; infinite if that is not to be expected.
     """
     match find_condition(target, now):
-        case Condition.READY | Condition.FULL:
+        case Condition.READY | Condition.FULL | Condition.BACKOFF:
             return 0.0
         case Condition.LOST:
             return find_restart_s(target.lost_at, now)
         case Condition.RESTING:
             return target.stated.rest_until - now
-        case Condition.BACKOFF:
-            return target.backoff_until - now
         case Condition.SWITCHING if target.switching_to == DECODE_ROLE:
             usually_until = target.switching_until - health.SWITCH_SLACK_S
             return max(0.0, usually_until - now)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -278,19 +278,21 @@
             note_earlier_cache(engine, parts)
 
     def note_heard_by_peer(self, loads: list[TargetLoad], now: float) -> None:
-        """Take note of what a peer heard of engines that only read.
+        """Take note of what a peer heard of engines.
 
-        They answer only when a whole prompt is read, so the next answer may be a
-        peer's. One that generates is heard by each of its streams, and a link may be
-        cut for us alone.
+        Those that only read answer when a whole prompt is read, so the next answer may
+        be a peer's. One that generates is heard by each of its streams, and a link may
+        be cut for us alone.
         """
         for load in loads:
             engine = self._engines.get(load.lifetime)
-            if engine is None or not engine.prefill_only:
-                continue
             target = self.directory.targets.get(load.lifetime)
+            if engine is None or target is None:
+                continue
             heard_at = now - load.heard_ms_ago / 1000
-            if target is not None and heard_at > target.liveness.heard_at:
+            if not engine.prefill_only:
+                health.note_heard_by_peer(target, heard_at)
+            elif heard_at > target.liveness.heard_at:
                 health.note_heard(target, heard_at)
 
     def list_engine_services(self) -> list[str]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,9 @@
+import pytest
+
 from robinspindle.core import health, targets
+from robinspindle.core.peerdigests import TargetLoad
 from robinspindle.core.priorities import LEVELS
+from robinspindle.core.returns import RESTART_S
 from robinspindle.core.routes import CallerLimits, EngineSpec, Service, make_table
 from robinspindle.core.targets import Announcement, Directory
 from robinspindle.core.targetspeeds import SpeedSums
@@ -118,6 +122,18 @@
     assert fleet.find_return_s("lm", 1.0, None) == 0.0
 
 
+def test_an_engine_that_a_peer_hears_is_cut_off_from_this_gateway_and_not_lost():
+    """Guards against callers told to wait who are served at once elsewhere."""
+    fleet = make_fleet()
+    fleet.find_engine_of("d1")
+    health.note_silent(fleet.directory.targets["d1"], 10.0)
+    told = TargetLoad("d1", 1, [], 0, 0)
+    fleet.note_heard_by_peer([told], 10.0 + health.PEER_DELAY_S)
+    assert fleet.find_return_s("lm", 10.5, None) == pytest.approx(RESTART_S - 0.5)
+    fleet.note_heard_by_peer([told], 10.6)
+    assert fleet.find_return_s("lm", 10.6, None) == 0.0
+
+
 def test_an_engine_that_is_seen_before_the_configuration_gets_its_memory():
     """Guards against engines that look short of memory, as a usual size was assumed."""
     fleet = Fleet(Directory(), decode_answer)
