--- a/fuzz/takeupworld.py
+++ b/fuzz/takeupworld.py
@@ -426,12 +426,13 @@
             self.tell_heard(gateway)
 
     def tell_heard(self, gateway: FuzzGateway) -> None:
-        """Tell a gateway whom it hears now."""
+        """Tell a gateway whom it hears now; the first of all is the relay."""
         others = [g for g in self.gateways if g is not gateway]
         names = [g.member.name for g in others if self._can_hear(gateway, g)]
         lacks_store = any(g.store.cut for g in others if g.member.name in names)
         view = PeerView(members=names, lacks_store=lacks_store)
         gateway.peers.views = {names[0]: view} if names else {}
+        gateway.peers.choice.relay = min([gateway.member.name, *names])
         gateway.fleet.hears_all_gateways = len(names) == len(others)
 
     def _can_hear(self, gateway: FuzzGateway, other: FuzzGateway) -> bool:
