Fuzz: count surplus answers in the world of statements too

Cause: targets' traffic is told who counts surplus answers; the world of statements made it without. Measured: tests/fuzz/test_statements.py failed in 18 cases and passes.

--- a/fuzz/statementworld.py
+++ b/fuzz/statementworld.py
@@ -118,7 +118,7 @@
         self.directory = Directory()
         self.accounts: dict[str, Account] = {}
         self._make_traffic = targettraffic.make_traffic_maker(
-            clock, lambda text, **fields: None
+            clock, lambda text, **fields: None, lambda: None
         )
         self._traffic: dict[str, targettraffic.TargetTraffic] = {}
 
