--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -13,31 +13,32 @@
 from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.cachelists import CacheLists
-from robinspindle.clocks import PauseWatch, make_loop, read_steady
+from robinspindle.clocks import read_steady
 from robinspindle.connectionlimit import ConnectionLimit
 from robinspindle.core import heldbytes, retrywindows, targets
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
 from robinspindle.core.fingerprints import Fingerprint
-from robinspindle.core.freshness import Freshness, may_serve, must_renew
+from robinspindle.core.freshness import Freshness, may_serve
 from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.pauses import Pause
-from robinspindle.core.ratelimits import Sharing, choose_sharing
 from robinspindle.core.relays import Member, encode_member
-from robinspindle.core.targets import Directory, Target
+from robinspindle.core.targets import Directory
 from robinspindle.core.taskfailures import HOPELESS_AFTER_S, UNREADY_AFTER_S
 from robinspindle.core.usage import make_incarnation
 from robinspindle.duties import Duties
 from robinspindle.fleet import Fleet
 from robinspindle.following import note_new_era
+from robinspindle.gatewayjobs import Housekeeper
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gatewaypages import (
     make_metrics_page,
     make_operator_pages,
     make_readiness_page,
 )
-from robinspindle.gatewaysettings import GatewaySettings, HostPort
-from robinspindle.gatewaytasks import PEERS_PORT, TaskParts, list_tasks
+from robinspindle.gatewayports import Servers, list_listeners
+from robinspindle.gatewaysettings import GatewaySettings
+from robinspindle.gatewaytasks import TaskParts, list_tasks
 from robinspindle.gauges import GaugeSources
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
@@ -45,14 +46,14 @@
 from robinspindle.httpserver import STOPPING, CallerServer
 from robinspindle.introduction import Introduction
 from robinspindle.linkqueue import LinkQueue
-from robinspindle.listeners import Listener, Listeners
-from robinspindle.logs import make_log, start_bounded_logs
+from robinspindle.listeners import Listeners
+from robinspindle.logs import make_log
 from robinspindle.ordering import Orderer
 from robinspindle.passages import Means
 from robinspindle.peerfacts import PeerFacts
 from robinspindle.peerlink import News, PeerLink
 from robinspindle.peers import Peers, list_heard
-from robinspindle.processsignals import STOP_SIGNALS, ProcessSignals, ignore_signals
+from robinspindle.processsignals import STOP_SIGNALS, ProcessSignals
 from robinspindle.quarantinekeeping import QuarantineKeeper, find_place
 from robinspindle.relay import Relay
 from robinspindle.replies import Reply
@@ -63,7 +64,6 @@
 from robinspindle.streamparts import make_stream_parts
 from robinspindle.supervision import FailureLog, Supervisor, Task
 from robinspindle.targettraffic import make_traffic_maker
-from robinspindle.unexpected import report_to
 from robinspindle.usagebook import UsageBook
 from robinspindle.zonetraffic import ZoneTraffic
 
@@ -219,6 +219,7 @@
             Limits(),
             self._clock,
         )
+        self._housekeeper = self._make_housekeeper()
         self._apply_settings(settings)
         self._has_failed = False
         self._stop = Stop(self._callers, lambda: self.settings.pledges.stop_s, log)
@@ -253,6 +254,22 @@
             )
         )
 
+    def _make_housekeeper(self) -> Housekeeper:
+        return Housekeeper(
+            fleet=self.fleet,
+            peers=self.peers,
+            introduction=self._introduction,
+            store=self._store,
+            store_news=self._store_news,
+            freshness=self.freshness,
+            guard=self.guard,
+            relay=self.relay,
+            traffic=self.traffic,
+            metrics=self.metrics,
+            find_settings=lambda: self.settings,
+            log=log,
+        )
+
     def _make_peer_link(self) -> PeerLink:
         return PeerLink(
             self.peers,
@@ -384,15 +401,26 @@
 
         What can't listen yet, as another process holds its port, does so later.
         """
-        held = [one for one in self._list_listeners() if not await self._try_open(one)]
+        servers = Servers(
+            self._callers,
+            self._readiness,
+            self._figures,
+            self._link.start,
+            self._streams.link.start,
+        )
+        listeners = list_listeners(servers, self.settings)
+        held = [one for one in listeners if not await self._listeners.try_open(one)]
         log(
             "started",
             name=self.settings.name,
             zone=self.settings.zone,
             waits_for=self._listeners.waiting,
         )
+        if self.settings.inner_ports[0] == self.settings.inner_ports[1]:
+            log("one inner port is too few: streams are remembered here only")
         for listener in held:
-            self._open_later(listener)
+            run = partial(self._listeners.open_when_free, listener)
+            self._supervisor.start(Task(f"open {listener.name}", run))
         for task in list_tasks(self._list_parts(), self._tell_peers, self._keep_house):
             self._supervisor.start(task)
 
@@ -417,33 +445,6 @@
             log=log,
         )
 
-    async def _try_open(self, listener: Listener) -> bool:
-        return await self._listeners.try_open(listener)
-
-    def _open_later(self, listener: Listener) -> None:
-        run = partial(self._listeners.open_when_free, listener)
-        self._supervisor.start(Task(f"open {listener.name}", run))
-
-    def _list_listeners(self) -> list[Listener]:
-        """List what listens, the ports for what gateways say to each other too."""
-        settings = self.settings
-        first, last = settings.inner_ports
-        inner = HostPort(settings.ip, first)
-        found = [
-            _make_listener("readiness", settings.readiness, self._readiness),
-            _make_listener("callers", settings.callers, self._callers),
-            Listener(PEERS_PORT, inner, partial(self._link.start, inner)),
-        ]
-        if settings.metrics_port:
-            address = HostPort(settings.ip, settings.metrics_port)
-            found.append(_make_listener("metrics", address, self._figures))
-        if last > first:
-            start = partial(self._streams.link.start, inner)
-            found.append(Listener("origins", HostPort(settings.ip, first + 1), start))
-        else:
-            log("one inner port is too few: streams are remembered here only")
-        return found
-
     async def wait_stopped(self) -> None:
         """Wait for the end of a stop."""
         await self._stop.ended.wait()
@@ -567,70 +568,16 @@
         """List the jobs of each tick, in their order."""
         return [
             Job("flush logs", lambda now: self._output.flush()),
-            Job("look at peers", self._look_at_peers),
-            Job("look after polls", self._look_after_polls),
-            Job("forget targets", self._forget_targets),
-            Job("notice silence", self._notice_silence),
-            Job("leave targets", self._look_after_leaving),
+            *self._housekeeper.list_jobs(),
             Job("forget peers", self._link.remove_timed_out_peers),
-            Job("settle crashes", self.guard.settle),
             Job("close callers", self._callers.close_idle),
             Job("close balancer", self._readiness.close_idle),
             Job("close operators", self._figures.close_idle),
             Job("read settings", self._reader.read_if_due),
-            Job("log traffic", self._log_traffic),
             Job("look after failures", self._look_after_failing),
             Job("stop", self._stop.go_on),
         ]
 
-    def _look_at_peers(self, now: float) -> None:
-        self.fleet.gateways = len(self.peers.members) + 1
-        heard = list_heard(self.peers)
-        self.fleet.hears_all_gateways = self._hears_all_gateways(heard)
-        self.fleet.limits.sharing = self._choose_sharing(heard)
-
-    def _look_after_polls(self, now: float) -> None:
-        self._store_news.look_after_relaying()
-        if must_renew(self.freshness, now):
-            self._store_news.look_after_configuration()
-
-    def _forget_targets(self, now: float) -> None:
-        for target in targets.drop_gone(self.directory, now):
-            self.fleet.forget(target, now)
-            self.metrics.forget_target(target.announced.lifetime)
-            log("target is gone", target=target.announced.lifetime)
-
-    def _notice_silence(self, now: float) -> None:
-        if self.settings.policy.notices_silence:
-            for target in self.fleet.leave_silent(now):
-                self._note_silent(target, now)
-
-    def _look_after_leaving(self, now: float) -> None:
-        self.relay.look_after_leaving(now, self.settings.pledges.leave_s)
-
-    def _log_traffic(self, now: float) -> None:
-        self.traffic.log_if_due(log, now, self._store.received_bytes)
-
-    def _hears_all_gateways(self, heard: list[str]) -> bool:
-        return self._introduction.is_read and self.peers.members.keys() <= set(heard)
-
-    def _choose_sharing(self, heard: list[str]) -> Sharing:
-        """Choose who shares the limits that targets name."""
-        if not self._introduction.is_read:
-            return Sharing()
-        members = list(self.peers.members)
-        return choose_sharing(self.settings.name, heard, members)
-
-    def _note_silent(self, target: Target, now: float) -> None:
-        heard_at = target.liveness.heard_at
-        log(
-            "target is silent",
-            target=target.announced.lifetime,
-            heard_ms_ago=round((now - heard_at) * 1000) if heard_at > 0 else None,
-            expected=len(target.liveness.expected),
-            rests_ms=round((target.backoff_until - now) * 1000),
-        )
-
     def begin_stop(self) -> None:
         """Become unready; take no requests after a while; end when all is done."""
         self._listeners.stop()
@@ -659,45 +606,7 @@
         self.duties.apply_settings(settings)
 
 
-def _make_listener(name: str, address: HostPort, server: CallerServer) -> Listener:
-    return Listener(name, address, partial(server.start, address.host, address.port))
-
-
 def _describe_own(settings: GatewaySettings) -> Member:
     """Describe a gateway as it introduces itself to the others."""
     port = settings.inner_ports[0]
     return Member(settings.name, settings.ip, port, settings.zone, settings.capacity)
-
-
-def run_gateway(reread: Reread, adapter: Adapter, signals: ProcessSignals) -> int:
-    """Run a gateway until it is told to stop; returns the exit code.
-
-    Args:
-        reread: Reads the settings, at the start and again.
-        adapter: The platform's adapter.
-        signals: Holds the signals of the process, which are ignored afterwards.
-
-    Raises:
-        InvalidDocumentError: When the settings at the start have findings.
-    """
-    watch = PauseWatch()
-    try:
-        with asyncio.Runner(loop_factory=lambda: make_loop(watch)) as runner:
-            return runner.run(_run(reread, adapter, watch, signals))
-    finally:
-        signals.wake = None
-        ignore_signals()
-
-
-async def _run(
-    reread: Reread, adapter: Adapter, watch: PauseWatch, signals: ProcessSignals
-) -> int:
-    settings = reread()
-    output = start_bounded_logs(settings.name, tells_routine=not settings.is_quiet)
-    gateway = Gateway(settings, adapter, output, reread)
-    failures = gateway.failures
-    report_to(failures, asyncio.get_running_loop())
-    # They are called inside the loop's wait, where an error would end the process.
-    watch.note = failures.guard("note pauses", gateway.note_pause)
-    watch.note_long_turn = failures.guard("note long turns", gateway.note_long_turn)
-    return await gateway.run(signals)
--- a/src/robinspindle/platform/start.py
+++ b/src/robinspindle/platform/start.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from robinspindle.documentfiles import read_document
-from robinspindle.gateway import run_gateway
+from robinspindle.gatewayprocess import run_gateway
 from robinspindle.gatewaysettings import GatewaySettings
 from robinspindle.platform.adapter import PlatformAdapter
 from robinspindle.platform.settings import MOST_BYTES as SETTINGS_BYTES
