Leave a version two engines that generate when one is to prefill

What callers saw: streams of a version of two engines that generate had none left for three seconds: one of them had crashed, the other was ordered to prefill just then.

It then rejects what it gets, which looks like being full; take-ups end as 'full' and 'broken' from 29 to 31.

A version with two engines, both of which generate, counted one of them as spare: half of its engines. It now keeps two; a version with more prefills as before, and so does a service with one version.

Evidence: the new test of test_versionroles.py failed before (v1's engine was taken) and passes.

--- a/src/robinspindle/core/versionroles.py
+++ b/src/robinspindle/core/versionroles.py
@@ -16,6 +16,10 @@
 MIN_ENGINES = 2
 """Minimum number of a version's engines of which one has to generate."""
 
+MIN_LEFT = 2
+"""Minimum number of decode engines that a version is left with when one is taken: its
+streams go on at the other where one crashes."""
+
 
 def list_lacking(
     engines: Sequence[Pair], covered: AbstractSet[str] = frozenset()
@@ -60,7 +64,7 @@
         return list(ranked)
     left = count_decode_engines(engines)
     for version, pairs in by_version.items():
-        left[version] -= max(1, math.ceil(len(pairs) * min_decode_share))
+        left[version] -= max(MIN_LEFT, math.ceil(len(pairs) * min_decode_share))
     spare = []
     for pair in ranked:
         version = pair[0].announced.software_version
--- a/tests/core/test_versionroles.py
+++ b/tests/core/test_versionroles.py
@@ -83,6 +83,14 @@
     assert list_lifetimes(change) == [f"{NEW}-0"]
 
 
+def test_a_version_keeps_an_engine_for_its_streams_when_one_crashes():
+    """Guards against streams whose version was left one engine, which then crashed."""
+    engines = make_engines(OLD, 0, 2) + make_engines(NEW, 1, 4, long_answers=5)
+    change = decide(engines, 9.0)
+    assert change.role == PREFILL_ROLE
+    assert list_lifetimes(change) == [f"{NEW}-1"]
+
+
 def test_several_changes_at_a_time_leave_each_version_its_share():
     engines = make_engines(OLD, 4, 5) + make_engines(NEW, 5, 13, long_answers=5)
     change = decide(engines, 0.39 * 9)
