Targets: ask before every send whether a target is gone or replaced

The check before each send now knows gone, replaced and unreadable entries too, and the choice uses the same function.

Evidence: tests/core/test_obstacles.py failed before and passes now. Beside a load of 25 test_leaving[/safe/x-push--bad_request] failed once in a whole run (the gateway closed connections unread) and passed three times alone.

--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -4,8 +4,8 @@
 answers and a recent start raise its cost compared with other targets.
 """
 
-from robinspindle.core import silence, targets
-from robinspindle.core.obstacles import find_send_obstacle
+from robinspindle.core import silence
+from robinspindle.core.obstacles import find_end, find_send_obstacle
 from robinspindle.core.targets import Directory, Target
 
 FAILURES_BEFORE_BACKOFF = 2
@@ -38,8 +38,7 @@
 
 def may_get_work(target: Target, now: float) -> bool:
     """Return whether a target may get new requests at all."""
-    is_away = target.replaced or target.is_unreadable or targets.is_gone(target, now)
-    return not (targets.is_leaving(target) or is_away)
+    return find_end(target, now) is None
 
 
 def is_healthy(target: Target, now: float) -> bool:
--- a/src/robinspindle/core/obstacles.py
+++ b/src/robinspindle/core/obstacles.py
@@ -11,13 +11,16 @@
 from enum import Enum
 
 from robinspindle.core import ratelimits
-from robinspindle.core.targets import Target, is_leaving
+from robinspindle.core.targets import Target, is_gone, is_leaving
 
 
 class ObstacleReason(Enum):
     """Why a target gets nothing."""
 
     LEAVING = "leaving"
+    GONE = "gone"
+    REPLACED = "replaced"
+    UNREADABLE = "unreadable"
     RESTING = "resting"
     LIMITED = "limited"
 
@@ -36,6 +39,22 @@
     until: float = math.inf
 
 
+def find_end(target: Target, now: float) -> ObstacleReason | None:
+    """Return why a target gets nothing new at all any more; None if it may.
+
+    Args:
+        target: The target.
+        now: The current time, monotonic seconds.
+    """
+    if is_leaving(target):
+        return ObstacleReason.LEAVING
+    if is_gone(target, now):
+        return ObstacleReason.GONE
+    if target.replaced:
+        return ObstacleReason.REPLACED
+    return ObstacleReason.UNREADABLE if target.is_unreadable else None
+
+
 def find_send_obstacle(
     target: Target, now: float, share_per_s: float | None = None
 ) -> Obstacle | None:
@@ -47,8 +66,9 @@
         share_per_s: The share of the target's limit that this gateway may use, requests
             per second; None if the request has its turn already.
     """
-    if is_leaving(target):
-        return Obstacle(ObstacleReason.LEAVING)
+    reason = find_end(target, now)
+    if reason is not None:
+        return Obstacle(reason)
     if now < target.stated.rest_until:
         return Obstacle(ObstacleReason.RESTING, target.stated.rest_until)
     limit = target.stated.limit
--- a/tests/core/test_obstacles.py
+++ b/tests/core/test_obstacles.py
@@ -13,6 +13,7 @@
     apply_announcement,
     drop_gone,
     note_missing,
+    note_unreadable,
 )
 
 
@@ -40,6 +41,22 @@
     assert find_send_obstacle(target, 0.0) == never
 
 
+def test_a_target_that_is_gone_or_not_the_one_listed_gets_nothing():
+    """Its entry may go without saying that it leaves, while a request waits."""
+    directory = Directory()
+    target = announce(directory)
+    note_missing(directory, 10.0, "i1")
+    assert find_reason(target, target.gone_at - 0.01) is None
+    assert find_reason(target, target.gone_at) is ObstacleReason.GONE
+    target = announce(directory, now=20.0)
+    assert find_reason(target, 20.0) is None
+    note_unreadable(directory, "i1")
+    assert find_reason(target, 20.0) is ObstacleReason.UNREADABLE
+    target = announce(directory, now=21.0)
+    target.replaced = True
+    assert find_reason(target, 21.0) is ObstacleReason.REPLACED
+
+
 def test_an_entry_takes_back_nothing_that_an_answer_said():
     directory = Directory()
     announce(directory).stated.leaving = True
