Targets: use no connection that rested long enough to have gone silent

A request that went out on a kept connection that had gone silent was lost: one that may run only once waited until its time limit (504). A replica that says Keep-Alive: timeout=60 had its connections used after up to 59.5 s of rest. None is used now that rested for ContactMs less half a second, so from ContactMs after a silence no request goes out on a connection that was idle as it began.

--- a/src/robinspindle/connectionpool.py
+++ b/src/robinspindle/connectionpool.py
@@ -1,6 +1,7 @@
 """Connections to one address, kept for further requests."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -32,6 +33,7 @@
         decode_head: DecodeHead,
         traffic: Traffic | None = None,
         meter: Meter | None = None,
+        max_idle_s: Callable[[], float] = lambda: math.inf,
     ):
         """Begin without a connection.
 
@@ -40,11 +42,14 @@
             decode_head: Decodes the heads of answers.
             traffic: Told what passes on all connections; None for nobody.
             meter: Counts the bytes on all connections; None where nobody does.
+            max_idle_s: Tells how long a connection may be idle at most, seconds,
+                whatever the other end says: it may have gone silent meanwhile.
         """
         self.address = address
         self._decode_head = decode_head
         self._traffic = traffic
         self._meter = meter
+        self._max_idle_s = max_idle_s
         self.idle: list[ClientConnection] = []
 
     async def take(self, now: float, timeout_s: float) -> ClientConnection:
@@ -90,9 +95,9 @@
         return connection
 
     def _close_stale(self, now: float) -> None:
-        kept = []
+        kept, max_idle_s = [], self._max_idle_s()
         for connection in self.idle:
-            rest_s = max(0.0, connection.idle_s - IDLE_MARGIN_S)
+            rest_s = max(0.0, min(max_idle_s, connection.idle_s) - IDLE_MARGIN_S)
             if connection.is_open and now - connection.idle_since < rest_s:
                 kept.append(connection)
             else:
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -1,5 +1,6 @@
 """The targets of one gateway: what is known of them, and the connections to them."""
 
+import math
 from collections.abc import Callable
 
 from robinspindle.connectionpool import ConnectionPool
@@ -63,6 +64,7 @@
         gateways: How many gateways share the targets' connections.
         hears_all_gateways: Whether it is known what each of them has under way.
         limits: Keeps sends within the limits that targets name.
+        max_idle_s: How long a connection to a target may be idle at most, seconds.
         shares_speeds: Whether the gateways learn the engines' speeds together.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
             has started after this gateway.
@@ -90,6 +92,7 @@
         self.gateways = GATEWAYS
         self.hears_all_gateways = False
         self.limits = TargetLimits(directory)
+        self.max_idle_s = math.inf
         self.shares_speeds = False
         self.knows_new_caches = False
         self._decode_head = decode_head
@@ -387,6 +390,7 @@
             self._decode_head,
             self._make_traffic(target),
             self._make_meter(target),
+            lambda: self.max_idle_s,
         )
 
     def make_bare_pool(self, target: Target) -> ConnectionPool:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -563,6 +563,7 @@
         self.peers.teaches = settings.policy.tells_caches
         self.orderer.may_change = settings.policy.changes_roles
         self.fleet.shares_speeds = settings.policy.shares_speeds
+        self.fleet.max_idle_s = pledges.contact_s
         self.directory.missing_grace_s = pledges.leave_s * LEAVE_SHARE
         self.freshness.limit_s = pledges.revoke_s
         self.freshness.apply_s = pledges.configuration_s
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -73,6 +73,8 @@
         limit_per_s: The limit on its request rate that its answers name; None for none.
         says_leaving: Whether all its answers say that it leaves.
         refusal: How it turns away what no behaviour is left for; None where it doesn't.
+        keep_alive_s: How long its answers say that it keeps connections, seconds; None
+            where they don't.
         surplus: What it sends before each answer but the first on a connection; None
             for nothing.
     """
@@ -102,6 +104,7 @@
         self.refusal: Refusal | None = None
         self.surplus: Surplus | None = None
         self._used = WeakSet()
+        self.keep_alive_s: int | None = None
         self.born_ms: int | None = None
         self.software_version = USUAL_VERSION
         self.crashes_on = crashes_on
@@ -165,6 +168,8 @@
         """Write what every answer carries, whatever was asked."""
         id = request.headers.get("x-request-id")
         head = {} if id is None else {"X-Request-Id": id}
+        if self.keep_alive_s is not None:
+            head["Keep-Alive"] = f"timeout={self.keep_alive_s}"
         return head | ({"Server-Leaving": "1"} if self.says_leaving else {})
 
     def _write_surplus(self, surplus: Surplus, writer) -> None:
