--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -66,6 +66,7 @@
         hears_all_gateways: Whether it is known what each of them has under way.
         limits: Keeps sends within the limits that targets name.
         paces: How fast engines prefill.
+        max_idle_s: How long a connection to a target may be idle at most, seconds.
         shares_speeds: Whether the gateways learn the engines' speeds together.
         knows_new_caches: Whether an engine that appears has placed nothing unseen: it
             has started after this gateway.
@@ -94,6 +95,7 @@
         self.hears_all_gateways = False
         self.limits = TargetLimits(directory)
         self.paces = EnginePaces()
+        self.max_idle_s = math.inf
         self.shares_speeds = False
         self.knows_new_caches = False
         self._decode_head = decode_head
@@ -381,6 +383,7 @@
             self._decode_head,
             self._make_traffic(target),
             self._make_meter(target),
+            lambda: self.max_idle_s,
         )
 
     def make_bare_pool(self, target: Target) -> ConnectionPool:
