--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -6,7 +6,7 @@
 import pytest
 
 from soak.oracle import Oracle
-from soak.resuming import EVENTS, Habits, call_streams
+from soak.resuming import EVENTS, Connections, Habits, call_streams
 from soak.versionaccount import FEWEST_TAKE_UPS, Try, VersionAccount
 from soak.versions import play
 from soak.world import World
@@ -161,3 +161,33 @@
     assert 100 < sum(left) < 200
     assert not any(habits.leaves(rng, 4) for _ in range(100))
     assert not any(Habits().leaves(rng, event) for event in (1, 2, 3) * 100)
+
+
+@pytest.mark.parametrize(
+    ("is_kept", "is_open", "used"),
+    [(True, True, 1)] + [(True, False, 4), (False, True, 4)],
+)
+def test_callers_use_a_connection_again_until_it_is_gone(is_kept, is_open, used):
+    async def scenario():
+        writers = []
+
+        async def answer(request, writer):
+            if writer not in writers:
+                writers.append(writer)
+            await answer_events(writer, 1, EVENTS, True)
+            return is_open
+
+        server = RawServer(answer)
+        await server.start()
+        connections = Connections(is_kept)
+        for _ in range(4):
+            reader, writer = connection = await connections.take(server.port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"0\r\n\r\n")
+            connections.give_back(server.port, connection, is_whole=True)
+            await asyncio.sleep(0.05)
+        connections.close()
+        await server.stop()
+        return len(writers)
+
+    assert asyncio.run(scenario()) == used
