Keep no connections for a target that was dropped while a request waited

Callers would have seen: refusals, and a word of leaving that isn't heard, of a target whose entry went and came back as requests waited between choice and send. Cause: connections are kept by lifetime and bound to the target's object; a request that waited made them anew for the dropped object, and the returned one used them. Evidence: the test of test_fleet failed before and passes; tests/fuzz/test_statements.py passes.

--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -363,12 +363,17 @@
             health.note_switching(target, role, until)
 
     def find_pool(self, target: Target) -> ConnectionPool:
-        """Find the connections to a target."""
-        announced = target.announced
-        pool = self._pools.get(announced.lifetime)
+        """Find the connections to a target.
+
+        None are kept for a target that was dropped meanwhile: if its entry returns,
+        what passes on them would be noted for the dropped one.
+        """
+        lifetime = target.announced.lifetime
+        if self.directory.targets.get(lifetime) is not target:
+            return self.make_call_pool(target)
+        pool = self._pools.get(lifetime)
         if pool is None:
-            pool = self.make_call_pool(target)
-            self._pools[announced.lifetime] = pool
+            pool = self._pools[lifetime] = self.make_call_pool(target)
         return pool
 
     def make_call_pool(self, target: Target) -> ConnectionPool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -134,6 +134,20 @@
     assert fleet.find_return_s("lm", 10.6, None) == 0.0
 
 
+def test_a_request_that_waited_keeps_no_connections_for_a_target_that_returns():
+    """Guards against a target that is back and gets nothing."""
+    fleet = make_fleet()
+    dropped = fleet.directory.targets["d1"]
+    targets.note_missing(fleet.directory, 0.0, "d1")
+    for target in targets.drop_gone(fleet.directory, 10.0):
+        fleet.forget(target, 10.0)
+    announce(fleet, "d1", "decode")
+    returned = fleet.directory.targets["d1"]
+    waiting = fleet.find_pool(dropped)
+    assert fleet.find_pool(returned) is not waiting
+    assert fleet.find_pool(returned) is fleet.find_pool(returned)
+
+
 def test_an_engine_that_is_seen_before_the_configuration_gets_its_memory():
     """Guards against engines that look short of memory, as a usual size was assumed."""
     fleet = Fleet(Directory(), decode_answer)
