Fuzz: let the mutant that never takes a target as gone act where that is asked

Cause: obstacles asks is_gone by its own name, so the mutant changed nothing and wasn't noticed. It is as strict: the oracle has to notice it, and does.

--- a/fuzz/gatewaymutants.py
+++ b/fuzz/gatewaymutants.py
@@ -1,7 +1,14 @@
 """Deliberate faults in the decisions of gateways, each to be noticed."""
 
 from fuzz.mutants import Mutant
-from robinspindle.core import authority, forwarding, retrywindows, routes, targets
+from robinspindle.core import (
+    authority,
+    forwarding,
+    obstacles,
+    retrywindows,
+    routes,
+    targets,
+)
 
 
 def _announce_as_told(right):
@@ -36,7 +43,7 @@
         "note_unreadable",
         lambda r: lambda *_: False,
     ),
-    Mutant("never take as gone", targets, "is_gone", lambda r: lambda *_: False),
+    Mutant("never take as gone", obstacles, "is_gone", lambda r: lambda *_: False),
     Mutant(
         "repeat without a budget", retrywindows, "take_retry", lambda r: lambda *_: True
     ),
