Let streams that fit one version of several go before new ones

Cause: that engine was the only one left of its version that generates, and full; take-ups waited behind new requests, which other engines would take, until their callers left after 2 s. Change: where targets of several versions may get work, a stream that is taken up gets the most urgent level. The test failed before and passes.

--- a/src/robinspindle/choosing.py
+++ b/src/robinspindle/choosing.py
@@ -18,7 +18,7 @@
 from robinspindle.core.plainplacement import PlainChoice
 from robinspindle.core.prefillmodel import estimate_busy_s
 from robinspindle.core.prefillplacement import RequestPlan
-from robinspindle.core.priorities import LATE_LEVEL
+from robinspindle.core.priorities import LATE_LEVEL, SHORT_LEVEL
 from robinspindle.core.rebalancing import (
     PrefillDemand,
     compute_prefill_load,
@@ -124,6 +124,8 @@
         at = self.describe_situation(passage, now)
         compared = sample_engines(pairs, prompt, self._means.zone, self._rng)
         plan = self._choose_plan(passage, compared, prompt, at)
+        if plan is not None and self._goes_first(passage, now):
+            plan = replace(plan, level=SHORT_LEVEL)
         if plan is not None and passage.plan is None and plan.uncached_tokens:
             self._note_demand(passage, plan, now)
         if plan is not None and plan.level < LATE_LEVEL and plan.has_capacity:
@@ -160,7 +162,7 @@
         """Tell whether a request had better be refused than sent."""
         if passage.offers or passage.reads or passage.request.prompt is None:
             return False
-        if passage.stream.is_taken_up and self._has_several_versions(passage, now):
+        if self._goes_first(passage, now):
             return should_refuse_take_up(plan, passage.first_due - now)
         serves_late = self._means.policy().serves_late
         # Who is refused at once can come back in time; who came back may not again.
@@ -169,9 +171,15 @@
             plan, passage.first_due - now, serves_late, max_slot_wait_s
         )
 
-    def _has_several_versions(self, passage: Passage, now: float) -> bool:
+    def _goes_first(self, passage: Passage, now: float) -> bool:
+        """Tell whether a stream goes before new ones: it fits one version of several.
+
+        New ones may begin at any engine, and would fill those that alone fit it.
+        """
         directory = self._means.fleet.directory
-        return has_several_versions(directory, passage.service, now)
+        return passage.stream.is_taken_up and has_several_versions(
+            directory, passage.service, now
+        )
 
     def can_ever_run(self, passage: Passage, plan: RequestPlan) -> bool:
         """Tell whether engines like a plan's target can run a request at all.
--- a/tests/platform/test_versioncapacity.py
+++ b/tests/platform/test_versioncapacity.py
@@ -2,6 +2,8 @@
 
 import re
 
+import pytest
+
 from standins.replica import USUAL_VERSION, Replica
 from tests.platform.deployment import deploy, run
 
@@ -59,6 +61,26 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("versions", [1, 2])
+def test_a_stream_that_one_version_of_several_fits_is_not_lost_behind_new_ones(
+    versions, tmp_path
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            begun = await begin_broken(d)
+            if versions > 1:
+                await add(d, "b1", OTHER_VERSION)
+            resumed = {"Last-Event-Id": "1", "Resumes": "r1"}
+            # Its prompt is long, so that it is not urgent for being short.
+            prompt = d.prompt(parts="aa:4000,bb:4000,cc:2000", tokens=10000)
+            reply = await d.call("/digest/x", id="r2", **prompt, **resumed)
+            assert reply.status == 200
+            return [r.headers["x-request-priority"] for r in begun.arrivals]
+
+    usual, taken_up = run(scenario())
+    assert (taken_up == "0") == (versions > 1)
+
+
 def test_where_one_version_is_listed_a_caller_is_refused_as_before(tmp_path):
     async def scenario():
         async with deploy(tmp_path) as d:
