--- a/fuzz/keyworld.py
+++ b/fuzz/keyworld.py
@@ -142,6 +142,9 @@
         await self._come_back()
         return Records(items, end, end)
 
+    def drop_connections(self) -> None:
+        """Drop kept connections; there are none in memory."""
+
     async def _travel(self) -> None:
         await asyncio.sleep(self.world.rng.uniform(0.002, 0.05))
         if {"store down", f"store cut {self.name}"} & self.world.trouble:
