--- a/src/robinspindle/targettraffic.py
+++ b/src/robinspindle/targettraffic.py
@@ -99,7 +99,9 @@
 
 
 def make_traffic_maker(
-    clock: Callable[[], float], log: Log, count_surplus: Callable[[], None]
+    clock: Callable[[], float],
+    log: Log,
+    count_surplus: Callable[[], None] = lambda: None,
 ) -> Callable[[Target], TargetTraffic]:
     """Make the function that makes the traffic of each target.
 
