--- a/src/robinspindle/logs.py
+++ b/src/robinspindle/logs.py
@@ -41,13 +41,19 @@
     eliot.to_file(stream or sys.stderr)
 
 
+def find_place(error: BaseException) -> str:
+    """Find the file and line at which an error was raised; empty if not known."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return ""
+    return f"{os.path.basename(frames[-1].filename)}:{frames[-1].lineno}"
+
+
 def describe_failure(error: BaseException) -> str:
     """Describe an unexpected error by its kind, its text and its place, in short."""
-    place = ""
-    frames = traceback.extract_tb(error.__traceback__)
-    if frames:
-        place = f" at {os.path.basename(frames[-1].filename)}:{frames[-1].lineno}"
-    return f"{type(error).__name__}{place}: {shorten(str(error))}"
+    place = find_place(error)
+    at = f" at {place}" if place else ""
+    return f"{type(error).__name__}{at}: {shorten(str(error))}"
 
 
 def make_log(part: str) -> Log:
--- a/src/robinspindle/supervision.py
+++ b/src/robinspindle/supervision.py
@@ -6,17 +6,15 @@
 """
 
 import asyncio
-import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from pathlib import Path
 
 from robinspindle.core.taskfailures import (
     FailureHistory,
     find_failing_s,
     note_failure,
 )
-from robinspindle.logs import Log
+from robinspindle.logs import Log, find_place
 
 LOG_INTERVAL_S = 10.0
 """How often the same failure at the same place is logged, seconds."""
@@ -27,14 +25,6 @@
 MOST_ERROR_CHARACTERS = 500
 
 
-def find_place(error: BaseException) -> str:
-    """Find the file and line at which an error was raised; empty if not known."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return ""
-    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno}"
-
-
 @dataclass
 class _Seen:
     logged_at: float
