--- a/fuzz/statementworld.py
+++ b/fuzz/statementworld.py
@@ -129,6 +129,8 @@
     def find_traffic(self, target: Target) -> targettraffic.TargetTraffic:
         """Find what takes note of a target's answers."""
         lifetime = target.announced.lifetime
+        if self.directory.targets.get(lifetime) is not target:
+            return self._make_traffic(target)
         traffic = self._traffic.get(lifetime)
         if traffic is None:
             traffic = self._traffic[lifetime] = self._make_traffic(target)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -372,6 +372,9 @@
     def find_pool(self, target: Target) -> ConnectionPool:
         """Find the connections to a target."""
         announced = target.announced
+        if self.directory.targets.get(announced.lifetime) is not target:
+            # It was forgotten, and may be listed anew: its end is not the new one's.
+            return self.make_call_pool(target)
         pool = self._pools.get(announced.lifetime)
         if pool is None:
             pool = self.make_call_pool(target)
