--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -134,6 +134,14 @@
     assert fleet.find_return_s("lm", 10.6, None) == 0.0
 
 
+def test_what_was_lost_before_a_pause_of_this_process_is_not_waited_for_after_it():
+    """Guards against callers told to wait long, as nothing could be heard meanwhile."""
+    fleet = make_fleet()
+    health.note_silent(fleet.directory.targets["d1"], 10.0)
+    fleet.note_pause(35.0)
+    assert fleet.find_return_s("lm", 35.0, None) <= RESTART_S
+
+
 def test_an_engine_that_is_seen_before_the_configuration_gets_its_memory():
     """Guards against engines that look short of memory, as a usual size was assumed."""
     fleet = Fleet(Directory(), decode_answer)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -227,6 +227,13 @@
     assert store.waits == [25.0, 0.0, 25.0]
 
 
+def test_a_peer_that_lies_about_an_end_hides_no_true_one_after_it():
+    store = HeldStore(Found((), 0))
+    told = iter([999, 5])
+    play_held(store, lambda follower: note_told_end(follower, next(told)))
+    assert store.waits == [25.0, 0.0, 25.0, 0.0, 25.0]
+
+
 def test_a_held_poll_is_given_up_when_the_store_is_away_for_a_peer():
     store = HeldStore(Found((), 0))
     told = iter([True, False])
@@ -364,3 +371,25 @@
     assert len(told) == 1
     assert told[0]["error"].startswith("RuntimeError at test_following.py")
     assert len(told[0]["error"]) < 400
+
+
+class TrimmedStore(Store):
+    """Says of each offset that its records are gone."""
+
+    async def read_from(self, topic, offset, wait_s):
+        self.calls += 1
+        raise RecordsTrimmedError(7)
+
+
+def test_a_store_whose_newest_end_is_gone_is_not_read_without_a_pause():
+    store = TrimmedStore()
+
+    async def play():
+        follower = Follower("t", lambda *_: None, lambda: None, lambda: None)
+        task = asyncio.create_task(follow(store, follower, lambda *a, **k: None))
+        for _ in range(1000):
+            await asyncio.sleep(0)
+        task.cancel()
+
+    run_virtually(play(), VirtualSelector())
+    assert store.calls < 10
