Origins: send none to a port that doesn't exist

Streams that were taken up were not known (LOST): a gateway that introduces itself with port 65535, as one with a single inner port may, had its peers send origins to port 65536. That raises OverflowError inside asyncio, which closes the socket for good; origins were neither told nor asked from then on, without a word in the logs. Such a peer gets no origins, as one that is not known. The test failed before (the socket's transport was closed), passes now.

--- a/src/robinspindle/originlink.py
+++ b/src/robinspindle/originlink.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from robinspindle.core.decoding import make_msgpack_decoder
+from robinspindle.core.decoding import MAX_PORT, make_msgpack_decoder
 from robinspindle.core.peervalidation import MAX_WALL_MS
 from robinspindle.core.streamorigins import KEY_BYTES, StreamKey, StreamOrigin
 from robinspindle.exceptions import BadDocumentError
@@ -188,7 +188,9 @@
 
     def can_send(self, name: str) -> bool:
         """Whether another gateway can be sent messages."""
-        return self._transport is not None and name in self._peers.members
+        member = self._peers.members.get(name)
+        has_port = member is not None and member.port + PORT_OFFSET <= MAX_PORT
+        return self._transport is not None and has_port
 
     def send(self, name: str, message: Message) -> None:
         """Send another gateway a message; one that is not known gets none."""
