Don't count a freeze of the process as time in which a target was away

A caller was told to wait 23 s for an engine that was lost before a freeze of 25 s: the time until a lost target is expected doubles as long as it is away, and nothing could be heard of it meanwhile. It begins anew after a pause.

--- a/src/robinspindle/core/health.py
+++ b/src/robinspindle/core/health.py
@@ -169,6 +169,13 @@
         target.lost_at = None
 
 
+def note_pause(target: Target, now: float) -> None:
+    """Record that this process could hear nothing until now."""
+    silence.note_pause(target.liveness, now)
+    if target.lost_at is not None:
+        target.lost_at = now
+
+
 def note_silent(target: Target, now: float) -> None:
     """Record that a target is silent; its backoff begins."""
     silence.note_silent(target.liveness, now)
--- a/src/robinspindle/fleet.py
+++ b/src/robinspindle/fleet.py
@@ -329,12 +329,15 @@
         """Take note that nothing could be heard or done until now.
 
         Kept connections may be gone at their other ends; who may run once must not go
-        out on one. Targets that were to be heard meanwhile have their time anew.
+        out on one. Targets that were to be heard meanwhile have their time anew, and
+        so have those that are lost.
         """
         for pool in self._pools.values():
             pool.close()
         for target in self.directory.targets.values():
-            silence.note_pause(target.liveness, now)
+            health.note_pause(target, now)
+        for version in self.directory.lost:
+            self.directory.lost[version] = now
 
     def list_silent(self, now: float) -> list[str]:
         """List the lifetimes that were found silent so lately that it is news."""
