Follow: forget an end that was found false, pause where the newest is gone

A false end, told once, stayed the last one known: no true end had a held poll looked after any more, so that one gone silent was read on up to 25 s later (DRAIN). It is forgotten once a read has shown that the topic had not reached it, and that same end is passed over when it is told again.

--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -135,6 +135,7 @@
         nudge: Set when a held poll may be waiting in vain, or when one that comes next
             may; the read after that is not held.
         nudged_end: The last end told by a peer for which it was set.
+        refuted_end: An end told by a peer that the topic had not reached.
         is_void: Whether its offset is of an era that is gone.
         failed: The records that could not be applied.
         keys: The keys that are known; those that vanish are told as dropped.
@@ -152,6 +153,7 @@
     is_lost: bool = False
     nudge: asyncio.Event = field(default_factory=asyncio.Event)
     nudged_end: int = -1
+    refuted_end: int = -1
     is_void: bool = False
     failed: UnusableEntries = field(default_factory=UnusableEntries)
     keys: set[str] = field(default_factory=set)
@@ -170,7 +172,7 @@
 def note_new_era(follower: Follower) -> None:
     """Take note that offsets were given out anew: all is read from what there is."""
     follower.is_void = True
-    follower.nudged_end = -1
+    follower.nudged_end = follower.refuted_end = -1
     follower.nudge.set()
 
 
@@ -181,6 +183,8 @@
     have gone silent. A peer that lies about an end costs one call.
     """
     offset = follower.offset
+    if end == follower.refuted_end:
+        return
     if offset is not None and end > max(offset, follower.nudged_end):
         follower.nudged_end = end
         follower.nudge.set()
@@ -217,6 +221,8 @@
     keys = follower.keys
     pause_s = FIRST_PAUSE_S
     is_given_up = False
+    # Whether the newest records were read last: what follows them is still there.
+    is_newest = False
     while True:
         if follower.is_void:
             follower.offset, follower.is_void = None, False
@@ -239,6 +245,8 @@
         except RecordsTrimmedError as error:
             log("records are gone", topic=follower.topic, offset=offset, at=error.first)
             follower.offset = None
+            if is_newest:
+                await asyncio.sleep(MAX_PAUSE_S)
             continue
         except EraChangedError as error:
             log("store returned from a copy", topic=follower.topic, error=str(error))
@@ -263,10 +271,11 @@
         follower.note_back()
         if offset is None:
             _drop_vanished(follower, keys, records, log)
+        is_newest = offset is None
         follower.offset = records.end
         _apply(follower, keys, records, log)
         follower.note_end(records.end)
-        _settle_nudge(follower, told_end if is_nudged else -1)
+        _settle_nudge(follower, told_end if is_nudged else -1, records.topic_end)
         left = records.topic_end - records.end
         if left <= 0:
             follower.note_newest(sent_at)
@@ -307,18 +316,22 @@
         nudge.cancel()
 
 
-def _settle_nudge(follower: Follower, checked_end: int) -> None:
+def _settle_nudge(follower: Follower, checked_end: int, topic_end: int) -> None:
     """Take note of a read that was answered: what was told before it is settled.
 
     Args:
         follower: The topic.
         checked_end: The end that a peer had told before a read that was made for it;
             whether the peer lied or not, the topic ended where that read did.
+        topic_end: Where the topic ended then.
     """
     if follower.nudged_end in (checked_end, -1) or (
         follower.offset >= follower.nudged_end
     ):
         follower.nudge.clear()
+    if topic_end < checked_end == follower.nudged_end:
+        # Lower ends that are told later may be true.
+        follower.nudged_end, follower.refuted_end = -1, checked_end
 
 
 def _note_failure(follower: Follower, log: Log, error: LogServiceError) -> None:
