Follow: read again, some time later, what could not be applied

A target whose entry raised once as it was applied was never known, and what vanished beside it stayed (LOST, DRAIN): since two parts were merged, a record that raises is passed over for good, where before all was read again after it. Both hold now: what raises stops nothing behind it, and all is read again after 0.1 s, then after twice as long each time, up to 120 s, so that a record that always raises costs few reads. A key whose drop raised stays known, and is dropped with the next whole read. Each failure is counted for the topic's task again.

--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -52,6 +53,11 @@
 of all that came meanwhile: large versions of a configuration take long over a slow
 link. The newest records are longer by a third, as their bytes come as text."""
 
+FIRST_REREAD_S = 0.1
+MAX_REREAD_S = 120.0
+"""First and longest time until all is read again after records that could not be
+applied, seconds: what failed once may not fail again, and each whole read is dear."""
+
 MIN_PAUSE_SHARE = 0.7
 """Least part of a pause that is kept: gateways that fail together call apart."""
 
@@ -138,6 +144,9 @@
         refuted_end: An end told by a peer that the topic had not reached.
         is_void: Whether its offset is of an era that is gone.
         failed: The records that could not be applied.
+        count_failed: Called for each time that one could not be.
+        reread_at: When all is read again because of them, steady seconds.
+        reread_s: In how long it would be after the next one, seconds.
         keys: The keys that are known; those that vanish are told as dropped.
     """
 
@@ -156,6 +165,9 @@
     refuted_end: int = -1
     is_void: bool = False
     failed: UnusableEntries = field(default_factory=UnusableEntries)
+    count_failed: Callable[[], None] = lambda: None
+    reread_at: float = math.inf
+    reread_s: float = FIRST_REREAD_S
     keys: set[str] = field(default_factory=set)
 
 
@@ -224,8 +236,9 @@
     # Whether the newest records were read last: what follows them is still there.
     is_newest = False
     while True:
-        if follower.is_void:
+        if follower.is_void or clock() >= follower.reread_at:
             follower.offset, follower.is_void = None, False
+            follower.reread_at = math.inf
         offset, told_end = follower.offset, follower.nudged_end
         is_nudged = is_given_up or follower.nudge.is_set()
         follower.nudge.clear()
@@ -240,7 +253,7 @@
                 # none is held, so that it is read soon after its return: three seconds
                 # later nobody excuses us.
                 is_held = not (follower.is_lost or is_nudged)
-                wait_s = follower.wait_s() if is_held else 0.0
+                wait_s = _find_hold_s(follower, clock()) if is_held else 0.0
                 records = await _read_on(store, follower, offset, wait_s)
         except RecordsTrimmedError as error:
             log("records are gone", topic=follower.topic, offset=offset, at=error.first)
@@ -269,11 +282,13 @@
             outage.prober = ""
             note_may_be_back(outage)
         follower.note_back()
-        if offset is None:
-            _drop_vanished(follower, keys, records, log)
         is_newest = offset is None
+        failed_before = follower.failed.total
+        if is_newest:
+            _drop_vanished(follower, keys, records, log)
         follower.offset = records.end
         _apply(follower, keys, records, log)
+        _plan_reread(follower, failed_before, is_newest, clock())
         follower.note_end(records.end)
         _settle_nudge(follower, told_end if is_nudged else -1, records.topic_end)
         left = records.topic_end - records.end
@@ -316,6 +331,29 @@
         nudge.cancel()
 
 
+def _find_hold_s(follower: Follower, now: float) -> float:
+    """Find how long a poll is held: not beyond the time when all is read again."""
+    return max(0.0, min(follower.wait_s(), follower.reread_at - now))
+
+
+def _plan_reread(
+    follower: Follower, failed_before: int, is_newest: bool, now: float
+) -> None:
+    """Have all read again some time after a record that could not be applied.
+
+    Args:
+        follower: The topic.
+        failed_before: How often that was so before the last read.
+        is_newest: Whether that read was of the newest records.
+        now: The present time, steady seconds.
+    """
+    if follower.failed.total > failed_before:
+        follower.reread_at = min(follower.reread_at, now + follower.reread_s)
+        follower.reread_s = min(MAX_REREAD_S, follower.reread_s * 2)
+    elif is_newest:
+        follower.reread_at, follower.reread_s = math.inf, FIRST_REREAD_S
+
+
 def _settle_nudge(follower: Follower, checked_end: int, topic_end: int) -> None:
     """Take note of a read that was answered: what was told before it is settled.
 
@@ -352,24 +390,29 @@
     follower: Follower, keys: set[str], records: Records, log: Log
 ) -> None:
     for key in keys - {item.key for item in records.items}:
-        _apply_record(follower, key, None, log)
-        keys.discard(key)
+        if _apply_record(follower, key, None, log):
+            keys.discard(key)
 
 
 def _apply(follower: Follower, keys: set[str], records: Records, log: Log) -> None:
     for item in records.items:
-        _apply_record(follower, item.key, item.value, log)
-        if item.value is None:
-            keys.discard(item.key)
-        else:
+        is_applied = _apply_record(follower, item.key, item.value, log)
+        if item.value is not None:
             keys.add(item.key)
+        elif is_applied:
+            keys.discard(item.key)
+
 
+def _apply_record(follower: Follower, key: str, value: bytes | None, log: Log) -> bool:
+    """Apply a record; one that can't be applied must not hide those after it.
 
-def _apply_record(follower: Follower, key: str, value: bytes | None, log: Log) -> None:
-    """Apply a record; one that can't be applied must not hide those after it."""
+    Returns:
+        Whether it was applied.
+    """
     try:
         follower.apply(key, value)
     except Exception as error:
+        follower.count_failed()
         text = describe_failure(error)
         if follower.failed.note(key, text):
             log(
@@ -379,5 +422,6 @@
                 bytes=None if value is None else len(value),
                 error=text,
             )
-    else:
-        follower.failed.forget(key)
+        return False
+    follower.failed.forget(key)
+    return True
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -196,6 +196,10 @@
         self._entries = beliefs.entries
         self._introductions = beliefs.introductions
         self._followers = beliefs.list_followers()
+        for follower in self._followers:
+            follower.count_failed = partial(
+                self.metrics.count_failure, f"follow {follower.topic}"
+            )
         self._store_news = StoreNews(
             self.peers,
             self._followers,
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -393,3 +393,51 @@
 
     run_virtually(play(), VirtualSelector())
     assert store.calls < 10
+
+
+class PoisonedStore(Store):
+    """Holds one record and nothing new.
+
+    Attributes:
+        newest: Reads of the newest records.
+    """
+
+    newest = 0
+
+    async def read_newest(self, topic):
+        self.newest += 1
+        return Found((Record(b""),), 1, 1)
+
+    async def read_from(self, topic, offset, wait_s):
+        await asyncio.sleep(wait_s)
+        return Found((), 1, 1)
+
+
+def follow_failing(failures, seconds):
+    """Follow for a while, with an application that fails so often; returns reads."""
+    store, applied = PoisonedStore(), []
+
+    def apply(key, value):
+        applied.append(key)
+        if len(applied) <= failures:
+            raise ZeroDivisionError
+
+    async def play():
+        clock = asyncio.get_running_loop().time
+        follower = Follower("t", apply, lambda: None, lambda: None)
+        log = lambda *a, **k: None  # noqa: E731
+        task = asyncio.create_task(follow(store, follower, log, clock=clock))
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    run_virtually(play(), VirtualSelector())
+    return store.newest
+
+
+def test_a_record_that_failed_once_is_read_again_soon_and_then_no_more():
+    assert follow_failing(failures=1, seconds=600) == 2
+    assert follow_failing(failures=1, seconds=1) == 2
+
+
+def test_a_record_that_always_fails_is_read_again_more_and_more_seldom():
+    assert follow_failing(failures=10**6, seconds=600) <= 16
