--- a/tests/test_storenews.py
+++ b/tests/test_storenews.py
@@ -1,6 +1,9 @@
-from robinspindle.core.peerdigests import Digest
+from types import SimpleNamespace
+
+from robinspindle.core.peerdigests import Digest, PeerView
 from robinspindle.core.relays import Member
 from robinspindle.following import MAX_PAUSE_S, UNAVAILABLE_PAUSE_S, Follower
+from robinspindle.gateway import Gateway
 from robinspindle.peers import Peers
 from robinspindle.storenews import StoreNews
 
@@ -97,3 +100,15 @@
     news.note_silent("targets")
     assert configuration.nudge.is_set()
     assert not targets.nudge.is_set()
+
+
+def test_who_is_only_told_of_by_a_relay_without_the_store_does_no_better():
+    """Guards against all members of a group that stop, as none can read the store."""
+    news, _, peers = make_news(relay="g2")
+    view = PeerView(is_relay=True, members=["g1", "g3"])
+    peers.views["g2"] = view
+    gateway = SimpleNamespace(peers=peers, _store_news=news)
+    for is_away in (True, False):
+        view.is_store_unavailable = is_away
+        tell(news, "g2", {}, is_store_unavailable=is_away)
+        assert Gateway._do_others_better(gateway) is not is_away
