Readiness: believe of peers only what they say themselves of the store

Members of a group are told of by their relay alone, and it doesn't say for which of them the store is away; each took the others for ones that can read it. Where no gateway can read the store on, all but relays would call themselves unready after 3 s and end after 60 s, with all that is under way (FAULT, LOST). Only peers whose digests are heard count now. The test failed before, passes now; the play of two gateways is as it was.

--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -507,10 +507,10 @@
         return is_away or self._supervisor.find_failing_s(now) > 0
 
     def _do_others_better(self) -> bool:
-        """Whether a peer is heard for which the store is not away."""
+        """Whether a peer is heard itself for which the store is not away."""
+        # Relays don't say of each of their members whether it can read the store.
         return any(
-            not self._store_news.is_unavailable_for(peer)
-            for peer in list_heard(self.peers)
+            not self._store_news.is_unavailable_for(peer) for peer in self.peers.views
         )
 
     def _look_after_failing(self, now: float) -> None:
