Versions: believe only keys that are written as versions' keys are

A key with zeros or blanks in its length named a version too; as the record under it was dropped, that under the version's own key was forgotten, which says that streams may have begun by it (ORDER, where a stream that such a version began is taken up). Four keys were taken before, none is now; read, not played on processes.

--- a/src/robinspindle/core/versionrecords.py
+++ b/src/robinspindle/core/versionrecords.py
@@ -289,6 +289,9 @@
     version = ServiceVersion(names[:length], names[length:])
     if not is_recordable(version):
         raise BadDocumentError("key is longer than any key of the store")
+    # Else two keys would be taken for one, and be dropped with one.
+    if make_key(version) != key:
+        raise BadDocumentError("key is not written as versions' keys are")
     return version
 
 
--- a/tests/core/test_versionrecords.py
+++ b/tests/core/test_versionrecords.py
@@ -173,3 +173,10 @@
 def test_long_names_get_no_record():
     assert versionrecords.is_recordable(ServiceVersion("lm", "v" * 100))
     assert not versionrecords.is_recordable(ServiceVersion("lm", "v" * 101))
+
+
+@pytest.mark.parametrize("size", ["02", " 2", "2 ", "0000000000002"])
+def test_a_key_that_is_written_otherwise_names_no_version(size):
+    """Guards against a record that is forgotten as another one of it is dropped."""
+    with pytest.raises(BadDocumentError):
+        versionrecords.read_key(f"version/{size}/lmv1")
