Introductions: quote blanks in the name of a zone

A gateway whose availability zone has a blank in its name was known to no other one: its introduction is divided at blanks, so nobody could read it, and its datagrams were a stranger's. Blanks are quoted now.

--- a/src/robinspindle/core/relays.py
+++ b/src/robinspindle/core/relays.py
@@ -121,7 +121,8 @@
 
 def encode_member(member: Member) -> bytes:
     """Encode what a gateway announces of itself, without its name."""
-    text = f"{member.host}:{member.port} {member.zone} {member.capacity:g}"
+    zone = member.zone.replace("%", "%25").replace(" ", "%20")
+    text = f"{member.host}:{member.port} {zone} {member.capacity:g}"
     return text.encode()
 
 
@@ -138,7 +139,7 @@
         address = parse_address(words[0])
     except BadDocumentError:
         return None
-    zone = words[1] if len(words) > 1 else ""
+    zone = words[1].replace("%20", " ").replace("%25", "%") if len(words) > 1 else ""
     capacity = parse_amount(words[2]) if len(words) > 2 else 1.0
     if capacity is None:
         return None
--- a/tests/core/test_relays.py
+++ b/tests/core/test_relays.py
@@ -130,3 +130,10 @@
         choose_relay(choice, RANKED, "g3", step * 0.1)
     assert choice.relay == "g3"
     assert math.isinf(choice.contacts["g1"].heard_at)
+
+
+@pytest.mark.parametrize("zone", ["", "amman-a", "amman a", " a ", "a%20b", "%", "ä b"])
+def test_a_gateway_is_known_whatever_its_zone_is_called(zone):
+    """Guards against a gateway whose introduction nobody can read."""
+    member = Member("g1", "10.0.0.1", 7000, zone, 0.5)
+    assert decode_member("g1", encode_member(member)) == member
