--- a/src/robinspindle/exceptions.py
+++ b/src/robinspindle/exceptions.py
@@ -73,6 +73,10 @@
         self.silent_s = silent_s
 
 
+class UnusableTopicError(Exception):
+    """None of the records of a topic can be applied: nothing that it says is known."""
+
+
 class RecordsTrimmedError(LogServiceError):
     """The records asked for are no longer retained.
 
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -22,6 +22,7 @@
     LogServiceError,
     LogUnavailableError,
     RecordsTrimmedError,
+    UnusableTopicError,
 )
 from robinspindle.logs import Log, describe_failure
 from robinspindle.storerecords import KeyedRecord, Records
@@ -228,6 +229,9 @@
         log: Takes log lines.
         outage: Shared by all who follow the same store; None for one that is alone.
         clock: Tells the present time, steady seconds.
+
+    Raises:
+        UnusableTopicError: If none of a topic's newest records can be applied.
     """
     outage = outage or Outage()
     keys = follower.keys
@@ -287,7 +291,9 @@
         if is_newest:
             _drop_vanished(follower, keys, records, log)
         follower.offset = records.end
-        _apply(follower, keys, records, log)
+        applied = _apply(follower, keys, records, log)
+        if is_newest and records.items and not applied:
+            raise UnusableTopicError(f"no record of {follower.topic} can be applied")
         _plan_reread(follower, failed_before, is_newest, clock())
         follower.note_end(records.end)
         _settle_nudge(follower, told_end if is_nudged else -1, records.topic_end)
@@ -394,13 +400,17 @@
             keys.discard(key)
 
 
-def _apply(follower: Follower, keys: set[str], records: Records, log: Log) -> None:
+def _apply(follower: Follower, keys: set[str], records: Records, log: Log) -> int:
+    """Apply records; returns how many could be."""
+    applied = 0
     for item in records.items:
         is_applied = _apply_record(follower, item.key, item.value, log)
+        applied += is_applied
         if item.value is not None:
             keys.add(item.key)
         elif is_applied:
             keys.discard(item.key)
+    return applied
 
 
 def _apply_record(follower: Follower, key: str, value: bytes | None, log: Log) -> bool:
