Have one type for addresses, one check of IP numbers, and one set of a topic's keys

Cause: the decoding module brought an Address beside HostPort, the settings had a check of IP numbers and a bound of ports of their own, and following handed a follower's keys beside the follower that holds them. Change: HostPort lies with its parser; settings call is_ipv4 and MAX_PORT; the keys are read from the follower. Behaviour is the same; the test of an address names the other type.

--- a/src/robinspindle/core/decoding.py
+++ b/src/robinspindle/core/decoding.py
@@ -46,8 +46,8 @@
 
 
 @dataclass(frozen=True)
-class Address:
-    """An IPv4 address and a port."""
+class HostPort:
+    """A TCP or UDP address: an IP number and a port."""
 
     host: str
     port: int
@@ -124,7 +124,7 @@
     return amount if -most <= amount <= most else None
 
 
-def parse_address(text: str) -> Address:
+def parse_address(text: str) -> HostPort:
     """Parse an IPv4 address and a port: IPv4:PORT.
 
     Raises:
@@ -132,12 +132,13 @@
     """
     host, _, digits = text.rpartition(":")
     port = parse_whole(digits, MAX_PORT)
-    if not port or not digits.isdigit() or not _is_ipv4(host):
+    if not port or not digits.isdigit() or not is_ipv4(host):
         raise BadDocumentError(f"{text[:80]!r} is not IPv4:PORT")
-    return Address(host, port)
+    return HostPort(host, port)
 
 
-def _is_ipv4(host: str) -> bool:
+def is_ipv4(host: str) -> bool:
+    """Return whether a text is an IPv4 address."""
     try:
         ipaddress.IPv4Address(host)
     except ValueError:
--- a/src/robinspindle/following.py
+++ b/src/robinspindle/following.py
@@ -234,7 +234,6 @@
         UnusableTopicError: If none of a topic's newest records can be applied.
     """
     outage = outage or Outage()
-    keys = follower.keys
     pause_s = FIRST_PAUSE_S
     is_given_up = False
     # Whether the newest records were read last: what follows them is still there.
@@ -289,9 +288,9 @@
         is_newest = offset is None
         failed_before = follower.failed.total
         if is_newest:
-            _drop_vanished(follower, keys, records, log)
+            _drop_vanished(follower, records, log)
         follower.offset = records.end
-        applied = _apply(follower, keys, records, log)
+        applied = _apply(follower, records, log)
         if is_newest and records.items and not applied:
             raise UnusableTopicError(f"no record of {follower.topic} can be applied")
         _plan_reread(follower, failed_before, is_newest, clock())
@@ -392,24 +391,22 @@
     follower.note_away()
 
 
-def _drop_vanished(
-    follower: Follower, keys: set[str], records: Records, log: Log
-) -> None:
-    for key in keys - {item.key for item in records.items}:
+def _drop_vanished(follower: Follower, records: Records, log: Log) -> None:
+    for key in follower.keys - {item.key for item in records.items}:
         if _apply_record(follower, key, None, log):
-            keys.discard(key)
+            follower.keys.discard(key)
 
 
-def _apply(follower: Follower, keys: set[str], records: Records, log: Log) -> int:
+def _apply(follower: Follower, records: Records, log: Log) -> int:
     """Apply records; returns how many could be."""
     applied = 0
     for item in records.items:
         is_applied = _apply_record(follower, item.key, item.value, log)
         applied += is_applied
         if item.value is not None:
-            keys.add(item.key)
+            follower.keys.add(item.key)
         elif is_applied:
-            keys.discard(item.key)
+            follower.keys.discard(item.key)
     return applied
 
 
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -3,20 +3,13 @@
 import math
 from dataclasses import dataclass
 
+from robinspindle.core.decoding import HostPort
 from robinspindle.core.policy import Policy
 from robinspindle.core.zonecosts import ZoneTerms
 
 BITS_PER_BYTE = 8
 
 
-@dataclass(frozen=True)
-class HostPort:
-    """A TCP or UDP address: an IP number and a port."""
-
-    host: str
-    port: int
-
-
 @dataclass(frozen=True)
 class Pledges:
     """What the deployment's operator was promised, as far as a gateway needs it.
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -1,11 +1,11 @@
 """Reads the platform's settings file (TOML) into `GatewaySettings`."""
 
-import socket
 import tomllib
 from typing import Any
 
 import msgspec
 
+from robinspindle.core.decoding import MAX_PORT, is_ipv4
 from robinspindle.documentfiles import read_document
 from robinspindle.exceptions import Finding, InvalidDocumentError
 from robinspindle.gatewaysettings import (
@@ -28,8 +28,6 @@
 MOST_KEY_BYTES = 255
 """Longest name of a gateway, as the store's keys may be no longer."""
 
-MOST_PORT = 65535
-
 MOST_S = 1e6
 """Longest time that is promised, seconds: eleven days."""
 
@@ -103,7 +101,7 @@
     def read_ip(self, key: str) -> str | None:
         """Read an IP number; return None if it has a finding."""
         host = self.read("", key, str)
-        if host is not None and not _is_ip(host):
+        if host is not None and not is_ipv4(host):
             self.add_finding("", key, f"`{host[:MOST_SHOWN]}` is no IP number")
             return None
         return host
@@ -111,8 +109,8 @@
     def read_ports(self, key: str) -> tuple[int, int] | None:
         """Read the first and the last of some ports; None if they have a finding."""
         ports = self.read("", key, tuple[int, int])
-        if ports is not None and not 0 < ports[0] <= ports[1] <= MOST_PORT:
-            text = f"are not two ports from 1 to {MOST_PORT}, the lower one first"
+        if ports is not None and not 0 < ports[0] <= ports[1] <= MAX_PORT:
+            text = f"are not two ports from 1 to {MAX_PORT}, the lower one first"
             self.add_finding("", key, text)
             return None
         return ports
@@ -123,7 +121,7 @@
         if text is None:
             return None
         host, _, port = text.rpartition(":")
-        if not _is_ip(host) or not _is_port(port):
+        if not is_ipv4(host) or not _is_port(port):
             shown = text[:MOST_SHOWN]
             self.add_finding(section, key, f"`{shown}` is not IP:PORT")
             return None
@@ -134,18 +132,10 @@
         self.findings.append(Finding(self.file, section, key, 0, text))
 
 
-def _is_ip(text: str) -> bool:
-    try:
-        socket.inet_pton(socket.AF_INET, text)
-    except (OSError, ValueError):
-        return False
-    return True
-
-
 def _is_port(text: str) -> bool:
-    is_short = 0 < len(text) <= len(str(MOST_PORT))
+    is_short = 0 < len(text) <= len(str(MAX_PORT))
     return (
-        is_short and text.isascii() and text.isdecimal() and 0 < int(text) <= MOST_PORT
+        is_short and text.isascii() and text.isdecimal() and 0 < int(text) <= MAX_PORT
     )
 
 
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -9,8 +9,8 @@
 from robinspindle.core.decoding import (
     MAX_PORT,
     MAX_QUOTE_LENGTH,
-    Address,
     Amount,
+    HostPort,
     Whole,
     make_json_decoder,
     make_msgpack_decoder,
@@ -100,7 +100,7 @@
 
 
 def test_an_address_is_parsed():
-    assert parse_address("127.0.0.1:80") == Address("127.0.0.1", 80)
+    assert parse_address("127.0.0.1:80") == HostPort("127.0.0.1", 80)
 
 
 @pytest.mark.parametrize(
