Soak: share how tasks are run for a while and how a try is written

Cause: four plays repeated the same loop over their tasks, and the play of crashes had a copy of the stream and of the writing of a try of the play of versions. Change: run_for in world, write_try in resuming; TimedStream adds only what it needs.

--- a/soak/resuming.py
+++ b/soak/resuming.py
@@ -242,7 +242,7 @@
         connection = await connections.take(port)
         reader, writer = connection
         async with asyncio.timeout(DEADLINE_S):
-            writer.write(_write_try(stream, id))
+            writer.write(write_try(stream, id))
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
             status = int(head.split()[1])
             if "transfer-encoding: chunked" in head:
@@ -258,7 +258,8 @@
     return status
 
 
-def _write_try(stream: Stream, id: str) -> bytes:
+def write_try(stream: Stream, id: str) -> bytes:
+    """Write a try of a stream: its first request, or one that takes it up."""
     lines = f"X-Request-Id: {id}\r\n"
     if stream.last:
         lines += f"Last-Event-Id: {stream.last}\r\nResumes: {stream.first}\r\n"
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -14,7 +14,7 @@
 from soak.oracle import Oracle
 from soak.replicas import SoakReplica
 from soak.seeds import add_seed_options, list_seeds
-from soak.world import World, cancel_all
+from soak.world import World, cancel_all, run_for
 
 GATEWAYS = 2
 CALLERS = 8
@@ -65,10 +65,7 @@
             call = call_for_ends(gateway, world.oracle, account, rng, f"c{number}")
             tasks.append(asyncio.create_task(call))
         await _change(world, account, seconds)
-        await asyncio.sleep(seconds)
-        for task in tasks:
-            if task.done():
-                task.result()
+        await run_for(seconds, tasks)
     finally:
         await cancel_all(tasks)
         await world.stop()
--- a/soak/storesilences.py
+++ b/soak/storesilences.py
@@ -17,7 +17,7 @@
 from soak.gateways import DRAIN_S
 from soak.oracle import Oracle
 from soak.seeds import SeedResult, add_seed_options, play_seeds
-from soak.world import World, cancel_all, name_newest
+from soak.world import World, cancel_all, name_newest, run_for
 from standins.rawhttp import LOOPBACK
 
 GATEWAYS = 3
@@ -127,10 +127,7 @@
             _write(world, leaving, begins_at + order_s, played),
         )
         end = max(played.silent_at + CONTACT_S, played.acked_at + DRAIN_S) + AFTER_S
-        await asyncio.sleep(end - loop.time())
-        for task in tasks:
-            if task.done():
-                task.result()
+        await run_for(end - loop.time(), tasks)
     finally:
         await cancel_all(tasks)
     for id, at in arrivals:
--- a/soak/versioncrashes.py
+++ b/soak/versioncrashes.py
@@ -19,8 +19,9 @@
 from soak.oracle import Oracle
 from soak.releases import VERSIONS, await_gateway
 from soak.replicas import SoakReplica
+from soak.resuming import Stream, write_try
 from soak.seeds import SeedResult, add_seed_options, play_seeds
-from soak.world import World, cancel_all
+from soak.world import World, cancel_all, run_for
 from standins.rawhttp import LOOPBACK
 
 GATEWAYS = 3
@@ -69,25 +70,15 @@
 
 
 @dataclass
-class Stream:
-    """A stream as its caller has it.
+class TimedStream(Stream):
+    """A stream whose caller heeds what it is told.
 
     Attributes:
-        name: What its tries' ids begin with.
-        data: Its request as written, for a try of that name.
         ends_at: When its caller gives it up, steady seconds.
-        first: Id of the try that brought its first event; empty before.
-        last: Number of its last event; 0 before the first.
-        is_ended: Whether its end came.
         retry_s: The wait that the latest answer named, seconds; 0 for none.
     """
 
-    name: str
-    data: bytes
-    ends_at: float
-    first: str = ""
-    last: int = 0
-    is_ended: bool = False
+    ends_at: float = 0.0
     retry_s: float = 0.0
 
 
@@ -122,10 +113,7 @@
             call = _call_streams(world, account, f"c{number}")
             tasks.append(asyncio.create_task(call))
         tasks.append(asyncio.create_task(_crash_versions(world, versions)))
-        await asyncio.sleep(seconds)
-        for task in tasks:
-            if task.done():
-                task.result()
+        await run_for(seconds, tasks)
     finally:
         await cancel_all(tasks)
         await world.stop()
@@ -172,12 +160,13 @@
         await asyncio.sleep(world.rng.uniform(0.05, 0.4))
 
 
-def _make_stream(name: str, rng: random.Random) -> Stream:
+def _make_stream(name: str, rng: random.Random) -> TimedStream:
     data = write_request(name, "digest", rng, deadline_ms=round(CALLER_S * 1000))
-    return Stream(name, data, asyncio.get_running_loop().time() + CALLER_S)
+    ends_at = asyncio.get_running_loop().time() + CALLER_S
+    return TimedStream(name, data, ends_at=ends_at)
 
 
-async def _call_stream(world: World, account: Account, stream: Stream) -> None:
+async def _call_stream(world: World, account: Account, stream: TimedStream) -> None:
     gateway, attempt = world.rng.choice(world.gateways), 0
     await _try_once(stream, gateway.callers, attempt)
     while stream.last and not stream.is_ended and attempt < RETRIES:
@@ -192,14 +181,14 @@
         account.lost += not stream.is_ended
 
 
-async def _try_once(stream: Stream, port: int, attempt: int) -> None:
+async def _try_once(stream: TimedStream, port: int, attempt: int) -> None:
     """Send a stream's request and read its events until it ends or breaks."""
     id, writer = f"{stream.name}-t{attempt}", None
     stream.retry_s = 0.0
     try:
         reader, writer = await asyncio.open_connection(LOOPBACK, port)
         async with asyncio.timeout_at(stream.ends_at):
-            writer.write(_write_try(stream, id))
+            writer.write(write_try(stream, id))
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             told = RETRY_AFTER.search(head)
             stream.retry_s = float(told[1]) if told else 0.0
@@ -212,15 +201,7 @@
             writer.close()
 
 
-def _write_try(stream: Stream, id: str) -> bytes:
-    lines = f"X-Request-Id: {id}\r\n"
-    if stream.last:
-        lines += f"Last-Event-Id: {stream.last}\r\nResumes: {stream.first}\r\n"
-    own = f"X-Request-Id: {stream.name}\r\n"
-    return stream.data.replace(own.encode(), lines.encode())
-
-
-async def _read_events(stream: Stream, id: str, reader) -> None:
+async def _read_events(stream: TimedStream, id: str, reader) -> None:
     text = b""
     while size := int(await reader.readline(), 16):
         text += (await reader.readexactly(size + 2))[:size]
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -29,7 +29,7 @@
 from soak.resuming import EVENTS, USUAL_HABITS, Habits, call_streams
 from soak.seeds import SeedResult, add_seed_options, play_seeds
 from soak.versionaccount import Try, VersionAccount
-from soak.world import World, cancel_all
+from soak.world import World, cancel_all, run_for
 
 GATEWAYS = 3
 CALLERS = 18
@@ -138,10 +138,7 @@
             call = call_streams(world, account, release.serving, caller, played.habits)
             tasks.append(asyncio.create_task(call))
         tasks += [asyncio.create_task(harm(release)) for harm in played.harms]
-        await asyncio.sleep(seconds)
-        for task in tasks:
-            if task.done():
-                task.result()
+        await run_for(seconds, tasks)
     finally:
         await cancel_all(tasks)
         await world.stop()
--- a/soak/world.py
+++ b/soak/world.py
@@ -195,6 +195,14 @@
         await gateway.start()
 
 
+async def run_for(seconds: float, tasks: list[asyncio.Task]) -> None:
+    """Let tasks run for a while, and raise what one of them has raised."""
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        if task.done():
+            task.result()
+
+
 async def cancel_all(tasks: list[asyncio.Task]) -> None:
     """Cancel tasks and wait for their ends, whatever these are."""
     for task in tasks:
