--- a/standins/replica.py
+++ b/standins/replica.py
@@ -15,6 +15,9 @@
     write_slowly,
 )
 
+LONG_ANSWER_BYTES = 1_000_000
+"""Length of the body of a long answer, bytes."""
+
 USUAL_VERSION = "v1"
 """The software version whose events don't tell it."""
 
@@ -201,6 +204,11 @@
             )
         return True
 
+    async def _be_long(self, request: RawRequest, writer) -> bool:
+        """Answer with a long body."""
+        write_answer(writer, 200, b"l" * LONG_ANSWER_BYTES, self._head(request))
+        return True
+
     async def _be_full(self, request: RawRequest, writer) -> bool:
         head = self._head(request) | {"X-Not-Executed": "1"}
         write_answer(writer, 503, b"", head)
