Keep bodies in pieces, and nothing of a request twice

What callers saw: a process ended, out of memory, while a few of them sent bodies in very small chunks; bodies of 43 MB in all took 1.1 GB.

Cause: each chunk of a body was an object of its own, forty times its length; pieces were joined, written with the head into one block for each attempt, and copied by the connection where the target was slow; each read took 256 KB and gave most of it back between pieces that stay; the guard kept whole requests for half a second after their answers, and for 5 s after a broken connection.

Change: pieces of 16 KB, never joined (core/bodies.py); the client's connection takes one after the other as the target takes them; connections read into one buffer; of answered requests the guard hashes and drops bodies beyond 1 MB in all.

Tests: a long body is handed to its connection as the target takes it (failed before: it was written at once).

--- a/src/robinspindle/core/fingerprints.py
+++ b/src/robinspindle/core/fingerprints.py
@@ -13,9 +13,11 @@
 
 import hashlib
 from collections.abc import Collection, Container
+from dataclasses import replace
 from functools import cached_property
 from typing import NewType
 
+from robinspindle.core.bodies import list_pieces
 from robinspindle.core.forwarding import Request
 
 Fingerprint = NewType("Fingerprint", bytes)
@@ -47,8 +49,10 @@
         request: The request, with its complete body.
         head_hash: Its head hash (`hash_head`).
     """
-    body = hashlib.blake2b(request.body, digest_size=BODY_HASH_BYTES).digest()
-    return Fingerprint(head_hash + body)
+    body = hashlib.blake2b(digest_size=BODY_HASH_BYTES)
+    for piece in list_pieces(request.body):
+        body.update(piece)
+    return Fingerprint(head_hash + body.digest())
 
 
 def get_head_hash(fingerprint: Fingerprint) -> bytes:
@@ -83,13 +87,26 @@
 
     Attributes:
         request: The request.
+        body_bytes: Length of its body.
         is_trial: Whether it may be sent once although it is quarantined.
     """
 
     def __init__(self, request: Request):
         self.request = request
+        self.body_bytes = len(request.body)
         self.is_trial = False
 
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of its body that are kept."""
+        return len(self.request.body)
+
+    def forget_body(self) -> None:
+        """Compute the fingerprint of the whole request, and keep the body no longer."""
+        if self.request.body:
+            self.fingerprint  # noqa: B018  computed on first use, from the body
+            self.request = replace(self.request, body=b"")
+
     @cached_property
     def head_hash(self) -> bytes:
         """The head hash of the request."""
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
+from robinspindle.core.bodies import Body
 from robinspindle.core.routes import STREAM, Route
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -103,7 +104,7 @@
     target: bytes
     host: str
     headers: Headers = field(repr=False)
-    body: bytes
+    body: Body
     wait_s: float | None
     received_at: float
     prompt: Prompt | None = None
--- a/src/robinspindle/crashwatch.py
+++ b/src/robinspindle/crashwatch.py
@@ -142,6 +142,8 @@
         if life is LifetimeState.ENDED:
             self._note_crash(run, at)
         else:
+            # It may stay for seconds.
+            run.named.forget_body()
             self._pending.append(BrokenRun(run, at, life is LifetimeState.UNKNOWN))
 
     async def _check_quickly(self, target: Target) -> LifetimeState:
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -242,11 +242,11 @@
         exchange = Exchange(passage.request.id)
         run.stop = make_stop(exchange)
         send = make_send(passage, sending, means.clock())
-        data = means.dialect.encode_request(passage.request, send)
+        written = means.dialect.encode_request(passage.request, send)
         with expect(target, self._expect_answer(passage, exchange)) as expected:
             async with asyncio.timeout(self._find_wait_s(passage)) as limit:
                 sent_at = means.clock()
-                send_if_awaited(passage, connection, exchange, data, sent_at)
+                send_if_awaited(passage, connection, exchange, written, sent_at)
                 passage.offers += 1
                 head = await exchange.read_head()
                 left_s = self._find_wait_s(passage, has_begun=True)
--- a/src/robinspindle/gatewaypages.py
+++ b/src/robinspindle/gatewaypages.py
@@ -62,7 +62,7 @@
             await metrics_page(incoming, reply)
             return
         try:
-            question = decode_question(incoming.body)
+            question = decode_question(bytes(incoming.body))
             preview = preview_request(admission, question, reply)
         except BadDocumentError as error:
             reply.refuse(Refusal(HTTPStatus.BAD_REQUEST, str(error)))
--- a/src/robinspindle/guard.py
+++ b/src/robinspindle/guard.py
@@ -354,7 +354,7 @@
         """Clear all that a request contains whose target has lived on."""
         named = answer.run.named
         cleared = []
-        is_short = len(named.request.body) <= MAX_REMEMBERED_BODY_BYTES
+        is_short = named.body_bytes <= MAX_REMEMBERED_BODY_BYTES
         if is_short or self._is_head_known(named.head_hash):
             cleared.append(named.fingerprint)
         if named.request.prompt is not None:
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -17,9 +17,11 @@
 
 from robinspindle.clocks import read_steady
 from robinspindle.core import framing
+from robinspindle.core.bodies import Body, list_pieces
 from robinspindle.core.forwarding import AnswerHead, Headers
 from robinspindle.core.framing import Framing
 from robinspindle.core.obstacles import Obstacle
+from robinspindle.sharedreads import SharedReads
 from robinspindle.zonetraffic import Meter
 
 UNACKED_MS = 4000
@@ -29,6 +31,10 @@
 DEFAULT_IDLE_S = 2.0
 """How long an idle connection is used where the target does not say, seconds."""
 
+SHORT_BODY_BYTES = 16384
+"""Longest body that is sent at once with its head. Of a longer one no more than that
+waits at the connection, as it is a copy of its own."""
+
 MOST_FOREIGN_BYTES = 4 << 20
 """Longest body of answers to earlier requests that is passed over while an answer is
 due; nobody needs them."""
@@ -187,7 +193,7 @@
             self._waiter = None
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(SharedReads):
     """One connection to a target or to the store.
 
     Attributes:
@@ -209,6 +215,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
+        self._unsent: deque[bytes] = deque()
+        self._is_full = False
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._is_ours = False
@@ -234,11 +242,18 @@
         """Whether another request may be sent."""
         if not self.is_open or not self._keep or self._exchange is not None:
             return False
+        if self._unsent:
+            return False
         return self._transport.get_write_buffer_size() == 0
 
-    def send(self, exchange: Exchange, data: bytes) -> None:
+    def send(self, exchange: Exchange, data: bytes, body: Body = b"") -> None:
         """Send a request whose answer goes to an exchange.
 
+        Args:
+            exchange: Takes the answer.
+            data: The request, or its head.
+            body: Its body, sent as fast as the other end takes it.
+
         Raises:
             NotSentError: If the target is to get nothing now.
         """
@@ -247,14 +262,26 @@
             raise NotSentError(obstacle)
         self._exchange = exchange
         if self._meter is not None:
-            self._meter.note_sent(len(data))
+            self._meter.note_sent(len(data) + len(body))
         framing.reset(self._framing)
         self._foreign_bytes = 0
+        if len(body) <= SHORT_BODY_BYTES:
+            self._transport.write(data + bytes(body))
+            return
+        self._transport.set_write_buffer_limits(high=SHORT_BODY_BYTES)
+        self._unsent.extend(list_pieces(body))
         self._transport.write(data)
+        self._send_on()
+
+    def _send_on(self) -> None:
+        """Send what the other end takes of the rest of a body."""
+        while self._unsent and not self._is_full and self.is_open:
+            self._transport.write(self._unsent.popleft())
 
     def abort(self) -> None:
         """End the connection at once, with whatever is under way."""
         self.is_open = False
+        self._unsent.clear()
         if self._transport is not None:
             self._transport.abort()
 
@@ -277,6 +304,15 @@
         self.is_open = True
         _limit_silence(transport.get_extra_info("socket"))
 
+    def pause_writing(self) -> None:
+        """Wait until the other end has taken what was sent."""
+        self._is_full = True
+
+    def resume_writing(self) -> None:
+        """Send the next part of a body."""
+        self._is_full = False
+        self._send_on()
+
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
         if self._meter is not None:
@@ -308,6 +344,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End what is under way."""
         self.is_open = False
+        self._unsent.clear()
         exchange, self._exchange = self._exchange, None
         if exchange is None:
             return
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -9,6 +9,7 @@
 from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import forwarding, streamversions
 from robinspindle.core.answerstats import AnswerStats
+from robinspindle.core.bodies import Body
 from robinspindle.core.copies import AnswerCopy
 from robinspindle.core.events import EventSplitter
 from robinspindle.core.fingerprints import FingerprintedRequest
@@ -44,14 +45,17 @@
     ) -> Request:
         """Decode the head of a caller's request."""
 
+    def find_request_id(self, headers: forwarding.Headers) -> str:
+        """Find the caller's id of a request."""
+
     def set_workspace(self, request: Request, name: str | None) -> Request:
         """Put the workspace of a request in the place of its key."""
 
-    def add_body(self, request: Request, body: bytes) -> Request:
+    def add_body(self, request: Request, body: Body) -> Request:
         """Add the body."""
 
     def encode_request(self, request: Request, send: Send) -> bytes:
-        """Write a request for a target."""
+        """Write the head of a request for a target; its body follows as it came."""
 
     def encode_release(self, source: CacheSource) -> bytes:
         """Write a request that frees a prompt which was read and is not needed."""
--- a/src/robinspindle/platform/dialect.py
+++ b/src/robinspindle/platform/dialect.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from robinspindle.core.bodies import Body
 from robinspindle.core.decoding import (
     is_token,
     make_json_decoder,
@@ -65,6 +66,9 @@
 LEFT_OUT_OF_REQUESTS = HOP_HEADERS | SYSTEM_HEADERS
 """Headers that callers' requests are forwarded without, in lower case."""
 
+ID_HEADER = b"x-request-id"
+"""Header with the caller's id of one attempt."""
+
 KEY_HEADER = b"authorization"
 """Header with the bearer key that identifies a caller's workspace."""
 
@@ -122,7 +126,7 @@
     values = {name.lower(): value for name, value in headers}
     connection = values.get(b"connection", b"")
     return Request(
-        id=values.get(b"x-request-id", b"").decode("latin-1"),
+        id=values.get(ID_HEADER, b"").decode("latin-1"),
         method=method,
         target=target,
         host=values.get(b"host", b"").decode("latin-1"),
@@ -137,6 +141,12 @@
     )
 
 
+def find_request_id(headers: Headers) -> str:
+    """Return the caller's id of an attempt; empty if its headers don't tell it."""
+    ids = (value for name, value in headers if name.lower() == ID_HEADER)
+    return next(ids, b"").decode("latin-1")
+
+
 def set_workspace(request: Request, name: str | None) -> Request:
     """Replace the key of a request with the workspace that the key belongs to.
 
@@ -160,7 +170,7 @@
 
 
 def encode_request(request: Request, send: Send) -> bytes:
-    """Encode the head and body of a request to one target."""
+    """Encode the head of a request to one target; the body follows as it came."""
     headers = request.headers
     if send.resume_after is not None:
         headers = tuple(pair for pair in headers if pair[0].lower() != RESUME_HEADER)
@@ -182,7 +192,7 @@
         lines.append(b"Last-Event-Id: " + send.resume_after.encode())
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         lines.append(b"Content-Length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def decode_answer(status: int, reason: bytes, headers: Headers) -> AnswerHead:
@@ -193,7 +203,7 @@
         status=status,
         reason=reason,
         headers=_list_forwarded(headers, connection, HOP_HEADERS),
-        request_id=values.get(b"x-request-id", b"").decode("latin-1"),
+        request_id=values.get(ID_HEADER, b"").decode("latin-1"),
         # The status is not enough: a 503 without this header may be from a request
         # that ran.
         not_run=b"x-not-executed" in values or status == MISDIRECTED,
@@ -315,7 +325,7 @@
     return [Part(id, tokens) for _, id, tokens, _ in rows]
 
 
-def add_body(request: Request, body: bytes) -> Request:
+def add_body(request: Request, body: Body) -> Request:
     """Add the whole body to a decoded request."""
     return replace(request, body=body)
 
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -117,9 +117,9 @@
             run.stop = make_stop(exchange)
             with expect(sending.target, self._expect_reading(passage, exchange)):
                 async with asyncio.timeout(passage.given_up_at - means.clock()):
-                    data = means.dialect.encode_request(passage.request, send)
+                    written = means.dialect.encode_request(passage.request, send)
                     now = means.clock()
-                    send_if_awaited(passage, connection, exchange, data, now)
+                    send_if_awaited(passage, connection, exchange, written, now)
                     head = await exchange.read_head()
                     health.note_heard(sending.target, means.clock())
                     body = await exchange.read_body(MOST_ANSWER_BYTES)
--- a/src/robinspindle/recentanswers.py
+++ b/src/robinspindle/recentanswers.py
@@ -14,6 +14,10 @@
 """How long a target must live after a whole answer, seconds: some times as long as a
 target that crashes because of one takes to end."""
 
+MAX_KEPT_BODY_BYTES = 1_000_000
+"""Bytes of bodies that are kept after their answers; beyond it, bodies are hashed at
+once and dropped, which delays other requests."""
+
 
 @dataclass(frozen=True)
 class RecentAnswer:
@@ -33,10 +37,23 @@
 
     def __init__(self):
         self._answers: deque[RecentAnswer] = deque()
+        self._kept_bytes = 0
 
     def add(self, run: Run, now: float) -> None:
         """Keep a run that has just delivered a whole answer."""
         self._answers.append(RecentAnswer(run, now))
+        self._kept_bytes += run.named.kept_bytes
+        if self._kept_bytes > MAX_KEPT_BODY_BYTES:
+            self._forget_bodies()
+
+    def _forget_bodies(self) -> None:
+        """Count what is kept anew, and drop it if it is too much."""
+        kept = [answer.run.named for answer in self._answers]
+        self._kept_bytes = sum(named.kept_bytes for named in kept)
+        if self._kept_bytes > MAX_KEPT_BODY_BYTES:
+            for named in kept:
+                named.forget_body()
+            self._kept_bytes = 0
 
     def has(self, fingerprint: Fingerprint) -> bool:
         """Whether a request with a fingerprint is among them."""
--- a/src/robinspindle/requestparser.py
+++ b/src/robinspindle/requestparser.py
@@ -8,12 +8,22 @@
 import httptools
 
 from robinspindle.core import framing
+from robinspindle.core.bodies import Body, LongBody
 from robinspindle.core.forwarding import Headers
 from robinspindle.core.framing import Framing
 
 HEADER_MARK_BYTES = 4
 """Bytes of a header besides its name and value: colon, blank and the line's end."""
 
+REQUEST_OBJECT_BYTES = 4096
+HEADER_OBJECT_BYTES = 384
+"""What the objects of a request, and of each of its headers, take in memory besides
+what was sent."""
+
+PIECE_BYTES = 16384
+"""A body is kept in pieces of this length: each object takes memory too, and what is
+left of one body fits another."""
+
 BODY_S = 30.0
 LEAST_BODY_BYTES_PER_S = 1024
 """How much of a body has to have come on average once it has been coming for `BODY_S`
@@ -49,14 +59,16 @@
         body: The whole body.
         at: When its head had come, steady seconds.
         keep: Whether the caller keeps its connection.
+        held_bytes: What it takes in memory.
     """
 
     method: str
     target: bytes
     headers: Headers
-    body: bytes
+    body: Body
     at: float
     keep: bool
+    held_bytes: int = REQUEST_OBJECT_BYTES
 
 
 class RequestParser:
@@ -66,6 +78,7 @@
         ready: Requests that have come whole, oldest first; the user takes them out.
         is_in_message: Whether a request has come in part.
         heard_at: When a part of a request came last, steady seconds.
+        begun_at: When the request began that is coming in, steady seconds.
     """
 
     def __init__(
@@ -82,7 +95,8 @@
             ask_for_body: Called where a caller waits for a sign to send its body.
         """
         self.ready: deque[Incoming] = deque()
-        self.heard_at = clock()
+        self.heard_at = self.begun_at = clock()
+        self._ready_bytes = 0
         self._limits = limits
         self._clock = clock
         self._ask_for_body = ask_for_body
@@ -118,6 +132,30 @@
             return self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         return None
 
+    @property
+    def held_bytes(self) -> int:
+        """What all that has come takes in memory."""
+        if not self.is_in_message:
+            return self._ready_bytes
+        return self._ready_bytes + self._count_held() + self._framing.framing_bytes
+
+    @property
+    def coming_headers(self) -> Headers:
+        """The headers that have come of the request that is coming in."""
+        return tuple(self._headers)
+
+    def take(self) -> Incoming:
+        """Take the oldest request that has come whole."""
+        incoming = self.ready.popleft()
+        self._ready_bytes -= incoming.held_bytes
+        return incoming
+
+    def drop(self) -> None:
+        """Drop all that has come; nothing more may be fed."""
+        self.ready.clear()
+        self._ready_bytes = 0
+        self._begin_message()
+
     @property
     def is_too_slow(self) -> bool:
         """Whether the request that is coming in takes longer than any proper one."""
@@ -132,7 +170,7 @@
         """Begin a request."""
         self._begin_message()
         self.is_in_message = True
-        self.heard_at = self._clock()
+        self.heard_at = self.begun_at = self._clock()
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -155,7 +193,10 @@
         """Collect a piece of the body."""
         # A body is judged by its pauses, as it may come over a slow link.
         self.heard_at = self._clock()
-        self._body.append(body)
+        self._piece += body
+        while len(self._piece) >= PIECE_BYTES:
+            self._body.append(bytes(memoryview(self._piece)[:PIECE_BYTES]))
+            del self._piece[:PIECE_BYTES]
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
             raise _TooLongError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -163,27 +204,38 @@
     def on_message_complete(self) -> None:
         """Take the request in."""
         self._messages += 1
-        self.is_in_message = False
-        self.ready.append(
-            Incoming(
-                method=self._parser.get_method().decode(),
-                target=self._target,
-                headers=tuple(self._headers),
-                body=b"".join(self._body),
-                at=self._head_at,
-                keep=self._parser.should_keep_alive(),
-            )
+        incoming = Incoming(
+            method=self._parser.get_method().decode(),
+            target=self._target,
+            headers=tuple(self._headers),
+            body=self._make_body(),
+            at=self._head_at,
+            keep=self._parser.should_keep_alive(),
+            held_bytes=self._count_held(),
         )
+        self.ready.append(incoming)
+        self._ready_bytes += incoming.held_bytes
+        self._begin_message()
 
     def _begin_message(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
+        self._piece = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
         self._head_at = 0.0
         self.is_in_message = False
 
+    def _make_body(self) -> Body:
+        last = bytes(self._piece)
+        return LongBody((*self._body, last)) if self._body else last
+
+    def _count_held(self) -> int:
+        """Count what the request takes in memory that is coming in."""
+        objects = REQUEST_OBJECT_BYTES + HEADER_OBJECT_BYTES * len(self._headers)
+        return objects + self._head_bytes + self._body_bytes
+
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
         if self._head_bytes > self._limits.header_bytes:
--- a/src/robinspindle/sending.py
+++ b/src/robinspindle/sending.py
@@ -125,7 +125,7 @@
     passage: Passage,
     connection: ClientConnection,
     exchange: Exchange,
-    data: bytes,
+    head: bytes,
     now: float,
 ) -> None:
     """Send a request to a target, unless nobody waits for its answer any more.
@@ -134,7 +134,7 @@
         passage: The request.
         connection: A connection to the target.
         exchange: Takes the answer.
-        data: The request as written for the target.
+        head: The head as written for the target.
         now: The present time, steady seconds.
 
     Raises:
@@ -144,7 +144,7 @@
     """
     if passage.reply.has_caller_left:
         raise CallerLeftError("closed by the caller")
-    connection.send(exchange, data)
+    connection.send(exchange, head, passage.request.body)
     passage.sent_at = exchange.sent_at = now
 
 
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from robinspindle.core.bodies import LongBody
 from robinspindle.httpclient import ClientConnection, Exchange
 from robinspindle.platform.dialect import decode_answer
 
@@ -156,3 +157,35 @@
         connection.data_received(piece)
     assert exchange.head is None
     assert exchange.error is None
+
+
+class FullTransport(FakeTransport):
+    """Takes a first write, and more only where it is told to."""
+
+    def __init__(self, connection):
+        super().__init__()
+        self.written = b""
+        self._connection = connection
+
+    def write(self, data):
+        self.written += data
+        self._connection.pause_writing()
+
+    def set_write_buffer_limits(self, high):
+        self.high = high
+
+
+def test_a_long_body_is_handed_to_its_connection_as_the_target_takes_it():
+    """It was copied whole for each attempt, and again where the target was slow."""
+    connection = ClientConnection(decode_answer)
+    transport = FullTransport(connection)
+    connection.connection_made(transport)
+    body = LongBody((b"a" * 20_000, b"b" * 20_000))
+    connection.send(Exchange("r0"), b"head", body)
+    assert transport.written == b"head"
+    connection.resume_writing()
+    assert transport.written == b"head" + b"a" * 20_000
+    connection.data_received(write(200, "r0", b"early"))
+    assert not connection.can_be_reused
+    connection.resume_writing()
+    assert transport.written == b"head" + bytes(body)
