Bound what all callers of a process make it hold, by one account and one rule

What callers saw: a process ended, out of memory, or answered nobody, while others sent many bodies, heads or requests at once, each within its limits, or held all descriptors with connections that said nothing.

Cause: limits were of one connection each; nothing summed over connections, at any port. What came unread filled buffers of megabytes besides; answers were written without end to callers that read none; a request whose caller had left stayed, with its body, until the interpreter looked for cycles.

Change: core/calleraccount.py counts what each connection at each port holds, with answers held for slow readers; bounds follow from MemoryMb and MaxFds. Who has held most for longest (bytes times seconds, or time where connections are short) gives way: 503 with Retry-After, true as nothing was passed on, or a close; what is under way never does.

--- a/soak/clientshapes.py
+++ b/soak/clientshapes.py
@@ -1,7 +1,9 @@
 """What clients send that don't behave: shapes of requests, piece by piece."""
 
 import itertools
+import random
 from collections.abc import Iterator
+from functools import partial
 
 HOST = "shop.example"
 """The host of the configured routes."""
@@ -44,7 +46,7 @@
     """
     yield write_head(id, f"Content-Length: {length}")
     sent = length - left_out
-    for start in range(0, sent, piece or sent):
+    for start in range(0, sent, piece or max(1, sent)):
         yield b"b" * min(piece or sent, sent - start)
 
 
@@ -92,6 +94,33 @@
     yield b"GET / HTTP/1.1\r\n\r\n" * count
 
 
+def send_gets(id: str, path: str, count: int) -> Pieces:
+    """Ask for a page again and again without waiting for answers."""
+    yield f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode() * count
+
+
+def mix(id: str, seed: int, body_bytes: int) -> Pieces:
+    """Send one of the other shapes, of a random size up to the limits.
+
+    Args:
+        id: The request's id, from which the choice is drawn too.
+        seed: The seed of all choices.
+        body_bytes: Longest body that callers may send.
+    """
+    rng = random.Random(f"{seed} {id}")
+    length = rng.randint(1, body_bytes)
+    shapes = (
+        partial(send_body, length=length, left_out=min(length, LEFT_OUT_BYTES)),
+        partial(send_body, length=length, left_out=0),
+        partial(send_chunks, length=length, chunk=rng.choice((1, 7, 100, PIECE_BYTES))),
+        partial(send_headers, count=rng.randint(1, 3200)),
+        partial(send_ahead, length=rng.randint(1, 4 * PIECE_BYTES)),
+        partial(send_shortest, count=rng.randint(1, 5000)),
+        say_nothing,
+    )
+    yield from rng.choice(shapes)(id)
+
+
 def say_nothing(id: str) -> Pieces:
     """Connect, and send nothing."""
     yield from ()
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -13,12 +13,15 @@
 from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.cachelists import CacheLists
+from robinspindle.callerlimits import CallerLimits
 from robinspindle.clocks import read_steady
 from robinspindle.connectionlimit import ConnectionLimit
-from robinspindle.core import heldbytes, retrywindows, targets
+from robinspindle.core import calleraccount, heldbytes, retrywindows, targets
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
+from robinspindle.core.calleraccount import CallerAccount
 from robinspindle.core.fingerprints import Fingerprint
+from robinspindle.core.forwarding import Headers
 from robinspindle.core.freshness import Freshness, may_serve
 from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.pauses import Pause
@@ -26,6 +29,7 @@
 from robinspindle.core.targets import Directory
 from robinspindle.core.taskfailures import HOPELESS_AFTER_S, UNREADY_AFTER_S
 from robinspindle.core.usage import make_incarnation
+from robinspindle.descriptors import find_descriptor_limit
 from robinspindle.duties import Duties
 from robinspindle.fleet import Fleet
 from robinspindle.following import note_new_era
@@ -211,15 +215,23 @@
         self._connections = ConnectionLimit(
             self._clock, make_log("callers"), self.metrics.connections_turned_away
         )
+        self.caller_limits = CallerLimits(
+            CallerAccount(answers=self.held), self._clock, self.metrics.count_relief
+        )
         self._callers = CallerServer(
             self._handle,
             limits,
             self._clock,
             self.link.note_sent,
             self._connections.take_connection,
+            callers=self.caller_limits,
+            note_refused=self._note_refused,
         )
         self._readiness = CallerServer(
-            make_readiness_page(lambda: self.is_ready), Limits(), self._clock
+            make_readiness_page(lambda: self.is_ready),
+            Limits(),
+            self._clock,
+            callers=self.caller_limits,
         )
         self._figures = CallerServer(
             make_operator_pages(
@@ -228,6 +240,7 @@
             ),
             Limits(),
             self._clock,
+            callers=self.caller_limits,
         )
         self._housekeeper = self._make_housekeeper()
         self._apply_settings(settings)
@@ -558,6 +571,14 @@
             return
         await self.relay.handle(incoming, reply)
 
+    def _note_refused(self, headers: Headers) -> None:
+        """Log a request that is dropped before it has come whole."""
+        request = self._adapter.dialect.find_request_id(headers)
+        log("refused", routine=True, request=request, reason="crowded-out")
+
+    def _tell_relief(self, now: float) -> None:
+        self.caller_limits.tell(make_log("callers"), now)
+
     def _list_measured(self) -> GaugeSources:
         return GaugeSources(
             fleet=self.fleet,
@@ -565,7 +586,7 @@
             store=self._store,
             guard=self.guard,
             freshness=self.freshness,
-            held=self.held,
+            callers=self.caller_limits.account,
             reporter=self.duties.reporter,
             streams=self.streams,
             traffic=self.traffic,
@@ -596,6 +617,7 @@
             Job("close callers", self._callers.close_idle),
             Job("close balancer", self._readiness.close_idle),
             Job("close operators", self._figures.close_idle),
+            Job("tell relief", self._tell_relief),
             Job("read settings", self._reader.read_if_due),
             Job("look after failures", self._look_after_failing),
             Job("stop", self._stop.go_on),
@@ -615,6 +637,11 @@
         pledges = settings.pledges
         self.link.uplink.bytes_per_s = settings.link_bytes_per_s
         self.held.max_bytes = heldbytes.find_bound(settings.memory_mb)
+        calleraccount.set_bounds(
+            self.caller_limits.account,
+            settings.memory_mb,
+            min(settings.max_descriptors, find_descriptor_limit()),
+        )
         self.peers.link_bytes_per_s = settings.link_bytes_per_s
         self.peers.teaches = settings.policy.tells_caches
         self.orderer.may_change = settings.policy.changes_roles
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from robinspindle.callerlimits import Relief
 from robinspindle.ends import End
 from robinspindle.metrics import Latencies
 
@@ -78,6 +79,10 @@
         busy: Callers' requests under way.
         held_bytes: Bytes of answers held for callers that read slowly.
         held_waits: Times that a target was held back for such a caller so far.
+        caller_bytes: Bytes that callers make the process hold, those answers among
+            them.
+        caller_connections: Connections of callers, at all ports.
+        gave_way: Connections that gave way as callers held too much, by how.
     """
 
     def __init__(self):
@@ -202,6 +207,15 @@
         self.held_waits = self._gauge(
             "held_waits", "Times that a target was held back for such a caller"
         )
+        self.caller_bytes = self._gauge(
+            "caller_bytes", "Bytes that callers make the process hold"
+        )
+        self.caller_connections = self._gauge(
+            "caller_connections", "Connections of callers, at all ports"
+        )
+        self.gave_way = self._count(
+            "gave_way", "Connections that gave way, as callers held too much", "how"
+        )
         self.latencies = Latencies()
         self.registry.register(self.latencies)
         self.requests = self._count(
@@ -280,6 +294,10 @@
         """Count an error nobody foresaw in a part of the program."""
         self.failures.labels(part).inc()
 
+    def count_relief(self, relief: Relief) -> None:
+        """Count a connection that gave way."""
+        self.gave_way.labels(relief.value).inc()
+
     def forget_target(self, target: str) -> None:
         """Drop the counts of a target that is gone, so that they don't add up."""
         for end in End:
--- a/src/robinspindle/gatewaysettings.py
+++ b/src/robinspindle/gatewaysettings.py
@@ -9,6 +9,9 @@
 
 BITS_PER_BYTE = 8
 
+DEFAULT_DESCRIPTORS = 4096
+"""Descriptors that a process may have open where its settings don't say."""
+
 
 @dataclass(frozen=True)
 class Pledges:
@@ -69,6 +72,7 @@
         store: Address of the platform's store.
         inner_ports: First and last port for what gateways say to each other.
         memory_mb: Memory at which the process is killed, MB.
+        max_descriptors: Descriptors that the process may have open.
         pledges: What was promised.
         metrics_port: Port for metrics, 0 for none.
         capacity: The processor's speed against one full core.
@@ -89,6 +93,7 @@
     memory_mb: float
     pledges: Pledges = Pledges()
     metrics_port: int = 0
+    max_descriptors: int = DEFAULT_DESCRIPTORS
     capacity: float = 1.0
     link_mbps: float = 0.0
     is_quiet: bool = False
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from robinspindle.core import health
+from robinspindle.core.calleraccount import CallerAccount
 from robinspindle.core.entries import UnusableEntries
 from robinspindle.core.freshness import Freshness
-from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.obstacles import ObstacleReason, count_send_obstacles
 from robinspindle.core.quarantine import list_quarantined
 from robinspindle.core.roomclaims import find_oldest_claim_s
@@ -30,7 +30,7 @@
         store: The client of the store.
         guard: Knows which requests crash targets.
         freshness: What is known of the age of the configuration.
-        held: What is held for callers that read slowly.
+        callers: What callers make the process hold.
         reporter: Reports usage.
         streams: Remembers who began which stream.
         traffic: Bytes between availability zones.
@@ -48,7 +48,7 @@
     store: KeyedStore
     guard: Guard
     freshness: Freshness
-    held: HeldBytes
+    callers: CallerAccount
     reporter: Reporter
     streams: StreamMemory
     traffic: ZoneTraffic
@@ -84,8 +84,14 @@
     metrics.usage_reported.set(parts.reporter.count_reported())
     metrics.left_out.set(parts.count_left_out())
     metrics.busy.set(parts.count_busy())
-    metrics.held_bytes.set(parts.held.total)
-    metrics.held_waits.set(parts.held.waits)
+    _update_callers(metrics, parts.callers)
+
+
+def _update_callers(metrics: GatewayMetrics, account: CallerAccount) -> None:
+    metrics.held_bytes.set(account.answers.total)
+    metrics.held_waits.set(account.answers.waits)
+    metrics.caller_bytes.set(account.total_bytes)
+    metrics.caller_connections.set(len(account.holdings))
 
 
 def _update_targets(metrics: GatewayMetrics, parts: GaugeSources, now: float) -> None:
--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -9,6 +9,7 @@
 from robinspindle.core.engines import Engine
 from robinspindle.core.events import note_incomplete, take_events
 from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.heldbytes import Holding
 from robinspindle.core.interference import (
     find_allowed_pause,
     note_answer_begun,
@@ -62,7 +63,7 @@
     Raises:
         ConnectionBrokenError: When it breaks off, or is too long for a refusal.
     """
-    body = await _gather(means, answer, MOST_REFUSAL_BYTES)
+    body = await _gather(means, answer, lambda: MOST_REFUSAL_BYTES)
     if not answer.exchange.is_drained:
         raise ConnectionBrokenError("a refusal without end")
     return body
@@ -77,8 +78,7 @@
     Raises:
         ConnectionBrokenError: When it breaks off.
     """
-    scarce = heldbytes.is_scarce(means.held)
-    body = await _gather(means, answer, SCARCE_BYTES if scarce else MOST_GATHERED_BYTES)
+    body = await _gather(means, answer, lambda: _find_gathered_limit(means))
     claim_answer(passage)
     flow = _make_flow(means, passage, answer)
     try:
@@ -91,18 +91,36 @@
         flow.leave_connection()
 
 
-async def _gather(means: Means, answer: Answer, most_bytes: int) -> bytes:
+def _find_gathered_limit(means: Means) -> int:
+    """Find from which length on a body is passed on as it comes, bytes."""
+    is_scarce = heldbytes.is_scarce(means.held)
+    return SCARCE_BYTES if is_scarce else MOST_GATHERED_BYTES
+
+
+async def _gather(
+    means: Means, answer: Answer, find_most_bytes: Callable[[], int]
+) -> bytes:
     """Read a body to its end, or until it is longer than a limit.
 
     Each piece of it tells that its target is not silent. A long answer over a slow link
-    would count as lost otherwise.
+    would count as lost otherwise. What is gathered of long ones counts as held: all
+    callers may ask for them at once.
     """
     chunks, received = [], 0
+    holding = Holding("", answer.target.announced.lifetime)
     answer.expected.since = means.clock()
-    while received <= most_bytes and (chunk := await answer.exchange.read_chunk()):
-        _note_piece(means, answer)
-        chunks.append(chunk)
-        received += len(chunk)
+    try:
+        while received <= find_most_bytes() and (
+            chunk := await answer.exchange.read_chunk()
+        ):
+            _note_piece(means, answer)
+            chunks.append(chunk)
+            received += len(chunk)
+            if received > SCARCE_BYTES:
+                heldbytes.note_held(means.held, holding, received)
+    finally:
+        if holding.bytes:
+            heldbytes.note_held(means.held, holding, 0)
     return b"".join(chunks)
 
 
--- a/src/robinspindle/platform/settings.py
+++ b/src/robinspindle/platform/settings.py
@@ -9,6 +9,7 @@
 from robinspindle.documentfiles import read_document
 from robinspindle.exceptions import Finding, InvalidDocumentError
 from robinspindle.gatewaysettings import (
+    DEFAULT_DESCRIPTORS,
     DutySettings,
     GatewaySettings,
     HostPort,
@@ -34,6 +35,9 @@
 MOST = 1e9
 """Greatest of all other numbers."""
 
+LEAST_DESCRIPTORS = 64
+"""Fewest descriptors with which a gateway can serve anybody."""
+
 LEAST_WINDOW_S = 0.001
 """Shortest window, seconds; amounts are divided by windows."""
 
@@ -187,6 +191,7 @@
         inner_ports=reader.read_ports("InternalPorts"),
         # The file describes one machine, so its memory limit is that of the process.
         memory_mb=reader.read_number("Limits", "MemoryMb", least=1.0),
+        max_descriptors=_read_descriptors(reader),
         pledges=_read_pledges(reader),
         capacity=_read_capacity(reader),
         link_mbps=reader.read_number("Limits", "LinkMbps", 0.0),
@@ -206,6 +211,14 @@
     return (share or 1.0) * (speed or 1.0)
 
 
+def _read_descriptors(reader: _Reader) -> int:
+    """Read how many descriptors the process may have open."""
+    count = reader.read_number(
+        "Limits", "MaxFds", DEFAULT_DESCRIPTORS, least=LEAST_DESCRIPTORS
+    )
+    return DEFAULT_DESCRIPTORS if count is None else int(count)
+
+
 def _read_duties(reader: _Reader) -> DutySettings | None:
     names = reader.read("Cloud", "Duties", list[str], [])
     if "usage" not in (names or []):
--- a/tests/crowds/gatewaycrowd.py
+++ b/tests/crowds/gatewaycrowd.py
@@ -66,6 +66,8 @@
         trickles: Whether they go on with single bytes.
         behaviour: How the replica answers them; ``held`` is only after a while.
         reads: Whether they read their answers.
+        times: How often they come, each time when the last has left.
+        is_answered: Whether they stay until the replica has answered.
     """
 
     count: int
@@ -74,6 +76,8 @@
     trickles: bool = False
     behaviour: str = "ok"
     reads: bool = True
+    times: int = 1
+    is_answered: bool = True
 
 
 class Client:
@@ -155,7 +159,9 @@
         ports = frozenset((gateway.front, gateway.ready, gateway.metrics))
         pid = gateway.process.pid
         with MemoryWatch(pid, ports) as watch:
-            clients = await play_crowd(gateway, crowd)
+            clients = []
+            for _ in range(crowd.times):
+                clients += await play_crowd(gateway, crowd, len(clients))
             await wait_answered(gateway, "after")
         watch.peaks.held = max(watch.peaks.held, read_status(pid, "VmHWM"))
         print(watch.peaks)
@@ -169,18 +175,22 @@
         assert await gateway.end() == 0
 
 
-async def play_crowd(gateway, crowd):
-    """Have all clients of a crowd send, stay and leave."""
+async def play_crowd(gateway, crowd, first):
+    """Have all clients of a crowd send, stay and leave; the first has this number."""
     replica, port = gateway.replicas[0], getattr(gateway, crowd.port)
+    replica.gate.clear()
     replica.behaviours.extend([crowd.behaviour] * crowd.count)
-    clients = [Client(f"c{number}", port) for number in range(crowd.count)]
+    numbers = range(first, first + crowd.count)
+    clients = [Client(f"c{number}", port) for number in numbers]
     tasks = [asyncio.create_task(client.play(crowd)) for client in clients]
     await asyncio.wait(tasks, timeout=STAYS_S if crowd.behaviour == "held" else SENDS_S)
     replica.behaviours.clear()
-    replica.gate.set()
+    if crowd.is_answered:
+        replica.gate.set()
     await wait_answered(gateway, "beside")
     for client in clients:
         client.leave()
+    replica.gate.set()
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -9,10 +9,12 @@
     LEFT_OUT_BYTES,
     PIECE_BYTES,
     TRICKLE_BYTES,
+    mix,
     say_nothing,
     send_ahead,
     send_body,
     send_chunks,
+    send_gets,
     send_headers,
     send_shortest,
 )
@@ -50,6 +52,18 @@
     "long-answers-that-nobody-reads": Crowd(
         150, partial(send_body, length=1, left_out=0), behaviour="long", reads=False
     ),
+    "unread-metrics": Crowd(
+        100, partial(send_gets, path="/metrics", count=200), "metrics", reads=False
+    ),
+    "a-mix": Crowd(300, partial(mix, seed=1, body_bytes=BODY)),
+    "another-mix-before-a-slow-replica": Crowd(
+        300, partial(mix, seed=2, body_bytes=BODY), behaviour="held"
+    ),
+    "whole-bodies-that-come-again": Crowd(100, whole_body, times=4),
+    "whole-bodies-whose-callers-leave": Crowd(
+        100, whole_body, behaviour="held", times=4, is_answered=False
+    ),
+    "short-bodies-that-come-again": Crowd(100, short_body, times=4),
     "the-shortest-requests-in-a-row": Crowd(60, partial(send_shortest, count=14_000)),
 }
 
