Make one page of metrics at a time

What callers saw: new connections were closed unread while, and after, some asked for metrics again and again: the loop was busy for 2.4 s, and so many connections wait.

Cause: each page takes milliseconds of the event loop; a hundred that came at once were made in one turn of it.

Change: pages take turns, with a turn of the loop between two.

--- a/src/robinspindle/gatewaypages.py
+++ b/src/robinspindle/gatewaypages.py
@@ -1,5 +1,6 @@
 """What a gateway answers besides callers' requests: readiness and metrics."""
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -42,10 +43,14 @@
         measure: Lists what the gauges are read from.
         clock: Tells the present time, steady seconds.
     """
+    turn = asyncio.Lock()
 
     async def answer(incoming: Incoming, reply: Reply) -> None:
-        update_gauges(metrics, measure(), clock())
-        body = format_metrics(metrics.registry)
+        async with turn:
+            # One page at a time takes long enough for the others.
+            await asyncio.sleep(0)
+            update_gauges(metrics, measure(), clock())
+            body = format_metrics(metrics.registry)
         headers = ((b"Content-Type", CONTENT_TYPE_LATEST.encode()),)
         reply.begin(HTTPStatus.OK, b"OK", headers, len(body))
         reply.write(body)
