Entries, agents: threads and memory are not the slow callers'

What callers saw: an entry answered nobody while 140 callers sent a byte of a body now and then, its operators' listener while 12 did; it took 1.4 GB for bodies that stopped short of their end, and 3.5 GB for as many whole ones.

Cause: a thread reads one body whole, for as long as bytes come; nothing summed over threads; each thread had a heap of its own that kept what it once needed.

Change: the account of gateways counts what threads read, whole bodies three times (callerthreads.py), bounded by the new setting memory_mb (512). Where all threads are taken and a connection waits, the one that has been read for longest gives its thread up. At most 512 connections wait for a thread.

--- a/src/robinspindle/health.py
+++ b/src/robinspindle/health.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from cheroot.wsgi import Server
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry
 
+from robinspindle.callerthreads import CallerThreads
 from robinspindle.metrics import format_metrics
 from robinspindle.web import Answer, Request, answer_json, make_error, make_server
 
@@ -29,7 +29,7 @@
 
 def make_health_server(
     address: str, registry: CollectorRegistry, is_ready: Callable[[], bool]
-) -> Server:
+) -> CallerThreads:
     """Make a server that answers only these."""
 
     def handle(request: Request) -> Answer:
--- a/src/robinspindle/settings.py
+++ b/src/robinspindle/settings.py
@@ -6,6 +6,7 @@
 from pydantic import AfterValidator, ConfigDict, Field
 from pydantic.dataclasses import dataclass
 
+from robinspindle.core.calleraccount import DEFAULT_MEMORY_MB
 from robinspindle.core.documents import HostPort, Name
 from robinspindle.core.ini import IniDocument, describe_unknown
 from robinspindle.documentfiles import read_document
@@ -45,6 +46,7 @@
         tls_certificate: Certificate file for both listeners, empty for plain HTTP.
         tls_key: Its private key file.
         threads: Callers that can be served at a time.
+        memory_mb: Memory that the process may have, MB; callers may hold a part of it.
         body_limit: Longest request body, bytes.
         bootstrap_digest: SHA-256 of the bearer key that may publish the first
             configuration, in hex; empty lets nobody.
@@ -61,6 +63,7 @@
     tls_certificate: str = ""
     tls_key: str = ""
     threads: Annotated[int, Field(ge=1, le=4096)] = 128
+    memory_mb: Annotated[float, Field(ge=64)] = DEFAULT_MEMORY_MB
     body_limit: Annotated[int, Field(ge=1024, le=1 << 30)] = 8 << 20
     bootstrap_digest: Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")] = ""
 
--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -4,11 +4,18 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import IO
 
 import msgspec
 from cheroot.ssl.builtin import BuiltinSSLAdapter
-from cheroot.wsgi import Gateway_10, Server
+from cheroot.wsgi import Gateway_10
 
+from robinspindle.callerthreads import (
+    CallerThreads,
+    Reading,
+    ThreadLimits,
+    make_thread_limits,
+)
 from robinspindle.core.decoding import parse_whole
 from robinspindle.core.effects import Refusal
 from robinspindle.exceptions import CallerLeftError, RobinspindleError
@@ -19,6 +26,14 @@
 SHUTDOWN_TIMEOUT_S = 1
 QUEUE_SIZE = 512
 CALLER_LEFT = "robinspindle.has_caller_left"
+READING = "robinspindle.reading"
+
+BODY_PIECE_BYTES = 16384
+"""The most that is read of a body before it is counted, bytes."""
+
+CROWDED_OUT_RETRY_S = 1.0
+"""After which time a request may come again that was dropped as it came, seconds."""
+
 CALLER_LEFT_REFUSAL = Refusal(
     504, "caller_left", "the caller has closed its connection", "unknown"
 )
@@ -117,13 +132,17 @@
 
 
 class _CallerGateway(Gateway_10):
-    """Gives the application the means to see that the caller has left."""
+    """Gives the application the means to see its caller leave, and to be counted."""
 
     def get_environ(self) -> dict:
         """Make the environment of a request."""
-        descriptor = self.req.conn.socket.fileno()
-        left = {CALLER_LEFT: lambda: is_closed_by_peer(descriptor)}
-        return super().get_environ() | left
+        conn = self.req.conn
+        descriptor = conn.socket.fileno()
+        more = {
+            CALLER_LEFT: lambda: is_closed_by_peer(descriptor),
+            READING: conn.reading,
+        }
+        return super().get_environ() | more
 
 
 def make_wsgi(handle: Handler, body_limit: int) -> Callable:
@@ -155,10 +174,21 @@
     body_limit: int,
     certificate: str = "",
     key: str = "",
-) -> Server:
-    """Make an HTTP server that is ready to `serve`."""
+    limits: ThreadLimits | None = None,
+) -> CallerThreads:
+    """Make an HTTP server that is ready to `serve`.
+
+    Args:
+        address: Where it listens.
+        handle: Answers a request; may raise `HttpError`.
+        threads: Requests that are served at a time.
+        body_limit: Longest body that is read, bytes.
+        certificate: Certificate file, empty for plain HTTP.
+        key: Its private key file.
+        limits: The account of the process; None for one of the server's own.
+    """
     host, _, port = address.rpartition(":")
-    server = Server(
+    server = CallerThreads(
         (host, int(port)),
         make_wsgi(handle, body_limit),
         numthreads=threads,
@@ -167,6 +197,7 @@
         timeout=RECEIVE_TIMEOUT_S,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
+    server.limits = limits or make_thread_limits()
     server.gateway = _CallerGateway
     server.max_request_header_size = 64 * 1024
     if certificate:
@@ -204,11 +235,18 @@
         raise make_error(413, "body_too_long", text)
     chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
     wanted = body_limit + 1 if chunked else length
+    reading = environ[READING]
     try:
-        body = environ["wsgi.input"].read(wanted) if wanted else b""
+        body = _read_pieces(environ["wsgi.input"], wanted, reading)
     except (OSError, ValueError) as error:
         text = f"the body did not arrive: {error}"
         raise make_error(408, "body_incomplete", text) from None
+    if reading.has_given_way:
+        text = "callers send more at once than can be taken"
+        raise HttpError(
+            Refusal(503, "crowded_out", text, "no", retry_s=CROWDED_OUT_RETRY_S)
+        )
+    reading.server.limits.note_whole(reading, len(body))
     if len(body) > body_limit:
         text = f"the body is longer than {body_limit} bytes"
         raise make_error(413, "body_too_long", text)
@@ -217,6 +255,19 @@
     return body
 
 
+def _read_pieces(source: IO[bytes], wanted: int, reading: Reading) -> bytes:
+    """Read a body piece by piece, so that it is counted as it comes."""
+    pieces, count = [], 0
+    while count < wanted and not reading.has_given_way:
+        piece = source.read(min(BODY_PIECE_BYTES, wanted - count))
+        if not piece:
+            break
+        pieces.append(piece)
+        count += len(piece)
+        reading.server.limits.note_coming(reading, count)
+    return b"".join(pieces)
+
+
 def _write_status(status: int) -> str:
     try:
         phrase = HTTPStatus(status).phrase
--- a/tests/crowds/test_entry.py
+++ b/tests/crowds/test_entry.py
@@ -117,7 +117,9 @@
 def check(fleet):
     process = fleet.processes["entry-1"]
     assert process.poll() is None
-    assert read_status(process.pid, "VmHWM") <= MEMORY_BYTES
+    peak = read_status(process.pid, "VmHWM")
+    print(f"VmHWM {peak}")
+    assert peak <= MEMORY_BYTES
     wait_until(lambda: notify(fleet, "").status == 200, "an answer", ANSWERED_S)
 
 
@@ -139,5 +141,11 @@
     check(fleet)
 
 
+def test_whole_bodies_at_once_end_no_entry(fleet):
+    with crowd(fleet.callers[0], CALLERS, BODY, sent=BODY):
+        wait_until(lambda: is_notified(fleet), "an answer beside", ANSWERED_S)
+    check(fleet)
+
+
 def test_a_body_as_long_as_allowed_is_served_in_calm(fleet):
     assert notify(fleet, "", body=b"x" * BODY).status == 200
