--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -13,15 +13,13 @@
 from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.cachelists import CacheLists
-from robinspindle.callerlimits import CallerLimits
+from robinspindle.callerconnections import STOPPING
+from robinspindle.callerports import CallerPorts, Handlers
 from robinspindle.clocks import read_steady
-from robinspindle.connectionlimit import ConnectionLimit
-from robinspindle.core import calleraccount, heldbytes, retrywindows, targets
+from robinspindle.core import heldbytes, retrywindows, targets
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
-from robinspindle.core.calleraccount import CallerAccount
 from robinspindle.core.fingerprints import Fingerprint
-from robinspindle.core.forwarding import Headers
 from robinspindle.core.freshness import Freshness, may_serve
 from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.pauses import Pause
@@ -29,7 +27,6 @@
 from robinspindle.core.targets import Directory
 from robinspindle.core.taskfailures import HOPELESS_AFTER_S, UNREADY_AFTER_S
 from robinspindle.core.usage import make_incarnation
-from robinspindle.descriptors import find_descriptor_limit
 from robinspindle.duties import Duties
 from robinspindle.fleet import Fleet
 from robinspindle.following import note_new_era
@@ -47,7 +44,6 @@
 from robinspindle.guard import Guard
 from robinspindle.guardnews import list_news, take_news
 from robinspindle.housekeeping import Job, do_jobs
-from robinspindle.httpserver import STOPPING, CallerServer
 from robinspindle.introduction import Introduction
 from robinspindle.linkqueue import LinkQueue
 from robinspindle.listeners import Listeners
@@ -212,36 +208,8 @@
         )
         self._store.note_era = self._note_era
         self._store.note_silent = self._note_store_silent
-        self._connections = ConnectionLimit(
-            self._clock, make_log("callers"), self.metrics.connections_turned_away
-        )
-        self.caller_limits = CallerLimits(
-            CallerAccount(answers=self.held), self._clock, self.metrics.count_relief
-        )
-        self._callers = CallerServer(
-            self._handle,
-            limits,
-            self._clock,
-            self.link.note_sent,
-            self._connections.take_connection,
-            callers=self.caller_limits,
-            note_refused=self._note_refused,
-        )
-        self._readiness = CallerServer(
-            make_readiness_page(lambda: self.is_ready),
-            Limits(),
-            self._clock,
-            callers=self.caller_limits,
-        )
-        self._figures = CallerServer(
-            make_operator_pages(
-                make_metrics_page(self.metrics, self._list_measured, self._clock),
-                self.relay.admission,
-            ),
-            Limits(),
-            self._clock,
-            callers=self.caller_limits,
-        )
+        self._ports = self._make_ports(adapter, limits)
+        self._callers, self._figures = self._ports.requests, self._ports.figures
         self._housekeeper = self._make_housekeeper()
         self._apply_settings(settings)
         self._has_failed = False
@@ -277,6 +245,22 @@
             )
         )
 
+    def _make_ports(self, adapter: Adapter, limits: Limits) -> CallerPorts:
+        metrics_page = make_metrics_page(self.metrics, self._list_measured, self._clock)
+        return CallerPorts(
+            Handlers(
+                requests=self._handle,
+                readiness=make_readiness_page(lambda: self.is_ready),
+                figures=make_operator_pages(metrics_page, self.relay.admission),
+            ),
+            limits,
+            self.held,
+            self.metrics,
+            self._clock,
+            self.link.note_sent,
+            adapter.dialect.find_request_id,
+        )
+
     def _make_housekeeper(self) -> Housekeeper:
         return Housekeeper(
             fleet=self.fleet,
@@ -433,7 +417,7 @@
         """
         servers = Servers(
             self._callers,
-            self._readiness,
+            self._ports.readiness,
             self._figures,
             self._link.start,
             self._streams.link.start,
@@ -484,9 +468,7 @@
         """End at once, with whatever is under way."""
         self._listeners.stop()
         self._supervisor.cancel_all()
-        self._callers.close_listener()
-        self._readiness.close_listener()
-        self._figures.close_listener()
+        self._ports.close_listeners()
         self._link.close()
         self._streams.link.close()
         self.traffic.log(log, self._clock(), self._store.received_bytes)
@@ -571,14 +553,6 @@
             return
         await self.relay.handle(incoming, reply)
 
-    def _note_refused(self, headers: Headers) -> None:
-        """Log a request that is dropped before it has come whole."""
-        request = self._adapter.dialect.find_request_id(headers)
-        log("refused", routine=True, request=request, reason="crowded-out")
-
-    def _tell_relief(self, now: float) -> None:
-        self.caller_limits.tell(make_log("callers"), now)
-
     def _list_measured(self) -> GaugeSources:
         return GaugeSources(
             fleet=self.fleet,
@@ -586,7 +560,7 @@
             store=self._store,
             guard=self.guard,
             freshness=self.freshness,
-            callers=self.caller_limits.account,
+            callers=self._ports.limits.account,
             reporter=self.duties.reporter,
             streams=self.streams,
             traffic=self.traffic,
@@ -605,7 +579,7 @@
             due_at = self._clock() + TICK_S
             await asyncio.sleep(TICK_S)
             now = self._clock()
-            self._connections.note_tick(now, now - due_at)
+            self._ports.arrivals.note_tick(now, now - due_at)
             do_jobs(jobs, now, self.failures)
 
     def _list_jobs(self) -> list[Job]:
@@ -614,10 +588,7 @@
             Job("flush logs", lambda now: self._output.flush()),
             *self._housekeeper.list_jobs(),
             Job("forget peers", self._link.remove_timed_out_peers),
-            Job("close callers", self._callers.close_idle),
-            Job("close balancer", self._readiness.close_idle),
-            Job("close operators", self._figures.close_idle),
-            Job("tell relief", self._tell_relief),
+            *self._ports.list_jobs(),
             Job("read settings", self._reader.read_if_due),
             Job("look after failures", self._look_after_failing),
             Job("stop", self._stop.go_on),
@@ -637,11 +608,7 @@
         pledges = settings.pledges
         self.link.uplink.bytes_per_s = settings.link_bytes_per_s
         self.held.max_bytes = heldbytes.find_bound(settings.memory_mb)
-        calleraccount.set_bounds(
-            self.caller_limits.account,
-            settings.memory_mb,
-            min(settings.max_descriptors, find_descriptor_limit()),
-        )
+        self._ports.apply_settings(settings)
         self.peers.link_bytes_per_s = settings.link_bytes_per_s
         self.peers.teaches = settings.policy.tells_caches
         self.orderer.may_change = settings.policy.changes_roles
--- a/src/robinspindle/gatewaypages.py
+++ b/src/robinspindle/gatewaypages.py
@@ -8,11 +8,11 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from robinspindle.admitting import Admission
+from robinspindle.callerconnections import Handle
 from robinspindle.core.forwarding import Refusal
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.gatewaymetrics import GatewayMetrics
 from robinspindle.gauges import GaugeSources, update_gauges
-from robinspindle.httpserver import Handle
 from robinspindle.metrics import format_metrics
 from robinspindle.previewreports import PATH as PREVIEW_PATH
 from robinspindle.previews import decode_question, preview_request
