--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from soak.crashing import let_crash
 from soak.faults import (
     CRASH_FAULTS,
+    CROWD_FAULTS,
     ERA_FAULTS,
     FAULTS,
     KEY_FAULTS,
@@ -100,6 +101,8 @@
         return ERA_FAULTS
     if args.crashes:
         return CRASH_FAULTS
+    if args.crowds:
+        return CROWD_FAULTS
     return RESTART_FAULTS if args.restarts else FAULTS
 
 
@@ -128,6 +131,11 @@
         action="store_true",
         help="the same, and a store that returns from a copy",
     )
+    parser.add_argument(
+        "--crowds",
+        action="store_true",
+        help="crowds of clients that don't behave, within the limits",
+    )
     parser.add_argument(
         "--keys",
         action="store_true",
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from soak.callers import KINDS
+from soak.clientcrowds import send_crowd
 from soak.crashing import make_body, repeat
 from soak.world import World
 
@@ -207,6 +208,9 @@
     change_configuration,
 )
 
+CROWD_FAULTS: tuple[Fault, ...] = (*FAULTS, *(send_crowd,) * 10)
+"""The same, with crowds of clients that don't behave more often."""
+
 RESTART_FAULTS: tuple[Fault, ...] = (*FAULTS, *(restart_replicas, write_garbage) * 3)
 """The same, with replicas that start again and garbage among them more often."""
 
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -24,6 +24,9 @@
 DRAIN_S = 1.0
 """How soon nothing may be sent any more to a replica that leaves, seconds."""
 
+MEMORY_MB = 300
+"""Memory that each gateway may have, MB."""
+
 STARTED = b'"text":"started"'
 """What a gateway's log says once it serves."""
 
@@ -39,7 +42,7 @@
 Front = "{ip}:{callers}"
 Ready = "{ip}:{ready}"
 [Limits]
-MemoryMb = 300
+MemoryMb = {memory}
 [Bounds]
 DrainMs = {drain_ms}
 GraceS = 4
@@ -199,6 +202,7 @@
             name=name,
             callers=callers,
             ready=ready,
+            memory=MEMORY_MB,
             inner=inner,
             last=last,
             store=store,
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -7,6 +7,7 @@
 from soak.__main__ import play
 from soak.faults import (
     CRASH_FAULTS,
+    CROWD_FAULTS,
     ERA_FAULTS,
     KEY_FAULTS,
     RESTART_FAULTS,
@@ -57,6 +58,16 @@
     assert oracle.findings == []
 
 
+CROWDS = ((1, 8), (2, 8))
+"""Seeds and steps in which crowds of clients that don't behave are among the faults."""
+
+
+@pytest.mark.parametrize(("seed", "steps"), CROWDS)
+def test_crowds_of_clients_harm_no_gateway_and_no_caller(seed, steps, tmp_path):
+    oracle = asyncio.run(play(seed, steps, tmp_path, drawn=CROWD_FAULTS))
+    assert oracle.findings == []
+
+
 KEYS = ((1, 8),)
 """Seeds and steps in which callers need keys that are taken away."""
 
