Refuse a body that is too long from its head

What callers saw: a body whose head names more than the limit was asked for (100-continue) and read up to the limit, 4 MB of memory, before 413 came.

Change: 413 as the head is complete. Evidence: the parser's test failed before (the body was asked for, nothing was refused).

--- a/src/robinspindle/requestparser.py
+++ b/src/robinspindle/requestparser.py
@@ -9,6 +9,7 @@
 
 from robinspindle.core import framing
 from robinspindle.core.bodies import Body, LongBody
+from robinspindle.core.decoding import parse_whole
 from robinspindle.core.forwarding import Headers
 from robinspindle.core.framing import Framing
 
@@ -185,9 +186,12 @@
     def on_headers_complete(self) -> None:
         """Note the head's time and ask for the body if the caller waits for that."""
         self._head_at = self.heard_at = self._clock()
-        for name, value in self._headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self._ask_for_body()
+        values = {name.lower(): value for name, value in self._headers}
+        length = parse_whole(values.get(b"content-length", b"0"))
+        if length is not None and length > self._limits.body_bytes:
+            raise _TooLongError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if values.get(b"expect", b"").lower() == b"100-continue":
+            self._ask_for_body()
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of the body."""
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -218,6 +218,22 @@
     asyncio.run(scenario())
 
 
+def test_a_body_that_is_too_long_is_refused_from_its_head_and_not_asked_for():
+    """Up to the limit it was read first, and asked for where its caller waited."""
+    asked = []
+    parser = RequestParser(
+        Limits(body_bytes=1000), lambda: 0.0, lambda: asked.append(1)
+    )
+    head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n"
+    assert parser.feed(head % 1001) == 413
+    assert not asked
+    parser = RequestParser(
+        Limits(body_bytes=1000), lambda: 0.0, lambda: asked.append(1)
+    )
+    assert parser.feed(head % 1000) is None
+    assert asked
+
+
 def test_a_body_in_the_shortest_chunks_takes_no_more_memory_than_in_one():
     """Each chunk was an object of its own: forty times its length."""
     parser = RequestParser(Limits(), lambda: 0.0, lambda: None)
