Keep what comes behind an unread answer in its order

What callers would have seen: a caller that reads slowly and sends in pieces got 400, or pieces of its requests in another order.

Cause: a piece that came while earlier ones waited was parsed before them.

Evidence: a request in pieces behind an unread answer; before, the connection was closed early (the first form of the test then read its end for ever), now all 30 answers come in their order.

--- a/src/robinspindle/callerconnections.py
+++ b/src/robinspindle/callerconnections.py
@@ -306,7 +306,7 @@
             self._count_dropped(len(data))
         if self._is_closing or self._is_discarding:
             return
-        if self._task is not None or self._parser.ready:
+        if self._task is not None or self._has_next:
             self._keep_ahead(data)
         else:
             self._feed(data)
