--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -246,7 +246,7 @@
                     raise CannotRunError(f"gateway {number} is not ready")
                 await asyncio.sleep(0.1)
 
-    async def start_replica(self, id, number, service, stage="", *options):
+    async def start_replica(self, id, number, service, stage="", *options, slots=48):
         host, port = f"{self.net}.{100 + number}", 8147
         process = await asyncio.create_subprocess_exec(
             sys.executable, str(COMMON / "replica.py"), "--id", id, "--host", host,
@@ -265,7 +265,7 @@
             "Address": f"{host}:{port}",
             "Zone": "amman-a",
             "Version": "v1",
-            "Slots": 48,
+            "Slots": slots,
             "State": "ready",
             "ColdRemainingMs": 0,
             "Sequence": 1,
--- a/review/common-2/replica.py
+++ b/review/common-2/replica.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import itertools
 import json
 import time
@@ -18,6 +19,7 @@
         self.log = open(args.log, "a", buffering=1)
         self.numbers = itertools.count(1)
         self.running = 0
+        self.places = asyncio.Semaphore(args.slots) if args.slots else None
         self.handles = itertools.count(1)
 
     def note(self, what, **fields):
@@ -59,7 +61,7 @@
             writer.write(_head(421, 0, own + "X-Not-Executed: 1\r\n"))
             return True
         own += f"X-Response-Seal: s.{self.args.id}.{id}\r\n"
-        if self.args.slots and self.running >= self.args.slots:
+        if self.places and self.running >= self.args.slots + self.args.queue:
             self.note("full", id=id)
             writer.write(_head(503, 0, own + "X-Not-Executed: 1\r\n"))
             return True
@@ -67,7 +69,8 @@
             self.note("run", id=id, target=target)
             self.running += 1
             try:
-                await asyncio.sleep(self.args.work_ms / 1000)
+                async with self.places or contextlib.nullcontext():
+                    await asyncio.sleep(self.args.work_ms / 1000)
             finally:
                 self.running -= 1
             data = b"answer to " + id.encode()
@@ -123,6 +126,7 @@
     parser.add_argument("--work-ms", type=float, default=15)
     parser.add_argument("--slots", type=int, default=0)
     parser.add_argument("--body-bytes", type=int, default=0)
+    parser.add_argument("--queue", type=int, default=0)
     parser.add_argument("--pad", type=int, default=0)
     parser.add_argument("--unframed-every", type=int, default=0)
     args = parser.parse_args()
