Give up peers that are gone, not peers that have no room

Callers saw: who took nothing of an answer for over 5 s was reset, though the target had made all of it; a target that took nothing of a body for over 4 s was cut off, and the request ended in 502.

Cause: TCP_USER_TIMEOUT also ends connections whose peer acknowledges every probe of its closed window.

Change: the option applies until bytes are found to wait; from then on a peer is given up by what it owes (TCP_INFO: packets or probes that are not acknowledged). The same on connections to targets and the store.

--- a/src/robinspindle/callerconnections.py
+++ b/src/robinspindle/callerconnections.py
@@ -1,6 +1,7 @@
 """A caller's connection: requests come in, one at a time is under way."""
 
 import asyncio
+import math
 import socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -12,14 +13,15 @@
 from robinspindle.hangups import is_closed_by_peer
 from robinspindle.replies import Reply
 from robinspindle.requestparser import Incoming, Limits, RequestParser
+from robinspindle.sendwatch import Loss, SendWatch
 from robinspindle.sharedreads import SharedReads
 
 MOST_WAITING_BYTES = 16384
 """Bytes that a caller may send ahead of its answers before reading pauses."""
 
 UNACKED_MS = 5000
-"""Sent bytes that a caller does not acknowledge end its connection after this,
-milliseconds; callers may sit behind slow links."""
+"""A caller that owes an acknowledgement for this long is gone, milliseconds; callers
+may sit behind slow links."""
 
 LINGER_S = 2.0
 """How long a connection is read on whose request was refused before it had come whole,
@@ -36,6 +38,9 @@
 """Answers a request whose handler failed; nothing is said of whether it ran."""
 
 
+RELIEFS = {Loss.GONE: Relief.UNREACHABLE, Loss.STUCK: Relief.STALLED}
+"""How a connection counts that is closed as its answer can't be delivered."""
+
 Handle = Callable[[Incoming, Reply], Awaitable[None]]
 
 
@@ -96,6 +101,7 @@
         self._is_discarding = False
         self._lingers_until: float | None = None
         self._dropped_bytes = 0
+        self._watch = SendWatch(UNACKED_MS, self._give_up, self._find_patience_s)
 
     @property
     def is_busy(self) -> bool:
@@ -150,6 +156,7 @@
         """Write, unless the caller has left."""
         if not self.is_lost and not self._transport.is_closing():
             self._transport.write(data)
+            self._watch.note_written()
             self.server.note_sent(len(data))
 
     def close(self) -> None:
@@ -197,6 +204,18 @@
         self.set_flow(None, None)
         self.abort()
 
+    def _give_up(self, loss: Loss) -> None:
+        """Close at once, as what was written can't be delivered."""
+        self.server.callers.note(RELIEFS[loss])
+        self.abort()
+
+    def _find_patience_s(self) -> float:
+        """Find how long the caller may take nothing of its answer, seconds.
+
+        While a request is under way its own time limit applies.
+        """
+        return math.inf if self._task is not None else self.server.limits.idle_s
+
     def _refuse_coming(self, refusal: Refusal) -> None:
         """Refuse the request that is coming in; what still comes of it is dropped."""
         self.server.note_refused(self._parser.coming_headers)
@@ -269,11 +288,12 @@
         self.server.connections.add(self)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+        self._watch.begin(sock)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up what is under way for the caller."""
         self.is_lost = True
+        self._watch.end()
         self.server.connections.discard(self)
         self.set_flow(None, None)
         # The parser and its connection hold each other, and so do what they hold.
--- a/src/robinspindle/callerlimits.py
+++ b/src/robinspindle/callerlimits.py
@@ -29,6 +29,12 @@
     TURNED_AWAY = "turned away"
     """It was closed unread as it came."""
 
+    UNREACHABLE = "unreachable"
+    """It was closed, as its caller acknowledged nothing."""
+
+    STALLED = "stalled"
+    """It was closed, as its caller took nothing of a whole answer for too long."""
+
 
 class Connection(Protocol):
     """What is asked of a connection."""
@@ -81,7 +87,7 @@
             self.evict(holding)
             self.remove(holding)
         if len(self.account.holdings) >= self.account.max_connections:
-            self._note(Relief.TURNED_AWAY)
+            self.note(Relief.TURNED_AWAY)
             return None
         holding = calleraccount.add_connection(self.account, self._clock())
         self._connections[holding] = connection
@@ -111,14 +117,15 @@
             account.abandoned_bytes = 0
         for excess in calleraccount.list_excess(account, self._clock()):
             excess.has_given_way = True
-            self._note(self._connections[excess].give_way())
+            self.note(self._connections[excess].give_way())
 
     def evict(self, holding: CallerHolding) -> None:
         """Have a connection give its place up that has nothing under way."""
         self._connections[holding].give_place()
-        self._note(Relief.CLOSED)
+        self.note(Relief.CLOSED)
 
-    def _note(self, relief: Relief) -> None:
+    def note(self, relief: Relief) -> None:
+        """Count a connection that was closed or shortened."""
         self._untold[relief] += 1
         self._count(relief)
 
--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -21,12 +21,13 @@
 from robinspindle.core.forwarding import AnswerHead, Headers
 from robinspindle.core.framing import Framing
 from robinspindle.core.obstacles import Obstacle
+from robinspindle.sendwatch import SendWatch
 from robinspindle.sharedreads import SharedReads
 from robinspindle.zonetraffic import Meter
 
 UNACKED_MS = 4000
-"""Sent bytes that nobody acknowledges, or has room for, end a connection after this,
-milliseconds: a peer that is suspended for a second or two goes on afterwards."""
+"""A peer that owes an acknowledgement for this long is gone, milliseconds: one that is
+suspended for a second or two goes on afterwards."""
 
 DEFAULT_IDLE_S = 2.0
 """How long an idle connection is used where the target does not say, seconds."""
@@ -227,6 +228,7 @@
         self._has_body = False
         self._foreign_bytes = 0
         self._is_in_head = False
+        self._watch = SendWatch(UNACKED_MS, lambda loss: self._break(loss.value))
         self.opened_at = 0.0
         self.idle_s = DEFAULT_IDLE_S
         self.idle_since = 0.0
@@ -265,6 +267,7 @@
             self._meter.note_sent(len(data) + len(body))
         framing.reset(self._framing)
         self._foreign_bytes = 0
+        self._watch.note_written()
         if len(body) <= SHORT_BODY_BYTES:
             self._transport.write(data + bytes(body))
             return
@@ -277,6 +280,7 @@
         """Send what the other end takes of the rest of a body."""
         while self._unsent and not self._is_full and self.is_open:
             self._transport.write(self._unsent.popleft())
+            self._watch.note_written()
 
     def abort(self) -> None:
         """End the connection at once, with whatever is under way."""
@@ -302,7 +306,9 @@
         self._transport = transport
         self.opened_at = read_steady()
         self.is_open = True
-        _limit_silence(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._watch.begin(sock)
 
     def pause_writing(self) -> None:
         """Wait until the other end has taken what was sent."""
@@ -343,6 +349,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End what is under way."""
+        self._watch.end()
         self.is_open = False
         self._unsent.clear()
         exchange, self._exchange = self._exchange, None
@@ -448,8 +455,3 @@
         self.abort()
         if exchange is not None:
             exchange.fail(ConnectionBrokenError(text))
-
-
-def _limit_silence(sock: socket.socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -149,14 +149,17 @@
 
 @given(list_surplus(1, least=1), st.lists(st.integers(1, 200), max_size=4))
 def test_surplus_answers_alone_are_no_answer(surplus, cuts):
-    connection = ClientConnection(decode_answer)
-    connection.connection_made(FakeTransport())
-    exchange = Exchange("r5")
-    connection.send(exchange, b"request")
-    for piece in split(b"".join(write_surplus(one, 5) for one in surplus), cuts):
-        connection.data_received(piece)
-    assert exchange.head is None
-    assert exchange.error is None
+    async def play():
+        connection = ClientConnection(decode_answer)
+        connection.connection_made(FakeTransport())
+        exchange = Exchange("r5")
+        connection.send(exchange, b"request")
+        for piece in split(b"".join(write_surplus(one, 5) for one in surplus), cuts):
+            connection.data_received(piece)
+        assert exchange.head is None
+        assert exchange.error is None
+
+    asyncio.run(play())
 
 
 class FullTransport(FakeTransport):
@@ -177,15 +180,19 @@
 
 def test_a_long_body_is_handed_to_its_connection_as_the_target_takes_it():
     """It was copied whole for each attempt, and again where the target was slow."""
-    connection = ClientConnection(decode_answer)
-    transport = FullTransport(connection)
-    connection.connection_made(transport)
-    body = LongBody((b"a" * 20_000, b"b" * 20_000))
-    connection.send(Exchange("r0"), b"head", body)
-    assert transport.written == b"head"
-    connection.resume_writing()
-    assert transport.written == b"head" + b"a" * 20_000
-    connection.data_received(write(200, "r0", b"early"))
-    assert not connection.can_be_reused
-    connection.resume_writing()
-    assert transport.written == b"head" + bytes(body)
+
+    async def play():
+        connection = ClientConnection(decode_answer)
+        transport = FullTransport(connection)
+        connection.connection_made(transport)
+        body = LongBody((b"a" * 20_000, b"b" * 20_000))
+        connection.send(Exchange("r0"), b"head", body)
+        assert transport.written == b"head"
+        connection.resume_writing()
+        assert transport.written == b"head" + b"a" * 20_000
+        connection.data_received(write(200, "r0", b"early"))
+        assert not connection.can_be_reused
+        connection.resume_writing()
+        assert transport.written == b"head" + bytes(body)
+
+    asyncio.run(play())
--- a/tests/test_targettraffic.py
+++ b/tests/test_targettraffic.py
@@ -6,9 +6,16 @@
 from robinspindle.core.targets import Announcement, Target
 from robinspindle.httpclient import ClientConnection, Exchange, NotSentError
 from robinspindle.platform.dialect import decode_answer
+from robinspindle.sendwatch import SendWatch
 from robinspindle.targettraffic import TargetTraffic
 
 
+@pytest.fixture(autouse=True)
+def without_event_loop(monkeypatch):
+    """Nothing looks after the bytes that a fake transport takes."""
+    monkeypatch.setattr(SendWatch, "note_written", lambda watch: None)
+
+
 class FakeTransport:
     def __init__(self):
         self.written = b""
