Renew no lease of keys by a configuration that can't be read

Callers saw: with a key that was taken away they were served for as long as the version that took it could not be read.

Cause: a read of the store renewed the lease of freshness whatever came of what it held; the comment said that such a version takes no key away, which nobody can know.

Change: while the newest version can't be read, neither the store nor peers renew the lease, no key is called unknown and no route missing (503 in place of 401 and 404), and the store is not asked ahead of schedule. Where keys carry no promise the last version serves on. The gauge configuration_newest_unreadable tells it, the log line its length.

The test of platform/test_workspaces.py failed before: the key worked 1.2 s after a promise of 1 s had run out.

--- a/src/robinspindle/admitting.py
+++ b/src/robinspindle/admitting.py
@@ -73,7 +73,8 @@
             return forwarding.NO_CONFIGURATION
         route = find_route(table, request.host, request.path)
         if route is None:
-            return forwarding.NO_ROUTE
+            is_behind = means.freshness.is_newest_unreadable
+            return forwarding.NOT_FRESH if is_behind else forwarding.NO_ROUTE
         permit = permits.authorize(
             table, route, request, means.freshness, means.clock()
         )
--- a/src/robinspindle/beliefs.py
+++ b/src/robinspindle/beliefs.py
@@ -15,6 +15,8 @@
     Freshness,
     find_relay_wait_s,
     find_wait_s,
+    note_newest_readable,
+    note_newest_unreadable,
     note_store_read,
 )
 from robinspindle.core.relays import decode_member
@@ -43,6 +45,9 @@
 """Least time between two reads about gateways, seconds: all introduce themselves at
 once, and each record would be a call of each other gateway."""
 
+MAX_FINDINGS = 10
+"""Most findings of one configuration in a log line."""
+
 
 @dataclass(frozen=True)
 class Beliefs:
@@ -215,7 +220,7 @@
     def _note_configuration_newest(self, sent_at: float) -> None:
         """Take note that nothing newer is in force.
 
-        What can't be read came into force nowhere, and takes no key away.
+        A version that can't be read may have taken keys away; it renews nothing.
         """
         note_store_read(self.freshness, sent_at)
 
@@ -226,10 +231,14 @@
         try:
             table = self.adapter.decode_configuration(value)
         except BadDocumentError as error:
+            note_newest_unreadable(self.freshness)
             self.log(
-                "configuration can't be read, the last one stays", error=str(error)
+                "configuration can't be read, the last one stays",
+                bytes=len(value),
+                error=str(error),
             )
             return
+        note_newest_readable(self.freshness)
         if not is_newer(table, self.fleet.table):
             self.log("older configuration passed over", version=table.version)
             return
@@ -248,6 +257,13 @@
             bytes=len(value),
             decode_ms=round((self.clock() - came_at) * 1000),
         )
+        if table.findings:
+            self.log(
+                "parts of the configuration can't be used",
+                version=table.version,
+                count=len(table.findings),
+                findings=table.findings[:MAX_FINDINGS],
+            )
 
     def _apply_target(self, key: str, value: bytes | None) -> None:
         directory, now = self.fleet.directory, self.clock()
--- a/src/robinspindle/core/freshness.py
+++ b/src/robinspindle/core/freshness.py
@@ -55,6 +55,8 @@
         peer_renewed_at: When a peer last renewed `newest_at`, monotonic seconds.
         newer_version: The highest version that a peer sent.
         newer_at: When that version was received, monotonic seconds.
+        is_newest_unreadable: Whether the newest configuration can't be read: it may
+            have taken keys away, and changed everything else.
     """
 
     limit_s: float | None = None
@@ -65,13 +67,15 @@
     peer_renewed_at: float = -math.inf
     newer_version: int = 0
     newer_at: float = -math.inf
+    is_newest_unreadable: bool = False
 
 
 def note_store_read(freshness: Freshness, sent_at: float) -> None:
     """Note that the store held no newer configuration when it was asked.
 
     This is ignored if a peer has sent a newer version, as a store that was restored
-    from a backup may hold less than a peer has read.
+    from a backup may hold less than a peer has read. It is also ignored while the
+    newest version can't be read.
 
     Args:
         freshness: What is known; changed in place.
@@ -81,6 +85,16 @@
         freshness.newest_at = max(freshness.newest_at, sent_at)
 
 
+def note_newest_unreadable(freshness: Freshness) -> None:
+    """Note that the store holds a version that can't be read."""
+    freshness.is_newest_unreadable = True
+
+
+def note_newest_readable(freshness: Freshness) -> None:
+    """Note that the version that the store holds can be read."""
+    freshness.is_newest_unreadable = False
+
+
 def note_peer_version(
     freshness: Freshness, version: int, as_of: float, now: float
 ) -> None:
@@ -130,7 +144,7 @@
 
 def must_renew(freshness: Freshness, now: float) -> bool:
     """Whether the store must be asked ahead of schedule."""
-    if not _is_promised(freshness):
+    if not _is_promised(freshness) or freshness.is_newest_unreadable:
         return False
     return now - freshness.newest_at > RENEW_SHARE * freshness.limit_s
 
@@ -169,7 +183,12 @@
 
 
 def _is_behind(freshness: Freshness, now: float) -> bool:
-    """Whether a peer sent a newer version, recently enough to be relied on."""
+    """Whether a newer version exists that is not in force here.
+
+    One that a peer sent counts as long as that may be relied on.
+    """
+    if freshness.is_newest_unreadable:
+        return True
     if freshness.newer_version <= freshness.version:
         return False
     return now - freshness.newer_at <= (freshness.limit_s or freshness.apply_s)
--- a/src/robinspindle/core/routes.py
+++ b/src/robinspindle/core/routes.py
@@ -140,6 +140,7 @@
         keys: The keys of workspaces; None if requests need no key.
         ranks: The rank of a request among those to its service, by service and by the
             pair of its workspace's and its route's priority; 0 is the highest.
+        findings: What of the configuration could not be used as it was, in words.
     """
 
     version: int
@@ -148,6 +149,7 @@
     limits: CallerLimits = CallerLimits()
     keys: KeyRing | None = None
     ranks: dict[str, dict[tuple[int, int], int]] = field(default_factory=dict)
+    findings: tuple[str, ...] = ()
 
 
 def make_table(
@@ -156,6 +158,7 @@
     services: Iterable[Service],
     limits: CallerLimits,
     keys: KeyRing | None = None,
+    findings: Iterable[str] = (),
 ) -> RouteTable:
     """Build a table for looking up routes."""
     hosts: dict[str, list[Route]] = {}
@@ -168,7 +171,7 @@
     }
     by_name = {service.name: service for service in services}
     ranks = _rank_routes(routes, keys) if keys is not None else {}
-    return RouteTable(version, ordered, by_name, limits, keys, ranks)
+    return RouteTable(version, ordered, by_name, limits, keys, ranks, tuple(findings))
 
 
 def find_rank(
--- a/src/robinspindle/gatewaymetrics.py
+++ b/src/robinspindle/gatewaymetrics.py
@@ -35,6 +35,8 @@
             more work than it could do.
         denied_repeats: Repeats that the budget did not allow.
         version: Version of the configuration in force; 0 for none.
+        version_findings: Values of it that could not be used as they are.
+        is_version_unreadable: Whether the store holds one that can't be read.
         version_age: Time since it was known to be the newest, seconds.
         targets: Targets that may get work.
         limited: Targets that have lately named a limit on their request rate.
@@ -94,6 +96,12 @@
             "configuration_age_seconds",
             "Time since the configuration was known to be the newest",
         )
+        self.version_findings = self._gauge(
+            "configuration_findings", "Values of it that could not be used as they are"
+        )
+        self.is_version_unreadable = self._gauge(
+            "configuration_newest_unreadable", "Whether a newer one can't be read"
+        )
         self.targets = self._gauge("targets", "Targets that may get work")
         self.limited = self._gauge(
             "targets_limited", "Targets that have lately named a limit"
--- a/src/robinspindle/gauges.py
+++ b/src/robinspindle/gauges.py
@@ -98,6 +98,8 @@
     fleet, directory = parts.fleet, parts.fleet.directory
     usable = [t for t in directory.targets.values() if health.may_get_work(t, now)]
     metrics.version.set(fleet.table.version if fleet.table else 0)
+    metrics.version_findings.set(len(fleet.table.findings) if fleet.table else 0)
+    metrics.is_version_unreadable.set(parts.freshness.is_newest_unreadable)
     metrics.version_age.set(now - parts.freshness.newest_at)
     metrics.targets.set(len(usable))
     obstacles = count_send_obstacles(directory.targets.values(), now)
--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -10,6 +10,8 @@
     may_deny,
     may_serve,
     must_renew,
+    note_newest_readable,
+    note_newest_unreadable,
     note_peer_version,
     note_store_read,
     relies_on_peers,
@@ -26,6 +28,20 @@
     assert not may_serve(make(), 0.0)
 
 
+def test_a_newest_version_that_cant_be_read_renews_nothing():
+    freshness = make(version=4, newest_at=1.0)
+    note_newest_unreadable(freshness)
+    note_store_read(freshness, 3.0)
+    note_peer_version(freshness, 4, as_of=3.0, now=3.0)
+    assert freshness.newest_at == 1.0
+    assert not may_deny(freshness, 1.0)
+    assert not must_renew(freshness, 9.0)
+    note_newest_readable(freshness)
+    note_store_read(freshness, 4.0)
+    assert freshness.newest_at == 4.0
+    assert may_deny(freshness, 4.0)
+
+
 def test_read_counts_from_when_it_was_sent():
     freshness = make()
     note_store_read(freshness, 10.0)
--- a/tests/platform/test_workspaces.py
+++ b/tests/platform/test_workspaces.py
@@ -216,6 +216,28 @@
     assert any("workspaces red and blue share a key" in error for error in errors)
 
 
+def test_a_configuration_that_cant_be_read_renews_no_lease_of_keys(tmp_path):
+    # It may have taken keys away, but was read as proof that nothing newer exists.
+    pledges = replace(Pledges(repeat_slack=320.0), revoke_s=1.0)
+
+    async def scenario(d):
+        await d.add("i1")
+        assert (await d.call("/safe/x", **bearer(KEY))).status == 200
+        await d.store.put("keyed.op", "config", make_document(2, Tenants=7))
+        await until(lambda: list_errors(LINES))
+        assert (await d.call("/later/x", **bearer(KEY))).status == 503
+        assert (await d.call("/safe/x", **bearer("later-key"))).status == 503
+        await asyncio.sleep(1.2)
+        assert (await d.call("/safe/x", **bearer(KEY))).status == 503
+        assert await d.ask_ready() == 503
+        assert (await d.call("/free/x")).status == 200
+        await put(d, make_document(3))
+        assert (await d.call("/safe/x", **bearer(KEY))).status == 200
+        assert (await d.call("/later/x", **bearer(KEY))).status == 404
+
+    run_scenario(tmp_path, scenario, pledges)
+
+
 def test_a_disconnected_gateway_accepts_no_key_after_the_revocation_time(tmp_path):
     """Only requests that need a key are refused.
 
