Leave out the part of a configuration that can't be used, not all of it

Callers saw: a version with one odd value, here a workspace's name with a letter beyond ASCII, never came into force: its routes, services and keys were those of the version before, for as long as it was the newest.

Cause: any finding in a document raised for the whole of it.

Change: each part is decoded by itself; an odd value is taken as its default, a number as the nearest one in bounds. Requests that a part without a usable value concerns are rejected at once: those of its route, those with its keys. Where it isn't known which requests that would be, the document is unreadable as before. Workspaces' names may hold letters of all scripts: headers carry them as UTF-8.

--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -217,6 +217,9 @@
 NO_CONFIGURATION = Refusal(503, "no-configuration", 0.5)
 NO_ROUTE = Refusal(404, "no-route")
 UNKNOWN_KEY = Refusal(401, "unknown-key")
+UNUSABLE_KEY = Refusal(503, "key-unusable", 1.0)
+"""The key is known, but not whose it is."""
+
 NOT_FRESH = Refusal(503, "configuration-not-fresh", 0.3)
 BROKEN = Refusal(502, "broken")
 TIMED_OUT = Refusal(504, "timed-out")
--- a/src/robinspindle/core/permits.py
+++ b/src/robinspindle/core/permits.py
@@ -7,7 +7,13 @@
 
 from dataclasses import dataclass
 
-from robinspindle.core.forwarding import NOT_FRESH, UNKNOWN_KEY, Refusal, Request
+from robinspindle.core.forwarding import (
+    NOT_FRESH,
+    UNKNOWN_KEY,
+    UNUSABLE_KEY,
+    Refusal,
+    Request,
+)
 from robinspindle.core.freshness import Freshness, may_deny, may_serve
 from robinspindle.core.routes import Route, RouteTable
 from robinspindle.core.workspaces import Workspace, digest_key, find_owner
@@ -52,9 +58,12 @@
     workspace = None if digest is None else find_owner(table.keys, digest)
     if route.is_public:
         return Permit(workspace)
+    if digest in table.keys.withheld:
+        return UNUSABLE_KEY
     if workspace is None:
         # A request without a key is invalid however old the configuration is.
-        is_certain = digest is None or may_deny(freshness, now)
+        is_known = table.keys.is_complete and may_deny(freshness, now)
+        is_certain = digest is None or is_known
         return UNKNOWN_KEY if is_certain else NOT_FRESH
     if not may_serve(freshness, request.received_at):
         return NOT_FRESH
@@ -66,3 +75,10 @@
     if permit.digest is None:
         return False
     return table.keys is None or find_owner(table.keys, permit.digest) is None
+
+
+def refuse_revoked(table: RouteTable, permit: Permit) -> Refusal:
+    """Refuse a waiting request whose key was revoked."""
+    if table.keys is not None and permit.digest in table.keys.withheld:
+        return UNUSABLE_KEY
+    return UNKNOWN_KEY
--- a/src/robinspindle/core/workspaces.py
+++ b/src/robinspindle/core/workspaces.py
@@ -14,6 +14,12 @@
 """Longest key, bytes: the header section of a request holds at most 16 KB."""
 
 
+MAX_NAME_BYTES = 1024
+"""Longest name of a workspace, bytes: requests carry it in a header."""
+
+DELETE = 0x7F
+
+
 @dataclass(frozen=True)
 class Workspace:
     """A team that shares the deployment.
@@ -34,9 +40,14 @@
 
     Attributes:
         owners: The workspace of each key, by the key's digest.
+        withheld: Digests of keys that the configuration has, and that can't be used as
+            it is not known for whom.
+        is_complete: Whether all keys of the configuration are known.
     """
 
     owners: dict[bytes, Workspace] = field(default_factory=dict)
+    withheld: frozenset[bytes] = frozenset()
+    is_complete: bool = True
 
 
 def digest_key(key: bytes) -> bytes:
@@ -65,25 +76,52 @@
     return None
 
 
+def find_name_fault(name: str) -> str | None:
+    """Return why a workspace's name can't be sent as a header; None if it can.
+
+    Letters of all scripts can: headers carry them as UTF-8.
+    """
+    try:
+        size = len(name.encode())
+    except UnicodeEncodeError:
+        return "its name holds half a character"
+    if not size:
+        return "its name is empty"
+    if size > MAX_NAME_BYTES:
+        return f"its name is longer than {MAX_NAME_BYTES} bytes"
+    if any(ord(letter) < ord(" ") or ord(letter) == DELETE for letter in name):
+        return "its name holds control characters"
+    # The receiver of a header drops blanks around its value.
+    return None if name == name.strip(" ") else "its name begins or ends with a blank"
+
+
 def make_key_ring(
     keys: Iterable[tuple[bytes, Workspace]],
+    withheld: Iterable[bytes] = (),
+    is_complete: bool = True,
 ) -> tuple[KeyRing, list[str]]:
     """Make a key ring.
 
     Args:
         keys: Digests of keys, each with its workspace.
+        withheld: Digests of keys that can't be used.
+        is_complete: Whether these are all keys of the configuration.
 
     Returns:
-        The key ring, and a finding for each key that two workspaces share. Findings
-        don't quote keys.
+        The key ring, and a finding for each key that two workspaces share: it is
+        withheld, as it doesn't tell whose a request is. Findings don't quote keys.
     """
     owners: dict[bytes, Workspace] = {}
+    withheld = set(withheld)
     findings = []
     for digest, workspace in keys:
         other = owners.setdefault(digest, workspace)
         if other.name != workspace.name:
+            withheld.add(digest)
             findings.append(f"workspaces {other.name} and {workspace.name} share a key")
-    return KeyRing(owners), findings
+    for digest in withheld:
+        owners.pop(digest, None)
+    return KeyRing(owners, frozenset(withheld), is_complete), findings
 
 
 def find_owner(ring: KeyRing, digest: bytes) -> Workspace | None:
--- a/src/robinspindle/finalanswers.py
+++ b/src/robinspindle/finalanswers.py
@@ -2,7 +2,7 @@
 
 import random
 
-from robinspindle.core import forwarding, streamversions
+from robinspindle.core import forwarding, permits, streamversions
 from robinspindle.core.forwarding import Refusal, Request
 from robinspindle.passages import Means, Passage
 from robinspindle.passing import pass_whole
@@ -53,7 +53,8 @@
         if passage.runs:
             refusal = forwarding.refuse_unknown_outcome(left_s)
         elif is_barred(self._means, passage):
-            refusal, reason = forwarding.UNKNOWN_KEY, forwarding.UNKNOWN_KEY.reason
+            refusal = permits.refuse_revoked(self._means.fleet.table, passage.permit)
+            reason = refusal.reason
         else:
             refusal = self._refuse_not_run(passage, reason)
         reply.refuse(refusal)
--- a/src/robinspindle/platform/documents.py
+++ b/src/robinspindle/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the documents that operators and targets write to the platform's store."""
 
+from dataclasses import dataclass
 from functools import lru_cache
 from typing import Annotated, Literal
 
@@ -14,6 +15,7 @@
     shorten,
 )
 from robinspindle.core.lifetimes import is_id, make_lifetime
+from robinspindle.core.partialdecoding import Part, decode_part
 from robinspindle.core.routes import (
     AT_MOST_ONCE,
     IDEMPOTENT,
@@ -33,6 +35,7 @@
     Workspace,
     digest_key,
     find_key_fault,
+    find_name_fault,
     make_key_ring,
 )
 from robinspindle.exceptions import BadDocumentError
@@ -44,12 +47,6 @@
 """Most recently used routes that stay decoded: 1.5 times the routes of the largest
 tested configuration. Decoding blocks the event loop, so nothing is served meanwhile."""
 
-MAX_FINDINGS = 10
-"""Maximum number of findings of one document in an error message."""
-
-MAX_NAME_LENGTH = 256
-"""Longest name of a workspace, characters: requests carry it in a header."""
-
 KINDS_BY_NAME = {
     "idempotent": IDEMPOTENT,
     "non_idempotent": AT_MOST_ONCE,
@@ -63,11 +60,12 @@
 
 
 class _Route(msgspec.Struct, rename="pascal"):
-    name: str
+    # Without these two it is not known whose requests the route is for.
     hostname: str
     path_prefix: str
-    kind: str
-    timeout_ms: Amount
+    name: str = ""
+    kind: str = ""
+    timeout_ms: Amount | None = None
     # Latency objective for the whole answer, or its first event; it is not a limit.
     target_latency_ms: Amount = 1000.0
     max_attempts: SignedWhole = 1
@@ -117,7 +115,7 @@
 
 
 class _Tenant(msgspec.Struct, rename="pascal"):
-    name: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+    name: str = ""
     api_keys: list[str] = []
     priority: SignedWhole = 0
 
@@ -127,11 +125,11 @@
     # Each route is decoded and cached separately, because most routes stay the same
     # from one version to the next.
     routes: list[msgspec.Raw]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    services: msgspec.Raw = msgspec.Raw(b"[]")
+    limits: msgspec.Raw = msgspec.Raw(b"{}")
     # Requests need keys if this list is given, even if it is empty, because workspaces
     # may be added later.
-    tenants: list[_Tenant] | None = None
+    tenants: list[msgspec.Raw] | None = None
 
 
 DRAINING = "draining"
@@ -165,28 +163,32 @@
 
 
 _decode_document = make_json_decoder(_Configuration)
-_decode_route_document = make_json_decoder(_Route)
+_decode_list = make_json_decoder(list[msgspec.Raw])
 _decode_entry = make_json_decoder(_Entry, MAX_ENTRY_BYTES)
 
 
 def decode_configuration(data: bytes) -> RouteTable:
     """Decode the operator's configuration.
 
+    A part that can't be used is left out of it, or has another value, if it is known
+    which requests that concerns: those of a route, or of a workspace, are rejected.
+
     Raises:
-        BadDocumentError: If it is invalid.
+        BadDocumentError: If the document is no configuration, or it isn't known which
+            requests a route is for, or whether requests need keys.
     """
     document = _decode_document(data)
+    findings: list[str] = []
+    routes = [_decode_route(bytes(route)) for route in document.routes]
+    for part in routes:
+        findings += part.findings
     return make_table(
         document.version,
-        [_decode_route(bytes(route)) for route in document.routes],
-        [_make_service(service) for service in document.services],
-        CallerLimits(
-            header_bytes=document.limits.max_header_bytes,
-            body_bytes=document.limits.max_body_bytes,
-            header_s=document.limits.header_timeout_ms / 1000,
-            idle_s=document.limits.idle_timeout_ms / 1000,
-        ),
-        None if document.tenants is None else _make_key_ring(document.tenants),
+        [part.route for part in routes],
+        _decode_services(document.services, findings),
+        _decode_limits(document.limits, findings),
+        _decode_tenants(document.tenants, findings),
+        findings,
     )
 
 
@@ -221,19 +223,36 @@
     )
 
 
+@dataclass(frozen=True)
+class _RoutePart:
+    """A decoded route, and what of it could not be used as it was."""
+
+    route: Route
+    findings: tuple[str, ...]
+
+
 @lru_cache(maxsize=MAX_CACHED_ROUTES)
-def _decode_route(data: bytes) -> Route:
-    route = _decode_route_document(data)
+def _decode_route(data: bytes) -> _RoutePart:
+    part = decode_part(_Route, data)
+    route = part.value
+    name = route.name or f"{route.hostname}{route.path_prefix}"
+    findings = [f"route {shorten(name)}: {finding}" for finding in part.findings]
     backends = tuple(Backend(b.service, b.weight) for b in route.backends)
     if route.service is not None:
         backends = (Backend(route.service),)
-    return Route(
-        name=route.name,
+    timeout_ms = route.timeout_ms
+    if timeout_ms is None:
+        # Its requests are rejected: they must not fall to a route with a shorter
+        # prefix.
+        timeout_ms, backends = 0.0, ()
+        findings.append(f"route {shorten(name)} has no TimeoutMs, and serves nobody")
+    decoded = Route(
+        name=name,
         host=route.hostname.lower(),
         prefix=route.path_prefix,
         # A request of unknown kind may not be safe to retry, so it runs at most once.
         kind=KINDS_BY_NAME.get(route.kind, AT_MOST_ONCE),
-        timeout_s=route.timeout_ms / 1000,
+        timeout_s=timeout_ms / 1000,
         latency_objective_s=route.target_latency_ms / 1000,
         attempts=route.max_attempts,
         priority=route.priority,
@@ -242,32 +261,81 @@
         gap_s=route.target_gap_ms / 1000,
         is_public=route.public,
     )
+    return _RoutePart(decoded, tuple(findings))
+
+
+def _decode_services(data: msgspec.Raw, findings: list[str]) -> list[Service]:
+    """Decode the services; one without a name has no requests, and is left out."""
+    services: list[Service] = []
+    try:
+        documents = _decode_list(bytes(data))
+    except BadDocumentError as error:
+        findings.append(f"services are left out: {error}")
+        return services
+    for number, data in enumerate(documents):
+        try:
+            part = decode_part(_Service, bytes(data))
+        except BadDocumentError as error:
+            findings.append(f"service {number} is left out: {error}")
+            continue
+        name = part.value.name
+        findings += [f"service {shorten(name)}: {text}" for text in part.findings]
+        services.append(_make_service(part.value))
+    return services
+
+
+def _decode_limits(data: msgspec.Raw, findings: list[str]) -> CallerLimits:
+    try:
+        part = decode_part(_Limits, bytes(data))
+    except BadDocumentError as error:
+        part = Part(_Limits(), (f"left out: {error}",))
+    limits = part.value
+    findings += [f"limits: {text}" for text in part.findings]
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_s=limits.header_timeout_ms / 1000,
+        idle_s=limits.idle_timeout_ms / 1000,
+    )
 
 
-def _make_key_ring(tenants: list[_Tenant]) -> KeyRing:
+def _decode_tenants(
+    documents: list[msgspec.Raw] | None, findings: list[str]
+) -> KeyRing | None:
     """Make the key ring of all workspaces; it contains only the digests of their keys.
 
-    Raises:
-        BadDocumentError: If a name or a key is invalid, or two workspaces share a key.
-            Its message quotes no key.
+    Keys that can't be used, and those of a workspace whose name can't, are withheld.
+    Findings quote no key.
     """
-    findings, pairs = [], []
-    for tenant in tenants:
-        # Requests carry the name in a header.
-        if not tenant.name.isascii() or not tenant.name.isprintable():
-            findings.append(
-                f"workspace name {shorten(ascii(tenant.name))} is not printable ASCII"
-            )
+    if documents is None:
+        return None
+    pairs, withheld, is_complete = [], set(), True
+    for number, data in enumerate(documents):
+        try:
+            part = decode_part(_Tenant, bytes(data))
+        except BadDocumentError as error:
+            findings.append(f"workspace {number} is left out: {error}")
+            is_complete = False
+            continue
+        tenant = part.value
+        place = f"workspace {number} {shorten(ascii(tenant.name))}"
+        # What decoding finds in a list of keys would quote them.
+        findings += [f"{place} has values that can't be used"] * bool(part.findings)
+        name_fault = find_name_fault(tenant.name)
+        if name_fault is not None:
+            findings.append(f"{place} is left out: {name_fault}")
         workspace = Workspace(tenant.name, tenant.priority)
         for key in tenant.api_keys:
             fault = find_key_fault(key)
             if fault is not None:
-                findings.append(f"workspace {tenant.name} has {fault}")
-            pairs.append((digest_key(key.encode()), workspace))
-    ring, shared_keys = make_key_ring(pairs)
+                findings.append(f"{place} has {fault}")
+            digest = digest_key(key.encode("utf-8", "surrogatepass"))
+            if fault is None and name_fault is None:
+                pairs.append((digest, workspace))
+            else:
+                withheld.add(digest)
+    ring, shared_keys = make_key_ring(pairs, withheld, is_complete)
     findings += shared_keys
-    if findings:
-        raise BadDocumentError("; ".join(findings[:MAX_FINDINGS]))
     return ring
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -90,6 +90,112 @@
         decode_announcement("i1", data)
 
 
+FULL = make_configuration(
+    version=3,
+    routes=[
+        make_route("a", "idempotent", "push"),
+        make_route(
+            "a/b",
+            "stream",
+            None,
+            Backends=[{"Service": "lm", "Weight": 9}, {"Service": "x", "Weight": 1}],
+            Resumable=True,
+            TargetGapMs=200,
+            Public=True,
+        ),
+    ],
+    Tenants=[{"Name": "red", "ApiKeys": ["k1", "k2"], "Priority": 1}],
+)
+"""A configuration with a value in each field that decoding knows."""
+
+ODD_VALUES = [
+    *("", "n" * 300, "a\r\nb", "S\u00fcd", "a b", 0, -1, 1.5, 10**6, 2**53 + 1),
+    *(10**20, -(10**400), 1e308, None, True, [], {}, [None], [7], {"x": 1}),
+]
+"""What may stand in the place of any value; texts also in the place of texts."""
+
+LEFT_OUT = object()
+
+DECISIVE = {("Version",), ("Routes",), ("Tenants",)}
+"""Without these it isn't known what the whole document says."""
+
+DECISIVE_OF_ROUTES = {"Hostname", "PathPrefix"}
+
+
+def list_places(value, place=()):
+    """List the places of all values in a document."""
+    items = enumerate(value) if isinstance(value, list) else value.items()
+    for key, inner in items:
+        yield (*place, key)
+        if isinstance(inner, dict | list):
+            yield from list_places(inner, (*place, key))
+
+
+def change(document, place, value):
+    """Return a document with another value in a place."""
+    document = json.loads(json.dumps(document))
+    inner = document
+    for key in place[:-1]:
+        inner = inner[key]
+    if value is LEFT_OUT:
+        del inner[place[-1]]
+    else:
+        inner[place[-1]] = value
+    return document
+
+
+def is_decisive(place):
+    is_route = place[0] == "Routes" and len(place) == 2
+    is_place_of_route = place[0] == "Routes" and place[-1] in DECISIVE_OF_ROUTES
+    return place in DECISIVE or is_route or is_place_of_route
+
+
+@pytest.mark.parametrize(
+    "place", list(list_places(FULL)), ids=lambda p: "-".join(map(str, p))
+)
+def test_an_odd_value_costs_no_other_part_of_a_configuration(place):
+    # One of them kept all routes, services and keys of the version from being applied.
+    for value in (*ODD_VALUES, LEFT_OUT):
+        try:
+            table = decode(change(FULL, place, value))
+        except BadDocumentError:
+            assert is_decisive(place)
+            continue
+        if place[0] != "Version":
+            assert table.version == 3
+        if place[0] != "Routes":
+            assert find_route(table, HOST, "/a/").backends
+        if place[:2] != ("Routes", 1) and not is_decisive(place):
+            assert find_route(table, HOST, "/a/b/").name == "a/b"
+        if place[0] != "Services":
+            assert set(table.services) == {"push", "lm"}
+
+
+def test_requests_of_a_route_that_cant_be_used_fall_to_no_shorter_prefix():
+    document = change(FULL, ("Routes", 1, "TimeoutMs"), "soon")
+    route = find_route(decode(document), HOST, "/a/b/")
+    assert (route.name, route.backends) == ("a/b", ())
+
+
+def test_numbers_are_brought_into_their_bounds():
+    document = change(FULL, ("Routes", 1, "Backends", 0, "Weight"), 10**20)
+    document = change(document, ("Services", 0, "MaxConnections"), 10**20)
+    document = change(document, ("Tenants", 0, "Priority"), 1.4)
+    table = decode(document)
+    first, second = find_route(table, HOST, "/a/b/").backends
+    assert (first.service, first.weight, second.weight) == ("lm", 1e12, 1.0)
+    assert table.services["push"].connection_limit == 2**53
+    assert {owner.priority for owner in table.keys.owners.values()} == {1}
+    assert len(table.findings) == 3
+
+
+def test_findings_quote_no_key():
+    for value in (["secret key"], "secret", [["secret"]], {"secret": 1}, ["secret\n"]):
+        table = decode(change(FULL, ("Tenants", 0, "ApiKeys"), value))
+        assert table.findings
+        assert "secret" not in "".join(table.findings)
+
+
 ENTRY = {
     "Service": "s",
     "Address": "1.2.3.4:5",
