End a request at once where its target's head is no answer's

Callers saw: nothing until their time limit, then 504, where a target answered with a status below 100, or with a body in a coding other than chunks on a connection that stays open; statuses above 599 as answers. The target was not blamed for the former.

Cause: every status below 200 was taken for an interim answer; nothing bounded statuses above, or asked whether the end of a body is known.

Change: one function judges heads, and the client that makes all calls of a gateway breaks the connection at one that begins no answer.

--- a/src/robinspindle/httpclient.py
+++ b/src/robinspindle/httpclient.py
@@ -17,6 +17,7 @@
 
 from robinspindle.clocks import read_steady
 from robinspindle.core import framing
+from robinspindle.core.answerheads import HeadKind, judge_head
 from robinspindle.core.bodies import Body, list_pieces
 from robinspindle.core.forwarding import AnswerHead, Headers
 from robinspindle.core.framing import Framing
@@ -40,9 +41,6 @@
 """Longest body of answers to earlier requests that is passed over while an answer is
 due; nobody needs them."""
 
-LEAST_FINAL = 200
-"""Answers with a lower status are followed by another to the same request."""
-
 DecodeHead = Callable[[int, bytes, Headers], AnswerHead]
 
 
@@ -228,6 +226,7 @@
         self._has_body = False
         self._foreign_bytes = 0
         self._is_in_head = False
+        self._fault: str | None = None
         self._watch = SendWatch(UNACKED_MS, lambda loss: self._break(loss.value))
         self.opened_at = 0.0
         self.idle_s = DEFAULT_IDLE_S
@@ -332,6 +331,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._break(f"not an answer: {error}")
             return
+        if self._fault is not None:
+            self._break(self._fault)
+            return
         excess = None
         if self._has_body:
             self._framing.framing_bytes = 0
@@ -384,13 +386,17 @@
 
     def on_headers_complete(self) -> None:
         """Hand on the head, unless it belongs to no request or to another."""
-        status = self._parser.get_status_code()
+        status, headers = self._parser.get_status_code(), tuple(self._headers)
         exchange = self._exchange
         self._is_in_head = False
         self._framing.head_since = None
-        if status < LEAST_FINAL or exchange is None or exchange.head is not None:
+        kind = judge_head(status, headers)
+        if kind is HeadKind.MALFORMED:
+            self._fault = self._fault or f"not an answer: a head with status {status}"
+            return
+        if kind is HeadKind.INTERIM or exchange is None or exchange.head is not None:
             return
-        head = self._decode_head(status, self._reason, tuple(self._headers))
+        head = self._decode_head(status, self._reason, headers)
         if exchange.request_id and head.request_id != exchange.request_id:
             # An answer to an earlier request, or without an id and so to none: ours
             # may still follow it.
@@ -398,7 +404,7 @@
             self._note_surplus(head, exchange)
             return
         self._note_head(head, exchange.sent_at)
-        names = {name.lower() for name, _ in self._headers}
+        names = {name.lower() for name, _ in headers}
         self._framed = b"content-length" in names or b"transfer-encoding" in names
         self._is_ours = True
         exchange.head = head
