Take no head that breaks off for a whole one, in calls that wait in a thread

Callers of an entry saw: 200 with an empty body, framed as whole, where a plain service closed in the middle of its answer's head; 101, 600 and 999 as answers; 103 in place of the answer behind it.

Cause: agents call with the standard library's client, which takes the end of a connection for that of a head, and any status from 100 to 999 for an answer's.

Change: one maker of connections for such calls reads heads to their empty line, judges them as gateways do, and passes over a bounded number of interim ones.

--- a/src/robinspindle/client.py
+++ b/src/robinspindle/client.py
@@ -6,6 +6,7 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import ApiError, BadDocumentError
+from robinspindle.httpcalls import make_pools
 
 TIMEOUT_S = 15.0
 STARTING = 503
@@ -24,7 +25,7 @@
         self._entries = [entry.rstrip("/") for entry in entries]
         self._headers = {"Authorization": f"Bearer {bearer}"}
         options = {"ca_certs": ca_file} if ca_file else {}
-        self._http = urllib3.PoolManager(retries=False, **options)
+        self._http = make_pools(**options)
 
     def get(self, path: str) -> Any:
         """Query the first entry that answers."""
--- a/src/robinspindle/engines.py
+++ b/src/robinspindle/engines.py
@@ -13,6 +13,7 @@
     FencedError,
     OrderFailedError,
 )
+from robinspindle.httpcalls import make_pools
 from robinspindle.messages import Work
 
 CONNECT_TIMEOUT_S = 1.0
@@ -98,7 +99,7 @@
 
     def __init__(self, address: str, slots: int):
         self._base = f"http://{address}"
-        self._http = urllib3.PoolManager(maxsize=slots + 4, retries=False)
+        self._http = make_pools(maxsize=slots + 4)
 
     def generate(self, work: Work, run: str) -> Iterator[EngineToken]:
         """Run a generation and yield its lines as they come.
--- /dev/null
+++ b/src/robinspindle/httpcalls.py
@@ -0,0 +1,115 @@
+"""HTTP connections for calls that wait for their answers in a thread.
+
+The standard library takes a head that breaks off for a whole one, and so an answer cut
+off in its head for one without a body; it takes any status from 100 to 999 for that of
+an answer. What begins an answer is judged here as everywhere else (`core/answerheads`).
+"""
+
+import http.client
+
+import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+from robinspindle.core.answerheads import HeadKind, judge_head
+from robinspindle.core.forwarding import Headers
+
+HEAD_ENDS = (b"\r\n", b"\n")
+
+MAX_HEADS = 17
+"""Most heads of an answer, the interim ones among them."""
+
+
+class MalformedHeadError(http.client.HTTPException):
+    """Bytes that begin no answer."""
+
+
+class _HeadReader:
+    """Reads the lines of a head from a file, and remembers the last one."""
+
+    def __init__(self, file):
+        self.file = file
+        self.last_line = b""
+
+    def readline(self, *sizes: int) -> bytes:
+        self.last_line = self.file.readline(*sizes)
+        return self.last_line
+
+    def close(self) -> None:
+        self.file.close()
+
+    def flush(self) -> None:
+        self.file.flush()
+
+
+class CheckedResponse(http.client.HTTPResponse):
+    """An answer whose head has come whole."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._head_count = 0
+
+    def begin(self) -> None:
+        """Read the head, and the interim ones before it.
+
+        Raises:
+            MalformedHeadError: If it breaks off, or begins no answer.
+        """
+        while True:
+            self._read_head()
+            kind = judge_head(self.status, _list_headers(self))
+            if kind is HeadKind.FINAL:
+                return
+            if kind is HeadKind.MALFORMED:
+                raise MalformedHeadError(f"a head with status {self.status}")
+            self.headers = self.msg = None
+
+    def _read_status(self):
+        # The standard library passes over any number of heads with status 100.
+        self._head_count += 1
+        if self._head_count > MAX_HEADS:
+            raise MalformedHeadError("interim answers without end")
+        return super()._read_status()
+
+    def _read_head(self) -> None:
+        reader = self.fp = _HeadReader(self.fp)
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = reader.file
+        if reader.last_line not in HEAD_ENDS:
+            raise MalformedHeadError("a head that breaks off")
+
+
+def _list_headers(response: http.client.HTTPResponse) -> Headers:
+    return tuple(
+        (name.encode("latin-1"), value.encode("latin-1", "replace"))
+        for name, value in response.headers.items()
+    )
+
+
+class _CheckedConnection(HTTPConnection):
+    response_class = CheckedResponse
+
+
+class _CheckedTlsConnection(HTTPSConnection):
+    response_class = CheckedResponse
+
+
+class _CheckedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _CheckedConnection
+
+
+class _CheckedTlsPool(urllib3.HTTPSConnectionPool):
+    ConnectionCls = _CheckedTlsConnection
+
+
+def make_pools(**options) -> urllib3.PoolManager:
+    """Make connections for calls that are not repeated.
+
+    Args:
+        options: Options of `urllib3.PoolManager`.
+    """
+    pools = urllib3.PoolManager(retries=False, **options)
+    pools.pool_classes_by_scheme = {"http": _CheckedPool, "https": _CheckedTlsPool}
+    return pools
--- a/src/robinspindle/logservice.py
+++ b/src/robinspindle/logservice.py
@@ -20,6 +20,7 @@
     LogUnavailableError,
     RecordsTrimmedError,
 )
+from robinspindle.httpcalls import make_pools
 
 READ_WAIT_S = 5.0
 APPEND_TIMEOUT_S = 1.5
@@ -61,7 +62,7 @@
 
     def __init__(self, base: str):
         self._base = base.rstrip("/")
-        self._http = urllib3.PoolManager(maxsize=4, retries=False)
+        self._http = make_pools(maxsize=4)
 
     def append(self, stream: str, data: bytes) -> int:
         """Append one record and return its offset.
--- a/src/robinspindle/vmlist.py
+++ b/src/robinspindle/vmlist.py
@@ -11,6 +11,7 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import BadDocumentError
+from robinspindle.httpcalls import make_pools
 
 POLL_S = 1.0
 TIMEOUT_S = 2.0
@@ -41,7 +42,7 @@
         super().__init__(name="vm-list", daemon=True)
         self._url = url
         self._post = post
-        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._http = make_pools(maxsize=1)
 
     def run(self) -> None:
         """Follow the list for as long as the process lives."""
