Read engines' lists of caches within one bound, a few at a time

Cause: a list had a bound of its own, their sum none, and all were asked at once.

Eight engines are asked at a time.

--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -12,6 +12,7 @@
 
 from robinspindle.calls import CallLimits, call_apart
 from robinspindle.core.authority import has_lowest_name
+from robinspindle.core.calledaccount import CalledAccount
 from robinspindle.core.engines import Engine, note_earlier_cache
 from robinspindle.core.forwarding import Part
 from robinspindle.core.targets import Target
@@ -29,9 +30,13 @@
 """Longest list of an engine: one of all blocks of its memory is a quarter as long."""
 
 ASK_LIMITS = CallLimits(0.5, 0.5, 0.5, MOST_LIST_BYTES)
-"""How long an engine's list is waited for: all engines are asked at once, so on a slow
+"""How long an engine's list is waited for: many engines are asked at once, so on a slow
 link the lists come in turns."""
 
+MOST_AT_ONCE = 8
+"""Engines that are asked at a time: the usual lists of so many fit into what answers of
+the called may take in a small process."""
+
 LIST_READ = 200
 """The one status that says that a list follows."""
 
@@ -54,9 +59,12 @@
         fleet: Fleet,
         peers: Peers,
         dialect: ListDialect,
+        account: CalledAccount,
         clock: Callable[[], float],
         log: Log,
     ):
+        self._account = account
+        self._turns = asyncio.Semaphore(MOST_AT_ONCE)
         self._fleet = fleet
         self._peers = peers
         self._dialect = dialect
@@ -83,7 +91,8 @@
     async def _ask(self, target: Target, engine: Engine) -> None:
         lifetime = target.announced.lifetime
         try:
-            parts = await self._fetch(target)
+            async with self._turns:
+                parts = await self._fetch(target)
         except (ConnectionBrokenError, TimeoutError, BadDocumentError) as error:
             # The belief stays empty; placements fill it.
             self._log("cache not listed", target=lifetime, error=str(error))
@@ -94,7 +103,9 @@
     async def _fetch(self, target: Target) -> list[Part]:
         pool = self._fleet.make_call_pool(target)
         data = self._dialect.encode_cache_list_call(target.announced.address)
-        head, body = await call_apart(pool, self._clock, data, ASK_LIMITS)
+        head, body = await call_apart(
+            pool, self._clock, data, ASK_LIMITS, self._account
+        )
         if head.status != LIST_READ:
             raise BadDocumentError(f"status {head.status}")
         return self._dialect.decode_cache_list(body)
--- a/src/robinspindle/calls.py
+++ b/src/robinspindle/calls.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 
 from robinspindle.connectionpool import ConnectionPool, borrow
+from robinspindle.core import calledaccount
+from robinspindle.core.calledaccount import CalledAccount, CalledHolding
 from robinspindle.core.forwarding import AnswerHead
 from robinspindle.httpclient import ConnectionBrokenError, Exchange
 
@@ -60,6 +62,7 @@
     data: bytes,
     limits: CallLimits,
     transfer: Transfer | None = None,
+    account: CalledAccount | None = None,
 ) -> tuple[AnswerHead, bytes]:
     """Make one call of our own and read its whole answer.
 
@@ -69,16 +72,28 @@
         data: The call.
         limits: How long is waited for each thing to happen.
         transfer: Told how far the answer has come, also where it does not come whole.
+        account: Counts what is held of it; None where its kind is always short.
 
     Raises:
         ConnectionBrokenError: When no whole answer comes, or it seems to have no end.
         TimeoutError: When nothing of it comes for too long.
     """
     transfer = transfer or Transfer(clock())
+    account = account or CalledAccount()
+    holding = CalledHolding()
+
+    def check() -> None:
+        calledaccount.note_read(account, holding, transfer.received)
+        if holding.has_given_way:
+            raise ConnectionBrokenError("the largest answer where too much is held")
+
     async with borrow(pool, clock, limits.connect_s) as connection:
         exchange = Exchange("")
         connection.send(exchange, data)
-        return await _read_answer(exchange, limits, transfer, clock)
+        try:
+            return await _read_answer(exchange, limits, transfer, clock, check)
+        finally:
+            calledaccount.note_ended(account, holding)
 
 
 async def call_apart(
@@ -86,6 +101,7 @@
     clock: Callable[[], float],
     data: bytes,
     limits: CallLimits,
+    account: CalledAccount | None = None,
 ) -> tuple[AnswerHead, bytes]:
     """Make one call of our own on a connection that carries nothing else.
 
@@ -94,13 +110,14 @@
         clock: Tells the present time, steady seconds.
         data: The call.
         limits: How long is waited for each thing to happen.
+        account: Counts what is held of its answer; None where its kind is always short.
 
     Raises:
         ConnectionBrokenError: When no whole answer comes, or it seems to have no end.
         TimeoutError: When nothing of it comes for too long.
     """
     try:
-        return await call_once(pool, clock, data, limits)
+        return await call_once(pool, clock, data, limits, account=account)
     finally:
         pool.close()
 
@@ -110,8 +127,17 @@
     limits: CallLimits,
     transfer: Transfer,
     clock: Callable[[], float],
+    check: Callable[[], None],
 ) -> tuple[AnswerHead, bytes]:
-    """Wait for a whole answer for as long as something of it comes."""
+    """Wait for a whole answer for as long as something of it comes.
+
+    Args:
+        exchange: Takes the answer.
+        limits: How long is waited for each thing to happen.
+        transfer: Told how far the answer has come.
+        clock: Tells the present time, steady seconds.
+        check: Called at each piece; raises where the answer is to be read no further.
+    """
     async with asyncio.timeout(limits.first_s):
         head = await exchange.read_head()
     transfer.has_begun = True
@@ -122,6 +148,7 @@
         transfer.received += len(chunk)
         chunks.append(chunk)
         _check_end(transfer, begun_at, limits)
+        check()
     return head, b"".join(chunks)
 
 
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -16,9 +16,10 @@
 from robinspindle.callerconnections import STOPPING
 from robinspindle.callerports import CallerPorts, Handlers
 from robinspindle.clocks import read_steady
-from robinspindle.core import heldbytes, retrywindows, targets
+from robinspindle.core import calledaccount, heldbytes, retrywindows, targets
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
+from robinspindle.core.calledaccount import CalledAccount
 from robinspindle.core.fingerprints import Fingerprint
 from robinspindle.core.freshness import Freshness, may_serve
 from robinspindle.core.heldbytes import HeldBytes
@@ -140,6 +141,7 @@
         self.lengths = AnswerStats()
         self.freshness = Freshness()
         self.held = HeldBytes(heldbytes.find_bound(settings.memory_mb))
+        self._called = CalledAccount()
         self.link = LinkQueue(self._clock)
         self._streams = make_stream_parts(
             adapter,
@@ -182,7 +184,12 @@
         self._link = self._make_peer_link()
         self.orderer = self._make_orderer(adapter)
         self._cache_lists = CacheLists(
-            self.fleet, self.peers, adapter.dialect, self._clock, make_log("caches")
+            self.fleet,
+            self.peers,
+            adapter.dialect,
+            self._called,
+            self._clock,
+            make_log("caches"),
         )
         self._introduction = Introduction(
             self._store,
@@ -608,6 +615,7 @@
         pledges = settings.pledges
         self.link.uplink.bytes_per_s = settings.link_bytes_per_s
         self.held.max_bytes = heldbytes.find_bound(settings.memory_mb)
+        self._called.max_bytes = calledaccount.find_bound(settings.memory_mb)
         self._ports.apply_settings(settings)
         self.peers.link_bytes_per_s = settings.link_bytes_per_s
         self.peers.teaches = settings.policy.tells_caches
--- a/tests/platform/test_cachelists.py
+++ b/tests/platform/test_cachelists.py
@@ -3,7 +3,8 @@
 import asyncio
 import socket
 
-from robinspindle.cachelists import CacheLists
+from robinspindle.cachelists import MOST_AT_ONCE, CacheLists
+from robinspindle.core.calledaccount import CalledAccount
 from robinspindle.core.engines import note_placed
 from robinspindle.core.forwarding import Part
 from robinspindle.core.peerdigests import Cache, Datagram, Digest, PeerView
@@ -13,7 +14,8 @@
 from robinspindle.peerlink import encode
 from robinspindle.peers import Peers
 from robinspindle.platform import dialect
-from standins.rawhttp import LOOPBACK
+from standins.endless import BODIES, Endless, make_behaviour
+from standins.rawhttp import LOOPBACK, RawServer
 from standins.replica import Replica
 from tests.platform.deployment import deploy, introduce, run, until
 
@@ -43,7 +45,8 @@
     own = Member(name, "127.0.0.1", 1)
     peers = Peers(own, 0.0, views={other: PeerView() for other in others})
     clock = asyncio.get_running_loop().time
-    await CacheLists(fleet, peers, dialect, clock, ignore_log).regain()
+    account = CalledAccount()
+    await CacheLists(fleet, peers, dialect, account, clock, ignore_log).regain()
     return fleet.find_engine_of(replica.lifetime), peers
 
 
@@ -60,6 +63,58 @@
     run(scenario())
 
 
+BOUND_BYTES = 1 << 20
+MOST_READ_BYTES = 1 << 20
+"""More than is read of a connection at a time, and of its last pieces."""
+
+
+class Received:
+    """Counts the bytes that came from engines."""
+
+    def __init__(self):
+        self.bytes = 0
+
+    def note_sent(self, size):
+        """Count nothing."""
+
+    def note_received(self, size):
+        self.bytes += size
+
+
+def test_lists_without_end_fill_no_memory_and_cost_no_sound_list():
+    # A gateway kept 8 MB of each such list, of all engines at once.
+    async def scenario():
+        endless = [Endless(BODIES["unframed"]) for _ in range(2 * MOST_AT_ONCE)]
+        servers = [RawServer(make_behaviour(one, lambda _: {})) for one in endless]
+        sound = Replica("p1", "lm", "prefill")
+        sound.held = {"aa": 400}
+        received, account = Received(), CalledAccount(BOUND_BYTES)
+        fleet = Fleet(
+            Directory(is_list_read=True),
+            dialect.decode_answer,
+            make_meter=lambda target: received,
+        )
+        for server in (*servers, sound.server):
+            await server.start()
+            announced = Announcement(
+                f"p{server.port}", "lm", server.address, "a", 8, role="prefill"
+            )
+            note_announced(fleet.directory, announced, 0.0)
+            fleet.find_engine_of(announced.lifetime)
+        clock = asyncio.get_running_loop().time
+        peers = Peers(Member("g1", "127.0.0.1", 1), 0.0)
+        lists = CacheLists(fleet, peers, dialect, account, clock, ignore_log)
+        await lists.regain()
+        engine = fleet.find_engine_of(f"p{sound.server.port}")
+        assert engine.cached == sound.held
+        assert account.total == 0
+        assert received.bytes < len(endless) * MOST_READ_BYTES + BOUND_BYTES
+        for server in (*servers, sound.server):
+            await server.stop()
+
+    run(scenario())
+
+
 def test_other_gateways_query_no_engine():
     async def scenario():
         replica = Replica("p1", "lm", "prefill")
