Keep no answer without end in the memory of who called

Callers saw: their requests ended with the process that served them. An agent kept all that its target sent, as long as it sent; so did calls of the log, of the list of VMs and of operators' commands.

Cause: bodies were read whole, whatever their length, and a generation's line until its end. A connection that was not read to its end went back to be used again.

Change: calls that wait in a thread go through one function, which reads pieces within the account of what the called make the process hold, and closes what it doesn't read. Agents have a setting for their memory.

--- a/benches/path.py
+++ b/benches/path.py
@@ -12,6 +12,7 @@
 )
 from robinspindle.core.documents import parse_configuration
 from robinspindle.engines import Engine
+from robinspindle.httpcalls import MOST_BODY_BYTES, CalledLimits
 from robinspindle.messages import Work
 from robinspindle.tables import format_table
 from standins.fleet import Fleet, start_fleet
@@ -42,7 +43,9 @@
 def _measure_latency(fleet: Fleet) -> dict:
     """Send one request at a time, straight to an engine and through the path."""
     configuration = parse_configuration(fleet.text)
-    engine = Engine(configuration.targets["engine-1"].address, 8)
+    engine = Engine(
+        configuration.targets["engine-1"].address, 8, CalledLimits(MOST_BODY_BYTES)
+    )
     straight, through = [], []
     for number in range(SINGLE_RUNS):
         straight.append(_time_straight(engine, f"straight {number}"))
--- a/src/robinspindle/agent.py
+++ b/src/robinspindle/agent.py
@@ -11,7 +11,7 @@
 import zmq
 
 from robinspindle.controlstream import ControlStream
-from robinspindle.core import agentcontrol, catchup
+from robinspindle.core import agentcontrol, calledaccount, catchup
 from robinspindle.core.effects import (
     Abort,
     AppendClaim,
@@ -30,6 +30,7 @@
     FencedError,
 )
 from robinspindle.health import make_health_server
+from robinspindle.httpcalls import CalledLimits
 from robinspindle.keys import FleetKey
 from robinspindle.loglink import LogLink
 from robinspindle.logs import make_log
@@ -116,6 +117,7 @@
         self._listener = Listener(self._context, settings.listen, key)
         post = self._mailbox.post
         self._link = LogLink(settings.log, (CONTROL,), post, self._rng, OUTCOMES_KEPT_S)
+        self._limits = CalledLimits(calledaccount.find_bound(settings.memory_mb))
         self._engine: Engine | None = None
         self._pool: ThreadPoolExecutor | None = None
         self._asked_at = 0.0
@@ -251,7 +253,7 @@
     def _connect_engine(self) -> None:
         if self._engine is None and self.host.section is not None:
             section = self.host.section
-            self._engine = Engine(section.address, section.slots)
+            self._engine = Engine(section.address, section.slots, self._limits)
             self._pool = ThreadPoolExecutor(section.slots + 4, "target")
 
     def _ask_engine(self, now: float) -> None:
--- a/src/robinspindle/client.py
+++ b/src/robinspindle/client.py
@@ -6,7 +6,12 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import ApiError, BadDocumentError
-from robinspindle.httpcalls import make_pools
+from robinspindle.httpcalls import (
+    MOST_BODY_BYTES,
+    CalledLimits,
+    call_whole,
+    make_pools,
+)
 
 TIMEOUT_S = 15.0
 STARTING = 503
@@ -26,6 +31,7 @@
         self._headers = {"Authorization": f"Bearer {bearer}"}
         options = {"ca_certs": ca_file} if ca_file else {}
         self._http = make_pools(**options)
+        self._limits = CalledLimits(MOST_BODY_BYTES)
 
     def get(self, path: str) -> Any:
         """Query the first entry that answers."""
@@ -66,7 +72,9 @@
         raise ApiError(0, f"no entry answers: {failure}")
 
     def _call(self, entry: str, method: str, path: str, body: bytes | None) -> Any:
-        response = self._http.request(
+        response = call_whole(
+            self._http,
+            self._limits,
             method,
             f"{entry}/admin/{path}",
             body=body,
--- a/src/robinspindle/engines.py
+++ b/src/robinspindle/engines.py
@@ -13,7 +13,15 @@
     FencedError,
     OrderFailedError,
 )
-from robinspindle.httpcalls import make_pools
+from robinspindle.httpcalls import (
+    PIECE_BYTES,
+    BodyTooLongError,
+    CalledLimits,
+    WholeAnswer,
+    call_whole,
+    closing_unless_read,
+    make_pools,
+)
 from robinspindle.messages import Work
 
 CONNECT_TIMEOUT_S = 1.0
@@ -21,6 +29,9 @@
 ASK_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 120.0
 CONFLICT = 409
+MOST_LINE_BYTES = 1 << 20
+"""Longest line of a generation: a token and why it ended."""
+
 HOP_HEADERS = frozenset(
     ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade")
 )
@@ -97,7 +108,15 @@
 class Engine:
     """Calls of one target; safe to use from several threads."""
 
-    def __init__(self, address: str, slots: int):
+    def __init__(self, address: str, slots: int, limits: CalledLimits):
+        """Prepare calls.
+
+        Args:
+            address: Host and port of the target.
+            slots: Requests that it takes at a time.
+            limits: What its answers may make the process hold.
+        """
+        self._limits = limits
         self._base = f"http://{address}"
         self._http = make_pools(maxsize=slots + 4)
 
@@ -126,10 +145,8 @@
         }
         headers = {"traceparent": work.trace} if work.trace else {}
         response = self._open("/generate", body, headers)
-        try:
+        with closing_unless_read(response):
             yield from _read_lines(response)
-        finally:
-            response.release_conn()
 
     def call(self, work: Work) -> CallAnswer:
         """Pass a call on to a plain service.
@@ -140,7 +157,9 @@
         """
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ANSWER_TIMEOUT_S)
         try:
-            response = self._http.request(
+            response = call_whole(
+                self._http,
+                self._limits,
                 work.method,
                 self._base + work.path,
                 body=work.body,
@@ -152,7 +171,7 @@
             raise _make_unreachable(error) from None
         headers = tuple(
             (name, value)
-            for name, value in response.headers.items()
+            for name, value in response.headers
             if name.lower() not in HOP_HEADERS
         )
         return CallAnswer(response.status, headers, response.data)
@@ -208,14 +227,18 @@
         except urllib3.exceptions.HTTPError as error:
             raise _make_unreachable(error) from None
         if response.status != 200:
-            response.drain_conn()
+            response.close()
             raise EngineUnreachableError(f"the engine answered {response.status}")
         return response
 
     def _get(self, path: str) -> bytes:
         try:
-            response = self._http.request(
-                "GET", self._base + path, timeout=ASK_TIMEOUT_S
+            response = call_whole(
+                self._http,
+                self._limits,
+                "GET",
+                self._base + path,
+                timeout=ASK_TIMEOUT_S,
             )
         except urllib3.exceptions.HTTPError as error:
             raise _make_unreachable(error) from None
@@ -223,9 +246,11 @@
             raise EngineUnreachableError(f"the engine answered {response.status}")
         return response.data
 
-    def _post(self, path: str, body: dict, timeout_s: float):
+    def _post(self, path: str, body: dict, timeout_s: float) -> WholeAnswer:
         try:
-            return self._http.request(
+            return call_whole(
+                self._http,
+                self._limits,
                 "POST",
                 self._base + path,
                 body=msgspec.json.encode(body),
@@ -247,8 +272,10 @@
 def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[EngineToken]:
     rest = b""
     try:
-        for chunk in response.stream(None):
+        for chunk in response.stream(PIECE_BYTES):
             *lines, rest = (rest + chunk).split(b"\n")
+            if len(rest) > MOST_LINE_BYTES:
+                raise BodyTooLongError("a line without end")
             for line in lines:
                 if line:
                     yield _decode_token(line)
--- a/src/robinspindle/httpcalls.py
+++ b/src/robinspindle/httpcalls.py
@@ -1,4 +1,4 @@
-"""HTTP connections for calls that wait for their answers in a thread.
+"""HTTP calls that wait for their answers in a thread.
 
 The standard library takes a head that breaks off for a whole one, and so an answer cut
 off in its head for one without a body; it takes any status from 100 to 999 for that of
@@ -6,11 +6,17 @@
 """
 
 import http.client
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from robinspindle.core import calledaccount
 from robinspindle.core.answerheads import HeadKind, judge_head
+from robinspindle.core.calledaccount import CalledAccount, CalledHolding
 from robinspindle.core.forwarding import Headers
 
 HEAD_ENDS = (b"\r\n", b"\n")
@@ -19,10 +25,113 @@
 """Most heads of an answer, the interim ones among them."""
 
 
+PIECE_BYTES = 65536
+"""Most that is read of a body at a time."""
+
+MOST_BODY_BYTES = 64 << 20
+"""Longest body of an answer."""
+
+
 class MalformedHeadError(http.client.HTTPException):
     """Bytes that begin no answer."""
 
 
+class BodyTooLongError(urllib3.exceptions.HTTPError):
+    """A body longer than any proper one, or than there is memory for."""
+
+
+class CalledLimits:
+    """What the answers to a process's calls may make it hold; shared by its threads."""
+
+    def __init__(self, max_bytes: float):
+        """Begin with nothing held.
+
+        Args:
+            max_bytes: Bound on the answers that are being read, together.
+        """
+        self._account = CalledAccount(max_bytes)
+        self._lock = threading.Lock()
+
+    @contextmanager
+    def hold(self) -> Iterator[CalledHolding]:
+        """Hold an answer for as long as it is read."""
+        holding = CalledHolding()
+        try:
+            yield holding
+        finally:
+            with self._lock:
+                calledaccount.note_ended(self._account, holding)
+
+    def note_read(self, holding: CalledHolding, count: int) -> None:
+        """Count what has come of an answer, in bytes.
+
+        Raises:
+            BodyTooLongError: If it is to be read no further.
+        """
+        with self._lock:
+            calledaccount.note_read(self._account, holding, count)
+        if holding.has_given_way or count > MOST_BODY_BYTES:
+            raise BodyTooLongError(f"a body of more than {count} bytes")
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """An answer that has come whole.
+
+    Attributes:
+        status: Its status.
+        headers: Its headers.
+        data: Its body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    data: bytes
+
+
+def call_whole(
+    pools: urllib3.PoolManager, limits: CalledLimits, method: str, url: str, **options
+) -> WholeAnswer:
+    """Make a call and read its whole answer.
+
+    Args:
+        pools: Connections.
+        limits: What answers may make the process hold.
+        method: HTTP method.
+        url: Where to.
+        options: Options of `urllib3.PoolManager.request`.
+
+    Raises:
+        urllib3.exceptions.HTTPError: If no whole answer came, or too long a one.
+    """
+    response = pools.request(method, url, preload_content=False, **options)
+    with closing_unless_read(response):
+        body = _read_body(response, limits)
+    return WholeAnswer(response.status, tuple(response.headers.items()), body)
+
+
+@contextmanager
+def closing_unless_read(response: urllib3.BaseHTTPResponse) -> Iterator[None]:
+    """Give a connection back in the end; one whose answer is not whole is closed."""
+    try:
+        yield
+    except BaseException:
+        response.close()
+        raise
+    finally:
+        response.release_conn()
+
+
+def _read_body(response: urllib3.BaseHTTPResponse, limits: CalledLimits) -> bytes:
+    pieces, received = [], 0
+    with limits.hold() as holding:
+        for piece in response.stream(PIECE_BYTES):
+            received += len(piece)
+            limits.note_read(holding, received)
+            pieces.append(piece)
+        return b"".join(pieces)
+
+
 class _HeadReader:
     """Reads the lines of a head from a file, and remembers the last one."""
 
--- a/src/robinspindle/logservice.py
+++ b/src/robinspindle/logservice.py
@@ -20,7 +20,12 @@
     LogUnavailableError,
     RecordsTrimmedError,
 )
-from robinspindle.httpcalls import make_pools
+from robinspindle.httpcalls import (
+    MOST_BODY_BYTES,
+    CalledLimits,
+    call_whole,
+    make_pools,
+)
 
 READ_WAIT_S = 5.0
 APPEND_TIMEOUT_S = 1.5
@@ -63,6 +68,7 @@
     def __init__(self, base: str):
         self._base = base.rstrip("/")
         self._http = make_pools(maxsize=4)
+        self._limits = CalledLimits(MOST_BODY_BYTES)
 
     def append(self, stream: str, data: bytes) -> int:
         """Append one record and return its offset.
@@ -92,7 +98,9 @@
         self, method: str, url: str, data: bytes | None, timeout_s: float
     ) -> bytes:
         try:
-            response = self._http.request(method, url, body=data, timeout=timeout_s)
+            response = call_whole(
+                self._http, self._limits, method, url, body=data, timeout=timeout_s
+            )
         except urllib3.exceptions.HTTPError as error:
             raise LogUnavailableError(
                 f"the log service gave no answer: {error}"
--- a/src/robinspindle/previewreports.py
+++ b/src/robinspindle/previewreports.py
@@ -5,6 +5,12 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import ApiError, BadDocumentError
+from robinspindle.httpcalls import (
+    MOST_BODY_BYTES,
+    CalledLimits,
+    call_whole,
+    make_pools,
+)
 from robinspindle.tables import format_table
 
 PATH = "/preview"
@@ -137,12 +143,13 @@
         ApiError: When no gateway answers there, or it can't read the request.
     """
     try:
-        response = urllib3.request(
+        response = call_whole(
+            make_pools(),
+            CalledLimits(MOST_BODY_BYTES),
             "POST",
             f"http://{gateway}{PATH}",
             body=msgspec.json.encode(question),
             timeout=TIMEOUT_S,
-            retries=False,
         )
     except urllib3.exceptions.HTTPError as error:
         raise ApiError(0, f"no gateway answers at {gateway}: {error}") from None
--- a/src/robinspindle/settings.py
+++ b/src/robinspindle/settings.py
@@ -79,6 +79,8 @@
         log: URL of the platform's log service.
         key_file: File with the fleet key; empty for the environment or none.
         secure: Whether a fleet key is required.
+        memory_mb: Memory that the process may have, MB; answers of its target may take
+            a part of it.
     """
 
     target: Name
@@ -87,6 +89,7 @@
     metrics: Annotated[str, AfterValidator(lambda v: v and _check_host(v))] = ""
     key_file: str = ""
     secure: bool = True
+    memory_mb: Annotated[float, Field(ge=64)] = DEFAULT_MEMORY_MB
 
 
 @dataclass(frozen=True, config=FORBID)
--- a/src/robinspindle/vmlist.py
+++ b/src/robinspindle/vmlist.py
@@ -11,10 +11,12 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import BadDocumentError
-from robinspindle.httpcalls import make_pools
+from robinspindle.httpcalls import CalledLimits, call_whole, make_pools
 
 POLL_S = 1.0
 TIMEOUT_S = 2.0
+MOST_LIST_BYTES = 8 << 20
+"""Longest list: some thousand VMs take a tenth of it."""
 LEAVING = "leaving"
 
 
@@ -43,6 +45,7 @@
         self._url = url
         self._post = post
         self._http = make_pools(maxsize=1)
+        self._limits = CalledLimits(MOST_LIST_BYTES)
 
     def run(self) -> None:
         """Follow the list for as long as the process lives."""
@@ -53,6 +56,8 @@
             time.sleep(POLL_S)
 
     def _read(self) -> VmsListed:
-        response = self._http.request("GET", self._url, timeout=TIMEOUT_S)
+        response = call_whole(
+            self._http, self._limits, "GET", self._url, timeout=TIMEOUT_S
+        )
         vms = _decode_vms(response.data)
         return VmsListed(tuple(vm.name for vm in vms if vm.state == LEAVING))
