Answer all that was sent on before a stop ends, and send nothing that can't end

Callers saw: in a planned stop of a gateway, requests that came or became whole late were passed on and cut off with no answer, some that may run once among them.

Cause: a request was judged by when it came, once; not by the time that is left when it is sent. What was under way at the end lost its connection.

Change: a stop bounds the deadlines of all requests, those under way among them, so that each decision by deadline takes it in; a wait that reaches it ends in 504. Before each attempt the usual time of the route's answers has to fit into what is left, otherwise the request is refused, unsent.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -1,12 +1,14 @@
 """The attempts of one request at targets, until one delivers or none is left to try."""
 
 import asyncio
+import math
 import random
 
 from robinspindle import guard
 from robinspindle.choosing import Chooser
 from robinspindle.copying import Copies
 from robinspindle.core import forwarding, retrywindows
+from robinspindle.core.answertimes import can_end_by
 from robinspindle.core.prefillplacement import RequestPlan
 from robinspindle.core.requestplans import plan_continuation
 from robinspindle.core.routes import STREAM
@@ -36,6 +38,9 @@
 LEAST_FAULT = 500
 """Lower statuses speak of the request, and no other target would say otherwise."""
 
+STOPPING_REASON = "stopping"
+"""Why a request is refused whose answer would not end before the process does."""
+
 LOOK_AGAIN_S = 0.1
 """How often another target is looked for beside a silent one, seconds."""
 
@@ -96,6 +101,8 @@
         left_s = passage.given_up_at - now
         if left_s <= forwarding.MIN_ATTEMPT_S:
             return GivenUp(passage.last_reason or "too-late")
+        if self._will_be_cut(passage, now):
+            return GivenUp(STOPPING_REASON)
         if passage.continuation is not None:
             plan = plan_continuation(passage.plan, passage.continuation.target)
         else:
@@ -107,6 +114,12 @@
         reason = self._chooser.find_refusal(passage, plan, now)
         return GivenUp(reason) if reason else plan
 
+    def _will_be_cut(self, passage: Passage, now: float) -> bool:
+        """Whether the process is expected to end before an answer would."""
+        end_at = self._means.ending.at
+        times, route = self._means.answer_times, passage.route.name
+        return math.isfinite(end_at) and not can_end_by(times, route, now, end_at)
+
     def hedge(self, passage: Passage, exchange: Exchange) -> None:
         """Try another target beside one that fell silent.
 
--- a/src/robinspindle/delivery.py
+++ b/src/robinspindle/delivery.py
@@ -7,6 +7,7 @@
 from robinspindle.choosing import Chooser
 from robinspindle.copying import Copies
 from robinspindle.core import forwarding, health, silence
+from robinspindle.core.answertimes import note_answer_time
 from robinspindle.core.engines import Engine, note_placed
 from robinspindle.core.forwarding import AnswerHead, CacheSource
 from robinspindle.core.interference import note_slot_hold
@@ -27,7 +28,7 @@
     NotSentError,
 )
 from robinspindle.moving import Moves
-from robinspindle.passages import Means, Passage, is_stopped
+from robinspindle.passages import Means, Passage, is_stopped, limit_wait
 from robinspindle.passing import (
     Answer,
     pass_body,
@@ -205,6 +206,7 @@
         except ConnectionBrokenError as error:
             return self._note_broken(passage, target, error, since)
         except TimeoutError:
+            self._note_time(passage)
             passage.runs += 1
             passage.last_reason = "timed-out"
             return End.UNSURE
@@ -244,7 +246,7 @@
         send = make_send(passage, sending, means.clock())
         written = means.dialect.encode_request(passage.request, send)
         with expect(target, self._expect_answer(passage, exchange)) as expected:
-            async with asyncio.timeout(self._find_wait_s(passage)) as limit:
+            async with limit_wait(passage, self._find_wait_s(passage)) as limit:
                 sent_at = means.clock()
                 send_if_awaited(passage, connection, exchange, written, sent_at)
                 passage.offers += 1
@@ -265,14 +267,23 @@
                 with self._moves.watch(passage, answer):
                     end = await self._take_answer(passage, answer)
         if end is End.DELIVERED:
+            self._note_time(passage)
             # Not after a failure: a target may answer so without having run it.
             means.guard.note_success(run)
         return end
 
+    def _note_time(self, passage: Passage) -> None:
+        """Note how long an answer took, or was waited for; a stop cuts waits short."""
+        now = self._means.clock()
+        if passage.sent_at is not None and now < self._means.ending.at:
+            times, route = self._means.answer_times, passage.route.name
+            note_answer_time(times, route, now - passage.sent_at)
+
     def _find_wait_s(self, passage: Passage, has_begun: bool = False) -> float:
         """Find how long a target's answer is waited for, or the rest of it, seconds."""
         due = passage.due if has_begun else passage.given_up_at
-        return due + forwarding.TIMEOUT_ANSWER_GRACE_S - self._means.clock()
+        due = min(due + forwarding.TIMEOUT_ANSWER_GRACE_S, self._means.ending.at)
+        return due - self._means.clock()
 
     def _note_begun(self, passage: Passage, sending: Sending) -> None:
         was_read = sending.source is not None and not sending.is_continued
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -605,6 +605,7 @@
         """Become unready; take no requests after a while; end when all is done."""
         self._listeners.stop()
         self._stop.begin(self._clock())
+        self.relay.begin_stop(self._stop.find_answers_end())
 
     def reload(self) -> None:
         """Read the settings again; bad ones change nothing."""
--- a/src/robinspindle/hedging.py
+++ b/src/robinspindle/hedging.py
@@ -41,6 +41,7 @@
         runs=runs,
         earlier_runs=runs,
         break_rival=supersede,
+        wait=None,
     )
 
 
--- a/src/robinspindle/passages.py
+++ b/src/robinspindle/passages.py
@@ -1,14 +1,17 @@
 """What the relay knows of one request on its way, and what its parts share."""
 
 import asyncio
-from collections.abc import Callable
+import math
+from collections.abc import AsyncIterator, Callable
 from collections.abc import Set as AbstractSet
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from robinspindle.connectionpool import ConnectionPool
 from robinspindle.core import forwarding, streamversions
 from robinspindle.core.answerstats import AnswerStats
+from robinspindle.core.answertimes import AnswerTimes
 from robinspindle.core.bodies import Body
 from robinspindle.core.copies import AnswerCopy
 from robinspindle.core.events import EventSplitter
@@ -232,6 +235,7 @@
         continuation: Where its lost or stopped run goes on next; None for nowhere.
         stop: What became of its run when its engine was asked to stop it; None if it
             wasn't.
+        wait: The time limit of the wait for a target that is under way; None for none.
     """
 
     request: Request
@@ -270,6 +274,7 @@
     copy: AnswerCopy | None = None
     continuation: Continuation | None = None
     stop: Stop | None = None
+    wait: asyncio.Timeout | None = None
 
     @property
     def given_up_at(self) -> float:
@@ -282,6 +287,18 @@
         return self.route.kind == STREAM
 
 
+@dataclass
+class Ending:
+    """When the process ends.
+
+    Attributes:
+        at: When all answers have to have ended, steady seconds; infinite while it was
+            not asked to stop.
+    """
+
+    at: float = math.inf
+
+
 @dataclass(frozen=True)
 class Means:
     """What the parts of the relay share.
@@ -306,6 +323,8 @@
         metrics: The gateway's metrics.
         traffic: Counts the bytes between availability zones.
         zone_terms: Tells the operator's terms for that traffic.
+        answer_times: How long answers take.
+        ending: When the process ends.
     """
 
     dialect: Dialect
@@ -327,6 +346,8 @@
     metrics: GatewayMetrics
     traffic: ZoneTraffic
     zone_terms: Callable[[], ZoneTerms] = ZoneTerms
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
+    ending: Ending = field(default_factory=Ending)
 
 
 def list_continuing(
@@ -350,3 +371,41 @@
 def is_stopped(passage: Passage, target: Target) -> bool:
     """Tell whether a target was asked to stop the run of a request, to move it."""
     return passage.stop is not None and passage.stop.source is target
+
+
+@asynccontextmanager
+async def limit_wait(
+    passage: Passage, seconds: float
+) -> AsyncIterator[asyncio.Timeout]:
+    """Limit a wait for a target; a stop of the process may end it sooner.
+
+    Args:
+        passage: The request that waits.
+        seconds: Longest wait.
+
+    Raises:
+        TimeoutError: When the time is over.
+    """
+    async with asyncio.timeout(seconds) as limit:
+        passage.wait = limit
+        try:
+            yield limit
+        finally:
+            passage.wait = None
+
+
+def end_by(passage: Passage, end_at: float, now: float) -> None:
+    """Have a request answered by a time, whatever it waits for.
+
+    Args:
+        passage: The request.
+        end_at: When its answer has to have ended, steady seconds.
+        now: The present time, steady seconds.
+    """
+    passage.due = min(passage.due, end_at)
+    passage.first_due = min(passage.first_due, end_at)
+    if passage.wait is not None and not passage.wait.expired():
+        when = asyncio.get_running_loop().time() + end_at - now
+        passage.wait.reschedule(min(passage.wait.when(), when))
+    if passage.hedge is not None:
+        end_by(passage.hedge.passage, end_at, now)
--- a/src/robinspindle/readingapart.py
+++ b/src/robinspindle/readingapart.py
@@ -15,7 +15,7 @@
 from robinspindle.core.targets import Target
 from robinspindle.exceptions import BadDocumentError, TurnedAwayError
 from robinspindle.httpclient import ConnectionBrokenError, Exchange, NotSentError
-from robinspindle.passages import Means, Passage
+from robinspindle.passages import Means, Passage, limit_wait
 from robinspindle.readings import Readings
 from robinspindle.relaylogs import RelayLog
 from robinspindle.roomkeeping import claim_room
@@ -116,7 +116,7 @@
                 raise TurnedAwayError("it became known before its prompt was sent")
             run.stop = make_stop(exchange)
             with expect(sending.target, self._expect_reading(passage, exchange)):
-                async with asyncio.timeout(passage.given_up_at - means.clock()):
+                async with limit_wait(passage, passage.given_up_at - means.clock()):
                     written = means.dialect.encode_request(passage.request, send)
                     now = means.clock()
                     send_if_awaited(passage, connection, exchange, written, now)
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -11,7 +11,7 @@
 from robinspindle.core.peerdigests import Placement
 from robinspindle.exceptions import CallerLeftError
 from robinspindle.finalanswers import FinalAnswers
-from robinspindle.passages import Means, Passage
+from robinspindle.passages import Means, Passage, end_by
 from robinspindle.relaylogs import RelayLog
 from robinspindle.replies import Reply
 from robinspindle.requestparser import Incoming
@@ -36,12 +36,23 @@
             means, self.chooser, self._final, self._log, self._rng
         )
         self.admission = Admission(means, self.chooser, self._rng)
+        self._under_way: dict[int, Passage] = {}
 
     @property
     def placements(self) -> list[Placement]:
         """Prompts placed since they were last told to the peers."""
         return self._attempts.delivery.placements
 
+    def begin_stop(self, end_at: float) -> None:
+        """Have all requests answered before the process ends.
+
+        Args:
+            end_at: When their answers have to have ended, steady seconds.
+        """
+        self._means.ending.at = end_at
+        for passage in self._under_way.values():
+            end_by(passage, end_at, self._means.clock())
+
     def look_after_leaving(self, now: float, leave_s: float) -> None:
         """Have answers moved away from engines that leave.
 
@@ -71,6 +82,8 @@
         )
         self.chooser.note_arrival(passage, self._means.clock())
         is_served = False
+        end_by(passage, self._means.ending.at, self._means.clock())
+        self._under_way[id(passage)] = passage
         try:
             is_served = await self._attempts.serve(passage)
         except asyncio.CancelledError:
@@ -86,6 +99,7 @@
             if not reply.is_ended:
                 self._final.give_up(passage, "failed")
         finally:
+            del self._under_way[id(passage)]
             self.chooser.note_end(passage, self._means.clock(), is_served)
             if is_served:
                 note_whole(self._means, passage)
--- a/src/robinspindle/stopping.py
+++ b/src/robinspindle/stopping.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from robinspindle.httpserver import CallerServer
@@ -18,6 +19,11 @@
 """How long before the kill a stopping gateway ends by itself, seconds."""
 
 
+LAST_ANSWERS_S = 0.2
+"""How long before its end a stopping gateway has given its last answers, seconds: they
+need the way to their callers."""
+
+
 class Stop:
     """The stop of one gateway, from its beginning to its end.
 
@@ -57,6 +63,13 @@
             self._callers.is_stopping = True
             self._log("stopping", busy=self._callers.count_busy())
 
+    def find_answers_end(self) -> float:
+        """Find when all answers have to have ended, steady seconds; inf if no stop."""
+        if self._began_at is None:
+            return math.inf
+        left_s = self._find_stop_s() - STOP_MARGIN_S - LAST_ANSWERS_S
+        return self._began_at + max(0.0, left_s)
+
     def is_too_late(self, at: float) -> bool:
         """Whether a request that came at a time, steady seconds, is not taken."""
         return self._began_at is not None and at - self._began_at > UNREADY_S
