--- a/src/robinspindle/httpcalls.py
+++ b/src/robinspindle/httpcalls.py
@@ -24,7 +24,6 @@
 MAX_HEADS = 17
 """Most heads of an answer, the interim ones among them."""
 
-
 PIECE_BYTES = 65536
 """Most that is read of a body at a time."""
 
