Drop what was gathered of a long answer once it is written

Callers that don't read, while targets flood them, made a gateway hold far more than its account: 218 and 246 MB with 150 callers where 55 and 78 MB were counted (MemoryMb 300).

Cause: the begin of a long body is gathered before any of it is passed on. The functions that pass it on kept it beside what was written, until the answer ended.

Change: they share one list, which is emptied as it is written.

--- a/src/robinspindle/passing.py
+++ b/src/robinspindle/passing.py
@@ -63,10 +63,10 @@
     Raises:
         ConnectionBrokenError: When it breaks off, or is too long for a refusal.
     """
-    body = await _gather(means, answer, lambda: MOST_REFUSAL_BYTES)
+    chunks = await _gather(means, answer, lambda: MOST_REFUSAL_BYTES)
     if not answer.exchange.is_drained:
         raise ConnectionBrokenError("a refusal without end")
-    return body
+    return b"".join(chunks)
 
 
 async def pass_body(means: Means, passage: Passage, answer: Answer) -> None:
@@ -78,15 +78,15 @@
     Raises:
         ConnectionBrokenError: When it breaks off.
     """
-    body = await _gather(means, answer, lambda: _find_gathered_limit(means))
+    chunks = await _gather(means, answer, lambda: _find_gathered_limit(means))
     claim_answer(passage)
     flow = _make_flow(means, passage, answer)
     try:
         passage.reply.set_flow(flow.begin, flow.go_on)
         if answer.exchange.is_drained:
-            pass_whole(passage.reply, answer.head, body)
+            pass_whole(passage.reply, answer.head, b"".join(chunks))
         else:
-            await _pass_rest(means, passage, answer, flow, body)
+            await _pass_rest(means, passage, answer, flow, chunks)
     finally:
         flow.leave_connection()
 
@@ -99,8 +99,8 @@
 
 async def _gather(
     means: Means, answer: Answer, find_most_bytes: Callable[[], int]
-) -> bytes:
-    """Read a body to its end, or until it is longer than a limit.
+) -> list[bytes]:
+    """Read the pieces of a body to its end, or until it is longer than a limit.
 
     Each piece of it tells that its target is not silent. A long answer over a slow link
     would count as lost otherwise. What is gathered of long ones counts as held: all
@@ -121,15 +121,30 @@
     finally:
         if holding.bytes:
             heldbytes.note_held(means.held, holding, 0)
-    return b"".join(chunks)
+    return chunks
 
 
 async def _pass_rest(
-    means: Means, passage: Passage, answer: Answer, flow: AnswerFlow, begun: bytes
+    means: Means,
+    passage: Passage,
+    answer: Answer,
+    flow: AnswerFlow,
+    begun: list[bytes],
 ) -> None:
+    """Pass on what was gathered of an answer, and the rest as it comes.
+
+    Args:
+        means: What the relay has.
+        passage: The request.
+        answer: Its answer.
+        flow: Counts what its caller has not taken.
+        begun: The pieces that were gathered; none is left there, as all who call would
+            hold them for as long as the answer lasts.
+    """
     reply, head = passage.reply, answer.head
     reply.begin(head.status, head.reason, head.headers, None)
-    reply.write(begun)
+    reply.write(b"".join(begun))
+    begun.clear()
     while chunk := await answer.exchange.read_chunk():
         _note_piece(means, answer)
         reply.write(chunk)
--- a/tests/crowds/gatewaycrowd.py
+++ b/tests/crowds/gatewaycrowd.py
@@ -11,8 +11,9 @@
 
 from soak.clientshapes import Pieces, send_body
 from soak.processmemory import MemoryWatch, read_status
+from standins.endless import Endless, Shape, make_behaviour
 from standins.rawhttp import LOOPBACK
-from tests.platform.deployment import make_configuration, read_reply
+from tests.platform.deployment import SERVICES, make_configuration, read_reply
 from tests.system.gatewayprocess import prepare
 
 SENDS_S = 10.0
@@ -48,11 +49,13 @@
         memory_mb: Memory at which it is killed, MB.
         descriptors: Open descriptors that it may have.
         body_bytes: Longest body that callers may send.
+        connections: Connections that the replica may get.
     """
 
     memory_mb: int = 100
     descriptors: int = 600
     body_bytes: int = 1 << 20
+    connections: int = 100
 
 
 @dataclass(frozen=True)
@@ -65,6 +68,7 @@
         port: At which port, by its name in `GatewayProcess`.
         trickles: Whether they go on with single bytes.
         behaviour: How the replica answers them; ``held`` is only after a while.
+        endless: What does not end of the behaviour ``endless``; None for another one.
         reads: Whether they read their answers.
         times: How often they come, each time when the last has left.
         is_answered: Whether they stay until the replica has answered.
@@ -75,6 +79,7 @@
     port: str = "front"
     trickles: bool = False
     behaviour: str = "ok"
+    endless: Shape | None = None
     reads: bool = True
     times: int = 1
     is_answered: bool = True
@@ -141,7 +146,11 @@
         settings = gateway.settings.read_text()
         gateway.write_settings(settings.replace("MemoryMb = 300", told))
         limits = {"MaxBodyBytes": bounds.body_bytes}
-        configuration = make_configuration(limits=limits)
+        services = [
+            {"Name": "push", "MaxConnections": bounds.connections},
+            *SERVICES[1:],
+        ]
+        configuration = make_configuration(limits=limits, Services=services)
         await gateway.store.put("keyed.op", "config", configuration)
         limit = (bounds.descriptors, bounds.descriptors)
         set_limit = partial(resource.setrlimit, resource.RLIMIT_NOFILE, limit)
@@ -180,11 +189,15 @@
     """Have all clients of a crowd send, stay and leave; the first has this number."""
     replica, port = gateway.replicas[0], getattr(gateway, crowd.port)
     replica.gate.clear()
+    if crowd.endless is not None:
+        replica._be_endless = make_behaviour(Endless(crowd.endless), replica._head)
     replica.behaviours.extend([crowd.behaviour] * crowd.count)
     numbers = range(first, first + crowd.count)
     clients = [Client(f"c{number}", port) for number in numbers]
     tasks = [asyncio.create_task(client.play(crowd)) for client in clients]
     await asyncio.wait(tasks, timeout=STAYS_S if crowd.behaviour == "held" else SENDS_S)
+    if crowd.endless is not None:
+        await asyncio.sleep(STAYS_S)
     replica.behaviours.clear()
     if crowd.is_answered:
         replica.gate.set()
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -18,6 +18,7 @@
     send_headers,
     send_shortest,
 )
+from standins.endless import BODIES, CHUNKED, Shape
 from tests.crowds.gatewaycrowd import Bounds, Crowd, play
 
 BODY = 1 << 20
@@ -68,6 +69,23 @@
 }
 
 
+FLOODS = {
+    "unframed": BODIES["unframed"],
+    "one-chunk": Shape(CHUNKED + b"fffffffffff\r\n", b"x"),
+}
+"""Bodies that come as fast as they are taken, and do not end."""
+
+
+@pytest.mark.parametrize("name", FLOODS)
+def test_floods_that_nobody_reads_end_no_gateway(name, tmp_path):
+    # What was gathered of each answer stayed beside what was written of it.
+    bounds = Bounds(memory_mb=160, descriptors=4100, connections=2000)
+    shape = partial(send_body, length=1, left_out=0)
+    flood = FLOODS[name]
+    crowd = Crowd(150, shape, behaviour="endless", endless=flood, reads=False)
+    asyncio.run(play(tmp_path, crowd, bounds))
+
+
 @pytest.mark.parametrize("name", CROWDS)
 def test_a_crowd_ends_no_gateway(name, tmp_path):
     asyncio.run(play(tmp_path, CROWDS[name], Bounds()))
