Crowds: a last request reaches its target once; one constant for megabytes

Cause: the check that repeats a request whose connection was closed unread could not tell that from an answer that was lost. The constant stood three times.

Change: the last request has to reach the target exactly once (stricter than before); the soak and the crowds use the product's constant.

--- a/soak/clientcrowds.py
+++ b/soak/clientcrowds.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from robinspindle.core.heldbytes import BYTES_PER_MB
 from soak.clientshapes import mix
 from soak.gateways import MEMORY_MB, GatewayProcess
 from soak.processmemory import count_unread, read_status
@@ -13,8 +14,6 @@
 MOST_BODY_BYTES = 4 << 20
 """Clients of one crowd, and the longest body that a gateway takes, bytes."""
 
-BYTES_PER_MB = 1_000_000
-
 
 async def send_crowd(world: World, seconds: float) -> None:
     """Have a crowd use a gateway for a while, whatever else happens to it meanwhile."""
--- a/tests/crowds/gatewaycrowd.py
+++ b/tests/crowds/gatewaycrowd.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+from robinspindle.core.heldbytes import BYTES_PER_MB
 from soak.clientshapes import Pieces, send_body
 from soak.processmemory import MemoryWatch, read_status
 from standins.endless import Endless, Shape, make_behaviour
@@ -38,8 +39,6 @@
 PROMISED = frozenset((b"408", b"421", b"429", b"503"))
 """Statuses that promise that a request has not run and never will."""
 
-BYTES_PER_MB = 1_000_000
-
 
 @dataclass(frozen=True)
 class Bounds:
@@ -180,7 +179,9 @@
         assert watch.peaks.sockets <= bounds.descriptors - FILES, watch.peaks
         last = lone.replace(b"lone", b"last")
         assert await ask_until_read(gateway, last) == 200
-        ran = {a.headers.get("x-request-id") for a in gateway.replicas[0].arrivals}
+        ran = [a.headers.get("x-request-id") for a in gateway.replicas[0].arrivals]
+        # A connection that is closed unread, and no answer that is lost.
+        assert ran.count("last") == 1
         assert not [c.id for c in clients if c.was_promised and c.id in ran]
         assert await gateway.end() == 0
 
