Tests: an answer cut in its head or body passes through no gateway as whole

Cause looked for: a target that stops midway in its head and closes, on a connection that has served an answer, and under streams.

--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.platform.deployment import deploy, run
+from standins.rawhttp import reset
+from tests.platform.deployment import KINDS, deploy, run
 
 OWN = b"X-Request-Id: r1\r\nX-Response-Seal: seal-i1\r\n"
 SHORT = b"Content-Length: 2\r\n\r\nok"
@@ -26,17 +27,34 @@
 ]
 
 
-async def add_raw(d, lifetime, data, service="push", role="", closes=False, count=1):
-    """Add a target whose next requests get bytes; its connection stays open or ends."""
-    replica = await d.add(lifetime, service, role)
+WHOLE = b"HTTP/1.1 200 OK\r\n" + OWN + SHORT
+HEAD_BYTES = WHOLE.index(b"ok")
+CUTS = [0, 5, 9, 12, 17, 30, *range(HEAD_BYTES - 4, len(WHOLE))]
+"""In the version, status, headers, before each byte that ends the head, in the body."""
+
+
+def do_nothing(writer):
+    """Stand for an end that the server brings about: it closes the connection."""
+
+
+def be_raw(replica, data, end=None, count=1):
+    """Have a target answer its next requests with bytes, and end the connection."""
 
     async def send_raw(request, writer):
         writer.write(data)
         await writer.drain()
-        return not closes
+        if end is reset:
+            reset(writer)
+        return end is None
 
     replica._be_raw = send_raw
     replica.behaviours.extend(["raw"] * count)
+
+
+async def add_raw(d, lifetime, data):
+    """Add a target whose next request gets bytes; its connection stays open."""
+    replica = await d.add(lifetime)
+    be_raw(replica, data)
     return replica
 
 
@@ -67,3 +85,39 @@
             assert len(first.arrivals) == len(second.arrivals) == 1
 
     run(scenario())
+
+
+@pytest.mark.parametrize("end", [do_nothing, reset])
+@pytest.mark.parametrize("cut", CUTS)
+def test_an_answer_cut_on_a_used_connection_is_not_taken_for_a_whole_one(
+    cut, end, tmp_path
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            replica = await d.add("i1")
+            assert (await d.call("/once/x", id="first")).status == 200
+            be_raw(replica, WHOLE[:cut], end)
+            reply = await d.call("/once/x")
+            assert (reply.status, len(replica.arrivals)) == (502, 2)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("cut", CUTS[::3])
+@pytest.mark.parametrize(("path", "service", "role"), KINDS[2:])
+def test_a_stream_cut_in_its_head_is_not_taken_for_a_whole_one(
+    path, service, role, cut, tmp_path
+):
+    async def scenario():
+        async with deploy(tmp_path) as d:
+            first = await d.add("i1", service, role)
+            second = await d.add("i2", service, role)
+            be_raw(first, WHOLE[:cut], do_nothing)
+            be_raw(second, WHOLE[:cut], do_nothing)
+            second.behaviours = first.behaviours
+            reply = await d.call(path, **d.prompt())
+            may_rerun = path.startswith("/digest")
+            assert reply.status == (200 if may_rerun else 502)
+            assert reply.body.count(b"id: ") == (3 if may_rerun else 0)
+
+    run(scenario())
