Call whomever a process calls its upstreams

Cause: "the called" had to be explained; the code already says upstream for faults of targets. Names of a module, three classes and a constant; nothing else changes.

--- a/benches/path.py
+++ b/benches/path.py
@@ -12,7 +12,7 @@
 )
 from robinspindle.core.documents import parse_configuration
 from robinspindle.engines import Engine
-from robinspindle.httpcalls import MOST_BODY_BYTES, CalledLimits
+from robinspindle.httpcalls import MOST_BODY_BYTES, UpstreamLimits
 from robinspindle.messages import Work
 from robinspindle.tables import format_table
 from standins.fleet import Fleet, start_fleet
@@ -44,7 +44,7 @@
     """Send one request at a time, straight to an engine and through the path."""
     configuration = parse_configuration(fleet.text)
     engine = Engine(
-        configuration.targets["engine-1"].address, 8, CalledLimits(MOST_BODY_BYTES)
+        configuration.targets["engine-1"].address, 8, UpstreamLimits(MOST_BODY_BYTES)
     )
     straight, through = [], []
     for number in range(SINGLE_RUNS):
--- a/src/robinspindle/agent.py
+++ b/src/robinspindle/agent.py
@@ -11,7 +11,7 @@
 import zmq
 
 from robinspindle.controlstream import ControlStream
-from robinspindle.core import agentcontrol, calledaccount, catchup
+from robinspindle.core import agentcontrol, catchup, upstreamaccount
 from robinspindle.core.effects import (
     Abort,
     AppendClaim,
@@ -30,7 +30,7 @@
     FencedError,
 )
 from robinspindle.health import make_health_server
-from robinspindle.httpcalls import CalledLimits
+from robinspindle.httpcalls import UpstreamLimits
 from robinspindle.keys import FleetKey
 from robinspindle.loglink import LogLink
 from robinspindle.logs import make_log
@@ -117,7 +117,7 @@
         self._listener = Listener(self._context, settings.listen, key)
         post = self._mailbox.post
         self._link = LogLink(settings.log, (CONTROL,), post, self._rng, OUTCOMES_KEPT_S)
-        self._limits = CalledLimits(calledaccount.find_bound(settings.memory_mb))
+        self._limits = UpstreamLimits(upstreamaccount.find_bound(settings.memory_mb))
         self._engine: Engine | None = None
         self._pool: ThreadPoolExecutor | None = None
         self._asked_at = 0.0
--- a/src/robinspindle/cachelists.py
+++ b/src/robinspindle/cachelists.py
@@ -12,10 +12,10 @@
 
 from robinspindle.calls import CallLimits, call_apart
 from robinspindle.core.authority import has_lowest_name
-from robinspindle.core.calledaccount import CalledAccount
 from robinspindle.core.engines import Engine, note_earlier_cache
 from robinspindle.core.forwarding import Part
 from robinspindle.core.targets import Target
+from robinspindle.core.upstreamaccount import UpstreamAccount
 from robinspindle.exceptions import BadDocumentError
 from robinspindle.fleet import Fleet
 from robinspindle.httpclient import ConnectionBrokenError
@@ -35,7 +35,7 @@
 
 MOST_AT_ONCE = 8
 """Engines that are asked at a time: the usual lists of so many fit into what answers of
-the called may take in a small process."""
+upstreams may take in a small process."""
 
 LIST_READ = 200
 """The one status that says that a list follows."""
@@ -59,7 +59,7 @@
         fleet: Fleet,
         peers: Peers,
         dialect: ListDialect,
-        account: CalledAccount,
+        account: UpstreamAccount,
         clock: Callable[[], float],
         log: Log,
     ):
--- a/src/robinspindle/calls.py
+++ b/src/robinspindle/calls.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 from robinspindle.connectionpool import ConnectionPool, borrow
-from robinspindle.core import calledaccount
-from robinspindle.core.calledaccount import CalledAccount, CalledHolding
+from robinspindle.core import upstreamaccount
 from robinspindle.core.forwarding import AnswerHead
+from robinspindle.core.upstreamaccount import UpstreamAccount, UpstreamHolding
 from robinspindle.httpclient import ConnectionBrokenError, Exchange
 
 MOST_ANSWER_BYTES = 65536
@@ -62,7 +62,7 @@
     data: bytes,
     limits: CallLimits,
     transfer: Transfer | None = None,
-    account: CalledAccount | None = None,
+    account: UpstreamAccount | None = None,
 ) -> tuple[AnswerHead, bytes]:
     """Make one call of our own and read its whole answer.
 
@@ -79,11 +79,11 @@
         TimeoutError: When nothing of it comes for too long.
     """
     transfer = transfer or Transfer(clock())
-    account = account or CalledAccount()
-    holding = CalledHolding()
+    account = account or UpstreamAccount()
+    holding = UpstreamHolding()
 
     def check() -> None:
-        calledaccount.note_read(account, holding, transfer.received)
+        upstreamaccount.note_read(account, holding, transfer.received)
         if holding.has_given_way:
             raise ConnectionBrokenError("the largest answer where too much is held")
 
@@ -93,7 +93,7 @@
         try:
             return await _read_answer(exchange, limits, transfer, clock, check)
         finally:
-            calledaccount.note_ended(account, holding)
+            upstreamaccount.note_ended(account, holding)
 
 
 async def call_apart(
@@ -101,7 +101,7 @@
     clock: Callable[[], float],
     data: bytes,
     limits: CallLimits,
-    account: CalledAccount | None = None,
+    account: UpstreamAccount | None = None,
 ) -> tuple[AnswerHead, bytes]:
     """Make one call of our own on a connection that carries nothing else.
 
--- a/src/robinspindle/client.py
+++ b/src/robinspindle/client.py
@@ -8,7 +8,7 @@
 from robinspindle.exceptions import ApiError, BadDocumentError
 from robinspindle.httpcalls import (
     MOST_BODY_BYTES,
-    CalledLimits,
+    UpstreamLimits,
     call_whole,
     make_pools,
 )
@@ -31,7 +31,7 @@
         self._headers = {"Authorization": f"Bearer {bearer}"}
         options = {"ca_certs": ca_file} if ca_file else {}
         self._http = make_pools(**options)
-        self._limits = CalledLimits(MOST_BODY_BYTES)
+        self._limits = UpstreamLimits(MOST_BODY_BYTES)
 
     def get(self, path: str) -> Any:
         """Query the first entry that answers."""
--- a/src/robinspindle/core/calledaccount.py
+++ b/src/robinspindle/core/upstreamaccount.py
@@ -1,4 +1,4 @@
-"""An account of what those that a process calls make it hold while it reads them.
+"""An account of the answers that a process reads of its upstreams: whomever it calls.
 
 An answer may be as long as its kind allows, and many may come at once. Beyond the bound
 on their sum the largest gives way, so that a few without end cost the others nothing.
@@ -10,13 +10,13 @@
 
 from robinspindle.core.heldbytes import BYTES_PER_MB
 
-CALLED_SHARE = 0.1
+UPSTREAM_SHARE = 0.1
 """Share of the process's memory that such answers may take: one stands up to three
 times while it is joined and decoded."""
 
 
 @dataclass(eq=False, slots=True)
-class CalledHolding:
+class UpstreamHolding:
     """What is held of one answer.
 
     Attributes:
@@ -29,7 +29,7 @@
 
 
 @dataclass
-class CalledAccount:
+class UpstreamAccount:
     """All answers that are being read.
 
     Attributes:
@@ -40,7 +40,7 @@
 
     max_bytes: float = math.inf
     total: int = 0
-    holdings: set[CalledHolding] = field(default_factory=set)
+    holdings: set[UpstreamHolding] = field(default_factory=set)
 
 
 def find_bound(memory_mb: float) -> float:
@@ -49,10 +49,10 @@
     Args:
         memory_mb: Memory at which the process is killed, MB.
     """
-    return CALLED_SHARE * memory_mb * BYTES_PER_MB
+    return UPSTREAM_SHARE * memory_mb * BYTES_PER_MB
 
 
-def note_read(account: CalledAccount, holding: CalledHolding, count: int) -> None:
+def note_read(account: UpstreamAccount, holding: UpstreamHolding, count: int) -> None:
     """Record how many bytes of an answer have come; the largest may give way to it."""
     if holding.has_given_way:
         return
@@ -65,7 +65,7 @@
         note_ended(account, largest)
 
 
-def note_ended(account: CalledAccount, holding: CalledHolding) -> None:
+def note_ended(account: UpstreamAccount, holding: UpstreamHolding) -> None:
     """Count an answer no more; one that isn't counted changes nothing."""
     if holding in account.holdings:
         account.holdings.remove(holding)
--- a/src/robinspindle/engines.py
+++ b/src/robinspindle/engines.py
@@ -16,7 +16,7 @@
 from robinspindle.httpcalls import (
     PIECE_BYTES,
     BodyTooLongError,
-    CalledLimits,
+    UpstreamLimits,
     WholeAnswer,
     call_whole,
     closing_unless_read,
@@ -108,7 +108,7 @@
 class Engine:
     """Calls of one target; safe to use from several threads."""
 
-    def __init__(self, address: str, slots: int, limits: CalledLimits):
+    def __init__(self, address: str, slots: int, limits: UpstreamLimits):
         """Prepare calls.
 
         Args:
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -16,10 +16,9 @@
 from robinspindle.callerconnections import STOPPING
 from robinspindle.callerports import CallerPorts, Handlers
 from robinspindle.clocks import read_steady
-from robinspindle.core import calledaccount, heldbytes, retrywindows, targets
+from robinspindle.core import heldbytes, retrywindows, targets, upstreamaccount
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
-from robinspindle.core.calledaccount import CalledAccount
 from robinspindle.core.fingerprints import Fingerprint
 from robinspindle.core.freshness import Freshness, may_serve
 from robinspindle.core.heldbytes import HeldBytes
@@ -27,6 +26,7 @@
 from robinspindle.core.relays import Member, encode_member
 from robinspindle.core.targets import Directory
 from robinspindle.core.taskfailures import HOPELESS_AFTER_S, UNREADY_AFTER_S
+from robinspindle.core.upstreamaccount import UpstreamAccount
 from robinspindle.core.usage import make_incarnation
 from robinspindle.duties import Duties
 from robinspindle.fleet import Fleet
@@ -141,7 +141,7 @@
         self.lengths = AnswerStats()
         self.freshness = Freshness()
         self.held = HeldBytes(heldbytes.find_bound(settings.memory_mb))
-        self._called = CalledAccount()
+        self._upstream = UpstreamAccount()
         self.link = LinkQueue(self._clock)
         self._streams = make_stream_parts(
             adapter,
@@ -187,7 +187,7 @@
             self.fleet,
             self.peers,
             adapter.dialect,
-            self._called,
+            self._upstream,
             self._clock,
             make_log("caches"),
         )
@@ -616,7 +616,7 @@
         pledges = settings.pledges
         self.link.uplink.bytes_per_s = settings.link_bytes_per_s
         self.held.max_bytes = heldbytes.find_bound(settings.memory_mb)
-        self._called.max_bytes = calledaccount.find_bound(settings.memory_mb)
+        self._upstream.max_bytes = upstreamaccount.find_bound(settings.memory_mb)
         self._ports.apply_settings(settings)
         self.peers.link_bytes_per_s = settings.link_bytes_per_s
         self.peers.teaches = settings.policy.tells_caches
--- a/src/robinspindle/httpcalls.py
+++ b/src/robinspindle/httpcalls.py
@@ -14,10 +14,10 @@
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
-from robinspindle.core import calledaccount
+from robinspindle.core import upstreamaccount
 from robinspindle.core.answerheads import HeadKind, judge_head
-from robinspindle.core.calledaccount import CalledAccount, CalledHolding
 from robinspindle.core.forwarding import Headers
+from robinspindle.core.upstreamaccount import UpstreamAccount, UpstreamHolding
 
 HEAD_ENDS = (b"\r\n", b"\n")
 
@@ -39,7 +39,7 @@
     """A body longer than any proper one, or than there is memory for."""
 
 
-class CalledLimits:
+class UpstreamLimits:
     """What the answers to a process's calls may make it hold; shared by its threads."""
 
     def __init__(self, max_bytes: float):
@@ -48,27 +48,27 @@
         Args:
             max_bytes: Bound on the answers that are being read, together.
         """
-        self._account = CalledAccount(max_bytes)
+        self._account = UpstreamAccount(max_bytes)
         self._lock = threading.Lock()
 
     @contextmanager
-    def hold(self) -> Iterator[CalledHolding]:
+    def hold(self) -> Iterator[UpstreamHolding]:
         """Hold an answer for as long as it is read."""
-        holding = CalledHolding()
+        holding = UpstreamHolding()
         try:
             yield holding
         finally:
             with self._lock:
-                calledaccount.note_ended(self._account, holding)
+                upstreamaccount.note_ended(self._account, holding)
 
-    def note_read(self, holding: CalledHolding, count: int) -> None:
+    def note_read(self, holding: UpstreamHolding, count: int) -> None:
         """Count what has come of an answer, in bytes.
 
         Raises:
             BodyTooLongError: If it is to be read no further.
         """
         with self._lock:
-            calledaccount.note_read(self._account, holding, count)
+            upstreamaccount.note_read(self._account, holding, count)
         if holding.has_given_way or count > MOST_BODY_BYTES:
             raise BodyTooLongError(f"a body of more than {count} bytes")
 
@@ -89,7 +89,7 @@
 
 
 def call_whole(
-    pools: urllib3.PoolManager, limits: CalledLimits, method: str, url: str, **options
+    pools: urllib3.PoolManager, limits: UpstreamLimits, method: str, url: str, **options
 ) -> WholeAnswer:
     """Make a call and read its whole answer.
 
@@ -121,7 +121,7 @@
         response.release_conn()
 
 
-def _read_body(response: urllib3.BaseHTTPResponse, limits: CalledLimits) -> bytes:
+def _read_body(response: urllib3.BaseHTTPResponse, limits: UpstreamLimits) -> bytes:
     pieces, received = [], 0
     with limits.hold() as holding:
         for piece in response.stream(PIECE_BYTES):
--- a/src/robinspindle/logservice.py
+++ b/src/robinspindle/logservice.py
@@ -22,7 +22,7 @@
 )
 from robinspindle.httpcalls import (
     MOST_BODY_BYTES,
-    CalledLimits,
+    UpstreamLimits,
     call_whole,
     make_pools,
 )
@@ -68,7 +68,7 @@
     def __init__(self, base: str):
         self._base = base.rstrip("/")
         self._http = make_pools(maxsize=4)
-        self._limits = CalledLimits(MOST_BODY_BYTES)
+        self._limits = UpstreamLimits(MOST_BODY_BYTES)
 
     def append(self, stream: str, data: bytes) -> int:
         """Append one record and return its offset.
--- a/src/robinspindle/previewreports.py
+++ b/src/robinspindle/previewreports.py
@@ -7,7 +7,7 @@
 from robinspindle.exceptions import ApiError, BadDocumentError
 from robinspindle.httpcalls import (
     MOST_BODY_BYTES,
-    CalledLimits,
+    UpstreamLimits,
     call_whole,
     make_pools,
 )
@@ -145,7 +145,7 @@
     try:
         response = call_whole(
             make_pools(),
-            CalledLimits(MOST_BODY_BYTES),
+            UpstreamLimits(MOST_BODY_BYTES),
             "POST",
             f"http://{gateway}{PATH}",
             body=msgspec.json.encode(question),
--- a/src/robinspindle/vmlist.py
+++ b/src/robinspindle/vmlist.py
@@ -11,7 +11,7 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import BadDocumentError
-from robinspindle.httpcalls import CalledLimits, call_whole, make_pools
+from robinspindle.httpcalls import UpstreamLimits, call_whole, make_pools
 
 POLL_S = 1.0
 TIMEOUT_S = 2.0
@@ -45,7 +45,7 @@
         self._url = url
         self._post = post
         self._http = make_pools(maxsize=1)
-        self._limits = CalledLimits(MOST_LIST_BYTES)
+        self._limits = UpstreamLimits(MOST_LIST_BYTES)
 
     def run(self) -> None:
         """Follow the list for as long as the process lives."""
--- a/tests/platform/test_cachelists.py
+++ b/tests/platform/test_cachelists.py
@@ -4,12 +4,12 @@
 import socket
 
 from robinspindle.cachelists import MOST_AT_ONCE, CacheLists
-from robinspindle.core.calledaccount import CalledAccount
 from robinspindle.core.engines import note_placed
 from robinspindle.core.forwarding import Part
 from robinspindle.core.peerdigests import Cache, Datagram, Digest, PeerView
 from robinspindle.core.relays import Member
 from robinspindle.core.targets import Announcement, Directory, note_announced
+from robinspindle.core.upstreamaccount import UpstreamAccount
 from robinspindle.fleet import Fleet
 from robinspindle.peerlink import encode
 from robinspindle.peers import Peers
@@ -45,7 +45,7 @@
     own = Member(name, "127.0.0.1", 1)
     peers = Peers(own, 0.0, views={other: PeerView() for other in others})
     clock = asyncio.get_running_loop().time
-    account = CalledAccount()
+    account = UpstreamAccount()
     await CacheLists(fleet, peers, dialect, account, clock, ignore_log).regain()
     return fleet.find_engine_of(replica.lifetime), peers
 
@@ -88,7 +88,7 @@
         servers = [RawServer(make_behaviour(one, lambda _: {})) for one in endless]
         sound = Replica("p1", "lm", "prefill")
         sound.held = {"aa": 400}
-        received, account = Received(), CalledAccount(BOUND_BYTES)
+        received, account = Received(), UpstreamAccount(BOUND_BYTES)
         fleet = Fleet(
             Directory(is_list_read=True),
             dialect.decode_answer,
--- a/tests/test_httpcalls.py
+++ b/tests/test_httpcalls.py
@@ -9,7 +9,7 @@
 
 from robinspindle.engines import Engine
 from robinspindle.exceptions import EngineUnreachableError
-from robinspindle.httpcalls import CalledLimits
+from robinspindle.httpcalls import UpstreamLimits
 from robinspindle.messages import Work
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 2\r\n\r\n"
@@ -84,12 +84,12 @@
 
 def call(address, max_bytes=BOUND_BYTES):
     work = Work(request="r1", kind="call", pool="p", method="GET", path="/x")
-    return Engine(address, 1, CalledLimits(max_bytes)).call(work)
+    return Engine(address, 1, UpstreamLimits(max_bytes)).call(work)
 
 
 def generate(address):
     work = Work(request="r1", kind="generate", pool="p")
-    return list(Engine(address, 1, CalledLimits(BOUND_BYTES)).generate(work, "run"))
+    return list(Engine(address, 1, UpstreamLimits(BOUND_BYTES)).generate(work, "run"))
 
 
 @pytest.mark.parametrize("resets", [False, True])
