One word for a stop, one end of it, and no check that another makes

Change: the refusal stands with the others in core/forwarding and gives its reason; Stop has one function for its end. Behaviour and assertions are the same.

--- a/src/robinspindle/attempts.py
+++ b/src/robinspindle/attempts.py
@@ -1,7 +1,6 @@
 """The attempts of one request at targets, until one delivers or none is left to try."""
 
 import asyncio
-import math
 import random
 
 from robinspindle import guard
@@ -38,9 +37,6 @@
 LEAST_FAULT = 500
 """Lower statuses speak of the request, and no other target would say otherwise."""
 
-STOPPING_REASON = "stopping"
-"""Why a request is refused whose answer would not end before the process does."""
-
 LOOK_AGAIN_S = 0.1
 """How often another target is looked for beside a silent one, seconds."""
 
@@ -102,7 +98,7 @@
         if left_s <= forwarding.MIN_ATTEMPT_S:
             return GivenUp(passage.last_reason or "too-late")
         if self._will_be_cut(passage, now):
-            return GivenUp(STOPPING_REASON)
+            return GivenUp(forwarding.STOPPING.reason)
         if passage.continuation is not None:
             plan = plan_continuation(passage.plan, passage.continuation.target)
         else:
@@ -116,9 +112,10 @@
 
     def _will_be_cut(self, passage: Passage, now: float) -> bool:
         """Whether the process is expected to end before an answer would."""
-        end_at = self._means.ending.at
-        times, route = self._means.answer_times, passage.route.name
-        return math.isfinite(end_at) and not can_end_by(times, route, now, end_at)
+        means = self._means
+        return not can_end_by(
+            means.answer_times, passage.route.name, now, means.ending.at
+        )
 
     def hedge(self, passage: Passage, exchange: Exchange) -> None:
         """Try another target beside one that fell silent.
--- a/src/robinspindle/callerconnections.py
+++ b/src/robinspindle/callerconnections.py
@@ -9,7 +9,7 @@
 
 from robinspindle.callerlimits import CallerLimits, Relief
 from robinspindle.core.calleraccount import CallerHolding, Held
-from robinspindle.core.forwarding import Headers, Refusal
+from robinspindle.core.forwarding import STOPPING, Headers, Refusal
 from robinspindle.hangups import is_closed_by_peer
 from robinspindle.replies import Reply
 from robinspindle.requestparser import Incoming, Limits, RequestParser
@@ -27,9 +27,6 @@
 """How long a connection is read on whose request was refused before it had come whole,
 seconds: who still sends would lose the answer to a reset. Nothing of it is kept."""
 
-STOPPING = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", 0.05)
-"""Answers a request that a stopping server does not take."""
-
 CROWDED_OUT = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "crowded-out", 1.0)
 """Answers a request that is dropped before it has come whole, as callers hold too much:
 it has not run."""
--- a/src/robinspindle/core/forwarding.py
+++ b/src/robinspindle/core/forwarding.py
@@ -221,6 +221,9 @@
 """The key is known, but not whose it is."""
 
 NOT_FRESH = Refusal(503, "configuration-not-fresh", 0.3)
+STOPPING = Refusal(503, "stopping", 0.05)
+"""Answers a request that a stopping server does not take."""
+
 BROKEN = Refusal(502, "broken")
 TIMED_OUT = Refusal(504, "timed-out")
 TOO_LARGE = Refusal(503, "too-large")
--- a/src/robinspindle/gateway.py
+++ b/src/robinspindle/gateway.py
@@ -13,13 +13,13 @@
 from robinspindle.beliefs import Beliefs
 from robinspindle.boundedoutput import BoundedOutput
 from robinspindle.cachelists import CacheLists
-from robinspindle.callerconnections import STOPPING
 from robinspindle.callerports import CallerPorts, Handlers
 from robinspindle.clocks import read_steady
 from robinspindle.core import heldbytes, retrywindows, targets, upstreamaccount
 from robinspindle.core.answerstats import AnswerStats
 from robinspindle.core.authority import Authority
 from robinspindle.core.fingerprints import Fingerprint
+from robinspindle.core.forwarding import STOPPING
 from robinspindle.core.freshness import Freshness, may_serve
 from robinspindle.core.heldbytes import HeldBytes
 from robinspindle.core.pauses import Pause
--- a/src/robinspindle/relay.py
+++ b/src/robinspindle/relay.py
@@ -49,9 +49,10 @@
         Args:
             end_at: When their answers have to have ended, steady seconds.
         """
+        now = self._means.clock()
         self._means.ending.at = end_at
         for passage in self._under_way.values():
-            end_by(passage, end_at, self._means.clock())
+            end_by(passage, end_at, now)
 
     def look_after_leaving(self, now: float, leave_s: float) -> None:
         """Have answers moved away from engines that leave.
--- a/src/robinspindle/stopping.py
+++ b/src/robinspindle/stopping.py
@@ -67,8 +67,7 @@
         """Find when all answers have to have ended, steady seconds; inf if no stop."""
         if self._began_at is None:
             return math.inf
-        left_s = self._find_stop_s() - STOP_MARGIN_S - LAST_ANSWERS_S
-        return self._began_at + max(0.0, left_s)
+        return self._began_at + max(0.0, self._find_end_s() - LAST_ANSWERS_S)
 
     def is_too_late(self, at: float) -> bool:
         """Whether a request that came at a time, steady seconds, is not taken."""
@@ -84,7 +83,11 @@
             self._callers.close_all()
             if self._callers.count_busy() == 0:
                 self.ended.set()
-        if passed_s >= self._find_stop_s() - STOP_MARGIN_S:
+        if passed_s >= self._find_end_s():
             busy = self._callers.count_busy()
             self._log("stopping with requests under way", busy=busy)
             self.ended.set()
+
+    def _find_end_s(self) -> float:
+        """Find how long after the request to stop the process ends, seconds."""
+        return self._find_stop_s() - STOP_MARGIN_S
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -37,8 +37,8 @@
     """Stand for an end that the server brings about: it closes the connection."""
 
 
-def be_raw(replica, data, end=None, count=1):
-    """Have a target answer its next requests with bytes, and end the connection."""
+def be_raw(replica, data, end=None):
+    """Have a target answer its next request with bytes, and end the connection."""
 
     async def send_raw(request, writer):
         writer.write(data)
@@ -48,7 +48,7 @@
         return end is None
 
     replica._be_raw = send_raw
-    replica.behaviours.extend(["raw"] * count)
+    replica.behaviours.append("raw")
 
 
 async def add_raw(d, lifetime, data):
