Soak: faults that pick a replica wait until one is there

Cause: the rig. All seven replicas had crashed within a second, so all were between two lives, and write_garbage picked one of none. Five other faults picked in the same way. Change: World.await_replicas, used by all six.

--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -192,6 +192,7 @@
     restarts = []
     while True:
         await asyncio.sleep(OWN_CRASH_S)
+        await world.await_replicas()
         id = world.rng.choice(list(world.replicas))
         restart = world.restart_replica(id, away_s)
         restarts.append(asyncio.create_task(restart))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -87,6 +87,7 @@
 
 async def harm_replica(world: World, seconds: float) -> None:
     """Delay, cut or reset the way to a replica."""
+    await world.await_replicas()
     proxy = world.rng.choice(list(world.replica_proxies.values()))
     proxy.delay_s = world.rng.choice([0.0, 0.1])
     proxy.cut = world.rng.choice(["", "in", "out", "both"])
@@ -110,8 +111,7 @@
 
 async def replace_replica(world: World, seconds: float) -> None:
     """Have a replica say that it leaves, add another, and end it later."""
-    staying = [r for r in world.replicas.values() if not r.is_leaving]
-    replica = world.rng.choice(staying)
+    replica = world.rng.choice(await world.await_replicas())
     replica.is_leaving = True
     await world.announce(replica, "draining")
     await world.add_replica(replica.service, replica.role)
@@ -130,6 +130,7 @@
 
 async def write_garbage(world: World, seconds: float) -> None:
     """Have another writer spoil entries, also those of replicas in use."""
+    await world.await_replicas()
     ids = world.rng.sample(list(world.replicas), 1)
     for key in ("other", b"\xff\xfe", *ids):
         await world.store.put("keyed.servers", key, world.rng.choice(GARBAGE))
--- a/soak/selfreporting.py
+++ b/soak/selfreporting.py
@@ -103,12 +103,14 @@
 
 async def restart(world: World) -> None:
     """Have a replica start again under its id, also one that leaves."""
+    await world.await_replicas()
     id = world.rng.choice(list(world.replicas))
     await world.restart_replica(id, world.rng.uniform(*AWAY_S))
 
 
 async def restart_and_recall(world: World) -> None:
     """The same, and have the entry of its earlier life come again for a while."""
+    await world.await_replicas()
     id = world.rng.choice(list(world.replicas))
     older = world.describe(world.replicas[id])
     await world.restart_replica(id, world.rng.uniform(*AWAY_S))
--- a/soak/world.py
+++ b/soak/world.py
@@ -19,6 +19,10 @@
 
 HOST = "soak.example"
 
+RETURN_S = 20.0
+RETURN_POLL_S = 0.05
+"""Longest wait until a replica is back, and pause between two looks, seconds."""
+
 
 @dataclass
 class World:
@@ -112,6 +116,22 @@
         if id not in self._removed:
             await self._begin_life(id, before.service, before.role)
 
+    async def await_replicas(self) -> list[SoakReplica]:
+        """Wait until a replica that stays is there; all may be between two lives.
+
+        Returns:
+            All that are there and do not leave.
+
+        Raises:
+            TimeoutError: If none comes back.
+        """
+        async with asyncio.timeout(RETURN_S):
+            while True:
+                staying = [r for r in self.replicas.values() if not r.is_leaving]
+                if staying:
+                    return staying
+                await asyncio.sleep(RETURN_POLL_S)
+
     async def remove_replica(self, id: str) -> None:
         """Take a replica away for good, also where it is between two lives."""
         self._removed.add(id)
