Servers with threads: end waits for callers without touching their sockets

What callers saw: as an entry or an operators' port ended, the rest of an answer that a TLS caller read slowly came in plain text over the same connection. A body that was not whole was answered with 400 (with TLS: in plain text), though nothing was wrong with it. A TLS caller that gave its thread up in a crowd got no answer at all. Cause: threads were woken by closing their sockets' reading halves. cheroot's end does so by SSLSocket.shutdown, which drops TLS and leaves the socket open; our own way keeps TLS, but OpenSSL writes nothing after an end it did not expect. Change: a thread looks every 0.1 s whether it still may wait (CallerInput), so no socket is touched; CallerThreads.stop refuses what isn't whole with 503, not run, and ends the other waits after 1 s.

--- a/src/robinspindle/callerthreads.py
+++ b/src/robinspindle/callerthreads.py
@@ -5,10 +5,12 @@
 gives its thread up. What is read is counted in the process's account (`calleraccount`).
 """
 
+import io
 import socket
 import threading
 from collections.abc import Callable
 
+from cheroot.makefile import MakeFile, StreamReader
 from cheroot.server import HTTPConnection
 from cheroot.wsgi import Server
 
@@ -26,6 +28,14 @@
 MOST_QUEUED = 512
 """Connections that wait for a thread, at most; more are closed unread."""
 
+LOOK_S = 0.1
+LAST_LOOK_S = 0.001
+"""How long a thread waits for bytes until it looks whether it still may, and how long
+it looks for bytes that have come if it may not, seconds."""
+
+STOP_WAITS_S = 1.0
+"""How long after a stop began threads still wait for their callers, seconds."""
+
 WHOLE_BODY_COPIES = 3
 """How often a whole body is in memory while its request is under way: as it came, as it
 was decoded, and as it is sent on."""
@@ -40,11 +50,10 @@
         has_given_way: Whether nothing more is read.
     """
 
-    def __init__(self, server: "CallerThreads", sock: socket.socket):
+    def __init__(self, server: "CallerThreads"):
         self.server = server
         self.holding: CallerHolding | None = None
         self.has_given_way = False
-        self._socket = sock
 
     def give_way(self) -> Relief:
         """End the thread's wait for more; its request is refused."""
@@ -54,12 +63,52 @@
     def give_place(self) -> None:
         """End the thread's wait for more."""
         self.has_given_way = True
+
+
+class CallerInput(io.RawIOBase):
+    """What comes from a caller, until its connection has given way.
+
+    A socket whose reading half is closed would wake its thread too, but after that TLS
+    gives its caller no answer any more, or one in plain text.
+    """
+
+    def __init__(self, connection: "CallerConnection"):
+        self._connection = connection
+
+    def readable(self) -> bool:
+        """Whether there is something to read."""
+        return True
+
+    def readinto(self, buffer: memoryview) -> int:
+        """Wait for bytes; returns their number, 0 for the end.
+
+        Raises:
+            TimeoutError: If none came for as long as the server waits.
+        """
+        limit_s = self._connection.server.timeout
+        until = read_steady() + limit_s
         try:
-            # Not the method of a TLS connection, which would go on without TLS.
-            socket.socket.shutdown(self._socket, socket.SHUT_RD)
-        except OSError:
-            # The caller has closed it meanwhile.
-            return
+            while True:
+                is_over = self._connection.has_given_way
+                self._connection.socket.settimeout(LAST_LOOK_S if is_over else LOOK_S)
+                try:
+                    return self._connection.socket.recv_into(buffer)
+                except TimeoutError:
+                    if is_over:
+                        return 0
+                    if read_steady() >= until:
+                        raise
+        finally:
+            self._connection.socket.settimeout(limit_s)
+
+
+class CallerReader(StreamReader):
+    """Reads what comes from a caller, buffered."""
+
+    def __init__(self, source: CallerInput, length: int):
+        # Past its own constructor, which makes a source that waits in the socket.
+        super(StreamReader, self).__init__(source, length)
+        self.bytes_read = 0
 
 
 class ThreadLimits:
@@ -111,14 +160,28 @@
     def free_thread(self, server: "CallerThreads") -> None:
         """Have the connection give way that a server has been reading for longest."""
         with self._lock:
-            reading = [
-                r for r in self._readings if r.server is server and _may_give_way(r)
-            ]
-            if reading:
-                eldest = min(reading, key=lambda r: r.holding.since)
+            unread = [r for r in self._list(server) if _may_give_way(r)]
+            if unread:
+                eldest = min(unread, key=lambda r: r.holding.since)
                 self._limits.evict(eldest.holding)
             self._limits.tell(self._log, self._clock())
 
+    def refuse_unread(self, server: "CallerThreads") -> None:
+        """Have all of a server's connections give way whose requests aren't whole."""
+        with self._lock:
+            for reading in self._list(server):
+                if _may_give_way(reading):
+                    reading.give_place()
+
+    def end_waits(self, server: "CallerThreads") -> None:
+        """End the waits of all of a server's threads for more from their callers."""
+        with self._lock:
+            for reading in self._list(server):
+                reading.give_place()
+
+    def _list(self, server: "CallerThreads") -> list[Reading]:
+        return [reading for reading in self._readings if reading.server is server]
+
     def _record(self, reading: Reading, held: Held) -> None:
         with self._lock:
             self._limits.record(reading.holding, held)
@@ -146,13 +209,30 @@
 
     reading: Reading | None = None
 
+    def __init__(
+        self,
+        server: "CallerThreads",
+        sock: socket.socket,
+        makefile: Callable[..., io.BufferedIOBase] = MakeFile,
+    ):
+        super().__init__(server, sock, makefile)
+        self.rfile = CallerReader(CallerInput(self), self.rbufsize)
+
+    @property
+    def has_given_way(self) -> bool:
+        """Whether nothing more is read."""
+        return self.reading is not None and self.reading.has_given_way
+
     def communicate(self) -> bool:
         """Read a request and answer it."""
         limits = self.server.limits
-        self.reading = Reading(self.server, self.socket)
+        self.reading = Reading(self.server)
         limits.begin(self.reading)
+        if self.server.is_stopping:
+            # What has come already is still read.
+            self.reading.give_place()
         try:
-            return super().communicate() and not self.reading.has_given_way
+            return super().communicate() and not self.has_given_way
         finally:
             limits.end(self.reading)
 
@@ -162,10 +242,25 @@
 
     Attributes:
         limits: The account of its process; set before it serves.
+        is_stopping: Whether requests that aren't whole are refused.
     """
 
     ConnectionClass = CallerConnection
     limits: ThreadLimits
+    is_stopping = False
+
+    def stop(self) -> None:
+        """Refuse what isn't whole, answer the rest, and end the threads.
+
+        The base class is not told to end waits itself: it closes the reading halves of
+        sockets, see `CallerInput`.
+        """
+        self.is_stopping = True
+        self.limits.refuse_unread(self)
+        ending = threading.Timer(STOP_WAITS_S, self.limits.end_waits, [self])
+        ending.start()
+        super().stop()
+        ending.cancel()
 
     def process_conn(self, conn: HTTPConnection) -> None:
         """Give a connection to a thread as soon as one is free."""
--- a/src/robinspindle/exchanges.py
+++ b/src/robinspindle/exchanges.py
@@ -12,13 +12,10 @@
 from robinspindle.entry import GONE, Entry
 from robinspindle.exceptions import CallerLeftError, EntryStoppedError
 from robinspindle.messages import Work
-from robinspindle.web import HttpError
+from robinspindle.web import STOPPED_RETRY_S, HttpError
 
 EVENT_WAIT_S = 300.0
 
-STOPPED_RETRY_S = 0.1
-"""Retry delay of a request that an ended entry refuses, seconds."""
-
 CALLER_CHECK_S = 0.1
 """Interval at which a waiting thread looks whether its caller has left, seconds: work
 for it has to end within half a second, and two comments in a stream may be needed."""
--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -23,7 +23,6 @@
 
 JSON = "application/json"
 RECEIVE_TIMEOUT_S = 10
-SHUTDOWN_TIMEOUT_S = 1
 QUEUE_SIZE = 512
 CALLER_LEFT = "robinspindle.has_caller_left"
 READING = "robinspindle.reading"
@@ -34,6 +33,9 @@
 CROWDED_OUT_RETRY_S = 1.0
 """After which time a request may come again that was dropped as it came, seconds."""
 
+STOPPED_RETRY_S = 0.1
+"""After which time a request may come again that a stopping server refuses, seconds."""
+
 CALLER_LEFT_REFUSAL = Refusal(
     504, "caller_left", "the caller has closed its connection", "unknown"
 )
@@ -137,10 +139,10 @@
     def get_environ(self) -> dict:
         """Make the environment of a request."""
         conn = self.req.conn
-        descriptor = conn.socket.fileno()
+        descriptor, reading = conn.socket.fileno(), conn.reading
         more = {
-            CALLER_LEFT: lambda: is_closed_by_peer(descriptor),
-            READING: conn.reading,
+            CALLER_LEFT: lambda: reading.has_given_way or is_closed_by_peer(descriptor),
+            READING: reading,
         }
         return super().get_environ() | more
 
@@ -195,7 +197,7 @@
         max=threads,
         request_queue_size=QUEUE_SIZE,
         timeout=RECEIVE_TIMEOUT_S,
-        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        shutdown_timeout=None,
     )
     server.limits = limits or make_thread_limits()
     server.gateway = _CallerGateway
@@ -239,13 +241,12 @@
     try:
         body = _read_pieces(environ["wsgi.input"], wanted, reading)
     except (OSError, ValueError) as error:
+        if reading.has_given_way:
+            raise HttpError(_refuse_unread(reading)) from None
         text = f"the body did not arrive: {error}"
         raise make_error(408, "body_incomplete", text) from None
     if reading.has_given_way:
-        text = "callers send more at once than can be taken"
-        raise HttpError(
-            Refusal(503, "crowded_out", text, "no", retry_s=CROWDED_OUT_RETRY_S)
-        )
+        raise HttpError(_refuse_unread(reading))
     reading.server.limits.note_whole(reading, len(body))
     if len(body) > body_limit:
         text = f"the body is longer than {body_limit} bytes"
@@ -255,6 +256,15 @@
     return body
 
 
+def _refuse_unread(reading: Reading) -> Refusal:
+    """Make the refusal of a request whose body isn't waited for any longer."""
+    if reading.server.is_stopping:
+        text = "the server stopped before the whole body came"
+        return Refusal(503, "stopping", text, "no", STOPPED_RETRY_S)
+    text = "callers send more at once than can be taken"
+    return Refusal(503, "crowded_out", text, "no", CROWDED_OUT_RETRY_S)
+
+
 def _read_pieces(source: IO[bytes], wanted: int, reading: Reading) -> bytes:
     """Read a body piece by piece, so that it is counted as it comes."""
     pieces, count = [], 0
