Entries that stop wait for requests that are still coming

What callers saw: a body that came slowly while its entry stopped got 400. Cause: a stop waited only for requests that were whole. Change: it waits for those whose heads have come, 10 s at the most; what is not whole then gets 503, not run. Measured: test_a_slow_body_is_answered_though_its_entry_was_told_to_stop failed before (400 in place of 200), passes; the other stops of entries and agents in tests/system/test_failures.py pass.

--- a/src/robinspindle/callerthreads.py
+++ b/src/robinspindle/callerthreads.py
@@ -48,12 +48,14 @@
         server: Whose thread it is.
         holding: What it holds; None before it is counted.
         has_given_way: Whether nothing more is read.
+        has_head: Whether the head of a request has come.
     """
 
     def __init__(self, server: "CallerThreads"):
         self.server = server
         self.holding: CallerHolding | None = None
         self.has_given_way = False
+        self.has_head = False
 
     def give_way(self) -> Relief:
         """End the thread's wait for more; its request is refused."""
@@ -166,6 +168,11 @@
                 self._limits.evict(eldest.holding)
             self._limits.tell(self._log, self._clock())
 
+    def has_requests(self, server: "CallerThreads") -> bool:
+        """Whether a server has requests, from the heads to the ends of the answers."""
+        with self._lock:
+            return any(reading.has_head for reading in self._list(server))
+
     def refuse_unread(self, server: "CallerThreads") -> None:
         """Have all of a server's connections give way whose requests aren't whole."""
         with self._lock:
@@ -249,6 +256,10 @@
     limits: ThreadLimits
     is_stopping = False
 
+    def has_requests(self) -> bool:
+        """Whether it has requests, from the heads to the ends of the answers."""
+        return self.limits.has_requests(self)
+
     def stop(self) -> None:
         """Refuse what isn't whole, answer the rest, and end the threads.
 
--- a/src/robinspindle/entry.py
+++ b/src/robinspindle/entry.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import zmq
@@ -46,7 +47,11 @@
 
 CLAIMS_KEPT_S = 3.0
 STOP_GRACE_S = 1.0
+STOP_CALLERS_S = 10.0
 STOP_LIMIT_S = 600.0
+"""How long a stopping entry takes requests at least, and at the most waits for slow
+callers and for its work, seconds."""
+
 GONE = "gone"
 
 log = make_log("entry")
@@ -217,8 +222,13 @@
         with self._moved:
             return self._moved.wait_for(lambda: self.state.offset >= offset, wait_s)
 
-    def run(self) -> None:
-        """Serve until a stop was asked for and nothing is under way."""
+    def run(self, has_requests: Callable[[], bool] = lambda: False) -> None:
+        """Serve until a stop was asked for and nothing is under way.
+
+        Args:
+            has_requests: Tells whether callers' requests are still being read, or
+                their answers written.
+        """
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._mailbox.post(StopAsked()))
         # Nothing is to be read anew: the configuration comes through the log.
@@ -231,12 +241,12 @@
         try:
             while not self._is_closed:
                 self._turn(wait_for_any(self._poller, self._mailbox, dispatch.TICK_S))
-                self._close_if_idle(time.monotonic())
+                self._close_if_idle(time.monotonic(), has_requests)
         finally:
             self._refuse_rest()
             self._close()
 
-    def _close_if_idle(self, now: float) -> None:
+    def _close_if_idle(self, now: float, has_requests: Callable[[], bool]) -> None:
         """Take no more requests if a stop was asked for and nothing is under way.
 
         The balancer needs a moment to see that the entry is not ready any more;
@@ -245,8 +255,10 @@
         if not self.is_stopping:
             return
         asked = now - self._stop_asked_at
+        # Asked for first: what has been read is under way by then.
+        is_awaited = asked <= STOP_CALLERS_S and has_requests()
         with self._lock:
-            is_idle = asked > STOP_GRACE_S and not self._events
+            is_idle = asked > STOP_GRACE_S and not (self._events or is_awaited)
             self._is_closed = is_idle or asked > STOP_LIMIT_S
 
     def _turn(self, items: list) -> None:
--- a/src/robinspindle/entryprocess.py
+++ b/src/robinspindle/entryprocess.py
@@ -43,7 +43,7 @@
     for server in (callers, operators):
         threading.Thread(target=server.serve, daemon=True).start()
     try:
-        entry.run()
+        entry.run(callers.has_requests)
     finally:
         for server in (callers, operators):
             server.stop()
--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -140,6 +140,7 @@
         """Make the environment of a request."""
         conn = self.req.conn
         descriptor, reading = conn.socket.fileno(), conn.reading
+        reading.has_head = True
         more = {
             CALLER_LEFT: lambda: reading.has_given_way or is_closed_by_peer(descriptor),
             READING: reading,
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -1,8 +1,10 @@
 """The promises on real processes: killed, frozen, cut off, stopped."""
 
+import http.client
 import json
 import re
 import signal
+import socket
 import threading
 import time
 
@@ -22,6 +24,10 @@
 
 TOKENS = 60
 
+LONG_BYTES = 7_000_000
+ROOM_BYTES = 65536
+"""Length of an answer, and what a slow reader's connection has room for, bytes."""
+
 
 def act_once(fleet, act):
     """Make a caller's hook that does something at the fifth token."""
@@ -169,6 +175,57 @@
     assert set(ended) <= {200, 503}
 
 
+def begin_slowly(fleet, body):
+    """Send a notification but for the last two bytes of its body."""
+    host, port = fleet.callers[0].removeprefix("http://").split(":")
+    caller = socket.socket()
+    caller.settimeout(30)
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ROOM_BYTES)
+    caller.connect((host, int(port)))
+    lines = ["POST /services/notification/send HTTP/1.1", "Host: x"]
+    lines += ["Authorization: Bearer demo-alert-push", f"Content-Length: {len(body)}"]
+    caller.sendall("\r\n".join([*lines, "", ""]).encode() + body[:-2])
+    return caller
+
+
+def read_status(caller):
+    with caller:
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+        answer.read()
+        return answer.status
+
+
+def test_a_slow_body_is_answered_though_its_entry_was_told_to_stop(calm):
+    """It was cut: a stop waited only for requests whose bodies were whole."""
+    whole = begin_slowly(calm, b"whole after the stop began")
+    broken = begin_slowly(calm, b"never whole")
+    calm.signal("entry-1", signal.SIGTERM)
+    for piece in (b"a", b"n"):
+        time.sleep(1.5)
+        whole.sendall(piece)
+    assert read_status(whole) == 200
+    assert read_status(broken) == 503
+    assert count_calls(calm, b"whole after the stop began") == 1
+    assert calm.processes["entry-1"].wait(15) == 0
+
+
+def test_an_answer_that_is_read_slowly_is_whole_though_its_entry_stops(calm):
+    """It was cut: it counted as delivered once it was handed to its caller's thread."""
+    body = b"l" * LONG_BYTES
+    caller = begin_slowly(calm, body)
+    caller.sendall(body[-2:])
+    wait_until(lambda: count_calls(calm, body) == 1, "the service to have run")
+    time.sleep(1.0)
+    calm.signal("entry-1", signal.SIGTERM)
+    time.sleep(3.0)
+    with caller:
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+        assert len(answer.read()) >= LONG_BYTES
+    assert calm.processes["entry-1"].wait(15) == 0
+
+
 def test_a_hangup_signal_ends_no_process_and_cuts_nothing(calm):
     def send_hangups(name):
         for process in (name, "entry-1"):
