A connection that has given way is read no further

Cause: since threads look whether they still may wait, what kept coming of a refused body was read to its end as the answer was written (the server library drains it): test_whole_bodies_at_once_end_no_entry held 720 to 896 MB of 512. Change: nothing is read after giving way; a stop alone reads what has come.

--- a/src/robinspindle/callerthreads.py
+++ b/src/robinspindle/callerthreads.py
@@ -48,6 +48,7 @@
         server: Whose thread it is.
         holding: What it holds; None before it is counted.
         has_given_way: Whether nothing more is read.
+        may_wait: Whether more is waited for; else only what has come is read.
         has_head: Whether the head of a request has come.
     """
 
@@ -55,6 +56,7 @@
         self.server = server
         self.holding: CallerHolding | None = None
         self.has_given_way = False
+        self.may_wait = True
         self.has_head = False
 
     def give_way(self) -> Relief:
@@ -87,21 +89,21 @@
         Raises:
             TimeoutError: If none came for as long as the server waits.
         """
+        reading, sock = self._connection.reading, self._connection.socket
         limit_s = self._connection.server.timeout
         until = read_steady() + limit_s
         try:
-            while True:
-                is_over = self._connection.has_given_way
-                self._connection.socket.settimeout(LAST_LOOK_S if is_over else LOOK_S)
+            while not reading.has_given_way:
+                sock.settimeout(LOOK_S if reading.may_wait else LAST_LOOK_S)
                 try:
-                    return self._connection.socket.recv_into(buffer)
+                    return sock.recv_into(buffer)
                 except TimeoutError:
-                    if is_over:
-                        return 0
-                    if read_steady() >= until:
+                    if reading.may_wait and read_steady() >= until:
                         raise
+                    reading.has_given_way |= not reading.may_wait
+            return 0
         finally:
-            self._connection.socket.settimeout(limit_s)
+            sock.settimeout(limit_s)
 
 
 class CallerReader(StreamReader):
@@ -174,11 +176,10 @@
             return any(reading.has_head for reading in self._list(server))
 
     def refuse_unread(self, server: "CallerThreads") -> None:
-        """Have all of a server's connections give way whose requests aren't whole."""
+        """Have a server wait for no more of requests that aren't whole."""
         with self._lock:
             for reading in self._list(server):
-                if _may_give_way(reading):
-                    reading.give_place()
+                reading.may_wait = False
 
     def end_waits(self, server: "CallerThreads") -> None:
         """End the waits of all of a server's threads for more from their callers."""
@@ -235,9 +236,7 @@
         limits = self.server.limits
         self.reading = Reading(self.server)
         limits.begin(self.reading)
-        if self.server.is_stopping:
-            # What has come already is still read.
-            self.reading.give_place()
+        self.reading.may_wait = not self.server.is_stopping
         try:
             return super().communicate() and not self.has_given_way
         finally:
