Servers with threads: a body that gives way counts no more at once

What callers saw: as soon as callers' bodies held too much, an entry refused all bodies that were being read, not the tenth that has to give way. Cause: what gave way was counted until its thread ended, so every further one was asked to give way too. Change: it counts no more when it gives way; a gauge, robinspindle_caller_bytes, tells what callers make an entry hold.

--- a/src/robinspindle/callerthreads.py
+++ b/src/robinspindle/callerthreads.py
@@ -60,8 +60,12 @@
         self.has_head = False
 
     def give_way(self) -> Relief:
-        """End the thread's wait for more; its request is refused."""
+        """End the thread's wait for more; its request is refused.
+
+        What it holds counts no more, as its thread drops it at once.
+        """
         self.give_place()
+        self.server.limits.drop(self)
         return Relief.REFUSED
 
     def give_place(self) -> None:
@@ -154,13 +158,18 @@
             reading: The connection.
             count: The bytes.
         """
-        self._record(reading, Held(reading.holding.since, loose_bytes=count))
+        if not reading.has_given_way:
+            self._record(reading, Held(reading.holding.since, loose_bytes=count))
 
     def note_whole(self, reading: Reading, count: int) -> None:
         """Record that a request of a length, in bytes, has come and is under way."""
         held = Held(reading.holding.since, 1 + WHOLE_BODY_COPIES * count)
         self._record(reading, held)
 
+    def drop(self, reading: Reading) -> None:
+        """Count what a connection holds no more, as others are being recorded."""
+        self._limits.record(reading.holding, Held(reading.holding.since))
+
     def free_thread(self, server: "CallerThreads") -> None:
         """Have the connection give way that a server has been reading for longest."""
         with self._lock:
@@ -170,6 +179,10 @@
                 self._limits.evict(eldest.holding)
             self._limits.tell(self._log, self._clock())
 
+    def count_bytes(self) -> int:
+        """Count what callers make the process hold, bytes."""
+        return self._limits.account.total_bytes
+
     def has_requests(self, server: "CallerThreads") -> bool:
         """Whether a server has requests, from the heads to the ends of the answers."""
         with self._lock:
--- a/src/robinspindle/entryprocess.py
+++ b/src/robinspindle/entryprocess.py
@@ -24,6 +24,7 @@
     entry = Entry(settings, key)
     tls = (settings.tls_certificate, settings.tls_key)
     limits = make_thread_limits(settings.memory_mb)
+    entry.metrics.caller_bytes.set_function(limits.count_bytes)
     callers = make_server(
         settings.listen,
         make_callers_handler(entry),
--- a/src/robinspindle/metrics.py
+++ b/src/robinspindle/metrics.py
@@ -80,6 +80,11 @@
         self.in_flight = Gauge(
             "robinspindle_in_flight", "Requests under way", registry=self.registry
         )
+        self.caller_bytes = Gauge(
+            "robinspindle_caller_bytes",
+            "What callers make the process hold, bytes",
+            registry=self.registry,
+        )
         self.offset = Gauge(
             "robinspindle_log_offset", "Control stream offset", registry=self.registry
         )
--- a/tests/crowds/test_entry.py
+++ b/tests/crowds/test_entry.py
@@ -1,5 +1,6 @@
 """No crowd of clients ends an entry, or takes ordinary callers' answers away."""
 
+import re
 import socket
 import threading
 from contextlib import contextmanager
@@ -29,6 +30,8 @@
 
 TRICKLE_S = 0.2
 
+CALM_BYTES = 1 << 20
+
 
 @pytest.fixture(scope="module")
 def fleet():
@@ -147,5 +150,13 @@
     check(fleet)
 
 
+def is_calm(fleet):
+    """Whether nothing that an earlier crowd has sent is under way any more."""
+    page = fleet.http.request("GET", f"{fleet.operators[0]}/metrics").data.decode()
+    held = re.search(r"^robinspindle_caller_bytes (\S+)$", page, re.MULTILINE)
+    return float(held[1]) < CALM_BYTES
+
+
 def test_a_body_as_long_as_allowed_is_served_in_calm(fleet):
+    wait_until(lambda: is_calm(fleet), "calm", ANSWERED_S)
     assert notify(fleet, "", body=b"x" * BODY).status == 200
