A stop refuses the requests that are not whole by its end

What callers saw: a body that was still coming as a gateway's stop ended lost its connection without an answer. Cause: what was coming in counted as under way until the process ended, and nothing told it the end. Change: when the last answers are due, all that is not whole is refused (503, not sent), by what refuses bodies in crowds.

--- a/soak/ends.py
+++ b/soak/ends.py
@@ -110,13 +110,29 @@
     try:
         async with asyncio.timeout(DEADLINE_S):
             writer.write(data)
-            status, body = await _read_answer(reader)
+            return await read_end(reader, id, kind)
     except TimeoutError:
         return End.LEFT
     except (OSError, asyncio.IncompleteReadError, ValueError):
         return End.CLOSED
     finally:
         writer.close()
+
+
+async def read_end(reader: asyncio.StreamReader, id: str, kind: str) -> End:
+    """Read an answer and return how its request ended.
+
+    Args:
+        reader: Where the answer comes.
+        id: The request's id, which its answer holds.
+        kind: Its kind.
+
+    Raises:
+        OSError: If the connection ended before the answer did.
+        asyncio.IncompleteReadError: The same.
+        ValueError: If it is no answer.
+    """
+    status, body = await _read_answer(reader)
     if status != OK:
         return End.REFUSED
     return End.WHOLE if body == expect_answer(id, kind) else End.WRONG
--- a/src/robinspindle/callerconnections.py
+++ b/src/robinspindle/callerconnections.py
@@ -187,12 +187,25 @@
             # What came behind it is dropped unread, and so is what follows.
             self._discard()
             return Relief.SHORTENED
-        if self._parser.is_in_message and not self._is_slow:
-            self._refuse_coming(CROWDED_OUT)
+        if self.refuse_coming(CROWDED_OUT):
             return Relief.REFUSED
         self.give_place()
         return Relief.CLOSED
 
+    def refuse_coming(self, refusal: Refusal) -> bool:
+        """Refuse the request that is coming in; what still comes of it is dropped.
+
+        Returns:
+            Whether one is, and its caller can be told.
+        """
+        is_told = self._parser.is_in_message and not self._is_slow
+        if self._task is not None or not is_told:
+            return False
+        self.server.note_refused(self._parser.coming_headers)
+        self._discard()
+        Reply(self, keep=False).refuse(refusal)
+        return True
+
     def give_place(self) -> None:
         """Close at once, as nothing is under way."""
         if self._parser.is_in_message:
@@ -213,12 +226,6 @@
         """
         return math.inf if self._task is not None else self.server.limits.idle_s
 
-    def _refuse_coming(self, refusal: Refusal) -> None:
-        """Refuse the request that is coming in; what still comes of it is dropped."""
-        self.server.note_refused(self._parser.coming_headers)
-        self._discard()
-        Reply(self, keep=False).refuse(refusal)
-
     def _discard(self) -> None:
         """Drop what has come and what follows, unread; a request under way goes on."""
         self._is_discarding = True
--- a/src/robinspindle/httpserver.py
+++ b/src/robinspindle/httpserver.py
@@ -13,7 +13,7 @@
 from robinspindle.callerlimits import CallerLimits
 from robinspindle.core import calleraccount
 from robinspindle.core.calleraccount import CallerAccount
-from robinspindle.core.forwarding import Headers
+from robinspindle.core.forwarding import Headers, Refusal
 from robinspindle.linkqueue import ignore_sent
 from robinspindle.requestparser import Limits
 
@@ -121,6 +121,12 @@
         if self._server is not None:
             self._server.close()
 
+    def refuse_coming(self, refusal: Refusal) -> int:
+        """Refuse all requests that are not whole yet; returns how many were."""
+        return sum(
+            connection.refuse_coming(refusal) for connection in list(self.connections)
+        )
+
     def close_all(self) -> None:
         """Close all connections that have nothing under way."""
         for connection in list(self.connections):
--- a/src/robinspindle/stopping.py
+++ b/src/robinspindle/stopping.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Callable
 
+from robinspindle.core.forwarding import STOPPING
 from robinspindle.httpserver import CallerServer
 from robinspindle.logs import Log
 
@@ -83,6 +84,10 @@
             self._callers.close_all()
             if self._callers.count_busy() == 0:
                 self.ended.set()
+        if now >= self.find_answers_end():
+            count = self._callers.refuse_coming(STOPPING)
+            if count:
+                self._log("stopping before requests are whole", refused=count)
         if passed_s >= self._find_end_s():
             busy = self._callers.count_busy()
             self._log("stopping with requests under way", busy=busy)
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -14,6 +14,10 @@
 LATE_S = 3.1
 """After a stop's request this is within its last third of a second."""
 
+LATE = write("POST", "/once/x", "late", b"hello", {})
+HEAD_PART, BODY_PART = LATE[:20], LATE[:-PIECES]
+"""A request whose head breaks off, and one whose body does."""
+
 WORK_S = 0.6
 """Time that answers take: more than is left then."""
 
@@ -85,6 +89,24 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("part", [HEAD_PART, BODY_PART], ids=["head", "body"])
+def test_a_request_that_is_never_whole_in_a_stop_is_refused_and_not_cut(tmp_path, part):
+    # Its connection was closed without an answer as the process ended.
+    async def scenario():
+        async with deploy_short(tmp_path) as d:
+            await d.add("t1")
+            reader, writer = await asyncio.open_connection(LOOPBACK, d.port)
+            d.gateway.begin_stop()
+            for some in (part[:-1], part[-1:]):
+                await asyncio.sleep(LATE_S / 3)
+                writer.write(some)
+            reply = await read_reply(reader)
+            assert (reply.status, reply.is_whole) == (503, True)
+            await until(d.gateway._stop.ended.is_set)
+
+    run(scenario())
+
+
 def test_a_body_that_is_whole_in_time_in_a_stop_is_served(tmp_path):
     async def scenario():
         async with deploy_short(tmp_path) as d:
