One object makes our calls in threads and bounds what their answers hold

Connections and limits went side by side through five modules and a function of five arguments. UpstreamCalls holds both; behaviour is the same.

--- a/src/robinspindle/client.py
+++ b/src/robinspindle/client.py
@@ -6,12 +6,7 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import ApiError, BadDocumentError
-from robinspindle.httpcalls import (
-    MOST_BODY_BYTES,
-    UpstreamLimits,
-    call_whole,
-    make_pools,
-)
+from robinspindle.httpcalls import UpstreamCalls
 
 TIMEOUT_S = 15.0
 STARTING = 503
@@ -30,8 +25,7 @@
         self._entries = [entry.rstrip("/") for entry in entries]
         self._headers = {"Authorization": f"Bearer {bearer}"}
         options = {"ca_certs": ca_file} if ca_file else {}
-        self._http = make_pools(**options)
-        self._limits = UpstreamLimits(MOST_BODY_BYTES)
+        self._calls = UpstreamCalls(**options)
 
     def get(self, path: str) -> Any:
         """Query the first entry that answers."""
@@ -72,9 +66,7 @@
         raise ApiError(0, f"no entry answers: {failure}")
 
     def _call(self, entry: str, method: str, path: str, body: bytes | None) -> Any:
-        response = call_whole(
-            self._http,
-            self._limits,
+        response = self._calls.call(
             method,
             f"{entry}/admin/{path}",
             body=body,
--- a/src/robinspindle/engines.py
+++ b/src/robinspindle/engines.py
@@ -16,11 +16,10 @@
 from robinspindle.httpcalls import (
     PIECE_BYTES,
     BodyTooLongError,
+    UpstreamCalls,
     UpstreamLimits,
     WholeAnswer,
-    call_whole,
     closing_unless_read,
-    make_pools,
 )
 from robinspindle.messages import Work
 
@@ -116,9 +115,8 @@
             slots: Requests that it takes at a time.
             limits: What its answers may make the process hold.
         """
-        self._limits = limits
         self._base = f"http://{address}"
-        self._http = make_pools(maxsize=slots + 4)
+        self._calls = UpstreamCalls(limits, maxsize=slots + 4)
 
     def generate(self, work: Work, run: str) -> Iterator[EngineToken]:
         """Run a generation and yield its lines as they come.
@@ -157,9 +155,7 @@
         """
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ANSWER_TIMEOUT_S)
         try:
-            response = call_whole(
-                self._http,
-                self._limits,
+            response = self._calls.call(
                 work.method,
                 self._base + work.path,
                 body=work.body,
@@ -216,13 +212,12 @@
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ANSWER_TIMEOUT_S)
         data = msgspec.json.encode(body)
         try:
-            response = self._http.request(
+            response = self._calls.begin(
                 "POST",
                 self._base + path,
                 body=data,
                 headers=headers,
                 timeout=timeout,
-                preload_content=False,
             )
         except urllib3.exceptions.HTTPError as error:
             raise _make_unreachable(error) from None
@@ -233,9 +228,7 @@
 
     def _get(self, path: str) -> bytes:
         try:
-            response = call_whole(
-                self._http,
-                self._limits,
+            response = self._calls.call(
                 "GET",
                 self._base + path,
                 timeout=ASK_TIMEOUT_S,
@@ -248,9 +241,7 @@
 
     def _post(self, path: str, body: dict, timeout_s: float) -> WholeAnswer:
         try:
-            return call_whole(
-                self._http,
-                self._limits,
+            return self._calls.call(
                 "POST",
                 self._base + path,
                 body=msgspec.json.encode(body),
--- a/src/robinspindle/httpcalls.py
+++ b/src/robinspindle/httpcalls.py
@@ -88,27 +88,6 @@
     data: bytes
 
 
-def call_whole(
-    pools: urllib3.PoolManager, limits: UpstreamLimits, method: str, url: str, **options
-) -> WholeAnswer:
-    """Make a call and read its whole answer.
-
-    Args:
-        pools: Connections.
-        limits: What answers may make the process hold.
-        method: HTTP method.
-        url: Where to.
-        options: Options of `urllib3.PoolManager.request`.
-
-    Raises:
-        urllib3.exceptions.HTTPError: If no whole answer came, or too long a one.
-    """
-    response = pools.request(method, url, preload_content=False, **options)
-    with closing_unless_read(response):
-        body = _read_body(response, limits)
-    return WholeAnswer(response.status, tuple(response.headers.items()), body)
-
-
 @contextmanager
 def closing_unless_read(response: urllib3.BaseHTTPResponse) -> Iterator[None]:
     """Give a connection back in the end; one whose answer is not whole is closed."""
@@ -212,12 +191,53 @@
     ConnectionCls = _CheckedTlsConnection
 
 
-def make_pools(**options) -> urllib3.PoolManager:
-    """Make connections for calls that are not repeated.
+class UpstreamCalls:
+    """Makes calls that are not repeated; may be used by several threads at once.
 
-    Args:
-        options: Options of `urllib3.PoolManager`.
+    Attributes:
+        limits: What the answers may make the process hold.
     """
-    pools = urllib3.PoolManager(retries=False, **options)
-    pools.pool_classes_by_scheme = {"http": _CheckedPool, "https": _CheckedTlsPool}
-    return pools
+
+    def __init__(self, limits: UpstreamLimits | None = None, **options):
+        """Make connections.
+
+        Args:
+            limits: What the answers may make the process hold; None for as much as
+                the longest.
+            options: Options of `urllib3.PoolManager`.
+        """
+        self.limits = limits or UpstreamLimits(MOST_BODY_BYTES)
+        self._pools = urllib3.PoolManager(retries=False, **options)
+        self._pools.pool_classes_by_scheme = {
+            "http": _CheckedPool,
+            "https": _CheckedTlsPool,
+        }
+
+    def begin(self, method: str, url: str, **options) -> urllib3.BaseHTTPResponse:
+        """Make a call; its answer is read by `closing_unless_read`.
+
+        Args:
+            method: HTTP method.
+            url: Where to.
+            options: Options of `urllib3.PoolManager.request`.
+
+        Raises:
+            urllib3.exceptions.HTTPError: If no answer has begun.
+        """
+        return self._pools.request(method, url, preload_content=False, **options)
+
+    def call(self, method: str, url: str, **options) -> WholeAnswer:
+        """Make a call and read its whole answer.
+
+        Args:
+            method: HTTP method.
+            url: Where to.
+            options: Options of `urllib3.PoolManager.request`.
+
+        Raises:
+            urllib3.exceptions.HTTPError: If no whole answer came, or too long a one.
+        """
+        response = self.begin(method, url, **options)
+        with closing_unless_read(response):
+            body = _read_body(response, self.limits)
+        return WholeAnswer(response.status, tuple(response.headers.items()), body)
--- a/src/robinspindle/logservice.py
+++ b/src/robinspindle/logservice.py
@@ -20,12 +20,7 @@
     LogUnavailableError,
     RecordsTrimmedError,
 )
-from robinspindle.httpcalls import (
-    MOST_BODY_BYTES,
-    UpstreamLimits,
-    call_whole,
-    make_pools,
-)
+from robinspindle.httpcalls import UpstreamCalls
 
 READ_WAIT_S = 5.0
 APPEND_TIMEOUT_S = 1.5
@@ -67,8 +62,7 @@
 
     def __init__(self, base: str):
         self._base = base.rstrip("/")
-        self._http = make_pools(maxsize=4)
-        self._limits = UpstreamLimits(MOST_BODY_BYTES)
+        self._calls = UpstreamCalls(maxsize=4)
 
     def append(self, stream: str, data: bytes) -> int:
         """Append one record and return its offset.
@@ -98,9 +92,7 @@
         self, method: str, url: str, data: bytes | None, timeout_s: float
     ) -> bytes:
         try:
-            response = call_whole(
-                self._http, self._limits, method, url, body=data, timeout=timeout_s
-            )
+            response = self._calls.call(method, url, body=data, timeout=timeout_s)
         except urllib3.exceptions.HTTPError as error:
             raise LogUnavailableError(
                 f"the log service gave no answer: {error}"
--- a/src/robinspindle/previewreports.py
+++ b/src/robinspindle/previewreports.py
@@ -5,12 +5,7 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import ApiError, BadDocumentError
-from robinspindle.httpcalls import (
-    MOST_BODY_BYTES,
-    UpstreamLimits,
-    call_whole,
-    make_pools,
-)
+from robinspindle.httpcalls import UpstreamCalls
 from robinspindle.tables import format_table
 
 PATH = "/preview"
@@ -143,9 +138,7 @@
         ApiError: When no gateway answers there, or it can't read the request.
     """
     try:
-        response = call_whole(
-            make_pools(),
-            UpstreamLimits(MOST_BODY_BYTES),
+        response = UpstreamCalls().call(
             "POST",
             f"http://{gateway}{PATH}",
             body=msgspec.json.encode(question),
--- a/src/robinspindle/vmlist.py
+++ b/src/robinspindle/vmlist.py
@@ -11,7 +11,7 @@
 
 from robinspindle.core.decoding import make_json_decoder
 from robinspindle.exceptions import BadDocumentError
-from robinspindle.httpcalls import UpstreamLimits, call_whole, make_pools
+from robinspindle.httpcalls import UpstreamCalls, UpstreamLimits
 
 POLL_S = 1.0
 TIMEOUT_S = 2.0
@@ -44,8 +44,7 @@
         super().__init__(name="vm-list", daemon=True)
         self._url = url
         self._post = post
-        self._http = make_pools(maxsize=1)
-        self._limits = UpstreamLimits(MOST_LIST_BYTES)
+        self._calls = UpstreamCalls(UpstreamLimits(MOST_LIST_BYTES), maxsize=1)
 
     def run(self) -> None:
         """Follow the list for as long as the process lives."""
@@ -56,8 +55,6 @@
             time.sleep(POLL_S)
 
     def _read(self) -> VmsListed:
-        response = call_whole(
-            self._http, self._limits, "GET", self._url, timeout=TIMEOUT_S
-        )
+        response = self._calls.call("GET", self._url, timeout=TIMEOUT_S)
         vms = _decode_vms(response.data)
         return VmsListed(tuple(vm.name for vm in vms if vm.state == LEAVING))
