--- a/soak/releases.py
+++ b/soak/releases.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from itertools import cycle
@@ -42,6 +43,25 @@
 let generate but by orders; how long all do before, seconds."""
 
 
+def prepare_engine(
+    replica: SoakReplica, version: str, events: int, event_s: float
+) -> None:
+    """Have an engine, before it listens, write streams of a software version.
+
+    Args:
+        replica: The engine.
+        version: The version.
+        events: Number of events of a stream.
+        event_s: Time between two of them, seconds.
+    """
+    replica.software_version = version
+    replica.tells_oracle = False
+    replica.events = events
+    replica.event_s = event_s
+    replica.born_ms = time.time_ns() // 1_000_000
+    replica.began_at = asyncio.get_running_loop().time()
+
+
 @dataclass
 class Release:
     """A release of engines.
--- a/soak/resuming.py
+++ b/soak/resuming.py
@@ -246,7 +246,7 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
             status = int(head.split()[1])
             if "transfer-encoding: chunked" in head:
-                await _read_events(stream, id, reader, on_event)
+                await read_events(stream, id, reader, on_event)
             elif (length := LENGTH.search(head)) is not None:
                 await reader.readexactly(int(length[1]))
             is_whole = "connection: close" not in head
@@ -267,9 +267,17 @@
     return stream.data.replace(own.encode(), lines.encode())
 
 
-async def _read_events(
-    stream: Stream, id: str, reader, on_event: Callable[[], None]
+async def read_events(
+    stream: Stream, id: str, reader, on_event: Callable[[], None] = lambda: None
 ) -> None:
+    """Read the events of a try of a stream, until the stream ends or breaks.
+
+    Args:
+        stream: The stream.
+        id: The try's id.
+        reader: Where its answer comes, after the head.
+        on_event: Called with each event.
+    """
     text = b""
     while size := int(await reader.readline(), 16):
         text += (await reader.readexactly(size + 2))[:size]
--- a/soak/versioncrashes.py
+++ b/soak/versioncrashes.py
@@ -10,16 +10,14 @@
 import random
 import re
 import sys
-import time
 from dataclasses import dataclass
 from itertools import cycle
 from pathlib import Path
 
 from soak.callers import write_request
 from soak.oracle import Oracle
-from soak.releases import VERSIONS, await_gateway
-from soak.replicas import SoakReplica
-from soak.resuming import Stream, write_try
+from soak.releases import VERSIONS, await_gateway, prepare_engine
+from soak.resuming import Stream, read_events, write_try
 from soak.seeds import SeedResult, add_seed_options, play_seeds
 from soak.world import World, cancel_all, run_for
 from standins.rawhttp import LOOPBACK
@@ -45,7 +43,6 @@
 FEWEST_BROKEN = 12
 """Broken streams without which nothing is said of the share that is lost."""
 
-EVENT = re.compile(rb"id: (\d+)\ndata: [^\n]+\n\n")
 RETRY_AFTER = re.compile(r"^retry-after: (\S+)\r$", re.IGNORECASE | re.MULTILINE)
 
 
@@ -101,7 +98,9 @@
     world.vary = _vary
     account, tasks, serving = Account(), [], set()
     versions = [VERSIONS[0]]
-    world.prepare = lambda replica: _prepare(replica, versions[0])
+    world.prepare = lambda replica: prepare_engine(
+        replica, versions[0], EVENTS, EVENT_S
+    )
     await world.start(gateways)
     try:
         versions[0] = VERSIONS[1]
@@ -120,14 +119,6 @@
     return account
 
 
-def _prepare(replica: SoakReplica, version: str) -> None:
-    replica.software_version = version
-    replica.tells_oracle = False
-    replica.events = EVENTS
-    replica.event_s = EVENT_S
-    replica.born_ms = time.time_ns() // 1_000_000
-
-
 def _vary(configuration: dict) -> None:
     for route in configuration["Routes"]:
         route["TimeoutMs"] = round(CALLER_S * 1000)
@@ -193,7 +184,7 @@
             told = RETRY_AFTER.search(head)
             stream.retry_s = float(told[1]) if told else 0.0
             if "transfer-encoding: chunked" in head.lower():
-                await _read_events(stream, id, reader)
+                await read_events(stream, id, reader)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         pass  # Broken off, which is what take-ups are for.
     finally:
@@ -201,19 +192,6 @@
             writer.close()
 
 
-async def _read_events(stream: TimedStream, id: str, reader) -> None:
-    text = b""
-    while size := int(await reader.readline(), 16):
-        text += (await reader.readexactly(size + 2))[:size]
-        end = 0
-        for event in EVENT.finditer(text):
-            end = event.end()
-            stream.first = stream.first or id
-            stream.last = int(event[1])
-        text = text[end:]
-    stream.is_ended = True
-
-
 def _play_one(args: argparse.Namespace, seed: int, folder: Path) -> SeedResult:
     account = asyncio.run(play(seed, args.seconds, folder, args.gateways))
     line = (
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -8,7 +8,6 @@
 import asyncio
 import random
 import sys
-import time
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -21,11 +20,11 @@
     await_gateway,
     kill_all_gateways,
     kill_gateways,
+    prepare_engine,
     replace_engines,
     revert_engines,
     take_generating,
 )
-from soak.replicas import SoakReplica
 from soak.resuming import EVENTS, USUAL_HABITS, Habits, call_streams
 from soak.seeds import SeedResult, add_seed_options, play_seeds
 from soak.versionaccount import Try, VersionAccount
@@ -125,7 +124,9 @@
         world.part_gateways()
     played, account, tasks = PLAYS[name], VersionAccount(), []
     release = Release(world, played.versions[0])
-    world.prepare = lambda replica: _prepare(replica, release.version)
+    world.prepare = lambda replica: prepare_engine(
+        replica, release.version, EVENTS, EVENT_S
+    )
     await world.start(gateways)
     try:
         release.version = played.versions[1]
@@ -145,15 +146,6 @@
     return account
 
 
-def _prepare(replica: SoakReplica, version: str) -> None:
-    replica.software_version = version
-    replica.tells_oracle = False
-    replica.events = EVENTS
-    replica.event_s = EVENT_S
-    replica.born_ms = time.time_ns() // 1_000_000
-    replica.began_at = asyncio.get_running_loop().time()
-
-
 def _vary(configuration: dict) -> None:
     for route in configuration["Routes"]:
         route["TimeoutMs"] = 5000
