--- a/src/robinspindle/entryprocess.py
+++ b/src/robinspindle/entryprocess.py
@@ -6,11 +6,11 @@
 
 from robinspindle.allocator import share_one_heap
 from robinspindle.callers import make_callers_handler
-from robinspindle.callerthreads import make_thread_limits
 from robinspindle.entry import Entry
 from robinspindle.keys import FleetKey
 from robinspindle.operators import make_operators_handler
 from robinspindle.settings import EntrySettings
+from robinspindle.threadlimits import make_thread_limits
 from robinspindle.web import make_server
 
 OPERATOR_THREADS = 8
--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -10,16 +10,12 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 from cheroot.wsgi import Gateway_10
 
-from robinspindle.callerthreads import (
-    CallerThreads,
-    Reading,
-    ThreadLimits,
-    make_thread_limits,
-)
+from robinspindle.callerthreads import CallerThreads
 from robinspindle.core.decoding import parse_whole
 from robinspindle.core.effects import Refusal
 from robinspindle.exceptions import CallerLeftError, RobinspindleError
 from robinspindle.hangups import is_closed_by_peer
+from robinspindle.threadlimits import Reading, ThreadLimits, make_thread_limits
 
 JSON = "application/json"
 RECEIVE_TIMEOUT_S = 10
