--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -6,6 +6,10 @@
 ONCE = ("once", "chat")
 PROMISES = (408, 421, 429, 503)
 
+LEAST_FINAL = 200
+LEAST_ODD = 600
+"""Statuses of answers are those from the first to below the second."""
+
 
 @dataclass
 class Oracle:
@@ -50,6 +54,8 @@
         self.outcomes[kind][status if is_whole else 0] += 1
         if not is_whole:
             return
+        if not LEAST_FINAL <= status < LEAST_ODD:
+            self.findings.append(f"{id}: {kind} is answered with status {status}")
         if status in PROMISES:
             self.promised.add(id)
         if status == 200:
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -11,10 +11,10 @@
 
 MISBEHAVIOURS = {
     "": ("full", "error", "unmarked", "reset", "garbage", "unsealed", "surplus")
-    + ("twice", "interim", "unframed", "cut_unframed"),
+    + ("twice", "interim", "unframed", "cut_unframed", "cut_head", "odd_status"),
     "decode": ("full", "reset", "torn", "error", "wrong_role", "garbage")
-    + ("unframed", "torn_unframed", "reset_unframed"),
-    "prefill": ("full", "reset", "error", "garbage"),
+    + ("unframed", "torn_unframed", "reset_unframed", "cut_head", "odd_status"),
+    "prefill": ("full", "reset", "error", "garbage", "cut_head", "odd_status"),
 }
 """What a replica may do to a request, by its role."""
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -52,6 +52,10 @@
     is_marked: bool
 
 
+ODD_STATUSES = (b"000", b"099", b"600", b"999")
+"""Statuses that no answer has."""
+
+
 class Replica:
     """One lifetime of a replica.
 
@@ -254,6 +258,20 @@
         writer.write(b"\x00\x01 this is no answer\r\n\r\n")
         return False
 
+    async def _be_cut_head(self, request: RawRequest, writer) -> bool:
+        """An answer that breaks off in its head, each time at another place."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Response-Seal: none\r\n"
+        writer.write(head[: len(self.arrivals) % len(head)])
+        return False
+
+    async def _be_odd_status(self, request: RawRequest, writer) -> bool:
+        """An answer whose status is that of no answer."""
+        status = ODD_STATUSES[len(self.arrivals) % len(ODD_STATUSES)]
+        lines = [f"{name}: {value}" for name, value in self._head(request).items()]
+        head = "\r\n".join(["Content-Length: 2", *lines, "", ""]).encode()
+        writer.write(b"HTTP/1.1 %b Odd\r\n%bok" % (status, head))
+        return True
+
     async def _be_unsealed(self, request: RawRequest, writer) -> bool:
         head = self._head(request)
         del head["X-Response-Seal"]
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -1,3 +1,5 @@
+import pytest
+
 from soak.oracle import Oracle, expect_answer, expect_body
 
 
@@ -40,3 +42,10 @@
     assert not oracle.findings
     oracle.note_answer("r-1", 200, expect_answer("r-1", "chat")[:-10], True)
     assert len(oracle.findings) == 1
+
+
+@pytest.mark.parametrize("status", [0, 99, 103, 600, 999])
+def test_a_status_that_no_answer_has_is_found(status):
+    oracle = make("safe")
+    oracle.note_answer("r-1", status, b"ok", True)
+    assert len(oracle.findings) == 1
