A connection that is turned away ends without an error

Cause: the watch of what was sent was asked to end for a connection that had been turned away before its watch began; what follows in connection_lost, which frees the parser, was not reached. Change: a watch that has not begun has nothing to end. Measured: the new case failed before, passes.

--- a/src/robinspindle/sendwatch.py
+++ b/src/robinspindle/sendwatch.py
@@ -96,6 +96,9 @@
 
         What the operating system still has to send reaches a peer that reads slowly.
         """
+        if self._socket is None:
+            # The connection was turned away as it was opened.
+            return
         if self._check is not None:
             self._check.cancel()
         if not read_send_queue(self._socket).is_empty:
--- a/tests/test_sendwatch.py
+++ b/tests/test_sendwatch.py
@@ -1,6 +1,7 @@
 """Connections end when their peers are gone, not when they have no room for long."""
 
 import asyncio
+import contextlib
 import socket
 from contextlib import asynccontextmanager
 
@@ -52,6 +53,26 @@
         server.close_listener()
 
 
+def test_a_connection_that_is_turned_away_ends_without_an_error():
+    # Its watch had not begun, so each one ended in an error of the event loop.
+    async def scenario():
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: errors.append(context))
+        server = CallerServer(None, Limits(), loop.time, take_connection=lambda: False)
+        await server.start("127.0.0.1", 0)
+        address = server._server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        with contextlib.suppress(ConnectionError):
+            assert not await reader.read()
+        writer.close()
+        await asyncio.sleep(0.1)
+        server.close_listener()
+        assert errors == []
+
+    asyncio.run(scenario())
+
+
 async def ask(address, headers=b""):
     """Send a request, and read nothing of its answer."""
     sock = socket.socket()
