--- a/soak/stops.py
+++ b/soak/stops.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import math
 import random
 import signal
 import sys
@@ -44,6 +45,11 @@
 SETTLED_S = 1.0
 BESIDE_S = 3.0
 
+STALL_S = 0.5
+LOOK_S = 0.05
+"""A machine that holds this process up for so long, seconds, as looks at intervals
+tell, makes callers send late: such requests aren't judged."""
+
 RACE_S = 0.1
 """A request that meets the end of its connection within that time may not have been
 seen, seconds: a new connection in the backlog, or a kept one that was idle."""
@@ -56,10 +62,12 @@
     Attributes:
         ends: How requests ended, by kind and end.
         findings: What must not be seen and was.
+        stalled_at: When this process was held up last, loop seconds.
     """
 
     ends: Counter[tuple[str, End]] = field(default_factory=Counter)
     findings: list[str] = field(default_factory=list)
+    stalled_at: float = -math.inf
 
 
 @dataclass
@@ -104,12 +112,22 @@
         sent_at = loop.time()
         end = await _ask(connection, world, id, kind, slow)
         account.ends[kind, end] += 1
-        if end in (End.CLOSED, End.LEFT):
+        if end in (End.CLOSED, End.LEFT) and account.stalled_at < sent_at:
             _judge(account, id, kind, end, loop.time() - sent_at, world.oracle.runs[id])
         if end is not End.WHOLE or world.rng.random() < 1 / PIECES:
             connection.close()
 
 
+async def watch_stalls(account: StopAccount) -> None:
+    """Take note of the times at which this process is held up, for ever."""
+    loop = asyncio.get_running_loop()
+    while True:
+        looked_at = loop.time()
+        await asyncio.sleep(LOOK_S)
+        if loop.time() - looked_at > STALL_S:
+            account.stalled_at = loop.time()
+
+
 def _judge(
     account: StopAccount, id: str, kind: str, end: End, used_s: float, runs: int
 ) -> None:
@@ -201,6 +219,7 @@
     tasks: list[asyncio.Task] = []
     try:
         await wait_until_all_serve(world, "start")
+        tasks.append(asyncio.create_task(watch_stalls(account)))
         for number in range(CALLERS * GATEWAYS):
             gateway = world.gateways[number % GATEWAYS]
             slow = number // GATEWAYS % 2 == 1
