--- a/soak/starts.py
+++ b/soak/starts.py
@@ -8,7 +8,6 @@
 import argparse
 import asyncio
 import contextlib
-import math
 import random
 import re
 import signal
@@ -23,6 +22,7 @@
 from soak.oddrecords import draw_record
 from soak.oracle import Oracle
 from soak.seeds import SeedResult, add_seed_options, play_seeds
+from soak.stalls import StallWatch
 from soak.waiting import wait_until_all_know_the_newest, wait_until_all_serve
 from soak.world import World, cancel_all
 from standins.rawhttp import LOOPBACK
@@ -34,11 +34,6 @@
 START_S = 1.0
 """Time after a start within which signals come, seconds."""
 
-TICK_S = 0.05
-STALL_S = 0.5
-"""Interval at which it is looked whether this process is run at all, and how late that
-may come, seconds: callers that are not run don't read their answers."""
-
 SPOILT = (
     "",
     "x",
@@ -64,8 +59,7 @@
         lost: Requests that ran and got no whole answer, as their gateway was killed.
         unread: Requests without an answer that no replica has run.
         unsure: Requests that ran and got no whole answer while callers were not run.
-        ticked_at: When this process was seen to run last, steady seconds.
-        stalled_at: When it was seen last that it had not been run for a while.
+        stalls: Sees when callers were not run.
     """
 
     sent_at: dict[str, float] = field(default_factory=dict)
@@ -73,20 +67,7 @@
     lost: int = 0
     unread: int = 0
     unsure: int = 0
-    ticked_at: float = math.inf
-    stalled_at: float = 0.0
-
-    async def watch(self) -> None:
-        """See whether this process is run, for as long as it plays."""
-        while True:
-            self.note_tick(asyncio.get_running_loop().time())
-            await asyncio.sleep(TICK_S)
-
-    def note_tick(self, now: float) -> None:
-        """Take note that this process runs."""
-        if now - self.ticked_at > STALL_S:
-            self.stalled_at = now
-        self.ticked_at = now
+    stalls: StallWatch = field(default_factory=StallWatch)
 
     def note_sent(self, id: str, kind: str) -> None:
         """Take note of a request before it is sent."""
@@ -105,8 +86,7 @@
         if self.killed_at.get(gateway, 0.0) >= self.sent_at[id]:
             self.lost += 1
             return
-        self.note_tick(asyncio.get_running_loop().time())
-        if self.stalled_at >= self.sent_at[id]:
+        if self.stalls.has_stalled_since(self.sent_at[id]):
             self.unsure += 1
         else:
             self.findings.append(f"{id}: ran and was lost, though nobody was killed")
@@ -271,7 +251,7 @@
     starts = Starts(world, oracle)
     drawn = (*HARMS, write_odd_records) if has_odd_records else HARMS
     await world.start(GATEWAYS)
-    tasks = [asyncio.create_task(oracle.watch())]
+    tasks = [asyncio.create_task(oracle.stalls.watch())]
     try:
         await wait_until_all_serve(world, "start")
         for number in range(CALLERS * GATEWAYS):
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import math
 import random
 import signal
 import sys
@@ -24,6 +23,7 @@
 from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
 from soak.seeds import SeedResult, add_seed_options, play_seeds
+from soak.stalls import StallWatch
 from soak.waiting import wait_until_all_serve
 from soak.world import World, cancel_all, run_for
 from standins.rawhttp import LOOPBACK
@@ -40,16 +40,13 @@
 BODY_S = (0.2, 3.6)
 """How long a slow body is in coming, seconds: up to the end of a stop."""
 
+UNANSWERED = (End.CLOSED, End.LEFT)
+
 PIECES = 4
 DEADLINE_S = 6.0
 SETTLED_S = 1.0
 BESIDE_S = 3.0
 
-STALL_S = 0.5
-LOOK_S = 0.05
-"""A machine that holds this process up for so long, seconds, as looks at intervals
-tell, makes callers send late: such requests aren't judged."""
-
 RACE_S = 0.1
 """A request that meets the end of its connection within that time may not have been
 seen, seconds: a new connection in the backlog, or a kept one that was idle."""
@@ -62,12 +59,12 @@
     Attributes:
         ends: How requests ended, by kind and end.
         findings: What must not be seen and was.
-        stalled_at: When this process was held up last, loop seconds.
+        stalls: Sees when callers were not run; what ends then isn't judged.
     """
 
     ends: Counter[tuple[str, End]] = field(default_factory=Counter)
     findings: list[str] = field(default_factory=list)
-    stalled_at: float = -math.inf
+    stalls: StallWatch = field(default_factory=StallWatch)
 
 
 @dataclass
@@ -112,22 +109,12 @@
         sent_at = loop.time()
         end = await _ask(connection, world, id, kind, slow)
         account.ends[kind, end] += 1
-        if end in (End.CLOSED, End.LEFT) and account.stalled_at < sent_at:
+        if end in UNANSWERED and not account.stalls.has_stalled_since(sent_at):
             _judge(account, id, kind, end, loop.time() - sent_at, world.oracle.runs[id])
         if end is not End.WHOLE or world.rng.random() < 1 / PIECES:
             connection.close()
 
 
-async def watch_stalls(account: StopAccount) -> None:
-    """Take note of the times at which this process is held up, for ever."""
-    loop = asyncio.get_running_loop()
-    while True:
-        looked_at = loop.time()
-        await asyncio.sleep(LOOK_S)
-        if loop.time() - looked_at > STALL_S:
-            account.stalled_at = loop.time()
-
-
 def _judge(
     account: StopAccount, id: str, kind: str, end: End, used_s: float, runs: int
 ) -> None:
@@ -219,7 +206,7 @@
     tasks: list[asyncio.Task] = []
     try:
         await wait_until_all_serve(world, "start")
-        tasks.append(asyncio.create_task(watch_stalls(account)))
+        tasks.append(asyncio.create_task(account.stalls.watch()))
         for number in range(CALLERS * GATEWAYS):
             gateway = world.gateways[number % GATEWAYS]
             slow = number // GATEWAYS % 2 == 1
