--- a/soak/ends.py
+++ b/soak/ends.py
@@ -119,27 +119,36 @@
         writer.close()
 
 
-async def read_end(reader: asyncio.StreamReader, id: str, kind: str) -> End:
+async def read_end(
+    reader: asyncio.StreamReader,
+    id: str,
+    kind: str,
+    on_head: Callable[[], None] = lambda: None,
+) -> End:
     """Read an answer and return how its request ended.
 
     Args:
         reader: Where the answer comes.
         id: The request's id, which its answer holds.
         kind: Its kind.
+        on_head: Called when the head has come.
 
     Raises:
         OSError: If the connection ended before the answer did.
         asyncio.IncompleteReadError: The same.
         ValueError: If it is no answer.
     """
-    status, body = await _read_answer(reader)
+    status, body = await _read_answer(reader, on_head)
     if status != OK:
         return End.REFUSED
     return End.WHOLE if body == expect_answer(id, kind) else End.WRONG
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, bytes]:
+async def _read_answer(
+    reader: asyncio.StreamReader, on_head: Callable[[], None]
+) -> tuple[int, bytes]:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    on_head()
     status = int(head.split()[1])
     if "transfer-encoding: chunked" not in head:
         length = int(head.partition("content-length:")[2].split()[0])
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -15,13 +15,15 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
-from soak.callers import write_request
+from soak.callers import KINDS, write_request
 from soak.ends import End, read_end
 from soak.faults import change_configuration, replace_replica
 from soak.gateways import GatewayProcess
 from soak.oracle import Oracle
+from soak.replicas import SoakReplica
 from soak.seeds import SeedResult, add_seed_options, play_seeds
 from soak.stalls import StallWatch
 from soak.waiting import wait_until_all_serve
@@ -32,7 +34,11 @@
 CALLERS = 8
 """Callers of each gateway; every other one sends its bodies slowly."""
 
-PLAIN_KINDS = ("safe", "once")
+STREAMS = ("chat", "digest")
+"""Kinds of which an answer that has begun may break off, to be taken up elsewhere."""
+
+EVENT_S = 0.4
+"""Time between two events of a stream, seconds."""
 
 WORK_S = (0.0, 0.3, 1.2)
 """How long the plain replicas work, seconds, one after the other."""
@@ -99,7 +105,7 @@
     loop, connection, number = asyncio.get_running_loop(), _Connection(), 0
     while True:
         number += 1
-        id, kind = f"{name}-{number}", world.rng.choice(PLAIN_KINDS)
+        id, kind = f"{name}-{number}", world.rng.choice(KINDS)
         await asyncio.sleep(world.rng.uniform(0.0, 0.05))
         try:
             await connection.open(gateway.callers)
@@ -128,22 +134,24 @@
     connection: _Connection, world: World, id: str, kind: str, slow: bool
 ) -> End:
     data = write_request(id, kind, world.rng, deadline_ms=round(DEADLINE_S * 1000))
+    heads: list[str] = []
+    read = partial(read_end, connection.reader, id, kind, lambda: heads.append(id))
     try:
         async with asyncio.timeout(DEADLINE_S):
             if not slow:
                 connection.writer.write(data)
-                return await read_end(connection.reader, id, kind)
+                return await read()
             body_s = world.rng.uniform(*BODY_S)
             sending = asyncio.create_task(_send_slowly(connection.writer, data, body_s))
             try:
                 # The answer may come before all is sent.
-                return await read_end(connection.reader, id, kind)
+                return await read()
             finally:
                 await cancel_all([sending])
     except TimeoutError:
         return End.LEFT
     except (OSError, asyncio.IncompleteReadError, ValueError):
-        return End.CLOSED
+        return End.EXCUSED if heads and kind in STREAMS else End.CLOSED
 
 
 async def _send_slowly(
@@ -223,7 +231,8 @@
     return account
 
 
-def _slow_down(replica) -> None:
+def _slow_down(replica: SoakReplica) -> None:
+    replica.event_s = EVENT_S
     if not replica.role:
         replica.run_s = WORK_S[int(replica.lifetime[1:]) % len(WORK_S)]
 
