--- a/soak/stops.py
+++ b/soak/stops.py
@@ -37,7 +37,7 @@
 STREAMS = ("chat", "digest")
 """Kinds of which an answer that has begun may break off, to be taken up elsewhere."""
 
-EVENT_S = 0.4
+EVENT_S = 0.15
 """Time between two events of a stream, seconds."""
 
 WORK_S = (0.0, 0.3, 1.2)
