--- a/soak/stops.py
+++ b/soak/stops.py
@@ -49,9 +49,15 @@
 UNANSWERED = (End.CLOSED, End.LEFT)
 
 PIECES = 4
+KEPT_SHARE = 0.75
+"""Pieces in which the end of a slow body comes, and the share of whole answers after
+which a connection is kept."""
+
 DEADLINE_S = 6.0
 SETTLED_S = 1.0
 BESIDE_S = 3.0
+"""How long a caller waits for an answer, how long all is calm before a stop, and up to
+when something else happens beside it, seconds."""
 
 RACE_S = 0.1
 """A request that meets the end of its connection within that time may not have been
@@ -117,7 +123,9 @@
         account.ends[kind, end] += 1
         if end in UNANSWERED and not account.stalls.has_stalled_since(sent_at):
             _judge(account, id, kind, end, loop.time() - sent_at, world.oracle.runs[id])
-        if end is not End.WHOLE or world.rng.random() < 1 / PIECES:
+        if end is End.WRONG:
+            account.findings.append(f"{id}: {kind} has the wrong answer")
+        if end is not End.WHOLE or world.rng.random() > KEPT_SHARE:
             connection.close()
 
 
