Servers with threads: what gives way counts again until it is dropped

Cause: counted no more at once, what gives way makes room for as much again while 128 threads have yet to drop it. Change: the account is as it was.

--- a/src/robinspindle/threadlimits.py
+++ b/src/robinspindle/threadlimits.py
@@ -58,10 +58,10 @@
     def give_way(self) -> Relief:
         """End the thread's wait for more; its request is refused.
 
-        What it holds counts no more, as its thread drops it at once.
+        What it holds counts until its thread has dropped it: beside many threads that
+        takes a while, in which as much again would come.
         """
         self.give_place()
-        self.server.limits.drop(self)
         return Relief.REFUSED
 
     def give_place(self) -> None:
@@ -108,18 +108,13 @@
             reading: The connection.
             count: The bytes.
         """
-        if not reading.has_given_way:
-            self._record(reading, Held(reading.holding.since, loose_bytes=count))
+        self._record(reading, Held(reading.holding.since, loose_bytes=count))
 
     def note_whole(self, reading: Reading, count: int) -> None:
         """Record that a request of a length, in bytes, has come and is under way."""
         held = Held(reading.holding.since, 1 + WHOLE_BODY_COPIES * count)
         self._record(reading, held)
 
-    def drop(self, reading: Reading) -> None:
-        """Count what a connection holds no more, as others are being recorded."""
-        self._limits.record(reading.holding, Held(reading.holding.since))
-
     def free_thread(self, server: ThreadServer) -> None:
         """Have the connection give way that a server has been reading for longest."""
         with self._lock:
