One check of what has given way, and no property beside it

Cause: read over: the reading of a body asked twice whether its connection had given way, a connection passed on what its reading tells, and a condition had a name for half of it.

--- a/src/robinspindle/callerconnections.py
+++ b/src/robinspindle/callerconnections.py
@@ -198,8 +198,7 @@
         Returns:
             Whether one is, and its caller can be told.
         """
-        is_told = self._parser.is_in_message and not self._is_slow
-        if self._task is not None or not is_told:
+        if self._task is not None or self._is_slow or not self._parser.is_in_message:
             return False
         self.server.note_refused(self._parser.coming_headers)
         self._discard()
--- a/src/robinspindle/callerthreads.py
+++ b/src/robinspindle/callerthreads.py
@@ -88,11 +88,6 @@
         super().__init__(server, sock, makefile)
         self.rfile = CallerReader(CallerInput(self), self.rbufsize)
 
-    @property
-    def has_given_way(self) -> bool:
-        """Whether nothing more is read."""
-        return self.reading is not None and self.reading.has_given_way
-
     def communicate(self) -> bool:
         """Read a request and answer it."""
         limits = self.server.limits
@@ -100,7 +95,7 @@
         limits.begin(self.reading)
         self.reading.may_wait = not self.server.is_stopping
         try:
-            return super().communicate() and not self.has_given_way
+            return super().communicate() and not self.reading.has_given_way
         finally:
             limits.end(self.reading)
 
--- a/src/robinspindle/web.py
+++ b/src/robinspindle/web.py
@@ -238,10 +238,10 @@
     try:
         body = _read_pieces(environ["wsgi.input"], wanted, reading)
     except (OSError, ValueError) as error:
-        if reading.has_given_way:
-            raise HttpError(_refuse_unread(reading)) from None
-        text = f"the body did not arrive: {error}"
-        raise make_error(408, "body_incomplete", text) from None
+        # A chunk that is not waited for any longer is malformed to the server library.
+        if not reading.has_given_way:
+            text = f"the body did not arrive: {error}"
+            raise make_error(408, "body_incomplete", text) from None
     if reading.has_given_way:
         raise HttpError(_refuse_unread(reading))
     reading.server.limits.note_whole(reading, len(body))
